--- /dev/null
+++ b/crates/gateway/src/attempt.rs
@@ -0,0 +1,177 @@
+//! One send to one upstream.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use compact_str::CompactString;
+use compact_str::format_compact;
+use http::StatusCode;
+use jd_net::HttpResponse;
+use jd_net::SendError;
+use jd_types::AttemptOutcome;
+use jd_types::MonoTime;
+
+use crate::AnswerHead;
+use crate::UpstreamCall;
+use crate::call::Call;
+use crate::state::State;
+use crate::upstream_table::Chosen;
+
+/// The answer of an upstream, its body still coming in.
+#[derive(Debug)]
+pub(crate) struct Answer {
+    pub(crate) head: AnswerHead,
+    pub(crate) response: HttpResponse,
+    pub(crate) open: OpenAttempt,
+}
+
+/// An attempt that is not over. Dropping it counts as cancelled.
+#[derive(Debug)]
+pub(crate) struct OpenAttempt {
+    state: Arc<State>,
+    chosen: Chosen,
+    began: MonoTime,
+    over: bool,
+}
+
+impl OpenAttempt {
+    pub(crate) fn begin(state: &Arc<State>, chosen: Chosen) -> OpenAttempt {
+        chosen.upstream.started();
+        OpenAttempt {
+            state: Arc::clone(state),
+            began: state.now(),
+            chosen,
+            over: false,
+        }
+    }
+
+    pub(crate) fn id(&self) -> &str {
+        &self.chosen.id
+    }
+
+    pub(crate) fn end(&mut self, outcome: AttemptOutcome) {
+        if std::mem::replace(&mut self.over, true) {
+            return;
+        }
+        let now = self.state.now();
+        let took = now.since(self.began);
+        self.chosen.upstream.finished(now, took, outcome);
+        self.state.metrics.attempt(outcome.as_str());
+    }
+}
+
+impl Drop for OpenAttempt {
+    fn drop(&mut self) {
+        self.end(AttemptOutcome::Cancelled);
+    }
+}
+
+/// How a send ended that brought no answer for the caller.
+#[derive(Debug)]
+pub(crate) struct Failure {
+    pub(crate) outcome: AttemptOutcome,
+    pub(crate) detail: CompactString,
+    /// True if results that the request works on are gone.
+    pub(crate) inputs_gone: bool,
+}
+
+fn failure(outcome: AttemptOutcome, detail: impl Into<CompactString>) -> Failure {
+    Failure {
+        outcome,
+        detail: detail.into(),
+        inputs_gone: false,
+    }
+}
+
+/// Sends `call` to `chosen` and waits at most `patience` for the answer's head.
+/// What comes back is the upstream's own answer to this very request, or a
+/// failure that says what it proves.
+pub(crate) async fn send(
+    state: &Arc<State>,
+    call: &Call,
+    chosen: Chosen,
+    inputs: &[CompactString],
+    last_event: Option<u64>,
+    patience: Duration,
+) -> Result<Answer, Failure> {
+    let address = chosen.upstream.address;
+    let id = chosen.id.clone();
+    let mut open = OpenAttempt::begin(state, chosen);
+    let upstream_call = UpstreamCall {
+        upstream: &id,
+        left: call.left(state.now()),
+        customer: call.customer.as_deref(),
+        priority: call.priority,
+        inputs,
+        last_event,
+    };
+    let body = jd_net::full(call.body.clone());
+    let req = state
+        .dialect
+        .upstream_request(&call.parts, &upstream_call, body);
+    let sent = state.pool.send(address, req, patience, false).await;
+    let result = match sent {
+        None => Err(failure(AttemptOutcome::Silent, "no answer in time")),
+        Some(Err(SendError::NotSent)) => {
+            Err(failure(AttemptOutcome::NotRun, "no connection could be opened"))
+        }
+        Some(Err(SendError::Broken)) => {
+            Err(failure(AttemptOutcome::Failed, "the connection broke"))
+        }
+        Some(Ok(response)) => judge(state, call, response),
+    };
+    match result {
+        Ok((head, response)) => Ok(Answer {
+            head,
+            response,
+            open,
+        }),
+        Err(failure) => {
+            open.end(failure.outcome);
+            log::info!(
+                request = call.id(),
+                upstream = id.as_str(),
+                outcome = failure.outcome.as_str(),
+                detail = failure.detail.as_str();
+                "attempt failed"
+            );
+            Err(failure)
+        }
+    }
+}
+
+/// An answer counts only if it names the request that waits; an extra or late
+/// one of another request looks like an answer and belongs to nobody here.
+fn judge(
+    state: &State,
+    call: &Call,
+    response: HttpResponse,
+) -> Result<(AnswerHead, HttpResponse), Failure> {
+    let head = state.dialect.answer_head(response.status, &response.headers);
+    let named = head.request_id.as_deref() == call.head.request_id.as_deref();
+    let misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
+    match head {
+        _ if misdirected => Err(failure(
+            AttemptOutcome::NotRun,
+            "another upstream has the address",
+        )),
+        AnswerHead { not_run: true, .. } => Err(Failure {
+            outcome: AttemptOutcome::NotRun,
+            detail: format_compact!("the upstream refused with {}", head.status),
+            inputs_gone: head.status == StatusCode::CONFLICT,
+        }),
+        _ if !named => Err(failure(
+            AttemptOutcome::Crossed,
+            "the answer names another request",
+        )),
+        AnswerHead { encoded: true, .. } => Err(failure(
+            AttemptOutcome::Failed,
+            "the answer is not the upstream's own body",
+        )),
+        AnswerHead { signed: false, .. } if head.status.is_success() => Err(failure(
+            AttemptOutcome::Failed,
+            "the answer is not vouched for",
+        )),
+        _ => Ok((head, response)),
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/call.rs
@@ -0,0 +1,53 @@
+//! One request of a caller, admitted.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use compact_str::CompactString;
+use http::request::Parts;
+use jd_serving::CallHead;
+use jd_serving::Route;
+use jd_serving::RouteKey;
+use jd_serving::Router;
+use jd_types::MonoTime;
+
+use crate::state::InFlight;
+
+/// One request of a caller, admitted and read whole.
+#[derive(Debug)]
+pub(crate) struct Call {
+    pub(crate) router: Arc<Router>,
+    pub(crate) route: RouteKey,
+    pub(crate) customer: Option<CompactString>,
+    pub(crate) priority: u8,
+    pub(crate) arrived: MonoTime,
+    pub(crate) deadline: MonoTime,
+    pub(crate) service: CompactString,
+    pub(crate) head: CallHead,
+    pub(crate) parts: Parts,
+    pub(crate) body: Bytes,
+    /// Counts the request until it is over.
+    pub(crate) _in_flight: InFlight,
+}
+
+impl Call {
+    pub(crate) fn route(&self) -> &Route {
+        self.router.route(self.route)
+    }
+
+    /// The identity that the caller gave it; empty if none.
+    pub(crate) fn id(&self) -> &str {
+        self.head.request_id.as_deref().unwrap_or("")
+    }
+
+    /// How long its caller still waits.
+    pub(crate) fn left(&self, now: MonoTime) -> Duration {
+        self.deadline.since(now)
+    }
+
+    /// What has to be over for an answer in time.
+    pub(crate) fn objective(&self) -> MonoTime {
+        self.arrived + self.route().objective
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/event_stream.rs
@@ -0,0 +1,189 @@
+//! The events of one answer, as they come.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use compact_str::CompactString;
+use jd_net::BodyError;
+use jd_net::HttpResponse;
+use jd_net::within;
+use jd_serving::EventSplitter;
+use jd_serving::Repeat;
+use jd_types::AttemptOutcome;
+use snafu::Snafu;
+
+use crate::attempt;
+use crate::attempt::Answer;
+use crate::attempt::OpenAttempt;
+use crate::call::Call;
+use crate::stage_runner::StageResults;
+use crate::state::State;
+use crate::stream_call::next_upstream;
+
+/// How long a stream that could go on elsewhere may stand still. Twice the
+/// longest pause of the users' routes that still counts as in time.
+const STALL_WITHIN: Duration = Duration::from_millis(1_500);
+
+/// Why a stream was broken off. The caller sees a cut connection, never an end.
+#[derive(Debug, Snafu)]
+enum CutOff {
+    #[snafu(display("the upstream broke off and nothing could go on; ask again"))]
+    Upstream,
+    #[snafu(display("the time for the answer is over; allow a longer deadline"))]
+    Deadline,
+}
+
+/// The events of one answer. Goes on at another upstream after the last whole
+/// event where the route allows it.
+#[derive(Debug)]
+pub(crate) struct EventStream {
+    state: Arc<State>,
+    call: Call,
+    response: Option<HttpResponse>,
+    open: OpenAttempt,
+    results: StageResults,
+    splitter: EventSplitter,
+    tried: Vec<CompactString>,
+    runs: u32,
+    events: u64,
+}
+
+impl EventStream {
+    pub(crate) fn new(
+        state: &Arc<State>,
+        call: Call,
+        answer: Answer,
+        results: StageResults,
+        tried: Vec<CompactString>,
+        runs: u32,
+    ) -> EventStream {
+        EventStream {
+            state: Arc::clone(state),
+            call,
+            response: Some(answer.response),
+            open: answer.open,
+            results,
+            splitter: EventSplitter::default(),
+            tried,
+            runs,
+            events: 0,
+        }
+    }
+
+    /// The next part of the body and the rest of the stream; none at its end.
+    pub(crate) async fn next(mut self) -> Option<(Result<Bytes, BodyError>, EventStream)> {
+        loop {
+            let left = self.call.left(self.state.now());
+            let wait = match self.may_go_on() {
+                true => left.min(STALL_WITHIN),
+                false => left,
+            };
+            let response = self.response.as_mut()?;
+            let read = within(wait, response.part()).await;
+            let outcome = match read {
+                Some(Ok(Some(part))) => match self.splitter.push(&part) {
+                    Some(events) => {
+                        self.passed_on();
+                        return Some((Ok(events), self));
+                    }
+                    None => continue,
+                },
+                Some(Ok(None)) => return self.ended(),
+                Some(Err(_)) => AttemptOutcome::Truncated,
+                None if self.call.left(self.state.now()).is_zero() => {
+                    return Some(self.cut(AttemptOutcome::TimedOut, CutOff::Deadline));
+                }
+                None => AttemptOutcome::Silent,
+            };
+            if !self.go_on(outcome).await {
+                return Some(self.cut(outcome, CutOff::Upstream));
+            }
+        }
+    }
+
+    fn passed_on(&mut self) {
+        self.events += 1;
+        // The upstream has read its inputs once it makes events. A stream that
+        // may go on elsewhere needs them there again.
+        if self.call.route().repeat == Repeat::StreamOnce {
+            self.results.free();
+        }
+    }
+
+    fn ended(mut self) -> Option<(Result<Bytes, BodyError>, EventStream)> {
+        self.open.end(AttemptOutcome::Answered);
+        self.response = None;
+        let took = self.state.now().since(self.call.arrived);
+        log::info!(
+            request = self.call.id(),
+            upstream = self.open.id(),
+            parts = self.events,
+            ms = took.as_millis() as u64;
+            "stream ended"
+        );
+        let rest = self.splitter.rest();
+        (!rest.is_empty()).then_some((Ok(rest), self))
+    }
+
+    fn cut(
+        mut self,
+        outcome: AttemptOutcome,
+        why: CutOff,
+    ) -> (Result<Bytes, BodyError>, EventStream) {
+        self.open.end(outcome);
+        self.response = None;
+        self.state
+            .metrics
+            .request("cut-off", self.state.now().since(self.call.arrived));
+        log::warn!(
+            request = self.call.id(),
+            upstream = self.open.id(),
+            outcome = outcome.as_str(),
+            parts = self.events,
+            last_event:? = self.splitter.last_event(),
+            ms = self.state.now().since(self.call.arrived).as_millis() as u64;
+            "stream cut off"
+        );
+        (Err(Box::new(why)), self)
+    }
+
+    fn may_go_on(&self) -> bool {
+        let route = self.call.route();
+        route.repeat == Repeat::Resumable && self.runs < route.max_attempts
+    }
+
+    /// Goes on at another upstream after the last whole event; false if that is
+    /// not allowed or not possible.
+    async fn go_on(&mut self, outcome: AttemptOutcome) -> bool {
+        self.response = None;
+        self.open.end(outcome);
+        let _torn = self.splitter.rest();
+        while self.may_go_on() && self.state.may_repeat(&self.call.service) {
+            let Ok(chosen) = next_upstream(&self.state, &self.call, &self.tried, self.runs) else {
+                return false;
+            };
+            self.tried.push(chosen.id.clone());
+            let last = self.splitter.last_event().or(self.call.head.last_event);
+            let left = self.call.left(self.state.now());
+            let inputs = self.results.handles();
+            let sent =
+                attempt::send(&self.state, &self.call, chosen, inputs, last, left).await;
+            self.runs += 1;
+            if let Ok(answer) = sent
+                && answer.head.status.is_success()
+            {
+                log::info!(
+                    request = self.call.id(),
+                    upstream = answer.open.id(),
+                    last_event:? = last;
+                    "stream goes on elsewhere"
+                );
+                self.response = Some(answer.response);
+                self.open = answer.open;
+                return true;
+            }
+        }
+        false
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/front.rs
@@ -0,0 +1,195 @@
+//! Where callers' requests come in.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use compact_str::CompactString;
+use compact_str::format_compact;
+use http::HeaderValue;
+use http::Request;
+use http::Response;
+use http::header::CONNECTION;
+use http::header::HOST;
+use http::request::Parts;
+use hyper::body::Incoming;
+use jd_net::Body;
+use jd_net::BodyReadError;
+use jd_net::Handler;
+use jd_net::HandlerFuture;
+use jd_net::read_bounded;
+use jd_net::within;
+use jd_serving::Repeat;
+use jd_types::MonoTime;
+use jd_types::Refusal;
+use jd_types::RefusalKind;
+use jd_types::RunState;
+
+use crate::call::Call;
+use crate::plain_call;
+use crate::stage_runner::StageRunner;
+use crate::state::State;
+use crate::stream_call;
+
+/// When to come back to an instance that does not know what is in force: after
+/// about one round of proof.
+const UNPROVEN_PAUSE: Duration = Duration::from_millis(400);
+/// How long a request's body may take to arrive.
+const BODY_WITHIN: Duration = Duration::from_secs(10);
+
+/// Answers callers.
+#[derive(Debug)]
+pub(crate) struct Front {
+    pub(crate) state: Arc<State>,
+    pub(crate) stages: Arc<StageRunner>,
+}
+
+impl Handler for Front {
+    fn handle(self: Arc<Self>, req: Request<Incoming>) -> HandlerFuture {
+        Box::pin(async move {
+            let arrived = self.state.now();
+            let mut res = self.answer(arrived, req).await;
+            if self.state.is_leaving() {
+                let close = HeaderValue::from_static("close");
+                res.headers_mut().insert(CONNECTION, close);
+            }
+            res
+        })
+    }
+}
+
+impl Front {
+    async fn answer(&self, arrived: MonoTime, req: Request<Incoming>) -> Response<Body> {
+        let (parts, body) = req.into_parts();
+        let id = self.state.dialect.call_head(&parts).request_id;
+        let ended = match self.admit(arrived, parts, body).await {
+            Ok(call) => self.run(call).await,
+            Err(refusal) => Err(refusal),
+        };
+        match ended {
+            Ok(res) => res,
+            Err(refusal) => self.refuse(arrived, id.as_deref().unwrap_or(""), &refusal),
+        }
+    }
+
+    async fn run(&self, call: Call) -> Result<Response<Body>, Refusal> {
+        match call.route().repeat {
+            Repeat::Idempotent | Repeat::Once => plain_call::run(&self.state, call).await,
+            Repeat::Resumable | Repeat::StreamOnce => {
+                stream_call::run(&self.state, &self.stages, call).await
+            }
+        }
+    }
+
+    /// Reads the request and decides whether it may run. The body is read
+    /// before any refusal: a connection closed over unread bytes is reset, and
+    /// the caller would not see the refusal.
+    async fn admit(
+        &self,
+        arrived: MonoTime,
+        parts: Parts,
+        body: Incoming,
+    ) -> Result<Call, Refusal> {
+        let in_flight = self.state.begin();
+        let limit = match self.state.router.load().as_ref() {
+            Some(router) => router.limits.body_bytes,
+            None => jd_serving::CallerLimits::default().body_bytes,
+        };
+        let body = read_body(body, limit).await?;
+        let head = self.state.dialect.call_head(&parts);
+        let router = self.state.router.load_full();
+        let router = router.ok_or_else(|| unproven("no configuration is known here yet"))?;
+        // Old knowledge must not refuse for good what newer knowledge allows.
+        if !self.state.is_fresh() {
+            return Err(unproven("what is known here is too old to act on"));
+        }
+        let host = host_of(&parts);
+        let route = router.find(host, parts.uri.path()).ok_or_else(|| {
+            let detail = format_compact!("no route for host `{host}` and this path");
+            Refusal::not_run(RefusalKind::UnknownPipeline, detail)
+        })?;
+        let spec = router.route(route);
+        let mut customer = None;
+        let mut priority = spec.priority;
+        if router.needs_credential(spec) {
+            let shown = head.credential.as_deref();
+            let caller = shown.and_then(|c| router.caller(c)).ok_or_else(|| {
+                let detail = "the credential is missing or not in force";
+                Refusal::not_run(RefusalKind::Unauthenticated, detail)
+            })?;
+            customer = Some(caller.customer.clone());
+            priority = caller.priority.unwrap_or(priority);
+        }
+        let wait = head.deadline.unwrap_or(spec.timeout).min(spec.timeout);
+        let seed = head.prompt.as_ref().map(jd_serving::Prompt::session);
+        let service = spec.target(seed.unwrap_or_else(|| fastrand::u64(..)));
+        let service = service.cloned().ok_or_else(|| {
+            Refusal::not_run(RefusalKind::NoUpstream, "the route leads to no service")
+        })?;
+        Ok(Call {
+            route,
+            customer,
+            priority,
+            arrived,
+            deadline: arrived + wait,
+            service,
+            head,
+            parts,
+            body,
+            _in_flight: in_flight,
+            router,
+        })
+    }
+
+    fn refuse(&self, arrived: MonoTime, id: &str, refusal: &Refusal) -> Response<Body> {
+        let took = self.state.now().since(arrived);
+        self.state.metrics.request(refusal.kind.as_str(), took);
+        let proof_ms = self.state.proof_age().map(|a| a.as_millis() as u64);
+        log::info!(
+            request = id,
+            outcome = refusal.kind.as_str(),
+            run = refusal.run.as_str(),
+            detail = refusal.detail.as_str(),
+            ms = took.as_millis() as u64,
+            proof_ms:? = proof_ms;
+            "refused"
+        );
+        self.state.dialect.refusal(refusal)
+    }
+}
+
+async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, Refusal> {
+    match within(BODY_WITHIN, read_bounded(body, limit)).await {
+        Some(Ok(body)) => Ok(body),
+        Some(Err(e @ BodyReadError::TooLarge { .. })) => {
+            Err(Refusal::not_run(RefusalKind::TooLarge, e.to_string()))
+        }
+        Some(Err(e @ BodyReadError::CutOff)) => {
+            Err(Refusal::not_run(RefusalKind::Malformed, e.to_string()))
+        }
+        None => {
+            let detail = "the body did not arrive in time";
+            Err(Refusal::not_run(RefusalKind::Malformed, detail))
+        }
+    }
+}
+
+fn host_of(parts: &Parts) -> &str {
+    let host = parts.headers.get(HOST).and_then(|h| h.to_str().ok());
+    let host = host.unwrap_or("");
+    host.split_once(':').map_or(host, |(name, _)| name)
+}
+
+fn unproven(detail: &'static str) -> Refusal {
+    Refusal::not_run(RefusalKind::NotServing, detail).after(UNPROVEN_PAUSE)
+}
+
+/// A refusal after something was sent: nobody can tell whether it ran.
+pub(crate) fn may_have_run(kind: RefusalKind, detail: impl Into<CompactString>) -> Refusal {
+    Refusal {
+        kind,
+        run: RunState::MayHaveRun,
+        detail: detail.into(),
+        retry_after: None,
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/gateway.rs
@@ -0,0 +1,187 @@
+//! Starting a gateway instance and stopping it with grace.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_executor::Executor;
+use async_executor::Task;
+use async_io::Timer;
+use jd_net::Clock;
+use jd_net::Handler;
+use jd_net::HttpPool;
+use jd_net::HttpServer;
+use jd_net::ServerLimits;
+use jd_serving::CallerLimits;
+use jd_serving::InstanceEntry;
+use jd_settings::GatewaySettings;
+use jd_types::Incarnation;
+use snafu::ResultExt;
+use snafu::Snafu;
+
+use crate::Dialect;
+use crate::Store;
+use crate::front::Front;
+use crate::peers::PeerApi;
+use crate::peers::PeerHandler;
+use crate::peers::Peers;
+use crate::result_release::ResultRelease;
+use crate::service_apis::LocateApi;
+use crate::service_apis::MetricsApi;
+use crate::service_apis::ReadyApi;
+use crate::stage_batches::StageBatches;
+use crate::stage_runner::StageRunner;
+use crate::state::State;
+use crate::sync::Sync;
+
+/// The part of the grace in which new callers are still taken, in hundredths:
+/// until most of those who keep this address have asked again.
+const ACCEPT_PERCENT: u32 = 37;
+/// What is left of the grace when the last requests are cut: the process has
+/// to be gone before it is killed.
+const GRACE_MARGIN: Duration = Duration::from_millis(250);
+/// How often a stop looks whether everything has ended.
+const STOP_STEP: Duration = Duration::from_millis(50);
+
+/// Why a gateway could not start.
+#[derive(Debug, Snafu)]
+#[snafu(display("{address} cannot be listened on ({source}); free it, or change the settings"))]
+pub struct StartError {
+    address: SocketAddr,
+    source: std::io::Error,
+}
+
+/// A running gateway instance. Dropping it ends everything at once.
+pub struct Gateway {
+    state: Arc<State>,
+    sync: Arc<Sync>,
+    callers: HttpServer,
+    _servers: Vec<HttpServer>,
+    _tasks: Vec<Task<()>>,
+}
+
+impl fmt::Debug for Gateway {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "Gateway({})", self.state.me.incarnation)
+    }
+}
+
+impl Gateway {
+    /// Starts an instance whose tasks run on `executor`.
+    pub fn start(
+        settings: GatewaySettings,
+        clock: Clock,
+        executor: &Arc<Executor<'static>>,
+        pool: HttpPool,
+        dialect: Arc<dyn Dialect>,
+        store: Arc<dyn Store>,
+    ) -> Result<Gateway, StartError> {
+        let me = InstanceEntry {
+            incarnation: Incarnation::new(fastrand::u64(1..)),
+            callers: settings.callers,
+            peers: settings.peers,
+            zone: settings.zone.clone(),
+            leaving: false,
+        };
+        let executor = Arc::clone(executor);
+        let state = State::new(settings, clock, Arc::clone(&executor), pool, dialect, me);
+        let state = Arc::new(state);
+        let release = Arc::new(ResultRelease::new(Arc::clone(&state)));
+        let batches = StageBatches::new(Arc::clone(&state), Arc::clone(&release));
+        let batches = Arc::new(batches);
+        let peers = Arc::new(Peers::new(Arc::clone(&state)));
+        let stages = Arc::new(StageRunner {
+            state: Arc::clone(&state),
+            batches: Arc::clone(&batches),
+            peers: Arc::clone(&peers),
+            release: Arc::clone(&release),
+        });
+        let sync = Arc::new(Sync {
+            state: Arc::clone(&state),
+            store,
+        });
+        let front = Front {
+            state: Arc::clone(&state),
+            stages,
+        };
+        let peer_api = PeerApi {
+            state: Arc::clone(&state),
+            batches: Arc::clone(&batches),
+        };
+        let s = &state.settings;
+        let callers = listen(&state, s.callers, caller_limits(s), Arc::new(front))?;
+        let own = ServerLimits::default();
+        let servers = vec![
+            listen(&state, s.ready, own, Arc::new(ReadyApi(Arc::clone(&state))))?,
+            listen(&state, s.locate, own, Arc::new(LocateApi(Arc::clone(&state))))?,
+            listen(&state, s.metrics, own, Arc::new(MetricsApi(Arc::clone(&state))))?,
+            listen(&state, s.peers, own, Arc::new(PeerHandler::new(peer_api)))?,
+        ];
+        let tasks = vec![
+            executor.spawn(Arc::clone(&sync).follow()),
+            executor.spawn(Arc::clone(&sync).confirm()),
+            executor.spawn(Arc::clone(&sync).announce()),
+            executor.spawn(Arc::clone(&sync).expire()),
+            executor.spawn(peers.beat()),
+            executor.spawn(batches.tick()),
+            executor.spawn(release.run()),
+        ];
+        log::info!(
+            instance = state.settings.name.as_str(),
+            incarnation:% = state.me.incarnation,
+            callers:% = state.settings.callers;
+            "started"
+        );
+        Ok(Gateway {
+            state,
+            sync,
+            callers,
+            _servers: servers,
+            _tasks: tasks,
+        })
+    }
+
+    /// Stops with grace: out of every answer about addresses at once, still
+    /// taking those who keep this address, then only finishing what is here.
+    /// Ends when the last request has its answer, or just before the grace is
+    /// over.
+    pub async fn stop(&self) {
+        let began = self.state.now();
+        let grace = self.state.settings.grace;
+        log::info!(in_flight = self.state.in_flight(); "stopping");
+        self.state.leave();
+        self.sync.withdraw().await;
+        let last = began + grace.saturating_sub(GRACE_MARGIN);
+        let accept_until = began + grace * ACCEPT_PERCENT / 100;
+        while self.state.now() < accept_until {
+            Timer::after(STOP_STEP).await;
+        }
+        self.callers.stop(last.since(self.state.now())).await;
+        let took = self.state.now().since(began).as_millis() as u64;
+        log::info!(in_flight = self.state.in_flight(), ms = took; "stopped");
+    }
+}
+
+fn listen(
+    state: &Arc<State>,
+    address: SocketAddr,
+    limits: ServerLimits,
+    handler: Arc<dyn Handler>,
+) -> Result<HttpServer, StartError> {
+    let executor = Arc::clone(&state.executor);
+    HttpServer::start(executor, address, limits, handler).context(StartSnafu { address })
+}
+
+/// The limits of the callers' endpoint. The wait for a head covers the time
+/// between two requests of a connection as well, so it is the longer of both.
+fn caller_limits(settings: &GatewaySettings) -> ServerLimits {
+    let limits = CallerLimits::default();
+    ServerLimits {
+        connections: settings.max_connections,
+        head_bytes: limits.head_bytes,
+        head_within: limits.idle.max(limits.head_within),
+        http1_only: true,
+        ..ServerLimits::default()
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,41 @@
+//! The gateway instance: the shell around the serving decisions.
+//!
+//! Every instance is alike. It tells callers which address to use, takes their
+//! requests, has their stages done, sends them to upstreams and gives each
+//! caller its own whole answer or a truthful refusal. This crate owns sockets,
+//! timers and tasks; the rules are in `jd-serving` and `jd-policy`. How callers,
+//! upstreams and the store speak is behind [`Dialect`] and [`Store`].
+
+mod attempt;
+mod call;
+mod dialect;
+mod event_stream;
+mod front;
+mod gateway;
+mod metrics;
+mod peers;
+mod plain_call;
+mod result_release;
+mod service_apis;
+mod stage_batches;
+mod stage_runner;
+mod state;
+mod store;
+mod stream_call;
+mod sync;
+mod upstream_table;
+
+pub use dialect::AnswerHead;
+pub use dialect::Dialect;
+pub use dialect::LocateQuery;
+pub use dialect::UpstreamCall;
+pub use gateway::Gateway;
+pub use gateway::StartError;
+pub use store::Change;
+pub use store::Changes;
+pub use store::LeaseId;
+pub use store::Listing;
+pub use store::Record;
+pub use store::Store;
+pub use store::StoreError;
+pub use store::StoreFuture;
--- /dev/null
+++ b/crates/gateway/src/metrics.rs
@@ -0,0 +1,107 @@
+//! What the gateway counts.
+
+use std::time::Duration;
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::metrics::histogram::exponential_buckets;
+use prometheus_client::registry::Registry;
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Outcome {
+    outcome: &'static str,
+}
+
+/// What the gateway counts, and its text form.
+#[derive(Debug)]
+pub(crate) struct Metrics {
+    registry: Registry,
+    requests: Family<Outcome, Counter>,
+    attempts: Family<Outcome, Counter>,
+    stages: Family<Outcome, Counter>,
+    repeats: Family<Outcome, Counter>,
+    store_calls: Counter,
+    store_failures: Counter,
+    seconds: Histogram,
+    stage_seconds: Histogram,
+}
+
+impl Metrics {
+    pub(crate) fn new() -> Metrics {
+        let mut registry = Registry::default();
+        // From 1 ms, doubled, to half a minute.
+        let histogram = || Histogram::new(exponential_buckets(0.001, 2.0, 16));
+        let metrics = Metrics {
+            requests: Family::default(),
+            attempts: Family::default(),
+            stages: Family::default(),
+            repeats: Family::default(),
+            store_calls: Counter::default(),
+            store_failures: Counter::default(),
+            seconds: histogram(),
+            stage_seconds: histogram(),
+            registry: Registry::default(),
+        };
+        let r = &mut registry;
+        r.register("jd_gateway_requests", "Requests ended", metrics.requests.clone());
+        r.register("jd_gateway_attempts", "Sends to upstreams ended", metrics.attempts.clone());
+        r.register("jd_gateway_stages", "Stages of requests ended", metrics.stages.clone());
+        r.register("jd_gateway_repeats", "Repeats asked for", metrics.repeats.clone());
+        r.register("jd_gateway_store_calls", "Calls to the store", metrics.store_calls.clone());
+        r.register(
+            "jd_gateway_store_failures",
+            "Calls to the store that failed",
+            metrics.store_failures.clone(),
+        );
+        r.register(
+            "jd_gateway_request_seconds",
+            "From arrival to the head of the answer",
+            metrics.seconds.clone(),
+        );
+        r.register(
+            "jd_gateway_stage_seconds",
+            "From the first piece to the last result",
+            metrics.stage_seconds.clone(),
+        );
+        Metrics { registry, ..metrics }
+    }
+
+    pub(crate) fn request(&self, outcome: &'static str, took: Duration) {
+        self.requests.get_or_create(&Outcome { outcome }).inc();
+        self.seconds.observe(took.as_secs_f64());
+    }
+
+    pub(crate) fn attempt(&self, outcome: &'static str) {
+        self.attempts.get_or_create(&Outcome { outcome }).inc();
+    }
+
+    pub(crate) fn stages(&self, outcome: &'static str, took: Duration) {
+        self.stages.get_or_create(&Outcome { outcome }).inc();
+        self.stage_seconds.observe(took.as_secs_f64());
+    }
+
+    pub(crate) fn repeat(&self, allowed: bool) {
+        let outcome = if allowed { "allowed" } else { "over-budget" };
+        self.repeats.get_or_create(&Outcome { outcome }).inc();
+    }
+
+    pub(crate) fn store_call(&self) {
+        self.store_calls.inc();
+    }
+
+    pub(crate) fn store_failed(&self) {
+        self.store_failures.inc();
+    }
+
+    /// The text form that collectors read.
+    pub(crate) fn text(&self) -> String {
+        let mut buf = String::new();
+        if let Err(e) = encode(&mut buf, &self.registry) {
+            log::error!(error:% = e; "metrics cannot be written");
+        }
+        buf
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/peers.rs
@@ -0,0 +1,275 @@
+//! Talking to other instances.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use async_io::Timer;
+use compact_str::CompactString;
+use compact_str::ToCompactString;
+use http::Request;
+use http::Response;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use jd_net::GrpcChannel;
+use jd_net::Handler;
+use jd_net::HandlerFuture;
+use jd_net::lock;
+use jd_net::within;
+use jd_serving::InstanceEntry;
+use jd_serving::JobFailure;
+use jd_serving::JobStage;
+use jd_serving::StageJob;
+use jd_types::Incarnation;
+use jd_types::Name;
+use jd_wire::BeatReply;
+use jd_wire::BeatRequest;
+use jd_wire::Gateway;
+use jd_wire::GatewayClient;
+use jd_wire::GatewayServer;
+use jd_wire::Stage;
+use jd_wire::StagesReply;
+use jd_wire::StagesRequest;
+use tonic::Status;
+use tower_service::Service;
+
+use crate::stage_batches::StageBatches;
+use crate::state::State;
+
+/// How often an instance tells the others that it is there. Three beats fit
+/// into the time after which an instance counts as silent.
+const BEAT_EVERY: Duration = Duration::from_millis(400);
+/// How long a beat may take before its connection is given up.
+const BEAT_WITHIN: Duration = Duration::from_millis(800);
+
+/// Connections to other instances.
+#[derive(Debug)]
+pub(crate) struct Peers {
+    state: Arc<State>,
+    channels: Mutex<HashMap<SocketAddr, GrpcChannel>>,
+}
+
+impl Peers {
+    pub(crate) fn new(state: Arc<State>) -> Peers {
+        Peers {
+            state,
+            channels: Mutex::default(),
+        }
+    }
+
+    /// Tells all other instances for good that this one is there.
+    pub(crate) async fn beat(self: Arc<Self>) {
+        loop {
+            let peers: Vec<InstanceEntry> =
+                self.state.knowledge().instances.entries().cloned().collect();
+            self.forget_channels(&peers);
+            for peer in peers {
+                let peers = Arc::clone(&self);
+                let beating = async move { peers.beat_one(&peer).await };
+                self.state.executor.spawn(beating).detach();
+            }
+            Timer::after(BEAT_EVERY).await;
+        }
+    }
+
+    /// Has another instance do the stages of a request; none if it does not
+    /// answer.
+    pub(crate) async fn run_stages(
+        &self,
+        owner: Incarnation,
+        job: &StageJob,
+    ) -> Option<Result<Vec<CompactString>, JobFailure>> {
+        let address = {
+            let knowledge = self.state.knowledge();
+            let entry = knowledge.instances.entries().find(|e| e.incarnation == owner)?;
+            entry.peers
+        };
+        let now = self.state.now();
+        let mut client = GatewayClient::new(self.channel(address));
+        let asked = stages_request(job, now);
+        let reply = client.run_stages(asked).await.ok()?.into_inner();
+        Some(outcome_of(reply))
+    }
+
+    async fn beat_one(&self, peer: &InstanceEntry) {
+        let channel = self.channel(peer.peers);
+        let mut client = GatewayClient::new(channel.clone());
+        let beat = BeatRequest {
+            incarnation: self.state.me.incarnation.get(),
+            leaving: self.state.is_leaving(),
+            ready: self.state.is_ready(),
+        };
+        match within(BEAT_WITHIN, client.beat(beat)).await {
+            Some(Ok(reply)) => self.take_reply(peer, reply.into_inner()),
+            Some(Err(_)) => {}
+            // The connection may be silent for good while new ones work.
+            None => channel.reset(),
+        }
+    }
+
+    fn take_reply(&self, peer: &InstanceEntry, reply: BeatReply) {
+        let now = self.state.now();
+        let mut knowledge = self.state.knowledge();
+        match Incarnation::new(reply.incarnation) {
+            id if id == peer.incarnation => {
+                knowledge.instances.heard(now, id, reply.leaving, reply.ready);
+            }
+            _ => knowledge.instances.gone(peer.incarnation),
+        }
+    }
+
+    fn channel(&self, address: SocketAddr) -> GrpcChannel {
+        let mut channels = lock(&self.channels);
+        let channel = channels
+            .entry(address)
+            .or_insert_with(|| GrpcChannel::new(Arc::clone(&self.state.executor), address));
+        channel.clone()
+    }
+
+    fn forget_channels(&self, peers: &[InstanceEntry]) {
+        lock(&self.channels).retain(|address, _| peers.iter().any(|p| p.peers == *address));
+    }
+}
+
+fn stages_request(job: &StageJob, now: jd_types::MonoTime) -> StagesRequest {
+    let millis = |d: Duration| u32::try_from(d.as_millis()).unwrap_or(u32::MAX);
+    let stages = job.stages.iter().map(|s| Stage {
+        service: s.service.to_string(),
+        after: s.after.iter().map(|a| *a as u32).collect(),
+        pieces: s.pieces as u32,
+    });
+    StagesRequest {
+        request_id: job.request_id.to_string(),
+        piece_key: job.piece_key.to_string(),
+        stages: stages.collect(),
+        objective_ms: millis(job.objective.since(now)),
+        deadline_ms: millis(job.deadline.since(now)),
+        priority: u32::from(job.priority),
+        zone: job.zone.as_ref().map_or(String::new(), |z| z.as_str().into()),
+    }
+}
+
+fn outcome_of(reply: StagesReply) -> Result<Vec<CompactString>, JobFailure> {
+    let wait = Duration::from_millis(u64::from(reply.retry_after_ms));
+    match reply.failure {
+        0 => Ok(reply.results.into_iter().map(CompactString::from).collect()),
+        1 => Err(JobFailure::WouldMiss(wait)),
+        2 => Err(JobFailure::TooLate),
+        3 => Err(JobFailure::NoUpstream),
+        _ => Err(JobFailure::PieceFailed),
+    }
+}
+
+/// Answers other instances.
+#[derive(Debug)]
+pub(crate) struct PeerApi {
+    pub(crate) state: Arc<State>,
+    pub(crate) batches: Arc<StageBatches>,
+}
+
+#[tonic::async_trait]
+impl Gateway for PeerApi {
+    async fn beat(
+        &self,
+        req: tonic::Request<BeatRequest>,
+    ) -> Result<tonic::Response<BeatReply>, Status> {
+        let beat = req.into_inner();
+        let now = self.state.now();
+        let from = Incarnation::new(beat.incarnation);
+        self.state
+            .knowledge()
+            .instances
+            .heard(now, from, beat.leaving, beat.ready);
+        Ok(tonic::Response::new(BeatReply {
+            incarnation: self.state.me.incarnation.get(),
+            leaving: self.state.is_leaving(),
+            ready: self.state.is_ready(),
+        }))
+    }
+
+    async fn run_stages(
+        &self,
+        req: tonic::Request<StagesRequest>,
+    ) -> Result<tonic::Response<StagesReply>, Status> {
+        let job = self.job(req.into_inner())?;
+        let reply = match self.batches.run(job).await {
+            Ok(results) => StagesReply {
+                results: results.into_iter().map(String::from).collect(),
+                ..StagesReply::default()
+            },
+            Err(failure) => failure_reply(failure),
+        };
+        Ok(tonic::Response::new(reply))
+    }
+}
+
+impl PeerApi {
+    fn job(&self, req: StagesRequest) -> Result<StageJob, Status> {
+        let now = self.state.now();
+        let count = req.stages.len();
+        let mut stages = Vec::with_capacity(count);
+        for (n, stage) in req.stages.into_iter().enumerate() {
+            let after: Vec<usize> = stage.after.into_iter().map(|a| a as usize).collect();
+            if after.iter().any(|a| *a >= n) {
+                return Err(Status::invalid_argument("a stage follows a later one"));
+            }
+            stages.push(JobStage {
+                service: stage.service.into(),
+                after,
+                pieces: stage.pieces as usize,
+            });
+        }
+        Ok(StageJob {
+            request_id: req.request_id.into(),
+            piece_key: req.piece_key.into(),
+            stages,
+            objective: now + Duration::from_millis(u64::from(req.objective_ms)),
+            deadline: now + Duration::from_millis(u64::from(req.deadline_ms)),
+            priority: u8::try_from(req.priority).unwrap_or(u8::MAX),
+            zone: Name::try_from(req.zone.to_compact_string()).ok(),
+        })
+    }
+}
+
+fn failure_reply(failure: JobFailure) -> StagesReply {
+    let (failure, wait) = match failure {
+        JobFailure::WouldMiss(wait) => (1, wait),
+        JobFailure::TooLate => (2, Duration::ZERO),
+        JobFailure::NoUpstream => (3, Duration::ZERO),
+        JobFailure::PieceFailed => (4, Duration::ZERO),
+    };
+    StagesReply {
+        results: Vec::new(),
+        failure,
+        retry_after_ms: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
+    }
+}
+
+/// The endpoint for other instances as an HTTP handler.
+#[derive(Debug)]
+pub(crate) struct PeerHandler {
+    server: GatewayServer<PeerApi>,
+}
+
+impl PeerHandler {
+    pub(crate) fn new(api: PeerApi) -> PeerHandler {
+        PeerHandler {
+            server: GatewayServer::new(api),
+        }
+    }
+}
+
+impl Handler for PeerHandler {
+    fn handle(self: Arc<Self>, req: Request<Incoming>) -> HandlerFuture {
+        let mut server = self.server.clone();
+        Box::pin(async move {
+            let res: Response<tonic::body::Body> = match server.call(req).await {
+                Ok(res) => res,
+                Err(never) => match never {},
+            };
+            res.map(|body| body.map_err(Into::into).boxed_unsync())
+        })
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/plain_call.rs
@@ -0,0 +1,208 @@
+//! Requests with one answer.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use compact_str::CompactString;
+use http::HeaderMap;
+use http::Response;
+use http::StatusCode;
+use jd_net::Body;
+use jd_net::within;
+use jd_serving::Repeat;
+use jd_types::AttemptOutcome;
+use jd_types::Refusal;
+use jd_types::RefusalKind;
+use jd_types::RunState;
+
+use crate::attempt;
+use crate::attempt::Answer;
+use crate::attempt::Failure;
+use crate::call::Call;
+use crate::front::may_have_run;
+use crate::state::State;
+use crate::upstream_table::Chosen;
+
+/// The largest answer that is held in memory, in bytes.
+const MAX_ANSWER: usize = 8 << 20;
+/// Upstreams that one request is offered to, those that proved that they did
+/// nothing included.
+const MAX_OFFERS: usize = 4;
+/// When to come back after every upstream was full: about one answer later.
+const FULL_PAUSE: Duration = Duration::from_millis(60);
+
+/// Runs a request with one answer.
+pub(crate) async fn run(state: &Arc<State>, call: Call) -> Result<Response<Body>, Refusal> {
+    let mut tried: Vec<CompactString> = Vec::new();
+    let mut runs = 0;
+    // An upstream's own failure, in case nothing better comes.
+    let mut failed: Option<Whole> = None;
+    state.first_send(&call.service);
+    loop {
+        let next = next_upstream(state, &call, &tried, runs);
+        let chosen = match (next, failed.take()) {
+            (Ok(chosen), kept) => {
+                failed = kept;
+                chosen
+            }
+            (Err(_), Some(whole)) => return Ok(pass_on(state, &call, whole)),
+            (Err(refusal), None) => return Err(refusal),
+        };
+        tried.push(chosen.id.clone());
+        let patience = patience(&call, state.now(), runs);
+        let sent = attempt::send(state, &call, chosen, &[], None, patience).await;
+        let ended = match sent {
+            Ok(answer) => read_whole(state, &call, answer).await,
+            Err(failure) => Err(failure),
+        };
+        let failure = match ended {
+            Ok(whole) if !whole.status.is_server_error() => {
+                return Ok(pass_on(state, &call, whole));
+            }
+            Ok(whole) => {
+                failed = Some(whole);
+                None
+            }
+            Err(failure) => Some(failure),
+        };
+        let proved = failure
+            .as_ref()
+            .is_some_and(|f| f.outcome.run_state() == RunState::NotRun);
+        runs += u32::from(!proved);
+        let allowed = match call.route().repeat {
+            _ if proved => tried.len() < MAX_OFFERS,
+            Repeat::Idempotent => runs < call.route().max_attempts,
+            _ => false,
+        };
+        if allowed && state.may_repeat(&call.service) {
+            continue;
+        }
+        return match (failed, failure) {
+            (Some(whole), _) => Ok(pass_on(state, &call, whole)),
+            (None, Some(f)) => Err(no_more(runs, kind_of(&f), f.detail.as_str())),
+            (None, None) => Err(no_more(runs, RefusalKind::UpstreamFailed, "no answer")),
+        };
+    }
+}
+
+/// An upstream's answer, read whole.
+#[derive(Debug)]
+struct Whole {
+    upstream: CompactString,
+    status: StatusCode,
+    headers: HeaderMap,
+    body: Bytes,
+}
+
+fn next_upstream(
+    state: &State,
+    call: &Call,
+    tried: &[CompactString],
+    runs: u32,
+) -> Result<Chosen, Refusal> {
+    let now = state.now();
+    if call.left(now).is_zero() {
+        return Err(over(runs, "the deadline passed"));
+    }
+    // A frozen or suspended instance wakes here with old knowledge.
+    if !state.is_fresh() {
+        let detail = "what is known here is too old to act on";
+        return Err(no_more(runs, RefusalKind::NotServing, detail));
+    }
+    let table = state.upstreams.load();
+    let zone = &state.settings.zone;
+    table.pick(&call.service, now, zone, tried).ok_or_else(|| {
+        let detail = "no upstream is left to try";
+        no_more(runs, RefusalKind::NoUpstream, detail)
+    })
+}
+
+/// Reads the answer whole before a byte of it is passed on, so that one that is
+/// cut off can be tried again or become an honest failure.
+async fn read_whole(state: &State, call: &Call, answer: Answer) -> Result<Whole, Failure> {
+    let Answer {
+        head,
+        response,
+        mut open,
+    } = answer;
+    let headers = state.dialect.caller_headers(&response.headers);
+    let left = call.left(state.now());
+    let (outcome, detail) = match within(left, response.whole(MAX_ANSWER)).await {
+        Some(Ok(body)) => {
+            open.end(match head.status.is_server_error() {
+                true => AttemptOutcome::Failed,
+                false => AttemptOutcome::Answered,
+            });
+            return Ok(Whole {
+                upstream: open.id().into(),
+                status: head.status,
+                headers,
+                body,
+            });
+        }
+        Some(Err(_)) => (AttemptOutcome::Truncated, "the answer was cut off"),
+        None => (AttemptOutcome::TimedOut, "the answer did not end in time"),
+    };
+    open.end(outcome);
+    Err(Failure {
+        outcome,
+        detail: detail.into(),
+        inputs_gone: false,
+    })
+}
+
+fn pass_on(state: &State, call: &Call, whole: Whole) -> Response<Body> {
+    let took = state.now().since(call.arrived);
+    state.metrics.request("answered", took);
+    log::info!(
+        request = call.id(),
+        route = call.route().name.as_str(),
+        upstream = whole.upstream.as_str(),
+        status = whole.status.as_u16(),
+        config = call.router.version,
+        ms = took.as_millis() as u64;
+        "answered"
+    );
+    let mut res = Response::new(jd_net::full(whole.body));
+    *res.status_mut() = whole.status;
+    *res.headers_mut() = whole.headers;
+    res
+}
+
+/// How long to wait for an upstream. What may run again leaves half of its time
+/// for that; what may not waits as long as its caller does.
+fn patience(call: &Call, now: jd_types::MonoTime, runs: u32) -> Duration {
+    let left = call.left(now);
+    let repeats = call.route().repeat == Repeat::Idempotent && runs + 1 < call.route().max_attempts;
+    match repeats {
+        true => left / 2,
+        false => left,
+    }
+}
+
+fn kind_of(failure: &Failure) -> RefusalKind {
+    match failure.outcome {
+        AttemptOutcome::NotRun => RefusalKind::Overloaded,
+        AttemptOutcome::TimedOut | AttemptOutcome::Silent => RefusalKind::DeadlinePassed,
+        _ => RefusalKind::UpstreamFailed,
+    }
+}
+
+/// The refusal of what will not be tried again. It says that nothing ran only
+/// if every send proved so.
+fn no_more(runs: u32, kind: RefusalKind, detail: &str) -> Refusal {
+    match (runs, kind) {
+        (0, RefusalKind::DeadlinePassed) => over(0, detail),
+        (0, kind) => Refusal::not_run(kind, detail).after(FULL_PAUSE),
+        (_, RefusalKind::DeadlinePassed) => over(runs, detail),
+        _ => may_have_run(RefusalKind::UpstreamFailed, detail),
+    }
+}
+
+fn over(runs: u32, detail: &str) -> Refusal {
+    match runs {
+        0 => Refusal::not_run(RefusalKind::WouldMiss, detail),
+        _ => may_have_run(RefusalKind::DeadlinePassed, detail),
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/stage_batches.rs
@@ -0,0 +1,181 @@
+//! Filling batches of pieces, on the instance that owns them.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use async_channel::Sender;
+use async_io::Timer;
+use compact_str::CompactString;
+use jd_net::lock;
+use jd_net::within;
+use jd_serving::BatchCall;
+use jd_serving::CallResult;
+use jd_serving::JobFailure;
+use jd_serving::JobKey;
+use jd_serving::StageDesk;
+use jd_serving::StageJob;
+
+use crate::result_release::ResultRelease;
+use crate::state::State;
+use crate::upstream_table::UpstreamTable;
+
+/// How often waiting pieces are looked at without any event: for upstreams
+/// that were left alone for a while and for jobs whose time is over.
+const TICK: Duration = Duration::from_millis(50);
+/// The largest answer to a call for pieces, in bytes.
+const MAX_ANSWER: usize = 1 << 20;
+
+type JobOutcome = Result<Vec<CompactString>, JobFailure>;
+
+#[derive(Debug, Default)]
+struct Desk {
+    desk: StageDesk,
+    waiters: HashMap<JobKey, Sender<JobOutcome>>,
+    table: Option<Arc<UpstreamTable>>,
+}
+
+/// Fills batches: the desk's decisions, carried out.
+#[derive(Debug)]
+pub(crate) struct StageBatches {
+    state: Arc<State>,
+    release: Arc<ResultRelease>,
+    desk: Mutex<Desk>,
+}
+
+/// Cancels a job when its caller does not wait any more.
+struct JobGuard {
+    batches: Arc<StageBatches>,
+    key: JobKey,
+}
+
+impl Drop for JobGuard {
+    fn drop(&mut self) {
+        let mut desk = lock(&self.batches.desk);
+        if desk.waiters.remove(&self.key).is_some() {
+            desk.desk.cancel(self.key);
+        }
+    }
+}
+
+impl StageBatches {
+    pub(crate) fn new(state: Arc<State>, release: Arc<ResultRelease>) -> StageBatches {
+        StageBatches {
+            state,
+            release,
+            desk: Mutex::default(),
+        }
+    }
+
+    /// Does the stages of a request. Dropping the future cancels them.
+    pub(crate) async fn run(self: &Arc<Self>, job: StageJob) -> JobOutcome {
+        let (tx, rx) = async_channel::bounded(1);
+        let key = {
+            let now = self.state.now();
+            let mut desk = lock(&self.desk);
+            self.follow_upstreams(&mut desk);
+            let key = desk.desk.submit(now, job)?;
+            desk.waiters.insert(key, tx);
+            key
+        };
+        let _guard = JobGuard {
+            batches: Arc::clone(self),
+            key,
+        };
+        self.pump();
+        // Fails only if the desk was dropped with the process.
+        rx.recv().await.unwrap_or(Err(JobFailure::PieceFailed))
+    }
+
+    /// Looks at waiting pieces for good.
+    pub(crate) async fn tick(self: Arc<Self>) {
+        loop {
+            Timer::after(TICK).await;
+            let waiting = lock(&self.desk).desk.waiting() > 0;
+            if waiting {
+                self.pump();
+            }
+        }
+    }
+
+    /// Carries out everything that the desk decides now.
+    fn pump(self: &Arc<Self>) {
+        let now = self.state.now();
+        let mut desk = lock(&self.desk);
+        self.follow_upstreams(&mut desk);
+        desk.desk.expire(now);
+        while let Some(call) = desk.desk.next_call(now) {
+            let batches = Arc::clone(self);
+            self.state.executor.spawn(batches.make(call)).detach();
+        }
+        for end in desk.desk.take_ended() {
+            if let Some(tx) = desk.waiters.remove(&end.key) {
+                // Fails only if nobody waits any more.
+                let _ = tx.try_send(end.outcome);
+            }
+        }
+        self.release.add(desk.desk.take_unused());
+    }
+
+    async fn make(self: Arc<Self>, call: BatchCall) {
+        let result = self.ask(&call).await;
+        if !matches!(result, CallResult::Answered(_)) {
+            log::info!(
+                upstream = call.upstream.as_str(),
+                pieces = call.pieces.len(),
+                result:? = result;
+                "call for pieces failed"
+            );
+        }
+        let now = self.state.now();
+        lock(&self.desk).desk.finish(now, call.key, result);
+        self.pump();
+    }
+
+    async fn ask(&self, call: &BatchCall) -> CallResult {
+        if !self.state.upstreams.load().has(&call.upstream) {
+            return CallResult::Gone;
+        }
+        let dialect = &self.state.dialect;
+        let req = dialect.stage_request(&call.upstream, &call.pieces);
+        let sent = self.state.pool.send(call.address, req, call.patience, false);
+        let response = match sent.await {
+            Some(Ok(response)) => response,
+            Some(Err(jd_net::SendError::NotSent)) => return CallResult::Gone,
+            Some(Err(jd_net::SendError::Broken)) | None => return CallResult::Failed,
+        };
+        let head = dialect.answer_head(response.status, &response.headers);
+        match head.status {
+            http::StatusCode::MISDIRECTED_REQUEST => return CallResult::Gone,
+            status if head.not_run || !status.is_success() => return CallResult::Full,
+            _ => {}
+        }
+        match within(call.patience, response.whole(MAX_ANSWER)).await {
+            Some(Ok(body)) => match dialect.stage_results(&body, call.pieces.len()) {
+                Some(results) => CallResult::Answered(results),
+                None => CallResult::Failed,
+            },
+            _ => CallResult::Failed,
+        }
+    }
+
+    fn follow_upstreams(&self, desk: &mut Desk) {
+        let table = self.state.upstreams.load_full();
+        let known = desk.table.as_ref();
+        if known.is_some_and(|t| Arc::ptr_eq(t, &table)) {
+            return;
+        }
+        let router = self.state.router.load();
+        let Some(router) = router.as_ref() else {
+            return;
+        };
+        for service in router.services() {
+            if let Some(spec) = service.batch {
+                let upstreams = table.upstreams(&service.name);
+                desk.desk.set_upstreams(&service.name, spec, upstreams);
+            }
+        }
+        desk.table = Some(table);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/stage_runner.rs
@@ -0,0 +1,211 @@
+//! Having the stages of a request done.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_io::Timer;
+use compact_str::CompactString;
+use futures_lite::FutureExt;
+use jd_serving::JobFailure;
+use jd_serving::JobStage;
+use jd_serving::StageJob;
+use jd_serving::owners;
+use jd_types::Incarnation;
+use jd_types::Name;
+use jd_types::Refusal;
+use jd_types::RefusalKind;
+
+use crate::call::Call;
+use crate::peers::Peers;
+use crate::result_release::ResultRelease;
+use crate::stage_batches::StageBatches;
+use crate::state::State;
+
+/// The shard of all requests, while one instance fills all batches.
+const ONLY_SHARD: u64 = 0;
+/// What an upstream takes from the request to its first event, about: the part
+/// of the objective that stages leave it.
+const GENERATION_START: Duration = Duration::from_millis(200);
+/// How often it is looked whether the owner is still there.
+const OWNER_CHECK: Duration = Duration::from_millis(200);
+/// Owners that are asked one after the other.
+const MAX_OWNERS: usize = 3;
+/// When to come back after stages could not be done.
+const FAILED_PAUSE: Duration = Duration::from_millis(500);
+
+/// Has the stages of requests done by the instance that fills the batches.
+#[derive(Debug)]
+pub(crate) struct StageRunner {
+    pub(crate) state: Arc<State>,
+    pub(crate) batches: Arc<StageBatches>,
+    pub(crate) peers: Arc<Peers>,
+    pub(crate) release: Arc<ResultRelease>,
+}
+
+/// Results of stages that a request works on; given up when dropped.
+#[derive(Debug)]
+pub(crate) struct StageResults {
+    handles: Vec<CompactString>,
+    release: Arc<ResultRelease>,
+}
+
+impl StageResults {
+    pub(crate) fn handles(&self) -> &[CompactString] {
+        &self.handles
+    }
+
+    /// Nobody works on them any more.
+    pub(crate) fn free(&mut self) {
+        self.release.add(std::mem::take(&mut self.handles));
+    }
+}
+
+impl Drop for StageResults {
+    fn drop(&mut self) {
+        self.free();
+    }
+}
+
+impl StageRunner {
+    /// Has the stages of a request done. Nothing of the request itself has run
+    /// when this refuses.
+    pub(crate) async fn run(&self, call: &Call) -> Result<StageResults, Refusal> {
+        let handles = match self.job(call) {
+            None => Vec::new(),
+            Some(job) => self.run_job(call, &job).await?,
+        };
+        Ok(StageResults {
+            handles,
+            release: Arc::clone(&self.release),
+        })
+    }
+
+    async fn run_job(&self, call: &Call, job: &StageJob) -> Result<Vec<CompactString>, Refusal> {
+        let began = self.state.now();
+        let ended = self.ask_owners(job).await;
+        let took = self.state.now().since(began);
+        let outcome = match &ended {
+            Ok(_) => "done",
+            Err(failure) => name_of(*failure),
+        };
+        self.state.metrics.stages(outcome, took);
+        log::info!(
+            request = call.id(),
+            outcome,
+            ms = took.as_millis() as u64;
+            "stages ended"
+        );
+        ended.map_err(refusal_of)
+    }
+
+    async fn ask_owners(&self, job: &StageJob) -> Result<Vec<CompactString>, JobFailure> {
+        let order = self.owner_order();
+        for owner in order.into_iter().take(MAX_OWNERS) {
+            if owner == self.state.me.incarnation {
+                return self.batches.run(job.clone()).await;
+            }
+            let asking = async { self.peers.run_stages(owner, job).await };
+            let gone = async {
+                self.until_gone(owner).await;
+                None
+            };
+            match asking.or(gone).await {
+                Some(outcome) => return outcome,
+                None => {
+                    log::warn!(owner:% = owner, request = job.request_id.as_str(); "owner of stages silent");
+                }
+            }
+        }
+        self.batches.run(job.clone()).await
+    }
+
+    fn owner_order(&self) -> Vec<Incarnation> {
+        let now = self.state.now();
+        let knowledge = self.state.knowledge();
+        let others = knowledge.instances.live(now).map(|e| e.incarnation);
+        let own = (!self.state.is_leaving()).then_some(self.state.me.incarnation);
+        owners(ONLY_SHARD, others.chain(own))
+    }
+
+    /// Returns once an owner does not answer heartbeats any more.
+    async fn until_gone(&self, owner: Incarnation) {
+        loop {
+            Timer::after(OWNER_CHECK).await;
+            let now = self.state.now();
+            let knowledge = self.state.knowledge();
+            if !knowledge.instances.is_heard(now, owner) {
+                return;
+            }
+        }
+    }
+
+    fn job(&self, call: &Call) -> Option<StageJob> {
+        let route = call.route();
+        let pieces = |n: usize| call.head.pieces.get(n).copied().unwrap_or(0);
+        let numbered = route.stages.iter().enumerate();
+        let stages: Vec<JobStage> = numbered
+            .map(|(n, s)| JobStage {
+                service: s.service.clone(),
+                after: s.after.clone(),
+                pieces: pieces(n),
+            })
+            .collect();
+        if stages.iter().all(|s| s.pieces == 0) {
+            return None;
+        }
+        Some(StageJob {
+            request_id: call.id().into(),
+            piece_key: call.head.piece_key.clone().unwrap_or_default(),
+            stages,
+            objective: call.objective().before(GENERATION_START),
+            deadline: call.deadline,
+            priority: call.priority,
+            zone: self.wanted_zone(call),
+        })
+    }
+
+    /// The zone of the upstream that will most likely work on the results.
+    fn wanted_zone(&self, call: &Call) -> Option<Name> {
+        let prompt = call.head.prompt.as_ref()?;
+        let (now, instances) = (self.state.now(), self.state.instance_count());
+        let table = self.state.upstreams.load();
+        let chosen = table.place(&call.service, now, prompt.session(), instances, &[])?;
+        Some(chosen.upstream.hall.clone())
+    }
+}
+
+/// The name of a failure in logs and metrics.
+const fn name_of(failure: JobFailure) -> &'static str {
+    match failure {
+        JobFailure::WouldMiss(_) => "would-miss",
+        JobFailure::TooLate => "too-late",
+        JobFailure::NoUpstream => "no-upstream",
+        JobFailure::PieceFailed => "piece-failed",
+    }
+}
+
+fn refusal_of(failure: JobFailure) -> Refusal {
+    let (kind, wait, detail) = match failure {
+        JobFailure::WouldMiss(wait) => (
+            RefusalKind::WouldMiss,
+            wait,
+            "the stages would end after the deadline",
+        ),
+        JobFailure::TooLate => (
+            RefusalKind::WouldMiss,
+            FAILED_PAUSE,
+            "the stages did not end before the deadline",
+        ),
+        JobFailure::NoUpstream => (
+            RefusalKind::NoUpstream,
+            FAILED_PAUSE,
+            "no upstream does one of the stages",
+        ),
+        JobFailure::PieceFailed => (
+            RefusalKind::Overloaded,
+            FAILED_PAUSE,
+            "a piece of a stage failed too often",
+        ),
+    };
+    Refusal::not_run(kind, detail).after(wait)
+}
--- /dev/null
+++ b/crates/gateway/src/state.rs
@@ -0,0 +1,182 @@
+//! What all parts of the gateway share.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use arc_swap::ArcSwapOption;
+use async_executor::Executor;
+use compact_str::CompactString;
+use jd_net::Clock;
+use jd_net::HttpPool;
+use jd_net::lock;
+use jd_serving::Freshness;
+use jd_serving::InstanceDirectory;
+use jd_serving::InstanceEntry;
+use jd_serving::RepeatBound;
+use jd_serving::RepeatBudget;
+use jd_serving::Router;
+use jd_serving::UpstreamDirectory;
+use jd_settings::GatewaySettings;
+use jd_types::MonoTime;
+
+use crate::Dialect;
+use crate::metrics::Metrics;
+use crate::upstream_table::UpstreamTable;
+
+/// What the store has told, as one value under one lock.
+#[derive(Debug, Default)]
+pub(crate) struct Knowledge {
+    pub(crate) freshness: Freshness,
+    pub(crate) upstreams: UpstreamDirectory,
+    pub(crate) instances: InstanceDirectory,
+    pub(crate) deployment_version: u64,
+}
+
+/// What all parts of the gateway share.
+#[derive(Debug)]
+pub(crate) struct State {
+    pub(crate) settings: GatewaySettings,
+    pub(crate) clock: Clock,
+    pub(crate) executor: Arc<Executor<'static>>,
+    pub(crate) pool: HttpPool,
+    pub(crate) dialect: Arc<dyn Dialect>,
+    pub(crate) me: InstanceEntry,
+    pub(crate) router: ArcSwapOption<Router>,
+    pub(crate) upstreams: ArcSwap<UpstreamTable>,
+    pub(crate) metrics: Metrics,
+    knowledge: Mutex<Knowledge>,
+    budgets: Mutex<HashMap<CompactString, RepeatBudget>>,
+    leaving: AtomicBool,
+    in_flight: AtomicUsize,
+}
+
+impl State {
+    pub(crate) fn new(
+        settings: GatewaySettings,
+        clock: Clock,
+        executor: Arc<Executor<'static>>,
+        pool: HttpPool,
+        dialect: Arc<dyn Dialect>,
+        me: InstanceEntry,
+    ) -> State {
+        State {
+            settings,
+            clock,
+            executor,
+            pool,
+            dialect,
+            me,
+            router: ArcSwapOption::empty(),
+            upstreams: ArcSwap::default(),
+            metrics: Metrics::new(),
+            knowledge: Mutex::default(),
+            budgets: Mutex::default(),
+            leaving: AtomicBool::new(false),
+            in_flight: AtomicUsize::new(0),
+        }
+    }
+
+    pub(crate) fn now(&self) -> MonoTime {
+        self.clock.now()
+    }
+
+    pub(crate) fn knowledge(&self) -> MutexGuard<'_, Knowledge> {
+        lock(&self.knowledge)
+    }
+
+    /// How old the newest proof is that nothing in force is missing here.
+    pub(crate) fn proof_age(&self) -> Option<Duration> {
+        self.knowledge().freshness.age(self.now())
+    }
+
+    /// True while requests may be sent on the strength of what is known here.
+    pub(crate) fn is_fresh(&self) -> bool {
+        self.proof_age()
+            .is_some_and(|age| age < self.settings.proof_lifetime)
+    }
+
+    /// True if callers should come here.
+    pub(crate) fn is_ready(&self) -> bool {
+        !self.is_leaving() && self.router.load().is_some() && self.is_fresh()
+    }
+
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn leave(&self) {
+        self.leaving.store(true, Ordering::Relaxed);
+    }
+
+    pub(crate) fn in_flight(&self) -> usize {
+        self.in_flight.load(Ordering::Relaxed)
+    }
+
+    /// Counts a request as in flight until the guard is dropped.
+    pub(crate) fn begin(self: &Arc<Self>) -> InFlight {
+        self.in_flight.fetch_add(1, Ordering::Relaxed);
+        InFlight(Arc::clone(self))
+    }
+
+    /// Instances that take callers, this one included.
+    pub(crate) fn instance_count(&self) -> u32 {
+        let now = self.now();
+        let live = self.knowledge().instances.live(now).count();
+        u32::try_from(live + 1).unwrap_or(u32::MAX)
+    }
+
+    /// A request goes to a service for the first time.
+    pub(crate) fn first_send(&self, service: &str) {
+        let bound = self.repeat_bound();
+        let now = self.now();
+        let mut budgets = lock(&self.budgets);
+        budgets.entry(service.into()).or_default().first(now, &bound);
+    }
+
+    /// True if a request may go to a service once more.
+    pub(crate) fn may_repeat(&self, service: &str) -> bool {
+        let bound = self.repeat_bound();
+        let instances = self.instance_count() as usize;
+        let now = self.now();
+        let mut budgets = lock(&self.budgets);
+        let budget = budgets.entry(service.into()).or_default();
+        let allowed = budget.repeat(now, &bound, instances);
+        self.metrics.repeat(allowed);
+        allowed
+    }
+
+    /// Lays the upstreams out anew after their entries changed.
+    pub(crate) fn rebuild_upstreams(&self) {
+        let now = self.now();
+        let zone = &self.settings.zone;
+        let knowledge = self.knowledge();
+        let entries = knowledge.upstreams.entries();
+        let next = self.upstreams.load().next(now, entries, zone);
+        self.upstreams.store(Arc::new(next));
+    }
+
+    fn repeat_bound(&self) -> RepeatBound {
+        RepeatBound {
+            ratio: self.settings.repeat_ratio,
+            slack: self.settings.repeat_slack,
+            window: self.settings.repeat_window,
+        }
+    }
+}
+
+/// A request in flight.
+#[derive(Debug)]
+pub(crate) struct InFlight(Arc<State>);
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.in_flight.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/store.rs
@@ -0,0 +1,111 @@
+//! The store that holds what must last.
+
+use std::fmt::Debug;
+use std::pin::Pin;
+use std::time::Duration;
+
+use compact_str::CompactString;
+use jd_serving::Deployment;
+use jd_serving::InstanceEntry;
+use jd_serving::UpstreamEntry;
+use jd_types::Incarnation;
+use snafu::Snafu;
+
+/// The future of a call to the store.
+pub type StoreFuture<'a, T> = Pin<Box<dyn Future<Output = Result<T, StoreError>> + Send + 'a>>;
+
+/// A lease at the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LeaseId(pub u64);
+
+/// Something that the store holds.
+#[derive(Debug, Clone)]
+pub enum Record {
+    /// The operator's configuration.
+    Deployment(Box<Deployment>),
+    /// An upstream.
+    Upstream(UpstreamEntry),
+    /// An instance of this system.
+    Instance(InstanceEntry),
+    /// A record that this version cannot read, and why.
+    Unreadable {
+        /// Where it lies.
+        key: CompactString,
+        /// What is wrong with it.
+        reason: CompactString,
+    },
+}
+
+/// A change in the store.
+#[derive(Debug, Clone)]
+pub enum Change {
+    /// A record was written.
+    Put(Record),
+    /// An upstream's entry was removed.
+    UpstreamGone(CompactString),
+    /// An instance's entry was removed.
+    InstanceGone(Incarnation),
+}
+
+/// Everything that the store holds.
+#[derive(Debug, Clone)]
+pub struct Listing {
+    /// All records.
+    pub records: Vec<Record>,
+    /// Changes after this revision may be missing.
+    pub revision: u64,
+}
+
+/// What changed.
+#[derive(Debug, Clone)]
+pub struct Changes {
+    /// In the order in which it happened.
+    pub changes: Vec<Change>,
+    /// The store's revision after the last of them.
+    pub revision: u64,
+}
+
+/// Why a call to the store brought nothing.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Snafu)]
+pub enum StoreError {
+    /// The store refused the call: nothing was done.
+    #[snafu(display("the store refused the call; it is tried again"))]
+    Refused,
+    /// No answer came: a write may have been done, or may be done later.
+    #[snafu(display("the store did not answer; it is asked again on a new connection"))]
+    Lost,
+    /// The changes asked for are no longer kept.
+    #[snafu(display("the store forgot these changes; everything is read again"))]
+    HistoryGone,
+    /// The lease has ended.
+    #[snafu(display("the lease has ended; another is taken"))]
+    LeaseGone,
+    /// The answer is not one that this version understands.
+    #[snafu(display("the store's answer cannot be read; check its version"))]
+    Unreadable,
+}
+
+/// The store that holds what must last: the operator's configuration and the
+/// entries of upstreams and instances.
+pub trait Store: Debug + Send + Sync {
+    /// Reads everything, as it is now.
+    fn list(&self) -> StoreFuture<'_, Listing>;
+
+    /// Waits for changes after a revision, at most `wait`.
+    fn watch(&self, after: u64, wait: Duration) -> StoreFuture<'_, Changes>;
+
+    /// The store's revision, as it is now.
+    fn revision(&self) -> StoreFuture<'_, u64>;
+
+    /// Takes a lease.
+    fn lease(&self, lifetime: Duration) -> StoreFuture<'_, LeaseId>;
+
+    /// Renews a lease.
+    fn renew(&self, lease: LeaseId) -> StoreFuture<'_, ()>;
+
+    /// Writes this instance's entry, for as long as the lease lasts.
+    fn announce<'a>(&'a self, entry: &'a InstanceEntry, lease: LeaseId) -> StoreFuture<'a, ()>;
+
+    /// Removes this instance's entry.
+    fn withdraw(&self, id: Incarnation) -> StoreFuture<'_, ()>;
+}
--- /dev/null
+++ b/crates/gateway/src/stream_call.rs
@@ -0,0 +1,184 @@
+//! Requests whose answer is a stream of events.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use compact_str::CompactString;
+use futures_lite::stream::unfold;
+use http::Response;
+use jd_net::Body;
+use jd_net::within;
+use jd_serving::Repeat;
+use jd_types::AttemptOutcome;
+use jd_types::Refusal;
+use jd_types::RefusalKind;
+use jd_types::RunState;
+
+use crate::attempt;
+use crate::attempt::Answer;
+use crate::attempt::Failure;
+use crate::call::Call;
+use crate::event_stream::EventStream;
+use crate::front::may_have_run;
+use crate::stage_runner::StageResults;
+use crate::stage_runner::StageRunner;
+use crate::state::State;
+use crate::upstream_table::Chosen;
+
+/// Upstreams that one request is offered to, those that proved that they did
+/// nothing included.
+const MAX_OFFERS: usize = 4;
+/// When to come back after every upstream was full.
+const FULL_PAUSE: Duration = Duration::from_millis(500);
+/// The largest failure of an upstream that is passed on, in bytes.
+const MAX_FAILURE: usize = 1 << 20;
+/// How long an upstream may take to begin an answer that another could begin
+/// as well. Several times what the longest prompts of the users take to read.
+const BEGIN_WITHIN: Duration = Duration::from_millis(2_500);
+
+/// Runs a request whose answer is a stream: its stages, then the request.
+pub(crate) async fn run(
+    state: &Arc<State>,
+    stages: &Arc<StageRunner>,
+    call: Call,
+) -> Result<Response<Body>, Refusal> {
+    let mut results = stages.run(&call).await?;
+    let mut tried: Vec<CompactString> = Vec::new();
+    let mut runs = 0;
+    let mut stages_repeated = false;
+    state.first_send(&call.service);
+    loop {
+        let chosen = next_upstream(state, &call, &tried, runs)?;
+        tried.push(chosen.id.clone());
+        let last = call.head.last_event;
+        let patience = patience(&call, state, runs);
+        let sent = attempt::send(state, &call, chosen, results.handles(), last, patience).await;
+        let failure = match sent {
+            Ok(answer) => return begin(state, call, answer, results, tried, runs + 1).await,
+            Err(failure) => failure,
+        };
+        let proved = failure.outcome.run_state() == RunState::NotRun;
+        runs += u32::from(!proved);
+        if failure.inputs_gone && !stages_repeated {
+            stages_repeated = true;
+            tried.pop();
+            results = stages.run(&call).await?;
+            continue;
+        }
+        let allowed = match call.route().repeat {
+            _ if proved => tried.len() < MAX_OFFERS,
+            Repeat::Resumable => runs < call.route().max_attempts,
+            _ => false,
+        };
+        if !allowed || !state.may_repeat(&call.service) {
+            return Err(no_more(runs, &failure));
+        }
+    }
+}
+
+/// The next upstream for a request: the one that keeps its prompt, or the next
+/// after those that were tried.
+pub(crate) fn next_upstream(
+    state: &State,
+    call: &Call,
+    tried: &[CompactString],
+    runs: u32,
+) -> Result<Chosen, Refusal> {
+    let now = state.now();
+    if call.left(now).is_zero() {
+        return Err(match runs {
+            0 => Refusal::not_run(RefusalKind::WouldMiss, "the deadline passed"),
+            _ => may_have_run(RefusalKind::DeadlinePassed, "the deadline passed"),
+        });
+    }
+    let refuse = |kind, detail: &'static str| match runs {
+        0 => Refusal::not_run(kind, detail).after(FULL_PAUSE),
+        _ => may_have_run(RefusalKind::UpstreamFailed, detail),
+    };
+    // A frozen or suspended instance wakes here with old knowledge.
+    if !state.is_fresh() {
+        let detail = "what is known here is too old to act on";
+        return Err(refuse(RefusalKind::NotServing, detail));
+    }
+    let table = state.upstreams.load();
+    let chosen = match &call.head.prompt {
+        Some(prompt) => {
+            let instances = state.instance_count();
+            table.place(&call.service, now, prompt.session(), instances, tried)
+        }
+        None => table.pick(&call.service, now, &state.settings.zone, tried),
+    };
+    chosen.ok_or_else(|| refuse(RefusalKind::NoUpstream, "no upstream is left to try"))
+}
+
+async fn begin(
+    state: &Arc<State>,
+    call: Call,
+    answer: Answer,
+    results: StageResults,
+    tried: Vec<CompactString>,
+    runs: u32,
+) -> Result<Response<Body>, Refusal> {
+    let headers = state.dialect.caller_headers(&answer.response.headers);
+    let status = answer.head.status;
+    let took = state.now().since(call.arrived);
+    log::info!(
+        request = call.id(),
+        route = call.route().name.as_str(),
+        upstream = answer.open.id(),
+        status = status.as_u16(),
+        config = call.router.version,
+        attempts = tried.len(),
+        ms = took.as_millis() as u64;
+        "answer began"
+    );
+    let body = match status.is_success() {
+        true => {
+            state.metrics.request("answered", took);
+            let events = EventStream::new(state, call, answer, results, tried, runs);
+            jd_net::stream(unfold(events, EventStream::next))
+        }
+        false => {
+            state.metrics.request("failed", took);
+            failure_body(state, &call, answer).await?
+        }
+    };
+    let mut res = Response::new(body);
+    *res.status_mut() = status;
+    *res.headers_mut() = headers;
+    Ok(res)
+}
+
+async fn failure_body(state: &State, call: &Call, answer: Answer) -> Result<Body, Refusal> {
+    let mut open = answer.open;
+    let left = call.left(state.now());
+    let read = within(left, answer.response.whole(MAX_FAILURE)).await;
+    open.end(AttemptOutcome::Failed);
+    match read {
+        Some(Ok(body)) => Ok(jd_net::full(body)),
+        _ => {
+            let detail = "the upstream failed and its answer was cut off";
+            Err(may_have_run(RefusalKind::UpstreamFailed, detail))
+        }
+    }
+}
+
+fn patience(call: &Call, state: &State, runs: u32) -> Duration {
+    let left = call.left(state.now());
+    let repeats = call.route().repeat == Repeat::Resumable && runs + 1 < call.route().max_attempts;
+    match repeats {
+        true => left.min(BEGIN_WITHIN),
+        false => left,
+    }
+}
+
+fn no_more(runs: u32, failure: &Failure) -> Refusal {
+    let detail = failure.detail.as_str();
+    match (runs, failure.outcome) {
+        (0, _) => Refusal::not_run(RefusalKind::Overloaded, detail).after(FULL_PAUSE),
+        (_, AttemptOutcome::Silent | AttemptOutcome::TimedOut) => {
+            may_have_run(RefusalKind::DeadlinePassed, detail)
+        }
+        _ => may_have_run(RefusalKind::UpstreamFailed, detail),
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/upstream_table.rs
@@ -0,0 +1,165 @@
+//! The upstreams of every service, laid out for the path of a request.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use compact_str::CompactString;
+use jd_policy::PickRequest;
+use jd_policy::PoolTable;
+use jd_policy::RoutingPolicy;
+use jd_policy::Upstream;
+use jd_serving::PromptUpstream;
+use jd_serving::UpstreamEntry;
+use jd_serving::place_prompt;
+use jd_types::MonoTime;
+use jd_types::Name;
+use jd_types::UpstreamKey;
+
+/// An upstream that was chosen for a request.
+#[derive(Debug, Clone)]
+pub(crate) struct Chosen {
+    /// Its identity.
+    pub(crate) id: CompactString,
+    /// What this instance knows of it.
+    pub(crate) upstream: Arc<Upstream>,
+}
+
+#[derive(Debug)]
+struct ServiceTable {
+    ids: Vec<CompactString>,
+    slots: u32,
+    pool: PoolTable,
+}
+
+/// The upstreams of every service. A new table is made when entries change;
+/// what is known of an upstream lives on from table to table.
+#[derive(Debug, Default)]
+pub(crate) struct UpstreamTable {
+    services: HashMap<CompactString, ServiceTable>,
+    by_id: HashMap<CompactString, Arc<Upstream>>,
+}
+
+impl UpstreamTable {
+    /// The table of `entries` for an instance in `zone`. Upstreams that leave
+    /// are not in it: nothing new may reach them.
+    pub(crate) fn next<'a>(
+        &self,
+        now: MonoTime,
+        entries: impl Iterator<Item = &'a UpstreamEntry>,
+        zone: &Name,
+    ) -> UpstreamTable {
+        let mut grouped: HashMap<CompactString, Vec<&UpstreamEntry>> = HashMap::new();
+        for entry in entries.filter(|e| !e.leaving) {
+            grouped
+                .entry(entry.service.clone())
+                .or_default()
+                .push(entry);
+        }
+        let first = self.by_id.is_empty();
+        let since = if first { MonoTime::ZERO } else { now };
+        let mut by_id = HashMap::new();
+        let mut services = HashMap::new();
+        for (service, mut entries) in grouped {
+            entries.sort_by(|a, b| a.id.cmp(&b.id));
+            let mut upstreams = Vec::with_capacity(entries.len());
+            for entry in &entries {
+                let known = self.by_id.get(&entry.id).cloned();
+                let upstream = known.unwrap_or_else(|| {
+                    Arc::new(Upstream::new(entry.address, entry.zone.clone(), since))
+                });
+                by_id.insert(entry.id.clone(), Arc::clone(&upstream));
+                upstreams.push(upstream);
+            }
+            let slots = entries.iter().map(|e| e.slots).max().unwrap_or(1);
+            let table = ServiceTable {
+                ids: entries.iter().map(|e| e.id.clone()).collect(),
+                slots,
+                pool: PoolTable::new(upstreams, slots, zone),
+            };
+            services.insert(service, table);
+        }
+        UpstreamTable { services, by_id }
+    }
+
+    /// Identity, address and zone of a service's upstreams.
+    pub(crate) fn upstreams(
+        &self,
+        service: &str,
+    ) -> impl Iterator<Item = (CompactString, SocketAddr, Name)> {
+        let table = self.services.get(service).into_iter();
+        let both = table.flat_map(|t| t.ids.iter().zip(t.pool.upstreams()));
+        both.map(|(id, u)| (id.clone(), u.address, u.hall.clone()))
+    }
+
+    /// True if the upstream may still get new work.
+    pub(crate) fn has(&self, id: &str) -> bool {
+        self.by_id.contains_key(id)
+    }
+
+    /// Chooses an upstream by load, near ones first.
+    pub(crate) fn pick(
+        &self,
+        service: &str,
+        now: MonoTime,
+        zone: &Name,
+        tried: &[CompactString],
+    ) -> Option<Chosen> {
+        let table = self.services.get(service)?;
+        let req = PickRequest {
+            hall: zone,
+            affinity: None,
+            exclude: &table.keys_of(tried),
+        };
+        let mut rng = fastrand::Rng::new();
+        let policy = RoutingPolicy::TwoChoices;
+        let pick = table.pool.pick(policy, now, &req, &mut rng)?;
+        Some(table.chosen(pick.key))
+    }
+
+    /// Chooses the upstream that keeps the session's prompt.
+    pub(crate) fn place(
+        &self,
+        service: &str,
+        now: MonoTime,
+        session: u64,
+        instances: u32,
+        tried: &[CompactString],
+    ) -> Option<Chosen> {
+        let table = self.services.get(service)?;
+        let views = table.views(now, &table.keys_of(tried));
+        let order = place_prompt(session, &views, table.slots, instances);
+        let key = UpstreamKey::from_index(u32::try_from(*order.first()?).ok()?);
+        Some(table.chosen(key))
+    }
+}
+
+impl ServiceTable {
+    fn chosen(&self, key: UpstreamKey) -> Chosen {
+        Chosen {
+            id: self.ids[key.index()].clone(),
+            upstream: Arc::clone(&self.pool.upstreams()[key.index()]),
+        }
+    }
+
+    /// The places of those that are still there.
+    fn keys_of(&self, ids: &[CompactString]) -> Vec<UpstreamKey> {
+        let keys = (0..).map(UpstreamKey::from_index);
+        let all = self.ids.iter().zip(keys);
+        all.filter(|(id, _)| ids.contains(id)).map(|(_, k)| k).collect()
+    }
+
+    /// Ejections are ignored when all are ejected: a bad signal must not leave
+    /// a service without any upstream.
+    fn views(&self, now: MonoTime, exclude: &[UpstreamKey]) -> Vec<PromptUpstream> {
+        let upstreams = self.pool.upstreams();
+        let all_ejected = upstreams.iter().all(|u| u.is_ejected(now));
+        let keys = (0..).map(UpstreamKey::from_index);
+        let view = |(u, key): (&Arc<Upstream>, UpstreamKey)| PromptUpstream {
+            address: u.address,
+            in_flight: u.in_flight(),
+            usable: !exclude.contains(&key) && (all_ejected || !u.is_ejected(now)),
+        };
+        upstreams.iter().zip(keys).map(view).collect()
+    }
+}
--- a/crates/net/src/http_pool.rs
+++ b/crates/net/src/http_pool.rs
@@ -17,6 +17,7 @@
 use hyper::client::conn::http1::SendRequest;
 use jd_policy::ConnectionKey;
 use jd_policy::ConnectionWatch;
+use jd_types::MonoTime;
 use smol_hyper::rt::FuturesIo;
 
 use crate::Body;
@@ -30,12 +31,17 @@
 const CONNECT_WITHIN: Duration = Duration::from_secs(1);
 /// Idle connections that are kept for one address.
 const MAX_IDLE: usize = 64;
+/// How long a connection may lie idle and still be used. Upstreams close idle
+/// connections, some without notice; a request that crosses the close is lost,
+/// and nobody can tell whether it ran.
+const MAX_IDLE_TIME: Duration = Duration::from_secs(2);
 
 /// One open connection. Dropping it closes it.
 pub(crate) struct Connection {
     address: SocketAddr,
     key: ConnectionKey,
     sender: SendRequest<Body>,
+    idle_since: MonoTime,
     _driver: Task<()>,
 }
 
@@ -70,8 +76,9 @@
         }
     }
 
-    pub(crate) fn put_back(&self, c: Connection) {
+    pub(crate) fn put_back(&self, mut c: Connection) {
         let now = self.clock.now();
+        c.idle_since = now;
         let mut addresses = self.lock();
         let per = addresses.entry(c.address).or_default();
         per.watch.heard(now, c.key, true);
@@ -86,8 +93,9 @@
         let per = addresses.get_mut(&address)?;
         // The newest first: what lies longest is likeliest to be forgotten
         // by something in between.
+        let now = self.clock.now();
         while let Some(c) = per.idle.pop() {
-            if c.sender.is_ready() {
+            if c.sender.is_ready() && now.since(c.idle_since) < MAX_IDLE_TIME {
                 return Some(c);
             }
             per.watch.closed(c.key);
@@ -217,6 +225,7 @@
             address,
             key,
             sender,
+            idle_since: now,
             _driver: driver,
         })
     }
--- a/crates/net/src/http_server.rs
+++ b/crates/net/src/http_server.rs
@@ -55,6 +55,8 @@
     pub head_within: Duration,
     /// Requests at a time on one HTTP/2 connection.
     pub streams: u32,
+    /// True where callers speak HTTP/1.1 only.
+    pub http1_only: bool,
 }
 
 impl Default for ServerLimits {
@@ -65,6 +67,7 @@
             head_bytes: 16 << 10,
             head_within: Duration::from_secs(5),
             streams: 256,
+            http1_only: false,
         }
     }
 }
@@ -211,7 +214,10 @@
             .timer(SmolTimer::new())
             .max_header_list_size(u32::try_from(self.limits.head_bytes).unwrap_or(u32::MAX))
             .max_concurrent_streams(self.limits.streams);
-        builder
+        match self.limits.http1_only {
+            true => builder.http1_only(),
+            false => builder,
+        }
     }
 }
 
--- /dev/null
+++ b/crates/serving/src/batch_upstream.rs
@@ -0,0 +1,86 @@
+//! What the desk knows of one upstream that works on batches.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use compact_str::CompactString;
+use jd_types::MonoTime;
+use jd_types::Name;
+
+use crate::CallResult;
+
+/// How long an upstream is left alone after a first failure; doubled with each
+/// further one. A little more than two calls.
+const BLOCK_FIRST: Duration = Duration::from_millis(700);
+/// The longest time that it is left alone.
+const BLOCK_MOST: Duration = Duration::from_millis(4_000);
+/// How long it is left alone when it was full: about a call.
+const FULL_PAUSE: Duration = Duration::from_millis(150);
+/// Beyond this many times its expected time a call counts as stuck. Calls that
+/// wait behind one of another owner take up to twice as long.
+const PATIENCE_FACTOR: f64 = 2.2;
+/// What patience adds for networks and wakeups.
+const PATIENCE_SLACK: Duration = Duration::from_millis(120);
+
+#[derive(Debug)]
+pub(crate) struct BatchUpstream {
+    pub(crate) id: CompactString,
+    pub(crate) address: SocketAddr,
+    pub(crate) zone: Name,
+    open_calls: u32,
+    failures: u32,
+    blocked_until: MonoTime,
+}
+
+impl BatchUpstream {
+    pub(crate) fn new(id: CompactString, address: SocketAddr, zone: Name) -> BatchUpstream {
+        BatchUpstream {
+            id,
+            address,
+            zone,
+            open_calls: 0,
+            failures: 0,
+            blocked_until: MonoTime::ZERO,
+        }
+    }
+
+    pub(crate) fn open_calls(&self) -> u32 {
+        self.open_calls
+    }
+
+    pub(crate) fn is_blocked(&self, now: MonoTime) -> bool {
+        now < self.blocked_until
+    }
+
+    pub(crate) fn started(&mut self) {
+        self.open_calls += 1;
+    }
+
+    /// How long to wait for a call that should take `expected`.
+    pub(crate) fn patience(&self, expected: Duration) -> Duration {
+        expected.mul_f64(PATIENCE_FACTOR) + PATIENCE_SLACK
+    }
+
+    /// A call ended. One that answered is trusted again at once; one that did
+    /// not is left alone for a while, so that a slow or dead upstream costs its
+    /// pieces one wait and not each of them.
+    pub(crate) fn finished(
+        &mut self,
+        now: MonoTime,
+        took: Duration,
+        expected: Duration,
+        result: &CallResult,
+    ) {
+        self.open_calls = self.open_calls.saturating_sub(1);
+        match result {
+            CallResult::Answered(_) if took < self.patience(expected) => self.failures = 0,
+            CallResult::Answered(_) => {}
+            CallResult::Full => self.blocked_until = now + FULL_PAUSE,
+            CallResult::Gone | CallResult::Failed => {
+                let block = BLOCK_FIRST * (1 << self.failures.min(4));
+                self.failures += 1;
+                self.blocked_until = now + block.min(BLOCK_MOST);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/serving/src/freshness.rs
@@ -0,0 +1,69 @@
+//! How old the knowledge of what is in force may be.
+
+use std::time::Duration;
+
+use jd_types::MonoTime;
+
+/// Proof that this instance knew all that was in force at some moment.
+///
+/// Guards against credentials that were taken away while this instance could
+/// not hear of it: cut off, frozen, suspended, or behind a connection that has
+/// gone silent. A watch that brings nothing proves nothing. Proof is a question
+/// put to the store and answered with the revision that it had then; it counts
+/// from the moment of asking, on a clock that runs through suspension.
+#[derive(Debug, Default)]
+pub struct Freshness {
+    applied: u64,
+    proven: Option<MonoTime>,
+    unmet: Option<Proof>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Proof {
+    asked: MonoTime,
+    revision: u64,
+}
+
+impl Freshness {
+    /// Everything up to `revision` has been taken in.
+    pub fn applied(&mut self, revision: u64) {
+        self.applied = self.applied.max(revision);
+        match self.unmet {
+            Some(p) if p.revision <= self.applied => {
+                self.unmet = None;
+                self.prove(p.asked);
+            }
+            _ => {}
+        }
+    }
+
+    /// The store said that it was at `revision` when asked at `asked`. True if
+    /// something is missing here, which a watch should have brought.
+    pub fn confirmed(&mut self, asked: MonoTime, revision: u64) -> bool {
+        if revision <= self.applied {
+            self.prove(asked);
+            return false;
+        }
+        self.unmet = Some(Proof { asked, revision });
+        true
+    }
+
+    /// How old the newest proof is; none if there has been none.
+    pub fn age(&self, now: MonoTime) -> Option<Duration> {
+        self.proven.map(|p| now.since(p))
+    }
+
+    /// True while the store is known to hold something that is missing here.
+    pub fn is_behind(&self) -> bool {
+        self.unmet.is_some()
+    }
+
+    /// The revision up to which everything has been taken in.
+    pub fn revision(&self) -> u64 {
+        self.applied
+    }
+
+    fn prove(&mut self, asked: MonoTime) {
+        self.proven = Some(self.proven.map_or(asked, |p| p.max(asked)));
+    }
+}
--- /dev/null
+++ b/crates/serving/src/instance_directory.rs
@@ -0,0 +1,133 @@
+//! Which instances there are, and which of them callers are told of.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use jd_types::Incarnation;
+use jd_types::MonoTime;
+use jd_types::Name;
+
+/// How long an instance may stay silent before it is passed over. Three missed
+/// heartbeats; a caller sent to a dead instance loses a second.
+const SILENT_AFTER: Duration = Duration::from_millis(1_300);
+/// Addresses in one answer; the users' clients take no more.
+const MAX_ADDRESSES: usize = 64;
+/// Instances of the caller's own zone that suffice for an answer of only these.
+const ENOUGH_NEAR: usize = 2;
+
+/// What an instance says of itself.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct InstanceEntry {
+    /// The identity of this start of it.
+    pub incarnation: Incarnation,
+    /// Where callers reach it.
+    pub callers: SocketAddr,
+    /// Where other instances reach it.
+    pub peers: SocketAddr,
+    /// The availability zone that it stands in.
+    pub zone: Name,
+    /// True once it takes no new callers.
+    pub leaving: bool,
+}
+
+/// Which instances there are: those that the store lists, less those that say
+/// they leave or do not answer heartbeats.
+#[derive(Debug, Default)]
+pub struct InstanceDirectory {
+    known: HashMap<Incarnation, Known>,
+}
+
+#[derive(Debug)]
+struct Known {
+    entry: InstanceEntry,
+    heard: MonoTime,
+    listed: bool,
+    ready: bool,
+}
+
+impl InstanceDirectory {
+    /// The store lists it. A new one has until its first heartbeat is due.
+    pub fn put(&mut self, now: MonoTime, entry: InstanceEntry) {
+        let known = self.known.entry(entry.incarnation).or_insert(Known {
+            entry: entry.clone(),
+            heard: now,
+            listed: true,
+            ready: true,
+        });
+        known.listed = true;
+        known.entry.leaving |= entry.leaving;
+        // An address has one process: an older start of it is gone.
+        let (id, peers) = (entry.incarnation, entry.peers);
+        self.known
+            .retain(|other, k| *other == id || k.entry.peers != peers);
+    }
+
+    /// The store lists it no more. While heartbeats arrive it is still there:
+    /// its lease may have run out while the store was away.
+    pub fn unlist(&mut self, id: Incarnation) {
+        if let Some(known) = self.known.get_mut(&id) {
+            known.listed = false;
+        }
+    }
+
+    /// It answered a heartbeat.
+    pub fn heard(&mut self, now: MonoTime, id: Incarnation, leaving: bool, ready: bool) {
+        if let Some(known) = self.known.get_mut(&id) {
+            known.heard = now;
+            known.ready = ready;
+            known.entry.leaving |= leaving;
+        }
+    }
+
+    /// Another process answers at its address, so it is gone.
+    pub fn gone(&mut self, id: Incarnation) {
+        self.known.remove(&id);
+    }
+
+    /// Forgets those that are neither listed nor heard.
+    pub fn expire(&mut self, now: MonoTime) {
+        self.known
+            .retain(|_, k| k.listed || now.since(k.heard) < SILENT_AFTER * 4);
+    }
+
+    /// All that are known.
+    pub fn entries(&self) -> impl Iterator<Item = &InstanceEntry> {
+        self.known.values().map(|k| &k.entry)
+    }
+
+    /// Those that answer and do not leave.
+    pub fn live(&self, now: MonoTime) -> impl Iterator<Item = &InstanceEntry> {
+        self.known
+            .values()
+            .filter(move |k| now.since(k.heard) < SILENT_AFTER && !k.entry.leaving)
+            .map(|k| &k.entry)
+    }
+
+    /// True if it answered a heartbeat lately.
+    pub fn is_heard(&self, now: MonoTime, id: Incarnation) -> bool {
+        let known = self.known.get(&id);
+        known.is_some_and(|k| now.since(k.heard) < SILENT_AFTER)
+    }
+
+    /// The addresses for a caller in `zone`: those of its own zone if there are
+    /// enough, else all. `own` stands for the instance that answers.
+    pub fn addresses(
+        &self,
+        now: MonoTime,
+        zone: &str,
+        own: Option<&InstanceEntry>,
+    ) -> Vec<SocketAddr> {
+        let silent = |k: &&Known| now.since(k.heard) < SILENT_AFTER;
+        let others = self.known.values().filter(silent);
+        let others = others.filter(|k| k.ready && !k.entry.leaving);
+        let mut all: Vec<&InstanceEntry> = others.map(|k| &k.entry).chain(own).collect();
+        all.sort_by_key(|e| (e.zone.as_str() != zone, e.callers));
+        let near = all.iter().filter(|e| e.zone.as_str() == zone).count();
+        if near >= ENOUGH_NEAR {
+            all.truncate(near);
+        }
+        let addresses = all.into_iter().map(|e| e.callers);
+        addresses.take(MAX_ADDRESSES).collect()
+    }
+}
--- /dev/null
+++ b/crates/serving/src/lib.rs
@@ -0,0 +1,66 @@
+//! Decisions of the serving path, without I/O.
+//!
+//! What the operator put in force ([`Router`]), which upstreams and instances
+//! there are ([`UpstreamDirectory`], [`InstanceDirectory`]), how old that
+//! knowledge is ([`Freshness`]), which pieces of stages go where and when
+//! ([`StageDesk`]), where a prompt goes ([`place_prompt`]) and what may be sent
+//! again ([`RepeatBudget`]). Time is passed in; nothing reads a clock or a
+//! socket, so that tests replay loads in virtual time.
+
+mod batch_upstream;
+mod call_head;
+mod deployment;
+mod event_splitter;
+mod freshness;
+mod instance_directory;
+mod owner;
+mod prompt;
+mod prompt_placement;
+mod repeat_budget;
+mod route;
+mod router;
+mod service;
+mod stage_desk;
+mod stage_job;
+mod upstream_directory;
+
+pub use call_head::CallHead;
+pub use deployment::CallerLimits;
+pub use deployment::CustomerSpec;
+pub use deployment::Deployment;
+pub use event_splitter::EventSplitter;
+pub use freshness::Freshness;
+pub use instance_directory::InstanceDirectory;
+pub use instance_directory::InstanceEntry;
+pub use owner::owners;
+pub use prompt::Prompt;
+pub use prompt::PromptPart;
+pub use prompt_placement::PromptUpstream;
+pub use prompt_placement::place_prompt;
+pub use repeat_budget::RepeatBound;
+pub use repeat_budget::RepeatBudget;
+pub use route::Repeat;
+pub use route::Route;
+pub use route::StageSpec;
+pub use route::Target;
+pub use router::Caller;
+pub use router::RouteKey;
+pub use router::Router;
+pub use service::BatchSpec;
+pub use service::GenerationSpec;
+pub use service::Service;
+pub use stage_desk::BatchCall;
+pub use stage_desk::CallKey;
+pub use stage_desk::CallResult;
+pub use stage_desk::JobEnd;
+pub use stage_desk::JobFailure;
+pub use stage_desk::JobKey;
+pub use stage_desk::PieceOrder;
+pub use stage_desk::PieceResult;
+pub use stage_desk::PieceSource;
+pub use stage_desk::StageDesk;
+pub use stage_job::JobStage;
+pub use stage_job::PieceKey;
+pub use stage_job::StageJob;
+pub use upstream_directory::UpstreamDirectory;
+pub use upstream_directory::UpstreamEntry;
--- /dev/null
+++ b/crates/serving/src/owner.rs
@@ -0,0 +1,28 @@
+//! Which instance fills the batches of a request's stages.
+
+use jd_types::Incarnation;
+
+/// The instances in the order in which they are asked to run the stages of a
+/// request of `shard`: rendezvous hashing, so that all instances agree without
+/// a message, and the loss of one moves only what it had.
+///
+/// No lease is needed. Two owners for a moment fill smaller batches; no piece
+/// does harm when it is done twice.
+pub fn owners(
+    shard: u64,
+    instances: impl Iterator<Item = Incarnation>,
+) -> Vec<Incarnation> {
+    let mut ranked: Vec<(u64, Incarnation)> = instances
+        .map(|id| (spread(shard ^ spread(id.get())), id))
+        .collect();
+    ranked.sort_unstable();
+    ranked.into_iter().map(|(_, id)| id).collect()
+}
+
+/// The finaliser of splitmix64: spreads close numbers far apart.
+pub(crate) fn spread(mut x: u64) -> u64 {
+    x = x.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^ (x >> 31)
+}
--- /dev/null
+++ b/crates/serving/src/router.rs
@@ -0,0 +1,109 @@
+//! Finding the route and the customer of a request.
+
+use std::collections::HashMap;
+
+use compact_str::CompactString;
+
+use crate::CallerLimits;
+use crate::Deployment;
+use crate::Route;
+use crate::Service;
+
+/// A route's place in its [`Router`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RouteKey(u32);
+
+/// The customer that a credential belongs to.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Caller {
+    /// The customer's name.
+    pub customer: CompactString,
+    /// The customer's own priority, if it has one.
+    pub priority: Option<u8>,
+}
+
+/// One version of the configuration, laid out for the path of a request. Made
+/// once for each version and swapped in whole.
+#[derive(Debug, Default)]
+pub struct Router {
+    /// The operator's number of this version.
+    pub version: u64,
+    /// What callers may send.
+    pub limits: CallerLimits,
+    routes: Vec<Route>,
+    by_host: HashMap<CompactString, Vec<RouteKey>>,
+    callers: HashMap<CompactString, Caller>,
+    services: HashMap<CompactString, Service>,
+    needs_credentials: bool,
+}
+
+impl Router {
+    /// Lays out `deployment`.
+    pub fn new(deployment: Deployment) -> Router {
+        let mut by_host: HashMap<CompactString, Vec<RouteKey>> = HashMap::new();
+        for (n, route) in (0..).zip(&deployment.routes) {
+            by_host
+                .entry(route.host.clone())
+                .or_default()
+                .push(RouteKey(n));
+        }
+        let routes = deployment.routes;
+        for keys in by_host.values_mut() {
+            // The longest prefix first, so that the first that fits is the one.
+            keys.sort_by_key(|k| std::cmp::Reverse(routes[k.0 as usize].prefix.len()));
+        }
+        let needs_credentials = !deployment.customers.is_empty();
+        let mut callers = HashMap::new();
+        for customer in deployment.customers {
+            for credential in customer.credentials {
+                let caller = Caller {
+                    customer: customer.name.clone(),
+                    priority: customer.priority,
+                };
+                callers.insert(credential, caller);
+            }
+        }
+        let services = deployment.services.into_iter();
+        Router {
+            version: deployment.version,
+            limits: deployment.limits,
+            routes,
+            by_host,
+            callers,
+            services: services.map(|s| (s.name.clone(), s)).collect(),
+            needs_credentials,
+        }
+    }
+
+    /// The route of a request, by its host and the longest prefix of its path.
+    pub fn find(&self, host: &str, path: &str) -> Option<RouteKey> {
+        let keys = self.by_host.get(host)?;
+        let fits = |k: &&RouteKey| path.starts_with(self.routes[k.0 as usize].prefix.as_str());
+        keys.iter().find(fits).copied()
+    }
+
+    /// The route with that key.
+    pub fn route(&self, key: RouteKey) -> &Route {
+        &self.routes[key.0 as usize]
+    }
+
+    /// Who holds a credential.
+    pub fn caller(&self, credential: &str) -> Option<&Caller> {
+        self.callers.get(credential)
+    }
+
+    /// True if requests on `route` have to show a credential.
+    pub fn needs_credential(&self, route: &Route) -> bool {
+        self.needs_credentials && !route.public
+    }
+
+    /// The service of that name.
+    pub fn service(&self, name: &str) -> Option<&Service> {
+        self.services.get(name)
+    }
+
+    /// All services.
+    pub fn services(&self) -> impl Iterator<Item = &Service> {
+        self.services.values()
+    }
+}
--- /dev/null
+++ b/crates/serving/src/stage_desk.rs
@@ -0,0 +1,523 @@
+//! Which pieces of which requests go to which upstream, and when.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use compact_str::CompactString;
+use jd_types::MonoTime;
+use jd_types::Name;
+
+use crate::BatchSpec;
+use crate::PieceKey;
+use crate::StageJob;
+use crate::batch_upstream::BatchUpstream;
+use crate::stage_job::JobProgress;
+
+/// What a step of priority is worth in waiting. Half a call of the users'
+/// stages: enough that a burst of the less urgent does not delay the more
+/// urgent, too little to starve what could still be in time.
+const PRIORITY_STEP: Duration = Duration::from_millis(150);
+/// How often one piece is tried. A third failure is rarely the upstream's.
+const PIECE_TRIES: u32 = 3;
+/// How long a piece waits after an upstream had no room for its result.
+const ROOM_PAUSE: Duration = Duration::from_millis(60);
+
+/// A job at the desk.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct JobKey(u64);
+
+/// A call at an upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct CallKey(u64);
+
+/// One piece as an upstream is asked for it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PieceOrder {
+    /// The identity of the caller's attempt.
+    pub request_id: CompactString,
+    /// Which piece.
+    pub key: PieceKey,
+    /// How long its request waits for it.
+    pub left: Duration,
+    /// What it works on.
+    pub source: PieceSource,
+}
+
+/// What a piece works on.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum PieceSource {
+    /// What the caller named.
+    Caller(CompactString),
+    /// Results of earlier stages.
+    Results(Vec<CompactString>),
+}
+
+/// A call to make.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct BatchCall {
+    /// To tell its outcome by.
+    pub key: CallKey,
+    /// The upstream's identity.
+    pub upstream: CompactString,
+    /// Where it answers.
+    pub address: SocketAddr,
+    /// The pieces, in the order of the answers.
+    pub pieces: Vec<PieceOrder>,
+    /// How long to wait for the answer before the pieces go elsewhere.
+    pub patience: Duration,
+}
+
+/// What became of one piece.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum PieceResult {
+    /// Its result lies there.
+    Done(CompactString),
+    /// Its time had passed at its turn.
+    Late,
+    /// Something that it works on is gone.
+    InputGone,
+    /// The upstream has no room for the result.
+    NoRoom,
+    /// It failed.
+    Failed,
+}
+
+/// What became of a call.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum CallResult {
+    /// One result for each piece, in order.
+    Answered(Vec<PieceResult>),
+    /// The upstream was full and did nothing.
+    Full,
+    /// The upstream is another one, or not there.
+    Gone,
+    /// Nothing usable came back in time.
+    Failed,
+}
+
+/// Why the stages of a request will not be done.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum JobFailure {
+    /// They would end too late; there may be room after that time.
+    WouldMiss(Duration),
+    /// The time is over.
+    TooLate,
+    /// No upstream does one of the stages.
+    NoUpstream,
+    /// A piece failed too often.
+    PieceFailed,
+}
+
+/// How a job ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct JobEnd {
+    /// Which job.
+    pub key: JobKey,
+    /// The results that the request needs, or why there are none.
+    pub outcome: Result<Vec<CompactString>, JobFailure>,
+}
+
+/// The order in which pieces are served: those that can still be in time
+/// first, and among them those that have to start first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Rank {
+    late: bool,
+    start_by: MonoTime,
+    job: JobKey,
+    piece: PieceKey,
+}
+
+#[derive(Debug)]
+struct Waiting {
+    not_before: MonoTime,
+}
+
+#[derive(Debug)]
+struct Queue {
+    spec: BatchSpec,
+    upstreams: Vec<BatchUpstream>,
+    waiting: BTreeMap<Rank, Waiting>,
+}
+
+#[derive(Debug)]
+struct Job {
+    progress: JobProgress,
+    tries: HashMap<PieceKey, u32>,
+}
+
+#[derive(Debug)]
+struct OpenCall {
+    service: CompactString,
+    upstream: CompactString,
+    pieces: Vec<(JobKey, PieceKey)>,
+    began: MonoTime,
+    expected: Duration,
+}
+
+/// The desk of the instance that fills batches for a deployment.
+///
+/// The load that it answers: a call costs a quarter of a second however little
+/// it holds, and every upstream works on one call at a time. Instances that
+/// each batch for themselves send small calls into each other's queues. Here
+/// all pieces wait in one place and are bound to an upstream only when it is
+/// free, so that calls fill by themselves as load grows.
+#[derive(Debug, Default)]
+pub struct StageDesk {
+    queues: HashMap<CompactString, Queue>,
+    jobs: HashMap<JobKey, Job>,
+    calls: HashMap<CallKey, OpenCall>,
+    ended: Vec<JobEnd>,
+    unused: Vec<CompactString>,
+    numbers: u64,
+}
+
+impl StageDesk {
+    /// A service's upstreams, as they are now.
+    pub fn set_upstreams(
+        &mut self,
+        service: &str,
+        spec: BatchSpec,
+        upstreams: impl Iterator<Item = (CompactString, SocketAddr, Name)>,
+    ) {
+        let queue = self.queues.entry(service.into()).or_insert_with(|| Queue {
+            spec,
+            upstreams: Vec::new(),
+            waiting: BTreeMap::new(),
+        });
+        queue.spec = spec;
+        let mut old = std::mem::take(&mut queue.upstreams);
+        queue.upstreams = upstreams
+            .map(|(id, address, zone)| {
+                let same = old.iter().position(|u| u.id == id);
+                same.map_or_else(
+                    || BatchUpstream::new(id, address, zone),
+                    |n| old.swap_remove(n),
+                )
+            })
+            .collect();
+    }
+
+    /// Takes the stages of a request in, or says at once why not.
+    pub fn submit(&mut self, now: MonoTime, job: StageJob) -> Result<JobKey, JobFailure> {
+        let served = |s: &crate::JobStage| {
+            s.pieces == 0 || self.queues.get(&s.service).is_some_and(|q| !q.upstreams.is_empty())
+        };
+        if !job.stages.iter().all(served) {
+            return Err(JobFailure::NoUpstream);
+        }
+        let progress = JobProgress::new(job);
+        self.check_wait(now, &progress)?;
+        self.numbers += 1;
+        let key = JobKey(self.numbers);
+        let tries = HashMap::new();
+        self.jobs.insert(key, Job { progress, tries });
+        self.advance(now, key);
+        Ok(key)
+    }
+
+    /// Nobody waits for the job any more.
+    pub fn cancel(&mut self, key: JobKey) {
+        if let Some(job) = self.jobs.remove(&key) {
+            self.unused.extend(job.progress.all());
+            self.forget_pieces(key);
+        }
+    }
+
+    /// The next call to make, if an upstream is free and pieces wait.
+    pub fn next_call(&mut self, now: MonoTime) -> Option<BatchCall> {
+        let services: Vec<CompactString> = self.queues.keys().cloned().collect();
+        services.iter().find_map(|s| self.next_call_of(now, s))
+    }
+
+    /// A call came back.
+    pub fn finish(&mut self, now: MonoTime, key: CallKey, result: CallResult) {
+        let Some(call) = self.calls.remove(&key) else {
+            return;
+        };
+        if let Some(queue) = self.queues.get_mut(&call.service)
+            && let Some(upstream) = queue.upstreams.iter_mut().find(|u| u.id == call.upstream)
+        {
+            upstream.finished(now, now.since(call.began), call.expected, &result);
+        }
+        match result {
+            CallResult::Answered(results) => {
+                for ((job, piece), result) in call.pieces.iter().zip(results) {
+                    self.take_result(now, *job, *piece, result);
+                }
+            }
+            CallResult::Full | CallResult::Gone => {
+                for (job, piece) in call.pieces {
+                    self.enqueue(now, job, piece, now);
+                }
+            }
+            CallResult::Failed => {
+                for (job, piece) in call.pieces {
+                    self.try_again(now, job, piece, now);
+                }
+            }
+        }
+    }
+
+    /// Ends jobs whose time is over. Their pieces would be worked on in vain.
+    pub fn expire(&mut self, now: MonoTime) {
+        let over = |job: &Job| job.progress.job().deadline <= now;
+        let keys: Vec<JobKey> = self
+            .jobs
+            .iter()
+            .filter(|(_, j)| over(j))
+            .map(|(k, _)| *k)
+            .collect();
+        for key in keys {
+            self.fail(key, JobFailure::TooLate);
+        }
+    }
+
+    /// The jobs that ended since the last question.
+    pub fn take_ended(&mut self) -> Vec<JobEnd> {
+        std::mem::take(&mut self.ended)
+    }
+
+    /// Results that nobody needs any more, since the last question.
+    pub fn take_unused(&mut self) -> Vec<CompactString> {
+        std::mem::take(&mut self.unused)
+    }
+
+    /// Pieces that wait, over all services.
+    pub fn waiting(&self) -> usize {
+        self.queues.values().map(|q| q.waiting.len()).sum()
+    }
+
+    /// Refuses at once what would wait longer than its caller does. Held and
+    /// refused later it would have cost the caller its time as well.
+    fn check_wait(&self, now: MonoTime, progress: &JobProgress) -> Result<(), JobFailure> {
+        let first = (0..progress.job().stages.len())
+            .filter(|s| progress.job().stages[*s].pieces > 0)
+            .map(|s| self.path_time(progress, s))
+            .max()
+            .unwrap_or_default();
+        let longest = progress
+            .job()
+            .stages
+            .iter()
+            .filter(|s| s.pieces > 0)
+            .filter_map(|s| self.queues.get(&s.service))
+            .map(|q| q.backlog(now))
+            .max()
+            .unwrap_or_default();
+        let end = now + first + longest;
+        match end > progress.job().deadline {
+            true => Err(JobFailure::WouldMiss(longest)),
+            false => Ok(()),
+        }
+    }
+
+    fn path_time(&self, progress: &JobProgress, stage: usize) -> Duration {
+        let call_time = |service: &str, pieces: usize| {
+            let queue = self.queues.get(service);
+            queue.map_or(Duration::ZERO, |q| q.spec.call_time(pieces))
+        };
+        progress.path_time(stage, &call_time)
+    }
+
+    fn advance(&mut self, now: MonoTime, key: JobKey) {
+        loop {
+            let Some(job) = self.jobs.get_mut(&key) else {
+                return;
+            };
+            if let Some(results) = job.progress.outcome() {
+                self.jobs.remove(&key);
+                let outcome = Ok(results);
+                self.ended.push(JobEnd { key, outcome });
+                return;
+            }
+            let ready = job.progress.start_ready();
+            if ready.is_empty() {
+                return;
+            }
+            let counted = |s: usize| (s, job.progress.job().stages[s].pieces);
+            let stages: Vec<(usize, usize)> = ready.into_iter().map(counted).collect();
+            for (stage, pieces) in stages {
+                for piece in 0..pieces {
+                    self.enqueue(now, key, PieceKey { stage, piece }, now);
+                }
+            }
+        }
+    }
+
+    fn enqueue(&mut self, now: MonoTime, key: JobKey, piece: PieceKey, not_before: MonoTime) {
+        let Some(job) = self.jobs.get(&key) else {
+            return;
+        };
+        let path = self.path_time(&job.progress, piece.stage);
+        let spec = job.progress.job();
+        let start_by = spec.objective.before(path);
+        let rank = Rank {
+            late: start_by < now,
+            start_by: start_by + PRIORITY_STEP * u32::from(spec.priority),
+            job: key,
+            piece,
+        };
+        let service = spec.stages[piece.stage].service.clone();
+        if let Some(queue) = self.queues.get_mut(&service) {
+            queue.waiting.insert(rank, Waiting { not_before });
+        }
+    }
+
+    fn next_call_of(&mut self, now: MonoTime, service: &str) -> Option<BatchCall> {
+        let queue = self.queues.get_mut(service)?;
+        queue.mark_late(now);
+        let near = queue.best_zone(now, &self.jobs);
+        let upstream = queue.free_upstream(now, near.as_ref())?;
+        let ready = queue.waiting.iter().filter(|(_, w)| w.not_before <= now);
+        let ranks: Vec<Rank> = ready
+            .map(|(rank, _)| *rank)
+            .take(queue.spec.pieces)
+            .collect();
+        if ranks.is_empty() {
+            return None;
+        }
+        self.numbers += 1;
+        let key = CallKey(self.numbers);
+        let mut orders = Vec::with_capacity(ranks.len());
+        let mut pieces = Vec::with_capacity(ranks.len());
+        for rank in ranks {
+            queue.waiting.remove(&rank);
+            if let Some(job) = self.jobs.get(&rank.job) {
+                orders.push(job.order(now, rank.piece));
+                pieces.push((rank.job, rank.piece));
+            }
+        }
+        let expected = queue.spec.call_time(orders.len());
+        let upstream = &mut queue.upstreams[upstream];
+        upstream.started();
+        let call = BatchCall {
+            key,
+            upstream: upstream.id.clone(),
+            address: upstream.address,
+            pieces: orders,
+            patience: upstream.patience(expected),
+        };
+        let open = OpenCall {
+            service: service.into(),
+            upstream: call.upstream.clone(),
+            pieces,
+            began: now,
+            expected,
+        };
+        self.calls.insert(key, open);
+        Some(call)
+    }
+
+    fn take_result(&mut self, now: MonoTime, key: JobKey, piece: PieceKey, result: PieceResult) {
+        match result {
+            PieceResult::Done(handle) => self.take_handle(now, key, piece, handle),
+            PieceResult::Late => self.fail(key, JobFailure::TooLate),
+            PieceResult::NoRoom => self.enqueue(now, key, piece, now + ROOM_PAUSE),
+            // What it works on lies at an upstream that is gone, so trying the
+            // piece again cannot help.
+            PieceResult::InputGone => self.fail(key, JobFailure::PieceFailed),
+            PieceResult::Failed => self.try_again(now, key, piece, now),
+        }
+    }
+
+    fn take_handle(&mut self, now: MonoTime, key: JobKey, piece: PieceKey, handle: CompactString) {
+        let Some(job) = self.jobs.get_mut(&key) else {
+            self.unused.push(handle);
+            return;
+        };
+        if job.progress.has(piece) {
+            self.unused.push(handle);
+            return;
+        }
+        job.progress.done(piece, handle);
+        if job.progress.is_done(piece.stage) {
+            self.unused.extend(job.progress.used_up(piece.stage));
+            self.advance(now, key);
+        }
+    }
+
+    fn try_again(&mut self, now: MonoTime, key: JobKey, piece: PieceKey, not_before: MonoTime) {
+        let Some(job) = self.jobs.get_mut(&key) else {
+            return;
+        };
+        let tries = job.tries.entry(piece).or_insert(1);
+        *tries += 1;
+        match *tries > PIECE_TRIES {
+            true => self.fail(key, JobFailure::PieceFailed),
+            false => self.enqueue(now, key, piece, not_before),
+        }
+    }
+
+    fn fail(&mut self, key: JobKey, failure: JobFailure) {
+        if let Some(job) = self.jobs.remove(&key) {
+            self.unused.extend(job.progress.all());
+            self.forget_pieces(key);
+            let outcome = Err(failure);
+            self.ended.push(JobEnd { key, outcome });
+        }
+    }
+
+    fn forget_pieces(&mut self, key: JobKey) {
+        for queue in self.queues.values_mut() {
+            queue.waiting.retain(|rank, _| rank.job != key);
+        }
+    }
+}
+
+impl Job {
+    fn order(&self, now: MonoTime, piece: PieceKey) -> PieceOrder {
+        let job = self.progress.job();
+        let source = match job.stages[piece.stage].after.is_empty() {
+            true => PieceSource::Caller(job.piece_key.clone()),
+            false => PieceSource::Results(self.progress.inputs(piece.stage)),
+        };
+        PieceOrder {
+            request_id: job.request_id.clone(),
+            key: piece,
+            left: job.deadline.since(now),
+            source,
+        }
+    }
+}
+
+impl Queue {
+    /// How long what waits now takes to be served.
+    fn backlog(&self, now: MonoTime) -> Duration {
+        let able = self.upstreams.iter().filter(|u| !u.is_blocked(now)).count();
+        let calls = self.waiting.len() as f64 / self.spec.pieces.max(1) as f64;
+        let full = self.spec.call_time(self.spec.pieces);
+        full.mul_f64(calls / able.max(1) as f64)
+    }
+
+    /// Puts behind the others what can no longer be in time. Served first, it
+    /// would make the next one late as well, and so all of them.
+    fn mark_late(&mut self, now: MonoTime) {
+        while let Some((rank, _)) = self.waiting.first_key_value()
+            && !rank.late
+            && rank.start_by < now
+        {
+            let mut late = *rank;
+            late.late = true;
+            if let Some((_, waiting)) = self.waiting.pop_first() {
+                self.waiting.insert(late, waiting);
+            }
+        }
+    }
+
+    /// The zone where most of the next results are wanted.
+    fn best_zone(&self, now: MonoTime, jobs: &HashMap<JobKey, Job>) -> Option<Name> {
+        let ready = self.waiting.iter().filter(|(_, w)| w.not_before <= now);
+        let (rank, _) = ready.into_iter().next()?;
+        jobs.get(&rank.job)?.progress.job().zone.clone()
+    }
+
+    fn free_upstream(&self, now: MonoTime, near: Option<&Name>) -> Option<usize> {
+        let slots = self.spec.slots.max(1);
+        let free = self.upstreams.iter().enumerate();
+        let free = free.filter(|(_, u)| u.open_calls() < slots && !u.is_blocked(now));
+        free.min_by_key(|(_, u)| (near.is_some_and(|z| u.zone != *z), u.open_calls()))
+            .map(|(n, _)| n)
+    }
+}
--- /dev/null
+++ b/crates/serving/src/upstream_directory.rs
@@ -0,0 +1,128 @@
+//! Which upstreams there are.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use compact_str::CompactString;
+use jd_types::MonoTime;
+use jd_types::Name;
+
+/// How long after the store's return an entry that lapsed may still come back.
+/// The users' platform puts entries of live upstreams back within two seconds.
+const LAPSE_GRACE: Duration = Duration::from_secs(2);
+
+/// What an upstream says of itself.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct UpstreamEntry {
+    /// The identity of this start of it.
+    pub id: CompactString,
+    /// The service that it belongs to.
+    pub service: CompactString,
+    /// Where it answers.
+    pub address: SocketAddr,
+    /// The availability zone that it stands in.
+    pub zone: Name,
+    /// Requests that it works on at a time.
+    pub slots: u32,
+    /// True once it is about to stop.
+    pub leaving: bool,
+}
+
+/// Which upstreams there are, as the store tells and tolerating its absence.
+///
+/// Guards against losing a whole service with the store: leases of entries run
+/// out while nobody can renew them, so after an absence every entry may be
+/// missing although every upstream is well. An entry that lapsed then stays in
+/// use until shortly after the store's return.
+#[derive(Debug, Default)]
+pub struct UpstreamDirectory {
+    known: HashMap<CompactString, Known>,
+    away: bool,
+    back: Option<MonoTime>,
+}
+
+#[derive(Debug)]
+struct Known {
+    entry: UpstreamEntry,
+    lapsed: bool,
+}
+
+impl UpstreamDirectory {
+    /// The store does not answer.
+    pub fn store_away(&mut self) {
+        self.away = true;
+    }
+
+    /// The store answers; true if it did not before.
+    pub fn store_back(&mut self, now: MonoTime) -> bool {
+        let news = std::mem::take(&mut self.away);
+        if news {
+            self.back = Some(now);
+        }
+        news
+    }
+
+    /// An entry was written; true if it changes anything.
+    pub fn put(&mut self, entry: UpstreamEntry) -> bool {
+        let known = self.known.get(&entry.id);
+        if known.is_some_and(|k| k.entry == entry && !k.lapsed) {
+            return false;
+        }
+        let lapsed = false;
+        let id = entry.id.clone();
+        self.known.insert(id, Known { entry, lapsed });
+        true
+    }
+
+    /// An entry is missing; true if that changes anything. One that had said
+    /// that it leaves is gone at once.
+    pub fn remove(&mut self, now: MonoTime, id: &str) -> bool {
+        let may_return = self.may_return(now);
+        match self.known.get_mut(id) {
+            None => false,
+            Some(known) if may_return && !known.entry.leaving => {
+                known.lapsed = true;
+                false
+            }
+            Some(_) => self.known.remove(id).is_some(),
+        }
+    }
+
+    /// Takes in the whole list; true if that changes anything.
+    pub fn replace(&mut self, now: MonoTime, entries: Vec<UpstreamEntry>) -> bool {
+        let missing: Vec<CompactString> = self
+            .known
+            .keys()
+            .filter(|id| !entries.iter().any(|e| e.id == **id))
+            .cloned()
+            .collect();
+        let mut changed = false;
+        for id in missing {
+            changed |= self.remove(now, &id);
+        }
+        for entry in entries {
+            changed |= self.put(entry);
+        }
+        changed
+    }
+
+    /// Gives up entries that lapsed and did not come back; true if any did.
+    pub fn expire(&mut self, now: MonoTime) -> bool {
+        if self.may_return(now) {
+            return false;
+        }
+        let before = self.known.len();
+        self.known.retain(|_, k| !k.lapsed);
+        before != self.known.len()
+    }
+
+    /// All upstreams in use.
+    pub fn entries(&self) -> impl Iterator<Item = &UpstreamEntry> {
+        self.known.values().map(|k| &k.entry)
+    }
+
+    fn may_return(&self, now: MonoTime) -> bool {
+        self.away || self.back.is_some_and(|back| now.since(back) < LAPSE_GRACE)
+    }
+}
--- /dev/null
+++ b/crates/settings/src/gateway_settings.rs
@@ -0,0 +1,152 @@
+//! The settings of a gateway instance.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use compact_str::CompactString;
+use jd_types::Name;
+use log::LevelFilter;
+
+use crate::Key;
+use crate::RawSettings;
+use crate::SettingsError;
+use crate::key::optional;
+use crate::key::required;
+
+/// Every key of a gateway's settings file.
+pub const GATEWAY_KEYS: &[Key] = &[
+    required("instance", "name", "text", "at least one character"),
+    required(
+        "instance",
+        "zone",
+        "name",
+        "1 to 48 lower-case letters, digits, hyphens",
+    ),
+    required("instance", "callers", "IP:port", "an address of this instance"),
+    required("instance", "ready", "IP:port", "an address of this instance"),
+    required("instance", "locate", "IP:port", "an address of this instance"),
+    required("instance", "peers", "IP:port", "an address of this instance"),
+    required("instance", "metrics", "IP:port", "an address of this instance"),
+    optional("instance", "threads", "threads", "1", "1 to 64"),
+    optional("instance", "max-connections", "connections", "3000", "16 to 65536"),
+    required("store", "address", "IP:port", "the key-value store"),
+    optional("store", "confirm-every-ms", "milliseconds", "1200", "100 to 60000"),
+    optional("store", "lease-ms", "milliseconds", "3000", "1000 to 600000"),
+    optional("callers", "answer-lifetime-ms", "milliseconds", "2000", "100 to 60000"),
+    optional("callers", "revoke-within-ms", "milliseconds", "5000", "500 to 600000"),
+    optional("stop", "grace-s", "seconds", "8", "1 to 600"),
+    optional("repeats", "ratio", "repeats for each request", "0.2", "0 to 1"),
+    optional("repeats", "slack", "repeats of all instances", "50", "0 to 1000000"),
+    optional("repeats", "window-s", "seconds", "10", "0.1 to 600"),
+    optional("log", "level", "level", "info", "error, warn, info, debug or trace"),
+];
+
+/// The part of the time for a revocation during which requests are still sent
+/// on old knowledge, in hundredths. Beyond it the users' contract counts a
+/// request as not served, so nothing is gained by the risk.
+const PROOF_PERCENT: u32 = 60;
+
+/// The settings of a gateway instance, checked.
+#[derive(Debug, Clone)]
+pub struct GatewaySettings {
+    /// The instance's name, for logs.
+    pub name: CompactString,
+    /// The availability zone that it stands in.
+    pub zone: Name,
+    /// Where it answers callers.
+    pub callers: SocketAddr,
+    /// Where it says whether it is ready.
+    pub ready: SocketAddr,
+    /// Where it tells callers which addresses to use.
+    pub locate: SocketAddr,
+    /// Where it answers other instances.
+    pub peers: SocketAddr,
+    /// Where its metrics are.
+    pub metrics: SocketAddr,
+    /// Executor threads.
+    pub threads: usize,
+    /// Open connections of callers.
+    pub max_connections: usize,
+    /// Where the store is.
+    pub store: SocketAddr,
+    /// How often the store is asked for its revision.
+    pub confirm_every: Duration,
+    /// How long the instance's entry outlives it.
+    pub lease: Duration,
+    /// How long callers may keep addresses.
+    pub answer_lifetime: Duration,
+    /// How long knowledge counts after it was proven.
+    pub proof_lifetime: Duration,
+    /// How long a stop may take.
+    pub grace: Duration,
+    /// Repeats for each request.
+    pub repeat_ratio: f64,
+    /// Repeats beyond that, of all instances.
+    pub repeat_slack: f64,
+    /// The span over which repeats are counted.
+    pub repeat_window: Duration,
+    /// What is logged.
+    pub log_level: LevelFilter,
+}
+
+impl GatewaySettings {
+    /// Reads and checks a file.
+    pub fn read(path: &Path) -> Result<GatewaySettings, SettingsError> {
+        let raw = RawSettings::read_keys(path, GATEWAY_KEYS)?;
+        GatewaySettings::try_from(&raw)
+    }
+
+    /// Checks the text of a file called `file`.
+    pub fn parse(file: &str, text: &str) -> Result<GatewaySettings, SettingsError> {
+        let raw = RawSettings::parse_keys(file, text, GATEWAY_KEYS)?;
+        GatewaySettings::try_from(&raw)
+    }
+}
+
+impl TryFrom<&RawSettings> for GatewaySettings {
+    type Error = SettingsError;
+
+    fn try_from(raw: &RawSettings) -> Result<GatewaySettings, SettingsError> {
+        let address = |section, key| raw.value(section, key, |t| t.parse().ok());
+        let number = |section, key, low: u64, high: u64| {
+            let fits = |n: &u64| (low..=high).contains(n);
+            raw.value(section, key, |t| t.parse().ok().filter(fits))
+        };
+        let millis = |section, key, low, high| {
+            number(section, key, low, high).map(Duration::from_millis)
+        };
+        let fraction = |section, key, high: f64| {
+            let fits = |n: &f64| (0.0..=high).contains(n);
+            raw.value(section, key, |t| t.parse().ok().filter(fits))
+        };
+        let seconds = |section, key, low: f64| {
+            let fits = |n: &f64| (low..=600.0).contains(n);
+            let number = raw.value(section, key, |t| t.parse().ok().filter(fits));
+            number.map(Duration::from_secs_f64)
+        };
+        let text = |t: &str| (!t.is_empty()).then(|| CompactString::from(t));
+        let revoke_within = millis("callers", "revoke-within-ms", 500, 600_000)?;
+        Ok(GatewaySettings {
+            name: raw.value("instance", "name", text)?,
+            zone: raw.value("instance", "zone", |t| Name::try_from(t).ok())?,
+            callers: address("instance", "callers")?,
+            ready: address("instance", "ready")?,
+            locate: address("instance", "locate")?,
+            peers: address("instance", "peers")?,
+            metrics: address("instance", "metrics")?,
+            threads: number("instance", "threads", 1, 64)? as usize,
+            max_connections: number("instance", "max-connections", 16, 65_536)? as usize,
+            store: address("store", "address")?,
+            confirm_every: millis("store", "confirm-every-ms", 100, 60_000)?,
+            lease: millis("store", "lease-ms", 1_000, 600_000)?,
+            answer_lifetime: millis("callers", "answer-lifetime-ms", 100, 60_000)?,
+            proof_lifetime: revoke_within * PROOF_PERCENT / 100,
+            grace: seconds("stop", "grace-s", 1.0)?,
+            repeat_ratio: fraction("repeats", "ratio", 1.0)?,
+            repeat_slack: fraction("repeats", "slack", 1_000_000.0)?,
+            repeat_window: seconds("repeats", "window-s", 0.1)?,
+            log_level: raw.value("log", "level", |t| t.parse().ok())?,
+        })
+    }
+}
--- a/crates/settings/src/key.rs
+++ b/crates/settings/src/key.rs
@@ -15,7 +15,7 @@
     pub bounds: &'static str,
 }
 
-const fn required(
+pub(crate) const fn required(
     section: &'static str,
     key: &'static str,
     unit: &'static str,
@@ -30,7 +30,7 @@
     }
 }
 
-const fn optional(
+pub(crate) const fn optional(
     section: &'static str,
     key: &'static str,
     unit: &'static str,
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -6,11 +6,14 @@
 //! says what would be right. All keys are listed in [`KEYS`], which the
 //! operators' page is tested against.
 
+mod gateway_settings;
 mod key;
 mod raw;
 mod settings;
 mod settings_error;
 
+pub use gateway_settings::GATEWAY_KEYS;
+pub use gateway_settings::GatewaySettings;
 pub use key::KEYS;
 pub use key::Key;
 pub use raw::RawSettings;
--- a/crates/settings/src/raw.rs
+++ b/crates/settings/src/raw.rs
@@ -18,15 +18,24 @@
 #[derive(Debug)]
 pub struct RawSettings {
     file: CompactString,
+    keys: &'static [Key],
     ini: Ini,
 }
 
 impl RawSettings {
     /// Reads a file.
     pub fn read(path: &Path) -> Result<RawSettings, SettingsError> {
+        RawSettings::read_keys(path, KEYS)
+    }
+
+    /// Reads a file that has `keys`.
+    pub(crate) fn read_keys(
+        path: &Path,
+        keys: &'static [Key],
+    ) -> Result<RawSettings, SettingsError> {
         let file = path.display().to_compact_string();
         match std::fs::read_to_string(path) {
-            Ok(text) => RawSettings::parse(&file, &text),
+            Ok(text) => RawSettings::parse_keys(&file, &text, keys),
             Err(e) => Err(SettingsError::Unreadable {
                 file,
                 reason: e.to_compact_string(),
@@ -36,6 +45,15 @@
 
     /// Reads the text of a file called `file`.
     pub fn parse(file: &str, text: &str) -> Result<RawSettings, SettingsError> {
+        RawSettings::parse_keys(file, text, KEYS)
+    }
+
+    /// Reads the text of a file called `file` that has `keys`.
+    pub(crate) fn parse_keys(
+        file: &str,
+        text: &str,
+        keys: &'static [Key],
+    ) -> Result<RawSettings, SettingsError> {
         let file = CompactString::from(file);
         let ini = match Ini::load_from_str(text) {
             Ok(ini) => ini,
@@ -46,7 +64,7 @@
                 });
             }
         };
-        let raw = RawSettings { file, ini };
+        let raw = RawSettings { file, keys, ini };
         raw.check_keys()?;
         Ok(raw)
     }
@@ -69,11 +87,47 @@
             .flat_map(|s| s.iter())
     }
 
+    /// The checked value of a key, from the file or its default.
+    pub(crate) fn value<T>(
+        &self,
+        section: &'static str,
+        key: &'static str,
+        read: impl FnOnce(&str) -> Option<T>,
+    ) -> Result<T, SettingsError> {
+        let known = self
+            .keys
+            .iter()
+            .find(|k| k.section == section && k.key == key);
+        let (unit, bounds, default) =
+            known.map_or(("", "", None), |k| (k.unit, k.bounds, k.default));
+        let file = self.file.clone();
+        match self.text(section, key).or(default) {
+            None => Err(SettingsError::Missing {
+                file,
+                section,
+                key,
+                unit,
+                bounds,
+            }),
+            Some(text) => read(text).ok_or_else(|| {
+                let (key, value) = (CompactString::from(key), CompactString::from(text));
+                SettingsError::Invalid {
+                    file,
+                    section,
+                    key,
+                    value,
+                    unit,
+                    bounds,
+                }
+            }),
+        }
+    }
+
     fn check_keys(&self) -> Result<(), SettingsError> {
         for (section, properties) in self.ini.iter() {
             let section = section.unwrap_or("");
             for (key, _) in properties.iter() {
-                let known = KEYS.iter().any(|k| k.section == section && is_key(k, key));
+                let known = self.keys.iter().any(|k| k.section == section && is_key(k, key));
                 let place = || {
                     (
                         self.file.clone(),
@@ -82,7 +136,7 @@
                     )
                 };
                 let (file, section_text, key_text) = place();
-                let remedy = remedy_for(section);
+                let remedy = remedy_for(self.keys, section);
                 ensure!(
                     known,
                     UnknownSnafu {
@@ -113,15 +167,15 @@
     known.key == "*" || known.key == key
 }
 
-fn remedy_for(section: &str) -> CompactString {
-    let keys: Vec<&str> = KEYS
+fn remedy_for(all: &[Key], section: &str) -> CompactString {
+    let keys: Vec<&str> = all
         .iter()
         .filter(|k| k.section == section)
         .map(|k| k.key)
         .collect();
     match keys.as_slice() {
         [] => {
-            let mut sections: Vec<&str> = KEYS.iter().map(|k| k.section).collect();
+            let mut sections: Vec<&str> = all.iter().map(|k| k.section).collect();
             sections.dedup();
             compact_str::format_compact!("sections are {}", sections.join(", "))
         }
--- a/crates/settings/src/settings.rs
+++ b/crates/settings/src/settings.rs
@@ -103,7 +103,7 @@
 
     fn try_from(raw: &RawSettings) -> Result<Settings, SettingsError> {
         let instance = InstanceSettings {
-            hall: value(raw, "instance", "hall", |t| Name::try_from(t).ok())?,
+            hall: raw.value("instance", "hall", |t| Name::try_from(t).ok())?,
             callers: address(raw, "instance", "callers")?,
             peers: address(raw, "instance", "peers")?,
             operators: address(raw, "instance", "operators")?,
@@ -129,50 +129,19 @@
                 loads_at_once: number(raw, "work", "loads-at-once", 1..=64)?,
             },
             log: LogSettings {
-                level: value(raw, "log", "level", level)?,
+                level: raw.value("log", "level", level)?,
             },
             operators: operators(raw)?,
         })
     }
 }
 
-fn value<T>(
-    raw: &RawSettings,
-    section: &'static str,
-    key: &'static str,
-    read: impl FnOnce(&str) -> Option<T>,
-) -> Result<T, SettingsError> {
-    let known = KEYS.iter().find(|k| k.section == section && k.key == key);
-    let (unit, bounds, default) = known.map_or(("", "", None), |k| (k.unit, k.bounds, k.default));
-    let file = raw.file().clone();
-    match raw.text(section, key).or(default) {
-        None => Err(SettingsError::Missing {
-            file,
-            section,
-            key,
-            unit,
-            bounds,
-        }),
-        Some(text) => read(text).ok_or_else(|| {
-            let (key, value) = (CompactString::from(key), CompactString::from(text));
-            SettingsError::Invalid {
-                file,
-                section,
-                key,
-                value,
-                unit,
-                bounds,
-            }
-        }),
-    }
-}
-
 fn address(
     raw: &RawSettings,
     section: &'static str,
     key: &'static str,
 ) -> Result<SocketAddr, SettingsError> {
-    value(raw, section, key, |t| t.parse().ok())
+    raw.value(section, key, |t| t.parse().ok())
 }
 
 fn number(
@@ -181,7 +150,7 @@
     key: &'static str,
     range: RangeInclusive<usize>,
 ) -> Result<usize, SettingsError> {
-    value(raw, section, key, |t| {
+    raw.value(section, key, |t| {
         t.parse().ok().filter(|n| range.contains(n))
     })
 }
