Count the room that results take, and give them up through their owner

Now the owner counts the room of every upstream, requesters tell it when a result has been read, and prompts go by the last part that others share.

--- a/crates/gateway/src/event_stream.rs
+++ b/crates/gateway/src/event_stream.rs
@@ -18,6 +18,7 @@
 use crate::attempt::OpenAttempt;
 use crate::call::Call;
 use crate::stage_runner::StageResults;
+use crate::stage_runner::StageRunner;
 use crate::state::State;
 use crate::stream_call::next_upstream;
 
@@ -42,6 +43,7 @@
     call: Call,
     response: Option<HttpResponse>,
     open: OpenAttempt,
+    stages: Arc<StageRunner>,
     results: StageResults,
     splitter: EventSplitter,
     tried: Vec<CompactString>,
@@ -52,6 +54,7 @@
 impl EventStream {
     pub(crate) fn new(
         state: &Arc<State>,
+        stages: &Arc<StageRunner>,
         call: Call,
         answer: Answer,
         results: StageResults,
@@ -63,6 +66,7 @@
             call,
             response: Some(answer.response),
             open: answer.open,
+            stages: Arc::clone(stages),
             results,
             splitter: EventSplitter::default(),
             tried,
@@ -104,11 +108,9 @@
 
     fn passed_on(&mut self) {
         self.events += 1;
-        // The upstream has read its inputs once it makes events. A stream that
-        // may go on elsewhere needs them there again.
-        if self.call.route().repeat == Repeat::StreamOnce {
-            self.results.free();
-        }
+        // The upstream has read its inputs once it makes events. Results take
+        // much room; one that goes on elsewhere has them made again.
+        self.results.free();
     }
 
     fn ended(mut self) -> Option<(Result<Bytes, BodyError>, EventStream)> {
@@ -160,6 +162,10 @@
         self.open.end(outcome);
         let _torn = self.splitter.rest();
         while self.may_go_on() && self.state.may_repeat(&self.call.service) {
+            match self.stages.run(&self.call).await {
+                Ok(results) => self.results = results,
+                Err(_) => return false,
+            }
             let Ok(chosen) = next_upstream(&self.state, &self.call, &self.tried, self.runs) else {
                 return false;
             };
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::time::Duration;
 
 use async_executor::Executor;
@@ -26,6 +27,7 @@
 use crate::peers::PeerApi;
 use crate::peers::PeerHandler;
 use crate::peers::Peers;
+use crate::result_free::ResultFree;
 use crate::result_release::ResultRelease;
 use crate::service_apis::LocateApi;
 use crate::service_apis::MetricsApi;
@@ -87,10 +89,17 @@
         let executor = Arc::clone(executor);
         let state = State::new(settings, clock, Arc::clone(&executor), pool, dialect, me);
         let state = Arc::new(state);
-        let release = Arc::new(ResultRelease::new(Arc::clone(&state)));
-        let batches = StageBatches::new(Arc::clone(&state), Arc::clone(&release));
+        let free = Arc::new(ResultFree::new(Arc::clone(&state)));
+        let batches = StageBatches::new(Arc::clone(&state), Arc::clone(&free));
         let batches = Arc::new(batches);
         let peers = Arc::new(Peers::new(Arc::clone(&state)));
+        let release = Arc::new(ResultRelease {
+            state: Arc::clone(&state),
+            batches: Arc::clone(&batches),
+            peers: Arc::clone(&peers),
+            free: Arc::clone(&free),
+            gathered: Mutex::default(),
+        });
         let stages = Arc::new(StageRunner {
             state: Arc::clone(&state),
             batches: Arc::clone(&batches),
@@ -126,6 +135,7 @@
             executor.spawn(peers.beat()),
             executor.spawn(batches.tick()),
             executor.spawn(release.run()),
+            executor.spawn(free.run()),
         ];
         log::info!(
             instance = state.settings.name.as_str(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 mod metrics;
 mod peers;
 mod plain_call;
+mod result_free;
 mod result_release;
 mod service_apis;
 mod stage_batches;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -29,6 +29,8 @@
 use jd_wire::Gateway;
 use jd_wire::GatewayClient;
 use jd_wire::GatewayServer;
+use jd_wire::ReleaseReply;
+use jd_wire::ReleaseRequest;
 use jd_wire::Stage;
 use jd_wire::StagesReply;
 use jd_wire::StagesRequest;
@@ -81,11 +83,7 @@
         owner: Incarnation,
         job: &StageJob,
     ) -> Option<Result<Vec<CompactString>, JobFailure>> {
-        let address = {
-            let knowledge = self.state.knowledge();
-            let entry = knowledge.instances.entries().find(|e| e.incarnation == owner)?;
-            entry.peers
-        };
+        let address = self.address_of(owner)?;
         let now = self.state.now();
         let mut client = GatewayClient::new(self.channel(address));
         let asked = stages_request(job, now);
@@ -93,6 +91,30 @@
         Some(outcome_of(reply))
     }
 
+    /// Tells another instance that nobody works on these results any more; false
+    /// if it does not answer.
+    pub(crate) async fn release_results(
+        &self,
+        owner: Incarnation,
+        handles: &[CompactString],
+    ) -> bool {
+        let Some(address) = self.address_of(owner) else {
+            return false;
+        };
+        let mut client = GatewayClient::new(self.channel(address));
+        let release = ReleaseRequest {
+            results: handles.iter().map(CompactString::to_string).collect(),
+        };
+        let told = within(BEAT_WITHIN, client.release_results(release)).await;
+        matches!(told, Some(Ok(_)))
+    }
+
+    fn address_of(&self, id: Incarnation) -> Option<SocketAddr> {
+        let knowledge = self.state.knowledge();
+        let entry = knowledge.instances.entries().find(|e| e.incarnation == id)?;
+        Some(entry.peers)
+    }
+
     async fn beat_one(&self, peer: &InstanceEntry) {
         let channel = self.channel(peer.peers);
         let mut client = GatewayClient::new(channel.clone());
@@ -139,6 +161,7 @@
         service: s.service.to_string(),
         after: s.after.iter().map(|a| *a as u32).collect(),
         pieces: s.pieces as u32,
+        result_bytes: s.result_bytes,
     });
     StagesRequest {
         request_id: job.request_id.to_string(),
@@ -189,6 +212,15 @@
         }))
     }
 
+    async fn release_results(
+        &self,
+        req: tonic::Request<ReleaseRequest>,
+    ) -> Result<tonic::Response<ReleaseReply>, Status> {
+        let results = req.into_inner().results.into_iter();
+        self.batches.release(results.map(CompactString::from).collect());
+        Ok(tonic::Response::new(ReleaseReply {}))
+    }
+
     async fn run_stages(
         &self,
         req: tonic::Request<StagesRequest>,
@@ -219,6 +251,7 @@
                 service: stage.service.into(),
                 after,
                 pieces: stage.pieces as usize,
+                result_bytes: stage.result_bytes,
             });
         }
         Ok(StageJob {
--- /dev/null
+++ b/crates/gateway/src/result_free.rs
@@ -0,0 +1,74 @@
+//! Telling upstreams which results nobody needs.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use async_io::Timer;
+use compact_str::CompactString;
+use jd_net::lock;
+
+use crate::state::State;
+
+/// How long results are gathered before one call gives them up. Far below the
+/// time after which upstreams drop them by themselves.
+const GATHER: Duration = Duration::from_millis(60);
+/// How long such a call may take.
+const CALL_WITHIN: Duration = Duration::from_millis(800);
+
+/// Tells upstreams which results nobody needs any more.
+///
+/// Guards against upstreams running out of room: each keeps a result for
+/// seconds after everybody has read it, and refuses pieces meanwhile.
+#[derive(Debug)]
+pub(crate) struct ResultFree {
+    state: Arc<State>,
+    gathered: Mutex<HashMap<SocketAddr, Vec<CompactString>>>,
+}
+
+impl ResultFree {
+    pub(crate) fn new(state: Arc<State>) -> ResultFree {
+        ResultFree {
+            state,
+            gathered: Mutex::default(),
+        }
+    }
+
+    /// Nobody works on these any more.
+    pub(crate) fn add(&self, handles: Vec<CompactString>) {
+        let mut gathered = lock(&self.gathered);
+        for handle in handles {
+            if let Some(address) = self.state.dialect.result_address(&handle) {
+                gathered.entry(address).or_default().push(handle);
+            }
+        }
+    }
+
+    /// Gives gathered results up for good.
+    pub(crate) async fn run(self: Arc<Self>) {
+        loop {
+            Timer::after(GATHER).await;
+            let gathered = std::mem::take(&mut *lock(&self.gathered));
+            for (address, handles) in gathered {
+                let this = Arc::clone(&self);
+                let freeing = async move { this.free(address, &handles).await };
+                self.state.executor.spawn(freeing).detach();
+            }
+        }
+    }
+
+    async fn free(&self, address: SocketAddr, handles: &[CompactString]) {
+        let req = self.state.dialect.free_request(handles);
+        let sent = self.state.pool.send(address, req, CALL_WITHIN, false).await;
+        let freed = match sent {
+            // Read to its end, so that the connection can be used again.
+            Some(Ok(response)) => response.whole(1 << 16).await.is_ok(),
+            _ => false,
+        };
+        if !freed {
+            log::debug!(address:% = address, count = handles.len(); "results not given up; they expire");
+        }
+    }
+}
--- a/crates/gateway/src/result_release.rs
+++ b/crates/gateway/src/result_release.rs
@@ -1,7 +1,6 @@
 //! Giving results of stages up.
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
@@ -9,66 +8,58 @@
 use async_io::Timer;
 use compact_str::CompactString;
 use jd_net::lock;
+use jd_types::Incarnation;
 
+use crate::peers::Peers;
+use crate::result_free::ResultFree;
+use crate::stage_batches::StageBatches;
 use crate::state::State;
 
-/// How long results are gathered before one call gives them up. Far below the
-/// time after which upstreams drop them by themselves.
-const GATHER: Duration = Duration::from_millis(150);
-/// How long such a call may take.
-const CALL_WITHIN: Duration = Duration::from_millis(800);
+/// How long results are gathered before their owner is told. Short against a
+/// call, so that the owner knows of the room when it fills the next one.
+const GATHER: Duration = Duration::from_millis(60);
 
-/// Gives results up that nobody works on any more.
-///
-/// Guards against upstreams running out of room: each keeps a result for
-/// seconds after everybody has read it, and refuses pieces meanwhile.
+/// Tells the instances that had stages done which results are no longer
+/// needed. They count the room of the upstreams, so they give the results up.
 #[derive(Debug)]
 pub(crate) struct ResultRelease {
-    state: Arc<State>,
-    gathered: Mutex<HashMap<SocketAddr, Vec<CompactString>>>,
+    pub(crate) state: Arc<State>,
+    pub(crate) batches: Arc<StageBatches>,
+    pub(crate) peers: Arc<Peers>,
+    pub(crate) free: Arc<ResultFree>,
+    pub(crate) gathered: Mutex<HashMap<Incarnation, Vec<CompactString>>>,
 }
 
 impl ResultRelease {
-    pub(crate) fn new(state: Arc<State>) -> ResultRelease {
-        ResultRelease {
-            state,
-            gathered: Mutex::default(),
+    /// Nobody works on these results of `owner` any more.
+    pub(crate) fn add(&self, owner: Incarnation, handles: Vec<CompactString>) {
+        if !handles.is_empty() {
+            let mut gathered = lock(&self.gathered);
+            gathered.entry(owner).or_default().extend(handles);
         }
     }
 
-    /// Nobody works on these any more.
-    pub(crate) fn add(&self, handles: Vec<CompactString>) {
-        let mut gathered = lock(&self.gathered);
-        for handle in handles {
-            if let Some(address) = self.state.dialect.result_address(&handle) {
-                gathered.entry(address).or_default().push(handle);
-            }
-        }
-    }
-
-    /// Gives gathered results up for good.
+    /// Tells the owners for good.
     pub(crate) async fn run(self: Arc<Self>) {
         loop {
             Timer::after(GATHER).await;
             let gathered = std::mem::take(&mut *lock(&self.gathered));
-            for (address, handles) in gathered {
-                let release = Arc::clone(&self);
-                let freeing = async move { release.free(address, &handles).await };
-                self.state.executor.spawn(freeing).detach();
+            for (owner, handles) in gathered {
+                if owner == self.state.me.incarnation {
+                    self.batches.release(handles);
+                    continue;
+                }
+                let this = Arc::clone(&self);
+                let telling = async move { this.tell(owner, handles).await };
+                self.state.executor.spawn(telling).detach();
             }
         }
     }
 
-    async fn free(&self, address: SocketAddr, handles: &[CompactString]) {
-        let req = self.state.dialect.free_request(handles);
-        let sent = self.state.pool.send(address, req, CALL_WITHIN, false).await;
-        let freed = match sent {
-            // Read to its end, so that the connection can be used again.
-            Some(Ok(response)) => response.whole(1 << 16).await.is_ok(),
-            _ => false,
-        };
-        if !freed {
-            log::debug!(address:% = address, count = handles.len(); "results not given up; they expire");
+    /// Without their owner the results are given up from here.
+    async fn tell(&self, owner: Incarnation, handles: Vec<CompactString>) {
+        if !self.peers.release_results(owner, &handles).await {
+            self.free.add(handles);
         }
     }
 }
--- a/crates/gateway/src/stage_batches.rs
+++ b/crates/gateway/src/stage_batches.rs
@@ -17,7 +17,7 @@
 use jd_serving::StageDesk;
 use jd_serving::StageJob;
 
-use crate::result_release::ResultRelease;
+use crate::result_free::ResultFree;
 use crate::state::State;
 use crate::upstream_table::UpstreamTable;
 
@@ -40,7 +40,7 @@
 #[derive(Debug)]
 pub(crate) struct StageBatches {
     state: Arc<State>,
-    release: Arc<ResultRelease>,
+    free: Arc<ResultFree>,
     desk: Mutex<Desk>,
 }
 
@@ -60,10 +60,10 @@
 }
 
 impl StageBatches {
-    pub(crate) fn new(state: Arc<State>, release: Arc<ResultRelease>) -> StageBatches {
+    pub(crate) fn new(state: Arc<State>, free: Arc<ResultFree>) -> StageBatches {
         StageBatches {
             state,
-            release,
+            free,
             desk: Mutex::default(),
         }
     }
@@ -88,6 +88,12 @@
         rx.recv().await.unwrap_or(Err(JobFailure::PieceFailed))
     }
 
+    /// Nobody works on these results any more.
+    pub(crate) fn release(self: &Arc<Self>, handles: Vec<CompactString>) {
+        lock(&self.desk).desk.release(handles);
+        self.pump();
+    }
+
     /// Looks at waiting pieces for good.
     pub(crate) async fn tick(self: Arc<Self>) {
         loop {
@@ -115,7 +121,7 @@
                 let _ = tx.try_send(end.outcome);
             }
         }
-        self.release.add(desk.desk.take_unused());
+        self.free.add(desk.desk.take_unused());
     }
 
     async fn make(self: Arc<Self>, call: BatchCall) {
--- a/crates/gateway/src/stage_runner.rs
+++ b/crates/gateway/src/stage_runner.rs
@@ -11,6 +11,7 @@
 use jd_serving::StageJob;
 use jd_serving::owners;
 use jd_types::Incarnation;
+use jd_types::MonoTime;
 use jd_types::Name;
 use jd_types::Refusal;
 use jd_types::RefusalKind;
@@ -26,6 +27,10 @@
 /// What an upstream takes from the request to its first event, about: the part
 /// of the objective that stages leave it.
 const GENERATION_START: Duration = Duration::from_millis(200);
+/// Callers leave a stream that does not begin within that many objectives.
+const ABANDON_OBJECTIVES: u32 = 4;
+/// The part of that time, or of the deadline, that stages may take.
+const GIVE_UP_PERCENT: u32 = 85;
 /// How often it is looked whether the owner is still there.
 const OWNER_CHECK: Duration = Duration::from_millis(200);
 /// Owners that are asked one after the other.
@@ -46,6 +51,7 @@
 #[derive(Debug)]
 pub(crate) struct StageResults {
     handles: Vec<CompactString>,
+    owner: Incarnation,
     release: Arc<ResultRelease>,
 }
 
@@ -56,7 +62,8 @@
 
     /// Nobody works on them any more.
     pub(crate) fn free(&mut self) {
-        self.release.add(std::mem::take(&mut self.handles));
+        let handles = std::mem::take(&mut self.handles);
+        self.release.add(self.owner, handles);
     }
 }
 
@@ -70,17 +77,22 @@
     /// Has the stages of a request done. Nothing of the request itself has run
     /// when this refuses.
     pub(crate) async fn run(&self, call: &Call) -> Result<StageResults, Refusal> {
-        let handles = match self.job(call) {
-            None => Vec::new(),
+        let (owner, handles) = match self.job(call) {
+            None => (self.state.me.incarnation, Vec::new()),
             Some(job) => self.run_job(call, &job).await?,
         };
         Ok(StageResults {
             handles,
+            owner,
             release: Arc::clone(&self.release),
         })
     }
 
-    async fn run_job(&self, call: &Call, job: &StageJob) -> Result<Vec<CompactString>, Refusal> {
+    async fn run_job(
+        &self,
+        call: &Call,
+        job: &StageJob,
+    ) -> Result<(Incarnation, Vec<CompactString>), Refusal> {
         let began = self.state.now();
         let ended = self.ask_owners(job).await;
         let took = self.state.now().since(began);
@@ -98,11 +110,16 @@
         ended.map_err(refusal_of)
     }
 
-    async fn ask_owners(&self, job: &StageJob) -> Result<Vec<CompactString>, JobFailure> {
+    /// The results, and the owner that had them made.
+    async fn ask_owners(
+        &self,
+        job: &StageJob,
+    ) -> Result<(Incarnation, Vec<CompactString>), JobFailure> {
+        let me = self.state.me.incarnation;
         let order = self.owner_order();
         for owner in order.into_iter().take(MAX_OWNERS) {
-            if owner == self.state.me.incarnation {
-                return self.batches.run(job.clone()).await;
+            if owner == me {
+                break;
             }
             let asking = async { self.peers.run_stages(owner, job).await };
             let gone = async {
@@ -110,13 +127,14 @@
                 None
             };
             match asking.or(gone).await {
-                Some(outcome) => return outcome,
+                Some(outcome) => return outcome.map(|handles| (owner, handles)),
                 None => {
                     log::warn!(owner:% = owner, request = job.request_id.as_str(); "owner of stages silent");
                 }
             }
         }
-        self.batches.run(job.clone()).await
+        let handles = self.batches.run(job.clone()).await?;
+        Ok((me, handles))
     }
 
     fn owner_order(&self) -> Vec<Incarnation> {
@@ -148,6 +166,7 @@
                 service: s.service.clone(),
                 after: s.after.clone(),
                 pieces: pieces(n),
+                result_bytes: s.result_bytes,
             })
             .collect();
         if stages.iter().all(|s| s.pieces == 0) {
@@ -158,7 +177,7 @@
             piece_key: call.head.piece_key.clone().unwrap_or_default(),
             stages,
             objective: call.objective().before(GENERATION_START),
-            deadline: call.deadline,
+            deadline: give_up_at(call),
             priority: call.priority,
             zone: self.wanted_zone(call),
         })
@@ -174,6 +193,15 @@
     }
 }
 
+/// When the stages of a request are given up: early enough for the request
+/// itself to run, and for its caller to hear of it while it still waits.
+fn give_up_at(call: &Call) -> MonoTime {
+    let route = call.route();
+    let abandoned = route.objective * ABANDON_OBJECTIVES;
+    let waited = abandoned.min(call.deadline.since(call.arrived));
+    call.arrived + waited * GIVE_UP_PERCENT / 100
+}
+
 /// The name of a failure in logs and metrics.
 const fn name_of(failure: JobFailure) -> &'static str {
     match failure {
--- a/crates/gateway/src/stream_call.rs
+++ b/crates/gateway/src/stream_call.rs
@@ -54,7 +54,7 @@
         let patience = patience(&call, state, runs);
         let sent = attempt::send(state, &call, chosen, results.handles(), last, patience).await;
         let failure = match sent {
-            Ok(answer) => return begin(state, call, answer, results, tried, runs + 1).await,
+            Ok(answer) => return begin(state, stages, call, answer, results, tried, runs + 1).await,
             Err(failure) => failure,
         };
         let proved = failure.outcome.run_state() == RunState::NotRun;
@@ -113,6 +113,7 @@
 
 async fn begin(
     state: &Arc<State>,
+    stages: &Arc<StageRunner>,
     call: Call,
     answer: Answer,
     results: StageResults,
@@ -135,7 +136,7 @@
     let body = match status.is_success() {
         true => {
             state.metrics.request("answered", took);
-            let events = EventStream::new(state, call, answer, results, tried, runs);
+            let events = EventStream::new(state, stages, call, answer, results, tried, runs);
             jd_net::stream(unfold(events, EventStream::next))
         }
         false => {
--- a/crates/serving/src/batch_upstream.rs
+++ b/crates/serving/src/batch_upstream.rs
@@ -28,6 +28,7 @@
     pub(crate) address: SocketAddr,
     pub(crate) zone: Name,
     open_calls: u32,
+    room_used: u64,
     failures: u32,
     blocked_until: MonoTime,
 }
@@ -39,6 +40,7 @@
             address,
             zone,
             open_calls: 0,
+            room_used: 0,
             failures: 0,
             blocked_until: MonoTime::ZERO,
         }
@@ -48,6 +50,19 @@
         self.open_calls
     }
 
+    /// Bytes of results that lie there or are being made.
+    pub(crate) fn room_used(&self) -> u64 {
+        self.room_used
+    }
+
+    pub(crate) fn take_room(&mut self, bytes: u64) {
+        self.room_used += bytes;
+    }
+
+    pub(crate) fn give_room(&mut self, bytes: u64) {
+        self.room_used = self.room_used.saturating_sub(bytes);
+    }
+
     pub(crate) fn is_blocked(&self, now: MonoTime) -> bool {
         now < self.blocked_until
     }
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -17,6 +17,7 @@
 mod prompt;
 mod prompt_placement;
 mod repeat_budget;
+mod result_room;
 mod route;
 mod router;
 mod service;
--- a/crates/serving/src/prompt.rs
+++ b/crates/serving/src/prompt.rs
@@ -20,20 +20,25 @@
     pub tokens_in: u32,
     /// Tokens that may be generated.
     pub tokens_out: u32,
-    /// Its parts in order; the last belongs to the request or its session.
+    /// Its parts in order; the last is the request's own.
     pub parts: Vec<PromptPart>,
 }
 
 impl Prompt {
     /// What requests with the same memory have in common: the model and the
-    /// last part. The earlier parts are common to many sessions and are soon
+    /// last part that others may share. That is the one before the request's
+    /// own; the earlier ones are common to many sessions and are soon
     /// everywhere.
     pub fn session(&self) -> u64 {
         let model = self.model.bytes().fold(FNV_OFFSET, |h, b| {
             (h ^ u64::from(b)).wrapping_mul(FNV_PRIME)
         });
-        let last = self.parts.last().map_or(0, |p| p.id);
-        (model ^ last).wrapping_mul(FNV_PRIME)
+        let shared = match self.parts.as_slice() {
+            [.., shared, _own] => shared.id,
+            [only] => only.id,
+            [] => 0,
+        };
+        (model ^ shared).wrapping_mul(FNV_PRIME)
     }
 }
 
--- a/crates/serving/src/stage_desk.rs
+++ b/crates/serving/src/stage_desk.rs
@@ -13,6 +13,7 @@
 use crate::PieceKey;
 use crate::StageJob;
 use crate::batch_upstream::BatchUpstream;
+use crate::result_room::ResultRoom;
 use crate::stage_job::JobProgress;
 
 /// What a step of priority is worth in waiting. Half a call of the users'
@@ -152,6 +153,7 @@
     service: CompactString,
     upstream: CompactString,
     pieces: Vec<(JobKey, PieceKey)>,
+    bytes: u64,
     began: MonoTime,
     expected: Duration,
 }
@@ -170,6 +172,7 @@
     calls: HashMap<CallKey, OpenCall>,
     ended: Vec<JobEnd>,
     unused: Vec<CompactString>,
+    room: ResultRoom,
     numbers: u64,
 }
 
@@ -220,7 +223,7 @@
     /// Nobody waits for the job any more.
     pub fn cancel(&mut self, key: JobKey) {
         if let Some(job) = self.jobs.remove(&key) {
-            self.unused.extend(job.progress.all());
+            self.release(job.progress.all());
             self.forget_pieces(key);
         }
     }
@@ -236,11 +239,15 @@
         let Some(call) = self.calls.remove(&key) else {
             return;
         };
-        if let Some(queue) = self.queues.get_mut(&call.service)
-            && let Some(upstream) = queue.upstreams.iter_mut().find(|u| u.id == call.upstream)
-        {
-            upstream.finished(now, now.since(call.began), call.expected, &result);
+        let mut keep = Duration::ZERO;
+        if let Some(queue) = self.queues.get_mut(&call.service) {
+            keep = queue.spec.keep;
+            if let Some(upstream) = queue.upstream(&call.upstream) {
+                upstream.finished(now, now.since(call.began), call.expected, &result);
+                upstream.give_room(call.bytes);
+            }
         }
+        self.count_room(now + keep, key, &call, &result);
         match result {
             CallResult::Answered(results) => {
                 for ((job, piece), result) in call.pieces.iter().zip(results) {
@@ -262,6 +269,9 @@
 
     /// Ends jobs whose time is over. Their pieces would be worked on in vain.
     pub fn expire(&mut self, now: MonoTime) {
+        for (service, upstream, bytes) in self.room.expire(now) {
+            self.give_room(&service, &upstream, bytes);
+        }
         let over = |job: &Job| job.progress.job().deadline <= now;
         let keys: Vec<JobKey> = self
             .jobs
@@ -274,6 +284,13 @@
         }
     }
 
+    /// Nobody works on these results any more.
+    pub fn release(&mut self, handles: Vec<CompactString>) {
+        for handle in handles {
+            self.discard(handle);
+        }
+    }
+
     /// The jobs that ended since the last question.
     pub fn take_ended(&mut self) -> Vec<JobEnd> {
         std::mem::take(&mut self.ended)
@@ -368,30 +385,24 @@
     fn next_call_of(&mut self, now: MonoTime, service: &str) -> Option<BatchCall> {
         let queue = self.queues.get_mut(service)?;
         queue.mark_late(now);
-        let near = queue.best_zone(now, &self.jobs);
-        let upstream = queue.free_upstream(now, near.as_ref())?;
-        let ready = queue.waiting.iter().filter(|(_, w)| w.not_before <= now);
-        let ranks: Vec<Rank> = ready
-            .map(|(rank, _)| *rank)
-            .take(queue.spec.pieces)
-            .collect();
-        if ranks.is_empty() {
-            return None;
-        }
+        let (upstream, ranks) = queue.next_batch(now, &self.jobs)?;
         self.numbers += 1;
         let key = CallKey(self.numbers);
         let mut orders = Vec::with_capacity(ranks.len());
         let mut pieces = Vec::with_capacity(ranks.len());
+        let mut bytes = 0;
         for rank in ranks {
             queue.waiting.remove(&rank);
             if let Some(job) = self.jobs.get(&rank.job) {
                 orders.push(job.order(now, rank.piece));
                 pieces.push((rank.job, rank.piece));
+                bytes += job.result_bytes(rank.piece);
             }
         }
         let expected = queue.spec.call_time(orders.len());
         let upstream = &mut queue.upstreams[upstream];
         upstream.started();
+        upstream.take_room(bytes);
         let call = BatchCall {
             key,
             upstream: upstream.id.clone(),
@@ -403,6 +414,7 @@
             service: service.into(),
             upstream: call.upstream.clone(),
             pieces,
+            bytes,
             began: now,
             expected,
         };
@@ -410,6 +422,49 @@
         Some(call)
     }
 
+    /// Counts the results of a call against the room of their upstream. One
+    /// that did not answer may have made all of them.
+    fn count_room(&mut self, until: MonoTime, key: CallKey, call: &OpenCall, result: &CallResult) {
+        let place = (&call.service, &call.upstream);
+        let mut made: Vec<(CompactString, u64)> = Vec::new();
+        match result {
+            CallResult::Answered(results) => {
+                for ((job, piece), result) in call.pieces.iter().zip(results) {
+                    if let PieceResult::Done(handle) = result {
+                        let bytes = self.jobs.get(job).map_or(0, |j| j.result_bytes(*piece));
+                        made.push((handle.clone(), bytes));
+                    }
+                }
+            }
+            CallResult::Failed => {
+                let unknown = compact_str::format_compact!("call {}", key.0);
+                made.push((unknown, call.bytes));
+            }
+            CallResult::Full | CallResult::Gone => {}
+        }
+        for (handle, bytes) in made {
+            let queue = self.queues.get_mut(place.0);
+            if let Some(upstream) = queue.and_then(|q| q.upstream(place.1)) {
+                upstream.take_room(bytes);
+                self.room.put(handle, place, bytes, until);
+            }
+        }
+    }
+
+    fn discard(&mut self, handle: CompactString) {
+        if let Some((service, upstream, bytes)) = self.room.take(&handle) {
+            self.give_room(&service, &upstream, bytes);
+        }
+        self.unused.push(handle);
+    }
+
+    fn give_room(&mut self, service: &str, upstream: &str, bytes: u64) {
+        let queue = self.queues.get_mut(service);
+        if let Some(upstream) = queue.and_then(|q| q.upstream(upstream)) {
+            upstream.give_room(bytes);
+        }
+    }
+
     fn take_result(&mut self, now: MonoTime, key: JobKey, piece: PieceKey, result: PieceResult) {
         match result {
             PieceResult::Done(handle) => self.take_handle(now, key, piece, handle),
@@ -423,17 +478,15 @@
     }
 
     fn take_handle(&mut self, now: MonoTime, key: JobKey, piece: PieceKey, handle: CompactString) {
-        let Some(job) = self.jobs.get_mut(&key) else {
-            self.unused.push(handle);
+        let job = self.jobs.get_mut(&key);
+        let Some(job) = job.filter(|j| !j.progress.has(piece)) else {
+            self.discard(handle);
             return;
         };
-        if job.progress.has(piece) {
-            self.unused.push(handle);
-            return;
-        }
         job.progress.done(piece, handle);
         if job.progress.is_done(piece.stage) {
-            self.unused.extend(job.progress.used_up(piece.stage));
+            let used_up = job.progress.used_up(piece.stage);
+            self.release(used_up);
             self.advance(now, key);
         }
     }
@@ -452,7 +505,7 @@
 
     fn fail(&mut self, key: JobKey, failure: JobFailure) {
         if let Some(job) = self.jobs.remove(&key) {
-            self.unused.extend(job.progress.all());
+            self.release(job.progress.all());
             self.forget_pieces(key);
             let outcome = Err(failure);
             self.ended.push(JobEnd { key, outcome });
@@ -467,6 +520,10 @@
 }
 
 impl Job {
+    fn result_bytes(&self, piece: PieceKey) -> u64 {
+        self.progress.job().stages[piece.stage].result_bytes
+    }
+
     fn order(&self, now: MonoTime, piece: PieceKey) -> PieceOrder {
         let job = self.progress.job();
         let source = match job.stages[piece.stage].after.is_empty() {
@@ -506,18 +563,55 @@
         }
     }
 
-    /// The zone where most of the next results are wanted.
-    fn best_zone(&self, now: MonoTime, jobs: &HashMap<JobKey, Job>) -> Option<Name> {
-        let ready = self.waiting.iter().filter(|(_, w)| w.not_before <= now);
-        let (rank, _) = ready.into_iter().next()?;
-        jobs.get(&rank.job)?.progress.job().zone.clone()
+    fn upstream(&mut self, id: &str) -> Option<&mut BatchUpstream> {
+        self.upstreams.iter_mut().find(|u| u.id == id)
     }
 
-    fn free_upstream(&self, now: MonoTime, near: Option<&Name>) -> Option<usize> {
+    /// The next batch and the upstream that is to work on it: one in the zone
+    /// where the most urgent result is wanted if it can, and never one without
+    /// room for the results.
+    fn next_batch(
+        &self,
+        now: MonoTime,
+        jobs: &HashMap<JobKey, Job>,
+    ) -> Option<(usize, Vec<Rank>)> {
+        let first = self.ready(now).next()?;
+        let near = jobs.get(&first.job)?.progress.job().zone.as_ref();
         let slots = self.spec.slots.max(1);
-        let free = self.upstreams.iter().enumerate();
-        let free = free.filter(|(_, u)| u.open_calls() < slots && !u.is_blocked(now));
-        free.min_by_key(|(_, u)| (near.is_some_and(|z| u.zone != *z), u.open_calls()))
-            .map(|(n, _)| n)
+        let able = self.upstreams.iter().enumerate();
+        let able = able.filter(|(_, u)| u.open_calls() < slots && !u.is_blocked(now));
+        let mut able: Vec<(usize, &BatchUpstream)> = able.collect();
+        able.sort_by_key(|(_, u)| (near.is_some_and(|z| u.zone != *z), u.room_used()));
+        able.into_iter().find_map(|(n, upstream)| {
+            let ranks = self.batch_for(now, upstream, jobs);
+            (!ranks.is_empty()).then_some((n, ranks))
+        })
+    }
+
+    fn ready(&self, now: MonoTime) -> impl Iterator<Item = &Rank> {
+        let ready = self.waiting.iter().filter(move |(_, w)| w.not_before <= now);
+        ready.map(|(rank, _)| rank)
+    }
+
+    fn batch_for(
+        &self,
+        now: MonoTime,
+        upstream: &BatchUpstream,
+        jobs: &HashMap<JobKey, Job>,
+    ) -> Vec<Rank> {
+        let mut room = self.spec.room_bytes.saturating_sub(upstream.room_used());
+        let mut batch = Vec::with_capacity(self.spec.pieces);
+        for rank in self.ready(now) {
+            let bytes = jobs.get(&rank.job).map_or(0, |j| j.result_bytes(rank.piece));
+            if bytes > room {
+                continue;
+            }
+            room -= bytes;
+            batch.push(*rank);
+            if batch.len() == self.spec.pieces {
+                break;
+            }
+        }
+        batch
     }
 }
--- a/crates/serving/src/stage_job.rs
+++ b/crates/serving/src/stage_job.rs
@@ -15,6 +15,8 @@
     pub after: Vec<usize>,
     /// How many pieces it has; 0 leaves it out.
     pub pieces: usize,
+    /// The approximate size of one result, in bytes.
+    pub result_bytes: u64,
 }
 
 /// The stages of one request: everything an owner needs to run them.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -14,6 +14,8 @@
 pub use exchange::Hint;
 pub use generated::gateway::BeatReply;
 pub use generated::gateway::BeatRequest;
+pub use generated::gateway::ReleaseReply;
+pub use generated::gateway::ReleaseRequest;
 pub use generated::gateway::Stage;
 pub use generated::gateway::StagesReply;
 pub use generated::gateway::StagesRequest;
