Fill calls only where results fit, and give results up once they are read

Now a call that is scant for want of room waits, pieces of one stage of a job go together, inputs are given up 60 ms after the next call has begun, final results 120 ms after the request was sent, and frees go before the call that counts on them. What was given up too early is made again. Ruled out: sizes counted wrong (a call into an empty upstream was refused one piece of eighteen: sizes are approximate, so 90% of the room is planned).

--- a/crates/gateway-daemon/src/logging.rs
+++ b/crates/gateway-daemon/src/logging.rs
@@ -5,6 +5,8 @@
 use std::sync::atomic::Ordering;
 use std::thread;
 
+use async_channel::Receiver;
+use async_channel::Sender;
 use flexi_logger::DeferredNow;
 use flexi_logger::FlexiLoggerError;
 use flexi_logger::LogSpecification;
@@ -12,8 +14,6 @@
 use flexi_logger::LoggerHandle;
 use flexi_logger::json_format;
 use flexi_logger::writers::LogWriter;
-use async_channel::Receiver;
-use async_channel::Sender;
 use log::LevelFilter;
 use log::Record;
 
@@ -88,7 +88,12 @@
     fn write(&self, now: &mut DeferredNow, record: &Record<'_>) -> std::io::Result<()> {
         let dropped = self.dropped.swap(0, Ordering::Relaxed);
         if dropped > 0 {
-            self.push(format!("{{\"level\":\"WARN\",\"text\":\"log lines dropped\",\"count\":{dropped}}}\n").into());
+            self.push(
+                format!(
+                    "{{\"level\":\"WARN\",\"text\":\"log lines dropped\",\"count\":{dropped}}}\n"
+                )
+                .into(),
+            );
         }
         let mut line = Vec::with_capacity(256);
         json_format(&mut line, now, record)?;
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -112,9 +112,10 @@
     let sent = state.pool.send(address, req, patience, false).await;
     let result = match sent {
         None => Err(failure(AttemptOutcome::Silent, "no answer in time")),
-        Some(Err(SendError::NotSent)) => {
-            Err(failure(AttemptOutcome::NotRun, "no connection could be opened"))
-        }
+        Some(Err(SendError::NotSent)) => Err(failure(
+            AttemptOutcome::NotRun,
+            "no connection could be opened",
+        )),
         Some(Err(SendError::Broken)) => {
             Err(failure(AttemptOutcome::Failed, "the connection broke"))
         }
@@ -147,7 +148,9 @@
     call: &Call,
     response: HttpResponse,
 ) -> Result<(AnswerHead, HttpResponse), Failure> {
-    let head = state.dialect.answer_head(response.status, &response.headers);
+    let head = state
+        .dialect
+        .answer_head(response.status, &response.headers);
     let named = head.request_id.as_deref() == call.head.request_id.as_deref();
     let misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
     match head {
--- a/crates/gateway/src/event_stream.rs
+++ b/crates/gateway/src/event_stream.rs
@@ -109,7 +109,7 @@
     fn passed_on(&mut self) {
         self.events += 1;
         // The upstream has read its inputs once it makes events. Results take
-        // much room; one that goes on elsewhere has them made again.
+        // much room; a stream that goes on elsewhere has them made again.
         self.results.free();
     }
 
@@ -173,8 +173,7 @@
             let last = self.splitter.last_event().or(self.call.head.last_event);
             let left = self.call.left(self.state.now());
             let inputs = self.results.handles();
-            let sent =
-                attempt::send(&self.state, &self.call, chosen, inputs, last, left).await;
+            let sent = attempt::send(&self.state, &self.call, chosen, inputs, last, left).await;
             self.runs += 1;
             if let Ok(answer) = sent
                 && answer.head.status.is_success()
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -123,8 +123,18 @@
         let own = ServerLimits::default();
         let servers = vec![
             listen(&state, s.ready, own, Arc::new(ReadyApi(Arc::clone(&state))))?,
-            listen(&state, s.locate, own, Arc::new(LocateApi(Arc::clone(&state))))?,
-            listen(&state, s.metrics, own, Arc::new(MetricsApi(Arc::clone(&state))))?,
+            listen(
+                &state,
+                s.locate,
+                own,
+                Arc::new(LocateApi(Arc::clone(&state))),
+            )?,
+            listen(
+                &state,
+                s.metrics,
+                own,
+                Arc::new(MetricsApi(Arc::clone(&state))),
+            )?,
             listen(&state, s.peers, own, Arc::new(PeerHandler::new(peer_api)))?,
         ];
         let tasks = vec![
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -46,11 +46,31 @@
             registry: Registry::default(),
         };
         let r = &mut registry;
-        r.register("jd_gateway_requests", "Requests ended", metrics.requests.clone());
-        r.register("jd_gateway_attempts", "Sends to upstreams ended", metrics.attempts.clone());
-        r.register("jd_gateway_stages", "Stages of requests ended", metrics.stages.clone());
-        r.register("jd_gateway_repeats", "Repeats asked for", metrics.repeats.clone());
-        r.register("jd_gateway_store_calls", "Calls to the store", metrics.store_calls.clone());
+        r.register(
+            "jd_gateway_requests",
+            "Requests ended",
+            metrics.requests.clone(),
+        );
+        r.register(
+            "jd_gateway_attempts",
+            "Sends to upstreams ended",
+            metrics.attempts.clone(),
+        );
+        r.register(
+            "jd_gateway_stages",
+            "Stages of requests ended",
+            metrics.stages.clone(),
+        );
+        r.register(
+            "jd_gateway_repeats",
+            "Repeats asked for",
+            metrics.repeats.clone(),
+        );
+        r.register(
+            "jd_gateway_store_calls",
+            "Calls to the store",
+            metrics.store_calls.clone(),
+        );
         r.register(
             "jd_gateway_store_failures",
             "Calls to the store that failed",
@@ -66,7 +86,10 @@
             "From the first piece to the last result",
             metrics.stage_seconds.clone(),
         );
-        Metrics { registry, ..metrics }
+        Metrics {
+            registry,
+            ..metrics
+        }
     }
 
     pub(crate) fn request(&self, outcome: &'static str, took: Duration) {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -64,8 +64,13 @@
     /// Tells all other instances for good that this one is there.
     pub(crate) async fn beat(self: Arc<Self>) {
         loop {
-            let peers: Vec<InstanceEntry> =
-                self.state.knowledge().instances.entries().cloned().collect();
+            let peers: Vec<InstanceEntry> = self
+                .state
+                .knowledge()
+                .instances
+                .entries()
+                .cloned()
+                .collect();
             self.forget_channels(&peers);
             for peer in peers {
                 let peers = Arc::clone(&self);
@@ -111,7 +116,10 @@
 
     fn address_of(&self, id: Incarnation) -> Option<SocketAddr> {
         let knowledge = self.state.knowledge();
-        let entry = knowledge.instances.entries().find(|e| e.incarnation == id)?;
+        let entry = knowledge
+            .instances
+            .entries()
+            .find(|e| e.incarnation == id)?;
         Some(entry.peers)
     }
 
@@ -136,7 +144,9 @@
         let mut knowledge = self.state.knowledge();
         match Incarnation::new(reply.incarnation) {
             id if id == peer.incarnation => {
-                knowledge.instances.heard(now, id, reply.leaving, reply.ready);
+                knowledge
+                    .instances
+                    .heard(now, id, reply.leaving, reply.ready);
             }
             _ => knowledge.instances.gone(peer.incarnation),
         }
@@ -170,7 +180,10 @@
         objective_ms: millis(job.objective.since(now)),
         deadline_ms: millis(job.deadline.since(now)),
         priority: u32::from(job.priority),
-        zone: job.zone.as_ref().map_or(String::new(), |z| z.as_str().into()),
+        zone: job
+            .zone
+            .as_ref()
+            .map_or(String::new(), |z| z.as_str().into()),
     }
 }
 
@@ -217,7 +230,8 @@
         req: tonic::Request<ReleaseRequest>,
     ) -> Result<tonic::Response<ReleaseReply>, Status> {
         let results = req.into_inner().results.into_iter();
-        self.batches.release(results.map(CompactString::from).collect());
+        self.batches
+            .release(results.map(CompactString::from).collect());
         Ok(tonic::Response::new(ReleaseReply {}))
     }
 
--- a/crates/gateway/src/result_free.rs
+++ b/crates/gateway/src/result_free.rs
@@ -16,7 +16,7 @@
 /// time after which upstreams drop them by themselves.
 const GATHER: Duration = Duration::from_millis(60);
 /// How long such a call may take.
-const CALL_WITHIN: Duration = Duration::from_millis(800);
+const CALL_WITHIN: Duration = Duration::from_millis(100);
 
 /// Tells upstreams which results nobody needs any more.
 ///
@@ -59,6 +59,14 @@
         }
     }
 
+    /// Gives up at once what is gathered for one upstream.
+    pub(crate) async fn flush(&self, address: SocketAddr) {
+        let handles = lock(&self.gathered).remove(&address);
+        if let Some(handles) = handles {
+            self.free(address, &handles).await;
+        }
+    }
+
     async fn free(&self, address: SocketAddr, handles: &[CompactString]) {
         let req = self.state.dialect.free_request(handles);
         let sent = self.state.pool.send(address, req, CALL_WITHIN, false).await;
--- a/crates/gateway/src/result_release.rs
+++ b/crates/gateway/src/result_release.rs
@@ -17,7 +17,7 @@
 
 /// How long results are gathered before their owner is told. Short against a
 /// call, so that the owner knows of the room when it fills the next one.
-const GATHER: Duration = Duration::from_millis(60);
+const GATHER: Duration = Duration::from_millis(25);
 
 /// Tells the instances that had stages done which results are no longer
 /// needed. They count the room of the upstreams, so they give the results up.
--- a/crates/gateway/src/service_apis.rs
+++ b/crates/gateway/src/service_apis.rs
@@ -33,10 +33,7 @@
         };
         let now = state.now();
         let own = state.is_ready().then_some(&state.me);
-        let addresses = state
-            .knowledge()
-            .instances
-            .addresses(now, &query.zone, own);
+        let addresses = state.knowledge().instances.addresses(now, &query.zone, own);
         // Without any address the caller is better served by another instance.
         if addresses.is_empty() {
             return status(StatusCode::SERVICE_UNAVAILABLE);
--- a/crates/gateway/src/stage_batches.rs
+++ b/crates/gateway/src/stage_batches.rs
@@ -23,7 +23,7 @@
 
 /// How often waiting pieces are looked at without any event: for upstreams
 /// that were left alone for a while and for jobs whose time is over.
-const TICK: Duration = Duration::from_millis(50);
+const TICK: Duration = Duration::from_millis(30);
 /// The largest answer to a call for pieces, in bytes.
 const MAX_ANSWER: usize = 1 << 20;
 
@@ -98,7 +98,7 @@
     pub(crate) async fn tick(self: Arc<Self>) {
         loop {
             Timer::after(TICK).await;
-            let waiting = lock(&self.desk).desk.waiting() > 0;
+            let waiting = lock(&self.desk).desk.is_waiting();
             if waiting {
                 self.pump();
             }
@@ -143,9 +143,14 @@
         if !self.state.upstreams.load().has(&call.upstream) {
             return CallResult::Gone;
         }
+        // Room that the desk counts as free has to be free when the call comes.
+        self.free.flush(call.address).await;
         let dialect = &self.state.dialect;
         let req = dialect.stage_request(&call.upstream, &call.pieces);
-        let sent = self.state.pool.send(call.address, req, call.patience, false);
+        let sent = self
+            .state
+            .pool
+            .send(call.address, req, call.patience, false);
         let response = match sent.await {
             Some(Ok(response)) => response,
             Some(Err(jd_net::SendError::NotSent)) => return CallResult::Gone,
--- a/crates/gateway/src/stage_runner.rs
+++ b/crates/gateway/src/stage_runner.rs
@@ -1,6 +1,8 @@
 //! Having the stages of a request done.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use async_io::Timer;
@@ -31,6 +33,10 @@
 const ABANDON_OBJECTIVES: u32 = 4;
 /// The part of that time, or of the deadline, that stages may take.
 const GIVE_UP_PERCENT: u32 = 85;
+/// How long after a request was sent its upstream has read the results that it
+/// works on. Measured: the first event comes after 115 ms at the median and
+/// 610 ms at the ninetieth percentile; reading itself takes a few milliseconds.
+const RESULTS_READ: Duration = Duration::from_millis(120);
 /// How often it is looked whether the owner is still there.
 const OWNER_CHECK: Duration = Duration::from_millis(200);
 /// Owners that are asked one after the other.
@@ -47,10 +53,12 @@
     pub(crate) release: Arc<ResultRelease>,
 }
 
-/// Results of stages that a request works on; given up when dropped.
+/// Results of stages that a request works on; given up once, at the latest when
+/// dropped.
 #[derive(Debug)]
 pub(crate) struct StageResults {
     handles: Vec<CompactString>,
+    held: AtomicBool,
     owner: Incarnation,
     release: Arc<ResultRelease>,
 }
@@ -61,9 +69,18 @@
     }
 
     /// Nobody works on them any more.
-    pub(crate) fn free(&mut self) {
-        let handles = std::mem::take(&mut self.handles);
-        self.release.add(self.owner, handles);
+    pub(crate) fn free(&self) {
+        if self.held.swap(false, Ordering::Relaxed) {
+            self.release.add(self.owner, self.handles.to_vec());
+        }
+    }
+
+    /// Returns once the upstream that was just asked has most likely read them.
+    /// It does so before it reads the prompt, which can take many times longer.
+    pub(crate) async fn free_when_read<T>(&self) -> T {
+        Timer::after(RESULTS_READ).await;
+        self.free();
+        futures_lite::future::pending().await
     }
 }
 
@@ -82,6 +99,7 @@
             Some(job) => self.run_job(call, &job).await?,
         };
         Ok(StageResults {
+            held: AtomicBool::new(true),
             handles,
             owner,
             release: Arc::clone(&self.release),
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -137,7 +137,10 @@
         let bound = self.repeat_bound();
         let now = self.now();
         let mut budgets = lock(&self.budgets);
-        budgets.entry(service.into()).or_default().first(now, &bound);
+        budgets
+            .entry(service.into())
+            .or_default()
+            .first(now, &bound);
     }
 
     /// True if a request may go to a service once more.
--- a/crates/gateway/src/stream_call.rs
+++ b/crates/gateway/src/stream_call.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use compact_str::CompactString;
+use futures_lite::FutureExt;
 use futures_lite::stream::unfold;
 use http::Response;
 use jd_net::Body;
@@ -52,9 +53,12 @@
         tried.push(chosen.id.clone());
         let last = call.head.last_event;
         let patience = patience(&call, state, runs);
-        let sent = attempt::send(state, &call, chosen, results.handles(), last, patience).await;
+        let sending = attempt::send(state, &call, chosen, results.handles(), last, patience);
+        let sent = sending.or(results.free_when_read()).await;
         let failure = match sent {
-            Ok(answer) => return begin(state, stages, call, answer, results, tried, runs + 1).await,
+            Ok(answer) => {
+                return begin(state, stages, call, answer, results, tried, runs + 1).await;
+            }
             Err(failure) => failure,
         };
         let proved = failure.outcome.run_state() == RunState::NotRun;
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -60,10 +60,7 @@
             match self.call(self.store.revision()).await {
                 Ok(revision) => {
                     self.call_succeeded();
-                    self.state
-                        .knowledge()
-                        .freshness
-                        .confirmed(asked, revision);
+                    self.state.knowledge().freshness.confirmed(asked, revision);
                 }
                 Err(e) => self.call_failed("confirm", e),
             }
@@ -91,7 +88,10 @@
 
     /// Removes this instance's entry.
     pub(crate) async fn withdraw(&self) {
-        if let Err(e) = self.call(self.store.withdraw(self.state.me.incarnation)).await {
+        if let Err(e) = self
+            .call(self.store.withdraw(self.state.me.incarnation))
+            .await
+        {
             log::info!(error:% = e; "entry not removed; its lease will run out");
         }
     }
@@ -120,7 +120,8 @@
         }
         let lifetime = self.state.settings.lease;
         let lease = self.call(self.store.lease(lifetime)).await?;
-        self.call(self.store.announce(&self.state.me, lease)).await?;
+        self.call(self.store.announce(&self.state.me, lease))
+            .await?;
         Ok(lease)
     }
 
--- a/crates/gateway/src/upstream_table.rs
+++ b/crates/gateway/src/upstream_table.rs
@@ -146,7 +146,9 @@
     fn keys_of(&self, ids: &[CompactString]) -> Vec<UpstreamKey> {
         let keys = (0..).map(UpstreamKey::from_index);
         let all = self.ids.iter().zip(keys);
-        all.filter(|(id, _)| ids.contains(id)).map(|(_, k)| k).collect()
+        all.filter(|(id, _)| ids.contains(id))
+            .map(|(_, k)| k)
+            .collect()
     }
 
     /// Ejections are ignored when all are ejected: a bad signal must not leave
--- a/crates/serving/src/owner.rs
+++ b/crates/serving/src/owner.rs
@@ -8,10 +8,7 @@
 ///
 /// No lease is needed. Two owners for a moment fill smaller batches; no piece
 /// does harm when it is done twice.
-pub fn owners(
-    shard: u64,
-    instances: impl Iterator<Item = Incarnation>,
-) -> Vec<Incarnation> {
+pub fn owners(shard: u64, instances: impl Iterator<Item = Incarnation>) -> Vec<Incarnation> {
     let mut ranked: Vec<(u64, Incarnation)> = instances
         .map(|id| (spread(shard ^ spread(id.get())), id))
         .collect();
--- a/crates/serving/src/stage_desk.rs
+++ b/crates/serving/src/stage_desk.rs
@@ -22,6 +22,17 @@
 const PRIORITY_STEP: Duration = Duration::from_millis(150);
 /// How often one piece is tried. A third failure is rarely the upstream's.
 const PIECE_TRIES: u32 = 3;
+/// How often the stages of one job start over because results were gone.
+const MAX_STARTS_OVER: u32 = 2;
+/// How long after a call began its inputs have been read. Upstreams read them
+/// first of all; a whole call's inputs take a few milliseconds on their links.
+const INPUTS_READ: Duration = Duration::from_millis(60);
+/// The part of its spare time, in hundredths, by which a stage beside a longer
+/// chain is put off. Done at once, its results would take room all the while.
+const PUT_OFF_PERCENT: u32 = 60;
+/// The part of an upstream's room, in hundredths, that results are planned to
+/// take. Their sizes are known only about.
+const USED_ROOM_PERCENT: u64 = 90;
 /// How long a piece waits after an upstream had no room for its result.
 const ROOM_PAUSE: Duration = Duration::from_millis(60);
 
@@ -146,6 +157,15 @@
 struct Job {
     progress: JobProgress,
     tries: HashMap<PieceKey, u32>,
+    starts_over: u32,
+}
+
+/// Results that will have been read by then.
+#[derive(Debug)]
+struct Reading {
+    until: MonoTime,
+    job: JobKey,
+    stage: usize,
 }
 
 #[derive(Debug)]
@@ -173,6 +193,7 @@
     ended: Vec<JobEnd>,
     unused: Vec<CompactString>,
     room: ResultRoom,
+    reading: Vec<Reading>,
     numbers: u64,
 }
 
@@ -205,7 +226,11 @@
     /// Takes the stages of a request in, or says at once why not.
     pub fn submit(&mut self, now: MonoTime, job: StageJob) -> Result<JobKey, JobFailure> {
         let served = |s: &crate::JobStage| {
-            s.pieces == 0 || self.queues.get(&s.service).is_some_and(|q| !q.upstreams.is_empty())
+            s.pieces == 0
+                || self
+                    .queues
+                    .get(&s.service)
+                    .is_some_and(|q| !q.upstreams.is_empty())
         };
         if !job.stages.iter().all(served) {
             return Err(JobFailure::NoUpstream);
@@ -214,8 +239,12 @@
         self.check_wait(now, &progress)?;
         self.numbers += 1;
         let key = JobKey(self.numbers);
-        let tries = HashMap::new();
-        self.jobs.insert(key, Job { progress, tries });
+        let job = Job {
+            progress,
+            tries: HashMap::new(),
+            starts_over: 0,
+        };
+        self.jobs.insert(key, job);
         self.advance(now, key);
         Ok(key)
     }
@@ -256,7 +285,7 @@
             }
             CallResult::Full | CallResult::Gone => {
                 for (job, piece) in call.pieces {
-                    self.enqueue(now, job, piece, now);
+                    self.ask_again(now, job, piece, now);
                 }
             }
             CallResult::Failed => {
@@ -272,6 +301,7 @@
         for (service, upstream, bytes) in self.room.expire(now) {
             self.give_room(&service, &upstream, bytes);
         }
+        self.release_read(now);
         let over = |job: &Job| job.progress.job().deadline <= now;
         let keys: Vec<JobKey> = self
             .jobs
@@ -301,9 +331,9 @@
         std::mem::take(&mut self.unused)
     }
 
-    /// Pieces that wait, over all services.
-    pub fn waiting(&self) -> usize {
-        self.queues.values().map(|q| q.waiting.len()).sum()
+    /// True if time alone may bring something to decide.
+    pub fn is_waiting(&self) -> bool {
+        !self.reading.is_empty() || self.queues.values().any(|q| !q.waiting.is_empty())
     }
 
     /// Refuses at once what would wait longer than its caller does. Held and
@@ -356,15 +386,16 @@
             let counted = |s: usize| (s, job.progress.job().stages[s].pieces);
             let stages: Vec<(usize, usize)> = ready.into_iter().map(counted).collect();
             for (stage, pieces) in stages {
+                let begin = now + self.put_off(key, stage);
                 for piece in 0..pieces {
-                    self.enqueue(now, key, PieceKey { stage, piece }, now);
+                    self.enqueue(now, key, PieceKey { stage, piece }, begin);
                 }
             }
         }
     }
 
     fn enqueue(&mut self, now: MonoTime, key: JobKey, piece: PieceKey, not_before: MonoTime) {
-        let Some(job) = self.jobs.get(&key) else {
+        let Some(job) = self.jobs.get(&key).filter(|j| j.progress.is_open(piece)) else {
             return;
         };
         let path = self.path_time(&job.progress, piece.stage);
@@ -393,7 +424,17 @@
         let mut bytes = 0;
         for rank in ranks {
             queue.waiting.remove(&rank);
-            if let Some(job) = self.jobs.get(&rank.job) {
+            if let Some(job) = self.jobs.get_mut(&rank.job) {
+                job.progress.sent(rank.piece);
+                for stage in job.progress.job().stages[rank.piece.stage].after.clone() {
+                    if job.progress.is_read_by_all(stage) {
+                        self.reading.push(Reading {
+                            until: now + INPUTS_READ,
+                            job: rank.job,
+                            stage,
+                        });
+                    }
+                }
                 orders.push(job.order(now, rank.piece));
                 pieces.push((rank.job, rank.piece));
                 bytes += job.result_bytes(rank.piece);
@@ -469,24 +510,20 @@
         match result {
             PieceResult::Done(handle) => self.take_handle(now, key, piece, handle),
             PieceResult::Late => self.fail(key, JobFailure::TooLate),
-            PieceResult::NoRoom => self.enqueue(now, key, piece, now + ROOM_PAUSE),
-            // What it works on lies at an upstream that is gone, so trying the
-            // piece again cannot help.
-            PieceResult::InputGone => self.fail(key, JobFailure::PieceFailed),
+            PieceResult::NoRoom => self.ask_again(now, key, piece, now + ROOM_PAUSE),
+            PieceResult::InputGone => self.start_over(now, key, piece),
             PieceResult::Failed => self.try_again(now, key, piece, now),
         }
     }
 
     fn take_handle(&mut self, now: MonoTime, key: JobKey, piece: PieceKey, handle: CompactString) {
         let job = self.jobs.get_mut(&key);
-        let Some(job) = job.filter(|j| !j.progress.has(piece)) else {
+        let Some(job) = job.filter(|j| j.progress.is_wanted(piece)) else {
             self.discard(handle);
             return;
         };
         job.progress.done(piece, handle);
         if job.progress.is_done(piece.stage) {
-            let used_up = job.progress.used_up(piece.stage);
-            self.release(used_up);
             self.advance(now, key);
         }
     }
@@ -497,9 +534,80 @@
         };
         let tries = job.tries.entry(piece).or_insert(1);
         *tries += 1;
-        match *tries > PIECE_TRIES {
-            true => self.fail(key, JobFailure::PieceFailed),
-            false => self.enqueue(now, key, piece, not_before),
+        if *tries > PIECE_TRIES {
+            self.fail(key, JobFailure::PieceFailed);
+            return;
+        }
+        self.ask_again(now, key, piece, not_before);
+    }
+
+    /// Puts a piece back that an upstream was asked for in vain.
+    fn ask_again(&mut self, now: MonoTime, key: JobKey, piece: PieceKey, not_before: MonoTime) {
+        let Some(job) = self.jobs.get_mut(&key) else {
+            return;
+        };
+        job.progress.open(piece);
+        // Its inputs may have been given up in the belief that they were read.
+        // A piece must never be asked for with only some of them.
+        match job.progress.is_ready(piece.stage) {
+            // It is asked for with the others once the inputs are made again.
+            false => {}
+            true if job.progress.lacks_inputs(piece.stage) => self.start_over(now, key, piece),
+            true => self.enqueue(now, key, piece, not_before),
+        }
+    }
+
+    /// Has the results that a piece works on made again: the upstream that kept
+    /// them is gone, or they were given up too early.
+    fn start_over(&mut self, now: MonoTime, key: JobKey, piece: PieceKey) {
+        let Some(job) = self.jobs.get_mut(&key) else {
+            return;
+        };
+        job.progress.open(piece);
+        if !job.progress.is_ready(piece.stage) {
+            return;
+        }
+        job.starts_over += 1;
+        if job.starts_over > MAX_STARTS_OVER {
+            self.fail(key, JobFailure::PieceFailed);
+            return;
+        }
+        let left = job.progress.start_over(piece.stage);
+        for queue in self.queues.values_mut() {
+            let stale = |r: &Rank| r.job == key && r.piece.stage == piece.stage;
+            queue.waiting.retain(|rank, _| !stale(rank));
+        }
+        self.release(left);
+        self.advance(now, key);
+    }
+
+    /// Gives up results that everything that needs them has read by now. Held
+    /// until the next stage has ended, they would take the room of a call more.
+    fn release_read(&mut self, now: MonoTime) {
+        let due = self.reading.extract_if(.., |r| r.until <= now);
+        let due: Vec<Reading> = due.collect();
+        for reading in due {
+            let job = self.jobs.get_mut(&reading.job);
+            let job = job.filter(|j| j.progress.is_read_by_all(reading.stage));
+            let handles = job.map_or_else(Vec::new, |j| j.progress.read(reading.stage));
+            self.release(handles);
+        }
+    }
+
+    /// How long the pieces of a stage wait because another chain of stages of
+    /// the same job takes longer.
+    fn put_off(&self, key: JobKey, stage: usize) -> Duration {
+        let call_time = |service: &str, pieces: usize| {
+            let queue = self.queues.get(service);
+            queue.map_or(Duration::ZERO, |q| q.spec.call_time(pieces))
+        };
+        let Some(job) = self.jobs.get(&key) else {
+            return Duration::ZERO;
+        };
+        let first = job.progress.job().stages[stage].after.is_empty();
+        match first && job.starts_over == 0 {
+            true => job.progress.spare_time(stage, &call_time) * PUT_OFF_PERCENT / 100,
+            false => Duration::ZERO,
         }
     }
 
@@ -570,11 +678,7 @@
     /// The next batch and the upstream that is to work on it: one in the zone
     /// where the most urgent result is wanted if it can, and never one without
     /// room for the results.
-    fn next_batch(
-        &self,
-        now: MonoTime,
-        jobs: &HashMap<JobKey, Job>,
-    ) -> Option<(usize, Vec<Rank>)> {
+    fn next_batch(&self, now: MonoTime, jobs: &HashMap<JobKey, Job>) -> Option<(usize, Vec<Rank>)> {
         let first = self.ready(now).next()?;
         let near = jobs.get(&first.job)?.progress.job().zone.as_ref();
         let slots = self.spec.slots.max(1);
@@ -589,29 +693,57 @@
     }
 
     fn ready(&self, now: MonoTime) -> impl Iterator<Item = &Rank> {
-        let ready = self.waiting.iter().filter(move |(_, w)| w.not_before <= now);
+        let ready = self
+            .waiting
+            .iter()
+            .filter(move |(_, w)| w.not_before <= now);
         ready.map(|(rank, _)| rank)
     }
 
+    /// The most urgent pieces that fit into one call and into the room there.
+    ///
+    /// Pieces of one stage of a job go together where they fit: apart, the
+    /// first of them would lie there and take room until the last is made.
     fn batch_for(
         &self,
         now: MonoTime,
         upstream: &BatchUpstream,
         jobs: &HashMap<JobKey, Job>,
     ) -> Vec<Rank> {
-        let mut room = self.spec.room_bytes.saturating_sub(upstream.room_used());
-        let mut batch = Vec::with_capacity(self.spec.pieces);
-        for rank in self.ready(now) {
-            let bytes = jobs.get(&rank.job).map_or(0, |j| j.result_bytes(rank.piece));
-            if bytes > room {
+        let usable = self.spec.room_bytes * USED_ROOM_PERCENT / 100;
+        let mut room = usable.saturating_sub(upstream.room_used());
+        let mut batch: Vec<Rank> = Vec::with_capacity(self.spec.pieces);
+        let mut left_out = 0;
+        let ready: Vec<&Rank> = self.ready(now).collect();
+        let same_stage = |a: &&Rank, b: &&Rank| a.job == b.job && a.piece.stage == b.piece.stage;
+        for group in ready.chunk_by(same_stage) {
+            let slots = self.spec.pieces - batch.len();
+            let first = group.first().and_then(|r| jobs.get(&r.job).map(|j| (r, j)));
+            let Some((rank, job)) = first else {
                 continue;
+            };
+            let bytes = job.result_bytes(rank.piece).max(1);
+            let fitting = usize::try_from(room / bytes).unwrap_or(usize::MAX);
+            let taken = match group.len() {
+                n if n <= slots.min(fitting) => n,
+                _ if batch.is_empty() => slots.min(fitting),
+                _ => 0,
+            };
+            if group.len() > fitting {
+                left_out += group.len() - taken;
             }
-            room -= bytes;
-            batch.push(*rank);
+            room -= bytes * taken as u64;
+            batch.extend(group.iter().take(taken).map(|r| **r));
             if batch.len() == self.spec.pieces {
-                break;
+                return batch;
             }
         }
-        batch
+        // A call that holds little for want of room makes the room scarcer: it
+        // costs almost as much as a full one. Results are given up soon.
+        let scant = batch.len() * 2 < self.spec.pieces.min(batch.len() + left_out);
+        match scant && upstream.room_used() > 0 {
+            true => Vec::new(),
+            false => batch,
+        }
     }
 }
--- a/crates/serving/src/stage_job.rs
+++ b/crates/serving/src/stage_job.rs
@@ -51,13 +51,31 @@
 #[derive(Debug)]
 pub(crate) struct JobProgress {
     job: StageJob,
-    results: Vec<Vec<Option<CompactString>>>,
+    results: Vec<Vec<PieceState>>,
     started: Vec<bool>,
 }
 
+/// How far one piece is.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+enum PieceState {
+    /// It waits, or its stage has not begun.
+    #[default]
+    Open,
+    /// An upstream was asked for it.
+    Sent,
+    /// Its result lies there.
+    Done(CompactString),
+    /// Its result has been read by everything that needs it.
+    Read,
+}
+
 impl JobProgress {
     pub(crate) fn new(job: StageJob) -> JobProgress {
-        let results = job.stages.iter().map(|s| vec![None; s.pieces]).collect();
+        let results = job
+            .stages
+            .iter()
+            .map(|s| vec![PieceState::Open; s.pieces])
+            .collect();
         let started = vec![false; job.stages.len()];
         JobProgress {
             job,
@@ -74,7 +92,7 @@
     pub(crate) fn start_ready(&mut self) -> Vec<usize> {
         let ready: Vec<usize> = (0..self.job.stages.len())
             .filter(|s| !self.started[*s])
-            .filter(|s| self.job.stages[*s].after.iter().all(|a| self.is_done(*a)))
+            .filter(|s| self.is_ready(*s))
             .collect();
         for stage in &ready {
             self.started[*stage] = true;
@@ -83,35 +101,107 @@
     }
 
     pub(crate) fn is_done(&self, stage: usize) -> bool {
-        let results = self.results.get(stage);
-        results.is_some_and(|r| r.iter().all(Option::is_some))
+        let made = |p: &PieceState| matches!(p, PieceState::Done(_) | PieceState::Read);
+        self.results.get(stage).is_some_and(|r| r.iter().all(made))
+    }
+
+    /// An upstream was asked for the piece.
+    pub(crate) fn sent(&mut self, key: PieceKey) {
+        self.set(key, PieceState::Sent);
+    }
+
+    /// The piece has to be asked for again.
+    pub(crate) fn open(&mut self, key: PieceKey) {
+        self.set(key, PieceState::Open);
     }
 
     pub(crate) fn done(&mut self, key: PieceKey, handle: CompactString) {
-        if let Some(slot) = self
-            .results
-            .get_mut(key.stage)
-            .and_then(|r| r.get_mut(key.piece))
-        {
-            *slot = Some(handle);
+        self.set(key, PieceState::Done(handle));
+    }
+
+    /// True if nobody has been asked for the piece.
+    pub(crate) fn is_open(&self, key: PieceKey) -> bool {
+        self.state(key) == Some(&PieceState::Open)
+    }
+
+    /// True if the piece's result is wanted.
+    pub(crate) fn is_wanted(&self, key: PieceKey) -> bool {
+        matches!(self.state(key), Some(PieceState::Open | PieceState::Sent))
+    }
+
+    /// True if every piece that works on the results of `stage` has been asked
+    /// for, and none has to be asked for again.
+    pub(crate) fn is_read_by_all(&self, stage: usize) -> bool {
+        let asked = |s: usize| self.results[s].iter().all(|p| *p != PieceState::Open);
+        self.is_needed(stage) && self.dependents(stage).all(asked)
+    }
+
+    /// Everything that needs the results of `stage` has read them; returns them.
+    pub(crate) fn read(&mut self, stage: usize) -> Vec<CompactString> {
+        let pieces = self.results[stage].iter_mut();
+        let read = pieces.map(|p| std::mem::replace(p, PieceState::Read));
+        read.filter_map(PieceState::into_handle).collect()
+    }
+
+    /// The results that `stage` works on are gone: the stages before it start
+    /// over, and what is left of it waits for them. Returns the results of
+    /// those stages that still lie somewhere.
+    pub(crate) fn start_over(&mut self, stage: usize) -> Vec<CompactString> {
+        self.started[stage] = false;
+        let mut left = Vec::new();
+        for before in self.job.stages[stage].after.clone() {
+            if !self.is_done(before) {
+                continue;
+            }
+            let was_read = self.results[before].contains(&PieceState::Read);
+            let pieces = self.results[before].iter_mut();
+            left.extend(
+                pieces
+                    .map(std::mem::take)
+                    .filter_map(PieceState::into_handle),
+            );
+            self.started[before] = false;
+            if was_read || !self.job.stages[before].after.is_empty() {
+                left.extend(self.start_over(before));
+            }
         }
+        left
+    }
+
+    /// True if all results that a stage works on have been made.
+    pub(crate) fn is_ready(&self, stage: usize) -> bool {
+        let mut after = self.job.stages[stage].after.iter();
+        after.all(|a| self.is_done(*a))
+    }
+
+    /// True if results that a stage works on have been given up.
+    pub(crate) fn lacks_inputs(&self, stage: usize) -> bool {
+        let mut after = self.job.stages[stage].after.iter();
+        after.any(|a| self.results[*a].contains(&PieceState::Read))
     }
 
-    pub(crate) fn has(&self, key: PieceKey) -> bool {
-        let stage = self.results.get(key.stage);
-        stage.is_some_and(|r| r.get(key.piece).is_some_and(Option::is_some))
+    fn state(&self, key: PieceKey) -> Option<&PieceState> {
+        self.results.get(key.stage)?.get(key.piece)
+    }
+
+    fn set(&mut self, key: PieceKey, state: PieceState) {
+        let stage = self.results.get_mut(key.stage);
+        if let Some(slot) = stage.and_then(|r| r.get_mut(key.piece)) {
+            *slot = state;
+        }
     }
 
     /// The results that a stage works on.
     pub(crate) fn inputs(&self, stage: usize) -> Vec<CompactString> {
         let after = &self.job.stages[stage].after;
         let results = after.iter().flat_map(|a| self.results[*a].iter());
-        results.flatten().cloned().collect()
+        results.filter_map(PieceState::handle).collect()
     }
 
-    /// All results so far.
+    /// All results that lie somewhere.
     pub(crate) fn all(&self) -> Vec<CompactString> {
-        self.results.iter().flatten().flatten().cloned().collect()
+        let results = self.results.iter().flatten();
+        results.filter_map(PieceState::handle).collect()
     }
 
     /// The results that no other stage works on, once all stages are done.
@@ -122,15 +212,7 @@
         }
         let last = stages.filter(|s| !self.is_needed(*s));
         let results = last.flat_map(|s| self.results[s].iter());
-        Some(results.flatten().cloned().collect())
-    }
-
-    /// The results that were only for stages which are done now.
-    pub(crate) fn used_up(&self, stage: usize) -> Vec<CompactString> {
-        let after = self.job.stages[stage].after.iter();
-        let used = after.filter(|a| self.dependents(**a).all(|d| self.is_done(d)));
-        let results = used.flat_map(|a| self.results[*a].iter());
-        results.flatten().cloned().collect()
+        Some(results.filter_map(PieceState::handle).collect())
     }
 
     /// How long the stages from `stage` on take at least, by `call_time` of
@@ -149,6 +231,19 @@
         own + rest.max().unwrap_or(Duration::ZERO)
     }
 
+    /// How much later than the longest chain of stages `stage` may begin and
+    /// still not be the last to end.
+    pub(crate) fn spare_time(
+        &self,
+        stage: usize,
+        call_time: &impl Fn(&str, usize) -> Duration,
+    ) -> Duration {
+        let all = 0..self.job.stages.len();
+        let longest = all.map(|s| self.path_time(s, call_time)).max();
+        let own = self.path_time(stage, call_time);
+        longest.unwrap_or_default().saturating_sub(own)
+    }
+
     fn is_needed(&self, stage: usize) -> bool {
         self.dependents(stage).next().is_some()
     }
@@ -159,3 +254,19 @@
         all.filter(move |d| *d > stage && self.job.stages[*d].after.contains(&stage))
     }
 }
+
+impl PieceState {
+    fn handle(&self) -> Option<CompactString> {
+        match self {
+            PieceState::Done(handle) => Some(handle.clone()),
+            _ => None,
+        }
+    }
+
+    fn into_handle(self) -> Option<CompactString> {
+        match self {
+            PieceState::Done(handle) => Some(handle),
+            _ => None,
+        }
+    }
+}
--- a/crates/settings/src/gateway_settings.rs
+++ b/crates/settings/src/gateway_settings.rs
@@ -23,23 +23,96 @@
         "name",
         "1 to 48 lower-case letters, digits, hyphens",
     ),
-    required("instance", "callers", "IP:port", "an address of this instance"),
-    required("instance", "ready", "IP:port", "an address of this instance"),
-    required("instance", "locate", "IP:port", "an address of this instance"),
-    required("instance", "peers", "IP:port", "an address of this instance"),
-    required("instance", "metrics", "IP:port", "an address of this instance"),
+    required(
+        "instance",
+        "callers",
+        "IP:port",
+        "an address of this instance",
+    ),
+    required(
+        "instance",
+        "ready",
+        "IP:port",
+        "an address of this instance",
+    ),
+    required(
+        "instance",
+        "locate",
+        "IP:port",
+        "an address of this instance",
+    ),
+    required(
+        "instance",
+        "peers",
+        "IP:port",
+        "an address of this instance",
+    ),
+    required(
+        "instance",
+        "metrics",
+        "IP:port",
+        "an address of this instance",
+    ),
     optional("instance", "threads", "threads", "1", "1 to 64"),
-    optional("instance", "max-connections", "connections", "3000", "16 to 65536"),
+    optional(
+        "instance",
+        "max-connections",
+        "connections",
+        "3000",
+        "16 to 65536",
+    ),
     required("store", "address", "IP:port", "the key-value store"),
-    optional("store", "confirm-every-ms", "milliseconds", "1200", "100 to 60000"),
-    optional("store", "lease-ms", "milliseconds", "3000", "1000 to 600000"),
-    optional("callers", "answer-lifetime-ms", "milliseconds", "2000", "100 to 60000"),
-    optional("callers", "revoke-within-ms", "milliseconds", "5000", "500 to 600000"),
+    optional(
+        "store",
+        "confirm-every-ms",
+        "milliseconds",
+        "1200",
+        "100 to 60000",
+    ),
+    optional(
+        "store",
+        "lease-ms",
+        "milliseconds",
+        "3000",
+        "1000 to 600000",
+    ),
+    optional(
+        "callers",
+        "answer-lifetime-ms",
+        "milliseconds",
+        "2000",
+        "100 to 60000",
+    ),
+    optional(
+        "callers",
+        "revoke-within-ms",
+        "milliseconds",
+        "5000",
+        "500 to 600000",
+    ),
     optional("stop", "grace-s", "seconds", "8", "1 to 600"),
-    optional("repeats", "ratio", "repeats for each request", "0.2", "0 to 1"),
-    optional("repeats", "slack", "repeats of all instances", "50", "0 to 1000000"),
+    optional(
+        "repeats",
+        "ratio",
+        "repeats for each request",
+        "0.2",
+        "0 to 1",
+    ),
+    optional(
+        "repeats",
+        "slack",
+        "repeats of all instances",
+        "50",
+        "0 to 1000000",
+    ),
     optional("repeats", "window-s", "seconds", "10", "0.1 to 600"),
-    optional("log", "level", "level", "info", "error, warn, info, debug or trace"),
+    optional(
+        "log",
+        "level",
+        "level",
+        "info",
+        "error, warn, info, debug or trace",
+    ),
 ];
 
 /// The part of the time for a revocation during which requests are still sent
@@ -113,9 +186,8 @@
             let fits = |n: &u64| (low..=high).contains(n);
             raw.value(section, key, |t| t.parse().ok().filter(fits))
         };
-        let millis = |section, key, low, high| {
-            number(section, key, low, high).map(Duration::from_millis)
-        };
+        let millis =
+            |section, key, low, high| number(section, key, low, high).map(Duration::from_millis);
         let fraction = |section, key, high: f64| {
             let fits = |n: &f64| (0.0..=high).contains(n);
             raw.value(section, key, |t| t.parse().ok().filter(fits))
--- a/crates/settings/src/raw.rs
+++ b/crates/settings/src/raw.rs
@@ -127,7 +127,10 @@
         for (section, properties) in self.ini.iter() {
             let section = section.unwrap_or("");
             for (key, _) in properties.iter() {
-                let known = self.keys.iter().any(|k| k.section == section && is_key(k, key));
+                let known = self
+                    .keys
+                    .iter()
+                    .any(|k| k.section == section && is_key(k, key));
                 let place = || {
                     (
                         self.file.clone(),
