Work on pieces in the zone where their inputs lie

A piece now waits a fifth of its spare time, 200 ms at most, for an upstream where its inputs lie, or, where nothing follows, where its result is wanted.

--- a/crates/serving/src/result_room.rs
+++ b/crates/serving/src/result_room.rs
@@ -32,6 +32,12 @@
         self.held.insert(handle, (place, until));
     }
 
+    /// The service and the upstream where a result lies.
+    pub(crate) fn place(&self, handle: &str) -> Option<(&CompactString, &CompactString)> {
+        let ((service, upstream, _), _) = self.held.get(handle)?;
+        Some((service, upstream))
+    }
+
     /// A result is given up; where it lay, if that is known.
     pub(crate) fn take(&mut self, handle: &str) -> Option<Place> {
         self.held.remove(handle).map(|(place, _)| place)
--- a/crates/serving/src/stage_desk.rs
+++ b/crates/serving/src/stage_desk.rs
@@ -33,6 +33,12 @@
 /// The part of an upstream's room, in hundredths, that results are planned to
 /// take. Their sizes are known only about.
 const USED_ROOM_PERCENT: u64 = 90;
+/// The part of its spare time, in hundredths, that a piece waits for an upstream
+/// in the zone where its inputs lie. Every piece reads all of its inputs, so a
+/// stage elsewhere moves megabytes between zones.
+const NEAR_WAIT_PERCENT: u32 = 20;
+/// The longest such wait: about half a call.
+const NEAR_WAIT_MOST: Duration = Duration::from_millis(200);
 /// How long a piece waits after an upstream had no room for its result.
 const ROOM_PAUSE: Duration = Duration::from_millis(60);
 
@@ -144,6 +150,16 @@
 #[derive(Debug)]
 struct Waiting {
     not_before: MonoTime,
+    zone: Option<Name>,
+    anywhere_from: MonoTime,
+}
+
+impl Waiting {
+    /// True if an upstream in `zone` may work on the piece now.
+    fn suits(&self, now: MonoTime, zone: &Name) -> bool {
+        let near = self.zone.as_ref().is_none_or(|z| z == zone);
+        self.not_before <= now && (near || self.anywhere_from <= now)
+    }
 }
 
 #[derive(Debug)]
@@ -408,9 +424,28 @@
             piece,
         };
         let service = spec.stages[piece.stage].service.clone();
+        let near_wait = start_by.since(now) * NEAR_WAIT_PERCENT / 100;
+        let waiting = Waiting {
+            not_before,
+            zone: self.wanted_zone(job, piece.stage),
+            anywhere_from: not_before + near_wait.min(NEAR_WAIT_MOST),
+        };
         if let Some(queue) = self.queues.get_mut(&service) {
-            queue.waiting.insert(rank, Waiting { not_before });
+            queue.waiting.insert(rank, waiting);
+        }
+    }
+
+    /// The zone where a piece of a stage is best worked on: where its inputs
+    /// lie, or where its result is wanted.
+    fn wanted_zone(&self, job: &Job, stage: usize) -> Option<Name> {
+        if let Some(input) = job.progress.inputs(stage).first() {
+            let (service, upstream) = self.room.place(input)?;
+            let mut upstreams = self.queues.get(service)?.upstreams.iter();
+            let upstream = upstreams.find(|u| u.id == *upstream);
+            return upstream.map(|u| u.zone.clone());
         }
+        let last = !job.progress.is_needed(stage);
+        last.then(|| job.progress.job().zone.clone()).flatten()
     }
 
     fn next_call_of(&mut self, now: MonoTime, service: &str) -> Option<BatchCall> {
@@ -679,27 +714,20 @@
     /// where the most urgent result is wanted if it can, and never one without
     /// room for the results.
     fn next_batch(&self, now: MonoTime, jobs: &HashMap<JobKey, Job>) -> Option<(usize, Vec<Rank>)> {
-        let first = self.ready(now).next()?;
-        let near = jobs.get(&first.job)?.progress.job().zone.as_ref();
+        let mut waiting = self.waiting.iter();
+        let (_, first) = waiting.find(|(_, w)| w.not_before <= now)?;
         let slots = self.spec.slots.max(1);
         let able = self.upstreams.iter().enumerate();
         let able = able.filter(|(_, u)| u.open_calls() < slots && !u.is_blocked(now));
         let mut able: Vec<(usize, &BatchUpstream)> = able.collect();
-        able.sort_by_key(|(_, u)| (near.is_some_and(|z| u.zone != *z), u.room_used()));
+        let far = |u: &BatchUpstream| first.zone.as_ref().is_some_and(|z| u.zone != *z);
+        able.sort_by_key(|(_, u)| (far(u), u.room_used()));
         able.into_iter().find_map(|(n, upstream)| {
             let ranks = self.batch_for(now, upstream, jobs);
             (!ranks.is_empty()).then_some((n, ranks))
         })
     }
 
-    fn ready(&self, now: MonoTime) -> impl Iterator<Item = &Rank> {
-        let ready = self
-            .waiting
-            .iter()
-            .filter(move |(_, w)| w.not_before <= now);
-        ready.map(|(rank, _)| rank)
-    }
-
     /// The most urgent pieces that fit into one call and into the room there.
     ///
     /// Pieces of one stage of a job go together where they fit: apart, the
@@ -714,7 +742,9 @@
         let mut room = usable.saturating_sub(upstream.room_used());
         let mut batch: Vec<Rank> = Vec::with_capacity(self.spec.pieces);
         let mut left_out = 0;
-        let ready: Vec<&Rank> = self.ready(now).collect();
+        let suits = |(_, w): &(&Rank, &Waiting)| w.suits(now, &upstream.zone);
+        let ready = self.waiting.iter().filter(suits);
+        let ready: Vec<&Rank> = ready.map(|(rank, _)| rank).collect();
         let same_stage = |a: &&Rank, b: &&Rank| a.job == b.job && a.piece.stage == b.piece.stage;
         for group in ready.chunk_by(same_stage) {
             let slots = self.spec.pieces - batch.len();
--- a/crates/serving/src/stage_job.rs
+++ b/crates/serving/src/stage_job.rs
@@ -244,7 +244,8 @@
         longest.unwrap_or_default().saturating_sub(own)
     }
 
-    fn is_needed(&self, stage: usize) -> bool {
+    /// True if another stage works on the results of `stage`.
+    pub(crate) fn is_needed(&self, stage: usize) -> bool {
         self.dependents(stage).next().is_some()
     }
 
