Hear of the store's return at once, and act on what was proven on arrival

Cause: after an absence of the store instances refused for up to 1.2 s more, and requests that had come while all was proven were refused after their stages had been done. Now the store is asked four times a second while it is away, by one task only, and proof is checked when a request comes.

--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -99,12 +99,18 @@
         let head = self.state.dialect.call_head(&parts);
         let router = self.state.router.load_full();
         let router = router.ok_or_else(|| unproven("no configuration is known here yet"))?;
-        // Old knowledge must not refuse for good what newer knowledge allows.
-        if !self.state.is_fresh() {
+        let host = host_of(&parts);
+        // A credential may have been taken away, and an unknown one or an unknown
+        // route may have been added, since this was last proven to be in force.
+        // What was proven when the request came may be acted on for as long as
+        // the request lasts: its caller had sent it by then.
+        let fresh = self.state.is_fresh();
+        let route = router.find(host, parts.uri.path());
+        let open = route.is_some_and(|r| !router.needs_credential(router.route(r)));
+        if !fresh && !open {
             return Err(unproven("what is known here is too old to act on"));
         }
-        let host = host_of(&parts);
-        let route = router.find(host, parts.uri.path()).ok_or_else(|| {
+        let route = route.ok_or_else(|| {
             let detail = format_compact!("no route for host `{host}` and this path");
             Refusal::not_run(RefusalKind::UnknownPipeline, detail)
         })?;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 mod result_free;
 mod result_release;
 mod service_apis;
+mod signal;
 mod stage_batches;
 mod stage_runner;
 mod state;
--- a/crates/gateway/src/plain_call.rs
+++ b/crates/gateway/src/plain_call.rs
@@ -105,11 +105,6 @@
     if call.left(now).is_zero() {
         return Err(over(runs, "the deadline passed"));
     }
-    // A frozen or suspended instance wakes here with old knowledge.
-    if !state.is_fresh() {
-        let detail = "what is known here is too old to act on";
-        return Err(no_more(runs, RefusalKind::NotServing, detail));
-    }
     let table = state.upstreams.load();
     let zone = &state.settings.zone;
     table.pick(&call.service, now, zone, tried).ok_or_else(|| {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -28,6 +28,7 @@
 
 use crate::Dialect;
 use crate::metrics::Metrics;
+use crate::signal::Signal;
 use crate::upstream_table::UpstreamTable;
 
 /// What the store has told, as one value under one lock.
@@ -51,6 +52,9 @@
     pub(crate) router: ArcSwapOption<Router>,
     pub(crate) upstreams: ArcSwap<UpstreamTable>,
     pub(crate) metrics: Metrics,
+    /// Signals that the store does not answer, and that it does again.
+    pub(crate) store_lost: Signal,
+    pub(crate) store_back: Signal,
     knowledge: Mutex<Knowledge>,
     budgets: Mutex<HashMap<CompactString, RepeatBudget>>,
     leaving: AtomicBool,
@@ -76,6 +80,8 @@
             router: ArcSwapOption::empty(),
             upstreams: ArcSwap::default(),
             metrics: Metrics::new(),
+            store_lost: Signal::new(),
+            store_back: Signal::new(),
             knowledge: Mutex::default(),
             budgets: Mutex::default(),
             leaving: AtomicBool::new(false),
--- a/crates/gateway/src/stream_call.rs
+++ b/crates/gateway/src/stream_call.rs
@@ -99,11 +99,6 @@
         0 => Refusal::not_run(kind, detail).after(FULL_PAUSE),
         _ => may_have_run(RefusalKind::UpstreamFailed, detail),
     };
-    // A frozen or suspended instance wakes here with old knowledge.
-    if !state.is_fresh() {
-        let detail = "what is known here is too old to act on";
-        return Err(refuse(RefusalKind::NotServing, detail));
-    }
     let table = state.upstreams.load();
     let chosen = match &call.head.prompt {
         Some(prompt) => {
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -24,8 +24,11 @@
 /// How long a watch may bring nothing of what the store is known to have
 /// before everything is read again.
 const WATCH_BEHIND: Duration = Duration::from_millis(250);
-/// Pause after a failed call, so that a store that is down is not overrun.
-const RETRY_PAUSE: Duration = Duration::from_millis(300);
+/// Pause after a failed call. Callers who show credentials are refused from a
+/// few seconds into an absence until this instance hears of the store again.
+const RETRY_PAUSE: Duration = Duration::from_millis(250);
+/// How long the watch waits for the store's return to be noticed.
+const AWAY_PAUSE: Duration = Duration::from_secs(2);
 /// How often entries are looked through for those that are over.
 const EXPIRE_EVERY: Duration = Duration::from_millis(250);
 
@@ -45,7 +48,7 @@
                 Ok(revision) => self.watch_from(revision).await,
                 Err(e) => {
                     self.call_failed("list", e);
-                    Timer::after(RETRY_PAUSE).await;
+                    self.state.store_back.wait(AWAY_PAUSE).await;
                 }
             }
         }
@@ -54,15 +57,29 @@
     /// Asks for the store's revision again and again: the proof that nothing
     /// in force is missing here.
     pub(crate) async fn confirm(self: Arc<Self>) {
+        let mut away = false;
         loop {
-            Timer::after(self.state.settings.confirm_every).await;
+            match away {
+                true => {
+                    Timer::after(RETRY_PAUSE).await;
+                }
+                false => {
+                    let pause = self.state.settings.confirm_every;
+                    self.state.store_lost.wait(pause).await;
+                }
+            }
             let asked = self.state.now();
             match self.call(self.store.revision()).await {
                 Ok(revision) => {
+                    away = false;
                     self.call_succeeded();
-                    self.state.knowledge().freshness.confirmed(asked, revision);
+                    let mut knowledge = self.state.knowledge();
+                    knowledge.freshness.confirmed(asked, revision);
+                }
+                Err(e) => {
+                    away = true;
+                    self.call_failed("confirm", e);
                 }
-                Err(e) => self.call_failed("confirm", e),
             }
         }
     }
@@ -182,7 +199,7 @@
                 }
                 Some(Err(e)) => {
                     self.call_failed("watch", e);
-                    Timer::after(RETRY_PAUSE).await;
+                    self.state.store_back.wait(AWAY_PAUSE).await;
                 }
                 None => {
                     log::warn!(revision; "watch is behind the store; reading everything again");
@@ -263,6 +280,7 @@
         let now = self.state.now();
         let back = self.state.knowledge().upstreams.store_back(now);
         if back {
+            self.state.store_back.give();
             log::info!("store answers again");
         }
     }
@@ -270,6 +288,7 @@
     fn call_failed(&self, call: &str, e: StoreError) {
         self.state.metrics.store_failed();
         self.state.knowledge().upstreams.store_away();
+        self.state.store_lost.give();
         log::warn!(call, error:% = e; "store call failed");
     }
 }
--- a/crates/serving/src/stage_desk.rs
+++ b/crates/serving/src/stage_desk.rs
@@ -33,6 +33,9 @@
 /// The part of an upstream's room, in hundredths, that results are planned to
 /// take. Their sizes are known only about.
 const USED_ROOM_PERCENT: u64 = 90;
+/// Above this part of an upstream's room, in hundredths, results there are given
+/// up as early as possible: from there a full call may not fit beside them.
+const SCARCE_ROOM_PERCENT: u64 = 45;
 /// The part of its spare time, in hundredths, that a piece waits for an upstream
 /// in the zone where its inputs lie. Every piece reads all of its inputs, so a
 /// stage elsewhere moves megabytes between zones.
@@ -559,6 +562,14 @@
         };
         job.progress.done(piece, handle);
         if job.progress.is_done(piece.stage) {
+            for read in job.progress.job().stages[piece.stage].after.clone() {
+                self.reading.push(Reading {
+                    until: now,
+                    job: key,
+                    stage: read,
+                });
+            }
+            self.release_read(now);
             self.advance(now, key);
         }
     }
@@ -616,19 +627,42 @@
         self.advance(now, key);
     }
 
-    /// Gives up results that everything that needs them has read by now. Held
-    /// until the next stage has ended, they would take the room of a call more.
+    /// Gives up results that everything that needs them has read by now, if the
+    /// room where they lie is getting scarce, or once nothing can need them
+    /// again. Given up early, a call that fails has them made again.
     fn release_read(&mut self, now: MonoTime) {
         let due = self.reading.extract_if(.., |r| r.until <= now);
         let due: Vec<Reading> = due.collect();
         for reading in due {
+            let Some(job) = self.jobs.get(&reading.job) else {
+                continue;
+            };
+            if !job.progress.is_read_by_all(reading.stage) {
+                continue;
+            }
+            let over = job.progress.is_used_up(reading.stage);
+            if !over && !self.is_scarce(&job.progress.results_of(reading.stage)) {
+                let until = now + INPUTS_READ;
+                self.reading.push(Reading { until, ..reading });
+                continue;
+            }
             let job = self.jobs.get_mut(&reading.job);
-            let job = job.filter(|j| j.progress.is_read_by_all(reading.stage));
             let handles = job.map_or_else(Vec::new, |j| j.progress.read(reading.stage));
             self.release(handles);
         }
     }
 
+    /// True if one of the upstreams where these results lie is short of room.
+    fn is_scarce(&self, handles: &[CompactString]) -> bool {
+        handles.iter().any(|handle| {
+            let place = self.room.place(handle);
+            place.is_none_or(|(service, upstream)| {
+                let queue = self.queues.get(service);
+                queue.is_none_or(|q| q.is_scarce(upstream))
+            })
+        })
+    }
+
     /// How long the pieces of a stage wait because another chain of stages of
     /// the same job takes longer.
     fn put_off(&self, key: JobKey, stage: usize) -> Duration {
@@ -706,6 +740,12 @@
         }
     }
 
+    fn is_scarce(&self, id: &str) -> bool {
+        let upstream = self.upstreams.iter().find(|u| u.id == id);
+        let scarce = self.spec.room_bytes * SCARCE_ROOM_PERCENT / 100;
+        upstream.is_none_or(|u| u.room_used() > scarce)
+    }
+
     fn upstream(&mut self, id: &str) -> Option<&mut BatchUpstream> {
         self.upstreams.iter_mut().find(|u| u.id == id)
     }
--- a/crates/serving/src/stage_job.rs
+++ b/crates/serving/src/stage_job.rs
@@ -136,6 +136,17 @@
         self.is_needed(stage) && self.dependents(stage).all(asked)
     }
 
+    /// True if every stage that works on the results of `stage` is done.
+    pub(crate) fn is_used_up(&self, stage: usize) -> bool {
+        self.dependents(stage).all(|d| self.is_done(d))
+    }
+
+    /// The results of `stage` that lie somewhere.
+    pub(crate) fn results_of(&self, stage: usize) -> Vec<CompactString> {
+        let pieces = self.results[stage].iter();
+        pieces.filter_map(PieceState::handle).collect()
+    }
+
     /// Everything that needs the results of `stage` has read them; returns them.
     pub(crate) fn read(&mut self, stage: usize) -> Vec<CompactString> {
         let pieces = self.results[stage].iter_mut();
@@ -193,9 +204,8 @@
 
     /// The results that a stage works on.
     pub(crate) fn inputs(&self, stage: usize) -> Vec<CompactString> {
-        let after = &self.job.stages[stage].after;
-        let results = after.iter().flat_map(|a| self.results[*a].iter());
-        results.filter_map(PieceState::handle).collect()
+        let after = self.job.stages[stage].after.iter();
+        after.flat_map(|a| self.results_of(*a)).collect()
     }
 
     /// All results that lie somewhere.
