--- a/crates/gateway/src/stage_batches.rs
+++ b/crates/gateway/src/stage_batches.rs
@@ -8,12 +8,14 @@
 use async_channel::Sender;
 use async_io::Timer;
 use compact_str::CompactString;
+use compact_str::format_compact;
 use jd_net::lock;
 use jd_net::within;
 use jd_serving::BatchCall;
 use jd_serving::CallResult;
 use jd_serving::JobFailure;
 use jd_serving::JobKey;
+use jd_serving::PieceResult;
 use jd_serving::StageDesk;
 use jd_serving::StageJob;
 
@@ -125,16 +127,19 @@
     }
 
     async fn make(self: Arc<Self>, call: BatchCall) {
+        let began = self.state.now();
         let result = self.ask(&call).await;
-        if !matches!(result, CallResult::Answered(_)) {
-            log::info!(
-                upstream = call.upstream.as_str(),
-                pieces = call.pieces.len(),
-                result:? = result;
-                "call for pieces failed"
-            );
-        }
         let now = self.state.now();
+        log::info!(
+            service = call.service.as_str(),
+            upstream = call.upstream.as_str(),
+            pieces = call.pieces.len(),
+            waiting = call.waiting,
+            room_used = call.room_used,
+            outcome = outcome_of(&result).as_str(),
+            ms = now.since(began).as_millis() as u64;
+            "call for pieces"
+        );
         lock(&self.desk).desk.finish(now, call.key, result);
         self.pump();
     }
@@ -190,3 +195,28 @@
         desk.table = Some(table);
     }
 }
+
+/// What came of a call, for its log line: how many pieces ended how.
+fn outcome_of(result: &CallResult) -> CompactString {
+    let results = match result {
+        CallResult::Answered(results) => results,
+        other => return format_compact!("{other:?}"),
+    };
+    let mut counts = [0; 5];
+    for result in results {
+        let kind = match result {
+            PieceResult::Done(_) => 0,
+            PieceResult::Late => 1,
+            PieceResult::InputGone => 2,
+            PieceResult::NoRoom => 3,
+            PieceResult::Failed => 4,
+        };
+        counts[kind] += 1;
+    }
+    let names = ["done", "late", "input-gone", "no-room", "failed"];
+    let named = names.iter().zip(counts).filter(|(_, n)| *n > 0);
+    let parts: Vec<CompactString> = named
+        .map(|(name, n)| format_compact!("{n} {name}"))
+        .collect();
+    parts.join(", ").into()
+}
--- a/crates/serving/src/stage_desk.rs
+++ b/crates/serving/src/stage_desk.rs
@@ -80,6 +80,12 @@
 pub struct BatchCall {
     /// To tell its outcome by.
     pub key: CallKey,
+    /// The service that does the stage.
+    pub service: CompactString,
+    /// Pieces that wait for that service beside these.
+    pub waiting: usize,
+    /// Bytes of results at the upstream, those of this call included.
+    pub room_used: u64,
     /// The upstream's identity.
     pub upstream: CompactString,
     /// Where it answers.
@@ -484,6 +490,9 @@
         upstream.take_room(bytes);
         let call = BatchCall {
             key,
+            service: service.into(),
+            waiting: queue.waiting.len(),
+            room_used: upstream.room_used(),
             upstream: upstream.id.clone(),
             address: upstream.address,
             pieces: orders,
