--- a/crates/serving/src/stage_desk.rs
+++ b/crates/serving/src/stage_desk.rs
@@ -19,7 +19,7 @@
 /// What a step of priority is worth in waiting. Half a call of the users'
 /// stages: enough that a burst of the less urgent does not delay the more
 /// urgent, too little to starve what could still be in time.
-const PRIORITY_STEP: Duration = Duration::from_millis(150);
+const PRIORITY_STEP: Duration = Duration::from_millis(400);
 /// How often one piece is tried. A third failure is rarely the upstream's.
 const PIECE_TRIES: u32 = 3;
 /// How often the stages of one job start over because results were gone.
@@ -176,6 +176,8 @@
     spec: BatchSpec,
     upstreams: Vec<BatchUpstream>,
     waiting: BTreeMap<Rank, Waiting>,
+    /// How long pieces that can still be in time wait here, about.
+    wait: Duration,
 }
 
 #[derive(Debug)]
@@ -234,6 +236,7 @@
             spec,
             upstreams: Vec::new(),
             waiting: BTreeMap::new(),
+            wait: Duration::ZERO,
         });
         queue.spec = spec;
         let mut old = std::mem::take(&mut queue.upstreams);
@@ -366,7 +369,7 @@
     fn check_wait(&self, now: MonoTime, progress: &JobProgress) -> Result<(), JobFailure> {
         let first = (0..progress.job().stages.len())
             .filter(|s| progress.job().stages[*s].pieces > 0)
-            .map(|s| self.path_time(progress, s))
+            .map(|s| self.bare_path_time(progress, s))
             .max()
             .unwrap_or_default();
         let longest = progress
@@ -385,6 +388,16 @@
         }
     }
 
+    /// How long the stages from `stage` on take if nothing waits.
+    fn bare_path_time(&self, progress: &JobProgress, stage: usize) -> Duration {
+        let call_time = |service: &str, pieces: usize| {
+            let queue = self.queues.get(service);
+            queue.map_or(Duration::ZERO, |q| q.spec.call_time(pieces))
+        };
+        progress.path_time(stage, &call_time)
+    }
+
+    /// The same with the waits that are to be expected.
     fn path_time(&self, progress: &JobProgress, stage: usize) -> Duration {
         let call_time = |service: &str, pieces: usize| {
             let queue = self.queues.get(service);
@@ -460,6 +473,7 @@
     fn next_call_of(&mut self, now: MonoTime, service: &str) -> Option<BatchCall> {
         let queue = self.queues.get_mut(service)?;
         queue.mark_late(now);
+        queue.wait = queue.expected_wait(now);
         let (upstream, ranks) = queue.next_batch(now, &self.jobs)?;
         self.numbers += 1;
         let key = CallKey(self.numbers);
@@ -530,6 +544,7 @@
             }
             CallResult::Full | CallResult::Gone => {}
         }
+        self.learn_of_others(until, key, call, result);
         for (handle, bytes) in made {
             let queue = self.queues.get_mut(place.0);
             if let Some(upstream) = queue.and_then(|q| q.upstream(place.1)) {
@@ -539,6 +554,35 @@
         }
     }
 
+    /// An upstream without room where some was expected keeps results that are
+    /// not counted here, another owner's. Half of what seemed free is counted
+    /// as taken for as long as a call lasts, so that pieces are not sent again
+    /// and again into an upstream that refuses them.
+    fn learn_of_others(
+        &mut self,
+        until: MonoTime,
+        key: CallKey,
+        call: &OpenCall,
+        result: &CallResult,
+    ) {
+        let refused = match result {
+            CallResult::Answered(results) => results.contains(&PieceResult::NoRoom),
+            _ => false,
+        };
+        let Some(queue) = self.queues.get_mut(&call.service).filter(|_| refused) else {
+            return;
+        };
+        let until = until.before(queue.spec.keep) + queue.spec.call_time(queue.spec.pieces);
+        let room = queue.spec.room_bytes;
+        if let Some(upstream) = queue.upstream(&call.upstream) {
+            let bytes = room.saturating_sub(upstream.room_used()) / 2;
+            upstream.take_room(bytes);
+            let others = compact_str::format_compact!("others {}", key.0);
+            self.room
+                .put(others, (&call.service, &call.upstream), bytes, until);
+        }
+    }
+
     fn discard(&mut self, handle: CompactString) {
         if let Some((service, upstream, bytes)) = self.room.take(&handle) {
             self.give_room(&service, &upstream, bytes);
@@ -734,6 +778,17 @@
         full.mul_f64(calls / able.max(1) as f64)
     }
 
+    /// How long a piece that can still be in time waits for its call: the
+    /// backlog of such pieces, and half the time between two upstreams getting
+    /// free.
+    fn expected_wait(&self, now: MonoTime) -> Duration {
+        let able = self.upstreams.iter().filter(|u| !u.is_blocked(now)).count();
+        let in_time = self.waiting.keys().take_while(|r| !r.late).count();
+        let calls = in_time as f64 / self.spec.pieces.max(1) as f64 + 0.5;
+        let full = self.spec.call_time(self.spec.pieces);
+        full.mul_f64(calls / able.max(1) as f64)
+    }
+
     /// Puts behind the others what can no longer be in time. Served first, it
     /// would make the next one late as well, and so all of them.
     fn mark_late(&mut self, now: MonoTime) {
