An entry of an earlier start does not displace the later one

Cause: the listing is read in the order of keys, and an entry displaced any other of the same address. Test: tests/instances.rs. Late work that was begun goes before late work that was not.

--- a/crates/serving/src/instance_directory.rs
+++ b/crates/serving/src/instance_directory.rs
@@ -57,10 +57,9 @@
         });
         known.listed = true;
         known.entry.leaving |= entry.leaving;
-        // An address has one process: an older start of it is gone.
-        let (id, peers) = (entry.incarnation, entry.peers);
-        self.known
-            .retain(|other, k| *other == id || k.entry.peers != peers);
+        // An entry of an earlier start at the same address may be read after that
+        // of the later one, so neither displaces the other: which of them is
+        // gone shows when the address is asked who it is.
     }
 
     /// The store lists it no more. While heartbeats arrive it is still there:
--- a/crates/serving/src/stage_desk.rs
+++ b/crates/serving/src/stage_desk.rs
@@ -146,16 +146,38 @@
     pub outcome: Result<Vec<CompactString>, JobFailure>,
 }
 
+/// Whether a piece's job can still be in time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Chance {
+    /// It can.
+    InTime,
+    /// It cannot, but earlier stages have been done for it. Left behind, their
+    /// results expire, and the work has to be done twice.
+    LateBegun,
+    /// It cannot, and nothing has been done for it.
+    Late,
+}
+
 /// The order in which pieces are served: those that can still be in time
 /// first, and among them those that have to start first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct Rank {
-    late: bool,
+    chance: Chance,
     start_by: MonoTime,
     job: JobKey,
     piece: PieceKey,
 }
 
+impl Chance {
+    fn of(is_late: bool, is_first: bool) -> Chance {
+        match (is_late, is_first) {
+            (false, _) => Chance::InTime,
+            (true, false) => Chance::LateBegun,
+            (true, true) => Chance::Late,
+        }
+    }
+}
+
 #[derive(Debug)]
 struct Waiting {
     not_before: MonoTime,
@@ -176,8 +198,6 @@
     spec: BatchSpec,
     upstreams: Vec<BatchUpstream>,
     waiting: BTreeMap<Rank, Waiting>,
-    /// How long pieces that can still be in time wait here, about.
-    wait: Duration,
 }
 
 #[derive(Debug)]
@@ -236,7 +256,6 @@
             spec,
             upstreams: Vec::new(),
             waiting: BTreeMap::new(),
-            wait: Duration::ZERO,
         });
         queue.spec = spec;
         let mut old = std::mem::take(&mut queue.upstreams);
@@ -369,7 +388,7 @@
     fn check_wait(&self, now: MonoTime, progress: &JobProgress) -> Result<(), JobFailure> {
         let first = (0..progress.job().stages.len())
             .filter(|s| progress.job().stages[*s].pieces > 0)
-            .map(|s| self.bare_path_time(progress, s))
+            .map(|s| self.path_time(progress, s))
             .max()
             .unwrap_or_default();
         let longest = progress
@@ -389,15 +408,6 @@
     }
 
     /// How long the stages from `stage` on take if nothing waits.
-    fn bare_path_time(&self, progress: &JobProgress, stage: usize) -> Duration {
-        let call_time = |service: &str, pieces: usize| {
-            let queue = self.queues.get(service);
-            queue.map_or(Duration::ZERO, |q| q.spec.call_time(pieces))
-        };
-        progress.path_time(stage, &call_time)
-    }
-
-    /// The same with the waits that are to be expected.
     fn path_time(&self, progress: &JobProgress, stage: usize) -> Duration {
         let call_time = |service: &str, pieces: usize| {
             let queue = self.queues.get(service);
@@ -440,7 +450,7 @@
         let spec = job.progress.job();
         let start_by = spec.objective.before(path);
         let rank = Rank {
-            late: start_by < now,
+            chance: Chance::of(start_by < now, spec.stages[piece.stage].after.is_empty()),
             start_by: start_by + PRIORITY_STEP * u32::from(spec.priority),
             job: key,
             piece,
@@ -457,6 +467,16 @@
         }
     }
 
+    /// Services where more late work waits than fits into one call. Late jobs are
+    /// not begun that lead there: their results would expire before their turn.
+    fn clogged(&self) -> Vec<CompactString> {
+        let clogged = self.queues.iter().filter(|(_, q)| {
+            let begun = q.waiting.keys().filter(|r| r.chance == Chance::LateBegun);
+            begun.count() > q.spec.pieces
+        });
+        clogged.map(|(service, _)| service.clone()).collect()
+    }
+
     /// The zone where a piece of a stage is best worked on: where its inputs
     /// lie, or where its result is wanted.
     fn wanted_zone(&self, job: &Job, stage: usize) -> Option<Name> {
@@ -471,10 +491,10 @@
     }
 
     fn next_call_of(&mut self, now: MonoTime, service: &str) -> Option<BatchCall> {
+        let clogged = self.clogged();
         let queue = self.queues.get_mut(service)?;
-        queue.mark_late(now);
-        queue.wait = queue.expected_wait(now);
-        let (upstream, ranks) = queue.next_batch(now, &self.jobs)?;
+        queue.mark_late(now, &self.jobs);
+        let (upstream, ranks) = queue.next_batch(now, &self.jobs, &clogged)?;
         self.numbers += 1;
         let key = CallKey(self.numbers);
         let mut orders = Vec::with_capacity(ranks.len());
@@ -750,6 +770,17 @@
 }
 
 impl Job {
+    fn is_first(&self, piece: PieceKey) -> bool {
+        self.progress.job().stages[piece.stage].after.is_empty()
+    }
+
+    /// True if one of its stages is done by one of these services.
+    fn leads_to(&self, services: &[CompactString]) -> bool {
+        let stages = self.progress.job().stages.iter();
+        let mut used = stages.filter(|s| s.pieces > 0);
+        used.any(|s| services.contains(&s.service))
+    }
+
     fn result_bytes(&self, piece: PieceKey) -> u64 {
         self.progress.job().stages[piece.stage].result_bytes
     }
@@ -778,26 +809,16 @@
         full.mul_f64(calls / able.max(1) as f64)
     }
 
-    /// How long a piece that can still be in time waits for its call: the
-    /// backlog of such pieces, and half the time between two upstreams getting
-    /// free.
-    fn expected_wait(&self, now: MonoTime) -> Duration {
-        let able = self.upstreams.iter().filter(|u| !u.is_blocked(now)).count();
-        let in_time = self.waiting.keys().take_while(|r| !r.late).count();
-        let calls = in_time as f64 / self.spec.pieces.max(1) as f64 + 0.5;
-        let full = self.spec.call_time(self.spec.pieces);
-        full.mul_f64(calls / able.max(1) as f64)
-    }
-
     /// Puts behind the others what can no longer be in time. Served first, it
     /// would make the next one late as well, and so all of them.
-    fn mark_late(&mut self, now: MonoTime) {
+    fn mark_late(&mut self, now: MonoTime, jobs: &HashMap<JobKey, Job>) {
         while let Some((rank, _)) = self.waiting.first_key_value()
-            && !rank.late
+            && rank.chance == Chance::InTime
             && rank.start_by < now
         {
             let mut late = *rank;
-            late.late = true;
+            let first = jobs.get(&rank.job).is_none_or(|j| j.is_first(rank.piece));
+            late.chance = Chance::of(true, first);
             if let Some((_, waiting)) = self.waiting.pop_first() {
                 self.waiting.insert(late, waiting);
             }
@@ -817,7 +838,12 @@
     /// The next batch and the upstream that is to work on it: one in the zone
     /// where the most urgent result is wanted if it can, and never one without
     /// room for the results.
-    fn next_batch(&self, now: MonoTime, jobs: &HashMap<JobKey, Job>) -> Option<(usize, Vec<Rank>)> {
+    fn next_batch(
+        &self,
+        now: MonoTime,
+        jobs: &HashMap<JobKey, Job>,
+        clogged: &[CompactString],
+    ) -> Option<(usize, Vec<Rank>)> {
         let mut waiting = self.waiting.iter();
         let (_, first) = waiting.find(|(_, w)| w.not_before <= now)?;
         let slots = self.spec.slots.max(1);
@@ -827,7 +853,7 @@
         let far = |u: &BatchUpstream| first.zone.as_ref().is_some_and(|z| u.zone != *z);
         able.sort_by_key(|(_, u)| (far(u), u.room_used()));
         able.into_iter().find_map(|(n, upstream)| {
-            let ranks = self.batch_for(now, upstream, jobs);
+            let ranks = self.batch_for(now, upstream, jobs, clogged);
             (!ranks.is_empty()).then_some((n, ranks))
         })
     }
@@ -841,6 +867,7 @@
         now: MonoTime,
         upstream: &BatchUpstream,
         jobs: &HashMap<JobKey, Job>,
+        clogged: &[CompactString],
     ) -> Vec<Rank> {
         let usable = self.spec.room_bytes * USED_ROOM_PERCENT / 100;
         let mut room = usable.saturating_sub(upstream.room_used());
@@ -856,6 +883,9 @@
             let Some((rank, job)) = first else {
                 continue;
             };
+            if rank.chance == Chance::Late && job.leads_to(clogged) {
+                continue;
+            }
             let bytes = job.result_bytes(rank.piece).max(1);
             let fitting = usize::try_from(room / bytes).unwrap_or(usize::MAX);
             let taken = match group.len() {
--- /dev/null
+++ b/crates/serving/tests/instances.rs
@@ -0,0 +1,109 @@
+//! Which instances callers and peers are told of.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use jd_serving::InstanceDirectory;
+use jd_serving::InstanceEntry;
+use jd_serving::owners;
+use jd_types::Incarnation;
+use jd_types::MonoTime;
+use jd_types::Name;
+
+fn entry(id: u64, host: u8, zone: &str) -> InstanceEntry {
+    InstanceEntry {
+        incarnation: Incarnation::new(id),
+        callers: SocketAddr::from(([127, 0, 0, host], 80)),
+        peers: SocketAddr::from(([127, 0, 0, host], 81)),
+        zone: Name::try_from(zone).expect("a name"),
+        leaving: false,
+    }
+}
+
+fn at(ms: u64) -> MonoTime {
+    MonoTime::from_millis(ms)
+}
+
+fn live(directory: &InstanceDirectory, now: MonoTime) -> Vec<Incarnation> {
+    let mut ids: Vec<Incarnation> = directory.live(now).map(|e| e.incarnation).collect();
+    ids.sort_unstable();
+    ids
+}
+
+/// After all instances lost power two of them filled batches for the rest of
+/// the day, each for half of the others. The entry of an instance's earlier
+/// start was read after that of its later start and displaced it; nothing
+/// brought the later one back, since a renewed lease is no change.
+#[test]
+fn an_entry_of_an_earlier_start_does_not_displace_the_later_one() {
+    let mut directory = InstanceDirectory::default();
+    let (later, earlier) = (entry(2, 1, "a"), entry(9, 1, "a"));
+    directory.put(at(1_000), later.clone());
+    directory.put(at(1_000), earlier.clone());
+    directory.gone(earlier.incarnation);
+    directory.heard(at(1_400), later.incarnation, false, true);
+    assert_eq!(live(&directory, at(1_500)), [later.incarnation]);
+}
+
+/// A caller that is sent to a dead instance loses a second or its whole
+/// deadline. The instance's lease lasts longer than three missed heartbeats.
+#[test]
+fn a_silent_instance_is_not_named() {
+    let mut directory = InstanceDirectory::default();
+    let (a, b) = (entry(1, 1, "a"), entry(2, 2, "a"));
+    directory.put(at(1_000), a.clone());
+    directory.put(at(1_000), b.clone());
+    directory.heard(at(2_000), a.incarnation, false, true);
+    directory.heard(at(3_000), a.incarnation, false, true);
+    assert_eq!(directory.addresses(at(3_000), "a", None), [a.callers]);
+}
+
+/// A stop names the instance as leaving; what was heard before counts no more,
+/// even if an older entry of it is read again.
+#[test]
+fn an_instance_that_leaves_is_not_named_again() {
+    let mut directory = InstanceDirectory::default();
+    let a = entry(1, 1, "a");
+    directory.put(at(1_000), a.clone());
+    directory.heard(at(1_100), a.incarnation, true, false);
+    directory.put(at(1_200), a);
+    assert!(directory.addresses(at(1_200), "a", None).is_empty());
+}
+
+/// While the store is away leases run out although every instance is well.
+#[test]
+fn an_instance_that_answers_outlives_its_entry() {
+    let mut directory = InstanceDirectory::default();
+    let a = entry(1, 1, "a");
+    directory.put(at(1_000), a.clone());
+    directory.unlist(a.incarnation);
+    for now in (1_400..9_000).step_by(400) {
+        directory.heard(at(now), a.incarnation, false, true);
+        directory.expire(at(now));
+        assert_eq!(live(&directory, at(now)), [a.incarnation]);
+    }
+    directory.expire(at(9_000) + Duration::from_secs(10));
+    assert!(directory.entries().next().is_none());
+}
+
+#[test]
+fn callers_are_kept_in_their_zone_where_it_has_enough_instances() {
+    let mut directory = InstanceDirectory::default();
+    for (id, host, zone) in [(1, 1, "a"), (2, 2, "a"), (3, 3, "b")] {
+        directory.put(at(1_000), entry(id, host, zone));
+    }
+    assert_eq!(directory.addresses(at(1_000), "a", None).len(), 2);
+    assert_eq!(directory.addresses(at(1_000), "b", None).len(), 3);
+}
+
+#[test]
+fn the_loss_of_an_instance_moves_only_what_it_owned() {
+    let all: Vec<Incarnation> = (1..=9).map(Incarnation::new).collect();
+    for shard in 0..100 {
+        let order = owners(shard, all.iter().copied());
+        let rest = all.iter().copied().filter(|id| *id != order[3]);
+        let without: Vec<Incarnation> = owners(shard, rest);
+        assert_eq!(without[..3], order[..3]);
+        assert_eq!(without[3..], order[4..]);
+    }
+}
