Expect at later stages the waits seen lately; hold read results while another owner works

Cause: pieces were kept in time at the first stage and late at the next; and while owners change, a call waits behind the other's, so that inputs given up 60 ms after it was sent were gone at its turn.

--- a/crates/serving/src/stage_desk.rs
+++ b/crates/serving/src/stage_desk.rs
@@ -20,6 +20,8 @@
 /// stages: enough that a burst of the less urgent does not delay the more
 /// urgent, too little to starve what could still be in time.
 const PRIORITY_STEP: Duration = Duration::from_millis(400);
+/// A new wait counts one in this many: about the pieces of a few calls.
+const WAIT_WEIGHT: u32 = 64;
 /// How often one piece is tried. A third failure is rarely the upstream's.
 const PIECE_TRIES: u32 = 3;
 /// How often the stages of one job start over because results were gone.
@@ -27,6 +29,10 @@
 /// How long after a call began its inputs have been read. Upstreams read them
 /// first of all; a whole call's inputs take a few milliseconds on their links.
 const INPUTS_READ: Duration = Duration::from_millis(60);
+/// How long it is assumed that upstreams also work for another owner, after a
+/// sign of it. A call then waits behind another's, and its inputs are read when
+/// its turn comes and not at once.
+const SHARED_FOR: Duration = Duration::from_millis(1_500);
 /// The part of its spare time, in hundredths, by which a stage beside a longer
 /// chain is put off. Done at once, its results would take room all the while.
 const PUT_OFF_PERCENT: u32 = 60;
@@ -180,6 +186,7 @@
 
 #[derive(Debug)]
 struct Waiting {
+    since: MonoTime,
     not_before: MonoTime,
     zone: Option<Name>,
     anywhere_from: MonoTime,
@@ -198,6 +205,8 @@
     spec: BatchSpec,
     upstreams: Vec<BatchUpstream>,
     waiting: BTreeMap<Rank, Waiting>,
+    /// How long pieces that could be in time have waited lately.
+    usual_wait: Duration,
 }
 
 #[derive(Debug)]
@@ -241,6 +250,7 @@
     unused: Vec<CompactString>,
     room: ResultRoom,
     reading: Vec<Reading>,
+    shared_until: MonoTime,
     numbers: u64,
 }
 
@@ -256,6 +266,7 @@
             spec,
             upstreams: Vec::new(),
             waiting: BTreeMap::new(),
+            usual_wait: Duration::ZERO,
         });
         queue.spec = spec;
         let mut old = std::mem::take(&mut queue.upstreams);
@@ -284,6 +295,10 @@
         }
         let progress = JobProgress::new(job);
         self.check_wait(now, &progress)?;
+        // An owner of jobs before may still have calls at the upstreams.
+        if self.jobs.is_empty() && self.calls.is_empty() {
+            self.shared_until = now + SHARED_FOR;
+        }
         self.numbers += 1;
         let key = JobKey(self.numbers);
         let job = Job {
@@ -407,13 +422,18 @@
         }
     }
 
-    /// How long the stages from `stage` on take if nothing waits.
+    /// How long the stages from `stage` on take, its own wait not counted and
+    /// those at later stages as they have been lately. Without these, upstreams
+    /// would be kept busy with what is in time now and late one stage later.
     fn path_time(&self, progress: &JobProgress, stage: usize) -> Duration {
         let call_time = |service: &str, pieces: usize| {
             let queue = self.queues.get(service);
-            queue.map_or(Duration::ZERO, |q| q.spec.call_time(pieces))
+            queue.map_or(Duration::ZERO, |q| q.spec.call_time(pieces) + q.usual_wait)
         };
-        progress.path_time(stage, &call_time)
+        let service = &progress.job().stages[stage].service;
+        let own_wait = self.queues.get(service).map(|q| q.usual_wait);
+        let path = progress.path_time(stage, &call_time);
+        path.saturating_sub(own_wait.unwrap_or_default())
     }
 
     fn advance(&mut self, now: MonoTime, key: JobKey) {
@@ -458,6 +478,7 @@
         let service = spec.stages[piece.stage].service.clone();
         let near_wait = start_by.since(now) * NEAR_WAIT_PERCENT / 100;
         let waiting = Waiting {
+            since: now,
             not_before,
             zone: self.wanted_zone(job, piece.stage),
             anywhere_from: not_before + near_wait.min(NEAR_WAIT_MOST),
@@ -501,7 +522,9 @@
         let mut pieces = Vec::with_capacity(ranks.len());
         let mut bytes = 0;
         for rank in ranks {
-            queue.waiting.remove(&rank);
+            if let Some(waiting) = queue.waiting.remove(&rank) {
+                queue.note_wait(&rank, now.since(waiting.since));
+            }
             if let Some(job) = self.jobs.get_mut(&rank.job) {
                 job.progress.sent(rank.piece);
                 for stage in job.progress.job().stages[rank.piece.stage].after.clone() {
@@ -622,7 +645,10 @@
             PieceResult::Done(handle) => self.take_handle(now, key, piece, handle),
             PieceResult::Late => self.fail(key, JobFailure::TooLate),
             PieceResult::NoRoom => self.ask_again(now, key, piece, now + ROOM_PAUSE),
-            PieceResult::InputGone => self.start_over(now, key, piece),
+            PieceResult::InputGone => {
+                self.shared_until = now + SHARED_FOR;
+                self.start_over(now, key, piece);
+            }
             PieceResult::Failed => self.try_again(now, key, piece, now),
         }
     }
@@ -714,7 +740,10 @@
                 continue;
             }
             let over = job.progress.is_used_up(reading.stage);
-            if !over && !self.is_scarce(&job.progress.results_of(reading.stage)) {
+            if !over
+                && (now < self.shared_until
+                    || !self.is_scarce(&job.progress.results_of(reading.stage)))
+            {
                 let until = now + INPUTS_READ;
                 self.reading.push(Reading { until, ..reading });
                 continue;
@@ -809,6 +838,12 @@
         full.mul_f64(calls / able.max(1) as f64)
     }
 
+    fn note_wait(&mut self, rank: &Rank, wait: Duration) {
+        if rank.chance == Chance::InTime {
+            self.usual_wait = (self.usual_wait * (WAIT_WEIGHT - 1) + wait) / WAIT_WEIGHT;
+        }
+    }
+
     /// Puts behind the others what can no longer be in time. Served first, it
     /// would make the next one late as well, and so all of them.
     fn mark_late(&mut self, now: MonoTime, jobs: &HashMap<JobKey, Job>) {
