--- a/crates/serving/src/stage_desk.rs
+++ b/crates/serving/src/stage_desk.rs
@@ -28,7 +28,7 @@
 const MAX_STARTS_OVER: u32 = 2;
 /// How long after a call began its inputs have been read. Upstreams read them
 /// first of all; a whole call's inputs take a few milliseconds on their links.
-const INPUTS_READ: Duration = Duration::from_millis(60);
+const INPUTS_READ: Duration = Duration::from_millis(35);
 /// How long it is assumed that upstreams also work for another owner, after a
 /// sign of it. A call then waits behind another's, and its inputs are read when
 /// its turn comes and not at once.
@@ -38,7 +38,7 @@
 const PUT_OFF_PERCENT: u32 = 60;
 /// The part of an upstream's room, in hundredths, that results are planned to
 /// take. Their sizes are known only about.
-const USED_ROOM_PERCENT: u64 = 90;
+const USED_ROOM_PERCENT: u64 = 96;
 /// Above this part of an upstream's room, in hundredths, results there are given
 /// up as early as possible: from there a full call may not fit beside them.
 const SCARCE_ROOM_PERCENT: u64 = 45;
