--- /dev/null
+++ b/crates/serving/src/batch_call.rs
@@ -0,0 +1,83 @@
+//! Calls for pieces of stages.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use compact_str::CompactString;
+
+use crate::PieceKey;
+
+/// A call at an upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct CallKey(pub(crate) u64);
+
+/// One piece as an upstream is asked for it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PieceOrder {
+    /// The identity of the caller's attempt.
+    pub request_id: CompactString,
+    /// Which piece.
+    pub key: PieceKey,
+    /// How long its request waits for it.
+    pub left: Duration,
+    /// What it works on.
+    pub source: PieceSource,
+}
+
+/// What a piece works on.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum PieceSource {
+    /// What the caller named.
+    Caller(CompactString),
+    /// Results of earlier stages.
+    Results(Vec<CompactString>),
+}
+
+/// A call to make.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct BatchCall {
+    /// To tell its outcome by.
+    pub key: CallKey,
+    /// The service that does the stage.
+    pub service: CompactString,
+    /// Pieces that wait for that service beside these.
+    pub waiting: usize,
+    /// Bytes of results at the upstream, those of this call included.
+    pub room_used: u64,
+    /// The upstream's identity.
+    pub upstream: CompactString,
+    /// Where it answers.
+    pub address: SocketAddr,
+    /// The pieces, in the order of the answers.
+    pub pieces: Vec<PieceOrder>,
+    /// How long to wait for the answer before the pieces go elsewhere.
+    pub patience: Duration,
+}
+
+/// What became of one piece.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum PieceResult {
+    /// Its result lies there.
+    Done(CompactString),
+    /// Its time had passed at its turn.
+    Late,
+    /// Something that it works on is gone.
+    InputGone,
+    /// The upstream has no room for the result.
+    NoRoom,
+    /// It failed.
+    Failed,
+}
+
+/// What became of a call.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum CallResult {
+    /// One result for each piece, in order.
+    Answered(Vec<PieceResult>),
+    /// The upstream was full and did nothing.
+    Full,
+    /// The upstream is another one, or not there.
+    Gone,
+    /// Nothing usable came back in time.
+    Failed,
+}
--- /dev/null
+++ b/crates/serving/src/desk_job.rs
@@ -0,0 +1,50 @@
+//! One job at the desk.
+
+use std::collections::HashMap;
+
+use compact_str::CompactString;
+use jd_types::MonoTime;
+
+use crate::PieceKey;
+use crate::PieceOrder;
+use crate::PieceSource;
+use crate::stage_job::JobProgress;
+
+/// One job at the desk: how far it is and what went wrong with it.
+#[derive(Debug)]
+pub(crate) struct Job {
+    pub(crate) progress: JobProgress,
+    pub(crate) tries: HashMap<PieceKey, u32>,
+    pub(crate) starts_over: u32,
+}
+
+impl Job {
+    pub(crate) fn is_first(&self, piece: PieceKey) -> bool {
+        self.progress.job().stages[piece.stage].after.is_empty()
+    }
+
+    /// True if one of its stages is done by one of these services.
+    pub(crate) fn leads_to(&self, services: &[CompactString]) -> bool {
+        let stages = self.progress.job().stages.iter();
+        let mut used = stages.filter(|s| s.pieces > 0);
+        used.any(|s| services.contains(&s.service))
+    }
+
+    pub(crate) fn result_bytes(&self, piece: PieceKey) -> u64 {
+        self.progress.job().stages[piece.stage].result_bytes
+    }
+
+    pub(crate) fn order(&self, now: MonoTime, piece: PieceKey) -> PieceOrder {
+        let job = self.progress.job();
+        let source = match job.stages[piece.stage].after.is_empty() {
+            true => PieceSource::Caller(job.piece_key.clone()),
+            false => PieceSource::Results(self.progress.inputs(piece.stage)),
+        };
+        PieceOrder {
+            request_id: job.request_id.clone(),
+            key: piece,
+            left: job.deadline.since(now),
+            source,
+        }
+    }
+}
--- /dev/null
+++ b/crates/serving/src/stage_queue.rs
@@ -0,0 +1,171 @@
+//! The pieces that wait for one service, and its upstreams.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::time::Duration;
+
+use compact_str::CompactString;
+use jd_types::MonoTime;
+use jd_types::Name;
+
+use crate::BatchSpec;
+use crate::JobKey;
+use crate::batch_upstream::BatchUpstream;
+use crate::desk_job::Job;
+use crate::rank::Chance;
+use crate::rank::Rank;
+
+/// A new wait counts one in this many: about the pieces of a few calls.
+const WAIT_WEIGHT: u32 = 64;
+/// The part of an upstream's room, in hundredths, that results are planned to
+/// take. Their sizes are known only about.
+const USED_ROOM_PERCENT: u64 = 96;
+/// Above this part of an upstream's room, in hundredths, results there are given
+/// up as early as possible: from there a full call may not fit beside them.
+const SCARCE_ROOM_PERCENT: u64 = 45;
+
+/// A piece that waits.
+#[derive(Debug)]
+pub(crate) struct Waiting {
+    pub(crate) since: MonoTime,
+    pub(crate) not_before: MonoTime,
+    pub(crate) zone: Option<Name>,
+    pub(crate) anywhere_from: MonoTime,
+}
+
+impl Waiting {
+    /// True if an upstream in `zone` may work on the piece now.
+    pub(crate) fn suits(&self, now: MonoTime, zone: &Name) -> bool {
+        let near = self.zone.as_ref().is_none_or(|z| z == zone);
+        self.not_before <= now && (near || self.anywhere_from <= now)
+    }
+}
+
+/// The pieces that wait for one service, and its upstreams.
+#[derive(Debug)]
+pub(crate) struct Queue {
+    pub(crate) spec: BatchSpec,
+    pub(crate) upstreams: Vec<BatchUpstream>,
+    pub(crate) waiting: BTreeMap<Rank, Waiting>,
+    /// How long pieces that could be in time have waited lately.
+    pub(crate) usual_wait: Duration,
+}
+
+impl Queue {
+    /// How long what waits now takes to be served, after what is being worked on.
+    pub(crate) fn backlog(&self, now: MonoTime) -> Duration {
+        let able = self.upstreams.iter().filter(|u| !u.is_blocked(now));
+        let all_busy = able.clone().all(|u| u.open_calls() >= self.spec.slots);
+        let calls = self.waiting.len() as f64 / self.spec.pieces.max(1) as f64;
+        let turns = calls / able.count().max(1) as f64 + f64::from(u8::from(all_busy));
+        self.spec.call_time(self.spec.pieces).mul_f64(turns)
+    }
+
+    pub(crate) fn note_wait(&mut self, rank: &Rank, wait: Duration) {
+        if rank.chance == Chance::InTime {
+            self.usual_wait = (self.usual_wait * (WAIT_WEIGHT - 1) + wait) / WAIT_WEIGHT;
+        }
+    }
+
+    /// Puts behind the others what can no longer be in time. Served first, it
+    /// would make the next one late as well, and so all of them.
+    pub(crate) fn mark_late(&mut self, now: MonoTime, jobs: &HashMap<JobKey, Job>) {
+        while let Some((rank, _)) = self.waiting.first_key_value()
+            && rank.chance == Chance::InTime
+            && rank.start_by < now
+        {
+            let mut late = *rank;
+            let first = jobs.get(&rank.job).is_none_or(|j| j.is_first(rank.piece));
+            late.chance = Chance::of(true, first);
+            if let Some((_, waiting)) = self.waiting.pop_first() {
+                self.waiting.insert(late, waiting);
+            }
+        }
+    }
+
+    pub(crate) fn is_scarce(&self, id: &str) -> bool {
+        let upstream = self.upstreams.iter().find(|u| u.id == id);
+        let scarce = self.spec.room_bytes * SCARCE_ROOM_PERCENT / 100;
+        upstream.is_none_or(|u| u.room_used() > scarce)
+    }
+
+    pub(crate) fn upstream(&mut self, id: &str) -> Option<&mut BatchUpstream> {
+        self.upstreams.iter_mut().find(|u| u.id == id)
+    }
+
+    /// The next batch and the upstream that is to work on it: one in the zone
+    /// where the most urgent result is wanted if it can, and never one without
+    /// room for the results.
+    pub(crate) fn next_batch(
+        &self,
+        now: MonoTime,
+        jobs: &HashMap<JobKey, Job>,
+        clogged: &[CompactString],
+    ) -> Option<(usize, Vec<Rank>)> {
+        let mut waiting = self.waiting.iter();
+        let (_, first) = waiting.find(|(_, w)| w.not_before <= now)?;
+        let slots = self.spec.slots.max(1);
+        let able = self.upstreams.iter().enumerate();
+        let able = able.filter(|(_, u)| u.open_calls() < slots && !u.is_blocked(now));
+        let mut able: Vec<(usize, &BatchUpstream)> = able.collect();
+        let far = |u: &BatchUpstream| first.zone.as_ref().is_some_and(|z| u.zone != *z);
+        able.sort_by_key(|(_, u)| (far(u), u.room_used()));
+        able.into_iter().find_map(|(n, upstream)| {
+            let ranks = self.batch_for(now, upstream, jobs, clogged);
+            (!ranks.is_empty()).then_some((n, ranks))
+        })
+    }
+
+    /// The most urgent pieces that fit into one call and into the room there.
+    ///
+    /// Pieces of one stage of a job go together where they fit: apart, the
+    /// first of them would lie there and take room until the last is made.
+    pub(crate) fn batch_for(
+        &self,
+        now: MonoTime,
+        upstream: &BatchUpstream,
+        jobs: &HashMap<JobKey, Job>,
+        clogged: &[CompactString],
+    ) -> Vec<Rank> {
+        let usable = self.spec.room_bytes * USED_ROOM_PERCENT / 100;
+        let mut room = usable.saturating_sub(upstream.room_used());
+        let mut batch: Vec<Rank> = Vec::with_capacity(self.spec.pieces);
+        let mut left_out = 0;
+        let suits = |(_, w): &(&Rank, &Waiting)| w.suits(now, &upstream.zone);
+        let ready = self.waiting.iter().filter(suits);
+        let ready: Vec<&Rank> = ready.map(|(rank, _)| rank).collect();
+        let same_stage = |a: &&Rank, b: &&Rank| a.job == b.job && a.piece.stage == b.piece.stage;
+        for group in ready.chunk_by(same_stage) {
+            let slots = self.spec.pieces - batch.len();
+            let first = group.first().and_then(|r| jobs.get(&r.job).map(|j| (r, j)));
+            let Some((rank, job)) = first else {
+                continue;
+            };
+            if rank.chance == Chance::Late && job.leads_to(clogged) {
+                continue;
+            }
+            let bytes = job.result_bytes(rank.piece).max(1);
+            let fitting = usize::try_from(room / bytes).unwrap_or(usize::MAX);
+            let taken = match group.len() {
+                n if n <= slots.min(fitting) => n,
+                _ if batch.is_empty() => slots.min(fitting),
+                _ => 0,
+            };
+            if group.len() > fitting {
+                left_out += group.len() - taken;
+            }
+            room -= bytes * taken as u64;
+            batch.extend(group.iter().take(taken).map(|r| **r));
+            if batch.len() == self.spec.pieces {
+                return batch;
+            }
+        }
+        // A call that holds little for want of room makes the room scarcer: it
+        // costs almost as much as a full one. Results are given up soon.
+        let scant = batch.len() * 2 < self.spec.pieces.min(batch.len() + left_out);
+        match scant && upstream.room_used() > 0 {
+            true => Vec::new(),
+            false => batch,
+        }
+    }
+}
--- /dev/null
+++ b/crates/serving/tests/knowledge.rs
@@ -0,0 +1,160 @@
+//! What an instance may believe, and for how long.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use jd_serving::Freshness;
+use jd_serving::RepeatBound;
+use jd_serving::RepeatBudget;
+use jd_serving::UpstreamDirectory;
+use jd_serving::UpstreamEntry;
+use jd_types::MonoTime;
+use jd_types::Name;
+
+fn at(ms: u64) -> MonoTime {
+    MonoTime::from_millis(ms)
+}
+
+fn upstream(id: &str, leaving: bool) -> UpstreamEntry {
+    UpstreamEntry {
+        id: id.into(),
+        service: "pool".into(),
+        address: SocketAddr::from(([127, 0, 0, 1], 80)),
+        zone: Name::try_from("a").expect("a name"),
+        slots: 4,
+        leaving,
+    }
+}
+
+fn ids(directory: &UpstreamDirectory) -> Vec<String> {
+    let mut ids: Vec<String> = directory.entries().map(|e| e.id.to_string()).collect();
+    ids.sort_unstable();
+    ids
+}
+
+/// A credential is taken away while this instance is cut off. Its watch is
+/// silent, which proves nothing; only the age of the last answer does.
+#[test]
+fn proof_counts_from_when_it_was_asked_for() {
+    let mut freshness = Freshness::default();
+    assert_eq!(freshness.age(at(1_000)), None);
+    freshness.applied(7);
+    assert!(!freshness.confirmed(at(1_000), 7));
+    assert_eq!(freshness.age(at(4_000)), Some(Duration::from_secs(3)));
+}
+
+/// The store is ahead of the watch: what is missing may be the very change that
+/// takes a credential away, so the answer proves nothing until it has come.
+#[test]
+fn proof_waits_for_what_is_missing() {
+    let mut freshness = Freshness::default();
+    freshness.applied(7);
+    assert!(freshness.confirmed(at(1_000), 9));
+    assert!(freshness.is_behind());
+    assert_eq!(freshness.age(at(1_100)), None);
+    freshness.applied(8);
+    assert_eq!(freshness.age(at(1_100)), None);
+    freshness.applied(9);
+    assert!(!freshness.is_behind());
+    assert_eq!(freshness.age(at(1_100)), Some(Duration::from_millis(100)));
+}
+
+#[test]
+fn an_older_answer_does_not_make_proof_older() {
+    let mut freshness = Freshness::default();
+    freshness.applied(7);
+    freshness.confirmed(at(2_000), 7);
+    freshness.confirmed(at(1_000), 6);
+    assert_eq!(freshness.age(at(2_000)), Some(Duration::ZERO));
+}
+
+/// The store is away for longer than leases last: every entry runs out although
+/// every upstream is well, and each is back within two seconds.
+#[test]
+fn entries_that_lapsed_with_the_store_stay_in_use_until_it_is_back() {
+    let mut directory = UpstreamDirectory::default();
+    directory.put(upstream("i-1", false));
+    directory.put(upstream("i-2", false));
+    directory.store_away();
+    assert!(directory.store_back(at(10_000)));
+    assert!(!directory.replace(at(10_000), Vec::new()));
+    assert_eq!(ids(&directory), ["i-1", "i-2"]);
+    assert!(directory.put(upstream("i-1", false)));
+    assert!(!directory.expire(at(11_900)));
+    assert!(directory.expire(at(12_100)));
+    assert_eq!(ids(&directory), ["i-1"]);
+}
+
+/// One that had said that it leaves has left; waiting for it to come back would
+/// send work to its address, which somebody else may have by now.
+#[test]
+fn an_upstream_that_was_leaving_is_gone_at_once() {
+    let mut directory = UpstreamDirectory::default();
+    directory.put(upstream("i-1", true));
+    directory.store_away();
+    directory.store_back(at(10_000));
+    assert!(directory.remove(at(10_000), "i-1"));
+    assert!(ids(&directory).is_empty());
+}
+
+#[test]
+fn an_entry_removed_while_the_store_is_well_is_gone_at_once() {
+    let mut directory = UpstreamDirectory::default();
+    directory.put(upstream("i-1", false));
+    assert!(directory.remove(at(1_000), "i-1"));
+    assert!(ids(&directory).is_empty());
+}
+
+#[test]
+fn a_heartbeat_is_no_change() {
+    let mut directory = UpstreamDirectory::default();
+    assert!(directory.put(upstream("i-1", false)));
+    assert!(!directory.put(upstream("i-1", false)));
+    assert!(directory.put(upstream("i-1", true)));
+}
+
+const BOUND: RepeatBound = RepeatBound {
+    ratio: 0.2,
+    slack: 56.0,
+    window: Duration::from_secs(10),
+};
+
+/// A service is down and every request fails at once. Eight instances that each
+/// repeat what they like would send it several times its load.
+#[test]
+fn all_instances_together_stay_well_inside_the_bound() {
+    let mut sent = 0;
+    let mut budgets: Vec<RepeatBudget> = (0..8).map(|_| RepeatBudget::default()).collect();
+    for n in 0..800_u64 {
+        let now = at(1_000 + n * 12);
+        let budget = &mut budgets[n as usize % 8];
+        budget.first(now, &BOUND);
+        sent += usize::from(budget.repeat(now, &BOUND, 8));
+        sent += usize::from(budget.repeat(now, &BOUND, 8));
+    }
+    let allowed = 800.0 * BOUND.ratio + BOUND.slack;
+    assert!(sent as f64 <= allowed * 0.6, "{sent} of {allowed}");
+    assert!(sent > 0);
+}
+
+/// Instances come and go: half of them know only half of the others, and each
+/// of these takes twice its part of the slack.
+#[test]
+fn the_bound_holds_when_half_of_the_instances_are_unknown() {
+    let mut sent = 0;
+    for _ in 0..8 {
+        let mut budget = RepeatBudget::default();
+        while budget.repeat(at(1_000), &BOUND, 4) {
+            sent += 1;
+        }
+    }
+    assert!(f64::from(sent) <= BOUND.slack);
+}
+
+#[test]
+fn repeats_come_back_with_time() {
+    let mut budget = RepeatBudget::default();
+    while budget.repeat(at(1_000), &BOUND, 8) {}
+    assert!(!budget.repeat(at(10_000), &BOUND, 8));
+    assert!(budget.repeat(at(11_100), &BOUND, 8));
+}
--- /dev/null
+++ b/crates/serving/tests/requests.rs
@@ -0,0 +1,184 @@
+//! Where a request belongs, and what of its answer may be passed on.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use jd_serving::CustomerSpec;
+use jd_serving::Deployment;
+use jd_serving::EventSplitter;
+use jd_serving::Prompt;
+use jd_serving::PromptPart;
+use jd_serving::PromptUpstream;
+use jd_serving::Repeat;
+use jd_serving::Route;
+use jd_serving::Router;
+use jd_serving::Target;
+use jd_serving::place_prompt;
+use test_case::test_case;
+
+fn route(name: &str, prefix: &str, public: bool) -> Route {
+    Route {
+        name: name.into(),
+        host: "desk.example".into(),
+        prefix: prefix.into(),
+        repeat: Repeat::Idempotent,
+        timeout: Duration::from_secs(1),
+        objective: Duration::from_millis(100),
+        priority: 1,
+        targets: vec![Target {
+            service: "pool".into(),
+            weight: 1,
+        }],
+        max_attempts: 2,
+        stages: Vec::new(),
+        public,
+        prompts: false,
+        event_gap: None,
+    }
+}
+
+fn router() -> Router {
+    Router::new(Deployment {
+        version: 3,
+        routes: vec![
+            route("short", "/a/", false),
+            route("long", "/a/b/", false),
+            route("open", "/open/", true),
+        ],
+        customers: vec![CustomerSpec {
+            name: "walkers".into(),
+            credentials: vec!["key-1".into(), "key-2".into()],
+            priority: Some(0),
+        }],
+        ..Deployment::default()
+    })
+}
+
+#[test_case("/a/x", Some("short"); "the only prefix that fits")]
+#[test_case("/a/b/x", Some("long"); "the longest prefix that fits")]
+#[test_case("/a/b", Some("short"); "a prefix ends with its slash")]
+#[test_case("/c/", None; "no prefix fits")]
+fn the_longest_prefix_selects_the_route(path: &str, expected: Option<&str>) {
+    let router = router();
+    let found = router.find("desk.example", path);
+    assert_eq!(found.map(|k| router.route(k).name.as_str()), expected);
+    assert_eq!(router.find("other.example", path), None);
+}
+
+#[test]
+fn every_credential_names_its_customer() {
+    let router = router();
+    let caller = router.caller("key-2").expect("in force");
+    assert_eq!(caller.customer, "walkers");
+    assert_eq!(caller.priority, Some(0));
+    assert_eq!(router.caller("key-3"), None);
+    let open = router.find("desk.example", "/open/").expect("a route");
+    assert!(!router.needs_credential(router.route(open)));
+}
+
+#[test]
+fn a_split_route_keeps_its_parts_and_its_sessions() {
+    let mut split = route("split", "/a/", false);
+    let target = |service: &str, weight| Target {
+        service: service.into(),
+        weight,
+    };
+    split.targets = vec![target("old", 900), target("new", 100)];
+    let to_new = (0..1_000).filter(|s| split.target(*s).is_some_and(|t| t == "new"));
+    assert_eq!(to_new.count(), 100);
+    assert_eq!(split.target(77), split.target(77));
+}
+
+/// An upstream stops in the middle of an event. Passed on, the torn half and
+/// the whole event from the next upstream would be one event of both.
+#[test]
+fn only_whole_events_are_passed_on() {
+    let mut splitter = EventSplitter::default();
+    assert_eq!(splitter.push(b"id: 1\nda"), None);
+    let whole = splitter.push(b"ta: x\n\nid: 2\ndata: y\n\nid: 3\nda");
+    assert_eq!(
+        whole.as_deref(),
+        Some(&b"id: 1\ndata: x\n\nid: 2\ndata: y\n\n"[..])
+    );
+    assert_eq!(splitter.last_event(), Some(2));
+    assert_eq!(&splitter.rest()[..], b"id: 3\nda");
+    assert!(splitter.rest().is_empty());
+}
+
+#[test]
+fn bytes_one_by_one_make_the_same_events() {
+    let text = b"id: 9\ndata: x\n\nid: 10\ndata: y\n\n";
+    let mut splitter = EventSplitter::default();
+    let mut whole = Vec::new();
+    for byte in text {
+        whole.extend(splitter.push(&[*byte]).unwrap_or_default());
+    }
+    assert_eq!(whole, text);
+    assert_eq!(splitter.last_event(), Some(10));
+}
+
+fn upstreams(count: u8) -> Vec<PromptUpstream> {
+    let one = |n| PromptUpstream {
+        address: SocketAddr::from(([127, 0, 0, n], 80)),
+        in_flight: 0,
+        usable: true,
+    };
+    (1..=count).map(one).collect()
+}
+
+/// Five thousand shared tokens are read again when a session moves. All
+/// instances must find the same upstream without telling each other, in
+/// whatever order they learned of them.
+#[test]
+fn a_session_stays_at_its_upstream() {
+    let all = upstreams(18);
+    let mut turned = all.clone();
+    turned.reverse();
+    for session in 0..200 {
+        let a = place_prompt(session, &all, 64, 8)[0];
+        let b = place_prompt(session, &turned, 64, 8)[0];
+        assert_eq!(all[a].address, turned[b].address);
+    }
+}
+
+#[test]
+fn the_end_of_an_upstream_moves_only_its_sessions() {
+    let all = upstreams(18);
+    let mut less = all.clone();
+    less[5].usable = false;
+    for session in 0..500 {
+        let before = place_prompt(session, &all, 64, 8);
+        let after = place_prompt(session, &less, 64, 8);
+        let expected = if before[0] == 5 { before[1] } else { before[0] };
+        assert_eq!(after[0], expected);
+    }
+}
+
+/// One session gets much of the traffic. It spreads to its second and third
+/// choice once its upstream has its part of this instance's requests.
+#[test]
+fn a_popular_session_spreads_to_the_same_next_choices() {
+    let mut all = upstreams(18);
+    let order = place_prompt(7, &all, 64, 8);
+    all[order[0]].in_flight = 50;
+    let next = place_prompt(7, &all, 64, 8);
+    assert_eq!(next[..17], order[1..]);
+    assert_eq!(next[17], order[0]);
+}
+
+/// The last part is the request's own. Placed by it, every request of a session
+/// went somewhere else, and a thousand thousand shared tokens were read again.
+#[test]
+fn requests_of_one_session_have_it_in_common() {
+    let prompt = |own| Prompt {
+        model: "m".into(),
+        parts: [11, 22, own]
+            .map(|id| PromptPart { id, tokens: 100 })
+            .into(),
+        ..Prompt::default()
+    };
+    assert_eq!(prompt(1).session(), prompt(2).session());
+    let mut other = prompt(1);
+    other.parts[1].id = 23;
+    assert_ne!(prompt(1).session(), other.session());
+}
