--- a/crates/gateway/src/stage_batches.rs
+++ b/crates/gateway/src/stage_batches.rs
@@ -9,6 +9,7 @@
 use async_io::Timer;
 use compact_str::CompactString;
 use compact_str::format_compact;
+use jd_net::SendError;
 use jd_net::lock;
 use jd_net::within;
 use jd_serving::BatchCall;
@@ -158,8 +159,9 @@
             .send(call.address, req, call.patience, false);
         let response = match sent.await {
             Some(Ok(response)) => response,
-            Some(Err(jd_net::SendError::NotSent)) => return CallResult::Gone,
-            Some(Err(jd_net::SendError::Broken)) | None => return CallResult::Failed,
+            Some(Err(SendError::NotSent)) => return CallResult::Gone,
+            Some(Err(SendError::Broken)) => return CallResult::Broken,
+            None => return CallResult::Failed,
         };
         let head = dialect.answer_head(response.status, &response.headers);
         match head.status {
@@ -172,7 +174,8 @@
                 Some(results) => CallResult::Answered(results),
                 None => CallResult::Failed,
             },
-            _ => CallResult::Failed,
+            Some(Err(_)) => CallResult::Broken,
+            None => CallResult::Failed,
         }
     }
 
--- a/crates/gateway/src/stage_runner.rs
+++ b/crates/gateway/src/stage_runner.rs
@@ -41,6 +41,8 @@
 const OWNER_CHECK: Duration = Duration::from_millis(200);
 /// Owners that are asked one after the other.
 const MAX_OWNERS: usize = 3;
+/// How often one owner is asked while it answers heartbeats.
+const ASKS_OF_OWNER: u32 = 2;
 /// When to come back after stages could not be done.
 const FAILED_PAUSE: Duration = Duration::from_millis(500);
 
@@ -139,22 +141,41 @@
             if owner == me {
                 break;
             }
-            let asking = async { self.peers.run_stages(owner, job).await };
-            let gone = async {
-                self.until_gone(owner).await;
-                None
-            };
-            match asking.or(gone).await {
-                Some(outcome) => return outcome.map(|handles| (owner, handles)),
-                None => {
-                    log::warn!(owner:% = owner, request = job.request_id.as_str(); "owner of stages silent");
+            // A connection can break although the owner is well. Another owner
+            // would fill calls beside it, so it is asked once more first.
+            for _ in 0..ASKS_OF_OWNER {
+                if let Some(outcome) = self.ask_owner(owner, job).await {
+                    return outcome.map(|handles| (owner, handles));
+                }
+                if !self.is_heard(owner) {
+                    break;
                 }
             }
+            log::warn!(owner:% = owner, request = job.request_id.as_str(); "owner of stages silent");
         }
         let handles = self.batches.run(job.clone()).await?;
         Ok((me, handles))
     }
 
+    /// Asks one owner; none if it does not answer.
+    async fn ask_owner(
+        &self,
+        owner: Incarnation,
+        job: &StageJob,
+    ) -> Option<Result<Vec<CompactString>, JobFailure>> {
+        let asking = async { self.peers.run_stages(owner, job).await };
+        let gone = async {
+            self.until_gone(owner).await;
+            None
+        };
+        asking.or(gone).await
+    }
+
+    fn is_heard(&self, owner: Incarnation) -> bool {
+        let now = self.state.now();
+        self.state.knowledge().instances.is_heard(now, owner)
+    }
+
     fn owner_order(&self) -> Vec<Incarnation> {
         let now = self.state.now();
         let knowledge = self.state.knowledge();
@@ -167,9 +188,7 @@
     async fn until_gone(&self, owner: Incarnation) {
         loop {
             Timer::after(OWNER_CHECK).await;
-            let now = self.state.now();
-            let knowledge = self.state.knowledge();
-            if !knowledge.instances.is_heard(now, owner) {
+            if !self.is_heard(owner) {
                 return;
             }
         }
--- a/crates/serving/src/batch_call.rs
+++ b/crates/serving/src/batch_call.rs
@@ -78,6 +78,8 @@
     Full,
     /// The upstream is another one, or not there.
     Gone,
+    /// The connection broke; the upstream may be well and work on.
+    Broken,
     /// Nothing usable came back in time.
     Failed,
 }
--- a/crates/serving/src/batch_upstream.rs
+++ b/crates/serving/src/batch_upstream.rs
@@ -91,7 +91,13 @@
             CallResult::Answered(_) if took < self.patience(expected) => self.failures = 0,
             CallResult::Answered(_) => {}
             CallResult::Full => self.blocked_until = now + FULL_PAUSE,
-            CallResult::Gone | CallResult::Failed => {
+            // A broken connection says little of the upstream, which goes on with
+            // the call: it is free again when that would have ended.
+            CallResult::Broken if self.failures == 0 => {
+                self.failures = 1;
+                self.blocked_until = now + expected.saturating_sub(took);
+            }
+            CallResult::Gone | CallResult::Broken | CallResult::Failed => {
                 let block = BLOCK_FIRST * (1 << self.failures.min(4));
                 self.failures += 1;
                 self.blocked_until = now + block.min(BLOCK_MOST);
--- a/crates/serving/src/desk_results.rs
+++ b/crates/serving/src/desk_results.rs
@@ -52,7 +52,7 @@
                     }
                 }
             }
-            CallResult::Failed => {
+            CallResult::Broken | CallResult::Failed => {
                 let unknown = format_compact!("call {}", key.0);
                 made.push((unknown, call.bytes));
             }
--- a/crates/serving/src/stage_desk.rs
+++ b/crates/serving/src/stage_desk.rs
@@ -176,7 +176,7 @@
                     self.ask_again(now, job, piece, now);
                 }
             }
-            CallResult::Failed => {
+            CallResult::Broken | CallResult::Failed => {
                 for (job, piece) in call.pieces {
                     self.try_again(now, job, piece, now);
                 }
