Test the whole gateway with upstreams and a store that fail

One showed that events written in the same moment as the end of a broken stream were dropped with the connection; the body now yields first.

--- a/crates/gateway/src/event_stream.rs
+++ b/crates/gateway/src/event_stream.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use compact_str::CompactString;
+use futures_lite::future;
 use jd_net::BodyError;
 use jd_net::HttpResponse;
 use jd_net::within;
@@ -96,12 +97,12 @@
                 Some(Ok(None)) => return self.ended(),
                 Some(Err(_)) => AttemptOutcome::Truncated,
                 None if self.call.left(self.state.now()).is_zero() => {
-                    return Some(self.cut(AttemptOutcome::TimedOut, CutOff::Deadline));
+                    return Some(self.cut(AttemptOutcome::TimedOut, CutOff::Deadline).await);
                 }
                 None => AttemptOutcome::Silent,
             };
             if !self.go_on(outcome).await {
-                return Some(self.cut(outcome, CutOff::Upstream));
+                return Some(self.cut(outcome, CutOff::Upstream).await);
             }
         }
     }
@@ -128,7 +129,7 @@
         (!rest.is_empty()).then_some((Ok(rest), self))
     }
 
-    fn cut(
+    async fn cut(
         mut self,
         outcome: AttemptOutcome,
         why: CutOff,
@@ -147,6 +148,9 @@
             ms = self.state.now().since(self.call.arrived).as_millis() as u64;
             "stream cut off"
         );
+        // Events that are written but not yet sent would be dropped with the
+        // connection; the caller may go on after the last of them.
+        future::yield_now().await;
         (Err(Box::new(why)), self)
     }
 
--- /dev/null
+++ b/crates/gateway/tests/fakes/fake_dialect.rs
@@ -0,0 +1,115 @@
+//! A dialect with as few names as will do.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use compact_str::CompactString;
+use http::HeaderMap;
+use http::HeaderValue;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http::Uri;
+use http::request::Parts;
+use jd_gateway::AnswerHead;
+use jd_gateway::Dialect;
+use jd_gateway::LocateQuery;
+use jd_gateway::UpstreamCall;
+use jd_net::Body;
+use jd_serving::CallHead;
+use jd_serving::PieceOrder;
+use jd_serving::PieceResult;
+use jd_types::Refusal;
+
+#[derive(Debug)]
+pub(crate) struct FakeDialect;
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name).and_then(|v| v.to_str().ok())
+}
+
+impl Dialect for FakeDialect {
+    fn call_head(&self, parts: &Parts) -> CallHead {
+        let headers = &parts.headers;
+        CallHead {
+            request_id: text(headers, "id").map(CompactString::from),
+            credential: text(headers, "key").map(CompactString::from),
+            ..CallHead::default()
+        }
+    }
+
+    fn upstream_request(
+        &self,
+        parts: &Parts,
+        call: &UpstreamCall<'_>,
+        body: Body,
+    ) -> Request<Body> {
+        let mut req = Request::new(body);
+        *req.method_mut() = parts.method.clone();
+        *req.uri_mut() = parts.uri.clone();
+        *req.headers_mut() = parts.headers.clone();
+        req.headers_mut().remove("content-length");
+        if let Some(last) = call.last_event {
+            req.headers_mut().insert("after", HeaderValue::from(last));
+        }
+        req
+    }
+
+    fn answer_head(&self, status: StatusCode, headers: &HeaderMap) -> AnswerHead {
+        AnswerHead {
+            status,
+            request_id: text(headers, "id").map(CompactString::from),
+            signed: headers.contains_key("signed"),
+            not_run: headers.contains_key("not-run"),
+            encoded: false,
+        }
+    }
+
+    fn caller_headers(&self, headers: &HeaderMap) -> HeaderMap {
+        let mut passed = headers.clone();
+        passed.remove("content-length");
+        passed.remove("transfer-encoding");
+        passed.remove("connection");
+        passed
+    }
+
+    fn refusal(&self, refusal: &Refusal) -> Response<Body> {
+        let mut res = Response::new(jd_net::full(refusal.detail.to_string()));
+        *res.status_mut() = StatusCode::from_u16(refusal.kind.status()).expect("a status");
+        let run = HeaderValue::from_static(refusal.run.as_str());
+        res.headers_mut().insert("run", run);
+        res
+    }
+
+    fn stage_request(&self, _upstream: &str, _pieces: &[PieceOrder]) -> Request<Body> {
+        Request::new(jd_net::empty())
+    }
+
+    fn stage_results(&self, _body: &[u8], _count: usize) -> Option<Vec<PieceResult>> {
+        None
+    }
+
+    fn free_request(&self, _handles: &[CompactString]) -> Request<Body> {
+        Request::new(jd_net::empty())
+    }
+
+    fn result_address(&self, _handle: &str) -> Option<SocketAddr> {
+        None
+    }
+
+    fn locate_query(&self, uri: &Uri) -> Option<LocateQuery> {
+        Some(LocateQuery {
+            zone: uri.query().unwrap_or("").into(),
+        })
+    }
+
+    fn locate_answer(&self, addresses: &[SocketAddr], _lifetime: Duration) -> Bytes {
+        let texts: Vec<String> = addresses.iter().map(SocketAddr::to_string).collect();
+        Bytes::from(texts.join(" "))
+    }
+
+    fn is_ready_probe(&self, _uri: &Uri) -> bool {
+        true
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/fakes/fake_upstream.rs
@@ -0,0 +1,131 @@
+//! An upstream that answers as it is told.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+
+use async_executor::Executor;
+use bytes::Bytes;
+use futures_lite::StreamExt;
+use futures_lite::future;
+use futures_lite::stream;
+use http::HeaderValue;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use hyper::body::Incoming;
+use jd_net::Body;
+use jd_net::Handler;
+use jd_net::HandlerFuture;
+use jd_net::HttpServer;
+use jd_net::ServerLimits;
+
+/// What an upstream answers to one request.
+#[derive(Debug, Clone)]
+pub(crate) enum Reply {
+    /// Its whole answer.
+    Whole(&'static str),
+    /// That it did nothing.
+    NotRun,
+    /// The whole answer to another request.
+    Crossed,
+    /// A failure of its own, vouched for.
+    Failure,
+    /// Parts of a stream; it breaks off after them if `cut`.
+    Stream {
+        parts: &'static [&'static str],
+        cut: bool,
+    },
+    /// The answer comes once the test lets it.
+    Held(async_channel::Receiver<()>),
+}
+
+/// An upstream that answers as it is told, the last reply for ever.
+#[derive(Debug)]
+pub(crate) struct FakeUpstream {
+    replies: Mutex<VecDeque<Reply>>,
+    /// What it was asked: the id and, if given, the event to go on after.
+    pub(crate) asked: Mutex<Vec<(String, Option<String>)>>,
+}
+
+impl FakeUpstream {
+    pub(crate) fn start(
+        executor: &Arc<Executor<'static>>,
+        replies: Vec<Reply>,
+    ) -> (Arc<FakeUpstream>, HttpServer) {
+        let upstream = Arc::new(FakeUpstream {
+            replies: Mutex::new(replies.into()),
+            asked: Mutex::default(),
+        });
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let handler: Arc<dyn Handler> = Arc::clone(&upstream) as Arc<dyn Handler>;
+        let server = HttpServer::start(Arc::clone(executor), any, ServerLimits::default(), handler);
+        (upstream, server.expect("a free port"))
+    }
+
+    pub(crate) fn count(&self) -> usize {
+        self.asked.lock().expect("a lock").len()
+    }
+
+    fn next(&self) -> Reply {
+        let mut replies = self.replies.lock().expect("a lock");
+        match replies.len() {
+            0 | 1 => replies.front().cloned().expect("a reply"),
+            _ => replies.pop_front().expect("a reply"),
+        }
+    }
+}
+
+impl Handler for FakeUpstream {
+    fn handle(self: Arc<Self>, req: Request<Incoming>) -> HandlerFuture {
+        let header = |name: &str| {
+            let value = req.headers().get(name);
+            value.and_then(|v| v.to_str().ok()).map(String::from)
+        };
+        let id = header("id").unwrap_or_default();
+        let asked = (id.clone(), header("after"));
+        self.asked.lock().expect("a lock").push(asked);
+        let reply = self.next();
+        Box::pin(async move {
+            match reply {
+                Reply::Whole(text) => answer(&id, StatusCode::OK, jd_net::full(text)),
+                Reply::Crossed => answer("another", StatusCode::OK, jd_net::full("theirs")),
+                Reply::Failure => answer(&id, StatusCode::INTERNAL_SERVER_ERROR, jd_net::empty()),
+                Reply::NotRun => {
+                    let mut res = answer(&id, StatusCode::SERVICE_UNAVAILABLE, jd_net::empty());
+                    res.headers_mut()
+                        .insert("not-run", HeaderValue::from_static("1"));
+                    res
+                }
+                Reply::Stream { parts, cut } => {
+                    let parts = parts.iter().map(|p| Ok(Bytes::from_static(p.as_bytes())));
+                    // What was written is sent while the body has to be waited
+                    // for; broken off in the same breath it would be dropped.
+                    let end = stream::once_future(async move {
+                        future::yield_now().await;
+                        cut.then(|| Err("broken off".into()))
+                    });
+                    let end = end.filter_map(|end| end);
+                    let body = jd_net::stream(stream::iter(parts).chain(end));
+                    answer(&id, StatusCode::OK, body)
+                }
+                Reply::Held(rx) => {
+                    // Closed means let go as well.
+                    let _ = rx.recv().await;
+                    answer(&id, StatusCode::OK, jd_net::full("held"))
+                }
+            }
+        })
+    }
+}
+
+fn answer(id: &str, status: StatusCode, body: Body) -> Response<Body> {
+    let mut res = Response::new(body);
+    *res.status_mut() = status;
+    let id = HeaderValue::from_str(id).expect("an id");
+    res.headers_mut().insert("id", id);
+    res.headers_mut()
+        .insert("signed", HeaderValue::from_static("yes"));
+    res
+}
--- /dev/null
+++ b/crates/gateway/tests/fakes/harness.rs
@@ -0,0 +1,214 @@
+//! A gateway with its fakes, and a caller.
+
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_executor::Executor;
+use async_io::Timer;
+use http::Request;
+use http::StatusCode;
+use jd_gateway::Gateway;
+use jd_gateway::Record;
+use jd_net::Clock;
+use jd_net::HttpPool;
+use jd_net::HttpServer;
+use jd_net::Workers;
+use jd_serving::CustomerSpec;
+use jd_serving::Deployment;
+use jd_serving::Repeat;
+use jd_serving::Route;
+use jd_serving::Target;
+use jd_serving::UpstreamEntry;
+use jd_settings::GatewaySettings;
+use jd_types::Name;
+
+use crate::fakes::FakeDialect;
+use crate::fakes::FakeStore;
+use crate::fakes::FakeUpstream;
+use crate::fakes::Reply;
+
+/// What a caller received.
+#[derive(Debug, PartialEq, Eq)]
+pub(crate) struct Received {
+    pub(crate) status: u16,
+    pub(crate) body: String,
+    /// False if the connection broke before the end.
+    pub(crate) whole: bool,
+    /// What a refusal says of the run.
+    pub(crate) run: Option<String>,
+}
+
+pub(crate) struct Harness {
+    pub(crate) gateway: Arc<Gateway>,
+    pub(crate) store: Arc<FakeStore>,
+    pub(crate) upstreams: Vec<Arc<FakeUpstream>>,
+    callers: SocketAddr,
+    ready: SocketAddr,
+    pool: HttpPool,
+    workers: Workers,
+    _servers: Vec<HttpServer>,
+}
+
+/// Addresses that were free a moment ago.
+fn free_addresses<const N: usize>() -> [SocketAddr; N] {
+    let listeners: [TcpListener; N] =
+        std::array::from_fn(|_| TcpListener::bind("127.0.0.1:0").expect("a free port"));
+    listeners.map(|l| l.local_addr().expect("an address"))
+}
+
+fn route(name: &str, repeat: Repeat) -> Route {
+    Route {
+        name: name.into(),
+        host: "desk.example".into(),
+        prefix: format!("/{name}/").into(),
+        repeat,
+        timeout: Duration::from_secs(20),
+        objective: Duration::from_secs(1),
+        priority: 1,
+        targets: vec![Target {
+            service: "pool".into(),
+            weight: 1,
+        }],
+        max_attempts: 2,
+        stages: Vec::new(),
+        public: false,
+        prompts: false,
+        event_gap: None,
+    }
+}
+
+fn deployment() -> Deployment {
+    Deployment {
+        version: 1,
+        routes: vec![
+            route("any", Repeat::Idempotent),
+            route("once", Repeat::Once),
+            route("resume", Repeat::Resumable),
+            route("stream", Repeat::StreamOnce),
+        ],
+        customers: vec![CustomerSpec {
+            name: "walkers".into(),
+            credentials: vec!["key-1".into()],
+            priority: None,
+        }],
+        ..Deployment::default()
+    }
+}
+
+impl Harness {
+    /// A gateway before upstreams that answer with these.
+    pub(crate) fn start(replies: Vec<Vec<Reply>>) -> Harness {
+        Harness::start_with(replies, vec![Record::Deployment(Box::new(deployment()))])
+    }
+
+    pub(crate) fn start_with(replies: Vec<Vec<Reply>>, mut records: Vec<Record>) -> Harness {
+        let workers = Workers::start(2).expect("threads");
+        let executor: Arc<Executor<'static>> = workers.executor();
+        let mut upstreams = Vec::new();
+        let mut servers = Vec::new();
+        for (n, replies) in replies.into_iter().enumerate() {
+            let (upstream, server) = FakeUpstream::start(&executor, replies);
+            records.push(Record::Upstream(UpstreamEntry {
+                id: format!("i-{n}").into(),
+                service: "pool".into(),
+                address: server.address(),
+                zone: Name::try_from("a").expect("a name"),
+                slots: 4,
+                leaving: false,
+            }));
+            upstreams.push(upstream);
+            servers.push(server);
+        }
+        let [callers, ready, locate, peers, metrics] = free_addresses();
+        let text = format!(
+            "[instance]\nname = test\nzone = a\ncallers = {callers}\nready = {ready}\n\
+             locate = {locate}\npeers = {peers}\nmetrics = {metrics}\n\
+             [store]\naddress = 127.0.0.1:1\nconfirm-every-ms = 100\n\
+             [callers]\nrevoke-within-ms = 500\n"
+        );
+        let settings = GatewaySettings::parse("test.ini", &text).expect("valid settings");
+        let clock = Clock::start();
+        let pool = HttpPool::new(Arc::clone(&executor), clock);
+        let store = Arc::new(FakeStore::new(records));
+        let gateway = Gateway::start(
+            settings,
+            clock,
+            &executor,
+            pool.clone(),
+            Arc::new(FakeDialect),
+            Arc::clone(&store) as Arc<dyn jd_gateway::Store>,
+        );
+        let gateway = Arc::new(gateway.expect("free addresses"));
+        Harness {
+            gateway,
+            store,
+            upstreams,
+            callers,
+            ready,
+            pool,
+            workers,
+            _servers: servers,
+        }
+    }
+
+    /// Waits until the gateway says that it is ready, or is not.
+    pub(crate) async fn until_ready(&self, expected: bool) {
+        loop {
+            let status = self.get(self.ready, "/", "probe", "").await.status;
+            if (status == StatusCode::OK.as_u16()) == expected {
+                return;
+            }
+            Timer::after(Duration::from_millis(5)).await;
+        }
+    }
+
+    /// Sends a request with a credential in force.
+    pub(crate) async fn ask(&self, path: &str, id: &str) -> Received {
+        self.get(self.callers, path, id, "key-1").await
+    }
+
+    pub(crate) async fn ask_with_key(&self, path: &str, key: &str) -> Received {
+        self.get(self.callers, path, "x", key).await
+    }
+
+    /// Runs `f` beside the test.
+    pub(crate) fn spawn<T: Send + 'static>(
+        &self,
+        f: impl Future<Output = T> + Send + 'static,
+    ) -> async_executor::Task<T> {
+        self.workers.spawn(f)
+    }
+
+    async fn get(&self, address: SocketAddr, path: &str, id: &str, key: &str) -> Received {
+        let req = Request::builder()
+            .uri(path)
+            .header("host", "desk.example")
+            .header("id", id)
+            .header("key", key)
+            .body(jd_net::empty())
+            .expect("a request");
+        let patience = Duration::from_secs(30);
+        let sent = self.pool.send(address, req, patience, true).await;
+        let mut response = match sent {
+            Some(Ok(response)) => response,
+            other => panic!("no answer from {address}: {other:?}"),
+        };
+        let run = response.header("run").map(String::from);
+        let mut body = String::new();
+        let whole = loop {
+            match response.part().await {
+                Ok(Some(part)) => body.push_str(&String::from_utf8_lossy(&part)),
+                Ok(None) => break true,
+                Err(_) => break false,
+            }
+        };
+        Received {
+            status: response.status.as_u16(),
+            body,
+            whole,
+            run,
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/fakes/mod.rs
@@ -0,0 +1,13 @@
+//! A store, a dialect and upstreams for tests of the whole gateway.
+
+mod fake_dialect;
+mod fake_store;
+mod fake_upstream;
+mod harness;
+
+pub(crate) use fake_dialect::FakeDialect;
+pub(crate) use fake_store::FakeStore;
+pub(crate) use fake_upstream::FakeUpstream;
+pub(crate) use fake_upstream::Reply;
+pub(crate) use harness::Harness;
+pub(crate) use harness::Received;
