Share proof, heartbeats and batches among many instances

Now a heartbeat's answer carries proof, so that one question serves all who hear of it; changes gather for 100 ms between watches; above 16 instances each watches owners and three others; upstreams are divided among owners, one for six of a service.

--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -151,8 +151,10 @@
         let took = self.state.now().since(arrived);
         self.state.metrics.request(refusal.kind.as_str(), took);
         let proof_ms = self.state.proof_age().map(|a| a.as_millis() as u64);
+        let config = self.state.router.load().as_ref().map(|r| r.version);
         log::info!(
             request = id,
+            config:? = config,
             outcome = refusal.kind.as_str(),
             run = refusal.run.as_str(),
             detail = refusal.detail.as_str(),
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -21,8 +21,11 @@
 use jd_serving::InstanceEntry;
 use jd_serving::JobFailure;
 use jd_serving::JobStage;
+use jd_serving::Proof;
 use jd_serving::StageJob;
+use jd_serving::owners;
 use jd_types::Incarnation;
+use jd_types::MonoTime;
 use jd_types::Name;
 use jd_wire::BeatReply;
 use jd_wire::BeatRequest;
@@ -43,6 +46,14 @@
 /// How often an instance tells the others that it is there. Three beats fit
 /// into the time after which an instance counts as silent.
 const BEAT_EVERY: Duration = Duration::from_millis(400);
+/// Up to this many instances everybody exchanges heartbeats with everybody. Of
+/// 75, each would make and answer 370 a second, more than the requests it has.
+const FULL_MESH: usize = 16;
+/// Owners of each shard that everybody watches: the one that is asked, and the
+/// one that is asked next.
+const WATCHED_OWNERS: usize = 2;
+/// Others that an instance watches.
+const WATCHED_NEXT: usize = 3;
 /// How long a beat may take before its connection is given up.
 const BEAT_WITHIN: Duration = Duration::from_millis(800);
 
@@ -64,15 +75,12 @@
     /// Tells all other instances for good that this one is there.
     pub(crate) async fn beat(self: Arc<Self>) {
         loop {
-            let peers: Vec<InstanceEntry> = self
-                .state
-                .knowledge()
-                .instances
-                .entries()
-                .cloned()
-                .collect();
-            self.forget_channels(&peers);
-            for peer in peers {
+            let all: Vec<InstanceEntry> = {
+                let knowledge = self.state.knowledge();
+                knowledge.instances.entries().cloned().collect()
+            };
+            self.forget_channels(&all);
+            for peer in self.watched(all) {
                 let peers = Arc::clone(&self);
                 let beating = async move { peers.beat_one(&peer).await };
                 self.state.executor.spawn(beating).detach();
@@ -86,12 +94,13 @@
     pub(crate) async fn run_stages(
         &self,
         owner: Incarnation,
+        shard: u64,
         job: &StageJob,
     ) -> Option<Result<Vec<CompactString>, JobFailure>> {
         let address = self.address_of(owner)?;
         let now = self.state.now();
         let mut client = GatewayClient::new(self.channel(address));
-        let asked = stages_request(job, now);
+        let asked = stages_request(job, shard, now);
         let reply = client.run_stages(asked).await.ok()?.into_inner();
         Some(outcome_of(reply))
     }
@@ -123,6 +132,36 @@
         Some(entry.peers)
     }
 
+    /// The instances that heartbeats are exchanged with: all of a small fleet; of
+    /// a larger one the owners of batches, and the few that follow this one in
+    /// the order of their numbers, so that everybody is watched by somebody.
+    fn watched(&self, mut all: Vec<InstanceEntry>) -> Vec<InstanceEntry> {
+        if all.len() <= FULL_MESH {
+            let ids: Vec<Incarnation> = all.iter().map(|e| e.incarnation).collect();
+            self.state
+                .knowledge()
+                .instances
+                .watch(self.state.now(), &ids);
+            return all;
+        }
+        let me = self.state.me.incarnation;
+        let everybody = || all.iter().map(|e| e.incarnation).chain([me]);
+        let mut ids: Vec<Incarnation> = Vec::new();
+        for shard in 0..self.state.shard_count() {
+            ids.extend(owners(shard, everybody()).into_iter().take(WATCHED_OWNERS));
+        }
+        let mut ring: Vec<Incarnation> = everybody().collect();
+        ring.sort_unstable();
+        let next = ring.iter().position(|id| *id == me).map_or(0, |n| n + 1);
+        ids.extend(ring.iter().cycle().skip(next).take(WATCHED_NEXT));
+        self.state
+            .knowledge()
+            .instances
+            .watch(self.state.now(), &ids);
+        all.retain(|e| ids.contains(&e.incarnation));
+        all
+    }
+
     async fn beat_one(&self, peer: &InstanceEntry) {
         let channel = self.channel(peer.peers);
         let mut client = GatewayClient::new(channel.clone());
@@ -131,17 +170,27 @@
             leaving: self.state.is_leaving(),
             ready: self.state.is_ready(),
         };
+        let sent = self.state.now();
         match within(BEAT_WITHIN, client.beat(beat)).await {
-            Some(Ok(reply)) => self.take_reply(peer, reply.into_inner()),
+            Some(Ok(reply)) => self.take_reply(peer, sent, reply.into_inner()),
             Some(Err(_)) => {}
             // The connection may be silent for good while new ones work.
             None => channel.reset(),
         }
     }
 
-    fn take_reply(&self, peer: &InstanceEntry, reply: BeatReply) {
+    fn take_reply(&self, peer: &InstanceEntry, sent: MonoTime, reply: BeatReply) {
         let now = self.state.now();
         let mut knowledge = self.state.knowledge();
+        if reply.proven_revision > 0 {
+            // The reply was made after the beat was sent, so the question that
+            // it tells of was put at that moment less its age or later.
+            let age = Duration::from_millis(u64::from(reply.proven_ms_ago));
+            knowledge.freshness.adopt(Proof {
+                asked: sent.before(age),
+                revision: reply.proven_revision,
+            });
+        }
         match Incarnation::new(reply.incarnation) {
             id if id == peer.incarnation => {
                 knowledge
@@ -165,7 +214,7 @@
     }
 }
 
-fn stages_request(job: &StageJob, now: jd_types::MonoTime) -> StagesRequest {
+fn stages_request(job: &StageJob, shard: u64, now: MonoTime) -> StagesRequest {
     let millis = |d: Duration| u32::try_from(d.as_millis()).unwrap_or(u32::MAX);
     let stages = job.stages.iter().map(|s| Stage {
         service: s.service.to_string(),
@@ -184,6 +233,7 @@
             .zone
             .as_ref()
             .map_or(String::new(), |z| z.as_str().into()),
+        shard: u32::try_from(shard).unwrap_or(0),
     }
 }
 
@@ -218,10 +268,15 @@
             .knowledge()
             .instances
             .heard(now, from, beat.leaving, beat.ready);
+        let proof = self.state.knowledge().freshness.proof();
+        let age = proof.map(|p| self.state.now().since(p.asked));
         Ok(tonic::Response::new(BeatReply {
             incarnation: self.state.me.incarnation.get(),
             leaving: self.state.is_leaving(),
             ready: self.state.is_ready(),
+            proven_revision: proof.map_or(0, |p| p.revision),
+            // Rounded up: proof must never seem younger than it is.
+            proven_ms_ago: age.map_or(0, |a| u32::try_from(a.as_millis() + 1).unwrap_or(u32::MAX)),
         }))
     }
 
@@ -239,8 +294,10 @@
         &self,
         req: tonic::Request<StagesRequest>,
     ) -> Result<tonic::Response<StagesReply>, Status> {
-        let job = self.job(req.into_inner())?;
-        let reply = match self.batches.run(job).await {
+        let req = req.into_inner();
+        let shard = u64::from(req.shard);
+        let job = self.job(req)?;
+        let reply = match self.batches.run(shard, job).await {
             Ok(results) => StagesReply {
                 results: results.into_iter().map(String::from).collect(),
                 ..StagesReply::default()
--- a/crates/gateway/src/signal.rs
+++ b/crates/gateway/src/signal.rs
@@ -25,15 +25,14 @@
         let _ = self.tx.try_send(());
     }
 
-    /// Waits for the signal, at most `limit`.
-    pub(crate) async fn wait(&self, limit: Duration) {
-        let given = async {
-            // Fails only if the sender is gone, and it is in this very struct.
-            let _ = self.rx.recv().await;
-        };
+    /// Waits for the signal, at most `limit`; false if that came first.
+    pub(crate) async fn wait(&self, limit: Duration) -> bool {
+        // Fails only if the sender is gone, and it is in this very struct.
+        let given = async { self.rx.recv().await.is_ok() };
         let late = async {
             Timer::after(limit).await;
+            false
         };
-        given.or(late).await;
+        given.or(late).await
     }
 }
--- a/crates/gateway/src/stage_batches.rs
+++ b/crates/gateway/src/stage_batches.rs
@@ -1,5 +1,6 @@
 //! Filling batches of pieces, on the instance that owns them.
 
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -19,6 +20,7 @@
 use jd_serving::PieceResult;
 use jd_serving::StageDesk;
 use jd_serving::StageJob;
+use jd_serving::shard_of;
 
 use crate::result_free::ResultFree;
 use crate::state::State;
@@ -44,19 +46,23 @@
 pub(crate) struct StageBatches {
     state: Arc<State>,
     free: Arc<ResultFree>,
-    desk: Mutex<Desk>,
+    /// One desk for each part of the upstreams that this instance works on.
+    desks: Mutex<BTreeMap<u64, Desk>>,
 }
 
 /// Cancels a job when its caller does not wait any more.
 struct JobGuard {
     batches: Arc<StageBatches>,
+    shard: u64,
     key: JobKey,
 }
 
 impl Drop for JobGuard {
     fn drop(&mut self) {
-        let mut desk = lock(&self.batches.desk);
-        if desk.waiters.remove(&self.key).is_some() {
+        let mut desks = lock(&self.batches.desks);
+        if let Some(desk) = desks.get_mut(&self.shard)
+            && desk.waiters.remove(&self.key).is_some()
+        {
             desk.desk.cancel(self.key);
         }
     }
@@ -67,56 +73,83 @@
         StageBatches {
             state,
             free,
-            desk: Mutex::default(),
+            desks: Mutex::default(),
         }
     }
 
-    /// Does the stages of a request. Dropping the future cancels them.
-    pub(crate) async fn run(self: &Arc<Self>, job: StageJob) -> JobOutcome {
+    /// Does the stages of a request on one part of the upstreams. Dropping the
+    /// future cancels them.
+    pub(crate) async fn run(self: &Arc<Self>, shard: u64, job: StageJob) -> JobOutcome {
         let (tx, rx) = async_channel::bounded(1);
         let key = {
             let now = self.state.now();
-            let mut desk = lock(&self.desk);
-            self.follow_upstreams(&mut desk);
+            let mut desks = lock(&self.desks);
+            let desk = desks.entry(shard).or_default();
+            self.follow_upstreams(shard, desk);
             let key = desk.desk.submit(now, job)?;
             desk.waiters.insert(key, tx);
             key
         };
         let _guard = JobGuard {
             batches: Arc::clone(self),
+            shard,
             key,
         };
-        self.pump();
+        self.pump(shard);
         // Fails only if the desk was dropped with the process.
         rx.recv().await.unwrap_or(Err(JobFailure::PieceFailed))
     }
 
     /// Nobody works on these results any more.
     pub(crate) fn release(self: &Arc<Self>, handles: Vec<CompactString>) {
-        lock(&self.desk).desk.release(handles);
-        self.pump();
+        let mut desks = lock(&self.desks);
+        let mut unknown = Vec::new();
+        for handle in handles {
+            match desks.values_mut().find(|d| d.desk.holds(&handle)) {
+                Some(desk) => desk.desk.release(vec![handle]),
+                None => unknown.push(handle),
+            }
+        }
+        drop(desks);
+        self.free.add(unknown);
+        self.pump_all();
     }
 
     /// Looks at waiting pieces for good.
     pub(crate) async fn tick(self: Arc<Self>) {
         loop {
             Timer::after(TICK).await;
-            let waiting = lock(&self.desk).desk.is_waiting();
-            if waiting {
-                self.pump();
-            }
+            self.pump_all();
+        }
+    }
+
+    /// Looks at all desks where time alone may bring something to decide.
+    fn pump_all(self: &Arc<Self>) {
+        let waiting: Vec<u64> = {
+            let desks = lock(&self.desks);
+            let waiting = desks.iter().filter(|(_, d)| d.desk.is_waiting());
+            waiting.map(|(shard, _)| *shard).collect()
+        };
+        for shard in waiting {
+            self.pump(shard);
         }
     }
 
-    /// Carries out everything that the desk decides now.
-    fn pump(self: &Arc<Self>) {
+    /// Carries out everything that a desk decides now.
+    fn pump(self: &Arc<Self>, shard: u64) {
         let now = self.state.now();
-        let mut desk = lock(&self.desk);
-        self.follow_upstreams(&mut desk);
+        let mut desks = lock(&self.desks);
+        let Some(desk) = desks.get_mut(&shard) else {
+            return;
+        };
+        self.follow_upstreams(shard, desk);
         desk.desk.expire(now);
         while let Some(call) = desk.desk.next_call(now) {
             let batches = Arc::clone(self);
-            self.state.executor.spawn(batches.make(call)).detach();
+            self.state
+                .executor
+                .spawn(batches.make(shard, call))
+                .detach();
         }
         for end in desk.desk.take_ended() {
             if let Some(tx) = desk.waiters.remove(&end.key) {
@@ -127,7 +160,7 @@
         self.free.add(desk.desk.take_unused());
     }
 
-    async fn make(self: Arc<Self>, call: BatchCall) {
+    async fn make(self: Arc<Self>, shard: u64, call: BatchCall) {
         let began = self.state.now();
         let result = self.ask(&call).await;
         let now = self.state.now();
@@ -141,8 +174,10 @@
             ms = now.since(began).as_millis() as u64;
             "call for pieces"
         );
-        lock(&self.desk).desk.finish(now, call.key, result);
-        self.pump();
+        if let Some(desk) = lock(&self.desks).get_mut(&shard) {
+            desk.desk.finish(now, call.key, result);
+        }
+        self.pump(shard);
     }
 
     async fn ask(&self, call: &BatchCall) -> CallResult {
@@ -179,7 +214,7 @@
         }
     }
 
-    fn follow_upstreams(&self, desk: &mut Desk) {
+    fn follow_upstreams(&self, shard: u64, desk: &mut Desk) {
         let table = self.state.upstreams.load_full();
         let known = desk.table.as_ref();
         if known.is_some_and(|t| Arc::ptr_eq(t, &table)) {
@@ -189,9 +224,12 @@
         let Some(router) = router.as_ref() else {
             return;
         };
+        let shards = self.state.shard_count();
         for service in router.services() {
             if let Some(spec) = service.batch {
-                let upstreams = table.upstreams(&service.name);
+                let numbered = (0..).zip(table.upstreams(&service.name));
+                let own = numbered.filter(|(n, _)| shard_of(*n, shards) == shard);
+                let upstreams = own.map(|(_, upstream)| upstream);
                 desk.desk.set_upstreams(&service.name, spec, upstreams);
             }
         }
--- a/crates/gateway/src/stage_runner.rs
+++ b/crates/gateway/src/stage_runner.rs
@@ -12,6 +12,7 @@
 use jd_serving::JobStage;
 use jd_serving::StageJob;
 use jd_serving::owners;
+use jd_serving::shard_of;
 use jd_types::Incarnation;
 use jd_types::MonoTime;
 use jd_types::Name;
@@ -24,8 +25,6 @@
 use crate::stage_batches::StageBatches;
 use crate::state::State;
 
-/// The shard of all requests, while one instance fills all batches.
-const ONLY_SHARD: u64 = 0;
 /// What an upstream takes from the request to its first event, about: the part
 /// of the objective that stages leave it.
 const GENERATION_START: Duration = Duration::from_millis(200);
@@ -136,7 +135,8 @@
         job: &StageJob,
     ) -> Result<(Incarnation, Vec<CompactString>), JobFailure> {
         let me = self.state.me.incarnation;
-        let order = self.owner_order();
+        let shard = self.shard(job);
+        let order = self.owner_order(shard);
         for owner in order.into_iter().take(MAX_OWNERS) {
             if owner == me {
                 break;
@@ -144,7 +144,7 @@
             // A connection can break although the owner is well. Another owner
             // would fill calls beside it, so it is asked once more first.
             for _ in 0..ASKS_OF_OWNER {
-                if let Some(outcome) = self.ask_owner(owner, job).await {
+                if let Some(outcome) = self.ask_owner(owner, shard, job).await {
                     return outcome.map(|handles| (owner, handles));
                 }
                 if !self.is_heard(owner) {
@@ -153,7 +153,7 @@
             }
             log::warn!(owner:% = owner, request = job.request_id.as_str(); "owner of stages silent");
         }
-        let handles = self.batches.run(job.clone()).await?;
+        let handles = self.batches.run(shard, job.clone()).await?;
         Ok((me, handles))
     }
 
@@ -161,9 +161,10 @@
     async fn ask_owner(
         &self,
         owner: Incarnation,
+        shard: u64,
         job: &StageJob,
     ) -> Option<Result<Vec<CompactString>, JobFailure>> {
-        let asking = async { self.peers.run_stages(owner, job).await };
+        let asking = async { self.peers.run_stages(owner, shard, job).await };
         let gone = async {
             self.until_gone(owner).await;
             None
@@ -176,12 +177,19 @@
         self.state.knowledge().instances.is_heard(now, owner)
     }
 
-    fn owner_order(&self) -> Vec<Incarnation> {
+    /// The shard of a job: any, but the same at every try.
+    fn shard(&self, job: &StageJob) -> u64 {
+        let bytes = job.request_id.bytes();
+        let place = bytes.fold(0_u64, |h, b| h.wrapping_mul(31).wrapping_add(u64::from(b)));
+        shard_of(place, self.state.shard_count())
+    }
+
+    fn owner_order(&self, shard: u64) -> Vec<Incarnation> {
         let now = self.state.now();
         let knowledge = self.state.knowledge();
         let others = knowledge.instances.live(now).map(|e| e.incarnation);
         let own = (!self.state.is_leaving()).then_some(self.state.me.incarnation);
-        owners(ONLY_SHARD, others.chain(own))
+        owners(shard, others.chain(own))
     }
 
     /// Returns once an owner does not answer heartbeats any more.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -23,6 +23,7 @@
 use jd_serving::RepeatBudget;
 use jd_serving::Router;
 use jd_serving::UpstreamDirectory;
+use jd_serving::shard_count;
 use jd_settings::GatewaySettings;
 use jd_types::MonoTime;
 
@@ -161,6 +162,18 @@
         allowed
     }
 
+    /// How many owners share the upstreams of stages.
+    pub(crate) fn shard_count(&self) -> u64 {
+        let router = self.router.load();
+        let Some(router) = router.as_ref() else {
+            return 1;
+        };
+        let table = self.upstreams.load();
+        let batched = router.services().filter(|s| s.batch.is_some());
+        let most = batched.map(|s| table.upstreams(&s.name).count()).max();
+        shard_count(most.unwrap_or(0))
+    }
+
     /// Lays the upstreams out anew after their entries changed.
     pub(crate) fn rebuild_upstreams(&self) {
         let now = self.now();
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -21,6 +21,12 @@
 /// How long a call may take. Six times what the slowest store of the users'
 /// pages took; a connection that is silent for longer is given up.
 const CALL_WITHIN: Duration = Duration::from_millis(1_500);
+/// The same for two questions of three while the store is away: more than its
+/// slowest answers on the users' pages.
+const AWAY_CALL_WITHIN: Duration = Duration::from_millis(400);
+/// Pause between two watches, in which changes gather: each watch is a call, and
+/// when a fleet starts every instance's entry is a change for all others.
+const GATHER: Duration = Duration::from_millis(100);
 /// How long a watch may bring nothing of what the store is known to have
 /// before everything is read again.
 const WATCH_BEHIND: Duration = Duration::from_millis(250);
@@ -55,35 +61,54 @@
     }
 
     /// Asks for the store's revision again and again: the proof that nothing
-    /// in force is missing here.
+    /// in force is missing here. Another instance's proof does as well.
     pub(crate) async fn confirm(self: Arc<Self>) {
-        let mut away = false;
+        let mut failures: u32 = 0;
         loop {
-            match away {
-                true => {
+            match failures {
+                0 => self.until_proof_is_old().await,
+                _ => {
                     Timer::after(RETRY_PAUSE).await;
                 }
-                false => {
-                    let pause = self.state.settings.confirm_every;
-                    self.state.store_lost.wait(pause).await;
-                }
             }
             let asked = self.state.now();
-            match self.call(self.store.revision()).await {
+            // A connection that was begun while the store was away may hang for
+            // its whole time after the return; a new one is tried sooner.
+            let patience = match failures % 3 {
+                0 => CALL_WITHIN,
+                _ => AWAY_CALL_WITHIN,
+            };
+            match self.call(patience, self.store.revision()).await {
                 Ok(revision) => {
-                    away = false;
+                    failures = 0;
                     self.call_succeeded();
                     let mut knowledge = self.state.knowledge();
                     knowledge.freshness.confirmed(asked, revision);
                 }
                 Err(e) => {
-                    away = true;
+                    failures = failures.saturating_add(1);
                     self.call_failed("confirm", e);
                 }
             }
         }
     }
 
+    /// Returns when a new proof is due, or the store was just lost.
+    async fn until_proof_is_old(&self) {
+        let every = self.state.settings.confirm_every;
+        // Not all at the same moment: the first to ask spares the others.
+        let due = every.mul_f64(0.85 + 0.3 * fastrand::f64());
+        let mut wait = due;
+        loop {
+            let lost = self.state.store_lost.wait(wait).await;
+            let age = self.state.proof_age();
+            match age {
+                Some(age) if !lost && age < due => wait = due - age,
+                _ => return,
+            }
+        }
+    }
+
     /// Keeps this instance's entry in the store until it leaves.
     pub(crate) async fn announce(self: Arc<Self>) {
         let mut lease = None;
@@ -106,7 +131,7 @@
     /// Removes this instance's entry.
     pub(crate) async fn withdraw(&self) {
         if let Err(e) = self
-            .call(self.store.withdraw(self.state.me.incarnation))
+            .call(CALL_WITHIN, self.store.withdraw(self.state.me.incarnation))
             .await
         {
             log::info!(error:% = e; "entry not removed; its lease will run out");
@@ -132,29 +157,30 @@
 
     async fn announce_once(&self, lease: Option<LeaseId>) -> Result<LeaseId, StoreError> {
         if let Some(lease) = lease {
-            self.call(self.store.renew(lease)).await?;
+            self.call(CALL_WITHIN, self.store.renew(lease)).await?;
             return Ok(lease);
         }
         let lifetime = self.state.settings.lease;
-        let lease = self.call(self.store.lease(lifetime)).await?;
-        self.call(self.store.announce(&self.state.me, lease))
+        let lease = self.call(CALL_WITHIN, self.store.lease(lifetime)).await?;
+        self.call(CALL_WITHIN, self.store.announce(&self.state.me, lease))
             .await?;
         Ok(lease)
     }
 
     async fn call<T>(
         &self,
+        patience: Duration,
         call: impl Future<Output = Result<T, StoreError>>,
     ) -> Result<T, StoreError> {
         self.state.metrics.store_call();
-        within(CALL_WITHIN, call)
+        within(patience, call)
             .await
             .unwrap_or(Err(StoreError::Lost))
     }
 
     async fn read_all(&self) -> Result<u64, StoreError> {
         let asked = self.state.now();
-        let listing = self.call(self.store.list()).await?;
+        let listing = self.call(CALL_WITHIN, self.store.list()).await?;
         self.call_succeeded();
         let now = self.state.now();
         let mut upstreams: Vec<UpstreamEntry> = Vec::new();
@@ -192,6 +218,7 @@
                     self.call_succeeded();
                     revision = revision.max(changes.revision);
                     self.take_changes(changes.changes, revision);
+                    Timer::after(GATHER).await;
                 }
                 Some(Err(StoreError::HistoryGone)) => {
                     log::info!(revision; "history gone; reading everything again");
--- a/crates/serving/src/freshness.rs
+++ b/crates/serving/src/freshness.rs
@@ -14,14 +14,17 @@
 #[derive(Debug, Default)]
 pub struct Freshness {
     applied: u64,
-    proven: Option<MonoTime>,
+    proven: Option<Proof>,
     unmet: Option<Proof>,
 }
 
-#[derive(Debug, Clone, Copy)]
-struct Proof {
-    asked: MonoTime,
-    revision: u64,
+/// What the store said when it was asked.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Proof {
+    /// When it was asked, at the earliest.
+    pub asked: MonoTime,
+    /// The revision that it had then.
+    pub revision: u64,
 }
 
 impl Freshness {
@@ -31,7 +34,7 @@
         match self.unmet {
             Some(p) if p.revision <= self.applied => {
                 self.unmet = None;
-                self.prove(p.asked);
+                self.prove(p);
             }
             _ => {}
         }
@@ -40,17 +43,32 @@
     /// The store said that it was at `revision` when asked at `asked`. True if
     /// something is missing here, which a watch should have brought.
     pub fn confirmed(&mut self, asked: MonoTime, revision: u64) -> bool {
+        let proof = Proof { asked, revision };
         if revision <= self.applied {
-            self.prove(asked);
+            self.prove(proof);
             return false;
         }
-        self.unmet = Some(Proof { asked, revision });
+        self.unmet = Some(proof);
         true
     }
 
+    /// Another instance has this proof. It counts here if everything up to its
+    /// revision has been taken in, so that one instance's question serves many,
+    /// and those too that the store turns away.
+    pub fn adopt(&mut self, proof: Proof) {
+        if proof.revision <= self.applied {
+            self.prove(proof);
+        }
+    }
+
+    /// The newest proof; none if there has been none.
+    pub fn proof(&self) -> Option<Proof> {
+        self.proven
+    }
+
     /// How old the newest proof is; none if there has been none.
     pub fn age(&self, now: MonoTime) -> Option<Duration> {
-        self.proven.map(|p| now.since(p))
+        self.proven.map(|p| now.since(p.asked))
     }
 
     /// True while the store is known to hold something that is missing here.
@@ -63,7 +81,9 @@
         self.applied
     }
 
-    fn prove(&mut self, asked: MonoTime) {
-        self.proven = Some(self.proven.map_or(asked, |p| p.max(asked)));
+    fn prove(&mut self, proof: Proof) {
+        if self.proven.is_none_or(|p| p.asked < proof.asked) {
+            self.proven = Some(proof);
+        }
     }
 }
--- a/crates/serving/src/instance_directory.rs
+++ b/crates/serving/src/instance_directory.rs
@@ -44,6 +44,18 @@
     heard: MonoTime,
     listed: bool,
     ready: bool,
+    watched: bool,
+}
+
+impl Known {
+    /// True if it is there as far as is known: by its heartbeats if these are
+    /// exchanged with it, else by its entry.
+    fn is_there(&self, now: MonoTime) -> bool {
+        match self.watched {
+            true => now.since(self.heard) < SILENT_AFTER,
+            false => self.listed,
+        }
+    }
 }
 
 impl InstanceDirectory {
@@ -54,6 +66,7 @@
             heard: now,
             listed: true,
             ready: true,
+            watched: true,
         });
         known.listed = true;
         known.entry.leaving |= entry.leaving;
@@ -79,6 +92,17 @@
         }
     }
 
+    /// Heartbeats are exchanged with these instances and no others.
+    pub fn watch(&mut self, now: MonoTime, ids: &[Incarnation]) {
+        for (id, known) in &mut self.known {
+            let watched = ids.contains(id);
+            if watched && !known.watched {
+                known.heard = now;
+            }
+            known.watched = watched;
+        }
+    }
+
     /// Another process answers at its address, so it is gone.
     pub fn gone(&mut self, id: Incarnation) {
         self.known.remove(&id);
@@ -99,14 +123,14 @@
     pub fn live(&self, now: MonoTime) -> impl Iterator<Item = &InstanceEntry> {
         self.known
             .values()
-            .filter(move |k| now.since(k.heard) < SILENT_AFTER && !k.entry.leaving)
+            .filter(move |k| k.is_there(now) && !k.entry.leaving)
             .map(|k| &k.entry)
     }
 
     /// True if it answered a heartbeat lately.
     pub fn is_heard(&self, now: MonoTime, id: Incarnation) -> bool {
         let known = self.known.get(&id);
-        known.is_some_and(|k| now.since(k.heard) < SILENT_AFTER)
+        known.is_some_and(|k| k.is_there(now))
     }
 
     /// The addresses for a caller in `zone`: those of its own zone if there are
@@ -117,8 +141,7 @@
         zone: &str,
         own: Option<&InstanceEntry>,
     ) -> Vec<SocketAddr> {
-        let silent = |k: &&Known| now.since(k.heard) < SILENT_AFTER;
-        let others = self.known.values().filter(silent);
+        let others = self.known.values().filter(|k| k.is_there(now));
         let others = others.filter(|k| k.ready && !k.entry.leaving);
         let mut all: Vec<&InstanceEntry> = others.map(|k| &k.entry).chain(own).collect();
         all.sort_by_key(|e| (e.zone.as_str() != zone, e.callers));
--- a/crates/serving/src/stage_desk.rs
+++ b/crates/serving/src/stage_desk.rs
@@ -202,6 +202,11 @@
         }
     }
 
+    /// True if a result is counted here.
+    pub fn holds(&self, handle: &str) -> bool {
+        self.room.place(handle).is_some()
+    }
+
     /// Nobody works on these results any more.
     pub fn release(&mut self, handles: Vec<CompactString>) {
         for handle in handles {
--- a/crates/serving/tests/instances.rs
+++ b/crates/serving/tests/instances.rs
@@ -6,6 +6,8 @@
 use jd_serving::InstanceDirectory;
 use jd_serving::InstanceEntry;
 use jd_serving::owners;
+use jd_serving::shard_count;
+use jd_serving::shard_of;
 use jd_types::Incarnation;
 use jd_types::MonoTime;
 use jd_types::Name;
@@ -107,3 +109,29 @@
         assert_eq!(without[3..], order[4..]);
     }
 }
+
+/// Of many instances each exchanges heartbeats with a few. The others count as
+/// there for as long as the store lists them.
+#[test]
+fn an_instance_that_is_not_watched_is_judged_by_its_entry() {
+    let mut directory = InstanceDirectory::default();
+    let (a, b) = (entry(1, 1, "a"), entry(2, 2, "a"));
+    directory.put(at(1_000), a.clone());
+    directory.put(at(1_000), b.clone());
+    directory.watch(at(1_000), &[a.incarnation]);
+    assert_eq!(live(&directory, at(9_000)), [b.incarnation]);
+    directory.unlist(b.incarnation);
+    assert!(live(&directory, at(9_000)).is_empty());
+}
+
+#[test]
+fn owners_share_the_upstreams_evenly() {
+    assert_eq!(shard_count(0), 1);
+    assert_eq!(shard_count(5), 1);
+    assert_eq!(shard_count(17), 3);
+    let count = shard_count(17);
+    for shard in 0..count {
+        let own = (0..17).filter(|n| shard_of(*n, count) == shard).count();
+        assert!((5..=6).contains(&own));
+    }
+}
--- a/crates/serving/tests/knowledge.rs
+++ b/crates/serving/tests/knowledge.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use jd_serving::Freshness;
+use jd_serving::Proof;
 use jd_serving::RepeatBound;
 use jd_serving::RepeatBudget;
 use jd_serving::UpstreamDirectory;
@@ -59,6 +60,24 @@
     assert_eq!(freshness.age(at(1_100)), Some(Duration::from_millis(100)));
 }
 
+/// The store turns this instance away and serves the others, who hear each
+/// other. Their proof holds here only for what has been taken in here.
+#[test]
+fn the_proof_of_another_instance_counts_for_what_is_known_here() {
+    let mut freshness = Freshness::default();
+    freshness.applied(7);
+    let proof = |asked, revision| Proof {
+        asked: at(asked),
+        revision,
+    };
+    freshness.adopt(proof(1_000, 8));
+    assert_eq!(freshness.age(at(1_100)), None);
+    freshness.adopt(proof(1_000, 7));
+    assert_eq!(freshness.age(at(1_100)), Some(Duration::from_millis(100)));
+    freshness.adopt(proof(900, 7));
+    assert_eq!(freshness.proof(), Some(proof(1_000, 7)));
+}
+
 #[test]
 fn an_older_answer_does_not_make_proof_older() {
     let mut freshness = Freshness::default();
