Renew the entry no faster while the store is away

Cause: a lost renewal was tried four times a second by every instance, beside the question for the revision, though only one of them need find the return.

--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -122,7 +122,7 @@
                     self.state.metrics.store_failed();
                     log::debug!(error:% = e; "entry not renewed");
                     lease = lease.filter(|_| e != StoreError::LeaseGone);
-                    Timer::after(RETRY_PAUSE).await;
+                    Timer::after(self.state.settings.lease / 3).await;
                 }
             }
         }
