--- a/crates/platform-http/src/lib.rs
+++ b/crates/backing-http/src/lib.rs
@@ -11,17 +11,17 @@
 use http::Method;
 use http::Request;
 use http::StatusCode;
+use jd_backing::InstanceList;
+use jd_backing::KeyValue;
+use jd_backing::KvError;
+use jd_backing::KvReply;
+use jd_backing::KvRequest;
+use jd_backing::Listed;
+use jd_backing::ServiceFuture;
 use jd_net::Body;
 use jd_net::HttpPool;
 use jd_net::SendError;
 use jd_net::within;
-use jd_platform::InstanceList;
-use jd_platform::KeyValue;
-use jd_platform::KvError;
-use jd_platform::KvReply;
-use jd_platform::KvRequest;
-use jd_platform::Listed;
-use jd_platform::ServiceFuture;
 use serde::de::DeserializeOwned;
 
 /// How long a call may take before its answer counts as lost.
--- a/crates/cli/src/standin.rs
+++ b/crates/cli/src/standin.rs
@@ -5,10 +5,10 @@
 use std::sync::Arc;
 
 use compact_str::CompactString;
+use jd_backing::Listed;
+use jd_backing::ListedState;
 use jd_net::Clock;
 use jd_net::Workers;
-use jd_platform::Listed;
-use jd_platform::ListedState;
 use jd_standins::Deployment;
 use jd_standins::FakeList;
 use jd_standins::PlatformServer;
--- a/crates/coord/src/duty.rs
+++ b/crates/coord/src/duty.rs
@@ -4,13 +4,13 @@
 
 use compact_str::CompactString;
 use compact_str::format_compact;
-use jd_platform::Expect;
-use jd_platform::KvError;
-use jd_platform::KvKey;
-use jd_platform::KvReply;
-use jd_platform::KvRequest;
-use jd_platform::LeaseId;
-use jd_platform::Version;
+use jd_backing::Expect;
+use jd_backing::KvError;
+use jd_backing::KvKey;
+use jd_backing::KvReply;
+use jd_backing::KvRequest;
+use jd_backing::LeaseId;
+use jd_backing::Version;
 use jd_types::Incarnation;
 use jd_types::MonoTime;
 
@@ -36,7 +36,7 @@
 ///
 /// ```
 /// use jd_coord::Duty;
-/// use jd_platform::KvReply;
+/// use jd_backing::KvReply;
 /// use jd_types::Incarnation;
 /// use jd_types::MonoTime;
 /// use std::time::Duration;
--- a/crates/coord/src/outbox.rs
+++ b/crates/coord/src/outbox.rs
@@ -2,12 +2,12 @@
 
 use compact_str::CompactString;
 use compact_str::format_compact;
-use jd_platform::Expect;
-use jd_platform::KvEntry;
-use jd_platform::KvError;
-use jd_platform::KvKey;
-use jd_platform::KvReply;
-use jd_platform::KvRequest;
+use jd_backing::Expect;
+use jd_backing::KvEntry;
+use jd_backing::KvError;
+use jd_backing::KvKey;
+use jd_backing::KvReply;
+use jd_backing::KvRequest;
 use jd_types::Incarnation;
 use jd_types::MonoTime;
 use jd_types::Name;
--- a/crates/coord/src/proposer.rs
+++ b/crates/coord/src/proposer.rs
@@ -3,12 +3,12 @@
 use std::time::Duration;
 
 use compact_str::CompactString;
-use jd_platform::Expect;
-use jd_platform::KvEntry;
-use jd_platform::KvError;
-use jd_platform::KvKey;
-use jd_platform::KvReply;
-use jd_platform::KvRequest;
+use jd_backing::Expect;
+use jd_backing::KvEntry;
+use jd_backing::KvError;
+use jd_backing::KvKey;
+use jd_backing::KvReply;
+use jd_backing::KvRequest;
 use jd_types::Change;
 use jd_types::ChangeError;
 use jd_types::ChangeId;
--- a/crates/coord/src/share_keeper.rs
+++ b/crates/coord/src/share_keeper.rs
@@ -3,12 +3,12 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use jd_platform::Expect;
-use jd_platform::KvError;
-use jd_platform::KvKey;
-use jd_platform::KvReply;
-use jd_platform::KvRequest;
-use jd_platform::Version;
+use jd_backing::Expect;
+use jd_backing::KvError;
+use jd_backing::KvKey;
+use jd_backing::KvReply;
+use jd_backing::KvRequest;
+use jd_backing::Version;
 use jd_types::Incarnation;
 use jd_types::MemberState;
 use jd_types::MonoTime;
@@ -205,7 +205,7 @@
         }
     }
 
-    fn took(&mut self, asked: MonoTime, now: MonoTime, entry: jd_platform::KvEntry) {
+    fn took(&mut self, asked: MonoTime, now: MonoTime, entry: jd_backing::KvEntry) {
         // A record that cannot be read entitles to nothing.
         if let Ok(map) = serde_json::from_str::<ShareMap>(&entry.value) {
             self.giving = Ppm::ZERO;
--- a/crates/coord/src/upstream_list.rs
+++ b/crates/coord/src/upstream_list.rs
@@ -5,8 +5,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use jd_platform::Listed;
-use jd_platform::ListedState;
+use jd_backing::Listed;
+use jd_backing::ListedState;
 use jd_types::MonoTime;
 use jd_types::Name;
 
--- a/crates/coord/tests/clocks.rs
+++ b/crates/coord/tests/clocks.rs
@@ -4,6 +4,11 @@
 
 use std::time::Duration;
 
+use jd_backing::Expect;
+use jd_backing::KvError;
+use jd_backing::KvKey;
+use jd_backing::KvReply;
+use jd_backing::KvRequest;
 use jd_coord::ConfigReplica;
 use jd_coord::Duty;
 use jd_coord::Learned;
@@ -12,11 +17,6 @@
 use jd_coord::ShareKeeper;
 use jd_coord::ShareMap;
 use jd_coord::ShareView;
-use jd_platform::Expect;
-use jd_platform::KvError;
-use jd_platform::KvKey;
-use jd_platform::KvReply;
-use jd_platform::KvRequest;
 use jd_standins::FakeKv;
 use jd_types::Config;
 use jd_types::Incarnation;
--- a/crates/coord/tests/random_failures.rs
+++ b/crates/coord/tests/random_failures.rs
@@ -10,8 +10,8 @@
 
 use fleet::Fleet;
 use fleet::LIMIT;
+use jd_backing::KvKey;
 use jd_coord::ProposalEnd;
-use jd_platform::KvKey;
 use jd_types::Change;
 use jd_types::Name;
 use jd_types::Revision;
@@ -154,11 +154,11 @@
     let last = fleet.nodes[0].replica.config().revision;
     let mut log = Vec::new();
     for r in 1..=last.get() {
-        let get = jd_platform::KvRequest::Get {
+        let get = jd_backing::KvRequest::Get {
             key: KvKey::log(Revision::new(r)),
         };
         let reply = fleet.call(0, &get).unwrap();
-        let jd_platform::KvReply::Found { entry: Some(e) } = reply else {
+        let jd_backing::KvReply::Found { entry: Some(e) } = reply else {
             panic!("{r} is missing")
         };
         let record: jd_types::ChangeRecord = serde_json::from_str(&e.value).unwrap();
--- a/crates/demo/src/injector.rs
+++ b/crates/demo/src/injector.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use async_io::Timer;
+use jd_backing::ListedState;
 use jd_net::lock;
-use jd_platform::ListedState;
 use jd_standins::KvFaults;
 use jd_standins::UpstreamServer;
 use jd_types::MemberState;
--- a/crates/demo/src/world.rs
+++ b/crates/demo/src/world.rs
@@ -9,14 +9,14 @@
 
 use async_io::Timer;
 use compact_str::CompactString;
+use jd_backing::Listed;
+use jd_backing::ListedState;
 use jd_entry::Entry;
 use jd_entry::Platform;
 use jd_net::Clock;
 use jd_net::HttpPool;
 use jd_net::Workers;
 use jd_net::lock;
-use jd_platform::Listed;
-use jd_platform::ListedState;
 use jd_settings::RawSettings;
 use jd_settings::Settings;
 use jd_standins::Deployment;
--- a/crates/entry/src/config_sync.rs
+++ b/crates/entry/src/config_sync.rs
@@ -5,13 +5,13 @@
 
 use async_io::Timer;
 use compact_str::CompactString;
+use jd_backing::KvEntry;
+use jd_backing::KvKey;
+use jd_backing::KvReply;
+use jd_backing::KvRequest;
 use jd_coord::Learned;
 use jd_coord::Lifecycle;
 use jd_net::lock;
-use jd_platform::KvEntry;
-use jd_platform::KvKey;
-use jd_platform::KvReply;
-use jd_platform::KvRequest;
 use jd_types::ChangeRecord;
 use jd_types::Config;
 use jd_types::MemberState;
@@ -121,7 +121,7 @@
     }
 }
 
-fn take(shared: &Shared, reply: Result<KvReply, jd_platform::KvError>) -> bool {
+fn take(shared: &Shared, reply: Result<KvReply, jd_backing::KvError>) -> bool {
     match reply {
         Ok(KvReply::Entries { entries }) => {
             learn(shared, entries.iter().filter_map(record).collect());
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -8,6 +8,8 @@
 
 use async_executor::Task;
 use async_io::Timer;
+use jd_backing::InstanceList;
+use jd_backing::KeyValue;
 use jd_coord::DrainTimes;
 use jd_coord::Member;
 use jd_coord::Members;
@@ -18,8 +20,6 @@
 use jd_net::ServerLimits;
 use jd_net::Workers;
 use jd_net::lock;
-use jd_platform::InstanceList;
-use jd_platform::KeyValue;
 use jd_policy::CostCell;
 use jd_policy::CostKey;
 use jd_settings::Settings;
@@ -53,7 +53,7 @@
     /// The services over HTTP, as the settings name them.
     pub fn over_http(settings: &Settings, workers: &Workers, clock: Clock) -> Platform {
         let pool = HttpPool::new(workers.executor(), clock);
-        let at = |address| jd_platform_http::HttpPlatform::new(pool.clone(), address);
+        let at = |address| jd_backing_http::HttpPlatform::new(pool.clone(), address);
         Platform {
             kv: Arc::new(at(settings.platform.key_value)),
             list: Arc::new(at(settings.platform.instances)),
--- a/crates/entry/src/list_sync.rs
+++ b/crates/entry/src/list_sync.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use async_io::Timer;
+use jd_backing::ListedState;
 use jd_net::lock;
-use jd_platform::ListedState;
 
 use crate::shared::Shared;
 
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -35,7 +35,7 @@
     ("jd_revision", "Revision of the configuration in force"),
     ("jd_own_part_ppm", "Own part of every limit, in millionths"),
     (
-        "jd_platform_calls_total",
+        "jd_backing_calls_total",
         "Calls to the platform's key-value service, by result",
     ),
     (
@@ -117,7 +117,7 @@
         r.register("jd_members", help(5), m.members.clone());
         r.register("jd_revision", help(6), m.revision.clone());
         r.register("jd_own_part_ppm", help(7), m.own_part.clone());
-        r.register("jd_platform_calls", help(8), m.platform_calls.clone());
+        r.register("jd_backing_calls", help(8), m.platform_calls.clone());
         r.register("jd_peer_bytes", help(9), m.peer_bytes.clone());
         m
     }
--- a/crates/lab/src/slopes/routing.rs
+++ b/crates/lab/src/slopes/routing.rs
@@ -4,9 +4,9 @@
 use std::time::Duration;
 
 use fastrand::Rng;
+use jd_backing::Listed;
+use jd_backing::ListedState;
 use jd_coord::UpstreamList;
-use jd_platform::Listed;
-use jd_platform::ListedState;
 use jd_policy::PickRequest;
 use jd_policy::PoolTable;
 use jd_policy::RoutingPolicy;
--- a/crates/standins/src/fake_kv.rs
+++ b/crates/standins/src/fake_kv.rs
@@ -4,14 +4,14 @@
 use std::ops::Bound;
 use std::time::Duration;
 
-use jd_platform::Expect;
-use jd_platform::KvEntry;
-use jd_platform::KvError;
-use jd_platform::KvKey;
-use jd_platform::KvReply;
-use jd_platform::KvRequest;
-use jd_platform::LeaseId;
-use jd_platform::Version;
+use jd_backing::Expect;
+use jd_backing::KvEntry;
+use jd_backing::KvError;
+use jd_backing::KvKey;
+use jd_backing::KvReply;
+use jd_backing::KvRequest;
+use jd_backing::LeaseId;
+use jd_backing::Version;
 use jd_types::MonoTime;
 
 /// How the service fails at present.
--- a/crates/standins/src/fake_list.rs
+++ b/crates/standins/src/fake_list.rs
@@ -4,8 +4,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use jd_platform::Listed;
-use jd_platform::ListedState;
+use jd_backing::Listed;
+use jd_backing::ListedState;
 use jd_types::MonoTime;
 
 /// Past states that are kept for answering late.
--- a/crates/standins/src/fake_work.rs
+++ b/crates/standins/src/fake_work.rs
@@ -2,8 +2,8 @@
 
 use std::hash::Hasher;
 
-use jd_platform::EngineOrder;
-use jd_platform::EngineStatus;
+use jd_backing::EngineOrder;
+use jd_backing::EngineStatus;
 use jd_types::StageKind;
 
 /// Parts in a generated answer, at least.
