--- a/crates/gateway/tests/requests.rs
+++ b/crates/gateway/tests/requests.rs
@@ -1,5 +1,7 @@
 //! Requests through a whole gateway, with upstreams and a store that fail.
 
+#![allow(clippy::expect_used, clippy::panic)]
+
 mod fakes;
 
 use std::sync::Arc;
--- a/crates/serving/src/event_splitter.rs
+++ b/crates/serving/src/event_splitter.rs
@@ -46,7 +46,7 @@
 
 fn last_id(events: &[u8]) -> Option<u64> {
     let lines = events.split(|b| *b == b'\n');
-    let ids = lines.filter_map(|line| line.strip_prefix(ID_LINE));
-    let text = std::str::from_utf8(ids.last()?).ok()?;
+    let mut ids = lines.filter_map(|line| line.strip_prefix(ID_LINE));
+    let text = std::str::from_utf8(ids.next_back()?).ok()?;
     text.trim().parse().ok()
 }
--- a/crates/serving/tests/instances.rs
+++ b/crates/serving/tests/instances.rs
@@ -1,5 +1,7 @@
 //! Which instances callers and peers are told of.
 
+#![allow(clippy::expect_used, clippy::panic)]
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
--- a/crates/serving/tests/knowledge.rs
+++ b/crates/serving/tests/knowledge.rs
@@ -1,5 +1,7 @@
 //! What an instance may believe, and for how long.
 
+#![allow(clippy::expect_used, clippy::panic)]
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
--- a/crates/serving/tests/requests.rs
+++ b/crates/serving/tests/requests.rs
@@ -1,5 +1,7 @@
 //! Where a request belongs, and what of its answer may be passed on.
 
+#![allow(clippy::expect_used, clippy::panic)]
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
--- a/crates/serving/tests/stages.rs
+++ b/crates/serving/tests/stages.rs
@@ -1,5 +1,7 @@
 //! How pieces of stages are gathered into calls, replayed in virtual time.
 
+#![allow(clippy::expect_used, clippy::panic)]
+
 mod stage_world;
 
 use std::time::Duration;
--- a/crates/settings/tests/gateway.rs
+++ b/crates/settings/tests/gateway.rs
@@ -1,5 +1,7 @@
 //! A gateway's settings: what is accepted, and what an error says.
 
+#![allow(clippy::expect_used, clippy::panic)]
+
 use jd_settings::GATEWAY_KEYS;
 use jd_settings::GatewaySettings;
 use test_case::test_case;
