--- a/crates/policy/src/pool_table.rs
+++ b/crates/policy/src/pool_table.rs
@@ -10,6 +10,8 @@
 use jd_types::MonoTime;
 use jd_types::Name;
 use jd_types::UpstreamKey;
+use jd_types::spread;
+use jd_types::spread_address;
 
 use crate::RoutingPolicy;
 use crate::Upstream;
@@ -98,9 +100,9 @@
             .map(|(k, _)| k)
             .collect();
         let places = |(key, u): (UpstreamKey, &Arc<Upstream>)| {
-            let base = address_bits(u.address);
+            let base = spread_address(u.address);
             (0..PLACES).map(move |n| Place {
-                at: mix(base ^ mix(n)),
+                at: spread(base ^ spread(n)),
                 key,
             })
         };
@@ -267,7 +269,7 @@
     /// other; when an upstream leaves only its own prefixes move; and a popular
     /// prefix spreads to a second and third upstream, always the same ones.
     fn by_prefix(&self, now: MonoTime, req: &PickRequest<'_>) -> Option<UpstreamKey> {
-        let prefix = mix(req.affinity?);
+        let prefix = spread(req.affinity?);
         let start = self.ring.partition_point(|place| place.at < prefix);
         let around = self.ring[start..].iter().chain(&self.ring[..start]);
         // Rounded, and not one more: every instance adds its own up to the
@@ -349,22 +351,3 @@
         self.ignore_ejections.load(Ordering::Relaxed)
     }
 }
-
-fn address_bits(address: std::net::SocketAddr) -> u64 {
-    let ip = match address.ip() {
-        std::net::IpAddr::V4(v4) => u64::from(v4.to_bits()),
-        std::net::IpAddr::V6(v6) => {
-            let bits = v6.to_bits();
-            (bits as u64) ^ ((bits >> 64) as u64)
-        }
-    };
-    mix(ip << 16 | u64::from(address.port()))
-}
-
-/// The finaliser of splitmix64: spreads close numbers far apart.
-fn mix(mut x: u64) -> u64 {
-    x = x.wrapping_add(0x9e37_79b9_7f4a_7c15);
-    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    x ^ (x >> 31)
-}
--- /dev/null
+++ b/crates/serving/src/desk_estimates.rs
@@ -0,0 +1,78 @@
+//! What the desk expects: waits, paths and what is worth beginning.
+
+use std::time::Duration;
+
+use compact_str::CompactString;
+use jd_types::MonoTime;
+
+use crate::JobFailure;
+use crate::JobKey;
+use crate::StageDesk;
+use crate::rank::Chance;
+use crate::stage_job::JobProgress;
+
+/// The part of its spare time, in hundredths, by which a stage beside a longer
+/// chain is put off. Done at once, its results would take room all the while.
+const PUT_OFF_PERCENT: u32 = 60;
+
+impl StageDesk {
+    /// Refuses at once what would wait longer than its caller does. Held and
+    /// refused later it would have cost the caller its time as well.
+    pub(crate) fn check_wait(
+        &self,
+        now: MonoTime,
+        progress: &JobProgress,
+    ) -> Result<(), JobFailure> {
+        let stages = &progress.job().stages;
+        let used = || (0..stages.len()).filter(|s| stages[*s].pieces > 0);
+        let path = used().map(|s| self.path_time(progress, s)).max();
+        let queues = used().filter_map(|s| self.queues.get(&stages[s].service));
+        let longest = queues.map(|q| q.backlog(now)).max().unwrap_or_default();
+        let end = now + path.unwrap_or_default() + longest;
+        match end > progress.job().deadline {
+            true => Err(JobFailure::WouldMiss(longest)),
+            false => Ok(()),
+        }
+    }
+
+    /// How long the stages from `stage` on take, its own wait not counted and
+    /// those at later stages as they have been lately. Without these, upstreams
+    /// would be kept busy with what is in time now and late one stage later.
+    pub(crate) fn path_time(&self, progress: &JobProgress, stage: usize) -> Duration {
+        let call_time = |service: &str, pieces: usize| {
+            let queue = self.queues.get(service);
+            queue.map_or(Duration::ZERO, |q| q.spec.call_time(pieces) + q.usual_wait)
+        };
+        let service = &progress.job().stages[stage].service;
+        let own_wait = self.queues.get(service).map(|q| q.usual_wait);
+        let path = progress.path_time(stage, &call_time);
+        path.saturating_sub(own_wait.unwrap_or_default())
+    }
+
+    /// Services where more late work waits than fits into one call. Late jobs are
+    /// not begun that lead there: their results would expire before their turn.
+    pub(crate) fn clogged(&self) -> Vec<CompactString> {
+        let clogged = self.queues.iter().filter(|(_, q)| {
+            let begun = q.waiting.keys().filter(|r| r.chance == Chance::LateBegun);
+            begun.count() > q.spec.pieces
+        });
+        clogged.map(|(service, _)| service.clone()).collect()
+    }
+
+    /// How long the pieces of a stage wait because another chain of stages of
+    /// the same job takes longer.
+    pub(crate) fn put_off(&self, key: JobKey, stage: usize) -> Duration {
+        let call_time = |service: &str, pieces: usize| {
+            let queue = self.queues.get(service);
+            queue.map_or(Duration::ZERO, |q| q.spec.call_time(pieces))
+        };
+        let Some(job) = self.jobs.get(&key) else {
+            return Duration::ZERO;
+        };
+        let first = job.progress.job().stages[stage].after.is_empty();
+        match first && job.starts_over == 0 {
+            true => job.progress.spare_time(stage, &call_time) * PUT_OFF_PERCENT / 100,
+            false => Duration::ZERO,
+        }
+    }
+}
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -11,6 +11,7 @@
 mod batch_upstream;
 mod call_head;
 mod deployment;
+mod desk_estimates;
 mod desk_job;
 mod desk_results;
 mod event_splitter;
--- a/crates/serving/src/owner.rs
+++ b/crates/serving/src/owner.rs
@@ -1,6 +1,7 @@
 //! Which instance fills the batches of a request's stages.
 
 use jd_types::Incarnation;
+use jd_types::spread;
 
 /// Upstreams of one service that one owner fills calls for. An owner at the
 /// users' small sites has five and spends 0.01 of a core on 48 jobs a second.
@@ -30,11 +31,3 @@
     ranked.sort_unstable();
     ranked.into_iter().map(|(_, id)| id).collect()
 }
-
-/// The finaliser of splitmix64: spreads close numbers far apart.
-pub(crate) fn spread(mut x: u64) -> u64 {
-    x = x.wrapping_add(0x9e37_79b9_7f4a_7c15);
-    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    x ^ (x >> 31)
-}
--- a/crates/serving/src/prompt_placement.rs
+++ b/crates/serving/src/prompt_placement.rs
@@ -2,7 +2,8 @@
 
 use std::net::SocketAddr;
 
-use crate::owner::spread;
+use jd_types::spread;
+use jd_types::spread_address;
 
 /// What a placement looks at of one upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -41,18 +42,10 @@
     let usable = upstreams.iter().enumerate().filter(|(_, u)| u.usable);
     let mut ranked: Vec<(bool, u64, usize)> = usable
         .map(|(n, u)| {
-            let rank = spread(session ^ address_bits(u.address));
+            let rank = spread(session ^ spread_address(u.address));
             (u.in_flight >= bound, rank, n)
         })
         .collect();
     ranked.sort_unstable();
     ranked.into_iter().map(|(_, _, n)| n).collect()
 }
-
-fn address_bits(address: SocketAddr) -> u64 {
-    let ip = match address.ip() {
-        std::net::IpAddr::V4(v4) => u64::from(v4.to_bits()),
-        std::net::IpAddr::V6(v6) => v6.to_bits() as u64,
-    };
-    spread(ip << 16 | u64::from(address.port()))
-}
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -24,6 +24,7 @@
 mod ppm;
 mod priority;
 mod refusal;
+mod spread;
 mod stage;
 mod time;
 
@@ -64,6 +65,8 @@
 pub use priority::PriorityError;
 pub use refusal::Refusal;
 pub use refusal::RefusalKind;
+pub use spread::spread;
+pub use spread::spread_address;
 pub use stage::Stage;
 pub use stage::StageKind;
 pub use time::MonoTime;
--- /dev/null
+++ b/crates/types/src/spread.rs
@@ -0,0 +1,24 @@
+//! Hashes that all instances compute alike.
+
+use std::net::IpAddr;
+use std::net::SocketAddr;
+
+/// The finaliser of splitmix64: spreads close numbers far apart.
+pub const fn spread(mut x: u64) -> u64 {
+    x = x.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^ (x >> 31)
+}
+
+/// A number for an address.
+pub fn spread_address(address: SocketAddr) -> u64 {
+    let ip = match address.ip() {
+        IpAddr::V4(v4) => u64::from(v4.to_bits()),
+        IpAddr::V6(v6) => {
+            let bits = v6.to_bits();
+            (bits as u64) ^ ((bits >> 64) as u64)
+        }
+    };
+    spread(ip << 16 | u64::from(address.port()))
+}
