Send callers back after a second where nothing is known yet

Cause: after all instances lost power, callers with kept addresses were told to come back after 0.4 s, found the instance as ignorant as before, and ask only once more. An instance knows within a second of its start, entries are back within two of the store's return.

--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -31,9 +31,10 @@
 use crate::state::State;
 use crate::stream_call;
 
-/// When to come back to an instance that does not know what is in force: after
-/// about one round of proof.
-const UNPROVEN_PAUSE: Duration = Duration::from_millis(400);
+/// When to come back to an instance that does not know what is in force. One
+/// that has just started knows within a second; the users' callers come back
+/// once, and sooner they would be refused for good.
+const UNPROVEN_PAUSE: Duration = Duration::from_millis(1_000);
 /// How long a request's body may take to arrive.
 const BODY_WITHIN: Duration = Duration::from_secs(10);
 
--- a/crates/gateway/src/stage_runner.rs
+++ b/crates/gateway/src/stage_runner.rs
@@ -42,6 +42,9 @@
 const MAX_OWNERS: usize = 3;
 /// How often one owner is asked while it answers heartbeats.
 const ASKS_OF_OWNER: u32 = 2;
+/// When to come back after no upstream was listed: entries that lapsed with the
+/// store are back within two seconds, most within one.
+const LISTED_AGAIN: Duration = Duration::from_millis(1_200);
 /// When to come back after stages could not be done.
 const FAILED_PAUSE: Duration = Duration::from_millis(500);
 
@@ -271,7 +274,7 @@
         ),
         JobFailure::NoUpstream => (
             RefusalKind::NoUpstream,
-            FAILED_PAUSE,
+            LISTED_AGAIN,
             "no upstream does one of the stages",
         ),
         JobFailure::PieceFailed => (
