Follow the operator's bounds on heads and idle connections

Cause: the callers' endpoint kept the bounds of its start. Ruled out: a new listener for each version, which would cut connections. Connections opened after a version get its bounds. Test: tests/requests.rs.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -43,6 +43,9 @@
 /// What is left of the grace when the last requests are cut: the process has
 /// to be gone before it is killed.
 const GRACE_MARGIN: Duration = Duration::from_millis(250);
+/// How often the operator's limits are looked at. New connections get them; a
+/// second is far below the time in which a version has to be in force.
+const FOLLOW_LIMITS: Duration = Duration::from_millis(500);
 /// How often a stop looks whether everything has ended.
 const STOP_STEP: Duration = Duration::from_millis(50);
 
@@ -58,7 +61,7 @@
 pub struct Gateway {
     state: Arc<State>,
     sync: Arc<Sync>,
-    callers: HttpServer,
+    callers: Arc<HttpServer>,
     _servers: Vec<HttpServer>,
     _tasks: Vec<Task<()>>,
 }
@@ -119,7 +122,8 @@
             batches: Arc::clone(&batches),
         };
         let s = &state.settings;
-        let callers = listen(&state, s.callers, caller_limits(s), Arc::new(front))?;
+        let limits = caller_limits(s, &CallerLimits::default());
+        let callers = Arc::new(listen(&state, s.callers, limits, Arc::new(front))?);
         let own = ServerLimits::default();
         let servers = vec![
             listen(&state, s.ready, own, Arc::new(ReadyApi(Arc::clone(&state))))?,
@@ -137,7 +141,9 @@
             )?,
             listen(&state, s.peers, own, Arc::new(PeerHandler::new(peer_api)))?,
         ];
+        let following = follow_limits(Arc::clone(&state), Arc::clone(&callers));
         let tasks = vec![
+            executor.spawn(following),
             executor.spawn(Arc::clone(&sync).follow()),
             executor.spawn(Arc::clone(&sync).confirm()),
             executor.spawn(Arc::clone(&sync).announce()),
@@ -193,10 +199,19 @@
     HttpServer::start(executor, address, limits, handler).context(StartSnafu { address })
 }
 
+/// Keeps the limits of the callers' endpoint as the operator has them.
+async fn follow_limits(state: Arc<State>, callers: Arc<HttpServer>) {
+    loop {
+        Timer::after(FOLLOW_LIMITS).await;
+        if let Some(router) = state.router.load().as_ref() {
+            callers.set_limits(caller_limits(&state.settings, &router.limits));
+        }
+    }
+}
+
 /// The limits of the callers' endpoint. The wait for a head covers the time
 /// between two requests of a connection as well, so it is the longer of both.
-fn caller_limits(settings: &GatewaySettings) -> ServerLimits {
-    let limits = CallerLimits::default();
+fn caller_limits(settings: &GatewaySettings, limits: &CallerLimits) -> ServerLimits {
     ServerLimits {
         connections: settings.max_connections,
         head_bytes: limits.head_bytes,
--- a/crates/gateway/tests/fakes/harness.rs
+++ b/crates/gateway/tests/fakes/harness.rs
@@ -79,7 +79,7 @@
     }
 }
 
-fn deployment() -> Deployment {
+pub(crate) fn deployment() -> Deployment {
     Deployment {
         version: 1,
         routes: vec![
@@ -169,6 +169,12 @@
         self.get(self.callers, path, id, "key-1").await
     }
 
+    /// Sends a request whose head is at least `bytes` large.
+    pub(crate) async fn ask_with_head(&self, path: &str, bytes: usize) -> Received {
+        self.get(self.callers, path, &"x".repeat(bytes), "key-1")
+            .await
+    }
+
     pub(crate) async fn ask_with_key(&self, path: &str, key: &str) -> Received {
         self.get(self.callers, path, "x", key).await
     }
--- a/crates/gateway/tests/fakes/mod.rs
+++ b/crates/gateway/tests/fakes/mod.rs
@@ -11,3 +11,4 @@
 pub(crate) use fake_upstream::Reply;
 pub(crate) use harness::Harness;
 pub(crate) use harness::Received;
+pub(crate) use harness::deployment;
--- a/crates/gateway/tests/requests.rs
+++ b/crates/gateway/tests/requests.rs
@@ -10,8 +10,10 @@
 use fakes::Harness;
 use fakes::Received;
 use fakes::Reply;
+use fakes::deployment;
 use futures_lite::future::block_on;
 use jd_gateway::Change;
+use jd_gateway::Record;
 
 fn asked(harness: &Harness) -> usize {
     harness.upstreams.iter().map(|u| u.count()).sum()
@@ -233,3 +235,25 @@
         stopping.await;
     });
 }
+
+/// The operator lowers the bound on heads. Callers beyond it get a final answer,
+/// and nothing of their request reaches an upstream.
+#[test]
+fn the_operators_bound_on_heads_is_followed() {
+    let harness = Harness::start(vec![vec![Reply::Whole("yours")]]);
+    block_on(async {
+        harness.until_ready(true).await;
+        assert_eq!(harness.ask_with_head("/any/x", 9_000).await.status, 200);
+        let mut lower = deployment();
+        lower.version = 2;
+        lower.limits.head_bytes = 8_192;
+        let change = Change::Put(Record::Deployment(Box::new(lower)));
+        harness.store.change(change);
+        let before = asked(&harness);
+        let mut allowed = 0;
+        while harness.ask_with_head("/any/x", 9_000).await.status != 431 {
+            allowed += 1;
+        }
+        assert_eq!(asked(&harness), before + allowed);
+    });
+}
--- a/crates/net/src/http_server.rs
+++ b/crates/net/src/http_server.rs
@@ -7,6 +7,7 @@
 use std::net::TcpStream;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -27,6 +28,7 @@
 use smol_hyper::rt::SmolTimer;
 
 use crate::Body;
+use crate::lock;
 
 /// What a handler returns.
 pub type HandlerFuture = Pin<Box<dyn Future<Output = Response<Body>> + Send>>;
@@ -43,7 +45,7 @@
 }
 
 /// Bounds on what a client may cost before it has shown who it is.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ServerLimits {
     /// Open connections.
     pub connections: usize,
@@ -72,6 +74,8 @@
     }
 }
 
+/// The least bytes of a head that the library can be told to allow.
+const LEAST_HEAD_BYTES: usize = 8_192;
 /// Pause after a failed accept, such as when file descriptors have run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -83,6 +87,7 @@
     alive: Sender<()>,
     stopping: Sender<()>,
     open: Arc<AtomicUsize>,
+    limits: Arc<Mutex<ServerLimits>>,
 }
 
 impl HttpServer {
@@ -98,9 +103,10 @@
         let open = Arc::new(AtomicUsize::new(0));
         let (stopping, stopped) = async_channel::bounded(1);
         let (alive, dropped) = async_channel::bounded(1);
+        let limits = Arc::new(Mutex::new(limits));
         let acceptor = Acceptor {
             executor: Arc::clone(&executor),
-            limits,
+            limits: Arc::clone(&limits),
             handler,
             open: Arc::clone(&open),
             stopped,
@@ -112,6 +118,7 @@
             alive,
             stopping,
             open,
+            limits,
         })
     }
 
@@ -120,6 +127,11 @@
         self.address
     }
 
+    /// Changes the bounds for connections that are opened from now on.
+    pub fn set_limits(&self, limits: ServerLimits) {
+        *lock(&self.limits) = limits;
+    }
+
     /// Closes every connection at once, as the end of the process would.
     pub fn abort(&self) {
         self.alive.close();
@@ -140,7 +152,7 @@
 
 struct Acceptor {
     executor: Arc<Executor<'static>>,
-    limits: ServerLimits,
+    limits: Arc<Mutex<ServerLimits>>,
     handler: Arc<dyn Handler>,
     open: Arc<AtomicUsize>,
     stopped: Receiver<()>,
@@ -161,7 +173,9 @@
         let mut accepted = 0;
         loop {
             match listener.accept().await {
-                Ok((io, _)) if self.open.load(Ordering::Relaxed) < self.limits.connections => {
+                Ok((io, _))
+                    if self.open.load(Ordering::Relaxed) < lock(&self.limits).connections =>
+                {
                     accepted += 1;
                     self.serve(io, ConnectionNumber(accepted));
                 }
@@ -202,19 +216,20 @@
     }
 
     fn builder(&self) -> auto::Builder<SmolExecutor<Arc<Executor<'static>>>> {
+        let limits = *lock(&self.limits);
         let mut builder = auto::Builder::new(SmolExecutor::new(Arc::clone(&self.executor)));
         builder
             .http1()
             .timer(SmolTimer::new())
-            .max_headers(self.limits.headers)
-            .max_buf_size(self.limits.head_bytes)
-            .header_read_timeout(self.limits.head_within);
+            .max_headers(limits.headers)
+            .max_buf_size(limits.head_bytes.max(LEAST_HEAD_BYTES))
+            .header_read_timeout(limits.head_within);
         builder
             .http2()
             .timer(SmolTimer::new())
-            .max_header_list_size(u32::try_from(self.limits.head_bytes).unwrap_or(u32::MAX))
-            .max_concurrent_streams(self.limits.streams);
-        match self.limits.http1_only {
+            .max_header_list_size(u32::try_from(limits.head_bytes).unwrap_or(u32::MAX))
+            .max_concurrent_streams(limits.streams);
+        match limits.http1_only {
             true => builder.http1_only(),
             false => builder,
         }
