--- a/crates/serving/tests/stages.rs
+++ b/crates/serving/tests/stages.rs
@@ -8,6 +8,7 @@
 
 use jd_serving::JobFailure;
 use jd_serving::JobKey;
+use jd_serving::JobStage;
 use stage_world::SPEC;
 use stage_world::World;
 use stage_world::name;
@@ -250,3 +251,30 @@
     world.run(500);
     assert_ne!(world.calls[1].1.upstream, used);
 }
+
+/// A tag has one large result that only the model reads, beside a chain of three
+/// stages. Made at once it lay there for as long as the chain waited, and large
+/// results of others had no room.
+#[test]
+fn a_lone_stage_is_not_done_long_before_the_chain_beside_it() {
+    let mut world = World::new(&["lone", "first", "second", "third"], 10);
+    let mut job = world.chain(1, &[("first", 1), ("second", 2), ("third", 2)], 5_000);
+    let lone = JobStage {
+        service: "lone".into(),
+        after: Vec::new(),
+        pieces: 1,
+        result_bytes: 10,
+    };
+    job.stages.push(lone);
+    let key = world.submit(job).expect("taken");
+    world.run(2_000);
+    assert_eq!(whole(&world, key), 3);
+    let services: Vec<&str> = world
+        .calls
+        .iter()
+        .map(|(_, c)| c.service.as_str())
+        .collect();
+    let place = |service| services.iter().position(|s| *s == service);
+    assert!(place("lone") > place("first"));
+    assert!(place("lone") < place("third"));
+}
