--- a/crates/serving/src/desk_estimates.rs
+++ b/crates/serving/src/desk_estimates.rs
@@ -6,10 +6,15 @@
 use jd_types::MonoTime;
 
 use crate::JobFailure;
+use crate::JobKey;
 use crate::StageDesk;
 use crate::rank::Chance;
 use crate::stage_job::JobProgress;
 
+/// The part of its spare time, in hundredths, by which a stage beside a longer
+/// chain is put off. Done at once, its results would take room all the while.
+const PUT_OFF_PERCENT: u32 = 60;
+
 impl StageDesk {
     /// Refuses at once what would wait longer than its caller does. Held and
     /// refused later it would have cost the caller its time as well.
@@ -53,4 +58,21 @@
         });
         clogged.map(|(service, _)| service.clone()).collect()
     }
+
+    /// How long the pieces of a stage wait because another chain of stages of
+    /// the same job takes longer.
+    pub(crate) fn put_off(&self, key: JobKey, stage: usize) -> Duration {
+        let call_time = |service: &str, pieces: usize| {
+            let queue = self.queues.get(service);
+            queue.map_or(Duration::ZERO, |q| q.spec.call_time(pieces))
+        };
+        let Some(job) = self.jobs.get(&key) else {
+            return Duration::ZERO;
+        };
+        let first = job.progress.job().stages[stage].after.is_empty();
+        match first && job.starts_over == 0 {
+            true => job.progress.spare_time(stage, &call_time) * PUT_OFF_PERCENT / 100,
+            false => Duration::ZERO,
+        }
+    }
 }
--- a/crates/serving/src/stage_desk.rs
+++ b/crates/serving/src/stage_desk.rs
@@ -244,8 +244,9 @@
             let counted = |s: usize| (s, job.progress.job().stages[s].pieces);
             let stages: Vec<(usize, usize)> = ready.into_iter().map(counted).collect();
             for (stage, pieces) in stages {
+                let begin = now + self.put_off(key, stage);
                 for piece in 0..pieces {
-                    self.enqueue(now, key, PieceKey { stage, piece }, now);
+                    self.enqueue(now, key, PieceKey { stage, piece }, begin);
                 }
             }
         }
--- a/crates/serving/src/stage_job.rs
+++ b/crates/serving/src/stage_job.rs
@@ -88,12 +88,11 @@
         &self.job
     }
 
-    /// Stages whose inputs are all there, that were not returned before, and
-    /// whose time has come.
+    /// Stages whose inputs are all there and that were not returned before.
     pub(crate) fn start_ready(&mut self) -> Vec<usize> {
         let ready: Vec<usize> = (0..self.job.stages.len())
             .filter(|s| !self.started[*s])
-            .filter(|s| self.is_ready(*s) && !self.is_early(*s))
+            .filter(|s| self.is_ready(*s))
             .collect();
         for stage in &ready {
             self.started[*stage] = true;
@@ -242,14 +241,17 @@
         own + rest.max().unwrap_or(Duration::ZERO)
     }
 
-    /// True for a stage beside a chain of others of which one has not begun. Its
-    /// results would lie there, and take room, until the whole chain is done,
-    /// which may be seconds when the chain waits among late work.
-    fn is_early(&self, stage: usize) -> bool {
-        let lone = self.job.stages[stage].after.is_empty() && !self.is_needed(stage);
-        let others = self.job.stages.iter().zip(&self.started);
-        let open = others.filter(|(s, started)| !**started && s.pieces > 0 && !s.after.is_empty());
-        lone && open.count() > 1
+    /// How much later than the longest chain of stages `stage` may begin and
+    /// still not be the last to end.
+    pub(crate) fn spare_time(
+        &self,
+        stage: usize,
+        call_time: &impl Fn(&str, usize) -> Duration,
+    ) -> Duration {
+        let all = 0..self.job.stages.len();
+        let longest = all.map(|s| self.path_time(s, call_time)).max();
+        let own = self.path_time(stage, call_time);
+        longest.unwrap_or_default().saturating_sub(own)
     }
 
     /// True if another stage works on the results of `stage`.
