--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -19,7 +19,13 @@
 use jd_net::HandlerFuture;
 use jd_net::read_bounded;
 use jd_net::within;
+use jd_serving::CallHead;
+use jd_serving::Caller;
+use jd_serving::Prompt;
 use jd_serving::Repeat;
+use jd_serving::Route;
+use jd_serving::RouteKey;
+use jd_serving::Router;
 use jd_types::MonoTime;
 use jd_types::Refusal;
 use jd_types::RefusalKind;
@@ -62,8 +68,9 @@
 impl Front {
     async fn answer(&self, arrived: MonoTime, req: Request<Incoming>) -> Response<Body> {
         let (parts, body) = req.into_parts();
-        let id = self.state.dialect.call_head(&parts).request_id;
-        let ended = match self.admit(arrived, parts, body).await {
+        let head = self.state.dialect.call_head(&parts);
+        let id = head.request_id.clone();
+        let ended = match self.admit(arrived, head, parts, body).await {
             Ok(call) => self.run(call).await,
             Err(refusal) => Err(refusal),
         };
@@ -88,55 +95,30 @@
     async fn admit(
         &self,
         arrived: MonoTime,
+        head: CallHead,
         parts: Parts,
         body: Incoming,
     ) -> Result<Call, Refusal> {
         let in_flight = self.state.begin();
-        let limit = match self.state.router.load().as_ref() {
-            Some(router) => router.limits.body_bytes,
-            None => jd_serving::CallerLimits::default().body_bytes,
-        };
-        let body = read_body(body, limit).await?;
-        let head = self.state.dialect.call_head(&parts);
+        let router = self.state.router.load_full();
+        let limits = router.as_ref().map(|r| r.limits).unwrap_or_default();
+        let body = read_body(body, limits.body_bytes).await?;
+        // What came into force while the body was read counts.
         let router = self.state.router.load_full();
         let router = router.ok_or_else(|| unproven("no configuration is known here yet"))?;
-        let host = host_of(&parts);
-        // A credential may have been taken away, and an unknown one or an unknown
-        // route may have been added, since this was last proven to be in force.
-        // What was proven when the request came may be acted on for as long as
-        // the request lasts: its caller had sent it by then.
-        let fresh = self.state.is_fresh();
-        let route = router.find(host, parts.uri.path());
-        let open = route.is_some_and(|r| !router.needs_credential(router.route(r)));
-        if !fresh && !open {
-            return Err(unproven("what is known here is too old to act on"));
-        }
-        let route = route.ok_or_else(|| {
-            let detail = format_compact!("no route for host `{host}` and this path");
-            Refusal::not_run(RefusalKind::UnknownPipeline, detail)
-        })?;
+        let route = self.find_route(&router, &parts)?;
         let spec = router.route(route);
-        let mut customer = None;
-        let mut priority = spec.priority;
-        if router.needs_credential(spec) {
-            let shown = head.credential.as_deref();
-            let caller = shown.and_then(|c| router.caller(c)).ok_or_else(|| {
-                let detail = "the credential is missing or not in force";
-                Refusal::not_run(RefusalKind::Unauthenticated, detail)
-            })?;
-            customer = Some(caller.customer.clone());
-            priority = caller.priority.unwrap_or(priority);
-        }
+        let caller = caller_of(&router, spec, &head)?;
         let wait = head.deadline.unwrap_or(spec.timeout).min(spec.timeout);
-        let seed = head.prompt.as_ref().map(jd_serving::Prompt::session);
+        let seed = head.prompt.as_ref().map(Prompt::session);
         let service = spec.target(seed.unwrap_or_else(|| fastrand::u64(..)));
         let service = service.cloned().ok_or_else(|| {
             Refusal::not_run(RefusalKind::NoUpstream, "the route leads to no service")
         })?;
         Ok(Call {
             route,
-            customer,
-            priority,
+            priority: caller.and_then(|c| c.priority).unwrap_or(spec.priority),
+            customer: caller.map(|c| c.customer.clone()),
             arrived,
             deadline: arrived + wait,
             service,
@@ -148,6 +130,25 @@
         })
     }
 
+    /// The route of a request, if what is known here may be acted on.
+    ///
+    /// A credential may have been taken away, and an unknown one or an unknown
+    /// route may have been added, since this was last proven to be in force.
+    /// What was proven when the request came may be acted on for as long as the
+    /// request lasts: its caller had sent it by then.
+    fn find_route(&self, router: &Router, parts: &Parts) -> Result<RouteKey, Refusal> {
+        let host = host_of(parts);
+        let route = router.find(host, parts.uri.path());
+        let open = route.is_some_and(|r| !router.needs_credential(router.route(r)));
+        if !open && !self.state.is_fresh() {
+            return Err(unproven("what is known here is too old to act on"));
+        }
+        route.ok_or_else(|| {
+            let detail = format_compact!("no route for host `{host}` and this path");
+            Refusal::not_run(RefusalKind::UnknownPipeline, detail)
+        })
+    }
+
     fn refuse(&self, arrived: MonoTime, id: &str, refusal: &Refusal) -> Response<Body> {
         let took = self.state.now().since(arrived);
         self.state.metrics.request(refusal.kind.as_str(), took);
@@ -167,6 +168,23 @@
     }
 }
 
+/// Who calls; none where nobody has to show a credential.
+fn caller_of<'a>(
+    router: &'a Router,
+    route: &Route,
+    head: &CallHead,
+) -> Result<Option<&'a Caller>, Refusal> {
+    if !router.needs_credential(route) {
+        return Ok(None);
+    }
+    let shown = head.credential.as_deref();
+    let caller = shown.and_then(|c| router.caller(c)).ok_or_else(|| {
+        let detail = "the credential is missing or not in force";
+        Refusal::not_run(RefusalKind::Unauthenticated, detail)
+    })?;
+    Ok(Some(caller))
+}
+
 async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, Refusal> {
     match within(BODY_WITHIN, read_bounded(body, limit)).await {
         Some(Ok(body)) => Ok(body),
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -35,7 +35,7 @@
 use crate::stage_batches::StageBatches;
 use crate::stage_runner::StageRunner;
 use crate::state::State;
-use crate::sync::Sync;
+use crate::store_follower::StoreFollower;
 
 /// The part of the grace in which new callers are still taken, in hundredths:
 /// until most of those who keep this address have asked again.
@@ -60,7 +60,7 @@
 /// A running gateway instance. Dropping it ends everything at once.
 pub struct Gateway {
     state: Arc<State>,
-    sync: Arc<Sync>,
+    follower: Arc<StoreFollower>,
     callers: Arc<HttpServer>,
     _servers: Vec<HttpServer>,
     _tasks: Vec<Task<()>>,
@@ -109,7 +109,7 @@
             peers: Arc::clone(&peers),
             release: Arc::clone(&release),
         });
-        let sync = Arc::new(Sync {
+        let follower = Arc::new(StoreFollower {
             state: Arc::clone(&state),
             store,
         });
@@ -144,10 +144,10 @@
         let following = follow_limits(Arc::clone(&state), Arc::clone(&callers));
         let tasks = vec![
             executor.spawn(following),
-            executor.spawn(Arc::clone(&sync).follow()),
-            executor.spawn(Arc::clone(&sync).confirm()),
-            executor.spawn(Arc::clone(&sync).announce()),
-            executor.spawn(Arc::clone(&sync).expire()),
+            executor.spawn(Arc::clone(&follower).follow()),
+            executor.spawn(Arc::clone(&follower).confirm()),
+            executor.spawn(Arc::clone(&follower).announce()),
+            executor.spawn(Arc::clone(&follower).expire()),
             executor.spawn(peers.beat()),
             executor.spawn(batches.tick()),
             executor.spawn(release.run()),
@@ -161,7 +161,7 @@
         );
         Ok(Gateway {
             state,
-            sync,
+            follower,
             callers,
             _servers: servers,
             _tasks: tasks,
@@ -177,7 +177,7 @@
         let grace = self.state.settings.grace;
         log::info!(in_flight = self.state.in_flight(); "stopping");
         self.state.leave();
-        self.sync.withdraw().await;
+        self.follower.withdraw().await;
         let last = began + grace.saturating_sub(GRACE_MARGIN);
         let accept_until = began + grace * ACCEPT_PERCENT / 100;
         while self.state.now() < accept_until {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,8 +23,8 @@
 mod stage_runner;
 mod state;
 mod store;
+mod store_follower;
 mod stream_call;
-mod sync;
 mod upstream_table;
 
 pub use dialect::AnswerHead;
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/store_follower.rs
@@ -40,12 +40,12 @@
 
 /// Keeps the gateway's knowledge up with the store.
 #[derive(Debug)]
-pub(crate) struct Sync {
+pub(crate) struct StoreFollower {
     pub(crate) state: Arc<State>,
     pub(crate) store: Arc<dyn Store>,
 }
 
-impl Sync {
+impl StoreFollower {
     /// Follows the store's changes for good: reads everything, then watches;
     /// reads everything again where the watch can no longer be trusted.
     pub(crate) async fn follow(self: Arc<Self>) {
