Try a result that is larger than the planned room alone

Cause: its pieces were left out of every call until the deadline. Found by reading; the test fails without the change. An empty upstream is asked for one.

--- a/crates/serving/src/stage_queue.rs
+++ b/crates/serving/src/stage_queue.rs
@@ -145,7 +145,11 @@
                 continue;
             }
             let bytes = job.result_bytes(rank.piece).max(1);
+            // One result that is larger than the room planned for goes to an empty
+            // upstream: it alone knows whether it fits, and nothing else will help.
+            let alone = batch.is_empty() && upstream.room_used() == 0;
             let fitting = usize::try_from(room / bytes).unwrap_or(usize::MAX);
+            let fitting = fitting.max(usize::from(alone));
             let taken = match group.len() {
                 n if n <= slots.min(fitting) => n,
                 _ if batch.is_empty() => slots.min(fitting),
@@ -154,7 +158,7 @@
             if group.len() > fitting {
                 left_out += group.len() - taken;
             }
-            room -= bytes * taken as u64;
+            room = room.saturating_sub(bytes * taken as u64);
             batch.extend(group.iter().take(taken).map(|r| **r));
             if batch.len() == self.spec.pieces {
                 return batch;
--- a/crates/serving/tests/stages.rs
+++ b/crates/serving/tests/stages.rs
@@ -278,3 +278,15 @@
     assert!(place("lone") > place("first"));
     assert!(place("lone") < place("third"));
 }
+
+/// A deployment's results may be larger than the room planned for. Never sent,
+/// the request would wait for its whole deadline in vain.
+#[test]
+fn a_result_larger_than_the_planned_room_is_tried_alone() {
+    let mut world = World::new(&["first"], 1_990);
+    let key = world
+        .submit(world.chain(1, &[("first", 1)], 3_000))
+        .expect("taken");
+    world.run(600);
+    assert_eq!(whole(&world, key), 1);
+}
