Test that stages which fail after a send do not make it 'not run'

Cause: the guard was found by reading and had no test. The test sends a stream whose first upstream proves nothing and whose second says that its stages' results are gone; without after_runs it is answered 503, 'not run', with it 502. Ruled out: an order of upstreams by chance; both share who answers first.

--- a/crates/gateway/tests/fakes/fake_dialect.rs
+++ b/crates/gateway/tests/fakes/fake_dialect.rs
@@ -35,6 +35,8 @@
         CallHead {
             request_id: text(headers, "id").map(CompactString::from),
             credential: text(headers, "key").map(CompactString::from),
+            // One piece for each stage that the route may have.
+            pieces: vec![1],
             ..CallHead::default()
         }
     }
@@ -83,11 +85,18 @@
     }
 
     fn stage_request(&self, _upstream: &str, _pieces: &[PieceOrder]) -> Request<Body> {
-        Request::new(jd_net::empty())
+        let mut req = Request::new(jd_net::empty());
+        req.headers_mut()
+            .insert("host", HeaderValue::from_static("stages"));
+        req
     }
 
-    fn stage_results(&self, _body: &[u8], _count: usize) -> Option<Vec<PieceResult>> {
-        None
+    fn stage_results(&self, body: &[u8], count: usize) -> Option<Vec<PieceResult>> {
+        let result = match body {
+            b"made" => PieceResult::Done("result".into()),
+            _ => PieceResult::Failed,
+        };
+        Some(vec![result; count])
     }
 
     fn free_request(&self, _handles: &[CompactString]) -> Request<Body> {
--- a/crates/gateway/tests/fakes/fake_upstream.rs
+++ b/crates/gateway/tests/fakes/fake_upstream.rs
@@ -4,6 +4,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 
 use async_executor::Executor;
 use bytes::Bytes;
@@ -28,6 +30,9 @@
     Whole(&'static str),
     /// That it did nothing.
     NotRun,
+    /// The first of all upstreams that share this gives the answer to another
+    /// request; the others say that results which it works on are gone.
+    CrossedThenInputsGone(Arc<AtomicBool>),
     /// The whole answer to another request.
     Crossed,
     /// A failure of its own, vouched for.
@@ -92,12 +97,11 @@
                 Reply::Whole(text) => answer(&id, StatusCode::OK, jd_net::full(text)),
                 Reply::Crossed => answer("another", StatusCode::OK, jd_net::full("theirs")),
                 Reply::Failure => answer(&id, StatusCode::INTERNAL_SERVER_ERROR, jd_net::empty()),
-                Reply::NotRun => {
-                    let mut res = answer(&id, StatusCode::SERVICE_UNAVAILABLE, jd_net::empty());
-                    res.headers_mut()
-                        .insert("not-run", HeaderValue::from_static("1"));
-                    res
-                }
+                Reply::NotRun => not_run(&id, StatusCode::SERVICE_UNAVAILABLE),
+                Reply::CrossedThenInputsGone(asked) => match asked.swap(true, Ordering::Relaxed) {
+                    false => answer("another", StatusCode::OK, jd_net::full("theirs")),
+                    true => not_run(&id, StatusCode::CONFLICT),
+                },
                 Reply::Stream { parts, cut } => {
                     let parts = parts.iter().map(|p| Ok(Bytes::from_static(p.as_bytes())));
                     // What was written is sent while the body has to be waited
@@ -120,6 +124,13 @@
     }
 }
 
+fn not_run(id: &str, status: StatusCode) -> Response<Body> {
+    let mut res = answer(id, status, jd_net::empty());
+    res.headers_mut()
+        .insert("not-run", HeaderValue::from_static("1"));
+    res
+}
+
 fn answer(id: &str, status: StatusCode, body: Body) -> Response<Body> {
     let mut res = Response::new(body);
     *res.status_mut() = status;
--- a/crates/gateway/tests/fakes/harness.rs
+++ b/crates/gateway/tests/fakes/harness.rs
@@ -15,10 +15,13 @@
 use jd_net::HttpPool;
 use jd_net::HttpServer;
 use jd_net::Workers;
+use jd_serving::BatchSpec;
 use jd_serving::CustomerSpec;
 use jd_serving::Deployment;
 use jd_serving::Repeat;
 use jd_serving::Route;
+use jd_serving::Service;
+use jd_serving::StageSpec;
 use jd_serving::Target;
 use jd_serving::UpstreamEntry;
 use jd_settings::GatewaySettings;
@@ -29,6 +32,17 @@
 use crate::fakes::FakeUpstream;
 use crate::fakes::Reply;
 
+/// A stage whose calls are short, so that a test is.
+const STAGE: BatchSpec = BatchSpec {
+    slots: 1,
+    queue: 2,
+    pieces: 4,
+    call: Duration::from_millis(1),
+    piece: Duration::from_millis(1),
+    room_bytes: 1_000,
+    keep: Duration::from_secs(4),
+};
+
 /// What a caller received.
 #[derive(Debug, PartialEq, Eq)]
 pub(crate) struct Received {
@@ -103,16 +117,46 @@
         Harness::start_with(replies, vec![Record::Deployment(Box::new(deployment()))])
     }
 
-    pub(crate) fn start_with(replies: Vec<Vec<Reply>>, mut records: Vec<Record>) -> Harness {
+    /// The same with an upstream of the stage before `/staged/`.
+    pub(crate) fn start_staged(replies: Vec<Vec<Reply>>, stage: Vec<Reply>) -> Harness {
+        let mut staged = deployment();
+        let mut route = route("staged", Repeat::Resumable);
+        route.stages = vec![StageSpec {
+            service: "stages".into(),
+            after: Vec::new(),
+            result_bytes: 10,
+        }];
+        staged.routes.push(route);
+        staged.services.push(Service {
+            name: "stages".into(),
+            max_connections: 8,
+            batch: Some(STAGE),
+            generation: None,
+        });
+        let records = vec![Record::Deployment(Box::new(staged))];
+        Harness::start_services(replies, stage, records)
+    }
+
+    pub(crate) fn start_with(replies: Vec<Vec<Reply>>, records: Vec<Record>) -> Harness {
+        Harness::start_services(replies, Vec::new(), records)
+    }
+
+    fn start_services(
+        replies: Vec<Vec<Reply>>,
+        stage: Vec<Reply>,
+        mut records: Vec<Record>,
+    ) -> Harness {
         let workers = Workers::start(2).expect("threads");
         let executor: Arc<Executor<'static>> = workers.executor();
         let mut upstreams = Vec::new();
         let mut servers = Vec::new();
-        for (n, replies) in replies.into_iter().enumerate() {
+        let pool = replies.into_iter().map(|replies| ("pool", replies));
+        let stage = (!stage.is_empty()).then_some(("stages", stage));
+        for (n, (service, replies)) in pool.chain(stage).enumerate() {
             let (upstream, server) = FakeUpstream::start(&executor, replies);
             records.push(Record::Upstream(UpstreamEntry {
                 id: format!("i-{n}").into(),
-                service: "pool".into(),
+                service: service.into(),
                 address: server.address(),
                 zone: Name::try_from("a").expect("a name"),
                 slots: 4,
--- a/crates/gateway/tests/requests.rs
+++ b/crates/gateway/tests/requests.rs
@@ -257,3 +257,19 @@
         assert_eq!(asked(&harness), before + allowed);
     });
 }
+
+/// A stream is sent and brings an answer that proves nothing; the next upstream
+/// says that the results of its stages are gone, and they cannot be made again.
+/// The stages' own refusal is `not run`, which is not true of the request.
+#[test]
+fn stages_that_fail_after_a_send_do_not_make_it_not_run() {
+    let reply = Reply::CrossedThenInputsGone(Arc::default());
+    let stage = vec![Reply::Whole("made"), Reply::Whole("failed")];
+    let harness = Harness::start_staged(vec![vec![reply]; 2], stage);
+    block_on(async {
+        harness.until_ready(true).await;
+        let received = harness.ask("/staged/x", "1").await;
+        assert_eq!(received.status, 502);
+        assert_eq!(received.run.as_deref(), Some("may have run"));
+    });
+}
