Divide stages by zone where zones have enough upstreams; owners by strength

Ruled out: placement of prompts (one engine for each session, wanted). Change: a zone is a shard where it has four upstreams or more of the largest service; a request goes to the zone of its prompt's upstream unless waiting there costs more than the bytes; the strongest instance is asked first.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -16,6 +16,7 @@
 use jd_net::ServerLimits;
 use jd_serving::CallerLimits;
 use jd_serving::InstanceEntry;
+use jd_serving::Strength;
 use jd_settings::GatewaySettings;
 use jd_types::Incarnation;
 use snafu::ResultExt;
@@ -87,6 +88,7 @@
             callers: settings.callers,
             peers: settings.peers,
             zone: settings.zone.clone(),
+            strength: Strength::new(settings.core_percent, settings.link_mbps),
             leaving: false,
         };
         let executor = Arc::clone(executor);
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -22,18 +22,22 @@
 use jd_serving::JobFailure;
 use jd_serving::JobStage;
 use jd_serving::Proof;
+use jd_serving::Shard;
 use jd_serving::StageJob;
 use jd_serving::owners;
 use jd_types::Incarnation;
 use jd_types::MonoTime;
 use jd_types::Name;
+use jd_wire::Backlog;
 use jd_wire::BeatReply;
 use jd_wire::BeatRequest;
 use jd_wire::Gateway;
 use jd_wire::GatewayClient;
 use jd_wire::GatewayServer;
+use jd_wire::Proof as WireProof;
 use jd_wire::ReleaseReply;
 use jd_wire::ReleaseRequest;
+use jd_wire::Shard as WireShard;
 use jd_wire::Stage;
 use jd_wire::StagesReply;
 use jd_wire::StagesRequest;
@@ -94,7 +98,7 @@
     pub(crate) async fn run_stages(
         &self,
         owner: Incarnation,
-        shard: u64,
+        shard: &Shard,
         job: &StageJob,
     ) -> Option<Result<Vec<CompactString>, JobFailure>> {
         let address = self.address_of(owner)?;
@@ -145,12 +149,12 @@
             return all;
         }
         let me = self.state.me.incarnation;
-        let everybody = || all.iter().map(|e| e.incarnation).chain([me]);
+        let everybody = || all.iter().chain([&self.state.me]);
         let mut ids: Vec<Incarnation> = Vec::new();
-        for shard in 0..self.state.shard_count() {
+        for shard in self.state.shards.load().shards() {
             ids.extend(owners(shard, everybody()).into_iter().take(WATCHED_OWNERS));
         }
-        let mut ring: Vec<Incarnation> = everybody().collect();
+        let mut ring: Vec<Incarnation> = everybody().map(|e| e.incarnation).collect();
         ring.sort_unstable();
         let next = ring.iter().position(|id| *id == me).map_or(0, |n| n + 1);
         ids.extend(ring.iter().cycle().skip(next).take(WATCHED_NEXT));
@@ -182,14 +186,16 @@
     fn take_reply(&self, peer: &InstanceEntry, sent: MonoTime, reply: BeatReply) {
         let now = self.state.now();
         let mut knowledge = self.state.knowledge();
-        if reply.proven_revision > 0 {
-            // The reply was made after the beat was sent, so the question that
-            // it tells of was put at that moment less its age or later.
-            let age = Duration::from_millis(u64::from(reply.proven_ms_ago));
-            knowledge.freshness.adopt(Proof {
-                asked: sent.before(age),
-                revision: reply.proven_revision,
-            });
+        // The reply was made after the beat was sent, so the question that it
+        // tells of was put at that moment less its age or later.
+        if let Some(proof) = reply.proof {
+            knowledge.freshness.adopt(proof_at(sent, proof));
+        }
+        for backlog in reply.backlogs {
+            let wait = Duration::from_millis(u64::from(backlog.wait_ms));
+            if let Some(shard) = backlog.shard {
+                knowledge.backlogs.insert(shard_of(shard), (now, wait));
+            }
         }
         match Incarnation::new(reply.incarnation) {
             id if id == peer.incarnation => {
@@ -214,7 +220,43 @@
     }
 }
 
-fn stages_request(job: &StageJob, shard: u64, now: MonoTime) -> StagesRequest {
+/// The youngest proof of what is in force, with its age.
+fn wire_proof(state: &State) -> Option<WireProof> {
+    let proof = state.knowledge().freshness.proof()?;
+    let age = state.now().since(proof.asked);
+    Some(WireProof {
+        revision: proof.revision,
+        // Rounded up: proof must never seem younger than it is.
+        ms_ago: u32::try_from(age.as_millis() + 1).unwrap_or(u32::MAX),
+    })
+}
+
+/// A proof of another instance, whose age counts back from `moment`.
+fn proof_at(moment: MonoTime, proof: WireProof) -> Proof {
+    Proof {
+        asked: moment.before(Duration::from_millis(u64::from(proof.ms_ago))),
+        revision: proof.revision,
+    }
+}
+
+fn wire_shard(shard: &Shard) -> WireShard {
+    WireShard {
+        zone: shard.zone.as_ref().map_or("", Name::as_str).into(),
+        part: shard.part,
+        parts: shard.parts,
+    }
+}
+
+fn shard_of(shard: WireShard) -> Shard {
+    Shard {
+        // Empty for all zones together.
+        zone: Name::try_from(shard.zone.as_str()).ok(),
+        part: shard.part,
+        parts: shard.parts,
+    }
+}
+
+fn stages_request(job: &StageJob, shard: &Shard, now: MonoTime) -> StagesRequest {
     let millis = |d: Duration| u32::try_from(d.as_millis()).unwrap_or(u32::MAX);
     let stages = job.stages.iter().map(|s| Stage {
         service: s.service.to_string(),
@@ -233,7 +275,7 @@
             .zone
             .as_ref()
             .map_or(String::new(), |z| z.as_str().into()),
-        shard: u32::try_from(shard).unwrap_or(0),
+        shard: Some(wire_shard(shard)),
     }
 }
 
@@ -268,18 +310,33 @@
             .knowledge()
             .instances
             .heard(now, from, beat.leaving, beat.ready);
-        let proof = self.state.knowledge().freshness.proof();
-        let age = proof.map(|p| self.state.now().since(p.asked));
+        let backlogs = self.batches.backlogs();
+        for (shard, wait) in &backlogs {
+            let heard = (now, *wait);
+            let mut knowledge = self.state.knowledge();
+            knowledge.backlogs.insert(shard.clone(), heard);
+        }
+        let backlogs = backlogs.into_iter();
+        let backlogs = backlogs.map(|(shard, wait)| Backlog {
+            shard: Some(wire_shard(&shard)),
+            wait_ms: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
+        });
         Ok(tonic::Response::new(BeatReply {
             incarnation: self.state.me.incarnation.get(),
             leaving: self.state.is_leaving(),
             ready: self.state.is_ready(),
-            proven_revision: proof.map_or(0, |p| p.revision),
-            // Rounded up: proof must never seem younger than it is.
-            proven_ms_ago: age.map_or(0, |a| u32::try_from(a.as_millis() + 1).unwrap_or(u32::MAX)),
+            proof: wire_proof(&self.state),
+            backlogs: backlogs.collect(),
         }))
     }
 
+    async fn follow(
+        &self,
+        _req: tonic::Request<jd_wire::FollowRequest>,
+    ) -> Result<tonic::Response<jd_wire::FollowReply>, Status> {
+        Err(Status::unimplemented("not yet"))
+    }
+
     async fn release_results(
         &self,
         req: tonic::Request<ReleaseRequest>,
@@ -295,7 +352,8 @@
         req: tonic::Request<StagesRequest>,
     ) -> Result<tonic::Response<StagesReply>, Status> {
         let req = req.into_inner();
-        let shard = u64::from(req.shard);
+        let shard = req.shard.clone().map(shard_of);
+        let shard = shard.ok_or_else(|| Status::invalid_argument("no shard is named"))?;
         let job = self.job(req)?;
         let reply = match self.batches.run(shard, job).await {
             Ok(results) => StagesReply {
--- a/crates/gateway/src/stage_batches.rs
+++ b/crates/gateway/src/stage_batches.rs
@@ -18,9 +18,9 @@
 use jd_serving::JobFailure;
 use jd_serving::JobKey;
 use jd_serving::PieceResult;
+use jd_serving::Shard;
 use jd_serving::StageDesk;
 use jd_serving::StageJob;
-use jd_serving::shard_of;
 
 use crate::result_free::ResultFree;
 use crate::state::State;
@@ -47,13 +47,13 @@
     state: Arc<State>,
     free: Arc<ResultFree>,
     /// One desk for each part of the upstreams that this instance works on.
-    desks: Mutex<BTreeMap<u64, Desk>>,
+    desks: Mutex<BTreeMap<Shard, Desk>>,
 }
 
 /// Cancels a job when its caller does not wait any more.
 struct JobGuard {
     batches: Arc<StageBatches>,
-    shard: u64,
+    shard: Shard,
     key: JobKey,
 }
 
@@ -79,23 +79,23 @@
 
     /// Does the stages of a request on one part of the upstreams. Dropping the
     /// future cancels them.
-    pub(crate) async fn run(self: &Arc<Self>, shard: u64, job: StageJob) -> JobOutcome {
+    pub(crate) async fn run(self: &Arc<Self>, shard: Shard, job: StageJob) -> JobOutcome {
         let (tx, rx) = async_channel::bounded(1);
         let key = {
             let now = self.state.now();
             let mut desks = lock(&self.desks);
-            let desk = desks.entry(shard).or_default();
-            self.follow_upstreams(shard, desk);
+            let desk = desks.entry(shard.clone()).or_default();
+            self.follow_upstreams(&shard, desk);
             let key = desk.desk.submit(now, job)?;
             desk.waiters.insert(key, tx);
             key
         };
         let _guard = JobGuard {
             batches: Arc::clone(self),
-            shard,
+            shard: shard.clone(),
             key,
         };
-        self.pump(shard);
+        self.pump(&shard);
         // Fails only if the desk was dropped with the process.
         rx.recv().await.unwrap_or(Err(JobFailure::PieceFailed))
     }
@@ -115,6 +115,15 @@
         self.pump_all();
     }
 
+    /// How long pieces wait at each shard that this instance works on.
+    pub(crate) fn backlogs(&self) -> Vec<(Shard, Duration)> {
+        let now = self.state.now();
+        let desks = lock(&self.desks);
+        let all = desks.iter();
+        all.map(|(shard, d)| (shard.clone(), d.desk.backlog(now)))
+            .collect()
+    }
+
     /// Looks at waiting pieces for good.
     pub(crate) async fn tick(self: Arc<Self>) {
         loop {
@@ -125,21 +134,21 @@
 
     /// Looks at all desks where time alone may bring something to decide.
     fn pump_all(self: &Arc<Self>) {
-        let waiting: Vec<u64> = {
+        let waiting: Vec<Shard> = {
             let desks = lock(&self.desks);
             let waiting = desks.iter().filter(|(_, d)| d.desk.is_waiting());
-            waiting.map(|(shard, _)| *shard).collect()
+            waiting.map(|(shard, _)| shard.clone()).collect()
         };
         for shard in waiting {
-            self.pump(shard);
+            self.pump(&shard);
         }
     }
 
     /// Carries out everything that a desk decides now.
-    fn pump(self: &Arc<Self>, shard: u64) {
+    fn pump(self: &Arc<Self>, shard: &Shard) {
         let now = self.state.now();
         let mut desks = lock(&self.desks);
-        let Some(desk) = desks.get_mut(&shard) else {
+        let Some(desk) = desks.get_mut(shard) else {
             return;
         };
         self.follow_upstreams(shard, desk);
@@ -148,7 +157,7 @@
             let batches = Arc::clone(self);
             self.state
                 .executor
-                .spawn(batches.make(shard, call))
+                .spawn(batches.make(shard.clone(), call))
                 .detach();
         }
         for end in desk.desk.take_ended() {
@@ -160,7 +169,7 @@
         self.free.add(desk.desk.take_unused());
     }
 
-    async fn make(self: Arc<Self>, shard: u64, call: BatchCall) {
+    async fn make(self: Arc<Self>, shard: Shard, call: BatchCall) {
         let began = self.state.now();
         let result = self.ask(&call).await;
         let now = self.state.now();
@@ -177,7 +186,7 @@
         if let Some(desk) = lock(&self.desks).get_mut(&shard) {
             desk.desk.finish(now, call.key, result);
         }
-        self.pump(shard);
+        self.pump(&shard);
     }
 
     async fn ask(&self, call: &BatchCall) -> CallResult {
@@ -214,7 +223,7 @@
         }
     }
 
-    fn follow_upstreams(&self, shard: u64, desk: &mut Desk) {
+    fn follow_upstreams(&self, shard: &Shard, desk: &mut Desk) {
         let table = self.state.upstreams.load_full();
         let known = desk.table.as_ref();
         if known.is_some_and(|t| Arc::ptr_eq(t, &table)) {
@@ -224,13 +233,11 @@
         let Some(router) = router.as_ref() else {
             return;
         };
-        let shards = self.state.shard_count();
         for service in router.services() {
             if let Some(spec) = service.batch {
-                let numbered = (0..).zip(table.upstreams(&service.name));
-                let own = numbered.filter(|(n, _)| shard_of(*n, shards) == shard);
-                let upstreams = own.map(|(_, upstream)| upstream);
-                desk.desk.set_upstreams(&service.name, spec, upstreams);
+                let all = table.upstreams(&service.name);
+                let own = shard.of_service(all, |(_, _, zone)| zone);
+                desk.desk.set_upstreams(&service.name, spec, own);
             }
         }
         desk.table = Some(table);
--- a/crates/gateway/src/stage_runner.rs
+++ b/crates/gateway/src/stage_runner.rs
@@ -10,9 +10,9 @@
 use futures_lite::FutureExt;
 use jd_serving::JobFailure;
 use jd_serving::JobStage;
+use jd_serving::Shard;
 use jd_serving::StageJob;
 use jd_serving::owners;
-use jd_serving::shard_of;
 use jd_types::Incarnation;
 use jd_types::MonoTime;
 use jd_types::Name;
@@ -138,8 +138,8 @@
         job: &StageJob,
     ) -> Result<(Incarnation, Vec<CompactString>), JobFailure> {
         let me = self.state.me.incarnation;
-        let shard = self.shard(job);
-        let order = self.owner_order(shard);
+        let shard = self.shard(job).ok_or(JobFailure::NoUpstream)?;
+        let order = self.owner_order(&shard);
         for owner in order.into_iter().take(MAX_OWNERS) {
             if owner == me {
                 break;
@@ -147,7 +147,7 @@
             // A connection can break although the owner is well. Another owner
             // would fill calls beside it, so it is asked once more first.
             for _ in 0..ASKS_OF_OWNER {
-                if let Some(outcome) = self.ask_owner(owner, shard, job).await {
+                if let Some(outcome) = self.ask_owner(owner, &shard, job).await {
                     return outcome.map(|handles| (owner, handles));
                 }
                 if !self.is_heard(owner) {
@@ -164,7 +164,7 @@
     async fn ask_owner(
         &self,
         owner: Incarnation,
-        shard: u64,
+        shard: &Shard,
         job: &StageJob,
     ) -> Option<Result<Vec<CompactString>, JobFailure>> {
         let asking = async { self.peers.run_stages(owner, shard, job).await };
@@ -180,18 +180,23 @@
         self.state.knowledge().instances.is_heard(now, owner)
     }
 
-    /// The shard of a job: any, but the same at every try.
-    fn shard(&self, job: &StageJob) -> u64 {
+    /// The shard that a job goes to; none if no shard does all of its stages.
+    fn shard(&self, job: &StageJob) -> Option<Shard> {
         let bytes = job.request_id.bytes();
         let place = bytes.fold(0_u64, |h, b| h.wrapping_mul(31).wrapping_add(u64::from(b)));
-        shard_of(place, self.state.shard_count())
+        let used = job.stages.iter().filter(|s| s.pieces > 0);
+        let services: Vec<&str> = used.map(|s| s.service.as_str()).collect();
+        let bytes = job.handed_on();
+        let shards = self.state.shards.load();
+        let backlog = |shard: &Shard| self.state.backlog(shard);
+        shards.choose(place, &services, job.zone.as_ref(), bytes, backlog)
     }
 
-    fn owner_order(&self, shard: u64) -> Vec<Incarnation> {
+    fn owner_order(&self, shard: &Shard) -> Vec<Incarnation> {
         let now = self.state.now();
         let knowledge = self.state.knowledge();
-        let others = knowledge.instances.live(now).map(|e| e.incarnation);
-        let own = (!self.state.is_leaving()).then_some(self.state.me.incarnation);
+        let others = knowledge.instances.live(now);
+        let own = (!self.state.is_leaving()).then_some(&self.state.me);
         owners(shard, others.chain(own))
     }
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -22,8 +22,9 @@
 use jd_serving::RepeatBound;
 use jd_serving::RepeatBudget;
 use jd_serving::Router;
+use jd_serving::Shard;
+use jd_serving::ShardMap;
 use jd_serving::UpstreamDirectory;
-use jd_serving::shard_count;
 use jd_settings::GatewaySettings;
 use jd_types::MonoTime;
 
@@ -32,6 +33,9 @@
 use crate::signal::Signal;
 use crate::upstream_table::UpstreamTable;
 
+/// How long an owner's word on its backlog counts: three heartbeats.
+const BACKLOG_LASTS: Duration = Duration::from_millis(1_200);
+
 /// What the store has told, as one value under one lock.
 #[derive(Debug, Default)]
 pub(crate) struct Knowledge {
@@ -39,6 +43,8 @@
     pub(crate) upstreams: UpstreamDirectory,
     pub(crate) instances: InstanceDirectory,
     pub(crate) deployment_version: u64,
+    /// What owners last said of their shards, and when.
+    pub(crate) backlogs: HashMap<Shard, (MonoTime, Duration)>,
 }
 
 /// What all parts of the gateway share.
@@ -52,6 +58,7 @@
     pub(crate) me: InstanceEntry,
     pub(crate) router: ArcSwapOption<Router>,
     pub(crate) upstreams: ArcSwap<UpstreamTable>,
+    pub(crate) shards: ArcSwap<ShardMap>,
     pub(crate) metrics: Metrics,
     /// Signals that the store does not answer, and that it does again.
     pub(crate) store_lost: Signal,
@@ -80,6 +87,7 @@
             me,
             router: ArcSwapOption::empty(),
             upstreams: ArcSwap::default(),
+            shards: ArcSwap::default(),
             metrics: Metrics::new(),
             store_lost: Signal::new(),
             store_back: Signal::new(),
@@ -126,6 +134,17 @@
         self.in_flight.load(Ordering::Relaxed)
     }
 
+    /// How long pieces wait at the owner of a shard, as it last said. Old news is
+    /// none: an owner that is silent is not avoided for what it said before.
+    pub(crate) fn backlog(&self, shard: &Shard) -> Duration {
+        let now = self.now();
+        let knowledge = self.knowledge();
+        match knowledge.backlogs.get(shard) {
+            Some((heard, wait)) if now.since(*heard) < BACKLOG_LASTS => *wait,
+            _ => Duration::ZERO,
+        }
+    }
+
     /// Counts a request as in flight until the guard is dropped.
     pub(crate) fn begin(self: &Arc<Self>) -> InFlight {
         self.in_flight.fetch_add(1, Ordering::Relaxed);
@@ -162,18 +181,6 @@
         allowed
     }
 
-    /// How many owners share the upstreams of stages.
-    pub(crate) fn shard_count(&self) -> u64 {
-        let router = self.router.load();
-        let Some(router) = router.as_ref() else {
-            return 1;
-        };
-        let table = self.upstreams.load();
-        let batched = router.services().filter(|s| s.batch.is_some());
-        let most = batched.map(|s| table.upstreams(&s.name).count()).max();
-        shard_count(most.unwrap_or(0))
-    }
-
     /// Lays the upstreams out anew after their entries changed.
     pub(crate) fn rebuild_upstreams(&self) {
         let now = self.now();
@@ -182,6 +189,24 @@
         let entries = knowledge.upstreams.entries();
         let next = self.upstreams.load().next(now, entries, zone);
         self.upstreams.store(Arc::new(next));
+        drop(knowledge);
+        self.divide_upstreams();
+    }
+
+    /// Divides the upstreams of stages among owners anew, after they or the
+    /// services that do stages changed.
+    pub(crate) fn divide_upstreams(&self) {
+        let router = self.router.load();
+        let Some(router) = router.as_ref() else {
+            return;
+        };
+        let table = self.upstreams.load();
+        let batched = router.services().filter(|s| s.batch.is_some());
+        let upstreams = batched.flat_map(|s| {
+            let upstreams = table.zones(&s.name);
+            upstreams.map(|zone| (s.name.as_str(), zone))
+        });
+        self.shards.store(Arc::new(ShardMap::new(upstreams)));
     }
 
     fn repeat_bound(&self) -> RepeatBound {
--- a/crates/gateway/src/store_follower.rs
+++ b/crates/gateway/src/store_follower.rs
@@ -287,6 +287,7 @@
                     .router
                     .store(Some(Arc::new(Router::new(*deployment))));
                 drop(knowledge);
+                self.state.divide_upstreams();
                 log::info!(version; "configuration in force");
             }
             Record::Instance(entry) if entry.incarnation == self.state.me.incarnation => {}
--- a/crates/gateway/src/upstream_table.rs
+++ b/crates/gateway/src/upstream_table.rs
@@ -82,6 +82,12 @@
         UpstreamTable { services, by_id }
     }
 
+    /// The zones of a service's upstreams, one for each of them.
+    pub(crate) fn zones(&self, service: &str) -> impl Iterator<Item = &Name> {
+        let table = self.services.get(service).into_iter();
+        table.flat_map(|t| t.pool.upstreams().iter().map(|u| &u.hall))
+    }
+
     /// Identity, address and zone of a service's upstreams.
     pub(crate) fn upstreams(
         &self,
--- a/crates/serving/src/desk_estimates.rs
+++ b/crates/serving/src/desk_estimates.rs
@@ -35,6 +35,16 @@
         }
     }
 
+    /// How long what waits now takes to be served at the service where it waits
+    /// longest.
+    pub fn backlog(&self, now: MonoTime) -> Duration {
+        let waits = self.queues.values().map(|q| match q.waiting.is_empty() {
+            true => Duration::ZERO,
+            false => q.backlog(now),
+        });
+        waits.max().unwrap_or_default()
+    }
+
     /// How long the stages from `stage` on take, its own wait not counted and
     /// those at later stages as they have been lately. Without these, upstreams
     /// would be kept busy with what is in time now and late one stage later.
--- a/crates/serving/src/instance_directory.rs
+++ b/crates/serving/src/instance_directory.rs
@@ -8,6 +8,8 @@
 use jd_types::MonoTime;
 use jd_types::Name;
 
+use crate::Strength;
+
 /// How long an instance may stay silent before it is passed over. Three missed
 /// heartbeats; a caller sent to a dead instance loses a second.
 const SILENT_AFTER: Duration = Duration::from_millis(1_300);
@@ -27,6 +29,8 @@
     pub peers: SocketAddr,
     /// The availability zone that it stands in.
     pub zone: Name,
+    /// What it can carry beside its own callers.
+    pub strength: Strength,
     /// True once it takes no new callers.
     pub leaving: bool,
 }
--- a/crates/serving/src/owner.rs
+++ b/crates/serving/src/owner.rs
@@ -1,33 +1,62 @@
-//! Which instance fills the batches of a request's stages.
+//! Which instance fills the batches of a shard.
+
+use std::cmp::Reverse;
 
 use jd_types::Incarnation;
+use jd_types::Name;
 use jd_types::spread;
 
-/// Upstreams of one service that one owner fills calls for. An owner at the
-/// users' small sites has five and spends 0.01 of a core on 48 jobs a second.
-const UPSTREAMS_PER_OWNER: usize = 6;
+use crate::InstanceEntry;
+use crate::Shard;
 
-/// How many owners share the upstreams, by the most that one service has.
-pub fn shard_count(most_upstreams: usize) -> u64 {
-    u64::try_from(most_upstreams.div_ceil(UPSTREAMS_PER_OWNER)).map_or(1, |n| n.max(1))
-}
+/// What an instance can carry beside its own callers, as a step of a scale on
+/// which each step is a doubling.
+///
+/// The load that it answers: a fleet has a few instances with many times the
+/// processor and the link of the others. An owner of batches on one of the
+/// others is late for everybody.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Strength(u32);
+
+impl Strength {
+    /// The strength of an instance with this part of a core, in hundredths, and
+    /// this link. The scarcer of the two decides.
+    pub fn new(core_percent: u32, link_mbps: u32) -> Strength {
+        let scarcer = core_percent.min(link_mbps).max(1);
+        Strength(scarcer.ilog2())
+    }
+
+    /// The step as a number.
+    pub fn step(self) -> u32 {
+        self.0
+    }
 
-/// The shard, of `count`, that upstream number `place` of its service or the
-/// request hashed to `place` belongs to.
-pub const fn shard_of(place: u64, count: u64) -> u64 {
-    place % if count == 0 { 1 } else { count }
+    /// The strength of that step.
+    pub fn from_step(step: u32) -> Strength {
+        Strength(step)
+    }
 }
 
 /// The instances in the order in which they are asked to run the stages of a
-/// request of `shard`: rendezvous hashing, so that all instances agree without
-/// a message, and the loss of one moves only what it had.
+/// request of `shard`: the strongest first, of these the ones in the shard's own
+/// zone, and then by rendezvous hashing, so that all instances agree without a
+/// message, and the loss of one moves only what it had.
 ///
 /// No lease is needed. Two owners for a moment fill smaller batches; no piece
 /// does harm when it is done twice.
-pub fn owners(shard: u64, instances: impl Iterator<Item = Incarnation>) -> Vec<Incarnation> {
-    let mut ranked: Vec<(u64, Incarnation)> = instances
-        .map(|id| (spread(shard ^ spread(id.get())), id))
+pub fn owners<'a>(
+    shard: &Shard,
+    instances: impl Iterator<Item = &'a InstanceEntry>,
+) -> Vec<Incarnation> {
+    let hash = shard.hash();
+    let far = |zone: &Name| shard.zone.as_ref().is_some_and(|z| z != zone);
+    let mut ranked: Vec<_> = instances
+        .map(|e| {
+            let id = e.incarnation;
+            let rank = spread(hash ^ spread(id.get()));
+            (Reverse(e.strength), far(&e.zone), rank, id)
+        })
         .collect();
     ranked.sort_unstable();
-    ranked.into_iter().map(|(_, id)| id).collect()
+    ranked.into_iter().map(|(_, _, _, id)| id).collect()
 }
--- a/crates/settings/src/gateway_settings.rs
+++ b/crates/settings/src/gateway_settings.rs
@@ -54,6 +54,20 @@
         "an address of this instance",
     ),
     optional("instance", "threads", "threads", "1", "1 to 64"),
+    optional(
+        "instance",
+        "core-share",
+        "cores",
+        "1",
+        "0.01 to 1024, the processor time that it may use",
+    ),
+    optional(
+        "instance",
+        "link-mbps",
+        "megabits a second",
+        "1000",
+        "0.1 to 1000000",
+    ),
     optional(
         "instance",
         "max-connections",
@@ -139,6 +153,10 @@
     pub metrics: SocketAddr,
     /// Executor threads.
     pub threads: usize,
+    /// The processor time that it may use, in hundredths of a core.
+    pub core_percent: u32,
+    /// Its link, in megabits a second.
+    pub link_mbps: u32,
     /// Open connections of callers.
     pub max_connections: usize,
     /// Where the store is.
@@ -188,15 +206,12 @@
         };
         let millis =
             |section, key, low, high| number(section, key, low, high).map(Duration::from_millis);
-        let fraction = |section, key, high: f64| {
-            let fits = |n: &f64| (0.0..=high).contains(n);
+        let quantity = |section, key, low: f64, high: f64| {
+            let fits = |n: &f64| (low..=high).contains(n);
             raw.value(section, key, |t| t.parse().ok().filter(fits))
         };
-        let seconds = |section, key, low: f64| {
-            let fits = |n: &f64| (low..=600.0).contains(n);
-            let number = raw.value(section, key, |t| t.parse().ok().filter(fits));
-            number.map(Duration::from_secs_f64)
-        };
+        let seconds =
+            |section, key, low| quantity(section, key, low, 600.0).map(Duration::from_secs_f64);
         let text = |t: &str| (!t.is_empty()).then(|| CompactString::from(t));
         let revoke_within = millis("callers", "revoke-within-ms", 500, 600_000)?;
         Ok(GatewaySettings {
@@ -208,6 +223,8 @@
             peers: address("instance", "peers")?,
             metrics: address("instance", "metrics")?,
             threads: number("instance", "threads", 1, 64)? as usize,
+            core_percent: (quantity("instance", "core-share", 0.01, 1_024.0)? * 100.0) as u32,
+            link_mbps: quantity("instance", "link-mbps", 0.1, 1e6)?.ceil() as u32,
             max_connections: number("instance", "max-connections", 16, 65_536)? as usize,
             store: address("store", "address")?,
             confirm_every: millis("store", "confirm-every-ms", 100, 60_000)?,
@@ -215,8 +232,8 @@
             answer_lifetime: millis("callers", "answer-lifetime-ms", 100, 60_000)?,
             proof_lifetime: revoke_within * PROOF_PERCENT / 100,
             grace: seconds("stop", "grace-s", 1.0)?,
-            repeat_ratio: fraction("repeats", "ratio", 1.0)?,
-            repeat_slack: fraction("repeats", "slack", 1_000_000.0)?,
+            repeat_ratio: quantity("repeats", "ratio", 0.0, 1.0)?,
+            repeat_slack: quantity("repeats", "slack", 0.0, 1_000_000.0)?,
             repeat_window: seconds("repeats", "window-s", 0.1)?,
             log_level: raw.value("log", "level", |t| t.parse().ok())?,
         })
