--- /dev/null
+++ b/soak/src/config.rs
@@ -0,0 +1,52 @@
+//! The configurations that the operator of a soak puts in force.
+
+use serde_json::Value;
+use serde_json::json;
+
+/// The host that callers name.
+pub(crate) const HOST: &str = "soak.example";
+/// The customer that holds all credentials.
+pub(crate) const TENANT: &str = "walkers";
+/// Credentials that callers show. The operator takes them away from the last to
+/// the second; the first stays.
+pub(crate) const KEYS: [&str; 4] = ["key-0", "key-1", "key-2", "key-3"];
+
+/// A configuration: its version, whose number is also in the path of the one
+/// route that only this version has, and how many credentials are in force.
+pub(crate) fn config(version: u64, keys: usize) -> Value {
+    let route = |name: &str, kind: &str, service: &str| {
+        json!({
+            "name": name, "host": HOST, "prefix": format!("/{name}/"), "type": kind,
+            "timeout_ms": 4_000.0, "slo_ms": 600.0, "priority": 1, "service": service,
+            "max_attempts": 2,
+        })
+    };
+    let mut draft = route("draft", "streaming", "model");
+    draft["resumable"] = json!(true);
+    draft["phases"] = json!([{ "service": "rank", "after": [], "length": 1_000.0 }]);
+    let mut probe = route(&format!("v{version}"), "idempotent", "desk");
+    probe["public"] = json!(true);
+    json!({
+        "version": version,
+        "routes": [
+            route("look", "idempotent", "desk"),
+            route("book", "non_idempotent", "desk"),
+            draft,
+            route("tell", "streaming", "model"),
+            probe,
+        ],
+        "services": [
+            { "name": "desk", "max_conns": 200 },
+            { "name": "model", "max_conns": 200 },
+            { "name": "rank", "max_conns": 200, "segments": {
+                "slots": 1, "queue": 2, "batch": 8, "call_ms": 30.0, "item_ms": 1.0,
+                "headroom_mb": 10.0, "handle_s": 4.0,
+            } },
+        ],
+        "limits": {
+            "max_header_bytes": 16_384, "max_body_bytes": 65_536,
+            "header_timeout_ms": 3_000.0, "idle_timeout_ms": 15_000.0,
+        },
+        "tenants": [{ "name": TENANT, "api_keys": KEYS[..keys] }],
+    })
+}
--- /dev/null
+++ b/soak/src/fault.rs
@@ -0,0 +1,88 @@
+//! What a soak does to the system from outside.
+
+use std::time::Duration;
+
+/// How the store misbehaves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StoreMode {
+    /// It refuses every call.
+    Refuses,
+    /// It accepts connections and answers nothing.
+    Silent,
+    /// Each answer takes this long.
+    Slow(Duration),
+    /// It does every other write and does not answer.
+    LosesAnswers,
+}
+
+/// How an upstream misbehaves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EngineMode {
+    /// It is full and says that it did nothing.
+    Sheds,
+    /// It runs the request and fails.
+    Fails,
+    /// It runs the request and never answers.
+    Hangs,
+    /// It runs the request and breaks its answer off.
+    Tears,
+    /// It runs the request and gives the answer to another one.
+    Crosses,
+}
+
+/// How the links to one upstream, or of one instance to the store, misbehave.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LinkMode {
+    /// Every connection is reset.
+    Resets,
+    /// Open connections carry nothing any more; new ones work.
+    ForgetsOpen,
+    /// Nothing is carried, on any connection.
+    Cut,
+    /// Answers are not carried.
+    CutBack,
+    /// Everything takes this much longer.
+    Delays(Duration),
+}
+
+/// One thing that a soak does. Places are numbers that are taken modulo how
+/// many there are.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fault {
+    /// An instance is killed and started again after the time.
+    Kill(usize, Duration),
+    /// An instance is stopped with grace and started again.
+    Stop(usize),
+    /// An instance stands still for the time.
+    Pause(usize, Duration),
+    /// An instance is told that its settings changed.
+    Reload(usize),
+    /// The store misbehaves for the time.
+    Store(StoreMode, Duration),
+    /// The store forgets its history.
+    Forget,
+    /// An upstream misbehaves for the time.
+    Engine(usize, EngineMode, Duration),
+    /// The links to an upstream misbehave for the time.
+    EngineLink(usize, LinkMode, Duration),
+    /// An instance's links to the store misbehave for the time.
+    StoreLink(usize, LinkMode, Duration),
+    /// An upstream says that it leaves, and is gone later.
+    Drain(usize),
+    /// An upstream is gone, and another one has its address.
+    Replace(usize),
+    /// The operator puts the next configuration in force.
+    Configure,
+    /// The operator takes a credential away.
+    Revoke,
+}
+
+impl Fault {
+    /// True if it is ordinary work that may cut no request short.
+    pub fn is_planned(&self) -> bool {
+        matches!(
+            self,
+            Fault::Stop(_) | Fault::Reload(_) | Fault::Configure | Fault::Drain(_)
+        )
+    }
+}
--- /dev/null
+++ b/soak/src/model.rs
@@ -0,0 +1,186 @@
+//! A stand-in of an upstream that answers requests, whole or as a stream.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use async_io::Timer;
+use bytes::Bytes;
+use futures_lite::future;
+use futures_lite::stream::unfold;
+use http::HeaderName;
+use http::HeaderValue;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http::header::AUTHORIZATION;
+use hyper::body::Incoming;
+use jd_net::Body;
+use jd_net::Handler;
+use jd_net::HandlerFuture;
+use jd_net::lock;
+use jd_net::read_bounded;
+
+use crate::EngineMode;
+use crate::Ledger;
+use crate::Run;
+use crate::config::TENANT;
+use crate::stages::Results;
+use crate::store_api::status;
+
+/// Events of a stream.
+pub(crate) const EVENTS: u64 = 8;
+/// Between two events.
+const EVENT_EVERY: Duration = Duration::from_millis(30);
+/// What a request with one answer takes.
+const WORK: Duration = Duration::from_millis(15);
+/// The event in the middle of which a torn stream ends.
+const TORN_AT: u64 = 3;
+
+/// A stand-in of an upstream.
+#[derive(Debug)]
+pub(crate) struct Engine {
+    pub(crate) id: Mutex<String>,
+    pub(crate) mode: Mutex<Option<EngineMode>>,
+    pub(crate) ledger: Arc<Ledger>,
+    pub(crate) results: Arc<Results>,
+}
+
+/// What a stream still has to send.
+struct Rest {
+    id: String,
+    next: u64,
+    torn: bool,
+}
+
+impl Engine {
+    pub(crate) fn id(&self) -> String {
+        lock(&self.id).clone()
+    }
+
+    async fn answer(&self, req: Request<Incoming>) -> Response<Body> {
+        let me = self.id();
+        let (parts, body) = req.into_parts();
+        let header = |name: &str| parts.headers.get(name).and_then(|v| v.to_str().ok());
+        let id = header("jacinthdeal-attempt-id").unwrap_or("").to_string();
+        let body = read_bounded(body, 1 << 16).await.unwrap_or_default();
+        let path = parts.uri.path();
+        let inputs = header("jacinthdeal-inputs").unwrap_or("");
+        let fault = match () {
+            () if parts.headers.contains_key(AUTHORIZATION) => Some("was shown the credential"),
+            () if body != id.as_bytes() => Some("has another body"),
+            () if !path.starts_with("/v") && header("jacinthdeal-tenant") != Some(TENANT) => {
+                Some("has another customer")
+            }
+            () if header("jacinthdeal-deadline-ms").is_none() => Some("has no deadline"),
+            () if !self.results.are_of(inputs, &id) => Some("works on another's results"),
+            () => None,
+        };
+        let mode = *lock(&self.mode);
+        let expected = header("jacinthdeal-expect-instance").is_some_and(|e| e == me);
+        let lacks_inputs = path.starts_with("/draft/") && !self.results.are_there(inputs);
+        let refused = match () {
+            () if !expected => Some(StatusCode::MISDIRECTED_REQUEST),
+            () if mode == Some(EngineMode::Sheds) => Some(StatusCode::SERVICE_UNAVAILABLE),
+            () if lacks_inputs => Some(StatusCode::CONFLICT),
+            () => None,
+        };
+        self.ledger.run(Run {
+            id: id.clone(),
+            engine: me.clone(),
+            at: self.ledger.now(),
+            ran: refused.is_none(),
+            fault,
+        });
+        if let Some(refused) = refused {
+            let mut res = status(refused);
+            set(&mut res, "jacinthdeal-attempt-id", &id);
+            set(&mut res, "jacinthdeal-not-executed", "1");
+            return res;
+        }
+        let streams = path.starts_with("/draft/") || path.starts_with("/tell/");
+        let after = header("last-event-id").and_then(|t| t.parse().ok());
+        let res = self.work(mode, &id, streams, after.unwrap_or(0)).await;
+        signed(res, mode, &id, &me)
+    }
+
+    async fn work(
+        &self,
+        mode: Option<EngineMode>,
+        id: &str,
+        streams: bool,
+        after: u64,
+    ) -> Response<Body> {
+        match mode {
+            Some(EngineMode::Hangs) => future::pending().await,
+            Some(EngineMode::Fails) => status(StatusCode::INTERNAL_SERVER_ERROR),
+            _ if streams => Response::new(jd_net::stream(unfold(
+                Rest {
+                    id: id.into(),
+                    next: after + 1,
+                    torn: mode == Some(EngineMode::Tears),
+                },
+                next_event,
+            ))),
+            Some(EngineMode::Tears) => {
+                let cut: Vec<Result<Bytes, jd_net::BodyError>> =
+                    vec![Ok(Bytes::from_static(b"answ")), Err("torn".into())];
+                Response::new(jd_net::stream(futures_lite::stream::iter(cut)))
+            }
+            _ => {
+                Timer::after(WORK).await;
+                Response::new(jd_net::full(plain_answer(id)))
+            }
+        }
+    }
+}
+
+/// The answer to a request with one answer.
+pub(crate) fn plain_answer(id: &str) -> String {
+    format!("answer to {id}")
+}
+
+/// An event of a stream.
+pub(crate) fn event(id: &str, number: u64) -> String {
+    format!("id: {number}\ndata: {id} {number}\n\n")
+}
+
+async fn next_event(rest: Rest) -> Option<(Result<Bytes, jd_net::BodyError>, Rest)> {
+    if rest.next > EVENTS {
+        return None;
+    }
+    Timer::after(EVENT_EVERY).await;
+    if rest.torn && rest.next > TORN_AT {
+        return Some((Err("torn".into()), rest));
+    }
+    let mut text = event(&rest.id, rest.next);
+    if rest.torn && rest.next == TORN_AT {
+        text.truncate(text.len() / 2);
+    }
+    let next = rest.next + 1;
+    Some((Ok(Bytes::from(text)), Rest { next, ..rest }))
+}
+
+fn signed(mut res: Response<Body>, mode: Option<EngineMode>, id: &str, me: &str) -> Response<Body> {
+    let named = match mode {
+        Some(EngineMode::Crosses) => "another",
+        _ => id,
+    };
+    set(&mut res, "jacinthdeal-attempt-id", named);
+    set(&mut res, "jacinthdeal-signature", &format!("{named}.{me}"));
+    res
+}
+
+fn set(res: &mut Response<Body>, name: &'static str, value: &str) {
+    // Identities of a soak are hexadecimal, so each is a header's value.
+    if let Ok(value) = HeaderValue::from_str(value) {
+        res.headers_mut()
+            .insert(HeaderName::from_static(name), value);
+    }
+}
+
+impl Handler for Engine {
+    fn handle(self: Arc<Self>, req: Request<Incoming>) -> HandlerFuture {
+        Box::pin(async move { self.answer(req).await })
+    }
+}
--- /dev/null
+++ b/soak/src/plan.rs
@@ -0,0 +1,114 @@
+//! The faults of a seed.
+
+use std::time::Duration;
+
+use crate::EngineMode;
+use crate::Fault;
+use crate::LinkMode;
+use crate::StoreMode;
+
+/// From the first fault to the last. Several overlap in it.
+const FAULTS_LAST: Duration = Duration::from_millis(7_000);
+/// Until instances and callers are there.
+const LEAD: Duration = Duration::from_millis(1_000);
+/// The fewest faults of a seed.
+const LEAST_FAULTS: usize = 5;
+/// The most.
+const MOST_FAULTS: usize = 11;
+/// Every so many seeds bring planned work only, which may cut nothing short.
+const PLANNED_ONLY_EVERY: u64 = 4;
+
+/// A fault and when it comes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Step {
+    /// From the start of the callers.
+    pub at: Duration,
+    /// What is done.
+    pub fault: Fault,
+}
+
+/// What a seed does, in order of time.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Plan {
+    /// The seed.
+    pub seed: u64,
+    /// Its steps.
+    pub steps: Vec<Step>,
+}
+
+impl Plan {
+    /// Draws the plan of a seed.
+    pub fn draw(seed: u64) -> Plan {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let planned_only = seed.is_multiple_of(PLANNED_ONLY_EVERY);
+        let count = rng.usize(LEAST_FAULTS..=MOST_FAULTS);
+        let mut steps: Vec<Step> = Vec::with_capacity(count);
+        while steps.len() < count {
+            let fault = draw_fault(&mut rng);
+            if planned_only && !fault.is_planned() {
+                continue;
+            }
+            let after = rng.u64(0..FAULTS_LAST.as_millis() as u64);
+            let at = LEAD + Duration::from_millis(after);
+            steps.push(Step { at, fault });
+        }
+        steps.sort_by_key(|s| s.at);
+        Plan { seed, steps }
+    }
+
+    /// When the last of them has passed, stops and restarts included.
+    pub fn ends(&self) -> Duration {
+        LEAD + FAULTS_LAST
+    }
+}
+
+fn draw_fault(rng: &mut fastrand::Rng) -> Fault {
+    let place = rng.usize(..);
+    let span = Duration::from_millis(rng.u64(300..3_000));
+    match rng.u8(0..17) {
+        0 | 1 => Fault::Kill(place, span / 2),
+        2 | 3 => Fault::Stop(place),
+        4 => Fault::Pause(place, span),
+        5 => Fault::Reload(place),
+        6 | 7 => Fault::Store(draw_store_mode(rng), span),
+        8 => Fault::Forget,
+        9 | 10 => Fault::Engine(place, draw_engine_mode(rng), span),
+        11 | 12 => Fault::EngineLink(place, draw_link_mode(rng), span),
+        13 => Fault::StoreLink(place, draw_link_mode(rng), span),
+        14 => Fault::Drain(place),
+        15 => match rng.bool() {
+            true => Fault::Replace(place),
+            false => Fault::Revoke,
+        },
+        _ => Fault::Configure,
+    }
+}
+
+fn draw_store_mode(rng: &mut fastrand::Rng) -> StoreMode {
+    match rng.u8(0..4) {
+        0 => StoreMode::Refuses,
+        1 => StoreMode::Silent,
+        2 => StoreMode::Slow(Duration::from_millis(rng.u64(50..400))),
+        _ => StoreMode::LosesAnswers,
+    }
+}
+
+fn draw_engine_mode(rng: &mut fastrand::Rng) -> EngineMode {
+    match rng.u8(0..5) {
+        0 => EngineMode::Sheds,
+        1 => EngineMode::Fails,
+        2 => EngineMode::Hangs,
+        3 => EngineMode::Tears,
+        _ => EngineMode::Crosses,
+    }
+}
+
+fn draw_link_mode(rng: &mut fastrand::Rng) -> LinkMode {
+    match rng.u8(0..5) {
+        0 => LinkMode::Resets,
+        1 => LinkMode::ForgetsOpen,
+        2 => LinkMode::Cut,
+        3 => LinkMode::CutBack,
+        _ => LinkMode::Delays(Duration::from_millis(rng.u64(20..300))),
+    }
+}
--- /dev/null
+++ b/soak/src/run.rs
@@ -0,0 +1,279 @@
+//! Playing the plan of a seed.
+
+use std::io;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use async_executor::Executor;
+use async_executor::Task;
+use async_io::Timer;
+use http::Request;
+use jd_net::Clock;
+use jd_net::HttpPool;
+use jd_net::lock;
+
+use crate::Broken;
+use crate::Fault;
+use crate::Fleet;
+use crate::Ledger;
+use crate::LinkMode;
+use crate::Plan;
+use crate::ProcessSignal;
+use crate::Step;
+use crate::caller::Caller;
+use crate::judge::judge;
+use crate::relay::Relay;
+use crate::world::World;
+
+/// Callers for each instance.
+const CALLERS_EACH: usize = 4;
+/// How long callers go on after the last fault.
+const CALM: Duration = Duration::from_millis(4_500);
+/// How long an instance may take to be ready, or to stop, before the soak gives
+/// up on it.
+const PATIENCE: Duration = Duration::from_secs(20);
+/// Between two looks at a process.
+const LOOK: Duration = Duration::from_millis(20);
+/// From an upstream's word that it leaves to its end.
+const DRAIN_LASTS: Duration = Duration::from_millis(5_000);
+
+/// What came of a soak.
+#[derive(Debug)]
+pub struct Played {
+    /// What everybody saw.
+    pub ledger: Arc<Ledger>,
+    /// The promises that were broken.
+    pub broken: Vec<Broken>,
+}
+
+/// What steps need.
+struct Stage {
+    world: Arc<World>,
+    fleet: Arc<dyn Fleet>,
+    pool: HttpPool,
+    starts: Arc<Vec<AtomicU32>>,
+    /// Instances and upstreams that a step has in hand; others leave them alone.
+    held: Vec<AtomicBool>,
+}
+
+/// Plays a plan with `instances` processes of `fleet` on loopback addresses that
+/// begin with `network`.
+pub async fn soak(
+    executor: &Arc<Executor<'static>>,
+    plan: &Plan,
+    fleet: Arc<dyn Fleet>,
+    network: [u8; 3],
+    instances: usize,
+) -> io::Result<Played> {
+    let world = Arc::new(World::start(executor, network, instances)?);
+    let held = instances + world.places.len();
+    let stage = Arc::new(Stage {
+        pool: HttpPool::new(Arc::clone(executor), Clock::start()),
+        starts: Arc::new((0..instances).map(|_| AtomicU32::new(0)).collect()),
+        held: (0..held).map(|_| AtomicBool::new(false)).collect(),
+        world: Arc::clone(&world),
+        fleet,
+    });
+    for n in 0..instances {
+        stage.start(n);
+    }
+    for n in 0..instances {
+        stage.until_ready(n).await?;
+    }
+    let stopped = Arc::new(AtomicBool::new(false));
+    let callers = start_callers(executor, &stage, &stopped, plan.seed);
+    let began = world.ledger.now();
+    let mut steps: Vec<Task<io::Result<()>>> = Vec::new();
+    for step in &plan.steps {
+        Timer::after((began + step.at).saturating_sub(world.ledger.now())).await;
+        let (stage, step) = (Arc::clone(&stage), *step);
+        steps.push(executor.spawn(async move { stage.play(step).await }));
+    }
+    Timer::after((began + plan.ends()).saturating_sub(world.ledger.now())).await;
+    for step in steps {
+        step.await?;
+    }
+    let calm = world.ledger.now();
+    Timer::after(CALM).await;
+    stopped.store(true, Ordering::Relaxed);
+    for caller in callers {
+        caller.await;
+    }
+    stage.end(instances).await?;
+    let broken = judge(&world.ledger, calm);
+    let ledger = Arc::clone(&world.ledger);
+    Ok(Played { ledger, broken })
+}
+
+fn start_callers(
+    executor: &Arc<Executor<'static>>,
+    stage: &Arc<Stage>,
+    stopped: &Arc<AtomicBool>,
+    seed: u64,
+) -> Vec<Task<()>> {
+    let count = stage.starts.len() * CALLERS_EACH;
+    let callers = (0..count as u64).map(|n| {
+        let caller = Caller {
+            world: Arc::clone(&stage.world),
+            // Each has connections of its own, as callers elsewhere do.
+            pool: HttpPool::new(Arc::clone(executor), Clock::start()),
+            starts: Arc::clone(&stage.starts),
+            stopped: Arc::clone(stopped),
+            rng: fastrand::Rng::with_seed(seed.wrapping_mul(1_000) + n),
+        };
+        executor.spawn(caller.run())
+    });
+    callers.collect()
+}
+
+impl Stage {
+    fn start(&self, n: usize) {
+        self.starts[n].fetch_add(1, Ordering::Relaxed);
+        self.fleet.start(n, &self.world.settings(n));
+    }
+
+    async fn until_ready(&self, n: usize) -> io::Result<()> {
+        let until = self.world.ledger.now() + PATIENCE;
+        while self.world.ledger.now() < until {
+            let mut req = Request::new(jd_net::empty());
+            *req.uri_mut() = http::Uri::from_static("/v1/readyz");
+            req.headers_mut()
+                .insert("host", http::HeaderValue::from_static("ready"));
+            let address = self.world.ready_at(n);
+            let sent = self.pool.send(address, req, Duration::from_secs(1), true);
+            if matches!(sent.await, Some(Ok(res)) if res.status.is_success()) {
+                return Ok(());
+            }
+            Timer::after(LOOK).await;
+        }
+        Err(io::Error::other(format!(
+            "instance {n} does not become ready"
+        )))
+    }
+
+    async fn until_ended(&self, n: usize) -> io::Result<()> {
+        let until = self.world.ledger.now() + PATIENCE;
+        while self.fleet.is_running(n) {
+            if self.world.ledger.now() > until {
+                return Err(io::Error::other(format!("instance {n} does not end")));
+            }
+            Timer::after(LOOK).await;
+        }
+        Ok(())
+    }
+
+    /// Stops all instances.
+    async fn end(&self, instances: usize) -> io::Result<()> {
+        for n in 0..instances {
+            self.fleet.signal(n, ProcessSignal::Stop);
+        }
+        for n in 0..instances {
+            self.until_ended(n).await?;
+        }
+        Ok(())
+    }
+
+    /// Plays one step and writes down how long it lasted.
+    async fn play(&self, step: Step) -> io::Result<()> {
+        let instances = self.starts.len();
+        let places = self.world.places.len();
+        let held = match step.fault {
+            Fault::Kill(n, _) | Fault::Stop(n) | Fault::Pause(n, _) => Some(n % instances),
+            Fault::Drain(n) | Fault::Replace(n) => Some(instances + n % places),
+            _ => None,
+        };
+        if held.is_some_and(|h| self.held[h].swap(true, Ordering::Relaxed)) {
+            return Ok(());
+        }
+        let from = self.world.ledger.now();
+        let what = self.what(step.fault);
+        if let Fault::Drain(_) | Fault::Configure = step.fault {
+            // Its effect begins now and not when the step has passed.
+            self.world.ledger.span(step.fault, from, from, &what);
+        }
+        let what = self.carry_out(step.fault).await?.unwrap_or(what);
+        let to = self.world.ledger.now();
+        self.world.ledger.span(step.fault, from, to, &what);
+        if let Some(h) = held {
+            self.held[h].store(false, Ordering::Relaxed);
+        }
+        Ok(())
+    }
+
+    /// What a fault concerns.
+    fn what(&self, fault: Fault) -> String {
+        let places = &self.world.places;
+        match fault {
+            Fault::Drain(n) | Fault::Replace(n) | Fault::Engine(n, _, _) => {
+                places[n % places.len()].handler.engine().id()
+            }
+            _ => String::new(),
+        }
+    }
+
+    async fn carry_out(&self, fault: Fault) -> io::Result<Option<String>> {
+        let instances = self.starts.len();
+        let places = &self.world.places;
+        let place = |n: usize| &places[n % places.len()];
+        match fault {
+            Fault::Kill(n, down) => {
+                let n = n % instances;
+                self.fleet.signal(n, ProcessSignal::Kill);
+                self.until_ended(n).await?;
+                Timer::after(down).await;
+                self.start(n);
+                self.until_ready(n).await?;
+            }
+            Fault::Stop(n) => {
+                let n = n % instances;
+                self.fleet.signal(n, ProcessSignal::Stop);
+                self.until_ended(n).await?;
+                self.start(n);
+                self.until_ready(n).await?;
+            }
+            Fault::Pause(n, span) => {
+                let n = n % instances;
+                self.fleet.signal(n, ProcessSignal::Pause);
+                Timer::after(span).await;
+                self.fleet.signal(n, ProcessSignal::Resume);
+            }
+            Fault::Reload(n) => self.fleet.signal(n % instances, ProcessSignal::Reload),
+            Fault::Store(mode, span) => {
+                *lock(&self.world.store.mode) = Some(mode);
+                Timer::after(span).await;
+                *lock(&self.world.store.mode) = None;
+            }
+            Fault::Forget => lock(&self.world.store.records).forget(),
+            Fault::Engine(n, mode, span) => {
+                let engine = place(n).handler.engine();
+                *lock(&engine.mode) = Some(mode);
+                Timer::after(span).await;
+                *lock(&engine.mode) = None;
+            }
+            Fault::EngineLink(n, mode, span) => misbehave(&place(n).link, mode, span).await,
+            Fault::StoreLink(n, mode, span) => {
+                misbehave(&self.world.store_links[n % instances], mode, span).await;
+            }
+            Fault::Drain(n) => {
+                self.world.register(place(n), "draining");
+                Timer::after(DRAIN_LASTS).await;
+                self.world.replace(place(n));
+            }
+            Fault::Replace(n) => self.world.replace(place(n)),
+            Fault::Configure => return Ok(Some(self.world.configure().to_string())),
+            Fault::Revoke => return Ok(Some(self.world.revoke().unwrap_or("").into())),
+        }
+        Ok(None)
+    }
+}
+
+async fn misbehave(link: &Relay, mode: LinkMode, span: Duration) {
+    link.set(Some(mode));
+    if mode != LinkMode::ForgetsOpen {
+        Timer::after(span).await;
+    }
+    link.set(None);
+}
--- /dev/null
+++ b/soak/src/store.rs
@@ -0,0 +1,142 @@
+//! A stand-in of the store: records, leases, history.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::time::Duration;
+use std::time::Instant;
+
+/// One record.
+#[derive(Debug, Clone)]
+pub(crate) struct Record {
+    pub(crate) key: String,
+    /// None if it was removed.
+    pub(crate) value: Option<Vec<u8>>,
+    pub(crate) revision: u64,
+    pub(crate) created: u64,
+    pub(crate) lease: u64,
+}
+
+/// Records, leases and history.
+#[derive(Debug, Default)]
+pub(crate) struct Records {
+    revision: u64,
+    records: BTreeMap<String, Record>,
+    history: VecDeque<Record>,
+    /// What happened up to this revision is forgotten.
+    forgotten: u64,
+    leases: BTreeMap<u64, (Instant, Duration)>,
+}
+
+impl Records {
+    pub(crate) fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Writes and removes records under one revision, if those expected are
+    /// unchanged; else what they are.
+    pub(crate) fn write(
+        &mut self,
+        expected: &[(String, u64)],
+        puts: Vec<(String, Vec<u8>, u64)>,
+        removed: &[String],
+    ) -> Result<u64, Vec<Record>> {
+        let now = |key: &String| self.records.get(key).map_or(0, |r| r.revision);
+        if expected.iter().any(|(key, revision)| now(key) != *revision) {
+            let current = expected.iter().filter_map(|(key, _)| self.records.get(key));
+            return Err(current.cloned().collect());
+        }
+        self.revision += 1;
+        for (key, value, lease) in puts {
+            let created = self.records.get(&key).map_or(self.revision, |r| r.created);
+            let record = Record {
+                key: key.clone(),
+                value: Some(value),
+                revision: self.revision,
+                created,
+                lease,
+            };
+            self.history.push_back(record.clone());
+            self.records.insert(key, record);
+        }
+        for key in removed {
+            self.remove(key);
+        }
+        Ok(self.revision)
+    }
+
+    pub(crate) fn range(&self, prefix: &str, after: &str) -> Vec<Record> {
+        let all = self.records.values();
+        let wanted = all.filter(|r| r.key.starts_with(prefix) && r.key.as_str() > after);
+        wanted.cloned().collect()
+    }
+
+    /// What happened after a revision; none if that is forgotten.
+    pub(crate) fn since(&self, after: u64, prefix: &str) -> Option<Vec<Record>> {
+        if after < self.forgotten {
+            return None;
+        }
+        let news = self.history.iter();
+        let news = news.filter(|r| r.revision > after && r.key.starts_with(prefix));
+        Some(news.cloned().collect())
+    }
+
+    pub(crate) fn forget(&mut self) {
+        self.history.clear();
+        self.forgotten = self.revision;
+    }
+
+    pub(crate) fn lease(&mut self, now: Instant, lifetime: Duration) -> u64 {
+        self.revision += 1;
+        let lease = self.revision;
+        self.leases.insert(lease, (now + lifetime, lifetime));
+        lease
+    }
+
+    /// Renews a lease; false if it has ended.
+    pub(crate) fn renew(&mut self, now: Instant, lease: u64) -> bool {
+        match self.leases.get_mut(&lease) {
+            Some((until, lifetime)) => {
+                *until = now + *lifetime;
+                true
+            }
+            None => false,
+        }
+    }
+
+    pub(crate) fn has_lease(&self, lease: u64) -> bool {
+        lease == 0 || self.leases.contains_key(&lease)
+    }
+
+    /// Ends leases whose time is over; true if records went with them.
+    pub(crate) fn expire(&mut self, now: Instant) -> bool {
+        let over: Vec<u64> = self
+            .leases
+            .iter()
+            .filter(|(_, (until, _))| *until <= now)
+            .map(|(lease, _)| *lease)
+            .collect();
+        self.leases.retain(|_, (until, _)| *until > now);
+        let lapsed = |r: &&Record| over.contains(&r.lease);
+        let keys: Vec<String> = self
+            .records
+            .values()
+            .filter(lapsed)
+            .map(|r| r.key.clone())
+            .collect();
+        self.revision += u64::from(!keys.is_empty());
+        for key in &keys {
+            self.remove(key);
+        }
+        !keys.is_empty()
+    }
+
+    fn remove(&mut self, key: &str) {
+        if let Some(record) = self.records.remove(key) {
+            self.history.push_back(Record {
+                value: None,
+                revision: self.revision,
+                ..record
+            });
+        }
+    }
+}
--- /dev/null
+++ b/soak/src/store_api.rs
@@ -0,0 +1,214 @@
+//! The stand-in of the store as its callers see it.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+
+use async_io::Timer;
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use event_listener::Event;
+use futures_lite::FutureExt;
+use futures_lite::future;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use hyper::body::Incoming;
+use jd_net::Body;
+use jd_net::Handler;
+use jd_net::HandlerFuture;
+use jd_net::lock;
+use jd_net::read_bounded;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::StoreMode;
+use crate::store::Record;
+use crate::store::Records;
+
+/// How often leases are looked through.
+const EXPIRE_EVERY: Duration = Duration::from_millis(50);
+/// The largest body of a call, in bytes.
+const MAX_BODY: usize = 2 << 20;
+
+/// The stand-in of the store as its callers see it.
+#[derive(Debug, Default)]
+pub(crate) struct StoreApi {
+    pub(crate) records: Mutex<Records>,
+    pub(crate) mode: Mutex<Option<StoreMode>>,
+    changed: Event,
+    writes: Mutex<u64>,
+}
+
+impl StoreApi {
+    /// Writes what the operator and the upstreams write; the revision.
+    pub(crate) fn put(&self, key: &str, value: &Value) -> u64 {
+        let put = (key.to_string(), value.to_string().into_bytes(), 0);
+        let written = lock(&self.records).write(&[], vec![put], &[]);
+        self.changed.notify(usize::MAX);
+        written.unwrap_or_default()
+    }
+
+    pub(crate) fn remove(&self, key: &str) {
+        let removed = [key.to_string()];
+        // Nothing is expected, so that it cannot fail.
+        let _ = lock(&self.records).write(&[], Vec::new(), &removed);
+        self.changed.notify(usize::MAX);
+    }
+
+    /// Ends leases for good.
+    pub(crate) async fn expire(self: Arc<Self>) {
+        loop {
+            Timer::after(EXPIRE_EVERY).await;
+            if lock(&self.records).expire(Instant::now()) {
+                self.changed.notify(usize::MAX);
+            }
+        }
+    }
+
+    async fn answer(&self, req: Request<Incoming>) -> Response<Body> {
+        let mode = *lock(&self.mode);
+        match mode {
+            Some(StoreMode::Refuses) => return status(StatusCode::SERVICE_UNAVAILABLE),
+            Some(StoreMode::Silent) => future::pending().await,
+            Some(StoreMode::Slow(by)) => {
+                Timer::after(by).await;
+            }
+            Some(StoreMode::LosesAnswers) | None => {}
+        }
+        let (parts, body) = req.into_parts();
+        let query = query(parts.uri.query().unwrap_or(""));
+        let body = read_bounded(body, MAX_BODY).await.unwrap_or_default();
+        let body: Value = serde_json::from_slice(&body).unwrap_or_default();
+        let path = parts.uri.path();
+        let renewed = path.strip_prefix("/v1/kv-keep/");
+        let (res, wrote) = match path {
+            "/v1/kv-range" => (self.range(&query), false),
+            "/v1/kv-watch" => (self.watch(&query).await, false),
+            "/v1/kv-txn" => (self.write(&body), true),
+            "/v1/kv-lease" => (self.lease(&body), true),
+            _ => match renewed.and_then(|l| l.parse().ok()) {
+                Some(lease) => (self.renew(lease), false),
+                None => (status(StatusCode::NOT_FOUND), false),
+            },
+        };
+        if wrote && mode == Some(StoreMode::LosesAnswers) {
+            let lost = {
+                let mut writes = lock(&self.writes);
+                *writes += 1;
+                writes.is_multiple_of(2)
+            };
+            if lost {
+                future::pending::<()>().await;
+            }
+        }
+        res
+    }
+
+    fn range(&self, query: &HashMap<String, String>) -> Response<Body> {
+        let text = |name: &str| query.get(name).cloned().unwrap_or_default();
+        let records = lock(&self.records);
+        let items = records.range(&text("prefix"), &text("after"));
+        let items: Vec<Value> = items.iter().map(item).collect();
+        json_body(&json!({
+            "items": items, "more_pages": false, "store_revision": records.revision(),
+        }))
+    }
+
+    async fn watch(&self, query: &HashMap<String, String>) -> Response<Body> {
+        let number = |name: &str| query.get(name).and_then(|t| t.parse::<u64>().ok());
+        let prefix = query.get("prefix").cloned().unwrap_or_default();
+        let after = number("after").unwrap_or(0);
+        let until = Instant::now() + Duration::from_millis(number("wait_ms").unwrap_or(0));
+        loop {
+            let changed = self.changed.listen();
+            let (news, revision) = {
+                let records = lock(&self.records);
+                (records.since(after, &prefix), records.revision())
+            };
+            let Some(news) = news else {
+                return status(StatusCode::GONE);
+            };
+            if !news.is_empty() || Instant::now() >= until {
+                let events: Vec<Value> = news.iter().map(item).collect();
+                return json_body(&json!({ "events": events, "store_revision": revision }));
+            }
+            let late = async {
+                Timer::at(until).await;
+            };
+            changed.or(late).await;
+        }
+    }
+
+    fn write(&self, body: &Value) -> Response<Body> {
+        let rows = |name: &str| body[name].as_array().cloned().unwrap_or_default();
+        let text = |v: &Value| v.as_str().unwrap_or_default().to_string();
+        let expected: Vec<(String, u64)> = rows("expected")
+            .iter()
+            .map(|r| (text(&r["key"]), r["rev"].as_u64().unwrap_or(0)))
+            .collect();
+        let put = |r: &Value| {
+            let value = STANDARD.decode(text(&r["value"])).unwrap_or_default();
+            (text(&r["key"]), value, r["lease"].as_u64().unwrap_or(0))
+        };
+        let puts: Vec<(String, Vec<u8>, u64)> = rows("puts").iter().map(put).collect();
+        let removed: Vec<String> = rows("delete").iter().map(text).collect();
+        let mut records = lock(&self.records);
+        if !puts.iter().all(|(_, _, lease)| records.has_lease(*lease)) {
+            return status(StatusCode::NOT_FOUND);
+        }
+        let written = records.write(&expected, puts, &removed);
+        drop(records);
+        self.changed.notify(usize::MAX);
+        match written {
+            Ok(revision) => json_body(&json!({ "rev": revision })),
+            Err(_) => status(StatusCode::PRECONDITION_FAILED),
+        }
+    }
+
+    fn lease(&self, body: &Value) -> Response<Body> {
+        let lifetime = Duration::from_millis(body["ttl_ms"].as_u64().unwrap_or(1_000));
+        let lease = lock(&self.records).lease(Instant::now(), lifetime);
+        json_body(&json!({ "lease": lease, "ttl_ms": lifetime.as_millis() as u64 }))
+    }
+
+    fn renew(&self, lease: u64) -> Response<Body> {
+        match lock(&self.records).renew(Instant::now(), lease) {
+            true => json_body(&json!({})),
+            false => status(StatusCode::NOT_FOUND),
+        }
+    }
+}
+
+impl Handler for StoreApi {
+    fn handle(self: Arc<Self>, req: Request<Incoming>) -> HandlerFuture {
+        Box::pin(async move { self.answer(req).await })
+    }
+}
+
+fn item(record: &Record) -> Value {
+    match &record.value {
+        Some(value) => json!({
+            "key": record.key, "value": STANDARD.encode(value), "rev": record.revision,
+            "created": record.created, "lease": record.lease,
+        }),
+        None => json!({ "key": record.key, "rev": record.revision, "removed": true }),
+    }
+}
+
+fn query(text: &str) -> HashMap<String, String> {
+    let pairs = text.split('&').filter_map(|p| p.split_once('='));
+    pairs.map(|(k, v)| (k.into(), v.into())).collect()
+}
+
+pub(crate) fn status(status: StatusCode) -> Response<Body> {
+    let mut res = Response::new(jd_net::empty());
+    *res.status_mut() = status;
+    res
+}
+
+pub(crate) fn json_body(body: &Value) -> Response<Body> {
+    Response::new(jd_net::full(body.to_string()))
+}
--- /dev/null
+++ b/soak/src/world.rs
@@ -0,0 +1,235 @@
+//! Everything around the instances of a soak.
+
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+
+use async_executor::Executor;
+use jd_net::Handler;
+use jd_net::HttpServer;
+use jd_net::ServerLimits;
+use jd_net::lock;
+use serde_json::json;
+
+use crate::Ledger;
+use crate::config;
+use crate::config::KEYS;
+use crate::model::Engine;
+use crate::relay::Relay;
+use crate::stages::Results;
+use crate::stages::StageEngine;
+use crate::store_api::StoreApi;
+
+/// Upstreams and their services.
+const ENGINES: [&str; 9] = [
+    "desk", "desk", "desk", "model", "model", "model", "rank", "rank", "rank",
+];
+/// Where an instance answers, in the order of its settings.
+const PORTS: [u16; 5] = [7_001, 7_002, 7_003, 7_004, 7_005];
+/// The port of relays to the store, of upstreams, and of relays to these.
+const SERVICE_PORT: u16 = 7_010;
+/// The last number of the first upstream's address; instances come before.
+const FIRST_ENGINE: usize = 200;
+
+/// An upstream behind its link.
+#[derive(Debug)]
+pub(crate) struct Place {
+    pub(crate) service: &'static str,
+    pub(crate) handler: Served,
+    pub(crate) link: Arc<Relay>,
+}
+
+/// What answers at an upstream's address.
+#[derive(Debug)]
+pub(crate) enum Served {
+    Requests(Arc<Engine>),
+    Pieces(Arc<StageEngine>),
+}
+
+impl Served {
+    pub(crate) fn engine(&self) -> &Engine {
+        match self {
+            Served::Requests(engine) => engine,
+            Served::Pieces(stage) => &stage.engine,
+        }
+    }
+}
+
+/// Everything around the instances: the store, upstreams, links, the operator.
+#[derive(Debug)]
+pub(crate) struct World {
+    pub(crate) store: Arc<StoreApi>,
+    pub(crate) ledger: Arc<Ledger>,
+    pub(crate) places: Vec<Place>,
+    pub(crate) store_links: Vec<Arc<Relay>>,
+    network: [u8; 3],
+    operator: Mutex<Operator>,
+    _servers: Vec<HttpServer>,
+}
+
+/// What the operator has put in force.
+#[derive(Debug)]
+struct Operator {
+    version: u64,
+    keys: usize,
+}
+
+impl World {
+    /// Everything for `instances` instances, on loopback addresses that begin
+    /// with `network`.
+    pub(crate) fn start(
+        executor: &Arc<Executor<'static>>,
+        network: [u8; 3],
+        instances: usize,
+    ) -> std::io::Result<World> {
+        let ledger = Arc::new(Ledger::default());
+        let store = Arc::new(StoreApi::default());
+        let results = Arc::new(Results::default());
+        let listen = |address, handler: Arc<dyn Handler>| {
+            let limits = ServerLimits::default();
+            HttpServer::start(Arc::clone(executor), address, limits, handler)
+        };
+        let store_at = at(network, 1, SERVICE_PORT);
+        let mut servers = vec![listen(store_at, Arc::clone(&store) as Arc<dyn Handler>)?];
+        executor.spawn(Arc::clone(&store).expire()).detach();
+        let links = (0..instances).map(|n| {
+            let own = at(network, 2 + n, SERVICE_PORT);
+            Relay::start(executor, own, store_at)
+        });
+        let store_links = links.collect::<std::io::Result<Vec<Arc<Relay>>>>()?;
+        let mut places = Vec::with_capacity(ENGINES.len());
+        for (n, service) in ENGINES.into_iter().enumerate() {
+            let address = at(network, FIRST_ENGINE + n, SERVICE_PORT);
+            let link = Relay::start(
+                executor,
+                at(network, FIRST_ENGINE + n, SERVICE_PORT + 1),
+                address,
+            )?;
+            let engine = Engine {
+                id: Mutex::new(new_id()),
+                mode: Mutex::default(),
+                ledger: Arc::clone(&ledger),
+                results: Arc::clone(&results),
+            };
+            let (handler, served): (Arc<dyn Handler>, Served) = match service {
+                "rank" => {
+                    let address = link.address();
+                    let stage = Arc::new(StageEngine { engine, address });
+                    (
+                        Arc::clone(&stage) as Arc<dyn Handler>,
+                        Served::Pieces(stage),
+                    )
+                }
+                _ => {
+                    let engine = Arc::new(engine);
+                    (
+                        Arc::clone(&engine) as Arc<dyn Handler>,
+                        Served::Requests(engine),
+                    )
+                }
+            };
+            servers.push(listen(address, handler)?);
+            places.push(Place {
+                service,
+                handler: served,
+                link,
+            });
+        }
+        let world = World {
+            store,
+            ledger,
+            places,
+            store_links,
+            network,
+            operator: Mutex::new(Operator {
+                version: 0,
+                keys: KEYS.len(),
+            }),
+            _servers: servers,
+        };
+        for place in &world.places {
+            world.register(place, "ready");
+        }
+        world.configure();
+        Ok(world)
+    }
+
+    /// The settings of an instance.
+    pub(crate) fn settings(&self, instance: usize) -> String {
+        let [callers, ready, locate, peers, metrics] =
+            PORTS.map(|port| at(self.network, 2 + instance, port));
+        let store = self.store_links[instance].address();
+        format!(
+            "[instance]\nname = soak-{instance}\nzone = hall-{}\ncallers = {callers}\n\
+             ready = {ready}\nlocate = {locate}\npeers = {peers}\nmetrics = {metrics}\n\
+             [store]\naddress = {store}\n[repeats]\nslack = 50\n",
+            ["a", "b", "c"][instance % 3]
+        )
+    }
+
+    pub(crate) fn callers_at(&self, instance: usize) -> SocketAddr {
+        at(self.network, 2 + instance, PORTS[0])
+    }
+
+    pub(crate) fn ready_at(&self, instance: usize) -> SocketAddr {
+        at(self.network, 2 + instance, PORTS[1])
+    }
+
+    /// Writes an upstream's entry as it is now.
+    pub(crate) fn register(&self, place: &Place, state: &str) {
+        let id = place.handler.engine().id();
+        let entry = json!({
+            "service": place.service, "addr": place.link.address(), "zone": "hall-a",
+            "version": 1, "slots": 16, "state": state, "cold_left_ms": 0, "seq": 1,
+        });
+        self.store.put(&format!("servers/{id}"), &entry);
+    }
+
+    /// Another upstream has the address from now on.
+    pub(crate) fn replace(&self, place: &Place) {
+        let gone = std::mem::replace(&mut *lock(&place.handler.engine().id), new_id());
+        self.store.remove(&format!("servers/{gone}"));
+        self.register(place, "ready");
+    }
+
+    /// Puts the next configuration in force; its version.
+    pub(crate) fn configure(&self) -> u64 {
+        let mut operator = lock(&self.operator);
+        operator.version += 1;
+        self.write_config(&operator);
+        operator.version
+    }
+
+    /// Takes a credential away; which one, if there was one left to take.
+    pub(crate) fn revoke(&self) -> Option<&'static str> {
+        let mut operator = lock(&self.operator);
+        if operator.keys <= 1 {
+            return None;
+        }
+        operator.keys -= 1;
+        operator.version += 1;
+        self.write_config(&operator);
+        Some(KEYS[operator.keys])
+    }
+
+    pub(crate) fn version(&self) -> u64 {
+        lock(&self.operator).version
+    }
+
+    fn write_config(&self, operator: &Operator) {
+        let config = config::config(operator.version, operator.keys);
+        self.store.put("op/config", &config);
+    }
+}
+
+fn new_id() -> String {
+    format!("i-{:08x}", fastrand::u32(..))
+}
+
+fn at(network: [u8; 3], last: usize, port: u16) -> SocketAddr {
+    let last = u8::try_from(last).unwrap_or(u8::MAX);
+    let [a, b, c] = network;
+    SocketAddr::new(IpAddr::V4(Ipv4Addr::new(a, b, c, last)), port)
+}
