Do not follow an instance that has lost the store or fallen silent

Ruled out: a lost history (the watcher's own proof finds it within 1.9 s). Change: who says that it has lost the store, or does not answer, is not followed for 3 s, and the question is given up when its heartbeats stop. Test that failed first: an_instance_that_has_lost_the_store_is_not_followed.

--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -30,6 +30,7 @@
 use jd_serving::UpstreamDirectory;
 use jd_serving::news_source;
 use jd_settings::GatewaySettings;
+use jd_types::Incarnation;
 use jd_types::MonoTime;
 
 use crate::Dialect;
@@ -37,6 +38,9 @@
 use crate::signal::Signal;
 use crate::upstream_table::UpstreamTable;
 
+/// How long an instance that had lost the store is not followed. Asked sooner it
+/// would mostly say the same.
+const LOST_STORE_LASTS: Duration = Duration::from_secs(3);
 /// How long an owner's word on its backlog counts: three heartbeats.
 const BACKLOG_LASTS: Duration = Duration::from_millis(1_200);
 
@@ -48,6 +52,8 @@
     pub(crate) instances: InstanceDirectory,
     pub(crate) deployment_version: u64,
     pub(crate) mirror: StoreMirror,
+    /// Instances that brought no news or none that is proven, and since when.
+    pub(crate) lost_store: HashMap<Incarnation, MonoTime>,
     /// What owners last said of their shards, and when.
     pub(crate) backlogs: HashMap<Shard, (MonoTime, Duration)>,
 }
@@ -157,7 +163,11 @@
     pub(crate) fn news_source(&self) -> NewsSource {
         let now = self.now();
         let knowledge = self.knowledge();
-        news_source(&self.me, knowledge.instances.live(now))
+        let lost = |id| {
+            let since = knowledge.lost_store.get(&id);
+            since.is_some_and(|s| now.since(*s) < LOST_STORE_LASTS)
+        };
+        news_source(&self.me, knowledge.instances.live(now), lost)
     }
 
     /// Counts a request as in flight until the guard is dropped.
--- a/crates/gateway/src/store_follower.rs
+++ b/crates/gateway/src/store_follower.rs
@@ -153,14 +153,24 @@
     /// Hears another instance's news; false if it does not answer.
     async fn follow_instance(&self, id: Incarnation) -> bool {
         let state = &self.link.state;
-        let Some(heard) = self.peers.follow(id, FOLLOW_WAIT).await else {
+        let asking = self.peers.follow(id, FOLLOW_WAIT);
+        let gone = async {
+            self.until_silent(id).await;
+            None
+        };
+        let now = state.now();
+        let Some(heard) = asking.or(gone).await else {
+            state.knowledge().lost_store.insert(id, now);
             return false;
         };
         // Before its news: entries that lapsed with the store are to be known
         // as such.
-        match heard.store_away {
-            true => self.link.away(),
-            false => self.link.succeeded(),
+        if heard.store_away {
+            log::info!(watcher:% = id; "the instance followed has lost the store");
+            self.link.away();
+            state.knowledge().lost_store.insert(id, now);
+        } else {
+            self.link.succeeded();
         }
         let silent = heard.news.items.is_empty();
         self.intake.take(heard.news);
@@ -173,6 +183,18 @@
         true
     }
 
+    /// Returns once an instance answers no heartbeats any more.
+    async fn until_silent(&self, id: Incarnation) {
+        let state = &self.link.state;
+        loop {
+            Timer::after(NEWS_BEHIND).await;
+            let now = state.now();
+            if !state.knowledge().instances.is_heard(now, id) {
+                return;
+            }
+        }
+    }
+
     /// Returns once the store is known to have had changes for a while that did
     /// not come: a connection is silent, or the store is deaf.
     async fn until_behind(&self) {
--- a/crates/gateway/tests/whole/fakes/fake_store.rs
+++ b/crates/gateway/tests/whole/fakes/fake_store.rs
@@ -1,5 +1,6 @@
 //! A store in memory that can be made silent.
 
+use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::AtomicUsize;
@@ -19,22 +20,38 @@
 use jd_serving::StoreItem;
 use jd_types::Incarnation;
 
-/// A store whose items name what they say by its place in a list.
+/// What a store holds. Its items name what they say by its place in a list.
+#[derive(Debug, Default)]
+struct Said {
+    list: Mutex<Vec<Change>>,
+    changed: Event,
+}
+
+/// A store as one instance sees it.
 #[derive(Debug)]
 pub(crate) struct FakeStore {
-    said: Mutex<Vec<Change>>,
+    said: Arc<Said>,
     away: Mutex<bool>,
-    changed: Event,
     watches: AtomicUsize,
     seen: AtomicU64,
 }
 
 impl FakeStore {
     pub(crate) fn new(records: Vec<Record>) -> FakeStore {
+        let said = Said::default();
+        *said.list.lock().expect("a lock") = records.into_iter().map(Change::Put).collect();
+        FakeStore::of(Arc::new(said))
+    }
+
+    /// The same store as another instance sees it.
+    pub(crate) fn seen_by_another(&self) -> FakeStore {
+        FakeStore::of(Arc::clone(&self.said))
+    }
+
+    fn of(said: Arc<Said>) -> FakeStore {
         FakeStore {
-            said: Mutex::new(records.into_iter().map(Change::Put).collect()),
+            said,
             away: Mutex::new(false),
-            changed: Event::new(),
             watches: AtomicUsize::new(0),
             seen: AtomicU64::new(0),
         }
@@ -47,8 +64,8 @@
 
     /// Tells all watches of a change.
     pub(crate) fn change(&self, change: Change) {
-        self.said.lock().expect("a lock").push(change);
-        self.changed.notify(usize::MAX);
+        self.said.list.lock().expect("a lock").push(change);
+        self.said.changed.notify(usize::MAX);
     }
 
     /// True once a watch waits for what comes after the last change.
@@ -70,7 +87,7 @@
 
     /// The places of all records but those of upstreams that were removed.
     fn listed(&self) -> Vec<usize> {
-        let said = self.said.lock().expect("a lock");
+        let said = self.said.list.lock().expect("a lock");
         let gone = |id: &str| {
             let is_removal = |c: &Change| matches!(c, Change::UpstreamGone(g) if g == id);
             said.iter().any(is_removal)
@@ -86,7 +103,7 @@
     }
 
     fn now(&self) -> u64 {
-        self.said.lock().expect("a lock").len() as u64
+        self.said.list.lock().expect("a lock").len() as u64
     }
 }
 
@@ -128,7 +145,7 @@
             let _waiting = Waiting::new(&self.watches);
             self.seen.fetch_max(after, Ordering::Relaxed);
             loop {
-                let changed = self.changed.listen();
+                let changed = self.said.changed.listen();
                 let revision = self.now();
                 if revision > after {
                     let items = (after as usize..revision as usize).map(item).collect();
@@ -141,7 +158,7 @@
 
     fn decode(&self, item: &StoreItem) -> Option<Change> {
         let place: usize = item.key.parse().expect("a place");
-        self.said.lock().expect("a lock").get(place).cloned()
+        self.said.list.lock().expect("a lock").get(place).cloned()
     }
 
     fn revision(&self) -> StoreFuture<'_, u64> {
--- a/crates/gateway/tests/whole/fakes/harness.rs
+++ b/crates/gateway/tests/whole/fakes/harness.rs
@@ -63,10 +63,17 @@
     ready: SocketAddr,
     pool: HttpPool,
     workers: Workers,
-    fleet: Vec<(Arc<Gateway>, SocketAddr, SocketAddr)>,
+    fleet: Vec<Member>,
     _servers: Vec<HttpServer>,
 }
 
+/// A further gateway and the store as it sees it.
+pub(crate) struct Member {
+    pub(crate) store: Arc<FakeStore>,
+    callers: SocketAddr,
+    _gateway: Arc<Gateway>,
+}
+
 /// Starts a gateway; where it answers callers, and where it says if it is ready.
 fn start_gateway(
     executor: &Arc<Executor<'static>>,
@@ -220,15 +227,47 @@
     pub(crate) fn add_gateways(&mut self, count: usize) {
         let executor = self.workers.executor();
         for _ in 0..count {
-            let added = start_gateway(&executor, &self.pool, &self.store);
-            self.fleet.push(added);
+            let store = Arc::new(self.store.seen_by_another());
+            let (gateway, callers, _) = start_gateway(&executor, &self.pool, &store);
+            self.fleet.push(Member {
+                store,
+                callers,
+                _gateway: gateway,
+            });
+        }
+    }
+
+    /// The gateways that were added and that watch the store.
+    pub(crate) fn watching(&self) -> Vec<&Member> {
+        let watch = |m: &&Member| m.store.watches() > 0;
+        self.fleet.iter().filter(watch).collect()
+    }
+
+    /// Waits until at most two watch the store, and each that does has seen all.
+    pub(crate) async fn until_two_watch(&self) {
+        let all = || self.fleet.iter().map(|m| &m.store).chain([&self.store]);
+        let watches = || all().map(|s| s.watches()).sum::<usize>();
+        while watches() > 2 || !all().any(|s| s.is_seen()) {
+            Timer::after(Duration::from_millis(5)).await;
+        }
+    }
+
+    /// Asks the gateways that were added until so many of them serve a path.
+    pub(crate) async fn until_served_by(&self, path: &str, count: usize) {
+        let mut serve = 0;
+        while serve < count {
+            serve = 0;
+            for member in &self.fleet {
+                let received = self.get(member.callers, path, "x", "key-1").await;
+                serve += usize::from(received.status == 200);
+            }
         }
     }
 
     /// Asks every gateway that was added until each answers with `status`.
     pub(crate) async fn until_all_answer(&self, path: &str, status: u16) {
-        for (_, callers, _) in &self.fleet {
-            while self.get(*callers, path, "x", "key-1").await.status != status {
+        for member in &self.fleet {
+            while self.get(member.callers, path, "x", "key-1").await.status != status {
                 Timer::after(Duration::from_millis(5)).await;
             }
         }
--- a/crates/gateway/tests/whole/fleet.rs
+++ b/crates/gateway/tests/whole/fleet.rs
@@ -1,8 +1,5 @@
 //! Many gateways at one store.
 
-use std::time::Duration;
-
-use async_io::Timer;
 use futures_lite::future::block_on;
 use jd_gateway::Change;
 use jd_gateway::Record;
@@ -20,16 +17,38 @@
     harness.add_gateways(19);
     block_on(async {
         harness.until_all_answer("/any/x", 200).await;
-        while harness.store.watches() > 2 {
-            Timer::after(Duration::from_millis(5)).await;
-        }
-        let mut next = deployment();
-        next.version = 2;
-        next.routes[0].prefix = "/added/".into();
-        let next = Record::Deployment(Box::new(next));
-        harness.store.change(Change::Put(next));
+        harness.until_two_watch().await;
+        harness.store.change(second_version());
         harness.until_all_answer("/added/x", 200).await;
         harness.until_all_answer("/any/x", 404).await;
-        assert!(harness.store.watches() <= 2);
+        harness.until_two_watch().await;
     });
 }
+
+/// The store turns away just the instances that the others follow. These have
+/// to hear of a change all the same, and by themselves.
+#[test]
+fn a_change_arrives_though_those_that_watch_are_turned_away() {
+    let mut harness = Harness::start(vec![vec![Reply::Whole("yours")]]);
+    harness.add_gateways(19);
+    block_on(async {
+        harness.until_all_answer("/any/x", 200).await;
+        harness.until_two_watch().await;
+        let turned_away = harness.watching();
+        for member in &turned_away {
+            member.store.set_away(true);
+        }
+        harness.store.change(second_version());
+        harness
+            .until_served_by("/added/x", 19 - turned_away.len())
+            .await;
+    });
+}
+
+/// A configuration with another route in the place of the first.
+fn second_version() -> Change {
+    let mut next = deployment();
+    next.version = 2;
+    next.routes[0].prefix = "/added/".into();
+    Change::Put(Record::Deployment(Box::new(next)))
+}
--- a/crates/serving/src/news_source.rs
+++ b/crates/serving/src/news_source.rs
@@ -23,7 +23,9 @@
     Instance(Incarnation),
 }
 
-/// From whom `me` hears, of the `others` that are there.
+/// From whom `me` hears, of the `others` that are there. One that `lost` says has
+/// lost the store is passed over: while the store turns some instances away, it
+/// may serve this one.
 ///
 /// The load that it answers: every change in the store answers every watch, so
 /// that calls grow with instances times changes. On a day of 75 instances with
@@ -31,18 +33,20 @@
 pub fn news_source<'a>(
     me: &InstanceEntry,
     others: impl Iterator<Item = &'a InstanceEntry>,
+    lost: impl Fn(Incarnation) -> bool,
 ) -> NewsSource {
     let others: Vec<&InstanceEntry> = others.collect();
     if others.len() < SMALL_FLEET {
         return NewsSource::Store;
     }
-    let watchers = watchers(me, others.into_iter());
-    let mine = me.incarnation.get() as usize % watchers.len().max(1);
-    match watchers.get(mine) {
-        Some(_) if watchers.contains(&me.incarnation) => NewsSource::Store,
-        Some(watcher) => NewsSource::Instance(*watcher),
-        None => NewsSource::Store,
+    let mut watchers = watchers(me, others.into_iter());
+    if watchers.contains(&me.incarnation) {
+        return NewsSource::Store;
     }
+    watchers.retain(|id| !lost(*id));
+    let mine = me.incarnation.get() as usize % watchers.len().max(1);
+    let watcher = watchers.get(mine).copied();
+    watcher.map_or(NewsSource::Store, NewsSource::Instance)
 }
 
 /// The instances that watch the store for the zone of `me`.
--- a/crates/serving/tests/instances.rs
+++ b/crates/serving/tests/instances.rs
@@ -176,6 +176,26 @@
     assert_eq!(live(&directory, at(1_100)), [a.incarnation]);
 }
 
+fn never(_: Incarnation) -> bool {
+    false
+}
+
+/// The store turns away the instance that a zone follows and serves the others.
+/// They went on asking it, and sent requests to an upstream that had left for
+/// three seconds.
+#[test]
+fn an_instance_that_has_lost_the_store_is_not_followed() {
+    let all: Vec<InstanceEntry> = (1..=40).map(|n| entry(n, 1, "a")).collect();
+    let me = &all[0];
+    let others = || all[1..].iter();
+    let NewsSource::Instance(first) = news_source(me, others(), never) else {
+        panic!("the first instance follows another");
+    };
+    let second = news_source(me, others(), |id| id == first);
+    assert!(matches!(second, NewsSource::Instance(id) if id != first));
+    assert_eq!(news_source(me, others(), |_| true), NewsSource::Store);
+}
+
 /// Seventy-five instances that each watch the store are answered seventy-five
 /// times at each change, beyond what the store allows.
 #[test]
@@ -190,11 +210,11 @@
     };
     let watching = all
         .iter()
-        .filter(|me| news_source(me, others(me)) == NewsSource::Store);
+        .filter(|me| news_source(me, others(me), never) == NewsSource::Store);
     assert_eq!(watching.count(), 6);
     let followed: Vec<Incarnation> = all
         .iter()
-        .filter_map(|me| match news_source(me, others(me)) {
+        .filter_map(|me| match news_source(me, others(me), never) {
             NewsSource::Instance(id) => Some(id),
             NewsSource::Store => None,
         })
@@ -208,5 +228,8 @@
 #[test]
 fn of_a_few_instances_each_watches_the_store() {
     let all: Vec<InstanceEntry> = (1..=9).map(|n| entry(n, 1, "a")).collect();
-    assert_eq!(news_source(&all[0], all[1..].iter()), NewsSource::Store);
+    assert_eq!(
+        news_source(&all[0], all[1..].iter(), never),
+        NewsSource::Store
+    );
 }
