--- /dev/null
+++ b/crates/gateway/src/peer_api.rs
@@ -0,0 +1,134 @@
+//! Answering other instances.
+
+use std::sync::Arc;
+
+use compact_str::CompactString;
+use http::Request;
+use http::Response;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use jd_net::Handler;
+use jd_net::HandlerFuture;
+use jd_types::Incarnation;
+use jd_wire::Backlog;
+use jd_wire::BeatReply;
+use jd_wire::BeatRequest;
+use jd_wire::FollowReply;
+use jd_wire::FollowRequest;
+use jd_wire::Gateway;
+use jd_wire::GatewayServer;
+use jd_wire::ReleaseReply;
+use jd_wire::ReleaseRequest;
+use jd_wire::StagesReply;
+use jd_wire::StagesRequest;
+use tonic::Status;
+use tower_service::Service;
+
+use crate::peer_news;
+use crate::peer_stages;
+use crate::stage_batches::StageBatches;
+use crate::state::State;
+
+/// Answers other instances.
+#[derive(Debug)]
+pub(crate) struct PeerApi {
+    pub(crate) state: Arc<State>,
+    pub(crate) batches: Arc<StageBatches>,
+}
+
+#[tonic::async_trait]
+impl Gateway for PeerApi {
+    async fn beat(
+        &self,
+        req: tonic::Request<BeatRequest>,
+    ) -> Result<tonic::Response<BeatReply>, Status> {
+        let beat = req.into_inner();
+        let now = self.state.now();
+        let from = Incarnation::new(beat.incarnation);
+        self.state
+            .knowledge()
+            .instances
+            .heard(now, from, beat.leaving, beat.ready);
+        let backlogs = self.batches.backlogs();
+        for (shard, wait) in &backlogs {
+            let heard = (now, *wait);
+            let mut knowledge = self.state.knowledge();
+            knowledge.backlogs.insert(shard.clone(), heard);
+        }
+        let backlogs = backlogs.into_iter();
+        let backlogs = backlogs.map(|(shard, wait)| Backlog {
+            shard: Some(peer_stages::wire_shard(&shard)),
+            wait_ms: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
+        });
+        Ok(tonic::Response::new(BeatReply {
+            incarnation: self.state.me.incarnation.get(),
+            leaving: self.state.is_leaving(),
+            ready: self.state.is_ready(),
+            proof: peer_news::wire_proof(&self.state),
+            backlogs: backlogs.collect(),
+        }))
+    }
+
+    async fn follow(
+        &self,
+        req: tonic::Request<FollowRequest>,
+    ) -> Result<tonic::Response<FollowReply>, Status> {
+        let reply = peer_news::answer(&self.state, req.into_inner()).await;
+        Ok(tonic::Response::new(reply))
+    }
+
+    async fn release_results(
+        &self,
+        req: tonic::Request<ReleaseRequest>,
+    ) -> Result<tonic::Response<ReleaseReply>, Status> {
+        let results = req.into_inner().results.into_iter();
+        self.batches
+            .release(results.map(CompactString::from).collect());
+        Ok(tonic::Response::new(ReleaseReply {}))
+    }
+
+    async fn run_stages(
+        &self,
+        req: tonic::Request<StagesRequest>,
+    ) -> Result<tonic::Response<StagesReply>, Status> {
+        let req = req.into_inner();
+        let shard = req.shard.clone().map(peer_stages::shard_of);
+        let shard = shard.ok_or_else(|| Status::invalid_argument("no shard is named"))?;
+        let job = peer_stages::job_of(req, self.state.now())?;
+        let reply = match self.batches.run(shard, job).await {
+            Ok(results) => StagesReply {
+                results: results.into_iter().map(String::from).collect(),
+                ..StagesReply::default()
+            },
+            Err(failure) => peer_stages::failure_reply(failure),
+        };
+        Ok(tonic::Response::new(reply))
+    }
+}
+
+/// The endpoint for other instances as an HTTP handler.
+#[derive(Debug)]
+pub(crate) struct PeerHandler {
+    server: GatewayServer<PeerApi>,
+}
+
+impl PeerHandler {
+    pub(crate) fn new(api: PeerApi) -> PeerHandler {
+        PeerHandler {
+            server: GatewayServer::new(api),
+        }
+    }
+}
+
+impl Handler for PeerHandler {
+    fn handle(self: Arc<Self>, req: Request<Incoming>) -> HandlerFuture {
+        let mut server = self.server.clone();
+        Box::pin(async move {
+            let res: Response<tonic::body::Body> = match server.call(req).await {
+                Ok(res) => res,
+                Err(never) => match never {},
+            };
+            res.map(|body| body.map_err(Into::into).boxed_unsync())
+        })
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/peer_stages.rs
@@ -0,0 +1,116 @@
+//! Stages of requests in messages between instances.
+
+use std::time::Duration;
+
+use compact_str::CompactString;
+use compact_str::ToCompactString;
+use jd_serving::JobFailure;
+use jd_serving::JobStage;
+use jd_serving::Shard;
+use jd_serving::StageJob;
+use jd_types::MonoTime;
+use jd_types::Name;
+use jd_wire::Shard as WireShard;
+use jd_wire::Stage;
+use jd_wire::StagesReply;
+use jd_wire::StagesRequest;
+use tonic::Status;
+
+/// A shard as a message names it.
+pub(crate) fn wire_shard(shard: &Shard) -> WireShard {
+    WireShard {
+        zone: shard.zone.as_ref().map_or("", Name::as_str).into(),
+        part: shard.part,
+        parts: shard.parts,
+    }
+}
+
+/// The shard that a message names.
+pub(crate) fn shard_of(shard: WireShard) -> Shard {
+    Shard {
+        // Empty for all zones together.
+        zone: Name::try_from(shard.zone.as_str()).ok(),
+        part: shard.part,
+        parts: shard.parts,
+    }
+}
+
+/// The message that asks for stages; times are counted from `now`.
+pub(crate) fn stages_request(job: &StageJob, shard: &Shard, now: MonoTime) -> StagesRequest {
+    let millis = |d: Duration| u32::try_from(d.as_millis()).unwrap_or(u32::MAX);
+    let stages = job.stages.iter().map(|s| Stage {
+        service: s.service.to_string(),
+        after: s.after.iter().map(|a| *a as u32).collect(),
+        pieces: s.pieces as u32,
+        result_bytes: s.result_bytes,
+    });
+    StagesRequest {
+        request_id: job.request_id.to_string(),
+        piece_key: job.piece_key.to_string(),
+        stages: stages.collect(),
+        objective_ms: millis(job.objective.since(now)),
+        deadline_ms: millis(job.deadline.since(now)),
+        priority: u32::from(job.priority),
+        zone: job
+            .zone
+            .as_ref()
+            .map_or(String::new(), |z| z.as_str().into()),
+        shard: Some(wire_shard(shard)),
+    }
+}
+
+/// What the answer to it says.
+pub(crate) fn outcome_of(reply: StagesReply) -> Result<Vec<CompactString>, JobFailure> {
+    let wait = Duration::from_millis(u64::from(reply.retry_after_ms));
+    match reply.failure {
+        0 => Ok(reply.results.into_iter().map(CompactString::from).collect()),
+        1 => Err(JobFailure::WouldMiss(wait)),
+        2 => Err(JobFailure::TooLate),
+        3 => Err(JobFailure::NoUpstream),
+        5 => Err(JobFailure::Moved),
+        _ => Err(JobFailure::PieceFailed),
+    }
+}
+
+/// The stages that a message asks for, now.
+pub(crate) fn job_of(req: StagesRequest, now: MonoTime) -> Result<StageJob, Status> {
+    let count = req.stages.len();
+    let mut stages = Vec::with_capacity(count);
+    for (n, stage) in req.stages.into_iter().enumerate() {
+        let after: Vec<usize> = stage.after.into_iter().map(|a| a as usize).collect();
+        if after.iter().any(|a| *a >= n) {
+            return Err(Status::invalid_argument("a stage follows a later one"));
+        }
+        stages.push(JobStage {
+            service: stage.service.into(),
+            after,
+            pieces: stage.pieces as usize,
+            result_bytes: stage.result_bytes,
+        });
+    }
+    Ok(StageJob {
+        request_id: req.request_id.into(),
+        piece_key: req.piece_key.into(),
+        stages,
+        objective: now + Duration::from_millis(u64::from(req.objective_ms)),
+        deadline: now + Duration::from_millis(u64::from(req.deadline_ms)),
+        priority: u8::try_from(req.priority).unwrap_or(u8::MAX),
+        zone: Name::try_from(req.zone.to_compact_string()).ok(),
+    })
+}
+
+/// The answer where stages could not be done.
+pub(crate) fn failure_reply(failure: JobFailure) -> StagesReply {
+    let (failure, wait) = match failure {
+        JobFailure::WouldMiss(wait) => (1, wait),
+        JobFailure::TooLate => (2, Duration::ZERO),
+        JobFailure::NoUpstream => (3, Duration::ZERO),
+        JobFailure::PieceFailed => (4, Duration::ZERO),
+        JobFailure::Moved => (5, Duration::ZERO),
+    };
+    StagesReply {
+        results: Vec::new(),
+        failure,
+        retry_after_ms: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
+    }
+}
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -8,19 +8,11 @@
 
 use async_io::Timer;
 use compact_str::CompactString;
-use compact_str::ToCompactString;
-use http::Request;
-use http::Response;
-use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use jd_net::GrpcChannel;
-use jd_net::Handler;
-use jd_net::HandlerFuture;
 use jd_net::lock;
 use jd_net::within;
 use jd_serving::InstanceEntry;
 use jd_serving::JobFailure;
-use jd_serving::JobStage;
 use jd_serving::SMALL_FLEET;
 use jd_serving::Shard;
 use jd_serving::StageJob;
@@ -28,27 +20,14 @@
 use jd_serving::watchers;
 use jd_types::Incarnation;
 use jd_types::MonoTime;
-use jd_types::Name;
-use jd_wire::Backlog;
 use jd_wire::BeatReply;
 use jd_wire::BeatRequest;
-use jd_wire::FollowReply;
-use jd_wire::FollowRequest;
-use jd_wire::Gateway;
 use jd_wire::GatewayClient;
-use jd_wire::GatewayServer;
-use jd_wire::ReleaseReply;
 use jd_wire::ReleaseRequest;
-use jd_wire::Shard as WireShard;
-use jd_wire::Stage;
-use jd_wire::StagesReply;
-use jd_wire::StagesRequest;
-use tonic::Status;
-use tower_service::Service;
 
 use crate::peer_news;
 use crate::peer_news::Heard;
-use crate::stage_batches::StageBatches;
+use crate::peer_stages;
 use crate::state::State;
 
 /// How often an instance tells the others that it is there. Three beats fit
@@ -105,9 +84,9 @@
         let address = self.address_of(owner)?;
         let now = self.state.now();
         let mut client = GatewayClient::new(self.channel(address));
-        let asked = stages_request(job, shard, now);
+        let asked = peer_stages::stages_request(job, shard, now);
         let reply = client.run_stages(asked).await.ok()?.into_inner();
-        Some(outcome_of(reply))
+        Some(peer_stages::outcome_of(reply))
     }
 
     /// Tells another instance that nobody works on these results any more; false
@@ -214,7 +193,9 @@
         for backlog in reply.backlogs {
             let wait = Duration::from_millis(u64::from(backlog.wait_ms));
             if let Some(shard) = backlog.shard {
-                knowledge.backlogs.insert(shard_of(shard), (now, wait));
+                knowledge
+                    .backlogs
+                    .insert(peer_stages::shard_of(shard), (now, wait));
             }
         }
         match Incarnation::new(reply.incarnation) {
@@ -239,203 +220,3 @@
         lock(&self.channels).retain(|address, _| peers.iter().any(|p| p.peers == *address));
     }
 }
-
-fn wire_shard(shard: &Shard) -> WireShard {
-    WireShard {
-        zone: shard.zone.as_ref().map_or("", Name::as_str).into(),
-        part: shard.part,
-        parts: shard.parts,
-    }
-}
-
-fn shard_of(shard: WireShard) -> Shard {
-    Shard {
-        // Empty for all zones together.
-        zone: Name::try_from(shard.zone.as_str()).ok(),
-        part: shard.part,
-        parts: shard.parts,
-    }
-}
-
-fn stages_request(job: &StageJob, shard: &Shard, now: MonoTime) -> StagesRequest {
-    let millis = |d: Duration| u32::try_from(d.as_millis()).unwrap_or(u32::MAX);
-    let stages = job.stages.iter().map(|s| Stage {
-        service: s.service.to_string(),
-        after: s.after.iter().map(|a| *a as u32).collect(),
-        pieces: s.pieces as u32,
-        result_bytes: s.result_bytes,
-    });
-    StagesRequest {
-        request_id: job.request_id.to_string(),
-        piece_key: job.piece_key.to_string(),
-        stages: stages.collect(),
-        objective_ms: millis(job.objective.since(now)),
-        deadline_ms: millis(job.deadline.since(now)),
-        priority: u32::from(job.priority),
-        zone: job
-            .zone
-            .as_ref()
-            .map_or(String::new(), |z| z.as_str().into()),
-        shard: Some(wire_shard(shard)),
-    }
-}
-
-fn outcome_of(reply: StagesReply) -> Result<Vec<CompactString>, JobFailure> {
-    let wait = Duration::from_millis(u64::from(reply.retry_after_ms));
-    match reply.failure {
-        0 => Ok(reply.results.into_iter().map(CompactString::from).collect()),
-        1 => Err(JobFailure::WouldMiss(wait)),
-        2 => Err(JobFailure::TooLate),
-        3 => Err(JobFailure::NoUpstream),
-        5 => Err(JobFailure::Moved),
-        _ => Err(JobFailure::PieceFailed),
-    }
-}
-
-/// Answers other instances.
-#[derive(Debug)]
-pub(crate) struct PeerApi {
-    pub(crate) state: Arc<State>,
-    pub(crate) batches: Arc<StageBatches>,
-}
-
-#[tonic::async_trait]
-impl Gateway for PeerApi {
-    async fn beat(
-        &self,
-        req: tonic::Request<BeatRequest>,
-    ) -> Result<tonic::Response<BeatReply>, Status> {
-        let beat = req.into_inner();
-        let now = self.state.now();
-        let from = Incarnation::new(beat.incarnation);
-        self.state
-            .knowledge()
-            .instances
-            .heard(now, from, beat.leaving, beat.ready);
-        let backlogs = self.batches.backlogs();
-        for (shard, wait) in &backlogs {
-            let heard = (now, *wait);
-            let mut knowledge = self.state.knowledge();
-            knowledge.backlogs.insert(shard.clone(), heard);
-        }
-        let backlogs = backlogs.into_iter();
-        let backlogs = backlogs.map(|(shard, wait)| Backlog {
-            shard: Some(wire_shard(&shard)),
-            wait_ms: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
-        });
-        Ok(tonic::Response::new(BeatReply {
-            incarnation: self.state.me.incarnation.get(),
-            leaving: self.state.is_leaving(),
-            ready: self.state.is_ready(),
-            proof: peer_news::wire_proof(&self.state),
-            backlogs: backlogs.collect(),
-        }))
-    }
-
-    async fn follow(
-        &self,
-        req: tonic::Request<FollowRequest>,
-    ) -> Result<tonic::Response<FollowReply>, Status> {
-        let reply = peer_news::answer(&self.state, req.into_inner()).await;
-        Ok(tonic::Response::new(reply))
-    }
-
-    async fn release_results(
-        &self,
-        req: tonic::Request<ReleaseRequest>,
-    ) -> Result<tonic::Response<ReleaseReply>, Status> {
-        let results = req.into_inner().results.into_iter();
-        self.batches
-            .release(results.map(CompactString::from).collect());
-        Ok(tonic::Response::new(ReleaseReply {}))
-    }
-
-    async fn run_stages(
-        &self,
-        req: tonic::Request<StagesRequest>,
-    ) -> Result<tonic::Response<StagesReply>, Status> {
-        let req = req.into_inner();
-        let shard = req.shard.clone().map(shard_of);
-        let shard = shard.ok_or_else(|| Status::invalid_argument("no shard is named"))?;
-        let job = self.job(req)?;
-        let reply = match self.batches.run(shard, job).await {
-            Ok(results) => StagesReply {
-                results: results.into_iter().map(String::from).collect(),
-                ..StagesReply::default()
-            },
-            Err(failure) => failure_reply(failure),
-        };
-        Ok(tonic::Response::new(reply))
-    }
-}
-
-impl PeerApi {
-    fn job(&self, req: StagesRequest) -> Result<StageJob, Status> {
-        let now = self.state.now();
-        let count = req.stages.len();
-        let mut stages = Vec::with_capacity(count);
-        for (n, stage) in req.stages.into_iter().enumerate() {
-            let after: Vec<usize> = stage.after.into_iter().map(|a| a as usize).collect();
-            if after.iter().any(|a| *a >= n) {
-                return Err(Status::invalid_argument("a stage follows a later one"));
-            }
-            stages.push(JobStage {
-                service: stage.service.into(),
-                after,
-                pieces: stage.pieces as usize,
-                result_bytes: stage.result_bytes,
-            });
-        }
-        Ok(StageJob {
-            request_id: req.request_id.into(),
-            piece_key: req.piece_key.into(),
-            stages,
-            objective: now + Duration::from_millis(u64::from(req.objective_ms)),
-            deadline: now + Duration::from_millis(u64::from(req.deadline_ms)),
-            priority: u8::try_from(req.priority).unwrap_or(u8::MAX),
-            zone: Name::try_from(req.zone.to_compact_string()).ok(),
-        })
-    }
-}
-
-fn failure_reply(failure: JobFailure) -> StagesReply {
-    let (failure, wait) = match failure {
-        JobFailure::WouldMiss(wait) => (1, wait),
-        JobFailure::TooLate => (2, Duration::ZERO),
-        JobFailure::NoUpstream => (3, Duration::ZERO),
-        JobFailure::PieceFailed => (4, Duration::ZERO),
-        JobFailure::Moved => (5, Duration::ZERO),
-    };
-    StagesReply {
-        results: Vec::new(),
-        failure,
-        retry_after_ms: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
-    }
-}
-
-/// The endpoint for other instances as an HTTP handler.
-#[derive(Debug)]
-pub(crate) struct PeerHandler {
-    server: GatewayServer<PeerApi>,
-}
-
-impl PeerHandler {
-    pub(crate) fn new(api: PeerApi) -> PeerHandler {
-        PeerHandler {
-            server: GatewayServer::new(api),
-        }
-    }
-}
-
-impl Handler for PeerHandler {
-    fn handle(self: Arc<Self>, req: Request<Incoming>) -> HandlerFuture {
-        let mut server = self.server.clone();
-        Box::pin(async move {
-            let res: Response<tonic::body::Body> = match server.call(req).await {
-                Ok(res) => res,
-                Err(never) => match never {},
-            };
-            res.map(|body| body.map_err(Into::into).boxed_unsync())
-        })
-    }
-}
