--- a/crates/gateway-daemon/src/logging.rs
+++ b/crates/gateway-daemon/src/logging.rs
@@ -4,9 +4,12 @@
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::thread;
+use std::time::Duration;
 
 use async_channel::Receiver;
 use async_channel::Sender;
+use async_io::Timer;
+use async_io::block_on;
 use flexi_logger::DeferredNow;
 use flexi_logger::FlexiLoggerError;
 use flexi_logger::LogSpecification;
@@ -14,9 +17,13 @@
 use flexi_logger::LoggerHandle;
 use flexi_logger::json_format;
 use flexi_logger::writers::LogWriter;
+use futures_lite::FutureExt;
 use log::LevelFilter;
 use log::Record;
 
+/// How long a stop waits for its last lines to be written. A stop has 250 ms
+/// left when it ends in the worst case.
+const LAST_LINES_WITHIN: Duration = Duration::from_millis(100);
 /// Lines that may wait to be written. About a second of the most that an
 /// instance logs at its limit of work.
 const MAX_WAITING: usize = 2_048;
@@ -46,20 +53,27 @@
 struct QueueWriter {
     tx: Sender<Vec<u8>>,
     dropped: AtomicU64,
+    /// Closed by the writing thread when it has written everything.
+    written: Receiver<()>,
 }
 
 impl QueueWriter {
     fn start() -> QueueWriter {
         let (tx, rx) = async_channel::bounded(MAX_WAITING);
+        let (writes, written) = async_channel::bounded(1);
         let writing = thread::Builder::new().name("log".into());
         // Without its thread nothing is written, and every line counts as dropped.
-        let started = writing.spawn(move || write_lines(&rx));
+        let started = writing.spawn(move || {
+            write_lines(&rx);
+            drop(writes);
+        });
         if started.is_err() {
             tx.close();
         }
         QueueWriter {
             tx,
             dropped: AtomicU64::new(0),
+            written,
         }
     }
 
@@ -105,4 +119,18 @@
     fn flush(&self) -> std::io::Result<()> {
         Ok(())
     }
+
+    /// Waits until what is queued has been written, so that a stop's last lines
+    /// are not lost with the process, but not for a reader that stands still.
+    fn shutdown(&self) {
+        self.tx.close();
+        let written = async {
+            // Fails once the thread has ended, and nothing is ever sent.
+            let _ = self.written.recv().await;
+        };
+        let late = async {
+            Timer::after(LAST_LINES_WITHIN).await;
+        };
+        block_on(written.or(late));
+    }
 }
--- a/crates/gateway-daemon/src/serve.rs
+++ b/crates/gateway-daemon/src/serve.rs
@@ -32,7 +32,7 @@
         println!("{}: settings are valid", args.settings.display());
         return Ok(());
     }
-    let _logs = logging::start(settings.log_level).context(LogsSnafu)?;
+    let logs = logging::start(settings.log_level).context(LogsSnafu)?;
     let workers = match settings.threads {
         // One core: a second thread would only cost switches between them.
         0 | 1 => None,
@@ -55,7 +55,9 @@
     );
     let gateway = gateway.context(StartSnafu)?;
     let running = until_stopped(&gateway, &args.settings);
-    async_io::block_on(executor.run(running))
+    let ended = async_io::block_on(executor.run(running));
+    logs.shutdown();
+    ended
 }
 
 async fn until_stopped(gateway: &Gateway, settings: &Path) -> Result<(), DaemonError> {
--- a/soak/src/fault.rs
+++ b/soak/src/fault.rs
@@ -75,6 +75,9 @@
     Configure,
     /// The operator takes a credential away.
     Revoke,
+    /// The same while an instance is cut off from the store, for longer than a
+    /// credential may work afterwards.
+    RevokeBehindCut(usize),
 }
 
 impl Fault {
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -77,7 +77,8 @@
         15 => Fault::StoreLink(place, draw_link_mode(rng), span),
         16 => Fault::Drain(place),
         17 => Fault::Replace(place),
-        18 => Fault::Revoke,
+        18 if rng.bool() => Fault::Revoke,
+        18 => Fault::RevokeBehindCut(place),
         _ => Fault::Configure,
     }
 }
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -37,6 +37,11 @@
 const PATIENCE: Duration = Duration::from_secs(20);
 /// Between two looks at a process.
 const LOOK: Duration = Duration::from_millis(20);
+/// How long an instance is cut off while a credential is taken away: the users'
+/// bound for that, and long enough to see what it does beyond.
+const CUT_BEHIND: Duration = Duration::from_millis(7_500);
+/// Between two beats that show how late this program itself is.
+const BEAT: Duration = Duration::from_millis(50);
 /// From an upstream's word that it leaves to its end.
 const DRAIN_LASTS: Duration = Duration::from_millis(5_000);
 
@@ -47,6 +52,9 @@
     pub ledger: Arc<Ledger>,
     /// The promises that were broken.
     pub broken: Vec<Broken>,
+    /// By how much the stand-ins and the callers were late at most, because the
+    /// machine was busy.
+    pub lag: Duration,
 }
 
 /// What steps need.
@@ -84,6 +92,7 @@
         stage.until_ready(n).await?;
     }
     let stopped = Arc::new(AtomicBool::new(false));
+    let lag = executor.spawn(measure_lag(Arc::clone(&world), Arc::clone(&stopped)));
     let callers = start_callers(executor, &stage, &stopped, plan.seed);
     let began = world.ledger.now();
     let mut steps: Vec<Task<io::Result<()>>> = Vec::new();
@@ -105,7 +114,24 @@
     stage.end(instances).await?;
     let broken = judge(&world.ledger, calm);
     let ledger = Arc::clone(&world.ledger);
-    Ok(Played { ledger, broken })
+    let lag = lag.await;
+    Ok(Played {
+        ledger,
+        broken,
+        lag,
+    })
+}
+
+/// By how much a timer of this program was late at most.
+async fn measure_lag(world: Arc<World>, stopped: Arc<AtomicBool>) -> Duration {
+    let mut most = Duration::ZERO;
+    while !stopped.load(Ordering::Relaxed) {
+        let began = world.ledger.now();
+        Timer::after(BEAT).await;
+        let took = world.ledger.now().saturating_sub(began);
+        most = most.max(took.saturating_sub(BEAT));
+    }
+    most
 }
 
 fn start_callers(
@@ -265,6 +291,15 @@
             Fault::Replace(n) => self.world.replace(place(n)),
             Fault::Configure => return Ok(Some(self.world.configure().to_string())),
             Fault::Revoke => return Ok(Some(self.world.revoke().unwrap_or("").into())),
+            Fault::RevokeBehindCut(n) => {
+                let link = &self.world.store_links[n % instances];
+                link.set(Some(LinkMode::Cut));
+                let from = self.world.ledger.now();
+                let key = self.world.revoke().unwrap_or("");
+                self.world.ledger.span(Fault::Revoke, from, from, key);
+                Timer::after(CUT_BEHIND).await;
+                link.set(None);
+            }
         }
         Ok(None)
     }
