An instance that started anew is no longer its earlier self

Ruled out: the store (read whole at 34 by all). Change: an entry displaces another of the same address that was written at an earlier revision, in whatever order they are read; an instance passes over entries of its own address. Test that failed first: an_instance_that_started_anew_is_no_longer_its_earlier_self.

--- a/crates/gateway/src/store_intake.rs
+++ b/crates/gateway/src/store_intake.rs
@@ -37,20 +37,20 @@
     }
 
     fn replace(&self, items: Vec<StoreItem>, revision: u64) {
-        let changes: Vec<Change> = items.iter().filter_map(|i| self.store.decode(i)).collect();
+        let changes: Vec<(Change, u64)> = self.decode(&items);
         if !self.state.knowledge().mirror.replace(items, revision) {
             return;
         }
         let mut upstreams: Vec<UpstreamEntry> = Vec::new();
         let mut instances: Vec<Incarnation> = Vec::new();
-        for change in changes {
+        for (change, written) in changes {
             match change {
                 Change::Put(Record::Upstream(entry)) => upstreams.push(entry),
                 Change::Put(record) => {
                     if let Record::Instance(entry) = &record {
                         instances.push(entry.incarnation);
                     }
-                    self.take_record(record);
+                    self.take_record(record, written);
                 }
                 Change::UpstreamGone(_) | Change::InstanceGone(_) => {}
             }
@@ -71,13 +71,13 @@
         let items = self.state.knowledge().mirror.apply(items, revision);
         let now = self.state.now();
         let mut changed = false;
-        for change in items.iter().filter_map(|i| self.store.decode(i)) {
+        for (change, written) in self.decode(&items) {
             match change {
                 Change::Put(Record::Upstream(entry)) => {
                     log::info!(upstream:% = entry.id, leaving = entry.leaving, revision; "upstream");
                     changed |= self.state.knowledge().upstreams.put(entry);
                 }
-                Change::Put(record) => self.take_record(record),
+                Change::Put(record) => self.take_record(record, written),
                 Change::UpstreamGone(id) => {
                     log::info!(upstream:% = id, revision; "upstream entry removed");
                     changed |= self.state.knowledge().upstreams.remove(now, &id);
@@ -90,7 +90,13 @@
         }
     }
 
-    fn take_record(&self, record: Record) {
+    /// What items say, and when they were written.
+    fn decode(&self, items: &[StoreItem]) -> Vec<(Change, u64)> {
+        let said = |i: &StoreItem| Some((self.store.decode(i)?, i.revision));
+        items.iter().filter_map(said).collect()
+    }
+
+    fn take_record(&self, record: Record, written: u64) {
         match record {
             Record::Deployment(deployment) => {
                 let mut knowledge = self.state.knowledge();
@@ -106,10 +112,11 @@
                 self.state.divide_upstreams();
                 log::info!(version; "configuration in force");
             }
-            Record::Instance(entry) if entry.incarnation == self.state.me.incarnation => {}
+            // Its own entry, or that of an earlier start.
+            Record::Instance(entry) if entry.peers == self.state.me.peers => {}
             Record::Instance(entry) => {
                 let now = self.state.now();
-                self.state.knowledge().instances.put(now, entry);
+                self.state.knowledge().instances.put(now, entry, written);
             }
             Record::Upstream(entry) => {
                 self.state.knowledge().upstreams.put(entry);
--- a/crates/serving/src/instance_directory.rs
+++ b/crates/serving/src/instance_directory.rs
@@ -45,6 +45,7 @@
 #[derive(Debug)]
 struct Known {
     entry: InstanceEntry,
+    written: u64,
     heard: MonoTime,
     listed: bool,
     ready: bool,
@@ -63,10 +64,23 @@
 }
 
 impl InstanceDirectory {
-    /// The store lists it. A new one has until its first heartbeat is due.
-    pub fn put(&mut self, now: MonoTime, entry: InstanceEntry) {
+    /// The store lists it, in an entry that was written at this revision. A new
+    /// one has until its first heartbeat is due.
+    ///
+    /// Guards against instances that count as there after they have started anew:
+    /// their earlier entries stay until their leases run out, and stages were asked
+    /// for at these for 1.3 s each. Of two at one address the one that was written
+    /// later is there, in whatever order they are read.
+    pub fn put(&mut self, now: MonoTime, entry: InstanceEntry, written: u64) {
+        let same =
+            |k: &Known| k.entry.peers == entry.peers && k.entry.incarnation != entry.incarnation;
+        if self.known.values().any(|k| same(k) && k.written > written) {
+            return;
+        }
+        self.known.retain(|_, k| !same(k));
         let known = self.known.entry(entry.incarnation).or_insert(Known {
             entry: entry.clone(),
+            written,
             heard: now,
             listed: true,
             ready: true,
@@ -74,9 +88,6 @@
         });
         known.listed = true;
         known.entry.leaving |= entry.leaving;
-        // An entry of an earlier start at the same address may be read after that
-        // of the later one, so neither displaces the other: which of them is
-        // gone shows when the address is asked who it is.
     }
 
     /// The store lists these and no others. Without this, an instance whose entry
--- a/crates/serving/tests/instances.rs
+++ b/crates/serving/tests/instances.rs
@@ -45,21 +45,33 @@
 fn an_entry_of_an_earlier_start_does_not_displace_the_later_one() {
     let mut directory = InstanceDirectory::default();
     let (later, earlier) = (entry(2, 1, "a"), entry(9, 1, "a"));
-    directory.put(at(1_000), later.clone());
-    directory.put(at(1_000), earlier.clone());
+    directory.put(at(1_000), later.clone(), 20);
+    directory.put(at(1_000), earlier.clone(), 10);
     directory.gone(earlier.incarnation);
     directory.heard(at(1_400), later.incarnation, false, true);
     assert_eq!(live(&directory, at(1_500)), [later.incarnation]);
 }
 
+/// All instances are killed and start anew, with their earlier entries still
+/// under a lease. Stages were asked for at owners that were gone, 274 times in a
+/// second, and each time the request waited until heartbeats were missed.
+#[test]
+fn an_instance_that_started_anew_is_no_longer_its_earlier_self() {
+    let mut directory = InstanceDirectory::default();
+    let (earlier, later) = (entry(9, 1, "a"), entry(2, 1, "a"));
+    directory.put(at(1_000), earlier, 10);
+    directory.put(at(1_100), later.clone(), 20);
+    assert_eq!(live(&directory, at(1_150)), [later.incarnation]);
+}
+
 /// A caller that is sent to a dead instance loses a second or its whole
 /// deadline. The instance's lease lasts longer than three missed heartbeats.
 #[test]
 fn a_silent_instance_is_not_named() {
     let mut directory = InstanceDirectory::default();
     let (a, b) = (entry(1, 1, "a"), entry(2, 2, "a"));
-    directory.put(at(1_000), a.clone());
-    directory.put(at(1_000), b.clone());
+    directory.put(at(1_000), a.clone(), 1);
+    directory.put(at(1_000), b.clone(), 1);
     directory.heard(at(2_000), a.incarnation, false, true);
     directory.heard(at(3_000), a.incarnation, false, true);
     assert_eq!(directory.addresses(at(3_000), "a", None), [a.callers]);
@@ -71,9 +83,9 @@
 fn an_instance_that_leaves_is_not_named_again() {
     let mut directory = InstanceDirectory::default();
     let a = entry(1, 1, "a");
-    directory.put(at(1_000), a.clone());
+    directory.put(at(1_000), a.clone(), 1);
     directory.heard(at(1_100), a.incarnation, true, false);
-    directory.put(at(1_200), a);
+    directory.put(at(1_200), a, 1);
     assert!(directory.addresses(at(1_200), "a", None).is_empty());
 }
 
@@ -82,7 +94,7 @@
 fn an_instance_that_answers_outlives_its_entry() {
     let mut directory = InstanceDirectory::default();
     let a = entry(1, 1, "a");
-    directory.put(at(1_000), a.clone());
+    directory.put(at(1_000), a.clone(), 1);
     directory.unlist(a.incarnation);
     for now in (1_400..9_000).step_by(400) {
         directory.heard(at(now), a.incarnation, false, true);
@@ -97,7 +109,7 @@
 fn callers_are_kept_in_their_zone_where_it_has_enough_instances() {
     let mut directory = InstanceDirectory::default();
     for (id, host, zone) in [(1, 1, "a"), (2, 2, "a"), (3, 3, "b")] {
-        directory.put(at(1_000), entry(id, host, zone));
+        directory.put(at(1_000), entry(id, host, zone), 1);
     }
     assert_eq!(directory.addresses(at(1_000), "a", None).len(), 2);
     assert_eq!(directory.addresses(at(1_000), "b", None).len(), 3);
@@ -154,8 +166,8 @@
 fn an_instance_that_is_not_watched_is_judged_by_its_entry() {
     let mut directory = InstanceDirectory::default();
     let (a, b) = (entry(1, 1, "a"), entry(2, 2, "a"));
-    directory.put(at(1_000), a.clone());
-    directory.put(at(1_000), b.clone());
+    directory.put(at(1_000), a.clone(), 1);
+    directory.put(at(1_000), b.clone(), 1);
     directory.watch(at(1_000), &[a.incarnation]);
     assert_eq!(live(&directory, at(9_000)), [b.incarnation]);
     directory.unlist(b.incarnation);
@@ -169,8 +181,8 @@
 fn an_entry_that_ran_out_unseen_is_not_listed_after_reading_again() {
     let mut directory = InstanceDirectory::default();
     let (a, b) = (entry(1, 1, "a"), entry(2, 2, "a"));
-    directory.put(at(1_000), a.clone());
-    directory.put(at(1_000), b.clone());
+    directory.put(at(1_000), a.clone(), 1);
+    directory.put(at(1_000), b.clone(), 1);
     directory.watch(at(1_000), &[]);
     directory.relist(&[a.incarnation]);
     assert_eq!(live(&directory, at(1_100)), [a.incarnation]);
