--- a/crates/lab/src/stages/world.rs
+++ b/crates/lab/src/stages/world.rs
@@ -45,6 +45,8 @@
     pub steady: f64,
     /// Of the mean, in the burst.
     pub burst: f64,
+    /// The one kind that the burst is of, by its place in [`KINDS`]; none for all.
+    pub only: Option<usize>,
     /// When the burst begins and ends.
     pub burst_in: (Duration, Duration),
     /// How long requests come.
@@ -140,7 +142,7 @@
     }
 
     fn next_arrival(&mut self, n: usize, load: &Load, began: MonoTime) {
-        let rate = KINDS[n].per_second * load.at(self.now.since(began));
+        let rate = KINDS[n].per_second * load.at(self.now.since(began), n);
         let gap = -(1.0 - self.rng.f64()).ln() / rate;
         self.at(self.now + Duration::from_secs_f64(gap), Event::Arrive(n));
     }
@@ -257,8 +259,9 @@
         (from..to).contains(&at)
     }
 
-    fn at(&self, at: Duration) -> f64 {
-        match self.is_burst(at) {
+    fn at(&self, at: Duration, kind: usize) -> f64 {
+        let is_of = self.only.is_none_or(|only| only == kind);
+        match is_of && self.is_burst(at) {
             true => self.burst,
             false => self.steady,
         }
