Read the store page by page, and a refused page again

Everything is read at each start: 3,300 entries in 7 pages, 1.1 MB, 330 MB for all, 2.7 s of the store's link and 2,100 reads. The whole listing had 1.5 s, and one refused page began it anew after 2 s. Ruled out: processor (21% at most). Change: the time limit is a page's, and a page that is not the first is asked for again. Test that failed first (2 first pages with the listing as one call): a_refused_page_is_asked_for_again_and_not_all_of_them.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -43,6 +43,7 @@
 pub use store::Change;
 pub use store::Items;
 pub use store::LeaseId;
+pub use store::Page;
 pub use store::Record;
 pub use store::Store;
 pub use store::StoreError;
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -57,6 +57,17 @@
     pub revision: u64,
 }
 
+/// A part of all that the store holds.
+#[derive(Debug, Clone)]
+pub struct Page {
+    /// In the order of their keys.
+    pub items: Vec<StoreItem>,
+    /// The store's revision when it was read.
+    pub revision: u64,
+    /// True if more lies after the last of them.
+    pub more: bool,
+}
+
 /// Why a call to the store brought nothing.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Snafu)]
 pub enum StoreError {
@@ -80,8 +91,10 @@
 /// The store that holds what must last: the operator's configuration and the
 /// entries of upstreams and instances.
 pub trait Store: Debug + Send + Sync {
-    /// Reads everything, as it is now.
-    fn list(&self) -> StoreFuture<'_, Items>;
+    /// Reads what lies after a key, as it is now and as much as fits into one
+    /// answer; everything from the empty key on. Pages are no snapshot: what
+    /// changed since the first one comes with a watch from its revision.
+    fn page<'a>(&'a self, after: &'a str) -> StoreFuture<'a, Page>;
 
     /// Waits for changes after a revision, at most `wait`.
     fn watch(&self, after: u64, wait: Duration) -> StoreFuture<'_, Items>;
--- a/crates/gateway/src/store_follower.rs
+++ b/crates/gateway/src/store_follower.rs
@@ -7,8 +7,10 @@
 use futures_lite::FutureExt;
 use jd_serving::News;
 use jd_serving::NewsSource;
+use jd_serving::StoreItem;
 use jd_types::Incarnation;
 
+use crate::Page;
 use crate::StoreError;
 use crate::peers::Peers;
 use crate::store_intake::StoreIntake;
@@ -30,6 +32,10 @@
 const NEWS_BEHIND: Duration = Duration::from_millis(250);
 /// How long an instance waits for the store's return to be noticed.
 const AWAY_PAUSE: Duration = Duration::from_secs(2);
+/// How often a page that is not the first is asked for again.
+const PAGE_TRIES: u32 = 6;
+/// The mean pause before that: rates of the store count in seconds.
+const PAGE_PAUSE: Duration = Duration::from_millis(400);
 /// How often entries are looked through for those that are over.
 const EXPIRE_EVERY: Duration = Duration::from_millis(250);
 
@@ -111,18 +117,49 @@
     async fn read_all(&self) -> Result<(), StoreError> {
         let state = &self.link.state;
         let asked = state.now();
-        let listing = self.link.call(CALL_WITHIN, self.link.store.list()).await?;
-        self.link.succeeded();
-        let revision = listing.revision;
+        let mut page = self.read_page("").await?;
+        // What changed since the first page comes with the news after it.
+        let revision = page.revision;
+        let mut items: Vec<StoreItem> = Vec::new();
+        loop {
+            items.append(&mut page.items);
+            match items.last() {
+                Some(last) if page.more => page = self.read_on(&last.key).await?,
+                _ => break,
+            }
+        }
         self.intake.take(News {
             whole: true,
-            items: listing.items,
+            items,
             revision,
         });
         state.knowledge().freshness.confirmed(asked, revision);
         Ok(())
     }
 
+    async fn read_page(&self, after: &str) -> Result<Page, StoreError> {
+        let page = self.link.call(CALL_WITHIN, self.link.store.page(after));
+        let page = page.await?;
+        self.link.succeeded();
+        Ok(page)
+    }
+
+    /// Reads a page that is not the first, more than once if need be.
+    ///
+    /// Guards against all instances of a large fleet starting at once: together
+    /// they ask for more than the store's rate and link carry in a second, and each
+    /// that began anew after one refused page kept them busy for longer.
+    async fn read_on(&self, after: &str) -> Result<Page, StoreError> {
+        for _ in 0..PAGE_TRIES {
+            match self.read_page(after).await {
+                Ok(page) => return Ok(page),
+                Err(e) => self.link.failed("list", e),
+            }
+            Timer::after(PAGE_PAUSE.mul_f64(0.5 + fastrand::f64())).await;
+        }
+        self.read_page(after).await
+    }
+
     async fn watch(&self, wait: Duration) -> Round {
         let state = &self.link.state;
         state.metrics.store_call();
--- a/crates/gateway/tests/whole/fakes/fake_store.rs
+++ b/crates/gateway/tests/whole/fakes/fake_store.rs
@@ -12,6 +12,7 @@
 use jd_gateway::Change;
 use jd_gateway::Items;
 use jd_gateway::LeaseId;
+use jd_gateway::Page;
 use jd_gateway::Record;
 use jd_gateway::Store;
 use jd_gateway::StoreError;
@@ -20,6 +21,9 @@
 use jd_serving::StoreItem;
 use jd_types::Incarnation;
 
+/// Items in one page.
+const PAGE: usize = 3;
+
 /// What a store holds. Its items name what they say by its place in a list.
 #[derive(Debug, Default)]
 struct Said {
@@ -34,6 +38,8 @@
     away: Mutex<bool>,
     watches: AtomicUsize,
     seen: AtomicU64,
+    refused_pages: AtomicUsize,
+    first_pages: AtomicUsize,
 }
 
 impl FakeStore {
@@ -54,6 +60,8 @@
             away: Mutex::new(false),
             watches: AtomicUsize::new(0),
             seen: AtomicU64::new(0),
+            refused_pages: AtomicUsize::new(0),
+            first_pages: AtomicUsize::new(0),
         }
     }
 
@@ -102,6 +110,24 @@
         listed.map(|(place, _)| place).collect()
     }
 
+    /// Refuses the next page that is not a first one, so many times.
+    pub(crate) fn refuse_pages(&self, count: usize) {
+        self.refused_pages.store(count, Ordering::Relaxed);
+    }
+
+    /// How often everything was read from the beginning.
+    pub(crate) fn first_pages(&self) -> usize {
+        self.first_pages.load(Ordering::Relaxed)
+    }
+
+    fn refuses_next_page(&self) -> bool {
+        let one_less = |n: usize| n.checked_sub(1);
+        let taken = self
+            .refused_pages
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, one_less);
+        taken.is_ok()
+    }
+
     fn now(&self) -> u64 {
         self.said.list.lock().expect("a lock").len() as u64
     }
@@ -134,10 +160,26 @@
 }
 
 impl Store for FakeStore {
-    fn list(&self) -> StoreFuture<'_, Items> {
+    fn page<'a>(&'a self, after: &'a str) -> StoreFuture<'a, Page> {
+        let first = usize::from(after.is_empty());
+        self.first_pages.fetch_add(first, Ordering::Relaxed);
+        let from = after.parse().map_or(0, |place: usize| place + 1);
         let revision = self.now();
-        let items = self.listed().into_iter().map(item).collect();
-        Box::pin(async move { self.answer(Items { items, revision }) })
+        let listed = self.listed().into_iter().filter(|place| *place >= from);
+        let mut items: Vec<StoreItem> = listed.map(item).collect();
+        let more = items.len() > PAGE;
+        items.truncate(PAGE);
+        let refused = !after.is_empty() && self.refuses_next_page();
+        Box::pin(async move {
+            match refused {
+                true => Err(StoreError::Refused),
+                false => self.answer(Page {
+                    items,
+                    revision,
+                    more,
+                }),
+            }
+        })
     }
 
     fn watch(&self, after: u64, _wait: Duration) -> StoreFuture<'_, Items> {
--- a/crates/gateway/tests/whole/fakes/harness.rs
+++ b/crates/gateway/tests/whole/fakes/harness.rs
@@ -225,18 +225,26 @@
 
     /// Starts further gateways at the same store.
     pub(crate) fn add_gateways(&mut self, count: usize) {
-        let executor = self.workers.executor();
         for _ in 0..count {
-            let store = Arc::new(self.store.seen_by_another());
-            let (gateway, callers, _) = start_gateway(&executor, &self.pool, &store);
-            self.fleet.push(Member {
-                store,
-                callers,
-                _gateway: gateway,
-            });
+            self.add_gateway(0);
         }
     }
 
+    /// Starts another gateway, for which the store refuses so many pages that are
+    /// not first ones; the store as it sees it.
+    pub(crate) fn add_gateway(&mut self, refused_pages: usize) -> Arc<FakeStore> {
+        let executor = self.workers.executor();
+        let store = Arc::new(self.store.seen_by_another());
+        store.refuse_pages(refused_pages);
+        let (gateway, callers, _) = start_gateway(&executor, &self.pool, &store);
+        self.fleet.push(Member {
+            store: Arc::clone(&store),
+            callers,
+            _gateway: gateway,
+        });
+        store
+    }
+
     /// The store as each gateway sees it, those that were added first.
     fn stores(&self) -> impl Iterator<Item = &Arc<FakeStore>> {
         let added = self.fleet.iter().map(|m| &m.store);
--- a/crates/gateway/tests/whole/fleet.rs
+++ b/crates/gateway/tests/whole/fleet.rs
@@ -50,6 +50,19 @@
     });
 }
 
+/// Three hundred instances start at once and ask for more than the store allows in
+/// a second. Each began anew after a refused page, so that after a loss of all of
+/// them the last served callers after eight seconds.
+#[test]
+fn a_refused_page_is_asked_for_again_and_not_all_of_them() {
+    let mut harness = Harness::start(vec![vec![Reply::Whole("a")]; 5]);
+    let store = harness.add_gateway(2);
+    block_on(async {
+        harness.until_all_answer("/any/x", 200).await;
+        assert_eq!(store.first_pages(), 1);
+    });
+}
+
 /// A configuration with another route in the place of the first.
 fn second_version() -> Change {
     let mut next = deployment();
