A process that has read nothing asks the store for nothing else

Change: no question before everything was read once; the first page is asked for again after 0.35 s in the mean, with the patience that questions have. Test that failed first: an_instance_that_has_read_nothing_asks_for_no_proof (4 questions).

--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -187,6 +187,11 @@
         news_source(&self.me, knowledge.instances.live(now), lost)
     }
 
+    /// True once everything that the store holds has been read.
+    pub(crate) fn has_read(&self) -> bool {
+        self.knowledge().mirror.revision() > 0
+    }
+
     /// Counts a request as in flight until the guard is dropped.
     pub(crate) fn begin(self: &Arc<Self>) -> InFlight {
         self.in_flight.fetch_add(1, Ordering::Relaxed);
--- a/crates/gateway/src/store_follower.rs
+++ b/crates/gateway/src/store_follower.rs
@@ -16,6 +16,7 @@
 use crate::store_intake::StoreIntake;
 use crate::store_link::CALL_WITHIN;
 use crate::store_link::StoreLink;
+use crate::store_link::patience;
 
 /// How long one watch waits for changes: the longest that the store allows.
 const WATCH_WAIT: Duration = Duration::from_secs(30);
@@ -32,6 +33,9 @@
 const NEWS_BEHIND: Duration = Duration::from_millis(250);
 /// How long an instance waits for the store's return to be noticed.
 const AWAY_PAUSE: Duration = Duration::from_secs(2);
+/// The mean pause before a process that has read nothing yet asks again. Until
+/// then it serves nobody, and it asks the store nothing else.
+const FIRST_READ_PAUSE: Duration = Duration::from_millis(350);
 /// How often a page that is not the first is asked for again.
 const PAGE_TRIES: u32 = 6;
 /// The mean pause before that: rates of the store count in seconds.
@@ -62,11 +66,18 @@
     /// no longer be trusted.
     pub(crate) async fn follow(self: Arc<Self>) {
         let mut round = Round::Lost;
+        let mut failures: u32 = 0;
         loop {
             if round == Round::Lost {
-                match self.read_all().await {
-                    Ok(()) => round = Round::Kept,
-                    Err(e) => self.link.failed("list", e),
+                match self.read_all(patience(failures)).await {
+                    Ok(()) => {
+                        round = Round::Kept;
+                        failures = 0;
+                    }
+                    Err(e) => {
+                        failures = failures.saturating_add(1);
+                        self.link.failed("list", e);
+                    }
                 }
             }
             let asking = self.round(round);
@@ -102,10 +113,15 @@
         let state = &self.link.state;
         match state.news_source() {
             NewsSource::Instance(id) if self.follow_instance(id).await => Round::Kept,
-            _ if last == Round::Lost => {
+            _ if last == Round::Lost && state.has_read() => {
                 state.store_back.wait(AWAY_PAUSE).await;
                 Round::Lost
             }
+            _ if last == Round::Lost => {
+                let pause = FIRST_READ_PAUSE.mul_f64(0.7 + 0.6 * fastrand::f64());
+                Timer::after(pause).await;
+                Round::Lost
+            }
             NewsSource::Store => self.watch(WATCH_WAIT).await,
             NewsSource::Instance(id) => {
                 log::info!(watcher:% = id; "no news from the instance followed; watching the store");
@@ -114,10 +130,10 @@
         }
     }
 
-    async fn read_all(&self) -> Result<(), StoreError> {
+    async fn read_all(&self, patience: Duration) -> Result<(), StoreError> {
         let state = &self.link.state;
         let asked = state.now();
-        let mut page = self.read_page("").await?;
+        let mut page = self.read_page("", patience).await?;
         // What changed since the first page comes with the news after it.
         let revision = page.revision;
         let mut items: Vec<StoreItem> = Vec::new();
@@ -137,8 +153,8 @@
         Ok(())
     }
 
-    async fn read_page(&self, after: &str) -> Result<Page, StoreError> {
-        let page = self.link.call(CALL_WITHIN, self.link.store.page(after));
+    async fn read_page(&self, after: &str, patience: Duration) -> Result<Page, StoreError> {
+        let page = self.link.call(patience, self.link.store.page(after));
         let page = page.await?;
         self.link.succeeded();
         Ok(page)
@@ -151,13 +167,13 @@
     /// that began anew after one refused page kept them busy for longer.
     async fn read_on(&self, after: &str) -> Result<Page, StoreError> {
         for _ in 0..PAGE_TRIES {
-            match self.read_page(after).await {
+            match self.read_page(after, CALL_WITHIN).await {
                 Ok(page) => return Ok(page),
                 Err(e) => self.link.failed("list", e),
             }
             Timer::after(PAGE_PAUSE.mul_f64(0.5 + fastrand::f64())).await;
         }
-        self.read_page(after).await
+        self.read_page(after, CALL_WITHIN).await
     }
 
     async fn watch(&self, wait: Duration) -> Round {
--- a/crates/gateway/src/store_link.rs
+++ b/crates/gateway/src/store_link.rs
@@ -14,6 +14,20 @@
 /// pages took; a connection that is silent for longer is given up.
 pub(crate) const CALL_WITHIN: Duration = Duration::from_millis(1_500);
 
+/// The same for two calls of three while the store is away: more than its slowest
+/// answers on the users' pages.
+const AWAY_CALL_WITHIN: Duration = Duration::from_millis(400);
+
+/// How long a call may take after so many that failed. A connection that was
+/// begun while the store was away may hang for its whole time after the return; a
+/// new one is tried sooner.
+pub(crate) fn patience(failures: u32) -> Duration {
+    match failures % 3 {
+        0 => CALL_WITHIN,
+        _ => AWAY_CALL_WITHIN,
+    }
+}
+
 /// Calls to the store. What comes of them tells whether it is there.
 #[derive(Debug)]
 pub(crate) struct StoreLink {
--- a/crates/gateway/src/store_proof.rs
+++ b/crates/gateway/src/store_proof.rs
@@ -6,12 +6,9 @@
 use async_io::Timer;
 use jd_serving::NewsSource;
 
-use crate::store_link::CALL_WITHIN;
 use crate::store_link::StoreLink;
+use crate::store_link::patience;
 
-/// How long a question may take for two of three while the store is away: more
-/// than its slowest answers on the users' pages.
-const AWAY_CALL_WITHIN: Duration = Duration::from_millis(400);
 /// Pause after a failed question. Callers who show credentials are refused from
 /// a few seconds into an absence until this instance hears of the store again.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
@@ -40,13 +37,12 @@
                 }
             }
             let asked = state.now();
-            // A connection that was begun while the store was away may hang for
-            // its whole time after the return; a new one is tried sooner.
-            let patience = match failures % 3 {
-                0 => CALL_WITHIN,
-                _ => AWAY_CALL_WITHIN,
-            };
-            match self.link.call(patience, store.revision()).await {
+            // Proof of nothing is worth nothing: of a fleet that starts at once all
+            // would ask several times a second beside reading.
+            if !state.has_read() {
+                continue;
+            }
+            match self.link.call(patience(failures), store.revision()).await {
                 Ok(revision) => {
                     failures = 0;
                     self.link.succeeded();
--- a/crates/gateway/tests/whole/fakes/fake_store.rs
+++ b/crates/gateway/tests/whole/fakes/fake_store.rs
@@ -40,6 +40,7 @@
     seen: AtomicU64,
     refused_pages: AtomicUsize,
     first_pages: AtomicUsize,
+    questions: AtomicUsize,
 }
 
 impl FakeStore {
@@ -62,6 +63,7 @@
             seen: AtomicU64::new(0),
             refused_pages: AtomicUsize::new(0),
             first_pages: AtomicUsize::new(0),
+            questions: AtomicUsize::new(0),
         }
     }
 
@@ -120,6 +122,11 @@
         self.first_pages.load(Ordering::Relaxed)
     }
 
+    /// How often its revision was asked for.
+    pub(crate) fn questions(&self) -> usize {
+        self.questions.load(Ordering::Relaxed)
+    }
+
     fn refuses_next_page(&self) -> bool {
         let one_less = |n: usize| n.checked_sub(1);
         let taken = self
@@ -204,6 +211,7 @@
     }
 
     fn revision(&self) -> StoreFuture<'_, u64> {
+        self.questions.fetch_add(1, Ordering::Relaxed);
         Box::pin(async move { self.answer(self.now()) })
     }
 
--- a/crates/gateway/tests/whole/fakes/harness.rs
+++ b/crates/gateway/tests/whole/fakes/harness.rs
@@ -226,16 +226,17 @@
     /// Starts further gateways at the same store.
     pub(crate) fn add_gateways(&mut self, count: usize) {
         for _ in 0..count {
-            self.add_gateway(0);
+            self.add_gateway(0, false);
         }
     }
 
     /// Starts another gateway, for which the store refuses so many pages that are
-    /// not first ones; the store as it sees it.
-    pub(crate) fn add_gateway(&mut self, refused_pages: usize) -> Arc<FakeStore> {
+    /// not first ones, or every call if `away`; the store as it sees it.
+    pub(crate) fn add_gateway(&mut self, refused_pages: usize, away: bool) -> Arc<FakeStore> {
         let executor = self.workers.executor();
         let store = Arc::new(self.store.seen_by_another());
         store.refuse_pages(refused_pages);
+        store.set_away(away);
         let (gateway, callers, _) = start_gateway(&executor, &self.pool, &store);
         self.fleet.push(Member {
             store: Arc::clone(&store),
--- a/crates/gateway/tests/whole/fleet.rs
+++ b/crates/gateway/tests/whole/fleet.rs
@@ -1,5 +1,8 @@
 //! Many gateways at one store.
 
+use std::time::Duration;
+
+use async_io::Timer;
 use futures_lite::future::block_on;
 use jd_gateway::Change;
 use jd_gateway::Record;
@@ -56,13 +59,30 @@
 #[test]
 fn a_refused_page_is_asked_for_again_and_not_all_of_them() {
     let mut harness = Harness::start(vec![vec![Reply::Whole("a")]; 5]);
-    let store = harness.add_gateway(2);
+    let store = harness.add_gateway(2, false);
     block_on(async {
         harness.until_all_answer("/any/x", 200).await;
         assert_eq!(store.first_pages(), 1);
     });
 }
 
+/// The same fleet starts while the store is beyond its rate. Instances that had
+/// read nothing asked for proof of that four times a second, which took the rate
+/// from those that read.
+#[test]
+fn an_instance_that_has_read_nothing_asks_for_no_proof() {
+    let mut harness = Harness::start(vec![vec![Reply::Whole("a")]]);
+    let store = harness.add_gateway(0, true);
+    block_on(async {
+        while store.first_pages() < 4 {
+            Timer::after(Duration::from_millis(5)).await;
+        }
+        assert_eq!(store.questions(), 0);
+        store.set_away(false);
+        harness.until_all_answer("/any/x", 200).await;
+    });
+}
+
 /// A configuration with another route in the place of the first.
 fn second_version() -> Change {
     let mut next = deployment();
