--- a/crates/gateway/src/peer_news.rs
+++ b/crates/gateway/src/peer_news.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use async_io::Timer;
 use bytes::Bytes;
 use futures_lite::FutureExt;
 use jd_serving::News;
@@ -72,7 +73,7 @@
             break;
         }
         let late = async {
-            async_io::Timer::after(left).await;
+            Timer::after(left).await;
         };
         news.or(late).await;
     }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -53,12 +53,26 @@
     pub(crate) instances: InstanceDirectory,
     pub(crate) deployment_version: u64,
     pub(crate) mirror: StoreMirror,
-    /// Instances that brought no news or none that is proven, and since when.
+    /// Instances that were followed and brought no news, or lost the store, and when.
     pub(crate) lost_store: HashMap<Incarnation, MonoTime>,
     /// What owners last said of their shards, and when.
     pub(crate) backlogs: HashMap<Shard, (MonoTime, Duration)>,
 }
 
+impl Knowledge {
+    /// True if an instance brought no news a moment ago.
+    fn has_lost_store(&self, now: MonoTime, id: Incarnation) -> bool {
+        let since = self.lost_store.get(&id);
+        since.is_some_and(|s| now.since(*s) < LOST_STORE_LASTS)
+    }
+
+    /// Forgets who lost the store longer ago than counts.
+    pub(crate) fn forget_lost(&mut self, now: MonoTime) {
+        self.lost_store
+            .retain(|_, since| now.since(*since) < LOST_STORE_LASTS);
+    }
+}
+
 /// What all parts of the gateway share.
 #[derive(Debug)]
 pub(crate) struct State {
@@ -180,10 +194,7 @@
     pub(crate) fn news_source(&self) -> NewsSource {
         let now = self.now();
         let knowledge = self.knowledge();
-        let lost = |id| {
-            let since = knowledge.lost_store.get(&id);
-            since.is_some_and(|s| now.since(*s) < LOST_STORE_LASTS)
-        };
+        let lost = |id| knowledge.has_lost_store(now, id);
         news_source(&self.me, knowledge.instances.live(now), lost)
     }
 
--- a/crates/gateway/src/store_follower.rs
+++ b/crates/gateway/src/store_follower.rs
@@ -22,8 +22,8 @@
 const WATCH_WAIT: Duration = Duration::from_secs(30);
 /// How long an instance watches that the one it follows does not answer.
 const STAND_IN_WATCH: Duration = Duration::from_secs(1);
-/// How long one question for another's news waits. Shorter than the time after
-/// which proof is asked for, so that a silent connection shows before that.
+/// How long one question for another's news waits when there is none: a little
+/// more than the time in which the other renews its proof, which is news as well.
 const FOLLOW_WAIT: Duration = Duration::from_millis(1_500);
 /// Pause between two watches, in which changes gather: each watch is a call, and
 /// when a fleet starts every instance's entry is a change for all others.
@@ -98,6 +98,7 @@
             let now = state.now();
             let changed = {
                 let mut knowledge = state.knowledge();
+                knowledge.forget_lost(now);
                 knowledge.instances.expire(now);
                 knowledge.upstreams.expire(now)
             };
