--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -27,6 +27,7 @@
     pub(crate) seconds: u64,
     pub(crate) json: bool,
     pub(crate) svg: bool,
+    pub(crate) stages: bool,
 }
 
 /// Arguments of `demo`.
@@ -217,12 +218,16 @@
     let svg = long("svg")
         .help("Print a plot of attainment in SVG")
         .switch();
+    let stages = long("stages")
+        .help("Instead, put bursts before the desk that fills calls for stages")
+        .switch();
     construct!(ExperimentArgs {
         deployment,
         seed,
         seconds,
         json,
-        svg
+        svg,
+        stages
     })
 }
 
--- a/crates/cli/src/experiment.rs
+++ b/crates/cli/src/experiment.rs
@@ -5,6 +5,7 @@
 use jd_lab::experiment::plot;
 use jd_lab::experiment::run;
 use jd_lab::experiment::table;
+use jd_lab::stages;
 
 use crate::args::ExperimentArgs;
 use crate::cli_error::CliError;
@@ -13,6 +14,10 @@
 
 /// Compares policies in virtual time.
 pub(crate) fn experiment(args: &ExperimentArgs) -> Result<ExitCode, CliError> {
+    if args.stages {
+        print!("{}", stages::table());
+        return Ok(ExitCode::SUCCESS);
+    }
     let deployment = deployment(&args.deployment)?;
     let seconds = bounded("--seconds", args.seconds, 5, 600)?;
     let outcomes = run(&deployment, args.seed, seconds);
--- a/crates/lab/src/stages/mod.rs
+++ b/crates/lab/src/stages/mod.rs
@@ -6,11 +6,13 @@
 //! owners, and what a request does after its stages.
 
 mod kind;
+mod loads;
 mod report;
 mod world;
 
 pub use kind::KINDS;
 pub use kind::Kind;
+pub use loads::table;
 pub use report::Report;
 pub use world::Load;
 pub use world::run;
