Take signals before anything is started

Cause: 'started' is logged before the signals are taken, so that a SIGTERM in between ends the process at once, and a SIGHUP too, which the users count as an end of its own. Ruled out: the wait for the log (the exit status was not 0). Change: signals are taken first.

--- a/crates/gateway-daemon/src/serve.rs
+++ b/crates/gateway-daemon/src/serve.rs
@@ -32,6 +32,10 @@
         println!("{}: settings are valid", args.settings.display());
         return Ok(());
     }
+    // Before anything else is started: a signal that comes first would end the
+    // process at once, one to read the settings again as well as one to stop.
+    let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup]);
+    let signals = signals.context(SystemSnafu { what: "signals" })?;
     let logs = logging::start(settings.log_level).context(LogsSnafu)?;
     let workers = match settings.threads {
         // One core: a second thread would only cost switches between them.
@@ -54,15 +58,13 @@
         Arc::new(store),
     );
     let gateway = gateway.context(StartSnafu)?;
-    let running = until_stopped(&gateway, &args.settings);
-    let ended = async_io::block_on(executor.run(running));
+    let running = until_stopped(&gateway, signals, &args.settings);
+    async_io::block_on(executor.run(running));
     logs.shutdown();
-    ended
+    Ok(())
 }
 
-async fn until_stopped(gateway: &Gateway, settings: &Path) -> Result<(), DaemonError> {
-    let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup]);
-    let mut signals = signals.context(SystemSnafu { what: "signals" })?;
+async fn until_stopped(gateway: &Gateway, mut signals: Signals, settings: &Path) {
     while let Some(signal) = signals.next().await {
         match signal {
             Ok(Signal::Hup) => check_again(settings),
@@ -75,7 +77,6 @@
         futures_lite::future::pending().await
     };
     gateway.stop().or(ignoring).await;
-    Ok(())
 }
 
 /// Addresses and bounds cannot change while the process runs; a file that has
