--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -85,7 +85,8 @@
 
 /// Sends `call` to `chosen` and waits at most `patience` for the answer's head.
 /// What comes back is the upstream's own answer to this very request, or a
-/// failure that says what it proves.
+/// failure that says what it proves. `written` is called once a connection
+/// takes the request.
 pub(crate) async fn send(
     state: &Arc<State>,
     call: &Call,
@@ -93,6 +94,7 @@
     inputs: &[CompactString],
     last_event: Option<u64>,
     patience: Duration,
+    written: impl Fn(),
 ) -> Result<Answer, Failure> {
     let address = chosen.upstream.address;
     let id = chosen.id.clone();
@@ -109,7 +111,9 @@
     let req = state
         .dialect
         .upstream_request(&call.parts, &upstream_call, body);
-    let sent = state.pool.send(address, req, patience, false).await;
+    let pool = &state.pool;
+    let sent = pool.send_noting(address, req, patience, false, written);
+    let sent = sent.await;
     let result = match sent {
         None => Err(failure(AttemptOutcome::Silent, "no answer in time")),
         Some(Err(SendError::NotSent)) => Err(failure(
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -85,6 +85,12 @@
     /// A call that gives results up.
     fn free_request(&self, handles: &[CompactString]) -> Request<Body>;
 
+    /// A question to an upstream of stages how much room it has.
+    fn room_request(&self, upstream: &str) -> Request<Body>;
+
+    /// The free bytes that the answer tells; none if it is not one.
+    fn room_free(&self, body: &[u8]) -> Option<u64>;
+
     /// Where a result lies; none if its handle does not tell.
     fn result_address(&self, handle: &str) -> Option<SocketAddr>;
 
--- a/crates/gateway/src/event_stream.rs
+++ b/crates/gateway/src/event_stream.rs
@@ -177,7 +177,8 @@
             let last = self.splitter.last_event().or(self.call.head.last_event);
             let left = self.call.left(self.state.now());
             let inputs = self.results.handles();
-            let sent = attempt::send(&self.state, &self.call, chosen, inputs, last, left).await;
+            let sent =
+                attempt::send(&self.state, &self.call, chosen, inputs, last, left, || {}).await;
             self.runs += 1;
             if let Ok(answer) = sent
                 && answer.head.status.is_success()
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 mod gateway;
 mod metrics;
 mod peer_api;
+mod peer_instance;
 mod peer_news;
 mod peer_stages;
 mod peers;
--- a/crates/gateway/src/peer_api.rs
+++ b/crates/gateway/src/peer_api.rs
@@ -17,6 +17,7 @@
 use jd_wire::FollowRequest;
 use jd_wire::Gateway;
 use jd_wire::GatewayServer;
+use jd_wire::Instance;
 use jd_wire::ReleaseReply;
 use jd_wire::ReleaseRequest;
 use jd_wire::StagesReply;
@@ -24,6 +25,7 @@
 use tonic::Status;
 use tower_service::Service;
 
+use crate::peer_instance;
 use crate::peer_news;
 use crate::peer_stages;
 use crate::stage_batches::StageBatches;
@@ -60,12 +62,18 @@
             shard: Some(peer_stages::wire_shard(&shard)),
             wait_ms: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
         });
+        let unlisted: Vec<Instance> = {
+            let knowledge = self.state.knowledge();
+            let unlisted = knowledge.instances.unlisted(now);
+            unlisted.map(peer_instance::wire_instance).collect()
+        };
         Ok(tonic::Response::new(BeatReply {
             incarnation: self.state.me.incarnation.get(),
             leaving: self.state.is_leaving(),
             ready: self.state.is_ready(),
             proof: peer_news::wire_proof(&self.state),
             backlogs: backlogs.collect(),
+            unlisted,
         }))
     }
 
--- /dev/null
+++ b/crates/gateway/src/peer_instance.rs
@@ -0,0 +1,30 @@
+//! Instances in messages between instances.
+
+use jd_serving::InstanceEntry;
+use jd_serving::Strength;
+use jd_types::Incarnation;
+use jd_types::Name;
+use jd_wire::Instance;
+
+/// An instance as a message names it.
+pub(crate) fn wire_instance(entry: &InstanceEntry) -> Instance {
+    Instance {
+        incarnation: entry.incarnation.get(),
+        callers: entry.callers.to_string(),
+        peers: entry.peers.to_string(),
+        zone: entry.zone.as_str().into(),
+        strength: entry.strength.step(),
+    }
+}
+
+/// The instance that a message names; none if it is not whole.
+pub(crate) fn instance_of(instance: &Instance) -> Option<InstanceEntry> {
+    Some(InstanceEntry {
+        incarnation: Incarnation::new(instance.incarnation),
+        callers: instance.callers.parse().ok()?,
+        peers: instance.peers.parse().ok()?,
+        zone: Name::try_from(instance.zone.as_str()).ok()?,
+        strength: Strength::from_step(instance.strength),
+        leaving: false,
+    })
+}
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -25,6 +25,7 @@
 use jd_wire::GatewayClient;
 use jd_wire::ReleaseRequest;
 
+use crate::peer_instance;
 use crate::peer_news;
 use crate::peer_news::Heard;
 use crate::peer_stages;
@@ -33,6 +34,9 @@
 /// How often an instance tells the others that it is there. Three beats fit
 /// into the time after which an instance counts as silent.
 const BEAT_EVERY: Duration = Duration::from_millis(400);
+/// The pause while no other instance is known: soon after the store was read for
+/// the first time all that it lists are to be heard.
+const BEAT_FIRST: Duration = Duration::from_millis(50);
 /// Owners of each shard that everybody watches: the one that is asked, and the
 /// one that is asked next.
 const WATCHED_OWNERS: usize = 2;
@@ -64,12 +68,16 @@
                 knowledge.instances.entries().cloned().collect()
             };
             self.forget_channels(&all);
+            let pause = match all.is_empty() {
+                true => BEAT_FIRST,
+                false => BEAT_EVERY,
+            };
             for peer in self.watched(all) {
                 let peers = Arc::clone(&self);
                 let beating = async move { peers.beat_one(&peer).await };
                 self.state.executor.spawn(beating).detach();
             }
-            Timer::after(BEAT_EVERY).await;
+            Timer::after(pause).await;
         }
     }
 
@@ -77,13 +85,12 @@
     /// answer.
     pub(crate) async fn run_stages(
         &self,
-        owner: Incarnation,
+        owner: SocketAddr,
         shard: &Shard,
         job: &StageJob,
     ) -> Option<Result<Vec<CompactString>, JobFailure>> {
-        let address = self.address_of(owner)?;
         let now = self.state.now();
-        let mut client = GatewayClient::new(self.channel(address));
+        let mut client = GatewayClient::new(self.channel(owner));
         let asked = peer_stages::stages_request(job, shard, now);
         let reply = client.run_stages(asked).await.ok()?.into_inner();
         Some(peer_stages::outcome_of(reply))
@@ -93,13 +100,10 @@
     /// if it does not answer.
     pub(crate) async fn release_results(
         &self,
-        owner: Incarnation,
+        owner: SocketAddr,
         handles: &[CompactString],
     ) -> bool {
-        let Some(address) = self.address_of(owner) else {
-            return false;
-        };
-        let mut client = GatewayClient::new(self.channel(address));
+        let mut client = GatewayClient::new(self.channel(owner));
         let release = ReleaseRequest {
             results: handles.iter().map(CompactString::to_string).collect(),
         };
@@ -150,7 +154,8 @@
         let everybody = || all.iter().chain([&self.state.me]);
         let mut ids: Vec<Incarnation> = Vec::new();
         for shard in self.state.shards.load().shards() {
-            ids.extend(owners(shard, everybody()).into_iter().take(WATCHED_OWNERS));
+            let first = owners(shard, everybody()).into_iter().take(WATCHED_OWNERS);
+            ids.extend(first.map(|e| e.incarnation));
         }
         ids.extend(watchers(&self.state.me, all.iter()));
         let mut ring: Vec<Incarnation> = everybody().map(|e| e.incarnation).collect();
@@ -198,13 +203,23 @@
                     .insert(peer_stages::shard_of(shard), (now, wait));
             }
         }
+        let unlisted = reply.unlisted.iter();
+        for entry in unlisted.filter_map(peer_instance::instance_of) {
+            if entry.peers != self.state.me.peers {
+                knowledge.instances.told(now, entry);
+            }
+        }
         match Incarnation::new(reply.incarnation) {
             id if id == peer.incarnation => {
                 knowledge
                     .instances
                     .heard(now, id, reply.leaving, reply.ready);
             }
-            _ => knowledge.instances.gone(peer.incarnation),
+            later => {
+                let instances = &mut knowledge.instances;
+                instances.started_anew(now, peer.incarnation, later);
+                instances.heard(now, later, reply.leaving, reply.ready);
+            }
         }
     }
 
--- a/crates/gateway/src/plain_call.rs
+++ b/crates/gateway/src/plain_call.rs
@@ -51,7 +51,7 @@
         };
         tried.push(chosen.id.clone());
         let patience = patience(&call, state.now(), runs);
-        let sent = attempt::send(state, &call, chosen, &[], None, patience).await;
+        let sent = attempt::send(state, &call, chosen, &[], None, patience, || {}).await;
         let ended = match sent {
             Ok(answer) => read_whole(state, &call, answer).await,
             Err(failure) => Err(failure),
--- a/crates/gateway/src/result_release.rs
+++ b/crates/gateway/src/result_release.rs
@@ -1,6 +1,7 @@
 //! Giving results of stages up.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
@@ -8,7 +9,6 @@
 use async_io::Timer;
 use compact_str::CompactString;
 use jd_net::lock;
-use jd_types::Incarnation;
 
 use crate::peers::Peers;
 use crate::result_free::ResultFree;
@@ -27,12 +27,12 @@
     pub(crate) batches: Arc<StageBatches>,
     pub(crate) peers: Arc<Peers>,
     pub(crate) free: Arc<ResultFree>,
-    pub(crate) gathered: Mutex<HashMap<Incarnation, Vec<CompactString>>>,
+    pub(crate) gathered: Mutex<HashMap<SocketAddr, Vec<CompactString>>>,
 }
 
 impl ResultRelease {
     /// Nobody works on these results of `owner` any more.
-    pub(crate) fn add(&self, owner: Incarnation, handles: Vec<CompactString>) {
+    pub(crate) fn add(&self, owner: SocketAddr, handles: Vec<CompactString>) {
         if !handles.is_empty() {
             let mut gathered = lock(&self.gathered);
             gathered.entry(owner).or_default().extend(handles);
@@ -45,7 +45,7 @@
             Timer::after(GATHER).await;
             let gathered = std::mem::take(&mut *lock(&self.gathered));
             for (owner, handles) in gathered {
-                if owner == self.state.me.incarnation {
+                if owner == self.state.me.peers {
                     self.batches.release(handles);
                     continue;
                 }
@@ -57,7 +57,7 @@
     }
 
     /// Without their owner the results are given up from here.
-    async fn tell(&self, owner: Incarnation, handles: Vec<CompactString>) {
+    async fn tell(&self, owner: SocketAddr, handles: Vec<CompactString>) {
         if !self.peers.release_results(owner, &handles).await {
             self.free.add(handles);
         }
--- a/crates/gateway/src/signal.rs
+++ b/crates/gateway/src/signal.rs
@@ -25,6 +25,12 @@
         let _ = self.tx.try_send(());
     }
 
+    /// Waits for the signal as long as it takes.
+    pub(crate) async fn given(&self) {
+        // Fails only if the sender is gone, and it is in this very struct.
+        let _ = self.rx.recv().await;
+    }
+
     /// Waits for the signal, at most `limit`; false if that came first.
     pub(crate) async fn wait(&self, limit: Duration) -> bool {
         // Fails only if the sender is gone, and it is in this very struct.
--- a/crates/gateway/src/stage_batches.rs
+++ b/crates/gateway/src/stage_batches.rs
@@ -18,6 +18,7 @@
 use jd_serving::JobFailure;
 use jd_serving::JobKey;
 use jd_serving::PieceResult;
+use jd_serving::RoomQuestion;
 use jd_serving::Shard;
 use jd_serving::StageDesk;
 use jd_serving::StageJob;
@@ -31,6 +32,9 @@
 const TICK: Duration = Duration::from_millis(30);
 /// Ticks from one look at who owns a shard to the next.
 const TICKS_PER_LOOK: u32 = 4;
+/// How long an upstream may take to tell its room: several round trips between
+/// availability zones.
+const ROOM_WITHIN: Duration = Duration::from_millis(80);
 /// The largest answer to a call for pieces, in bytes.
 const MAX_ANSWER: usize = 1 << 20;
 
@@ -149,9 +153,16 @@
         let mut desks = lock(&self.desks);
         for (shard, desk) in desks.iter_mut() {
             let owns = self.state.owns(shard);
-            if std::mem::replace(&mut desk.owned, owns) && !owns {
-                log::info!(shard:? = shard; "stages are done elsewhere now");
-                desk.desk.hand_over();
+            match (std::mem::replace(&mut desk.owned, owns), owns) {
+                (true, false) => {
+                    log::info!(shard:? = shard; "stages are done elsewhere now");
+                    desk.desk.hand_over();
+                }
+                (false, true) => {
+                    log::info!(shard:? = shard; "stages are done here now");
+                    desk.desk.take_over();
+                }
+                (true, true) | (false, false) => {}
             }
         }
     }
@@ -177,6 +188,10 @@
         };
         self.follow_upstreams(shard, desk);
         desk.desk.expire(now);
+        for question in desk.desk.room_questions(now) {
+            let asking = Arc::clone(self).ask_room(shard.clone(), question);
+            self.state.executor.spawn(asking).detach();
+        }
         while let Some(call) = desk.desk.next_call(now) {
             let batches = Arc::clone(self);
             self.state
@@ -193,6 +208,31 @@
         self.free.add(desk.desk.take_unused());
     }
 
+    /// Asks an upstream how much room it has.
+    async fn ask_room(self: Arc<Self>, shard: Shard, question: RoomQuestion) {
+        let dialect = &self.state.dialect;
+        let req = dialect.room_request(&question.upstream);
+        let pool = &self.state.pool;
+        let free = match pool.send(question.address, req, ROOM_WITHIN, false).await {
+            Some(Ok(res)) if res.status.is_success() => {
+                let body = within(ROOM_WITHIN, res.whole(MAX_ANSWER)).await;
+                body.and_then(Result::ok)
+                    .and_then(|body| dialect.room_free(&body))
+            }
+            _ => None,
+        };
+        log::info!(
+            service = question.service.as_str(),
+            upstream = question.upstream.as_str(),
+            free:? = free;
+            "room asked"
+        );
+        if let Some(desk) = lock(&self.desks).get_mut(&shard) {
+            desk.desk.told_room(&question, free);
+        }
+        self.pump(&shard);
+    }
+
     async fn make(self: Arc<Self>, shard: Shard, call: BatchCall) {
         let began = self.state.now();
         let result = self.ask(&call).await;
@@ -203,6 +243,7 @@
             pieces = call.pieces.len(),
             waiting = call.waiting,
             room_used = call.room_used,
+            far_bytes = call.far_bytes,
             outcome = outcome_of(&result).as_str(),
             ms = now.since(began).as_millis() as u64;
             "call for pieces"
--- a/crates/gateway/src/stage_runner.rs
+++ b/crates/gateway/src/stage_runner.rs
@@ -1,5 +1,6 @@
 //! Having the stages of a request done.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
@@ -12,7 +13,6 @@
 use jd_serving::JobStage;
 use jd_serving::Shard;
 use jd_serving::StageJob;
-use jd_types::Incarnation;
 use jd_types::MonoTime;
 use jd_types::Name;
 use jd_types::Refusal;
@@ -21,6 +21,7 @@
 use crate::call::Call;
 use crate::peers::Peers;
 use crate::result_release::ResultRelease;
+use crate::signal::Signal;
 use crate::stage_batches::StageBatches;
 use crate::state::State;
 
@@ -65,7 +66,7 @@
 pub(crate) struct StageResults {
     handles: Vec<CompactString>,
     held: AtomicBool,
-    owner: Incarnation,
+    owner: SocketAddr,
     release: Arc<ResultRelease>,
 }
 
@@ -81,9 +82,15 @@
         }
     }
 
-    /// Returns once the upstream that was just asked has most likely read them.
-    /// It does so before it reads the prompt, which can take many times longer.
-    pub(crate) async fn free_when_read<T>(&self) -> T {
+    /// Gives them up once the upstream that was asked has most likely read them. It
+    /// does so before it reads the prompt, which can take many times longer.
+    ///
+    /// Guards against results that are given up before anybody could read them:
+    /// counted from the choice of an upstream, a connection that would not open
+    /// outlasted them, the next upstream found them gone, and all stages were done
+    /// again, in a fleet that had just lost a part of its upstreams.
+    pub(crate) async fn free_when_read<T>(&self, written: &Signal) -> T {
+        written.given().await;
         Timer::after(RESULTS_READ).await;
         self.free();
         futures_lite::future::pending().await
@@ -101,7 +108,7 @@
     /// when this refuses.
     pub(crate) async fn run(&self, call: &Call) -> Result<StageResults, Refusal> {
         let (owner, handles) = match self.job(call) {
-            None => (self.state.me.incarnation, Vec::new()),
+            None => (self.state.me.peers, Vec::new()),
             Some(job) => self.run_job(call, &job).await?,
         };
         Ok(StageResults {
@@ -116,7 +123,7 @@
         &self,
         call: &Call,
         job: &StageJob,
-    ) -> Result<(Incarnation, Vec<CompactString>), Refusal> {
+    ) -> Result<(SocketAddr, Vec<CompactString>), Refusal> {
         let began = self.state.now();
         let mut ended = self.ask_owners(job).await;
         let mut moves = 0;
@@ -143,8 +150,8 @@
     async fn ask_owners(
         &self,
         job: &StageJob,
-    ) -> Result<(Incarnation, Vec<CompactString>), JobFailure> {
-        let me = self.state.me.incarnation;
+    ) -> Result<(SocketAddr, Vec<CompactString>), JobFailure> {
+        let me = self.state.me.peers;
         let shard = self.shard(job).ok_or(JobFailure::NoUpstream)?;
         let order = self.state.owner_order(&shard);
         for owner in order.into_iter().take(MAX_OWNERS) {
@@ -154,8 +161,12 @@
             // A connection can break although the owner is well. Another owner
             // would fill calls beside it, so it is asked once more first.
             for _ in 0..ASKS_OF_OWNER {
-                if let Some(outcome) = self.ask_owner(owner, &shard, job).await {
-                    return outcome.map(|handles| (owner, handles));
+                match self.ask_owner(owner, &shard, job).await {
+                    // It has started and not read the store, while here upstreams
+                    // are known: the next owner is asked.
+                    Some(Err(JobFailure::NoUpstream)) => break,
+                    Some(outcome) => return outcome.map(|handles| (owner, handles)),
+                    None => {}
                 }
                 if !self.is_heard(owner) {
                     break;
@@ -170,7 +181,7 @@
     /// Asks one owner; none if it does not answer.
     async fn ask_owner(
         &self,
-        owner: Incarnation,
+        owner: SocketAddr,
         shard: &Shard,
         job: &StageJob,
     ) -> Option<Result<Vec<CompactString>, JobFailure>> {
@@ -182,9 +193,9 @@
         asking.or(gone).await
     }
 
-    fn is_heard(&self, owner: Incarnation) -> bool {
+    fn is_heard(&self, owner: SocketAddr) -> bool {
         let now = self.state.now();
-        self.state.knowledge().instances.is_heard(now, owner)
+        self.state.knowledge().instances.is_there(now, owner)
     }
 
     /// The shard that a job goes to; none if no shard does all of its stages.
@@ -200,7 +211,7 @@
     }
 
     /// Returns once an owner does not answer heartbeats any more.
-    async fn until_gone(&self, owner: Incarnation) {
+    async fn until_gone(&self, owner: SocketAddr) {
         loop {
             Timer::after(OWNER_CHECK).await;
             if !self.is_heard(owner) {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -1,6 +1,7 @@
 //! What all parts of the gateway share.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -174,20 +175,22 @@
         }
     }
 
-    /// The instances in the order in which they are asked to run stages.
-    pub(crate) fn owner_order(&self, shard: &Shard) -> Vec<Incarnation> {
+    /// The addresses of the instances in the order in which they are asked to run
+    /// stages. One that has just started anew goes on where its earlier start was.
+    pub(crate) fn owner_order(&self, shard: &Shard) -> Vec<SocketAddr> {
         let now = self.now();
         let knowledge = self.knowledge();
         let others = knowledge.instances.live(now);
         let own = (!self.is_leaving()).then_some(&self.me);
-        owners(shard, others.chain(own))
+        let order = owners(shard, others.chain(own));
+        order.into_iter().map(|e| e.peers).collect()
     }
 
     /// True if this instance is the one that is asked first.
     pub(crate) fn owns(&self, shard: &Shard) -> bool {
         let divided = self.shards.load();
         let known = divided.shards().any(|s| s == shard);
-        known && self.owner_order(shard).first() == Some(&self.me.incarnation)
+        known && self.owner_order(shard).first() == Some(&self.me.peers)
     }
 
     /// From whom this instance hears what the store holds.
--- a/crates/gateway/src/stream_call.rs
+++ b/crates/gateway/src/stream_call.rs
@@ -21,6 +21,7 @@
 use crate::call::Call;
 use crate::event_stream::EventStream;
 use crate::front::may_have_run;
+use crate::signal::Signal;
 use crate::stage_runner::StageResults;
 use crate::stage_runner::StageRunner;
 use crate::state::State;
@@ -53,8 +54,11 @@
         tried.push(chosen.id.clone());
         let last = call.head.last_event;
         let patience = patience(&call, state, runs);
-        let sending = attempt::send(state, &call, chosen, results.handles(), last, patience);
-        let sent = sending.or(results.free_when_read()).await;
+        let written = Signal::new();
+        let handles = results.handles();
+        let note = || written.give();
+        let sending = attempt::send(state, &call, chosen, handles, last, patience, note);
+        let sent = sending.or(results.free_when_read(&written)).await;
         let failure = match sent {
             Ok(answer) => {
                 return begin(state, stages, call, answer, results, tried, runs + 1).await;
--- a/crates/gateway/tests/whole/fakes/fake_dialect.rs
+++ b/crates/gateway/tests/whole/fakes/fake_dialect.rs
@@ -103,6 +103,18 @@
         Request::new(jd_net::empty())
     }
 
+    fn room_request(&self, _upstream: &str) -> Request<Body> {
+        let mut req = Request::new(jd_net::empty());
+        *req.uri_mut() = Uri::from_static("/room");
+        req.headers_mut()
+            .insert("host", HeaderValue::from_static("stages"));
+        req
+    }
+
+    fn room_free(&self, _body: &[u8]) -> Option<u64> {
+        None
+    }
+
     fn result_address(&self, _handle: &str) -> Option<SocketAddr> {
         None
     }
--- a/crates/lab/src/stages/world.rs
+++ b/crates/lab/src/stages/world.rs
@@ -217,6 +217,10 @@
 
     fn pump(&mut self, load: &Load, began: MonoTime) {
         self.desk.expire(self.now);
+        for question in self.desk.room_questions(self.now) {
+            // Nobody else's results lie at these upstreams.
+            self.desk.told_room(&question, None);
+        }
         while let Some(call) = self.desk.next_call(self.now) {
             let service = SERVICES.iter().position(|s| *s == call.service);
             let spec = kind::spec(service.unwrap_or(0));
--- a/crates/net/src/http_pool.rs
+++ b/crates/net/src/http_pool.rs
@@ -156,9 +156,23 @@
         req: Request<Body>,
         patience: Duration,
         fresh: bool,
+    ) -> Option<Result<HttpResponse, SendError>> {
+        self.send_noting(address, req, patience, fresh, || {}).await
+    }
+
+    /// The same; `written` is called each time that the request is handed to an
+    /// open connection. Opening one to an upstream that is gone can take long.
+    pub async fn send_noting(
+        &self,
+        address: SocketAddr,
+        req: Request<Body>,
+        patience: Duration,
+        fresh: bool,
+        written: impl Fn(),
     ) -> Option<Result<HttpResponse, SendError>> {
         let mut req = req;
         if !fresh && let Some(c) = self.shared.take_idle(address) {
+            written();
             match self.send_on(c, req, patience).await {
                 Sent::Returned(r) => req = *r,
                 Sent::Done(result) => return *result,
@@ -168,6 +182,7 @@
             Some(c) => c,
             None => return Some(Err(SendError::NotSent)),
         };
+        written();
         match self.send_on(c, req, patience).await {
             Sent::Returned(_) => Some(Err(SendError::NotSent)),
             Sent::Done(result) => *result,
--- a/crates/serving/src/batch_call.rs
+++ b/crates/serving/src/batch_call.rs
@@ -44,6 +44,8 @@
     pub waiting: usize,
     /// Bytes of results at the upstream, those of this call included.
     pub room_used: u64,
+    /// Bytes that cross availability zones for this call, as far as is known.
+    pub far_bytes: u64,
     /// The upstream's identity.
     pub upstream: CompactString,
     /// Where it answers.
@@ -54,6 +56,17 @@
     pub patience: Duration,
 }
 
+/// An upstream that is to tell how much room it has.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RoomQuestion {
+    /// The service that it belongs to.
+    pub service: CompactString,
+    /// Its identity.
+    pub upstream: CompactString,
+    /// Where it answers.
+    pub address: SocketAddr,
+}
+
 /// What became of one piece.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum PieceResult {
--- a/crates/serving/src/batch_upstream.rs
+++ b/crates/serving/src/batch_upstream.rs
@@ -8,6 +8,7 @@
 use jd_types::Name;
 
 use crate::CallResult;
+use crate::room_watch::RoomWatch;
 
 /// How long an upstream is left alone after a first failure; doubled with each
 /// further one. A little more than two calls.
@@ -29,6 +30,7 @@
     pub(crate) zone: Name,
     open_calls: u32,
     room_used: u64,
+    pub(crate) others: RoomWatch,
     failures: u32,
     blocked_until: MonoTime,
 }
@@ -41,6 +43,7 @@
             zone,
             open_calls: 0,
             room_used: 0,
+            others: RoomWatch::new(),
             failures: 0,
             blocked_until: MonoTime::ZERO,
         }
@@ -50,9 +53,19 @@
         self.open_calls
     }
 
-    /// Bytes of results that lie there or are being made.
+    /// Bytes of results that lie there or are being made, others' included.
     pub(crate) fn room_used(&self) -> u64 {
-        self.room_used
+        self.room_used.saturating_add(self.others.taken())
+    }
+
+    /// The upstream told its free room, of `all`.
+    pub(crate) fn told_room(&mut self, free: Option<u64>, all: u64) {
+        match free {
+            Some(free) => self
+                .others
+                .told(all.saturating_sub(free).saturating_sub(self.room_used)),
+            None => self.others.did_not_tell(),
+        }
     }
 
     pub(crate) fn take_room(&mut self, bytes: u64) {
@@ -90,7 +103,10 @@
         match result {
             CallResult::Answered(_) if took < self.patience(expected) => self.failures = 0,
             CallResult::Answered(_) => {}
-            CallResult::Full => self.blocked_until = now + FULL_PAUSE,
+            CallResult::Full => {
+                self.blocked_until = now + FULL_PAUSE;
+                self.others.doubt();
+            }
             // A broken connection says little of the upstream, which goes on with
             // the call: it is free again when that would have ended.
             CallResult::Broken if self.failures == 0 => {
--- a/crates/serving/src/desk_results.rs
+++ b/crates/serving/src/desk_results.rs
@@ -58,7 +58,14 @@
             }
             CallResult::Full | CallResult::Gone => {}
         }
-        self.learn_of_others(until, key, call, result);
+        let refused = match result {
+            CallResult::Answered(results) => results.contains(&PieceResult::NoRoom),
+            _ => false,
+        };
+        let queue = self.queues.get_mut(place.0);
+        if let Some(upstream) = queue.and_then(|q| q.upstream(place.1)).filter(|_| refused) {
+            upstream.others.doubt();
+        }
         for (handle, bytes) in made {
             let queue = self.queues.get_mut(place.0);
             if let Some(upstream) = queue.and_then(|q| q.upstream(place.1)) {
@@ -68,35 +75,6 @@
         }
     }
 
-    /// An upstream without room where some was expected keeps results that are
-    /// not counted here, another owner's. Half of what seemed free is counted
-    /// as taken for as long as a call lasts, so that pieces are not sent again
-    /// and again into an upstream that refuses them.
-    fn learn_of_others(
-        &mut self,
-        until: MonoTime,
-        key: CallKey,
-        call: &OpenCall,
-        result: &CallResult,
-    ) {
-        let refused = match result {
-            CallResult::Answered(results) => results.contains(&PieceResult::NoRoom),
-            _ => false,
-        };
-        let Some(queue) = self.queues.get_mut(&call.service).filter(|_| refused) else {
-            return;
-        };
-        let until = until.before(queue.spec.keep) + queue.spec.call_time(queue.spec.pieces);
-        let room = queue.spec.room_bytes;
-        if let Some(upstream) = queue.upstream(&call.upstream) {
-            let bytes = room.saturating_sub(upstream.room_used()) / 2;
-            upstream.take_room(bytes);
-            let others = format_compact!("others {}", key.0);
-            self.room
-                .put(others, (&call.service, &call.upstream), bytes, until);
-        }
-    }
-
     pub(crate) fn discard(&mut self, handle: CompactString) {
         if let Some((service, upstream, bytes)) = self.room.take(&handle) {
             self.give_room(&service, &upstream, bytes);
@@ -247,7 +225,7 @@
     fn is_scarce(&self, handles: &[CompactString]) -> bool {
         handles.iter().any(|handle| {
             let place = self.room.place(handle);
-            place.is_none_or(|(service, upstream)| {
+            place.is_none_or(|(service, upstream, _)| {
                 let queue = self.queues.get(service);
                 queue.is_none_or(|q| q.is_scarce(upstream))
             })
--- a/crates/serving/src/instance_directory.rs
+++ b/crates/serving/src/instance_directory.rs
@@ -13,6 +13,10 @@
 /// How long an instance may stay silent before it is passed over. Three missed
 /// heartbeats; a caller sent to a dead instance loses a second.
 const SILENT_AFTER: Duration = Duration::from_millis(1_300);
+/// How long an instance that the store lists and nobody has heard counts as
+/// there: the pause between two beats and half as much again. Taken for as long as
+/// one that was heard, entries of dead starts held stages up for 1.3 s each.
+const UNHEARD_FOR: Duration = Duration::from_millis(600);
 /// Addresses in one answer; the users' clients take no more.
 const MAX_ADDRESSES: usize = 64;
 /// Instances of the caller's own zone that suffice for an answer of only these.
@@ -46,7 +50,9 @@
 struct Known {
     entry: InstanceEntry,
     written: u64,
+    /// When it was last heard; until the first time when it was first listed.
     heard: MonoTime,
+    ever_heard: bool,
     listed: bool,
     ready: bool,
     watched: bool,
@@ -56,9 +62,11 @@
     /// True if it is there as far as is known: by its heartbeats if these are
     /// exchanged with it, else by its entry.
     fn is_there(&self, now: MonoTime) -> bool {
-        match self.watched {
-            true => now.since(self.heard) < SILENT_AFTER,
-            false => self.listed,
+        let silence = now.since(self.heard);
+        match (self.watched, self.ever_heard) {
+            (true, true) => silence < SILENT_AFTER,
+            (true, false) => silence < UNHEARD_FOR,
+            (false, _) => self.listed,
         }
     }
 }
@@ -74,7 +82,8 @@
     pub fn put(&mut self, now: MonoTime, entry: InstanceEntry, written: u64) {
         let same =
             |k: &Known| k.entry.peers == entry.peers && k.entry.incarnation != entry.incarnation;
-        if self.known.values().any(|k| same(k) && k.written > written) {
+        // One that was heard in place of a dead start has that start's revision.
+        if self.known.values().any(|k| same(k) && k.written >= written) {
             return;
         }
         self.known.retain(|_, k| !same(k));
@@ -82,11 +91,13 @@
             entry: entry.clone(),
             written,
             heard: now,
+            ever_heard: false,
             listed: true,
             ready: true,
             watched: true,
         });
         known.listed = true;
+        known.written = known.written.max(written);
         known.entry.leaving |= entry.leaving;
     }
 
@@ -110,27 +121,73 @@
     pub fn heard(&mut self, now: MonoTime, id: Incarnation, leaving: bool, ready: bool) {
         if let Some(known) = self.known.get_mut(&id) {
             known.heard = now;
+            known.ever_heard = true;
             known.ready = ready;
             known.entry.leaving |= leaving;
         }
     }
 
+    /// A later start of an instance answered a heartbeat in its place.
+    ///
+    /// Guards against the time between a start and the arrival of its entry, in
+    /// which nobody asked it for anything: after all instances had started anew
+    /// they did without each other for up to a second.
+    pub fn started_anew(&mut self, now: MonoTime, earlier: Incarnation, later: Incarnation) {
+        if let Some(mut known) = self.known.remove(&earlier)
+            && !self.known.contains_key(&later)
+        {
+            known.entry.incarnation = later;
+            known.entry.leaving = false;
+            known.heard = now;
+            known.ever_heard = true;
+            self.known.insert(later, known);
+        }
+    }
+
+    /// Those that answer and that the store does not list.
+    pub fn unlisted(&self, now: MonoTime) -> impl Iterator<Item = &InstanceEntry> {
+        let heard = move |k: &&Known| k.ever_heard && now.since(k.heard) < SILENT_AFTER;
+        let unlisted = self
+            .known
+            .values()
+            .filter(|k| !k.listed && !k.entry.leaving);
+        unlisted.filter(heard).map(|k| &k.entry)
+    }
+
+    /// Another instance hears one that the store does not list.
+    ///
+    /// Guards against two owners of the same batches for as long as an instance is
+    /// cut off from the store alone: its entry runs out, those that were there
+    /// before go on hearing it, and one that starts meanwhile reads of all but it.
+    pub fn told(&mut self, now: MonoTime, entry: InstanceEntry) {
+        let same = |k: &Known| k.entry.peers == entry.peers;
+        if self.known.values().any(same) {
+            return;
+        }
+        let known = Known {
+            written: 0,
+            heard: now,
+            ever_heard: false,
+            listed: false,
+            ready: true,
+            watched: true,
+            entry,
+        };
+        self.known.insert(known.entry.incarnation, known);
+    }
+
     /// Heartbeats are exchanged with these instances and no others.
     pub fn watch(&mut self, now: MonoTime, ids: &[Incarnation]) {
         for (id, known) in &mut self.known {
             let watched = ids.contains(id);
             if watched && !known.watched {
                 known.heard = now;
+                known.ever_heard = false;
             }
             known.watched = watched;
         }
     }
 
-    /// Another process answers at its address, so it is gone.
-    pub fn gone(&mut self, id: Incarnation) {
-        self.known.remove(&id);
-    }
-
     /// Forgets those that are neither listed nor heard.
     pub fn expire(&mut self, now: MonoTime) {
         self.known
@@ -150,6 +207,12 @@
             .map(|k| &k.entry)
     }
 
+    /// True if the instance at this address is there, whichever start of it.
+    pub fn is_there(&self, now: MonoTime, peers: SocketAddr) -> bool {
+        let mut at = self.known.values().filter(|k| k.entry.peers == peers);
+        at.any(|k| k.is_there(now))
+    }
+
     /// True if it answered a heartbeat lately.
     pub fn is_heard(&self, now: MonoTime, id: Incarnation) -> bool {
         let known = self.known.get(&id);
--- a/crates/serving/src/news_source.rs
+++ b/crates/serving/src/news_source.rs
@@ -60,7 +60,7 @@
         part: 0,
         parts: 1,
     };
-    let mut order = owners(&zone, near.chain([me]));
-    order.truncate(WATCHERS);
-    order
+    let order = owners(&zone, near.chain([me]));
+    let watchers = order.into_iter().take(WATCHERS);
+    watchers.map(|e| e.incarnation).collect()
 }
--- a/crates/serving/src/owner.rs
+++ b/crates/serving/src/owner.rs
@@ -2,9 +2,9 @@
 
 use std::cmp::Reverse;
 
-use jd_types::Incarnation;
 use jd_types::Name;
 use jd_types::spread;
+use jd_types::spread_address;
 
 use crate::InstanceEntry;
 use crate::Shard;
@@ -39,24 +39,28 @@
 
 /// The instances in the order in which they are asked to run the stages of a
 /// request of `shard`: the strongest first, of these the ones in the shard's own
-/// zone, and then by rendezvous hashing, so that all instances agree without a
-/// message, and the loss of one moves only what it had.
+/// zone, and then by rendezvous hashing of their addresses, so that all instances
+/// agree without a message, and the loss of one moves only what it had.
+///
+/// The load that it answers: all instances are killed and start anew at once. By
+/// their identities, new at each start, every instance ranked a mixture of dead
+/// and new ones, each its own, and six of nine filled batches for three seconds.
+/// An address outlives a start, so the order stays what it was before.
 ///
 /// No lease is needed. Two owners for a moment fill smaller batches; no piece
 /// does harm when it is done twice.
 pub fn owners<'a>(
     shard: &Shard,
     instances: impl Iterator<Item = &'a InstanceEntry>,
-) -> Vec<Incarnation> {
+) -> Vec<&'a InstanceEntry> {
     let hash = shard.hash();
     let far = |zone: &Name| shard.zone.as_ref().is_some_and(|z| z != zone);
     let mut ranked: Vec<_> = instances
         .map(|e| {
-            let id = e.incarnation;
-            let rank = spread(hash ^ spread(id.get()));
-            (Reverse(e.strength), far(&e.zone), rank, id)
+            let rank = spread(hash ^ spread_address(e.peers));
+            (Reverse(e.strength), far(&e.zone), rank, e)
         })
         .collect();
-    ranked.sort_unstable();
-    ranked.into_iter().map(|(_, _, _, id)| id).collect()
+    ranked.sort_unstable_by_key(|(strength, far, rank, e)| (*strength, *far, *rank, e.incarnation));
+    ranked.into_iter().map(|(_, _, _, e)| e).collect()
 }
--- a/crates/serving/src/result_room.rs
+++ b/crates/serving/src/result_room.rs
@@ -32,10 +32,10 @@
         self.held.insert(handle, (place, until));
     }
 
-    /// The service and the upstream where a result lies.
-    pub(crate) fn place(&self, handle: &str) -> Option<(&CompactString, &CompactString)> {
-        let ((service, upstream, _), _) = self.held.get(handle)?;
-        Some((service, upstream))
+    /// The service and the upstream where a result lies, and its size.
+    pub(crate) fn place(&self, handle: &str) -> Option<(&CompactString, &CompactString, u64)> {
+        let ((service, upstream, bytes), _) = self.held.get(handle)?;
+        Some((service, upstream, *bytes))
     }
 
     /// A result is given up; where it lay, if that is known.
--- a/crates/serving/src/stage_desk.rs
+++ b/crates/serving/src/stage_desk.rs
@@ -17,6 +17,7 @@
 use crate::JobFailure;
 use crate::JobKey;
 use crate::PieceKey;
+use crate::RoomQuestion;
 use crate::StageJob;
 use crate::batch_upstream::BatchUpstream;
 use crate::desk_job::Job;
@@ -153,6 +154,42 @@
         services.iter().find_map(|s| self.next_call_of(now, s))
     }
 
+    /// The upstreams that are to tell how much room they have.
+    pub fn room_questions(&mut self, now: MonoTime) -> Vec<RoomQuestion> {
+        let mut questions = Vec::new();
+        for (service, queue) in &mut self.queues {
+            let keep = queue.spec.keep;
+            let asked = queue.upstreams.iter_mut();
+            let asked = asked.filter_map(|u| u.others.asks(now, keep).then_some(u));
+            questions.extend(asked.map(|u| RoomQuestion {
+                service: service.clone(),
+                upstream: u.id.clone(),
+                address: u.address,
+            }));
+        }
+        questions
+    }
+
+    /// What an upstream told of its room: its free bytes; none if it did not.
+    pub fn told_room(&mut self, asked: &RoomQuestion, free: Option<u64>) {
+        if let Some(queue) = self.queues.get_mut(&asked.service) {
+            let all = queue.spec.room_bytes;
+            if let Some(upstream) = queue.upstream(&asked.upstream) {
+                upstream.told_room(free, all);
+            }
+        }
+    }
+
+    /// This instance fills the batches from now on: results of the owner before
+    /// may lie at every upstream.
+    pub fn take_over(&mut self) {
+        for queue in self.queues.values_mut() {
+            for upstream in &mut queue.upstreams {
+                upstream.others.doubt();
+            }
+        }
+    }
+
     /// A call came back.
     pub fn finish(&mut self, now: MonoTime, key: CallKey, result: CallResult) {
         let Some(call) = self.calls.remove(&key) else {
@@ -297,6 +334,7 @@
         let waiting = Waiting {
             since: now,
             not_before,
+            start_by,
             zone: self.wanted_zone(job, piece.stage),
             anywhere_from: not_before + near_wait.min(NEAR_WAIT_MOST),
         };
@@ -305,17 +343,50 @@
         }
     }
 
-    /// The zone where a piece of a stage is best worked on: where its inputs
-    /// lie, or where its result is wanted.
+    /// The zone where a piece of a stage is best worked on: where the fewest bytes
+    /// cross zones, of its inputs and its result. Every piece reads all inputs.
     pub(crate) fn wanted_zone(&self, job: &Job, stage: usize) -> Option<Name> {
-        if let Some(input) = job.progress.inputs(stage).first() {
-            let (service, upstream) = self.room.place(input)?;
-            let mut upstreams = self.queues.get(service)?.upstreams.iter();
-            let upstream = upstreams.find(|u| u.id == *upstream);
-            return upstream.map(|u| u.zone.clone());
+        // Of equal sums the first counts, an input's.
+        let most = self.zone_bytes(job, stage).into_iter().rev();
+        most.max_by_key(|(_, size)| *size).map(|(zone, _)| zone)
+    }
+
+    /// The bytes that a piece of a stage reads, by the zone where they lie, and
+    /// last those of its result, where that is wanted.
+    fn zone_bytes(&self, job: &Job, stage: usize) -> Vec<(Name, u64)> {
+        let mut bytes: Vec<(Name, u64)> = Vec::new();
+        let mut add = |zone: Name, size: u64| match bytes.iter_mut().find(|(z, _)| *z == zone) {
+            Some((_, sum)) => *sum += size,
+            None => bytes.push((zone, size)),
+        };
+        for input in job.progress.inputs(stage) {
+            if let Some((zone, size)) = self.result_at(&input) {
+                add(zone, size);
+            }
+        }
+        let spec = job.progress.job();
+        if let Some(zone) = spec.zone.clone().filter(|_| !job.progress.is_needed(stage)) {
+            add(zone, spec.stages[stage].result_bytes);
         }
-        let last = !job.progress.is_needed(stage);
-        last.then(|| job.progress.job().zone.clone()).flatten()
+        bytes
+    }
+
+    /// Bytes that cross zones if an upstream in `zone` works on a piece.
+    fn far_bytes(&self, key: JobKey, stage: usize, zone: &Name) -> u64 {
+        let Some(job) = self.jobs.get(&key) else {
+            return 0;
+        };
+        let bytes = self.zone_bytes(job, stage);
+        let far = bytes.iter().filter(|(z, _)| z != zone);
+        far.map(|(_, size)| size).sum()
+    }
+
+    /// The zone where a result lies, and its size.
+    fn result_at(&self, handle: &str) -> Option<(Name, u64)> {
+        let (service, upstream, size) = self.room.place(handle)?;
+        let mut upstreams = self.queues.get(service)?.upstreams.iter();
+        let upstream = upstreams.find(|u| u.id == *upstream)?;
+        Some((upstream.zone.clone(), size))
     }
 
     pub(crate) fn next_call_of(&mut self, now: MonoTime, service: &str) -> Option<BatchCall> {
@@ -323,6 +394,11 @@
         let queue = self.queues.get_mut(service)?;
         queue.mark_late(now, &self.jobs);
         let (upstream, ranks) = queue.next_batch(now, &self.jobs, &clogged)?;
+        let zone = queue.upstreams[upstream].zone.clone();
+        let far = ranks.iter();
+        let far = far.map(|r| self.far_bytes(r.job, r.piece.stage, &zone));
+        let far_bytes = far.sum();
+        let queue = self.queues.get_mut(service)?;
         self.numbers += 1;
         let key = CallKey(self.numbers);
         let mut orders = Vec::with_capacity(ranks.len());
@@ -357,6 +433,7 @@
             service: service.into(),
             waiting: queue.waiting.len(),
             room_used: upstream.room_used(),
+            far_bytes,
             upstream: upstream.id.clone(),
             address: upstream.address,
             pieces: orders,
--- a/crates/serving/src/stage_queue.rs
+++ b/crates/serving/src/stage_queue.rs
@@ -29,15 +29,24 @@
 pub(crate) struct Waiting {
     pub(crate) since: MonoTime,
     pub(crate) not_before: MonoTime,
+    /// When it has to start for its job to be in time, whatever its priority.
+    pub(crate) start_by: MonoTime,
     pub(crate) zone: Option<Name>,
     pub(crate) anywhere_from: MonoTime,
 }
 
 impl Waiting {
-    /// True if an upstream in `zone` may work on the piece now.
-    pub(crate) fn suits(&self, now: MonoTime, zone: &Name) -> bool {
-        let near = self.zone.as_ref().is_none_or(|z| z == zone);
-        self.not_before <= now && (near || self.anywhere_from <= now)
+    /// True if the piece loses nothing in `zone`.
+    fn is_near(&self, zone: &Name) -> bool {
+        self.zone.as_ref().is_none_or(|z| z == zone)
+    }
+
+    /// True if an upstream in `zone` may work on the piece now, where others that
+    /// could are in the zones of `free`.
+    pub(crate) fn suits(&self, now: MonoTime, zone: &Name, free: &[Name]) -> bool {
+        let near_is_free = self.zone.as_ref().is_some_and(|z| free.contains(z));
+        let anywhere = self.anywhere_from <= now && !near_is_free;
+        self.not_before <= now && (self.is_near(zone) || anywhere)
     }
 }
 
@@ -100,7 +109,8 @@
 
     /// The next batch and the upstream that is to work on it: one in the zone
     /// where the most urgent result is wanted if it can, and never one without
-    /// room for the results.
+    /// room for the results. Pieces that another free upstream in their own zone
+    /// can work on are left to that.
     pub(crate) fn next_batch(
         &self,
         now: MonoTime,
@@ -112,13 +122,35 @@
         let slots = self.spec.slots.max(1);
         let able = self.upstreams.iter().enumerate();
         let able = able.filter(|(_, u)| u.open_calls() < slots && !u.is_blocked(now));
+        let able = able.filter(|(_, u)| !u.others.is_unknown(now));
         let mut able: Vec<(usize, &BatchUpstream)> = able.collect();
         let far = |u: &BatchUpstream| first.zone.as_ref().is_some_and(|z| u.zone != *z);
         able.sort_by_key(|(_, u)| (far(u), u.room_used()));
-        able.into_iter().find_map(|(n, upstream)| {
-            let ranks = self.batch_for(now, upstream, jobs, clogged);
-            (!ranks.is_empty()).then_some((n, ranks))
-        })
+        let mut free: Vec<Name> = able.iter().map(|(_, u)| u.zone.clone()).collect();
+        for (n, upstream) in able {
+            let ranks = self.batch_for(now, upstream, &free, jobs, clogged);
+            if !ranks.is_empty() {
+                return Some((n, ranks));
+            }
+            // What it has no room for may go to the others.
+            let same = free.iter().position(|z| *z == upstream.zone);
+            same.map(|at| free.swap_remove(at));
+        }
+        None
+    }
+
+    /// Those of the waiting pieces that an upstream may work on, in the order in
+    /// which they are taken: what is near or cannot wait for another call goes
+    /// before what is far, so that a backlog sorts itself by zone while nothing
+    /// that could be in time becomes late for it.
+    fn ready_for(&self, now: MonoTime, upstream: &BatchUpstream, free: &[Name]) -> Vec<&Rank> {
+        let another_call = now + self.spec.call_time(self.spec.pieces);
+        let suits = |(_, w): &(&Rank, &Waiting)| w.suits(now, &upstream.zone, free);
+        let ready = self.waiting.iter().filter(suits);
+        let first =
+            |(_, w): &(&Rank, &Waiting)| w.is_near(&upstream.zone) || w.start_by < another_call;
+        let (first, far): (Vec<_>, Vec<_>) = ready.partition(first);
+        first.into_iter().chain(far).map(|(rank, _)| rank).collect()
     }
 
     /// The most urgent pieces that fit into one call and into the room there.
@@ -129,6 +161,7 @@
         &self,
         now: MonoTime,
         upstream: &BatchUpstream,
+        free: &[Name],
         jobs: &HashMap<JobKey, Job>,
         clogged: &[CompactString],
     ) -> Vec<Rank> {
@@ -136,9 +169,7 @@
         let mut room = usable.saturating_sub(upstream.room_used());
         let mut batch: Vec<Rank> = Vec::with_capacity(self.spec.pieces);
         let mut left_out = 0;
-        let suits = |(_, w): &(&Rank, &Waiting)| w.suits(now, &upstream.zone);
-        let ready = self.waiting.iter().filter(suits);
-        let ready: Vec<&Rank> = ready.map(|(rank, _)| rank).collect();
+        let ready = self.ready_for(now, upstream, free);
         let same_stage = |a: &&Rank, b: &&Rank| a.job == b.job && a.piece.stage == b.piece.stage;
         for group in ready.chunk_by(same_stage) {
             let slots = self.spec.pieces - batch.len();
--- a/crates/serving/tests/instances.rs
+++ b/crates/serving/tests/instances.rs
@@ -47,7 +47,7 @@
     let (later, earlier) = (entry(2, 1, "a"), entry(9, 1, "a"));
     directory.put(at(1_000), later.clone(), 20);
     directory.put(at(1_000), earlier.clone(), 10);
-    directory.gone(earlier.incarnation);
+    directory.started_anew(at(1_050), earlier.incarnation, later.incarnation);
     directory.heard(at(1_400), later.incarnation, false, true);
     assert_eq!(live(&directory, at(1_500)), [later.incarnation]);
 }
@@ -64,6 +64,59 @@
     assert_eq!(live(&directory, at(1_150)), [later.incarnation]);
 }
 
+/// All instances are killed and start anew at once. Each reads nine entries of
+/// dead starts, hears others before their new entries come, and then reads those.
+/// By their identities they ranked themselves differently at each step: six of
+/// nine filled batches beside each other for three seconds.
+#[test]
+fn all_instances_agree_on_one_owner_while_all_start_anew() {
+    let earlier: Vec<InstanceEntry> = (1..=9_u8).map(|n| entry(n.into(), n, "a")).collect();
+    let later = |n: usize| InstanceEntry {
+        incarnation: Incarnation::new(1_000 - n as u64),
+        ..earlier[n].clone()
+    };
+    let first = |directory: &InstanceDirectory, now, me: &InstanceEntry| {
+        let all = directory.live(now).chain([me]);
+        owners(&shard("", 0), all)[0].peers
+    };
+    let mut seen = Vec::new();
+    for me in 0..9 {
+        let mut directory = InstanceDirectory::default();
+        let others: Vec<usize> = (0..9).filter(|n| *n != me).collect();
+        for n in &others {
+            directory.put(at(10), earlier[*n].clone(), 1 + *n as u64);
+        }
+        seen.push(first(&directory, at(20), &later(me)));
+        for n in &others {
+            let (was, is) = (earlier[*n].incarnation, later(*n).incarnation);
+            directory.started_anew(at(60), was, is);
+            seen.push(first(&directory, at(60), &later(me)));
+        }
+        for n in &others {
+            // Read once more from a page that is older than what was heard.
+            directory.put(at(80), earlier[*n].clone(), 1 + *n as u64);
+            directory.put(at(90), later(*n), 100 + *n as u64);
+        }
+        seen.push(first(&directory, at(100), &later(me)));
+    }
+    seen.dedup();
+    assert_eq!(seen.len(), 1, "{seen:?}");
+}
+
+/// An instance starts while the entry of a machine that lost power is still
+/// listed. Nobody has heard that one, yet stages were asked for there and
+/// requests waited 1.3 s each before they went to the next.
+#[test]
+fn an_instance_that_nobody_has_heard_is_soon_passed_over() {
+    let mut directory = InstanceDirectory::default();
+    let a = entry(1, 1, "a");
+    directory.put(at(1_000), a.clone(), 1);
+    assert_eq!(live(&directory, at(1_500)), [a.incarnation]);
+    assert!(live(&directory, at(1_700)).is_empty());
+    directory.heard(at(1_800), a.incarnation, false, true);
+    assert_eq!(live(&directory, at(2_900)), [a.incarnation]);
+}
+
 /// A caller that is sent to a dead instance loses a second or its whole
 /// deadline. The instance's lease lasts longer than three missed heartbeats.
 #[test]
@@ -125,11 +178,11 @@
 
 #[test]
 fn the_loss_of_an_instance_moves_only_what_it_owned() {
-    let all: Vec<InstanceEntry> = (1..=9).map(|n| entry(n, 1, "a")).collect();
+    let all: Vec<InstanceEntry> = (1..=9_u8).map(|n| entry(n.into(), n, "a")).collect();
     for part in 0..100 {
         let order = owners(&shard("", part), all.iter());
-        let rest = all.iter().filter(|e| e.incarnation != order[3]);
-        let without: Vec<Incarnation> = owners(&shard("", part), rest);
+        let rest = all.iter().filter(|e| *e != order[3]);
+        let without = owners(&shard("", part), rest);
         assert_eq!(without[..3], order[..3]);
         assert_eq!(without[3..], order[4..]);
     }
@@ -139,18 +192,18 @@
 /// of a third of all batches. Its calls went out late, and so did all others.
 #[test]
 fn the_strongest_instance_of_the_zone_fills_the_batches() {
-    let weak = |n| entry(n, 1, "a");
-    let strong = |n, zone| InstanceEntry {
+    let weak = |n: u8| entry(n.into(), n, "a");
+    let strong = |n: u8, zone| InstanceEntry {
         strength: Strength::new(50, 200),
-        ..entry(n, 1, zone)
+        ..entry(n.into(), n, zone)
     };
     let all: Vec<InstanceEntry> = (1..=20)
         .map(weak)
         .chain([strong(21, "b"), strong(22, "a"), strong(23, "c")])
         .collect();
     let order = owners(&shard("a", 0), all.iter());
-    assert_eq!(order[0], Incarnation::new(22));
-    let next: Vec<u64> = order[1..3].iter().map(|id| id.get()).collect();
+    assert_eq!(order[0].incarnation, Incarnation::new(22));
+    let next: Vec<u64> = order[1..3].iter().map(|e| e.incarnation.get()).collect();
     assert!(next.contains(&21) && next.contains(&23));
 }
 
@@ -197,7 +250,7 @@
 /// three seconds.
 #[test]
 fn an_instance_that_has_lost_the_store_is_not_followed() {
-    let all: Vec<InstanceEntry> = (1..=40).map(|n| entry(n, 1, "a")).collect();
+    let all: Vec<InstanceEntry> = (1..=40_u8).map(|n| entry(n.into(), n, "a")).collect();
     let me = &all[0];
     let others = || all[1..].iter();
     let NewsSource::Instance(first) = news_source(me, others(), never) else {
@@ -239,9 +292,34 @@
 
 #[test]
 fn of_a_few_instances_each_watches_the_store() {
-    let all: Vec<InstanceEntry> = (1..=9).map(|n| entry(n, 1, "a")).collect();
+    let all: Vec<InstanceEntry> = (1..=9_u8).map(|n| entry(n.into(), n, "a")).collect();
     assert_eq!(
         news_source(&all[0], all[1..].iter(), never),
         NewsSource::Store
     );
 }
+
+/// An instance is cut off from the store alone, and its entry runs out. Another
+/// that started meanwhile read of all but this one, took itself for the first and
+/// filled batches beside it for ten seconds: 793 pieces found their inputs gone.
+#[test]
+fn an_instance_cut_off_from_the_store_is_known_to_one_that_starts() {
+    let (cut, old, new) = (entry(1, 1, "a"), entry(2, 2, "a"), entry(3, 3, "a"));
+    let mut before = InstanceDirectory::default();
+    before.put(at(1_000), cut.clone(), 1);
+    before.heard(at(1_100), cut.incarnation, false, true);
+    before.unlist(cut.incarnation);
+    let mut started = InstanceDirectory::default();
+    started.put(at(1_200), old.clone(), 2);
+    for entry in before.unlisted(at(1_200)) {
+        started.told(at(1_200), entry.clone());
+    }
+    let first = |d: &InstanceDirectory, me: &InstanceEntry| {
+        let all = d.live(at(1_300)).chain([me]);
+        owners(&shard("", 0), all)[0].peers
+    };
+    before.put(at(1_250), new.clone(), 3);
+    assert_eq!(first(&before, &old), first(&started, &new));
+    // What only others heard is not passed on: the dead would live for ever.
+    assert_eq!(started.unlisted(at(1_300)).count(), 0);
+}
--- a/crates/serving/tests/stage_world/mod.rs
+++ b/crates/serving/tests/stage_world/mod.rs
@@ -44,6 +44,8 @@
     pub(crate) lying: HashMap<CompactString, (CompactString, u64)>,
     /// Upstreams that do not answer.
     pub(crate) silent: HashSet<CompactString>,
+    /// How often an upstream was asked for its room.
+    pub(crate) questions: u32,
     bytes: u64,
     due: BTreeMap<(MonoTime, u64), BatchCall>,
     numbers: u64,
@@ -68,6 +70,7 @@
             ended: HashMap::new(),
             lying: HashMap::new(),
             silent: HashSet::new(),
+            questions: 0,
             bytes,
             due: BTreeMap::new(),
             numbers: 0,
@@ -128,6 +131,12 @@
 
     fn pump(&mut self) {
         self.desk.expire(self.now);
+        for question in self.desk.room_questions(self.now) {
+            let used = self.used(&question.upstream);
+            let free = SPEC.room_bytes.saturating_sub(used);
+            self.questions += 1;
+            self.desk.told_room(&question, Some(free));
+        }
         while let Some(call) = self.desk.next_call(self.now) {
             self.numbers += 1;
             let took = match self.silent.contains(&call.upstream) {
@@ -146,6 +155,12 @@
         }
     }
 
+    /// Bytes of results that lie at an upstream.
+    fn used(&self, upstream: &str) -> u64 {
+        let used = self.lying.values().filter(|(at, _)| *at == upstream);
+        used.map(|(_, bytes)| bytes).sum()
+    }
+
     /// What an upstream answers; checks what it was asked.
     fn work(&mut self, call: &BatchCall) -> CallResult {
         if self.silent.contains(&call.upstream) {
@@ -166,8 +181,7 @@
             self.lying.insert(handle.clone(), place);
             results.push(PieceResult::Done(handle));
         }
-        let used = self.lying.values().filter(|(at, _)| *at == call.upstream);
-        let used: u64 = used.map(|(_, bytes)| bytes).sum();
+        let used = self.used(&call.upstream);
         assert!(
             used <= SPEC.room_bytes,
             "{used} bytes lie at {}",
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -17,6 +17,7 @@
 pub use generated::gateway::BeatRequest;
 pub use generated::gateway::FollowReply;
 pub use generated::gateway::FollowRequest;
+pub use generated::gateway::Instance;
 pub use generated::gateway::Proof;
 pub use generated::gateway::ReleaseReply;
 pub use generated::gateway::ReleaseRequest;
