Leave an upstream alone at once where no connection opens

Cause: of a dark upstream each of nine instances sees a request in two seconds; three failures in a row were needed, each a second of waiting for a connection. Change: 300 ms for a connection to open; one that does not ejects the upstream. Results that are gone no longer count against the upstream that was to read them.

--- a/crates/entry/src/upstream_client.rs
+++ b/crates/entry/src/upstream_client.rs
@@ -94,7 +94,7 @@
     let fresh = work.attempt.attempt > 1;
     let res = match shared.http.send(address, req, times.patience, fresh).await {
         Some(Ok(res)) => res,
-        Some(Err(SendError::NotSent)) => return Attempted::ended(AttemptOutcome::NotRun),
+        Some(Err(SendError::NotSent)) => return Attempted::ended(AttemptOutcome::Unreachable),
         Some(Err(SendError::Broken)) => return Attempted::ended(AttemptOutcome::Failed),
         None => return Attempted::ended(AttemptOutcome::Silent),
     };
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -117,7 +117,7 @@
     let result = match sent {
         None => Err(failure(AttemptOutcome::Silent, "no answer in time")),
         Some(Err(SendError::NotSent)) => Err(failure(
-            AttemptOutcome::NotRun,
+            AttemptOutcome::Unreachable,
             "no connection could be opened",
         )),
         Some(Err(SendError::Broken)) => {
@@ -132,7 +132,11 @@
             open,
         }),
         Err(failure) => {
-            open.end(failure.outcome);
+            // Results that are gone say nothing of the upstream that was to read them.
+            open.end(match failure.inputs_gone {
+                true => AttemptOutcome::Cancelled,
+                false => failure.outcome,
+            });
             log::info!(
                 request = call.id(),
                 upstream = id.as_str(),
--- a/crates/gateway/src/plain_call.rs
+++ b/crates/gateway/src/plain_call.rs
@@ -178,7 +178,7 @@
 
 fn kind_of(failure: &Failure) -> RefusalKind {
     match failure.outcome {
-        AttemptOutcome::NotRun => RefusalKind::Overloaded,
+        AttemptOutcome::NotRun | AttemptOutcome::Unreachable => RefusalKind::Overloaded,
         AttemptOutcome::TimedOut | AttemptOutcome::Silent => RefusalKind::DeadlinePassed,
         _ => RefusalKind::UpstreamFailed,
     }
--- a/crates/net/src/http_pool.rs
+++ b/crates/net/src/http_pool.rs
@@ -27,8 +27,10 @@
 use crate::lock;
 use crate::within;
 
-/// How long a connection may take to open.
-const CONNECT_WITHIN: Duration = Duration::from_secs(1);
+/// How long a connection may take to open: many round trips within a region. One
+/// whose first packet was lost is sooner opened anew, elsewhere, than waited for:
+/// systems send that packet again after a second.
+const CONNECT_WITHIN: Duration = Duration::from_millis(300);
 /// Idle connections that are kept for one address.
 const MAX_IDLE: usize = 64;
 /// How long a connection may lie idle and still be used. Upstreams close idle
--- a/crates/policy/src/run.rs
+++ b/crates/policy/src/run.rs
@@ -192,7 +192,7 @@
         let stage = self.stage();
         let idempotent = stage.is_some_and(|s| s.idempotent);
         let lookup = stage.is_some_and(|s| s.lookup);
-        let harmless = idempotent || outcome == AttemptOutcome::NotRun;
+        let harmless = idempotent || outcome.run_state() == RunState::NotRun;
         let expected = self.expected_rest();
         match outcome {
             AttemptOutcome::Answered => self.advance(now),
--- a/crates/policy/src/upstream.rs
+++ b/crates/policy/src/upstream.rs
@@ -116,6 +116,7 @@
                 self.latency.record(took);
                 self.failed(now);
             }
+            AttemptOutcome::Unreachable => self.eject(now),
             AttemptOutcome::NotRun
             | AttemptOutcome::Failed
             | AttemptOutcome::Crossed
@@ -171,9 +172,17 @@
 
     fn failed(&self, now: MonoTime) {
         let count = self.failures.fetch_add(1, Ordering::Relaxed) + 1;
-        if count < EJECT_AFTER {
-            return;
+        if count >= EJECT_AFTER {
+            self.eject(now);
         }
+    }
+
+    /// Leaves it alone for a while.
+    ///
+    /// At once where no connection opens: of a dark upstream an instance sees one
+    /// request in two seconds, and each of three in a row would lose its time
+    /// before the upstream is left alone.
+    fn eject(&self, now: MonoTime) {
         self.failures.store(0, Ordering::Relaxed);
         let before = self.ejections.fetch_add(1, Ordering::Relaxed);
         let factor = 1 << before.min(EJECT_DOUBLINGS);
--- a/crates/types/src/outcome.rs
+++ b/crates/types/src/outcome.rs
@@ -37,6 +37,8 @@
     Answered,
     /// The upstream said, or the connection proved, that nothing ran.
     NotRun,
+    /// No connection could be opened, so nothing ran.
+    Unreachable,
     /// The upstream failed in a way that proves nothing.
     Failed,
     /// No progress on the connection for too long.
@@ -53,9 +55,10 @@
 
 impl AttemptOutcome {
     /// Every outcome, for reports and metrics.
-    pub const ALL: [AttemptOutcome; 8] = [
+    pub const ALL: [AttemptOutcome; 9] = [
         AttemptOutcome::Answered,
         AttemptOutcome::NotRun,
+        AttemptOutcome::Unreachable,
         AttemptOutcome::Failed,
         AttemptOutcome::Silent,
         AttemptOutcome::TimedOut,
@@ -69,6 +72,7 @@
         match self {
             AttemptOutcome::Answered => "answered",
             AttemptOutcome::NotRun => "not-run",
+            AttemptOutcome::Unreachable => "unreachable",
             AttemptOutcome::Failed => "failed",
             AttemptOutcome::Silent => "silent",
             AttemptOutcome::TimedOut => "timed-out",
@@ -81,7 +85,7 @@
     /// What the outcome proves about the upstream's work.
     pub const fn run_state(self) -> RunState {
         match self {
-            AttemptOutcome::NotRun => RunState::NotRun,
+            AttemptOutcome::NotRun | AttemptOutcome::Unreachable => RunState::NotRun,
             _ => RunState::MayHaveRun,
         }
     }
