No wait for a zone while room is scarce; late is late by its own time

And a step of priority counted into the moment at which work is late, so that less urgent pieces went on for 400 ms as if they could be in time.

--- a/crates/serving/src/desk_results.rs
+++ b/crates/serving/src/desk_results.rs
@@ -222,7 +222,7 @@
     }
 
     /// True if one of the upstreams where these results lie is short of room.
-    fn is_scarce(&self, handles: &[CompactString]) -> bool {
+    pub(crate) fn is_scarce(&self, handles: &[CompactString]) -> bool {
         handles.iter().any(|handle| {
             let place = self.room.place(handle);
             place.is_none_or(|(service, upstream, _)| {
--- a/crates/serving/src/stage_desk.rs
+++ b/crates/serving/src/stage_desk.rs
@@ -330,7 +330,10 @@
             piece,
         };
         let service = spec.stages[piece.stage].service.clone();
-        let near_wait = start_by.since(now) * NEAR_WAIT_PERCENT / 100;
+        let near_wait = match self.is_scarce(&job.progress.inputs(piece.stage)) {
+            true => Duration::ZERO,
+            false => start_by.since(now) * NEAR_WAIT_PERCENT / 100,
+        };
         let waiting = Waiting {
             since: now,
             not_before,
--- a/crates/serving/src/stage_queue.rs
+++ b/crates/serving/src/stage_queue.rs
@@ -84,15 +84,13 @@
     /// Puts behind the others what can no longer be in time. Served first, it
     /// would make the next one late as well, and so all of them.
     pub(crate) fn mark_late(&mut self, now: MonoTime, jobs: &HashMap<JobKey, Job>) {
-        while let Some((rank, _)) = self.waiting.first_key_value()
-            && rank.chance == Chance::InTime
-            && rank.start_by < now
-        {
-            let mut late = *rank;
+        let over = |(rank, w): &(&Rank, &Waiting)| rank.chance == Chance::InTime && w.start_by < now;
+        let late: Vec<Rank> = self.waiting.iter().filter(over).map(|(r, _)| *r).collect();
+        for rank in late {
             let first = jobs.get(&rank.job).is_none_or(|j| j.is_first(rank.piece));
-            late.chance = Chance::of(true, first);
-            if let Some((_, waiting)) = self.waiting.pop_first() {
-                self.waiting.insert(late, waiting);
+            if let Some(waiting) = self.waiting.remove(&rank) {
+                let chance = Chance::of(true, first);
+                self.waiting.insert(Rank { chance, ..rank }, waiting);
             }
         }
     }
