--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,6 +25,7 @@
 mod signal;
 mod stage_batches;
 mod stage_runner;
+mod start_times;
 mod state;
 mod store;
 mod store_follower;
