--- a/crates/gateway/src/stage_runner.rs
+++ b/crates/gateway/src/stage_runner.rs
@@ -255,7 +255,9 @@
         let prompt = call.head.prompt.as_ref()?;
         let (now, instances) = (self.state.now(), self.state.instance_count());
         let table = self.state.upstreams.load();
-        let chosen = table.place(&call.service, now, prompt.session(), instances, &[])?;
+        let maker = call.route().largest_maker();
+        let session = prompt.session();
+        let chosen = table.place(&call.service, maker, now, session, instances, &[])?;
         Some(chosen.upstream.hall.clone())
     }
 }
--- a/crates/gateway/src/stream_call.rs
+++ b/crates/gateway/src/stream_call.rs
@@ -114,7 +114,9 @@
     let chosen = match &call.head.prompt {
         Some(prompt) => {
             let instances = state.instance_count();
-            table.place(&call.service, now, prompt.session(), instances, tried)
+            let maker = call.route().largest_maker();
+            let session = prompt.session();
+            table.place(&call.service, maker, now, session, instances, tried)
         }
         None => table.pick(&call.service, now, &state.settings.zone, tried),
     };
