--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,7 +25,6 @@
 mod signal;
 mod stage_batches;
 mod stage_runner;
-mod start_times;
 mod state;
 mod store;
 mod store_follower;
--- a/crates/gateway/src/stage_runner.rs
+++ b/crates/gateway/src/stage_runner.rs
@@ -25,6 +25,9 @@
 use crate::stage_batches::StageBatches;
 use crate::state::State;
 
+/// What an upstream takes from the request to its first event, about: the part
+/// of the objective that stages leave it.
+const GENERATION_START: Duration = Duration::from_millis(200);
 /// Callers leave a stream that does not begin within that many objectives.
 const ABANDON_OBJECTIVES: u32 = 4;
 /// The part of that time, or of the deadline, that stages may take.
@@ -236,28 +239,19 @@
             request_id: call.id().into(),
             piece_key: call.head.piece_key.clone().unwrap_or_default(),
             stages,
-            objective: call.objective().before(self.start_time(call)),
+            objective: call.objective().before(GENERATION_START),
             deadline: give_up_at(call),
             priority: call.priority,
             zone: self.wanted_zone(call),
         })
     }
 
-    /// What is left of the objective for the upstream to begin the answer.
-    fn start_time(&self, call: &Call) -> Duration {
-        let route = call.route();
-        let times = &self.state.start_times;
-        times.expected(&route.name, route.objective)
-    }
-
     /// The zone of the upstream that will most likely work on the results.
     fn wanted_zone(&self, call: &Call) -> Option<Name> {
         let prompt = call.head.prompt.as_ref()?;
         let (now, instances) = (self.state.now(), self.state.instance_count());
         let table = self.state.upstreams.load();
-        let maker = call.route().largest_maker();
-        let session = prompt.session();
-        let chosen = table.place(&call.service, maker, now, session, instances, &[])?;
+        let chosen = table.place(&call.service, now, prompt.session(), instances, &[])?;
         Some(chosen.upstream.hall.clone())
     }
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -38,7 +38,6 @@
 use crate::Dialect;
 use crate::metrics::Metrics;
 use crate::signal::Signal;
-use crate::start_times::StartTimes;
 use crate::upstream_table::UpstreamTable;
 
 /// How long an instance that had lost the store is not followed. Asked sooner it
@@ -88,7 +87,6 @@
     pub(crate) upstreams: ArcSwap<UpstreamTable>,
     pub(crate) shards: ArcSwap<ShardMap>,
     pub(crate) metrics: Metrics,
-    pub(crate) start_times: StartTimes,
     /// Signals that the store does not answer, and that it does again.
     pub(crate) store_lost: Signal,
     pub(crate) store_back: Signal,
@@ -120,7 +118,6 @@
             upstreams: ArcSwap::default(),
             shards: ArcSwap::default(),
             metrics: Metrics::new(),
-            start_times: StartTimes::default(),
             store_lost: Signal::new(),
             store_back: Signal::new(),
             news: Event::new(),
--- a/crates/gateway/src/stream_call.rs
+++ b/crates/gateway/src/stream_call.rs
@@ -45,7 +45,6 @@
     call: Call,
 ) -> Result<Response<Body>, Refusal> {
     let mut results = stages.run(&call).await?;
-    let ready = state.now();
     let mut tried: Vec<CompactString> = Vec::new();
     let mut runs = 0;
     let mut stages_repeated = false;
@@ -62,11 +61,6 @@
         let sent = sending.or(results.free_when_read(&written)).await;
         let failure = match sent {
             Ok(answer) => {
-                // After a failure the time is not one upstream's.
-                if tried.len() == 1 && answer.head.status.is_success() {
-                    let took = state.now().since(ready);
-                    state.start_times.record(&call.route().name, took);
-                }
                 return begin(state, stages, call, answer, results, tried, runs + 1).await;
             }
             Err(failure) => failure,
@@ -114,9 +108,7 @@
     let chosen = match &call.head.prompt {
         Some(prompt) => {
             let instances = state.instance_count();
-            let maker = call.route().largest_maker();
-            let session = prompt.session();
-            table.place(&call.service, maker, now, session, instances, tried)
+            table.place(&call.service, now, prompt.session(), instances, tried)
         }
         None => table.pick(&call.service, now, &state.settings.zone, tried),
     };
--- a/crates/gateway/src/upstream_table.rs
+++ b/crates/gateway/src/upstream_table.rs
@@ -12,7 +12,6 @@
 use jd_serving::PromptUpstream;
 use jd_serving::UpstreamEntry;
 use jd_serving::place_prompt;
-use jd_serving::zone_weights;
 use jd_types::MonoTime;
 use jd_types::Name;
 use jd_types::UpstreamKey;
@@ -124,27 +123,17 @@
         Some(table.chosen(pick.key))
     }
 
-    /// Chooses the upstream that keeps the session's prompt; `maker` is the service
-    /// that makes most of what is read with it.
+    /// Chooses the upstream that keeps the session's prompt.
     pub(crate) fn place(
         &self,
         service: &str,
-        maker: Option<&str>,
         now: MonoTime,
         session: u64,
         instances: u32,
         tried: &[CompactString],
     ) -> Option<Chosen> {
         let table = self.services.get(service)?;
-        let mut views = table.views(now, &table.keys_of(tried));
-        if let Some(maker) = maker {
-            let readers: Vec<&Name> = self.zones(service).collect();
-            let makers: Vec<&Name> = self.zones(maker).collect();
-            let weights = zone_weights(&readers, &makers);
-            for (view, weight) in views.iter_mut().zip(weights) {
-                view.weight = weight;
-            }
-        }
+        let views = table.views(now, &table.keys_of(tried));
         let order = place_prompt(session, &views, table.slots, instances);
         let key = UpstreamKey::from_index(u32::try_from(*order.first()?).ok()?);
         Some(table.chosen(key))
@@ -177,7 +166,6 @@
         let view = |(u, key): (&Arc<Upstream>, UpstreamKey)| PromptUpstream {
             address: u.address,
             in_flight: u.in_flight(),
-            weight: 1.0,
             usable: !exclude.contains(&key) && (all_ejected || !u.is_ejected(now)),
         };
         upstreams.iter().zip(keys).map(view).collect()
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -65,7 +65,6 @@
 pub use prompt::PromptPart;
 pub use prompt_placement::PromptUpstream;
 pub use prompt_placement::place_prompt;
-pub use prompt_placement::zone_weights;
 pub use repeat_budget::RepeatBound;
 pub use repeat_budget::RepeatBudget;
 pub use route::Repeat;
--- a/crates/serving/src/route.rs
+++ b/crates/serving/src/route.rs
@@ -99,13 +99,4 @@
         }
         None
     }
-
-    /// The service that makes the largest of the results that requests work on; none
-    /// if nothing has to be done before.
-    pub fn largest_maker(&self) -> Option<&str> {
-        let is_read = |n: usize| self.stages.iter().any(|s| s.after.contains(&n));
-        let last = self.stages.iter().enumerate().filter(|(n, _)| !is_read(*n));
-        let largest = last.max_by_key(|(_, s)| s.result_bytes);
-        largest.map(|(_, s)| s.service.as_str())
-    }
 }
--- a/crates/serving/tests/requests.rs
+++ b/crates/serving/tests/requests.rs
@@ -16,8 +16,6 @@
 use jd_serving::Router;
 use jd_serving::Target;
 use jd_serving::place_prompt;
-use jd_serving::zone_weights;
-use jd_types::Name;
 use test_case::test_case;
 
 fn route(name: &str, prefix: &str, public: bool) -> Route {
@@ -123,7 +121,6 @@
 
 fn upstreams(count: u8) -> Vec<PromptUpstream> {
     let one = |n| PromptUpstream {
-        weight: 1.0,
         address: SocketAddr::from(([127, 0, 0, n], 80)),
         in_flight: 0,
         usable: true,
@@ -187,38 +184,3 @@
     other.parts[1].id = 23;
     assert_ne!(prompt(1).session(), other.session());
 }
-
-/// Five upstreams of a stage stand two, two and one in three zones whose readers
-/// are even. The one made far less than was read beside it, and a quarter of all
-/// results crossed zones. Sessions follow what each zone's stages can make, and
-/// the loss of a maker moves only what its zone gives up.
-#[test]
-fn sessions_go_to_zones_as_their_stages_can_make_results() {
-    let zones: Vec<Name> = ["a", "b", "c"]
-        .map(|z| Name::try_from(z).expect("a name"))
-        .into();
-    let readers: Vec<&Name> = (0..18).map(|n| &zones[n % 3]).collect();
-    let placed = |makers: &[usize], session: u64| {
-        let makers: Vec<&Name> = makers.iter().map(|z| &zones[*z]).collect();
-        let weights = zone_weights(&readers, &makers);
-        let mut all = upstreams(18);
-        for (upstream, weight) in all.iter_mut().zip(weights) {
-            upstream.weight = weight;
-        }
-        place_prompt(session, &all, 64, 8)[0]
-    };
-    let mut counts = [0_usize; 3];
-    let mut moved = 0;
-    for session in 0..2_000 {
-        let before = placed(&[0, 0, 1, 1, 2], session);
-        let after = placed(&[0, 1, 1, 2], session);
-        counts[before % 3] += 1;
-        // Only from the zone that lost a maker to the others, or not at all.
-        assert!(before == after || before % 3 == 0);
-        moved += usize::from(before != after);
-    }
-    for (zone, expected) in [800, 800, 400].into_iter().enumerate() {
-        assert!(counts[zone].abs_diff(expected) < 80, "{counts:?}");
-    }
-    assert!(moved < 450, "{moved}");
-}
