--- a/crates/serving/src/batch_upstream.rs
+++ b/crates/serving/src/batch_upstream.rs
@@ -20,6 +20,8 @@
 /// Beyond this many times its expected time a call counts as stuck. Calls that
 /// wait behind one of another owner take up to twice as long.
 const PATIENCE_FACTOR: f64 = 2.2;
+/// When a call that should have ended is expected to. A fifth of the shortest call.
+const OVERDUE: Duration = Duration::from_millis(30);
 /// What patience adds for networks and wakeups.
 const PATIENCE_SLACK: Duration = Duration::from_millis(120);
 
@@ -30,6 +32,7 @@
     pub(crate) zone: Name,
     open_calls: u32,
     room_used: u64,
+    busy_until: MonoTime,
     pub(crate) others: RoomWatch,
     failures: u32,
     blocked_until: MonoTime,
@@ -43,6 +46,7 @@
             zone,
             open_calls: 0,
             room_used: 0,
+            busy_until: MonoTime::ZERO,
             others: RoomWatch::new(),
             failures: 0,
             blocked_until: MonoTime::ZERO,
@@ -80,8 +84,18 @@
         now < self.blocked_until
     }
 
-    pub(crate) fn started(&mut self) {
+    /// A call was made that should end at `until`.
+    pub(crate) fn started(&mut self, until: MonoTime) {
         self.open_calls += 1;
+        self.busy_until = until;
+    }
+
+    /// How long it takes until it can take the next call, of `slots` at a time.
+    pub(crate) fn free_in(&self, now: MonoTime, slots: u32) -> Duration {
+        match self.open_calls < slots {
+            true => Duration::ZERO,
+            false => self.busy_until.since(now).max(OVERDUE),
+        }
     }
 
     /// How long to wait for a call that should take `expected`.
--- a/crates/serving/src/desk_estimates.rs
+++ b/crates/serving/src/desk_estimates.rs
@@ -69,7 +69,7 @@
                 Some(queue) => {
                     let ahead = self.ahead(&stage.service, spec.priority);
                     let free = now + queue.time_for(now, ahead);
-                    ready.max(free) + queue.spec.call_time(stage.pieces)
+                    ready.max(free) + queue.call_time(stage.pieces)
                 }
                 None => ready,
             });
@@ -91,7 +91,7 @@
     pub(crate) fn path_time(&self, progress: &JobProgress, stage: usize) -> Duration {
         let call_time = |service: &str, pieces: usize| {
             let queue = self.queues.get(service);
-            queue.map_or(Duration::ZERO, |q| q.spec.call_time(pieces) + q.usual_wait)
+            queue.map_or(Duration::ZERO, |q| q.call_time(pieces) + q.usual_wait)
         };
         let service = &progress.job().stages[stage].service;
         let own_wait = self.queues.get(service).map(|q| q.usual_wait);
@@ -114,7 +114,7 @@
     pub(crate) fn put_off(&self, key: JobKey, stage: usize) -> Duration {
         let call_time = |service: &str, pieces: usize| {
             let queue = self.queues.get(service);
-            queue.map_or(Duration::ZERO, |q| q.spec.call_time(pieces))
+            queue.map_or(Duration::ZERO, |q| q.call_time(pieces))
         };
         let Some(job) = self.jobs.get(&key) else {
             return Duration::ZERO;
--- a/crates/serving/src/desk_job.rs
+++ b/crates/serving/src/desk_job.rs
@@ -19,6 +19,7 @@
     /// True if it could not be in time when it came, so that it is worked on
     /// only beside those that can.
     pub(crate) beside: bool,
+    pub(crate) expected: MonoTime,
 }
 
 impl Job {
--- a/crates/serving/src/stage_desk.rs
+++ b/crates/serving/src/stage_desk.rs
@@ -59,6 +59,7 @@
     pub(crate) bytes: u64,
     pub(crate) began: MonoTime,
     pub(crate) expected: Duration,
+    pub(crate) planned: Duration,
 }
 
 /// The desk of the instance that fills batches for a deployment.
@@ -93,6 +94,7 @@
             spec,
             upstreams: Vec::new(),
             waiting: BTreeMap::new(),
+            pace: 1.0,
             usual_wait: Duration::ZERO,
         });
         queue.spec = spec;
@@ -119,7 +121,8 @@
             return Err(JobFailure::NoUpstream);
         }
         let progress = JobProgress::new(job);
-        let beside = self.expected_end(now, &progress) > progress.job().objective;
+        let expected = self.expected_end(now, &progress);
+        let beside = expected > progress.job().objective;
         if beside {
             self.check_wait(now, &progress)?;
         }
@@ -134,6 +137,7 @@
             tries: HashMap::new(),
             starts_over: 0,
             beside,
+            expected,
         };
         self.jobs.insert(key, job);
         self.advance(now, key);
@@ -198,6 +202,9 @@
         let mut keep = Duration::ZERO;
         if let Some(queue) = self.queues.get_mut(&call.service) {
             keep = queue.spec.keep;
+            if let CallResult::Answered(_) = &result {
+                queue.note_call(now.since(call.began), call.planned);
+            }
             if let Some(upstream) = queue.upstream(&call.upstream) {
                 upstream.finished(now, now.since(call.began), call.expected, &result);
                 upstream.give_room(call.bytes);
@@ -289,6 +296,9 @@
                 return;
             };
             if let Some(results) = job.progress.outcome() {
+                let off = now.since(job.expected).as_millis() as i64 - job.expected.since(now).as_millis() as i64;
+                let spec = job.progress.job();
+                eprintln!("JOBEND prio {} off {} beside {} objleft {}", spec.priority, off, job.beside, spec.objective.since(now).as_millis() as i64 - now.since(spec.objective).as_millis() as i64);
                 self.jobs.remove(&key);
                 let outcome = Ok(results);
                 self.ended.push(JobEnd { key, outcome });
@@ -427,9 +437,10 @@
                 bytes += job.result_bytes(rank.piece);
             }
         }
-        let expected = queue.spec.call_time(orders.len());
+        let planned = queue.spec.call_time(orders.len());
+        let expected = queue.call_time(orders.len());
         let upstream = &mut queue.upstreams[upstream];
-        upstream.started();
+        upstream.started(now + expected);
         upstream.take_room(bytes);
         let call = BatchCall {
             key,
@@ -449,6 +460,7 @@
             bytes,
             began: now,
             expected,
+            planned,
         };
         self.calls.insert(key, open);
         Some(call)
--- a/crates/serving/src/stage_queue.rs
+++ b/crates/serving/src/stage_queue.rs
@@ -17,6 +17,12 @@
 
 /// A new wait counts one in this many: about the pieces of a few calls.
 const WAIT_WEIGHT: u32 = 64;
+/// The weight of a new call in the pace: calls of a second or two count.
+const PACE_WEIGHT: f64 = 0.05;
+/// The least and the most that one call counts for. One that hung says nothing of
+/// the others.
+const PACE_LEAST: f64 = 0.5;
+const PACE_MOST: f64 = 2.0;
 /// The part of an upstream's room, in hundredths, that results are planned to
 /// take. Their sizes are known only about.
 const USED_ROOM_PERCENT: u64 = 96;
@@ -56,6 +62,8 @@
     pub(crate) spec: BatchSpec,
     pub(crate) upstreams: Vec<BatchUpstream>,
     pub(crate) waiting: BTreeMap<Rank, Waiting>,
+    /// What calls took lately, as a part of what the operator's figures say.
+    pub(crate) pace: f64,
     /// How long pieces that could be in time have waited lately.
     pub(crate) usual_wait: Duration,
 }
@@ -69,10 +77,23 @@
     /// How long so many pieces take, after what is being worked on.
     pub(crate) fn time_for(&self, now: MonoTime, pieces: usize) -> Duration {
         let able = self.upstreams.iter().filter(|u| !u.is_blocked(now));
-        let all_busy = able.clone().all(|u| u.open_calls() >= self.spec.slots);
+        let free = able.clone().map(|u| u.free_in(now, self.spec.slots)).min();
         let calls = pieces as f64 / self.spec.pieces.max(1) as f64;
-        let turns = calls / able.count().max(1) as f64 + f64::from(u8::from(all_busy));
-        self.spec.call_time(self.spec.pieces).mul_f64(turns)
+        let turns = calls / able.count().max(1) as f64;
+        let turn = self.call_time(self.spec.pieces);
+        free.unwrap_or(turn) + turn.mul_f64(turns)
+    }
+
+    /// How long a call of so many pieces takes, by the calls of lately.
+    pub(crate) fn call_time(&self, pieces: usize) -> Duration {
+        self.spec.call_time(pieces).mul_f64(self.pace)
+    }
+
+    /// A call took so long instead of what the operator's figures say.
+    pub(crate) fn note_call(&mut self, took: Duration, planned: Duration) {
+        let ratio = took.as_secs_f64() / planned.as_secs_f64().max(f64::MIN_POSITIVE);
+        let ratio = ratio.clamp(PACE_LEAST, PACE_MOST);
+        self.pace += (ratio - self.pace) * PACE_WEIGHT;
     }
 
     pub(crate) fn note_wait(&mut self, rank: &Rank, wait: Duration) {
