Correct expected ends by how far off they were

Cause: see the log-only figures; what an expectation leaves out, calls that leave half full and waits for room, adds up over a chain. Change: a running mean by length of chain and priority.

--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -15,6 +15,7 @@
 mod desk_job;
 mod desk_results;
 mod event_splitter;
+mod expectation;
 mod freshness;
 mod instance_directory;
 mod job_end;
--- a/crates/serving/src/stage_desk.rs
+++ b/crates/serving/src/stage_desk.rs
@@ -23,6 +23,7 @@
 use crate::desk_job::Job;
 use crate::desk_results::INPUTS_READ;
 use crate::desk_results::SHARED_FOR;
+use crate::expectation::Expectation;
 use crate::rank::Chance;
 use crate::rank::Rank;
 use crate::result_room::ResultRoom;
@@ -78,6 +79,7 @@
     pub(crate) unused: Vec<CompactString>,
     pub(crate) room: ResultRoom,
     pub(crate) reading: Vec<Reading>,
+    pub(crate) expectation: Expectation,
     pub(crate) shared_until: MonoTime,
     pub(crate) numbers: u64,
 }
@@ -122,7 +124,9 @@
         }
         let progress = JobProgress::new(job);
         let expected = self.expected_end(now, &progress);
-        let beside = expected > progress.job().objective;
+        let (depth, priority) = (progress.depth(), progress.job().priority);
+        let corrected = expected + self.expectation.correction(depth, priority);
+        let beside = corrected > progress.job().objective;
         if beside {
             self.check_wait(now, &progress)?;
         }
@@ -296,9 +300,29 @@
                 return;
             };
             if let Some(results) = job.progress.outcome() {
-                let off = now.since(job.expected).as_millis() as i64 - job.expected.since(now).as_millis() as i64;
-                let spec = job.progress.job();
-                eprintln!("JOBEND prio {} off {} beside {} objleft {}", spec.priority, off, job.beside, spec.objective.since(now).as_millis() as i64 - now.since(spec.objective).as_millis() as i64);
+                if !job.beside {
+                    let (depth, priority) = (job.progress.depth(), job.progress.job().priority);
+                    let expected = job.expected;
+                    self.expectation.ended(now, expected, depth, priority);
+                }
+                if std::env::var_os("JDX").is_some() || true {
+                    let corr = self
+                        .expectation
+                        .correction(job.progress.depth(), job.progress.job().priority)
+                        .as_millis() as i64;
+                    let off = now.since(job.expected).as_millis() as i64
+                        - job.expected.since(now).as_millis() as i64
+                        - corr;
+                    let spec = job.progress.job();
+                    eprintln!(
+                        "JOBEND prio {} off {} beside {} objleft {}",
+                        spec.priority,
+                        off,
+                        job.beside,
+                        spec.objective.since(now).as_millis() as i64
+                            - now.since(spec.objective).as_millis() as i64
+                    );
+                }
                 self.jobs.remove(&key);
                 let outcome = Ok(results);
                 self.ended.push(JobEnd { key, outcome });
--- a/crates/serving/src/stage_job.rs
+++ b/crates/serving/src/stage_job.rs
@@ -268,6 +268,16 @@
         own + rest.max().unwrap_or(Duration::ZERO)
     }
 
+    /// The stages of the longest chain that has pieces.
+    pub(crate) fn depth(&self) -> usize {
+        let mut depths: Vec<usize> = Vec::with_capacity(self.job.stages.len());
+        for stage in &self.job.stages {
+            let before = stage.after.iter().filter_map(|a| depths.get(*a)).max();
+            depths.push(before.copied().unwrap_or(0) + usize::from(stage.pieces > 0));
+        }
+        depths.into_iter().max().unwrap_or(0)
+    }
+
     /// How much later than the longest chain of stages `stage` may begin and
     /// still not be the last to end.
     pub(crate) fn spare_time(
--- a/crates/serving/src/stage_queue.rs
+++ b/crates/serving/src/stage_queue.rs
@@ -105,7 +105,8 @@
     /// Puts behind the others what can no longer be in time. Served first, it
     /// would make the next one late as well, and so all of them.
     pub(crate) fn mark_late(&mut self, now: MonoTime, jobs: &HashMap<JobKey, Job>) {
-        let over = |(rank, w): &(&Rank, &Waiting)| rank.chance == Chance::InTime && w.start_by < now;
+        let over =
+            |(rank, w): &(&Rank, &Waiting)| rank.chance == Chance::InTime && w.start_by < now;
         let late: Vec<Rank> = self.waiting.iter().filter(over).map(|(r, _)| *r).collect();
         for rank in late {
             let first = jobs.get(&rank.job).is_none_or(|j| j.is_first(rank.piece));
