Let corrections forget; refuse by the end behind everything

Change: a correction halves in 0.7 s without samples, one sample counts 0.4 s at most; what cannot be in time is refused if it would end late behind all that is here.

--- a/crates/serving/src/desk_estimates.rs
+++ b/crates/serving/src/desk_estimates.rs
@@ -8,6 +8,7 @@
 use crate::JobFailure;
 use crate::JobKey;
 use crate::StageDesk;
+use crate::desk_job::Job;
 use crate::rank::Chance;
 use crate::stage_job::JobProgress;
 
@@ -29,18 +30,17 @@
         &self,
         now: MonoTime,
         progress: &JobProgress,
+        correction: Duration,
     ) -> Result<(), JobFailure> {
-        let stages = &progress.job().stages;
-        let used = || (0..stages.len()).filter(|s| stages[*s].pieces > 0);
-        let path = used().map(|s| self.path_time(progress, s)).max();
-        let queues = used().filter_map(|s| self.queues.get(&stages[s].service));
-        let longest = queues.map(|q| q.backlog(now)).max().unwrap_or_default();
-        let end = now + path.unwrap_or_default() + longest;
+        let end = self.end_behind(now, progress, |_| true) + correction;
         let left = progress.job().deadline.since(now);
-        match end > now + left * LATE_WAIT_PERCENT / 100 {
-            true => Err(JobFailure::WouldMiss(longest)),
-            false => Ok(()),
+        if end <= now + left * LATE_WAIT_PERCENT / 100 {
+            return Ok(());
         }
+        let stages = progress.job().stages.iter().filter(|s| s.pieces > 0);
+        let queues = stages.filter_map(|s| self.queues.get(&s.service));
+        let longest = queues.map(|q| q.backlog(now)).max();
+        Err(JobFailure::WouldMiss(longest.unwrap_or_default()))
     }
 
     /// How long what waits now takes to be served at the service where it waits
@@ -59,6 +59,19 @@
     /// The load that it answers: a burst that is more than the upstreams can do.
     /// Served in the order of their deadlines, all requests end just too late.
     pub(crate) fn expected_end(&self, now: MonoTime, progress: &JobProgress) -> MonoTime {
+        let priority = progress.job().priority;
+        let rival = |j: &Job| !j.beside && j.progress.job().priority <= priority;
+        self.end_behind(now, progress, rival)
+    }
+
+    /// When the stages of a job would be done behind all that is to be done for the
+    /// `rivals` among the others.
+    fn end_behind(
+        &self,
+        now: MonoTime,
+        progress: &JobProgress,
+        rivals: impl Fn(&Job) -> bool,
+    ) -> MonoTime {
         let spec = progress.job();
         let mut ends: Vec<MonoTime> = Vec::with_capacity(spec.stages.len());
         for stage in &spec.stages {
@@ -67,7 +80,7 @@
             let queue = self.queues.get(&stage.service).filter(|_| stage.pieces > 0);
             ends.push(match queue {
                 Some(queue) => {
-                    let ahead = self.ahead(&stage.service, spec.priority);
+                    let ahead = self.ahead(&stage.service, &rivals);
                     let free = now + queue.time_for(now, ahead);
                     ready.max(free) + queue.call_time(stage.pieces)
                 }
@@ -77,12 +90,11 @@
         ends.into_iter().max().unwrap_or(now)
     }
 
-    /// Pieces that no upstream was asked for yet, of jobs that can be in time and
-    /// are at least as urgent, also those of stages that have not begun.
-    fn ahead(&self, service: &str, priority: u8) -> usize {
-        let jobs = self.jobs.values();
-        let rivals = jobs.filter(|j| !j.beside && j.progress.job().priority <= priority);
-        rivals.map(|j| j.progress.unasked(service)).sum()
+    /// Pieces of the `rivals` that no upstream was asked for yet, also those of stages
+    /// that have not begun.
+    fn ahead(&self, service: &str, rivals: impl Fn(&Job) -> bool) -> usize {
+        let jobs = self.jobs.values().filter(|j| rivals(j));
+        jobs.map(|j| j.progress.unasked(service)).sum()
     }
 
     /// How long the stages from `stage` on take, its own wait not counted and
--- a/crates/serving/src/expectation.rs
+++ b/crates/serving/src/expectation.rs
@@ -9,7 +9,10 @@
 const WEIGHT: f64 = 1.0 / 24.0;
 /// The most that one job counts for, in seconds. One that was done twice, or whose
 /// upstream hung, says little of the next.
-const MOST: f64 = 0.8;
+const MOST: f64 = 0.4;
+/// In how many seconds without a sample a correction halves. One so large that no
+/// job counts as in time any more brings no samples, and would stay for good.
+const HALVES_IN: f64 = 0.7;
 
 /// How far off expected ends have been lately, by the length of the longest chain
 /// of stages and by priority.
@@ -20,14 +23,24 @@
 /// these jobs late, by less than a tenth of their objective.
 #[derive(Debug, Default)]
 pub(crate) struct Expectation {
-    off: BTreeMap<(usize, u8), f64>,
+    off: BTreeMap<(usize, u8), Off>,
+}
+
+/// The mean of how far off ends were, in seconds, and when the last one was.
+#[derive(Debug, Clone, Copy)]
+struct Off {
+    mean: f64,
+    last: MonoTime,
 }
 
 impl Expectation {
     /// What to add to an expected end.
-    pub(crate) fn correction(&self, depth: usize, priority: u8) -> Duration {
-        let off = self.off.get(&(depth, priority)).copied();
-        Duration::from_secs_f64(off.unwrap_or_default().max(0.0))
+    pub(crate) fn correction(&self, now: MonoTime, depth: usize, priority: u8) -> Duration {
+        let Some(off) = self.off.get(&(depth, priority)) else {
+            return Duration::ZERO;
+        };
+        let age = now.since(off.last).as_secs_f64();
+        Duration::from_secs_f64(off.mean.max(0.0) * 0.5_f64.powf(age / HALVES_IN))
     }
 
     /// A job that was expected to end at `expected`, uncorrected, ended at `now`.
@@ -35,7 +48,16 @@
         let late = now.since(expected).as_secs_f64();
         let early = expected.since(now).as_secs_f64();
         let sample = (late - early).clamp(-MOST, MOST);
-        let off = self.off.entry((depth, priority)).or_default();
-        *off += (sample - *off) * WEIGHT;
+        let forgotten = self.correction(now, depth, priority).as_secs_f64();
+        let off = self.off.entry((depth, priority)).or_insert(Off {
+            mean: 0.0,
+            last: now,
+        });
+        let mean = match off.mean > 0.0 {
+            true => forgotten,
+            false => off.mean,
+        };
+        off.mean = mean + (sample - mean) * WEIGHT;
+        off.last = now;
     }
 }
--- a/crates/serving/src/stage_desk.rs
+++ b/crates/serving/src/stage_desk.rs
@@ -125,10 +125,10 @@
         let progress = JobProgress::new(job);
         let expected = self.expected_end(now, &progress);
         let (depth, priority) = (progress.depth(), progress.job().priority);
-        let corrected = expected + self.expectation.correction(depth, priority);
-        let beside = corrected > progress.job().objective;
+        let correction = self.expectation.correction(now, depth, priority);
+        let beside = expected + correction > progress.job().objective;
         if beside {
-            self.check_wait(now, &progress)?;
+            self.check_wait(now, &progress, correction)?;
         }
         // An owner of jobs before may still have calls at the upstreams.
         if self.jobs.is_empty() && self.calls.is_empty() {
@@ -305,24 +305,6 @@
                     let expected = job.expected;
                     self.expectation.ended(now, expected, depth, priority);
                 }
-                if std::env::var_os("JDX").is_some() || true {
-                    let corr = self
-                        .expectation
-                        .correction(job.progress.depth(), job.progress.job().priority)
-                        .as_millis() as i64;
-                    let off = now.since(job.expected).as_millis() as i64
-                        - job.expected.since(now).as_millis() as i64
-                        - corr;
-                    let spec = job.progress.job();
-                    eprintln!(
-                        "JOBEND prio {} off {} beside {} objleft {}",
-                        spec.priority,
-                        off,
-                        job.beside,
-                        spec.objective.since(now).as_millis() as i64
-                            - now.since(spec.objective).as_millis() as i64
-                    );
-                }
                 self.jobs.remove(&key);
                 let outcome = Ok(results);
                 self.ended.push(JobEnd { key, outcome });
