--- a/crates/gateway/tests/whole/fakes/fake_upstream.rs
+++ b/crates/gateway/tests/whole/fakes/fake_upstream.rs
@@ -84,6 +84,10 @@
 
 impl Handler for FakeUpstream {
     fn handle(self: Arc<Self>, req: Request<Incoming>) -> HandlerFuture {
+        // It has nothing to tell of its room, and that is no request of a caller.
+        if req.uri().path() == "/room" {
+            return Box::pin(async { Response::new(jd_net::empty()) });
+        }
         let header = |name: &str| {
             let value = req.headers().get(name);
             value.and_then(|v| v.to_str().ok()).map(String::from)
--- a/crates/policy/tests/routing.rs
+++ b/crates/policy/tests/routing.rs
@@ -111,6 +111,19 @@
     );
 }
 
+// A dark upstream opens no connection. Of three failures in a row that it took to
+// leave it alone an instance of nine saw one in two seconds, and each cost a
+// request its time.
+#[test]
+fn an_upstream_that_opens_no_connection_is_ejected_at_once() {
+    let table = table(6);
+    let dark = &table.upstreams()[0];
+    dark.started();
+    dark.finished(at(1_000), ms(300), AttemptOutcome::Unreachable);
+    assert_eq!(spread(&table, 300, 1_100, None)[0], 0);
+    assert!(spread(&table, 300, 2_100, None)[0] > 0);
+}
+
 // A grey failure: an upstream answers everything, ten times as slowly.
 #[test]
 fn a_slow_upstream_gets_less() {
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -49,6 +49,7 @@
 pub use deployment::CustomerSpec;
 pub use deployment::Deployment;
 pub use event_splitter::EventSplitter;
+pub use expectation::Expectation;
 pub use freshness::Freshness;
 pub use freshness::Proof;
 pub use instance_directory::InstanceDirectory;
--- a/crates/serving/tests/stage_world/mod.rs
+++ b/crates/serving/tests/stage_world/mod.rs
@@ -107,6 +107,7 @@
     }
 
     /// Takes the results at an upstream away, as its end would.
+    #[allow(dead_code, reason = "not every test file loses results")]
     pub(crate) fn lose_results(&mut self, upstream: &str) {
         let lost = self.lying.extract_if(|_, (at, _)| at == upstream);
         let lost: Vec<CompactString> = lost.map(|(handle, _)| handle).collect();
