Wait for a zone only if an upstream there will be free in time

Cause: a piece waited a fixed part of its spare time for its zone, also where no upstream there came free in that time: it went elsewhere late. Change: the upstreams' next turns by zone are known from the calls in progress; a piece waits only if one comes within its wait, which may then be longer (50 in 100).

--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -37,6 +37,7 @@
 mod stage_queue;
 mod store_mirror;
 mod upstream_directory;
+mod zone_turns;
 
 pub use batch_call::BatchCall;
 pub use batch_call::CallKey;
--- a/crates/serving/src/stage_desk.rs
+++ b/crates/serving/src/stage_desk.rs
@@ -40,7 +40,7 @@
 /// The part of its spare time, in hundredths, that a piece waits for an upstream
 /// in the zone where its inputs lie. Every piece reads all of its inputs, so a
 /// stage elsewhere moves megabytes between zones.
-const NEAR_WAIT_PERCENT: u32 = 20;
+const NEAR_WAIT_PERCENT: u32 = 50;
 /// The longest such wait: about half a call.
 const NEAR_WAIT_MOST: Duration = Duration::from_millis(200);
 
--- a/crates/serving/src/stage_queue.rs
+++ b/crates/serving/src/stage_queue.rs
@@ -14,6 +14,7 @@
 use crate::desk_job::Job;
 use crate::rank::Chance;
 use crate::rank::Rank;
+use crate::zone_turns::ZoneTurns;
 
 /// A new wait counts one in this many: about the pieces of a few calls.
 const WAIT_WEIGHT: u32 = 64;
@@ -47,12 +48,13 @@
         self.zone.as_ref().is_none_or(|z| z == zone)
     }
 
-    /// True if an upstream in `zone` may work on the piece now, where others that
-    /// could are in the zones of `free`.
-    pub(crate) fn suits(&self, now: MonoTime, zone: &Name, free: &[Name]) -> bool {
-        let near_is_free = self.zone.as_ref().is_some_and(|z| free.contains(z));
-        let anywhere = self.anywhere_from <= now && !near_is_free;
-        self.not_before <= now && (self.is_near(zone) || anywhere)
+    /// True if an upstream in `zone` may work on the piece now: one of its own zone,
+    /// or any if none of its own is free, or will be in the time that it waits for
+    /// that. To wait longer for one that comes too late gains nothing.
+    pub(crate) fn suits(&self, now: MonoTime, zone: &Name, turns: &ZoneTurns) -> bool {
+        let near = self.zone.as_ref().and_then(|z| turns.next(z));
+        let worth_waiting = near.is_some_and(|at| at <= now.max(self.anywhere_from));
+        self.not_before <= now && (self.is_near(zone) || !worth_waiting)
     }
 }
 
@@ -146,26 +148,32 @@
         let mut able: Vec<(usize, &BatchUpstream)> = able.collect();
         let far = |u: &BatchUpstream| first.zone.as_ref().is_some_and(|z| u.zone != *z);
         able.sort_by_key(|(_, u)| (far(u), u.room_used()));
-        let mut free: Vec<Name> = able.iter().map(|(_, u)| u.zone.clone()).collect();
+        let mut turns = self.turns(now);
         for (n, upstream) in able {
-            let ranks = self.batch_for(now, upstream, &free, jobs, clogged);
+            let ranks = self.batch_for(now, upstream, &turns, jobs, clogged);
             if !ranks.is_empty() {
                 return Some((n, ranks));
             }
-            // What it has no room for may go to the others.
-            let same = free.iter().position(|z| *z == upstream.zone);
-            same.map(|at| free.swap_remove(at));
+            turns.no_room(now, &upstream.zone);
         }
         None
     }
 
+    /// When the upstreams that are well can take another call.
+    fn turns(&self, now: MonoTime) -> ZoneTurns {
+        let well = self.upstreams.iter().filter(|u| !u.is_blocked(now));
+        let well = well.filter(|u| !u.others.is_unknown(now));
+        let turn = |u: &BatchUpstream| (u.zone.clone(), now + u.free_in(now, self.spec.slots));
+        ZoneTurns::new(well.map(turn))
+    }
+
     /// Those of the waiting pieces that an upstream may work on, in the order in
     /// which they are taken: what is near or cannot wait for another call goes
     /// before what is far, so that a backlog sorts itself by zone while nothing
     /// that could be in time becomes late for it.
-    fn ready_for(&self, now: MonoTime, upstream: &BatchUpstream, free: &[Name]) -> Vec<&Rank> {
+    fn ready_for(&self, now: MonoTime, upstream: &BatchUpstream, turns: &ZoneTurns) -> Vec<&Rank> {
         let another_call = now + self.spec.call_time(self.spec.pieces);
-        let suits = |(_, w): &(&Rank, &Waiting)| w.suits(now, &upstream.zone, free);
+        let suits = |(_, w): &(&Rank, &Waiting)| w.suits(now, &upstream.zone, turns);
         let ready = self.waiting.iter().filter(suits);
         let first =
             |(_, w): &(&Rank, &Waiting)| w.is_near(&upstream.zone) || w.start_by < another_call;
@@ -181,7 +189,7 @@
         &self,
         now: MonoTime,
         upstream: &BatchUpstream,
-        free: &[Name],
+        turns: &ZoneTurns,
         jobs: &HashMap<JobKey, Job>,
         clogged: &[CompactString],
     ) -> Vec<Rank> {
@@ -189,7 +197,7 @@
         let mut room = usable.saturating_sub(upstream.room_used());
         let mut batch: Vec<Rank> = Vec::with_capacity(self.spec.pieces);
         let mut left_out = 0;
-        let ready = self.ready_for(now, upstream, free);
+        let ready = self.ready_for(now, upstream, turns);
         let same_stage = |a: &&Rank, b: &&Rank| a.job == b.job && a.piece.stage == b.piece.stage;
         for group in ready.chunk_by(same_stage) {
             let slots = self.spec.pieces - batch.len();
