--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -1,5 +1,6 @@
 //! Talking to other instances.
 
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -62,7 +63,9 @@
 
     /// Tells all other instances for good that this one is there.
     pub(crate) async fn beat(self: Arc<Self>) {
+        let mut firsts: BTreeMap<Shard, SocketAddr> = BTreeMap::new();
         loop {
+            self.note_owners(&mut firsts);
             let all: Vec<InstanceEntry> = {
                 let knowledge = self.state.knowledge();
                 knowledge.instances.entries().cloned().collect()
@@ -81,6 +84,20 @@
         }
     }
 
+    /// Logs where this instance asks for stages first, when that changes.
+    fn note_owners(&self, firsts: &mut BTreeMap<Shard, SocketAddr>) {
+        for shard in self.state.shards.load().shards() {
+            let order = self.state.owner_order(shard);
+            let Some(first) = order.first() else {
+                continue;
+            };
+            if firsts.insert(shard.clone(), *first) != Some(*first) {
+                let instances = order.len();
+                log::info!(shard:? = shard, owner:% = first, instances; "owner of stages");
+            }
+        }
+    }
+
     /// Has another instance do the stages of a request; none if it does not
     /// answer.
     pub(crate) async fn run_stages(
