An instance that has read nothing owns no batches

The first owner starts again and knows no upstream; each of the others asks it, and then the next by itself, so that three fill batches until their backlogs are done. Change: beats say whether an instance has read what is in force; one that has not is no owner. The test in instances.rs failed before.

--- a/crates/gateway/src/peer_api.rs
+++ b/crates/gateway/src/peer_api.rs
@@ -9,6 +9,7 @@
 use hyper::body::Incoming;
 use jd_net::Handler;
 use jd_net::HandlerFuture;
+use jd_serving::Heartbeat;
 use jd_types::Incarnation;
 use jd_wire::Backlog;
 use jd_wire::BeatReply;
@@ -47,10 +48,15 @@
         let beat = req.into_inner();
         let now = self.state.now();
         let from = Incarnation::new(beat.incarnation);
-        self.state
-            .knowledge()
-            .instances
-            .heard(now, from, beat.leaving, beat.ready);
+        self.state.knowledge().instances.heard(
+            now,
+            from,
+            Heartbeat {
+                leaving: beat.leaving,
+                ready: beat.ready,
+                has_read: beat.has_read,
+            },
+        );
         let backlogs = self.batches.backlogs();
         for (shard, wait) in &backlogs {
             let heard = (now, *wait);
@@ -74,6 +80,7 @@
             proof: peer_news::wire_proof(&self.state),
             backlogs: backlogs.collect(),
             unlisted,
+            has_read: self.state.has_read(),
         }))
     }
 
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -12,6 +12,7 @@
 use jd_net::GrpcChannel;
 use jd_net::lock;
 use jd_net::within;
+use jd_serving::Heartbeat;
 use jd_serving::InstanceEntry;
 use jd_serving::JobFailure;
 use jd_serving::SMALL_FLEET;
@@ -194,6 +195,7 @@
             incarnation: self.state.me.incarnation.get(),
             leaving: self.state.is_leaving(),
             ready: self.state.is_ready(),
+            has_read: self.state.has_read(),
         };
         let sent = self.state.now();
         match within(BEAT_WITHIN, client.beat(beat)).await {
@@ -226,16 +228,19 @@
                 knowledge.instances.told(now, entry);
             }
         }
+        let said = Heartbeat {
+            leaving: reply.leaving,
+            ready: reply.ready,
+            has_read: reply.has_read,
+        };
         match Incarnation::new(reply.incarnation) {
             id if id == peer.incarnation => {
-                knowledge
-                    .instances
-                    .heard(now, id, reply.leaving, reply.ready);
+                knowledge.instances.heard(now, id, said);
             }
             later => {
                 let instances = &mut knowledge.instances;
                 instances.started_anew(now, peer.incarnation, later);
-                instances.heard(now, later, reply.leaving, reply.ready);
+                instances.heard(now, later, said);
             }
         }
     }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -180,7 +180,7 @@
     pub(crate) fn owner_order(&self, shard: &Shard) -> Vec<SocketAddr> {
         let now = self.now();
         let knowledge = self.knowledge();
-        let others = knowledge.instances.live(now);
+        let others = knowledge.instances.able(now);
         let own = (!self.is_leaving()).then_some(&self.me);
         let order = owners(shard, others.chain(own));
         order.into_iter().map(|e| e.peers).collect()
--- a/crates/serving/src/instance_directory.rs
+++ b/crates/serving/src/instance_directory.rs
@@ -39,6 +39,17 @@
     pub leaving: bool,
 }
 
+/// What an instance says of itself in a heartbeat.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Heartbeat {
+    /// True once it takes no new callers.
+    pub leaving: bool,
+    /// True if callers should come to it.
+    pub ready: bool,
+    /// True once it has read what is in force.
+    pub has_read: bool,
+}
+
 /// Which instances there are: those that the store lists, less those that say
 /// they leave or do not answer heartbeats.
 #[derive(Debug, Default)]
@@ -55,6 +66,7 @@
     ever_heard: bool,
     listed: bool,
     ready: bool,
+    has_read: bool,
     watched: bool,
 }
 
@@ -94,6 +106,7 @@
             ever_heard: false,
             listed: true,
             ready: true,
+            has_read: true,
             watched: true,
         });
         known.listed = true;
@@ -118,12 +131,13 @@
     }
 
     /// It answered a heartbeat.
-    pub fn heard(&mut self, now: MonoTime, id: Incarnation, leaving: bool, ready: bool) {
+    pub fn heard(&mut self, now: MonoTime, id: Incarnation, said: Heartbeat) {
         if let Some(known) = self.known.get_mut(&id) {
             known.heard = now;
             known.ever_heard = true;
-            known.ready = ready;
-            known.entry.leaving |= leaving;
+            known.ready = said.ready;
+            known.has_read = said.has_read;
+            known.entry.leaving |= said.leaving;
         }
     }
 
@@ -170,6 +184,7 @@
             ever_heard: false,
             listed: false,
             ready: true,
+            has_read: true,
             watched: true,
             entry,
         };
@@ -207,6 +222,16 @@
             .map(|k| &k.entry)
     }
 
+    /// Those of the live ones that can fill batches.
+    ///
+    /// Guards against an owner that has started while the store is away: it knows no
+    /// upstream, each of those that asked it went on to another by itself, and three
+    /// filled batches beside each other until the backlog of seconds was done.
+    pub fn able(&self, now: MonoTime) -> impl Iterator<Item = &InstanceEntry> {
+        let able = move |k: &&Known| k.is_there(now) && !k.entry.leaving && k.has_read;
+        self.known.values().filter(able).map(|k| &k.entry)
+    }
+
     /// True if the instance at this address is there, whichever start of it.
     pub fn is_there(&self, now: MonoTime, peers: SocketAddr) -> bool {
         let mut at = self.known.values().filter(|k| k.entry.peers == peers);
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -54,6 +54,7 @@
 pub use expectation::Expectation;
 pub use freshness::Freshness;
 pub use freshness::Proof;
+pub use instance_directory::Heartbeat;
 pub use instance_directory::InstanceDirectory;
 pub use instance_directory::InstanceEntry;
 pub use job_end::JobEnd;
--- a/crates/serving/src/stage_desk.rs
+++ b/crates/serving/src/stage_desk.rs
@@ -40,9 +40,9 @@
 /// The part of its spare time, in hundredths, that a piece waits for an upstream
 /// in the zone where its inputs lie. Every piece reads all of its inputs, so a
 /// stage elsewhere moves megabytes between zones.
-const NEAR_WAIT_PERCENT: u32 = 50;
+const NEAR_WAIT_PERCENT: u32 = 75;
 /// The longest such wait: about half a call.
-const NEAR_WAIT_MOST: Duration = Duration::from_millis(200);
+const NEAR_WAIT_MOST: Duration = Duration::from_millis(350);
 
 /// Results that will have been read by then.
 #[derive(Debug)]
--- a/crates/serving/tests/instances.rs
+++ b/crates/serving/tests/instances.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use jd_serving::Heartbeat;
 use jd_serving::InstanceDirectory;
 use jd_serving::InstanceEntry;
 use jd_serving::NewsSource;
@@ -27,6 +28,17 @@
     }
 }
 
+const WELL: Heartbeat = Heartbeat {
+    leaving: false,
+    ready: true,
+    has_read: true,
+};
+const LEAVING: Heartbeat = Heartbeat {
+    leaving: true,
+    ready: false,
+    ..WELL
+};
+
 fn at(ms: u64) -> MonoTime {
     MonoTime::from_millis(ms)
 }
@@ -48,7 +60,7 @@
     directory.put(at(1_000), later.clone(), 20);
     directory.put(at(1_000), earlier.clone(), 10);
     directory.started_anew(at(1_050), earlier.incarnation, later.incarnation);
-    directory.heard(at(1_400), later.incarnation, false, true);
+    directory.heard(at(1_400), later.incarnation, WELL);
     assert_eq!(live(&directory, at(1_500)), [later.incarnation]);
 }
 
@@ -113,7 +125,7 @@
     directory.put(at(1_000), a.clone(), 1);
     assert_eq!(live(&directory, at(1_500)), [a.incarnation]);
     assert!(live(&directory, at(1_700)).is_empty());
-    directory.heard(at(1_800), a.incarnation, false, true);
+    directory.heard(at(1_800), a.incarnation, WELL);
     assert_eq!(live(&directory, at(2_900)), [a.incarnation]);
 }
 
@@ -125,8 +137,8 @@
     let (a, b) = (entry(1, 1, "a"), entry(2, 2, "a"));
     directory.put(at(1_000), a.clone(), 1);
     directory.put(at(1_000), b.clone(), 1);
-    directory.heard(at(2_000), a.incarnation, false, true);
-    directory.heard(at(3_000), a.incarnation, false, true);
+    directory.heard(at(2_000), a.incarnation, WELL);
+    directory.heard(at(3_000), a.incarnation, WELL);
     assert_eq!(directory.addresses(at(3_000), "a", None), [a.callers]);
 }
 
@@ -137,7 +149,7 @@
     let mut directory = InstanceDirectory::default();
     let a = entry(1, 1, "a");
     directory.put(at(1_000), a.clone(), 1);
-    directory.heard(at(1_100), a.incarnation, true, false);
+    directory.heard(at(1_100), a.incarnation, LEAVING);
     directory.put(at(1_200), a, 1);
     assert!(directory.addresses(at(1_200), "a", None).is_empty());
 }
@@ -150,7 +162,7 @@
     directory.put(at(1_000), a.clone(), 1);
     directory.unlist(a.incarnation);
     for now in (1_400..9_000).step_by(400) {
-        directory.heard(at(now), a.incarnation, false, true);
+        directory.heard(at(now), a.incarnation, WELL);
         directory.expire(at(now));
         assert_eq!(live(&directory, at(now)), [a.incarnation]);
     }
@@ -307,7 +319,7 @@
     let (cut, old, new) = (entry(1, 1, "a"), entry(2, 2, "a"), entry(3, 3, "a"));
     let mut before = InstanceDirectory::default();
     before.put(at(1_000), cut.clone(), 1);
-    before.heard(at(1_100), cut.incarnation, false, true);
+    before.heard(at(1_100), cut.incarnation, WELL);
     before.unlist(cut.incarnation);
     let mut started = InstanceDirectory::default();
     started.put(at(1_200), old.clone(), 2);
@@ -323,3 +335,32 @@
     // What only others heard is not passed on: the dead would live for ever.
     assert_eq!(started.unlisted(at(1_300)).count(), 0);
 }
+
+/// Instances are stopped in turn while the store is away. The first owner starts
+/// again and knows nothing; each of the others asked it, and then the next by
+/// itself. Now it is no owner until it has read what is in force.
+#[test]
+fn an_instance_that_has_read_nothing_fills_no_batches() {
+    let mut directory = InstanceDirectory::default();
+    let all: Vec<InstanceEntry> = (1..=4_u8).map(|n| entry(n.into(), n, "a")).collect();
+    for (n, entry) in all.iter().enumerate() {
+        directory.put(at(1_000), entry.clone(), 1 + n as u64);
+        directory.heard(at(1_000), entry.incarnation, WELL);
+    }
+    let order = |d: &InstanceDirectory| -> Vec<SocketAddr> {
+        let order = owners(&shard("", 0), d.able(at(1_200)));
+        order.into_iter().map(|e| e.peers).collect()
+    };
+    let before = order(&directory);
+    let first = all.iter().find(|e| e.peers == before[0]).expect("an entry");
+    let blank = Heartbeat {
+        has_read: false,
+        ready: false,
+        ..WELL
+    };
+    directory.heard(at(1_100), first.incarnation, blank);
+    assert_eq!(order(&directory), before[1..]);
+    assert_eq!(live(&directory, at(1_200)).len(), 4);
+    directory.heard(at(1_150), first.incarnation, WELL);
+    assert_eq!(order(&directory), before);
+}
