--- a/crates/serving/src/desk_results.rs
+++ b/crates/serving/src/desk_results.rs
@@ -13,9 +13,9 @@
 use crate::PieceKey;
 use crate::PieceResult;
 use crate::StageDesk;
+use crate::desk_call::OpenCall;
+use crate::desk_call::Reading;
 use crate::rank::Rank;
-use crate::stage_desk::OpenCall;
-use crate::stage_desk::Reading;
 
 /// How often one piece is tried. A third failure is rarely the upstream's.
 const PIECE_TRIES: u32 = 3;
--- /dev/null
+++ b/crates/serving/src/desk_rooms.rs
@@ -0,0 +1,44 @@
+//! Asking upstreams for their room.
+
+use jd_types::MonoTime;
+
+use crate::RoomQuestion;
+use crate::StageDesk;
+
+impl StageDesk {
+    /// The upstreams that are to tell how much room they have.
+    pub fn room_questions(&mut self, now: MonoTime) -> Vec<RoomQuestion> {
+        let mut questions = Vec::new();
+        for (service, queue) in &mut self.queues {
+            let keep = queue.spec.keep;
+            let asked = queue.upstreams.iter_mut();
+            let asked = asked.filter_map(|u| u.others.asks(now, keep).then_some(u));
+            questions.extend(asked.map(|u| RoomQuestion {
+                service: service.clone(),
+                upstream: u.id.clone(),
+                address: u.address,
+            }));
+        }
+        questions
+    }
+
+    /// What an upstream told of its room: its free bytes; none if it did not.
+    pub fn told_room(&mut self, asked: &RoomQuestion, free: Option<u64>) {
+        if let Some(queue) = self.queues.get_mut(&asked.service) {
+            let all = queue.spec.room_bytes;
+            if let Some(upstream) = queue.upstream(&asked.upstream) {
+                upstream.told_room(free, all);
+            }
+        }
+    }
+
+    /// This instance fills the batches from now on: results of the owner before
+    /// may lie at every upstream.
+    pub fn take_over(&mut self) {
+        for queue in self.queues.values_mut() {
+            for upstream in &mut queue.upstreams {
+                upstream.others.doubt();
+            }
+        }
+    }
+}
--- a/crates/serving/src/stage_desk.rs
+++ b/crates/serving/src/stage_desk.rs
@@ -17,9 +17,10 @@
 use crate::JobFailure;
 use crate::JobKey;
 use crate::PieceKey;
-use crate::RoomQuestion;
 use crate::StageJob;
 use crate::batch_upstream::BatchUpstream;
+use crate::desk_call::OpenCall;
+use crate::desk_call::Reading;
 use crate::desk_job::Job;
 use crate::desk_results::INPUTS_READ;
 use crate::desk_results::SHARED_FOR;
@@ -37,33 +38,6 @@
 /// urgent, too little to starve what could still be in time. Measured on eight
 /// days of plays: mean worth 0.51, with half 0.48, with double 0.48.
 const PRIORITY_STEP: Duration = Duration::from_millis(400);
-/// The part of its spare time, in hundredths, that a piece waits for an upstream
-/// in the zone where its inputs lie. Every piece reads all of its inputs, so a
-/// stage elsewhere moves megabytes between zones.
-const NEAR_WAIT_PERCENT: u32 = 75;
-/// The longest such wait: about half a call.
-const NEAR_WAIT_MOST: Duration = Duration::from_millis(350);
-
-/// Results that will have been read by then.
-#[derive(Debug)]
-pub(crate) struct Reading {
-    pub(crate) until: MonoTime,
-    pub(crate) job: JobKey,
-    pub(crate) stage: usize,
-}
-
-/// A call that has not come back.
-#[derive(Debug)]
-pub(crate) struct OpenCall {
-    pub(crate) service: CompactString,
-    pub(crate) upstream: CompactString,
-    pub(crate) pieces: Vec<(JobKey, PieceKey)>,
-    pub(crate) bytes: u64,
-    pub(crate) began: MonoTime,
-    pub(crate) expected: Duration,
-    pub(crate) planned: Duration,
-}
-
 /// The desk of the instance that fills batches for a deployment.
 ///
 /// The load that it answers: a call costs a quarter of a second however little
@@ -166,42 +140,6 @@
         services.iter().find_map(|s| self.next_call_of(now, s))
     }
 
-    /// The upstreams that are to tell how much room they have.
-    pub fn room_questions(&mut self, now: MonoTime) -> Vec<RoomQuestion> {
-        let mut questions = Vec::new();
-        for (service, queue) in &mut self.queues {
-            let keep = queue.spec.keep;
-            let asked = queue.upstreams.iter_mut();
-            let asked = asked.filter_map(|u| u.others.asks(now, keep).then_some(u));
-            questions.extend(asked.map(|u| RoomQuestion {
-                service: service.clone(),
-                upstream: u.id.clone(),
-                address: u.address,
-            }));
-        }
-        questions
-    }
-
-    /// What an upstream told of its room: its free bytes; none if it did not.
-    pub fn told_room(&mut self, asked: &RoomQuestion, free: Option<u64>) {
-        if let Some(queue) = self.queues.get_mut(&asked.service) {
-            let all = queue.spec.room_bytes;
-            if let Some(upstream) = queue.upstream(&asked.upstream) {
-                upstream.told_room(free, all);
-            }
-        }
-    }
-
-    /// This instance fills the batches from now on: results of the owner before
-    /// may lie at every upstream.
-    pub fn take_over(&mut self) {
-        for queue in self.queues.values_mut() {
-            for upstream in &mut queue.upstreams {
-                upstream.others.doubt();
-            }
-        }
-    }
-
     /// A call came back.
     pub fn finish(&mut self, now: MonoTime, key: CallKey, result: CallResult) {
         let Some(call) = self.calls.remove(&key) else {
@@ -353,68 +291,19 @@
             piece,
         };
         let service = spec.stages[piece.stage].service.clone();
-        let near_wait = match self.is_scarce(&job.progress.inputs(piece.stage)) {
-            true => Duration::ZERO,
-            false => start_by.since(now) * NEAR_WAIT_PERCENT / 100,
-        };
+        let near_wait = self.near_wait(&job.progress, piece.stage, start_by.since(now));
         let waiting = Waiting {
             since: now,
             not_before,
             start_by,
             zone: self.wanted_zone(job, piece.stage),
-            anywhere_from: not_before + near_wait.min(NEAR_WAIT_MOST),
+            anywhere_from: not_before + near_wait,
         };
         if let Some(queue) = self.queues.get_mut(&service) {
             queue.waiting.insert(rank, waiting);
         }
     }
 
-    /// The zone where a piece of a stage is best worked on: where the fewest bytes
-    /// cross zones, of its inputs and its result. Every piece reads all inputs.
-    pub(crate) fn wanted_zone(&self, job: &Job, stage: usize) -> Option<Name> {
-        // Of equal sums the first counts, an input's.
-        let most = self.zone_bytes(job, stage).into_iter().rev();
-        most.max_by_key(|(_, size)| *size).map(|(zone, _)| zone)
-    }
-
-    /// The bytes that a piece of a stage reads, by the zone where they lie, and
-    /// last those of its result, where that is wanted.
-    fn zone_bytes(&self, job: &Job, stage: usize) -> Vec<(Name, u64)> {
-        let mut bytes: Vec<(Name, u64)> = Vec::new();
-        let mut add = |zone: Name, size: u64| match bytes.iter_mut().find(|(z, _)| *z == zone) {
-            Some((_, sum)) => *sum += size,
-            None => bytes.push((zone, size)),
-        };
-        for input in job.progress.inputs(stage) {
-            if let Some((zone, size)) = self.result_at(&input) {
-                add(zone, size);
-            }
-        }
-        let spec = job.progress.job();
-        if let Some(zone) = spec.zone.clone().filter(|_| !job.progress.is_needed(stage)) {
-            add(zone, spec.stages[stage].result_bytes);
-        }
-        bytes
-    }
-
-    /// Bytes that cross zones if an upstream in `zone` works on a piece.
-    fn far_bytes(&self, key: JobKey, stage: usize, zone: &Name) -> u64 {
-        let Some(job) = self.jobs.get(&key) else {
-            return 0;
-        };
-        let bytes = self.zone_bytes(job, stage);
-        let far = bytes.iter().filter(|(z, _)| z != zone);
-        far.map(|(_, size)| size).sum()
-    }
-
-    /// The zone where a result lies, and its size.
-    fn result_at(&self, handle: &str) -> Option<(Name, u64)> {
-        let (service, upstream, size) = self.room.place(handle)?;
-        let mut upstreams = self.queues.get(service)?.upstreams.iter();
-        let upstream = upstreams.find(|u| u.id == *upstream)?;
-        Some((upstream.zone.clone(), size))
-    }
-
     pub(crate) fn next_call_of(&mut self, now: MonoTime, service: &str) -> Option<BatchCall> {
         let clogged = self.clogged();
         let queue = self.queues.get_mut(service)?;
