--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -17,6 +17,15 @@
     Load(LoadArgs),
     StandIn(StandInArgs),
     Experiment(ExperimentArgs),
+    Explain(ExplainArgs),
+}
+
+/// Arguments of `explain`.
+#[derive(Debug, Clone)]
+pub(crate) struct ExplainArgs {
+    pub(crate) request: Option<String>,
+    pub(crate) late: Vec<String>,
+    pub(crate) files: Vec<String>,
 }
 
 /// Arguments of `experiment`.
@@ -92,12 +101,35 @@
     let experiment = experiment
         .descr("Compares policies in virtual time")
         .command("experiment");
-    construct!([demo, operate, load, standin, experiment])
+    let explain = explain().map(Args::Explain).to_options();
+    let explain = explain
+        .descr("Tells from instances' log lines why requests were refused, cut or late")
+        .command("explain");
+    construct!([demo, operate, load, standin, experiment, explain])
         .to_options()
         .version(env!("CARGO_PKG_VERSION"))
         .descr("jacinthdeal: serving of multi-stage model pipelines")
 }
 
+fn explain() -> impl Parser<ExplainArgs> {
+    let request = long("request")
+        .help("Print every line of this request instead of the table")
+        .argument::<String>("ID")
+        .optional();
+    let late = long("late")
+        .help("After how long an answer of a route is late, or of all others; may be given again")
+        .argument::<String>("ROUTE=MS|MS")
+        .many();
+    let files = positional::<String>("FILE")
+        .help("Files of JSON lines; `-` or none for standard input")
+        .many();
+    construct!(ExplainArgs {
+        request,
+        late,
+        files
+    })
+}
+
 fn deployment() -> impl Parser<String> {
     long("deployment")
         .help("karrabin or hearthgate")
--- a/crates/cli/src/cli_error.rs
+++ b/crates/cli/src/cli_error.rs
@@ -43,6 +43,28 @@
         /// What the system says.
         source: std::io::Error,
     },
+    /// A log could not be read.
+    #[snafu(display("{file} cannot be read ({source}); name a file of log lines, or `-`"))]
+    Read {
+        /// The file.
+        file: CompactString,
+        /// What the system says.
+        source: std::io::Error,
+    },
+    /// A time after which answers are late is none.
+    #[snafu(display("--late `{value}` is no time; write ROUTE=MS, or MS for all other routes"))]
+    Late {
+        /// What was given.
+        value: CompactString,
+    },
+    /// No line is about the request.
+    #[snafu(display(
+        "no line is about request `{id}`; give the logs of all instances of that time"
+    ))]
+    NoRequest {
+        /// The request.
+        id: CompactString,
+    },
     /// No answer.
     #[snafu(display("no answer from {address}; is an instance listening there?"))]
     NoAnswer {
--- /dev/null
+++ b/crates/cli/src/explain.rs
@@ -0,0 +1,76 @@
+//! `jacinthdeal explain`.
+
+use std::fs::File;
+use std::io;
+use std::io::BufReader;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use jd_explain::Breakdown;
+use jd_explain::LateAfter;
+use jd_explain::Log;
+use jd_explain::story;
+use snafu::ResultExt;
+
+use crate::args::ExplainArgs;
+use crate::cli_error::CliError;
+use crate::cli_error::LateSnafu;
+use crate::cli_error::ReadSnafu;
+
+/// The file's name that stands for standard input.
+const STDIN: &str = "-";
+
+/// Tells what became of requests from log lines.
+pub(crate) fn explain(args: &ExplainArgs) -> Result<ExitCode, CliError> {
+    let late = late_after(&args.late)?;
+    let mut log = Log::default();
+    match args.files.is_empty() {
+        true => read(&mut log, STDIN)?,
+        false => args.files.iter().try_for_each(|f| read(&mut log, f))?,
+    }
+    let (named, count) = log.bad();
+    for bad in named {
+        eprintln!("jacinthdeal: {bad}");
+    }
+    if count > named.len() {
+        eprintln!("jacinthdeal: {count} lines in all were not log lines");
+    }
+    let lines = log.lines();
+    match &args.request {
+        None => print!("{}", Breakdown::of(lines, &late)),
+        Some(id) => print!("{}", told(story(lines, id), id)?),
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+fn told(text: String, id: &str) -> Result<String, CliError> {
+    match text.is_empty() {
+        true => Err(CliError::NoRequest { id: id.into() }),
+        false => Ok(text),
+    }
+}
+
+fn read(log: &mut Log, file: &str) -> Result<(), CliError> {
+    let done = match file {
+        STDIN => log.read(STDIN, io::stdin().lock()),
+        _ => File::open(file).and_then(|f| log.read(file, BufReader::new(f))),
+    };
+    done.context(ReadSnafu { file })
+}
+
+/// Reads `ROUTE=MS`, or `MS` for all other routes.
+fn late_after(given: &[String]) -> Result<LateAfter, CliError> {
+    let mut late = LateAfter::default();
+    for value in given {
+        let (route, ms) = value.rsplit_once('=').unwrap_or(("", value));
+        let ms: u64 = ms.parse().ok().ok_or_else(|| LateSnafu { value }.build())?;
+        let after = Duration::from_millis(ms);
+        match route {
+            "" => late.other = Some(after),
+            _ => {
+                late.routes.insert(route.into(), after);
+            }
+        }
+    }
+    Ok(late)
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -5,6 +5,7 @@
 mod cli_error;
 mod demo;
 mod experiment;
+mod explain;
 mod load;
 mod operate;
 mod standin;
@@ -20,6 +21,7 @@
         Args::Load(raw) => load::load(raw),
         Args::StandIn(raw) => standin::standin(raw),
         Args::Experiment(raw) => experiment::experiment(&raw),
+        Args::Explain(raw) => explain::explain(&raw),
     };
     match result {
         Ok(code) => code,
--- /dev/null
+++ b/crates/explain/src/cause.rs
@@ -0,0 +1,92 @@
+//! Why a request earned nothing, or late.
+
+use crate::Line;
+
+/// Why a request earned nothing, or late.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Cause {
+    /// Refused at once: its stages would have ended too late.
+    WouldMiss,
+    /// Its stages waited and did not end in time.
+    StagesHeld,
+    /// A piece of a stage failed too often, or every upstream was full.
+    Overloaded,
+    /// No upstream was known for it.
+    NoUpstream,
+    /// What the instance knew was too old, or it knew nothing yet.
+    Unproven,
+    /// Its credential or its address was not in force.
+    NotAllowed,
+    /// An upstream did not answer in time.
+    UpstreamSilent,
+    /// An upstream failed.
+    UpstreamFailed,
+    /// Its answer was cut off.
+    Cut,
+    /// Answered late, and mostly waiting for its stages.
+    LateByStages,
+    /// Answered late, and mostly waiting for its upstream.
+    LateByUpstream,
+    /// Something else.
+    Other,
+}
+
+impl Cause {
+    /// Every cause, in the order of the table.
+    pub const ALL: [Cause; 12] = [
+        Cause::WouldMiss,
+        Cause::StagesHeld,
+        Cause::Overloaded,
+        Cause::NoUpstream,
+        Cause::Unproven,
+        Cause::NotAllowed,
+        Cause::UpstreamSilent,
+        Cause::UpstreamFailed,
+        Cause::Cut,
+        Cause::LateByStages,
+        Cause::LateByUpstream,
+        Cause::Other,
+    ];
+
+    /// Its name in tables.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Cause::WouldMiss => "would-miss",
+            Cause::StagesHeld => "stages-held",
+            Cause::Overloaded => "overloaded",
+            Cause::NoUpstream => "no-upstream",
+            Cause::Unproven => "unproven",
+            Cause::NotAllowed => "not-allowed",
+            Cause::UpstreamSilent => "silent",
+            Cause::UpstreamFailed => "failed",
+            Cause::Cut => "cut",
+            Cause::LateByStages => "late-stages",
+            Cause::LateByUpstream => "late-upstream",
+            Cause::Other => "other",
+        }
+    }
+
+    /// The cause that a line names by itself; none if it ends no request badly.
+    pub fn of(line: &Line) -> Option<Cause> {
+        match line.text.as_str() {
+            "refused" => Some(Cause::of_refusal(line)),
+            "stream cut off" => Some(Cause::Cut),
+            _ => None,
+        }
+    }
+
+    fn of_refusal(line: &Line) -> Cause {
+        let held = line.input("detail").unwrap_or("").contains("did not end");
+        match line.input("outcome").unwrap_or("") {
+            "would-miss" if held => Cause::StagesHeld,
+            "would-miss" => Cause::WouldMiss,
+            "overloaded" => Cause::Overloaded,
+            "no-upstream" => Cause::NoUpstream,
+            "not-serving" => Cause::Unproven,
+            "unauthenticated" | "unknown-pipeline" => Cause::NotAllowed,
+            "deadline-passed" => Cause::UpstreamSilent,
+            "upstream-failed" => Cause::UpstreamFailed,
+            _ => Cause::Other,
+        }
+    }
+}
--- /dev/null
+++ b/crates/explain/tests/explain.rs
@@ -0,0 +1,142 @@
+//! What is told from log lines.
+
+#![allow(clippy::expect_used, clippy::panic)]
+
+use std::time::Duration;
+
+use jd_explain::Breakdown;
+use jd_explain::Cause;
+use jd_explain::LateAfter;
+use jd_explain::Log;
+use jd_explain::story;
+use test_case::test_case;
+
+/// A line as instances write it, at a time within one minute.
+fn line(time: &str, text: &str, inputs: &str) -> String {
+    format!(
+        r#"{{"level":"INFO","timestamp":"2026-01-01 10:00:{time} +00:00","kv":{{{inputs}}},"text":"{text}"}}"#
+    )
+}
+
+fn log(lines: &[String]) -> Log {
+    let mut log = Log::default();
+    log.read("a.log", lines.join("\n").as_bytes())
+        .expect("memory can be read");
+    log
+}
+
+fn breakdown(lines: &[String], late: &LateAfter) -> Breakdown {
+    Breakdown::of(log(lines).lines(), late)
+}
+
+#[test_case(
+    "would-miss",
+    "the stages would end after the deadline",
+    Cause::WouldMiss
+)]
+#[test_case(
+    "would-miss",
+    "the stages did not end before the deadline",
+    Cause::StagesHeld
+)]
+#[test_case("not-serving", "no configuration is known here yet", Cause::Unproven)]
+#[test_case("unauthenticated", "", Cause::NotAllowed)]
+#[test_case("deadline-passed", "no answer in time", Cause::UpstreamSilent)]
+#[test_case("new-kind", "", Cause::Other)]
+fn a_refusal_has_a_cause(outcome: &str, detail: &str, cause: Cause) {
+    let inputs = format!(r#""request":"r1","outcome":"{outcome}","detail":"{detail}""#);
+    let counted = breakdown(&[line("01.5", "refused", &inputs)], &LateAfter::default());
+    assert_eq!(counted.count_of(cause), 1);
+}
+
+/// Late because of its stages or because of its upstream: two things that are mended
+/// in two places.
+#[test]
+fn a_late_answer_is_late_by_what_took_longest() {
+    let lines = [
+        line("01.1", "stages ended", r#""request":"r1","ms":900"#),
+        line(
+            "01.2",
+            "answer began",
+            r#""request":"r1","ms":1000,"route":"x""#,
+        ),
+        line("02.1", "stages ended", r#""request":"r2","ms":100"#),
+        line(
+            "02.2",
+            "answer began",
+            r#""request":"r2","ms":1000,"route":"x""#,
+        ),
+        line(
+            "02.3",
+            "answer began",
+            r#""request":"r3","ms":1000,"route":"y""#,
+        ),
+    ];
+    let mut late = LateAfter::default();
+    late.routes.insert("x".into(), Duration::from_millis(700));
+    let counted = breakdown(&lines, &late);
+    assert_eq!(counted.answers(), 3);
+    assert_eq!(counted.count_of(Cause::LateByStages), 1);
+    assert_eq!(counted.count_of(Cause::LateByUpstream), 1);
+}
+
+/// An instance was killed in the middle of a line, and a collector put a name before
+/// each. The log that holds the cause must still be read.
+#[test]
+fn lines_that_are_cut_off_are_counted_and_named() {
+    let whole = line(
+        "01.0",
+        "refused",
+        r#""request":"r1","outcome":"overloaded""#,
+    );
+    let cut = whole[..60].to_owned();
+    let lines = [
+        format!("edge-1 {whole}"),
+        cut,
+        "hello".to_owned(),
+        String::new(),
+    ];
+    let mut log = log(&lines);
+    assert_eq!(log.lines().len(), 1);
+    let (named, count) = log.bad();
+    assert_eq!(count, 2);
+    assert!(
+        named[0].to_string().starts_with("a.log:2: "),
+        "{}",
+        named[0]
+    );
+    assert_eq!(named[1].number, 3);
+}
+
+/// The owner of stages and the instance that took a request write in different files.
+#[test]
+fn a_story_is_in_order_whatever_the_files_are() {
+    let mut log = Log::default();
+    let late = line("05.0", "answered", r#""request":"r1","ms":4000"#);
+    let other = line("03.0", "answered", r#""request":"r2","ms":4"#);
+    let early = line("01.0", "attempt failed", r#""request":"r1","upstream":"u""#);
+    log.read("b", late.as_bytes()).expect("memory can be read");
+    log.read("a", [other, early].join("\n").as_bytes())
+        .expect("memory can be read");
+    let told = story(log.lines(), "r1");
+    let texts: Vec<&str> = told.lines().collect();
+    assert_eq!(texts.len(), 2);
+    assert!(texts[0].contains("attempt failed") && texts[1].contains("answered"));
+    assert!(story(log.lines(), "r9").is_empty());
+}
+
+#[test]
+fn pieces_are_counted_by_what_became_of_them() {
+    let lines = [
+        line(
+            "01.0",
+            "call for pieces",
+            r#""outcome":"12 done, 2 no-room","pieces":14"#,
+        ),
+        line("01.0", "call for pieces", r#""outcome":"Full","pieces":5"#),
+    ];
+    let text = breakdown(&lines, &LateAfter::default()).to_string();
+    for expected in ["12  done", "2  no-room", "5  Full"] {
+        assert!(text.contains(expected), "{text}");
+    }
+}
