--- a/soak/src/fault.rs
+++ b/soak/src/fault.rs
@@ -51,6 +51,8 @@
 pub enum Fault {
     /// An instance is killed and started again after the time.
     Kill(usize, Duration),
+    /// All instances are killed at once and started again after the time.
+    KillAll(Duration),
     /// An instance is stopped with grace and started again.
     Stop(usize),
     /// An instance stands still for the time.
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -15,6 +15,9 @@
 const LEAST_FAULTS: usize = 7;
 /// The most.
 const MOST_FAULTS: usize = 14;
+/// From this seed on a plan may also kill all instances at once. Those of the earlier
+/// ones stay as they were when they were played.
+const KILLS_ALL_FROM: u64 = 1_000;
 /// Every so many seeds bring planned work only, which may cut nothing short.
 const PLANNED_ONLY_EVERY: u64 = 4;
 
@@ -52,6 +55,14 @@
             let at = LEAD + Duration::from_millis(after);
             steps.push(Step { at, fault });
         }
+        if seed >= KILLS_ALL_FROM && !planned_only {
+            let after = rng.u64(0..FAULTS_LAST.as_millis() as u64);
+            let down = Duration::from_millis(rng.u64(50..1_500));
+            steps.push(Step {
+                at: LEAD + Duration::from_millis(after),
+                fault: Fault::KillAll(down),
+            });
+        }
         steps.sort_by_key(|s| s.at);
         Plan { seed, steps }
     }
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -240,6 +240,28 @@
         }
     }
 
+    /// Kills all instances that no other fault holds, and starts them together.
+    async fn kill_all(&self, down: Duration) -> io::Result<()> {
+        let all = 0..self.starts.len();
+        let free = all.filter(|n| !self.held[*n].swap(true, Ordering::Relaxed));
+        let free: Vec<usize> = free.collect();
+        for n in &free {
+            self.fleet.signal(*n, ProcessSignal::Kill);
+        }
+        for n in &free {
+            self.until_ended(*n).await?;
+        }
+        Timer::after(down).await;
+        for n in &free {
+            self.start(*n);
+        }
+        for n in &free {
+            self.until_ready(*n).await?;
+            self.held[*n].store(false, Ordering::Relaxed);
+        }
+        Ok(())
+    }
+
     async fn carry_out(&self, fault: Fault) -> io::Result<Option<String>> {
         let instances = self.starts.len();
         let places = &self.world.places;
@@ -253,6 +275,7 @@
                 self.start(n);
                 self.until_ready(n).await?;
             }
+            Fault::KillAll(down) => self.kill_all(down).await?,
             Fault::Stop(n) => {
                 let n = n % instances;
                 self.fleet.signal(n, ProcessSignal::Stop);
