--- a/crates/serving/tests/worst_load.rs
+++ b/crates/serving/tests/worst_load.rs
@@ -62,6 +62,7 @@
     if id.is_multiple_of(2) { "a" } else { "b" }
 }
 
+/// Pieces that were made outside the zone that wants them, and all pieces.
 fn far_pieces(world: &World) -> (usize, usize) {
     let mut far = 0;
     let mut all = 0;
@@ -178,8 +179,8 @@
     assert!(urgent.expect("asked for") < less.expect("asked for"));
 }
 
-/// Whether an end that is expected `ahead` ms from now is late by `off` ms, told by
-/// twenty jobs a second for `seconds`.
+/// Tells of twenty jobs a second, for `seconds`, that each ended `off` ms after its
+/// expected end.
 fn learn(expectation: &mut Expectation, from: u64, seconds: u64, off: i64) {
     for n in 0..seconds * 20 {
         let now = from + n * 50;
