Make the test of a lone stage miss its put-off

Cause: with the put-off switched off no test of serving failed, on the untouched sources as well: the order of two services was compared, which holds without it. Change: the lone stage begins 300 ms after the chain's first at the earliest; fails with the put-off at 0, passes as shipped.

--- a/crates/serving/tests/stages.rs
+++ b/crates/serving/tests/stages.rs
@@ -329,6 +329,11 @@
     let place = |service| services.iter().position(|s| *s == service);
     assert!(place("lone") > place("first"));
     assert!(place("lone") < place("third"));
+    // The chain takes 560 ms longer, of which the lone stage waits 60 in 100.
+    let began = |service| place(service).map(|n| world.calls[n].0);
+    let first = began("first").expect("asked for");
+    let lone = began("lone").expect("asked for");
+    assert!(lone.since(first) >= Duration::from_millis(300));
 }
 
 /// A deployment's results may be larger than the room planned for. Never sent,
