Tell starts of an upstream apart, and entries of other writers from its own

Cause: what was known of an upstream was kept by its identity alone. One that started again elsewhere was sent to at its old address; at the same address it counted as holding the results and open calls of before, and who waited for it waited until its patience ended. An entry that lacked a field was filled with defaults, an unknown state was taken for leaving, and an entry that could not be read left the upstream in use that it was written over; one bad item made a whole page of the store unreadable.

Change: identity and start together name an upstream (table, desk, connections, requests that wait). A later start, told by the store or by the upstream's report, loses results and open calls of the earlier one and asks for them again at once; an earlier start told late changes nothing. Entries are checked in full; one that names no upstream is left out at once, the others hold.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -3,8 +3,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use async_io::Timer;
 use compact_str::CompactString;
 use compact_str::format_compact;
+use futures_lite::FutureExt;
 use http::StatusCode;
 use jd_net::HttpResponse;
 use jd_net::SendError;
@@ -17,6 +19,10 @@
 use crate::state::State;
 use crate::upstream_table::Chosen;
 
+/// How long an answer that was sent before its upstream ended may be on its way:
+/// several round trips between availability zones.
+const LAST_ANSWERS_WITHIN: Duration = Duration::from_millis(50);
+
 /// The answer of an upstream, its body still coming in.
 #[derive(Debug)]
 pub(crate) struct Answer {
@@ -49,6 +55,14 @@
         &self.chosen.id
     }
 
+    /// Returns a moment after the upstream is known to have started again: what
+    /// waits for the earlier start waits in vain, but an answer that it had sent may
+    /// still be on its way.
+    pub(crate) async fn until_over(&self) {
+        self.chosen.started_again.wait().await;
+        Timer::after(LAST_ANSWERS_WITHIN).await;
+    }
+
     pub(crate) fn end(&mut self, outcome: AttemptOutcome) {
         if std::mem::replace(&mut self.over, true) {
             return;
@@ -112,8 +126,12 @@
         .dialect
         .upstream_request(&call.parts, &upstream_call, body);
     let pool = &state.pool;
-    let sent = pool.send_noting(address, req, patience, false, written);
-    let sent = sent.await;
+    let over = async {
+        open.until_over().await;
+        Some(Err(SendError::Broken))
+    };
+    let sending = pool.send_noting(address, req, patience, false, written);
+    let sent = sending.or(over).await;
     let result = match sent {
         None => Err(failure(AttemptOutcome::Silent, "no answer in time")),
         Some(Err(SendError::NotSent)) => Err(failure(
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -16,6 +16,7 @@
 use jd_serving::CallHead;
 use jd_serving::PieceOrder;
 use jd_serving::PieceResult;
+use jd_serving::RoomReport;
 use jd_types::Refusal;
 
 /// What goes with a caller's request to one upstream.
@@ -88,8 +89,8 @@
     /// A question to an upstream of stages how much room it has.
     fn room_request(&self, upstream: &str) -> Request<Body>;
 
-    /// The free bytes that the answer tells; none if it is not one.
-    fn room_free(&self, body: &[u8]) -> Option<u64>;
+    /// Reads the answer to such a question; none if it is not one.
+    fn room_report(&self, body: &[u8]) -> Option<RoomReport>;
 
     /// Where a result lies; none if its handle does not tell.
     fn result_address(&self, handle: &str) -> Option<SocketAddr>;
--- a/crates/gateway/src/event_stream.rs
+++ b/crates/gateway/src/event_stream.rs
@@ -5,9 +5,11 @@
 
 use bytes::Bytes;
 use compact_str::CompactString;
+use futures_lite::FutureExt;
 use futures_lite::future;
 use jd_net::BodyError;
 use jd_net::HttpResponse;
+use jd_net::SendError;
 use jd_net::within;
 use jd_serving::EventSplitter;
 use jd_serving::Repeat;
@@ -85,7 +87,11 @@
                 false => left,
             };
             let response = self.response.as_mut()?;
-            let read = within(wait, response.part()).await;
+            let over = async {
+                self.open.until_over().await;
+                Some(Err(SendError::Broken))
+            };
+            let read = within(wait, response.part()).or(over).await;
             let outcome = match read {
                 Some(Ok(Some(part))) => match self.splitter.push(&part) {
                     Some(events) => {
--- /dev/null
+++ b/crates/gateway/src/latch.rs
@@ -0,0 +1,30 @@
+//! Something that happens once and that many may wait for.
+
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+
+use event_listener::Event;
+
+/// Something that happens once and that many may wait for.
+#[derive(Debug, Default)]
+pub(crate) struct Latch {
+    happened: AtomicBool,
+    told: Event,
+}
+
+impl Latch {
+    pub(crate) fn set(&self) {
+        self.happened.store(true, Ordering::SeqCst);
+        self.told.notify(usize::MAX);
+    }
+
+    /// Returns once it has happened.
+    pub(crate) async fn wait(&self) {
+        while !self.happened.load(Ordering::SeqCst) {
+            let told = self.told.listen();
+            if !self.happened.load(Ordering::SeqCst) {
+                told.await;
+            }
+        }
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 mod event_stream;
 mod front;
 mod gateway;
+mod latch;
 mod metrics;
 mod peer_api;
 mod peer_instance;
--- a/crates/gateway/src/plain_call.rs
+++ b/crates/gateway/src/plain_call.rs
@@ -5,10 +5,12 @@
 
 use bytes::Bytes;
 use compact_str::CompactString;
+use futures_lite::FutureExt;
 use http::HeaderMap;
 use http::Response;
 use http::StatusCode;
 use jd_net::Body;
+use jd_net::SendError;
 use jd_net::within;
 use jd_serving::Repeat;
 use jd_types::AttemptOutcome;
@@ -123,7 +125,12 @@
     } = answer;
     let headers = state.dialect.caller_headers(&response.headers);
     let left = call.left(state.now());
-    let (outcome, detail) = match within(left, response.whole(MAX_ANSWER)).await {
+    let over = async {
+        open.until_over().await;
+        Some(Err(SendError::Broken))
+    };
+    let read = within(left, response.whole(MAX_ANSWER)).or(over).await;
+    let (outcome, detail) = match read {
         Some(Ok(body)) => {
             open.end(match head.status.is_server_error() {
                 true => AttemptOutcome::Failed,
--- a/crates/gateway/src/stage_batches.rs
+++ b/crates/gateway/src/stage_batches.rs
@@ -213,22 +213,23 @@
         let dialect = &self.state.dialect;
         let req = dialect.room_request(&question.upstream);
         let pool = &self.state.pool;
-        let free = match pool.send(question.address, req, ROOM_WITHIN, false).await {
+        let told = match pool.send(question.address, req, ROOM_WITHIN, false).await {
             Some(Ok(res)) if res.status.is_success() => {
                 let body = within(ROOM_WITHIN, res.whole(MAX_ANSWER)).await;
                 body.and_then(Result::ok)
-                    .and_then(|body| dialect.room_free(&body))
+                    .and_then(|body| dialect.room_report(&body))
             }
             _ => None,
         };
         log::info!(
             service = question.service.as_str(),
             upstream = question.upstream.as_str(),
-            free:? = free;
+            free:? = told.map(|t| t.free);
             "room asked"
         );
         if let Some(desk) = lock(&self.desks).get_mut(&shard) {
-            desk.desk.told_room(&question, free);
+            let now = self.state.now();
+            desk.desk.told_room(now, &question, told);
         }
         self.pump(&shard);
     }
@@ -255,7 +256,12 @@
     }
 
     async fn ask(&self, call: &BatchCall) -> CallResult {
-        if !self.state.upstreams.load().has(&call.upstream) {
+        if !self
+            .state
+            .upstreams
+            .load()
+            .has(&call.upstream, call.address)
+        {
             return CallResult::Gone;
         }
         // Room that the desk counts as free has to be free when the call comes.
@@ -301,8 +307,9 @@
         for service in router.services() {
             if let Some(spec) = service.batch {
                 let all = table.upstreams(&service.name);
-                let own = shard.of_service(all, |(_, _, zone)| zone);
-                desk.desk.set_upstreams(&service.name, spec, own);
+                let own = shard.of_service(all, |u| &u.zone);
+                let now = self.state.now();
+                desk.desk.set_upstreams(now, &service.name, spec, own);
             }
         }
         desk.table = Some(table);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -248,9 +248,14 @@
         let zone = &self.settings.zone;
         let knowledge = self.knowledge();
         let entries = knowledge.upstreams.entries();
-        let next = self.upstreams.load().next(now, entries, zone);
+        let before = self.upstreams.load_full();
+        let next = before.next(now, entries, zone);
+        let started_again = next.note_restarts(&before);
         self.upstreams.store(Arc::new(next));
         drop(knowledge);
+        for address in started_again {
+            self.pool.forget(address);
+        }
         self.divide_upstreams();
     }
 
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -44,6 +44,14 @@
     Put(Record),
     /// An upstream's entry was removed.
     UpstreamGone(CompactString),
+    /// An upstream's entry names none: another writer left it, or wrote it over the
+    /// upstream's own.
+    UpstreamUnreadable {
+        /// The identity that it stands under.
+        id: CompactString,
+        /// What is wrong with it.
+        reason: CompactString,
+    },
     /// An instance's entry was removed.
     InstanceGone(Incarnation),
 }
--- a/crates/gateway/src/store_intake.rs
+++ b/crates/gateway/src/store_intake.rs
@@ -43,9 +43,13 @@
         }
         let mut upstreams: Vec<UpstreamEntry> = Vec::new();
         let mut instances: Vec<Incarnation> = Vec::new();
+        let mut changed = false;
         for (change, written) in changes {
             match change {
                 Change::Put(Record::Upstream(entry)) => upstreams.push(entry),
+                Change::UpstreamUnreadable { id, reason } => {
+                    changed |= self.leave_out(&id, &reason, written);
+                }
                 Change::Put(record) => {
                     if let Record::Instance(entry) = &record {
                         instances.push(entry.incarnation);
@@ -56,11 +60,11 @@
             }
         }
         let now = self.state.now();
-        let changed = {
+        {
             let mut knowledge = self.state.knowledge();
             knowledge.instances.relist(&instances);
-            knowledge.upstreams.replace(now, upstreams)
-        };
+            changed |= knowledge.upstreams.replace(now, upstreams);
+        }
         if changed {
             self.state.rebuild_upstreams();
         }
@@ -82,6 +86,9 @@
                     log::info!(upstream:% = id, revision; "upstream entry removed");
                     changed |= self.state.knowledge().upstreams.remove(now, &id);
                 }
+                Change::UpstreamUnreadable { id, reason } => {
+                    changed |= self.leave_out(&id, &reason, written);
+                }
                 Change::InstanceGone(id) => self.state.knowledge().instances.unlist(id),
             }
         }
@@ -90,6 +97,18 @@
         }
     }
 
+    /// Leaves an upstream out whose entry another writer left or wrote over; true if
+    /// that changes anything. A line for each writing and not for each reading.
+    fn leave_out(&self, id: &str, reason: &str, written: u64) -> bool {
+        log::warn!(
+            upstream = id,
+            reason = reason,
+            written;
+            "entry names no upstream; its own writer has to write it again"
+        );
+        self.state.knowledge().upstreams.leave_out(id)
+    }
+
     /// What items say, and when they were written.
     fn decode(&self, items: &[StoreItem]) -> Vec<(Change, u64)> {
         let said = |i: &StoreItem| Some((self.store.decode(i)?, i.revision));
--- a/crates/gateway/src/upstream_table.rs
+++ b/crates/gateway/src/upstream_table.rs
@@ -10,12 +10,16 @@
 use jd_policy::RoutingPolicy;
 use jd_policy::Upstream;
 use jd_serving::PromptUpstream;
+use jd_serving::StageUpstream;
 use jd_serving::UpstreamEntry;
+use jd_serving::UpstreamStart;
 use jd_serving::place_prompt;
 use jd_types::MonoTime;
 use jd_types::Name;
 use jd_types::UpstreamKey;
 
+use crate::latch::Latch;
+
 /// An upstream that was chosen for a request.
 #[derive(Debug, Clone)]
 pub(crate) struct Chosen {
@@ -23,6 +27,8 @@
     pub(crate) id: CompactString,
     /// What this instance knows of it.
     pub(crate) upstream: Arc<Upstream>,
+    /// Set once it is known to have started again since.
+    pub(crate) started_again: Arc<Latch>,
 }
 
 #[derive(Debug)]
@@ -30,6 +36,35 @@
     ids: Vec<CompactString>,
     slots: u32,
     pool: PoolTable,
+    started_again: Vec<Arc<Latch>>,
+}
+
+/// One start of an upstream.
+#[derive(Debug, Clone)]
+struct Known {
+    start: UpstreamStart,
+    upstream: Arc<Upstream>,
+    started_again: Arc<Latch>,
+}
+
+impl Known {
+    fn new(entry: &UpstreamEntry, since: MonoTime) -> Known {
+        Known {
+            start: entry.start,
+            upstream: Arc::new(Upstream::new(entry.address, entry.zone.clone(), since)),
+            started_again: Arc::default(),
+        }
+    }
+
+    /// What is known of the upstream of an entry, if that is of the same start.
+    fn kept_for(&self, entry: &UpstreamEntry) -> Option<Known> {
+        let again = entry.start.is_later_than(self.start);
+        let same = !again && self.upstream.address == entry.address;
+        same.then(|| Known {
+            start: self.start.later(entry.start),
+            ..self.clone()
+        })
+    }
 }
 
 /// The upstreams of every service. A new table is made when entries change;
@@ -37,7 +72,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct UpstreamTable {
     services: HashMap<CompactString, ServiceTable>,
-    by_id: HashMap<CompactString, Arc<Upstream>>,
+    by_id: HashMap<CompactString, Known>,
 }
 
 impl UpstreamTable {
@@ -63,44 +98,66 @@
         for (service, mut entries) in grouped {
             entries.sort_by(|a, b| a.id.cmp(&b.id));
             let mut upstreams = Vec::with_capacity(entries.len());
+            let mut started_again = Vec::with_capacity(entries.len());
             for entry in &entries {
-                let known = self.by_id.get(&entry.id).cloned();
-                let upstream = known.unwrap_or_else(|| {
-                    Arc::new(Upstream::new(entry.address, entry.zone.clone(), since))
-                });
-                by_id.insert(entry.id.clone(), Arc::clone(&upstream));
-                upstreams.push(upstream);
+                let before = self.by_id.get(&entry.id);
+                let kept = before.and_then(|k| k.kept_for(entry));
+                let known = kept.unwrap_or_else(|| Known::new(entry, since));
+                upstreams.push(Arc::clone(&known.upstream));
+                started_again.push(Arc::clone(&known.started_again));
+                by_id.insert(entry.id.clone(), known);
             }
             let slots = entries.iter().map(|e| e.slots).max().unwrap_or(1);
             let table = ServiceTable {
                 ids: entries.iter().map(|e| e.id.clone()).collect(),
                 slots,
                 pool: PoolTable::new(upstreams, slots, zone),
+                started_again,
             };
             services.insert(service, table);
         }
         UpstreamTable { services, by_id }
     }
 
+    /// The addresses of upstreams that have started again since an earlier table.
+    /// Tells those that wait for an answer of the earlier start.
+    pub(crate) fn note_restarts(&self, earlier: &UpstreamTable) -> Vec<SocketAddr> {
+        let mut addresses = Vec::new();
+        for (id, before) in &earlier.by_id {
+            let now = self.by_id.get(id);
+            if now.is_some_and(|now| !Arc::ptr_eq(&now.upstream, &before.upstream)) {
+                log::info!(upstream:% = id, address:% = before.upstream.address; "upstream started again");
+                before.started_again.set();
+                addresses.push(before.upstream.address);
+            }
+        }
+        addresses
+    }
+
     /// The zones of a service's upstreams, one for each of them.
     pub(crate) fn zones(&self, service: &str) -> impl Iterator<Item = &Name> {
         let table = self.services.get(service).into_iter();
         table.flat_map(|t| t.pool.upstreams().iter().map(|u| &u.hall))
     }
 
-    /// Identity, address and zone of a service's upstreams.
-    pub(crate) fn upstreams(
-        &self,
-        service: &str,
-    ) -> impl Iterator<Item = (CompactString, SocketAddr, Name)> {
-        let table = self.services.get(service).into_iter();
-        let both = table.flat_map(|t| t.ids.iter().zip(t.pool.upstreams()));
-        both.map(|(id, u)| (id.clone(), u.address, u.hall.clone()))
+    /// A service's upstreams as their entries announce them.
+    pub(crate) fn upstreams(&self, service: &str) -> impl Iterator<Item = StageUpstream> {
+        let ids = self.services.get(service).into_iter().flat_map(|t| &t.ids);
+        ids.filter_map(|id| {
+            let known = self.by_id.get(id)?;
+            Some(StageUpstream {
+                id: id.clone(),
+                start: known.start,
+                address: known.upstream.address,
+                zone: known.upstream.hall.clone(),
+            })
+        })
     }
 
-    /// True if the upstream may still get new work.
-    pub(crate) fn has(&self, id: &str) -> bool {
-        self.by_id.contains_key(id)
+    /// True if the upstream may still get new work at this address.
+    pub(crate) fn has(&self, id: &str, address: SocketAddr) -> bool {
+        let known = self.by_id.get(id);
+        known.is_some_and(|k| k.upstream.address == address)
     }
 
     /// Chooses an upstream by load, near ones first.
@@ -145,6 +202,7 @@
         Chosen {
             id: self.ids[key.index()].clone(),
             upstream: Arc::clone(&self.pool.upstreams()[key.index()]),
+            started_again: Arc::clone(&self.started_again[key.index()]),
         }
     }
 
--- a/crates/gateway/tests/whole/fakes/fake_dialect.rs
+++ b/crates/gateway/tests/whole/fakes/fake_dialect.rs
@@ -111,7 +111,7 @@
         req
     }
 
-    fn room_free(&self, _body: &[u8]) -> Option<u64> {
+    fn room_report(&self, _body: &[u8]) -> Option<jd_serving::RoomReport> {
         None
     }
 
--- a/crates/gateway/tests/whole/fakes/fake_store.rs
+++ b/crates/gateway/tests/whole/fakes/fake_store.rs
@@ -105,7 +105,9 @@
         let is_listed = |change: &Change| match change {
             Change::Put(Record::Upstream(entry)) => !gone(&entry.id),
             Change::Put(_) => true,
-            Change::UpstreamGone(_) | Change::InstanceGone(_) => false,
+            Change::UpstreamUnreadable { .. }
+            | Change::UpstreamGone(_)
+            | Change::InstanceGone(_) => false,
         };
         let numbered = said.iter().enumerate();
         let listed = numbered.filter(|(_, change)| is_listed(change));
--- a/crates/gateway/tests/whole/fakes/harness.rs
+++ b/crates/gateway/tests/whole/fakes/harness.rs
@@ -10,6 +10,7 @@
 use async_io::Timer;
 use http::Request;
 use http::StatusCode;
+use jd_gateway::Change;
 use jd_gateway::Gateway;
 use jd_gateway::Record;
 use jd_net::Clock;
@@ -25,6 +26,7 @@
 use jd_serving::StageSpec;
 use jd_serving::Target;
 use jd_serving::UpstreamEntry;
+use jd_serving::UpstreamStart;
 use jd_settings::GatewaySettings;
 use jd_types::Name;
 
@@ -64,7 +66,7 @@
     pool: HttpPool,
     workers: Workers,
     fleet: Vec<Member>,
-    _servers: Vec<HttpServer>,
+    servers: Vec<HttpServer>,
 }
 
 /// A further gateway and the store as it sees it.
@@ -135,6 +137,18 @@
     }
 }
 
+fn entry(id: &str, service: &str, address: SocketAddr, start: UpstreamStart) -> Record {
+    Record::Upstream(UpstreamEntry {
+        id: id.into(),
+        start,
+        service: service.into(),
+        address,
+        zone: Name::try_from("a").expect("a name"),
+        slots: 4,
+        leaving: false,
+    })
+}
+
 pub(crate) fn deployment() -> Deployment {
     Deployment {
         version: 1,
@@ -196,14 +210,8 @@
         let stage = (!stage.is_empty()).then_some(("stages", stage));
         for (n, (service, replies)) in pool.chain(stage).enumerate() {
             let (upstream, server) = FakeUpstream::start(&executor, replies);
-            records.push(Record::Upstream(UpstreamEntry {
-                id: format!("i-{n}").into(),
-                service: service.into(),
-                address: server.address(),
-                zone: Name::try_from("a").expect("a name"),
-                slots: 4,
-                leaving: false,
-            }));
+            let id = format!("i-{n}");
+            records.push(entry(&id, service, server.address(), UpstreamStart::UNTOLD));
             upstreams.push(upstream);
             servers.push(server);
         }
@@ -219,10 +227,18 @@
             pool,
             workers,
             fleet: Vec::new(),
-            _servers: servers,
+            servers,
         }
     }
 
+    /// Writes an entry under `id` that names this start, at the address of one of the
+    /// upstreams.
+    pub(crate) fn announce(&self, id: &str, upstream: usize, start: UpstreamStart) {
+        let address = self.servers[upstream].address();
+        let record = entry(id, "pool", address, start);
+        self.store.change(Change::Put(record));
+    }
+
     /// Starts further gateways at the same store.
     pub(crate) fn add_gateways(&mut self, count: usize) {
         for _ in 0..count {
--- a/crates/gateway/tests/whole/main.rs
+++ b/crates/gateway/tests/whole/main.rs
@@ -5,3 +5,4 @@
 mod fakes;
 mod fleet;
 mod requests;
+mod restarts;
--- a/crates/lab/src/stages/world.rs
+++ b/crates/lab/src/stages/world.rs
@@ -17,6 +17,8 @@
 use jd_serving::PieceResult;
 use jd_serving::StageDesk;
 use jd_serving::StageJob;
+use jd_serving::StageUpstream;
+use jd_serving::UpstreamStart;
 use jd_types::MonoTime;
 use jd_types::Name;
 
@@ -97,7 +99,9 @@
     };
     for (n, service) in SERVICES.iter().enumerate() {
         let spec = kind::spec(n);
-        world.desk.set_upstreams(service, spec, upstreams(service));
+        world
+            .desk
+            .set_upstreams(world.now, service, spec, upstreams(service));
     }
     let began = world.now;
     for n in 0..KINDS.len() {
@@ -126,12 +130,16 @@
     world.report
 }
 
-fn upstreams(service: &str) -> impl Iterator<Item = (CompactString, SocketAddr, Name)> {
+fn upstreams(service: &str) -> impl Iterator<Item = StageUpstream> {
     let service = CompactString::from(service);
     (1..=UPSTREAMS as u8).filter_map(move |n| {
         let zone = Name::try_from("a").ok()?;
-        let address = SocketAddr::from(([127, 0, 0, n], 80));
-        Some((format_compact!("{service}-{n}"), address, zone))
+        Some(StageUpstream {
+            id: format_compact!("{service}-{n}"),
+            start: UpstreamStart::UNTOLD,
+            address: SocketAddr::from(([127, 0, 0, n], 80)),
+            zone,
+        })
     })
 }
 
@@ -220,7 +228,7 @@
         self.desk.expire(self.now);
         for question in self.desk.room_questions(self.now) {
             // Nobody else's results lie at these upstreams.
-            self.desk.told_room(&question, None);
+            self.desk.told_room(self.now, &question, None);
         }
         while let Some(call) = self.desk.next_call(self.now) {
             let service = SERVICES.iter().position(|s| *s == call.service);
--- a/crates/net/src/http_pool.rs
+++ b/crates/net/src/http_pool.rs
@@ -162,7 +162,17 @@
         self.send_noting(address, req, patience, fresh, || {}).await
     }
 
-    /// The same; `written` is called each time that the request is handed to an
+    /// Closes the idle connections to an address. Who answered there has ended, and
+    /// a request on one of them might wait for an answer that cannot come.
+    pub fn forget(&self, address: SocketAddr) {
+        if let Some(per) = self.shared.lock().get_mut(&address) {
+            for c in per.idle.drain(..) {
+                per.watch.closed(c.key);
+            }
+        }
+    }
+
+    /// The same as [`HttpPool::send`]; `written` is called each time that the request is handed to an
     /// open connection. Opening one to an upstream that is gone can take long.
     pub async fn send_noting(
         &self,
--- a/crates/serving/src/batch_call.rs
+++ b/crates/serving/src/batch_call.rs
@@ -6,6 +6,7 @@
 use compact_str::CompactString;
 
 use crate::PieceKey;
+use crate::UpstreamStart;
 
 /// A call at an upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -96,3 +97,12 @@
     /// Nothing usable came back in time.
     Failed,
 }
+
+/// What an upstream tells of itself when it is asked for its room.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RoomReport {
+    /// Free bytes for results.
+    pub free: u64,
+    /// Which start of it answers.
+    pub start: UpstreamStart,
+}
--- a/crates/serving/src/batch_upstream.rs
+++ b/crates/serving/src/batch_upstream.rs
@@ -8,6 +8,7 @@
 use jd_types::Name;
 
 use crate::CallResult;
+use crate::UpstreamStart;
 use crate::room_watch::RoomWatch;
 
 /// How long an upstream is left alone after a first failure; doubled with each
@@ -25,9 +26,23 @@
 /// What patience adds for networks and wakeups.
 const PATIENCE_SLACK: Duration = Duration::from_millis(120);
 
+/// An upstream that works on batches, as it is announced.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StageUpstream {
+    /// Its identity.
+    pub id: CompactString,
+    /// Which start of it this is.
+    pub start: UpstreamStart,
+    /// Where it answers.
+    pub address: SocketAddr,
+    /// The availability zone that it stands in.
+    pub zone: Name,
+}
+
 #[derive(Debug)]
 pub(crate) struct BatchUpstream {
     pub(crate) id: CompactString,
+    pub(crate) start: UpstreamStart,
     pub(crate) address: SocketAddr,
     pub(crate) zone: Name,
     open_calls: u32,
@@ -39,11 +54,12 @@
 }
 
 impl BatchUpstream {
-    pub(crate) fn new(id: CompactString, address: SocketAddr, zone: Name) -> BatchUpstream {
+    pub(crate) fn new(announced: StageUpstream) -> BatchUpstream {
         BatchUpstream {
-            id,
-            address,
-            zone,
+            id: announced.id,
+            start: announced.start,
+            address: announced.address,
+            zone: announced.zone,
             open_calls: 0,
             room_used: 0,
             busy_until: MonoTime::ZERO,
@@ -53,6 +69,14 @@
         }
     }
 
+    /// True if this is known to be another start of the upstream than the one known
+    /// here: a later one by its own word, or one elsewhere that is not an earlier one.
+    pub(crate) fn is_replaced_by(&self, announced: &StageUpstream) -> bool {
+        let earlier = self.start.is_later_than(announced.start);
+        let elsewhere = self.address != announced.address;
+        announced.start.is_later_than(self.start) || (elsewhere && !earlier)
+    }
+
     pub(crate) fn open_calls(&self) -> u32 {
         self.open_calls
     }
--- a/crates/serving/src/desk_rooms.rs
+++ b/crates/serving/src/desk_rooms.rs
@@ -3,6 +3,7 @@
 use jd_types::MonoTime;
 
 use crate::RoomQuestion;
+use crate::RoomReport;
 use crate::StageDesk;
 
 impl StageDesk {
@@ -22,12 +23,15 @@
         questions
     }
 
-    /// What an upstream told of its room: its free bytes; none if it did not.
-    pub fn told_room(&mut self, asked: &RoomQuestion, free: Option<u64>) {
+    /// What an upstream told of its room; none if it did not.
+    pub fn told_room(&mut self, now: MonoTime, asked: &RoomQuestion, told: Option<RoomReport>) {
+        if let Some(report) = told {
+            self.told_start(now, &asked.service, &asked.upstream, report.start);
+        }
         if let Some(queue) = self.queues.get_mut(&asked.service) {
             let all = queue.spec.room_bytes;
             if let Some(upstream) = queue.upstream(&asked.upstream) {
-                upstream.told_room(free, all);
+                upstream.told_room(told.map(|t| t.free), all);
             }
         }
     }
--- a/crates/serving/src/result_room.rs
+++ b/crates/serving/src/result_room.rs
@@ -43,6 +43,17 @@
         self.held.remove(handle).map(|(place, _)| place)
     }
 
+    /// Forgets the results that lie at a place; returns them.
+    pub(crate) fn lose(
+        &mut self,
+        is_there: impl Fn(&CompactString, &CompactString) -> bool,
+    ) -> Vec<CompactString> {
+        let lost = self
+            .held
+            .extract_if(|_, ((service, upstream, _), _)| is_there(service, upstream));
+        lost.map(|(handle, _)| handle).collect()
+    }
+
     /// The places of results that have expired.
     pub(crate) fn expire(&mut self, now: MonoTime) -> Vec<Place> {
         let over = self.held.extract_if(|_, (_, until)| *until <= now);
--- a/crates/serving/src/stage_desk.rs
+++ b/crates/serving/src/stage_desk.rs
@@ -1,16 +1,12 @@
 //! Which pieces of which requests go to which upstream, and when.
 
-use std::collections::BTreeMap;
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use compact_str::CompactString;
 use jd_types::MonoTime;
-use jd_types::Name;
 
 use crate::BatchCall;
-use crate::BatchSpec;
 use crate::CallKey;
 use crate::CallResult;
 use crate::JobEnd;
@@ -18,7 +14,6 @@
 use crate::JobKey;
 use crate::PieceKey;
 use crate::StageJob;
-use crate::batch_upstream::BatchUpstream;
 use crate::desk_call::OpenCall;
 use crate::desk_call::Reading;
 use crate::desk_job::Job;
@@ -61,33 +56,6 @@
 }
 
 impl StageDesk {
-    /// A service's upstreams, as they are now.
-    pub fn set_upstreams(
-        &mut self,
-        service: &str,
-        spec: BatchSpec,
-        upstreams: impl Iterator<Item = (CompactString, SocketAddr, Name)>,
-    ) {
-        let queue = self.queues.entry(service.into()).or_insert_with(|| Queue {
-            spec,
-            upstreams: Vec::new(),
-            waiting: BTreeMap::new(),
-            pace: 1.0,
-            usual_wait: Duration::ZERO,
-        });
-        queue.spec = spec;
-        let mut old = std::mem::take(&mut queue.upstreams);
-        queue.upstreams = upstreams
-            .map(|(id, address, zone)| {
-                let same = old.iter().position(|u| u.id == id);
-                same.map_or_else(
-                    || BatchUpstream::new(id, address, zone),
-                    |n| old.swap_remove(n),
-                )
-            })
-            .collect();
-    }
-
     /// Takes the stages of a request in, or says at once why not.
     pub fn submit(&mut self, now: MonoTime, job: StageJob) -> Result<JobKey, JobFailure> {
         let mut used = job.stages.iter().filter(|s| s.pieces > 0);
--- a/crates/serving/src/stage_job.rs
+++ b/crates/serving/src/stage_job.rs
@@ -237,6 +237,30 @@
         after.flat_map(|a| self.results_of(*a)).collect()
     }
 
+    /// The pieces whose results are among these.
+    pub(crate) fn makers(&self, handles: &[CompactString]) -> Vec<PieceKey> {
+        let mut makers = Vec::new();
+        for (stage, pieces) in self.results.iter().enumerate() {
+            for (piece, state) in pieces.iter().enumerate() {
+                if matches!(state, PieceState::Done(h) if handles.contains(h)) {
+                    makers.push(PieceKey { stage, piece });
+                }
+            }
+        }
+        makers
+    }
+
+    /// The result of a piece is gone; returns the stages that have to wait for it
+    /// again.
+    pub(crate) fn lost(&mut self, piece: PieceKey) -> Vec<usize> {
+        self.open(piece);
+        let waiting: Vec<usize> = self.dependents(piece.stage).collect();
+        for stage in &waiting {
+            self.started[*stage] = false;
+        }
+        waiting
+    }
+
     /// All results that lie somewhere.
     pub(crate) fn all(&self) -> Vec<CompactString> {
         let results = self.results.iter().flatten();
--- a/crates/serving/src/stage_queue.rs
+++ b/crates/serving/src/stage_queue.rs
@@ -71,6 +71,16 @@
 }
 
 impl Queue {
+    pub(crate) fn new(spec: BatchSpec) -> Queue {
+        Queue {
+            spec,
+            upstreams: Vec::new(),
+            waiting: BTreeMap::new(),
+            pace: 1.0,
+            usual_wait: Duration::ZERO,
+        }
+    }
+
     /// How long what waits now takes to be served, after what is being worked on.
     pub(crate) fn backlog(&self, now: MonoTime) -> Duration {
         self.time_for(now, self.waiting.len())
--- a/crates/serving/src/upstream_directory.rs
+++ b/crates/serving/src/upstream_directory.rs
@@ -8,6 +8,8 @@
 use jd_types::MonoTime;
 use jd_types::Name;
 
+use crate::UpstreamStart;
+
 /// How long after the store's return an entry that lapsed may still come back.
 /// The users' platform puts entries of live upstreams back within two seconds.
 const LAPSE_GRACE: Duration = Duration::from_secs(2);
@@ -15,8 +17,10 @@
 /// What an upstream says of itself.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct UpstreamEntry {
-    /// The identity of this start of it.
+    /// Its identity.
     pub id: CompactString,
+    /// Which start of it this is.
+    pub start: UpstreamStart,
     /// The service that it belongs to.
     pub service: CompactString,
     /// Where it answers.
@@ -68,9 +72,23 @@
         news
     }
 
-    /// An entry was written; true if it changes anything.
+    /// An entry was written; true if it changes anything. One of an earlier start
+    /// than the one that is known is news that comes late, and changes nothing; one
+    /// that does not tell its start, where upstreams do, is another writer's and names
+    /// no upstream.
     pub fn put(&mut self, entry: UpstreamEntry) -> bool {
+        let most_tell = most_tell_start(self.entries());
+        self.take(entry, most_tell)
+    }
+
+    fn take(&mut self, entry: UpstreamEntry, most_tell: bool) -> bool {
+        if most_tell && !entry.start.is_told() {
+            return self.leave_out(&entry.id);
+        }
         let known = self.known.get(&entry.id);
+        if known.is_some_and(|k| k.entry.start.is_later_than(entry.start)) {
+            return false;
+        }
         if known.is_some_and(|k| k.entry == entry && !k.lapsed) {
             return false;
         }
@@ -80,6 +98,13 @@
         true
     }
 
+    /// Nothing names this upstream any more; true if that changes anything. Unlike
+    /// one that is missing it does not count as lapsed with the store: there is an
+    /// entry, and it is not the upstream's.
+    pub fn leave_out(&mut self, id: &str) -> bool {
+        self.known.remove(id).is_some()
+    }
+
     /// An entry is missing; true if that changes anything. One that had said
     /// that it leaves is gone at once.
     pub fn remove(&mut self, now: MonoTime, id: &str) -> bool {
@@ -106,8 +131,9 @@
         for id in missing {
             changed |= self.remove(now, &id);
         }
+        let most_tell = most_tell_start(entries.iter());
         for entry in entries {
-            changed |= self.put(entry);
+            changed |= self.take(entry, most_tell);
         }
         changed
     }
@@ -131,3 +157,10 @@
         self.away || self.back.is_some_and(|back| now.since(back) < LAPSE_GRACE)
     }
 }
+
+/// True if more of the entries tell their start than do not. One alone that tells it
+/// may be another writer's, and must not cost the others their place.
+fn most_tell_start<'a>(entries: impl Iterator<Item = &'a UpstreamEntry>) -> bool {
+    let (told, untold): (Vec<_>, Vec<_>) = entries.partition(|e| e.start.is_told());
+    told.len() > untold.len()
+}
--- a/crates/serving/tests/knowledge.rs
+++ b/crates/serving/tests/knowledge.rs
@@ -11,6 +11,7 @@
 use jd_serving::RepeatBudget;
 use jd_serving::UpstreamDirectory;
 use jd_serving::UpstreamEntry;
+use jd_serving::UpstreamStart;
 use jd_types::MonoTime;
 use jd_types::Name;
 
@@ -21,6 +22,7 @@
 fn upstream(id: &str, leaving: bool) -> UpstreamEntry {
     UpstreamEntry {
         id: id.into(),
+        start: UpstreamStart::UNTOLD,
         service: "pool".into(),
         address: SocketAddr::from(([127, 0, 0, 1], 80)),
         zone: Name::try_from("a").expect("a name"),
--- a/crates/serving/tests/stage_world/mod.rs
+++ b/crates/serving/tests/stage_world/mod.rs
@@ -11,14 +11,18 @@
 use compact_str::format_compact;
 use jd_serving::BatchCall;
 use jd_serving::BatchSpec;
+use jd_serving::CallKey;
 use jd_serving::CallResult;
 use jd_serving::JobFailure;
 use jd_serving::JobKey;
 use jd_serving::JobStage;
 use jd_serving::PieceResult;
 use jd_serving::PieceSource;
+use jd_serving::RoomReport;
 use jd_serving::StageDesk;
 use jd_serving::StageJob;
+use jd_serving::StageUpstream;
+use jd_serving::UpstreamStart;
 use jd_types::MonoTime;
 use jd_types::Name;
 
@@ -44,6 +48,10 @@
     pub(crate) lying: HashMap<CompactString, (CompactString, u64)>,
     /// Upstreams that do not answer.
     pub(crate) silent: HashSet<CompactString>,
+    /// The results of each call.
+    pub(crate) made: HashMap<CallKey, Vec<CompactString>>,
+    /// Pieces that were to work on results that were gone.
+    pub(crate) gone: usize,
     /// How often an upstream was asked for its room.
     pub(crate) questions: u32,
     bytes: u64,
@@ -61,7 +69,7 @@
     pub(crate) fn new(services: &[&str], bytes: u64) -> World {
         let mut desk = StageDesk::default();
         for service in services {
-            desk.set_upstreams(service, SPEC, upstreams(service, &[1, 2]));
+            desk.set_upstreams(MonoTime::ZERO, service, SPEC, upstreams(service, &[1, 2]));
         }
         World {
             desk,
@@ -70,6 +78,8 @@
             ended: HashMap::new(),
             lying: HashMap::new(),
             silent: HashSet::new(),
+            made: HashMap::new(),
+            gone: 0,
             questions: 0,
             bytes,
             due: BTreeMap::new(),
@@ -137,7 +147,11 @@
             let used = self.used(&question.upstream);
             let free = SPEC.room_bytes.saturating_sub(used);
             self.questions += 1;
-            self.desk.told_room(&question, Some(free));
+            let told = RoomReport {
+                free,
+                start: UpstreamStart::UNTOLD,
+            };
+            self.desk.told_room(self.now, &question, Some(told));
         }
         while let Some(call) = self.desk.next_call(self.now) {
             self.numbers += 1;
@@ -173,6 +187,7 @@
             if let PieceSource::Results(inputs) = &piece.source {
                 assert!(!inputs.is_empty(), "a later stage needs inputs");
                 if inputs.iter().any(|i| self.lost.contains(i)) {
+                    self.gone += 1;
                     results.push(PieceResult::InputGone);
                     continue;
                 }
@@ -181,6 +196,7 @@
             let handle = format_compact!("{}/{}", call.upstream, self.numbers);
             let place = (call.upstream.clone(), self.bytes);
             self.lying.insert(handle.clone(), place);
+            self.made.entry(call.key).or_default().push(handle.clone());
             results.push(PieceResult::Done(handle));
         }
         let used = self.used(&call.upstream);
@@ -194,16 +210,17 @@
 }
 
 /// Upstreams of a service; the odd ones stand in zone `a`, the others in `b`.
-pub(crate) fn upstreams(
-    service: &str,
-    numbers: &[u16],
-) -> impl Iterator<Item = (CompactString, SocketAddr, Name)> {
-    let made: Vec<(CompactString, SocketAddr, Name)> = numbers
+pub(crate) fn upstreams(service: &str, numbers: &[u16]) -> impl Iterator<Item = StageUpstream> {
+    let made: Vec<StageUpstream> = numbers
         .iter()
         .map(|n| {
-            let id = format_compact!("{service}-{n}");
             let zone = if n % 2 == 1 { "a" } else { "b" };
-            (id, SocketAddr::from(([127, 0, 0, 1], *n)), name(zone))
+            StageUpstream {
+                id: format_compact!("{service}-{n}"),
+                start: UpstreamStart::UNTOLD,
+                address: SocketAddr::from(([127, 0, 0, 1], *n)),
+                zone: name(zone),
+            }
         })
         .collect();
     made.into_iter()
--- a/crates/serving/tests/stages.rs
+++ b/crates/serving/tests/stages.rs
@@ -294,7 +294,7 @@
     let left = if used == "first-1" { 2 } else { 1 };
     world
         .desk
-        .set_upstreams("first", SPEC, upstreams("first", &[left]));
+        .set_upstreams(world.now, "first", SPEC, upstreams("first", &[left]));
     world.run(500);
     assert_eq!(whole(&world, key), 2);
     world
