Count calls to the store by kind and outcome

A line each ten seconds names them by kind, the metric by kind and outcome. A watch ends now also when its body stalls.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -36,6 +36,7 @@
 use crate::stage_batches::StageBatches;
 use crate::stage_runner::StageRunner;
 use crate::state::State;
+use crate::store_call::StoreCallCounts;
 use crate::store_follower::StoreFollower;
 use crate::store_intake::StoreIntake;
 use crate::store_lease::StoreLease;
@@ -118,6 +119,7 @@
         let link = Arc::new(StoreLink {
             state: Arc::clone(&state),
             store: Arc::clone(&store),
+            counts: StoreCallCounts::default(),
         });
         let lease = Arc::new(StoreLease {
             link: Arc::clone(&link),
@@ -163,12 +165,14 @@
             listen(&state, s.peers, own, Arc::new(PeerHandler::new(peer_api)))?,
         ];
         let following = follow_limits(Arc::clone(&state), Arc::clone(&callers));
+        let reporting = Arc::clone(&lease.link).report();
         let tasks = vec![
             executor.spawn(following),
             executor.spawn(Arc::clone(&follower).follow()),
             executor.spawn(follower.expire()),
             executor.spawn(proof.keep()),
             executor.spawn(Arc::clone(&lease).keep()),
+            executor.spawn(reporting),
             executor.spawn(peers.beat()),
             executor.spawn(batches.tick()),
             executor.spawn(release.run()),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -28,6 +28,7 @@
 mod stage_runner;
 mod state;
 mod store;
+mod store_call;
 mod store_follower;
 mod store_intake;
 mod store_lease;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -15,6 +15,12 @@
     outcome: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct StoreOutcome {
+    call: &'static str,
+    outcome: &'static str,
+}
+
 /// What the gateway counts, and its text form.
 #[derive(Debug)]
 pub(crate) struct Metrics {
@@ -23,8 +29,7 @@
     attempts: Family<Outcome, Counter>,
     stages: Family<Outcome, Counter>,
     repeats: Family<Outcome, Counter>,
-    store_calls: Counter,
-    store_failures: Counter,
+    store_calls: Family<StoreOutcome, Counter>,
     seconds: Histogram,
     stage_seconds: Histogram,
 }
@@ -39,8 +44,7 @@
             attempts: Family::default(),
             stages: Family::default(),
             repeats: Family::default(),
-            store_calls: Counter::default(),
-            store_failures: Counter::default(),
+            store_calls: Family::default(),
             seconds: histogram(),
             stage_seconds: histogram(),
             registry: Registry::default(),
@@ -71,11 +75,6 @@
             "Calls to the store",
             metrics.store_calls.clone(),
         );
-        r.register(
-            "jd_gateway_store_failures",
-            "Calls to the store that failed",
-            metrics.store_failures.clone(),
-        );
         r.register(
             "jd_gateway_request_seconds",
             "From arrival to the head of the answer",
@@ -111,12 +110,9 @@
         self.repeats.get_or_create(&Outcome { outcome }).inc();
     }
 
-    pub(crate) fn store_call(&self) {
-        self.store_calls.inc();
-    }
-
-    pub(crate) fn store_failed(&self) {
-        self.store_failures.inc();
+    pub(crate) fn store_call(&self, call: &'static str, outcome: &'static str) {
+        let labels = StoreOutcome { call, outcome };
+        self.store_calls.get_or_create(&labels).inc();
     }
 
     /// The text form that collectors read.
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -96,6 +96,19 @@
     Unreadable,
 }
 
+impl StoreError {
+    /// Its name in metrics.
+    pub(crate) const fn as_str(self) -> &'static str {
+        match self {
+            StoreError::Refused => "refused",
+            StoreError::Lost => "lost",
+            StoreError::HistoryGone => "history-gone",
+            StoreError::LeaseGone => "lease-gone",
+            StoreError::Unreadable => "unreadable",
+        }
+    }
+}
+
 /// The store that holds what must last: the operator's configuration and the
 /// entries of upstreams and instances.
 pub trait Store: Debug + Send + Sync {
--- /dev/null
+++ b/crates/gateway/src/store_call.rs
@@ -0,0 +1,68 @@
+//! The kinds of calls to the store, and how many there were.
+
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+/// A kind of call to the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum StoreCall {
+    /// Reading a page of all that it holds.
+    Page,
+    /// Waiting for changes.
+    Watch,
+    /// Asking for its revision, the proof of what is in force.
+    Confirm,
+    /// Taking a lease.
+    Lease,
+    /// Renewing one.
+    Renew,
+    /// Writing this instance's entry.
+    Announce,
+    /// Removing it.
+    Withdraw,
+}
+
+impl StoreCall {
+    const ALL: [StoreCall; 7] = [
+        StoreCall::Page,
+        StoreCall::Watch,
+        StoreCall::Confirm,
+        StoreCall::Lease,
+        StoreCall::Renew,
+        StoreCall::Announce,
+        StoreCall::Withdraw,
+    ];
+
+    /// Its name in logs and metrics.
+    pub(crate) const fn as_str(self) -> &'static str {
+        match self {
+            StoreCall::Page => "page",
+            StoreCall::Watch => "watch",
+            StoreCall::Confirm => "confirm",
+            StoreCall::Lease => "lease",
+            StoreCall::Renew => "renew",
+            StoreCall::Announce => "announce",
+            StoreCall::Withdraw => "withdraw",
+        }
+    }
+}
+
+/// Calls to the store since they were last told, by kind.
+#[derive(Debug, Default)]
+pub(crate) struct StoreCallCounts([AtomicU64; StoreCall::ALL.len()]);
+
+impl StoreCallCounts {
+    pub(crate) fn add(&self, call: StoreCall) {
+        self.0[call as usize].fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// The counts since the last question, as text; none if there were no calls.
+    pub(crate) fn take(&self) -> Option<String> {
+        let taken = StoreCall::ALL.map(|c| (c, self.0[c as usize].swap(0, Ordering::Relaxed)));
+        let called = taken.iter().filter(|(_, count)| *count > 0);
+        let parts: Vec<String> = called
+            .map(|(call, count)| format!("{count} {}", call.as_str()))
+            .collect();
+        (!parts.is_empty()).then(|| parts.join(", "))
+    }
+}
--- a/crates/gateway/src/store_follower.rs
+++ b/crates/gateway/src/store_follower.rs
@@ -13,6 +13,7 @@
 use crate::Page;
 use crate::StoreError;
 use crate::peers::Peers;
+use crate::store_call::StoreCall;
 use crate::store_intake::StoreIntake;
 use crate::store_link::CALL_WITHIN;
 use crate::store_link::StoreLink;
@@ -76,7 +77,7 @@
                     }
                     Err(e) => {
                         failures = failures.saturating_add(1);
-                        self.link.failed("list", e);
+                        self.link.failed(StoreCall::Page, e);
                     }
                 }
             }
@@ -155,8 +156,8 @@
     }
 
     async fn read_page(&self, after: &str, patience: Duration) -> Result<Page, StoreError> {
-        let page = self.link.call(patience, self.link.store.page(after));
-        let page = page.await?;
+        let reading = self.link.store.page(after);
+        let page = self.link.call(StoreCall::Page, patience, reading).await?;
         self.link.succeeded();
         Ok(page)
     }
@@ -170,7 +171,7 @@
         for _ in 0..PAGE_TRIES {
             match self.read_page(after, CALL_WITHIN).await {
                 Ok(page) => return Ok(page),
-                Err(e) => self.link.failed("list", e),
+                Err(e) => self.link.failed(StoreCall::Page, e),
             }
             Timer::after(PAGE_PAUSE.mul_f64(0.5 + fastrand::f64())).await;
         }
@@ -179,9 +180,10 @@
 
     async fn watch(&self, wait: Duration) -> Round {
         let state = &self.link.state;
-        state.metrics.store_call();
         let revision = state.knowledge().mirror.revision();
-        match self.link.store.watch(revision, wait).await {
+        let watching = self.link.store.watch(revision, wait);
+        let patience = wait + CALL_WITHIN;
+        match self.link.call(StoreCall::Watch, patience, watching).await {
             Ok(changes) => {
                 self.link.succeeded();
                 self.intake.take(News {
@@ -197,7 +199,7 @@
                 Round::Lost
             }
             Err(e) => {
-                self.link.failed("watch", e);
+                self.link.failed(StoreCall::Watch, e);
                 state.store_back.wait(AWAY_PAUSE).await;
                 Round::Kept
             }
--- a/crates/gateway/src/store_lease.rs
+++ b/crates/gateway/src/store_lease.rs
@@ -6,6 +6,7 @@
 
 use crate::LeaseId;
 use crate::StoreError;
+use crate::store_call::StoreCall;
 use crate::store_link::CALL_WITHIN;
 use crate::store_link::StoreLink;
 
@@ -24,7 +25,6 @@
             match self.announce(lease).await {
                 Ok(held) => lease = Some(held),
                 Err(e) => {
-                    state.metrics.store_failed();
                     log::debug!(error:% = e; "entry not renewed");
                     lease = lease.filter(|_| e != StoreError::LeaseGone);
                 }
@@ -37,21 +37,32 @@
     pub(crate) async fn withdraw(&self) {
         let me = self.link.state.me.incarnation;
         let withdrawing = self.link.store.withdraw(me);
-        if let Err(e) = self.link.call(CALL_WITHIN, withdrawing).await {
+        if let Err(e) = self
+            .link
+            .call(StoreCall::Withdraw, CALL_WITHIN, withdrawing)
+            .await
+        {
             log::info!(error:% = e; "entry not removed; its lease will run out");
         }
     }
 
     async fn announce(&self, lease: Option<LeaseId>) -> Result<LeaseId, StoreError> {
-        let StoreLink { state, store } = &*self.link;
+        let StoreLink { state, store, .. } = &*self.link;
         if let Some(lease) = lease {
-            self.link.call(CALL_WITHIN, store.renew(lease)).await?;
+            self.link
+                .call(StoreCall::Renew, CALL_WITHIN, store.renew(lease))
+                .await?;
             return Ok(lease);
         }
         let taking = store.lease(state.settings.lease);
-        let lease = self.link.call(CALL_WITHIN, taking).await?;
+        let lease = self
+            .link
+            .call(StoreCall::Lease, CALL_WITHIN, taking)
+            .await?;
         let announcing = store.announce(&state.me, lease);
-        self.link.call(CALL_WITHIN, announcing).await?;
+        self.link
+            .call(StoreCall::Announce, CALL_WITHIN, announcing)
+            .await?;
         Ok(lease)
     }
 }
--- a/crates/gateway/src/store_link.rs
+++ b/crates/gateway/src/store_link.rs
@@ -3,12 +3,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use async_io::Timer;
 use jd_net::within;
 use jd_serving::NewsSource;
 
 use crate::Store;
 use crate::StoreError;
 use crate::state::State;
+use crate::store_call::StoreCall;
+use crate::store_call::StoreCallCounts;
 
 /// How long a call may take. Six times what the slowest store of the users'
 /// pages took; a connection that is silent for longer is given up.
@@ -18,6 +21,9 @@
 /// answers on the users' pages.
 const AWAY_CALL_WITHIN: Duration = Duration::from_millis(400);
 
+/// How often the calls made are logged: one line in as much time as a few proofs.
+const REPORT_EVERY: Duration = Duration::from_secs(10);
+
 /// How long a call may take after so many that failed. A connection that was
 /// begun while the store was away may hang for its whole time after the return; a
 /// new one is tried sooner.
@@ -33,19 +39,37 @@
 pub(crate) struct StoreLink {
     pub(crate) state: Arc<State>,
     pub(crate) store: Arc<dyn Store>,
+    pub(crate) counts: StoreCallCounts,
 }
 
 impl StoreLink {
     /// Makes a call; lost if it takes longer than `patience`.
     pub(crate) async fn call<T>(
         &self,
+        kind: StoreCall,
         patience: Duration,
         call: impl Future<Output = Result<T, StoreError>>,
     ) -> Result<T, StoreError> {
-        self.state.metrics.store_call();
-        within(patience, call)
-            .await
-            .unwrap_or(Err(StoreError::Lost))
+        self.counts.add(kind);
+        let result = within(patience, call).await;
+        let result = result.unwrap_or(Err(StoreError::Lost));
+        let outcome = match &result {
+            Ok(_) => "done",
+            Err(e) => e.as_str(),
+        };
+        self.state.metrics.store_call(kind.as_str(), outcome);
+        result
+    }
+
+    /// Logs for good how many calls there were.
+    pub(crate) async fn report(self: Arc<Self>) {
+        loop {
+            Timer::after(REPORT_EVERY).await;
+            if let Some(counts) = self.counts.take() {
+                let source = self.state.news_source();
+                log::info!(counts = counts.as_str(), source:? = source; "store calls");
+            }
+        }
     }
 
     /// The store answered, this instance or the one that it follows.
@@ -60,9 +84,8 @@
     }
 
     /// The store did not answer this instance.
-    pub(crate) fn failed(&self, call: &str, e: StoreError) {
-        self.state.metrics.store_failed();
-        log::warn!(call, error:% = e; "store call failed");
+    pub(crate) fn failed(&self, kind: StoreCall, e: StoreError) {
+        log::warn!(call = kind.as_str(), error:% = e; "store call failed");
         // Entries lapse for those that hear of it through another instance when
         // that one loses the store, whatever this one's own way there is like.
         if self.state.news_source() == NewsSource::Store {
--- a/crates/gateway/src/store_proof.rs
+++ b/crates/gateway/src/store_proof.rs
@@ -6,6 +6,7 @@
 use async_io::Timer;
 use jd_serving::NewsSource;
 
+use crate::store_call::StoreCall;
 use crate::store_link::StoreLink;
 use crate::store_link::patience;
 
@@ -27,7 +28,7 @@
 impl StoreProof {
     /// Asks again and again. Another instance's proof does as well.
     pub(crate) async fn keep(self: Arc<Self>) {
-        let StoreLink { state, store } = &*self.link;
+        let StoreLink { state, store, .. } = &*self.link;
         let mut failures: u32 = 0;
         loop {
             match failures {
@@ -42,7 +43,9 @@
             if !state.has_read() {
                 continue;
             }
-            match self.link.call(patience(failures), store.revision()).await {
+            let asking = store.revision();
+            let patience = patience(failures);
+            match self.link.call(StoreCall::Confirm, patience, asking).await {
                 Ok(revision) => {
                     failures = 0;
                     self.link.succeeded();
@@ -51,7 +54,7 @@
                 }
                 Err(e) => {
                     failures = failures.saturating_add(1);
-                    self.link.failed("confirm", e);
+                    self.link.failed(StoreCall::Confirm, e);
                 }
             }
         }
