Two read the store for the whole fleet, relays of each zone tell the others

Hypothesis: calls grow with zones (two watchers each, answered for each change), with every instance that the store turns away, and with each start that reads.

Change: the first two of one order over the fleet watch and prove; two of each zone hear these and the others hear those. One that is silent or has lost the store is passed over for three seconds for the next of four; while all say the store is away a few go on asking and the others take their word. A first reading may be old (it proves nothing, costs a tenth and counts against no rate). Pauses grow for who asks in vain.

The tests of watchers per zone are replaced by those of news_sources.rs: two readers at 20, 75, 295 and 1,100 instances, at most two steps, replaced readers and relays, no circle, at most 24 of 295 that ask while the store is away.

--- a/crates/gateway/src/peer_news.rs
+++ b/crates/gateway/src/peer_news.rs
@@ -65,7 +65,7 @@
 pub(crate) async fn answer(state: &State, req: FollowRequest) -> FollowReply {
     let came = state.now();
     let until = came + Duration::from_millis(u64::from(req.wait_ms));
-    let away = state.knowledge().upstreams.is_store_away();
+    let away = state.has_lost_store();
     loop {
         let news = state.news.listen();
         let left = until.since(state.now());
@@ -84,7 +84,7 @@
         revision: i.revision,
         removed: i.removed,
     });
-    let store_away = state.knowledge().upstreams.is_store_away();
+    let store_away = state.has_lost_store();
     FollowReply {
         revision: news.revision,
         whole: news.whole,
@@ -96,6 +96,9 @@
 }
 
 fn is_news(state: &State, came: MonoTime, req: &FollowRequest, away: bool) -> bool {
+    if state.has_lost_store() != away {
+        return true;
+    }
     let knowledge = state.knowledge();
     let theirs = req.proof.map(|p| proof_at(came, p).asked);
     let ours = knowledge.freshness.proof().map(|p| p.asked);
@@ -104,9 +107,7 @@
         (ours, None) => ours.is_some(),
         (None, Some(_)) => false,
     };
-    younger
-        || knowledge.mirror.revision() > req.after
-        || knowledge.upstreams.is_store_away() != away
+    younger || knowledge.mirror.revision() > req.after
 }
 
 /// The youngest proof of what is in force, with its age.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -15,11 +15,11 @@
 use jd_serving::Heartbeat;
 use jd_serving::InstanceEntry;
 use jd_serving::JobFailure;
+use jd_serving::NewsSource;
 use jd_serving::SMALL_FLEET;
 use jd_serving::Shard;
 use jd_serving::StageJob;
 use jd_serving::owners;
-use jd_serving::watchers;
 use jd_types::Incarnation;
 use jd_types::MonoTime;
 use jd_wire::BeatReply;
@@ -156,8 +156,8 @@
     }
 
     /// The instances that heartbeats are exchanged with: all of a small fleet; of
-    /// a larger one the owners of batches, those that watch the store for this
-    /// zone, and the few that follow this one in the order of their numbers, so
+    /// a larger one the owners of batches, the one from whom this one hears of the
+    /// store, and the few that follow this one in the order of their numbers, so
     /// that everybody is watched by somebody.
     fn watched(&self, mut all: Vec<InstanceEntry>) -> Vec<InstanceEntry> {
         if all.len() <= SMALL_FLEET {
@@ -175,7 +175,9 @@
             let first = owners(shard, everybody()).into_iter().take(WATCHED_OWNERS);
             ids.extend(first.map(|e| e.incarnation));
         }
-        ids.extend(watchers(&self.state.me, all.iter()));
+        if let NewsSource::Instance(id) = self.state.news_source() {
+            ids.push(id);
+        }
         let mut ring: Vec<Incarnation> = everybody().map(|e| e.incarnation).collect();
         ring.sort_unstable();
         let next = ring.iter().position(|id| *id == me).map_or(0, |n| n + 1);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -27,6 +27,7 @@
 use jd_serving::Router;
 use jd_serving::Shard;
 use jd_serving::ShardMap;
+use jd_serving::SourceState;
 use jd_serving::StoreMirror;
 use jd_serving::UpstreamDirectory;
 use jd_serving::news_source;
@@ -40,9 +41,9 @@
 use crate::signal::Signal;
 use crate::upstream_table::UpstreamTable;
 
-/// How long an instance that had lost the store is not followed. Asked sooner it
-/// would mostly say the same.
-const LOST_STORE_LASTS: Duration = Duration::from_secs(3);
+/// How long it counts that an instance brought no news or had lost the store. Asked
+/// sooner it would mostly be the same.
+const SOURCE_STATE_LASTS: Duration = Duration::from_secs(3);
 /// How long an owner's word on its backlog counts: three heartbeats.
 const BACKLOG_LASTS: Duration = Duration::from_millis(1_200);
 
@@ -54,23 +55,33 @@
     pub(crate) instances: InstanceDirectory,
     pub(crate) deployment_version: u64,
     pub(crate) mirror: StoreMirror,
-    /// Instances that were followed and brought no news, or lost the store, and when.
-    pub(crate) lost_store: HashMap<Incarnation, MonoTime>,
+    /// Instances that brought no news or had lost the store, and when.
+    sources: HashMap<Incarnation, (MonoTime, SourceState)>,
     /// What owners last said of their shards, and when.
     pub(crate) backlogs: HashMap<Shard, (MonoTime, Duration)>,
 }
 
 impl Knowledge {
-    /// True if an instance brought no news a moment ago.
-    fn has_lost_store(&self, now: MonoTime, id: Incarnation) -> bool {
-        let since = self.lost_store.get(&id);
-        since.is_some_and(|s| now.since(*s) < LOST_STORE_LASTS)
+    /// What an instance was lately like as a source of news.
+    fn source_state(&self, now: MonoTime, id: Incarnation) -> SourceState {
+        match self.sources.get(&id) {
+            Some((since, state)) if now.since(*since) < SOURCE_STATE_LASTS => *state,
+            _ => SourceState::Able,
+        }
     }
 
-    /// Forgets who lost the store longer ago than counts.
-    pub(crate) fn forget_lost(&mut self, now: MonoTime) {
-        self.lost_store
-            .retain(|_, since| now.since(*since) < LOST_STORE_LASTS);
+    /// An instance was like this as a source of news.
+    pub(crate) fn note_source(&mut self, now: MonoTime, id: Incarnation, state: SourceState) {
+        match state {
+            SourceState::Able => self.sources.remove(&id),
+            _ => self.sources.insert(id, (now, state)),
+        };
+    }
+
+    /// Forgets what sources were like longer ago than counts.
+    pub(crate) fn forget_sources(&mut self, now: MonoTime) {
+        self.sources
+            .retain(|_, (since, _)| now.since(*since) < SOURCE_STATE_LASTS);
     }
 }
 
@@ -79,6 +90,7 @@
 pub(crate) struct State {
     pub(crate) settings: GatewaySettings,
     pub(crate) clock: Clock,
+    began: MonoTime,
     pub(crate) executor: Arc<Executor<'static>>,
     pub(crate) pool: HttpPool,
     pub(crate) dialect: Arc<dyn Dialect>,
@@ -87,8 +99,8 @@
     pub(crate) upstreams: ArcSwap<UpstreamTable>,
     pub(crate) shards: ArcSwap<ShardMap>,
     pub(crate) metrics: Metrics,
-    /// Signals that the store does not answer, and that it does again.
-    pub(crate) store_lost: Signal,
+    /// Signals that proof is to be asked for at once, and that the store is back.
+    pub(crate) proof_wanted: Signal,
     pub(crate) store_back: Signal,
     /// Tells those that follow this instance that there is news.
     pub(crate) news: Event,
@@ -109,6 +121,7 @@
     ) -> State {
         State {
             settings,
+            began: clock.now(),
             clock,
             executor,
             pool,
@@ -118,7 +131,7 @@
             upstreams: ArcSwap::default(),
             shards: ArcSwap::default(),
             metrics: Metrics::new(),
-            store_lost: Signal::new(),
+            proof_wanted: Signal::new(),
             store_back: Signal::new(),
             news: Event::new(),
             knowledge: Mutex::default(),
@@ -141,6 +154,19 @@
         self.knowledge().freshness.age(self.now())
     }
 
+    /// For how long there has been no proof, since the start at most.
+    pub(crate) fn without_proof(&self) -> Duration {
+        self.proof_age().unwrap_or(self.now().since(self.began))
+    }
+
+    /// True if this instance has no way to the store, neither its own nor another's.
+    pub(crate) fn has_lost_store(&self) -> bool {
+        let now = self.now();
+        let knowledge = self.knowledge();
+        let own = knowledge.source_state(now, self.me.incarnation);
+        own == SourceState::StoreAway || knowledge.upstreams.is_store_away()
+    }
+
     /// True while requests may be sent on the strength of what is known here.
     pub(crate) fn is_fresh(&self) -> bool {
         self.proof_age()
@@ -197,8 +223,8 @@
     pub(crate) fn news_source(&self) -> NewsSource {
         let now = self.now();
         let knowledge = self.knowledge();
-        let lost = |id| knowledge.has_lost_store(now, id);
-        news_source(&self.me, knowledge.instances.live(now), lost)
+        let state = |id| knowledge.source_state(now, id);
+        news_source(&self.me, knowledge.instances.live(now), state)
     }
 
     /// True once everything that the store holds has been read.
--- a/crates/gateway/src/store_follower.rs
+++ b/crates/gateway/src/store_follower.rs
@@ -7,10 +7,12 @@
 use futures_lite::FutureExt;
 use jd_serving::News;
 use jd_serving::NewsSource;
+use jd_serving::SourceState;
 use jd_serving::StoreItem;
 use jd_types::Incarnation;
 
 use crate::Page;
+use crate::Reading;
 use crate::StoreError;
 use crate::peers::Peers;
 use crate::store_call::StoreCall;
@@ -21,11 +23,12 @@
 
 /// How long one watch waits for changes: the longest that the store allows.
 const WATCH_WAIT: Duration = Duration::from_secs(30);
-/// How long an instance watches that the one it follows does not answer.
-const STAND_IN_WATCH: Duration = Duration::from_secs(1);
 /// How long one question for another's news waits when there is none: a little
 /// more than the time in which the other renews its proof, which is news as well.
 const FOLLOW_WAIT: Duration = Duration::from_millis(1_500);
+/// How old proof may get at an instance that follows another before that one is
+/// passed over: two questions for proof, and two steps to this instance.
+const FOLLOWED_PROOF_MOST: Duration = Duration::from_millis(2_600);
 /// Pause between two watches, in which changes gather: each watch is a call, and
 /// when a fleet starts every instance's entry is a change for all others.
 const GATHER: Duration = Duration::from_millis(100);
@@ -37,6 +40,9 @@
 /// The mean pause before a process that has read nothing yet asks again. Until
 /// then it serves nobody, and it asks the store nothing else.
 const FIRST_READ_PAUSE: Duration = Duration::from_millis(350);
+/// The longest such pause: the store's return is noticed within twice this time, and
+/// a fleet of hundreds that waits for it asks some three hundred times a second.
+const FIRST_READ_PAUSE_MOST: Duration = Duration::from_millis(900);
 /// How often a page that is not the first is asked for again.
 const PAGE_TRIES: u32 = 6;
 /// The mean pause before that: rates of the store count in seconds.
@@ -66,6 +72,7 @@
     /// follows an instance that does; reads everything again where the news can
     /// no longer be trusted.
     pub(crate) async fn follow(self: Arc<Self>) {
+        let state = &self.link.state;
         let mut round = Round::Lost;
         let mut failures: u32 = 0;
         loop {
@@ -81,6 +88,10 @@
                     }
                 }
             }
+            if round == Round::Lost && !state.has_read() {
+                Timer::after(first_read_pause(failures)).await;
+                continue;
+            }
             let asking = self.round(round);
             let behind = async {
                 self.until_behind().await;
@@ -99,7 +110,7 @@
             let now = state.now();
             let changed = {
                 let mut knowledge = state.knowledge();
-                knowledge.forget_lost(now);
+                knowledge.forget_sources(now);
                 knowledge.instances.expire(now);
                 knowledge.upstreams.expire(now)
             };
@@ -115,34 +126,40 @@
         let state = &self.link.state;
         match state.news_source() {
             NewsSource::Instance(id) if self.follow_instance(id).await => Round::Kept,
-            _ if last == Round::Lost && state.has_read() => {
-                state.store_back.wait(AWAY_PAUSE).await;
-                Round::Lost
-            }
             _ if last == Round::Lost => {
-                let pause = FIRST_READ_PAUSE.mul_f64(0.7 + 0.6 * fastrand::f64());
-                Timer::after(pause).await;
+                state.store_back.wait(AWAY_PAUSE).await;
                 Round::Lost
             }
             NewsSource::Store => self.watch(WATCH_WAIT).await,
+            // It is passed over from now on, and the next one is asked.
             NewsSource::Instance(id) => {
-                log::info!(watcher:% = id; "no news from the instance followed; watching the store");
-                self.watch(STAND_IN_WATCH).await
+                log::info!(source:% = id; "no news from the instance followed");
+                Round::Kept
             }
         }
     }
 
+    /// Reads everything. The first time it may be seconds old: what has changed since
+    /// comes with the news after it, and until proof has come nothing is done that
+    /// needs it.
+    ///
+    /// Guards against a fleet of which all start at once: such a reading counts neither
+    /// against the store's rate nor, for nine tenths, among its calls.
     async fn read_all(&self, patience: Duration) -> Result<(), StoreError> {
         let state = &self.link.state;
+        let reading = match state.has_read() {
+            true => Reading::Newest,
+            false => Reading::MayBeOld,
+        };
         let asked = state.now();
-        let mut page = self.read_page("", patience).await?;
+        let mut page = self.read_page("", reading, patience).await?;
         // What changed since the first page comes with the news after it.
         let revision = page.revision;
         let mut items: Vec<StoreItem> = Vec::new();
         loop {
             items.append(&mut page.items);
             match items.last() {
-                Some(last) if page.more => page = self.read_on(&last.key).await?,
+                Some(last) if page.more => page = self.read_on(&last.key, reading).await?,
                 _ => break,
             }
         }
@@ -151,13 +168,23 @@
             items,
             revision,
         });
-        state.knowledge().freshness.confirmed(asked, revision);
+        match reading {
+            Reading::Newest => {
+                state.knowledge().freshness.confirmed(asked, revision);
+            }
+            Reading::MayBeOld => state.proof_wanted.give(),
+        }
         Ok(())
     }
 
-    async fn read_page(&self, after: &str, patience: Duration) -> Result<Page, StoreError> {
-        let reading = self.link.store.page(after);
-        let page = self.link.call(StoreCall::Page, patience, reading).await?;
+    async fn read_page(
+        &self,
+        after: &str,
+        reading: Reading,
+        patience: Duration,
+    ) -> Result<Page, StoreError> {
+        let page = self.link.store.page(after, reading);
+        let page = self.link.call(StoreCall::Page, patience, page).await?;
         self.link.succeeded();
         Ok(page)
     }
@@ -167,15 +194,15 @@
     /// Guards against all instances of a large fleet starting at once: together
     /// they ask for more than the store's rate and link carry in a second, and each
     /// that began anew after one refused page kept them busy for longer.
-    async fn read_on(&self, after: &str) -> Result<Page, StoreError> {
+    async fn read_on(&self, after: &str, reading: Reading) -> Result<Page, StoreError> {
         for _ in 0..PAGE_TRIES {
-            match self.read_page(after, CALL_WITHIN).await {
+            match self.read_page(after, reading, CALL_WITHIN).await {
                 Ok(page) => return Ok(page),
                 Err(e) => self.link.failed(StoreCall::Page, e),
             }
             Timer::after(PAGE_PAUSE.mul_f64(0.5 + fastrand::f64())).await;
         }
-        self.read_page(after, CALL_WITHIN).await
+        self.read_page(after, reading, CALL_WITHIN).await
     }
 
     async fn watch(&self, wait: Duration) -> Round {
@@ -200,7 +227,9 @@
             }
             Err(e) => {
                 self.link.failed(StoreCall::Watch, e);
-                state.store_back.wait(AWAY_PAUSE).await;
+                if state.news_source() == NewsSource::Store {
+                    state.store_back.wait(AWAY_PAUSE).await;
+                }
                 Round::Kept
             }
         }
@@ -214,32 +243,51 @@
             self.until_silent(id).await;
             None
         };
-        let now = state.now();
         let Some(heard) = asking.or(gone).await else {
-            state.knowledge().lost_store.insert(id, now);
+            let now = state.now();
+            let mut knowledge = state.knowledge();
+            knowledge.note_source(now, id, SourceState::Silent);
             return false;
         };
-        // That it has lost the store says nothing of this instance's own way
-        // there. Taken for the store's absence, entries that are removed would
-        // count as lapsed, and requests would go to upstreams that have left.
-        if heard.store_away {
-            log::info!(watcher:% = id; "the instance followed has lost the store");
-            state.knowledge().lost_store.insert(id, now);
-            state.store_lost.give();
-        } else {
-            self.link.succeeded();
-        }
         let silent = heard.news.items.is_empty();
         self.intake.take(heard.news);
         if let Some(proof) = heard.proof {
             state.knowledge().freshness.adopt(proof);
         }
+        match heard.store_away {
+            true => self.source_lost_store(id),
+            false => self.link.back(),
+        }
+        if !heard.store_away && state.without_proof() > FOLLOWED_PROOF_MOST {
+            log::info!(source:% = id; "the instance followed brings no proof");
+            let now = state.now();
+            let mut knowledge = state.knowledge();
+            knowledge.note_source(now, id, SourceState::Silent);
+        }
         if !silent {
             Timer::after(GATHER).await;
         }
         true
     }
 
+    /// The instance followed says that the store is away. Another may still hear it;
+    /// only if none of those that may read or relay does, their word is taken.
+    ///
+    /// Guards against entries that are removed while the store turns some away: taken
+    /// for lapsed with the store, requests went to upstreams that had left.
+    fn source_lost_store(&self, id: Incarnation) {
+        let state = &self.link.state;
+        let now = state.now();
+        let mut knowledge = state.knowledge();
+        knowledge.note_source(now, id, SourceState::StoreAway);
+        drop(knowledge);
+        if state.news_source() == NewsSource::Instance(id) {
+            self.link.away();
+        } else {
+            log::info!(source:% = id; "the instance followed has lost the store");
+        }
+    }
+
     /// Returns once an instance answers no heartbeats any more.
     async fn until_silent(&self, id: Incarnation) {
         let state = &self.link.state;
@@ -267,3 +315,11 @@
         }
     }
 }
+
+/// How long a process that has read nothing waits after so many failures.
+fn first_read_pause(failures: u32) -> Duration {
+    let pause = FIRST_READ_PAUSE * failures.clamp(1, 8);
+    pause
+        .min(FIRST_READ_PAUSE_MOST)
+        .mul_f64(0.7 + 0.6 * fastrand::f64())
+}
--- a/crates/gateway/src/store_link.rs
+++ b/crates/gateway/src/store_link.rs
@@ -6,6 +6,7 @@
 use async_io::Timer;
 use jd_net::within;
 use jd_serving::NewsSource;
+use jd_serving::SourceState;
 
 use crate::Store;
 use crate::StoreError;
@@ -72,8 +73,18 @@
         }
     }
 
-    /// The store answered, this instance or the one that it follows.
+    /// The store answered this instance.
     pub(crate) fn succeeded(&self) {
+        let now = self.state.now();
+        let me = self.state.me.incarnation;
+        let mut knowledge = self.state.knowledge();
+        knowledge.note_source(now, me, SourceState::Able);
+        drop(knowledge);
+        self.back();
+    }
+
+    /// The store answers, this instance or the one that it follows.
+    pub(crate) fn back(&self) {
         let now = self.state.now();
         let back = self.state.knowledge().upstreams.store_back(now);
         if back {
@@ -86,12 +97,27 @@
     /// The store did not answer this instance.
     pub(crate) fn failed(&self, kind: StoreCall, e: StoreError) {
         log::warn!(call = kind.as_str(), error:% = e; "store call failed");
-        // Entries lapse for those that hear of it through another instance when
-        // that one loses the store, whatever this one's own way there is like.
+        let now = self.state.now();
+        let me = self.state.me.incarnation;
+        let mut knowledge = self.state.knowledge();
+        knowledge.note_source(now, me, SourceState::StoreAway);
+        drop(knowledge);
+        // The store may turn just this instance away while another hears it.
         if self.state.news_source() == NewsSource::Store {
-            self.state.knowledge().upstreams.store_away();
-            self.state.store_lost.give();
-            self.state.news.notify(usize::MAX);
+            self.away();
+        }
+    }
+
+    /// Nobody from whom this instance could hear has the store.
+    pub(crate) fn away(&self) {
+        let mut knowledge = self.state.knowledge();
+        if knowledge.upstreams.is_store_away() {
+            return;
         }
+        knowledge.upstreams.store_away();
+        drop(knowledge);
+        log::warn!("store away; what is known stays in use");
+        self.state.proof_wanted.give();
+        self.state.news.notify(usize::MAX);
     }
 }
--- a/crates/serving/src/news_source.rs
+++ b/crates/serving/src/news_source.rs
@@ -10,9 +10,15 @@
 /// heartbeats with all others. Of 75, each would make and answer 370 heartbeats
 /// a second, more than the requests it has.
 pub const SMALL_FLEET: usize = 16;
-/// Instances of a zone that watch the store for the others: one may be gone or
-/// turned away by the store.
-const WATCHERS: usize = 2;
+/// Instances that watch the store for the whole fleet: one may be gone or turned
+/// away by the store.
+const READERS: usize = 2;
+/// Instances of a zone that hear these and tell the others of the zone.
+const RELAYS: usize = 2;
+/// Instances that may stand in for readers or relays, one after the other. Where the
+/// store turns a third of all away, one in a hundred times all of these are among
+/// them; more would only ask a store that is away.
+const CANDIDATES: usize = 4;
 
 /// From whom an instance hears what the store holds.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -23,44 +29,93 @@
     Instance(Incarnation),
 }
 
-/// From whom `me` hears, of the `others` that are there. One that `lost` says has
-/// lost the store is passed over: while the store turns some instances away, it
-/// may serve this one.
+/// What an instance was lately like as a source of news.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SourceState {
+    /// Nothing is known against it.
+    Able,
+    /// It says that the store does not answer.
+    StoreAway,
+    /// It did not answer, or brought nothing.
+    Silent,
+}
+
+/// From whom `me` hears, of the `others` that are there; `state` tells what each is
+/// like as a source, `me` included.
 ///
-/// The load that it answers: every change in the store answers every watch, so
-/// that calls grow with instances times changes. On a day of 75 instances with
-/// trouble they were 150 a second, and cost 7 hundredths of all that was earned.
+/// The load that it answers: every change in the store answers every watch, so that
+/// calls grow with instances times changes, and an instance that the store turns away
+/// asks again and again. So two read the store for the whole fleet, whatever its size,
+/// two of each zone hear these, and the others hear those of their zone. One that is
+/// silent or has lost the store is passed over for the next of the same order. While
+/// all say that the store is away the others take their word and do not ask it too:
+/// 295 that did kept a store that was back busy for 20 s.
 pub fn news_source<'a>(
-    me: &InstanceEntry,
+    me: &'a InstanceEntry,
     others: impl Iterator<Item = &'a InstanceEntry>,
-    lost: impl Fn(Incarnation) -> bool,
+    state: impl Fn(Incarnation) -> SourceState,
 ) -> NewsSource {
     let others: Vec<&InstanceEntry> = others.collect();
     if others.len() < SMALL_FLEET {
         return NewsSource::Store;
     }
-    let mut watchers = watchers(me, others.into_iter());
-    if watchers.contains(&me.incarnation) {
-        return NewsSource::Store;
+    let all = || others.iter().copied().chain([me]);
+    let relays = candidates(all().filter(|e| e.zone == me.zone));
+    match place(me.incarnation, &relays, RELAYS, &state) {
+        Place::Follows(id) => return NewsSource::Instance(id),
+        Place::LeftAlone => return NewsSource::Store,
+        Place::OneOfThem => {}
+    }
+    let readers = candidates(all());
+    match place(me.incarnation, &readers, READERS, &state) {
+        Place::Follows(id) if state(id) == SourceState::Able => NewsSource::Instance(id),
+        // A relay does not take the readers' word that the store is away: it may be
+        // that the store turns just these away, and its zone goes by what it says.
+        Place::Follows(_) | Place::OneOfThem | Place::LeftAlone => NewsSource::Store,
     }
-    watchers.retain(|id| !lost(*id));
-    let mine = me.incarnation.get() as usize % watchers.len().max(1);
-    let watcher = watchers.get(mine).copied();
-    watcher.map_or(NewsSource::Store, NewsSource::Instance)
 }
 
-/// The instances that watch the store for the zone of `me`.
-pub fn watchers<'a>(
-    me: &'a InstanceEntry,
-    others: impl Iterator<Item = &'a InstanceEntry>,
-) -> Vec<Incarnation> {
-    let near = others.filter(|e| e.zone == me.zone);
-    let zone = Shard {
-        zone: Some(me.zone.clone()),
+/// The instances that may read or relay, in the order in which they do.
+fn candidates<'a>(instances: impl Iterator<Item = &'a InstanceEntry>) -> Vec<Incarnation> {
+    let everywhere = Shard {
+        zone: None,
         part: 0,
         parts: 1,
     };
-    let order = owners(&zone, near.chain([me]));
-    let watchers = order.into_iter().take(WATCHERS);
-    watchers.map(|e| e.incarnation).collect()
+    let order = owners(&everywhere, instances).into_iter();
+    order.take(CANDIDATES).map(|e| e.incarnation).collect()
+}
+
+/// Where an instance stands among candidates.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Place {
+    OneOfThem,
+    Follows(Incarnation),
+    /// None of the candidates answers.
+    LeftAlone,
+}
+
+/// Where `me` stands while the first `count` able candidates serve the others.
+fn place(
+    me: Incarnation,
+    candidates: &[Incarnation],
+    count: usize,
+    state: &impl Fn(Incarnation) -> SourceState,
+) -> Place {
+    let in_state = |wanted| {
+        let mut found = candidates.iter().copied();
+        std::iter::from_fn(move || found.find(|id| state(*id) == wanted))
+    };
+    let able: Vec<Incarnation> = in_state(SourceState::Able).take(count).collect();
+    let mine = me.get() as usize % able.len().max(1);
+    match able.get(mine) {
+        _ if able.contains(&me) => Place::OneOfThem,
+        Some(id) => Place::Follows(*id),
+        // Somebody has to notice the store's return.
+        None if candidates.contains(&me) => Place::OneOfThem,
+        None => match in_state(SourceState::StoreAway).next() {
+            Some(id) => Place::Follows(id),
+            None => Place::LeftAlone,
+        },
+    }
 }
--- /dev/null
+++ b/crates/serving/tests/news_sources.rs
@@ -0,0 +1,200 @@
+//! From whom instances hear what the store holds.
+
+#![allow(clippy::expect_used, clippy::panic)]
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use jd_serving::InstanceEntry;
+use jd_serving::NewsSource;
+use jd_serving::SourceState;
+use jd_serving::Strength;
+use jd_serving::news_source;
+use jd_types::Incarnation;
+use jd_types::Name;
+use test_case::test_case;
+
+const ZONES: [&str; 5] = ["a", "b", "c", "d", "e"];
+
+/// A fleet over so many zones, three instances of each zone stronger than the others.
+fn fleet(count: u16, zones: usize) -> Vec<InstanceEntry> {
+    let entry = |n: u16| {
+        let [high, low] = n.to_be_bytes();
+        let address = |port| SocketAddr::from(([127, 0, high, low], port));
+        let strong = usize::from(n) < zones * 3;
+        InstanceEntry {
+            incarnation: Incarnation::new(u64::from(n) * 7_919 + 1),
+            callers: address(80),
+            peers: address(90),
+            zone: Name::try_from(ZONES[usize::from(n) % zones]).expect("a name"),
+            strength: Strength::new(if strong { 50 } else { 12 }, 200),
+            leaving: false,
+        }
+    };
+    (0..count).map(entry).collect()
+}
+
+/// The source of each instance.
+fn sources(
+    all: &[InstanceEntry],
+    state: impl Fn(Incarnation) -> SourceState,
+) -> HashMap<Incarnation, NewsSource> {
+    let source = |me: &InstanceEntry| {
+        let others = all.iter().filter(|e| e.incarnation != me.incarnation);
+        (me.incarnation, news_source(me, others, &state))
+    };
+    all.iter().map(source).collect()
+}
+
+fn readers(sources: &HashMap<Incarnation, NewsSource>) -> Vec<Incarnation> {
+    let reads = |(_, source): &(&Incarnation, &NewsSource)| **source == NewsSource::Store;
+    let mut readers: Vec<Incarnation> = sources.iter().filter(reads).map(|(id, _)| *id).collect();
+    readers.sort_unstable();
+    readers
+}
+
+/// How many steps news takes from the store to an instance; none if in a circle.
+fn steps(sources: &HashMap<Incarnation, NewsSource>, from: Incarnation) -> Option<usize> {
+    let mut at = from;
+    for steps in 0..10 {
+        match sources.get(&at)? {
+            NewsSource::Store => return Some(steps),
+            NewsSource::Instance(id) => at = *id,
+        }
+    }
+    None
+}
+
+fn able(_: Incarnation) -> SourceState {
+    SourceState::Able
+}
+
+/// Two of each zone watched the store, and each change answered each watch: with five
+/// zones ten calls for one change. Two are enough for a fleet of any size.
+#[test_case(20, 1)]
+#[test_case(75, 3)]
+#[test_case(295, 5)]
+#[test_case(1_100, 5)]
+fn two_read_the_store_for_the_whole_fleet(count: u16, zones: usize) {
+    let all = fleet(count, zones);
+    let sources = sources(&all, able);
+    assert_eq!(readers(&sources).len(), 2);
+    for entry in &all {
+        let steps = steps(&sources, entry.incarnation);
+        assert!(steps.is_some_and(|s| s <= 2), "{steps:?}");
+    }
+    let mut followers: HashMap<Incarnation, u16> = HashMap::new();
+    for source in sources.values() {
+        if let NewsSource::Instance(id) = source {
+            *followers.entry(*id).or_default() += 1;
+        }
+    }
+    let most = followers.values().max().copied().unwrap_or(0);
+    let of_zone = count.div_ceil(u16::try_from(zones).expect("a few zones"));
+    assert!(most <= of_zone * 7 / 10 + 10, "{most} of {of_zone}");
+}
+
+/// The store turns the two that read it away and serves the others. The next two take
+/// their place, and nobody hears from those that hear nothing.
+#[test]
+fn readers_that_the_store_turns_away_are_replaced() {
+    let all = fleet(295, 5);
+    let first = readers(&sources(&all, able));
+    let lost = |id| match first.contains(&id) {
+        true => SourceState::StoreAway,
+        false => SourceState::Able,
+    };
+    let after = sources(&all, lost);
+    let next = readers(&after);
+    assert_eq!(next.len(), 2);
+    assert!(next.iter().all(|id| !first.contains(id)));
+    assert!(all.iter().all(|e| steps(&after, e.incarnation).is_some()));
+}
+
+/// The two that relay in a zone are silent: both lost power. Their zone hears from the
+/// next two, and no other zone is touched.
+#[test]
+fn relays_that_are_silent_are_replaced_in_their_zone() {
+    let all = fleet(295, 5);
+    let before = sources(&all, able);
+    let zone_a = |e: &&InstanceEntry| e.zone.as_str() == "a";
+    let plain = all.iter().filter(zone_a);
+    let mut relays: Vec<Incarnation> = plain
+        .filter_map(|e| match before[&e.incarnation] {
+            NewsSource::Instance(id) => Some(id),
+            NewsSource::Store => None,
+        })
+        .filter(|id| all.iter().any(|e| e.incarnation == *id && zone_a(&e)))
+        .collect();
+    relays.sort_unstable();
+    relays.dedup();
+    assert_eq!(relays.len(), 2);
+    let lost = |id| match relays.contains(&id) {
+        true => SourceState::Silent,
+        false => SourceState::Able,
+    };
+    let after = sources(&all, lost);
+    let others = all.iter().filter(|e| !zone_a(e));
+    for entry in others.filter(|e| !relays.contains(&e.incarnation)) {
+        let untouched = match before[&entry.incarnation] {
+            NewsSource::Instance(id) => !relays.contains(&id),
+            NewsSource::Store => true,
+        };
+        if untouched {
+            assert_eq!(before[&entry.incarnation], after[&entry.incarnation]);
+        }
+    }
+    for entry in all.iter().filter(zone_a) {
+        if let NewsSource::Instance(id) = after[&entry.incarnation] {
+            assert!(!relays.contains(&id));
+        }
+    }
+}
+
+/// The store is away for all. Each of 295 asked it by itself, and again when it was
+/// back, which kept it busy for 20 s. Now those that may read or relay ask, and the
+/// others take their word.
+#[test]
+fn while_the_store_is_away_a_few_ask_for_all() {
+    let all = fleet(295, 5);
+    let sources = sources(&all, |_| SourceState::StoreAway);
+    let asking = readers(&sources).len();
+    assert!((2..=24).contains(&asking), "{asking} ask the store");
+}
+
+/// No other answers: this instance is cut off from them and not from the store.
+#[test]
+fn an_instance_that_nobody_answers_reads_the_store() {
+    let all = fleet(295, 5);
+    let sources = sources(&all, |_| SourceState::Silent);
+    assert_eq!(readers(&sources).len(), all.len());
+}
+
+/// The store turns away the instance that a zone follows and serves the others.
+/// They went on asking it, and sent requests to an upstream that had left for
+/// three seconds.
+#[test]
+fn an_instance_that_has_lost_the_store_is_not_followed() {
+    let all = fleet(40, 1);
+    let before = sources(&all, able);
+    // A weak one: no candidate itself.
+    let me = all[39].incarnation;
+    let NewsSource::Instance(first) = before[&me] else {
+        panic!("the instance follows another");
+    };
+    let lost = |id| match id == first {
+        true => SourceState::StoreAway,
+        false => SourceState::Able,
+    };
+    let after = sources(&all, lost)[&me];
+    assert!(
+        matches!(after, NewsSource::Instance(id) if id != first),
+        "{after:?}"
+    );
+}
+
+#[test]
+fn of_a_few_instances_each_watches_the_store() {
+    let sources = sources(&fleet(9, 3), able);
+    assert_eq!(readers(&sources).len(), 9);
+}
