Leases of a minute; who watches a silent instance removes its entry

Hypothesis: renewals each second are a third of what remains of the calls, and three seconds of lease are what callers are sent to a dead instance for.

Change: a lease lasts a minute. A listed instance that is watched and silent for two seconds is removed at the revision at which its entry was written, by whoever of its few watchers looks first, and by nobody who hears nobody. One whose entry was removed though it is there writes it again. Entries are written after the first reading, in the place of those of earlier starts. A start that knows few others begins to watch when a caller comes, or half a second after.

Ruled out: a fixed pause before the first watch.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -172,6 +172,7 @@
             executor.spawn(follower.expire()),
             executor.spawn(proof.keep()),
             executor.spawn(Arc::clone(&lease).keep()),
+            executor.spawn(Arc::clone(&lease).remove_silent()),
             executor.spawn(reporting),
             executor.spawn(peers.beat()),
             executor.spawn(batches.tick()),
--- a/crates/gateway/src/latch.rs
+++ b/crates/gateway/src/latch.rs
@@ -14,8 +14,9 @@
 
 impl Latch {
     pub(crate) fn set(&self) {
-        self.happened.store(true, Ordering::SeqCst);
-        self.told.notify(usize::MAX);
+        if !self.happened.swap(true, Ordering::SeqCst) {
+            self.told.notify(usize::MAX);
+        }
     }
 
     /// Returns once it has happened.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -37,6 +37,7 @@
 use jd_types::MonoTime;
 
 use crate::Dialect;
+use crate::latch::Latch;
 use crate::metrics::Metrics;
 use crate::signal::Signal;
 use crate::upstream_table::UpstreamTable;
@@ -57,6 +58,8 @@
     pub(crate) mirror: StoreMirror,
     /// Instances that brought no news or had lost the store, and when.
     sources: HashMap<Incarnation, (MonoTime, SourceState)>,
+    /// Earlier starts of this instance whose entries the store still has.
+    pub(crate) earlier_starts: Vec<Incarnation>,
     /// What owners last said of their shards, and when.
     pub(crate) backlogs: HashMap<Shard, (MonoTime, Duration)>,
 }
@@ -102,6 +105,10 @@
     /// Signals that proof is to be asked for at once, and that the store is back.
     pub(crate) proof_wanted: Signal,
     pub(crate) store_back: Signal,
+    /// Set with the first request of a caller.
+    pub(crate) called: Latch,
+    /// Signals that this instance's entry was removed although it is there.
+    pub(crate) entry_gone: Signal,
     /// Tells those that follow this instance that there is news.
     pub(crate) news: Event,
     knowledge: Mutex<Knowledge>,
@@ -133,6 +140,8 @@
             metrics: Metrics::new(),
             proof_wanted: Signal::new(),
             store_back: Signal::new(),
+            called: Latch::default(),
+            entry_gone: Signal::new(),
             news: Event::new(),
             knowledge: Mutex::default(),
             budgets: Mutex::default(),
@@ -156,7 +165,12 @@
 
     /// For how long there has been no proof, since the start at most.
     pub(crate) fn without_proof(&self) -> Duration {
-        self.proof_age().unwrap_or(self.now().since(self.began))
+        self.proof_age().unwrap_or(self.uptime())
+    }
+
+    /// How long ago this process started.
+    pub(crate) fn uptime(&self) -> Duration {
+        self.now().since(self.began)
     }
 
     /// True if this instance has no way to the store, neither its own nor another's.
@@ -232,8 +246,19 @@
         self.knowledge().mirror.revision() > 0
     }
 
+    /// Returns once everything that the store holds has been read.
+    pub(crate) async fn until_read(&self) {
+        while !self.has_read() {
+            let news = self.news.listen();
+            if !self.has_read() {
+                news.await;
+            }
+        }
+    }
+
     /// Counts a request as in flight until the guard is dropped.
     pub(crate) fn begin(self: &Arc<Self>) -> InFlight {
+        self.called.set();
         self.in_flight.fetch_add(1, Ordering::Relaxed);
         InFlight(Arc::clone(self))
     }
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -100,6 +100,9 @@
     /// The lease has ended.
     #[snafu(display("the lease has ended; another is taken"))]
     LeaseGone,
+    /// The entry is not the one that was meant any more: nothing was done.
+    #[snafu(display("the entry has changed; nothing needs to be done"))]
+    Changed,
     /// The answer is not one that this version understands.
     #[snafu(display("the store's answer cannot be read; check its version"))]
     Unreadable,
@@ -113,6 +116,7 @@
             StoreError::Lost => "lost",
             StoreError::HistoryGone => "history-gone",
             StoreError::LeaseGone => "lease-gone",
+            StoreError::Changed => "changed",
             StoreError::Unreadable => "unreadable",
         }
     }
@@ -140,8 +144,17 @@
     /// Renews a lease.
     fn renew(&self, lease: LeaseId) -> StoreFuture<'_, ()>;
 
-    /// Writes this instance's entry, for as long as the lease lasts.
-    fn announce<'a>(&'a self, entry: &'a InstanceEntry, lease: LeaseId) -> StoreFuture<'a, ()>;
+    /// Writes this instance's entry, for as long as the lease lasts, and removes those
+    /// of its earlier starts.
+    fn announce<'a>(
+        &'a self,
+        entry: &'a InstanceEntry,
+        lease: LeaseId,
+        earlier: &'a [Incarnation],
+    ) -> StoreFuture<'a, ()>;
+
+    /// Removes another instance's entry if it is still the one written at this revision.
+    fn remove(&self, id: Incarnation, written: u64) -> StoreFuture<'_, ()>;
 
     /// Removes this instance's entry.
     fn withdraw(&self, id: Incarnation) -> StoreFuture<'_, ()>;
--- a/crates/gateway/src/store_call.rs
+++ b/crates/gateway/src/store_call.rs
@@ -20,10 +20,12 @@
     Announce,
     /// Removing it.
     Withdraw,
+    /// Removing the entry of an instance that is silent.
+    Remove,
 }
 
 impl StoreCall {
-    const ALL: [StoreCall; 7] = [
+    const ALL: [StoreCall; 8] = [
         StoreCall::Page,
         StoreCall::Watch,
         StoreCall::Confirm,
@@ -31,6 +33,7 @@
         StoreCall::Renew,
         StoreCall::Announce,
         StoreCall::Withdraw,
+        StoreCall::Remove,
     ];
 
     /// Its name in logs and metrics.
@@ -43,6 +46,7 @@
             StoreCall::Renew => "renew",
             StoreCall::Announce => "announce",
             StoreCall::Withdraw => "withdraw",
+            StoreCall::Remove => "remove",
         }
     }
 }
--- a/crates/gateway/src/store_follower.rs
+++ b/crates/gateway/src/store_follower.rs
@@ -5,8 +5,10 @@
 
 use async_io::Timer;
 use futures_lite::FutureExt;
+use jd_net::within;
 use jd_serving::News;
 use jd_serving::NewsSource;
+use jd_serving::SMALL_FLEET;
 use jd_serving::SourceState;
 use jd_serving::StoreItem;
 use jd_types::Incarnation;
@@ -32,6 +34,10 @@
 /// Pause between two watches, in which changes gather: each watch is a call, and
 /// when a fleet starts every instance's entry is a change for all others.
 const GATHER: Duration = Duration::from_millis(100);
+/// How long after its start an instance of which few others are known begins to watch.
+/// The users start all instances within 300 ms; each watch of each of them is answered
+/// at every entry that one of the others writes.
+const START_SPREAD: Duration = Duration::from_millis(500);
 /// How long nothing may come of what the store is known to have before
 /// everything is read again.
 const NEWS_BEHIND: Duration = Duration::from_millis(250);
@@ -130,7 +136,10 @@
                 state.store_back.wait(AWAY_PAUSE).await;
                 Round::Lost
             }
-            NewsSource::Store => self.watch(WATCH_WAIT).await,
+            NewsSource::Store => {
+                self.until_started().await;
+                self.watch(WATCH_WAIT).await
+            }
             // It is passed over from now on, and the next one is asked.
             NewsSource::Instance(id) => {
                 log::info!(source:% = id; "no news from the instance followed");
@@ -205,6 +214,18 @@
         self.read_page(after, reading, CALL_WITHIN).await
     }
 
+    /// Returns once others that started with this instance have written their entries,
+    /// after which most of a large fleet hear each other and need no watch; at once when
+    /// a caller is there, whose request may need what changed meanwhile.
+    async fn until_started(&self) {
+        let state = &self.link.state;
+        let is_small = state.instance_count() as usize <= SMALL_FLEET;
+        let left = START_SPREAD.saturating_sub(state.uptime());
+        if is_small && !left.is_zero() {
+            within(left, state.called.wait()).await;
+        }
+    }
+
     async fn watch(&self, wait: Duration) -> Round {
         let state = &self.link.state;
         let revision = state.knowledge().mirror.revision();
--- a/crates/gateway/src/store_intake.rs
+++ b/crates/gateway/src/store_intake.rs
@@ -37,6 +37,7 @@
     }
 
     fn replace(&self, items: Vec<StoreItem>, revision: u64) {
+        let is_first = !self.state.has_read();
         let changes: Vec<(Change, u64)> = self.decode(&items);
         if !self.state.knowledge().mirror.replace(items, revision) {
             return;
@@ -68,6 +69,9 @@
         if changed {
             self.state.rebuild_upstreams();
         }
+        if !is_first && !instances.contains(&self.state.me.incarnation) {
+            self.state.entry_gone.give();
+        }
         log::info!(revision; "store read whole");
     }
 
@@ -89,6 +93,9 @@
                 Change::UpstreamUnreadable { id, reason } => {
                     changed |= self.leave_out(&id, &reason, written);
                 }
+                Change::InstanceGone(id) if id == self.state.me.incarnation => {
+                    self.state.entry_gone.give();
+                }
                 Change::InstanceGone(id) => self.state.knowledge().instances.unlist(id),
             }
         }
@@ -131,8 +138,11 @@
                 self.state.divide_upstreams();
                 log::info!(version; "configuration in force");
             }
-            // Its own entry, or that of an earlier start.
-            Record::Instance(entry) if entry.peers == self.state.me.peers => {}
+            Record::Instance(entry) if entry.incarnation == self.state.me.incarnation => {}
+            Record::Instance(entry) if entry.peers == self.state.me.peers => {
+                let mut knowledge = self.state.knowledge();
+                knowledge.earlier_starts.push(entry.incarnation);
+            }
             Record::Instance(entry) => {
                 let now = self.state.now();
                 self.state.knowledge().instances.put(now, entry, written);
--- a/crates/gateway/src/store_lease.rs
+++ b/crates/gateway/src/store_lease.rs
@@ -1,8 +1,10 @@
-//! This instance's own entry in the store.
+//! Entries of instances in the store: this one's own, and those of silent ones.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use async_io::Timer;
+use jd_serving::SilentInstance;
 
 use crate::LeaseId;
 use crate::StoreError;
@@ -10,26 +12,48 @@
 use crate::store_link::CALL_WITHIN;
 use crate::store_link::StoreLink;
 
-/// Keeps this instance's entry in the store, under a lease that ends with it.
+/// Pause after the entry could not be written or its lease not renewed. Others are
+/// told of an instance that heartbeats alone keep known.
+const RETRY_PAUSE: Duration = Duration::from_millis(1_000);
+/// How often it is looked for instances that are silent.
+const LOOK_EVERY: Duration = Duration::from_millis(300);
+/// The part of these looks, in hundredths, at which one is removed: of the few that
+/// watch an instance the first to remove it spares the others.
+const REMOVE_PERCENT: u32 = 35;
+
+/// Keeps this instance's entry in the store, under a lease that outlives it by far:
+/// whoever watches a silent instance removes its entry long before.
 #[derive(Debug)]
 pub(crate) struct StoreLease {
     pub(crate) link: Arc<StoreLink>,
 }
 
 impl StoreLease {
-    /// Keeps the entry until this instance leaves.
+    /// Keeps the entry until this instance leaves. It is written once the store has
+    /// been read, so that it takes the place of those of earlier starts.
     pub(crate) async fn keep(self: Arc<Self>) {
         let state = &self.link.state;
+        state.until_read().await;
         let mut lease = None;
         loop {
-            match self.announce(lease).await {
-                Ok(held) => lease = Some(held),
+            let pause = match self.announce(lease).await {
+                Ok(held) => {
+                    lease = Some(held);
+                    state.settings.lease / 3
+                }
+                Err(StoreError::LeaseGone) => {
+                    lease = None;
+                    continue;
+                }
                 Err(e) => {
                     log::debug!(error:% = e; "entry not renewed");
-                    lease = lease.filter(|_| e != StoreError::LeaseGone);
+                    RETRY_PAUSE
                 }
+            };
+            if state.entry_gone.wait(pause).await && !state.is_leaving() {
+                log::info!("own entry is gone; it is written again");
+                let _rewritten = self.write(lease).await;
             }
-            Timer::after(state.settings.lease / 3).await;
         }
     }
 
@@ -37,32 +61,76 @@
     pub(crate) async fn withdraw(&self) {
         let me = self.link.state.me.incarnation;
         let withdrawing = self.link.store.withdraw(me);
-        if let Err(e) = self
+        let ended = self
             .link
-            .call(StoreCall::Withdraw, CALL_WITHIN, withdrawing)
-            .await
-        {
-            log::info!(error:% = e; "entry not removed; its lease will run out");
+            .call(StoreCall::Withdraw, CALL_WITHIN, withdrawing);
+        if let Err(e) = ended.await {
+            log::info!(error:% = e; "entry not removed; others remove it");
         }
     }
 
+    /// Removes for good the entries of watched instances that are silent.
+    ///
+    /// The load that it answers: machines that lose power. An entry stayed until its
+    /// lease ran out, and callers were named its address; leases short enough for that
+    /// were a third of all that a fleet of 295 paid for its calls to the store.
+    pub(crate) async fn remove_silent(self: Arc<Self>) {
+        let state = &self.link.state;
+        loop {
+            Timer::after(LOOK_EVERY).await;
+            if state.has_lost_store() {
+                continue;
+            }
+            let now = state.now();
+            let silent: Vec<SilentInstance> = state.knowledge().instances.silent(now);
+            for one in silent {
+                if fastrand::u32(..100) < REMOVE_PERCENT {
+                    self.remove(one).await;
+                }
+            }
+        }
+    }
+
+    async fn remove(&self, silent: SilentInstance) {
+        let SilentInstance { id, written, since } = silent;
+        let removing = self.link.store.remove(id, written);
+        let ended = self.link.call(StoreCall::Remove, CALL_WITHIN, removing);
+        let outcome = ended.await.map_or_else(StoreError::as_str, |()| "done");
+        let silent_ms = since.as_millis() as u64;
+        log::info!(instance:% = id, silent_ms, outcome; "silent instance removed");
+        let now = self.link.state.now();
+        let mut knowledge = self.link.state.knowledge();
+        knowledge.instances.removal_tried(now, id);
+    }
+
     async fn announce(&self, lease: Option<LeaseId>) -> Result<LeaseId, StoreError> {
         let StoreLink { state, store, .. } = &*self.link;
-        if let Some(lease) = lease {
-            self.link
-                .call(StoreCall::Renew, CALL_WITHIN, store.renew(lease))
-                .await?;
-            return Ok(lease);
+        match lease {
+            Some(lease) => {
+                let renewing = store.renew(lease);
+                let renewed = self.link.call(StoreCall::Renew, CALL_WITHIN, renewing);
+                renewed.await.map(|()| lease)
+            }
+            None => {
+                let taking = store.lease(state.settings.lease);
+                let lease = self
+                    .link
+                    .call(StoreCall::Lease, CALL_WITHIN, taking)
+                    .await?;
+                self.write(Some(lease)).await?;
+                Ok(lease)
+            }
         }
-        let taking = store.lease(state.settings.lease);
-        let lease = self
-            .link
-            .call(StoreCall::Lease, CALL_WITHIN, taking)
-            .await?;
-        let announcing = store.announce(&state.me, lease);
-        self.link
-            .call(StoreCall::Announce, CALL_WITHIN, announcing)
-            .await?;
-        Ok(lease)
+    }
+
+    async fn write(&self, lease: Option<LeaseId>) -> Result<(), StoreError> {
+        let Some(lease) = lease else {
+            return Ok(());
+        };
+        let StoreLink { state, store, .. } = &*self.link;
+        let earlier = std::mem::take(&mut state.knowledge().earlier_starts);
+        let announcing = store.announce(&state.me, lease, &earlier);
+        let written = self.link.call(StoreCall::Announce, CALL_WITHIN, announcing);
+        written.await
     }
 }
--- a/crates/gateway/tests/whole/fakes/fake_store.rs
+++ b/crates/gateway/tests/whole/fakes/fake_store.rs
@@ -79,6 +79,16 @@
         self.said.changed.notify(usize::MAX);
     }
 
+    /// Who wrote entries of instances, in the order in which they did.
+    pub(crate) fn announced(&self) -> Vec<Incarnation> {
+        let said = self.said.list.lock().expect("a lock");
+        let written = said.iter().filter_map(|change| match change {
+            Change::Put(Record::Instance(entry)) => Some(entry.incarnation),
+            _ => None,
+        });
+        written.collect()
+    }
+
     /// True once a watch waits for what comes after the last change.
     pub(crate) fn is_seen(&self) -> bool {
         self.seen.load(Ordering::Relaxed) >= self.now()
@@ -226,7 +236,12 @@
         Box::pin(async move { self.answer(()) })
     }
 
-    fn announce<'a>(&'a self, entry: &'a InstanceEntry, _lease: LeaseId) -> StoreFuture<'a, ()> {
+    fn announce<'a>(
+        &'a self,
+        entry: &'a InstanceEntry,
+        _lease: LeaseId,
+        _earlier: &'a [Incarnation],
+    ) -> StoreFuture<'a, ()> {
         Box::pin(async move {
             self.answer(())?;
             self.change(Change::Put(Record::Instance(entry.clone())));
@@ -234,6 +249,10 @@
         })
     }
 
+    fn remove(&self, id: Incarnation, _written: u64) -> StoreFuture<'_, ()> {
+        self.withdraw(id)
+    }
+
     fn withdraw(&self, id: Incarnation) -> StoreFuture<'_, ()> {
         Box::pin(async move {
             self.answer(())?;
--- a/crates/gateway/tests/whole/fakes/harness.rs
+++ b/crates/gateway/tests/whole/fakes/harness.rs
@@ -28,6 +28,7 @@
 use jd_serving::UpstreamEntry;
 use jd_serving::UpstreamStart;
 use jd_settings::GatewaySettings;
+use jd_types::Incarnation;
 use jd_types::Name;
 
 use crate::fakes::FakeDialect;
@@ -312,6 +313,17 @@
         }
     }
 
+    /// Waits until instances have written so many entries; who wrote the last of them.
+    pub(crate) async fn until_announced(&self, count: usize) -> Incarnation {
+        loop {
+            let written = self.store.announced();
+            match written.last() {
+                Some(last) if written.len() >= count => return *last,
+                _ => Timer::after(Duration::from_millis(5)).await,
+            };
+        }
+    }
+
     /// Waits until the gateway says that it is ready, or is not.
     pub(crate) async fn until_ready(&self, expected: bool) {
         loop {
--- a/crates/gateway/tests/whole/fleet.rs
+++ b/crates/gateway/tests/whole/fleet.rs
@@ -90,3 +90,16 @@
     next.routes[0].prefix = "/added/".into();
     Change::Put(Record::Deployment(Box::new(next)))
 }
+
+/// An instance stands still for some seconds, and another removes its entry. Awake
+/// again it was named to nobody for the rest of the day: nothing told it.
+#[test]
+fn an_instance_whose_entry_was_removed_writes_it_again() {
+    let harness = Harness::start(vec![vec![Reply::Whole("a")]]);
+    block_on(async {
+        harness.until_ready(true).await;
+        let id = harness.until_announced(1).await;
+        harness.store.change(Change::InstanceGone(id));
+        assert_eq!(harness.until_announced(2).await, id);
+    });
+}
--- a/crates/serving/src/instance_directory.rs
+++ b/crates/serving/src/instance_directory.rs
@@ -17,6 +17,11 @@
 /// there: the pause between two beats and half as much again. Taken for as long as
 /// one that was heard, entries of dead starts held stages up for 1.3 s each.
 const UNHEARD_FOR: Duration = Duration::from_millis(600);
+/// How long a watched instance is silent until its entry is to be removed: five beats
+/// of 400 ms, so that one that stood still for a moment is not removed.
+const REMOVE_AFTER: Duration = Duration::from_millis(2_000);
+/// How long after a removal was tried it is tried again.
+const REMOVE_AGAIN: Duration = Duration::from_millis(4_000);
 /// Addresses in one answer; the users' clients take no more.
 const MAX_ADDRESSES: usize = 64;
 /// Instances of the caller's own zone that suffice for an answer of only these.
@@ -50,6 +55,17 @@
     pub has_read: bool,
 }
 
+/// A listed instance that does not answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SilentInstance {
+    /// Which start of it.
+    pub id: Incarnation,
+    /// The store's revision when its entry was written.
+    pub written: u64,
+    /// For how long it has been silent.
+    pub since: Duration,
+}
+
 /// Which instances there are: those that the store lists, less those that say
 /// they leave or do not answer heartbeats.
 #[derive(Debug, Default)]
@@ -68,6 +84,7 @@
     ready: bool,
     has_read: bool,
     watched: bool,
+    removal_tried: Option<MonoTime>,
 }
 
 impl Known {
@@ -108,6 +125,7 @@
             ready: true,
             has_read: true,
             watched: true,
+            removal_tried: None,
         });
         known.listed = true;
         known.written = known.written.max(written);
@@ -186,6 +204,7 @@
             ready: true,
             has_read: true,
             watched: true,
+            removal_tried: None,
             entry,
         };
         self.known.insert(known.entry.incarnation, known);
@@ -203,6 +222,33 @@
         }
     }
 
+    /// The watched ones that the store lists and that do not answer; none if nobody
+    /// answers at all: then it is this instance that is cut off.
+    pub fn silent(&self, now: MonoTime) -> Vec<SilentInstance> {
+        let watched = || self.known.values().filter(|k| k.watched);
+        if !watched().any(|k| k.ever_heard && now.since(k.heard) < SILENT_AFTER) {
+            return Vec::new();
+        }
+        let tried = |k: &Known| {
+            let at = k.removal_tried;
+            at.is_some_and(|at| now.since(at) < REMOVE_AGAIN)
+        };
+        let silent = watched().filter(|k| k.listed && !tried(k));
+        let silent = silent.map(|k| SilentInstance {
+            id: k.entry.incarnation,
+            written: k.written,
+            since: now.since(k.heard),
+        });
+        silent.filter(|s| s.since >= REMOVE_AFTER).collect()
+    }
+
+    /// The removal of a silent one's entry was tried.
+    pub fn removal_tried(&mut self, now: MonoTime, id: Incarnation) {
+        if let Some(known) = self.known.get_mut(&id) {
+            known.removal_tried = Some(now);
+        }
+    }
+
     /// Forgets those that are neither listed nor heard.
     pub fn expire(&mut self, now: MonoTime) {
         self.known
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -64,6 +64,7 @@
 pub use instance_directory::Heartbeat;
 pub use instance_directory::InstanceDirectory;
 pub use instance_directory::InstanceEntry;
+pub use instance_directory::SilentInstance;
 pub use job_end::JobEnd;
 pub use job_end::JobFailure;
 pub use job_end::JobKey;
--- a/crates/serving/tests/instances.rs
+++ b/crates/serving/tests/instances.rs
@@ -304,3 +304,57 @@
     directory.heard(at(1_150), first.incarnation, WELL);
     assert_eq!(order(&directory), before);
 }
+
+/// Three instances that are watched, of which the first answers until `until`.
+fn watched(until: u64) -> InstanceDirectory {
+    let mut directory = InstanceDirectory::default();
+    let all: Vec<InstanceEntry> = (1..=3_u8).map(|n| entry(n.into(), n, "a")).collect();
+    for (n, entry) in all.iter().enumerate() {
+        directory.put(at(1_000), entry.clone(), 10 + n as u64);
+    }
+    let ids: Vec<Incarnation> = all.iter().map(|e| e.incarnation).collect();
+    directory.watch(at(1_000), &ids);
+    for ms in (1_000..=9_000).step_by(400) {
+        if ms <= until {
+            directory.heard(at(ms), ids[0], WELL);
+        }
+        directory.heard(at(ms), ids[1], WELL);
+    }
+    directory.heard(at(9_000), ids[2], WELL);
+    directory
+}
+
+/// A machine loses power. Its entry stayed until its lease ran out, and callers were
+/// named its address; now one that watches it removes the entry, at the revision at
+/// which it was written and no later one.
+#[test]
+fn a_silent_instance_is_to_be_removed() {
+    let directory = watched(6_000);
+    let silent = directory.silent(at(9_000));
+    assert_eq!(silent.len(), 1);
+    assert_eq!(silent[0].id, Incarnation::new(1));
+    assert_eq!(silent[0].written, 10);
+}
+
+/// It stood still for a second and a half under load. Removed, it would be named to
+/// nobody until it had written its entry again.
+#[test]
+fn an_instance_that_stood_still_for_a_moment_is_not_removed() {
+    assert!(watched(7_400).silent(at(9_000)).is_empty());
+}
+
+/// This instance is cut off and reaches the store alone. All others look silent, and it
+/// removed every one that it watched.
+#[test]
+fn an_instance_that_hears_nobody_removes_nobody() {
+    let directory = watched(6_000);
+    assert!(directory.silent(at(12_000)).is_empty());
+}
+
+/// Of several that watch an instance one has removed it, and the news is on its way.
+#[test]
+fn a_removal_that_was_tried_is_not_tried_again_at_once() {
+    let mut directory = watched(6_000);
+    directory.removal_tried(at(9_000), Incarnation::new(1));
+    assert!(directory.silent(at(9_300)).is_empty());
+}
--- a/crates/settings/src/gateway_settings.rs
+++ b/crates/settings/src/gateway_settings.rs
@@ -87,7 +87,7 @@
         "store",
         "lease-ms",
         "milliseconds",
-        "3000",
+        "60000",
         "1000 to 600000",
     ),
     optional(
