--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -47,7 +47,6 @@
 pub use store::Items;
 pub use store::LeaseId;
 pub use store::Page;
-pub use store::Reading;
 pub use store::Record;
 pub use store::Store;
 pub use store::StoreError;
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -76,15 +76,6 @@
     pub more: bool,
 }
 
-/// How new what is read has to be.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Reading {
-    /// As it is when the store answers.
-    Newest,
-    /// It may be seconds old. Such a reading is cheap, and proves nothing.
-    MayBeOld,
-}
-
 /// Why a call to the store brought nothing.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Snafu)]
 pub enum StoreError {
@@ -125,9 +116,10 @@
 /// The store that holds what must last: the operator's configuration and the
 /// entries of upstreams and instances.
 pub trait Store: Debug + Send + Sync {
-    /// Reads what lies after a key, as much as fits into one answer; everything from the empty key on. Pages are no snapshot: what
+    /// Reads what lies after a key, as it is now and as much as fits into one
+    /// answer; everything from the empty key on. Pages are no snapshot: what
     /// changed since the first one comes with a watch from its revision.
-    fn page<'a>(&'a self, after: &'a str, reading: Reading) -> StoreFuture<'a, Page>;
+    fn page<'a>(&'a self, after: &'a str) -> StoreFuture<'a, Page>;
 
     /// Waits for changes after a revision, at most `wait`.
     fn watch(&self, after: u64, wait: Duration) -> StoreFuture<'_, Items>;
--- a/crates/gateway/src/store_follower.rs
+++ b/crates/gateway/src/store_follower.rs
@@ -14,7 +14,6 @@
 use jd_types::Incarnation;
 
 use crate::Page;
-use crate::Reading;
 use crate::StoreError;
 use crate::peers::Peers;
 use crate::store_call::StoreCall;
@@ -148,27 +147,17 @@
         }
     }
 
-    /// Reads everything. The first time it may be seconds old: what has changed since
-    /// comes with the news after it, and until proof has come nothing is done that
-    /// needs it.
-    ///
-    /// Guards against a fleet of which all start at once: such a reading counts neither
-    /// against the store's rate nor, for nine tenths, among its calls.
     async fn read_all(&self, patience: Duration) -> Result<(), StoreError> {
         let state = &self.link.state;
-        let reading = match state.has_read() {
-            true => Reading::Newest,
-            false => Reading::MayBeOld,
-        };
         let asked = state.now();
-        let mut page = self.read_page("", reading, patience).await?;
+        let mut page = self.read_page("", patience).await?;
         // What changed since the first page comes with the news after it.
         let revision = page.revision;
         let mut items: Vec<StoreItem> = Vec::new();
         loop {
             items.append(&mut page.items);
             match items.last() {
-                Some(last) if page.more => page = self.read_on(&last.key, reading).await?,
+                Some(last) if page.more => page = self.read_on(&last.key).await?,
                 _ => break,
             }
         }
@@ -177,22 +166,12 @@
             items,
             revision,
         });
-        match reading {
-            Reading::Newest => {
-                state.knowledge().freshness.confirmed(asked, revision);
-            }
-            Reading::MayBeOld => state.proof_wanted.give(),
-        }
+        state.knowledge().freshness.confirmed(asked, revision);
         Ok(())
     }
 
-    async fn read_page(
-        &self,
-        after: &str,
-        reading: Reading,
-        patience: Duration,
-    ) -> Result<Page, StoreError> {
-        let page = self.link.store.page(after, reading);
+    async fn read_page(&self, after: &str, patience: Duration) -> Result<Page, StoreError> {
+        let page = self.link.store.page(after);
         let page = self.link.call(StoreCall::Page, patience, page).await?;
         self.link.succeeded();
         Ok(page)
@@ -203,15 +182,15 @@
     /// Guards against all instances of a large fleet starting at once: together
     /// they ask for more than the store's rate and link carry in a second, and each
     /// that began anew after one refused page kept them busy for longer.
-    async fn read_on(&self, after: &str, reading: Reading) -> Result<Page, StoreError> {
+    async fn read_on(&self, after: &str) -> Result<Page, StoreError> {
         for _ in 0..PAGE_TRIES {
-            match self.read_page(after, reading, CALL_WITHIN).await {
+            match self.read_page(after, CALL_WITHIN).await {
                 Ok(page) => return Ok(page),
                 Err(e) => self.link.failed(StoreCall::Page, e),
             }
             Timer::after(PAGE_PAUSE.mul_f64(0.5 + fastrand::f64())).await;
         }
-        self.read_page(after, reading, CALL_WITHIN).await
+        self.read_page(after, CALL_WITHIN).await
     }
 
     /// Returns once others that started with this instance have written their entries,
--- a/crates/gateway/tests/whole/fakes/fake_store.rs
+++ b/crates/gateway/tests/whole/fakes/fake_store.rs
@@ -13,7 +13,6 @@
 use jd_gateway::Items;
 use jd_gateway::LeaseId;
 use jd_gateway::Page;
-use jd_gateway::Reading;
 use jd_gateway::Record;
 use jd_gateway::Store;
 use jd_gateway::StoreError;
@@ -180,7 +179,7 @@
 }
 
 impl Store for FakeStore {
-    fn page<'a>(&'a self, after: &'a str, _reading: Reading) -> StoreFuture<'a, Page> {
+    fn page<'a>(&'a self, after: &'a str) -> StoreFuture<'a, Page> {
         let first = usize::from(after.is_empty());
         self.first_pages.fetch_add(first, Ordering::Relaxed);
         let from = after.parse().map_or(0, |place: usize| place + 1);
