A start hears from a relay what the store holds, packed

Cause: of 300 instances that start at once each reads a megabyte, 2.7 s of the store's link, and a reading that takes longer than a call may take is given up and begun anew, two of three after 0.4 s, so that the link stays full of what nobody uses.

Change: a start reads the instances alone, then asks one that relays in its zone for everything: a deflated piece, packed once for many, and what was written after it. Only those that relay read the store whole; others do if none of these has it within 0.9 s, and never give that reading up early. The first start of a whole system waits 0.6 s for the entries of the others.

Packing has property tests.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -42,6 +42,7 @@
 use crate::store_lease::StoreLease;
 use crate::store_link::StoreLink;
 use crate::store_proof::StoreProof;
+use crate::store_reader::StoreReader;
 
 /// The part of the grace in which new callers are still taken, in hundredths:
 /// until most of those who keep this address have asked again.
@@ -127,13 +128,18 @@
         let proof = Arc::new(StoreProof {
             link: Arc::clone(&link),
         });
-        let intake = StoreIntake {
+        let intake = Arc::new(StoreIntake {
             state: Arc::clone(&state),
             store,
+        });
+        let reader = StoreReader {
+            link: Arc::clone(&link),
+            intake: Arc::clone(&intake),
         };
         let follower = Arc::new(StoreFollower {
             link,
             intake,
+            reader,
             peers: Arc::clone(&peers),
         });
         let front = Front {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -34,6 +34,7 @@
 mod store_lease;
 mod store_link;
 mod store_proof;
+mod store_reader;
 mod stream_call;
 mod upstream_table;
 
@@ -46,6 +47,7 @@
 pub use store::Change;
 pub use store::Items;
 pub use store::LeaseId;
+pub use store::Listed;
 pub use store::Page;
 pub use store::Record;
 pub use store::Store;
--- a/crates/gateway/src/peer_news.rs
+++ b/crates/gateway/src/peer_news.rs
@@ -5,6 +5,7 @@
 use async_io::Timer;
 use bytes::Bytes;
 use futures_lite::FutureExt;
+use jd_net::lock;
 use jd_serving::News;
 use jd_serving::Proof;
 use jd_serving::StoreItem;
@@ -20,10 +21,15 @@
 /// the time after which a new one is asked for.
 const YOUNGER_BY: Duration = Duration::from_millis(300);
 
+/// Records that may have been written since all were packed. Each is sent beside the
+/// piece, and together they are still small.
+const PACKED_BEHIND: usize = 64;
+
 /// What another instance knows of the store.
 #[derive(Debug)]
 pub(crate) struct Heard {
-    pub(crate) news: News,
+    /// In the order in which it is to be taken in.
+    pub(crate) news: Vec<News>,
     pub(crate) proof: Option<Proof>,
     /// True while the store does not answer it.
     pub(crate) store_away: bool,
@@ -39,26 +45,89 @@
     }
 }
 
-/// Reads the answer to a question that was sent at `sent`.
-pub(crate) fn heard(sent: MonoTime, reply: FollowReply) -> Heard {
+/// Reads the answer to a question that was sent at `sent`; none if it is damaged.
+pub(crate) fn heard(sent: MonoTime, reply: FollowReply) -> Option<Heard> {
     // The question came after it was sent and was answered that much later, so
     // what the proof tells of was asked then less its age or later.
     let answered = sent + Duration::from_millis(u64::from(reply.waited_ms));
-    let items = reply.items.into_iter().map(|i| StoreItem {
+    let all = match reply.packed.is_empty() {
+        true => None,
+        false => Some(News {
+            whole: true,
+            items: items_of(jd_wire::unpack(&reply.packed).ok()?),
+            revision: reply.packed_revision,
+        }),
+    };
+    let newer = News {
+        whole: reply.whole,
+        items: items_of(reply.items),
+        revision: reply.revision,
+    };
+    Some(Heard {
+        news: all.into_iter().chain([newer]).collect(),
+        proof: reply.proof.map(|p| proof_at(answered, p)),
+        store_away: reply.store_away,
+    })
+}
+
+fn items_of(items: Vec<WireItem>) -> Vec<StoreItem> {
+    let items = items.into_iter().map(|i| StoreItem {
         key: i.key.into(),
         value: Bytes::from(i.value),
         revision: i.revision,
         removed: i.removed,
     });
-    Heard {
-        news: News {
-            whole: reply.whole,
-            items: items.collect(),
-            revision: reply.revision,
-        },
-        proof: reply.proof.map(|p| proof_at(answered, p)),
-        store_away: reply.store_away,
+    items.collect()
+}
+
+fn wire_items(items: Vec<StoreItem>) -> Vec<WireItem> {
+    let items = items.into_iter().map(|i| WireItem {
+        key: i.key.into(),
+        value: i.value.to_vec(),
+        revision: i.revision,
+        removed: i.removed,
+    });
+    items.collect()
+}
+
+/// All records, packed once for many.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct PackedNews {
+    revision: u64,
+    bytes: Vec<u8>,
+}
+
+/// All records, packed, for somebody who knows only what was up to `after`; none if
+/// single records do. Made anew only when many have changed since.
+///
+/// The load that it answers: all instances of a fleet start at once. Each read a
+/// megabyte from the store, 2.7 s of its link at 300 instances, and gave up readings
+/// that took longer than a call may take, so that the link stayed full.
+fn packed(state: &State, after: u64) -> Option<PackedNews> {
+    let mut packed = lock(&state.packed);
+    let knowledge = state.knowledge();
+    let mirror = &knowledge.mirror;
+    if mirror.revision() == 0 || !mirror.is_behind(after) {
+        return None;
     }
+    let is_old = mirror.is_behind(packed.revision)
+        || mirror.written_after(packed.revision) > PACKED_BEHIND
+        || packed.bytes.is_empty();
+    if is_old {
+        let all = mirror.since(0);
+        drop(knowledge);
+        match jd_wire::pack(wire_items(all.items)) {
+            Ok(bytes) => {
+                let revision = all.revision;
+                *packed = PackedNews { revision, bytes };
+            }
+            Err(e) => {
+                log::error!(error:% = e; "records cannot be packed; they are sent one by one");
+                return None;
+            }
+        }
+    }
+    Some(packed.clone())
 }
 
 /// Answers another instance's question once there is something to tell.
@@ -77,21 +146,18 @@
         };
         news.or(late).await;
     }
-    let news = state.knowledge().mirror.since(req.after);
-    let items = news.items.into_iter().map(|i| WireItem {
-        key: i.key.into(),
-        value: i.value.to_vec(),
-        revision: i.revision,
-        removed: i.removed,
-    });
-    let store_away = state.has_lost_store();
+    let packed = packed(state, req.after).unwrap_or_default();
+    let after = req.after.max(packed.revision);
+    let news = state.knowledge().mirror.since(after);
     FollowReply {
         revision: news.revision,
         whole: news.whole,
-        items: items.collect(),
-        store_away,
+        items: wire_items(news.items),
+        store_away: state.has_lost_store(),
         proof: wire_proof(state),
         waited_ms: millis(state.now().since(came)),
+        packed: packed.bytes,
+        packed_revision: packed.revision,
     }
 }
 
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -15,7 +15,6 @@
 use jd_serving::Heartbeat;
 use jd_serving::InstanceEntry;
 use jd_serving::JobFailure;
-use jd_serving::NewsSource;
 use jd_serving::SMALL_FLEET;
 use jd_serving::Shard;
 use jd_serving::StageJob;
@@ -137,7 +136,7 @@
         let asked = peer_news::question(&self.state, wait);
         let sent = self.state.now();
         match within(wait + BEAT_WITHIN, client.follow(asked)).await {
-            Some(reply) => Some(peer_news::heard(sent, reply.ok()?.into_inner())),
+            Some(reply) => peer_news::heard(sent, reply.ok()?.into_inner()),
             None => {
                 // The connection may be silent for good while new ones work.
                 channel.reset();
@@ -175,9 +174,7 @@
             let first = owners(shard, everybody()).into_iter().take(WATCHED_OWNERS);
             ids.extend(first.map(|e| e.incarnation));
         }
-        if let NewsSource::Instance(id) = self.state.news_source() {
-            ids.push(id);
-        }
+        ids.extend(self.state.news_source().instance());
         let mut ring: Vec<Incarnation> = everybody().map(|e| e.incarnation).collect();
         ring.sort_unstable();
         let next = ring.iter().position(|id| *id == me).map_or(0, |n| n + 1);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -39,6 +39,7 @@
 use crate::Dialect;
 use crate::latch::Latch;
 use crate::metrics::Metrics;
+use crate::peer_news::PackedNews;
 use crate::signal::Signal;
 use crate::upstream_table::UpstreamTable;
 
@@ -105,12 +106,14 @@
     /// Signals that proof is to be asked for at once, and that the store is back.
     pub(crate) proof_wanted: Signal,
     pub(crate) store_back: Signal,
-    /// Set with the first request of a caller.
-    pub(crate) called: Latch,
     /// Signals that this instance's entry was removed although it is there.
     pub(crate) entry_gone: Signal,
     /// Tells those that follow this instance that there is news.
     pub(crate) news: Event,
+    /// What is told to instances that start.
+    pub(crate) packed: Mutex<PackedNews>,
+    /// Set once it is known which instances the store lists.
+    pub(crate) listed: Latch,
     knowledge: Mutex<Knowledge>,
     budgets: Mutex<HashMap<CompactString, RepeatBudget>>,
     leaving: AtomicBool,
@@ -140,9 +143,10 @@
             metrics: Metrics::new(),
             proof_wanted: Signal::new(),
             store_back: Signal::new(),
-            called: Latch::default(),
             entry_gone: Signal::new(),
             news: Event::new(),
+            packed: Mutex::default(),
+            listed: Latch::default(),
             knowledge: Mutex::default(),
             budgets: Mutex::default(),
             leaving: AtomicBool::new(false),
@@ -246,19 +250,8 @@
         self.knowledge().mirror.revision() > 0
     }
 
-    /// Returns once everything that the store holds has been read.
-    pub(crate) async fn until_read(&self) {
-        while !self.has_read() {
-            let news = self.news.listen();
-            if !self.has_read() {
-                news.await;
-            }
-        }
-    }
-
     /// Counts a request as in flight until the guard is dropped.
     pub(crate) fn begin(self: &Arc<Self>) -> InFlight {
-        self.called.set();
         self.in_flight.fetch_add(1, Ordering::Relaxed);
         InFlight(Arc::clone(self))
     }
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -76,6 +76,15 @@
     pub more: bool,
 }
 
+/// Which records are read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Listed {
+    /// All of them.
+    All,
+    /// Those of instances of this system.
+    Instances,
+}
+
 /// Why a call to the store brought nothing.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Snafu)]
 pub enum StoreError {
@@ -116,10 +125,10 @@
 /// The store that holds what must last: the operator's configuration and the
 /// entries of upstreams and instances.
 pub trait Store: Debug + Send + Sync {
-    /// Reads what lies after a key, as it is now and as much as fits into one
+    /// Reads all records or those of instances: what lies after a key, as it is now and as much as fits into one
     /// answer; everything from the empty key on. Pages are no snapshot: what
     /// changed since the first one comes with a watch from its revision.
-    fn page<'a>(&'a self, after: &'a str) -> StoreFuture<'a, Page>;
+    fn page<'a>(&'a self, what: Listed, after: &'a str) -> StoreFuture<'a, Page>;
 
     /// Waits for changes after a revision, at most `wait`.
     fn watch(&self, after: u64, wait: Duration) -> StoreFuture<'_, Items>;
--- a/crates/gateway/src/store_follower.rs
+++ b/crates/gateway/src/store_follower.rs
@@ -5,15 +5,11 @@
 
 use async_io::Timer;
 use futures_lite::FutureExt;
-use jd_net::within;
 use jd_serving::News;
 use jd_serving::NewsSource;
-use jd_serving::SMALL_FLEET;
 use jd_serving::SourceState;
-use jd_serving::StoreItem;
 use jd_types::Incarnation;
 
-use crate::Page;
 use crate::StoreError;
 use crate::peers::Peers;
 use crate::store_call::StoreCall;
@@ -21,6 +17,7 @@
 use crate::store_link::CALL_WITHIN;
 use crate::store_link::StoreLink;
 use crate::store_link::patience;
+use crate::store_reader::StoreReader;
 
 /// How long one watch waits for changes: the longest that the store allows.
 const WATCH_WAIT: Duration = Duration::from_secs(30);
@@ -33,25 +30,26 @@
 /// Pause between two watches, in which changes gather: each watch is a call, and
 /// when a fleet starts every instance's entry is a change for all others.
 const GATHER: Duration = Duration::from_millis(100);
-/// How long after its start an instance of which few others are known begins to watch.
-/// The users start all instances within 300 ms; each watch of each of them is answered
-/// at every entry that one of the others writes.
-const START_SPREAD: Duration = Duration::from_millis(500);
 /// How long nothing may come of what the store is known to have before
 /// everything is read again.
 const NEWS_BEHIND: Duration = Duration::from_millis(250);
 /// How long an instance waits for the store's return to be noticed.
 const AWAY_PAUSE: Duration = Duration::from_secs(2);
+/// How long the first start of a whole system waits for the others: the users start
+/// all instances within 300 ms, and each then writes its entry.
+const START_SPREAD: Duration = Duration::from_millis(600);
+/// How long a process that has read nothing waits for an answer of one that relays and
+/// may have started in the same moment.
+const FIRST_FOLLOW_WAIT: Duration = Duration::from_millis(250);
+/// How long it asks those that relay before it reads everything from the store. They
+/// need about 300 ms from their start until they can tell.
+const RELAYS_WITHIN: Duration = Duration::from_millis(900);
 /// The mean pause before a process that has read nothing yet asks again. Until
 /// then it serves nobody, and it asks the store nothing else.
 const FIRST_READ_PAUSE: Duration = Duration::from_millis(350);
 /// The longest such pause: the store's return is noticed within twice this time, and
 /// a fleet of hundreds that waits for it asks some three hundred times a second.
 const FIRST_READ_PAUSE_MOST: Duration = Duration::from_millis(900);
-/// How often a page that is not the first is asked for again.
-const PAGE_TRIES: u32 = 6;
-/// The mean pause before that: rates of the store count in seconds.
-const PAGE_PAUSE: Duration = Duration::from_millis(400);
 /// How often entries are looked through for those that are over.
 const EXPIRE_EVERY: Duration = Duration::from_millis(250);
 
@@ -59,7 +57,8 @@
 #[derive(Debug)]
 pub(crate) struct StoreFollower {
     pub(crate) link: Arc<StoreLink>,
-    pub(crate) intake: StoreIntake,
+    pub(crate) intake: Arc<StoreIntake>,
+    pub(crate) reader: StoreReader,
     pub(crate) peers: Arc<Peers>,
 }
 
@@ -77,12 +76,12 @@
     /// follows an instance that does; reads everything again where the news can
     /// no longer be trusted.
     pub(crate) async fn follow(self: Arc<Self>) {
-        let state = &self.link.state;
-        let mut round = Round::Lost;
+        self.start().await;
+        let mut round = Round::Kept;
         let mut failures: u32 = 0;
         loop {
             if round == Round::Lost {
-                match self.read_all(patience(failures)).await {
+                match self.reader.read_all(patience(failures)).await {
                     Ok(()) => {
                         round = Round::Kept;
                         failures = 0;
@@ -93,10 +92,6 @@
                     }
                 }
             }
-            if round == Round::Lost && !state.has_read() {
-                Timer::after(first_read_pause(failures)).await;
-                continue;
-            }
             let asking = self.round(round);
             let behind = async {
                 self.until_behind().await;
@@ -107,6 +102,41 @@
         }
     }
 
+    /// Reads for the first time, however long it takes.
+    async fn start(&self) {
+        let mut failures: u32 = 0;
+        while let Err(e) = self.read_first(patience(failures)).await {
+            failures = failures.saturating_add(1);
+            self.link.failed(StoreCall::Page, e);
+            Timer::after(first_read_pause(failures)).await;
+        }
+    }
+
+    /// Reads which instances there are, and all else from one that relays in this zone;
+    /// from the store if this one relays itself, or if none of them has it.
+    ///
+    /// The load that it answers: all instances of a fleet start at once. Of 300 each read
+    /// a megabyte, 2.7 s of the store's link, and readings that were given up for taking
+    /// too long were begun again, so that the link stayed full after the store was back.
+    async fn read_first(&self, patience: Duration) -> Result<(), StoreError> {
+        let state = &self.link.state;
+        self.reader.read_instances(patience).await?;
+        if state.settings.first_start {
+            Timer::after(START_SPREAD).await;
+            self.reader.read_instances(patience).await?;
+        }
+        let asked = state.now();
+        while let NewsSource::Relay(id) = state.news_source()
+            && state.now().since(asked) < RELAYS_WITHIN
+        {
+            self.follow_instance(id, FIRST_FOLLOW_WAIT).await;
+            if state.has_read() {
+                return Ok(());
+            }
+        }
+        self.reader.read_all(CALL_WITHIN).await
+    }
+
     /// Gives up entries whose time is over.
     pub(crate) async fn expire(self: Arc<Self>) {
         let state = &self.link.state;
@@ -130,81 +160,24 @@
     async fn round(&self, last: Round) -> Round {
         let state = &self.link.state;
         match state.news_source() {
-            NewsSource::Instance(id) if self.follow_instance(id).await => Round::Kept,
+            NewsSource::Reader(id) | NewsSource::Relay(id)
+                if self.follow_instance(id, FOLLOW_WAIT).await =>
+            {
+                Round::Kept
+            }
             _ if last == Round::Lost => {
                 state.store_back.wait(AWAY_PAUSE).await;
                 Round::Lost
             }
-            NewsSource::Store => {
-                self.until_started().await;
-                self.watch(WATCH_WAIT).await
-            }
+            NewsSource::Store => self.watch(WATCH_WAIT).await,
             // It is passed over from now on, and the next one is asked.
-            NewsSource::Instance(id) => {
+            NewsSource::Reader(id) | NewsSource::Relay(id) => {
                 log::info!(source:% = id; "no news from the instance followed");
                 Round::Kept
             }
         }
     }
 
-    async fn read_all(&self, patience: Duration) -> Result<(), StoreError> {
-        let state = &self.link.state;
-        let asked = state.now();
-        let mut page = self.read_page("", patience).await?;
-        // What changed since the first page comes with the news after it.
-        let revision = page.revision;
-        let mut items: Vec<StoreItem> = Vec::new();
-        loop {
-            items.append(&mut page.items);
-            match items.last() {
-                Some(last) if page.more => page = self.read_on(&last.key).await?,
-                _ => break,
-            }
-        }
-        self.intake.take(News {
-            whole: true,
-            items,
-            revision,
-        });
-        state.knowledge().freshness.confirmed(asked, revision);
-        Ok(())
-    }
-
-    async fn read_page(&self, after: &str, patience: Duration) -> Result<Page, StoreError> {
-        let page = self.link.store.page(after);
-        let page = self.link.call(StoreCall::Page, patience, page).await?;
-        self.link.succeeded();
-        Ok(page)
-    }
-
-    /// Reads a page that is not the first, more than once if need be.
-    ///
-    /// Guards against all instances of a large fleet starting at once: together
-    /// they ask for more than the store's rate and link carry in a second, and each
-    /// that began anew after one refused page kept them busy for longer.
-    async fn read_on(&self, after: &str) -> Result<Page, StoreError> {
-        for _ in 0..PAGE_TRIES {
-            match self.read_page(after, CALL_WITHIN).await {
-                Ok(page) => return Ok(page),
-                Err(e) => self.link.failed(StoreCall::Page, e),
-            }
-            Timer::after(PAGE_PAUSE.mul_f64(0.5 + fastrand::f64())).await;
-        }
-        self.read_page(after, CALL_WITHIN).await
-    }
-
-    /// Returns once others that started with this instance have written their entries,
-    /// after which most of a large fleet hear each other and need no watch; at once when
-    /// a caller is there, whose request may need what changed meanwhile.
-    async fn until_started(&self) {
-        let state = &self.link.state;
-        let is_small = state.instance_count() as usize <= SMALL_FLEET;
-        let left = START_SPREAD.saturating_sub(state.uptime());
-        if is_small && !left.is_zero() {
-            within(left, state.called.wait()).await;
-        }
-    }
-
     async fn watch(&self, wait: Duration) -> Round {
         let state = &self.link.state;
         let revision = state.knowledge().mirror.revision();
@@ -236,9 +209,9 @@
     }
 
     /// Hears another instance's news; false if it does not answer.
-    async fn follow_instance(&self, id: Incarnation) -> bool {
+    async fn follow_instance(&self, id: Incarnation, wait: Duration) -> bool {
         let state = &self.link.state;
-        let asking = self.peers.follow(id, FOLLOW_WAIT);
+        let asking = self.peers.follow(id, wait);
         let gone = async {
             self.until_silent(id).await;
             None
@@ -249,8 +222,10 @@
             knowledge.note_source(now, id, SourceState::Silent);
             return false;
         };
-        let silent = heard.news.items.is_empty();
-        self.intake.take(heard.news);
+        let silent = heard.news.iter().all(|n| n.items.is_empty());
+        for news in heard.news {
+            self.intake.take(news);
+        }
         if let Some(proof) = heard.proof {
             state.knowledge().freshness.adopt(proof);
         }
@@ -281,7 +256,7 @@
         let mut knowledge = state.knowledge();
         knowledge.note_source(now, id, SourceState::StoreAway);
         drop(knowledge);
-        if state.news_source() == NewsSource::Instance(id) {
+        if state.news_source().instance() == Some(id) {
             self.link.away();
         } else {
             log::info!(source:% = id; "the instance followed has lost the store");
@@ -319,7 +294,6 @@
 /// How long a process that has read nothing waits after so many failures.
 fn first_read_pause(failures: u32) -> Duration {
     let pause = FIRST_READ_PAUSE * failures.clamp(1, 8);
-    pause
-        .min(FIRST_READ_PAUSE_MOST)
-        .mul_f64(0.7 + 0.6 * fastrand::f64())
+    let pause = pause.min(FIRST_READ_PAUSE_MOST);
+    pause.mul_f64(0.7 + 0.6 * fastrand::f64())
 }
--- a/crates/gateway/src/store_intake.rs
+++ b/crates/gateway/src/store_intake.rs
@@ -36,6 +36,16 @@
         self.state.news.notify(usize::MAX);
     }
 
+    /// Takes in which instances the store lists, before anything else is known.
+    pub(crate) fn take_instances(&self, items: &[StoreItem]) {
+        for (change, written) in self.decode(items) {
+            if let Change::Put(record) = change {
+                self.take_record(record, written);
+            }
+        }
+        self.state.listed.set();
+    }
+
     fn replace(&self, items: Vec<StoreItem>, revision: u64) {
         let is_first = !self.state.has_read();
         let changes: Vec<(Change, u64)> = self.decode(&items);
--- a/crates/gateway/src/store_lease.rs
+++ b/crates/gateway/src/store_lease.rs
@@ -29,11 +29,11 @@
 }
 
 impl StoreLease {
-    /// Keeps the entry until this instance leaves. It is written once the store has
-    /// been read, so that it takes the place of those of earlier starts.
+    /// Keeps the entry until this instance leaves. It is written once those of
+    /// others were read, so that it takes the place of those of earlier starts.
     pub(crate) async fn keep(self: Arc<Self>) {
         let state = &self.link.state;
-        state.until_read().await;
+        state.listed.wait().await;
         let mut lease = None;
         loop {
             let pause = match self.announce(lease).await {
--- /dev/null
+++ b/crates/gateway/src/store_reader.rs
@@ -0,0 +1,98 @@
+//! Reading what the store holds, page by page.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_io::Timer;
+use jd_serving::News;
+use jd_serving::StoreItem;
+
+use crate::Listed;
+use crate::Page;
+use crate::StoreError;
+use crate::store_call::StoreCall;
+use crate::store_intake::StoreIntake;
+use crate::store_link::CALL_WITHIN;
+use crate::store_link::StoreLink;
+
+/// How often a page that is not the first is asked for again.
+const PAGE_TRIES: u32 = 6;
+/// The mean pause before that: rates of the store count in seconds.
+const PAGE_PAUSE: Duration = Duration::from_millis(400);
+
+/// Reads what the store holds.
+#[derive(Debug)]
+pub(crate) struct StoreReader {
+    pub(crate) link: Arc<StoreLink>,
+    pub(crate) intake: Arc<StoreIntake>,
+}
+
+impl StoreReader {
+    /// Reads everything.
+    pub(crate) async fn read_all(&self, patience: Duration) -> Result<(), StoreError> {
+        let state = &self.link.state;
+        let asked = state.now();
+        let (items, revision) = self.read(Listed::All, patience).await?;
+        self.intake.take(News {
+            whole: true,
+            items,
+            revision,
+        });
+        state.knowledge().freshness.confirmed(asked, revision);
+        Ok(())
+    }
+
+    /// Reads which instances there are.
+    pub(crate) async fn read_instances(&self, patience: Duration) -> Result<(), StoreError> {
+        let (items, _) = self.read(Listed::Instances, patience).await?;
+        self.intake.take_instances(&items);
+        Ok(())
+    }
+
+    /// All items and the revision of the first page. What has changed since that page
+    /// comes with the news after it.
+    async fn read(
+        &self,
+        what: Listed,
+        patience: Duration,
+    ) -> Result<(Vec<StoreItem>, u64), StoreError> {
+        let mut page = self.read_page(what, "", patience).await?;
+        let revision = page.revision;
+        let mut items: Vec<StoreItem> = Vec::new();
+        loop {
+            items.append(&mut page.items);
+            match items.last() {
+                Some(last) if page.more => page = self.read_on(what, &last.key).await?,
+                _ => return Ok((items, revision)),
+            }
+        }
+    }
+
+    async fn read_page(
+        &self,
+        what: Listed,
+        after: &str,
+        patience: Duration,
+    ) -> Result<Page, StoreError> {
+        let page = self.link.store.page(what, after);
+        let page = self.link.call(StoreCall::Page, patience, page).await?;
+        self.link.succeeded();
+        Ok(page)
+    }
+
+    /// Reads a page that is not the first, more than once if need be.
+    ///
+    /// Guards against all instances of a large fleet starting at once: together
+    /// they ask for more than the store's rate and link carry in a second, and each
+    /// that began anew after one refused page kept them busy for longer.
+    async fn read_on(&self, what: Listed, after: &str) -> Result<Page, StoreError> {
+        for _ in 0..PAGE_TRIES {
+            match self.read_page(what, after, CALL_WITHIN).await {
+                Ok(page) => return Ok(page),
+                Err(e) => self.link.failed(StoreCall::Page, e),
+            }
+            Timer::after(PAGE_PAUSE.mul_f64(0.5 + fastrand::f64())).await;
+        }
+        self.read_page(what, after, CALL_WITHIN).await
+    }
+}
--- a/crates/gateway/tests/whole/fakes/fake_store.rs
+++ b/crates/gateway/tests/whole/fakes/fake_store.rs
@@ -12,6 +12,7 @@
 use jd_gateway::Change;
 use jd_gateway::Items;
 use jd_gateway::LeaseId;
+use jd_gateway::Listed;
 use jd_gateway::Page;
 use jd_gateway::Record;
 use jd_gateway::Store;
@@ -124,6 +125,14 @@
         listed.map(|(place, _)| place).collect()
     }
 
+    fn is_of(&self, what: Listed, place: usize) -> bool {
+        let said = self.said.list.lock().expect("a lock");
+        match what {
+            Listed::All => true,
+            Listed::Instances => matches!(said[place], Change::Put(Record::Instance(_))),
+        }
+    }
+
     /// Refuses the next page that is not a first one, so many times.
     pub(crate) fn refuse_pages(&self, count: usize) {
         self.refused_pages.store(count, Ordering::Relaxed);
@@ -179,12 +188,13 @@
 }
 
 impl Store for FakeStore {
-    fn page<'a>(&'a self, after: &'a str) -> StoreFuture<'a, Page> {
-        let first = usize::from(after.is_empty());
+    fn page<'a>(&'a self, what: Listed, after: &'a str) -> StoreFuture<'a, Page> {
+        let first = usize::from(after.is_empty() && what == Listed::All);
         self.first_pages.fetch_add(first, Ordering::Relaxed);
         let from = after.parse().map_or(0, |place: usize| place + 1);
         let revision = self.now();
-        let listed = self.listed().into_iter().filter(|place| *place >= from);
+        let wanted = |place: &usize| *place >= from && self.is_of(what, *place);
+        let listed = self.listed().into_iter().filter(wanted);
         let mut items: Vec<StoreItem> = listed.map(item).collect();
         let more = items.len() > PAGE;
         items.truncate(PAGE);
--- a/crates/serving/src/news_source.rs
+++ b/crates/serving/src/news_source.rs
@@ -25,8 +25,20 @@
 pub enum NewsSource {
     /// From the store itself.
     Store,
-    /// From this instance.
-    Instance(Incarnation),
+    /// From this one that reads the store, to tell it to the instances of a zone.
+    Reader(Incarnation),
+    /// From this one that relays in its zone.
+    Relay(Incarnation),
+}
+
+impl NewsSource {
+    /// The instance that it is; none if it is the store itself.
+    pub fn instance(self) -> Option<Incarnation> {
+        match self {
+            NewsSource::Store => None,
+            NewsSource::Reader(id) | NewsSource::Relay(id) => Some(id),
+        }
+    }
 }
 
 /// What an instance was lately like as a source of news.
@@ -62,13 +74,13 @@
     let all = || others.iter().copied().chain([me]);
     let relays = candidates(all().filter(|e| e.zone == me.zone));
     match place(me.incarnation, &relays, RELAYS, &state) {
-        Place::Follows(id) => return NewsSource::Instance(id),
+        Place::Follows(id) => return NewsSource::Relay(id),
         Place::LeftAlone => return NewsSource::Store,
         Place::OneOfThem => {}
     }
     let readers = candidates(all());
     match place(me.incarnation, &readers, READERS, &state) {
-        Place::Follows(id) if state(id) == SourceState::Able => NewsSource::Instance(id),
+        Place::Follows(id) if state(id) == SourceState::Able => NewsSource::Reader(id),
         // A relay does not take the readers' word that the store is away: it may be
         // that the store turns just these away, and its zone goes by what it says.
         Place::Follows(_) | Place::OneOfThem | Place::LeftAlone => NewsSource::Store,
--- a/crates/serving/src/store_mirror.rs
+++ b/crates/serving/src/store_mirror.rs
@@ -91,9 +91,21 @@
         items
     }
 
+    /// True if somebody who knows everything up to `after` has to be sent all records:
+    /// of what was removed since some may be forgotten.
+    pub fn is_behind(&self, after: u64) -> bool {
+        after < self.forgotten
+    }
+
+    /// How many records were written after a revision.
+    pub fn written_after(&self, after: u64) -> usize {
+        let newer = self.items.values().filter(|i| i.revision > after);
+        newer.count()
+    }
+
     /// What somebody lacks who knows everything up to `after`.
     pub fn since(&self, after: u64) -> News {
-        let whole = after < self.forgotten;
+        let whole = self.is_behind(after);
         let newer = |i: &&StoreItem| whole || i.revision > after;
         let removed = self.removed.iter().filter(|_| !whole);
         let all = self.items.values().chain(removed);
--- a/crates/serving/tests/news_sources.rs
+++ b/crates/serving/tests/news_sources.rs
@@ -57,9 +57,9 @@
 fn steps(sources: &HashMap<Incarnation, NewsSource>, from: Incarnation) -> Option<usize> {
     let mut at = from;
     for steps in 0..10 {
-        match sources.get(&at)? {
-            NewsSource::Store => return Some(steps),
-            NewsSource::Instance(id) => at = *id,
+        match sources.get(&at)?.instance() {
+            None => return Some(steps),
+            Some(id) => at = id,
         }
     }
     None
@@ -85,8 +85,8 @@
     }
     let mut followers: HashMap<Incarnation, u16> = HashMap::new();
     for source in sources.values() {
-        if let NewsSource::Instance(id) = source {
-            *followers.entry(*id).or_default() += 1;
+        if let Some(id) = source.instance() {
+            *followers.entry(id).or_default() += 1;
         }
     }
     let most = followers.values().max().copied().unwrap_or(0);
@@ -120,10 +120,7 @@
     let zone_a = |e: &&InstanceEntry| e.zone.as_str() == "a";
     let plain = all.iter().filter(zone_a);
     let mut relays: Vec<Incarnation> = plain
-        .filter_map(|e| match before[&e.incarnation] {
-            NewsSource::Instance(id) => Some(id),
-            NewsSource::Store => None,
-        })
+        .filter_map(|e| before[&e.incarnation].instance())
         .filter(|id| all.iter().any(|e| e.incarnation == *id && zone_a(&e)))
         .collect();
     relays.sort_unstable();
@@ -136,16 +133,14 @@
     let after = sources(&all, lost);
     let others = all.iter().filter(|e| !zone_a(e));
     for entry in others.filter(|e| !relays.contains(&e.incarnation)) {
-        let untouched = match before[&entry.incarnation] {
-            NewsSource::Instance(id) => !relays.contains(&id),
-            NewsSource::Store => true,
-        };
+        let source = before[&entry.incarnation].instance();
+        let untouched = source.is_none_or(|id| !relays.contains(&id));
         if untouched {
             assert_eq!(before[&entry.incarnation], after[&entry.incarnation]);
         }
     }
     for entry in all.iter().filter(zone_a) {
-        if let NewsSource::Instance(id) = after[&entry.incarnation] {
+        if let Some(id) = after[&entry.incarnation].instance() {
             assert!(!relays.contains(&id));
         }
     }
@@ -179,18 +174,13 @@
     let before = sources(&all, able);
     // A weak one: no candidate itself.
     let me = all[39].incarnation;
-    let NewsSource::Instance(first) = before[&me] else {
-        panic!("the instance follows another");
-    };
+    let first = before[&me].instance().expect("one that is followed");
     let lost = |id| match id == first {
         true => SourceState::StoreAway,
         false => SourceState::Able,
     };
     let after = sources(&all, lost)[&me];
-    assert!(
-        matches!(after, NewsSource::Instance(id) if id != first),
-        "{after:?}"
-    );
+    assert!(after.instance().is_some_and(|id| id != first), "{after:?}");
 }
 
 #[test]
--- a/crates/settings/src/gateway_settings.rs
+++ b/crates/settings/src/gateway_settings.rs
@@ -75,6 +75,13 @@
         "3000",
         "16 to 65536",
     ),
+    optional(
+        "instance",
+        "first-start",
+        "yes or no",
+        "false",
+        "true or false; true when the whole system starts for the first time",
+    ),
     required("store", "address", "IP:port", "the key-value store"),
     optional(
         "store",
@@ -159,6 +166,8 @@
     pub link_mbps: u32,
     /// Open connections of callers.
     pub max_connections: usize,
+    /// True when the whole system starts for the first time.
+    pub first_start: bool,
     /// Where the store is.
     pub store: SocketAddr,
     /// How often the store is asked for its revision.
@@ -226,6 +235,7 @@
             core_percent: (quantity("instance", "core-share", 0.01, 1_024.0)? * 100.0) as u32,
             link_mbps: quantity("instance", "link-mbps", 0.1, 1e6)?.ceil() as u32,
             max_connections: number("instance", "max-connections", 16, 65_536)? as usize,
+            first_start: raw.value("instance", "first-start", |t| t.parse().ok())?,
             store: address("store", "address")?,
             confirm_every: millis("store", "confirm-every-ms", 100, 60_000)?,
             lease: millis("store", "lease-ms", 1_000, 600_000)?,
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -7,6 +7,7 @@
 mod convert;
 mod exchange;
 mod generated;
+mod packed;
 mod wire_error;
 
 pub use exchange::Exchange;
@@ -36,4 +37,6 @@
 pub use generated::peer::peer_client::PeerClient;
 pub use generated::peer::peer_server::Peer;
 pub use generated::peer::peer_server::PeerServer;
+pub use packed::pack;
+pub use packed::unpack;
 pub use wire_error::WireError;
--- a/crates/wire/tests/wire.rs
+++ b/crates/wire/tests/wire.rs
@@ -92,3 +92,33 @@
         }
     }
 }
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(2),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// What is packed comes out as it went in; anything else is refused, and nothing
+    /// panics or takes memory without bound.
+    #[test]
+    fn records_are_packed_and_unpacked(values: Vec<Vec<u8>>, cut in 0_usize..64) {
+        let records = values.iter().enumerate().map(|(n, value)| jd_wire::StoreItem {
+            key: format!("servers/{n}"),
+            value: value.clone(),
+            revision: n as u64,
+            removed: false,
+        });
+        let records: Vec<jd_wire::StoreItem> = records.collect();
+        let packed = jd_wire::pack(records.clone()).unwrap();
+        assert_eq!(jd_wire::unpack(&packed).unwrap(), records);
+        let part = &packed[..cut.min(packed.len() - 1)];
+        assert!(jd_wire::unpack(part).is_err() || records.is_empty());
+    }
+
+    #[test]
+    fn any_bytes_are_unpacked_without_harm(bytes: Vec<u8>) {
+        let _any = jd_wire::unpack(&bytes);
+    }
+}
--- a/soak/src/fault.rs
+++ b/soak/src/fault.rs
@@ -73,6 +73,8 @@
     Drain(usize),
     /// An upstream is gone, and another one has its address.
     Replace(usize),
+    /// An upstream ends and starts again under its identity, holding nothing.
+    StartAgain(usize),
     /// The operator puts the next configuration in force.
     Configure,
     /// The operator takes a credential away.
--- a/soak/src/model.rs
+++ b/soak/src/model.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
 use async_io::Timer;
@@ -41,6 +42,8 @@
 #[derive(Debug)]
 pub(crate) struct Engine {
     pub(crate) id: Mutex<String>,
+    /// When it started, in milliseconds since 1970.
+    pub(crate) born: AtomicU64,
     pub(crate) mode: Mutex<Option<EngineMode>>,
     pub(crate) ledger: Arc<Ledger>,
     pub(crate) results: Arc<Results>,
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -18,6 +18,8 @@
 /// From this seed on a plan may also kill all instances at once. Those of the earlier
 /// ones stay as they were when they were played.
 const KILLS_ALL_FROM: u64 = 1_000;
+/// From this seed on upstreams start again as well. Earlier seeds keep their plans.
+const STARTS_AGAIN_FROM: u64 = 2_000;
 /// Every so many seeds bring planned work only, which may cut nothing short.
 const PLANNED_ONLY_EVERY: u64 = 4;
 
@@ -63,6 +65,15 @@
                 fault: Fault::KillAll(down),
             });
         }
+        if seed >= STARTS_AGAIN_FROM && !planned_only {
+            for _ in 0..rng.usize(1..=2) {
+                let after = rng.u64(0..FAULTS_LAST.as_millis() as u64);
+                steps.push(Step {
+                    at: LEAD + Duration::from_millis(after),
+                    fault: Fault::StartAgain(rng.usize(..)),
+                });
+            }
+        }
         steps.sort_by_key(|s| s.at);
         Plan { seed, steps }
     }
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -208,7 +208,9 @@
         let places = self.world.places.len();
         let held = match step.fault {
             Fault::Kill(n, _) | Fault::Stop(n) | Fault::Pause(n, _) => Some(n % instances),
-            Fault::Drain(n) | Fault::Replace(n) => Some(instances + n % places),
+            Fault::Drain(n) | Fault::Replace(n) | Fault::StartAgain(n) => {
+                Some(instances + n % places)
+            }
             _ => None,
         };
         if held.is_some_and(|h| self.held[h].swap(true, Ordering::Relaxed)) {
@@ -233,7 +235,7 @@
     fn what(&self, fault: Fault) -> String {
         let places = &self.world.places;
         match fault {
-            Fault::Drain(n) | Fault::Replace(n) | Fault::Engine(n, _, _) => {
+            Fault::Drain(n) | Fault::Replace(n) | Fault::StartAgain(n) | Fault::Engine(n, _, _) => {
                 places[n % places.len()].handler.engine().id()
             }
             _ => String::new(),
@@ -312,6 +314,7 @@
                 self.world.replace(place(n));
             }
             Fault::Replace(n) => self.world.replace(place(n)),
+            Fault::StartAgain(n) => self.world.start_again(place(n)).await,
             Fault::Configure => return Ok(Some(self.world.configure().to_string())),
             Fault::Revoke => return Ok(Some(self.world.revoke().unwrap_or("").into())),
             Fault::RevokeBehindCut(n) => {
--- a/soak/src/stages.rs
+++ b/soak/src/stages.rs
@@ -54,6 +54,12 @@
         handle
     }
 
+    /// The upstream at this address ended with all that it held.
+    pub(crate) fn lose(&self, at: SocketAddr) {
+        let prefix = format!("{at}/");
+        lock(&self.made).retain(|handle, _| !handle.starts_with(&prefix));
+    }
+
     fn free(&self, handles: &[Value]) {
         let mut made = lock(&self.made);
         for handle in handles.iter().filter_map(Value::as_str) {
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -5,8 +5,13 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::SystemTime;
 
 use async_executor::Executor;
+use async_io::Timer;
 use jd_net::Handler;
 use jd_net::HttpServer;
 use jd_net::ServerLimits;
@@ -14,6 +19,7 @@
 use serde_json::json;
 
 use crate::Ledger;
+use crate::LinkMode;
 use crate::config;
 use crate::config::KEYS;
 use crate::model::Engine;
@@ -30,6 +36,8 @@
 const PORTS: [u16; 5] = [7_001, 7_002, 7_003, 7_004, 7_005];
 /// The port of relays to the store, of upstreams, and of relays to these.
 const SERVICE_PORT: u16 = 7_010;
+/// How long an upstream that starts again is down.
+const DOWN: Duration = Duration::from_millis(150);
 /// The last number of the first upstream's address; instances come before.
 const FIRST_ENGINE: usize = 200;
 
@@ -109,6 +117,7 @@
             )?;
             let engine = Engine {
                 id: Mutex::new(new_id()),
+                born: AtomicU64::new(now_ms()),
                 mode: Mutex::default(),
                 ledger: Arc::clone(&ledger),
                 results: Arc::clone(&results),
@@ -182,7 +191,8 @@
         let id = place.handler.engine().id();
         let entry = json!({
             "service": place.service, "addr": place.link.address(), "zone": "hall-a",
-            "version": 1, "slots": 16, "state": state, "cold_left_ms": 0, "seq": 1,
+            "version": "v1", "slots": 16, "state": state, "cold_left_ms": 0, "seq": 1,
+            "born": place.handler.engine().born.load(Ordering::Relaxed),
         });
         self.store.put(&format!("servers/{id}"), &entry);
     }
@@ -194,6 +204,21 @@
         self.register(place, "ready");
     }
 
+    /// An upstream ends, with all that it holds and its connections, and starts again
+    /// under its identity.
+    pub(crate) async fn start_again(&self, place: &Place) {
+        place.link.set(Some(LinkMode::Resets));
+        place.handler.engine().results.lose(place.link.address());
+        Timer::after(DOWN).await;
+        place
+            .handler
+            .engine()
+            .born
+            .store(now_ms(), Ordering::Relaxed);
+        self.register(place, "ready");
+        place.link.set(None);
+    }
+
     /// Puts the next configuration in force; its version.
     pub(crate) fn configure(&self) -> u64 {
         let mut operator = lock(&self.operator);
@@ -224,6 +249,12 @@
     }
 }
 
+/// The time of day in milliseconds since 1970, by which upstreams tell their starts.
+pub(crate) fn now_ms() -> u64 {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    since.map_or(0, |s| s.as_millis() as u64)
+}
+
 fn new_id() -> String {
     format!("i-{:08x}", fastrand::u32(..))
 }
