--- a/crates/wire/tests/wire.rs
+++ b/crates/wire/tests/wire.rs
@@ -105,7 +105,7 @@
     #[test]
     fn records_are_packed_and_unpacked(values: Vec<Vec<u8>>, cut in 0_usize..64) {
         let records = values.iter().enumerate().map(|(n, value)| jd_wire::StoreItem {
-            key: format!("servers/{n}"),
+            key: format!("record/{n}"),
             value: value.clone(),
             revision: n as u64,
             removed: false,
