Write an entry again until it is there; say when packed news is damaged

Found by reading the diff: an entry that was removed though its instance is there was written again once. A piece that could not be unpacked was dropped without a line.

--- a/crates/gateway/src/peer_news.rs
+++ b/crates/gateway/src/peer_news.rs
@@ -50,13 +50,19 @@
     // The question came after it was sent and was answered that much later, so
     // what the proof tells of was asked then less its age or later.
     let answered = sent + Duration::from_millis(u64::from(reply.waited_ms));
-    let all = match reply.packed.is_empty() {
-        true => None,
-        false => Some(News {
-            whole: true,
-            items: items_of(jd_wire::unpack(&reply.packed).ok()?),
-            revision: reply.packed_revision,
-        }),
+    let all = match reply.packed.as_slice() {
+        [] => None,
+        packed => match jd_wire::unpack(packed) {
+            Ok(items) => Some(News {
+                whole: true,
+                items: items_of(items),
+                revision: reply.packed_revision,
+            }),
+            Err(e) => {
+                log::error!(error:% = e; "news of another instance not understood");
+                return None;
+            }
+        },
     };
     let newer = News {
         whole: reply.whole,
--- a/crates/gateway/src/store_lease.rs
+++ b/crates/gateway/src/store_lease.rs
@@ -21,6 +21,14 @@
 /// watch an instance the first to remove it spares the others.
 const REMOVE_PERCENT: u32 = 35;
 
+/// What the store has of this instance.
+#[derive(Debug, Default)]
+struct HeldEntry {
+    lease: Option<LeaseId>,
+    /// False until its entry is there.
+    written: bool,
+}
+
 /// Keeps this instance's entry in the store, under a lease that outlives it by far:
 /// whoever watches a silent instance removes its entry long before.
 #[derive(Debug)]
@@ -34,25 +42,22 @@
     pub(crate) async fn keep(self: Arc<Self>) {
         let state = &self.link.state;
         state.listed.wait().await;
-        let mut lease = None;
+        let mut held = HeldEntry::default();
         loop {
-            let pause = match self.announce(lease).await {
-                Ok(held) => {
-                    lease = Some(held);
-                    state.settings.lease / 3
-                }
+            let pause = match self.keep_up(&mut held).await {
+                Ok(()) => state.settings.lease / 3,
                 Err(StoreError::LeaseGone) => {
-                    lease = None;
+                    held = HeldEntry::default();
                     continue;
                 }
                 Err(e) => {
-                    log::debug!(error:% = e; "entry not renewed");
+                    log::debug!(error:% = e; "entry not kept up; it is tried again");
                     RETRY_PAUSE
                 }
             };
             if state.entry_gone.wait(pause).await && !state.is_leaving() {
                 log::info!("own entry is gone; it is written again");
-                let _rewritten = self.write(lease).await;
+                held.written = false;
             }
         }
     }
@@ -103,34 +108,27 @@
         knowledge.instances.removal_tried(now, id);
     }
 
-    async fn announce(&self, lease: Option<LeaseId>) -> Result<LeaseId, StoreError> {
+    /// Takes or renews the lease, and writes the entry if it is not there.
+    async fn keep_up(&self, held: &mut HeldEntry) -> Result<(), StoreError> {
         let StoreLink { state, store, .. } = &*self.link;
-        match lease {
-            Some(lease) => {
+        let lease = match held.lease {
+            Some(lease) if held.written => {
                 let renewing = store.renew(lease);
                 let renewed = self.link.call(StoreCall::Renew, CALL_WITHIN, renewing);
-                renewed.await.map(|()| lease)
+                return renewed.await;
             }
+            Some(lease) => lease,
             None => {
                 let taking = store.lease(state.settings.lease);
-                let lease = self
-                    .link
-                    .call(StoreCall::Lease, CALL_WITHIN, taking)
-                    .await?;
-                self.write(Some(lease)).await?;
-                Ok(lease)
+                let taken = self.link.call(StoreCall::Lease, CALL_WITHIN, taking);
+                *held.lease.insert(taken.await?)
             }
-        }
-    }
-
-    async fn write(&self, lease: Option<LeaseId>) -> Result<(), StoreError> {
-        let Some(lease) = lease else {
-            return Ok(());
         };
-        let StoreLink { state, store, .. } = &*self.link;
         let earlier = std::mem::take(&mut state.knowledge().earlier_starts);
         let announcing = store.announce(&state.me, lease, &earlier);
         let written = self.link.call(StoreCall::Announce, CALL_WITHIN, announcing);
-        written.await
+        written.await?;
+        held.written = true;
+        Ok(())
     }
 }
--- a/crates/gateway/tests/whole/fakes/fake_store.rs
+++ b/crates/gateway/tests/whole/fakes/fake_store.rs
@@ -42,6 +42,7 @@
     refused_pages: AtomicUsize,
     first_pages: AtomicUsize,
     lists: AtomicUsize,
+    refused_announcements: AtomicUsize,
     questions: AtomicUsize,
 }
 
@@ -66,6 +67,7 @@
             refused_pages: AtomicUsize::new(0),
             first_pages: AtomicUsize::new(0),
             lists: AtomicUsize::new(0),
+            refused_announcements: AtomicUsize::new(0),
             questions: AtomicUsize::new(0),
         }
     }
@@ -140,6 +142,11 @@
         self.refused_pages.store(count, Ordering::Relaxed);
     }
 
+    /// Refuses to write the next entry of an instance, so many times.
+    pub(crate) fn refuse_announcements(&self, count: usize) {
+        self.refused_announcements.store(count, Ordering::Relaxed);
+    }
+
     /// How often everything was read from the beginning.
     pub(crate) fn first_pages(&self) -> usize {
         self.first_pages.load(Ordering::Relaxed)
@@ -156,11 +163,7 @@
     }
 
     fn refuses_next_page(&self) -> bool {
-        let one_less = |n: usize| n.checked_sub(1);
-        let taken = self
-            .refused_pages
-            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, one_less);
-        taken.is_ok()
+        take_one(&self.refused_pages)
     }
 
     fn now(&self) -> u64 {
@@ -168,6 +171,13 @@
     }
 }
 
+/// Takes one off; false if there was none left.
+fn take_one(count: &AtomicUsize) -> bool {
+    let one_less = |n: usize| n.checked_sub(1);
+    let taken = count.fetch_update(Ordering::Relaxed, Ordering::Relaxed, one_less);
+    taken.is_ok()
+}
+
 /// The item that says what stands at `place`.
 fn item(place: usize) -> StoreItem {
     StoreItem {
@@ -263,7 +273,11 @@
         _lease: LeaseId,
         _earlier: &'a [Incarnation],
     ) -> StoreFuture<'a, ()> {
+        let refused = take_one(&self.refused_announcements);
         Box::pin(async move {
+            if refused {
+                return Err(StoreError::Refused);
+            }
             self.answer(())?;
             self.change(Change::Put(Record::Instance(entry.clone())));
             Ok(())
--- a/crates/gateway/tests/whole/fleet.rs
+++ b/crates/gateway/tests/whole/fleet.rs
@@ -103,3 +103,17 @@
         assert_eq!(harness.until_announced(2).await, id);
     });
 }
+
+/// The same while the store refuses writes for a moment. The entry was written again
+/// once, in vain, and from then on only its lease was renewed.
+#[test]
+fn an_entry_that_could_not_be_written_again_is_tried_until_it_is() {
+    let harness = Harness::start(vec![vec![Reply::Whole("a")]]);
+    block_on(async {
+        harness.until_ready(true).await;
+        let id = harness.until_announced(1).await;
+        harness.store.refuse_announcements(1);
+        harness.store.change(Change::InstanceGone(id));
+        assert_eq!(harness.until_announced(2).await, id);
+    });
+}
--- a/crates/serving/tests/restarts.rs
+++ b/crates/serving/tests/restarts.rs
@@ -39,6 +39,15 @@
         .set_upstreams(now, service, SPEC, upstreams.into_iter());
 }
 
+/// The store tells that an upstream of the first stage has started again.
+fn start_again(world: &mut World, id: &str) {
+    let mut after = with_start("first", 1_000);
+    for upstream in after.iter_mut().filter(|u| u.id == id) {
+        upstream.start = UpstreamStart::at_millis(9_000);
+    }
+    announce(world, "first", after);
+}
+
 fn world() -> World {
     let mut world = World::new(&["first", "second"], 10);
     for service in ["first", "second"] {
@@ -64,22 +73,13 @@
         .submit(world.chain(1, &[("first", 1)], 3_000))
         .expect("taken");
     let used = world.calls[0].1.upstream.clone();
-    let other = if used == "first-1" {
-        "first-2"
-    } else {
-        "first-1"
-    };
     world.silent.insert(used.clone());
     world.run(50);
-    let mut after = with_start("first", 1_000);
-    for upstream in after.iter_mut().filter(|u| u.id == used) {
-        upstream.start = UpstreamStart::at_millis(9_000);
-    }
-    announce(&mut world, "first", after);
+    start_again(&mut world, &used);
     world.silent.remove(&used);
     world.run(1_500);
     let late = took(&world, key, began);
-    assert!(late < Duration::from_millis(400), "{late:?} at {other}");
+    assert!(late < Duration::from_millis(400), "{late:?}");
     assert_eq!(world.calls.len(), 2);
 }
 
@@ -96,11 +96,7 @@
     world.run(265);
     let maker = world.calls[0].1.upstream.clone();
     world.lose_results(&maker);
-    let mut after = with_start("first", 1_000);
-    for upstream in after.iter_mut().filter(|u| u.id == maker) {
-        upstream.start = UpstreamStart::at_millis(9_000);
-    }
-    announce(&mut world, "first", after);
+    start_again(&mut world, &maker);
     world.run(2_000);
     assert!(world.ended.get(&key).is_some_and(|(_, o)| o.is_ok()));
     assert_eq!(world.gone, 0, "no call named a result that was gone");
@@ -116,11 +112,7 @@
         .expect("taken");
     let used = world.calls[0].1.upstream.clone();
     world.run(200);
-    let mut after = with_start("first", 1_000);
-    for upstream in after.iter_mut().filter(|u| u.id == used) {
-        upstream.start = UpstreamStart::at_millis(9_000);
-    }
-    announce(&mut world, "first", after);
+    start_again(&mut world, &used);
     world.run(1_500);
     let (_, outcome) = world.ended.get(&key).expect("ended");
     let results = outcome.as_ref().expect("done");
