--- a/crates/gateway/tests/whole/fleet.rs
+++ b/crates/gateway/tests/whole/fleet.rs
@@ -117,3 +117,21 @@
         assert_eq!(harness.until_announced(2).await, id);
     });
 }
+
+/// An instance of a fleet starts again. Each start read all that the store holds, which
+/// at 300 that start at once took 2.7 s of the store's link; now one that relays tells
+/// it, and the store is asked only who is there.
+#[test]
+fn a_start_among_many_reads_nothing_but_who_is_there() {
+    let mut harness = Harness::start(vec![vec![Reply::Whole("a")]]);
+    harness.add_gateways(19);
+    block_on(async {
+        harness.until_all_answer("/any/x", 200).await;
+        harness.until_two_watch().await;
+    });
+    let store = harness.add_gateway(0, false);
+    block_on(async {
+        harness.until_all_answer("/any/x", 200).await;
+        assert_eq!((store.first_pages(), store.lists()), (0, 1));
+    });
+}
--- a/crates/serving/src/shard.rs
+++ b/crates/serving/src/shard.rs
@@ -15,8 +15,9 @@
 /// be a shard of its own. With fewer, calls fill worse than reading results in
 /// the same zone saves.
 const UPSTREAMS_PER_ZONE: usize = 4;
-/// What a megabyte of results that another zone reads is worth in waiting. At the
-/// users' prices it costs as much as an answer loses in about this time.
+/// What a megabyte of results that another zone reads is worth in waiting. The largest
+/// results of a request, 0.8 MB, then cross zones only if it is done 320 ms sooner, a
+/// whole call: for less its caller gains nothing that the next call here would not give.
 const WAIT_PER_FAR_MEGABYTE: Duration = Duration::from_millis(400);
 /// How much sooner another shard has to be done for a request to go there. Less
 /// is within what the owners' news is late by.
--- a/crates/settings/tests/gateway.rs
+++ b/crates/settings/tests/gateway.rs
@@ -29,6 +29,7 @@
     assert_eq!(settings.threads, 1);
     assert_eq!(settings.proof_lifetime.as_millis(), 3_000);
     assert_eq!(settings.grace.as_millis(), 8_000);
+    assert!(!settings.first_start);
 }
 
 #[test]
@@ -41,6 +42,7 @@
 #[test_case("zone = hall-a", "zone = Hall A", &["zone", "Hall A", "lower-case"]; "a bad name")]
 #[test_case("name = edge-1", "nam = edge-1", &["nam", "name, zone, callers"]; "an unknown key")]
 #[test_case("name = edge-1\n", "", &["name", "missing"]; "a missing key")]
+#[test_case("peers = 127.0.0.1:7004", "peers = 127.0.0.1:7004\nfirst-start = maybe", &["first-start", "maybe", "true or false"]; "a bad answer")]
 #[test_case("peers = 127.0.0.1:7004", "peers = here", &["peers", "here", "IP:port"]; "a bad address")]
 fn an_error_names_the_key_the_value_and_the_remedy(old: &str, new: &str, parts: &[&str]) {
     let error = check(&GOOD.replace(old, new)).expect_err("not valid");
