--- a/crates/gateway/src/peer_news.rs
+++ b/crates/gateway/src/peer_news.rs
@@ -107,8 +107,7 @@
 /// single records do. Made anew only when many have changed since.
 ///
 /// The load that it answers: all instances of a fleet start at once. Each read a
-/// megabyte from the store, 2.7 s of its link at 300 instances, and gave up readings
-/// that took longer than a call may take, so that the link stayed full.
+/// megabyte from the store, 2.7 s of its link at 300 instances.
 fn packed(state: &State, after: u64) -> Option<PackedNews> {
     let mut packed = lock(&state.packed);
     let knowledge = state.knowledge();
--- a/crates/gateway/src/store_follower.rs
+++ b/crates/gateway/src/store_follower.rs
@@ -118,8 +118,8 @@
     /// from the store if this one relays itself, or if none of them has it.
     ///
     /// The load that it answers: all instances of a fleet start at once. Of 300 each read
-    /// a megabyte, 2.7 s of the store's link, and readings that were given up for taking
-    /// too long were begun again, so that the link stayed full after the store was back.
+    /// a megabyte, 2.7 s of the store's link, longer than one call may take. Told by a
+    /// relay, half of 295 know what is in force 75 ms after their start.
     async fn read_first(&self, patience: Duration) -> Result<(), StoreError> {
         let state = &self.link.state;
         self.reader.read_instances(patience).await?;
--- a/crates/serving/src/news_source.rs
+++ b/crates/serving/src/news_source.rs
@@ -60,8 +60,7 @@
 /// asks again and again. So two read the store for the whole fleet, whatever its size,
 /// two of each zone hear these, and the others hear those of their zone. One that is
 /// silent or has lost the store is passed over for the next of the same order. While
-/// all say that the store is away the others take their word and do not ask it too:
-/// 295 that did kept a store that was back busy for 20 s.
+/// all say that the store is away the others take their word and do not ask it too.
 pub fn news_source<'a>(
     me: &'a InstanceEntry,
     others: impl Iterator<Item = &'a InstanceEntry>,
--- a/crates/serving/tests/news_sources.rs
+++ b/crates/serving/tests/news_sources.rs
@@ -146,9 +146,8 @@
     }
 }
 
-/// The store is away for all. Each of 295 asked it by itself, and again when it was
-/// back, which kept it busy for 20 s. Now those that may read or relay ask, and the
-/// others take their word.
+/// The store is away for all. Each of 295 asked it by itself until it was back. Now
+/// those that may read or relay ask, and the others take their word.
 #[test]
 fn while_the_store_is_away_a_few_ask_for_all() {
     let all = fleet(295, 5);
