A watch that hangs ends once others tell what it would

The instance read the store, lost it, and another took its place; its own watch, begun while the store was silent, went on waiting for half a minute, and since proof is asked for only by who hears the store itself, nothing showed what it lacked.

Change: the watch is given up once the instance hears from another.

--- a/crates/gateway/src/store_follower.rs
+++ b/crates/gateway/src/store_follower.rs
@@ -171,7 +171,13 @@
                 state.store_back.wait(AWAY_PAUSE).await;
                 Round::Lost
             }
-            NewsSource::Store => self.watch(WATCH_WAIT).await,
+            NewsSource::Store => {
+                let others = async {
+                    self.until_others_tell().await;
+                    Round::Kept
+                };
+                self.watch(WATCH_WAIT).or(others).await
+            }
             // It is passed over from now on, and the next one is asked.
             NewsSource::Reader(id) | NewsSource::Relay(id) => {
                 log::info!(source:% = id; "no news from the instance followed");
@@ -265,6 +271,17 @@
         }
     }
 
+    /// Returns once this instance hears from another and no longer from the store.
+    ///
+    /// Guards against a watch that hangs since the store fell silent. Others take this
+    /// instance's place, its own proof is not asked for any more, so that nothing shows
+    /// what it lacks; it waited for its watch for half a minute.
+    async fn until_others_tell(&self) {
+        while self.link.state.news_source() == NewsSource::Store {
+            Timer::after(NEWS_BEHIND).await;
+        }
+    }
+
     /// Returns once an instance answers no heartbeats any more.
     async fn until_silent(&self, id: Incarnation) {
         let state = &self.link.state;
--- a/crates/gateway/tests/whole/fakes/fake_store.rs
+++ b/crates/gateway/tests/whole/fakes/fake_store.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
@@ -37,6 +38,7 @@
 pub(crate) struct FakeStore {
     said: Arc<Said>,
     away: Mutex<bool>,
+    silent: AtomicBool,
     watches: AtomicUsize,
     seen: AtomicU64,
     refused_pages: AtomicUsize,
@@ -62,6 +64,7 @@
         FakeStore {
             said,
             away: Mutex::new(false),
+            silent: AtomicBool::new(false),
             watches: AtomicUsize::new(0),
             seen: AtomicU64::new(0),
             refused_pages: AtomicUsize::new(0),
@@ -77,6 +80,15 @@
         *self.away.lock().expect("a lock") = away;
     }
 
+    /// Makes the store answer nothing any more, to watches that wait neither.
+    pub(crate) fn fall_silent(&self) {
+        self.silent.store(true, Ordering::Relaxed);
+    }
+
+    fn is_silent(&self) -> bool {
+        self.silent.load(Ordering::Relaxed)
+    }
+
     /// Tells all watches of a change.
     pub(crate) fn change(&self, change: Change) {
         self.said.list.lock().expect("a lock").push(change);
@@ -240,7 +252,7 @@
             loop {
                 let changed = self.said.changed.listen();
                 let revision = self.now();
-                if revision > after {
+                if revision > after && !self.is_silent() {
                     let items = (after as usize..revision as usize).map(item).collect();
                     return self.answer(Items { items, revision });
                 }
@@ -256,7 +268,12 @@
 
     fn revision(&self) -> StoreFuture<'_, u64> {
         self.questions.fetch_add(1, Ordering::Relaxed);
-        Box::pin(async move { self.answer(self.now()) })
+        Box::pin(async move {
+            match self.is_silent() {
+                true => std::future::pending().await,
+                false => self.answer(self.now()),
+            }
+        })
     }
 
     fn lease(&self, _lifetime: Duration) -> StoreFuture<'_, LeaseId> {
--- a/crates/gateway/tests/whole/fakes/harness.rs
+++ b/crates/gateway/tests/whole/fakes/harness.rs
@@ -292,6 +292,13 @@
             .count()
     }
 
+    /// Has the store answer nothing any more to the gateways that watch it.
+    pub(crate) fn silence_watching(&self) {
+        for store in self.stores().filter(|s| s.watches() > 0) {
+            store.fall_silent();
+        }
+    }
+
     /// Asks the gateways that were added until so many of them serve a path.
     pub(crate) async fn until_served_by(&self, path: &str, count: usize) {
         let mut serve = 0;
--- a/crates/gateway/tests/whole/fleet.rs
+++ b/crates/gateway/tests/whole/fleet.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use async_io::Timer;
 use futures_lite::future::block_on;
@@ -140,3 +141,21 @@
         assert!(stores.iter().all(|s| s.lists() == 1));
     });
 }
+
+/// The store falls silent to the two that read it, and others take their place. Their
+/// own watches went on waiting for half a minute: they knew of no change for as long,
+/// and ran requests that only an older configuration allows.
+#[test]
+fn those_that_read_hear_from_others_once_their_watch_hangs() {
+    let mut harness = Harness::start(vec![vec![Reply::Whole("a")]]);
+    harness.add_gateways(19);
+    block_on(async {
+        harness.until_all_answer("/any/x", 200).await;
+        harness.until_two_watch().await;
+        let began = Instant::now();
+        harness.silence_watching();
+        harness.store.change(second_version());
+        harness.until_all_answer("/added/x", 200).await;
+        assert!(began.elapsed() < Duration::from_secs(15));
+    });
+}
