Say in each line of a request what it is, the same for each attempt at it

A request that comes again under another identity could not be told from another one. The content also stands for a request at the owner of its stages, in place of a hash that anybody could have made to fit.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -157,6 +157,7 @@
             });
             log::info!(
                 request = call.id(),
+                content:% = call.content,
                 upstream = id.as_str(),
                 outcome = failure.outcome.as_str(),
                 detail = failure.detail.as_str();
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -1,8 +1,5 @@
 //! One request of a caller, admitted.
 
-use std::hash::DefaultHasher;
-use std::hash::Hash;
-use std::hash::Hasher;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -10,6 +7,7 @@
 use compact_str::CompactString;
 use http::request::Parts;
 use jd_serving::CallHead;
+use jd_serving::Content;
 use jd_serving::Route;
 use jd_serving::RouteKey;
 use jd_serving::Router;
@@ -30,6 +28,8 @@
     pub(crate) head: CallHead,
     pub(crate) parts: Parts,
     pub(crate) body: Bytes,
+    /// What it is, the same for each attempt at it.
+    pub(crate) content: Content,
     /// Counts the request until it is over.
     pub(crate) _in_flight: InFlight,
 }
@@ -44,23 +44,6 @@
         self.head.request_id.as_deref().unwrap_or("")
     }
 
-    /// What the request is, the same for each attempt of its caller at it: the
-    /// attempt's identity and what it has left are not in it.
-    pub(crate) fn content(&self) -> u64 {
-        let mut hasher = DefaultHasher::new();
-        self.route().name.hash(&mut hasher);
-        self.customer.hash(&mut hasher);
-        self.parts.uri.path().hash(&mut hasher);
-        self.head.piece_key.hash(&mut hasher);
-        self.head.pieces.hash(&mut hasher);
-        if let Some(prompt) = &self.head.prompt {
-            let parts = prompt.parts.iter().map(|p| p.id);
-            parts.for_each(|id| id.hash(&mut hasher));
-        }
-        self.body.hash(&mut hasher);
-        hasher.finish()
-    }
-
     /// How long its caller still waits.
     pub(crate) fn left(&self, now: MonoTime) -> Duration {
         self.deadline.since(now)
--- a/crates/gateway/src/event_stream.rs
+++ b/crates/gateway/src/event_stream.rs
@@ -147,6 +147,7 @@
             .request("cut-off", self.state.now().since(self.call.arrived));
         log::warn!(
             request = self.call.id(),
+            content:% = self.call.content,
             upstream = self.open.id(),
             outcome = outcome.as_str(),
             parts = self.events,
@@ -190,11 +191,12 @@
                 && answer.head.status.is_success()
             {
                 log::info!(
-                    request = self.call.id(),
-                    upstream = answer.open.id(),
-                    last_event:? = last;
-                    "stream goes on elsewhere"
-                );
+                        request = self.call.id(),
+                content:% = self.call.content,
+                        upstream = answer.open.id(),
+                        last_event:? = last;
+                        "stream goes on elsewhere"
+                    );
                 self.response = Some(answer.response);
                 self.open = answer.open;
                 return true;
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -21,6 +21,7 @@
 use jd_net::within;
 use jd_serving::CallHead;
 use jd_serving::Caller;
+use jd_serving::Content;
 use jd_serving::Prompt;
 use jd_serving::Repeat;
 use jd_serving::Route;
@@ -73,13 +74,20 @@
         let (parts, body) = req.into_parts();
         let head = self.state.dialect.call_head(&parts);
         let id = head.request_id.clone();
+        let mut content = None;
         let ended = match self.admit(arrived, head, parts, body).await {
-            Ok(call) => self.run(call).await,
+            Ok(call) => {
+                content = Some(call.content);
+                self.run(call).await
+            }
             Err(refusal) => Err(refusal),
         };
         match ended {
             Ok(res) => res,
-            Err(refusal) => self.refuse(arrived, id.as_deref().unwrap_or(""), &refusal),
+            Err(refusal) => {
+                let id = id.as_deref().unwrap_or("");
+                self.refuse(arrived, id, content, &refusal)
+            }
         }
     }
 
@@ -118,19 +126,22 @@
         let wait = head.deadline.unwrap_or(spec.timeout).min(spec.timeout);
         let seed = head.prompt.as_ref().map(Prompt::session);
         let service = spec.target(seed.unwrap_or_else(|| fastrand::u64(..)));
+        let customer = caller.map(|c| c.customer.clone());
+        let content = content_of(&parts, customer.as_deref(), &body);
         let service = service.cloned().ok_or_else(|| {
             Refusal::not_run(RefusalKind::NoUpstream, "the route leads to no service")
         })?;
         Ok(Call {
             route,
             priority: caller.and_then(|c| c.priority).unwrap_or(spec.priority),
-            customer: caller.map(|c| c.customer.clone()),
+            customer,
             arrived,
             deadline: arrived + wait,
             service,
             head,
             parts,
             body,
+            content,
             _in_flight: in_flight,
             router,
         })
@@ -176,13 +187,20 @@
         })
     }
 
-    fn refuse(&self, arrived: MonoTime, id: &str, refusal: &Refusal) -> Response<Body> {
+    fn refuse(
+        &self,
+        arrived: MonoTime,
+        id: &str,
+        content: Option<Content>,
+        refusal: &Refusal,
+    ) -> Response<Body> {
         let took = self.state.now().since(arrived);
         self.state.metrics.request(refusal.kind.as_str(), took);
         let proof_ms = self.state.proof_age().map(|a| a.as_millis() as u64);
         let config = self.state.router.load().as_ref().map(|r| r.version);
         log::info!(
             request = id,
+            content = content.map(|c| c.to_string()).unwrap_or_default(),
             config:? = config,
             outcome = refusal.kind.as_str(),
             run = refusal.run.as_str(),
@@ -195,6 +213,18 @@
     }
 }
 
+/// What a request is: where it goes, whose it is and what it says.
+fn content_of(parts: &Parts, customer: Option<&str>, body: &[u8]) -> Content {
+    let target = parts.uri.path_and_query().map_or("", |t| t.as_str());
+    Content::of(&[
+        host_of(parts).as_bytes(),
+        parts.method.as_str().as_bytes(),
+        target.as_bytes(),
+        customer.unwrap_or("").as_bytes(),
+        body,
+    ])
+}
+
 /// Who calls; none where nobody has to show a credential.
 fn caller_of<'a>(
     router: &'a Router,
--- a/crates/gateway/src/peer_stages.rs
+++ b/crates/gateway/src/peer_stages.rs
@@ -4,6 +4,7 @@
 
 use compact_str::CompactString;
 use compact_str::ToCompactString;
+use jd_serving::Content;
 use jd_serving::JobFailure;
 use jd_serving::JobStage;
 use jd_serving::Shard;
@@ -56,7 +57,7 @@
             .as_ref()
             .map_or(String::new(), |z| z.as_str().into()),
         shard: Some(wire_shard(shard)),
-        content: job.content,
+        content: job.content.number(),
     }
 }
 
@@ -91,7 +92,7 @@
     }
     Ok(StageJob {
         request_id: req.request_id.into(),
-        content: req.content,
+        content: Content::from_number(req.content),
         piece_key: req.piece_key.into(),
         stages,
         objective: now + Duration::from_millis(u64::from(req.objective_ms)),
--- a/crates/gateway/src/plain_call.rs
+++ b/crates/gateway/src/plain_call.rs
@@ -159,6 +159,7 @@
     state.metrics.request("answered", took);
     log::info!(
         request = call.id(),
+            content:% = call.content,
         route = call.route().name.as_str(),
         upstream = whole.upstream.as_str(),
         status = whole.status.as_u16(),
--- a/crates/gateway/src/stage_runner.rs
+++ b/crates/gateway/src/stage_runner.rs
@@ -237,7 +237,7 @@
         }
         Some(StageJob {
             request_id: call.id().into(),
-            content: call.content(),
+            content: call.content,
             piece_key: call.head.piece_key.clone().unwrap_or_default(),
             stages,
             objective: call.objective().before(GENERATION_START),
--- a/crates/gateway/src/stream_call.rs
+++ b/crates/gateway/src/stream_call.rs
@@ -129,6 +129,7 @@
     let took = state.now().since(call.arrived);
     log::info!(
         request = call.id(),
+            content:% = call.content,
         route = call.route().name.as_str(),
         upstream = answer.open.id(),
         status = status.as_u16(),
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -10,6 +10,7 @@
 mod batch_call;
 mod batch_upstream;
 mod call_head;
+mod content;
 mod deployment;
 mod desk_call;
 mod desk_estimates;
@@ -54,6 +55,7 @@
 pub use batch_call::RoomReport;
 pub use batch_upstream::StageUpstream;
 pub use call_head::CallHead;
+pub use content::Content;
 pub use deployment::CallerLimits;
 pub use deployment::CustomerSpec;
 pub use deployment::Deployment;
--- a/crates/serving/src/returning.rs
+++ b/crates/serving/src/returning.rs
@@ -4,6 +4,7 @@
 
 use jd_types::MonoTime;
 
+use crate::Content;
 use crate::StageJob;
 
 /// Refusals that are kept in mind. A burst of several times what the upstreams can
@@ -20,7 +21,7 @@
 /// burst's answers one in eight.
 #[derive(Debug, Default)]
 pub(crate) struct Returning {
-    refused: HashMap<u64, Refused>,
+    refused: HashMap<Content, Refused>,
 }
 
 /// When a refused request had to be done, and when nobody waits for it any more.
--- a/crates/serving/src/stage_job.rs
+++ b/crates/serving/src/stage_job.rs
@@ -6,6 +6,8 @@
 use jd_types::MonoTime;
 use jd_types::Name;
 
+use crate::Content;
+
 /// One stage of a [`StageJob`].
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct JobStage {
@@ -25,7 +27,7 @@
     /// The identity of the caller's attempt.
     pub request_id: CompactString,
     /// What the request is, the same for each attempt of its caller at it.
-    pub content: u64,
+    pub content: Content,
     /// What first stages work on.
     pub piece_key: CompactString,
     /// The stages, by number.
--- a/crates/serving/tests/stage_world/mod.rs
+++ b/crates/serving/tests/stage_world/mod.rs
@@ -13,6 +13,7 @@
 use jd_serving::BatchSpec;
 use jd_serving::CallKey;
 use jd_serving::CallResult;
+use jd_serving::Content;
 use jd_serving::JobFailure;
 use jd_serving::JobKey;
 use jd_serving::JobStage;
@@ -101,7 +102,7 @@
             });
         StageJob {
             request_id: format_compact!("request-{id}"),
-            content: id,
+            content: Content::from_number(id),
             piece_key: "key".into(),
             stages: chain.collect(),
             objective: self.now + Duration::from_millis(objective_ms),
