--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -198,9 +198,11 @@
         self.state.metrics.request(refusal.kind.as_str(), took);
         let proof_ms = self.state.proof_age().map(|a| a.as_millis() as u64);
         let config = self.state.router.load().as_ref().map(|r| r.version);
+        // Empty where it was refused before it was read.
+        let content = content.map(|c| c.to_string()).unwrap_or_default();
         log::info!(
             request = id,
-            content = content.map(|c| c.to_string()).unwrap_or_default(),
+            content = content.as_str(),
             config:? = config,
             outcome = refusal.kind.as_str(),
             run = refusal.run.as_str(),
--- /dev/null
+++ b/crates/gateway/tests/whole/fakes/ending_upstreams.rs
@@ -0,0 +1,196 @@
+//! Upstreams that end with the requests which make them end.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use async_executor::Executor;
+use async_io::Timer;
+use bytes::Bytes;
+use futures_lite::StreamExt;
+use futures_lite::stream;
+use http::HeaderValue;
+use http::Request;
+use http::Response;
+use hyper::body::Incoming;
+use jd_gateway::Change;
+use jd_net::Handler;
+use jd_net::HandlerFuture;
+use jd_net::HttpServer;
+use jd_net::ServerLimits;
+use jd_serving::UpstreamStart;
+
+use crate::fakes::FakeStore;
+use crate::fakes::harness::entry;
+
+/// From the first event of a request that ends its upstream to that end.
+const ENDS_AFTER: Duration = Duration::from_millis(20);
+/// How long an upstream is down before it is back under another identity.
+const DOWN: Duration = Duration::from_millis(400);
+/// How long a request takes that works.
+const WORK: Duration = Duration::from_millis(30);
+/// How long one takes whose path says that it is long.
+const LONG_WORK: Duration = Duration::from_millis(700);
+
+/// What an upstream was asked to run, and when.
+#[derive(Debug, Clone)]
+pub(crate) struct EndingRun {
+    pub(crate) path: String,
+    pub(crate) at: Instant,
+}
+
+/// Upstreams of one service. One that runs a request with `bad` in its path ends, with
+/// all that it has, and another is in its place a little later.
+#[derive(Debug)]
+pub(crate) struct EndingUpstreams {
+    executor: Arc<Executor<'static>>,
+    store: Arc<FakeStore>,
+    places: Mutex<Vec<Place>>,
+    names: AtomicUsize,
+    runs: Mutex<Vec<EndingRun>>,
+    ends: Mutex<Vec<Instant>>,
+}
+
+#[derive(Debug)]
+struct Place {
+    id: String,
+    server: Option<HttpServer>,
+}
+
+#[derive(Debug)]
+struct At {
+    all: Arc<EndingUpstreams>,
+    place: usize,
+    id: String,
+}
+
+impl EndingUpstreams {
+    pub(crate) fn start(
+        executor: Arc<Executor<'static>>,
+        store: &Arc<FakeStore>,
+        count: usize,
+    ) -> Arc<EndingUpstreams> {
+        let all = Arc::new(EndingUpstreams {
+            executor,
+            store: Arc::clone(store),
+            places: Mutex::default(),
+            names: AtomicUsize::new(0),
+            runs: Mutex::default(),
+            ends: Mutex::default(),
+        });
+        for _ in 0..count {
+            let place = all.places().len();
+            all.places().push(Place {
+                id: String::new(),
+                server: None,
+            });
+            all.begin(place);
+        }
+        all
+    }
+
+    fn places(&self) -> MutexGuard<'_, Vec<Place>> {
+        self.places.lock().expect("a lock")
+    }
+
+    /// All that was run, in order.
+    pub(crate) fn runs(&self) -> Vec<EndingRun> {
+        self.runs.lock().expect("a lock").clone()
+    }
+
+    /// When upstreams ended by a request.
+    pub(crate) fn ends(&self) -> Vec<Instant> {
+        self.ends.lock().expect("a lock").clone()
+    }
+
+    fn begin(self: &Arc<Self>, place: usize) {
+        let name = self.names.fetch_add(1, Ordering::Relaxed);
+        let id = format!("e-{name}");
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let handler = Arc::new(At {
+            all: Arc::clone(self),
+            place,
+            id: id.clone(),
+        });
+        let executor = Arc::clone(&self.executor);
+        let server = HttpServer::start(executor, any, ServerLimits::default(), handler);
+        let server = server.expect("a free port");
+        let address = server.address();
+        let record = entry(&id, "pool", address, UpstreamStart::UNTOLD);
+        self.places()[place] = Place {
+            id,
+            server: Some(server),
+        };
+        self.store.change(Change::Put(record));
+    }
+
+    fn end(self: &Arc<Self>, place: usize) {
+        let Some(server) = self.places()[place].server.take() else {
+            return;
+        };
+        drop(server);
+        let id = self.places()[place].id.clone();
+        let all = Arc::clone(self);
+        let back = async move {
+            Timer::after(DOWN).await;
+            all.store.change(Change::UpstreamGone(id.into()));
+            all.begin(place);
+        };
+        self.executor.spawn(back).detach();
+    }
+}
+
+impl Handler for At {
+    fn handle(self: Arc<Self>, req: Request<Incoming>) -> HandlerFuture {
+        let id = req.headers().get("id").cloned();
+        let path = req.uri().path().to_string();
+        Box::pin(async move {
+            let run = EndingRun {
+                path: path.clone(),
+                at: Instant::now(),
+            };
+            self.all.runs.lock().expect("a lock").push(run);
+            let bad = path.contains("bad");
+            if bad {
+                self.end_soon();
+            }
+            let work = match path.contains("long") {
+                true => LONG_WORK,
+                false => WORK,
+            };
+            let first = stream::once(Ok(Bytes::from_static(b"id: 1\ndata: a\n\n")));
+            let rest = stream::once_future(async move {
+                Timer::after(work).await;
+                match bad {
+                    true => std::future::pending().await,
+                    false => Ok(Bytes::from_static(b"id: 2\ndata: b\n\n")),
+                }
+            });
+            let mut res = Response::new(jd_net::stream(first.chain(rest)));
+            let id = id.unwrap_or(HeaderValue::from_static(""));
+            res.headers_mut().insert("id", id);
+            let signed = HeaderValue::from_static("yes");
+            res.headers_mut().insert("signed", signed);
+            res
+        })
+    }
+}
+
+impl At {
+    fn end_soon(&self) {
+        let (all, place, id) = (Arc::clone(&self.all), self.place, self.id.clone());
+        let ending = async move {
+            Timer::after(ENDS_AFTER).await;
+            if all.places()[place].id == id {
+                all.ends.lock().expect("a lock").push(Instant::now());
+                all.end(place);
+            }
+        };
+        self.all.executor.spawn(ending).detach();
+    }
+}
--- a/crates/gateway/tests/whole/fakes/mod.rs
+++ b/crates/gateway/tests/whole/fakes/mod.rs
@@ -1,10 +1,12 @@
 //! A store, a dialect and upstreams for tests of the whole gateway.
 
+mod ending_upstreams;
 mod fake_dialect;
 mod fake_store;
 mod fake_upstream;
 mod harness;
 
+pub(crate) use ending_upstreams::EndingUpstreams;
 pub(crate) use fake_dialect::FakeDialect;
 pub(crate) use fake_store::FakeStore;
 pub(crate) use fake_upstream::FakeUpstream;
--- a/crates/gateway/tests/whole/main.rs
+++ b/crates/gateway/tests/whole/main.rs
@@ -2,6 +2,7 @@
 
 #![allow(clippy::expect_used, clippy::panic)]
 
+mod crashes;
 mod fakes;
 mod fleet;
 mod requests;
--- a/crates/lab/src/stages/world.rs
+++ b/crates/lab/src/stages/world.rs
@@ -11,6 +11,7 @@
 use jd_serving::BatchCall;
 use jd_serving::CallKey;
 use jd_serving::CallResult;
+use jd_serving::Content;
 use jd_serving::JobKey;
 use jd_serving::JobStage;
 use jd_serving::PieceOrder;
@@ -172,7 +173,7 @@
         };
         let job = StageJob {
             request_id: format_compact!("{}", self.numbers),
-            content: self.numbers,
+            content: Content::from_number(self.numbers),
             piece_key: "key".into(),
             stages,
             objective: asked.in_time_by,
