--- a/crates/explain/src/cause.rs
+++ b/crates/explain/src/cause.rs
@@ -27,13 +27,15 @@
     LateByStages,
     /// Answered late, and mostly waiting for its upstream.
     LateByUpstream,
+    /// Kept from upstreams, since those that ran it ended.
+    Quarantined,
     /// Something else.
     Other,
 }
 
 impl Cause {
     /// Every cause, in the order of the table.
-    pub const ALL: [Cause; 12] = [
+    pub const ALL: [Cause; 13] = [
         Cause::WouldMiss,
         Cause::StagesHeld,
         Cause::Overloaded,
@@ -45,6 +47,7 @@
         Cause::Cut,
         Cause::LateByStages,
         Cause::LateByUpstream,
+        Cause::Quarantined,
         Cause::Other,
     ];
 
@@ -62,6 +65,7 @@
             Cause::Cut => "cut",
             Cause::LateByStages => "late-stages",
             Cause::LateByUpstream => "late-upstream",
+            Cause::Quarantined => "quarantined",
             Cause::Other => "other",
         }
     }
@@ -84,6 +88,7 @@
             "no-upstream" => Cause::NoUpstream,
             "not-serving" => Cause::Unproven,
             "unauthenticated" | "unknown-pipeline" => Cause::NotAllowed,
+            "quarantined" => Cause::Quarantined,
             "deadline-passed" => Cause::UpstreamSilent,
             "upstream-failed" => Cause::UpstreamFailed,
             _ => Cause::Other,
--- a/crates/explain/src/line.rs
+++ b/crates/explain/src/line.rs
@@ -1,5 +1,7 @@
 //! One log line.
 
+use std::collections::BTreeSet;
+
 use compact_str::CompactString;
 use compact_str::ToCompactString;
 use compact_str::format_compact;
@@ -55,6 +57,14 @@
         self.input("request").filter(|id| !id.is_empty())
     }
 
+    /// True if it is about what these requests are, and not about one attempt at them.
+    pub(crate) fn is_of_all(&self, contents: &BTreeSet<&str>) -> bool {
+        let one = self.input("content").into_iter();
+        let several = self.input("contents").unwrap_or("").split(' ');
+        let mut named = one.chain(several);
+        self.request().is_none() && named.any(|c| contents.contains(c))
+    }
+
     /// An input that is text; none if there is no such input.
     pub fn input(&self, name: &str) -> Option<&str> {
         self.inputs.get(name)?.as_str()
--- a/crates/explain/src/story.rs
+++ b/crates/explain/src/story.rs
@@ -1,14 +1,18 @@
 //! Everything that was logged of one request.
 
+use std::collections::BTreeSet;
 use std::fmt::Write;
 
 use crate::Line;
 
-/// Every line of a request, in the order of their time; empty if there is none.
+/// Every line of a request, in the order of their time, with those that tell what was
+/// held against it; empty if there is none.
 pub fn story(lines: &[Line], request: &str) -> String {
     let mut text = String::new();
-    let own = lines.iter().filter(|l| l.request() == Some(request));
-    for line in own {
+    let own = |l: &&Line| l.request() == Some(request);
+    let contents = lines.iter().filter(own).filter_map(|l| l.input("content"));
+    let contents: BTreeSet<&str> = contents.filter(|c| !c.is_empty()).collect();
+    for line in lines.iter().filter(|l| own(l) || l.is_of_all(&contents)) {
         let (time, source, inputs) = (&line.time, &line.source, line.inputs());
         // Writing into a string cannot fail.
         let _ = writeln!(text, "{time}  {source}  {}  {inputs}", line.text);
--- a/crates/explain/tests/explain.rs
+++ b/crates/explain/tests/explain.rs
@@ -125,6 +125,40 @@
     assert!(story(log.lines(), "r9").is_empty());
 }
 
+/// A request is refused although this attempt at it met nothing. Its story has the ends of
+/// upstreams, and who judged them, from the lines of other instances.
+#[test]
+fn a_quarantined_request_is_told_with_the_ends_behind_it() {
+    let lines = [
+        line(
+            "01.0",
+            "runs broke at an upstream",
+            r#""upstream":"u1","contents":"c9 c1","outcome":"ended""#,
+        ),
+        line(
+            "02.0",
+            "upstreams ended with a request",
+            r#""content":"c1","ends":3"#,
+        ),
+        line(
+            "02.5",
+            "upstreams ended with a request",
+            r#""content":"c2""#,
+        ),
+        line(
+            "03.0",
+            "refused",
+            r#""request":"r1","content":"c1","outcome":"quarantined""#,
+        ),
+        line("04.0", "answered", r#""request":"r2","content":"c1""#),
+    ];
+    let mut log = log(&lines);
+    let told = story(log.lines(), "r1");
+    assert_eq!(told.lines().count(), 3, "{told}");
+    let counted = Breakdown::of(log.lines(), &LateAfter::default());
+    assert_eq!(counted.count_of(Cause::Quarantined), 1);
+}
+
 #[test]
 fn pieces_are_counted_by_what_became_of_them() {
     let lines = [
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -10,12 +10,15 @@
 use http::StatusCode;
 use jd_net::HttpResponse;
 use jd_net::SendError;
+use jd_serving::Content;
 use jd_types::AttemptOutcome;
 use jd_types::MonoTime;
 
 use crate::AnswerHead;
 use crate::UpstreamCall;
 use crate::call::Call;
+use crate::sighting::Sighting;
+use crate::sighting::UpstreamSeen;
 use crate::state::State;
 use crate::upstream_table::Chosen;
 
@@ -23,6 +26,10 @@
 /// several round trips between availability zones.
 const LAST_ANSWERS_WITHIN: Duration = Duration::from_millis(50);
 
+/// An upstream that has gone on with an answer for so long does not end by having begun
+/// it. Of 25 ends that requests brought about, the answer had begun 120 ms before at most.
+const WELL_BEGUN_AFTER: Duration = Duration::from_secs(2);
+
 /// The answer of an upstream, its body still coming in.
 #[derive(Debug)]
 pub(crate) struct Answer {
@@ -36,21 +43,73 @@
 pub(crate) struct OpenAttempt {
     state: Arc<State>,
     chosen: Chosen,
+    service: CompactString,
+    content: Content,
     began: MonoTime,
+    /// When its upstream began to answer.
+    answer_began: Option<MonoTime>,
+    ran: bool,
     over: bool,
 }
 
 impl OpenAttempt {
-    pub(crate) fn begin(state: &Arc<State>, chosen: Chosen) -> OpenAttempt {
+    pub(crate) fn begin(state: &Arc<State>, call: &Call, chosen: Chosen) -> OpenAttempt {
         chosen.upstream.started();
         OpenAttempt {
             state: Arc::clone(state),
+            service: call.service.clone(),
+            content: call.content,
             began: state.now(),
+            answer_began: None,
+            ran: false,
             chosen,
             over: false,
         }
     }
 
+    /// Its upstream has given its whole answer, so that the request does not end it.
+    pub(crate) fn ran(&mut self) {
+        if !std::mem::replace(&mut self.ran, true) {
+            let now = self.state.now();
+            let quarantine = &self.state.quarantine;
+            quarantine.note_ran(now, &self.service, self.content);
+        }
+    }
+
+    /// Its upstream goes on with its answer.
+    pub(crate) fn goes_on(&mut self) {
+        if self.is_well_begun() {
+            self.ran();
+        }
+    }
+
+    /// Its connection broke. Where its upstream was to leave that was to come, and where
+    /// it had worked on the request for long it did not end by that.
+    pub(crate) fn broke(&mut self) {
+        self.goes_on();
+        let table = self.state.upstreams.load();
+        if self.ran || table.start_of(&self.chosen.id).is_none() {
+            return;
+        }
+        self.state.quarantine.sightings.add(Sighting::Broke {
+            at: self.state.now(),
+            upstream: UpstreamSeen {
+                service: self.service.clone(),
+                upstream: self.chosen.id.clone(),
+                start: self.chosen.start,
+                address: self.chosen.upstream.address,
+            },
+            content: self.content,
+            began: self.began,
+        });
+    }
+
+    fn is_well_begun(&self) -> bool {
+        let now = self.state.now();
+        let began = self.answer_began;
+        began.is_some_and(|began| now.since(began) >= WELL_BEGUN_AFTER)
+    }
+
     pub(crate) fn id(&self) -> &str {
         &self.chosen.id
     }
@@ -112,7 +171,7 @@
 ) -> Result<Answer, Failure> {
     let address = chosen.upstream.address;
     let id = chosen.id.clone();
-    let mut open = OpenAttempt::begin(state, chosen);
+    let mut open = OpenAttempt::begin(state, call, chosen);
     let upstream_call = UpstreamCall {
         upstream: &id,
         left: call.left(state.now()),
@@ -139,9 +198,13 @@
             "no connection could be opened",
         )),
         Some(Err(SendError::Broken)) => {
+            open.broke();
             Err(failure(AttemptOutcome::Failed, "the connection broke"))
         }
-        Some(Ok(response)) => judge(state, call, response),
+        Some(Ok(response)) => {
+            open.answer_began = Some(state.now());
+            judge(state, call, response)
+        }
     };
     match result {
         Ok((head, response)) => Ok(Answer {
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -12,8 +12,12 @@
 use jd_serving::RouteKey;
 use jd_serving::Router;
 use jd_types::MonoTime;
+use jd_types::Refusal;
+use jd_types::RefusalKind;
 
+use crate::front::may_have_run;
 use crate::state::InFlight;
+use crate::state::State;
 
 /// One request of a caller, admitted and read whole.
 #[derive(Debug)]
@@ -44,6 +48,19 @@
         self.head.request_id.as_deref().unwrap_or("")
     }
 
+    /// Refuses the request if it ends the upstreams that run it, after so many runs of
+    /// this attempt. Asked before each send, whatever way it takes.
+    pub(crate) fn check_quarantine(&self, state: &State, runs: u32) -> Result<(), Refusal> {
+        let Some(left) = state.quarantine.left(state.now(), self.content) else {
+            return Ok(());
+        };
+        let detail = "upstreams that ran this request ended, one after the other";
+        Err(match runs {
+            0 => Refusal::not_run(RefusalKind::Quarantined, detail).after(left),
+            _ => may_have_run(RefusalKind::UpstreamFailed, detail),
+        })
+    }
+
     /// How long its caller still waits.
     pub(crate) fn left(&self, now: MonoTime) -> Duration {
         self.deadline.since(now)
--- /dev/null
+++ b/crates/gateway/src/crash_judge.rs
@@ -0,0 +1,217 @@
+//! Judging which requests end the upstreams that run them, on the instance that does so
+//! for all.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::SystemTime;
+
+use jd_net::lock;
+use jd_serving::Content;
+use jd_serving::CrashEvidence;
+use jd_serving::Finding;
+use jd_serving::HELD_FOR;
+use jd_serving::Held;
+use jd_serving::Standing;
+use jd_serving::Verdict;
+use jd_types::MonoTime;
+
+use crate::StandingRecord;
+use crate::StoreError;
+use crate::peer_runs::Witness;
+use crate::quarantine::Source;
+use crate::quarantine::Told;
+use crate::signal::Signal;
+use crate::store_call::StoreCall;
+use crate::store_link::CALL_WITHIN;
+use crate::store_link::StoreLink;
+
+/// How often it is looked whether time has brought a finding.
+const LOOK_EVERY: Duration = Duration::from_millis(250);
+/// What is held for less is not worth a lease: the store takes none under a second.
+const LEAST_LEASE: Duration = Duration::from_secs(2);
+/// Pause after the store did not take a verdict. All instances know it meanwhile.
+const WRITE_AGAIN: Duration = Duration::from_millis(1_000);
+
+/// Judges requests while this instance is the first in order, and keeps the evidence
+/// for that while it is one of the next.
+#[derive(Debug)]
+pub(crate) struct CrashJudge {
+    link: Arc<StoreLink>,
+    evidence: Mutex<CrashEvidence>,
+    told: Signal,
+}
+
+impl CrashJudge {
+    pub(crate) fn new(link: Arc<StoreLink>) -> CrashJudge {
+        CrashJudge {
+            link,
+            evidence: Mutex::default(),
+            told: Signal::new(),
+        }
+    }
+
+    /// Takes in what an instance saw.
+    pub(crate) fn take(&self, witness: Witness) {
+        let state = &self.link.state;
+        let now = state.now();
+        let mut evidence = lock(&self.evidence);
+        for end in witness.ends {
+            evidence.ended(now, end);
+        }
+        for (service, content) in witness.survivors {
+            evidence.survived(&service, content);
+            if self.is_first() {
+                self.release(now, content, "it ran to its end");
+            }
+        }
+        drop(evidence);
+        self.told.give();
+    }
+
+    /// Judges for good, and keeps verdicts in the store.
+    pub(crate) async fn run(self: Arc<Self>) {
+        let mut write_from = MonoTime::ZERO;
+        loop {
+            self.told.wait(LOOK_EVERY).await;
+            self.judge();
+            let now = self.link.state.now();
+            if now < write_from || !self.is_first() {
+                continue;
+            }
+            if let Err(e) = self.write(now).await {
+                log::info!(error:% = e; "verdict not in the store yet; it is tried again");
+                write_from = self.link.state.now() + WRITE_AGAIN;
+            }
+        }
+    }
+
+    fn is_first(&self) -> bool {
+        let state = &self.link.state;
+        state.judges().first() == Some(&state.me.peers)
+    }
+
+    fn judge(&self) {
+        let state = &self.link.state;
+        let now = state.now();
+        let mut evidence = lock(&self.evidence);
+        if !evidence.is_pending(now) {
+            return;
+        }
+        // What is listed proves nothing while the store is away or the news is old.
+        if state.is_fresh() && !state.has_lost_store() {
+            let table = state.upstreams.load();
+            evidence.check(now, |id, start| table.start_of(id) == Some(start));
+        }
+        let findings = evidence.judge(now);
+        drop(evidence);
+        if !self.is_first() {
+            return;
+        }
+        for finding in &findings.suspected {
+            self.hold(now, finding, Verdict::Suspected);
+        }
+        for finding in &findings.quarantined {
+            self.hold(now, finding, Verdict::Quarantined);
+        }
+        for content in findings.released {
+            self.release(now, content, "its ends have another cause");
+        }
+    }
+
+    fn hold(&self, now: MonoTime, finding: &Finding, verdict: Verdict) {
+        let quarantine = &self.link.state.quarantine;
+        let held = quarantine.standings().of(now, finding.content);
+        let standing = match held.map(|h| h.standing) {
+            None => Standing::first(verdict),
+            Some(s) if s.is_open() => Standing { verdict, ..s },
+            Some(s) => Standing {
+                round: s.round + 1,
+                verdict,
+            },
+        };
+        if held.is_some_and(|h| h.standing >= standing) {
+            return;
+        }
+        log::warn!(
+            content:% = finding.content,
+            verdict = verdict.as_str(),
+            ends = finding.ends,
+            longest_ms = finding.longest.as_millis() as u64;
+            "upstreams ended with a request"
+        );
+        self.decide(now, finding.content, standing, HELD_FOR);
+    }
+
+    fn release(&self, now: MonoTime, content: Content, why: &'static str) {
+        let quarantine = &self.link.state.quarantine;
+        let held = quarantine.standings().of(now, content);
+        let Some(held) = held.filter(|h| h.standing.is_open()) else {
+            return;
+        };
+        log::warn!(content:% = content, reason = why; "request released");
+        let standing = Standing {
+            verdict: Verdict::Released,
+            ..held.standing
+        };
+        self.decide(now, content, standing, held.lapses.since(now));
+    }
+
+    fn decide(&self, now: MonoTime, content: Content, standing: Standing, left: Duration) {
+        let told = Told {
+            content,
+            standing,
+            left,
+        };
+        let quarantine = &self.link.state.quarantine;
+        quarantine.take(now, Source::Own, [told]);
+    }
+
+    /// Has the store keep what it does not have, for as long as that is held.
+    ///
+    /// Guards against the loss of all instances at once, after which the same request
+    /// would end three upstreams more. A suspicion is not worth a call.
+    async fn write(&self, now: MonoTime) -> Result<(), StoreError> {
+        let standings = self.link.state.quarantine.standings();
+        for (content, held) in standings.all(now) {
+            if lacks(&held) && held.lapses.since(now) > LEAST_LEASE {
+                self.write_one(now, content, held).await?;
+            }
+        }
+        Ok(())
+    }
+
+    async fn write_one(
+        &self,
+        now: MonoTime,
+        content: Content,
+        held: Held,
+    ) -> Result<(), StoreError> {
+        let left = held.lapses.since(now);
+        let StoreLink { state, store, .. } = &*self.link;
+        let taking = store.lease(left);
+        let lease = self.link.call(StoreCall::Lease, CALL_WITHIN, taking);
+        let lease = lease.await?;
+        let record = StandingRecord {
+            content,
+            standing: held.standing,
+            until: SystemTime::now() + left,
+        };
+        let writing = store.keep_standing(&record, lease);
+        let written = self
+            .link
+            .call(StoreCall::KeepStanding, CALL_WITHIN, writing);
+        written.await?;
+        state.quarantine.note_stored(content, Some(held.standing));
+        Ok(())
+    }
+}
+
+/// True if the store lacks it.
+fn lacks(held: &Held) -> bool {
+    match held.standing.verdict {
+        Verdict::Suspected => false,
+        Verdict::Quarantined => held.stored != Some(held.standing),
+        Verdict::Released => held.stored.is_some_and(|s| s < held.standing),
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/crash_reporter.rs
@@ -0,0 +1,223 @@
+//! Finding out which upstreams have ended, and telling who judges why.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use async_io::Timer;
+use compact_str::CompactString;
+use jd_net::Probe;
+use jd_net::lock;
+use jd_serving::BrokenRun;
+use jd_serving::UpstreamEnd;
+use jd_types::MonoTime;
+
+use crate::crash_judge::CrashJudge;
+use crate::peer_runs::Witness;
+use crate::peers::Peers;
+use crate::sighting::Sighting;
+use crate::sighting::UpstreamSeen;
+use crate::state::State;
+
+/// How long broken runs of one upstream gather before it is looked for. Its connections
+/// break within a few milliseconds of each other.
+const GATHER: Duration = Duration::from_millis(30);
+/// How often an upstream that still answers, or does not tell, is looked up again.
+const LOOK_AGAIN: Duration = Duration::from_millis(300);
+/// How long. Entries of upstreams that have ended are removed within 3.6 s.
+const LOOK_FOR: Duration = Duration::from_secs(5);
+/// Instances that are told: the one that judges and those that would come after it, so
+/// that what is known outlives the loss of two.
+pub(crate) const JUDGES: usize = 3;
+/// The most runs of one end that are told.
+const MOST_RUNS: usize = 128;
+
+/// Contents that a line names.
+const MOST_NAMED: usize = 8;
+
+/// What broke at one upstream.
+#[derive(Debug)]
+struct Broken {
+    at: MonoTime,
+    runs: Vec<BrokenRun>,
+}
+
+/// Finds out which upstreams have ended, and tells who judges why.
+#[derive(Debug)]
+pub(crate) struct CrashReporter {
+    state: Arc<State>,
+    peers: Arc<Peers>,
+    judge: Arc<CrashJudge>,
+    broken: Mutex<HashMap<UpstreamSeen, Broken>>,
+}
+
+impl CrashReporter {
+    pub(crate) fn new(
+        state: Arc<State>,
+        peers: Arc<Peers>,
+        judge: Arc<CrashJudge>,
+    ) -> CrashReporter {
+        CrashReporter {
+            state,
+            peers,
+            judge,
+            broken: Mutex::default(),
+        }
+    }
+
+    /// Takes sightings in for good.
+    pub(crate) async fn run(self: Arc<Self>) {
+        while let Some(sighting) = self.state.quarantine.sightings.next().await {
+            match sighting {
+                Sighting::Ran { service, content } => self.tell(Witness {
+                    survivors: vec![(service, content)],
+                    ..Witness::default()
+                }),
+                Sighting::Broke {
+                    at,
+                    upstream,
+                    content,
+                    began,
+                } => self.broke(at, upstream, BrokenRun { content, began }),
+            }
+        }
+    }
+
+    /// Says for good which suspects ran well here.
+    pub(crate) async fn answer(self: Arc<Self>) {
+        loop {
+            self.state.quarantine.to_answer.given().await;
+            let survivors = self.state.quarantine.remembered(self.state.now());
+            if !survivors.is_empty() {
+                self.tell(Witness {
+                    survivors,
+                    ..Witness::default()
+                });
+            }
+        }
+    }
+
+    fn broke(self: &Arc<Self>, at: MonoTime, upstream: UpstreamSeen, run: BrokenRun) {
+        let mut broken = lock(&self.broken);
+        match broken.get_mut(&upstream) {
+            Some(known) => known.runs.push(run),
+            None => {
+                let runs = vec![run];
+                broken.insert(upstream.clone(), Broken { at, runs });
+                let looking = Arc::clone(self).look(upstream);
+                self.state.executor.spawn(looking).detach();
+            }
+        }
+    }
+
+    /// Finds out whether an upstream at which runs broke has ended, and tells of it.
+    ///
+    /// A connection breaks for many reasons, and most of them leave the upstream well. It
+    /// has ended if nobody listens where it did, or if another start of it is known.
+    async fn look(self: Arc<Self>, upstream: UpstreamSeen) {
+        Timer::after(GATHER).await;
+        let until = self.state.now() + LOOK_FOR;
+        let mut seen = self.see(&upstream).await;
+        while seen == Seen::There && self.state.now() < until {
+            Timer::after(LOOK_AGAIN).await;
+            seen = self.see_entry(&upstream);
+            if seen == Seen::Unlisted {
+                // It may have left and still serve what it has.
+                seen = self.see(&upstream).await;
+            }
+        }
+        let Some(broken) = lock(&self.broken).remove(&upstream) else {
+            return;
+        };
+        let runs = broken.runs.len();
+        log::info!(
+            upstream = upstream.upstream.as_str(),
+            service = upstream.service.as_str(),
+            runs,
+            contents = contents(&broken.runs).as_str(),
+            outcome = seen.as_str();
+            "runs broke at an upstream"
+        );
+        if seen == Seen::Ended {
+            let mut runs = broken.runs;
+            runs.truncate(MOST_RUNS);
+            self.tell(Witness {
+                ends: vec![UpstreamEnd {
+                    service: upstream.service,
+                    upstream: upstream.upstream,
+                    start: upstream.start,
+                    at: broken.at,
+                    runs,
+                }],
+                ..Witness::default()
+            });
+        }
+    }
+
+    async fn see(&self, upstream: &UpstreamSeen) -> Seen {
+        if self.see_entry(upstream) == Seen::Ended {
+            return Seen::Ended;
+        }
+        match self.state.pool.probe(upstream.address).await {
+            Probe::Refused => Seen::Ended,
+            Probe::Open | Probe::Silent => Seen::There,
+        }
+    }
+
+    /// What the list of upstreams says.
+    fn see_entry(&self, upstream: &UpstreamSeen) -> Seen {
+        let table = self.state.upstreams.load();
+        match table.start_of(&upstream.upstream) {
+            Some(now) if now.is_later_than(upstream.start) => Seen::Ended,
+            Some(_) => Seen::There,
+            None if table.is_at(&upstream.service, upstream.address) => Seen::Ended,
+            None => Seen::Unlisted,
+        }
+    }
+
+    fn tell(self: &Arc<Self>, witness: Witness) {
+        let judges = self.state.judges().into_iter().take(JUDGES);
+        for judge in judges {
+            if judge == self.state.me.peers {
+                self.judge.take(witness.clone());
+                continue;
+            }
+            let reporter = Arc::clone(self);
+            let witness = witness.clone();
+            let telling = async move {
+                if !reporter.peers.witness(judge, &witness).await {
+                    log::info!(judge:% = judge; "who judges requests does not answer; others are told as well");
+                }
+            };
+            self.state.executor.spawn(telling).detach();
+        }
+    }
+}
+
+/// What was found out of an upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Seen {
+    /// Its process is gone.
+    Ended,
+    /// It is there, or there is no telling.
+    There,
+    /// Nothing lists it any more.
+    Unlisted,
+}
+
+impl Seen {
+    const fn as_str(self) -> &'static str {
+        match self {
+            Seen::Ended => "ended",
+            Seen::There => "there",
+            Seen::Unlisted => "unlisted",
+        }
+    }
+}
+
+/// What broke, for a log line.
+fn contents(runs: &[BrokenRun]) -> CompactString {
+    let named = runs.iter().take(MOST_NAMED).map(|r| r.content.to_string());
+    named.collect::<Vec<String>>().join(" ").into()
+}
--- a/crates/gateway/src/event_stream.rs
+++ b/crates/gateway/src/event_stream.rs
@@ -101,7 +101,10 @@
                     None => continue,
                 },
                 Some(Ok(None)) => return self.ended(),
-                Some(Err(_)) => AttemptOutcome::Truncated,
+                Some(Err(_)) => {
+                    self.open.broke();
+                    AttemptOutcome::Truncated
+                }
                 None if self.call.left(self.state.now()).is_zero() => {
                     return Some(self.cut(AttemptOutcome::TimedOut, CutOff::Deadline).await);
                 }
@@ -115,12 +118,14 @@
 
     fn passed_on(&mut self) {
         self.events += 1;
+        self.open.goes_on();
         // The upstream has read its inputs once it makes events. Results take
         // much room; a stream that goes on elsewhere has them made again.
         self.results.free();
     }
 
     fn ended(mut self) -> Option<(Result<Bytes, BodyError>, EventStream)> {
+        self.open.ran();
         self.open.end(AttemptOutcome::Answered);
         self.response = None;
         let took = self.state.now().since(self.call.arrived);
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -92,6 +92,7 @@
     }
 
     async fn run(&self, call: Call) -> Result<Response<Body>, Refusal> {
+        call.check_quarantine(&self.state, 0)?;
         match call.route().repeat {
             Repeat::Idempotent | Repeat::Once => plain_call::run(&self.state, call).await,
             Repeat::Resumable | Repeat::StreamOnce => {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -24,6 +24,8 @@
 
 use crate::Dialect;
 use crate::Store;
+use crate::crash_judge::CrashJudge;
+use crate::crash_reporter::CrashReporter;
 use crate::front::Front;
 use crate::peer_api::PeerApi;
 use crate::peer_api::PeerHandler;
@@ -122,6 +124,10 @@
             store: Arc::clone(&store),
             counts: StoreCallCounts::default(),
         });
+        let judge = Arc::new(CrashJudge::new(Arc::clone(&link)));
+        let reporter =
+            CrashReporter::new(Arc::clone(&state), Arc::clone(&peers), Arc::clone(&judge));
+        let reporter = Arc::new(reporter);
         let lease = Arc::new(StoreLease {
             link: Arc::clone(&link),
         });
@@ -149,6 +155,7 @@
         let peer_api = PeerApi {
             state: Arc::clone(&state),
             batches: Arc::clone(&batches),
+            judge: Arc::clone(&judge),
         };
         let s = &state.settings;
         let limits = caller_limits(s, &CallerLimits::default());
@@ -184,6 +191,9 @@
             executor.spawn(batches.tick()),
             executor.spawn(release.run()),
             executor.spawn(free.run()),
+            executor.spawn(judge.run()),
+            executor.spawn(Arc::clone(&reporter).run()),
+            executor.spawn(reporter.answer()),
         ];
         log::info!(
             instance = state.settings.name.as_str(),
--- a/crates/gateway/src/peer_api.rs
+++ b/crates/gateway/src/peer_api.rs
@@ -23,12 +23,17 @@
 use jd_wire::ReleaseRequest;
 use jd_wire::StagesReply;
 use jd_wire::StagesRequest;
+use jd_wire::WitnessReply;
+use jd_wire::WitnessRequest;
 use tonic::Status;
 use tower_service::Service;
 
+use crate::crash_judge::CrashJudge;
 use crate::peer_instance;
 use crate::peer_news;
+use crate::peer_runs;
 use crate::peer_stages;
+use crate::quarantine::Source;
 use crate::stage_batches::StageBatches;
 use crate::state::State;
 
@@ -37,6 +42,7 @@
 pub(crate) struct PeerApi {
     pub(crate) state: Arc<State>,
     pub(crate) batches: Arc<StageBatches>,
+    pub(crate) judge: Arc<CrashJudge>,
 }
 
 #[tonic::async_trait]
@@ -47,6 +53,8 @@
     ) -> Result<tonic::Response<BeatReply>, Status> {
         let beat = req.into_inner();
         let now = self.state.now();
+        let standings = peer_runs::standings_of(beat.standings);
+        self.state.quarantine.take(now, Source::Beat, standings);
         let from = Incarnation::new(beat.incarnation);
         self.state.knowledge().instances.heard(
             now,
@@ -81,6 +89,7 @@
             backlogs: backlogs.collect(),
             unlisted,
             has_read: self.state.has_read(),
+            standings: peer_runs::wire_standings(&self.state.quarantine, now),
         }))
     }
 
@@ -92,6 +101,15 @@
         Ok(tonic::Response::new(reply))
     }
 
+    async fn witness(
+        &self,
+        req: tonic::Request<WitnessRequest>,
+    ) -> Result<tonic::Response<WitnessReply>, Status> {
+        let witness = peer_runs::witness_of(req.into_inner(), self.state.now());
+        self.judge.take(witness);
+        Ok(tonic::Response::new(WitnessReply {}))
+    }
+
     async fn release_results(
         &self,
         req: tonic::Request<ReleaseRequest>,
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -7,7 +7,6 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
-use async_io::Timer;
 use compact_str::CompactString;
 use jd_net::GrpcChannel;
 use jd_net::lock;
@@ -29,7 +28,10 @@
 use crate::peer_instance;
 use crate::peer_news;
 use crate::peer_news::Heard;
+use crate::peer_runs;
+use crate::peer_runs::Witness;
 use crate::peer_stages;
+use crate::quarantine::Source;
 use crate::state::State;
 
 /// How often an instance tells the others that it is there. Three beats fit
@@ -80,7 +82,8 @@
                 let beating = async move { peers.beat_one(&peer).await };
                 self.state.executor.spawn(beating).detach();
             }
-            Timer::after(pause).await;
+            // What is newly held against a request is told at once.
+            self.state.quarantine.to_tell.wait(pause).await;
         }
     }
 
@@ -128,6 +131,15 @@
         matches!(told, Some(Ok(_)))
     }
 
+    /// Tells what was seen of runs to one that judges requests; false if it does not
+    /// answer.
+    pub(crate) async fn witness(&self, judge: SocketAddr, witness: &Witness) -> bool {
+        let mut client = GatewayClient::new(self.channel(judge));
+        let told = peer_runs::witness_request(witness, self.state.now());
+        let told = within(BEAT_WITHIN, client.witness(told)).await;
+        matches!(told, Some(Ok(_)))
+    }
+
     /// Hears another instance's news of the store, or after `wait` that there is
     /// none; none if it does not answer.
     pub(crate) async fn follow(&self, id: Incarnation, wait: Duration) -> Option<Heard> {
@@ -195,6 +207,7 @@
             leaving: self.state.is_leaving(),
             ready: self.state.is_ready(),
             has_read: self.state.has_read(),
+            standings: peer_runs::wire_standings(&self.state.quarantine, self.state.now()),
         };
         let sent = self.state.now();
         match within(BEAT_WITHIN, client.beat(beat)).await {
@@ -207,6 +220,8 @@
 
     fn take_reply(&self, peer: &InstanceEntry, sent: MonoTime, reply: BeatReply) {
         let now = self.state.now();
+        let standings = peer_runs::standings_of(reply.standings);
+        self.state.quarantine.take(now, Source::Beat, standings);
         let mut knowledge = self.state.knowledge();
         // The reply was made after the beat was sent, so the question that it
         // tells of was put at that moment less its age or later.
--- a/crates/gateway/src/plain_call.rs
+++ b/crates/gateway/src/plain_call.rs
@@ -107,6 +107,7 @@
     if call.left(now).is_zero() {
         return Err(over(runs, "the deadline passed"));
     }
+    call.check_quarantine(state, runs)?;
     let table = state.upstreams.load();
     let zone = &state.settings.zone;
     table.pick(&call.service, now, zone, tried).ok_or_else(|| {
@@ -132,6 +133,7 @@
     let read = within(left, response.whole(MAX_ANSWER)).or(over).await;
     let (outcome, detail) = match read {
         Some(Ok(body)) => {
+            open.ran();
             open.end(match head.status.is_server_error() {
                 true => AttemptOutcome::Failed,
                 false => AttemptOutcome::Answered,
@@ -143,7 +145,10 @@
                 body,
             });
         }
-        Some(Err(_)) => (AttemptOutcome::Truncated, "the answer was cut off"),
+        Some(Err(_)) => {
+            open.broke();
+            (AttemptOutcome::Truncated, "the answer was cut off")
+        }
         None => (AttemptOutcome::TimedOut, "the answer did not end in time"),
     };
     open.end(outcome);
--- /dev/null
+++ b/crates/gateway/src/sighting.rs
@@ -0,0 +1,64 @@
+//! What instances see of runs at upstreams, from the path of a request to who judges it.
+
+use async_channel::Receiver;
+use async_channel::Sender;
+use compact_str::CompactString;
+use jd_serving::Content;
+use jd_serving::UpstreamStart;
+use jd_types::MonoTime;
+use std::net::SocketAddr;
+
+/// Sightings that may wait. Broken runs come by the hundred where upstreams end in
+/// numbers, and are taken at once; more than this would be old when they are taken.
+const MOST_WAITING: usize = 1_024;
+
+/// One start of an upstream, by where it answers.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub(crate) struct UpstreamSeen {
+    pub(crate) service: CompactString,
+    pub(crate) upstream: CompactString,
+    pub(crate) start: UpstreamStart,
+    pub(crate) address: SocketAddr,
+}
+
+/// What was seen of a run.
+#[derive(Debug)]
+pub(crate) enum Sighting {
+    /// Its connection broke before its end.
+    Broke {
+        at: MonoTime,
+        upstream: UpstreamSeen,
+        content: Content,
+        began: MonoTime,
+    },
+    /// It came to its end, and something is held against its request.
+    Ran {
+        service: CompactString,
+        content: Content,
+    },
+}
+
+/// Sightings on their way.
+#[derive(Debug)]
+pub(crate) struct Sightings {
+    tx: Sender<Sighting>,
+    rx: Receiver<Sighting>,
+}
+
+impl Sightings {
+    pub(crate) fn new() -> Sightings {
+        let (tx, rx) = async_channel::bounded(MOST_WAITING);
+        Sightings { tx, rx }
+    }
+
+    pub(crate) fn add(&self, sighting: Sighting) {
+        if let Err(e) = self.tx.try_send(sighting) {
+            log::warn!(error:% = e; "sighting of a run dropped; the next one counts");
+        }
+    }
+
+    /// The next one.
+    pub(crate) async fn next(&self) -> Option<Sighting> {
+        self.rx.recv().await.ok()
+    }
+}
--- a/crates/gateway/src/stage_batches.rs
+++ b/crates/gateway/src/stage_batches.rs
@@ -1,6 +1,7 @@
 //! Filling batches of pieces, on the instance that owns them.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -15,6 +16,7 @@
 use jd_net::within;
 use jd_serving::BatchCall;
 use jd_serving::CallResult;
+use jd_serving::Content;
 use jd_serving::JobFailure;
 use jd_serving::JobKey;
 use jd_serving::PieceResult;
@@ -22,8 +24,11 @@
 use jd_serving::Shard;
 use jd_serving::StageDesk;
 use jd_serving::StageJob;
+use jd_types::MonoTime;
 
 use crate::result_free::ResultFree;
+use crate::sighting::Sighting;
+use crate::sighting::UpstreamSeen;
 use crate::state::State;
 use crate::upstream_table::UpstreamTable;
 
@@ -97,6 +102,9 @@
                 ..Desk::default()
             });
             self.follow_upstreams(&shard, desk);
+            if self.state.quarantine.left(now, job.content).is_some() {
+                return Err(JobFailure::Quarantined);
+            }
             let key = desk.desk.submit(now, job)?;
             desk.waiters.insert(key, tx);
             key
@@ -187,6 +195,9 @@
             return;
         };
         self.follow_upstreams(shard, desk);
+        let quarantine = &self.state.quarantine;
+        desk.desk
+            .quarantine(|content| quarantine.left(now, content).is_some());
         desk.desk.expire(now);
         for question in desk.desk.room_questions(now) {
             let asking = Arc::clone(self).ask_room(shard.clone(), question);
@@ -238,6 +249,7 @@
         let began = self.state.now();
         let result = self.ask(&call).await;
         let now = self.state.now();
+        self.note_runs(&call, &result, began);
         log::info!(
             service = call.service.as_str(),
             upstream = call.upstream.as_str(),
@@ -255,6 +267,39 @@
         self.pump(&shard);
     }
 
+    /// What a call says of the requests whose pieces it held.
+    fn note_runs(&self, call: &BatchCall, result: &CallResult, began: MonoTime) {
+        let quarantine = &self.state.quarantine;
+        let now = self.state.now();
+        let contents: BTreeSet<Content> = call.pieces.iter().map(|p| p.content).collect();
+        let is_listed = || {
+            self.state
+                .upstreams
+                .load()
+                .start_of(&call.upstream)
+                .is_some()
+        };
+        for content in contents {
+            match result {
+                CallResult::Answered(_) => quarantine.note_ran(now, &call.service, content),
+                CallResult::Broken if is_listed() => {
+                    quarantine.sightings.add(Sighting::Broke {
+                        at: now,
+                        upstream: UpstreamSeen {
+                            service: call.service.clone(),
+                            upstream: call.upstream.clone(),
+                            start: call.start,
+                            address: call.address,
+                        },
+                        content,
+                        began,
+                    });
+                }
+                _ => {}
+            }
+        }
+    }
+
     async fn ask(&self, call: &BatchCall) -> CallResult {
         if !self
             .state
--- a/crates/gateway/src/stage_runner.rs
+++ b/crates/gateway/src/stage_runner.rs
@@ -9,6 +9,7 @@
 use async_io::Timer;
 use compact_str::CompactString;
 use futures_lite::FutureExt;
+use jd_serving::HELD_FOR;
 use jd_serving::JobFailure;
 use jd_serving::JobStage;
 use jd_serving::Shard;
@@ -107,6 +108,7 @@
     /// Has the stages of a request done. Nothing of the request itself has run
     /// when this refuses.
     pub(crate) async fn run(&self, call: &Call) -> Result<StageResults, Refusal> {
+        call.check_quarantine(&self.state, 0)?;
         let (owner, handles) = match self.job(call) {
             None => (self.state.me.peers, Vec::new()),
             Some(job) => self.run_job(call, &job).await?,
@@ -274,6 +276,7 @@
         JobFailure::NoUpstream => "no-upstream",
         JobFailure::PieceFailed => "piece-failed",
         JobFailure::Moved => "moved",
+        JobFailure::Quarantined => "quarantined",
     }
 }
 
@@ -299,6 +302,11 @@
             FAILED_PAUSE,
             "a piece of a stage failed too often",
         ),
+        JobFailure::Quarantined => (
+            RefusalKind::Quarantined,
+            HELD_FOR,
+            "upstreams that ran this request ended, one after the other",
+        ),
         JobFailure::Moved => (
             RefusalKind::Overloaded,
             FAILED_PAUSE,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -40,6 +40,7 @@
 use crate::latch::Latch;
 use crate::metrics::Metrics;
 use crate::peer_news::PackedNews;
+use crate::quarantine::Quarantine;
 use crate::signal::Signal;
 use crate::upstream_table::UpstreamTable;
 
@@ -104,6 +105,8 @@
     pub(crate) upstreams: ArcSwap<UpstreamTable>,
     pub(crate) shards: ArcSwap<ShardMap>,
     pub(crate) metrics: Metrics,
+    /// What is held against requests.
+    pub(crate) quarantine: Quarantine,
     /// Signals that proof is to be asked for at once, and that the store is back.
     pub(crate) proof_wanted: Signal,
     pub(crate) store_back: Signal,
@@ -141,6 +144,7 @@
             upstreams: ArcSwap::default(),
             shards: ArcSwap::default(),
             metrics: Metrics::new(),
+            quarantine: Quarantine::new(),
             proof_wanted: Signal::new(),
             store_back: Signal::new(),
             entry_gone: Signal::new(),
@@ -229,6 +233,16 @@
         order.into_iter().map(|e| e.peers).collect()
     }
 
+    /// The instances that judge which requests end upstreams, the one that does so
+    /// first. They are the ones that read the store for the others.
+    pub(crate) fn judges(&self) -> Vec<SocketAddr> {
+        self.owner_order(&Shard {
+            zone: None,
+            part: 0,
+            parts: 1,
+        })
+    }
+
     /// True if this instance is the one that is asked first.
     pub(crate) fn owns(&self, shard: &Shard) -> bool {
         let divided = self.shards.load();
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -3,10 +3,13 @@
 use std::fmt::Debug;
 use std::pin::Pin;
 use std::time::Duration;
+use std::time::SystemTime;
 
 use compact_str::CompactString;
+use jd_serving::Content;
 use jd_serving::Deployment;
 use jd_serving::InstanceEntry;
+use jd_serving::Standing;
 use jd_serving::StoreItem;
 use jd_serving::UpstreamEntry;
 use jd_types::Incarnation;
@@ -28,6 +31,8 @@
     Upstream(UpstreamEntry),
     /// An instance of this system.
     Instance(InstanceEntry),
+    /// What is held against a request.
+    Standing(StandingRecord),
     /// A record that this version cannot read, and why.
     Unreadable {
         /// Where it lies.
@@ -37,6 +42,18 @@
     },
 }
 
+/// What is held against a request, as the store keeps it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StandingRecord {
+    /// The request.
+    pub content: Content,
+    /// What is held against it.
+    pub standing: Standing,
+    /// Until when, by the time of day. Clocks of instances may differ by seconds, which
+    /// is little of the minutes that it is held for.
+    pub until: SystemTime,
+}
+
 /// A change in the store.
 #[derive(Debug, Clone)]
 pub enum Change {
@@ -54,6 +71,8 @@
     },
     /// An instance's entry was removed.
     InstanceGone(Incarnation),
+    /// The store keeps nothing of what is held against a request any more.
+    StandingGone(Content),
 }
 
 /// Items of the store. They are passed on to other instances as they are.
@@ -154,6 +173,13 @@
         earlier: &'a [Incarnation],
     ) -> StoreFuture<'a, ()>;
 
+    /// Writes what is held against a request, for as long as the lease lasts.
+    fn keep_standing<'a>(
+        &'a self,
+        record: &'a StandingRecord,
+        lease: LeaseId,
+    ) -> StoreFuture<'a, ()>;
+
     /// Removes another instance's entry if it is still the one written at this revision.
     fn remove(&self, id: Incarnation, written: u64) -> StoreFuture<'_, ()>;
 
--- a/crates/gateway/src/store_call.rs
+++ b/crates/gateway/src/store_call.rs
@@ -22,10 +22,12 @@
     Withdraw,
     /// Removing the entry of an instance that is silent.
     Remove,
+    /// Writing what is held against a request.
+    KeepStanding,
 }
 
 impl StoreCall {
-    const ALL: [StoreCall; 8] = [
+    const ALL: [StoreCall; 9] = [
         StoreCall::Page,
         StoreCall::Watch,
         StoreCall::Confirm,
@@ -34,6 +36,7 @@
         StoreCall::Announce,
         StoreCall::Withdraw,
         StoreCall::Remove,
+        StoreCall::KeepStanding,
     ];
 
     /// Its name in logs and metrics.
@@ -47,6 +50,7 @@
             StoreCall::Announce => "announce",
             StoreCall::Withdraw => "withdraw",
             StoreCall::Remove => "remove",
+            StoreCall::KeepStanding => "keep-standing",
         }
     }
 }
--- a/crates/gateway/src/store_intake.rs
+++ b/crates/gateway/src/store_intake.rs
@@ -1,6 +1,7 @@
 //! Taking in what the store holds.
 
 use std::sync::Arc;
+use std::time::SystemTime;
 
 use jd_serving::News;
 use jd_serving::Router;
@@ -10,7 +11,10 @@
 
 use crate::Change;
 use crate::Record;
+use crate::StandingRecord;
 use crate::Store;
+use crate::quarantine::Source;
+use crate::quarantine::Told;
 use crate::state::State;
 
 /// Takes in what the store holds, whoever brings the news.
@@ -69,7 +73,7 @@
                     }
                     self.take_record(record, written);
                 }
-                Change::UpstreamGone(_) | Change::InstanceGone(_) => {}
+                Change::UpstreamGone(_) | Change::InstanceGone(_) | Change::StandingGone(_) => {}
             }
         }
         let now = self.state.now();
@@ -109,6 +113,7 @@
                     self.state.entry_gone.give();
                 }
                 Change::InstanceGone(id) => self.state.knowledge().instances.unlist(id),
+                Change::StandingGone(content) => self.state.quarantine.note_stored(content, None),
             }
         }
         if changed {
@@ -134,6 +139,24 @@
         items.iter().filter_map(said).collect()
     }
 
+    fn take_standing(&self, record: StandingRecord) {
+        let StandingRecord {
+            content,
+            standing,
+            until,
+        } = record;
+        // One whose time is over has none left.
+        let left = until.duration_since(SystemTime::now()).unwrap_or_default();
+        let told = Told {
+            content,
+            standing,
+            left,
+        };
+        let quarantine = &self.state.quarantine;
+        quarantine.take(self.state.now(), Source::Store, [told]);
+        quarantine.note_stored(content, Some(standing));
+    }
+
     fn take_record(&self, record: Record, written: u64) {
         match record {
             Record::Deployment(deployment) => {
@@ -162,6 +185,7 @@
             Record::Upstream(entry) => {
                 self.state.knowledge().upstreams.put(entry);
             }
+            Record::Standing(record) => self.take_standing(record),
             Record::Unreadable { key, reason } => {
                 log::error!(key:% = key, reason:% = reason; "record not understood, left out");
             }
--- a/crates/gateway/src/stream_call.rs
+++ b/crates/gateway/src/stream_call.rs
@@ -100,6 +100,7 @@
             _ => may_have_run(RefusalKind::DeadlinePassed, "the deadline passed"),
         });
     }
+    call.check_quarantine(state, runs)?;
     let refuse = |kind, detail: &'static str| match runs {
         0 => Refusal::not_run(kind, detail).after(FULL_PAUSE),
         _ => may_have_run(RefusalKind::UpstreamFailed, detail),
@@ -159,6 +160,9 @@
     let mut open = answer.open;
     let left = call.left(state.now());
     let read = within(left, answer.response.whole(MAX_FAILURE)).await;
+    if let Some(Ok(_)) = &read {
+        open.ran();
+    }
     open.end(AttemptOutcome::Failed);
     match read {
         Some(Ok(body)) => Ok(jd_net::full(body)),
--- a/crates/gateway/src/upstream_table.rs
+++ b/crates/gateway/src/upstream_table.rs
@@ -25,6 +25,8 @@
 pub(crate) struct Chosen {
     /// Its identity.
     pub(crate) id: CompactString,
+    /// Which start of it.
+    pub(crate) start: UpstreamStart,
     /// What this instance knows of it.
     pub(crate) upstream: Arc<Upstream>,
     /// Set once it is known to have started again since.
@@ -36,6 +38,7 @@
     ids: Vec<CompactString>,
     slots: u32,
     pool: PoolTable,
+    starts: Vec<UpstreamStart>,
     started_again: Vec<Arc<Latch>>,
 }
 
@@ -98,12 +101,14 @@
         for (service, mut entries) in grouped {
             entries.sort_by(|a, b| a.id.cmp(&b.id));
             let mut upstreams = Vec::with_capacity(entries.len());
+            let mut starts = Vec::with_capacity(entries.len());
             let mut started_again = Vec::with_capacity(entries.len());
             for entry in &entries {
                 let before = self.by_id.get(&entry.id);
                 let kept = before.and_then(|k| k.kept_for(entry));
                 let known = kept.unwrap_or_else(|| Known::new(entry, since));
                 upstreams.push(Arc::clone(&known.upstream));
+                starts.push(known.start);
                 started_again.push(Arc::clone(&known.started_again));
                 by_id.insert(entry.id.clone(), known);
             }
@@ -112,6 +117,7 @@
                 ids: entries.iter().map(|e| e.id.clone()).collect(),
                 slots,
                 pool: PoolTable::new(upstreams, slots, zone),
+                starts,
                 started_again,
             };
             services.insert(service, table);
@@ -160,6 +166,17 @@
         known.is_some_and(|k| k.upstream.address == address)
     }
 
+    /// The start of an upstream that may get new work; none if it may not.
+    pub(crate) fn start_of(&self, id: &str) -> Option<UpstreamStart> {
+        self.by_id.get(id).map(|known| known.start)
+    }
+
+    /// True if an upstream of the service answers at this address.
+    pub(crate) fn is_at(&self, service: &str, address: SocketAddr) -> bool {
+        let table = self.services.get(service);
+        table.is_some_and(|t| t.pool.upstreams().iter().any(|u| u.address == address))
+    }
+
     /// Chooses an upstream by load, near ones first.
     pub(crate) fn pick(
         &self,
@@ -201,6 +218,7 @@
     fn chosen(&self, key: UpstreamKey) -> Chosen {
         Chosen {
             id: self.ids[key.index()].clone(),
+            start: self.starts[key.index()],
             upstream: Arc::clone(&self.pool.upstreams()[key.index()]),
             started_again: Arc::clone(&self.started_again[key.index()]),
         }
--- /dev/null
+++ b/crates/gateway/tests/whole/fakes/deployments.rs
@@ -0,0 +1,98 @@
+//! What operators and upstreams of tests write into the store.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use jd_gateway::Record;
+use jd_serving::BatchSpec;
+use jd_serving::CustomerSpec;
+use jd_serving::Deployment;
+use jd_serving::Repeat;
+use jd_serving::Route;
+use jd_serving::Service;
+use jd_serving::StageSpec;
+use jd_serving::Target;
+use jd_serving::UpstreamEntry;
+use jd_serving::UpstreamStart;
+use jd_types::Name;
+
+/// A stage whose calls are short, so that a test is.
+const STAGE: BatchSpec = BatchSpec {
+    slots: 1,
+    queue: 2,
+    pieces: 4,
+    call: Duration::from_millis(1),
+    piece: Duration::from_millis(1),
+    room_bytes: 1_000,
+    keep: Duration::from_secs(4),
+};
+
+fn route(name: &str, repeat: Repeat) -> Route {
+    Route {
+        name: name.into(),
+        host: "desk.example".into(),
+        prefix: format!("/{name}/").into(),
+        repeat,
+        timeout: Duration::from_secs(20),
+        objective: Duration::from_secs(1),
+        priority: 1,
+        targets: vec![Target {
+            service: "pool".into(),
+            weight: 1,
+        }],
+        max_attempts: 2,
+        stages: Vec::new(),
+        public: false,
+        prompts: false,
+        event_gap: None,
+    }
+}
+
+pub(crate) fn entry(id: &str, service: &str, address: SocketAddr, start: UpstreamStart) -> Record {
+    Record::Upstream(UpstreamEntry {
+        id: id.into(),
+        start,
+        service: service.into(),
+        address,
+        zone: Name::try_from("a").expect("a name"),
+        slots: 4,
+        leaving: false,
+    })
+}
+
+pub(crate) fn deployment() -> Deployment {
+    Deployment {
+        version: 1,
+        routes: vec![
+            route("any", Repeat::Idempotent),
+            route("once", Repeat::Once),
+            route("resume", Repeat::Resumable),
+            route("stream", Repeat::StreamOnce),
+        ],
+        customers: vec![CustomerSpec {
+            name: "walkers".into(),
+            credentials: vec!["key-1".into()],
+            priority: None,
+        }],
+        ..Deployment::default()
+    }
+}
+
+/// The same with a stage before `/staged/`.
+pub(crate) fn staged_deployment() -> Deployment {
+    let mut staged = deployment();
+    let mut route = route("staged", Repeat::Resumable);
+    route.stages = vec![StageSpec {
+        service: "stages".into(),
+        after: Vec::new(),
+        result_bytes: 10,
+    }];
+    staged.routes.push(route);
+    staged.services.push(Service {
+        name: "stages".into(),
+        max_connections: 8,
+        batch: Some(STAGE),
+        generation: None,
+    });
+    staged
+}
--- a/crates/gateway/tests/whole/fakes/ending_upstreams.rs
+++ b/crates/gateway/tests/whole/fakes/ending_upstreams.rs
@@ -26,7 +26,7 @@
 use jd_serving::UpstreamStart;
 
 use crate::fakes::FakeStore;
-use crate::fakes::harness::entry;
+use crate::fakes::deployments::entry;
 
 /// From the first event of a request that ends its upstream to that end.
 const ENDS_AFTER: Duration = Duration::from_millis(20);
@@ -108,6 +108,19 @@
         self.ends.lock().expect("a lock").clone()
     }
 
+    /// Ends all of them at once, as a loss of power would, and starts others.
+    pub(crate) fn lose_all(self: &Arc<Self>) {
+        let count = self.places().len();
+        for place in 0..count {
+            self.end(place);
+        }
+    }
+
+    /// Ends one of them, and starts another.
+    pub(crate) fn lose(self: &Arc<Self>, place: usize) {
+        self.end(place);
+    }
+
     fn begin(self: &Arc<Self>, place: usize) {
         let name = self.names.fetch_add(1, Ordering::Relaxed);
         let id = format!("e-{name}");
--- a/crates/gateway/tests/whole/fakes/fake_store.rs
+++ b/crates/gateway/tests/whole/fakes/fake_store.rs
@@ -16,6 +16,7 @@
 use jd_gateway::Listed;
 use jd_gateway::Page;
 use jd_gateway::Record;
+use jd_gateway::StandingRecord;
 use jd_gateway::Store;
 use jd_gateway::StoreError;
 use jd_gateway::StoreFuture;
@@ -45,6 +46,7 @@
     first_pages: AtomicUsize,
     lists: AtomicUsize,
     refused_announcements: AtomicUsize,
+    refuses_standings: Arc<AtomicBool>,
     questions: AtomicUsize,
 }
 
@@ -57,7 +59,10 @@
 
     /// The same store as another instance sees it.
     pub(crate) fn seen_by_another(&self) -> FakeStore {
-        FakeStore::of(Arc::clone(&self.said))
+        FakeStore {
+            refuses_standings: Arc::clone(&self.refuses_standings),
+            ..FakeStore::of(Arc::clone(&self.said))
+        }
     }
 
     fn of(said: Arc<Said>) -> FakeStore {
@@ -71,6 +76,7 @@
             first_pages: AtomicUsize::new(0),
             lists: AtomicUsize::new(0),
             refused_announcements: AtomicUsize::new(0),
+            refuses_standings: Arc::default(),
             questions: AtomicUsize::new(0),
         }
     }
@@ -134,7 +140,8 @@
             Change::Put(_) => true,
             Change::UpstreamUnreadable { .. }
             | Change::UpstreamGone(_)
-            | Change::InstanceGone(_) => false,
+            | Change::InstanceGone(_)
+            | Change::StandingGone(_) => false,
         };
         let numbered = said.iter().enumerate();
         let listed = numbered.filter(|(_, change)| is_listed(change));
@@ -159,6 +166,18 @@
         self.refused_announcements.store(count, Ordering::Relaxed);
     }
 
+    /// True once it holds something against a request.
+    pub(crate) fn holds_standing(&self) -> bool {
+        let said = self.said.list.lock().expect("a lock");
+        said.iter()
+            .any(|change| matches!(change, Change::Put(Record::Standing(_))))
+    }
+
+    /// Refuses to write what is held against requests, whoever asks.
+    pub(crate) fn refuse_standings(&self) {
+        self.refuses_standings.store(true, Ordering::Relaxed);
+    }
+
     /// How often everything was read from the beginning.
     pub(crate) fn first_pages(&self) -> usize {
         self.first_pages.load(Ordering::Relaxed)
@@ -301,6 +320,21 @@
         })
     }
 
+    fn keep_standing<'a>(
+        &'a self,
+        record: &'a StandingRecord,
+        _lease: LeaseId,
+    ) -> StoreFuture<'a, ()> {
+        Box::pin(async move {
+            self.answer(())?;
+            if self.refuses_standings.load(Ordering::Relaxed) {
+                return Err(StoreError::Refused);
+            }
+            self.change(Change::Put(Record::Standing(*record)));
+            Ok(())
+        })
+    }
+
     fn remove(&self, id: Incarnation, _written: u64) -> StoreFuture<'_, ()> {
         self.withdraw(id)
     }
--- a/crates/gateway/tests/whole/fakes/harness.rs
+++ b/crates/gateway/tests/whole/fakes/harness.rs
@@ -17,35 +17,17 @@
 use jd_net::HttpPool;
 use jd_net::HttpServer;
 use jd_net::Workers;
-use jd_serving::BatchSpec;
-use jd_serving::CustomerSpec;
-use jd_serving::Deployment;
-use jd_serving::Repeat;
-use jd_serving::Route;
-use jd_serving::Service;
-use jd_serving::StageSpec;
-use jd_serving::Target;
-use jd_serving::UpstreamEntry;
 use jd_serving::UpstreamStart;
 use jd_settings::GatewaySettings;
 use jd_types::Incarnation;
-use jd_types::Name;
 
 use crate::fakes::FakeDialect;
 use crate::fakes::FakeStore;
 use crate::fakes::FakeUpstream;
 use crate::fakes::Reply;
-
-/// A stage whose calls are short, so that a test is.
-const STAGE: BatchSpec = BatchSpec {
-    slots: 1,
-    queue: 2,
-    pieces: 4,
-    call: Duration::from_millis(1),
-    piece: Duration::from_millis(1),
-    room_bytes: 1_000,
-    keep: Duration::from_secs(4),
-};
+use crate::fakes::deployments::deployment;
+use crate::fakes::deployments::entry;
+use crate::fakes::deployments::staged_deployment;
 
 /// What a caller received.
 #[derive(Debug, PartialEq, Eq)]
@@ -117,57 +99,6 @@
     })
 }
 
-fn route(name: &str, repeat: Repeat) -> Route {
-    Route {
-        name: name.into(),
-        host: "desk.example".into(),
-        prefix: format!("/{name}/").into(),
-        repeat,
-        timeout: Duration::from_secs(20),
-        objective: Duration::from_secs(1),
-        priority: 1,
-        targets: vec![Target {
-            service: "pool".into(),
-            weight: 1,
-        }],
-        max_attempts: 2,
-        stages: Vec::new(),
-        public: false,
-        prompts: false,
-        event_gap: None,
-    }
-}
-
-pub(crate) fn entry(id: &str, service: &str, address: SocketAddr, start: UpstreamStart) -> Record {
-    Record::Upstream(UpstreamEntry {
-        id: id.into(),
-        start,
-        service: service.into(),
-        address,
-        zone: Name::try_from("a").expect("a name"),
-        slots: 4,
-        leaving: false,
-    })
-}
-
-pub(crate) fn deployment() -> Deployment {
-    Deployment {
-        version: 1,
-        routes: vec![
-            route("any", Repeat::Idempotent),
-            route("once", Repeat::Once),
-            route("resume", Repeat::Resumable),
-            route("stream", Repeat::StreamOnce),
-        ],
-        customers: vec![CustomerSpec {
-            name: "walkers".into(),
-            credentials: vec!["key-1".into()],
-            priority: None,
-        }],
-        ..Deployment::default()
-    }
-}
-
 impl Harness {
     /// A gateway before upstreams that answer with these.
     pub(crate) fn start(replies: Vec<Vec<Reply>>) -> Harness {
@@ -176,21 +107,7 @@
 
     /// The same with an upstream of the stage before `/staged/`.
     pub(crate) fn start_staged(replies: Vec<Vec<Reply>>, stage: Vec<Reply>) -> Harness {
-        let mut staged = deployment();
-        let mut route = route("staged", Repeat::Resumable);
-        route.stages = vec![StageSpec {
-            service: "stages".into(),
-            after: Vec::new(),
-            result_bytes: 10,
-        }];
-        staged.routes.push(route);
-        staged.services.push(Service {
-            name: "stages".into(),
-            max_connections: 8,
-            batch: Some(STAGE),
-            generation: None,
-        });
-        let records = vec![Record::Deployment(Box::new(staged))];
+        let records = vec![Record::Deployment(Box::new(staged_deployment()))];
         Harness::start_services(replies, stage, records)
     }
 
@@ -251,6 +168,18 @@
         }
     }
 
+    /// Ends all gateways at once and starts as many anew at the same store.
+    pub(crate) fn restart_gateways(&mut self) {
+        let count = self.fleet.len();
+        self.fleet.clear();
+        let executor = self.workers.executor();
+        let (gateway, callers, ready) = start_gateway(&executor, &self.pool, &self.store);
+        self.gateway = gateway;
+        self.callers = callers;
+        self.ready = ready;
+        self.add_gateways(count);
+    }
+
     /// Starts another gateway, for which the store refuses so many pages that are
     /// not first ones, or every call if `away`; the store as it sees it.
     pub(crate) fn add_gateway(&mut self, refused_pages: usize, away: bool) -> Arc<FakeStore> {
--- a/crates/gateway/tests/whole/fakes/mod.rs
+++ b/crates/gateway/tests/whole/fakes/mod.rs
@@ -1,11 +1,13 @@
 //! A store, a dialect and upstreams for tests of the whole gateway.
 
+mod deployments;
 mod ending_upstreams;
 mod fake_dialect;
 mod fake_store;
 mod fake_upstream;
 mod harness;
 
+pub(crate) use deployments::deployment;
 pub(crate) use ending_upstreams::EndingUpstreams;
 pub(crate) use fake_dialect::FakeDialect;
 pub(crate) use fake_store::FakeStore;
@@ -13,4 +15,3 @@
 pub(crate) use fake_upstream::Reply;
 pub(crate) use harness::Harness;
 pub(crate) use harness::Received;
-pub(crate) use harness::deployment;
--- a/crates/net/src/http_pool.rs
+++ b/crates/net/src/http_pool.rs
@@ -172,6 +172,16 @@
         }
     }
 
+    /// Whether anybody answers at an address, on a connection of its own.
+    pub async fn probe(&self, address: SocketAddr) -> Probe {
+        let opening = Async::<TcpStream>::connect(address);
+        match within(CONNECT_WITHIN, opening).await {
+            Some(Ok(_)) => Probe::Open,
+            Some(Err(_)) => Probe::Refused,
+            None => Probe::Silent,
+        }
+    }
+
     /// The same as [`HttpPool::send`]; `written` is called each time that the request is handed to an
     /// open connection. Opening one to an upstream that is gone can take long.
     pub async fn send_noting(
@@ -258,6 +268,17 @@
     }
 }
 
+/// What a connection to an address came to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Probe {
+    /// It was opened.
+    Open,
+    /// It was refused: nobody listens there.
+    Refused,
+    /// Nothing came back.
+    Silent,
+}
+
 enum Sent {
     /// Nothing was written; here is the request again.
     Returned(Box<Request<Body>>),
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -27,6 +27,7 @@
 pub use clock::Clock;
 pub use grpc_channel::GrpcChannel;
 pub use http_pool::HttpPool;
+pub use http_pool::Probe;
 pub use http_server::ConnectionNumber;
 pub use http_server::Handler;
 pub use http_server::HandlerFuture;
--- a/crates/serving/src/batch_call.rs
+++ b/crates/serving/src/batch_call.rs
@@ -5,6 +5,7 @@
 
 use compact_str::CompactString;
 
+use crate::Content;
 use crate::PieceKey;
 use crate::UpstreamStart;
 
@@ -17,6 +18,8 @@
 pub struct PieceOrder {
     /// The identity of the caller's attempt.
     pub request_id: CompactString,
+    /// What its request is.
+    pub content: Content,
     /// Which piece.
     pub key: PieceKey,
     /// How long its request waits for it.
@@ -49,6 +52,8 @@
     pub far_bytes: u64,
     /// The upstream's identity.
     pub upstream: CompactString,
+    /// Which start of it is meant.
+    pub start: UpstreamStart,
     /// Where it answers.
     pub address: SocketAddr,
     /// The pieces, in the order of the answers.
--- a/crates/serving/src/desk_job.rs
+++ b/crates/serving/src/desk_job.rs
@@ -46,6 +46,7 @@
         };
         PieceOrder {
             request_id: job.request_id.clone(),
+            content: job.content,
             key: piece,
             left: job.deadline.since(now),
             source,
--- a/crates/serving/src/job_end.rs
+++ b/crates/serving/src/job_end.rs
@@ -21,6 +21,8 @@
     PieceFailed,
     /// Another instance fills the batches now, and nothing has been done yet.
     Moved,
+    /// The request ends the upstreams that run it.
+    Quarantined,
 }
 
 /// How a job ended.
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -4,13 +4,15 @@
 //! there are ([`UpstreamDirectory`], [`InstanceDirectory`]), how old that
 //! knowledge is ([`Freshness`]), which pieces of stages go where and when
 //! ([`StageDesk`]), where a prompt goes ([`place_prompt`]) and what may be sent
-//! again ([`RepeatBudget`]). Time is passed in; nothing reads a clock or a
+//! again ([`RepeatBudget`]), and which requests end the upstreams that run them
+//! ([`CrashEvidence`], [`Standings`]). Time is passed in; nothing reads a clock or a
 //! socket, so that tests replay loads in virtual time.
 
 mod batch_call;
 mod batch_upstream;
 mod call_head;
 mod content;
+mod crash_evidence;
 mod deployment;
 mod desk_call;
 mod desk_estimates;
@@ -29,6 +31,7 @@
 mod prompt;
 mod prompt_placement;
 mod rank;
+mod recent_runs;
 mod repeat_budget;
 mod result_room;
 mod returning;
@@ -40,6 +43,7 @@
 mod stage_desk;
 mod stage_job;
 mod stage_queue;
+mod standing;
 mod store_mirror;
 mod upstream_directory;
 mod upstream_start;
@@ -56,6 +60,11 @@
 pub use batch_upstream::StageUpstream;
 pub use call_head::CallHead;
 pub use content::Content;
+pub use crash_evidence::BrokenRun;
+pub use crash_evidence::CrashEvidence;
+pub use crash_evidence::Finding;
+pub use crash_evidence::Findings;
+pub use crash_evidence::UpstreamEnd;
 pub use deployment::CallerLimits;
 pub use deployment::CustomerSpec;
 pub use deployment::Deployment;
@@ -80,6 +89,7 @@
 pub use prompt::PromptPart;
 pub use prompt_placement::PromptUpstream;
 pub use prompt_placement::place_prompt;
+pub use recent_runs::RecentRuns;
 pub use repeat_budget::RepeatBound;
 pub use repeat_budget::RepeatBudget;
 pub use route::Repeat;
@@ -98,6 +108,11 @@
 pub use stage_job::JobStage;
 pub use stage_job::PieceKey;
 pub use stage_job::StageJob;
+pub use standing::HELD_FOR;
+pub use standing::Held;
+pub use standing::Standing;
+pub use standing::Standings;
+pub use standing::Verdict;
 pub use store_mirror::News;
 pub use store_mirror::StoreItem;
 pub use store_mirror::StoreMirror;
--- a/crates/serving/src/stage_desk.rs
+++ b/crates/serving/src/stage_desk.rs
@@ -9,6 +9,7 @@
 use crate::BatchCall;
 use crate::CallKey;
 use crate::CallResult;
+use crate::Content;
 use crate::JobEnd;
 use crate::JobFailure;
 use crate::JobKey;
@@ -180,6 +181,16 @@
         }
     }
 
+    /// Ends the jobs of requests that are kept from upstreams from now on.
+    pub fn quarantine(&mut self, is_quarantined: impl Fn(Content) -> bool) {
+        let is_kept = |job: &Job| is_quarantined(job.progress.job().content);
+        let kept = self.jobs.iter().filter(|(_, job)| is_kept(job));
+        let keys: Vec<JobKey> = kept.map(|(key, _)| *key).collect();
+        for key in keys {
+            self.fail(key, JobFailure::Quarantined);
+        }
+    }
+
     /// True if a result is counted here.
     pub fn holds(&self, handle: &str) -> bool {
         self.room.place(handle).is_some()
@@ -319,6 +330,7 @@
             room_used: upstream.room_used(),
             far_bytes,
             upstream: upstream.id.clone(),
+            start: upstream.start,
             address: upstream.address,
             pieces: orders,
             patience: upstream.patience(expected),
--- /dev/null
+++ b/crates/serving/src/standing.rs
@@ -0,0 +1,157 @@
+//! What is held against a request.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use jd_types::MonoTime;
+
+use crate::Content;
+
+/// How long something is held against a request: long enough for operators to act, short
+/// enough that what was wrongly held is over while its caller still remembers it. A
+/// request that is let through afterwards needs one more end to be quarantined again.
+pub const HELD_FOR: Duration = Duration::from_secs(600);
+/// The most requests that something is held against. Each has cost several upstreams, so
+/// that more of them within [`HELD_FOR`] mean another trouble. With 24 bytes each, all fit
+/// into one heartbeat.
+const MOST: usize = 128;
+
+/// What is held against a request, from the weakest to what overrules the others.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Verdict {
+    /// It was at upstreams that ended, one after the other. Who has seen it run to its end
+    /// is to say so.
+    Suspected,
+    /// It ends the upstreams that run it, and is kept from all of them.
+    Quarantined,
+    /// It was held against it wrongly.
+    Released,
+}
+
+impl Verdict {
+    /// The name in logs and in the store.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Verdict::Suspected => "suspected",
+            Verdict::Quarantined => "quarantined",
+            Verdict::Released => "released",
+        }
+    }
+}
+
+/// A verdict and how often there has been one before: a later round goes before an
+/// earlier one, and within a round the later verdict. So all instances come to hold the
+/// same, in whatever order they hear of it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Standing {
+    /// Counts from 1, anew after each release.
+    pub round: u32,
+    /// What is held against it in this round.
+    pub verdict: Verdict,
+}
+
+impl Standing {
+    /// The first round's.
+    pub fn first(verdict: Verdict) -> Standing {
+        Standing { round: 1, verdict }
+    }
+
+    /// True while it may turn out to be innocent.
+    pub fn is_open(self) -> bool {
+        self.verdict != Verdict::Released
+    }
+}
+
+/// What one instance holds against requests.
+#[derive(Debug, Clone, Default)]
+pub struct Standings {
+    held: HashMap<Content, Held>,
+}
+
+/// What is held against one request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Held {
+    /// The verdict.
+    pub standing: Standing,
+    /// When it is forgotten.
+    pub lapses: MonoTime,
+    /// What the store is known to have.
+    pub stored: Option<Standing>,
+}
+
+impl Standings {
+    /// Takes in what somebody holds against a request; true if that is news.
+    pub fn take(
+        &mut self,
+        now: MonoTime,
+        content: Content,
+        told: Standing,
+        left: Duration,
+    ) -> bool {
+        self.forget(now);
+        let lapses = now + left.min(HELD_FOR);
+        let known = self.held.get(&content);
+        if left.is_zero() || known.is_some_and(|h| h.standing >= told) {
+            return false;
+        }
+        let stored = known.and_then(|h| h.stored);
+        if known.is_none() && self.held.len() >= MOST {
+            self.give_up_one();
+        }
+        let standing = told;
+        let held = Held {
+            standing,
+            lapses,
+            stored,
+        };
+        self.held.insert(content, held);
+        true
+    }
+
+    /// The store has this of a request; none once it has nothing any more.
+    pub fn stored(&mut self, content: Content, standing: Option<Standing>) {
+        if let Some(held) = self.held.get_mut(&content) {
+            held.stored = standing;
+        }
+    }
+
+    /// What is held against a request.
+    pub fn of(&self, now: MonoTime, content: Content) -> Option<Held> {
+        let held = self.held.get(&content).copied();
+        held.filter(|h| h.lapses > now)
+    }
+
+    /// For how long a request is still kept from upstreams; none if it is not.
+    pub fn quarantine_left(&self, now: MonoTime, content: Content) -> Option<Duration> {
+        let held = self.of(now, content)?;
+        let quarantined = held.standing.verdict == Verdict::Quarantined;
+        quarantined.then(|| held.lapses.since(now))
+    }
+
+    /// True if nothing is held against anybody.
+    pub fn is_empty(&self) -> bool {
+        self.held.is_empty()
+    }
+
+    /// All that has not lapsed.
+    pub fn all(&self, now: MonoTime) -> impl Iterator<Item = (Content, Held)> {
+        let held = self.held.iter().map(|(content, held)| (*content, *held));
+        held.filter(move |(_, h)| h.lapses > now)
+    }
+
+    fn forget(&mut self, now: MonoTime) {
+        self.held.retain(|_, h| h.lapses > now);
+    }
+
+    /// Gives up what matters least: a mere suspicion first, then what lapses soonest.
+    fn give_up_one(&mut self) {
+        let least = |(_, h): &(&Content, &Held)| {
+            let quarantined = h.standing.verdict == Verdict::Quarantined;
+            (quarantined, h.lapses)
+        };
+        let least = self.held.iter().min_by_key(least);
+        if let Some(content) = least.map(|(content, _)| *content) {
+            self.held.remove(&content);
+        }
+    }
+}
--- a/crates/serving/src/upstream_start.rs
+++ b/crates/serving/src/upstream_start.rs
@@ -5,7 +5,7 @@
 ///
 /// An upstream may start again under the identity that it had. It then holds and
 /// knows nothing of before, so that identity and start together name it.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash)]
 pub struct UpstreamStart(Option<u64>);
 
 impl UpstreamStart {
@@ -17,6 +17,11 @@
         UpstreamStart(Some(ms))
     }
 
+    /// Milliseconds since 1970; none where it was not told.
+    pub fn millis(self) -> Option<u64> {
+        self.0
+    }
+
     /// True if the upstream told it.
     pub fn is_told(self) -> bool {
         self.0.is_some()
--- a/crates/serving/tests/stages.rs
+++ b/crates/serving/tests/stages.rs
@@ -6,6 +6,7 @@
 
 use std::time::Duration;
 
+use jd_serving::Content;
 use jd_serving::JobFailure;
 use jd_serving::JobKey;
 use jd_serving::JobStage;
@@ -240,6 +241,24 @@
     assert!(moved.iter().all(|k| world.ended[k].0 <= world.now));
 }
 
+/// A request whose stages wait is found to end upstreams. Its pieces were still asked for,
+/// by the owner that fills calls for all instances; the others' are done.
+#[test]
+fn stages_of_a_quarantined_request_are_given_up() {
+    let mut world = World::new(&["first", "second"], 1);
+    let bad = world.submit(world.chain(1, &CHAIN, 5_000)).expect("taken");
+    let good = world.submit(world.chain(2, &CHAIN, 5_000)).expect("taken");
+    world.run(100);
+    let (known, content) = (world.now, Content::from_number(1));
+    world.desk.quarantine(|c| c == content);
+    world.run(3_000);
+    assert_eq!(world.ended[&bad].1, Err(JobFailure::Quarantined));
+    assert!(world.ended[&good].1.is_ok());
+    let later = world.calls.iter().filter(|(at, _)| *at > known);
+    let mut pieces = later.flat_map(|(_, call)| &call.pieces);
+    assert!(pieces.all(|p| p.content != content));
+}
+
 /// A caller leaves: nothing of its request is worked on any more, and its
 /// results make room.
 #[test]
--- a/crates/types/src/refusal.rs
+++ b/crates/types/src/refusal.rs
@@ -40,11 +40,13 @@
     PlatformDown,
     /// The instance takes no new work: it is starting, leaving or cut off.
     NotServing,
+    /// Upstreams that ran the request ended, one after the other.
+    Quarantined,
 }
 
 impl RefusalKind {
     /// Every kind, for reports, metrics and documentation.
-    pub const ALL: [RefusalKind; 15] = [
+    pub const ALL: [RefusalKind; 16] = [
         RefusalKind::Unauthenticated,
         RefusalKind::Malformed,
         RefusalKind::TooLarge,
@@ -60,6 +62,7 @@
         RefusalKind::Duplicate,
         RefusalKind::PlatformDown,
         RefusalKind::NotServing,
+        RefusalKind::Quarantined,
     ];
 
     /// The name in problem details, reports and metrics.
@@ -80,6 +83,7 @@
             RefusalKind::Duplicate => "duplicate",
             RefusalKind::PlatformDown => "platform-down",
             RefusalKind::NotServing => "not-serving",
+            RefusalKind::Quarantined => "quarantined",
         }
     }
 
@@ -98,7 +102,8 @@
             | RefusalKind::Overloaded
             | RefusalKind::NoUpstream
             | RefusalKind::PlatformDown
-            | RefusalKind::NotServing => 503,
+            | RefusalKind::NotServing
+            | RefusalKind::Quarantined => 503,
         }
     }
 
@@ -136,6 +141,9 @@
                 "use a key made from the binding in the locate answer, or come back"
             }
             RefusalKind::NotServing => "ask for addresses again and use another",
+            RefusalKind::Quarantined => {
+                "do not send this request again before the given time; operators see its content in the logs"
+            }
         }
     }
 }
