A request is released only by a run of its own, after the ends it is held for

Two faults, each with a test that fails on the code before: - a piece of a stage that was done spoke for the whole request. The requests of the incident have stages, so that each was released as soon as it was held. A good run now speaks against the ends before it, at its own service; one of a piece releases nobody. An answer counts as well begun from its first part on, since a request may wait in its upstream. A suspicion goes out with ordinary heartbeats.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -46,8 +46,8 @@
     service: CompactString,
     content: Content,
     began: MonoTime,
-    /// When its upstream began to answer.
-    answer_began: Option<MonoTime>,
+    /// When the first part of its answer came.
+    first_part: Option<MonoTime>,
     ran: bool,
     over: bool,
 }
@@ -60,7 +60,7 @@
             service: call.service.clone(),
             content: call.content,
             began: state.now(),
-            answer_began: None,
+            first_part: None,
             ran: false,
             chosen,
             over: false,
@@ -76,9 +76,11 @@
         }
     }
 
-    /// Its upstream goes on with its answer.
+    /// A part of its answer came.
     pub(crate) fn goes_on(&mut self) {
-        if self.is_well_begun() {
+        let now = self.state.now();
+        let first = *self.first_part.get_or_insert(now);
+        if now.since(first) >= WELL_BEGUN_AFTER {
             self.ran();
         }
     }
@@ -86,7 +88,6 @@
     /// Its connection broke. Where its upstream was to leave that was to come, and where
     /// it had worked on the request for long it did not end by that.
     pub(crate) fn broke(&mut self) {
-        self.goes_on();
         let table = self.state.upstreams.load();
         if self.ran || table.start_of(&self.chosen.id).is_none() {
             return;
@@ -104,12 +105,6 @@
         });
     }
 
-    fn is_well_begun(&self) -> bool {
-        let now = self.state.now();
-        let began = self.answer_began;
-        began.is_some_and(|began| now.since(began) >= WELL_BEGUN_AFTER)
-    }
-
     pub(crate) fn id(&self) -> &str {
         &self.chosen.id
     }
@@ -201,10 +196,7 @@
             open.broke();
             Err(failure(AttemptOutcome::Failed, "the connection broke"))
         }
-        Some(Ok(response)) => {
-            open.answer_began = Some(state.now());
-            judge(state, call, response)
-        }
+        Some(Ok(response)) => judge(state, call, response),
     };
     match result {
         Ok((head, response)) => Ok(Answer {
--- a/crates/gateway/src/crash_judge.rs
+++ b/crates/gateway/src/crash_judge.rs
@@ -10,6 +10,7 @@
 use jd_serving::Content;
 use jd_serving::CrashEvidence;
 use jd_serving::Finding;
+use jd_serving::GoodRun;
 use jd_serving::HELD_FOR;
 use jd_serving::Held;
 use jd_serving::Standing;
@@ -28,6 +29,9 @@
 
 /// How often it is looked whether time has brought a finding.
 const LOOK_EVERY: Duration = Duration::from_millis(250);
+/// The same where there is nothing to look at, until something is told: this instance may
+/// have come to be the one that keeps verdicts.
+const LOOK_IDLE: Duration = Duration::from_secs(2);
 /// What is held for less is not worth a lease: the store takes none under a second.
 const LEAST_LEASE: Duration = Duration::from_secs(2);
 /// Pause after the store did not take a verdict. All instances know it meanwhile.
@@ -59,24 +63,47 @@
         for end in witness.ends {
             evidence.ended(now, end);
         }
-        for (service, content) in witness.survivors {
-            evidence.survived(&service, content);
-            if self.is_first() {
-                self.release(now, content, "it ran to its end");
+        let mut cleared = Vec::new();
+        for run in witness.good_runs {
+            if evidence.survived(&run) || self.is_later(now, &run) {
+                cleared.push(run.content);
             }
         }
         drop(evidence);
+        if self.is_first() {
+            for content in cleared {
+                self.release(now, content, "it ran to its end");
+            }
+        }
         self.told.give();
     }
 
+    /// True if a request ran well after something was held against it. So one that was
+    /// judged by an instance that is lost, with its evidence, may be released.
+    ///
+    /// Guards against the pieces of its stages, which run well at other services before
+    /// it ends each upstream that runs itself: each released it.
+    fn is_later(&self, now: MonoTime, run: &GoodRun) -> bool {
+        if self.link.state.does_stages(&run.service) {
+            return false;
+        }
+        let standings = self.link.state.quarantine.standings();
+        let held = standings.of(now, run.content);
+        held.is_some_and(|h| run.at > h.since())
+    }
+
     /// Judges for good, and keeps verdicts in the store.
     pub(crate) async fn run(self: Arc<Self>) {
         let mut write_from = MonoTime::ZERO;
         loop {
-            self.told.wait(LOOK_EVERY).await;
+            let pause = match self.is_idle() {
+                true => LOOK_IDLE,
+                false => LOOK_EVERY,
+            };
+            self.told.wait(pause).await;
             self.judge();
             let now = self.link.state.now();
-            if now < write_from || !self.is_first() {
+            if self.is_idle() || now < write_from || !self.is_first() {
                 continue;
             }
             if let Err(e) = self.write(now).await {
@@ -86,6 +113,13 @@
         }
     }
 
+    /// True while there is nothing to judge and nothing to keep.
+    fn is_idle(&self) -> bool {
+        let state = &self.link.state;
+        let pending = lock(&self.evidence).is_pending(state.now());
+        !pending && state.quarantine.standings().is_empty()
+    }
+
     fn is_first(&self) -> bool {
         let state = &self.link.state;
         state.judges().first() == Some(&state.me.peers)
--- a/crates/gateway/src/crash_reporter.rs
+++ b/crates/gateway/src/crash_reporter.rs
@@ -70,8 +70,8 @@
     pub(crate) async fn run(self: Arc<Self>) {
         while let Some(sighting) = self.state.quarantine.sightings.next().await {
             match sighting {
-                Sighting::Ran { service, content } => self.tell(Witness {
-                    survivors: vec![(service, content)],
+                Sighting::Ran(run) => self.tell(Witness {
+                    good_runs: vec![run],
                     ..Witness::default()
                 }),
                 Sighting::Broke {
@@ -88,10 +88,10 @@
     pub(crate) async fn answer(self: Arc<Self>) {
         loop {
             self.state.quarantine.to_answer.given().await;
-            let survivors = self.state.quarantine.remembered(self.state.now());
-            if !survivors.is_empty() {
+            let good_runs = self.state.quarantine.remembered(self.state.now());
+            if !good_runs.is_empty() {
                 self.tell(Witness {
-                    survivors,
+                    good_runs,
                     ..Witness::default()
                 });
             }
--- a/crates/gateway/src/peer_runs.rs
+++ b/crates/gateway/src/peer_runs.rs
@@ -2,18 +2,17 @@
 
 use std::time::Duration;
 
-use compact_str::CompactString;
-use compact_str::ToCompactString;
 use jd_serving::BrokenRun;
 use jd_serving::Content;
+use jd_serving::GoodRun;
 use jd_serving::Standing;
 use jd_serving::UpstreamEnd;
 use jd_serving::UpstreamStart;
 use jd_serving::Verdict;
 use jd_types::MonoTime;
 use jd_wire::BrokenRun as WireRun;
+use jd_wire::GoodRun as WireGoodRun;
 use jd_wire::Standing as WireStanding;
-use jd_wire::Survivor;
 use jd_wire::UpstreamEnd as WireEnd;
 use jd_wire::WitnessRequest;
 
@@ -24,7 +23,7 @@
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Witness {
     pub(crate) ends: Vec<UpstreamEnd>,
-    pub(crate) survivors: Vec<(CompactString, Content)>,
+    pub(crate) good_runs: Vec<GoodRun>,
 }
 
 /// The message that tells it; times are counted back from `now`.
@@ -36,13 +35,14 @@
         ended_ms_ago: millis(now.since(end.at)),
         runs: end.runs.iter().map(|r| wire_run(r, now)).collect(),
     });
-    let survivors = witness.survivors.iter().map(|(service, content)| Survivor {
-        service: service.to_string(),
-        content: content.number(),
+    let good_runs = witness.good_runs.iter().map(|run| WireGoodRun {
+        service: run.service.to_string(),
+        content: run.content.number(),
+        ended_ms_ago: millis(now.since(run.at)),
     });
     WitnessRequest {
         ends: ends.collect(),
-        survivors: survivors.collect(),
+        good_runs: good_runs.collect(),
     }
 }
 
@@ -70,14 +70,14 @@
         at: ago(end.ended_ms_ago),
         runs: end.runs.into_iter().map(run_of).collect(),
     });
-    let survivors = req.survivors.into_iter();
-    let survivors = survivors.map(|s| {
-        let content = Content::from_number(s.content);
-        (s.service.to_compact_string(), content)
+    let good_runs = req.good_runs.into_iter().map(|run| GoodRun {
+        service: run.service.into(),
+        content: Content::from_number(run.content),
+        at: ago(run.ended_ms_ago),
     });
     Witness {
         ends: ends.collect(),
-        survivors: survivors.collect(),
+        good_runs: good_runs.collect(),
     }
 }
 
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -7,6 +7,7 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
+use async_io::Timer;
 use compact_str::CompactString;
 use jd_net::GrpcChannel;
 use jd_net::lock;
@@ -40,6 +41,8 @@
 /// The pause while no other instance is known: soon after the store was read for
 /// the first time all that it lists are to be heard.
 const BEAT_FIRST: Duration = Duration::from_millis(50);
+/// The shortest pause, however much there is to tell at once.
+const BEAT_SOONEST: Duration = Duration::from_millis(50);
 /// Owners of each shard that everybody watches: the one that is asked, and the
 /// one that is asked next.
 const WATCHED_OWNERS: usize = 2;
@@ -83,7 +86,9 @@
                 self.state.executor.spawn(beating).detach();
             }
             // What is newly held against a request is told at once.
-            self.state.quarantine.to_tell.wait(pause).await;
+            Timer::after(BEAT_SOONEST).await;
+            let told = &self.state.quarantine.to_tell;
+            told.wait(pause.saturating_sub(BEAT_SOONEST)).await;
         }
     }
 
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -1,15 +1,17 @@
 //! What this instance holds against requests.
 
+use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
-use compact_str::CompactString;
 use jd_net::lock;
 use jd_serving::Content;
+use jd_serving::GoodRun;
 use jd_serving::RecentRuns;
 use jd_serving::Standing;
 use jd_serving::Standings;
+use jd_serving::Verdict;
 use jd_types::MonoTime;
 
 use crate::sighting::Sighting;
@@ -68,7 +70,7 @@
         }
     }
 
-    pub(crate) fn standings(&self) -> std::sync::Arc<Standings> {
+    pub(crate) fn standings(&self) -> Arc<Standings> {
         self.standings.load_full()
     }
 
@@ -86,6 +88,10 @@
                 next
             });
             if is_news {
+                self.to_answer.give();
+            }
+            // A suspicion goes out with the next heartbeats: there can be many.
+            if is_news && t.standing.verdict != Verdict::Suspected {
                 log::warn!(
                     content:% = t.content,
                     verdict = t.standing.verdict.as_str(),
@@ -95,7 +101,6 @@
                     "request judged"
                 );
                 self.to_tell.give();
-                self.to_answer.give();
             }
         }
     }
@@ -114,22 +119,20 @@
         lock(&self.recent).note(now, service, content);
         let held = self.standings.load().of(now, content);
         if held.is_some_and(|h| h.standing.is_open()) {
-            self.sightings.add(Sighting::Ran {
+            self.sightings.add(Sighting::Ran(GoodRun {
                 service: service.into(),
                 content,
-            });
+                at: now,
+            }));
         }
     }
 
     /// What ran well here lately of that against which something is held.
-    pub(crate) fn remembered(&self, now: MonoTime) -> Vec<(CompactString, Content)> {
+    pub(crate) fn remembered(&self, now: MonoTime) -> Vec<GoodRun> {
         let standings = self.standings.load();
         let open = standings.all(now).filter(|(_, h)| h.standing.is_open());
         let recent = lock(&self.recent);
-        let remembered = open.flat_map(|(content, _)| {
-            let services = recent.services(now, content).into_iter();
-            services.map(move |service| (service, content))
-        });
-        remembered.collect()
+        open.flat_map(|(content, _)| recent.of(now, content))
+            .collect()
     }
 }
--- a/crates/gateway/src/sighting.rs
+++ b/crates/gateway/src/sighting.rs
@@ -1,12 +1,14 @@
 //! What instances see of runs at upstreams, from the path of a request to who judges it.
 
+use std::net::SocketAddr;
+
 use async_channel::Receiver;
 use async_channel::Sender;
 use compact_str::CompactString;
 use jd_serving::Content;
+use jd_serving::GoodRun;
 use jd_serving::UpstreamStart;
 use jd_types::MonoTime;
-use std::net::SocketAddr;
 
 /// Sightings that may wait. Broken runs come by the hundred where upstreams end in
 /// numbers, and are taken at once; more than this would be old when they are taken.
@@ -32,10 +34,7 @@
         began: MonoTime,
     },
     /// It came to its end, and something is held against its request.
-    Ran {
-        service: CompactString,
-        content: Content,
-    },
+    Ran(GoodRun),
 }
 
 /// Sightings on their way.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -299,6 +299,13 @@
         allowed
     }
 
+    /// True if the upstreams of a service work on pieces of stages.
+    pub(crate) fn does_stages(&self, service: &str) -> bool {
+        let router = self.router.load();
+        let mut services = router.iter().flat_map(|r| r.services());
+        services.any(|s| s.name == service && s.batch.is_some())
+    }
+
     /// Lays the upstreams out anew after their entries changed.
     pub(crate) fn rebuild_upstreams(&self) {
         let now = self.now();
--- a/crates/gateway/tests/whole/crashes.rs
+++ b/crates/gateway/tests/whole/crashes.rs
@@ -11,18 +11,25 @@
 use crate::fakes::EndingUpstreams;
 use crate::fakes::Harness;
 use crate::fakes::Received;
+use crate::fakes::Reply;
 
 /// Instances of a fleet in these tests.
 const INSTANCES: usize = 5;
 /// How long after the third end instances in touch may still learn of it: the users'
 /// bound for news among them.
 const KNOWN_WITHIN: Duration = Duration::from_millis(3_000);
+/// How long the stage before some requests takes.
+const STAGE_TAKES: Duration = Duration::from_millis(40);
+/// How long it may take to find a request that is sent without a pause: what three ends
+/// take, and the time for news.
+const FOUND_WITHIN: Duration = Duration::from_millis(10_000);
 /// How often such a request may reach an upstream after that, as the users allow.
 const MORE_ALLOWED: usize = 3;
 
 /// A fleet before so many upstreams that end.
 fn fleet(upstreams: usize) -> (Harness, Arc<EndingUpstreams>) {
-    let mut harness = Harness::start(Vec::new());
+    let stage = vec![Reply::Late("made", STAGE_TAKES)];
+    let mut harness = Harness::start_staged(Vec::new(), stage);
     harness.add_gateways(INSTANCES - 1);
     let upstreams = EndingUpstreams::start(harness.executor(), &harness.store, upstreams);
     (harness, upstreams)
@@ -126,6 +133,7 @@
 #[test_case("/once/bad" ; "that runs once")]
 #[test_case("/resume/bad" ; "as a stream that goes on elsewhere")]
 #[test_case("/stream/bad" ; "as a stream that runs once")]
+#[test_case("/staged/bad" ; "after a stage")]
 fn a_request_that_ends_its_upstreams_reaches_none_of_them(path: &'static str) {
     let (harness, upstreams) = fleet(6);
     let harness = Arc::new(harness);
@@ -143,6 +151,52 @@
     });
 }
 
+/// A request has stages, whose pieces are worked on well, many at a time, before it ends
+/// each upstream that runs itself. A piece that was done spoke for the whole request, and
+/// released it as soon as it was held: 13 upstreams ended after the third.
+#[test]
+fn pieces_that_are_done_release_no_request() {
+    let (harness, upstreams) = fleet(6);
+    let harness = Arc::new(harness);
+    block_on(async {
+        harness.until_all_answer("/any/x", 200).await;
+        let pause = Duration::from_millis(30);
+        let span = Duration::from_millis(7_000);
+        repeat(&harness, "/staged/bad", pause, span).await;
+        let ends = upstreams.ends();
+        assert!(ends.len() >= 3, "it ended {} upstreams", ends.len());
+        let known = ends[2] + KNOWN_WITHIN;
+        let runs = upstreams.runs();
+        let late = runs.iter().filter(|r| r.path.contains("bad"));
+        let late = late.filter(|r| r.at > known).count();
+        assert!(
+            late <= MORE_ALLOWED,
+            "{late} runs more, {} ends",
+            ends.len()
+        );
+    });
+}
+
+/// A request runs well at many upstreams, and a moment later it ends each that runs it, as
+/// after a release. That it ran before is remembered, and it was let through for that.
+#[test]
+fn a_request_that_ran_well_before_is_found_once_it_ends_upstreams() {
+    let (harness, upstreams) = fleet(6);
+    let harness = Arc::new(harness);
+    block_on(async {
+        harness.until_all_answer("/any/x", 200).await;
+        for n in 0..2 * INSTANCES {
+            let received = harness.ask_instance(n, "/stream/turns", "before").await;
+            assert!(received.whole);
+        }
+        upstreams.turn();
+        let turned = Instant::now();
+        until_quarantined_everywhere(&harness, "/stream/turns").await;
+        assert!(upstreams.ends().len() >= 3);
+        assert!(turned.elapsed() < FOUND_WITHIN, "{:?}", turned.elapsed());
+    });
+}
+
 /// All instances are lost at once, with what they know, after a request was found to end
 /// upstreams. Those that start read of it before they serve anybody.
 #[test]
--- a/crates/gateway/tests/whole/fakes/ending_upstreams.rs
+++ b/crates/gateway/tests/whole/fakes/ending_upstreams.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -52,6 +53,7 @@
     store: Arc<FakeStore>,
     places: Mutex<Vec<Place>>,
     names: AtomicUsize,
+    turned: AtomicBool,
     runs: Mutex<Vec<EndingRun>>,
     ends: Mutex<Vec<Instant>>,
 }
@@ -80,6 +82,7 @@
             store: Arc::clone(store),
             places: Mutex::default(),
             names: AtomicUsize::new(0),
+            turned: AtomicBool::new(false),
             runs: Mutex::default(),
             ends: Mutex::default(),
         });
@@ -108,6 +111,11 @@
         self.ends.lock().expect("a lock").clone()
     }
 
+    /// From now on requests with `turns` in their path end them as well.
+    pub(crate) fn turn(&self) {
+        self.turned.store(true, Ordering::Relaxed);
+    }
+
     /// Ends all of them at once, as a loss of power would, and starts others.
     pub(crate) fn lose_all(self: &Arc<Self>) {
         let count = self.places().len();
@@ -168,7 +176,8 @@
                 at: Instant::now(),
             };
             self.all.runs.lock().expect("a lock").push(run);
-            let bad = path.contains("bad");
+            let turned = self.all.turned.load(Ordering::Relaxed);
+            let bad = path.contains("bad") || (turned && path.contains("turns"));
             if bad {
                 self.end_soon();
             }
--- a/crates/gateway/tests/whole/fakes/fake_upstream.rs
+++ b/crates/gateway/tests/whole/fakes/fake_upstream.rs
@@ -6,8 +6,10 @@
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use async_executor::Executor;
+use async_io::Timer;
 use bytes::Bytes;
 use futures_lite::StreamExt;
 use futures_lite::future;
@@ -28,6 +30,8 @@
 pub(crate) enum Reply {
     /// Its whole answer.
     Whole(&'static str),
+    /// The same after a while.
+    Late(&'static str, Duration),
     /// That it did nothing.
     NotRun,
     /// The first of all upstreams that share this gives the answer to another
@@ -99,6 +103,10 @@
         Box::pin(async move {
             match reply {
                 Reply::Whole(text) => answer(&id, StatusCode::OK, jd_net::full(text)),
+                Reply::Late(text, after) => {
+                    Timer::after(after).await;
+                    answer(&id, StatusCode::OK, jd_net::full(text))
+                }
                 Reply::Crossed => answer("another", StatusCode::OK, jd_net::full("theirs")),
                 Reply::Failure => answer(&id, StatusCode::INTERNAL_SERVER_ERROR, jd_net::empty()),
                 Reply::NotRun => not_run(&id, StatusCode::SERVICE_UNAVAILABLE),
--- a/crates/serving/src/crash_evidence.rs
+++ b/crates/serving/src/crash_evidence.rs
@@ -10,6 +10,7 @@
 use jd_types::MonoTime;
 
 use crate::Content;
+use crate::GoodRun;
 use crate::HELD_FOR;
 use crate::UpstreamStart;
 
@@ -93,7 +94,8 @@
 /// - It is there again each time. Ends count one after the other: one counts only if the
 ///   run began after the end before, so that a loss of power, at however many upstreams a
 ///   repeated request was, is one.
-/// - It never ends well. One run that did speaks for a request against all ends before.
+/// - It does not end well in between. One run that did speaks for a request against all
+///   ends before it.
 /// - It alone explains all of its ends. What is found to have ended an upstream clears
 ///   all others that were there. Two that were always there together are told apart by the
 ///   next end; if that does not, the one whose runs were ended sooner goes first, and if
@@ -167,11 +169,21 @@
         self.ends.insert(place, known);
     }
 
-    /// A request ran to its end at a service, or somebody remembers that it did.
-    pub fn survived(&mut self, service: &str, content: Content) {
-        for known in self.ends.iter_mut().filter(|k| k.end.service == service) {
-            known.end.runs.retain(|r| r.content != content);
+    /// A run ended well, as somebody remembers. It speaks for its request against the ends
+    /// before, and not against those that came after: what a request does to upstreams can
+    /// change from one moment to the next. True if nothing speaks against it any more.
+    pub fn survived(&mut self, run: &GoodRun) -> bool {
+        let is_there = |k: &KnownEnd| {
+            let mut runs = k.end.runs.iter();
+            k.end.service == run.service && runs.any(|r| r.content == run.content)
+        };
+        let had = self.ends.iter().any(is_there);
+        for known in self.ends.iter_mut().filter(|k| k.end.at <= run.at) {
+            if known.end.service == run.service {
+                known.end.runs.retain(|r| r.content != run.content);
+            }
         }
+        had && !self.ends.iter().any(is_there)
     }
 
     /// Leaves out ends of upstreams that are still listed when they should not be.
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -89,6 +89,7 @@
 pub use prompt::PromptPart;
 pub use prompt_placement::PromptUpstream;
 pub use prompt_placement::place_prompt;
+pub use recent_runs::GoodRun;
 pub use recent_runs::RecentRuns;
 pub use repeat_budget::RepeatBound;
 pub use repeat_budget::RepeatBudget;
--- a/crates/serving/src/recent_runs.rs
+++ b/crates/serving/src/recent_runs.rs
@@ -9,13 +9,24 @@
 
 use crate::Content;
 
-/// How long a run that came to its end speaks for the next one of the same request. What
-/// a request does to upstreams can change with their version, but not every few seconds.
+/// How long a run that came to its end is remembered. It speaks against ends before it,
+/// and those are asked about within seconds.
 const SPEAKS_FOR: Duration = Duration::from_secs(30);
 /// Runs that are remembered: thirty seconds of 130 requests a second, twice what one of
 /// 1,100 instances has at the peak of 70,000.
 const MOST: usize = 4_096;
 
+/// A run that ended well.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct GoodRun {
+    /// Where.
+    pub service: CompactString,
+    /// Of which request.
+    pub content: Content,
+    /// When it ended.
+    pub at: MonoTime,
+}
+
 /// Requests that ran to their end at a service lately, seen by one instance.
 ///
 /// Guards against an innocent request that is sent again and again, and so was at several
@@ -38,11 +49,16 @@
         self.order.push_back((now, service.into(), content));
     }
 
-    /// The services at which a request ran to its end lately.
-    pub fn services(&self, now: MonoTime, content: Content) -> Vec<CompactString> {
+    /// The last runs of a request that ended well, one for each service.
+    pub fn of(&self, now: MonoTime, content: Content) -> Vec<GoodRun> {
         let own = self.last.iter().filter(|((_, c), _)| *c == content);
         let recent = own.filter(|(_, at)| !is_old(now, **at));
-        recent.map(|((service, _), _)| service.clone()).collect()
+        let runs = recent.map(|((service, _), at)| GoodRun {
+            service: service.clone(),
+            content,
+            at: *at,
+        });
+        runs.collect()
     }
 
     fn forget_oldest(&mut self) {
--- a/crates/serving/src/standing.rs
+++ b/crates/serving/src/standing.rs
@@ -79,6 +79,13 @@
     pub stored: Option<Standing>,
 }
 
+impl Held {
+    /// When it was first held anywhere, to within the time that messages take.
+    pub fn since(&self) -> MonoTime {
+        self.lapses.before(HELD_FOR)
+    }
+}
+
 impl Standings {
     /// Takes in what somebody holds against a request; true if that is news.
     pub fn take(
--- a/crates/serving/tests/crash_evidence.rs
+++ b/crates/serving/tests/crash_evidence.rs
@@ -6,6 +6,7 @@
 use jd_serving::Content;
 use jd_serving::CrashEvidence;
 use jd_serving::Findings;
+use jd_serving::GoodRun;
 use jd_serving::RecentRuns;
 use jd_serving::Standing;
 use jd_serving::Standings;
@@ -38,6 +39,14 @@
     }
 }
 
+fn good(service: &str, content: u64, ms: u64) -> GoodRun {
+    GoodRun {
+        service: service.into(),
+        content: Content::from_number(content),
+        at: at(ms),
+    }
+}
+
 /// Takes ends in as they come, and looks every 100 ms until the given time. Findings
 /// of the last look, and when something was first quarantined.
 fn play(ends: Vec<UpstreamEnd>, until: u64) -> (Findings, Vec<(u64, u64)>) {
@@ -110,7 +119,7 @@
     play_on(&mut evidence, loss(1), 0, 5_000);
     let (last, _) = play_on(&mut evidence, loss(2), 5_100, 9_000);
     assert_eq!(numbers(&last.suspected), [OTHER]);
-    evidence.survived("pool", Content::from_number(OTHER));
+    evidence.survived(&good("pool", OTHER, 8_900));
     let (last, first) = play_on(&mut evidence, loss(3), 9_100, 20_000);
     assert_eq!(first, []);
     assert_eq!(last, Findings::default());
@@ -125,7 +134,21 @@
         let ended = end(n, 1_000 + n * 600, &[(BAD, 900 + n * 600)]);
         evidence.ended(at(1_000 + n * 600), ended);
     }
-    evidence.survived("stage", Content::from_number(BAD));
+    evidence.survived(&good("stage", BAD, 2_250));
+    let (last, _) = play_on(&mut evidence, Vec::new(), 2_300, 6_000);
+    assert_eq!(numbers(&last.quarantined), [BAD]);
+}
+
+/// A request ran well, and a moment later it ends each upstream that runs it. That it ran
+/// before speaks for it at no end that came after.
+#[test]
+fn a_run_before_speaks_against_no_end_after_it() {
+    let mut evidence = CrashEvidence::default();
+    for n in 0..3 {
+        let ms = 1_000 + n * 600;
+        evidence.ended(at(ms), end(n, ms, &[(BAD, ms - 100)]));
+        assert!(!evidence.survived(&good("pool", BAD, 850)));
+    }
     let (last, _) = play_on(&mut evidence, Vec::new(), 2_300, 6_000);
     assert_eq!(numbers(&last.quarantined), [BAD]);
 }
@@ -225,7 +248,7 @@
             let findings = evidence.judge(at(later));
             quarantined.extend(numbers(&findings.quarantined));
             if numbers(&findings.suspected).contains(&OTHER) {
-                evidence.survived("pool", Content::from_number(OTHER));
+                evidence.survived(&good("pool", OTHER, later));
             }
         }
     }
@@ -316,11 +339,8 @@
     let mut recent = RecentRuns::default();
     let content = Content::from_number(OTHER);
     recent.note(at(1_000), "pool", content);
-    assert_eq!(recent.services(at(20_000), content), ["pool"]);
-    assert!(recent.services(at(32_000), content).is_empty());
-    assert!(
-        recent
-            .services(at(2_000), Content::from_number(BAD))
-            .is_empty()
-    );
+    assert_eq!(recent.of(at(20_000), content), [good("pool", OTHER, 1_000)]);
+    assert!(recent.of(at(32_000), content).is_empty());
+    let bad = Content::from_number(BAD);
+    assert!(recent.of(at(2_000), bad).is_empty());
 }
--- a/soak/src/caller.rs
+++ b/soak/src/caller.rs
@@ -20,6 +20,8 @@
 use crate::Kind;
 use crate::config::HOST;
 use crate::config::KEYS;
+use crate::model::HOT;
+use crate::model::bad_body;
 use crate::world::World;
 
 /// How long a caller waits for an answer.
@@ -29,6 +31,9 @@
 /// The longest that a caller waits because it was told to.
 const LONGEST_PAUSE: Duration = Duration::from_millis(1_000);
 
+/// The ways that bad requests take, by their numbers.
+const BAD_WAYS: [&str; 4] = ["tell", "draft", "look", "book"];
+
 /// A caller that sends one request after the other.
 #[derive(Debug)]
 pub(crate) struct Caller {
@@ -38,6 +43,8 @@
     pub(crate) starts: Arc<Vec<AtomicU32>>,
     pub(crate) stopped: Arc<AtomicBool>,
     pub(crate) rng: fastrand::Rng,
+    /// True if it also sends the hot request.
+    pub(crate) hot: bool,
 }
 
 impl Caller {
@@ -58,6 +65,7 @@
     /// Sends one request; if it was not served, how long to wait.
     async fn request(&mut self, instance: usize) -> Option<Duration> {
         let kind = match self.rng.u8(0..12) {
+            0..2 if self.hot => Kind::Hot,
             0..4 => Kind::Lookup,
             4..7 => Kind::Booking,
             7..9 => Kind::Draft,
@@ -67,6 +75,11 @@
                 Kind::Probe(self.rng.u64(newest.saturating_sub(1).max(1)..=newest))
             }
         };
+        self.send(instance, kind).await
+    }
+
+    /// Sends a request of a kind.
+    pub(crate) async fn send(&mut self, instance: usize, kind: Kind) -> Option<Duration> {
         let id = format!("{:016x}", self.rng.u64(..));
         let key = KEYS[self.rng.usize(..KEYS.len())];
         let start = self.starts[instance].load(Ordering::Relaxed);
@@ -100,9 +113,16 @@
         Kind::Booking => "/book/x".into(),
         Kind::Draft => "/draft/x".into(),
         Kind::Tale => "/tell/x".into(),
+        Kind::Hot => "/look/hot".into(),
+        Kind::Bad(number) => format!("/{}/bad", BAD_WAYS[number as usize % BAD_WAYS.len()]),
         Kind::Probe(version) => format!("/v{version}/x"),
     };
-    let mut req = Request::new(jd_net::full(id.to_string()));
+    let body = match kind {
+        Kind::Hot => HOT.into(),
+        Kind::Bad(number) => bad_body(number),
+        _ => id.to_string(),
+    };
+    let mut req = Request::new(jd_net::full(body));
     *req.method_mut() = Method::POST;
     // Paths of a soak are plain text, so each is one.
     *req.uri_mut() = path.parse().unwrap_or_default();
--- a/soak/src/fault.rs
+++ b/soak/src/fault.rs
@@ -41,6 +41,8 @@
     Cut,
     /// Answers are not carried.
     CutBack,
+    /// Nobody listens, and nothing is carried.
+    Gone,
     /// Everything takes this much longer.
     Delays(Duration),
 }
@@ -75,6 +77,9 @@
     Replace(usize),
     /// An upstream ends and starts again under its identity, holding nothing.
     StartAgain(usize),
+    /// A request that ends each upstream which runs it comes again and again, for the
+    /// time.
+    Bad(u64, Duration),
     /// The operator puts the next configuration in force.
     Configure,
     /// The operator takes a credential away.
--- a/soak/src/judge.rs
+++ b/soak/src/judge.rs
@@ -14,6 +14,7 @@
 use crate::Ledger;
 use crate::Run;
 use crate::Span;
+use crate::bad_requests;
 use crate::model;
 
 /// Within which a credential that was taken away works nowhere: the users' bound.
@@ -94,12 +95,16 @@
     seen.repeats_bounded(&mut broken);
     seen.planned_work_cuts_nothing(&mut broken);
     seen.recovered(calm, &mut broken);
+    broken.extend(bad_requests::judge(&attempts, &runs, &spans));
     broken
 }
 
 impl Attempt {
     fn may_repeat(&self) -> bool {
-        matches!(self.kind, Kind::Lookup | Kind::Draft | Kind::Probe(_))
+        matches!(
+            self.kind,
+            Kind::Lookup | Kind::Draft | Kind::Probe(_) | Kind::Hot | Kind::Bad(_)
+        )
     }
 
     /// True if it was answered whole and with success.
@@ -121,7 +126,8 @@
     }
 
     fn own_whole_answers(&self, broken: &mut Vec<Broken>) {
-        for a in self.attempts {
+        let judged = self.attempts.iter();
+        for a in judged.filter(|a| !matches!(a.kind, Kind::Bad(_))) {
             let Ended::Answer {
                 status,
                 signature,
@@ -353,7 +359,7 @@
         let counted = |a: &&Attempt| {
             a.sent > calm + RECOVERED_AFTER
                 && a.key == crate::config::KEYS[0]
-                && !matches!(a.kind, Kind::Probe(_))
+                && !matches!(a.kind, Kind::Probe(_) | Kind::Bad(_))
         };
         let after: Vec<&Attempt> = self.attempts.iter().filter(counted).collect();
         let served = after.iter().filter(|a| a.is_served()).count();
--- a/soak/src/ledger.rs
+++ b/soak/src/ledger.rs
@@ -19,6 +19,11 @@
     Draft,
     /// Its answer is a stream that may not.
     Tale,
+    /// The same at each attempt, and it may run more than once.
+    Hot,
+    /// The same at each attempt, and it ends each upstream that runs it. In which way it
+    /// is sent goes by its number.
+    Bad(u64),
     /// It only shows which configuration is in force.
     Probe(u64),
 }
@@ -75,6 +80,8 @@
     pub at: Duration,
     /// True if the upstream began to work on it.
     pub ran: bool,
+    /// The number of the bad request that it is, if it is one.
+    pub bad: Option<u64>,
     /// What was wrong with it as it came, if anything.
     pub fault: Option<&'static str>,
 }
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -5,6 +5,7 @@
 //! here: [`Plan`] draws the faults of a seed, [`soak`] plays it, and
 //! [`judge`] tells which promises were broken.
 
+mod bad_requests;
 mod caller;
 mod config;
 mod fault;
--- a/soak/src/model.rs
+++ b/soak/src/model.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
+use async_channel::Sender;
 use async_io::Timer;
 use bytes::Bytes;
 use futures_lite::future;
@@ -38,6 +39,21 @@
 /// The event in the middle of which a torn stream ends.
 const TORN_AT: u64 = 3;
 
+/// The body of the request that many send.
+pub(crate) const HOT: &str = "hot";
+/// What the bodies of requests that end upstreams begin with.
+const BAD: &str = "bad-";
+
+/// The body of the bad request of that number.
+pub(crate) fn bad_body(number: u64) -> String {
+    format!("{BAD}{number}")
+}
+
+fn bad_number(body: &[u8]) -> Option<u64> {
+    let text = std::str::from_utf8(body).ok()?;
+    text.strip_prefix(BAD)?.parse().ok()
+}
+
 /// A stand-in of an upstream.
 #[derive(Debug)]
 pub(crate) struct Engine {
@@ -47,6 +63,8 @@
     pub(crate) mode: Mutex<Option<EngineMode>>,
     pub(crate) ledger: Arc<Ledger>,
     pub(crate) results: Arc<Results>,
+    /// Takes the identity of an upstream that ends with a request.
+    pub(crate) ended: Sender<String>,
 }
 
 /// What a stream still has to send.
@@ -67,11 +85,12 @@
         let header = |name: &str| parts.headers.get(name).and_then(|v| v.to_str().ok());
         let id = header("jacinthdeal-attempt-id").unwrap_or("").to_string();
         let body = read_bounded(body, 1 << 16).await.unwrap_or_default();
+        let bad = bad_number(&body);
         let path = parts.uri.path();
         let inputs = header("jacinthdeal-inputs").unwrap_or("");
         let fault = match () {
             () if parts.headers.contains_key(AUTHORIZATION) => Some("was shown the credential"),
-            () if body != id.as_bytes() => Some("has another body"),
+            () if bad.is_none() && body != HOT && body != id.as_bytes() => Some("has another body"),
             () if !path.starts_with("/v") && header("jacinthdeal-tenant") != Some(TENANT) => {
                 Some("has another customer")
             }
@@ -93,6 +112,7 @@
             engine: me.clone(),
             at: self.ledger.now(),
             ran: refused.is_none(),
+            bad,
             fault,
         });
         if let Some(refused) = refused {
@@ -101,9 +121,14 @@
             set(&mut res, "jacinthdeal-not-executed", "1");
             return res;
         }
+        if bad.is_some() {
+            // Fails only once the soak is over.
+            let _ = self.ended.try_send(me.clone());
+        }
         let streams = path.starts_with("/draft/") || path.starts_with("/tell/");
         let after = header("last-event-id").and_then(|t| t.parse().ok());
-        let res = self.work(mode, &id, streams, after.unwrap_or(0)).await;
+        let work = self.work(mode, &id, streams, after.unwrap_or(0), bad.is_some());
+        let res = work.await;
         signed(res, mode, &id, &me)
     }
 
@@ -113,8 +138,10 @@
         id: &str,
         streams: bool,
         after: u64,
+        bad: bool,
     ) -> Response<Body> {
         match mode {
+            _ if bad && !streams => future::pending().await,
             Some(EngineMode::Hangs) => future::pending().await,
             Some(EngineMode::Fails) => status(StatusCode::INTERNAL_SERVER_ERROR),
             _ if streams => Response::new(jd_net::stream(unfold(
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -20,6 +20,11 @@
 const KILLS_ALL_FROM: u64 = 1_000;
 /// From this seed on upstreams start again as well. Earlier seeds keep their plans.
 const STARTS_AGAIN_FROM: u64 = 2_000;
+/// From this seed on requests come that end upstreams, and a hot one. Earlier seeds keep
+/// their plans.
+const BAD_FROM: u64 = 3_000;
+/// How long such a request comes again: beyond the last other fault.
+const BAD_LASTS: Duration = Duration::from_millis(10_000);
 /// Every so many seeds bring planned work only, which may cut nothing short.
 const PLANNED_ONLY_EVERY: u64 = 4;
 
@@ -74,10 +79,24 @@
                 });
             }
         }
+        if seed >= BAD_FROM && !planned_only {
+            for number in 0..rng.u64(1..=2) {
+                let after = rng.u64(0..FAULTS_LAST.as_millis() as u64 / 2);
+                steps.push(Step {
+                    at: LEAD + Duration::from_millis(after),
+                    fault: Fault::Bad(number * 4 + rng.u64(..4), BAD_LASTS),
+                });
+            }
+        }
         steps.sort_by_key(|s| s.at);
         Plan { seed, steps }
     }
 
+    /// True if callers also send a hot request.
+    pub fn has_hot(&self) -> bool {
+        self.seed >= BAD_FROM
+    }
+
     /// When the last of them has passed, stops and restarts included.
     pub fn ends(&self) -> Duration {
         LEAD + FAULTS_LAST
--- a/soak/src/relay.rs
+++ b/soak/src/relay.rs
@@ -80,11 +80,37 @@
         listener: Async<TcpListener>,
         executor: Arc<Executor<'static>>,
     ) {
-        while let Ok((from, _)) = listener.accept().await {
-            let relay = Arc::clone(&self);
-            executor
-                .spawn(async move { relay.carry(from).await })
-                .detach();
+        let mut listener = Some(listener);
+        while let Some(open) = listener.take() {
+            let accepted = async { Some(open.accept().await) };
+            let gone = async {
+                self.until_set(LinkMode::Gone).await;
+                None
+            };
+            match future::or(accepted, gone).await {
+                Some(Ok((from, _))) => {
+                    let relay = Arc::clone(&self);
+                    executor
+                        .spawn(async move { relay.carry(from).await })
+                        .detach();
+                    listener = Some(open);
+                }
+                Some(Err(_)) => return,
+                None => {
+                    drop(open);
+                    listener = self.listen_again().await;
+                }
+            }
+        }
+    }
+
+    /// Listens again once somebody is there again.
+    async fn listen_again(&self) -> Option<Async<TcpListener>> {
+        loop {
+            Timer::after(LOOK_AGAIN).await;
+            if lock(&self.doing).mode != Some(LinkMode::Gone) {
+                return Async::<TcpListener>::bind(self.address).ok();
+            }
         }
     }
 
@@ -106,7 +132,11 @@
         let both = async {
             both.await;
         };
-        future::or(both, self.until_reset()).await;
+        let over = future::or(
+            self.until_set(LinkMode::Resets),
+            self.until_set(LinkMode::Gone),
+        );
+        future::or(both, over).await;
         // Either may be closed already.
         let _ = from.get_ref().shutdown(Shutdown::Both);
         let _ = to.get_ref().shutdown(Shutdown::Both);
@@ -143,8 +173,8 @@
         }
     }
 
-    async fn until_reset(&self) {
-        while lock(&self.doing).mode != Some(LinkMode::Resets) {
+    async fn until_set(&self, mode: LinkMode) {
+        while lock(&self.doing).mode != Some(mode) {
             Timer::after(LOOK_AGAIN).await;
         }
     }
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -18,6 +18,7 @@
 use crate::Broken;
 use crate::Fault;
 use crate::Fleet;
+use crate::Kind;
 use crate::Ledger;
 use crate::LinkMode;
 use crate::Plan;
@@ -42,6 +43,8 @@
 const CUT_BEHIND: Duration = Duration::from_millis(7_500);
 /// Between two beats that show how late this program itself is.
 const BEAT: Duration = Duration::from_millis(50);
+/// Between two sendings of a bad request.
+const BAD_EVERY: Duration = Duration::from_millis(250);
 /// From an upstream's word that it leaves to its end.
 const DRAIN_LASTS: Duration = Duration::from_millis(5_000);
 
@@ -59,6 +62,7 @@
 
 /// What steps need.
 struct Stage {
+    executor: Arc<Executor<'static>>,
     world: Arc<World>,
     fleet: Arc<dyn Fleet>,
     pool: HttpPool,
@@ -79,12 +83,15 @@
     let world = Arc::new(World::start(executor, network, instances)?);
     let held = instances + world.places.len();
     let stage = Arc::new(Stage {
+        executor: Arc::clone(executor),
         pool: HttpPool::new(Arc::clone(executor), Clock::start()),
         starts: Arc::new((0..instances).map(|_| AtomicU32::new(0)).collect()),
         held: (0..held).map(|_| AtomicBool::new(false)).collect(),
         world: Arc::clone(&world),
         fleet,
     });
+    let ending = Arc::clone(&world).end_by_requests(Arc::clone(executor));
+    executor.spawn(ending).detach();
     for n in 0..instances {
         stage.start(n);
     }
@@ -93,7 +100,7 @@
     }
     let stopped = Arc::new(AtomicBool::new(false));
     let lag = executor.spawn(measure_lag(Arc::clone(&world), Arc::clone(&stopped)));
-    let callers = start_callers(executor, &stage, &stopped, plan.seed);
+    let callers = start_callers(executor, &stage, &stopped, plan.seed, plan.has_hot());
     let began = world.ledger.now();
     let mut steps: Vec<Task<io::Result<()>>> = Vec::new();
     for step in &plan.steps {
@@ -139,6 +146,7 @@
     stage: &Arc<Stage>,
     stopped: &Arc<AtomicBool>,
     seed: u64,
+    hot: bool,
 ) -> Vec<Task<()>> {
     let count = stage.starts.len() * CALLERS_EACH;
     let callers = (0..count as u64).map(|n| {
@@ -149,6 +157,7 @@
             starts: Arc::clone(&stage.starts),
             stopped: Arc::clone(stopped),
             rng: fastrand::Rng::with_seed(seed.wrapping_mul(1_000) + n),
+            hot,
         };
         executor.spawn(caller.run())
     });
@@ -315,6 +324,7 @@
             }
             Fault::Replace(n) => self.world.replace(place(n)),
             Fault::StartAgain(n) => self.world.start_again(place(n)).await,
+            Fault::Bad(number, span) => self.repeat_bad(number, span).await,
             Fault::Configure => return Ok(Some(self.world.configure().to_string())),
             Fault::Revoke => return Ok(Some(self.world.revoke().unwrap_or("").into())),
             Fault::RevokeBehindCut(n) => {
@@ -331,6 +341,35 @@
     }
 }
 
+impl Stage {
+    /// Sends a bad request again and again, to any instance, waiting for no answer.
+    async fn repeat_bad(&self, number: u64, span: Duration) {
+        let until = self.world.ledger.now() + span;
+        let mut rng = fastrand::Rng::with_seed(number);
+        let mut asked = Vec::new();
+        while self.world.ledger.now() < until {
+            let mut caller = Caller {
+                world: Arc::clone(&self.world),
+                pool: self.pool.clone(),
+                starts: Arc::clone(&self.starts),
+                stopped: Arc::default(),
+                rng: rng.fork(),
+                hot: false,
+            };
+            let instance = rng.usize(..self.starts.len());
+            let sending = async move {
+                // It is told when to come back, and does not heed it.
+                let _ = caller.send(instance, Kind::Bad(number)).await;
+            };
+            asked.push(self.executor.spawn(sending));
+            Timer::after(BAD_EVERY).await;
+        }
+        for sending in asked {
+            sending.await;
+        }
+    }
+}
+
 async fn misbehave(link: &Relay, mode: LinkMode, span: Duration) {
     link.set(Some(mode));
     if mode != LinkMode::ForgetsOpen {
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 use std::time::SystemTime;
 
+use async_channel::Receiver;
 use async_executor::Executor;
 use async_io::Timer;
 use jd_net::Handler;
@@ -38,6 +39,10 @@
 const SERVICE_PORT: u16 = 7_010;
 /// How long an upstream that starts again is down.
 const DOWN: Duration = Duration::from_millis(150);
+/// From the first byte of a request that ends its upstream to that end.
+const ENDS_AFTER: Duration = Duration::from_millis(40);
+/// How long it is down then. Entries of the users' upstreams stay for that long.
+const DOWN_BY_REQUEST: Duration = Duration::from_millis(900);
 /// The last number of the first upstream's address; instances come before.
 const FIRST_ENGINE: usize = 200;
 
@@ -72,6 +77,7 @@
     pub(crate) ledger: Arc<Ledger>,
     pub(crate) places: Vec<Place>,
     pub(crate) store_links: Vec<Arc<Relay>>,
+    ended: Receiver<String>,
     network: [u8; 3],
     operator: Mutex<Operator>,
     _servers: Vec<HttpServer>,
@@ -107,6 +113,7 @@
             Relay::start(executor, own, store_at)
         });
         let store_links = links.collect::<std::io::Result<Vec<Arc<Relay>>>>()?;
+        let (tx, ended) = async_channel::unbounded();
         let mut places = Vec::with_capacity(ENGINES.len());
         for (n, service) in ENGINES.into_iter().enumerate() {
             let address = at(network, FIRST_ENGINE + n, SERVICE_PORT);
@@ -121,6 +128,7 @@
                 mode: Mutex::default(),
                 ledger: Arc::clone(&ledger),
                 results: Arc::clone(&results),
+                ended: tx.clone(),
             };
             let (handler, served): (Arc<dyn Handler>, Served) = match service {
                 "rank" => {
@@ -151,6 +159,7 @@
             ledger,
             places,
             store_links,
+            ended,
             network,
             operator: Mutex::new(Operator {
                 version: 0,
@@ -219,6 +228,29 @@
         place.link.set(None);
     }
 
+    /// Ends for good the upstreams whose requests end them; each is back after a while
+    /// under another identity.
+    pub(crate) async fn end_by_requests(self: Arc<Self>, executor: Arc<Executor<'static>>) {
+        while let Ok(id) = self.ended.recv().await {
+            let world = Arc::clone(&self);
+            let ending = async move {
+                let mut places = world.places.iter();
+                if let Some(place) = places.find(|p| p.handler.engine().id() == id) {
+                    world.end(place).await;
+                }
+            };
+            executor.spawn(ending).detach();
+        }
+    }
+
+    async fn end(&self, place: &Place) {
+        Timer::after(ENDS_AFTER).await;
+        place.link.set(Some(LinkMode::Gone));
+        Timer::after(DOWN_BY_REQUEST).await;
+        self.replace(place);
+        place.link.set(None);
+    }
+
     /// Puts the next configuration in force; its version.
     pub(crate) fn configure(&self) -> u64 {
         let mut operator = lock(&self.operator);
