--- a/crates/gateway/src/crash_judge.rs
+++ b/crates/gateway/src/crash_judge.rs
@@ -197,8 +197,9 @@
             standing,
             left,
         };
-        let quarantine = &self.link.state.quarantine;
-        quarantine.take(now, Source::Own, [told]);
+        let state = &self.link.state;
+        state.metrics.verdict(standing.verdict.as_str());
+        state.quarantine.take(now, Source::Own, [told]);
     }
 
     /// Has the store keep what it does not have, for as long as that is held.
--- a/crates/gateway/src/crash_reporter.rs
+++ b/crates/gateway/src/crash_reporter.rs
@@ -131,6 +131,7 @@
             return;
         };
         let runs = broken.runs.len();
+        self.state.metrics.broken_runs(seen.as_str(), runs);
         log::info!(
             upstream = upstream.upstream.as_str(),
             service = upstream.service.as_str(),
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -30,6 +30,8 @@
     stages: Family<Outcome, Counter>,
     repeats: Family<Outcome, Counter>,
     store_calls: Family<StoreOutcome, Counter>,
+    broken_runs: Family<Outcome, Counter>,
+    verdicts: Family<Outcome, Counter>,
     seconds: Histogram,
     stage_seconds: Histogram,
 }
@@ -45,6 +47,8 @@
             stages: Family::default(),
             repeats: Family::default(),
             store_calls: Family::default(),
+            broken_runs: Family::default(),
+            verdicts: Family::default(),
             seconds: histogram(),
             stage_seconds: histogram(),
             registry: Registry::default(),
@@ -75,6 +79,16 @@
             "Calls to the store",
             metrics.store_calls.clone(),
         );
+        r.register(
+            "jd_gateway_broken_runs",
+            "Runs that broke, by what became of their upstream",
+            metrics.broken_runs.clone(),
+        );
+        r.register(
+            "jd_gateway_verdicts",
+            "Requests judged by this instance for having ended upstreams",
+            metrics.verdicts.clone(),
+        );
         r.register(
             "jd_gateway_request_seconds",
             "From arrival to the head of the answer",
@@ -115,6 +129,15 @@
         self.store_calls.get_or_create(&labels).inc();
     }
 
+    pub(crate) fn broken_runs(&self, outcome: &'static str, runs: usize) {
+        let labels = Outcome { outcome };
+        self.broken_runs.get_or_create(&labels).inc_by(runs as u64);
+    }
+
+    pub(crate) fn verdict(&self, outcome: &'static str) {
+        self.verdicts.get_or_create(&Outcome { outcome }).inc();
+    }
+
     /// The text form that collectors read.
     pub(crate) fn text(&self) -> String {
         let mut buf = String::new();
--- a/crates/gateway/tests/whole/crashes.rs
+++ b/crates/gateway/tests/whole/crashes.rs
@@ -23,6 +23,8 @@
 /// How long it may take to find a request that is sent without a pause: what three ends
 /// take, and the time for news.
 const FOUND_WITHIN: Duration = Duration::from_millis(10_000);
+/// After that long what speaks against a request would have been found.
+const FOUND_LATER: Duration = Duration::from_millis(2_000);
 /// How often such a request may reach an upstream after that, as the users allow.
 const MORE_ALLOWED: usize = 3;
 
@@ -282,6 +284,57 @@
     });
 }
 
+/// The only upstream leaves, again and again, and each time cuts the same request, which
+/// takes longer than it stays. It never ran well; it ended nothing.
+#[test]
+fn a_request_that_drains_cut_short_is_not_turned_away() {
+    let (harness, upstreams) = fleet(1);
+    let harness = Arc::new(harness);
+    block_on(async {
+        harness.until_all_answer("/any/x", 200).await;
+        for n in 0..5 {
+            let caller = Arc::clone(&harness);
+            let asked = runs_of(&upstreams, "long");
+            let cut = harness.spawn(async move {
+                let id = format!("cut-{n}");
+                caller.ask_instance(n, "/stream/long", &id).await
+            });
+            while runs_of(&upstreams, "long") == asked {
+                Timer::after(Duration::from_millis(5)).await;
+            }
+            upstreams.leave(0);
+            assert!(!cut.await.whole);
+            Timer::after(Duration::from_millis(700)).await;
+            harness.until_all_answer("/any/x", 200).await;
+        }
+        Timer::after(FOUND_LATER).await;
+        let received = harness.ask_instance(0, "/stream/long", "last").await;
+        assert!(received.whole, "{received:?}");
+    });
+}
+
+/// Answers to a request break off each time, at upstreams that live on. That a connection
+/// breaks says nothing of its upstream.
+#[test]
+fn a_request_whose_answers_break_off_is_not_turned_away() {
+    let torn = Reply::Stream {
+        parts: &["id: 1\ndata: a\n\n"],
+        cut: true,
+    };
+    let harness = Arc::new(Harness::start(vec![vec![torn]; 3]));
+    block_on(async {
+        harness.until_ready(true).await;
+        for n in 0..8 {
+            let received = harness.ask("/stream/x", &format!("torn-{n}")).await;
+            assert!(!received.whole);
+            Timer::after(Duration::from_millis(100)).await;
+        }
+        Timer::after(FOUND_LATER).await;
+        let received = harness.ask("/stream/x", "last").await;
+        assert!(!is_quarantined(&received), "{received:?}");
+    });
+}
+
 /// Upstreams are killed and started again in turn, all of them in four seconds, under a
 /// request that is always at some of them.
 #[test]
--- a/crates/gateway/tests/whole/fakes/ending_upstreams.rs
+++ b/crates/gateway/tests/whole/fakes/ending_upstreams.rs
@@ -33,6 +33,8 @@
 const ENDS_AFTER: Duration = Duration::from_millis(20);
 /// How long an upstream is down before it is back under another identity.
 const DOWN: Duration = Duration::from_millis(400);
+/// From the removal of an entry to the end of its upstream.
+const LEAVES_AFTER: Duration = Duration::from_millis(250);
 /// How long a request takes that works.
 const WORK: Duration = Duration::from_millis(30);
 /// How long one takes whose path says that it is long.
@@ -129,6 +131,19 @@
         self.end(place);
     }
 
+    /// Has one of them leave: its entry is removed, it ends a little later with what it
+    /// still has, and another starts.
+    pub(crate) fn leave(self: &Arc<Self>, place: usize) {
+        let id = self.places()[place].id.clone();
+        self.store.change(Change::UpstreamGone(id.into()));
+        let all = Arc::clone(self);
+        let ending = async move {
+            Timer::after(LEAVES_AFTER).await;
+            all.end(place);
+        };
+        self.executor.spawn(ending).detach();
+    }
+
     fn begin(self: &Arc<Self>, place: usize) {
         let name = self.names.fetch_add(1, Ordering::Relaxed);
         let id = format!("e-{name}");
