Of several runs of a request at an upstream the oldest speaks

A hot request has a run at each upstream that has just begun when it ends. By the newest run it looked as if it had ended it, sooner than the request that did: it was held first, and a loss that took seconds counted as several ends.

--- a/crates/serving/src/crash_evidence.rs
+++ b/crates/serving/src/crash_evidence.rs
@@ -279,8 +279,9 @@
     let mut cases: HashMap<Content, Case> = HashMap::new();
     for end in ends {
         let mut runs: Vec<&BrokenRun> = end.runs.iter().collect();
-        // Of several runs of one request the last one decides: it may have ended it.
-        runs.sort_by_key(|r| Reverse(r.began));
+        // Of several runs of one request the oldest decides: had it ended the upstream,
+        // it would have done so soon after that one had begun.
+        runs.sort_by_key(|r| r.began);
         let mut counted: HashSet<Content> = HashSet::new();
         for run in runs {
             if counted.insert(run.content) {
--- a/crates/serving/tests/crash_evidence.rs
+++ b/crates/serving/tests/crash_evidence.rs
@@ -168,6 +168,34 @@
     assert_eq!(last.suspected, []);
 }
 
+/// A hot request is at every upstream many times over, and its newest run there has just
+/// begun when the upstream ends. Its oldest one there shows that it had been begun long
+/// before, and ended nothing.
+#[test]
+fn a_hot_neighbour_whose_newest_run_is_the_freshest_is_not_held() {
+    let ends = (0..6).map(|n| {
+        let ms = 1_000 + n * 900;
+        end(n, ms, &[(OTHER, ms - 700), (BAD, ms - 80), (OTHER, ms - 5)])
+    });
+    let (last, first) = play(ends.collect(), 12_000);
+    assert_eq!(first.len(), 1);
+    assert_eq!(first[0].1, BAD);
+    assert_eq!(last.suspected, []);
+}
+
+/// A rack loses its upstreams one after the other within two seconds. A hot request was at
+/// each of them since before the first, and new runs of it had begun there meanwhile.
+#[test]
+fn a_loss_that_takes_seconds_under_a_hot_request_is_one_end() {
+    let ends = (0..10).map(|n| {
+        let ms = 1_000 + n * 200;
+        end(n, ms, &[(OTHER, 900), (OTHER, ms - 20)])
+    });
+    let (last, first) = play(ends.collect(), 10_000);
+    assert_eq!(first, []);
+    assert_eq!(last, Findings::default());
+}
+
 /// The same until the third end, and the fourth is under one of them alone. Nobody was
 /// held before that, and the other one never is.
 #[test]
