Who has no proof of what is in force judges no request

An instance that is cut off from the store, perhaps from all, takes upstreams that refuse it for ended and finds itself the first to judge; what it held would have held for all others after the cut. What an instance has held it also takes back when it is not the first any more. A verdict that the store gave up unseen is written again.

--- a/crates/gateway/src/crash_judge.rs
+++ b/crates/gateway/src/crash_judge.rs
@@ -1,6 +1,7 @@
 //! Judging which requests end the upstreams that run them, on the instance that does so
 //! for all.
 
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
@@ -43,6 +44,8 @@
 pub(crate) struct CrashJudge {
     link: Arc<StoreLink>,
     evidence: Mutex<CrashEvidence>,
+    /// Requests that this instance itself has quarantined.
+    held_here: Mutex<HashSet<Content>>,
     told: Signal,
 }
 
@@ -51,6 +54,7 @@
         CrashJudge {
             link,
             evidence: Mutex::default(),
+            held_here: Mutex::default(),
             told: Signal::new(),
         }
     }
@@ -132,13 +136,21 @@
         if !evidence.is_pending(now) {
             return;
         }
-        // What is listed proves nothing while the store is away or the news is old.
-        if state.is_fresh() && !state.has_lost_store() {
-            let table = state.upstreams.load();
-            evidence.check(now, |id, start| table.start_of(id) == Some(start));
+        // An instance that is cut off takes upstreams for ended that are not, and finds
+        // itself the first in order. What it held would hold for all.
+        if !state.is_fresh() || state.has_lost_store() {
+            return;
         }
+        let table = state.upstreams.load();
+        evidence.check(now, |id, start| table.start_of(id) == Some(start));
         let findings = evidence.judge(now);
         drop(evidence);
+        // Who held it has the evidence, and may not be the first any more.
+        for content in findings.released {
+            if lock(&self.held_here).remove(&content) {
+                self.release(now, content, "its ends have another cause");
+            }
+        }
         if !self.is_first() {
             return;
         }
@@ -148,9 +160,6 @@
         for finding in &findings.quarantined {
             self.hold(now, finding, Verdict::Quarantined);
         }
-        for content in findings.released {
-            self.release(now, content, "its ends have another cause");
-        }
     }
 
     fn hold(&self, now: MonoTime, finding: &Finding, verdict: Verdict) {
@@ -174,6 +183,12 @@
             longest_ms = finding.longest.as_millis() as u64;
             "upstreams ended with a request"
         );
+        if verdict == Verdict::Quarantined {
+            let standings = quarantine.standings();
+            let mut held_here = lock(&self.held_here);
+            held_here.retain(|c| standings.of(now, *c).is_some());
+            held_here.insert(finding.content);
+        }
         self.decide(now, finding.content, standing, HELD_FOR);
     }
 
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -114,6 +114,18 @@
         });
     }
 
+    /// The store has something of these requests and of no others.
+    pub(crate) fn relist(&self, stored: &[Content]) {
+        if self.standings.load().is_empty() {
+            return;
+        }
+        self.standings.rcu(|s| {
+            let mut next = Standings::clone(s);
+            next.relist(stored);
+            next
+        });
+    }
+
     /// A request ran to its end at a service.
     pub(crate) fn note_ran(&self, now: MonoTime, service: &str, content: Content) {
         lock(&self.recent).note(now, service, content);
--- a/crates/gateway/src/store_intake.rs
+++ b/crates/gateway/src/store_intake.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::SystemTime;
 
+use jd_serving::Content;
 use jd_serving::News;
 use jd_serving::Router;
 use jd_serving::StoreItem;
@@ -60,6 +61,7 @@
         }
         let mut upstreams: Vec<UpstreamEntry> = Vec::new();
         let mut instances: Vec<Incarnation> = Vec::new();
+        let mut standings: Vec<Content> = Vec::new();
         let mut changed = false;
         for (change, written) in changes {
             match change {
@@ -68,14 +70,17 @@
                     changed |= self.leave_out(&id, &reason, written);
                 }
                 Change::Put(record) => {
-                    if let Record::Instance(entry) = &record {
-                        instances.push(entry.incarnation);
+                    match &record {
+                        Record::Instance(entry) => instances.push(entry.incarnation),
+                        Record::Standing(standing) => standings.push(standing.content),
+                        _ => {}
                     }
                     self.take_record(record, written);
                 }
                 Change::UpstreamGone(_) | Change::InstanceGone(_) | Change::StandingGone(_) => {}
             }
         }
+        self.state.quarantine.relist(&standings);
         let now = self.state.now();
         {
             let mut knowledge = self.state.knowledge();
--- a/crates/gateway/tests/whole/crashes.rs
+++ b/crates/gateway/tests/whole/crashes.rs
@@ -284,6 +284,32 @@
     });
 }
 
+/// An instance is cut off from the store, and so perhaps from all others and from upstreams
+/// that it takes for ended. What it finds by itself holds for all, so it judges nobody
+/// until it has proof again.
+#[test]
+fn an_instance_without_proof_judges_nobody() {
+    let harness = Harness::start(Vec::new());
+    let upstreams = EndingUpstreams::start(harness.executor(), &harness.store, 6);
+    block_on(async {
+        harness.until_ready(true).await;
+        while harness.ask("/open/x", "known").await.status != 200 {
+            Timer::after(Duration::from_millis(10)).await;
+        }
+        harness.store.set_away(true);
+        harness.until_ready(false).await;
+        while upstreams.ends().len() < 4 {
+            harness.ask("/open/bad", "bad").await;
+            Timer::after(Duration::from_millis(100)).await;
+        }
+        Timer::after(FOUND_LATER).await;
+        assert!(!is_quarantined(&harness.ask("/open/bad", "bad").await));
+        harness.store.set_away(false);
+        let harness = Arc::new(harness);
+        until_quarantined(&harness, "/open/bad").await;
+    });
+}
+
 /// The only upstream leaves, again and again, and each time cuts the same request, which
 /// takes longer than it stays. It never ran well; it ended nothing.
 #[test]
@@ -300,6 +326,7 @@
                 caller.ask_instance(n, "/stream/long", &id).await
             });
             while runs_of(&upstreams, "long") == asked {
+                assert!(!cut.is_finished(), "it was turned away");
                 Timer::after(Duration::from_millis(5)).await;
             }
             upstreams.leave(0);
--- a/crates/gateway/tests/whole/fakes/deployments.rs
+++ b/crates/gateway/tests/whole/fakes/deployments.rs
@@ -68,6 +68,10 @@
             route("once", Repeat::Once),
             route("resume", Repeat::Resumable),
             route("stream", Repeat::StreamOnce),
+            Route {
+                public: true,
+                ..route("open", Repeat::StreamOnce)
+            },
         ],
         customers: vec![CustomerSpec {
             name: "walkers".into(),
--- a/crates/serving/src/standing.rs
+++ b/crates/serving/src/standing.rs
@@ -122,6 +122,14 @@
         }
     }
 
+    /// The store has something of these requests and of no others. Without this, what it
+    /// gave up while its changes were lost would not be written again.
+    pub fn relist(&mut self, stored: &[Content]) {
+        let gone = |c: &Content| !stored.contains(c);
+        let held = self.held.iter_mut().filter(|(c, _)| gone(c));
+        held.for_each(|(_, h)| h.stored = None);
+    }
+
     /// What is held against a request.
     pub fn of(&self, now: MonoTime, content: Content) -> Option<Held> {
         let held = self.held.get(&content).copied();
--- a/crates/serving/tests/crash_evidence.rs
+++ b/crates/serving/tests/crash_evidence.rs
@@ -335,6 +335,22 @@
     );
 }
 
+/// The store's changes were lost, and with them that it gave a verdict up. Read whole it is
+/// found not to have it, so that it is written again.
+#[test]
+fn what_the_store_gave_up_unseen_is_known_to_be_missing() {
+    let [kept, gone] = [BAD, OTHER].map(Content::from_number);
+    let mut standings = Standings::default();
+    let quarantined = Standing::first(Verdict::Quarantined);
+    for content in [kept, gone] {
+        standings.take(at(0), content, quarantined, Duration::from_secs(600));
+        standings.stored(content, Some(quarantined));
+    }
+    standings.relist(&[kept]);
+    let stored = |c| standings.of(at(1), c).and_then(|h| h.stored);
+    assert_eq!((stored(kept), stored(gone)), (Some(quarantined), None));
+}
+
 /// What is held lapses, and no message can make it last longer than all others.
 #[test]
 fn what_is_held_lapses() {
