Tell of a suspicion at once; tests on who is let in stand by themselves

In a fleet whose instances exchange heartbeats with a few others, ordinary beats would take longer than the second in which objections count. No more than ten beats a second.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -41,8 +41,9 @@
 /// The pause while no other instance is known: soon after the store was read for
 /// the first time all that it lists are to be heard.
 const BEAT_FIRST: Duration = Duration::from_millis(50);
-/// The shortest pause, however much there is to tell at once.
-const BEAT_SOONEST: Duration = Duration::from_millis(50);
+/// The shortest pause, however much there is to tell at once: four times the usual beats
+/// while a trouble lasts.
+const BEAT_SOONEST: Duration = Duration::from_millis(100);
 /// Owners of each shard that everybody watches: the one that is asked, and the
 /// one that is asked next.
 const WATCHED_OWNERS: usize = 2;
@@ -86,7 +87,7 @@
                 self.state.executor.spawn(beating).detach();
             }
             // What is newly held against a request is told at once.
-            Timer::after(BEAT_SOONEST).await;
+            Timer::after(pause.min(BEAT_SOONEST)).await;
             let told = &self.state.quarantine.to_tell;
             told.wait(pause.saturating_sub(BEAT_SOONEST)).await;
         }
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -89,8 +89,9 @@
             });
             if is_news {
                 self.to_answer.give();
+                self.to_tell.give();
             }
-            // A suspicion goes out with the next heartbeats: there can be many.
+            // Suspicions are logged where they arise: there can be many.
             if is_news && t.standing.verdict != Verdict::Suspected {
                 log::warn!(
                     content:% = t.content,
@@ -100,7 +101,6 @@
                     source:? = source;
                     "request judged"
                 );
-                self.to_tell.give();
             }
         }
     }
--- a/crates/gateway/tests/whole/crashes.rs
+++ b/crates/gateway/tests/whole/crashes.rs
@@ -10,93 +10,25 @@
 
 use crate::fakes::EndingUpstreams;
 use crate::fakes::Harness;
-use crate::fakes::Received;
-use crate::fakes::Reply;
-
-/// Instances of a fleet in these tests.
-const INSTANCES: usize = 5;
+use crate::fakes::ending_fleet::INSTANCES;
+use crate::fakes::ending_fleet::fleet;
+use crate::fakes::ending_fleet::is_quarantined;
+use crate::fakes::ending_fleet::repeat;
+use crate::fakes::ending_fleet::runs_of;
+use crate::fakes::ending_fleet::until_quarantined;
+use crate::fakes::ending_fleet::until_quarantined_everywhere;
+
+/// Instances of a fleet that is too large for all to hear all.
+const LARGE_FLEET: usize = 24;
 /// How long after the third end instances in touch may still learn of it: the users'
 /// bound for news among them.
 const KNOWN_WITHIN: Duration = Duration::from_millis(3_000);
-/// How long the stage before some requests takes.
-const STAGE_TAKES: Duration = Duration::from_millis(40);
 /// How long it may take to find a request that is sent without a pause: what three ends
 /// take, and the time for news.
 const FOUND_WITHIN: Duration = Duration::from_millis(10_000);
-/// After that long what speaks against a request would have been found.
-const FOUND_LATER: Duration = Duration::from_millis(2_000);
 /// How often such a request may reach an upstream after that, as the users allow.
 const MORE_ALLOWED: usize = 3;
 
-/// A fleet before so many upstreams that end.
-fn fleet(upstreams: usize) -> (Harness, Arc<EndingUpstreams>) {
-    let stage = vec![Reply::Late("made", STAGE_TAKES)];
-    let mut harness = Harness::start_staged(Vec::new(), stage);
-    harness.add_gateways(INSTANCES - 1);
-    let upstreams = EndingUpstreams::start(harness.executor(), &harness.store, upstreams);
-    (harness, upstreams)
-}
-
-/// Sends a request again and again, every `pause`, to one instance after the other, for
-/// as long as given. Waits for no answer, and for all of them at the end.
-async fn repeat(
-    harness: &Arc<Harness>,
-    path: &'static str,
-    pause: Duration,
-    span: Duration,
-) -> Vec<Received> {
-    let began = Instant::now();
-    let mut asked = Vec::new();
-    for n in 0.. {
-        if began.elapsed() > span {
-            break;
-        }
-        let caller = Arc::clone(harness);
-        let asking = async move {
-            let id = format!("{path}-{n}");
-            caller.ask_instance(n, path, &id).await
-        };
-        asked.push(harness.spawn(asking));
-        Timer::after(pause).await;
-    }
-    let mut received = Vec::with_capacity(asked.len());
-    for asking in asked {
-        received.push(asking.await);
-    }
-    received
-}
-
-/// Sends a request until an instance refuses it as one that ends upstreams.
-async fn until_quarantined(harness: &Arc<Harness>, path: &'static str) {
-    for n in 0.. {
-        let received = harness.ask_instance(n, path, &format!("{path}-{n}")).await;
-        if is_quarantined(&received) {
-            return;
-        }
-        Timer::after(Duration::from_millis(50)).await;
-    }
-}
-
-/// Waits until every instance refuses a request as one that ends upstreams.
-async fn until_quarantined_everywhere(harness: &Arc<Harness>, path: &'static str) {
-    until_quarantined(harness, path).await;
-    for n in 0..INSTANCES {
-        while !is_quarantined(&harness.ask_instance(n, path, "again").await) {
-            Timer::after(Duration::from_millis(20)).await;
-        }
-    }
-}
-
-fn is_quarantined(received: &Received) -> bool {
-    let detail = "upstreams that ran this request ended, one after the other";
-    received.status == 503 && received.body == detail
-}
-
-fn runs_of(upstreams: &EndingUpstreams, part: &str) -> usize {
-    let runs = upstreams.runs();
-    runs.iter().filter(|r| r.path.contains(part)).count()
-}
-
 /// A request ends each upstream that begins to run it, within 120 ms of `answer began`,
 /// and its caller sends it again, to another instance each time. Every attempt had an
 /// identity of its own and every instance took it for new: 17 of nine upstreams ended
@@ -242,144 +174,24 @@
     });
 }
 
-/// A hot request, the same each time, is at most upstreams when another one ends them. It
-/// was broken off with every one of them, and is refused nowhere.
-#[test]
-fn a_hot_request_beside_one_that_ends_upstreams_is_not_turned_away() {
-    let (harness, upstreams) = fleet(6);
-    let harness = Arc::new(harness);
-    block_on(async {
-        harness.until_all_answer("/any/x", 200).await;
-        let caller = Arc::clone(&harness);
-        let hot = harness.spawn(async move {
-            let span = Duration::from_millis(6_000);
-            repeat(&caller, "/any/long", Duration::from_millis(60), span).await
-        });
-        until_quarantined_everywhere(&harness, "/stream/bad").await;
-        let received = hot.await;
-        assert!(!received.iter().any(is_quarantined));
-        assert!(received.iter().any(|r| r.status == 200));
-    });
-    assert!(upstreams.ends().len() >= 3);
-}
-
-/// All upstreams are lost at once, four times, under a hot request. Nothing ended by it.
-#[test]
-fn a_hot_request_under_losses_of_power_is_not_turned_away() {
-    let (harness, upstreams) = fleet(6);
-    let harness = Arc::new(harness);
-    block_on(async {
-        harness.until_all_answer("/any/x", 200).await;
-        let caller = Arc::clone(&harness);
-        let hot = harness.spawn(async move {
-            let span = Duration::from_millis(7_500);
-            repeat(&caller, "/any/long", Duration::from_millis(40), span).await
-        });
-        for _ in 0..4 {
-            Timer::after(Duration::from_millis(1_500)).await;
-            upstreams.lose_all();
-        }
-        let received = hot.await;
-        assert!(!received.iter().any(is_quarantined));
-    });
-}
-
-/// An instance is cut off from the store, and so perhaps from all others and from upstreams
-/// that it takes for ended. What it finds by itself holds for all, so it judges nobody
-/// until it has proof again.
-#[test]
-fn an_instance_without_proof_judges_nobody() {
-    let harness = Harness::start(Vec::new());
-    let upstreams = EndingUpstreams::start(harness.executor(), &harness.store, 6);
-    block_on(async {
-        harness.until_ready(true).await;
-        while harness.ask("/open/x", "known").await.status != 200 {
-            Timer::after(Duration::from_millis(10)).await;
-        }
-        harness.store.set_away(true);
-        harness.until_ready(false).await;
-        while upstreams.ends().len() < 4 {
-            harness.ask("/open/bad", "bad").await;
-            Timer::after(Duration::from_millis(100)).await;
-        }
-        Timer::after(FOUND_LATER).await;
-        assert!(!is_quarantined(&harness.ask("/open/bad", "bad").await));
-        harness.store.set_away(false);
-        let harness = Arc::new(harness);
-        until_quarantined(&harness, "/open/bad").await;
-    });
-}
-
-/// The only upstream leaves, again and again, and each time cuts the same request, which
-/// takes longer than it stays. It never ran well; it ended nothing.
+/// The same in a fleet in which an instance exchanges heartbeats with a few others only.
 #[test]
-fn a_request_that_drains_cut_short_is_not_turned_away() {
-    let (harness, upstreams) = fleet(1);
+fn what_was_found_reaches_all_of_a_large_fleet() {
+    let mut harness = Harness::start(Vec::new());
+    harness.add_gateways(LARGE_FLEET - 1);
+    let _upstreams = EndingUpstreams::start(harness.executor(), &harness.store, 6);
+    harness.store.refuse_standings();
     let harness = Arc::new(harness);
     block_on(async {
         harness.until_all_answer("/any/x", 200).await;
-        for n in 0..5 {
-            let caller = Arc::clone(&harness);
-            let asked = runs_of(&upstreams, "long");
-            let cut = harness.spawn(async move {
-                let id = format!("cut-{n}");
-                caller.ask_instance(n, "/stream/long", &id).await
-            });
-            while runs_of(&upstreams, "long") == asked {
-                assert!(!cut.is_finished(), "it was turned away");
-                Timer::after(Duration::from_millis(5)).await;
+        harness.until_two_watch().await;
+        until_quarantined(&harness, "/stream/bad").await;
+        let known = Instant::now();
+        for n in 0..LARGE_FLEET {
+            while !is_quarantined(&harness.ask_instance(n, "/stream/bad", "again").await) {
+                Timer::after(Duration::from_millis(20)).await;
             }
-            upstreams.leave(0);
-            assert!(!cut.await.whole);
-            Timer::after(Duration::from_millis(700)).await;
-            harness.until_all_answer("/any/x", 200).await;
-        }
-        Timer::after(FOUND_LATER).await;
-        let received = harness.ask_instance(0, "/stream/long", "last").await;
-        assert!(received.whole, "{received:?}");
-    });
-}
-
-/// Answers to a request break off each time, at upstreams that live on. That a connection
-/// breaks says nothing of its upstream.
-#[test]
-fn a_request_whose_answers_break_off_is_not_turned_away() {
-    let torn = Reply::Stream {
-        parts: &["id: 1\ndata: a\n\n"],
-        cut: true,
-    };
-    let harness = Arc::new(Harness::start(vec![vec![torn]; 3]));
-    block_on(async {
-        harness.until_ready(true).await;
-        for n in 0..8 {
-            let received = harness.ask("/stream/x", &format!("torn-{n}")).await;
-            assert!(!received.whole);
-            Timer::after(Duration::from_millis(100)).await;
-        }
-        Timer::after(FOUND_LATER).await;
-        let received = harness.ask("/stream/x", "last").await;
-        assert!(!is_quarantined(&received), "{received:?}");
-    });
-}
-
-/// Upstreams are killed and started again in turn, all of them in four seconds, under a
-/// request that is always at some of them.
-#[test]
-fn a_hot_request_under_restarts_is_not_turned_away() {
-    let (harness, upstreams) = fleet(6);
-    let harness = Arc::new(harness);
-    block_on(async {
-        harness.until_all_answer("/any/x", 200).await;
-        let caller = Arc::clone(&harness);
-        let hot = harness.spawn(async move {
-            let span = Duration::from_millis(6_000);
-            repeat(&caller, "/resume/long", Duration::from_millis(40), span).await
-        });
-        for place in 0..6 {
-            Timer::after(Duration::from_millis(700)).await;
-            upstreams.lose(place);
         }
-        let received = hot.await;
-        assert!(!received.iter().any(is_quarantined));
+        assert!(known.elapsed() < KNOWN_WITHIN, "{:?}", known.elapsed());
     });
 }
--- a/crates/gateway/tests/whole/fakes/mod.rs
+++ b/crates/gateway/tests/whole/fakes/mod.rs
@@ -1,6 +1,7 @@
 //! A store, a dialect and upstreams for tests of the whole gateway.
 
 mod deployments;
+pub(crate) mod ending_fleet;
 mod ending_upstreams;
 mod fake_dialect;
 mod fake_store;
--- /dev/null
+++ b/crates/gateway/tests/whole/innocents.rs
@@ -0,0 +1,162 @@
+//! Requests that were at upstreams which ended by something else, and are let in.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_io::Timer;
+use futures_lite::future::block_on;
+
+use crate::fakes::EndingUpstreams;
+use crate::fakes::Harness;
+use crate::fakes::Reply;
+use crate::fakes::ending_fleet::fleet;
+use crate::fakes::ending_fleet::is_quarantined;
+use crate::fakes::ending_fleet::repeat;
+use crate::fakes::ending_fleet::runs_of;
+use crate::fakes::ending_fleet::until_quarantined;
+use crate::fakes::ending_fleet::until_quarantined_everywhere;
+
+/// After that long what speaks against a request would have been found.
+const FOUND_LATER: Duration = Duration::from_millis(2_000);
+
+/// A hot request, the same each time, is at most upstreams when another one ends them. It
+/// was broken off with every one of them, and is refused nowhere.
+#[test]
+fn a_hot_request_beside_one_that_ends_upstreams_is_not_turned_away() {
+    let (harness, upstreams) = fleet(6);
+    let harness = Arc::new(harness);
+    block_on(async {
+        harness.until_all_answer("/any/x", 200).await;
+        let caller = Arc::clone(&harness);
+        let hot = harness.spawn(async move {
+            let span = Duration::from_millis(6_000);
+            repeat(&caller, "/any/long", Duration::from_millis(60), span).await
+        });
+        until_quarantined_everywhere(&harness, "/stream/bad").await;
+        let received = hot.await;
+        assert!(!received.iter().any(is_quarantined));
+        assert!(received.iter().any(|r| r.status == 200));
+    });
+    assert!(upstreams.ends().len() >= 3);
+}
+
+/// All upstreams are lost at once, four times, under a hot request. Nothing ended by it.
+#[test]
+fn a_hot_request_under_losses_of_power_is_not_turned_away() {
+    let (harness, upstreams) = fleet(6);
+    let harness = Arc::new(harness);
+    block_on(async {
+        harness.until_all_answer("/any/x", 200).await;
+        let caller = Arc::clone(&harness);
+        let hot = harness.spawn(async move {
+            let span = Duration::from_millis(7_500);
+            repeat(&caller, "/any/long", Duration::from_millis(40), span).await
+        });
+        for _ in 0..4 {
+            Timer::after(Duration::from_millis(1_500)).await;
+            upstreams.lose_all();
+        }
+        let received = hot.await;
+        assert!(!received.iter().any(is_quarantined));
+    });
+}
+
+/// Upstreams are killed and started again in turn, all of them in four seconds, under a
+/// request that is always at some of them.
+#[test]
+fn a_hot_request_under_restarts_is_not_turned_away() {
+    let (harness, upstreams) = fleet(6);
+    let harness = Arc::new(harness);
+    block_on(async {
+        harness.until_all_answer("/any/x", 200).await;
+        let caller = Arc::clone(&harness);
+        let hot = harness.spawn(async move {
+            let span = Duration::from_millis(6_000);
+            repeat(&caller, "/resume/long", Duration::from_millis(40), span).await
+        });
+        for place in 0..6 {
+            Timer::after(Duration::from_millis(700)).await;
+            upstreams.lose(place);
+        }
+        let received = hot.await;
+        assert!(!received.iter().any(is_quarantined));
+    });
+}
+
+/// The only upstream leaves, again and again, and each time cuts the same request, which
+/// takes longer than it stays. It never ran well; it ended nothing.
+#[test]
+fn a_request_that_drains_cut_short_is_not_turned_away() {
+    let (harness, upstreams) = fleet(1);
+    let harness = Arc::new(harness);
+    block_on(async {
+        harness.until_all_answer("/any/x", 200).await;
+        for n in 0..5 {
+            let caller = Arc::clone(&harness);
+            let asked = runs_of(&upstreams, "long");
+            let cut = harness.spawn(async move {
+                let id = format!("cut-{n}");
+                caller.ask_instance(n, "/stream/long", &id).await
+            });
+            while runs_of(&upstreams, "long") == asked {
+                assert!(!cut.is_finished(), "it was turned away");
+                Timer::after(Duration::from_millis(5)).await;
+            }
+            upstreams.leave(0);
+            assert!(!cut.await.whole);
+            Timer::after(Duration::from_millis(700)).await;
+            harness.until_all_answer("/any/x", 200).await;
+        }
+        Timer::after(FOUND_LATER).await;
+        let received = harness.ask_instance(0, "/stream/long", "last").await;
+        assert!(received.whole, "{received:?}");
+    });
+}
+
+/// Answers to a request break off each time, at upstreams that live on. That a connection
+/// breaks says nothing of its upstream.
+#[test]
+fn a_request_whose_answers_break_off_is_not_turned_away() {
+    let torn = Reply::Stream {
+        parts: &["id: 1\ndata: a\n\n"],
+        cut: true,
+    };
+    let harness = Arc::new(Harness::start(vec![vec![torn]; 3]));
+    block_on(async {
+        harness.until_ready(true).await;
+        for n in 0..8 {
+            let received = harness.ask("/stream/x", &format!("torn-{n}")).await;
+            assert!(!received.whole);
+            Timer::after(Duration::from_millis(100)).await;
+        }
+        Timer::after(FOUND_LATER).await;
+        let received = harness.ask("/stream/x", "last").await;
+        assert!(!is_quarantined(&received), "{received:?}");
+    });
+}
+
+/// An instance is cut off from the store, and so perhaps from all others and from upstreams
+/// that it takes for ended. What it finds by itself holds for all, so it judges nobody
+/// until it has proof again.
+#[test]
+fn an_instance_without_proof_judges_nobody() {
+    let harness = Harness::start(Vec::new());
+    let upstreams = EndingUpstreams::start(harness.executor(), &harness.store, 6);
+    block_on(async {
+        harness.until_ready(true).await;
+        while harness.ask("/open/x", "known").await.status != 200 {
+            Timer::after(Duration::from_millis(10)).await;
+        }
+        harness.store.set_away(true);
+        harness.until_ready(false).await;
+        while upstreams.ends().len() < 4 {
+            harness.ask("/open/bad", "bad").await;
+            Timer::after(Duration::from_millis(100)).await;
+        }
+        Timer::after(FOUND_LATER).await;
+        assert!(!is_quarantined(&harness.ask("/open/bad", "bad").await));
+        harness.store.set_away(false);
+        let harness = Arc::new(harness);
+        until_quarantined(&harness, "/open/bad").await;
+    });
+}
--- a/crates/gateway/tests/whole/main.rs
+++ b/crates/gateway/tests/whole/main.rs
@@ -5,5 +5,6 @@
 mod crashes;
 mod fakes;
 mod fleet;
+mod innocents;
 mod requests;
 mod restarts;
