An instance that has lost the store says so at once to who follows it

Relays asked three instances in turn that had all lost the store; each told after the whole wait of 1.5 s. Change: who asks says whether it knows; if not, it is told at once.

--- a/crates/gateway/src/peer_news.rs
+++ b/crates/gateway/src/peer_news.rs
@@ -8,7 +8,9 @@
 use jd_net::lock;
 use jd_serving::News;
 use jd_serving::Proof;
+use jd_serving::SourceState;
 use jd_serving::StoreItem;
+use jd_types::Incarnation;
 use jd_types::MonoTime;
 use jd_wire::FollowReply;
 use jd_wire::FollowRequest;
@@ -36,12 +38,17 @@
 }
 
 /// The question for another's news, by what is known here.
-pub(crate) fn question(state: &State, wait: Duration) -> FollowRequest {
-    let after = state.knowledge().mirror.revision();
+pub(crate) fn question(state: &State, id: Incarnation, wait: Duration) -> FollowRequest {
+    let now = state.now();
+    let knowledge = state.knowledge();
+    let after = knowledge.mirror.revision();
+    let knows_away = knowledge.source_state(now, id) == SourceState::StoreAway;
+    drop(knowledge);
     FollowRequest {
         after,
         wait_ms: millis(wait),
         proof: wire_proof(state),
+        knows_away,
     }
 }
 
@@ -135,11 +142,15 @@
     Some(packed.clone())
 }
 
-/// Answers another instance's question once there is something to tell.
+/// Answers another instance's question once there is something to tell, and at once where
+/// that is that the store is lost.
+///
+/// Guards against a chain of instances that have all lost it: each was asked in turn and
+/// told after the whole wait, so that a zone was five seconds behind the store.
 pub(crate) async fn answer(state: &State, req: FollowRequest) -> FollowReply {
     let came = state.now();
     let until = came + Duration::from_millis(u64::from(req.wait_ms));
-    let away = state.has_lost_store();
+    let away = req.knows_away;
     loop {
         let news = state.news.listen();
         let left = until.since(state.now());
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -151,7 +151,7 @@
     pub(crate) async fn follow(&self, id: Incarnation, wait: Duration) -> Option<Heard> {
         let channel = self.channel(self.address_of(id)?);
         let mut client = GatewayClient::new(channel.clone());
-        let asked = peer_news::question(&self.state, wait);
+        let asked = peer_news::question(&self.state, id, wait);
         let sent = self.state.now();
         match within(wait + BEAT_WITHIN, client.follow(asked)).await {
             Some(reply) => peer_news::heard(sent, reply.ok()?.into_inner()),
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -70,7 +70,7 @@
 
 impl Knowledge {
     /// What an instance was lately like as a source of news.
-    fn source_state(&self, now: MonoTime, id: Incarnation) -> SourceState {
+    pub(crate) fn source_state(&self, now: MonoTime, id: Incarnation) -> SourceState {
         match self.sources.get(&id) {
             Some((since, state)) if now.since(*since) < SOURCE_STATE_LASTS => *state,
             _ => SourceState::Able,
--- a/crates/gateway/tests/whole/fakes/harness.rs
+++ b/crates/gateway/tests/whole/fakes/harness.rs
@@ -14,12 +14,16 @@
 use jd_gateway::Gateway;
 use jd_gateway::Record;
 use jd_net::Clock;
+use jd_net::GrpcChannel;
 use jd_net::HttpPool;
 use jd_net::HttpServer;
 use jd_net::Workers;
 use jd_serving::UpstreamStart;
 use jd_settings::GatewaySettings;
 use jd_types::Incarnation;
+use jd_wire::FollowReply;
+use jd_wire::FollowRequest;
+use jd_wire::GatewayClient;
 
 use crate::fakes::FakeDialect;
 use crate::fakes::FakeStore;
@@ -56,15 +60,23 @@
 struct Member {
     store: Arc<FakeStore>,
     callers: SocketAddr,
+    peers: SocketAddr,
     _gateway: Arc<Gateway>,
 }
 
-/// Starts a gateway; where it answers callers, and where it says if it is ready.
+/// A gateway that was started, and where it answers.
+struct Started {
+    gateway: Arc<Gateway>,
+    callers: SocketAddr,
+    ready: SocketAddr,
+    peers: SocketAddr,
+}
+
 fn start_gateway(
     executor: &Arc<Executor<'static>>,
     pool: &HttpPool,
     store: &Arc<FakeStore>,
-) -> (Arc<Gateway>, SocketAddr, SocketAddr) {
+) -> Started {
     let [callers, ready, locate, peers, metrics] = own_addresses();
     let text = format!(
         "[instance]\nname = test\nzone = a\ncallers = {callers}\nready = {ready}\n\
@@ -81,8 +93,12 @@
         Arc::new(FakeDialect),
         Arc::clone(store) as Arc<dyn jd_gateway::Store>,
     );
-    let gateway = Arc::new(gateway.expect("free addresses"));
-    (gateway, callers, ready)
+    Started {
+        gateway: Arc::new(gateway.expect("free addresses")),
+        callers,
+        ready,
+        peers,
+    }
 }
 
 /// Addresses that nobody else has: each set is of a loopback address of its own.
@@ -135,13 +151,13 @@
         }
         let pool = HttpPool::new(Arc::clone(&executor), Clock::start());
         let store = Arc::new(FakeStore::new(records));
-        let (gateway, callers, ready) = start_gateway(&executor, &pool, &store);
+        let own = start_gateway(&executor, &pool, &store);
         Harness {
-            gateway,
+            gateway: own.gateway,
             store,
             upstreams,
-            callers,
-            ready,
+            callers: own.callers,
+            ready: own.ready,
             pool,
             workers,
             fleet: Vec::new(),
@@ -173,10 +189,10 @@
         let count = self.fleet.len();
         self.fleet.clear();
         let executor = self.workers.executor();
-        let (gateway, callers, ready) = start_gateway(&executor, &self.pool, &self.store);
-        self.gateway = gateway;
-        self.callers = callers;
-        self.ready = ready;
+        let own = start_gateway(&executor, &self.pool, &self.store);
+        self.gateway = own.gateway;
+        self.callers = own.callers;
+        self.ready = own.ready;
         self.add_gateways(count);
     }
 
@@ -187,15 +203,25 @@
         let store = Arc::new(self.store.seen_by_another());
         store.refuse_pages(refused_pages);
         store.set_away(away);
-        let (gateway, callers, _) = start_gateway(&executor, &self.pool, &store);
+        let started = start_gateway(&executor, &self.pool, &store);
         self.fleet.push(Member {
             store: Arc::clone(&store),
-            callers,
-            _gateway: gateway,
+            callers: started.callers,
+            peers: started.peers,
+            _gateway: started.gateway,
         });
         store
     }
 
+    /// Asks the gateway that was added last what it knows of the store, as one that has all
+    /// up to `after`, and waits for news.
+    pub(crate) async fn follow(&self, asked: FollowRequest) -> FollowReply {
+        let last = self.fleet.last().expect("a gateway");
+        let channel = GrpcChannel::new(self.workers.executor(), last.peers);
+        let reply = GatewayClient::new(channel).follow(asked).await;
+        reply.expect("an answer").into_inner()
+    }
+
     /// The store as each gateway sees it, those that were added first.
     fn stores(&self) -> impl Iterator<Item = &Arc<FakeStore>> {
         let added = self.fleet.iter().map(|m| &m.store);
--- a/crates/gateway/tests/whole/fleet.rs
+++ b/crates/gateway/tests/whole/fleet.rs
@@ -8,6 +8,8 @@
 use futures_lite::future::block_on;
 use jd_gateway::Change;
 use jd_gateway::Record;
+use jd_wire::FollowRequest;
+use jd_wire::Proof;
 
 use crate::fakes::FakeStore;
 use crate::fakes::Harness;
@@ -86,6 +88,42 @@
     });
 }
 
+/// Half of a fleet is cut off from the store, the instances that read it for the others among
+/// them. Each that was asked for news told that it has lost the store only after a wait of
+/// a second and a half, one after the other, and a version was in force nowhere in a zone
+/// five seconds after it was acknowledged.
+#[test]
+fn an_instance_that_has_lost_the_store_says_so_at_once() {
+    let mut harness = Harness::start(vec![vec![Reply::Whole("yours")]]);
+    let store = harness.add_gateway(0, false);
+    block_on(async {
+        harness.until_all_answer("/any/x", 200).await;
+        store.set_away(true);
+        harness.until_all_answer("/any/x", 503).await;
+        let asked = FollowRequest {
+            after: 1_000,
+            wait_ms: 1_500,
+            // Nothing that the other one has is news.
+            proof: Some(Proof {
+                revision: 1_000,
+                ms_ago: 0,
+            }),
+            ..FollowRequest::default()
+        };
+        let began = Instant::now();
+        assert!(harness.follow(asked).await.store_away);
+        assert!(began.elapsed() < Duration::from_millis(700));
+        // Who knows it already would ask again and again.
+        let began = Instant::now();
+        let asked = FollowRequest {
+            knows_away: true,
+            ..asked
+        };
+        assert!(harness.follow(asked).await.store_away);
+        assert!(began.elapsed() > Duration::from_millis(1_400));
+    });
+}
+
 /// A configuration with another route in the place of the first.
 fn second_version() -> Change {
     let mut next = deployment();
