What broke at an upstream that lives is not held against its later end

Cause, by reading: runs that broke over five seconds at one upstream, as where its answers are cut, were gathered, and all of them counted as there when it ended after four seconds. Each burst is now looked into by itself, for a second. No test shows it; those on answers that break off and on ends pass as before.

--- a/crates/gateway/src/crash_reporter.rs
+++ b/crates/gateway/src/crash_reporter.rs
@@ -23,16 +23,16 @@
 /// How long broken runs of one upstream gather before it is looked for. Its connections
 /// break within a few milliseconds of each other.
 const GATHER: Duration = Duration::from_millis(30);
-/// How often an upstream that still answers, or does not tell, is looked up again.
-const LOOK_AGAIN: Duration = Duration::from_millis(300);
-/// How long. Entries of upstreams that have ended are removed within 3.6 s.
-const LOOK_FOR: Duration = Duration::from_secs(5);
+/// How often it is looked whether an upstream that answers is a later start.
+const LOOK_AGAIN: Duration = Duration::from_millis(200);
+/// How long. A process that is started again at once is listed anew within a second; one
+/// that ends later than that has not ended by what broke before.
+const LOOK_FOR: Duration = Duration::from_secs(1);
 /// Instances that are told: the one that judges and those that would come after it, so
 /// that what is known outlives the loss of two.
-pub(crate) const JUDGES: usize = 3;
+const JUDGES: usize = 3;
 /// The most runs of one end that are told.
 const MOST_RUNS: usize = 128;
-
 /// Contents that a line names.
 const MOST_NAMED: usize = 8;
 
@@ -101,6 +101,7 @@
     fn broke(self: &Arc<Self>, at: MonoTime, upstream: UpstreamSeen, run: BrokenRun) {
         let mut broken = lock(&self.broken);
         match broken.get_mut(&upstream) {
+            Some(known) if known.runs.len() >= MOST_RUNS => {}
             Some(known) => known.runs.push(run),
             None => {
                 let runs = vec![run];
@@ -117,6 +118,10 @@
     /// has ended if nobody listens where it did, or if another start of it is known.
     async fn look(self: Arc<Self>, upstream: UpstreamSeen) {
         Timer::after(GATHER).await;
+        // What breaks from now on is looked into by itself.
+        let Some(broken) = lock(&self.broken).remove(&upstream) else {
+            return;
+        };
         let until = self.state.now() + LOOK_FOR;
         let mut seen = self.see(&upstream).await;
         while seen == Seen::There && self.state.now() < until {
@@ -127,9 +132,6 @@
                 seen = self.see(&upstream).await;
             }
         }
-        let Some(broken) = lock(&self.broken).remove(&upstream) else {
-            return;
-        };
         let runs = broken.runs.len();
         self.state.metrics.broken_runs(seen.as_str(), runs);
         log::info!(
@@ -141,15 +143,13 @@
             "runs broke at an upstream"
         );
         if seen == Seen::Ended {
-            let mut runs = broken.runs;
-            runs.truncate(MOST_RUNS);
             self.tell(Witness {
                 ends: vec![UpstreamEnd {
                     service: upstream.service,
                     upstream: upstream.upstream,
                     start: upstream.start,
                     at: broken.at,
-                    runs,
+                    runs: broken.runs,
                 }],
                 ..Witness::default()
             });
