--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -17,8 +17,8 @@
 use crate::AnswerHead;
 use crate::UpstreamCall;
 use crate::call::Call;
-use crate::sighting::Sighting;
-use crate::sighting::UpstreamSeen;
+use crate::run_events::RunEvent;
+use crate::run_events::UpstreamRef;
 use crate::state::State;
 use crate::upstream_table::Chosen;
 
@@ -92,9 +92,9 @@
         if self.ran || table.start_of(&self.chosen.id).is_none() {
             return;
         }
-        self.state.quarantine.sightings.add(Sighting::Broke {
+        self.state.quarantine.run_events.add(RunEvent::Broke {
             at: self.state.now(),
-            upstream: UpstreamSeen {
+            upstream: UpstreamRef {
                 service: self.service.clone(),
                 upstream: self.chosen.id.clone(),
                 start: self.chosen.start,
--- a/crates/gateway/src/crash_reporter.rs
+++ b/crates/gateway/src/crash_reporter.rs
@@ -1,4 +1,4 @@
-//! Finding out which upstreams have ended, and telling who judges why.
+//! Finding out which upstreams have ended, and telling who coordinators why.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -13,11 +13,11 @@
 use jd_serving::UpstreamEnd;
 use jd_types::MonoTime;
 
-use crate::crash_judge::CrashJudge;
-use crate::peer_runs::Witness;
+use crate::peer_quarantine::Report;
 use crate::peers::Peers;
-use crate::sighting::Sighting;
-use crate::sighting::UpstreamSeen;
+use crate::quarantine_coordinator::QuarantineCoordinator;
+use crate::run_events::RunEvent;
+use crate::run_events::UpstreamRef;
 use crate::state::State;
 
 /// How long broken runs of one upstream gather before it is looked for. Its connections
@@ -28,9 +28,9 @@
 /// How long. A process that is started again at once is listed anew within a second; one
 /// that ends later than that has not ended by what broke before.
 const LOOK_FOR: Duration = Duration::from_secs(1);
-/// Instances that are told: the one that judges and those that would come after it, so
+/// Instances that are told: the one that coordinators and those that would come after it, so
 /// that what is known outlives the loss of two.
-const JUDGES: usize = 3;
+const COORDINATORS: usize = 3;
 /// The most runs of one end that are told.
 const MOST_RUNS: usize = 128;
 /// Contents that a line names.
@@ -43,38 +43,38 @@
     runs: Vec<BrokenRun>,
 }
 
-/// Finds out which upstreams have ended, and tells who judges why.
+/// Finds out which upstreams have ended, and tells who coordinators why.
 #[derive(Debug)]
 pub(crate) struct CrashReporter {
     state: Arc<State>,
     peers: Arc<Peers>,
-    judge: Arc<CrashJudge>,
-    broken: Mutex<HashMap<UpstreamSeen, Broken>>,
+    coordinator: Arc<QuarantineCoordinator>,
+    broken: Mutex<HashMap<UpstreamRef, Broken>>,
 }
 
 impl CrashReporter {
     pub(crate) fn new(
         state: Arc<State>,
         peers: Arc<Peers>,
-        judge: Arc<CrashJudge>,
+        coordinator: Arc<QuarantineCoordinator>,
     ) -> CrashReporter {
         CrashReporter {
             state,
             peers,
-            judge,
+            coordinator,
             broken: Mutex::default(),
         }
     }
 
-    /// Takes sightings in for good.
+    /// Takes run_events in for good.
     pub(crate) async fn run(self: Arc<Self>) {
-        while let Some(sighting) = self.state.quarantine.sightings.next().await {
-            match sighting {
-                Sighting::Ran(run) => self.tell(Witness {
-                    good_runs: vec![run],
-                    ..Witness::default()
+        while let Some(run_events) = self.state.quarantine.run_events.next().await {
+            match run_events {
+                RunEvent::Ran(run) => self.tell(Report {
+                    completed_runs: vec![run],
+                    ..Report::default()
                 }),
-                Sighting::Broke {
+                RunEvent::Broke {
                     at,
                     upstream,
                     content,
@@ -88,17 +88,17 @@
     pub(crate) async fn answer(self: Arc<Self>) {
         loop {
             self.state.quarantine.to_answer.given().await;
-            let good_runs = self.state.quarantine.remembered(self.state.now());
-            if !good_runs.is_empty() {
-                self.tell(Witness {
-                    good_runs,
-                    ..Witness::default()
+            let completed_runs = self.state.quarantine.remembered(self.state.now());
+            if !completed_runs.is_empty() {
+                self.tell(Report {
+                    completed_runs,
+                    ..Report::default()
                 });
             }
         }
     }
 
-    fn broke(self: &Arc<Self>, at: MonoTime, upstream: UpstreamSeen, run: BrokenRun) {
+    fn broke(self: &Arc<Self>, at: MonoTime, upstream: UpstreamRef, run: BrokenRun) {
         let mut broken = lock(&self.broken);
         match broken.get_mut(&upstream) {
             Some(known) if known.runs.len() >= MOST_RUNS => {}
@@ -116,7 +116,7 @@
     ///
     /// A connection breaks for many reasons, and most of them leave the upstream well. It
     /// has ended if nobody listens where it did, or if another start of it is known.
-    async fn look(self: Arc<Self>, upstream: UpstreamSeen) {
+    async fn look(self: Arc<Self>, upstream: UpstreamRef) {
         Timer::after(GATHER).await;
         // What breaks from now on is looked into by itself.
         let Some(broken) = lock(&self.broken).remove(&upstream) else {
@@ -143,7 +143,7 @@
             "runs broke at an upstream"
         );
         if seen == Seen::Ended {
-            self.tell(Witness {
+            self.tell(Report {
                 ends: vec![UpstreamEnd {
                     service: upstream.service,
                     upstream: upstream.upstream,
@@ -151,12 +151,12 @@
                     at: broken.at,
                     runs: broken.runs,
                 }],
-                ..Witness::default()
+                ..Report::default()
             });
         }
     }
 
-    async fn see(&self, upstream: &UpstreamSeen) -> Seen {
+    async fn see(&self, upstream: &UpstreamRef) -> Seen {
         if self.see_entry(upstream) == Seen::Ended {
             return Seen::Ended;
         }
@@ -167,7 +167,7 @@
     }
 
     /// What the list of upstreams says.
-    fn see_entry(&self, upstream: &UpstreamSeen) -> Seen {
+    fn see_entry(&self, upstream: &UpstreamRef) -> Seen {
         let table = self.state.upstreams.load();
         match table.start_of(&upstream.upstream) {
             Some(now) if now.is_later_than(upstream.start) => Seen::Ended,
@@ -177,18 +177,18 @@
         }
     }
 
-    fn tell(self: &Arc<Self>, witness: Witness) {
-        let judges = self.state.judges().into_iter().take(JUDGES);
-        for judge in judges {
-            if judge == self.state.me.peers {
-                self.judge.take(witness.clone());
+    fn tell(self: &Arc<Self>, report: Report) {
+        let coordinators = self.state.coordinators().into_iter().take(COORDINATORS);
+        for coordinator in coordinators {
+            if coordinator == self.state.me.peers {
+                self.coordinator.take(report.clone());
                 continue;
             }
             let reporter = Arc::clone(self);
-            let witness = witness.clone();
+            let report = report.clone();
             let telling = async move {
-                if !reporter.peers.witness(judge, &witness).await {
-                    log::info!(judge:% = judge; "who judges requests does not answer; others are told as well");
+                if !reporter.peers.report(coordinator, &report).await {
+                    log::info!(coordinator:% = coordinator; "a coordinator of the quarantine does not answer; others are told as well");
                 }
             };
             self.state.executor.spawn(telling).detach();
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -24,12 +24,12 @@
 
 use crate::Dialect;
 use crate::Store;
-use crate::crash_judge::CrashJudge;
 use crate::crash_reporter::CrashReporter;
 use crate::front::Front;
 use crate::peer_api::PeerApi;
 use crate::peer_api::PeerHandler;
 use crate::peers::Peers;
+use crate::quarantine_coordinator::QuarantineCoordinator;
 use crate::result_free::ResultFree;
 use crate::result_release::ResultRelease;
 use crate::service_apis::LocateApi;
@@ -124,9 +124,12 @@
             store: Arc::clone(&store),
             counts: StoreCallCounts::default(),
         });
-        let judge = Arc::new(CrashJudge::new(Arc::clone(&link)));
-        let reporter =
-            CrashReporter::new(Arc::clone(&state), Arc::clone(&peers), Arc::clone(&judge));
+        let coordinator = Arc::new(QuarantineCoordinator::new(Arc::clone(&link)));
+        let reporter = CrashReporter::new(
+            Arc::clone(&state),
+            Arc::clone(&peers),
+            Arc::clone(&coordinator),
+        );
         let reporter = Arc::new(reporter);
         let lease = Arc::new(StoreLease {
             link: Arc::clone(&link),
@@ -155,7 +158,7 @@
         let peer_api = PeerApi {
             state: Arc::clone(&state),
             batches: Arc::clone(&batches),
-            judge: Arc::clone(&judge),
+            coordinator: Arc::clone(&coordinator),
         };
         let s = &state.settings;
         let limits = caller_limits(s, &CallerLimits::default());
@@ -191,7 +194,7 @@
             executor.spawn(batches.tick()),
             executor.spawn(release.run()),
             executor.spawn(free.run()),
-            executor.spawn(judge.run()),
+            executor.spawn(coordinator.run()),
             executor.spawn(Arc::clone(&reporter).run()),
             executor.spawn(reporter.answer()),
         ];
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -31,7 +31,7 @@
     repeats: Family<Outcome, Counter>,
     store_calls: Family<StoreOutcome, Counter>,
     broken_runs: Family<Outcome, Counter>,
-    verdicts: Family<Outcome, Counter>,
+    quarantine_changes: Family<Outcome, Counter>,
     seconds: Histogram,
     stage_seconds: Histogram,
 }
@@ -48,7 +48,7 @@
             repeats: Family::default(),
             store_calls: Family::default(),
             broken_runs: Family::default(),
-            verdicts: Family::default(),
+            quarantine_changes: Family::default(),
             seconds: histogram(),
             stage_seconds: histogram(),
             registry: Registry::default(),
@@ -85,9 +85,9 @@
             metrics.broken_runs.clone(),
         );
         r.register(
-            "jd_gateway_verdicts",
-            "Requests judged by this instance for having ended upstreams",
-            metrics.verdicts.clone(),
+            "jd_gateway_quarantine_changes",
+            "Changes of the quarantine that this instance decided",
+            metrics.quarantine_changes.clone(),
         );
         r.register(
             "jd_gateway_request_seconds",
@@ -134,8 +134,10 @@
         self.broken_runs.get_or_create(&labels).inc_by(runs as u64);
     }
 
-    pub(crate) fn verdict(&self, outcome: &'static str) {
-        self.verdicts.get_or_create(&Outcome { outcome }).inc();
+    pub(crate) fn quarantine(&self, outcome: &'static str) {
+        self.quarantine_changes
+            .get_or_create(&Outcome { outcome })
+            .inc();
     }
 
     /// The text form that collectors read.
--- a/crates/gateway/src/peer_api.rs
+++ b/crates/gateway/src/peer_api.rs
@@ -14,6 +14,8 @@
 use jd_wire::Backlog;
 use jd_wire::BeatReply;
 use jd_wire::BeatRequest;
+use jd_wire::CrashReport;
+use jd_wire::CrashReportReply;
 use jd_wire::FollowReply;
 use jd_wire::FollowRequest;
 use jd_wire::Gateway;
@@ -23,17 +25,15 @@
 use jd_wire::ReleaseRequest;
 use jd_wire::StagesReply;
 use jd_wire::StagesRequest;
-use jd_wire::WitnessReply;
-use jd_wire::WitnessRequest;
 use tonic::Status;
 use tower_service::Service;
 
-use crate::crash_judge::CrashJudge;
 use crate::peer_instance;
 use crate::peer_news;
-use crate::peer_runs;
+use crate::peer_quarantine;
 use crate::peer_stages;
 use crate::quarantine::Source;
+use crate::quarantine_coordinator::QuarantineCoordinator;
 use crate::stage_batches::StageBatches;
 use crate::state::State;
 
@@ -42,7 +42,7 @@
 pub(crate) struct PeerApi {
     pub(crate) state: Arc<State>,
     pub(crate) batches: Arc<StageBatches>,
-    pub(crate) judge: Arc<CrashJudge>,
+    pub(crate) coordinator: Arc<QuarantineCoordinator>,
 }
 
 #[tonic::async_trait]
@@ -53,8 +53,8 @@
     ) -> Result<tonic::Response<BeatReply>, Status> {
         let beat = req.into_inner();
         let now = self.state.now();
-        let standings = peer_runs::standings_of(beat.standings);
-        self.state.quarantine.take(now, Source::Beat, standings);
+        let told = peer_quarantine::quarantine_of(beat.quarantine);
+        self.state.quarantine.take(now, Source::Beat, told);
         let from = Incarnation::new(beat.incarnation);
         self.state.knowledge().instances.heard(
             now,
@@ -89,7 +89,7 @@
             backlogs: backlogs.collect(),
             unlisted,
             has_read: self.state.has_read(),
-            standings: peer_runs::wire_standings(&self.state.quarantine, now),
+            quarantine: peer_quarantine::wire_quarantine(&self.state.quarantine, now),
         }))
     }
 
@@ -101,13 +101,13 @@
         Ok(tonic::Response::new(reply))
     }
 
-    async fn witness(
+    async fn report_crashes(
         &self,
-        req: tonic::Request<WitnessRequest>,
-    ) -> Result<tonic::Response<WitnessReply>, Status> {
-        let witness = peer_runs::witness_of(req.into_inner(), self.state.now());
-        self.judge.take(witness);
-        Ok(tonic::Response::new(WitnessReply {}))
+        req: tonic::Request<CrashReport>,
+    ) -> Result<tonic::Response<CrashReportReply>, Status> {
+        let report = peer_quarantine::report_of(req.into_inner(), self.state.now());
+        self.coordinator.take(report);
+        Ok(tonic::Response::new(CrashReportReply {}))
     }
 
     async fn release_results(
--- a/crates/gateway/src/peer_runs.rs
+++ b/crates/gateway/src/peer_quarantine.rs
@@ -3,46 +3,46 @@
 use std::time::Duration;
 
 use jd_serving::BrokenRun;
+use jd_serving::CompletedRun;
 use jd_serving::Content;
-use jd_serving::GoodRun;
-use jd_serving::Standing;
+use jd_serving::QuarantinePhase;
+use jd_serving::QuarantineState;
 use jd_serving::UpstreamEnd;
 use jd_serving::UpstreamStart;
-use jd_serving::Verdict;
 use jd_types::MonoTime;
 use jd_wire::BrokenRun as WireRun;
-use jd_wire::GoodRun as WireGoodRun;
-use jd_wire::Standing as WireStanding;
+use jd_wire::CompletedRun as WireCompletedRun;
+use jd_wire::CrashReport;
+use jd_wire::Quarantine as WireQuarantine;
 use jd_wire::UpstreamEnd as WireEnd;
-use jd_wire::WitnessRequest;
 
 use crate::quarantine::Quarantine;
 use crate::quarantine::Told;
 
-/// What one instance tells who judges.
+/// What one instance tells who coordinators.
 #[derive(Debug, Clone, Default)]
-pub(crate) struct Witness {
+pub(crate) struct Report {
     pub(crate) ends: Vec<UpstreamEnd>,
-    pub(crate) good_runs: Vec<GoodRun>,
+    pub(crate) completed_runs: Vec<CompletedRun>,
 }
 
 /// The message that tells it; times are counted back from `now`.
-pub(crate) fn witness_request(witness: &Witness, now: MonoTime) -> WitnessRequest {
-    let ends = witness.ends.iter().map(|end| WireEnd {
+pub(crate) fn wire_report(report: &Report, now: MonoTime) -> CrashReport {
+    let ends = report.ends.iter().map(|end| WireEnd {
         service: end.service.to_string(),
         upstream: end.upstream.to_string(),
         start_ms: end.start.millis().unwrap_or(0),
         ended_ms_ago: millis(now.since(end.at)),
         runs: end.runs.iter().map(|r| wire_run(r, now)).collect(),
     });
-    let good_runs = witness.good_runs.iter().map(|run| WireGoodRun {
+    let completed_runs = report.completed_runs.iter().map(|run| WireCompletedRun {
         service: run.service.to_string(),
         content: run.content.number(),
         ended_ms_ago: millis(now.since(run.at)),
     });
-    WitnessRequest {
+    CrashReport {
         ends: ends.collect(),
-        good_runs: good_runs.collect(),
+        completed_runs: completed_runs.collect(),
     }
 }
 
@@ -54,7 +54,7 @@
 }
 
 /// What such a message says, now.
-pub(crate) fn witness_of(req: WitnessRequest, now: MonoTime) -> Witness {
+pub(crate) fn report_of(req: CrashReport, now: MonoTime) -> Report {
     let ago = |ms: u32| now.before(Duration::from_millis(u64::from(ms)));
     let run_of = |run: WireRun| BrokenRun {
         content: Content::from_number(run.content),
@@ -70,27 +70,27 @@
         at: ago(end.ended_ms_ago),
         runs: end.runs.into_iter().map(run_of).collect(),
     });
-    let good_runs = req.good_runs.into_iter().map(|run| GoodRun {
+    let completed_runs = req.completed_runs.into_iter().map(|run| CompletedRun {
         service: run.service.into(),
         content: Content::from_number(run.content),
         at: ago(run.ended_ms_ago),
     });
-    Witness {
+    Report {
         ends: ends.collect(),
-        good_runs: good_runs.collect(),
+        completed_runs: completed_runs.collect(),
     }
 }
 
 /// All that is held here against requests, for a heartbeat.
-pub(crate) fn wire_standings(quarantine: &Quarantine, now: MonoTime) -> Vec<WireStanding> {
-    let standings = quarantine.standings();
-    let told = standings.all(now).map(|(content, held)| WireStanding {
+pub(crate) fn wire_quarantine(quarantine: &Quarantine, now: MonoTime) -> Vec<WireQuarantine> {
+    let list = quarantine.list();
+    let told = list.all(now).map(|(content, held)| WireQuarantine {
         content: content.number(),
-        round: held.standing.round,
-        verdict: match held.standing.verdict {
-            Verdict::Suspected => 1,
-            Verdict::Quarantined => 2,
-            Verdict::Released => 3,
+        round: held.state.round,
+        phase: match held.state.phase {
+            QuarantinePhase::Suspected => 1,
+            QuarantinePhase::Quarantined => 2,
+            QuarantinePhase::Released => 3,
         },
         lapses_in_ms: millis(held.lapses.since(now)),
     });
@@ -99,21 +99,21 @@
 
 /// What a heartbeat holds against requests; what a later version says and this one does
 /// not know is left out.
-pub(crate) fn standings_of(told: Vec<WireStanding>) -> impl Iterator<Item = Told> {
+pub(crate) fn quarantine_of(told: Vec<WireQuarantine>) -> impl Iterator<Item = Told> {
     told.into_iter().filter_map(|t| {
-        let verdict = match t.verdict {
-            1 => Verdict::Suspected,
-            2 => Verdict::Quarantined,
-            3 => Verdict::Released,
+        let phase = match t.phase {
+            1 => QuarantinePhase::Suspected,
+            2 => QuarantinePhase::Quarantined,
+            3 => QuarantinePhase::Released,
             _ => return None,
         };
-        let standing = Standing {
+        let state = QuarantineState {
             round: t.round,
-            verdict,
+            phase,
         };
         Some(Told {
             content: Content::from_number(t.content),
-            standing,
+            state,
             left: Duration::from_millis(u64::from(t.lapses_in_ms)),
         })
     })
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -29,8 +29,8 @@
 use crate::peer_instance;
 use crate::peer_news;
 use crate::peer_news::Heard;
-use crate::peer_runs;
-use crate::peer_runs::Witness;
+use crate::peer_quarantine;
+use crate::peer_quarantine::Report;
 use crate::peer_stages;
 use crate::quarantine::Source;
 use crate::state::State;
@@ -137,12 +137,12 @@
         matches!(told, Some(Ok(_)))
     }
 
-    /// Tells what was seen of runs to one that judges requests; false if it does not
+    /// Tells what was seen of runs to one that coordinators requests; false if it does not
     /// answer.
-    pub(crate) async fn witness(&self, judge: SocketAddr, witness: &Witness) -> bool {
-        let mut client = GatewayClient::new(self.channel(judge));
-        let told = peer_runs::witness_request(witness, self.state.now());
-        let told = within(BEAT_WITHIN, client.witness(told)).await;
+    pub(crate) async fn report(&self, coordinator: SocketAddr, report: &Report) -> bool {
+        let mut client = GatewayClient::new(self.channel(coordinator));
+        let told = peer_quarantine::wire_report(report, self.state.now());
+        let told = within(BEAT_WITHIN, client.report_crashes(told)).await;
         matches!(told, Some(Ok(_)))
     }
 
@@ -213,7 +213,7 @@
             leaving: self.state.is_leaving(),
             ready: self.state.is_ready(),
             has_read: self.state.has_read(),
-            standings: peer_runs::wire_standings(&self.state.quarantine, self.state.now()),
+            quarantine: peer_quarantine::wire_quarantine(&self.state.quarantine, self.state.now()),
         };
         let sent = self.state.now();
         match within(BEAT_WITHIN, client.beat(beat)).await {
@@ -226,8 +226,8 @@
 
     fn take_reply(&self, peer: &InstanceEntry, sent: MonoTime, reply: BeatReply) {
         let now = self.state.now();
-        let standings = peer_runs::standings_of(reply.standings);
-        self.state.quarantine.take(now, Source::Beat, standings);
+        let told = peer_quarantine::quarantine_of(reply.quarantine);
+        self.state.quarantine.take(now, Source::Beat, told);
         let mut knowledge = self.state.knowledge();
         // The reply was made after the beat was sent, so the question that it
         // tells of was put at that moment less its age or later.
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -6,19 +6,19 @@
 
 use arc_swap::ArcSwap;
 use jd_net::lock;
+use jd_serving::CompletedRun;
 use jd_serving::Content;
-use jd_serving::GoodRun;
+use jd_serving::QuarantineList;
+use jd_serving::QuarantinePhase;
+use jd_serving::QuarantineState;
 use jd_serving::RecentRuns;
-use jd_serving::Standing;
-use jd_serving::Standings;
-use jd_serving::Verdict;
 use jd_types::MonoTime;
 
-use crate::sighting::Sighting;
-use crate::sighting::Sightings;
+use crate::run_events::RunEvent;
+use crate::run_events::RunEvents;
 use crate::signal::Signal;
 
-/// From whom a standing was heard.
+/// From whom a state was heard.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Source {
     /// Decided here.
@@ -29,11 +29,11 @@
     Store,
 }
 
-/// A standing as it is told.
+/// The state of a request as it is told.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Told {
     pub(crate) content: Content,
-    pub(crate) standing: Standing,
+    pub(crate) state: QuarantineState,
     /// Until it lapses.
     pub(crate) left: Duration,
 }
@@ -41,9 +41,9 @@
 /// What is held against requests, read on the path of each of them.
 #[derive(Debug)]
 pub(crate) struct Quarantine {
-    standings: ArcSwap<Standings>,
+    list: ArcSwap<QuarantineList>,
     recent: Mutex<RecentRuns>,
-    pub(crate) sightings: Sightings,
+    pub(crate) run_events: RunEvents,
     /// Signals that others are to be told at once, and that who remembers a run of a
     /// suspect is to say so.
     pub(crate) to_tell: Signal,
@@ -53,9 +53,9 @@
 impl Quarantine {
     pub(crate) fn new() -> Quarantine {
         Quarantine {
-            standings: ArcSwap::default(),
+            list: ArcSwap::default(),
             recent: Mutex::default(),
-            sightings: Sightings::new(),
+            run_events: RunEvents::new(),
             to_tell: Signal::new(),
             to_answer: Signal::new(),
         }
@@ -63,28 +63,28 @@
 
     /// For how long a request is kept from upstreams; none if it is not.
     pub(crate) fn left(&self, now: MonoTime, content: Content) -> Option<Duration> {
-        let standings = self.standings.load();
-        match standings.is_empty() {
+        let list = self.list.load();
+        match list.is_empty() {
             true => None,
-            false => standings.quarantine_left(now, content),
+            false => list.quarantine_left(now, content),
         }
     }
 
-    pub(crate) fn standings(&self) -> Arc<Standings> {
-        self.standings.load_full()
+    pub(crate) fn list(&self) -> Arc<QuarantineList> {
+        self.list.load_full()
     }
 
     /// Takes in what is told.
     pub(crate) fn take(&self, now: MonoTime, source: Source, told: impl IntoIterator<Item = Told>) {
         for t in told {
-            let known = self.standings.load().of(now, t.content);
-            if known.is_some_and(|h| h.standing >= t.standing) {
+            let known = self.list.load().of(now, t.content);
+            if known.is_some_and(|h| h.state >= t.state) {
                 continue;
             }
             let mut is_news = false;
-            self.standings.rcu(|s| {
-                let mut next = Standings::clone(s);
-                is_news = next.take(now, t.content, t.standing, t.left);
+            self.list.rcu(|s| {
+                let mut next = QuarantineList::clone(s);
+                is_news = next.take(now, t.content, t.state, t.left);
                 next
             });
             if is_news {
@@ -92,35 +92,35 @@
                 self.to_tell.give();
             }
             // Suspicions are logged where they arise: there can be many.
-            if is_news && t.standing.verdict != Verdict::Suspected {
+            if is_news && t.state.phase != QuarantinePhase::Suspected {
                 log::warn!(
                     content:% = t.content,
-                    verdict = t.standing.verdict.as_str(),
-                    round = t.standing.round,
+                    phase = t.state.phase.as_str(),
+                    round = t.state.round,
                     lapses_in_s = t.left.as_secs(),
                     source:? = source;
-                    "request judged"
+                    "quarantine changed"
                 );
             }
         }
     }
 
     /// The store has this of a request; none if nothing any more.
-    pub(crate) fn note_stored(&self, content: Content, standing: Option<Standing>) {
-        self.standings.rcu(|s| {
-            let mut next = Standings::clone(s);
-            next.stored(content, standing);
+    pub(crate) fn note_stored(&self, content: Content, state: Option<QuarantineState>) {
+        self.list.rcu(|s| {
+            let mut next = QuarantineList::clone(s);
+            next.stored(content, state);
             next
         });
     }
 
     /// The store has something of these requests and of no others.
     pub(crate) fn relist(&self, stored: &[Content]) {
-        if self.standings.load().is_empty() {
+        if self.list.load().is_empty() {
             return;
         }
-        self.standings.rcu(|s| {
-            let mut next = Standings::clone(s);
+        self.list.rcu(|s| {
+            let mut next = QuarantineList::clone(s);
             next.relist(stored);
             next
         });
@@ -129,9 +129,9 @@
     /// A request ran to its end at a service.
     pub(crate) fn note_ran(&self, now: MonoTime, service: &str, content: Content) {
         lock(&self.recent).note(now, service, content);
-        let held = self.standings.load().of(now, content);
-        if held.is_some_and(|h| h.standing.is_open()) {
-            self.sightings.add(Sighting::Ran(GoodRun {
+        let held = self.list.load().of(now, content);
+        if held.is_some_and(|h| h.state.is_open()) {
+            self.run_events.add(RunEvent::Ran(CompletedRun {
                 service: service.into(),
                 content,
                 at: now,
@@ -140,9 +140,9 @@
     }
 
     /// What ran well here lately of that against which something is held.
-    pub(crate) fn remembered(&self, now: MonoTime) -> Vec<GoodRun> {
-        let standings = self.standings.load();
-        let open = standings.all(now).filter(|(_, h)| h.standing.is_open());
+    pub(crate) fn remembered(&self, now: MonoTime) -> Vec<CompletedRun> {
+        let list = self.list.load();
+        let open = list.all(now).filter(|(_, h)| h.state.is_open());
         let recent = lock(&self.recent);
         open.flat_map(|(content, _)| recent.of(now, content))
             .collect()
--- a/crates/gateway/src/crash_judge.rs
+++ b/crates/gateway/src/quarantine_coordinator.rs
@@ -1,4 +1,4 @@
-//! Judging which requests end the upstreams that run them, on the instance that does so
+//! Deciding which requests end the upstreams that run them, on the instance that does so
 //! for all.
 
 use std::collections::HashSet;
@@ -8,19 +8,19 @@
 use std::time::SystemTime;
 
 use jd_net::lock;
+use jd_serving::CompletedRun;
 use jd_serving::Content;
 use jd_serving::CrashEvidence;
 use jd_serving::Finding;
-use jd_serving::GoodRun;
 use jd_serving::HELD_FOR;
-use jd_serving::Held;
-use jd_serving::Standing;
-use jd_serving::Verdict;
+use jd_serving::QuarantineEntry;
+use jd_serving::QuarantinePhase;
+use jd_serving::QuarantineState;
 use jd_types::MonoTime;
 
-use crate::StandingRecord;
+use crate::QuarantineRecord;
 use crate::StoreError;
-use crate::peer_runs::Witness;
+use crate::peer_quarantine::Report;
 use crate::quarantine::Source;
 use crate::quarantine::Told;
 use crate::signal::Signal;
@@ -31,17 +31,17 @@
 /// How often it is looked whether time has brought a finding.
 const LOOK_EVERY: Duration = Duration::from_millis(250);
 /// The same where there is nothing to look at, until something is told: this instance may
-/// have come to be the one that keeps verdicts.
+/// have come to be the one that keeps quarantines.
 const LOOK_IDLE: Duration = Duration::from_secs(2);
 /// What is held for less is not worth a lease: the store takes none under a second.
 const LEAST_LEASE: Duration = Duration::from_secs(2);
-/// Pause after the store did not take a verdict. All instances know it meanwhile.
+/// Pause after the store did not take a phase. All instances know it meanwhile.
 const WRITE_AGAIN: Duration = Duration::from_millis(1_000);
 
-/// Judges requests while this instance is the first in order, and keeps the evidence
+/// Decides on the quarantine while this instance is the first in order, and keeps the evidence
 /// for that while it is one of the next.
 #[derive(Debug)]
-pub(crate) struct CrashJudge {
+pub(crate) struct QuarantineCoordinator {
     link: Arc<StoreLink>,
     evidence: Mutex<CrashEvidence>,
     /// Requests that this instance itself has quarantined.
@@ -49,9 +49,9 @@
     told: Signal,
 }
 
-impl CrashJudge {
-    pub(crate) fn new(link: Arc<StoreLink>) -> CrashJudge {
-        CrashJudge {
+impl QuarantineCoordinator {
+    pub(crate) fn new(link: Arc<StoreLink>) -> QuarantineCoordinator {
+        QuarantineCoordinator {
             link,
             evidence: Mutex::default(),
             held_here: Mutex::default(),
@@ -60,16 +60,16 @@
     }
 
     /// Takes in what an instance saw.
-    pub(crate) fn take(&self, witness: Witness) {
+    pub(crate) fn take(&self, report: Report) {
         let state = &self.link.state;
         let now = state.now();
         let mut evidence = lock(&self.evidence);
-        for end in witness.ends {
+        for end in report.ends {
             evidence.ended(now, end);
         }
         let mut cleared = Vec::new();
-        for run in witness.good_runs {
-            if evidence.survived(&run) || self.is_later(now, &run) {
+        for run in report.completed_runs {
+            if evidence.completed(&run) || self.is_later(now, &run) {
                 cleared.push(run.content);
             }
         }
@@ -83,20 +83,20 @@
     }
 
     /// True if a request ran well after something was held against it. So one that was
-    /// judged by an instance that is lost, with its evidence, may be released.
+    /// quarantined by an instance that is lost, with its evidence, may be released.
     ///
     /// Guards against the pieces of its stages, which run well at other services before
     /// it ends each upstream that runs itself: each released it.
-    fn is_later(&self, now: MonoTime, run: &GoodRun) -> bool {
+    fn is_later(&self, now: MonoTime, run: &CompletedRun) -> bool {
         if self.link.state.does_stages(&run.service) {
             return false;
         }
-        let standings = self.link.state.quarantine.standings();
-        let held = standings.of(now, run.content);
+        let list = self.link.state.quarantine.list();
+        let held = list.of(now, run.content);
         held.is_some_and(|h| run.at > h.since())
     }
 
-    /// Judges for good, and keeps verdicts in the store.
+    /// Looks for good at what ended, and keeps the quarantine in the store.
     pub(crate) async fn run(self: Arc<Self>) {
         let mut write_from = MonoTime::ZERO;
         loop {
@@ -105,31 +105,31 @@
                 false => LOOK_EVERY,
             };
             self.told.wait(pause).await;
-            self.judge();
+            self.look();
             let now = self.link.state.now();
             if self.is_idle() || now < write_from || !self.is_first() {
                 continue;
             }
             if let Err(e) = self.write(now).await {
-                log::info!(error:% = e; "verdict not in the store yet; it is tried again");
+                log::info!(error:% = e; "quarantine not in the store yet; it is tried again");
                 write_from = self.link.state.now() + WRITE_AGAIN;
             }
         }
     }
 
-    /// True while there is nothing to judge and nothing to keep.
+    /// True while there is nothing to look at and nothing to keep.
     fn is_idle(&self) -> bool {
         let state = &self.link.state;
         let pending = lock(&self.evidence).is_pending(state.now());
-        !pending && state.quarantine.standings().is_empty()
+        !pending && state.quarantine.list().is_empty()
     }
 
     fn is_first(&self) -> bool {
         let state = &self.link.state;
-        state.judges().first() == Some(&state.me.peers)
+        state.coordinators().first() == Some(&state.me.peers)
     }
 
-    fn judge(&self) {
+    fn look(&self) {
         let state = &self.link.state;
         let now = state.now();
         let mut evidence = lock(&self.evidence);
@@ -143,7 +143,7 @@
         }
         let table = state.upstreams.load();
         evidence.check(now, |id, start| table.start_of(id) == Some(start));
-        let findings = evidence.judge(now);
+        let findings = evidence.findings(now);
         drop(evidence);
         // Who held it has the evidence, and may not be the first any more.
         for content in findings.released {
@@ -155,65 +155,65 @@
             return;
         }
         for finding in &findings.suspected {
-            self.hold(now, finding, Verdict::Suspected);
+            self.hold(now, finding, QuarantinePhase::Suspected);
         }
         for finding in &findings.quarantined {
-            self.hold(now, finding, Verdict::Quarantined);
+            self.hold(now, finding, QuarantinePhase::Quarantined);
         }
     }
 
-    fn hold(&self, now: MonoTime, finding: &Finding, verdict: Verdict) {
+    fn hold(&self, now: MonoTime, finding: &Finding, phase: QuarantinePhase) {
         let quarantine = &self.link.state.quarantine;
-        let held = quarantine.standings().of(now, finding.content);
-        let standing = match held.map(|h| h.standing) {
-            None => Standing::first(verdict),
-            Some(s) if s.is_open() => Standing { verdict, ..s },
-            Some(s) => Standing {
+        let held = quarantine.list().of(now, finding.content);
+        let next = match held.map(|h| h.state) {
+            None => QuarantineState::first(phase),
+            Some(s) if s.is_open() => QuarantineState { phase, ..s },
+            Some(s) => QuarantineState {
                 round: s.round + 1,
-                verdict,
+                phase,
             },
         };
-        if held.is_some_and(|h| h.standing >= standing) {
+        if held.is_some_and(|h| h.state >= next) {
             return;
         }
         log::warn!(
             content:% = finding.content,
-            verdict = verdict.as_str(),
+            phase = phase.as_str(),
             ends = finding.ends,
             longest_ms = finding.longest.as_millis() as u64;
             "upstreams ended with a request"
         );
-        if verdict == Verdict::Quarantined {
-            let standings = quarantine.standings();
+        if phase == QuarantinePhase::Quarantined {
+            let list = quarantine.list();
             let mut held_here = lock(&self.held_here);
-            held_here.retain(|c| standings.of(now, *c).is_some());
+            held_here.retain(|c| list.of(now, *c).is_some());
             held_here.insert(finding.content);
         }
-        self.decide(now, finding.content, standing, HELD_FOR);
+        self.decide(now, finding.content, next, HELD_FOR);
     }
 
     fn release(&self, now: MonoTime, content: Content, why: &'static str) {
         let quarantine = &self.link.state.quarantine;
-        let held = quarantine.standings().of(now, content);
-        let Some(held) = held.filter(|h| h.standing.is_open()) else {
+        let held = quarantine.list().of(now, content);
+        let Some(held) = held.filter(|h| h.state.is_open()) else {
             return;
         };
-        log::warn!(content:% = content, reason = why; "request released");
-        let standing = Standing {
-            verdict: Verdict::Released,
-            ..held.standing
+        log::warn!(content:% = content, reason = why; "request released from quarantine");
+        let next = QuarantineState {
+            phase: QuarantinePhase::Released,
+            ..held.state
         };
-        self.decide(now, content, standing, held.lapses.since(now));
+        self.decide(now, content, next, held.lapses.since(now));
     }
 
-    fn decide(&self, now: MonoTime, content: Content, standing: Standing, left: Duration) {
+    fn decide(&self, now: MonoTime, content: Content, next: QuarantineState, left: Duration) {
         let told = Told {
             content,
-            standing,
+            state: next,
             left,
         };
         let state = &self.link.state;
-        state.metrics.verdict(standing.verdict.as_str());
+        state.metrics.quarantine(next.phase.as_str());
         state.quarantine.take(now, Source::Own, [told]);
     }
 
@@ -222,8 +222,8 @@
     /// Guards against the loss of all instances at once, after which the same request
     /// would end three upstreams more. A suspicion is not worth a call.
     async fn write(&self, now: MonoTime) -> Result<(), StoreError> {
-        let standings = self.link.state.quarantine.standings();
-        for (content, held) in standings.all(now) {
+        let list = self.link.state.quarantine.list();
+        for (content, held) in list.all(now) {
             if lacks(&held) && held.lapses.since(now) > LEAST_LEASE {
                 self.write_one(now, content, held).await?;
             }
@@ -235,33 +235,33 @@
         &self,
         now: MonoTime,
         content: Content,
-        held: Held,
+        held: QuarantineEntry,
     ) -> Result<(), StoreError> {
         let left = held.lapses.since(now);
         let StoreLink { state, store, .. } = &*self.link;
         let taking = store.lease(left);
         let lease = self.link.call(StoreCall::Lease, CALL_WITHIN, taking);
         let lease = lease.await?;
-        let record = StandingRecord {
+        let record = QuarantineRecord {
             content,
-            standing: held.standing,
+            state: held.state,
             until: SystemTime::now() + left,
         };
-        let writing = store.keep_standing(&record, lease);
+        let writing = store.write_quarantine(&record, lease);
         let written = self
             .link
-            .call(StoreCall::KeepStanding, CALL_WITHIN, writing);
+            .call(StoreCall::WriteQuarantine, CALL_WITHIN, writing);
         written.await?;
-        state.quarantine.note_stored(content, Some(held.standing));
+        state.quarantine.note_stored(content, Some(held.state));
         Ok(())
     }
 }
 
 /// True if the store lacks it.
-fn lacks(held: &Held) -> bool {
-    match held.standing.verdict {
-        Verdict::Suspected => false,
-        Verdict::Quarantined => held.stored != Some(held.standing),
-        Verdict::Released => held.stored.is_some_and(|s| s < held.standing),
+fn lacks(held: &QuarantineEntry) -> bool {
+    match held.state.phase {
+        QuarantinePhase::Suspected => false,
+        QuarantinePhase::Quarantined => held.stored != Some(held.state),
+        QuarantinePhase::Released => held.stored.is_some_and(|s| s < held.state),
     }
 }
--- a/crates/gateway/src/sighting.rs
+++ b/crates/gateway/src/run_events.rs
@@ -1,22 +1,22 @@
-//! What instances see of runs at upstreams, from the path of a request to who judges it.
+//! What instances see of runs at upstreams, from the path of a request to who coordinators it.
 
 use std::net::SocketAddr;
 
 use async_channel::Receiver;
 use async_channel::Sender;
 use compact_str::CompactString;
+use jd_serving::CompletedRun;
 use jd_serving::Content;
-use jd_serving::GoodRun;
 use jd_serving::UpstreamStart;
 use jd_types::MonoTime;
 
-/// Sightings that may wait. Broken runs come by the hundred where upstreams end in
+/// RunEvents that may wait. Broken runs come by the hundred where upstreams end in
 /// numbers, and are taken at once; more than this would be old when they are taken.
 const MOST_WAITING: usize = 1_024;
 
 /// One start of an upstream, by where it answers.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
-pub(crate) struct UpstreamSeen {
+pub(crate) struct UpstreamRef {
     pub(crate) service: CompactString,
     pub(crate) upstream: CompactString,
     pub(crate) start: UpstreamStart,
@@ -25,39 +25,39 @@
 
 /// What was seen of a run.
 #[derive(Debug)]
-pub(crate) enum Sighting {
+pub(crate) enum RunEvent {
     /// Its connection broke before its end.
     Broke {
         at: MonoTime,
-        upstream: UpstreamSeen,
+        upstream: UpstreamRef,
         content: Content,
         began: MonoTime,
     },
     /// It came to its end, and something is held against its request.
-    Ran(GoodRun),
+    Ran(CompletedRun),
 }
 
-/// Sightings on their way.
+/// RunEvents on their way.
 #[derive(Debug)]
-pub(crate) struct Sightings {
-    tx: Sender<Sighting>,
-    rx: Receiver<Sighting>,
+pub(crate) struct RunEvents {
+    tx: Sender<RunEvent>,
+    rx: Receiver<RunEvent>,
 }
 
-impl Sightings {
-    pub(crate) fn new() -> Sightings {
+impl RunEvents {
+    pub(crate) fn new() -> RunEvents {
         let (tx, rx) = async_channel::bounded(MOST_WAITING);
-        Sightings { tx, rx }
+        RunEvents { tx, rx }
     }
 
-    pub(crate) fn add(&self, sighting: Sighting) {
-        if let Err(e) = self.tx.try_send(sighting) {
-            log::warn!(error:% = e; "sighting of a run dropped; the next one counts");
+    pub(crate) fn add(&self, run_events: RunEvent) {
+        if let Err(e) = self.tx.try_send(run_events) {
+            log::warn!(error:% = e; "run_events of a run dropped; the next one counts");
         }
     }
 
     /// The next one.
-    pub(crate) async fn next(&self) -> Option<Sighting> {
+    pub(crate) async fn next(&self) -> Option<RunEvent> {
         self.rx.recv().await.ok()
     }
 }
--- a/crates/gateway/src/stage_batches.rs
+++ b/crates/gateway/src/stage_batches.rs
@@ -27,8 +27,8 @@
 use jd_types::MonoTime;
 
 use crate::result_free::ResultFree;
-use crate::sighting::Sighting;
-use crate::sighting::UpstreamSeen;
+use crate::run_events::RunEvent;
+use crate::run_events::UpstreamRef;
 use crate::state::State;
 use crate::upstream_table::UpstreamTable;
 
@@ -283,9 +283,9 @@
             match result {
                 CallResult::Answered(_) => quarantine.note_ran(now, &call.service, content),
                 CallResult::Broken if is_listed() => {
-                    quarantine.sightings.add(Sighting::Broke {
+                    quarantine.run_events.add(RunEvent::Broke {
                         at: now,
-                        upstream: UpstreamSeen {
+                        upstream: UpstreamRef {
                             service: call.service.clone(),
                             upstream: call.upstream.clone(),
                             start: call.start,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -233,9 +233,9 @@
         order.into_iter().map(|e| e.peers).collect()
     }
 
-    /// The instances that judge which requests end upstreams, the one that does so
+    /// The instances that coordinate the quarantine, the one that decides
     /// first. They are the ones that read the store for the others.
-    pub(crate) fn judges(&self) -> Vec<SocketAddr> {
+    pub(crate) fn coordinators(&self) -> Vec<SocketAddr> {
         self.owner_order(&Shard {
             zone: None,
             part: 0,
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -9,7 +9,7 @@
 use jd_serving::Content;
 use jd_serving::Deployment;
 use jd_serving::InstanceEntry;
-use jd_serving::Standing;
+use jd_serving::QuarantineState;
 use jd_serving::StoreItem;
 use jd_serving::UpstreamEntry;
 use jd_types::Incarnation;
@@ -32,7 +32,7 @@
     /// An instance of this system.
     Instance(InstanceEntry),
     /// What is held against a request.
-    Standing(StandingRecord),
+    Quarantine(QuarantineRecord),
     /// A record that this version cannot read, and why.
     Unreadable {
         /// Where it lies.
@@ -44,11 +44,11 @@
 
 /// What is held against a request, as the store keeps it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct StandingRecord {
+pub struct QuarantineRecord {
     /// The request.
     pub content: Content,
     /// What is held against it.
-    pub standing: Standing,
+    pub state: QuarantineState,
     /// Until when, by the time of day. Clocks of instances may differ by seconds, which
     /// is little of the minutes that it is held for.
     pub until: SystemTime,
@@ -72,7 +72,7 @@
     /// An instance's entry was removed.
     InstanceGone(Incarnation),
     /// The store keeps nothing of what is held against a request any more.
-    StandingGone(Content),
+    QuarantineGone(Content),
 }
 
 /// Items of the store. They are passed on to other instances as they are.
@@ -174,9 +174,9 @@
     ) -> StoreFuture<'a, ()>;
 
     /// Writes what is held against a request, for as long as the lease lasts.
-    fn keep_standing<'a>(
+    fn write_quarantine<'a>(
         &'a self,
-        record: &'a StandingRecord,
+        record: &'a QuarantineRecord,
         lease: LeaseId,
     ) -> StoreFuture<'a, ()>;
 
--- a/crates/gateway/src/store_call.rs
+++ b/crates/gateway/src/store_call.rs
@@ -23,7 +23,7 @@
     /// Removing the entry of an instance that is silent.
     Remove,
     /// Writing what is held against a request.
-    KeepStanding,
+    WriteQuarantine,
 }
 
 impl StoreCall {
@@ -36,7 +36,7 @@
         StoreCall::Announce,
         StoreCall::Withdraw,
         StoreCall::Remove,
-        StoreCall::KeepStanding,
+        StoreCall::WriteQuarantine,
     ];
 
     /// Its name in logs and metrics.
@@ -50,7 +50,7 @@
             StoreCall::Announce => "announce",
             StoreCall::Withdraw => "withdraw",
             StoreCall::Remove => "remove",
-            StoreCall::KeepStanding => "keep-standing",
+            StoreCall::WriteQuarantine => "write-quarantine",
         }
     }
 }
--- a/crates/gateway/src/store_intake.rs
+++ b/crates/gateway/src/store_intake.rs
@@ -11,8 +11,8 @@
 use jd_types::Incarnation;
 
 use crate::Change;
+use crate::QuarantineRecord;
 use crate::Record;
-use crate::StandingRecord;
 use crate::Store;
 use crate::quarantine::Source;
 use crate::quarantine::Told;
@@ -61,7 +61,7 @@
         }
         let mut upstreams: Vec<UpstreamEntry> = Vec::new();
         let mut instances: Vec<Incarnation> = Vec::new();
-        let mut standings: Vec<Content> = Vec::new();
+        let mut quarantined: Vec<Content> = Vec::new();
         let mut changed = false;
         for (change, written) in changes {
             match change {
@@ -72,15 +72,15 @@
                 Change::Put(record) => {
                     match &record {
                         Record::Instance(entry) => instances.push(entry.incarnation),
-                        Record::Standing(standing) => standings.push(standing.content),
+                        Record::Quarantine(q) => quarantined.push(q.content),
                         _ => {}
                     }
                     self.take_record(record, written);
                 }
-                Change::UpstreamGone(_) | Change::InstanceGone(_) | Change::StandingGone(_) => {}
+                Change::UpstreamGone(_) | Change::InstanceGone(_) | Change::QuarantineGone(_) => {}
             }
         }
-        self.state.quarantine.relist(&standings);
+        self.state.quarantine.relist(&quarantined);
         let now = self.state.now();
         {
             let mut knowledge = self.state.knowledge();
@@ -118,7 +118,7 @@
                     self.state.entry_gone.give();
                 }
                 Change::InstanceGone(id) => self.state.knowledge().instances.unlist(id),
-                Change::StandingGone(content) => self.state.quarantine.note_stored(content, None),
+                Change::QuarantineGone(content) => self.state.quarantine.note_stored(content, None),
             }
         }
         if changed {
@@ -144,22 +144,22 @@
         items.iter().filter_map(said).collect()
     }
 
-    fn take_standing(&self, record: StandingRecord) {
-        let StandingRecord {
+    fn take_quarantine(&self, record: QuarantineRecord) {
+        let QuarantineRecord {
             content,
-            standing,
+            state,
             until,
         } = record;
         // One whose time is over has none left.
         let left = until.duration_since(SystemTime::now()).unwrap_or_default();
         let told = Told {
             content,
-            standing,
+            state,
             left,
         };
         let quarantine = &self.state.quarantine;
         quarantine.take(self.state.now(), Source::Store, [told]);
-        quarantine.note_stored(content, Some(standing));
+        quarantine.note_stored(content, Some(state));
     }
 
     fn take_record(&self, record: Record, written: u64) {
@@ -190,7 +190,7 @@
             Record::Upstream(entry) => {
                 self.state.knowledge().upstreams.put(entry);
             }
-            Record::Standing(record) => self.take_standing(record),
+            Record::Quarantine(record) => self.take_quarantine(record),
             Record::Unreadable { key, reason } => {
                 log::error!(key:% = key, reason:% = reason; "record not understood, left out");
             }
--- a/crates/gateway/tests/whole/crashes.rs
+++ b/crates/gateway/tests/whole/crashes.rs
@@ -140,7 +140,7 @@
         let harness = Arc::new(harness);
         harness.until_all_answer("/any/x", 200).await;
         until_quarantined_everywhere(&harness, "/stream/bad").await;
-        while !harness.store.holds_standing() {
+        while !harness.store.holds_quarantine() {
             Timer::after(Duration::from_millis(10)).await;
         }
         Arc::into_inner(harness).expect("no request in flight")
@@ -162,7 +162,7 @@
 #[test]
 fn what_was_found_reaches_all_though_the_store_does_not_take_it() {
     let (harness, _upstreams) = fleet(6);
-    harness.store.refuse_standings();
+    harness.store.refuse_quarantine();
     let harness = Arc::new(harness);
     block_on(async {
         harness.until_all_answer("/any/x", 200).await;
@@ -170,7 +170,7 @@
         let known = Instant::now();
         until_quarantined_everywhere(&harness, "/stream/bad").await;
         assert!(known.elapsed() < KNOWN_WITHIN);
-        assert!(!harness.store.holds_standing());
+        assert!(!harness.store.holds_quarantine());
     });
 }
 
@@ -180,7 +180,7 @@
     let mut harness = Harness::start(Vec::new());
     harness.add_gateways(LARGE_FLEET - 1);
     let _upstreams = EndingUpstreams::start(harness.executor(), &harness.store, 6);
-    harness.store.refuse_standings();
+    harness.store.refuse_quarantine();
     let harness = Arc::new(harness);
     block_on(async {
         harness.until_all_answer("/any/x", 200).await;
--- a/crates/gateway/tests/whole/fakes/fake_store.rs
+++ b/crates/gateway/tests/whole/fakes/fake_store.rs
@@ -15,8 +15,8 @@
 use jd_gateway::LeaseId;
 use jd_gateway::Listed;
 use jd_gateway::Page;
+use jd_gateway::QuarantineRecord;
 use jd_gateway::Record;
-use jd_gateway::StandingRecord;
 use jd_gateway::Store;
 use jd_gateway::StoreError;
 use jd_gateway::StoreFuture;
@@ -46,7 +46,7 @@
     first_pages: AtomicUsize,
     lists: AtomicUsize,
     refused_announcements: AtomicUsize,
-    refuses_standings: Arc<AtomicBool>,
+    refuses_quarantine: Arc<AtomicBool>,
     questions: AtomicUsize,
 }
 
@@ -60,7 +60,7 @@
     /// The same store as another instance sees it.
     pub(crate) fn seen_by_another(&self) -> FakeStore {
         FakeStore {
-            refuses_standings: Arc::clone(&self.refuses_standings),
+            refuses_quarantine: Arc::clone(&self.refuses_quarantine),
             ..FakeStore::of(Arc::clone(&self.said))
         }
     }
@@ -76,7 +76,7 @@
             first_pages: AtomicUsize::new(0),
             lists: AtomicUsize::new(0),
             refused_announcements: AtomicUsize::new(0),
-            refuses_standings: Arc::default(),
+            refuses_quarantine: Arc::default(),
             questions: AtomicUsize::new(0),
         }
     }
@@ -141,7 +141,7 @@
             Change::UpstreamUnreadable { .. }
             | Change::UpstreamGone(_)
             | Change::InstanceGone(_)
-            | Change::StandingGone(_) => false,
+            | Change::QuarantineGone(_) => false,
         };
         let numbered = said.iter().enumerate();
         let listed = numbered.filter(|(_, change)| is_listed(change));
@@ -167,15 +167,15 @@
     }
 
     /// True once it holds something against a request.
-    pub(crate) fn holds_standing(&self) -> bool {
+    pub(crate) fn holds_quarantine(&self) -> bool {
         let said = self.said.list.lock().expect("a lock");
         said.iter()
-            .any(|change| matches!(change, Change::Put(Record::Standing(_))))
+            .any(|change| matches!(change, Change::Put(Record::Quarantine(_))))
     }
 
     /// Refuses to write what is held against requests, whoever asks.
-    pub(crate) fn refuse_standings(&self) {
-        self.refuses_standings.store(true, Ordering::Relaxed);
+    pub(crate) fn refuse_quarantine(&self) {
+        self.refuses_quarantine.store(true, Ordering::Relaxed);
     }
 
     /// How often everything was read from the beginning.
@@ -320,17 +320,17 @@
         })
     }
 
-    fn keep_standing<'a>(
+    fn write_quarantine<'a>(
         &'a self,
-        record: &'a StandingRecord,
+        record: &'a QuarantineRecord,
         _lease: LeaseId,
     ) -> StoreFuture<'a, ()> {
         Box::pin(async move {
             self.answer(())?;
-            if self.refuses_standings.load(Ordering::Relaxed) {
+            if self.refuses_quarantine.load(Ordering::Relaxed) {
                 return Err(StoreError::Refused);
             }
-            self.change(Change::Put(Record::Standing(*record)));
+            self.change(Change::Put(Record::Quarantine(*record)));
             Ok(())
         })
     }
--- a/crates/gateway/tests/whole/innocents.rs
+++ b/crates/gateway/tests/whole/innocents.rs
@@ -136,10 +136,10 @@
 }
 
 /// An instance is cut off from the store, and so perhaps from all others and from upstreams
-/// that it takes for ended. What it finds by itself holds for all, so it judges nobody
+/// that it takes for ended. What it finds by itself holds for all, so it coordinators nobody
 /// until it has proof again.
 #[test]
-fn an_instance_without_proof_judges_nobody() {
+fn an_instance_without_proof_quarantines_nobody() {
     let harness = Harness::start(Vec::new());
     let upstreams = EndingUpstreams::start(harness.executor(), &harness.store, 6);
     block_on(async {
--- a/crates/serving/src/crash_evidence.rs
+++ b/crates/serving/src/crash_evidence.rs
@@ -9,8 +9,8 @@
 use compact_str::CompactString;
 use jd_types::MonoTime;
 
+use crate::CompletedRun;
 use crate::Content;
-use crate::GoodRun;
 use crate::HELD_FOR;
 use crate::UpstreamStart;
 
@@ -172,7 +172,7 @@
     /// A run ended well, as somebody remembers. It speaks for its request against the ends
     /// before, and not against those that came after: what a request does to upstreams can
     /// change from one moment to the next. True if nothing speaks against it any more.
-    pub fn survived(&mut self, run: &GoodRun) -> bool {
+    pub fn completed(&mut self, run: &CompletedRun) -> bool {
         let is_there = |k: &KnownEnd| {
             let mut runs = k.end.runs.iter();
             k.end.service == run.service && runs.any(|r| r.content == run.content)
@@ -206,7 +206,7 @@
 
     /// What the ends say now. What was quarantined here before and is not explained that
     /// way any more is released.
-    pub fn judge(&mut self, now: MonoTime) -> Findings {
+    pub fn findings(&mut self, now: MonoTime) -> Findings {
         while self
             .ends
             .front()
@@ -218,7 +218,7 @@
         let services: HashSet<CompactString> =
             self.ends.iter().map(|k| k.end.service.clone()).collect();
         for service in services {
-            self.judge_service(now, &service, &mut findings);
+            self.explain_ends_of(now, &service, &mut findings);
         }
         let is_suspected = |c: &Content| {
             let mut all = findings.suspected.iter().chain(&findings.quarantined);
@@ -233,7 +233,7 @@
     }
 
     /// Explains the ends of a service by as few requests as do, the likeliest first.
-    fn judge_service(&mut self, now: MonoTime, service: &str, findings: &mut Findings) {
+    fn explain_ends_of(&mut self, now: MonoTime, service: &str, findings: &mut Findings) {
         let ends = self.ends.iter().filter(|k| k.end.service == service);
         let heard = ends.filter(|k| now.since(k.heard) > REPORTS_WITHIN);
         let mut left: Vec<&UpstreamEnd> = heard.map(|k| &k.end).collect();
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -5,7 +5,7 @@
 //! knowledge is ([`Freshness`]), which pieces of stages go where and when
 //! ([`StageDesk`]), where a prompt goes ([`place_prompt`]) and what may be sent
 //! again ([`RepeatBudget`]), and which requests end the upstreams that run them
-//! ([`CrashEvidence`], [`Standings`]). Time is passed in; nothing reads a clock or a
+//! ([`CrashEvidence`], [`QuarantineList`]). Time is passed in; nothing reads a clock or a
 //! socket, so that tests replay loads in virtual time.
 
 mod batch_call;
@@ -30,6 +30,7 @@
 mod owner;
 mod prompt;
 mod prompt_placement;
+mod quarantine_list;
 mod rank;
 mod recent_runs;
 mod repeat_budget;
@@ -43,7 +44,6 @@
 mod stage_desk;
 mod stage_job;
 mod stage_queue;
-mod standing;
 mod store_mirror;
 mod upstream_directory;
 mod upstream_start;
@@ -89,7 +89,12 @@
 pub use prompt::PromptPart;
 pub use prompt_placement::PromptUpstream;
 pub use prompt_placement::place_prompt;
-pub use recent_runs::GoodRun;
+pub use quarantine_list::HELD_FOR;
+pub use quarantine_list::QuarantineEntry;
+pub use quarantine_list::QuarantineList;
+pub use quarantine_list::QuarantinePhase;
+pub use quarantine_list::QuarantineState;
+pub use recent_runs::CompletedRun;
 pub use recent_runs::RecentRuns;
 pub use repeat_budget::RepeatBound;
 pub use repeat_budget::RepeatBudget;
@@ -109,11 +114,6 @@
 pub use stage_job::JobStage;
 pub use stage_job::PieceKey;
 pub use stage_job::StageJob;
-pub use standing::HELD_FOR;
-pub use standing::Held;
-pub use standing::Standing;
-pub use standing::Standings;
-pub use standing::Verdict;
 pub use store_mirror::News;
 pub use store_mirror::StoreItem;
 pub use store_mirror::StoreMirror;
--- a/crates/serving/src/standing.rs
+++ b/crates/serving/src/quarantine_list.rs
@@ -18,7 +18,7 @@
 
 /// What is held against a request, from the weakest to what overrules the others.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Verdict {
+pub enum QuarantinePhase {
     /// It was at upstreams that ended, one after the other. Who has seen it run to its end
     /// is to say so.
     Suspected,
@@ -28,86 +28,85 @@
     Released,
 }
 
-impl Verdict {
+impl QuarantinePhase {
     /// The name in logs and in the store.
     pub const fn as_str(self) -> &'static str {
         match self {
-            Verdict::Suspected => "suspected",
-            Verdict::Quarantined => "quarantined",
-            Verdict::Released => "released",
+            QuarantinePhase::Suspected => "suspected",
+            QuarantinePhase::Quarantined => "quarantined",
+            QuarantinePhase::Released => "released",
         }
     }
 }
 
-/// A verdict and how often there has been one before: a later round goes before an
-/// earlier one, and within a round the later verdict. So all instances come to hold the
+/// A phase and how often there has been one before: a later round goes before an
+/// earlier one, and within a round the later phase. So all instances come to hold the
 /// same, in whatever order they hear of it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Standing {
+pub struct QuarantineState {
     /// Counts from 1, anew after each release.
     pub round: u32,
     /// What is held against it in this round.
-    pub verdict: Verdict,
+    pub phase: QuarantinePhase,
 }
 
-impl Standing {
+impl QuarantineState {
     /// The first round's.
-    pub fn first(verdict: Verdict) -> Standing {
-        Standing { round: 1, verdict }
+    pub fn first(phase: QuarantinePhase) -> QuarantineState {
+        QuarantineState { round: 1, phase }
     }
 
     /// True while it may turn out to be innocent.
     pub fn is_open(self) -> bool {
-        self.verdict != Verdict::Released
+        self.phase != QuarantinePhase::Released
     }
 }
 
 /// What one instance holds against requests.
 #[derive(Debug, Clone, Default)]
-pub struct Standings {
-    held: HashMap<Content, Held>,
+pub struct QuarantineList {
+    held: HashMap<Content, QuarantineEntry>,
 }
 
 /// What is held against one request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Held {
-    /// The verdict.
-    pub standing: Standing,
+pub struct QuarantineEntry {
+    /// The phase.
+    pub state: QuarantineState,
     /// When it is forgotten.
     pub lapses: MonoTime,
     /// What the store is known to have.
-    pub stored: Option<Standing>,
+    pub stored: Option<QuarantineState>,
 }
 
-impl Held {
+impl QuarantineEntry {
     /// When it was first held anywhere, to within the time that messages take.
     pub fn since(&self) -> MonoTime {
         self.lapses.before(HELD_FOR)
     }
 }
 
-impl Standings {
+impl QuarantineList {
     /// Takes in what somebody holds against a request; true if that is news.
     pub fn take(
         &mut self,
         now: MonoTime,
         content: Content,
-        told: Standing,
+        told: QuarantineState,
         left: Duration,
     ) -> bool {
         self.forget(now);
         let lapses = now + left.min(HELD_FOR);
         let known = self.held.get(&content);
-        if left.is_zero() || known.is_some_and(|h| h.standing >= told) {
+        if left.is_zero() || known.is_some_and(|h| h.state >= told) {
             return false;
         }
         let stored = known.and_then(|h| h.stored);
         if known.is_none() && self.held.len() >= MOST {
             self.give_up_one();
         }
-        let standing = told;
-        let held = Held {
-            standing,
+        let held = QuarantineEntry {
+            state: told,
             lapses,
             stored,
         };
@@ -116,9 +115,9 @@
     }
 
     /// The store has this of a request; none once it has nothing any more.
-    pub fn stored(&mut self, content: Content, standing: Option<Standing>) {
+    pub fn stored(&mut self, content: Content, state: Option<QuarantineState>) {
         if let Some(held) = self.held.get_mut(&content) {
-            held.stored = standing;
+            held.stored = state;
         }
     }
 
@@ -131,7 +130,7 @@
     }
 
     /// What is held against a request.
-    pub fn of(&self, now: MonoTime, content: Content) -> Option<Held> {
+    pub fn of(&self, now: MonoTime, content: Content) -> Option<QuarantineEntry> {
         let held = self.held.get(&content).copied();
         held.filter(|h| h.lapses > now)
     }
@@ -139,7 +138,7 @@
     /// For how long a request is still kept from upstreams; none if it is not.
     pub fn quarantine_left(&self, now: MonoTime, content: Content) -> Option<Duration> {
         let held = self.of(now, content)?;
-        let quarantined = held.standing.verdict == Verdict::Quarantined;
+        let quarantined = held.state.phase == QuarantinePhase::Quarantined;
         quarantined.then(|| held.lapses.since(now))
     }
 
@@ -149,7 +148,7 @@
     }
 
     /// All that has not lapsed.
-    pub fn all(&self, now: MonoTime) -> impl Iterator<Item = (Content, Held)> {
+    pub fn all(&self, now: MonoTime) -> impl Iterator<Item = (Content, QuarantineEntry)> {
         let held = self.held.iter().map(|(content, held)| (*content, *held));
         held.filter(move |(_, h)| h.lapses > now)
     }
@@ -160,8 +159,8 @@
 
     /// Gives up what matters least: a mere suspicion first, then what lapses soonest.
     fn give_up_one(&mut self) {
-        let least = |(_, h): &(&Content, &Held)| {
-            let quarantined = h.standing.verdict == Verdict::Quarantined;
+        let least = |(_, h): &(&Content, &QuarantineEntry)| {
+            let quarantined = h.state.phase == QuarantinePhase::Quarantined;
             (quarantined, h.lapses)
         };
         let least = self.held.iter().min_by_key(least);
--- a/crates/serving/src/recent_runs.rs
+++ b/crates/serving/src/recent_runs.rs
@@ -18,7 +18,7 @@
 
 /// A run that ended well.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct GoodRun {
+pub struct CompletedRun {
     /// Where.
     pub service: CompactString,
     /// Of which request.
@@ -50,10 +50,10 @@
     }
 
     /// The last runs of a request that ended well, one for each service.
-    pub fn of(&self, now: MonoTime, content: Content) -> Vec<GoodRun> {
+    pub fn of(&self, now: MonoTime, content: Content) -> Vec<CompletedRun> {
         let own = self.last.iter().filter(|((_, c), _)| *c == content);
         let recent = own.filter(|(_, at)| !is_old(now, **at));
-        let runs = recent.map(|((service, _), at)| GoodRun {
+        let runs = recent.map(|((service, _), at)| CompletedRun {
             service: service.clone(),
             content,
             at: *at,
--- a/crates/serving/tests/crash_evidence.rs
+++ b/crates/serving/tests/crash_evidence.rs
@@ -3,16 +3,16 @@
 use std::time::Duration;
 
 use jd_serving::BrokenRun;
+use jd_serving::CompletedRun;
 use jd_serving::Content;
 use jd_serving::CrashEvidence;
 use jd_serving::Findings;
-use jd_serving::GoodRun;
+use jd_serving::QuarantineList;
+use jd_serving::QuarantinePhase;
+use jd_serving::QuarantineState;
 use jd_serving::RecentRuns;
-use jd_serving::Standing;
-use jd_serving::Standings;
 use jd_serving::UpstreamEnd;
 use jd_serving::UpstreamStart;
-use jd_serving::Verdict;
 use jd_types::MonoTime;
 
 /// A request that ends upstreams, and others.
@@ -39,8 +39,8 @@
     }
 }
 
-fn good(service: &str, content: u64, ms: u64) -> GoodRun {
-    GoodRun {
+fn good(service: &str, content: u64, ms: u64) -> CompletedRun {
+    CompletedRun {
         service: service.into(),
         content: Content::from_number(content),
         at: at(ms),
@@ -67,7 +67,7 @@
         while let Some(end) = ends.next_if(|e| e.at <= at(ms)) {
             evidence.ended(at(ms), end);
         }
-        last = evidence.judge(at(ms));
+        last = evidence.findings(at(ms));
         for found in &last.quarantined {
             let number = found.content.number();
             if !first.iter().any(|(_, n)| *n == number) {
@@ -119,7 +119,7 @@
     play_on(&mut evidence, loss(1), 0, 5_000);
     let (last, _) = play_on(&mut evidence, loss(2), 5_100, 9_000);
     assert_eq!(numbers(&last.suspected), [OTHER]);
-    evidence.survived(&good("pool", OTHER, 8_900));
+    evidence.completed(&good("pool", OTHER, 8_900));
     let (last, first) = play_on(&mut evidence, loss(3), 9_100, 20_000);
     assert_eq!(first, []);
     assert_eq!(last, Findings::default());
@@ -134,7 +134,7 @@
         let ended = end(n, 1_000 + n * 600, &[(BAD, 900 + n * 600)]);
         evidence.ended(at(1_000 + n * 600), ended);
     }
-    evidence.survived(&good("stage", BAD, 2_250));
+    evidence.completed(&good("stage", BAD, 2_250));
     let (last, _) = play_on(&mut evidence, Vec::new(), 2_300, 6_000);
     assert_eq!(numbers(&last.quarantined), [BAD]);
 }
@@ -147,7 +147,7 @@
     for n in 0..3 {
         let ms = 1_000 + n * 600;
         evidence.ended(at(ms), end(n, ms, &[(BAD, ms - 100)]));
-        assert!(!evidence.survived(&good("pool", BAD, 850)));
+        assert!(!evidence.completed(&good("pool", BAD, 850)));
     }
     let (last, _) = play_on(&mut evidence, Vec::new(), 2_300, 6_000);
     assert_eq!(numbers(&last.quarantined), [BAD]);
@@ -227,10 +227,10 @@
     evidence.ended(at(4_600), end(4, 4_600, &[(BAD, 4_550)]));
     let mut released = Vec::new();
     for ms in (4_600..7_000).step_by(100) {
-        released.extend(evidence.judge(at(ms)).released);
+        released.extend(evidence.findings(at(ms)).released);
     }
     assert_eq!(released, [Content::from_number(OTHER)]);
-    assert_eq!(numbers(&evidence.judge(at(7_000)).quarantined), [BAD]);
+    assert_eq!(numbers(&evidence.findings(at(7_000)).quarantined), [BAD]);
 }
 
 /// Two requests each end upstreams of their own. Both are found.
@@ -257,7 +257,7 @@
     let (last, _) = play_on(&mut evidence, ends.collect(), 0, 4_000);
     assert_eq!(numbers(&last.quarantined), [OTHER]);
     evidence.check(at(12_000), |_, _| true);
-    let findings = evidence.judge(at(12_000));
+    let findings = evidence.findings(at(12_000));
     assert_eq!(findings.quarantined, []);
     assert_eq!(findings.released, [Content::from_number(OTHER)]);
 }
@@ -273,10 +273,10 @@
         let ended = end(n, ms, &[(100 + n, ms - 60), (OTHER, ms - 300)]);
         evidence.ended(at(ms), ended);
         for later in (ms..ms + 1_500).step_by(100) {
-            let findings = evidence.judge(at(later));
+            let findings = evidence.findings(at(later));
             quarantined.extend(numbers(&findings.quarantined));
             if numbers(&findings.suspected).contains(&OTHER) {
-                evidence.survived(&good("pool", OTHER, later));
+                evidence.completed(&good("pool", OTHER, later));
             }
         }
     }
@@ -291,7 +291,7 @@
     play_on(&mut evidence, ends.collect(), 0, 4_000);
     let later = 700_000;
     evidence.ended(at(later), end(9, later, &[(BAD, later - 80)]));
-    let findings = evidence.judge(at(later + 300));
+    let findings = evidence.findings(at(later + 300));
     assert_eq!(numbers(&findings.quarantined), [BAD]);
 }
 
@@ -306,48 +306,45 @@
     for n in 10..2_000 {
         let ms = 4_000 + n * 10;
         evidence.ended(at(ms), end(n, ms, &[(1_000 + n, ms - 5)]));
-        assert_eq!(evidence.judge(at(ms)).released, []);
+        assert_eq!(evidence.findings(at(ms)).released, []);
     }
 }
 
-/// A verdict comes by the store and by instances, in any order and more than once. All
+/// A phase comes by the store and by instances, in any order and more than once. All
 /// come to hold the same, and nobody goes back to what was taken back.
 #[test]
 fn a_release_goes_before_the_quarantine_that_arrives_after_it() {
     let content = Content::from_number(OTHER);
-    let mut standings = Standings::default();
+    let mut list = QuarantineList::default();
     let left = Duration::from_secs(600);
-    let quarantined = Standing::first(Verdict::Quarantined);
-    let released = Standing::first(Verdict::Released);
-    assert!(standings.take(at(0), content, quarantined, left));
-    assert!(standings.quarantine_left(at(1), content).is_some());
-    assert!(standings.take(at(2), content, released, left));
-    assert!(!standings.take(at(3), content, quarantined, left));
-    assert_eq!(standings.quarantine_left(at(4), content), None);
-    let again = Standing {
+    let quarantined = QuarantineState::first(QuarantinePhase::Quarantined);
+    let released = QuarantineState::first(QuarantinePhase::Released);
+    assert!(list.take(at(0), content, quarantined, left));
+    assert!(list.quarantine_left(at(1), content).is_some());
+    assert!(list.take(at(2), content, released, left));
+    assert!(!list.take(at(3), content, quarantined, left));
+    assert_eq!(list.quarantine_left(at(4), content), None);
+    let again = QuarantineState {
         round: 2,
-        verdict: Verdict::Suspected,
+        phase: QuarantinePhase::Suspected,
     };
-    assert!(standings.take(at(5), content, again, left));
-    assert_eq!(
-        standings.of(at(6), content).map(|h| h.standing),
-        Some(again)
-    );
+    assert!(list.take(at(5), content, again, left));
+    assert_eq!(list.of(at(6), content).map(|h| h.state), Some(again));
 }
 
-/// The store's changes were lost, and with them that it gave a verdict up. Read whole it is
+/// The store's changes were lost, and with them that it gave a phase up. Read whole it is
 /// found not to have it, so that it is written again.
 #[test]
 fn what_the_store_gave_up_unseen_is_known_to_be_missing() {
     let [kept, gone] = [BAD, OTHER].map(Content::from_number);
-    let mut standings = Standings::default();
-    let quarantined = Standing::first(Verdict::Quarantined);
+    let mut list = QuarantineList::default();
+    let quarantined = QuarantineState::first(QuarantinePhase::Quarantined);
     for content in [kept, gone] {
-        standings.take(at(0), content, quarantined, Duration::from_secs(600));
-        standings.stored(content, Some(quarantined));
+        list.take(at(0), content, quarantined, Duration::from_secs(600));
+        list.stored(content, Some(quarantined));
     }
-    standings.relist(&[kept]);
-    let stored = |c| standings.of(at(1), c).and_then(|h| h.stored);
+    list.relist(&[kept]);
+    let stored = |c| list.of(at(1), c).and_then(|h| h.stored);
     assert_eq!((stored(kept), stored(gone)), (Some(quarantined), None));
 }
 
@@ -355,26 +352,36 @@
 #[test]
 fn what_is_held_lapses() {
     let content = Content::from_number(BAD);
-    let mut standings = Standings::default();
-    let quarantined = Standing::first(Verdict::Quarantined);
-    standings.take(at(0), content, quarantined, Duration::from_secs(1_000_000));
-    assert!(standings.quarantine_left(at(599_000), content).is_some());
-    assert_eq!(standings.quarantine_left(at(600_001), content), None);
+    let mut list = QuarantineList::default();
+    let quarantined = QuarantineState::first(QuarantinePhase::Quarantined);
+    list.take(at(0), content, quarantined, Duration::from_secs(1_000_000));
+    assert!(list.quarantine_left(at(599_000), content).is_some());
+    assert_eq!(list.quarantine_left(at(600_001), content), None);
 }
 
 /// Suspicions come by the thousand; what is quarantined is not pushed out by them.
 #[test]
 fn suspicions_do_not_push_a_quarantine_out() {
     let content = Content::from_number(BAD);
-    let mut standings = Standings::default();
+    let mut list = QuarantineList::default();
     let left = Duration::from_secs(600);
-    standings.take(at(0), content, Standing::first(Verdict::Quarantined), left);
+    list.take(
+        at(0),
+        content,
+        QuarantineState::first(QuarantinePhase::Quarantined),
+        left,
+    );
     for n in 10..10_000 {
         let other = Content::from_number(n);
-        standings.take(at(n), other, Standing::first(Verdict::Suspected), left);
+        list.take(
+            at(n),
+            other,
+            QuarantineState::first(QuarantinePhase::Suspected),
+            left,
+        );
     }
-    assert!(standings.quarantine_left(at(10_000), content).is_some());
-    assert!(standings.all(at(10_000)).count() <= 128);
+    assert!(list.quarantine_left(at(10_000), content).is_some());
+    assert!(list.all(at(10_000)).count() <= 128);
 }
 
 /// An instance remembers what ran well lately, and not for ever.
