--- a/crates/gateway/tests/whole/crashes.rs
+++ b/crates/gateway/tests/whole/crashes.rs
@@ -10,6 +10,7 @@
 
 use crate::fakes::EndingUpstreams;
 use crate::fakes::Harness;
+use crate::fakes::ending_fleet::GIVEN_UP_AFTER;
 use crate::fakes::ending_fleet::INSTANCES;
 use crate::fakes::ending_fleet::fleet;
 use crate::fakes::ending_fleet::is_quarantined;
@@ -140,7 +141,9 @@
         let harness = Arc::new(harness);
         harness.until_all_answer("/any/x", 200).await;
         until_quarantined_everywhere(&harness, "/stream/bad").await;
+        let until = Instant::now() + GIVEN_UP_AFTER;
         while !harness.store.holds_quarantine() {
+            assert!(Instant::now() < until, "the store was told nothing");
             Timer::after(Duration::from_millis(10)).await;
         }
         Arc::into_inner(harness).expect("no request in flight")
--- a/crates/gateway/tests/whole/fakes/ending_fleet.rs
+++ b/crates/gateway/tests/whole/fakes/ending_fleet.rs
@@ -13,6 +13,8 @@
 
 /// Instances of a fleet in these tests.
 pub(crate) const INSTANCES: usize = 5;
+/// How long is waited for what has to come.
+pub(crate) const GIVEN_UP_AFTER: Duration = Duration::from_secs(40);
 /// How long the stage before some requests takes.
 const STAGE_TAKES: Duration = Duration::from_millis(40);
 
@@ -56,7 +58,9 @@
 
 /// Sends a request until an instance refuses it as one that ends upstreams.
 pub(crate) async fn until_quarantined(harness: &Arc<Harness>, path: &'static str) {
+    let until = Instant::now() + GIVEN_UP_AFTER;
     for n in 0.. {
+        assert!(Instant::now() < until, "it is let in all the time");
         let received = harness.ask_instance(n, path, &format!("{path}-{n}")).await;
         if is_quarantined(&received) {
             return;
@@ -68,8 +72,10 @@
 /// Waits until every instance refuses a request as one that ends upstreams.
 pub(crate) async fn until_quarantined_everywhere(harness: &Arc<Harness>, path: &'static str) {
     until_quarantined(harness, path).await;
+    let until = Instant::now() + GIVEN_UP_AFTER;
     for n in 0..INSTANCES {
         while !is_quarantined(&harness.ask_instance(n, path, "again").await) {
+            assert!(Instant::now() < until, "an instance lets it in");
             Timer::after(Duration::from_millis(20)).await;
         }
     }
