--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -17,7 +17,6 @@
 use crate::AnswerHead;
 use crate::UpstreamCall;
 use crate::call::Call;
-use crate::run_events::RunEvent;
 use crate::run_events::UpstreamRef;
 use crate::state::State;
 use crate::upstream_table::Chosen;
@@ -85,24 +84,19 @@
         }
     }
 
-    /// Its connection broke. Where its upstream was to leave that was to come, and where
-    /// it had worked on the request for long it did not end by that.
+    /// Its connection broke. Where its upstream had worked on the request for long it did
+    /// not end by that.
     pub(crate) fn broke(&mut self) {
-        let table = self.state.upstreams.load();
-        if self.ran || table.start_of(&self.chosen.id).is_none() {
+        if self.ran {
             return;
         }
-        self.state.quarantine.run_events.add(RunEvent::Broke {
-            at: self.state.now(),
-            upstream: UpstreamRef {
-                service: self.service.clone(),
-                upstream: self.chosen.id.clone(),
-                start: self.chosen.start,
-                address: self.chosen.upstream.address,
-            },
-            content: self.content,
-            began: self.began,
-        });
+        let upstream = UpstreamRef {
+            service: self.service.clone(),
+            upstream: self.chosen.id.clone(),
+            start: self.chosen.start,
+            address: self.chosen.upstream.address,
+        };
+        self.state.run_broke(upstream, self.content, self.began);
     }
 
     pub(crate) fn id(&self) -> &str {
--- a/crates/gateway/src/stage_batches.rs
+++ b/crates/gateway/src/stage_batches.rs
@@ -27,7 +27,6 @@
 use jd_types::MonoTime;
 
 use crate::result_free::ResultFree;
-use crate::run_events::RunEvent;
 use crate::run_events::UpstreamRef;
 use crate::state::State;
 use crate::upstream_table::UpstreamTable;
@@ -272,30 +271,19 @@
         let quarantine = &self.state.quarantine;
         let now = self.state.now();
         let contents: BTreeSet<Content> = call.pieces.iter().map(|p| p.content).collect();
-        let is_listed = || {
-            self.state
-                .upstreams
-                .load()
-                .start_of(&call.upstream)
-                .is_some()
-        };
         for content in contents {
             match result {
                 CallResult::Answered(_) => quarantine.note_ran(now, &call.service, content),
-                CallResult::Broken if is_listed() => {
-                    quarantine.run_events.add(RunEvent::Broke {
-                        at: now,
-                        upstream: UpstreamRef {
-                            service: call.service.clone(),
-                            upstream: call.upstream.clone(),
-                            start: call.start,
-                            address: call.address,
-                        },
-                        content,
-                        began,
-                    });
+                CallResult::Broken => {
+                    let upstream = UpstreamRef {
+                        service: call.service.clone(),
+                        upstream: call.upstream.clone(),
+                        start: call.start,
+                        address: call.address,
+                    };
+                    self.state.run_broke(upstream, content, began);
                 }
-                _ => {}
+                CallResult::Full | CallResult::Gone | CallResult::Failed => {}
             }
         }
     }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -18,6 +18,7 @@
 use jd_net::Clock;
 use jd_net::HttpPool;
 use jd_net::lock;
+use jd_serving::Content;
 use jd_serving::Freshness;
 use jd_serving::InstanceDirectory;
 use jd_serving::InstanceEntry;
@@ -41,6 +42,8 @@
 use crate::metrics::Metrics;
 use crate::peer_news::PackedNews;
 use crate::quarantine::Quarantine;
+use crate::run_events::RunEvent;
+use crate::run_events::UpstreamRef;
 use crate::signal::Signal;
 use crate::upstream_table::UpstreamTable;
 
@@ -306,6 +309,20 @@
         services.any(|s| s.name == service && s.batch.is_some())
     }
 
+    /// The connection of a run broke before its end. Nothing is held against its request
+    /// where its upstream was to leave: that was to come.
+    pub(crate) fn run_broke(&self, upstream: UpstreamRef, content: Content, began: MonoTime) {
+        if self.upstreams.load().start_of(&upstream.upstream).is_none() {
+            return;
+        }
+        self.quarantine.run_events.add(RunEvent::Broke {
+            at: self.now(),
+            upstream,
+            content,
+            began,
+        });
+    }
+
     /// Lays the upstreams out anew after their entries changed.
     pub(crate) fn rebuild_upstreams(&self) {
         let now = self.now();
--- a/crates/gateway/tests/whole/crashes.rs
+++ b/crates/gateway/tests/whole/crashes.rs
@@ -30,6 +30,21 @@
 /// How often such a request may reach an upstream after that, as the users allow.
 const MORE_ALLOWED: usize = 3;
 
+/// The request with `bad` in its path ended upstreams, and was kept from them in time.
+fn assert_kept_away(upstreams: &EndingUpstreams) {
+    let ends = upstreams.ends();
+    assert!(ends.len() >= 3, "it ended {} upstreams", ends.len());
+    let known = ends[2] + KNOWN_WITHIN;
+    let runs = upstreams.runs();
+    let late = runs.iter().filter(|r| r.path.contains("bad"));
+    let late = late.filter(|r| r.at > known).count();
+    assert!(
+        late <= MORE_ALLOWED,
+        "{late} runs more, {} ends",
+        ends.len()
+    );
+}
+
 /// A request ends each upstream that begins to run it, within 120 ms of `answer began`,
 /// and its caller sends it again, to another instance each time. Every attempt had an
 /// identity of its own and every instance took it for new: 17 of nine upstreams ended
@@ -45,19 +60,7 @@
         let pause = Duration::from_millis(150);
         let span = Duration::from_millis(6_000);
         repeat(&harness, "/stream/bad", pause, span).await;
-        let ends = upstreams.ends();
-        assert!(ends.len() >= 3, "it ended {} upstreams", ends.len());
-        let known = ends[2] + KNOWN_WITHIN;
-        let runs = upstreams.runs();
-        let late = runs
-            .iter()
-            .filter(|r| r.path.contains("bad") && r.at > known);
-        let late = late.count();
-        assert!(
-            late <= MORE_ALLOWED,
-            "{late} runs more, {} ends",
-            ends.len()
-        );
+        assert_kept_away(&upstreams);
     });
 }
 
@@ -98,17 +101,7 @@
         let pause = Duration::from_millis(30);
         let span = Duration::from_millis(7_000);
         repeat(&harness, "/staged/bad", pause, span).await;
-        let ends = upstreams.ends();
-        assert!(ends.len() >= 3, "it ended {} upstreams", ends.len());
-        let known = ends[2] + KNOWN_WITHIN;
-        let runs = upstreams.runs();
-        let late = runs.iter().filter(|r| r.path.contains("bad"));
-        let late = late.filter(|r| r.at > known).count();
-        assert!(
-            late <= MORE_ALLOWED,
-            "{late} runs more, {} ends",
-            ends.len()
-        );
+        assert_kept_away(&upstreams);
     });
 }
 
--- a/crates/gateway/tests/whole/fakes/ending_fleet.rs
+++ b/crates/gateway/tests/whole/fakes/ending_fleet.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use async_executor::Task;
 use async_io::Timer;
 
 use crate::fakes::EndingUpstreams;
@@ -56,6 +57,17 @@
     received
 }
 
+/// Does so beside the test.
+pub(crate) fn repeat_beside(
+    harness: &Arc<Harness>,
+    path: &'static str,
+    pause: Duration,
+    span: Duration,
+) -> Task<Vec<Received>> {
+    let caller = Arc::clone(harness);
+    harness.spawn(async move { repeat(&caller, path, pause, span).await })
+}
+
 /// Sends a request until an instance refuses it as one that ends upstreams.
 pub(crate) async fn until_quarantined(harness: &Arc<Harness>, path: &'static str) {
     let until = Instant::now() + GIVEN_UP_AFTER;
--- a/crates/gateway/tests/whole/innocents.rs
+++ b/crates/gateway/tests/whole/innocents.rs
@@ -11,7 +11,7 @@
 use crate::fakes::Reply;
 use crate::fakes::ending_fleet::fleet;
 use crate::fakes::ending_fleet::is_quarantined;
-use crate::fakes::ending_fleet::repeat;
+use crate::fakes::ending_fleet::repeat_beside;
 use crate::fakes::ending_fleet::runs_of;
 use crate::fakes::ending_fleet::until_quarantined;
 use crate::fakes::ending_fleet::until_quarantined_everywhere;
@@ -27,11 +27,8 @@
     let harness = Arc::new(harness);
     block_on(async {
         harness.until_all_answer("/any/x", 200).await;
-        let caller = Arc::clone(&harness);
-        let hot = harness.spawn(async move {
-            let span = Duration::from_millis(6_000);
-            repeat(&caller, "/any/long", Duration::from_millis(60), span).await
-        });
+        let span = Duration::from_millis(6_000);
+        let hot = repeat_beside(&harness, "/any/long", Duration::from_millis(60), span);
         until_quarantined_everywhere(&harness, "/stream/bad").await;
         let received = hot.await;
         assert!(!received.iter().any(is_quarantined));
@@ -47,11 +44,8 @@
     let harness = Arc::new(harness);
     block_on(async {
         harness.until_all_answer("/any/x", 200).await;
-        let caller = Arc::clone(&harness);
-        let hot = harness.spawn(async move {
-            let span = Duration::from_millis(7_500);
-            repeat(&caller, "/any/long", Duration::from_millis(40), span).await
-        });
+        let span = Duration::from_millis(7_500);
+        let hot = repeat_beside(&harness, "/any/long", Duration::from_millis(40), span);
         for _ in 0..4 {
             Timer::after(Duration::from_millis(1_500)).await;
             upstreams.lose_all();
@@ -69,11 +63,8 @@
     let harness = Arc::new(harness);
     block_on(async {
         harness.until_all_answer("/any/x", 200).await;
-        let caller = Arc::clone(&harness);
-        let hot = harness.spawn(async move {
-            let span = Duration::from_millis(6_000);
-            repeat(&caller, "/resume/long", Duration::from_millis(40), span).await
-        });
+        let span = Duration::from_millis(6_000);
+        let hot = repeat_beside(&harness, "/resume/long", Duration::from_millis(40), span);
         for place in 0..6 {
             Timer::after(Duration::from_millis(700)).await;
             upstreams.lose(place);
