--- a/crates/serving/src/content.rs
+++ b/crates/serving/src/content.rs
@@ -7,9 +7,8 @@
 
 /// What a request is: the same for each attempt at it, at whatever instance.
 ///
-/// The first bytes of a cryptographic hash. Nobody can make a request that is taken for
-/// another one, and the caller is a part of it, so that no customer's request is ever
-/// taken for another customer's.
+/// The first eight bytes of a cryptographic hash, of which the customer is a part. A request
+/// that is taken for another customer's is found only by trying some 2^64.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Content(u64);
 
