Two requests that end upstreams at once are each found after three ends

The fourth end was asked of any two with as many, though they had never been together. Comments that the renaming had spoilt are put right.

--- a/crates/gateway/src/crash_reporter.rs
+++ b/crates/gateway/src/crash_reporter.rs
@@ -1,4 +1,4 @@
-//! Finding out which upstreams have ended, and telling who coordinators why.
+//! Finding out which upstreams have ended, and telling the coordinators of the quarantine.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -28,7 +28,7 @@
 /// How long. A process that is started again at once is listed anew within a second; one
 /// that ends later than that has not ended by what broke before.
 const LOOK_FOR: Duration = Duration::from_secs(1);
-/// Instances that are told: the one that coordinators and those that would come after it, so
+/// Instances that are told: the one that decides and those that would come after it, so
 /// that what is known outlives the loss of two.
 const COORDINATORS: usize = 3;
 /// The most runs of one end that are told.
@@ -43,7 +43,7 @@
     runs: Vec<BrokenRun>,
 }
 
-/// Finds out which upstreams have ended, and tells who coordinators why.
+/// Finds out which upstreams have ended, and tells the coordinators of the quarantine.
 #[derive(Debug)]
 pub(crate) struct CrashReporter {
     state: Arc<State>,
@@ -66,7 +66,7 @@
         }
     }
 
-    /// Takes run_events in for good.
+    /// Takes events in for good.
     pub(crate) async fn run(self: Arc<Self>) {
         while let Some(run_events) = self.state.quarantine.run_events.next().await {
             match run_events {
--- a/crates/gateway/src/peer_quarantine.rs
+++ b/crates/gateway/src/peer_quarantine.rs
@@ -19,7 +19,7 @@
 use crate::quarantine::Quarantine;
 use crate::quarantine::Told;
 
-/// What one instance tells who coordinators.
+/// What one instance tells the coordinators.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Report {
     pub(crate) ends: Vec<UpstreamEnd>,
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -137,7 +137,7 @@
         matches!(told, Some(Ok(_)))
     }
 
-    /// Tells what was seen of runs to one that coordinators requests; false if it does not
+    /// Tells what was seen of runs to a coordinator of the quarantine; false if it does not
     /// answer.
     pub(crate) async fn report(&self, coordinator: SocketAddr, report: &Report) -> bool {
         let mut client = GatewayClient::new(self.channel(coordinator));
--- a/crates/gateway/src/quarantine_coordinator.rs
+++ b/crates/gateway/src/quarantine_coordinator.rs
@@ -35,7 +35,7 @@
 const LOOK_IDLE: Duration = Duration::from_secs(2);
 /// What is held for less is not worth a lease: the store takes none under a second.
 const LEAST_LEASE: Duration = Duration::from_secs(2);
-/// Pause after the store did not take a phase. All instances know it meanwhile.
+/// Pause after the store did not take a change. All instances know it meanwhile.
 const WRITE_AGAIN: Duration = Duration::from_millis(1_000);
 
 /// Decides on the quarantine while this instance is the first in order, and keeps the evidence
--- a/crates/gateway/src/run_events.rs
+++ b/crates/gateway/src/run_events.rs
@@ -1,4 +1,4 @@
-//! What instances see of runs at upstreams, from the path of a request to who coordinators it.
+//! What instances see of runs at upstreams, from the path of a request to the coordinators.
 
 use std::net::SocketAddr;
 
@@ -10,7 +10,7 @@
 use jd_serving::UpstreamStart;
 use jd_types::MonoTime;
 
-/// RunEvents that may wait. Broken runs come by the hundred where upstreams end in
+/// Events that may wait. Broken runs come by the hundred where upstreams end in
 /// numbers, and are taken at once; more than this would be old when they are taken.
 const MOST_WAITING: usize = 1_024;
 
@@ -37,7 +37,7 @@
     Ran(CompletedRun),
 }
 
-/// RunEvents on their way.
+/// Events on their way.
 #[derive(Debug)]
 pub(crate) struct RunEvents {
     tx: Sender<RunEvent>,
@@ -50,9 +50,9 @@
         RunEvents { tx, rx }
     }
 
-    pub(crate) fn add(&self, run_events: RunEvent) {
-        if let Err(e) = self.tx.try_send(run_events) {
-            log::warn!(error:% = e; "run_events of a run dropped; the next one counts");
+    pub(crate) fn add(&self, event: RunEvent) {
+        if let Err(e) = self.tx.try_send(event) {
+            log::warn!(error:% = e; "event of a run dropped; the next one counts");
         }
     }
 
--- a/crates/serving/src/crash_evidence.rs
+++ b/crates/serving/src/crash_evidence.rs
@@ -248,10 +248,11 @@
             if case.ends < SUSPECT_AFTER {
                 return;
             }
-            let as_often = cases.values().filter(|c| c.ends == case.ends).count();
-            let enough = match as_often {
-                1 => QUARANTINE_AFTER,
-                _ => QUARANTINE_OF_TWO_AFTER,
+            let as_often = cases.iter().filter(|(_, c)| c.ends == case.ends);
+            let mut others = as_often.filter(|(other, _)| *other != content);
+            let enough = match others.any(|(other, _)| is_always_with(&left, *other, *content)) {
+                true => QUARANTINE_OF_TWO_AFTER,
+                false => QUARANTINE_AFTER,
             };
             let since = *self.suspected.entry(*content).or_insert(now);
             let had_time = now.since(since) >= OBJECTIONS_WITHIN;
@@ -274,6 +275,13 @@
     }
 }
 
+/// True if a request was at every one of these ends at which another was.
+fn is_always_with(ends: &[&UpstreamEnd], one: Content, other: Content) -> bool {
+    let was_at = |end: &UpstreamEnd, who| end.runs.iter().any(|r| r.content == who);
+    let mut of_other = ends.iter().filter(|end| was_at(end, other));
+    of_other.all(|end| was_at(end, one))
+}
+
 /// What speaks against each request that was at these ends, which are in order of time.
 fn cases(ends: &[&UpstreamEnd]) -> HashMap<Content, Case> {
     let mut cases: HashMap<Content, Case> = HashMap::new();
--- a/crates/serving/src/quarantine_list.rs
+++ b/crates/serving/src/quarantine_list.rs
@@ -1,4 +1,4 @@
-//! What is held against a request.
+//! Requests that are suspected, quarantined or released.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -71,7 +71,7 @@
 /// What is held against one request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct QuarantineEntry {
-    /// The phase.
+    /// What is held against it now.
     pub state: QuarantineState,
     /// When it is forgotten.
     pub lapses: MonoTime,
--- a/crates/serving/tests/crash_evidence.rs
+++ b/crates/serving/tests/crash_evidence.rs
@@ -248,6 +248,21 @@
     assert_eq!(last.suspected, []);
 }
 
+/// The same where each has ended three. That another one has ended as many, elsewhere, is no
+/// reason to wait for a fourth.
+#[test]
+fn two_requests_that_end_three_upstreams_each_are_found_after_three() {
+    let ends = (0..6).map(|n| {
+        let ms = 1_000 + n * 300;
+        let who = [BAD, OTHER][n as usize % 2];
+        end(n, ms, &[(who, ms - 80)])
+    });
+    let (last, _) = play(ends.collect(), 8_000);
+    let mut found = numbers(&last.quarantined);
+    found.sort_unstable();
+    assert_eq!(found, [BAD, OTHER]);
+}
+
 /// An instance is cut off from upstreams that refuse it, three times. They are listed
 /// long after, since they had not ended: what was held is taken back.
 #[test]
