Upstreams of an evacuated zone get nothing new until it is taken back

Cause: nothing read the operator's item for an evacuated zone. Ruled out: treating its upstreams as leaving. These do not come back; what is known of them (start, running requests, ends by a request) has to outlive the evacuation. Change: the store's items are decoded into EvacuatedZones; the table that every choice is made from leaves upstreams of such zones out, for requests, pieces and what is sent once more, and goes on knowing them. Stages that lost their last upstream at a desk are asked for elsewhere at once: they waited until their deadline (test failed before: not ended after 300 ms).

--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -19,6 +19,7 @@
 use jd_net::HttpPool;
 use jd_net::lock;
 use jd_serving::Content;
+use jd_serving::EvacuatedZones;
 use jd_serving::Freshness;
 use jd_serving::InstanceDirectory;
 use jd_serving::InstanceEntry;
@@ -58,6 +59,7 @@
 pub(crate) struct Knowledge {
     pub(crate) freshness: Freshness,
     pub(crate) upstreams: UpstreamDirectory,
+    pub(crate) evacuated: EvacuatedZones,
     pub(crate) instances: InstanceDirectory,
     pub(crate) deployment_version: u64,
     pub(crate) mirror: StoreMirror,
@@ -330,7 +332,7 @@
         let knowledge = self.knowledge();
         let entries = knowledge.upstreams.entries();
         let before = self.upstreams.load_full();
-        let next = before.next(now, entries, zone);
+        let next = before.next(now, entries, &knowledge.evacuated, zone);
         let started_again = next.note_restarts(&before);
         self.upstreams.store(Arc::new(next));
         drop(knowledge);
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -13,6 +13,7 @@
 use jd_serving::StoreItem;
 use jd_serving::UpstreamEntry;
 use jd_types::Incarnation;
+use jd_types::Name;
 use snafu::Snafu;
 
 /// The future of a call to the store.
@@ -33,6 +34,8 @@
     Instance(InstanceEntry),
     /// What is held against a request.
     Quarantine(QuarantineRecord),
+    /// An availability zone whose upstreams are to get nothing new.
+    EvacuatedZone(Name),
     /// A record that this version cannot read, and why.
     Unreadable {
         /// Where it lies.
@@ -73,6 +76,8 @@
     InstanceGone(Incarnation),
     /// The store keeps nothing of what is held against a request any more.
     QuarantineGone(Content),
+    /// An availability zone is no longer evacuated.
+    ZoneTakenBack(Name),
 }
 
 /// Items of the store. They are passed on to other instances as they are.
--- a/crates/gateway/src/store_intake.rs
+++ b/crates/gateway/src/store_intake.rs
@@ -1,5 +1,6 @@
 //! Taking in what the store holds.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::SystemTime;
 
@@ -9,6 +10,7 @@
 use jd_serving::StoreItem;
 use jd_serving::UpstreamEntry;
 use jd_types::Incarnation;
+use jd_types::Name;
 
 use crate::Change;
 use crate::QuarantineRecord;
@@ -62,6 +64,7 @@
         let mut upstreams: Vec<UpstreamEntry> = Vec::new();
         let mut instances: Vec<Incarnation> = Vec::new();
         let mut quarantined: Vec<Content> = Vec::new();
+        let mut evacuated: BTreeSet<Name> = BTreeSet::new();
         let mut changed = false;
         for (change, written) in changes {
             match change {
@@ -69,6 +72,9 @@
                 Change::UpstreamUnreadable { id, reason } => {
                     changed |= self.leave_out(&id, &reason, written);
                 }
+                Change::Put(Record::EvacuatedZone(zone)) => {
+                    evacuated.insert(zone);
+                }
                 Change::Put(record) => {
                     match &record {
                         Record::Instance(entry) => instances.push(entry.incarnation),
@@ -77,7 +83,10 @@
                     }
                     self.take_record(record, written);
                 }
-                Change::UpstreamGone(_) | Change::InstanceGone(_) | Change::QuarantineGone(_) => {}
+                Change::UpstreamGone(_)
+                | Change::InstanceGone(_)
+                | Change::QuarantineGone(_)
+                | Change::ZoneTakenBack(_) => {}
             }
         }
         self.state.quarantine.relist(&quarantined);
@@ -86,6 +95,7 @@
             let mut knowledge = self.state.knowledge();
             knowledge.instances.relist(&instances);
             changed |= knowledge.upstreams.replace(now, upstreams);
+            changed |= knowledge.evacuated.replace(now, evacuated);
         }
         if changed {
             self.state.rebuild_upstreams();
@@ -106,6 +116,14 @@
                     log::info!(upstream:% = entry.id, leaving = entry.leaving, revision; "upstream");
                     changed |= self.state.knowledge().upstreams.put(entry);
                 }
+                Change::Put(Record::EvacuatedZone(zone)) => {
+                    log::info!(zone:% = zone, revision; "zone evacuated: nothing new goes to its upstreams");
+                    changed |= self.state.knowledge().evacuated.evacuate(zone);
+                }
+                Change::ZoneTakenBack(zone) => {
+                    log::info!(zone:% = zone, revision; "zone taken back");
+                    changed |= self.state.knowledge().evacuated.take_back(now, &zone);
+                }
                 Change::Put(record) => self.take_record(record, written),
                 Change::UpstreamGone(id) => {
                     log::info!(upstream:% = id, revision; "upstream entry removed");
@@ -190,6 +208,9 @@
             Record::Upstream(entry) => {
                 self.state.knowledge().upstreams.put(entry);
             }
+            Record::EvacuatedZone(zone) => {
+                self.state.knowledge().evacuated.evacuate(zone);
+            }
             Record::Quarantine(record) => self.take_quarantine(record),
             Record::Unreadable { key, reason } => {
                 log::error!(key:% = key, reason:% = reason; "record not understood, left out");
--- a/crates/gateway/src/upstream_table.rs
+++ b/crates/gateway/src/upstream_table.rs
@@ -9,6 +9,7 @@
 use jd_policy::PoolTable;
 use jd_policy::RoutingPolicy;
 use jd_policy::Upstream;
+use jd_serving::EvacuatedZones;
 use jd_serving::PromptUpstream;
 use jd_serving::StageUpstream;
 use jd_serving::UpstreamEntry;
@@ -48,6 +49,8 @@
     start: UpstreamStart,
     upstream: Arc<Upstream>,
     started_again: Arc<Latch>,
+    /// It stands in a zone that is evacuated: it is there, and gets nothing new.
+    evacuated: bool,
 }
 
 impl Known {
@@ -56,6 +59,7 @@
             start: entry.start,
             upstream: Arc::new(Upstream::new(entry.address, entry.zone.clone(), since)),
             started_again: Arc::default(),
+            evacuated: false,
         }
     }
 
@@ -80,23 +84,30 @@
 
 impl UpstreamTable {
     /// The table of `entries` for an instance in `zone`. Upstreams that leave
-    /// are not in it: nothing new may reach them.
+    /// are not in it: nothing new may reach them. Those of an evacuated zone are
+    /// known and are not chosen.
     pub(crate) fn next<'a>(
         &self,
         now: MonoTime,
         entries: impl Iterator<Item = &'a UpstreamEntry>,
+        evacuated: &EvacuatedZones,
         zone: &Name,
     ) -> UpstreamTable {
-        let mut grouped: HashMap<CompactString, Vec<&UpstreamEntry>> = HashMap::new();
-        for entry in entries.filter(|e| !e.leaving) {
-            grouped
-                .entry(entry.service.clone())
-                .or_default()
-                .push(entry);
-        }
         let first = self.by_id.is_empty();
         let since = if first { MonoTime::ZERO } else { now };
         let mut by_id = HashMap::new();
+        let mut grouped: HashMap<CompactString, Vec<&UpstreamEntry>> = HashMap::new();
+        for entry in entries.filter(|e| !e.leaving) {
+            let before = self.by_id.get(&entry.id);
+            let kept = before.and_then(|k| k.kept_for(entry));
+            let mut known = kept.unwrap_or_else(|| Known::new(entry, since));
+            known.evacuated = evacuated.is_evacuated(&entry.zone);
+            if !known.evacuated {
+                let service = grouped.entry(entry.service.clone());
+                service.or_default().push(entry);
+            }
+            by_id.insert(entry.id.clone(), known);
+        }
         let mut services = HashMap::new();
         for (service, mut entries) in grouped {
             entries.sort_by(|a, b| a.id.cmp(&b.id));
@@ -104,13 +115,10 @@
             let mut starts = Vec::with_capacity(entries.len());
             let mut started_again = Vec::with_capacity(entries.len());
             for entry in &entries {
-                let before = self.by_id.get(&entry.id);
-                let kept = before.and_then(|k| k.kept_for(entry));
-                let known = kept.unwrap_or_else(|| Known::new(entry, since));
+                let known: &Known = &by_id[&entry.id];
                 upstreams.push(Arc::clone(&known.upstream));
                 starts.push(known.start);
                 started_again.push(Arc::clone(&known.started_again));
-                by_id.insert(entry.id.clone(), known);
             }
             let slots = entries.iter().map(|e| e.slots).max().unwrap_or(1);
             let table = ServiceTable {
@@ -163,10 +171,10 @@
     /// True if the upstream may still get new work at this address.
     pub(crate) fn has(&self, id: &str, address: SocketAddr) -> bool {
         let known = self.by_id.get(id);
-        known.is_some_and(|k| k.upstream.address == address)
+        known.is_some_and(|k| k.upstream.address == address && !k.evacuated)
     }
 
-    /// The start of an upstream that may get new work; none if it may not.
+    /// The start of an upstream that is there and does not leave.
     pub(crate) fn start_of(&self, id: &str) -> Option<UpstreamStart> {
         self.by_id.get(id).map(|known| known.start)
     }
--- a/crates/gateway/tests/whole/fakes/fake_store.rs
+++ b/crates/gateway/tests/whole/fakes/fake_store.rs
@@ -23,6 +23,7 @@
 use jd_serving::InstanceEntry;
 use jd_serving::StoreItem;
 use jd_types::Incarnation;
+use jd_types::Name;
 
 /// Items in one page.
 const PAGE: usize = 3;
@@ -128,20 +129,27 @@
         }
     }
 
-    /// The places of all records but those of upstreams that were removed.
+    /// The places of all records but those of upstreams that were removed and of
+    /// zones that were taken back.
     fn listed(&self) -> Vec<usize> {
         let said = self.said.list.lock().expect("a lock");
         let gone = |id: &str| {
             let is_removal = |c: &Change| matches!(c, Change::UpstreamGone(g) if g == id);
             said.iter().any(is_removal)
         };
+        let taken_back = |zone: &Name| {
+            let is_return = |c: &Change| matches!(c, Change::ZoneTakenBack(z) if z == zone);
+            said.iter().any(is_return)
+        };
         let is_listed = |change: &Change| match change {
             Change::Put(Record::Upstream(entry)) => !gone(&entry.id),
+            Change::Put(Record::EvacuatedZone(zone)) => !taken_back(zone),
             Change::Put(_) => true,
             Change::UpstreamUnreadable { .. }
             | Change::UpstreamGone(_)
             | Change::InstanceGone(_)
-            | Change::QuarantineGone(_) => false,
+            | Change::QuarantineGone(_)
+            | Change::ZoneTakenBack(_) => false,
         };
         let numbered = said.iter().enumerate();
         let listed = numbered.filter(|(_, change)| is_listed(change));
--- a/crates/gateway/tests/whole/fakes/harness.rs
+++ b/crates/gateway/tests/whole/fakes/harness.rs
@@ -21,6 +21,7 @@
 use jd_serving::UpstreamStart;
 use jd_settings::GatewaySettings;
 use jd_types::Incarnation;
+use jd_types::Name;
 use jd_wire::FollowReply;
 use jd_wire::FollowRequest;
 use jd_wire::GatewayClient;
@@ -173,6 +174,21 @@
         self.store.change(Change::Put(record));
     }
 
+    /// Has an upstream's entry say that it stands in another zone.
+    pub(crate) fn place_in_zone(&self, upstream: usize, zone: &str) {
+        let address = self.servers[upstream].address();
+        let mut record = entry(
+            &format!("i-{upstream}"),
+            "pool",
+            address,
+            UpstreamStart::UNTOLD,
+        );
+        if let Record::Upstream(entry) = &mut record {
+            entry.zone = Name::try_from(zone).expect("a name");
+        }
+        self.store.change(Change::Put(record));
+    }
+
     pub(crate) fn executor(&self) -> Arc<Executor<'static>> {
         self.workers.executor()
     }
--- a/crates/gateway/tests/whole/main.rs
+++ b/crates/gateway/tests/whole/main.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::expect_used, clippy::panic)]
 
 mod crashes;
+mod evacuation;
 mod fakes;
 mod fleet;
 mod innocents;
--- a/crates/serving/src/job_end.rs
+++ b/crates/serving/src/job_end.rs
@@ -19,7 +19,8 @@
     NoUpstream,
     /// A piece failed too often.
     PieceFailed,
-    /// Another instance fills the batches now, and nothing has been done yet.
+    /// Another instance fills the batches now and nothing has been done yet, or no
+    /// upstream is left here. They are to be asked for elsewhere.
     Moved,
     /// The request ends the upstreams that run it, and is kept from them for that time.
     Quarantined(Duration),
--- a/crates/serving/src/stage_desk.rs
+++ b/crates/serving/src/stage_desk.rs
@@ -160,12 +160,14 @@
         }
     }
 
-    /// Ends jobs whose time is over. Their pieces would be worked on in vain.
+    /// Ends jobs whose time is over, and those that nobody here can do. Their pieces
+    /// would be worked on or wait in vain.
     pub fn expire(&mut self, now: MonoTime) {
         for (service, upstream, bytes) in self.room.expire(now) {
             self.give_room(&service, &upstream, bytes);
         }
         self.release_read(now);
+        self.move_stranded();
         let over = |job: &Job| job.progress.job().deadline <= now;
         let keys: Vec<JobKey> = self
             .jobs
@@ -181,6 +183,22 @@
         }
     }
 
+    /// Ends jobs that need a service which has no upstream here any more, so that
+    /// they are asked for where there are some.
+    ///
+    /// Guards against requests that wait until their deadline after all of a zone's
+    /// upstreams were taken out of use at once, while other zones could serve them.
+    fn move_stranded(&mut self) {
+        let emptied = self.queues.iter().filter(|(_, q)| q.upstreams.is_empty());
+        let emptied: Vec<&CompactString> = emptied.map(|(service, _)| service).collect();
+        let needs = |job: &Job| emptied.iter().any(|s| job.progress.unasked(s) > 0);
+        let stranded = self.jobs.iter().filter(|(_, job)| needs(job));
+        let stranded: Vec<JobKey> = stranded.map(|(key, _)| *key).collect();
+        for key in stranded {
+            self.fail(key, JobFailure::Moved);
+        }
+    }
+
     /// Ends the jobs of requests that are kept from upstreams from now on.
     /// `left` tells for how long.
     pub fn quarantine(&mut self, left: impl Fn(Content) -> Option<Duration>) {
