An upstream that has just started is sent no more than it bears, by all instances together

Cause: no decision knew that an upstream is cold. Its entry's time was checked and dropped, the service's bound not read, and a zone that is taken back told nobody that its upstreams may have just started. Ruled out: a bound for each instance (8.9 a second over 85 instances is less than one each); asking upstreams or an owner before each send (calls, and a wait where there is none today). Change: each instance has a part of what a cold upstream bears, by its rank among all for that upstream, and counts its own sends; the others go to their next choice. An upstream counts as cold by its entry, since it was first seen, since its zone was taken back, and after connections to it could not be opened.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -10,6 +10,7 @@
 use http::StatusCode;
 use jd_net::HttpResponse;
 use jd_net::SendError;
+use jd_net::lock;
 use jd_serving::Content;
 use jd_types::AttemptOutcome;
 use jd_types::MonoTime;
@@ -54,6 +55,9 @@
 impl OpenAttempt {
     pub(crate) fn begin(state: &Arc<State>, call: &Call, chosen: Chosen) -> OpenAttempt {
         chosen.upstream.started();
+        if let Some(spec) = state.cold_spec(&call.service) {
+            lock(&chosen.cold).sent(state.now(), spec);
+        }
         OpenAttempt {
             state: Arc::clone(state),
             service: call.service.clone(),
@@ -118,6 +122,12 @@
         let now = self.state.now();
         let took = now.since(self.began);
         self.chosen.upstream.finished(now, took, outcome);
+        if outcome == AttemptOutcome::Unreachable {
+            // It is looked for again when it is no longer left alone, and may have
+            // started just before.
+            let looked_for = self.chosen.upstream.ejected_until();
+            lock(&self.chosen.cold).may_have_started(looked_for);
+        }
         self.state.metrics.attempt(outcome.as_str());
     }
 }
--- a/crates/gateway/src/plain_call.rs
+++ b/crates/gateway/src/plain_call.rs
@@ -110,7 +110,9 @@
     call.check_quarantine(state, runs)?;
     let table = state.upstreams.load();
     let zone = &state.settings.zone;
-    table.pick(&call.service, now, zone, tried).ok_or_else(|| {
+    let cold = state.cold_check(&call.service);
+    let chosen = table.pick(&call.service, now, zone, tried, &cold);
+    chosen.ok_or_else(|| {
         let detail = "no upstream is left to try";
         no_more(runs, RefusalKind::NoUpstream, detail)
     })
--- a/crates/gateway/src/stage_runner.rs
+++ b/crates/gateway/src/stage_runner.rs
@@ -253,7 +253,8 @@
         let prompt = call.head.prompt.as_ref()?;
         let (now, instances) = (self.state.now(), self.state.instance_count());
         let table = self.state.upstreams.load();
-        let chosen = table.place(&call.service, now, prompt.session(), instances, &[])?;
+        let cold = self.state.cold_check(&call.service);
+        let chosen = table.place(&call.service, now, prompt.session(), instances, &[], &cold)?;
         Some(chosen.upstream.hall.clone())
     }
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -18,8 +18,10 @@
 use jd_net::Clock;
 use jd_net::HttpPool;
 use jd_net::lock;
+use jd_serving::ColdSpec;
 use jd_serving::Content;
 use jd_serving::EvacuatedZones;
+use jd_serving::FleetPlace;
 use jd_serving::Freshness;
 use jd_serving::InstanceDirectory;
 use jd_serving::InstanceEntry;
@@ -37,6 +39,8 @@
 use jd_settings::GatewaySettings;
 use jd_types::Incarnation;
 use jd_types::MonoTime;
+use jd_types::spread;
+use jd_types::spread_address;
 
 use crate::Dialect;
 use crate::latch::Latch;
@@ -46,6 +50,7 @@
 use crate::run_events::RunEvent;
 use crate::run_events::UpstreamRef;
 use crate::signal::Signal;
+use crate::upstream_table::ColdCheck;
 use crate::upstream_table::UpstreamTable;
 
 /// How long it counts that an instance brought no news or had lost the store. Asked
@@ -281,6 +286,37 @@
         u32::try_from(live + 1).unwrap_or(u32::MAX)
     }
 
+    /// This instance's place among all that are listed, for the upstream at an
+    /// address. By addresses, which outlive a start, and by all that are listed, so
+    /// that an instance that has just heard of the others does not take itself for
+    /// alone.
+    pub(crate) fn fleet_place(&self, upstream: SocketAddr) -> FleetPlace {
+        let turn = |peers: SocketAddr| spread(spread_address(peers) ^ spread_address(upstream));
+        let own = turn(self.me.peers);
+        let knowledge = self.knowledge();
+        let mut place = FleetPlace { rank: 0, of: 1 };
+        for other in knowledge.instances.entries() {
+            place.of += 1;
+            place.rank += u32::from(turn(other.peers) < own);
+        }
+        place
+    }
+
+    /// What the upstreams of a service bear while they are cold; none where that is
+    /// not bounded.
+    pub(crate) fn cold_spec(&self, service: &str) -> Option<ColdSpec> {
+        let router = self.router.load();
+        router.as_ref()?.service(service)?.cold
+    }
+
+    /// What a choice for a service asks of upstreams that have just started.
+    pub(crate) fn cold_check(&self, service: &str) -> ColdCheck<'_> {
+        ColdCheck {
+            spec: self.cold_spec(service),
+            state: self,
+        }
+    }
+
     /// A request goes to a service for the first time.
     pub(crate) fn first_send(&self, service: &str) {
         let bound = self.repeat_bound();
--- a/crates/gateway/src/store_intake.rs
+++ b/crates/gateway/src/store_intake.rs
@@ -113,8 +113,9 @@
         for (change, written) in self.decode(&items) {
             match change {
                 Change::Put(Record::Upstream(entry)) => {
-                    log::info!(upstream:% = entry.id, leaving = entry.leaving, revision; "upstream");
-                    changed |= self.state.knowledge().upstreams.put(entry);
+                    let cold_ms = entry.cold_left.as_millis() as u64;
+                    log::info!(upstream:% = entry.id, leaving = entry.leaving, cold_ms, revision; "upstream");
+                    changed |= self.state.knowledge().upstreams.put(now, entry);
                 }
                 Change::Put(Record::EvacuatedZone(zone)) => {
                     log::info!(zone:% = zone, revision; "zone evacuated: nothing new goes to its upstreams");
@@ -206,7 +207,8 @@
                 self.state.knowledge().instances.put(now, entry, written);
             }
             Record::Upstream(entry) => {
-                self.state.knowledge().upstreams.put(entry);
+                let now = self.state.now();
+                self.state.knowledge().upstreams.put(now, entry);
             }
             Record::EvacuatedZone(zone) => {
                 self.state.knowledge().evacuated.evacuate(zone);
--- a/crates/gateway/src/stream_call.rs
+++ b/crates/gateway/src/stream_call.rs
@@ -106,12 +106,20 @@
         _ => may_have_run(RefusalKind::UpstreamFailed, detail),
     };
     let table = state.upstreams.load();
+    let cold = state.cold_check(&call.service);
     let chosen = match &call.head.prompt {
         Some(prompt) => {
             let instances = state.instance_count();
-            table.place(&call.service, now, prompt.session(), instances, tried)
+            table.place(
+                &call.service,
+                now,
+                prompt.session(),
+                instances,
+                tried,
+                &cold,
+            )
         }
-        None => table.pick(&call.service, now, &state.settings.zone, tried),
+        None => table.pick(&call.service, now, &state.settings.zone, tried, &cold),
     };
     chosen.ok_or_else(|| refuse(RefusalKind::NoUpstream, "no upstream is left to try"))
 }
--- a/crates/gateway/src/upstream_table.rs
+++ b/crates/gateway/src/upstream_table.rs
@@ -3,13 +3,18 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::Mutex;
 
 use compact_str::CompactString;
+use jd_net::lock;
 use jd_policy::PickRequest;
 use jd_policy::PoolTable;
 use jd_policy::RoutingPolicy;
 use jd_policy::Upstream;
+use jd_serving::ColdSpec;
+use jd_serving::ColdStart;
 use jd_serving::EvacuatedZones;
+use jd_serving::ListedUpstream;
 use jd_serving::PromptUpstream;
 use jd_serving::StageUpstream;
 use jd_serving::UpstreamEntry;
@@ -20,6 +25,7 @@
 use jd_types::UpstreamKey;
 
 use crate::latch::Latch;
+use crate::state::State;
 
 /// An upstream that was chosen for a request.
 #[derive(Debug, Clone)]
@@ -32,6 +38,26 @@
     pub(crate) upstream: Arc<Upstream>,
     /// Set once it is known to have started again since.
     pub(crate) started_again: Arc<Latch>,
+    /// Whether it has just started, and what was sent there since.
+    pub(crate) cold: Arc<Mutex<ColdStart>>,
+}
+
+/// What a choice asks of upstreams that have just started.
+pub(crate) struct ColdCheck<'a> {
+    /// What they bear; none where that is not bounded.
+    pub(crate) spec: Option<ColdSpec>,
+    /// Tells this instance's place among all.
+    pub(crate) state: &'a State,
+}
+
+impl ColdCheck<'_> {
+    /// True if this instance may send to the upstream now.
+    fn allows(&self, now: MonoTime, known: &Known) -> bool {
+        self.spec.is_none_or(|spec| {
+            let place = || self.state.fleet_place(known.upstream.address);
+            lock(&known.cold).bears(now, spec, place)
+        })
+    }
 }
 
 #[derive(Debug)]
@@ -39,8 +65,7 @@
     ids: Vec<CompactString>,
     slots: u32,
     pool: PoolTable,
-    starts: Vec<UpstreamStart>,
-    started_again: Vec<Arc<Latch>>,
+    known: Vec<Known>,
 }
 
 /// One start of an upstream.
@@ -51,12 +76,21 @@
     started_again: Arc<Latch>,
     /// It stands in a zone that is evacuated: it is there, and gets nothing new.
     evacuated: bool,
+    cold: Arc<Mutex<ColdStart>>,
 }
 
 impl Known {
-    fn new(entry: &UpstreamEntry, since: MonoTime) -> Known {
+    /// An upstream first seen at `since`; [`MonoTime::ZERO`] if it was there before
+    /// this instance was.
+    fn new(listed: &ListedUpstream<'_>, since: MonoTime) -> Known {
+        let entry = listed.entry;
+        let mut cold = ColdStart::default();
+        if since != MonoTime::ZERO {
+            cold.may_have_started(since);
+        }
         Known {
             start: entry.start,
+            cold: Arc::new(Mutex::new(cold)),
             upstream: Arc::new(Upstream::new(entry.address, entry.zone.clone(), since)),
             started_again: Arc::default(),
             evacuated: false,
@@ -64,7 +98,8 @@
     }
 
     /// What is known of the upstream of an entry, if that is of the same start.
-    fn kept_for(&self, entry: &UpstreamEntry) -> Option<Known> {
+    fn kept_for(&self, listed: &ListedUpstream<'_>) -> Option<Known> {
+        let entry = listed.entry;
         let again = entry.start.is_later_than(self.start);
         let same = !again && self.upstream.address == entry.address;
         same.then(|| Known {
@@ -89,7 +124,7 @@
     pub(crate) fn next<'a>(
         &self,
         now: MonoTime,
-        entries: impl Iterator<Item = &'a UpstreamEntry>,
+        entries: impl Iterator<Item = ListedUpstream<'a>>,
         evacuated: &EvacuatedZones,
         zone: &Name,
     ) -> UpstreamTable {
@@ -97,10 +132,18 @@
         let since = if first { MonoTime::ZERO } else { now };
         let mut by_id = HashMap::new();
         let mut grouped: HashMap<CompactString, Vec<&UpstreamEntry>> = HashMap::new();
-        for entry in entries.filter(|e| !e.leaving) {
+        for listed in entries.filter(|l| !l.entry.leaving) {
+            let entry = listed.entry;
             let before = self.by_id.get(&entry.id);
-            let kept = before.and_then(|k| k.kept_for(entry));
-            let mut known = kept.unwrap_or_else(|| Known::new(entry, since));
+            let kept = before.and_then(|k| k.kept_for(&listed));
+            let mut known = kept.unwrap_or_else(|| Known::new(&listed, since));
+            {
+                let mut cold = lock(&known.cold);
+                cold.told(listed.cold_until);
+                if let Some(at) = evacuated.taken_back_at(&entry.zone) {
+                    cold.may_have_started(at);
+                }
+            }
             known.evacuated = evacuated.is_evacuated(&entry.zone);
             if !known.evacuated {
                 let service = grouped.entry(entry.service.clone());
@@ -111,22 +154,15 @@
         let mut services = HashMap::new();
         for (service, mut entries) in grouped {
             entries.sort_by(|a, b| a.id.cmp(&b.id));
-            let mut upstreams = Vec::with_capacity(entries.len());
-            let mut starts = Vec::with_capacity(entries.len());
-            let mut started_again = Vec::with_capacity(entries.len());
-            for entry in &entries {
-                let known: &Known = &by_id[&entry.id];
-                upstreams.push(Arc::clone(&known.upstream));
-                starts.push(known.start);
-                started_again.push(Arc::clone(&known.started_again));
-            }
+            let known = entries.iter().map(|e| by_id[&e.id].clone());
+            let known: Vec<Known> = known.collect();
+            let upstreams = known.iter().map(|k| Arc::clone(&k.upstream)).collect();
             let slots = entries.iter().map(|e| e.slots).max().unwrap_or(1);
             let table = ServiceTable {
                 ids: entries.iter().map(|e| e.id.clone()).collect(),
                 slots,
                 pool: PoolTable::new(upstreams, slots, zone),
-                starts,
-                started_again,
+                known,
             };
             services.insert(service, table);
         }
@@ -192,12 +228,15 @@
         now: MonoTime,
         zone: &Name,
         tried: &[CompactString],
+        cold: &ColdCheck<'_>,
     ) -> Option<Chosen> {
         let table = self.services.get(service)?;
+        let mut exclude = table.keys_of(tried);
+        exclude.extend(table.keys(|known| !cold.allows(now, known)));
         let req = PickRequest {
             hall: zone,
             affinity: None,
-            exclude: &table.keys_of(tried),
+            exclude: &exclude,
         };
         let mut rng = fastrand::Rng::new();
         let policy = RoutingPolicy::TwoChoices;
@@ -213,25 +252,39 @@
         session: u64,
         instances: u32,
         tried: &[CompactString],
+        cold: &ColdCheck<'_>,
     ) -> Option<Chosen> {
         let table = self.services.get(service)?;
         let views = table.views(now, &table.keys_of(tried));
         let order = place_prompt(session, &views, table.slots, instances);
-        let key = UpstreamKey::from_index(u32::try_from(*order.first()?).ok()?);
+        let bearing = |n: &usize| cold.allows(now, &table.known[*n]);
+        let first = order.into_iter().find(bearing)?;
+        let key = UpstreamKey::from_index(u32::try_from(first).ok()?);
         Some(table.chosen(key))
     }
 }
 
 impl ServiceTable {
     fn chosen(&self, key: UpstreamKey) -> Chosen {
+        let known = self.known[key.index()].clone();
         Chosen {
             id: self.ids[key.index()].clone(),
-            start: self.starts[key.index()],
-            upstream: Arc::clone(&self.pool.upstreams()[key.index()]),
-            started_again: Arc::clone(&self.started_again[key.index()]),
+            start: known.start,
+            upstream: known.upstream,
+            started_again: known.started_again,
+            cold: known.cold,
         }
     }
 
+    /// The places of those that are like this.
+    fn keys(&self, is_one: impl Fn(&Known) -> bool) -> Vec<UpstreamKey> {
+        let keys = (0..).map(UpstreamKey::from_index);
+        let all = self.known.iter().zip(keys);
+        all.filter(|(known, _)| is_one(known))
+            .map(|(_, k)| k)
+            .collect()
+    }
+
     /// The places of those that are still there.
     fn keys_of(&self, ids: &[CompactString]) -> Vec<UpstreamKey> {
         let keys = (0..).map(UpstreamKey::from_index);
--- a/crates/gateway/tests/whole/fakes/deployments.rs
+++ b/crates/gateway/tests/whole/fakes/deployments.rs
@@ -5,6 +5,7 @@
 
 use jd_gateway::Record;
 use jd_serving::BatchSpec;
+use jd_serving::ColdSpec;
 use jd_serving::CustomerSpec;
 use jd_serving::Deployment;
 use jd_serving::Repeat;
@@ -57,6 +58,7 @@
         zone: Name::try_from("a").expect("a name"),
         slots: 4,
         leaving: false,
+        cold_left: Duration::ZERO,
     })
 }
 
@@ -82,6 +84,22 @@
     }
 }
 
+/// The same where upstreams that have just started bear `per_s` requests a second.
+pub(crate) fn cold_deployment(per_s: f64) -> Deployment {
+    let mut cold = deployment();
+    cold.services.push(Service {
+        name: "pool".into(),
+        max_connections: 8,
+        batch: None,
+        cold: Some(ColdSpec {
+            lasts: Duration::from_secs(60),
+            per_s,
+        }),
+        generation: None,
+    });
+    cold
+}
+
 /// The same with a stage before `/staged/`.
 pub(crate) fn staged_deployment() -> Deployment {
     let mut staged = deployment();
@@ -96,6 +114,7 @@
         name: "stages".into(),
         max_connections: 8,
         batch: Some(STAGE),
+        cold: None,
         generation: None,
     });
     staged
--- a/crates/gateway/tests/whole/fakes/harness.rs
+++ b/crates/gateway/tests/whole/fakes/harness.rs
@@ -18,6 +18,7 @@
 use jd_net::HttpPool;
 use jd_net::HttpServer;
 use jd_net::Workers;
+use jd_serving::UpstreamEntry;
 use jd_serving::UpstreamStart;
 use jd_settings::GatewaySettings;
 use jd_types::Incarnation;
@@ -176,6 +177,16 @@
 
     /// Has an upstream's entry say that it stands in another zone.
     pub(crate) fn place_in_zone(&self, upstream: usize, zone: &str) {
+        let zone = Name::try_from(zone).expect("a name");
+        self.rewrite_entry(upstream, |entry| entry.zone = zone);
+    }
+
+    /// Has an upstream's entry say that it is cold.
+    pub(crate) fn make_cold(&self, upstream: usize, left: Duration) {
+        self.rewrite_entry(upstream, |entry| entry.cold_left = left);
+    }
+
+    fn rewrite_entry(&self, upstream: usize, change: impl FnOnce(&mut UpstreamEntry)) {
         let address = self.servers[upstream].address();
         let mut record = entry(
             &format!("i-{upstream}"),
@@ -184,7 +195,7 @@
             UpstreamStart::UNTOLD,
         );
         if let Record::Upstream(entry) = &mut record {
-            entry.zone = Name::try_from(zone).expect("a name");
+            change(entry);
         }
         self.store.change(Change::Put(record));
     }
--- a/crates/gateway/tests/whole/fakes/mod.rs
+++ b/crates/gateway/tests/whole/fakes/mod.rs
@@ -8,6 +8,7 @@
 mod fake_upstream;
 mod harness;
 
+pub(crate) use deployments::cold_deployment;
 pub(crate) use deployments::deployment;
 pub(crate) use ending_upstreams::EndingUpstreams;
 pub(crate) use fake_dialect::FakeDialect;
--- a/crates/policy/src/upstream.rs
+++ b/crates/policy/src/upstream.rs
@@ -126,7 +126,12 @@
 
     /// True while it is ejected.
     pub fn is_ejected(&self, now: MonoTime) -> bool {
-        now.as_micros() < self.ejected_until.load(Ordering::Relaxed)
+        now < self.ejected_until()
+    }
+
+    /// Until when it is left alone; long ago if it never was.
+    pub fn ejected_until(&self) -> MonoTime {
+        MonoTime::from_micros(self.ejected_until.load(Ordering::Relaxed))
     }
 
     /// The mean time of its answers; zero before the first.
--- a/crates/serving/src/service.rs
+++ b/crates/serving/src/service.rs
@@ -4,6 +4,8 @@
 
 use compact_str::CompactString;
 
+use crate::ColdSpec;
+
 /// A pool of upstreams of one kind.
 #[derive(Debug, Clone)]
 pub struct Service {
@@ -13,6 +15,8 @@
     pub max_connections: u32,
     /// Set if its upstreams work on pieces of stages.
     pub batch: Option<BatchSpec>,
+    /// Set if its upstreams bear less for a while after their start.
+    pub cold: Option<ColdSpec>,
     /// Set if its upstreams generate from prompts.
     pub generation: Option<GenerationSpec>,
 }
--- a/crates/serving/src/upstream_directory.rs
+++ b/crates/serving/src/upstream_directory.rs
@@ -31,6 +31,18 @@
     pub slots: u32,
     /// True once it is about to stop.
     pub leaving: bool,
+    /// How much longer it is cold, from when the entry was written.
+    pub cold_left: Duration,
+}
+
+/// An upstream in use.
+#[derive(Debug, Clone, Copy)]
+pub struct ListedUpstream<'a> {
+    /// What it says of itself.
+    pub entry: &'a UpstreamEntry,
+    /// Until when it is cold by its own word. Its entry is older than its reading, so
+    /// that it is warm by then at the latest.
+    pub cold_until: MonoTime,
 }
 
 /// Which upstreams there are, as the store tells and tolerating its absence.
@@ -50,6 +62,7 @@
 struct Known {
     entry: UpstreamEntry,
     lapsed: bool,
+    cold_until: MonoTime,
 }
 
 impl UpstreamDirectory {
@@ -76,12 +89,12 @@
     /// than the one that is known is news that comes late, and changes nothing; one
     /// that does not tell its start, where upstreams do, is another writer's and names
     /// no upstream.
-    pub fn put(&mut self, entry: UpstreamEntry) -> bool {
-        let most_tell = most_tell_start(self.entries());
-        self.take(entry, most_tell)
+    pub fn put(&mut self, now: MonoTime, entry: UpstreamEntry) -> bool {
+        let most_tell = most_tell_start(self.entries().map(|l| l.entry));
+        self.take(now, entry, most_tell)
     }
 
-    fn take(&mut self, entry: UpstreamEntry, most_tell: bool) -> bool {
+    fn take(&mut self, now: MonoTime, entry: UpstreamEntry, most_tell: bool) -> bool {
         if most_tell && !entry.start.is_told() {
             return self.leave_out(&entry.id);
         }
@@ -92,9 +105,13 @@
         if known.is_some_and(|k| k.entry == entry && !k.lapsed) {
             return false;
         }
-        let lapsed = false;
         let id = entry.id.clone();
-        self.known.insert(id, Known { entry, lapsed });
+        let known = Known {
+            cold_until: now + entry.cold_left,
+            lapsed: false,
+            entry,
+        };
+        self.known.insert(id, known);
         true
     }
 
@@ -133,7 +150,7 @@
         }
         let most_tell = most_tell_start(entries.iter());
         for entry in entries {
-            changed |= self.take(entry, most_tell);
+            changed |= self.take(now, entry, most_tell);
         }
         changed
     }
@@ -149,8 +166,11 @@
     }
 
     /// All upstreams in use.
-    pub fn entries(&self) -> impl Iterator<Item = &UpstreamEntry> {
-        self.known.values().map(|k| &k.entry)
+    pub fn entries(&self) -> impl Iterator<Item = ListedUpstream<'_>> {
+        self.known.values().map(|k| ListedUpstream {
+            entry: &k.entry,
+            cold_until: k.cold_until,
+        })
     }
 
     fn may_return(&self, now: MonoTime) -> bool {
--- a/crates/serving/tests/knowledge.rs
+++ b/crates/serving/tests/knowledge.rs
@@ -28,11 +28,15 @@
         zone: Name::try_from("a").expect("a name"),
         slots: 4,
         leaving,
+        cold_left: Duration::ZERO,
     }
 }
 
 fn ids(directory: &UpstreamDirectory) -> Vec<String> {
-    let mut ids: Vec<String> = directory.entries().map(|e| e.id.to_string()).collect();
+    let mut ids: Vec<String> = directory
+        .entries()
+        .map(|l| l.entry.id.to_string())
+        .collect();
     ids.sort_unstable();
     ids
 }
@@ -96,13 +100,13 @@
 #[test]
 fn entries_that_lapsed_with_the_store_stay_in_use_until_it_is_back() {
     let mut directory = UpstreamDirectory::default();
-    directory.put(upstream("i-1", false));
-    directory.put(upstream("i-2", false));
+    directory.put(at(0), upstream("i-1", false));
+    directory.put(at(0), upstream("i-2", false));
     directory.store_away();
     assert!(directory.store_back(at(10_000)));
     assert!(!directory.replace(at(10_000), Vec::new()));
     assert_eq!(ids(&directory), ["i-1", "i-2"]);
-    assert!(directory.put(upstream("i-1", false)));
+    assert!(directory.put(at(0), upstream("i-1", false)));
     assert!(!directory.expire(at(11_900)));
     assert!(directory.expire(at(12_100)));
     assert_eq!(ids(&directory), ["i-1"]);
@@ -113,7 +117,7 @@
 #[test]
 fn an_upstream_that_was_leaving_is_gone_at_once() {
     let mut directory = UpstreamDirectory::default();
-    directory.put(upstream("i-1", true));
+    directory.put(at(0), upstream("i-1", true));
     directory.store_away();
     directory.store_back(at(10_000));
     assert!(directory.remove(at(10_000), "i-1"));
@@ -123,7 +127,7 @@
 #[test]
 fn an_entry_removed_while_the_store_is_well_is_gone_at_once() {
     let mut directory = UpstreamDirectory::default();
-    directory.put(upstream("i-1", false));
+    directory.put(at(0), upstream("i-1", false));
     assert!(directory.remove(at(1_000), "i-1"));
     assert!(ids(&directory).is_empty());
 }
@@ -131,9 +135,9 @@
 #[test]
 fn a_heartbeat_is_no_change() {
     let mut directory = UpstreamDirectory::default();
-    assert!(directory.put(upstream("i-1", false)));
-    assert!(!directory.put(upstream("i-1", false)));
-    assert!(directory.put(upstream("i-1", true)));
+    assert!(directory.put(at(0), upstream("i-1", false)));
+    assert!(!directory.put(at(0), upstream("i-1", false)));
+    assert!(directory.put(at(0), upstream("i-1", true)));
 }
 
 const BOUND: RepeatBound = RepeatBound {
--- a/crates/serving/tests/restarts.rs
+++ b/crates/serving/tests/restarts.rs
@@ -194,13 +194,14 @@
         zone: name("a"),
         slots: 4,
         leaving: false,
+        cold_left: Duration::ZERO,
     }
 }
 
 fn port_of(directory: &UpstreamDirectory, id: &str) -> Option<u16> {
     let mut entries = directory.entries();
-    let found = entries.find(|e| e.id == id)?;
-    Some(found.address.port())
+    let found = entries.find(|l| l.entry.id == id)?;
+    Some(found.entry.address.port())
 }
 
 /// A write of an earlier start is done seconds after it was sent, when the upstream
@@ -209,10 +210,10 @@
 fn an_entry_of_an_earlier_start_does_not_take_the_place_of_a_later_one() {
     let mut directory = UpstreamDirectory::default();
     let start = UpstreamStart::at_millis;
-    assert!(directory.put(entry("i-1", start(2_000), 81)));
-    assert!(!directory.put(entry("i-1", start(1_000), 80)));
+    assert!(directory.put(MonoTime::ZERO, entry("i-1", start(2_000), 81)));
+    assert!(!directory.put(MonoTime::ZERO, entry("i-1", start(1_000), 80)));
     assert_eq!(port_of(&directory, "i-1"), Some(81));
-    assert!(directory.put(entry("i-1", start(3_000), 82)));
+    assert!(directory.put(MonoTime::ZERO, entry("i-1", start(3_000), 82)));
     assert_eq!(port_of(&directory, "i-1"), Some(82));
 }
 
@@ -222,10 +223,10 @@
 fn an_entry_without_a_start_names_no_upstream_where_others_tell_theirs() {
     let mut directory = UpstreamDirectory::default();
     let start = UpstreamStart::at_millis;
-    directory.put(entry("i-1", start(1_000), 81));
-    directory.put(entry("i-2", start(1_000), 82));
-    assert!(!directory.put(entry("i-3", UpstreamStart::UNTOLD, 83)));
-    assert!(directory.put(entry("i-2", UpstreamStart::UNTOLD, 82)));
+    directory.put(MonoTime::ZERO, entry("i-1", start(1_000), 81));
+    directory.put(MonoTime::ZERO, entry("i-2", start(1_000), 82));
+    assert!(!directory.put(MonoTime::ZERO, entry("i-3", UpstreamStart::UNTOLD, 83)));
+    assert!(directory.put(MonoTime::ZERO, entry("i-2", UpstreamStart::UNTOLD, 82)));
     assert_eq!(directory.entries().count(), 1);
     assert_eq!(port_of(&directory, "i-1"), Some(81));
 }
@@ -239,7 +240,7 @@
     entries.extend((1..5).map(|n| entry(&format!("i-{n}"), UpstreamStart::UNTOLD, 80 + n)));
     directory.replace(MonoTime::ZERO, entries);
     assert_eq!(directory.entries().count(), 5);
-    assert!(directory.put(entry("i-5", UpstreamStart::UNTOLD, 85)));
+    assert!(directory.put(MonoTime::ZERO, entry("i-5", UpstreamStart::UNTOLD, 85)));
 }
 
 /// An entry is written over while the store comes and goes. It does not count as
@@ -247,7 +248,7 @@
 #[test]
 fn an_entry_written_over_is_left_out_at_once() {
     let mut directory = UpstreamDirectory::default();
-    directory.put(entry("i-1", UpstreamStart::UNTOLD, 81));
+    directory.put(MonoTime::ZERO, entry("i-1", UpstreamStart::UNTOLD, 81));
     directory.store_away();
     assert!(directory.leave_out("i-1"));
     assert_eq!(directory.entries().count(), 0);
