What cannot end before its deadline is refused at once

Cause: a request whose caller has little time left was judged by its objective, which counts anew with each attempt. Most are callers that hung at a dead instance and come back. Ruled out: starvation of late work beside what is in time. These requests began a second or less before they were given up, at seconds with free upstreams. Change: the objective is no later than the deadline, and what waits for a call that can bring its end no more, by calls for one piece at the operator's figures, ends at once.

--- a/crates/serving/src/desk_estimates.rs
+++ b/crates/serving/src/desk_estimates.rs
@@ -111,6 +111,18 @@
         path.saturating_sub(own_wait.unwrap_or_default())
     }
 
+    /// How long the stages from `stage` on take at the very least: calls for one piece,
+    /// without a wait, no slower than the operator's figures say.
+    pub(crate) fn least_time(&self, progress: &JobProgress, stage: usize) -> Duration {
+        let call_time = |service: &str, _pieces: usize| {
+            let queue = self.queues.get(service);
+            queue.map_or(Duration::ZERO, |q| {
+                q.spec.call_time(1).mul_f64(q.pace.min(1.0))
+            })
+        };
+        progress.path_time(stage, &call_time)
+    }
+
     /// Services where more late work waits than fits into one call. Late jobs are
     /// not begun that lead there: their results would expire before their turn.
     pub(crate) fn clogged(&self) -> Vec<CompactString> {
--- a/crates/serving/src/stage_desk.rs
+++ b/crates/serving/src/stage_desk.rs
@@ -1,5 +1,6 @@
 //! Which pieces of which requests go to which upstream, and when.
 
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -67,7 +68,8 @@
         if !used.all(|s| is_served(&s.service)) {
             return Err(JobFailure::NoUpstream);
         }
-        let objective = self.returning.objective(now, &job);
+        // One whose deadline comes first cannot gain anything after it.
+        let objective = self.returning.objective(now, &job).min(job.deadline);
         let progress = JobProgress::new(StageJob { objective, ..job });
         let expected = self.expected_end(now, &progress);
         let (depth, priority) = (progress.depth(), progress.job().priority);
@@ -168,14 +170,7 @@
         }
         self.release_read(now);
         self.move_stranded();
-        let over = |job: &Job| job.progress.job().deadline <= now;
-        let keys: Vec<JobKey> = self
-            .jobs
-            .iter()
-            .filter(|(_, j)| over(j))
-            .map(|(k, _)| *k)
-            .collect();
-        for key in keys {
+        for key in self.too_late(now) {
             if let Some(job) = self.jobs.get(&key) {
                 self.returning.refused(now, job.progress.job());
             }
@@ -183,6 +178,17 @@
         }
     }
 
+    /// The jobs whose time is over, and those with a piece that waits for a call which
+    /// cannot bring their end before that any more.
+    fn too_late(&self, now: MonoTime) -> BTreeSet<JobKey> {
+        let over = |job: &Job| job.progress.job().deadline <= now;
+        let over = self.jobs.iter().filter(|(_, job)| over(job));
+        let waiting = self.queues.values().flat_map(|q| &q.waiting);
+        let worthless = waiting.filter(|(_, w)| w.worthless_from < now);
+        let worthless = worthless.map(|(rank, _)| rank.job);
+        over.map(|(key, _)| *key).chain(worthless).collect()
+    }
+
     /// Ends jobs that need a service which has no upstream here any more, so that
     /// they are asked for where there are some.
     ///
@@ -295,6 +301,9 @@
             since: now,
             not_before,
             start_by,
+            worthless_from: spec
+                .deadline
+                .before(self.least_time(&job.progress, piece.stage)),
             zone: self.wanted_zone(job, piece.stage),
             anywhere_from: not_before + near_wait,
         };
--- a/crates/serving/src/stage_queue.rs
+++ b/crates/serving/src/stage_queue.rs
@@ -38,6 +38,8 @@
     pub(crate) not_before: MonoTime,
     /// When it has to start for its job to be in time, whatever its priority.
     pub(crate) start_by: MonoTime,
+    /// When its job cannot end before its deadline any more.
+    pub(crate) worthless_from: MonoTime,
     pub(crate) zone: Option<Name>,
     pub(crate) anywhere_from: MonoTime,
 }
