--- /dev/null
+++ b/crates/gateway/src/knowledge.rs
@@ -0,0 +1,60 @@
+//! What an instance has been told.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use jd_serving::EvacuatedZones;
+use jd_serving::Freshness;
+use jd_serving::InstanceDirectory;
+use jd_serving::Shard;
+use jd_serving::SourceState;
+use jd_serving::StoreMirror;
+use jd_serving::UpstreamDirectory;
+use jd_types::Incarnation;
+use jd_types::MonoTime;
+
+/// How long it counts that an instance brought no news or had lost the store. Asked
+/// sooner it would mostly be the same.
+const SOURCE_STATE_LASTS: Duration = Duration::from_secs(3);
+/// What the store has told, as one value under one lock.
+#[derive(Debug, Default)]
+pub(crate) struct Knowledge {
+    pub(crate) freshness: Freshness,
+    pub(crate) upstreams: UpstreamDirectory,
+    pub(crate) evacuated: EvacuatedZones,
+    pub(crate) instances: InstanceDirectory,
+    pub(crate) deployment_version: u64,
+    pub(crate) mirror: StoreMirror,
+    /// Instances that brought no news or had lost the store, and when.
+    sources: HashMap<Incarnation, (MonoTime, SourceState)>,
+    /// When the store's list of instances was first read.
+    pub(crate) listed_at: Option<MonoTime>,
+    /// Earlier starts of this instance whose entries the store still has.
+    pub(crate) earlier_starts: Vec<Incarnation>,
+    /// What owners last said of their shards, and when.
+    pub(crate) backlogs: HashMap<Shard, (MonoTime, Duration)>,
+}
+
+impl Knowledge {
+    /// What an instance was lately like as a source of news.
+    pub(crate) fn source_state(&self, now: MonoTime, id: Incarnation) -> SourceState {
+        match self.sources.get(&id) {
+            Some((since, state)) if now.since(*since) < SOURCE_STATE_LASTS => *state,
+            _ => SourceState::Able,
+        }
+    }
+
+    /// An instance was like this as a source of news.
+    pub(crate) fn note_source(&mut self, now: MonoTime, id: Incarnation, state: SourceState) {
+        match state {
+            SourceState::Able => self.sources.remove(&id),
+            _ => self.sources.insert(id, (now, state)),
+        };
+    }
+
+    /// Forgets what sources were like longer ago than counts.
+    pub(crate) fn forget_sources(&mut self, now: MonoTime) {
+        self.sources
+            .retain(|_, (since, _)| now.since(*since) < SOURCE_STATE_LASTS);
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 mod event_stream;
 mod front;
 mod gateway;
+mod knowledge;
 mod latch;
 mod metrics;
 mod peer_api;
