Stages go to a zone's upstreams also while those for prompts are cold there

Cause: the zone for a request's stages is that of the upstream which its prompt goes to. With cold upstreams passed over, a zone that came back had nothing to do for its upstreams of stages, which are never cold, until all of its others were warm, in the middle of a burst. Change: that question leaves coldness out; nothing is sent on the strength of it.

--- a/crates/gateway/src/stage_runner.rs
+++ b/crates/gateway/src/stage_runner.rs
@@ -248,12 +248,14 @@
         })
     }
 
-    /// The zone of the upstream that will most likely work on the results.
+    /// The zone of the upstream that keeps the session's prompt, also while that is
+    /// cold. Else all stages would go to the other zones after a zone came back, and
+    /// its upstreams of stages, which are never cold, would have nothing to do.
     fn wanted_zone(&self, call: &Call) -> Option<Name> {
         let prompt = call.head.prompt.as_ref()?;
         let (now, instances) = (self.state.now(), self.state.instance_count());
         let table = self.state.upstreams.load();
-        let cold = self.state.cold_check(&call.service);
+        let cold = self.state.no_cold_check();
         let chosen = table.place(&call.service, now, prompt.session(), instances, &[], &cold)?;
         Some(chosen.upstream.hall.clone())
     }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -266,6 +266,15 @@
         }
     }
 
+    /// A choice that does not ask whether upstreams have just started: nothing is sent
+    /// on the strength of it.
+    pub(crate) fn no_cold_check(&self) -> ColdCheck<'_> {
+        ColdCheck {
+            spec: None,
+            state: self,
+        }
+    }
+
     /// A request goes to a service for the first time.
     pub(crate) fn first_send(&self, service: &str) {
         let bound = self.repeat_bound();
