--- a/crates/gateway/src/stage_runner.rs
+++ b/crates/gateway/src/stage_runner.rs
@@ -33,8 +33,7 @@
 /// The part of that time, or of the deadline, that stages may take.
 const GIVE_UP_PERCENT: u32 = 85;
 /// How long after a request was sent its upstream has read the results that it
-/// works on. Measured: the first event comes after 115 ms at the median and
-/// 610 ms at the ninetieth percentile; reading itself takes a few milliseconds.
+/// works on, which it does before it reads the prompt.
 const RESULTS_READ: Duration = Duration::from_millis(50);
 /// How often it is looked whether the owner is still there.
 const OWNER_CHECK: Duration = Duration::from_millis(200);
--- a/crates/serving/src/desk_estimates.rs
+++ b/crates/serving/src/desk_estimates.rs
@@ -18,9 +18,8 @@
 
 /// The part of the time that its caller waits, in hundredths, in which a request
 /// that cannot be in time has to be expected to end. What comes later goes before
-/// it, so the backlog when it came is the least that it waits for. At 30 of each
-/// 100 such requests 0 to 5 are held in vain in a burst of 2.5 to 3.2 times the
-/// mean, at 50 10 to 25, at 100 38 to 68; as many are served (jd-lab, stages).
+/// it, so the backlog when it came is the least that it waits for. With a larger
+/// part as many are served, and more are held in vain.
 const LATE_WAIT_PERCENT: u32 = 30;
 
 impl StageDesk {
--- a/crates/serving/src/room_watch.rs
+++ b/crates/serving/src/room_watch.rs
@@ -22,12 +22,12 @@
 ///
 /// The load that it answers: all instances are killed and start anew. Results of
 /// the dead lie at the upstreams for seconds, nobody can give them up, and the new
-/// owner counts none of them: in the three seconds after such a loss 700 pieces
-/// were worked on and then refused for want of room, each call as long as one that
-/// is not. An upstream tells its room when asked, so it is asked while anything
-/// that is not counted here may lie there. It tells it in units that can be larger
-/// than all its room. Then only a refusal tells, and tells exactly: all that is not
-/// counted here is taken by others' results, which run out evenly from then on.
+/// owner counts none of them: for as long pieces are worked on and then refused for
+/// want of room, each call as long as one that is not. An upstream tells its room when
+/// asked, so it is asked while anything that is not counted here may lie there. It
+/// tells it in units that can be larger than all its room. Then only a refusal tells,
+/// and tells exactly: all that is not counted here is taken by others' results, which
+/// run out evenly from then on.
 #[derive(Debug)]
 pub(crate) struct RoomWatch {
     taken: u64,
--- a/crates/serving/src/stage_desk.rs
+++ b/crates/serving/src/stage_desk.rs
@@ -32,9 +32,9 @@
 
 /// What a step of priority is worth in waiting. About a call of the users'
 /// stages: enough that a burst of the less urgent does not delay the more
-/// urgent, too little to starve what could still be in time. Measured on eight
-/// days of plays: mean worth 0.51, with half 0.48, with double 0.48.
+/// urgent, too little to starve what could still be in time.
 const PRIORITY_STEP: Duration = Duration::from_millis(400);
+
 /// The desk of the instance that fills batches for a deployment.
 ///
 /// The load that it answers: a call costs a quarter of a second however little
