Say in the logs which upstreams name a limit, and when each request was sent

Cause looked for: upstreams that name a limit get more than that. Change: the limit is decoded at the wire, kept with the moment at which it was heard, and logged when it changes; answers and failed attempts say when they were sent; a gauge counts limited upstreams. No decision reads it yet.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -91,16 +91,24 @@
     /// Its connection broke. Where its upstream had worked on the request for long it did
     /// not end by that.
     pub(crate) fn broke(&mut self) {
-        if self.ran {
-            return;
+        if !self.ran {
+            self.state
+                .run_broke(self.upstream(), self.content, self.began);
         }
-        let upstream = UpstreamRef {
+    }
+
+    fn upstream(&self) -> UpstreamRef {
+        UpstreamRef {
             service: self.service.clone(),
             upstream: self.chosen.id.clone(),
             start: self.chosen.start,
             address: self.chosen.upstream.address,
-        };
-        self.state.run_broke(upstream, self.content, self.began);
+        }
+    }
+
+    /// How long after the request had come it was sent, in milliseconds.
+    pub(crate) fn sent_ms(&self, call: &Call) -> u64 {
+        self.began.since(call.arrived).as_millis() as u64
     }
 
     pub(crate) fn id(&self) -> &str {
@@ -200,7 +208,10 @@
             open.broke();
             Err(failure(AttemptOutcome::Failed, "the connection broke"))
         }
-        Some(Ok(response)) => judge(state, call, response),
+        Some(Ok(response)) => {
+            state.note_limit(&open.upstream(), &response.headers);
+            judge(state, call, response)
+        }
     };
     match result {
         Ok((head, response)) => Ok(Answer {
@@ -218,6 +229,7 @@
                 request = call.id(),
                 content:% = call.content,
                 upstream = id.as_str(),
+                sent_ms = open.sent_ms(call),
                 outcome = failure.outcome.as_str(),
                 detail = failure.detail.as_str();
                 "attempt failed"
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -16,6 +16,8 @@
 use jd_serving::CallHead;
 use jd_serving::PieceOrder;
 use jd_serving::PieceResult;
+use jd_serving::RateError;
+use jd_serving::RequestRate;
 use jd_serving::RoomReport;
 use jd_types::Refusal;
 
@@ -71,6 +73,10 @@
     /// Reads the head of an upstream's answer.
     fn answer_head(&self, status: StatusCode, headers: &HeaderMap) -> AnswerHead;
 
+    /// The requests a second that an upstream takes from all instances together, as an
+    /// answer of it names them; none if it names no limit.
+    fn named_limit(&self, headers: &HeaderMap) -> Result<Option<RequestRate>, RateError>;
+
     /// The headers of an upstream's answer that the caller gets.
     fn caller_headers(&self, headers: &HeaderMap) -> HeaderMap;
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 mod gateway;
 mod knowledge;
 mod latch;
+mod limits;
 mod metrics;
 mod peer_api;
 mod peer_instance;
--- /dev/null
+++ b/crates/gateway/src/limits.rs
@@ -0,0 +1,89 @@
+//! The limits that upstreams name, on the path of every answer.
+
+use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+
+use compact_str::CompactString;
+use http::HeaderMap;
+use jd_net::lock;
+use jd_serving::LimitNotice;
+use jd_serving::UpstreamLimits;
+use jd_types::MonoTime;
+
+use crate::Dialect;
+use crate::metrics::Metrics;
+use crate::run_events::UpstreamRef;
+
+/// Who told of a limit.
+#[derive(Debug, Clone, Copy)]
+pub(crate) enum LimitSource {
+    /// The upstream itself, in an answer.
+    Answer,
+}
+
+/// The limits that upstreams name, as this instance has heard.
+#[derive(Debug, Default)]
+pub(crate) struct Limits {
+    /// True once any upstream has named one: without, no request waits for the lock.
+    any: AtomicBool,
+    known: Mutex<UpstreamLimits>,
+    /// The upstream whose limit could not be read last, so that it is logged once.
+    unreadable: Mutex<Option<CompactString>>,
+}
+
+impl Limits {
+    /// Reads what an answer of an upstream says of its limit.
+    pub(crate) fn note_answer(
+        &self,
+        now: MonoTime,
+        upstream: &UpstreamRef,
+        dialect: &dyn Dialect,
+        headers: &HeaderMap,
+        metrics: &Metrics,
+    ) {
+        match dialect.named_limit(headers) {
+            Ok(None) if !self.any.load(Ordering::Relaxed) => {}
+            Ok(limit) => {
+                let said = LimitNotice {
+                    start: upstream.start,
+                    limit,
+                    heard: now,
+                };
+                self.take(now, &upstream.upstream, said, LimitSource::Answer, metrics);
+            }
+            Err(e) => {
+                let mut last = lock(&self.unreadable);
+                if last.as_ref() != Some(&upstream.upstream) {
+                    log::warn!(upstream = upstream.upstream.as_str(), error:% = e; "limit of an upstream cannot be read; what it named before counts");
+                    *last = Some(upstream.upstream.clone());
+                }
+            }
+        }
+    }
+
+    /// Takes in what an upstream said.
+    pub(crate) fn take(
+        &self,
+        now: MonoTime,
+        id: &str,
+        said: LimitNotice,
+        source: LimitSource,
+        metrics: &Metrics,
+    ) {
+        let mut known = lock(&self.known);
+        let Some(change) = known.take(id, said) else {
+            return;
+        };
+        self.any.store(true, Ordering::Relaxed);
+        metrics.limited_upstreams(known.count());
+        log::info!(
+            upstream = id,
+            per_s:? = change.now.map(|r| r.per_s()),
+            before:? = change.before.map(|r| r.per_s()),
+            heard_ms = now.since(said.heard).as_millis() as u64,
+            source:? = source;
+            "limit of an upstream"
+        );
+    }
+}
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -6,6 +6,7 @@
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::metrics::histogram::exponential_buckets;
 use prometheus_client::registry::Registry;
@@ -32,6 +33,7 @@
     store_calls: Family<StoreOutcome, Counter>,
     broken_runs: Family<Outcome, Counter>,
     quarantine_changes: Family<Outcome, Counter>,
+    limited_upstreams: Gauge,
     seconds: Histogram,
     stage_seconds: Histogram,
 }
@@ -49,6 +51,7 @@
             store_calls: Family::default(),
             broken_runs: Family::default(),
             quarantine_changes: Family::default(),
+            limited_upstreams: Gauge::default(),
             seconds: histogram(),
             stage_seconds: histogram(),
             registry: Registry::default(),
@@ -89,6 +92,11 @@
             "Changes of the quarantine that this instance decided",
             metrics.quarantine_changes.clone(),
         );
+        r.register(
+            "jd_gateway_limited_upstreams",
+            "Upstreams that name a limit",
+            metrics.limited_upstreams.clone(),
+        );
         r.register(
             "jd_gateway_request_seconds",
             "From arrival to the head of the answer",
@@ -140,6 +148,11 @@
             .inc();
     }
 
+    pub(crate) fn limited_upstreams(&self, count: usize) {
+        self.limited_upstreams
+            .set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
     /// The text form that collectors read.
     pub(crate) fn text(&self) -> String {
         let mut buf = String::new();
--- a/crates/gateway/src/plain_call.rs
+++ b/crates/gateway/src/plain_call.rs
@@ -92,6 +92,8 @@
 #[derive(Debug)]
 struct Whole {
     upstream: CompactString,
+    /// When it was sent there, in milliseconds after it had come.
+    sent_ms: u64,
     status: StatusCode,
     headers: HeaderMap,
     body: Bytes,
@@ -142,6 +144,7 @@
             });
             return Ok(Whole {
                 upstream: open.id().into(),
+                sent_ms: open.sent_ms(call),
                 status: head.status,
                 headers,
                 body,
@@ -171,6 +174,7 @@
         upstream = whole.upstream.as_str(),
         status = whole.status.as_u16(),
         config = call.router.version,
+        sent_ms = whole.sent_ms,
         ms = took.as_millis() as u64;
         "answered"
     );
--- a/crates/gateway/src/stage_batches.rs
+++ b/crates/gateway/src/stage_batches.rs
@@ -274,15 +274,7 @@
         for content in contents {
             match result {
                 CallResult::Answered(_) => quarantine.note_ran(now, &call.service, content),
-                CallResult::Broken => {
-                    let upstream = UpstreamRef {
-                        service: call.service.clone(),
-                        upstream: call.upstream.clone(),
-                        start: call.start,
-                        address: call.address,
-                    };
-                    self.state.run_broke(upstream, content, began);
-                }
+                CallResult::Broken => self.state.run_broke(upstream_of(call), content, began),
                 CallResult::Full | CallResult::Gone | CallResult::Failed => {}
             }
         }
@@ -311,6 +303,7 @@
             Some(Err(SendError::Broken)) => return CallResult::Broken,
             None => return CallResult::Failed,
         };
+        self.state.note_limit(&upstream_of(call), &response.headers);
         let head = dialect.answer_head(response.status, &response.headers);
         match head.status {
             http::StatusCode::MISDIRECTED_REQUEST => return CallResult::Gone,
@@ -349,6 +342,15 @@
     }
 }
 
+fn upstream_of(call: &BatchCall) -> UpstreamRef {
+    UpstreamRef {
+        service: call.service.clone(),
+        upstream: call.upstream.clone(),
+        start: call.start,
+        address: call.address,
+    }
+}
+
 /// What came of a call, for its log line: how many pieces ended how.
 fn outcome_of(result: &CallResult) -> CompactString {
     let results = match result {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -15,6 +15,7 @@
 use async_executor::Executor;
 use compact_str::CompactString;
 use event_listener::Event;
+use http::HeaderMap;
 use jd_net::Clock;
 use jd_net::HttpPool;
 use jd_net::lock;
@@ -39,6 +40,7 @@
 use crate::Dialect;
 use crate::knowledge::Knowledge;
 use crate::latch::Latch;
+use crate::limits::Limits;
 use crate::metrics::Metrics;
 use crate::peer_news::PackedNews;
 use crate::quarantine::Quarantine;
@@ -66,6 +68,8 @@
     pub(crate) metrics: Metrics,
     /// What is held against requests.
     pub(crate) quarantine: Quarantine,
+    /// What upstreams say of how much they take.
+    pub(crate) limits: Limits,
     /// Signals that proof is to be asked for at once, and that the store is back.
     pub(crate) proof_wanted: Signal,
     pub(crate) store_back: Signal,
@@ -104,6 +108,7 @@
             shards: ArcSwap::default(),
             metrics: Metrics::new(),
             quarantine: Quarantine::new(),
+            limits: Limits::default(),
             proof_wanted: Signal::new(),
             store_back: Signal::new(),
             entry_gone: Signal::new(),
@@ -319,6 +324,13 @@
         });
     }
 
+    /// Reads what an answer of an upstream says of its limit.
+    pub(crate) fn note_limit(&self, upstream: &UpstreamRef, headers: &HeaderMap) {
+        let dialect = self.dialect.as_ref();
+        self.limits
+            .note_answer(self.now(), upstream, dialect, headers, &self.metrics);
+    }
+
     /// Lays the upstreams out anew after their entries changed.
     pub(crate) fn rebuild_upstreams(&self) {
         let now = self.now();
--- a/crates/gateway/src/stream_call.rs
+++ b/crates/gateway/src/stream_call.rs
@@ -144,6 +144,7 @@
         status = status.as_u16(),
         config = call.router.version,
         attempts = tried.len(),
+        sent_ms = answer.open.sent_ms(&call),
         ms = took.as_millis() as u64;
         "answer began"
     );
--- a/crates/gateway/tests/whole/fakes/fake_dialect.rs
+++ b/crates/gateway/tests/whole/fakes/fake_dialect.rs
@@ -20,6 +20,8 @@
 use jd_serving::CallHead;
 use jd_serving::PieceOrder;
 use jd_serving::PieceResult;
+use jd_serving::RateError;
+use jd_serving::RequestRate;
 use jd_types::Refusal;
 
 #[derive(Debug)]
@@ -68,6 +70,11 @@
         }
     }
 
+    fn named_limit(&self, headers: &HeaderMap) -> Result<Option<RequestRate>, RateError> {
+        let named = text(headers, "limit").map(RequestRate::try_from);
+        named.transpose()
+    }
+
     fn caller_headers(&self, headers: &HeaderMap) -> HeaderMap {
         let mut passed = headers.clone();
         passed.remove("content-length");
