--- /dev/null
+++ b/crates/gateway/tests/whole/limits.rs
@@ -0,0 +1,140 @@
+//! Upstreams that name a limit of what they take, through a whole fleet.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use async_io::Timer;
+use futures_lite::future::block_on;
+use test_case::test_case;
+
+use crate::fakes::FakeUpstream;
+use crate::fakes::Harness;
+use crate::fakes::Received;
+use crate::fakes::Reply;
+use crate::fakes::ending_fleet::repeat;
+
+/// Instances of the fleet.
+const INSTANCES: usize = 9;
+/// From one request to the next: forty a second, from all callers together.
+const PAUSE: Duration = Duration::from_millis(25);
+/// How long the fleet has to hear of a limit.
+const HEARD_WITHIN: Duration = Duration::from_millis(1_500);
+/// How long requests come after that.
+const LOAD: Duration = Duration::from_secs(8);
+/// The span over which arrivals are counted.
+const SPAN: Duration = Duration::from_secs(4);
+
+/// A fleet before so many upstreams, and one of the stage before `/staged/`.
+fn fleet(upstreams: usize) -> Arc<Harness> {
+    let stream = Reply::Stream {
+        parts: &["id: 1\ndata: a\n\n"],
+        cut: false,
+    };
+    let stage = Reply::Late("made", Duration::from_millis(5));
+    let mut harness = Harness::start_staged(vec![vec![stream]; upstreams], vec![stage]);
+    harness.add_gateways(INSTANCES - 1);
+    Arc::new(harness)
+}
+
+/// The most arrivals in any four seconds from `since` on.
+fn most_arrivals(upstream: &FakeUpstream, since: Instant) -> usize {
+    let arrivals = upstream.arrivals();
+    let counted: Vec<Instant> = arrivals.into_iter().filter(|at| *at >= since).collect();
+    let ends = counted.iter().enumerate();
+    let within = ends.map(|(n, end)| {
+        let span = counted[..=n].iter();
+        span.filter(|at| end.duration_since(**at) < SPAN).count()
+    });
+    within.max().unwrap_or(0)
+}
+
+/// What may arrive in four seconds under a limit of so many a second: half as much
+/// again, and five.
+fn allowed(per_s: f64) -> usize {
+    (per_s * SPAN.as_secs_f64() * 1.5 + 5.0) as usize
+}
+
+/// Loads the fleet until it has heard of a limit, and then for as long as counted; what
+/// callers received, and from when on arrivals count.
+async fn load(harness: &Arc<Harness>, path: &'static str) -> (Vec<Received>, Instant) {
+    harness.until_ready(true).await;
+    harness.until_all_answer("/open/x", 200).await;
+    repeat(harness, path, PAUSE, HEARD_WITHIN).await;
+    let counted = Instant::now();
+    (repeat(harness, path, PAUSE, LOAD).await, counted)
+}
+
+/// One of several upstreams names a limit, and each instance of the fleet went on as
+/// before: none of them sent more than the limit by itself, and together they sent three
+/// times as much.
+#[test_case("/any/x"; "plain")]
+#[test_case("/stream/x"; "streamed")]
+#[test_case("/staged/x"; "after stages")]
+fn a_fleet_sends_a_limited_upstream_no_more_than_it_takes(path: &'static str) {
+    let harness = fleet(3);
+    harness.upstreams[0].name_limit(Some("1"));
+    let (received, counted) = block_on(load(&harness, path));
+    let most = most_arrivals(&harness.upstreams[0], counted);
+    assert!(most <= allowed(1.0), "{most} in four seconds");
+    let served = received.iter().filter(|r| r.status == 200).count();
+    assert_eq!(served, received.len(), "the others take the rest");
+}
+
+/// The upstream of a stage names a limit. Calls for pieces count, and so does whatever
+/// else an owner of stages asks of it.
+#[test]
+fn a_fleet_asks_a_limited_upstream_for_no_more_pieces_than_it_takes() {
+    let harness = fleet(3);
+    harness.upstreams[3].name_limit(Some("1"));
+    let (_, counted) = block_on(load(&harness, "/staged/x"));
+    let most = most_arrivals(&harness.upstreams[3], counted);
+    assert!(most <= allowed(1.0), "{most} in four seconds");
+}
+
+/// All upstreams of a service name a limit. What they take is used, and all else is
+/// refused at once and truthfully.
+#[test]
+fn a_fleet_uses_what_limited_upstreams_take_and_refuses_the_rest() {
+    let harness = fleet(2);
+    for upstream in &harness.upstreams[..2] {
+        upstream.name_limit(Some("2"));
+    }
+    let (received, counted) = block_on(load(&harness, "/once/x"));
+    for upstream in &harness.upstreams[..2] {
+        let most = most_arrivals(upstream, counted);
+        assert!(most <= allowed(2.0), "{most} in four seconds");
+    }
+    let served = received.iter().filter(|r| r.status == 200).count();
+    let taken = 2.0 * 2.0 * LOAD.as_secs_f64();
+    assert!(served as f64 >= 0.8 * taken, "{served} of {taken}");
+    let refused = received.iter().filter(|r| r.status != 200);
+    for refused in refused {
+        assert_eq!(refused.status, 503);
+        assert_eq!(refused.run.as_deref(), Some("not run"));
+    }
+}
+
+/// A limit ends. Instances whose part was nothing get no answers of that upstream, and
+/// have to hear of the end from others.
+#[test]
+fn a_fleet_hears_that_a_limit_has_ended() {
+    let harness = fleet(2);
+    harness.upstreams[0].name_limit(Some("0.2"));
+    block_on(async {
+        let (_, counted) = load(&harness, "/any/x").await;
+        let most = most_arrivals(&harness.upstreams[0], counted);
+        assert!(most <= allowed(0.2), "{most} in four seconds");
+        harness.upstreams[0].name_limit(None);
+        let until = Instant::now() + Duration::from_secs(30);
+        loop {
+            let before = harness.upstreams[0].count();
+            repeat(&harness, "/any/x", PAUSE, Duration::from_secs(1)).await;
+            if harness.upstreams[0].count() - before >= 10 {
+                break;
+            }
+            assert!(Instant::now() < until, "nobody heard of the end");
+            Timer::after(PAUSE).await;
+        }
+    });
+}
--- a/crates/gateway/tests/whole/main.rs
+++ b/crates/gateway/tests/whole/main.rs
@@ -8,5 +8,6 @@
 mod fakes;
 mod fleet;
 mod innocents;
+mod limits;
 mod requests;
 mod restarts;
