Every send to an upstream passes one gate

Cause: evacuation, coldness and quarantine were each asked for at several places, some when an upstream was chosen and none when a connection took the request. A bound on sends had to be remembered on six ways: plain, streams, streams that go on, pieces, questions for room, results given up. Change: nothing but the gate holds connections to upstreams. It gives a permit, a send uses it up, and what bounds sends is looked at again when a connection takes the request; a send without a permit does not compile. Plain requests and streams choose in one place, and what is withheld is placed anew; the circle between streams and what they go on with is gone. Ruled out: a check in each way as before; it is what failed.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -9,7 +9,6 @@
 use futures_lite::FutureExt;
 use http::StatusCode;
 use jd_net::HttpResponse;
-use jd_net::SendError;
 use jd_net::lock;
 use jd_serving::Content;
 use jd_types::AttemptOutcome;
@@ -18,7 +17,9 @@
 use crate::AnswerHead;
 use crate::UpstreamCall;
 use crate::call::Call;
-use crate::run_events::UpstreamRef;
+use crate::send_gate::Purpose;
+use crate::send_gate::SendFailure;
+use crate::send_gate::Withheld;
 use crate::state::State;
 use crate::upstream_table::Chosen;
 
@@ -55,9 +56,6 @@
 impl OpenAttempt {
     pub(crate) fn begin(state: &Arc<State>, call: &Call, chosen: Chosen) -> OpenAttempt {
         chosen.upstream.started();
-        if let Some(spec) = state.cold_spec(&call.service) {
-            lock(&chosen.cold).sent(state.now(), spec);
-        }
         OpenAttempt {
             state: Arc::clone(state),
             service: call.service.clone(),
@@ -92,17 +90,8 @@
     /// not end by that.
     pub(crate) fn broke(&mut self) {
         if !self.ran {
-            self.state
-                .run_broke(self.upstream(), self.content, self.began);
-        }
-    }
-
-    fn upstream(&self) -> UpstreamRef {
-        UpstreamRef {
-            service: self.service.clone(),
-            upstream: self.chosen.id.clone(),
-            start: self.chosen.start,
-            address: self.chosen.upstream.address,
+            let upstream = self.chosen.of_service(&self.service);
+            self.state.run_broke(upstream, self.content, self.began);
         }
     }
 
@@ -153,6 +142,8 @@
     pub(crate) detail: CompactString,
     /// True if results that the request works on are gone.
     pub(crate) inputs_gone: bool,
+    /// True if it was not sent at all, since it may not be.
+    pub(crate) withheld: bool,
 }
 
 fn failure(outcome: AttemptOutcome, detail: impl Into<CompactString>) -> Failure {
@@ -160,6 +151,21 @@
         outcome,
         detail: detail.into(),
         inputs_gone: false,
+        withheld: false,
+    }
+}
+
+/// Nothing was sent, and nothing is held against the upstream for it.
+fn withheld(call: &Call, upstream: &str, why: Withheld) -> Failure {
+    log::info!(
+        request = call.id(),
+        upstream = upstream,
+        reason = why.reason;
+        "attempt withheld"
+    );
+    Failure {
+        withheld: true,
+        ..failure(AttemptOutcome::NotRun, why.reason)
     }
 }
 
@@ -176,8 +182,14 @@
     patience: Duration,
     written: impl Fn(),
 ) -> Result<Answer, Failure> {
-    let address = chosen.upstream.address;
     let id = chosen.id.clone();
+    let purpose = Purpose::Request {
+        content: call.content,
+        cold: Arc::clone(&chosen.cold),
+    };
+    let upstream = chosen.of_service(&call.service);
+    let permit = state.gate.permit(state, upstream, purpose).await;
+    let permit = permit.map_err(|why| withheld(call, &id, why))?;
     let mut open = OpenAttempt::begin(state, call, chosen);
     let upstream_call = UpstreamCall {
         upstream: &id,
@@ -191,27 +203,27 @@
     let req = state
         .dialect
         .upstream_request(&call.parts, &upstream_call, body);
-    let pool = &state.pool;
     let over = async {
         open.until_over().await;
-        Some(Err(SendError::Broken))
+        Err(SendFailure::Broken)
     };
-    let sending = pool.send_noting(address, req, patience, false, written);
+    let sending = state.gate.send(state, permit, req, patience, written);
     let sent = sending.or(over).await;
     let result = match sent {
-        None => Err(failure(AttemptOutcome::Silent, "no answer in time")),
-        Some(Err(SendError::NotSent)) => Err(failure(
+        Ok(response) => judge(state, call, response),
+        Err(SendFailure::Withheld(why)) => {
+            open.end(AttemptOutcome::Cancelled);
+            return Err(withheld(call, &id, why));
+        }
+        Err(SendFailure::Silent) => Err(failure(AttemptOutcome::Silent, "no answer in time")),
+        Err(SendFailure::NotSent) => Err(failure(
             AttemptOutcome::Unreachable,
             "no connection could be opened",
         )),
-        Some(Err(SendError::Broken)) => {
+        Err(SendFailure::Broken) => {
             open.broke();
             Err(failure(AttemptOutcome::Failed, "the connection broke"))
         }
-        Some(Ok(response)) => {
-            state.note_limit(&open.upstream(), &response.headers);
-            judge(state, call, response)
-        }
     };
     match result {
         Ok((head, response)) => Ok(Answer {
@@ -260,6 +272,7 @@
             outcome: AttemptOutcome::NotRun,
             detail: format_compact!("the upstream refused with {}", head.status),
             inputs_gone: head.status == StatusCode::CONFLICT,
+            withheld: false,
         }),
         _ if !named => Err(failure(
             AttemptOutcome::Crossed,
--- a/crates/gateway/src/crash_reporter.rs
+++ b/crates/gateway/src/crash_reporter.rs
@@ -160,7 +160,7 @@
         if self.see_entry(upstream) == Seen::Ended {
             return Seen::Ended;
         }
-        match self.state.pool.probe(upstream.address).await {
+        match self.state.gate.probe(upstream.address).await {
             Probe::Refused => Seen::Ended,
             Probe::Open | Probe::Silent => Seen::There,
         }
--- a/crates/gateway/src/event_stream.rs
+++ b/crates/gateway/src/event_stream.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use compact_str::CompactString;
 use futures_lite::FutureExt;
 use futures_lite::future;
 use jd_net::BodyError;
@@ -16,14 +15,15 @@
 use jd_types::AttemptOutcome;
 use snafu::Snafu;
 
-use crate::attempt;
 use crate::attempt::Answer;
 use crate::attempt::OpenAttempt;
 use crate::call::Call;
 use crate::stage_runner::StageResults;
 use crate::stage_runner::StageRunner;
 use crate::state::State;
-use crate::stream_call::next_upstream;
+use crate::upstream_choice::Missed;
+use crate::upstream_choice::Offers;
+use crate::upstream_choice::send_to_next;
 
 /// How long a stream that could go on elsewhere may stand still. Twice the
 /// longest pause of the users' routes that still counts as in time.
@@ -49,8 +49,7 @@
     stages: Arc<StageRunner>,
     results: StageResults,
     splitter: EventSplitter,
-    tried: Vec<CompactString>,
-    runs: u32,
+    offers: Offers,
     events: u64,
 }
 
@@ -61,8 +60,7 @@
         call: Call,
         answer: Answer,
         results: StageResults,
-        tried: Vec<CompactString>,
-        runs: u32,
+        offers: Offers,
     ) -> EventStream {
         EventStream {
             state: Arc::clone(state),
@@ -72,8 +70,7 @@
             stages: Arc::clone(stages),
             results,
             splitter: EventSplitter::default(),
-            tried,
-            runs,
+            offers,
             events: 0,
         }
     }
@@ -168,7 +165,7 @@
 
     fn may_go_on(&self) -> bool {
         let route = self.call.route();
-        route.repeat == Repeat::Resumable && self.runs < route.max_attempts
+        route.repeat == Repeat::Resumable && self.offers.runs < route.max_attempts
     }
 
     /// Goes on at another upstream after the last whole event; false if that is
@@ -182,16 +179,16 @@
                 Ok(results) => self.results = results,
                 Err(_) => return false,
             }
-            let Ok(chosen) = next_upstream(&self.state, &self.call, &self.tried, self.runs) else {
-                return false;
-            };
-            self.tried.push(chosen.id.clone());
             let last = self.splitter.last_event().or(self.call.head.last_event);
-            let left = self.call.left(self.state.now());
             let inputs = self.results.handles();
-            let sent =
-                attempt::send(&self.state, &self.call, chosen, inputs, last, left, || {}).await;
-            self.runs += 1;
+            let (state, call) = (&self.state, &self.call);
+            let left = |_| call.left(state.now());
+            let sending = send_to_next(state, call, &mut self.offers, inputs, last, left, || {});
+            let sent = sending.await;
+            if let Err(Missed::Refused(_)) = &sent {
+                return false;
+            }
+            self.offers.runs += 1;
             if let Ok(answer) = sent
                 && answer.head.status.is_success()
             {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -29,6 +29,7 @@
 mod result_free;
 mod result_release;
 mod run_events;
+mod send_gate;
 mod service_apis;
 mod signal;
 mod stage_batches;
@@ -43,6 +44,7 @@
 mod store_proof;
 mod store_reader;
 mod stream_call;
+mod upstream_choice;
 mod upstream_table;
 
 pub use dialect::AnswerHead;
--- a/crates/gateway/src/plain_call.rs
+++ b/crates/gateway/src/plain_call.rs
@@ -18,13 +18,14 @@
 use jd_types::RefusalKind;
 use jd_types::RunState;
 
-use crate::attempt;
 use crate::attempt::Answer;
 use crate::attempt::Failure;
 use crate::call::Call;
 use crate::front::may_have_run;
 use crate::state::State;
-use crate::upstream_table::Chosen;
+use crate::upstream_choice::Missed;
+use crate::upstream_choice::Offers;
+use crate::upstream_choice::send_to_next;
 
 /// The largest answer that is held in memory, in bytes.
 const MAX_ANSWER: usize = 8 << 20;
@@ -36,24 +37,22 @@
 
 /// Runs a request with one answer.
 pub(crate) async fn run(state: &Arc<State>, call: Call) -> Result<Response<Body>, Refusal> {
-    let mut tried: Vec<CompactString> = Vec::new();
-    let mut runs = 0;
+    let mut offers = Offers::new(FULL_PAUSE);
     // An upstream's own failure, in case nothing better comes.
     let mut failed: Option<Whole> = None;
     state.first_send(&call.service);
     loop {
-        let next = next_upstream(state, &call, &tried, runs);
-        let chosen = match (next, failed.take()) {
-            (Ok(chosen), kept) => {
+        let patience = |runs| patience(&call, state.now(), runs);
+        let sending = send_to_next(state, &call, &mut offers, &[], None, patience, || {});
+        let sent = match (sending.await, failed.take()) {
+            (Ok(answer), _) => Ok(answer),
+            (Err(Missed::Failed(failure)), kept) => {
                 failed = kept;
-                chosen
+                Err(failure)
             }
-            (Err(_), Some(whole)) => return Ok(pass_on(state, &call, whole)),
-            (Err(refusal), None) => return Err(refusal),
+            (Err(Missed::Refused(_)), Some(whole)) => return Ok(pass_on(state, &call, whole)),
+            (Err(Missed::Refused(refusal)), None) => return Err(refusal),
         };
-        tried.push(chosen.id.clone());
-        let patience = patience(&call, state.now(), runs);
-        let sent = attempt::send(state, &call, chosen, &[], None, patience, || {}).await;
         let ended = match sent {
             Ok(answer) => read_whole(state, &call, answer).await,
             Err(failure) => Err(failure),
@@ -71,9 +70,10 @@
         let proved = failure
             .as_ref()
             .is_some_and(|f| f.outcome.run_state() == RunState::NotRun);
-        runs += u32::from(!proved);
+        offers.runs += u32::from(!proved);
+        let runs = offers.runs;
         let allowed = match call.route().repeat {
-            _ if proved => tried.len() < MAX_OFFERS,
+            _ if proved => offers.tried.len() < MAX_OFFERS,
             Repeat::Idempotent => runs < call.route().max_attempts,
             _ => false,
         };
@@ -99,27 +99,6 @@
     body: Bytes,
 }
 
-fn next_upstream(
-    state: &State,
-    call: &Call,
-    tried: &[CompactString],
-    runs: u32,
-) -> Result<Chosen, Refusal> {
-    let now = state.now();
-    if call.left(now).is_zero() {
-        return Err(over(runs, "the deadline passed"));
-    }
-    call.check_quarantine(state, runs)?;
-    let table = state.upstreams.load();
-    let zone = &state.settings.zone;
-    let cold = state.cold_check(&call.service);
-    let chosen = table.pick(&call.service, now, zone, tried, &cold);
-    chosen.ok_or_else(|| {
-        let detail = "no upstream is left to try";
-        no_more(runs, RefusalKind::NoUpstream, detail)
-    })
-}
-
 /// Reads the answer whole before a byte of it is passed on, so that one that is
 /// cut off can be tried again or become an honest failure.
 async fn read_whole(state: &State, call: &Call, answer: Answer) -> Result<Whole, Failure> {
@@ -161,6 +140,7 @@
         outcome,
         detail: detail.into(),
         inputs_gone: false,
+        withheld: false,
     })
 }
 
--- a/crates/gateway/src/result_free.rs
+++ b/crates/gateway/src/result_free.rs
@@ -9,7 +9,10 @@
 use async_io::Timer;
 use compact_str::CompactString;
 use jd_net::lock;
+use jd_serving::UpstreamStart;
 
+use crate::run_events::UpstreamRef;
+use crate::send_gate::Purpose;
 use crate::state::State;
 
 /// How long results are gathered before one call gives them up. Far below the
@@ -68,15 +71,31 @@
     }
 
     async fn free(&self, address: SocketAddr, handles: &[CompactString]) {
-        let req = self.state.dialect.free_request(handles);
-        let sent = self.state.pool.send(address, req, CALL_WITHIN, false).await;
-        let freed = match sent {
-            // Read to its end, so that the connection can be used again.
-            Some(Ok(response)) => response.whole(1 << 16).await.is_ok(),
-            _ => false,
-        };
+        let freed = self.tell(address, handles).await;
         if !freed {
             log::debug!(address:% = address, count = handles.len(); "results not given up; they expire");
         }
     }
+
+    async fn tell(&self, address: SocketAddr, handles: &[CompactString]) -> bool {
+        let state = &self.state;
+        let listed = state.upstreams.load().at(address);
+        // One that leaves is listed no more, and still has results.
+        let upstream = listed.unwrap_or_else(|| UpstreamRef {
+            service: CompactString::default(),
+            upstream: CompactString::default(),
+            start: UpstreamStart::UNTOLD,
+            address,
+        });
+        let Ok(permit) = state.gate.permit(state, upstream, Purpose::Upkeep).await else {
+            return false;
+        };
+        let req = state.dialect.free_request(handles);
+        let sending = state.gate.send(state, permit, req, CALL_WITHIN, || {});
+        match sending.await {
+            // Read to its end, so that the connection can be used again.
+            Ok(response) => response.whole(1 << 16).await.is_ok(),
+            Err(_) => false,
+        }
+    }
 }
--- /dev/null
+++ b/crates/gateway/src/send_gate.rs
@@ -0,0 +1,193 @@
+//! The one way from this instance to an upstream.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use http::Request;
+use jd_net::Body;
+use jd_net::HttpPool;
+use jd_net::HttpResponse;
+use jd_net::Probe;
+use jd_net::SendError;
+use jd_net::lock;
+use jd_serving::ColdStart;
+use jd_serving::Content;
+
+use crate::run_events::UpstreamRef;
+use crate::state::State;
+
+/// What is sent to an upstream.
+#[derive(Debug, Clone)]
+pub(crate) enum Purpose {
+    /// A caller's request.
+    Request {
+        /// What it is.
+        content: Content,
+        /// What is known of the upstream's last start.
+        cold: Arc<Mutex<ColdStart>>,
+    },
+    /// A call for pieces of stages.
+    Pieces,
+    /// A question for room, or results that are given up. It goes to upstreams that leave
+    /// as well.
+    Upkeep,
+}
+
+/// Leave to send one request to one upstream. Only the gate makes it, and sending uses
+/// it up.
+#[derive(Debug)]
+pub(crate) struct SendPermit {
+    to: UpstreamRef,
+    purpose: Purpose,
+}
+
+/// Why something was not sent, though it could have been.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Withheld {
+    /// In words.
+    pub(crate) reason: &'static str,
+}
+
+/// Why a send brought no answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum SendFailure {
+    /// Nothing was sent, since it may not be any more.
+    Withheld(Withheld),
+    /// No connection could be opened.
+    NotSent,
+    /// The connection broke.
+    Broken,
+    /// Nothing came back in time.
+    Silent,
+}
+
+/// The one way from this instance to an upstream. Nothing else holds connections to
+/// upstreams, so that what bounds a send is asked for here, whichever way it takes.
+#[derive(Debug)]
+pub(crate) struct SendGate {
+    pool: HttpPool,
+}
+
+impl SendGate {
+    pub(crate) fn new(pool: HttpPool) -> SendGate {
+        SendGate { pool }
+    }
+
+    /// Leave to send something to an upstream.
+    pub(crate) async fn permit(
+        &self,
+        state: &State,
+        to: UpstreamRef,
+        purpose: Purpose,
+    ) -> Result<SendPermit, Withheld> {
+        let permit = SendPermit { to, purpose };
+        permit.check(state)?;
+        Ok(permit)
+    }
+
+    /// Sends a request and waits at most `patience` for the head of its answer. What
+    /// bounds sends is looked at again once a connection is there to take it, and
+    /// `written` is called after that.
+    ///
+    /// Guards against requests that are sent to an upstream which was left while they
+    /// waited for a connection.
+    pub(crate) async fn send(
+        &self,
+        state: &State,
+        permit: SendPermit,
+        req: Request<Body>,
+        patience: Duration,
+        written: impl Fn(),
+    ) -> Result<HttpResponse, SendFailure> {
+        let withheld = Mutex::new(None);
+        let counted = AtomicBool::new(false);
+        let may_send = || {
+            // A request that is handed back by a dead connection is counted once.
+            if !counted.swap(true, Ordering::Relaxed)
+                && let Err(reason) = permit.use_up(state)
+            {
+                *lock(&withheld) = Some(reason);
+                return false;
+            }
+            written();
+            true
+        };
+        let pool = &self.pool;
+        let sent = pool.send_if(permit.to.address, req, patience, false, may_send);
+        let sent = sent.await;
+        match (sent, lock(&withheld).take()) {
+            (_, Some(reason)) => Err(SendFailure::Withheld(reason)),
+            (Some(Ok(response)), None) => {
+                state.note_limit(&permit.to, &response.headers);
+                Ok(response)
+            }
+            (Some(Err(SendError::NotSent)), None) => Err(SendFailure::NotSent),
+            (Some(Err(SendError::Broken)), None) => Err(SendFailure::Broken),
+            (None, None) => Err(SendFailure::Silent),
+        }
+    }
+
+    /// Closes idle connections to an address.
+    pub(crate) fn forget(&self, address: SocketAddr) {
+        self.pool.forget(address);
+    }
+
+    /// Whether anybody answers at an address. Nothing is asked there.
+    pub(crate) async fn probe(&self, address: SocketAddr) -> Probe {
+        self.pool.probe(address).await
+    }
+}
+
+impl SendPermit {
+    /// Whether it may still be sent, by what is known now.
+    fn check(&self, state: &State) -> Result<(), Withheld> {
+        let now = state.now();
+        let withheld = |reason| Err(Withheld { reason });
+        let listed = || {
+            let table = state.upstreams.load();
+            table.has(&self.to.upstream, self.to.address)
+        };
+        match &self.purpose {
+            Purpose::Upkeep => Ok(()),
+            Purpose::Request { .. } | Purpose::Pieces if !listed() => {
+                withheld("the upstream gets nothing new any more")
+            }
+            Purpose::Request { content, .. } if state.quarantine.left(now, *content).is_some() => {
+                withheld("the request ends upstreams")
+            }
+            Purpose::Request { cold, .. } if !self.bears(state, cold) => {
+                withheld("the upstream has just started and bears no more")
+            }
+            Purpose::Request { .. } | Purpose::Pieces => Ok(()),
+        }
+    }
+
+    /// Looks once more whether it may be sent, and counts it.
+    fn use_up(&self, state: &State) -> Result<(), Withheld> {
+        self.check(state)?;
+        if let Purpose::Request { cold, .. } = &self.purpose
+            && let Some(spec) = state.cold_spec(&self.to.service)
+        {
+            lock(cold).sent(state.now(), spec);
+        }
+        Ok(())
+    }
+
+    /// True if the upstream is warm, or this instance has a part left of what it bears.
+    fn bears(&self, state: &State, cold: &Mutex<ColdStart>) -> bool {
+        let now = state.now();
+        let Some(spec) = state.cold_spec(&self.to.service) else {
+            return true;
+        };
+        if !lock(cold).is_cold(now, spec) {
+            return true;
+        }
+        // Asked for while nothing is locked.
+        let place = state.fleet_place(self.to.address);
+        lock(cold).bears(now, spec, place)
+    }
+}
--- a/crates/gateway/src/stage_batches.rs
+++ b/crates/gateway/src/stage_batches.rs
@@ -11,7 +11,6 @@
 use async_io::Timer;
 use compact_str::CompactString;
 use compact_str::format_compact;
-use jd_net::SendError;
 use jd_net::lock;
 use jd_net::within;
 use jd_serving::BatchCall;
@@ -21,6 +20,7 @@
 use jd_serving::JobKey;
 use jd_serving::PieceResult;
 use jd_serving::RoomQuestion;
+use jd_serving::RoomReport;
 use jd_serving::Shard;
 use jd_serving::StageDesk;
 use jd_serving::StageJob;
@@ -28,6 +28,8 @@
 
 use crate::result_free::ResultFree;
 use crate::run_events::UpstreamRef;
+use crate::send_gate::Purpose;
+use crate::send_gate::SendFailure;
 use crate::state::State;
 use crate::upstream_table::UpstreamTable;
 
@@ -220,17 +222,7 @@
 
     /// Asks an upstream how much room it has.
     async fn ask_room(self: Arc<Self>, shard: Shard, question: RoomQuestion) {
-        let dialect = &self.state.dialect;
-        let req = dialect.room_request(&question.upstream);
-        let pool = &self.state.pool;
-        let told = match pool.send(question.address, req, ROOM_WITHIN, false).await {
-            Some(Ok(res)) if res.status.is_success() => {
-                let body = within(ROOM_WITHIN, res.whole(MAX_ANSWER)).await;
-                body.and_then(Result::ok)
-                    .and_then(|body| dialect.room_report(&body))
-            }
-            _ => None,
-        };
+        let told = self.room_told(&question).await;
         log::info!(
             service = question.service.as_str(),
             upstream = question.upstream.as_str(),
@@ -244,6 +236,27 @@
         self.pump(&shard);
     }
 
+    async fn room_told(&self, question: &RoomQuestion) -> Option<RoomReport> {
+        let (state, dialect) = (&self.state, &self.state.dialect);
+        let upstream = UpstreamRef {
+            service: question.service.clone(),
+            upstream: question.upstream.clone(),
+            start: question.start,
+            address: question.address,
+        };
+        let permit = state.gate.permit(state, upstream, Purpose::Upkeep).await;
+        let req = dialect.room_request(&question.upstream);
+        let sending = state
+            .gate
+            .send(state, permit.ok()?, req, ROOM_WITHIN, || {});
+        let response = sending.await.ok()?;
+        if !response.status.is_success() {
+            return None;
+        }
+        let body = within(ROOM_WITHIN, response.whole(MAX_ANSWER)).await?;
+        dialect.room_report(&body.ok()?)
+    }
+
     async fn make(self: Arc<Self>, shard: Shard, call: BatchCall) {
         let began = self.state.now();
         let result = self.ask(&call).await;
@@ -281,29 +294,21 @@
     }
 
     async fn ask(&self, call: &BatchCall) -> CallResult {
-        if !self
-            .state
-            .upstreams
-            .load()
-            .has(&call.upstream, call.address)
-        {
+        let (state, dialect) = (&self.state, &self.state.dialect);
+        let permit = state.gate.permit(state, upstream_of(call), Purpose::Pieces);
+        let Ok(permit) = permit.await else {
             return CallResult::Gone;
-        }
+        };
         // Room that the desk counts as free has to be free when the call comes.
         self.free.flush(call.address).await;
-        let dialect = &self.state.dialect;
         let req = dialect.stage_request(&call.upstream, &call.pieces);
-        let sent = self
-            .state
-            .pool
-            .send(call.address, req, call.patience, false);
+        let sent = state.gate.send(state, permit, req, call.patience, || {});
         let response = match sent.await {
-            Some(Ok(response)) => response,
-            Some(Err(SendError::NotSent)) => return CallResult::Gone,
-            Some(Err(SendError::Broken)) => return CallResult::Broken,
-            None => return CallResult::Failed,
+            Ok(response) => response,
+            Err(SendFailure::Withheld(_) | SendFailure::NotSent) => return CallResult::Gone,
+            Err(SendFailure::Broken) => return CallResult::Broken,
+            Err(SendFailure::Silent) => return CallResult::Failed,
         };
-        self.state.note_limit(&upstream_of(call), &response.headers);
         let head = dialect.answer_head(response.status, &response.headers);
         match head.status {
             http::StatusCode::MISDIRECTED_REQUEST => return CallResult::Gone,
--- a/crates/gateway/src/stage_runner.rs
+++ b/crates/gateway/src/stage_runner.rs
@@ -254,8 +254,8 @@
         let prompt = call.head.prompt.as_ref()?;
         let (now, instances) = (self.state.now(), self.state.instance_count());
         let table = self.state.upstreams.load();
-        let cold = self.state.no_cold_check();
-        let chosen = table.place(&call.service, now, prompt.session(), instances, &[], &cold)?;
+        let check = self.state.no_check();
+        let chosen = table.place(&call.service, now, prompt.session(), instances, &[], &check)?;
         Some(chosen.upstream.hall.clone())
     }
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -46,8 +46,9 @@
 use crate::quarantine::Quarantine;
 use crate::run_events::RunEvent;
 use crate::run_events::UpstreamRef;
+use crate::send_gate::SendGate;
 use crate::signal::Signal;
-use crate::upstream_table::ColdCheck;
+use crate::upstream_table::SendCheck;
 use crate::upstream_table::UpstreamTable;
 
 /// How long an owner's word on its backlog counts: three heartbeats.
@@ -59,7 +60,7 @@
     pub(crate) settings: GatewaySettings,
     pub(crate) clock: Clock,
     pub(crate) executor: Arc<Executor<'static>>,
-    pub(crate) pool: HttpPool,
+    pub(crate) gate: SendGate,
     pub(crate) dialect: Arc<dyn Dialect>,
     pub(crate) me: InstanceEntry,
     pub(crate) router: ArcSwapOption<Router>,
@@ -100,7 +101,7 @@
             settings,
             clock,
             executor,
-            pool,
+            gate: SendGate::new(pool),
             dialect,
             me,
             router: ArcSwapOption::empty(),
@@ -263,19 +264,18 @@
         router.as_ref()?.service(service)?.cold
     }
 
-    /// What a choice for a service asks of upstreams that have just started.
-    pub(crate) fn cold_check(&self, service: &str) -> ColdCheck<'_> {
-        ColdCheck {
-            spec: self.cold_spec(service),
+    /// What a choice for a service asks of upstreams.
+    pub(crate) fn send_check(&self, service: &str) -> SendCheck<'_> {
+        SendCheck {
+            cold: self.cold_spec(service),
             state: self,
         }
     }
 
-    /// A choice that does not ask whether upstreams have just started: nothing is sent
-    /// on the strength of it.
-    pub(crate) fn no_cold_check(&self) -> ColdCheck<'_> {
-        ColdCheck {
-            spec: None,
+    /// A choice that asks nothing of them: nothing is sent on the strength of it.
+    pub(crate) fn no_check(&self) -> SendCheck<'_> {
+        SendCheck {
+            cold: None,
             state: self,
         }
     }
@@ -343,7 +343,7 @@
         self.upstreams.store(Arc::new(next));
         drop(knowledge);
         for address in started_again {
-            self.pool.forget(address);
+            self.gate.forget(address);
         }
         self.divide_upstreams();
     }
--- a/crates/gateway/src/stream_call.rs
+++ b/crates/gateway/src/stream_call.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use compact_str::CompactString;
 use futures_lite::FutureExt;
 use futures_lite::stream::unfold;
 use http::Response;
@@ -15,7 +14,6 @@
 use jd_types::RefusalKind;
 use jd_types::RunState;
 
-use crate::attempt;
 use crate::attempt::Answer;
 use crate::attempt::Failure;
 use crate::call::Call;
@@ -25,7 +23,9 @@
 use crate::stage_runner::StageResults;
 use crate::stage_runner::StageRunner;
 use crate::state::State;
-use crate::upstream_table::Chosen;
+use crate::upstream_choice::Missed;
+use crate::upstream_choice::Offers;
+use crate::upstream_choice::send_to_next;
 
 /// Upstreams that one request is offered to, those that proved that they did
 /// nothing included.
@@ -45,37 +45,37 @@
     call: Call,
 ) -> Result<Response<Body>, Refusal> {
     let mut results = stages.run(&call).await?;
-    let mut tried: Vec<CompactString> = Vec::new();
-    let mut runs = 0;
+    let mut offers = Offers::new(FULL_PAUSE);
     let mut stages_repeated = false;
     state.first_send(&call.service);
     loop {
-        let chosen = next_upstream(state, &call, &tried, runs)?;
-        tried.push(chosen.id.clone());
         let last = call.head.last_event;
-        let patience = patience(&call, state, runs);
         let written = Signal::new();
         let handles = results.handles();
+        let patience = |runs| patience(&call, state, runs);
         let note = || written.give();
-        let sending = attempt::send(state, &call, chosen, handles, last, patience, note);
+        let sending = send_to_next(state, &call, &mut offers, handles, last, patience, note);
         let sent = sending.or(results.free_when_read(&written)).await;
         let failure = match sent {
             Ok(answer) => {
-                return begin(state, stages, call, answer, results, tried, runs + 1).await;
+                offers.runs += 1;
+                return begin(state, stages, call, answer, results, offers).await;
             }
-            Err(failure) => failure,
+            Err(Missed::Refused(refusal)) => return Err(refusal),
+            Err(Missed::Failed(failure)) => failure,
         };
         let proved = failure.outcome.run_state() == RunState::NotRun;
-        runs += u32::from(!proved);
+        offers.runs += u32::from(!proved);
+        let runs = offers.runs;
         if failure.inputs_gone && !stages_repeated {
             stages_repeated = true;
-            tried.pop();
+            offers.tried.pop();
             let again = stages.run(&call).await;
             results = again.map_err(|refusal| after_runs(runs, refusal))?;
             continue;
         }
         let allowed = match call.route().repeat {
-            _ if proved => tried.len() < MAX_OFFERS,
+            _ if proved => offers.tried.len() < MAX_OFFERS,
             Repeat::Resumable => runs < call.route().max_attempts,
             _ => false,
         };
@@ -85,53 +85,13 @@
     }
 }
 
-/// The next upstream for a request: the one that keeps its prompt, or the next
-/// after those that were tried.
-pub(crate) fn next_upstream(
-    state: &State,
-    call: &Call,
-    tried: &[CompactString],
-    runs: u32,
-) -> Result<Chosen, Refusal> {
-    let now = state.now();
-    if call.left(now).is_zero() {
-        return Err(match runs {
-            0 => Refusal::not_run(RefusalKind::WouldMiss, "the deadline passed"),
-            _ => may_have_run(RefusalKind::DeadlinePassed, "the deadline passed"),
-        });
-    }
-    call.check_quarantine(state, runs)?;
-    let refuse = |kind, detail: &'static str| match runs {
-        0 => Refusal::not_run(kind, detail).after(FULL_PAUSE),
-        _ => may_have_run(RefusalKind::UpstreamFailed, detail),
-    };
-    let table = state.upstreams.load();
-    let cold = state.cold_check(&call.service);
-    let chosen = match &call.head.prompt {
-        Some(prompt) => {
-            let instances = state.instance_count();
-            table.place(
-                &call.service,
-                now,
-                prompt.session(),
-                instances,
-                tried,
-                &cold,
-            )
-        }
-        None => table.pick(&call.service, now, &state.settings.zone, tried, &cold),
-    };
-    chosen.ok_or_else(|| refuse(RefusalKind::NoUpstream, "no upstream is left to try"))
-}
-
 async fn begin(
     state: &Arc<State>,
     stages: &Arc<StageRunner>,
     call: Call,
     answer: Answer,
     results: StageResults,
-    tried: Vec<CompactString>,
-    runs: u32,
+    offers: Offers,
 ) -> Result<Response<Body>, Refusal> {
     let headers = state.dialect.caller_headers(&answer.response.headers);
     let status = answer.head.status;
@@ -143,7 +103,7 @@
         upstream = answer.open.id(),
         status = status.as_u16(),
         config = call.router.version,
-        attempts = tried.len(),
+        attempts = offers.tried.len(),
         sent_ms = answer.open.sent_ms(&call),
         ms = took.as_millis() as u64;
         "answer began"
@@ -151,7 +111,7 @@
     let body = match status.is_success() {
         true => {
             state.metrics.request("answered", took);
-            let events = EventStream::new(state, stages, call, answer, results, tried, runs);
+            let events = EventStream::new(state, stages, call, answer, results, offers);
             jd_net::stream(unfold(events, EventStream::next))
         }
         false => {
--- /dev/null
+++ b/crates/gateway/src/upstream_choice.rs
@@ -0,0 +1,112 @@
+//! Which upstream a request is sent to next.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use compact_str::CompactString;
+use jd_types::Refusal;
+use jd_types::RefusalKind;
+
+use crate::attempt;
+use crate::attempt::Answer;
+use crate::attempt::Failure;
+use crate::call::Call;
+use crate::front::may_have_run;
+use crate::state::State;
+use crate::upstream_table::Chosen;
+
+/// How often a request may be withheld from the upstream that was chosen before it is
+/// refused.
+const MAX_WITHHELD: u32 = 8;
+
+/// Where one attempt of a caller was sent so far.
+#[derive(Debug)]
+pub(crate) struct Offers {
+    /// The upstreams that it was sent to, those that did nothing included.
+    pub(crate) tried: Vec<CompactString>,
+    /// How many of these may have run it.
+    pub(crate) runs: u32,
+    /// How often it was withheld from the one that was chosen.
+    withheld: u32,
+    /// When to come back where no upstream is left.
+    pause: Duration,
+}
+
+impl Offers {
+    pub(crate) fn new(pause: Duration) -> Offers {
+        Offers {
+            tried: Vec::new(),
+            runs: 0,
+            withheld: 0,
+            pause,
+        }
+    }
+
+    /// The refusal of a request that no upstream can be sent.
+    fn refuse(&self, kind: RefusalKind, detail: &'static str) -> Refusal {
+        match (self.runs, kind) {
+            (0, RefusalKind::DeadlinePassed) => Refusal::not_run(RefusalKind::WouldMiss, detail),
+            (0, kind) => Refusal::not_run(kind, detail).after(self.pause),
+            (_, RefusalKind::DeadlinePassed) => may_have_run(kind, detail),
+            _ => may_have_run(RefusalKind::UpstreamFailed, detail),
+        }
+    }
+}
+
+/// Why a request got no answer from the next upstream.
+#[derive(Debug)]
+pub(crate) enum Missed {
+    /// There is no next one.
+    Refused(Refusal),
+    /// It was sent, and brought no answer for the caller.
+    Failed(Failure),
+}
+
+/// Sends a request to the next upstream, and to another one as long as it is withheld
+/// from those that are chosen.
+pub(crate) async fn send_to_next(
+    state: &Arc<State>,
+    call: &Call,
+    offers: &mut Offers,
+    inputs: &[CompactString],
+    last_event: Option<u64>,
+    patience: impl Fn(u32) -> Duration,
+    written: impl Fn(),
+) -> Result<Answer, Missed> {
+    loop {
+        let chosen = next_upstream(state, call, offers).map_err(Missed::Refused)?;
+        let id = chosen.id.clone();
+        let patience = patience(offers.runs);
+        let sending = attempt::send(state, call, chosen, inputs, last_event, patience, &written);
+        match sending.await {
+            Err(failure) if failure.withheld => offers.withheld += 1,
+            result => {
+                offers.tried.push(id);
+                return result.map_err(Missed::Failed);
+            }
+        }
+    }
+}
+
+/// The next upstream for a request: the one that keeps its prompt, or the next after
+/// those that were tried.
+fn next_upstream(state: &State, call: &Call, offers: &Offers) -> Result<Chosen, Refusal> {
+    let now = state.now();
+    if call.left(now).is_zero() {
+        return Err(offers.refuse(RefusalKind::DeadlinePassed, "the deadline passed"));
+    }
+    call.check_quarantine(state, offers.runs)?;
+    let table = state.upstreams.load();
+    let check = state.send_check(&call.service);
+    let tried = &offers.tried;
+    let chosen = match &call.head.prompt {
+        _ if offers.withheld >= MAX_WITHHELD => None,
+        Some(prompt) => {
+            let instances = state.instance_count();
+            let session = prompt.session();
+            table.place(&call.service, now, session, instances, tried, &check)
+        }
+        None => table.pick(&call.service, now, &state.settings.zone, tried, &check),
+    };
+    chosen.ok_or_else(|| offers.refuse(RefusalKind::NoUpstream, "no upstream is left to try"))
+}
--- a/crates/gateway/src/upstream_table.rs
+++ b/crates/gateway/src/upstream_table.rs
@@ -25,6 +25,7 @@
 use jd_types::UpstreamKey;
 
 use crate::latch::Latch;
+use crate::run_events::UpstreamRef;
 use crate::state::State;
 
 /// An upstream that was chosen for a request.
@@ -42,18 +43,30 @@
     pub(crate) cold: Arc<Mutex<ColdStart>>,
 }
 
-/// What a choice asks of upstreams that have just started.
-pub(crate) struct ColdCheck<'a> {
-    /// What they bear; none where that is not bounded.
-    pub(crate) spec: Option<ColdSpec>,
+impl Chosen {
+    /// This start of it, as an upstream of a service.
+    pub(crate) fn of_service(&self, service: &CompactString) -> UpstreamRef {
+        UpstreamRef {
+            service: service.clone(),
+            upstream: self.id.clone(),
+            start: self.start,
+            address: self.upstream.address,
+        }
+    }
+}
+
+/// What a choice asks of an upstream before it is sent anything.
+pub(crate) struct SendCheck<'a> {
+    /// What those bear that have just started; none where that is not bounded.
+    pub(crate) cold: Option<ColdSpec>,
     /// Tells this instance's place among all.
     pub(crate) state: &'a State,
 }
 
-impl ColdCheck<'_> {
+impl SendCheck<'_> {
     /// True if this instance may send to the upstream now.
     fn allows(&self, now: MonoTime, known: &Known) -> bool {
-        let Some(spec) = self.spec else {
+        let Some(spec) = self.cold else {
             return true;
         };
         if !lock(&known.cold).is_cold(now, spec) {
@@ -219,6 +232,22 @@
         self.by_id.get(id).map(|known| known.start)
     }
 
+    /// The upstream that answers at an address; none if no entry names one.
+    pub(crate) fn at(&self, address: SocketAddr) -> Option<UpstreamRef> {
+        self.services.iter().find_map(|(service, table)| {
+            let upstreams = table.pool.upstreams().iter();
+            let found = upstreams.zip(&table.ids).zip(&table.known);
+            let mut found = found.filter(|((u, _), _)| u.address == address);
+            let ((_, id), known) = found.next()?;
+            Some(UpstreamRef {
+                service: service.clone(),
+                upstream: id.clone(),
+                start: known.start,
+                address,
+            })
+        })
+    }
+
     /// True if an upstream of the service answers at this address.
     pub(crate) fn is_at(&self, service: &str, address: SocketAddr) -> bool {
         let table = self.services.get(service);
@@ -232,11 +261,11 @@
         now: MonoTime,
         zone: &Name,
         tried: &[CompactString],
-        cold: &ColdCheck<'_>,
+        check: &SendCheck<'_>,
     ) -> Option<Chosen> {
         let table = self.services.get(service)?;
         let mut exclude = table.keys_of(tried);
-        exclude.extend(table.keys(|known| !cold.allows(now, known)));
+        exclude.extend(table.keys(|known| !check.allows(now, known)));
         let req = PickRequest {
             hall: zone,
             affinity: None,
@@ -256,12 +285,12 @@
         session: u64,
         instances: u32,
         tried: &[CompactString],
-        cold: &ColdCheck<'_>,
+        check: &SendCheck<'_>,
     ) -> Option<Chosen> {
         let table = self.services.get(service)?;
         let views = table.views(now, &table.keys_of(tried));
         let order = place_prompt(session, &views, table.slots, instances);
-        let bearing = |n: &usize| cold.allows(now, &table.known[*n]);
+        let bearing = |n: &usize| check.allows(now, &table.known[*n]);
         let first = order.into_iter().find(bearing)?;
         let key = UpstreamKey::from_index(u32::try_from(first).ok()?);
         Some(table.chosen(key))
--- a/crates/gateway/tests/whole/fakes/harness.rs
+++ b/crates/gateway/tests/whole/fakes/harness.rs
@@ -109,8 +109,10 @@
     static SETS: AtomicU32 = AtomicU32::new(0);
     let set = SETS.fetch_add(1, Ordering::Relaxed);
     let [_, _, high, low] = std::process::id().to_be_bytes();
-    let last = u8::try_from(set + 2).expect("fewer gateways than addresses");
-    let mut ports = 7_001..;
+    // The last part of an address is from 2 to 251; further sets have other ports.
+    let last = u8::try_from(set % 250 + 2).expect("a part of an address");
+    let round = u16::try_from(set / 250).expect("fewer gateways than ports");
+    let mut ports = 7_001 + 100 * round..;
     std::array::from_fn(|_| {
         let port = ports.next().expect("a port");
         SocketAddr::from(([127, 1 + high % 250, low, last], port))
--- a/crates/net/src/http_pool.rs
+++ b/crates/net/src/http_pool.rs
@@ -159,7 +159,7 @@
         patience: Duration,
         fresh: bool,
     ) -> Option<Result<HttpResponse, SendError>> {
-        self.send_noting(address, req, patience, fresh, || {}).await
+        self.send_if(address, req, patience, fresh, || true).await
     }
 
     /// Closes the idle connections to an address. Who answered there has ended, and
@@ -182,19 +182,23 @@
         }
     }
 
-    /// The same as [`HttpPool::send`]; `written` is called each time that the request is handed to an
-    /// open connection. Opening one to an upstream that is gone can take long.
-    pub async fn send_noting(
+    /// The same as [`HttpPool::send`]; `may_send` is asked each time that the request is about
+    /// to be handed to an open connection, and nothing is sent if it says no. Opening a
+    /// connection to an upstream that is gone can take long.
+    pub async fn send_if(
         &self,
         address: SocketAddr,
         req: Request<Body>,
         patience: Duration,
         fresh: bool,
-        written: impl Fn(),
+        may_send: impl Fn() -> bool,
     ) -> Option<Result<HttpResponse, SendError>> {
         let mut req = req;
         if !fresh && let Some(c) = self.shared.take_idle(address) {
-            written();
+            if !may_send() {
+                self.shared.put_back(c);
+                return Some(Err(SendError::NotSent));
+            }
             match self.send_on(c, req, patience).await {
                 Sent::Returned(r) => req = *r,
                 Sent::Done(result) => return *result,
@@ -204,7 +208,10 @@
             Some(c) => c,
             None => return Some(Err(SendError::NotSent)),
         };
-        written();
+        if !may_send() {
+            self.shared.put_back(c);
+            return Some(Err(SendError::NotSent));
+        }
         match self.send_on(c, req, patience).await {
             Sent::Returned(_) => Some(Err(SendError::NotSent)),
             Sent::Done(result) => *result,
--- a/crates/serving/src/batch_call.rs
+++ b/crates/serving/src/batch_call.rs
@@ -69,6 +69,8 @@
     pub service: CompactString,
     /// Its identity.
     pub upstream: CompactString,
+    /// Which start of it is meant.
+    pub start: UpstreamStart,
     /// Where it answers.
     pub address: SocketAddr,
 }
--- a/crates/serving/src/desk_rooms.rs
+++ b/crates/serving/src/desk_rooms.rs
@@ -17,6 +17,7 @@
             questions.extend(asked.map(|u| RoomQuestion {
                 service: service.clone(),
                 upstream: u.id.clone(),
+                start: u.start,
                 address: u.address,
             }));
         }
--- a/crates/serving/tests/restarts.rs
+++ b/crates/serving/tests/restarts.rs
@@ -154,6 +154,7 @@
     let asked = RoomQuestion {
         service: "first".into(),
         upstream: call.upstream.clone(),
+        start: call.start,
         address: call.address,
     };
     let report = RoomReport {
