A replaced owner of stages tells those whose stages it hands over

What callers saw: a request whose stages had waited at an instance that was no longer their owner got no answer until its caller left. Cause: jobs that are handed over end while nobody carries out what the desk decides, and the owner looks only at desks where pieces wait; with the last piece gone nothing was left to look at. Any other call that came back hid it. Change: a desk with ends or results to tell counts as waiting. Ruled out: a deadlock (the threads went on), a lost call (its line was there). Before: the new test fails (is_waiting false with one end to tell).

--- a/crates/serving/src/stage_desk.rs
+++ b/crates/serving/src/stage_desk.rs
@@ -239,9 +239,11 @@
         std::mem::take(&mut self.unused)
     }
 
-    /// True if time alone may bring something to decide.
+    /// True if time alone may bring something to decide, or something is to be told.
     pub fn is_waiting(&self) -> bool {
-        !self.reading.is_empty() || self.queues.values().any(|q| !q.waiting.is_empty())
+        let to_tell = !self.ended.is_empty() || !self.unused.is_empty();
+        let waiting = || self.queues.values().any(|q| !q.waiting.is_empty());
+        to_tell || !self.reading.is_empty() || waiting()
     }
 
     pub(crate) fn advance(&mut self, now: MonoTime, key: JobKey) {
--- a/crates/serving/tests/stages.rs
+++ b/crates/serving/tests/stages.rs
@@ -241,6 +241,21 @@
     assert!(moved.iter().all(|k| world.ended[k].0 <= world.now));
 }
 
+/// Guards against requests that wait for good at an owner which was replaced, since it looks
+/// only at desks where something waits.
+#[test]
+fn what_is_handed_over_is_told_though_nothing_waits_any_more() {
+    let mut world = World::new(&["first"], 1);
+    for id in 0..3 {
+        let job = world.chain(id, &[("first", 1)], 2_000);
+        world.submit(job).expect("taken");
+    }
+    world.desk.hand_over();
+    assert!(world.desk.is_waiting());
+    assert_eq!(world.desk.take_ended().len(), 1);
+    assert!(!world.desk.is_waiting());
+}
+
 /// A request whose stages wait is found to end upstreams. Its pieces were still asked for,
 /// by the owner that fills calls for all instances; the others' are done.
 #[test]
