Upstreams that name a limit get no more than it from all instances together

What callers and operators saw: an upstream in need named one request a second, and nine instances together sent it 12 and 13 in four seconds; 11 are allowed. Cause: nothing read the limit. And no instance could have kept it: each sent less than one a second. Its class: a bound on all instances together that each judges by what it sends itself, as with cold upstreams before. Change: the send gate asks for a permit before anything goes to an upstream that names a limit. All hear of limits and their ends with the next heartbeat. Who is turned away is sent elsewhere, or refused at once as not run with a time to come back that differs for each; stages are not begun for what no upstream takes. An owner of stages leaves its upstream alone until its turn. Questions for room and results that are given up wait for the limit's end. Why it holds: nothing but the gate has connections to upstreams, and it is asked again when a connection takes the request. Looked for elsewhere: cold upstreams have parts by rank (kept), the repeat budget has parts by number of instances (kept), quarantine is decided by one. No other bound of an upstream on all instances was found.

--- a/crates/explain/src/cause.rs
+++ b/crates/explain/src/cause.rs
@@ -29,13 +29,15 @@
     LateByUpstream,
     /// Kept from upstreams, since those that ran it ended.
     Quarantined,
+    /// The upstreams name a limit and took no more.
+    Limited,
     /// Something else.
     Other,
 }
 
 impl Cause {
     /// Every cause, in the order of the table.
-    pub const ALL: [Cause; 13] = [
+    pub const ALL: [Cause; 14] = [
         Cause::WouldMiss,
         Cause::StagesHeld,
         Cause::Overloaded,
@@ -48,6 +50,7 @@
         Cause::LateByStages,
         Cause::LateByUpstream,
         Cause::Quarantined,
+        Cause::Limited,
         Cause::Other,
     ];
 
@@ -66,6 +69,7 @@
             Cause::LateByStages => "late-stages",
             Cause::LateByUpstream => "late-upstream",
             Cause::Quarantined => "quarantined",
+            Cause::Limited => "limited",
             Cause::Other => "other",
         }
     }
@@ -89,6 +93,7 @@
             "not-serving" => Cause::Unproven,
             "unauthenticated" | "unknown-pipeline" => Cause::NotAllowed,
             "quarantined" => Cause::Quarantined,
+            "limited" => Cause::Limited,
             "deadline-passed" => Cause::UpstreamSilent,
             "upstream-failed" => Cause::UpstreamFailed,
             _ => Cause::Other,
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -160,7 +160,8 @@
     log::info!(
         request = call.id(),
         upstream = upstream,
-        reason = why.reason;
+        reason = why.reason,
+        wait_ms:? = why.wait.map(|w| w.as_millis() as u64);
         "attempt withheld"
     );
     Failure {
@@ -185,6 +186,7 @@
     let id = chosen.id.clone();
     let purpose = Purpose::Request {
         content: call.content,
+        priority: call.priority,
         cold: Arc::clone(&chosen.cold),
     };
     let upstream = chosen.of_service(&call.service);
--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -8,7 +8,9 @@
 use http::HeaderMap;
 use jd_net::lock;
 use jd_serving::LimitNotice;
+use jd_serving::RequestRate;
 use jd_serving::UpstreamLimits;
+use jd_serving::UpstreamStart;
 use jd_types::MonoTime;
 
 use crate::Dialect;
@@ -20,6 +22,8 @@
 pub(crate) enum LimitSource {
     /// The upstream itself, in an answer.
     Answer,
+    /// Another instance.
+    Beat,
 }
 
 /// The limits that upstreams name, as this instance has heard.
@@ -33,7 +37,7 @@
 }
 
 impl Limits {
-    /// Reads what an answer of an upstream says of its limit.
+    /// Reads what an answer of an upstream says of its limit; true if that is news.
     pub(crate) fn note_answer(
         &self,
         now: MonoTime,
@@ -41,16 +45,16 @@
         dialect: &dyn Dialect,
         headers: &HeaderMap,
         metrics: &Metrics,
-    ) {
+    ) -> bool {
         match dialect.named_limit(headers) {
-            Ok(None) if !self.any.load(Ordering::Relaxed) => {}
+            Ok(None) if !self.any() => false,
             Ok(limit) => {
                 let said = LimitNotice {
                     start: upstream.start,
                     limit,
                     heard: now,
                 };
-                self.take(now, &upstream.upstream, said, LimitSource::Answer, metrics);
+                self.take(now, &upstream.upstream, said, LimitSource::Answer, metrics)
             }
             Err(e) => {
                 let mut last = lock(&self.unreadable);
@@ -58,11 +62,55 @@
                     log::warn!(upstream = upstream.upstream.as_str(), error:% = e; "limit of an upstream cannot be read; what it named before counts");
                     *last = Some(upstream.upstream.clone());
                 }
+                false
             }
         }
     }
 
-    /// Takes in what an upstream said.
+    /// True if any upstream has named a limit.
+    pub(crate) fn any(&self) -> bool {
+        self.any.load(Ordering::Relaxed)
+    }
+
+    /// The limit that an upstream names.
+    pub(crate) fn limit(&self, id: &str) -> Option<RequestRate> {
+        self.of(id)?.limit
+    }
+
+    /// What was last heard of an upstream's limit that counts.
+    pub(crate) fn of(&self, id: &str) -> Option<LimitNotice> {
+        match self.any() {
+            true => lock(&self.known).of(id),
+            false => None,
+        }
+    }
+
+    /// What others are told.
+    pub(crate) fn told(&self, now: MonoTime) -> Vec<(CompactString, LimitNotice)> {
+        if !self.any() {
+            return Vec::new();
+        }
+        let known = lock(&self.known);
+        let told = known.told(now);
+        told.map(|(id, notice)| (id.into(), notice)).collect()
+    }
+
+    /// Forgets the limits of upstreams that have started again or are gone.
+    pub(crate) fn forget_gone(
+        &self,
+        now: MonoTime,
+        start_of: impl Fn(&str) -> Option<UpstreamStart>,
+        metrics: &Metrics,
+    ) {
+        if self.any() {
+            let mut known = lock(&self.known);
+            known.forget_gone(now, start_of);
+            metrics.limited_upstreams(known.count());
+            self.any.store(!known.is_empty(), Ordering::Relaxed);
+        }
+    }
+
+    /// Takes in what an upstream said; true if that is news.
     pub(crate) fn take(
         &self,
         now: MonoTime,
@@ -70,10 +118,10 @@
         said: LimitNotice,
         source: LimitSource,
         metrics: &Metrics,
-    ) {
+    ) -> bool {
         let mut known = lock(&self.known);
         let Some(change) = known.take(id, said) else {
-            return;
+            return false;
         };
         self.any.store(true, Ordering::Relaxed);
         metrics.limited_upstreams(known.count());
@@ -85,5 +133,6 @@
             source:? = source;
             "limit of an upstream"
         );
+        true
     }
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -34,6 +34,7 @@
     broken_runs: Family<Outcome, Counter>,
     quarantine_changes: Family<Outcome, Counter>,
     limited_upstreams: Gauge,
+    permits: Family<Outcome, Counter>,
     seconds: Histogram,
     stage_seconds: Histogram,
 }
@@ -52,6 +53,7 @@
             broken_runs: Family::default(),
             quarantine_changes: Family::default(),
             limited_upstreams: Gauge::default(),
+            permits: Family::default(),
             seconds: histogram(),
             stage_seconds: histogram(),
             registry: Registry::default(),
@@ -97,6 +99,11 @@
             "Upstreams that name a limit",
             metrics.limited_upstreams.clone(),
         );
+        r.register(
+            "jd_gateway_permits",
+            "Permits for upstreams that name a limit: given out and turned away here, asked in vain",
+            metrics.permits.clone(),
+        );
         r.register(
             "jd_gateway_request_seconds",
             "From arrival to the head of the answer",
@@ -148,6 +155,10 @@
             .inc();
     }
 
+    pub(crate) fn permit(&self, outcome: &'static str) {
+        self.permits.get_or_create(&Outcome { outcome }).inc();
+    }
+
     pub(crate) fn limited_upstreams(&self, count: usize) {
         self.limited_upstreams
             .set(i64::try_from(count).unwrap_or(i64::MAX));
--- a/crates/gateway/src/peer_api.rs
+++ b/crates/gateway/src/peer_api.rs
@@ -21,6 +21,8 @@
 use jd_wire::Gateway;
 use jd_wire::GatewayServer;
 use jd_wire::Instance;
+use jd_wire::PermitReply;
+use jd_wire::PermitRequest;
 use jd_wire::ReleaseReply;
 use jd_wire::ReleaseRequest;
 use jd_wire::StagesReply;
@@ -29,6 +31,7 @@
 use tower_service::Service;
 
 use crate::peer_instance;
+use crate::peer_limits;
 use crate::peer_news;
 use crate::peer_quarantine;
 use crate::peer_stages;
@@ -55,6 +58,7 @@
         let now = self.state.now();
         let told = peer_quarantine::quarantine_of(beat.quarantine);
         self.state.quarantine.take(now, Source::Beat, told);
+        peer_limits::take(&self.state, beat.limits);
         let from = Incarnation::new(beat.incarnation);
         self.state.knowledge().instances.heard(
             now,
@@ -90,6 +94,7 @@
             unlisted,
             has_read: self.state.has_read(),
             quarantine: peer_quarantine::wire_quarantine(&self.state.quarantine, now),
+            limits: peer_limits::told(&self.state),
         }))
     }
 
@@ -110,6 +115,14 @@
         Ok(tonic::Response::new(CrashReportReply {}))
     }
 
+    async fn acquire_permit(
+        &self,
+        req: tonic::Request<PermitRequest>,
+    ) -> Result<tonic::Response<PermitReply>, Status> {
+        let reply = peer_limits::answer(&self.state, req.into_inner());
+        Ok(tonic::Response::new(reply))
+    }
+
     async fn release_results(
         &self,
         req: tonic::Request<ReleaseRequest>,
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -1,16 +1,12 @@
 //! Talking to other instances.
 
 use std::collections::BTreeMap;
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::Mutex;
 use std::time::Duration;
 
 use async_io::Timer;
 use compact_str::CompactString;
-use jd_net::GrpcChannel;
-use jd_net::lock;
 use jd_net::within;
 use jd_serving::Heartbeat;
 use jd_serving::InstanceEntry;
@@ -27,6 +23,7 @@
 use jd_wire::ReleaseRequest;
 
 use crate::peer_instance;
+use crate::peer_limits;
 use crate::peer_news;
 use crate::peer_news::Heard;
 use crate::peer_quarantine;
@@ -52,19 +49,15 @@
 /// How long a beat may take before its connection is given up.
 const BEAT_WITHIN: Duration = Duration::from_millis(800);
 
-/// Connections to other instances.
+/// What this instance says to others.
 #[derive(Debug)]
 pub(crate) struct Peers {
     state: Arc<State>,
-    channels: Mutex<HashMap<SocketAddr, GrpcChannel>>,
 }
 
 impl Peers {
     pub(crate) fn new(state: Arc<State>) -> Peers {
-        Peers {
-            state,
-            channels: Mutex::default(),
-        }
+        Peers { state }
     }
 
     /// Tells all other instances for good that this one is there.
@@ -76,7 +69,7 @@
                 let knowledge = self.state.knowledge();
                 knowledge.instances.entries().cloned().collect()
             };
-            self.forget_channels(&all);
+            self.state.channels.keep(&all);
             let pause = match all.is_empty() {
                 true => BEAT_FIRST,
                 false => BEAT_EVERY,
@@ -86,10 +79,10 @@
                 let beating = async move { peers.beat_one(&peer).await };
                 self.state.executor.spawn(beating).detach();
             }
-            // What is newly held against a request is told at once.
+            // What was newly heard of requests and upstreams is told at once.
             Timer::after(pause.min(BEAT_SOONEST)).await;
-            let told = &self.state.quarantine.to_tell;
-            told.wait(pause.saturating_sub(BEAT_SOONEST)).await;
+            let soon = &self.state.beat_soon;
+            soon.wait(pause.saturating_sub(BEAT_SOONEST)).await;
         }
     }
 
@@ -116,7 +109,7 @@
         job: &StageJob,
     ) -> Option<Result<Vec<CompactString>, JobFailure>> {
         let now = self.state.now();
-        let mut client = GatewayClient::new(self.channel(owner));
+        let mut client = GatewayClient::new(self.state.channels.to(owner));
         let asked = peer_stages::stages_request(job, shard, now);
         let reply = client.run_stages(asked).await.ok()?.into_inner();
         Some(peer_stages::outcome_of(reply))
@@ -129,7 +122,7 @@
         owner: SocketAddr,
         handles: &[CompactString],
     ) -> bool {
-        let mut client = GatewayClient::new(self.channel(owner));
+        let mut client = GatewayClient::new(self.state.channels.to(owner));
         let release = ReleaseRequest {
             results: handles.iter().map(CompactString::to_string).collect(),
         };
@@ -140,7 +133,7 @@
     /// Tells what was seen of runs to a coordinator of the quarantine; false if it does not
     /// answer.
     pub(crate) async fn report(&self, coordinator: SocketAddr, report: &Report) -> bool {
-        let mut client = GatewayClient::new(self.channel(coordinator));
+        let mut client = GatewayClient::new(self.state.channels.to(coordinator));
         let told = peer_quarantine::wire_report(report, self.state.now());
         let told = within(BEAT_WITHIN, client.report_crashes(told)).await;
         matches!(told, Some(Ok(_)))
@@ -149,7 +142,7 @@
     /// Hears another instance's news of the store, or after `wait` that there is
     /// none; none if it does not answer.
     pub(crate) async fn follow(&self, id: Incarnation, wait: Duration) -> Option<Heard> {
-        let channel = self.channel(self.address_of(id)?);
+        let channel = self.state.channels.to(self.address_of(id)?);
         let mut client = GatewayClient::new(channel.clone());
         let asked = peer_news::question(&self.state, id, wait);
         let sent = self.state.now();
@@ -206,7 +199,7 @@
     }
 
     async fn beat_one(&self, peer: &InstanceEntry) {
-        let channel = self.channel(peer.peers);
+        let channel = self.state.channels.to(peer.peers);
         let mut client = GatewayClient::new(channel.clone());
         let beat = BeatRequest {
             incarnation: self.state.me.incarnation.get(),
@@ -214,6 +207,7 @@
             ready: self.state.is_ready(),
             has_read: self.state.has_read(),
             quarantine: peer_quarantine::wire_quarantine(&self.state.quarantine, self.state.now()),
+            limits: peer_limits::told(&self.state),
         };
         let sent = self.state.now();
         match within(BEAT_WITHIN, client.beat(beat)).await {
@@ -228,6 +222,7 @@
         let now = self.state.now();
         let told = peer_quarantine::quarantine_of(reply.quarantine);
         self.state.quarantine.take(now, Source::Beat, told);
+        peer_limits::take(&self.state, reply.limits);
         let mut knowledge = self.state.knowledge();
         // The reply was made after the beat was sent, so the question that it
         // tells of was put at that moment less its age or later.
@@ -264,16 +259,4 @@
             }
         }
     }
-
-    fn channel(&self, address: SocketAddr) -> GrpcChannel {
-        let mut channels = lock(&self.channels);
-        let channel = channels
-            .entry(address)
-            .or_insert_with(|| GrpcChannel::new(Arc::clone(&self.state.executor), address));
-        channel.clone()
-    }
-
-    fn forget_channels(&self, peers: &[InstanceEntry]) {
-        lock(&self.channels).retain(|address, _| peers.iter().any(|p| p.peers == *address));
-    }
 }
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -46,17 +46,17 @@
     pub(crate) run_events: RunEvents,
     /// Signals that others are to be told at once, and that who remembers a run of a
     /// suspect is to say so.
-    pub(crate) to_tell: Signal,
+    to_tell: Arc<Signal>,
     pub(crate) to_answer: Signal,
 }
 
 impl Quarantine {
-    pub(crate) fn new() -> Quarantine {
+    pub(crate) fn new(to_tell: Arc<Signal>) -> Quarantine {
         Quarantine {
             list: ArcSwap::default(),
             recent: Mutex::default(),
             run_events: RunEvents::new(),
-            to_tell: Signal::new(),
+            to_tell,
             to_answer: Signal::new(),
         }
     }
--- a/crates/gateway/src/send_gate.rs
+++ b/crates/gateway/src/send_gate.rs
@@ -16,10 +16,15 @@
 use jd_net::lock;
 use jd_serving::ColdStart;
 use jd_serving::Content;
+use jd_types::MonoTime;
 
 use crate::run_events::UpstreamRef;
 use crate::state::State;
 
+/// How long a permit for an upstream that names a limit lasts. Used later, it would
+/// arrive together with those that were given out meanwhile.
+const PERMIT_LASTS: Duration = Duration::from_millis(500);
+
 /// What is sent to an upstream.
 #[derive(Debug, Clone)]
 pub(crate) enum Purpose {
@@ -27,6 +32,8 @@
     Request {
         /// What it is.
         content: Content,
+        /// Its rank; 0 is the most urgent.
+        priority: u8,
         /// What is known of the upstream's last start.
         cold: Arc<Mutex<ColdStart>>,
     },
@@ -43,6 +50,8 @@
 pub(crate) struct SendPermit {
     to: UpstreamRef,
     purpose: Purpose,
+    /// When it was given out for an upstream that names a limit; none if it named none.
+    limited: Option<MonoTime>,
 }
 
 /// Why something was not sent, though it could have been.
@@ -50,6 +59,8 @@
 pub(crate) struct Withheld {
     /// In words.
     pub(crate) reason: &'static str,
+    /// How long until a turn comes, where the upstream names a limit.
+    pub(crate) wait: Option<Duration>,
 }
 
 /// Why a send brought no answer.
@@ -84,8 +95,30 @@
         to: UpstreamRef,
         purpose: Purpose,
     ) -> Result<SendPermit, Withheld> {
-        let permit = SendPermit { to, purpose };
+        let notice = state.limits.of(&to.upstream);
+        let notice = notice.filter(|n| n.limit.is_some());
+        let mut permit = SendPermit {
+            limited: notice.map(|_| state.now()),
+            to,
+            purpose,
+        };
         permit.check(state)?;
+        let priority = match (&permit.purpose, notice) {
+            (_, None) | (Purpose::Upkeep, _) => return Ok(permit),
+            (Purpose::Request { priority, .. }, _) => *priority,
+            (Purpose::Pieces, _) => 0,
+        };
+        let (to, limiters) = (&permit.to, &state.limiters);
+        if let Some(notice) = notice
+            && let Err(wait) = limiters.ask(state, to, notice, priority).await
+        {
+            state.turns.note(state.now(), &to.upstream, wait);
+            return Err(Withheld {
+                reason: "the upstream takes no more for now",
+                wait: Some(wait),
+            });
+        }
+        permit.limited = Some(state.now());
         Ok(permit)
     }
 
@@ -146,12 +179,19 @@
     /// Whether it may still be sent, by what is known now.
     fn check(&self, state: &State) -> Result<(), Withheld> {
         let now = state.now();
-        let withheld = |reason| Err(Withheld { reason });
+        let withheld = |reason| Err(Withheld { reason, wait: None });
+        let ask_anew = |reason| {
+            let wait = Some(Duration::ZERO);
+            Err(Withheld { reason, wait })
+        };
+        let limit = state.limits.limit(&self.to.upstream);
         let listed = || {
             let table = state.upstreams.load();
             table.has(&self.to.upstream, self.to.address)
         };
         match &self.purpose {
+            // Room for its results is the least of its needs, and they lapse.
+            Purpose::Upkeep if limit.is_some() => withheld("the upstream names a limit"),
             Purpose::Upkeep => Ok(()),
             Purpose::Request { .. } | Purpose::Pieces if !listed() => {
                 withheld("the upstream gets nothing new any more")
@@ -162,7 +202,13 @@
             Purpose::Request { cold, .. } if !self.bears(state, cold) => {
                 withheld("the upstream has just started and bears no more")
             }
-            Purpose::Request { .. } | Purpose::Pieces => Ok(()),
+            Purpose::Request { .. } | Purpose::Pieces => match self.limited {
+                None if limit.is_some() => ask_anew("the upstream names a limit by now"),
+                Some(at) if limit.is_some() && now.since(at) > PERMIT_LASTS => {
+                    ask_anew("the permit has lapsed")
+                }
+                _ => Ok(()),
+            },
         }
     }
 
--- a/crates/gateway/src/stage_batches.rs
+++ b/crates/gateway/src/stage_batches.rs
@@ -30,6 +30,7 @@
 use crate::run_events::UpstreamRef;
 use crate::send_gate::Purpose;
 use crate::send_gate::SendFailure;
+use crate::send_gate::Withheld;
 use crate::state::State;
 use crate::upstream_table::UpstreamTable;
 
@@ -288,7 +289,10 @@
             match result {
                 CallResult::Answered(_) => quarantine.note_ran(now, &call.service, content),
                 CallResult::Broken => self.state.run_broke(upstream_of(call), content, began),
-                CallResult::Full | CallResult::Gone | CallResult::Failed => {}
+                CallResult::Full
+                | CallResult::Withheld(_)
+                | CallResult::Gone
+                | CallResult::Failed => {}
             }
         }
     }
@@ -296,8 +300,9 @@
     async fn ask(&self, call: &BatchCall) -> CallResult {
         let (state, dialect) = (&self.state, &self.state.dialect);
         let permit = state.gate.permit(state, upstream_of(call), Purpose::Pieces);
-        let Ok(permit) = permit.await else {
-            return CallResult::Gone;
+        let permit = match permit.await {
+            Ok(permit) => permit,
+            Err(why) => return withheld(why),
         };
         // Room that the desk counts as free has to be free when the call comes.
         self.free.flush(call.address).await;
@@ -305,7 +310,8 @@
         let sent = state.gate.send(state, permit, req, call.patience, || {});
         let response = match sent.await {
             Ok(response) => response,
-            Err(SendFailure::Withheld(_) | SendFailure::NotSent) => return CallResult::Gone,
+            Err(SendFailure::Withheld(why)) => return withheld(why),
+            Err(SendFailure::NotSent) => return CallResult::Gone,
             Err(SendFailure::Broken) => return CallResult::Broken,
             Err(SendFailure::Silent) => return CallResult::Failed,
         };
@@ -347,6 +353,13 @@
     }
 }
 
+fn withheld(why: Withheld) -> CallResult {
+    match why.wait {
+        Some(wait) => CallResult::Withheld(wait),
+        None => CallResult::Gone,
+    }
+}
+
 fn upstream_of(call: &BatchCall) -> UpstreamRef {
     UpstreamRef {
         service: call.service.clone(),
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -23,6 +23,7 @@
 use jd_serving::Content;
 use jd_serving::FleetPlace;
 use jd_serving::InstanceEntry;
+use jd_serving::LimitNotice;
 use jd_serving::NewsSource;
 use jd_serving::RepeatBound;
 use jd_serving::RepeatBudget;
@@ -40,14 +41,19 @@
 use crate::Dialect;
 use crate::knowledge::Knowledge;
 use crate::latch::Latch;
+use crate::limiters::Limiters;
+use crate::limits::LimitSource;
 use crate::limits::Limits;
 use crate::metrics::Metrics;
+use crate::peer_channels::PeerChannels;
 use crate::peer_news::PackedNews;
 use crate::quarantine::Quarantine;
 use crate::run_events::RunEvent;
 use crate::run_events::UpstreamRef;
 use crate::send_gate::SendGate;
 use crate::signal::Signal;
+use crate::turns::Turns;
+use crate::upstream_table::Limited;
 use crate::upstream_table::SendCheck;
 use crate::upstream_table::UpstreamTable;
 
@@ -69,8 +75,14 @@
     pub(crate) metrics: Metrics,
     /// What is held against requests.
     pub(crate) quarantine: Quarantine,
-    /// What upstreams say of how much they take.
+    /// What upstreams say of how much they take, permits for those that name a limit, and
+    /// when to ask for these again.
     pub(crate) limits: Limits,
+    pub(crate) limiters: Limiters,
+    pub(crate) turns: Turns,
+    pub(crate) channels: PeerChannels,
+    /// Signals that other instances are to be told something at once.
+    pub(crate) beat_soon: Arc<Signal>,
     /// Signals that proof is to be asked for at once, and that the store is back.
     pub(crate) proof_wanted: Signal,
     pub(crate) store_back: Signal,
@@ -97,6 +109,8 @@
         dialect: Arc<dyn Dialect>,
         me: InstanceEntry,
     ) -> State {
+        let beat_soon = Arc::new(Signal::new());
+        let channels = PeerChannels::new(Arc::clone(&executor));
         State {
             settings,
             clock,
@@ -108,8 +122,12 @@
             upstreams: ArcSwap::default(),
             shards: ArcSwap::default(),
             metrics: Metrics::new(),
-            quarantine: Quarantine::new(),
+            quarantine: Quarantine::new(Arc::clone(&beat_soon)),
             limits: Limits::default(),
+            limiters: Limiters::default(),
+            turns: Turns::default(),
+            channels,
+            beat_soon,
             proof_wanted: Signal::new(),
             store_back: Signal::new(),
             entry_gone: Signal::new(),
@@ -268,6 +286,7 @@
     pub(crate) fn send_check(&self, service: &str) -> SendCheck<'_> {
         SendCheck {
             cold: self.cold_spec(service),
+            limited: Limited::Asked,
             state: self,
         }
     }
@@ -276,6 +295,7 @@
     pub(crate) fn no_check(&self) -> SendCheck<'_> {
         SendCheck {
             cold: None,
+            limited: Limited::Any,
             state: self,
         }
     }
@@ -326,9 +346,33 @@
 
     /// Reads what an answer of an upstream says of its limit.
     pub(crate) fn note_limit(&self, upstream: &UpstreamRef, headers: &HeaderMap) {
-        let dialect = self.dialect.as_ref();
-        self.limits
-            .note_answer(self.now(), upstream, dialect, headers, &self.metrics);
+        let (now, dialect) = (self.now(), self.dialect.as_ref());
+        let limits = &self.limits;
+        if limits.note_answer(now, upstream, dialect, headers, &self.metrics) {
+            self.beat_soon.give();
+        }
+    }
+
+    /// Takes in what another instance has heard of an upstream's limit.
+    pub(crate) fn take_limit(&self, id: &str, said: LimitNotice, source: LimitSource) {
+        let limits = &self.limits;
+        if limits.take(self.now(), id, said, source, &self.metrics) {
+            self.beat_soon.give();
+        }
+    }
+
+    /// When a caller is to come back for whom a service's upstreams take no more; none
+    /// if that is not the reason.
+    pub(crate) fn next_turn(&self, service: &str) -> Option<Duration> {
+        if !self.limits.any() {
+            return None;
+        }
+        let table = self.upstreams.load();
+        let limited = table.upstreams(service).filter_map(|upstream| {
+            let rate = self.limits.limit(&upstream.id)?;
+            Some((upstream.id, rate))
+        });
+        self.turns.next(self.now(), limited)
     }
 
     /// Lays the upstreams out anew after their entries changed.
@@ -340,6 +384,8 @@
         let before = self.upstreams.load_full();
         let next = before.next(now, entries, &knowledge.evacuated, zone);
         let started_again = next.note_restarts(&before);
+        let start_of = |id: &str| next.start_of(id);
+        self.limits.forget_gone(now, start_of, &self.metrics);
         self.upstreams.store(Arc::new(next));
         drop(knowledge);
         for address in started_again {
--- a/crates/gateway/src/stream_call.rs
+++ b/crates/gateway/src/stream_call.rs
@@ -25,6 +25,7 @@
 use crate::state::State;
 use crate::upstream_choice::Missed;
 use crate::upstream_choice::Offers;
+use crate::upstream_choice::check_choice;
 use crate::upstream_choice::send_to_next;
 
 /// Upstreams that one request is offered to, those that proved that they did
@@ -44,6 +45,7 @@
     stages: &Arc<StageRunner>,
     call: Call,
 ) -> Result<Response<Body>, Refusal> {
+    check_choice(state, &call, FULL_PAUSE)?;
     let mut results = stages.run(&call).await?;
     let mut offers = Offers::new(FULL_PAUSE);
     let mut stages_repeated = false;
--- a/crates/gateway/src/upstream_choice.rs
+++ b/crates/gateway/src/upstream_choice.rs
@@ -14,10 +14,13 @@
 use crate::front::may_have_run;
 use crate::state::State;
 use crate::upstream_table::Chosen;
+use crate::upstream_table::Limited;
 
 /// How often a request may be withheld from the upstream that was chosen before it is
 /// refused.
 const MAX_WITHHELD: u32 = 8;
+/// How often before only upstreams that name no limit are chosen.
+const MAX_TURNED_AWAY: u32 = 3;
 
 /// Where one attempt of a caller was sent so far.
 #[derive(Debug)]
@@ -42,6 +45,15 @@
         }
     }
 
+    /// The refusal of a request whose turn comes after `wait`.
+    fn refuse_limited(&self, wait: Duration) -> Refusal {
+        let detail = "the upstreams take no more for now";
+        match self.runs {
+            0 => Refusal::not_run(RefusalKind::Limited, detail).after(wait),
+            _ => may_have_run(RefusalKind::UpstreamFailed, detail),
+        }
+    }
+
     /// The refusal of a request that no upstream can be sent.
     fn refuse(&self, kind: RefusalKind, detail: &'static str) -> Refusal {
         match (self.runs, kind) {
@@ -97,7 +109,10 @@
     }
     call.check_quarantine(state, offers.runs)?;
     let table = state.upstreams.load();
-    let check = state.send_check(&call.service);
+    let mut check = state.send_check(&call.service);
+    if offers.withheld >= MAX_TURNED_AWAY {
+        check.limited = Limited::Avoided;
+    }
     let tried = &offers.tried;
     let chosen = match &call.head.prompt {
         _ if offers.withheld >= MAX_WITHHELD => None,
@@ -108,5 +123,17 @@
         }
         None => table.pick(&call.service, now, &state.settings.zone, tried, &check),
     };
-    chosen.ok_or_else(|| offers.refuse(RefusalKind::NoUpstream, "no upstream is left to try"))
+    chosen.ok_or_else(|| match state.next_turn(&call.service) {
+        Some(wait) => offers.refuse_limited(wait),
+        None => offers.refuse(RefusalKind::NoUpstream, "no upstream is left to try"),
+    })
+}
+
+/// Refuses a request at once for which no upstream could be chosen, before its stages
+/// are done for nothing.
+pub(crate) fn check_choice(state: &State, call: &Call, pause: Duration) -> Result<(), Refusal> {
+    match state.limits.any() {
+        true => next_upstream(state, call, &Offers::new(pause)).map(drop),
+        false => Ok(()),
+    }
 }
--- a/crates/gateway/src/upstream_table.rs
+++ b/crates/gateway/src/upstream_table.rs
@@ -55,17 +55,43 @@
     }
 }
 
+/// Which of the upstreams that name a limit may be chosen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Limited {
+    /// All.
+    Any,
+    /// Those for which a permit may be asked for now.
+    Asked,
+    /// None.
+    Avoided,
+}
+
 /// What a choice asks of an upstream before it is sent anything.
 pub(crate) struct SendCheck<'a> {
     /// What those bear that have just started; none where that is not bounded.
     pub(crate) cold: Option<ColdSpec>,
+    /// Which of those may be chosen that name a limit.
+    pub(crate) limited: Limited,
     /// Tells this instance's place among all.
     pub(crate) state: &'a State,
 }
 
 impl SendCheck<'_> {
     /// True if this instance may send to the upstream now.
-    fn allows(&self, now: MonoTime, known: &Known) -> bool {
+    fn allows(&self, now: MonoTime, id: &str, known: &Known) -> bool {
+        self.limit_allows(now, id) && self.cold_allows(now, known)
+    }
+
+    fn limit_allows(&self, now: MonoTime, id: &str) -> bool {
+        let names_limit = || self.state.limits.limit(id).is_some();
+        match self.limited {
+            Limited::Any => true,
+            Limited::Asked => !names_limit() || self.state.turns.may_ask(now, id),
+            Limited::Avoided => !names_limit(),
+        }
+    }
+
+    fn cold_allows(&self, now: MonoTime, known: &Known) -> bool {
         let Some(spec) = self.cold else {
             return true;
         };
@@ -227,6 +253,11 @@
         known.is_some_and(|k| k.upstream.address == address && !k.evacuated)
     }
 
+    /// Where an upstream answers that is there and does not leave.
+    pub(crate) fn address_of(&self, id: &str) -> Option<SocketAddr> {
+        self.by_id.get(id).map(|known| known.upstream.address)
+    }
+
     /// The start of an upstream that is there and does not leave.
     pub(crate) fn start_of(&self, id: &str) -> Option<UpstreamStart> {
         self.by_id.get(id).map(|known| known.start)
@@ -265,7 +296,7 @@
     ) -> Option<Chosen> {
         let table = self.services.get(service)?;
         let mut exclude = table.keys_of(tried);
-        exclude.extend(table.keys(|known| !check.allows(now, known)));
+        exclude.extend(table.keys(|id, known| !check.allows(now, id, known)));
         let req = PickRequest {
             hall: zone,
             affinity: None,
@@ -290,7 +321,7 @@
         let table = self.services.get(service)?;
         let views = table.views(now, &table.keys_of(tried));
         let order = place_prompt(session, &views, table.slots, instances);
-        let bearing = |n: &usize| check.allows(now, &table.known[*n]);
+        let bearing = |n: &usize| check.allows(now, &table.ids[*n], &table.known[*n]);
         let first = order.into_iter().find(bearing)?;
         let key = UpstreamKey::from_index(u32::try_from(first).ok()?);
         Some(table.chosen(key))
@@ -310,10 +341,10 @@
     }
 
     /// The places of those that are like this.
-    fn keys(&self, is_one: impl Fn(&Known) -> bool) -> Vec<UpstreamKey> {
+    fn keys(&self, is_one: impl Fn(&str, &Known) -> bool) -> Vec<UpstreamKey> {
         let keys = (0..).map(UpstreamKey::from_index);
-        let all = self.known.iter().zip(keys);
-        all.filter(|(known, _)| is_one(known))
+        let all = self.ids.iter().zip(&self.known).zip(keys);
+        all.filter(|((id, known), _)| is_one(id, known))
             .map(|(_, k)| k)
             .collect()
     }
--- a/crates/gateway/tests/whole/limits.rs
+++ b/crates/gateway/tests/whole/limits.rs
@@ -1,4 +1,20 @@
 //! Upstreams that name a limit of what they take, through a whole fleet.
+//!
+//! Two upstreams of nine named a limit of one request a second in their answers and got 12
+//! and 13 in four seconds. Nothing read the limit, and had each instance kept to it by itself
+//! nothing would have changed: of the nine instances six sent to one of them, none more than
+//! three in four seconds. The lines that settled it, all of them answers of that upstream:
+//!
+//!     9.342 edge-hall-b-3 answer began
+//!     9.616 edge-hall-b-3 answer began
+//!     9.662 edge-hall-c-2 answer began
+//!    10.833 edge-hall-c-2 answer began
+//!    10.915 edge-hall-a-2 answer began
+//!    10.989 edge-hall-b-2 answer began
+//!    11.041 edge-hall-b-1 answer began
+//!    11.274 edge-hall-a-1 answer began
+//!
+//! So one instance counts for all, and gives out permits to the others.
 
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/serving/src/batch_call.rs
+++ b/crates/serving/src/batch_call.rs
@@ -97,6 +97,9 @@
     Answered(Vec<PieceResult>),
     /// The upstream was full and did nothing.
     Full,
+    /// The upstream takes no more for now by its own limit, and was not asked. It may be
+    /// asked again after this time.
+    Withheld(Duration),
     /// The upstream is another one, or not there.
     Gone,
     /// The connection broke; the upstream may be well and work on.
--- a/crates/serving/src/batch_upstream.rs
+++ b/crates/serving/src/batch_upstream.rs
@@ -145,6 +145,7 @@
                 self.blocked_until = now + FULL_PAUSE;
                 self.others.doubt();
             }
+            CallResult::Withheld(wait) => self.blocked_until = now + *wait,
             // A broken connection says little of the upstream, which goes on with
             // the call: it is free again when that would have ended.
             CallResult::Broken if self.failures == 0 => {
--- a/crates/serving/src/desk_results.rs
+++ b/crates/serving/src/desk_results.rs
@@ -56,7 +56,7 @@
                 let unknown = format_compact!("call {}", key.0);
                 made.push((unknown, call.bytes));
             }
-            CallResult::Full | CallResult::Gone => {}
+            CallResult::Full | CallResult::Withheld(_) | CallResult::Gone => {}
         }
         let refused = match result {
             CallResult::Answered(results) => results.contains(&PieceResult::NoRoom),
--- a/crates/serving/src/stage_desk.rs
+++ b/crates/serving/src/stage_desk.rs
@@ -134,7 +134,7 @@
                     self.take_result(now, *job, *piece, result);
                 }
             }
-            CallResult::Full | CallResult::Gone => {
+            CallResult::Full | CallResult::Withheld(_) | CallResult::Gone => {
                 for (job, piece) in call.pieces {
                     self.ask_again(now, job, piece, now);
                 }
--- a/crates/types/src/refusal.rs
+++ b/crates/types/src/refusal.rs
@@ -42,11 +42,13 @@
     NotServing,
     /// Upstreams that ran the request ended, one after the other.
     Quarantined,
+    /// The upstreams name a limit and take no more for now.
+    Limited,
 }
 
 impl RefusalKind {
     /// Every kind, for reports, metrics and documentation.
-    pub const ALL: [RefusalKind; 16] = [
+    pub const ALL: [RefusalKind; 17] = [
         RefusalKind::Unauthenticated,
         RefusalKind::Malformed,
         RefusalKind::TooLarge,
@@ -63,6 +65,7 @@
         RefusalKind::PlatformDown,
         RefusalKind::NotServing,
         RefusalKind::Quarantined,
+        RefusalKind::Limited,
     ];
 
     /// The name in problem details, reports and metrics.
@@ -84,6 +87,7 @@
             RefusalKind::PlatformDown => "platform-down",
             RefusalKind::NotServing => "not-serving",
             RefusalKind::Quarantined => "quarantined",
+            RefusalKind::Limited => "limited",
         }
     }
 
@@ -103,7 +107,8 @@
             | RefusalKind::NoUpstream
             | RefusalKind::PlatformDown
             | RefusalKind::NotServing
-            | RefusalKind::Quarantined => 503,
+            | RefusalKind::Quarantined
+            | RefusalKind::Limited => 503,
         }
     }
 
@@ -144,6 +149,9 @@
             RefusalKind::Quarantined => {
                 "do not send this request again before the given time; operators see its content in the logs"
             }
+            RefusalKind::Limited => {
+                "come back after the given time; operators see in the logs which upstreams name a limit"
+            }
         }
     }
 }
