A test of pieces that wait for the turn of limited upstreams

Trial, not kept: estimates of the owner that count a limited upstream's turns. Kept: the test that turns are kept to and used (a call a second, at least 0.8 of it).

--- a/crates/serving/tests/stage_world/mod.rs
+++ b/crates/serving/tests/stage_world/mod.rs
@@ -59,6 +59,8 @@
     due: BTreeMap<(MonoTime, u64), BatchCall>,
     numbers: u64,
     lost: HashSet<CompactString>,
+    /// Upstreams that take a call each time so long, and when the next one.
+    pub(crate) limited: HashMap<CompactString, (Duration, MonoTime)>,
 }
 
 pub(crate) fn name(text: &str) -> Name {
@@ -86,6 +88,7 @@
             due: BTreeMap::new(),
             numbers: 0,
             lost: HashSet::new(),
+            limited: HashMap::new(),
         }
     }
 
@@ -155,6 +158,15 @@
             self.desk.told_room(self.now, &question, Some(told));
         }
         while let Some(call) = self.desk.next_call(self.now) {
+            if let Some((every, next)) = self.limited.get_mut(&call.upstream) {
+                let wait = next.since(self.now);
+                if !wait.is_zero() {
+                    let withheld = CallResult::Withheld(wait);
+                    self.desk.finish(self.now, call.key, withheld);
+                    continue;
+                }
+                *next = self.now + *every;
+            }
             self.numbers += 1;
             let took = match self.silent.contains(&call.upstream) {
                 true => call.patience,
--- a/crates/serving/tests/worst_load.rs
+++ b/crates/serving/tests/worst_load.rs
@@ -11,6 +11,7 @@
 use jd_serving::JobKey;
 use jd_serving::StageJob;
 use jd_types::MonoTime;
+use stage_world::SPEC;
 use stage_world::World;
 use stage_world::name;
 
@@ -285,3 +286,28 @@
     assert!(ended(&back) >= last, "served before {last:?}");
     assert!(world.ended[&back].1.is_ok(), "served all the same");
 }
+
+/// The upstreams of a stage name a limit of one call a second, half of what they could do.
+/// Pieces wait for a turn, and what the upstreams take is used.
+#[test]
+fn pieces_wait_for_the_turn_of_limited_upstreams() {
+    let mut world = World::new(&["first"], 10);
+    let every = Duration::from_secs(1);
+    for upstream in ["first-1", "first-2"] {
+        world
+            .limited
+            .insert(upstream.into(), (every, MonoTime::ZERO));
+    }
+    for id in 0..400 {
+        let job = world.chain(id, &[("first", 1)], 2_000);
+        // Refused at once is as good as done here.
+        let _ = world.submit(job);
+        world.run(25);
+    }
+    let calls = world.calls.iter().filter(|(_, c)| c.upstream == "first-1");
+    let at: Vec<MonoTime> = calls.map(|(at, _)| *at).collect();
+    assert!(at.windows(2).all(|pair| pair[1].since(pair[0]) >= every));
+    let done = world.ended.values().filter(|(_, outcome)| outcome.is_ok());
+    let most = 2 * SPEC.pieces * 10;
+    assert!(done.count() * 10 >= most * 8, "of {most}");
+}
