--- a/crates/gateway/tests/whole/fakes/harness.rs
+++ b/crates/gateway/tests/whole/fakes/harness.rs
@@ -225,6 +225,12 @@
         self.add_gateways(count);
     }
 
+    /// Ends so many of the gateways that were added, as a loss of power would.
+    pub(crate) fn end_gateways(&mut self, count: usize) {
+        let kept = self.fleet.len().saturating_sub(count);
+        self.fleet.truncate(kept);
+    }
+
     /// Starts another gateway, for which the store refuses so many pages that are
     /// not first ones, or every call if `away`; the store as it sees it.
     pub(crate) fn add_gateway(&mut self, refused_pages: usize, away: bool) -> Arc<FakeStore> {
--- a/crates/gateway/tests/whole/limits.rs
+++ b/crates/gateway/tests/whole/limits.rs
@@ -154,3 +154,81 @@
         }
     });
 }
+
+/// Most of the fleet ends at once, those that gave out permits among them. Those that are
+/// left find others for it, and keep to the limit.
+#[test]
+fn a_limit_is_kept_when_those_that_give_out_permits_are_lost() {
+    let mut harness = fleet(2);
+    harness.upstreams[0].name_limit(Some("1"));
+    block_on(async {
+        load(&harness, "/any/x").await;
+        let lost = INSTANCES - 3;
+        let owned = Arc::get_mut(&mut harness).expect("nobody else asks");
+        owned.end_gateways(lost);
+        let counted = Instant::now();
+        let received = repeat(&harness, "/any/x", PAUSE, LOAD).await;
+        let most = most_arrivals(&harness.upstreams[0], counted);
+        assert!(most <= allowed(1.0), "{most} in four seconds");
+        let served = received.iter().filter(|r| r.status == 200).count();
+        assert_eq!(served, received.len(), "the other takes the rest");
+        let late = Instant::now() - SPAN;
+        let used = harness.upstreams[0].arrivals();
+        let used = used.iter().filter(|at| **at >= late).count();
+        assert!(used >= 2, "{used} in the last four seconds");
+    });
+}
+
+/// All instances start anew at once and know nothing. They hear of the limit again, and
+/// keep to it.
+#[test]
+fn a_limit_is_heard_again_after_all_instances_have_started_anew() {
+    let mut harness = fleet(2);
+    harness.upstreams[0].name_limit(Some("1"));
+    block_on(async {
+        load(&harness, "/any/x").await;
+        let owned = Arc::get_mut(&mut harness).expect("nobody else asks");
+        owned.restart_gateways();
+        let (_, counted) = load(&harness, "/any/x").await;
+        let most = most_arrivals(&harness.upstreams[0], counted);
+        assert!(most <= allowed(1.0), "{most} in four seconds");
+    });
+}
+
+/// Streams break off and go on elsewhere, and requests are sent once more. These sends
+/// count as any others.
+#[test]
+fn what_is_sent_once_more_keeps_to_a_limit() {
+    let cut = Reply::Stream {
+        parts: &["id: 1\ndata: a\n\n"],
+        cut: true,
+    };
+    let whole = Reply::Stream {
+        parts: &["id: 2\ndata: b\n\n"],
+        cut: false,
+    };
+    let mut harness = Harness::start(vec![vec![cut], vec![whole.clone()], vec![whole]]);
+    harness.add_gateways(INSTANCES - 1);
+    let harness = Arc::new(harness);
+    harness.upstreams[1].name_limit(Some("1"));
+    let (_, counted) = block_on(load(&harness, "/resume/x"));
+    let most = most_arrivals(&harness.upstreams[1], counted);
+    assert!(most <= allowed(1.0), "{most} in four seconds");
+}
+
+/// What cannot be read is no limit, and costs nothing.
+#[test_case("NaN"; "not a number")]
+#[test_case("-1"; "negative")]
+#[test_case(""; "empty")]
+fn an_upstream_whose_limit_cannot_be_read_is_used_as_before(limit: &'static str) {
+    let harness = fleet(1);
+    harness.upstreams[0].name_limit(Some(limit));
+    block_on(async {
+        harness.until_ready(true).await;
+        for n in 0..20 {
+            let received = harness.ask("/once/x", &n.to_string()).await;
+            assert_eq!(received.status, 200);
+        }
+    });
+    assert!(harness.upstreams[0].count() >= 20);
+}
