Soak: upstreams that name limits

Cause: nothing outside the tests of one process checked that limits are kept beside other faults. Checked: from three seconds on no more than one and a half times that in any four seconds, and five; no instance is excused, whatever is done to it.

--- a/soak/src/fault.rs
+++ b/soak/src/fault.rs
@@ -71,6 +71,8 @@
     EngineLink(usize, LinkMode, Duration),
     /// An instance's links to the store misbehave for the time.
     StoreLink(usize, LinkMode, Duration),
+    /// An upstream names a limit of so many requests a second, for the time.
+    Limit(usize, u32, Duration),
     /// An upstream says that it leaves, and is gone later.
     Drain(usize),
     /// An upstream is gone, and another one has its address.
@@ -90,11 +92,15 @@
 }
 
 impl Fault {
-    /// True if it is ordinary work that may cut no request short.
+    /// True if it may cut no request short: ordinary work, or a bound that has to be kept.
     pub fn is_planned(&self) -> bool {
         matches!(
             self,
-            Fault::Stop(_) | Fault::Reload(_) | Fault::Configure | Fault::Drain(_)
+            Fault::Stop(_)
+                | Fault::Reload(_)
+                | Fault::Configure
+                | Fault::Drain(_)
+                | Fault::Limit(..)
         )
     }
 }
--- a/soak/src/judge.rs
+++ b/soak/src/judge.rs
@@ -15,6 +15,7 @@
 use crate::Run;
 use crate::Span;
 use crate::bad_requests;
+use crate::limits;
 use crate::model;
 
 /// Within which a credential that was taken away works nowhere: the users' bound.
@@ -96,6 +97,7 @@
     seen.planned_work_cuts_nothing(&mut broken);
     seen.recovered(calm, &mut broken);
     broken.extend(bad_requests::judge(&attempts, &runs, &spans));
+    broken.extend(limits::judge(&runs, &spans));
     broken
 }
 
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -12,6 +12,7 @@
 mod fleet;
 mod judge;
 mod ledger;
+mod limits;
 mod model;
 mod plan;
 mod relay;
--- /dev/null
+++ b/soak/src/limits.rs
@@ -0,0 +1,42 @@
+//! Whether upstreams that name a limit got no more than that.
+
+use std::time::Duration;
+
+use crate::Broken;
+use crate::Fault;
+use crate::Run;
+use crate::Span;
+
+/// Within which all instances know of a limit: the users' bound for news.
+const KNOWN_WITHIN: Duration = Duration::from_millis(3_000);
+/// The span over which arrivals are counted, as the users do.
+const COUNTED_OVER: Duration = Duration::from_millis(4_000);
+/// How far above a limit arrivals may be, as a factor and beyond it.
+const OVERRUN: f64 = 1.5;
+const SLACK: f64 = 5.0;
+
+/// The promises on limits of upstreams that were broken.
+pub(crate) fn judge(runs: &[Run], spans: &[Span]) -> Vec<Broken> {
+    let limited = spans.iter().filter_map(|s| match s.fault {
+        Fault::Limit(_, per_s, _) => Some((s, f64::from(per_s))),
+        _ => None,
+    });
+    let mut broken = Vec::new();
+    for (span, per_s) in limited {
+        let known = span.from + KNOWN_WITHIN;
+        let counted = |r: &&Run| r.engine == span.what && r.at > known && r.at < span.to;
+        let at: Vec<Duration> = runs.iter().filter(counted).map(|r| r.at).collect();
+        let within = at.iter().map(|end| {
+            let from = end.saturating_sub(COUNTED_OVER);
+            at.iter().filter(|a| **a > from && **a <= *end).count()
+        });
+        let most = within.max().unwrap_or(0);
+        if most as f64 > per_s * COUNTED_OVER.as_secs_f64() * OVERRUN + SLACK {
+            broken.push(Broken {
+                promise: "limits of upstreams are kept",
+                detail: format!("{} named {per_s} a second and got {most}", span.what),
+            });
+        }
+    }
+    broken
+}
--- a/soak/src/model.rs
+++ b/soak/src/model.rs
@@ -61,6 +61,8 @@
     /// When it started, in milliseconds since 1970.
     pub(crate) born: AtomicU64,
     pub(crate) mode: Mutex<Option<EngineMode>>,
+    /// The limit that it names, in requests a second.
+    pub(crate) limit: Mutex<Option<u32>>,
     pub(crate) ledger: Arc<Ledger>,
     pub(crate) results: Arc<Results>,
     /// Takes the identity of an upstream that ends with a request.
@@ -79,6 +81,14 @@
         lock(&self.id).clone()
     }
 
+    /// An answer of it, with the limit that it names.
+    pub(crate) fn with_limit(&self, mut res: Response<Body>) -> Response<Body> {
+        if let Some(limit) = *lock(&self.limit) {
+            set(&mut res, "server-limit", &limit.to_string());
+        }
+        res
+    }
+
     async fn answer(&self, req: Request<Incoming>) -> Response<Body> {
         let me = self.id();
         let (parts, body) = req.into_parts();
@@ -211,6 +221,9 @@
 
 impl Handler for Engine {
     fn handle(self: Arc<Self>, req: Request<Incoming>) -> HandlerFuture {
-        Box::pin(async move { self.answer(req).await })
+        Box::pin(async move {
+            let res = self.answer(req).await;
+            self.with_limit(res)
+        })
     }
 }
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -23,6 +23,10 @@
 /// From this seed on requests come that end upstreams, and a hot one. Earlier seeds keep
 /// their plans.
 const BAD_FROM: u64 = 3_000;
+/// From this seed on upstreams name limits. Earlier seeds keep their plans.
+const LIMITS_FROM: u64 = 4_000;
+/// How long one names a limit: beyond most other faults.
+const LIMIT_LASTS: Duration = Duration::from_millis(9_000);
 /// How long such a request comes again: beyond the last other fault.
 const BAD_LASTS: Duration = Duration::from_millis(10_000);
 /// Every so many seeds bring planned work only, which may cut nothing short.
@@ -88,6 +92,15 @@
                 });
             }
         }
+        if seed >= LIMITS_FROM {
+            for _ in 0..rng.usize(1..=3) {
+                let after = rng.u64(0..FAULTS_LAST.as_millis() as u64 / 2);
+                steps.push(Step {
+                    at: LEAD + Duration::from_millis(after),
+                    fault: Fault::Limit(rng.usize(..), rng.u32(1..=3), LIMIT_LASTS),
+                });
+            }
+        }
         steps.sort_by_key(|s| s.at);
         Plan { seed, steps }
     }
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -217,7 +217,7 @@
         let places = self.world.places.len();
         let held = match step.fault {
             Fault::Kill(n, _) | Fault::Stop(n) | Fault::Pause(n, _) => Some(n % instances),
-            Fault::Drain(n) | Fault::Replace(n) | Fault::StartAgain(n) => {
+            Fault::Drain(n) | Fault::Replace(n) | Fault::StartAgain(n) | Fault::Limit(n, _, _) => {
                 Some(instances + n % places)
             }
             _ => None,
@@ -244,9 +244,11 @@
     fn what(&self, fault: Fault) -> String {
         let places = &self.world.places;
         match fault {
-            Fault::Drain(n) | Fault::Replace(n) | Fault::StartAgain(n) | Fault::Engine(n, _, _) => {
-                places[n % places.len()].handler.engine().id()
-            }
+            Fault::Drain(n)
+            | Fault::Replace(n)
+            | Fault::StartAgain(n)
+            | Fault::Engine(n, _, _)
+            | Fault::Limit(n, _, _) => places[n % places.len()].handler.engine().id(),
             _ => String::new(),
         }
     }
@@ -313,6 +315,12 @@
                 Timer::after(span).await;
                 *lock(&engine.mode) = None;
             }
+            Fault::Limit(n, per_s, span) => {
+                let engine = place(n).handler.engine();
+                *lock(&engine.limit) = Some(per_s);
+                Timer::after(span).await;
+                *lock(&engine.limit) = None;
+            }
             Fault::EngineLink(n, mode, span) => misbehave(&place(n).link, mode, span).await,
             Fault::StoreLink(n, mode, span) => {
                 misbehave(&self.world.store_links[n % instances], mode, span).await;
--- a/soak/src/stages.rs
+++ b/soak/src/stages.rs
@@ -109,6 +109,9 @@
 
 impl Handler for StageEngine {
     fn handle(self: Arc<Self>, req: Request<Incoming>) -> HandlerFuture {
-        Box::pin(async move { self.answer(req).await })
+        Box::pin(async move {
+            let res = self.answer(req).await;
+            self.engine.with_limit(res)
+        })
     }
 }
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -126,6 +126,7 @@
                 id: Mutex::new(new_id()),
                 born: AtomicU64::new(now_ms()),
                 mode: Mutex::default(),
+                limit: Mutex::default(),
                 ledger: Arc::clone(&ledger),
                 results: Arc::clone(&results),
                 ended: tx.clone(),
