--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -1,5 +1,6 @@
 //! The limits that upstreams name, on the path of every answer.
 
+use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
@@ -16,6 +17,7 @@
 use crate::Dialect;
 use crate::metrics::Metrics;
 use crate::run_events::UpstreamRef;
+use crate::signal::Signal;
 
 /// Who told of a limit.
 #[derive(Debug, Clone, Copy)]
@@ -27,17 +29,28 @@
 }
 
 /// The limits that upstreams name, as this instance has heard.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Limits {
     /// True once any upstream has named one: without, no request waits for the lock.
     any: AtomicBool,
     known: Mutex<UpstreamLimits>,
     /// The upstream whose limit could not be read last, so that it is logged once.
     unreadable: Mutex<Option<CompactString>>,
+    /// Signals that others are to be told at once.
+    to_tell: Arc<Signal>,
 }
 
 impl Limits {
-    /// Reads what an answer of an upstream says of its limit; true if that is news.
+    pub(crate) fn new(to_tell: Arc<Signal>) -> Limits {
+        Limits {
+            any: AtomicBool::new(false),
+            known: Mutex::default(),
+            unreadable: Mutex::default(),
+            to_tell,
+        }
+    }
+
+    /// Reads what an answer of an upstream says of its limit.
     pub(crate) fn note_answer(
         &self,
         now: MonoTime,
@@ -45,16 +58,16 @@
         dialect: &dyn Dialect,
         headers: &HeaderMap,
         metrics: &Metrics,
-    ) -> bool {
+    ) {
         match dialect.named_limit(headers) {
-            Ok(None) if !self.any() => false,
+            Ok(None) if !self.any() => {}
             Ok(limit) => {
                 let said = LimitNotice {
                     start: upstream.start,
                     limit,
                     heard: now,
                 };
-                self.take(now, &upstream.upstream, said, LimitSource::Answer, metrics)
+                self.take(now, &upstream.upstream, said, LimitSource::Answer, metrics);
             }
             Err(e) => {
                 let mut last = lock(&self.unreadable);
@@ -62,7 +75,6 @@
                     log::warn!(upstream = upstream.upstream.as_str(), error:% = e; "limit of an upstream cannot be read; what it named before counts");
                     *last = Some(upstream.upstream.clone());
                 }
-                false
             }
         }
     }
@@ -110,7 +122,7 @@
         }
     }
 
-    /// Takes in what an upstream said; true if that is news.
+    /// Takes in what an upstream said, and tells others of it if that is news.
     pub(crate) fn take(
         &self,
         now: MonoTime,
@@ -118,10 +130,10 @@
         said: LimitNotice,
         source: LimitSource,
         metrics: &Metrics,
-    ) -> bool {
+    ) {
         let mut known = lock(&self.known);
         let Some(change) = known.take(id, said) else {
-            return false;
+            return;
         };
         self.any.store(true, Ordering::Relaxed);
         metrics.limited_upstreams(known.count());
@@ -133,6 +145,6 @@
             source:? = source;
             "limit of an upstream"
         );
-        true
+        self.to_tell.give();
     }
 }
--- a/crates/gateway/src/peer_limits.rs
+++ b/crates/gateway/src/peer_limits.rs
@@ -33,7 +33,16 @@
     let now = state.now();
     for limit in told {
         match notice_of(&limit, now) {
-            Some(notice) => state.take_limit(&limit.upstream, notice, LimitSource::Beat),
+            Some(notice) => {
+                let limits = &state.limits;
+                limits.take(
+                    now,
+                    &limit.upstream,
+                    notice,
+                    LimitSource::Beat,
+                    &state.metrics,
+                );
+            }
             None => {
                 log::debug!(upstream = limit.upstream.as_str(); "limit told by another instance is no rate; it is left out");
             }
--- a/crates/gateway/src/send_gate.rs
+++ b/crates/gateway/src/send_gate.rs
@@ -155,7 +155,9 @@
         match (sent, lock(&withheld).take()) {
             (_, Some(reason)) => Err(SendFailure::Withheld(reason)),
             (Some(Ok(response)), None) => {
-                state.note_limit(&permit.to, &response.headers);
+                let (now, dialect) = (state.now(), state.dialect.as_ref());
+                let limits = &state.limits;
+                limits.note_answer(now, &permit.to, dialect, &response.headers, &state.metrics);
                 Ok(response)
             }
             (Some(Err(SendError::NotSent)), None) => Err(SendFailure::NotSent),
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -15,7 +15,6 @@
 use async_executor::Executor;
 use compact_str::CompactString;
 use event_listener::Event;
-use http::HeaderMap;
 use jd_net::Clock;
 use jd_net::HttpPool;
 use jd_net::lock;
@@ -23,7 +22,6 @@
 use jd_serving::Content;
 use jd_serving::FleetPlace;
 use jd_serving::InstanceEntry;
-use jd_serving::LimitNotice;
 use jd_serving::NewsSource;
 use jd_serving::RepeatBound;
 use jd_serving::RepeatBudget;
@@ -42,7 +40,6 @@
 use crate::knowledge::Knowledge;
 use crate::latch::Latch;
 use crate::limiters::Limiters;
-use crate::limits::LimitSource;
 use crate::limits::Limits;
 use crate::metrics::Metrics;
 use crate::peer_channels::PeerChannels;
@@ -123,7 +120,7 @@
             shards: ArcSwap::default(),
             metrics: Metrics::new(),
             quarantine: Quarantine::new(Arc::clone(&beat_soon)),
-            limits: Limits::default(),
+            limits: Limits::new(Arc::clone(&beat_soon)),
             limiters: Limiters::default(),
             turns: Turns::default(),
             channels,
@@ -344,37 +341,6 @@
         });
     }
 
-    /// Reads what an answer of an upstream says of its limit.
-    pub(crate) fn note_limit(&self, upstream: &UpstreamRef, headers: &HeaderMap) {
-        let (now, dialect) = (self.now(), self.dialect.as_ref());
-        let limits = &self.limits;
-        if limits.note_answer(now, upstream, dialect, headers, &self.metrics) {
-            self.beat_soon.give();
-        }
-    }
-
-    /// Takes in what another instance has heard of an upstream's limit.
-    pub(crate) fn take_limit(&self, id: &str, said: LimitNotice, source: LimitSource) {
-        let limits = &self.limits;
-        if limits.take(self.now(), id, said, source, &self.metrics) {
-            self.beat_soon.give();
-        }
-    }
-
-    /// When a caller is to come back for whom a service's upstreams take no more; none
-    /// if that is not the reason.
-    pub(crate) fn next_turn(&self, service: &str) -> Option<Duration> {
-        if !self.limits.any() {
-            return None;
-        }
-        let table = self.upstreams.load();
-        let limited = table.upstreams(service).filter_map(|upstream| {
-            let rate = self.limits.limit(&upstream.id)?;
-            Some((upstream.id, rate))
-        });
-        self.turns.next(self.now(), limited)
-    }
-
     /// Lays the upstreams out anew after their entries changed.
     pub(crate) fn rebuild_upstreams(&self) {
         let now = self.now();
--- a/crates/gateway/src/upstream_choice.rs
+++ b/crates/gateway/src/upstream_choice.rs
@@ -123,12 +123,26 @@
         }
         None => table.pick(&call.service, now, &state.settings.zone, tried, &check),
     };
-    chosen.ok_or_else(|| match state.next_turn(&call.service) {
+    chosen.ok_or_else(|| match next_turn(state, &call.service) {
         Some(wait) => offers.refuse_limited(wait),
         None => offers.refuse(RefusalKind::NoUpstream, "no upstream is left to try"),
     })
 }
 
+/// When a caller is to come back for whom a service's upstreams take no more; none if
+/// that is not the reason.
+fn next_turn(state: &State, service: &str) -> Option<Duration> {
+    if !state.limits.any() {
+        return None;
+    }
+    let table = state.upstreams.load();
+    let limited = table.upstreams(service).filter_map(|upstream| {
+        let rate = state.limits.limit(&upstream.id)?;
+        Some((upstream.id, rate))
+    });
+    state.turns.next(state.now(), limited)
+}
+
 /// Refuses a request at once for which no upstream could be chosen, before its stages
 /// are done for nothing.
 pub(crate) fn check_choice(state: &State, call: &Call, pause: Duration) -> Result<(), Refusal> {
