--- a/crates/explain/tests/explain.rs
+++ b/crates/explain/tests/explain.rs
@@ -159,6 +159,23 @@
     assert_eq!(counted.count_of(Cause::Quarantined), 1);
 }
 
+#[test]
+fn a_request_that_limited_upstreams_did_not_take_is_told() {
+    let lines = [
+        line(
+            "01.0",
+            "attempt withheld",
+            r#""request":"r1","upstream":"u1","reason":"the upstream takes no more for now""#,
+        ),
+        line("01.1", "refused", r#""request":"r1","outcome":"limited""#),
+    ];
+    let mut log = log(&lines);
+    let told = story(log.lines(), "r1");
+    assert_eq!(told.lines().count(), 2, "{told}");
+    let counted = Breakdown::of(log.lines(), &LateAfter::default());
+    assert_eq!(counted.count_of(Cause::Limited), 1);
+}
+
 #[test]
 fn pieces_are_counted_by_what_became_of_them() {
     let lines = [
