Tests of limits that bite, and a stand-in whose results are not all one

Found: beside load (load average 17) the test of limits after stages failed 5 of 5 times: requests refused since their stages did not end. Traced: the stand-in gave every result the same name, so that the owner counted room that nobody could give back, and pieces waited for it. Found by breaking guards by hand: without heartbeats about limits all tests passed. A new test asks instances that were not told (1 of 8 may be served at 0.2 a second). The gate looks at news again also where a dead connection handed the request back.

--- a/crates/gateway/src/send_gate.rs
+++ b/crates/gateway/src/send_gate.rs
@@ -44,6 +44,17 @@
     Upkeep,
 }
 
+impl Purpose {
+    /// How urgent it is, 0 most of all; none for what no permit is asked for.
+    fn priority(&self) -> Option<u8> {
+        match self {
+            Purpose::Request { priority, .. } => Some(*priority),
+            Purpose::Pieces => Some(0),
+            Purpose::Upkeep => None,
+        }
+    }
+}
+
 /// Leave to send one request to one upstream. Only the gate makes it, and sending uses
 /// it up.
 #[derive(Debug)]
@@ -97,29 +108,25 @@
     ) -> Result<SendPermit, Withheld> {
         let notice = state.limits.of(&to.upstream);
         let notice = notice.filter(|n| n.limit.is_some());
-        let mut permit = SendPermit {
+        let permit = SendPermit {
             limited: notice.map(|_| state.now()),
             to,
             purpose,
         };
         permit.check(state)?;
-        let priority = match (&permit.purpose, notice) {
-            (_, None) | (Purpose::Upkeep, _) => return Ok(permit),
-            (Purpose::Request { priority, .. }, _) => *priority,
-            (Purpose::Pieces, _) => 0,
+        let (Some(notice), Some(priority)) = (notice, permit.purpose.priority()) else {
+            return Ok(permit);
         };
-        let (to, limiters) = (&permit.to, &state.limiters);
-        if let Some(notice) = notice
-            && let Err(wait) = limiters.ask(state, to, notice, priority).await
-        {
-            state.turns.note(state.now(), &to.upstream, wait);
+        let asked = state.limiters.ask(state, &permit.to, notice, priority);
+        if let Err(wait) = asked.await {
+            state.turns.note(state.now(), &permit.to.upstream, wait);
             return Err(Withheld {
                 reason: "the upstream takes no more for now",
                 wait: Some(wait),
             });
         }
-        permit.limited = Some(state.now());
-        Ok(permit)
+        let limited = Some(state.now());
+        Ok(SendPermit { limited, ..permit })
     }
 
     /// Sends a request and waits at most `patience` for the head of its answer. What
@@ -139,21 +146,22 @@
         let withheld = Mutex::new(None);
         let counted = AtomicBool::new(false);
         let may_send = || {
-            // A request that is handed back by a dead connection is counted once.
-            if !counted.swap(true, Ordering::Relaxed)
-                && let Err(reason) = permit.use_up(state)
-            {
-                *lock(&withheld) = Some(reason);
-                return false;
+            // A request that a dead connection hands back is counted once.
+            let checked = match counted.swap(true, Ordering::Relaxed) {
+                true => permit.check_news(state),
+                false => permit.use_up(state),
+            };
+            match checked {
+                Ok(()) => written(),
+                Err(why) => *lock(&withheld) = Some(why),
             }
-            written();
-            true
+            checked.is_ok()
         };
         let pool = &self.pool;
         let sent = pool.send_if(permit.to.address, req, patience, false, may_send);
         let sent = sent.await;
         match (sent, lock(&withheld).take()) {
-            (_, Some(reason)) => Err(SendFailure::Withheld(reason)),
+            (_, Some(why)) => Err(SendFailure::Withheld(why)),
             (Some(Ok(response)), None) => {
                 let (now, dialect) = (state.now(), state.dialect.as_ref());
                 let limits = &state.limits;
@@ -178,22 +186,34 @@
 }
 
 impl SendPermit {
-    /// Whether it may still be sent, by what is known now.
+    /// Whether it may be sent, by what is known now.
     fn check(&self, state: &State) -> Result<(), Withheld> {
+        self.check_news(state)?;
+        match &self.purpose {
+            Purpose::Request { cold, .. } if !self.bears(state, cold) => Err(Withheld {
+                reason: "the upstream has just started and bears no more",
+                wait: None,
+            }),
+            _ => Ok(()),
+        }
+    }
+
+    /// Whether anything was heard since the upstream was chosen that forbids it.
+    fn check_news(&self, state: &State) -> Result<(), Withheld> {
         let now = state.now();
         let withheld = |reason| Err(Withheld { reason, wait: None });
         let ask_anew = |reason| {
             let wait = Some(Duration::ZERO);
             Err(Withheld { reason, wait })
         };
-        let limit = state.limits.limit(&self.to.upstream);
+        let is_limited = state.limits.limit(&self.to.upstream).is_some();
         let listed = || {
             let table = state.upstreams.load();
             table.has(&self.to.upstream, self.to.address)
         };
         match &self.purpose {
             // Room for its results is the least of its needs, and they lapse.
-            Purpose::Upkeep if limit.is_some() => withheld("the upstream names a limit"),
+            Purpose::Upkeep if is_limited => withheld("the upstream names a limit"),
             Purpose::Upkeep => Ok(()),
             Purpose::Request { .. } | Purpose::Pieces if !listed() => {
                 withheld("the upstream gets nothing new any more")
@@ -201,15 +221,11 @@
             Purpose::Request { content, .. } if state.quarantine.left(now, *content).is_some() => {
                 withheld("the request ends upstreams")
             }
-            Purpose::Request { cold, .. } if !self.bears(state, cold) => {
-                withheld("the upstream has just started and bears no more")
-            }
             Purpose::Request { .. } | Purpose::Pieces => match self.limited {
-                None if limit.is_some() => ask_anew("the upstream names a limit by now"),
-                Some(at) if limit.is_some() && now.since(at) > PERMIT_LASTS => {
-                    ask_anew("the permit has lapsed")
-                }
-                _ => Ok(()),
+                _ if !is_limited => Ok(()),
+                None => ask_anew("the upstream names a limit by now"),
+                Some(at) if now.since(at) > PERMIT_LASTS => ask_anew("the permit has lapsed"),
+                Some(_) => Ok(()),
             },
         }
     }
--- a/crates/gateway/tests/whole/fakes/fake_dialect.rs
+++ b/crates/gateway/tests/whole/fakes/fake_dialect.rs
@@ -1,10 +1,13 @@
 //! A dialect with as few names as will do.
 
 use std::net::SocketAddr;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
 use compact_str::CompactString;
+use compact_str::format_compact;
 use http::HeaderMap;
 use http::HeaderValue;
 use http::Request;
@@ -24,6 +27,9 @@
 use jd_serving::RequestRate;
 use jd_types::Refusal;
 
+/// Results of stages that were made so far.
+static RESULTS: AtomicU64 = AtomicU64::new(0);
+
 #[derive(Debug)]
 pub(crate) struct FakeDialect;
 
@@ -99,11 +105,15 @@
     }
 
     fn stage_results(&self, body: &[u8], count: usize) -> Option<Vec<PieceResult>> {
-        let result = match body {
-            b"made" => PieceResult::Done("result".into()),
+        // Each result is one of its own, as upstreams name them.
+        let result = |_| match body {
+            b"made" => {
+                let number = RESULTS.fetch_add(1, Ordering::Relaxed);
+                PieceResult::Done(format_compact!("result-{number}"))
+            }
             _ => PieceResult::Failed,
         };
-        Some(vec![result; count])
+        Some((0..count).map(result).collect())
     }
 
     fn free_request(&self, _handles: &[CompactString]) -> Request<Body> {
--- a/crates/gateway/tests/whole/limits.rs
+++ b/crates/gateway/tests/whole/limits.rs
@@ -93,8 +93,8 @@
     let (received, counted) = block_on(load(&harness, path));
     let most = most_arrivals(&harness.upstreams[0], counted);
     assert!(most <= allowed(1.0), "{most} in four seconds");
-    let served = received.iter().filter(|r| r.status == 200).count();
-    assert_eq!(served, received.len(), "the others take the rest");
+    let failed: Vec<&Received> = received.iter().filter(|r| r.status != 200).collect();
+    assert!(failed.is_empty(), "the others take the rest: {failed:?}");
 }
 
 /// The upstream of a stage names a limit. Calls for pieces count, and so does whatever
@@ -232,3 +232,23 @@
     });
     assert!(harness.upstreams[0].count() >= 20);
 }
+
+/// One instance is told of a limit. Each of the others would have sent a request of its own
+/// before it was told as well; now they hear of it from that one.
+#[test]
+fn instances_hear_of_a_limit_from_each_other() {
+    let harness = fleet(1);
+    harness.upstreams[0].name_limit(Some("0.2"));
+    block_on(async {
+        harness.until_ready(true).await;
+        // Any instance may still have to read the configuration.
+        while harness.ask_instance(0, "/once/x", "first").await.status != 200 {}
+        Timer::after(HEARD_WITHIN).await;
+        let mut served = 0;
+        for n in 1..INSTANCES {
+            let received = harness.ask_instance(n, "/once/x", &n.to_string()).await;
+            served += usize::from(received.status == 200);
+        }
+        assert!(served <= 1, "{served} of {}", INSTANCES - 1);
+    });
+}
