Stages are done for a request once a limited upstream takes it

What callers saw: with all upstreams limited, most requests had their stages done and were refused then; upstreams of stages worked for nothing. Cause: the permit was asked for after the stages. Change: where the upstream chosen names a limit, the permit is asked for first and lasts two seconds; above eight a second after them, since kept permits could then come together.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -19,6 +19,7 @@
 use crate::call::Call;
 use crate::send_gate::Purpose;
 use crate::send_gate::SendFailure;
+use crate::send_gate::SendPermit;
 use crate::send_gate::Withheld;
 use crate::state::State;
 use crate::upstream_table::Chosen;
@@ -170,6 +171,22 @@
     }
 }
 
+/// Leave to send `call` to `chosen`.
+pub(crate) async fn permit(
+    state: &State,
+    call: &Call,
+    chosen: &Chosen,
+) -> Result<SendPermit, Failure> {
+    let purpose = Purpose::Request {
+        content: call.content,
+        priority: call.priority,
+        cold: Arc::clone(&chosen.cold),
+    };
+    let upstream = chosen.of_service(&call.service);
+    let permit = state.gate.permit(state, upstream, purpose).await;
+    permit.map_err(|why| withheld(call, &chosen.id, why))
+}
+
 /// Sends `call` to `chosen` and waits at most `patience` for the answer's head.
 /// What comes back is the upstream's own answer to this very request, or a
 /// failure that says what it proves. `written` is called once a connection
@@ -177,21 +194,13 @@
 pub(crate) async fn send(
     state: &Arc<State>,
     call: &Call,
-    chosen: Chosen,
+    (chosen, permit): (Chosen, SendPermit),
     inputs: &[CompactString],
     last_event: Option<u64>,
     patience: Duration,
     written: impl Fn(),
 ) -> Result<Answer, Failure> {
     let id = chosen.id.clone();
-    let purpose = Purpose::Request {
-        content: call.content,
-        priority: call.priority,
-        cold: Arc::clone(&chosen.cold),
-    };
-    let upstream = chosen.of_service(&call.service);
-    let permit = state.gate.permit(state, upstream, purpose).await;
-    let permit = permit.map_err(|why| withheld(call, &id, why))?;
     let mut open = OpenAttempt::begin(state, call, chosen);
     let upstream_call = UpstreamCall {
         upstream: &id,
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -61,6 +61,13 @@
         })
     }
 
+    /// True if stages have to be done before it can run.
+    pub(crate) fn has_stages(&self) -> bool {
+        let numbered = 0..self.route().stages.len();
+        let mut pieces = numbered.map(|n| self.head.pieces.get(n).copied().unwrap_or(0));
+        pieces.any(|pieces| pieces > 0)
+    }
+
     /// How long its caller still waits.
     pub(crate) fn left(&self, now: MonoTime) -> Duration {
         self.deadline.since(now)
--- a/crates/gateway/src/send_gate.rs
+++ b/crates/gateway/src/send_gate.rs
@@ -24,6 +24,8 @@
 /// How long a permit for an upstream that names a limit lasts. Used later, it would
 /// arrive together with those that were given out meanwhile.
 const PERMIT_LASTS: Duration = Duration::from_millis(500);
+/// How long one lasts that was asked for before the stages of its request.
+const RESERVED_LASTS: Duration = Duration::from_secs(2);
 
 /// What is sent to an upstream.
 #[derive(Debug, Clone)]
@@ -63,6 +65,8 @@
     purpose: Purpose,
     /// When it was given out for an upstream that names a limit; none if it named none.
     limited: Option<MonoTime>,
+    /// How long it lasts in that case.
+    lasts: Duration,
 }
 
 /// Why something was not sent, though it could have been.
@@ -110,6 +114,7 @@
         let notice = notice.filter(|n| n.limit.is_some());
         let permit = SendPermit {
             limited: notice.map(|_| state.now()),
+            lasts: PERMIT_LASTS,
             to,
             purpose,
         };
@@ -186,6 +191,14 @@
 }
 
 impl SendPermit {
+    /// The same permit, kept while the stages of its request are done.
+    pub(crate) fn reserved(self) -> SendPermit {
+        SendPermit {
+            lasts: RESERVED_LASTS,
+            ..self
+        }
+    }
+
     /// Whether it may be sent, by what is known now.
     fn check(&self, state: &State) -> Result<(), Withheld> {
         self.check_news(state)?;
@@ -224,7 +237,7 @@
             Purpose::Request { .. } | Purpose::Pieces => match self.limited {
                 _ if !is_limited => Ok(()),
                 None => ask_anew("the upstream names a limit by now"),
-                Some(at) if now.since(at) > PERMIT_LASTS => ask_anew("the permit has lapsed"),
+                Some(at) if now.since(at) > self.lasts => ask_anew("the permit has lapsed"),
                 Some(_) => Ok(()),
             },
         }
--- a/crates/gateway/src/stream_call.rs
+++ b/crates/gateway/src/stream_call.rs
@@ -25,7 +25,7 @@
 use crate::state::State;
 use crate::upstream_choice::Missed;
 use crate::upstream_choice::Offers;
-use crate::upstream_choice::check_choice;
+use crate::upstream_choice::reserve;
 use crate::upstream_choice::send_to_next;
 
 /// Upstreams that one request is offered to, those that proved that they did
@@ -45,9 +45,11 @@
     stages: &Arc<StageRunner>,
     call: Call,
 ) -> Result<Response<Body>, Refusal> {
-    check_choice(state, &call, FULL_PAUSE)?;
-    let mut results = stages.run(&call).await?;
     let mut offers = Offers::new(FULL_PAUSE);
+    if call.has_stages() {
+        reserve(state, &call, &mut offers).await?;
+    }
+    let mut results = stages.run(&call).await?;
     let mut stages_repeated = false;
     state.first_send(&call.service);
     loop {
--- a/crates/gateway/src/upstream_choice.rs
+++ b/crates/gateway/src/upstream_choice.rs
@@ -12,6 +12,7 @@
 use crate::attempt::Failure;
 use crate::call::Call;
 use crate::front::may_have_run;
+use crate::send_gate::SendPermit;
 use crate::state::State;
 use crate::upstream_table::Chosen;
 use crate::upstream_table::Limited;
@@ -22,6 +23,11 @@
 /// How often before only upstreams that name no limit are chosen.
 const MAX_TURNED_AWAY: u32 = 3;
 
+/// Above this limit, in requests a second, permits are asked for after the stages. Kept
+/// while stages take their various times, more of them would be used at once than the
+/// upstream takes.
+const RESERVED_UP_TO: f64 = 8.0;
+
 /// Where one attempt of a caller was sent so far.
 #[derive(Debug)]
 pub(crate) struct Offers {
@@ -33,6 +39,8 @@
     withheld: u32,
     /// When to come back where no upstream is left.
     pause: Duration,
+    /// Where it is sent first, if that was settled before its stages.
+    reserved: Option<(Chosen, SendPermit)>,
 }
 
 impl Offers {
@@ -42,6 +50,7 @@
             runs: 0,
             withheld: 0,
             pause,
+            reserved: None,
         }
     }
 
@@ -86,10 +95,22 @@
     written: impl Fn(),
 ) -> Result<Answer, Missed> {
     loop {
-        let chosen = next_upstream(state, call, offers).map_err(Missed::Refused)?;
-        let id = chosen.id.clone();
+        let permitted = match offers.reserved.take() {
+            Some(reserved) => reserved,
+            None => {
+                let chosen = next_upstream(state, call, offers).map_err(Missed::Refused)?;
+                let Ok(permit) = attempt::permit(state, call, &chosen).await else {
+                    offers.withheld += 1;
+                    continue;
+                };
+                (chosen, permit)
+            }
+        };
+        let id = permitted.0.id.clone();
         let patience = patience(offers.runs);
-        let sending = attempt::send(state, call, chosen, inputs, last_event, patience, &written);
+        let sending = attempt::send(
+            state, call, permitted, inputs, last_event, patience, &written,
+        );
         match sending.await {
             Err(failure) if failure.withheld => offers.withheld += 1,
             result => {
@@ -143,11 +164,29 @@
     state.turns.next(state.now(), limited)
 }
 
-/// Refuses a request at once for which no upstream could be chosen, before its stages
-/// are done for nothing.
-pub(crate) fn check_choice(state: &State, call: &Call, pause: Duration) -> Result<(), Refusal> {
-    match state.limits.any() {
-        true => next_upstream(state, call, &Offers::new(pause)).map(drop),
-        false => Ok(()),
+/// Settles before the stages of a request where it is sent, if that upstream names a limit,
+/// and refuses it at once if none takes it.
+///
+/// The load that it answers: all upstreams name limits, and most requests are refused. With
+/// a permit asked for after the stages, these were done for all of them.
+pub(crate) async fn reserve(
+    state: &State,
+    call: &Call,
+    offers: &mut Offers,
+) -> Result<(), Refusal> {
+    while state.limits.any() {
+        let chosen = next_upstream(state, call, offers)?;
+        let limit = state.limits.limit(&chosen.id);
+        if limit.is_none_or(|rate| rate.per_s() > RESERVED_UP_TO) {
+            return Ok(());
+        }
+        match attempt::permit(state, call, &chosen).await {
+            Ok(permit) => {
+                offers.reserved = Some((chosen, permit.reserved()));
+                return Ok(());
+            }
+            Err(_) => offers.withheld += 1,
+        }
     }
+    Ok(())
 }
--- a/crates/gateway/tests/whole/limits.rs
+++ b/crates/gateway/tests/whole/limits.rs
@@ -252,3 +252,28 @@
         assert!(served <= 1, "{served} of {}", INSTANCES - 1);
     });
 }
+
+/// The only upstream takes one request each five seconds. Stages of all others would be done
+/// for nothing.
+#[test]
+fn stages_are_not_done_for_what_no_upstream_takes() {
+    let harness = fleet(1);
+    harness.upstreams[0].name_limit(Some("0.2"));
+    let (received, counted) = block_on(load(&harness, "/staged/x"));
+    let served = received.iter().filter(|r| r.status == 200).count();
+    let made = harness.upstreams[1].arrivals();
+    let made = made.iter().filter(|at| **at >= counted).count();
+    assert!(
+        (1..=3).contains(&served),
+        "{served} served in eight seconds"
+    );
+    assert!(
+        made <= 2 * served,
+        "{made} calls for pieces for {served} served"
+    );
+    assert!(
+        received
+            .iter()
+            .all(|r| r.status == 200 || r.run.as_deref() == Some("not run"))
+    );
+}
