A test that those who are turned away do not ask with each request

Found by breaking guards by hand: without the note of a turn all tests passed, and each request asked again.

--- a/crates/gateway/tests/whole/fakes/harness.rs
+++ b/crates/gateway/tests/whole/fakes/harness.rs
@@ -63,6 +63,7 @@
     store: Arc<FakeStore>,
     callers: SocketAddr,
     peers: SocketAddr,
+    metrics: SocketAddr,
     _gateway: Arc<Gateway>,
 }
 
@@ -72,6 +73,7 @@
     callers: SocketAddr,
     ready: SocketAddr,
     peers: SocketAddr,
+    metrics: SocketAddr,
 }
 
 fn start_gateway(
@@ -100,6 +102,7 @@
         callers,
         ready,
         peers,
+        metrics,
     }
 }
 
@@ -243,6 +246,7 @@
             store: Arc::clone(&store),
             callers: started.callers,
             peers: started.peers,
+            metrics: started.metrics,
             _gateway: started.gateway,
         });
         store
@@ -348,6 +352,19 @@
         self.get(all[n % all.len()], path, id, "key-1").await
     }
 
+    /// What a counter has reached on all gateways that were added together.
+    pub(crate) async fn counted(&self, counter: &str) -> u64 {
+        let mut sum = 0;
+        for member in &self.fleet {
+            let text = self.get(member.metrics, "/", "metrics", "").await.body;
+            let lines = text.lines().filter_map(|l| l.strip_prefix(counter));
+            sum += lines
+                .filter_map(|l| l.trim().parse::<u64>().ok())
+                .sum::<u64>();
+        }
+        sum
+    }
+
     /// Sends a request whose head is at least `bytes` large.
     pub(crate) async fn ask_with_head(&self, path: &str, bytes: usize) -> Received {
         self.get(self.callers, path, &"x".repeat(bytes), "key-1")
--- a/crates/gateway/tests/whole/limits.rs
+++ b/crates/gateway/tests/whole/limits.rs
@@ -277,3 +277,23 @@
             .all(|r| r.status == 200 || r.run.as_deref() == Some("not run"))
     );
 }
+
+/// Guards against instances that ask for a permit with each request, which they were told
+/// that there is none for.
+#[test]
+fn those_that_are_turned_away_ask_again_only_when_their_turn_may_have_come() {
+    let harness = fleet(1);
+    harness.upstreams[0].name_limit(Some("1"));
+    let asked = block_on(async {
+        let (received, _) = load(&harness, "/once/x").await;
+        let refused = received.iter().filter(|r| r.status == 503).count();
+        assert!(refused > received.len() / 2, "{refused} refused");
+        let counter = "jd_gateway_permits_total{outcome=\"turned-away\"}";
+        harness.counted(counter).await
+    });
+    // Twice a second each, and as often again at the most while they learn of each other.
+    let seconds = (HEARD_WITHIN + LOAD).as_secs_f64();
+    let most = INSTANCES as f64 * seconds * 2.0 * 1.5;
+    assert!((asked as f64) < most, "{asked} asked");
+    assert!(asked > 0, "nobody was turned away");
+}
