An upstream's own failure is kept while a second answer is read

What callers would see: 502 in place of the upstream's own, vouched-for 500, where the next upstream began an answer and broke it off. Cause: what was kept in case nothing better comes was dropped once an answer had begun. Change: it is kept until that answer is whole.

--- a/crates/gateway/src/plain_call.rs
+++ b/crates/gateway/src/plain_call.rs
@@ -45,7 +45,10 @@
         let patience = |runs| patience(&call, state.now(), runs);
         let sending = send_to_next(state, &call, &mut offers, &[], None, patience, || {});
         let sent = match (sending.await, failed.take()) {
-            (Ok(answer), _) => Ok(answer),
+            (Ok(answer), kept) => {
+                failed = kept;
+                Ok(answer)
+            }
             (Err(Missed::Failed(failure)), kept) => {
                 failed = kept;
                 Err(failure)
--- a/crates/gateway/tests/whole/fakes/harness.rs
+++ b/crates/gateway/tests/whole/fakes/harness.rs
@@ -2,8 +2,6 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::AtomicU32;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use async_executor::Executor;
@@ -20,20 +18,19 @@
 use jd_net::Workers;
 use jd_serving::UpstreamEntry;
 use jd_serving::UpstreamStart;
-use jd_settings::GatewaySettings;
 use jd_types::Incarnation;
 use jd_types::Name;
 use jd_wire::FollowReply;
 use jd_wire::FollowRequest;
 use jd_wire::GatewayClient;
 
-use crate::fakes::FakeDialect;
 use crate::fakes::FakeStore;
 use crate::fakes::FakeUpstream;
 use crate::fakes::Reply;
 use crate::fakes::deployments::deployment;
 use crate::fakes::deployments::entry;
 use crate::fakes::deployments::staged_deployment;
+use crate::fakes::start_gateway::start_gateway;
 
 /// What a caller received.
 #[derive(Debug, PartialEq, Eq)]
@@ -67,61 +64,6 @@
     _gateway: Arc<Gateway>,
 }
 
-/// A gateway that was started, and where it answers.
-struct Started {
-    gateway: Arc<Gateway>,
-    callers: SocketAddr,
-    ready: SocketAddr,
-    peers: SocketAddr,
-    metrics: SocketAddr,
-}
-
-fn start_gateway(
-    executor: &Arc<Executor<'static>>,
-    pool: &HttpPool,
-    store: &Arc<FakeStore>,
-) -> Started {
-    let [callers, ready, locate, peers, metrics] = own_addresses();
-    let text = format!(
-        "[instance]\nname = test\nzone = a\ncallers = {callers}\nready = {ready}\n\
-         locate = {locate}\npeers = {peers}\nmetrics = {metrics}\n\
-         [store]\naddress = 127.0.0.1:1\nconfirm-every-ms = 100\n\
-         [callers]\nrevoke-within-ms = 500\n"
-    );
-    let settings = GatewaySettings::parse("test.ini", &text).expect("valid settings");
-    let gateway = Gateway::start(
-        settings,
-        Clock::start(),
-        executor,
-        pool.clone(),
-        Arc::new(FakeDialect),
-        Arc::clone(store) as Arc<dyn jd_gateway::Store>,
-    );
-    Started {
-        gateway: Arc::new(gateway.expect("free addresses")),
-        callers,
-        ready,
-        peers,
-        metrics,
-    }
-}
-
-/// Addresses that nobody else has: each set is of a loopback address of its own.
-/// Free ports of one address are taken by others before they are bound again.
-fn own_addresses<const N: usize>() -> [SocketAddr; N] {
-    static SETS: AtomicU32 = AtomicU32::new(0);
-    let set = SETS.fetch_add(1, Ordering::Relaxed);
-    let [_, _, high, low] = std::process::id().to_be_bytes();
-    // The last part of an address is from 2 to 251; further sets have other ports.
-    let last = u8::try_from(set % 250 + 2).expect("a part of an address");
-    let round = u16::try_from(set / 250).expect("fewer gateways than ports");
-    let mut ports = 7_001 + 100 * round..;
-    std::array::from_fn(|_| {
-        let port = ports.next().expect("a port");
-        SocketAddr::from(([127, 1 + high % 250, low, last], port))
-    })
-}
-
 impl Harness {
     /// A gateway before upstreams that answer with these.
     pub(crate) fn start(replies: Vec<Vec<Reply>>) -> Harness {
--- /dev/null
+++ b/crates/gateway/tests/whole/fakes/start_gateway.rs
@@ -0,0 +1,71 @@
+//! Starting one gateway of a test.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+
+use async_executor::Executor;
+use jd_gateway::Gateway;
+use jd_net::Clock;
+use jd_net::HttpPool;
+use jd_settings::GatewaySettings;
+
+use crate::fakes::FakeDialect;
+use crate::fakes::FakeStore;
+
+/// A gateway that was started, and where it answers.
+pub(crate) struct Started {
+    pub(crate) gateway: Arc<Gateway>,
+    pub(crate) callers: SocketAddr,
+    pub(crate) ready: SocketAddr,
+    pub(crate) peers: SocketAddr,
+    pub(crate) metrics: SocketAddr,
+}
+
+/// Starts a gateway at a store, on addresses of its own.
+pub(crate) fn start_gateway(
+    executor: &Arc<Executor<'static>>,
+    pool: &HttpPool,
+    store: &Arc<FakeStore>,
+) -> Started {
+    let [callers, ready, locate, peers, metrics] = own_addresses();
+    let text = format!(
+        "[instance]\nname = test\nzone = a\ncallers = {callers}\nready = {ready}\n\
+         locate = {locate}\npeers = {peers}\nmetrics = {metrics}\n\
+         [store]\naddress = 127.0.0.1:1\nconfirm-every-ms = 100\n\
+         [callers]\nrevoke-within-ms = 500\n"
+    );
+    let settings = GatewaySettings::parse("test.ini", &text).expect("valid settings");
+    let gateway = Gateway::start(
+        settings,
+        Clock::start(),
+        executor,
+        pool.clone(),
+        Arc::new(FakeDialect),
+        Arc::clone(store) as Arc<dyn jd_gateway::Store>,
+    );
+    Started {
+        gateway: Arc::new(gateway.expect("free addresses")),
+        callers,
+        ready,
+        peers,
+        metrics,
+    }
+}
+
+/// Addresses that nobody else has: each set is of a loopback address of its own.
+/// Free ports of one address are taken by others before they are bound again.
+fn own_addresses<const N: usize>() -> [SocketAddr; N] {
+    static SETS: AtomicU32 = AtomicU32::new(0);
+    let set = SETS.fetch_add(1, Ordering::Relaxed);
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    // The last part of an address is from 2 to 251; further sets have other ports.
+    let last = u8::try_from(set % 250 + 2).expect("a part of an address");
+    let round = u16::try_from(set / 250).expect("fewer gateways than ports");
+    let mut ports = 7_001 + 100 * round..;
+    std::array::from_fn(|_| {
+        let port = ports.next().expect("a port");
+        SocketAddr::from(([127, 1 + high % 250, low, last], port))
+    })
+}
--- a/crates/gateway/tests/whole/requests.rs
+++ b/crates/gateway/tests/whole/requests.rs
@@ -272,3 +272,22 @@
         assert_eq!(received.run.as_deref(), Some("may have run"));
     });
 }
+
+/// Guards against an upstream's own failure that is lost because a second one breaks its
+/// answer off: the caller gets the failure, as the upstream gave it.
+#[test]
+fn an_upstreams_own_failure_outlives_a_second_answer_that_is_cut_off() {
+    // Which of the two is asked first is drawn.
+    for _ in 0..8 {
+        let cut = Reply::Stream {
+            parts: &["half"],
+            cut: true,
+        };
+        let harness = Harness::start(vec![vec![Reply::Failure], vec![cut]]);
+        block_on(async {
+            harness.until_ready(true).await;
+            let received = harness.ask("/any/x", "1").await;
+            assert_eq!(received.status, 500, "{received:?}");
+        });
+    }
+}
