--- a/crates/gateway-daemon/tests/soak.rs
+++ b/crates/gateway-daemon/tests/soak.rs
@@ -1,13 +1,12 @@
 //! Soaks real gateway processes: seeds of overlapping faults, and the promises
 //! checked from what callers and upstreams saw.
 //!
-//! Without arguments it plays two seeds. `--seeds 1..50 --jobs 6` plays more.
+//! Without arguments it plays four seeds. `--seeds 1..50 --jobs 6` plays more.
 
 #![allow(clippy::expect_used, clippy::panic)]
 
 use std::fs;
 use std::fs::File;
-use std::ops::Range;
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
@@ -37,8 +36,9 @@
 use rustix::process::Signal;
 use rustix::process::kill_process;
 
-/// Seeds that are played when none are named: one of planned work, one of all.
-const SHORT: Range<u64> = 4..6;
+/// Seeds that are played when none are named: two of planned work, two of all, and one of
+/// each with upstreams that name limits.
+const SHORT: [u64; 4] = [4, 5, 4_000, 4_001];
 /// The soak's name where a filter names tests.
 const NAME: &str = "soak";
 
@@ -55,7 +55,7 @@
 
 /// Seeds, as `1..50` or `7`.
 #[derive(Debug, Clone)]
-struct Seeds(Range<u64>);
+struct Seeds(Vec<u64>);
 
 impl FromStr for Seeds {
     type Err = String;
@@ -63,8 +63,8 @@
     fn from_str(text: &str) -> Result<Seeds, String> {
         let number = |t: &str| t.parse::<u64>().map_err(|e| format!("`{t}`: {e}"));
         match text.split_once("..") {
-            Some((from, to)) => Ok(Seeds(number(from)?..number(to)?)),
-            None => number(text).map(|seed| Seeds(seed..seed + 1)),
+            Some((from, to)) => Ok(Seeds((number(from)?..number(to)?).collect())),
+            None => number(text).map(|seed| Seeds(vec![seed])),
         }
     }
 }
@@ -73,7 +73,7 @@
     let seeds = long("seeds")
         .help("Seeds, as 1..50 or 7")
         .argument::<Seeds>("SEEDS")
-        .fallback(Seeds(SHORT));
+        .fallback(Seeds(SHORT.into()));
     let jobs = long("jobs")
         .help("Seeds at a time")
         .argument::<usize>("COUNT")
@@ -240,7 +240,7 @@
         println!("test result: ok. 0 passed; 0 failed");
         return ExitCode::SUCCESS;
     }
-    let seeds = Mutex::new(args.seeds.0);
+    let seeds = Mutex::new(args.seeds.0.into_iter());
     let results = Mutex::new(Vec::new());
     thread::scope(|scope| {
         for _ in 0..args.jobs.max(1) {
