A test counts the permits of all gateways, the first one included

Traced, not load: the counter was summed over the gateways that were added, and the one that gives out permits is drawn by addresses, so that in one run of nine it is the first, which was left out. Change: all are summed. Bounds as before.

--- a/crates/gateway/tests/whole/fakes/harness.rs
+++ b/crates/gateway/tests/whole/fakes/harness.rs
@@ -49,6 +49,7 @@
     pub(crate) upstreams: Vec<Arc<FakeUpstream>>,
     callers: SocketAddr,
     ready: SocketAddr,
+    metrics: SocketAddr,
     pool: HttpPool,
     workers: Workers,
     fleet: Vec<Member>,
@@ -107,6 +108,7 @@
             upstreams,
             callers: own.callers,
             ready: own.ready,
+            metrics: own.metrics,
             pool,
             workers,
             fleet: Vec::new(),
@@ -167,6 +169,7 @@
         self.gateway = own.gateway;
         self.callers = own.callers;
         self.ready = own.ready;
+        self.metrics = own.metrics;
         self.add_gateways(count);
     }
 
@@ -294,11 +297,12 @@
         self.get(all[n % all.len()], path, id, "key-1").await
     }
 
-    /// What a counter has reached on all gateways that were added together.
+    /// What a counter has reached on all gateways together.
     pub(crate) async fn counted(&self, counter: &str) -> u64 {
         let mut sum = 0;
-        for member in &self.fleet {
-            let text = self.get(member.metrics, "/", "metrics", "").await.body;
+        let added = self.fleet.iter().map(|m| m.metrics);
+        for address in added.chain([self.metrics]) {
+            let text = self.get(address, "/", "metrics", "").await.body;
             let lines = text.lines().filter_map(|l| l.strip_prefix(counter));
             sum += lines
                 .filter_map(|l| l.trim().parse::<u64>().ok())
