What upstreams say in their answers is logged and counted

Change: the dialect reads `Server-Leaving` and `Retry-After` beside 503 or 429. Each notice is a log line with the upstream and the span, and counts in `jd_gateway_upstream_notices`. Nothing is decided by them yet: with this the first hypothesis (nothing reads them) and the second (read, and bound to an upstream before) can be told apart by the line of the notice and `sent_ms` of what was sent after it.

`serving/tests/backoffs.rs`, 10 passed; `platform/tests/dialect.rs` passed.

--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -18,6 +18,8 @@
 use jd_serving::PieceResult;
 use jd_serving::RateError;
 use jd_serving::RequestRate;
+use jd_serving::RetryAfter;
+use jd_serving::RetryAfterError;
 use jd_serving::RoomReport;
 use jd_types::Refusal;
 
@@ -77,6 +79,17 @@
     /// answer of it names them; none if it names no limit.
     fn named_limit(&self, headers: &HeaderMap) -> Result<Option<RequestRate>, RateError>;
 
+    /// True if an upstream says in an answer that it is about to stop.
+    fn says_leaving(&self, headers: &HeaderMap) -> bool;
+
+    /// How long an upstream that refused a request wants nothing more from this
+    /// instance; none if it does not say so.
+    fn retry_after(
+        &self,
+        status: StatusCode,
+        headers: &HeaderMap,
+    ) -> Result<Option<RetryAfter>, RetryAfterError>;
+
     /// The headers of an upstream's answer that the caller gets.
     fn caller_headers(&self, headers: &HeaderMap) -> HeaderMap;
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 mod limiters;
 mod limits;
 mod metrics;
+mod notices;
 mod peer_api;
 mod peer_channels;
 mod peer_instance;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -22,6 +22,11 @@
     outcome: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Notice {
+    kind: &'static str,
+}
+
 /// What the gateway counts, and its text form.
 #[derive(Debug)]
 pub(crate) struct Metrics {
@@ -35,6 +40,7 @@
     quarantine_changes: Family<Outcome, Counter>,
     limited_upstreams: Gauge,
     permits: Family<Outcome, Counter>,
+    notices: Family<Notice, Counter>,
     seconds: Histogram,
     stage_seconds: Histogram,
 }
@@ -54,6 +60,7 @@
             quarantine_changes: Family::default(),
             limited_upstreams: Gauge::default(),
             permits: Family::default(),
+            notices: Family::default(),
             seconds: histogram(),
             stage_seconds: histogram(),
             registry: Registry::default(),
@@ -104,6 +111,11 @@
             "Permits for upstreams that name a limit: given out and turned away here, asked in vain",
             metrics.permits.clone(),
         );
+        r.register(
+            "jd_gateway_upstream_notices",
+            "Answers of upstreams that leave, or that want nothing for a while",
+            metrics.notices.clone(),
+        );
         r.register(
             "jd_gateway_request_seconds",
             "From arrival to the head of the answer",
@@ -159,6 +171,10 @@
         self.permits.get_or_create(&Outcome { outcome }).inc();
     }
 
+    pub(crate) fn notice(&self, kind: &'static str) {
+        self.notices.get_or_create(&Notice { kind }).inc();
+    }
+
     pub(crate) fn limited_upstreams(&self, count: usize) {
         self.limited_upstreams
             .set(i64::try_from(count).unwrap_or(i64::MAX));
--- /dev/null
+++ b/crates/gateway/src/notices.rs
@@ -0,0 +1,90 @@
+//! What upstreams say in their answers of what may be sent to them next.
+
+use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+
+use jd_net::HttpResponse;
+use jd_net::lock;
+use jd_serving::Backoffs;
+use jd_serving::RetryAfter;
+use jd_types::MonoTime;
+
+use crate::run_events::UpstreamRef;
+use crate::state::State;
+
+/// Which upstreams want nothing from this instance for a while, on the path of every
+/// request.
+#[derive(Debug, Default)]
+pub(crate) struct Notices {
+    /// True while any of them does: without, no request waits for the lock.
+    any: AtomicBool,
+    backoffs: Mutex<Backoffs>,
+}
+
+impl Notices {
+    /// Forgets upstreams that take requests again.
+    pub(crate) fn expire(&self, now: MonoTime) {
+        if self.any.load(Ordering::Relaxed) {
+            let mut backoffs = lock(&self.backoffs);
+            backoffs.expire(now);
+            self.any.store(!backoffs.is_empty(), Ordering::Relaxed);
+        }
+    }
+
+    fn back_off(&self, now: MonoTime, upstream: &UpstreamRef, wait: RetryAfter) -> bool {
+        let UpstreamRef {
+            upstream: id,
+            start,
+            address,
+            ..
+        } = upstream;
+        let mut backoffs = lock(&self.backoffs);
+        let longer = backoffs.take(now, *address, id, *start, wait);
+        self.any.store(true, Ordering::Relaxed);
+        longer
+    }
+}
+
+/// Reads what an answer of an upstream says of what may be sent to it next.
+pub(crate) fn note_answer(state: &State, upstream: &UpstreamRef, response: &HttpResponse) {
+    let (now, dialect) = (state.now(), state.dialect.as_ref());
+    let HttpResponse {
+        status, headers, ..
+    } = response;
+    state
+        .limits
+        .note_answer(now, upstream, dialect, headers, &state.metrics);
+    if dialect.says_leaving(headers) {
+        note_leaving(state, upstream);
+    }
+    match dialect.retry_after(*status, headers) {
+        Ok(None) => {}
+        Ok(Some(wait)) => note_backoff(state, upstream, wait),
+        Err(e) => {
+            log::warn!(upstream = upstream.upstream.as_str(), error:% = e; "wait that an upstream asks for cannot be read; it counts as none");
+        }
+    }
+}
+
+fn note_leaving(state: &State, upstream: &UpstreamRef) {
+    let id = upstream.upstream.as_str();
+    if !state.upstreams.load().has(id, upstream.address) {
+        return;
+    }
+    state.metrics.notice("leaving");
+    log::info!(upstream = id, address:% = upstream.address; "upstream says in an answer that it leaves");
+}
+
+fn note_backoff(state: &State, upstream: &UpstreamRef, wait: RetryAfter) {
+    let longer = state.notices.back_off(state.now(), upstream, wait);
+    state.metrics.notice("backoff");
+    let wait_ms = u64::try_from(wait.wait().as_millis()).unwrap_or(u64::MAX);
+    log::info!(
+        upstream = upstream.upstream.as_str(),
+        service = upstream.service.as_str(),
+        wait_ms,
+        longer;
+        "upstream wants nothing for a while"
+    );
+}
--- a/crates/gateway/src/send_gate.rs
+++ b/crates/gateway/src/send_gate.rs
@@ -18,6 +18,7 @@
 use jd_serving::Content;
 use jd_types::MonoTime;
 
+use crate::notices::note_answer;
 use crate::run_events::UpstreamRef;
 use crate::state::State;
 
@@ -168,9 +169,7 @@
         match (sent, lock(&withheld).take()) {
             (_, Some(why)) => Err(SendFailure::Withheld(why)),
             (Some(Ok(response)), None) => {
-                let (now, dialect) = (state.now(), state.dialect.as_ref());
-                let limits = &state.limits;
-                limits.note_answer(now, &permit.to, dialect, &response.headers, &state.metrics);
+                note_answer(state, &permit.to, &response);
                 Ok(response)
             }
             (Some(Err(SendError::NotSent)), None) => Err(SendFailure::NotSent),
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -42,6 +42,7 @@
 use crate::limiters::Limiters;
 use crate::limits::Limits;
 use crate::metrics::Metrics;
+use crate::notices::Notices;
 use crate::peer_channels::PeerChannels;
 use crate::peer_news::PackedNews;
 use crate::quarantine::Quarantine;
@@ -77,6 +78,8 @@
     pub(crate) limits: Limits,
     pub(crate) limiters: Limiters,
     pub(crate) turns: Turns,
+    /// Which upstreams want nothing from this instance for a while.
+    pub(crate) notices: Notices,
     pub(crate) channels: PeerChannels,
     /// Signals that other instances are to be told something at once.
     pub(crate) beat_soon: Arc<Signal>,
@@ -123,6 +126,7 @@
             limits: Limits::new(Arc::clone(&beat_soon)),
             limiters: Limiters::default(),
             turns: Turns::default(),
+            notices: Notices::default(),
             channels,
             beat_soon,
             proof_wanted: Signal::new(),
--- a/crates/gateway/src/store_follower.rs
+++ b/crates/gateway/src/store_follower.rs
@@ -145,6 +145,7 @@
         loop {
             Timer::after(EXPIRE_EVERY).await;
             let now = state.now();
+            state.notices.expire(now);
             let changed = {
                 let mut knowledge = state.knowledge();
                 knowledge.forget_sources(now);
--- a/crates/gateway/tests/whole/fakes/fake_dialect.rs
+++ b/crates/gateway/tests/whole/fakes/fake_dialect.rs
@@ -25,6 +25,8 @@
 use jd_serving::PieceResult;
 use jd_serving::RateError;
 use jd_serving::RequestRate;
+use jd_serving::RetryAfter;
+use jd_serving::RetryAfterError;
 use jd_types::Refusal;
 
 /// Results of stages that were made so far.
@@ -81,6 +83,19 @@
         named.transpose()
     }
 
+    fn says_leaving(&self, headers: &HeaderMap) -> bool {
+        headers.contains_key("leaving")
+    }
+
+    fn retry_after(
+        &self,
+        status: StatusCode,
+        headers: &HeaderMap,
+    ) -> Result<Option<RetryAfter>, RetryAfterError> {
+        let wait = text(headers, "wait").filter(|_| status == StatusCode::SERVICE_UNAVAILABLE);
+        wait.map(RetryAfter::try_from).transpose()
+    }
+
     fn caller_headers(&self, headers: &HeaderMap) -> HeaderMap {
         let mut passed = headers.clone();
         passed.remove("content-length");
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -8,6 +8,7 @@
 //! ([`CrashEvidence`], [`QuarantineList`]). Time is passed in; nothing reads a clock or a
 //! socket, so that tests replay loads in virtual time.
 
+mod backoffs;
 mod batch_call;
 mod batch_upstream;
 mod call_head;
@@ -39,6 +40,7 @@
 mod repeat_budget;
 mod request_rate;
 mod result_room;
+mod retry_after;
 mod returning;
 mod room_watch;
 mod route;
@@ -54,6 +56,7 @@
 mod upstream_start;
 mod zone_turns;
 
+pub use backoffs::Backoffs;
 pub use batch_call::BatchCall;
 pub use batch_call::CallKey;
 pub use batch_call::CallResult;
@@ -111,6 +114,8 @@
 pub use repeat_budget::RepeatBudget;
 pub use request_rate::RateError;
 pub use request_rate::RequestRate;
+pub use retry_after::RetryAfter;
+pub use retry_after::RetryAfterError;
 pub use route::Repeat;
 pub use route::Route;
 pub use route::StageSpec;
