--- a/crates/gateway/tests/whole/fakes/fake_upstream.rs
+++ b/crates/gateway/tests/whole/fakes/fake_upstream.rs
@@ -61,6 +61,8 @@
     arrivals: Mutex<Vec<Instant>>,
     /// The limit that it names in all of its answers.
     limit: Mutex<Option<HeaderValue>>,
+    /// True once all of its answers say that it leaves.
+    leaving: AtomicBool,
 }
 
 impl FakeUpstream {
@@ -73,6 +75,7 @@
             asked: Mutex::default(),
             arrivals: Mutex::default(),
             limit: Mutex::default(),
+            leaving: AtomicBool::new(false),
         });
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
         let handler: Arc<dyn Handler> = Arc::clone(&upstream) as Arc<dyn Handler>;
@@ -90,15 +93,24 @@
         *self.limit.lock().expect("a lock") = limit;
     }
 
+    /// Has all of its answers say from now on that it leaves.
+    pub(crate) fn say_leaving(&self) {
+        self.leaving.store(true, Ordering::Relaxed);
+    }
+
     /// When it was asked for anything, whatever that was.
     pub(crate) fn arrivals(&self) -> Vec<Instant> {
         self.arrivals.lock().expect("a lock").clone()
     }
 
-    fn with_limit(&self, mut res: Response<Body>) -> Response<Body> {
+    fn with_notices(&self, mut res: Response<Body>) -> Response<Body> {
         if let Some(limit) = &*self.limit.lock().expect("a lock") {
             res.headers_mut().insert("limit", limit.clone());
         }
+        if self.leaving.load(Ordering::Relaxed) {
+            let said = HeaderValue::from_static("1");
+            res.headers_mut().insert("leaving", said);
+        }
         res
     }
 
@@ -116,7 +128,7 @@
         self.arrivals.lock().expect("a lock").push(Instant::now());
         // It has nothing to tell of its room, and that is no request of a caller.
         if req.uri().path() == "/room" {
-            return Box::pin(async move { self.with_limit(Response::new(jd_net::empty())) });
+            return Box::pin(async move { self.with_notices(Response::new(jd_net::empty())) });
         }
         let header = |name: &str| {
             let value = req.headers().get(name);
@@ -158,7 +170,7 @@
                     answer(&id, StatusCode::OK, jd_net::full("held"))
                 }
             };
-            self.with_limit(res)
+            self.with_notices(res)
         })
     }
 }
--- a/crates/gateway/tests/whole/fakes/harness.rs
+++ b/crates/gateway/tests/whole/fakes/harness.rs
@@ -74,7 +74,13 @@
     /// The same with an upstream of the stage before `/staged/`.
     pub(crate) fn start_staged(replies: Vec<Vec<Reply>>, stage: Vec<Reply>) -> Harness {
         let records = vec![Record::Deployment(Box::new(staged_deployment()))];
-        Harness::start_services(replies, stage, records)
+        Harness::start_services(replies, vec![stage], records)
+    }
+
+    /// The same with two upstreams of the stage, the last of all.
+    pub(crate) fn start_two_staged(replies: Vec<Vec<Reply>>, stage: Vec<Reply>) -> Harness {
+        let records = vec![Record::Deployment(Box::new(staged_deployment()))];
+        Harness::start_services(replies, vec![stage.clone(), stage], records)
     }
 
     pub(crate) fn start_with(replies: Vec<Vec<Reply>>, records: Vec<Record>) -> Harness {
@@ -83,7 +89,7 @@
 
     fn start_services(
         replies: Vec<Vec<Reply>>,
-        stage: Vec<Reply>,
+        stages: Vec<Vec<Reply>>,
         mut records: Vec<Record>,
     ) -> Harness {
         let workers = Workers::start(2).expect("threads");
@@ -91,8 +97,8 @@
         let mut upstreams = Vec::new();
         let mut servers = Vec::new();
         let pool = replies.into_iter().map(|replies| ("pool", replies));
-        let stage = (!stage.is_empty()).then_some(("stages", stage));
-        for (n, (service, replies)) in pool.chain(stage).enumerate() {
+        let stages = stages.into_iter().map(|replies| ("stages", replies));
+        for (n, (service, replies)) in pool.chain(stages).enumerate() {
             let (upstream, server) = FakeUpstream::start(&executor, replies);
             let id = format!("i-{n}");
             records.push(entry(&id, service, server.address(), UpstreamStart::UNTOLD));
--- a/crates/gateway/tests/whole/fakes/mod.rs
+++ b/crates/gateway/tests/whole/fakes/mod.rs
@@ -7,6 +7,7 @@
 mod fake_store;
 mod fake_upstream;
 mod harness;
+pub(crate) mod noticing;
 mod start_gateway;
 
 pub(crate) use deployments::cold_deployment;
--- a/crates/gateway/tests/whole/main.rs
+++ b/crates/gateway/tests/whole/main.rs
@@ -8,6 +8,8 @@
 mod fakes;
 mod fleet;
 mod innocents;
+mod leaving;
 mod limits;
+
 mod requests;
 mod restarts;
