--- /dev/null
+++ b/crates/gateway/tests/whole/backoffs.rs
@@ -0,0 +1,83 @@
+//! Upstreams that refuse a request and want nothing more for a while.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use futures_lite::future::block_on;
+use test_case::test_case;
+
+use crate::fakes::FakeUpstream;
+use crate::fakes::Harness;
+use crate::fakes::Reply;
+use crate::fakes::ending_fleet::repeat;
+use crate::fakes::noticing::LOAD;
+use crate::fakes::noticing::ON_ITS_WAY;
+use crate::fakes::noticing::PAUSE;
+use crate::fakes::noticing::all_served;
+use crate::fakes::noticing::arrivals;
+use crate::fakes::noticing::gateway;
+
+/// How long an upstream wants nothing, and the same as it says it.
+const BACKOFF: Duration = Duration::from_secs(3);
+const BACKOFF_TEXT: &str = "3";
+
+/// An upstream refuses a request, asks for rest, and gets the next ones all the same.
+#[test_case("/any/x", 0; "plain")]
+#[test_case("/once/x", 0; "at most once")]
+#[test_case("/stream/x", 0; "streamed")]
+#[test_case("/staged/x", 0; "after stages")]
+#[test_case("/staged/x", 3; "pieces")]
+fn an_upstream_that_wants_nothing_for_a_while_gets_nothing(path: &'static str, resting: usize) {
+    let harness = gateway(3);
+    block_on(async {
+        harness.until_ready(true).await;
+        let upstream = &harness.upstreams[resting];
+        upstream.reply(vec![Reply::BackOff(BACKOFF_TEXT)]);
+        let said = until_asked(&harness, path, upstream).await;
+        all_served(&repeat(&harness, path, PAUSE, BACKOFF - ON_ITS_WAY).await);
+        let late = arrivals(upstream, said + ON_ITS_WAY, said + BACKOFF);
+        assert_eq!(late, 0, "sent while it wanted nothing");
+        repeat(&harness, path, PAUSE, LOAD).await;
+        let again = arrivals(upstream, said + BACKOFF, Instant::now());
+        assert!(again > 0, "never asked again");
+    });
+}
+
+/// All upstreams want nothing for longer than the caller waits. It is told so at once, and
+/// truthfully, and none of them is asked.
+#[test_case("/any/x"; "plain")]
+#[test_case("/once/x"; "at most once")]
+#[test_case("/stream/x"; "streamed")]
+#[test_case("/staged/x"; "after stages")]
+fn a_request_that_no_upstream_takes_for_a_while_is_refused_at_once(path: &'static str) {
+    let harness = gateway(2);
+    block_on(async {
+        harness.until_ready(true).await;
+        for upstream in &harness.upstreams[..2] {
+            upstream.reply(vec![Reply::BackOff("60")]);
+            until_asked(&harness, path, upstream).await;
+        }
+        let asked = || harness.upstreams[2].count() + harness.upstreams[3].count();
+        let (before, counted) = (asked(), Instant::now());
+        let received = harness.ask(path, "late").await;
+        assert_eq!(received.status, 503);
+        assert_eq!(received.run.as_deref(), Some("not run"));
+        assert!(counted.elapsed() < ON_ITS_WAY, "{:?}", counted.elapsed());
+        for upstream in &harness.upstreams[..2] {
+            assert_eq!(arrivals(upstream, counted, Instant::now()), 0);
+        }
+        assert_eq!(asked(), before, "a stage in vain");
+    });
+}
+
+/// Sends requests until an upstream has been asked; when it was.
+async fn until_asked(harness: &Harness, path: &str, upstream: &FakeUpstream) -> Instant {
+    let from = Instant::now();
+    loop {
+        harness.ask(path, "first").await;
+        let mut arrivals = upstream.arrivals().into_iter();
+        if let Some(at) = arrivals.find(|at| *at >= from) {
+            return at;
+        }
+    }
+}
--- a/crates/gateway/tests/whole/fakes/fake_upstream.rs
+++ b/crates/gateway/tests/whole/fakes/fake_upstream.rs
@@ -35,6 +35,8 @@
     Late(&'static str, Duration),
     /// That it did nothing.
     NotRun,
+    /// The same, and that it wants nothing more for so many seconds.
+    BackOff(&'static str),
     /// The first of all upstreams that share this gives the answer to another
     /// request; the others say that results which it works on are gone.
     CrossedThenInputsGone(Arc<AtomicBool>),
@@ -98,6 +100,11 @@
         self.leaving.store(true, Ordering::Relaxed);
     }
 
+    /// Has it answer so from now on.
+    pub(crate) fn reply(&self, replies: Vec<Reply>) {
+        *self.replies.lock().expect("a lock") = replies.into();
+    }
+
     /// When it was asked for anything, whatever that was.
     pub(crate) fn arrivals(&self) -> Vec<Instant> {
         self.arrivals.lock().expect("a lock").clone()
@@ -148,6 +155,12 @@
                 Reply::Crossed => answer("another", StatusCode::OK, jd_net::full("theirs")),
                 Reply::Failure => answer(&id, StatusCode::INTERNAL_SERVER_ERROR, jd_net::empty()),
                 Reply::NotRun => not_run(&id, StatusCode::SERVICE_UNAVAILABLE),
+                Reply::BackOff(seconds) => {
+                    let mut res = not_run(&id, StatusCode::SERVICE_UNAVAILABLE);
+                    let wait = HeaderValue::from_static(seconds);
+                    res.headers_mut().insert("wait", wait);
+                    res
+                }
                 Reply::CrossedThenInputsGone(asked) => match asked.swap(true, Ordering::Relaxed) {
                     false => answer("another", StatusCode::OK, jd_net::full("theirs")),
                     true => not_run(&id, StatusCode::CONFLICT),
--- a/crates/gateway/tests/whole/main.rs
+++ b/crates/gateway/tests/whole/main.rs
@@ -2,6 +2,7 @@
 
 #![allow(clippy::expect_used, clippy::panic)]
 
+mod backoffs;
 mod cold_start;
 mod crashes;
 mod evacuation;
