An upstream that says in an answer that it leaves gets nothing new

The store was away, so that its entry went on saying `ready`.

Cause: what may be sent to an upstream followed from its entry in the store alone. Its answers were read for their status, their request and a limit; `Server-Leaving` in them was not read.

Change: `UpstreamDirectory::says_leaving` notes it for the start that said so, so that the table, the owners' desks, the quarantine and the check before a send follow as they do for an entry that says `draining`. An entry that is read later, or again after it lapsed, does not take it back; a later start does. A 421 speaks of another upstream.

Ruled out as a design: a list beside the table that each way to an upstream asks (one way more to forget); telling other instances by heartbeats (one request each tells them the same, and a false word would spread).

--- a/crates/gateway/src/notices.rs
+++ b/crates/gateway/src/notices.rs
@@ -4,10 +4,13 @@
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 
+use compact_str::CompactString;
+use http::StatusCode;
 use jd_net::HttpResponse;
 use jd_net::lock;
 use jd_serving::Backoffs;
 use jd_serving::RetryAfter;
+use jd_serving::RetryAfterError;
 use jd_types::MonoTime;
 
 use crate::run_events::UpstreamRef;
@@ -20,6 +23,8 @@
     /// True while any of them does: without, no request waits for the lock.
     any: AtomicBool,
     backoffs: Mutex<Backoffs>,
+    /// The upstream whose wait could not be read last, so that it is logged once.
+    unreadable: Mutex<Option<CompactString>>,
 }
 
 impl Notices {
@@ -32,6 +37,15 @@
         }
     }
 
+    fn note_unreadable(&self, upstream: &UpstreamRef, e: &RetryAfterError) {
+        let id = &upstream.upstream;
+        let mut last = lock(&self.unreadable);
+        if last.as_ref() != Some(id) {
+            log::warn!(upstream = id.as_str(), error:% = e; "wait that an upstream asks for cannot be read; it counts as none");
+            *last = Some(id.clone());
+        }
+    }
+
     fn back_off(&self, now: MonoTime, upstream: &UpstreamRef, wait: RetryAfter) -> bool {
         let UpstreamRef {
             upstream: id,
@@ -55,23 +69,29 @@
     state
         .limits
         .note_answer(now, upstream, dialect, headers, &state.metrics);
-    if dialect.says_leaving(headers) {
+    // Whoever answers so is another than the one that was asked.
+    if *status == StatusCode::MISDIRECTED_REQUEST {
+        return;
+    }
+    if dialect.says_leaving(headers) && !upstream.upstream.is_empty() {
         note_leaving(state, upstream);
     }
     match dialect.retry_after(*status, headers) {
         Ok(None) => {}
         Ok(Some(wait)) => note_backoff(state, upstream, wait),
-        Err(e) => {
-            log::warn!(upstream = upstream.upstream.as_str(), error:% = e; "wait that an upstream asks for cannot be read; it counts as none");
-        }
+        Err(e) => state.notices.note_unreadable(upstream, &e),
     }
 }
 
 fn note_leaving(state: &State, upstream: &UpstreamRef) {
-    let id = upstream.upstream.as_str();
-    if !state.upstreams.load().has(id, upstream.address) {
+    let (now, id) = (state.now(), upstream.upstream.as_str());
+    let mut knowledge = state.knowledge();
+    let news = knowledge.upstreams.says_leaving(now, id, upstream.start);
+    drop(knowledge);
+    if !news {
         return;
     }
+    state.rebuild_upstreams();
     state.metrics.notice("leaving");
     log::info!(upstream = id, address:% = upstream.address; "upstream says in an answer that it leaves");
 }
--- a/crates/gateway/tests/whole/leaving.rs
+++ b/crates/gateway/tests/whole/leaving.rs
@@ -1,11 +1,21 @@
 //! Upstreams that say in their answers that they leave.
 
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
+use async_channel::Sender;
+use async_executor::Task;
+use async_io::Timer;
 use futures_lite::future::block_on;
+use jd_gateway::Change;
+use jd_gateway::Record;
+use jd_types::Name;
 use test_case::test_case;
 
+use crate::fakes::Harness;
+use crate::fakes::Received;
+use crate::fakes::Reply;
 use crate::fakes::ending_fleet::repeat;
 use crate::fakes::noticing::LOAD;
 use crate::fakes::noticing::ON_ITS_WAY;
@@ -52,3 +62,79 @@
         assert_eq!(late, 0, "sent after it had said that it leaves");
     });
 }
+
+/// The upstream says so while its zone is evacuated, and gets requests again with the zone.
+#[test]
+fn an_upstream_that_leaves_in_an_evacuated_zone_is_left_when_the_zone_is_taken_back() {
+    let harness = gateway(3);
+    let zone = Name::try_from("b").expect("a name");
+    block_on(async {
+        harness.until_ready(true).await;
+        harness.place_in_zone(0, "b");
+        let held = until_held(&harness).await;
+        harness
+            .store
+            .change(Change::Put(Record::EvacuatedZone(zone.clone())));
+        until_left(&harness).await;
+        harness.upstreams[0].say_leaving();
+        drop(held.0);
+        assert_eq!(held.1.await.status, 200);
+        harness.store.change(Change::ZoneTakenBack(zone));
+        let counted = Instant::now();
+        all_served(&repeat(&harness, "/any/x", PAUSE, LOAD).await);
+        let late = arrivals(&harness.upstreams[0], counted, Instant::now());
+        assert_eq!(late, 0, "sent after it had said that it leaves");
+    });
+}
+
+/// An answer that says so breaks after its head.
+#[test]
+fn an_answer_that_breaks_still_says_that_its_upstream_leaves() {
+    let harness = gateway(2);
+    block_on(async {
+        harness.until_ready(true).await;
+        harness.upstreams[0].reply(vec![Reply::Stream {
+            parts: &["id: 1\ndata: a\n\n"],
+            cut: true,
+        }]);
+        harness.upstreams[0].say_leaving();
+        repeat(&harness, "/any/x", PAUSE, ON_ITS_WAY).await;
+        let counted = Instant::now();
+        all_served(&repeat(&harness, "/any/x", PAUSE, LOAD).await);
+        let late = arrivals(&harness.upstreams[0], counted, Instant::now());
+        assert_eq!(late, 0, "sent after it had said that it leaves");
+    });
+}
+
+/// A request that the first upstream works on until the sender is dropped.
+async fn until_held(harness: &Arc<Harness>) -> (Sender<()>, Task<Received>) {
+    let (tx, rx) = async_channel::bounded(1);
+    harness.upstreams[0].reply(vec![Reply::Held(rx)]);
+    loop {
+        let asked = harness.upstreams[0].count();
+        let caller = Arc::clone(harness);
+        let asking = harness.spawn(async move { caller.ask("/any/x", "held").await });
+        let answered = async {
+            while harness.upstreams[0].count() == asked && !asking.is_finished() {
+                Timer::after(Duration::from_millis(5)).await;
+            }
+        };
+        answered.await;
+        if harness.upstreams[0].count() > asked {
+            harness.upstreams[0].reply(vec![Reply::Whole("its answer")]);
+            return (tx, asking);
+        }
+        asking.await;
+    }
+}
+
+/// Waits until nothing new goes to the first upstream.
+async fn until_left(harness: &Arc<Harness>) {
+    loop {
+        let asked = harness.upstreams[0].count();
+        repeat(harness, "/any/x", PAUSE, ON_ITS_WAY).await;
+        if harness.upstreams[0].count() == asked {
+            return;
+        }
+    }
+}
--- a/crates/serving/src/upstream_directory.rs
+++ b/crates/serving/src/upstream_directory.rs
@@ -14,6 +14,12 @@
 /// The users' platform puts entries of live upstreams back within two seconds.
 const LAPSE_GRACE: Duration = Duration::from_secs(2);
 
+/// How long after an upstream said that it leaves this is remembered while no entry names
+/// it. Entries lapse with the store, and one that is put back may be older than the word.
+const LEAVING_REMEMBERED: Duration = Duration::from_secs(120);
+/// The most upstreams of which that is remembered.
+const MOST_LEAVING: usize = 8_192;
+
 /// What an upstream says of itself.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct UpstreamEntry {
@@ -51,9 +57,14 @@
 /// out while nobody can renew them, so after an absence every entry may be
 /// missing although every upstream is well. An entry that lapsed then stays in
 /// use until shortly after the store's return.
+///
+/// An upstream that said once that it leaves does so, whatever is read of it later: the
+/// word came from the upstream, in its entry or in an answer, and an entry that says
+/// otherwise is older.
 #[derive(Debug, Default)]
 pub struct UpstreamDirectory {
     known: HashMap<CompactString, Known>,
+    leaving: HashMap<CompactString, Leaving>,
     away: bool,
     back: Option<MonoTime>,
 }
@@ -65,6 +76,13 @@
     cold_until: MonoTime,
 }
 
+/// Which start of an upstream said that it leaves, and when that was said or last of use.
+#[derive(Debug, Clone, Copy)]
+struct Leaving {
+    start: UpstreamStart,
+    noted: MonoTime,
+}
+
 impl UpstreamDirectory {
     /// The store does not answer.
     pub fn store_away(&mut self) {
@@ -102,6 +120,8 @@
         if known.is_some_and(|k| k.entry.start.is_later_than(entry.start)) {
             return false;
         }
+        let leaving = entry.leaving || self.has_left(&entry);
+        let entry = UpstreamEntry { leaving, ..entry };
         if known.is_some_and(|k| k.entry == entry && !k.lapsed) {
             return false;
         }
@@ -115,6 +135,27 @@
         true
     }
 
+    /// This start of an upstream said in an answer that it leaves; true if that changes
+    /// anything. One that has started again since takes requests.
+    pub fn says_leaving(&mut self, now: MonoTime, id: &str, start: UpstreamStart) -> bool {
+        let known = self.known.get_mut(id);
+        let is_old = |k: &&mut Known| k.entry.start.is_later_than(start);
+        if known.as_ref().is_some_and(is_old) {
+            return false;
+        }
+        if self.leaving.len() < MOST_LEAVING || self.leaving.contains_key(id) {
+            let leaving = Leaving { start, noted: now };
+            self.leaving.insert(id.into(), leaving);
+        }
+        known.is_some_and(|k| !std::mem::replace(&mut k.entry.leaving, true))
+    }
+
+    /// True if the start that an entry is of has said that it leaves.
+    fn has_left(&self, entry: &UpstreamEntry) -> bool {
+        let said = self.leaving.get(&entry.id);
+        said.is_some_and(|said| !entry.start.is_later_than(said.start))
+    }
+
     /// Nothing names this upstream any more; true if that changes anything. Unlike
     /// one that is missing it does not count as lapsed with the store: there is an
     /// entry, and it is not the upstream's.
@@ -157,6 +198,13 @@
 
     /// Gives up entries that lapsed and did not come back; true if any did.
     pub fn expire(&mut self, now: MonoTime) -> bool {
+        let known = &self.known;
+        self.leaving.retain(|id, leaving| {
+            if known.contains_key(id) {
+                leaving.noted = now;
+            }
+            now.since(leaving.noted) < LEAVING_REMEMBERED
+        });
         if self.may_return(now) {
             return false;
         }
--- /dev/null
+++ b/crates/serving/tests/leaving.rs
@@ -0,0 +1,105 @@
+//! Upstreams that say in an answer that they leave.
+
+#![allow(clippy::expect_used, clippy::panic)]
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use jd_serving::UpstreamDirectory;
+use jd_serving::UpstreamEntry;
+use jd_serving::UpstreamStart;
+use jd_types::MonoTime;
+use jd_types::Name;
+use test_case::test_case;
+
+const UNTOLD: UpstreamStart = UpstreamStart::UNTOLD;
+
+fn at(ms: u64) -> MonoTime {
+    MonoTime::from_millis(ms)
+}
+
+fn started(ms: u64) -> UpstreamStart {
+    UpstreamStart::at_millis(ms)
+}
+
+fn entry(start: UpstreamStart) -> UpstreamEntry {
+    UpstreamEntry {
+        id: "u".into(),
+        start,
+        service: "pool".into(),
+        address: SocketAddr::from(([127, 0, 0, 1], 80)),
+        zone: Name::try_from("a").expect("a name"),
+        slots: 4,
+        leaving: false,
+        cold_left: Duration::ZERO,
+    }
+}
+
+fn listed(start: UpstreamStart) -> UpstreamDirectory {
+    let mut directory = UpstreamDirectory::default();
+    directory.put(at(0), entry(start));
+    directory
+}
+
+/// Whether the upstream is in use; none if it is not known at all.
+fn is_used(directory: &UpstreamDirectory) -> Option<bool> {
+    directory.entries().next().map(|l| !l.entry.leaving)
+}
+
+#[test]
+fn an_upstream_that_says_it_leaves_is_used_no_more() {
+    let mut directory = listed(UNTOLD);
+    assert!(directory.says_leaving(at(10), "u", UNTOLD));
+    assert!(!directory.says_leaving(at(20), "u", UNTOLD), "no news");
+    assert_eq!(is_used(&directory), Some(false));
+}
+
+/// The store is away or behind, and an entry that it still holds says that the upstream is ready.
+#[test]
+fn an_entry_of_before_does_not_take_the_word_back() {
+    let mut directory = listed(UNTOLD);
+    directory.says_leaving(at(10), "u", UNTOLD);
+    directory.put(at(20), entry(UNTOLD));
+    assert_eq!(is_used(&directory), Some(false));
+    directory.replace(at(30), vec![entry(UNTOLD)]);
+    assert_eq!(is_used(&directory), Some(false));
+}
+
+/// Its entry was removed, or had not been read yet, and is read afterwards.
+#[test_case(true; "removed")]
+#[test_case(false; "not read yet")]
+fn the_word_outlasts_the_entry(removed: bool) {
+    let mut directory = UpstreamDirectory::default();
+    if removed {
+        directory.put(at(0), entry(UNTOLD));
+    }
+    directory.says_leaving(at(10), "u", UNTOLD);
+    directory.remove(at(20), "u");
+    directory.expire(at(5_000));
+    directory.put(at(6_000), entry(UNTOLD));
+    assert_eq!(is_used(&directory), Some(false));
+}
+
+#[test]
+fn the_word_is_kept_as_long_as_the_entry() {
+    let mut directory = listed(UNTOLD);
+    directory.says_leaving(at(10), "u", UNTOLD);
+    for minute in 1..10 {
+        directory.expire(at(minute * 60_000));
+    }
+    directory.put(at(600_000), entry(UNTOLD));
+    assert_eq!(is_used(&directory), Some(false));
+}
+
+/// An upstream starts again under its identity, and an answer of its earlier start comes late.
+#[test_case(1, 2, true; "of the earlier start")]
+#[test_case(2, 2, false; "of this start")]
+fn the_word_binds_the_start_that_gave_it(said: u64, listed_start: u64, used: bool) {
+    let mut before = listed(started(listed_start));
+    before.says_leaving(at(10), "u", started(said));
+    assert_eq!(is_used(&before), Some(used));
+    let mut after = listed(started(1));
+    after.says_leaving(at(10), "u", started(said));
+    after.put(at(20), entry(started(listed_start)));
+    assert_eq!(is_used(&after), Some(used));
+}
