An upstream that asks for rest gets none of its requests meanwhile

Cause: a refusal was read as "full now": its time to come back was not read, and the upstream was chosen again with the next request (pieces: after 150 ms).

Ruled out: requests that were bound to the upstream before.

Change: `Backoffs` keeps the latest end that a start of an upstream named. It is one more reason in the check before a send, which all ways to an upstream pass, and in the choice of an upstream. Instances resume one after the other over a tenth of the wait. With all upstreams at rest a request is refused at once, before its stages, and told when the first of them takes requests again; an owner of stages counts its upstreams' rest in what it expects and refuses what cannot end in time after it. Nothing is held against an upstream for it: neither ejections nor repeats.

Ruled out as a design: requests that wait in the instance (another instance may serve them); the two requests that the users' rule lets pass, as probes.

--- a/crates/gateway/src/notices.rs
+++ b/crates/gateway/src/notices.rs
@@ -1,16 +1,20 @@
 //! What upstreams say in their answers of what may be sent to them next.
 
+use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use compact_str::CompactString;
 use http::StatusCode;
 use jd_net::HttpResponse;
 use jd_net::lock;
 use jd_serving::Backoffs;
+use jd_serving::FleetPlace;
 use jd_serving::RetryAfter;
 use jd_serving::RetryAfterError;
+use jd_serving::UpstreamStart;
 use jd_types::MonoTime;
 
 use crate::run_events::UpstreamRef;
@@ -28,6 +32,20 @@
 }
 
 impl Notices {
+    /// How much longer an upstream wants nothing; none if it takes requests.
+    pub(crate) fn backoff(
+        &self,
+        now: MonoTime,
+        address: SocketAddr,
+        id: &str,
+        start: UpstreamStart,
+    ) -> Option<Duration> {
+        match self.any.load(Ordering::Relaxed) {
+            true => lock(&self.backoffs).left(now, address, id, start),
+            false => None,
+        }
+    }
+
     /// Forgets upstreams that take requests again.
     pub(crate) fn expire(&self, now: MonoTime) {
         if self.any.load(Ordering::Relaxed) {
@@ -46,7 +64,13 @@
         }
     }
 
-    fn back_off(&self, now: MonoTime, upstream: &UpstreamRef, wait: RetryAfter) -> bool {
+    fn back_off(
+        &self,
+        now: MonoTime,
+        upstream: &UpstreamRef,
+        wait: RetryAfter,
+        place: FleetPlace,
+    ) -> bool {
         let UpstreamRef {
             upstream: id,
             start,
@@ -54,7 +78,7 @@
             ..
         } = upstream;
         let mut backoffs = lock(&self.backoffs);
-        let longer = backoffs.take(now, *address, id, *start, wait);
+        let longer = backoffs.take(now, *address, id, *start, wait, place);
         self.any.store(true, Ordering::Relaxed);
         longer
     }
@@ -97,7 +121,8 @@
 }
 
 fn note_backoff(state: &State, upstream: &UpstreamRef, wait: RetryAfter) {
-    let longer = state.notices.back_off(state.now(), upstream, wait);
+    let place = state.fleet_place(upstream.address);
+    let longer = state.notices.back_off(state.now(), upstream, wait, place);
     state.metrics.notice("backoff");
     let wait_ms = u64::try_from(wait.wait().as_millis()).unwrap_or(u64::MAX);
     log::info!(
--- a/crates/gateway/src/plain_call.rs
+++ b/crates/gateway/src/plain_call.rs
@@ -25,6 +25,7 @@
 use crate::state::State;
 use crate::upstream_choice::Missed;
 use crate::upstream_choice::Offers;
+use crate::upstream_choice::next_wanted;
 use crate::upstream_choice::send_to_next;
 
 /// The largest answer that is held in memory, in bytes.
@@ -85,8 +86,11 @@
         }
         return match (failed, failure) {
             (Some(whole), _) => Ok(pass_on(state, &call, whole)),
-            (None, Some(f)) => Err(no_more(runs, kind_of(&f), f.detail.as_str())),
-            (None, None) => Err(no_more(runs, RefusalKind::UpstreamFailed, "no answer")),
+            (None, Some(f)) => Err(no_more(state, &call, runs, kind_of(&f), f.detail.as_str())),
+            (None, None) => {
+                let kind = RefusalKind::UpstreamFailed;
+                Err(no_more(state, &call, runs, kind, "no answer"))
+            }
         };
     }
 }
@@ -188,10 +192,13 @@
 
 /// The refusal of what will not be tried again. It says that nothing ran only
 /// if every send proved so.
-fn no_more(runs: u32, kind: RefusalKind, detail: &str) -> Refusal {
+fn no_more(state: &State, call: &Call, runs: u32, kind: RefusalKind, detail: &str) -> Refusal {
     match (runs, kind) {
         (0, RefusalKind::DeadlinePassed) => over(0, detail),
-        (0, kind) => Refusal::not_run(kind, detail).after(FULL_PAUSE),
+        (0, kind) => {
+            let wait = next_wanted(state, &call.service);
+            Refusal::not_run(kind, detail).after(wait.unwrap_or(FULL_PAUSE))
+        }
         (_, RefusalKind::DeadlinePassed) => over(runs, detail),
         _ => may_have_run(RefusalKind::UpstreamFailed, detail),
     }
--- a/crates/gateway/src/send_gate.rs
+++ b/crates/gateway/src/send_gate.rs
@@ -75,7 +75,8 @@
 pub(crate) struct Withheld {
     /// In words.
     pub(crate) reason: &'static str,
-    /// How long until a turn comes, where the upstream names a limit.
+    /// How long until it may be asked again, where the upstream names a limit or wants
+    /// nothing for a while.
     pub(crate) wait: Option<Duration>,
 }
 
@@ -218,6 +219,18 @@
             let wait = Some(Duration::ZERO);
             Err(Withheld { reason, wait })
         };
+        let UpstreamRef {
+            upstream,
+            start,
+            address,
+            ..
+        } = &self.to;
+        if let Some(left) = state.notices.backoff(now, *address, upstream, *start) {
+            return Err(Withheld {
+                reason: "the upstream wants nothing for a while",
+                wait: Some(left),
+            });
+        }
         let is_limited = state.limits.limit(&self.to.upstream).is_some();
         let listed = || {
             let table = state.upstreams.load();
--- a/crates/gateway/src/stage_batches.rs
+++ b/crates/gateway/src/stage_batches.rs
@@ -318,7 +318,7 @@
         let head = dialect.answer_head(response.status, &response.headers);
         match head.status {
             http::StatusCode::MISDIRECTED_REQUEST => return CallResult::Gone,
-            status if head.not_run || !status.is_success() => return CallResult::Full,
+            status if head.not_run || !status.is_success() => return self.refused(call),
             _ => {}
         }
         match within(call.patience, response.whole(MAX_ANSWER)).await {
@@ -331,6 +331,17 @@
         }
     }
 
+    /// What a refused call says: that its upstream was full, and maybe for how long it
+    /// wants nothing more.
+    fn refused(&self, call: &BatchCall) -> CallResult {
+        let state = &self.state;
+        let (now, notices) = (state.now(), &state.notices);
+        match notices.backoff(now, call.address, &call.upstream, call.start) {
+            Some(left) => CallResult::Withheld(left),
+            None => CallResult::Full,
+        }
+    }
+
     fn follow_upstreams(&self, shard: &Shard, desk: &mut Desk) {
         let table = self.state.upstreams.load_full();
         let known = desk.table.as_ref();
--- a/crates/gateway/src/stream_call.rs
+++ b/crates/gateway/src/stream_call.rs
@@ -25,6 +25,7 @@
 use crate::state::State;
 use crate::upstream_choice::Missed;
 use crate::upstream_choice::Offers;
+use crate::upstream_choice::next_wanted;
 use crate::upstream_choice::reserve;
 use crate::upstream_choice::send_to_next;
 
@@ -84,7 +85,7 @@
             _ => false,
         };
         if !allowed || !state.may_repeat(&call.service) {
-            return Err(no_more(runs, &failure));
+            return Err(no_more(state, &call, runs, &failure));
         }
     }
 }
@@ -163,10 +164,13 @@
     }
 }
 
-fn no_more(runs: u32, failure: &Failure) -> Refusal {
+fn no_more(state: &State, call: &Call, runs: u32, failure: &Failure) -> Refusal {
     let detail = failure.detail.as_str();
     match (runs, failure.outcome) {
-        (0, _) => Refusal::not_run(RefusalKind::Overloaded, detail).after(FULL_PAUSE),
+        (0, _) => {
+            let wait = next_wanted(state, &call.service);
+            Refusal::not_run(RefusalKind::Overloaded, detail).after(wait.unwrap_or(FULL_PAUSE))
+        }
         (_, AttemptOutcome::Silent | AttemptOutcome::TimedOut) => {
             may_have_run(RefusalKind::DeadlinePassed, detail)
         }
--- a/crates/gateway/src/upstream_choice.rs
+++ b/crates/gateway/src/upstream_choice.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use compact_str::CompactString;
+use jd_serving::StageUpstream;
 use jd_types::Refusal;
 use jd_types::RefusalKind;
 
@@ -28,6 +29,13 @@
 /// upstream takes.
 const RESERVED_UP_TO: f64 = 8.0;
 
+/// The part of the wait that callers are told by which their returns are spread.
+const RETURN_SPREAD: f64 = 0.25;
+/// The longest such wait.
+const LONGEST_RETURN: Duration = Duration::from_secs(600);
+/// The least that the stages of a request take.
+const STAGES_TAKE_LEAST: Duration = Duration::from_millis(200);
+
 /// Where one attempt of a caller was sent so far.
 #[derive(Debug)]
 pub(crate) struct Offers {
@@ -144,7 +152,8 @@
         }
         None => table.pick(&call.service, now, &state.settings.zone, tried, &check),
     };
-    chosen.ok_or_else(|| match next_turn(state, &call.service) {
+    let wait = || next_turn(state, &call.service).or_else(|| next_wanted(state, &call.service));
+    chosen.ok_or_else(|| match wait() {
         Some(wait) => offers.refuse_limited(wait),
         None => offers.refuse(RefusalKind::NoUpstream, "no upstream is left to try"),
     })
@@ -157,13 +166,54 @@
         return None;
     }
     let table = state.upstreams.load();
-    let limited = table.upstreams(service).filter_map(|upstream| {
+    let able = table
+        .upstreams(service)
+        .filter(|u| backoff(state, u).is_none());
+    let limited = able.filter_map(|upstream| {
         let rate = state.limits.limit(&upstream.id)?;
         Some((upstream.id, rate))
     });
     state.turns.next(state.now(), limited)
 }
 
+/// When a caller is to come back if all upstreams of a service want nothing for a while:
+/// once the first of them takes requests again, each caller at another moment.
+pub(crate) fn next_wanted(state: &State, service: &str) -> Option<Duration> {
+    let left = soonest_end(state, service)?;
+    let spread = left.mul_f64(RETURN_SPREAD * fastrand::f64());
+    Some(left + spread)
+}
+
+/// How long until the first upstream of a service takes requests again; none if one does.
+fn soonest_end(state: &State, service: &str) -> Option<Duration> {
+    let table = state.upstreams.load();
+    let mut soonest: Option<Duration> = None;
+    for upstream in table.upstreams(service) {
+        let left = backoff(state, &upstream)?.min(LONGEST_RETURN);
+        soonest = Some(soonest.map_or(left, |s| s.min(left)));
+    }
+    soonest
+}
+
+fn backoff(state: &State, upstream: &StageUpstream) -> Option<Duration> {
+    let StageUpstream {
+        id, start, address, ..
+    } = upstream;
+    state.notices.backoff(state.now(), *address, id, *start)
+}
+
+/// Refuses a request at once whose stages would be done in vain, since all upstreams that
+/// could run it want nothing for longer than these take.
+fn check_wanted(state: &State, call: &Call, offers: &Offers) -> Result<(), Refusal> {
+    match soonest_end(state, &call.service) {
+        Some(left) if left > STAGES_TAKE_LEAST => {
+            let wait = next_wanted(state, &call.service);
+            Err(offers.refuse_limited(wait.unwrap_or(left)))
+        }
+        _ => Ok(()),
+    }
+}
+
 /// Settles before the stages of a request where it is sent, if that upstream names a limit,
 /// and refuses it at once if none takes it.
 ///
@@ -174,6 +224,7 @@
     call: &Call,
     offers: &mut Offers,
 ) -> Result<(), Refusal> {
+    check_wanted(state, call, offers)?;
     while state.limits.any() {
         let chosen = next_upstream(state, call, offers)?;
         let limit = state.limits.limit(&chosen.id);
--- a/crates/gateway/src/upstream_table.rs
+++ b/crates/gateway/src/upstream_table.rs
@@ -79,7 +79,15 @@
 impl SendCheck<'_> {
     /// True if this instance may send to the upstream now.
     fn allows(&self, now: MonoTime, id: &str, known: &Known) -> bool {
-        self.limit_allows(now, id) && self.cold_allows(now, known)
+        self.wants_requests(now, id, known)
+            && self.limit_allows(now, id)
+            && self.cold_allows(now, known)
+    }
+
+    fn wants_requests(&self, now: MonoTime, id: &str, known: &Known) -> bool {
+        let (address, start) = (known.upstream.address, known.start);
+        let backoff = self.state.notices.backoff(now, address, id, start);
+        backoff.is_none()
     }
 
     fn limit_allows(&self, now: MonoTime, id: &str) -> bool {
--- a/crates/gateway/tests/whole/backoffs.rs
+++ b/crates/gateway/tests/whole/backoffs.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use async_io::Timer;
 use futures_lite::future::block_on;
 use test_case::test_case;
 
@@ -62,6 +63,8 @@
         let received = harness.ask(path, "late").await;
         assert_eq!(received.status, 503);
         assert_eq!(received.run.as_deref(), Some("not run"));
+        let retry = received.retry.expect("a time to come back");
+        assert!(retry > BACKOFF, "{retry:?} although all want longer");
         assert!(counted.elapsed() < ON_ITS_WAY, "{:?}", counted.elapsed());
         for upstream in &harness.upstreams[..2] {
             assert_eq!(arrivals(upstream, counted, Instant::now()), 0);
@@ -70,6 +73,52 @@
     });
 }
 
+/// All upstreams of a stage want nothing for longer than the caller waits.
+#[test]
+fn a_request_whose_stage_no_upstream_does_for_a_while_is_refused_at_once() {
+    let harness = gateway(1);
+    block_on(async {
+        harness.until_ready(true).await;
+        for upstream in &harness.upstreams[1..] {
+            upstream.reply(vec![Reply::BackOff("60")]);
+        }
+        harness.ask("/staged/x", "first").await;
+        let counted = Instant::now();
+        for id in ["second", "third"] {
+            let received = harness.ask("/staged/x", id).await;
+            assert_eq!(received.status, 503);
+            assert_eq!(received.run.as_deref(), Some("not run"));
+            let retry = received.retry.expect("a time to come back");
+            assert!(retry > BACKOFF, "{retry:?} although all want longer");
+        }
+        assert!(counted.elapsed() < ON_ITS_WAY, "{:?}", counted.elapsed());
+        for upstream in &harness.upstreams[1..] {
+            assert_eq!(arrivals(upstream, counted, Instant::now()), 0);
+        }
+    });
+}
+
+/// Rest is no failure: the upstream is not avoided for longer, and what it refused spends
+/// nothing of what may be sent once more while it rests.
+#[test]
+fn an_upstream_that_rested_is_used_as_before() {
+    let harness = gateway(1);
+    block_on(async {
+        harness.until_ready(true).await;
+        let upstream = &harness.upstreams[0];
+        upstream.reply(vec![Reply::BackOff("1"), Reply::Whole("its answer")]);
+        let said = until_asked(&harness, "/once/x", upstream).await;
+        let before = harness.counted("jd_gateway_repeats_total").await;
+        while harness.ask("/once/x", "next").await.status != 200 {
+            Timer::after(PAUSE).await;
+        }
+        let took = said.elapsed();
+        let due = Duration::from_millis(1_100) + ON_ITS_WAY;
+        assert!(took >= Duration::from_secs(1) && took < due, "{took:?}");
+        assert_eq!(harness.counted("jd_gateway_repeats_total").await, before);
+    });
+}
+
 /// Sends requests until an upstream has been asked; when it was.
 async fn until_asked(harness: &Harness, path: &str, upstream: &FakeUpstream) -> Instant {
     let from = Instant::now();
--- a/crates/gateway/tests/whole/fakes/fake_dialect.rs
+++ b/crates/gateway/tests/whole/fakes/fake_dialect.rs
@@ -109,6 +109,10 @@
         *res.status_mut() = StatusCode::from_u16(refusal.kind.status()).expect("a status");
         let run = HeaderValue::from_static(refusal.run.as_str());
         res.headers_mut().insert("run", run);
+        if let Some(wait) = refusal.retry_after {
+            let wait = HeaderValue::from(wait.as_millis() as u64);
+            res.headers_mut().insert("retry-ms", wait);
+        }
         res
     }
 
--- a/crates/gateway/tests/whole/fakes/harness.rs
+++ b/crates/gateway/tests/whole/fakes/harness.rs
@@ -41,6 +41,8 @@
     pub(crate) whole: bool,
     /// What a refusal says of the run.
     pub(crate) run: Option<String>,
+    /// When a refusal says to come back.
+    pub(crate) retry: Option<Duration>,
 }
 
 pub(crate) struct Harness {
@@ -350,6 +352,8 @@
             other => panic!("no answer from {address}: {other:?}"),
         };
         let run = response.header("run").map(String::from);
+        let retry = response.header("retry-ms").and_then(|t| t.parse().ok());
+        let retry = retry.map(Duration::from_millis);
         let mut body = String::new();
         let whole = loop {
             match response.part().await {
@@ -363,6 +367,7 @@
             body,
             whole,
             run,
+            retry,
         }
     }
 }
--- a/crates/gateway/tests/whole/requests.rs
+++ b/crates/gateway/tests/whole/requests.rs
@@ -22,6 +22,7 @@
         body: body.into(),
         whole: true,
         run: None,
+        retry: None,
     }
 }
 
--- a/crates/serving/src/backoffs.rs
+++ b/crates/serving/src/backoffs.rs
@@ -7,12 +7,18 @@
 use compact_str::CompactString;
 use jd_types::MonoTime;
 
+use crate::FleetPlace;
 use crate::RetryAfter;
 use crate::UpstreamStart;
 
 /// Entries beyond which those that are over are looked for.
 const MANY: usize = 256;
 
+/// The part of a wait over which instances resume.
+const SPREAD: f64 = 0.1;
+/// A longer wait is spread like this one.
+const SPREAD_OF_MOST: Duration = Duration::from_secs(10);
+
 /// One start of an upstream that wants nothing for a while.
 #[derive(Debug, Clone)]
 struct Backoff {
@@ -32,7 +38,11 @@
 
 impl Backoffs {
     /// An upstream answered that it wants nothing for so long. True if that is longer
-    /// than it had said before: a shorter wait takes nothing back.
+    /// than it had said before: a shorter wait takes nothing back. Instances resume one
+    /// after the other, by their `place`.
+    ///
+    /// The load that it answers: an upstream in need tells all instances of a fleet to wait
+    /// equally long, and would get all that they held back in one moment.
     pub fn take(
         &mut self,
         now: MonoTime,
@@ -40,11 +50,14 @@
         id: &str,
         start: UpstreamStart,
         wait: RetryAfter,
+        place: FleetPlace,
     ) -> bool {
         if self.by_address.len() >= MANY {
             self.by_address.retain(|_, b| now < b.until);
         }
-        let until = now + wait.wait();
+        let wait = wait.wait();
+        let later = wait.min(SPREAD_OF_MOST).mul_f64(SPREAD * place.part());
+        let until = now + wait.saturating_add(later);
         if self.until(address, id, start) >= Some(until) {
             return false;
         }
--- a/crates/serving/src/batch_call.rs
+++ b/crates/serving/src/batch_call.rs
@@ -97,8 +97,8 @@
     Answered(Vec<PieceResult>),
     /// The upstream was full and did nothing.
     Full,
-    /// The upstream takes no more for now by its own limit, and was not asked. It may be
-    /// asked again after this time.
+    /// The upstream takes no more for now by its own word, and did nothing. It may be asked
+    /// again after this time.
     Withheld(Duration),
     /// The upstream is another one, or not there.
     Gone,
--- a/crates/serving/src/batch_upstream.rs
+++ b/crates/serving/src/batch_upstream.rs
@@ -51,6 +51,8 @@
     pub(crate) others: RoomWatch,
     failures: u32,
     blocked_until: MonoTime,
+    /// Until when it takes nothing by its own word.
+    withheld_until: MonoTime,
 }
 
 impl BatchUpstream {
@@ -66,6 +68,7 @@
             others: RoomWatch::new(),
             failures: 0,
             blocked_until: MonoTime::ZERO,
+            withheld_until: MonoTime::ZERO,
         }
     }
 
@@ -108,6 +111,11 @@
         now < self.blocked_until
     }
 
+    /// How much longer it takes nothing by its own word.
+    pub(crate) fn withheld_for(&self, now: MonoTime) -> Duration {
+        self.withheld_until.since(now)
+    }
+
     /// A call was made that should end at `until`.
     pub(crate) fn started(&mut self, until: MonoTime) {
         self.open_calls += 1;
@@ -145,7 +153,10 @@
                 self.blocked_until = now + FULL_PAUSE;
                 self.others.doubt();
             }
-            CallResult::Withheld(wait) => self.blocked_until = now + *wait,
+            CallResult::Withheld(wait) => {
+                self.withheld_until = now + *wait;
+                self.blocked_until = self.blocked_until.max(self.withheld_until);
+            }
             // A broken connection says little of the upstream, which goes on with
             // the call: it is free again when that would have ended.
             CallResult::Broken if self.failures == 0 => {
--- a/crates/serving/src/cold_start.rs
+++ b/crates/serving/src/cold_start.rs
@@ -24,6 +24,13 @@
     pub of: u32,
 }
 
+impl FleetPlace {
+    /// The part of the instances that stand before this one, from 0 on and below 1.
+    pub(crate) fn part(self) -> f64 {
+        f64::from(self.rank.min(self.of)) / f64::from(self.of.max(1))
+    }
+}
+
 impl ColdSpec {
     /// Requests a second that one instance may send to a cold upstream. The parts of
     /// all instances together are what it bears; in a large fleet most have none.
--- a/crates/serving/src/desk_estimates.rs
+++ b/crates/serving/src/desk_estimates.rs
@@ -46,7 +46,7 @@
     /// longest.
     pub fn backlog(&self, now: MonoTime) -> Duration {
         let waits = self.queues.values().map(|q| match q.waiting.is_empty() {
-            true => Duration::ZERO,
+            true => q.withheld_for(now),
             false => q.backlog(now),
         });
         waits.max().unwrap_or_default()
--- a/crates/serving/src/stage_desk.rs
+++ b/crates/serving/src/stage_desk.rs
@@ -1,6 +1,6 @@
 //! Which pieces of which requests go to which upstream, and when.
 
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -170,23 +170,31 @@
         }
         self.release_read(now);
         self.move_stranded();
-        for key in self.too_late(now) {
+        for (key, failure) in self.too_late(now) {
             if let Some(job) = self.jobs.get(&key) {
                 self.returning.refused(now, job.progress.job());
             }
-            self.fail(key, JobFailure::TooLate);
+            self.fail(key, failure);
         }
     }
 
     /// The jobs whose time is over, and those with a piece that waits for a call which
-    /// cannot bring their end before that any more.
-    fn too_late(&self, now: MonoTime) -> BTreeSet<JobKey> {
+    /// cannot bring their end before that any more; how each is to end.
+    fn too_late(&self, now: MonoTime) -> BTreeMap<JobKey, JobFailure> {
         let over = |job: &Job| job.progress.job().deadline <= now;
         let over = self.jobs.iter().filter(|(_, job)| over(job));
-        let waiting = self.queues.values().flat_map(|q| &q.waiting);
-        let worthless = waiting.filter(|(_, w)| w.worthless_from < now);
-        let worthless = worthless.map(|(rank, _)| rank.job);
-        over.map(|(key, _)| *key).chain(worthless).collect()
+        let over = over.map(|(key, _)| (*key, JobFailure::TooLate));
+        let worthless = self.queues.values().flat_map(|queue| {
+            let wait = queue.withheld_for(now);
+            let failure = match wait.is_zero() {
+                true => JobFailure::TooLate,
+                false => JobFailure::WouldMiss(wait),
+            };
+            let waiting = queue.waiting.iter();
+            let worthless = waiting.filter(move |(_, w)| w.worthless_from < now + wait);
+            worthless.map(move |(rank, _)| (rank.job, failure))
+        });
+        over.chain(worthless).collect()
     }
 
     /// Ends jobs that need a service which has no upstream here any more, so that
--- a/crates/serving/src/stage_queue.rs
+++ b/crates/serving/src/stage_queue.rs
@@ -95,7 +95,15 @@
         let calls = pieces as f64 / self.spec.pieces.max(1) as f64;
         let turns = calls / able.count().max(1) as f64;
         let turn = self.call_time(self.spec.pieces);
-        free.unwrap_or(turn) + turn.mul_f64(turns)
+        let free = free.unwrap_or_else(|| turn.max(self.withheld_for(now)));
+        free + turn.mul_f64(turns)
+    }
+
+    /// How long until the first upstream takes calls again by its own word; zero if one
+    /// does.
+    pub(crate) fn withheld_for(&self, now: MonoTime) -> Duration {
+        let left = self.upstreams.iter().map(|u| u.withheld_for(now));
+        left.min().unwrap_or_default()
     }
 
     /// How long a call of so many pieces takes, by the calls of lately.
--- a/crates/serving/tests/backoffs.rs
+++ b/crates/serving/tests/backoffs.rs
@@ -6,12 +6,14 @@
 use std::time::Duration;
 
 use jd_serving::Backoffs;
+use jd_serving::FleetPlace;
 use jd_serving::RetryAfter;
 use jd_serving::UpstreamStart;
 use jd_types::MonoTime;
 use test_case::test_case;
 
 const FIRST: UpstreamStart = UpstreamStart::UNTOLD;
+const ALONE: FleetPlace = FleetPlace { rank: 0, of: 1 };
 
 fn at(ms: u64) -> MonoTime {
     MonoTime::from_millis(ms)
@@ -29,7 +31,7 @@
 fn said(notices: &[(u64, &str)]) -> Backoffs {
     let mut backoffs = Backoffs::default();
     for (ms, wait) in notices {
-        backoffs.take(at(*ms), address(1), "u", FIRST, seconds(wait));
+        backoffs.take(at(*ms), address(1), "u", FIRST, seconds(wait), ALONE);
     }
     backoffs
 }
@@ -52,7 +54,7 @@
 fn a_wait_binds_the_start_that_asked_for_it() {
     let mut backoffs = Backoffs::default();
     let [first, second] = [1, 2].map(UpstreamStart::at_millis);
-    backoffs.take(at(0), address(1), "u", first, seconds("3"));
+    backoffs.take(at(0), address(1), "u", first, seconds("3"), ALONE);
     let left = |id, start| backoffs.left(at(10), address(1), id, start);
     assert!(left("u", first).is_some());
     assert_eq!(left("u", second), None);
@@ -76,3 +78,31 @@
     backoffs.expire(at(3_000));
     assert!(backoffs.is_empty());
 }
+
+/// An upstream told a whole fleet in one moment to wait for three seconds. None asks it before,
+/// and no more than a fifth of them within 30 ms.
+#[test_case(9)]
+#[test_case(85)]
+#[test_case(295)]
+fn instances_do_not_return_in_one_moment(instances: u32) {
+    let end = |rank| {
+        let place = FleetPlace {
+            rank,
+            of: instances,
+        };
+        let mut backoffs = Backoffs::default();
+        backoffs.take(at(0), address(1), "u", FIRST, seconds("3"), place);
+        let left = backoffs.left(at(0), address(1), "u", FIRST);
+        left.expect("a wait").as_millis()
+    };
+    let mut ends: Vec<u128> = (0..instances).map(end).collect();
+    ends.sort_unstable();
+    assert!(ends[0] >= 3_000, "{ends:?}");
+    let together = |from: u128| {
+        let within = ends.iter().filter(|e| (from..from + 30).contains(*e));
+        within.count()
+    };
+    let most = ends.iter().map(|e| together(*e)).max();
+    let allowed = instances as usize / 5;
+    assert!(most <= Some(allowed), "{most:?} of {instances}");
+}
