A limit that another upstream names at an address is not the one's that was asked

Seen: nothing yet; found while the same cause was looked for elsewhere. An upstream that answers 421 is another than the one that was asked, and the limit in that answer was noted for the one that was asked, which then got no more than that.

Change: such an answer is not read for any notice, limits included.

Figures: the new test `what_another_upstream_at_the_address_says...` failed before (one limited upstream counted, none expected) and passes.

--- a/crates/gateway/src/notices.rs
+++ b/crates/gateway/src/notices.rs
@@ -90,13 +90,13 @@
     let HttpResponse {
         status, headers, ..
     } = response;
-    state
-        .limits
-        .note_answer(now, upstream, dialect, headers, &state.metrics);
     // Whoever answers so is another than the one that was asked.
     if *status == StatusCode::MISDIRECTED_REQUEST {
         return;
     }
+    state
+        .limits
+        .note_answer(now, upstream, dialect, headers, &state.metrics);
     if dialect.says_leaving(headers) && !upstream.upstream.is_empty() {
         note_leaving(state, upstream);
     }
--- a/crates/gateway/tests/whole/fakes/fake_upstream.rs
+++ b/crates/gateway/tests/whole/fakes/fake_upstream.rs
@@ -37,6 +37,8 @@
     NotRun,
     /// The same, and that it wants nothing more for so many seconds.
     BackOff(&'static str),
+    /// That it is another one than the one that was asked.
+    Misdirected,
     /// The first of all upstreams that share this gives the answer to another
     /// request; the others say that results which it works on are gone.
     CrossedThenInputsGone(Arc<AtomicBool>),
@@ -155,6 +157,7 @@
                 Reply::Crossed => answer("another", StatusCode::OK, jd_net::full("theirs")),
                 Reply::Failure => answer(&id, StatusCode::INTERNAL_SERVER_ERROR, jd_net::empty()),
                 Reply::NotRun => not_run(&id, StatusCode::SERVICE_UNAVAILABLE),
+                Reply::Misdirected => not_run(&id, StatusCode::MISDIRECTED_REQUEST),
                 Reply::BackOff(seconds) => {
                     let mut res = not_run(&id, StatusCode::SERVICE_UNAVAILABLE);
                     let wait = HeaderValue::from_static(seconds);
--- a/crates/gateway/tests/whole/leaving.rs
+++ b/crates/gateway/tests/whole/leaving.rs
@@ -106,6 +106,27 @@
     });
 }
 
+/// Another upstream has been given the address. It refuses, and what it says of itself must not
+/// count for the one that was asked.
+#[test]
+fn what_another_upstream_at_the_address_says_is_not_the_word_of_the_one_asked() {
+    let harness = gateway(1);
+    block_on(async {
+        harness.until_ready(true).await;
+        harness.upstreams[0].reply(vec![Reply::Misdirected]);
+        harness.upstreams[0].say_leaving();
+        harness.upstreams[0].name_limit(Some("1"));
+        harness.ask("/once/x", "misdirected").await;
+        assert!(harness.upstreams[0].count() > 0);
+        for counter in [
+            "jd_gateway_limited_upstreams",
+            "jd_gateway_upstream_notices_total{kind=\"leaving\"}",
+        ] {
+            assert_eq!(harness.counted(counter).await, 0, "{counter}");
+        }
+    });
+}
+
 /// A request that the first upstream works on until the sender is dropped.
 async fn until_held(harness: &Arc<Harness>) -> (Sender<()>, Task<Received>) {
     let (tx, rx) = async_channel::bounded(1);
