--- a/crates/gateway/src/store_intake.rs
+++ b/crates/gateway/src/store_intake.rs
@@ -58,7 +58,9 @@
     fn replace(&self, items: Vec<StoreItem>, revision: u64) {
         let is_first = !self.state.has_read();
         let changes: Vec<(Change, u64)> = self.decode(&items);
+        let known = self.state.knowledge().mirror.revision();
         if !self.state.knowledge().mirror.replace(items, revision) {
+            log::warn!(revision, known; "reading of the store is older than what is known, and passed over");
             return;
         }
         let mut upstreams: Vec<UpstreamEntry> = Vec::new();
