Failing test: changes after the store came back from a copy are not taken in

Seen by the users: a route that was added and acked is answered 404 more than 2 s later, and an upstream that said that it leaves is asked for pieces 2.5 s later. Both changes came shortly after the store had come back from an older copy, under revisions that it had given out before.

Seen: 404 on the added route after 2 s, requests at the upstream that left, and instances that answer nobody, as they read the store again and again without a pause.

--- a/crates/gateway/tests/whole/fakes/fake_store.rs
+++ b/crates/gateway/tests/whole/fakes/fake_store.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use compact_str::format_compact;
 use event_listener::Event;
 use jd_gateway::Change;
 use jd_gateway::Items;
@@ -32,9 +33,27 @@
 #[derive(Debug, Default)]
 struct Said {
     list: Mutex<Vec<Change>>,
+    /// The lists that it held before it was restored, oldest first.
+    earlier: Mutex<Vec<Vec<Change>>>,
     changed: Event,
 }
 
+impl Said {
+    /// How often it was restored.
+    fn era(&self) -> usize {
+        self.earlier.lock().expect("a lock").len()
+    }
+
+    /// What an item says, whichever era it is of.
+    fn at(&self, era: usize, place: usize) -> Option<Change> {
+        let earlier = self.earlier.lock().expect("a lock");
+        match earlier.get(era) {
+            Some(list) => list.get(place).cloned(),
+            None => self.list.lock().expect("a lock").get(place).cloned(),
+        }
+    }
+}
+
 /// A store as one instance sees it.
 #[derive(Debug)]
 pub(crate) struct FakeStore {
@@ -102,6 +121,23 @@
         self.said.changed.notify(usize::MAX);
     }
 
+    /// Restores the store from a copy that holds only the first `kept` changes. What is
+    /// written from now on has revisions that were given out before.
+    pub(crate) fn restore(&self, kept: usize) {
+        {
+            let mut list = self.said.list.lock().expect("a lock");
+            let held = list.clone();
+            list.truncate(kept);
+            self.said.earlier.lock().expect("a lock").push(held);
+        }
+        self.said.changed.notify(usize::MAX);
+    }
+
+    /// How many changes it holds.
+    pub(crate) fn len(&self) -> usize {
+        self.said.list.lock().expect("a lock").len()
+    }
+
     /// Who wrote entries of instances, in the order in which they did.
     pub(crate) fn announced(&self) -> Vec<Incarnation> {
         let said = self.said.list.lock().expect("a lock");
@@ -218,15 +254,21 @@
 }
 
 /// The item that says what stands at `place`.
-fn item(place: usize) -> StoreItem {
+fn item(era: usize, place: usize) -> StoreItem {
     StoreItem {
-        key: place.to_string().into(),
+        key: format_compact!("{era}/{place}"),
         value: Bytes::new(),
         revision: place as u64 + 1,
         removed: false,
     }
 }
 
+/// The era and the place that a key names.
+fn place_of(key: &str) -> Option<(usize, usize)> {
+    let (era, place) = key.split_once('/')?;
+    Some((era.parse().ok()?, place.parse().ok()?))
+}
+
 /// Counts a watch while it waits.
 struct Waiting<'a>(&'a AtomicUsize);
 
@@ -252,11 +294,12 @@
             };
             counter.fetch_add(1, Ordering::Relaxed);
         }
-        let from = after.parse().map_or(0, |place: usize| place + 1);
+        let from = place_of(after).map_or(0, |(_, place)| place + 1);
+        let era = self.said.era();
         let revision = self.now();
         let wanted = |place: &usize| *place >= from && self.is_of(what, *place);
         let listed = self.listed().into_iter().filter(wanted);
-        let mut items: Vec<StoreItem> = listed.map(item).collect();
+        let mut items: Vec<StoreItem> = listed.map(|place| item(era, place)).collect();
         let more = items.len() > PAGE;
         items.truncate(PAGE);
         let refused = !after.is_empty() && self.refuses_next_page();
@@ -275,12 +318,20 @@
     fn watch(&self, after: u64, _wait: Duration) -> StoreFuture<'_, Items> {
         Box::pin(async move {
             let _waiting = Waiting::new(&self.watches);
-            self.seen.fetch_max(after, Ordering::Relaxed);
+            self.seen.store(after, Ordering::Relaxed);
+            let era = self.said.era();
             loop {
                 let changed = self.said.changed.listen();
                 let revision = self.now();
+                if self.said.era() != era {
+                    return Err(StoreError::Lost);
+                }
+                if revision < after {
+                    return Err(StoreError::HistoryGone);
+                }
                 if revision > after && !self.is_silent() {
-                    let items = (after as usize..revision as usize).map(item).collect();
+                    let places = after as usize..revision as usize;
+                    let items = places.map(|place| item(era, place)).collect();
                     return self.answer(Items { items, revision });
                 }
                 changed.await;
@@ -289,8 +340,8 @@
     }
 
     fn decode(&self, item: &StoreItem) -> Option<Change> {
-        let place: usize = item.key.parse().expect("a place");
-        self.said.list.lock().expect("a lock").get(place).cloned()
+        let (era, place) = place_of(&item.key).expect("a place");
+        self.said.at(era, place)
     }
 
     fn revision(&self) -> StoreFuture<'_, u64> {
--- a/crates/gateway/tests/whole/fakes/harness.rs
+++ b/crates/gateway/tests/whole/fakes/harness.rs
@@ -143,6 +143,11 @@
         self.rewrite_entry(upstream, |entry| entry.cold_left = left);
     }
 
+    /// Has an upstream's entry say that it leaves.
+    pub(crate) fn leave(&self, upstream: usize) {
+        self.rewrite_entry(upstream, |entry| entry.leaving = true);
+    }
+
     fn rewrite_entry(&self, upstream: usize, change: impl FnOnce(&mut UpstreamEntry)) {
         let address = self.servers[upstream].address();
         let mut record = entry(
--- a/crates/gateway/tests/whole/main.rs
+++ b/crates/gateway/tests/whole/main.rs
@@ -14,3 +14,4 @@
 
 mod requests;
 mod restarts;
+mod restored_store;
--- /dev/null
+++ b/crates/gateway/tests/whole/restored_store.rs
@@ -0,0 +1,120 @@
+//! A store that comes back from a copy some changes old, and gives out revisions again.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use async_io::Timer;
+use futures_lite::future::block_on;
+use jd_gateway::Change;
+use jd_gateway::Record;
+use jd_serving::Deployment;
+use jd_types::Name;
+use test_case::test_case;
+
+use crate::fakes::Harness;
+use crate::fakes::Reply;
+use crate::fakes::deployment;
+
+/// The users' bound on a change that was confirmed, and on an upstream that leaves.
+const IN_FORCE_WITHIN: Duration = Duration::from_millis(2_000);
+/// From one look to the next.
+const LOOK: Duration = Duration::from_millis(20);
+/// Changes that are lost with the copy.
+const LOST: usize = 40;
+
+/// A fleet of so many instances before two upstreams.
+fn fleet(instances: usize) -> Harness {
+    let replies = vec![vec![Reply::Whole("a")], vec![Reply::Whole("b")]];
+    let mut harness = Harness::start(replies);
+    harness.add_gateways(instances - 1);
+    harness
+}
+
+/// Waits until all instances serve and have seen all changes; then has the store lose
+/// the last of them.
+async fn lose_changes(harness: &Harness) {
+    harness.until_ready(true).await;
+    harness.until_all_answer("/any/x", 200).await;
+    let kept = harness.store.len();
+    change_often(harness);
+    while !harness.store.is_seen() {
+        Timer::after(LOOK).await;
+    }
+    harness.store.restore(kept);
+}
+
+/// Changes that say nothing of what is served.
+fn change_often(harness: &Harness) {
+    for n in 0..LOST / 2 {
+        let zone = Name::try_from(format!("other-{n}").as_str()).expect("a name");
+        harness
+            .store
+            .change(Change::Put(Record::EvacuatedZone(zone.clone())));
+        harness.store.change(Change::ZoneTakenBack(zone));
+    }
+}
+
+/// A further version of the deployment, with a route that was added.
+fn version(version: u64) -> Change {
+    let mut next = deployment();
+    let mut added = next.routes[0].clone();
+    added.name = "added".into();
+    added.prefix = "/added/".into();
+    next.routes.push(added);
+    Change::Put(Record::Deployment(Box::new(Deployment { version, ..next })))
+}
+
+/// Asks every instance until it answers with `status`, for as long as is allowed.
+async fn all_answer(harness: &Harness, instances: usize, path: &str, status: u16) {
+    let until = Instant::now() + IN_FORCE_WITHIN;
+    for n in 0..instances {
+        loop {
+            let received = harness.ask_instance(n, path, "x").await;
+            if received.status == status {
+                break;
+            }
+            assert!(
+                Instant::now() < until,
+                "instance {n} of {instances} answers {} on {path}",
+                received.status
+            );
+            Timer::after(LOOK).await;
+        }
+    }
+}
+
+/// The operator adds a route after the restore, under a revision that is lower than one from before
+/// it. The change is confirmed and was never taken in.
+#[test_case(1; "alone")]
+#[test_case(9; "each reads the store")]
+#[test_case(20; "two read it for all")]
+fn a_change_after_a_restore_is_in_force(instances: usize) {
+    let harness = fleet(instances);
+    block_on(async {
+        lose_changes(&harness).await;
+        harness.store.change(version(2));
+        all_answer(&harness, instances, "/added/x", 200).await;
+    });
+}
+
+/// An upstream says after the restore that it leaves, under such a revision.
+#[test_case(1; "alone")]
+#[test_case(9; "each reads the store")]
+#[test_case(20; "two read it for all")]
+fn an_upstream_that_leaves_after_a_restore_gets_nothing_new(instances: usize) {
+    let harness = fleet(instances);
+    block_on(async {
+        lose_changes(&harness).await;
+        harness.leave(0);
+        Timer::after(IN_FORCE_WITHIN).await;
+        let asked = harness.upstreams[0].count();
+        for n in 0..instances * 4 {
+            assert_eq!(harness.ask_instance(n, "/any/x", "x").await.status, 200);
+        }
+        assert_eq!(
+            harness.upstreams[0].count(),
+            asked,
+            "sent after it had left"
+        );
+    });
+}
