Changes after the store came back from a copy are taken in

In between the instances read the whole store every 20 ms, up to 182 times in a row, and took nothing in.

Cause: what is known is ordered by the store's revision, taken for one that only rises. After a restore a whole reading is "older than what is known" and dropped, a watch from the old revision gets 410, and both repeat until revisions have passed the old one.

Ruled out: the copy's content taken back (second hypothesis): no line shows an older entry or version in that time, since nothing was taken in at all. Lost leases (third): renewals were answered 200 throughout.

Change: `StoreRevision` is an era and a revision, ordered by both. It stands wherever a bare revision was compared: mirror, proof, entries of instances and their removal, news and proof between instances, packed records. Changes of another era are no news and lead to a whole reading, pages of two eras are read again, proof counts only in its own era, leases name theirs and have ended with it. An instance writes its entry again once it has read the new era.

--- a/crates/gateway/src/peer_news.rs
+++ b/crates/gateway/src/peer_news.rs
@@ -10,6 +10,7 @@
 use jd_serving::Proof;
 use jd_serving::SourceState;
 use jd_serving::StoreItem;
+use jd_serving::StoreRevision;
 use jd_types::Incarnation;
 use jd_types::MonoTime;
 use jd_wire::FollowReply;
@@ -45,7 +46,8 @@
     let knows_away = knowledge.source_state(now, id) == SourceState::StoreAway;
     drop(knowledge);
     FollowRequest {
-        after,
+        after: after.revision,
+        after_era: after.era,
         wait_ms: millis(wait),
         proof: wire_proof(state),
         knows_away,
@@ -63,7 +65,7 @@
             Ok(items) => Some(News {
                 whole: true,
                 items: items_of(items),
-                revision: reply.packed_revision,
+                revision: at(reply.packed_era, reply.packed_revision),
             }),
             Err(e) => {
                 log::error!(error:% = e; "news of another instance not understood");
@@ -74,7 +76,7 @@
     let newer = News {
         whole: reply.whole,
         items: items_of(reply.items),
-        revision: reply.revision,
+        revision: at(reply.era, reply.revision),
     };
     Some(Heard {
         news: all.into_iter().chain([newer]).collect(),
@@ -87,7 +89,7 @@
     let items = items.into_iter().map(|i| StoreItem {
         key: i.key.into(),
         value: Bytes::from(i.value),
-        revision: i.revision,
+        revision: at(i.era, i.revision),
         removed: i.removed,
     });
     items.collect()
@@ -97,8 +99,9 @@
     let items = items.into_iter().map(|i| WireItem {
         key: i.key.into(),
         value: i.value.to_vec(),
-        revision: i.revision,
+        revision: i.revision.revision,
         removed: i.removed,
+        era: i.revision.era,
     });
     items.collect()
 }
@@ -106,7 +109,7 @@
 /// All records, packed once for many.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct PackedNews {
-    revision: u64,
+    revision: StoreRevision,
     bytes: Vec<u8>,
 }
 
@@ -115,18 +118,18 @@
 ///
 /// The load that it answers: all instances of a fleet start at once. Each read a
 /// megabyte from the store, 2.7 s of its link at 300 instances.
-fn packed(state: &State, after: u64) -> Option<PackedNews> {
+fn packed(state: &State, after: StoreRevision) -> Option<PackedNews> {
     let mut packed = lock(&state.packed);
     let knowledge = state.knowledge();
     let mirror = &knowledge.mirror;
-    if mirror.revision() == 0 || !mirror.is_behind(after) {
+    if mirror.revision() == StoreRevision::NOTHING || !mirror.is_behind(after) {
         return None;
     }
     let is_old = mirror.is_behind(packed.revision)
         || mirror.written_after(packed.revision) > PACKED_BEHIND
         || packed.bytes.is_empty();
     if is_old {
-        let all = mirror.since(0);
+        let all = mirror.since(StoreRevision::NOTHING);
         drop(knowledge);
         match jd_wire::pack(wire_items(all.items)) {
             Ok(bytes) => {
@@ -162,18 +165,21 @@
         };
         news.or(late).await;
     }
-    let packed = packed(state, req.after).unwrap_or_default();
-    let after = req.after.max(packed.revision);
+    let asked = at(req.after_era, req.after);
+    let packed = packed(state, asked).unwrap_or_default();
+    let after = asked.max(packed.revision);
     let news = state.knowledge().mirror.since(after);
     FollowReply {
-        revision: news.revision,
+        revision: news.revision.revision,
+        era: news.revision.era,
         whole: news.whole,
         items: wire_items(news.items),
         store_away: state.has_lost_store(),
         proof: wire_proof(state),
         waited_ms: millis(state.now().since(came)),
         packed: packed.bytes,
-        packed_revision: packed.revision,
+        packed_revision: packed.revision.revision,
+        packed_era: packed.revision.era,
     }
 }
 
@@ -189,7 +195,7 @@
         (ours, None) => ours.is_some(),
         (None, Some(_)) => false,
     };
-    younger || knowledge.mirror.revision() > req.after
+    younger || knowledge.mirror.revision() > at(req.after_era, req.after)
 }
 
 /// The youngest proof of what is in force, with its age.
@@ -197,7 +203,8 @@
     let proof = state.knowledge().freshness.proof()?;
     let age = state.now().since(proof.asked);
     Some(WireProof {
-        revision: proof.revision,
+        revision: proof.revision.revision,
+        era: proof.revision.era,
         // Rounded up: proof must never seem younger than it is.
         ms_ago: millis(age).saturating_add(1),
     })
@@ -207,10 +214,14 @@
 pub(crate) fn proof_at(moment: MonoTime, proof: WireProof) -> Proof {
     Proof {
         asked: moment.before(Duration::from_millis(u64::from(proof.ms_ago))),
-        revision: proof.revision,
+        revision: at(proof.era, proof.revision),
     }
 }
 
+fn at(era: u64, revision: u64) -> StoreRevision {
+    StoreRevision { era, revision }
+}
+
 fn millis(d: Duration) -> u32 {
     u32::try_from(d.as_millis()).unwrap_or(u32::MAX)
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -29,6 +29,7 @@
 use jd_serving::Shard;
 use jd_serving::ShardMap;
 use jd_serving::SourceState;
+use jd_serving::StoreRevision;
 use jd_serving::news_source;
 use jd_serving::owners;
 use jd_settings::GatewaySettings;
@@ -244,7 +245,7 @@
 
     /// True once everything that the store holds has been read.
     pub(crate) fn has_read(&self) -> bool {
-        self.knowledge().mirror.revision() > 0
+        self.knowledge().mirror.revision() > StoreRevision::NOTHING
     }
 
     /// Counts a request as in flight until the guard is dropped.
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -11,6 +11,7 @@
 use jd_serving::InstanceEntry;
 use jd_serving::QuarantineState;
 use jd_serving::StoreItem;
+use jd_serving::StoreRevision;
 use jd_serving::UpstreamEntry;
 use jd_types::Incarnation;
 use jd_types::Name;
@@ -21,7 +22,13 @@
 
 /// A lease at the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct LeaseId(pub u64);
+pub struct LeaseId {
+    /// The store's era in which it was given: a later one does not know it, and may give
+    /// its number to another.
+    pub era: u64,
+    /// Its number in that era.
+    pub number: u64,
+}
 
 /// Something that the store holds.
 #[derive(Debug, Clone)]
@@ -86,7 +93,7 @@
     /// All of them, or those that changed in the order in which they did.
     pub items: Vec<StoreItem>,
     /// Nothing up to this revision is missing.
-    pub revision: u64,
+    pub revision: StoreRevision,
 }
 
 /// A part of all that the store holds.
@@ -95,7 +102,7 @@
     /// In the order of their keys.
     pub items: Vec<StoreItem>,
     /// The store's revision when it was read.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// True if more lies after the last of them.
     pub more: bool,
 }
@@ -121,6 +128,9 @@
     /// The changes asked for are no longer kept.
     #[snafu(display("the store forgot these changes; everything is read again"))]
     HistoryGone,
+    /// The answer is of an earlier era than what is known here, or of two eras.
+    #[snafu(display("the store's answer is of an earlier era; it is asked again"))]
+    OtherEra,
     /// The lease has ended.
     #[snafu(display("the lease has ended; another is taken"))]
     LeaseGone,
@@ -139,6 +149,7 @@
             StoreError::Refused => "refused",
             StoreError::Lost => "lost",
             StoreError::HistoryGone => "history-gone",
+            StoreError::OtherEra => "other-era",
             StoreError::LeaseGone => "lease-gone",
             StoreError::Changed => "changed",
             StoreError::Unreadable => "unreadable",
@@ -155,13 +166,13 @@
     fn page<'a>(&'a self, what: Listed, after: &'a str) -> StoreFuture<'a, Page>;
 
     /// Waits for changes after a revision, at most `wait`.
-    fn watch(&self, after: u64, wait: Duration) -> StoreFuture<'_, Items>;
+    fn watch(&self, after: StoreRevision, wait: Duration) -> StoreFuture<'_, Items>;
 
     /// What an item says; none if it does not concern the product.
     fn decode(&self, item: &StoreItem) -> Option<Change>;
 
     /// The store's revision, as it is now.
-    fn revision(&self) -> StoreFuture<'_, u64>;
+    fn revision(&self) -> StoreFuture<'_, StoreRevision>;
 
     /// Takes a lease.
     fn lease(&self, lifetime: Duration) -> StoreFuture<'_, LeaseId>;
@@ -186,7 +197,7 @@
     ) -> StoreFuture<'a, ()>;
 
     /// Removes another instance's entry if it is still the one written at this revision.
-    fn remove(&self, id: Incarnation, written: u64) -> StoreFuture<'_, ()>;
+    fn remove(&self, id: Incarnation, written: StoreRevision) -> StoreFuture<'_, ()>;
 
     /// Removes this instance's entry.
     fn withdraw(&self, id: Incarnation) -> StoreFuture<'_, ()>;
--- a/crates/gateway/src/store_follower.rs
+++ b/crates/gateway/src/store_follower.rs
@@ -193,6 +193,11 @@
         let watching = self.link.store.watch(revision, wait);
         let patience = wait + CALL_WITHIN;
         match self.link.call(StoreCall::Watch, patience, watching).await {
+            Ok(changes) if changes.revision.era > revision.era => {
+                self.link.succeeded();
+                log::info!(revision:%, now:% = changes.revision; "watch ended in another era; reading everything again");
+                Round::Lost
+            }
             Ok(changes) => {
                 self.link.succeeded();
                 self.intake.take(News {
@@ -204,7 +209,7 @@
                 Round::Kept
             }
             Err(StoreError::HistoryGone) => {
-                log::info!(revision; "history gone; reading everything again");
+                log::info!(revision:%; "history gone; reading everything again");
                 Round::Lost
             }
             Err(e) => {
--- a/crates/gateway/src/store_intake.rs
+++ b/crates/gateway/src/store_intake.rs
@@ -8,6 +8,7 @@
 use jd_serving::News;
 use jd_serving::Router;
 use jd_serving::StoreItem;
+use jd_serving::StoreRevision;
 use jd_serving::UpstreamEntry;
 use jd_types::Incarnation;
 use jd_types::Name;
@@ -28,19 +29,27 @@
 }
 
 impl StoreIntake {
-    /// Takes news in.
-    pub(crate) fn take(&self, news: News) {
+    /// Takes news in; false if they are older than what is known, or of an era whose
+    /// beginning is not known here.
+    pub(crate) fn take(&self, news: News) -> bool {
         let News {
             whole,
             items,
             revision,
         } = news;
+        let known = self.state.knowledge().mirror.revision();
         match whole {
-            true => self.replace(items, revision),
+            true if revision < known => {
+                log::warn!(revision:%, known:%; "reading of the store is older than what is known, and passed over");
+                return false;
+            }
+            false if !revision.is_same_era(known) => return false,
+            true => self.replace(items, revision, known),
             false => self.apply(items, revision),
         }
         self.state.knowledge().freshness.applied(revision);
         self.state.news.notify(usize::MAX);
+        true
     }
 
     /// Takes in which instances the store lists, before anything else is known.
@@ -55,14 +64,11 @@
         self.state.listed.set();
     }
 
-    fn replace(&self, items: Vec<StoreItem>, revision: u64) {
-        let is_first = !self.state.has_read();
-        let changes: Vec<(Change, u64)> = self.decode(&items);
-        let known = self.state.knowledge().mirror.revision();
-        if !self.state.knowledge().mirror.replace(items, revision) {
-            log::warn!(revision, known; "reading of the store is older than what is known, and passed over");
-            return;
-        }
+    fn replace(&self, items: Vec<StoreItem>, revision: StoreRevision, known: StoreRevision) {
+        let is_first = known == StoreRevision::NOTHING;
+        let restored = !is_first && !revision.is_same_era(known);
+        let changes: Vec<(Change, StoreRevision)> = self.decode(&items);
+        self.state.knowledge().mirror.replace(items, revision);
         let mut upstreams: Vec<UpstreamEntry> = Vec::new();
         let mut instances: Vec<Incarnation> = Vec::new();
         let mut quarantined: Vec<Content> = Vec::new();
@@ -93,6 +99,9 @@
         }
         self.state.quarantine.relist(&quarantined);
         let now = self.state.now();
+        if restored {
+            self.note_restored(revision, known);
+        }
         {
             let mut knowledge = self.state.knowledge();
             knowledge.instances.relist(&instances);
@@ -102,13 +111,21 @@
         if changed {
             self.state.rebuild_upstreams();
         }
-        if !is_first && !instances.contains(&self.state.me.incarnation) {
+        if restored || (!is_first && !instances.contains(&self.state.me.incarnation)) {
             self.state.entry_gone.give();
         }
-        log::info!(revision; "store read whole");
+        log::info!(revision:%; "store read whole");
+    }
+
+    /// The store came back from a copy. What upstreams wrote since is written again by
+    /// them, as after an absence.
+    fn note_restored(&self, revision: StoreRevision, known: StoreRevision) {
+        log::warn!(revision:%, known:%; "store was restored from a copy; what it lost is written again");
+        let now = self.state.now();
+        self.state.knowledge().upstreams.store_restored(now);
     }
 
-    fn apply(&self, items: Vec<StoreItem>, revision: u64) {
+    fn apply(&self, items: Vec<StoreItem>, revision: StoreRevision) {
         let items = self.state.knowledge().mirror.apply(items, revision);
         let now = self.state.now();
         let mut changed = false;
@@ -116,20 +133,20 @@
             match change {
                 Change::Put(Record::Upstream(entry)) => {
                     let cold_ms = entry.cold_left.as_millis() as u64;
-                    log::info!(upstream:% = entry.id, leaving = entry.leaving, cold_ms, revision; "upstream");
+                    log::info!(upstream:% = entry.id, leaving = entry.leaving, cold_ms, revision:%; "upstream");
                     changed |= self.state.knowledge().upstreams.put(now, entry);
                 }
                 Change::Put(Record::EvacuatedZone(zone)) => {
-                    log::info!(zone:% = zone, revision; "zone evacuated: nothing new goes to its upstreams");
+                    log::info!(zone:% = zone, revision:%; "zone evacuated: nothing new goes to its upstreams");
                     changed |= self.state.knowledge().evacuated.evacuate(zone);
                 }
                 Change::ZoneTakenBack(zone) => {
-                    log::info!(zone:% = zone, revision; "zone taken back");
+                    log::info!(zone:% = zone, revision:%; "zone taken back");
                     changed |= self.state.knowledge().evacuated.take_back(now, &zone);
                 }
                 Change::Put(record) => self.take_record(record, written),
                 Change::UpstreamGone(id) => {
-                    log::info!(upstream:% = id, revision; "upstream entry removed");
+                    log::info!(upstream:% = id, revision:%; "upstream entry removed");
                     changed |= self.state.knowledge().upstreams.remove(now, &id);
                 }
                 Change::UpstreamUnreadable { id, reason } => {
@@ -149,18 +166,18 @@
 
     /// Leaves an upstream out whose entry another writer left or wrote over; true if
     /// that changes anything. A line for each writing and not for each reading.
-    fn leave_out(&self, id: &str, reason: &str, written: u64) -> bool {
+    fn leave_out(&self, id: &str, reason: &str, written: StoreRevision) -> bool {
         log::warn!(
             upstream = id,
             reason = reason,
-            written;
+            written:%;
             "entry names no upstream; its own writer has to write it again"
         );
         self.state.knowledge().upstreams.leave_out(id)
     }
 
     /// What items say, and when they were written.
-    fn decode(&self, items: &[StoreItem]) -> Vec<(Change, u64)> {
+    fn decode(&self, items: &[StoreItem]) -> Vec<(Change, StoreRevision)> {
         let said = |i: &StoreItem| Some((self.store.decode(i)?, i.revision));
         items.iter().filter_map(said).collect()
     }
@@ -183,7 +200,7 @@
         quarantine.note_stored(content, Some(state));
     }
 
-    fn take_record(&self, record: Record, written: u64) {
+    fn take_record(&self, record: Record, written: StoreRevision) {
         match record {
             Record::Deployment(deployment) => {
                 let mut knowledge = self.state.knowledge();
--- a/crates/gateway/src/store_reader.rs
+++ b/crates/gateway/src/store_reader.rs
@@ -6,6 +6,7 @@
 use async_io::Timer;
 use jd_serving::News;
 use jd_serving::StoreItem;
+use jd_serving::StoreRevision;
 
 use crate::Listed;
 use crate::Page;
@@ -19,6 +20,8 @@
 const PAGE_TRIES: u32 = 6;
 /// The mean pause before that: rates of the store count in seconds.
 const PAGE_PAUSE: Duration = Duration::from_millis(400);
+/// How often pages of two eras are read again before that is given up.
+const ERA_TRIES: u32 = 3;
 
 /// Reads what the store holds.
 #[derive(Debug)]
@@ -33,11 +36,14 @@
         let state = &self.link.state;
         let asked = state.now();
         let (items, revision) = self.read(Listed::All, patience).await?;
-        self.intake.take(News {
+        let taken = self.intake.take(News {
             whole: true,
             items,
             revision,
         });
+        if !taken {
+            return Err(StoreError::OtherEra);
+        }
         state.knowledge().freshness.confirmed(asked, revision);
         Ok(())
     }
@@ -51,19 +57,38 @@
 
     /// All items and the revision of the first page. What has changed since that page
     /// comes with the news after it.
+    ///
+    /// Guards against pages of which the first are of one era and the others of the next:
+    /// together they are nothing that the store ever held.
     async fn read(
         &self,
         what: Listed,
         patience: Duration,
-    ) -> Result<(Vec<StoreItem>, u64), StoreError> {
+    ) -> Result<(Vec<StoreItem>, StoreRevision), StoreError> {
+        for _ in 0..ERA_TRIES {
+            if let Some(read) = self.read_pages(what, patience).await? {
+                return Ok(read);
+            }
+            log::info!("the store has changed its era while it was read; reading it again");
+        }
+        Err(StoreError::OtherEra)
+    }
+
+    /// The same, or none if the pages are not all of one era.
+    async fn read_pages(
+        &self,
+        what: Listed,
+        patience: Duration,
+    ) -> Result<Option<(Vec<StoreItem>, StoreRevision)>, StoreError> {
         let mut page = self.read_page(what, "", patience).await?;
         let revision = page.revision;
         let mut items: Vec<StoreItem> = Vec::new();
         loop {
             items.append(&mut page.items);
             match items.last() {
+                _ if !page.revision.is_same_era(revision) => return Ok(None),
                 Some(last) if page.more => page = self.read_on(what, &last.key).await?,
-                _ => return Ok((items, revision)),
+                _ => return Ok(Some((items, revision))),
             }
         }
     }
--- a/crates/gateway/tests/whole/fleet.rs
+++ b/crates/gateway/tests/whole/fleet.rs
@@ -107,6 +107,7 @@
             proof: Some(Proof {
                 revision: 1_000,
                 ms_ago: 0,
+                era: 0,
             }),
             ..FollowRequest::default()
         };
--- a/crates/serving/src/freshness.rs
+++ b/crates/serving/src/freshness.rs
@@ -4,6 +4,8 @@
 
 use jd_types::MonoTime;
 
+use crate::StoreRevision;
+
 /// Proof that this instance knew all that was in force at some moment.
 ///
 /// Guards against credentials that were taken away while this instance could
@@ -13,7 +15,7 @@
 /// from the moment of asking, on a clock that runs through suspension.
 #[derive(Debug, Default)]
 pub struct Freshness {
-    applied: u64,
+    applied: StoreRevision,
     proven: Option<Proof>,
     unmet: Option<Proof>,
 }
@@ -24,43 +26,57 @@
     /// When it was asked, at the earliest.
     pub asked: MonoTime,
     /// The revision that it had then.
-    pub revision: u64,
+    pub revision: StoreRevision,
 }
 
 impl Freshness {
     /// Everything up to `revision` has been taken in.
-    pub fn applied(&mut self, revision: u64) {
+    pub fn applied(&mut self, revision: StoreRevision) {
         self.applied = self.applied.max(revision);
         match self.unmet {
-            Some(p) if p.revision <= self.applied => {
+            Some(p) if p.revision > self.applied => {}
+            Some(p) => {
                 self.unmet = None;
-                self.prove(p);
+                self.adopt(p);
             }
-            _ => {}
+            None => {}
         }
     }
 
     /// The store said that it was at `revision` when asked at `asked`. True if
     /// something is missing here, which a watch should have brought.
-    pub fn confirmed(&mut self, asked: MonoTime, revision: u64) -> bool {
+    pub fn confirmed(&mut self, asked: MonoTime, revision: StoreRevision) -> bool {
         let proof = Proof { asked, revision };
-        if revision <= self.applied {
-            self.prove(proof);
-            return false;
+        match revision {
+            r if r > self.applied => {
+                self.unmet = Some(proof);
+                true
+            }
+            // An answer of an earlier era that comes late.
+            r if !r.is_same_era(self.applied) => false,
+            _ => {
+                self.prove(proof);
+                false
+            }
         }
-        self.unmet = Some(proof);
-        true
     }
 
     /// Another instance has this proof. It counts here if everything up to its
     /// revision has been taken in, so that one instance's question serves many,
     /// and those too that the store turns away.
     pub fn adopt(&mut self, proof: Proof) {
-        if proof.revision <= self.applied {
+        if self.covers(proof.revision) {
             self.prove(proof);
         }
     }
 
+    /// True if everything up to a revision has been taken in here. Of an earlier era that
+    /// cannot be told: what came after the copy that the store was restored from may
+    /// never have come here.
+    fn covers(&self, revision: StoreRevision) -> bool {
+        revision.is_same_era(self.applied) && revision <= self.applied
+    }
+
     /// The newest proof; none if there has been none.
     pub fn proof(&self) -> Option<Proof> {
         self.proven
@@ -77,7 +93,7 @@
     }
 
     /// The revision up to which everything has been taken in.
-    pub fn revision(&self) -> u64 {
+    pub fn revision(&self) -> StoreRevision {
         self.applied
     }
 
--- a/crates/serving/src/instance_directory.rs
+++ b/crates/serving/src/instance_directory.rs
@@ -8,6 +8,7 @@
 use jd_types::MonoTime;
 use jd_types::Name;
 
+use crate::StoreRevision;
 use crate::Strength;
 
 /// How long an instance may stay silent before it is passed over. Three missed
@@ -61,7 +62,7 @@
     /// Which start of it.
     pub id: Incarnation,
     /// The store's revision when its entry was written.
-    pub written: u64,
+    pub written: StoreRevision,
     /// For how long it has been silent.
     pub since: Duration,
 }
@@ -76,7 +77,7 @@
 #[derive(Debug)]
 struct Known {
     entry: InstanceEntry,
-    written: u64,
+    written: StoreRevision,
     /// When it was last heard; until the first time when it was first listed.
     heard: MonoTime,
     ever_heard: bool,
@@ -108,7 +109,7 @@
     /// their earlier entries stay until their leases run out, and stages were asked
     /// for at these for 1.3 s each. Of two at one address the one that was written
     /// later is there, in whatever order they are read.
-    pub fn put(&mut self, now: MonoTime, entry: InstanceEntry, written: u64) {
+    pub fn put(&mut self, now: MonoTime, entry: InstanceEntry, written: StoreRevision) {
         let same =
             |k: &Known| k.entry.peers == entry.peers && k.entry.incarnation != entry.incarnation;
         // One that was heard in place of a dead start has that start's revision.
@@ -197,7 +198,7 @@
             return;
         }
         let known = Known {
-            written: 0,
+            written: StoreRevision::NOTHING,
             heard: now,
             ever_heard: false,
             listed: false,
--- a/crates/serving/src/store_mirror.rs
+++ b/crates/serving/src/store_mirror.rs
@@ -6,6 +6,8 @@
 use bytes::Bytes;
 use compact_str::CompactString;
 
+use crate::StoreRevision;
+
 /// Removals that are remembered. A follower that is further behind is sent
 /// everything; each takes some 60 bytes.
 const REMOVALS_KEPT: usize = 1_024;
@@ -18,7 +20,7 @@
     /// What it says; empty if it was removed.
     pub value: Bytes,
     /// The store's revision when it was written or removed.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// True if it was removed.
     pub removed: bool,
 }
@@ -31,7 +33,7 @@
     /// In the order in which they were written.
     pub items: Vec<StoreItem>,
     /// Nothing up to this revision is missing.
-    pub revision: u64,
+    pub revision: StoreRevision,
 }
 
 /// What the store holds, kept so that other instances can be told of it.
@@ -45,19 +47,19 @@
     items: BTreeMap<CompactString, StoreItem>,
     removed: VecDeque<StoreItem>,
     /// Removals up to this revision may have been forgotten.
-    forgotten: u64,
-    revision: u64,
+    forgotten: StoreRevision,
+    revision: StoreRevision,
 }
 
 impl StoreMirror {
     /// The revision up to which nothing is missing.
-    pub fn revision(&self) -> u64 {
+    pub fn revision(&self) -> StoreRevision {
         self.revision
     }
 
     /// Takes in everything that the store held at `revision`. Older than what is
     /// here it is passed over, and false: knowledge never goes back.
-    pub fn replace(&mut self, items: Vec<StoreItem>, revision: u64) -> bool {
+    pub fn replace(&mut self, items: Vec<StoreItem>, revision: StoreRevision) -> bool {
         if revision < self.revision {
             return false;
         }
@@ -69,8 +71,13 @@
     }
 
     /// Takes in what changed up to `revision`; returns what of it is news. Two
-    /// ways may lead to the same news, and the slower one brings it again.
-    pub fn apply(&mut self, mut items: Vec<StoreItem>, revision: u64) -> Vec<StoreItem> {
+    /// ways may lead to the same news, and the slower one brings it again. Changes of
+    /// another era than the one that is known here are no news: what came between is
+    /// missing.
+    pub fn apply(&mut self, mut items: Vec<StoreItem>, revision: StoreRevision) -> Vec<StoreItem> {
+        if !revision.is_same_era(self.revision) {
+            return Vec::new();
+        }
         items.retain(|i| i.revision > self.revision);
         for item in &items {
             match item.removed {
@@ -93,18 +100,18 @@
 
     /// True if somebody who knows everything up to `after` has to be sent all records:
     /// of what was removed since some may be forgotten.
-    pub fn is_behind(&self, after: u64) -> bool {
+    pub fn is_behind(&self, after: StoreRevision) -> bool {
         after < self.forgotten
     }
 
     /// How many records were written after a revision.
-    pub fn written_after(&self, after: u64) -> usize {
+    pub fn written_after(&self, after: StoreRevision) -> usize {
         let newer = self.items.values().filter(|i| i.revision > after);
         newer.count()
     }
 
     /// What somebody lacks who knows everything up to `after`.
-    pub fn since(&self, after: u64) -> News {
+    pub fn since(&self, after: StoreRevision) -> News {
         let whole = self.is_behind(after);
         let newer = |i: &&StoreItem| whole || i.revision > after;
         let removed = self.removed.iter().filter(|_| !whole);
--- a/crates/serving/src/upstream_directory.rs
+++ b/crates/serving/src/upstream_directory.rs
@@ -103,6 +103,12 @@
         news
     }
 
+    /// The store came back from an older copy: entries may be missing that are written
+    /// again, as after an absence.
+    pub fn store_restored(&mut self, now: MonoTime) {
+        self.back = Some(now);
+    }
+
     /// An entry was written; true if it changes anything. One of an earlier start
     /// than the one that is known is news that comes late, and changes nothing; one
     /// that does not tell its start, where upstreams do, is another writer's and names
--- /dev/null
+++ b/crates/serving/tests/eras.rs
@@ -0,0 +1,140 @@
+//! A store that comes back from an older copy: its revisions are given out again in a higher era.
+
+#![allow(clippy::expect_used, clippy::panic)]
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use jd_serving::Freshness;
+use jd_serving::InstanceDirectory;
+use jd_serving::InstanceEntry;
+use jd_serving::Proof;
+use jd_serving::StoreItem;
+use jd_serving::StoreMirror;
+use jd_serving::StoreRevision;
+use jd_serving::Strength;
+use jd_types::Incarnation;
+use jd_types::MonoTime;
+use jd_types::Name;
+use test_case::test_case;
+
+fn at(ms: u64) -> MonoTime {
+    MonoTime::from_millis(ms)
+}
+
+fn rev(era: u64, revision: u64) -> StoreRevision {
+    StoreRevision { era, revision }
+}
+
+fn put(key: &str, revision: StoreRevision) -> StoreItem {
+    StoreItem {
+        key: key.into(),
+        value: Bytes::from(format!("{key} at {revision}")),
+        revision,
+        removed: false,
+    }
+}
+
+#[test_case(rev(1, 100), rev(2, 3), true; "a lower revision of a higher era is later")]
+#[test_case(rev(1, 100), rev(1, 99), false; "a lower one of the same era is not")]
+#[test_case(rev(2, 3), rev(1, 100), false; "an answer of the earlier era comes late")]
+#[test_case(rev(1, 100), rev(4, 1), true; "several restores since")]
+fn a_whole_reading_counts_if_it_is_later(known: StoreRevision, read: StoreRevision, taken: bool) {
+    let mut mirror = StoreMirror::default();
+    mirror.replace(vec![put("a", known)], known);
+    assert_eq!(mirror.replace(vec![put("b", read)], read), taken);
+    assert_eq!(mirror.revision(), known.max(read));
+}
+
+/// A watch that began before the restore is answered after it, once revisions have passed where it
+/// began. What was written below them would be missing for good.
+#[test]
+fn changes_of_another_era_are_not_taken_for_the_next_ones() {
+    let mut mirror = StoreMirror::default();
+    mirror.replace(vec![put("a", rev(1, 10))], rev(1, 10));
+    assert!(
+        mirror
+            .apply(vec![put("b", rev(2, 12))], rev(2, 12))
+            .is_empty()
+    );
+    assert_eq!(mirror.revision(), rev(1, 10));
+    mirror.replace(vec![put("c", rev(2, 4))], rev(2, 12));
+    assert!(
+        mirror
+            .apply(vec![put("b", rev(1, 20))], rev(1, 20))
+            .is_empty()
+    );
+    let items: Vec<StoreItem> = mirror.since(StoreRevision::NOTHING).items;
+    assert_eq!(items, [put("c", rev(2, 4))]);
+}
+
+/// A follower that knows the earlier era up to a high revision is sent everything, and one that is
+/// in a later era already is sent nothing.
+#[test]
+fn a_follower_of_another_era_is_sent_everything_or_nothing() {
+    let mut mirror = StoreMirror::default();
+    mirror.replace(vec![put("a", rev(2, 4))], rev(2, 5));
+    let behind = mirror.since(rev(1, 900));
+    assert!(behind.whole);
+    assert_eq!(behind.items.len(), 1);
+    let ahead = mirror.since(rev(3, 1));
+    assert!(!ahead.whole);
+    assert!(ahead.items.is_empty());
+}
+
+#[test_case(rev(2, 3), true; "the store is in a later era")]
+#[test_case(rev(1, 101), true; "the store is ahead")]
+#[test_case(rev(1, 99), false; "nothing is missing")]
+#[test_case(rev(0, 900), false; "an answer of an earlier era")]
+fn what_is_missing_is_told_by_era_and_revision(said: StoreRevision, missing: bool) {
+    let mut freshness = Freshness::default();
+    freshness.applied(rev(1, 100));
+    assert_eq!(freshness.confirmed(at(1_000), said), missing);
+}
+
+/// Proof of an earlier era says nothing of this one: what came after the copy was made may never
+/// have come here.
+#[test]
+fn proof_of_an_earlier_era_proves_nothing() {
+    let mut freshness = Freshness::default();
+    freshness.applied(rev(2, 5));
+    freshness.confirmed(at(1_000), rev(1, 4));
+    freshness.adopt(Proof {
+        asked: at(1_000),
+        revision: rev(1, 4),
+    });
+    assert_eq!(freshness.proof(), None);
+    freshness.confirmed(at(2_000), rev(2, 5));
+    assert_eq!(freshness.age(at(2_100)), Some(Duration::from_millis(100)));
+}
+
+/// What was missing in the earlier era is not proven by what is read of the later one.
+#[test]
+fn what_was_missing_in_an_earlier_era_is_given_up() {
+    let mut freshness = Freshness::default();
+    freshness.applied(rev(1, 100));
+    assert!(freshness.confirmed(at(1_000), rev(1, 120)));
+    freshness.applied(rev(2, 60));
+    assert!(!freshness.is_behind());
+    assert_eq!(freshness.proof(), None);
+}
+
+/// An instance started anew after the restore, so that its entry has a lower revision than that of
+/// its earlier start.
+#[test]
+fn an_entry_of_a_later_era_displaces_one_of_an_earlier() {
+    let entry = |id| InstanceEntry {
+        incarnation: Incarnation::new(id),
+        callers: SocketAddr::from(([127, 0, 0, 1], 80)),
+        peers: SocketAddr::from(([127, 0, 0, 1], 81)),
+        zone: Name::try_from("a").expect("a name"),
+        strength: Strength::default(),
+        leaving: false,
+    };
+    let mut directory = InstanceDirectory::default();
+    directory.put(at(1_000), entry(1), rev(1, 100));
+    directory.put(at(2_000), entry(2), rev(2, 7));
+    let known: Vec<Incarnation> = directory.entries().map(|e| e.incarnation).collect();
+    assert_eq!(known, [Incarnation::new(2)]);
+}
--- a/crates/wire/tests/wire.rs
+++ b/crates/wire/tests/wire.rs
@@ -108,6 +108,7 @@
             key: format!("record/{n}"),
             value: value.clone(),
             revision: n as u64,
+            era: 0,
             removed: false,
         });
         let records: Vec<jd_wire::StoreItem> = records.collect();
