A copy of the store does not bring back upstreams that have left

Seen: nothing yet; found while the cause was looked for elsewhere. An upstream says that it leaves, or its entry is removed, and the store comes back from a copy in which it is ready: it got requests again until its entry was written anew, if ever.

Cause: the last reading won, however old the copy was that it came from.

Upstreams that the copy lacks stay in use for two seconds, as after an absence of the store.

Ruled out: telling entries of the copy from those written again by their revisions, which are given out again and mean nothing across the restore.

`serving/tests/leaving.rs` passes.

--- a/crates/gateway/src/store_intake.rs
+++ b/crates/gateway/src/store_intake.rs
@@ -6,6 +6,7 @@
 
 use jd_serving::Content;
 use jd_serving::News;
+use jd_serving::Reading;
 use jd_serving::Router;
 use jd_serving::StoreItem;
 use jd_serving::StoreRevision;
@@ -66,7 +67,10 @@
 
     fn replace(&self, items: Vec<StoreItem>, revision: StoreRevision, known: StoreRevision) {
         let is_first = known == StoreRevision::NOTHING;
-        let restored = !is_first && !revision.is_same_era(known);
+        let reading = match is_first || revision.is_same_era(known) {
+            true => Reading::Complete,
+            false => Reading::Restored,
+        };
         let changes: Vec<(Change, StoreRevision)> = self.decode(&items);
         self.state.knowledge().mirror.replace(items, revision);
         let mut upstreams: Vec<UpstreamEntry> = Vec::new();
@@ -99,32 +103,25 @@
         }
         self.state.quarantine.relist(&quarantined);
         let now = self.state.now();
-        if restored {
-            self.note_restored(revision, known);
+        if reading == Reading::Restored {
+            log::warn!(revision:%, known:%; "store was restored from a copy; what it lost is written again");
         }
         {
             let mut knowledge = self.state.knowledge();
             knowledge.instances.relist(&instances);
-            changed |= knowledge.upstreams.replace(now, upstreams);
+            changed |= knowledge.upstreams.replace(now, upstreams, reading);
             changed |= knowledge.evacuated.replace(now, evacuated);
         }
         if changed {
             self.state.rebuild_upstreams();
         }
-        if restored || (!is_first && !instances.contains(&self.state.me.incarnation)) {
+        let is_listed = || instances.contains(&self.state.me.incarnation);
+        if !is_first && (reading == Reading::Restored || !is_listed()) {
             self.state.entry_gone.give();
         }
         log::info!(revision:%; "store read whole");
     }
 
-    /// The store came back from a copy. What upstreams wrote since is written again by
-    /// them, as after an absence.
-    fn note_restored(&self, revision: StoreRevision, known: StoreRevision) {
-        log::warn!(revision:%, known:%; "store was restored from a copy; what it lost is written again");
-        let now = self.state.now();
-        self.state.knowledge().upstreams.store_restored(now);
-    }
-
     fn apply(&self, items: Vec<StoreItem>, revision: StoreRevision) {
         let items = self.state.knowledge().mirror.apply(items, revision);
         let now = self.state.now();
--- a/crates/gateway/tests/whole/restored_store.rs
+++ b/crates/gateway/tests/whole/restored_store.rs
@@ -131,3 +131,32 @@
         );
     });
 }
+
+/// An upstream leaves, and the copy that the store comes back from says that it is ready, or names
+/// it although its entry was removed.
+#[test_case(false; "its entry says so")]
+#[test_case(true; "its entry is removed")]
+fn an_upstream_that_left_before_a_restore_gets_nothing_new(removed: bool) {
+    let harness = fleet(1);
+    block_on(async {
+        harness.until_ready(true).await;
+        let kept = harness.store.len();
+        harness.leave(0);
+        if removed {
+            harness.store.change(Change::UpstreamGone("i-0".into()));
+        }
+        until_seen(&harness, 1).await;
+        harness.store.restore(kept);
+        until_seen(&harness, 1).await;
+        let asked = harness.upstreams[0].count();
+        let until = Instant::now() + IN_FORCE_WITHIN;
+        while Instant::now() < until {
+            assert_eq!(harness.ask("/open/x", "x").await.status, 200);
+        }
+        assert_eq!(
+            harness.upstreams[0].count(),
+            asked,
+            "sent after it had left"
+        );
+    });
+}
--- a/crates/serving/src/upstream_directory.rs
+++ b/crates/serving/src/upstream_directory.rs
@@ -8,18 +8,15 @@
 use jd_types::MonoTime;
 use jd_types::Name;
 
+use crate::Reading;
 use crate::UpstreamStart;
+use crate::departures::Departures;
+use crate::departures::ToldBy;
 
 /// How long after the store's return an entry that lapsed may still come back.
 /// The users' platform puts entries of live upstreams back within two seconds.
 const LAPSE_GRACE: Duration = Duration::from_secs(2);
 
-/// How long after an upstream said that it leaves this is remembered while no entry names
-/// it. Entries lapse with the store, and one that is put back may be older than the word.
-const LEAVING_REMEMBERED: Duration = Duration::from_secs(120);
-/// The most upstreams of which that is remembered.
-const MOST_LEAVING: usize = 8_192;
-
 /// What an upstream says of itself.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct UpstreamEntry {
@@ -58,13 +55,12 @@
 /// missing although every upstream is well. An entry that lapsed then stays in
 /// use until shortly after the store's return.
 ///
-/// An upstream that said once that it leaves does so, whatever is read of it later: the
-/// word came from the upstream, in its entry or in an answer, and an entry that says
-/// otherwise is older.
+/// An upstream that said in an answer that it leaves does so, whatever is read of it
+/// later.
 #[derive(Debug, Default)]
 pub struct UpstreamDirectory {
     known: HashMap<CompactString, Known>,
-    leaving: HashMap<CompactString, Leaving>,
+    departures: Departures,
     away: bool,
     back: Option<MonoTime>,
 }
@@ -76,13 +72,6 @@
     cold_until: MonoTime,
 }
 
-/// Which start of an upstream said that it leaves, and when that was said or last of use.
-#[derive(Debug, Clone, Copy)]
-struct Leaving {
-    start: UpstreamStart,
-    noted: MonoTime,
-}
-
 impl UpstreamDirectory {
     /// The store does not answer.
     pub fn store_away(&mut self) {
@@ -103,22 +92,22 @@
         news
     }
 
-    /// The store came back from an older copy: entries may be missing that are written
-    /// again, as after an absence.
-    pub fn store_restored(&mut self, now: MonoTime) {
-        self.back = Some(now);
-    }
-
     /// An entry was written; true if it changes anything. One of an earlier start
     /// than the one that is known is news that comes late, and changes nothing; one
     /// that does not tell its start, where upstreams do, is another writer's and names
     /// no upstream.
     pub fn put(&mut self, now: MonoTime, entry: UpstreamEntry) -> bool {
         let most_tell = most_tell_start(self.entries().map(|l| l.entry));
-        self.take(now, entry, most_tell)
+        self.take(now, entry, most_tell, Reading::Complete)
     }
 
-    fn take(&mut self, now: MonoTime, entry: UpstreamEntry, most_tell: bool) -> bool {
+    fn take(
+        &mut self,
+        now: MonoTime,
+        entry: UpstreamEntry,
+        most_tell: bool,
+        reading: Reading,
+    ) -> bool {
         if most_tell && !entry.start.is_told() {
             return self.leave_out(&entry.id);
         }
@@ -126,12 +115,17 @@
         if known.is_some_and(|k| k.entry.start.is_later_than(entry.start)) {
             return false;
         }
-        let leaving = entry.leaving || self.has_left(&entry);
+        let (id, start) = (entry.id.clone(), entry.start);
+        match reading {
+            _ if entry.leaving => self.departures.note(now, &id, start, ToldBy::Entry),
+            Reading::Complete => self.departures.entry_says_ready(&id),
+            Reading::Restored => {}
+        }
+        let leaving = entry.leaving || self.departures.has_left(&id, start);
         let entry = UpstreamEntry { leaving, ..entry };
         if known.is_some_and(|k| k.entry == entry && !k.lapsed) {
             return false;
         }
-        let id = entry.id.clone();
         let known = Known {
             cold_until: now + entry.cold_left,
             lapsed: false,
@@ -149,19 +143,10 @@
         if known.as_ref().is_some_and(is_old) {
             return false;
         }
-        if self.leaving.len() < MOST_LEAVING || self.leaving.contains_key(id) {
-            let leaving = Leaving { start, noted: now };
-            self.leaving.insert(id.into(), leaving);
-        }
+        self.departures.note(now, id, start, ToldBy::Answer);
         known.is_some_and(|k| !std::mem::replace(&mut k.entry.leaving, true))
     }
 
-    /// True if the start that an entry is of has said that it leaves.
-    fn has_left(&self, entry: &UpstreamEntry) -> bool {
-        let said = self.leaving.get(&entry.id);
-        said.is_some_and(|said| !entry.start.is_later_than(said.start))
-    }
-
     /// Nothing names this upstream any more; true if that changes anything. Unlike
     /// one that is missing it does not count as lapsed with the store: there is an
     /// entry, and it is not the upstream's.
@@ -179,12 +164,25 @@
                 known.lapsed = true;
                 false
             }
-            Some(_) => self.known.remove(id).is_some(),
+            Some(known) => {
+                let start = known.entry.start;
+                self.departures.note(now, id, start, ToldBy::Entry);
+                self.known.remove(id).is_some()
+            }
         }
     }
 
-    /// Takes in the whole list; true if that changes anything.
-    pub fn replace(&mut self, now: MonoTime, entries: Vec<UpstreamEntry>) -> bool {
+    /// Takes in the whole list; true if that changes anything. In a copy an entry may be
+    /// older than what is known, so that it takes back no word of an upstream.
+    pub fn replace(
+        &mut self,
+        now: MonoTime,
+        entries: Vec<UpstreamEntry>,
+        reading: Reading,
+    ) -> bool {
+        if reading == Reading::Restored {
+            self.back = Some(now);
+        }
         let missing: Vec<CompactString> = self
             .known
             .keys()
@@ -197,7 +195,7 @@
         }
         let most_tell = most_tell_start(entries.iter());
         for entry in entries {
-            changed |= self.take(now, entry, most_tell);
+            changed |= self.take(now, entry, most_tell, reading);
         }
         changed
     }
@@ -205,12 +203,8 @@
     /// Gives up entries that lapsed and did not come back; true if any did.
     pub fn expire(&mut self, now: MonoTime) -> bool {
         let known = &self.known;
-        self.leaving.retain(|id, leaving| {
-            if known.contains_key(id) {
-                leaving.noted = now;
-            }
-            now.since(leaving.noted) < LEAVING_REMEMBERED
-        });
+        let is_listed = |id: &str| known.contains_key(id);
+        self.departures.expire(now, is_listed);
         if self.may_return(now) {
             return false;
         }
--- a/crates/serving/tests/leaving.rs
+++ b/crates/serving/tests/leaving.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use jd_serving::Reading;
 use jd_serving::UpstreamDirectory;
 use jd_serving::UpstreamEntry;
 use jd_serving::UpstreamStart;
@@ -61,7 +62,7 @@
     directory.says_leaving(at(10), "u", UNTOLD);
     directory.put(at(20), entry(UNTOLD));
     assert_eq!(is_used(&directory), Some(false));
-    directory.replace(at(30), vec![entry(UNTOLD)]);
+    directory.replace(at(30), vec![entry(UNTOLD)], Reading::Complete);
     assert_eq!(is_used(&directory), Some(false));
 }
 
@@ -103,3 +104,66 @@
     after.put(at(20), entry(started(listed_start)));
     assert_eq!(is_used(&after), Some(used));
 }
+
+/// The store came back from a copy in which the upstream is ready. It had said in its entry that it
+/// leaves, or its entry was removed, or it had said so in an answer.
+#[test_case(Word::Entry; "by its entry")]
+#[test_case(Word::Removal; "by the removal of its entry")]
+#[test_case(Word::Answer; "in an answer")]
+fn a_copy_does_not_take_the_word_back(word: Word) {
+    let mut directory = listed(UNTOLD);
+    word.give(&mut directory);
+    directory.replace(at(5_000), vec![entry(UNTOLD)], Reading::Restored);
+    assert_eq!(is_used(&directory), Some(false));
+}
+
+/// An upstream was cut off from the store, which took its entry for one that leaves, and writes it
+/// again. In an answer it would have said so itself.
+#[test_case(Word::Entry, true; "by its entry")]
+#[test_case(Word::Removal, true; "by the removal of its entry")]
+#[test_case(Word::Answer, false; "in an answer")]
+fn an_entry_that_is_written_later_takes_back_what_entries_said(word: Word, used: bool) {
+    for restored in [false, true] {
+        let mut directory = listed(UNTOLD);
+        word.give(&mut directory);
+        if restored {
+            directory.replace(at(5_000), vec![entry(UNTOLD)], Reading::Restored);
+        }
+        directory.put(at(6_000), entry(UNTOLD));
+        assert_eq!(is_used(&directory), Some(used), "restored: {restored}");
+    }
+}
+
+/// Upstreams that are missing in a copy write their entries again within two seconds.
+#[test]
+fn an_upstream_that_a_copy_lacks_stays_in_use_until_it_had_time_to_come_back() {
+    let mut directory = listed(UNTOLD);
+    assert!(!directory.replace(at(5_000), Vec::new(), Reading::Restored));
+    assert_eq!(is_used(&directory), Some(true));
+    assert!(!directory.expire(at(6_999)));
+    assert!(directory.expire(at(7_000)));
+    assert_eq!(is_used(&directory), None);
+}
+
+/// How an upstream's leaving came to be known.
+#[derive(Debug, Clone, Copy)]
+enum Word {
+    Entry,
+    Removal,
+    Answer,
+}
+
+impl Word {
+    fn give(self, directory: &mut UpstreamDirectory) {
+        let now = at(10);
+        match self {
+            Word::Entry => {
+                let leaving = true;
+                let entry = entry(UNTOLD);
+                directory.put(now, UpstreamEntry { leaving, ..entry })
+            }
+            Word::Removal => directory.remove(now, "u"),
+            Word::Answer => directory.says_leaving(now, "u", UNTOLD),
+        };
+    }
+}
--- a/crates/serving/tests/restarts.rs
+++ b/crates/serving/tests/restarts.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use jd_serving::JobKey;
+use jd_serving::Reading;
 use jd_serving::RoomQuestion;
 use jd_serving::RoomReport;
 use jd_serving::StageUpstream;
@@ -239,7 +240,7 @@
     let mut directory = UpstreamDirectory::default();
     let mut entries = vec![entry("i-0", UpstreamStart::at_millis(1_000), 80)];
     entries.extend((1..5).map(|n| entry(&format!("i-{n}"), UpstreamStart::UNTOLD, 80 + n)));
-    directory.replace(MonoTime::ZERO, entries);
+    directory.replace(MonoTime::ZERO, entries, Reading::Complete);
     assert_eq!(directory.entries().count(), 5);
     assert!(directory.put(MonoTime::ZERO, entry("i-5", UpstreamStart::UNTOLD, 85)));
 }
