A copy of the store does not take an evacuated zone back

Seen: nothing yet; found while the cause was looked for elsewhere. The store comes back from a copy that is older than an evacuation, and the zone got requests again until the operator had written it again.

Change: after the first reading of a new era such a zone stays evacuated for ten seconds. What is written or removed in the new era counts at once, and a zone that was not written again is taken back after that.

--- a/crates/gateway/src/store_follower.rs
+++ b/crates/gateway/src/store_follower.rs
@@ -146,14 +146,20 @@
             Timer::after(EXPIRE_EVERY).await;
             let now = state.now();
             state.notices.expire(now);
-            let changed = {
+            let (gone, taken_back) = {
                 let mut knowledge = state.knowledge();
                 knowledge.forget_sources(now);
                 knowledge.instances.expire(now);
-                knowledge.upstreams.expire(now)
+                let gone = knowledge.upstreams.expire(now);
+                (gone, knowledge.evacuated.expire(now))
             };
-            if changed {
+            if gone {
                 log::info!("upstreams that lapsed with the store did not come back");
+            }
+            if taken_back {
+                log::info!("zones that the store lost are no longer evacuated");
+            }
+            if gone || taken_back {
                 state.rebuild_upstreams();
             }
         }
--- a/crates/gateway/src/store_intake.rs
+++ b/crates/gateway/src/store_intake.rs
@@ -110,7 +110,7 @@
             let mut knowledge = self.state.knowledge();
             knowledge.instances.relist(&instances);
             changed |= knowledge.upstreams.replace(now, upstreams, reading);
-            changed |= knowledge.evacuated.replace(now, evacuated);
+            changed |= knowledge.evacuated.replace(now, evacuated, reading);
         }
         if changed {
             self.state.rebuild_upstreams();
--- a/crates/gateway/tests/whole/restored_store.rs
+++ b/crates/gateway/tests/whole/restored_store.rs
@@ -160,3 +160,32 @@
         );
     });
 }
+
+/// A zone is evacuated, and the copy that the store comes back from is older than that.
+#[test]
+fn a_zone_that_was_evacuated_before_a_restore_gets_nothing_new() {
+    let harness = fleet(1);
+    let zone = Name::try_from("b").expect("a name");
+    block_on(async {
+        harness.until_ready(true).await;
+        harness.place_in_zone(0, "b");
+        until_seen(&harness, 1).await;
+        let kept = harness.store.len();
+        harness
+            .store
+            .change(Change::Put(Record::EvacuatedZone(zone)));
+        until_seen(&harness, 1).await;
+        harness.store.restore(kept);
+        until_seen(&harness, 1).await;
+        let asked = harness.upstreams[0].count();
+        let until = Instant::now() + IN_FORCE_WITHIN;
+        while Instant::now() < until {
+            assert_eq!(harness.ask("/open/x", "x").await.status, 200);
+        }
+        assert_eq!(
+            harness.upstreams[0].count(),
+            asked,
+            "sent to an evacuated zone"
+        );
+    });
+}
--- a/crates/serving/tests/evacuation.rs
+++ b/crates/serving/tests/evacuation.rs
@@ -6,6 +6,7 @@
 
 use jd_serving::EvacuatedZones;
 use jd_serving::JobFailure;
+use jd_serving::Reading;
 use jd_types::MonoTime;
 use jd_types::Name;
 use stage_world::SPEC;
@@ -22,7 +23,8 @@
     let mut zones = EvacuatedZones::default();
     assert!(zones.evacuate(zone("a")));
     assert!(!zones.evacuate(zone("a")));
-    assert!(zones.replace(MonoTime::from_millis(50), [zone("b")].into()));
+    let read = [zone("b")].into();
+    assert!(zones.replace(MonoTime::from_millis(50), read, Reading::Complete));
     assert!(!zones.is_evacuated(&zone("a")));
     assert!(zones.is_evacuated(&zone("b")));
     assert_eq!(
@@ -32,6 +34,47 @@
     assert_eq!(zones.taken_back_at(&zone("b")), None);
 }
 
+/// The store comes back from a copy that is older than an evacuation. The operator has
+/// some seconds to write it again.
+#[test]
+fn a_copy_does_not_take_a_zone_back() {
+    let at = MonoTime::from_millis;
+    let mut zones = EvacuatedZones::default();
+    zones.evacuate(zone("a"));
+    zones.evacuate(zone("b"));
+    assert!(!zones.replace(at(1_000), [zone("b")].into(), Reading::Restored));
+    assert!(!zones.replace(at(2_000), [zone("b")].into(), Reading::Complete));
+    assert!(
+        zones.is_evacuated(&zone("a")),
+        "lost, and not written again yet"
+    );
+    assert!(!zones.expire(at(10_999)));
+    assert!(zones.expire(at(11_000)));
+    assert!(!zones.is_evacuated(&zone("a")));
+}
+
+#[test]
+fn an_evacuation_that_is_written_again_stays() {
+    let at = MonoTime::from_millis;
+    let mut zones = EvacuatedZones::default();
+    zones.evacuate(zone("a"));
+    zones.replace(at(1_000), [].into(), Reading::Restored);
+    assert!(!zones.evacuate(zone("a")), "no news");
+    assert!(!zones.expire(at(20_000)));
+    assert!(zones.is_evacuated(&zone("a")));
+}
+
+/// The operator takes a zone back that the store had lost.
+#[test]
+fn a_zone_that_a_copy_lacks_can_be_taken_back() {
+    let at = MonoTime::from_millis;
+    let mut zones = EvacuatedZones::default();
+    zones.evacuate(zone("a"));
+    zones.replace(at(1_000), [].into(), Reading::Restored);
+    assert!(zones.take_back(at(2_000), &zone("a")));
+    assert!(!zones.is_evacuated(&zone("a")));
+}
+
 /// The owner of a zone's upstreams loses them all at once, as the zone is evacuated. A
 /// request whose first stage was done there waited for the second until its deadline,
 /// though other zones could have done all of it.
