An older configuration in a copy of the store is not served by instances that start

Seen: nothing yet; found while the cause was looked for elsewhere. The store comes back from a copy that is older than the configuration in force. Instances that knew it kept it, but passed the older record on to those that start, and an instance that starts reads it itself: a route in force is answered 404, and a credential that was taken away works, until the operator has written the newest version again.

Change: what an instance holds of the store has the configuration in force in the place of an older one. Heartbeats tell the version in force, and an instance that has had a lower one than another for a second takes the configuration from there. Of two with one version the one that was written later counts.

Ruled out: refusing while another instance is ahead. Each change is known to some a few milliseconds before others, so that each would cost refusals.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -185,6 +185,7 @@
         let tasks = vec![
             executor.spawn(following),
             executor.spawn(Arc::clone(&follower).follow()),
+            executor.spawn(Arc::clone(&follower).catch_up()),
             executor.spawn(follower.expire()),
             executor.spawn(proof.keep()),
             executor.spawn(Arc::clone(&lease).keep()),
--- a/crates/gateway/src/knowledge.rs
+++ b/crates/gateway/src/knowledge.rs
@@ -8,6 +8,7 @@
 use jd_serving::InstanceDirectory;
 use jd_serving::Shard;
 use jd_serving::SourceState;
+use jd_serving::StoreItem;
 use jd_serving::StoreMirror;
 use jd_serving::UpstreamDirectory;
 use jd_types::Incarnation;
@@ -16,6 +17,15 @@
 /// How long it counts that an instance brought no news or had lost the store. Asked
 /// sooner it would mostly be the same.
 const SOURCE_STATE_LASTS: Duration = Duration::from_secs(3);
+
+/// A deployment in force here.
+#[derive(Debug, Clone)]
+pub(crate) struct KnownDeployment {
+    pub(crate) version: u64,
+    /// The record that it was read from.
+    pub(crate) item: StoreItem,
+}
+
 /// What the store has told, as one value under one lock.
 #[derive(Debug, Default)]
 pub(crate) struct Knowledge {
@@ -23,7 +33,10 @@
     pub(crate) upstreams: UpstreamDirectory,
     pub(crate) evacuated: EvacuatedZones,
     pub(crate) instances: InstanceDirectory,
-    pub(crate) deployment_version: u64,
+    /// What the operator has put in force, and the record that said so.
+    pub(crate) deployment: Option<KnownDeployment>,
+    /// An instance that has a later version in force, and since when that is known.
+    pub(crate) ahead: Option<(Incarnation, MonoTime)>,
     pub(crate) mirror: StoreMirror,
     /// Instances that brought no news or had lost the store, and when.
     sources: HashMap<Incarnation, (MonoTime, SourceState)>,
@@ -52,6 +65,21 @@
         };
     }
 
+    /// The version of the configuration in force here; 0 if there is none.
+    pub(crate) fn deployment_version(&self) -> u64 {
+        self.deployment.as_ref().map_or(0, |d| d.version)
+    }
+
+    /// An instance told which version is in force there.
+    pub(crate) fn note_version(&mut self, now: MonoTime, id: Incarnation, version: u64) {
+        let own = self.deployment_version();
+        match self.ahead {
+            None if version > own => self.ahead = Some((id, now)),
+            Some((ahead, _)) if ahead == id && version <= own => self.ahead = None,
+            _ => {}
+        }
+    }
+
     /// Forgets what sources were like longer ago than counts.
     pub(crate) fn forget_sources(&mut self, now: MonoTime) {
         self.sources
--- a/crates/gateway/src/peer_api.rs
+++ b/crates/gateway/src/peer_api.rs
@@ -95,6 +95,7 @@
             has_read: self.state.has_read(),
             quarantine: peer_quarantine::wire_quarantine(&self.state.quarantine, now),
             limits: peer_limits::told(&self.state),
+            version: self.state.knowledge().deployment_version(),
         }))
     }
 
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -19,6 +19,7 @@
 use jd_types::MonoTime;
 use jd_wire::BeatReply;
 use jd_wire::BeatRequest;
+use jd_wire::FollowRequest;
 use jd_wire::GatewayClient;
 use jd_wire::ReleaseRequest;
 
@@ -142,9 +143,18 @@
     /// Hears another instance's news of the store, or after `wait` that there is
     /// none; none if it does not answer.
     pub(crate) async fn follow(&self, id: Incarnation, wait: Duration) -> Option<Heard> {
+        let asked = peer_news::question(&self.state, id, wait);
+        self.ask(id, asked, wait).await
+    }
+
+    /// Hears all that another instance knows of the store; none if it does not answer.
+    pub(crate) async fn hear_all(&self, id: Incarnation) -> Option<Heard> {
+        self.ask(id, FollowRequest::default(), Duration::ZERO).await
+    }
+
+    async fn ask(&self, id: Incarnation, asked: FollowRequest, wait: Duration) -> Option<Heard> {
         let channel = self.state.channels.to(self.address_of(id)?);
         let mut client = GatewayClient::new(channel.clone());
-        let asked = peer_news::question(&self.state, id, wait);
         let sent = self.state.now();
         match within(wait + BEAT_WITHIN, client.follow(asked)).await {
             Some(reply) => peer_news::heard(sent, reply.ok()?.into_inner()),
@@ -251,6 +261,7 @@
         match Incarnation::new(reply.incarnation) {
             id if id == peer.incarnation => {
                 knowledge.instances.heard(now, id, said);
+                knowledge.note_version(now, id, reply.version);
             }
             later => {
                 let instances = &mut knowledge.instances;
--- a/crates/gateway/src/store_follower.rs
+++ b/crates/gateway/src/store_follower.rs
@@ -50,6 +50,9 @@
 /// The longest such pause. With 900 ms 295 instances that waited for the store served
 /// 1.2 s later than with 350 ms: the pause, and what hangs when it is back, add up.
 const FIRST_READ_PAUSE_MOST: Duration = Duration::from_millis(450);
+/// How long another instance has a later configuration in force before it is asked for it:
+/// longer than one takes from the store to all instances.
+const AHEAD_FOR: Duration = Duration::from_millis(1_000);
 /// How often entries are looked through for those that are over.
 const EXPIRE_EVERY: Duration = Duration::from_millis(250);
 
@@ -165,6 +168,36 @@
         }
     }
 
+    /// Takes the configuration of an instance that has had a later version in force for a
+    /// while.
+    ///
+    /// Guards against an instance that starts after the store came back from a copy: it
+    /// reads an older version there, by which a credential that was taken away works,
+    /// until the operator has written the newest one again.
+    pub(crate) async fn catch_up(self: Arc<Self>) {
+        let state = &self.link.state;
+        loop {
+            Timer::after(EXPIRE_EVERY).await;
+            let ahead = state.knowledge().ahead;
+            let now = state.now();
+            let Some((id, _)) = ahead.filter(|(_, since)| now.since(*since) >= AHEAD_FOR) else {
+                continue;
+            };
+            log::info!(source:% = id; "another instance has a later configuration in force");
+            match self.peers.hear_all(id).await {
+                Some(heard) => {
+                    for news in heard.news {
+                        self.intake.take_deployment(&news.items);
+                    }
+                }
+                None => {
+                    log::info!(source:% = id; "it does not answer; the next one that tells is asked")
+                }
+            }
+            state.knowledge().ahead = None;
+        }
+    }
+
     /// Hears of what changed since the last round.
     async fn round(&self, last: Round) -> Round {
         let state = &self.link.state;
--- a/crates/gateway/src/store_intake.rs
+++ b/crates/gateway/src/store_intake.rs
@@ -5,6 +5,7 @@
 use std::time::SystemTime;
 
 use jd_serving::Content;
+use jd_serving::Deployment;
 use jd_serving::News;
 use jd_serving::Reading;
 use jd_serving::Router;
@@ -18,6 +19,7 @@
 use crate::QuarantineRecord;
 use crate::Record;
 use crate::Store;
+use crate::knowledge::KnownDeployment;
 use crate::quarantine::Source;
 use crate::quarantine::Told;
 use crate::state::State;
@@ -55,9 +57,9 @@
 
     /// Takes in which instances the store lists, before anything else is known.
     pub(crate) fn take_instances(&self, items: &[StoreItem]) {
-        for (change, written) in self.decode(items) {
+        for (change, item) in self.decode(items) {
             if let Change::Put(record) = change {
-                self.take_record(record, written);
+                self.take_record(record, &item);
             }
         }
         let now = self.state.now();
@@ -65,24 +67,34 @@
         self.state.listed.set();
     }
 
+    /// Takes the configuration alone out of another instance's records.
+    pub(crate) fn take_deployment(&self, items: &[StoreItem]) {
+        for (change, item) in self.decode(items) {
+            if let Change::Put(record @ Record::Deployment(_)) = change {
+                self.take_record(record, &item);
+            }
+        }
+    }
+
     fn replace(&self, items: Vec<StoreItem>, revision: StoreRevision, known: StoreRevision) {
         let is_first = known == StoreRevision::NOTHING;
         let reading = match is_first || revision.is_same_era(known) {
             true => Reading::Complete,
             false => Reading::Restored,
         };
-        let changes: Vec<(Change, StoreRevision)> = self.decode(&items);
+        let items = self.keep_deployment(items, revision, true);
+        let changes: Vec<(Change, StoreItem)> = self.decode(&items);
         self.state.knowledge().mirror.replace(items, revision);
         let mut upstreams: Vec<UpstreamEntry> = Vec::new();
         let mut instances: Vec<Incarnation> = Vec::new();
         let mut quarantined: Vec<Content> = Vec::new();
         let mut evacuated: BTreeSet<Name> = BTreeSet::new();
         let mut changed = false;
-        for (change, written) in changes {
+        for (change, item) in changes {
             match change {
                 Change::Put(Record::Upstream(entry)) => upstreams.push(entry),
                 Change::UpstreamUnreadable { id, reason } => {
-                    changed |= self.leave_out(&id, &reason, written);
+                    changed |= self.leave_out(&id, &reason, item.revision);
                 }
                 Change::Put(Record::EvacuatedZone(zone)) => {
                     evacuated.insert(zone);
@@ -93,7 +105,7 @@
                         Record::Quarantine(q) => quarantined.push(q.content),
                         _ => {}
                     }
-                    self.take_record(record, written);
+                    self.take_record(record, &item);
                 }
                 Change::UpstreamGone(_)
                 | Change::InstanceGone(_)
@@ -123,10 +135,11 @@
     }
 
     fn apply(&self, items: Vec<StoreItem>, revision: StoreRevision) {
+        let items = self.keep_deployment(items, revision, false);
         let items = self.state.knowledge().mirror.apply(items, revision);
         let now = self.state.now();
         let mut changed = false;
-        for (change, written) in self.decode(&items) {
+        for (change, item) in self.decode(&items) {
             match change {
                 Change::Put(Record::Upstream(entry)) => {
                     let cold_ms = entry.cold_left.as_millis() as u64;
@@ -141,13 +154,13 @@
                     log::info!(zone:% = zone, revision:%; "zone taken back");
                     changed |= self.state.knowledge().evacuated.take_back(now, &zone);
                 }
-                Change::Put(record) => self.take_record(record, written),
+                Change::Put(record) => self.take_record(record, &item),
                 Change::UpstreamGone(id) => {
                     log::info!(upstream:% = id, revision:%; "upstream entry removed");
                     changed |= self.state.knowledge().upstreams.remove(now, &id);
                 }
                 Change::UpstreamUnreadable { id, reason } => {
-                    changed |= self.leave_out(&id, &reason, written);
+                    changed |= self.leave_out(&id, &reason, item.revision);
                 }
                 Change::InstanceGone(id) if id == self.state.me.incarnation => {
                     self.state.entry_gone.give();
@@ -173,9 +186,44 @@
         self.state.knowledge().upstreams.leave_out(id)
     }
 
-    /// What items say, and when they were written.
-    fn decode(&self, items: &[StoreItem]) -> Vec<(Change, StoreRevision)> {
-        let said = |i: &StoreItem| Some((self.store.decode(i)?, i.revision));
+    /// The items with the configuration in force here in the place of an older one, and of
+    /// a missing one if they are `whole`.
+    ///
+    /// Guards against instances that are told an older version by this one, which it
+    /// read from a copy of the store.
+    fn keep_deployment(
+        &self,
+        mut items: Vec<StoreItem>,
+        revision: StoreRevision,
+        whole: bool,
+    ) -> Vec<StoreItem> {
+        let Some(known) = self.state.knowledge().deployment.clone() else {
+            return items;
+        };
+        let mut is_missing = whole;
+        for item in items.iter_mut().filter(|i| i.key == known.item.key) {
+            is_missing = false;
+            let is_older = match self.store.decode(item) {
+                Some(Change::Put(Record::Deployment(d))) => d.version < known.version,
+                _ => item.removed,
+            };
+            if is_older {
+                item.value = known.item.value.clone();
+                item.removed = false;
+            }
+        }
+        if is_missing {
+            items.push(StoreItem {
+                revision,
+                ..known.item
+            });
+        }
+        items
+    }
+
+    /// What items say.
+    fn decode(&self, items: &[StoreItem]) -> Vec<(Change, StoreItem)> {
+        let said = |i: &StoreItem| Some((self.store.decode(i)?, i.clone()));
         items.iter().filter_map(said).collect()
     }
 
@@ -197,22 +245,9 @@
         quarantine.note_stored(content, Some(state));
     }
 
-    fn take_record(&self, record: Record, written: StoreRevision) {
+    fn take_record(&self, record: Record, item: &StoreItem) {
         match record {
-            Record::Deployment(deployment) => {
-                let mut knowledge = self.state.knowledge();
-                if deployment.version <= knowledge.deployment_version {
-                    return;
-                }
-                let version = deployment.version;
-                knowledge.deployment_version = version;
-                self.state
-                    .router
-                    .store(Some(Arc::new(Router::new(*deployment))));
-                drop(knowledge);
-                self.state.divide_upstreams();
-                log::info!(version; "configuration in force");
-            }
+            Record::Deployment(deployment) => self.take_newer_deployment(*deployment, item),
             Record::Instance(entry) if entry.incarnation == self.state.me.incarnation => {}
             Record::Instance(entry) if entry.peers == self.state.me.peers => {
                 let mut knowledge = self.state.knowledge();
@@ -220,7 +255,8 @@
             }
             Record::Instance(entry) => {
                 let now = self.state.now();
-                self.state.knowledge().instances.put(now, entry, written);
+                let mut knowledge = self.state.knowledge();
+                knowledge.instances.put(now, entry, item.revision);
             }
             Record::Upstream(entry) => {
                 let now = self.state.now();
@@ -235,4 +271,31 @@
             }
         }
     }
+
+    /// Puts a configuration in force if it is newer than the one that is. Of two with one
+    /// version, which a store that came back from a copy may hold one after the other, the
+    /// one that was written later is.
+    fn take_newer_deployment(&self, deployment: Deployment, item: &StoreItem) {
+        let version = deployment.version;
+        let mut knowledge = self.state.knowledge();
+        let is_newer = match &knowledge.deployment {
+            None => true,
+            Some(known) if version == known.version => {
+                let later = item.revision > known.item.revision;
+                later && item.value != known.item.value
+            }
+            Some(known) => version > known.version,
+        };
+        if !is_newer {
+            return;
+        }
+        let item = item.clone();
+        knowledge.deployment = Some(KnownDeployment { version, item });
+        knowledge.ahead = None;
+        let router = Router::new(deployment);
+        self.state.router.store(Some(Arc::new(router)));
+        drop(knowledge);
+        self.state.divide_upstreams();
+        log::info!(version; "configuration in force");
+    }
 }
--- a/crates/gateway/tests/whole/fakes/fake_store.rs
+++ b/crates/gateway/tests/whole/fakes/fake_store.rs
@@ -258,7 +258,7 @@
 fn item(era: usize, place: usize) -> StoreItem {
     StoreItem {
         key: format_compact!("{era}/{place}"),
-        value: Bytes::new(),
+        value: Bytes::from(format!("{era}/{place}")),
         revision: at(era, place + 1),
         removed: false,
     }
--- a/crates/gateway/tests/whole/restored_store.rs
+++ b/crates/gateway/tests/whole/restored_store.rs
@@ -189,3 +189,52 @@
         );
     });
 }
+
+/// A version is in force, and the store comes back from a copy that is older. An instance that starts
+/// then reads the older one, and must not serve by it until the operator has written the newer one again.
+#[test_case(1; "alone")]
+#[test_case(9; "each reads the store")]
+#[test_case(20; "two read it for all")]
+fn a_version_in_force_before_a_restore_stays_so(instances: usize) {
+    let mut harness = fleet(instances);
+    block_on(async {
+        harness.until_ready(true).await;
+        harness.until_announced(instances).await;
+        let kept = harness.store.len();
+        harness.store.change(version(2));
+        all_answer(&harness, instances, "/added/x", 200).await;
+        until_seen(&harness, instances).await;
+        harness.store.restore(kept);
+        all_answer(&harness, instances, "/added/x", 200).await;
+        harness.add_gateways(1);
+        all_answer(&harness, instances + 1, "/added/x", 200).await;
+        for n in 0..(instances + 1) * 2 {
+            let received = harness.ask_instance(n, "/added/x", "x").await;
+            assert_ne!(received.status, 404, "an older version is in force");
+        }
+    });
+}
+
+/// The operator writes versions again in any order, and one of them under a number that the
+/// store had given to another before.
+#[test]
+fn versions_are_written_again_in_any_order() {
+    let harness = fleet(1);
+    block_on(async {
+        harness.until_ready(true).await;
+        let kept = harness.store.len();
+        harness
+            .store
+            .change(Change::Put(Record::Deployment(Box::new(Deployment {
+                version: 4,
+                ..deployment()
+            }))));
+        until_seen(&harness, 1).await;
+        harness.store.restore(kept);
+        harness.store.change(version(3));
+        until_seen(&harness, 1).await;
+        assert_ne!(harness.ask("/added/x", "older").await.status, 200);
+        harness.store.change(version(4));
+        all_answer(&harness, 1, "/added/x", 200).await;
+    });
+}
