Instances that a copy of the store lacks stay listed until they had time to write again

Seen: nothing yet; found while the cause was looked for elsewhere. In a fleet of more than 16 instances each is watched by a few; the others go by its entry. A store that comes back from a copy lacks the entries of all that started lately, and has those of earlier starts that were removed: the first were lost from sight until written again, the second displaced instances that answer until the next heartbeat.

Change: after the first reading of a new era an entry that is missing counts for three seconds more, and an entry of another start at an address does not displace one that answers heartbeats.

--- a/crates/gateway/src/store_intake.rs
+++ b/crates/gateway/src/store_intake.rs
@@ -120,7 +120,7 @@
         }
         {
             let mut knowledge = self.state.knowledge();
-            knowledge.instances.relist(&instances);
+            knowledge.instances.relist(now, &instances, reading);
             changed |= knowledge.upstreams.replace(now, upstreams, reading);
             changed |= knowledge.evacuated.replace(now, evacuated, reading);
         }
--- a/crates/serving/src/instance_directory.rs
+++ b/crates/serving/src/instance_directory.rs
@@ -8,6 +8,7 @@
 use jd_types::MonoTime;
 use jd_types::Name;
 
+use crate::Reading;
 use crate::StoreRevision;
 use crate::Strength;
 
@@ -23,6 +24,8 @@
 const REMOVE_AFTER: Duration = Duration::from_millis(2_000);
 /// How long after a removal was tried it is tried again.
 const REMOVE_AGAIN: Duration = Duration::from_millis(4_000);
+/// How long an instance has to write an entry again that the store lost.
+const WRITTEN_AGAIN_WITHIN: Duration = Duration::from_millis(3_000);
 /// Addresses in one answer; the users' clients take no more.
 const MAX_ADDRESSES: usize = 64;
 /// Instances of the caller's own zone that suffice for an answer of only these.
@@ -82,6 +85,8 @@
     heard: MonoTime,
     ever_heard: bool,
     listed: bool,
+    /// When it was found that the store had lost its entry.
+    lost_at: Option<MonoTime>,
     ready: bool,
     has_read: bool,
     watched: bool,
@@ -108,12 +113,16 @@
     /// Guards against instances that count as there after they have started anew:
     /// their earlier entries stay until their leases run out, and stages were asked
     /// for at these for 1.3 s each. Of two at one address the one that was written
-    /// later is there, in whatever order they are read.
+    /// later is there, in whatever order they are read; but one that answers is not
+    /// displaced by what a copy of the store has of an earlier start.
     pub fn put(&mut self, now: MonoTime, entry: InstanceEntry, written: StoreRevision) {
         let same =
             |k: &Known| k.entry.peers == entry.peers && k.entry.incarnation != entry.incarnation;
+        let answers = |k: &Known| k.ever_heard && now.since(k.heard) < SILENT_AFTER;
         // One that was heard in place of a dead start has that start's revision.
-        if self.known.values().any(|k| same(k) && k.written >= written) {
+        let is_later =
+            |k: &Known| k.written >= written || (!k.written.is_same_era(written) && answers(k));
+        if self.known.values().any(|k| same(k) && is_later(k)) {
             return;
         }
         self.known.retain(|_, k| !same(k));
@@ -123,21 +132,32 @@
             heard: now,
             ever_heard: false,
             listed: true,
+            lost_at: None,
             ready: true,
             has_read: true,
             watched: true,
             removal_tried: None,
         });
         known.listed = true;
+        known.lost_at = None;
         known.written = known.written.max(written);
         known.entry.leaving |= entry.leaving;
     }
 
     /// The store lists these and no others. Without this, an instance whose entry
     /// ran out while the history of changes was lost would be named for good.
-    pub fn relist(&mut self, ids: &[Incarnation]) {
+    ///
+    /// Those that a copy of the store lacks write their entries again, and stay listed
+    /// until they had time for it. Else a large fleet, in which each is watched by a few,
+    /// would lose all that started lately from sight at once.
+    pub fn relist(&mut self, now: MonoTime, ids: &[Incarnation], reading: Reading) {
         for (id, known) in &mut self.known {
-            known.listed &= ids.contains(id);
+            match reading {
+                _ if ids.contains(id) => known.lost_at = None,
+                Reading::Restored => known.lost_at = Some(now),
+                Reading::Complete if known.lost_at.is_some() => {}
+                Reading::Complete => known.listed = false,
+            }
         }
     }
 
@@ -146,6 +166,7 @@
     pub fn unlist(&mut self, id: Incarnation) {
         if let Some(known) = self.known.get_mut(&id) {
             known.listed = false;
+            known.lost_at = None;
         }
     }
 
@@ -202,6 +223,7 @@
             heard: now,
             ever_heard: false,
             listed: false,
+            lost_at: None,
             ready: true,
             has_read: true,
             watched: true,
@@ -252,6 +274,13 @@
 
     /// Forgets those that are neither listed nor heard.
     pub fn expire(&mut self, now: MonoTime) {
+        for known in self.known.values_mut() {
+            let lost = known.lost_at;
+            if lost.is_some_and(|at| now.since(at) >= WRITTEN_AGAIN_WITHIN) {
+                known.listed = false;
+                known.lost_at = None;
+            }
+        }
         self.known
             .retain(|_, k| k.listed || now.since(k.heard) < SILENT_AFTER * 4);
     }
--- a/crates/serving/tests/eras.rs
+++ b/crates/serving/tests/eras.rs
@@ -7,9 +7,11 @@
 
 use bytes::Bytes;
 use jd_serving::Freshness;
+use jd_serving::Heartbeat;
 use jd_serving::InstanceDirectory;
 use jd_serving::InstanceEntry;
 use jd_serving::Proof;
+use jd_serving::Reading;
 use jd_serving::StoreItem;
 use jd_serving::StoreMirror;
 use jd_serving::StoreRevision;
@@ -120,21 +122,62 @@
     assert_eq!(freshness.proof(), None);
 }
 
-/// An instance started anew after the restore, so that its entry has a lower revision than that of
-/// its earlier start.
-#[test]
-fn an_entry_of_a_later_era_displaces_one_of_an_earlier() {
-    let entry = |id| InstanceEntry {
+fn instance(id: u64) -> InstanceEntry {
+    InstanceEntry {
         incarnation: Incarnation::new(id),
         callers: SocketAddr::from(([127, 0, 0, 1], 80)),
         peers: SocketAddr::from(([127, 0, 0, 1], 81)),
         zone: Name::try_from("a").expect("a name"),
         strength: Strength::default(),
         leaving: false,
+    }
+}
+
+fn live(directory: &InstanceDirectory, now: u64) -> Vec<u64> {
+    let live = directory.live(at(now));
+    live.map(|e| e.incarnation.get()).collect()
+}
+
+/// An instance started anew after the restore, so that its entry has a lower revision than that of
+/// its earlier start.
+#[test]
+fn an_entry_of_a_later_era_displaces_one_of_an_earlier() {
+    let mut directory = InstanceDirectory::default();
+    directory.put(at(1_000), instance(1), rev(1, 100));
+    directory.put(at(2_000), instance(2), rev(2, 7));
+    assert_eq!(live(&directory, 2_000), [2]);
+}
+
+/// The copy has the entry of an earlier start, which this one had removed. It answers heartbeats.
+#[test]
+fn an_instance_that_answers_is_not_displaced_by_a_copy() {
+    let well = Heartbeat {
+        leaving: false,
+        ready: true,
+        has_read: true,
     };
     let mut directory = InstanceDirectory::default();
-    directory.put(at(1_000), entry(1), rev(1, 100));
-    directory.put(at(2_000), entry(2), rev(2, 7));
-    let known: Vec<Incarnation> = directory.entries().map(|e| e.incarnation).collect();
-    assert_eq!(known, [Incarnation::new(2)]);
+    directory.put(at(1_000), instance(2), rev(1, 100));
+    directory.heard(at(2_000), Incarnation::new(2), well);
+    directory.put(at(2_100), instance(1), rev(2, 7));
+    assert_eq!(live(&directory, 2_100), [2]);
+}
+
+/// Nobody here exchanges heartbeats with the instance, as in a large fleet. It has three seconds to write
+/// again the entry that the store lost.
+#[test_case(true; "written again")]
+#[test_case(false; "not written again")]
+fn an_instance_that_a_copy_lacks_stays_listed_for_a_while(again: bool) {
+    let mut directory = InstanceDirectory::default();
+    directory.put(at(1_000), instance(1), rev(1, 100));
+    directory.watch(at(1_000), &[]);
+    directory.relist(at(2_000), &[], Reading::Restored);
+    directory.relist(at(2_500), &[], Reading::Complete);
+    directory.expire(at(4_999));
+    assert_eq!(live(&directory, 4_999), [1]);
+    if again {
+        directory.put(at(4_999), instance(1), rev(2, 60));
+    }
+    directory.expire(at(5_000));
+    assert_eq!(live(&directory, 5_000).is_empty(), !again);
 }
--- a/crates/serving/tests/instances.rs
+++ b/crates/serving/tests/instances.rs
@@ -8,6 +8,7 @@
 use jd_serving::Heartbeat;
 use jd_serving::InstanceDirectory;
 use jd_serving::InstanceEntry;
+use jd_serving::Reading;
 use jd_serving::Shard;
 use jd_serving::StoreRevision;
 use jd_serving::Strength;
@@ -252,7 +253,7 @@
     directory.put(at(1_000), a.clone(), rev(1));
     directory.put(at(1_000), b.clone(), rev(1));
     directory.watch(at(1_000), &[]);
-    directory.relist(&[a.incarnation]);
+    directory.relist(at(1_500), &[a.incarnation], Reading::Complete);
     assert_eq!(live(&directory, at(1_100)), [a.incarnation]);
 }
 
