An upstream whose address another has gets nothing until its entry is written again

Seen by callers: refused with `another upstream has the address`.

Cause: a 421 was taken for an answer that says nothing of the upstream that was asked, so that it was chosen again with the next request, for as long as its entry lasted.

Ruled out: a rest that binds whoever is at the address. The next upstream there would be left alone for a wait that it had not asked for.

Change: after a 421 that upstream is left, as one whose entry was removed is, until its entry is written again; unless it has moved or started again since.

--- a/crates/gateway/src/notices.rs
+++ b/crates/gateway/src/notices.rs
@@ -90,9 +90,9 @@
     let HttpResponse {
         status, headers, ..
     } = response;
-    // Whoever answers so is another than the one that was asked.
     if *status == StatusCode::MISDIRECTED_REQUEST {
-        return;
+        // What else it says is not of the one that was asked.
+        return note_misdirected(state, upstream);
     }
     state
         .limits
@@ -120,6 +120,24 @@
     log::info!(upstream = id, address:% = upstream.address; "upstream says in an answer that it leaves");
 }
 
+fn note_misdirected(state: &State, upstream: &UpstreamRef) {
+    let UpstreamRef {
+        upstream: id,
+        start,
+        address,
+        ..
+    } = upstream;
+    let now = state.now();
+    let mut knowledge = state.knowledge();
+    let news = knowledge.upstreams.is_elsewhere(now, id, *start, *address);
+    drop(knowledge);
+    if news {
+        state.rebuild_upstreams();
+        state.metrics.notice("misdirected");
+        log::info!(upstream = id.as_str(), address:%; "another upstream has the address; this one is left until its entry is written again");
+    }
+}
+
 fn note_backoff(state: &State, upstream: &UpstreamRef, wait: RetryAfter) {
     let place = state.fleet_place(upstream.address);
     let longer = state.notices.back_off(state.now(), upstream, wait, place);
--- a/crates/gateway/tests/whole/leaving.rs
+++ b/crates/gateway/tests/whole/leaving.rs
@@ -127,6 +127,25 @@
     });
 }
 
+/// An entry outlasts its upstream, whose address another has: all that is sent there comes back.
+/// Once its entry is written again it is used.
+#[test]
+fn an_upstream_whose_address_another_has_is_left_until_it_is_written_again() {
+    let harness = gateway(2);
+    block_on(async {
+        harness.until_ready(true).await;
+        harness.upstreams[0].reply(vec![Reply::Misdirected]);
+        all_served(&repeat(&harness, "/any/x", PAUSE, LOAD).await);
+        let sent = harness.upstreams[0].count();
+        assert!(sent <= 2, "{sent} requests came back");
+        harness.upstreams[0].reply(vec![Reply::Whole("its answer")]);
+        harness.make_cold(0, Duration::from_millis(1));
+        while harness.upstreams[0].count() == sent {
+            harness.ask("/any/x", "later").await;
+        }
+    });
+}
+
 /// A request that the first upstream works on until the sender is dropped.
 async fn until_held(harness: &Arc<Harness>) -> (Sender<()>, Task<Received>) {
     let (tx, rx) = async_channel::bounded(1);
--- a/crates/serving/src/upstream_directory.rs
+++ b/crates/serving/src/upstream_directory.rs
@@ -147,6 +147,28 @@
         known.is_some_and(|k| !std::mem::replace(&mut k.entry.leaving, true))
     }
 
+    /// Another upstream answered at the address of this start of one; true if that changes
+    /// anything. It gets nothing more until its entry is written again.
+    ///
+    /// Guards against entries that outlast their upstreams, as in a copy of the store: all
+    /// that is sent there comes back, and a caller whose tries are used up is refused.
+    pub fn is_elsewhere(
+        &mut self,
+        now: MonoTime,
+        id: &str,
+        start: UpstreamStart,
+        address: SocketAddr,
+    ) -> bool {
+        let known = self.known.get_mut(id);
+        let same =
+            |k: &&mut Known| k.entry.address == address && !k.entry.start.is_later_than(start);
+        let Some(known) = known.filter(same) else {
+            return false;
+        };
+        self.departures.note(now, id, start, ToldBy::Entry);
+        !std::mem::replace(&mut known.entry.leaving, true)
+    }
+
     /// Nothing names this upstream any more; true if that changes anything. Unlike
     /// one that is missing it does not count as lapsed with the store: there is an
     /// entry, and it is not the upstream's.
--- a/crates/serving/tests/leaving.rs
+++ b/crates/serving/tests/leaving.rs
@@ -145,6 +145,21 @@
     assert_eq!(is_used(&directory), None);
 }
 
+/// Another upstream answers at the address. An upstream that has moved meanwhile, or started again, is
+/// where its entry says.
+#[test_case(80, 1, false; "at its address")]
+#[test_case(81, 1, true; "it has moved")]
+#[test_case(80, 0, true; "it has started again")]
+fn an_upstream_whose_address_another_has_is_used_no_more(port: u16, start: u64, used: bool) {
+    let address = SocketAddr::from(([127, 0, 0, 1], port));
+    let mut directory = listed(started(1));
+    let news = directory.is_elsewhere(at(10), "u", started(start), address);
+    assert_eq!(news, !used);
+    assert_eq!(is_used(&directory), Some(used));
+    directory.put(at(20), entry(started(1)));
+    assert_eq!(is_used(&directory), Some(true));
+}
+
 /// How an upstream's leaving came to be known.
 #[derive(Debug, Clone, Copy)]
 enum Word {
