The soak has upstreams that give notice in their answers, and a store that comes back from a copy

From seed 5000 on: an upstream that says only in its answers that it leaves, up to three that refuse and ask for rest, a store that comes back from a copy in its next era and has what the operator and the upstreams wrote written again. Judged for the start of an instance that was told: no request that was sent later than 2 s after an answer that says so, and at most two in a rest, as the users do. Earlier seeds keep their plans.

--- a/crates/gateway-daemon/tests/soak.rs
+++ b/crates/gateway-daemon/tests/soak.rs
@@ -1,7 +1,7 @@
 //! Soaks real gateway processes: seeds of overlapping faults, and the promises
 //! checked from what callers and upstreams saw.
 //!
-//! Without arguments it plays four seeds. `--seeds 1..50 --jobs 6` plays more.
+//! Without arguments it plays six seeds. `--seeds 1..50 --jobs 6` plays more.
 
 #![allow(clippy::expect_used, clippy::panic)]
 
@@ -36,9 +36,10 @@
 use rustix::process::Signal;
 use rustix::process::kill_process;
 
-/// Seeds that are played when none are named: two of planned work, two of all, and one of
-/// each with upstreams that name limits.
-const SHORT: [u64; 4] = [4, 5, 4_000, 4_001];
+/// Seeds that are played when none are named: one of planned work and one of all faults,
+/// each of the first plans, with upstreams that name limits, and with those that give
+/// notice in their answers.
+const SHORT: [u64; 6] = [4, 5, 4_000, 4_001, 5_000, 5_001];
 /// The soak's name where a filter names tests.
 const NAME: &str = "soak";
 
--- a/soak/src/fault.rs
+++ b/soak/src/fault.rs
@@ -20,6 +20,8 @@
 pub enum EngineMode {
     /// It is full and says that it did nothing.
     Sheds,
+    /// The same, and that it wants nothing more for so many seconds.
+    BacksOff(u8),
     /// It runs the request and fails.
     Fails,
     /// It runs the request and never answers.
@@ -30,6 +32,16 @@
     Crosses,
 }
 
+impl EngineMode {
+    /// How long an upstream that refuses wants nothing more.
+    pub(crate) fn backoff(self) -> Option<Duration> {
+        match self {
+            EngineMode::BacksOff(seconds) => Some(Duration::from_secs(seconds.into())),
+            _ => None,
+        }
+    }
+}
+
 /// How the links to one upstream, or of one instance to the store, misbehave.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum LinkMode {
@@ -75,6 +87,10 @@
     Limit(usize, u32, Duration),
     /// An upstream says that it leaves, and is gone later.
     Drain(usize),
+    /// The same, but it says so in its answers alone.
+    DrainByAnswers(usize),
+    /// The store comes back from a copy that is as old as given.
+    Restore(Duration),
     /// An upstream is gone, and another one has its address.
     Replace(usize),
     /// An upstream ends and starts again under its identity, holding nothing.
@@ -100,6 +116,7 @@
                 | Fault::Reload(_)
                 | Fault::Configure
                 | Fault::Drain(_)
+                | Fault::DrainByAnswers(_)
                 | Fault::Limit(..)
         )
     }
--- a/soak/src/judge.rs
+++ b/soak/src/judge.rs
@@ -17,6 +17,7 @@
 use crate::bad_requests;
 use crate::limits;
 use crate::model;
+use crate::notices;
 
 /// Within which a credential that was taken away works nowhere: the users' bound.
 const REVOKED_WITHIN: Duration = Duration::from_millis(5_000);
@@ -98,6 +99,7 @@
     seen.recovered(calm, &mut broken);
     broken.extend(bad_requests::judge(&attempts, &runs, &spans));
     broken.extend(limits::judge(&runs, &spans));
+    broken.extend(notices::judge(&attempts, &runs, &spans));
     broken
 }
 
--- a/soak/src/ledger.rs
+++ b/soak/src/ledger.rs
@@ -84,6 +84,17 @@
     pub bad: Option<u64>,
     /// What was wrong with it as it came, if anything.
     pub fault: Option<&'static str>,
+    /// What the answer said of what may be sent next.
+    pub notice: Notice,
+}
+
+/// What an upstream says in an answer of what may be sent to it next.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Notice {
+    /// It is about to stop.
+    pub leaving: bool,
+    /// It wants nothing for so long.
+    pub backoff: Option<Duration>,
 }
 
 /// A fault and how long it lasted.
--- a/soak/src/model.rs
+++ b/soak/src/model.rs
@@ -2,7 +2,9 @@
 
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use async_channel::Sender;
@@ -25,6 +27,7 @@
 
 use crate::EngineMode;
 use crate::Ledger;
+use crate::Notice;
 use crate::Run;
 use crate::config::TENANT;
 use crate::stages::Results;
@@ -63,6 +66,10 @@
     pub(crate) mode: Mutex<Option<EngineMode>>,
     /// The limit that it names, in requests a second.
     pub(crate) limit: Mutex<Option<u32>>,
+    /// True once its entry says that it leaves.
+    pub(crate) draining: AtomicBool,
+    /// True once its answers say so.
+    pub(crate) says_leaving: AtomicBool,
     pub(crate) ledger: Arc<Ledger>,
     pub(crate) results: Arc<Results>,
     /// Takes the identity of an upstream that ends with a request.
@@ -81,8 +88,11 @@
         lock(&self.id).clone()
     }
 
-    /// An answer of it, with the limit that it names.
-    pub(crate) fn with_limit(&self, mut res: Response<Body>) -> Response<Body> {
+    /// An answer of it, with what it says of what may be sent to it next.
+    pub(crate) fn with_notices(&self, mut res: Response<Body>) -> Response<Body> {
+        if self.says_leaving.load(Ordering::Relaxed) {
+            set(&mut res, "server-leaving", "1");
+        }
         if let Some(limit) = *lock(&self.limit) {
             set(&mut res, "server-limit", &limit.to_string());
         }
@@ -109,11 +119,13 @@
             () => None,
         };
         let mode = *lock(&self.mode);
+        let backoff = mode.and_then(EngineMode::backoff);
         let expected = header("jacinthdeal-expect-instance").is_some_and(|e| e == me);
         let lacks_inputs = path.starts_with("/draft/") && !self.results.are_there(inputs);
         let refused = match () {
             () if !expected => Some(StatusCode::MISDIRECTED_REQUEST),
             () if mode == Some(EngineMode::Sheds) => Some(StatusCode::SERVICE_UNAVAILABLE),
+            () if backoff.is_some() => Some(StatusCode::SERVICE_UNAVAILABLE),
             () if lacks_inputs => Some(StatusCode::CONFLICT),
             () => None,
         };
@@ -124,11 +136,16 @@
             ran: refused.is_none(),
             bad,
             fault,
+            notice: Notice {
+                leaving: self.says_leaving.load(Ordering::Relaxed),
+                backoff: backoff.filter(|_| refused == Some(StatusCode::SERVICE_UNAVAILABLE)),
+            },
         });
         if let Some(refused) = refused {
             let mut res = status(refused);
             set(&mut res, "jacinthdeal-attempt-id", &id);
             set(&mut res, "jacinthdeal-not-executed", "1");
+            set_backoff(&mut res, backoff);
             return res;
         }
         if bad.is_some() {
@@ -211,6 +228,13 @@
     res
 }
 
+/// Has a refusal say for how long its upstream wants nothing more.
+pub(crate) fn set_backoff(res: &mut Response<Body>, backoff: Option<Duration>) {
+    if let Some(wait) = backoff.filter(|_| res.status() == StatusCode::SERVICE_UNAVAILABLE) {
+        set(res, "retry-after", &wait.as_secs().to_string());
+    }
+}
+
 fn set(res: &mut Response<Body>, name: &'static str, value: &str) {
     // Identities of a soak are hexadecimal, so each is a header's value.
     if let Ok(value) = HeaderValue::from_str(value) {
@@ -223,7 +247,7 @@
     fn handle(self: Arc<Self>, req: Request<Incoming>) -> HandlerFuture {
         Box::pin(async move {
             let res = self.answer(req).await;
-            self.with_limit(res)
+            self.with_notices(res)
         })
     }
 }
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -25,6 +25,9 @@
 const BAD_FROM: u64 = 3_000;
 /// From this seed on upstreams name limits. Earlier seeds keep their plans.
 const LIMITS_FROM: u64 = 4_000;
+/// From this seed on upstreams say in their answers that they leave or want nothing for a
+/// while, and the store comes back from a copy. Earlier seeds keep their plans.
+const NOTICES_FROM: u64 = 5_000;
 /// How long one names a limit: beyond most other faults.
 const LIMIT_LASTS: Duration = Duration::from_millis(9_000);
 /// How long such a request comes again: beyond the last other fault.
@@ -101,6 +104,9 @@
                 });
             }
         }
+        if seed >= NOTICES_FROM {
+            steps.extend(draw_notices(&mut rng, planned_only));
+        }
         steps.sort_by_key(|s| s.at);
         Plan { seed, steps }
     }
@@ -116,6 +122,27 @@
     }
 }
 
+fn draw_notices(rng: &mut fastrand::Rng, planned_only: bool) -> Vec<Step> {
+    let mut faults = vec![Fault::DrainByAnswers(rng.usize(..))];
+    if !planned_only {
+        for _ in 0..rng.usize(1..=3) {
+            let mode = EngineMode::BacksOff(rng.u8(1..=3));
+            let span = Duration::from_millis(rng.u64(300..3_000));
+            faults.push(Fault::Engine(rng.usize(..), mode, span));
+        }
+        for _ in 0..rng.usize(1..=2) {
+            let age = Duration::from_millis(rng.u64(1_000..4_000));
+            faults.push(Fault::Restore(age));
+        }
+    }
+    let step = |fault| {
+        let after = rng.u64(0..FAULTS_LAST.as_millis() as u64 / 2);
+        let at = LEAD + Duration::from_millis(after);
+        Step { at, fault }
+    };
+    faults.into_iter().map(step).collect()
+}
+
 fn draw_fault(rng: &mut fastrand::Rng) -> Fault {
     let place = rng.usize(..);
     let span = Duration::from_millis(rng.u64(300..3_000));
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -81,7 +81,8 @@
     instances: usize,
 ) -> io::Result<Played> {
     let world = Arc::new(World::start(executor, network, instances)?);
-    let held = instances + world.places.len();
+    // The last one is the store.
+    let held = instances + world.places.len() + 1;
     let stage = Arc::new(Stage {
         executor: Arc::clone(executor),
         pool: HttpPool::new(Arc::clone(executor), Clock::start()),
@@ -217,9 +218,12 @@
         let places = self.world.places.len();
         let held = match step.fault {
             Fault::Kill(n, _) | Fault::Stop(n) | Fault::Pause(n, _) => Some(n % instances),
-            Fault::Drain(n) | Fault::Replace(n) | Fault::StartAgain(n) | Fault::Limit(n, _, _) => {
-                Some(instances + n % places)
-            }
+            Fault::Drain(n)
+            | Fault::DrainByAnswers(n)
+            | Fault::Replace(n)
+            | Fault::StartAgain(n)
+            | Fault::Limit(n, _, _) => Some(instances + n % places),
+            Fault::Restore(_) => Some(instances + places),
             _ => None,
         };
         if held.is_some_and(|h| self.held[h].swap(true, Ordering::Relaxed)) {
@@ -245,6 +249,7 @@
         let places = &self.world.places;
         match fault {
             Fault::Drain(n)
+            | Fault::DrainByAnswers(n)
             | Fault::Replace(n)
             | Fault::StartAgain(n)
             | Fault::Engine(n, _, _)
@@ -326,10 +331,23 @@
                 misbehave(&self.world.store_links[n % instances], mode, span).await;
             }
             Fault::Drain(n) => {
-                self.world.register(place(n), "draining");
+                let engine = place(n).handler.engine();
+                engine.draining.store(true, Ordering::Relaxed);
+                self.world.register(place(n));
                 Timer::after(DRAIN_LASTS).await;
                 self.world.replace(place(n));
             }
+            Fault::DrainByAnswers(n) => {
+                let engine = place(n).handler.engine();
+                engine.says_leaving.store(true, Ordering::Relaxed);
+                Timer::after(DRAIN_LASTS).await;
+                self.world.replace(place(n));
+            }
+            Fault::Restore(age) => {
+                let copy = lock(&self.world.store.records).clone();
+                Timer::after(age).await;
+                self.world.restore(copy).await;
+            }
             Fault::Replace(n) => self.world.replace(place(n)),
             Fault::StartAgain(n) => self.world.start_again(place(n)).await,
             Fault::Bad(number, span) => self.repeat_bad(number, span).await,
--- a/soak/src/stages.rs
+++ b/soak/src/stages.rs
@@ -21,6 +21,7 @@
 
 use crate::EngineMode;
 use crate::model::Engine;
+use crate::model::set_backoff;
 use crate::store_api::json_body;
 use crate::store_api::status;
 
@@ -91,8 +92,10 @@
         }
         let mode = *lock(&self.engine.mode);
         match mode {
-            Some(EngineMode::Sheds | EngineMode::Fails) => {
-                return status(StatusCode::SERVICE_UNAVAILABLE);
+            Some(EngineMode::Sheds | EngineMode::Fails | EngineMode::BacksOff(_)) => {
+                let mut res = status(StatusCode::SERVICE_UNAVAILABLE);
+                set_backoff(&mut res, mode.and_then(EngineMode::backoff));
+                return res;
             }
             Some(EngineMode::Hangs) => futures_lite::future::pending().await,
             _ => {}
@@ -111,7 +114,7 @@
     fn handle(self: Arc<Self>, req: Request<Incoming>) -> HandlerFuture {
         Box::pin(async move {
             let res = self.answer(req).await;
-            self.engine.with_limit(res)
+            self.engine.with_notices(res)
         })
     }
 }
--- a/soak/src/store.rs
+++ b/soak/src/store.rs
@@ -17,8 +17,9 @@
 }
 
 /// Records, leases and history.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(crate) struct Records {
+    era: u64,
     revision: u64,
     records: BTreeMap<String, Record>,
     history: VecDeque<Record>,
@@ -72,7 +73,7 @@
 
     /// What happened after a revision; none if that is forgotten.
     pub(crate) fn since(&self, after: u64, prefix: &str) -> Option<Vec<Record>> {
-        if after < self.forgotten {
+        if after < self.forgotten || after > self.revision {
             return None;
         }
         let news = self.history.iter();
@@ -80,6 +81,17 @@
         Some(news.cloned().collect())
     }
 
+    pub(crate) fn era(&self) -> u64 {
+        self.era
+    }
+
+    /// Comes back from a copy. Revisions and leases are given out again from there.
+    pub(crate) fn restore(&mut self, copy: Records) {
+        let era = self.era + 1;
+        *self = Records { era, ..copy };
+        self.forget();
+    }
+
     pub(crate) fn forget(&mut self) {
         self.history.clear();
         self.forgotten = self.revision;
--- a/soak/src/store_api.rs
+++ b/soak/src/store_api.rs
@@ -12,6 +12,7 @@
 use event_listener::Event;
 use futures_lite::FutureExt;
 use futures_lite::future;
+use http::HeaderValue;
 use http::Request;
 use http::Response;
 use http::StatusCode;
@@ -58,6 +59,12 @@
         self.changed.notify(usize::MAX);
     }
 
+    /// Comes back from a copy.
+    pub(crate) fn restore(&self, copy: Records) {
+        lock(&self.records).restore(copy);
+        self.changed.notify(usize::MAX);
+    }
+
     /// Ends leases for good.
     pub(crate) async fn expire(self: Arc<Self>) {
         loop {
@@ -122,13 +129,14 @@
         let prefix = query.get("prefix").cloned().unwrap_or_default();
         let after = number("after").unwrap_or(0);
         let until = Instant::now() + Duration::from_millis(number("wait_ms").unwrap_or(0));
+        let era = lock(&self.records).era();
         loop {
             let changed = self.changed.listen();
             let (news, revision) = {
                 let records = lock(&self.records);
                 (records.since(after, &prefix), records.revision())
             };
-            let Some(news) = news else {
+            let Some(news) = news.filter(|_| lock(&self.records).era() == era) else {
                 return status(StatusCode::GONE);
             };
             if !news.is_empty() || Instant::now() >= until {
@@ -184,7 +192,12 @@
 
 impl Handler for StoreApi {
     fn handle(self: Arc<Self>, req: Request<Incoming>) -> HandlerFuture {
-        Box::pin(async move { self.answer(req).await })
+        Box::pin(async move {
+            let mut res = self.answer(req).await;
+            let era = HeaderValue::from(lock(&self.records).era());
+            res.headers_mut().insert("store-era", era);
+            res
+        })
     }
 }
 
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -21,18 +22,24 @@
 
 use crate::Ledger;
 use crate::LinkMode;
+use crate::StoreMode;
 use crate::config;
 use crate::config::KEYS;
 use crate::model::Engine;
 use crate::relay::Relay;
 use crate::stages::Results;
 use crate::stages::StageEngine;
+use crate::store::Records;
 use crate::store_api::StoreApi;
 
 /// Upstreams and their services.
 const ENGINES: [&str; 9] = [
     "desk", "desk", "desk", "model", "model", "model", "rank", "rank", "rank",
 ];
+/// How long the store is away until it comes back from a copy.
+const AWAY: Duration = Duration::from_millis(300);
+/// After which time the operator and the upstreams write again what it lost.
+const WRITTEN_AGAIN_AFTER: Duration = Duration::from_millis(400);
 /// Where an instance answers, in the order of its settings.
 const PORTS: [u16; 5] = [7_001, 7_002, 7_003, 7_004, 7_005];
 /// The port of relays to the store, of upstreams, and of relays to these.
@@ -127,6 +134,8 @@
                 born: AtomicU64::new(now_ms()),
                 mode: Mutex::default(),
                 limit: Mutex::default(),
+                draining: AtomicBool::new(false),
+                says_leaving: AtomicBool::new(false),
                 ledger: Arc::clone(&ledger),
                 results: Arc::clone(&results),
                 ended: tx.clone(),
@@ -169,7 +178,7 @@
             _servers: servers,
         };
         for place in &world.places {
-            world.register(place, "ready");
+            world.register(place);
         }
         world.configure();
         Ok(world)
@@ -197,21 +206,56 @@
     }
 
     /// Writes an upstream's entry as it is now.
-    pub(crate) fn register(&self, place: &Place, state: &str) {
-        let id = place.handler.engine().id();
+    pub(crate) fn register(&self, place: &Place) {
+        let engine = place.handler.engine();
+        let id = engine.id();
+        let state = match engine.draining.load(Ordering::Relaxed) {
+            true => "draining",
+            false => "ready",
+        };
         let entry = json!({
             "service": place.service, "addr": place.link.address(), "zone": "hall-a",
             "version": "v1", "slots": 16, "state": state, "cold_left_ms": 0, "seq": 1,
-            "born": place.handler.engine().born.load(Ordering::Relaxed),
+            "born": engine.born.load(Ordering::Relaxed),
         });
         self.store.put(&format!("servers/{id}"), &entry);
     }
 
     /// Another upstream has the address from now on.
     pub(crate) fn replace(&self, place: &Place) {
-        let gone = std::mem::replace(&mut *lock(&place.handler.engine().id), new_id());
+        let engine = place.handler.engine();
+        let gone = std::mem::replace(&mut *lock(&engine.id), new_id());
+        engine.draining.store(false, Ordering::Relaxed);
+        engine.says_leaving.store(false, Ordering::Relaxed);
         self.store.remove(&format!("servers/{gone}"));
-        self.register(place, "ready");
+        self.register(place);
+    }
+
+    /// The store comes back from a copy. The operator and the upstreams write again what
+    /// they wrote, and entries of upstreams that are gone end.
+    pub(crate) async fn restore(&self, copy: Records) {
+        *lock(&self.store.mode) = Some(StoreMode::Refuses);
+        Timer::after(AWAY).await;
+        self.store.restore(copy);
+        *lock(&self.store.mode) = None;
+        Timer::after(WRITTEN_AGAIN_AFTER).await;
+        self.write_config(&lock(&self.operator));
+        for place in &self.places {
+            self.register(place);
+        }
+        let there: Vec<String> = self
+            .places
+            .iter()
+            .map(|p| p.handler.engine().id())
+            .collect();
+        let listed = lock(&self.store.records).range("servers/", "");
+        let gone = listed.iter().filter(|r| {
+            let id = r.key.strip_prefix("servers/").unwrap_or_default();
+            !there.iter().any(|t| t == id)
+        });
+        for record in gone {
+            self.store.remove(&record.key);
+        }
     }
 
     /// An upstream ends, with all that it holds and its connections, and starts again
@@ -225,7 +269,7 @@
             .engine()
             .born
             .store(now_ms(), Ordering::Relaxed);
-        self.register(place, "ready");
+        self.register(place);
         place.link.set(None);
     }
 
