Proof of an earlier era is no news to an instance in a later one

Seen: nothing yet; found while reading what happens between two instances of different eras. The one in the earlier era has younger proof, which does not count in the later one, so that it was told anew at once each time: questions without a pause until the source is passed over after 2.6 s. In the same way an answer of an earlier era to a question for proof was taken for a success that left the proof old, and asked again at once.

Change: proof is news only to who is in its era, and such an answer counts as a failed call.

--- a/crates/gateway/src/peer_news.rs
+++ b/crates/gateway/src/peer_news.rs
@@ -189,7 +189,10 @@
     }
     let knowledge = state.knowledge();
     let theirs = req.proof.map(|p| proof_at(came, p).asked);
-    let ours = knowledge.freshness.proof().map(|p| p.asked);
+    // It counts there only if it is of the same era.
+    let ours = knowledge.freshness.proof();
+    let ours = ours.filter(|p| p.revision.era == req.after_era);
+    let ours = ours.map(|p| p.asked);
     let younger = match (ours, theirs) {
         (Some(ours), Some(theirs)) => ours > theirs + YOUNGER_BY,
         (ours, None) => ours.is_some(),
--- a/crates/gateway/src/store_proof.rs
+++ b/crates/gateway/src/store_proof.rs
@@ -6,6 +6,7 @@
 use async_io::Timer;
 use jd_serving::NewsSource;
 
+use crate::StoreError;
 use crate::store_call::StoreCall;
 use crate::store_link::StoreLink;
 use crate::store_link::patience;
@@ -48,6 +49,10 @@
             let asking = store.revision();
             let patience = patience(failures);
             match self.link.call(StoreCall::Confirm, patience, asking).await {
+                Ok(revision) if revision.era < state.knowledge().mirror.revision().era => {
+                    failures = failures.saturating_add(1);
+                    self.link.failed(StoreCall::Confirm, StoreError::OtherEra);
+                }
                 Ok(revision) => {
                     failures = 0;
                     self.link.succeeded();
--- a/crates/gateway/tests/whole/restored_store.rs
+++ b/crates/gateway/tests/whole/restored_store.rs
@@ -10,6 +10,7 @@
 use jd_serving::Deployment;
 use jd_serving::SMALL_FLEET;
 use jd_types::Name;
+use jd_wire::FollowRequest;
 use test_case::test_case;
 
 use crate::fakes::Harness;
@@ -238,3 +239,24 @@
         all_answer(&harness, 1, "/added/x", 200).await;
     });
 }
+
+/// An instance that still is in the earlier era has younger proof, which counts nowhere in the later
+/// one. Told at once each time, the one that follows it would ask again without a pause.
+#[test]
+fn proof_of_an_earlier_era_is_no_news_in_a_later_one() {
+    let harness = fleet(2);
+    block_on(async {
+        harness.until_all_answer("/any/x", 200).await;
+        let asked = FollowRequest {
+            after: 1,
+            after_era: 1,
+            wait_ms: 600,
+            ..FollowRequest::default()
+        };
+        let began = Instant::now();
+        let reply = harness.follow(asked).await;
+        assert_eq!(reply.era, 0);
+        assert!(reply.items.is_empty());
+        assert!(began.elapsed() >= Duration::from_millis(600));
+    });
+}
