Answers of the wrong era are not asked for again without a pause

Seen with the guards broken on purpose in the soak: with the era left out of revisions an instance read the store 213 times in a row, and with leases that had ended as they were taken one made 18,000 calls for leases.

--- a/crates/gateway/src/store_follower.rs
+++ b/crates/gateway/src/store_follower.rs
@@ -92,6 +92,10 @@
                     Err(e) => {
                         failures = failures.saturating_add(1);
                         self.link.failed(StoreCall::Page, e);
+                        if e == StoreError::OtherEra {
+                            // The store answers, so that nothing else waits.
+                            Timer::after(NEWS_BEHIND).await;
+                        }
                     }
                 }
             }
--- a/crates/gateway/src/store_lease.rs
+++ b/crates/gateway/src/store_lease.rs
@@ -44,11 +44,16 @@
         state.listed.wait().await;
         let mut held = HeldEntry::default();
         loop {
+            let had_lease = held.lease.is_some();
             let pause = match self.keep_up(&mut held).await {
                 Ok(()) => state.settings.lease / 3,
                 Err(StoreError::LeaseGone) => {
                     held = HeldEntry::default();
-                    continue;
+                    if had_lease {
+                        continue;
+                    }
+                    // It ended as it was taken: the store is not well.
+                    RETRY_PAUSE
                 }
                 Err(e) => {
                     log::debug!(error:% = e; "entry not kept up; it is tried again");
