The soak restores its store to where revisions have passed, and asks for the newest version at the end

The store loses thirty more writes that instances have seen, and has a new version written under a revision that it gave out before. After the faults no instance may answer 404 on the newest route.

--- a/soak/src/judge.rs
+++ b/soak/src/judge.rs
@@ -97,6 +97,7 @@
     seen.repeats_bounded(&mut broken);
     seen.planned_work_cuts_nothing(&mut broken);
     seen.recovered(calm, &mut broken);
+    seen.newest_in_force(calm, &mut broken);
     broken.extend(bad_requests::judge(&attempts, &runs, &spans));
     broken.extend(limits::judge(&runs, &spans));
     broken.extend(notices::judge(&attempts, &runs, &spans));
@@ -359,6 +360,24 @@
         }
     }
 
+    /// Once the faults are over every instance serves by the newest version.
+    fn newest_in_force(&self, calm: Duration, broken: &mut Vec<Broken>) {
+        let version = |a: &Attempt| match a.kind {
+            Kind::Probe(version) => Some(version),
+            _ => None,
+        };
+        let newest = self.attempts.iter().filter_map(version).max();
+        let probes = self.attempts.iter().filter(|a| version(a) == newest);
+        let late = probes.filter(|a| a.sent > calm + RECOVERED_AFTER);
+        let unknown = |a: &&Attempt| matches!(a.ended, Ended::Answer { status: 404, .. });
+        for a in late.filter(|a| newest.is_some() && unknown(a)) {
+            broken.push(Broken {
+                promise: "changes are in force",
+                detail: format!("{} asked {:?} for {newest:?}", a.id, a.instance),
+            });
+        }
+    }
+
     fn recovered(&self, calm: Duration, broken: &mut Vec<Broken>) {
         let counted = |a: &&Attempt| {
             a.sent > calm + RECOVERED_AFTER
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -36,6 +36,10 @@
 const ENGINES: [&str; 9] = [
     "desk", "desk", "desk", "model", "model", "model", "rank", "rank", "rank",
 ];
+/// Further writes that it loses then, and whose revisions it gives out again.
+const LOST: u32 = 30;
+/// How long instances have to see these.
+const SEEN_WITHIN: Duration = Duration::from_millis(300);
 /// How long the store is away until it comes back from a copy.
 const AWAY: Duration = Duration::from_millis(300);
 /// After which time the operator and the upstreams write again what it lost.
@@ -234,12 +238,17 @@
     /// The store comes back from a copy. The operator and the upstreams write again what
     /// they wrote, and entries of upstreams that are gone end.
     pub(crate) async fn restore(&self, copy: Records) {
+        for n in 0..LOST {
+            self.store.put("op/other", &json!(n));
+        }
+        Timer::after(SEEN_WITHIN).await;
         *lock(&self.store.mode) = Some(StoreMode::Refuses);
         Timer::after(AWAY).await;
         self.store.restore(copy);
         *lock(&self.store.mode) = None;
         Timer::after(WRITTEN_AGAIN_AFTER).await;
-        self.write_config(&lock(&self.operator));
+        // A new version, under a revision that was given out before.
+        self.configure();
         for place in &self.places {
             self.register(place);
         }
