--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -113,7 +113,7 @@
         );
         r.register(
             "jd_gateway_upstream_notices",
-            "Answers of upstreams that leave, or that want nothing for a while",
+            "What upstreams said in answers of what may be sent to them next",
             metrics.notices.clone(),
         );
         r.register(
