--- a/crates/gateway/tests/whole/fleet.rs
+++ b/crates/gateway/tests/whole/fleet.rs
@@ -125,6 +125,30 @@
     });
 }
 
+/// The store turns one instance of a small fleet away, each of which reads the store itself, and a
+/// route is added. That instance answered 404 there for as long as it was turned away.
+#[test]
+fn an_instance_that_is_turned_away_takes_a_later_version_from_the_others() {
+    let mut harness = Harness::start(vec![vec![Reply::Whole("yours")]]);
+    harness.add_gateways(4);
+    let turned_away = harness.add_gateway(0, false);
+    block_on(async {
+        harness.until_all_answer("/any/x", 200).await;
+        turned_away.set_away(true);
+        let mut next = deployment();
+        next.version = 2;
+        next.routes[0].prefix = "/added/".into();
+        next.routes[0].public = true;
+        let next = Record::Deployment(Box::new(next));
+        harness.store.change(Change::Put(next));
+        let changed = Instant::now();
+        while harness.ask_instance(4, "/added/x", "x").await.status != 200 {
+            assert!(changed.elapsed() < Duration::from_secs(3), "not told");
+            Timer::after(Duration::from_millis(20)).await;
+        }
+    });
+}
+
 /// A configuration with another route in the place of the first.
 fn second_version() -> Change {
     let mut next = deployment();
