Seeds of a soak that run at the same time have networks of their own

Cause: a seed's loopback network followed from the seed modulo 250, which is the same for 4000 and 5000, and two run at a time. Networks follow the order in which seeds are begun now; plans do not change.

--- a/crates/gateway-daemon/tests/soak.rs
+++ b/crates/gateway-daemon/tests/soak.rs
@@ -15,6 +15,8 @@
 use std::str::FromStr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicU8;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -40,6 +42,8 @@
 /// each of the first plans, with upstreams that name limits, and with those that give
 /// notice in their answers.
 const SHORT: [u64; 6] = [4, 5, 4_000, 4_001, 5_000, 5_001];
+/// Seeds that this process has begun to play.
+static PLAYED: AtomicU8 = AtomicU8::new(0);
 /// The soak's name where a filter names tests.
 const NAME: &str = "soak";
 
@@ -192,7 +196,8 @@
     let fleet = Arc::new(Processes::new(dir.clone(), instances));
     // A loopback network for each seed of each process that soaks.
     let [_, _, _, own] = std::process::id().to_be_bytes();
-    let network = [127, 2 + own % 250, (seed % 250) as u8];
+    let place = PLAYED.fetch_add(1, Ordering::Relaxed) % 250;
+    let network = [127, 2 + own % 250, place];
     let began = Instant::now();
     let played = block_on(soak(&executor, &plan, fleet, network, instances));
     let took = began.elapsed();
