Tables of upstreams are made without a ring of prefixes where nobody uses it

Cause: at each batch of changes a table of all upstreams is made anew, and with it a ring with 16 places for each, sorted: 160,000 places before 10,005 upstreams. The gateway chooses by load alone and places prompts by rendezvous hashing; it never asks the ring.

Ruled out: leaving the table as it is and making it less often: a change would take longer to be in force, and longer still at twice the size.

Change: a table can be made without the ring; the gateway's is. What is left still grows with all upstreams of all services at each batch of changes (open).

--- a/crates/gateway/src/upstream_table.rs
+++ b/crates/gateway/src/upstream_table.rs
@@ -212,7 +212,7 @@
             let table = ServiceTable {
                 ids: entries.iter().map(|e| e.id.clone()).collect(),
                 slots,
-                pool: PoolTable::new(upstreams, slots, zone),
+                pool: PoolTable::without_prefixes(upstreams, slots, zone),
                 known,
             };
             services.insert(service, table);
--- a/crates/policy/src/pool_table.rs
+++ b/crates/policy/src/pool_table.rs
@@ -94,28 +94,26 @@
 impl PoolTable {
     /// A table of `upstreams` with `slots` each, for an instance in `hall`.
     pub fn new(upstreams: Vec<Arc<Upstream>>, slots: u32, hall: &Name) -> PoolTable {
-        let keyed = || (0..).map(UpstreamKey::from_index).zip(&upstreams);
-        let near = keyed()
-            .filter(|(_, u)| u.hall == *hall)
-            .map(|(k, _)| k)
-            .collect();
-        let places = |(key, u): (UpstreamKey, &Arc<Upstream>)| {
-            let base = spread_address(u.address);
-            (0..PLACES).map(move |n| Place {
-                at: spread(base ^ spread(n)),
-                key,
-            })
-        };
-        let mut ring: Vec<Place> = keyed().flat_map(places).collect();
-        ring.sort_unstable();
-        let (turn, census) = (AtomicUsize::new(0), Census::default());
+        let ring = ring_of(&upstreams);
+        PoolTable {
+            ring,
+            ..PoolTable::without_prefixes(upstreams, slots, hall)
+        }
+    }
+
+    /// The same for choices by load alone. The ring of prefixes, which is not made, takes
+    /// most of the time that a table takes.
+    pub fn without_prefixes(upstreams: Vec<Arc<Upstream>>, slots: u32, hall: &Name) -> PoolTable {
+        let keyed = (0..).map(UpstreamKey::from_index).zip(&upstreams);
+        let near = keyed.filter(|(_, u)| u.hall == *hall);
+        let near = near.map(|(k, _)| k).collect();
         PoolTable {
             upstreams,
             near,
-            ring,
+            ring: Vec::new(),
             slots,
-            turn,
-            census,
+            turn: AtomicUsize::new(0),
+            census: Census::default(),
         }
     }
 
@@ -320,6 +318,20 @@
     }
 }
 
+fn ring_of(upstreams: &[Arc<Upstream>]) -> Vec<Place> {
+    let keyed = (0..).map(UpstreamKey::from_index).zip(upstreams);
+    let places = |(key, u): (UpstreamKey, &Arc<Upstream>)| {
+        let base = spread_address(u.address);
+        (0..PLACES).map(move |n| Place {
+            at: spread(base ^ spread(n)),
+            key,
+        })
+    };
+    let mut ring: Vec<Place> = keyed.flat_map(places).collect();
+    ring.sort_unstable();
+    ring
+}
+
 impl Census {
     /// True for one caller each time it is due.
     fn is_due(&self, now: MonoTime) -> bool {
