A change of one entry costs what it touches, in the lists of upstreams, instances and records

Cause, read in the source and now counted: each entry of an upstream that was written was followed by a walk over all upstreams that collected two lists; a whole reading compared each entry with each other; each news for a follower looked through all records, locked; each answer to a heartbeat walked all instances for those that the store does not list; each entry of an instance walked all twice. Fixed sizes stood beside: 1,024 removals, after which every follower is sent everything (a scale-in of 13 of 100 is 1,300), and 64 records after which all are packed anew.

Ruled out: larger constants. Removals are kept up to as many as there are records, which costs a follower that is further behind no more than they would; all are packed anew once a sixteenth of them has changed, so that the work for one change does not grow.

Change: counts of what the directory holds are kept and not taken; instances are found by address; those unlisted and those lapsed are known; records have an index by revision.

--- a/crates/gateway/src/peer_news.rs
+++ b/crates/gateway/src/peer_news.rs
@@ -24,9 +24,9 @@
 /// the time after which a new one is asked for.
 const YOUNGER_BY: Duration = Duration::from_millis(300);
 
-/// Records that may have been written since all were packed. Each is sent beside the
-/// piece, and together they are still small.
-const PACKED_BEHIND: usize = 64;
+/// Records that may have been written since all were packed, as a part of all: one in so
+/// many. Each is sent beside the piece, and to pack all costs as much as they are.
+const PACKED_BEHIND: usize = 16;
 
 /// What another instance knows of the store.
 #[derive(Debug)]
@@ -126,7 +126,7 @@
         return None;
     }
     let is_old = mirror.is_behind(packed.revision)
-        || mirror.written_after(packed.revision) > PACKED_BEHIND
+        || mirror.written_after(packed.revision) > mirror.records() / PACKED_BEHIND
         || packed.bytes.is_empty();
     if is_old {
         let all = mirror.since(StoreRevision::NOTHING);
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -168,11 +168,7 @@
 
     fn address_of(&self, id: Incarnation) -> Option<SocketAddr> {
         let knowledge = self.state.knowledge();
-        let entry = knowledge
-            .instances
-            .entries()
-            .find(|e| e.incarnation == id)?;
-        Some(entry.peers)
+        Some(knowledge.instances.entry(id)?.peers)
     }
 
     /// The instances that heartbeats are exchanged with: all of a small fleet; of
--- a/crates/serving/src/instance_directory.rs
+++ b/crates/serving/src/instance_directory.rs
@@ -1,6 +1,7 @@
 //! Which instances there are, and which of them callers are told of.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -11,6 +12,7 @@
 use crate::Reading;
 use crate::StoreRevision;
 use crate::Strength;
+use crate::visits::Visits;
 
 /// How long an instance may stay silent before it is passed over. Three missed
 /// heartbeats; a caller sent to a dead instance loses a second.
@@ -75,6 +77,11 @@
 #[derive(Debug, Default)]
 pub struct InstanceDirectory {
     known: HashMap<Incarnation, Known>,
+    /// Which start of an instance is known at an address.
+    by_peers: HashMap<SocketAddr, Incarnation>,
+    /// Those that the store does not list.
+    unlisted: HashSet<Incarnation>,
+    visits: Visits,
 }
 
 #[derive(Debug)]
@@ -116,16 +123,21 @@
     /// later is there, in whatever order they are read; but one that answers is not
     /// displaced by what a copy of the store has of an earlier start.
     pub fn put(&mut self, now: MonoTime, entry: InstanceEntry, written: StoreRevision) {
-        let same =
-            |k: &Known| k.entry.peers == entry.peers && k.entry.incarnation != entry.incarnation;
+        self.visits.add(1);
+        let other = self.by_peers.get(&entry.peers).copied();
+        let other = other.filter(|id| *id != entry.incarnation);
         let answers = |k: &Known| k.ever_heard && now.since(k.heard) < SILENT_AFTER;
         // One that was heard in place of a dead start has that start's revision.
         let is_later =
             |k: &Known| k.written >= written || (!k.written.is_same_era(written) && answers(k));
-        if self.known.values().any(|k| same(k) && is_later(k)) {
-            return;
+        match other.and_then(|id| self.known.get(&id)) {
+            Some(other) if is_later(other) => return,
+            _ => {}
+        }
+        if let Some(other) = other {
+            self.forget(other);
         }
-        self.known.retain(|_, k| !same(k));
+        self.unlisted.remove(&entry.incarnation);
         let known = self.known.entry(entry.incarnation).or_insert(Known {
             entry: entry.clone(),
             written,
@@ -142,6 +154,7 @@
         known.lost_at = None;
         known.written = known.written.max(written);
         known.entry.leaving |= entry.leaving;
+        self.by_peers.insert(known.entry.peers, entry.incarnation);
     }
 
     /// The store lists these and no others. Without this, an instance whose entry
@@ -151,12 +164,17 @@
     /// until they had time for it. Else a large fleet, in which each is watched by a few,
     /// would lose all that started lately from sight at once.
     pub fn relist(&mut self, now: MonoTime, ids: &[Incarnation], reading: Reading) {
+        let ids: HashSet<Incarnation> = ids.iter().copied().collect();
         for (id, known) in &mut self.known {
+            self.visits.add(1);
             match reading {
                 _ if ids.contains(id) => known.lost_at = None,
                 Reading::Restored => known.lost_at = Some(now),
                 Reading::Complete if known.lost_at.is_some() => {}
-                Reading::Complete => known.listed = false,
+                Reading::Complete => {
+                    known.listed = false;
+                    self.unlisted.insert(*id);
+                }
             }
         }
     }
@@ -167,6 +185,7 @@
         if let Some(known) = self.known.get_mut(&id) {
             known.listed = false;
             known.lost_at = None;
+            self.unlisted.insert(id);
         }
     }
 
@@ -187,24 +206,23 @@
     /// which nobody asked it for anything: after all instances had started anew
     /// they did without each other for up to a second.
     pub fn started_anew(&mut self, now: MonoTime, earlier: Incarnation, later: Incarnation) {
-        if let Some(mut known) = self.known.remove(&earlier)
+        if let Some(mut known) = self.forget(earlier)
             && !self.known.contains_key(&later)
         {
             known.entry.incarnation = later;
             known.entry.leaving = false;
             known.heard = now;
             known.ever_heard = true;
-            self.known.insert(later, known);
+            self.insert(known);
         }
     }
 
     /// Those that answer and that the store does not list.
     pub fn unlisted(&self, now: MonoTime) -> impl Iterator<Item = &InstanceEntry> {
         let heard = move |k: &&Known| k.ever_heard && now.since(k.heard) < SILENT_AFTER;
-        let unlisted = self
-            .known
-            .values()
-            .filter(|k| !k.listed && !k.entry.leaving);
+        let unlisted = self.unlisted.iter().inspect(|_| self.visits.add(1));
+        let unlisted = unlisted.filter_map(|id| self.known.get(id));
+        let unlisted = unlisted.filter(|k| !k.entry.leaving);
         unlisted.filter(heard).map(|k| &k.entry)
     }
 
@@ -214,8 +232,8 @@
     /// cut off from the store alone: its entry runs out, those that were there
     /// before go on hearing it, and one that starts meanwhile reads of all but it.
     pub fn told(&mut self, now: MonoTime, entry: InstanceEntry) {
-        let same = |k: &Known| k.entry.peers == entry.peers;
-        if self.known.values().any(same) {
+        self.visits.add(1);
+        if self.by_peers.contains_key(&entry.peers) {
             return;
         }
         let known = Known {
@@ -230,7 +248,7 @@
             removal_tried: None,
             entry,
         };
-        self.known.insert(known.entry.incarnation, known);
+        self.insert(known);
     }
 
     /// Heartbeats are exchanged with these instances and no others.
@@ -274,15 +292,23 @@
 
     /// Forgets those that are neither listed nor heard.
     pub fn expire(&mut self, now: MonoTime) {
-        for known in self.known.values_mut() {
+        for (id, known) in &mut self.known {
             let lost = known.lost_at;
             if lost.is_some_and(|at| now.since(at) >= WRITTEN_AGAIN_WITHIN) {
                 known.listed = false;
                 known.lost_at = None;
+                self.unlisted.insert(*id);
             }
         }
-        self.known
-            .retain(|_, k| k.listed || now.since(k.heard) < SILENT_AFTER * 4);
+        let over = |id: &&Incarnation| match self.known.get(id) {
+            Some(known) => now.since(known.heard) >= SILENT_AFTER * 4,
+            None => true,
+        };
+        let over = self.unlisted.iter().filter(over).copied();
+        let over: Vec<Incarnation> = over.collect();
+        for id in over {
+            self.forget(id);
+        }
     }
 
     /// All that are known.
@@ -310,8 +336,14 @@
 
     /// True if the instance at this address is there, whichever start of it.
     pub fn is_there(&self, now: MonoTime, peers: SocketAddr) -> bool {
-        let mut at = self.known.values().filter(|k| k.entry.peers == peers);
-        at.any(|k| k.is_there(now))
+        let id = self.by_peers.get(&peers);
+        let known = id.and_then(|id| self.known.get(id));
+        known.is_some_and(|k| k.is_there(now))
+    }
+
+    /// What a start of an instance says of itself; none if it is not known.
+    pub fn entry(&self, id: Incarnation) -> Option<&InstanceEntry> {
+        self.known.get(&id).map(|k| &k.entry)
     }
 
     /// True if it answered a heartbeat lately.
@@ -339,4 +371,28 @@
         let addresses = all.into_iter().map(|e| e.callers);
         addresses.take(MAX_ADDRESSES).collect()
     }
+
+    /// Instances that were looked at one by one since the start, but for the lists that
+    /// are asked for as a whole.
+    pub fn visited(&self) -> u64 {
+        self.visits.count()
+    }
+
+    fn insert(&mut self, known: Known) {
+        let id = known.entry.incarnation;
+        self.by_peers.insert(known.entry.peers, id);
+        if !known.listed {
+            self.unlisted.insert(id);
+        }
+        self.known.insert(id, known);
+    }
+
+    fn forget(&mut self, id: Incarnation) -> Option<Known> {
+        self.unlisted.remove(&id);
+        let known = self.known.remove(&id)?;
+        if self.by_peers.get(&known.entry.peers) == Some(&id) {
+            self.by_peers.remove(&known.entry.peers);
+        }
+        Some(known)
+    }
 }
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -58,6 +58,7 @@
 mod upstream_limits;
 mod upstream_start;
 mod zone_turns;
+mod visits;
 
 pub use backoffs::Backoffs;
 pub use batch_call::BatchCall;
--- a/crates/serving/src/store_mirror.rs
+++ b/crates/serving/src/store_mirror.rs
@@ -1,14 +1,16 @@
 //! What the store holds, as far as this instance has been told.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::VecDeque;
 
 use bytes::Bytes;
 use compact_str::CompactString;
 
 use crate::StoreRevision;
+use crate::visits::Visits;
 
-/// Removals that are remembered. A follower that is further behind is sent
+/// Removals that are remembered at least. A follower that is further behind is sent
 /// everything; each takes some 60 bytes.
 const REMOVALS_KEPT: usize = 1_024;
 
@@ -45,10 +47,13 @@
 #[derive(Debug, Default)]
 pub struct StoreMirror {
     items: BTreeMap<CompactString, StoreItem>,
+    /// The keys of all items by when they were written.
+    written: BTreeSet<(StoreRevision, CompactString)>,
     removed: VecDeque<StoreItem>,
     /// Removals up to this revision may have been forgotten.
     forgotten: StoreRevision,
     revision: StoreRevision,
+    visits: Visits,
 }
 
 impl StoreMirror {
@@ -63,7 +68,11 @@
         if revision < self.revision {
             return false;
         }
-        self.items = items.into_iter().map(|i| (i.key.clone(), i)).collect();
+        self.items.clear();
+        self.written.clear();
+        for item in items {
+            self.insert(item);
+        }
         self.removed.clear();
         self.forgotten = revision;
         self.revision = revision;
@@ -81,16 +90,15 @@
         items.retain(|i| i.revision > self.revision);
         for item in &items {
             match item.removed {
-                false => {
-                    self.items.insert(item.key.clone(), item.clone());
-                }
+                false => self.insert(item.clone()),
                 true => {
-                    self.items.remove(&item.key);
+                    self.forget(&item.key);
                     self.removed.push_back(item.clone());
                 }
             }
         }
-        while self.removed.len() > REMOVALS_KEPT {
+        // All that is here may be removed at once, and no follower is sent everything for it.
+        while self.removed.len() > REMOVALS_KEPT.max(self.items.len()) {
             let oldest = self.removed.pop_front();
             self.forgotten = oldest.map_or(self.forgotten, |i| i.revision);
         }
@@ -104,24 +112,68 @@
         after < self.forgotten
     }
 
+    /// How many records there are.
+    pub fn records(&self) -> usize {
+        self.items.len()
+    }
+
     /// How many records were written after a revision.
     pub fn written_after(&self, after: StoreRevision) -> usize {
-        let newer = self.items.values().filter(|i| i.revision > after);
-        newer.count()
+        self.newer(after).count()
     }
 
-    /// What somebody lacks who knows everything up to `after`.
+    /// What somebody lacks who knows everything up to `after`. Only that is looked at.
     pub fn since(&self, after: StoreRevision) -> News {
-        let whole = self.is_behind(after);
-        let newer = |i: &&StoreItem| whole || i.revision > after;
-        let removed = self.removed.iter().filter(|_| !whole);
-        let all = self.items.values().chain(removed);
-        let mut items: Vec<StoreItem> = all.filter(newer).cloned().collect();
+        if self.is_behind(after) {
+            return self.all();
+        }
+        let mut written: Vec<&StoreItem> = self.newer(after).collect();
+        written.reverse();
+        let removed = self.removed.iter().rev().inspect(|_| self.visits.add(1));
+        let removed = removed.take_while(|i| i.revision > after);
+        let mut removed: Vec<&StoreItem> = removed.collect();
+        removed.reverse();
+        let mut items: Vec<StoreItem> = written.into_iter().chain(removed).cloned().collect();
         items.sort_by_key(|i| i.revision);
         News {
-            whole,
+            whole: false,
             items,
             revision: self.revision,
         }
     }
+
+    /// Records and removals that were looked at one by one since the start.
+    pub fn visited(&self) -> u64 {
+        self.visits.count()
+    }
+
+    fn all(&self) -> News {
+        let items = self.written.iter().inspect(|_| self.visits.add(1));
+        let items = items.filter_map(|(_, key)| self.items.get(key));
+        News {
+            whole: true,
+            items: items.cloned().collect(),
+            revision: self.revision,
+        }
+    }
+
+    /// What was written after a revision, the latest first.
+    fn newer(&self, after: StoreRevision) -> impl Iterator<Item = &StoreItem> {
+        let written = self.written.iter().rev();
+        let written = written.inspect(|_| self.visits.add(1));
+        let written = written.take_while(move |(at, _)| *at > after);
+        written.filter_map(|(_, key)| self.items.get(key))
+    }
+
+    fn insert(&mut self, item: StoreItem) {
+        self.forget(&item.key);
+        self.written.insert((item.revision, item.key.clone()));
+        self.items.insert(item.key.clone(), item);
+    }
+
+    fn forget(&mut self, key: &str) {
+        if let Some(before) = self.items.remove(key) {
+            self.written.remove(&(before.revision, before.key));
+        }
+    }
 }
--- a/crates/serving/src/upstream_directory.rs
+++ b/crates/serving/src/upstream_directory.rs
@@ -1,6 +1,7 @@
 //! Which upstreams there are.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -12,6 +13,7 @@
 use crate::UpstreamStart;
 use crate::departures::Departures;
 use crate::departures::ToldBy;
+use crate::visits::Visits;
 
 /// How long after the store's return an entry that lapsed may still come back.
 /// The users' platform puts entries of live upstreams back within two seconds.
@@ -60,9 +62,14 @@
 #[derive(Debug, Default)]
 pub struct UpstreamDirectory {
     known: HashMap<CompactString, Known>,
+    /// How many of these tell their start.
+    told: usize,
+    /// How many of these have lapsed with the store.
+    lapsed: usize,
     departures: Departures,
     away: bool,
     back: Option<MonoTime>,
+    visits: Visits,
 }
 
 #[derive(Debug)]
@@ -97,7 +104,7 @@
     /// that does not tell its start, where upstreams do, is another writer's and names
     /// no upstream.
     pub fn put(&mut self, now: MonoTime, entry: UpstreamEntry) -> bool {
-        let most_tell = most_tell_start(self.entries().map(|l| l.entry));
+        let most_tell = self.told > self.known.len() - self.told;
         self.take(now, entry, most_tell, Reading::Complete)
     }
 
@@ -108,6 +115,7 @@
         most_tell: bool,
         reading: Reading,
     ) -> bool {
+        self.visits.add(1);
         if most_tell && !entry.start.is_told() {
             return self.leave_out(&entry.id);
         }
@@ -131,7 +139,7 @@
             lapsed: false,
             entry,
         };
-        self.known.insert(id, known);
+        self.insert(id, known);
         true
     }
 
@@ -173,7 +181,7 @@
     /// one that is missing it does not count as lapsed with the store: there is an
     /// entry, and it is not the upstream's.
     pub fn leave_out(&mut self, id: &str) -> bool {
-        self.known.remove(id).is_some()
+        self.forget(id)
     }
 
     /// An entry is missing; true if that changes anything. One that had said
@@ -183,13 +191,14 @@
         match self.known.get_mut(id) {
             None => false,
             Some(known) if may_return && !known.entry.leaving => {
-                known.lapsed = true;
+                let was_there = !std::mem::replace(&mut known.lapsed, true);
+                self.lapsed += usize::from(was_there);
                 false
             }
             Some(known) => {
                 let start = known.entry.start;
                 self.departures.note(now, id, start, ToldBy::Entry);
-                self.known.remove(id).is_some()
+                self.forget(id)
             }
         }
     }
@@ -205,12 +214,10 @@
         if reading == Reading::Restored {
             self.back = Some(now);
         }
-        let missing: Vec<CompactString> = self
-            .known
-            .keys()
-            .filter(|id| !entries.iter().any(|e| e.id == **id))
-            .cloned()
-            .collect();
+        let listed: HashSet<&str> = entries.iter().map(|e| e.id.as_str()).collect();
+        let missing = self.known.keys().inspect(|_| self.visits.add(1));
+        let missing = missing.filter(|id| !listed.contains(id.as_str()));
+        let missing: Vec<CompactString> = missing.cloned().collect();
         let mut changed = false;
         for id in missing {
             changed |= self.remove(now, &id);
@@ -227,22 +234,53 @@
         let known = &self.known;
         let is_listed = |id: &str| known.contains_key(id);
         self.departures.expire(now, is_listed);
-        if self.may_return(now) {
+        if self.lapsed == 0 || self.may_return(now) {
             return false;
         }
-        let before = self.known.len();
-        self.known.retain(|_, k| !k.lapsed);
-        before != self.known.len()
+        let known = self.known.iter().inspect(|_| self.visits.add(1));
+        let lapsed = known.filter(|(_, k)| k.lapsed).map(|(id, _)| id.clone());
+        let lapsed: Vec<CompactString> = lapsed.collect();
+        for id in &lapsed {
+            self.forget(id);
+        }
+        true
     }
 
     /// All upstreams in use.
     pub fn entries(&self) -> impl Iterator<Item = ListedUpstream<'_>> {
-        self.known.values().map(|k| ListedUpstream {
+        let known = self.known.values().inspect(|_| self.visits.add(1));
+        known.map(|k| ListedUpstream {
             entry: &k.entry,
             cold_until: k.cold_until,
         })
     }
 
+    /// Entries that were looked at one by one since the start. What changes is looked
+    /// at, and the whole list only when it is read whole.
+    pub fn visited(&self) -> u64 {
+        self.visits.count()
+    }
+
+    fn insert(&mut self, id: CompactString, known: Known) {
+        self.told += usize::from(known.entry.start.is_told());
+        if let Some(before) = self.known.insert(id, known) {
+            self.uncount(&before);
+        }
+    }
+
+    fn forget(&mut self, id: &str) -> bool {
+        let Some(before) = self.known.remove(id) else {
+            return false;
+        };
+        self.uncount(&before);
+        true
+    }
+
+    fn uncount(&mut self, known: &Known) {
+        self.told -= usize::from(known.entry.start.is_told());
+        self.lapsed -= usize::from(known.lapsed);
+    }
+
     fn may_return(&self, now: MonoTime) -> bool {
         self.away || self.back.is_some_and(|back| now.since(back) < LAPSE_GRACE)
     }
--- /dev/null
+++ b/crates/serving/src/visits.rs
@@ -0,0 +1,18 @@
+//! How many entries of a list were looked at.
+
+use std::cell::Cell;
+
+/// Counts the entries of a list that were looked at, so that work shows that grows
+/// with the list and not with what changes.
+#[derive(Debug, Default)]
+pub(crate) struct Visits(Cell<u64>);
+
+impl Visits {
+    pub(crate) fn add(&self, entries: u64) {
+        self.0.set(self.0.get().wrapping_add(entries));
+    }
+
+    pub(crate) fn count(&self) -> u64 {
+        self.0.get()
+    }
+}
