An instance watches the owners of the shards that it uses

Cause: everybody watched two owners of every shard. "2 x shards + 4 partners" was worked out with one shard a zone; before 4,165 upstreams of stages there are 126, all owned by the 50 strong instances, so that each of 985 had some 54 partners every 400 ms and ranked all instances for all shards at each beat, for a quarter of a staged request a second.

Ruled out: fewer and larger shards (an owner is bounded by its processor); beats that are rarer at size (a loss is then known later).

Change: whom an instance watches is a decision of its own, apart from I/O: the owners of the shards that it used in the last five seconds, eight at most and all where there are no more, its source of news, and the three that follow it. The first use of a shard beats at once, so that a silent owner is found 0.6 s after that at the latest. A backlog that nobody told is unknown and no longer taken for none: a shard that was not heard of is not moved to. The first few in order are selected, and not all sorted.

Test, by counting: 8 partners at most at 300, 985 and 2,000 instances with a quarter of a staged request a second; 19 at most for one that uses all shards. Before: 54 at 985 by the same counting.

--- a/crates/gateway/src/limiters.rs
+++ b/crates/gateway/src/limiters.rs
@@ -22,8 +22,6 @@
 
 /// Parts that upstreams are divided into, each with an instance that gives out permits.
 const PARTS: u32 = 8;
-/// Instances that are asked for a permit, one after the other while they are silent.
-const MAX_ASKED: usize = 3;
 /// How long an instance may take to answer: several round trips between zones.
 const ASK_WITHIN: Duration = Duration::from_millis(150);
 /// How long one that was silent is not asked.
@@ -91,7 +89,7 @@
         priority: u8,
     ) -> Result<(), Duration> {
         let order = state.owner_order(&shard_of(upstream.address));
-        for limiter in order.into_iter().take(MAX_ASKED) {
+        for limiter in order {
             if limiter == state.me.peers {
                 return self.acquire(state, &upstream.upstream, priority);
             }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -11,10 +11,9 @@
 use jd_serving::Heartbeat;
 use jd_serving::InstanceEntry;
 use jd_serving::JobFailure;
-use jd_serving::SMALL_FLEET;
 use jd_serving::Shard;
 use jd_serving::StageJob;
-use jd_serving::owners;
+use jd_serving::watched;
 use jd_types::Incarnation;
 use jd_types::MonoTime;
 use jd_wire::BeatReply;
@@ -42,11 +41,6 @@
 /// The shortest pause, however much there is to tell at once: four times the usual beats
 /// while a trouble lasts.
 const BEAT_SOONEST: Duration = Duration::from_millis(100);
-/// Owners of each shard that everybody watches: the one that is asked, and the
-/// one that is asked next.
-const WATCHED_OWNERS: usize = 2;
-/// Others that an instance watches.
-const WATCHED_NEXT: usize = 3;
 /// How long a beat may take before its connection is given up.
 const BEAT_WITHIN: Duration = Duration::from_millis(800);
 
@@ -89,14 +83,15 @@
 
     /// Logs where this instance asks for stages first, when that changes.
     fn note_owners(&self, firsts: &mut BTreeMap<Shard, SocketAddr>) {
-        for shard in self.state.shards.load().shards() {
-            let order = self.state.owner_order(shard);
+        let shards = self.state.watched_shards();
+        firsts.retain(|shard, _| shards.contains(shard));
+        for shard in shards {
+            let order = self.state.owner_order(&shard);
             let Some(first) = order.first() else {
                 continue;
             };
             if firsts.insert(shard.clone(), *first) != Some(*first) {
-                let instances = order.len();
-                log::info!(shard:? = shard, owner:% = first, instances; "owner of stages");
+                log::info!(shard:? = shard, owner:% = first; "owner of stages");
             }
         }
     }
@@ -171,35 +166,13 @@
         Some(knowledge.instances.entry(id)?.peers)
     }
 
-    /// The instances that heartbeats are exchanged with: all of a small fleet; of
-    /// a larger one the owners of batches, the one from whom this one hears of the
-    /// store, and the few that follow this one in the order of their numbers, so
-    /// that everybody is watched by somebody.
+    /// The instances that heartbeats are exchanged with, noted as watched.
     fn watched(&self, mut all: Vec<InstanceEntry>) -> Vec<InstanceEntry> {
-        if all.len() <= SMALL_FLEET {
-            let ids: Vec<Incarnation> = all.iter().map(|e| e.incarnation).collect();
-            self.state
-                .knowledge()
-                .instances
-                .watch(self.state.now(), &ids);
-            return all;
-        }
-        let me = self.state.me.incarnation;
-        let everybody = || all.iter().chain([&self.state.me]);
-        let mut ids: Vec<Incarnation> = Vec::new();
-        for shard in self.state.shards.load().shards() {
-            let first = owners(shard, everybody()).into_iter().take(WATCHED_OWNERS);
-            ids.extend(first.map(|e| e.incarnation));
-        }
-        ids.extend(self.state.news_source().instance());
-        let mut ring: Vec<Incarnation> = everybody().map(|e| e.incarnation).collect();
-        ring.sort_unstable();
-        let next = ring.iter().position(|id| *id == me).map_or(0, |n| n + 1);
-        ids.extend(ring.iter().cycle().skip(next).take(WATCHED_NEXT));
-        self.state
-            .knowledge()
-            .instances
-            .watch(self.state.now(), &ids);
+        let shards = self.state.watched_shards();
+        let source = self.state.news_source().instance();
+        let ids = watched(&self.state.me, &all, &shards, source);
+        let now = self.state.now();
+        self.state.knowledge().instances.watch(now, &ids);
         all.retain(|e| ids.contains(&e.incarnation));
         all
     }
--- a/crates/gateway/src/stage_batches.rs
+++ b/crates/gateway/src/stage_batches.rs
@@ -95,6 +95,7 @@
     /// Does the stages of a request on one part of the upstreams. Dropping the
     /// future cancels them.
     pub(crate) async fn run(self: &Arc<Self>, shard: Shard, job: StageJob) -> JobOutcome {
+        self.state.use_shard(&shard);
         let (tx, rx) = async_channel::bounded(1);
         let key = {
             let now = self.state.now();
--- a/crates/gateway/src/stage_runner.rs
+++ b/crates/gateway/src/stage_runner.rs
@@ -37,8 +37,6 @@
 const RESULTS_READ: Duration = Duration::from_millis(50);
 /// How often it is looked whether the owner is still there.
 const OWNER_CHECK: Duration = Duration::from_millis(200);
-/// Owners that are asked one after the other.
-const MAX_OWNERS: usize = 3;
 /// How often one owner is asked while it answers heartbeats.
 const ASKS_OF_OWNER: u32 = 2;
 /// How often a request follows its stages from owner to owner. After all
@@ -153,8 +151,8 @@
     ) -> Result<(SocketAddr, Vec<CompactString>), JobFailure> {
         let me = self.state.me.peers;
         let shard = self.shard(job).ok_or(JobFailure::NoUpstream)?;
-        let order = self.state.owner_order(&shard);
-        for owner in order.into_iter().take(MAX_OWNERS) {
+        self.state.use_shard(&shard);
+        for owner in self.state.owner_order(&shard) {
             if owner == me {
                 break;
             }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -30,6 +30,7 @@
 use jd_serving::ShardMap;
 use jd_serving::SourceState;
 use jd_serving::StoreRevision;
+use jd_serving::UsedShards;
 use jd_serving::news_source;
 use jd_serving::owners;
 use jd_settings::GatewaySettings;
@@ -58,6 +59,9 @@
 
 /// How long an owner's word on its backlog counts: three heartbeats.
 const BACKLOG_LASTS: Duration = Duration::from_millis(1_200);
+/// Owners of a shard, limiters of an upstream or coordinators of the quarantine that are
+/// asked one after the other.
+const MAX_OWNERS: usize = 3;
 
 /// What all parts of the gateway share.
 #[derive(Debug)]
@@ -71,6 +75,7 @@
     pub(crate) router: ArcSwapOption<Router>,
     pub(crate) upstreams: ArcSwap<UpstreamTable>,
     pub(crate) shards: ArcSwap<ShardMap>,
+    used_shards: Mutex<UsedShards>,
     pub(crate) metrics: Metrics,
     /// What is held against requests.
     pub(crate) quarantine: Quarantine,
@@ -125,6 +130,7 @@
             metrics: Metrics::new(),
             quarantine: Quarantine::new(Arc::clone(&beat_soon)),
             limits: Limits::new(Arc::clone(&beat_soon)),
+            used_shards: Mutex::default(),
             limiters: Limiters::default(),
             turns: Turns::default(),
             notices: Notices::default(),
@@ -198,23 +204,23 @@
 
     /// How long pieces wait at the owner of a shard, as it last said. Old news is
     /// none: an owner that is silent is not avoided for what it said before.
-    pub(crate) fn backlog(&self, shard: &Shard) -> Duration {
+    pub(crate) fn backlog(&self, shard: &Shard) -> Option<Duration> {
         let now = self.now();
         let knowledge = self.knowledge();
         match knowledge.backlogs.get(shard) {
-            Some((heard, wait)) if now.since(*heard) < BACKLOG_LASTS => *wait,
-            _ => Duration::ZERO,
+            Some((heard, wait)) if now.since(*heard) < BACKLOG_LASTS => Some(*wait),
+            _ => None,
         }
     }
 
-    /// The addresses of the instances in the order in which they are asked to run
-    /// stages. One that has just started anew goes on where its earlier start was.
+    /// The addresses of the first few instances in the order in which they are asked to
+    /// run stages. One that has just started anew goes on where its earlier start was.
     pub(crate) fn owner_order(&self, shard: &Shard) -> Vec<SocketAddr> {
         let now = self.now();
         let knowledge = self.knowledge();
         let others = knowledge.instances.able(now);
         let own = (!self.is_leaving()).then_some(&self.me);
-        let order = owners(shard, others.chain(own));
+        let order = owners(shard, others.chain(own), MAX_OWNERS);
         order.into_iter().map(|e| e.peers).collect()
     }
 
@@ -222,6 +228,19 @@
     /// first. They are the ones that read the store for the others.
     pub(crate) fn coordinators(&self) -> Vec<SocketAddr> {
         self.owner_order(&Shard {
+    /// Stages of a shard are asked for or done here, so that its owners are watched from
+    /// now on.
+    pub(crate) fn use_shard(&self, shard: &Shard) {
+        if lock(&self.used_shards).note(self.now(), shard) {
+            self.beat_soon.give();
+        }
+    }
+
+    /// The shards whose owners are watched.
+    pub(crate) fn watched_shards(&self) -> Vec<Shard> {
+        lock(&self.used_shards).watched(self.now(), &self.shards.load())
+    }
+
             zone: None,
             part: 0,
             parts: 1,
@@ -230,8 +249,7 @@
 
     /// True if this instance is the one that is asked first.
     pub(crate) fn owns(&self, shard: &Shard) -> bool {
-        let divided = self.shards.load();
-        let known = divided.shards().any(|s| s == shard);
+        let known = self.shards.load().has(shard);
         known && self.owner_order(shard).first() == Some(&self.me.peers)
     }
 
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -59,6 +59,7 @@
 mod upstream_start;
 mod zone_turns;
 mod visits;
+mod watch_list;
 
 pub use backoffs::Backoffs;
 pub use batch_call::BatchCall;
@@ -148,3 +149,5 @@
 pub use upstream_limits::LimitNotice;
 pub use upstream_limits::UpstreamLimits;
 pub use upstream_start::UpstreamStart;
+pub use watch_list::UsedShards;
+pub use watch_list::watched;
--- a/crates/serving/src/news_source.rs
+++ b/crates/serving/src/news_source.rs
@@ -93,8 +93,8 @@
         part: 0,
         parts: 1,
     };
-    let order = owners(&everywhere, instances).into_iter();
-    order.take(CANDIDATES).map(|e| e.incarnation).collect()
+    let order = owners(&everywhere, instances, CANDIDATES).into_iter();
+    order.map(|e| e.incarnation).collect()
 }
 
 /// Where an instance stands among candidates.
--- a/crates/serving/src/owner.rs
+++ b/crates/serving/src/owner.rs
@@ -37,8 +37,8 @@
     }
 }
 
-/// The instances in the order in which they are asked to run the stages of a
-/// request of `shard`: the strongest first, of these the ones in the shard's own
+/// The first `most` instances in the order in which they are asked to run the stages of
+/// a request of `shard`: the strongest first, of these the ones in the shard's own
 /// zone, and then by rendezvous hashing of their addresses, so that all instances
 /// agree without a message, and the loss of one moves only what it had.
 ///
@@ -52,6 +52,7 @@
 pub fn owners<'a>(
     shard: &Shard,
     instances: impl Iterator<Item = &'a InstanceEntry>,
+    most: usize,
 ) -> Vec<&'a InstanceEntry> {
     let hash = shard.hash();
     let far = |zone: &Name| shard.zone.as_ref().is_some_and(|z| z != zone);
@@ -61,6 +62,14 @@
             (Reverse(e.strength), far(&e.zone), rank, e)
         })
         .collect();
-    ranked.sort_unstable_by_key(|(strength, far, rank, e)| (*strength, *far, *rank, e.incarnation));
+    let order = |(strength, far, rank, e): &(_, _, _, &InstanceEntry)| {
+        (*strength, *far, *rank, e.incarnation)
+    };
+    // Asked for often, of all instances, for the first few of them.
+    if most < ranked.len() {
+        ranked.select_nth_unstable_by_key(most, order);
+        ranked.truncate(most);
+    }
+    ranked.sort_unstable_by_key(order);
     ranked.into_iter().map(|(_, _, _, e)| e).collect()
 }
--- a/crates/serving/src/shard.rs
+++ b/crates/serving/src/shard.rs
@@ -91,6 +91,16 @@
         ShardMap { shards }
     }
 
+    /// How many shards there are.
+    pub fn count(&self) -> usize {
+        self.shards.len()
+    }
+
+    /// True if the upstreams are divided into this shard among others.
+    pub fn has(&self, shard: &Shard) -> bool {
+        self.shards.contains_key(shard)
+    }
+
     /// All shards.
     pub fn shards(&self) -> impl Iterator<Item = &Shard> {
         self.shards.keys()
@@ -98,7 +108,8 @@
 
     /// The shard for a request that hashes to `place`, needs `services`, and
     /// whose results, so many bytes, are read in `zone`. `backlog` tells how long
-    /// pieces wait at a shard. None if no shard has all the services.
+    /// pieces wait at a shard, as far as that was heard. None if no shard has all the
+    /// services.
     ///
     /// The load that it answers: one session becomes popular, and with it the
     /// zone of the upstream that keeps its prompt. Requests move to where they
@@ -110,7 +121,7 @@
         services: &[&str],
         zone: Option<&Name>,
         bytes: u64,
-        backlog: impl Fn(&Shard) -> Duration,
+        backlog: impl Fn(&Shard) -> Option<Duration>,
     ) -> Option<Shard> {
         let able = |has: &BTreeSet<CompactString>| services.iter().all(|s| has.contains(*s));
         let able = self.shards.iter().filter(|(_, has)| able(has));
@@ -121,19 +132,21 @@
             true => pick(&able, place)?,
             false => pick(&near, place)?,
         };
-        let wait = backlog(wanted);
+        let wait = backlog(wanted).unwrap_or_default();
         let far = WAIT_PER_FAR_MEGABYTE.mul_f64(bytes as f64 / 1e6) + WORTH_MOVING;
-        let other = able
-            .iter()
-            .min_by_key(|s| (backlog(s), spread_to(s, place)))?;
-        let gain = wait.saturating_sub(backlog(other));
+        if wait <= far {
+            return Some(wanted.clone());
+        }
+        // One that nothing was heard of may be as busy.
+        let heard = able.iter().filter_map(|s| Some((backlog(s)?, *s)));
+        let other = heard.min_by_key(|(wait, s)| (*wait, spread_to(s, place)));
+        let Some((least, other)) = other else {
+            return Some(wanted.clone());
+        };
+        let gain = wait.saturating_sub(least);
         let part = gain.as_secs_f64() / (2.0 * wait.as_secs_f64()).max(f64::MIN_POSITIVE);
         let moves = gain > far && unit(place) < part;
-        Some(if moves {
-            (*other).clone()
-        } else {
-            wanted.clone()
-        })
+        Some(if moves { other.clone() } else { wanted.clone() })
     }
 }
 
--- a/crates/serving/tests/growth.rs
+++ b/crates/serving/tests/growth.rs
@@ -2,16 +2,24 @@
 
 #![allow(clippy::expect_used)]
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
+use jd_serving::InstanceEntry;
 use jd_serving::Reading;
+use jd_serving::Shard;
+use jd_serving::ShardMap;
 use jd_serving::StoreItem;
 use jd_serving::StoreMirror;
 use jd_serving::StoreRevision;
+use jd_serving::Strength;
 use jd_serving::UpstreamDirectory;
 use jd_serving::UpstreamEntry;
 use jd_serving::UpstreamStart;
+use jd_serving::UsedShards;
+use jd_serving::watched;
+use jd_types::Incarnation;
 use jd_types::MonoTime;
 use jd_types::Name;
 use test_case::test_case;
@@ -126,3 +134,75 @@
     let visited = directory.visited() - before;
     assert!(visited <= 2 * upstreams, "{visited} visited");
 }
+
+fn instance(n: u32, strong: u32) -> InstanceEntry {
+    let [_, a, b, c] = n.to_be_bytes();
+    let at = |port: u16| SocketAddr::from(([10, a, b, c], port));
+    InstanceEntry {
+        incarnation: Incarnation::new(jd_types::spread(u64::from(n)) >> 1),
+        callers: at(80),
+        peers: at(81),
+        zone: zone(n),
+        strength: match n < strong {
+            true => Strength::new(50, 200),
+            false => Strength::new(12, 20),
+        },
+        leaving: false,
+    }
+}
+
+fn zone(n: u32) -> Name {
+    Name::try_from(["a", "b", "c", "d", "e"][n as usize % 5]).expect("a name")
+}
+
+/// Guards against heartbeats that grow with the fleet or with its shards: each instance
+/// uses a few of these, and has the same few partners at any size.
+#[test_case(300, 12; "300 instances")]
+#[test_case(985, 50; "985 instances")]
+#[test_case(2_000, 50; "2000 instances before twice the upstreams")]
+fn partners_of_an_instance_do_not_grow_with_the_fleet(instances: u32, strong: u32) {
+    let fleet: Vec<InstanceEntry> = (0..instances).map(|n| instance(n, strong)).collect();
+    let upstreams = instances * 5;
+    let places: Vec<Name> = (0..upstreams).map(zone).collect();
+    let shards = ShardMap::new(places.iter().map(|zone| ("rank", zone)));
+    let all: Vec<&Shard> = shards.shards().collect();
+    for n in (0..instances).step_by(37) {
+        let me = &fleet[n as usize];
+        let others: Vec<InstanceEntry> = fleet.iter().filter(|e| *e != me).cloned().collect();
+        let mut used = UsedShards::default();
+        let at = |s: u32| MonoTime::ZERO + Duration::from_secs(s.into());
+        // Requests with stages at a quarter of a second's rate for each instance.
+        for s in 0..20 {
+            let shard = all[(n + s * 7) as usize % all.len()];
+            used.note(at(s * 4), shard);
+        }
+        let shards = used.watched(at(77), &shards);
+        let partners = watched(me, &others, &shards, Some(fleet[0].incarnation));
+        assert!(partners.len() <= 8, "{} partners", partners.len());
+        assert!(!partners.contains(&me.incarnation));
+    }
+}
+
+/// Guards against an instance in which much is asked for: it watches no more than a bound.
+#[test]
+fn a_busy_instance_watches_the_owners_it_used_last() {
+    let fleet: Vec<InstanceEntry> = (0..985).map(|n| instance(n, 50)).collect();
+    let places: Vec<Name> = (0..1_500).map(zone).collect();
+    let shards = ShardMap::new(places.iter().map(|zone| ("rank", zone)));
+    let mut used = UsedShards::default();
+    let now = MonoTime::from_micros(1);
+    for (n, shard) in shards.shards().enumerate() {
+        assert!(used.note(now + Duration::from_millis(n as u64), shard));
+        assert!(!used.note(now + Duration::from_millis(n as u64), shard));
+    }
+    let late = now + Duration::from_millis(200);
+    let last = shards.shards().last().cloned().expect("a shard");
+    let watching = used.watched(late, &shards);
+    assert!(watching.contains(&last));
+    let partners = watched(&fleet[100], &fleet[..100], &watching, None);
+    assert!(partners.len() <= 19, "{} partners", partners.len());
+    assert!(
+        used.watched(late + Duration::from_secs(6), &shards)
+            .is_empty()
+    );
+}
--- a/crates/serving/tests/shards.rs
+++ b/crates/serving/tests/shards.rs
@@ -25,8 +25,8 @@
     map.shards().map(|s| s.zone.clone()).collect()
 }
 
-fn idle(_: &Shard) -> Duration {
-    Duration::ZERO
+fn idle(_: &Shard) -> Option<Duration> {
+    Some(Duration::ZERO)
 }
 
 #[test]
@@ -93,8 +93,8 @@
 fn a_popular_zone_hands_over_what_evens_the_queues_out() {
     let divided = map(&[("a", 6), ("b", 6), ("c", 5)]);
     let busy = |s: &Shard| match s.zone.as_ref().map(Name::as_str) {
-        Some("a") => Duration::from_secs(2),
-        _ => Duration::ZERO,
+        Some("a") => Some(Duration::from_secs(2)),
+        _ => Some(Duration::ZERO),
     };
     let zone = name("a");
     let moved = (0..1_000).filter(|place| {
@@ -110,8 +110,8 @@
 fn large_results_stay_in_their_zone() {
     let divided = map(&[("a", 6), ("b", 6), ("c", 5)]);
     let busy = |s: &Shard| match s.zone.as_ref().map(Name::as_str) {
-        Some("a") => Duration::from_secs(2),
-        _ => Duration::ZERO,
+        Some("a") => Some(Duration::from_secs(2)),
+        _ => Some(Duration::ZERO),
     };
     for place in 0..100 {
         let zone = name("a");
