Records are told in parts to instances that start

The answer also had 0.8 s to arrive, which a link of 20 Mbit/s shared by 100 never keeps.

Ruled out: fewer followers a relay (their number grows with the fleet).

Change: the packed piece is held once and told in parts of 64 KB, each asked for by itself, with 2.5 s for each; the piece before the latest is kept for those who have a part of it. An instance of the version before asks for no parts and is told all at once, and one that tells all at once is understood.

--- a/crates/gateway/src/peer_news.rs
+++ b/crates/gateway/src/peer_news.rs
@@ -51,6 +51,8 @@
         wait_ms: millis(wait),
         proof: wire_proof(state),
         knows_away,
+        takes_parts: true,
+        ..FollowRequest::default()
     }
 }
 
@@ -110,7 +112,15 @@
 #[derive(Debug, Clone, Default)]
 pub(crate) struct PackedNews {
     revision: StoreRevision,
-    bytes: Vec<u8>,
+    bytes: Bytes,
+}
+
+/// What is told to instances that start.
+#[derive(Debug, Default)]
+pub(crate) struct PackedPieces {
+    latest: PackedNews,
+    /// The one before, for those that have a part of it.
+    earlier: PackedNews,
 }
 
 /// All records, packed, for somebody who knows only what was up to `after`; none if
@@ -118,13 +128,20 @@
 ///
 /// The load that it answers: all instances of a fleet start at once. Each read a
 /// megabyte from the store, 2.7 s of its link at 300 instances.
-fn packed(state: &State, after: StoreRevision) -> Option<PackedNews> {
-    let mut packed = lock(&state.packed);
+///
+/// One who `has` a part of the piece that was packed before is told the rest of it.
+fn packed(state: &State, after: StoreRevision, has: StoreRevision) -> Option<PackedNews> {
+    let mut pieces = lock(&state.packed);
     let knowledge = state.knowledge();
     let mirror = &knowledge.mirror;
     if mirror.revision() == StoreRevision::NOTHING || !mirror.is_behind(after) {
         return None;
     }
+    let PackedPieces { latest, earlier } = &*pieces;
+    if has == earlier.revision && !earlier.bytes.is_empty() && !mirror.is_behind(has) {
+        return Some(earlier.clone());
+    }
+    let packed = latest;
     let is_old = mirror.is_behind(packed.revision)
         || mirror.written_after(packed.revision) > mirror.records() / PACKED_BEHIND
         || packed.bytes.is_empty();
@@ -133,8 +150,11 @@
         drop(knowledge);
         match jd_wire::pack(wire_items(all.items)) {
             Ok(bytes) => {
-                let revision = all.revision;
-                *packed = PackedNews { revision, bytes };
+                let latest = PackedNews {
+                    revision: all.revision,
+                    bytes: bytes.into(),
+                };
+                pieces.earlier = std::mem::replace(&mut pieces.latest, latest);
             }
             Err(e) => {
                 log::error!(error:% = e; "records cannot be packed; they are sent one by one");
@@ -142,7 +162,7 @@
             }
         }
     }
-    Some(packed.clone())
+    Some(pieces.latest.clone())
 }
 
 /// Answers another instance's question once there is something to tell, and at once where
@@ -166,24 +186,27 @@
         news.or(late).await;
     }
     let asked = at(req.after_era, req.after);
-    let packed = packed(state, asked).unwrap_or_default();
-    let after = asked.max(packed.revision);
-    let news = state.knowledge().mirror.since(after);
-    FollowReply {
-        revision: news.revision.revision,
-        era: news.revision.era,
-        whole: news.whole,
-        items: wire_items(news.items),
+    let has = at(req.has_era, req.has_revision);
+    let packed = packed(state, asked, has).unwrap_or_default();
+    let mut reply = FollowReply {
         store_away: state.has_lost_store(),
         proof: wire_proof(state),
         waited_ms: millis(state.now().since(came)),
-        packed: packed.bytes,
         packed_revision: packed.revision.revision,
         packed_era: packed.revision.era,
     }
 }
 
+        ..FollowReply::default()
+    };
+    if jd_wire::put_part(&mut reply, &packed.bytes, &req) {
+        let news = state.knowledge().mirror.since(asked.max(packed.revision));
+        reply.revision = news.revision.revision;
+        reply.era = news.revision.era;
+        reply.whole = news.whole;
+        reply.items = wire_items(news.items);
 fn is_news(state: &State, came: MonoTime, req: &FollowRequest, away: bool) -> bool {
+    reply
     if state.has_lost_store() != away {
         return true;
     }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -20,6 +20,8 @@
 use jd_wire::BeatRequest;
 use jd_wire::FollowRequest;
 use jd_wire::GatewayClient;
+use jd_wire::PackedParts;
+use jd_wire::PartsTaken;
 use jd_wire::ReleaseRequest;
 
 use crate::peer_instance;
@@ -41,6 +43,9 @@
 /// The shortest pause, however much there is to tell at once: four times the usual beats
 /// while a trouble lasts.
 const BEAT_SOONEST: Duration = Duration::from_millis(100);
+/// How long a part of the records of another instance may take: many that start share its
+/// link.
+const PART_WITHIN: Duration = Duration::from_millis(2_500);
 /// How long a beat may take before its connection is given up.
 const BEAT_WITHIN: Duration = Duration::from_millis(800);
 
@@ -144,20 +149,43 @@
 
     /// Hears all that another instance knows of the store; none if it does not answer.
     pub(crate) async fn hear_all(&self, id: Incarnation) -> Option<Heard> {
-        self.ask(id, FollowRequest::default(), Duration::ZERO).await
+        let asked = FollowRequest {
+            takes_parts: true,
+            ..FollowRequest::default()
+        };
+        self.ask(id, asked, Duration::ZERO).await
     }
 
     async fn ask(&self, id: Incarnation, asked: FollowRequest, wait: Duration) -> Option<Heard> {
-        let channel = self.state.channels.to(self.address_of(id)?);
+        self.ask_at(self.address_of(id)?, asked, wait).await
+    }
+
+    async fn ask_at(
+        &self,
+        source: SocketAddr,
+        mut asked: FollowRequest,
+        wait: Duration,
+    ) -> Option<Heard> {
+        let channel = self.state.channels.to(source);
         let mut client = GatewayClient::new(channel.clone());
-        let sent = self.state.now();
-        match within(wait + BEAT_WITHIN, client.follow(asked)).await {
-            Some(reply) => peer_news::heard(sent, reply.ok()?.into_inner()),
-            None => {
+        let mut parts = PackedParts::default();
+        let mut patience = wait + BEAT_WITHIN;
+        loop {
+            let sent = self.state.now();
+            let Some(reply) = within(patience, client.follow(asked)).await else {
                 // The connection may be silent for good while new ones work.
                 channel.reset();
-                None
+                return None;
+            };
+            match parts.take(&asked, reply.ok()?.into_inner()) {
+                PartsTaken::Whole(reply) => return peer_news::heard(sent, *reply),
+                PartsTaken::Asks(next) => asked = next,
+                PartsTaken::Refused => {
+                    log::error!(source:%; "parts of another instance's records cannot be put together; it is asked anew");
+                    return None;
+                }
             }
+            patience = PART_WITHIN;
         }
     }
 
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -8,6 +8,7 @@
 mod exchange;
 mod generated;
 mod packed;
+mod parts;
 mod wire_error;
 
 pub use exchange::Exchange;
@@ -48,4 +49,9 @@
 pub use generated::peer::peer_server::PeerServer;
 pub use packed::pack;
 pub use packed::unpack;
+pub use parts::MOST_PACKED;
+pub use parts::PART_BYTES;
+pub use parts::PackedParts;
+pub use parts::PartsTaken;
+pub use parts::put_part;
 pub use wire_error::WireError;
