Callers that read nothing are given up, and little is held for them

Cause: an answer that its caller does not take is not asked for its next part, so that it never came to its deadline: the connection, its buffers, the upstream's connection and the request's body behind it were held for good. Nothing bounded it but the number of connections.

Ruled out: a deadline beside each answer (a second timer for each request; the stalled write is what shows it).

Change: a connection whose other end takes less than 4 KB of what waits within 15 s fails with a time-out; what the system holds for it is 64 KB. Whoever takes some goes on. Bodies are asked for part by part already, so that back pressure reaches the upstream.

A bound over all connections together is not made: open.

--- a/crates/net/src/http_server.rs
+++ b/crates/net/src/http_server.rs
@@ -23,11 +23,13 @@
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper_util::server::conn::auto;
+use rustix::net::sockopt;
 use smol_hyper::rt::FuturesIo;
 use smol_hyper::rt::SmolExecutor;
 use smol_hyper::rt::SmolTimer;
 
 use crate::Body;
+use crate::bounded_writes::BoundedWrites;
 use crate::lock;
 
 /// What a handler returns.
@@ -55,6 +57,8 @@
     pub head_bytes: usize,
     /// How long a client may take to send a request's head.
     pub head_within: Duration,
+    /// How long a client may take next to nothing of what waits for it.
+    pub taken_within: Duration,
     /// Requests at a time on one HTTP/2 connection.
     pub streams: u32,
     /// True where callers speak HTTP/1.1 only.
@@ -68,6 +72,7 @@
             headers: 64,
             head_bytes: 16 << 10,
             head_within: Duration::from_secs(5),
+            taken_within: Duration::from_secs(15),
             streams: 256,
             http1_only: false,
         }
@@ -76,6 +81,8 @@
 
 /// The least bytes of a head that the library can be told to allow.
 const LEAST_HEAD_BYTES: usize = 8_192;
+/// What the system holds for a client that does not read, in bytes.
+const SEND_BUFFER: usize = 64 << 10;
 /// Pause after a failed accept, such as when file descriptors have run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -192,19 +199,22 @@
         self.open.fetch_add(1, Ordering::Relaxed);
         let guard = OpenGuard(Arc::clone(&self.open));
         let builder = self.builder();
+        let taken_within = lock(&self.limits).taken_within;
         let handler = Arc::clone(&self.handler);
         let stopped = self.stopped.clone();
         let dropped = self.dropped.clone();
         let serving = async move {
             let _guard = guard;
-            // Fails only if the connection is gone already.
+            // Both fail only if the connection is gone already.
             let _ = io.get_ref().set_nodelay(true);
+            let _ = sockopt::set_socket_send_buffer_size(io.get_ref(), SEND_BUFFER);
             let service = service_fn(move |mut req: Request<Incoming>| {
                 req.extensions_mut().insert(number);
                 let answer = Arc::clone(&handler).handle(req);
                 async move { Ok::<Response<Body>, Infallible>(answer.await) }
             });
-            let connection = builder.serve_connection(FuturesIo::new(io), service);
+            let io = FuturesIo::new(BoundedWrites::new(io, taken_within));
+            let connection = builder.serve_connection(io, service);
             let served = run_until_stopped(connection.into_owned(), stopped);
             let ended = async {
                 // Errs once the server is dropped, which is the signal.
@@ -237,7 +247,8 @@
 }
 
 type ServedConnection<S> =
-    auto::Connection<'static, FuturesIo<Async<TcpStream>>, S, SmolExecutor<Arc<Executor<'static>>>>;
+    auto::Connection<'static, CallerIo, S, SmolExecutor<Arc<Executor<'static>>>>;
+type CallerIo = FuturesIo<BoundedWrites<Async<TcpStream>>>;
 
 /// Drives a connection; once the server stops, only until its requests are done.
 async fn run_until_stopped<S>(connection: ServedConnection<S>, stopped: Receiver<()>)
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -7,6 +7,7 @@
 //! given a limit with [`within`].
 
 mod body;
+mod bounded_writes;
 mod clock;
 mod grpc_channel;
 mod http_pool;
