A start in a large fleet reads a sample of the list, and a few instances read the store for all

It grows as the square of the fleet.

Ruled out: longer pauses (they move the load); a list by zone (still a square, a fifth of it); posts of relays in the store (a compare-and-swap for each start, and none there at first).

Change: an instance reads those whose identities begin as its own, one in sixteen. Twelve or more mean a large fleet; then it asks the two strongest of these for everything. One that is asked and has read nothing reads the store because of that, at once if it is among the strongest, else when these had time to. Smaller fleets start as before, with one short call more. Any instance that has read can tell one that starts, not only a relay.

Tests in virtual time: 48 at most read the store at 300, 985 and 2,000 instances, none tells more than a twelfth.

--- a/crates/gateway/src/latch.rs
+++ b/crates/gateway/src/latch.rs
@@ -13,10 +13,13 @@
 }
 
 impl Latch {
-    pub(crate) fn set(&self) {
-        if !self.happened.swap(true, Ordering::SeqCst) {
+    /// It happens; true if it had not before.
+    pub(crate) fn set(&self) -> bool {
+        let first = !self.happened.swap(true, Ordering::SeqCst);
+        if first {
             self.told.notify(usize::MAX);
         }
+        first
     }
 
     /// Returns once it has happened.
--- a/crates/gateway/src/peer_news.rs
+++ b/crates/gateway/src/peer_news.rs
@@ -172,6 +172,9 @@
 /// told after the whole wait, so that a zone was five seconds behind the store.
 pub(crate) async fn answer(state: &State, req: FollowRequest) -> FollowReply {
     let came = state.now();
+    if at(req.after_era, req.after) == StoreRevision::NOTHING && !state.has_read() {
+        state.all_wanted.give();
+    }
     let until = came + Duration::from_millis(u64::from(req.wait_ms));
     let away = req.knows_away;
     loop {
@@ -194,9 +197,6 @@
         waited_ms: millis(state.now().since(came)),
         packed_revision: packed.revision.revision,
         packed_era: packed.revision.era,
-    }
-}
-
         ..FollowReply::default()
     };
     if jd_wire::put_part(&mut reply, &packed.bytes, &req) {
@@ -205,8 +205,11 @@
         reply.era = news.revision.era;
         reply.whole = news.whole;
         reply.items = wire_items(news.items);
-fn is_news(state: &State, came: MonoTime, req: &FollowRequest, away: bool) -> bool {
+    }
     reply
+}
+
+fn is_news(state: &State, came: MonoTime, req: &FollowRequest, away: bool) -> bool {
     if state.has_lost_store() != away {
         return true;
     }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -156,6 +156,17 @@
         self.ask(id, asked, Duration::ZERO).await
     }
 
+    /// Hears all that the instance at an address knows of the store, or after `wait` that
+    /// it knows nothing; none if it does not answer.
+    pub(crate) async fn hear_first(&self, source: SocketAddr, wait: Duration) -> Option<Heard> {
+        let asked = FollowRequest {
+            takes_parts: true,
+            wait_ms: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
+            ..FollowRequest::default()
+        };
+        self.ask_at(source, asked, wait).await
+    }
+
     async fn ask(&self, id: Incarnation, asked: FollowRequest, wait: Duration) -> Option<Heard> {
         self.ask_at(self.address_of(id)?, asked, wait).await
     }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -92,6 +92,9 @@
     /// Signals that proof is to be asked for at once, and that the store is back.
     pub(crate) proof_wanted: Signal,
     pub(crate) store_back: Signal,
+    /// Signals that another instance wants to hear everything while this one has read
+    /// nothing.
+    pub(crate) all_wanted: Signal,
     /// Signals that this instance's entry was removed although it is there.
     pub(crate) entry_gone: Signal,
     /// Tells those that follow this instance that there is news.
@@ -127,10 +130,10 @@
             router: ArcSwapOption::empty(),
             upstreams: ArcSwap::default(),
             shards: ArcSwap::default(),
+            used_shards: Mutex::default(),
             metrics: Metrics::new(),
             quarantine: Quarantine::new(Arc::clone(&beat_soon)),
             limits: Limits::new(Arc::clone(&beat_soon)),
-            used_shards: Mutex::default(),
             limiters: Limiters::default(),
             turns: Turns::default(),
             notices: Notices::default(),
@@ -138,6 +141,7 @@
             beat_soon,
             proof_wanted: Signal::new(),
             store_back: Signal::new(),
+            all_wanted: Signal::new(),
             entry_gone: Signal::new(),
             news: Event::new(),
             packed: Mutex::default(),
@@ -224,10 +228,6 @@
         order.into_iter().map(|e| e.peers).collect()
     }
 
-    /// The instances that coordinate the quarantine, the one that decides
-    /// first. They are the ones that read the store for the others.
-    pub(crate) fn coordinators(&self) -> Vec<SocketAddr> {
-        self.owner_order(&Shard {
     /// Stages of a shard are asked for or done here, so that its owners are watched from
     /// now on.
     pub(crate) fn use_shard(&self, shard: &Shard) {
@@ -241,6 +241,10 @@
         lock(&self.used_shards).watched(self.now(), &self.shards.load())
     }
 
+    /// The instances that coordinate the quarantine, the one that decides
+    /// first. They are the ones that read the store for the others.
+    pub(crate) fn coordinators(&self) -> Vec<SocketAddr> {
+        self.owner_order(&Shard {
             zone: None,
             part: 0,
             parts: 1,
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -114,6 +114,9 @@
     All,
     /// Those of instances of this system.
     Instances,
+    /// Those of instances whose identities begin with these four bits: a sample of one
+    /// in sixteen.
+    Sample(u8),
 }
 
 /// Why a call to the store brought nothing.
@@ -160,8 +163,8 @@
 /// The store that holds what must last: the operator's configuration and the
 /// entries of upstreams and instances.
 pub trait Store: Debug + Send + Sync {
-    /// Reads all records or those of instances: what lies after a key, as it is now and as much as fits into one
-    /// answer; everything from the empty key on. Pages are no snapshot: what
+    /// Reads records of a kind: what lies after a key, as it is now and as much as fits
+    /// into one answer; everything from the empty key on. Pages are no snapshot: what
     /// changed since the first one comes with a watch from its revision.
     fn page<'a>(&'a self, what: Listed, after: &'a str) -> StoreFuture<'a, Page>;
 
--- a/crates/gateway/src/store_follower.rs
+++ b/crates/gateway/src/store_follower.rs
@@ -5,12 +5,14 @@
 
 use async_io::Timer;
 use futures_lite::FutureExt;
+use jd_serving::FirstSources;
 use jd_serving::News;
 use jd_serving::NewsSource;
 use jd_serving::SourceState;
 use jd_types::Incarnation;
 
 use crate::StoreError;
+use crate::peer_news::Heard;
 use crate::peers::Peers;
 use crate::store_call::StoreCall;
 use crate::store_intake::StoreIntake;
@@ -44,6 +46,9 @@
 /// How long it asks those that relay before it reads everything from the store. They
 /// need about 300 ms from their start until they can tell.
 const RELAYS_WITHIN: Duration = Duration::from_millis(900);
+/// How long an instance of a large fleet asks others before it reads everything from the
+/// store.
+const SOURCES_WITHIN: Duration = Duration::from_secs(8);
 /// The mean pause before a process that has read nothing yet asks again. Until
 /// then it serves nobody, and it asks the store nothing else.
 const FIRST_READ_PAUSE: Duration = Duration::from_millis(350);
@@ -121,19 +126,29 @@
         }
     }
 
-    /// Reads which instances there are, and all else from one that relays in this zone;
-    /// from the store if this one relays itself, or if none of them has it.
+    /// Reads which instances there are, and all else from one that has it.
     ///
-    /// The load that it answers: all instances of a fleet start at once. Of 300 each read
-    /// a megabyte, 2.7 s of the store's link, longer than one call may take. Told by a
-    /// relay, half of 295 know what is in force 75 ms after their start.
+    /// The load that it answers: all instances of a fleet start at once. What each reads of
+    /// the store has to stay small: of 300 each read a megabyte, 2.7 s of its link, and
+    /// 985 that read only the list of each other kept it busy for ten.
     async fn read_first(&self, patience: Duration) -> Result<(), StoreError> {
         let state = &self.link.state;
-        self.reader.read_instances(patience).await?;
-        if state.settings.first_start {
+        if state.settings.first_start && state.listed.set() {
+            // There are no entries of earlier starts. Its own is written meanwhile.
             Timer::after(START_SPREAD).await;
-            self.reader.read_instances(patience).await?;
         }
+        let sample = self.reader.read_sample(patience).await?;
+        match FirstSources::of_sample(state.me.incarnation, &sample) {
+            Some(sources) => self.hear_first(sources).await,
+            None => self.read_small_fleet(patience).await,
+        }
+    }
+
+    /// Reads which instances there are, and all else from one that relays in this zone;
+    /// from the store if this one relays itself, or if none of them has it.
+    async fn read_small_fleet(&self, patience: Duration) -> Result<(), StoreError> {
+        let state = &self.link.state;
+        self.reader.read_instances(patience).await?;
         let asked = state.now();
         while let NewsSource::Relay(id) = state.news_source()
             && state.now().since(asked) < RELAYS_WITHIN
@@ -146,6 +161,46 @@
         self.reader.read_all(CALL_WITHIN).await
     }
 
+    /// Hears everything from one of a large fleet; from the store if others ask this one
+    /// for it, or if none of those that are asked has it.
+    async fn hear_first(&self, mut sources: FirstSources) -> Result<(), StoreError> {
+        let state = &self.link.state;
+        let asked = state.now();
+        let yields = sources.yields_for(state.me.strength);
+        let wanted = async {
+            state.all_wanted.given().await;
+            Timer::after(yields).await;
+            true
+        };
+        let heard = async {
+            while let Some(source) = sources.ask_next()
+                && state.now().since(asked) < SOURCES_WITHIN
+            {
+                match self.peers.hear_first(source, FIRST_FOLLOW_WAIT).await {
+                    Some(heard) => self.take_heard(heard),
+                    None => sources.is_silent(source),
+                }
+                if state.has_read() {
+                    return false;
+                }
+            }
+            true
+        };
+        match wanted.or(heard).await {
+            true => self.reader.read_all(CALL_WITHIN).await,
+            false => Ok(()),
+        }
+    }
+
+    fn take_heard(&self, heard: Heard) {
+        for news in heard.news {
+            self.intake.take(news);
+        }
+        if let Some(proof) = heard.proof {
+            self.link.state.knowledge().freshness.adopt(proof);
+        }
+    }
+
     /// Gives up entries whose time is over.
     pub(crate) async fn expire(self: Arc<Self>) {
         let state = &self.link.state;
@@ -280,17 +335,13 @@
             return false;
         };
         let silent = heard.news.iter().all(|n| n.items.is_empty());
-        for news in heard.news {
-            self.intake.take(news);
-        }
-        if let Some(proof) = heard.proof {
-            state.knowledge().freshness.adopt(proof);
-        }
-        match heard.store_away {
+        let store_away = heard.store_away;
+        self.take_heard(heard);
+        match store_away {
             true => self.source_lost_store(id),
             false => self.link.back(),
         }
-        if !heard.store_away && state.without_proof() > FOLLOWED_PROOF_MOST {
+        if !store_away && state.without_proof() > FOLLOWED_PROOF_MOST {
             log::info!(source:% = id; "the instance followed brings no proof");
             let now = state.now();
             let mut knowledge = state.knowledge();
--- a/crates/gateway/src/store_intake.rs
+++ b/crates/gateway/src/store_intake.rs
@@ -6,6 +6,7 @@
 
 use jd_serving::Content;
 use jd_serving::Deployment;
+use jd_serving::InstanceEntry;
 use jd_serving::News;
 use jd_serving::Reading;
 use jd_serving::Router;
@@ -50,7 +51,13 @@
             true => self.replace(items, revision, known),
             false => self.apply(items, revision),
         }
-        self.state.knowledge().freshness.applied(revision);
+        let now = self.state.now();
+        {
+            let mut knowledge = self.state.knowledge();
+            knowledge.freshness.applied(revision);
+            knowledge.listed_at.get_or_insert(now);
+        }
+        self.state.listed.set();
         self.state.news.notify(usize::MAX);
         true
     }
@@ -67,6 +74,17 @@
         self.state.listed.set();
     }
 
+    /// The other instances that items name.
+    pub(crate) fn sampled(&self, items: &[StoreItem]) -> Vec<InstanceEntry> {
+        let me = &self.state.me;
+        let entries = self.decode(items).into_iter();
+        let entries = entries.filter_map(|(change, _)| match change {
+            Change::Put(Record::Instance(entry)) if entry.peers != me.peers => Some(entry),
+            _ => None,
+        });
+        entries.collect()
+    }
+
     /// Takes the configuration alone out of another instance's records.
     pub(crate) fn take_deployment(&self, items: &[StoreItem]) {
         for (change, item) in self.decode(items) {
--- a/crates/gateway/src/store_reader.rs
+++ b/crates/gateway/src/store_reader.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use async_io::Timer;
+use jd_serving::InstanceEntry;
 use jd_serving::News;
 use jd_serving::StoreItem;
 use jd_serving::StoreRevision;
@@ -55,6 +56,18 @@
         Ok(())
     }
 
+    /// Reads a sample of the instances, the one that this instance belongs to. One
+    /// answer's worth of it does.
+    pub(crate) async fn read_sample(
+        &self,
+        patience: Duration,
+    ) -> Result<Vec<InstanceEntry>, StoreError> {
+        let bits = self.link.state.me.incarnation.get() >> 60;
+        let sample = Listed::Sample(u8::try_from(bits).unwrap_or(0));
+        let page = self.read_page(sample, "", patience).await?;
+        Ok(self.intake.sampled(&page.items))
+    }
+
     /// All items and the revision of the first page. What has changed since that page
     /// comes with the news after it.
     ///
--- a/crates/gateway/tests/whole/fakes/fake_store.rs
+++ b/crates/gateway/tests/whole/fakes/fake_store.rs
@@ -66,6 +66,7 @@
     refused_pages: AtomicUsize,
     first_pages: AtomicUsize,
     lists: AtomicUsize,
+    samples: AtomicUsize,
     refused_announcements: AtomicUsize,
     refuses_quarantine: Arc<AtomicBool>,
     questions: AtomicUsize,
@@ -96,6 +97,7 @@
             refused_pages: AtomicUsize::new(0),
             first_pages: AtomicUsize::new(0),
             lists: AtomicUsize::new(0),
+            samples: AtomicUsize::new(0),
             refused_announcements: AtomicUsize::new(0),
             refuses_quarantine: Arc::default(),
             questions: AtomicUsize::new(0),
@@ -199,6 +201,12 @@
         match what {
             Listed::All => true,
             Listed::Instances => matches!(said[place], Change::Put(Record::Instance(_))),
+            Listed::Sample(bits) => match &said[place] {
+                Change::Put(Record::Instance(entry)) => {
+                    entry.incarnation.get() >> 60 == u64::from(bits)
+                }
+                _ => false,
+            },
         }
     }
 
@@ -234,6 +242,11 @@
         self.lists.load(Ordering::Relaxed)
     }
 
+    /// How often a sample of them was read.
+    pub(crate) fn samples(&self) -> usize {
+        self.samples.load(Ordering::Relaxed)
+    }
+
     /// How often its revision was asked for.
     pub(crate) fn questions(&self) -> usize {
         self.questions.load(Ordering::Relaxed)
@@ -300,6 +313,7 @@
             let counter = match what {
                 Listed::All => &self.first_pages,
                 Listed::Instances => &self.lists,
+                Listed::Sample(_) => &self.samples,
             };
             counter.fetch_add(1, Ordering::Relaxed);
         }
--- a/crates/serving/tests/growth.rs
+++ b/crates/serving/tests/growth.rs
@@ -2,10 +2,12 @@
 
 #![allow(clippy::expect_used)]
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
+use jd_serving::FirstSources;
 use jd_serving::InstanceEntry;
 use jd_serving::Reading;
 use jd_serving::Shard;
@@ -206,3 +208,60 @@
             .is_empty()
     );
 }
+
+/// Guards against starts that read the whole list of instances: 985 that did kept the
+/// store's link busy for ten seconds.
+#[test_case(300, 12; "300 instances")]
+#[test_case(985, 50; "985 instances")]
+#[test_case(2_000, 100; "2000 instances")]
+#[test_case(985, 0; "985 instances, none of them strong")]
+fn when_all_start_a_few_dozen_read_the_store_and_share_the_others(instances: u32, strong: u32) {
+    let fleet: Vec<InstanceEntry> = (0..instances).map(|n| instance(n, strong)).collect();
+    let bits = |e: &InstanceEntry| e.incarnation.get() >> 59;
+    let mut asked: HashMap<SocketAddr, u32> = HashMap::new();
+    for me in &fleet {
+        let sample = fleet.iter().filter(|e| bits(e) == bits(me) && *e != me);
+        let sample: Vec<InstanceEntry> = sample.cloned().collect();
+        assert!(
+            sample.len() as u32 <= instances / 8,
+            "{} read",
+            sample.len()
+        );
+        let sources = FirstSources::of_sample(me.incarnation, &sample);
+        let first = sources.expect("a large fleet").ask_next();
+        *asked.entry(first.expect("a source")).or_default() += 1;
+    }
+    assert!(asked.len() <= 16 * 3, "{} read the store", asked.len());
+    let most = asked.values().max().copied().unwrap_or_default();
+    assert!(most <= instances / 12, "one tells {most}");
+}
+
+/// Guards against a start that asks the dead for good, or the same one only.
+#[test]
+fn sources_that_do_not_answer_are_replaced_by_the_next() {
+    let sample: Vec<InstanceEntry> = (0..40).map(|n| instance(n, 3)).collect();
+    let sources = FirstSources::of_sample(Incarnation::new(1), &sample);
+    let mut sources = sources.expect("a large fleet");
+    let mut seen = Vec::new();
+    while let Some(source) = sources.ask_next() {
+        assert!(!seen.contains(&source));
+        seen.push(source);
+        sources.is_silent(source);
+    }
+    assert!(seen.len() > 2);
+    assert!(FirstSources::of_sample(Incarnation::new(1), &sample[..9]).is_none());
+}
+
+/// Guards against weak instances that all read the store because a part of the fleet asked
+/// them: where there are stronger ones, these have read it sooner.
+#[test]
+fn a_weak_instance_leaves_reading_to_a_stronger_one() {
+    let sample: Vec<InstanceEntry> = (0..40).map(|n| instance(n, 3)).collect();
+    let sources = FirstSources::of_sample(Incarnation::new(1), &sample);
+    let sources = sources.expect("a large fleet");
+    assert!(sources.yields_for(sample[0].strength).is_zero());
+    assert!(!sources.yields_for(sample[30].strength).is_zero());
+    let weak = FirstSources::of_sample(Incarnation::new(1), &sample[10..]);
+    let weak = weak.expect("a large fleet");
+    assert!(weak.yields_for(sample[30].strength).is_zero());
+}
