Batches of changes of upstreams are one line on instances that hear of them from another

Cause, seen in the play of the whole fleet: while 10,005 upstreams registered, some 1,100 did so after a start, 78 logged instances wrote 39,740 lines on them, up to 531 each; in the fleet some half a million in ten seconds, and ten million when all register. A line costs its writer processor time and says what those that read the store say already.

Ruled out: no lines at followers (a single change is wanted in a request's story there).

--- a/crates/gateway/src/store_intake.rs
+++ b/crates/gateway/src/store_intake.rs
@@ -8,6 +8,7 @@
 use jd_serving::Deployment;
 use jd_serving::InstanceEntry;
 use jd_serving::News;
+use jd_serving::NewsSource;
 use jd_serving::Reading;
 use jd_serving::Router;
 use jd_serving::StoreItem;
@@ -25,6 +26,47 @@
 use crate::quarantine::Told;
 use crate::state::State;
 
+/// Changes of upstreams in one batch that an instance logs one by one though it hears of
+/// them from another, which logs them as well.
+const LINES_A_BATCH: usize = 8;
+
+/// The lines on upstreams of one batch of changes.
+///
+/// Guards against a line for each upstream on each instance of a fleet: when 10,000 start
+/// before 1,000 instances they are ten million, and cost more than the changes.
+#[derive(Debug)]
+struct UpstreamLines {
+    each: bool,
+    written: usize,
+    removed: usize,
+}
+
+impl UpstreamLines {
+    fn written(&mut self, entry: &UpstreamEntry, revision: StoreRevision) {
+        self.written += 1;
+        if self.each {
+            let cold_ms = entry.cold_left.as_millis() as u64;
+            log::info!(upstream:% = entry.id, leaving = entry.leaving, cold_ms, revision:%; "upstream");
+        }
+    }
+
+    fn removed(&mut self, id: &str, revision: StoreRevision) {
+        self.removed += 1;
+        if self.each {
+            log::info!(upstream:% = id, revision:%; "upstream entry removed");
+        }
+    }
+
+    fn end(self, revision: StoreRevision) {
+        if !self.each && self.written + self.removed > 0 {
+            let Self {
+                written, removed, ..
+            } = self;
+            log::info!(written, removed, revision:%; "upstreams changed");
+        }
+    }
+}
+
 /// Takes in what the store holds, whoever brings the news.
 #[derive(Debug)]
 pub(crate) struct StoreIntake {
@@ -157,11 +199,11 @@
         let items = self.state.knowledge().mirror.apply(items, revision);
         let now = self.state.now();
         let mut changed = false;
+        let mut lines = self.upstream_lines(items.len());
         for (change, item) in self.decode(&items) {
             match change {
                 Change::Put(Record::Upstream(entry)) => {
-                    let cold_ms = entry.cold_left.as_millis() as u64;
-                    log::info!(upstream:% = entry.id, leaving = entry.leaving, cold_ms, revision:%; "upstream");
+                    lines.written(&entry, revision);
                     changed |= self.state.knowledge().upstreams.put(now, entry);
                 }
                 Change::Put(Record::EvacuatedZone(zone)) => {
@@ -174,7 +216,7 @@
                 }
                 Change::Put(record) => self.take_record(record, &item),
                 Change::UpstreamGone(id) => {
-                    log::info!(upstream:% = id, revision:%; "upstream entry removed");
+                    lines.removed(&id, revision);
                     changed |= self.state.knowledge().upstreams.remove(now, &id);
                 }
                 Change::UpstreamUnreadable { id, reason } => {
@@ -187,11 +229,23 @@
                 Change::QuarantineGone(content) => self.state.quarantine.note_stored(content, None),
             }
         }
+        lines.end(revision);
         if changed {
             self.state.rebuild_upstreams();
         }
     }
 
+    /// What is logged of a batch of changes: each upstream where this instance reads the
+    /// store, or where they are few.
+    fn upstream_lines(&self, changes: usize) -> UpstreamLines {
+        let each = changes <= LINES_A_BATCH || self.state.news_source() == NewsSource::Store;
+        UpstreamLines {
+            each,
+            written: 0,
+            removed: 0,
+        }
+    }
+
     /// Leaves an upstream out whose entry another writer left or wrote over; true if
     /// that changes anything. A line for each writing and not for each reading.
     fn leave_out(&self, id: &str, reason: &str, written: StoreRevision) -> bool {
