The line of an ended stream tells its first event, its longest pause and its prompt

Cause: whether a stream was late by its first event or by a pause could not be told from the logs. Change of lines only, no behaviour.

--- a/crates/gateway/src/event_stream.rs
+++ b/crates/gateway/src/event_stream.rs
@@ -13,6 +13,7 @@
 use jd_serving::EventSplitter;
 use jd_serving::Repeat;
 use jd_types::AttemptOutcome;
+use jd_types::MonoTime;
 use snafu::Snafu;
 
 use crate::attempt::Answer;
@@ -51,6 +52,11 @@
     splitter: EventSplitter,
     offers: Offers,
     events: u64,
+    /// When its first events came, and the last ones.
+    first: Option<MonoTime>,
+    last: Option<MonoTime>,
+    /// The longest time between two of its parts.
+    longest_pause: Duration,
 }
 
 impl EventStream {
@@ -72,6 +78,9 @@
             splitter: EventSplitter::default(),
             offers,
             events: 0,
+            first: None,
+            last: None,
+            longest_pause: Duration::ZERO,
         }
     }
 
@@ -115,6 +124,11 @@
 
     fn passed_on(&mut self) {
         self.events += 1;
+        let now = self.state.now();
+        let pause = now.since(self.last.unwrap_or(now));
+        self.longest_pause = self.longest_pause.max(pause);
+        self.first.get_or_insert(now);
+        self.last = Some(now);
         self.open.goes_on();
         // The upstream has read its inputs once it makes events. Results take
         // much room; a stream that goes on elsewhere has them made again.
@@ -126,10 +140,16 @@
         self.open.end(AttemptOutcome::Answered);
         self.response = None;
         let took = self.state.now().since(self.call.arrived);
+        let first = self.first.map(|at| at.since(self.call.arrived));
+        let tokens = self.call.head.prompt.as_ref().map(|p| p.tokens_in);
         log::info!(
             request = self.call.id(),
+            route = self.call.route().name.as_str(),
             upstream = self.open.id(),
+            tokens:? = tokens,
             parts = self.events,
+            first_ms:? = first.map(|d| d.as_millis() as u64),
+            pause_ms = self.longest_pause.as_millis() as u64,
             ms = took.as_millis() as u64;
             "stream ended"
         );
