A start takes nothing from an instance that has lost the store

A start that asks others for everything took it from one that the store turns away as well, so that it would begin with an older configuration although the store had just answered its own question. Ruled out: taking it and catching up (public routes would be served by it for a second). Change: such a source counts as silent.

--- a/crates/gateway/src/store_follower.rs
+++ b/crates/gateway/src/store_follower.rs
@@ -177,8 +177,9 @@
                 && state.now().since(asked) < SOURCES_WITHIN
             {
                 match self.peers.hear_first(source, FIRST_FOLLOW_WAIT).await {
-                    Some(heard) => self.take_heard(heard),
-                    None => sources.is_silent(source),
+                    Some(heard) if !heard.store_away => self.take_heard(heard),
+                    // What it knows may be old, while the store answered here just now.
+                    Some(_) | None => sources.is_silent(source),
                 }
                 if state.has_read() {
                     return false;
