--- a/crates/gateway/src/peer_news.rs
+++ b/crates/gateway/src/peer_news.rs
@@ -24,8 +24,9 @@
 /// the time after which a new one is asked for.
 const YOUNGER_BY: Duration = Duration::from_millis(300);
 
-/// Records that may have been written since all were packed, as a part of all: one in so
-/// many. Each is sent beside the piece, and to pack all costs as much as they are.
+/// All records are packed anew once one in so many of them was written since; until then
+/// these are sent beside the piece. A part of all, so that packing costs no more for each
+/// change where there are more records.
 const PACKED_BEHIND: usize = 16;
 
 /// What another instance knows of the store.
