--- a/crates/wire/tests/parts.rs
+++ b/crates/wire/tests/parts.rs
@@ -1,5 +1,7 @@
 //! Packed records that are told in parts.
 
+#![allow(clippy::panic)]
+
 use bytes::Bytes;
 use jd_wire::FollowReply;
 use jd_wire::FollowRequest;
