--- a/crates/wire/tests/parts.rs
+++ b/crates/wire/tests/parts.rs
@@ -10,7 +10,10 @@
 use jd_wire::PackedParts;
 use jd_wire::PartsTaken;
 use jd_wire::put_part;
-use proptest::prelude::*;
+use proptest::prelude::any;
+use proptest::prelude::prop;
+use proptest::prop_assert;
+use proptest::proptest;
 use test_case::test_case;
 
 fn piece(size: usize) -> Bytes {
