Tell whether upstreams can be connected to, and which owner ended stages

The line of a refusal says whether the path was lost, that of stages which owner ended them. Nothing acts on it yet.

--- a/crates/gateway/src/caller_api.rs
+++ b/crates/gateway/src/caller_api.rs
@@ -210,6 +210,7 @@
             run = refusal.run.as_str(),
             detail = refusal.detail.as_str(),
             ms = took.as_millis() as u64,
+            path_lost = self.state.path.is_lost(),
             proof_ms:? = proof_ms;
             "refused"
         );
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -27,6 +27,7 @@
 use crate::batch_dispatcher::BatchDispatcher;
 use crate::caller_api::CallerApi;
 use crate::crash_reporter::CrashReporter;
+use crate::path_checker::OwnPath;
 use crate::peer_api::PeerApi;
 use crate::peer_api::PeerHandler;
 use crate::peer_client::PeerClient;
@@ -200,6 +201,7 @@
             executor.spawn(Arc::clone(&follower).fetch_newer_deployment()),
             executor.spawn(follower.expire_entries()),
             executor.spawn(poller.run()),
+            executor.spawn(OwnPath::check(Arc::clone(&state))),
             executor.spawn(Arc::clone(&lease).keep_registered()),
             executor.spawn(Arc::clone(&lease).remove_silent()),
             executor.spawn(reporting),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,6 +25,7 @@
 mod load_warnings;
 mod metrics;
 mod paces;
+mod path_checker;
 mod peer_api;
 mod peer_channels;
 mod peer_client;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -42,6 +42,8 @@
     permits: Family<Outcome, Counter>,
     notices: Family<Notice, Counter>,
     placements: Family<Outcome, Counter>,
+    path_lost: Gauge,
+    path_checks: Family<Outcome, Counter>,
     pace_reports: Family<Outcome, Counter>,
     handover_results: Family<Outcome, Counter>,
     handover_updates: Family<Outcome, Counter>,
@@ -66,6 +68,8 @@
             permits: Family::default(),
             notices: Family::default(),
             placements: Family::default(),
+            path_lost: Gauge::default(),
+            path_checks: Family::default(),
             pace_reports: Family::default(),
             handover_results: Family::default(),
             handover_updates: Family::default(),
@@ -124,6 +128,16 @@
             "What upstreams said in answers of what may be sent to them next",
             metrics.notices.clone(),
         );
+        r.register(
+            "jd_gateway_path_lost",
+            "1 while no upstream can be connected to",
+            metrics.path_lost.clone(),
+        );
+        r.register(
+            "jd_gateway_path_checks",
+            "Checks whether upstreams can be connected to, by outcome",
+            metrics.path_checks.clone(),
+        );
         r.register(
             "jd_gateway_placements",
             "Prompts placed here by reason, and what became of placements that owners sent",
@@ -207,6 +221,14 @@
         self.placements.get_or_create(&Outcome { outcome }).inc();
     }
 
+    pub(crate) fn path_lost(&self, lost: bool) {
+        self.path_lost.set(i64::from(lost));
+    }
+
+    pub(crate) fn path_check(&self, outcome: &'static str) {
+        self.path_checks.get_or_create(&Outcome { outcome }).inc();
+    }
+
     pub(crate) fn pace_report(&self, outcome: &'static str) {
         self.pace_reports.get_or_create(&Outcome { outcome }).inc();
     }
--- a/crates/gateway/src/stage_runner.rs
+++ b/crates/gateway/src/stage_runner.rs
@@ -102,11 +102,11 @@
         job: &StageJob,
     ) -> Result<(SocketAddr, StageOutcome), Refusal> {
         let began = self.state.now();
-        let mut ended = self.run_on_owners(job).await;
+        let (mut owner, mut ended) = self.run_on_owners(job).await;
         let mut moves = 0;
         while matches!(ended, Err(JobFailure::Moved)) && moves < MAX_MOVES {
             moves += 1;
-            ended = self.run_on_owners(job).await;
+            (owner, ended) = self.run_on_owners(job).await;
         }
         let took = self.state.now().since(began);
         let outcome = match &ended {
@@ -116,21 +116,22 @@
         self.state.metrics.stages(outcome, took);
         log::info!(
             request = request.id(),
+            owner:%,
             outcome,
             first_event_ms = request.objective_deadline().since(job.objective).as_millis() as u64,
             ms = took.as_millis() as u64;
             "stages ended"
         );
-        ended.map_err(refusal_for)
+        let outcome = ended.map_err(refusal_for)?;
+        Ok((owner, outcome))
     }
 
-    /// Returns the results and the owner that ran the stages.
-    async fn run_on_owners(
-        &self,
-        job: &StageJob,
-    ) -> Result<(SocketAddr, StageOutcome), JobFailure> {
+    /// Returns the owner that ran the stages, and their outcome.
+    async fn run_on_owners(&self, job: &StageJob) -> (SocketAddr, JobOutcome) {
         let me = self.state.own_entry.peer_address;
-        let shard = self.shard(job).ok_or(JobFailure::NoUpstream)?;
+        let Some(shard) = self.shard(job) else {
+            return (me, Err(JobFailure::NoUpstream));
+        };
         self.state.mark_shard_used(&shard);
         let mut is_owner = false;
         for owner in self.state.owner_order(&shard) {
@@ -145,7 +146,7 @@
                     // The owner has just started and has not read the store, while this
                     // instance knows upstreams: try the next owner.
                     Some(Err(JobFailure::NoUpstream)) => break,
-                    Some(outcome) => return outcome.map(|outcome| (owner, outcome)),
+                    Some(outcome) => return (owner, outcome),
                     None => {}
                 }
                 if !self.is_live(owner) {
@@ -159,8 +160,7 @@
             // What others have placed is not known here.
             job.prompt = None;
         }
-        let outcome = self.dispatcher.run(shard, job).await?;
-        Ok((me, outcome))
+        (me, self.dispatcher.run(shard, job).await)
     }
 
     /// Has the owner of a shard select the upstream of a prompt without stages; none if it does not
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -45,6 +45,7 @@
 use crate::limits::Limits;
 use crate::metrics::Metrics;
 use crate::paces::Paces;
+use crate::path_checker::OwnPath;
 use crate::peer_channels::PeerChannels;
 use crate::peer_replication::PackedSnapshots;
 use crate::permit_retries::PermitRetries;
@@ -89,6 +90,8 @@
     pub(crate) backoffs: UpstreamBackoffs,
     /// The pace of upstreams that generate.
     pub(crate) paces: Paces,
+    /// Whether this instance has a network path to the upstreams.
+    pub(crate) path: OwnPath,
     pub(crate) channels: PeerChannels,
     /// Signals that heartbeats are to be sent to other instances now.
     pub(crate) heartbeat_requested: Arc<Signal>,
@@ -141,6 +144,7 @@
             permit_retries: PermitRetries::default(),
             backoffs: UpstreamBackoffs::default(),
             paces: Paces::default(),
+            path: OwnPath::new(),
             channels,
             heartbeat_requested,
             proof_requested: Signal::new(),
--- a/crates/gateway/src/upstream_client.rs
+++ b/crates/gateway/src/upstream_client.rs
@@ -175,10 +175,16 @@
         match (sent, lock(&withheld).take()) {
             (_, Some(why)) => Err(SendFailure::Withheld(why)),
             (Some(Ok(response)), None) => {
+                if response.opened {
+                    state.path.record_opened(state, permit.to.address);
+                }
                 apply_response_notices(state, &permit.to, &response);
                 Ok(response)
             }
-            (Some(Err(SendError::NotSent)), None) => Err(SendFailure::ConnectFailed),
+            (Some(Err(SendError::NotSent)), None) => {
+                state.path.record_failed(state, permit.to.address);
+                Err(SendFailure::ConnectFailed)
+            }
             (Some(Err(SendError::Broken)), None) => Err(SendFailure::ConnectionLost),
             (None, None) => Err(SendFailure::TimedOut),
         }
--- a/crates/gateway/src/upstream_table.rs
+++ b/crates/gateway/src/upstream_table.rs
@@ -178,6 +178,37 @@
         addresses
     }
 
+    /// Number of upstreams that may be selected.
+    pub(crate) fn count(&self) -> usize {
+        self.services.values().map(|t| t.ids.len()).sum()
+    }
+
+    /// The addresses of at most `count` upstreams of different services, other than those
+    /// `excluded`. Of these one is returned if there are no others.
+    pub(crate) fn sample_addresses(
+        &self,
+        count: usize,
+        excluded: &[SocketAddr],
+    ) -> Vec<SocketAddr> {
+        let mut sample: Vec<SocketAddr> = Vec::with_capacity(count);
+        let tables: Vec<&ServiceTable> = self.services.values().collect();
+        let offset = fastrand::usize(..tables.len().max(1));
+        // Several rounds, so that a deployment with few services is sampled as well.
+        for n in 0..tables.len() * count {
+            let upstreams = tables[(offset + n) % tables.len()].pool.upstreams();
+            let drawn = fastrand::choice(upstreams).map(|u| u.address);
+            let drawn = drawn.filter(|a| !excluded.contains(a) && !sample.contains(a));
+            sample.extend(drawn);
+            if sample.len() == count {
+                break;
+            }
+        }
+        if sample.is_empty() {
+            sample.extend(fastrand::choice(excluded));
+        }
+        sample
+    }
+
     /// The zones of a service's upstreams, one item for each upstream.
     pub(crate) fn zones(&self, service: &str) -> impl Iterator<Item = &Name> {
         let table = self.services.get(service).into_iter();
--- a/crates/net/src/http_pool.rs
+++ b/crates/net/src/http_pool.rs
@@ -44,9 +44,17 @@
     key: ConnectionKey,
     sender: SendRequest<Body>,
     idle_since: MonoTime,
+    reused: bool,
     _driver: Task<()>,
 }
 
+impl Connection {
+    /// True if an earlier request was sent on the connection.
+    pub(crate) fn is_reused(&self) -> bool {
+        self.reused
+    }
+}
+
 impl fmt::Debug for Connection {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "Connection({}, {:?})", self.address, self.key)
@@ -81,6 +89,7 @@
     pub(crate) fn put_back(&self, mut c: Connection) {
         let now = self.clock.now();
         c.idle_since = now;
+        c.reused = true;
         let mut addresses = self.lock();
         let pool = addresses.entry(c.address).or_default();
         pool.monitor.received(now, c.key, true);
@@ -280,6 +289,7 @@
             key,
             sender,
             idle_since: now,
+            reused: false,
             _driver: driver,
         })
     }
--- a/crates/net/src/http_response.rs
+++ b/crates/net/src/http_response.rs
@@ -23,6 +23,8 @@
     pub status: StatusCode,
     /// The headers.
     pub headers: HeaderMap,
+    /// True if the connection was opened for the request.
+    pub opened: bool,
     body: Incoming,
     connection: Option<Connection>,
     shared: Arc<PoolState>,
@@ -38,6 +40,7 @@
         HttpResponse {
             status: parts.status,
             headers: parts.headers,
+            opened: !connection.is_reused(),
             body,
             connection: Some(connection),
             shared,
