Reproduce refusals at instances without a path to upstreams

Each gateway of a test now has a pool of its own, whose connections to upstreams can hang, be reset, or live on while new ones are refused.

--- a/crates/gateway/tests/whole/fakes/harness.rs
+++ b/crates/gateway/tests/whole/fakes/harness.rs
@@ -30,6 +30,7 @@
 use crate::fakes::FakeStore;
 use crate::fakes::FakeUpstream;
 use crate::fakes::Reply;
+use crate::fakes::UpstreamLink;
 use crate::fakes::caller::RESPONSE_TIMEOUT;
 use crate::fakes::caller::read;
 use crate::fakes::caller::request;
@@ -47,6 +48,7 @@
     peers: SocketAddr,
     ready: SocketAddr,
     metrics: SocketAddr,
+    link: Arc<UpstreamLink>,
     pool: HttpPool,
     workers: Workers,
     fleet: Vec<Member>,
@@ -103,9 +105,10 @@
         }
         let pool = HttpPool::new(Arc::clone(&executor), Clock::start());
         let store = Arc::new(FakeStore::new(records));
-        let own = start_gateway(&executor, &pool, &store);
+        let own = start_gateway(&executor, &store);
         Harness {
             gateway: own.gateway,
+            link: own.link,
             store,
             upstreams,
             callers: own.callers,
@@ -178,12 +181,13 @@
         let count = self.fleet.len();
         self.fleet.clear();
         let executor = self.workers.executor();
-        let own = start_gateway(&executor, &self.pool, &self.store);
+        let own = start_gateway(&executor, &self.store);
         self.gateway = own.gateway;
         self.callers = own.callers;
         self.peers = own.peers;
         self.ready = own.ready;
         self.metrics = own.metrics;
+        self.link = own.link;
         self.add_gateways(count);
     }
 
@@ -209,10 +213,17 @@
             self.peers = first.peers;
             self.ready = first.ready;
             self.metrics = first.metrics;
+            self.link = first.link;
         }
         self.fleet.retain(|m| m.peers != peers);
     }
 
+    /// The path of the gateway at a peer address to the upstreams.
+    pub(crate) fn link(&self, peers: SocketAddr) -> &Arc<UpstreamLink> {
+        let member = self.fleet.iter().find(|m| m.peers == peers);
+        member.map_or(&self.link, |m| &m.link)
+    }
+
     /// Waits until all gateways have announced themselves, and have seen all of the store's
     /// changes.
     pub(crate) async fn until_all_listed(&self) {
@@ -233,7 +244,7 @@
         let store = Arc::new(self.store.for_another_instance());
         store.refuse_next_pages(refused_pages);
         store.set_unavailable(unavailable);
-        let started = start_gateway(&executor, &self.pool, &store);
+        let started = start_gateway(&executor, &store);
         self.fleet.push(Member {
             store: Arc::clone(&store),
             callers: started.callers,
@@ -241,6 +252,7 @@
             peers: started.peers,
             metrics: started.metrics,
             gateway: started.gateway,
+            link: started.link,
         });
         store
     }
@@ -392,13 +404,14 @@
         &self,
         peers: SocketAddr,
         path: &'static str,
-        id: &'static str,
+        id: &str,
     ) -> async_executor::Task<CallerResponse> {
         let member = self.fleet.iter().find(|m| m.peers == peers);
         let address = member.map_or(self.callers, |m| m.callers);
         let pool = self.pool.clone();
+        let req = request(path, id, "key-1");
         self.workers.spawn(async move {
-            let sent = pool.send(address, request(path, id, "key-1"), RESPONSE_TIMEOUT, true);
+            let sent = pool.send(address, req, RESPONSE_TIMEOUT, true);
             match sent.await {
                 Some(Ok(response)) => read(response).await,
                 _ => CallerResponse::default(),
--- a/crates/gateway/tests/whole/fakes/member.rs
+++ b/crates/gateway/tests/whole/fakes/member.rs
@@ -6,6 +6,7 @@
 use jd_gateway::Gateway;
 
 use crate::fakes::FakeStore;
+use crate::fakes::UpstreamLink;
 
 /// A further gateway and its view of the store.
 pub(crate) struct Member {
@@ -15,4 +16,5 @@
     pub(crate) peers: SocketAddr,
     pub(crate) metrics: SocketAddr,
     pub(crate) gateway: Arc<Gateway>,
+    pub(crate) link: Arc<UpstreamLink>,
 }
--- a/crates/gateway/tests/whole/fakes/mod.rs
+++ b/crates/gateway/tests/whole/fakes/mod.rs
@@ -10,8 +10,10 @@
 mod fake_upstream;
 mod harness;
 mod member;
+mod owners;
 mod stage_upstream;
 mod start_gateway;
+mod upstream_link;
 pub(crate) mod upstream_notices;
 
 pub(crate) use caller::CallerResponse;
@@ -29,4 +31,7 @@
 pub(crate) use fake_upstream::FetchReply;
 pub(crate) use fake_upstream::Reply;
 pub(crate) use harness::Harness;
+pub(crate) use owners::owner_order;
 pub(crate) use stage_upstream::StageUpstream;
+pub(crate) use upstream_link::Cut;
+pub(crate) use upstream_link::UpstreamLink;
--- a/crates/gateway/tests/whole/fakes/start_gateway.rs
+++ b/crates/gateway/tests/whole/fakes/start_gateway.rs
@@ -8,11 +8,13 @@
 use async_executor::Executor;
 use jd_gateway::Gateway;
 use jd_net::Clock;
+use jd_net::Connector;
 use jd_net::HttpPool;
 use jd_settings::GatewaySettings;
 
 use crate::fakes::FakeDialect;
 use crate::fakes::FakeStore;
+use crate::fakes::UpstreamLink;
 
 /// A running gateway and its addresses.
 pub(crate) struct Started {
@@ -21,14 +23,12 @@
     pub(crate) ready: SocketAddr,
     pub(crate) peers: SocketAddr,
     pub(crate) metrics: SocketAddr,
+    /// The path of this gateway to the upstreams.
+    pub(crate) link: Arc<UpstreamLink>,
 }
 
 /// Starts a gateway that uses `store`, on addresses of its own.
-pub(crate) fn start_gateway(
-    executor: &Arc<Executor<'static>>,
-    pool: &HttpPool,
-    store: &Arc<FakeStore>,
-) -> Started {
+pub(crate) fn start_gateway(executor: &Arc<Executor<'static>>, store: &Arc<FakeStore>) -> Started {
     let [callers, ready, locate, peers, metrics] = own_addresses();
     let text = format!(
         "[instance]\nname = test\nzone = a\ncallers = {callers}\nready = {ready}\n\
@@ -37,11 +37,15 @@
          [callers]\nrevoke-within-ms = 500\n"
     );
     let settings = GatewaySettings::parse("test.ini", &text).expect("valid settings");
+    let link = Arc::new(UpstreamLink::new(executor));
+    let clock = Clock::start();
+    let connector = Arc::clone(&link) as Arc<dyn Connector>;
+    let pool = HttpPool::with_connector(Arc::clone(executor), clock, connector);
     let gateway = Gateway::start(
         settings,
-        Clock::start(),
+        clock,
         executor,
-        pool.clone(),
+        pool,
         Arc::new(FakeDialect),
         Arc::clone(store) as Arc<dyn jd_gateway::Store>,
     );
@@ -51,6 +55,7 @@
         ready,
         peers,
         metrics,
+        link,
     }
 }
 
--- a/crates/gateway/tests/whole/handover.rs
+++ b/crates/gateway/tests/whole/handover.rs
@@ -11,13 +11,7 @@
 use jd_gateway::Change;
 use jd_gateway::Record;
 use jd_net::HttpServer;
-use jd_serving::InstanceEntry;
-use jd_serving::Shard;
-use jd_serving::Strength;
 use jd_serving::UpstreamStart;
-use jd_serving::rank_owners;
-use jd_types::Incarnation;
-use jd_types::Name;
 use jd_wire::ReplicateResultsRequest;
 use jd_wire::Shard as WireShard;
 use tonic::Code;
@@ -28,6 +22,7 @@
 use crate::fakes::StageUpstream;
 use crate::fakes::chained_deployment;
 use crate::fakes::entry;
+use crate::fakes::owner_order;
 
 const ANSWER: Reply = Reply::Stream {
     parts: &["id: 1\ndata: a\n\n"],
@@ -94,28 +89,6 @@
     }
 }
 
-/// The order in which these instances own the only shard.
-fn owner_order(peers: &[SocketAddr]) -> Vec<SocketAddr> {
-    let instances: Vec<InstanceEntry> = peers
-        .iter()
-        .map(|address| InstanceEntry {
-            incarnation: Incarnation::new(1),
-            caller_address: *address,
-            peer_address: *address,
-            zone: Name::try_from("a").expect("a name"),
-            strength: Strength::default(),
-            leaving: false,
-        })
-        .collect();
-    let shard = Shard {
-        zone: None,
-        part: 0,
-        parts: 1,
-    };
-    let order = rank_owners(&shard, instances.iter(), peers.len());
-    order.into_iter().map(|e| e.peer_address).collect()
-}
-
 /// The owner is killed while the second stage of a request runs. The instance that had sent the
 /// job submits it again to the successor, which ran the first stage again, though its result
 /// was still stored, and nobody released that.
--- a/crates/gateway/tests/whole/main.rs
+++ b/crates/gateway/tests/whole/main.rs
@@ -13,6 +13,7 @@
 mod leaving;
 mod limits;
 mod loads;
+mod lost_paths;
 mod paces;
 mod placed_prompts;
 mod requests;
--- a/crates/net/src/http_pool.rs
+++ b/crates/net/src/http_pool.rs
@@ -3,7 +3,6 @@
 use std::collections::HashMap;
 use std::fmt;
 use std::net::SocketAddr;
-use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -11,7 +10,6 @@
 
 use async_executor::Executor;
 use async_executor::Task;
-use async_io::Async;
 use http::Request;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
@@ -22,8 +20,10 @@
 
 use crate::Body;
 use crate::Clock;
+use crate::Connector;
 use crate::HttpResponse;
 use crate::SendError;
+use crate::TcpConnector;
 use crate::lock;
 use crate::with_timeout;
 
@@ -145,15 +145,26 @@
 #[derive(Debug, Clone)]
 pub struct HttpPool {
     executor: Arc<Executor<'static>>,
+    connector: Arc<dyn Connector>,
     shared: Arc<PoolState>,
 }
 
 impl HttpPool {
     /// Creates an empty pool, whose connections run on `executor`.
     pub fn new(executor: Arc<Executor<'static>>, clock: Clock) -> HttpPool {
+        HttpPool::with_connector(executor, clock, Arc::new(TcpConnector))
+    }
+
+    /// Creates an empty pool, whose connections are opened by `connector`.
+    pub fn with_connector(
+        executor: Arc<Executor<'static>>,
+        clock: Clock,
+        connector: Arc<dyn Connector>,
+    ) -> HttpPool {
         let addresses = Mutex::new(HashMap::new());
         HttpPool {
             executor,
+            connector,
             shared: Arc::new(PoolState { clock, addresses }),
         }
     }
@@ -187,7 +198,7 @@
 
     /// Checks whether a server accepts connections at an address, by opening a new one.
     pub async fn probe(&self, address: SocketAddr) -> ProbeResult {
-        let opening = Async::<TcpStream>::connect(address);
+        let opening = self.connector.connect(address);
         match with_timeout(CONNECT_TIMEOUT, opening).await {
             Some(Ok(_)) => ProbeResult::Open,
             Some(Err(_)) => ProbeResult::Refused,
@@ -265,7 +276,7 @@
 
     async fn connect(&self, address: SocketAddr) -> Option<Connection> {
         let opening = async {
-            let io = Async::<TcpStream>::connect(address).await.ok()?;
+            let io = self.connector.connect(address).await.ok()?;
             // Messages are small in both directions, so that Nagle's algorithm would only
             // delay them.
             io.get_ref().set_nodelay(true).ok()?;
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod body;
 mod clock;
+mod connector;
 mod grpc_channel;
 mod http_pool;
 mod http_response;
@@ -25,6 +26,9 @@
 pub use body::read_bounded;
 pub use body::stream;
 pub use clock::Clock;
+pub use connector::ConnectFuture;
+pub use connector::Connector;
+pub use connector::TcpConnector;
 pub use grpc_channel::GrpcChannel;
 pub use http_pool::HttpPool;
 pub use http_pool::ProbeResult;
