An owner of stages that reaches no upstream passes its shards on

Callers of all nine instances were refused, `the stages would end after the deadline`, 2 to 8 ms after they asked, for as long as the one owner of the stages was cut off from the upstreams: 41 refusals in 4.8 s at the three instances that reached them. Cause: ownership followed heartbeats between instances, which went on. Heartbeats now tell whether an instance can connect to upstreams; one that cannot owns no shard, unless none can, and ends its jobs so that they are sent to the next owner. Permits and the quarantine need no path and stay where they are. A version that does not tell keeps its shards.

--- a/crates/gateway/src/batch_dispatcher.rs
+++ b/crates/gateway/src/batch_dispatcher.rs
@@ -96,6 +96,9 @@
     /// the job.
     pub(crate) async fn run(self: &Arc<Self>, shard: Shard, job: StageJob) -> JobOutcome {
         self.state.mark_shard_used(&shard);
+        if self.state.path.is_lost() && !job.is_empty() {
+            return Err(JobFailure::NoUpstream);
+        }
         if job.is_empty() {
             return Ok(self.plans.place_only(&self.state, &shard, &job));
         }
@@ -176,6 +179,9 @@
         let mut schedulers = lock(&self.schedulers);
         for (shard, entry) in schedulers.iter_mut() {
             let owns = self.state.owns(shard);
+            if self.state.path.is_lost() {
+                entry.scheduler.abandon();
+            }
             match (std::mem::replace(&mut entry.owned, owns), owns) {
                 (true, false) => {
                     log::info!(shard:? = shard; "shard is owned by another instance now");
--- a/crates/gateway/src/limiters.rs
+++ b/crates/gateway/src/limiters.rs
@@ -64,7 +64,7 @@
         let address = state.upstreams.load().address_of(id);
         let shard = address.map(shard_of);
         let first = shard
-            .is_some_and(|s| state.owner_order(&s).first() == Some(&state.own_entry.peer_address));
+            .is_some_and(|s| state.duty_order(&s).first() == Some(&state.own_entry.peer_address));
         let part = match first {
             true => LimiterShare::Whole,
             false => LimiterShare::Quarter,
@@ -95,7 +95,7 @@
         notice: LimitNotice,
         priority: u8,
     ) -> Result<(), Duration> {
-        let order = state.owner_order(&shard_of(upstream.address));
+        let order = state.duty_order(&shard_of(upstream.address));
         for limiter in order {
             if limiter == state.own_entry.peer_address {
                 return self.acquire_local(state, &upstream.id, priority);
--- a/crates/gateway/src/path_checker.rs
+++ b/crates/gateway/src/path_checker.rs
@@ -12,6 +12,7 @@
 use jd_net::lock;
 use jd_serving::PathCheck;
 use jd_serving::PathMonitor;
+use jd_serving::UpstreamPath;
 
 use crate::signal::Signal;
 use crate::state::State;
@@ -43,6 +44,14 @@
         self.is_lost.load(Ordering::Relaxed)
     }
 
+    /// What other instances are told.
+    pub(crate) fn reported(&self) -> UpstreamPath {
+        match self.is_lost() {
+            true => UpstreamPath::Lost,
+            false => UpstreamPath::Open,
+        }
+    }
+
     fn is_suspected(&self) -> bool {
         lock(&self.monitor).is_suspected()
     }
--- a/crates/gateway/src/peer_api.rs
+++ b/crates/gateway/src/peer_api.rs
@@ -77,6 +77,7 @@
                 leaving: beat.leaving,
                 ready: beat.ready,
                 store_loaded: beat.has_read,
+                upstream_path: peer_instance::path_of(beat.upstream_path),
             },
         );
         let backlogs = self.dispatcher.backlogs();
@@ -107,6 +108,7 @@
             quarantine: peer_quarantine::wire_quarantine(&self.state.quarantine, now),
             limits: peer_limits::wire_limits(&self.state),
             version: self.state.cluster().deployment_version(),
+            upstream_path: peer_instance::wire_path(self.state.path.reported()),
         }))
     }
 
--- a/crates/gateway/src/peer_client.rs
+++ b/crates/gateway/src/peer_client.rs
@@ -270,6 +270,7 @@
             quarantine: peer_quarantine::wire_quarantine(&self.state.quarantine, self.state.now()),
             limits: peer_limits::wire_limits(&self.state),
             paces: self.report_paces(peer, zones),
+            upstream_path: peer_instance::wire_path(self.state.path.reported()),
         };
         let sent = self.state.now();
         match with_timeout(HEARTBEAT_TIMEOUT, client.beat(beat)).await {
@@ -313,6 +314,7 @@
             leaving: reply.leaving,
             ready: reply.ready,
             store_loaded: reply.has_read,
+            upstream_path: peer_instance::path_of(reply.upstream_path),
         };
         match Incarnation::new(reply.incarnation) {
             id if id == peer.incarnation => {
--- a/crates/gateway/src/peer_instance.rs
+++ b/crates/gateway/src/peer_instance.rs
@@ -2,6 +2,7 @@
 
 use jd_serving::InstanceEntry;
 use jd_serving::Strength;
+use jd_serving::UpstreamPath;
 use jd_types::Incarnation;
 use jd_types::Name;
 use jd_wire::Instance;
@@ -28,3 +29,21 @@
         leaving: false,
     })
 }
+
+/// Encodes whether an instance can connect to upstreams.
+pub(crate) const fn wire_path(path: UpstreamPath) -> u32 {
+    match path {
+        UpstreamPath::Unknown => 0,
+        UpstreamPath::Open => 1,
+        UpstreamPath::Lost => 2,
+    }
+}
+
+/// Decodes whether an instance can connect to upstreams.
+pub(crate) const fn path_of(path: u32) -> UpstreamPath {
+    match path {
+        1 => UpstreamPath::Open,
+        2 => UpstreamPath::Lost,
+        _ => UpstreamPath::Unknown,
+    }
+}
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -227,8 +227,27 @@
     }
 
     /// The addresses of the first owners of a shard, in the order in which they are tried. A
-    /// restarted instance keeps the place of its earlier incarnation.
+    /// restarted instance keeps the place of its earlier incarnation. Instances without a path to
+    /// the upstreams own no shard, unless all have lost it.
     pub(crate) fn owner_order(&self, shard: &Shard) -> Vec<SocketAddr> {
+        let now = self.now();
+        let order: Vec<SocketAddr> = {
+            let cluster = self.cluster();
+            let others = cluster.instances.live_with_path(now);
+            let has_path = !self.is_leaving() && !self.path.is_lost();
+            let own = has_path.then_some(&self.own_entry);
+            let order = rank_owners(shard, others.chain(own), MAX_OWNERS);
+            order.into_iter().map(|e| e.peer_address).collect()
+        };
+        match order.is_empty() {
+            true => self.duty_order(shard),
+            false => order,
+        }
+    }
+
+    /// The addresses of the first instances for a duty that needs no path to the upstreams, in the
+    /// order in which they are tried.
+    pub(crate) fn duty_order(&self, shard: &Shard) -> Vec<SocketAddr> {
         let now = self.now();
         let cluster = self.cluster();
         let others = cluster.instances.live_loaded(now);
@@ -253,7 +272,7 @@
     /// The instances that coordinate the quarantine; the first one decides. The same instances
     /// read the store for the others.
     pub(crate) fn coordinators(&self) -> Vec<SocketAddr> {
-        self.owner_order(&Shard {
+        self.duty_order(&Shard {
             zone: None,
             part: 0,
             parts: 1,
--- a/crates/serving/src/heartbeat.rs
+++ b/crates/serving/src/heartbeat.rs
@@ -1,5 +1,7 @@
 //! The state that an instance reports in a heartbeat.
 
+use crate::UpstreamPath;
+
 /// The state that an instance reports in a heartbeat.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Heartbeat {
@@ -9,4 +11,6 @@
     pub ready: bool,
     /// True once it has read the contents of the store.
     pub store_loaded: bool,
+    /// Whether it can connect to upstreams.
+    pub upstream_path: UpstreamPath,
 }
--- a/crates/serving/src/instance_directory.rs
+++ b/crates/serving/src/instance_directory.rs
@@ -7,12 +7,13 @@
 
 use jd_types::Incarnation;
 use jd_types::MonoTime;
-use jd_types::Name;
 
 use crate::Heartbeat;
+use crate::InstanceEntry;
 use crate::SnapshotKind;
 use crate::StoreRevision;
-use crate::Strength;
+use crate::UnresponsiveInstance;
+use crate::UpstreamPath;
 use crate::visit_counter::VisitCounter;
 
 /// Time without a heartbeat reply after which an instance counts as absent: three missed
@@ -34,34 +35,6 @@
 /// Instances of the caller's own zone that suffice for an answer without other zones.
 const MIN_LOCAL_INSTANCES: usize = 2;
 
-/// The description that an instance publishes of itself.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct InstanceEntry {
-    /// The identity of this run of the instance.
-    pub incarnation: Incarnation,
-    /// Where callers reach it.
-    pub caller_address: SocketAddr,
-    /// Where other instances reach it.
-    pub peer_address: SocketAddr,
-    /// Its availability zone.
-    pub zone: Name,
-    /// Its capacity beside the requests of its own callers.
-    pub strength: Strength,
-    /// True once it accepts no new callers.
-    pub leaving: bool,
-}
-
-/// A listed instance that does not answer heartbeats.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct UnresponsiveInstance {
-    /// Its incarnation.
-    pub id: Incarnation,
-    /// The store's revision when its entry was written.
-    pub written: StoreRevision,
-    /// Time since its last heartbeat reply.
-    pub silent_for: Duration,
-}
-
 /// The instances of the fleet: those that the store lists, without those that are leaving or do
 /// not answer heartbeats.
 #[derive(Debug, Default)]
@@ -86,6 +59,7 @@
     missing_since: Option<MonoTime>,
     ready: bool,
     store_loaded: bool,
+    upstream_path: UpstreamPath,
     monitored: bool,
     removal_tried_at: Option<MonoTime>,
 }
@@ -136,6 +110,7 @@
             missing_since: None,
             ready: true,
             store_loaded: true,
+            upstream_path: UpstreamPath::Unknown,
             monitored: true,
             removal_tried_at: None,
         });
@@ -186,6 +161,7 @@
             known.responded = true;
             known.ready = heartbeat.ready;
             known.store_loaded = heartbeat.store_loaded;
+            known.upstream_path = heartbeat.upstream_path;
             known.entry.leaving |= heartbeat.leaving;
         }
     }
@@ -202,6 +178,7 @@
             known.entry.leaving = false;
             known.last_reply = now;
             known.responded = true;
+            known.upstream_path = UpstreamPath::Unknown;
             self.insert(known);
         }
     }
@@ -234,6 +211,7 @@
             missing_since: None,
             ready: true,
             store_loaded: true,
+            upstream_path: UpstreamPath::Unknown,
             monitored: true,
             removal_tried_at: None,
             entry,
@@ -248,6 +226,7 @@
             if monitored && !known.monitored {
                 known.last_reply = now;
                 known.responded = false;
+                known.upstream_path = UpstreamPath::Unknown;
             }
             known.monitored = monitored;
         }
@@ -326,6 +305,19 @@
         self.known.values().filter(loaded).map(|k| &k.entry)
     }
 
+    /// The same without those that have lost their network path to the upstreams.
+    ///
+    /// While the owner of a shard had no path, the stages of all other instances failed as well.
+    pub fn live_with_path(&self, now: MonoTime) -> impl Iterator<Item = &InstanceEntry> {
+        let has_path = move |k: &&Instance| {
+            k.is_present(now)
+                && !k.entry.leaving
+                && k.store_loaded
+                && k.upstream_path != UpstreamPath::Lost
+        };
+        self.known.values().filter(has_path).map(|k| &k.entry)
+    }
+
     /// True if any incarnation of the instance at this address is present.
     pub fn is_present_at(&self, now: MonoTime, peer_address: SocketAddr) -> bool {
         let id = self.by_address.get(&peer_address);
--- a/crates/serving/src/scheduler_failures.rs
+++ b/crates/serving/src/scheduler_failures.rs
@@ -28,6 +28,15 @@
         }
     }
 
+    /// Ends all jobs, because this instance can reach none of the upstreams. Other instances that
+    /// sent jobs then submit them to the next owner.
+    pub fn abandon(&mut self) {
+        let keys: Vec<JobKey> = self.jobs.keys().copied().collect();
+        for key in keys {
+            self.fail(key, JobFailure::NoUpstream);
+        }
+    }
+
     /// Ends jobs that are past their deadline or cannot meet it any more, and jobs that need a
     /// service without upstreams. Also frees the storage of expired and fully read results.
     pub fn expire(&mut self, now: MonoTime) {
--- a/crates/serving/tests/eras.rs
+++ b/crates/serving/tests/eras.rs
@@ -16,6 +16,7 @@
 use jd_serving::StoreMirror;
 use jd_serving::StoreRevision;
 use jd_serving::Strength;
+use jd_serving::UpstreamPath;
 use jd_types::Incarnation;
 use jd_types::MonoTime;
 use jd_types::Name;
@@ -156,6 +157,7 @@
         leaving: false,
         ready: true,
         store_loaded: true,
+        upstream_path: UpstreamPath::Open,
     };
     let mut directory = InstanceDirectory::default();
     directory.put(at(1_000), instance(2), rev(1, 100));
--- a/crates/serving/tests/instances.rs
+++ b/crates/serving/tests/instances.rs
@@ -12,6 +12,7 @@
 use jd_serving::SnapshotKind;
 use jd_serving::StoreRevision;
 use jd_serving::Strength;
+use jd_serving::UpstreamPath;
 use jd_serving::rank_owners;
 use jd_types::Incarnation;
 use jd_types::MonoTime;
@@ -32,6 +33,7 @@
     leaving: false,
     ready: true,
     store_loaded: true,
+    upstream_path: UpstreamPath::Open,
 };
 const LEAVING: Heartbeat = Heartbeat {
     leaving: true,
@@ -372,3 +374,33 @@
     directory.record_removal_attempt(at(9_000), Incarnation::new(1));
     assert!(directory.unresponsive(at(9_300)).is_empty());
 }
+
+/// Guards against an owner that reaches no upstream, at which the stages of all instances fail,
+/// and against owners of an earlier version, which do not tell, that are passed over.
+#[test]
+fn an_instance_without_a_path_to_upstreams_owns_no_shard() {
+    let mut directory = InstanceDirectory::default();
+    let all = [entry(1, 1, "a"), entry(2, 2, "a"), entry(3, 3, "a")];
+    let paths = [
+        UpstreamPath::Open,
+        UpstreamPath::Lost,
+        UpstreamPath::Unknown,
+    ];
+    for (entry, path) in all.iter().zip(paths) {
+        directory.put(at(1_000), entry.clone(), rev(10));
+        let heartbeat = Heartbeat {
+            upstream_path: path,
+            ..HEALTHY
+        };
+        directory.record_heartbeat(at(1_100), entry.incarnation, heartbeat);
+    }
+    let ids = |directory: &InstanceDirectory| {
+        let with_path = directory.live_with_path(at(1_200));
+        let mut ids: Vec<Incarnation> = with_path.map(|e| e.incarnation).collect();
+        ids.sort_unstable();
+        ids
+    };
+    assert_eq!(ids(&directory), [all[0].incarnation, all[2].incarnation]);
+    directory.record_heartbeat(at(1_300), all[1].incarnation, HEALTHY);
+    assert_eq!(ids(&directory).len(), 3, "the path is back");
+}
