An instance that can connect to no upstream forwards requests to one that can

What callers saw: 85 of the 137 first tries at six instances that were cut off for 12 s got 503 within milliseconds, 'no connection could be opened', and none of 55 at two instances later, while the others reached all upstreams. Cause: a request could run only from the instance that took it. The evidence: unreachable attempts at the cut instances only, none at the others.

That instance checks route, credential, proof and version again, counts the time since the request arrived and the runs before, runs it as its own, with stages, and forwards nothing itself; it runs 256 such requests at most. What may have run goes on only where the route allows it. A connection that was not opened, or a refusal of admission, is the only thing after which a second instance is asked for free. Streams go on after the last complete event. An instance that is stopped finishes what it runs for others. Versions that do not tell their path get nothing.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -8,6 +8,7 @@
 use compact_str::CompactString;
 use compact_str::format_compact;
 use futures_lite::FutureExt;
+use futures_lite::future;
 use http::StatusCode;
 use jd_net::HttpResponse;
 use jd_net::lock;
@@ -20,6 +21,7 @@
 use crate::ResponseHead;
 use crate::UpstreamRequest;
 use crate::caller_request::CallerRequest;
+use crate::forward_client::ForwardGuard;
 use crate::state::State;
 use crate::upstream_client::SendFailure;
 use crate::upstream_client::SendPermit;
@@ -48,7 +50,9 @@
 #[derive(Debug)]
 pub(crate) struct ActiveAttempt {
     state: Arc<State>,
-    chosen: SelectedUpstream,
+    /// The upstream; none if another instance runs the request.
+    chosen: Option<SelectedUpstream>,
+    _forward: Option<ForwardGuard>,
     service: CompactString,
     content: Content,
     began: MonoTime,
@@ -70,6 +74,7 @@
         chosen.upstream.attempt_started();
         let now = state.now();
         ActiveAttempt {
+            _forward: None,
             state: Arc::clone(state),
             service: request.service.clone(),
             content: request.content,
@@ -77,7 +82,27 @@
             first_part: None,
             pace: state.paces.begin_stream(now, request, &chosen, resumes),
             completed: false,
-            chosen,
+            chosen: Some(chosen),
+            finished: false,
+        }
+    }
+
+    /// An attempt of another instance. That instance records what it observes of upstreams.
+    pub(crate) fn forwarded(
+        state: &Arc<State>,
+        request: &CallerRequest,
+        guard: ForwardGuard,
+    ) -> ActiveAttempt {
+        ActiveAttempt {
+            chosen: None,
+            _forward: Some(guard),
+            state: Arc::clone(state),
+            service: request.service.clone(),
+            content: request.content,
+            began: state.now(),
+            first_part: None,
+            pace: None,
+            completed: true,
             finished: false,
         }
     }
@@ -118,8 +143,10 @@
     /// Records that the connection broke. Ignored once the attempt counts as completed, since
     /// the upstream then did not crash because of the request.
     pub(crate) fn report_broken(&mut self) {
-        if !self.completed {
-            let upstream = self.chosen.upstream_ref(&self.service);
+        if let Some(chosen) = &self.chosen
+            && !self.completed
+        {
+            let upstream = chosen.upstream_ref(&self.service);
             self.state
                 .report_broken_run(upstream, self.content, self.began);
         }
@@ -130,14 +157,19 @@
         self.began.since(request.arrived).as_millis() as u64
     }
 
+    /// The ID of the upstream.
     pub(crate) fn id(&self) -> &str {
-        &self.chosen.id
+        let chosen = self.chosen.as_ref();
+        chosen.map_or("of another instance", |chosen| chosen.id.as_str())
     }
 
     /// Returns shortly after the upstream is known to have restarted. The response of the
     /// earlier start will not come any more, unless it was sent before and is in transit.
     pub(crate) async fn until_restarted(&self) {
-        self.chosen.restarted.wait().await;
+        let Some(chosen) = &self.chosen else {
+            return future::pending().await;
+        };
+        chosen.restarted.wait().await;
         Timer::after(LAST_RESPONSE_DELAY).await;
     }
 
@@ -146,14 +178,17 @@
             return;
         }
         self.pace = None;
+        let Some(chosen) = &self.chosen else {
+            return;
+        };
         let now = self.state.now();
         let took = now.since(self.began);
-        self.chosen.upstream.attempt_finished(now, took, outcome);
+        chosen.upstream.attempt_finished(now, took, outcome);
         if outcome == AttemptOutcome::Unreachable {
             // The upstream is tried again when its ejection ends, and may have started just
             // before.
-            let retried_at = self.chosen.upstream.ejected_until();
-            lock(&self.chosen.cold).record_possible_start(retried_at);
+            let retried_at = chosen.upstream.ejected_until();
+            lock(&chosen.cold).record_possible_start(retried_at);
         }
         self.state.metrics.attempt(outcome.as_str());
     }
@@ -176,7 +211,8 @@
     pub(crate) withheld: bool,
 }
 
-fn failure(outcome: AttemptOutcome, detail: impl Into<CompactString>) -> AttemptFailure {
+/// The failure of an attempt that was sent.
+pub(crate) fn failure(outcome: AttemptOutcome, detail: impl Into<CompactString>) -> AttemptFailure {
     AttemptFailure {
         outcome,
         detail: detail.into(),
@@ -312,7 +348,7 @@
 
 /// Accepts a response only if it names this request: a duplicate or late response to another
 /// request otherwise looks the same.
-fn validate(
+pub(crate) fn validate(
     state: &State,
     request: &CallerRequest,
     response: HttpResponse,
--- a/crates/gateway/src/caller_api.rs
+++ b/crates/gateway/src/caller_api.rs
@@ -91,7 +91,7 @@
         }
     }
 
-    async fn run(&self, request: CallerRequest) -> Result<Response<Body>, Refusal> {
+    pub(crate) async fn run(&self, request: CallerRequest) -> Result<Response<Body>, Refusal> {
         request.check_quarantine(&self.state, 0)?;
         match request.route().retry_mode {
             RetryMode::Idempotent | RetryMode::Once => unary_call::run(&self.state, request).await,
@@ -104,7 +104,7 @@
     /// Reads the request and decides whether it may run. The body is read before any refusal:
     /// closing a connection with unread bytes resets it, and the caller would not receive the
     /// refusal.
-    async fn admit(
+    pub(crate) async fn admit(
         &self,
         arrived: MonoTime,
         head: CallHead,
@@ -143,6 +143,8 @@
             parts,
             body,
             content,
+            forwarded: None,
+            _running_forward: None,
             _in_flight: in_flight,
             router,
         })
--- a/crates/gateway/src/caller_request.rs
+++ b/crates/gateway/src/caller_request.rs
@@ -18,6 +18,8 @@
 use jd_types::splitmix64;
 
 use crate::caller_api::may_have_run;
+use crate::forward_api::RunningForward;
+use crate::forwarded_from::ForwardedFrom;
 use crate::state::InFlight;
 use crate::state::State;
 
@@ -36,6 +38,9 @@
     pub(crate) body: Bytes,
     /// Identifies the content of the request; the same if the caller sends it again.
     pub(crate) content: Content,
+    /// Set if another instance took the request from its caller.
+    pub(crate) forwarded: Option<ForwardedFrom>,
+    pub(crate) _running_forward: Option<RunningForward>,
     /// Counts the request as in flight until it is dropped.
     pub(crate) _in_flight: InFlight,
 }
--- a/crates/gateway/src/event_stream.rs
+++ b/crates/gateway/src/event_stream.rs
@@ -199,9 +199,12 @@
         self.attempt.finish(outcome);
         let _partial_event = self.splitter.take_remaining();
         while self.may_resume() && self.state.may_retry(&self.request.service) {
-            match self.stages.run_again(&self.request).await {
-                Ok(results) => self.results = results,
-                Err(_) => return false,
+            match self.state.forwards.is_due(&self.state, &self.request) {
+                true => self.results = self.stages.no_results(),
+                false => match self.stages.run_again(&self.request).await {
+                    Ok(results) => self.results = results,
+                    Err(_) => return false,
+                },
             }
             let last = self.splitter.last_event().or(self.request.head.last_event);
             let inputs = self.results.handles();
--- /dev/null
+++ b/crates/gateway/src/forward_api.rs
@@ -0,0 +1,115 @@
+//! Runs the requests that other instances forward.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+
+use http::Request;
+use http::Response;
+use hyper::body::Incoming;
+use jd_net::Body;
+use jd_types::Refusal;
+use jd_types::RefusalKind;
+use jd_types::RunState;
+
+use crate::caller_api::CallerApi;
+use crate::caller_request::CallerRequest;
+use crate::forwarded_from;
+use crate::forwarded_from::ForwardedFrom;
+use crate::forwarded_refusal;
+use crate::state::State;
+
+/// Forwarded requests that are run at a time. Bounds the memory that the requests of instances
+/// without a path take beside those of own callers.
+const MAX_RUNNING: usize = 256;
+
+/// Counts a forwarded request as running until it is dropped.
+#[derive(Debug)]
+pub(crate) struct RunningForward(Arc<State>);
+
+impl RunningForward {
+    /// Counts a forwarded request; none if too many are running.
+    fn begin(state: &Arc<State>) -> Option<RunningForward> {
+        let running = RunningForward(Arc::clone(state));
+        let before = running.count().fetch_add(1, Ordering::Relaxed);
+        (before < MAX_RUNNING).then_some(running)
+    }
+
+    fn count(&self) -> &AtomicUsize {
+        &self.0.forwards_running
+    }
+}
+
+impl Drop for RunningForward {
+    fn drop(&mut self) {
+        self.count().fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+impl CallerApi {
+    /// Runs a request that another instance forwards, by what is in force here: its customer,
+    /// route and credential are checked again. It is not forwarded any further.
+    pub(crate) async fn respond_forwarded(
+        &self,
+        from: ForwardedFrom,
+        req: Request<Incoming>,
+    ) -> Response<Body> {
+        let ended = self.run_forwarded(from, req).await;
+        self.state.metrics.forward(match &ended {
+            Ok(_) => "run-for-another",
+            Err(_) => "refused-for-another",
+        });
+        ended.unwrap_or_else(|refusal| forwarded_refusal::response(&refusal))
+    }
+
+    async fn run_forwarded(
+        &self,
+        from: ForwardedFrom,
+        req: Request<Incoming>,
+    ) -> Result<Response<Body>, Refusal> {
+        let state = &self.state;
+        let running = RunningForward::begin(state);
+        let running = running.ok_or_else(|| not_taken("too many forwarded requests"))?;
+        if state.is_leaving() {
+            return Err(not_taken("the instance is shutting down"));
+        }
+        if state.path.is_lost() {
+            return Err(not_taken("no upstream can be connected to"));
+        }
+        let (mut parts, body) = req.into_parts();
+        forwarded_from::strip(&mut parts.headers);
+        let mut head = state.dialect.call_head(&parts);
+        head.last_event = from.last_event.or(head.last_event);
+        let arrived = state.now().before(from.age);
+        let admitted = self.admit(arrived, head, parts, body).await?;
+        // Two instances that take turns must not go back to an earlier version.
+        if admitted.router.version != from.version {
+            return Err(not_taken("another version is in force"));
+        }
+        let request = CallerRequest {
+            forwarded: Some(from),
+            _running_forward: Some(running),
+            ..admitted
+        };
+        let id = request.head.request_id.clone();
+        let ended = self.run(request).await;
+        ended.map_err(|refusal| {
+            log::info!(
+                request = id.as_deref().unwrap_or(""),
+                outcome = refusal.kind.as_str(),
+                run = refusal.run.as_str(),
+                detail = refusal.detail.as_str();
+                "forwarded request refused"
+            );
+            match refusal.run {
+                RunState::NotRun if state.path.is_lost() => not_taken(&refusal.detail),
+                _ => refusal,
+            }
+        })
+    }
+}
+
+/// The refusal of a request that another instance may take.
+fn not_taken(detail: &str) -> Refusal {
+    Refusal::not_run(RefusalKind::NotServing, detail)
+}
--- /dev/null
+++ b/crates/gateway/src/forward_client.rs
@@ -0,0 +1,267 @@
+//! Forwards requests to instances that can connect to upstreams, while this one cannot.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use async_io::Timer;
+use futures_lite::FutureExt;
+use http::Request;
+use jd_net::Body;
+use jd_net::HttpPool;
+use jd_net::HttpResponse;
+use jd_net::SendError;
+use jd_net::lock;
+use jd_serving::ForwardTarget;
+use jd_types::AttemptOutcome;
+use jd_types::Refusal;
+use jd_types::RefusalKind;
+use jd_types::RunState;
+
+use crate::attempt::ActiveAttempt;
+use crate::attempt::AttemptFailure;
+use crate::attempt::UpstreamResponse;
+use crate::attempt::failure;
+use crate::attempt::validate;
+use crate::caller_request::CallerRequest;
+use crate::forwarded_from::ForwardedFrom;
+use crate::forwarded_refusal;
+use crate::state::State;
+use crate::upstream_selection::NextSendError;
+use crate::upstream_selection::RetryState;
+
+/// Instances that one request is forwarded to.
+const MAX_FORWARDS: usize = 2;
+/// How long after the deadline the refusal of the other instance is waited for.
+const DEADLINE_SLACK: Duration = Duration::from_millis(100);
+/// How often a forwarded request checks that the other instance is still live.
+const CHECK_INTERVAL: Duration = Duration::from_millis(200);
+
+/// The requests that this instance has forwarded and that have not ended.
+#[derive(Debug)]
+pub(crate) struct ForwardClient {
+    pool: HttpPool,
+    in_flight: Mutex<HashMap<SocketAddr, u32>>,
+}
+
+/// Counts a forwarded request as in flight until it is dropped.
+#[derive(Debug)]
+pub(crate) struct ForwardGuard {
+    state: Arc<State>,
+    target: SocketAddr,
+}
+
+impl Drop for ForwardGuard {
+    fn drop(&mut self) {
+        let mut in_flight = lock(&self.state.forwards.in_flight);
+        if let Some(count) = in_flight.get_mut(&self.target) {
+            *count -= 1;
+            if *count == 0 {
+                in_flight.remove(&self.target);
+            }
+        }
+    }
+}
+
+impl ForwardClient {
+    pub(crate) fn new(pool: HttpPool) -> ForwardClient {
+        ForwardClient {
+            pool,
+            in_flight: Mutex::default(),
+        }
+    }
+
+    /// The instances that a request can be forwarded to.
+    pub(crate) fn targets(&self, state: &State) -> Vec<ForwardTarget> {
+        let now = state.now();
+        let cluster = state.cluster();
+        let in_flight = lock(&self.in_flight);
+        let targets = cluster.instances.forward_targets(now);
+        targets
+            .map(|e| ForwardTarget {
+                address: e.peer_address,
+                zone: e.zone.clone(),
+                in_flight: in_flight.get(&e.peer_address).copied().unwrap_or(0),
+            })
+            .collect()
+    }
+
+    /// True if a request is to be forwarded before anything is done for it here.
+    pub(crate) fn is_due(&self, state: &State, request: &CallerRequest) -> bool {
+        state.path.is_lost() && request.forwarded.is_none() && !self.targets(state).is_empty()
+    }
+
+    fn begin(&self, state: &Arc<State>, target: SocketAddr) -> ForwardGuard {
+        *lock(&self.in_flight).entry(target).or_default() += 1;
+        ForwardGuard {
+            state: Arc::clone(state),
+            target,
+        }
+    }
+}
+
+/// Sends a request to another instance that can connect to upstreams, and to a second one if the
+/// first cannot take it. Returns none if there is none to ask.
+pub(crate) async fn forward(
+    state: &Arc<State>,
+    request: &CallerRequest,
+    retries: &mut RetryState,
+    last_event: Option<u64>,
+    on_write: impl Fn(),
+) -> Option<Result<UpstreamResponse, NextSendError>> {
+    if request.forwarded.is_some() {
+        return None;
+    }
+    let mut refused = None;
+    while retries.forwarded_to.len() < MAX_FORWARDS {
+        let mut targets = state.forwards.targets(state);
+        targets.retain(|t| !retries.forwarded_to.contains(&t.address));
+        let zone = &state.settings.zone;
+        let mut rng = fastrand::Rng::new();
+        let Some(target) = ForwardTarget::select(&targets, zone, &mut rng) else {
+            break;
+        };
+        retries.forwarded_to.push(target.address);
+        let from = ForwardedFrom {
+            age: state.now().since(request.arrived),
+            possible_runs: retries.possible_runs,
+            counted: retries.counted,
+            version: request.router.version,
+            last_event,
+        };
+        match send(state, request, target.address, from, &on_write).await {
+            Forwarded::Ended(result) => return Some(*result),
+            Forwarded::NotTaken(refusal) => refused = Some(refusal),
+        }
+    }
+    state.metrics.forward("no-instance");
+    refused.map(|refusal| Err(NextSendError::Refused(retries.after_runs(refusal))))
+}
+
+/// What became of a request that was sent to another instance.
+enum Forwarded {
+    Ended(Box<Result<UpstreamResponse, NextSendError>>),
+    /// That instance did not take it, and sent it to no upstream.
+    NotTaken(Refusal),
+}
+
+async fn send(
+    state: &Arc<State>,
+    request: &CallerRequest,
+    target: SocketAddr,
+    from: ForwardedFrom,
+    on_write: impl Fn(),
+) -> Forwarded {
+    let guard = state.forwards.begin(state, target);
+    let began = state.now();
+    let timeout = request.time_left(began) + DEADLINE_SLACK;
+    let pool = &state.forwards.pool;
+    let sending = pool.send_if(
+        target,
+        forwarded_request(request, from),
+        timeout,
+        false,
+        || {
+            on_write();
+            true
+        },
+    );
+    let gone = async {
+        wait_until_gone(state, target).await;
+        Some(Err(SendError::Broken))
+    };
+    let sent = sending.or(gone).await;
+    let result = decode(state, request, sent);
+    let outcome = match &result {
+        Ok(_) => "answered",
+        Err(DecodeError::NotTaken(_)) => "not-taken",
+        Err(DecodeError::Refused(_)) => "refused",
+        Err(DecodeError::Failed(_)) => "failed",
+    };
+    state.metrics.forward(outcome);
+    log::info!(
+        request = request.id(),
+        instance:% = target,
+        sent_ms = began.since(request.arrived).as_millis() as u64,
+        outcome,
+        ms = state.now().since(began).as_millis() as u64;
+        "request forwarded"
+    );
+    Forwarded::Ended(Box::new(match result {
+        Ok((head, http)) => Ok(UpstreamResponse {
+            head,
+            http,
+            attempt: ActiveAttempt::forwarded(state, request, guard),
+        }),
+        Err(DecodeError::NotTaken(refusal)) => return Forwarded::NotTaken(refusal),
+        Err(DecodeError::Refused(refusal)) => Err(NextSendError::Refused(refusal)),
+        Err(DecodeError::Failed(failure)) => Err(NextSendError::Failed(failure)),
+    }))
+}
+
+/// The caller's own request, with what this instance tells of it.
+fn forwarded_request(request: &CallerRequest, from: ForwardedFrom) -> Request<Body> {
+    let mut req = Request::new(jd_net::full(request.body.clone()));
+    *req.method_mut() = request.parts.method.clone();
+    *req.uri_mut() = request.parts.uri.clone();
+    *req.headers_mut() = request.parts.headers.clone();
+    for name in [http::header::CONNECTION, http::header::TRANSFER_ENCODING] {
+        req.headers_mut().remove(name);
+    }
+    req.headers_mut().remove(http::header::EXPECT);
+    req.headers_mut().remove(http::header::CONTENT_LENGTH);
+    from.write(req.headers_mut());
+    req
+}
+
+/// Why another instance sent no response of an upstream.
+enum DecodeError {
+    NotTaken(Refusal),
+    Refused(Refusal),
+    Failed(AttemptFailure),
+}
+
+fn decode(
+    state: &State,
+    request: &CallerRequest,
+    sent: Option<Result<HttpResponse, SendError>>,
+) -> Result<(crate::ResponseHead, HttpResponse), DecodeError> {
+    let not_taken = |detail| Refusal::not_run(RefusalKind::NotServing, detail);
+    let failed = |outcome, detail| DecodeError::Failed(failure(outcome, detail));
+    match sent {
+        Some(Ok(response)) => match forwarded_refusal::read(&response.headers) {
+            Some(refusal) if is_not_taken(&refusal) => Err(DecodeError::NotTaken(refusal)),
+            Some(refusal) => Err(DecodeError::Refused(refusal)),
+            None => validate(state, request, response).map_err(DecodeError::Failed),
+        },
+        Some(Err(SendError::NotSent)) => Err(DecodeError::NotTaken(not_taken(
+            "another instance cannot be reached",
+        ))),
+        Some(Err(SendError::Broken)) => {
+            let detail = "the connection to another instance broke";
+            Err(failed(AttemptOutcome::Failed, detail))
+        }
+        None => {
+            let detail = "another instance did not answer in time";
+            Err(failed(AttemptOutcome::Silent, detail))
+        }
+    }
+}
+
+/// True if the other instance sent the request to no upstream, and a third one may take it.
+fn is_not_taken(refusal: &Refusal) -> bool {
+    refusal.kind == RefusalKind::NotServing && refusal.run == RunState::NotRun
+}
+
+/// Returns once an instance stops answering heartbeats.
+async fn wait_until_gone(state: &State, target: SocketAddr) {
+    loop {
+        Timer::after(CHECK_INTERVAL).await;
+        let now = state.now();
+        if !state.cluster().instances.is_present_at(now, target) {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/forwarded_from.rs
@@ -0,0 +1,69 @@
+//! What an instance tells another one to which it forwards a request.
+
+use std::time::Duration;
+
+use http::HeaderMap;
+use http::HeaderName;
+use http::HeaderValue;
+
+/// Prefix of the headers that only instances set.
+const PREFIX: &str = "jd-forward-";
+const AGE_MS: &str = "jd-forward-age-ms";
+const RUNS: &str = "jd-forward-runs";
+const COUNTED: &str = "jd-forward-counted";
+const VERSION: &str = "jd-forward-version";
+const LAST_EVENT: &str = "jd-forward-last-event";
+
+/// What the forwarding instance tells of a request. Everything else, such as its customer, is
+/// decided anew by the instance that runs it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct ForwardedFrom {
+    /// The time since the request arrived from its caller.
+    pub(crate) age: Duration,
+    /// How many times it may have run.
+    pub(crate) possible_runs: u32,
+    /// True if its first send already adds to a retry budget.
+    pub(crate) counted: bool,
+    /// The version of the configuration by which it was accepted.
+    pub(crate) version: u64,
+    /// The event after which a stream resumes.
+    pub(crate) last_event: Option<u64>,
+}
+
+impl ForwardedFrom {
+    /// Reads the headers of a request; none if it is not a forwarded one.
+    pub(crate) fn read(headers: &HeaderMap) -> Option<ForwardedFrom> {
+        let number = |name: &str| headers.get(name)?.to_str().ok()?.parse::<u64>().ok();
+        Some(ForwardedFrom {
+            age: Duration::from_millis(number(AGE_MS)?),
+            possible_runs: u32::try_from(number(RUNS)?).ok()?,
+            counted: number(COUNTED)? != 0,
+            version: number(VERSION)?,
+            last_event: number(LAST_EVENT),
+        })
+    }
+
+    /// Sets the headers of a request.
+    pub(crate) fn write(&self, headers: &mut HeaderMap) {
+        strip(headers);
+        let age = u64::try_from(self.age.as_millis()).unwrap_or(u64::MAX);
+        let mut set = |name: &'static str, value: u64| {
+            headers.insert(HeaderName::from_static(name), HeaderValue::from(value));
+        };
+        set(AGE_MS, age);
+        set(RUNS, u64::from(self.possible_runs));
+        set(COUNTED, u64::from(self.counted));
+        set(VERSION, self.version);
+        if let Some(last) = self.last_event {
+            set(LAST_EVENT, last);
+        }
+    }
+}
+
+/// Removes the headers that only instances set.
+pub(crate) fn strip(headers: &mut HeaderMap) {
+    let ours = headers.keys().filter(|n| n.as_str().starts_with(PREFIX));
+    for name in ours.cloned().collect::<Vec<HeaderName>>() {
+        headers.remove(name);
+    }
+}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -57,6 +57,13 @@
 /// How often the configured limits are applied to the caller endpoint. They affect new
 /// connections; a second is far below the time in which a version has to be in force.
 const LIMITS_INTERVAL: Duration = Duration::from_millis(500);
+/// The limits for other instances. Requests that they forward have the heads of callers and a few
+/// headers more.
+const PEER_LIMITS: ServerLimits = ServerLimits {
+    headers: 96,
+    head_bytes: 64 << 10,
+    ..ServerLimits::DEFAULT
+};
 /// The interval at which a shutdown checks the time.
 const STOP_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -164,10 +171,10 @@
             reader,
             peers: Arc::clone(&peers),
         });
-        let caller_api = CallerApi {
+        let caller_api = Arc::new(CallerApi {
             state: Arc::clone(&state),
             stages,
-        };
+        });
         let peer_api = PeerApi {
             state: Arc::clone(&state),
             dispatcher: Arc::clone(&dispatcher),
@@ -175,8 +182,10 @@
         };
         let s = &state.settings;
         let limits = caller_limits(s, &CallerLimits::default());
-        let callers = Arc::new(listen(&state, s.callers, limits, Arc::new(caller_api))?);
+        let caller_handler = Arc::clone(&caller_api) as Arc<dyn Handler>;
+        let callers = Arc::new(listen(&state, s.callers, limits, caller_handler)?);
         let own = ServerLimits::default();
+        let peer_handler = Arc::new(PeerHandler::new(peer_api, caller_api));
         let servers = vec![
             listen(&state, s.ready, own, Arc::new(ReadyApi(Arc::clone(&state))))?,
             listen(
@@ -191,7 +200,7 @@
                 own,
                 Arc::new(MetricsApi(Arc::clone(&state))),
             )?,
-            listen(&state, s.peers, own, Arc::new(PeerHandler::new(peer_api)))?,
+            listen(&state, s.peers, PEER_LIMITS, peer_handler)?,
         ];
         let applying = apply_limits(Arc::clone(&state), Arc::clone(&callers));
         let reporting = Arc::clone(&lease.link).log_call_counts();
@@ -245,6 +254,9 @@
             Timer::after(STOP_INTERVAL).await;
         }
         self.callers.stop(cut_off.since(self.state.now())).await;
+        while self.state.is_running_forwards() && self.state.now() < cut_off {
+            Timer::after(STOP_INTERVAL).await;
+        }
         let took = self.state.now().since(began).as_millis() as u64;
         log::info!(in_flight = self.state.in_flight(), ms = took; "stopped");
     }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -42,6 +42,7 @@
     permits: Family<Outcome, Counter>,
     notices: Family<Notice, Counter>,
     placements: Family<Outcome, Counter>,
+    forwards: Family<Outcome, Counter>,
     path_lost: Gauge,
     path_checks: Family<Outcome, Counter>,
     pace_reports: Family<Outcome, Counter>,
@@ -68,6 +69,7 @@
             permits: Family::default(),
             notices: Family::default(),
             placements: Family::default(),
+            forwards: Family::default(),
             path_lost: Gauge::default(),
             path_checks: Family::default(),
             pace_reports: Family::default(),
@@ -128,6 +130,11 @@
             "What upstreams said in answers of what may be sent to them next",
             metrics.notices.clone(),
         );
+        r.register(
+            "jd_gateway_forwards",
+            "Requests forwarded to another instance, and run for another, by outcome",
+            metrics.forwards.clone(),
+        );
         r.register(
             "jd_gateway_path_lost",
             "1 while no upstream can be connected to",
@@ -221,6 +228,10 @@
         self.placements.get_or_create(&Outcome { outcome }).inc();
     }
 
+    pub(crate) fn forward(&self, outcome: &'static str) {
+        self.forwards.get_or_create(&Outcome { outcome }).inc();
+    }
+
     pub(crate) fn path_lost(&self, lost: bool) {
         self.path_lost.set(i64::from(lost));
     }
--- a/crates/gateway/src/peer_api.rs
+++ b/crates/gateway/src/peer_api.rs
@@ -33,6 +33,8 @@
 use tower_service::Service;
 
 use crate::batch_dispatcher::BatchDispatcher;
+use crate::caller_api::CallerApi;
+use crate::forwarded_from::ForwardedFrom;
 use crate::peer_handover;
 use crate::peer_instance;
 use crate::peer_limits;
@@ -178,22 +180,28 @@
     }
 }
 
-/// The gRPC service for other instances as an HTTP handler.
+/// The gRPC service for other instances, and the requests that these forward, as an HTTP handler.
 #[derive(Debug)]
 pub(crate) struct PeerHandler {
     server: GatewayServer<PeerApi>,
+    callers: Arc<CallerApi>,
 }
 
 impl PeerHandler {
-    pub(crate) fn new(api: PeerApi) -> PeerHandler {
+    pub(crate) fn new(api: PeerApi, callers: Arc<CallerApi>) -> PeerHandler {
         PeerHandler {
             server: GatewayServer::new(api),
+            callers,
         }
     }
 }
 
 impl Handler for PeerHandler {
     fn handle(self: Arc<Self>, req: Request<Incoming>) -> HandlerFuture {
+        if let Some(from) = ForwardedFrom::read(req.headers()) {
+            let callers = Arc::clone(&self.callers);
+            return Box::pin(async move { callers.respond_forwarded(from, req).await });
+        }
         let mut server = self.server.clone();
         Box::pin(async move {
             let res: Response<tonic::body::Body> = match server.call(req).await {
--- a/crates/gateway/src/stage_runner.rs
+++ b/crates/gateway/src/stage_runner.rs
@@ -69,6 +69,13 @@
         self.run_with(request, None).await
     }
 
+    /// The results of a request whose stages are not run here.
+    pub(crate) fn no_results(&self) -> StageResults {
+        let owner = self.state.own_entry.peer_address;
+        let release_queue = Arc::clone(&self.release_queue);
+        StageResults::new(StageOutcome::default(), owner, release_queue)
+    }
+
     async fn run_with(
         &self,
         request: &CallerRequest,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -40,6 +40,7 @@
 
 use crate::Dialect;
 use crate::cluster_state::ClusterState;
+use crate::forward_client::ForwardClient;
 use crate::latch::Latch;
 use crate::limiters::Limiters;
 use crate::limits::Limits;
@@ -92,6 +93,10 @@
     pub(crate) paces: Paces,
     /// Whether this instance has a network path to the upstreams.
     pub(crate) path: OwnPath,
+    /// The requests that are forwarded to other instances, and the number of those that are run
+    /// for others.
+    pub(crate) forwards: ForwardClient,
+    pub(crate) forwards_running: AtomicUsize,
     pub(crate) channels: PeerChannels,
     /// Signals that heartbeats are to be sent to other instances now.
     pub(crate) heartbeat_requested: Arc<Signal>,
@@ -130,7 +135,7 @@
             settings,
             clock,
             executor,
-            upstream_client: UpstreamClient::new(pool),
+            upstream_client: UpstreamClient::new(pool.clone()),
             dialect,
             own_entry,
             router: ArcSwapOption::empty(),
@@ -145,6 +150,8 @@
             backoffs: UpstreamBackoffs::default(),
             paces: Paces::default(),
             path: OwnPath::new(),
+            forwards: ForwardClient::new(pool),
+            forwards_running: AtomicUsize::new(0),
             channels,
             heartbeat_requested,
             proof_requested: Signal::new(),
@@ -293,6 +300,11 @@
         update_source(&self.own_entry, cluster.instances.live(now), health)
     }
 
+    /// True while requests run that other instances have forwarded.
+    pub(crate) fn is_running_forwards(&self) -> bool {
+        self.forwards_running.load(Ordering::Relaxed) > 0
+    }
+
     /// True once the whole store has been read.
     pub(crate) fn store_loaded(&self) -> bool {
         self.cluster().mirror.revision() > StoreRevision::ZERO
--- a/crates/gateway/src/streaming_call.rs
+++ b/crates/gateway/src/streaming_call.rs
@@ -47,14 +47,19 @@
     stages: &Arc<StageRunner>,
     request: CallerRequest,
 ) -> Result<Response<Body>, Refusal> {
-    let mut retries = RetryState::new(FULL_RETRY);
-    if request.has_stages() {
-        reserve_upstream(state, &request, &mut retries).await?;
-    }
-    let mut results = stages.run(&request).await?;
+    let mut retries = RetryState::new(&request, FULL_RETRY);
+    let mut results = match state.forwards.is_due(state, &request) {
+        true => stages.no_results(),
+        false => {
+            if request.has_stages() {
+                reserve_upstream(state, &request, &mut retries).await?;
+            }
+            let results = stages.run(&request).await;
+            results.map_err(|refusal| retries.after_runs(refusal))?
+        }
+    };
     retries.placed = PlacedPrompt::new(results.take_placement());
     let mut stages_rerun = false;
-    state.record_first_send(&request.service);
     loop {
         let last = request.head.last_event;
         let request_written = Signal::new();
@@ -88,7 +93,7 @@
             stages_rerun = true;
             retries.tried.pop();
             let rerun = stages.run_again(&request).await;
-            results = rerun.map_err(|refusal| after_runs(runs, refusal))?;
+            results = rerun.map_err(|refusal| retries.after_runs(refusal))?;
             continue;
         }
         let retryable = match request.route().retry_mode {
@@ -163,14 +168,6 @@
     }
 }
 
-/// Changes a refusal to say that the request may have run, if it was sent before.
-fn after_runs(runs: u32, refusal: Refusal) -> Refusal {
-    match runs {
-        0 => refusal,
-        _ => may_have_run(RefusalKind::UpstreamFailed, refusal.detail),
-    }
-}
-
 fn attempt_timeout(request: &CallerRequest, state: &State, runs: u32) -> Duration {
     let left = request.time_left(state.now());
     let retryable = request.route().retry_mode == RetryMode::Resumable
--- a/crates/gateway/src/unary_call.rs
+++ b/crates/gateway/src/unary_call.rs
@@ -41,10 +41,9 @@
     state: &Arc<State>,
     request: CallerRequest,
 ) -> Result<Response<Body>, Refusal> {
-    let mut retries = RetryState::new(FULL_RETRY);
+    let mut retries = RetryState::new(&request, FULL_RETRY);
     // An error response of an upstream, passed on if no later attempt succeeds.
     let mut error_response: Option<CompleteResponse> = None;
-    state.record_first_send(&request.service);
     loop {
         let timeout = |runs| attempt_timeout(&request, state.now(), runs);
         let sending =
--- a/crates/gateway/src/upstream_selection.rs
+++ b/crates/gateway/src/upstream_selection.rs
@@ -1,10 +1,12 @@
 //! Selects the upstream for each attempt at a request.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use compact_str::CompactString;
 use jd_serving::StageUpstream;
+use jd_types::AttemptOutcome;
 use jd_types::Refusal;
 use jd_types::RefusalKind;
 
@@ -14,6 +16,7 @@
 use crate::attempt::UpstreamResponse;
 use crate::caller_api::may_have_run;
 use crate::caller_request::CallerRequest;
+use crate::forward_client;
 use crate::placed_prompt::NextUpstream;
 use crate::placed_prompt::PlacedPrompt;
 use crate::placed_prompt::fetch_timeout;
@@ -22,6 +25,9 @@
 use crate::upstream_client::SendPermit;
 use crate::upstream_table::SelectedUpstream;
 
+/// The number of upstreams that cannot be connected to after which a request is sent to another
+/// instance.
+const MAX_UNREACHABLE: usize = 2;
 /// The number of withheld sends after which a request is refused.
 const MAX_WITHHELD: u32 = 8;
 /// The number of withheld sends after which only upstreams without a rate limit are selected.
@@ -46,6 +52,12 @@
     pub(crate) tried: Vec<CompactString>,
     /// How many of these may have run it.
     pub(crate) possible_runs: u32,
+    /// True once its first send adds to the retry budget.
+    pub(crate) counted: bool,
+    /// How many upstreams could not be connected to.
+    unreachable: usize,
+    /// The instances that it was forwarded to.
+    pub(crate) forwarded_to: Vec<SocketAddr>,
     /// How many sends to selected upstreams were withheld.
     withheld: u32,
     /// When the caller may retry if no upstream is left.
@@ -57,10 +69,16 @@
 }
 
 impl RetryState {
-    pub(crate) fn new(retry_after: Duration) -> RetryState {
+    /// The attempts at a request that is to be retried after `retry_after` if no upstream is
+    /// left. Those of the instance that forwards it count as well.
+    pub(crate) fn new(request: &CallerRequest, retry_after: Duration) -> RetryState {
+        let from = request.forwarded.as_ref();
         RetryState {
             tried: Vec::new(),
-            possible_runs: 0,
+            possible_runs: from.map_or(0, |f| f.possible_runs),
+            counted: from.is_some_and(|f| f.counted),
+            unreachable: 0,
+            forwarded_to: Vec::new(),
             withheld: 0,
             retry_after,
             reserved: None,
@@ -68,6 +86,14 @@
         }
     }
 
+    /// Changes a refusal to say that the request may have run, if it was sent before.
+    pub(crate) fn after_runs(&self, refusal: Refusal) -> Refusal {
+        match self.possible_runs {
+            0 => refusal,
+            _ => may_have_run(RefusalKind::UpstreamFailed, refusal.detail),
+        }
+    }
+
     /// The refusal of a request that all upstreams reject for `wait`, because of rate limits
     /// or backoffs.
     fn refuse_limited(&self, wait: Duration) -> Refusal {
@@ -99,7 +125,7 @@
 }
 
 /// Sends a request to the next upstream. Selects another upstream whenever a send is
-/// withheld.
+/// withheld. Sends it to another instance if this one can connect to no upstream.
 pub(crate) async fn send_to_next_upstream(
     state: &Arc<State>,
     request: &CallerRequest,
@@ -109,6 +135,15 @@
     timeout: impl Fn(u32) -> Duration,
     on_write: impl Fn(),
 ) -> Result<UpstreamResponse, NextSendError> {
+    if state.path.is_lost() || retries.unreachable >= MAX_UNREACHABLE {
+        let forwarding = forward_client::forward(state, request, retries, last_event, &on_write);
+        if let Some(result) = forwarding.await {
+            return result;
+        }
+    }
+    if !std::mem::replace(&mut retries.counted, true) {
+        state.record_first_send(&request.service);
+    }
     loop {
         let permitted = match retries.reserved.take() {
             Some((chosen, permit)) => {
@@ -120,8 +155,19 @@
                 }
             }
             None => {
-                let next =
-                    next_upstream(state, request, retries).map_err(NextSendError::Refused)?;
+                let next = match next_upstream(state, request, retries) {
+                    Ok(next) => next,
+                    Err(refusal) if retries.unreachable == 0 => {
+                        return Err(NextSendError::Refused(refusal));
+                    }
+                    Err(refusal) => {
+                        let on_write = &on_write;
+                        let forwarding =
+                            forward_client::forward(state, request, retries, last_event, on_write);
+                        let forwarded = forwarding.await;
+                        return forwarded.unwrap_or(Err(NextSendError::Refused(refusal)));
+                    }
+                };
                 let NextUpstream { chosen, fetch_from } = next;
                 let Ok(permit) = attempt::request_permit(state, request, &chosen).await else {
                     retries.withheld += 1;
@@ -160,6 +206,10 @@
                 if !again {
                     retries.tried.push(chosen.id);
                 }
+                let is_unreachable = |f: &AttemptFailure| f.outcome == AttemptOutcome::Unreachable;
+                if result.as_ref().is_err_and(is_unreachable) {
+                    retries.unreachable += 1;
+                }
                 return result.map_err(NextSendError::Failed);
             }
         }
--- a/crates/net/src/http_server.rs
+++ b/crates/net/src/http_server.rs
@@ -65,17 +65,22 @@
     pub http1_only: bool,
 }
 
+impl ServerLimits {
+    /// The limits that hold if none are set.
+    pub const DEFAULT: ServerLimits = ServerLimits {
+        connections: 4_096,
+        headers: 64,
+        head_bytes: 16 << 10,
+        head_timeout: Duration::from_secs(5),
+        write_stall_timeout: Duration::from_secs(15),
+        streams: 256,
+        http1_only: false,
+    };
+}
+
 impl Default for ServerLimits {
     fn default() -> ServerLimits {
-        ServerLimits {
-            connections: 4_096,
-            headers: 64,
-            head_bytes: 16 << 10,
-            head_timeout: Duration::from_secs(5),
-            write_stall_timeout: Duration::from_secs(15),
-            streams: 256,
-            http1_only: false,
-        }
+        ServerLimits::DEFAULT
     }
 }
 
--- a/crates/serving/src/instance_directory.rs
+++ b/crates/serving/src/instance_directory.rs
@@ -318,6 +318,16 @@
         self.known.values().filter(has_path).map(|k| &k.entry)
     }
 
+    /// Instances that have said that they can connect to upstreams. One of an earlier version does
+    /// not say so, and cannot run forwarded requests.
+    pub fn forward_targets(&self, now: MonoTime) -> impl Iterator<Item = &InstanceEntry> {
+        let targets = self.known.values().filter(move |k| {
+            let answers = k.responded && now.since(k.last_reply) < HEARTBEAT_TIMEOUT;
+            answers && k.ready && !k.entry.leaving && k.upstream_path == UpstreamPath::Open
+        });
+        targets.map(|k| &k.entry)
+    }
+
     /// True if any incarnation of the instance at this address is present.
     pub fn is_present_at(&self, now: MonoTime, peer_address: SocketAddr) -> bool {
         let id = self.by_address.get(&peer_address);
