Callers are not directed to instances without a path to upstreams

An instance that reaches no upstream answered as ready and was named to new callers like any other. It stays ready, since it forwards, but is named only while no instance with a path is known. Tests of the choice of instances that requests are forwarded to.

--- a/crates/gateway/src/service_apis.rs
+++ b/crates/gateway/src/service_apis.rs
@@ -32,7 +32,9 @@
             return status(StatusCode::NOT_FOUND);
         };
         let now = state.now();
-        let own = state.is_ready().then_some(&state.own_entry);
+        let own = state
+            .is_ready()
+            .then(|| (&state.own_entry, state.path.reported()));
         let addresses = state.cluster().instances.addresses(now, &query.zone, own);
         // Without an address, an error makes the caller ask another instance.
         if addresses.is_empty() {
--- a/crates/serving/src/instance_directory.rs
+++ b/crates/serving/src/instance_directory.rs
@@ -352,16 +352,25 @@
     }
 
     /// The addresses for a caller in `zone`: those of its own zone if there are enough, else
-    /// all. `own` is the entry of the answering instance.
+    /// all. `own` is the entry of the answering instance, and whether it has a path to upstreams.
+    /// Instances without such a path are left out while any other is known.
     pub fn addresses(
         &self,
         now: MonoTime,
         zone: &str,
-        own: Option<&InstanceEntry>,
+        own: Option<(&InstanceEntry, UpstreamPath)>,
     ) -> Vec<SocketAddr> {
         let others = self.known.values().filter(|k| k.is_present(now));
         let others = others.filter(|k| k.ready && !k.entry.leaving);
-        let mut all: Vec<&InstanceEntry> = others.map(|k| &k.entry).chain(own).collect();
+        let others = others.map(|k| (&k.entry, k.upstream_path));
+        let (without_path, with_path): (Vec<_>, Vec<_>) = others
+            .chain(own)
+            .partition(|(_, path)| *path == UpstreamPath::Lost);
+        let named = match with_path.is_empty() {
+            true => without_path,
+            false => with_path,
+        };
+        let mut all: Vec<&InstanceEntry> = named.into_iter().map(|(entry, _)| entry).collect();
         all.sort_by_key(|e| (e.zone.as_str() != zone, e.caller_address));
         let local = all.iter().filter(|e| e.zone.as_str() == zone).count();
         if local >= MIN_LOCAL_INSTANCES {
--- a/crates/serving/tests/instances.rs
+++ b/crates/serving/tests/instances.rs
@@ -404,3 +404,58 @@
     directory.record_heartbeat(at(1_300), all[1].incarnation, HEALTHY);
     assert_eq!(ids(&directory).len(), 3, "the path is back");
 }
+
+/// Guards against callers that are newly directed to an instance without a path to upstreams, and
+/// against callers that are directed to none because all instances have lost it.
+#[test]
+fn instances_without_a_path_are_named_only_if_there_are_no_others() {
+    let mut directory = InstanceDirectory::default();
+    let (a, b, own) = (entry(1, 1, "a"), entry(2, 2, "a"), entry(3, 3, "a"));
+    let lost = Heartbeat {
+        upstream_path: UpstreamPath::Lost,
+        ..HEALTHY
+    };
+    for entry in [&a, &b] {
+        directory.put(at(1_000), entry.clone(), rev(10));
+    }
+    directory.record_heartbeat(at(1_100), a.incarnation, lost);
+    directory.record_heartbeat(at(1_100), b.incarnation, HEALTHY);
+    let named = |directory: &InstanceDirectory, path| {
+        let addresses = directory.addresses(at(1_200), "a", Some((&own, path)));
+        let hosts = addresses.iter().map(|a| a.ip().to_string());
+        hosts.collect::<Vec<String>>()
+    };
+    let found = named(&directory, UpstreamPath::Lost);
+    assert_eq!(found, ["127.0.0.2"]);
+    let found = named(&directory, UpstreamPath::Open);
+    assert_eq!(found, ["127.0.0.2", "127.0.0.3"]);
+    directory.record_heartbeat(at(1_150), b.incarnation, lost);
+    let found = named(&directory, UpstreamPath::Lost);
+    assert_eq!(found.len(), 3, "all have lost it");
+}
+
+/// Guards against forwarding to an instance that cannot help: one without a path, one that is
+/// leaving, one that is silent, and one of an earlier version.
+#[test]
+fn requests_are_forwarded_to_live_instances_with_a_path() {
+    let mut directory = InstanceDirectory::default();
+    let with = |path| Heartbeat {
+        upstream_path: path,
+        ..HEALTHY
+    };
+    let beats = [
+        (1, 1_900, HEALTHY),
+        (2, 1_900, with(UpstreamPath::Lost)),
+        (3, 1_900, with(UpstreamPath::Unknown)),
+        (4, 500, HEALTHY),
+        (5, 1_900, LEAVING),
+    ];
+    for (id, heard, heartbeat) in beats {
+        let entry = entry(u64::from(id), id, "a");
+        directory.put(at(400), entry.clone(), rev(10));
+        directory.record_heartbeat(at(heard), entry.incarnation, heartbeat);
+    }
+    let targets = directory.forward_targets(at(2_000));
+    let targets: Vec<u64> = targets.map(|e| e.incarnation.get()).collect();
+    assert_eq!(targets, [1]);
+}
