Connections that fail for want of a path say nothing about upstreams

A refused connection now counts as an end only if another upstream can be connected to; when the path turns out lost, ejections and possible starts that were concluded from failed connections are taken back.

Further tests of forwarding: all instances without a path, the path back, an instance that runs a request for another and is killed, a silent second of an upstream; these pass before this change as well.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -188,7 +188,7 @@
             // The upstream is tried again when its ejection ends, and may have started just
             // before.
             let retried_at = chosen.upstream.ejected_until();
-            lock(&chosen.cold).record_possible_start(retried_at);
+            lock(&chosen.cold).record_unreachable(retried_at);
         }
         self.state.metrics.attempt(outcome.as_str());
     }
--- a/crates/gateway/src/crash_reporter.rs
+++ b/crates/gateway/src/crash_reporter.rs
@@ -13,6 +13,7 @@
 use jd_serving::UpstreamCrash;
 use jd_types::MonoTime;
 
+use crate::path_checker::OwnPath;
 use crate::peer_client::PeerClient;
 use crate::peer_quarantine::RunReport;
 use crate::quarantine_coordinator::QuarantineCoordinator;
@@ -163,7 +164,13 @@
             return UpstreamStatus::Ended;
         }
         match self.state.upstream_client.probe(upstream.address).await {
-            ProbeResult::Refused => UpstreamStatus::Ended,
+            // Without a path to the upstreams, all of them refuse connections.
+            ProbeResult::Refused => {
+                match OwnPath::connects_elsewhere(&self.state, upstream.address).await {
+                    true => UpstreamStatus::Ended,
+                    false => UpstreamStatus::Running,
+                }
+            }
             ProbeResult::Open | ProbeResult::TimedOut => UpstreamStatus::Running,
         }
     }
--- a/crates/gateway/src/path_checker.rs
+++ b/crates/gateway/src/path_checker.rs
@@ -76,6 +76,19 @@
         state.heartbeat_requested.notify();
     }
 
+    /// True if another upstream than the one at `failed` can be connected to, or if there is no
+    /// other one.
+    pub(crate) async fn connects_elsewhere(state: &Arc<State>, failed: SocketAddr) -> bool {
+        let mut others = state.upstreams.load().sample_addresses(PROBES, &[failed]);
+        others.retain(|address| *address != failed);
+        let probes: Vec<Task<bool>> = others.iter().map(|a| probe(state, *a)).collect();
+        let mut connects = probes.is_empty();
+        for probe in probes {
+            connects |= probe.await;
+        }
+        connects
+    }
+
     /// Checks the path whenever connections fail, and while it is lost. Never returns.
     pub(crate) async fn check(state: Arc<State>) {
         let path = &state.path;
@@ -99,11 +112,11 @@
                     false => check.failed += 1,
                 }
             }
-            path.record_check(&state, check, failed.len());
+            path.record_check(&state, check);
         }
     }
 
-    fn record_check(&self, state: &State, check: PathCheck, failed_before: usize) {
+    fn record_check(&self, state: &State, check: PathCheck) {
         state.metrics.path_check(match check.opened {
             0 => "no-connection",
             _ => "connected",
@@ -112,7 +125,9 @@
             return;
         }
         self.is_lost.store(true, Ordering::Relaxed);
-        log::warn!(probed = check.failed, failed_before; "no upstream can be connected to");
+        let failed: Vec<SocketAddr> = lock(&self.monitor).failed().collect();
+        state.upstreams.load().forget_failed_connections(&failed);
+        log::warn!(probed = check.failed, failed_before = failed.len(); "no upstream can be connected to");
         state.metrics.path_lost(true);
         state.heartbeat_requested.notify();
     }
--- a/crates/gateway/src/upstream_table.rs
+++ b/crates/gateway/src/upstream_table.rs
@@ -261,6 +261,15 @@
         })
     }
 
+    /// Takes back what failed connections to these addresses say about the upstreams there.
+    pub(crate) fn forget_failed_connections(&self, addresses: &[SocketAddr]) {
+        let records = self.by_id.values();
+        for record in records.filter(|r| addresses.contains(&r.upstream.address)) {
+            record.upstream.clear_ejection();
+            lock(&record.cold).forget_unreachable();
+        }
+    }
+
     /// True if an upstream of the service has this address.
     pub(crate) fn serves_at(&self, service: &str, address: SocketAddr) -> bool {
         let table = self.services.get(service);
--- a/crates/gateway/tests/whole/fakes/fake_upstream.rs
+++ b/crates/gateway/tests/whole/fakes/fake_upstream.rs
@@ -53,6 +53,8 @@
         parts: &'static [&'static str],
         cut: bool,
     },
+    /// The first part of a stream, and the rest after a silence.
+    Pausing(&'static [&'static str], Duration),
     /// A complete response once the sender of the channel sends or is dropped.
     UntilReleased(async_channel::Receiver<()>),
 }
@@ -252,6 +254,15 @@
                     let body = jd_net::stream(stream::iter(parts).chain(end));
                     answer(&id, StatusCode::OK, body)
                 }
+                Reply::Pausing(parts, silence) => {
+                    let part = |p: &&'static str| Ok(Bytes::from_static(p.as_bytes()));
+                    let first = stream::iter(parts.iter().take(1).map(part));
+                    let rest = stream::once_future(async move {
+                        Timer::after(silence).await;
+                        Ok(Bytes::from(parts[1..].concat()))
+                    });
+                    answer(&id, StatusCode::OK, jd_net::stream(first.chain(rest)))
+                }
                 Reply::UntilReleased(rx) => {
                     // A closed channel releases the response as well.
                     let _ = rx.recv().await;
--- a/crates/gateway/tests/whole/lost_paths.rs
+++ b/crates/gateway/tests/whole/lost_paths.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use async_io::Timer;
 use futures_lite::future::block_on;
@@ -113,3 +114,162 @@
         assert_served(&load(&harness, order[3], "/staged/x").await);
     });
 }
+
+/// Waits until instances have noticed that `count` of them have lost their path.
+async fn until_noticed(harness: &Harness, count: u64) {
+    while harness.counter_total("jd_gateway_path_lost ").await != count {
+        Timer::after(Duration::from_millis(20)).await;
+    }
+    // The others hear of it with the next heartbeats.
+    Timer::after(Duration::from_millis(500)).await;
+}
+
+/// Cuts off instances, and sends requests to them until they have noticed.
+async fn cut_off(harness: &Harness, instances: &[SocketAddr], cut: Cut) {
+    for peers in instances {
+        harness.link(*peers).set(Some(cut));
+        for n in 0..4 {
+            let id = format!("notice-{n}");
+            harness.spawn_ask(*peers, "/any/x", &id).await;
+        }
+    }
+    until_noticed(harness, instances.len() as u64).await;
+}
+
+/// Guards against requests that wait, or go from instance to instance, when none has a path.
+#[test_case("/any/x"; "idempotent")]
+#[test_case("/once/x"; "unsafe")]
+#[test_case("/staged/x"; "staged")]
+fn requests_are_refused_at_once_when_all_instances_have_lost_their_path(path: &'static str) {
+    block_on(async {
+        let harness = fleet().await;
+        let all = by_ownership(&harness);
+        cut_off(&harness, &all, Cut::Resets).await;
+        for peers in &all {
+            let began = Instant::now();
+            let received = harness.spawn_ask(*peers, path, "1").await;
+            assert_eq!(received.status, 503, "{received:?}");
+            assert_eq!(received.run.as_deref(), Some("not run"));
+            assert!(received.retry.is_some());
+            let took = began.elapsed();
+            assert!(took < Duration::from_millis(500), "after {took:?}");
+        }
+    });
+}
+
+/// Guards against an instance that goes on forwarding, or avoids upstreams that it could not
+/// connect to, after its path is back.
+#[test_case(Cut::Resets; "reset")]
+#[test_case(Cut::Hangs; "hung")]
+fn an_instance_sends_to_upstreams_again_once_its_path_is_back(cut: Cut) {
+    block_on(async {
+        let harness = fleet().await;
+        let last = by_ownership(&harness)[3];
+        cut_off(&harness, &[last], cut).await;
+        harness.link(last).set(None);
+        until_noticed(&harness, 0).await;
+        let forwards = "jd_gateway_forwards_total{outcome=\"answered\"}";
+        let before = harness.counter_total(forwards).await;
+        let counts = || harness.upstreams[..2].iter().map(|u| u.count());
+        let asked: Vec<usize> = counts().collect();
+        for n in 0..40 {
+            let received = harness
+                .spawn_ask(last, "/once/x", &format!("back-{n}"))
+                .await;
+            assert_eq!(received.status, 200, "{received:?}");
+        }
+        assert_eq!(harness.counter_total(forwards).await, before);
+        for (count, before) in counts().zip(asked) {
+            assert!(count > before, "an upstream is avoided");
+        }
+    });
+}
+
+/// Guards against requests that are suspected of ending upstreams because connections broke and no
+/// new ones opened, at an instance that had lost its path.
+#[test]
+fn a_lost_path_counts_as_no_crash_of_an_upstream() {
+    block_on(async {
+        let harness = fleet().await;
+        let last = by_ownership(&harness)[3];
+        let (_held, rx) = async_channel::bounded(1);
+        for upstream in &harness.upstreams[..2] {
+            upstream.set_replies(vec![Reply::UntilReleased(rx.clone())]);
+        }
+        let asked = || -> usize { harness.upstreams[..2].iter().map(|u| u.count()).sum() };
+        let before = asked();
+        let asking = harness.spawn_ask(last, "/once/x", "1");
+        while asked() == before {
+            Timer::after(Duration::from_millis(5)).await;
+        }
+        harness.link(last).set(Some(Cut::Resets));
+        assert_eq!(asking.await.run.as_deref(), Some("may have run"));
+        let there = "jd_gateway_broken_runs_total{outcome=\"there\"}";
+        let ended = "jd_gateway_broken_runs_total{outcome=\"ended\"}";
+        while harness.counter_total(there).await + harness.counter_total(ended).await == 0 {
+            Timer::after(Duration::from_millis(20)).await;
+        }
+        assert_eq!(harness.counter_total(ended).await, 0);
+    });
+}
+
+/// Guards against a request that runs twice, or whose caller hears that it has not run, because
+/// the instance that ran it for another was killed.
+#[test_case("/once/x", 502; "unsafe")]
+#[test_case("/any/x", 200; "idempotent")]
+fn a_forwarded_request_survives_or_may_have_run(path: &'static str, status: u16) {
+    block_on(async {
+        let mut harness = fleet().await;
+        let order = by_ownership(&harness);
+        cut_off(&harness, &order[1..], Cut::Resets).await;
+        let (_held, rx) = async_channel::bounded(1);
+        for upstream in &harness.upstreams[..2] {
+            upstream.set_replies(vec![Reply::UntilReleased(rx.clone())]);
+        }
+        let asked = || -> usize { harness.upstreams[..2].iter().map(|u| u.count()).sum() };
+        let before = asked();
+        let asking = harness.spawn_ask(order[3], path, "1");
+        while asked() == before {
+            Timer::after(Duration::from_millis(5)).await;
+        }
+        harness.link(order[1]).set(None);
+        until_noticed(&harness, 2).await;
+        for upstream in &harness.upstreams[..2] {
+            upstream.set_replies(vec![ANSWER]);
+        }
+        harness.kill_gateway(order[0]);
+        let received = asking.await;
+        assert_eq!(received.status, status, "{received:?}");
+        assert_ne!(received.run.as_deref(), Some("not run"));
+    });
+}
+
+/// Guards against taking a second of silence of a sound upstream for a lost path or a failed
+/// stream.
+#[test]
+fn a_silent_second_of_an_upstream_changes_nothing() {
+    block_on(async {
+        let harness = fleet().await;
+        let last = by_ownership(&harness)[3];
+        let silence = Duration::from_millis(1_200);
+        let parts: &[&str] = &["id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"];
+        for upstream in &harness.upstreams[..2] {
+            upstream.set_replies(vec![Reply::Pausing(parts, silence)]);
+        }
+        let asking: Vec<_> = (0..6)
+            .map(|n| harness.spawn_ask(last, "/resume/x", &format!("silent-{n}")))
+            .collect();
+        for asking in asking {
+            let received = asking.await;
+            assert!(received.whole);
+            assert_eq!(received.body, parts.concat());
+        }
+        let asked = harness.upstreams[..2].iter();
+        let asked = asked.flat_map(|u| u.asked.lock().expect("a lock").clone());
+        let asked = asked.filter(|(id, _)| id.starts_with("silent-"));
+        assert_eq!(asked.count(), 6, "a request was sent again");
+        assert_eq!(harness.counter_total("jd_gateway_path_lost ").await, 0);
+        let forwards = "jd_gateway_forwards_total{outcome=\"answered\"}";
+        assert_eq!(harness.counter_total(forwards).await, 0);
+    });
+}
--- a/crates/policy/src/upstream.rs
+++ b/crates/policy/src/upstream.rs
@@ -141,6 +141,13 @@
         MonoTime::from_micros(self.ejected_until.load(Ordering::Relaxed))
     }
 
+    /// Ends an ejection, and forgets the failures that led to it.
+    pub fn clear_ejection(&self) {
+        self.failures.store(0, Ordering::Relaxed);
+        self.ejections.store(0, Ordering::Relaxed);
+        self.ejected_until.store(0, Ordering::Relaxed);
+    }
+
     /// Mean response latency, or zero before the first sample.
     pub fn latency(&self) -> Duration {
         self.latency.mean()
--- a/crates/serving/src/cold_start.rs
+++ b/crates/serving/src/cold_start.rs
@@ -56,6 +56,8 @@
 pub struct ColdStart {
     cold_until: MonoTime,
     possible_start: Option<MonoTime>,
+    /// The same, concluded from a connection that could not be opened.
+    unreachable_start: Option<MonoTime>,
     sent: VecDeque<MonoTime>,
 }
 
@@ -71,10 +73,23 @@
         self.possible_start = self.possible_start.max(Some(at));
     }
 
+    /// Records that no connection to the upstream could be opened, so that it may start until `at`.
+    pub fn record_unreachable(&mut self, at: MonoTime) {
+        self.unreachable_start = self.unreachable_start.max(Some(at));
+    }
+
+    /// Takes back what was concluded from connections that could not be opened, because this
+    /// instance had no path to the upstreams.
+    pub fn forget_unreachable(&mut self) {
+        self.unreachable_start = None;
+    }
+
     /// True if the upstream is cold or may be.
     pub fn is_cold(&self, now: MonoTime, spec: ColdSpec) -> bool {
         let may_be_cold = |at: MonoTime| now < at + spec.duration;
-        now < self.cold_until || self.possible_start.is_some_and(may_be_cold)
+        now < self.cold_until
+            || self.possible_start.is_some_and(may_be_cold)
+            || self.unreachable_start.is_some_and(may_be_cold)
     }
 
     /// True if this instance may send a request to the upstream now.
--- a/crates/serving/tests/cold_start.rs
+++ b/crates/serving/tests/cold_start.rs
@@ -120,3 +120,14 @@
     cold.set_cold_until(at(0));
     assert!(cold.is_cold(at(8_900), SPEC));
 }
+
+/// Guards against upstreams that get little after an instance has lost its path to all of them:
+/// none of them could be connected to, and each might have started again.
+#[test]
+fn an_upstream_is_not_cold_because_the_path_to_it_was_lost() {
+    let mut cold = ColdStart::default();
+    cold.record_unreachable(at(5_000));
+    assert!(cold.is_cold(at(5_100), SPEC));
+    cold.forget_unreachable();
+    assert!(!cold.is_cold(at(5_100), SPEC));
+}
