A connection that does not open is neither a run nor a retry

Two faults of one cause were seen behind a cut: attempts at which no connection opened counted as if they had reached an upstream. Plain requests and prompts used up the retry budget and were refused after one upstream ('no connection could be opened' after one attempt on five of six instances), and a stream in progress counted such an attempt as a run, so that it was cut off after two attempts, though nothing had run since. Now neither counts; the bound on upstreams for one request stays, and a stream has one of six.

a_connection_that_does_not_open_uses_no_retry_budget: 1 retry taken from the budget before, none now; a_stream_goes_on_at_another_instance, reset and hung: cut off after the first event before, whole now.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -211,6 +211,14 @@
     pub(crate) withheld: bool,
 }
 
+impl AttemptFailure {
+    /// True if no connection could be opened. Nothing has arrived at the upstream then, so that
+    /// another attempt is no retry in the sense of the retry budget.
+    pub(crate) fn is_unreachable(&self) -> bool {
+        self.outcome == AttemptOutcome::Unreachable
+    }
+}
+
 /// The failure of an attempt that was sent.
 pub(crate) fn failure(outcome: AttemptOutcome, detail: impl Into<CompactString>) -> AttemptFailure {
     AttemptFailure {
--- a/crates/gateway/src/event_stream.rs
+++ b/crates/gateway/src/event_stream.rs
@@ -14,6 +14,7 @@
 use jd_serving::RetryMode;
 use jd_types::AttemptOutcome;
 use jd_types::MonoTime;
+use jd_types::RunState;
 use snafu::Snafu;
 
 use crate::attempt::ActiveAttempt;
@@ -29,6 +30,9 @@
 /// How long a stream that could resume on another upstream may be silent. Twice the longest
 /// gap between events that the routes of the deployment still count as in time.
 const STALL_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// The largest number of upstreams that one stream is sent to, including those that proved that
+/// they did not run it.
+const MAX_ATTEMPTS: usize = 6;
 
 /// Why a stream was cut off. The caller sees a broken connection, never a regular end.
 #[derive(Debug, Snafu)]
@@ -189,7 +193,9 @@
 
     fn may_resume(&self) -> bool {
         let route = self.request.route();
-        route.retry_mode == RetryMode::Resumable && self.retries.possible_runs < route.max_attempts
+        route.retry_mode == RetryMode::Resumable
+            && self.retries.possible_runs < route.max_attempts
+            && self.retries.tried.len() < MAX_ATTEMPTS
     }
 
     /// Resumes on another upstream after the last complete event. Returns false if that is not
@@ -198,7 +204,8 @@
         self.response = None;
         self.attempt.finish(outcome);
         let _partial_event = self.splitter.take_remaining();
-        while self.may_resume() && self.state.may_retry(&self.request.service) {
+        let mut is_unreachable = false;
+        while self.may_resume() && (is_unreachable || self.may_retry()) {
             match self.state.forwards.is_due(&self.state, &self.request) {
                 true => self.results = self.stages.no_results(),
                 false => match self.stages.run_again(&self.request).await {
@@ -207,38 +214,41 @@
                 },
             }
             let last = self.splitter.last_event().or(self.request.head.last_event);
-            let inputs = self.results.handles();
-            let (state, request) = (&self.state, &self.request);
-            let timeout = |_| request.time_left(state.now());
-            let sending = send_to_next_upstream(
-                state,
-                request,
-                &mut self.retries,
-                inputs,
-                last,
-                timeout,
-                || {},
-            );
-            let sent = sending.await;
-            if let Err(NextSendError::Refused(_)) = &sent {
-                return false;
-            }
-            self.retries.possible_runs += 1;
-            if let Ok(response) = sent
-                && response.head.status.is_success()
-            {
-                log::info!(
+            match self.send_to_next(last).await {
+                Ok(response) if response.head.status.is_success() => {
+                    log::info!(
                         request = self.request.id(),
-                content:% = self.request.content,
+                        content:% = self.request.content,
                         upstream = response.attempt.id(),
                         last_event:? = last;
                         "stream resumed on another upstream"
                     );
-                self.response = Some(response.http);
-                self.attempt = response.attempt;
-                return true;
+                    self.retries.possible_runs += 1;
+                    self.response = Some(response.http);
+                    self.attempt = response.attempt;
+                    return true;
+                }
+                Err(NextSendError::Refused(_)) => return false,
+                Err(NextSendError::Failed(f)) if f.outcome.run_state() == RunState::NotRun => {
+                    is_unreachable = f.is_unreachable();
+                }
+                Ok(_) | Err(NextSendError::Failed(_)) => {
+                    is_unreachable = false;
+                    self.retries.possible_runs += 1;
+                }
             }
         }
         false
     }
+
+    fn may_retry(&self) -> bool {
+        self.state.may_retry(&self.request.service)
+    }
+
+    async fn send_to_next(&mut self, last: Option<u64>) -> Result<UpstreamResponse, NextSendError> {
+        let inputs = self.results.handles();
+        let (state, request, retries) = (&self.state, &self.request, &mut self.retries);
+        let timeout = |_| request.time_left(state.now());
+        send_to_next_upstream(state, request, retries, inputs, last, timeout, || {}).await
+    }
 }
--- a/crates/gateway/src/streaming_call.rs
+++ b/crates/gateway/src/streaming_call.rs
@@ -101,7 +101,8 @@
             RetryMode::Resumable => runs < request.route().max_attempts,
             _ => false,
         };
-        if !retryable || !state.may_retry(&request.service) {
+        let may_retry = failure.is_unreachable() || state.may_retry(&request.service);
+        if !retryable || !may_retry {
             return Err(final_refusal(state, &request, runs, &failure));
         }
     }
--- a/crates/gateway/src/unary_call.rs
+++ b/crates/gateway/src/unary_call.rs
@@ -86,7 +86,8 @@
             RetryMode::Idempotent => runs < request.route().max_attempts,
             _ => false,
         };
-        if retryable && state.may_retry(&request.service) {
+        let is_unreachable = failure.as_ref().is_some_and(AttemptFailure::is_unreachable);
+        if retryable && (is_unreachable || state.may_retry(&request.service)) {
             continue;
         }
         return match (error_response, failure) {
--- a/crates/gateway/src/upstream_selection.rs
+++ b/crates/gateway/src/upstream_selection.rs
@@ -6,7 +6,6 @@
 
 use compact_str::CompactString;
 use jd_serving::StageUpstream;
-use jd_types::AttemptOutcome;
 use jd_types::Refusal;
 use jd_types::RefusalKind;
 
@@ -206,8 +205,7 @@
                 if !again {
                     retries.tried.push(chosen.id);
                 }
-                let is_unreachable = |f: &AttemptFailure| f.outcome == AttemptOutcome::Unreachable;
-                if result.as_ref().is_err_and(is_unreachable) {
+                if result.as_ref().is_err_and(AttemptFailure::is_unreachable) {
                     retries.unreachable += 1;
                 }
                 return result.map_err(NextSendError::Failed);
--- a/crates/gateway/tests/whole/lost_paths.rs
+++ b/crates/gateway/tests/whole/lost_paths.rs
@@ -213,6 +213,45 @@
     });
 }
 
+/// Guards against a stream that is cut off, or has a gap or an event twice, because its instance
+/// loses its path while it is passed on.
+#[test_case(Cut::Resets; "reset")]
+#[test_case(Cut::Hangs; "hung")]
+fn a_stream_goes_on_at_another_instance(cut: Cut) {
+    block_on(async {
+        let harness = fleet().await;
+        let last = by_ownership(&harness)[3];
+        let first: &[&str] = &["id: 1\ndata: a\n\n", "never"];
+        let rest = Reply::Stream {
+            parts: &["id: 2\ndata: b\n\n", "id: 3\ndata: c\n\n"],
+            cut: false,
+        };
+        let silent = Duration::from_secs(60);
+        for upstream in &harness.upstreams[..2] {
+            upstream.set_replies(vec![Reply::Pausing(first, silent)]);
+        }
+        let asked = || -> usize { harness.upstreams[..2].iter().map(|u| u.count()).sum() };
+        let before = asked();
+        let asking = harness.spawn_ask(last, "/resume/x", "1");
+        while asked() == before {
+            Timer::after(Duration::from_millis(5)).await;
+        }
+        for upstream in &harness.upstreams[..2] {
+            upstream.set_replies(vec![rest.clone()]);
+        }
+        Timer::after(Duration::from_millis(100)).await;
+        harness.link(last).set(Some(cut));
+        let received = asking.await;
+        assert!(received.whole, "{received:?}");
+        let events = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n";
+        assert_eq!(received.body, events);
+        let asked = harness.upstreams[..2].iter();
+        let asked = asked.flat_map(|u| u.asked.lock().expect("a lock").clone());
+        let resumed = asked.filter(|(id, after)| id == "1" && after.as_deref() == Some("1"));
+        assert_eq!(resumed.count(), 1);
+    });
+}
+
 /// Guards against a request that runs twice, or whose caller hears that it has not run, because
 /// the instance that ran it for another was killed.
 #[test_case("/once/x", 502; "unsafe")]
--- a/crates/gateway/tests/whole/requests.rs
+++ b/crates/gateway/tests/whole/requests.rs
@@ -1,16 +1,20 @@
 //! Requests through a whole gateway, with failing upstreams and a failing store.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use futures_lite::future::block_on;
 use jd_gateway::Change;
 use jd_gateway::Record;
+use jd_serving::UpstreamStart;
+use test_case::test_case;
 
 use crate::fakes::CallerResponse;
 use crate::fakes::Harness;
 use crate::fakes::Reply;
 use crate::fakes::deployment;
+use crate::fakes::entry;
 
 fn requests_received(harness: &Harness) -> usize {
     harness.upstreams.iter().map(|u| u.count()).sum()
@@ -297,3 +301,30 @@
         });
     }
 }
+
+/// Guards against refusing requests because connections that did not open have used up the retry
+/// budget: nothing has arrived, so that the next attempt is no retry.
+#[test_case("/any/x"; "plain")]
+#[test_case("/stream/x"; "streamed")]
+fn a_connection_that_does_not_open_uses_no_retry_budget(path: &'static str) {
+    let answer = Reply::Stream {
+        parts: &["id: 1\ndata: a\n\n"],
+        cut: false,
+    };
+    let harness = Harness::start(vec![vec![answer]]);
+    block_on(async {
+        harness.until_ready(true).await;
+        let closed = SocketAddr::from(([127, 0, 0, 1], 1));
+        let dead = entry("dead", "pool", closed, UpstreamStart::UNKNOWN);
+        harness.store.change(Change::Put(dead));
+        let unreachable = "jd_gateway_attempts_total{outcome=\"unreachable\"}";
+        while harness.counter_total(unreachable).await == 0 {
+            let received = harness.ask(path, "1").await;
+            assert_eq!(received.status, 200, "{received:?}");
+        }
+        for outcome in ["allowed", "over-budget"] {
+            let retries = format!("jd_gateway_repeats_total{{outcome=\"{outcome}\"}}");
+            assert_eq!(harness.counter_total(&retries).await, 0, "{outcome}");
+        }
+    });
+}
