Keep to what brittle upstreams withstand, all instances together

Upstreams of a service may say in all their answers how many rejections in a second they withstand (Server-Brittle); one that rejects more falls over. Nothing read this, and each instance sent what a whole upstream could take. Meanwhile an instance has in progress at most its part of the slots, one request at least, so that nothing queues; after a rejection it pauses for as long as keeps all instances under the limit, 4 s at most. What finds no place is refused at once, as not run.

--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -17,6 +17,8 @@
 use jd_serving::PieceRequest;
 use jd_serving::PieceResult;
 use jd_serving::RateError;
+use jd_serving::RejectionLimit;
+use jd_serving::RejectionLimitError;
 use jd_serving::RequestRate;
 use jd_serving::RetryAfter;
 use jd_serving::RetryAfterError;
@@ -87,6 +89,13 @@
     /// none if it announces none.
     fn rate_limit(&self, headers: &HeaderMap) -> Result<Option<RequestRate>, RateError>;
 
+    /// The rejections that the upstreams of a brittle service withstand, as a response announces
+    /// it; none if it does not.
+    fn rejection_limit(
+        &self,
+        headers: &HeaderMap,
+    ) -> Result<Option<RejectionLimit>, RejectionLimitError>;
+
     /// True if a response announces that its upstream is about to shut down.
     fn announces_leaving(&self, headers: &HeaderMap) -> bool;
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 mod batch_calls;
 mod batch_dispatcher;
 mod batch_handover;
+mod brittle;
 mod caller_api;
 mod caller_request;
 mod cluster_state;
--- a/crates/gateway/src/peer_api.rs
+++ b/crates/gateway/src/peer_api.rs
@@ -67,6 +67,7 @@
             .quarantine
             .apply(now, QuarantineSource::Beat, updates);
         peer_limits::record(&self.state, beat.limits);
+        self.state.brittle.apply(now, beat.brittle);
         let from = Incarnation::new(beat.incarnation);
         let paces = peer_paces::paces_of(beat.paces, now);
         self.state
@@ -111,6 +112,7 @@
             limits: peer_limits::wire_limits(&self.state),
             version: self.state.cluster().deployment_version(),
             upstream_path: peer_instance::wire_path(self.state.path.reported()),
+            brittle: self.state.brittle.wire(now),
         }))
     }
 
--- a/crates/gateway/src/peer_client.rs
+++ b/crates/gateway/src/peer_client.rs
@@ -271,6 +271,7 @@
             limits: peer_limits::wire_limits(&self.state),
             paces: self.report_paces(peer, zones),
             upstream_path: peer_instance::wire_path(self.state.path.reported()),
+            brittle: self.state.brittle.wire(self.state.now()),
         };
         let sent = self.state.now();
         match with_timeout(HEARTBEAT_TIMEOUT, client.beat(beat)).await {
@@ -288,6 +289,7 @@
             .quarantine
             .apply(now, QuarantineSource::Beat, updates);
         peer_limits::record(&self.state, reply.limits);
+        self.state.brittle.apply(now, reply.brittle);
         let mut cluster = self.state.cluster();
         // The reply was made after the heartbeat was sent. So the age of its proof,
         // counted back from `sent`, never makes the proof look more recent than it is.
--- a/crates/gateway/src/selection_filter.rs
+++ b/crates/gateway/src/selection_filter.rs
@@ -2,6 +2,7 @@
 
 use jd_net::lock;
 use jd_serving::ColdSpec;
+use jd_serving::InFlightShare;
 use jd_types::MonoTime;
 
 use crate::state::State;
@@ -22,6 +23,8 @@
 pub(crate) struct SelectionFilter<'a> {
     /// The limit of cold upstreams; none if they have no limit.
     pub(crate) cold: Option<ColdSpec>,
+    /// What may be in progress at the upstreams; none if they are not brittle.
+    pub(crate) brittle: Option<InFlightShare>,
     /// Which rate-limited upstreams may be selected.
     pub(crate) limit_filter: LimitFilter,
     /// The backoffs, rate limits and instances that the conditions depend on.
@@ -32,15 +35,22 @@
     /// True if this instance may send to the upstream now.
     pub(crate) fn allows(&self, now: MonoTime, id: &str, record: &UpstreamRecord) -> bool {
         self.not_backing_off(now, id, record)
+            && self.has_brittle_share(record)
             && self.limit_allows(now, id)
             && self.cold_allows(now, record)
     }
 
+    fn has_brittle_share(&self, record: &UpstreamRecord) -> bool {
+        let in_flight = record.upstream.in_flight();
+        self.brittle.is_none_or(|share| in_flight < share.at_each)
+    }
+
     /// True if an owner may place the prompts of other instances there now. Upstreams that are
     /// rate limited or cold are left to each instance, which knows its own part of what they bear.
     pub(crate) fn allows_placing(&self, now: MonoTime, id: &str, record: &UpstreamRecord) -> bool {
         let is_cold = |spec| lock(&record.cold).is_cold(now, spec);
         self.not_backing_off(now, id, record)
+            && self.brittle.is_none()
             && self.state.limits.limit(id).is_none()
             && !self.cold.is_some_and(is_cold)
     }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -39,6 +39,7 @@
 use jd_types::splitmix64;
 
 use crate::Dialect;
+use crate::brittle::Brittle;
 use crate::cluster_state::ClusterState;
 use crate::forward_client::ForwardClient;
 use crate::latch::Latch;
@@ -89,6 +90,8 @@
     pub(crate) permit_retries: PermitRetries,
     /// The upstreams that asked this instance to back off.
     pub(crate) backoffs: UpstreamBackoffs,
+    /// The services whose upstreams are brittle.
+    pub(crate) brittle: Brittle,
     /// The pace of upstreams that generate.
     pub(crate) paces: Paces,
     /// Whether this instance has a network path to the upstreams.
@@ -148,6 +151,7 @@
             limiters: Limiters::default(),
             permit_retries: PermitRetries::default(),
             backoffs: UpstreamBackoffs::default(),
+            brittle: Brittle::new(Arc::clone(&heartbeat_requested)),
             paces: Paces::default(),
             path: OwnPath::new(),
             forwards: ForwardClient::new(pool),
@@ -352,6 +356,7 @@
     pub(crate) fn selection_filter(&self, service: &str) -> SelectionFilter<'_> {
         SelectionFilter {
             cold: self.cold_spec(service),
+            brittle: self.brittle_share(service),
             limit_filter: LimitFilter::PermitDue,
             state: self,
         }
@@ -362,6 +367,7 @@
     pub(crate) fn unfiltered(&self) -> SelectionFilter<'_> {
         SelectionFilter {
             cold: None,
+            brittle: None,
             limit_filter: LimitFilter::Any,
             state: self,
         }
--- a/crates/gateway/src/store_follower.rs
+++ b/crates/gateway/src/store_follower.rs
@@ -215,6 +215,7 @@
             Timer::after(EXPIRE_INTERVAL).await;
             let now = state.now();
             state.backoffs.expire(now);
+            state.brittle.expire(now);
             let (upstreams_gone, zones_restored) = {
                 let mut cluster = state.cluster();
                 cluster.expire_source_health(now);
--- a/crates/gateway/src/upstream_backoffs.rs
+++ b/crates/gateway/src/upstream_backoffs.rs
@@ -97,11 +97,12 @@
     state
         .limits
         .record_answer(now, upstream, dialect, headers, &state.metrics);
+    state.brittle.record_answer(state, upstream, headers);
     if dialect.announces_leaving(headers) && !upstream.id.is_empty() {
         apply_leaving(state, upstream);
     }
     match dialect.retry_after(*status, headers) {
-        Ok(None) => {}
+        Ok(None) => apply_brittle_pause(state, upstream, response),
         Ok(Some(wait)) => apply_backoff(state, upstream, wait),
         Err(e) => state.backoffs.log_unreadable(upstream, &e),
     }
@@ -137,6 +138,20 @@
     }
 }
 
+/// Pauses after a rejection by an upstream that falls over if it has to reject too many requests.
+fn apply_brittle_pause(state: &State, upstream: &UpstreamRef, response: &HttpResponse) {
+    let Some(limit) = state.brittle.limit(state.now(), &upstream.service) else {
+        return;
+    };
+    let head = state
+        .dialect
+        .response_head(response.status, &response.headers);
+    if head.not_run && head.status == StatusCode::SERVICE_UNAVAILABLE {
+        let pause = limit.pause(state.instance_count());
+        apply_backoff(state, upstream, RetryAfter::from_wait(pause));
+    }
+}
+
 fn apply_backoff(state: &State, upstream: &UpstreamRef, wait: RetryAfter) {
     let position = state.fleet_position(upstream.address);
     let longer = state.backoffs.start(state.now(), upstream, wait, position);
--- a/crates/gateway/src/upstream_selection.rs
+++ b/crates/gateway/src/upstream_selection.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use compact_str::CompactString;
+use jd_serving::InFlightShare;
 use jd_serving::StageUpstream;
 use jd_types::Refusal;
 use jd_types::RefusalKind;
@@ -37,6 +38,10 @@
 /// above the limit.
 const MAX_RESERVED_RATE: f64 = 8.0;
 
+/// The retry time if this instance has its share in progress at the upstreams of a brittle
+/// service: about the duration of one response.
+const BRITTLE_RETRY: Duration = Duration::from_millis(100);
+
 /// The retry times that callers are given are spread by up to this fraction of the wait.
 const RETRY_JITTER: f64 = 0.25;
 /// The longest wait that callers are given.
@@ -235,8 +240,10 @@
         filter.limit_filter = LimitFilter::Unlimited;
     }
     let tried = retries.tried.as_slice();
+    let is_used_up = |share: InFlightShare| table.in_flight(&request.service) >= share.at_all;
     let chosen = match &request.head.prompt {
         _ if retries.withheld >= MAX_WITHHELD => None,
+        _ if filter.brittle.is_some_and(is_used_up) => None,
         Some(prompt) => {
             let instances = state.instance_count();
             let session = prompt.session();
@@ -252,6 +259,7 @@
     let wait = || {
         limit_retry_after(state, &request.service)
             .or_else(|| backoff_retry_after(state, &request.service))
+            .or_else(|| filter.brittle.map(|_| BRITTLE_RETRY))
     };
     let chosen = chosen.map(|chosen| NextUpstream {
         chosen,
--- a/crates/gateway/src/upstream_table.rs
+++ b/crates/gateway/src/upstream_table.rs
@@ -178,6 +178,21 @@
         addresses
     }
 
+    /// The slots of each upstream of a service, and the number of its upstreams.
+    pub(crate) fn capacity(&self, service: &str) -> (u32, u32) {
+        let table = self.services.get(service);
+        table.map_or((1, 0), |t| {
+            (t.slots, u32::try_from(t.ids.len()).unwrap_or(u32::MAX))
+        })
+    }
+
+    /// Requests of this instance in progress at the upstreams of a service.
+    pub(crate) fn in_flight(&self, service: &str) -> u32 {
+        let table = self.services.get(service).into_iter();
+        let upstreams = table.flat_map(|t| t.pool.upstreams());
+        upstreams.map(|u| u.in_flight()).sum()
+    }
+
     /// Number of upstreams that may be selected.
     pub(crate) fn count(&self) -> usize {
         self.services.values().map(|t| t.ids.len()).sum()
--- a/crates/gateway/tests/whole/fakes/fake_dialect.rs
+++ b/crates/gateway/tests/whole/fakes/fake_dialect.rs
@@ -27,6 +27,8 @@
 use jd_serving::Prompt;
 use jd_serving::PromptPart;
 use jd_serving::RateError;
+use jd_serving::RejectionLimit;
+use jd_serving::RejectionLimitError;
 use jd_serving::RequestRate;
 use jd_serving::RetryAfter;
 use jd_serving::RetryAfterError;
@@ -111,6 +113,15 @@
         named.transpose()
     }
 
+    fn rejection_limit(
+        &self,
+        headers: &HeaderMap,
+    ) -> Result<Option<RejectionLimit>, RejectionLimitError> {
+        text(headers, "brittle")
+            .map(RejectionLimit::try_from)
+            .transpose()
+    }
+
     fn announces_leaving(&self, headers: &HeaderMap) -> bool {
         headers.contains_key("leaving")
     }
--- a/crates/gateway/tests/whole/fakes/fake_upstream.rs
+++ b/crates/gateway/tests/whole/fakes/fake_upstream.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
@@ -82,6 +83,13 @@
     limit: Mutex<Option<HeaderValue>>,
     /// The load that all responses report.
     load: Mutex<Option<HeaderValue>>,
+    /// The rejections a second that all responses say it withstands.
+    brittle: Mutex<Option<HeaderValue>>,
+    /// Requests that run at a time; what is beyond is rejected.
+    capacity: AtomicUsize,
+    running: AtomicUsize,
+    /// When requests were rejected.
+    rejections: Mutex<Vec<Instant>>,
     /// True once all responses announce a shutdown.
     leaving: AtomicBool,
     /// The sources that requests named to fetch tokens from.
@@ -102,6 +110,10 @@
             arrivals: Mutex::default(),
             limit: Mutex::default(),
             load: Mutex::default(),
+            brittle: Mutex::default(),
+            capacity: AtomicUsize::new(usize::MAX),
+            running: AtomicUsize::new(0),
+            rejections: Mutex::default(),
             leaving: AtomicBool::new(false),
             fetches: Mutex::default(),
             fetch_reply: Mutex::new(FetchReply::Sends),
@@ -129,6 +141,19 @@
         *self.load.lock().expect("a lock") = Some(load);
     }
 
+    /// Rejects requests beyond `capacity` from now on, and says how many rejections a second it
+    /// withstands.
+    pub(crate) fn set_brittle(&self, capacity: usize, rejections: &'static str) {
+        self.capacity.store(capacity, Ordering::Relaxed);
+        let rejections = HeaderValue::from_static(rejections);
+        *self.brittle.lock().expect("a lock") = Some(rejections);
+    }
+
+    /// When requests were rejected for want of capacity.
+    pub(crate) fn rejections(&self) -> Vec<Instant> {
+        self.rejections.lock().expect("a lock").clone()
+    }
+
     /// Makes all responses announce a shutdown from now on.
     pub(crate) fn announce_leaving(&self) {
         self.leaving.store(true, Ordering::Relaxed);
@@ -181,6 +206,9 @@
         if let Some(load) = &*self.load.lock().expect("a lock") {
             res.headers_mut().insert("load", load.clone());
         }
+        if let Some(brittle) = &*self.brittle.lock().expect("a lock") {
+            res.headers_mut().insert("brittle", brittle.clone());
+        }
         if self.leaving.load(Ordering::Relaxed) {
             let said = HeaderValue::from_static("1");
             res.headers_mut().insert("leaving", said);
@@ -216,7 +244,16 @@
         self.asked.lock().expect("a lock").push(asked);
         let reply = self.next();
         let fetch = header("fetch");
+        let running = Running::begin(&self);
+        if running.before >= self.capacity.load(Ordering::Relaxed) {
+            let mut rejections = self.rejections.lock().expect("a lock");
+            rejections.push(Instant::now());
+            drop(rejections);
+            let rejected = not_run(&id, StatusCode::SERVICE_UNAVAILABLE);
+            return Box::pin(async move { self.with_notices(rejected) });
+        }
         Box::pin(async move {
+            let _running = running;
             if let Some(source) = fetch
                 && !self.fetch(&source).await
             {
@@ -274,6 +311,27 @@
     }
 }
 
+/// Counts a request as running until it is dropped.
+struct Running {
+    upstream: Arc<FakeUpstream>,
+    before: usize,
+}
+
+impl Running {
+    fn begin(upstream: &Arc<FakeUpstream>) -> Running {
+        Running {
+            upstream: Arc::clone(upstream),
+            before: upstream.running.fetch_add(1, Ordering::Relaxed),
+        }
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.upstream.running.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 fn not_run(id: &str, status: StatusCode) -> Response<Body> {
     let mut res = answer(id, status, jd_net::empty());
     res.headers_mut()
--- a/crates/gateway/tests/whole/main.rs
+++ b/crates/gateway/tests/whole/main.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::expect_used, clippy::panic)]
 
 mod backoffs;
+mod brittle;
 mod cold_start;
 mod crashes;
 mod evacuation;
--- a/crates/serving/src/retry_after.rs
+++ b/crates/serving/src/retry_after.rs
@@ -23,6 +23,11 @@
 }
 
 impl RetryAfter {
+    /// A pause of this length.
+    pub fn from_wait(wait: Duration) -> RetryAfter {
+        RetryAfter(wait)
+    }
+
     /// The length of the pause.
     pub fn wait(self) -> Duration {
         self.0
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -17,6 +17,7 @@
 pub use generated::gateway::Backlog;
 pub use generated::gateway::BeatReply;
 pub use generated::gateway::BeatRequest;
+pub use generated::gateway::BrittleService;
 pub use generated::gateway::BrokenRun;
 pub use generated::gateway::CompletedRun;
 pub use generated::gateway::CrashReport;
