--- a/crates/gateway/src/peer_client.rs
+++ b/crates/gateway/src/peer_client.rs
@@ -12,6 +12,7 @@
 use jd_serving::InstanceEntry;
 use jd_serving::Shard;
 use jd_serving::StageJob;
+use jd_serving::forward_candidates;
 use jd_serving::heartbeat_peers;
 use jd_types::Incarnation;
 use jd_types::MonoTime;
@@ -46,6 +47,12 @@
 /// Shortest pause between heartbeats, however many changes there are to report: four
 /// times the usual rate at most while a fault lasts.
 const MIN_HEARTBEAT_PAUSE: Duration = Duration::from_millis(100);
+/// Instances to forward requests to below which others are asked, and most that heartbeats are
+/// exchanged with for this reason.
+const MIN_FORWARD_PEERS: usize = 3;
+const MAX_FORWARD_PEERS: usize = 8;
+/// How long the same candidates are asked: two heartbeats.
+const FORWARD_ROUND: Duration = Duration::from_millis(800);
 /// Timeout for one part of another instance's packed records: many starting instances
 /// share its link.
 const PART_TIMEOUT: Duration = Duration::from_millis(2_500);
@@ -229,13 +236,35 @@
     fn select_monitored(&self, mut all: Vec<InstanceEntry>) -> Vec<InstanceEntry> {
         let shards = self.state.watched_shards();
         let source = self.state.update_source().instance();
-        let ids = heartbeat_peers(&self.state.own_entry, &all, &shards, source);
+        let mut ids = heartbeat_peers(&self.state.own_entry, &all, &shards, source);
         let now = self.state.now();
+        if self.state.path.is_lost() && ids.len() < all.len() {
+            self.add_forward_peers(now, &all, &mut ids);
+        }
         self.state.cluster().instances.set_monitored(now, &ids);
         all.retain(|e| ids.contains(&e.incarnation));
         all
     }
 
+    /// Adds instances that requests can be forwarded to, and others that may be if these are few.
+    fn add_forward_peers(&self, now: MonoTime, all: &[InstanceEntry], ids: &mut Vec<Incarnation>) {
+        let known: Vec<Incarnation> = {
+            let cluster = self.state.cluster();
+            let targets = cluster.instances.forward_targets(now);
+            let targets = targets.map(|e| e.incarnation);
+            targets.take(MAX_FORWARD_PEERS).collect()
+        };
+        let is_enough = known.len() >= MIN_FORWARD_PEERS;
+        ids.extend(known);
+        if !is_enough {
+            let round = now.as_micros() / FORWARD_ROUND.as_micros() as u64;
+            let me = self.state.own_entry.incarnation;
+            ids.extend(forward_candidates(me, all, round));
+        }
+        ids.sort_unstable();
+        ids.dedup();
+    }
+
     /// Records what this instance observes of the upstreams of the shards that it owns itself.
     fn record_own_paces(&self, now: MonoTime, zones: &BTreeMap<SocketAddr, Vec<Option<Name>>>) {
         let state = &self.state;
--- a/crates/serving/src/heartbeat_peers.rs
+++ b/crates/serving/src/heartbeat_peers.rs
@@ -21,6 +21,8 @@
 const RECENT_USE: Duration = Duration::from_secs(5);
 /// Successors in the order of incarnations that an instance monitors.
 const SUCCESSORS: usize = 3;
+/// Instances that are asked at a time while this one looks for some to forward requests to.
+const CANDIDATES_PER_ROUND: usize = 8;
 
 /// The shards that this instance used recently.
 ///
@@ -87,6 +89,22 @@
     ids
 }
 
+/// Instances to exchange heartbeats with in addition while this one has lost its path to the
+/// upstreams and knows too few that requests can be forwarded to. Each `round` names the next ones
+/// in the order of incarnations, since those that are monitored anyway may have lost it as well.
+pub fn forward_candidates(
+    me: Incarnation,
+    others: &[InstanceEntry],
+    round: u64,
+) -> impl Iterator<Item = Incarnation> {
+    let mut ring: Vec<Incarnation> = others.iter().map(|e| e.incarnation).collect();
+    ring.sort_unstable_by_key(|id| (*id < me, *id));
+    let count = ring.len();
+    let rounds = (count / CANDIDATES_PER_ROUND).max(1) as u64;
+    let skipped = usize::try_from(round % rounds).unwrap_or(0) * CANDIDATES_PER_ROUND;
+    ring.into_iter().skip(skipped).take(CANDIDATES_PER_ROUND)
+}
+
 /// The instances whose incarnations follow that of `me`, wrapping around after the highest.
 fn successors(me: Incarnation, others: &[InstanceEntry]) -> Vec<Incarnation> {
     let position = |e: &InstanceEntry| (e.incarnation < me, e.incarnation);
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -113,6 +113,7 @@
 pub use freshness::Proof;
 pub use heartbeat::Heartbeat;
 pub use heartbeat_peers::RecentShards;
+pub use heartbeat_peers::forward_candidates;
 pub use heartbeat_peers::heartbeat_peers;
 pub use instance_directory::InstanceDirectory;
 pub use instance_entry::InstanceEntry;
