The soak cuts instances off from all upstreams

Each instance reaches upstreams by relays of its own, which a new setting names (upstreams.connect-to), and which show upstreams the sending instance.

The check took the instance that the caller had asked for the sender. It now names the sender by its address at the upstream, so that it is as strict for what is not forwarded, and also counts an instance's requests for all others.

--- a/crates/gateway-daemon/src/serve.rs
+++ b/crates/gateway-daemon/src/serve.rs
@@ -13,6 +13,7 @@
 use jd_gateway::Gateway;
 use jd_net::Clock;
 use jd_net::HttpPool;
+use jd_net::RedirectingConnector;
 use jd_net::Workers;
 use jd_settings::GatewaySettings;
 use snafu::ResultExt;
@@ -52,7 +53,10 @@
         None => Arc::new(Executor::new()),
     };
     let clock = Clock::start();
-    let pool = HttpPool::new(Arc::clone(&executor), clock);
+    let connector = Arc::new(RedirectingConnector {
+        redirects: settings.redirects.clone(),
+    });
+    let pool = HttpPool::with_connector(Arc::clone(&executor), clock, connector);
     let store = StoreClient::new(pool.clone(), settings.store);
     let gateway = Gateway::start(
         settings,
--- a/crates/net/src/http_server.rs
+++ b/crates/net/src/http_server.rs
@@ -40,6 +40,10 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct ConnectionNumber(pub u32);
 
+/// The address of the client that sent a request. Stored in the extensions of the request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ClientAddress(pub SocketAddr);
+
 /// Handles requests.
 pub trait Handler: Send + Sync + 'static {
     /// Handles one request.
@@ -188,11 +192,11 @@
         let mut accepted = 0;
         loop {
             match listener.accept().await {
-                Ok((io, _))
+                Ok((io, client))
                     if self.open.load(Ordering::Relaxed) < lock(&self.limits).connections =>
                 {
                     accepted += 1;
-                    self.serve(io, ConnectionNumber(accepted));
+                    self.serve(io, ConnectionNumber(accepted), ClientAddress(client));
                 }
                 // Connections above the limit are closed at once.
                 Ok(_) => {}
@@ -203,7 +207,7 @@
         }
     }
 
-    fn serve(&self, io: Async<TcpStream>, number: ConnectionNumber) {
+    fn serve(&self, io: Async<TcpStream>, number: ConnectionNumber, client: ClientAddress) {
         self.open.fetch_add(1, Ordering::Relaxed);
         let guard = OpenGuard(Arc::clone(&self.open));
         let builder = self.builder();
@@ -218,6 +222,7 @@
             let _ = sockopt::set_socket_send_buffer_size(io.get_ref(), SEND_BUFFER_BYTES);
             let service = service_fn(move |mut req: Request<Incoming>| {
                 req.extensions_mut().insert(number);
+                req.extensions_mut().insert(client);
                 let response = Arc::clone(&handler).handle(req);
                 async move { Ok::<Response<Body>, Infallible>(response.await) }
             });
--- a/crates/settings/src/gateway_settings.rs
+++ b/crates/settings/src/gateway_settings.rs
@@ -1,5 +1,6 @@
 //! The settings of a gateway instance.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::time::Duration;
@@ -111,6 +112,13 @@
         "5000",
         "500 to 600000",
     ),
+    optional(
+        "upstreams",
+        "connect-to",
+        "IP:port=IP:port, ...",
+        "",
+        "addresses of upstreams, and those that are connected to instead",
+    ),
     optional("stop", "grace-s", "seconds", "8", "1 to 600"),
     optional(
         "repeats",
@@ -179,6 +187,8 @@
     /// The maximum time since the state of the instance was last confirmed. Requests are not
     /// sent on staler state.
     pub max_staleness: Duration,
+    /// Addresses of upstreams, and those that are connected to instead, such as tunnels.
+    pub redirects: HashMap<SocketAddr, SocketAddr>,
     /// The maximum duration of a graceful shutdown.
     pub grace_period: Duration,
     /// The ratio of retries to requests that is allowed, at one service over all instances.
@@ -205,6 +215,16 @@
     }
 }
 
+/// Reads pairs of addresses, separated by commas.
+fn redirects(text: &str) -> Option<HashMap<SocketAddr, SocketAddr>> {
+    let pairs = text.split(',').map(str::trim).filter(|p| !p.is_empty());
+    let pair = |pair: &str| {
+        let (from, to) = pair.split_once('=')?;
+        Some((from.trim().parse().ok()?, to.trim().parse().ok()?))
+    };
+    pairs.map(pair).collect()
+}
+
 impl TryFrom<&RawSettings> for GatewaySettings {
     type Error = SettingsError;
 
@@ -242,6 +262,7 @@
             lease: millis("store", "lease-ms", 1_000, 600_000)?,
             answer_lifetime: millis("callers", "answer-lifetime-ms", 100, 60_000)?,
             max_staleness: revoke_within * MAX_STALENESS_PERCENT / 100,
+            redirects: raw.value("upstreams", "connect-to", redirects)?,
             grace_period: seconds("stop", "grace-s", 1.0)?,
             retry_ratio: quantity("repeats", "ratio", 0.0, 1.0)?,
             retry_slack: quantity("repeats", "slack", 0.0, 1_000_000.0)?,
--- a/soak/src/environment.rs
+++ b/soak/src/environment.rs
@@ -29,6 +29,7 @@
 use crate::fake_stage_upstream::Results;
 use crate::fake_store::FakeStore;
 use crate::fake_upstream::FakeUpstream;
+use crate::instance_links::InstanceLinks;
 use crate::relay::Relay;
 use crate::store::Records;
 
@@ -50,6 +51,8 @@
 /// The port of the store, of relays to it, and of upstreams. Relays to upstreams use the
 /// next port.
 const SERVICE_PORT: u16 = 7_010;
+/// The first port of an instance's own links to upstreams.
+const FIRST_LINK_PORT: u16 = 7_020;
 /// The time for which a restarting upstream is down.
 const RESTART_DOWNTIME: Duration = Duration::from_millis(150);
 /// The time from the start of a crashing request to the crash of its upstream.
@@ -57,6 +60,8 @@
 /// The time from a crash to the replacement of the upstream. The entries of the users'
 /// upstreams remain for that long.
 const CRASH_DOWNTIME: Duration = Duration::from_millis(900);
+/// The last octet of the first instance's address.
+const FIRST_INSTANCE: usize = 2;
 /// The last octet of the first upstream's address. Instances use lower numbers.
 const FIRST_UPSTREAM: usize = 200;
 
@@ -91,6 +96,7 @@
     pub(crate) recorder: Arc<Recorder>,
     pub(crate) upstreams: Vec<Upstream>,
     pub(crate) store_links: Vec<Arc<Relay>>,
+    pub(crate) instance_links: Vec<InstanceLinks>,
     ended: Receiver<String>,
     network: [u8; 3],
     operator: Mutex<Operator>,
@@ -126,8 +132,8 @@
         )?];
         executor.spawn(Arc::clone(&store).expire()).detach();
         let links = (0..instances).map(|n| {
-            let own = at(network, 2 + n, SERVICE_PORT);
-            Relay::start(executor, own, store_address)
+            let own = at(network, FIRST_INSTANCE + n, SERVICE_PORT);
+            Relay::start(executor, own, store_address, None)
         });
         let store_links = links.collect::<std::io::Result<Vec<Arc<Relay>>>>()?;
         let (tx, ended) = async_channel::unbounded();
@@ -138,6 +144,7 @@
                 executor,
                 at(network, FIRST_UPSTREAM + n, SERVICE_PORT + 1),
                 address,
+                None,
             )?;
             let fake = FakeUpstream {
                 id: Mutex::new(new_id()),
@@ -174,7 +181,15 @@
                 link,
             });
         }
+        let instance_links = (0..instances).map(|n| {
+            let ports = FIRST_LINK_PORT..;
+            let relays = ports.map(|port| at(network, FIRST_INSTANCE + n, port));
+            let announced = upstreams.iter().map(|u| u.link.address());
+            InstanceLinks::start(executor, relays, announced)
+        });
+        let instance_links = instance_links.collect::<std::io::Result<Vec<InstanceLinks>>>()?;
         let env = Environment {
+            instance_links,
             store,
             recorder,
             upstreams,
@@ -197,22 +212,24 @@
     /// The settings of an instance.
     pub(crate) fn settings(&self, instance: usize) -> String {
         let [callers, ready, locate, peers, metrics] =
-            PORTS.map(|port| at(self.network, 2 + instance, port));
+            PORTS.map(|port| at(self.network, FIRST_INSTANCE + instance, port));
         let store = self.store_links[instance].address();
         format!(
             "[instance]\nname = soak-{instance}\nzone = hall-{}\ncallers = {callers}\n\
              ready = {ready}\nlocate = {locate}\npeers = {peers}\nmetrics = {metrics}\n\
-             [store]\naddress = {store}\n[repeats]\nslack = 50\n",
-            ["a", "b", "c"][instance % 3]
+             [store]\naddress = {store}\n[repeats]\nslack = 50\n\
+             [upstreams]\nconnect-to = {}\n",
+            ["a", "b", "c"][instance % 3],
+            self.instance_links[instance].setting(),
         )
     }
 
     pub(crate) fn callers_at(&self, instance: usize) -> SocketAddr {
-        at(self.network, 2 + instance, PORTS[0])
+        at(self.network, FIRST_INSTANCE + instance, PORTS[0])
     }
 
     pub(crate) fn ready_at(&self, instance: usize) -> SocketAddr {
-        at(self.network, 2 + instance, PORTS[1])
+        at(self.network, FIRST_INSTANCE + instance, PORTS[1])
     }
 
     /// Writes the current entry of an upstream to the store.
@@ -350,6 +367,16 @@
     since.map_or(0, |s| s.as_millis() as u64)
 }
 
+/// The instance that connects from an address; none for other addresses.
+pub(crate) fn instance_at(client: SocketAddr) -> Option<usize> {
+    match client.ip() {
+        IpAddr::V4(ip) if ip != Ipv4Addr::LOCALHOST => {
+            usize::from(ip.octets()[3]).checked_sub(FIRST_INSTANCE)
+        }
+        _ => None,
+    }
+}
+
 fn new_id() -> String {
     format!("i-{:08x}", fastrand::u32(..))
 }
--- a/soak/src/fake_upstream.rs
+++ b/soak/src/fake_upstream.rs
@@ -20,6 +20,7 @@
 use http::header::AUTHORIZATION;
 use hyper::body::Incoming;
 use jd_net::Body;
+use jd_net::ClientAddress;
 use jd_net::Handler;
 use jd_net::HandlerFuture;
 use jd_net::lock;
@@ -30,6 +31,7 @@
 use crate::UpstreamMode;
 use crate::UpstreamRequest;
 use crate::config::TENANT;
+use crate::environment;
 use crate::fake_stage_upstream::Results;
 use crate::fake_store::status;
 
@@ -102,6 +104,8 @@
     async fn answer(&self, req: Request<Incoming>) -> Response<Body> {
         let me = self.id();
         let (parts, body) = req.into_parts();
+        let client = parts.extensions.get::<ClientAddress>();
+        let sender = client.and_then(|c| environment::instance_at(c.0));
         let header = |name: &str| parts.headers.get(name).and_then(|v| v.to_str().ok());
         let id = header("jacinthdeal-attempt-id").unwrap_or("").to_string();
         let body = read_bounded(body, 1 << 16).await.unwrap_or_default();
@@ -138,6 +142,7 @@
         self.recorder.request(UpstreamRequest {
             id: id.clone(),
             upstream: me.clone(),
+            sender,
             at: self.recorder.now(),
             executed: refused.is_none(),
             crash_number: crashing,
--- a/soak/src/fault.rs
+++ b/soak/src/fault.rs
@@ -55,6 +55,10 @@
     BlackholesReplies,
     /// The listener is closed, and so is every open connection.
     Refuses,
+    /// The listener is closed, and open connections go on.
+    RefusesNew,
+    /// No connection carries data, and no new one opens.
+    Hangs,
     /// Every read is forwarded with this delay.
     Delays(Duration),
 }
@@ -83,6 +87,8 @@
     UpstreamLink(usize, LinkMode, Duration),
     /// An instance's links to the store have a fault for this time.
     StoreLink(usize, LinkMode, Duration),
+    /// All links of an instance to upstreams have a fault for this time.
+    UpstreamsCut(usize, LinkMode, Duration),
     /// An upstream announces a limit in requests per second for this time.
     Limit(usize, u32, Duration),
     /// An upstream's entry is marked as draining, and the upstream is replaced later.
--- /dev/null
+++ b/soak/src/instance_links.rs
@@ -0,0 +1,53 @@
+//! The links of one instance to all upstreams.
+
+use std::fmt::Write;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use async_executor::Executor;
+
+use crate::LinkMode;
+use crate::relay::Relay;
+
+/// The links of one instance to all upstreams, as relays that only this instance uses.
+#[derive(Debug)]
+pub(crate) struct InstanceLinks {
+    /// The address that upstreams announce, and the relay to it.
+    links: Vec<(SocketAddr, Arc<Relay>)>,
+}
+
+impl InstanceLinks {
+    /// Starts relays at the addresses of `relays` to the announced ones.
+    pub(crate) fn start(
+        executor: &Arc<Executor<'static>>,
+        relays: impl Iterator<Item = SocketAddr>,
+        announced: impl Iterator<Item = SocketAddr>,
+    ) -> io::Result<InstanceLinks> {
+        let links = relays.zip(announced).map(|(relay, announced)| {
+            let link = Relay::start(executor, relay, announced, Some(relay.ip()))?;
+            Ok((announced, link))
+        });
+        Ok(InstanceLinks {
+            links: links.collect::<io::Result<_>>()?,
+        })
+    }
+
+    /// The links in the form of the instance's settings.
+    pub(crate) fn setting(&self) -> String {
+        let mut text = String::new();
+        for (announced, link) in &self.links {
+            let separator = if text.is_empty() { "" } else { ", " };
+            // Writing to a string does not fail.
+            let _ = write!(text, "{separator}{announced}={}", link.address());
+        }
+        text
+    }
+
+    /// Sets the fault of all links, or none.
+    pub(crate) fn set(&self, mode: Option<LinkMode>) {
+        for (_, link) in &self.links {
+            link.set(mode);
+        }
+    }
+}
--- a/soak/src/judge.rs
+++ b/soak/src/judge.rs
@@ -2,7 +2,6 @@
 
 use std::collections::HashMap;
 use std::collections::HashSet;
-use std::fmt;
 use std::time::Duration;
 
 use jd_net::lock;
@@ -14,6 +13,8 @@
 use crate::Recorder;
 use crate::RequestKind;
 use crate::UpstreamRequest;
+use crate::Violation;
+use crate::cuts;
 use crate::fake_upstream;
 use crate::limits;
 use crate::notices;
@@ -48,21 +49,6 @@
 /// The fewest requests from which the recovery is judged.
 const MIN_RECOVERY_SAMPLE: usize = 20;
 
-/// A violation of a guarantee.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Violation {
-    /// The violated guarantee.
-    pub guarantee: &'static str,
-    /// The violating event, with the identity of the request if there is one.
-    pub detail: String,
-}
-
-impl fmt::Display for Violation {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}: {}", self.guarantee, self.detail)
-    }
-}
-
 /// The recorded events, with an index for the checks.
 struct Events<'a> {
     attempts: &'a [Attempt],
@@ -72,8 +58,8 @@
     executions: HashMap<&'a str, usize>,
 }
 
-/// Returns the violated guarantees. `calm` is the time at which the faults ended.
-pub fn judge(recorder: &Recorder, calm: Duration) -> Vec<Violation> {
+/// Returns the violated guarantees of `instances`. `calm` is the time at which the faults ended.
+pub fn judge(recorder: &Recorder, calm: Duration, instances: usize) -> Vec<Violation> {
     let attempts = lock(&recorder.attempts);
     let requests = lock(&recorder.upstream_requests);
     let spans = lock(&recorder.spans);
@@ -101,7 +87,8 @@
     events.newest_in_force(calm, &mut violations);
     violations.extend(quarantine::judge(&attempts, &requests, &spans));
     violations.extend(limits::judge(&requests, &spans));
-    violations.extend(notices::judge(&attempts, &requests, &spans));
+    violations.extend(notices::judge(&attempts, &requests, &spans, instances));
+    violations.extend(cuts::judge(&attempts, &spans, instances));
     violations
 }
 
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -7,12 +7,14 @@
 
 mod caller;
 mod config;
+mod cuts;
 mod environment;
 mod fake_stage_upstream;
 mod fake_store;
 mod fake_upstream;
 mod fault;
 mod fleet;
+mod instance_links;
 mod judge;
 mod limits;
 mod notices;
@@ -22,6 +24,7 @@
 mod relay;
 mod run;
 mod store;
+mod violation;
 
 pub use fault::Fault;
 pub use fault::LinkMode;
@@ -29,7 +32,6 @@
 pub use fault::UpstreamMode;
 pub use fleet::Fleet;
 pub use fleet::ProcessSignal;
-pub use judge::Violation;
 pub use judge::judge;
 pub use plan::Plan;
 pub use plan::Step;
@@ -42,3 +44,4 @@
 pub use recorder::UpstreamRequest;
 pub use run::SoakReport;
 pub use run::soak;
+pub use violation::Violation;
--- a/soak/src/notices.rs
+++ b/soak/src/notices.rs
@@ -29,6 +29,7 @@
     attempts: &[Attempt],
     requests: &[UpstreamRequest],
     spans: &[FaultSpan],
+    instances: usize,
 ) -> Vec<Violation> {
     let by_id: HashMap<&str, &Attempt> = attempts.iter().map(|a| (a.id.as_str(), a)).collect();
     let arrivals = requests.iter().filter_map(|request| {
@@ -39,7 +40,10 @@
     let mut violations = Vec::new();
     for notified in &arrivals {
         let after = arrivals.iter().filter(|a| is_same_path(notified, a));
-        let undisturbed = |a: &&Arrival| !was_paused(notified.request.at, a.request.at, spans);
+        let undisturbed = |a: &&Arrival| {
+            let sender = a.request.sender;
+            !was_interrupted(notified.request.at, a.request.at, sender, spans, instances)
+        };
         let after = after.filter(undisturbed);
         let due = notified.request.at + DRAINED_WITHIN;
         if notified.request.notice.leaving
@@ -75,15 +79,26 @@
     violations
 }
 
-/// True if the same start of an instance sent both requests to the same upstream.
+/// True if the same instance sent both requests to the same upstream.
 fn is_same_path(notified: &Arrival, other: &Arrival) -> bool {
     let same_upstream = notified.request.upstream == other.request.upstream;
-    same_upstream && notified.attempt.instance == other.attempt.instance
+    same_upstream && notified.request.sender == other.request.sender
 }
 
 /// True if an instance may have been suspended between the two times, which excuses late
-/// requests.
-fn was_paused(from: Duration, to: Duration, spans: &[FaultSpan]) -> bool {
-    let mut pauses = spans.iter().filter(|s| matches!(s.fault, Fault::Pause(..)));
-    pauses.any(|s| s.from < to && s.to > from)
+/// requests, or if the sender may have been started again, which knows nothing of the notice.
+fn was_interrupted(
+    from: Duration,
+    to: Duration,
+    sender: Option<usize>,
+    spans: &[FaultSpan],
+    instances: usize,
+) -> bool {
+    let interrupts = |fault: Fault| match fault {
+        Fault::Pause(..) | Fault::KillAll(_) => true,
+        Fault::Kill(n, _) | Fault::Stop(n) => sender.is_none_or(|s| n % instances == s),
+        _ => false,
+    };
+    let mut interruptions = spans.iter().filter(|s| interrupts(s.fault));
+    interruptions.any(|s| s.from < to && s.to > from)
 }
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -29,6 +29,8 @@
 /// Plans from this seed on have upstreams announce in their answers that they are leaving
 /// or ask for a backoff, and restore the store from a copy. Earlier seeds keep their plans.
 const NOTICES_FROM_SEED: u64 = 5_000;
+/// Plans from this seed on cut instances off from all upstreams. Earlier seeds keep their plans.
+const CUTS_FROM_SEED: u64 = 6_000;
 /// The duration of an announced limit, which outlasts most other faults.
 const LIMIT_DURATION: Duration = Duration::from_millis(9_000);
 /// The time for which a crashing request is sent repeatedly: until after the last other
@@ -110,6 +112,15 @@
         if seed >= NOTICES_FROM_SEED {
             steps.extend(draw_notices(&mut rng, planned_only));
         }
+        if seed >= CUTS_FROM_SEED && !planned_only {
+            for _ in 0..rng.usize(1..=3) {
+                let after = rng.u64(0..FAULT_PERIOD.as_millis() as u64 / 2);
+                steps.push(Step {
+                    at: WARMUP + Duration::from_millis(after),
+                    fault: draw_cut(&mut rng),
+                });
+            }
+        }
         steps.sort_by_key(|s| s.at);
         Plan { seed, steps }
     }
@@ -167,6 +178,16 @@
     }
 }
 
+fn draw_cut(rng: &mut fastrand::Rng) -> Fault {
+    let mode = match rng.u8(0..3) {
+        0 => LinkMode::Refuses,
+        1 => LinkMode::RefusesNew,
+        _ => LinkMode::Hangs,
+    };
+    let span = Duration::from_millis(rng.u64(3_500..7_000));
+    Fault::UpstreamsCut(rng.usize(..), mode, span)
+}
+
 fn draw_store_mode(rng: &mut fastrand::Rng) -> StoreMode {
     match rng.u8(0..4) {
         0 => StoreMode::Refuses,
--- a/soak/src/recorder.rs
+++ b/soak/src/recorder.rs
@@ -103,6 +103,9 @@
     pub id: String,
     /// The upstream's identity.
     pub upstream: String,
+    /// The instance that sent the request: the one that its caller asked, or another one that the
+    /// request was forwarded to. None if unknown.
+    pub sender: Option<usize>,
     /// The time of arrival.
     pub at: Duration,
     /// True if the upstream started to execute the request.
--- a/soak/src/relay.rs
+++ b/soak/src/relay.rs
@@ -1,5 +1,7 @@
 //! A TCP relay on the loopback interface that injects link faults.
 
+use std::io;
+use std::net::IpAddr;
 use std::net::Shutdown;
 use std::net::SocketAddr;
 use std::net::TcpListener;
@@ -15,12 +17,21 @@
 use futures_lite::AsyncWriteExt;
 use futures_lite::future;
 use jd_net::lock;
+use jd_net::with_timeout;
+use rustix::io::Errno;
+use rustix::net;
+use rustix::net::AddressFamily;
+use rustix::net::SocketFlags;
+use rustix::net::SocketType;
 
 use crate::LinkMode;
 
 /// The interval at which relays check for a change of their mode.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Connections that the operating system queues for a relay.
+const BACKLOG: i32 = 128;
+
 /// The state of a relay.
 #[derive(Debug, Clone, Copy, Default)]
 struct State {
@@ -30,11 +41,22 @@
     opened: u64,
 }
 
+impl State {
+    fn takes_no_connections(&self) -> bool {
+        matches!(
+            self.mode,
+            Some(LinkMode::Refuses | LinkMode::RefusesNew | LinkMode::Hangs)
+        )
+    }
+}
+
 /// Relays connections from its address to another one, and injects faults.
 #[derive(Debug)]
 pub(crate) struct Relay {
     address: SocketAddr,
     to: SocketAddr,
+    /// The address that it connects from; none for that of each client.
+    source: Option<IpAddr>,
     state: Mutex<State>,
 }
 
@@ -50,11 +72,13 @@
         executor: &Arc<Executor<'static>>,
         address: SocketAddr,
         to: SocketAddr,
-    ) -> std::io::Result<Arc<Relay>> {
+        source: Option<IpAddr>,
+    ) -> io::Result<Arc<Relay>> {
         let listener = Async::<TcpListener>::bind(address)?;
         let relay = Arc::new(Relay {
             address: listener.get_ref().local_addr()?,
             to,
+            source,
             state: Mutex::default(),
         });
         let accepting = Arc::clone(&relay).accept(listener, Arc::clone(executor));
@@ -75,6 +99,15 @@
         state.mode = mode;
     }
 
+    /// Gives the link a fault for this time.
+    pub(crate) async fn fail(&self, mode: LinkMode, span: Duration) {
+        self.set(Some(mode));
+        if mode != LinkMode::BlackholesOpen {
+            Timer::after(span).await;
+        }
+        self.set(None);
+    }
+
     async fn accept(
         self: Arc<Self>,
         listener: Async<TcpListener>,
@@ -84,7 +117,7 @@
         while let Some(open) = listener.take() {
             let accepted = async { Some(open.accept().await) };
             let gone = async {
-                self.wait_for_mode(LinkMode::Refuses).await;
+                self.wait_until(State::takes_no_connections).await;
                 None
             };
             match future::or(accepted, gone).await {
@@ -96,6 +129,9 @@
                     listener = Some(open);
                 }
                 Some(Err(_)) => return,
+                None if lock(&self.state).mode == Some(LinkMode::Hangs) => {
+                    listener = self.hang(open).await;
+                }
                 None => {
                     drop(open);
                     listener = self.listen_again().await;
@@ -104,14 +140,25 @@
         }
     }
 
-    /// Opens the listener again once the mode is no longer [`LinkMode::Refuses`].
+    /// Opens the listener again once the mode allows connections.
     async fn listen_again(&self) -> Option<Async<TcpListener>> {
-        loop {
-            Timer::after(POLL_INTERVAL).await;
-            if lock(&self.state).mode != Some(LinkMode::Refuses) {
-                return Async::<TcpListener>::bind(self.address).ok();
-            }
+        self.wait_until(|s| !s.takes_no_connections()).await;
+        Async::<TcpListener>::bind(self.address).ok()
+    }
+
+    /// Fills the queue of the listener, so that the operating system drops the packets that open
+    /// connections, until the mode allows connections.
+    async fn hang(&self, listener: Async<TcpListener>) -> Option<Async<TcpListener>> {
+        net::listen(listener.get_ref(), 0).ok()?;
+        let mut queued = Vec::new();
+        while let Some(Ok(filler)) =
+            with_timeout(POLL_INTERVAL, Async::<TcpStream>::connect(self.address)).await
+        {
+            queued.push(filler);
         }
+        self.wait_until(|s| !s.takes_no_connections()).await;
+        net::listen(listener.get_ref(), BACKLOG).ok()?;
+        Some(listener)
     }
 
     /// Relays a connection until one of its ends closes it or the mode resets it.
@@ -122,7 +169,7 @@
             state.opened
         };
         // The destination does not listen, so the client's connection is closed.
-        let Ok(to) = Async::<TcpStream>::connect(self.to).await else {
+        let Ok(to) = self.connect(&from).await else {
             return;
         };
         let both = future::zip(
@@ -142,6 +189,30 @@
         let _ = to.get_ref().shutdown(Shutdown::Both);
     }
 
+    /// Connects to the destination from the address that the client has, or that is set, so that
+    /// the destination sees which instance connects.
+    async fn connect(&self, from: &Async<TcpStream>) -> io::Result<Async<TcpStream>> {
+        let client = from.get_ref().peer_addr()?.ip();
+        let source = SocketAddr::new(self.source.unwrap_or(client), 0);
+        let socket = net::socket_with(
+            AddressFamily::INET,
+            SocketType::STREAM,
+            SocketFlags::CLOEXEC | SocketFlags::NONBLOCK,
+            None,
+        )?;
+        net::bind(&socket, &source)?;
+        match net::connect(&socket, &self.to) {
+            Ok(()) | Err(Errno::INPROGRESS) => {}
+            Err(e) => return Err(e.into()),
+        }
+        let to = Async::new(TcpStream::from(socket))?;
+        to.writable().await?;
+        match to.get_ref().take_error()? {
+            Some(e) => Err(e),
+            None => Ok(to),
+        }
+    }
+
     async fn copy(
         &self,
         number: u64,
@@ -167,7 +238,7 @@
             let state = *lock(&self.state);
             match state.mode {
                 _ if number < state.first_live => {}
-                Some(LinkMode::Blackholes) => {}
+                Some(LinkMode::Blackholes | LinkMode::Hangs) => {}
                 Some(LinkMode::BlackholesReplies) if direction == Direction::ToClient => {}
                 Some(LinkMode::Delays(by)) => {
                     Timer::after(by).await;
@@ -180,7 +251,11 @@
     }
 
     async fn wait_for_mode(&self, mode: LinkMode) {
-        while lock(&self.state).mode != Some(mode) {
+        self.wait_until(|s| s.mode == Some(mode)).await;
+    }
+
+    async fn wait_until(&self, condition: impl Fn(&State) -> bool) {
+        while !condition(&lock(&self.state)) {
             Timer::after(POLL_INTERVAL).await;
         }
     }
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -27,7 +27,6 @@
 use crate::caller::Caller;
 use crate::environment::Environment;
 use crate::judge::judge;
-use crate::relay::Relay;
 
 /// The number of callers per instance.
 const CALLERS_PER_INSTANCE: usize = 4;
@@ -119,7 +118,7 @@
         caller.await;
     }
     runner.end(instances).await?;
-    let violations = judge(&env.recorder, calm);
+    let violations = judge(&env.recorder, calm, instances);
     let recorder = Arc::clone(&env.recorder);
     let lag = lag.await;
     Ok(SoakReport {
@@ -323,9 +322,15 @@
                 Timer::after(span).await;
                 *lock(&fake.limit) = None;
             }
-            Fault::UpstreamLink(n, mode, span) => fail_link(&upstream(n).link, mode, span).await,
+            Fault::UpstreamLink(n, mode, span) => upstream(n).link.fail(mode, span).await,
             Fault::StoreLink(n, mode, span) => {
-                fail_link(&self.env.store_links[n % instances], mode, span).await;
+                self.env.store_links[n % instances].fail(mode, span).await;
+            }
+            Fault::UpstreamsCut(n, mode, span) => {
+                let links = &self.env.instance_links[n % instances];
+                links.set(Some(mode));
+                Timer::after(span).await;
+                links.set(None);
             }
             Fault::Drain(n) => {
                 let fake = upstream(n).handler.fake();
@@ -390,11 +395,3 @@
         }
     }
 }
-
-async fn fail_link(link: &Relay, mode: LinkMode, span: Duration) {
-    link.set(Some(mode));
-    if mode != LinkMode::BlackholesOpen {
-        Timer::after(span).await;
-    }
-    link.set(None);
-}
