--- a/crates/gateway-daemon/tests/soak.rs
+++ b/crates/gateway-daemon/tests/soak.rs
@@ -41,8 +41,8 @@
 /// Seeds that run by default. Each pair is a plan with planned faults only and one with all
 /// faults: first without limits, then with upstreams that announce limits, then with
 /// upstreams that announce departures and back-offs in their answers, and then with instances
-/// that are cut off from all upstreams, which the plan with planned faults only has not.
-const DEFAULT_SEEDS: [u64; 7] = [4, 5, 4_000, 4_001, 5_000, 5_001, 6_001];
+/// that are cut off from all upstreams, and no other faults of instances.
+const DEFAULT_SEEDS: [u64; 7] = [4, 5, 4_000, 4_001, 5_000, 5_001, 6_002];
 /// The number of seeds that this process has started.
 static SEEDS_STARTED: AtomicU8 = AtomicU8::new(0);
 /// The name that test filters are matched against.
--- a/soak/src/cuts.rs
+++ b/soak/src/cuts.rs
@@ -65,7 +65,7 @@
 }
 
 /// True if a fault keeps instances themselves from serving.
-fn concerns_instances(fault: Fault) -> bool {
+pub(crate) fn concerns_instances(fault: Fault) -> bool {
     matches!(
         fault,
         Fault::Kill(..)
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -6,6 +6,7 @@
 use crate::LinkMode;
 use crate::StoreMode;
 use crate::UpstreamMode;
+use crate::cuts;
 
 /// The period in which the faults begin; several of them overlap.
 const FAULT_PERIOD: Duration = Duration::from_millis(7_000);
@@ -31,6 +32,10 @@
 const NOTICES_FROM_SEED: u64 = 5_000;
 /// Plans from this seed on cut instances off from all upstreams. Earlier seeds keep their plans.
 const CUTS_FROM_SEED: u64 = 6_000;
+/// Of these seeds, one in so many, with this remainder, has no other faults of instances or the
+/// store, since what these keep from being served says nothing about a cut.
+const CUTS_ONLY_EVERY: u64 = 4;
+const CUTS_ONLY_REMAINDER: u64 = 2;
 /// The duration of an announced limit, which outlasts most other faults.
 const LIMIT_DURATION: Duration = Duration::from_millis(9_000);
 /// The time for which a crashing request is sent repeatedly: until after the last other
@@ -120,6 +125,9 @@
                     fault: draw_cut(&mut rng),
                 });
             }
+            if seed % CUTS_ONLY_EVERY == CUTS_ONLY_REMAINDER {
+                steps.retain(|s| !cuts::concerns_instances(s.fault));
+            }
         }
         steps.sort_by_key(|s| s.at);
         Plan { seed, steps }
