A silent upstream causes a check of the path, and hung attempts are forwarded

Now a request that may be repeated and has no answer after a second, and a stream that is silent for 1.5 s, cause a check: up to four upstreams are connected to, at most once a second. Only if none opens is the path lost; then the attempt ends, does not count against the attempts of its route, since its upstream was cut off, and the request is forwarded.

Forwarded requests may run by a later version than that of the instance that took them, and never by an earlier one than any request of its callers before, so that a configuration on its way refuses nothing. Tests: a caller that leaves, a planned stop, a limited upstream.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -33,6 +33,10 @@
 /// several round trips between availability zones.
 const LAST_RESPONSE_DELAY: Duration = Duration::from_millis(50);
 
+/// How long a request that may be repeated waits for its response until the path to the upstreams
+/// is checked.
+const SILENCE_CHECK_AFTER: Duration = Duration::from_millis(1_000);
+
 /// After this time since the first part of the response, a crash of the upstream is not held
 /// against the request. In 23 of 25 crashes in the logs, a response had begun at most 122 ms
 /// before.
@@ -209,6 +213,8 @@
     pub(crate) inputs_gone: bool,
     /// True if a check of this instance kept the request from being sent.
     pub(crate) withheld: bool,
+    /// True if the upstream was silent because this instance has lost its path to all of them.
+    pub(crate) path_lost: bool,
 }
 
 impl AttemptFailure {
@@ -226,6 +232,7 @@
         detail: detail.into(),
         inputs_gone: false,
         withheld: false,
+        path_lost: false,
     }
 }
 
@@ -308,14 +315,21 @@
     let sending = state
         .upstream_client
         .send(state, permit, req, timeout, on_write);
-    let sent = sending.or(restarted).await;
+    let path_lost = async {
+        until_path_lost(state, request).await;
+        Err(SendFailure::TimedOut)
+    };
+    let sent = sending.or(restarted).or(path_lost).await;
     let result = match sent {
         Ok(response) => validate(state, request, response),
         Err(SendFailure::Withheld(why)) => {
             attempt.finish(AttemptOutcome::Cancelled);
             return Err(withheld(request, &id, why));
         }
-        Err(SendFailure::TimedOut) => Err(failure(AttemptOutcome::Silent, "no answer in time")),
+        Err(SendFailure::TimedOut) => Err(AttemptFailure {
+            path_lost: is_path_lost(state, request).await,
+            ..failure(AttemptOutcome::Silent, "no answer in time")
+        }),
         Err(SendFailure::ConnectFailed) => Err(failure(
             AttemptOutcome::Unreachable,
             "no connection could be opened",
@@ -354,6 +368,27 @@
     }
 }
 
+/// Returns once the path to the upstreams turns out to be lost while a request that may be repeated
+/// waits for its response. It may have been sent on a connection that hangs.
+async fn until_path_lost(state: &Arc<State>, request: &CallerRequest) {
+    if !request.route().retry_mode.may_repeat() {
+        return future::pending().await;
+    }
+    loop {
+        Timer::after(SILENCE_CHECK_AFTER).await;
+        if state.path.is_lost_in_silence(state).await {
+            return;
+        }
+    }
+}
+
+/// True if a request that may be repeated got no response because the path is lost.
+async fn is_path_lost(state: &Arc<State>, request: &CallerRequest) -> bool {
+    let may_repeat = request.route().retry_mode.may_repeat();
+    let has_time = !request.time_left(state.now()).is_zero();
+    may_repeat && has_time && state.path.is_lost_in_silence(state).await
+}
+
 /// Accepts a response only if it names this request: a duplicate or late response to another
 /// request otherwise looks the same.
 pub(crate) fn validate(
@@ -376,6 +411,7 @@
             detail: format_compact!("the upstream refused with {}", head.status),
             inputs_gone: head.status == StatusCode::CONFLICT,
             withheld: false,
+            path_lost: false,
         }),
         _ if !names_request => Err(failure(
             AttemptOutcome::Crossed,
--- a/crates/gateway/src/event_stream.rs
+++ b/crates/gateway/src/event_stream.rs
@@ -122,7 +122,11 @@
                             .await,
                     );
                 }
-                None => AttemptOutcome::Silent,
+                None => {
+                    let path_lost = self.state.path.is_lost_in_silence(&self.state).await;
+                    self.retries.excused_runs += u32::from(path_lost);
+                    AttemptOutcome::Silent
+                }
             };
             if !self.resume(outcome).await {
                 return Some(self.cut_off(outcome, StreamError::Upstream).await);
@@ -194,7 +198,7 @@
     fn may_resume(&self) -> bool {
         let route = self.request.route();
         route.retry_mode == RetryMode::Resumable
-            && self.retries.possible_runs < route.max_attempts
+            && self.retries.counted_runs() < route.max_attempts
             && self.retries.tried.len() < MAX_ATTEMPTS
     }
 
@@ -232,7 +236,12 @@
                 Err(NextSendError::Failed(f)) if f.outcome.run_state() == RunState::NotRun => {
                     is_unreachable = f.is_unreachable();
                 }
-                Ok(_) | Err(NextSendError::Failed(_)) => {
+                Err(NextSendError::Failed(f)) => {
+                    is_unreachable = false;
+                    self.retries.possible_runs += 1;
+                    self.retries.excused_runs += u32::from(f.path_lost);
+                }
+                Ok(_) => {
                     is_unreachable = false;
                     self.retries.possible_runs += 1;
                 }
--- a/crates/gateway/src/forward_api.rs
+++ b/crates/gateway/src/forward_api.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use http::Request;
 use http::Response;
@@ -23,6 +24,9 @@
 /// without a path take beside those of own callers.
 const MAX_RUNNING: usize = 256;
 
+/// The retry time of a request that neither instance takes: until heartbeats have told of others.
+const NOT_TAKEN_RETRY: Duration = Duration::from_millis(500);
+
 /// Counts a forwarded request as running until it is dropped.
 #[derive(Debug)]
 pub(crate) struct RunningForward(Arc<State>);
@@ -59,7 +63,9 @@
             Ok(_) => "run-for-another",
             Err(_) => "refused-for-another",
         });
-        ended.unwrap_or_else(|refusal| forwarded_refusal::response(&refusal))
+        let mut res = ended.unwrap_or_else(|refusal| forwarded_refusal::response(&refusal));
+        forwarded_from::write_version(res.headers_mut(), self.state.deployment_version());
+        res
     }
 
     async fn run_forwarded(
@@ -83,8 +89,8 @@
         let arrived = state.now().before(from.age);
         let admitted = self.admit(arrived, head, parts, body).await?;
         // Two instances that take turns must not go back to an earlier version.
-        if admitted.router.version != from.version {
-            return Err(not_taken("another version is in force"));
+        if admitted.router.version < from.version {
+            return Err(not_taken("a later version is in force elsewhere"));
         }
         let request = CallerRequest {
             forwarded: Some(from),
@@ -111,5 +117,5 @@
 
 /// The refusal of a request that another instance may take.
 fn not_taken(detail: &str) -> Refusal {
-    Refusal::not_run(RefusalKind::NotServing, detail)
+    Refusal::not_run(RefusalKind::NotServing, detail).with_retry_after(NOT_TAKEN_RETRY)
 }
--- a/crates/gateway/src/forward_client.rs
+++ b/crates/gateway/src/forward_client.rs
@@ -4,6 +4,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use async_io::Timer;
@@ -26,6 +28,7 @@
 use crate::attempt::failure;
 use crate::attempt::validate;
 use crate::caller_request::CallerRequest;
+use crate::forwarded_from;
 use crate::forwarded_from::ForwardedFrom;
 use crate::forwarded_refusal;
 use crate::state::State;
@@ -44,6 +47,8 @@
 pub(crate) struct ForwardClient {
     pool: HttpPool,
     in_flight: Mutex<HashMap<SocketAddr, u32>>,
+    /// The latest version of the configuration by which another instance ran a request.
+    version: AtomicU64,
 }
 
 /// Counts a forwarded request as in flight until it is dropped.
@@ -70,6 +75,7 @@
         ForwardClient {
             pool,
             in_flight: Mutex::default(),
+            version: AtomicU64::new(0),
         }
     }
 
@@ -93,6 +99,11 @@
         state.path.is_lost() && request.forwarded.is_none() && !self.targets(state).is_empty()
     }
 
+    /// The latest version by which this instance or another one ran a request of a caller here.
+    fn latest_version(&self, own: u64) -> u64 {
+        self.version.load(Ordering::Relaxed).max(own)
+    }
+
     fn begin(&self, state: &Arc<State>, target: SocketAddr) -> ForwardGuard {
         *lock(&self.in_flight).entry(target).or_default() += 1;
         ForwardGuard {
@@ -127,8 +138,9 @@
         let from = ForwardedFrom {
             age: state.now().since(request.arrived),
             possible_runs: retries.possible_runs,
+            excused_runs: retries.excused_runs,
             counted: retries.counted,
-            version: request.router.version,
+            version: state.forwards.latest_version(request.router.version),
             last_event,
         };
         match send(state, request, target.address, from, &on_write).await {
@@ -231,11 +243,19 @@
     let not_taken = |detail| Refusal::not_run(RefusalKind::NotServing, detail);
     let failed = |outcome, detail| DecodeError::Failed(failure(outcome, detail));
     match sent {
-        Some(Ok(response)) => match forwarded_refusal::read(&response.headers) {
-            Some(refusal) if is_not_taken(&refusal) => Err(DecodeError::NotTaken(refusal)),
-            Some(refusal) => Err(DecodeError::Refused(refusal)),
-            None => validate(state, request, response).map_err(DecodeError::Failed),
-        },
+        Some(Ok(mut response)) => {
+            if let Some(version) = forwarded_from::read_version(&response.headers) {
+                state.forwards.version.fetch_max(version, Ordering::Relaxed);
+            }
+            match forwarded_refusal::read(&response.headers) {
+                Some(refusal) if is_not_taken(&refusal) => Err(DecodeError::NotTaken(refusal)),
+                Some(refusal) => Err(DecodeError::Refused(refusal)),
+                None => {
+                    forwarded_from::strip(&mut response.headers);
+                    validate(state, request, response).map_err(DecodeError::Failed)
+                }
+            }
+        }
         Some(Err(SendError::NotSent)) => Err(DecodeError::NotTaken(not_taken(
             "another instance cannot be reached",
         ))),
--- a/crates/gateway/src/forwarded_from.rs
+++ b/crates/gateway/src/forwarded_from.rs
@@ -10,6 +10,7 @@
 const PREFIX: &str = "jd-forward-";
 const AGE_MS: &str = "jd-forward-age-ms";
 const RUNS: &str = "jd-forward-runs";
+const EXCUSED_RUNS: &str = "jd-forward-excused-runs";
 const COUNTED: &str = "jd-forward-counted";
 const VERSION: &str = "jd-forward-version";
 const LAST_EVENT: &str = "jd-forward-last-event";
@@ -22,9 +23,11 @@
     pub(crate) age: Duration,
     /// How many times it may have run.
     pub(crate) possible_runs: u32,
+    /// How many of these do not count against the attempts that its route allows.
+    pub(crate) excused_runs: u32,
     /// True if its first send already adds to a retry budget.
     pub(crate) counted: bool,
-    /// The version of the configuration by which it was accepted.
+    /// The latest version of the configuration by which it or an earlier request was accepted.
     pub(crate) version: u64,
     /// The event after which a stream resumes.
     pub(crate) last_event: Option<u64>,
@@ -37,6 +40,7 @@
         Some(ForwardedFrom {
             age: Duration::from_millis(number(AGE_MS)?),
             possible_runs: u32::try_from(number(RUNS)?).ok()?,
+            excused_runs: u32::try_from(number(EXCUSED_RUNS)?).ok()?,
             counted: number(COUNTED)? != 0,
             version: number(VERSION)?,
             last_event: number(LAST_EVENT),
@@ -52,6 +56,7 @@
         };
         set(AGE_MS, age);
         set(RUNS, u64::from(self.possible_runs));
+        set(EXCUSED_RUNS, u64::from(self.excused_runs));
         set(COUNTED, u64::from(self.counted));
         set(VERSION, self.version);
         if let Some(last) = self.last_event {
@@ -60,6 +65,16 @@
     }
 }
 
+/// Adds the version of the configuration that is in force to a response to another instance.
+pub(crate) fn write_version(headers: &mut HeaderMap, version: u64) {
+    headers.insert(HeaderName::from_static(VERSION), HeaderValue::from(version));
+}
+
+/// The version of the configuration that was in force at the instance that sent this response.
+pub(crate) fn read_version(headers: &HeaderMap) -> Option<u64> {
+    headers.get(VERSION)?.to_str().ok()?.parse().ok()
+}
+
 /// Removes the headers that only instances set.
 pub(crate) fn strip(headers: &mut HeaderMap) {
     let ours = headers.keys().filter(|n| n.as_str().starts_with(PREFIX));
--- a/crates/gateway/src/path_checker.rs
+++ b/crates/gateway/src/path_checker.rs
@@ -102,18 +102,31 @@
             if !lock(&path.monitor).begin_check(state.now(), upstreams) {
                 continue;
             }
-            let failed: Vec<SocketAddr> = lock(&path.monitor).failed().collect();
-            let sample = state.upstreams.load().sample_addresses(PROBES, &failed);
-            let probes = sample.into_iter().map(|address| probe(&state, address));
-            let mut check = PathCheck::default();
-            for probe in probes.collect::<Vec<Task<bool>>>() {
-                match probe.await {
-                    true => check.opened += 1,
-                    false => check.failed += 1,
-                }
+            path.run_check(&state).await;
+        }
+    }
+
+    /// Checks the path because an upstream is silent, unless it was checked just before; returns
+    /// true if the path is lost.
+    pub(crate) async fn is_lost_in_silence(&self, state: &Arc<State>) -> bool {
+        if !self.is_lost() && lock(&self.monitor).begin_silence_check(state.now()) {
+            self.run_check(state).await;
+        }
+        self.is_lost()
+    }
+
+    async fn run_check(&self, state: &Arc<State>) {
+        let failed: Vec<SocketAddr> = lock(&self.monitor).failed().collect();
+        let sample = state.upstreams.load().sample_addresses(PROBES, &failed);
+        let probes = sample.into_iter().map(|address| probe(state, address));
+        let mut check = PathCheck::default();
+        for probe in probes.collect::<Vec<Task<bool>>>() {
+            match probe.await {
+                true => check.opened += 1,
+                false => check.failed += 1,
             }
-            path.record_check(&state, check);
         }
+        self.record_check(state, check);
     }
 
     fn record_check(&self, state: &State, check: PathCheck) {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -304,6 +304,11 @@
         update_source(&self.own_entry, cluster.instances.live(now), health)
     }
 
+    /// The version of the configuration in force; 0 if there is none.
+    pub(crate) fn deployment_version(&self) -> u64 {
+        self.router.load().as_ref().map_or(0, |r| r.version)
+    }
+
     /// True while requests run that other instances have forwarded.
     pub(crate) fn is_running_forwards(&self) -> bool {
         self.forwards_running.load(Ordering::Relaxed) > 0
--- a/crates/gateway/src/streaming_call.rs
+++ b/crates/gateway/src/streaming_call.rs
@@ -88,6 +88,7 @@
         };
         let proved_not_run = failure.outcome.run_state() == RunState::NotRun;
         retries.possible_runs += u32::from(!proved_not_run);
+        retries.excused_runs += u32::from(failure.path_lost);
         let runs = retries.possible_runs;
         if failure.inputs_gone && !stages_rerun {
             stages_rerun = true;
@@ -98,7 +99,7 @@
         }
         let retryable = match request.route().retry_mode {
             _ if proved_not_run => retries.tried.len() < MAX_ATTEMPTS,
-            RetryMode::Resumable => runs < request.route().max_attempts,
+            RetryMode::Resumable => retries.counted_runs() < request.route().max_attempts,
             _ => false,
         };
         let may_retry = failure.is_unreachable() || state.may_retry(&request.service);
--- a/crates/gateway/src/unary_call.rs
+++ b/crates/gateway/src/unary_call.rs
@@ -80,10 +80,12 @@
             .as_ref()
             .is_some_and(|f| f.outcome.run_state() == RunState::NotRun);
         retries.possible_runs += u32::from(!proved_not_run);
+        let path_lost = failure.as_ref().is_some_and(|f| f.path_lost);
+        retries.excused_runs += u32::from(path_lost);
         let runs = retries.possible_runs;
         let retryable = match request.route().retry_mode {
             _ if proved_not_run => retries.tried.len() < MAX_ATTEMPTS,
-            RetryMode::Idempotent => runs < request.route().max_attempts,
+            RetryMode::Idempotent => retries.counted_runs() < request.route().max_attempts,
             _ => false,
         };
         let is_unreachable = failure.as_ref().is_some_and(AttemptFailure::is_unreachable);
@@ -166,6 +168,7 @@
         detail: detail.into(),
         inputs_gone: false,
         withheld: false,
+        path_lost: false,
     })
 }
 
--- a/crates/gateway/src/upstream_selection.rs
+++ b/crates/gateway/src/upstream_selection.rs
@@ -56,6 +56,9 @@
     pub(crate) tried: Vec<CompactString>,
     /// How many of these may have run it.
     pub(crate) possible_runs: u32,
+    /// How many of these were silent because this instance had lost its path to the upstreams. They
+    /// do not count against the attempts that its route allows.
+    pub(crate) excused_runs: u32,
     /// True once its first send adds to the retry budget.
     pub(crate) counted: bool,
     /// How many upstreams could not be connected to.
@@ -80,6 +83,7 @@
         RetryState {
             tried: Vec::new(),
             possible_runs: from.map_or(0, |f| f.possible_runs),
+            excused_runs: from.map_or(0, |f| f.excused_runs),
             counted: from.is_some_and(|f| f.counted),
             unreachable: 0,
             forwarded_to: Vec::new(),
@@ -90,6 +94,11 @@
         }
     }
 
+    /// How many runs count against the attempts that its route allows.
+    pub(crate) fn counted_runs(&self) -> u32 {
+        self.possible_runs.saturating_sub(self.excused_runs)
+    }
+
     /// Changes a refusal to say that the request may have run, if it was sent before.
     pub(crate) fn after_runs(&self, refusal: Refusal) -> Refusal {
         match self.possible_runs {
@@ -189,9 +198,9 @@
             // A request that may run only once is not sent again after a timeout.
             Some(_) if request.route().retry_mode.may_repeat() => {
                 let expected = state.paces.expected_of(state.now(), request);
-                timeout(retries.possible_runs).min(fetch_timeout(expected))
+                timeout(retries.counted_runs()).min(fetch_timeout(expected))
             }
-            _ => timeout(retries.possible_runs),
+            _ => timeout(retries.counted_runs()),
         };
         let sending = attempt::send(
             state, request, permitted, inputs, last_event, timeout, &on_write,
--- a/crates/gateway/tests/whole/fakes/fake_upstream.rs
+++ b/crates/gateway/tests/whole/fakes/fake_upstream.rs
@@ -149,6 +149,11 @@
         *self.brittle.lock().expect("a lock") = Some(rejections);
     }
 
+    /// Requests in progress.
+    pub(crate) fn running(&self) -> usize {
+        self.running.load(Ordering::Relaxed)
+    }
+
     /// When requests were rejected for want of capacity.
     pub(crate) fn rejections(&self) -> Vec<Instant> {
         self.rejections.lock().expect("a lock").clone()
--- a/crates/gateway/tests/whole/fakes/harness.rs
+++ b/crates/gateway/tests/whole/fakes/harness.rs
@@ -218,6 +218,12 @@
         self.fleet.retain(|m| m.peers != peers);
     }
 
+    /// The gateway at a peer address.
+    pub(crate) fn gateway_at(&self, peers: SocketAddr) -> Arc<Gateway> {
+        let member = self.fleet.iter().find(|m| m.peers == peers);
+        Arc::clone(member.map_or(&self.gateway, |m| &m.gateway))
+    }
+
     /// The path of the gateway at a peer address to the upstreams.
     pub(crate) fn link(&self, peers: SocketAddr) -> &Arc<UpstreamLink> {
         let member = self.fleet.iter().find(|m| m.peers == peers);
--- a/crates/gateway/tests/whole/limits.rs
+++ b/crates/gateway/tests/whole/limits.rs
@@ -16,6 +16,7 @@
 use test_case::test_case;
 
 use crate::fakes::CallerResponse;
+use crate::fakes::Cut;
 use crate::fakes::FakeUpstream;
 use crate::fakes::Harness;
 use crate::fakes::Reply;
@@ -102,6 +103,27 @@
     assert!(most <= allowed(1.0), "{most} in four seconds");
 }
 
+/// Guards against requests that exceed a limit because instances without a path to the upstreams
+/// forward them.
+#[test]
+fn a_limit_holds_for_forwarded_requests() {
+    let harness = fleet(3);
+    harness.upstreams[0].set_limit(Some("1"));
+    block_on(async {
+        load(&harness, "/any/x").await;
+        for peers in &harness.peer_addresses()[..4] {
+            harness.link(*peers).set(Some(Cut::Resets));
+        }
+        let (received, counted) = load(&harness, "/any/x").await;
+        let most = max_arrivals(&harness.upstreams[0], counted);
+        assert!(most <= allowed(1.0), "{most} in four seconds");
+        let served = received.iter().filter(|r| r.status == 200).count();
+        assert_eq!(served, received.len());
+        let forwards = "jd_gateway_forwards_total{outcome=\"answered\"}";
+        assert!(harness.counter_total(forwards).await > 0);
+    });
+}
+
 /// All upstreams of a service state a limit. Their capacity is used, and all other
 /// requests are refused at once, as not run.
 #[test]
--- a/crates/gateway/tests/whole/lost_paths.rs
+++ b/crates/gateway/tests/whole/lost_paths.rs
@@ -312,3 +312,67 @@
         assert_eq!(harness.counter_total(forwards).await, 0);
     });
 }
+
+/// A fleet whose last instance has lost its path, and a request of its caller that an upstream
+/// holds until the sender of the channel is dropped.
+struct Held {
+    harness: Arc<Harness>,
+    order: Vec<SocketAddr>,
+    released: async_channel::Sender<()>,
+    asking: async_executor::Task<CallerResponse>,
+}
+
+impl Held {
+    /// Cuts off all but the first instances, in the order of ownership.
+    async fn begin(with_path: usize) -> Held {
+        let harness = Arc::new(fleet().await);
+        let order = by_ownership(&harness);
+        cut_off(&harness, &order[with_path..], Cut::Resets).await;
+        let (released, rx) = async_channel::bounded(1);
+        for upstream in &harness.upstreams[..2] {
+            upstream.set_replies(vec![Reply::UntilReleased(rx.clone())]);
+        }
+        let asked = || -> usize { harness.upstreams[..2].iter().map(|u| u.count()).sum() };
+        let before = asked();
+        let asking = harness.spawn_ask(order[3], "/once/x", "1");
+        while asked() == before {
+            Timer::after(Duration::from_millis(5)).await;
+        }
+        Held {
+            harness,
+            order,
+            released,
+            asking,
+        }
+    }
+}
+
+/// Guards against upstreams that go on with a forwarded request whose caller has left.
+#[test]
+fn a_caller_that_leaves_ends_its_forwarded_request() {
+    block_on(async {
+        let held = Held::begin(3).await;
+        drop(held.asking);
+        let began = Instant::now();
+        let running = || -> usize { held.harness.upstreams.iter().map(|u| u.running()).sum() };
+        while running() > 0 {
+            assert!(began.elapsed() < Duration::from_millis(500), "it goes on");
+            Timer::after(Duration::from_millis(5)).await;
+        }
+    });
+}
+
+/// Guards against a planned stop that cuts off what the instance runs for others.
+#[test]
+fn a_shutdown_cuts_off_no_forwarded_request() {
+    block_on(async {
+        let held = Held::begin(1).await;
+        let gateway = held.harness.gateway_at(held.order[0]);
+        let stopping = held.harness.spawn(async move { gateway.stop().await });
+        Timer::after(Duration::from_millis(300)).await;
+        drop(held.released);
+        let received = held.asking.await;
+        assert_eq!(received.status, 200, "{received:?}");
+        stopping.await;
+    });
+}
--- a/crates/serving/src/path_monitor.rs
+++ b/crates/serving/src/path_monitor.rs
@@ -14,6 +14,8 @@
 const MAX_FAILED: usize = 16;
 /// The interval between two checks.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
+/// The interval between two checks because of silence, which under high load is frequent.
+const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(1_000);
 
 /// Whether an instance has a network path to upstreams.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
@@ -40,8 +42,8 @@
 ///
 /// Only connections that are opened count. Answers on connections that are open already prove
 /// nothing, because these may outlive a path on which no new ones can be opened; and silence proves
-/// nothing, because upstreams pause. Failed connections to several upstreams cause a check, which
-/// connects to others at once and decides.
+/// nothing, because upstreams pause. Failed connections to several upstreams, or a long silence of
+/// one, cause a check, which connects to several at once and decides.
 #[derive(Debug, Default)]
 pub struct PathMonitor {
     /// The upstreams that failed since the last connection was opened, and when.
@@ -84,6 +86,18 @@
         begins
     }
 
+    /// True if the path is to be checked now because an upstream is silent. Counts as the beginning
+    /// of the check.
+    pub fn begin_silence_check(&mut self, now: MonoTime) -> bool {
+        let is_due = self
+            .last_check
+            .is_none_or(|at| now.since(at) >= SILENCE_CHECK_INTERVAL);
+        if is_due {
+            self.last_check = Some(now);
+        }
+        is_due
+    }
+
     /// Records the result of a check that found no open connection; returns true if the path is
     /// lost from now on. A check without any connection decides nothing.
     pub fn record_check(&mut self, now: MonoTime, check: PathCheck) -> bool {
