A path that was lost in silence is checked until it is back

an_instance_sends_to_upstreams_again_once_its_path_is_back, hung, did not end in 2 of 6 runs: the path was noticed as lost by a check because of silence, without a failed connection, and the task that checks lost paths waits for such a failure; the instance forwarded for good. A loss now wakes that task, whatever check found it, and the flag that requests read changes under the lock of the monitor.

--- a/crates/gateway/src/path_checker.rs
+++ b/crates/gateway/src/path_checker.rs
@@ -134,11 +134,16 @@
             0 => "no-connection",
             _ => "connected",
         });
-        if !lock(&self.monitor).record_check(state.now(), check) {
+        let mut monitor = lock(&self.monitor);
+        if !monitor.record_check(state.now(), check) {
             return;
         }
+        // Stored while `monitor` is locked, so that both always agree.
         self.is_lost.store(true, Ordering::Relaxed);
-        let failed: Vec<SocketAddr> = lock(&self.monitor).failed().collect();
+        let failed: Vec<SocketAddr> = monitor.failed().collect();
+        drop(monitor);
+        // The path is checked from now on until it is back.
+        self.check_requested.notify();
         state.upstreams.load().forget_failed_connections(&failed);
         log::warn!(probed = check.failed, failed_before = failed.len(); "no upstream can be connected to");
         state.metrics.path_lost(true);
