A forwarded stream runs no more often than its route allows

When a stream broke off at the upstreams of the instance that ran it for another, that instance went on at a second upstream, and when that broke off as well, the forwarding instance had it sent a third time: it could not tell a stream that was given up from an instance that was lost.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -21,6 +21,7 @@
 use crate::ResponseHead;
 use crate::UpstreamRequest;
 use crate::caller_request::CallerRequest;
+use crate::forward_client;
 use crate::forward_client::ForwardGuard;
 use crate::state::State;
 use crate::upstream_client::SendFailure;
@@ -56,7 +57,7 @@
     state: Arc<State>,
     /// The upstream; none if another instance runs the request.
     chosen: Option<SelectedUpstream>,
-    _forward: Option<ForwardGuard>,
+    forward: Option<ForwardGuard>,
     service: CompactString,
     content: Content,
     began: MonoTime,
@@ -78,7 +79,7 @@
         chosen.upstream.attempt_started();
         let now = state.now();
         ActiveAttempt {
-            _forward: None,
+            forward: None,
             state: Arc::clone(state),
             service: request.service.clone(),
             content: request.content,
@@ -99,7 +100,7 @@
     ) -> ActiveAttempt {
         ActiveAttempt {
             chosen: None,
-            _forward: Some(guard),
+            forward: Some(guard),
             state: Arc::clone(state),
             service: request.service.clone(),
             content: request.content,
@@ -161,19 +162,25 @@
         self.began.since(request.arrived).as_millis() as u64
     }
 
+    /// The instance that runs the request; none if it was sent to an upstream.
+    pub(crate) fn forwarded_to(&self) -> Option<SocketAddr> {
+        self.forward.as_ref().map(|guard| guard.target)
+    }
+
     /// The ID of the upstream.
     pub(crate) fn id(&self) -> &str {
         let chosen = self.chosen.as_ref();
         chosen.map_or("of another instance", |chosen| chosen.id.as_str())
     }
 
-    /// Returns shortly after the upstream is known to have restarted. The response of the
-    /// earlier start will not come any more, unless it was sent before and is in transit.
+    /// Returns shortly after the upstream is known to have restarted, or the instance that runs the
+    /// request to be gone. The response of the earlier start will not come any more, unless it was sent before and is in transit.
     pub(crate) async fn until_restarted(&self) {
-        let Some(chosen) = &self.chosen else {
-            return future::pending().await;
-        };
-        chosen.restarted.wait().await;
+        match (&self.chosen, self.forwarded_to()) {
+            (Some(chosen), _) => chosen.restarted.wait().await,
+            (None, Some(target)) => forward_client::wait_until_gone(&self.state, target).await,
+            (None, None) => future::pending().await,
+        }
         Timer::after(LAST_RESPONSE_DELAY).await;
     }
 
--- a/crates/gateway/src/event_stream.rs
+++ b/crates/gateway/src/event_stream.rs
@@ -93,9 +93,11 @@
         self.attempt.record_wait();
         loop {
             let left = self.request.time_left(self.state.now());
-            let wait = match self.may_resume() {
-                true => left.min(STALL_TIMEOUT),
-                false => left,
+            let forwarded_to = self.attempt.forwarded_to();
+            let wait = match forwarded_to {
+                None if self.may_resume() => left.min(STALL_TIMEOUT),
+                // The other instance has the same timeout.
+                _ => left,
             };
             let response = self.response.as_mut()?;
             let restarted = async {
@@ -114,6 +116,13 @@
                 Some(Ok(None)) => return self.finish(),
                 Some(Err(_)) => {
                     self.attempt.report_broken();
+                    if let Some(target) = forwarded_to
+                        && self.state.forwards.is_running(target).await
+                    {
+                        let cut_off =
+                            self.cut_off(AttemptOutcome::Truncated, StreamError::Upstream);
+                        return Some(cut_off.await);
+                    }
                     AttemptOutcome::Truncated
                 }
                 None if self.request.time_left(self.state.now()).is_zero() => {
--- a/crates/gateway/src/forward_client.rs
+++ b/crates/gateway/src/forward_client.rs
@@ -14,6 +14,7 @@
 use jd_net::Body;
 use jd_net::HttpPool;
 use jd_net::HttpResponse;
+use jd_net::ProbeResult;
 use jd_net::SendError;
 use jd_net::lock;
 use jd_serving::ForwardTarget;
@@ -55,7 +56,7 @@
 #[derive(Debug)]
 pub(crate) struct ForwardGuard {
     state: Arc<State>,
-    target: SocketAddr,
+    pub(crate) target: SocketAddr,
 }
 
 impl Drop for ForwardGuard {
@@ -104,6 +105,12 @@
         self.version.load(Ordering::Relaxed).max(own)
     }
 
+    /// True if the process of an instance that broke a response off is still there. It then has
+    /// used up the attempts that the route allows, and others would exceed them.
+    pub(crate) async fn is_running(&self, target: SocketAddr) -> bool {
+        self.pool.probe(target).await == ProbeResult::Open
+    }
+
     fn begin(&self, state: &Arc<State>, target: SocketAddr) -> ForwardGuard {
         *lock(&self.in_flight).entry(target).or_default() += 1;
         ForwardGuard {
@@ -276,7 +283,7 @@
 }
 
 /// Returns once an instance stops answering heartbeats.
-async fn wait_until_gone(state: &State, target: SocketAddr) {
+pub(crate) async fn wait_until_gone(state: &State, target: SocketAddr) {
     loop {
         Timer::after(CHECK_INTERVAL).await;
         let now = state.now();
--- a/crates/gateway/tests/whole/lost_paths.rs
+++ b/crates/gateway/tests/whole/lost_paths.rs
@@ -376,3 +376,26 @@
         stopping.await;
     });
 }
+
+/// Guards against a stream that runs more often than its route allows, because both instances send
+/// it again after it broke off.
+#[test]
+fn a_forwarded_stream_runs_no_more_often_than_its_route_allows() {
+    block_on(async {
+        let harness = fleet().await;
+        let last = by_ownership(&harness)[3];
+        cut_off(&harness, &[last], Cut::Resets).await;
+        let broken = Reply::Stream {
+            parts: &["id: 1\ndata: a\n\n"],
+            cut: true,
+        };
+        for upstream in &harness.upstreams[..2] {
+            upstream.set_replies(vec![broken.clone()]);
+        }
+        let received = harness.spawn_ask(last, "/resume/x", "1").await;
+        assert!(!received.whole);
+        let asked = harness.upstreams[..2].iter();
+        let asked = asked.flat_map(|u| u.asked.lock().expect("a lock").clone());
+        assert_eq!(asked.filter(|(id, _)| id == "1").count(), 2);
+    });
+}
