A process that has just started takes no old proof for a recent one

Both instances, edge-hall-c-12 and c-13, had lost power at 10.9 s and started again at 12.99 s.

Cause: an age that another instance tells is counted back from now, on a clock that began one second before the start of the process, and ended at the clock's beginning. 0.75 s after its start an instance took a proof of 5 s for one of 1.75 s, below the 3 s up to which it acts. Evidence: both logs name configuration 2 in force from 13.05 to 14.17 s and keyed requests answered by it, which needs a proof below 3 s, while no instance had a proof of that revision after 8.6 s; an instance that was not started again refuses at 10.83 s with a proof of 3,132 ms. The class: saturating arithmetic that makes old knowledge young. All ages between instances (limits, paces, quarantine, forwarded requests) went through the same clock; it now begins 60 days back, more than a message can tell.

--- a/crates/net/src/clock.rs
+++ b/crates/net/src/clock.rs
@@ -9,10 +9,15 @@
 use rustix::time::ClockId;
 use rustix::time::clock_gettime;
 
+/// The monotonic time at the start of a process: longer than the longest age in a message between
+/// instances, which is 2^32 ms. With a smaller one, what happened before the start would look as
+/// young as the process, and a revoked credential would count as proven.
+const START: MonoTime = MonoTime::from_millis(60 * 24 * 3_600 * 1_000);
+
 /// The monotonic clock and the wall clock of this process.
 ///
-/// Monotonic time starts at one second, because [`MonoTime::ZERO`] stands for the time
-/// before the process started.
+/// Monotonic time starts long after [`MonoTime::ZERO`], which stands for the time before the
+/// process started.
 ///
 /// Uses the clock that includes time during which the machine is suspended. With the usual
 /// monotonic clock, a process that resumes after a suspension would treat expired leases,
@@ -32,7 +37,7 @@
 
     /// The current time of the monotonic clock.
     pub fn now(&self) -> MonoTime {
-        MonoTime::from_millis(1_000) + boot_time().saturating_sub(self.origin)
+        START + boot_time().saturating_sub(self.origin)
     }
 
     /// The current time of the wall clock.
