A start takes nothing from an instance that has lost the store

A second fault behind the known case: an instance that starts in a fleet of up to some 190 loads everything from a relay of its zone, also if that relay says that it has lost the store, and then runs requests on public routes by what was in force before, while the store answers it. A start in a large fleet asked the next source in this case already; the smaller one now reads from the store, which has just answered it.

--- a/crates/gateway/src/store_follower.rs
+++ b/crates/gateway/src/store_follower.rs
@@ -158,7 +158,17 @@
         while let UpdateSource::Relay(id) = state.update_source()
             && state.now().since(asked) < RELAY_FETCH_TIMEOUT
         {
-            self.follow_instance(id, FIRST_FETCH_TIMEOUT).await;
+            match self.peers.follow(id, FIRST_FETCH_TIMEOUT).await {
+                Some(reply) if !reply.store_unavailable => self.apply_reply(reply),
+                // The state of a relay that has lost the store may be stale, while the store has
+                // just answered this instance.
+                Some(_) => break,
+                None => {
+                    let (now, silent) = (state.now(), SourceHealth::Unresponsive);
+                    let mut cluster = state.cluster();
+                    cluster.record_source_health(now, id, silent);
+                }
+            }
             if state.store_loaded() {
                 return Ok(());
             }
--- a/crates/gateway/tests/whole/fakes/harness.rs
+++ b/crates/gateway/tests/whole/fakes/harness.rs
@@ -311,6 +311,13 @@
             .count()
     }
 
+    /// Makes the store refuse all gateways that run now.
+    pub(crate) fn turn_away_all(&self) {
+        for store in self.stores() {
+            store.set_unavailable(true);
+        }
+    }
+
     /// Makes the store stop answering the gateways that watch it.
     pub(crate) fn silence_watching(&self) {
         for store in self.stores().filter(|s| s.watches() > 0) {
--- a/crates/gateway/tests/whole/fleet.rs
+++ b/crates/gateway/tests/whole/fleet.rs
@@ -228,3 +228,34 @@
         assert!(began.elapsed() < Duration::from_secs(15));
     });
 }
+
+/// Guards against an instance that starts with what another one had before it lost the store,
+/// although the store answers the starting one: it ran requests on a route that was dropped seconds
+/// before.
+#[test]
+fn a_start_does_not_take_the_state_of_an_instance_that_has_lost_the_store() {
+    let mut harness = Harness::start(vec![vec![Reply::Complete("a")]]);
+    harness.add_gateways(19);
+    block_on(async {
+        harness.until_all_answer("/any/x", 200).await;
+        harness.until_two_watch().await;
+        harness.turn_away_all();
+        harness.until_all_answer("/any/x", 503).await;
+        let mut next = deployment();
+        next.version = 2;
+        next.routes.retain(|r| r.name != "open");
+        let next = Record::Deployment(Box::new(next));
+        harness.store.change(Change::Put(next));
+    });
+    harness.add_gateway(0, false);
+    block_on(async {
+        let answered = loop {
+            let received = harness.ask_instance(19, "/open/x", "x").await;
+            if received.status != 503 {
+                break received.status;
+            }
+            Timer::after(Duration::from_millis(5)).await;
+        };
+        assert_eq!(answered, 404, "served by a dropped route");
+    });
+}
