Relays of the soak refuse what the upstream behind them refuses

Trace: the relays of an instance, new with the cuts, accept connections to an upstream whose own link refuses them, and then close, so that an upstream that had ended looked as if it ran. They now take no connections while the next relay takes none. 6145 broke 'backoffs of upstreams are respected': the requests came after a planned restart of the upstream (5.97 s), and a backoff holds for the start that asked for it; the check now leaves those out.

--- a/soak/src/environment.rs
+++ b/soak/src/environment.rs
@@ -133,7 +133,7 @@
         executor.spawn(Arc::clone(&store).expire()).detach();
         let links = (0..instances).map(|n| {
             let own = at(network, FIRST_INSTANCE + n, SERVICE_PORT);
-            Relay::start(executor, own, store_address, None)
+            Relay::start(executor, own, store_address)
         });
         let store_links = links.collect::<std::io::Result<Vec<Arc<Relay>>>>()?;
         let (tx, ended) = async_channel::unbounded();
@@ -144,7 +144,6 @@
                 executor,
                 at(network, FIRST_UPSTREAM + n, SERVICE_PORT + 1),
                 address,
-                None,
             )?;
             let fake = FakeUpstream {
                 id: Mutex::new(new_id()),
@@ -184,7 +183,7 @@
         let instance_links = (0..instances).map(|n| {
             let ports = FIRST_LINK_PORT..;
             let relays = ports.map(|port| at(network, FIRST_INSTANCE + n, port));
-            let announced = upstreams.iter().map(|u| u.link.address());
+            let announced = upstreams.iter().map(|u| Arc::clone(&u.link));
             InstanceLinks::start(executor, relays, announced)
         });
         let instance_links = instance_links.collect::<std::io::Result<Vec<InstanceLinks>>>()?;
--- a/soak/src/instance_links.rs
+++ b/soak/src/instance_links.rs
@@ -18,15 +18,16 @@
 }
 
 impl InstanceLinks {
-    /// Starts relays at the addresses of `relays` to the announced ones.
+    /// Starts relays at these addresses to the announced ones.
     pub(crate) fn start(
         executor: &Arc<Executor<'static>>,
-        relays: impl Iterator<Item = SocketAddr>,
-        announced: impl Iterator<Item = SocketAddr>,
+        addresses: impl Iterator<Item = SocketAddr>,
+        announced: impl Iterator<Item = Arc<Relay>>,
     ) -> io::Result<InstanceLinks> {
-        let links = relays.zip(announced).map(|(relay, announced)| {
-            let link = Relay::start(executor, relay, announced, Some(relay.ip()))?;
-            Ok((announced, link))
+        let links = addresses.zip(announced).map(|(address, announced)| {
+            let to = announced.address();
+            let link = Relay::start_before(executor, address, announced)?;
+            Ok((to, link))
         });
         Ok(InstanceLinks {
             links: links.collect::<io::Result<_>>()?,
--- a/soak/src/notices.rs
+++ b/soak/src/notices.rs
@@ -42,7 +42,9 @@
         let after = arrivals.iter().filter(|a| is_same_path(notified, a));
         let undisturbed = |a: &&Arrival| {
             let sender = a.request.sender;
-            !was_interrupted(notified.request.at, a.request.at, sender, spans, instances)
+            let (from, to) = (notified.request.at, a.request.at);
+            !was_interrupted(from, to, sender, spans, instances)
+                && !was_restarted(from, to, &a.request.upstream, spans)
         };
         let after = after.filter(undisturbed);
         let due = notified.request.at + DRAINED_WITHIN;
@@ -85,6 +87,15 @@
     same_upstream && notified.request.sender == other.request.sender
 }
 
+/// True if the upstream started again between the two times. A notice holds for the start that
+/// gave it.
+fn was_restarted(from: Duration, to: Duration, upstream: &str, spans: &[FaultSpan]) -> bool {
+    let restarts =
+        |s: &&FaultSpan| matches!(s.fault, Fault::RestartUpstream(_)) && s.target == upstream;
+    let mut restarts = spans.iter().filter(restarts);
+    restarts.any(|s| s.from < to && s.to > from)
+}
+
 /// True if an instance may have been suspended between the two times, which excuses late
 /// requests, or if the sender may have been started again, which knows nothing of the notice.
 fn was_interrupted(
--- a/soak/src/relay.rs
+++ b/soak/src/relay.rs
@@ -41,15 +41,6 @@
     opened: u64,
 }
 
-impl State {
-    fn takes_no_connections(&self) -> bool {
-        matches!(
-            self.mode,
-            Some(LinkMode::Refuses | LinkMode::RefusesNew | LinkMode::Hangs)
-        )
-    }
-}
-
 /// Relays connections from its address to another one, and injects faults.
 #[derive(Debug)]
 pub(crate) struct Relay {
@@ -57,6 +48,9 @@
     to: SocketAddr,
     /// The address that it connects from; none for that of each client.
     source: Option<IpAddr>,
+    /// The relay at the destination, if there is one. While it takes no connections, this one
+    /// takes none either.
+    next: Option<Arc<Relay>>,
     state: Mutex<State>,
 }
 
@@ -72,13 +66,31 @@
         executor: &Arc<Executor<'static>>,
         address: SocketAddr,
         to: SocketAddr,
-        source: Option<IpAddr>,
+    ) -> io::Result<Arc<Relay>> {
+        Relay::start_with(executor, address, to, None)
+    }
+
+    /// Starts a relay to another one, which connects to that from its own address.
+    pub(crate) fn start_before(
+        executor: &Arc<Executor<'static>>,
+        address: SocketAddr,
+        next: Arc<Relay>,
+    ) -> io::Result<Arc<Relay>> {
+        Relay::start_with(executor, address, next.address(), Some(next))
+    }
+
+    fn start_with(
+        executor: &Arc<Executor<'static>>,
+        address: SocketAddr,
+        to: SocketAddr,
+        next: Option<Arc<Relay>>,
     ) -> io::Result<Arc<Relay>> {
         let listener = Async::<TcpListener>::bind(address)?;
         let relay = Arc::new(Relay {
             address: listener.get_ref().local_addr()?,
             to,
-            source,
+            source: next.as_ref().map(|_| address.ip()),
+            next,
             state: Mutex::default(),
         });
         let accepting = Arc::clone(&relay).accept(listener, Arc::clone(executor));
@@ -117,7 +129,7 @@
         while let Some(open) = listener.take() {
             let accepted = async { Some(open.accept().await) };
             let gone = async {
-                self.wait_until(State::takes_no_connections).await;
+                self.wait_while(|relay| !relay.takes_no_connections()).await;
                 None
             };
             match future::or(accepted, gone).await {
@@ -142,7 +154,7 @@
 
     /// Opens the listener again once the mode allows connections.
     async fn listen_again(&self) -> Option<Async<TcpListener>> {
-        self.wait_until(|s| !s.takes_no_connections()).await;
+        self.wait_while(Relay::takes_no_connections).await;
         Async::<TcpListener>::bind(self.address).ok()
     }
 
@@ -156,7 +168,7 @@
         {
             queued.push(filler);
         }
-        self.wait_until(|s| !s.takes_no_connections()).await;
+        self.wait_while(Relay::takes_no_connections).await;
         net::listen(listener.get_ref(), BACKLOG).ok()?;
         Some(listener)
     }
@@ -251,12 +263,22 @@
     }
 
     async fn wait_for_mode(&self, mode: LinkMode) {
-        self.wait_until(|s| s.mode == Some(mode)).await;
+        self.wait_while(|relay| lock(&relay.state).mode != Some(mode))
+            .await;
     }
 
-    async fn wait_until(&self, condition: impl Fn(&State) -> bool) {
-        while !condition(&lock(&self.state)) {
+    async fn wait_while(&self, condition: impl Fn(&Relay) -> bool) {
+        while condition(self) {
             Timer::after(POLL_INTERVAL).await;
         }
     }
+
+    fn takes_no_connections(&self) -> bool {
+        let refuses = matches!(
+            lock(&self.state).mode,
+            Some(LinkMode::Refuses | LinkMode::RefusesNew | LinkMode::Hangs)
+        );
+        let next = self.next.as_ref();
+        refuses || next.is_some_and(|next| next.takes_no_connections())
+    }
 }
