Requests that only another instance can run are not sent without their stages, and read before refusal

Read in review: a request whose stages were left to another instance went on to an upstream without them if no instance was left to ask just then; an instance that refused a forwarded request before it had read the body reset the connection, so that an unsafe request counted as one that may have run; a refusal of another instance hid an earlier run here; and an owner of stages that lost its path refused its own callers. Each is handled where it arises; requests without their stages are refused as not run.

Open connections are relayed only where a test cuts them.

--- a/crates/gateway/src/event_stream.rs
+++ b/crates/gateway/src/event_stream.rs
@@ -219,7 +219,8 @@
         let _partial_event = self.splitter.take_remaining();
         let mut is_unreachable = false;
         while self.may_resume() && (is_unreachable || self.may_retry()) {
-            match self.state.forwards.is_due(&self.state, &self.request) {
+            self.retries.forward_only = self.state.forwards.is_due(&self.state, &self.request);
+            match self.retries.forward_only {
                 true => self.results = self.stages.no_results(),
                 false => match self.stages.run_again(&self.request).await {
                     Ok(results) => self.results = results,
--- a/crates/gateway/src/forward_api.rs
+++ b/crates/gateway/src/forward_api.rs
@@ -75,6 +75,13 @@
     ) -> Result<Response<Body>, Refusal> {
         let state = &self.state;
         let running = RunningForward::begin(state);
+        let (mut parts, body) = req.into_parts();
+        forwarded_from::strip(&mut parts.headers);
+        let mut head = state.dialect.call_head(&parts);
+        head.last_event = from.last_event.or(head.last_event);
+        let arrived = state.now().before(from.age);
+        // Reads the body, without which a refusal would not reach the other instance.
+        let admitted = self.admit(arrived, head, parts, body).await?;
         let running = running.ok_or_else(|| not_taken("too many forwarded requests"))?;
         if state.is_leaving() {
             return Err(not_taken("the instance is shutting down"));
@@ -82,12 +89,6 @@
         if state.path.is_lost() {
             return Err(not_taken("no upstream can be connected to"));
         }
-        let (mut parts, body) = req.into_parts();
-        forwarded_from::strip(&mut parts.headers);
-        let mut head = state.dialect.call_head(&parts);
-        head.last_event = from.last_event.or(head.last_event);
-        let arrived = state.now().before(from.age);
-        let admitted = self.admit(arrived, head, parts, body).await?;
         // Two instances that take turns must not go back to an earlier version.
         if admitted.router.version < from.version {
             return Err(not_taken("a later version is in force elsewhere"));
--- a/crates/gateway/src/forward_client.rs
+++ b/crates/gateway/src/forward_client.rs
@@ -11,6 +11,12 @@
 use async_io::Timer;
 use futures_lite::FutureExt;
 use http::Request;
+use http::header::CONNECTION;
+use http::header::CONTENT_LENGTH;
+use http::header::EXPECT;
+use http::header::TE;
+use http::header::TRANSFER_ENCODING;
+use http::header::UPGRADE;
 use jd_net::Body;
 use jd_net::HttpPool;
 use jd_net::HttpResponse;
@@ -23,6 +29,7 @@
 use jd_types::RefusalKind;
 use jd_types::RunState;
 
+use crate::ResponseHead;
 use crate::active_attempt::ActiveAttempt;
 use crate::attempt::AttemptFailure;
 use crate::attempt::UpstreamResponse;
@@ -151,6 +158,10 @@
             last_event,
         };
         match send(state, request, target.address, from, &on_write).await {
+            Forwarded::Refused(refusal) => {
+                let refusal = retries.after_runs(refusal);
+                return Some(Err(NextSendError::Refused(refusal)));
+            }
             Forwarded::Ended(result) => return Some(*result),
             Forwarded::NotTaken(refusal) => refused = Some(refusal),
         }
@@ -161,7 +172,10 @@
 
 /// What became of a request that was sent to another instance.
 enum Forwarded {
+    /// A response of an upstream arrived, or the attempt failed.
     Ended(Box<Result<UpstreamResponse, NextSendError>>),
+    /// That instance refused it.
+    Refused(Refusal),
     /// That instance did not take it, and sent it to no upstream.
     NotTaken(Refusal),
 }
@@ -215,7 +229,7 @@
             attempt: ActiveAttempt::forwarded(state, request, guard),
         }),
         Err(DecodeError::NotTaken(refusal)) => return Forwarded::NotTaken(refusal),
-        Err(DecodeError::Refused(refusal)) => Err(NextSendError::Refused(refusal)),
+        Err(DecodeError::Refused(refusal)) => return Forwarded::Refused(refusal),
         Err(DecodeError::Failed(failure)) => Err(NextSendError::Failed(failure)),
     }))
 }
@@ -226,11 +240,17 @@
     *req.method_mut() = request.parts.method.clone();
     *req.uri_mut() = request.parts.uri.clone();
     *req.headers_mut() = request.parts.headers.clone();
-    for name in [http::header::CONNECTION, http::header::TRANSFER_ENCODING] {
+    // These are of the caller's connection.
+    for name in [
+        CONNECTION,
+        CONTENT_LENGTH,
+        EXPECT,
+        TE,
+        TRANSFER_ENCODING,
+        UPGRADE,
+    ] {
         req.headers_mut().remove(name);
     }
-    req.headers_mut().remove(http::header::EXPECT);
-    req.headers_mut().remove(http::header::CONTENT_LENGTH);
     from.write(req.headers_mut());
     req
 }
@@ -246,7 +266,7 @@
     state: &State,
     request: &CallerRequest,
     sent: Option<Result<HttpResponse, SendError>>,
-) -> Result<(crate::ResponseHead, HttpResponse), DecodeError> {
+) -> Result<(ResponseHead, HttpResponse), DecodeError> {
     let not_taken = |detail| Refusal::not_run(RefusalKind::NotServing, detail);
     let failed = |outcome, detail| DecodeError::Failed(failure(outcome, detail));
     match sent {
--- a/crates/gateway/src/streaming_call.rs
+++ b/crates/gateway/src/streaming_call.rs
@@ -48,19 +48,32 @@
     request: CallerRequest,
 ) -> Result<Response<Body>, Refusal> {
     let mut retries = RetryState::new(&request, FULL_RETRY);
-    let mut results = match state.forwards.is_due(state, &request) {
+    retries.forward_only = state.forwards.is_due(state, &request);
+    let mut results = match retries.forward_only {
         true => stages.no_results(),
         false => {
             if request.has_stages() {
                 reserve_upstream(state, &request, &mut retries).await?;
             }
-            let results = stages.run(&request).await;
-            results.map_err(|refusal| retries.after_runs(refusal))?
+            match stages.run(&request).await {
+                Ok(results) => results,
+                // This instance owned the stages, and has lost its path meanwhile.
+                Err(_) if state.forwards.is_due(state, &request) => {
+                    retries.forward_only = true;
+                    stages.no_results()
+                }
+                Err(refusal) => return Err(retries.after_runs(refusal)),
+            }
         }
     };
     retries.placed = PlacedPrompt::new(results.take_placement());
     let mut stages_rerun = false;
     loop {
+        if retries.forward_only && !state.path.is_lost() {
+            retries.forward_only = false;
+            let rerun = stages.run_again(&request).await;
+            results = rerun.map_err(|refusal| retries.after_runs(refusal))?;
+        }
         let last = request.head.last_event;
         let request_written = Signal::new();
         let handles = results.handles();
--- a/crates/gateway/src/upstream_selection.rs
+++ b/crates/gateway/src/upstream_selection.rs
@@ -9,6 +9,7 @@
 use jd_serving::StageUpstream;
 use jd_types::Refusal;
 use jd_types::RefusalKind;
+use jd_types::RunState;
 
 use crate::attempt;
 use crate::attempt::AttemptFailure;
@@ -63,6 +64,8 @@
     pub(crate) counted: bool,
     /// How many upstreams could not be connected to.
     unreachable: usize,
+    /// True if its stages were not run here, so that only another instance can run it.
+    pub(crate) forward_only: bool,
     /// The instances that it was forwarded to.
     pub(crate) forwarded_to: Vec<SocketAddr>,
     /// How many sends to selected upstreams were withheld.
@@ -86,6 +89,7 @@
             excused_runs: from.map_or(0, |f| f.excused_runs),
             counted: from.is_some_and(|f| f.counted),
             unreachable: 0,
+            forward_only: false,
             forwarded_to: Vec::new(),
             withheld: 0,
             retry_after,
@@ -101,8 +105,8 @@
 
     /// Changes a refusal to say that the request may have run, if it was sent before.
     pub(crate) fn after_runs(&self, refusal: Refusal) -> Refusal {
-        match self.possible_runs {
-            0 => refusal,
+        match (self.possible_runs, refusal.run) {
+            (0, _) | (_, RunState::MayHaveRun) => refusal,
             _ => may_have_run(RefusalKind::UpstreamFailed, refusal.detail),
         }
     }
@@ -148,12 +152,18 @@
     timeout: impl Fn(u32) -> Duration,
     on_write: impl Fn(),
 ) -> Result<UpstreamResponse, NextSendError> {
-    if state.path.is_lost() || retries.unreachable >= MAX_UNREACHABLE {
+    let is_unreachable = state.path.is_lost() || retries.unreachable >= MAX_UNREACHABLE;
+    if is_unreachable || retries.forward_only {
         let forwarding = forward_client::forward(state, request, retries, last_event, &on_write);
         if let Some(result) = forwarding.await {
             return result;
         }
     }
+    if retries.forward_only {
+        let detail = "no upstream can be connected to, and no other instance is known that can";
+        let refusal = retries.refuse(RefusalKind::NoUpstream, detail);
+        return Err(NextSendError::Refused(refusal));
+    }
     if !std::mem::replace(&mut retries.counted, true) {
         state.record_first_send(&request.service);
     }
--- a/crates/gateway/tests/whole/fakes/harness.rs
+++ b/crates/gateway/tests/whole/fakes/harness.rs
@@ -41,7 +41,10 @@
 use crate::fakes::start_gateway::start_gateway;
 
 pub(crate) struct Harness {
+    // Gateways and servers are dropped before the threads that run their tasks.
     pub(crate) gateway: Arc<Gateway>,
+    fleet: Vec<Member>,
+    servers: Vec<HttpServer>,
     pub(crate) store: Arc<FakeStore>,
     pub(crate) upstreams: Vec<Arc<FakeUpstream>>,
     callers: SocketAddr,
@@ -49,10 +52,20 @@
     ready: SocketAddr,
     metrics: SocketAddr,
     link: Arc<UpstreamLink>,
+    cuttable: bool,
     pool: HttpPool,
     workers: Workers,
-    fleet: Vec<Member>,
-    servers: Vec<HttpServer>,
+    _remaining: RemainingTasks,
+}
+
+/// Runs the tasks that are ready when it is dropped, so that those of dropped servers end and
+/// close their sockets.
+struct RemainingTasks(Arc<Executor<'static>>);
+
+impl Drop for RemainingTasks {
+    fn drop(&mut self) {
+        while self.0.try_tick() {}
+    }
 }
 
 impl Harness {
@@ -64,7 +77,7 @@
     /// The same with an upstream for the stage of `/staged/`.
     pub(crate) fn start_with_stage(replies: Vec<Vec<Reply>>, stage: Vec<Reply>) -> Harness {
         let records = vec![Record::Deployment(Box::new(staged_deployment()))];
-        Harness::start_services(replies, vec![stage], records)
+        Harness::start_services(replies, vec![stage], records, false)
     }
 
     /// The same with two upstreams for the stage, which are the last ones.
@@ -73,17 +86,24 @@
         stage: Vec<Reply>,
     ) -> Harness {
         let records = vec![Record::Deployment(Box::new(staged_deployment()))];
-        Harness::start_services(replies, vec![stage.clone(), stage], records)
+        Harness::start_services(replies, vec![stage.clone(), stage], records, false)
+    }
+
+    /// The same, with gateways whose open connections to upstreams can be cut.
+    pub(crate) fn start_cuttable(replies: Vec<Vec<Reply>>, stage: Vec<Reply>) -> Harness {
+        let records = vec![Record::Deployment(Box::new(staged_deployment()))];
+        Harness::start_services(replies, vec![stage.clone(), stage], records, true)
     }
 
     pub(crate) fn start_with(replies: Vec<Vec<Reply>>, records: Vec<Record>) -> Harness {
-        Harness::start_services(replies, Vec::new(), records)
+        Harness::start_services(replies, Vec::new(), records, false)
     }
 
     fn start_services(
         replies: Vec<Vec<Reply>>,
         stages: Vec<Vec<Reply>>,
         mut records: Vec<Record>,
+        cuttable: bool,
     ) -> Harness {
         let workers = Workers::start(2).expect("threads");
         let executor: Arc<Executor<'static>> = workers.executor();
@@ -105,10 +125,11 @@
         }
         let pool = HttpPool::new(Arc::clone(&executor), Clock::start());
         let store = Arc::new(FakeStore::new(records));
-        let own = start_gateway(&executor, &store);
+        let own = start_gateway(&executor, &store, cuttable);
         Harness {
             gateway: own.gateway,
             link: own.link,
+            cuttable,
             store,
             upstreams,
             callers: own.callers,
@@ -116,6 +137,7 @@
             ready: own.ready,
             metrics: own.metrics,
             pool,
+            _remaining: RemainingTasks(executor),
             workers,
             fleet: Vec::new(),
             servers,
@@ -181,7 +203,7 @@
         let count = self.fleet.len();
         self.fleet.clear();
         let executor = self.workers.executor();
-        let own = start_gateway(&executor, &self.store);
+        let own = start_gateway(&executor, &self.store, self.cuttable);
         self.gateway = own.gateway;
         self.callers = own.callers;
         self.peers = own.peers;
@@ -250,7 +272,7 @@
         let store = Arc::new(self.store.for_another_instance());
         store.refuse_next_pages(refused_pages);
         store.set_unavailable(unavailable);
-        let started = start_gateway(&executor, &store);
+        let started = start_gateway(&executor, &store, self.cuttable);
         self.fleet.push(Member {
             store: Arc::clone(&store),
             callers: started.callers,
--- a/crates/gateway/tests/whole/fakes/start_gateway.rs
+++ b/crates/gateway/tests/whole/fakes/start_gateway.rs
@@ -27,8 +27,13 @@
     pub(crate) link: Arc<UpstreamLink>,
 }
 
-/// Starts a gateway that uses `store`, on addresses of its own.
-pub(crate) fn start_gateway(executor: &Arc<Executor<'static>>, store: &Arc<FakeStore>) -> Started {
+/// Starts a gateway that uses `store`, on addresses of its own. Its open connections to upstreams
+/// can be cut if `cuttable`.
+pub(crate) fn start_gateway(
+    executor: &Arc<Executor<'static>>,
+    store: &Arc<FakeStore>,
+    cuttable: bool,
+) -> Started {
     let [callers, ready, locate, peers, metrics] = own_addresses();
     let text = format!(
         "[instance]\nname = test\nzone = a\ncallers = {callers}\nready = {ready}\n\
@@ -37,7 +42,7 @@
          [callers]\nrevoke-within-ms = 500\n"
     );
     let settings = GatewaySettings::parse("test.ini", &text).expect("valid settings");
-    let link = Arc::new(UpstreamLink::new(executor));
+    let link = Arc::new(UpstreamLink::new(executor, cuttable));
     let clock = Clock::start();
     let connector = Arc::clone(&link) as Arc<dyn Connector>;
     let pool = HttpPool::with_connector(Arc::clone(executor), clock, connector);
--- a/crates/gateway/tests/whole/fakes/upstream_link.rs
+++ b/crates/gateway/tests/whole/fakes/upstream_link.rs
@@ -41,13 +41,16 @@
 #[derive(Debug)]
 pub(crate) struct UpstreamLink {
     cut: Arc<Mutex<Option<Cut>>>,
+    /// True if open connections can be cut as well. Each then takes three descriptors.
+    carries: bool,
     executor: Arc<Executor<'static>>,
 }
 
 impl UpstreamLink {
-    pub(crate) fn new(executor: &Arc<Executor<'static>>) -> UpstreamLink {
+    pub(crate) fn new(executor: &Arc<Executor<'static>>, carries: bool) -> UpstreamLink {
         UpstreamLink {
             cut: Arc::default(),
+            carries,
             executor: Arc::clone(executor),
         }
     }
@@ -67,6 +70,7 @@
             Some(Cut::Resets | Cut::RefusesNew) => {
                 Box::pin(future::ready(Err(io::ErrorKind::ConnectionRefused.into())))
             }
+            None if !self.carries => Box::pin(Async::<TcpStream>::connect(address)),
             None => {
                 let (cut, executor) = (Arc::clone(&self.cut), Arc::clone(&self.executor));
                 Box::pin(async move {
--- a/crates/gateway/tests/whole/lost_paths.rs
+++ b/crates/gateway/tests/whole/lost_paths.rs
@@ -30,7 +30,7 @@
 /// A fleet of four gateways with two upstreams, and two more for the stage of `/staged/`.
 async fn fleet() -> Harness {
     let made = Reply::Complete("made");
-    let mut harness = Harness::start_with_two_stage_upstreams(vec![vec![ANSWER]; 2], vec![made]);
+    let mut harness = Harness::start_cuttable(vec![vec![ANSWER]; 2], vec![made]);
     harness.add_gateways(3);
     harness.until_ready(true).await;
     harness.until_all_listed().await;
