The test of limits for forwarded requests closes open connections

It failed once: the instances that were cut off went on by connections that were open, and forwarded nothing.

--- a/crates/gateway/tests/whole/limits.rs
+++ b/crates/gateway/tests/whole/limits.rs
@@ -107,7 +107,14 @@
 /// forward them.
 #[test]
 fn a_limit_holds_for_forwarded_requests() {
-    let harness = fleet(3);
+    let stream = Reply::Stream {
+        parts: &["id: 1\ndata: a\n\n"],
+        cut: false,
+    };
+    let stage = Reply::Delayed("made", Duration::from_millis(5));
+    let mut harness = Harness::start_cuttable(vec![vec![stream]; 3], vec![stage]);
+    harness.add_gateways(INSTANCES - 1);
+    let harness = Arc::new(harness);
     harness.upstreams[0].set_limit(Some("1"));
     block_on(async {
         load(&harness, "/any/x").await;
