--- a/crates/gateway/tests/whole/lost_paths.rs
+++ b/crates/gateway/tests/whole/lost_paths.rs
@@ -69,6 +69,11 @@
     assert!(failed.is_empty(), "{} of {count}: {failed:?}", failed.len());
 }
 
+/// Requests that have arrived at the upstreams, other than those of the stage.
+fn requests_at(harness: &Harness) -> usize {
+    harness.upstreams[..2].iter().map(|u| u.count()).sum()
+}
+
 /// Asserts that no upstream of requests got the same request as another, or twice.
 fn assert_sent_once(harness: &Harness) {
     let upstreams = harness.upstreams[..2].iter();
@@ -196,10 +201,9 @@
         for upstream in &harness.upstreams[..2] {
             upstream.set_replies(vec![Reply::UntilReleased(rx.clone())]);
         }
-        let asked = || -> usize { harness.upstreams[..2].iter().map(|u| u.count()).sum() };
-        let before = asked();
+        let before = requests_at(&harness);
         let asking = harness.spawn_ask(last, "/once/x", "1");
-        while asked() == before {
+        while requests_at(&harness) == before {
             Timer::after(Duration::from_millis(5)).await;
         }
         harness.link(last).set(Some(Cut::Resets));
@@ -230,10 +234,9 @@
         for upstream in &harness.upstreams[..2] {
             upstream.set_replies(vec![Reply::Pausing(first, silent)]);
         }
-        let asked = || -> usize { harness.upstreams[..2].iter().map(|u| u.count()).sum() };
-        let before = asked();
+        let before = requests_at(&harness);
         let asking = harness.spawn_ask(last, "/resume/x", "1");
-        while asked() == before {
+        while requests_at(&harness) == before {
             Timer::after(Duration::from_millis(5)).await;
         }
         for upstream in &harness.upstreams[..2] {
@@ -265,10 +268,9 @@
         for upstream in &harness.upstreams[..2] {
             upstream.set_replies(vec![Reply::UntilReleased(rx.clone())]);
         }
-        let asked = || -> usize { harness.upstreams[..2].iter().map(|u| u.count()).sum() };
-        let before = asked();
+        let before = requests_at(&harness);
         let asking = harness.spawn_ask(order[3], path, "1");
-        while asked() == before {
+        while requests_at(&harness) == before {
             Timer::after(Duration::from_millis(5)).await;
         }
         harness.link(order[1]).set(None);
@@ -332,10 +334,9 @@
         for upstream in &harness.upstreams[..2] {
             upstream.set_replies(vec![Reply::UntilReleased(rx.clone())]);
         }
-        let asked = || -> usize { harness.upstreams[..2].iter().map(|u| u.count()).sum() };
-        let before = asked();
+        let before = requests_at(&harness);
         let asking = harness.spawn_ask(order[3], "/once/x", "1");
-        while asked() == before {
+        while requests_at(&harness) == before {
             Timer::after(Duration::from_millis(5)).await;
         }
         Held {
