--- a/crates/gateway/src/forward_client.rs
+++ b/crates/gateway/src/forward_client.rs
@@ -136,7 +136,7 @@
     last_event: Option<u64>,
     on_write: impl Fn(),
 ) -> Option<Result<UpstreamResponse, NextSendError>> {
-    if request.forwarded.is_some() {
+    if request.forwarded.is_some() || request.time_left(state.now()).is_zero() {
         return None;
     }
     let mut refused = None;
