--- a/crates/serving/src/brittle_services.rs
+++ b/crates/serving/src/brittle_services.rs
@@ -66,8 +66,10 @@
 
 /// Requests that one instance may have in progress at the upstreams of a brittle service.
 ///
-/// The shares of all instances add up to the slots, so that an upstream has no queue and rejects
-/// nothing. An instance whose share would be less than one request has one.
+/// Each is at least 1, so that every instance can use every upstream. Over all upstreams the
+/// shares add up to the slots at most, or to one request per instance where that is more. The
+/// share of one upstream is rounded up, so that all instances together can exceed its slots: the
+/// rest waits there or is rejected.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct InFlightShare {
     /// At each upstream.
