Say how the end of a streamed answer was marked

Change: responses know their framing (length, chunked, until the connection closes); `stream ended` and `stream cut off` have it and the bytes after the last whole event; the counter `jd_gateway_stream_ends` by framing. No decision changes.

--- a/crates/gateway/src/event_stream.rs
+++ b/crates/gateway/src/event_stream.rs
@@ -7,6 +7,7 @@
 use futures_lite::FutureExt;
 use futures_lite::future;
 use jd_net::BodyError;
+use jd_net::BodyFraming;
 use jd_net::HttpResponse;
 use jd_net::SendError;
 use jd_net::with_timeout;
@@ -50,6 +51,7 @@
     state: Arc<State>,
     request: CallerRequest,
     response: Option<HttpResponse>,
+    framing: BodyFraming,
     attempt: ActiveAttempt,
     stages: Arc<StageRunner>,
     results: StageResults,
@@ -75,6 +77,7 @@
         EventStream {
             state: Arc::clone(state),
             request,
+            framing: response.http.framing,
             response: Some(response.http),
             attempt: response.attempt,
             stages: Arc::clone(stages),
@@ -160,6 +163,7 @@
         self.attempt.mark_completed();
         self.attempt.finish(AttemptOutcome::Answered);
         self.response = None;
+        self.state.metrics.stream_end(self.framing.as_str());
         let took = self.state.now().since(self.request.arrived);
         let first = self.first.map(|at| at.since(self.request.arrived));
         let tokens = self.request.head.prompt.as_ref().map(|p| p.tokens_in);
@@ -171,6 +175,8 @@
             parts = self.events,
             first_ms:? = first.map(|d| d.as_millis() as u64),
             pause_ms = self.longest_pause.as_millis() as u64,
+            framing = self.framing.as_str(),
+            partial_bytes = self.splitter.partial_bytes(),
             ms = took.as_millis() as u64;
             "stream ended"
         );
@@ -195,6 +201,8 @@
             outcome = outcome.as_str(),
             parts = self.events,
             last_event:? = self.splitter.last_event(),
+            framing = self.framing.as_str(),
+            partial_bytes = self.splitter.partial_bytes(),
             ms = self.state.now().since(self.request.arrived).as_millis() as u64;
             "stream cut off"
         );
@@ -238,6 +246,7 @@
                         "stream resumed on another upstream"
                     );
                     self.retries.possible_runs += 1;
+                    self.framing = response.http.framing;
                     self.response = Some(response.http);
                     self.attempt = response.attempt;
                     return true;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -27,6 +27,11 @@
     kind: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Framing {
+    framing: &'static str,
+}
+
 /// The metrics of the gateway, with their encoding as text.
 #[derive(Debug)]
 pub(crate) struct Metrics {
@@ -43,6 +48,7 @@
     notices: Family<Notice, Counter>,
     placements: Family<Outcome, Counter>,
     forwards: Family<Outcome, Counter>,
+    stream_ends: Family<Framing, Counter>,
     path_lost: Gauge,
     path_checks: Family<Outcome, Counter>,
     pace_reports: Family<Outcome, Counter>,
@@ -70,6 +76,7 @@
             notices: Family::default(),
             placements: Family::default(),
             forwards: Family::default(),
+            stream_ends: Family::default(),
             path_lost: Gauge::default(),
             path_checks: Family::default(),
             pace_reports: Family::default(),
@@ -135,6 +142,11 @@
             "Requests forwarded to another instance, and run for another, by outcome",
             metrics.forwards.clone(),
         );
+        r.register(
+            "jd_gateway_stream_ends",
+            "Streams that ended whole, by how the end of the response was marked",
+            metrics.stream_ends.clone(),
+        );
         r.register(
             "jd_gateway_path_lost",
             "1 while no upstream can be connected to",
@@ -232,6 +244,10 @@
         self.forwards.get_or_create(&Outcome { outcome }).inc();
     }
 
+    pub(crate) fn stream_end(&self, framing: &'static str) {
+        self.stream_ends.get_or_create(&Framing { framing }).inc();
+    }
+
     pub(crate) fn path_lost(&self, lost: bool) {
         self.path_lost.set(i64::from(lost));
     }
--- a/crates/net/src/http_response.rs
+++ b/crates/net/src/http_response.rs
@@ -9,6 +9,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
+use crate::BodyFraming;
 use crate::SendError;
 use crate::http_pool::Connection;
 use crate::http_pool::PoolState;
@@ -25,6 +26,8 @@
     pub headers: HeaderMap,
     /// True if the connection was opened for the request.
     pub opened: bool,
+    /// How the end of the body is marked.
+    pub framing: BodyFraming,
     body: Incoming,
     connection: Option<Connection>,
     shared: Arc<PoolState>,
@@ -39,6 +42,7 @@
         let (parts, body) = res.into_parts();
         HttpResponse {
             status: parts.status,
+            framing: BodyFraming::of(&parts.headers, &body),
             headers: parts.headers,
             opened: !connection.is_reused(),
             body,
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -6,6 +6,7 @@
 //! [`with_timeout`] bounds any wait.
 
 mod body;
+mod body_framing;
 mod clock;
 mod connector;
 mod grpc_channel;
@@ -25,6 +26,7 @@
 pub use body::full;
 pub use body::read_bounded;
 pub use body::stream;
+pub use body_framing::BodyFraming;
 pub use clock::Clock;
 pub use connector::ConnectFuture;
 pub use connector::Connector;
--- a/crates/serving/src/event_splitter.rs
+++ b/crates/serving/src/event_splitter.rs
@@ -43,6 +43,11 @@
         self.last
     }
 
+    /// The number of bytes of an incomplete event.
+    pub fn partial_bytes(&self) -> usize {
+        self.partial.len()
+    }
+
     /// Takes the bytes of an incomplete event.
     pub fn take_remaining(&mut self) -> Bytes {
         self.partial.split().freeze()
