Failing tests: streams that end inside an event are passed on as whole

Cause: the end of a body that is marked by the end of its connection counts as the end of the stream, also in the middle of an event; so does a last chunk. Change: a stand-in that answers without a length and closes or resets its connection, and tests of streams and plain responses through a whole gateway.

--- a/crates/gateway/tests/whole/fakes/mod.rs
+++ b/crates/gateway/tests/whole/fakes/mod.rs
@@ -13,6 +13,7 @@
 mod owners;
 mod stage_upstream;
 mod start_gateway;
+mod unframed_upstream;
 mod upstream_link;
 pub(crate) mod upstream_notices;
 
@@ -33,5 +34,8 @@
 pub(crate) use harness::Harness;
 pub(crate) use owners::owner_order;
 pub(crate) use stage_upstream::StageUpstream;
+pub(crate) use unframed_upstream::End;
+pub(crate) use unframed_upstream::UnframedReply;
+pub(crate) use unframed_upstream::UnframedUpstream;
 pub(crate) use upstream_link::Cut;
 pub(crate) use upstream_link::UpstreamLink;
--- a/crates/gateway/tests/whole/main.rs
+++ b/crates/gateway/tests/whole/main.rs
@@ -19,3 +19,4 @@
 mod placed_prompts;
 mod requests;
 mod restarts;
+mod unframed;
