A stream that ends inside an event has been broken off

Callers saw short answers that were framed as whole: an upstream broke a stream off that had neither a length nor chunks, and its connection was closed in order. Cause: the end of the body counted as the end of the stream. Without a length and chunks it only says that the connection was closed; the gateway passed the half event on and ended its own answer with the last chunk, which cannot be taken back. Change: the end of a body is judged by how it is marked and where it lies. Without a mark, only the end of an event proves that a stream is whole, and a body without any event is broken off. A mark does not make a stream whole that ends inside an event. A broken stream resumes on another upstream where its route allows that, and is visibly cut off elsewhere. Sound answers without a length are served as before. Plain answers without a length that are reset were a failure before and still are.

--- a/crates/gateway/src/event_stream.rs
+++ b/crates/gateway/src/event_stream.rs
@@ -13,6 +13,7 @@
 use jd_net::with_timeout;
 use jd_serving::EventSplitter;
 use jd_serving::RetryMode;
+use jd_serving::StreamEnd;
 use jd_types::AttemptOutcome;
 use jd_types::MonoTime;
 use jd_types::RunState;
@@ -116,8 +117,8 @@
                     }
                     None => continue,
                 },
-                Some(Ok(None)) => return self.finish(),
-                Some(Err(_)) => {
+                Some(Ok(None)) if self.is_whole() => return self.finish(),
+                Some(Ok(None) | Err(_)) => {
                     self.attempt.report_broken();
                     if let Some(target) = forwarded_to
                         && self.state.forwards.is_running(target).await
@@ -146,6 +147,10 @@
         }
     }
 
+    fn is_whole(&self) -> bool {
+        self.splitter.end(self.framing.marks_end()) == StreamEnd::Whole
+    }
+
     fn record_part(&mut self, events: &[u8]) {
         self.events += 1;
         let now = self.state.now();
@@ -224,7 +229,7 @@
     async fn resume(&mut self, outcome: AttemptOutcome) -> bool {
         self.response = None;
         self.attempt.finish(outcome);
-        let _partial_event = self.splitter.take_remaining();
+        self.splitter.begin_response();
         let mut is_unreachable = false;
         while self.may_resume() && (is_unreachable || self.may_retry()) {
             self.retries.forward_only = self.state.forwards.is_due(&self.state, &self.request);
--- a/crates/net/src/body_framing.rs
+++ b/crates/net/src/body_framing.rs
@@ -26,6 +26,12 @@
         }
     }
 
+    /// True if the end of the body is marked in the body or its head, so that a body which is cut
+    /// short is an error.
+    pub fn marks_end(self) -> bool {
+        self != BodyFraming::UntilClose
+    }
+
     /// The framing as logged.
     pub fn as_str(self) -> &'static str {
         match self {
--- a/crates/serving/src/event_splitter.rs
+++ b/crates/serving/src/event_splitter.rs
@@ -8,6 +8,15 @@
 /// Prefix of the line with an event's number.
 const ID_LINE: &[u8] = b"id:";
 
+/// What the end of a response body says about its stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StreamEnd {
+    /// The stream is complete.
+    Whole,
+    /// The upstream broke the stream off.
+    BrokenOff,
+}
+
 /// Splits a byte stream into complete events.
 ///
 /// Guards against an upstream that stops in the middle of an event: only complete events are
@@ -17,6 +26,8 @@
 pub struct EventSplitter {
     partial: BytesMut,
     last: Option<u64>,
+    /// True once the current response has brought an event.
+    has_events: bool,
 }
 
 impl EventSplitter {
@@ -26,6 +37,7 @@
         let end = find_last(&self.partial, EVENT_END)? + EVENT_END.len();
         let complete = self.partial.split_to(end).freeze();
         self.last = last_id(&complete).or(self.last);
+        self.has_events = true;
         Some(complete)
     }
 
@@ -48,7 +60,28 @@
         self.partial.len()
     }
 
-    /// Takes the bytes of an incomplete event.
+    /// Judges a response body that has ended without an error. `is_marked` is true if a length or
+    /// a last chunk marks its end.
+    ///
+    /// Without a mark, a process that breaks off and closes its connection in order looks like one
+    /// that has sent everything, so that only the end of an event shows that the stream is
+    /// complete. A marked body without any event is not an event stream and is passed on as it is.
+    pub fn end(&self, is_marked: bool) -> StreamEnd {
+        let ends_inside_event = self.partial.iter().any(|b| *b != b'\n');
+        match (self.has_events, ends_inside_event) {
+            (true, false) => StreamEnd::Whole,
+            (false, _) if is_marked => StreamEnd::Whole,
+            (true, true) | (false, _) => StreamEnd::BrokenOff,
+        }
+    }
+
+    /// Drops an incomplete event, and continues with the response of another upstream.
+    pub fn begin_response(&mut self) {
+        self.partial.clear();
+        self.has_events = false;
+    }
+
+    /// Takes the bytes after the last complete event.
     pub fn take_remaining(&mut self) -> Bytes {
         self.partial.split().freeze()
     }
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -106,6 +106,7 @@
 pub use estimate_bias::EstimateBias;
 pub use evacuated_zones::EvacuatedZones;
 pub use event_splitter::EventSplitter;
+pub use event_splitter::StreamEnd;
 pub use finished_job::FinishedJob;
 pub use finished_job::JobFailure;
 pub use finished_job::JobKey;
--- a/crates/serving/tests/requests.rs
+++ b/crates/serving/tests/requests.rs
@@ -17,6 +17,7 @@
 use jd_serving::Route;
 use jd_serving::Router;
 use jd_serving::Service;
+use jd_serving::StreamEnd;
 use jd_serving::Target;
 use jd_serving::place_prompt;
 use test_case::test_case;
@@ -141,6 +142,37 @@
     assert!(splitter.take_remaining().is_empty());
 }
 
+/// Guards against taking a stream for complete that its upstream broke off, and the other way
+/// round, by how the end of the body is marked and where it lies.
+#[test_case(b"id: 1\ndata: x\n\n", false, StreamEnd::Whole; "unmarked after an event")]
+#[test_case(b"id: 1\ndata: x\n\n\n", false, StreamEnd::Whole; "unmarked after a blank line")]
+#[test_case(b"id: 1\ndata: x\n\nid: 2", false, StreamEnd::BrokenOff; "unmarked inside an event")]
+#[test_case(b"", false, StreamEnd::BrokenOff; "unmarked and empty")]
+#[test_case(b"yours", false, StreamEnd::BrokenOff; "unmarked without an event")]
+#[test_case(b"id: 1\ndata: x\n\n", true, StreamEnd::Whole; "marked after an event")]
+#[test_case(b"id: 1\ndata: x\n\nid: 2", true, StreamEnd::BrokenOff; "marked inside an event")]
+#[test_case(b"", true, StreamEnd::Whole; "marked and empty")]
+#[test_case(b"yours", true, StreamEnd::Whole; "marked without an event")]
+fn the_end_of_a_body_tells_whether_its_stream_is_whole(
+    body: &[u8],
+    is_marked: bool,
+    expected: StreamEnd,
+) {
+    let mut splitter = EventSplitter::default();
+    splitter.push(body);
+    assert_eq!(splitter.end(is_marked), expected);
+}
+
+/// Guards against counting the events of the upstream that broke off for those of the next one.
+#[test]
+fn a_response_without_events_after_another_one_is_broken_off() {
+    let mut splitter = EventSplitter::default();
+    splitter.push(b"id: 1\ndata: x\n\nid: 2");
+    splitter.begin_response();
+    assert_eq!(splitter.end(false), StreamEnd::BrokenOff);
+    assert_eq!(splitter.last_event(), Some(1));
+}
+
 #[test]
 fn single_bytes_yield_the_same_events() {
     let text = b"id: 9\ndata: x\n\nid: 10\ndata: y\n\n";
