Say which software version begins and resumes a stream

Cause: the lines of the incident tell neither the version of an upstream nor which stream a caller takes up. Change: the entry of an upstream keeps the version of its software, which was checked and dropped before; the stream that a caller resumes is decoded, checked and bounded; the lines of upstreams and streams have both. No decision changes.

--- a/crates/gateway/src/active_attempt.rs
+++ b/crates/gateway/src/active_attempt.rs
@@ -10,6 +10,7 @@
 use jd_net::lock;
 use jd_serving::Content;
 use jd_serving::EventSplitter;
+use jd_serving::SoftwareVersion;
 use jd_serving::StreamPace;
 use jd_types::AttemptOutcome;
 use jd_types::MonoTime;
@@ -151,6 +152,11 @@
         chosen.map_or("of another instance", |chosen| chosen.id.as_str())
     }
 
+    /// The software version of the upstream; none if another instance runs the request.
+    pub(crate) fn software(&self) -> Option<&SoftwareVersion> {
+        self.chosen.as_ref().map(|chosen| &chosen.software)
+    }
+
     /// Returns shortly after the upstream is known to have restarted, or the instance that runs the
     /// request to be gone. The response of the earlier start will not come any more, unless it was sent before and is in transit.
     pub(crate) async fn until_restarted(&self) {
--- a/crates/gateway/src/event_stream.rs
+++ b/crates/gateway/src/event_stream.rs
@@ -13,6 +13,7 @@
 use jd_net::with_timeout;
 use jd_serving::EventSplitter;
 use jd_serving::RetryMode;
+use jd_serving::SoftwareVersion;
 use jd_serving::StreamEnd;
 use jd_types::AttemptOutcome;
 use jd_types::MonoTime;
@@ -247,6 +248,7 @@
                         request = self.request.id(),
                         content:% = self.request.content,
                         upstream = response.attempt.id(),
+                        software:? = response.attempt.software().map(SoftwareVersion::as_str),
                         last_event:? = last;
                         "stream resumed on another upstream"
                     );
--- a/crates/gateway/src/store_applier.rs
+++ b/crates/gateway/src/store_applier.rs
@@ -47,7 +47,7 @@
         self.written += 1;
         if self.each {
             let cold_ms = entry.cold_left.as_millis() as u64;
-            log::info!(upstream:% = entry.id, leaving = entry.leaving, cold_ms, revision:%; "upstream");
+            log::info!(upstream:% = entry.id, software = entry.software.as_str(), leaving = entry.leaving, cold_ms, revision:%; "upstream");
         }
     }
 
--- a/crates/gateway/src/streaming_call.rs
+++ b/crates/gateway/src/streaming_call.rs
@@ -9,6 +9,8 @@
 use jd_net::Body;
 use jd_net::with_timeout;
 use jd_serving::RetryMode;
+use jd_serving::SoftwareVersion;
+use jd_serving::StreamId;
 use jd_types::AttemptOutcome;
 use jd_types::Refusal;
 use jd_types::RefusalKind;
@@ -138,6 +140,9 @@
             content:% = request.content,
         route = request.route().name.as_str(),
         upstream = response.attempt.id(),
+        software:? = response.attempt.software().map(SoftwareVersion::as_str),
+        resumes:? = request.head.resumes.as_ref().map(StreamId::as_str),
+        last_event:? = request.head.last_event,
         status = status.as_u16(),
         config = request.router.version,
         attempts = retries.tried.len(),
--- a/crates/gateway/src/upstream_table.rs
+++ b/crates/gateway/src/upstream_table.rs
@@ -17,6 +17,7 @@
 use jd_serving::MAX_CANDIDATES;
 use jd_serving::PromptUpstream;
 use jd_serving::Shard;
+use jd_serving::SoftwareVersion;
 use jd_serving::StageUpstream;
 use jd_serving::UpstreamEntry;
 use jd_serving::UpstreamStart;
@@ -36,6 +37,8 @@
     pub(crate) id: CompactString,
     /// Identifies the start of the upstream process.
     pub(crate) start: UpstreamStart,
+    /// The version of its software.
+    pub(crate) software: SoftwareVersion,
     /// The load and health of the upstream, as seen by this instance.
     pub(crate) upstream: Arc<Upstream>,
     /// Set once the upstream is known to have restarted since.
@@ -68,6 +71,7 @@
 #[derive(Debug, Clone)]
 pub(crate) struct UpstreamRecord {
     pub(crate) start: UpstreamStart,
+    pub(crate) software: SoftwareVersion,
     pub(crate) upstream: Arc<Upstream>,
     restarted: Arc<Latch>,
     /// True if the upstream is in an evacuated zone and therefore gets no new requests.
@@ -85,6 +89,7 @@
         }
         UpstreamRecord {
             start: entry.start,
+            software: entry.software.clone(),
             cold: Arc::new(Mutex::new(cold)),
             upstream: Arc::new(Upstream::new(entry.address, entry.zone.clone(), since)),
             restarted: Arc::default(),
@@ -346,6 +351,7 @@
         SelectedUpstream {
             id: self.ids[key.index()].clone(),
             start: record.start,
+            software: record.software,
             upstream: record.upstream,
             restarted: record.restarted,
             cold: record.cold,
--- a/crates/gateway/tests/whole/fakes/deployments.rs
+++ b/crates/gateway/tests/whole/fakes/deployments.rs
@@ -13,6 +13,7 @@
 use jd_serving::RetryMode;
 use jd_serving::Route;
 use jd_serving::Service;
+use jd_serving::SoftwareVersion;
 use jd_serving::StageSpec;
 use jd_serving::Target;
 use jd_serving::UpstreamEntry;
@@ -55,6 +56,7 @@
     Record::Upstream(UpstreamEntry {
         id: id.into(),
         start,
+        software: SoftwareVersion::new("v1"),
         service: service.into(),
         address,
         zone: Name::try_from("a").expect("a name"),
--- a/crates/serving/src/call_head.rs
+++ b/crates/serving/src/call_head.rs
@@ -5,6 +5,7 @@
 use compact_str::CompactString;
 
 use crate::Prompt;
+use crate::StreamId;
 
 /// The head of a caller's request, decoded.
 #[derive(Debug, Clone, Default)]
@@ -23,4 +24,6 @@
     pub piece_key: Option<CompactString>,
     /// The last event that the caller has received, when it resumes a stream.
     pub last_event: Option<u64>,
+    /// The stream that the caller resumes, if it names one that can be read.
+    pub resumes: Option<StreamId>,
 }
--- a/crates/serving/src/upstream_directory.rs
+++ b/crates/serving/src/upstream_directory.rs
@@ -10,6 +10,7 @@
 use jd_types::Name;
 
 use crate::SnapshotKind;
+use crate::SoftwareVersion;
 use crate::UpstreamStart;
 use crate::departures::DepartureSource;
 use crate::departures::Departures;
@@ -26,6 +27,8 @@
     pub id: CompactString,
     /// The start that the entry belongs to.
     pub start: UpstreamStart,
+    /// The version of its software.
+    pub software: SoftwareVersion,
     /// The service that it belongs to.
     pub service: CompactString,
     /// The address that it answers at.
--- a/crates/serving/tests/growth.rs
+++ b/crates/serving/tests/growth.rs
@@ -13,6 +13,7 @@
 use jd_serving::Shard;
 use jd_serving::ShardMap;
 use jd_serving::SnapshotKind;
+use jd_serving::SoftwareVersion;
 use jd_serving::StoreItem;
 use jd_serving::StoreMirror;
 use jd_serving::StoreRevision;
@@ -49,6 +50,7 @@
 
 fn upstream(n: u64, leaving: bool) -> UpstreamEntry {
     UpstreamEntry {
+        software: SoftwareVersion::default(),
         id: format!("u{n}").into(),
         start: UpstreamStart::at_millis(1_000),
         service: "draft".into(),
--- a/crates/serving/tests/knowledge.rs
+++ b/crates/serving/tests/knowledge.rs
@@ -11,6 +11,7 @@
 use jd_serving::RetryBudget;
 use jd_serving::RetryLimit;
 use jd_serving::SnapshotKind;
+use jd_serving::SoftwareVersion;
 use jd_serving::StoreRevision;
 use jd_serving::UpstreamDirectory;
 use jd_serving::UpstreamEntry;
@@ -28,6 +29,7 @@
 
 fn upstream(id: &str, leaving: bool) -> UpstreamEntry {
     UpstreamEntry {
+        software: SoftwareVersion::default(),
         id: id.into(),
         start: UpstreamStart::UNKNOWN,
         service: "pool".into(),
--- a/crates/serving/tests/leaving.rs
+++ b/crates/serving/tests/leaving.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use jd_serving::SnapshotKind;
+use jd_serving::SoftwareVersion;
 use jd_serving::UpstreamDirectory;
 use jd_serving::UpstreamEntry;
 use jd_serving::UpstreamStart;
@@ -25,6 +26,7 @@
 
 fn entry(start: UpstreamStart) -> UpstreamEntry {
     UpstreamEntry {
+        software: SoftwareVersion::default(),
         id: "u".into(),
         start,
         service: "pool".into(),
--- a/crates/serving/tests/restarts.rs
+++ b/crates/serving/tests/restarts.rs
@@ -9,6 +9,7 @@
 
 use jd_serving::JobKey;
 use jd_serving::SnapshotKind;
+use jd_serving::SoftwareVersion;
 use jd_serving::StageUpstream;
 use jd_serving::StorageQuery;
 use jd_serving::StorageReport;
@@ -188,6 +189,7 @@
 
 fn entry(id: &str, start: UpstreamStart, port: u16) -> UpstreamEntry {
     UpstreamEntry {
+        software: SoftwareVersion::default(),
         id: id.into(),
         start,
         service: "pool".into(),
