Failing tests: streams go on at another software version than the one that began them

Cause: a stream resumes on any upstream of its service, in one response and at the next attempt of its caller alike. Change: tests of whole gateways before upstreams of two versions: in one response, with the version gone, taken up at the same instance, at another, after the first died and behind a cut, naming nothing known or another customer's stream, at an upstream that started again as another version.

--- a/crates/gateway/tests/whole/fakes/caller.rs
+++ b/crates/gateway/tests/whole/fakes/caller.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use http::HeaderValue;
 use http::Request;
 use jd_net::Body;
 use jd_net::HttpResponse;
@@ -33,6 +34,16 @@
     req.expect("a request")
 }
 
+/// A request that resumes a stream after its first event.
+pub(crate) fn resuming(path: &str, id: &str, key: &str, resumes: &str) -> Request<Body> {
+    let mut req = request(path, id, key);
+    let resumes = HeaderValue::from_str(resumes).expect("a value");
+    req.headers_mut().insert("resumes", resumes);
+    req.headers_mut()
+        .insert("after", HeaderValue::from_static("1"));
+    req
+}
+
 /// Reads a response to its end, or until its connection breaks.
 pub(crate) async fn read(mut response: HttpResponse) -> CallerResponse {
     let run = response.header("run").map(String::from);
--- a/crates/gateway/tests/whole/fakes/fake_dialect.rs
+++ b/crates/gateway/tests/whole/fakes/fake_dialect.rs
@@ -32,6 +32,7 @@
 use jd_serving::RequestRate;
 use jd_serving::RetryAfter;
 use jd_serving::RetryAfterError;
+use jd_serving::StreamId;
 use jd_serving::UpstreamLoad;
 use jd_serving::UpstreamLoadError;
 use jd_types::Refusal;
@@ -73,6 +74,8 @@
             // One piece for each stage that the route may have.
             pieces: vec![1; 2],
             prompt: prompt(parts.uri.path()),
+            last_event: text(headers, "after").and_then(|n| n.parse().ok()),
+            resumes: text(headers, "resumes").and_then(|id| StreamId::try_from(id).ok()),
             ..CallHead::default()
         }
     }
--- a/crates/gateway/tests/whole/fakes/fake_upstream.rs
+++ b/crates/gateway/tests/whole/fakes/fake_upstream.rs
@@ -29,6 +29,9 @@
 use jd_net::HttpServer;
 use jd_net::ServerLimits;
 
+/// The events of a stream that may resume.
+pub(crate) const STREAM: [&str; 2] = ["id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"];
+
 /// The reply of an upstream to one request.
 #[derive(Debug, Clone)]
 pub(crate) enum Reply {
@@ -54,6 +57,9 @@
         parts: &'static [&'static str],
         cut: bool,
     },
+    /// The first event of [`STREAM`], after which it breaks off if `cut`; the rest for a request
+    /// that resumes it.
+    Resumable { cut: bool },
     /// The first part of a stream, and the rest after a silence.
     Pausing(&'static [&'static str], Duration),
     /// A complete response once the sender of the channel sends or is dropped.
@@ -247,7 +253,21 @@
         let id = header("id").unwrap_or_default();
         let asked = (id.clone(), header("after"));
         self.asked.lock().expect("a lock").push(asked);
-        let reply = self.next();
+        let reply = match self.next() {
+            Reply::Resumable { .. } if header("after").is_some() => Reply::Stream {
+                parts: &STREAM[1..],
+                cut: false,
+            },
+            Reply::Resumable { cut: true } => Reply::Stream {
+                parts: &STREAM[..1],
+                cut: true,
+            },
+            Reply::Resumable { cut: false } => Reply::Stream {
+                parts: &STREAM,
+                cut: false,
+            },
+            reply => reply,
+        };
         let fetch = header("fetch");
         let running = Running::begin(&self);
         if running.before >= self.capacity.load(Ordering::Relaxed) {
@@ -305,6 +325,7 @@
                     });
                     answer(&id, StatusCode::OK, jd_net::stream(first.chain(rest)))
                 }
+                Reply::Resumable { .. } => unreachable!("replaced by a stream above"),
                 Reply::UntilReleased(rx) => {
                     // A closed channel releases the response as well.
                     let _ = rx.recv().await;
--- a/crates/gateway/tests/whole/fakes/harness.rs
+++ b/crates/gateway/tests/whole/fakes/harness.rs
@@ -15,6 +15,7 @@
 use jd_net::HttpPool;
 use jd_net::HttpServer;
 use jd_net::Workers;
+use jd_serving::SoftwareVersion;
 use jd_serving::UpstreamEntry;
 use jd_serving::UpstreamStart;
 use jd_types::Incarnation;
@@ -34,6 +35,7 @@
 use crate::fakes::caller::RESPONSE_TIMEOUT;
 use crate::fakes::caller::read;
 use crate::fakes::caller::request;
+use crate::fakes::caller::resuming;
 use crate::fakes::deployments::deployment;
 use crate::fakes::deployments::entry;
 use crate::fakes::deployments::staged_deployment;
@@ -162,6 +164,12 @@
         self.rewrite_entry(upstream, |entry| entry.cold_left = left);
     }
 
+    /// Changes the software version in an upstream's entry.
+    pub(crate) fn set_software(&self, upstream: usize, version: &str) {
+        let software = SoftwareVersion::new(version);
+        self.rewrite_entry(upstream, |entry| entry.software = software);
+    }
+
     /// Marks an upstream as leaving in its entry.
     #[allow(dead_code, reason = "used by the tests of restores")]
     pub(crate) fn leave(&self, upstream: usize) {
@@ -454,6 +462,23 @@
         })
     }
 
+    /// Has the gateway with this peer address resume a stream after its first event.
+    pub(crate) async fn resume(
+        &self,
+        peers: SocketAddr,
+        (path, key): (&str, &str),
+        id: &str,
+        resumes: &str,
+    ) -> CallerResponse {
+        let member = self.fleet.iter().find(|m| m.peers == peers);
+        let address = member.map_or(self.callers, |m| m.callers);
+        let req = resuming(path, id, key, resumes);
+        match self.pool.send(address, req, RESPONSE_TIMEOUT, true).await {
+            Some(Ok(response)) => read(response).await,
+            other => panic!("no answer from {address}: {other:?}"),
+        }
+    }
+
     async fn get(&self, address: SocketAddr, path: &str, id: &str, key: &str) -> CallerResponse {
         let sent = self
             .pool
--- a/crates/gateway/tests/whole/fakes/mod.rs
+++ b/crates/gateway/tests/whole/fakes/mod.rs
@@ -31,6 +31,7 @@
 pub(crate) use fake_upstream::FakeUpstream;
 pub(crate) use fake_upstream::FetchReply;
 pub(crate) use fake_upstream::Reply;
+pub(crate) use fake_upstream::STREAM;
 pub(crate) use harness::Harness;
 pub(crate) use owners::owner_order;
 pub(crate) use stage_upstream::StageUpstream;
--- a/crates/gateway/tests/whole/main.rs
+++ b/crates/gateway/tests/whole/main.rs
@@ -20,3 +20,4 @@
 mod requests;
 mod restarts;
 mod unframed;
+mod versions;
--- /dev/null
+++ b/crates/gateway/tests/whole/versions.rs
@@ -0,0 +1,250 @@
+//! Streams before upstreams of two software versions, which may only resume at the version that
+//! began them.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use async_io::Timer;
+use futures_lite::future::block_on;
+use jd_gateway::Change;
+use jd_gateway::Record;
+use jd_serving::CustomerSpec;
+use test_case::test_case;
+
+use crate::fakes::CallerResponse;
+use crate::fakes::Cut;
+use crate::fakes::Harness;
+use crate::fakes::Reply;
+use crate::fakes::STREAM;
+use crate::fakes::deployment;
+use crate::fakes::owner_order;
+
+/// Streams of one test. With upstreams selected at random, the chance that none of them crosses is
+/// below one in a hundred.
+const STREAMS: usize = 12;
+/// The first upstreams have one version, the others another one.
+const OF_EACH_VERSION: usize = 2;
+const RESUME: (&str, &str) = ("/resume/x", "key-1");
+
+/// A fleet before two upstreams of each version.
+async fn fleet(instances: usize, reply: Reply) -> Harness {
+    let replies = vec![vec![reply]; 2 * OF_EACH_VERSION];
+    let mut harness = Harness::start_cuttable(replies, vec![Reply::Complete("made")]);
+    harness.add_gateways(instances - 1);
+    let mut two = deployment();
+    two.version = 2;
+    two.customers.push(CustomerSpec {
+        name: "riders".into(),
+        credentials: vec!["key-2".into()],
+        priority: None,
+    });
+    let change = Change::Put(Record::Deployment(Box::new(two)));
+    harness.store.change(change);
+    for n in OF_EACH_VERSION..2 * OF_EACH_VERSION {
+        harness.set_software(n, "v2");
+    }
+    harness.until_ready(true).await;
+    harness.until_all_listed().await;
+    harness.until_all_answer("/open/x", 200).await;
+    harness
+}
+
+/// The version that ran an attempt, by the numbers of the upstreams that it reached.
+fn versions_of(harness: &Harness, id: &str) -> Vec<bool> {
+    let upstreams = harness.upstreams[..2 * OF_EACH_VERSION].iter().enumerate();
+    let runs = upstreams.flat_map(|(n, upstream)| {
+        let asked = upstream.asked.lock().expect("a lock");
+        let runs = asked.iter().filter(|(asked, _)| asked == id).count();
+        vec![n < OF_EACH_VERSION; runs]
+    });
+    runs.collect()
+}
+
+fn leave(harness: &Harness, upstreams: impl Iterator<Item = usize>) {
+    for n in upstreams {
+        let id = format!("i-{n}");
+        harness
+            .store
+            .change(Change::UpstreamRemoved(id.as_str().into()));
+    }
+}
+
+fn assert_refused_as_not_run(received: &CallerResponse) {
+    assert_eq!(received.status, 503, "{received:?}");
+    assert_eq!(received.run.as_deref(), Some("not run"));
+}
+
+/// Guards against a stream with events of two versions in one response.
+#[test]
+fn a_stream_resumes_in_one_response_only_at_the_version_that_began_it() {
+    block_on(async {
+        let harness = fleet(1, Reply::Resumable { cut: true }).await;
+        for n in 0..STREAMS {
+            let id = format!("s-{n}");
+            let received = harness.ask("/resume/x", &id).await;
+            assert_eq!(received.body, STREAM.concat());
+            assert!(received.whole);
+            let versions = versions_of(&harness, &id);
+            assert_eq!(versions.len(), 2);
+            assert_eq!(versions[0], versions[1], "{id} crossed");
+        }
+    });
+}
+
+/// Guards against a stream that goes on at another version, or ends as whole, because the version
+/// that began it has gone.
+#[test]
+fn a_stream_whose_version_has_gone_is_visibly_cut_off() {
+    block_on(async {
+        let harness = fleet(1, Reply::Resumable { cut: true }).await;
+        leave(&harness, [1, 3].into_iter());
+        while !harness.store.is_caught_up() {
+            Timer::after(Duration::from_millis(2)).await;
+        }
+        for n in 0..STREAMS {
+            let id = format!("s-{n}");
+            let received = harness.ask("/resume/x", &id).await;
+            assert_eq!((received.body.as_str(), received.whole), (STREAM[0], false));
+            assert_eq!(versions_of(&harness, &id).len(), 1);
+        }
+    });
+}
+
+/// Where a caller takes its stream up.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Next {
+    SameInstance,
+    AnotherInstance,
+    /// The instance that passed the first events on has been killed.
+    SurvivingInstance,
+    /// The instance reaches no upstream and forwards the request.
+    InstanceWithoutPath,
+}
+
+/// Guards against a stream that goes on at another version at the next attempt of its caller, and
+/// against refusing callers whose streams could go on.
+#[test_case(Next::SameInstance; "same instance")]
+#[test_case(Next::AnotherInstance; "another instance")]
+#[test_case(Next::SurvivingInstance; "after the first instance died")]
+#[test_case(Next::InstanceWithoutPath; "instance without a path")]
+fn a_caller_takes_a_stream_up_at_the_version_that_began_it(next: Next) {
+    block_on(async {
+        let mut harness = fleet(4, Reply::Resumable { cut: false }).await;
+        let order: Vec<SocketAddr> = owner_order(&harness.peer_addresses());
+        let (first, other) = (order[2], order[3]);
+        for n in 0..STREAMS {
+            let begun = harness.spawn_ask(first, "/resume/x", &format!("s-{n}"));
+            assert!(begun.await.whole);
+        }
+        let begun: Vec<bool> = (0..STREAMS)
+            .flat_map(|n| versions_of(&harness, &format!("s-{n}")))
+            .collect();
+        let to = match next {
+            Next::SameInstance => first,
+            _ => other,
+        };
+        match next {
+            Next::SurvivingInstance => harness.kill_gateway(first),
+            Next::InstanceWithoutPath => {
+                harness.link(other).set(Some(Cut::Resets));
+                until_path_lost(&harness, other).await;
+            }
+            Next::SameInstance | Next::AnotherInstance => {}
+        }
+        for (n, begun) in begun.into_iter().enumerate() {
+            let (id, origin) = (format!("t-{n}"), format!("s-{n}"));
+            let received = harness.resume(to, RESUME, &id, &origin).await;
+            assert_eq!(
+                (received.status, received.whole),
+                (200, true),
+                "{received:?}"
+            );
+            assert_eq!(received.body, STREAM[1]);
+            assert_eq!(versions_of(&harness, &id), [begun], "{origin} crossed");
+            // Some callers name the attempt that they resume instead of the first one.
+            let again = format!("u-{n}");
+            harness.resume(to, RESUME, &again, &id).await;
+            assert_eq!(versions_of(&harness, &again), [begun], "{id} crossed");
+        }
+    });
+}
+
+async fn until_path_lost(harness: &Harness, peers: SocketAddr) {
+    while harness.counter_total("jd_gateway_path_lost").await == 0 {
+        harness.spawn_ask(peers, "/any/x", "probe").await;
+    }
+}
+
+/// Guards against going on by chance where nobody knows which version began a stream, and against
+/// letting a request with another caller's stream go on.
+#[test_case(RESUME, "never-seen"; "unknown")]
+#[test_case(RESUME, ""; "unnamed")]
+#[test_case(("/resume/x", "key-2"), "s-1"; "of another customer")]
+fn a_stream_that_nobody_knows_is_refused_beside_two_versions(
+    (path, key): (&'static str, &'static str),
+    resumes: &str,
+) {
+    block_on(async {
+        let harness = fleet(4, Reply::Resumable { cut: false }).await;
+        let order = owner_order(&harness.peer_addresses());
+        assert!(harness.spawn_ask(order[2], "/resume/x", "s-1").await.whole);
+        for (n, instance) in order.iter().enumerate() {
+            let id = format!("t-{n}");
+            let received = harness.resume(*instance, (path, key), &id, resumes).await;
+            assert_refused_as_not_run(&received);
+            assert!(versions_of(&harness, &id).is_empty());
+        }
+    });
+}
+
+/// Guards against refusing streams that nobody knows where only one version can have begun them.
+#[test]
+fn a_stream_that_nobody_knows_goes_on_where_there_is_one_version() {
+    let harness = Harness::start(vec![vec![Reply::Resumable { cut: false }]; 2]);
+    block_on(async {
+        harness.until_ready(true).await;
+        let peers = harness.peer_addresses()[0];
+        let received = harness.resume(peers, RESUME, "t-1", "never-seen").await;
+        assert_eq!((received.status, received.whole), (200, true));
+    });
+}
+
+/// Guards against taking the version that is there now for the one that began a stream, when the
+/// other version has gone meanwhile.
+#[test]
+fn a_stream_that_nobody_knows_is_refused_once_the_other_version_has_gone() {
+    block_on(async {
+        let harness = fleet(1, Reply::Resumable { cut: false }).await;
+        leave(&harness, 0..OF_EACH_VERSION);
+        while !harness.store.is_caught_up() {
+            Timer::after(Duration::from_millis(2)).await;
+        }
+        let peers = harness.peer_addresses()[0];
+        let received = harness.resume(peers, RESUME, "t-1", "never-seen").await;
+        assert_refused_as_not_run(&received);
+    });
+}
+
+/// Guards against taking a stream up at the identity of an upstream that has started again as
+/// another version.
+#[test]
+fn a_stream_does_not_go_on_at_an_upstream_that_started_again_as_another_version() {
+    block_on(async {
+        let harness = fleet(1, Reply::Resumable { cut: false }).await;
+        leave(&harness, 1..2 * OF_EACH_VERSION);
+        while !harness.store.is_caught_up() {
+            Timer::after(Duration::from_millis(2)).await;
+        }
+        assert!(harness.ask("/resume/x", "s-1").await.whole);
+        assert_eq!(versions_of(&harness, "s-1"), [true]);
+        harness.set_software(0, "v3");
+        while !harness.store.is_caught_up() {
+            Timer::after(Duration::from_millis(2)).await;
+        }
+        let peers = harness.peer_addresses()[0];
+        let received = harness.resume(peers, RESUME, "t-1", "s-1").await;
+        assert_refused_as_not_run(&received);
+        // A new stream begins there.
+        assert!(harness.ask("/resume/x", "s-2").await.whole);
+    });
+}
