A stream resumes only at the software version that began it

Cause: the version in the entries of upstreams was checked and dropped. A stream resumed on any upstream of its service. Change: a stream is bound to the version of the upstream that brings its first event. Only upstreams of that version are selected to resume it, in one response, forwarded to another instance or not. The origin of a stream that may resume (ID, service, customer, version) is kept by its instance and sent to two others, of at most 24 in the fleet, by a hash of its ID; an instance at which a caller takes the stream up asks up to three. A stream whose origin nobody knows goes on where all upstreams have had one version for two minutes, and is refused as not run, before its stages, elsewhere; so is one of another customer, and one whose version has no upstream. An upstream that is listed again as another version counts as restarted, and a stream that it was passing on is uncertain. Ruled out: stale versions; no start under a known identity is in the operator's log. Bounds: 16,384 origins, 256 being sent, two calls a stream that may resume, at most three a stream that is taken up, 150 ms each.

--- a/crates/gateway/src/active_attempt.rs
+++ b/crates/gateway/src/active_attempt.rs
@@ -37,6 +37,8 @@
     /// The upstream; none if another instance runs the request.
     chosen: Option<SelectedUpstream>,
     forward: Option<ForwardGuard>,
+    /// The software version of the upstream; none if another instance does not tell it.
+    software: Option<SoftwareVersion>,
     service: CompactString,
     content: Content,
     began: MonoTime,
@@ -59,6 +61,7 @@
         let now = state.now();
         ActiveAttempt {
             forward: None,
+            software: Some(chosen.software.clone()),
             state: Arc::clone(state),
             service: request.service.clone(),
             content: request.content,
@@ -76,10 +79,12 @@
         state: &Arc<State>,
         request: &CallerRequest,
         guard: ForwardGuard,
+        software: Option<SoftwareVersion>,
     ) -> ActiveAttempt {
         ActiveAttempt {
             chosen: None,
             forward: Some(guard),
+            software,
             state: Arc::clone(state),
             service: request.service.clone(),
             content: request.content,
@@ -152,9 +157,17 @@
         chosen.map_or("of another instance", |chosen| chosen.id.as_str())
     }
 
-    /// The software version of the upstream; none if another instance runs the request.
+    /// The software version of the upstream; none if another instance does not tell it.
     pub(crate) fn software(&self) -> Option<&SoftwareVersion> {
-        self.chosen.as_ref().map(|chosen| &chosen.software)
+        self.software.as_ref()
+    }
+
+    /// True if the entry of the upstream names another software version than when the request was
+    /// sent, so that it is uncertain which one answered.
+    pub(crate) fn is_version_uncertain(&self) -> bool {
+        let table = self.state.upstreams.load();
+        let listed = self.chosen.as_ref().and_then(|c| table.software_of(&c.id));
+        listed.is_some_and(|listed| Some(listed) != self.software.as_ref())
     }
 
     /// Returns shortly after the upstream is known to have restarted, or the instance that runs the
--- a/crates/gateway/src/cluster_state.rs
+++ b/crates/gateway/src/cluster_state.rs
@@ -6,6 +6,7 @@
 use jd_serving::EvacuatedZones;
 use jd_serving::Freshness;
 use jd_serving::InstanceDirectory;
+use jd_serving::ServiceVersions;
 use jd_serving::Shard;
 use jd_serving::SourceHealth;
 use jd_serving::StoreItem;
@@ -31,6 +32,8 @@
 pub(crate) struct ClusterState {
     pub(crate) freshness: Freshness,
     pub(crate) upstreams: UpstreamDirectory,
+    /// The software versions that upstreams of each service had lately.
+    pub(crate) versions: ServiceVersions,
     pub(crate) evacuated_zones: EvacuatedZones,
     pub(crate) instances: InstanceDirectory,
     /// The deployment in force; none before the first one was read.
@@ -70,6 +73,13 @@
         };
     }
 
+    /// Records the software versions of the upstreams that are listed now.
+    pub(crate) fn record_versions(&mut self, now: MonoTime) {
+        let entries = self.upstreams.entries();
+        let listed = entries.map(|l| (&l.entry.service, &l.entry.software));
+        self.versions.record(now, listed);
+    }
+
     /// The version of the configuration in force here; 0 if there is none.
     pub(crate) fn deployment_version(&self) -> u64 {
         self.deployment.as_ref().map_or(0, |d| d.version)
--- a/crates/gateway/src/event_stream.rs
+++ b/crates/gateway/src/event_stream.rs
@@ -15,6 +15,8 @@
 use jd_serving::RetryMode;
 use jd_serving::SoftwareVersion;
 use jd_serving::StreamEnd;
+use jd_serving::StreamId;
+use jd_serving::StreamOrigin;
 use jd_types::AttemptOutcome;
 use jd_types::MonoTime;
 use jd_types::RunState;
@@ -46,6 +48,17 @@
     Deadline,
 }
 
+/// Whether a stream is bound to the software version of the upstream that began it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Binding {
+    /// No event was passed on, so that any version may begin the stream.
+    Unbound,
+    /// Only the version in [`RetryState::software`] may resume it.
+    Bound,
+    /// It is not certain which version began it, so that none may resume it.
+    Uncertain,
+}
+
 /// The events of one response. After a failure the stream resumes on another upstream after
 /// the last complete event, if the route allows that.
 #[derive(Debug)]
@@ -59,6 +72,7 @@
     results: StageResults,
     splitter: EventSplitter,
     retries: RetryState,
+    binding: Binding,
     events: u64,
     /// When the first and the last events were passed on.
     first: Option<MonoTime>,
@@ -76,7 +90,8 @@
         results: StageResults,
         retries: RetryState,
     ) -> EventStream {
-        EventStream {
+        let is_forwarded = request.forwarded.is_some();
+        let mut stream = EventStream {
             state: Arc::clone(state),
             request,
             framing: response.http.framing,
@@ -86,11 +101,17 @@
             results,
             splitter: EventSplitter::default(),
             retries,
+            binding: Binding::Unbound,
             events: 0,
             first: None,
             last: None,
             longest_pause: Duration::ZERO,
+        };
+        // The head has told the other instance the version.
+        if is_forwarded {
+            stream.bind();
         }
+        stream
     }
 
     /// The next part of the body and the remaining stream; none at the end.
@@ -153,6 +174,9 @@
     }
 
     fn record_part(&mut self, events: &[u8]) {
+        if self.binding == Binding::Unbound {
+            self.bind();
+        }
         self.events += 1;
         let now = self.state.now();
         let pause = now.since(self.last.unwrap_or(now));
@@ -165,6 +189,47 @@
         self.results.release();
     }
 
+    /// Binds the stream to the software version of the upstream that begins it, and records its
+    /// origin for the instances at which its caller may resume it.
+    fn bind(&mut self) {
+        if self.request.route().retry_mode != RetryMode::Resumable {
+            return;
+        }
+        let told = self.attempt.software().cloned();
+        let required = self.retries.software.take();
+        let software = told.or(required).or_else(|| self.only_version());
+        let is_certain = software.is_some() && !self.attempt.is_version_uncertain();
+        self.binding = match is_certain {
+            true => Binding::Bound,
+            false => Binding::Uncertain,
+        };
+        if software.is_some() {
+            self.record_origin(software.clone().filter(|_| is_certain));
+        }
+        self.retries.software = software;
+    }
+
+    /// The version of all upstreams of the service, if they have had the same one lately.
+    fn only_version(&self) -> Option<SoftwareVersion> {
+        let mut lately = self.state.versions_lately(&self.request.service);
+        lately.pop().filter(|_| lately.is_empty())
+    }
+
+    fn record_origin(&self, software: Option<SoftwareVersion>) {
+        let Ok(id) = StreamId::try_from(self.request.id()) else {
+            return;
+        };
+        let request = &self.request;
+        let origin = StreamOrigin {
+            service: request.service.clone(),
+            customer: request.customer.clone(),
+            software,
+        };
+        let patience = request.head.deadline.unwrap_or_default();
+        let until = request.arrived + patience.max(request.route().timeout);
+        self.state.streams.record(&self.state, id, origin, until);
+    }
+
     fn finish(mut self) -> Option<(Result<Bytes, BodyError>, EventStream)> {
         self.attempt.mark_completed();
         self.attempt.finish(AttemptOutcome::Answered);
@@ -221,6 +286,7 @@
     fn may_resume(&self) -> bool {
         let route = self.request.route();
         route.retry_mode == RetryMode::Resumable
+            && self.binding != Binding::Uncertain
             && self.retries.counted_runs() < route.max_attempts
             && self.retries.tried.len() < MAX_ATTEMPTS
     }
@@ -231,6 +297,10 @@
         self.response = None;
         self.attempt.finish(outcome);
         self.splitter.begin_response();
+        if self.binding == Binding::Bound && self.attempt.is_version_uncertain() {
+            self.binding = Binding::Uncertain;
+            self.record_origin(None);
+        }
         let mut is_unreachable = false;
         while self.may_resume() && (is_unreachable || self.may_retry()) {
             self.retries.forward_only = self.state.forwards.is_due(&self.state, &self.request);
--- a/crates/gateway/src/forward_client.rs
+++ b/crates/gateway/src/forward_client.rs
@@ -24,6 +24,7 @@
 use jd_net::SendError;
 use jd_net::lock;
 use jd_serving::ForwardTarget;
+use jd_serving::SoftwareVersion;
 use jd_types::AttemptOutcome;
 use jd_types::Refusal;
 use jd_types::RefusalKind;
@@ -156,6 +157,7 @@
             counted: retries.counted,
             version: state.forwards.latest_version(request.router.version),
             last_event,
+            software: retries.software.clone(),
         };
         match send(state, request, target.address, from, &on_write).await {
             Forwarded::Refused(refusal) => {
@@ -223,10 +225,14 @@
         "request forwarded"
     );
     Forwarded::Ended(Box::new(match result {
-        Ok((head, http)) => Ok(UpstreamResponse {
+        Ok(Begun {
             head,
             http,
-            attempt: ActiveAttempt::forwarded(state, request, guard),
+            software,
+        }) => Ok(UpstreamResponse {
+            head,
+            http,
+            attempt: ActiveAttempt::forwarded(state, request, guard, software),
         }),
         Err(DecodeError::NotTaken(refusal)) => return Forwarded::NotTaken(refusal),
         Err(DecodeError::Refused(refusal)) => return Forwarded::Refused(refusal),
@@ -255,6 +261,14 @@
     req
 }
 
+/// The response of an upstream, from another instance.
+struct Begun {
+    head: ResponseHead,
+    http: HttpResponse,
+    /// The software version of the upstream; none if the other instance does not tell.
+    software: Option<SoftwareVersion>,
+}
+
 /// Why another instance sent no response of an upstream.
 enum DecodeError {
     NotTaken(Refusal),
@@ -266,7 +280,7 @@
     state: &State,
     request: &CallerRequest,
     sent: Option<Result<HttpResponse, SendError>>,
-) -> Result<(ResponseHead, HttpResponse), DecodeError> {
+) -> Result<Begun, DecodeError> {
     let not_taken = |detail| Refusal::not_run(RefusalKind::NotServing, detail);
     let failed = |outcome, detail| DecodeError::Failed(failure(outcome, detail));
     match sent {
@@ -278,8 +292,15 @@
                 Some(refusal) if is_not_taken(&refusal) => Err(DecodeError::NotTaken(refusal)),
                 Some(refusal) => Err(DecodeError::Refused(refusal)),
                 None => {
+                    let software = forwarded_from::read_software(&response.headers);
                     forwarded_from::strip(&mut response.headers);
-                    validate(state, request, response).map_err(DecodeError::Failed)
+                    let validated = validate(state, request, response);
+                    let (head, http) = validated.map_err(DecodeError::Failed)?;
+                    Ok(Begun {
+                        head,
+                        http,
+                        software,
+                    })
                 }
             }
         }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -49,6 +49,7 @@
     placements: Family<Outcome, Counter>,
     forwards: Family<Outcome, Counter>,
     stream_ends: Family<Framing, Counter>,
+    stream_origins: Family<Outcome, Counter>,
     path_lost: Gauge,
     path_checks: Family<Outcome, Counter>,
     pace_reports: Family<Outcome, Counter>,
@@ -77,6 +78,7 @@
             placements: Family::default(),
             forwards: Family::default(),
             stream_ends: Family::default(),
+            stream_origins: Family::default(),
             path_lost: Gauge::default(),
             path_checks: Family::default(),
             pace_reports: Family::default(),
@@ -147,6 +149,11 @@
             "Streams that ended whole, by how the end of the response was marked",
             metrics.stream_ends.clone(),
         );
+        r.register(
+            "jd_gateway_stream_origins",
+            "Origins of streams sent to other instances, and looked up for callers that resume",
+            metrics.stream_origins.clone(),
+        );
         r.register(
             "jd_gateway_path_lost",
             "1 while no upstream can be connected to",
@@ -248,6 +255,12 @@
         self.stream_ends.get_or_create(&Framing { framing }).inc();
     }
 
+    pub(crate) fn stream_origin(&self, outcome: &'static str) {
+        self.stream_origins
+            .get_or_create(&Outcome { outcome })
+            .inc();
+    }
+
     pub(crate) fn path_lost(&self, lost: bool) {
         self.path_lost.set(i64::from(lost));
     }
--- a/crates/gateway/src/peer_api.rs
+++ b/crates/gateway/src/peer_api.rs
@@ -29,6 +29,10 @@
 use jd_wire::ReplicateResultsRequest;
 use jd_wire::StagesReply;
 use jd_wire::StagesRequest;
+use jd_wire::StreamQuery;
+use jd_wire::StreamQueryReply;
+use jd_wire::StreamRecord;
+use jd_wire::StreamRecordReply;
 use tonic::Status;
 use tower_service::Service;
 
@@ -42,6 +46,7 @@
 use crate::peer_quarantine;
 use crate::peer_replication;
 use crate::peer_stages;
+use crate::peer_streams;
 use crate::quarantine::QuarantineSource;
 use crate::quarantine_coordinator::QuarantineCoordinator;
 use crate::state::State;
@@ -151,6 +156,26 @@
         Ok(tonic::Response::new(ReleaseReply {}))
     }
 
+    async fn record_stream(
+        &self,
+        req: tonic::Request<StreamRecord>,
+    ) -> Result<tonic::Response<StreamRecordReply>, Status> {
+        let origin = peer_streams::origin_of(req.get_ref());
+        let (id, origin, lifetime) =
+            origin.ok_or_else(|| Status::invalid_argument("the origin of a stream is invalid"))?;
+        let state = &self.state;
+        state.streams.record_here(state.now(), id, origin, lifetime);
+        Ok(tonic::Response::new(StreamRecordReply {}))
+    }
+
+    async fn find_stream(
+        &self,
+        req: tonic::Request<StreamQuery>,
+    ) -> Result<tonic::Response<StreamQueryReply>, Status> {
+        let reply = peer_streams::handle_query(&self.state, req.get_ref());
+        Ok(tonic::Response::new(reply))
+    }
+
     async fn run_stages(
         &self,
         req: tonic::Request<StagesRequest>,
--- a/crates/gateway/src/placed_prompt.rs
+++ b/crates/gateway/src/placed_prompt.rs
@@ -9,6 +9,7 @@
 use jd_types::AttemptOutcome;
 
 use crate::caller_request::CallerRequest;
+use crate::selection_filter::SelectionFilter;
 use crate::state::State;
 use crate::upstream_table::SelectedUpstream;
 
@@ -48,14 +49,18 @@
         }
     }
 
-    /// The upstream that the owner selected, if it may be selected now.
-    pub(crate) fn take(&mut self, state: &State, request: &CallerRequest) -> Option<NextUpstream> {
+    /// The upstream that the owner selected, if `filter` allows it.
+    pub(crate) fn take(
+        &mut self,
+        state: &State,
+        request: &CallerRequest,
+        filter: &SelectionFilter<'_>,
+    ) -> Option<NextUpstream> {
         let placement = self.placement.take()?;
         let service = &request.service;
         let table = state.upstreams.load();
-        let filter = state.selection_filter(service);
         let placed = (placement.upstream.as_str(), placement.start);
-        let Some(chosen) = table.pick_placed(service, state.now(), placed, &filter) else {
+        let Some(chosen) = table.pick_placed(service, state.now(), placed, filter) else {
             state.metrics.placement("unusable");
             log::info!(
                 request = request.id(),
--- a/crates/gateway/src/selection_filter.rs
+++ b/crates/gateway/src/selection_filter.rs
@@ -3,6 +3,7 @@
 use jd_net::lock;
 use jd_serving::ColdSpec;
 use jd_serving::InFlightShare;
+use jd_serving::SoftwareVersion;
 use jd_types::MonoTime;
 
 use crate::state::State;
@@ -25,6 +26,8 @@
     pub(crate) cold: Option<ColdSpec>,
     /// What may be in progress at the upstreams; none if they are not brittle.
     pub(crate) brittle: Option<InFlightShare>,
+    /// The only software version that may be selected; none for all of them.
+    pub(crate) software: Option<SoftwareVersion>,
     /// Which rate-limited upstreams may be selected.
     pub(crate) limit_filter: LimitFilter,
     /// The backoffs, rate limits and instances that the conditions depend on.
@@ -34,12 +37,19 @@
 impl SelectionFilter<'_> {
     /// True if this instance may send to the upstream now.
     pub(crate) fn allows(&self, now: MonoTime, id: &str, record: &UpstreamRecord) -> bool {
-        self.not_backing_off(now, id, record)
+        self.is_of_version(record)
+            && self.not_backing_off(now, id, record)
             && self.has_brittle_share(record)
             && self.limit_allows(now, id)
             && self.cold_allows(now, record)
     }
 
+    /// True if the upstream has the software version that is required, if there is one.
+    pub(crate) fn is_of_version(&self, record: &UpstreamRecord) -> bool {
+        let required = self.software.as_ref();
+        required.is_none_or(|software| *software == record.software)
+    }
+
     fn has_brittle_share(&self, record: &UpstreamRecord) -> bool {
         let in_flight = record.upstream.in_flight();
         self.brittle.is_none_or(|share| in_flight < share.at_each)
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -28,6 +28,7 @@
 use jd_serving::Router;
 use jd_serving::Shard;
 use jd_serving::ShardMap;
+use jd_serving::SoftwareVersion;
 use jd_serving::SourceHealth;
 use jd_serving::StoreRevision;
 use jd_serving::UpdateSource;
@@ -56,6 +57,7 @@
 use crate::selection_filter::LimitFilter;
 use crate::selection_filter::SelectionFilter;
 use crate::signal::Signal;
+use crate::stream_registry::StreamRegistry;
 use crate::upstream_backoffs::UpstreamBackoffs;
 use crate::upstream_client::UpstreamClient;
 use crate::upstream_table::UpstreamTable;
@@ -88,6 +90,8 @@
     pub(crate) backoffs: UpstreamBackoffs,
     /// The services whose upstreams are brittle.
     pub(crate) brittle: Brittle,
+    /// Which software version began a stream.
+    pub(crate) streams: StreamRegistry,
     /// The pace of upstreams that generate.
     pub(crate) paces: Paces,
     /// Whether this instance has a network path to the upstreams.
@@ -148,6 +152,7 @@
             permit_retries: PermitRetries::default(),
             backoffs: UpstreamBackoffs::default(),
             brittle: Brittle::new(Arc::clone(&heartbeat_requested)),
+            streams: StreamRegistry::default(),
             paces: Paces::default(),
             path: OwnPath::new(),
             forwards: ForwardClient::new(pool),
@@ -299,6 +304,7 @@
         SelectionFilter {
             cold: self.cold_spec(service),
             brittle: self.brittle_share(service),
+            software: None,
             limit_filter: LimitFilter::PermitDue,
             state: self,
         }
@@ -310,6 +316,7 @@
         SelectionFilter {
             cold: None,
             brittle: None,
+            software: None,
             limit_filter: LimitFilter::Any,
             state: self,
         }
@@ -338,6 +345,13 @@
         allowed
     }
 
+    /// The software versions that upstreams of a service have or had lately.
+    pub(crate) fn versions_lately(&self, service: &str) -> Vec<SoftwareVersion> {
+        let cluster = self.cluster();
+        let versions = cluster.versions.lately(self.now(), service);
+        versions.cloned().collect()
+    }
+
     /// True if the upstreams of a service run stage pieces.
     pub(crate) fn serves_stages(&self, service: &str) -> bool {
         let router = self.router.load();
@@ -368,7 +382,8 @@
     pub(crate) fn rebuild_upstreams(&self) {
         let now = self.now();
         let zone = &self.settings.zone;
-        let cluster = self.cluster();
+        let mut cluster = self.cluster();
+        cluster.record_versions(now);
         let entries = cluster.upstreams.entries();
         let before = self.upstreams.load_full();
         let next = before.rebuilt(now, entries, &cluster.evacuated_zones, zone);
--- a/crates/gateway/src/streaming_call.rs
+++ b/crates/gateway/src/streaming_call.rs
@@ -8,6 +8,7 @@
 use http::Response;
 use jd_net::Body;
 use jd_net::with_timeout;
+use jd_serving::ResumeError;
 use jd_serving::RetryMode;
 use jd_serving::SoftwareVersion;
 use jd_serving::StreamId;
@@ -21,6 +22,7 @@
 use crate::caller_api::may_have_run;
 use crate::caller_request::CallerRequest;
 use crate::event_stream::EventStream;
+use crate::forwarded_from;
 use crate::placed_prompt::PlacedPrompt;
 use crate::signal::Signal;
 use crate::stage_results::StageResults;
@@ -50,6 +52,7 @@
     request: CallerRequest,
 ) -> Result<Response<Body>, Refusal> {
     let mut retries = RetryState::new(&request, FULL_RETRY);
+    retries.software = resumed_version(state, &request, retries.software).await?;
     retries.forward_only = state.forwards.is_due(state, &request);
     let mut results = match retries.forward_only {
         true => stages.no_results(),
@@ -124,6 +127,60 @@
     }
 }
 
+/// The software version at which a stream has to resume that its caller takes up; none for a new
+/// stream. Refuses the request before its stages if no upstream has that version, or if it is not
+/// known.
+async fn resumed_version(
+    state: &State,
+    request: &CallerRequest,
+    told: Option<SoftwareVersion>,
+) -> Result<Option<SoftwareVersion>, Refusal> {
+    let refusal =
+        |detail| Refusal::not_run(RefusalKind::NoUpstream, detail).with_retry_after(FULL_RETRY);
+    let software = match told {
+        Some(software) => software,
+        None => match find_version(state, request).await {
+            Ok(Some(software)) => software,
+            Ok(None) => return Ok(None),
+            Err(e) => return Err(refusal(e.detail())),
+        },
+    };
+    match state
+        .upstreams
+        .load()
+        .has_version(&request.service, &software)
+    {
+        true => Ok(Some(software)),
+        false => Err(refusal(
+            "no upstream has the software version that began the stream",
+        )),
+    }
+}
+
+async fn find_version(
+    state: &State,
+    request: &CallerRequest,
+) -> Result<Option<SoftwareVersion>, ResumeError> {
+    let (head, service) = (&request.head, &request.service);
+    let customer = request.customer.as_deref();
+    let resume_at = |stream| state.streams.resume_at(state, stream, service, customer);
+    // An instance of an earlier version of this program forwards the rest of a stream without the
+    // version that began it. The stream then has the ID of the request.
+    let own = request.forwarded.as_ref().and(head.last_event);
+    let own = own.and_then(|_| StreamId::try_from(request.id()).ok());
+    if own.is_some()
+        && let Ok(software) = resume_at(own.as_ref()).await
+    {
+        return Ok(Some(software));
+    }
+    match (&head.resumes, head.last_event) {
+        (None, None) => Ok(None),
+        (stream, Some(_)) => resume_at(stream.as_ref()).await.map(Some),
+        // Without an event to resume after, an unknown stream begins anew.
+        (stream, None) => Ok(resume_at(stream.as_ref()).await.ok()),
+    }
+}
+
 async fn begin_response(
     state: &Arc<State>,
     stages: &Arc<StageRunner>,
@@ -132,7 +189,10 @@
     results: StageResults,
     retries: RetryState,
 ) -> Result<Response<Body>, Refusal> {
-    let headers = state.dialect.caller_headers(&response.http.headers);
+    let mut headers = state.dialect.caller_headers(&response.http.headers);
+    if let (Some(_), Some(software)) = (&request.forwarded, response.attempt.software()) {
+        forwarded_from::write_software(&mut headers, software);
+    }
     let status = response.head.status;
     let took = state.now().since(request.arrived);
     log::info!(
--- a/crates/gateway/src/upstream_selection.rs
+++ b/crates/gateway/src/upstream_selection.rs
@@ -6,6 +6,7 @@
 
 use compact_str::CompactString;
 use jd_serving::InFlightShare;
+use jd_serving::SoftwareVersion;
 use jd_serving::StageUpstream;
 use jd_types::Refusal;
 use jd_types::RefusalKind;
@@ -62,6 +63,9 @@
     pub(crate) excused_runs: u32,
     /// True once its first send adds to the retry budget.
     pub(crate) counted: bool,
+    /// The software version that began the stream, at which alone it may resume; none while it has
+    /// no event.
+    pub(crate) software: Option<SoftwareVersion>,
     /// How many upstreams could not be connected to.
     unreachable: usize,
     /// True if its stages were not run here, so that only another instance can run it.
@@ -88,6 +92,7 @@
             possible_runs: from.map_or(0, |f| f.possible_runs),
             excused_runs: from.map_or(0, |f| f.excused_runs),
             counted: from.is_some_and(|f| f.counted),
+            software: from.and_then(|f| f.software.clone()),
             unreachable: 0,
             forward_only: false,
             forwarded_to: Vec::new(),
@@ -250,11 +255,12 @@
         return Err(retries.refuse(RefusalKind::DeadlinePassed, "the deadline passed"));
     }
     request.check_quarantine(state, retries.possible_runs)?;
-    if let Some(placed) = retries.placed.take(state, request) {
+    let mut filter = state.selection_filter(&request.service);
+    filter.software.clone_from(&retries.software);
+    if let Some(placed) = retries.placed.take(state, request, &filter) {
         return Ok(placed);
     }
     let table = state.upstreams.load();
-    let mut filter = state.selection_filter(&request.service);
     if retries.withheld >= MAX_WITHHELD_LIMITED {
         filter.limit_filter = LimitFilter::Unlimited;
     }
--- a/crates/gateway/src/upstream_table.rs
+++ b/crates/gateway/src/upstream_table.rs
@@ -97,10 +97,12 @@
         }
     }
 
-    /// The record for the upstream of `entry`, if `entry` is of the same start.
+    /// The record for the upstream of `entry`, if `entry` is of the same start. Another software
+    /// version means another start, also where starts are not told.
     fn kept_for(&self, entry: &UpstreamEntry) -> Option<UpstreamRecord> {
         let again = entry.start.is_later_than(self.start);
-        let same = !again && self.upstream.address == entry.address;
+        let same =
+            !again && self.upstream.address == entry.address && self.software == entry.software;
         same.then(|| UpstreamRecord {
             start: self.start.later(entry.start),
             ..self.clone()
@@ -219,6 +221,17 @@
         self.by_id.get(id).map(|record| record.start)
     }
 
+    /// The software version of an upstream that is listed and not shutting down.
+    pub(crate) fn software_of(&self, id: &str) -> Option<&SoftwareVersion> {
+        self.by_id.get(id).map(|record| &record.software)
+    }
+
+    /// True if an upstream of the service that may get new requests has this software version.
+    pub(crate) fn has_version(&self, service: &str, software: &SoftwareVersion) -> bool {
+        let table = self.services.get(service);
+        table.is_some_and(|t| t.records.iter().any(|r| r.software == *software))
+    }
+
     /// The upstream at an address; none if no entry has that address.
     pub(crate) fn by_address(&self, address: SocketAddr) -> Option<UpstreamRef> {
         self.services.iter().find_map(|(service, table)| {
@@ -269,8 +282,10 @@
         };
         let mut rng = fastrand::Rng::new();
         let policy = RoutingPolicy::TwoChoices;
-        let pick = table.pool.pick(policy, now, &req, &mut rng)?;
-        Some(table.chosen(pick.key))
+        let pick = table.pool.pick(policy, now, &req, &mut rng);
+        let key = pick.map(|pick| pick.key);
+        let key = key.or_else(|| filter.software.as_ref().and(table.least_used(&exclude)));
+        Some(table.chosen(key?))
     }
 
     /// Selects the upstream that caches the prompt of a session.
@@ -284,7 +299,7 @@
         filter: &SelectionFilter<'_>,
     ) -> Option<SelectedUpstream> {
         let table = self.services.get(service)?;
-        let views = table.views(now, &table.keys_of(tried));
+        let views = table.views(now, &table.keys_of(tried), filter);
         let order = place_prompt(session, &views, table.slots, instances);
         let allowed = |n: &usize| filter.allows(now, &table.ids[*n], &table.records[*n]);
         let first = order.into_iter().find(allowed)?;
@@ -358,6 +373,16 @@
         }
     }
 
+    /// The upstream with the fewest requests of this instance in progress, whether ejected or not:
+    /// the upstreams of one software version may all be ejected while others of the pool are not.
+    fn least_used(&self, exclude: &[UpstreamKey]) -> Option<UpstreamKey> {
+        let keys = (0..).map(UpstreamKey::from_index);
+        let all = keys.zip(self.pool.upstreams());
+        let allowed = all.filter(|(key, _)| !exclude.contains(key));
+        let least = allowed.min_by_key(|(_, upstream)| upstream.in_flight());
+        least.map(|(key, _)| key)
+    }
+
     /// The keys of the upstreams that match a predicate.
     fn keys(&self, matches: impl Fn(&str, &UpstreamRecord) -> bool) -> Vec<UpstreamKey> {
         let keys = (0..).map(UpstreamKey::from_index);
@@ -376,11 +401,19 @@
             .collect()
     }
 
-    /// The upstreams as candidates for a prompt. Ejections are ignored if all upstreams are
-    /// ejected, so that a wrong signal cannot leave a service without any upstream.
-    fn views(&self, now: MonoTime, exclude: &[UpstreamKey]) -> Vec<PromptUpstream> {
+    /// The upstreams as candidates for a prompt. Ejections are ignored if all upstreams of the
+    /// required software version are ejected, so that a wrong signal cannot leave a service
+    /// without any upstream.
+    fn views(
+        &self,
+        now: MonoTime,
+        exclude: &[UpstreamKey],
+        filter: &SelectionFilter<'_>,
+    ) -> Vec<PromptUpstream> {
         let upstreams = self.pool.upstreams();
-        let all_ejected = upstreams.iter().all(|u| u.is_ejected(now));
+        let of_version = upstreams.iter().zip(&self.records);
+        let mut of_version = of_version.filter(|(_, record)| filter.is_of_version(record));
+        let all_ejected = of_version.all(|(u, _)| u.is_ejected(now));
         let keys = (0..).map(UpstreamKey::from_index);
         let view = |(u, key): (&Arc<Upstream>, UpstreamKey)| PromptUpstream {
             address: u.address,
--- a/crates/gateway/tests/whole/fakes/fake_owner.rs
+++ b/crates/gateway/tests/whole/fakes/fake_owner.rs
@@ -37,6 +37,10 @@
 use jd_wire::ReplicateResultsRequest;
 use jd_wire::StagesReply;
 use jd_wire::StagesRequest;
+use jd_wire::StreamQuery;
+use jd_wire::StreamQueryReply;
+use jd_wire::StreamRecord;
+use jd_wire::StreamRecordReply;
 use tonic::Response;
 use tonic::Status;
 use tower_service::Service;
@@ -137,6 +141,20 @@
         Err(Status::unimplemented("it grants no permits"))
     }
 
+    async fn record_stream(
+        &self,
+        _req: tonic::Request<StreamRecord>,
+    ) -> Result<Response<StreamRecordReply>, Status> {
+        Ok(Response::new(StreamRecordReply {}))
+    }
+
+    async fn find_stream(
+        &self,
+        _req: tonic::Request<StreamQuery>,
+    ) -> Result<Response<StreamQueryReply>, Status> {
+        Ok(Response::new(StreamQueryReply::default()))
+    }
+
     async fn replicate_results(
         &self,
         _req: tonic::Request<ReplicateResultsRequest>,
--- a/crates/serving/src/stream_origin/mod.rs
+++ b/crates/serving/src/stream_origin/mod.rs
@@ -1,10 +1,20 @@
 //! Which software version of upstreams began a stream, and where it may resume.
 //!
-//! What two versions write does not fit together, and upstreams do not check this.
+//! Upstreams of several versions may serve side by side. What two versions write does not fit
+//! together, and upstreams do not check this.
 
+mod origins;
+mod resume_rule;
+mod service_versions;
 mod software_version;
 mod stream_id;
 
+pub use origins::StreamOrigin;
+pub use origins::StreamOrigins;
+pub use resume_rule::ResumeError;
+pub use resume_rule::resume_at;
+pub use service_versions::ServiceVersions;
 pub use software_version::SoftwareVersion;
+pub use software_version::SoftwareVersionError;
 pub use stream_id::StreamId;
 pub use stream_id::StreamIdError;
