Tokens of a prompt are fetched only from upstreams of the same software version

Cause: an upstream was told to fetch the shared tokens of a prompt from any upstream that had read them. What two software versions write does not fit together, and upstreams do not check it. Change: the planner considers, for each upstream, sources of its version only; the instance that sends the prompt drops a source of another version, also if an owner with an earlier build of this program names one. Evidence: `a_moved_prompt_fetches_no_tokens_of_another_software_version` failed before (one fetch from the other version) and passes now.

--- a/crates/gateway/src/placed_prompt.rs
+++ b/crates/gateway/src/placed_prompt.rs
@@ -70,7 +70,8 @@
             return None;
         };
         let source = placement.fetch_from.filter(|source| {
-            *source != chosen.upstream.address && table.serves_at(service, *source)
+            *source != chosen.upstream.address
+                && table.has_version_at(service, *source, &chosen.software)
         });
         state.metrics.placement(match source {
             Some(_) => "used-with-fetch",
--- a/crates/gateway/src/prompt_plans.rs
+++ b/crates/gateway/src/prompt_plans.rs
@@ -138,6 +138,7 @@
     PlacementCandidate {
         id: selected.id.clone(),
         start: selected.start,
+        software: selected.software.clone(),
         address: selected.upstream.address,
         read_tokens_per_ms: read_pace.unwrap_or(DEFAULT_READ_PACE * ratio),
         event_interval: EVENT_INTERVAL.div_f64(ratio),
--- a/crates/gateway/src/upstream_table.rs
+++ b/crates/gateway/src/upstream_table.rs
@@ -263,6 +263,18 @@
         table.is_some_and(|t| t.pool.upstreams().iter().any(|u| u.address == address))
     }
 
+    /// True if an upstream of the service has this address and software version.
+    pub(crate) fn has_version_at(
+        &self,
+        service: &str,
+        address: SocketAddr,
+        software: &SoftwareVersion,
+    ) -> bool {
+        let records = self.services.get(service).into_iter();
+        let mut records = records.flat_map(|t| &t.records);
+        records.any(|r| r.upstream.address == address && r.software == *software)
+    }
+
     /// Selects an upstream by load, preferring those in `zone`.
     pub(crate) fn pick_by_load(
         &self,
--- a/crates/gateway/tests/whole/placed_prompts.rs
+++ b/crates/gateway/tests/whole/placed_prompts.rs
@@ -44,6 +44,11 @@
 /// Two streams of a session run at its upstream, and a long prompt of the session arrives, which is
 /// moved and fetches the shared tokens.
 fn fetch_from_busy_upstream(source: FetchReply) -> Fetched {
+    move_from_busy_upstream(source, None)
+}
+
+/// The same, with another software version on the other upstreams.
+fn move_from_busy_upstream(source: FetchReply, others: Option<&str>) -> Fetched {
     let (release, held) = async_channel::bounded::<()>(1);
     let harness = start(Reply::UntilReleased(held));
     let (home, received, took) = block_on(async {
@@ -65,6 +70,14 @@
                 upstream.set_replies(vec![Reply::Complete("moved")]);
                 upstream.set_fetch_reply(source);
             }
+            if let Some(version) = others {
+                for n in (0..harness.upstreams.len()).filter(|n| *n != home) {
+                    harness.set_software(n, version);
+                }
+                while !harness.store.is_caught_up() {
+                    Timer::after(Duration::from_millis(2)).await;
+                }
+            }
             // The session's tokens count as held once the estimated reading time of 32 ms has
             // passed.
             Timer::after(Duration::from_millis(40)).await;
@@ -103,6 +116,16 @@
     assert_eq!(fetches(&harness), [harness.address(home).to_string()]);
 }
 
+/// Guards against an upstream that reads tokens which another software version has written.
+#[test]
+fn a_moved_prompt_fetches_no_tokens_of_another_software_version() {
+    let Fetched {
+        harness, received, ..
+    } = move_from_busy_upstream(FetchReply::Sends, Some("v2"));
+    assert_eq!((received.status, received.body.as_str()), (200, "moved"));
+    assert!(fetches(&harness).is_empty(), "{:?}", fetches(&harness));
+}
+
 /// The source breaks off and the upstream states that it did not run the request. The same upstream
 /// is asked again without a fetch, since it is up.
 #[test]
--- a/crates/serving/src/placement/candidate.rs
+++ b/crates/serving/src/placement/candidate.rs
@@ -5,6 +5,7 @@
 
 use compact_str::CompactString;
 
+use crate::SoftwareVersion;
 use crate::UpstreamStart;
 
 /// An upstream that a prompt may be placed at, with its pace.
@@ -14,6 +15,8 @@
     pub id: CompactString,
     /// Its start.
     pub start: UpstreamStart,
+    /// The version of its software. Tokens are fetched only from upstreams of the same version.
+    pub software: SoftwareVersion,
     /// The address that it answers at.
     pub address: SocketAddr,
     /// Prompt tokens that it reads in a millisecond.
--- a/crates/serving/src/placement/prompt_planner.rs
+++ b/crates/serving/src/placement/prompt_planner.rs
@@ -18,6 +18,7 @@
 use super::upstream_load::UpstreamLoad;
 use crate::GenerationSpec;
 use crate::PromptDemand;
+use crate::SoftwareVersion;
 use crate::UpstreamStart;
 
 /// Upstreams that are compared for one prompt. Bounds the time of a decision in shards with many
@@ -83,6 +84,7 @@
 struct FetchSource<'a> {
     id: &'a CompactString,
     start: UpstreamStart,
+    software: &'a SoftwareVersion,
     address: SocketAddr,
     /// The wait for earlier fetches.
     wait: Duration,
@@ -116,7 +118,11 @@
             let mut holders = holders.iter();
             holders.any(|h| h.upstream == c.id && h.start == c.start)
         };
-        let source = self.fetch_source(now, prompt, spec, &holders, candidates);
+        let sources = self.fetch_sources(now, prompt, spec, &holders, candidates);
+        let source_for = |c: &PlacementCandidate| {
+            let sources = sources.iter().filter(|s| *s.software == c.software);
+            sources.min_by_key(|s| s.wait).copied()
+        };
         let left = first_event_by.since(now);
         let slowdown = slowdown(candidates, median);
         // Holders first, then by preference.
@@ -125,7 +131,7 @@
             .map(|c| {
                 let held = holds(c);
                 let rank = preference(prompt.session, c, weighting);
-                let source = source.filter(|_| !held);
+                let source = source_for(c).filter(|_| !held);
                 let estimate = self.estimate(now, prompt, left, spec, c, held, source, slowdown);
                 (!held, rank, c, estimate)
             })
@@ -143,7 +149,7 @@
             _ if !not_held => PlacementReason::Held,
             _ => PlacementReason::Moved,
         };
-        let source = source.filter(|_| estimate.fetch.is_some());
+        let source = source_for(chosen).filter(|_| estimate.fetch.is_some());
         self.record(now, prompt, spec, chosen, &estimate, source);
         Some(PlacementDecision {
             placement: PromptPlacement {
@@ -185,20 +191,19 @@
         }
     }
 
-    /// The holder to fetch the session's tokens from: one that has read them, whose link is free
-    /// soonest.
-    fn fetch_source<'a>(
+    /// The holders that the session's tokens can be fetched from: those that have read them.
+    fn fetch_sources<'a>(
         &self,
         now: MonoTime,
         prompt: &PromptDemand,
         spec: &GenerationSpec,
         holders: &[&Holder],
         candidates: &'a [PlacementCandidate],
-    ) -> Option<FetchSource<'a>> {
+    ) -> Vec<FetchSource<'a>> {
         let bits =
             u64::from(prompt.shared_tokens).saturating_mul(spec.token_bytes.saturating_mul(8));
         if bits == 0 || spec.link_bits_per_s == 0 {
-            return None;
+            return Vec::new();
         }
         let transfer = bits as f64 / spec.link_bits_per_s as f64;
         let transfer = Duration::from_secs_f64(transfer.min(MAX_TRANSFER_SECONDS));
@@ -210,12 +215,13 @@
             source.observed.then(|| FetchSource {
                 id: &source.id,
                 start: source.start,
+                software: &source.software,
                 address: source.address,
                 wait: load.map_or(Duration::ZERO, |l| l.sends_until.since(now)),
                 transfer,
             })
         });
-        sources.min_by_key(|s| s.wait)
+        sources.collect()
     }
 
     #[allow(clippy::too_many_arguments, reason = "the inputs of one estimate")]
--- a/crates/serving/tests/prompt_fleet/mod.rs
+++ b/crates/serving/tests/prompt_fleet/mod.rs
@@ -12,6 +12,7 @@
 use jd_serving::PromptDemand;
 use jd_serving::PromptPlanner;
 use jd_serving::PromptUpstream;
+use jd_serving::SoftwareVersion;
 use jd_serving::UpstreamStart;
 use jd_serving::place_prompt;
 use jd_types::MonoTime;
@@ -279,6 +280,7 @@
         PlacementCandidate {
             id: format!("g-{n}").into(),
             start: UpstreamStart::UNKNOWN,
+            software: SoftwareVersion::default(),
             address: address(n),
             read_tokens_per_ms: TOKENS_PER_MS * self.measured_ratio,
             event_interval: Duration::from_secs_f64(interval / 1e3),
--- a/crates/serving/tests/prompt_planning.rs
+++ b/crates/serving/tests/prompt_planning.rs
@@ -13,6 +13,7 @@
 use jd_serving::PromptDemand;
 use jd_serving::PromptPlanner;
 use jd_serving::PromptUpstream;
+use jd_serving::SoftwareVersion;
 use jd_serving::UpstreamStart;
 use jd_serving::place_prompt;
 use jd_types::MonoTime;
@@ -156,8 +157,8 @@
     assert_eq!(later.streams, 0);
 }
 
-/// Tokens are fetched only from an upstream that has read them, was observed a moment ago, and has
-/// not restarted since.
+/// Tokens are fetched only from an upstream that has read them, was observed a moment ago, has not
+/// restarted since, and has the same software version.
 #[test]
 fn tokens_are_fetched_only_from_an_upstream_that_has_them() {
     let session = prompt(5, 20_000, 500, 100);
@@ -182,6 +183,10 @@
     assert_eq!(second(2_000, |holder| holder.observed = false).0, None);
     let restarted = |holder: &mut PlacementCandidate| holder.start = UpstreamStart::at_millis(1);
     assert_eq!(second(2_000, restarted).0, None);
+    let updated = |holder: &mut PlacementCandidate| {
+        holder.software = SoftwareVersion::try_from("v2").expect("a version");
+    };
+    assert_eq!(second(2_000, updated).0, None);
     // Its tokens were last used too long ago.
     assert_eq!(second(9_100, |_| {}).0, None);
 }
