The soak has answers without a length that break off, and upstreams of two versions

Change: from seed 7000 on links that make requests HTTP/1.0, so that answers of unknown length end with their connection, while upstreams break off inside events and links are reset; two upstreams of each of two software versions, some replaced by the other version under their identity or another one; callers that close streams after an event and take up those that end early, at any instance. Checked: no stream has events of two versions, over all attempts of its caller, and streams that are taken up go on at least half as often as new ones begin. A link that resets now sends a reset, where it closed connections in order before; relays pass a reset on.

--- a/soak/src/caller.rs
+++ b/soak/src/caller.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use async_io::Timer;
+use http::HeaderValue;
 use http::Method;
 use http::Request;
 use jd_net::Body;
@@ -18,16 +19,21 @@
 use crate::Attempt;
 use crate::Outcome;
 use crate::RequestKind;
+use crate::TakenUp;
 use crate::config::HOST;
 use crate::config::KEYS;
 use crate::environment::Environment;
+use crate::fake_upstream::EVENTS;
 use crate::fake_upstream::HOT;
 use crate::fake_upstream::crashing_body;
+use crate::versions;
 
 /// The time for which a caller waits for an answer.
 const DEADLINE: Duration = Duration::from_millis(3_000);
 /// The delay between two requests of a caller.
 const THINK_TIME: Duration = Duration::from_millis(40);
+/// How often a caller takes a stream up that ends early.
+const MAX_TAKE_UPS: usize = 2;
 /// The longest that a caller waits before it sends again, whatever `Retry-After` asks for.
 const MAX_PAUSE: Duration = Duration::from_millis(1_000);
 
@@ -45,6 +51,8 @@
     pub(crate) rng: fastrand::Rng,
     /// True if the caller also sends the hot request.
     pub(crate) hot: bool,
+    /// True if the caller breaks some streams off, and takes up those that end early.
+    pub(crate) takes_up: bool,
 }
 
 impl Caller {
@@ -78,23 +86,81 @@
         self.send(instance, kind).await
     }
 
-    /// Sends a request of this kind. Returns the time to wait if it was not served.
+    /// Sends a request of this kind, and takes its stream up if that ends early. Returns the time
+    /// to wait if it was not served.
     pub(crate) async fn send(&mut self, instance: usize, kind: RequestKind) -> Option<Duration> {
+        let (mut pause, mut attempt) = self.attempt(instance, kind, None).await;
+        for _ in 0..MAX_TAKE_UPS {
+            let resumes = self.takes_up && kind == RequestKind::ResumableStream;
+            let taken_up = self.taken_up(&attempt).filter(|_| resumes);
+            self.env.recorder.attempt(attempt);
+            let Some(taken_up) = taken_up else {
+                return pause;
+            };
+            Timer::after(pause.unwrap_or_default().min(MAX_PAUSE)).await;
+            let instance = self.rng.usize(..self.starts.len());
+            (pause, attempt) = self.attempt(instance, kind, Some(taken_up)).await;
+        }
+        self.env.recorder.attempt(attempt);
+        pause
+    }
+
+    /// The stream of an attempt that has brought events and not ended, or that the attempt could
+    /// not take up.
+    fn taken_up(&self, attempt: &Attempt) -> Option<TakenUp> {
+        let before = attempt.takes_up.as_ref();
+        let (last, software) = match &attempt.outcome {
+            Outcome::Response {
+                complete: true,
+                status,
+                ..
+            } if *status < 300 => return None,
+            Outcome::Response { body, .. } => versions::last_event(body)
+                .or_else(|| before.map(|b| (b.after, b.software.clone())))?,
+            _ => before.map(|b| (b.after, b.software.clone()))?,
+        };
+        if last >= EVENTS {
+            return None;
+        }
+        let origin = before.map_or(&attempt.id, |b| &b.origin);
+        Some(TakenUp {
+            origin: origin.clone(),
+            after: last,
+            serving: self.env.serving(&software),
+            software,
+        })
+    }
+
+    async fn attempt(
+        &mut self,
+        instance: usize,
+        kind: RequestKind,
+        takes_up: Option<TakenUp>,
+    ) -> (Option<Duration>, Attempt) {
         let id = format!("{:016x}", self.rng.u64(..));
         let key = KEYS[self.rng.usize(..KEYS.len())];
         let start = self.starts[instance].load(Ordering::Relaxed);
         let sent = self.env.recorder.now();
         let address = self.env.callers_at(instance);
-        let sending = self
-            .pool
-            .send(address, request(&id, kind, key), DEADLINE, false);
+        let req = request(&id, kind, key, takes_up.as_ref());
+        let sending = self.pool.send(address, req, DEADLINE, false);
+        // Some callers leave after an event.
+        let leaves = self.takes_up && kind == RequestKind::ResumableStream && self.rng.u8(..4) == 0;
+        let most_bytes = if leaves { 1 } else { usize::MAX };
         let (outcome, pause) = match sending.await {
-            Some(Ok(res)) => read(res).await,
+            Some(Ok(res)) => read(res, most_bytes).await,
             Some(Err(SendError::NotSent)) => (Outcome::NotSent, Some(THINK_TIME)),
             Some(Err(SendError::Broken)) => (Outcome::ConnectionLost, Some(THINK_TIME)),
             None => (Outcome::TimedOut, Some(THINK_TIME)),
         };
-        self.env.recorder.attempt(Attempt {
+        let is_cut = matches!(
+            &outcome,
+            Outcome::Response {
+                complete: false,
+                ..
+            }
+        );
+        let attempt = Attempt {
             id,
             kind,
             key,
@@ -102,12 +168,14 @@
             sent,
             ended: self.env.recorder.now(),
             outcome,
-        });
-        pause
+            takes_up,
+            abandoned: leaves && is_cut,
+        };
+        (pause, attempt)
     }
 }
 
-fn request(id: &str, kind: RequestKind, key: &str) -> Request<Body> {
+fn request(id: &str, kind: RequestKind, key: &str, takes_up: Option<&TakenUp>) -> Request<Body> {
     let path = match kind {
         RequestKind::Idempotent => "/look/x".into(),
         RequestKind::NonIdempotent => "/book/x".into(),
@@ -147,10 +215,18 @@
             req.headers_mut().insert(name, value);
         }
     }
+    if let Some(TakenUp { origin, after, .. }) = takes_up {
+        let after = HeaderValue::from(*after);
+        req.headers_mut().insert("last-event-id", after);
+        if let Ok(origin) = origin.parse() {
+            req.headers_mut().insert("resumes", origin);
+        }
+    }
     req
 }
 
-async fn read(mut res: HttpResponse) -> (Outcome, Option<Duration>) {
+/// Reads a response, and closes its connection once `most_bytes` of the body have arrived.
+async fn read(mut res: HttpResponse, most_bytes: usize) -> (Outcome, Option<Duration>) {
     let status = res.status.as_u16();
     let signature = res.header("jacinthdeal-signature").map(String::from);
     let retry_after = res.header("retry-after").and_then(|t| t.parse().ok());
@@ -160,6 +236,9 @@
     });
     let mut body = String::new();
     let complete = loop {
+        if res.status.is_success() && body.len() >= most_bytes {
+            break false;
+        }
         match with_timeout(DEADLINE, res.chunk()).await {
             Some(Ok(Some(part))) => body.push_str(&String::from_utf8_lossy(&part)),
             Some(Ok(None)) => break true,
--- a/soak/src/environment.rs
+++ b/soak/src/environment.rs
@@ -37,6 +37,10 @@
 const SERVICES: [&str; 9] = [
     "desk", "desk", "desk", "model", "model", "model", "rank", "rank", "rank",
 ];
+/// Further upstreams of soaks in which software versions differ, so that two have each version.
+const MORE_SERVICES: [&str; 1] = ["model"];
+/// The software versions of upstreams.
+const VERSIONS: [&str; 2] = ["v1", "v2"];
 /// Writes after the copy that a restore loses. The store assigns their revisions again.
 const LOST_WRITES: u32 = 30;
 /// The time for instances to read these writes before the store fails.
@@ -112,11 +116,12 @@
 
 impl Environment {
     /// Starts the environment of `instances` instances on loopback addresses that begin with
-    /// `network`.
+    /// `network`. Upstreams of one service have two software versions if `versions` is set.
     pub(crate) fn start(
         executor: &Arc<Executor<'static>>,
         network: [u8; 3],
         instances: usize,
+        versions: bool,
     ) -> std::io::Result<Environment> {
         let recorder = Arc::new(Recorder::default());
         let store = Arc::new(FakeStore::default());
@@ -137,8 +142,10 @@
         });
         let store_links = links.collect::<std::io::Result<Vec<Arc<Relay>>>>()?;
         let (tx, ended) = async_channel::unbounded();
-        let mut upstreams = Vec::with_capacity(SERVICES.len());
-        for (n, service) in SERVICES.into_iter().enumerate() {
+        let more = if versions { &MORE_SERVICES[..] } else { &[] };
+        let services = SERVICES.iter().chain(more).copied();
+        let mut upstreams: Vec<Upstream> = Vec::new();
+        for (n, service) in services.enumerate() {
             let address = at(network, FIRST_UPSTREAM + n, SERVICE_PORT);
             let link = Relay::start(
                 executor,
@@ -148,6 +155,10 @@
             let fake = FakeUpstream {
                 id: Mutex::new(new_id()),
                 started_ms: AtomicU64::new(unix_time_ms()),
+                software: Mutex::new(match versions && service == "model" {
+                    true => VERSIONS[n % VERSIONS.len()],
+                    false => VERSIONS[0],
+                }),
                 mode: Mutex::default(),
                 limit: Mutex::default(),
                 draining: AtomicBool::new(false),
@@ -241,7 +252,7 @@
         };
         let entry = json!({
             "service": upstream.service, "addr": upstream.link.address(), "zone": "hall-a",
-            "version": "v1", "slots": 16, "state": state, "cold_left_ms": 0, "seq": 1,
+            "version": *lock(&fake.software), "slots": 16, "state": state, "cold_left_ms": 0, "seq": 1,
             "born": fake.started_ms.load(Ordering::Relaxed),
         });
         self.store.put(&format!("servers/{id}"), &entry);
@@ -257,6 +268,39 @@
         self.register(upstream);
     }
 
+    /// Replaces an upstream by one of the other software version, under its identity or another
+    /// one. Its connections are lost.
+    pub(crate) async fn upgrade(&self, upstream: &Upstream, keeps_identity: bool) {
+        upstream.link.set(Some(LinkMode::Resets));
+        Timer::after(RESTART_DOWNTIME).await;
+        let fake = upstream.handler.fake();
+        {
+            let mut software = lock(&fake.software);
+            let other = VERSIONS.into_iter().find(|v| *v != *software);
+            *software = other.unwrap_or(VERSIONS[0]);
+        }
+        fake.started_ms.store(unix_time_ms(), Ordering::Relaxed);
+        match keeps_identity {
+            true => self.register(upstream),
+            false => self.replace(upstream),
+        }
+        // Until the new entry has been read, requests are taken for those of the earlier version.
+        Timer::after(READ_DELAY).await;
+        upstream.link.set(None);
+    }
+
+    /// Upstreams of this software version that answer with streams and get new requests.
+    pub(crate) fn serving(&self, software: &str) -> usize {
+        let models = self.upstreams.iter().filter(|u| u.service == "model");
+        let fakes = models.map(|u| u.handler.fake());
+        let serve = fakes.filter(|fake| {
+            let is_leaving = fake.draining.load(Ordering::Relaxed)
+                || fake.announces_leaving.load(Ordering::Relaxed);
+            *lock(&fake.software) == software && !is_leaving && lock(&fake.mode).is_none()
+        });
+        serve.count()
+    }
+
     /// Restores the store from a copy after an outage. Then the operator and the upstreams
     /// repeat their writes, and entries of upstreams that are gone are removed.
     pub(crate) async fn restore(&self, copy: Records) {
--- a/soak/src/fake_upstream.rs
+++ b/soak/src/fake_upstream.rs
@@ -10,6 +10,7 @@
 use async_channel::Sender;
 use async_io::Timer;
 use bytes::Bytes;
+use futures_lite::StreamExt;
 use futures_lite::future;
 use futures_lite::stream::unfold;
 use http::HeaderName;
@@ -17,7 +18,9 @@
 use http::Request;
 use http::Response;
 use http::StatusCode;
+use http::Version;
 use http::header::AUTHORIZATION;
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use jd_net::Body;
 use jd_net::ClientAddress;
@@ -65,6 +68,8 @@
     pub(crate) id: Mutex<String>,
     /// The time of the start, in milliseconds since 1970.
     pub(crate) started_ms: AtomicU64,
+    /// The version of its software.
+    pub(crate) software: Mutex<&'static str>,
     pub(crate) mode: Mutex<Option<UpstreamMode>>,
     /// The announced rate limit, in requests per second.
     pub(crate) limit: Mutex<Option<u32>>,
@@ -81,6 +86,7 @@
 /// The state of a stream.
 struct StreamState {
     id: String,
+    software: &'static str,
     next: u64,
     truncated: bool,
 }
@@ -166,7 +172,11 @@
         let streams = path.starts_with("/draft/") || path.starts_with("/tell/");
         let after = header("last-event-id").and_then(|t| t.parse().ok());
         let execute = self.execute(mode, &id, streams, after.unwrap_or(0), crashing.is_some());
-        let res = execute.await;
+        let res = match execute.await {
+            // A body of unknown length ends with its connection in HTTP/1.0.
+            res if parts.version == Version::HTTP_10 => res.map(|b| without_length(b, streams)),
+            res => res,
+        };
         signed(res, mode, &id, &me)
     }
 
@@ -185,6 +195,7 @@
             _ if streams => Response::new(jd_net::stream(unfold(
                 StreamState {
                     id: id.into(),
+                    software: *lock(&self.software),
                     next: after + 1,
                     truncated: mode == Some(UpstreamMode::Truncates),
                 },
@@ -203,14 +214,26 @@
     }
 }
 
+/// The same body without a known length. One that is torn goes silent if it is not a stream of
+/// events, since nothing but a reset would show that it is not whole.
+fn without_length(body: Body, streams: bool) -> Body {
+    let chunks = body.into_data_stream();
+    jd_net::stream(chunks.then(move |chunk| async move {
+        match chunk {
+            Err(_) if !streams => future::pending().await,
+            chunk => chunk,
+        }
+    }))
+}
+
 /// The body of an answer that is not a stream.
 pub(crate) fn plain_answer(id: &str) -> String {
     format!("answer to {id}")
 }
 
-/// The text of an event in a stream.
-pub(crate) fn event(id: &str, number: u64) -> String {
-    format!("id: {number}\ndata: {id} {number}\n\n")
+/// The text of an event in a stream, as an upstream of a software version writes it.
+pub(crate) fn event(id: &str, number: u64, software: &str) -> String {
+    format!("id: {number}\ndata: {id} {number} {software}\n\n")
 }
 
 async fn next_event(rest: StreamState) -> Option<(Result<Bytes, jd_net::BodyError>, StreamState)> {
@@ -221,7 +244,7 @@
     if rest.truncated && rest.next > TRUNCATED_EVENT {
         return Some((Err("torn".into()), rest));
     }
-    let mut text = event(&rest.id, rest.next);
+    let mut text = event(&rest.id, rest.next, rest.software);
     if rest.truncated && rest.next == TRUNCATED_EVENT {
         text.truncate(text.len() / 2);
     }
--- a/soak/src/fault.rs
+++ b/soak/src/fault.rs
@@ -47,6 +47,8 @@
 pub enum LinkMode {
     /// Every connection is reset.
     Resets,
+    /// Requests arrive as HTTP/1.0, so that answers of unknown length end with their connection.
+    Unframed,
     /// Open connections carry no more data; new connections work.
     BlackholesOpen,
     /// No connection carries data in either direction.
@@ -101,6 +103,9 @@
     ReplaceUpstream(usize),
     /// An upstream restarts under its identity and loses the results that it held.
     RestartUpstream(usize),
+    /// An upstream is replaced by one of the other software version, under its identity if the
+    /// flag is set.
+    Upgrade(usize, bool),
     /// A request that crashes every upstream which executes it is sent repeatedly for
     /// this time.
     CrashingRequest(u64, Duration),
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -24,6 +24,7 @@
 mod relay;
 mod run;
 mod store;
+mod versions;
 mod violation;
 
 pub use fault::Fault;
@@ -41,6 +42,7 @@
 pub use recorder::Outcome;
 pub use recorder::Recorder;
 pub use recorder::RequestKind;
+pub use recorder::TakenUp;
 pub use recorder::UpstreamRequest;
 pub use run::SoakReport;
 pub use run::soak;
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -32,6 +32,9 @@
 const NOTICES_FROM_SEED: u64 = 5_000;
 /// Plans from this seed on cut instances off from all upstreams. Earlier seeds keep their plans.
 const CUTS_FROM_SEED: u64 = 6_000;
+/// Plans from this seed on have upstreams of two software versions, answers without a length that
+/// break off, and callers that take streams up. Earlier seeds keep their plans.
+const VERSIONS_FROM_SEED: u64 = 7_000;
 /// Of these seeds, one in so many, with this remainder, has no other faults of instances or the
 /// store, since what these keep from being served says nothing about a cut.
 const CUTS_ONLY_EVERY: u64 = 4;
@@ -129,10 +132,18 @@
                 steps.retain(|s| !cuts::concerns_instances(s.fault));
             }
         }
+        if seed >= VERSIONS_FROM_SEED && !planned_only {
+            steps.extend(draw_broken_streams(&mut rng));
+        }
         steps.sort_by_key(|s| s.at);
         Plan { seed, steps }
     }
 
+    /// True if upstreams have two software versions and callers take streams up.
+    pub fn has_versions(&self) -> bool {
+        self.seed >= VERSIONS_FROM_SEED
+    }
+
     /// True if callers also send a hot request.
     pub fn has_hot(&self) -> bool {
         self.seed >= CRASHES_FROM_SEED
@@ -165,6 +176,28 @@
     faults.into_iter().map(step).collect()
 }
 
+fn draw_broken_streams(rng: &mut fastrand::Rng) -> Vec<Step> {
+    let mut faults = Vec::new();
+    for _ in 0..rng.usize(2..=4) {
+        let target = rng.usize(..);
+        let span = Duration::from_millis(rng.u64(1_500..5_000));
+        faults.push(Fault::UpstreamLink(target, LinkMode::Unframed, span));
+        let span = Duration::from_millis(rng.u64(300..3_000));
+        faults.push(Fault::Upstream(target, UpstreamMode::Truncates, span));
+    }
+    for _ in 0..rng.usize(1..=3) {
+        let span = Duration::from_millis(rng.u64(50..200));
+        faults.push(Fault::UpstreamLink(rng.usize(..), LinkMode::Resets, span));
+        faults.push(Fault::Upgrade(rng.usize(..), rng.bool()));
+    }
+    let step = |fault| {
+        let after = rng.u64(0..FAULT_PERIOD.as_millis() as u64 / 2);
+        let at = WARMUP + Duration::from_millis(after);
+        Step { at, fault }
+    };
+    faults.into_iter().map(step).collect()
+}
+
 fn draw_fault(rng: &mut fastrand::Rng) -> Fault {
     let target = rng.usize(..);
     let span = Duration::from_millis(rng.u64(300..3_000));
--- a/soak/src/recorder.rs
+++ b/soak/src/recorder.rs
@@ -51,6 +51,19 @@
     TimedOut,
 }
 
+/// The stream that an attempt takes up.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TakenUp {
+    /// The identity of the attempt that brought the first event.
+    pub origin: String,
+    /// The number of the last event that arrived.
+    pub after: u64,
+    /// The software version of the events so far.
+    pub software: String,
+    /// Upstreams of this version that served when the attempt was sent.
+    pub serving: usize,
+}
+
 /// A caller's attempt.
 #[derive(Debug, Clone)]
 pub struct Attempt {
@@ -68,6 +81,10 @@
     pub ended: Duration,
     /// The outcome.
     pub outcome: Outcome,
+    /// The stream that it takes up, if it does.
+    pub takes_up: Option<TakenUp>,
+    /// True if the caller closed the connection before the end.
+    pub abandoned: bool,
 }
 
 impl Attempt {
--- a/soak/src/relay.rs
+++ b/soak/src/relay.rs
@@ -8,6 +8,8 @@
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use async_executor::Executor;
@@ -23,12 +25,16 @@
 use rustix::net::AddressFamily;
 use rustix::net::SocketFlags;
 use rustix::net::SocketType;
+use rustix::net::sockopt;
 
 use crate::LinkMode;
 
 /// The interval at which relays check for a change of their mode.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
+/// The ends of request lines.
+const HTTP_1_1: &[u8] = b" HTTP/1.1\r\n";
+const HTTP_1_0: &[u8] = b" HTTP/1.0\r\n";
 /// Connections that the operating system queues for a relay.
 const BACKLOG: i32 = 128;
 
@@ -61,6 +67,22 @@
     ToClient,
 }
 
+/// How a relayed connection ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Ending {
+    Close,
+    Reset,
+}
+
+/// Changes a request to HTTP/1.0, if it begins in these bytes.
+fn downgrade(bytes: &mut [u8]) -> bool {
+    let version = bytes.windows(HTTP_1_1.len()).position(|w| w == HTTP_1_1);
+    if let Some(at) = version {
+        bytes[at..at + HTTP_1_0.len()].copy_from_slice(HTTP_1_0);
+    }
+    version.is_some()
+}
+
 impl Relay {
     pub(crate) fn start(
         executor: &Arc<Executor<'static>>,
@@ -184,21 +206,34 @@
         let Ok(to) = self.connect(&from).await else {
             return;
         };
-        let both = future::zip(
-            self.copy(number, &from, &to, Direction::ToServer),
-            self.copy(number, &to, &from, Direction::ToClient),
+        let unframed = AtomicBool::new(false);
+        let both = future::try_zip(
+            self.copy(number, &from, &to, Direction::ToServer, &unframed),
+            self.copy(number, &to, &from, Direction::ToClient, &unframed),
         );
-        let both = async {
-            both.await;
+        let both = async { both.await.map_or(Ending::Reset, |_| Ending::Close) };
+        let resets = async {
+            self.wait_for_mode(LinkMode::Resets).await;
+            Ending::Reset
         };
-        let over = future::or(
-            self.wait_for_mode(LinkMode::Resets),
-            self.wait_for_mode(LinkMode::Refuses),
-        );
-        future::or(both, over).await;
-        // The sockets may be closed already.
-        let _ = from.get_ref().shutdown(Shutdown::Both);
-        let _ = to.get_ref().shutdown(Shutdown::Both);
+        let refuses = async {
+            self.wait_for_mode(LinkMode::Refuses).await;
+            // A close in order would end an unframed answer as if it were whole.
+            match unframed.load(Ordering::Relaxed) {
+                true => Ending::Reset,
+                false => Ending::Close,
+            }
+        };
+        let ending = future::or(both, future::or(resets, refuses)).await;
+        for socket in [&from, &to] {
+            // The sockets may be closed already.
+            let _ = match ending {
+                Ending::Close => socket.get_ref().shutdown(Shutdown::Both),
+                // Closing the socket resets the connection then.
+                Ending::Reset => sockopt::set_socket_linger(socket, Some(Duration::ZERO))
+                    .map_err(io::Error::from),
+            };
+        }
     }
 
     /// Connects to the destination from the address that the client has, or that is set, so that
@@ -231,17 +266,27 @@
         from: &Async<TcpStream>,
         to: &Async<TcpStream>,
         direction: Direction,
-    ) {
+        unframed: &AtomicBool,
+    ) -> io::Result<()> {
         let (mut from, mut to) = (from, to);
         let mut buf = vec![0; 16 << 10];
-        while let Ok(read @ 1..) = from.read(&mut buf).await {
+        loop {
+            let read = from.read(&mut buf).await?;
+            if read == 0 {
+                break;
+            }
             self.wait_until_forwarding(number, direction).await;
+            let is_unframed = lock(&self.state).mode == Some(LinkMode::Unframed);
+            if is_unframed && direction == Direction::ToServer && downgrade(&mut buf[..read]) {
+                unframed.store(true, Ordering::Relaxed);
+            }
             if to.write_all(&buf[..read]).await.is_err() {
                 break;
             }
         }
         // Passes the end of the stream on; the socket may be closed already.
         let _ = to.get_ref().shutdown(Shutdown::Write);
+        Ok(())
     }
 
     /// Waits until data of a connection may be forwarded.
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -78,7 +78,8 @@
     network: [u8; 3],
     instances: usize,
 ) -> io::Result<SoakReport> {
-    let env = Arc::new(Environment::start(executor, network, instances)?);
+    let versions = plan.has_versions();
+    let env = Arc::new(Environment::start(executor, network, instances, versions)?);
     // The last entry is for the store.
     let held = instances + env.upstreams.len() + 1;
     let runner = Arc::new(Runner {
@@ -99,7 +100,7 @@
     }
     let stopped = Arc::new(AtomicBool::new(false));
     let lag = executor.spawn(measure_lag(Arc::clone(&env), Arc::clone(&stopped)));
-    let callers = start_callers(executor, &runner, &stopped, plan.seed, plan.has_hot());
+    let callers = start_callers(executor, &runner, &stopped, plan);
     let began = env.recorder.now();
     let mut steps: Vec<Task<io::Result<()>>> = Vec::new();
     for step in &plan.steps {
@@ -144,8 +145,7 @@
     executor: &Arc<Executor<'static>>,
     runner: &Arc<Runner>,
     stopped: &Arc<AtomicBool>,
-    seed: u64,
-    hot: bool,
+    plan: &Plan,
 ) -> Vec<Task<()>> {
     let count = runner.starts.len() * CALLERS_PER_INSTANCE;
     let callers = (0..count as u64).map(|n| {
@@ -155,8 +155,9 @@
             pool: HttpPool::new(Arc::clone(executor), Clock::start()),
             starts: Arc::clone(&runner.starts),
             stopped: Arc::clone(stopped),
-            rng: fastrand::Rng::with_seed(seed.wrapping_mul(1_000) + n),
-            hot,
+            rng: fastrand::Rng::with_seed(plan.seed.wrapping_mul(1_000) + n),
+            hot: plan.has_hot(),
+            takes_up: plan.has_versions(),
         };
         executor.spawn(caller.run())
     });
@@ -218,6 +219,7 @@
             | Fault::DrainByAnswers(n)
             | Fault::ReplaceUpstream(n)
             | Fault::RestartUpstream(n)
+            | Fault::Upgrade(n, _)
             | Fault::Limit(n, _, _) => Some(instances + n % upstreams),
             Fault::Restore(_) => Some(instances + upstreams),
             _ => None,
@@ -248,6 +250,7 @@
             | Fault::DrainByAnswers(n)
             | Fault::ReplaceUpstream(n)
             | Fault::RestartUpstream(n)
+            | Fault::Upgrade(n, _)
             | Fault::Upstream(n, _, _)
             | Fault::Limit(n, _, _) => upstreams[n % upstreams.len()].handler.fake().id(),
             _ => String::new(),
@@ -352,6 +355,9 @@
             }
             Fault::ReplaceUpstream(n) => self.env.replace(upstream(n)),
             Fault::RestartUpstream(n) => self.env.restart(upstream(n)).await,
+            Fault::Upgrade(n, keeps_identity) => {
+                self.env.upgrade(upstream(n), keeps_identity).await;
+            }
             Fault::CrashingRequest(number, span) => self.repeat_crashing(number, span).await,
             Fault::Configure => return Ok(Some(self.env.configure().to_string())),
             Fault::Revoke => return Ok(Some(self.env.revoke().unwrap_or("").into())),
@@ -381,6 +387,7 @@
                 stopped: Arc::default(),
                 rng: rng.fork(),
                 hot: false,
+                takes_up: false,
             };
             let instance = rng.usize(..self.starts.len());
             let sending = async move {
