A stream for a caller of HTTP/1.0 has a length

Callers that cannot read chunks got a stream that ended with its connection, so that a broken one looked whole. Cause: the framing of a stream to its caller was left to the server, which has no chunks in HTTP/1.0 and closes the connection in order after an error. Change: such a stream is read whole, up to 8 MB, and sent with its length; a broken one is answered with 502, since its status is not out yet. Evidence: `a_stream_for_http_1_0_has_a_length_or_is_an_error` failed in both cases before and passes now.

--- a/crates/gateway/src/streaming_call.rs
+++ b/crates/gateway/src/streaming_call.rs
@@ -6,6 +6,7 @@
 use futures_lite::FutureExt;
 use futures_lite::stream::unfold;
 use http::Response;
+use http::Version;
 use jd_net::Body;
 use jd_net::with_timeout;
 use jd_serving::ResumeError;
@@ -41,6 +42,8 @@
 const FULL_RETRY: Duration = Duration::from_millis(500);
 /// The largest error response of an upstream that is passed on, in bytes.
 const MAX_ERROR_BODY: usize = 1 << 20;
+/// The largest stream that is sent with a length, to callers that cannot read chunks, in bytes.
+const MAX_UNCHUNKED_STREAM: usize = 8 << 20;
 /// How long an upstream may take to begin a response that another upstream could also give.
 /// Several times the time to read the longest prompts.
 const RESPONSE_START_TIMEOUT: Duration = Duration::from_millis(2_500);
@@ -194,6 +197,7 @@
         forwarded_from::write_software(&mut headers, software);
     }
     let status = response.head.status;
+    let version = request.parts.version;
     let took = state.now().since(request.arrived);
     log::info!(
         request = request.id(),
@@ -214,7 +218,11 @@
         true => {
             state.metrics.request("answered", took);
             let events = EventStream::new(state, stages, request, response, results, retries);
-            jd_net::stream(unfold(events, EventStream::next))
+            let body = jd_net::stream(unfold(events, EventStream::next));
+            match version {
+                Version::HTTP_11 | Version::HTTP_2 => body,
+                _ => read_whole(body).await?,
+            }
         }
         false => {
             state.metrics.request("failed", took);
@@ -227,6 +235,15 @@
     Ok(res)
 }
 
+/// The whole body of a stream. Without chunks, as in HTTP/1.0, only a length shows the caller that
+/// something is missing.
+async fn read_whole(body: Body) -> Result<Body, Refusal> {
+    let read = jd_net::read_bounded(body, MAX_UNCHUNKED_STREAM).await;
+    let detail = "the stream broke off; ask again in HTTP/1.1 to receive it in parts";
+    read.map(jd_net::full)
+        .map_err(|_| may_have_run(RefusalKind::UpstreamFailed, detail))
+}
+
 async fn error_body(
     state: &State,
     request: &CallerRequest,
--- a/crates/gateway/tests/whole/fakes/harness.rs
+++ b/crates/gateway/tests/whole/fakes/harness.rs
@@ -1,11 +1,15 @@
 //! A gateway with fake upstreams and a fake store, and a caller.
 
 use std::net::SocketAddr;
+use std::net::TcpStream;
 use std::sync::Arc;
 use std::time::Duration;
 
 use async_executor::Executor;
+use async_io::Async;
 use async_io::Timer;
+use futures_lite::AsyncReadExt;
+use futures_lite::AsyncWriteExt;
 use http::StatusCode;
 use jd_gateway::Change;
 use jd_gateway::Gateway;
@@ -434,6 +438,20 @@
         self.get(self.callers, path, "x", key).await
     }
 
+    /// Sends a request in HTTP/1.0 and returns all bytes of the response.
+    pub(crate) async fn ask_in_http_1_0(&self, path: &str) -> String {
+        let connecting = Async::<TcpStream>::connect(self.callers);
+        let mut connection = connecting.await.expect("a connection");
+        let head =
+            format!("GET {path} HTTP/1.0\r\nhost: desk.example\r\nid: 1\r\nkey: key-1\r\n\r\n");
+        let sent = connection.write_all(head.as_bytes()).await;
+        sent.expect("a connection that takes a request");
+        let mut response = String::new();
+        // A reset ends a response as well.
+        let _ = connection.read_to_string(&mut response).await;
+        response
+    }
+
     /// Runs `f` concurrently with the test.
     pub(crate) fn spawn<T: Send + 'static>(
         &self,
--- a/crates/gateway/tests/whole/unframed.rs
+++ b/crates/gateway/tests/whole/unframed.rs
@@ -8,6 +8,7 @@
 use crate::fakes::End;
 use crate::fakes::Harness;
 use crate::fakes::Reply;
+use crate::fakes::STREAM;
 use crate::fakes::UnframedReply;
 use crate::fakes::UnframedUpstream;
 use crate::fakes::entry;
@@ -119,6 +120,29 @@
     });
 }
 
+/// Guards against a broken stream that looks whole to a caller of HTTP/1.0, whose responses have no
+/// chunks: only a length can show that something is missing.
+#[test_case(true; "broken")]
+#[test_case(false; "whole")]
+fn a_stream_for_http_1_0_has_a_length_or_is_an_error(cut: bool) {
+    let harness = Harness::start(vec![vec![Reply::Resumable { cut }]]);
+    block_on(async {
+        harness.until_ready(true).await;
+        let response = harness.ask_in_http_1_0("/stream/x").await.to_lowercase();
+        let status = response.split(' ').nth(1);
+        let body = STREAM.concat();
+        match cut {
+            true => assert_eq!(status, Some("502"), "{response}"),
+            false => {
+                assert_eq!(status, Some("200"), "{response}");
+                let length = format!("content-length: {}\r\n", body.len());
+                assert!(response.contains(&length), "{response}");
+                assert!(response.ends_with(&body), "{response}");
+            }
+        }
+    });
+}
+
 /// Guards against passing on a plain response that was reset before its end, which is a success
 /// for nobody, and against running it again where that is not allowed.
 #[test_case("/any/x", 2; "repeatable")]
--- a/crates/net/src/body.rs
+++ b/crates/net/src/body.rs
@@ -11,7 +11,6 @@
 use http_body_util::StreamBody;
 use http_body_util::combinators::UnsyncBoxBody;
 use hyper::body::Frame;
-use hyper::body::Incoming;
 use snafu::Snafu;
 
 /// An error while a body is produced.
@@ -55,8 +54,11 @@
     Truncated,
 }
 
-/// Reads a body of at most `limit` bytes.
-pub async fn read_bounded(mut body: Incoming, limit: usize) -> Result<Bytes, BodyReadError> {
+/// Reads a received or a produced body of at most `limit` bytes.
+pub async fn read_bounded<B>(mut body: B, limit: usize) -> Result<Bytes, BodyReadError>
+where
+    B: hyper::body::Body<Data = Bytes> + Unpin,
+{
     let mut buf = BytesMut::new();
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| BodyReadError::Truncated)?;
