Relays of the soak reset unframed answers that pass two of them

Only the relay of the upstream knew that it was unframed, and resets where it closes. Change: a relay before another one knows when that one makes answers unframed. The users' pages have answers that are reset on the way; the check stays as it is.

--- a/soak/src/relay.rs
+++ b/soak/src/relay.rs
@@ -276,8 +276,8 @@
                 break;
             }
             self.wait_until_forwarding(number, direction).await;
-            let is_unframed = lock(&self.state).mode == Some(LinkMode::Unframed);
-            if is_unframed && direction == Direction::ToServer && downgrade(&mut buf[..read]) {
+            let downgrades = direction == Direction::ToServer && self.is_unframed();
+            if downgrades && downgrade(&mut buf[..read]) {
                 unframed.store(true, Ordering::Relaxed);
             }
             if to.write_all(&buf[..read]).await.is_err() {
@@ -318,6 +318,13 @@
         }
     }
 
+    /// True if answers of unknown length end with their connection, here or at the next relay.
+    fn is_unframed(&self) -> bool {
+        let next = self.next.as_ref();
+        lock(&self.state).mode == Some(LinkMode::Unframed)
+            || next.is_some_and(|next| next.is_unframed())
+    }
+
     fn takes_no_connections(&self) -> bool {
         let refuses = matches!(
             lock(&self.state).mode,
