The line of a stream that is cut off has the bytes of its unfinished event

Cause: they were dropped before a resume was tried, so that the line said 0 after each resume that failed. Change: they are dropped once another response begins. Result: the tests of whole gateways on streams pass; nothing else measured.

--- a/crates/gateway/src/event_stream.rs
+++ b/crates/gateway/src/event_stream.rs
@@ -296,7 +296,6 @@
     async fn resume(&mut self, outcome: AttemptOutcome) -> bool {
         self.response = None;
         self.attempt.finish(outcome);
-        self.splitter.begin_response();
         if self.binding == Binding::Bound && self.attempt.is_version_uncertain() {
             self.binding = Binding::Uncertain;
             self.record_origin(None);
@@ -323,6 +322,7 @@
                         "stream resumed on another upstream"
                     );
                     self.retries.possible_runs += 1;
+                    self.splitter.begin_response();
                     self.framing = response.http.framing;
                     self.response = Some(response.http);
                     self.attempt = response.attempt;
