A stream resumes only where the version of the upstream's process is certain

Cause: an upstream that starts again under its identity is taken for its earlier start until its new entry has arrived, which takes seconds while the store is unavailable. Change: where upstreams report their starts, the upstream that is to resume a stream is asked for its start right before the send, and another one is selected if it runs another or does not answer. A stream's origin names the attempt that began it; before it resumes, a proof that the store had no later entry half a second after that attempt makes its version certain, or the upstream itself does, or a proof that is waited for, up to half a second more. Else it is not resumed. Upstreams without starts have a new identity after each, so that nothing changes there.

--- a/crates/gateway/src/active_attempt.rs
+++ b/crates/gateway/src/active_attempt.rs
@@ -11,6 +11,7 @@
 use jd_serving::Content;
 use jd_serving::EventSplitter;
 use jd_serving::SoftwareVersion;
+use jd_serving::StreamBeginning;
 use jd_serving::StreamPace;
 use jd_types::AttemptOutcome;
 use jd_types::MonoTime;
@@ -162,6 +163,16 @@
         self.software.as_ref()
     }
 
+    /// The beginning of a stream by this attempt; none if another instance made it.
+    pub(crate) fn beginning(&self) -> Option<StreamBeginning> {
+        let chosen = self.chosen.as_ref()?;
+        Some(StreamBeginning {
+            upstream: chosen.id.clone(),
+            start: chosen.start,
+            sent_at: self.began,
+        })
+    }
+
     /// True if the entry of the upstream names another software version than when the request was
     /// sent, so that it is uncertain which one answered.
     pub(crate) fn is_version_uncertain(&self) -> bool {
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -25,6 +25,7 @@
 use jd_serving::StorageReport;
 use jd_serving::UpstreamLoad;
 use jd_serving::UpstreamLoadError;
+use jd_serving::UpstreamStart;
 use jd_types::Refusal;
 
 /// What is sent to an upstream in addition to the caller's own request.
@@ -132,6 +133,10 @@
     /// Reads the response to a storage query; none if it is malformed.
     fn storage_report(&self, body: &[u8]) -> Option<StorageReport>;
 
+    /// The start that an upstream names in the response to a storage query;
+    /// [`UpstreamStart::UNKNOWN`] if it names none.
+    fn reported_start(&self, body: &[u8]) -> UpstreamStart;
+
     /// The address of the upstream that stores a result; none if the handle does not name it.
     fn result_address(&self, handle: &str) -> Option<SocketAddr>;
 
--- a/crates/gateway/src/event_stream.rs
+++ b/crates/gateway/src/event_stream.rs
@@ -14,6 +14,7 @@
 use jd_serving::EventSplitter;
 use jd_serving::RetryMode;
 use jd_serving::SoftwareVersion;
+use jd_serving::StreamBeginning;
 use jd_serving::StreamEnd;
 use jd_serving::StreamId;
 use jd_serving::StreamOrigin;
@@ -31,6 +32,7 @@
 use crate::upstream_selection::NextSendError;
 use crate::upstream_selection::RetryState;
 use crate::upstream_selection::send_to_next_upstream;
+use crate::version_check;
 
 /// How long a stream that could resume on another upstream may be silent. Twice the longest
 /// gap between events that the routes of the deployment still count as in time.
@@ -73,6 +75,8 @@
     splitter: EventSplitter,
     retries: RetryState,
     binding: Binding,
+    /// The attempt that began the stream, unless its version was checked before it was sent.
+    beginning: Option<StreamBeginning>,
     events: u64,
     /// When the first and the last events were passed on.
     first: Option<MonoTime>,
@@ -102,6 +106,7 @@
             splitter: EventSplitter::default(),
             retries,
             binding: Binding::Unbound,
+            beginning: None,
             events: 0,
             first: None,
             last: None,
@@ -197,6 +202,9 @@
         }
         let told = self.attempt.software().cloned();
         let required = self.retries.software.take();
+        if required.is_none() {
+            self.beginning = self.attempt.beginning();
+        }
         let software = told.or(required).or_else(|| self.only_version());
         let is_certain = software.is_some() && !self.attempt.is_version_uncertain();
         self.binding = match is_certain {
@@ -209,6 +217,20 @@
         self.retries.software = software;
     }
 
+    /// True if the events so far are of the version that the stream is bound to.
+    async fn is_version_certain(&self) -> bool {
+        if self.attempt.is_version_uncertain() {
+            return false;
+        }
+        match (&self.beginning, &self.retries.software) {
+            (Some(beginning), Some(software)) => {
+                let service = &self.request.service;
+                version_check::is_certain(&self.state, service, beginning, software).await
+            }
+            _ => true,
+        }
+    }
+
     /// The version of all upstreams of the service, if they have had the same one lately.
     fn only_version(&self) -> Option<SoftwareVersion> {
         let mut lately = self.state.versions_lately(&self.request.service);
@@ -224,6 +246,7 @@
             service: request.service.clone(),
             customer: request.customer.clone(),
             software,
+            beginning: self.beginning.clone(),
         };
         let patience = request.head.deadline.unwrap_or_default();
         let until = request.arrived + patience.max(request.route().timeout);
@@ -296,7 +319,7 @@
     async fn resume(&mut self, outcome: AttemptOutcome) -> bool {
         self.response = None;
         self.attempt.finish(outcome);
-        if self.binding == Binding::Bound && self.attempt.is_version_uncertain() {
+        if self.binding == Binding::Bound && !self.is_version_certain().await {
             self.binding = Binding::Uncertain;
             self.record_origin(None);
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -75,6 +75,7 @@
 mod upstream_counts;
 mod upstream_selection;
 mod upstream_table;
+mod version_check;
 
 pub use dialect::Dialect;
 pub use dialect::LocateQuery;
--- a/crates/gateway/src/peer_api.rs
+++ b/crates/gateway/src/peer_api.rs
@@ -160,7 +160,7 @@
         &self,
         req: tonic::Request<StreamRecord>,
     ) -> Result<tonic::Response<StreamRecordReply>, Status> {
-        let origin = peer_streams::origin_of(req.get_ref());
+        let origin = peer_streams::origin_of(req.get_ref(), self.state.now());
         let (id, origin, lifetime) =
             origin.ok_or_else(|| Status::invalid_argument("the origin of a stream is invalid"))?;
         let state = &self.state;
--- a/crates/gateway/src/stream_registry.rs
+++ b/crates/gateway/src/stream_registry.rs
@@ -26,6 +26,7 @@
 use crate::caller_request::CallerRequest;
 use crate::peer_streams;
 use crate::state::State;
+use crate::version_check;
 
 /// Number of shards that streams are divided into, each with its own instances that keep origins.
 /// Bounds the instances that one exchanges origins with in a large fleet.
@@ -114,7 +115,9 @@
                 let told = peer_streams::versions_of(&reply);
                 let unknown = told.filter(|v| !lately.contains(v)).collect::<Vec<_>>();
                 lately.extend(unknown);
-                let told = reply.record.as_ref().and_then(peer_streams::origin_of);
+                let now = state.now();
+                let told = reply.record.as_ref();
+                let told = told.and_then(|record| peer_streams::origin_of(record, now));
                 if let Some((id, told, lifetime)) = told {
                     self.record_here(state.now(), id, told.clone(), lifetime);
                     origin = Some(told);
@@ -123,7 +126,14 @@
                 }
             }
         }
-        let result = resume_at(origin.as_ref(), request.customer.as_deref(), &lately).cloned();
+        let mut result = resume_at(origin.as_ref(), request.customer.as_deref(), &lately).cloned();
+        let own = origin.filter(|o| o.customer == request.customer);
+        let beginning = own.as_ref().and_then(|o| o.beginning.as_ref());
+        if let (Ok(software), Some(beginning)) = (&result, beginning)
+            && !version_check::is_certain(state, service, beginning, software).await
+        {
+            result = Err(ResumeError::UncertainOrigin);
+        }
         let outcome = match &result {
             Ok(_) => source.unwrap_or("single-version"),
             Err(e) => e.as_str(),
@@ -147,7 +157,7 @@
     for keeper in keepers(state, id) {
         let channel = state.channels.channel_to(keeper);
         let mut client = GatewayClient::new(channel.clone());
-        let record = peer_streams::wire_record(id, origin, lifetime);
+        let record = peer_streams::wire_record(id, origin, lifetime, state.now());
         match with_timeout(CALL_TIMEOUT, client.record_stream(record)).await {
             Some(Ok(_)) => state.metrics.stream_origin("sent"),
             // An earlier version of this program does not know the call.
--- a/crates/gateway/src/streaming_call.rs
+++ b/crates/gateway/src/streaming_call.rs
@@ -60,7 +60,8 @@
     let mut results = match retries.forward_only {
         true => stages.no_results(),
         false => {
-            if request.has_stages() {
+            // The upstream that resumes a stream is checked right before the send.
+            if request.has_stages() && retries.software.is_none() {
                 reserve_upstream(state, &request, &mut retries).await?;
             }
             match stages.run(&request).await {
--- a/crates/gateway/src/upstream_selection.rs
+++ b/crates/gateway/src/upstream_selection.rs
@@ -26,6 +26,7 @@
 use crate::state::State;
 use crate::upstream_client::SendPermit;
 use crate::upstream_table::SelectedUpstream;
+use crate::version_check::runs_listed_start;
 
 /// The number of upstreams that cannot be connected to after which a request is sent to another
 /// instance.
@@ -197,6 +198,12 @@
                     }
                 };
                 let NextUpstream { chosen, fetch_from } = next;
+                if retries.software.is_some()
+                    && !runs_listed_start(state, chosen.upstream_ref(&request.service)).await
+                {
+                    retries.tried.push(chosen.id);
+                    continue;
+                }
                 let Ok(permit) = attempt::request_permit(state, request, &chosen).await else {
                     retries.withheld += 1;
                     continue;
--- /dev/null
+++ b/crates/gateway/src/version_check.rs
@@ -0,0 +1,146 @@
+//! Checks that upstreams run the software versions that their entries name.
+
+use std::time::Duration;
+
+use compact_str::CompactString;
+use jd_net::with_timeout;
+use jd_serving::SoftwareVersion;
+use jd_serving::StreamBeginning;
+use jd_serving::UpstreamStart;
+use jd_serving::VersionCertainty;
+use jd_serving::VersionEvidence;
+use jd_serving::judge_version;
+use jd_types::MonoTime;
+
+use crate::run_events::UpstreamRef;
+use crate::state::State;
+use crate::upstream_client::SendPurpose;
+
+/// How long an upstream may take to report its start.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(150);
+/// How long a proof is waited for, beyond the time from which on it counts.
+const PROOF_TIMEOUT: Duration = Duration::from_millis(500);
+/// The largest report that is read, in bytes.
+const MAX_REPORT: usize = 1 << 20;
+
+/// What an upstream says of its start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Reported {
+    /// It runs this start, or does not tell.
+    Same,
+    /// It runs another start.
+    Another,
+    /// It does not answer.
+    Nothing,
+}
+
+/// True if an upstream still runs the start that its entry names, or does not tell its start. Its
+/// entry may be out of date while the store is unavailable. An upstream with a rate limit is not
+/// asked, since that would take a part of what it allows.
+pub(crate) async fn runs_listed_start(state: &State, upstream: UpstreamRef) -> bool {
+    if !upstream.start.is_known() || state.limits.limit(&upstream.id).is_some() {
+        return true;
+    }
+    let id = upstream.id.clone();
+    let reported = reported_start(state, upstream).await;
+    log::info!(upstream = id.as_str(), reported:?; "start of an upstream checked before a stream is resumed there");
+    reported == Reported::Same
+}
+
+/// True if a stream was begun by the software version that the entry of its upstream named. Asks the
+/// upstream, and waits for a proof if that does not answer.
+pub(crate) async fn is_certain(
+    state: &State,
+    service: &CompactString,
+    beginning: &StreamBeginning,
+    software: &SoftwareVersion,
+) -> bool {
+    let due = match judge(state, beginning, software) {
+        VersionCertainty::Certain => return true,
+        VersionCertainty::Uncertain => return false,
+        VersionCertainty::UntilProof(due) => due,
+    };
+    let address = state.upstreams.load().address_of(&beginning.upstream);
+    let reported = match address {
+        None => Reported::Nothing,
+        Some(address) => {
+            let upstream = UpstreamRef {
+                service: service.clone(),
+                id: beginning.upstream.clone(),
+                start: beginning.start,
+                address,
+            };
+            reported_start(state, upstream).await
+        }
+    };
+    let is_certain = match reported {
+        Reported::Same => true,
+        Reported::Another => false,
+        Reported::Nothing => {
+            until_proven(state, due).await;
+            judge(state, beginning, software) == VersionCertainty::Certain
+        }
+    };
+    log::info!(
+        upstream = beginning.upstream.as_str(),
+        reported:?,
+        is_certain;
+        "version that began a stream checked"
+    );
+    is_certain
+}
+
+fn judge(
+    state: &State,
+    beginning: &StreamBeginning,
+    software: &SoftwareVersion,
+) -> VersionCertainty {
+    let table = state.upstreams.load();
+    let id = beginning.upstream.as_str();
+    let evidence = VersionEvidence {
+        listed: table.start_of(id).zip(table.software_of(id)),
+        proven_at: state.proof_age().map(|age| state.now().before(age)),
+    };
+    judge_version(beginning, software, evidence)
+}
+
+async fn reported_start(state: &State, upstream: UpstreamRef) -> Reported {
+    let start = upstream.start;
+    let asking = async {
+        let req = state.dialect.storage_request(&upstream.id);
+        let client = &state.upstream_client;
+        let permit = client.permit(state, upstream, SendPurpose::Maintenance);
+        let permit = permit.await.ok()?;
+        let response = client.send(state, permit, req, REPORT_TIMEOUT, || {}).await;
+        let response = response.ok().filter(|r| r.status.is_success())?;
+        response.read_all(MAX_REPORT).await.ok()
+    };
+    match with_timeout(REPORT_TIMEOUT, asking).await.flatten() {
+        None => Reported::Nothing,
+        Some(body) => match state.dialect.reported_start(&body) {
+            told if told == start || told == UpstreamStart::UNKNOWN => Reported::Same,
+            _ => Reported::Another,
+        },
+    }
+}
+
+/// Waits until a proof was asked for at `due` or later, for a limited time.
+async fn until_proven(state: &State, due: MonoTime) {
+    let until = due + PROOF_TIMEOUT;
+    loop {
+        let changes = state.changes.listen();
+        let now = state.now();
+        let is_proven = state.proof_age().is_some_and(|age| now.before(age) >= due);
+        if is_proven || now >= until {
+            return;
+        }
+        let wait = match now < due {
+            true => due.since(now),
+            false => {
+                state.proof_requested.notify();
+                until.since(now)
+            }
+        };
+        with_timeout(wait, changes).await;
+    }
+}
--- a/crates/gateway/tests/whole/fakes/fake_dialect.rs
+++ b/crates/gateway/tests/whole/fakes/fake_dialect.rs
@@ -35,6 +35,7 @@
 use jd_serving::StreamId;
 use jd_serving::UpstreamLoad;
 use jd_serving::UpstreamLoadError;
+use jd_serving::UpstreamStart;
 use jd_types::Refusal;
 
 /// The number of stage results so far.
@@ -218,6 +219,12 @@
         None
     }
 
+    fn reported_start(&self, body: &[u8]) -> UpstreamStart {
+        let text = std::str::from_utf8(body).unwrap_or("");
+        let start = text.parse().map(UpstreamStart::at_millis);
+        start.unwrap_or(UpstreamStart::UNKNOWN)
+    }
+
     fn result_address(&self, handle: &str) -> Option<SocketAddr> {
         handle.split_once('/')?.0.parse().ok()
     }
--- a/crates/serving/src/stream_origin/mod.rs
+++ b/crates/serving/src/stream_origin/mod.rs
@@ -8,7 +8,9 @@
 mod service_versions;
 mod software_version;
 mod stream_id;
+mod version_evidence;
 
+pub use origins::StreamBeginning;
 pub use origins::StreamOrigin;
 pub use origins::StreamOrigins;
 pub use resume_rule::ResumeError;
@@ -18,3 +20,6 @@
 pub use software_version::SoftwareVersionError;
 pub use stream_id::StreamId;
 pub use stream_id::StreamIdError;
+pub use version_evidence::VersionCertainty;
+pub use version_evidence::VersionEvidence;
+pub use version_evidence::judge_version;
--- a/crates/serving/src/stream_origin/origins.rs
+++ b/crates/serving/src/stream_origin/origins.rs
@@ -9,12 +9,24 @@
 
 use super::SoftwareVersion;
 use super::StreamId;
+use crate::UpstreamStart;
 
 /// Maximum number of streams whose origins are kept; about 4 MB.
 const MAX_STREAMS: usize = 16_384;
 /// Longest time for which an origin is kept, whatever its deadline.
 const MAX_LIFETIME: Duration = Duration::from_secs(600);
 
+/// The attempt at an upstream that began a stream.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StreamBeginning {
+    /// The identity of the upstream.
+    pub upstream: CompactString,
+    /// The start of it that the stream is thought to be of.
+    pub start: UpstreamStart,
+    /// When the attempt was sent.
+    pub sent_at: MonoTime,
+}
+
 /// Where a stream began.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct StreamOrigin {
@@ -25,6 +37,8 @@
     /// The version that began it; none if that is uncertain, because the upstream has started
     /// again as another version.
     pub software: Option<SoftwareVersion>,
+    /// The attempt that began it; none if another instance made it and does not tell.
+    pub beginning: Option<StreamBeginning>,
 }
 
 /// The origins of the latest streams, by their IDs.
--- a/crates/serving/tests/stream_origins.rs
+++ b/crates/serving/tests/stream_origins.rs
@@ -12,11 +12,16 @@
 use jd_serving::ServiceVersions;
 use jd_serving::Shard;
 use jd_serving::SoftwareVersion;
+use jd_serving::StreamBeginning;
 use jd_serving::StreamId;
 use jd_serving::StreamIdError;
 use jd_serving::StreamOrigin;
 use jd_serving::StreamOrigins;
 use jd_serving::Strength;
+use jd_serving::UpstreamStart;
+use jd_serving::VersionCertainty;
+use jd_serving::VersionEvidence;
+use jd_serving::judge_version;
 use jd_serving::rank_owners;
 use jd_serving::resume_at;
 use jd_types::Incarnation;
@@ -39,6 +44,7 @@
         service: "pool".into(),
         customer: Some(customer.into()),
         software: software.map(version),
+        beginning: None,
     }
 }
 
@@ -165,3 +171,36 @@
     let distinct: HashSet<SocketAddr> = keepers.map(|e| e.peer_address).collect();
     assert!(distinct.len() <= 24, "{}", distinct.len());
 }
+
+/// Guards against taking the entry of an earlier start for that of the process that answered, and
+/// against doubting streams whose version a later proof has shown.
+#[test_case(0, None, None, None; "no start is told")]
+#[test_case(1, Some((1, "v1")), Some(1_500), None; "listed and proven later")]
+#[test_case(1, None, Some(1_500), None; "gone and proven later")]
+#[test_case(1, Some((1, "v1")), Some(1_499), Some(VersionCertainty::UntilProof(MonoTime::from_millis(1_500))); "proven too early")]
+#[test_case(1, Some((1, "v1")), None, Some(VersionCertainty::UntilProof(MonoTime::from_millis(1_500))); "never proven")]
+#[test_case(1, Some((2, "v2")), Some(9_000), Some(VersionCertainty::Uncertain); "started again as another version")]
+#[test_case(1, Some((2, "v1")), None, None; "started again as the same version")]
+fn the_version_that_began_a_stream_is_certain_once_proven(
+    start_ms: u64,
+    listed: Option<(u64, &str)>,
+    proven_ms: Option<u64>,
+    doubt: Option<VersionCertainty>,
+) {
+    let start = |ms| match ms {
+        0 => UpstreamStart::UNKNOWN,
+        ms => UpstreamStart::at_millis(ms),
+    };
+    let beginning = StreamBeginning {
+        upstream: "u".into(),
+        start: start(start_ms),
+        sent_at: MonoTime::from_millis(1_000),
+    };
+    let listed = listed.map(|(ms, software)| (start(ms), version(software)));
+    let evidence = VersionEvidence {
+        listed: listed.as_ref().map(|(start, software)| (*start, software)),
+        proven_at: proven_ms.map(MonoTime::from_millis),
+    };
+    let judged = judge_version(&beginning, &version("v1"), evidence);
+    assert_eq!(judged, doubt.unwrap_or(VersionCertainty::Certain));
+}
--- a/soak/src/fake_upstream.rs
+++ b/soak/src/fake_upstream.rs
@@ -28,6 +28,7 @@
 use jd_net::HandlerFuture;
 use jd_net::lock;
 use jd_net::read_bounded;
+use serde_json::json;
 
 use crate::Notice;
 use crate::Recorder;
@@ -36,6 +37,7 @@
 use crate::config::TENANT;
 use crate::environment;
 use crate::fake_stage_upstream::Results;
+use crate::fake_store::json_body;
 use crate::fake_store::status;
 
 /// The number of events in a stream.
@@ -110,6 +112,10 @@
     async fn answer(&self, req: Request<Incoming>) -> Response<Body> {
         let me = self.id();
         let (parts, body) = req.into_parts();
+        if parts.uri.path() == "/v1/report" {
+            let born = self.started_ms.load(Ordering::Relaxed);
+            return json_body(&json!({ "born": born }));
+        }
         let client = parts.extensions.get::<ClientAddress>();
         let sender = client.and_then(|c| environment::instance_at(c.0));
         let header = |name: &str| parts.headers.get(name).and_then(|v| v.to_str().ok());
