--- a/soak/src/relay.rs
+++ b/soak/src/relay.rs
@@ -74,13 +74,16 @@
     Reset,
 }
 
-/// Changes a request to HTTP/1.0, if it begins in these bytes.
+/// Changes a request to HTTP/1.0, if it begins in these bytes. True also if it was changed by the
+/// relay before.
 fn downgrade(bytes: &mut [u8]) -> bool {
-    let version = bytes.windows(HTTP_1_1.len()).position(|w| w == HTTP_1_1);
-    if let Some(at) = version {
-        bytes[at..at + HTTP_1_0.len()].copy_from_slice(HTTP_1_0);
-    }
-    version.is_some()
+    let versions = bytes.windows(HTTP_1_1.len());
+    let mut versions = versions.enumerate();
+    let Some((at, _)) = versions.find(|(_, w)| *w == HTTP_1_1 || *w == HTTP_1_0) else {
+        return false;
+    };
+    bytes[at..at + HTTP_1_0.len()].copy_from_slice(HTTP_1_0);
+    true
 }
 
 impl Relay {
