--- a/crates/gateway/src/stream_registry.rs
+++ b/crates/gateway/src/stream_registry.rs
@@ -118,8 +118,8 @@
                 let now = state.now();
                 let told = reply.record.as_ref();
                 let told = told.and_then(|record| peer_streams::origin_of(record, now));
-                if let Some((id, told, lifetime)) = told {
-                    self.record_here(state.now(), id, told.clone(), lifetime);
+                if let Some((_, told, lifetime)) = told.filter(|(told, ..)| told == id) {
+                    self.record_here(now, id.clone(), told.clone(), lifetime);
                     origin = Some(told);
                     source = Some("told");
                     break;
