--- a/crates/gateway/src/active_attempt.rs
+++ b/crates/gateway/src/active_attempt.rs
@@ -20,7 +20,7 @@
 use crate::forward_client;
 use crate::forward_client::ForwardGuard;
 use crate::state::State;
-use crate::upstream_table::SelectedUpstream;
+use crate::upstream_record::SelectedUpstream;
 
 /// How long a response that an upstream sent before its process ended may be in transit:
 /// several round trips between availability zones.
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -22,7 +22,7 @@
 use crate::upstream_client::SendPermit;
 use crate::upstream_client::SendPurpose;
 use crate::upstream_client::Withheld;
-use crate::upstream_table::SelectedUpstream;
+use crate::upstream_record::SelectedUpstream;
 
 /// How long a request that may be repeated waits for its response until the path to the upstreams
 /// is checked.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -73,6 +73,7 @@
 mod upstream_backoffs;
 mod upstream_client;
 mod upstream_counts;
+mod upstream_record;
 mod upstream_selection;
 mod upstream_table;
 mod version_check;
--- a/crates/gateway/src/paces.rs
+++ b/crates/gateway/src/paces.rs
@@ -27,7 +27,7 @@
 
 use crate::caller_request::CallerRequest;
 use crate::metrics::Metrics;
-use crate::upstream_table::SelectedUpstream;
+use crate::upstream_record::SelectedUpstream;
 use crate::upstream_table::UpstreamTable;
 
 /// The time to the first event of routes whose upstreams' pace is not tracked: the part of the
--- a/crates/gateway/src/placed_prompt.rs
+++ b/crates/gateway/src/placed_prompt.rs
@@ -11,7 +11,7 @@
 use crate::caller_request::CallerRequest;
 use crate::selection_filter::SelectionFilter;
 use crate::state::State;
-use crate::upstream_table::SelectedUpstream;
+use crate::upstream_record::SelectedUpstream;
 
 /// How many times longer than expected the first event may take while a prompt is read. Upstreams
 /// slow down by about this factor for half a second.
--- a/crates/gateway/src/prompt_plans.rs
+++ b/crates/gateway/src/prompt_plans.rs
@@ -18,7 +18,7 @@
 use crate::job_waiter::JobWaiter;
 use crate::job_waiter::StageOutcome;
 use crate::state::State;
-use crate::upstream_table::SelectedUpstream;
+use crate::upstream_record::SelectedUpstream;
 
 /// The time between two events of a stream at an upstream of median pace. It is 29 and 30 ms where
 /// the upstreams of routes with short pauses are described.
--- a/crates/gateway/src/selection_filter.rs
+++ b/crates/gateway/src/selection_filter.rs
@@ -7,7 +7,7 @@
 use jd_types::MonoTime;
 
 use crate::state::State;
-use crate::upstream_table::UpstreamRecord;
+use crate::upstream_record::UpstreamRecord;
 
 /// Which rate-limited upstreams may be selected.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/gateway/src/upstream_selection.rs
+++ b/crates/gateway/src/upstream_selection.rs
@@ -25,7 +25,7 @@
 use crate::selection_filter::LimitFilter;
 use crate::state::State;
 use crate::upstream_client::SendPermit;
-use crate::upstream_table::SelectedUpstream;
+use crate::upstream_record::SelectedUpstream;
 use crate::version_check::runs_listed_start;
 
 /// The number of upstreams that cannot be connected to after which a request is sent to another
--- a/crates/gateway/src/upstream_table.rs
+++ b/crates/gateway/src/upstream_table.rs
@@ -3,7 +3,6 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::Mutex;
 
 use compact_str::CompactString;
 use jd_net::lock;
@@ -11,7 +10,6 @@
 use jd_policy::PoolTable;
 use jd_policy::RoutingPolicy;
 use jd_policy::Upstream;
-use jd_serving::ColdStart;
 use jd_serving::EvacuatedZones;
 use jd_serving::ListedUpstream;
 use jd_serving::MAX_CANDIDATES;
@@ -26,38 +24,10 @@
 use jd_types::Name;
 use jd_types::UpstreamKey;
 
-use crate::latch::Latch;
 use crate::run_events::UpstreamRef;
 use crate::selection_filter::SelectionFilter;
-
-/// An upstream that was selected for a request.
-#[derive(Debug, Clone)]
-pub(crate) struct SelectedUpstream {
-    /// The ID of the upstream.
-    pub(crate) id: CompactString,
-    /// Identifies the start of the upstream process.
-    pub(crate) start: UpstreamStart,
-    /// The version of its software.
-    pub(crate) software: SoftwareVersion,
-    /// The load and health of the upstream, as seen by this instance.
-    pub(crate) upstream: Arc<Upstream>,
-    /// Set once the upstream is known to have restarted since.
-    pub(crate) restarted: Arc<Latch>,
-    /// Whether the upstream is cold, and what was sent to it since its start.
-    pub(crate) cold: Arc<Mutex<ColdStart>>,
-}
-
-impl SelectedUpstream {
-    /// A reference to this start, as an upstream of `service`.
-    pub(crate) fn upstream_ref(&self, service: &CompactString) -> UpstreamRef {
-        UpstreamRef {
-            service: service.clone(),
-            id: self.id.clone(),
-            start: self.start,
-            address: self.upstream.address,
-        }
-    }
-}
+use crate::upstream_record::SelectedUpstream;
+use crate::upstream_record::UpstreamRecord;
 
 #[derive(Debug)]
 pub(crate) struct ServiceTable {
@@ -67,49 +37,6 @@
     records: Vec<UpstreamRecord>,
 }
 
-/// One start of an upstream.
-#[derive(Debug, Clone)]
-pub(crate) struct UpstreamRecord {
-    pub(crate) start: UpstreamStart,
-    pub(crate) software: SoftwareVersion,
-    pub(crate) upstream: Arc<Upstream>,
-    restarted: Arc<Latch>,
-    /// True if the upstream is in an evacuated zone and therefore gets no new requests.
-    evacuated: bool,
-    pub(crate) cold: Arc<Mutex<ColdStart>>,
-}
-
-impl UpstreamRecord {
-    /// An upstream that was first seen at `since`; [`MonoTime::ZERO`] if it was listed before
-    /// this instance started.
-    fn new(entry: &UpstreamEntry, since: MonoTime) -> UpstreamRecord {
-        let mut cold = ColdStart::default();
-        if since != MonoTime::ZERO {
-            cold.record_possible_start(since);
-        }
-        UpstreamRecord {
-            start: entry.start,
-            software: entry.software.clone(),
-            cold: Arc::new(Mutex::new(cold)),
-            upstream: Arc::new(Upstream::new(entry.address, entry.zone.clone(), since)),
-            restarted: Arc::default(),
-            evacuated: false,
-        }
-    }
-
-    /// The record for the upstream of `entry`, if `entry` is of the same start. Another software
-    /// version means another start, also where starts are not told.
-    fn kept_for(&self, entry: &UpstreamEntry) -> Option<UpstreamRecord> {
-        let again = entry.start.is_later_than(self.start);
-        let same =
-            !again && self.upstream.address == entry.address && self.software == entry.software;
-        same.then(|| UpstreamRecord {
-            start: self.start.later(entry.start),
-            ..self.clone()
-        })
-    }
-}
-
 /// The upstreams of every service. The table is rebuilt when entries change; the records of
 /// unchanged upstreams are carried over.
 #[derive(Debug, Default)]
