An unknown stream is judged by the versions of the time in which it can have begun

Cause: the versions of the last two minutes decided on each route. On a route with longer timeouts a stream may be older than that, and on others streams were refused for longer after a release than they last. Change: the age that a stream of the request's route may have decides, twice the longer of its deadline and the route's timeout, ten minutes at most; origins are kept as long. Result: the tests of versions and origins pass; nothing else measured.

--- a/crates/gateway/src/caller_request.rs
+++ b/crates/gateway/src/caller_request.rs
@@ -81,6 +81,13 @@
         pieces.any(|pieces| pieces > 0)
     }
 
+    /// How long ago a stream on this route may have begun that its caller still resumes: both bounds
+    /// of a caller's patience, one for the first attempt and one for the later ones.
+    pub(crate) fn max_stream_age(&self) -> Duration {
+        let patience = self.head.deadline.unwrap_or_default();
+        patience.max(self.route().timeout).saturating_mul(2)
+    }
+
     /// The prompt, if the owner of a shard is to select its upstream: where an upstream that reads
     /// a long prompt would make the other streams there late.
     pub(crate) fn prompt_demand(&self) -> Option<PromptDemand> {
--- a/crates/gateway/src/event_stream.rs
+++ b/crates/gateway/src/event_stream.rs
@@ -233,7 +233,8 @@
 
     /// The version of all upstreams of the service, if they have had the same one lately.
     fn only_version(&self) -> Option<SoftwareVersion> {
-        let mut lately = self.state.versions_lately(&self.request.service);
+        let age = self.request.max_stream_age();
+        let mut lately = self.state.versions_lately(&self.request.service, age);
         lately.pop().filter(|_| lately.is_empty())
     }
 
@@ -248,8 +249,7 @@
             software,
             beginning: self.beginning.clone(),
         };
-        let patience = request.head.deadline.unwrap_or_default();
-        let until = request.arrived + patience.max(request.route().timeout);
+        let until = request.arrived + request.max_stream_age();
         self.state.streams.record(&self.state, id, origin, until);
     }
 
--- a/crates/gateway/src/peer_streams.rs
+++ b/crates/gateway/src/peer_streams.rs
@@ -73,7 +73,8 @@
 /// Answers another instance's query for the origin of a stream.
 pub(crate) fn handle_query(state: &State, query: &StreamQuery) -> StreamQueryReply {
     let id = StreamId::try_from(query.stream.as_str()).ok();
-    let versions = state.versions_lately(&query.service).into_iter();
+    let within = Duration::from_millis(u64::from(query.within_ms));
+    let versions = state.versions_lately(&query.service, within).into_iter();
     let versions = versions.take(MAX_VERSIONS);
     StreamQueryReply {
         record: id.and_then(|id| {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -345,10 +345,10 @@
         allowed
     }
 
-    /// The software versions that upstreams of a service have or had lately.
-    pub(crate) fn versions_lately(&self, service: &str) -> Vec<SoftwareVersion> {
+    /// The software versions that upstreams of a service have, or had within this time.
+    pub(crate) fn versions_lately(&self, service: &str, within: Duration) -> Vec<SoftwareVersion> {
         let cluster = self.cluster();
-        let versions = cluster.versions.lately(self.now(), service);
+        let versions = cluster.versions.lately(self.now(), service, within);
         versions.cloned().collect()
     }
 
--- a/crates/gateway/src/stream_registry.rs
+++ b/crates/gateway/src/stream_registry.rs
@@ -35,10 +35,6 @@
 const CALL_TIMEOUT: Duration = Duration::from_millis(150);
 /// Most streams whose origins are being sent to other instances.
 const MAX_SENDING: usize = 256;
-/// How long an origin is kept beyond the deadline of its stream: callers resume within it, and
-/// their clocks start earlier.
-const LIFETIME_MARGIN: Duration = Duration::from_secs(10);
-
 /// The origins of streams that this instance knows, and the exchange of origins with others.
 #[derive(Debug, Default)]
 pub(crate) struct StreamRegistry {
@@ -47,16 +43,16 @@
 }
 
 impl StreamRegistry {
-    /// Records the origin of a stream that lasts until `deadline`, here and at the instances that
-    /// keep it. Does not wait for them.
+    /// Records the origin of a stream that may be resumed until `until`, here and at the instances
+    /// that keep it. Does not wait for them.
     pub(crate) fn record(
         &self,
         state: &Arc<State>,
         id: StreamId,
         origin: StreamOrigin,
-        deadline: MonoTime,
+        until: MonoTime,
     ) {
-        let lifetime = deadline.since(state.now()) + LIFETIME_MARGIN;
+        let lifetime = until.since(state.now());
         self.record_here(state.now(), id.clone(), origin.clone(), lifetime);
         if self.sending.fetch_add(1, Ordering::Relaxed) >= MAX_SENDING {
             self.sending.fetch_sub(1, Ordering::Relaxed);
@@ -104,12 +100,13 @@
     ) -> Result<SoftwareVersion, ResumeError> {
         let service = &request.service;
         let here = stream.and_then(|id| self.find_here(state.now(), id));
-        let mut lately = state.versions_lately(service);
+        let age = request.max_stream_age();
+        let mut lately = state.versions_lately(service, age);
         let mut source = here.as_ref().map(|_| "here");
         let mut origin = here.map(|(origin, _)| origin);
         if let (Some(id), None) = (stream, &origin) {
             for keeper in keepers(state, id) {
-                let Some(reply) = ask(state, keeper, id, service).await else {
+                let Some(reply) = ask(state, keeper, id, service, age).await else {
                     continue;
                 };
                 let told = peer_streams::versions_of(&reply);
@@ -176,12 +173,14 @@
     keeper: SocketAddr,
     id: &StreamId,
     service: &CompactString,
+    age: Duration,
 ) -> Option<StreamQueryReply> {
     let channel = state.channels.channel_to(keeper);
     let mut client = GatewayClient::new(channel.clone());
     let query = StreamQuery {
         stream: id.as_str().into(),
         service: service.to_string(),
+        within_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
     };
     match with_timeout(CALL_TIMEOUT, client.find_stream(query)).await {
         Some(reply) => Some(reply.ok()?.into_inner()),
--- a/crates/serving/src/stream_origin/service_versions.rs
+++ b/crates/serving/src/stream_origin/service_versions.rs
@@ -9,8 +9,8 @@
 
 use super::SoftwareVersion;
 
-/// How long a version counts after its last upstream has gone: longer than streams last.
-const RETENTION: Duration = Duration::from_secs(120);
+/// How long a version is remembered after its last upstream has gone.
+const RETENTION: Duration = Duration::from_secs(600);
 /// Versions of one service that are remembered after their upstreams have gone.
 const MAX_GONE: usize = 8;
 
@@ -43,7 +43,7 @@
                     false => version.gone_at.or(Some(now)),
                 };
             }
-            versions.retain(|v| v.counts(now));
+            versions.retain(|v| v.was_listed(now, RETENTION));
             let gone = versions.iter().filter(|v| v.gone_at.is_some()).count();
             let mut excess = gone.saturating_sub(MAX_GONE);
             versions.retain(|v| {
@@ -64,16 +64,22 @@
         self.by_service.retain(|_, versions| !versions.is_empty());
     }
 
-    /// The versions that upstreams of a service have or had lately.
-    pub fn lately(&self, now: MonoTime, service: &str) -> impl Iterator<Item = &SoftwareVersion> {
+    /// The versions that upstreams of a service have, or had within this time; at most ten minutes.
+    pub fn lately(
+        &self,
+        now: MonoTime,
+        service: &str,
+        within: Duration,
+    ) -> impl Iterator<Item = &SoftwareVersion> {
         let versions = self.by_service.get(service).into_iter().flatten();
-        let counting = versions.filter(move |v| v.counts(now));
+        let counting = versions.filter(move |v| v.was_listed(now, within));
         counting.map(|v| &v.software)
     }
 }
 
 impl Version {
-    fn counts(&self, now: MonoTime) -> bool {
-        self.gone_at.is_none_or(|at| now.since(at) < RETENTION)
+    fn was_listed(&self, now: MonoTime, within: Duration) -> bool {
+        let within = within.min(RETENTION);
+        self.gone_at.is_none_or(|at| now.since(at) < within)
     }
 }
--- a/crates/serving/tests/stream_origins.rs
+++ b/crates/serving/tests/stream_origins.rs
@@ -120,7 +120,7 @@
     let mut list = |seconds, listed: &[&str]| {
         let listed: Vec<SoftwareVersion> = listed.iter().copied().map(version).collect();
         versions.record(at(seconds), listed.iter().map(|v| (&service, v)));
-        let lately = versions.lately(at(seconds), "pool");
+        let lately = versions.lately(at(seconds), "pool", Duration::from_secs(120));
         let mut lately: Vec<String> = lately.map(|v| v.as_str().into()).collect();
         lately.sort();
         lately
