Rename the query for an upstream's report after what it asks for

It asks for the start of any upstream now, not only for the storage of one that runs stages. Names and documentation only; the tests of versions pass.

--- a/crates/gateway/src/batch_dispatcher.rs
+++ b/crates/gateway/src/batch_dispatcher.rs
@@ -275,7 +275,7 @@
             .upstream_client
             .permit(state, upstream, SendPurpose::Maintenance)
             .await;
-        let req = dialect.storage_request(&query.upstream);
+        let req = dialect.report_request(&query.upstream);
         let sending =
             state
                 .upstream_client
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -127,14 +127,14 @@
     /// The request that releases results.
     fn free_results_request(&self, handles: &[CompactString]) -> Request<Body>;
 
-    /// The query for the free result storage of a stage upstream.
-    fn storage_request(&self, upstream: &str) -> Request<Body>;
+    /// The query for the report of an upstream: its start, and its free result storage if it runs
+    /// stages.
+    fn report_request(&self, upstream: &str) -> Request<Body>;
 
-    /// Reads the response to a storage query; none if it is malformed.
+    /// The free result storage in a report; none if it is malformed.
     fn storage_report(&self, body: &[u8]) -> Option<StorageReport>;
 
-    /// The start that an upstream names in the response to a storage query;
-    /// [`UpstreamStart::UNKNOWN`] if it names none.
+    /// The start in a report; [`UpstreamStart::UNKNOWN`] if it names none.
     fn reported_start(&self, body: &[u8]) -> UpstreamStart;
 
     /// The address of the upstream that stores a result; none if the handle does not name it.
--- a/crates/gateway/src/version_check.rs
+++ b/crates/gateway/src/version_check.rs
@@ -107,7 +107,7 @@
 async fn reported_start(state: &State, upstream: UpstreamRef) -> Reported {
     let start = upstream.start;
     let asking = async {
-        let req = state.dialect.storage_request(&upstream.id);
+        let req = state.dialect.report_request(&upstream.id);
         let client = &state.upstream_client;
         let permit = client.permit(state, upstream, SendPurpose::Maintenance);
         let permit = permit.await.ok()?;
--- a/crates/gateway/tests/whole/fakes/fake_dialect.rs
+++ b/crates/gateway/tests/whole/fakes/fake_dialect.rs
@@ -207,7 +207,7 @@
         req
     }
 
-    fn storage_request(&self, _upstream: &str) -> Request<Body> {
+    fn report_request(&self, _upstream: &str) -> Request<Body> {
         let mut req = Request::new(jd_net::empty());
         *req.uri_mut() = Uri::from_static("/room");
         req.headers_mut()
