--- a/crates/gateway/src/peer_streams.rs
+++ b/crates/gateway/src/peer_streams.rs
@@ -14,7 +14,8 @@
 
 use crate::state::State;
 
-/// Longest name of a service, customer or upstream that is accepted, in bytes.
+/// Longest name of a service, customer or upstream that is accepted, in bytes. Bounds what another
+/// instance can have this one keep.
 const MAX_NAME_BYTES: usize = 256;
 /// Most versions of a service in a reply, and accepted from one. Two already say that the version
 /// of an unknown stream cannot be told.
--- a/crates/gateway/src/stream_registry.rs
+++ b/crates/gateway/src/stream_registry.rs
@@ -33,7 +33,8 @@
 const PARTS: u32 = 8;
 /// Timeout of a call to another instance: several round trips between zones.
 const CALL_TIMEOUT: Duration = Duration::from_millis(150);
-/// Most streams whose origins are being sent to other instances.
+/// Most streams whose origins are being sent to other instances. Bounds the memory that instances
+/// which do not answer take; beyond it, an origin is known here only.
 const MAX_SENDING: usize = 256;
 /// The origins of streams that this instance knows, and the exchange of origins with others.
 #[derive(Debug, Default)]
--- a/crates/gateway/src/streaming_call.rs
+++ b/crates/gateway/src/streaming_call.rs
@@ -42,7 +42,8 @@
 const FULL_RETRY: Duration = Duration::from_millis(500);
 /// The largest error response of an upstream that is passed on, in bytes.
 const MAX_ERROR_BODY: usize = 1 << 20;
-/// The largest stream that is sent with a length, to callers that cannot read chunks, in bytes.
+/// The largest stream that is sent with a length, to callers that cannot read chunks, in bytes. It
+/// is held in memory, like a plain response.
 const MAX_UNCHUNKED_STREAM: usize = 8 << 20;
 /// How long an upstream may take to begin a response that another upstream could also give.
 /// Several times the time to read the longest prompts.
--- a/crates/gateway/src/version_check.rs
+++ b/crates/gateway/src/version_check.rs
@@ -20,7 +20,7 @@
 const REPORT_TIMEOUT: Duration = Duration::from_millis(150);
 /// How long a proof is waited for, beyond the time from which on it counts.
 const PROOF_TIMEOUT: Duration = Duration::from_millis(500);
-/// The largest report that is read, in bytes.
+/// The largest report that is read, in bytes. A larger one counts as no answer.
 const MAX_REPORT: usize = 1 << 20;
 
 /// What an upstream says of its start.
--- a/crates/serving/src/stream_origin/mod.rs
+++ b/crates/serving/src/stream_origin/mod.rs
@@ -3,6 +3,8 @@
 //! Upstreams of several versions may serve side by side. What two versions write does not fit
 //! together, and upstreams do not check this.
 
+use std::time::Duration;
+
 mod origins;
 mod resume_rule;
 mod service_versions;
@@ -10,6 +12,10 @@
 mod stream_id;
 mod version_evidence;
 
+/// How old a stream may be when its caller resumes it. Bounds how long origins are kept, and
+/// versions after their upstreams have gone.
+const MAX_STREAM_AGE: Duration = Duration::from_secs(600);
+
 pub use origins::StreamBeginning;
 pub use origins::StreamOrigin;
 pub use origins::StreamOrigins;
--- a/crates/serving/src/stream_origin/origins.rs
+++ b/crates/serving/src/stream_origin/origins.rs
@@ -7,14 +7,14 @@
 use compact_str::CompactString;
 use jd_types::MonoTime;
 
+use super::MAX_STREAM_AGE;
 use super::SoftwareVersion;
 use super::StreamId;
 use crate::UpstreamStart;
 
-/// Maximum number of streams whose origins are kept; about 4 MB.
+/// Maximum number of streams whose origins are kept. They take about 4 MB, a small part of the
+/// memory of the weakest instances.
 const MAX_STREAMS: usize = 16_384;
-/// Longest time for which an origin is kept, whatever its deadline.
-const MAX_LIFETIME: Duration = Duration::from_secs(600);
 
 /// The attempt at an upstream that began a stream.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -69,7 +69,7 @@
         origin: StreamOrigin,
         lifetime: Duration,
     ) {
-        let until = now + lifetime.min(MAX_LIFETIME);
+        let until = now + lifetime.min(MAX_STREAM_AGE);
         self.expire(now);
         match self.known.get_mut(&id) {
             Some(known) if known.until > now => {
--- a/crates/serving/src/stream_origin/service_versions.rs
+++ b/crates/serving/src/stream_origin/service_versions.rs
@@ -7,11 +7,11 @@
 use compact_str::CompactString;
 use jd_types::MonoTime;
 
+use super::MAX_STREAM_AGE;
 use super::SoftwareVersion;
 
-/// How long a version is remembered after its last upstream has gone.
-const RETENTION: Duration = Duration::from_secs(600);
-/// Versions of one service that are remembered after their upstreams have gone.
+/// Versions of one service that are remembered after their upstreams have gone. Two already say
+/// that the version of an unknown stream cannot be told.
 const MAX_GONE: usize = 8;
 
 /// The software versions that upstreams of each service have or had lately.
@@ -43,7 +43,7 @@
                     false => version.gone_at.or(Some(now)),
                 };
             }
-            versions.retain(|v| v.was_listed(now, RETENTION));
+            versions.retain(|v| v.was_listed(now, MAX_STREAM_AGE));
             let gone = versions.iter().filter(|v| v.gone_at.is_some()).count();
             let mut excess = gone.saturating_sub(MAX_GONE);
             versions.retain(|v| {
@@ -79,7 +79,7 @@
 
 impl Version {
     fn was_listed(&self, now: MonoTime, within: Duration) -> bool {
-        let within = within.min(RETENTION);
+        let within = within.min(MAX_STREAM_AGE);
         self.gone_at.is_none_or(|at| now.since(at) < within)
     }
 }
--- a/crates/serving/src/stream_origin/software_version.rs
+++ b/crates/serving/src/stream_origin/software_version.rs
@@ -4,7 +4,7 @@
 use snafu::Snafu;
 use snafu::ensure;
 
-/// Maximum length of a version, in bytes.
+/// Maximum length of a version, in bytes. Versions are kept with each stream and sent in headers.
 const MAX_BYTES: usize = 256;
 
 /// The version of the software that an upstream runs, as its entry names it. Only equality means
--- a/crates/serving/src/stream_origin/version_evidence.rs
+++ b/crates/serving/src/stream_origin/version_evidence.rs
@@ -8,7 +8,8 @@
 use super::StreamBeginning;
 use crate::UpstreamStart;
 
-/// How long after its start an upstream may take to write its entry.
+/// How long after its start an upstream may take to write its entry. Upstreams write it when they
+/// start; a stream that breaks earlier waits for a proof of this age before it resumes.
 const REGISTRATION_TIME: Duration = Duration::from_millis(500);
 
 /// What is known of the upstream that began a stream.
