Failing tests: different requests with a part that crashes upstreams

Six cases, all of which fail: requests that share the part of a prompt which crashes upstreams, and nothing else, are never quarantined; before six upstreams with one request every 150 ms and every 40 ms they go on crashing one after the other.

--- /dev/null
+++ b/crates/gateway/tests/whole/crashing_parts.rs
@@ -0,0 +1,154 @@
+//! Parts of prompts that crash the upstreams which write answers on them.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use async_io::Timer;
+use futures_lite::future::block_on;
+use test_case::test_case;
+
+use crate::fakes::CallerResponse;
+use crate::fakes::CrashingUpstreams;
+use crate::fakes::Harness;
+use crate::fakes::crash_fleet::INSTANCES;
+use crate::fakes::crash_fleet::fleet;
+
+/// Crashes after which a part has to be quarantined: the users' bound.
+const CRASHES_ALLOWED: usize = 5;
+/// The time after that within which all instances have to know: the users' bound.
+const KNOWN_WITHIN: Duration = Duration::from_millis(3_000);
+/// How often requests with the part may reach upstreams after that.
+const MAX_LATE_RUNS: usize = 3;
+
+/// Sends requests for `span`, a new one every `pause`, without waiting for the answers. `path` is
+/// completed by a number that differs each time.
+fn spawn_different(
+    harness: &Arc<Harness>,
+    path: &'static str,
+    pause: Duration,
+    span: Duration,
+) -> async_executor::Task<Vec<CallerResponse>> {
+    let caller = Arc::clone(harness);
+    harness.spawn(async move {
+        let began = Instant::now();
+        let mut sent = Vec::new();
+        for n in 0.. {
+            if began.elapsed() > span {
+                break;
+            }
+            let caller_of_one = Arc::clone(&caller);
+            sent.push(caller.spawn(async move { ask_different(&caller_of_one, path, n).await }));
+            Timer::after(pause).await;
+        }
+        let mut received = Vec::with_capacity(sent.len());
+        for asking in sent {
+            received.push(asking.await);
+        }
+        received
+    })
+}
+
+async fn ask_different(harness: &Harness, path: &str, n: usize) -> CallerResponse {
+    let path = format!("{path},{n:x}/{n}");
+    harness.ask_instance(n, &path, &path).await
+}
+
+fn is_quarantined(received: &CallerResponse) -> bool {
+    received.status == 503 && received.body.contains("a part of its prompt")
+}
+
+fn runs_with_bad_part(upstreams: &CrashingUpstreams) -> Vec<Instant> {
+    let runs = upstreams.runs().into_iter();
+    runs.filter(|r| r.path.contains("bad"))
+        .map(|r| r.at)
+        .collect()
+}
+
+fn assert_quarantined_in_time(upstreams: &CrashingUpstreams) {
+    let ends = upstreams.ends();
+    let Some(fifth) = ends.get(CRASHES_ALLOWED - 1) else {
+        return;
+    };
+    let known = *fifth + KNOWN_WITHIN;
+    let late = runs_with_bad_part(upstreams)
+        .into_iter()
+        .filter(|at| *at > known);
+    let late = late.count();
+    assert!(
+        late <= MAX_LATE_RUNS,
+        "{late} late runs, {} crashes",
+        ends.len()
+    );
+}
+
+/// A fleet before upstreams that answer, and its upstreams.
+async fn ready_fleet(count: usize) -> (Arc<Harness>, Arc<CrashingUpstreams>) {
+    let (harness, upstreams) = fleet(count);
+    let harness = Arc::new(harness);
+    harness.until_all_answer("/any/x", 200).await;
+    (harness, upstreams)
+}
+
+/// Requests that share the part of a prompt which crashes upstreams, and nothing else, went on
+/// crashing one upstream after the other.
+#[test_case(150 ; "one after the other")]
+#[test_case(40 ; "several within a second")]
+fn different_requests_with_a_crashing_part_are_quarantined(pause_ms: u64) {
+    block_on(async {
+        let (harness, upstreams) = ready_fleet(6).await;
+        let span = Duration::from_millis(8_000);
+        let pause = Duration::from_millis(pause_ms);
+        let sound = spawn_different(&harness, "/stream/parts-1,2", pause, span);
+        let bad = spawn_different(&harness, "/stream/parts-1,bad", pause, span);
+        let (bad, sound) = (bad.await, sound.await);
+        assert!(upstreams.ends().len() >= 3, "they crashed upstreams");
+        assert_quarantined_in_time(&upstreams);
+        let last = bad.last().expect("requests were sent");
+        assert!(is_quarantined(last), "{last:?}");
+        assert_eq!(last.run.as_deref(), Some("not run"));
+        assert!(!sound.iter().any(is_quarantined));
+        let served = sound.iter().filter(|r| r.status == 200 && r.whole);
+        assert!(served.count() * 2 > sound.len());
+    });
+}
+
+/// Once a part is quarantined, requests with it reach no upstream by any kind of route, and
+/// sound ones with the same first part are served.
+#[test_case("any" ; "with one answer")]
+#[test_case("once" ; "that runs once")]
+#[test_case("resume" ; "as a stream that goes on elsewhere")]
+#[test_case("staged" ; "after a stage")]
+fn requests_with_a_quarantined_part_reach_no_upstream(route: &str) {
+    block_on(async {
+        let (harness, upstreams) = ready_fleet(6).await;
+        until_quarantined(&harness).await;
+        let before = runs_with_bad_part(&upstreams).len();
+        for n in 0..2 * INSTANCES {
+            let received = ask_different(&harness, &format!("/{route}/parts-3,bad"), n).await;
+            assert!(is_quarantined(&received), "{received:?}");
+            assert_eq!(received.run.as_deref(), Some("not run"));
+            let received = ask_different(&harness, &format!("/{route}/parts-1,2"), n).await;
+            assert_eq!(received.status, 200, "{received:?}");
+        }
+        assert_eq!(runs_with_bad_part(&upstreams).len(), before);
+    });
+}
+
+/// Sends different requests with the part until all instances refuse them.
+async fn until_quarantined(harness: &Arc<Harness>) {
+    let until = Instant::now() + Duration::from_secs(20);
+    let mut refused = 0;
+    for n in 0.. {
+        assert!(Instant::now() < until, "it was not quarantined");
+        let received = ask_different(harness, "/stream/parts-1,bad", n).await;
+        refused = match is_quarantined(&received) {
+            true => refused + 1,
+            false => 0,
+        };
+        if refused == INSTANCES {
+            return;
+        }
+        Timer::after(Duration::from_millis(50)).await;
+    }
+}
--- a/crates/gateway/tests/whole/fakes/fake_dialect.rs
+++ b/crates/gateway/tests/whole/fakes/fake_dialect.rs
@@ -62,6 +62,22 @@
     })
 }
 
+/// The prompt of a path with a segment such as `parts-1,bad,7`: the IDs of its parts in
+/// hexadecimal.
+fn listed_prompt(path: &str) -> Option<Prompt> {
+    let listed = path.split('/').find_map(|s| s.strip_prefix("parts-"))?;
+    let parts = listed.split(',').map(|id| PromptPart {
+        id: u64::from_str_radix(id, 16).expect("an ID"),
+        tokens: 10,
+    });
+    Some(Prompt {
+        model: "m".into(),
+        tokens_in: 30,
+        tokens_out: 7,
+        parts: parts.collect(),
+    })
+}
+
 fn handle_list(handles: &[&str]) -> HeaderValue {
     HeaderValue::from_str(&handles.join(" ")).expect("handles without control characters")
 }
@@ -74,7 +90,7 @@
             credential: text(headers, "key").map(CompactString::from),
             // One piece for each stage that the route may have.
             pieces: vec![1; 2],
-            prompt: prompt(parts.uri.path()),
+            prompt: prompt(parts.uri.path()).or_else(|| listed_prompt(parts.uri.path())),
             last_event: text(headers, "after").and_then(|n| n.parse().ok()),
             resumes: text(headers, "resumes").and_then(|id| StreamId::try_from(id).ok()),
             ..CallHead::default()
--- a/crates/gateway/tests/whole/main.rs
+++ b/crates/gateway/tests/whole/main.rs
@@ -6,6 +6,7 @@
 mod brittle;
 mod cold_start;
 mod crashes;
+mod crashing_parts;
 mod evacuation;
 mod fakes;
 mod false_quarantines;
