--- a/crates/gateway/src/active_attempt.rs
+++ b/crates/gateway/src/active_attempt.rs
@@ -8,8 +8,9 @@
 use compact_str::CompactString;
 use futures_lite::future;
 use jd_net::lock;
-use jd_serving::Content;
+use jd_serving::BrokenRun;
 use jd_serving::EventSplitter;
+use jd_serving::RunContents;
 use jd_serving::SoftwareVersion;
 use jd_serving::StreamBeginning;
 use jd_serving::StreamPace;
@@ -41,8 +42,10 @@
     /// The software version of the upstream; none if another instance does not tell it.
     software: Option<SoftwareVersion>,
     service: CompactString,
-    content: Content,
+    contents: RunContents,
     began: MonoTime,
+    /// When the head of the response arrived.
+    head_at: Option<MonoTime>,
     /// When the first part of the response body arrived.
     first_part: Option<MonoTime>,
     /// Observes the upstream; none if its pace is not tracked.
@@ -65,8 +68,9 @@
             software: Some(chosen.software.clone()),
             state: Arc::clone(state),
             service: request.service.clone(),
-            content: request.content,
+            contents: request.contents.clone(),
             began: now,
+            head_at: None,
             first_part: None,
             pace: state.paces.begin_stream(now, request, &chosen, resumes),
             completed: false,
@@ -88,8 +92,9 @@
             software,
             state: Arc::clone(state),
             service: request.service.clone(),
-            content: request.content,
+            contents: request.contents.clone(),
             began: state.now(),
+            head_at: None,
             first_part: None,
             pace: None,
             completed: true,
@@ -97,13 +102,18 @@
         }
     }
 
+    /// Records that the head of a response to the request arrived.
+    pub(crate) fn record_head(&mut self) {
+        self.head_at = Some(self.state.now());
+    }
+
     /// Records that the upstream sent its whole response, so that the request is not
     /// suspected of crashing upstreams.
     pub(crate) fn mark_completed(&mut self) {
         if !std::mem::replace(&mut self.completed, true) {
             let now = self.state.now();
             let quarantine = &self.state.quarantine;
-            quarantine.record_completed(now, &self.service, self.content);
+            quarantine.record_completed(now, &self.service, self.contents.request);
         }
     }
 
@@ -137,8 +147,12 @@
             && !self.completed
         {
             let upstream = chosen.upstream_ref(&self.service);
-            self.state
-                .report_broken_run(upstream, self.content, self.began);
+            let run = BrokenRun {
+                contents: self.contents.clone(),
+                began: self.began,
+                answered: self.first_part.or(self.head_at),
+            };
+            self.state.report_broken_run(upstream, run);
         }
     }
 
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -90,7 +90,7 @@
     chosen: &SelectedUpstream,
 ) -> Result<SendPermit, AttemptFailure> {
     let purpose = SendPurpose::Request {
-        content: request.content,
+        content: request.contents.request,
         priority: request.priority,
         cold: Arc::clone(&chosen.cold),
     };
@@ -172,11 +172,14 @@
         }
     };
     match result {
-        Ok((head, response)) => Ok(UpstreamResponse {
-            head,
-            http: response,
-            attempt,
-        }),
+        Ok((head, response)) => {
+            attempt.record_head();
+            Ok(UpstreamResponse {
+                head,
+                http: response,
+                attempt,
+            })
+        }
         Err(failure) => {
             // Missing results are not the fault of the upstream that was to read them, nor is a
             // source that sends nothing the fault of the upstream that was to fetch from it.
@@ -188,7 +191,7 @@
             });
             log::info!(
                 request = request.id(),
-                content:% = request.content,
+                content:% = request.contents.request,
                 upstream = id.as_str(),
                 sent_ms = attempt.sent_ms(request),
                 outcome = failure.outcome.as_str(),
--- a/crates/gateway/src/batch_calls.rs
+++ b/crates/gateway/src/batch_calls.rs
@@ -9,9 +9,11 @@
 use jd_net::lock;
 use jd_net::with_timeout;
 use jd_serving::BatchCall;
+use jd_serving::BrokenRun;
 use jd_serving::CallResult;
 use jd_serving::Content;
 use jd_serving::PieceResult;
+use jd_serving::RunContents;
 use jd_serving::Shard;
 use jd_types::MonoTime;
 
@@ -57,8 +59,12 @@
             match result {
                 CallResult::Answered(_) => quarantine.record_completed(now, &call.service, content),
                 CallResult::Broken => {
-                    self.state
-                        .report_broken_run(upstream_ref(call), content, began)
+                    let run = BrokenRun {
+                        contents: RunContents::of_request(content),
+                        began,
+                        answered: None,
+                    };
+                    self.state.report_broken_run(upstream_ref(call), run);
                 }
                 CallResult::Full
                 | CallResult::Withheld(_)
--- a/crates/gateway/src/caller_api.rs
+++ b/crates/gateway/src/caller_api.rs
@@ -27,6 +27,7 @@
 use jd_serving::Route;
 use jd_serving::RouteKey;
 use jd_serving::Router;
+use jd_serving::RunContents;
 use jd_types::MonoTime;
 use jd_types::Refusal;
 use jd_types::RefusalKind;
@@ -77,7 +78,7 @@
         let mut content = None;
         let ended = match self.admit(arrived, head, parts, body).await {
             Ok(request) => {
-                content = Some(request.content);
+                content = Some(request.contents.request);
                 self.run(request).await
             }
             Err(refusal) => Err(refusal),
@@ -132,6 +133,8 @@
         let service = service.cloned().ok_or_else(|| {
             Refusal::not_run(RefusalKind::NoUpstream, "the route leads to no service")
         })?;
+        let prompt = head.prompt.as_ref();
+        let contents = RunContents::new(content, &service, customer.as_deref(), prompt);
         Ok(CallerRequest {
             route,
             priority: caller.and_then(|c| c.priority).unwrap_or(spec.priority),
@@ -142,7 +145,7 @@
             head,
             parts,
             body,
-            content,
+            contents,
             forwarded: None,
             _running_forward: None,
             _in_flight: in_flight,
--- a/crates/gateway/src/caller_request.rs
+++ b/crates/gateway/src/caller_request.rs
@@ -7,11 +7,11 @@
 use compact_str::CompactString;
 use http::request::Parts;
 use jd_serving::CallHead;
-use jd_serving::Content;
 use jd_serving::PromptDemand;
 use jd_serving::Route;
 use jd_serving::RouteKey;
 use jd_serving::Router;
+use jd_serving::RunContents;
 use jd_types::MonoTime;
 use jd_types::Refusal;
 use jd_types::RefusalKind;
@@ -36,8 +36,8 @@
     pub(crate) head: CallHead,
     pub(crate) parts: Parts,
     pub(crate) body: Bytes,
-    /// Identifies the content of the request; the same if the caller sends it again.
-    pub(crate) content: Content,
+    /// Identifies the request, the same if the caller sends it again, and the parts of its prompt.
+    pub(crate) contents: RunContents,
     /// Set if another instance took the request from its caller.
     pub(crate) forwarded: Option<ForwardedFrom>,
     pub(crate) _running_forward: Option<RunningForward>,
@@ -64,7 +64,10 @@
     /// Refuses the request if it is quarantined because it crashes upstreams. `runs` is the
     /// number of times that it may have run so far. Called before each send.
     pub(crate) fn check_quarantine(&self, state: &State, runs: u32) -> Result<(), Refusal> {
-        let Some(left) = state.quarantine.time_left(state.now(), self.content) else {
+        let Some(left) = state
+            .quarantine
+            .time_left(state.now(), self.contents.request)
+        else {
             return Ok(());
         };
         let detail = "upstreams that ran this request ended, one after the other";
--- a/crates/gateway/src/crash_reporter.rs
+++ b/crates/gateway/src/crash_reporter.rs
@@ -1,5 +1,6 @@
 //! Detects crashed upstreams and reports them to the coordinators of the quarantine.
 
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -10,6 +11,7 @@
 use jd_net::ProbeResult;
 use jd_net::lock;
 use jd_serving::BrokenRun;
+use jd_serving::Content;
 use jd_serving::UpstreamCrash;
 use jd_types::MonoTime;
 
@@ -35,8 +37,8 @@
 const COORDINATORS: usize = 3;
 /// Most broken runs in a report on one crash.
 const MAX_RUNS_PER_REPORT: usize = 128;
-/// Most contents that a log line names.
-const MAX_CONTENTS_PER_LINE: usize = 8;
+/// Most runs that a log line names, and most parts of prompts.
+const MAX_NAMED_PER_LINE: usize = 8;
 
 /// Runs that add_broken_run at one upstream.
 #[derive(Debug)]
@@ -76,12 +78,7 @@
                     completed_runs: vec![run],
                     ..RunReport::default()
                 }),
-                RunEvent::Broken {
-                    at,
-                    upstream,
-                    content,
-                    began,
-                } => self.add_broken_run(at, upstream, BrokenRun { content, began }),
+                RunEvent::Broken { at, upstream, run } => self.add_broken_run(at, upstream, run),
             }
         }
     }
@@ -135,16 +132,7 @@
                 status = self.check(&upstream).await;
             }
         }
-        let runs = broken.runs.len();
-        self.state.metrics.broken_runs(status.as_str(), runs);
-        log::info!(
-            upstream = upstream.id.as_str(),
-            service = upstream.service.as_str(),
-            runs,
-            contents = contents(&broken.runs).as_str(),
-            outcome = status.as_str();
-            "runs broke at an upstream"
-        );
+        self.log_broken(&upstream, status, broken.at, &broken.runs);
         if status == UpstreamStatus::Ended {
             self.send_report(RunReport {
                 crashes: vec![UpstreamCrash {
@@ -159,6 +147,35 @@
         }
     }
 
+    fn log_broken(
+        &self,
+        upstream: &UpstreamRef,
+        status: UpstreamStatus,
+        at: MonoTime,
+        runs: &[BrokenRun],
+    ) {
+        self.state.metrics.broken_runs(status.as_str(), runs.len());
+        let answered_ms = |r: &BrokenRun| match r.answered {
+            Some(answered) => at.since(answered).as_millis().to_string(),
+            None => "none".into(),
+        };
+        // A part of many of these prompts is named once.
+        let parts: BTreeSet<Content> = runs
+            .iter()
+            .flat_map(|r| r.contents.parts.iter().map(|p| p.of_all))
+            .collect();
+        log::info!(
+            upstream = upstream.id.as_str(),
+            service = upstream.service.as_str(),
+            runs = runs.len(),
+            contents = named(runs.iter().map(|r| r.contents.request.to_string())).as_str(),
+            answered_ms = named(runs.iter().map(answered_ms)).as_str(),
+            parts = named(parts.iter().map(Content::to_string)).as_str(),
+            outcome = status.as_str();
+            "runs broke at an upstream"
+        );
+    }
+
     async fn check(&self, upstream: &UpstreamRef) -> UpstreamStatus {
         if self.check_entry(upstream) == UpstreamStatus::Ended {
             return UpstreamStatus::Ended;
@@ -226,11 +243,8 @@
     }
 }
 
-/// The contents of broken runs, for a log line.
-fn contents(runs: &[BrokenRun]) -> CompactString {
-    let named = runs
-        .iter()
-        .take(MAX_CONTENTS_PER_LINE)
-        .map(|r| r.content.to_string());
-    named.collect::<Vec<String>>().join(" ").into()
+/// The first of several words, for a log line.
+fn named(words: impl Iterator<Item = String>) -> CompactString {
+    let first = words.take(MAX_NAMED_PER_LINE);
+    first.collect::<Vec<String>>().join(" ").into()
 }
--- a/crates/gateway/src/event_stream.rs
+++ b/crates/gateway/src/event_stream.rs
@@ -290,7 +290,7 @@
             .request("cut-off", self.state.now().since(self.request.arrived));
         log::warn!(
             request = self.request.id(),
-            content:% = self.request.content,
+            content:% = self.request.contents.request,
             upstream = self.attempt.id(),
             outcome = outcome.as_str(),
             parts = self.events,
@@ -338,7 +338,7 @@
                 Ok(response) if response.head.status.is_success() => {
                     log::info!(
                         request = self.request.id(),
-                        content:% = self.request.content,
+                        content:% = self.request.contents.request,
                         upstream = response.attempt.id(),
                         software:? = response.attempt.software().map(SoftwareVersion::as_str),
                         last_event:? = last;
--- a/crates/gateway/src/peer_quarantine.rs
+++ b/crates/gateway/src/peer_quarantine.rs
@@ -5,14 +5,17 @@
 use jd_serving::BrokenRun;
 use jd_serving::CompletedRun;
 use jd_serving::Content;
+use jd_serving::PartContent;
 use jd_serving::QuarantinePhase;
 use jd_serving::QuarantineState;
+use jd_serving::RunContents;
 use jd_serving::UpstreamCrash;
 use jd_serving::UpstreamStart;
 use jd_types::MonoTime;
 use jd_wire::BrokenRun as WireRun;
 use jd_wire::CompletedRun as WireCompletedRun;
 use jd_wire::CrashReport;
+use jd_wire::PromptPart as WirePart;
 use jd_wire::Quarantine as WireQuarantine;
 use jd_wire::UpstreamEnd as WireEnd;
 
@@ -47,9 +50,26 @@
 }
 
 fn wire_run(run: &BrokenRun, now: MonoTime) -> WireRun {
+    let parts = run.contents.parts.iter().map(|part| WirePart {
+        of_customer: part.of_customer.number(),
+        of_all: part.of_all.number(),
+    });
     WireRun {
-        content: run.content.number(),
+        content: run.contents.request.number(),
         began_ms_ago: millis(now.since(run.began)),
+        answered_ms_ago: run.answered.map(|at| millis(now.since(at))),
+        parts: parts.collect(),
+    }
+}
+
+fn run_contents(request: u64, parts: &[WirePart]) -> RunContents {
+    let parts = parts.iter().map(|part| PartContent {
+        of_customer: Content::from_number(part.of_customer),
+        of_all: Content::from_number(part.of_all),
+    });
+    RunContents {
+        request: Content::from_number(request),
+        parts: parts.collect(),
     }
 }
 
@@ -57,8 +77,9 @@
 pub(crate) fn report_of(req: CrashReport, now: MonoTime) -> RunReport {
     let ago = |ms: u32| now.before(Duration::from_millis(u64::from(ms)));
     let run_of = |run: WireRun| BrokenRun {
-        content: Content::from_number(run.content),
+        contents: run_contents(run.content, &run.parts),
         began: ago(run.began_ms_ago),
+        answered: run.answered_ms_ago.map(ago),
     };
     let crashes = req.ends.into_iter().map(|end| UpstreamCrash {
         service: end.service.into(),
--- a/crates/gateway/src/run_events.rs
+++ b/crates/gateway/src/run_events.rs
@@ -5,8 +5,8 @@
 use async_channel::Receiver;
 use async_channel::Sender;
 use compact_str::CompactString;
+use jd_serving::BrokenRun;
 use jd_serving::CompletedRun;
-use jd_serving::Content;
 use jd_serving::UpstreamStart;
 use jd_types::MonoTime;
 
@@ -30,8 +30,7 @@
     Broken {
         at: MonoTime,
         upstream: UpstreamRef,
-        content: Content,
-        began: MonoTime,
+        run: BrokenRun,
     },
     /// The run completed, and its request is suspected or quarantined.
     Completed(CompletedRun),
--- a/crates/gateway/src/stage_runner.rs
+++ b/crates/gateway/src/stage_runner.rs
@@ -262,7 +262,7 @@
         let time_to_first_event = self.state.paces.time_to_first_event(now, request);
         StageJob {
             request_id: request.id().into(),
-            content: request.content,
+            content: request.contents.request,
             piece_key: request.head.piece_key.clone().unwrap_or_default(),
             stages,
             objective: request.objective_deadline().before(time_to_first_event),
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -18,8 +18,8 @@
 use jd_net::Clock;
 use jd_net::HttpPool;
 use jd_net::lock;
+use jd_serving::BrokenRun;
 use jd_serving::ColdSpec;
-use jd_serving::Content;
 use jd_serving::FleetPosition;
 use jd_serving::InstanceEntry;
 use jd_serving::RecentShards;
@@ -361,20 +361,14 @@
 
     /// Reports that the connection of a run broke before its end. The request is not suspected
     /// if its upstream was shutting down, since the upstream then ended as planned.
-    pub(crate) fn report_broken_run(
-        &self,
-        upstream: UpstreamRef,
-        content: Content,
-        began: MonoTime,
-    ) {
+    pub(crate) fn report_broken_run(&self, upstream: UpstreamRef, run: BrokenRun) {
         if self.upstreams.load().start_of(&upstream.id).is_none() {
             return;
         }
         self.quarantine.run_events.add(RunEvent::Broken {
             at: self.now(),
             upstream,
-            content,
-            began,
+            run,
         });
     }
 
--- a/crates/gateway/src/streaming_call.rs
+++ b/crates/gateway/src/streaming_call.rs
@@ -202,7 +202,7 @@
     let took = state.now().since(request.arrived);
     log::info!(
         request = request.id(),
-            content:% = request.content,
+            content:% = request.contents.request,
         route = request.route().name.as_str(),
         upstream = response.attempt.id(),
         software:? = response.attempt.software().map(SoftwareVersion::as_str),
--- a/crates/gateway/src/unary_call.rs
+++ b/crates/gateway/src/unary_call.rs
@@ -182,7 +182,7 @@
     state.metrics.request("answered", took);
     log::info!(
         request = request.id(),
-            content:% = request.content,
+            content:% = request.contents.request,
         route = request.route().name.as_str(),
         upstream = complete.upstream.as_str(),
         status = complete.status.as_u16(),
--- a/crates/serving/src/crash_evidence.rs
+++ b/crates/serving/src/crash_evidence.rs
@@ -12,6 +12,7 @@
 use crate::CompletedRun;
 use crate::Content;
 use crate::QUARANTINE_TTL;
+use crate::RunContents;
 use crate::UpstreamStart;
 
 /// Consecutive crashes during a request that make the request suspected.
@@ -41,12 +42,14 @@
 const MAX_RUNS_PER_CRASH: usize = 256;
 
 /// A run that an upstream did not complete.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct BrokenRun {
-    /// The content of its request.
-    pub content: Content,
+    /// Its request and the parts of its prompt.
+    pub contents: RunContents,
     /// When it was sent to the upstream.
     pub began: MonoTime,
+    /// When its answer began; `None` if it had not.
+    pub answered: Option<MonoTime>,
 }
 
 /// The crash of an upstream, as one instance saw it.
@@ -182,12 +185,15 @@
     pub fn record_completed_run(&mut self, run: &CompletedRun) -> bool {
         let is_involved = |k: &KnownCrash| {
             let mut runs = k.crash.runs.iter();
-            k.crash.service == run.service && runs.any(|r| r.content == run.content)
+            k.crash.service == run.service && runs.any(|r| r.contents.request == run.content)
         };
         let was_involved = self.crashes.iter().any(is_involved);
         for known in self.crashes.iter_mut().filter(|k| k.crash.at <= run.at) {
             if known.crash.service == run.service {
-                known.crash.runs.retain(|r| r.content != run.content);
+                known
+                    .crash
+                    .runs
+                    .retain(|r| r.contents.request != run.content);
             }
         }
         was_involved && !self.crashes.iter().any(is_involved)
@@ -278,7 +284,7 @@
                 true => findings.quarantined.push(finding),
                 false => findings.suspected.push(finding),
             }
-            unexplained.retain(|crash| !crash.runs.iter().any(|r| r.content == *content));
+            unexplained.retain(|crash| !crash.runs.iter().any(|r| r.contents.request == *content));
         }
     }
 
@@ -287,7 +293,7 @@
     fn evict_oldest(&mut self) {
         if let Some(known) = self.crashes.pop_front() {
             for run in known.crash.runs {
-                self.quarantined.remove(&run.content);
+                self.quarantined.remove(&run.contents.request);
             }
         }
     }
@@ -295,7 +301,7 @@
 
 /// True if a request was present at each of these crashes at which another was.
 fn is_always_with(crashes: &[&UpstreamCrash], one: Content, other: Content) -> bool {
-    let was_at = |crash: &UpstreamCrash, who| crash.runs.iter().any(|r| r.content == who);
+    let was_at = |crash: &UpstreamCrash, who| crash.runs.iter().any(|r| r.contents.request == who);
     let mut with_other = crashes.iter().filter(|crash| was_at(crash, other));
     with_other.all(|crash| was_at(crash, one))
 }
@@ -311,9 +317,9 @@
         runs.sort_by_key(|r| r.began);
         let mut counted: HashSet<Content> = HashSet::new();
         for run in runs {
-            if counted.insert(run.content) {
+            if counted.insert(run.contents.request) {
                 evidence
-                    .entry(run.content)
+                    .entry(run.contents.request)
                     .or_default()
                     .count(run, crash.at);
             }
--- a/crates/serving/tests/crash_evidence.rs
+++ b/crates/serving/tests/crash_evidence.rs
@@ -7,6 +7,7 @@
 use jd_serving::Content;
 use jd_serving::CrashEvidence;
 use jd_serving::Findings;
+use jd_serving::RunContents;
 use jd_serving::UpstreamCrash;
 use jd_serving::UpstreamStart;
 use jd_types::MonoTime;
@@ -23,8 +24,9 @@
 /// The crash of the upstream with this name, with runs that began at these times.
 fn crash(upstream: u64, ms: u64, runs: &[(u64, u64)]) -> UpstreamCrash {
     let runs = runs.iter().map(|(content, began)| BrokenRun {
-        content: Content::from_number(*content),
+        contents: RunContents::of_request(Content::from_number(*content)),
         began: at(*began),
+        answered: None,
     });
     UpstreamCrash {
         service: "pool".into(),
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -29,6 +29,7 @@
 pub use generated::gateway::PermitRequest;
 pub use generated::gateway::Placement;
 pub use generated::gateway::PromptDemand;
+pub use generated::gateway::PromptPart;
 pub use generated::gateway::Proof;
 pub use generated::gateway::Quarantine;
 pub use generated::gateway::ReleaseReply;
