Parts of prompts that crash upstreams are found and kept from all of them

Cause: only whole requests were judged. A content includes the body, so that requests which share what ends upstreams are all different, and none is ever there twice; what was held was a request that other ends had broken off. Ruled out: late or lost reports (all within 50 ms), evidence taken back (no release in the lines).

Change, one kind of evidence and one list for requests and parts alike: - A run counts for its request and for each shared part of its prompt, within the customer's prompts and within those of all. One customer's crashes hold no part of another's prompts; a crash of a second customer holds it for all. - Crashes of one moment (100 ms) count once, as at a loss of power. The rule that a run must have begun after the crash before holds for runs whose answers had not begun: different requests come in parallel, and five upstreams may end within a second. - A sound run counts from the beginning of its answer, not from its end, so that long runs from before do not clear what has just become harmful. Answers with errors show nothing: they cleared requests before. - Reports on crashes carry the sound runs that the reporter has seen of what was present, so that hot parts are cleared before anybody is asked. Sound runs of one content are reported twice a second at most. - What was found stays found as long as one crash of its own is left, and after a release one crash suffices. The line on a refusal names what is held, and explain finds the crashes by it.

--- a/crates/explain/src/log_line.rs
+++ b/crates/explain/src/log_line.rs
@@ -61,7 +61,8 @@
     /// request.
     pub(crate) fn concerns_contents(&self, contents: &BTreeSet<&str>) -> bool {
         let one = self.text_value("content").into_iter();
-        let several = self.text_value("contents").unwrap_or("").split(' ');
+        let several = ["contents", "parts"].map(|name| self.text_value(name).unwrap_or(""));
+        let several = several.into_iter().flat_map(|text| text.split(' '));
         let mut named = one.chain(several);
         self.request_id().is_none() && named.any(|c| contents.contains(c))
     }
--- a/crates/explain/src/request_history.rs
+++ b/crates/explain/src/request_history.rs
@@ -6,14 +6,16 @@
 use crate::LogLine;
 
 /// Every line of the request `request_id`, in the order of `lines`, together with the lines
-/// about its content, such as crash reports and quarantine decisions; empty if there is none.
+/// about its content and about what it was held for, such as crash reports and quarantine
+/// decisions; empty if there is none.
 pub fn request_history(lines: &[LogLine], request_id: &str) -> String {
     let mut text = String::new();
     let own = |l: &&LogLine| l.request_id() == Some(request_id);
     let contents = lines
         .iter()
         .filter(own)
-        .filter_map(|l| l.text_value("content"));
+        .flat_map(|l| ["content", "held", "held_part"].map(|name| l.text_value(name)))
+        .flatten();
     let contents: BTreeSet<&str> = contents.filter(|c| !c.is_empty()).collect();
     for line in lines
         .iter()
--- a/crates/explain/tests/explain.rs
+++ b/crates/explain/tests/explain.rs
@@ -142,12 +142,12 @@
         ),
         line(
             "02.0",
-            "upstreams ended with a request",
+            "upstreams ended with this content",
             r#""content":"c1","ends":3"#,
         ),
         line(
             "02.5",
-            "upstreams ended with a request",
+            "upstreams ended with this content",
             r#""content":"c2""#,
         ),
         line(
@@ -164,6 +164,38 @@
     assert_eq!(counted.count_of(Cause::Quarantined), 1);
 }
 
+/// A request is refused because of a part of its prompt, which is held for one customer. Its
+/// history includes the crashes at which the part was present in other requests.
+#[test]
+fn a_request_with_a_quarantined_part_is_listed_with_the_crashes_behind_it() {
+    let lines = [
+        line(
+            "01.0",
+            "runs broke at an upstream",
+            r#""upstream":"u1","contents":"c8 c9","parts":"p1 p2","outcome":"ended""#,
+        ),
+        line(
+            "01.5",
+            "runs broke at an upstream",
+            r#""upstream":"u2","contents":"c7","parts":"p2","outcome":"ended""#,
+        ),
+        line(
+            "02.0",
+            "upstreams ended with this content",
+            r#""content":"k1","ends":3"#,
+        ),
+        line(
+            "03.0",
+            "refused",
+            r#""request":"r1","content":"c1","held":"k1","held_part":"p1","outcome":"quarantined""#,
+        ),
+    ];
+    let mut log = log(&lines);
+    let history = request_history(log.lines(), "r1");
+    assert_eq!(history.lines().count(), 3, "{history}");
+    assert!(!history.contains("u2"), "{history}");
+}
+
 #[test]
 fn a_request_refused_by_limited_upstreams_is_listed() {
     let lines = [
--- a/crates/gateway/src/active_attempt.rs
+++ b/crates/gateway/src/active_attempt.rs
@@ -7,10 +7,13 @@
 use async_io::Timer;
 use compact_str::CompactString;
 use futures_lite::future;
+use http::StatusCode;
+use jd_net::BodyFraming;
 use jd_net::lock;
 use jd_serving::BrokenRun;
 use jd_serving::EventSplitter;
 use jd_serving::RunContents;
+use jd_serving::SAFE_AFTER;
 use jd_serving::SoftwareVersion;
 use jd_serving::StreamBeginning;
 use jd_serving::StreamPace;
@@ -20,6 +23,7 @@
 use crate::caller_request::CallerRequest;
 use crate::forward_client;
 use crate::forward_client::ForwardGuard;
+use crate::run_events::RunEnd;
 use crate::state::State;
 use crate::upstream_record::SelectedUpstream;
 
@@ -27,11 +31,6 @@
 /// several round trips between availability zones.
 const LAST_RESPONSE_DELAY: Duration = Duration::from_millis(50);
 
-/// After this time since the first part of the response, a crash of the upstream is not held
-/// against the request. In 23 of 25 crashes in the logs, a response had begun at most 122 ms
-/// before.
-const SAFE_AFTER: Duration = Duration::from_secs(2);
-
 /// An attempt in progress. Dropping it counts as cancelled.
 #[derive(Debug)]
 pub(crate) struct ActiveAttempt {
@@ -107,16 +106,34 @@
         self.head_at = Some(self.state.now());
     }
 
-    /// Records that the upstream sent its whole response, so that the request is not
-    /// suspected of crashing upstreams.
-    pub(crate) fn mark_completed(&mut self) {
+    /// Records that the response ended without an error. The run then was sound if the upstream
+    /// has run the request and the end of the response is marked: a crash may end an unmarked one
+    /// in order.
+    pub(crate) fn record_end(&mut self, status: StatusCode, framing: BodyFraming) {
+        match status.is_success() {
+            true if framing.marks_end() => self.record_sound(),
+            true => self.report_run(RunEnd::Unmarked),
+            false => {}
+        }
+        self.completed = true;
+    }
+
+    /// Records that the upstream outlived the beginning of the answer, so that the contents of
+    /// the run are not suspected of crashing upstreams.
+    fn record_sound(&mut self) {
         if !std::mem::replace(&mut self.completed, true) {
             let now = self.state.now();
+            let began = self.answered().unwrap_or(now);
             let quarantine = &self.state.quarantine;
-            quarantine.record_completed(now, &self.service, self.contents.request);
+            quarantine.record_completed(now, &self.service, &self.contents, began);
         }
     }
 
+    /// When the answer began, as far as it shows.
+    fn answered(&self) -> Option<MonoTime> {
+        self.first_part.or(self.head_at)
+    }
+
     /// Records that the next part of the response body is waited for.
     pub(crate) fn record_wait(&mut self) {
         if let Some(pace) = &mut self.pace {
@@ -136,13 +153,17 @@
         }
         let first = *self.first_part.get_or_insert(now);
         if now.since(first) >= SAFE_AFTER {
-            self.mark_completed();
+            self.record_sound();
         }
     }
 
     /// Records that the connection broke. Ignored once the attempt counts as completed, since
     /// the upstream then did not crash because of the request.
     pub(crate) fn report_broken(&mut self) {
+        self.report_run(RunEnd::Broken);
+    }
+
+    fn report_run(&self, end: RunEnd) {
         if let Some(chosen) = &self.chosen
             && !self.completed
         {
@@ -150,9 +171,9 @@
             let run = BrokenRun {
                 contents: self.contents.clone(),
                 began: self.began,
-                answered: self.first_part.or(self.head_at),
+                answered: self.answered(),
             };
-            self.state.report_broken_run(upstream, run);
+            self.state.report_broken_run(upstream, run, end);
         }
     }
 
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -90,7 +90,7 @@
     chosen: &SelectedUpstream,
 ) -> Result<SendPermit, AttemptFailure> {
     let purpose = SendPurpose::Request {
-        content: request.contents.request,
+        contents: request.contents.clone(),
         priority: request.priority,
         cold: Arc::clone(&chosen.cold),
     };
--- a/crates/gateway/src/batch_calls.rs
+++ b/crates/gateway/src/batch_calls.rs
@@ -19,6 +19,7 @@
 
 use crate::batch_dispatcher::BatchDispatcher;
 use crate::batch_dispatcher::MAX_RESPONSE;
+use crate::run_events::RunEnd;
 use crate::run_events::UpstreamRef;
 use crate::upstream_client::SendFailure;
 use crate::upstream_client::SendPurpose;
@@ -56,15 +57,19 @@
         let now = self.state.now();
         let contents: BTreeSet<Content> = call.pieces.iter().map(|p| p.content).collect();
         for content in contents {
+            let contents = RunContents::of_request(content);
             match result {
-                CallResult::Answered(_) => quarantine.record_completed(now, &call.service, content),
+                CallResult::Answered(_) => {
+                    quarantine.record_completed(now, &call.service, &contents, now);
+                }
                 CallResult::Broken => {
                     let run = BrokenRun {
-                        contents: RunContents::of_request(content),
+                        contents,
                         began,
                         answered: None,
                     };
-                    self.state.report_broken_run(upstream_ref(call), run);
+                    self.state
+                        .report_broken_run(upstream_ref(call), run, RunEnd::Broken);
                 }
                 CallResult::Full
                 | CallResult::Withheld(_)
--- a/crates/gateway/src/caller_api.rs
+++ b/crates/gateway/src/caller_api.rs
@@ -75,10 +75,10 @@
         let (parts, body) = req.into_parts();
         let head = self.state.dialect.call_head(&parts);
         let id = head.request_id.clone();
-        let mut content = None;
+        let mut contents = None;
         let ended = match self.admit(arrived, head, parts, body).await {
             Ok(request) => {
-                content = Some(request.contents.request);
+                contents = Some(request.contents.clone());
                 self.run(request).await
             }
             Err(refusal) => Err(refusal),
@@ -87,7 +87,7 @@
             Ok(res) => res,
             Err(refusal) => {
                 let id = id.as_deref().unwrap_or("");
-                self.refuse(arrived, id, content, &refusal)
+                self.refuse(arrived, id, contents.as_ref(), &refusal)
             }
         }
     }
@@ -198,18 +198,25 @@
         &self,
         arrived: MonoTime,
         id: &str,
-        content: Option<Content>,
+        contents: Option<&RunContents>,
         refusal: &Refusal,
     ) -> Response<Body> {
-        let took = self.state.now().since(arrived);
+        let now = self.state.now();
+        let took = now.since(arrived);
         self.state.metrics.request(refusal.kind.as_str(), took);
         let proof_ms = self.state.proof_age().map(|a| a.as_millis() as u64);
         let config = self.state.router.load().as_ref().map(|r| r.version);
         // Empty for a request that was refused before its body was read.
-        let content = content.map(|c| c.to_string()).unwrap_or_default();
+        let content = contents.map(|c| c.request.to_string()).unwrap_or_default();
+        let hold = contents.and_then(|c| self.state.quarantine.hold(now, c));
+        let held = hold.map(|h| h.content.to_string()).unwrap_or_default();
+        let held_part = hold.and_then(|h| h.part).map(|p| p.to_string());
+        let held_part = held_part.unwrap_or_default();
         log::info!(
             request = id,
             content = content.as_str(),
+            held = held.as_str(),
+            held_part = held_part.as_str(),
             config:? = config,
             outcome = refusal.kind.as_str(),
             run = refusal.run.as_str(),
--- a/crates/gateway/src/caller_request.rs
+++ b/crates/gateway/src/caller_request.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use compact_str::CompactString;
+use compact_str::format_compact;
 use http::request::Parts;
 use jd_serving::CallHead;
 use jd_serving::PromptDemand;
@@ -61,16 +62,20 @@
         name.bytes().fold(0, |h, b| splitmix64(h ^ u64::from(b)))
     }
 
-    /// Refuses the request if it is quarantined because it crashes upstreams. `runs` is the
-    /// number of times that it may have run so far. Called before each send.
+    /// Refuses the request if it or a part of its prompt is quarantined because it crashes
+    /// upstreams. `runs` is the number of times that it may have run so far. Called before each
+    /// send.
     pub(crate) fn check_quarantine(&self, state: &State, runs: u32) -> Result<(), Refusal> {
-        let Some(left) = state
-            .quarantine
-            .time_left(state.now(), self.contents.request)
-        else {
+        let Some(hold) = state.quarantine.hold(state.now(), &self.contents) else {
             return Ok(());
         };
-        let detail = "upstreams that ran this request ended, one after the other";
+        let left = hold.left;
+        let detail = match hold.part {
+            None => "upstreams that ran this request ended, one after the other".into(),
+            Some(part) => format_compact!(
+                "upstreams ended, one after the other, as they began answers on a part of its prompt ({part})"
+            ),
+        };
         Err(match runs {
             0 => Refusal::not_run(RefusalKind::Quarantined, detail).with_retry_after(left),
             _ => may_have_run(RefusalKind::UpstreamFailed, detail),
--- a/crates/gateway/src/crash_reporter.rs
+++ b/crates/gateway/src/crash_reporter.rs
@@ -19,6 +19,7 @@
 use crate::peer_client::PeerClient;
 use crate::peer_quarantine::RunReport;
 use crate::quarantine_coordinator::QuarantineCoordinator;
+use crate::run_events::RunEnd;
 use crate::run_events::RunEvent;
 use crate::run_events::UpstreamRef;
 use crate::state::State;
@@ -30,21 +31,40 @@
 const RECHECK_INTERVAL: Duration = Duration::from_millis(200);
 /// How long these checks go on. A process that is restarted at once is listed again
 /// within a second; an upstream that crashes later than that did not crash from the runs
-/// that add_broken_run before.
+/// that broke before.
 const RECHECK_FOR: Duration = Duration::from_secs(1);
 /// Instances that get each report: the coordinator that decides and the next two, so that
 /// the evidence survives the loss of two instances.
 const COORDINATORS: usize = 3;
 /// Most broken runs in a report on one crash.
 const MAX_RUNS_PER_REPORT: usize = 128;
-/// Most runs that a log line names, and most parts of prompts.
-const MAX_NAMED_PER_LINE: usize = 8;
+/// Most contents in a report, and most sound runs of them.
+const MAX_CONTENTS_PER_REPORT: usize = 2_048;
+/// Most runs that a log line names.
+const MAX_RUNS_PER_LINE: usize = 8;
+/// Most parts of prompts that a log line names.
+const MAX_PARTS_PER_LINE: usize = 32;
 
-/// Runs that add_broken_run at one upstream.
+/// Runs at one upstream that are not known to be complete.
 #[derive(Debug)]
 struct BrokenRuns {
     at: MonoTime,
-    runs: Vec<BrokenRun>,
+    /// Runs whose connections broke.
+    broken: Vec<BrokenRun>,
+    /// Runs whose answers ended in order, without a mark that they were complete.
+    unmarked: Vec<BrokenRun>,
+}
+
+impl BrokenRuns {
+    fn add(&mut self, run: BrokenRun, end: RunEnd) {
+        let runs = match end {
+            RunEnd::Broken => &mut self.broken,
+            RunEnd::Unmarked => &mut self.unmarked,
+        };
+        if runs.len() < MAX_RUNS_PER_REPORT {
+            runs.push(run);
+        }
+    }
 }
 
 /// Detects crashed upstreams and reports them to the coordinators of the quarantine.
@@ -78,7 +98,12 @@
                     completed_runs: vec![run],
                     ..RunReport::default()
                 }),
-                RunEvent::Broken { at, upstream, run } => self.add_broken_run(at, upstream, run),
+                RunEvent::Broken {
+                    at,
+                    upstream,
+                    run,
+                    end,
+                } => self.add_broken_run(at, upstream, run, end),
             }
         }
     }
@@ -98,28 +123,38 @@
         }
     }
 
-    fn add_broken_run(self: &Arc<Self>, at: MonoTime, upstream: UpstreamRef, run: BrokenRun) {
+    fn add_broken_run(
+        self: &Arc<Self>,
+        at: MonoTime,
+        upstream: UpstreamRef,
+        run: BrokenRun,
+        end: RunEnd,
+    ) {
         let mut broken = lock(&self.broken);
-        match broken.get_mut(&upstream) {
-            Some(known) if known.runs.len() >= MAX_RUNS_PER_REPORT => {}
-            Some(known) => known.runs.push(run),
-            None => {
-                let runs = vec![run];
-                broken.insert(upstream.clone(), BrokenRuns { at, runs });
-                let investigating = Arc::clone(self).investigate(upstream);
-                self.state.executor.spawn(investigating).detach();
-            }
+        if let Some(known) = broken.get_mut(&upstream) {
+            known.add(run, end);
+            return;
         }
+        let mut runs = BrokenRuns {
+            at,
+            broken: Vec::new(),
+            unmarked: Vec::new(),
+        };
+        runs.add(run, end);
+        broken.insert(upstream.clone(), runs);
+        let investigating = Arc::clone(self).investigate(upstream);
+        self.state.executor.spawn(investigating).detach();
     }
 
-    /// Finds out whether an upstream at which runs add_broken_run has crashed, and reports it.
+    /// Finds out whether an upstream at which runs broke has crashed, and reports it.
     ///
     /// Most broken connections leave the upstream running. It has crashed if its address
-    /// refuses connections, or if a later start of it is known.
+    /// refuses connections, or if a later start of it is known. If it is running, the runs
+    /// whose answers ended in order were sound.
     async fn investigate(self: Arc<Self>, upstream: UpstreamRef) {
         Timer::after(COLLECT_FOR).await;
         // Runs that break from now on start a check of their own.
-        let Some(broken) = lock(&self.broken).remove(&upstream) else {
+        let Some(runs) = lock(&self.broken).remove(&upstream) else {
             return;
         };
         let until = self.state.now() + RECHECK_FOR;
@@ -132,19 +167,33 @@
                 status = self.check(&upstream).await;
             }
         }
-        self.log_broken(&upstream, status, broken.at, &broken.runs);
-        if status == UpstreamStatus::Ended {
-            self.send_report(RunReport {
-                crashes: vec![UpstreamCrash {
-                    service: upstream.service,
-                    upstream: upstream.id,
-                    start: upstream.start,
-                    at: broken.at,
-                    runs: broken.runs,
-                }],
-                ..RunReport::default()
-            });
+        let BrokenRuns {
+            at,
+            broken,
+            unmarked,
+        } = runs;
+        if status != UpstreamStatus::Ended {
+            for run in &unmarked {
+                let now = self.state.now();
+                let began = run.answered.unwrap_or(at);
+                let quarantine = &self.state.quarantine;
+                quarantine.record_completed(now, &upstream.service, &run.contents, began);
+            }
+            if !broken.is_empty() {
+                self.log_broken(&upstream, status, at, &broken);
+            }
+            return;
         }
+        let mut runs = broken;
+        runs.extend(unmarked);
+        self.log_broken(&upstream, status, at, &runs);
+        self.report_crash(UpstreamCrash {
+            service: upstream.service,
+            upstream: upstream.id,
+            start: upstream.start,
+            at,
+            runs,
+        });
     }
 
     fn log_broken(
@@ -155,6 +204,7 @@
         runs: &[BrokenRun],
     ) {
         self.state.metrics.broken_runs(status.as_str(), runs.len());
+        let requests = runs.iter().map(|r| r.contents.request.to_string());
         let answered_ms = |r: &BrokenRun| match r.answered {
             Some(answered) => at.since(answered).as_millis().to_string(),
             None => "none".into(),
@@ -168,14 +218,33 @@
             upstream = upstream.id.as_str(),
             service = upstream.service.as_str(),
             runs = runs.len(),
-            contents = named(runs.iter().map(|r| r.contents.request.to_string())).as_str(),
-            answered_ms = named(runs.iter().map(answered_ms)).as_str(),
-            parts = named(parts.iter().map(Content::to_string)).as_str(),
+            contents = named(MAX_RUNS_PER_LINE, requests).as_str(),
+            answered_ms = named(MAX_RUNS_PER_LINE, runs.iter().map(answered_ms)).as_str(),
+            parts = named(MAX_PARTS_PER_LINE, parts.iter().map(Content::to_string)).as_str(),
             outcome = status.as_str();
             "runs broke at an upstream"
         );
     }
 
+    /// Reports a crash, and the sound runs that this instance has seen of what was present.
+    fn report_crash(self: &Arc<Self>, mut crash: UpstreamCrash) {
+        let mut room = MAX_CONTENTS_PER_REPORT;
+        crash.runs.retain(|run| {
+            let contents = run.contents.iter().count();
+            let fits = contents <= room;
+            room -= contents.min(room);
+            fits
+        });
+        let present: BTreeSet<Content> =
+            crash.runs.iter().flat_map(|r| r.contents.iter()).collect();
+        let quarantine = &self.state.quarantine;
+        let completed_runs = quarantine.last_runs(&crash.service, present.into_iter());
+        self.send_report(RunReport {
+            crashes: vec![crash],
+            completed_runs,
+        });
+    }
+
     async fn check(&self, upstream: &UpstreamRef) -> UpstreamStatus {
         if self.check_entry(upstream) == UpstreamStatus::Ended {
             return UpstreamStatus::Ended;
@@ -244,7 +313,7 @@
 }
 
 /// The first of several words, for a log line.
-fn named(words: impl Iterator<Item = String>) -> CompactString {
-    let first = words.take(MAX_NAMED_PER_LINE);
+fn named(limit: usize, words: impl Iterator<Item = String>) -> CompactString {
+    let first = words.take(limit);
     first.collect::<Vec<String>>().join(" ").into()
 }
--- a/crates/gateway/src/event_stream.rs
+++ b/crates/gateway/src/event_stream.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use futures_lite::FutureExt;
 use futures_lite::future;
+use http::StatusCode;
 use jd_net::BodyError;
 use jd_net::BodyFraming;
 use jd_net::HttpResponse;
@@ -254,7 +255,7 @@
     }
 
     fn finish(mut self) -> Option<(Result<Bytes, BodyError>, EventStream)> {
-        self.attempt.mark_completed();
+        self.attempt.record_end(StatusCode::OK, self.framing);
         self.attempt.finish(AttemptOutcome::Answered);
         self.response = None;
         self.state.metrics.stream_end(self.framing.as_str());
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -1,5 +1,6 @@
 //! Quarantines of requests, as this instance knows them.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
@@ -8,16 +9,21 @@
 use jd_net::lock;
 use jd_serving::CompletedRun;
 use jd_serving::Content;
+use jd_serving::PartContent;
 use jd_serving::QuarantineList;
 use jd_serving::QuarantinePhase;
 use jd_serving::QuarantineState;
 use jd_serving::RecentRuns;
+use jd_serving::RunContents;
 use jd_types::MonoTime;
 
 use crate::run_events::RunEvent;
 use crate::run_events::RunEvents;
 use crate::signal::Signal;
 
+/// Least time between two reports of sound runs of one content by one instance.
+const REPORT_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Where a quarantine state came from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum QuarantineSource {
@@ -38,11 +44,24 @@
     pub(crate) left: Duration,
 }
 
-/// Suspected, quarantined and released requests; checked on the path of each request.
+/// A quarantine that keeps a run from upstreams.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Hold {
+    /// The request, or the part of its prompt, that is quarantined.
+    pub(crate) content: Content,
+    /// The part among the prompts of all customers, if a part is quarantined.
+    pub(crate) part: Option<Content>,
+    /// Time until it expires.
+    pub(crate) left: Duration,
+}
+
+/// Suspected, quarantined and released requests and parts of prompts; checked on the path of each request.
 #[derive(Debug)]
 pub(crate) struct Quarantine {
     list: ArcSwap<QuarantineList>,
     recent: Mutex<RecentRuns>,
+    /// When the runs of contents were last reported; of those reported lately.
+    reported: Mutex<HashMap<Content, MonoTime>>,
     pub(crate) run_events: RunEvents,
     /// `heartbeat_requested` makes the next heartbeats go out at once. `runs_requested`
     /// has this instance report the runs that it remembers of suspected requests.
@@ -55,6 +74,7 @@
         Quarantine {
             list: ArcSwap::default(),
             recent: Mutex::default(),
+            reported: Mutex::default(),
             run_events: RunEvents::new(),
             heartbeat_requested,
             runs_requested: Signal::new(),
@@ -70,6 +90,24 @@
         }
     }
 
+    /// What keeps a run from upstreams: the most specific of its contents that are quarantined.
+    pub(crate) fn hold(&self, now: MonoTime, contents: &RunContents) -> Option<Hold> {
+        let list = self.list.load();
+        if list.is_empty() {
+            return None;
+        }
+        contents.iter().find_map(|content| {
+            let left = list.quarantine_remaining(now, content)?;
+            let is_held = |p: &&PartContent| p.of_customer == content || p.of_all == content;
+            let part = contents.parts.iter().find(is_held).map(|p| p.of_all);
+            Some(Hold {
+                content,
+                part,
+                left,
+            })
+        })
+    }
+
     pub(crate) fn list(&self) -> Arc<QuarantineList> {
         self.list.load_full()
     }
@@ -131,19 +169,62 @@
         });
     }
 
-    /// Notes that a request completed a run at a service.
-    pub(crate) fn record_completed(&self, now: MonoTime, service: &str, content: Content) {
-        lock(&self.recent).record(now, service, content);
-        let held = self.list.load().get(now, content);
-        if held.is_some_and(|held| held.state.is_active()) {
-            self.run_events.add(RunEvent::Completed(CompletedRun {
+    /// Notes that a run was sound whose answer began at `began`.
+    pub(crate) fn record_completed(
+        &self,
+        now: MonoTime,
+        service: &str,
+        contents: &RunContents,
+        began: MonoTime,
+    ) {
+        let list = self.list.load();
+        let mut recent = lock(&self.recent);
+        for content in contents.iter() {
+            let run = CompletedRun {
                 service: service.into(),
                 content,
-                at: now,
-            }));
+                at: began,
+            };
+            recent.record(run.clone());
+            let held = match list.is_empty() {
+                true => None,
+                false => list.get(now, content),
+            };
+            if held.is_some_and(|held| held.state.is_active()) && self.may_report(now, content) {
+                self.run_events.add(RunEvent::Completed(run));
+            }
         }
     }
 
+    /// True if no run of this content was reported lately: a part of prompts may be in many
+    /// requests a second, at many instances.
+    fn may_report(&self, now: MonoTime, content: Content) -> bool {
+        let mut reported = lock(&self.reported);
+        reported.retain(|_, at| now.since(*at) < REPORT_INTERVAL);
+        let is_due = !reported.contains_key(&content);
+        if is_due {
+            reported.insert(content, now);
+        }
+        is_due
+    }
+
+    /// The last sound run of each of these contents at a service.
+    pub(crate) fn last_runs(
+        &self,
+        service: &str,
+        contents: impl Iterator<Item = Content>,
+    ) -> Vec<CompletedRun> {
+        let recent = lock(&self.recent);
+        let runs = contents.filter_map(|content| {
+            Some(CompletedRun {
+                service: service.into(),
+                content,
+                at: recent.last_run(service, content)?,
+            })
+        });
+        runs.collect()
+    }
+
     /// Recently completed runs of requests that are suspected or quarantined.
     pub(crate) fn recent_runs(&self, now: MonoTime) -> Vec<CompletedRun> {
         let list = self.list.load();
--- a/crates/gateway/src/quarantine_coordinator.rs
+++ b/crates/gateway/src/quarantine_coordinator.rs
@@ -176,8 +176,9 @@
             content:% = finding.content,
             phase = phase.as_str(),
             ends = finding.crashes,
+            answered = finding.answered,
             longest_ms = finding.longest_run.as_millis() as u64;
-            "upstreams ended with a request"
+            "upstreams ended with this content"
         );
         if phase == QuarantinePhase::Quarantined {
             let list = quarantine.list();
--- a/crates/gateway/src/run_events.rs
+++ b/crates/gateway/src/run_events.rs
@@ -23,14 +23,24 @@
     pub(crate) address: SocketAddr,
 }
 
+/// How the connection of a run ended that is not known to be complete.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum RunEnd {
+    /// Before the end of the answer.
+    Broken,
+    /// In order, after an answer without a length or chunks. A crash looks the same.
+    Unmarked,
+}
+
 /// An event of a run on an upstream.
 #[derive(Debug)]
 pub(crate) enum RunEvent {
-    /// The connection broke before the run completed.
+    /// The connection broke before the run completed, or ended without a mark that it had.
     Broken {
         at: MonoTime,
         upstream: UpstreamRef,
         run: BrokenRun,
+        end: RunEnd,
     },
     /// The run completed, and its request is suspected or quarantined.
     Completed(CompletedRun),
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -52,6 +52,7 @@
 use crate::peer_replication::PackedSnapshots;
 use crate::permit_retries::PermitRetries;
 use crate::quarantine::Quarantine;
+use crate::run_events::RunEnd;
 use crate::run_events::RunEvent;
 use crate::run_events::UpstreamRef;
 use crate::selection_filter::LimitFilter;
@@ -361,7 +362,7 @@
 
     /// Reports that the connection of a run broke before its end. The request is not suspected
     /// if its upstream was shutting down, since the upstream then ended as planned.
-    pub(crate) fn report_broken_run(&self, upstream: UpstreamRef, run: BrokenRun) {
+    pub(crate) fn report_broken_run(&self, upstream: UpstreamRef, run: BrokenRun, end: RunEnd) {
         if self.upstreams.load().start_of(&upstream.id).is_none() {
             return;
         }
@@ -369,6 +370,7 @@
             at: self.now(),
             upstream,
             run,
+            end,
         });
     }
 
--- a/crates/gateway/src/streaming_call.rs
+++ b/crates/gateway/src/streaming_call.rs
@@ -252,9 +252,10 @@
 ) -> Result<Body, Refusal> {
     let mut attempt = response.attempt;
     let left = request.time_left(state.now());
+    let framing = response.http.framing;
     let read = with_timeout(left, response.http.read_all(MAX_ERROR_BODY)).await;
     if let Some(Ok(_)) = &read {
-        attempt.mark_completed();
+        attempt.record_end(response.head.status, framing);
     }
     attempt.finish(AttemptOutcome::Failed);
     match read {
--- a/crates/gateway/src/unary_call.rs
+++ b/crates/gateway/src/unary_call.rs
@@ -147,7 +147,7 @@
         .await;
     let (outcome, detail) = match read {
         Some(Ok(body)) => {
-            attempt.mark_completed();
+            attempt.record_end(head.status, framing);
             attempt.finish(match head.status.is_server_error() {
                 true => AttemptOutcome::Failed,
                 false => AttemptOutcome::Answered,
--- a/crates/gateway/src/upstream_client.rs
+++ b/crates/gateway/src/upstream_client.rs
@@ -15,7 +15,7 @@
 use jd_net::SendError;
 use jd_net::lock;
 use jd_serving::ColdStart;
-use jd_serving::Content;
+use jd_serving::RunContents;
 use jd_types::MonoTime;
 
 use crate::run_events::UpstreamRef;
@@ -33,8 +33,8 @@
 pub(crate) enum SendPurpose {
     /// A caller's request.
     Request {
-        /// Identifies the content of the request, for the quarantine.
-        content: Content,
+        /// Identifies the request and the parts of its prompt, for the quarantine.
+        contents: RunContents,
         /// Its priority; 0 is the most urgent.
         priority: u8,
         /// The cold-start state of the upstream.
@@ -262,10 +262,10 @@
             SendPurpose::Request { .. } | SendPurpose::Pieces if !listed() => {
                 withheld("the upstream gets nothing new any more")
             }
-            SendPurpose::Request { content, .. }
-                if state.quarantine.time_left(now, *content).is_some() =>
+            SendPurpose::Request { contents, .. }
+                if state.quarantine.hold(now, contents).is_some() =>
             {
-                withheld("the request ends upstreams")
+                withheld("the request or a part of its prompt ends upstreams")
             }
             SendPurpose::Request { .. } | SendPurpose::Pieces => match self.granted_at {
                 _ if !is_limited => Ok(()),
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -4,7 +4,7 @@
 //! [`InstanceDirectory`] track upstreams and instances, and [`Freshness`] tracks how recent this
 //! knowledge is. [`StageScheduler`] schedules the pieces of stages, [`place_prompt`] selects the
 //! upstream of a prompt, and [`RetryBudget`] limits retries. [`CrashEvidence`] and
-//! [`QuarantineList`] find and block requests that crash the upstreams that run them. Time is
+//! [`QuarantineList`] find and block requests and parts of prompts that crash upstreams. Time is
 //! passed in and nothing reads a clock or a socket, so that tests can replay loads in virtual
 //! time.
 
@@ -69,6 +69,7 @@
 mod stream_origin;
 mod untracked_storage;
 mod update_source;
+mod upstream_crash;
 mod upstream_directory;
 mod upstream_limits;
 mod upstream_pace;
@@ -97,11 +98,9 @@
 pub use cold_start::ColdStart;
 pub use cold_start::FleetPosition;
 pub use content::Content;
-pub use crash_evidence::BrokenRun;
 pub use crash_evidence::CrashEvidence;
 pub use crash_evidence::Finding;
 pub use crash_evidence::Findings;
-pub use crash_evidence::UpstreamCrash;
 pub use deployment::CallerLimits;
 pub use deployment::CustomerSpec;
 pub use deployment::Deployment;
@@ -202,6 +201,9 @@
 pub use update_source::SourceHealth;
 pub use update_source::UpdateSource;
 pub use update_source::update_source;
+pub use upstream_crash::BrokenRun;
+pub use upstream_crash::SAFE_AFTER;
+pub use upstream_crash::UpstreamCrash;
 pub use upstream_directory::ListedUpstream;
 pub use upstream_directory::UpstreamDirectory;
 pub use upstream_directory::UpstreamEntry;
--- /dev/null
+++ b/crates/serving/tests/part_evidence.rs
@@ -0,0 +1,358 @@
+//! Which parts of prompts are found to crash upstreams.
+
+use std::time::Duration;
+
+use jd_serving::BrokenRun;
+use jd_serving::CompletedRun;
+use jd_serving::Content;
+use jd_serving::CrashEvidence;
+use jd_serving::PartContent;
+use jd_serving::Prompt;
+use jd_serving::PromptPart;
+use jd_serving::RunContents;
+use jd_serving::UpstreamCrash;
+use jd_serving::UpstreamStart;
+use jd_types::MonoTime;
+use test_case::test_case;
+
+/// The part that crashes upstreams, and harmless ones.
+const BAD: u64 = 0xbad;
+const FIRST: u64 = 1;
+const OTHER: u64 = 2;
+/// The users' bound on the time after the fifth crash.
+const KNOWN_WITHIN: u64 = 3_000;
+
+fn at(ms: u64) -> MonoTime {
+    MonoTime::ZERO + Duration::from_millis(ms)
+}
+
+/// The contents of a request of a customer, with these shared parts and a number of its own.
+fn contents(customer: &str, shared: &[u64], own: u64) -> RunContents {
+    let own_part = 1_000_000 + own;
+    let ids = shared.iter().chain([&own_part]);
+    let prompt = Prompt {
+        parts: ids.map(|id| PromptPart { id: *id, tokens: 9 }).collect(),
+        ..Prompt::default()
+    };
+    RunContents::new(
+        Content::from_number(own),
+        "pool",
+        Some(customer),
+        Some(&prompt),
+    )
+}
+
+/// The numbers of a part.
+fn part(customer: &str, id: u64) -> PartContent {
+    contents(customer, &[id], 0).parts[0]
+}
+
+/// A run that was broken off: sent and answered this long before the crash.
+struct Run<'a> {
+    customer: &'a str,
+    shared: &'a [u64],
+    sent_before: u64,
+    answered_before: Option<u64>,
+}
+
+/// A run that had just begun to answer.
+fn fresh<'a>(shared: &'a [u64]) -> Run<'a> {
+    Run {
+        customer: "a",
+        shared,
+        sent_before: 900,
+        answered_before: Some(80),
+    }
+}
+
+/// What the coordinator hears, in virtual time.
+#[derive(Default)]
+struct Replay {
+    evidence: CrashEvidence,
+    now: u64,
+    upstreams: u64,
+    requests: u64,
+    /// When each content was first quarantined, and what is quarantined now.
+    found: Vec<(u64, Content)>,
+    held: Vec<Content>,
+}
+
+impl Replay {
+    /// Evaluates the evidence every 50 ms up to this time.
+    fn advance(&mut self, until: u64) {
+        while self.now < until {
+            self.now += 50;
+            let findings = self.evidence.findings(at(self.now));
+            self.held = findings.quarantined.iter().map(|f| f.content).collect();
+            for content in &self.held {
+                if !self.found.iter().any(|(_, c)| c == content) {
+                    self.found.push((self.now, *content));
+                }
+            }
+        }
+    }
+
+    /// An upstream crashes, with these runs.
+    fn crash(&mut self, ms: u64, runs: &[Run<'_>]) {
+        self.advance(ms);
+        self.upstreams += 1;
+        let mut broken = Vec::new();
+        for run in runs {
+            self.requests += 1;
+            broken.push(BrokenRun {
+                contents: contents(run.customer, run.shared, self.requests),
+                began: at(ms - run.sent_before),
+                answered: run.answered_before.map(|before| at(ms - before)),
+            });
+        }
+        let crash = UpstreamCrash {
+            service: "pool".into(),
+            upstream: self.upstreams.to_string().into(),
+            start: UpstreamStart::at_millis(1),
+            at: at(ms),
+            runs: broken,
+        };
+        self.evidence.record_crash(at(ms), crash);
+    }
+
+    /// A sound run whose answer began at this time is reported.
+    fn sound(&mut self, customer: &str, shared: &[u64], began: u64) {
+        self.requests += 1;
+        for content in contents(customer, shared, self.requests).iter() {
+            let run = CompletedRun {
+                service: "pool".into(),
+                content,
+                at: at(began),
+            };
+            self.evidence.record_completed_run(&run);
+        }
+    }
+
+    fn found_at(&self, content: Content) -> Option<u64> {
+        let found = self.found.iter().find(|(_, c)| *c == content);
+        found.map(|(when, _)| *when)
+    }
+}
+
+/// Different requests share a part that crashes upstreams, up to five within a second, so that
+/// most runs began before the crash before. The part is found in time, and the first part, which
+/// sound requests share, is not.
+#[test_case(1_200 ; "one after the other")]
+#[test_case(180 ; "five within a second")]
+#[test_case(110 ; "five within half a second")]
+fn a_part_that_crashes_upstreams_is_found_in_time(gap: u64) {
+    let mut replay = Replay::default();
+    for n in 0..5 {
+        let ms = 2_000 + n * gap;
+        replay.crash(ms, &[fresh(&[FIRST, BAD]), fresh(&[FIRST, BAD])]);
+        replay.sound("a", &[FIRST, OTHER], ms + 50);
+    }
+    let fifth = 2_000 + 4 * gap;
+    replay.advance(fifth + KNOWN_WITHIN - 500);
+    assert_eq!(replay.held, [part("a", BAD).of_customer]);
+}
+
+/// Zones lose power several times while the parts of everybody's prompts are at each upstream, some
+/// of them just answered. Crashes of one moment count once, and sound runs in between clear them.
+#[test]
+fn the_parts_of_everybody_are_not_found_after_losses_of_power() {
+    let mut replay = Replay::default();
+    for loss in 0..6 {
+        let ms = 2_000 + loss * 3_000;
+        for upstream in 0..5 {
+            replay.crash(
+                ms + upstream * 4,
+                &[fresh(&[FIRST, OTHER]), fresh(&[FIRST, 40 + loss])],
+            );
+        }
+        replay.sound("a", &[FIRST, OTHER], ms + 1_500);
+    }
+    replay.advance(40_000);
+    assert_eq!(replay.found, []);
+}
+
+/// A single loss of power ends five upstreams, and nothing runs after it.
+#[test]
+fn crashes_of_one_moment_find_no_part() {
+    let mut replay = Replay::default();
+    for upstream in 0..9 {
+        replay.crash(2_000 + upstream * 8, &[fresh(&[FIRST, OTHER])]);
+    }
+    replay.advance(20_000);
+    assert_eq!(replay.found, []);
+}
+
+/// A part was sound until now: runs that began before the first crash go on for seconds. They clear
+/// it of nothing.
+#[test]
+fn sound_runs_that_began_before_a_crash_do_not_clear_it() {
+    let mut replay = Replay::default();
+    replay.sound("a", &[FIRST, BAD], 1_000);
+    for n in 0..4 {
+        let ms = 2_000 + n * 700;
+        replay.crash(ms, &[fresh(&[FIRST, BAD])]);
+        replay.sound("a", &[FIRST, BAD], 1_900);
+        replay.sound("a", &[FIRST, OTHER], ms + 50);
+    }
+    replay.advance(8_000);
+    assert_eq!(replay.held, [part("a", BAD).of_customer]);
+}
+
+/// Runs that wait at an upstream, and were sent before the crash before, were broken off by what
+/// crashed it.
+#[test]
+fn a_part_whose_answers_had_not_begun_counts_one_crash_after_the_other() {
+    let mut replay = Replay::default();
+    let waiting = |sent_before| Run {
+        answered_before: None,
+        sent_before,
+        ..fresh(&[OTHER])
+    };
+    for n in 0..6 {
+        replay.crash(3_000 + n * 300, &[waiting(2_500)]);
+    }
+    replay.advance(9_000);
+    assert_eq!(replay.found, []);
+}
+
+/// Two parts crash upstreams at the same time, in requests of their own, and both are found.
+#[test]
+fn two_parts_at_once_are_both_found() {
+    let mut replay = Replay::default();
+    for n in 0..8 {
+        let ms = 2_000 + n * 400;
+        let one = [FIRST, BAD + n % 2];
+        replay.crash(ms, &[fresh(&one), fresh(&[FIRST, OTHER])]);
+        replay.sound("a", &[FIRST, OTHER], ms + 60);
+    }
+    replay.advance(9_000);
+    replay.held.sort_unstable();
+    let mut both = [part("a", BAD).of_customer, part("a", BAD + 1).of_customer];
+    both.sort_unstable();
+    assert_eq!(replay.held, both);
+}
+
+/// A part is the first of its prompts, and a harmless one is always beside it there, with sound runs
+/// of its own. The first part is found.
+#[test]
+fn a_first_part_that_crashes_upstreams_is_found() {
+    let mut replay = Replay::default();
+    for n in 0..5 {
+        let ms = 2_000 + n * 600;
+        replay.crash(ms, &[fresh(&[BAD, OTHER])]);
+        replay.sound("a", &[FIRST, OTHER], ms + 100);
+    }
+    replay.advance(7_500);
+    assert_eq!(replay.held, [part("a", BAD).of_customer]);
+}
+
+/// A harmless part is at every crash beside the one that causes them and has no sound runs in
+/// between; it had some before. The other one is found.
+#[test]
+fn of_two_parts_that_are_always_together_the_one_seen_sound_is_spared() {
+    let mut replay = Replay::default();
+    replay.sound("a", &[FIRST, OTHER], 1_000);
+    for n in 0..5 {
+        replay.crash(2_000 + n * 600, &[fresh(&[BAD, OTHER])]);
+    }
+    replay.advance(7_500);
+    assert_eq!(replay.held, [part("a", BAD).of_customer]);
+}
+
+/// A customer whose requests crash upstreams names a part of another customer's prompts in them.
+/// That customer is not refused, though its own runs are rare.
+#[test]
+fn crashes_of_one_customer_hold_no_part_of_another() {
+    let mut replay = Replay::default();
+    for n in 0..9 {
+        replay.crash(2_000 + n * 500, &[fresh(&[OTHER, BAD + n])]);
+    }
+    replay.advance(12_000);
+    assert_eq!(replay.held, [part("a", OTHER).of_customer]);
+}
+
+/// A part crashes upstreams in requests of several customers: it is found among all.
+#[test]
+fn a_part_that_crashes_upstreams_for_all_customers_is_found_for_all() {
+    let mut replay = Replay::default();
+    for n in 0..5 {
+        let ms = 2_000 + n * 500;
+        let run = Run {
+            customer: ["a", "b", "c"][n as usize % 3],
+            ..fresh(&[FIRST, BAD])
+        };
+        replay.crash(ms, &[run]);
+        for customer in ["a", "b", "c"] {
+            replay.sound(customer, &[FIRST, OTHER], ms + 60);
+        }
+    }
+    replay.advance(4_000 + KNOWN_WITHIN - 500);
+    assert_eq!(replay.held, [part("a", BAD).of_all]);
+}
+
+/// After a part was found for one customer, one crash of another customer with it suffices.
+#[test]
+fn one_crash_of_a_second_customer_holds_a_part_for_all() {
+    let mut replay = Replay::default();
+    for n in 0..4 {
+        replay.crash(2_000 + n * 600, &[fresh(&[FIRST, BAD])]);
+        replay.sound("a", &[FIRST, OTHER], 2_060 + n * 600);
+    }
+    replay.advance(7_000);
+    assert_eq!(replay.held, [part("a", BAD).of_customer]);
+    let other = Run {
+        customer: "b",
+        ..fresh(&[FIRST, BAD])
+    };
+    replay.crash(7_000, &[other]);
+    replay.advance(7_600);
+    assert_eq!(replay.held, [part("a", BAD).of_all]);
+}
+
+/// Thousands of different parts are at crashes. The evidence is bounded, and the part that causes
+/// them is found.
+#[test]
+fn a_part_is_found_among_ten_thousand_different_ones() {
+    let mut replay = Replay::default();
+    for n in 0..5 {
+        let ms = 2_000 + n * 600;
+        let many: Vec<Vec<u64>> = (0..100)
+            .map(|k| (0..20).map(|p| 10_000 + n * 2_000 + k * 20 + p).collect())
+            .collect();
+        let mut runs: Vec<Run<'_>> = many
+            .iter()
+            .map(|shared| Run {
+                answered_before: None,
+                ..fresh(shared)
+            })
+            .collect();
+        runs.push(fresh(&[FIRST, BAD]));
+        replay.crash(ms, &runs);
+        replay.sound("a", &[FIRST, OTHER], ms + 60);
+    }
+    replay.advance(7_500);
+    assert_eq!(replay.held, [part("a", BAD).of_customer]);
+}
+
+/// Two requests crash upstreams, mostly both at once. What one explains does not release the
+/// other, which has a crash of its own.
+#[test]
+fn of_two_parts_that_crash_upstreams_together_none_is_released() {
+    let mut replay = Replay::default();
+    for n in 0..3 {
+        replay.crash(2_000 + n * 600, &[fresh(&[BAD])]);
+    }
+    replay.advance(4_700);
+    assert_eq!(replay.held, [part("a", BAD).of_customer]);
+    for n in 0..4 {
+        let both = [fresh(&[BAD]), fresh(&[BAD + 1])];
+        replay.crash(4_700 + n * 300, &both);
+    }
+    for n in 0..4 {
+        replay.crash(6_000 + n * 300, &[fresh(&[BAD + 1])]);
+    }
+    replay.advance(12_000);
+    let found = |id| replay.held.contains(&part("a", id).of_customer);
+    assert!(found(BAD) && found(BAD + 1), "{:?}", replay.held);
+    assert!(replay.found_at(part("a", BAD).of_customer).is_some());
+}
--- a/crates/serving/tests/quarantine_list.rs
+++ b/crates/serving/tests/quarantine_list.rs
@@ -34,6 +34,7 @@
     Finding {
         content: Content::from_number(content),
         crashes: 3,
+        answered: 0,
         longest_run: Duration::from_millis(80),
         last_crash: at(last),
     }
@@ -156,7 +157,7 @@
 fn a_completed_run_is_remembered_for_half_a_minute() {
     let mut recent = RecentRuns::default();
     let content = Content::from_number(OTHER);
-    recent.record(at(1_000), "pool", content);
+    recent.record(completed("pool", OTHER, 1_000));
     assert_eq!(
         recent.runs_of(at(20_000), content),
         [completed("pool", OTHER, 1_000)]
