A request is refused at once when a part of its prompt is quarantined; an unreadable list of parts is an error

Callers waited: a request that waited for its stages when it or a part of its prompt was put under quarantine was refused only after the stages had been done for nothing. It is refused at once now, as not run. A request of an instance that reaches no upstream could be forwarded though it is held here; the quarantine is checked before each offer. The list of a prompt's parts was read leniently: an entry that could not be read was dropped, and a second list ignored, so that such a part would have escaped its quarantine. Lists that cannot be read as a whole, that come twice or that have more than 128 parts are refused as malformed, with the header and the remedy. Tests: a request that waits for a stage of 12 s; answers without a length, of upstreams that crash with them and of upstreams that go on; losses of power under hot parts; lists of parts.

--- a/crates/gateway/src/caller_api.rs
+++ b/crates/gateway/src/caller_api.rs
@@ -116,6 +116,9 @@
         let router = self.state.router.load_full();
         let limits = router.as_ref().map(|r| r.limits).unwrap_or_default();
         let body = read_body(body, limits.body_bytes).await?;
+        if let Some(detail) = &head.invalid {
+            return Err(Refusal::not_run(RefusalKind::Malformed, detail.clone()));
+        }
         if router.is_none() {
             self.wait_for_first_read().await;
         }
--- a/crates/gateway/src/caller_request.rs
+++ b/crates/gateway/src/caller_request.rs
@@ -82,6 +82,17 @@
         })
     }
 
+    /// Returns the refusal of a request that is put under quarantine before it is sent.
+    pub(crate) async fn until_quarantined(&self, state: &State) -> Refusal {
+        loop {
+            let extended = state.quarantine.listen();
+            if let Err(refusal) = self.check_quarantine(state, 0) {
+                return refusal;
+            }
+            extended.await;
+        }
+    }
+
     /// True if the request has stages that have to run before it.
     pub(crate) fn has_stages(&self) -> bool {
         let numbered = 0..self.route().stages.len();
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -6,6 +6,8 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
+use event_listener::Event;
+use event_listener::EventListener;
 use jd_net::lock;
 use jd_serving::CompletedRun;
 use jd_serving::Content;
@@ -63,6 +65,8 @@
     /// When the runs of contents were last reported; of those reported lately.
     reported: Mutex<HashMap<Content, MonoTime>>,
     pub(crate) run_events: RunEvents,
+    /// Notified when a request or a part of prompts is put under quarantine.
+    extended: Event,
     /// `heartbeat_requested` makes the next heartbeats go out at once. `runs_requested`
     /// has this instance report the runs that it remembers of suspected requests.
     heartbeat_requested: Arc<Signal>,
@@ -76,6 +80,7 @@
             recent: Mutex::default(),
             reported: Mutex::default(),
             run_events: RunEvents::new(),
+            extended: Event::new(),
             heartbeat_requested,
             runs_requested: Signal::new(),
         }
@@ -108,6 +113,11 @@
         })
     }
 
+    /// The next extension of the quarantine.
+    pub(crate) fn listen(&self) -> EventListener {
+        self.extended.listen()
+    }
+
     pub(crate) fn list(&self) -> Arc<QuarantineList> {
         self.list.load_full()
     }
@@ -134,6 +144,9 @@
                 self.runs_requested.notify();
                 self.heartbeat_requested.notify();
             }
+            if is_new && update.state.phase == QuarantinePhase::Quarantined {
+                self.extended.notify(usize::MAX);
+            }
             // Suspicions are logged only where they arise, because there can be many.
             if is_new && update.state.phase != QuarantinePhase::Suspected {
                 log::warn!(
--- a/crates/gateway/src/stage_runner.rs
+++ b/crates/gateway/src/stage_runner.rs
@@ -82,20 +82,9 @@
         prompt: Option<PromptDemand>,
     ) -> Result<StageResults, Refusal> {
         request.check_quarantine(&self.state, 0)?;
-        let (owner, outcome) = match request.has_stages() {
-            true => self.run_job(request, &self.job(request, prompt)).await?,
-            false => {
-                let placement = match prompt {
-                    Some(prompt) => self.place_only(&self.job(request, Some(prompt))).await,
-                    None => None,
-                };
-                let outcome = StageOutcome {
-                    placement,
-                    ..StageOutcome::default()
-                };
-                (self.state.own_entry.peer_address, outcome)
-            }
-        };
+        let quarantined = async { Err(request.until_quarantined(&self.state).await) };
+        let running = self.run_or_place(request, prompt);
+        let (owner, outcome) = running.or(quarantined).await?;
         Ok(StageResults::new(
             outcome,
             owner,
@@ -103,6 +92,25 @@
         ))
     }
 
+    async fn run_or_place(
+        &self,
+        request: &CallerRequest,
+        prompt: Option<PromptDemand>,
+    ) -> Result<(SocketAddr, StageOutcome), Refusal> {
+        if request.has_stages() {
+            return self.run_job(request, &self.job(request, prompt)).await;
+        }
+        let placement = match prompt {
+            Some(prompt) => self.place_only(&self.job(request, Some(prompt))).await,
+            None => None,
+        };
+        let outcome = StageOutcome {
+            placement,
+            ..StageOutcome::default()
+        };
+        Ok((self.state.own_entry.peer_address, outcome))
+    }
+
     async fn run_job(
         &self,
         request: &CallerRequest,
--- a/crates/gateway/src/upstream_selection.rs
+++ b/crates/gateway/src/upstream_selection.rs
@@ -158,6 +158,8 @@
     timeout: impl Fn(u32) -> Duration,
     on_write: impl Fn(),
 ) -> Result<UpstreamResponse, NextSendError> {
+    let quarantine = request.check_quarantine(state, retries.possible_runs);
+    quarantine.map_err(NextSendError::Refused)?;
     let is_unreachable = state.path.is_lost() || retries.unreachable >= MAX_UNREACHABLE;
     if is_unreachable || retries.forward_only {
         let forwarding = forward_client::forward(state, request, retries, last_event, &on_write);
@@ -190,6 +192,8 @@
                         return Err(NextSendError::Refused(refusal));
                     }
                     Err(refusal) => {
+                        let quarantine = request.check_quarantine(state, retries.possible_runs);
+                        quarantine.map_err(NextSendError::Refused)?;
                         let on_write = &on_write;
                         let forwarding =
                             forward_client::forward(state, request, retries, last_event, on_write);
--- a/crates/gateway/tests/whole/crashing_parts.rs
+++ b/crates/gateway/tests/whole/crashing_parts.rs
@@ -6,13 +6,19 @@
 
 use async_io::Timer;
 use futures_lite::future::block_on;
+use jd_gateway::Change;
+use jd_serving::UpstreamStart;
 use test_case::test_case;
 
 use crate::fakes::CallerResponse;
 use crate::fakes::CrashingUpstreams;
+use crate::fakes::End;
 use crate::fakes::Harness;
+use crate::fakes::Reply;
+use crate::fakes::UnframedUpstream;
 use crate::fakes::crash_fleet::INSTANCES;
 use crate::fakes::crash_fleet::fleet;
+use crate::fakes::entry;
 
 /// Crashes after which a part has to be quarantined: the users' bound.
 const CRASHES_ALLOWED: usize = 5;
@@ -152,3 +158,113 @@
         Timer::after(Duration::from_millis(50)).await;
     }
 }
+
+/// Upstreams crash as they answer on a part, and their answers end in order, without a length: they
+/// look complete. They clear the part of nothing.
+#[test]
+fn answers_without_a_length_that_crashes_end_clear_no_part() {
+    let stage = vec![Reply::Complete("made")];
+    let harness = Arc::new(Harness::start_with_stage(Vec::new(), stage));
+    let executor = harness.executor();
+    let reply = ("id: 1\ndata: a\n\n", End::Close);
+    block_on(async {
+        harness.until_ready(true).await;
+        for n in 0..20 {
+            let upstream = UnframedUpstream::start(&executor, reply, reply);
+            let id = format!("u-{n}");
+            let record = entry(&id, "pool", upstream.address, UpstreamStart::UNKNOWN);
+            harness.store.change(Change::Put(record));
+            while !harness.store.is_caught_up() {
+                Timer::after(Duration::from_millis(2)).await;
+            }
+            let received = ask_different(&harness, "/stream/parts-1,bad", n).await;
+            if is_quarantined(&received) {
+                assert_eq!(received.run.as_deref(), Some("not run"));
+                return;
+            }
+            drop(upstream);
+            Timer::after(Duration::from_millis(500)).await;
+            harness.store.change(Change::UpstreamRemoved(id.into()));
+        }
+        panic!("it was not quarantined");
+    });
+}
+
+/// The same answers of upstreams that go on are sound, also if they are all that a part has.
+#[test]
+fn answers_without_a_length_of_upstreams_that_go_on_clear_a_part() {
+    let (harness, upstreams) = fleet(6);
+    let executor = harness.executor();
+    let reply = ("id: 1\ndata: a\n\n", End::Close);
+    let unframed: Vec<UnframedUpstream> = (0..6)
+        .map(|_| UnframedUpstream::start(&executor, reply, reply))
+        .collect();
+    for (n, upstream) in unframed.iter().enumerate() {
+        let id = format!("unframed-{n}");
+        let record = entry(&id, "pool", upstream.address, UpstreamStart::UNKNOWN);
+        harness.store.change(Change::Put(record));
+    }
+    let harness = Arc::new(harness);
+    block_on(async {
+        harness.until_all_answer("/any/x", 200).await;
+        let span = Duration::from_millis(6_000);
+        let hot = spawn_different(
+            &harness,
+            "/stream/parts-1,2",
+            Duration::from_millis(25),
+            span,
+        );
+        for place in 0..6 {
+            Timer::after(Duration::from_millis(800)).await;
+            upstreams.lose(place);
+        }
+        assert!(!hot.await.iter().any(is_quarantined));
+    });
+}
+
+/// All upstreams are lost at once, four times, while the parts of everybody's prompts are at each of
+/// them and some of their answers have just begun.
+#[test]
+fn hot_parts_under_losses_of_power_are_not_quarantined() {
+    block_on(async {
+        let (harness, upstreams) = ready_fleet(6).await;
+        let span = Duration::from_millis(7_500);
+        let hot = spawn_different(
+            &harness,
+            "/any/parts-1,2/long",
+            Duration::from_millis(25),
+            span,
+        );
+        for _ in 0..4 {
+            Timer::after(Duration::from_millis(1_500)).await;
+            upstreams.lose_all();
+        }
+        assert!(!hot.await.iter().any(is_quarantined));
+    });
+}
+
+/// A request waits for its stage when a part of its prompt is quarantined. It was refused only
+/// after the stage had been done for nothing.
+#[test]
+fn a_request_that_waits_for_its_stage_is_refused_once_its_part_is_quarantined() {
+    let stage_takes = Duration::from_secs(12);
+    let stage = vec![Reply::Delayed("made", stage_takes)];
+    let mut harness = Harness::start_with_stage(Vec::new(), stage);
+    harness.add_gateways(INSTANCES - 1);
+    let _upstreams = CrashingUpstreams::start(harness.executor(), &harness.store, 6);
+    let harness = Arc::new(harness);
+    block_on(async {
+        harness.until_all_answer("/any/x", 200).await;
+        let caller = Arc::clone(&harness);
+        let waiting = harness.spawn(async move {
+            let began = Instant::now();
+            let received = ask_different(&caller, "/staged/parts-4,bad", 0).await;
+            (received, began.elapsed())
+        });
+        until_quarantined(&harness).await;
+        let (received, took) = waiting.await;
+        assert!(is_quarantined(&received), "{received:?}");
+        assert_eq!(received.run.as_deref(), Some("not run"));
+        assert!(took < stage_takes - Duration::from_secs(2), "{took:?}");
+    });
+}
--- a/crates/serving/src/call_head.rs
+++ b/crates/serving/src/call_head.rs
@@ -26,4 +26,6 @@
     pub last_event: Option<u64>,
     /// The stream that the caller resumes, if it names one that can be read.
     pub resumes: Option<StreamId>,
+    /// Why the request cannot be acted on; `None` if all of its head can be read.
+    pub invalid: Option<CompactString>,
 }
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -131,6 +131,7 @@
 pub use placement::PlacementReason;
 pub use placement::PromptPlacement;
 pub use placement::PromptPlanner;
+pub use prompt::MAX_PROMPT_PARTS;
 pub use prompt::Prompt;
 pub use prompt::PromptPart;
 pub use prompt_demand::PromptDemand;
--- a/crates/serving/src/prompt.rs
+++ b/crates/serving/src/prompt.rs
@@ -2,6 +2,9 @@
 
 use compact_str::CompactString;
 
+/// The largest number of parts of a prompt. Each of them is looked up before each send.
+pub const MAX_PROMPT_PARTS: usize = 128;
+
 /// A part of a prompt that other requests may share.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PromptPart {
