The next coordinator decides on parts where the first one is of an earlier build

While a fleet is updated, the first coordinator may be of a build that judges whole requests alone: parts that crash upstreams would go on doing so at instances of this build, until it is replaced. Coordinators say in their replies to reports whether they judge parts; a later one asks those before it when reports arrive and decides on parts if none of them does. Earlier builds pass its decisions on in heartbeats and write them to the store, as they do with any content. Test: a fleet with a first coordinator that answers as earlier builds do.

--- a/crates/gateway/src/crash_reporter.rs
+++ b/crates/gateway/src/crash_reporter.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
@@ -123,6 +124,16 @@
         }
     }
 
+    /// Asks the coordinators before this one whether they judge parts of prompts, whenever this one
+    /// gets a report and does not know, forever.
+    pub(crate) async fn ask_earlier_coordinators(self: Arc<Self>) {
+        loop {
+            for unknown in self.coordinator.unknown_builds().await {
+                self.send_report_to(unknown, &RunReport::default()).await;
+            }
+        }
+    }
+
     fn add_broken_run(
         self: &Arc<Self>,
         at: MonoTime,
@@ -281,14 +292,19 @@
             }
             let reporter = Arc::clone(self);
             let report = report.clone();
-            let sending = async move {
-                if !reporter.peers.report_crashes(coordinator, &report).await {
-                    log::info!(coordinator:% = coordinator; "a coordinator of the quarantine does not answer; the other coordinators get the report as well");
-                }
-            };
+            let sending = async move { reporter.send_report_to(coordinator, &report).await };
             self.state.executor.spawn(sending).detach();
         }
     }
+
+    async fn send_report_to(&self, coordinator: SocketAddr, report: &RunReport) {
+        match self.peers.report_crashes(coordinator, report).await {
+            Some(judges_parts) => self.coordinator.record_build(coordinator, judges_parts),
+            None => {
+                log::info!(coordinator:% = coordinator; "a coordinator of the quarantine does not answer; the other coordinators get the report as well");
+            }
+        }
+    }
 }
 
 /// Result of checking an upstream.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -221,7 +221,8 @@
             executor.spawn(free_queue.run()),
             executor.spawn(coordinator.run()),
             executor.spawn(Arc::clone(&reporter).run()),
-            executor.spawn(reporter.report_recent_runs()),
+            executor.spawn(Arc::clone(&reporter).report_recent_runs()),
+            executor.spawn(reporter.ask_earlier_coordinators()),
         ];
         log::info!(
             instance = state.settings.name.as_str(),
--- a/crates/gateway/src/peer_api.rs
+++ b/crates/gateway/src/peer_api.rs
@@ -135,7 +135,9 @@
     ) -> Result<tonic::Response<CrashReportReply>, Status> {
         let report = peer_quarantine::report_of(req.into_inner(), self.state.now());
         self.coordinator.record_report(report);
-        Ok(tonic::Response::new(CrashReportReply {}))
+        Ok(tonic::Response::new(CrashReportReply {
+            judges_parts: true,
+        }))
     }
 
     async fn acquire_permit(
--- a/crates/gateway/src/peer_client.rs
+++ b/crates/gateway/src/peer_client.rs
@@ -148,13 +148,18 @@
         matches!(reply, Some(Ok(_)))
     }
 
-    /// Sends a report on runs to a coordinator of the quarantine; false if it does not
-    /// answer.
-    pub(crate) async fn report_crashes(&self, coordinator: SocketAddr, report: &RunReport) -> bool {
+    /// Sends a report on runs to a coordinator of the quarantine. Returns whether it judges parts of
+    /// prompts; none if it does not answer.
+    pub(crate) async fn report_crashes(
+        &self,
+        coordinator: SocketAddr,
+        report: &RunReport,
+    ) -> Option<bool> {
         let mut client = GatewayClient::new(self.state.channels.channel_to(coordinator));
         let req = peer_quarantine::wire_report(report, self.state.now());
         let reply = with_timeout(HEARTBEAT_TIMEOUT, client.report_crashes(req)).await;
-        matches!(reply, Some(Ok(_)))
+        let reply = reply?.ok()?;
+        Some(reply.into_inner().judges_parts)
     }
 
     /// Gets another instance's store updates, which are empty if there are none within
--- a/crates/gateway/src/quarantine_coordinator.rs
+++ b/crates/gateway/src/quarantine_coordinator.rs
@@ -1,6 +1,8 @@
-//! Decides for the whole fleet which requests crash the upstreams that run them.
+//! Decides for the whole fleet which requests and parts of prompts crash upstreams.
 
+use std::collections::HashMap;
 use std::collections::HashSet;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
@@ -40,6 +42,17 @@
 /// meanwhile through heartbeats.
 const WRITE_RETRY_PAUSE: Duration = Duration::from_millis(1_000);
 
+/// How long it is known whether an instance judges parts of prompts: it may be replaced by one of
+/// another build at the same address.
+const BUILD_KNOWN_FOR: Duration = Duration::from_secs(10);
+
+/// What an instance said of its build.
+#[derive(Debug, Clone, Copy)]
+struct KnownBuild {
+    judges_parts: bool,
+    at: MonoTime,
+}
+
 /// Decides on quarantines while this instance is the first coordinator, and collects the
 /// evidence while it is one of the next.
 #[derive(Debug)]
@@ -48,7 +61,10 @@
     evidence: Mutex<CrashEvidence>,
     /// Requests that this instance itself put under quarantine.
     decided_here: Mutex<HashSet<Content>>,
+    /// What coordinators before this one said of their builds.
+    builds: Mutex<HashMap<SocketAddr, KnownBuild>>,
     report_received: Signal,
+    builds_requested: Signal,
 }
 
 impl QuarantineCoordinator {
@@ -57,7 +73,9 @@
             link,
             evidence: Mutex::default(),
             decided_here: Mutex::default(),
+            builds: Mutex::default(),
             report_received: Signal::new(),
+            builds_requested: Signal::new(),
         }
     }
 
@@ -76,12 +94,35 @@
             }
         }
         drop(evidence);
-        if self.is_first() {
+        if self.decides_on_parts() {
             for content in cleared {
                 self.release(now, content, "it ran to its end");
             }
         }
         self.report_received.notify();
+        self.builds_requested.notify();
+    }
+
+    /// Records whether the instance at this address judges parts of prompts.
+    pub(crate) fn record_build(&self, instance: SocketAddr, judges_parts: bool) {
+        let at = self.link.state.now();
+        let build = KnownBuild { judges_parts, at };
+        let mut builds = lock(&self.builds);
+        builds.retain(|_, b| at.since(b.at) < BUILD_KNOWN_FOR);
+        builds.insert(instance, build);
+    }
+
+    /// The coordinators before this one whose builds are not known when the next report arrives.
+    pub(crate) async fn unknown_builds(&self) -> Vec<SocketAddr> {
+        self.builds_requested.wait().await;
+        let now = self.link.state.now();
+        let mut unknown = self.earlier_coordinators().unwrap_or_default();
+        let builds = lock(&self.builds);
+        unknown.retain(|a| {
+            let known = builds.get(a);
+            known.is_none_or(|b| now.since(b.at) >= BUILD_KNOWN_FOR)
+        });
+        unknown
     }
 
     /// True if a request completed a run after it was suspected or quarantined. This
@@ -133,6 +174,26 @@
         state.coordinators().first() == Some(&state.own_entry.peer_address)
     }
 
+    /// The coordinators before this one; none if it is no coordinator.
+    fn earlier_coordinators(&self) -> Option<Vec<SocketAddr>> {
+        let state = &self.link.state;
+        let mut all = state.coordinators();
+        let own = all
+            .iter()
+            .position(|a| *a == state.own_entry.peer_address)?;
+        all.truncate(own);
+        Some(all)
+    }
+
+    /// True if this is the first coordinator, or if those before it are of builds that judge whole
+    /// requests alone.
+    fn decides_on_parts(&self) -> bool {
+        let builds = lock(&self.builds);
+        let judges = |a: &SocketAddr| builds.get(a).is_none_or(|b| b.judges_parts);
+        let earlier = self.earlier_coordinators();
+        earlier.is_some_and(|all| !all.iter().any(judges))
+    }
+
     fn evaluate(&self) {
         let state = &self.link.state;
         let now = state.now();
@@ -156,13 +217,12 @@
                 self.release(now, content, "its ends have another cause");
             }
         }
-        if !self.is_first() {
-            return;
-        }
-        for finding in &findings.suspected {
+        let (is_first, on_parts) = (self.is_first(), self.decides_on_parts());
+        let decides = |f: &&Finding| is_first || on_parts && f.is_part;
+        for finding in findings.suspected.iter().filter(decides) {
             self.apply_finding(now, finding, QuarantinePhase::Suspected);
         }
-        for finding in &findings.quarantined {
+        for finding in findings.quarantined.iter().filter(decides) {
             self.apply_finding(now, finding, QuarantinePhase::Quarantined);
         }
     }
--- a/crates/gateway/tests/whole/crashing_parts.rs
+++ b/crates/gateway/tests/whole/crashing_parts.rs
@@ -13,6 +13,7 @@
 use crate::fakes::CallerResponse;
 use crate::fakes::CrashingUpstreams;
 use crate::fakes::End;
+use crate::fakes::FakeOwner;
 use crate::fakes::Harness;
 use crate::fakes::Reply;
 use crate::fakes::UnframedUpstream;
@@ -243,8 +244,8 @@
     });
 }
 
-/// A request waits for its stage when a part of its prompt is quarantined. It was refused only
-/// after the stage had been done for nothing.
+/// Guards against a request that waits for its stage for nothing while a part of its prompt is
+/// quarantined.
 #[test]
 fn a_request_that_waits_for_its_stage_is_refused_once_its_part_is_quarantined() {
     let stage_takes = Duration::from_secs(12);
@@ -268,3 +269,20 @@
         assert!(took < stage_takes - Duration::from_secs(2), "{took:?}");
     });
 }
+
+/// The first coordinator is of an earlier build, which judges whole requests alone: the next one decides
+/// on parts.
+#[test]
+fn a_part_is_quarantined_though_the_first_coordinator_judges_none() {
+    let (harness, _upstreams) = fleet(6);
+    let (_old, entry, _server) = FakeOwner::start(&harness.executor(), None);
+    harness.store.change(Change::Put(entry));
+    let harness = Arc::new(harness);
+    block_on(async {
+        harness.until_all_answer("/any/x", 200).await;
+        while !harness.store.is_caught_up() {
+            Timer::after(Duration::from_millis(2)).await;
+        }
+        until_quarantined(&harness).await;
+    });
+}
--- a/crates/gateway/tests/whole/fakes/fake_owner.rs
+++ b/crates/gateway/tests/whole/fakes/fake_owner.rs
@@ -47,7 +47,8 @@
 
 const INCARNATION: u64 = 77;
 
-/// An instance that is stronger than all others and answers heartbeats.
+/// An instance that is stronger than all others and answers heartbeats. It judges no parts of
+/// prompts, like one of an earlier build.
 #[derive(Debug, Default)]
 pub(crate) struct FakeOwner {
     /// The placement in its replies to jobs; without one it never replies.
@@ -131,7 +132,7 @@
         &self,
         _req: tonic::Request<CrashReport>,
     ) -> Result<Response<CrashReportReply>, Status> {
-        Ok(Response::new(CrashReportReply {}))
+        Ok(Response::new(CrashReportReply::default()))
     }
 
     async fn acquire_permit(
--- a/crates/serving/src/crash_evidence.rs
+++ b/crates/serving/src/crash_evidence.rs
@@ -67,6 +67,8 @@
 pub struct Finding {
     /// The request, or the part of prompts.
     pub content: Content,
+    /// True for a part of prompts.
+    pub is_part: bool,
     /// Upstream crashes with it.
     pub crashes: usize,
     /// How many of these came after an answer to it had begun.
@@ -157,6 +159,7 @@
     fn finding(&self, content: Content) -> Finding {
         Finding {
             content,
+            is_part: self.position > 0,
             crashes: self.crashes,
             answered: self.answered,
             longest_run: self.longest_run,
--- a/crates/serving/tests/quarantine_list.rs
+++ b/crates/serving/tests/quarantine_list.rs
@@ -33,6 +33,7 @@
 fn finding(content: u64, last: u64) -> Finding {
     Finding {
         content: Content::from_number(content),
+        is_part: false,
         crashes: 3,
         answered: 0,
         longest_run: Duration::from_millis(80),
