Soak: parts of prompts that crash upstreams, and losses of power

Seeds from 8000 on have prompts that share parts, one or two parts that crash each upstream in requests no two alike, with the callers and the first part of sound ones, beside crashing requests, losses of power of every other upstream, and all faults of earlier seeds. Judged: at most three executions from 3 s after the fifth crash on, and no sound request refused.

--- a/soak/src/caller.rs
+++ b/soak/src/caller.rs
@@ -23,6 +23,7 @@
 use crate::config::HOST;
 use crate::config::KEYS;
 use crate::environment::Environment;
+use crate::fake_upstream;
 use crate::fake_upstream::EVENTS;
 use crate::fake_upstream::HOT;
 use crate::fake_upstream::crashing_body;
@@ -37,6 +38,10 @@
 /// The longest that a caller waits before it sends again, whatever `Retry-After` asks for.
 const MAX_PAUSE: Duration = Duration::from_millis(1_000);
 
+/// The first part of all prompts. The second parts of sound prompts have the next numbers.
+const FIRST_PART: u64 = 1;
+/// The number of second parts.
+const SECOND_PARTS: u64 = 3;
 /// The routes of crashing requests, selected by their numbers.
 const CRASHING_ROUTES: [&str; 4] = ["tell", "draft", "look", "book"];
 
@@ -53,6 +58,8 @@
     pub(crate) hot: bool,
     /// True if the caller breaks some streams off, and takes up those that end early.
     pub(crate) takes_up: bool,
+    /// True if the caller's requests have prompts, whose parts they share.
+    pub(crate) prompts: bool,
 }
 
 impl Caller {
@@ -142,7 +149,10 @@
         let start = self.starts[instance].load(Ordering::Relaxed);
         let sent = self.env.recorder.now();
         let address = self.env.callers_at(instance);
-        let req = request(&id, kind, key, takes_up.as_ref());
+        let mut req = request(&id, kind, key, takes_up.as_ref());
+        if self.prompts {
+            add_prompt(&mut req, &id, kind);
+        }
         let sending = self.pool.send(address, req, DEADLINE, false);
         // Some callers leave after an event.
         let leaves = self.takes_up && kind == RequestKind::ResumableStream && self.rng.u8(..4) == 0;
@@ -182,7 +192,7 @@
         RequestKind::ResumableStream => "/draft/x".into(),
         RequestKind::Stream => "/tell/x".into(),
         RequestKind::Hot => "/look/hot".into(),
-        RequestKind::Crashing(number) => {
+        RequestKind::Crashing(number) | RequestKind::CrashingPart(number) => {
             format!(
                 "/{}/bad",
                 CRASHING_ROUTES[number as usize % CRASHING_ROUTES.len()]
@@ -225,6 +235,27 @@
     req
 }
 
+/// Adds the headers of a prompt. All prompts share the first part, and each shares the second one
+/// with some others; only the last one belongs to the request.
+fn add_prompt(req: &mut Request<Body>, id: &str, kind: RequestKind) {
+    let own = u64::from_str_radix(id, 16).unwrap_or_default();
+    let second = match kind {
+        RequestKind::CrashingPart(number) => fake_upstream::crashing_part(number),
+        _ => FIRST_PART + 1 + own % SECOND_PARTS,
+    };
+    let list = format!("{FIRST_PART:x}:40,{second:x}:30,{own:x}:9");
+    let headers = [
+        ("jacinthdeal-model", "m"),
+        ("jacinthdeal-tokens", "79,8"),
+        ("jacinthdeal-prefix-hash", list.as_str()),
+    ];
+    for (name, value) in headers {
+        if let Ok(value) = value.parse() {
+            req.headers_mut().insert(name, value);
+        }
+    }
+}
+
 /// Reads a response, and closes its connection once `most_bytes` of the body have arrived.
 async fn read(mut res: HttpResponse, most_bytes: usize) -> (Outcome, Option<Duration>) {
     let status = res.status.as_u16();
--- a/soak/src/cuts.rs
+++ b/soak/src/cuts.rs
@@ -5,7 +5,6 @@
 use crate::Attempt;
 use crate::Fault;
 use crate::FaultSpan;
-use crate::RequestKind;
 use crate::Violation;
 
 /// The time after the beginning of a cut from which requests count: the users' bound on the time
@@ -39,7 +38,7 @@
         };
         let judged = attempts.iter().filter(|a| {
             let in_span = a.sent >= from && a.sent < span.to;
-            in_span && !matches!(a.kind, RequestKind::Crashing(_))
+            in_span && !a.kind.crashes()
         });
         let (behind, others): (Vec<&Attempt>, Vec<&Attempt>) =
             judged.partition(|a| cut_off(a.instance.0));
--- a/soak/src/environment.rs
+++ b/soak/src/environment.rs
@@ -366,6 +366,19 @@
         }
     }
 
+    /// Crashes every other upstream at the same moment.
+    pub(crate) async fn lose_power(&self, first: usize) {
+        let lost = || self.upstreams.iter().skip(first % 2).step_by(2);
+        for upstream in lost() {
+            upstream.link.set(Some(LinkMode::Refuses));
+        }
+        Timer::after(CRASH_DOWNTIME).await;
+        for upstream in lost() {
+            self.replace(upstream);
+            upstream.link.set(None);
+        }
+    }
+
     async fn end(&self, upstream: &Upstream) {
         Timer::after(CRASH_DELAY).await;
         upstream.link.set(Some(LinkMode::Refuses));
--- a/soak/src/fake_upstream.rs
+++ b/soak/src/fake_upstream.rs
@@ -30,6 +30,7 @@
 use jd_net::read_bounded;
 use serde_json::json;
 
+use crate::CrashCause;
 use crate::Notice;
 use crate::Recorder;
 use crate::UpstreamMode;
@@ -54,14 +55,29 @@
 /// The prefix of the bodies of crashing requests.
 const CRASHING_PREFIX: &str = "bad-";
 
+/// The identity of the first part that crashes upstreams; others follow it.
+const FIRST_CRASHING_PART: u64 = 0xbad0;
+
 /// The body of the crashing request with this number.
 pub(crate) fn crashing_body(number: u64) -> String {
     format!("{CRASHING_PREFIX}{number}")
 }
 
-fn crash_number_of(body: &[u8]) -> Option<u64> {
+/// The identity of the part of prompts with this number that crashes upstreams.
+pub(crate) fn crashing_part(number: u64) -> u64 {
+    FIRST_CRASHING_PART + number
+}
+
+/// What crashes an upstream in a request with this body and these parts of its prompt.
+fn crash_cause(body: &[u8], parts: &str) -> Option<CrashCause> {
     let text = std::str::from_utf8(body).ok()?;
-    text.strip_prefix(CRASHING_PREFIX)?.parse().ok()
+    if let Some(number) = text.strip_prefix(CRASHING_PREFIX) {
+        return number.parse().ok().map(CrashCause::Request);
+    }
+    let ids = parts.split(',').filter_map(|p| p.split(':').next());
+    let mut numbers = ids.filter_map(|id| u64::from_str_radix(id, 16).ok());
+    let part = numbers.find(|n| (FIRST_CRASHING_PART..FIRST_CRASHING_PART + 16).contains(n));
+    part.map(|n| CrashCause::Part(n - FIRST_CRASHING_PART))
 }
 
 /// A fake upstream.
@@ -121,14 +137,18 @@
         let header = |name: &str| parts.headers.get(name).and_then(|v| v.to_str().ok());
         let id = header("jacinthdeal-attempt-id").unwrap_or("").to_string();
         let body = read_bounded(body, 1 << 16).await.unwrap_or_default();
-        let crashing = crash_number_of(&body);
+        let parts_listed = header("jacinthdeal-prefix-hash").unwrap_or("");
+        let crashing = crash_cause(&body, parts_listed);
         let path = parts.uri.path();
         let inputs = header("jacinthdeal-inputs").unwrap_or("");
         let fault = match () {
             () if parts.headers.contains_key(AUTHORIZATION) => {
                 Some("contains the caller's credential")
             }
-            () if crashing.is_none() && body != HOT && body != id.as_bytes() => {
+            () if !matches!(crashing, Some(CrashCause::Request(_)))
+                && body != HOT
+                && body != id.as_bytes() =>
+            {
                 Some("has a body that its caller did not send")
             }
             () if !path.starts_with("/v") && header("jacinthdeal-tenant") != Some(TENANT) => {
@@ -157,7 +177,7 @@
             sender,
             at: self.recorder.now(),
             executed: refused.is_none(),
-            crash_number: crashing,
+            crash_cause: crashing,
             fault,
             notice: Notice {
                 leaving: self.announces_leaving.load(Ordering::Relaxed),
--- a/soak/src/fault.rs
+++ b/soak/src/fault.rs
@@ -109,6 +109,11 @@
     /// A request that crashes every upstream which executes it is sent repeatedly for
     /// this time.
     CrashingRequest(u64, Duration),
+    /// Requests with a part of prompts that crashes every upstream which executes it, no two
+    /// alike, are sent for this time.
+    CrashingPart(u64, Duration),
+    /// Every other upstream loses power at the same moment, and is replaced later.
+    LosePower(usize),
     /// The operator writes the next version of the configuration.
     Configure,
     /// The operator revokes a credential.
--- a/soak/src/judge.rs
+++ b/soak/src/judge.rs
@@ -101,7 +101,7 @@
 
     fn responses_match(&self, violations: &mut Vec<Violation>) {
         let judged = self.attempts.iter();
-        for a in judged.filter(|a| !matches!(a.kind, RequestKind::Crashing(_))) {
+        for a in judged.filter(|a| !a.kind.crashes()) {
             let Outcome::Response {
                 status,
                 signature,
@@ -369,10 +369,8 @@
         let counted = |a: &&Attempt| {
             a.sent > calm + RECOVERY_GRACE
                 && a.key == crate::config::KEYS[0]
-                && !matches!(
-                    a.kind,
-                    RequestKind::ConfigProbe(_) | RequestKind::Crashing(_)
-                )
+                && !a.kind.crashes()
+                && !matches!(a.kind, RequestKind::ConfigProbe(_))
         };
         let after: Vec<&Attempt> = self.attempts.iter().filter(counted).collect();
         let served = after.iter().filter(|a| a.is_served()).count();
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -37,6 +37,7 @@
 pub use plan::Plan;
 pub use plan::Step;
 pub use recorder::Attempt;
+pub use recorder::CrashCause;
 pub use recorder::FaultSpan;
 pub use recorder::Notice;
 pub use recorder::Outcome;
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -35,6 +35,9 @@
 /// Plans from this seed on have upstreams of two software versions, answers without a length that
 /// break off, and callers that take streams up. Earlier seeds keep their plans.
 const VERSIONS_FROM_SEED: u64 = 7_000;
+/// Plans from this seed on include parts of prompts that crash upstreams, and losses of power of
+/// several upstreams. Earlier seeds keep their plans.
+const PARTS_FROM_SEED: u64 = 8_000;
 /// Of these seeds, one in so many, with this remainder, has no other faults of instances or the
 /// store, since what these keep from being served says nothing about a cut.
 const CUTS_ONLY_EVERY: u64 = 4;
@@ -135,6 +138,9 @@
         if seed >= VERSIONS_FROM_SEED && !planned_only {
             steps.extend(draw_broken_streams(&mut rng));
         }
+        if seed >= PARTS_FROM_SEED && !planned_only {
+            steps.extend(draw_crashing_parts(&mut rng));
+        }
         steps.sort_by_key(|s| s.at);
         Plan { seed, steps }
     }
@@ -144,6 +150,11 @@
         self.seed >= VERSIONS_FROM_SEED
     }
 
+    /// True if requests have prompts, whose parts they share.
+    pub fn has_prompts(&self) -> bool {
+        self.seed >= PARTS_FROM_SEED
+    }
+
     /// True if callers also send a hot request.
     pub fn has_hot(&self) -> bool {
         self.seed >= CRASHES_FROM_SEED
@@ -198,6 +209,23 @@
     faults.into_iter().map(step).collect()
 }
 
+fn draw_crashing_parts(rng: &mut fastrand::Rng) -> Vec<Step> {
+    let mut faults = Vec::new();
+    for number in 0..rng.u64(1..=2) {
+        let part = number * 4 + rng.u64(..4);
+        faults.push(Fault::CrashingPart(part, CRASHES_DURATION));
+    }
+    for _ in 0..rng.usize(1..=2) {
+        faults.push(Fault::LosePower(rng.usize(..)));
+    }
+    let step = |fault| {
+        let after = rng.u64(0..FAULT_PERIOD.as_millis() as u64 / 2);
+        let at = WARMUP + Duration::from_millis(after);
+        Step { at, fault }
+    };
+    faults.into_iter().map(step).collect()
+}
+
 fn draw_fault(rng: &mut fastrand::Rng) -> Fault {
     let target = rng.usize(..);
     let span = Duration::from_millis(rng.u64(300..3_000));
--- a/soak/src/quarantine.rs
+++ b/soak/src/quarantine.rs
@@ -4,15 +4,17 @@
 use std::time::Duration;
 
 use crate::Attempt;
+use crate::CrashCause;
 use crate::Fault;
 use crate::FaultSpan;
 use crate::Outcome;
-use crate::RequestKind;
 use crate::UpstreamRequest;
 use crate::Violation;
 
 /// Crashes of upstreams after which a request has to be quarantined: the users' bound.
 const CRASHES_ALLOWED: usize = 3;
+/// The same for a part of prompts.
+const PART_CRASHES_ALLOWED: usize = 5;
 /// The time after that within which all connected instances have to know the quarantine:
 /// the users' bound on the propagation of changes.
 const PROPAGATION_BOUND: Duration = Duration::from_millis(3_000);
@@ -30,18 +32,22 @@
     requests: &[UpstreamRequest],
     spans: &[FaultSpan],
 ) -> Vec<Violation> {
-    let mut crashing: BTreeMap<u64, Vec<&UpstreamRequest>> = BTreeMap::new();
+    let mut crashing: BTreeMap<CrashCause, Vec<&UpstreamRequest>> = BTreeMap::new();
     for request in requests.iter().filter(|r| r.executed) {
-        if let Some(number) = request.crash_number {
-            crashing.entry(number).or_default().push(request);
+        if let Some(cause) = request.crash_cause {
+            crashing.entry(cause).or_default().push(request);
         }
     }
     let mut violations = Vec::new();
-    for (number, requests) in crashing {
-        let Some(third) = requests.get(CRASHES_ALLOWED - 1) else {
+    for (cause, requests) in crashing {
+        let allowed = match cause {
+            CrashCause::Request(_) => CRASHES_ALLOWED,
+            CrashCause::Part(_) => PART_CRASHES_ALLOWED,
+        };
+        let Some(last_allowed) = requests.get(allowed - 1) else {
             continue;
         };
-        let known = third.at + PROPAGATION_BOUND;
+        let known = last_allowed.at + PROPAGATION_BOUND;
         let later = requests
             .iter()
             .filter(|r| r.at > known && is_undisturbed(r.at, spans));
@@ -50,15 +56,13 @@
             violations.push(Violation {
                 guarantee: "crashing requests are quarantined",
                 detail: format!(
-                    "request {number} was executed {later} times after the bound, {} in all",
+                    "{cause:?} was executed {later} times after the bound, {} in all",
                     requests.len()
                 ),
             });
         }
     }
-    let innocent = attempts
-        .iter()
-        .filter(|a| !matches!(a.kind, RequestKind::Crashing(_)));
+    let innocent = attempts.iter().filter(|a| !a.kind.crashes());
     for a in innocent.filter(|a| is_quarantined(a)) {
         violations.push(Violation {
             guarantee: "only crashing requests are quarantined",
--- a/soak/src/recorder.rs
+++ b/soak/src/recorder.rs
@@ -24,11 +24,33 @@
     /// Has the same body at each attempt and crashes every upstream that executes it. Its
     /// number selects the route.
     Crashing(u64),
+    /// Differs at each attempt, and has the part of a prompt with this number, which crashes every
+    /// upstream that executes it. The number selects the route.
+    CrashingPart(u64),
     /// Uses a route that only this version of the configuration has, to show whether that
     /// version is in force.
     ConfigProbe(u64),
 }
 
+impl RequestKind {
+    /// True if the request crashes the upstreams that execute it.
+    pub(crate) fn crashes(self) -> bool {
+        matches!(
+            self,
+            RequestKind::Crashing(_) | RequestKind::CrashingPart(_)
+        )
+    }
+}
+
+/// What crashes the upstreams that execute it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum CrashCause {
+    /// The request with this number.
+    Request(u64),
+    /// The part of prompts with this number.
+    Part(u64),
+}
+
 /// The outcome of a caller's attempt.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Outcome {
@@ -97,6 +119,7 @@
                 | RequestKind::ConfigProbe(_)
                 | RequestKind::Hot
                 | RequestKind::Crashing(_)
+                | RequestKind::CrashingPart(_)
         )
     }
 
@@ -127,8 +150,8 @@
     pub at: Duration,
     /// True if the upstream started to execute the request.
     pub executed: bool,
-    /// The number of the crashing request, if the request is of that kind.
-    pub crash_number: Option<u64>,
+    /// What in the request crashes its upstream, if anything does.
+    pub crash_cause: Option<CrashCause>,
     /// The defect of the request as it arrived, if any.
     pub fault: Option<&'static str>,
     /// The notice in the answer.
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -158,6 +158,7 @@
             rng: fastrand::Rng::with_seed(plan.seed.wrapping_mul(1_000) + n),
             hot: plan.has_hot(),
             takes_up: plan.has_versions(),
+            prompts: plan.has_prompts(),
         };
         executor.spawn(caller.run())
     });
@@ -358,7 +359,15 @@
             Fault::Upgrade(n, keeps_identity) => {
                 self.env.upgrade(upstream(n), keeps_identity).await;
             }
-            Fault::CrashingRequest(number, span) => self.repeat_crashing(number, span).await,
+            Fault::CrashingRequest(number, span) => {
+                let kind = RequestKind::Crashing(number);
+                self.repeat_crashing(kind, number, span).await;
+            }
+            Fault::CrashingPart(number, span) => {
+                let kind = RequestKind::CrashingPart(number);
+                self.repeat_crashing(kind, number, span).await;
+            }
+            Fault::LosePower(n) => self.env.lose_power(n).await,
             Fault::Configure => return Ok(Some(self.env.configure().to_string())),
             Fault::Revoke => return Ok(Some(self.env.revoke().unwrap_or("").into())),
             Fault::RevokeDuringPartition(n) => {
@@ -374,10 +383,10 @@
         Ok(None)
     }
 
-    /// Sends a crashing request repeatedly to random instances, without waiting for answers.
-    async fn repeat_crashing(&self, number: u64, span: Duration) {
+    /// Sends crashing requests of a kind to random instances, without waiting for answers.
+    async fn repeat_crashing(&self, kind: RequestKind, seed: u64, span: Duration) {
         let until = self.env.recorder.now() + span;
-        let mut rng = fastrand::Rng::with_seed(number);
+        let mut rng = fastrand::Rng::with_seed(seed);
         let mut sends = Vec::new();
         while self.env.recorder.now() < until {
             let mut caller = Caller {
@@ -388,11 +397,12 @@
                 rng: rng.fork(),
                 hot: false,
                 takes_up: false,
+                prompts: matches!(kind, RequestKind::CrashingPart(_)),
             };
             let instance = rng.usize(..self.starts.len());
             let sending = async move {
                 // This caller deliberately ignores `Retry-After`.
-                let _ = caller.send(instance, RequestKind::Crashing(number)).await;
+                let _ = caller.send(instance, kind).await;
             };
             sends.push(self.executor.spawn(sending));
             Timer::after(CRASHING_REQUEST_INTERVAL).await;
