Entries that expire while the store is away release no quarantine

Crashes of upstreams that are still listed eight seconds later are discarded, since the upstreams were only out of reach. The list counts only once it has been current for these eight seconds.

--- a/crates/gateway/src/quarantine_coordinator.rs
+++ b/crates/gateway/src/quarantine_coordinator.rs
@@ -61,6 +61,9 @@
     evidence: Mutex<CrashEvidence>,
     /// Requests that this instance itself put under quarantine.
     decided_here: Mutex<HashSet<Content>>,
+    /// Since when the state of the store is known here without interruption, as far as crashes
+    /// were evaluated.
+    current_since: Mutex<Option<MonoTime>>,
     /// What coordinators before this one said of their builds.
     builds: Mutex<HashMap<SocketAddr, KnownBuild>>,
     report_received: Signal,
@@ -73,6 +76,7 @@
             link,
             evidence: Mutex::default(),
             decided_here: Mutex::default(),
+            current_since: Mutex::default(),
             builds: Mutex::default(),
             report_received: Signal::new(),
             builds_requested: Signal::new(),
@@ -203,11 +207,15 @@
         }
         // An instance that is cut off takes running upstreams for crashed and itself for
         // the first coordinator. Its decisions would apply to all instances.
+        let mut current_since = lock(&self.current_since);
         if !state.is_fresh() || state.has_lost_store() {
+            *current_since = None;
             return;
         }
+        let current_since = *current_since.get_or_insert(now);
         let table = state.upstreams.load();
-        evidence.discard_listed(now, |id, start| table.start_of(id) == Some(start));
+        let is_listed = |id: &str, start| table.start_of(id) == Some(start);
+        evidence.discard_listed(now, current_since, is_listed);
         let findings = evidence.findings(now);
         drop(evidence);
         // The instance that decided on the quarantine has the evidence, and may no longer
--- a/crates/serving/src/crash_evidence.rs
+++ b/crates/serving/src/crash_evidence.rs
@@ -242,13 +242,18 @@
         was_involved && !self.crashes.iter().any(is_involved)
     }
 
-    /// Discards crashes of upstreams that are still listed after they should have been removed.
+    /// Discards crashes of upstreams that are still listed after they should have been removed. The
+    /// list is known to be current since `current_since`: entries that expired while the store
+    /// was away are still listed for a moment when it is back.
     pub fn discard_listed(
         &mut self,
         now: MonoTime,
+        current_since: MonoTime,
         is_listed: impl Fn(&str, UpstreamStart) -> bool,
     ) {
-        let due = |k: &KnownCrash| !k.is_confirmed && now.since(k.at) > LISTING_TIMEOUT;
+        let due = |k: &KnownCrash| {
+            !k.is_confirmed && now.since(k.at.max(current_since)) > LISTING_TIMEOUT
+        };
         self.crashes.retain_mut(|k| {
             if !due(k) {
                 return true;
--- a/crates/serving/tests/crash_evidence.rs
+++ b/crates/serving/tests/crash_evidence.rs
@@ -270,12 +270,28 @@
     let crashes = (0..3).map(|n| crash(n, 1_000 + n * 600, &[(OTHER, 900 + n * 600)]));
     let (last, _) = evaluate_from(&mut evidence, crashes.collect(), 0, 4_000);
     assert_eq!(numbers(&last.quarantined), [OTHER]);
-    evidence.discard_listed(at(12_000), |_, _| true);
+    evidence.discard_listed(at(12_000), MonoTime::ZERO, |_, _| true);
     let findings = evidence.findings(at(12_000));
     assert_eq!(findings.quarantined, []);
     assert_eq!(findings.released, [Content::from_number(OTHER)]);
 }
 
+/// The store is away when the entries of crashed upstreams expire, and for a moment after its return
+/// they are still listed. The request stays quarantined.
+#[test]
+fn entries_that_expire_while_the_store_is_away_release_no_request() {
+    let mut evidence = CrashEvidence::default();
+    let crashes = (0..3).map(|n| crash(n, 1_000 + n * 600, &[(BAD, 900 + n * 600)]));
+    let (last, _) = evaluate_from(&mut evidence, crashes.collect(), 0, 4_000);
+    assert_eq!(numbers(&last.quarantined), [BAD]);
+    let returned = at(15_000);
+    evidence.discard_listed(at(15_100), returned, |_, _| true);
+    evidence.discard_listed(at(24_000), returned, |_, _| false);
+    let findings = evidence.findings(at(24_000));
+    assert_eq!(numbers(&findings.quarantined), [BAD]);
+    assert_eq!(findings.released, []);
+}
+
 /// New requests of one customer crash upstreams that also run a request of another customer,
 /// which has completed elsewhere. Instances that saw it complete report this, and it is not
 /// quarantined.
