--- a/crates/gateway/src/quarantine_coordinator.rs
+++ b/crates/gateway/src/quarantine_coordinator.rs
@@ -207,12 +207,11 @@
         }
         // An instance that is cut off takes running upstreams for crashed and itself for
         // the first coordinator. Its decisions would apply to all instances.
-        let mut current_since = lock(&self.current_since);
         if !state.is_fresh() || state.has_lost_store() {
-            *current_since = None;
+            *lock(&self.current_since) = None;
             return;
         }
-        let current_since = *current_since.get_or_insert(now);
+        let current_since = *lock(&self.current_since).get_or_insert(now);
         let table = state.upstreams.load();
         let is_listed = |id: &str, start| table.start_of(id) == Some(start);
         evidence.discard_listed(now, current_since, is_listed);
--- /dev/null
+++ b/crates/serving/src/content_evidence.rs
@@ -0,0 +1,91 @@
+//! The evidence that crashes of upstreams give against the contents that were present.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use jd_types::MonoTime;
+
+use crate::Content;
+use crate::Finding;
+use crate::upstream_crash::KnownCrash;
+use crate::upstream_crash::Presence;
+
+/// Crashes within this time count as one, such as those of a loss of power: the time in which
+/// instances detect the crashes of one moment.
+const SAME_EVENT: Duration = Duration::from_millis(100);
+
+/// The evidence against one content, from the crashes that nothing else explains.
+#[derive(Debug, Default)]
+pub(crate) struct Evidence {
+    pub(crate) crashes: usize,
+    pub(crate) answered: usize,
+    pub(crate) last_crash: Option<MonoTime>,
+    pub(crate) longest_run: Duration,
+    pub(crate) position: usize,
+    pub(crate) of_all: Option<Content>,
+}
+
+impl Evidence {
+    fn count(&mut self, presence: &Presence, crashed_at: MonoTime) {
+        let is_counted = match (self.last_crash, presence.answered) {
+            (None, _) => true,
+            (Some(last), Some(_)) => crashed_at.since(last) >= SAME_EVENT,
+            (Some(last), None) => presence.began > last,
+        };
+        if !is_counted {
+            return;
+        }
+        let began = presence.answered.unwrap_or(presence.began);
+        self.crashes += 1;
+        self.answered += usize::from(presence.answered.is_some());
+        self.last_crash = Some(crashed_at);
+        self.longest_run = self.longest_run.max(crashed_at.since(began));
+        self.position = presence.position;
+        self.of_all = presence.of_all;
+    }
+
+    pub(crate) fn finding(&self, content: Content) -> Finding {
+        Finding {
+            content,
+            is_part: self.position > 0,
+            crashes: self.crashes,
+            answered: self.answered,
+            longest_run: self.longest_run,
+            last_crash: self.last_crash.unwrap_or(MonoTime::ZERO),
+        }
+    }
+}
+
+/// The contents that were present as often as this one, and whenever it was. The same part among all
+/// customers is no rival of a customer's.
+pub(crate) fn rivals(
+    crashes: &[&KnownCrash],
+    evidence: &HashMap<Content, Evidence>,
+    content: Content,
+    item: &Evidence,
+) -> Vec<Content> {
+    let others = evidence.iter().filter(|(other, c)| {
+        c.crashes == item.crashes && **other != content && Some(**other) != item.of_all
+    });
+    let rivals = others.filter(|(other, _)| is_always_with(crashes, **other, content));
+    rivals.map(|(other, _)| *other).collect()
+}
+
+/// True if a content was present at each of these crashes at which another was.
+fn is_always_with(crashes: &[&KnownCrash], one: Content, other: Content) -> bool {
+    let mut with_other = crashes.iter().filter(|c| c.present.contains_key(&other));
+    with_other.all(|c| c.present.contains_key(&one))
+}
+
+/// The evidence against each content that was present at these crashes, which are in order of
+/// time.
+pub(crate) fn evidence(crashes: &[&KnownCrash]) -> HashMap<Content, Evidence> {
+    let mut evidence: HashMap<Content, Evidence> = HashMap::new();
+    for crash in crashes {
+        for (content, presence) in &crash.present {
+            let item = evidence.entry(*content).or_default();
+            item.count(presence, crash.at);
+        }
+    }
+    evidence
+}
--- a/crates/serving/src/crash_evidence.rs
+++ b/crates/serving/src/crash_evidence.rs
@@ -15,7 +15,10 @@
 use crate::RecentRuns;
 use crate::UpstreamCrash;
 use crate::UpstreamStart;
-use crate::upstream_crash::Presence;
+use crate::content_evidence::Evidence;
+use crate::content_evidence::evidence;
+use crate::content_evidence::rivals;
+use crate::upstream_crash::KnownCrash;
 use crate::upstream_crash::Presences;
 use crate::upstream_crash::add_run;
 
@@ -30,9 +33,6 @@
 /// Crashes that keep a content quarantined, or quarantine it again after a release for which
 /// another content explained its crashes.
 const KEEP_AFTER: usize = 1;
-/// Crashes within this time count as one, such as those of a loss of power: the time in which
-/// instances detect the crashes of one moment.
-const SAME_EVENT: Duration = Duration::from_millis(100);
 /// Time for which a crash waits for the reports of other instances: several round trips between
 /// availability zones, and the time in which the loss of an upstream is detected.
 const REPORT_WAIT: Duration = Duration::from_millis(250);
@@ -62,6 +62,22 @@
     pub released: Vec<Content>,
 }
 
+impl Findings {
+    /// Adds contents that may have crashed upstreams, each once.
+    fn add_suspects(
+        &mut self,
+        suspects: impl Iterator<Item = Content>,
+        evidence: &HashMap<Content, Evidence>,
+    ) {
+        for suspect in suspects {
+            let is_new = self.suspected.iter().all(|f| f.content != suspect);
+            if let Some(item) = evidence.get(&suspect).filter(|_| is_new) {
+                self.suspected.push(item.finding(suspect));
+            }
+        }
+    }
+}
+
 /// A content with the evidence against it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Finding {
@@ -115,59 +131,6 @@
     released: HashMap<Content, MonoTime>,
 }
 
-#[derive(Debug)]
-struct KnownCrash {
-    service: CompactString,
-    upstream: CompactString,
-    start: UpstreamStart,
-    at: MonoTime,
-    present: Presences,
-    received_at: MonoTime,
-    is_confirmed: bool,
-}
-
-/// The evidence against one content, from the crashes that nothing else explains.
-#[derive(Debug, Default)]
-struct Evidence {
-    crashes: usize,
-    answered: usize,
-    last_crash: Option<MonoTime>,
-    longest_run: Duration,
-    position: usize,
-    of_all: Option<Content>,
-}
-
-impl Evidence {
-    fn count(&mut self, presence: &Presence, crashed_at: MonoTime) {
-        let is_counted = match (self.last_crash, presence.answered) {
-            (None, _) => true,
-            (Some(last), Some(_)) => crashed_at.since(last) >= SAME_EVENT,
-            (Some(last), None) => presence.began > last,
-        };
-        if !is_counted {
-            return;
-        }
-        let began = presence.answered.unwrap_or(presence.began);
-        self.crashes += 1;
-        self.answered += usize::from(presence.answered.is_some());
-        self.last_crash = Some(crashed_at);
-        self.longest_run = self.longest_run.max(crashed_at.since(began));
-        self.position = presence.position;
-        self.of_all = presence.of_all;
-    }
-
-    fn finding(&self, content: Content) -> Finding {
-        Finding {
-            content,
-            is_part: self.position > 0,
-            crashes: self.crashes,
-            answered: self.answered,
-            longest_run: self.longest_run,
-            last_crash: self.last_crash.unwrap_or(MonoTime::ZERO),
-        }
-    }
-}
-
 impl CrashEvidence {
     /// Records a crash that an instance reported.
     pub fn record_crash(&mut self, now: MonoTime, crash: UpstreamCrash) {
@@ -224,11 +187,8 @@
     /// crashes and no longer is.
     pub fn record_completed_run(&mut self, run: &CompletedRun) -> bool {
         self.sound.record(run.clone());
-        if self
-            .released
-            .get(&run.content)
-            .is_some_and(|until| run.at > until.before(QUARANTINE_TTL))
-        {
+        let released_until = self.released.get(&run.content);
+        if released_until.is_some_and(|until| run.at > until.before(QUARANTINE_TTL)) {
             self.released.remove(&run.content);
         }
         let is_involved =
@@ -271,7 +231,7 @@
         self.crashes.iter().any(is_undecided)
     }
 
-    /// Evaluates the crashes. Requests that were quarantined before and no longer explain any
+    /// Evaluates the crashes. Contents that were quarantined before and no longer explain any
     /// crash are released.
     pub fn findings(&mut self, now: MonoTime) -> Findings {
         while self
@@ -285,11 +245,17 @@
         let services: HashSet<CompactString> =
             self.crashes.iter().map(|k| k.service.clone()).collect();
         let mut suspects = HashSet::new();
-        for service in services {
-            self.explain_crashes_of(now, &service, &mut suspects, &mut findings);
+        for service in &services {
+            self.add_suspects(now, service, &mut suspects);
         }
         self.suspected
             .retain(|content, _| suspects.contains(content));
+        for content in suspects {
+            self.suspected.entry(content).or_insert(now);
+        }
+        for service in &services {
+            self.explain_crashes_of(now, service, &mut findings);
+        }
         let found: HashSet<Content> = findings.quarantined.iter().map(|f| f.content).collect();
         let before = std::mem::replace(&mut self.quarantined, found);
         let no_more = before.difference(&self.quarantined);
@@ -303,71 +269,79 @@
         findings
     }
 
-    /// Explains the crashes of a service by as few contents as possible, the most likely first.
-    fn explain_crashes_of(
-        &mut self,
-        now: MonoTime,
-        service: &str,
-        suspects: &mut HashSet<Content>,
-        findings: &mut Findings,
-    ) {
+    /// The crashes of a service that instances have had time to report.
+    fn reported_crashes(&self, now: MonoTime, service: &str) -> Vec<&KnownCrash> {
         let crashes = self.crashes.iter().filter(|k| k.service == service);
         let reported = crashes.filter(|k| now.since(k.received_at) > REPORT_WAIT);
-        let mut unexplained: Vec<&KnownCrash> = reported.collect();
-        let mut evidence = evidence(&unexplained);
-        let (quarantined, released) = (&self.quarantined, &self.released);
-        let was_found = |c: &Content| quarantined.contains(c) || released.contains_key(c);
-        let suspected = &mut self.suspected;
-        for (content, item) in &evidence {
-            if item.crashes >= SUSPECT_AFTER {
-                suspected.entry(*content).or_insert(now);
-                suspects.insert(*content);
-            }
-        }
+        reported.collect()
+    }
+
+    /// Adds the contents with several crashes, whether or not something else explains these.
+    fn add_suspects(&self, now: MonoTime, service: &str, suspects: &mut HashSet<Content>) {
+        let evidence = evidence(&self.reported_crashes(now, service));
+        let several = evidence.iter().filter(|(_, i)| i.crashes >= SUSPECT_AFTER);
+        suspects.extend(several.map(|(content, _)| *content));
+    }
+
+    /// Explains the crashes of a service by as few contents as possible, the most likely first.
+    fn explain_crashes_of(&self, now: MonoTime, service: &str, findings: &mut Findings) {
+        let mut unexplained = self.reported_crashes(now, service);
         loop {
-            let sound = |content| self.sound.last_run(service, content);
-            let enough = evidence.iter().filter(|(content, item)| {
-                item.crashes >= SUSPECT_AFTER || item.crashes >= KEEP_AFTER && was_found(content)
-            });
-            let likeliest = enough.max_by_key(|(content, item)| {
-                let recency = (item.answered, Reverse(item.longest_run));
-                let rest = (sound(**content), item.position, **content);
-                (item.crashes, recency, Reverse(rest))
-            });
-            let Some((content, item)) = likeliest else {
+            let evidence = evidence(&unexplained);
+            let Some((content, item)) = self.likeliest(service, &evidence) else {
                 return;
             };
-            let as_often = evidence.iter().filter(|(other, c)| {
-                c.crashes == item.crashes && *other != content && Some(**other) != item.of_all
-            });
-            let rivals: Vec<Content> = as_often
-                .filter(|(other, _)| is_always_with(&unexplained, **other, *content))
-                .map(|(other, _)| *other)
-                .collect();
+            let rivals = rivals(&unexplained, &evidence, content, item);
+            let was_found = self.was_found(content);
             let threshold = match rivals.is_empty() {
-                _ if was_found(content) => KEEP_AFTER,
+                _ if was_found => KEEP_AFTER,
                 true => QUARANTINE_AFTER,
                 false => QUARANTINE_TIED_AFTER,
             };
-            let since = suspected.get(content).copied().unwrap_or(now);
-            let had_time = was_found(content) || now.since(since) >= OBJECTION_WAIT;
+            let since = self.suspected.get(&content).copied().unwrap_or(now);
+            let had_time = was_found || now.since(since) >= OBJECTION_WAIT;
             if item.crashes >= threshold && had_time {
-                findings.quarantined.push(item.finding(*content));
+                findings.quarantined.push(item.finding(content));
             } else {
                 // The same part among all customers may have to be found next.
                 let others = rivals.into_iter().chain(item.of_all);
-                for suspect in [*content].into_iter().chain(others).take(MAX_SUSPECTED) {
-                    let is_new = findings.suspected.iter().all(|f| f.content != suspect);
-                    if let Some(item) = evidence.get(&suspect).filter(|_| is_new) {
-                        findings.suspected.push(item.finding(suspect));
-                    }
-                }
+                let suspects = [content].into_iter().chain(others).take(MAX_SUSPECTED);
+                findings.add_suspects(suspects, &evidence);
             }
-            unexplained.retain(|crash| !crash.present.contains_key(content));
-            evidence = self::evidence(&unexplained);
+            unexplained.retain(|crash| !crash.present.contains_key(&content));
         }
     }
 
+    /// The content that most likely caused the crashes of a service; `None` if no evidence suffices.
+    fn likeliest<'a>(
+        &self,
+        service: &str,
+        evidence: &'a HashMap<Content, Evidence>,
+    ) -> Option<(Content, &'a Evidence)> {
+        let enough = evidence.iter().filter(|(content, item)| {
+            let needed = match self.was_found(**content) {
+                true => KEEP_AFTER,
+                false => SUSPECT_AFTER,
+            };
+            item.crashes >= needed
+        });
+        let likeliest = enough.max_by_key(|(content, item)| {
+            let sound = self.sound.last_run(service, **content);
+            let recency = (item.answered, Reverse(item.longest_run));
+            (
+                item.crashes,
+                recency,
+                Reverse((sound, item.position, **content)),
+            )
+        });
+        likeliest.map(|(content, item)| (*content, item))
+    }
+
+    /// True for a content that is quarantined, or was until another one explained its crashes.
+    fn was_found(&self, content: Content) -> bool {
+        self.quarantined.contains(&content) || self.released.contains_key(&content)
+    }
+
     /// Evicts the oldest crash. The eviction releases no content that was present, because the
     /// crash has not been explained otherwise.
     fn evict_oldest(&mut self) {
@@ -378,22 +352,3 @@
         }
     }
 }
-
-/// True if a content was present at each of these crashes at which another was.
-fn is_always_with(crashes: &[&KnownCrash], one: Content, other: Content) -> bool {
-    let mut with_other = crashes.iter().filter(|c| c.present.contains_key(&other));
-    with_other.all(|c| c.present.contains_key(&one))
-}
-
-/// The evidence against each content that was present at these crashes, which are in order of
-/// time.
-fn evidence(crashes: &[&KnownCrash]) -> HashMap<Content, Evidence> {
-    let mut evidence: HashMap<Content, Evidence> = HashMap::new();
-    for crash in crashes {
-        for (content, presence) in &crash.present {
-            let item = evidence.entry(*content).or_default();
-            item.count(presence, crash.at);
-        }
-    }
-    evidence
-}
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -16,6 +16,7 @@
 mod call_head;
 mod cold_start;
 mod content;
+mod content_evidence;
 mod crash_evidence;
 mod departures;
 mod deployment;
--- a/crates/serving/src/upstream_crash.rs
+++ b/crates/serving/src/upstream_crash.rs
@@ -97,3 +97,17 @@
         );
     }
 }
+
+/// A crash with the contents that were present, from all instances that reported it.
+#[derive(Debug)]
+pub(crate) struct KnownCrash {
+    pub(crate) service: CompactString,
+    pub(crate) upstream: CompactString,
+    pub(crate) start: UpstreamStart,
+    pub(crate) at: MonoTime,
+    pub(crate) present: Presences,
+    /// When the first report arrived.
+    pub(crate) received_at: MonoTime,
+    /// True once the upstream is no longer listed.
+    pub(crate) is_confirmed: bool,
+}
