A part is held only if runs without it are sound, and never seen sound goes first

Cause: two parts and two requests ended four upstreams up to ten times a second, so that no run of 240 ms was sound; the first part was at all of these ends and explained them as one cause. Changes of what is concluded: - A part of prompts is held only if a sound run at the service is known that does not have it. Reports carry whole sound runs, with all their contents, so that what all runs have never counts as missing from one. - Contents with three ends that were never seen sound explain ends first, and those that were are no rivals of theirs. - A part that was sound before needs five ends, the users' bound. The test of answers without a length has a sound request first.

--- a/crates/gateway/src/peer_quarantine.rs
+++ b/crates/gateway/src/peer_quarantine.rs
@@ -40,8 +40,9 @@
     });
     let completed_runs = report.completed_runs.iter().map(|run| WireCompletedRun {
         service: run.service.to_string(),
-        content: run.content.number(),
+        content: run.contents.request.number(),
         ended_ms_ago: millis(now.since(run.at)),
+        parts: wire_parts(&run.contents),
     });
     CrashReport {
         ends: crashes.collect(),
@@ -49,16 +50,20 @@
     }
 }
 
-fn wire_run(run: &BrokenRun, now: MonoTime) -> WireRun {
-    let parts = run.contents.parts.iter().map(|part| WirePart {
+fn wire_parts(contents: &RunContents) -> Vec<WirePart> {
+    let parts = contents.parts.iter().map(|part| WirePart {
         of_customer: part.of_customer.number(),
         of_all: part.of_all.number(),
     });
+    parts.collect()
+}
+
+fn wire_run(run: &BrokenRun, now: MonoTime) -> WireRun {
     WireRun {
         content: run.contents.request.number(),
         began_ms_ago: millis(now.since(run.began)),
         answered_ms_ago: run.answered.map(|at| millis(now.since(at))),
-        parts: parts.collect(),
+        parts: wire_parts(&run.contents),
     }
 }
 
@@ -93,7 +98,7 @@
     });
     let completed_runs = req.completed_runs.into_iter().map(|run| CompletedRun {
         service: run.service.into(),
-        content: Content::from_number(run.content),
+        contents: run_contents(run.content, &run.parts),
         at: ago(run.ended_ms_ago),
     });
     RunReport {
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -192,23 +192,20 @@
         contents: &RunContents,
         began: MonoTime,
     ) {
+        let run = CompletedRun {
+            service: service.into(),
+            contents: contents.clone(),
+            at: began,
+        };
         let list = self.list.load();
-        let mut recent = lock(&self.recent);
-        for content in contents.iter() {
-            let run = CompletedRun {
-                service: service.into(),
-                content,
-                at: began,
-            };
-            recent.record(run.clone());
-            let held = match list.is_empty() {
-                true => None,
-                false => list.get(now, content),
-            };
-            if held.is_some_and(|held| held.state.is_active()) && self.may_report(now, content) {
-                self.run_events.add(RunEvent::Completed(run));
-            }
+        let is_asked_for = |content| {
+            let held = list.get(now, content);
+            held.is_some_and(|held| held.state.is_active()) && self.may_report(now, content)
+        };
+        if !list.is_empty() && contents.iter().any(is_asked_for) {
+            self.run_events.add(RunEvent::Completed(run.clone()));
         }
+        lock(&self.recent).record(run);
     }
 
     /// True if no run of this content was reported lately: a part of prompts may be in many
@@ -223,29 +220,22 @@
         is_due
     }
 
-    /// The last sound run of each of these contents at a service.
+    /// The last sound runs of these contents at a service, and the last one there of all.
     pub(crate) fn last_runs(
         &self,
         service: &str,
         contents: impl Iterator<Item = Content>,
     ) -> Vec<CompletedRun> {
-        let recent = lock(&self.recent);
-        let runs = contents.filter_map(|content| {
-            Some(CompletedRun {
-                service: service.into(),
-                content,
-                at: recent.last_run(service, content)?,
-            })
-        });
-        runs.collect()
+        lock(&self.recent).last_runs(service, contents)
     }
 
-    /// Recently completed runs of requests that are suspected or quarantined.
+    /// Recent sound runs of what is suspected or quarantined.
     pub(crate) fn recent_runs(&self, now: MonoTime) -> Vec<CompletedRun> {
         let list = self.list.load();
-        let open = list.entries(now).filter(|(_, held)| held.state.is_active());
-        let recent = lock(&self.recent);
-        open.flat_map(|(content, _)| recent.runs_of(now, content))
-            .collect()
+        let is_open = |content| {
+            let held = list.get(now, content);
+            held.is_some_and(|held| held.state.is_active())
+        };
+        lock(&self.recent).runs_of(now, is_open)
     }
 }
--- a/crates/gateway/src/quarantine_coordinator.rs
+++ b/crates/gateway/src/quarantine_coordinator.rs
@@ -93,9 +93,9 @@
         }
         let mut cleared = Vec::new();
         for run in report.completed_runs {
-            if evidence.record_completed_run(&run) || self.completed_after_hold(now, &run) {
-                cleared.push(run.content);
-            }
+            cleared.extend(evidence.record_completed_run(&run));
+            let contents = run.contents.iter();
+            cleared.extend(contents.filter(|c| self.completed_after_hold(now, &run, *c)));
         }
         drop(evidence);
         if self.decides_on_parts() {
@@ -136,12 +136,12 @@
     /// Runs of stage pieces do not count: the pieces of a request complete at other
     /// services before it crashes each upstream that runs the request itself, and each of
     /// them released it.
-    fn completed_after_hold(&self, now: MonoTime, run: &CompletedRun) -> bool {
+    fn completed_after_hold(&self, now: MonoTime, run: &CompletedRun, content: Content) -> bool {
         if self.link.state.serves_stages(&run.service) {
             return false;
         }
         let list = self.link.state.quarantine.list();
-        let held = list.get(now, run.content);
+        let held = list.get(now, content);
         held.is_some_and(|h| run.at > h.first_recorded())
     }
 
--- a/crates/gateway/tests/whole/crashing_parts.rs
+++ b/crates/gateway/tests/whole/crashing_parts.rs
@@ -178,6 +178,11 @@
             while !harness.store.is_caught_up() {
                 Timer::after(Duration::from_millis(2)).await;
             }
+            if n == 0 {
+                // Its upstream goes on until the run counts as sound.
+                ask_different(&harness, "/stream/parts-1,2", n).await;
+                Timer::after(Duration::from_millis(1_500)).await;
+            }
             let received = ask_different(&harness, "/stream/parts-1,bad", n).await;
             if is_quarantined(&received) {
                 assert_eq!(received.run.as_deref(), Some("not run"));
--- a/crates/serving/src/content_evidence.rs
+++ b/crates/serving/src/content_evidence.rs
@@ -44,10 +44,14 @@
         self.of_all = presence.of_all;
     }
 
+    pub(crate) fn is_part(&self) -> bool {
+        self.position > 0
+    }
+
     pub(crate) fn finding(&self, content: Content) -> Finding {
         Finding {
             content,
-            is_part: self.position > 0,
+            is_part: self.is_part(),
             crashes: self.crashes,
             answered: self.answered,
             longest_run: self.longest_run,
--- a/crates/serving/src/crash_evidence.rs
+++ b/crates/serving/src/crash_evidence.rs
@@ -30,6 +30,9 @@
 /// The same if another content was present at as many crashes: one more crash may tell the two
 /// apart.
 const QUARANTINE_TIED_AFTER: usize = QUARANTINE_AFTER + 1;
+/// The same for a part of prompts that had sound runs before: the users' bound. Parts of many
+/// prompts are present at most crashes.
+const QUARANTINE_SOUND_PART_AFTER: usize = 5;
 /// Crashes that keep a content quarantined, or quarantine it again after a release for which
 /// another content explained its crashes.
 const KEEP_AFTER: usize = 1;
@@ -102,7 +105,7 @@
 /// single instance an upstream has failed, and the request goes to the next one.
 ///
 /// Being present at a crash proves nothing, since a crash breaks off all requests of the
-/// upstream, and the parts of a hot prompt are present at every loss of power. Five rules tell
+/// upstream, and the parts of a hot prompt are present at every loss of power. These rules tell
 /// the cause from other contents:
 ///
 /// - The cause is present at each crash, at most [`SAFE_AFTER`](crate::SAFE_AFTER) after an
@@ -113,10 +116,12 @@
 ///   earlier say nothing: content may turn harmful at any time.
 /// - The cause alone explains all of its crashes. When a content is found to have crashed an
 ///   upstream, all others that were present are cleared of that crash. Two contents that were
-///   always present together are told apart by the next crash. If it does not separate them, the
-///   one whose answers had begun more often and more recently is taken first, then the one that
-///   has not been seen sound, then the more specific one. If upstreams go on crashing with the
-///   other one, that one is found and the first is released.
+///   always present together are told apart by the next crash. One that has never been seen sound
+///   goes before others with more crashes. If nothing separates two, the one whose answers had
+///   begun more often and more recently is taken first, then the more specific one. If upstreams
+///   go on crashing with the other one, that one is found and the first is released.
+/// - Runs without the cause are sound. A part of prompts that all runs of a service have is not
+///   quarantined, because it makes no difference.
 /// - What was found stays found as long as one crash is left that nothing else explains.
 /// - The upstreams have really crashed. An upstream that is still listed long afterwards is
 ///   taken to have been cut off.
@@ -182,21 +187,31 @@
         present.retain(|content, _| sound.last_run(service, *content) < Some(*at));
     }
 
-    /// Records a sound run of a content at a service. This clears the content of crashes before
-    /// its answer began but not of later ones. Returns true if the content was involved in
-    /// crashes and no longer is.
-    pub fn record_completed_run(&mut self, run: &CompletedRun) -> bool {
+    /// Records a sound run at a service. This clears its contents of crashes before its answer
+    /// began but not of later ones. Returns the contents that were involved in crashes and no
+    /// longer are.
+    pub fn record_completed_run(&mut self, run: &CompletedRun) -> Vec<Content> {
         self.sound.record(run.clone());
-        let released_until = self.released.get(&run.content);
+        let mut cleared = Vec::new();
+        for content in run.contents.iter() {
+            if self.clear(run, content) {
+                cleared.push(content);
+            }
+        }
+        cleared
+    }
+
+    fn clear(&mut self, run: &CompletedRun, content: Content) -> bool {
+        let released_until = self.released.get(&content);
         if released_until.is_some_and(|until| run.at > until.before(QUARANTINE_TTL)) {
-            self.released.remove(&run.content);
+            self.released.remove(&content);
         }
         let is_involved =
-            |k: &KnownCrash| k.service == run.service && k.present.contains_key(&run.content);
+            |k: &KnownCrash| k.service == run.service && k.present.contains_key(&content);
         let was_involved = self.crashes.iter().any(is_involved);
         for known in self.crashes.iter_mut().filter(|k| k.at <= run.at) {
             if known.service == run.service {
-                known.present.remove(&run.content);
+                known.present.remove(&content);
             }
         }
         was_involved && !self.crashes.iter().any(is_involved)
@@ -291,10 +306,15 @@
             let Some((content, item)) = self.likeliest(service, &evidence) else {
                 return;
             };
-            let rivals = rivals(&unexplained, &evidence, content, item);
+            let mut rivals = rivals(&unexplained, &evidence, content, item);
             let was_found = self.was_found(content);
+            let was_sound = |c: Content| self.sound.last_run(service, c).is_some();
+            if !was_sound(content) {
+                rivals.retain(|rival| !was_sound(*rival));
+            }
             let threshold = match rivals.is_empty() {
                 _ if was_found => KEEP_AFTER,
+                _ if item.is_part() && was_sound(content) => QUARANTINE_SOUND_PART_AFTER,
                 true => QUARANTINE_AFTER,
                 false => QUARANTINE_TIED_AFTER,
             };
@@ -319,24 +339,28 @@
         evidence: &'a HashMap<Content, Evidence>,
     ) -> Option<(Content, &'a Evidence)> {
         let enough = evidence.iter().filter(|(content, item)| {
-            let needed = match self.was_found(**content) {
-                true => KEEP_AFTER,
-                false => SUSPECT_AFTER,
-            };
-            item.crashes >= needed
+            let makes_difference = || !item.is_part() || self.runs_without(service, **content);
+            match self.was_found(**content) {
+                true => item.crashes >= KEEP_AFTER,
+                false => item.crashes >= SUSPECT_AFTER && makes_difference(),
+            }
         });
         let likeliest = enough.max_by_key(|(content, item)| {
             let sound = self.sound.last_run(service, **content);
+            let stands_out = sound.is_none() && item.crashes >= QUARANTINE_AFTER;
             let recency = (item.answered, Reverse(item.longest_run));
-            (
-                item.crashes,
-                recency,
-                Reverse((sound, item.position, **content)),
-            )
+            let rest = Reverse((sound, item.position, **content));
+            (stands_out, item.crashes, recency, rest)
         });
         likeliest.map(|(content, item)| (*content, item))
     }
 
+    /// True if a sound run at the service did not have this content. Without one, upstreams may as
+    /// well crash with everything that they run.
+    fn runs_without(&self, service: &str, content: Content) -> bool {
+        self.sound.latest(service) > self.sound.last_run(service, content)
+    }
+
     /// True for a content that is quarantined, or was until another one explained its crashes.
     fn was_found(&self, content: Content) -> bool {
         self.quarantined.contains(&content) || self.released.contains_key(&content)
--- a/crates/serving/src/recent_runs.rs
+++ b/crates/serving/src/recent_runs.rs
@@ -1,13 +1,16 @@
 //! Recent sound runs of requests and of the parts of their prompts.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::collections::VecDeque;
+use std::sync::Arc;
 use std::time::Duration;
 
 use compact_str::CompactString;
 use jd_types::MonoTime;
 
 use crate::Content;
+use crate::RunContents;
 
 /// How long a sound run is remembered. It is evidence against earlier crashes being caused by
 /// its contents, and that evidence is asked for within seconds of a crash.
@@ -25,8 +28,8 @@
 pub struct CompletedRun {
     /// The service that ran the request.
     pub service: CompactString,
-    /// The request, or a part of its prompt.
-    pub content: Content,
+    /// The request and the parts of its prompt.
+    pub contents: RunContents,
     /// When its answer began.
     pub at: MonoTime,
 }
@@ -37,48 +40,70 @@
 /// several upstreams that crashed for another reason. Its sound runs clear it of suspicion.
 #[derive(Debug, Default)]
 pub struct RecentRuns {
-    last: HashMap<(CompactString, Content), MonoTime>,
+    last: HashMap<(CompactString, Content), Arc<CompletedRun>>,
     /// The contents with the time that was known when they were queued.
     order: VecDeque<(MonoTime, CompactString, Content)>,
+    /// The last run of each service.
+    latest: HashMap<CompactString, Arc<CompletedRun>>,
 }
 
 impl RecentRuns {
     /// Records a run. Beyond the bound, contents that have not run again for longest are
     /// forgotten.
     pub fn record(&mut self, run: CompletedRun) {
-        let CompletedRun {
-            service,
-            content,
-            at,
-        } = run;
-        if let Some(last) = self.last.get_mut(&(service.clone(), content)) {
-            *last = at.max(*last);
+        let run = Arc::new(run);
+        for content in run.contents.iter() {
+            self.record_content(content, &run);
+        }
+        let latest = self.latest.entry(run.service.clone());
+        let latest = latest.or_insert_with(|| Arc::clone(&run));
+        if latest.at < run.at {
+            *latest = run;
+        }
+    }
+
+    fn record_content(&mut self, content: Content, run: &Arc<CompletedRun>) {
+        let key = (run.service.clone(), content);
+        if let Some(last) = self.last.get_mut(&key) {
+            if last.at < run.at {
+                *last = Arc::clone(run);
+            }
             return;
         }
-        let is_due = |(queued, ..): &(MonoTime, _, _)| is_old(at, *queued);
+        let is_due = |(queued, ..): &(MonoTime, _, _)| is_old(run.at, *queued);
         if self.order.len() >= MAX_CONTENTS || self.order.front().is_some_and(is_due) {
             self.evict_one();
         }
-        self.last.insert((service.clone(), content), at);
-        self.order.push_back((at, service, content));
+        self.order.push_back((run.at, key.0.clone(), content));
+        self.last.insert(key, Arc::clone(run));
     }
 
     /// When the answer of the last sound run of a content at a service began; `None` if none is
     /// known.
     pub fn last_run(&self, service: &str, content: Content) -> Option<MonoTime> {
-        self.last.get(&(service.into(), content)).copied()
+        let last = self.last.get(&(service.into(), content));
+        last.map(|run| run.at)
+    }
+
+    /// When the answer of the last sound run at a service began; `None` if none is known.
+    pub fn latest(&self, service: &str) -> Option<MonoTime> {
+        self.latest.get(service).map(|run| run.at)
+    }
+
+    /// The last sound runs of these contents at a service, and the last one there of all.
+    pub fn last_runs(
+        &self,
+        service: &str,
+        contents: impl Iterator<Item = Content>,
+    ) -> Vec<CompletedRun> {
+        let of_contents = contents.filter_map(|c| self.last.get(&(service.into(), c)));
+        distinct(of_contents.chain(self.latest.get(service)))
     }
 
-    /// The last run of a content at each service.
-    pub fn runs_of(&self, now: MonoTime, content: Content) -> Vec<CompletedRun> {
-        let matching = self.last.iter().filter(|((_, c), _)| *c == content);
-        let recent = matching.filter(|(_, at)| !is_old(now, **at));
-        let runs = recent.map(|((service, _), at)| CompletedRun {
-            service: service.clone(),
-            content,
-            at: *at,
-        });
-        runs.collect()
+    /// The last runs at each service of the contents that a condition holds for.
+    pub fn runs_of(&self, now: MonoTime, is_meant: impl Fn(Content) -> bool) -> Vec<CompletedRun> {
+        let meant = self.last.iter().filter(|((_, c), _)| is_meant(*c));
+        distinct(meant.map(|(_, run)| run).filter(|run| !is_old(now, run.at)))
     }
 
     fn evict_one(&mut self) {
@@ -88,7 +113,9 @@
             };
             let key = (service, content);
             match self.last.get(&key) {
-                Some(last) if *last > queued => self.order.push_back((*last, key.0, content)),
+                Some(last) if last.at > queued => {
+                    self.order.push_back((last.at, key.0, content));
+                }
                 _ => {
                     self.last.remove(&key);
                     return;
@@ -101,6 +128,13 @@
     }
 }
 
+/// Each of these runs once: one run is the last one of several contents.
+fn distinct<'a>(runs: impl Iterator<Item = &'a Arc<CompletedRun>>) -> Vec<CompletedRun> {
+    let mut seen = HashSet::new();
+    let first = runs.filter(|run| seen.insert(Arc::as_ptr(run)));
+    first.map(|run| CompletedRun::clone(run)).collect()
+}
+
 fn is_old(now: MonoTime, at: MonoTime) -> bool {
     now.since(at) > RETENTION
 }
