--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -41,6 +41,9 @@
 const PARTITION_DURATION: Duration = Duration::from_millis(7_500);
 /// The interval of the timer that measures the scheduling lag of this program.
 const LAG_INTERVAL: Duration = Duration::from_millis(50);
+/// The seed of the first sender of requests with a crashing part. Those of crashing requests are
+/// lower; equal ones would send requests of the same identities.
+const FIRST_PART_SEED: u64 = 1_000;
 /// The interval between two sends of a crashing request.
 const CRASHING_REQUEST_INTERVAL: Duration = Duration::from_millis(250);
 /// The time from an upstream's leaving notice to its replacement.
@@ -365,7 +368,8 @@
             }
             Fault::CrashingPart(number, span) => {
                 let kind = RequestKind::CrashingPart(number);
-                self.repeat_crashing(kind, number, span).await;
+                let seed = FIRST_PART_SEED + number;
+                self.repeat_crashing(kind, seed, span).await;
             }
             Fault::LosePower(n) => self.env.lose_power(n).await,
             Fault::Configure => return Ok(Some(self.env.configure().to_string())),
