Only what crashed upstreams shortly after its answers began stands out

A request that other crashes broke off three times has mostly never been seen sound either, and went before a part that had been sound and was at more of the crashes. A content goes first only if its answers had begun at most 300 ms before each of its crashes. Replay: a part that was sound until now, beside a request that is sent again and again.

--- a/crates/serving/src/crash_evidence.rs
+++ b/crates/serving/src/crash_evidence.rs
@@ -33,6 +33,9 @@
 /// The same for a part of prompts that had sound runs before: the users' bound. Parts of many
 /// prompts are present at most crashes.
 const QUARANTINE_SOUND_PART_AFTER: usize = 5;
+/// Most time from the beginning of an answer to a crash that it causes. In the logs it was 130 ms at
+/// most.
+const PROMPT_CRASH: Duration = Duration::from_millis(300);
 /// Crashes that keep a content quarantined, or quarantine it again after a release for which
 /// another content explained its crashes.
 const KEEP_AFTER: usize = 1;
@@ -117,7 +120,7 @@
 /// - The cause alone explains all of its crashes. When a content is found to have crashed an
 ///   upstream, all others that were present are cleared of that crash. Two contents that were
 ///   always present together are told apart by the next crash. One that has never been seen sound
-///   goes before others with more crashes. If nothing separates two, the one whose answers had
+///   and whose answers had always just begun goes before others with more crashes. If nothing separates two, the one whose answers had
 ///   begun more often and more recently is taken first, then the more specific one. If upstreams
 ///   go on crashing with the other one, that one is found and the first is released.
 /// - Runs without the cause are sound. A part of prompts that all runs of a service have is not
@@ -309,7 +312,7 @@
             let mut rivals = rivals(&unexplained, &evidence, content, item);
             let was_found = self.was_found(content);
             let was_sound = |c: Content| self.sound.last_run(service, c).is_some();
-            if !was_sound(content) {
+            if self.stands_out(service, content, item) {
                 rivals.retain(|rival| !was_sound(*rival));
             }
             let threshold = match rivals.is_empty() {
@@ -347,7 +350,7 @@
         });
         let likeliest = enough.max_by_key(|(content, item)| {
             let sound = self.sound.last_run(service, **content);
-            let stands_out = sound.is_none() && item.crashes >= QUARANTINE_AFTER;
+            let stands_out = self.stands_out(service, **content, item);
             let recency = (item.answered, Reverse(item.longest_run));
             let rest = Reverse((sound, item.position, **content));
             (stands_out, item.crashes, recency, rest)
@@ -355,6 +358,14 @@
         likeliest.map(|(content, item)| (*content, item))
     }
 
+    /// True for a content that has never been seen sound and was present at enough crashes, each of
+    /// them shortly after an answer to it had begun.
+    fn stands_out(&self, service: &str, content: Content, item: &Evidence) -> bool {
+        let is_prompt = item.longest_run <= PROMPT_CRASH;
+        let was_sound = self.sound.last_run(service, content).is_some();
+        item.crashes >= QUARANTINE_AFTER && is_prompt && !was_sound
+    }
+
     /// True if a sound run at the service did not have this content. Without one, upstreams may as
     /// well crash with everything that they run.
     fn runs_without(&self, service: &str, content: Content) -> bool {
--- a/crates/serving/tests/part_evidence.rs
+++ b/crates/serving/tests/part_evidence.rs
@@ -407,3 +407,35 @@
     both.sort_unstable();
     assert_eq!(replay.held, both);
 }
+
+/// A part was sound until now and crashes upstreams. A request that is sent again and again is broken
+/// off at three of these crashes, at each of them at another point of its answer: the part is found.
+#[test]
+fn a_request_that_others_broke_off_is_not_found_before_a_part_that_was_sound() {
+    let mut replay = Replay::default();
+    replay.sound("a", &[FIRST, BAD], 1_000);
+    for n in 0..6 {
+        let ms = 2_000 + n * 500;
+        replay.crash(ms, &[fresh(&[FIRST, BAD])]);
+        if n % 2 == 0 {
+            let again = BrokenRun {
+                contents: contents("a", &[FIRST, OTHER], 777),
+                began: at(ms - 450),
+                answered: Some(at(ms - 40 - n * 100)),
+            };
+            replay.evidence.record_crash(
+                at(ms),
+                UpstreamCrash {
+                    service: "pool".into(),
+                    upstream: replay.upstreams.to_string().into(),
+                    start: UpstreamStart::at_millis(1),
+                    at: at(ms),
+                    runs: vec![again],
+                },
+            );
+        }
+        replay.sound("b", &[FIRST, OTHER], ms + 50);
+    }
+    replay.advance(4_000 + KNOWN_WITHIN - 500);
+    assert_eq!(replay.held, [part("a", BAD).of_customer]);
+}
