Bound the sound runs in a report on a crash

A crash with many different parts could have brought as many sound runs with up to 128 parts each into one report: megabytes. The last run of the service and 63 others are enough to clear what is common.

--- a/crates/gateway/src/crash_reporter.rs
+++ b/crates/gateway/src/crash_reporter.rs
@@ -43,8 +43,10 @@
 const MAX_REPORT_SPREAD: Duration = Duration::from_millis(400);
 /// Most broken runs in a report on one crash.
 const MAX_RUNS_PER_REPORT: usize = 128;
-/// Most contents in a report, and most sound runs of them.
+/// Most contents of broken runs in a report.
 const MAX_CONTENTS_PER_REPORT: usize = 2_048;
+/// Most sound runs in a report on a crash.
+const MAX_SOUND_RUNS_PER_REPORT: usize = 64;
 /// Most runs that a log line names.
 const MAX_RUNS_PER_LINE: usize = 8;
 /// Most parts of prompts that a log line names.
@@ -259,7 +261,8 @@
         let present: BTreeSet<Content> =
             crash.runs.iter().flat_map(|r| r.contents.iter()).collect();
         let quarantine = &self.state.quarantine;
-        let completed_runs = quarantine.last_runs(&crash.service, present.into_iter());
+        let mut completed_runs = quarantine.last_runs(&crash.service, present.into_iter());
+        completed_runs.truncate(MAX_SOUND_RUNS_PER_REPORT);
         self.send_report(RunReport {
             crashes: vec![crash],
             completed_runs,
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -220,7 +220,7 @@
         is_due
     }
 
-    /// The last sound runs of these contents at a service, and the last one there of all.
+    /// The last one of all sound runs at a service, and the last ones of these contents.
     pub(crate) fn last_runs(
         &self,
         service: &str,
--- a/crates/serving/src/recent_runs.rs
+++ b/crates/serving/src/recent_runs.rs
@@ -90,14 +90,14 @@
         self.latest.get(service).map(|run| run.at)
     }
 
-    /// The last sound runs of these contents at a service, and the last one there of all.
+    /// The last one of all sound runs at a service, and the last ones of these contents.
     pub fn last_runs(
         &self,
         service: &str,
         contents: impl Iterator<Item = Content>,
     ) -> Vec<CompletedRun> {
         let of_contents = contents.filter_map(|c| self.last.get(&(service.into(), c)));
-        distinct(of_contents.chain(self.latest.get(service)))
+        distinct(self.latest.get(service).into_iter().chain(of_contents))
     }
 
     /// The last runs at each service of the contents that a condition holds for.
