--- a/crates/serving/tests/part_evidence.rs
+++ b/crates/serving/tests/part_evidence/main.rs
@@ -1,20 +1,14 @@
 //! Which parts of prompts are found to crash upstreams.
 
-use std::time::Duration;
+mod replay;
 
-use jd_serving::BrokenRun;
-use jd_serving::CompletedRun;
-use jd_serving::Content;
-use jd_serving::CrashEvidence;
-use jd_serving::PartContent;
-use jd_serving::Prompt;
-use jd_serving::PromptPart;
-use jd_serving::RunContents;
-use jd_serving::UpstreamCrash;
-use jd_serving::UpstreamStart;
-use jd_types::MonoTime;
 use test_case::test_case;
 
+use crate::replay::Replay;
+use crate::replay::Run;
+use crate::replay::fresh;
+use crate::replay::part;
+
 /// The part that crashes upstreams, and harmless ones.
 const BAD: u64 = 0xbad;
 const FIRST: u64 = 1;
@@ -22,110 +16,6 @@
 /// The users' bound on the time after the fifth crash.
 const KNOWN_WITHIN: u64 = 3_000;
 
-fn at(ms: u64) -> MonoTime {
-    MonoTime::ZERO + Duration::from_millis(ms)
-}
-
-/// The contents of a request of a customer, with these shared parts and a number of its own.
-fn contents(customer: &str, shared: &[u64], own: u64) -> RunContents {
-    let own_part = 1_000_000 + own;
-    let ids = shared.iter().chain([&own_part]);
-    let prompt = Prompt {
-        parts: ids.map(|id| PromptPart { id: *id, tokens: 9 }).collect(),
-        ..Prompt::default()
-    };
-    RunContents::new(
-        Content::from_number(own),
-        "pool",
-        Some(customer),
-        Some(&prompt),
-    )
-}
-
-/// The numbers of a part.
-fn part(customer: &str, id: u64) -> PartContent {
-    contents(customer, &[id], 0).parts[0]
-}
-
-/// A run that was broken off: sent and answered this long before the crash.
-struct Run<'a> {
-    customer: &'a str,
-    shared: &'a [u64],
-    sent_before: u64,
-    answered_before: Option<u64>,
-}
-
-/// A run that had just begun to answer.
-fn fresh<'a>(shared: &'a [u64]) -> Run<'a> {
-    Run {
-        customer: "a",
-        shared,
-        sent_before: 900,
-        answered_before: Some(80),
-    }
-}
-
-/// What the coordinator hears, in virtual time.
-#[derive(Default)]
-struct Replay {
-    evidence: CrashEvidence,
-    now: u64,
-    upstreams: u64,
-    requests: u64,
-    /// When each content was first quarantined, and what is quarantined now.
-    found: Vec<(u64, Content)>,
-    held: Vec<Content>,
-}
-
-impl Replay {
-    /// Evaluates the evidence every 50 ms up to this time.
-    fn advance(&mut self, until: u64) {
-        while self.now < until {
-            self.now += 50;
-            let findings = self.evidence.findings(at(self.now));
-            self.held = findings.quarantined.iter().map(|f| f.content).collect();
-            for content in &self.held {
-                if !self.found.iter().any(|(_, c)| c == content) {
-                    self.found.push((self.now, *content));
-                }
-            }
-        }
-    }
-
-    /// An upstream crashes, with these runs.
-    fn crash(&mut self, ms: u64, runs: &[Run<'_>]) {
-        self.advance(ms);
-        self.upstreams += 1;
-        let mut broken = Vec::new();
-        for run in runs {
-            self.requests += 1;
-            broken.push(BrokenRun {
-                contents: contents(run.customer, run.shared, self.requests),
-                began: at(ms - run.sent_before),
-                answered: run.answered_before.map(|before| at(ms - before)),
-            });
-        }
-        let crash = UpstreamCrash {
-            service: "pool".into(),
-            upstream: self.upstreams.to_string().into(),
-            start: UpstreamStart::at_millis(1),
-            at: at(ms),
-            runs: broken,
-        };
-        self.evidence.record_crash(at(ms), crash);
-    }
-
-    /// A sound run whose answer began at this time is reported.
-    fn sound(&mut self, customer: &str, shared: &[u64], began: u64) {
-        self.requests += 1;
-        self.evidence.record_completed_run(&CompletedRun {
-            service: "pool".into(),
-            contents: contents(customer, shared, self.requests),
-            at: at(began),
-        });
-    }
-}
-
 /// Different requests share a part that crashes upstreams, up to five within a second, so that
 /// most runs began before the crash before. The part is found in time, and the first part, which
 /// sound requests share, is not.
@@ -416,23 +306,14 @@
     replay.sound("a", &[FIRST, BAD], 1_000);
     for n in 0..6 {
         let ms = 2_000 + n * 500;
-        replay.crash(ms, &[fresh(&[FIRST, BAD])]);
-        if n % 2 == 0 {
-            let again = BrokenRun {
-                contents: contents("a", &[FIRST, OTHER], 777),
-                began: at(ms - 450),
-                answered: Some(at(ms - 40 - n * 100)),
-            };
-            replay.evidence.record_crash(
-                at(ms),
-                UpstreamCrash {
-                    service: "pool".into(),
-                    upstream: replay.upstreams.to_string().into(),
-                    start: UpstreamStart::at_millis(1),
-                    at: at(ms),
-                    runs: vec![again],
-                },
-            );
+        let again = Run {
+            request: Some(777),
+            answered_before: Some(40 + n * 100),
+            ..fresh(&[FIRST, OTHER])
+        };
+        match n % 2 {
+            0 => replay.crash(ms, &[fresh(&[FIRST, BAD]), again]),
+            _ => replay.crash(ms, &[fresh(&[FIRST, BAD])]),
         }
         replay.sound("b", &[FIRST, OTHER], ms + 50);
     }
