Runs that clear contents are called sound runs

No change of behaviour. A run that outlived the beginning of its answer has not completed; the message between instances keeps its field's name.

--- a/crates/gateway/src/active_attempt.rs
+++ b/crates/gateway/src/active_attempt.rs
@@ -125,7 +125,7 @@
             let now = self.state.now();
             let began = self.answered().unwrap_or(now);
             let quarantine = &self.state.quarantine;
-            quarantine.record_completed(now, &self.service, &self.contents, began);
+            quarantine.record_sound(now, &self.service, &self.contents, began);
         }
     }
 
--- a/crates/gateway/src/batch_calls.rs
+++ b/crates/gateway/src/batch_calls.rs
@@ -60,7 +60,7 @@
             let contents = RunContents::of_request(content);
             match result {
                 CallResult::Answered(_) => {
-                    quarantine.record_completed(now, &call.service, &contents, now);
+                    quarantine.record_sound(now, &call.service, &contents, now);
                 }
                 CallResult::Broken => {
                     let run = BrokenRun {
--- a/crates/gateway/src/crash_reporter.rs
+++ b/crates/gateway/src/crash_reporter.rs
@@ -101,8 +101,8 @@
     pub(crate) async fn run(self: Arc<Self>) {
         while let Some(event) = self.state.quarantine.run_events.next().await {
             match event {
-                RunEvent::Completed(run) => self.send_report(RunReport {
-                    completed_runs: vec![run],
+                RunEvent::Sound(run) => self.send_report(RunReport {
+                    sound_runs: vec![run],
                     ..RunReport::default()
                 }),
                 RunEvent::Broken {
@@ -126,10 +126,10 @@
             let spread = REPORT_SPREAD.saturating_mul(self.state.instance_count());
             let spread = spread.min(MAX_REPORT_SPREAD).as_millis() as u64;
             Timer::after(Duration::from_millis(fastrand::u64(..=spread))).await;
-            let completed_runs = self.state.quarantine.recent_runs(self.state.now());
-            if !completed_runs.is_empty() {
+            let sound_runs = self.state.quarantine.recent_runs(self.state.now());
+            if !sound_runs.is_empty() {
                 self.send_report(RunReport {
-                    completed_runs,
+                    sound_runs,
                     ..RunReport::default()
                 });
             }
@@ -200,7 +200,7 @@
                 let now = self.state.now();
                 let began = run.answered.unwrap_or(at);
                 let quarantine = &self.state.quarantine;
-                quarantine.record_completed(now, &upstream.service, &run.contents, began);
+                quarantine.record_sound(now, &upstream.service, &run.contents, began);
             }
             if !broken.is_empty() {
                 self.log_broken(&upstream, status, at, &broken);
@@ -261,11 +261,11 @@
         let present: BTreeSet<Content> =
             crash.runs.iter().flat_map(|r| r.contents.iter()).collect();
         let quarantine = &self.state.quarantine;
-        let mut completed_runs = quarantine.last_runs(&crash.service, present.into_iter());
-        completed_runs.truncate(MAX_SOUND_RUNS_PER_REPORT);
+        let mut sound_runs = quarantine.last_runs(&crash.service, present.into_iter());
+        sound_runs.truncate(MAX_SOUND_RUNS_PER_REPORT);
         self.send_report(RunReport {
             crashes: vec![crash],
-            completed_runs,
+            sound_runs,
         });
     }
 
--- a/crates/gateway/src/peer_quarantine.rs
+++ b/crates/gateway/src/peer_quarantine.rs
@@ -3,17 +3,17 @@
 use std::time::Duration;
 
 use jd_serving::BrokenRun;
-use jd_serving::CompletedRun;
 use jd_serving::Content;
 use jd_serving::PartContent;
 use jd_serving::QuarantinePhase;
 use jd_serving::QuarantineState;
 use jd_serving::RunContents;
+use jd_serving::SoundRun;
 use jd_serving::UpstreamCrash;
 use jd_serving::UpstreamStart;
 use jd_types::MonoTime;
 use jd_wire::BrokenRun as WireRun;
-use jd_wire::CompletedRun as WireCompletedRun;
+use jd_wire::CompletedRun as WireSoundRun;
 use jd_wire::CrashReport;
 use jd_wire::PromptPart as WirePart;
 use jd_wire::Quarantine as WireQuarantine;
@@ -26,7 +26,7 @@
 #[derive(Debug, Clone, Default)]
 pub(crate) struct RunReport {
     pub(crate) crashes: Vec<UpstreamCrash>,
-    pub(crate) completed_runs: Vec<CompletedRun>,
+    pub(crate) sound_runs: Vec<SoundRun>,
 }
 
 /// Encodes a report; times are given as their age at `now`.
@@ -38,7 +38,7 @@
         ended_ms_ago: millis(now.since(crash.at)),
         runs: crash.runs.iter().map(|r| wire_run(r, now)).collect(),
     });
-    let completed_runs = report.completed_runs.iter().map(|run| WireCompletedRun {
+    let sound_runs = report.sound_runs.iter().map(|run| WireSoundRun {
         service: run.service.to_string(),
         content: run.contents.request.number(),
         ended_ms_ago: millis(now.since(run.at)),
@@ -46,7 +46,7 @@
     });
     CrashReport {
         ends: crashes.collect(),
-        completed_runs: completed_runs.collect(),
+        completed_runs: sound_runs.collect(),
     }
 }
 
@@ -96,14 +96,14 @@
         at: ago(end.ended_ms_ago),
         runs: end.runs.into_iter().map(run_of).collect(),
     });
-    let completed_runs = req.completed_runs.into_iter().map(|run| CompletedRun {
+    let sound_runs = req.completed_runs.into_iter().map(|run| SoundRun {
         service: run.service.into(),
         contents: run_contents(run.content, &run.parts),
         at: ago(run.ended_ms_ago),
     });
     RunReport {
         crashes: crashes.collect(),
-        completed_runs: completed_runs.collect(),
+        sound_runs: sound_runs.collect(),
     }
 }
 
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -9,7 +9,6 @@
 use event_listener::Event;
 use event_listener::EventListener;
 use jd_net::lock;
-use jd_serving::CompletedRun;
 use jd_serving::Content;
 use jd_serving::PartContent;
 use jd_serving::QuarantineList;
@@ -17,6 +16,7 @@
 use jd_serving::QuarantineState;
 use jd_serving::RecentRuns;
 use jd_serving::RunContents;
+use jd_serving::SoundRun;
 use jd_types::MonoTime;
 
 use crate::run_events::RunEvent;
@@ -185,14 +185,14 @@
     }
 
     /// Notes that a run was sound whose answer began at `began`.
-    pub(crate) fn record_completed(
+    pub(crate) fn record_sound(
         &self,
         now: MonoTime,
         service: &str,
         contents: &RunContents,
         began: MonoTime,
     ) {
-        let run = CompletedRun {
+        let run = SoundRun {
             service: service.into(),
             contents: contents.clone(),
             at: began,
@@ -203,7 +203,7 @@
             held.is_some_and(|held| held.state.is_active()) && self.may_report(now, content)
         };
         if !list.is_empty() && contents.iter().any(is_asked_for) {
-            self.run_events.add(RunEvent::Completed(run.clone()));
+            self.run_events.add(RunEvent::Sound(run.clone()));
         }
         lock(&self.recent).record(run);
     }
@@ -225,12 +225,12 @@
         &self,
         service: &str,
         contents: impl Iterator<Item = Content>,
-    ) -> Vec<CompletedRun> {
+    ) -> Vec<SoundRun> {
         lock(&self.recent).last_runs(service, contents)
     }
 
     /// Recent sound runs of what is suspected or quarantined.
-    pub(crate) fn recent_runs(&self, now: MonoTime) -> Vec<CompletedRun> {
+    pub(crate) fn recent_runs(&self, now: MonoTime) -> Vec<SoundRun> {
         let list = self.list.load();
         let is_open = |content| {
             let held = list.get(now, content);
--- a/crates/gateway/src/quarantine_coordinator.rs
+++ b/crates/gateway/src/quarantine_coordinator.rs
@@ -9,7 +9,6 @@
 use std::time::SystemTime;
 
 use jd_net::lock;
-use jd_serving::CompletedRun;
 use jd_serving::Content;
 use jd_serving::CrashEvidence;
 use jd_serving::Finding;
@@ -17,6 +16,7 @@
 use jd_serving::QuarantineEntry;
 use jd_serving::QuarantinePhase;
 use jd_serving::QuarantineState;
+use jd_serving::SoundRun;
 use jd_types::MonoTime;
 
 use crate::QuarantineRecord;
@@ -92,10 +92,10 @@
             evidence.record_crash(now, crash);
         }
         let mut cleared = Vec::new();
-        for run in report.completed_runs {
-            cleared.extend(evidence.record_completed_run(&run));
+        for run in report.sound_runs {
+            cleared.extend(evidence.record_sound_run(&run));
             let contents = run.contents.iter();
-            cleared.extend(contents.filter(|c| self.completed_after_hold(now, &run, *c)));
+            cleared.extend(contents.filter(|c| self.ran_soundly_after_hold(now, &run, *c)));
         }
         drop(evidence);
         if self.decides_on_parts() {
@@ -129,14 +129,14 @@
         unknown
     }
 
-    /// True if a request completed a run after it was suspected or quarantined. This
-    /// releases a request whose quarantine was decided by an instance that is lost
+    /// True if a content had a sound run after it was suspected or quarantined. This
+    /// releases a content whose quarantine was decided by an instance that is lost
     /// together with its evidence.
     ///
     /// Runs of stage pieces do not count: the pieces of a request complete at other
     /// services before it crashes each upstream that runs the request itself, and each of
     /// them released it.
-    fn completed_after_hold(&self, now: MonoTime, run: &CompletedRun, content: Content) -> bool {
+    fn ran_soundly_after_hold(&self, now: MonoTime, run: &SoundRun, content: Content) -> bool {
         if self.link.state.serves_stages(&run.service) {
             return false;
         }
--- a/crates/gateway/src/run_events.rs
+++ b/crates/gateway/src/run_events.rs
@@ -6,7 +6,7 @@
 use async_channel::Sender;
 use compact_str::CompactString;
 use jd_serving::BrokenRun;
-use jd_serving::CompletedRun;
+use jd_serving::SoundRun;
 use jd_serving::UpstreamStart;
 use jd_types::MonoTime;
 
@@ -42,8 +42,8 @@
         run: BrokenRun,
         end: RunEnd,
     },
-    /// The run completed, and its request is suspected or quarantined.
-    Completed(CompletedRun),
+    /// The run was sound, and its request or a part of its prompt is suspected or quarantined.
+    Sound(SoundRun),
 }
 
 /// A bounded queue of run events.
--- a/crates/serving/src/crash_evidence.rs
+++ b/crates/serving/src/crash_evidence.rs
@@ -9,10 +9,10 @@
 use compact_str::CompactString;
 use jd_types::MonoTime;
 
-use crate::CompletedRun;
 use crate::Content;
 use crate::QUARANTINE_TTL;
 use crate::RecentRuns;
+use crate::SoundRun;
 use crate::UpstreamCrash;
 use crate::UpstreamStart;
 use crate::content_evidence::Evidence;
@@ -193,7 +193,7 @@
     /// Records a sound run at a service. This clears its contents of crashes before its answer
     /// began but not of later ones. Returns the contents that were involved in crashes and no
     /// longer are.
-    pub fn record_completed_run(&mut self, run: &CompletedRun) -> Vec<Content> {
+    pub fn record_sound_run(&mut self, run: &SoundRun) -> Vec<Content> {
         self.sound.record(run.clone());
         let mut cleared = Vec::new();
         for content in run.contents.iter() {
@@ -204,7 +204,7 @@
         cleared
     }
 
-    fn clear(&mut self, run: &CompletedRun, content: Content) -> bool {
+    fn clear(&mut self, run: &SoundRun, content: Content) -> bool {
         let released_until = self.released.get(&content);
         if released_until.is_some_and(|until| run.at > until.before(QUARANTINE_TTL)) {
             self.released.remove(&content);
--- a/crates/serving/src/recent_runs.rs
+++ b/crates/serving/src/recent_runs.rs
@@ -25,7 +25,7 @@
 
 /// A run that completed, or that outlived [`SAFE_AFTER`](crate::SAFE_AFTER).
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct CompletedRun {
+pub struct SoundRun {
     /// The service that ran the request.
     pub service: CompactString,
     /// The request and the parts of its prompt.
@@ -40,17 +40,17 @@
 /// several upstreams that crashed for another reason. Its sound runs clear it of suspicion.
 #[derive(Debug, Default)]
 pub struct RecentRuns {
-    last: HashMap<(CompactString, Content), Arc<CompletedRun>>,
+    last: HashMap<(CompactString, Content), Arc<SoundRun>>,
     /// The contents with the time that was known when they were queued.
     order: VecDeque<(MonoTime, CompactString, Content)>,
     /// The last run of each service.
-    latest: HashMap<CompactString, Arc<CompletedRun>>,
+    latest: HashMap<CompactString, Arc<SoundRun>>,
 }
 
 impl RecentRuns {
     /// Records a run. Beyond the bound, contents that have not run again for longest are
     /// forgotten.
-    pub fn record(&mut self, run: CompletedRun) {
+    pub fn record(&mut self, run: SoundRun) {
         let run = Arc::new(run);
         for content in run.contents.iter() {
             self.record_content(content, &run);
@@ -62,7 +62,7 @@
         }
     }
 
-    fn record_content(&mut self, content: Content, run: &Arc<CompletedRun>) {
+    fn record_content(&mut self, content: Content, run: &Arc<SoundRun>) {
         let key = (run.service.clone(), content);
         if let Some(last) = self.last.get_mut(&key) {
             if last.at < run.at {
@@ -95,13 +95,13 @@
         &self,
         service: &str,
         contents: impl Iterator<Item = Content>,
-    ) -> Vec<CompletedRun> {
+    ) -> Vec<SoundRun> {
         let of_contents = contents.filter_map(|c| self.last.get(&(service.into(), c)));
         distinct(self.latest.get(service).into_iter().chain(of_contents))
     }
 
     /// The last runs at each service of the contents that a condition holds for.
-    pub fn runs_of(&self, now: MonoTime, is_meant: impl Fn(Content) -> bool) -> Vec<CompletedRun> {
+    pub fn runs_of(&self, now: MonoTime, is_meant: impl Fn(Content) -> bool) -> Vec<SoundRun> {
         let meant = self.last.iter().filter(|((_, c), _)| is_meant(*c));
         distinct(meant.map(|(_, run)| run).filter(|run| !is_old(now, run.at)))
     }
@@ -129,10 +129,10 @@
 }
 
 /// Each of these runs once: one run is the last one of several contents.
-fn distinct<'a>(runs: impl Iterator<Item = &'a Arc<CompletedRun>>) -> Vec<CompletedRun> {
+fn distinct<'a>(runs: impl Iterator<Item = &'a Arc<SoundRun>>) -> Vec<SoundRun> {
     let mut seen = HashSet::new();
     let first = runs.filter(|run| seen.insert(Arc::as_ptr(run)));
-    first.map(|run| CompletedRun::clone(run)).collect()
+    first.map(|run| SoundRun::clone(run)).collect()
 }
 
 fn is_old(now: MonoTime, at: MonoTime) -> bool {
--- a/crates/serving/tests/crash_evidence.rs
+++ b/crates/serving/tests/crash_evidence.rs
@@ -3,11 +3,11 @@
 use std::time::Duration;
 
 use jd_serving::BrokenRun;
-use jd_serving::CompletedRun;
 use jd_serving::Content;
 use jd_serving::CrashEvidence;
 use jd_serving::Findings;
 use jd_serving::RunContents;
+use jd_serving::SoundRun;
 use jd_serving::UpstreamCrash;
 use jd_serving::UpstreamStart;
 use jd_types::MonoTime;
@@ -37,8 +37,8 @@
     }
 }
 
-fn completed(service: &str, content: u64, ms: u64) -> CompletedRun {
-    CompletedRun {
+fn completed(service: &str, content: u64, ms: u64) -> SoundRun {
+    SoundRun {
         service: service.into(),
         contents: RunContents::of_request(Content::from_number(content)),
         at: at(ms),
@@ -117,7 +117,7 @@
     evaluate_from(&mut evidence, loss(1), 0, 5_000);
     let (last, _) = evaluate_from(&mut evidence, loss(2), 5_100, 9_000);
     assert_eq!(numbers(&last.suspected), [OTHER]);
-    evidence.record_completed_run(&completed("pool", OTHER, 8_900));
+    evidence.record_sound_run(&completed("pool", OTHER, 8_900));
     let (last, first) = evaluate_from(&mut evidence, loss(3), 9_100, 20_000);
     assert_eq!(first, []);
     assert_eq!(last, Findings::default());
@@ -132,7 +132,7 @@
         let crash = crash(n, 1_000 + n * 600, &[(BAD, 900 + n * 600)]);
         evidence.record_crash(at(1_000 + n * 600), crash);
     }
-    evidence.record_completed_run(&completed("stage", BAD, 2_250));
+    evidence.record_sound_run(&completed("stage", BAD, 2_250));
     let (last, _) = evaluate_from(&mut evidence, Vec::new(), 2_300, 6_000);
     assert_eq!(numbers(&last.quarantined), [BAD]);
 }
@@ -145,10 +145,7 @@
     for n in 0..3 {
         let ms = 1_000 + n * 600;
         evidence.record_crash(at(ms), crash(n, ms, &[(BAD, ms - 100)]));
-        assert_eq!(
-            evidence.record_completed_run(&completed("pool", BAD, 850)),
-            []
-        );
+        assert_eq!(evidence.record_sound_run(&completed("pool", BAD, 850)), []);
     }
     let (last, _) = evaluate_from(&mut evidence, Vec::new(), 2_300, 6_000);
     assert_eq!(numbers(&last.quarantined), [BAD]);
@@ -310,7 +307,7 @@
             let findings = evidence.findings(at(later));
             quarantined.extend(numbers(&findings.quarantined));
             if numbers(&findings.suspected).contains(&OTHER) {
-                evidence.record_completed_run(&completed("pool", OTHER, later));
+                evidence.record_sound_run(&completed("pool", OTHER, later));
             }
         }
     }
--- a/crates/serving/tests/part_evidence/replay.rs
+++ b/crates/serving/tests/part_evidence/replay.rs
@@ -3,13 +3,13 @@
 use std::time::Duration;
 
 use jd_serving::BrokenRun;
-use jd_serving::CompletedRun;
 use jd_serving::Content;
 use jd_serving::CrashEvidence;
 use jd_serving::PartContent;
 use jd_serving::Prompt;
 use jd_serving::PromptPart;
 use jd_serving::RunContents;
+use jd_serving::SoundRun;
 use jd_serving::UpstreamCrash;
 use jd_serving::UpstreamStart;
 use jd_types::MonoTime;
@@ -118,7 +118,7 @@
     /// A sound run whose answer began at this time is reported.
     pub(crate) fn sound(&mut self, customer: &str, shared: &[u64], began: u64) {
         self.requests += 1;
-        self.evidence.record_completed_run(&CompletedRun {
+        self.evidence.record_sound_run(&SoundRun {
             service: "pool".into(),
             contents: contents(customer, shared, self.requests),
             at: at(began),
--- a/crates/serving/tests/quarantine_list.rs
+++ b/crates/serving/tests/quarantine_list.rs
@@ -4,7 +4,6 @@
 
 use std::time::Duration;
 
-use jd_serving::CompletedRun;
 use jd_serving::Content;
 use jd_serving::Finding;
 use jd_serving::QuarantineList;
@@ -12,6 +11,7 @@
 use jd_serving::QuarantineState;
 use jd_serving::RecentRuns;
 use jd_serving::RunContents;
+use jd_serving::SoundRun;
 use jd_types::MonoTime;
 
 /// A request that crashes upstreams, and another.
@@ -22,8 +22,8 @@
     MonoTime::ZERO + Duration::from_millis(ms)
 }
 
-fn completed(service: &str, content: u64, ms: u64) -> CompletedRun {
-    CompletedRun {
+fn completed(service: &str, content: u64, ms: u64) -> SoundRun {
+    SoundRun {
         service: service.into(),
         contents: RunContents::of_request(Content::from_number(content)),
         at: at(ms),
