Review case: streams of two software versions joined after all processes were killed

Seen: streams that engines of one version began, taken up after a release and a kill of all gateway processes, go on at engines of another version and end as whole answers.

Cause: the origin of a stream and the versions of a service are known to running instances alone. With one version listed, a stream of unknown origin is taken to be of that version, though it began before the instances started.

--- /dev/null
+++ b/review/standins/src/bin/versions_joined.rs
@@ -0,0 +1,215 @@
+//! Case: all gateway processes are killed after the engines of a service were replaced by those of
+//! another software version.
+//!
+//! Three gateways, four engines of version v1, and clients with streams that may be resumed. Two
+//! releases replace half of the engines each, one after the other, by engines of v2; the streams
+//! begin between the two. An old engine's entry is removed, and it goes on serving the streams that
+//! it has. Then all gateway processes are killed at once and started again. The clients take up
+//! their streams as the pages say.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use review_standins::Network;
+use review_standins::gateway::Gateway;
+use review_standins::http::request;
+use review_standins::record::Record;
+use review_standins::store::Store;
+use review_standins::streams::{Received, StreamEngine, receive};
+
+const STREAMS: usize = 16;
+/// The events of a stream and the pause before each: 9 s in all.
+const EVENTS: (u64, Duration) = (45, Duration::from_millis(200));
+/// The deadline of a request.
+const DEADLINE: Duration = Duration::from_secs(15);
+/// The pause between two engines of the release.
+const RELEASE_GAP: Duration = Duration::from_millis(800);
+/// How long the processes are down.
+const DOWN: Duration = Duration::from_millis(1_300);
+/// How long a client waits before it takes up a stream.
+const RETRY_PAUSE: Duration = Duration::from_millis(2_000);
+/// More than this many streams of two versions break the rule.
+const ALLOWED: usize = 2;
+
+fn main() -> ExitCode {
+    let root = std::env::current_dir().expect("the repository");
+    let folder = PathBuf::from(std::env::args().nth(1).expect("the folder for settings and logs"));
+    let out = PathBuf::from(std::env::args().nth(2).expect("the path of the record"));
+    let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
+    let record = Arc::new(Record::default());
+    let code = match run(&root, &folder, trouble, &record) {
+        Ok(mixed) if mixed <= ALLOWED => 0,
+        Ok(_) => 1,
+        Err(why) => {
+            record.add(format!("could not run: {why}"));
+            eprintln!("could not run: {why}");
+            2
+        }
+    };
+    record.write(&out);
+    ExitCode::from(code)
+}
+
+fn run(root: &Path, folder: &Path, trouble: bool, record: &Arc<Record>) -> Result<usize, String> {
+    let network = Network::of_this_process();
+    let store_address = network.free(1);
+    let store = Store::start(store_address);
+    let zones = ["hall-a", "hall-b", "hall-c"];
+    let zone_of = |number: usize| zones[number % zones.len()];
+    let engine = |number: u8, version| {
+        let address = network.free(200 + number);
+        StreamEngine::start(&format!("i-{number:08x}"), address, version, EVENTS, record)
+    };
+    let old: Vec<Arc<StreamEngine>> = (0..4).map(|n| engine(n, "v1")).collect();
+    for (n, engine) in old.iter().enumerate() {
+        store.put(&format!("servers/{}", engine.id), &engine.entry("pool", zone_of(n)));
+    }
+    // The new engine starts first; the old one's entry is removed, and it goes on serving.
+    let replace = |n: usize| {
+        let new = engine(10 + n as u8, "v2");
+        store.put(&format!("servers/{}", new.id), &new.entry("pool", zone_of(n)));
+        store.remove(&format!("servers/{}", old[n].id));
+        record.add(format!("engine {} (v2) replaces {} (v1)", new.id, old[n].id));
+        std::thread::sleep(RELEASE_GAP);
+    };
+    store.put("op/config", &config());
+    let mut gateways: Vec<Gateway> = (0..3)
+        .map(|n| Gateway::prepare(root, folder, network, 10 + n, zones[usize::from(n)], store_address))
+        .collect();
+    for gateway in &mut gateways {
+        gateway.start();
+    }
+    if !gateways.iter().all(|g| g.wait_ready(Duration::from_secs(10))) {
+        return Err("a gateway did not become ready".into());
+    }
+    std::thread::sleep(Duration::from_secs(2));
+    record.add("the first release begins");
+    (0..2).for_each(replace);
+    std::thread::sleep(Duration::from_secs(3));
+
+    let fronts: Vec<SocketAddr> = gateways.iter().map(|g| g.front).collect();
+    let streams: Arc<Mutex<BTreeMap<usize, Vec<Received>>>> = Arc::default();
+    let clients: Vec<_> = (0..STREAMS)
+        .map(|n| {
+            let (fronts, record, streams) = (fronts.clone(), Arc::clone(record), Arc::clone(&streams));
+            std::thread::spawn(move || stream(n, &fronts, &record, &streams))
+        })
+        .collect();
+    std::thread::sleep(Duration::from_millis(1_000));
+
+    record.add("the second release begins");
+    (2..4).for_each(replace);
+    if trouble {
+        Gateway::kill_all(&mut gateways);
+        record.add("all gateway processes are killed");
+        std::thread::sleep(DOWN);
+        for gateway in &mut gateways {
+            gateway.start();
+        }
+        record.add("all gateway processes are started again");
+    }
+    for client in clients {
+        client.join().map_err(|_| "a client failed")?;
+    }
+    if !gateways.iter_mut().all(Gateway::is_running) {
+        return Err("a gateway has ended".into());
+    }
+    drop(gateways);
+    Ok(judge(&streams.lock().expect("the streams"), record))
+}
+
+/// Asks for a stream, and takes it up once if it breaks off, after a pause, at an instance that can
+/// be connected to.
+fn stream(n: usize, fronts: &[SocketAddr], record: &Record, streams: &Mutex<BTreeMap<usize, Vec<Received>>>) {
+    let until = Instant::now() + DEADLINE;
+    let first = format!("{:016x}", 0x9c41_0000 + n);
+    let mut tries: Vec<Received> = Vec::new();
+    let mut last: Option<u64> = None;
+    for attempt in 0..2_usize {
+        if attempt > 0 {
+            std::thread::sleep(RETRY_PAUSE);
+        }
+        let id = format!("{:016x}", 0x9c41_0000 + n + 0x1000 * attempt);
+        let left = until.saturating_duration_since(Instant::now()).as_millis().to_string();
+        let last_text = last.map(|l| l.to_string());
+        let prefix = format!("5c1e07{n:02x}:600,91bd{n:04x}:40");
+        let mut headers = vec![
+            ("Host", "briefs.example"),
+            ("Jacinthdeal-Attempt-Id", id.as_str()),
+            ("Jacinthdeal-Deadline-Ms", left.as_str()),
+            ("Jacinthdeal-Model", "m"),
+            ("Jacinthdeal-Tokens", "640,45"),
+            ("Jacinthdeal-Prefix-Hash", prefix.as_str()),
+            ("Authorization", "Token key-of-agency"),
+        ];
+        if let Some(last) = &last_text {
+            headers.push(("Last-Event-Id", last));
+            headers.push(("Resumes", &first));
+        }
+        let asked = request("POST", "/brief/x", &headers, b"a vendor");
+        let mut front = n + attempt;
+        let received = loop {
+            if Instant::now() >= until {
+                break None;
+            }
+            match receive(fronts[front % fronts.len()], &asked, until) {
+                Some(received) => break Some(received),
+                None => {
+                    front += 1;
+                    std::thread::sleep(Duration::from_millis(100));
+                }
+            }
+        };
+        let Some(received) = received else {
+            record.add(format!("client {n} could not connect for {id}"));
+            break;
+        };
+        let seen = received.events.first().zip(received.events.last());
+        let seen = seen.map_or("no event".into(), |((a, v), (b, w))| format!("events {a} ({v}) to {b} ({w})"));
+        record.add(format!(
+            "client {n} asked with {id}, Last-Event-Id {last:?}: {}, {seen}, whole {}",
+            received.status, received.whole
+        ));
+        last = received.events.last().map(|(id, _)| *id).or(last);
+        let ends = received.whole || received.events.is_empty();
+        tries.push(received);
+        if ends {
+            break;
+        }
+    }
+    streams.lock().expect("the streams").insert(n, tries);
+}
+
+/// Counts the streams that hold events of two software versions, over all tries.
+fn judge(streams: &BTreeMap<usize, Vec<Received>>, record: &Record) -> usize {
+    let mut mixed = 0;
+    let mut whole = 0;
+    for (n, tries) in streams {
+        let events = tries.iter().flat_map(|t| &t.events);
+        let versions: BTreeSet<&str> = events.map(|(_, version)| version.as_str()).collect();
+        whole += usize::from(tries.last().is_some_and(|t| t.whole));
+        if versions.len() > 1 {
+            mixed += 1;
+            record.add(format!("ORDER: the stream of client {n} holds events of {versions:?}"));
+        }
+    }
+    let summary = format!("{} streams, {whole} whole; {mixed} hold events of two versions", streams.len());
+    record.add(&summary);
+    println!("{summary}");
+    mixed
+}
+
+fn config() -> String {
+    "{\"version\":1,\"routes\":[{\"name\":\"valuation-brief\",\"host\":\"briefs.example\",\
+     \"prefix\":\"/brief/\",\"type\":\"streaming\",\"resumable\":true,\"timeout_ms\":20000,\"slo_ms\":2700,\
+     \"priority\":1,\"service\":\"pool\",\"max_attempts\":2,\"sticky\":true,\"inter_token_ms\":500}],\
+     \"services\":[{\"name\":\"pool\",\"max_conns\":370,\"health_path\":\"/healthz\"}],\
+     \"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":65536,\"header_timeout_ms\":3000,\
+     \"idle_timeout_ms\":15000},\
+     \"tenants\":[{\"name\":\"agency\",\"api_keys\":[\"key-of-agency\"]}]}"
+        .into()
+}
--- a/review/standins/src/gateway.rs
+++ b/review/standins/src/gateway.rs
@@ -82,6 +82,18 @@
         false
     }
 
+    /// Ends all of these processes at the same moment, as SIGKILL does.
+    pub fn kill_all(gateways: &mut [Gateway]) {
+        for gateway in gateways.iter_mut() {
+            if let Some(child) = &mut gateway.child {
+                let _ = child.kill();
+            }
+        }
+        for gateway in gateways {
+            gateway.kill();
+        }
+    }
+
     /// Ends the process at once, as SIGKILL does.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
--- a/review/standins/src/lib.rs
+++ b/review/standins/src/lib.rs
@@ -7,7 +7,9 @@
 pub mod http;
 pub mod json;
 pub mod record;
+pub mod stages;
 pub mod store;
+pub mod streams;
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 
--- a/review/standins/src/store.rs
+++ b/review/standins/src/store.rs
@@ -109,6 +109,12 @@
         self.records.lock().expect("the records")
     }
 
+    /// Removes a key for an engine that has left.
+    pub fn remove(&self, key: &str) {
+        self.lock().change(Vec::new(), &[key.to_string()]);
+        self.changed.notify_all();
+    }
+
     /// A write of the operator or of an engine; returning is its acknowledgement.
     pub fn put(&self, key: &str, value: &str) -> u64 {
         let put = (key.to_string(), value.as_bytes().to_vec(), 0);
