Review case: requests cut off at the end of the grace period in rolling restarts

Seen: with processes stopped and started in turn, again before the first turn has ended, processes close connections whose requests they have read and held for up to 7.8 s, without an answer or a refusal. No engine had the requests.

Cause: at the end of the grace period the process ends with requests that still wait for their stages. Their wait is not bounded by the time that the process has left, and several instances send calls to the same stage engines meanwhile.

--- a/review/standins/src/stages.rs
+++ b/review/standins/src/stages.rs
@@ -25,8 +25,10 @@
 pub struct Results {
     next: AtomicU64,
     made: Mutex<HashMap<String, Piece>>,
+    /// When an engine last was at work on a request.
+    worked: Mutex<HashMap<String, Instant>>,
     pub foreign: Mutex<Vec<String>>,
-    /// The number of pieces that a request has in its first phase.
+    /// The number of pieces that a request has in its first phase; inputs are not checked if 0.
     pieces_of_first: u64,
 }
 
@@ -38,6 +40,16 @@
         })
     }
 
+    fn note_work(&self, request: &str) {
+        let mut worked = self.worked.lock().expect("the work");
+        worked.insert(request.into(), Instant::now());
+    }
+
+    /// When an engine last was at work on a request or a piece of it; none if none was.
+    pub fn last_work(&self, request: &str) -> Option<Instant> {
+        self.worked.lock().expect("the work").get(request).copied()
+    }
+
     fn piece(&self, handle: &str) -> Option<Piece> {
         self.made.lock().expect("the results").get(handle).cloned()
     }
@@ -50,6 +62,9 @@
     /// Checks the inputs of a piece or of a request: all pieces of `phase`, each once, and all of
     /// them of the request itself.
     fn check(&self, record: &Record, reader: &str, request: &str, phase: u64, count: u64, handles: &[&str]) {
+        if self.pieces_of_first == 0 {
+            return;
+        }
         let mut seen: Vec<Option<Piece>> = handles.iter().map(|h| self.piece(h)).collect();
         let wanted = |segment| Piece {
             request: request.into(),
@@ -228,6 +243,7 @@
                 let count = self.results.pieces_of_first;
                 self.results.check(&self.record, &reader, &piece.request, 0, count, &inputs);
             }
+            self.results.note_work(&piece.request);
             let number = self.results.next.fetch_add(1, Ordering::Relaxed);
             let handle = format!("{}/{:x}", self.address, 0x91bd_0000 + number);
             self.record.add(format!(
@@ -307,6 +323,7 @@
             return response(400, &headers, "");
         };
         let handles: Vec<&str> = inputs.split(',').map(str::trim).collect();
+        self.results.note_work(id);
         self.record.add(format!("engine {} runs {id} on {inputs}", self.id));
         self.results.check(&self.record, "the request", id, 1, self.pieces_of_last, &handles);
         let signature = format!("{}.{id}", self.id);
