--- a/review/standins/src/bin/crossed_results.rs
+++ b/review/standins/src/bin/crossed_results.rs
@@ -1,4 +1,9 @@
 //! Case: engines of a stage give an answer a second time, late.
+//!
+//! Three gateways, twelve engines of a stage, three engines that answer from its results, and
+//! clients. For a few spells, seven of the twelve engines give a small share of their answers a second
+//! time, at the point where the next response on the connection is expected. They echo the id of
+//! each call that has one.
 
 use std::collections::BTreeMap;
 use std::path::{Path, PathBuf};
@@ -15,12 +20,15 @@
 use review_standins::stages::{ModelEngine, Results, StageEngine};
 use review_standins::store::Store;
 
-const CLIENTS: usize = 12;
+const CLIENTS: usize = 36;
 const CALM: Duration = Duration::from_secs(4);
-const TROUBLE: Duration = Duration::from_secs(5);
+/// Spells of doubled answers, their length, and the pause after each.
+const SPELLS: u32 = 10;
+const SPELL: Duration = Duration::from_secs(5);
+const PAUSE: Duration = Duration::from_secs(1);
 const AFTER: Duration = Duration::from_secs(3);
 /// One answer in 33: a share of .03.
-const ONE_IN: u64 = 4;
+const ONE_IN: u64 = 33;
 /// The pieces of the two phases of each request.
 const PIECES: [u64; 2] = [2, 1];
 
@@ -49,9 +57,9 @@
     let store = Store::start(store_address);
     let results = Results::new(PIECES[0]);
     let zones = ["hall-a", "hall-b", "hall-c"];
-    let stages: Vec<Arc<StageEngine>> = (0..3_u8)
+    let stages: Vec<Arc<StageEngine>> = (0..12_u8)
         .map(|n| {
-            let time = (Duration::from_millis(60), Duration::from_millis(5));
+            let time = (Duration::from_millis(240), Duration::from_millis(26));
             StageEngine::start(&format!("i-5{n:07x}"), network.free(200 + n), time, &results, record)
         })
         .collect();
@@ -59,7 +67,9 @@
         .map(|n| ModelEngine::start(&format!("i-6{n:07x}"), network.free(210 + n), PIECES[1], &results, record))
         .collect();
     for (n, zone) in zones.iter().enumerate() {
-        store.put(&format!("servers/{}", stages[n].id), &stages[n].entry("listing-feed", zone));
+        for stage in stages.iter().skip(n).step_by(3) {
+            store.put(&format!("servers/{}", stage.id), &stage.entry("listing-feed", zone));
+        }
         store.put(&format!("servers/{}", models[n].id), &models[n].entry("pool", zone));
     }
     store.put("op/config", &config());
@@ -73,7 +83,7 @@
         return Err("a gateway did not become ready".into());
     }
     std::thread::sleep(Duration::from_secs(2));
-    let until = Instant::now() + CALM + TROUBLE + AFTER;
+    let until = Instant::now() + CALM + (SPELL + PAUSE) * SPELLS + AFTER;
     let answers: Arc<Mutex<BTreeMap<u16, usize>>> = Arc::default();
     let clients: Vec<_> = (0..CLIENTS)
         .map(|n| {
@@ -83,15 +93,18 @@
         })
         .collect();
     std::thread::sleep(CALM);
-    if trouble {
-        for engine in &stages[..2] {
-            record.add(format!("engine {} begins to give answers twice", engine.id));
-            engine.set_garble(Garble { one_in: ONE_IN });
+    for _ in 0..SPELLS {
+        if trouble {
+            record.add("seven engines begin to give answers twice");
+            for engine in &stages[..7] {
+                engine.set_garble(Garble { one_in: ONE_IN });
+            }
         }
-    }
-    std::thread::sleep(TROUBLE);
-    for engine in &stages {
-        engine.set_garble(Garble::default());
+        std::thread::sleep(SPELL);
+        for engine in &stages {
+            engine.set_garble(Garble::default());
+        }
+        std::thread::sleep(PAUSE);
     }
     record.add("engines are sound from here on");
     for client in clients {
@@ -155,7 +168,7 @@
      {\"service\":\"listing-feed\",\"after\":[0],\"length\":1000}]}],\
      \"services\":[{\"name\":\"pool\",\"max_conns\":370,\"health_path\":\"/healthz\"},\
      {\"name\":\"listing-feed\",\"max_conns\":370,\"health_path\":\"/healthz\",\
-     \"segments\":{\"slots\":1,\"queue\":2,\"batch\":8,\"call_ms\":60,\"item_ms\":5,\"headroom_mb\":9.6,\
+     \"segments\":{\"slots\":1,\"queue\":2,\"batch\":8,\"call_ms\":240,\"item_ms\":26,\"headroom_mb\":9.6,\
      \"handle_s\":4,\"link_mbps\":10000}}],\
      \"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":65536,\"header_timeout_ms\":3000,\
      \"idle_timeout_ms\":15000},\
--- a/review/standins/src/bin/versions_joined.rs
+++ b/review/standins/src/bin/versions_joined.rs
@@ -1,11 +1,11 @@
-//! Case: all gateway processes are killed after the engines of a service were replaced by those of
+//! Case: the gateway processes start again after the engines of a service were replaced by those of
 //! another software version.
 //!
 //! Three gateways, four engines of version v1, and clients with streams that may be resumed. Two
 //! releases replace half of the engines each, one after the other, by engines of v2; the streams
 //! begin between the two. An old engine's entry is removed, and it goes on serving the streams that
-//! it has. Then all gateway processes are killed at once and started again. The clients take up
-//! their streams as the pages say.
+//! it has. Then all gateway processes are killed at once and started again (`kill`), or they are
+//! stopped and started in turn (`roll`). The clients take up their streams as the pages say.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -15,33 +15,57 @@
 use std::time::{Duration, Instant};
 
 use review_standins::Network;
-use review_standins::gateway::Gateway;
+use review_standins::gateway::{Gateway, Signal};
 use review_standins::http::request;
 use review_standins::record::Record;
 use review_standins::store::Store;
 use review_standins::streams::{Received, StreamEngine, receive};
 
 const STREAMS: usize = 16;
-/// The events of a stream and the pause before each: 9 s in all.
-const EVENTS: (u64, Duration) = (45, Duration::from_millis(200));
+/// The pause before each event of a stream.
+const EVENT_GAP: Duration = Duration::from_millis(200);
 /// The deadline of a request.
-const DEADLINE: Duration = Duration::from_secs(15);
+const DEADLINE: Duration = Duration::from_secs(20);
 /// The pause between two engines of the release.
 const RELEASE_GAP: Duration = Duration::from_millis(800);
-/// How long the processes are down.
+/// How long the processes are down after the kill.
 const DOWN: Duration = Duration::from_millis(1_300);
+/// The pause between two instances that are stopped in turn, and how long one is down.
+const ROLL_GAP: Duration = Duration::from_millis(2_000);
+const ROLL_DOWN: Duration = Duration::from_millis(300);
 /// How long a client waits before it takes up a stream.
 const RETRY_PAUSE: Duration = Duration::from_millis(2_000);
 /// More than this many streams of two versions break the rule.
 const ALLOWED: usize = 2;
 
+/// What happens to the gateway processes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Variant {
+    Kill,
+    Roll,
+}
+
+impl Variant {
+    /// The events of a stream: 9 s, or 16 s so that it outlasts a stop with grace.
+    fn events(self) -> u64 {
+        match self {
+            Variant::Kill => 45,
+            Variant::Roll => 80,
+        }
+    }
+}
+
 fn main() -> ExitCode {
     let root = std::env::current_dir().expect("the repository");
     let folder = PathBuf::from(std::env::args().nth(1).expect("the folder for settings and logs"));
     let out = PathBuf::from(std::env::args().nth(2).expect("the path of the record"));
+    let variant = match std::env::args().nth(3).as_deref() {
+        Some("roll") => Variant::Roll,
+        _ => Variant::Kill,
+    };
     let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let record = Arc::new(Record::default());
-    let code = match run(&root, &folder, trouble, &record) {
+    let code = match run(&root, &folder, variant, trouble, &record) {
         Ok(mixed) if mixed <= ALLOWED => 0,
         Ok(_) => 1,
         Err(why) => {
@@ -54,7 +78,13 @@
     ExitCode::from(code)
 }
 
-fn run(root: &Path, folder: &Path, trouble: bool, record: &Arc<Record>) -> Result<usize, String> {
+fn run(
+    root: &Path,
+    folder: &Path,
+    variant: Variant,
+    trouble: bool,
+    record: &Arc<Record>,
+) -> Result<usize, String> {
     let network = Network::of_this_process();
     let store_address = network.free(1);
     let store = Store::start(store_address);
@@ -62,7 +92,8 @@
     let zone_of = |number: usize| zones[number % zones.len()];
     let engine = |number: u8, version| {
         let address = network.free(200 + number);
-        StreamEngine::start(&format!("i-{number:08x}"), address, version, EVENTS, record)
+        let events = (variant.events(), EVENT_GAP);
+        StreamEngine::start(&format!("i-{number:08x}"), address, version, events, record)
     };
     let old: Vec<Arc<StreamEngine>> = (0..4).map(|n| engine(n, "v1")).collect();
     for (n, engine) in old.iter().enumerate() {
@@ -103,14 +134,18 @@
 
     record.add("the second release begins");
     (2..4).for_each(replace);
-    if trouble {
-        Gateway::kill_all(&mut gateways);
-        record.add("all gateway processes are killed");
-        std::thread::sleep(DOWN);
-        for gateway in &mut gateways {
-            gateway.start();
+    match variant {
+        _ if !trouble => {}
+        Variant::Kill => {
+            Gateway::kill_all(&mut gateways);
+            record.add("all gateway processes are killed");
+            std::thread::sleep(DOWN);
+            for gateway in &mut gateways {
+                gateway.start();
+            }
+            record.add("all gateway processes are started again");
         }
-        record.add("all gateway processes are started again");
+        Variant::Roll => roll(&mut gateways, record),
     }
     for client in clients {
         client.join().map_err(|_| "a client failed")?;
@@ -122,6 +157,30 @@
     Ok(judge(&streams.lock().expect("the streams"), record))
 }
 
+/// Stops the processes in turn by SIGTERM, and starts each again when it has ended.
+fn roll(gateways: &mut [Gateway], record: &Record) {
+    let began = Instant::now();
+    let mut stopped = 0;
+    let mut started = vec![false; gateways.len()];
+    while !started.iter().all(|s| *s) {
+        if stopped < gateways.len() && began.elapsed() >= ROLL_GAP * stopped as u32 {
+            gateways[stopped].signal(Signal::Term);
+            record.add(format!("instance {stopped} gets SIGTERM"));
+            stopped += 1;
+        }
+        for n in (0..stopped).filter(|n| !started[*n]).collect::<Vec<_>>() {
+            if !gateways[n].is_running() {
+                record.add(format!("instance {n} has ended"));
+                std::thread::sleep(ROLL_DOWN);
+                gateways[n].start();
+                record.add(format!("instance {n} is started again"));
+                started[n] = true;
+            }
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
 /// Asks for a stream, and takes it up once if it breaks off, after a pause, at an instance that can
 /// be connected to.
 fn stream(n: usize, fronts: &[SocketAddr], record: &Record, streams: &Mutex<BTreeMap<usize, Vec<Received>>>) {
--- a/review/standins/src/stages.rs
+++ b/review/standins/src/stages.rs
@@ -161,9 +161,8 @@
             // A late second copy of the answer before stands where this one is expected.
             if let Some(copy) = extra.take() {
                 self.record.add(format!(
-                    "engine {} gives an answer to {} a second time, where that to {} is expected: {}",
+                    "engine {} gives its answer to /v1/stage-run a second time, where that to {} is expected: {}",
                     self.id,
-                    "/v1/stage-run",
                     request.path(),
                     String::from_utf8_lossy(&copy.body)
                 ));
@@ -171,7 +170,11 @@
                     return;
                 }
             }
-            let answer = self.answer(&request);
+            let mut answer = self.answer(&request);
+            // Engines echo the id of a call that has one.
+            if let Some(id) = request.header("jacinthdeal-attempt-id") {
+                answer.headers.push(("Jacinthdeal-Attempt-Id".into(), id.into()));
+            }
             if writer.write_all(&answer.bytes()).is_err() {
                 return;
             }
