Review case: streams that are taken up do not go on after a turn of restarts

Seen: with two software versions serving, the streams that clients take up after the gateway processes were stopped and started in turn are all refused; new ones begin.

Cause: the origin of a stream is told to its keepers once and is known to running processes alone; with two versions listed, an unknown stream is refused.

--- a/review/standins/src/bin/versions_joined.rs
+++ b/review/standins/src/bin/versions_joined.rs
@@ -6,6 +6,9 @@
 //! begin between the two. An old engine's entry is removed, and it goes on serving the streams that
 //! it has. Then all gateway processes are killed at once and started again (`kill`), or they are
 //! stopped and started in turn (`roll`). The clients take up their streams as the pages say.
+//!
+//! With `stay` there is the first release alone, so that two engines of each version go on serving,
+//! and the processes are stopped and started in turn.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -21,7 +24,8 @@
 use review_standins::store::Store;
 use review_standins::streams::{Received, StreamEngine, receive};
 
-const STREAMS: usize = 16;
+const STREAMS: usize = 32;
+const STREAMS_THAT_STAY: usize = 48;
 /// The pause before each event of a stream.
 const EVENT_GAP: Duration = Duration::from_millis(200);
 /// The deadline of a request.
@@ -35,6 +39,10 @@
 const ROLL_DOWN: Duration = Duration::from_millis(300);
 /// How long a client waits before it takes up a stream.
 const RETRY_PAUSE: Duration = Duration::from_millis(2_000);
+/// `contact_ms` of the site.
+const CONTACT: Duration = Duration::from_millis(3_000);
+/// So many streams have to be taken up at machines in touch for the rule to hold.
+const TAKEN_UP: usize = 12;
 /// More than this many streams of two versions break the rule.
 const ALLOWED: usize = 2;
 
@@ -43,6 +51,7 @@
 enum Variant {
     Kill,
     Roll,
+    Stay,
 }
 
 impl Variant {
@@ -50,24 +59,45 @@
     fn events(self) -> u64 {
         match self {
             Variant::Kill => 45,
-            Variant::Roll => 80,
+            Variant::Roll | Variant::Stay => 80,
         }
     }
+
+    fn streams(self) -> usize {
+        match self {
+            Variant::Kill | Variant::Roll => STREAMS,
+            Variant::Stay => STREAMS_THAT_STAY,
+        }
+    }
+}
+
+/// One attempt of a client.
+#[derive(Debug)]
+struct Attempt {
+    instance: usize,
+    sent: Instant,
+    received: Received,
 }
 
+/// When an instance was started last; none once it has got SIGTERM.
+type Starts = Arc<Mutex<Vec<Option<Instant>>>>;
+
+type Streams = Mutex<BTreeMap<usize, Vec<Attempt>>>;
+
 fn main() -> ExitCode {
     let root = std::env::current_dir().expect("the repository");
     let folder = PathBuf::from(std::env::args().nth(1).expect("the folder for settings and logs"));
     let out = PathBuf::from(std::env::args().nth(2).expect("the path of the record"));
     let variant = match std::env::args().nth(3).as_deref() {
         Some("roll") => Variant::Roll,
+        Some("stay") => Variant::Stay,
         _ => Variant::Kill,
     };
     let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let record = Arc::new(Record::default());
     let code = match run(&root, &folder, variant, trouble, &record) {
-        Ok(mixed) if mixed <= ALLOWED => 0,
-        Ok(_) => 1,
+        Ok(true) => 0,
+        Ok(false) => 1,
         Err(why) => {
             record.add(format!("could not run: {why}"));
             eprintln!("could not run: {why}");
@@ -84,7 +114,7 @@
     variant: Variant,
     trouble: bool,
     record: &Arc<Record>,
-) -> Result<usize, String> {
+) -> Result<bool, String> {
     let network = Network::of_this_process();
     let store_address = network.free(1);
     let store = Store::start(store_address);
@@ -123,8 +153,8 @@
     std::thread::sleep(Duration::from_secs(3));
 
     let fronts: Vec<SocketAddr> = gateways.iter().map(|g| g.front).collect();
-    let streams: Arc<Mutex<BTreeMap<usize, Vec<Received>>>> = Arc::default();
-    let clients: Vec<_> = (0..STREAMS)
+    let streams: Arc<Streams> = Arc::default();
+    let clients: Vec<_> = (0..variant.streams())
         .map(|n| {
             let (fronts, record, streams) = (fronts.clone(), Arc::clone(record), Arc::clone(&streams));
             std::thread::spawn(move || stream(n, &fronts, &record, &streams))
@@ -132,8 +162,11 @@
         .collect();
     std::thread::sleep(Duration::from_millis(1_000));
 
-    record.add("the second release begins");
-    (2..4).for_each(replace);
+    if variant != Variant::Stay {
+        record.add("the second release begins");
+        (2..4).for_each(replace);
+    }
+    let starts: Starts = Arc::new(Mutex::new(vec![Some(Instant::now()); gateways.len()]));
     match variant {
         _ if !trouble => {}
         Variant::Kill => {
@@ -145,7 +178,7 @@
             }
             record.add("all gateway processes are started again");
         }
-        Variant::Roll => roll(&mut gateways, record),
+        Variant::Roll | Variant::Stay => roll(&mut gateways, &starts, record),
     }
     for client in clients {
         client.join().map_err(|_| "a client failed")?;
@@ -153,18 +186,24 @@
     if !gateways.iter_mut().all(Gateway::is_running) {
         return Err("a gateway has ended".into());
     }
-    drop(gateways);
-    Ok(judge(&streams.lock().expect("the streams"), record))
+    let streams = streams.lock().expect("the streams");
+    if variant == Variant::Stay {
+        let starts = starts.lock().expect("the starts").clone();
+        let begun = begin_new(&fronts, record);
+        return Ok(judge_taken_up(&streams, &starts, begun, record));
+    }
+    Ok(judge(&streams, record) <= ALLOWED)
 }
 
 /// Stops the processes in turn by SIGTERM, and starts each again when it has ended.
-fn roll(gateways: &mut [Gateway], record: &Record) {
+fn roll(gateways: &mut [Gateway], starts: &Starts, record: &Record) {
     let began = Instant::now();
     let mut stopped = 0;
     let mut started = vec![false; gateways.len()];
     while !started.iter().all(|s| *s) {
         if stopped < gateways.len() && began.elapsed() >= ROLL_GAP * stopped as u32 {
             gateways[stopped].signal(Signal::Term);
+            starts.lock().expect("the starts")[stopped] = None;
             record.add(format!("instance {stopped} gets SIGTERM"));
             stopped += 1;
         }
@@ -173,6 +212,7 @@
                 record.add(format!("instance {n} has ended"));
                 std::thread::sleep(ROLL_DOWN);
                 gateways[n].start();
+                starts.lock().expect("the starts")[n] = Some(Instant::now());
                 record.add(format!("instance {n} is started again"));
                 started[n] = true;
             }
@@ -183,10 +223,10 @@
 
 /// Asks for a stream, and takes it up once if it breaks off, after a pause, at an instance that can
 /// be connected to.
-fn stream(n: usize, fronts: &[SocketAddr], record: &Record, streams: &Mutex<BTreeMap<usize, Vec<Received>>>) {
+fn stream(n: usize, fronts: &[SocketAddr], record: &Record, streams: &Streams) {
     let until = Instant::now() + DEADLINE;
     let first = format!("{:016x}", 0x9c41_0000 + n);
-    let mut tries: Vec<Received> = Vec::new();
+    let mut tries: Vec<Attempt> = Vec::new();
     let mut last: Option<u64> = None;
     for attempt in 0..2_usize {
         if attempt > 0 {
@@ -212,30 +252,32 @@
         let asked = request("POST", "/brief/x", &headers, b"a vendor");
         let mut front = n + attempt;
         let received = loop {
-            if Instant::now() >= until {
+            let (instance, sent) = (front % fronts.len(), Instant::now());
+            if sent >= until {
                 break None;
             }
-            match receive(fronts[front % fronts.len()], &asked, until) {
-                Some(received) => break Some(received),
+            match receive(fronts[instance], &asked, until, usize::MAX) {
+                Some(received) => break Some(Attempt { instance, sent, received }),
                 None => {
                     front += 1;
                     std::thread::sleep(Duration::from_millis(100));
                 }
             }
         };
-        let Some(received) = received else {
+        let Some(tried) = received else {
             record.add(format!("client {n} could not connect for {id}"));
             break;
         };
+        let received = &tried.received;
         let seen = received.events.first().zip(received.events.last());
         let seen = seen.map_or("no event".into(), |((a, v), (b, w))| format!("events {a} ({v}) to {b} ({w})"));
         record.add(format!(
-            "client {n} asked with {id}, Last-Event-Id {last:?}: {}, {seen}, whole {}",
-            received.status, received.whole
+            "client {n} asked instance {} with {id}, Last-Event-Id {last:?}: {}, {seen}, whole {}",
+            tried.instance, received.status, received.whole
         ));
         last = received.events.last().map(|(id, _)| *id).or(last);
         let ends = received.whole || received.events.is_empty();
-        tries.push(received);
+        tries.push(tried);
         if ends {
             break;
         }
@@ -244,13 +286,13 @@
 }
 
 /// Counts the streams that hold events of two software versions, over all tries.
-fn judge(streams: &BTreeMap<usize, Vec<Received>>, record: &Record) -> usize {
+fn judge(streams: &BTreeMap<usize, Vec<Attempt>>, record: &Record) -> usize {
     let mut mixed = 0;
     let mut whole = 0;
     for (n, tries) in streams {
-        let events = tries.iter().flat_map(|t| &t.events);
+        let events = tries.iter().flat_map(|t| &t.received.events);
         let versions: BTreeSet<&str> = events.map(|(_, version)| version.as_str()).collect();
-        whole += usize::from(tries.last().is_some_and(|t| t.whole));
+        whole += usize::from(tries.last().is_some_and(|t| t.received.whole));
         if versions.len() > 1 {
             mixed += 1;
             record.add(format!("ORDER: the stream of client {n} holds events of {versions:?}"));
@@ -262,6 +304,55 @@
     mixed
 }
 
+/// Asks each instance for new streams; returns how many were asked for and how many began.
+fn begin_new(fronts: &[SocketAddr], record: &Record) -> (usize, usize) {
+    let mut begun = 0;
+    let asked = 24;
+    for n in 0..asked {
+        let id = format!("{:016x}", 0xa000_0000_u64 + n as u64);
+        let prefix = format!("5c1e08{n:02x}:600,91be{n:04x}:40");
+        let headers = [
+            ("Host", "briefs.example"),
+            ("Jacinthdeal-Attempt-Id", id.as_str()),
+            ("Jacinthdeal-Deadline-Ms", "20000"),
+            ("Jacinthdeal-Model", "m"),
+            ("Jacinthdeal-Tokens", "640,45"),
+            ("Jacinthdeal-Prefix-Hash", prefix.as_str()),
+            ("Authorization", "Token key-of-agency"),
+        ];
+        let asked = request("POST", "/brief/x", &headers, b"a vendor");
+        let until = Instant::now() + Duration::from_secs(2);
+        let received = receive(fronts[n % fronts.len()], &asked, until, 1);
+        let began = received.as_ref().is_some_and(|r| r.status == 200 && !r.events.is_empty());
+        record.add(format!("new stream {id}: began {began}"));
+        begun += usize::from(began);
+    }
+    (asked, begun)
+}
+
+/// True if of the streams that were taken up at machines in touch at least half as large a share
+/// went on as of new ones began, or fewer than twelve were.
+fn judge_taken_up(
+    streams: &BTreeMap<usize, Vec<Attempt>>,
+    starts: &[Option<Instant>],
+    (asked, begun): (usize, usize),
+    record: &Record,
+) -> bool {
+    let again = streams.values().filter_map(|tries| tries.get(1));
+    let in_touch = |a: &&Attempt| starts[a.instance].is_some_and(|at| a.sent >= at + CONTACT);
+    let taken_up: Vec<&Attempt> = again.filter(in_touch).collect();
+    let goes_on = |a: &&&Attempt| a.received.status == 200 && !a.received.events.is_empty();
+    let went_on = taken_up.iter().filter(goes_on).count();
+    let summary = format!(
+        "{} streams taken up at machines in touch, {went_on} went on; {asked} new ones, {begun} began",
+        taken_up.len()
+    );
+    let holds = taken_up.len() < TAKEN_UP || 2 * went_on * asked >= begun * taken_up.len();
+    record.add(format!("{summary}; LOST {}", if holds { "holds" } else { "is broken" }));
+    println!("{summary}");
+    holds
+}
+
 fn config() -> String {
     "{\"version\":1,\"routes\":[{\"name\":\"valuation-brief\",\"host\":\"briefs.example\",\
      \"prefix\":\"/brief/\",\"type\":\"streaming\",\"resumable\":true,\"timeout_ms\":20000,\"slo_ms\":2700,\
--- a/review/standins/src/streams.rs
+++ b/review/standins/src/streams.rs
@@ -121,8 +121,13 @@
 }
 
 /// Sends a request and reads the events of its answer until its end, or until the connection ends
-/// or `until`; none if no connection could be opened.
-pub fn receive(to: SocketAddr, request: &Message, until: Instant) -> Option<Received> {
+/// or `until`, or until there are `enough` events; none if no connection could be opened.
+pub fn receive(
+    to: SocketAddr,
+    request: &Message,
+    until: Instant,
+    enough: usize,
+) -> Option<Received> {
     let stream = TcpStream::connect_timeout(&to, Duration::from_secs(1)).ok()?;
     let left = until.saturating_duration_since(Instant::now()).max(Duration::from_millis(1));
     stream.set_read_timeout(Some(left)).ok()?;
@@ -140,7 +145,9 @@
         return Some(received);
     }
     let mut text = String::new();
-    while let Some(chunk) = read_chunk(&mut reader) {
+    while received.events.len() < enough
+        && let Some(chunk) = read_chunk(&mut reader)
+    {
         if chunk.is_empty() {
             received.whole = true;
             break;
