--- a/review/standins/src/bin/crossed_results.rs
+++ b/review/standins/src/bin/crossed_results.rs
@@ -34,7 +34,11 @@
 
 fn main() -> ExitCode {
     let root = std::env::current_dir().expect("the repository");
-    let folder = PathBuf::from(std::env::args().nth(1).expect("the folder for settings and logs"));
+    let folder = PathBuf::from(
+        std::env::args()
+            .nth(1)
+            .expect("the folder for settings and logs"),
+    );
     let out = PathBuf::from(std::env::args().nth(2).expect("the path of the record"));
     let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let record = Arc::new(Record::default());
@@ -60,26 +64,58 @@
     let stages: Vec<Arc<StageEngine>> = (0..12_u8)
         .map(|n| {
             let time = (Duration::from_millis(240), Duration::from_millis(26));
-            StageEngine::start(&format!("i-5{n:07x}"), network.free(200 + n), time, &results, record)
+            StageEngine::start(
+                &format!("i-5{n:07x}"),
+                network.free(200 + n),
+                time,
+                &results,
+                record,
+            )
         })
         .collect();
     let models: Vec<Arc<ModelEngine>> = (0..3_u8)
-        .map(|n| ModelEngine::start(&format!("i-6{n:07x}"), network.free(210 + n), PIECES[1], &results, record))
+        .map(|n| {
+            ModelEngine::start(
+                &format!("i-6{n:07x}"),
+                network.free(210 + n),
+                PIECES[1],
+                &results,
+                record,
+            )
+        })
         .collect();
     for (n, zone) in zones.iter().enumerate() {
         for stage in stages.iter().skip(n).step_by(3) {
-            store.put(&format!("servers/{}", stage.id), &stage.entry("listing-feed", zone));
+            store.put(
+                &format!("servers/{}", stage.id),
+                &stage.entry("listing-feed", zone),
+            );
         }
-        store.put(&format!("servers/{}", models[n].id), &models[n].entry("pool", zone));
+        store.put(
+            &format!("servers/{}", models[n].id),
+            &models[n].entry("pool", zone),
+        );
     }
     store.put("op/config", &config());
     let mut gateways: Vec<Gateway> = (0..3)
-        .map(|n| Gateway::prepare(root, folder, network, 10 + n, zones[usize::from(n)], store_address))
+        .map(|n| {
+            Gateway::prepare(
+                root,
+                folder,
+                network,
+                10 + n,
+                zones[usize::from(n)],
+                store_address,
+            )
+        })
         .collect();
     for gateway in &mut gateways {
         gateway.start();
     }
-    if !gateways.iter().all(|g| g.wait_ready(Duration::from_secs(10))) {
+    if !gateways
+        .iter()
+        .all(|g| g.wait_ready(Duration::from_secs(10)))
+    {
         return Err("a gateway did not become ready".into());
     }
     std::thread::sleep(Duration::from_secs(2));
@@ -117,13 +153,21 @@
     std::thread::sleep(Duration::from_millis(200));
     let found = results.foreign.lock().expect("the findings").len();
     let answers = answers.lock().expect("the answers");
-    let summary = format!("answers by status {answers:?}; {found} pieces or requests were given others' results");
+    let summary = format!(
+        "answers by status {answers:?}; {found} pieces or requests were given others' results"
+    );
     record.add(&summary);
     println!("{summary}");
     Ok(found)
 }
 
-fn ask(n: usize, front: std::net::SocketAddr, until: Instant, record: &Record, answers: &Mutex<BTreeMap<u16, usize>>) {
+fn ask(
+    n: usize,
+    front: std::net::SocketAddr,
+    until: Instant,
+    record: &Record,
+    answers: &Mutex<BTreeMap<u16, usize>>,
+) {
     let mut connection: Option<Connection> = None;
     let mut sent = 0;
     while Instant::now() < until {
@@ -148,15 +192,28 @@
         if connection.is_none() {
             connection = Connection::open(front);
         }
-        let answer = connection.as_mut().and_then(|c| c.call(&brief, Duration::from_secs(8)));
+        let answer = connection
+            .as_mut()
+            .and_then(|c| c.call(&brief, Duration::from_secs(8)));
         let status = answer.as_ref().map_or(0, |a| a.status());
         record.add(format!("client {n} has {status} for {id}"));
-        *answers.lock().expect("the answers").entry(status).or_default() += 1;
-        if answer.as_ref().is_none_or(|a| a.header("connection") == Some("close")) {
+        *answers
+            .lock()
+            .expect("the answers")
+            .entry(status)
+            .or_default() += 1;
+        if answer
+            .as_ref()
+            .is_none_or(|a| a.header("connection") == Some("close"))
+        {
             connection = None;
         }
-        let wait = answer.as_ref().and_then(|a| a.header("retry-after")?.parse::<f64>().ok());
-        std::thread::sleep(Duration::from_secs_f64(wait.unwrap_or(0.0).clamp(0.01, 0.5)));
+        let wait = answer
+            .as_ref()
+            .and_then(|a| a.header("retry-after")?.parse::<f64>().ok());
+        std::thread::sleep(Duration::from_secs_f64(
+            wait.unwrap_or(0.0).clamp(0.01, 0.5),
+        ));
     }
 }
 
--- a/review/standins/src/bin/restored_revocation.rs
+++ b/review/standins/src/bin/restored_revocation.rs
@@ -38,7 +38,11 @@
 
 fn main() -> ExitCode {
     let root = std::env::current_dir().expect("the repository");
-    let folder = PathBuf::from(std::env::args().nth(1).expect("the folder for settings and logs"));
+    let folder = PathBuf::from(
+        std::env::args()
+            .nth(1)
+            .expect("the folder for settings and logs"),
+    );
     let out = PathBuf::from(std::env::args().nth(2).expect("the path of the record"));
     let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let record = Arc::new(Record::default());
@@ -63,18 +67,36 @@
     let zones = ["hall-a", "hall-b", "hall-c"];
     for n in 0..2_u8 {
         let load = (6, 24, Duration::from_millis(30));
-        let engine = Engine::start(&format!("i-{n:08x}"), network.free(200 + n), load, &runs, record);
+        let engine = Engine::start(
+            &format!("i-{n:08x}"),
+            network.free(200 + n),
+            load,
+            &runs,
+            record,
+        );
         let entry = engine.entry("agent-desk", zones[usize::from(n)]);
         store.put(&format!("servers/{}", engine.id), &entry);
     }
     store.put("op/config", &config(1, true));
     let mut gateways: Vec<Gateway> = (0..3)
-        .map(|n| Gateway::prepare(root, folder, network, 10 + n, zones[usize::from(n)], store_address))
+        .map(|n| {
+            Gateway::prepare(
+                root,
+                folder,
+                network,
+                10 + n,
+                zones[usize::from(n)],
+                store_address,
+            )
+        })
         .collect();
     for gateway in &mut gateways {
         gateway.start();
     }
-    if !gateways.iter().all(|g| g.wait_ready(Duration::from_secs(10))) {
+    if !gateways
+        .iter()
+        .all(|g| g.wait_ready(Duration::from_secs(10)))
+    {
         return Err("a gateway did not become ready".into());
     }
     std::thread::sleep(Duration::from_secs(2));
@@ -105,7 +127,9 @@
         return Err("instance 2 did not end within its grace period".into());
     }
     record.add("instance 2 has ended");
-    std::thread::sleep((REVOKE + Duration::from_millis(700)).saturating_sub(acknowledged.elapsed()));
+    std::thread::sleep(
+        (REVOKE + Duration::from_millis(700)).saturating_sub(acknowledged.elapsed()),
+    );
     if trouble {
         store.set_away(true);
         record.add("the store is away");
@@ -113,7 +137,9 @@
         store.restore(copy);
         store.set_away(false);
         let age = copied.elapsed().as_secs_f64();
-        record.add(format!("the store is back from a copy that is {age:.1} s old"));
+        record.add(format!(
+            "the store is back from a copy that is {age:.1} s old"
+        ));
     } else {
         std::thread::sleep(AWAY);
     }
@@ -133,7 +159,12 @@
         return Err("a gateway has ended".into());
     }
     drop(gateways);
-    Ok(judge(&runs, &sent.lock().expect("the requests"), acknowledged, record))
+    Ok(judge(
+        &runs,
+        &sent.lock().expect("the requests"),
+        acknowledged,
+        record,
+    ))
 }
 
 /// Sends requests with key-b to one instance.
@@ -177,14 +208,22 @@
             s.id, s.instance, s.status
         ));
     }
-    let summary = format!("{} requests with key-b; {} ran though sent over 5 s after its end", sent.len(), broken.len());
+    let summary = format!(
+        "{} requests with key-b; {} ran though sent over 5 s after its end",
+        sent.len(),
+        broken.len()
+    );
     record.add(&summary);
     println!("{summary}");
     broken.len()
 }
 
 fn config(version: u64, with_key_b: bool) -> String {
-    let keys = if with_key_b { "\"key-a\",\"key-b\"" } else { "\"key-a\"" };
+    let keys = if with_key_b {
+        "\"key-a\",\"key-b\""
+    } else {
+        "\"key-a\""
+    };
     format!(
         "{{\"version\":{version},\"routes\":[{{\"name\":\"enquiry-ack\",\"host\":\"enquiries.example\",\
          \"prefix\":\"/ack/\",\"type\":\"idempotent\",\"timeout_ms\":800,\"slo_ms\":150,\
--- a/review/standins/src/bin/versions_joined.rs
+++ b/review/standins/src/bin/versions_joined.rs
@@ -86,7 +86,11 @@
 
 fn main() -> ExitCode {
     let root = std::env::current_dir().expect("the repository");
-    let folder = PathBuf::from(std::env::args().nth(1).expect("the folder for settings and logs"));
+    let folder = PathBuf::from(
+        std::env::args()
+            .nth(1)
+            .expect("the folder for settings and logs"),
+    );
     let out = PathBuf::from(std::env::args().nth(2).expect("the path of the record"));
     let variant = match std::env::args().nth(3).as_deref() {
         Some("roll") => Variant::Roll,
@@ -127,24 +131,45 @@
     };
     let old: Vec<Arc<StreamEngine>> = (0..4).map(|n| engine(n, "v1")).collect();
     for (n, engine) in old.iter().enumerate() {
-        store.put(&format!("servers/{}", engine.id), &engine.entry("pool", zone_of(n)));
+        store.put(
+            &format!("servers/{}", engine.id),
+            &engine.entry("pool", zone_of(n)),
+        );
     }
     // The new engine starts first; the old one's entry is removed, and it goes on serving.
     let replace = |n: usize| {
         let new = engine(10 + n as u8, "v2");
-        store.put(&format!("servers/{}", new.id), &new.entry("pool", zone_of(n)));
+        store.put(
+            &format!("servers/{}", new.id),
+            &new.entry("pool", zone_of(n)),
+        );
         store.remove(&format!("servers/{}", old[n].id));
-        record.add(format!("engine {} (v2) replaces {} (v1)", new.id, old[n].id));
+        record.add(format!(
+            "engine {} (v2) replaces {} (v1)",
+            new.id, old[n].id
+        ));
         std::thread::sleep(RELEASE_GAP);
     };
     store.put("op/config", &config());
     let mut gateways: Vec<Gateway> = (0..3)
-        .map(|n| Gateway::prepare(root, folder, network, 10 + n, zones[usize::from(n)], store_address))
+        .map(|n| {
+            Gateway::prepare(
+                root,
+                folder,
+                network,
+                10 + n,
+                zones[usize::from(n)],
+                store_address,
+            )
+        })
         .collect();
     for gateway in &mut gateways {
         gateway.start();
     }
-    if !gateways.iter().all(|g| g.wait_ready(Duration::from_secs(10))) {
+    if !gateways
+        .iter()
+        .all(|g| g.wait_ready(Duration::from_secs(10)))
+    {
         return Err("a gateway did not become ready".into());
     }
     std::thread::sleep(Duration::from_secs(2));
@@ -156,7 +181,8 @@
     let streams: Arc<Streams> = Arc::default();
     let clients: Vec<_> = (0..variant.streams())
         .map(|n| {
-            let (fronts, record, streams) = (fronts.clone(), Arc::clone(record), Arc::clone(&streams));
+            let (fronts, record, streams) =
+                (fronts.clone(), Arc::clone(record), Arc::clone(&streams));
             std::thread::spawn(move || stream(n, &fronts, &record, &streams))
         })
         .collect();
@@ -233,7 +259,10 @@
             std::thread::sleep(RETRY_PAUSE);
         }
         let id = format!("{:016x}", 0x9c41_0000 + n + 0x1000 * attempt);
-        let left = until.saturating_duration_since(Instant::now()).as_millis().to_string();
+        let left = until
+            .saturating_duration_since(Instant::now())
+            .as_millis()
+            .to_string();
         let last_text = last.map(|l| l.to_string());
         let prefix = format!("5c1e07{n:02x}:600,91bd{n:04x}:40");
         let mut headers = vec![
@@ -257,7 +286,13 @@
                 break None;
             }
             match receive(fronts[instance], &asked, until, usize::MAX) {
-                Some(received) => break Some(Attempt { instance, sent, received }),
+                Some(received) => {
+                    break Some(Attempt {
+                        instance,
+                        sent,
+                        received,
+                    });
+                }
                 None => {
                     front += 1;
                     std::thread::sleep(Duration::from_millis(100));
@@ -270,7 +305,9 @@
         };
         let received = &tried.received;
         let seen = received.events.first().zip(received.events.last());
-        let seen = seen.map_or("no event".into(), |((a, v), (b, w))| format!("events {a} ({v}) to {b} ({w})"));
+        let seen = seen.map_or("no event".into(), |((a, v), (b, w))| {
+            format!("events {a} ({v}) to {b} ({w})")
+        });
         record.add(format!(
             "client {n} asked instance {} with {id}, Last-Event-Id {last:?}: {}, {seen}, whole {}",
             tried.instance, received.status, received.whole
@@ -295,10 +332,15 @@
         whole += usize::from(tries.last().is_some_and(|t| t.received.whole));
         if versions.len() > 1 {
             mixed += 1;
-            record.add(format!("ORDER: the stream of client {n} holds events of {versions:?}"));
+            record.add(format!(
+                "ORDER: the stream of client {n} holds events of {versions:?}"
+            ));
         }
     }
-    let summary = format!("{} streams, {whole} whole; {mixed} hold events of two versions", streams.len());
+    let summary = format!(
+        "{} streams, {whole} whole; {mixed} hold events of two versions",
+        streams.len()
+    );
     record.add(&summary);
     println!("{summary}");
     mixed
@@ -323,7 +365,9 @@
         let asked = request("POST", "/brief/x", &headers, b"a vendor");
         let until = Instant::now() + Duration::from_secs(2);
         let received = receive(fronts[n % fronts.len()], &asked, until, 1);
-        let began = received.as_ref().is_some_and(|r| r.status == 200 && !r.events.is_empty());
+        let began = received
+            .as_ref()
+            .is_some_and(|r| r.status == 200 && !r.events.is_empty());
         record.add(format!("new stream {id}: began {began}"));
         begun += usize::from(began);
     }
@@ -348,7 +392,10 @@
         taken_up.len()
     );
     let holds = taken_up.len() < TAKEN_UP || 2 * went_on * asked >= begun * taken_up.len();
-    record.add(format!("{summary}; LOST {}", if holds { "holds" } else { "is broken" }));
+    record.add(format!(
+        "{summary}; LOST {}",
+        if holds { "holds" } else { "is broken" }
+    ));
     println!("{summary}");
     holds
 }
--- a/review/standins/src/engine.rs
+++ b/review/standins/src/engine.rs
@@ -152,12 +152,20 @@
         };
         let expected = request.header("jacinthdeal-expect-instance");
         if expected.is_some_and(|e| e != self.id) {
-            let echoed = [headers[0], ("Jacinthdeal-Attempt-Id", id), ("Jacinthdeal-Not-Executed", "1")];
+            let echoed = [
+                headers[0],
+                ("Jacinthdeal-Attempt-Id", id),
+                ("Jacinthdeal-Not-Executed", "1"),
+            ];
             return response(421, &echoed, "");
         }
         if !self.enter() {
-            self.record.add(format!("engine {} rejects {id}: full", self.id));
-            let echoed = [("Jacinthdeal-Attempt-Id", id), ("Jacinthdeal-Not-Executed", "1")];
+            self.record
+                .add(format!("engine {} rejects {id}: full", self.id));
+            let echoed = [
+                ("Jacinthdeal-Attempt-Id", id),
+                ("Jacinthdeal-Not-Executed", "1"),
+            ];
             return response(503, &echoed, "");
         }
         self.runs.add(id, &self.id);
--- a/review/standins/src/gateway.rs
+++ b/review/standins/src/gateway.rs
@@ -55,11 +55,19 @@
     }
 
     pub fn start(&mut self) {
-        let log = std::fs::File::options().create(true).append(true).open(&self.log);
+        let log = std::fs::File::options()
+            .create(true)
+            .append(true)
+            .open(&self.log);
         let log = log.expect("a log file");
         let mut command = Command::new(&self.program);
-        command.arg("--settings").arg(&self.settings).stdin(Stdio::null());
-        command.stdout(log.try_clone().expect("a log file")).stderr(log);
+        command
+            .arg("--settings")
+            .arg(&self.settings)
+            .stdin(Stdio::null());
+        command
+            .stdout(log.try_clone().expect("a log file"))
+            .stderr(log);
         self.child = command.spawn().ok();
     }
 
--- a/review/standins/src/http.rs
+++ b/review/standins/src/http.rs
@@ -14,7 +14,10 @@
 
 impl Message {
     pub fn header(&self, name: &str) -> Option<&str> {
-        let mut named = self.headers.iter().filter(|(n, _)| n.eq_ignore_ascii_case(name));
+        let mut named = self
+            .headers
+            .iter()
+            .filter(|(n, _)| n.eq_ignore_ascii_case(name));
         named.next().map(|(_, value)| value.as_str())
     }
 
@@ -71,7 +74,9 @@
                 }
             }
         }
-        let length = message.header("content-length").and_then(|l| l.parse().ok());
+        let length = message
+            .header("content-length")
+            .and_then(|l| l.parse().ok());
         message.body = vec![0; length.unwrap_or(0)];
         reader.read_exact(&mut message.body).ok()?;
         Some(message)
--- a/review/standins/src/stages.rs
+++ b/review/standins/src/stages.rs
@@ -61,7 +61,15 @@
 
     /// Checks the inputs of a piece or of a request: all pieces of `phase`, each once, and all of
     /// them of the request itself.
-    fn check(&self, record: &Record, reader: &str, request: &str, phase: u64, count: u64, handles: &[&str]) {
+    fn check(
+        &self,
+        record: &Record,
+        reader: &str,
+        request: &str,
+        phase: u64,
+        count: u64,
+        handles: &[&str],
+    ) {
         if self.pieces_of_first == 0 {
             return;
         }
@@ -82,7 +90,13 @@
                     None => "unknown".into(),
                 })
                 .collect();
-            self.report(record, format!("{reader} of {request} is given the results [{}]", shown.join(", ")));
+            self.report(
+                record,
+                format!(
+                    "{reader} of {request} is given the results [{}]",
+                    shown.join(", ")
+                ),
+            );
         }
     }
 }
@@ -173,7 +187,9 @@
             let mut answer = self.answer(&request);
             // Engines echo the id of a call that has one.
             if let Some(id) = request.header("jacinthdeal-attempt-id") {
-                answer.headers.push(("Jacinthdeal-Attempt-Id".into(), id.into()));
+                answer
+                    .headers
+                    .push(("Jacinthdeal-Attempt-Id".into(), id.into()));
             }
             if writer.write_all(&answer.bytes()).is_err() {
                 return;
@@ -191,7 +207,10 @@
     fn answer(&self, request: &Message) -> Message {
         let expected = request.header("jacinthdeal-expect-instance");
         if expected.is_some_and(|e| e != self.id) {
-            let headers = [("Jacinthdeal-Instance", self.id.as_str()), ("Jacinthdeal-Not-Executed", "1")];
+            let headers = [
+                ("Jacinthdeal-Instance", self.id.as_str()),
+                ("Jacinthdeal-Not-Executed", "1"),
+            ];
             return response(421, &headers, "");
         }
         match request.path() {
@@ -221,7 +240,10 @@
             if load.running > 0 && load.waiting >= QUEUE {
                 let shown = format!("{},{},1", load.running, load.waiting);
                 drop(load);
-                let headers = [("Jacinthdeal-Not-Executed", "1"), ("Jacinthdeal-Load", shown.as_str())];
+                let headers = [
+                    ("Jacinthdeal-Not-Executed", "1"),
+                    ("Jacinthdeal-Load", shown.as_str()),
+                ];
                 return response(503, &headers, "");
             }
             load.waiting += 1;
@@ -241,10 +263,12 @@
                 segment: item.get("segment").number(),
             };
             if piece.phase > 0 {
-                let inputs: Vec<&str> = item.get("inputs").list().iter().map(|h| h.text()).collect();
+                let inputs: Vec<&str> =
+                    item.get("inputs").list().iter().map(|h| h.text()).collect();
                 let reader = format!("piece {}/{}", piece.phase, piece.segment);
                 let count = self.results.pieces_of_first;
-                self.results.check(&self.record, &reader, &piece.request, 0, count, &inputs);
+                self.results
+                    .check(&self.record, &reader, &piece.request, 0, count, &inputs);
             }
             self.results.note_work(&piece.request);
             let number = self.results.next.fetch_add(1, Ordering::Relaxed);
@@ -267,8 +291,15 @@
             format!("{},{},1", load.running, load.waiting)
         };
         self.freed.notify_one();
-        let headers = [("Content-Type", "application/json"), ("Jacinthdeal-Load", shown.as_str())];
-        response(200, &headers, format!("{{\"items\":[{}]}}", answered.join(",")))
+        let headers = [
+            ("Content-Type", "application/json"),
+            ("Jacinthdeal-Load", shown.as_str()),
+        ];
+        response(
+            200,
+            &headers,
+            format!("{{\"items\":[{}]}}", answered.join(",")),
+        )
     }
 }
 
@@ -318,23 +349,41 @@
         };
         let expected = request.header("jacinthdeal-expect-instance");
         if expected.is_some_and(|e| e != self.id) {
-            let headers = [("Jacinthdeal-Attempt-Id", id), ("Jacinthdeal-Not-Executed", "1")];
+            let headers = [
+                ("Jacinthdeal-Attempt-Id", id),
+                ("Jacinthdeal-Not-Executed", "1"),
+            ];
             return response(421, &headers, "");
         }
         let Some(inputs) = request.header("jacinthdeal-inputs") else {
-            let headers = [("Jacinthdeal-Attempt-Id", id), ("Jacinthdeal-Not-Executed", "1")];
+            let headers = [
+                ("Jacinthdeal-Attempt-Id", id),
+                ("Jacinthdeal-Not-Executed", "1"),
+            ];
             return response(400, &headers, "");
         };
         let handles: Vec<&str> = inputs.split(',').map(str::trim).collect();
         self.results.note_work(id);
-        self.record.add(format!("engine {} runs {id} on {inputs}", self.id));
-        self.results.check(&self.record, "the request", id, 1, self.pieces_of_last, &handles);
+        self.record
+            .add(format!("engine {} runs {id} on {inputs}", self.id));
+        self.results.check(
+            &self.record,
+            "the request",
+            id,
+            1,
+            self.pieces_of_last,
+            &handles,
+        );
         let signature = format!("{}.{id}", self.id);
         let headers = [
             ("Jacinthdeal-Attempt-Id", id),
             ("Jacinthdeal-Signature", signature.as_str()),
             ("Content-Type", "text/event-stream"),
         ];
-        response(200, &headers, format!("id: 1\ndata: {inputs}\n\nid: 2\ndata: end\n\n"))
+        response(
+            200,
+            &headers,
+            format!("id: 1\ndata: {inputs}\n\nid: 2\ndata: end\n\n"),
+        )
     }
 }
--- a/review/standins/src/store.rs
+++ b/review/standins/src/store.rs
@@ -69,7 +69,11 @@
             lives
         });
         let of_ended = |item: &Item| item.lease != 0 && ended.contains(&item.lease);
-        let keys = self.items.iter().filter(|(_, i)| of_ended(i)).map(|(k, _)| k.clone());
+        let keys = self
+            .items
+            .iter()
+            .filter(|(_, i)| of_ended(i))
+            .map(|(k, _)| k.clone());
         let keys: Vec<String> = keys.collect();
         self.change(Vec::new(), &keys);
     }
@@ -169,7 +173,8 @@
                 match records.leases.get_mut(&id) {
                     Some((renewed, lifetime)) => {
                         *renewed = Instant::now();
-                        let body = format!("{{\"lease\":{id},\"ttl_ms\":{}}}", lifetime.as_millis());
+                        let body =
+                            format!("{{\"lease\":{id},\"ttl_ms\":{}}}", lifetime.as_millis());
                         ok(body)
                     }
                     None => response(404, &[], ""),
@@ -205,14 +210,24 @@
         let after = decoded(request.query("after").unwrap_or(""));
         let mut records = self.lock();
         records.expire();
-        let items = records.items.iter().filter(|(k, _)| k.starts_with(&prefix) && **k > after);
+        let items = records
+            .items
+            .iter()
+            .filter(|(k, _)| k.starts_with(&prefix) && **k > after);
         let items: Vec<String> = items.map(|(k, i)| shown(k, Some(i), i.revision)).collect();
         let (items, revision) = (items.join(","), records.revision);
-        ok(format!("{{\"items\":[{items}],\"more_pages\":false,\"store_revision\":{revision}}}"))
+        ok(format!(
+            "{{\"items\":[{items}],\"more_pages\":false,\"store_revision\":{revision}}}"
+        ))
     }
 
     fn watch(&self, request: &Message, era: u64) -> Message {
-        let number = |name| request.query(name).and_then(|t| t.parse::<u64>().ok()).unwrap_or(0);
+        let number = |name| {
+            request
+                .query(name)
+                .and_then(|t| t.parse::<u64>().ok())
+                .unwrap_or(0)
+        };
         let prefix = decoded(request.query("prefix").unwrap_or(""));
         let after = number("after");
         let until = Instant::now() + Duration::from_millis(number("wait_ms").min(30_000));
@@ -222,15 +237,24 @@
             if records.era != era || after < records.since || after > records.revision {
                 return response(410, &[], "");
             }
-            let news = records.history.iter().filter(|(r, k, _)| *r > after && k.starts_with(&prefix));
+            let news = records
+                .history
+                .iter()
+                .filter(|(r, k, _)| *r > after && k.starts_with(&prefix));
             let news: Vec<String> = news.map(|(r, k, i)| shown(k, i.as_ref(), *r)).collect();
             let left = until.saturating_duration_since(Instant::now());
             if !news.is_empty() || left.is_zero() {
                 let (news, revision) = (news.join(","), records.revision);
-                return ok(format!("{{\"events\":[{news}],\"store_revision\":{revision}}}"));
+                return ok(format!(
+                    "{{\"events\":[{news}],\"store_revision\":{revision}}}"
+                ));
             }
             let wait = left.min(Duration::from_millis(100));
-            records = self.changed.wait_timeout(records, wait).expect("the records").0;
+            records = self
+                .changed
+                .wait_timeout(records, wait)
+                .expect("the records")
+                .0;
         }
     }
 
@@ -254,10 +278,18 @@
         }
         let put = |row: &Value| {
             let value = decode_base64(row.get("value").text());
-            (row.get("key").text().to_string(), value, row.get("lease").number())
+            (
+                row.get("key").text().to_string(),
+                value,
+                row.get("lease").number(),
+            )
         };
         let puts: Vec<(String, Vec<u8>, u64)> = body.get("puts").list().iter().map(put).collect();
-        let removed = body.get("delete").list().iter().map(|k| k.text().to_string());
+        let removed = body
+            .get("delete")
+            .list()
+            .iter()
+            .map(|k| k.text().to_string());
         let removed: Vec<String> = removed.collect();
         let own = |key: &String| key.starts_with("op/") || key.starts_with("servers/");
         if puts.iter().map(|(k, _, _)| k).chain(&removed).any(own) {
@@ -279,7 +311,9 @@
         let mut records = self.lock();
         let id = records.next_lease;
         records.next_lease += 1;
-        records.leases.insert(id, (Instant::now(), Duration::from_millis(ttl)));
+        records
+            .leases
+            .insert(id, (Instant::now(), Duration::from_millis(ttl)));
         ok(format!("{{\"lease\":{id},\"ttl_ms\":{ttl}}}"))
     }
 }
--- a/review/standins/src/streams.rs
+++ b/review/standins/src/streams.rs
@@ -68,7 +68,9 @@
                         self.born
                     );
                     let headers = [("Content-Type", "application/json")];
-                    writer.write_all(&response(200, &headers, body).bytes()).is_ok()
+                    writer
+                        .write_all(&response(200, &headers, body).bytes())
+                        .is_ok()
                 }
                 _ => self.answer(&request, &mut writer),
             };
@@ -84,13 +86,26 @@
             let rejected = response(400, &[("Jacinthdeal-Not-Executed", "1")], "");
             return writer.write_all(&rejected.bytes()).is_ok();
         };
-        if request.header("jacinthdeal-expect-instance").is_some_and(|e| e != self.id) {
-            let headers = [("Jacinthdeal-Attempt-Id", id), ("Jacinthdeal-Not-Executed", "1")];
-            return writer.write_all(&response(421, &headers, "").bytes()).is_ok();
+        if request
+            .header("jacinthdeal-expect-instance")
+            .is_some_and(|e| e != self.id)
+        {
+            let headers = [
+                ("Jacinthdeal-Attempt-Id", id),
+                ("Jacinthdeal-Not-Executed", "1"),
+            ];
+            return writer
+                .write_all(&response(421, &headers, "").bytes())
+                .is_ok();
         }
-        let after = request.header("last-event-id").and_then(|t| t.parse::<u64>().ok());
+        let after = request
+            .header("last-event-id")
+            .and_then(|t| t.parse::<u64>().ok());
         let after = after.unwrap_or(0);
-        self.record.add(format!("engine {} ({}) runs {id} after event {after}", self.id, self.version));
+        self.record.add(format!(
+            "engine {} ({}) runs {id} after event {after}",
+            self.id, self.version
+        ));
         let head = format!(
             "HTTP/1.1 200 OK\r\nJacinthdeal-Attempt-Id: {id}\r\nJacinthdeal-Signature: {}.{id}\r\n\
              Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
@@ -129,7 +144,9 @@
     enough: usize,
 ) -> Option<Received> {
     let stream = TcpStream::connect_timeout(&to, Duration::from_secs(1)).ok()?;
-    let left = until.saturating_duration_since(Instant::now()).max(Duration::from_millis(1));
+    let left = until
+        .saturating_duration_since(Instant::now())
+        .max(Duration::from_millis(1));
     stream.set_read_timeout(Some(left)).ok()?;
     let mut writer = stream.try_clone().ok()?;
     let mut received = Received::default();
