Failing tests: requests run at more upstreams than their route allows

Cause: not mended here. Of eleven cases eight fail on the code as it is: after a run on an open connection that is excused because no new connection opens (3 upstreams, 2 allowed), after a forward whose instance was killed during its second run (3, 2 allowed), after an answer to another request that says that it was not run (4, 2 and 1 allowed, also for requests that may run once), and after the number that the route allows was lowered (2, 1 allowed). Three cases pass: a plain answer whose body is awaited, a resumable stream before its head, a resumable stream at the lowered number.

The fleets without a path that several test files use have a file of their own.

--- a/crates/gateway/tests/whole/fakes/fake_upstream.rs
+++ b/crates/gateway/tests/whole/fakes/fake_upstream.rs
@@ -50,8 +50,12 @@
     CrossedThenInputsGone(Arc<AtomicBool>),
     /// The complete response to another request.
     Crossed,
+    /// A refusal that says that another request did not run.
+    CrossedNotRun,
     /// A signed error response.
     Failure,
+    /// A signed error response after a delay.
+    DelayedFailure(Duration),
     /// Parts of a stream, which breaks off after them if `cut`.
     Stream {
         parts: &'static [&'static str],
@@ -60,6 +64,9 @@
     /// The first event of [`STREAM`], after which it breaks off if `cut`; the rest for a request
     /// that resumes it.
     Resumable { cut: bool },
+    /// The first event of [`STREAM`], after which it breaks off; the next one for a request that
+    /// resumes it, and then silence for this time.
+    CutThenSilent(Duration),
     /// The first part of a stream, and the rest after a silence.
     Pausing(&'static [&'static str], Duration),
     /// A complete response once the sender of the channel sends or is dropped.
@@ -274,7 +281,10 @@
                 parts: &STREAM[1..],
                 cut: false,
             },
-            Reply::Resumable { cut: true } => Reply::Stream {
+            Reply::CutThenSilent(silence) if header("after").is_some() => {
+                Reply::Pausing(&[STREAM[1], "never"], silence)
+            }
+            Reply::Resumable { cut: true } | Reply::CutThenSilent(_) => Reply::Stream {
                 parts: &STREAM[..1],
                 cut: true,
             },
@@ -308,6 +318,11 @@
                 }
                 Reply::Crossed => answer("another", StatusCode::OK, jd_net::full("theirs")),
                 Reply::Failure => answer(&id, StatusCode::INTERNAL_SERVER_ERROR, jd_net::empty()),
+                Reply::DelayedFailure(after) => {
+                    Timer::after(after).await;
+                    answer(&id, StatusCode::INTERNAL_SERVER_ERROR, jd_net::empty())
+                }
+                Reply::CrossedNotRun => not_run("another", StatusCode::SERVICE_UNAVAILABLE),
                 Reply::NotRun => not_run(&id, StatusCode::SERVICE_UNAVAILABLE),
                 Reply::Misdirected => not_run(&id, StatusCode::MISDIRECTED_REQUEST),
                 Reply::BackOff(seconds) => {
@@ -341,7 +356,9 @@
                     });
                     answer(&id, StatusCode::OK, jd_net::stream(first.chain(rest)))
                 }
-                Reply::Resumable { .. } => unreachable!("replaced by a stream above"),
+                Reply::Resumable { .. } | Reply::CutThenSilent(_) => {
+                    unreachable!("replaced by a stream above")
+                }
                 Reply::UntilReleased(rx) => {
                     // A closed channel releases the response as well.
                     let _ = rx.recv().await;
--- a/crates/gateway/tests/whole/fakes/mod.rs
+++ b/crates/gateway/tests/whole/fakes/mod.rs
@@ -11,6 +11,7 @@
 mod harness;
 mod member;
 mod owners;
+pub(crate) mod path_fleet;
 mod stage_upstream;
 mod start_gateway;
 mod unframed_upstream;
--- a/crates/gateway/tests/whole/lost_paths.rs
+++ b/crates/gateway/tests/whole/lost_paths.rs
@@ -14,7 +14,11 @@
 use crate::fakes::Cut;
 use crate::fakes::Harness;
 use crate::fakes::Reply;
-use crate::fakes::owner_order;
+use crate::fakes::path_fleet::ANSWER;
+use crate::fakes::path_fleet::by_ownership;
+use crate::fakes::path_fleet::cut_off;
+use crate::fakes::path_fleet::fleet;
+use crate::fakes::path_fleet::until_noticed;
 
 /// How long requests go on after a cut before their outcome counts.
 const NOTICED_WITHIN: Duration = Duration::from_secs(3);
@@ -22,27 +26,6 @@
 const COUNTED: usize = 40;
 const PAUSE: Duration = Duration::from_millis(100);
 
-const ANSWER: Reply = Reply::Stream {
-    parts: &["id: 1\ndata: a\n\n"],
-    cut: false,
-};
-
-/// A fleet of four gateways with two upstreams, and two more for the stage of `/staged/`.
-async fn fleet() -> Harness {
-    let made = Reply::Complete("made");
-    let mut harness = Harness::start_cuttable(vec![vec![ANSWER]; 2], vec![made]);
-    harness.add_gateways(3);
-    harness.until_ready(true).await;
-    harness.until_all_listed().await;
-    harness.until_all_answer("/open/x", 200).await;
-    harness
-}
-
-/// The peer addresses of the instances, the owner of the stages first.
-fn by_ownership(harness: &Harness) -> Vec<SocketAddr> {
-    owner_order(&harness.peer_addresses())
-}
-
 /// Sends two requests at once to an instance every [`PAUSE`], for [`NOTICED_WITHIN`] and then
 /// until [`COUNTED`] more are sent, whose answers are returned. Of two requests at once, one needs
 /// a new connection.
@@ -100,7 +83,7 @@
 #[test_case("/staged/x", Cut::Hangs; "staged, hangs")]
 fn callers_of_an_instance_without_a_path_are_served(path: &'static str, cut: Cut) {
     block_on(async {
-        let harness = fleet().await;
+        let harness = fleet(2).await;
         let last = by_ownership(&harness)[3];
         harness.link(last).set(Some(cut));
         assert_served(&load(&harness, last, path).await);
@@ -113,41 +96,20 @@
 #[test_case(Cut::Hangs; "hangs")]
 fn stages_move_from_an_owner_without_a_path(cut: Cut) {
     block_on(async {
-        let harness = Arc::new(fleet().await);
+        let harness = Arc::new(fleet(2).await);
         let order = by_ownership(&harness);
         harness.link(order[0]).set(Some(cut));
         assert_served(&load(&harness, order[3], "/staged/x").await);
     });
 }
 
-/// Waits until instances have noticed that `count` of them have lost their path.
-async fn until_noticed(harness: &Harness, count: u64) {
-    while harness.counter_total("jd_gateway_path_lost ").await != count {
-        Timer::after(Duration::from_millis(20)).await;
-    }
-    // The others hear of it with the next heartbeats.
-    Timer::after(Duration::from_millis(500)).await;
-}
-
-/// Cuts off instances, and sends requests to them until they have noticed.
-async fn cut_off(harness: &Harness, instances: &[SocketAddr], cut: Cut) {
-    for peers in instances {
-        harness.link(*peers).set(Some(cut));
-        for n in 0..4 {
-            let id = format!("notice-{n}");
-            harness.spawn_ask(*peers, "/any/x", &id).await;
-        }
-    }
-    until_noticed(harness, instances.len() as u64).await;
-}
-
 /// Guards against requests that wait, or go from instance to instance, when none has a path.
 #[test_case("/any/x"; "idempotent")]
 #[test_case("/once/x"; "unsafe")]
 #[test_case("/staged/x"; "staged")]
 fn requests_are_refused_at_once_when_all_instances_have_lost_their_path(path: &'static str) {
     block_on(async {
-        let harness = fleet().await;
+        let harness = fleet(2).await;
         let all = by_ownership(&harness);
         cut_off(&harness, &all, Cut::Resets).await;
         for peers in &all {
@@ -168,7 +130,7 @@
 #[test_case(Cut::Hangs; "hung")]
 fn an_instance_sends_to_upstreams_again_once_its_path_is_back(cut: Cut) {
     block_on(async {
-        let harness = fleet().await;
+        let harness = fleet(2).await;
         let last = by_ownership(&harness)[3];
         cut_off(&harness, &[last], cut).await;
         harness.link(last).set(None);
@@ -195,7 +157,7 @@
 #[test]
 fn a_lost_path_counts_as_no_crash_of_an_upstream() {
     block_on(async {
-        let harness = fleet().await;
+        let harness = fleet(2).await;
         let last = by_ownership(&harness)[3];
         let (_held, rx) = async_channel::bounded(1);
         for upstream in &harness.upstreams[..2] {
@@ -223,7 +185,7 @@
 #[test_case(Cut::Hangs; "hung")]
 fn a_stream_goes_on_at_another_instance(cut: Cut) {
     block_on(async {
-        let harness = fleet().await;
+        let harness = fleet(2).await;
         let last = by_ownership(&harness)[3];
         let first: &[&str] = &["id: 1\ndata: a\n\n", "never"];
         let rest = Reply::Stream {
@@ -261,7 +223,7 @@
 #[test_case("/any/x", 200; "idempotent")]
 fn a_forwarded_request_survives_or_may_have_run(path: &'static str, status: u16) {
     block_on(async {
-        let mut harness = fleet().await;
+        let mut harness = fleet(2).await;
         let order = by_ownership(&harness);
         cut_off(&harness, &order[1..], Cut::Resets).await;
         let (_held, rx) = async_channel::bounded(1);
@@ -290,7 +252,7 @@
 #[test]
 fn a_silent_second_of_an_upstream_changes_nothing() {
     block_on(async {
-        let harness = fleet().await;
+        let harness = fleet(2).await;
         let last = by_ownership(&harness)[3];
         let silence = Duration::from_millis(1_200);
         let parts: &[&str] = &["id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"];
@@ -327,7 +289,7 @@
 impl Held {
     /// Cuts off all but the first instances, in the order of ownership.
     async fn begin(with_path: usize) -> Held {
-        let harness = Arc::new(fleet().await);
+        let harness = Arc::new(fleet(2).await);
         let order = by_ownership(&harness);
         cut_off(&harness, &order[with_path..], Cut::Resets).await;
         let (released, rx) = async_channel::bounded(1);
@@ -383,7 +345,7 @@
 #[test]
 fn a_forwarded_stream_runs_no_more_often_than_its_route_allows() {
     block_on(async {
-        let harness = fleet().await;
+        let harness = fleet(2).await;
         let last = by_ownership(&harness)[3];
         cut_off(&harness, &[last], Cut::Resets).await;
         let broken = Reply::Stream {
--- a/crates/gateway/tests/whole/main.rs
+++ b/crates/gateway/tests/whole/main.rs
@@ -20,5 +20,6 @@
 mod placed_prompts;
 mod requests;
 mod restarts;
+mod run_bounds;
 mod unframed;
 mod versions;
