Log how each failed attempt counts, and the runs before a request is forwarded

Cause: the lines of one request tell neither which failed attempts count as runs, are excused or are proved not to have run, nor what an instance hands over with a request, so that they cannot tell the hypotheses apart. No logic is changed.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -12,6 +12,7 @@
 use http::StatusCode;
 use jd_net::HttpResponse;
 use jd_types::AttemptOutcome;
+use jd_types::RunState;
 
 use crate::ResponseHead;
 use crate::UpstreamRequest;
@@ -50,6 +51,15 @@
 }
 
 impl AttemptFailure {
+    /// How the attempt counts against the runs that its route allows, as logged.
+    pub(crate) fn counts_as(&self) -> &'static str {
+        match self.outcome.run_state() {
+            RunState::NotRun => "not-run",
+            RunState::MayHaveRun if self.path_lost => "excused",
+            RunState::MayHaveRun => "run",
+        }
+    }
+
     /// True if no connection could be opened. Nothing has arrived at the upstream then, so that
     /// another attempt is no retry in the sense of the retry budget.
     pub(crate) fn is_unreachable(&self) -> bool {
@@ -195,6 +205,7 @@
                 upstream = id.as_str(),
                 sent_ms = attempt.sent_ms(request),
                 outcome = failure.outcome.as_str(),
+                counts_as = failure.counts_as(),
                 detail = failure.detail.as_str();
                 "attempt failed"
             );
--- a/crates/gateway/src/forward_client.rs
+++ b/crates/gateway/src/forward_client.rs
@@ -190,6 +190,7 @@
     on_write: impl Fn(),
 ) -> Forwarded {
     let guard = state.forwards.begin(state, target);
+    let (runs_before, excused_before) = (from.possible_runs, from.excused_runs);
     let began = state.now();
     let timeout = request.time_left(began) + DEADLINE_SLACK;
     let pool = &state.forwards.pool;
@@ -219,6 +220,8 @@
     log::info!(
         request = request.id(),
         instance:% = target,
+        runs_before,
+        excused_before,
         sent_ms = began.since(request.arrived).as_millis() as u64,
         outcome,
         ms = state.now().since(began).as_millis() as u64;
