One run for each forwarded request, counted before it is sent; no run is excused

What callers saw: nothing; upstreams ran a request at three of them where its route allows two.

Cause: the runs of one request were counted in three places, after they had ended, and by every instance that had it for itself. A forwarded request counted as one run at the instance that forwarded it, whatever the other one ran, so that a killed instance took its second run with it. And a run was excused if this instance could open no connections when the run fell silent, which says nothing about the upstream that had been sent the request: where open connections go on, it had run it. Tests of whole gateways show both (3 upstreams, 2 allowed).

Change: RunBudget (jd-serving) is the one place that decides. A run counts before it is sent, to an upstream or to another instance, and only proof that no upstream ran it takes it back. The instance that took a request from its caller decides on all of its runs; one that gets it forwarded begins one, so that a forwarded request is one run by construction, whatever becomes of either instance or the connection. A run that fails there comes back as a failed attempt and is repeated from here, at another upstream: responses and refusals tell where it ran. Streams that end at the other instance resume in the same way, and a check of whether that one is still there is not needed any more. No run is excused: whether an upstream that fell silent has run a request is not known here.

Instances of earlier versions are told that all runs but one are used, and what they forward runs once.

--- a/crates/gateway/src/active_attempt.rs
+++ b/crates/gateway/src/active_attempt.rs
@@ -17,6 +17,7 @@
 use jd_serving::SoftwareVersion;
 use jd_serving::StreamBeginning;
 use jd_serving::StreamPace;
+use jd_serving::UpstreamStart;
 use jd_types::AttemptOutcome;
 use jd_types::MonoTime;
 
@@ -38,6 +39,9 @@
     /// The upstream; none if another instance runs the request.
     chosen: Option<SelectedUpstream>,
     forward: Option<ForwardGuard>,
+    /// The upstream at which another instance runs the request, and its start; none if that does
+    /// not tell.
+    told_upstream: Option<(CompactString, UpstreamStart)>,
     /// The software version of the upstream; none if another instance does not tell it.
     software: Option<SoftwareVersion>,
     service: CompactString,
@@ -64,6 +68,7 @@
         let now = state.now();
         ActiveAttempt {
             forward: None,
+            told_upstream: None,
             software: Some(chosen.software.clone()),
             state: Arc::clone(state),
             service: request.service.clone(),
@@ -83,11 +88,13 @@
         state: &Arc<State>,
         request: &CallerRequest,
         guard: ForwardGuard,
+        upstream: Option<(CompactString, UpstreamStart)>,
         software: Option<SoftwareVersion>,
     ) -> ActiveAttempt {
         ActiveAttempt {
             chosen: None,
             forward: Some(guard),
+            told_upstream: upstream,
             software,
             state: Arc::clone(state),
             service: request.service.clone(),
@@ -189,8 +196,11 @@
 
     /// The ID of the upstream.
     pub(crate) fn id(&self) -> &str {
-        let chosen = self.chosen.as_ref();
-        chosen.map_or("of another instance", |chosen| chosen.id.as_str())
+        match (&self.chosen, &self.told_upstream) {
+            (Some(chosen), _) => chosen.id.as_str(),
+            (None, Some((id, _))) => id.as_str(),
+            (None, None) => "of another instance",
+        }
     }
 
     /// The software version of the upstream; none if another instance does not tell it.
@@ -198,12 +208,22 @@
         self.software.as_ref()
     }
 
-    /// The beginning of a stream by this attempt; none if another instance made it.
+    /// The start of the upstream; unknown if another instance does not tell it.
+    pub(crate) fn start(&self) -> UpstreamStart {
+        let told = self.told_upstream.as_ref().map(|(_, start)| *start);
+        let own = self.chosen.as_ref().map(|chosen| chosen.start);
+        own.or(told).unwrap_or(UpstreamStart::UNKNOWN)
+    }
+
+    /// The beginning of a stream by this attempt; none if another instance made it and does not
+    /// tell its upstream.
     pub(crate) fn beginning(&self) -> Option<StreamBeginning> {
-        let chosen = self.chosen.as_ref()?;
+        let own = self.chosen.as_ref().map(|chosen| &chosen.id);
+        let told = self.told_upstream.as_ref().map(|(id, _)| id);
         Some(StreamBeginning {
-            upstream: chosen.id.clone(),
-            start: chosen.start,
+            upstream: own.or(told)?.clone(),
+            start: self.start(),
+            // Of a forwarded request, when its response arrived here, which is later.
             sent_at: self.began,
         })
     }
@@ -212,7 +232,7 @@
     /// sent, so that it is uncertain which one answered.
     pub(crate) fn is_version_uncertain(&self) -> bool {
         let table = self.state.upstreams.load();
-        let listed = self.chosen.as_ref().and_then(|c| table.software_of(&c.id));
+        let listed = table.software_of(self.id());
         listed.is_some_and(|listed| Some(listed) != self.software.as_ref())
     }
 
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -46,18 +46,12 @@
     pub(crate) inputs_gone: bool,
     /// True if a check of this instance kept the request from being sent.
     pub(crate) withheld: bool,
-    /// True if the upstream was silent because this instance has lost its path to all of them.
-    pub(crate) path_lost: bool,
 }
 
 impl AttemptFailure {
-    /// How the attempt counts against the runs that its route allows, as logged.
-    pub(crate) fn counts_as(&self) -> &'static str {
-        match self.outcome.run_state() {
-            RunState::NotRun => "not-run",
-            RunState::MayHaveRun if self.path_lost => "excused",
-            RunState::MayHaveRun => "run",
-        }
+    /// True if it is proved that no upstream ran the request.
+    pub(crate) fn is_not_run(&self) -> bool {
+        self.outcome.run_state() == RunState::NotRun
     }
 
     /// True if no connection could be opened. Nothing has arrived at the upstream then, so that
@@ -74,7 +68,6 @@
         detail: detail.into(),
         inputs_gone: false,
         withheld: false,
-        path_lost: false,
     }
 }
 
@@ -118,7 +111,15 @@
     pub(crate) fetch_from: Option<SocketAddr>,
 }
 
-/// Sends `request` to the selected upstream and waits at most `timeout` for the head of the response.
+/// How long an attempt waits for the head of its response.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct AttemptWait {
+    pub(crate) timeout: Duration,
+    /// True if another run may follow, so that it ends as soon as the path turns out to be lost.
+    pub(crate) may_move_on: bool,
+}
+
+/// Sends `request` to the selected upstream and waits for the head of the response.
 /// Returns the upstream's own response to this request, or a failure whose outcome tells
 /// whether the request may have run. `on_write` is called once a connection takes the request.
 pub(crate) async fn send(
@@ -127,7 +128,7 @@
     permitted: PermittedSend,
     inputs: &[CompactString],
     last_event: Option<u64>,
-    timeout: Duration,
+    wait: AttemptWait,
     on_write: impl Fn(),
 ) -> Result<UpstreamResponse, AttemptFailure> {
     let PermittedSend {
@@ -156,9 +157,12 @@
     };
     let sending = state
         .upstream_client
-        .send(state, permit, req, timeout, on_write);
+        .send(state, permit, req, wait.timeout, on_write);
     let path_lost = async {
-        until_path_lost(state, request).await;
+        match wait.may_move_on {
+            true => until_path_lost(state).await,
+            false => future::pending().await,
+        }
         Err(SendFailure::TimedOut)
     };
     let sent = sending.or(restarted).or(path_lost).await;
@@ -168,10 +172,12 @@
             attempt.finish(AttemptOutcome::Cancelled);
             return Err(withheld(request, &id, why));
         }
-        Err(SendFailure::TimedOut) => Err(AttemptFailure {
-            path_lost: is_path_lost(state, request).await,
-            ..failure(AttemptOutcome::Silent, "no answer in time")
-        }),
+        Err(SendFailure::TimedOut) => {
+            if wait.may_move_on && !request.time_left(state.now()).is_zero() {
+                state.path.check_in_silence(state).await;
+            }
+            Err(failure(AttemptOutcome::Silent, "no answer in time"))
+        }
         Err(SendFailure::ConnectFailed) => Err(failure(
             AttemptOutcome::Unreachable,
             "no connection could be opened",
@@ -205,7 +211,7 @@
                 upstream = id.as_str(),
                 sent_ms = attempt.sent_ms(request),
                 outcome = failure.outcome.as_str(),
-                counts_as = failure.counts_as(),
+                run = failure.outcome.run_state().as_str(),
                 detail = failure.detail.as_str();
                 "attempt failed"
             );
@@ -214,27 +220,18 @@
     }
 }
 
-/// Returns once the path to the upstreams turns out to be lost while a request that may be repeated
-/// waits for its response. It may have been sent on a connection that hangs.
-async fn until_path_lost(state: &Arc<State>, request: &CallerRequest) {
-    if !request.route().retry_mode.may_repeat() {
-        return future::pending().await;
-    }
+/// Returns once the path to the upstreams turns out to be lost while a request waits for its
+/// response. It may have been sent on a connection that hangs.
+async fn until_path_lost(state: &Arc<State>) {
     loop {
         Timer::after(SILENCE_CHECK_AFTER).await;
-        if state.path.is_lost_in_silence(state).await {
+        state.path.check_in_silence(state).await;
+        if state.path.is_lost() {
             return;
         }
     }
 }
 
-/// True if a request that may be repeated got no response because the path is lost.
-async fn is_path_lost(state: &Arc<State>, request: &CallerRequest) -> bool {
-    let may_repeat = request.route().retry_mode.may_repeat();
-    let has_time = !request.time_left(state.now()).is_zero();
-    may_repeat && has_time && state.path.is_lost_in_silence(state).await
-}
-
 /// Accepts a response only if it names this request: a duplicate or late response to another
 /// request otherwise looks the same.
 pub(crate) fn validate(
@@ -257,7 +254,6 @@
             detail: format_compact!("the upstream refused with {}", head.status),
             inputs_gone: head.status == StatusCode::CONFLICT,
             withheld: false,
-            path_lost: false,
         }),
         _ if !names_request => Err(failure(
             AttemptOutcome::Crossed,
--- a/crates/gateway/src/caller_api.rs
+++ b/crates/gateway/src/caller_api.rs
@@ -34,6 +34,7 @@
 use jd_types::RunState;
 
 use crate::caller_request::CallerRequest;
+use crate::ran_at::RanAt;
 use crate::stage_runner::StageRunner;
 use crate::state::State;
 use crate::streaming_call;
@@ -149,6 +150,7 @@
             parts,
             body,
             contents,
+            ran_at: RanAt::default(),
             forwarded: None,
             _running_forward: None,
             _in_flight: in_flight,
--- a/crates/gateway/src/caller_request.rs
+++ b/crates/gateway/src/caller_request.rs
@@ -21,6 +21,7 @@
 use crate::caller_api::may_have_run;
 use crate::forward_api::RunningForward;
 use crate::forwarded_from::ForwardedFrom;
+use crate::ran_at::RanAt;
 use crate::state::InFlight;
 use crate::state::State;
 
@@ -39,6 +40,8 @@
     pub(crate) body: Bytes,
     /// Identifies the request, the same if the caller sends it again, and the parts of its prompt.
     pub(crate) contents: RunContents,
+    /// The upstreams at which it may have run, at all instances.
+    pub(crate) ran_at: RanAt,
     /// Set if another instance took the request from its caller.
     pub(crate) forwarded: Option<ForwardedFrom>,
     pub(crate) _running_forward: Option<RunningForward>,
--- a/crates/gateway/src/event_stream.rs
+++ b/crates/gateway/src/event_stream.rs
@@ -21,7 +21,6 @@
 use jd_serving::StreamOrigin;
 use jd_types::AttemptOutcome;
 use jd_types::MonoTime;
-use jd_types::RunState;
 use snafu::Snafu;
 
 use crate::active_attempt::ActiveAttempt;
@@ -125,9 +124,8 @@
         self.attempt.record_wait();
         loop {
             let left = self.request.time_left(self.state.now());
-            let forwarded_to = self.attempt.forwarded_to();
-            let wait = match forwarded_to {
-                None if self.may_resume() => left.min(STALL_TIMEOUT),
+            let wait = match self.attempt.forwarded_to() {
+                None if self.may_move_on() => left.min(STALL_TIMEOUT),
                 // The other instance has the same timeout.
                 _ => left,
             };
@@ -148,13 +146,6 @@
                 Some(Ok(None)) if self.is_whole() => return self.finish(),
                 Some(Ok(None) | Err(_)) => {
                     self.attempt.report_broken();
-                    if let Some(target) = forwarded_to
-                        && self.state.forwards.is_running(target).await
-                    {
-                        let cut_off =
-                            self.cut_off(AttemptOutcome::Truncated, StreamError::Upstream);
-                        return Some(cut_off.await);
-                    }
                     AttemptOutcome::Truncated
                 }
                 None if self.request.time_left(self.state.now()).is_zero() => {
@@ -164,8 +155,7 @@
                     );
                 }
                 None => {
-                    let path_lost = self.state.path.is_lost_in_silence(&self.state).await;
-                    self.retries.excused_runs += u32::from(path_lost);
+                    self.state.path.check_in_silence(&self.state).await;
                     AttemptOutcome::Silent
                 }
             };
@@ -308,11 +298,17 @@
     }
 
     fn may_resume(&self) -> bool {
-        let route = self.request.route();
-        route.retry_mode == RetryMode::Resumable
-            && self.binding != Binding::Uncertain
-            && self.retries.counted_runs() < route.max_attempts
+        self.binding != Binding::Uncertain
             && self.retries.tried.len() < MAX_ATTEMPTS
+            && self.retries.runs_left() > 0
+    }
+
+    /// True if the stream may resume, here or by the instance that forwarded its request.
+    fn may_move_on(&self) -> bool {
+        match self.request.forwarded {
+            Some(_) => self.binding != Binding::Uncertain && self.retries.may_move_on(),
+            None => self.may_resume(),
+        }
     }
 
     /// Resumes on another upstream after the last complete event. Returns false if that is not
@@ -345,7 +341,6 @@
                         last_event:? = last;
                         "stream resumed on another upstream"
                     );
-                    self.retries.possible_runs += 1;
                     self.splitter.begin_response();
                     self.framing = response.http.framing;
                     self.response = Some(response.http);
@@ -353,18 +348,8 @@
                     return true;
                 }
                 Err(NextSendError::Refused(_)) => return false,
-                Err(NextSendError::Failed(f)) if f.outcome.run_state() == RunState::NotRun => {
-                    is_unreachable = f.is_unreachable();
-                }
-                Err(NextSendError::Failed(f)) => {
-                    is_unreachable = false;
-                    self.retries.possible_runs += 1;
-                    self.retries.excused_runs += u32::from(f.path_lost);
-                }
-                Ok(_) => {
-                    is_unreachable = false;
-                    self.retries.possible_runs += 1;
-                }
+                Err(NextSendError::Failed(f)) => is_unreachable = f.is_unreachable(),
+                Ok(_) => is_unreachable = false,
             }
         }
         false
--- a/crates/gateway/src/forward_api.rs
+++ b/crates/gateway/src/forward_api.rs
@@ -18,6 +18,7 @@
 use crate::forwarded_from;
 use crate::forwarded_from::ForwardedFrom;
 use crate::forwarded_refusal;
+use crate::ran_at::RanAt;
 use crate::state::State;
 
 /// Forwarded requests that are run at a time. Bounds the memory that the requests of instances
@@ -58,13 +59,15 @@
         from: ForwardedFrom,
         req: Request<Incoming>,
     ) -> Response<Body> {
-        let ended = self.run_forwarded(from, req).await;
+        let ran_at = RanAt::new(from.ran_at.clone());
+        let ended = self.run_forwarded(from, req, &ran_at).await;
         self.state.metrics.forward(match &ended {
             Ok(_) => "run-for-another",
             Err(_) => "refused-for-another",
         });
         let mut res = ended.unwrap_or_else(|refusal| forwarded_refusal::response(&refusal));
         forwarded_from::write_version(res.headers_mut(), self.state.deployment_version());
+        forwarded_from::write_ran_at(res.headers_mut(), &ran_at.upstreams());
         res
     }
 
@@ -72,6 +75,7 @@
         &self,
         from: ForwardedFrom,
         req: Request<Incoming>,
+        ran_at: &RanAt,
     ) -> Result<Response<Body>, Refusal> {
         let state = &self.state;
         let running = RunningForward::begin(state);
@@ -94,6 +98,7 @@
             return Err(not_taken("a later version is in force elsewhere"));
         }
         let request = CallerRequest {
+            ran_at: ran_at.clone(),
             forwarded: Some(from),
             _running_forward: Some(running),
             ..admitted
--- a/crates/gateway/src/forward_client.rs
+++ b/crates/gateway/src/forward_client.rs
@@ -20,11 +20,11 @@
 use jd_net::Body;
 use jd_net::HttpPool;
 use jd_net::HttpResponse;
-use jd_net::ProbeResult;
 use jd_net::SendError;
 use jd_net::lock;
 use jd_serving::ForwardTarget;
 use jd_serving::SoftwareVersion;
+use jd_serving::UpstreamStart;
 use jd_types::AttemptOutcome;
 use jd_types::Refusal;
 use jd_types::RefusalKind;
@@ -44,8 +44,8 @@
 use crate::upstream_selection::NextSendError;
 use crate::upstream_selection::RetryState;
 
-/// Instances that one request is forwarded to.
-const MAX_FORWARDS: usize = 2;
+/// Instances that may fail to take a request, or to respond, until it is forwarded no more.
+const MAX_FORWARD_FAILURES: usize = 2;
 /// How long after the deadline the refusal of the other instance is waited for.
 const DEADLINE_SLACK: Duration = Duration::from_millis(100);
 /// How often a forwarded request checks that the other instance is still live.
@@ -113,12 +113,6 @@
         self.version.load(Ordering::Relaxed).max(own)
     }
 
-    /// True if the process of an instance that broke a response off is still there. It then has
-    /// used up the attempts that the route allows, and others would exceed them.
-    pub(crate) async fn is_running(&self, target: SocketAddr) -> bool {
-        self.pool.probe(target).await == ProbeResult::Open
-    }
-
     fn begin(&self, state: &Arc<State>, target: SocketAddr) -> ForwardGuard {
         *lock(&self.in_flight).entry(target).or_default() += 1;
         ForwardGuard {
@@ -129,7 +123,8 @@
 }
 
 /// Sends a request to another instance that can connect to upstreams, and to a second one if the
-/// first cannot take it. Returns none if there is none to ask.
+/// first cannot take it. Counts as one run, whatever becomes of the other instance or the connection
+/// to it: that one begins no more than one. Returns none if there is none to ask.
 pub(crate) async fn forward(
     state: &Arc<State>,
     request: &CallerRequest,
@@ -141,31 +136,47 @@
         return None;
     }
     let mut refused = None;
-    while retries.forwarded_to.len() < MAX_FORWARDS {
+    while retries.forward_failures.len() < MAX_FORWARD_FAILURES {
         let mut targets = state.forwards.targets(state);
-        targets.retain(|t| !retries.forwarded_to.contains(&t.address));
+        targets.retain(|t| !retries.forward_failures.contains(&t.address));
         let zone = &state.settings.zone;
         let mut rng = fastrand::Rng::new();
         let Some(target) = ForwardTarget::select(&targets, zone, &mut rng) else {
             break;
         };
-        retries.forwarded_to.push(target.address);
+        if let Err(refusal) = retries.begin_run() {
+            return Some(Err(NextSendError::Refused(refusal)));
+        }
         let from = ForwardedFrom {
             age: state.now().since(request.arrived),
-            possible_runs: retries.possible_runs,
-            excused_runs: retries.excused_runs,
+            further_runs: retries.runs_left(),
+            ran_at: request.ran_at.upstreams(),
             counted: retries.counted,
             version: state.forwards.latest_version(request.router.version),
             last_event,
             software: retries.software.clone(),
         };
+        // Both instances may repeat it, this one after a run and that one after a refusal of an
+        // upstream, each by its own budget for retries.
+        if !std::mem::replace(&mut retries.counted, true) {
+            state.record_first_send(&request.service);
+        }
         match send(state, request, target.address, from, &on_write).await {
             Forwarded::Refused(refusal) => {
+                retries.take_back_run();
                 let refusal = retries.after_runs(refusal);
                 return Some(Err(NextSendError::Refused(refusal)));
             }
-            Forwarded::Ended(result) => return Some(*result),
-            Forwarded::NotTaken(refusal) => refused = Some(refusal),
+            Forwarded::NotTaken(refusal) => {
+                retries.take_back_run();
+                retries.forward_failures.push(target.address);
+                refused = Some(refusal);
+            }
+            Forwarded::Lost(failure) => {
+                retries.forward_failures.push(target.address);
+                return Some(Err(NextSendError::Failed(failure)));
+            }
+            Forwarded::Ended(result) => return Some((*result).map_err(NextSendError::Failed)),
         }
     }
     state.metrics.forward("no-instance");
@@ -174,9 +185,11 @@
 
 /// What became of a request that was sent to another instance.
 enum Forwarded {
-    /// A response of an upstream arrived, or the attempt failed.
-    Ended(Box<Result<UpstreamResponse, NextSendError>>),
-    /// That instance refused it.
+    /// A response of an upstream arrived, or that instance says that the run failed.
+    Ended(Box<Result<UpstreamResponse, AttemptFailure>>),
+    /// Nothing arrived from that instance.
+    Lost(AttemptFailure),
+    /// That instance refused it, and no upstream ran it.
     Refused(Refusal),
     /// That instance did not take it, and sent it to no upstream.
     NotTaken(Refusal),
@@ -190,7 +203,7 @@
     on_write: impl Fn(),
 ) -> Forwarded {
     let guard = state.forwards.begin(state, target);
-    let (runs_before, excused_before) = (from.possible_runs, from.excused_runs);
+    let further_runs = from.further_runs;
     let began = state.now();
     let timeout = request.time_left(began) + DEADLINE_SLACK;
     let pool = &state.forwards.pool;
@@ -215,32 +228,40 @@
         Err(DecodeError::NotTaken(_)) => "not-taken",
         Err(DecodeError::Refused(_)) => "refused",
         Err(DecodeError::Failed(_)) => "failed",
+        Err(DecodeError::Lost(_)) => "lost",
     };
     state.metrics.forward(outcome);
     log::info!(
         request = request.id(),
         instance:% = target,
-        runs_before,
-        excused_before,
+        ran_at:? = request.ran_at.upstreams(),
+        further_runs,
         sent_ms = began.since(request.arrived).as_millis() as u64,
         outcome,
         ms = state.now().since(began).as_millis() as u64;
         "request forwarded"
     );
-    Forwarded::Ended(Box::new(match result {
+    match result {
         Ok(Begun {
             head,
             http,
             software,
-        }) => Ok(UpstreamResponse {
-            head,
-            http,
-            attempt: ActiveAttempt::forwarded(state, request, guard, software),
-        }),
-        Err(DecodeError::NotTaken(refusal)) => return Forwarded::NotTaken(refusal),
-        Err(DecodeError::Refused(refusal)) => return Forwarded::Refused(refusal),
-        Err(DecodeError::Failed(failure)) => Err(NextSendError::Failed(failure)),
-    }))
+            start,
+        }) => {
+            let upstreams = request.ran_at.upstreams();
+            let upstream = upstreams.last().map(|id| (id.clone(), start));
+            let attempt = ActiveAttempt::forwarded(state, request, guard, upstream, software);
+            Forwarded::Ended(Box::new(Ok(UpstreamResponse {
+                head,
+                http,
+                attempt,
+            })))
+        }
+        Err(DecodeError::NotTaken(refusal)) => Forwarded::NotTaken(refusal),
+        Err(DecodeError::Refused(refusal)) => Forwarded::Refused(refusal),
+        Err(DecodeError::Failed(failure)) => Forwarded::Ended(Box::new(Err(failure))),
+        Err(DecodeError::Lost(failure)) => Forwarded::Lost(failure),
+    }
 }
 
 /// The caller's own request, with what this instance tells of it.
@@ -270,6 +291,8 @@
     http: HttpResponse,
     /// The software version of the upstream; none if the other instance does not tell.
     software: Option<SoftwareVersion>,
+    /// The start of the upstream, if the other instance tells it.
+    start: UpstreamStart,
 }
 
 /// Why another instance sent no response of an upstream.
@@ -277,6 +300,7 @@
     NotTaken(Refusal),
     Refused(Refusal),
     Failed(AttemptFailure),
+    Lost(AttemptFailure),
 }
 
 fn decode(
@@ -285,17 +309,24 @@
     sent: Option<Result<HttpResponse, SendError>>,
 ) -> Result<Begun, DecodeError> {
     let not_taken = |detail| Refusal::not_run(RefusalKind::NotServing, detail);
-    let failed = |outcome, detail| DecodeError::Failed(failure(outcome, detail));
+    let lost = |outcome, detail| DecodeError::Lost(failure(outcome, detail));
     match sent {
         Some(Ok(mut response)) => {
             if let Some(version) = forwarded_from::read_version(&response.headers) {
                 state.forwards.version.fetch_max(version, Ordering::Relaxed);
             }
+            for upstream in forwarded_from::read_ran_at(&response.headers) {
+                request.ran_at.record(&upstream);
+            }
             match forwarded_refusal::read(&response.headers) {
                 Some(refusal) if is_not_taken(&refusal) => Err(DecodeError::NotTaken(refusal)),
+                Some(refusal) if refusal.run == RunState::MayHaveRun => {
+                    Err(DecodeError::Failed(failure_of(refusal)))
+                }
                 Some(refusal) => Err(DecodeError::Refused(refusal)),
                 None => {
                     let software = forwarded_from::read_software(&response.headers);
+                    let start = forwarded_from::read_start(&response.headers);
                     forwarded_from::strip(&mut response.headers);
                     let validated = validate(state, request, response);
                     let (head, http) = validated.map_err(DecodeError::Failed)?;
@@ -303,6 +334,7 @@
                         head,
                         http,
                         software,
+                        start,
                     })
                 }
             }
@@ -312,15 +344,24 @@
         ))),
         Some(Err(SendError::Broken)) => {
             let detail = "the connection to another instance broke";
-            Err(failed(AttemptOutcome::Failed, detail))
+            Err(lost(AttemptOutcome::Failed, detail))
         }
         None => {
             let detail = "another instance did not answer in time";
-            Err(failed(AttemptOutcome::Silent, detail))
+            Err(lost(AttemptOutcome::Silent, detail))
         }
     }
 }
 
+/// The failure of a run that another instance refused after it had sent the request.
+fn failure_of(refusal: Refusal) -> AttemptFailure {
+    let outcome = match refusal.kind {
+        RefusalKind::DeadlinePassed => AttemptOutcome::Silent,
+        _ => AttemptOutcome::Failed,
+    };
+    failure(outcome, refusal.detail)
+}
+
 /// True if the other instance sent the request to no upstream, and a third one may take it.
 fn is_not_taken(refusal: &Refusal) -> bool {
     refusal.kind == RefusalKind::NotServing && refusal.run == RunState::NotRun
--- a/crates/gateway/src/forwarded_from.rs
+++ b/crates/gateway/src/forwarded_from.rs
@@ -2,16 +2,24 @@
 
 use std::time::Duration;
 
+use compact_str::CompactString;
 use http::HeaderMap;
 use http::HeaderName;
 use http::HeaderValue;
 use jd_serving::SoftwareVersion;
+use jd_serving::UpstreamStart;
 
 /// Prefix of the headers that only instances set.
 const PREFIX: &str = "jd-forward-";
 const AGE_MS: &str = "jd-forward-age-ms";
 const RUNS: &str = "jd-forward-runs";
 const EXCUSED_RUNS: &str = "jd-forward-excused-runs";
+const FURTHER_RUNS: &str = "jd-forward-further-runs";
+const RAN_AT: &str = "jd-forward-ran-at";
+const START_MS: &str = "jd-forward-start-ms";
+/// More runs than any route allows. Instances of earlier versions of this program would repeat a
+/// request as often as its route allows; they begin one run if all others are counted.
+const ALL_RUNS: u64 = 1 << 16;
 const COUNTED: &str = "jd-forward-counted";
 const VERSION: &str = "jd-forward-version";
 const CONFIG_VERSION: &str = "jd-forward-config-version";
@@ -24,10 +32,10 @@
 pub(crate) struct ForwardedFrom {
     /// The time since the request arrived from its caller.
     pub(crate) age: Duration,
-    /// How many times it may have run.
-    pub(crate) possible_runs: u32,
-    /// How many of these do not count against the attempts that its route allows.
-    pub(crate) excused_runs: u32,
+    /// Runs that the forwarding instance may begin after the one that is forwarded.
+    pub(crate) further_runs: u32,
+    /// The upstreams at which it may have run.
+    pub(crate) ran_at: Vec<CompactString>,
     /// True if its first send already adds to a retry budget.
     pub(crate) counted: bool,
     /// The latest version of the configuration by which it or an earlier request was accepted.
@@ -44,8 +52,8 @@
         let number = |name: &str| headers.get(name)?.to_str().ok()?.parse::<u64>().ok();
         Some(ForwardedFrom {
             age: Duration::from_millis(number(AGE_MS)?),
-            possible_runs: u32::try_from(number(RUNS)?).ok()?,
-            excused_runs: u32::try_from(number(EXCUSED_RUNS)?).ok()?,
+            further_runs: number(FURTHER_RUNS).map_or(0, |n| u32::try_from(n).unwrap_or(0)),
+            ran_at: read_ran_at(headers),
             counted: number(COUNTED)? != 0,
             version: number(CONFIG_VERSION).or(number(VERSION))?,
             last_event: number(LAST_EVENT),
@@ -61,8 +69,9 @@
             headers.insert(HeaderName::from_static(name), HeaderValue::from(value));
         };
         set(AGE_MS, age);
-        set(RUNS, u64::from(self.possible_runs));
-        set(EXCUSED_RUNS, u64::from(self.excused_runs));
+        set(FURTHER_RUNS, u64::from(self.further_runs));
+        set(RUNS, ALL_RUNS);
+        set(EXCUSED_RUNS, 0);
         set(COUNTED, u64::from(self.counted));
         match self.software {
             None => set(VERSION, self.version),
@@ -79,9 +88,45 @@
         if let Some(software) = &self.software {
             write_software(headers, software);
         }
+        write_ran_at(headers, &self.ran_at);
     }
 }
 
+/// Adds the upstreams at which a request may have run. Those whose identity is no valid value are
+/// left out.
+pub(crate) fn write_ran_at(headers: &mut HeaderMap, upstreams: &[CompactString]) {
+    let is_valid = |id: &&CompactString| id.bytes().all(|b| b.is_ascii_graphic() && b != b',');
+    let valid: Vec<&str> = upstreams
+        .iter()
+        .filter(is_valid)
+        .map(|id| id.as_str())
+        .collect();
+    if let Ok(value) = HeaderValue::from_str(&valid.join(",")) {
+        headers.insert(HeaderName::from_static(RAN_AT), value);
+    }
+}
+
+/// The upstreams at which a request may have run; empty if the other instance does not tell.
+pub(crate) fn read_ran_at(headers: &HeaderMap) -> Vec<CompactString> {
+    let text = headers.get(RAN_AT).and_then(|v| v.to_str().ok());
+    let ids = text.unwrap_or("").split(',').filter(|id| !id.is_empty());
+    ids.map(CompactString::from).collect()
+}
+
+/// Adds the start of the upstream that began a response.
+pub(crate) fn write_start(headers: &mut HeaderMap, start: UpstreamStart) {
+    if let Some(ms) = start.millis() {
+        headers.insert(HeaderName::from_static(START_MS), HeaderValue::from(ms));
+    }
+}
+
+/// The start of the upstream that began a response; unknown if the other instance does not tell.
+pub(crate) fn read_start(headers: &HeaderMap) -> UpstreamStart {
+    let text = headers.get(START_MS).and_then(|v| v.to_str().ok());
+    let ms = text.and_then(|t| t.parse().ok());
+    ms.map_or(UpstreamStart::UNKNOWN, UpstreamStart::at_millis)
+}
+
 /// Adds the version of the configuration that is in force to a response to another instance.
 pub(crate) fn write_version(headers: &mut HeaderMap, version: u64) {
     headers.insert(HeaderName::from_static(VERSION), HeaderValue::from(version));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -49,6 +49,7 @@
 mod prompt_plans;
 mod quarantine;
 mod quarantine_coordinator;
+mod ran_at;
 mod result_free_queue;
 mod result_release_queue;
 mod result_replication;
--- a/crates/gateway/src/path_checker.rs
+++ b/crates/gateway/src/path_checker.rs
@@ -106,13 +106,12 @@
         }
     }
 
-    /// Checks the path because an upstream is silent, unless it was checked just before; returns
-    /// true if the path is lost.
-    pub(crate) async fn is_lost_in_silence(&self, state: &Arc<State>) -> bool {
+    /// Checks the path because an upstream is silent, unless it was checked just before. A lost path
+    /// says nothing about what that upstream has run.
+    pub(crate) async fn check_in_silence(&self, state: &Arc<State>) {
         if !self.is_lost() && lock(&self.monitor).begin_silence_check(state.now()) {
             self.run_check(state).await;
         }
-        self.is_lost()
     }
 
     async fn run_check(&self, state: &Arc<State>) {
--- a/crates/gateway/src/streaming_call.rs
+++ b/crates/gateway/src/streaming_call.rs
@@ -10,13 +10,11 @@
 use jd_net::Body;
 use jd_net::with_timeout;
 use jd_serving::ResumeError;
-use jd_serving::RetryMode;
 use jd_serving::SoftwareVersion;
 use jd_serving::StreamId;
 use jd_types::AttemptOutcome;
 use jd_types::Refusal;
 use jd_types::RefusalKind;
-use jd_types::RunState;
 
 use crate::attempt::AttemptFailure;
 use crate::attempt::UpstreamResponse;
@@ -87,7 +85,7 @@
         let last = request.head.last_event;
         let request_written = Signal::new();
         let handles = results.handles();
-        let timeout = |runs| attempt_timeout(&request, state, runs);
+        let timeout = |may_move_on| attempt_timeout(&request, state, may_move_on);
         let on_write = || request_written.notify();
         let sending = send_to_next_upstream(
             state,
@@ -103,16 +101,12 @@
             .await;
         let failure = match sent {
             Ok(response) => {
-                retries.possible_runs += 1;
                 return begin_response(state, stages, request, response, results, retries).await;
             }
             Err(NextSendError::Refused(refusal)) => return Err(refusal),
             Err(NextSendError::Failed(failure)) => failure,
         };
-        let proved_not_run = failure.outcome.run_state() == RunState::NotRun;
-        retries.possible_runs += u32::from(!proved_not_run);
-        retries.excused_runs += u32::from(failure.path_lost);
-        let runs = retries.possible_runs;
+        let runs = retries.possible_runs();
         if failure.inputs_gone && !stages_rerun {
             stages_rerun = true;
             retries.tried.pop();
@@ -120,10 +114,9 @@
             results = rerun.map_err(|refusal| retries.after_runs(refusal))?;
             continue;
         }
-        let retryable = match request.route().retry_mode {
-            _ if proved_not_run => retries.tried.len() < MAX_ATTEMPTS,
-            RetryMode::Resumable => retries.counted_runs() < request.route().max_attempts,
-            _ => false,
+        let retryable = match failure.is_not_run() {
+            true => retries.tried.len() < MAX_ATTEMPTS,
+            false => retries.runs_left() > 0,
         };
         let may_retry = failure.is_unreachable() || state.may_retry(&request.service);
         if !retryable || !may_retry {
@@ -196,6 +189,7 @@
     let mut headers = state.dialect.caller_headers(&response.http.headers);
     if let (Some(_), Some(software)) = (&request.forwarded, response.attempt.software()) {
         forwarded_from::write_software(&mut headers, software);
+        forwarded_from::write_start(&mut headers, response.attempt.start());
     }
     let status = response.head.status;
     let version = request.parts.version;
@@ -267,11 +261,9 @@
     }
 }
 
-fn attempt_timeout(request: &CallerRequest, state: &State, runs: u32) -> Duration {
+fn attempt_timeout(request: &CallerRequest, state: &State, may_move_on: bool) -> Duration {
     let left = request.time_left(state.now());
-    let retryable = request.route().retry_mode == RetryMode::Resumable
-        && runs + 1 < request.route().max_attempts;
-    match retryable {
+    match may_move_on {
         true => left.min(RESPONSE_START_TIMEOUT),
         false => left,
     }
--- a/crates/gateway/src/unary_call.rs
+++ b/crates/gateway/src/unary_call.rs
@@ -13,11 +13,10 @@
 use jd_net::BodyFraming;
 use jd_net::SendError;
 use jd_net::with_timeout;
-use jd_serving::RetryMode;
 use jd_types::AttemptOutcome;
+use jd_types::MonoTime;
 use jd_types::Refusal;
 use jd_types::RefusalKind;
-use jd_types::RunState;
 
 use crate::attempt::AttemptFailure;
 use crate::attempt::UpstreamResponse;
@@ -46,7 +45,7 @@
     // An error response of an upstream, passed on if no later attempt succeeds.
     let mut error_response: Option<CompleteResponse> = None;
     loop {
-        let timeout = |runs| attempt_timeout(&request, state.now(), runs);
+        let timeout = |may_move_on| attempt_timeout(&request, state.now(), may_move_on);
         let sending =
             send_to_next_upstream(state, &request, &mut retries, &[], None, timeout, || {});
         let attempted = match (sending.await, error_response.take()) {
@@ -77,17 +76,10 @@
             }
             Err(failure) => Some(failure),
         };
-        let proved_not_run = failure
-            .as_ref()
-            .is_some_and(|f| f.outcome.run_state() == RunState::NotRun);
-        retries.possible_runs += u32::from(!proved_not_run);
-        let path_lost = failure.as_ref().is_some_and(|f| f.path_lost);
-        retries.excused_runs += u32::from(path_lost);
-        let runs = retries.possible_runs;
-        let retryable = match request.route().retry_mode {
-            _ if proved_not_run => retries.tried.len() < MAX_ATTEMPTS,
-            RetryMode::Idempotent => retries.counted_runs() < request.route().max_attempts,
-            _ => false,
+        let runs = retries.possible_runs();
+        let retryable = match failure.as_ref().is_some_and(AttemptFailure::is_not_run) {
+            true => retries.tried.len() < MAX_ATTEMPTS,
+            false => retries.runs_left() > 0,
         };
         let is_unreachable = failure.as_ref().is_some_and(AttemptFailure::is_unreachable);
         if retryable && (is_unreachable || state.may_retry(&request.service)) {
@@ -173,7 +165,6 @@
         detail: detail.into(),
         inputs_gone: false,
         withheld: false,
-        path_lost: false,
     })
 }
 
@@ -200,11 +191,9 @@
 
 /// How long to wait for an upstream: half of the time left if the request may be retried
 /// after that, and all of it otherwise.
-fn attempt_timeout(request: &CallerRequest, now: jd_types::MonoTime, runs: u32) -> Duration {
+fn attempt_timeout(request: &CallerRequest, now: MonoTime, may_move_on: bool) -> Duration {
     let left = request.time_left(now);
-    let retryable = request.route().retry_mode == RetryMode::Idempotent
-        && runs + 1 < request.route().max_attempts;
-    match retryable {
+    match may_move_on {
         true => left / 2,
         false => left,
     }
--- a/crates/gateway/src/upstream_selection.rs
+++ b/crates/gateway/src/upstream_selection.rs
@@ -6,6 +6,7 @@
 
 use compact_str::CompactString;
 use jd_serving::InFlightShare;
+use jd_serving::RunBudget;
 use jd_serving::SoftwareVersion;
 use jd_serving::StageUpstream;
 use jd_types::Refusal;
@@ -14,6 +15,7 @@
 
 use crate::attempt;
 use crate::attempt::AttemptFailure;
+use crate::attempt::AttemptWait;
 use crate::attempt::PermittedSend;
 use crate::attempt::UpstreamResponse;
 use crate::caller_api::may_have_run;
@@ -57,11 +59,8 @@
 pub(crate) struct RetryState {
     /// The upstreams that it was sent to, including those that did not run it.
     pub(crate) tried: Vec<CompactString>,
-    /// How many of these may have run it.
-    pub(crate) possible_runs: u32,
-    /// How many of these were silent because this instance had lost its path to the upstreams. They
-    /// do not count against the attempts that its route allows.
-    pub(crate) excused_runs: u32,
+    /// Its runs, against what its route allows.
+    runs: RunBudget,
     /// True once its first send adds to the retry budget.
     pub(crate) counted: bool,
     /// The software version that began the stream, at which alone it may resume; none while it has
@@ -71,8 +70,8 @@
     unreachable: usize,
     /// True if its stages were not run here, so that only another instance can run it.
     pub(crate) forward_only: bool,
-    /// The instances that it was forwarded to.
-    pub(crate) forwarded_to: Vec<SocketAddr>,
+    /// The instances that did not take it, or that did not respond.
+    pub(crate) forward_failures: Vec<SocketAddr>,
     /// How many sends to selected upstreams were withheld.
     withheld: u32,
     /// When the caller may retry if no upstream is left.
@@ -85,18 +84,20 @@
 
 impl RetryState {
     /// The attempts at a request that is to be retried after `retry_after` if no upstream is
-    /// left. Those of the instance that forwards it count as well.
+    /// left.
     pub(crate) fn new(request: &CallerRequest, retry_after: Duration) -> RetryState {
         let from = request.forwarded.as_ref();
         RetryState {
             tried: Vec::new(),
-            possible_runs: from.map_or(0, |f| f.possible_runs),
-            excused_runs: from.map_or(0, |f| f.excused_runs),
+            runs: match from {
+                Some(from) => RunBudget::of_forwarded(from.further_runs),
+                None => RunBudget::of_route(request.route()),
+            },
             counted: from.is_some_and(|f| f.counted),
             software: from.and_then(|f| f.software.clone()),
             unreachable: 0,
             forward_only: false,
-            forwarded_to: Vec::new(),
+            forward_failures: Vec::new(),
             withheld: 0,
             retry_after,
             reserved: None,
@@ -104,14 +105,39 @@
         }
     }
 
-    /// How many runs count against the attempts that its route allows.
-    pub(crate) fn counted_runs(&self) -> u32 {
-        self.possible_runs.saturating_sub(self.excused_runs)
+    /// How often the request may have run, by what was sent from here.
+    pub(crate) fn possible_runs(&self) -> u32 {
+        self.runs.begun()
+    }
+
+    /// Runs that may still begin here.
+    pub(crate) fn runs_left(&self) -> u32 {
+        self.runs.left()
+    }
+
+    /// True if the request may run again after the current run, here or at the instance that
+    /// forwarded it.
+    pub(crate) fn may_move_on(&self) -> bool {
+        self.runs.left_anywhere() > 0
+    }
+
+    /// Counts a run that is about to begin, or refuses the request.
+    pub(crate) fn begin_run(&mut self) -> Result<(), Refusal> {
+        if self.runs.begin() {
+            return Ok(());
+        }
+        let detail = "the route allows no further attempt";
+        Err(self.refuse(RefusalKind::UpstreamFailed, detail))
+    }
+
+    /// Takes back the latest run, because it is proved that no upstream ran the request.
+    pub(crate) fn take_back_run(&mut self) {
+        self.runs.take_back();
     }
 
     /// Changes a refusal to say that the request may have run, if it was sent before.
     pub(crate) fn after_runs(&self, refusal: Refusal) -> Refusal {
-        match (self.possible_runs, refusal.run) {
+        match (self.possible_runs(), refusal.run) {
             (0, _) | (_, RunState::MayHaveRun) => refusal,
             _ => may_have_run(RefusalKind::UpstreamFailed, refusal.detail),
         }
@@ -121,7 +147,7 @@
     /// or backoffs.
     fn refuse_limited(&self, wait: Duration) -> Refusal {
         let detail = "the upstreams take no more for now";
-        match self.possible_runs {
+        match self.possible_runs() {
             0 => Refusal::not_run(RefusalKind::Limited, detail).with_retry_after(wait),
             _ => may_have_run(RefusalKind::UpstreamFailed, detail),
         }
@@ -129,7 +155,7 @@
 
     /// The refusal of a request for which no upstream can be selected.
     fn refuse(&self, kind: RefusalKind, detail: &'static str) -> Refusal {
-        match (self.possible_runs, kind) {
+        match (self.possible_runs(), kind) {
             (0, RefusalKind::DeadlinePassed) => Refusal::not_run(RefusalKind::WouldMiss, detail),
             (0, kind) => Refusal::not_run(kind, detail).with_retry_after(self.retry_after),
             (_, RefusalKind::DeadlinePassed) => may_have_run(kind, detail),
@@ -148,17 +174,18 @@
 }
 
 /// Sends a request to the next upstream. Selects another upstream whenever a send is
-/// withheld. Sends it to another instance if this one can connect to no upstream.
+/// withheld. Sends it to another instance if this one can connect to no upstream. `timeout` is
+/// given whether another run may follow.
 pub(crate) async fn send_to_next_upstream(
     state: &Arc<State>,
     request: &CallerRequest,
     retries: &mut RetryState,
     inputs: &[CompactString],
     last_event: Option<u64>,
-    timeout: impl Fn(u32) -> Duration,
+    timeout: impl Fn(bool) -> Duration,
     on_write: impl Fn(),
 ) -> Result<UpstreamResponse, NextSendError> {
-    let quarantine = request.check_quarantine(state, retries.possible_runs);
+    let quarantine = request.check_quarantine(state, retries.possible_runs());
     quarantine.map_err(NextSendError::Refused)?;
     let is_unreachable = state.path.is_lost() || retries.unreachable >= MAX_UNREACHABLE;
     if is_unreachable || retries.forward_only {
@@ -192,7 +219,7 @@
                         return Err(NextSendError::Refused(refusal));
                     }
                     Err(refusal) => {
-                        let quarantine = request.check_quarantine(state, retries.possible_runs);
+                        let quarantine = request.check_quarantine(state, retries.possible_runs());
                         quarantine.map_err(NextSendError::Refused)?;
                         let on_write = &on_write;
                         let forwarding =
@@ -220,18 +247,30 @@
             }
         };
         let (chosen, source) = (permitted.chosen.clone(), permitted.fetch_from);
+        let begun = retries.begin_run();
+        begun.map_err(NextSendError::Refused)?;
+        let may_move_on = retries.may_move_on();
         let timeout = match source {
             // A request that may run only once is not sent again after a timeout.
             Some(_) if request.route().retry_mode.may_repeat() => {
                 let expected = state.paces.expected_of(state.now(), request);
-                timeout(retries.counted_runs()).min(fetch_timeout(expected))
+                timeout(may_move_on).min(fetch_timeout(expected))
             }
-            _ => timeout(retries.counted_runs()),
+            _ => timeout(may_move_on),
+        };
+        let wait = AttemptWait {
+            timeout,
+            may_move_on,
         };
         let sending = attempt::send(
-            state, request, permitted, inputs, last_event, timeout, &on_write,
+            state, request, permitted, inputs, last_event, wait, &on_write,
         );
-        match sending.await {
+        let sent = sending.await;
+        match &sent {
+            Err(failure) if failure.is_not_run() => retries.take_back_run(),
+            _ => request.ran_at.record(&chosen.id),
+        }
+        match sent {
             Err(failure) if failure.withheld => retries.withheld += 1,
             result => {
                 let again = match (&result, source) {
@@ -265,10 +304,12 @@
     if request.time_left(now).is_zero() {
         return Err(retries.refuse(RefusalKind::DeadlinePassed, "the deadline passed"));
     }
-    request.check_quarantine(state, retries.possible_runs)?;
+    request.check_quarantine(state, retries.possible_runs())?;
     let mut filter = state.selection_filter(&request.service);
     filter.software.clone_from(&retries.software);
-    if let Some(placed) = retries.placed.take(state, request, &filter) {
+    let ran_at = request.ran_at.upstreams();
+    let placed = retries.placed.take(state, request, &filter);
+    if let Some(placed) = placed.filter(|p| !ran_at.contains(&p.chosen.id)) {
         return Ok(placed);
     }
     let table = state.upstreams.load();
@@ -276,6 +317,8 @@
         filter.limit_filter = LimitFilter::Unlimited;
     }
     let tried = retries.tried.as_slice();
+    // Other instances tell where they ran it; they may have tried the only upstream that is left.
+    let tried_anywhere = [tried, ran_at.as_slice()].concat();
     let is_used_up = |share: InFlightShare| table.in_flight(&request.service) >= share.at_all;
     let chosen = match &request.head.prompt {
         _ if retries.withheld >= MAX_WITHHELD => None,
@@ -288,9 +331,16 @@
             };
             let source = retries.placed.failed_source();
             let elsewhere = source.and_then(|s| pick(&[tried, &[s.clone()][..]].concat()));
+            let elsewhere = elsewhere.or_else(|| pick(&tried_anywhere));
             elsewhere.or_else(|| pick(tried))
         }
-        None => table.pick_by_load(&request.service, now, &state.settings.zone, tried, &filter),
+        None => {
+            let zone = &state.settings.zone;
+            let pick = |tried: &[CompactString]| {
+                table.pick_by_load(&request.service, now, zone, tried, &filter)
+            };
+            pick(&tried_anywhere).or_else(|| pick(tried))
+        }
     };
     let wait = || {
         limit_retry_after(state, &request.service)
--- a/crates/gateway/tests/whole/fakes/harness.rs
+++ b/crates/gateway/tests/whole/fakes/harness.rs
@@ -10,6 +10,8 @@
 use async_io::Timer;
 use futures_lite::AsyncReadExt;
 use futures_lite::AsyncWriteExt;
+use http::HeaderName;
+use http::HeaderValue;
 use http::StatusCode;
 use jd_gateway::Change;
 use jd_gateway::Gateway;
@@ -470,6 +472,21 @@
         self.workers.spawn(f)
     }
 
+    /// Forwards a request to the gateway with this peer address, as instances of earlier versions do
+    /// that count no runs of other instances.
+    pub(crate) async fn forward_uncounted(&self, peers: SocketAddr, path: &str, id: &str) {
+        let mut req = request(path, id, "key-1");
+        for name in ["age-ms", "runs", "excused-runs", "counted", "version"] {
+            let name = format!("jd-forward-{name}").parse::<HeaderName>();
+            let value = HeaderValue::from_static("0");
+            req.headers_mut().insert(name.expect("a name"), value);
+        }
+        let sent = self.pool.send(peers, req, RESPONSE_TIMEOUT, true).await;
+        if let Some(Ok(response)) = sent {
+            read(response).await;
+        }
+    }
+
     /// Sends a request to the gateway with this peer address. A broken connection gives status 0.
     pub(crate) fn spawn_ask(
         &self,
--- a/crates/gateway/tests/whole/run_bounds.rs
+++ b/crates/gateway/tests/whole/run_bounds.rs
@@ -108,6 +108,45 @@
     });
 }
 
+/// Guards against a forwarded request that fails, or a stream that ends, with its first upstream,
+/// and against a second run at that same upstream.
+#[test_case("/any/x", Reply::DelayedFailure(Duration::from_millis(200)), Reply::Complete("b"), "b"; "idempotent")]
+#[test_case("/resume/x", Reply::Resumable { cut: true }, Reply::Resumable { cut: false }, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"; "resumable")]
+fn a_forwarded_request_is_repeated_at_another_upstream(
+    path: &'static str,
+    first: Reply,
+    others: Reply,
+    body: &str,
+) {
+    block_on(async {
+        let harness = fleet(UPSTREAMS).await;
+        let last = by_ownership(&harness)[3];
+        cut_off(&harness, &[last], Cut::Resets).await;
+        set_other_replies(&harness, "1", &first);
+        let asking = harness.spawn_ask(last, path, "1");
+        until_at(&harness, "1", 1).await;
+        set_other_replies(&harness, "1", &others);
+        let received = asking.await;
+        assert!(received.whole, "{received:?}");
+        assert_eq!((received.status, received.body.as_str()), (200, body));
+        assert_eq!(upstreams_of(&harness, "1"), MAX_ATTEMPTS);
+    });
+}
+
+/// Guards against repeating a request for an instance of an earlier version, which counts it as one
+/// run.
+#[test_case("/any/x", Reply::Failure; "idempotent")]
+#[test_case("/resume/x", BROKEN; "resumable")]
+fn a_request_forwarded_by_an_earlier_version_runs_once(path: &'static str, reply: Reply) {
+    block_on(async {
+        let harness = fleet(UPSTREAMS).await;
+        set_other_replies(&harness, "1", &reply);
+        let first = by_ownership(&harness)[0];
+        harness.forward_uncounted(first, path, "1").await;
+        assert_eq!(upstreams_of(&harness, "1"), 1);
+    });
+}
+
 /// Guards against a late response to another request that counts as proof that this one did not
 /// run.
 #[test_case("/once/x", 1; "unsafe")]
--- a/crates/serving/src/route.rs
+++ b/crates/serving/src/route.rs
@@ -85,6 +85,14 @@
 const SHORT_EVENT_GAP: Duration = Duration::from_millis(500);
 
 impl Route {
+    /// Runs that one request may have.
+    pub fn allowed_runs(&self) -> u32 {
+        match self.retry_mode.may_repeat() {
+            true => self.max_attempts.max(1),
+            false => 1,
+        }
+    }
+
     /// The longest pause between two events, if it is so short that streams are late while their
     /// upstream reads a long prompt. The prompts of such routes are placed by the pace of upstreams.
     pub fn short_event_gap(&self) -> Option<Duration> {
