A refusal that names another request proves nothing of this one

What callers saw: 503, not run, for requests that upstreams had run; upstreams ran a request at four of them, also one that may run once.

Cause: a response was first asked whether it says that the request did not run, and only then which request it names. A late response to the request before it on the connection, which upstreams may send, was taken for proof.

Change: the request that a response names is checked first. Upstreams echo it in all responses; one that does not proves nothing.

--- a/crates/gateway-daemon/tests/soak.rs
+++ b/crates/gateway-daemon/tests/soak.rs
@@ -32,6 +32,7 @@
 use jd_soak::Fleet;
 use jd_soak::Plan;
 use jd_soak::ProcessSignal;
+use jd_soak::Shares;
 use jd_soak::SoakReport;
 use jd_soak::soak;
 use rustix::process::Pid;
@@ -233,6 +234,24 @@
         took.as_secs_f64(),
         report.lag.as_millis()
     );
+    let Shares {
+        behind,
+        elsewhere,
+        taken_up,
+        begun,
+    } = report.shares;
+    if behind.1 > 0 {
+        text += &format!(
+            "; behind cuts {} of {}, elsewhere {} of {}",
+            behind.0, behind.1, elsewhere.0, elsewhere.1
+        );
+    }
+    if taken_up.1 > 0 {
+        text += &format!(
+            "; streams taken up {} of {}, new {} of {}",
+            taken_up.0, taken_up.1, begun.0, begun.1
+        );
+    }
     for broken in report.violations.iter().take(10) {
         text += &format!("\n    {broken}");
     }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -233,7 +233,7 @@
 }
 
 /// Accepts a response only if it names this request: a duplicate or late response to another
-/// request otherwise looks the same.
+/// request otherwise looks the same, and a refusal of that one proves nothing of this one.
 pub(crate) fn validate(
     state: &State,
     request: &CallerRequest,
@@ -245,6 +245,10 @@
     let names_request = head.request_id.as_deref() == request.head.request_id.as_deref();
     let misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
     match head {
+        _ if !names_request => Err(failure(
+            AttemptOutcome::Crossed,
+            "the answer names another request",
+        )),
         _ if misdirected => Err(failure(
             AttemptOutcome::NotRun,
             "another upstream has the address",
@@ -255,10 +259,6 @@
             inputs_gone: head.status == StatusCode::CONFLICT,
             withheld: false,
         }),
-        _ if !names_request => Err(failure(
-            AttemptOutcome::Crossed,
-            "the answer names another request",
-        )),
         ResponseHead { encoded: true, .. } => Err(failure(
             AttemptOutcome::Failed,
             "the answer is not the upstream's own body",
