Repeats keep the number of attempts that the route allows by now

What callers saw: nothing; after the operator had lowered the number of attempts, a request that came before ran at two upstreams where one was allowed.

Cause: a request keeps the configuration by which it was admitted, for seconds, also the number that bounds its repeats.

Change: before each run the number is lowered to that of its route in the configuration in force, if that is another version. A number that was raised does not bind a request that came before. A forwarded request has one run, so that only the number at the instance that took it counts.

--- a/crates/gateway/src/caller_api.rs
+++ b/crates/gateway/src/caller_api.rs
@@ -280,7 +280,7 @@
     }
 }
 
-fn host_of(parts: &Parts) -> &str {
+pub(crate) fn host_of(parts: &Parts) -> &str {
     let host = parts.headers.get(HOST).and_then(|h| h.to_str().ok());
     let host = host.unwrap_or("");
     host.split_once(':').map_or(host, |(name, _)| name)
--- a/crates/gateway/src/caller_request.rs
+++ b/crates/gateway/src/caller_request.rs
@@ -18,6 +18,7 @@
 use jd_types::RefusalKind;
 use jd_types::splitmix64;
 
+use crate::caller_api::host_of;
 use crate::caller_api::may_have_run;
 use crate::forward_api::RunningForward;
 use crate::forwarded_from::ForwardedFrom;
@@ -54,6 +55,18 @@
         self.router.route(self.route)
     }
 
+    /// Its route in the configuration that is in force by now; none if there is none any more, or if
+    /// that is still the configuration by which it was admitted.
+    pub(crate) fn changed_route(&self, state: &State) -> Option<Route> {
+        let router = state.router.load();
+        let router = router.as_ref()?;
+        if router.version == self.router.version {
+            return None;
+        }
+        let key = router.find(host_of(&self.parts), self.parts.uri.path())?;
+        Some(router.route(key).clone())
+    }
+
     /// The request ID that the caller sent; empty if none.
     pub(crate) fn id(&self) -> &str {
         self.head.request_id.as_deref().unwrap_or("")
--- a/crates/gateway/src/event_stream.rs
+++ b/crates/gateway/src/event_stream.rs
@@ -297,14 +297,14 @@
         (Err(Box::new(why)), self)
     }
 
-    fn may_resume(&self) -> bool {
+    fn may_resume(&mut self) -> bool {
         self.binding != Binding::Uncertain
             && self.retries.tried.len() < MAX_ATTEMPTS
-            && self.retries.runs_left() > 0
+            && self.retries.runs_left(&self.state, &self.request) > 0
     }
 
     /// True if the stream may resume, here or by the instance that forwarded its request.
-    fn may_move_on(&self) -> bool {
+    fn may_move_on(&mut self) -> bool {
         match self.request.forwarded {
             Some(_) => self.binding != Binding::Uncertain && self.retries.may_move_on(),
             None => self.may_resume(),
--- a/crates/gateway/src/forward_client.rs
+++ b/crates/gateway/src/forward_client.rs
@@ -144,12 +144,12 @@
         let Some(target) = ForwardTarget::select(&targets, zone, &mut rng) else {
             break;
         };
-        if let Err(refusal) = retries.begin_run() {
+        if let Err(refusal) = retries.begin_run(state, request) {
             return Some(Err(NextSendError::Refused(refusal)));
         }
         let from = ForwardedFrom {
             age: state.now().since(request.arrived),
-            further_runs: retries.runs_left(),
+            further_runs: retries.runs_left(state, request),
             ran_at: request.ran_at.upstreams(),
             counted: retries.counted,
             version: state.forwards.latest_version(request.router.version),
--- a/crates/gateway/src/streaming_call.rs
+++ b/crates/gateway/src/streaming_call.rs
@@ -116,7 +116,7 @@
         }
         let retryable = match failure.is_not_run() {
             true => retries.tried.len() < MAX_ATTEMPTS,
-            false => retries.runs_left() > 0,
+            false => retries.runs_left(state, &request) > 0,
         };
         let may_retry = failure.is_unreachable() || state.may_retry(&request.service);
         if !retryable || !may_retry {
--- a/crates/gateway/src/unary_call.rs
+++ b/crates/gateway/src/unary_call.rs
@@ -79,7 +79,7 @@
         let runs = retries.possible_runs();
         let retryable = match failure.as_ref().is_some_and(AttemptFailure::is_not_run) {
             true => retries.tried.len() < MAX_ATTEMPTS,
-            false => retries.runs_left() > 0,
+            false => retries.runs_left(state, &request) > 0,
         };
         let is_unreachable = failure.as_ref().is_some_and(AttemptFailure::is_unreachable);
         if retryable && (is_unreachable || state.may_retry(&request.service)) {
--- a/crates/gateway/src/upstream_selection.rs
+++ b/crates/gateway/src/upstream_selection.rs
@@ -110,8 +110,12 @@
         self.runs.begun()
     }
 
-    /// Runs that may still begin here.
-    pub(crate) fn runs_left(&self) -> u32 {
+    /// Runs that may still begin here, by the configuration that the request was admitted by and
+    /// by the one that is in force now.
+    pub(crate) fn runs_left(&mut self, state: &State, request: &CallerRequest) -> u32 {
+        if let Some(route) = request.changed_route(state) {
+            self.runs.lower_to(&route);
+        }
         self.runs.left()
     }
 
@@ -122,8 +126,12 @@
     }
 
     /// Counts a run that is about to begin, or refuses the request.
-    pub(crate) fn begin_run(&mut self) -> Result<(), Refusal> {
-        if self.runs.begin() {
+    pub(crate) fn begin_run(
+        &mut self,
+        state: &State,
+        request: &CallerRequest,
+    ) -> Result<(), Refusal> {
+        if self.runs_left(state, request) > 0 && self.runs.begin() {
             return Ok(());
         }
         let detail = "the route allows no further attempt";
@@ -247,7 +255,7 @@
             }
         };
         let (chosen, source) = (permitted.chosen.clone(), permitted.fetch_from);
-        let begun = retries.begin_run();
+        let begun = retries.begin_run(state, request);
         begun.map_err(NextSendError::Refused)?;
         let may_move_on = retries.may_move_on();
         let timeout = match source {
--- a/crates/serving/src/run_budget.rs
+++ b/crates/serving/src/run_budget.rs
@@ -36,6 +36,11 @@
         }
     }
 
+    /// Lowers the number of allowed runs to that of a route, if it allows fewer.
+    pub fn lower_to(&mut self, route: &Route) {
+        self.allowed = self.allowed.min(route.allowed_runs());
+    }
+
     /// Counts a run that is about to begin; false if none is left.
     #[must_use]
     pub fn begin(&mut self) -> bool {
