Runs in the metrics; what is tried of a request has a file of its own

Cause: no metric tells how many runs were counted, taken back or refused. A request that the first instance had not taken was forwarded to the second as counted in a retry budget, which that one then lacked. The choice of an upstream looked at all of a service twice when none was left.

Change: jd_gateway_runs_total by outcome; whether a first send counts is told as it stood before the first forward; the second look only where another instance has run the request. A prompt that has run is not placed again.

--- a/crates/gateway/src/event_stream.rs
+++ b/crates/gateway/src/event_stream.rs
@@ -26,11 +26,11 @@
 use crate::active_attempt::ActiveAttempt;
 use crate::attempt::UpstreamResponse;
 use crate::caller_request::CallerRequest;
+use crate::retry_state::RetryState;
 use crate::stage_results::StageResults;
 use crate::stage_runner::StageRunner;
 use crate::state::State;
 use crate::upstream_selection::NextSendError;
-use crate::upstream_selection::RetryState;
 use crate::upstream_selection::send_to_next_upstream;
 use crate::version_check;
 
--- a/crates/gateway/src/forward_client.rs
+++ b/crates/gateway/src/forward_client.rs
@@ -40,9 +40,9 @@
 use crate::forwarded_from;
 use crate::forwarded_from::ForwardedFrom;
 use crate::forwarded_refusal;
+use crate::retry_state::RetryState;
 use crate::state::State;
 use crate::upstream_selection::NextSendError;
-use crate::upstream_selection::RetryState;
 
 /// Instances that may fail to take a request, or to respond, until it is forwarded no more.
 const MAX_FORWARD_FAILURES: usize = 2;
@@ -136,6 +136,12 @@
         return None;
     }
     let mut refused = None;
+    // Both instances may repeat the request, this one after a run and the other one after a refusal
+    // of an upstream, each by its own budget for retries.
+    let counted = std::mem::replace(&mut retries.counted, true);
+    if !counted {
+        state.record_first_send(&request.service);
+    }
     while retries.forward_failures.len() < MAX_FORWARD_FAILURES {
         let mut targets = state.forwards.targets(state);
         targets.retain(|t| !retries.forward_failures.contains(&t.address));
@@ -151,24 +157,19 @@
             age: state.now().since(request.arrived),
             further_runs: retries.runs_left(state, request),
             ran_at: request.ran_at.upstreams(),
-            counted: retries.counted,
+            counted,
             version: state.forwards.latest_version(request.router.version),
             last_event,
             software: retries.software.clone(),
         };
-        // Both instances may repeat it, this one after a run and that one after a refusal of an
-        // upstream, each by its own budget for retries.
-        if !std::mem::replace(&mut retries.counted, true) {
-            state.record_first_send(&request.service);
-        }
         match send(state, request, target.address, from, &on_write).await {
             Forwarded::Refused(refusal) => {
-                retries.take_back_run();
+                retries.take_back_run(state);
                 let refusal = retries.after_runs(refusal);
                 return Some(Err(NextSendError::Refused(refusal)));
             }
             Forwarded::NotTaken(refusal) => {
-                retries.take_back_run();
+                retries.take_back_run(state);
                 retries.forward_failures.push(target.address);
                 refused = Some(refusal);
             }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -53,6 +53,7 @@
 mod result_free_queue;
 mod result_release_queue;
 mod result_replication;
+mod retry_state;
 mod revision_poller;
 mod run_events;
 mod selection_filter;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -48,6 +48,7 @@
     notices: Family<Notice, Counter>,
     placements: Family<Outcome, Counter>,
     forwards: Family<Outcome, Counter>,
+    runs: Family<Outcome, Counter>,
     stream_ends: Family<Framing, Counter>,
     stream_origins: Family<Outcome, Counter>,
     path_lost: Gauge,
@@ -77,6 +78,7 @@
             notices: Family::default(),
             placements: Family::default(),
             forwards: Family::default(),
+            runs: Family::default(),
             stream_ends: Family::default(),
             stream_origins: Family::default(),
             path_lost: Gauge::default(),
@@ -144,6 +146,12 @@
             "Requests forwarded to another instance, and run for another, by outcome",
             metrics.forwards.clone(),
         );
+        r.register(
+            "jd_gateway_runs",
+            "Runs of requests that were counted before they were sent, taken back because it is \
+             proved that no upstream ran them, or refused because the route allows no more",
+            metrics.runs.clone(),
+        );
         r.register(
             "jd_gateway_stream_ends",
             "Streams that ended whole, by how the end of the response was marked",
@@ -251,6 +259,10 @@
         self.forwards.get_or_create(&Outcome { outcome }).inc();
     }
 
+    pub(crate) fn run(&self, outcome: &'static str) {
+        self.runs.get_or_create(&Outcome { outcome }).inc();
+    }
+
     pub(crate) fn stream_end(&self, framing: &'static str) {
         self.stream_ends.get_or_create(&Framing { framing }).inc();
     }
--- a/crates/gateway/src/unary_call.rs
+++ b/crates/gateway/src/unary_call.rs
@@ -22,9 +22,9 @@
 use crate::attempt::UpstreamResponse;
 use crate::caller_api::may_have_run;
 use crate::caller_request::CallerRequest;
+use crate::retry_state::RetryState;
 use crate::state::State;
 use crate::upstream_selection::NextSendError;
-use crate::upstream_selection::RetryState;
 use crate::upstream_selection::backoff_retry_after;
 use crate::upstream_selection::send_to_next_upstream;
 
--- a/crates/gateway/src/upstream_selection.rs
+++ b/crates/gateway/src/upstream_selection.rs
@@ -1,33 +1,27 @@
 //! Selects the upstream for each attempt at a request.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use compact_str::CompactString;
 use jd_serving::InFlightShare;
-use jd_serving::RunBudget;
-use jd_serving::SoftwareVersion;
 use jd_serving::StageUpstream;
 use jd_types::Refusal;
 use jd_types::RefusalKind;
-use jd_types::RunState;
 
 use crate::attempt;
 use crate::attempt::AttemptFailure;
 use crate::attempt::AttemptWait;
 use crate::attempt::PermittedSend;
 use crate::attempt::UpstreamResponse;
-use crate::caller_api::may_have_run;
 use crate::caller_request::CallerRequest;
 use crate::forward_client;
 use crate::placed_prompt::NextUpstream;
 use crate::placed_prompt::PlacedPrompt;
 use crate::placed_prompt::fetch_timeout;
+use crate::retry_state::RetryState;
 use crate::selection_filter::LimitFilter;
 use crate::state::State;
-use crate::upstream_client::SendPermit;
-use crate::upstream_record::SelectedUpstream;
 use crate::version_check::runs_listed_start;
 
 /// The number of upstreams that cannot be connected to after which a request is sent to another
@@ -54,124 +48,6 @@
 /// The shortest time that the stages of a request take.
 const MIN_STAGES_DURATION: Duration = Duration::from_millis(200);
 
-/// The attempts at one request so far.
-#[derive(Debug)]
-pub(crate) struct RetryState {
-    /// The upstreams that it was sent to, including those that did not run it.
-    pub(crate) tried: Vec<CompactString>,
-    /// Its runs, against what its route allows.
-    runs: RunBudget,
-    /// True once its first send adds to the retry budget.
-    pub(crate) counted: bool,
-    /// The software version that began the stream, at which alone it may resume; none while it has
-    /// no event.
-    pub(crate) software: Option<SoftwareVersion>,
-    /// How many upstreams could not be connected to.
-    unreachable: usize,
-    /// True if its stages were not run here, so that only another instance can run it.
-    pub(crate) forward_only: bool,
-    /// The instances that did not take it, or that did not respond.
-    pub(crate) forward_failures: Vec<SocketAddr>,
-    /// How many sends to selected upstreams were withheld.
-    withheld: u32,
-    /// When the caller may retry if no upstream is left.
-    retry_after: Duration,
-    /// The upstream of the first attempt and its permit, if reserved before the stages.
-    reserved: Option<(SelectedUpstream, SendPermit)>,
-    /// The upstream that the owner of a shard selected for the prompt.
-    pub(crate) placed: PlacedPrompt,
-}
-
-impl RetryState {
-    /// The attempts at a request that is to be retried after `retry_after` if no upstream is
-    /// left.
-    pub(crate) fn new(request: &CallerRequest, retry_after: Duration) -> RetryState {
-        let from = request.forwarded.as_ref();
-        RetryState {
-            tried: Vec::new(),
-            runs: match from {
-                Some(from) => RunBudget::of_forwarded(from.further_runs),
-                None => RunBudget::of_route(request.route()),
-            },
-            counted: from.is_some_and(|f| f.counted),
-            software: from.and_then(|f| f.software.clone()),
-            unreachable: 0,
-            forward_only: false,
-            forward_failures: Vec::new(),
-            withheld: 0,
-            retry_after,
-            reserved: None,
-            placed: PlacedPrompt::default(),
-        }
-    }
-
-    /// How often the request may have run, by what was sent from here.
-    pub(crate) fn possible_runs(&self) -> u32 {
-        self.runs.begun()
-    }
-
-    /// Runs that may still begin here, by the configuration that the request was admitted by and
-    /// by the one that is in force now.
-    pub(crate) fn runs_left(&mut self, state: &State, request: &CallerRequest) -> u32 {
-        if let Some(route) = request.changed_route(state) {
-            self.runs.lower_to(&route);
-        }
-        self.runs.left()
-    }
-
-    /// True if the request may run again after the current run, here or at the instance that
-    /// forwarded it.
-    pub(crate) fn may_move_on(&self) -> bool {
-        self.runs.left_anywhere() > 0
-    }
-
-    /// Counts a run that is about to begin, or refuses the request.
-    pub(crate) fn begin_run(
-        &mut self,
-        state: &State,
-        request: &CallerRequest,
-    ) -> Result<(), Refusal> {
-        if self.runs_left(state, request) > 0 && self.runs.begin() {
-            return Ok(());
-        }
-        let detail = "the route allows no further attempt";
-        Err(self.refuse(RefusalKind::UpstreamFailed, detail))
-    }
-
-    /// Takes back the latest run, because it is proved that no upstream ran the request.
-    pub(crate) fn take_back_run(&mut self) {
-        self.runs.take_back();
-    }
-
-    /// Changes a refusal to say that the request may have run, if it was sent before.
-    pub(crate) fn after_runs(&self, refusal: Refusal) -> Refusal {
-        match (self.possible_runs(), refusal.run) {
-            (0, _) | (_, RunState::MayHaveRun) => refusal,
-            _ => may_have_run(RefusalKind::UpstreamFailed, refusal.detail),
-        }
-    }
-
-    /// The refusal of a request that all upstreams reject for `wait`, because of rate limits
-    /// or backoffs.
-    fn refuse_limited(&self, wait: Duration) -> Refusal {
-        let detail = "the upstreams take no more for now";
-        match self.possible_runs() {
-            0 => Refusal::not_run(RefusalKind::Limited, detail).with_retry_after(wait),
-            _ => may_have_run(RefusalKind::UpstreamFailed, detail),
-        }
-    }
-
-    /// The refusal of a request for which no upstream can be selected.
-    fn refuse(&self, kind: RefusalKind, detail: &'static str) -> Refusal {
-        match (self.possible_runs(), kind) {
-            (0, RefusalKind::DeadlinePassed) => Refusal::not_run(RefusalKind::WouldMiss, detail),
-            (0, kind) => Refusal::not_run(kind, detail).with_retry_after(self.retry_after),
-            (_, RefusalKind::DeadlinePassed) => may_have_run(kind, detail),
-            _ => may_have_run(RefusalKind::UpstreamFailed, detail),
-        }
-    }
-}
-
 /// Why an attempt at the next upstream brought no response.
 #[derive(Debug)]
 pub(crate) enum NextSendError {
@@ -275,7 +151,7 @@
         );
         let sent = sending.await;
         match &sent {
-            Err(failure) if failure.is_not_run() => retries.take_back_run(),
+            Err(failure) if failure.is_not_run() => retries.take_back_run(state),
             _ => request.ran_at.record(&chosen.id),
         }
         match sent {
@@ -316,8 +192,9 @@
     let mut filter = state.selection_filter(&request.service);
     filter.software.clone_from(&retries.software);
     let ran_at = request.ran_at.upstreams();
-    let placed = retries.placed.take(state, request, &filter);
-    if let Some(placed) = placed.filter(|p| !ran_at.contains(&p.chosen.id)) {
+    if ran_at.is_empty()
+        && let Some(placed) = retries.placed.take(state, request, &filter)
+    {
         return Ok(placed);
     }
     let table = state.upstreams.load();
@@ -325,8 +202,10 @@
         filter.limit_filter = LimitFilter::Unlimited;
     }
     let tried = retries.tried.as_slice();
-    // Other instances tell where they ran it; they may have tried the only upstream that is left.
-    let tried_anywhere = [tried, ran_at.as_slice()].concat();
+    // The only upstream that is left may be one at which another instance ran the request.
+    let ran_elsewhere = ran_at.into_iter().filter(|id| !tried.contains(id));
+    let avoided: Vec<CompactString> = tried.iter().cloned().chain(ran_elsewhere).collect();
+    let may_return = avoided.len() > tried.len();
     let is_used_up = |share: InFlightShare| table.in_flight(&request.service) >= share.at_all;
     let chosen = match &request.head.prompt {
         _ if retries.withheld >= MAX_WITHHELD => None,
@@ -339,15 +218,15 @@
             };
             let source = retries.placed.failed_source();
             let elsewhere = source.and_then(|s| pick(&[tried, &[s.clone()][..]].concat()));
-            let elsewhere = elsewhere.or_else(|| pick(&tried_anywhere));
-            elsewhere.or_else(|| pick(tried))
+            let elsewhere = elsewhere.or_else(|| pick(&avoided));
+            elsewhere.or_else(|| may_return.then(|| pick(tried))?)
         }
         None => {
             let zone = &state.settings.zone;
             let pick = |tried: &[CompactString]| {
                 table.pick_by_load(&request.service, now, zone, tried, &filter)
             };
-            pick(&tried_anywhere).or_else(|| pick(tried))
+            pick(&avoided).or_else(|| may_return.then(|| pick(tried))?)
         }
     };
     let wait = || {
