The upstream of a forwarded run is the one that its response names; lowered bounds cost a look-up a run

Where the response of an instance of an earlier version names no upstream, an earlier run's was taken for that of the stream. And each part of a stream looked the route up anew after a change of the configuration.

Change: the upstream is read from the response itself, and the number in force is looked up where a run is about to begin. Upstreams are told only if all of them can be written.

--- a/crates/gateway/src/caller_request.rs
+++ b/crates/gateway/src/caller_request.rs
@@ -55,16 +55,16 @@
         self.router.route(self.route)
     }
 
-    /// Its route in the configuration that is in force by now; none if there is none any more, or if
-    /// that is still the configuration by which it was admitted.
-    pub(crate) fn changed_route(&self, state: &State) -> Option<Route> {
+    /// The runs that its route allows in the configuration that is in force by now; none if there is
+    /// no such route, or if that is still the configuration by which it was admitted.
+    pub(crate) fn changed_allowed_runs(&self, state: &State) -> Option<u32> {
         let router = state.router.load();
         let router = router.as_ref()?;
         if router.version == self.router.version {
             return None;
         }
         let key = router.find(host_of(&self.parts), self.parts.uri.path())?;
-        Some(router.route(key).clone())
+        Some(router.route(key).allowed_runs())
     }
 
     /// The request ID that the caller sent; empty if none.
--- a/crates/gateway/src/event_stream.rs
+++ b/crates/gateway/src/event_stream.rs
@@ -303,12 +303,12 @@
             && self.retries.runs_left(&self.state, &self.request) > 0
     }
 
-    /// True if the stream may resume, here or by the instance that forwarded its request.
-    fn may_move_on(&mut self) -> bool {
-        match self.request.forwarded {
-            Some(_) => self.binding != Binding::Uncertain && self.retries.may_move_on(),
-            None => self.may_resume(),
-        }
+    /// True if the stream is not waited for until its deadline when it is silent, because it may
+    /// resume here or at the instance that forwarded its request.
+    fn may_move_on(&self) -> bool {
+        self.binding != Binding::Uncertain
+            && self.retries.tried.len() < MAX_ATTEMPTS
+            && self.retries.may_move_on()
     }
 
     /// Resumes on another upstream after the last complete event. Returns false if that is not
--- a/crates/gateway/src/forward_client.rs
+++ b/crates/gateway/src/forward_client.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use async_io::Timer;
+use compact_str::CompactString;
 use futures_lite::FutureExt;
 use http::Request;
 use http::header::CONNECTION;
@@ -247,10 +248,8 @@
             head,
             http,
             software,
-            start,
+            upstream,
         }) => {
-            let upstreams = request.ran_at.upstreams();
-            let upstream = upstreams.last().map(|id| (id.clone(), start));
             let attempt = ActiveAttempt::forwarded(state, request, guard, upstream, software);
             Forwarded::Ended(Box::new(Ok(UpstreamResponse {
                 head,
@@ -292,8 +291,8 @@
     http: HttpResponse,
     /// The software version of the upstream; none if the other instance does not tell.
     software: Option<SoftwareVersion>,
-    /// The start of the upstream, if the other instance tells it.
-    start: UpstreamStart,
+    /// The upstream and its start; none if the other instance does not tell.
+    upstream: Option<(CompactString, UpstreamStart)>,
 }
 
 /// Why another instance sent no response of an upstream.
@@ -316,8 +315,9 @@
             if let Some(version) = forwarded_from::read_version(&response.headers) {
                 state.forwards.version.fetch_max(version, Ordering::Relaxed);
             }
-            for upstream in forwarded_from::read_ran_at(&response.headers) {
-                request.ran_at.record(&upstream);
+            let ran_at = forwarded_from::read_ran_at(&response.headers);
+            for upstream in &ran_at {
+                request.ran_at.record(upstream);
             }
             match forwarded_refusal::read(&response.headers) {
                 Some(refusal) if is_not_taken(&refusal) => Err(DecodeError::NotTaken(refusal)),
@@ -328,6 +328,7 @@
                 None => {
                     let software = forwarded_from::read_software(&response.headers);
                     let start = forwarded_from::read_start(&response.headers);
+                    let upstream = ran_at.into_iter().next_back().map(|id| (id, start));
                     forwarded_from::strip(&mut response.headers);
                     let validated = validate(state, request, response);
                     let (head, http) = validated.map_err(DecodeError::Failed)?;
@@ -335,7 +336,7 @@
                         head,
                         http,
                         software,
-                        start,
+                        upstream,
                     })
                 }
             }
--- a/crates/gateway/src/forwarded_from.rs
+++ b/crates/gateway/src/forwarded_from.rs
@@ -92,16 +92,14 @@
     }
 }
 
-/// Adds the upstreams at which a request may have run. Those whose identity is no valid value are
-/// left out.
+/// Adds the upstreams at which a request may have run, that of the latest run last. Adds none if one
+/// of their identities cannot be written.
 pub(crate) fn write_ran_at(headers: &mut HeaderMap, upstreams: &[CompactString]) {
-    let is_valid = |id: &&CompactString| id.bytes().all(|b| b.is_ascii_graphic() && b != b',');
-    let valid: Vec<&str> = upstreams
-        .iter()
-        .filter(is_valid)
-        .map(|id| id.as_str())
-        .collect();
-    if let Ok(value) = HeaderValue::from_str(&valid.join(",")) {
+    let is_valid = |id: &CompactString| id.bytes().all(|b| b.is_ascii_graphic() && b != b',');
+    let value = HeaderValue::from_str(&upstreams.join(","));
+    if let Ok(value) = value
+        && upstreams.iter().all(is_valid)
+    {
         headers.insert(HeaderName::from_static(RAN_AT), value);
     }
 }
--- a/crates/gateway/src/retry_state.rs
+++ b/crates/gateway/src/retry_state.rs
@@ -76,8 +76,8 @@
     /// Runs that may still begin here, by the configuration that the request was admitted by and
     /// by the one that is in force now.
     pub(crate) fn runs_left(&mut self, state: &State, request: &CallerRequest) -> u32 {
-        if let Some(route) = request.changed_route(state) {
-            self.runs.lower_to(&route);
+        if let Some(allowed) = request.changed_allowed_runs(state) {
+            self.runs.lower_to(allowed);
         }
         self.runs.left()
     }
--- a/crates/serving/src/run_budget.rs
+++ b/crates/serving/src/run_budget.rs
@@ -36,9 +36,9 @@
         }
     }
 
-    /// Lowers the number of allowed runs to that of a route, if it allows fewer.
-    pub fn lower_to(&mut self, route: &Route) {
-        self.allowed = self.allowed.min(route.allowed_runs());
+    /// Lowers the number of allowed runs, if it is higher.
+    pub fn lower_to(&mut self, allowed: u32) {
+        self.allowed = self.allowed.min(allowed);
     }
 
     /// Counts a run that is about to begin; false if none is left.
--- a/crates/serving/tests/run_budget.rs
+++ b/crates/serving/tests/run_budget.rs
@@ -21,3 +21,13 @@
     assert!(runs.begin());
     assert_eq!(runs.left_anywhere(), 0);
 }
+
+/// Guards against a run beyond a number that was lowered after others had begun.
+#[test]
+fn a_lowered_number_leaves_no_further_run() {
+    let mut runs = RunBudget::of_forwarded(0);
+    assert!(runs.begin());
+    runs.lower_to(0);
+    assert_eq!(runs.left(), 0);
+    assert!(!runs.begin());
+}
