--- a/soak/src/cuts.rs
+++ b/soak/src/cuts.rs
@@ -132,6 +132,7 @@
             | Fault::KillAll(_)
             | Fault::Stop(_)
             | Fault::Pause(..)
+            | Fault::ForwardsCut(..)
             | Fault::Store(..)
             | Fault::StoreLink(..)
             | Fault::Restore(_)
--- a/soak/src/environment.rs
+++ b/soak/src/environment.rs
@@ -51,12 +51,16 @@
 /// writes.
 const REWRITE_DELAY: Duration = Duration::from_millis(400);
 /// The ports of an instance, in the order of its settings.
-const PORTS: [u16; 5] = [7_001, 7_002, 7_003, 7_004, 7_005];
+const PORTS: [u16; 5] = [7_001, 7_002, 7_003, PEER_PORT, 7_005];
+/// The port at which an instance takes what others forward.
+const PEER_PORT: u16 = 7_004;
 /// The port of the store, of relays to it, and of upstreams. Relays to upstreams use the
 /// next port.
 const SERVICE_PORT: u16 = 7_010;
 /// The first port of an instance's own links to upstreams.
 const FIRST_LINK_PORT: u16 = 7_020;
+/// The first port of an instance's own links to other instances.
+const FIRST_FORWARD_PORT: u16 = 7_040;
 /// The time for which a restarting upstream is down.
 const RESTART_DOWNTIME: Duration = Duration::from_millis(150);
 /// The time from the start of a crashing request to the crash of its upstream.
@@ -195,7 +199,12 @@
             let ports = FIRST_LINK_PORT..;
             let relays = ports.map(|port| at(network, FIRST_INSTANCE + n, port));
             let announced = upstreams.iter().map(|u| Arc::clone(&u.link));
-            InstanceLinks::start(executor, relays, announced)
+            let others = (0..instances).filter(|other| *other != n);
+            let forwards = others.zip(FIRST_FORWARD_PORT..).map(|(other, port)| {
+                let relay = at(network, FIRST_INSTANCE + n, port);
+                (relay, at(network, FIRST_INSTANCE + other, PEER_PORT))
+            });
+            InstanceLinks::start(executor, relays, announced, forwards)
         });
         let instance_links = instance_links.collect::<std::io::Result<Vec<InstanceLinks>>>()?;
         let env = Environment {
--- a/soak/src/fault.rs
+++ b/soak/src/fault.rs
@@ -91,6 +91,8 @@
     StoreLink(usize, LinkMode, Duration),
     /// All links of an instance to upstreams have a fault for this time.
     UpstreamsCut(usize, LinkMode, Duration),
+    /// All links over which an instance forwards requests to others have a fault for this time.
+    ForwardsCut(usize, LinkMode, Duration),
     /// An upstream announces a limit in requests per second for this time.
     Limit(usize, u32, Duration),
     /// An upstream's entry is marked as draining, and the upstream is replaced later.
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -39,8 +39,8 @@
 /// several upstreams. Earlier seeds keep their plans.
 const PARTS_FROM_SEED: u64 = 8_000;
 /// Plans from this seed on have several instances without a path to upstreams at a time, upstreams
-/// that fail, hang and cut answers off, and instances that are killed or paused meanwhile, and no
-/// other faults.
+/// that fail, hang and cut answers off, links between instances that break, and instances that are
+/// killed or paused meanwhile, and no other faults.
 const FORWARDS_FROM_SEED: u64 = 9_000;
 /// Of these seeds, one in so many, with this remainder, has no other faults of instances or the
 /// store, since what these keep from being served says nothing about a cut.
@@ -272,6 +272,19 @@
             fault: Fault::Upstream(target, mode, span),
         });
     }
+    for _ in 0..rng.usize(1..=4) {
+        let mode = match rng.u8(0..4) {
+            0 => LinkMode::Refuses,
+            1 => LinkMode::Blackholes,
+            2 => LinkMode::BlackholesReplies,
+            _ => LinkMode::Resets,
+        };
+        let span = Duration::from_millis(rng.u64(100..1_500));
+        steps.push(Step {
+            at: at(rng.u64(0..period)),
+            fault: Fault::ForwardsCut(first + rng.usize(..3), mode, span),
+        });
+    }
     steps
 }
 
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -344,6 +344,12 @@
                 Timer::after(span).await;
                 links.set(None);
             }
+            Fault::ForwardsCut(n, mode, span) => {
+                let links = &self.env.instance_links[n % instances];
+                links.set_forwards(Some(mode));
+                Timer::after(span).await;
+                links.set_forwards(None);
+            }
             Fault::Drain(n) => {
                 let fake = upstream(n).handler.fake();
                 fake.draining.store(true, Ordering::Relaxed);
