Runs behind a connection between instances that breaks; a line where a forwarded request is sent

Cause: no test broke the connection between two instances that both live, and an instance that is killed leaves no line on what it ran for another.

Change: gateways of tests reach each other for forwarded requests over a path that can be cut. A line tells where a forwarded request is sent, before its response.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -165,6 +165,15 @@
         }
         Err(SendFailure::TimedOut)
     };
+    if let Some(from) = &request.forwarded {
+        // Tells where it ran if this instance ends before the response.
+        log::info!(
+            request = request.id(),
+            upstream = id.as_str(),
+            further_runs = from.further_runs;
+            "forwarded request sent"
+        );
+    }
     let sent = sending.or(restarted).or(path_lost).await;
     let result = match sent {
         Ok(response) => validate(state, request, response),
--- a/crates/gateway/tests/whole/fakes/upstream_link.rs
+++ b/crates/gateway/tests/whole/fakes/upstream_link.rs
@@ -1,4 +1,4 @@
-//! The network path of one gateway to the upstreams, which can be cut.
+//! The network path of one gateway to the upstreams and to other gateways, which can be cut.
 
 use std::future;
 use std::io;
@@ -26,7 +26,7 @@
 /// How often open connections look for a change.
 const POLL: Duration = Duration::from_millis(2);
 
-/// What becomes of connections to upstreams.
+/// What becomes of connections.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Cut {
     /// Open ones carry nothing, and new ones do not open.
@@ -37,10 +37,12 @@
     RefusesNew,
 }
 
-/// The network path of one gateway to the upstreams.
+/// The network path of one gateway to the upstreams, and to the gateways that it forwards requests
+/// to.
 #[derive(Debug)]
 pub(crate) struct UpstreamLink {
     cut: Arc<Mutex<Option<Cut>>>,
+    forwards_cut: Arc<Mutex<Option<Cut>>>,
     /// True if open connections can be cut as well. Each then takes three descriptors.
     carries: bool,
     executor: Arc<Executor<'static>>,
@@ -50,12 +52,18 @@
     pub(crate) fn new(executor: &Arc<Executor<'static>>, carries: bool) -> UpstreamLink {
         UpstreamLink {
             cut: Arc::default(),
+            forwards_cut: Arc::default(),
             carries,
             executor: Arc::clone(executor),
         }
     }
 
-    /// Cuts the path, or restores it.
+    /// Cuts the path to other gateways, or restores it. Heartbeats go on.
+    pub(crate) fn set_forwards(&self, cut: Option<Cut>) {
+        *self.forwards_cut.lock().expect("a lock") = cut;
+    }
+
+    /// Cuts the path to the upstreams, or restores it.
     pub(crate) fn set(&self, cut: Option<Cut>) {
         *self.cut.lock().expect("a lock") = cut;
     }
@@ -63,16 +71,19 @@
 
 impl Connector for UpstreamLink {
     fn connect(&self, address: SocketAddr) -> ConnectFuture {
-        let cut = *self.cut.lock().expect("a lock");
-        match cut {
-            _ if address.ip() != UPSTREAMS => Box::pin(Async::<TcpStream>::connect(address)),
+        let cut = match address.ip() == UPSTREAMS {
+            true => &self.cut,
+            false => &self.forwards_cut,
+        };
+        let current = *cut.lock().expect("a lock");
+        match current {
             Some(Cut::Hangs) => Box::pin(future::pending()),
             Some(Cut::Resets | Cut::RefusesNew) => {
                 Box::pin(future::ready(Err(io::ErrorKind::ConnectionRefused.into())))
             }
             None if !self.carries => Box::pin(Async::<TcpStream>::connect(address)),
             None => {
-                let (cut, executor) = (Arc::clone(&self.cut), Arc::clone(&self.executor));
+                let (cut, executor) = (Arc::clone(cut), Arc::clone(&self.executor));
                 Box::pin(async move {
                     let upstream = Async::<TcpStream>::connect(address).await?;
                     let listener = Async::<TcpListener>::bind((Ipv4Addr::LOCALHOST, 0))?;
--- a/crates/gateway/tests/whole/run_bounds.rs
+++ b/crates/gateway/tests/whole/run_bounds.rs
@@ -1,14 +1,17 @@
 //! The number of upstreams that one request of a caller runs at.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
 
+use async_executor::Task;
 use async_io::Timer;
 use futures_lite::future::block_on;
 use jd_gateway::Change;
 use jd_gateway::Record;
 use test_case::test_case;
 
+use crate::fakes::CallerResponse;
 use crate::fakes::Cut;
 use crate::fakes::Harness;
 use crate::fakes::Reply;
@@ -87,27 +90,53 @@
     });
 }
 
+/// Brings a request of an instance without a path to all the upstreams that its route allows, by one
+/// other instance. Returns the fleet, in which a third instance could run it as well, and its
+/// instances in the order of ownership: the second one is the third, the last one took the request.
+async fn run_by_another(
+    path: &'static str,
+    first: Reply,
+    others: Reply,
+) -> (Harness, Vec<SocketAddr>, Task<CallerResponse>) {
+    let harness = fleet(UPSTREAMS).await;
+    let order = by_ownership(&harness);
+    cut_off(&harness, &order[1..], Cut::Resets).await;
+    set_other_replies(&harness, "1", &first);
+    let asking = harness.spawn_ask(order[3], path, "1");
+    until_at(&harness, "1", 1).await;
+    set_other_replies(&harness, "1", &others);
+    until_at(&harness, "1", MAX_ATTEMPTS).await;
+    harness.link(order[1]).set(None);
+    until_noticed(&harness, 2).await;
+    (harness, order, asking)
+}
+
 /// Guards against counting the runs of an instance that was killed as one, which the instance that
 /// forwarded the request did not hear of.
 #[test_case("/any/x", Reply::DelayedFailure(Duration::from_millis(200)), Reply::DelayedFailure(SILENCE); "idempotent")]
 #[test_case("/resume/x", Reply::CutThenSilent(SILENCE), Reply::CutThenSilent(SILENCE); "resumable")]
 fn runs_of_an_instance_that_was_killed_count(path: &'static str, first: Reply, others: Reply) {
     block_on(async {
-        let mut harness = fleet(UPSTREAMS).await;
-        let order = by_ownership(&harness);
-        cut_off(&harness, &order[1..], Cut::Resets).await;
-        set_other_replies(&harness, "1", &first);
-        let _asking = harness.spawn_ask(order[3], path, "1");
-        until_at(&harness, "1", 1).await;
-        set_other_replies(&harness, "1", &others);
-        until_at(&harness, "1", MAX_ATTEMPTS).await;
-        harness.link(order[1]).set(None);
-        until_noticed(&harness, 2).await;
+        let (mut harness, order, _asking) = run_by_another(path, first, others).await;
         harness.kill_gateway(order[0]);
         assert_runs_bounded(&harness, "1").await;
     });
 }
 
+/// Guards against the same where the connection between the two instances breaks, and both live.
+#[test_case("/any/x", Reply::DelayedFailure(Duration::from_millis(200)), Reply::DelayedFailure(SILENCE); "idempotent")]
+#[test_case("/resume/x", Reply::CutThenSilent(SILENCE), Reply::CutThenSilent(SILENCE); "resumable")]
+fn runs_behind_a_connection_that_breaks_count(path: &'static str, first: Reply, others: Reply) {
+    block_on(async {
+        let (harness, order, _asking) = run_by_another(path, first, others).await;
+        let link = harness.link(order[3]);
+        link.set_forwards(Some(Cut::Resets));
+        Timer::after(Duration::from_millis(50)).await;
+        link.set_forwards(None);
+        assert_runs_bounded(&harness, "1").await;
+    });
+}
+
 /// Guards against a forwarded request that fails, or a stream that ends, with its first upstream,
 /// and against a second run at that same upstream.
 #[test_case("/any/x", Reply::DelayedFailure(Duration::from_millis(200)), Reply::Complete("b"), "b"; "idempotent")]
