--- a/crates/gateway/src/upstream_selection.rs
+++ b/crates/gateway/src/upstream_selection.rs
@@ -219,14 +219,14 @@
             let source = retries.placed.failed_source();
             let elsewhere = source.and_then(|s| pick(&[tried, &[s.clone()][..]].concat()));
             let elsewhere = elsewhere.or_else(|| pick(&avoided));
-            elsewhere.or_else(|| may_return.then(|| pick(tried))?)
+            elsewhere.or_else(|| may_return.then(|| pick(tried)).flatten())
         }
         None => {
             let zone = &state.settings.zone;
             let pick = |tried: &[CompactString]| {
                 table.pick_by_load(&request.service, now, zone, tried, &filter)
             };
-            pick(&avoided).or_else(|| may_return.then(|| pick(tried))?)
+            pick(&avoided).or_else(|| may_return.then(|| pick(tried)).flatten())
         }
     };
     let wait = || {
