A forwarded stream whose upstream is silent goes on at another upstream

Cause: no test had a silent upstream at the instance that runs a request for another, which moves on only because it is told that runs are left at the first one.

--- a/crates/gateway/tests/whole/run_bounds.rs
+++ b/crates/gateway/tests/whole/run_bounds.rs
@@ -15,6 +15,7 @@
 use crate::fakes::Cut;
 use crate::fakes::Harness;
 use crate::fakes::Reply;
+use crate::fakes::STREAM;
 use crate::fakes::deployment;
 use crate::fakes::path_fleet::by_ownership;
 use crate::fakes::path_fleet::cut_off;
@@ -145,7 +146,8 @@
 /// Guards against a forwarded request that fails, or a stream that ends, with its first upstream,
 /// and against a second run at that same upstream.
 #[test_case("/any/x", Reply::DelayedFailure(Duration::from_millis(200)), Reply::Complete("b"), "b"; "idempotent")]
-#[test_case("/resume/x", Reply::Resumable { cut: true }, Reply::Resumable { cut: false }, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"; "resumable")]
+#[test_case("/resume/x", Reply::Resumable { cut: true }, Reply::Resumable { cut: false }, &STREAM.concat(); "resumable, cut off")]
+#[test_case("/resume/x", Reply::Pausing(&STREAM, SILENCE), Reply::Resumable { cut: false }, &STREAM.concat(); "resumable, silent")]
 fn a_forwarded_request_is_repeated_at_another_upstream(
     path: &'static str,
     first: Reply,
