An unknown stream resumes at the only version of its service where the store proves that it was the only one

Cause: `resume_at` took the versions that an instance had seen since its own start for all that there had been while the stream can have begun. The processes that knew better had ended. Ruled out: a wrong version in an entry (each upstream of the case has an identity of its own), callers that name another stream (they name the first attempt).

Change: the store keeps one record of the versions of all services, the era in which it was written and since when nothing is missing in it. The instances that coordinate the fleet write it when a version appears or has gone, one after the other, under a condition on its revision. A store in a later era proves nothing from before. New streams prefer upstreams whose version is recorded, so that the record is written before a stream can begin at a version. At the first start of a whole system nothing ran before, and the record is complete from the beginning.

A test expected that an unknown stream goes on before one version that an instance has merely seen. That was the guess itself; it is replaced by the same test with a proof, and one without, which has to be refused.

What this does not mend: streams whose keepers have ended are refused beside two versions.

--- a/crates/gateway/src/cluster_state.rs
+++ b/crates/gateway/src/cluster_state.rs
@@ -1,17 +1,25 @@
 //! What this instance knows from the store and from other instances.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::time::Duration;
+use std::time::SystemTime;
 
+use compact_str::CompactString;
 use jd_serving::EvacuatedZones;
 use jd_serving::Freshness;
 use jd_serving::InstanceDirectory;
+use jd_serving::KnownVersions;
+use jd_serving::ListedVersion;
 use jd_serving::ServiceVersions;
 use jd_serving::Shard;
+use jd_serving::SoftwareVersion;
 use jd_serving::SourceHealth;
 use jd_serving::StoreItem;
 use jd_serving::StoreMirror;
+use jd_serving::StoreRevision;
 use jd_serving::UpstreamDirectory;
+use jd_serving::VersionRecord;
 use jd_types::Incarnation;
 use jd_types::MonoTime;
 
@@ -34,6 +42,12 @@
     pub(crate) upstreams: UpstreamDirectory,
     /// The software versions that upstreams of each service had lately.
     pub(crate) versions: ServiceVersions,
+    /// The versions that upstreams of each service have now.
+    pub(crate) listed_versions: HashSet<ListedVersion>,
+    /// The versions that the store records, and the revision at which they were written; no
+    /// revision if the store has lost the record.
+    pub(crate) version_record: Option<VersionRecord>,
+    pub(crate) version_record_written: Option<StoreRevision>,
     pub(crate) evacuated_zones: EvacuatedZones,
     pub(crate) instances: InstanceDirectory,
     /// The deployment in force; none before the first one was read.
@@ -47,6 +61,8 @@
     pub(crate) instances_listed_at: Option<MonoTime>,
     /// Earlier incarnations of this instance whose entries are still in the store.
     pub(crate) previous_incarnations: Vec<Incarnation>,
+    /// True if the store had an entry of an earlier incarnation of this instance.
+    pub(crate) has_run_before: bool,
     /// The backlogs of shards that their owners last reported, and when.
     pub(crate) backlogs: HashMap<Shard, (MonoTime, Duration)>,
 }
@@ -77,7 +93,37 @@
     pub(crate) fn record_versions(&mut self, now: MonoTime) {
         let entries = self.upstreams.entries();
         let listed = entries.map(|l| (&l.entry.service, &l.entry.software));
-        self.versions.record(now, listed);
+        let listed: HashSet<(&CompactString, &SoftwareVersion)> = listed.collect();
+        self.versions.record(now, listed.iter().copied());
+        let listed = listed.into_iter().map(|(s, v)| (s.clone(), v.clone()));
+        self.listed_versions = listed.collect();
+    }
+
+    /// True if the store records this version of the service, or has no valid record of versions.
+    pub(crate) fn records_version(&self, service: &str, software: &SoftwareVersion) -> bool {
+        let era = self.mirror.revision().era;
+        let valid = self.version_record.as_ref().filter(|r| r.era == era);
+        valid.is_none_or(|r| r.lists(service, software))
+    }
+
+    /// The software versions that upstreams of a service have, or had within this time, as far as
+    /// this instance has seen and as the store records them.
+    pub(crate) fn known_versions(
+        &self,
+        now: MonoTime,
+        wall_clock: SystemTime,
+        service: &str,
+        within: Duration,
+    ) -> KnownVersions {
+        let era = self.mirror.revision().era;
+        let seen = self.versions.lately(now, service, within);
+        let mut known = KnownVersions::default();
+        known.extend(seen.cloned());
+        if let Some(record) = &self.version_record {
+            known.extend(record.lately(service, wall_clock, within).cloned());
+            known.are_complete = record.covers(era, wall_clock, within);
+        }
+        known
     }
 
     /// The version of the configuration in force here; 0 if there is none.
--- a/crates/gateway/src/event_stream.rs
+++ b/crates/gateway/src/event_stream.rs
@@ -222,11 +222,11 @@
         }
     }
 
-    /// The version of all upstreams of the service, if they have had the same one lately.
+    /// The version of all upstreams of the service, if they have provably had the same one lately.
     fn only_version(&self) -> Option<SoftwareVersion> {
         let age = self.request.max_stream_age();
-        let mut lately = self.state.versions_lately(&self.request.service, age);
-        lately.pop().filter(|_| lately.is_empty())
+        let known = self.state.known_versions(&self.request.service, age);
+        known.only().cloned()
     }
 
     fn record_origin(&self, software: Option<SoftwareVersion>) {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -47,6 +47,7 @@
 use crate::store_lease::StoreLease;
 use crate::store_link::StoreLink;
 use crate::store_reader::StoreReader;
+use crate::version_recorder::VersionRecorder;
 
 /// The percentage of the grace period in which new requests are still accepted: until most of
 /// the callers that cached this address have queried addresses again.
@@ -151,6 +152,9 @@
             Arc::clone(&coordinator),
         );
         let reporter = Arc::new(reporter);
+        let version_recorder = Arc::new(VersionRecorder {
+            link: Arc::clone(&link),
+        });
         let lease = Arc::new(StoreLease {
             link: Arc::clone(&link),
         });
@@ -220,6 +224,7 @@
             executor.spawn(replication.run()),
             executor.spawn(free_queue.run()),
             executor.spawn(coordinator.run()),
+            executor.spawn(version_recorder.run()),
             executor.spawn(Arc::clone(&reporter).run()),
             executor.spawn(Arc::clone(&reporter).report_recent_runs()),
             executor.spawn(reporter.ask_earlier_coordinators()),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -79,6 +79,7 @@
 mod upstream_selection;
 mod upstream_table;
 mod version_check;
+mod version_recorder;
 
 pub use dialect::Dialect;
 pub use dialect::LocateQuery;
--- a/crates/gateway/src/peer_streams.rs
+++ b/crates/gateway/src/peer_streams.rs
@@ -75,8 +75,8 @@
 pub(crate) fn handle_query(state: &State, query: &StreamQuery) -> StreamQueryReply {
     let id = StreamId::try_from(query.stream.as_str()).ok();
     let within = Duration::from_millis(u64::from(query.within_ms));
-    let versions = state.versions_lately(&query.service, within).into_iter();
-    let versions = versions.take(MAX_VERSIONS);
+    let versions = state.known_versions(&query.service, within).versions;
+    let versions = versions.iter().take(MAX_VERSIONS);
     StreamQueryReply {
         record: id.and_then(|id| {
             let now = state.now();
--- a/crates/gateway/src/selection_filter.rs
+++ b/crates/gateway/src/selection_filter.rs
@@ -28,6 +28,8 @@
     pub(crate) brittle: Option<InFlightShare>,
     /// The only software version that may be selected; none for all of them.
     pub(crate) software: Option<SoftwareVersion>,
+    /// True if the store has to record the software version of the upstream.
+    pub(crate) only_recorded: bool,
     /// Which rate-limited upstreams may be selected.
     pub(crate) limit_filter: LimitFilter,
     /// The backoffs, rate limits and instances that the conditions depend on.
@@ -38,6 +40,7 @@
     /// True if this instance may send to the upstream now.
     pub(crate) fn allows(&self, now: MonoTime, id: &str, record: &UpstreamRecord) -> bool {
         self.is_of_version(record)
+            && (record.is_recorded || !self.only_recorded)
             && self.not_backing_off(now, id, record)
             && self.has_brittle_share(record)
             && self.limit_allows(now, id)
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -9,6 +9,7 @@
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
+use std::time::SystemTime;
 
 use arc_swap::ArcSwap;
 use arc_swap::ArcSwapOption;
@@ -22,16 +23,17 @@
 use jd_serving::ColdSpec;
 use jd_serving::FleetPosition;
 use jd_serving::InstanceEntry;
+use jd_serving::KnownVersions;
 use jd_serving::RecentShards;
 use jd_serving::RetryBudget;
 use jd_serving::RetryLimit;
 use jd_serving::Router;
 use jd_serving::Shard;
 use jd_serving::ShardMap;
-use jd_serving::SoftwareVersion;
 use jd_serving::SourceHealth;
 use jd_serving::StoreRevision;
 use jd_serving::UpdateSource;
+use jd_serving::UpstreamEntry;
 use jd_serving::update_source;
 use jd_settings::GatewaySettings;
 use jd_types::MonoTime;
@@ -112,6 +114,8 @@
     pub(crate) snapshot_requested: Signal,
     /// Signals that this instance's entry was removed while it is running.
     pub(crate) own_entry_removed: Signal,
+    /// Signals that the software versions of upstreams may have changed.
+    pub(crate) versions_changed: Signal,
     /// Wakes the tasks that wait for updates, for the instances that follow this one.
     pub(crate) changes: Event,
     /// The packed snapshot for instances that start.
@@ -164,6 +168,7 @@
             store_recovered: Signal::new(),
             snapshot_requested: Signal::new(),
             own_entry_removed: Signal::new(),
+            versions_changed: Signal::new(),
             changes: Event::new(),
             packed: Mutex::default(),
             instances_listed: Latch::default(),
@@ -306,6 +311,7 @@
             cold: self.cold_spec(service),
             brittle: self.brittle_share(service),
             software: None,
+            only_recorded: false,
             limit_filter: LimitFilter::PermitDue,
             state: self,
         }
@@ -318,6 +324,7 @@
             cold: None,
             brittle: None,
             software: None,
+            only_recorded: false,
             limit_filter: LimitFilter::Any,
             state: self,
         }
@@ -347,10 +354,9 @@
     }
 
     /// The software versions that upstreams of a service have, or had within this time.
-    pub(crate) fn versions_lately(&self, service: &str, within: Duration) -> Vec<SoftwareVersion> {
+    pub(crate) fn known_versions(&self, service: &str, within: Duration) -> KnownVersions {
         let cluster = self.cluster();
-        let versions = cluster.versions.lately(self.now(), service, within);
-        versions.cloned().collect()
+        cluster.known_versions(self.now(), SystemTime::now(), service, within)
     }
 
     /// True if the upstreams of a service run stage pieces.
@@ -382,12 +388,14 @@
         cluster.record_versions(now);
         let entries = cluster.upstreams.entries();
         let before = self.upstreams.load_full();
-        let next = before.rebuilt(now, entries, &cluster.evacuated_zones, zone);
+        let is_recorded = |e: &UpstreamEntry| cluster.records_version(&e.service, &e.software);
+        let next = before.rebuilt(now, entries, &cluster.evacuated_zones, zone, is_recorded);
         let restarted = next.notify_restarts(&before);
         let start_of = |id: &str| next.start_of(id);
         self.limits.forget_gone(now, start_of, &self.metrics);
         self.upstreams.store(Arc::new(next));
         drop(cluster);
+        self.versions_changed.notify();
         for address in restarted {
             self.upstream_client.close_idle(address);
         }
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -13,6 +13,7 @@
 use jd_serving::StoreItem;
 use jd_serving::StoreRevision;
 use jd_serving::UpstreamEntry;
+use jd_serving::VersionRecord;
 use jd_types::Incarnation;
 use jd_types::Name;
 use snafu::Snafu;
@@ -43,6 +44,8 @@
     Quarantine(QuarantineRecord),
     /// An evacuated availability zone, whose upstreams get no new requests.
     EvacuatedZone(Name),
+    /// The software versions of the services.
+    Versions(VersionRecord),
     /// A record that this version cannot read, and why.
     Unreadable {
         /// Its key.
@@ -200,6 +203,14 @@
         lease: LeaseId,
     ) -> StoreFuture<'a, ()>;
 
+    /// Writes the software versions of the services, if the record there was written at `replaced`,
+    /// or if there is none. Returns the revision of the new record.
+    fn write_versions<'a>(
+        &'a self,
+        record: &'a VersionRecord,
+        replaced: Option<StoreRevision>,
+    ) -> StoreFuture<'a, StoreRevision>;
+
     /// Removes another instance's entry, unless it was written again after this revision.
     fn remove_instance(&self, id: Incarnation, written: StoreRevision) -> StoreFuture<'_, ()>;
 
--- a/crates/gateway/src/store_applier.rs
+++ b/crates/gateway/src/store_applier.rs
@@ -147,7 +147,11 @@
         };
         let items = self.retain_newer_deployment(items, revision, true);
         let changes: Vec<(Change, StoreItem)> = self.decode(&items);
-        self.state.cluster().mirror.replace(items, revision);
+        {
+            let mut cluster = self.state.cluster();
+            cluster.mirror.replace(items, revision);
+            cluster.version_record_written = None;
+        }
         let mut upstreams: Vec<UpstreamEntry> = Vec::new();
         let mut instances: Vec<Incarnation> = Vec::new();
         let mut quarantined: Vec<Content> = Vec::new();
@@ -164,6 +168,7 @@
                 }
                 Change::Put(record) => {
                     match &record {
+                        Record::Versions(_) => changed = true,
                         Record::Instance(entry) => instances.push(entry.incarnation),
                         Record::Quarantine(q) => quarantined.push(q.content),
                         _ => {}
@@ -221,7 +226,10 @@
                         .evacuated_zones
                         .end_evacuation(now, &zone);
                 }
-                Change::Put(record) => self.apply_record(record, &item),
+                Change::Put(record) => {
+                    changed |= matches!(record, Record::Versions(_));
+                    self.apply_record(record, &item);
+                }
                 Change::UpstreamRemoved(id) => {
                     upstream_log.removed(&id, revision);
                     changed |= self.state.cluster().upstreams.remove(now, &id);
@@ -335,6 +343,7 @@
             Record::Instance(entry) if entry.peer_address == self.state.own_entry.peer_address => {
                 let mut cluster = self.state.cluster();
                 cluster.previous_incarnations.push(entry.incarnation);
+                cluster.has_run_before = true;
             }
             Record::Instance(entry) => {
                 let now = self.state.now();
@@ -349,6 +358,11 @@
                 self.state.cluster().evacuated_zones.evacuate(zone);
             }
             Record::Quarantine(record) => self.apply_quarantine(record),
+            Record::Versions(record) => {
+                let mut cluster = self.state.cluster();
+                cluster.version_record = Some(record);
+                cluster.version_record_written = Some(item.revision);
+            }
             Record::Unreadable { key, reason } => {
                 log::error!(key:% = key, reason:% = reason; "record cannot be decoded; ignored");
             }
--- a/crates/gateway/src/store_call.rs
+++ b/crates/gateway/src/store_call.rs
@@ -24,10 +24,12 @@
     Remove,
     /// Writing the quarantine state of a request.
     WriteQuarantine,
+    /// Writing the software versions of the services.
+    WriteVersions,
 }
 
 impl StoreCall {
-    const ALL: [StoreCall; 9] = [
+    const ALL: [StoreCall; 10] = [
         StoreCall::Page,
         StoreCall::Watch,
         StoreCall::Confirm,
@@ -37,6 +39,7 @@
         StoreCall::Withdraw,
         StoreCall::Remove,
         StoreCall::WriteQuarantine,
+        StoreCall::WriteVersions,
     ];
 
     /// Label of the kind in logs and metrics.
@@ -51,6 +54,7 @@
             StoreCall::Withdraw => "withdraw",
             StoreCall::Remove => "remove",
             StoreCall::WriteQuarantine => "write-quarantine",
+            StoreCall::WriteVersions => "write-versions",
         }
     }
 }
--- a/crates/gateway/src/stream_registry.rs
+++ b/crates/gateway/src/stream_registry.rs
@@ -102,7 +102,7 @@
         let service = &request.service;
         let here = stream.and_then(|id| self.find_here(state.now(), id));
         let age = request.max_stream_age();
-        let mut lately = state.versions_lately(service, age);
+        let mut known = state.known_versions(service, age);
         let mut source = here.as_ref().map(|_| "here");
         let mut origin = here.map(|(origin, _)| origin);
         if let (Some(id), None) = (stream, &origin) {
@@ -110,9 +110,7 @@
                 let Some(reply) = ask(state, keeper, id, service, age).await else {
                     continue;
                 };
-                let told = peer_streams::versions_of(&reply);
-                let unknown = told.filter(|v| !lately.contains(v)).collect::<Vec<_>>();
-                lately.extend(unknown);
+                known.extend(peer_streams::versions_of(&reply));
                 let now = state.now();
                 let told = reply.record.as_ref();
                 let told = told.and_then(|record| peer_streams::origin_of(record, now));
@@ -124,7 +122,7 @@
                 }
             }
         }
-        let mut result = resume_at(origin.as_ref(), request.customer.as_deref(), &lately).cloned();
+        let mut result = resume_at(origin.as_ref(), request.customer.as_deref(), &known).cloned();
         let own = origin.filter(|o| o.customer == request.customer);
         let beginning = own.as_ref().and_then(|o| o.beginning.as_ref());
         if let (Ok(software), Some(beginning)) = (&result, beginning)
@@ -142,7 +140,8 @@
             stream = stream.map_or("", StreamId::as_str),
             last_event:? = request.head.last_event,
             software:? = result.as_ref().ok().map(SoftwareVersion::as_str),
-            versions = lately.len(),
+            versions = known.versions.len(),
+            versions_complete = known.are_complete,
             outcome;
             "stream is resumed by its caller"
         );
--- a/crates/gateway/src/upstream_record.rs
+++ b/crates/gateway/src/upstream_record.rs
@@ -52,6 +52,8 @@
     pub(crate) restarted: Arc<Latch>,
     /// True if the upstream is in an evacuated zone and therefore gets no new requests.
     pub(crate) evacuated: bool,
+    /// True if the store records that the service has this version, or records no versions at all.
+    pub(crate) is_recorded: bool,
     pub(crate) cold: Arc<Mutex<ColdStart>>,
 }
 
@@ -70,6 +72,7 @@
             upstream: Arc::new(Upstream::new(entry.address, entry.zone.clone(), since)),
             restarted: Arc::default(),
             evacuated: false,
+            is_recorded: true,
         }
     }
 
--- a/crates/gateway/src/upstream_selection.rs
+++ b/crates/gateway/src/upstream_selection.rs
@@ -5,6 +5,7 @@
 
 use compact_str::CompactString;
 use jd_serving::InFlightShare;
+use jd_serving::RetryMode;
 use jd_serving::StageUpstream;
 use jd_types::Refusal;
 use jd_types::RefusalKind;
@@ -21,6 +22,7 @@
 use crate::placed_prompt::fetch_timeout;
 use crate::retry_state::RetryState;
 use crate::selection_filter::LimitFilter;
+use crate::selection_filter::SelectionFilter;
 use crate::state::State;
 use crate::version_check::runs_listed_start;
 
@@ -191,6 +193,9 @@
     request.check_quarantine(state, retries.possible_runs())?;
     let mut filter = state.selection_filter(&request.service);
     filter.software.clone_from(&retries.software);
+    // If all instances end, the store alone tells which versions can have begun a stream.
+    let is_new_stream = retries.software.is_none();
+    filter.only_recorded = is_new_stream && request.route().retry_mode == RetryMode::Resumable;
     let ran_at = request.ran_at.upstreams();
     if ran_at.is_empty()
         && let Some(placed) = retries.placed.take(state, request, &filter)
@@ -207,14 +212,14 @@
     let avoided: Vec<CompactString> = tried.iter().cloned().chain(ran_elsewhere).collect();
     let may_return = avoided.len() > tried.len();
     let is_used_up = |share: InFlightShare| table.in_flight(&request.service) >= share.at_all;
-    let chosen = match &request.head.prompt {
+    let choose = |filter: &SelectionFilter<'_>| match &request.head.prompt {
         _ if retries.withheld >= MAX_WITHHELD => None,
         _ if filter.brittle.is_some_and(is_used_up) => None,
         Some(prompt) => {
             let instances = state.instance_count();
             let session = prompt.session();
             let pick = |tried: &[CompactString]| {
-                table.pick_for_session(&request.service, now, session, instances, tried, &filter)
+                table.pick_for_session(&request.service, now, session, instances, tried, filter)
             };
             let source = retries.placed.failed_source();
             let elsewhere = source.and_then(|s| pick(&[tried, &[s.clone()][..]].concat()));
@@ -224,11 +229,15 @@
         None => {
             let zone = &state.settings.zone;
             let pick = |tried: &[CompactString]| {
-                table.pick_by_load(&request.service, now, zone, tried, &filter)
+                table.pick_by_load(&request.service, now, zone, tried, filter)
             };
             pick(&avoided).or_else(|| may_return.then(|| pick(tried)).flatten())
         }
     };
+    let mut chosen = choose(&filter);
+    if chosen.is_none() && std::mem::replace(&mut filter.only_recorded, false) {
+        chosen = choose(&filter);
+    }
     let wait = || {
         limit_retry_after(state, &request.service)
             .or_else(|| backoff_retry_after(state, &request.service))
--- a/crates/gateway/src/upstream_table.rs
+++ b/crates/gateway/src/upstream_table.rs
@@ -48,13 +48,14 @@
 impl UpstreamTable {
     /// The table of `entries` for an instance in `zone`. Upstreams that are shutting down are
     /// left out, since they must not get new requests. Upstreams of an evacuated zone are kept
-    /// but not selected.
+    /// but not selected. `is_recorded` tells whether the store records the version of an upstream.
     pub(crate) fn rebuilt<'a>(
         &self,
         now: MonoTime,
         entries: impl Iterator<Item = ListedUpstream<'a>>,
         evacuated: &EvacuatedZones,
         zone: &Name,
+        is_recorded: impl Fn(&UpstreamEntry) -> bool,
     ) -> UpstreamTable {
         let first = self.by_id.is_empty();
         let since = if first { MonoTime::ZERO } else { now };
@@ -73,6 +74,7 @@
                 }
             }
             record.evacuated = evacuated.is_evacuated(&entry.zone);
+            record.is_recorded = is_recorded(entry);
             if !record.evacuated {
                 let service = grouped.entry(entry.service.clone());
                 service.or_default().push(entry);
--- a/crates/gateway/tests/whole/fakes/fake_store.rs
+++ b/crates/gateway/tests/whole/fakes/fake_store.rs
@@ -22,8 +22,10 @@
 use jd_gateway::StoreError;
 use jd_gateway::StoreFuture;
 use jd_serving::InstanceEntry;
+use jd_serving::SoftwareVersion;
 use jd_serving::StoreItem;
 use jd_serving::StoreRevision;
+use jd_serving::VersionRecord;
 use jd_types::Incarnation;
 use jd_types::Name;
 
@@ -220,6 +222,17 @@
         self.refused_announcements.store(count, Ordering::Relaxed);
     }
 
+    /// True once it records this software version of a service.
+    pub(crate) fn records_version(&self, service: &str, version: &str) -> bool {
+        let version = SoftwareVersion::try_from(version).expect("a version");
+        let log = self.log.changes.lock().expect("a lock");
+        let mut records = log.iter().rev().filter_map(|change| match change {
+            Change::Put(Record::Versions(record)) => Some(record),
+            _ => None,
+        });
+        records.next().is_some_and(|r| r.lists(service, &version))
+    }
+
     /// True once it holds a quarantine record.
     pub(crate) fn holds_quarantine(&self) -> bool {
         let log = self.log.changes.lock().expect("a lock");
@@ -404,6 +417,28 @@
         })
     }
 
+    fn write_versions<'a>(
+        &'a self,
+        record: &'a VersionRecord,
+        replaced: Option<StoreRevision>,
+    ) -> StoreFuture<'a, StoreRevision> {
+        Box::pin(async move {
+            self.answer(())?;
+            let era = self.log.era();
+            let mut changes = self.log.changes.lock().expect("a lock");
+            let is_record = |c: &Change| matches!(c, Change::Put(Record::Versions(_)));
+            let held = changes.iter().rposition(is_record);
+            if held.map(|place| at(era, place + 1)) != replaced {
+                return Err(StoreError::Changed);
+            }
+            changes.push(Change::Put(Record::Versions(record.clone())));
+            let revision = at(era, changes.len());
+            drop(changes);
+            self.log.changed.notify(usize::MAX);
+            Ok(revision)
+        })
+    }
+
     fn write_quarantine<'a>(
         &'a self,
         record: &'a QuarantineRecord,
--- /dev/null
+++ b/crates/gateway/tests/whole/lost_origins.rs
@@ -0,0 +1,87 @@
+//! Streams that are taken up after the instances that knew their origins have ended.
+
+use futures_lite::future::block_on;
+use jd_gateway::Change;
+
+use crate::fakes::Harness;
+use crate::fakes::Reply;
+use crate::versions::OF_EACH_VERSION;
+use crate::versions::RESUME;
+use crate::versions::STREAMS;
+use crate::versions::fleet;
+use crate::versions::versions_of;
+
+/// Begins streams before two versions, and returns the version of each.
+async fn begin_streams(harness: &Harness) -> Vec<bool> {
+    let instances = harness.peer_addresses();
+    let mut begun = Vec::new();
+    for n in 0..STREAMS {
+        let id = format!("s-{n}");
+        let instance = instances[n % instances.len()];
+        assert!(harness.spawn_ask(instance, "/resume/x", &id).await.whole);
+        begun.extend(versions_of(harness, &id));
+    }
+    assert_eq!(begun.len(), STREAMS);
+    begun
+}
+
+async fn remove_upstreams(harness: &Harness, upstreams: impl Iterator<Item = usize>) {
+    for n in upstreams {
+        let id = format!("i-{n}");
+        let change = Change::UpstreamRemoved(id.as_str().into());
+        harness.store.change(change);
+    }
+    harness.until_all_listed().await;
+}
+
+async fn until_serving(harness: &Harness) {
+    harness.until_ready(true).await;
+    harness.until_all_answer("/open/x", 200).await;
+}
+
+/// Takes each stream up, and returns how many of `version` went on. None may go on at the other one.
+async fn take_up(harness: &Harness, begun: &[bool], version: bool) -> usize {
+    let instances = harness.peer_addresses();
+    let mut went_on = 0;
+    for (n, begun) in begun.iter().enumerate() {
+        let (id, origin) = (format!("t-{n}"), format!("s-{n}"));
+        let instance = instances[n % instances.len()];
+        let received = harness.resume(instance, RESUME, &id, &origin).await;
+        let ran = versions_of(harness, &id);
+        assert!(ran.iter().all(|v| v == begun), "{origin} crossed");
+        let goes_on = received.status == 200 && received.whole;
+        went_on += usize::from(goes_on && *begun == version);
+    }
+    went_on
+}
+
+/// Guards against a stream that goes on at the version that is left, because the instances that
+/// knew its origin and the other version were all killed.
+#[test]
+fn streams_do_not_cross_versions_after_all_instances_were_killed() {
+    block_on(async {
+        let mut harness = fleet(3, Reply::Resumable { cut: false }).await;
+        let begun = begin_streams(&harness).await;
+        remove_upstreams(&harness, 0..OF_EACH_VERSION).await;
+        harness.restart_gateways();
+        until_serving(&harness).await;
+        take_up(&harness, &begun, true).await;
+    });
+}
+
+/// Guards against taking the records of a store that was restored from a copy for all that were
+/// written.
+#[test]
+fn streams_do_not_cross_versions_after_all_were_killed_and_the_store_was_restored() {
+    block_on(async {
+        let mut harness = fleet(3, Reply::Resumable { cut: false }).await;
+        let begun = begin_streams(&harness).await;
+        let kept = harness.store.len();
+        remove_upstreams(&harness, 0..OF_EACH_VERSION).await;
+        harness.store.restore(kept);
+        remove_upstreams(&harness, 0..OF_EACH_VERSION).await;
+        harness.restart_gateways();
+        until_serving(&harness).await;
+        take_up(&harness, &begun, true).await;
+    });
+}
--- a/crates/gateway/tests/whole/main.rs
+++ b/crates/gateway/tests/whole/main.rs
@@ -15,6 +15,7 @@
 mod leaving;
 mod limits;
 mod loads;
+mod lost_origins;
 mod lost_paths;
 mod paces;
 mod placed_prompts;
--- a/crates/gateway/tests/whole/versions.rs
+++ b/crates/gateway/tests/whole/versions.rs
@@ -1,14 +1,17 @@
 //! Streams before upstreams of two software versions, which may only resume at the version that
 //! began them.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
+use std::time::SystemTime;
 
 use async_io::Timer;
 use futures_lite::future::block_on;
 use jd_gateway::Change;
 use jd_gateway::Record;
 use jd_serving::CustomerSpec;
+use jd_serving::VersionRecord;
 use test_case::test_case;
 
 use crate::fakes::CallerResponse;
@@ -21,13 +24,13 @@
 
 /// Streams of one test. With upstreams selected at random, the chance that none of them crosses is
 /// below one in a hundred.
-const STREAMS: usize = 12;
+pub(crate) const STREAMS: usize = 12;
 /// The first upstreams have one version, the others another one.
-const OF_EACH_VERSION: usize = 2;
-const RESUME: (&str, &str) = ("/resume/x", "key-1");
+pub(crate) const OF_EACH_VERSION: usize = 2;
+pub(crate) const RESUME: (&str, &str) = ("/resume/x", "key-1");
 
 /// A fleet before two upstreams of each version.
-async fn fleet(instances: usize, reply: Reply) -> Harness {
+pub(crate) async fn fleet(instances: usize, reply: Reply) -> Harness {
     let replies = vec![vec![reply]; 2 * OF_EACH_VERSION];
     let mut harness = Harness::start_cuttable(replies, vec![Reply::Complete("made")]);
     harness.add_gateways(instances - 1);
@@ -44,13 +47,16 @@
         harness.set_software(n, "v2");
     }
     harness.until_ready(true).await;
+    while !harness.store.records_version("pool", "v2") {
+        Timer::after(Duration::from_millis(5)).await;
+    }
     harness.until_all_listed().await;
     harness.until_all_answer("/open/x", 200).await;
     harness
 }
 
 /// The version that ran an attempt, by the numbers of the upstreams that it reached.
-fn versions_of(harness: &Harness, id: &str) -> Vec<bool> {
+pub(crate) fn versions_of(harness: &Harness, id: &str) -> Vec<bool> {
     let upstreams = harness.upstreams[..2 * OF_EACH_VERSION].iter().enumerate();
     let runs = upstreams.flat_map(|(n, upstream)| {
         let asked = upstream.asked.lock().expect("a lock");
@@ -194,15 +200,28 @@
     });
 }
 
-/// Guards against refusing streams that nobody knows where only one version can have begun them.
-#[test]
-fn a_stream_that_nobody_knows_goes_on_where_there_is_one_version() {
-    let harness = Harness::start(vec![vec![Reply::Resumable { cut: false }]; 2]);
+/// Guards against refusing streams that nobody knows where only one version can have begun them, and
+/// against taking the versions since the start of an instance for all that there were.
+#[test_case(true; "proven")]
+#[test_case(false; "only seen")]
+fn a_stream_that_nobody_knows_goes_on_where_there_was_provably_one_version(proven: bool) {
+    let mut records = vec![Record::Deployment(Box::new(deployment()))];
+    if proven {
+        records.push(Record::Versions(VersionRecord {
+            era: 0,
+            complete_since: SystemTime::UNIX_EPOCH,
+            services: BTreeMap::new(),
+        }));
+    }
+    let harness = Harness::start_with(vec![vec![Reply::Resumable { cut: false }]; 2], records);
     block_on(async {
         harness.until_ready(true).await;
         let peers = harness.peer_addresses()[0];
         let received = harness.resume(peers, RESUME, "t-1", "never-seen").await;
-        assert_eq!((received.status, received.whole), (200, true));
+        match proven {
+            true => assert_eq!((received.status, received.whole), (200, true)),
+            false => assert_refused_as_not_run(&received),
+        }
     });
 }
 
--- a/crates/serving/src/stream_origin/mod.rs
+++ b/crates/serving/src/stream_origin/mod.rs
@@ -11,6 +11,7 @@
 mod software_version;
 mod stream_id;
 mod version_evidence;
+mod version_record;
 
 /// How old a stream may be when its caller resumes it. Bounds how long origins are kept, and
 /// versions after their upstreams have gone.
@@ -19,6 +20,7 @@
 pub use origins::StreamBeginning;
 pub use origins::StreamOrigin;
 pub use origins::StreamOrigins;
+pub use resume_rule::KnownVersions;
 pub use resume_rule::ResumeError;
 pub use resume_rule::resume_at;
 pub use service_versions::ServiceVersions;
@@ -29,3 +31,6 @@
 pub use version_evidence::VersionCertainty;
 pub use version_evidence::VersionEvidence;
 pub use version_evidence::judge_version;
+pub use version_record::ListedVersion;
+pub use version_record::RecordedVersion;
+pub use version_record::VersionRecord;
--- a/crates/serving/tests/stream_origins.rs
+++ b/crates/serving/tests/stream_origins.rs
@@ -8,6 +8,7 @@
 
 use compact_str::CompactString;
 use jd_serving::InstanceEntry;
+use jd_serving::KnownVersions;
 use jd_serving::ResumeError;
 use jd_serving::ServiceVersions;
 use jd_serving::Shard;
@@ -58,17 +59,23 @@
 #[test_case(Some(origin("a", Some("v1"))), &["v2"], Ok("v1"); "known and gone")]
 #[test_case(Some(origin("a", None)), &["v1"], Err(ResumeError::UncertainOrigin); "uncertain")]
 #[test_case(Some(origin("b", Some("v1"))), &["v1", "v2"], Err(ResumeError::ForeignStream); "foreign")]
-#[test_case(Some(origin("b", Some("v2"))), &["v1"], Ok("v1"); "foreign with one version")]
-#[test_case(None, &["v1", "v2"], Err(ResumeError::UnknownOrigin); "unknown")]
-#[test_case(None, &["v1"], Ok("v1"); "unknown with one version")]
-#[test_case(None, &[], Err(ResumeError::UnknownOrigin); "unknown without upstreams")]
+#[test_case(Some(origin("b", Some("v2"))), &["v1", "all"], Ok("v1"); "foreign with one version")]
+#[test_case(Some(origin("b", Some("v2"))), &["v1"], Err(ResumeError::ForeignStream); "foreign with one version seen")]
+#[test_case(None, &["v1", "v2", "all"], Err(ResumeError::UnknownOrigin); "unknown")]
+#[test_case(None, &["v1", "all"], Ok("v1"); "unknown with one version")]
+#[test_case(None, &["v1"], Err(ResumeError::UnknownOrigin); "unknown with one version seen")]
+#[test_case(None, &["all"], Err(ResumeError::UnknownOrigin); "unknown without upstreams")]
 fn a_stream_resumes_where_it_can_only_have_begun(
     origin: Option<StreamOrigin>,
     lately: &[&str],
     expected: Result<&str, ResumeError>,
 ) {
-    let lately: Vec<SoftwareVersion> = lately.iter().copied().map(version).collect();
-    let decided = resume_at(origin.as_ref(), Some("a"), &lately);
+    let seen = lately.iter().copied().filter(|v| *v != "all");
+    let known = KnownVersions {
+        versions: seen.map(version).collect(),
+        are_complete: lately.contains(&"all"),
+    };
+    let decided = resume_at(origin.as_ref(), Some("a"), &known);
     assert_eq!(decided.map(SoftwareVersion::as_str), expected);
 }
 
