Origins of streams outlive their keepers: they are written to the store where the versions do not tell them

Cause: an origin is sent to its keepers once, with the first event. A keeper that starts again is not told, and all of them end within one turn. Ruled out: the origin is known and not asked for (instances that leave are not asked, but in the case they have ended as well by the time at which the streams are taken up).

Change: where the versions of a service do not tell the origin by themselves (there are several, or it is not proven that there was one), the first keeper of a part writes the origins of new streams of that part to the store, all of them in one record, every 700 ms. An instance that comes to keep a part reads it, and one that is asked for a stream waits 100 ms for that. Keepers that are no writers write after 5 s what the writer may not have written, if they take its place; a writer that the store rejects hands over. A service that comes to have a second version has its earlier streams written too. Records end with their leases. They are not part of what instances follow. A stream that has not been read yet is refused with a time to come back, one that nobody can know without.

Calls to the store: none while each service has one version. Nothing waits for the store on the way of an event.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -47,6 +47,7 @@
 use crate::store_lease::StoreLease;
 use crate::store_link::StoreLink;
 use crate::store_reader::StoreReader;
+use crate::stream_saver::StreamSaver;
 use crate::version_recorder::VersionRecorder;
 
 /// The percentage of the grace period in which new requests are still accepted: until most of
@@ -152,6 +153,7 @@
             Arc::clone(&coordinator),
         );
         let reporter = Arc::new(reporter);
+        let stream_saver = Arc::new(StreamSaver::new(Arc::clone(&link)));
         let version_recorder = Arc::new(VersionRecorder {
             link: Arc::clone(&link),
         });
@@ -224,6 +226,8 @@
             executor.spawn(replication.run()),
             executor.spawn(free_queue.run()),
             executor.spawn(coordinator.run()),
+            executor.spawn(Arc::clone(&stream_saver).save()),
+            executor.spawn(stream_saver.read()),
             executor.spawn(version_recorder.run()),
             executor.spawn(Arc::clone(&reporter).run()),
             executor.spawn(Arc::clone(&reporter).report_recent_runs()),
--- a/crates/gateway/src/peer_api.rs
+++ b/crates/gateway/src/peer_api.rs
@@ -165,8 +165,9 @@
         let origin = peer_streams::origin_of(req.get_ref(), self.state.now());
         let (id, origin, lifetime) =
             origin.ok_or_else(|| Status::invalid_argument("the origin of a stream is invalid"))?;
-        let state = &self.state;
-        state.streams.record_here(state.now(), id, origin, lifetime);
+        let handed_over = req.get_ref().handed_over;
+        let streams = &self.state.streams;
+        streams.record_kept(&self.state, id, origin, lifetime, handed_over);
         Ok(tonic::Response::new(StreamRecordReply {}))
     }
 
@@ -174,7 +175,7 @@
         &self,
         req: tonic::Request<StreamQuery>,
     ) -> Result<tonic::Response<StreamQueryReply>, Status> {
-        let reply = peer_streams::handle_query(&self.state, req.get_ref());
+        let reply = peer_streams::handle_query(&self.state, req.get_ref()).await;
         Ok(tonic::Response::new(reply))
     }
 
--- a/crates/gateway/src/peer_streams.rs
+++ b/crates/gateway/src/peer_streams.rs
@@ -13,6 +13,7 @@
 use jd_wire::StreamRecord;
 
 use crate::state::State;
+use crate::stream_registry::FoundOrigin;
 
 /// Longest name of a service, customer or upstream that is accepted, in bytes. Bounds what another
 /// instance can have this one keep.
@@ -38,6 +39,7 @@
         upstream: beginning.map_or(String::new(), |b| b.upstream.to_string()),
         start_ms: beginning.and_then(|b| b.start.millis()).unwrap_or(0),
         sent_ms_ago: u32::try_from(sent_ms_ago).unwrap_or(u32::MAX),
+        handed_over: false,
     }
 }
 
@@ -72,18 +74,26 @@
 }
 
 /// Answers another instance's query for the origin of a stream.
-pub(crate) fn handle_query(state: &State, query: &StreamQuery) -> StreamQueryReply {
+pub(crate) async fn handle_query(state: &State, query: &StreamQuery) -> StreamQueryReply {
     let id = StreamId::try_from(query.stream.as_str()).ok();
     let within = Duration::from_millis(u64::from(query.within_ms));
     let versions = state.known_versions(&query.service, within).versions;
     let versions = versions.iter().take(MAX_VERSIONS);
+    let found = match &id {
+        Some(id) => state.streams.find_asked(state, id).await,
+        None => FoundOrigin::Unknown,
+    };
+    let not_read = found == FoundOrigin::NotRead;
+    let record = match (id, found) {
+        (Some(id), FoundOrigin::Known(origin, lifetime)) => {
+            Some(wire_record(&id, &origin, lifetime, state.now()))
+        }
+        _ => None,
+    };
     StreamQueryReply {
-        record: id.and_then(|id| {
-            let now = state.now();
-            let (origin, lifetime) = state.streams.find_here(now, &id)?;
-            Some(wire_record(&id, &origin, lifetime, now))
-        }),
+        record,
         versions: versions.map(|v| v.as_str().into()).collect(),
+        not_read,
     }
 }
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -1,5 +1,6 @@
 //! The state that all parts of the gateway share.
 
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -68,6 +69,9 @@
 /// How long the backlog that an owner reported is valid: three heartbeats.
 const BACKLOG_LIFETIME: Duration = Duration::from_millis(1_200);
 
+/// How long ago most streams that are taken up have begun at most.
+const STREAM_SPAN: Duration = Duration::from_secs(40);
+
 /// The state that all parts of the gateway share.
 #[derive(Debug)]
 pub(crate) struct State {
@@ -359,6 +363,29 @@
         cluster.known_versions(self.now(), SystemTime::now(), service, within)
     }
 
+    /// The services of which more than one version is listed, or of which it is not known for long
+    /// enough which versions they had.
+    pub(crate) fn services_with_several_versions(&self) -> BTreeSet<CompactString> {
+        let now = SystemTime::now();
+        let cluster = self.cluster();
+        let services = cluster.listed_versions.iter().map(|(service, _)| service);
+        let several = services.filter(|service| {
+            let known = cluster.known_versions(self.now(), now, service, STREAM_SPAN);
+            known.only().is_none()
+        });
+        several.cloned().collect()
+    }
+
+    /// True once any upstreams are known.
+    pub(crate) fn knows_upstreams(&self) -> bool {
+        !self.cluster().listed_versions.is_empty()
+    }
+
+    /// The era of the store, as far as this instance has read it.
+    pub(crate) fn store_era(&self) -> u64 {
+        self.cluster().mirror.revision().era
+    }
+
     /// True if the upstreams of a service run stage pieces.
     pub(crate) fn serves_stages(&self, service: &str) -> bool {
         let router = self.router.load();
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 use std::time::SystemTime;
 
+use bytes::Bytes;
 use compact_str::CompactString;
 use jd_serving::Content;
 use jd_serving::Deployment;
@@ -68,6 +69,27 @@
     pub until: SystemTime,
 }
 
+/// Origins of streams, as the store holds them for instances that start. They are no part of the
+/// records that instances follow.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct OriginItem {
+    /// The part that the streams belong to.
+    pub part: u32,
+    /// Identifies the item within its part. Items with smaller names are read first.
+    pub name: CompactString,
+    /// The encoded origins.
+    pub value: Bytes,
+}
+
+/// A page of the origins of one part.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct OriginPage {
+    /// In the order of their names.
+    pub items: Vec<OriginItem>,
+    /// True if there are more after the last one.
+    pub more: bool,
+}
+
 /// A change in the store.
 #[derive(Debug, Clone)]
 pub enum Change {
@@ -211,6 +233,13 @@
         replaced: Option<StoreRevision>,
     ) -> StoreFuture<'a, StoreRevision>;
 
+    /// Writes origins of streams under the lease.
+    fn write_origins<'a>(&'a self, items: &'a [OriginItem], lease: LeaseId) -> StoreFuture<'a, ()>;
+
+    /// Reads a page of the origins of one part, from the item after this name on; the empty name
+    /// stands for the beginning.
+    fn origins<'a>(&'a self, part: u32, after: &'a str) -> StoreFuture<'a, OriginPage>;
+
     /// Removes another instance's entry, unless it was written again after this revision.
     fn remove_instance(&self, id: Incarnation, written: StoreRevision) -> StoreFuture<'_, ()>;
 
--- a/crates/gateway/src/store_call.rs
+++ b/crates/gateway/src/store_call.rs
@@ -26,10 +26,14 @@
     WriteQuarantine,
     /// Writing the software versions of the services.
     WriteVersions,
+    /// Writing origins of streams.
+    WriteOrigins,
+    /// Reading origins of streams.
+    Origins,
 }
 
 impl StoreCall {
-    const ALL: [StoreCall; 10] = [
+    const ALL: [StoreCall; 12] = [
         StoreCall::Page,
         StoreCall::Watch,
         StoreCall::Confirm,
@@ -40,6 +44,8 @@
         StoreCall::Remove,
         StoreCall::WriteQuarantine,
         StoreCall::WriteVersions,
+        StoreCall::WriteOrigins,
+        StoreCall::Origins,
     ];
 
     /// Label of the kind in logs and metrics.
@@ -55,6 +61,8 @@
             StoreCall::Remove => "remove",
             StoreCall::WriteQuarantine => "write-quarantine",
             StoreCall::WriteVersions => "write-versions",
+            StoreCall::WriteOrigins => "write-origins",
+            StoreCall::Origins => "origins",
         }
     }
 }
--- a/crates/gateway/src/streaming_call.rs
+++ b/crates/gateway/src/streaming_call.rs
@@ -133,13 +133,16 @@
     request: &CallerRequest,
     told: Option<SoftwareVersion>,
 ) -> Result<Option<SoftwareVersion>, Refusal> {
-    let refusal =
-        |detail| Refusal::not_run(RefusalKind::NoUpstream, detail).with_retry_after(FULL_RETRY);
+    let refusal = |detail| Refusal::not_run(RefusalKind::NoUpstream, detail);
     let software = match told {
         Some(software) => software,
         None => match find_version(state, request).await {
             Ok(Some(software)) => software,
             Ok(None) => return Ok(None),
+            Err(e @ ResumeError::OriginNotRead) => {
+                return Err(refusal(e.detail()).with_retry_after(FULL_RETRY));
+            }
+            // Another attempt would get the same answer.
             Err(e) => return Err(refusal(e.detail())),
         },
     };
@@ -149,9 +152,10 @@
         .has_version(&request.service, &software)
     {
         true => Ok(Some(software)),
-        false => Err(refusal(
-            "no upstream has the software version that began the stream",
-        )),
+        false => {
+            let detail = "no upstream has the software version that began the stream";
+            Err(refusal(detail).with_retry_after(FULL_RETRY))
+        }
     }
 }
 
--- a/crates/gateway/tests/whole/fakes/fake_store.rs
+++ b/crates/gateway/tests/whole/fakes/fake_store.rs
@@ -1,5 +1,7 @@
 //! An in-memory store with injected faults.
 
+use std::collections::BTreeMap;
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
@@ -9,11 +11,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use compact_str::CompactString;
 use compact_str::format_compact;
 use event_listener::Event;
 use jd_gateway::Change;
 use jd_gateway::ItemBatch;
 use jd_gateway::LeaseId;
+use jd_gateway::OriginItem;
+use jd_gateway::OriginPage;
 use jd_gateway::Page;
 use jd_gateway::QuarantineRecord;
 use jd_gateway::Record;
@@ -28,6 +33,7 @@
 use jd_serving::VersionRecord;
 use jd_types::Incarnation;
 use jd_types::Name;
+use jd_wire::decode_stream_records;
 
 /// Items per page.
 const PAGE: usize = 3;
@@ -39,6 +45,8 @@
     /// The lists from before each restore, oldest first.
     earlier: Mutex<Vec<Vec<Change>>>,
     changed: Event,
+    /// Origins of streams, by part and name.
+    origins: Mutex<BTreeMap<(u32, CompactString), Bytes>>,
 }
 
 impl ChangeLog {
@@ -222,6 +230,17 @@
         self.refused_announcements.store(count, Ordering::Relaxed);
     }
 
+    /// Number of streams whose origins it holds.
+    pub(crate) fn saved_streams(&self) -> usize {
+        let origins = self.log.origins.lock().expect("a lock");
+        let records = origins.values().flat_map(|value| {
+            let records = decode_stream_records(value).expect("records of streams");
+            records.records
+        });
+        let streams: HashSet<String> = records.map(|r| r.stream).collect();
+        streams.len()
+    }
+
     /// True once it records this software version of a service.
     pub(crate) fn records_version(&self, service: &str, version: &str) -> bool {
         let version = SoftwareVersion::try_from(version).expect("a version");
@@ -439,6 +458,41 @@
         })
     }
 
+    fn write_origins<'a>(
+        &'a self,
+        items: &'a [OriginItem],
+        _lease: LeaseId,
+    ) -> StoreFuture<'a, ()> {
+        Box::pin(async move {
+            self.answer(())?;
+            let mut origins = self.log.origins.lock().expect("a lock");
+            for item in items {
+                origins.insert((item.part, item.name.clone()), item.value.clone());
+            }
+            Ok(())
+        })
+    }
+
+    fn origins<'a>(&'a self, part: u32, after: &'a str) -> StoreFuture<'a, OriginPage> {
+        Box::pin(async move {
+            self.answer(())?;
+            let origins = self.log.origins.lock().expect("a lock");
+            let of_part = origins
+                .iter()
+                .filter(|((p, name), _)| *p == part && name.as_str() > after);
+            let mut items: Vec<OriginItem> = of_part
+                .map(|((part, name), value)| OriginItem {
+                    part: *part,
+                    name: name.clone(),
+                    value: value.clone(),
+                })
+                .collect();
+            let more = items.len() > PAGE;
+            items.truncate(PAGE);
+            Ok(OriginPage { items, more })
+        })
+    }
+
     fn write_quarantine<'a>(
         &'a self,
         record: &'a QuarantineRecord,
--- a/crates/gateway/tests/whole/lost_origins.rs
+++ b/crates/gateway/tests/whole/lost_origins.rs
@@ -1,10 +1,14 @@
 //! Streams that are taken up after the instances that knew their origins have ended.
 
+use std::time::Duration;
+
+use async_io::Timer;
 use futures_lite::future::block_on;
 use jd_gateway::Change;
 
 use crate::fakes::Harness;
 use crate::fakes::Reply;
+use crate::fakes::owner_order;
 use crate::versions::OF_EACH_VERSION;
 use crate::versions::RESUME;
 use crate::versions::STREAMS;
@@ -25,6 +29,12 @@
     begun
 }
 
+async fn until_saved(harness: &Harness) {
+    while harness.store.saved_streams() < STREAMS {
+        Timer::after(Duration::from_millis(10)).await;
+    }
+}
+
 async fn remove_upstreams(harness: &Harness, upstreams: impl Iterator<Item = usize>) {
     for n in upstreams {
         let id = format!("i-{n}");
@@ -69,6 +79,43 @@
     });
 }
 
+/// Guards against streams that are refused although both versions serve on, because the instances
+/// that knew their origins were all killed.
+#[test]
+fn streams_go_on_at_their_versions_after_all_instances_were_killed() {
+    block_on(async {
+        let mut harness = fleet(3, Reply::Resumable { cut: false }).await;
+        let begun = begin_streams(&harness).await;
+        until_saved(&harness).await;
+        harness.restart_gateways();
+        until_serving(&harness).await;
+        for version in [true, false] {
+            let expected = begun.iter().filter(|v| **v == version).count();
+            assert_eq!(take_up(&harness, &begun, version).await, expected);
+        }
+    });
+}
+
+/// Guards against streams that are refused because their keepers ended one after the other.
+#[test]
+fn streams_go_on_at_their_versions_after_all_instances_were_replaced_in_turn() {
+    block_on(async {
+        let mut harness = fleet(3, Reply::Resumable { cut: false }).await;
+        let begun = begin_streams(&harness).await;
+        until_saved(&harness).await;
+        for instance in owner_order(&harness.peer_addresses()) {
+            harness.add_gateways(1);
+            harness.until_all_listed().await;
+            harness.kill_gateway(instance);
+            until_serving(&harness).await;
+        }
+        for version in [true, false] {
+            let expected = begun.iter().filter(|v| **v == version).count();
+            assert_eq!(take_up(&harness, &begun, version).await, expected);
+        }
+    });
+}
+
 /// Guards against taking the records of a store that was restored from a copy for all that were
 /// written.
 #[test]
@@ -77,6 +124,7 @@
         let mut harness = fleet(3, Reply::Resumable { cut: false }).await;
         let begun = begin_streams(&harness).await;
         let kept = harness.store.len();
+        until_saved(&harness).await;
         remove_upstreams(&harness, 0..OF_EACH_VERSION).await;
         harness.store.restore(kept);
         remove_upstreams(&harness, 0..OF_EACH_VERSION).await;
@@ -85,3 +133,14 @@
         take_up(&harness, &begun, true).await;
     });
 }
+
+/// Guards against origins that nobody writes because the store rejects the instance that is to do so.
+#[test]
+fn origins_are_saved_although_the_store_rejects_one_instance() {
+    block_on(async {
+        let harness = fleet(3, Reply::Resumable { cut: false }).await;
+        harness.store.set_unavailable(true);
+        begin_streams(&harness).await;
+        until_saved(&harness).await;
+    });
+}
--- a/crates/serving/src/stream_origin/mod.rs
+++ b/crates/serving/src/stream_origin/mod.rs
@@ -10,6 +10,7 @@
 mod service_versions;
 mod software_version;
 mod stream_id;
+mod unsaved_origins;
 mod version_evidence;
 mod version_record;
 
@@ -28,6 +29,9 @@
 pub use software_version::SoftwareVersionError;
 pub use stream_id::StreamId;
 pub use stream_id::StreamIdError;
+pub use unsaved_origins::OriginBatch;
+pub use unsaved_origins::SaverRole;
+pub use unsaved_origins::UnsavedOrigins;
 pub use version_evidence::VersionCertainty;
 pub use version_evidence::VersionEvidence;
 pub use version_evidence::judge_version;
--- a/crates/serving/src/stream_origin/origins.rs
+++ b/crates/serving/src/stream_origin/origins.rs
@@ -102,6 +102,13 @@
         known.map_or(Duration::ZERO, |known| known.until.since(now))
     }
 
+    /// The streams of a service whose origins are kept.
+    pub fn of_service(&self, now: MonoTime, service: &str) -> impl Iterator<Item = &StreamId> {
+        let kept = self.known.iter().filter(move |(_, k)| k.until > now);
+        let of_service = kept.filter(move |(_, k)| k.origin.service == service);
+        of_service.map(|(id, _)| id)
+    }
+
     /// Number of origins that are kept.
     pub fn len(&self) -> usize {
         self.known.len()
--- a/crates/serving/src/stream_origin/resume_rule.rs
+++ b/crates/serving/src/stream_origin/resume_rule.rs
@@ -37,6 +37,8 @@
 pub enum ResumeError {
     /// Nobody knows which version began the stream, and several can have.
     UnknownOrigin,
+    /// The instances that keep the origin of the stream have not read it yet after their start.
+    OriginNotRead,
     /// The stream belongs to another customer.
     ForeignStream,
     /// The upstream that began the stream has started again as another version.
@@ -48,6 +50,7 @@
     pub fn as_str(self) -> &'static str {
         match self {
             ResumeError::UnknownOrigin => "unknown",
+            ResumeError::OriginNotRead => "not-read",
             ResumeError::ForeignStream => "foreign",
             ResumeError::UncertainOrigin => "uncertain",
         }
@@ -59,6 +62,9 @@
             ResumeError::UnknownOrigin | ResumeError::ForeignStream => {
                 "it is not known which software version began the stream; begin it anew"
             }
+            ResumeError::OriginNotRead => {
+                "it is not known yet which software version began the stream; ask again"
+            }
             ResumeError::UncertainOrigin => {
                 "the upstream that began the stream runs another version now; begin it anew"
             }
--- a/crates/serving/tests/version_record.rs
+++ b/crates/serving/tests/version_record.rs
@@ -7,8 +7,13 @@
 use std::time::SystemTime;
 
 use jd_serving::ListedVersion;
+use jd_serving::OriginBatch;
+use jd_serving::SaverRole;
 use jd_serving::SoftwareVersion;
+use jd_serving::StreamId;
+use jd_serving::UnsavedOrigins;
 use jd_serving::VersionRecord;
+use jd_types::MonoTime;
 use test_case::test_case;
 
 const AGE: Duration = Duration::from_secs(40);
@@ -94,3 +99,73 @@
     assert!(known.services["pool"].len() <= 9);
     assert_eq!(lately(&known, 99).len(), 9);
 }
+
+fn id(n: usize) -> StreamId {
+    StreamId::try_from(format!("s-{n}").as_str()).expect("an ID")
+}
+
+fn ms(ms: u64) -> MonoTime {
+    MonoTime::from_millis(1_000_000 + ms)
+}
+
+fn numbers_of(batches: &[OriginBatch]) -> Vec<usize> {
+    batches.iter().map(|b| b.streams.len()).collect()
+}
+
+/// Guards against a write for each stream: few records, however many streams begin.
+#[test]
+fn streams_of_an_interval_are_written_together() {
+    let mut unsaved = UnsavedOrigins::default();
+    let mut records = HashSet::new();
+    let mut next = 0;
+    for interval in 0..60 {
+        for _ in 0..20 {
+            unsaved.add(ms(interval * 700), 3, id(next), false);
+            next += 1;
+        }
+        let due = unsaved.take_due(ms(interval * 700), |_| SaverRole::Writer);
+        assert_eq!(due.len(), 1);
+        assert!(due[0].streams.contains(&id(next - 1)));
+        records.insert(due[0].number);
+    }
+    assert!(records.len() <= 9, "{} records", records.len());
+    assert!(unsaved.is_empty());
+}
+
+/// Guards against streams that nobody writes because their writer ended first.
+#[test]
+fn a_standby_writes_what_the_writer_may_not_have_written() {
+    let mut unsaved = UnsavedOrigins::default();
+    unsaved.add(ms(0), 0, id(1), false);
+    unsaved.add(ms(4_000), 0, id(2), false);
+    unsaved.add(ms(4_000), 1, id(3), true);
+    let handed_over = unsaved.take_due(ms(5_500), |_| SaverRole::Standby);
+    assert_eq!(numbers_of(&handed_over), [1]);
+    assert_eq!(handed_over[0].streams, [id(3)]);
+    let left = unsaved.take_due(ms(5_500), |_| SaverRole::Writer);
+    assert_eq!(numbers_of(&left), [1]);
+    assert_eq!(left[0].streams, [id(2)]);
+}
+
+/// Guards against streams that are lost because the store did not take them, and against a write that
+/// is larger than the store accepts.
+#[test]
+fn streams_that_could_not_be_written_are_written_later_in_bounded_writes() {
+    let mut unsaved = UnsavedOrigins::default();
+    for n in 0..40_000 {
+        unsaved.add(ms(0), 0, id(n), false);
+    }
+    let mut written = 0;
+    let mut writes = 0;
+    while !unsaved.is_empty() {
+        writes += 1;
+        for batch in unsaved.take_due(ms(0), |_| SaverRole::Writer) {
+            assert!(batch.streams.len() <= 2_048 + 256);
+            match writes {
+                1 => unsaved.take_back(ms(0), batch),
+                _ => written += batch.streams.len(),
+            }
+        }
+    }
+    assert_eq!(written, 16_384);
+}
