A stopping instance answers every request before it ends

Cause: none of the waits of a request knows when its process ends. Ruled out: requests cut off while their upstream worked on them (the lost ones had reached none).

Change: one plan of a stop (`ShutdownPlan`, without I/O) says until when requests are accepted, wait for their stages, wait unsent, and wait for a response. Stages end at 72 % of the grace period, for jobs that are submitted meanwhile and for those that wait already; a request that was sent to no upstream is refused 400 ms before the exit as not run, with 50 ms to come back; one that was sent is answered as may have run 100 ms before the exit. Whether a request was sent is counted before each send, and taken back by proof alone. Other instances are told of the stop at once, not with the next heartbeat.

Evidence: `stops::a_request_is_answered_before_its_instance_ends` (both cases) fails on the code before, with no answer before the end, and passes.

--- a/crates/gateway/src/caller_api.rs
+++ b/crates/gateway/src/caller_api.rs
@@ -1,11 +1,14 @@
 //! The endpoint for callers' requests.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
 use compact_str::CompactString;
 use compact_str::format_compact;
+use futures_lite::FutureExt;
 use http::HeaderValue;
 use http::Request;
 use http::Response;
@@ -47,6 +50,8 @@
 /// How long a request waits for the first read of the store after a start, which takes about
 /// 20 ms. This is an eighth of the shortest objective of prompts.
 const FIRST_READ_TIMEOUT: Duration = Duration::from_millis(80);
+/// The retry time of a request that this instance has no time for: others take it at once.
+const STOPPING_RETRY: Duration = Duration::from_millis(50);
 /// How long the body of a request may take to arrive.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -93,7 +98,31 @@
         }
     }
 
+    /// Runs a request. If this instance stops and ends first, it is answered before that.
     pub(crate) async fn run(&self, request: CallerRequest) -> Result<Response<Body>, Refusal> {
+        let begun_runs = Arc::clone(&request.begun_runs);
+        let ending = async { Err(self.until_end(&begun_runs).await) };
+        self.run_admitted(request).or(ending).await
+    }
+
+    /// Returns the refusal of a request that has not been answered shortly before this instance ends.
+    /// A request that may have run waits longer, since its upstream may still respond.
+    async fn until_end(&self, begun_runs: &AtomicU32) -> Refusal {
+        let State {
+            shutdown, clock, ..
+        } = &*self.state;
+        shutdown.until(*clock, |plan| plan.unsent_until).await;
+        let may_run = || begun_runs.load(Ordering::Relaxed) > 0;
+        if may_run() {
+            shutdown.until(*clock, |plan| plan.unanswered_until).await;
+        }
+        match may_run() {
+            true => may_have_run(RefusalKind::UpstreamFailed, "the instance stops"),
+            false => stopping(),
+        }
+    }
+
+    async fn run_admitted(&self, request: CallerRequest) -> Result<Response<Body>, Refusal> {
         request.check_quarantine(&self.state, 0)?;
         match request.route().retry_mode {
             RetryMode::Idempotent | RetryMode::Once => unary_call::run(&self.state, request).await,
@@ -150,6 +179,7 @@
             parts,
             body,
             contents,
+            begun_runs: Arc::default(),
             ran_at: RanAt::default(),
             forwarded: None,
             _running_forward: None,
@@ -290,6 +320,12 @@
     Refusal::not_run(RefusalKind::NotServing, detail).with_retry_after(UNPROVEN_RETRY)
 }
 
+/// The refusal of a request that this instance has no time for because it stops.
+pub(crate) fn stopping() -> Refusal {
+    let detail = "the instance stops; ask another one";
+    Refusal::not_run(RefusalKind::NotServing, detail).with_retry_after(STOPPING_RETRY)
+}
+
 /// The refusal of a request that was sent to an upstream and may have run.
 pub(crate) fn may_have_run(kind: RefusalKind, detail: impl Into<CompactString>) -> Refusal {
     Refusal {
--- a/crates/gateway/src/caller_request.rs
+++ b/crates/gateway/src/caller_request.rs
@@ -1,6 +1,7 @@
 //! An admitted request of a caller.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -41,6 +42,8 @@
     pub(crate) body: Bytes,
     /// Identifies the request, the same if the caller sends it again, and the parts of its prompt.
     pub(crate) contents: RunContents,
+    /// How often it may have run, by what was sent from here so far.
+    pub(crate) begun_runs: Arc<AtomicU32>,
     /// The upstreams at which it may have run, at all instances.
     pub(crate) ran_at: RanAt,
     /// Set if another instance took the request from its caller.
--- a/crates/gateway/src/forward_client.rs
+++ b/crates/gateway/src/forward_client.rs
@@ -165,12 +165,12 @@
         };
         match send(state, request, target.address, from, &on_write).await {
             Forwarded::Refused(refusal) => {
-                retries.take_back_run(state);
+                retries.take_back_run(state, request);
                 let refusal = retries.after_runs(refusal);
                 return Some(Err(NextSendError::Refused(refusal)));
             }
             Forwarded::NotTaken(refusal) => {
-                retries.take_back_run(state);
+                retries.take_back_run(state, request);
                 retries.forward_failures.push(target.address);
                 refused = Some(refusal);
             }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -16,6 +16,7 @@
 use jd_net::ServerLimits;
 use jd_serving::CallerLimits;
 use jd_serving::InstanceEntry;
+use jd_serving::ShutdownPlan;
 use jd_serving::Strength;
 use jd_settings::GatewaySettings;
 use jd_types::Incarnation;
@@ -50,12 +51,6 @@
 use crate::stream_saver::StreamSaver;
 use crate::version_recorder::VersionRecorder;
 
-/// The percentage of the grace period in which new requests are still accepted: until most of
-/// the callers that cached this address have queried addresses again.
-const ACCEPT_PERCENT: u32 = 37;
-/// How long before the end of the grace period the last requests are cut off: the process has
-/// to exit before it is killed.
-const GRACE_MARGIN: Duration = Duration::from_millis(250);
 /// How often the configured limits are applied to the caller endpoint. They affect new
 /// connections; a second is far below the time in which a version has to be in force.
 const LIMITS_INTERVAL: Duration = Duration::from_millis(500);
@@ -250,21 +245,21 @@
 
     /// Shuts down gracefully. The instance is removed from address responses at once, goes on
     /// accepting callers that cached its address for a while, and then only finishes requests
-    /// in flight. Returns when the last request is finished, or just before the grace period
-    /// ends.
+    /// in flight. Requests that cannot be finished are answered before the end. Returns when the
+    /// last request is finished, or just before the grace period ends.
     pub async fn stop(&self) {
         let began = self.state.now();
-        let grace = self.state.settings.grace_period;
+        let plan = ShutdownPlan::new(began, self.state.settings.grace_period);
         log::info!(in_flight = self.state.in_flight(); "stopping");
-        self.state.start_leaving();
+        self.state.start_leaving(plan);
         self.lease.withdraw().await;
-        let cut_off = began + grace.saturating_sub(GRACE_MARGIN);
-        let accept_until = began + grace * ACCEPT_PERCENT / 100;
-        while self.state.now() < accept_until {
+        while self.state.now() < plan.accept_until {
             Timer::after(STOP_INTERVAL).await;
         }
-        self.callers.stop(cut_off.since(self.state.now())).await;
-        while self.state.is_running_forwards() && self.state.now() < cut_off {
+        self.callers
+            .stop(plan.exit_at.since(self.state.now()))
+            .await;
+        while self.state.is_running_forwards() && self.state.now() < plan.exit_at {
             Timer::after(STOP_INTERVAL).await;
         }
         let took = self.state.now().since(began).as_millis() as u64;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -58,6 +58,7 @@
 mod run_events;
 mod selection_filter;
 mod service_apis;
+mod shutdown;
 mod signal;
 mod stage_results;
 mod stage_runner;
--- a/crates/gateway/src/retry_state.rs
+++ b/crates/gateway/src/retry_state.rs
@@ -1,6 +1,7 @@
 //! The attempts at one request, and the runs that its route allows.
 
 use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use compact_str::CompactString;
@@ -95,6 +96,7 @@
         request: &CallerRequest,
     ) -> Result<(), Refusal> {
         if self.runs_left(state, request) > 0 && self.runs.begin() {
+            request.begun_runs.fetch_add(1, Ordering::Relaxed);
             state.metrics.run("begun");
             return Ok(());
         }
@@ -104,8 +106,9 @@
     }
 
     /// Takes back the latest run, because it is proved that no upstream ran the request.
-    pub(crate) fn take_back_run(&mut self, state: &State) {
+    pub(crate) fn take_back_run(&mut self, state: &State, request: &CallerRequest) {
         state.metrics.run("not-run");
+        request.begun_runs.fetch_sub(1, Ordering::Relaxed);
         self.runs.take_back();
     }
 
--- a/crates/gateway/src/stage_runner.rs
+++ b/crates/gateway/src/stage_runner.rs
@@ -6,6 +6,7 @@
 
 use async_io::Timer;
 use futures_lite::FutureExt;
+use futures_lite::future::pending;
 use jd_net::with_timeout;
 use jd_serving::JobFailure;
 use jd_serving::JobStage;
@@ -19,6 +20,7 @@
 use jd_types::RefusalKind;
 
 use crate::batch_dispatcher::BatchDispatcher;
+use crate::caller_api::stopping;
 use crate::caller_request::CallerRequest;
 use crate::job_waiter::JobOutcome;
 use crate::job_waiter::StageOutcome;
@@ -83,8 +85,12 @@
     ) -> Result<StageResults, Refusal> {
         request.check_quarantine(&self.state, 0)?;
         let quarantined = async { Err(request.until_quarantined(&self.state).await) };
+        let ending = async {
+            self.until_stages_end(request).await;
+            Err(stopping())
+        };
         let running = self.run_or_place(request, prompt);
-        let (owner, outcome) = running.or(quarantined).await?;
+        let (owner, outcome) = running.or(quarantined).or(ending).await?;
         Ok(StageResults::new(
             outcome,
             owner,
@@ -92,6 +98,17 @@
         ))
     }
 
+    /// Returns when the stages of a request have to end because this instance stops.
+    async fn until_stages_end(&self, request: &CallerRequest) {
+        let State {
+            shutdown, clock, ..
+        } = &*self.state;
+        match request.has_stages() {
+            true => shutdown.until(*clock, |plan| plan.stages_until).await,
+            false => pending().await,
+        }
+    }
+
     async fn run_or_place(
         &self,
         request: &CallerRequest,
@@ -274,7 +291,7 @@
             piece_key: request.head.piece_key.clone().unwrap_or_default(),
             stages,
             objective: request.objective_deadline().before(time_to_first_event),
-            deadline: stages_deadline(request),
+            deadline: self.state.bound_stages(stages_deadline(request)),
             priority: request.priority,
             zone: self.preferred_zone(request),
             customer: request.customer_hash(),
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -6,7 +6,6 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
-use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -31,6 +30,7 @@
 use jd_serving::Router;
 use jd_serving::Shard;
 use jd_serving::ShardMap;
+use jd_serving::ShutdownPlan;
 use jd_serving::SourceHealth;
 use jd_serving::StoreRevision;
 use jd_serving::UpdateSource;
@@ -60,6 +60,7 @@
 use crate::run_events::UpstreamRef;
 use crate::selection_filter::LimitFilter;
 use crate::selection_filter::SelectionFilter;
+use crate::shutdown::Shutdown;
 use crate::signal::Signal;
 use crate::stream_registry::StreamRegistry;
 use crate::upstream_backoffs::UpstreamBackoffs;
@@ -128,7 +129,7 @@
     pub(crate) instances_listed: Latch,
     cluster: Mutex<ClusterState>,
     budgets: Mutex<HashMap<CompactString, RetryBudget>>,
-    leaving: AtomicBool,
+    pub(crate) shutdown: Shutdown,
     in_flight: AtomicUsize,
 }
 
@@ -178,7 +179,7 @@
             instances_listed: Latch::default(),
             cluster: Mutex::default(),
             budgets: Mutex::default(),
-            leaving: AtomicBool::new(false),
+            shutdown: Shutdown::default(),
             in_flight: AtomicUsize::new(0),
         }
     }
@@ -226,11 +227,19 @@
     }
 
     pub(crate) fn is_leaving(&self) -> bool {
-        self.leaving.load(Ordering::Relaxed)
+        self.shutdown.has_begun()
     }
 
-    pub(crate) fn start_leaving(&self) {
-        self.leaving.store(true, Ordering::Relaxed);
+    /// Stops this instance by a plan, and tells the others at once.
+    pub(crate) fn start_leaving(&self, plan: ShutdownPlan) {
+        self.shutdown.begin(plan);
+        self.heartbeat_requested.notify();
+    }
+
+    /// Until when stages of a request with this deadline may take.
+    pub(crate) fn bound_stages(&self, deadline: MonoTime) -> MonoTime {
+        let plan = self.shutdown.plan();
+        plan.map_or(deadline, |plan| deadline.min(plan.stages_until))
     }
 
     pub(crate) fn in_flight(&self) -> usize {
--- a/crates/gateway/src/upstream_selection.rs
+++ b/crates/gateway/src/upstream_selection.rs
@@ -153,7 +153,7 @@
         );
         let sent = sending.await;
         match &sent {
-            Err(failure) if failure.is_not_run() => retries.take_back_run(state),
+            Err(failure) if failure.is_not_run() => retries.take_back_run(state, request),
             _ => request.ran_at.record(&chosen.id),
         }
         match sent {
--- a/crates/gateway/tests/whole/fakes/harness.rs
+++ b/crates/gateway/tests/whole/fakes/harness.rs
@@ -21,6 +21,7 @@
 use jd_net::HttpPool;
 use jd_net::HttpServer;
 use jd_net::Workers;
+use jd_serving::Deployment;
 use jd_serving::SoftwareVersion;
 use jd_serving::UpstreamEntry;
 use jd_serving::UpstreamStart;
@@ -88,6 +89,16 @@
         Harness::start_services(replies, vec![stage], records, false)
     }
 
+    /// The same with another deployment.
+    pub(crate) fn start_staged(
+        deployment: Deployment,
+        replies: Vec<Vec<Reply>>,
+        stage: Vec<Reply>,
+    ) -> Harness {
+        let records = vec![Record::Deployment(Box::new(deployment))];
+        Harness::start_services(replies, vec![stage], records, false)
+    }
+
     /// The same with two upstreams for the stage, which are the last ones.
     pub(crate) fn start_with_two_stage_upstreams(
         replies: Vec<Vec<Reply>>,
--- a/crates/gateway/tests/whole/fakes/mod.rs
+++ b/crates/gateway/tests/whole/fakes/mod.rs
@@ -27,6 +27,7 @@
 pub(crate) use deployments::entry;
 pub(crate) use deployments::fetching_deployment;
 pub(crate) use deployments::paced_deployment;
+pub(crate) use deployments::staged_deployment;
 pub(crate) use fake_dialect::FakeDialect;
 pub(crate) use fake_owner::FakeOwner;
 pub(crate) use fake_store::FakeStore;
--- a/crates/gateway/tests/whole/main.rs
+++ b/crates/gateway/tests/whole/main.rs
@@ -22,5 +22,6 @@
 mod requests;
 mod restarts;
 mod run_bounds;
+mod stops;
 mod unframed;
 mod versions;
--- /dev/null
+++ b/crates/gateway/tests/whole/stops.rs
@@ -0,0 +1,55 @@
+//! Requests that an instance cannot finish before it ends.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_io::Timer;
+use futures_lite::future::block_on;
+use test_case::test_case;
+
+use crate::fakes::Harness;
+use crate::fakes::Reply;
+use crate::fakes::staged_deployment;
+
+/// Waits of a request that may outlast its instance.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Wait {
+    /// The upstreams of its stage are always full.
+    Stages,
+    /// The upstream that runs it does not respond.
+    Response,
+}
+
+/// Guards against a request that is read and gets no answer because its instance ends first, and
+/// against an answer that says of a request that was sent that it did not run.
+#[test_case(Wait::Stages, 503, "not run"; "waiting for its stages")]
+#[test_case(Wait::Response, 502, "may have run"; "waiting for its upstream")]
+fn a_request_is_answered_before_its_instance_ends(wait: Wait, status: u16, run: &str) {
+    let (_tx, rx) = async_channel::bounded(1);
+    let mut deployment = staged_deployment();
+    for route in &mut deployment.routes {
+        route.objective = Duration::from_secs(10);
+    }
+    let held = vec![Reply::UntilReleased(rx)];
+    let harness = Harness::start_staged(deployment, vec![held], vec![Reply::NotRun]);
+    let harness = Arc::new(harness);
+    block_on(async {
+        harness.until_ready(true).await;
+        let (path, upstream) = match wait {
+            Wait::Stages => ("/staged/x", 1),
+            Wait::Response => ("/once/x", 0),
+        };
+        let caller = Arc::clone(&harness);
+        let response = harness.spawn(async move { caller.ask(path, "1").await });
+        while harness.upstreams[upstream].count() == 0 {
+            Timer::after(Duration::from_millis(2)).await;
+        }
+        harness.gateway.stop().await;
+        assert!(response.is_finished(), "no answer before the end");
+        let received = response.await;
+        assert_eq!(
+            (received.status, received.run.as_deref()),
+            (status, Some(run))
+        );
+    });
+}
