One instance at a time calls the upstreams of stages while instances stop in turn

Cause: an instance that loses a shard hands over its unstarted jobs alone and works the begun ones off, up to its end 8 s later, while the next owner begins. Each counts its own calls and results. While all instances are stopping, which overlapping turns bring about, there was no owner at all, and each instance ran the stages of its own requests.

Change: an owner that is replaced makes no more calls. Each begun job passes to the next owner as soon as none of its pieces is at an upstream, with its results, which that one counts, uses and releases from then on; a transfer that is not taken releases them, and what nobody claims is released after 1.5 s. So at an upstream there are the calls of one owner, and at most those that an earlier one had sent before. The instance that waits for a job submits it again until its deadline, not four times; a job that had begun is not refused for the wait behind it. An owner that is asked for jobs of a shard that it has lost says so for 2 s, until all have heard of the next one. While all instances stop, those that still answer share the duties in the usual order; heartbeats tell of them. Where nobody takes the jobs, they are worked off as before.

--- a/crates/gateway/src/batch_dispatcher.rs
+++ b/crates/gateway/src/batch_dispatcher.rs
@@ -17,6 +17,7 @@
 use jd_serving::StageScheduler;
 use jd_serving::StorageQuery;
 use jd_serving::StorageReport;
+use jd_types::MonoTime;
 
 use crate::job_waiter::JobOutcome;
 use crate::job_waiter::JobWaiter;
@@ -33,6 +34,9 @@
 const TICK: Duration = Duration::from_millis(30);
 /// How many ticks pass between two checks of shard ownership.
 const TICKS_PER_OWNERSHIP_CHECK: u32 = 4;
+/// How long an instance that no longer owns a shard refuses its jobs: until all others have heard of
+/// the next owner.
+const REPLACED_TIME: Duration = Duration::from_millis(2_000);
 /// The timeout of a query for free result storage: several round trips between availability
 /// zones.
 const STORAGE_QUERY_TIMEOUT: Duration = Duration::from_millis(80);
@@ -46,6 +50,8 @@
     table: Option<Arc<UpstreamTable>>,
     /// True while this instance is the first owner of the shard.
     pub(crate) owned: bool,
+    /// When this instance began to hand its jobs over to the next owner.
+    replaced_at: MonoTime,
     /// True once a job was submitted here. A successor that only holds results knows nothing of the
     /// shard's backlog.
     is_used: bool,
@@ -114,6 +120,13 @@
                 });
             entry.is_used = true;
             self.update_upstreams(&shard, entry);
+            if entry.scheduler.is_transferring() {
+                if now.since(entry.replaced_at) < REPLACED_TIME {
+                    return Err(JobFailure::Moved);
+                }
+                // The next owner does not answer the instance that submits this job.
+                entry.scheduler.end_transfer();
+            }
             if let Some(left) = self.state.quarantine.time_left(now, job.content) {
                 return Err(JobFailure::Quarantined(left));
             }
@@ -155,7 +168,7 @@
         let now = self.state.now();
         let schedulers = lock(&self.schedulers);
         let all = schedulers.iter();
-        let used = all.filter(|(_, entry)| entry.is_used);
+        let used = all.filter(|(_, entry)| entry.is_used && !entry.scheduler.is_transferring());
         used.map(|(shard, entry)| (shard.clone(), entry.scheduler.backlog(now)))
             .collect()
     }
@@ -182,16 +195,21 @@
             if self.state.path.is_lost() {
                 entry.scheduler.abandon();
             }
-            match (std::mem::replace(&mut entry.owned, owns), owns) {
-                (true, false) => {
+            match (entry.owned, owns) {
+                (true, false) if self.next_owner(shard).is_some() => {
                     log::info!(shard:? = shard; "shard is owned by another instance now");
-                    entry.scheduler.hand_over();
+                    entry.owned = false;
+                    entry.replaced_at = self.state.now();
+                    entry.scheduler.begin_transfer();
                 }
                 (false, true) => {
                     log::info!(shard:? = shard; "shard is owned by this instance now");
+                    entry.owned = true;
+                    entry.scheduler.end_transfer();
                     entry.scheduler.take_over();
                 }
-                (true, true) | (false, false) => {}
+                // Where nobody takes the jobs, as while all instances stop, they are worked off here.
+                (true, _) | (false, false) => {}
             }
             self.update_handover(shard, entry);
         }
@@ -241,6 +259,7 @@
             let waiter = entry.waiters.remove(&end.key);
             ended.extend(waiter.map(|w| (w, end.outcome)));
         }
+        self.start_transfers(shard, entry);
         self.free_queue.add(entry.scheduler.take_unused_results());
         self.report_handover(shard, entry);
         drop(schedulers);
--- a/crates/gateway/src/owner_order.rs
+++ b/crates/gateway/src/owner_order.rs
@@ -33,13 +33,20 @@
     }
 
     /// The addresses of the first instances for a duty that needs no path to the upstreams, in the
-    /// order in which they are tried.
+    /// order in which they are tried. While all instances stop, those that still answer.
+    ///
+    /// Where each instance had taken itself for the only one, all of them filled batches for the same
+    /// upstreams.
     pub(crate) fn duty_order(&self, shard: &Shard) -> Vec<SocketAddr> {
         let now = self.now();
         let cluster = self.cluster();
         let others = cluster.instances.live_loaded(now);
         let own = (!self.is_leaving()).then_some(&self.own_entry);
-        let order = rank_owners(shard, others.chain(own), MAX_OWNERS);
+        let mut order = rank_owners(shard, others.chain(own), MAX_OWNERS);
+        if order.is_empty() {
+            let stopping = cluster.instances.stopping(now);
+            order = rank_owners(shard, stopping.chain([&self.own_entry]), MAX_OWNERS);
+        }
         order.into_iter().map(|e| e.peer_address).collect()
     }
 
--- a/crates/gateway/src/peer_api.rs
+++ b/crates/gateway/src/peer_api.rs
@@ -51,6 +51,9 @@
 use crate::quarantine_coordinator::QuarantineCoordinator;
 use crate::state::State;
 
+/// Most stopping instances that another one is told of. It needs them while no other is left.
+const MAX_STOPPING: usize = 16;
+
 /// Serves the calls of other instances.
 #[derive(Debug)]
 pub(crate) struct PeerApi {
@@ -105,6 +108,11 @@
             let unlisted = cluster.instances.unlisted(now);
             unlisted.map(peer_instance::wire_instance).collect()
         };
+        let stopping: Vec<Instance> = {
+            let cluster = self.state.cluster();
+            let stopping = cluster.instances.stopping(now).take(MAX_STOPPING);
+            stopping.map(peer_instance::wire_instance).collect()
+        };
         Ok(tonic::Response::new(BeatReply {
             incarnation: self.state.own_entry.incarnation.get(),
             leaving: self.state.is_leaving(),
@@ -118,6 +126,7 @@
             version: self.state.cluster().deployment_version(),
             upstream_path: peer_instance::wire_path(self.state.path.reported()),
             brittle: self.state.brittle.wire(now),
+            stopping,
         }))
     }
 
@@ -199,7 +208,17 @@
         req: tonic::Request<ReplicateResultsRequest>,
     ) -> Result<tonic::Response<ReplicateResultsReply>, Status> {
         let now = self.state.now();
-        let (shard, owner, update) = peer_handover::update_of(req.into_inner(), now)?;
+        let req = req.into_inner();
+        let handed_over = req.handed_over;
+        let (shard, owner, update) = peer_handover::update_of(req, now)?;
+        if handed_over {
+            let accepted = self
+                .dispatcher
+                .accept_transfer(shard, owner, update.results);
+            return Ok(tonic::Response::new(ReplicateResultsReply {
+                needs_whole: !accepted,
+            }));
+        }
         let applied = self
             .dispatcher
             .apply_replica_update(shard, owner, update)
--- a/crates/gateway/src/peer_client.rs
+++ b/crates/gateway/src/peer_client.rs
@@ -346,6 +346,16 @@
                 cluster.instances.add_reported(now, entry);
             }
         }
+        let stopping = reply.stopping.iter();
+        for entry in stopping.filter_map(peer_instance::instance_of) {
+            if entry.peer_address != self.state.own_entry.peer_address {
+                let entry = InstanceEntry {
+                    leaving: true,
+                    ..entry
+                };
+                cluster.instances.add_reported(now, entry);
+            }
+        }
         let heartbeat = Heartbeat {
             leaving: reply.leaving,
             ready: reply.ready,
--- a/crates/gateway/src/peer_handover.rs
+++ b/crates/gateway/src/peer_handover.rs
@@ -35,6 +35,7 @@
         whole: update.whole,
         results: results.map(|r| wire_result(r, now)).collect(),
         removed: update.removed.into_iter().map(String::from).collect(),
+        handed_over: false,
     }
 }
 
--- a/crates/gateway/src/stage_runner.rs
+++ b/crates/gateway/src/stage_runner.rs
@@ -37,9 +37,9 @@
 const OWNER_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 /// How often a job is sent to one owner while that owner answers heartbeats.
 const ATTEMPTS_PER_OWNER: u32 = 2;
-/// How often a job follows its shard to a new owner. After a start of all instances they
-/// agree on the owners within two changes.
-const MAX_MOVES: u32 = 4;
+/// The pause before a job is submitted again after it was moved. The instance that moved it may have
+/// heard of the next owner before this one.
+const MOVE_PAUSE: Duration = Duration::from_millis(25);
 /// How long a request without stages waits for the owner of a shard to select its upstream: several
 /// round trips between availability zones, and a twentieth of the shortest objective of prompts.
 const PLACEMENT_TIMEOUT: Duration = Duration::from_millis(50);
@@ -136,8 +136,9 @@
         let began = self.state.now();
         let (mut owner, mut ended) = self.run_on_owners(job).await;
         let mut moves = 0;
-        while matches!(ended, Err(JobFailure::Moved)) && moves < MAX_MOVES {
+        while matches!(ended, Err(JobFailure::Moved)) && self.state.now() < job.deadline {
             moves += 1;
+            Timer::after(MOVE_PAUSE).await;
             (owner, ended) = self.run_on_owners(job).await;
         }
         let took = self.state.now().since(began);
@@ -150,6 +151,7 @@
             request = request.id(),
             owner:%,
             outcome,
+            moves,
             first_event_ms = request.objective_deadline().since(job.objective).as_millis() as u64,
             ms = took.as_millis() as u64;
             "stages ended"
@@ -370,7 +372,7 @@
         JobFailure::Moved => (
             RefusalKind::Overloaded,
             FAILED_RETRY,
-            "the instance that does stages changed too often",
+            "the instance that does stages changed until the deadline",
         ),
     };
     Refusal::not_run(kind, detail).with_retry_after(wait)
--- a/crates/gateway/src/stream_registry.rs
+++ b/crates/gateway/src/stream_registry.rs
@@ -210,13 +210,10 @@
         }
     }
 
-    /// True if this instance keeps the origins of a part. While all known instances leave, each of
-    /// them keeps all parts.
+    /// True if this instance keeps the origins of a part.
     fn keeps(&self, state: &State, part: u32) -> bool {
         let order = state.duty_order(&shard(part));
-        order.is_empty()
-            || order.contains(&state.own_entry.peer_address)
-            || lock(&self.asked_parts).contains_key(&part)
+        order.contains(&state.own_entry.peer_address) || lock(&self.asked_parts).contains_key(&part)
     }
 
     /// The version at which a request may resume a stream. Asks the instances that keep the
--- a/crates/gateway/src/version_recorder.rs
+++ b/crates/gateway/src/version_recorder.rs
@@ -60,11 +60,8 @@
         let state = &self.link.state;
         let coordinators = state.coordinators();
         let own = state.own_entry.peer_address;
-        match coordinators.iter().position(|a| *a == own) {
-            Some(n) => u32::try_from(n).ok(),
-            // All instances leave.
-            None => coordinators.is_empty().then_some(0),
-        }
+        let position = coordinators.iter().position(|a| *a == own)?;
+        u32::try_from(position).ok()
     }
 
     /// The record to write, and the revision of the one that it replaces; none if nothing is missing,
--- a/crates/gateway/tests/whole/handover.rs
+++ b/crates/gateway/tests/whole/handover.rs
@@ -17,6 +17,7 @@
 use tonic::Code;
 
 use crate::fakes::CallerResponse;
+use crate::fakes::FakeUpstream;
 use crate::fakes::Harness;
 use crate::fakes::Reply;
 use crate::fakes::StageUpstream;
@@ -167,3 +168,46 @@
         assert_eq!(code, Err(Code::FailedPrecondition));
     });
 }
+
+/// Guards against an owner that goes on with a begun request after it was told to stop, while the
+/// next owner calls the same upstreams; and against running a stage twice when it does not.
+#[test]
+fn an_owner_that_stops_hands_its_begun_requests_over() {
+    let mut deployment = chained_deployment();
+    for route in &mut deployment.routes {
+        route.objective = Duration::from_secs(10);
+    }
+    let records = vec![Record::Deployment(Box::new(deployment))];
+    let mut harness = Harness::start_with(vec![vec![ANSWER]], records);
+    let executor = harness.executor();
+    let (first, first_server) = StageUpstream::start(&executor, None);
+    let (second, second_server) = FakeUpstream::start(&executor, vec![Reply::NotRun]);
+    for (service, server) in [("stages", &first_server), ("finish", &second_server)] {
+        let listed = entry(service, service, server.address(), UpstreamStart::UNKNOWN);
+        harness.store.change(Change::Put(listed));
+    }
+    harness.add_gateways(3);
+    block_on(async {
+        harness.until_all_listed().await;
+        let owners = owner_order(&harness.peer_addresses());
+        let asking = harness.spawn_ask(owners[3], "/staged/x", "request-1");
+        while second.count() == 0 {
+            Timer::after(Duration::from_millis(5)).await;
+        }
+        let owner = harness.gateway_at(owners[0]);
+        let stopping = harness.spawn(async move { owner.stop().await });
+        let counter = "jd_gateway_handover_results_total{outcome=\"received\"}";
+        while harness.counter_total(counter).await == 0 {
+            Timer::after(Duration::from_millis(5)).await;
+        }
+        second.set_replies(vec![Reply::Complete("made at 127.0.0.1:1")]);
+        let received = asking.await;
+        assert_eq!(received.status, 200, "{received:?}");
+        assert_eq!(first.calls().len(), 1, "the first stage ran again");
+        while first.freed().is_empty() {
+            Timer::after(Duration::from_millis(5)).await;
+        }
+        stopping.await;
+        assert_eq!(first.freed().len(), 1);
+    });
+}
--- a/crates/serving/src/instance_selection.rs
+++ b/crates/serving/src/instance_selection.rs
@@ -47,6 +47,15 @@
         self.known.values().filter(has_path).map(|k| &k.entry)
     }
 
+    /// Instances that are stopping and still answer. They do what nobody else is left to do.
+    pub fn stopping(&self, now: MonoTime) -> impl Iterator<Item = &InstanceEntry> {
+        let stopping = move |k: &&Instance| {
+            let answers = k.responded && now.since(k.last_reply) < HEARTBEAT_TIMEOUT;
+            answers && k.entry.leaving && k.store_loaded && k.upstream_path != UpstreamPath::Lost
+        };
+        self.known.values().filter(stopping).map(|k| &k.entry)
+    }
+
     /// Instances that have said that they can connect to upstreams. One of an earlier version does
     /// not say so, and cannot run forwarded requests.
     pub fn forward_targets(&self, now: MonoTime) -> impl Iterator<Item = &InstanceEntry> {
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -178,6 +178,7 @@
 pub use stage_flow::UpstreamLoad;
 pub use stage_flow::UpstreamLoadError;
 pub use stage_handover::HandoverEvent;
+pub use stage_handover::JobTransfer;
 pub use stage_handover::MAX_RESULTS_PER_UPDATE;
 pub use stage_handover::OwnerPresence;
 pub use stage_handover::ReplicaReply;
--- a/crates/serving/src/scheduler_failures.rs
+++ b/crates/serving/src/scheduler_failures.rs
@@ -1,6 +1,7 @@
 //! Jobs that end without results: late, moved, quarantined or failed ones.
 
 use std::collections::BTreeMap;
+use std::collections::HashSet;
 use std::time::Duration;
 
 use compact_str::CompactString;
@@ -45,6 +46,7 @@
             self.free_storage(&service, &upstream, bytes);
         }
         self.release_read_results(now);
+        self.release_unclaimed(now);
         self.fail_stranded();
         for (key, failure) in self.overdue_jobs(now) {
             if let Some(job) = self.jobs.get(&key) {
@@ -103,8 +105,20 @@
 
     /// Ends a job with a failure, and releases its results and queued pieces.
     pub(crate) fn fail(&mut self, key: JobKey, failure: JobFailure) {
+        self.fail_keeping(key, failure, &HashSet::new());
+    }
+
+    /// The same, without releasing the results in `kept`.
+    pub(crate) fn fail_keeping(
+        &mut self,
+        key: JobKey,
+        failure: JobFailure,
+        kept: &HashSet<CompactString>,
+    ) {
         if let Some(job) = self.jobs.remove(&key) {
-            self.release_results(job.progress.all_results());
+            let mut results = job.progress.all_results();
+            results.retain(|handle| !kept.contains(handle));
+            self.release_results(results);
             self.remove_queued(key);
             let outcome = Err(failure);
             self.finished.push(FinishedJob { key, outcome });
--- a/crates/serving/src/scheduler_storage.rs
+++ b/crates/serving/src/scheduler_storage.rs
@@ -10,6 +10,9 @@
     /// Returns the queries for free storage that have to be sent now.
     pub fn storage_queries(&mut self, now: MonoTime) -> Vec<StorageQuery> {
         let mut queries = Vec::new();
+        if self.is_transferring() {
+            return queries;
+        }
         for (service, queue) in &mut self.queues {
             let result_ttl = queue.spec.result_ttl;
             let due = queue.upstreams.iter_mut();
--- a/crates/serving/src/stage_handover/adoption.rs
+++ b/crates/serving/src/stage_handover/adoption.rs
@@ -16,8 +16,10 @@
 use crate::ReplicaUpdate;
 use crate::StageScheduler;
 use crate::StoredResult;
+use crate::result_storage::ResultStorage;
 use crate::scheduled_job::ScheduledJob;
 use crate::stage_handover::adopted_result::AdoptedResult;
+use crate::stage_queue::StageQueue;
 
 /// How long results of a silent owner are kept for jobs that are submitted again, from the time at
 /// which this instance took the shard over. Instances notice the silence of an owner within a
@@ -54,25 +56,22 @@
             .collect();
         let (storage, queues) = (&self.storage, &self.queues);
         let describe = |handle: &CompactString, (job, piece): (&ScheduledJob, PieceKey)| {
-            let (service, upstream, bytes) = storage.location(handle)?;
-            let mut upstreams = queues.get(service)?.upstreams.iter();
-            let start = upstreams.find(|u| u.id == *upstream)?.start;
-            let job = job.progress.job();
-            Some(StoredResult {
-                request_id: job.request_id.clone(),
-                content: job.content,
-                piece,
-                handle: handle.clone(),
-                service: service.clone(),
-                upstream: upstream.clone(),
-                start,
-                bytes,
-                expires_at: storage.expires_at(handle)?,
-            })
+            describe_result(storage, queues, job, piece, handle)
         };
         self.handover.replicator.next_update(&stored, describe)
     }
 
+    /// The stored result of a piece; none if it is not tracked here.
+    pub(crate) fn describe(
+        &self,
+        job: &ScheduledJob,
+        piece: PieceKey,
+        handle: &CompactString,
+    ) -> Option<StoredResult> {
+        let described = describe_result(&self.storage, &self.queues, job, piece, handle);
+        described.filter(StoredResult::is_replicable)
+    }
+
     /// Records the reply of a successor to the last update.
     pub fn record_replica_reply(
         &mut self,
@@ -115,6 +114,7 @@
     /// Gives a new job the results that an earlier owner stored for the same request, so that the
     /// finished pieces do not run again.
     pub(crate) fn adopt_results(&mut self, now: MonoTime, key: JobKey) {
+        self.claim_transferred(now, key);
         let Some(job) = self.jobs.get(&key).map(|j| j.progress.job()) else {
             return;
         };
@@ -161,7 +161,7 @@
 
     /// Marks a piece of a job as done by another owner. Returns false if the job has no such piece,
     /// or another result of it.
-    fn adopt(&mut self, key: JobKey, result: &StoredResult) -> bool {
+    pub(crate) fn adopt(&mut self, key: JobKey, result: &StoredResult) -> bool {
         let Some(job) = self.jobs.get_mut(&key) else {
             return false;
         };
@@ -298,7 +298,7 @@
     /// True if the upstream that stored a result is in use and has not restarted since. A result
     /// with more bytes than an upstream has cannot be stored: the figure comes from a peer, and
     /// would fill the counted storage.
-    fn is_stored(&self, result: &StoredResult) -> bool {
+    pub(crate) fn is_stored(&self, result: &StoredResult) -> bool {
         let queue = self.queues.get(&result.service);
         let queue = queue.filter(|q| result.bytes <= q.spec.room_bytes);
         let mut upstreams = queue.iter().flat_map(|q| q.upstreams.iter());
@@ -307,7 +307,7 @@
     }
 
     /// Counts a result as used storage until it expires.
-    fn count(&mut self, now: MonoTime, result: &StoredResult) {
+    pub(crate) fn count(&mut self, now: MonoTime, result: &StoredResult) {
         if self.storage.location(&result.handle).is_some() || !self.is_stored(result) {
             return;
         }
@@ -327,9 +327,33 @@
         }
     }
 
-    fn stop_tracking(&mut self, handle: &str) {
+    pub(crate) fn stop_tracking(&mut self, handle: &str) {
         if let Some(((service, upstream, bytes), _)) = self.storage.remove(handle) {
             self.free_storage(&service, &upstream, bytes);
         }
     }
 }
+
+fn describe_result(
+    storage: &ResultStorage,
+    queues: &HashMap<CompactString, StageQueue>,
+    job: &ScheduledJob,
+    piece: PieceKey,
+    handle: &CompactString,
+) -> Option<StoredResult> {
+    let (service, upstream, bytes) = storage.location(handle)?;
+    let mut upstreams = queues.get(service)?.upstreams.iter();
+    let start = upstreams.find(|u| u.id == *upstream)?.start;
+    let job = job.progress.job();
+    Some(StoredResult {
+        request_id: job.request_id.clone(),
+        content: job.content,
+        piece,
+        handle: handle.clone(),
+        service: service.clone(),
+        upstream: upstream.clone(),
+        start,
+        bytes,
+        expires_at: storage.expires_at(handle)?,
+    })
+}
--- a/crates/serving/src/stage_handover/handover_event.rs
+++ b/crates/serving/src/stage_handover/handover_event.rs
@@ -32,6 +32,13 @@
         /// Time since the last update of the owner.
         update_age: Duration,
     },
+    /// The owner has handed over the results of jobs that it had begun.
+    Transferred {
+        /// The owner that handed them over.
+        owner: Incarnation,
+        /// The number of results.
+        results: usize,
+    },
     /// The owner is running and has released results that a job had adopted.
     Withdrawn {
         /// The owner that replicated the results.
--- a/crates/serving/src/stage_handover/owner_replica.rs
+++ b/crates/serving/src/stage_handover/owner_replica.rs
@@ -82,6 +82,11 @@
         handles.iter().filter_map(|h| self.remove(h)).collect()
     }
 
+    /// True if there are results of this request.
+    pub(crate) fn has_results_of(&self, request_id: &str) -> bool {
+        self.handles_by_request.contains_key(request_id)
+    }
+
     /// Adds a result, unless there are too many.
     pub(crate) fn insert(&mut self, result: StoredResult) {
         if self.results.len() >= MAX_REPLICATED || self.results.contains_key(&result.handle) {
@@ -107,7 +112,7 @@
         self.results.drain().map(|(_, result)| result).collect()
     }
 
-    fn remove(&mut self, handle: &str) -> Option<StoredResult> {
+    pub(crate) fn remove(&mut self, handle: &str) -> Option<StoredResult> {
         let result = self.results.remove(handle)?;
         if let Some(handles) = self.handles_by_request.get_mut(&result.request_id) {
             handles.retain(|h| h != handle);
--- a/crates/serving/src/stage_job.rs
+++ b/crates/serving/src/stage_job.rs
@@ -166,6 +166,11 @@
         pieces.all(|p| *p == PieceState::Pending)
     }
 
+    /// True if a piece has been sent and has no result yet.
+    pub(crate) fn has_sent_pieces(&self) -> bool {
+        self.pieces.iter().flatten().any(|p| *p == PieceState::Sent)
+    }
+
     /// The number of pieces of a service that have not been sent.
     pub(crate) fn unsent_pieces(&self, service: &str) -> usize {
         let stages = self.job.stages.iter().zip(&self.pieces);
--- a/crates/serving/src/stage_scheduler.rs
+++ b/crates/serving/src/stage_scheduler.rs
@@ -25,6 +25,7 @@
 use crate::scheduler_results::INPUT_READ_TIME;
 use crate::scheduler_results::SHARED_PERIOD;
 use crate::stage_handover::ResultHandover;
+use crate::stage_handover::Transfers;
 use crate::stage_job::JobProgress;
 use crate::stage_queue::QueuedPiece;
 use crate::stage_queue::StageQueue;
@@ -52,6 +53,7 @@
     pub(crate) estimate_bias: EstimateBias,
     pub(crate) refused: RefusedRequests,
     pub(crate) handover: ResultHandover,
+    pub(crate) transfers: Transfers,
     pub(crate) shared_until: MonoTime,
     pub(crate) last_id: u64,
     /// The latest time that was passed in, for calls that pass none.
@@ -76,7 +78,10 @@
         let (length, priority) = (progress.chain_length(), progress.job().priority);
         let correction = self.estimate_bias.correction(now, length, priority);
         let best_effort = expected_end + correction > progress.job().objective;
-        if best_effort && let Err(refusal) = self.check_late_wait(now, &progress, correction) {
+        if best_effort
+            && !self.has_transferred(progress.job())
+            && let Err(refusal) = self.check_late_wait(now, &progress, correction)
+        {
             self.refused.record(now, progress.job());
             return Err(refusal);
         }
@@ -110,6 +115,9 @@
 
     /// Returns the next call to make, if there are an available upstream and queued pieces for it.
     pub fn next_call(&mut self, now: MonoTime) -> Option<BatchCall> {
+        if self.is_transferring() {
+            return None;
+        }
         let services: Vec<CompactString> = self.queues.keys().cloned().collect();
         services.iter().find_map(|s| self.next_call_for(now, s))
     }
@@ -184,7 +192,8 @@
     pub fn has_pending_work(&self) -> bool {
         let has_news = !self.finished.is_empty() || !self.unused_results.is_empty();
         let has_queued = || self.queues.values().any(|q| !q.queued.is_empty());
-        has_news || !self.pending_releases.is_empty() || has_queued()
+        let has_pending = !self.pending_releases.is_empty() || self.has_pending_transfers();
+        has_news || has_pending || has_queued()
     }
 
     /// Queues the pieces of all stages of a job that have become ready, or finishes the job if all
