Soak: instances stopped in turn, faster than their grace, under loaded stages and long streams

Seeds from 10000 on: two or three turns that overlap, each stopping one instance after the other 150 to 900 ms apart, with a grace period of 3 s; streams of 3.6 s; twelve pieces a request, at upstreams that take three calls and store 48 results; twelve callers for each instance. In odd seeds all instances are killed as well, and upstreams are replaced by those of another software version.

Of streams that are taken up, those are left out that found no instance, because it was stopped or killed: the rule counts instances that run.

--- a/crates/explain/src/cause.rs
+++ b/crates/explain/src/cause.rs
@@ -13,8 +13,12 @@
     Overloaded,
     /// The instance knew no upstream for the request.
     NoUpstream,
+    /// It was not known which software version began the stream that it resumes, or none was left.
+    UnknownStream,
     /// The state of the instance was too stale, or not loaded yet.
     Stale,
+    /// The instance was stopping, and would have ended first.
+    Stopping,
     /// The credential or the address of the request was not in force.
     NotAllowed,
     /// An upstream did not answer in time.
@@ -37,12 +41,14 @@
 
 impl Cause {
     /// Every cause, in the order of the table.
-    pub const ALL: [Cause; 14] = [
+    pub const ALL: [Cause; 16] = [
         Cause::WouldMiss,
         Cause::StagesTimedOut,
         Cause::Overloaded,
         Cause::NoUpstream,
+        Cause::UnknownStream,
         Cause::Stale,
+        Cause::Stopping,
         Cause::NotAllowed,
         Cause::UpstreamTimedOut,
         Cause::UpstreamFailed,
@@ -61,7 +67,9 @@
             Cause::StagesTimedOut => "stages-held",
             Cause::Overloaded => "overloaded",
             Cause::NoUpstream => "no-upstream",
+            Cause::UnknownStream => "unknown-stream",
             Cause::Stale => "unproven",
+            Cause::Stopping => "stopping",
             Cause::NotAllowed => "not-allowed",
             Cause::UpstreamTimedOut => "silent",
             Cause::UpstreamFailed => "failed",
@@ -85,15 +93,17 @@
     }
 
     fn of_refusal(line: &LogLine) -> Cause {
-        let timed_out = line
-            .text_value("detail")
-            .unwrap_or("")
-            .contains("did not end");
+        let detail = line.text_value("detail").unwrap_or("");
+        let timed_out = detail.contains("did not end");
         match line.text_value("outcome").unwrap_or("") {
             "would-miss" if timed_out => Cause::StagesTimedOut,
             "would-miss" => Cause::WouldMiss,
             "overloaded" => Cause::Overloaded,
+            "no-upstream" if detail.contains("the stream") => Cause::UnknownStream,
             "no-upstream" => Cause::NoUpstream,
+            "not-serving" | "upstream-failed" if detail.contains("the instance stops") => {
+                Cause::Stopping
+            }
             "not-serving" => Cause::Stale,
             "unauthenticated" | "unknown-pipeline" => Cause::NotAllowed,
             "quarantined" => Cause::Quarantined,
--- a/crates/explain/tests/explain.rs
+++ b/crates/explain/tests/explain.rs
@@ -40,6 +40,14 @@
     Cause::StagesTimedOut
 )]
 #[test_case("not-serving", "no configuration is known here yet", Cause::Stale)]
+#[test_case("not-serving", "the instance stops; ask another one", Cause::Stopping)]
+#[test_case("upstream-failed", "the instance stops", Cause::Stopping)]
+#[test_case(
+    "no-upstream",
+    "it is not known which software version began the stream; begin it anew",
+    Cause::UnknownStream
+)]
+#[test_case("no-upstream", "no upstream does one of the stages", Cause::NoUpstream)]
 #[test_case("unauthenticated", "", Cause::NotAllowed)]
 #[test_case("deadline-passed", "no answer in time", Cause::UpstreamTimedOut)]
 #[test_case("new-kind", "", Cause::Other)]
--- a/crates/gateway-daemon/tests/soak.rs
+++ b/crates/gateway-daemon/tests/soak.rs
@@ -1,7 +1,7 @@
 //! Soak test of real gateway processes. Each seed draws overlapping faults, and the
 //! guarantees are checked against the records of callers and upstreams.
 //!
-//! Runs thirteen seeds by default; `--seeds 1..50 --jobs 6` runs more.
+//! Runs fifteen seeds by default; `--seeds 1..50 --jobs 6` runs more.
 
 #![allow(clippy::expect_used, clippy::panic)]
 
@@ -44,10 +44,12 @@
 /// upstreams that announce departures and back-offs in their answers, and then with instances
 /// that are cut off from all upstreams, and no other faults of instances. The next two have
 /// upstreams of two software versions and answers without a length that break off, the next two
-/// have parts of prompts that crash upstreams, and the last two have upstreams that fail all, and
-/// instances without a path while others are killed or paused.
-const DEFAULT_SEEDS: [u64; 13] = [
-    4, 5, 4_000, 4_001, 5_000, 5_001, 6_002, 7_000, 7_001, 8_002, 8_003, 9_007, 9_009,
+/// have parts of prompts that crash upstreams, the next two have upstreams that fail all, and
+/// instances without a path while others are killed or paused, and in the last two instances stop in
+/// turn under load, in one of them all are killed as well.
+const DEFAULT_SEEDS: [u64; 15] = [
+    4, 5, 4_000, 4_001, 5_000, 5_001, 6_002, 7_000, 7_001, 8_002, 8_003, 9_007, 9_009, 10_000,
+    10_001,
 ];
 /// The number of seeds that this process has started.
 static SEEDS_STARTED: AtomicU8 = AtomicU8::new(0);
--- a/soak/src/caller.rs
+++ b/soak/src/caller.rs
@@ -27,10 +27,9 @@
 use crate::fake_upstream::EVENTS;
 use crate::fake_upstream::HOT;
 use crate::fake_upstream::crashing_body;
+use crate::turns::Load;
 use crate::versions;
 
-/// The time for which a caller waits for an answer.
-const DEADLINE: Duration = Duration::from_millis(3_000);
 /// The delay between two requests of a caller.
 const THINK_TIME: Duration = Duration::from_millis(40);
 /// How often a caller takes a stream up that ends early.
@@ -60,6 +59,7 @@
     pub(crate) takes_up: bool,
     /// True if the caller's requests have prompts, whose parts they share.
     pub(crate) prompts: bool,
+    pub(crate) load: Load,
 }
 
 impl Caller {
@@ -149,16 +149,16 @@
         let start = self.starts[instance].load(Ordering::Relaxed);
         let sent = self.env.recorder.now();
         let address = self.env.callers_at(instance);
-        let mut req = request(&id, kind, key, takes_up.as_ref());
+        let mut req = request(&id, kind, key, takes_up.as_ref(), self.load);
         if self.prompts {
             add_prompt(&mut req, &id, kind);
         }
-        let sending = self.pool.send(address, req, DEADLINE, false);
+        let sending = self.pool.send(address, req, self.load.deadline, false);
         // Some callers leave after an event.
         let leaves = self.takes_up && kind == RequestKind::ResumableStream && self.rng.u8(..4) == 0;
         let most_bytes = if leaves { 1 } else { usize::MAX };
         let (outcome, pause) = match sending.await {
-            Some(Ok(res)) => read(res, most_bytes).await,
+            Some(Ok(res)) => read(res, most_bytes, self.load.deadline).await,
             Some(Err(SendError::NotSent)) => (Outcome::NotSent, Some(THINK_TIME)),
             Some(Err(SendError::Broken)) => (Outcome::ConnectionLost, Some(THINK_TIME)),
             None => (Outcome::TimedOut, Some(THINK_TIME)),
@@ -185,7 +185,13 @@
     }
 }
 
-fn request(id: &str, kind: RequestKind, key: &str, takes_up: Option<&TakenUp>) -> Request<Body> {
+fn request(
+    id: &str,
+    kind: RequestKind,
+    key: &str,
+    takes_up: Option<&TakenUp>,
+    load: Load,
+) -> Request<Body> {
     let path = match kind {
         RequestKind::Idempotent => "/look/x".into(),
         RequestKind::NonIdempotent => "/book/x".into(),
@@ -209,13 +215,14 @@
     *req.method_mut() = Method::POST;
     // The paths of a soak are plain text and always parse.
     *req.uri_mut() = path.parse().unwrap_or_default();
-    let deadline = DEADLINE.as_millis().to_string();
+    let deadline = load.deadline.as_millis().to_string();
+    let pieces = load.pieces.to_string();
     let headers = [
         ("host", HOST),
         ("jacinthdeal-attempt-id", id),
         ("jacinthdeal-deadline-ms", deadline.as_str()),
         ("authorization", &format!("Token {key}")),
-        ("jacinthdeal-chunks", "2"),
+        ("jacinthdeal-chunks", pieces.as_str()),
         ("jacinthdeal-chunk-key", id),
         // Only instances may set this header, so the value must not reach an upstream.
         ("jacinthdeal-tenant", "somebody-else"),
@@ -257,7 +264,11 @@
 }
 
 /// Reads a response, and closes its connection once `most_bytes` of the body have arrived.
-async fn read(mut res: HttpResponse, most_bytes: usize) -> (Outcome, Option<Duration>) {
+async fn read(
+    mut res: HttpResponse,
+    most_bytes: usize,
+    deadline: Duration,
+) -> (Outcome, Option<Duration>) {
     let status = res.status.as_u16();
     let signature = res.header("jacinthdeal-signature").map(String::from);
     let retry_after = res.header("retry-after").and_then(|t| t.parse().ok());
@@ -270,7 +281,7 @@
         if res.status.is_success() && body.len() >= most_bytes {
             break false;
         }
-        match with_timeout(DEADLINE, res.chunk()).await {
+        match with_timeout(deadline, res.chunk()).await {
             Some(Ok(Some(part))) => body.push_str(&String::from_utf8_lossy(&part)),
             Some(Ok(None)) => break true,
             Some(Err(_)) | None => break false,
--- a/soak/src/config.rs
+++ b/soak/src/config.rs
@@ -3,6 +3,8 @@
 use serde_json::Value;
 use serde_json::json;
 
+use crate::turns::Load;
+
 /// The host that callers send in their requests.
 pub(crate) const HOST: &str = "soak.example";
 /// The customer that owns all credentials.
@@ -16,17 +18,20 @@
 
 /// Builds the configuration of a version with the first `keys` credentials. The path of
 /// one route contains the version's number, so that only this version has that route.
-pub(crate) fn config(version: u64, keys: usize) -> Value {
+pub(crate) fn config(version: u64, keys: usize, load: Load) -> Value {
+    let call_ms = load.call.as_secs_f64() * 1_000.0;
+    let timeout_ms = load.deadline.as_secs_f64() * 1_000.0 + 1_000.0;
+    let objective_ms = call_ms * 20.0;
     let route = |name: &str, kind: &str, service: &str| {
         json!({
             "name": name, "host": HOST, "prefix": format!("/{name}/"), "type": kind,
-            "timeout_ms": 4_000.0, "slo_ms": 600.0, "priority": 1, "service": service,
+            "timeout_ms": timeout_ms, "slo_ms": objective_ms, "priority": 1, "service": service,
             "max_attempts": MAX_ATTEMPTS,
         })
     };
     let mut draft = route("draft", "streaming", "model");
     draft["resumable"] = json!(true);
-    draft["phases"] = json!([{ "service": "rank", "after": [], "length": 1_000.0 }]);
+    draft["phases"] = json!([{ "service": "rank", "after": [], "length": load.result_bytes }]);
     let mut probe = route(&format!("v{version}"), "idempotent", "desk");
     probe["public"] = json!(true);
     json!({
@@ -42,8 +47,8 @@
             { "name": "desk", "max_conns": 200 },
             { "name": "model", "max_conns": 200 },
             { "name": "rank", "max_conns": 200, "segments": {
-                "slots": 1, "queue": 2, "batch": 8, "call_ms": 30.0, "item_ms": 1.0,
-                "headroom_mb": 10.0, "handle_s": 4.0,
+                "slots": 1, "queue": 2, "batch": 8, "call_ms": call_ms, "item_ms": 1.0,
+                "headroom_mb": load.megabytes(load.results), "handle_s": 4.0,
             } },
         ],
         "limits": {
--- a/soak/src/cuts.rs
+++ b/soak/src/cuts.rs
@@ -41,7 +41,7 @@
     pub fn of(recorder: &Recorder, instances: usize) -> Shares {
         let attempts = lock(&recorder.attempts);
         let spans = lock(&recorder.spans);
-        let (taken_up, begun) = versions::streams(&attempts);
+        let (taken_up, begun) = versions::streams(&attempts, &spans, instances);
         let mut shares = Shares {
             taken_up,
             begun,
--- a/soak/src/environment.rs
+++ b/soak/src/environment.rs
@@ -7,6 +7,7 @@
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
+use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::SystemTime;
@@ -32,6 +33,7 @@
 use crate::instance_links::InstanceLinks;
 use crate::relay::Relay;
 use crate::store::Records;
+use crate::turns::Load;
 
 /// The services of the upstreams, one entry for each upstream.
 const SERVICES: [&str; 9] = [
@@ -108,6 +110,7 @@
     ended: Receiver<String>,
     network: [u8; 3],
     operator: Mutex<Operator>,
+    load: Load,
     _servers: Vec<HttpServer>,
 }
 
@@ -126,6 +129,7 @@
         network: [u8; 3],
         instances: usize,
         versions: bool,
+        load: Load,
     ) -> std::io::Result<Environment> {
         let recorder = Arc::new(Recorder::default());
         let store = Arc::new(FakeStore::default());
@@ -169,12 +173,18 @@
                 announces_leaving: AtomicBool::new(false),
                 recorder: Arc::clone(&recorder),
                 results: Arc::clone(&results),
+                event_interval: load.event_interval,
                 ended: tx.clone(),
             };
             let (handler, handler_kind): (Arc<dyn Handler>, UpstreamHandler) = match service {
                 "rank" => {
                     let address = link.address();
-                    let stage = Arc::new(FakeStageUpstream { fake, address });
+                    let stage = Arc::new(FakeStageUpstream {
+                        fake,
+                        address,
+                        load,
+                        calls: AtomicUsize::new(0),
+                    });
                     (
                         Arc::clone(&stage) as Arc<dyn Handler>,
                         UpstreamHandler::Pieces(stage),
@@ -219,6 +229,7 @@
                 version: 0,
                 keys: KEYS.len(),
             }),
+            load,
             _servers: servers,
         };
         for upstream in &env.upstreams {
@@ -237,8 +248,9 @@
             "[instance]\nname = soak-{instance}\nzone = hall-{}\ncallers = {callers}\n\
              ready = {ready}\nlocate = {locate}\npeers = {peers}\nmetrics = {metrics}\n\
              [store]\naddress = {store}\n[repeats]\nslack = 50\n\
-             [upstreams]\nconnect-to = {}\n",
+             [stop]\ngrace-s = {}\n[upstreams]\nconnect-to = {}\n",
             ["a", "b", "c"][instance % 3],
+            self.load.grace.as_secs(),
             self.instance_links[instance].setting(),
         )
     }
@@ -421,7 +433,7 @@
     }
 
     fn write_config(&self, operator: &Operator) {
-        let config = config::config(operator.version, operator.keys);
+        let config = config::config(operator.version, operator.keys, self.load);
         self.store.put("op/config", &config);
     }
 }
--- a/soak/src/fake_stage_upstream.rs
+++ b/soak/src/fake_stage_upstream.rs
@@ -4,9 +4,12 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
-use std::time::Duration;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 
 use async_io::Timer;
+use http::HeaderName;
+use http::HeaderValue;
 use http::Request;
 use http::Response;
 use http::StatusCode;
@@ -24,9 +27,7 @@
 use crate::fake_store::status;
 use crate::fake_upstream::FakeUpstream;
 use crate::fake_upstream::set_backoff;
-
-/// The execution time of a call.
-const CALL_DURATION: Duration = Duration::from_millis(30);
+use crate::turns::Load;
 
 /// The held results of all stages, with the request that owns each of them.
 #[derive(Debug, Default)]
@@ -55,6 +56,13 @@
         handle
     }
 
+    /// The number of results of the upstream at this address.
+    fn count(&self, at: SocketAddr) -> usize {
+        let prefix = format!("{at}/");
+        let owners = lock(&self.owners);
+        owners.keys().filter(|h| h.starts_with(&prefix)).count()
+    }
+
     /// Drops the results of the upstream at this address after its end.
     pub(crate) fn drop_all(&self, at: SocketAddr) {
         let prefix = format!("{at}/");
@@ -74,6 +82,17 @@
 pub(crate) struct FakeStageUpstream {
     pub(crate) fake: FakeUpstream,
     pub(crate) address: SocketAddr,
+    pub(crate) load: Load,
+    pub(crate) calls: AtomicUsize,
+}
+
+/// Counts a call until it ends.
+struct CallGuard<'a>(&'a AtomicUsize);
+
+impl Drop for CallGuard<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
 }
 
 impl FakeStageUpstream {
@@ -87,6 +106,13 @@
             self.fake.results.free(&rows("handles"));
             return json_body(&json!({}));
         }
+        if path == "/v1/report" {
+            let stored = self.fake.results.count(self.address);
+            let free = self
+                .load
+                .megabytes(self.load.results.saturating_sub(stored));
+            return json_body(&json!({ "queued": 0, "busy": false, "free_mb": free }));
+        }
         if expected.is_none_or(|e| e.as_bytes() != self.fake.id().as_bytes()) {
             return status(StatusCode::MISDIRECTED_REQUEST);
         }
@@ -100,16 +126,33 @@
             Some(UpstreamMode::Hangs) => futures_lite::future::pending().await,
             _ => {}
         }
-        Timer::after(CALL_DURATION).await;
+        let calls = self.calls.fetch_add(1, Ordering::Relaxed);
+        let _call = CallGuard(&self.calls);
+        if calls >= self.load.calls {
+            return not_executed();
+        }
+        Timer::after(self.load.call).await;
         let items = rows("items").into_iter().map(|item| {
             let id = item["id"].as_str().unwrap_or_default();
-            json!({ "handle": self.fake.results.make(self.address, id) })
+            match self.fake.results.count(self.address) < self.load.results {
+                true => json!({ "handle": self.fake.results.make(self.address, id) }),
+                false => json!({ "reason": "room" }),
+            }
         });
         let items: Vec<Value> = items.collect();
         json_body(&json!({ "items": items }))
     }
 }
 
+/// The refusal of a call for which there is no place.
+fn not_executed() -> Response<Body> {
+    let mut res = status(StatusCode::SERVICE_UNAVAILABLE);
+    let name = HeaderName::from_static("jacinthdeal-not-executed");
+    res.headers_mut()
+        .insert(name, HeaderValue::from_static("1"));
+    res
+}
+
 impl Handler for FakeStageUpstream {
     fn handle(self: Arc<Self>, req: Request<Incoming>) -> HandlerFuture {
         Box::pin(async move {
--- a/soak/src/fake_upstream.rs
+++ b/soak/src/fake_upstream.rs
@@ -43,8 +43,6 @@
 
 /// The number of events in a stream.
 pub(crate) const EVENTS: u64 = 8;
-/// The interval between two events.
-const EVENT_INTERVAL: Duration = Duration::from_millis(30);
 /// The execution time of a request that is not answered by a stream.
 const EXECUTION_TIME: Duration = Duration::from_millis(15);
 /// The event within which a truncated stream is cut off.
@@ -97,6 +95,7 @@
     pub(crate) announces_leaving: AtomicBool,
     pub(crate) recorder: Arc<Recorder>,
     pub(crate) results: Arc<Results>,
+    pub(crate) event_interval: Duration,
     /// Receives the identity of an upstream that executed a crashing request.
     pub(crate) ended: Sender<String>,
 }
@@ -107,6 +106,7 @@
     software: &'static str,
     next: u64,
     truncated: bool,
+    interval: Duration,
 }
 
 impl FakeUpstream {
@@ -224,6 +224,7 @@
                     software: *lock(&self.software),
                     next: after + 1,
                     truncated: mode == Some(UpstreamMode::Truncates),
+                    interval: self.event_interval,
                 },
                 next_event,
             ))),
@@ -266,7 +267,7 @@
     if rest.next > EVENTS {
         return None;
     }
-    Timer::after(EVENT_INTERVAL).await;
+    Timer::after(rest.interval).await;
     if rest.truncated && rest.next > TRUNCATED_EVENT {
         return Some((Err("torn".into()), rest));
     }
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -25,6 +25,7 @@
 mod run;
 mod run_bounds;
 mod store;
+mod turns;
 mod versions;
 mod violation;
 
@@ -35,7 +36,6 @@
 pub use fault::UpstreamMode;
 pub use fleet::Fleet;
 pub use fleet::ProcessSignal;
-pub use judge::judge;
 pub use plan::Plan;
 pub use plan::Step;
 pub use recorder::Attempt;
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -7,6 +7,8 @@
 use crate::StoreMode;
 use crate::UpstreamMode;
 use crate::cuts;
+use crate::turns;
+use crate::turns::Load;
 
 /// The period in which the faults begin; several of them overlap.
 const FAULT_PERIOD: Duration = Duration::from_millis(7_000);
@@ -42,6 +44,9 @@
 /// that fail, hang and cut answers off, links between instances that break, and instances that are
 /// killed or paused meanwhile, and no other faults.
 const FORWARDS_FROM_SEED: u64 = 9_000;
+/// Plans from this seed on have instances stopped in turn, under load; in odd ones all are killed as
+/// well.
+const TURNS_FROM_SEED: u64 = 10_000;
 /// Of these seeds, one in so many, with this remainder, has no other faults of instances or the
 /// store, since what these keep from being served says nothing about a cut.
 const CUTS_ONLY_EVERY: u64 = 4;
@@ -77,6 +82,11 @@
     /// Draws the plan of a seed.
     pub fn draw(seed: u64) -> Plan {
         let mut rng = fastrand::Rng::with_seed(seed);
+        if seed >= TURNS_FROM_SEED {
+            let mut steps = turns::draw(&mut rng, seed % 2 == 1);
+            steps.sort_by_key(|s| s.at);
+            return Plan { seed, steps };
+        }
         if seed >= FORWARDS_FROM_SEED {
             let mut steps = draw_forwards(&mut rng, seed % 2 == 1);
             steps.sort_by_key(|s| s.at);
@@ -159,9 +169,17 @@
         self.seed >= VERSIONS_FROM_SEED
     }
 
+    /// The load of upstreams and callers.
+    pub(crate) fn load(&self) -> Load {
+        match self.seed >= TURNS_FROM_SEED {
+            true => Load::HEAVY,
+            false => Load::LIGHT,
+        }
+    }
+
     /// True if requests have prompts, whose parts they share.
     pub fn has_prompts(&self) -> bool {
-        self.seed >= PARTS_FROM_SEED
+        (PARTS_FROM_SEED..TURNS_FROM_SEED).contains(&self.seed)
     }
 
     /// True if callers also send a hot request.
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -28,9 +28,8 @@
 use crate::caller::Caller;
 use crate::environment::Environment;
 use crate::judge::judge;
+use crate::turns::Load;
 
-/// The number of callers per instance.
-const CALLERS_PER_INSTANCE: usize = 4;
 /// The time for which callers go on after the last fault.
 const CALM_PERIOD: Duration = Duration::from_millis(4_500);
 /// The time for an instance to become ready, or to stop, after which the soak fails.
@@ -84,8 +83,9 @@
     network: [u8; 3],
     instances: usize,
 ) -> io::Result<SoakReport> {
-    let versions = plan.has_versions();
-    let env = Arc::new(Environment::start(executor, network, instances, versions)?);
+    let (versions, load) = (plan.has_versions(), plan.load());
+    let env = Environment::start(executor, network, instances, versions, load)?;
+    let env = Arc::new(env);
     // The last entry is for the store.
     let held = instances + env.upstreams.len() + 1;
     let runner = Arc::new(Runner {
@@ -125,7 +125,7 @@
         caller.await;
     }
     runner.end(instances).await?;
-    let violations = judge(&env.recorder, calm, instances);
+    let violations = judge(&env.recorder, calm, instances, load);
     let shares = Shares::of(&env.recorder, instances);
     let recorder = Arc::clone(&env.recorder);
     let lag = lag.await;
@@ -155,7 +155,8 @@
     stopped: &Arc<AtomicBool>,
     plan: &Plan,
 ) -> Vec<Task<()>> {
-    let count = runner.starts.len() * CALLERS_PER_INSTANCE;
+    let load = plan.load();
+    let count = runner.starts.len() * load.callers;
     let callers = (0..count as u64).map(|n| {
         let caller = Caller {
             env: Arc::clone(&runner.env),
@@ -167,6 +168,7 @@
             hot: plan.has_hot(),
             takes_up: plan.has_versions(),
             prompts: plan.has_prompts(),
+            load,
         };
         executor.spawn(caller.run())
     });
@@ -413,6 +415,7 @@
                 hot: false,
                 takes_up: false,
                 prompts: matches!(kind, RequestKind::CrashingPart(_)),
+                load: Load::LIGHT,
             };
             let instance = rng.usize(..self.starts.len());
             let sending = async move {
--- /dev/null
+++ b/soak/src/turns.rs
@@ -0,0 +1,113 @@
+//! Instances that are stopped in turn while stages are loaded and streams outlast the stop.
+
+use std::time::Duration;
+
+use crate::Fault;
+use crate::Step;
+
+/// Instances that a turn stops; soaks with more have the others run on.
+const INSTANCES: usize = 4;
+/// The fewest and the most turns of a plan.
+const TURNS: std::ops::RangeInclusive<u64> = 2..=3;
+
+/// How hard the upstreams and callers of a soak make it to stop in time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Load {
+    /// The grace period of instances.
+    pub(crate) grace: Duration,
+    /// The time between two events of a stream.
+    pub(crate) event_interval: Duration,
+    /// The time for which a caller waits.
+    pub(crate) deadline: Duration,
+    /// Callers of each instance.
+    pub(crate) callers: usize,
+    /// Pieces of each request with a stage.
+    pub(crate) pieces: usize,
+    /// The duration of a call for pieces.
+    pub(crate) call: Duration,
+    /// Calls that a stage upstream takes at a time, running and waiting.
+    pub(crate) calls: usize,
+    /// Results that a stage upstream stores, and the size of each.
+    pub(crate) results: usize,
+    pub(crate) result_bytes: u32,
+}
+
+impl Load {
+    /// Short streams, and stages with room for all.
+    pub(crate) const LIGHT: Load = Load {
+        grace: Duration::from_secs(8),
+        event_interval: Duration::from_millis(30),
+        deadline: Duration::from_millis(3_000),
+        callers: 4,
+        pieces: 2,
+        call: Duration::from_millis(30),
+        calls: 64,
+        results: 10_000,
+        result_bytes: 1_000,
+    };
+    /// Streams that outlast the grace period, and stages that are nearly used up.
+    pub(crate) const HEAVY: Load = Load {
+        grace: Duration::from_secs(3),
+        event_interval: Duration::from_millis(450),
+        deadline: Duration::from_millis(8_000),
+        callers: 12,
+        pieces: 12,
+        call: Duration::from_millis(200),
+        calls: 3,
+        results: 48,
+        result_bytes: 200_000,
+    };
+
+    /// The storage for so many results, in megabytes.
+    pub(crate) fn megabytes(self, results: usize) -> f64 {
+        results as f64 * f64::from(self.result_bytes) / 1e6
+    }
+
+    /// How long a stop lasts before requests that their upstreams work on may be cut off: five sixths
+    /// of the grace period, as the users' rules have it.
+    pub(crate) fn cut_off_from(self) -> Duration {
+        self.grace * 5 / 6
+    }
+}
+
+/// Turns that overlap, each stopping one instance after the other, faster than these end. If
+/// `kills`, all instances are killed as well, while upstreams have two software versions.
+pub(crate) fn draw(rng: &mut fastrand::Rng, kills: bool) -> Vec<Step> {
+    let at = |ms| Duration::from_millis(1_500 + ms);
+    let mut steps = Vec::new();
+    let mut begins = 0;
+    for _ in 0..rng.u64(TURNS) {
+        let gap = rng.u64(150..900);
+        let first = rng.usize(..INSTANCES);
+        for n in 0..INSTANCES {
+            steps.push(Step {
+                at: at(begins + gap * n as u64),
+                fault: Fault::Stop((first + n) % INSTANCES),
+            });
+        }
+        begins += rng.u64(800..2_500);
+    }
+    for _ in 0..rng.usize(1..=2) {
+        let fault = match rng.bool() {
+            true => Fault::Configure,
+            false => Fault::Reload(rng.usize(..INSTANCES)),
+        };
+        steps.push(Step {
+            at: at(rng.u64(0..5_000)),
+            fault,
+        });
+    }
+    if kills {
+        steps.push(Step {
+            at: at(rng.u64(2_000..5_000)),
+            fault: Fault::KillAll(Duration::from_millis(rng.u64(50..1_000))),
+        });
+        for _ in 0..rng.usize(1..=2) {
+            steps.push(Step {
+                at: at(rng.u64(0..5_000)),
+                fault: Fault::Upgrade(rng.usize(..), false),
+            });
+        }
+    }
+    steps
+}
--- a/soak/src/versions.rs
+++ b/soak/src/versions.rs
@@ -3,6 +3,8 @@
 use std::collections::HashMap;
 
 use crate::Attempt;
+use crate::Fault;
+use crate::FaultSpan;
 use crate::Outcome;
 use crate::RequestKind;
 use crate::Violation;
@@ -41,7 +43,7 @@
 
 /// Returns a violation for each stream with events of two software versions, over all attempts of
 /// its caller, and one if too few streams that could go on did.
-pub(crate) fn judge(attempts: &[Attempt]) -> Vec<Violation> {
+pub(crate) fn judge(attempts: &[Attempt], spans: &[FaultSpan], instances: usize) -> Vec<Violation> {
     let mut violations = Vec::new();
     let mut seen: HashMap<&str, &str> = HashMap::new();
     for a in attempts {
@@ -66,7 +68,7 @@
             }
         }
     }
-    let ((went_on, resumed), (began, new)) = streams(attempts);
+    let ((went_on, resumed), (began, new)) = streams(attempts, spans, instances);
     if resumed >= MIN_TAKEN_UP && went_on * 2 * new < began * resumed {
         violations.push(Violation {
             guarantee: "streams that callers take up go on",
@@ -76,13 +78,31 @@
     violations
 }
 
+/// True if an attempt found no instance because that was stopped or killed. The users' rules count only
+/// instances that run.
+fn found_none(a: &Attempt, spans: &[FaultSpan], instances: usize) -> bool {
+    let is_down = |s: &FaultSpan| match s.fault {
+        Fault::Stop(n) | Fault::Kill(n, _) => n % instances == a.instance.0,
+        Fault::KillAll(_) => true,
+        _ => false,
+    };
+    let is_lost = matches!(a.outcome, Outcome::NotSent | Outcome::ConnectionLost);
+    let covers = |s: &FaultSpan| s.from <= a.ended && a.sent <= s.to;
+    is_lost && spans.iter().any(|s| is_down(s) && covers(s))
+}
+
 /// Streams that were taken up while two upstreams of their version served, and those of these that
 /// went on; and new ones, and those of these that began.
-pub(crate) fn streams(attempts: &[Attempt]) -> (Served, Served) {
+pub(crate) fn streams(
+    attempts: &[Attempt],
+    spans: &[FaultSpan],
+    instances: usize,
+) -> (Served, Served) {
     let has_events = |a: &&Attempt| matches!(&a.outcome, Outcome::Response { body, status: 200..300, .. } if last_event(body).is_some());
     let streams = attempts
         .iter()
-        .filter(|a| a.kind == RequestKind::ResumableStream);
+        .filter(|a| a.kind == RequestKind::ResumableStream)
+        .filter(|a| !found_none(a, spans, instances));
     let (resumed, new): (Vec<&Attempt>, Vec<&Attempt>) =
         streams.partition(|a| a.takes_up.is_some());
     let resumed = resumed.into_iter().filter(|a| {
