--- /dev/null
+++ b/crates/gateway/src/known_versions.rs
@@ -0,0 +1,44 @@
+//! What this instance knows of the software versions of services.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+use std::time::SystemTime;
+
+use compact_str::CompactString;
+use jd_serving::KnownVersions;
+
+use crate::state::State;
+
+/// How long ago most streams that are taken up have begun at most.
+const STREAM_SPAN: Duration = Duration::from_secs(40);
+
+impl State {
+    /// The software versions that upstreams of a service have, or had within this time.
+    pub(crate) fn known_versions(&self, service: &str, within: Duration) -> KnownVersions {
+        let cluster = self.cluster();
+        cluster.known_versions(self.now(), SystemTime::now(), service, within)
+    }
+
+    /// The services of which more than one version is listed, or of which it is not known for long
+    /// enough which versions they had.
+    pub(crate) fn services_with_several_versions(&self) -> BTreeSet<CompactString> {
+        let now = SystemTime::now();
+        let cluster = self.cluster();
+        let services = cluster.listed_versions.iter().map(|(service, _)| service);
+        let several = services.filter(|service| {
+            let known = cluster.known_versions(self.now(), now, service, STREAM_SPAN);
+            known.only().is_none()
+        });
+        several.cloned().collect()
+    }
+
+    /// True once any upstreams are known.
+    pub(crate) fn knows_upstreams(&self) -> bool {
+        !self.cluster().listed_versions.is_empty()
+    }
+
+    /// The era of the store, as far as this instance has read it.
+    pub(crate) fn store_era(&self) -> u64 {
+        self.cluster().mirror.revision().era
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,6 +25,7 @@
 mod forwarded_refusal;
 mod gateway;
 mod job_waiter;
+mod known_versions;
 mod latch;
 mod limiters;
 mod limits;
--- a/crates/gateway/src/signal.rs
+++ b/crates/gateway/src/signal.rs
@@ -14,6 +14,12 @@
     rx: Receiver<()>,
 }
 
+impl Default for Signal {
+    fn default() -> Signal {
+        Signal::new()
+    }
+}
+
 impl Signal {
     pub(crate) fn new() -> Signal {
         let (tx, rx) = async_channel::bounded(1);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -1,6 +1,5 @@
 //! The state that all parts of the gateway share.
 
-use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -9,7 +8,6 @@
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
-use std::time::SystemTime;
 
 use arc_swap::ArcSwap;
 use arc_swap::ArcSwapOption;
@@ -23,7 +21,6 @@
 use jd_serving::ColdSpec;
 use jd_serving::FleetPosition;
 use jd_serving::InstanceEntry;
-use jd_serving::KnownVersions;
 use jd_serving::RecentShards;
 use jd_serving::RetryBudget;
 use jd_serving::RetryLimit;
@@ -70,9 +67,6 @@
 /// How long the backlog that an owner reported is valid: three heartbeats.
 const BACKLOG_LIFETIME: Duration = Duration::from_millis(1_200);
 
-/// How long ago most streams that are taken up have begun at most.
-const STREAM_SPAN: Duration = Duration::from_secs(40);
-
 /// The state that all parts of the gateway share.
 #[derive(Debug)]
 pub(crate) struct State {
@@ -366,35 +360,6 @@
         allowed
     }
 
-    /// The software versions that upstreams of a service have, or had within this time.
-    pub(crate) fn known_versions(&self, service: &str, within: Duration) -> KnownVersions {
-        let cluster = self.cluster();
-        cluster.known_versions(self.now(), SystemTime::now(), service, within)
-    }
-
-    /// The services of which more than one version is listed, or of which it is not known for long
-    /// enough which versions they had.
-    pub(crate) fn services_with_several_versions(&self) -> BTreeSet<CompactString> {
-        let now = SystemTime::now();
-        let cluster = self.cluster();
-        let services = cluster.listed_versions.iter().map(|(service, _)| service);
-        let several = services.filter(|service| {
-            let known = cluster.known_versions(self.now(), now, service, STREAM_SPAN);
-            known.only().is_none()
-        });
-        several.cloned().collect()
-    }
-
-    /// True once any upstreams are known.
-    pub(crate) fn knows_upstreams(&self) -> bool {
-        !self.cluster().listed_versions.is_empty()
-    }
-
-    /// The era of the store, as far as this instance has read it.
-    pub(crate) fn store_era(&self) -> u64 {
-        self.cluster().mirror.revision().era
-    }
-
     /// True if the upstreams of a service run stage pieces.
     pub(crate) fn serves_stages(&self, service: &str) -> bool {
         let router = self.router.load();
--- a/crates/gateway/src/stream_registry.rs
+++ b/crates/gateway/src/stream_registry.rs
@@ -31,6 +31,7 @@
 
 use crate::caller_request::CallerRequest;
 use crate::peer_streams;
+use crate::signal::Signal;
 use crate::state::State;
 use crate::version_check;
 
@@ -71,7 +72,8 @@
     /// The parts that this instance was asked for lately, although it may not be one of their keepers
     /// as it sees the fleet.
     asked_parts: Mutex<BTreeMap<u32, MonoTime>>,
-    /// Wakes those that wait for origins to be read.
+    /// Signals that origins of a part have to be read now, and wakes those that wait for them.
+    read_requested: Signal,
     read: Event,
     sending: AtomicUsize,
 }
@@ -165,6 +167,7 @@
         let reading = async {
             while self.has_to_read(state, part) {
                 let read = self.read.listen();
+                self.read_requested.notify();
                 if self.has_to_read(state, part) {
                     read.await;
                 }
@@ -194,6 +197,11 @@
             && (!state.knows_upstreams() || !state.services_with_several_versions().is_empty())
     }
 
+    /// Waits until origins of a part have to be read, at most `limit`.
+    pub(crate) async fn until_read_requested(&self, limit: Duration) {
+        self.read_requested.wait_timeout(limit).await;
+    }
+
     /// Records that the origins of a part have been read.
     pub(crate) fn record_read(&self, part: u32) {
         lock(&self.read_parts).insert(part);
--- a/crates/gateway/src/stream_saver.rs
+++ b/crates/gateway/src/stream_saver.rs
@@ -33,8 +33,9 @@
 /// Interval between writes. What a fleet that is killed at once has not written is lost; each write
 /// is a call, and an event for all instances that watch the store.
 const SAVE_INTERVAL: Duration = Duration::from_millis(700);
-/// Interval between checks for origins that have to be read.
-const READ_INTERVAL: Duration = Duration::from_millis(50);
+/// Interval between checks for origins that have to be read, where nobody waits for them. A check
+/// ranks all instances for each part.
+const READ_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Pause after origins could not be read.
 const READ_RETRY_PAUSE: Duration = Duration::from_millis(300);
 /// How long writes may fail before streams are handed over to other instances: the store may reject
@@ -230,8 +231,8 @@
     pub(crate) async fn read(self: Arc<Self>) {
         let state = &self.link.state;
         loop {
-            Timer::after(READ_INTERVAL).await;
-            if !state.store_loaded() || !state.knows_upstreams() {
+            state.streams.until_read_requested(READ_INTERVAL).await;
+            if !state.store_loaded() || state.services_with_several_versions().is_empty() {
                 continue;
             }
             state.streams.retain_kept_parts(state);
