--- a/soak/src/environment.rs
+++ b/soak/src/environment.rs
@@ -164,6 +164,10 @@
                 id: Mutex::new(new_id()),
                 started_ms: AtomicU64::new(unix_time_ms()),
                 software: Mutex::new(match versions && service == "model" {
+                    true if load == Load::HEAVY => {
+                        let earlier = upstreams.iter().filter(|u| u.service == "model");
+                        VERSIONS[earlier.count() % VERSIONS.len()]
+                    }
                     true => VERSIONS[n % VERSIONS.len()],
                     false => VERSIONS[0],
                 }),
--- a/soak/src/turns.rs
+++ b/soak/src/turns.rs
@@ -7,6 +7,8 @@
 
 /// Instances that a turn stops; soaks with more have the others run on.
 const INSTANCES: usize = 4;
+/// The upstreams of streams that have the first software version at the start.
+const FIRST_VERSION: [usize; 2] = [3, 5];
 /// The fewest and the most turns of a plan.
 const TURNS: std::ops::RangeInclusive<u64> = 2..=3;
 
@@ -88,24 +90,32 @@
         begins += rng.u64(800..2_500);
     }
     for _ in 0..rng.usize(1..=2) {
-        let fault = match rng.bool() {
-            true => Fault::Configure,
-            false => Fault::Reload(rng.usize(..INSTANCES)),
-        };
         steps.push(Step {
             at: at(rng.u64(0..5_000)),
-            fault,
+            fault: Fault::Configure,
         });
     }
+    // Before the first stop: a process that has just been started ends by this signal.
+    steps.push(Step {
+        at: Duration::from_millis(rng.u64(500..1_400)),
+        fault: Fault::Reload(rng.usize(..INSTANCES)),
+    });
     if kills {
+        let kill = rng.u64(2_000..5_000);
+        let down = Duration::from_millis(rng.u64(50..1_000));
         steps.push(Step {
-            at: at(rng.u64(2_000..5_000)),
-            fault: Fault::KillAll(Duration::from_millis(rng.u64(50..1_000))),
+            at: at(kill),
+            fault: Fault::KillAll(down),
         });
-        for _ in 0..rng.usize(1..=2) {
+        // In half of these plans the first version is gone by the time of the kill.
+        let replaced = match rng.bool() {
+            true => FIRST_VERSION.to_vec(),
+            false => vec![rng.usize(..)],
+        };
+        for upstream in replaced {
             steps.push(Step {
-                at: at(rng.u64(0..5_000)),
-                fault: Fault::Upgrade(rng.usize(..), false),
+                at: at(kill - rng.u64(500..1_200)),
+                fault: Fault::Upgrade(upstream, false),
             });
         }
     }
