--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -2,8 +2,8 @@
 //! fault injection, and checks of what callers and upstreams recorded.
 //!
 //! The caller of [`soak`] owns the gateway processes and controls them through
-//! [`Fleet`]. [`Plan`] draws the faults of a seed, [`soak`] injects them, and
-//! [`judge`] reports the violated guarantees.
+//! [`Fleet`]. [`Plan`] draws the faults of a seed, [`soak`] injects them, and its
+//! report has the violated guarantees.
 
 mod caller;
 mod config;
