Lines on answers that are cut off say how long the upstream was silent and why nothing went on

"upstream given up" is new, with the evidence, the time since the last byte and what was left of the deadline. "stream cut off" has the reason as well, and "attempt failed" how long it waited and what was left. No decision changes.

--- a/crates/gateway/src/active_attempt.rs
+++ b/crates/gateway/src/active_attempt.rs
@@ -189,6 +189,11 @@
         self.began.since(request.arrived).as_millis() as u64
     }
 
+    /// The time since this attempt was sent.
+    pub(crate) fn age(&self) -> Duration {
+        self.state.now().since(self.began)
+    }
+
     /// The instance that runs the request; none if it was sent to an upstream.
     pub(crate) fn forwarded_to(&self) -> Option<SocketAddr> {
         self.forward.as_ref().map(|guard| guard.target)
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -219,6 +219,8 @@
                 content:% = request.contents.request,
                 upstream = id.as_str(),
                 sent_ms = attempt.sent_ms(request),
+                waited_ms = attempt.age().as_millis() as u64,
+                left_ms = request.time_left(state.now()).as_millis() as u64,
                 outcome = failure.outcome.as_str(),
                 run = failure.outcome.run_state().as_str(),
                 detail = failure.detail.as_str();
--- a/crates/gateway/src/event_stream.rs
+++ b/crates/gateway/src/event_stream.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use compact_str::CompactString;
 use futures_lite::FutureExt;
 use futures_lite::future;
 use http::StatusCode;
@@ -50,6 +51,37 @@
     Deadline,
 }
 
+/// Why no other upstream goes on with a stream.
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum NotResumed {
+    /// The deadline passed.
+    Deadline,
+    /// The route allows no further run, or the request was sent to too many upstreams.
+    NoRunLeft,
+    /// It is not certain which software version began the stream.
+    VersionUncertain,
+    /// The retry budget of the service is used up.
+    RetryBudget,
+    /// The stages of the request were refused.
+    Stages(CompactString),
+    /// No upstream was selected.
+    Refused(CompactString),
+}
+
+impl NotResumed {
+    /// The reason and its details, as logged.
+    fn as_parts(&self) -> (&'static str, &str) {
+        match self {
+            NotResumed::Deadline => ("deadline", ""),
+            NotResumed::NoRunLeft => ("no-run-left", ""),
+            NotResumed::VersionUncertain => ("version-uncertain", ""),
+            NotResumed::RetryBudget => ("retry-budget", ""),
+            NotResumed::Stages(detail) => ("stages", detail),
+            NotResumed::Refused(detail) => ("refused", detail),
+        }
+    }
+}
+
 /// Whether a stream is bound to the software version of the upstream that began it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Binding {
@@ -81,6 +113,8 @@
     /// When the first and the last events were passed on.
     first: Option<MonoTime>,
     last: Option<MonoTime>,
+    /// When the upstream last sent anything.
+    last_byte: MonoTime,
     /// The longest time between two parts that were passed on.
     longest_pause: Duration,
 }
@@ -96,6 +130,7 @@
     ) -> EventStream {
         let is_forwarded = request.forwarded.is_some();
         let mut stream = EventStream {
+            last_byte: state.now(),
             state: Arc::clone(state),
             request,
             framing: response.http.framing,
@@ -136,31 +171,33 @@
             };
             let read = with_timeout(wait, response.chunk()).or(restarted).await;
             let outcome = match read {
-                Some(Ok(Some(part))) => match self.splitter.push(&part) {
-                    Some(events) => {
-                        self.record_part(&events);
-                        return Some((Ok(events), self));
+                Some(Ok(Some(part))) => {
+                    self.last_byte = self.state.now();
+                    match self.splitter.push(&part) {
+                        Some(events) => {
+                            self.record_part(&events);
+                            return Some((Ok(events), self));
+                        }
+                        None => continue,
                     }
-                    None => continue,
-                },
+                }
                 Some(Ok(None)) if self.is_whole() => return self.finish(),
                 Some(Ok(None) | Err(_)) => {
                     self.attempt.report_broken();
                     AttemptOutcome::Truncated
                 }
                 None if self.request.time_left(self.state.now()).is_zero() => {
-                    return Some(
-                        self.cut_off(AttemptOutcome::TimedOut, StreamError::Deadline)
-                            .await,
-                    );
+                    let outcome = AttemptOutcome::TimedOut;
+                    return Some(self.cut_off(outcome, NotResumed::Deadline).await);
                 }
                 None => {
                     self.state.path.check_in_silence(&self.state).await;
                     AttemptOutcome::Silent
                 }
             };
-            if !self.resume(outcome).await {
-                return Some(self.cut_off(outcome, StreamError::Upstream).await);
+            self.log_given_up(outcome);
+            if let Err(why) = self.resume(outcome).await {
+                return Some(self.cut_off(outcome, why).await);
             }
         }
     }
@@ -269,12 +306,30 @@
         (!rest.is_empty()).then_some((Ok(rest), self))
     }
 
+    fn since_last_byte(&self) -> Duration {
+        self.state.now().since(self.last_byte)
+    }
+
+    fn log_given_up(&self, outcome: AttemptOutcome) {
+        log::info!(
+            request = self.request.id(),
+            content:% = self.request.contents.request,
+            upstream = self.attempt.id(),
+            evidence = outcome.as_str(),
+            since_last_ms = self.since_last_byte().as_millis() as u64,
+            parts = self.events,
+            left_ms = self.request.time_left(self.state.now()).as_millis() as u64;
+            "upstream given up"
+        );
+    }
+
     async fn cut_off(
         mut self,
         outcome: AttemptOutcome,
-        why: StreamError,
+        why: NotResumed,
     ) -> (Result<Bytes, BodyError>, EventStream) {
         self.attempt.finish(outcome);
+        let (reason, detail) = why.as_parts();
         self.response = None;
         self.state
             .metrics
@@ -284,6 +339,10 @@
             content:% = self.request.contents.request,
             upstream = self.attempt.id(),
             outcome = outcome.as_str(),
+            reason,
+            detail,
+            since_last_ms = self.since_last_byte().as_millis() as u64,
+            left_ms = self.request.time_left(self.state.now()).as_millis() as u64,
             parts = self.events,
             last_event:? = self.splitter.last_event(),
             framing = self.framing.as_str(),
@@ -294,13 +353,23 @@
         // Let events that are written but not yet sent reach the caller before the connection
         // is dropped: the caller may resume after the last of them.
         future::yield_now().await;
-        (Err(Box::new(why)), self)
+        let error = match why {
+            NotResumed::Deadline => StreamError::Deadline,
+            _ => StreamError::Upstream,
+        };
+        (Err(Box::new(error)), self)
     }
 
-    fn may_resume(&mut self) -> bool {
-        self.binding != Binding::Uncertain
-            && self.retries.tried.len() < MAX_ATTEMPTS
-            && self.retries.runs_left(&self.state, &self.request) > 0
+    /// Checks whether another run is allowed.
+    fn check_resume(&mut self) -> Result<(), NotResumed> {
+        if self.binding == Binding::Uncertain {
+            return Err(NotResumed::VersionUncertain);
+        }
+        let runs_left = self.retries.runs_left(&self.state, &self.request);
+        match runs_left > 0 && self.retries.tried.len() < MAX_ATTEMPTS {
+            true => Ok(()),
+            false => Err(NotResumed::NoRunLeft),
+        }
     }
 
     /// True if the stream is not waited for until its deadline when it is silent, because it may
@@ -311,9 +380,8 @@
             && self.retries.may_move_on()
     }
 
-    /// Resumes on another upstream after the last complete event. Returns false if that is not
-    /// allowed or not possible.
-    async fn resume(&mut self, outcome: AttemptOutcome) -> bool {
+    /// Resumes on another upstream after the last complete event.
+    async fn resume(&mut self, outcome: AttemptOutcome) -> Result<(), NotResumed> {
         self.response = None;
         self.attempt.finish(outcome);
         if self.binding == Binding::Bound && !self.is_version_certain().await {
@@ -321,13 +389,17 @@
             self.record_origin(None);
         }
         let mut is_unreachable = false;
-        while self.may_resume() && (is_unreachable || self.may_retry()) {
+        loop {
+            self.check_resume()?;
+            if !is_unreachable && !self.state.may_retry(&self.request.service) {
+                return Err(NotResumed::RetryBudget);
+            }
             self.retries.forward_only = self.state.forwards.is_due(&self.state, &self.request);
             match self.retries.forward_only {
                 true => self.results = self.stages.no_results(),
                 false => match self.stages.run_again(&self.request).await {
                     Ok(results) => self.results = results,
-                    Err(_) => return false,
+                    Err(refusal) => return Err(NotResumed::Stages(refusal.detail)),
                 },
             }
             let last = self.splitter.last_event().or(self.request.head.last_event);
@@ -345,18 +417,16 @@
                     self.framing = response.http.framing;
                     self.response = Some(response.http);
                     self.attempt = response.attempt;
-                    return true;
+                    self.last_byte = self.state.now();
+                    return Ok(());
+                }
+                Err(NextSendError::Refused(refusal)) => {
+                    return Err(NotResumed::Refused(refusal.detail));
                 }
-                Err(NextSendError::Refused(_)) => return false,
                 Err(NextSendError::Failed(f)) => is_unreachable = f.is_unreachable(),
                 Ok(_) => is_unreachable = false,
             }
         }
-        false
-    }
-
-    fn may_retry(&self) -> bool {
-        self.state.may_retry(&self.request.service)
     }
 
     async fn send_to_next(&mut self, last: Option<u64>) -> Result<UpstreamResponse, NextSendError> {
