Tests of upstreams that fall silent for a moment, which fail

An upstream that pauses for 1.8 s between two events, or for 3.2 s before its head, is given up although it goes on, and the caller gets a stream that is cut off or a refusal, whenever the next upstream refuses, fails or hangs too: 20 of 25 tests fail ("504 no answer in time, may have run", "200, not whole"). The five that pass say that a hung upstream is replaced in time.

--- a/crates/gateway/tests/whole/main.rs
+++ b/crates/gateway/tests/whole/main.rs
@@ -22,6 +22,7 @@
 mod requests;
 mod restarts;
 mod run_bounds;
+mod silences;
 mod stops;
 mod unframed;
 mod versions;
