Soak: sound upstreams that fall silent, and answers that planned work cuts off

What callers saw: streams that end without being whole beside stops, reloads and configurations, while their upstream is sound. No earlier range of seeds shows it, since its upstreams are never silent while they are sound.

Seeds from 11000 on have one run in five fall silent for 1 to 3 s and go on: before the head, before the first event or the body, between events, or within a body. Deadlines leave time for each silence. Plans have overlapping turns of stops, reloads, configurations in quick succession, a store that is away while instances stop, and upstreams that drain and are replaced; odd seeds also have hung, restarted and truncating upstreams, cuts and kills.

From 11000 on an answer may be cut off only if the deadline was reached, an unplanned fault lasted until 3 s before the request or later, or an upstream still worked in the last sixth of the grace period on a request that was sent no later than 3 s after the stop. Each request is judged, in odd seeds as well; an outage of the store, a configuration and a silence excuse nothing. Upstreams record the end of their work for it. Refusals are checked as before: what is refused as not run and may not be repeated must have run nowhere. The line of a seed ends with answers cut off, requests refused after seven tenths of their time and requests refused after a run, with those at hung upstreams.

The file `seen` of a broken seed had no attempts, because they were locked while it was written; it has them.

--- a/crates/gateway-daemon/tests/soak.rs
+++ b/crates/gateway-daemon/tests/soak.rs
@@ -1,7 +1,7 @@
 //! Soak test of real gateway processes. Each seed draws overlapping faults, and the
 //! guarantees are checked against the records of callers and upstreams.
 //!
-//! Runs fifteen seeds by default; `--seeds 1..50 --jobs 6` runs more.
+//! Runs seventeen seeds by default; `--seeds 1..50 --jobs 6` runs more.
 
 #![allow(clippy::expect_used, clippy::panic)]
 
@@ -45,11 +45,12 @@
 /// that are cut off from all upstreams, and no other faults of instances. The next two have
 /// upstreams of two software versions and answers without a length that break off, the next two
 /// have parts of prompts that crash upstreams, the next two have upstreams that fail all, and
-/// instances without a path while others are killed or paused, and in the last two instances stop in
-/// turn under load, in one of them all are killed as well.
-const DEFAULT_SEEDS: [u64; 15] = [
+/// instances without a path while others are killed or paused, and in the next two instances stop in
+/// turn under load, in one of them all are killed as well. In the last two sound upstreams fall
+/// silent for a while.
+const DEFAULT_SEEDS: [u64; 17] = [
     4, 5, 4_000, 4_001, 5_000, 5_001, 6_002, 7_000, 7_001, 8_002, 8_003, 9_007, 9_009, 10_000,
-    10_001,
+    10_001, 11_000, 11_005,
 ];
 /// The number of seeds that this process has started.
 static SEEDS_STARTED: AtomicU8 = AtomicU8::new(0);
@@ -227,12 +228,14 @@
     took: Duration,
     dir: &std::path::Path,
 ) -> (bool, String) {
-    let attempts = lock(&report.recorder.attempts);
-    let served = attempts.iter().filter(|a| a.is_served()).count();
+    let (asked, served) = {
+        let attempts = lock(&report.recorder.attempts);
+        let served = attempts.iter().filter(|a| a.is_served());
+        (attempts.len(), served.count())
+    };
     let mut text = format!(
-        "seed {seed}: {} faults, {served} of {} served, {} broken, {:.1} s, {} ms late",
+        "seed {seed}: {} faults, {served} of {asked} served, {} broken, {:.1} s, {} ms late",
         plan.steps.len(),
-        attempts.len(),
         report.violations.len(),
         took.as_secs_f64(),
         report.lag.as_millis()
@@ -255,6 +258,15 @@
             taken_up.0, taken_up.1, begun.0, begun.1
         );
     }
+    let losses = report.losses;
+    let counts = [
+        ("cut off", losses.cut_off),
+        ("refused late", losses.refused_late),
+        ("refused after a run", losses.refused_after_run),
+    ];
+    for (name, (all, hung)) in counts.into_iter().filter(|(_, count)| count.0 > 0) {
+        text += &format!("; {name} {all} ({hung} at hung upstreams)");
+    }
     for broken in report.violations.iter().take(10) {
         text += &format!("\n    {broken}");
     }
--- a/soak/src/caller.rs
+++ b/soak/src/caller.rs
@@ -148,17 +148,18 @@
         let key = KEYS[self.rng.usize(..KEYS.len())];
         let start = self.starts[instance].load(Ordering::Relaxed);
         let sent = self.env.recorder.now();
+        let deadline = self.load.deadline_of(kind);
         let address = self.env.callers_at(instance);
         let mut req = request(&id, kind, key, takes_up.as_ref(), self.load);
         if self.prompts {
             add_prompt(&mut req, &id, kind);
         }
-        let sending = self.pool.send(address, req, self.load.deadline, false);
+        let sending = self.pool.send(address, req, deadline, false);
         // Some callers leave after an event.
         let leaves = self.takes_up && kind == RequestKind::ResumableStream && self.rng.u8(..4) == 0;
         let most_bytes = if leaves { 1 } else { usize::MAX };
         let (outcome, pause) = match sending.await {
-            Some(Ok(res)) => read(res, most_bytes, self.load.deadline).await,
+            Some(Ok(res)) => read(res, most_bytes, deadline).await,
             Some(Err(SendError::NotSent)) => (Outcome::NotSent, Some(THINK_TIME)),
             Some(Err(SendError::Broken)) => (Outcome::ConnectionLost, Some(THINK_TIME)),
             None => (Outcome::TimedOut, Some(THINK_TIME)),
@@ -215,7 +216,7 @@
     *req.method_mut() = Method::POST;
     // The paths of a soak are plain text and always parse.
     *req.uri_mut() = path.parse().unwrap_or_default();
-    let deadline = load.deadline.as_millis().to_string();
+    let deadline = load.deadline_of(kind).as_millis().to_string();
     let pieces = load.pieces.to_string();
     let headers = [
         ("host", HOST),
--- a/soak/src/config.rs
+++ b/soak/src/config.rs
@@ -20,9 +20,13 @@
 /// one route contains the version's number, so that only this version has that route.
 pub(crate) fn config(version: u64, keys: usize, load: Load) -> Value {
     let call_ms = load.call.as_secs_f64() * 1_000.0;
-    let timeout_ms = load.deadline.as_secs_f64() * 1_000.0 + 1_000.0;
     let objective_ms = call_ms * 20.0;
     let route = |name: &str, kind: &str, service: &str| {
+        let deadline = match kind {
+            "streaming" => load.deadline,
+            _ => load.single_deadline,
+        };
+        let timeout_ms = deadline.as_secs_f64() * 1_000.0 + 1_000.0;
         json!({
             "name": name, "host": HOST, "prefix": format!("/{name}/"), "type": kind,
             "timeout_ms": timeout_ms, "slo_ms": objective_ms, "priority": 1, "service": service,
--- a/soak/src/environment.rs
+++ b/soak/src/environment.rs
@@ -21,7 +21,6 @@
 use jd_net::lock;
 use serde_json::json;
 
-use crate::LinkMode;
 use crate::Recorder;
 use crate::StoreMode;
 use crate::config;
@@ -42,11 +41,11 @@
 /// Further upstreams of soaks in which software versions differ, so that two have each version.
 const MORE_SERVICES: [&str; 1] = ["model"];
 /// The software versions of upstreams.
-const VERSIONS: [&str; 2] = ["v1", "v2"];
+pub(crate) const VERSIONS: [&str; 2] = ["v1", "v2"];
 /// Writes after the copy that a restore loses. The store assigns their revisions again.
 const LOST_WRITES: u32 = 30;
 /// The time for instances to read these writes before the store fails.
-const READ_DELAY: Duration = Duration::from_millis(300);
+pub(crate) const READ_DELAY: Duration = Duration::from_millis(300);
 /// The time for which the store is unavailable before it is restored from a copy.
 const OUTAGE: Duration = Duration::from_millis(300);
 /// The time after a restore at which the operator and the upstreams repeat the lost
@@ -63,13 +62,6 @@
 const FIRST_LINK_PORT: u16 = 7_020;
 /// The first port of an instance's own links to other instances.
 const FIRST_FORWARD_PORT: u16 = 7_040;
-/// The time for which a restarting upstream is down.
-const RESTART_DOWNTIME: Duration = Duration::from_millis(150);
-/// The time from the start of a crashing request to the crash of its upstream.
-const CRASH_DELAY: Duration = Duration::from_millis(40);
-/// The time from a crash to the replacement of the upstream. The entries of the users'
-/// upstreams remain for that long.
-const CRASH_DOWNTIME: Duration = Duration::from_millis(900);
 /// The last octet of the first instance's address.
 const FIRST_INSTANCE: usize = 2;
 /// The last octet of the first upstream's address. Instances use lower numbers.
@@ -107,10 +99,10 @@
     pub(crate) upstreams: Vec<Upstream>,
     pub(crate) store_links: Vec<Arc<Relay>>,
     pub(crate) instance_links: Vec<InstanceLinks>,
-    ended: Receiver<String>,
+    pub(crate) ended: Receiver<String>,
     network: [u8; 3],
     operator: Mutex<Operator>,
-    load: Load,
+    pub(crate) load: Load,
     _servers: Vec<HttpServer>,
 }
 
@@ -164,7 +156,7 @@
                 id: Mutex::new(new_id()),
                 started_ms: AtomicU64::new(unix_time_ms()),
                 software: Mutex::new(match versions && service == "model" {
-                    true if load == Load::HEAVY => {
+                    true if load != Load::LIGHT => {
                         let earlier = upstreams.iter().filter(|u| u.service == "model");
                         VERSIONS[earlier.count() % VERSIONS.len()]
                     }
@@ -178,6 +170,7 @@
                 recorder: Arc::clone(&recorder),
                 results: Arc::clone(&results),
                 event_interval: load.event_interval,
+                silences: load.silences,
                 ended: tx.clone(),
             };
             let (handler, handler_kind): (Arc<dyn Handler>, UpstreamHandler) = match service {
@@ -283,37 +276,6 @@
         self.store.put(&format!("servers/{id}"), &entry);
     }
 
-    /// Replaces an upstream by one with a new identity at the same address.
-    pub(crate) fn replace(&self, upstream: &Upstream) {
-        let fake = upstream.handler.fake();
-        let old = std::mem::replace(&mut *lock(&fake.id), new_id());
-        fake.draining.store(false, Ordering::Relaxed);
-        fake.announces_leaving.store(false, Ordering::Relaxed);
-        self.store.remove(&format!("servers/{old}"));
-        self.register(upstream);
-    }
-
-    /// Replaces an upstream by one of the other software version, under its identity or another
-    /// one. Its connections are lost.
-    pub(crate) async fn upgrade(&self, upstream: &Upstream, keeps_identity: bool) {
-        upstream.link.set(Some(LinkMode::Resets));
-        Timer::after(RESTART_DOWNTIME).await;
-        let fake = upstream.handler.fake();
-        {
-            let mut software = lock(&fake.software);
-            let other = VERSIONS.into_iter().find(|v| *v != *software);
-            *software = other.unwrap_or(VERSIONS[0]);
-        }
-        fake.started_ms.store(unix_time_ms(), Ordering::Relaxed);
-        match keeps_identity {
-            true => self.register(upstream),
-            false => self.replace(upstream),
-        }
-        // Until the new entry has been read, requests are taken for those of the earlier version.
-        Timer::after(READ_DELAY).await;
-        upstream.link.set(None);
-    }
-
     /// Upstreams of this software version that answer with streams and get new requests.
     pub(crate) fn serving(&self, software: &str) -> usize {
         let models = self.upstreams.iter().filter(|u| u.service == "model");
@@ -358,60 +320,6 @@
         }
     }
 
-    /// Restarts an upstream under its identity. Its connections and held results are lost.
-    pub(crate) async fn restart(&self, upstream: &Upstream) {
-        upstream.link.set(Some(LinkMode::Resets));
-        upstream
-            .handler
-            .fake()
-            .results
-            .drop_all(upstream.link.address());
-        Timer::after(RESTART_DOWNTIME).await;
-        upstream
-            .handler
-            .fake()
-            .started_ms
-            .store(unix_time_ms(), Ordering::Relaxed);
-        self.register(upstream);
-        upstream.link.set(None);
-    }
-
-    /// Crashes the upstreams that executed a crashing request. Each is later replaced by an
-    /// upstream with another identity.
-    pub(crate) async fn handle_crashes(self: Arc<Self>, executor: Arc<Executor<'static>>) {
-        while let Ok(id) = self.ended.recv().await {
-            let env = Arc::clone(&self);
-            let ending = async move {
-                let mut upstreams = env.upstreams.iter();
-                if let Some(upstream) = upstreams.find(|p| p.handler.fake().id() == id) {
-                    env.end(upstream).await;
-                }
-            };
-            executor.spawn(ending).detach();
-        }
-    }
-
-    /// Crashes every other upstream at the same moment.
-    pub(crate) async fn lose_power(&self, first: usize) {
-        let lost = || self.upstreams.iter().skip(first % 2).step_by(2);
-        for upstream in lost() {
-            upstream.link.set(Some(LinkMode::Refuses));
-        }
-        Timer::after(CRASH_DOWNTIME).await;
-        for upstream in lost() {
-            self.replace(upstream);
-            upstream.link.set(None);
-        }
-    }
-
-    async fn end(&self, upstream: &Upstream) {
-        Timer::after(CRASH_DELAY).await;
-        upstream.link.set(Some(LinkMode::Refuses));
-        Timer::after(CRASH_DOWNTIME).await;
-        self.replace(upstream);
-        upstream.link.set(None);
-    }
-
     /// Writes the next configuration and returns its version.
     pub(crate) fn configure(&self) -> u64 {
         let mut operator = lock(&self.operator);
@@ -458,7 +366,7 @@
     }
 }
 
-fn new_id() -> String {
+pub(crate) fn new_id() -> String {
     format!("i-{:08x}", fastrand::u32(..))
 }
 
--- a/soak/src/fake_upstream.rs
+++ b/soak/src/fake_upstream.rs
@@ -40,6 +40,8 @@
 use crate::fake_stage_upstream::Results;
 use crate::fake_store::json_body;
 use crate::fake_store::status;
+use crate::recorder::Work;
+use crate::silences::Silence;
 
 /// The number of events in a stream.
 pub(crate) const EVENTS: u64 = 8;
@@ -96,6 +98,8 @@
     pub(crate) recorder: Arc<Recorder>,
     pub(crate) results: Arc<Results>,
     pub(crate) event_interval: Duration,
+    /// True if the upstream falls silent for a while in some answers.
+    pub(crate) silences: bool,
     /// Receives the identity of an upstream that executed a crashing request.
     pub(crate) ended: Sender<String>,
 }
@@ -105,8 +109,11 @@
     id: String,
     software: &'static str,
     next: u64,
+    first: u64,
     truncated: bool,
     interval: Duration,
+    silence: Option<Silence>,
+    _work: Work,
 }
 
 impl FakeUpstream {
@@ -171,12 +178,14 @@
             () if lacks_inputs => Some(StatusCode::CONFLICT),
             () => None,
         };
-        self.recorder.request(UpstreamRequest {
+        let work = self.recorder.request(UpstreamRequest {
             id: id.clone(),
             upstream: me.clone(),
             sender,
             at: self.recorder.now(),
             executed: refused.is_none(),
+            hung: mode == Some(UpstreamMode::Hangs),
+            ended: None,
             crash_cause: crashing,
             fault,
             notice: Notice {
@@ -197,7 +206,8 @@
         }
         let streams = path.starts_with("/draft/") || path.starts_with("/tell/");
         let after = header("last-event-id").and_then(|t| t.parse().ok());
-        let execute = self.execute(mode, &id, streams, after.unwrap_or(0), crashing.is_some());
+        let after = after.unwrap_or(0);
+        let execute = self.execute(mode, &id, streams, after, crashing.is_some(), work);
         let res = match execute.await {
             // A body of unknown length ends with its connection in HTTP/1.0.
             res if parts.version == Version::HTTP_10 => res.map(|b| without_length(b, streams)),
@@ -213,7 +223,12 @@
         streams: bool,
         after: u64,
         crashing: bool,
+        work: Work,
     ) -> Response<Body> {
+        let silence = Silence::of(id, &self.id()).filter(|_| self.silences);
+        if let (Some(silence), None) = (silence, mode) {
+            silence.before_head().await;
+        }
         match mode {
             _ if crashing && !streams => future::pending().await,
             Some(UpstreamMode::Hangs) => future::pending().await,
@@ -223,8 +238,11 @@
                     id: id.into(),
                     software: *lock(&self.software),
                     next: after + 1,
+                    first: after + 1,
                     truncated: mode == Some(UpstreamMode::Truncates),
                     interval: self.event_interval,
+                    silence: silence.filter(|_| mode.is_none()),
+                    _work: work,
                 },
                 next_event,
             ))),
@@ -235,7 +253,10 @@
             }
             _ => {
                 Timer::after(EXECUTION_TIME).await;
-                Response::new(jd_net::full(plain_answer(id)))
+                Response::new(match silence {
+                    Some(silence) => silence.body(plain_answer(id), work),
+                    None => jd_net::full(plain_answer(id)),
+                })
             }
         }
     }
@@ -267,7 +288,9 @@
     if rest.next > EVENTS {
         return None;
     }
-    Timer::after(rest.interval).await;
+    let silent = |s: Silence| s.before_event(rest.next, rest.first);
+    let silence = rest.silence.map_or(Duration::ZERO, silent);
+    Timer::after(rest.interval + silence).await;
     if rest.truncated && rest.next > TRUNCATED_EVENT {
         return Some((Err("torn".into()), rest));
     }
--- a/soak/src/judge.rs
+++ b/soak/src/judge.rs
@@ -17,6 +17,7 @@
 use crate::cuts;
 use crate::fake_upstream;
 use crate::limits;
+use crate::losses;
 use crate::notices;
 use crate::quarantine;
 use crate::run_bounds;
@@ -40,12 +41,6 @@
 const RETRY_SLACK: f64 = 50.0;
 /// The window over which retries are counted.
 const RETRY_WINDOW: Duration = Duration::from_secs(10);
-/// The part of the callers' deadline, in tenths, beyond which the users' rules excuse an answer that
-/// ends early.
-const DEADLINE_TENTHS: u32 = 7;
-/// How soon a connection may be lost without an answer because the request crossed its close: the
-/// users' bound, and as much for a busy machine.
-const CROSSED_WITHIN: Duration = Duration::from_millis(400);
 /// The time after the last fault from which requests count for the recovery.
 const RECOVERY_GRACE: Duration = Duration::from_millis(2_500);
 /// The fewest requests from which the recovery is judged.
@@ -89,10 +84,10 @@
     events.versions_monotonic(&mut violations);
     events.drains_respected(&mut violations);
     events.retries_bounded(&mut violations);
-    events.planned_faults_cut_nothing(instances, load, &mut violations);
     events.recovered(calm, &mut violations);
     events.newest_in_force(calm, &mut violations);
     violations.extend(quarantine::judge(&attempts, &requests, &spans));
+    violations.extend(losses::judge(&attempts, &requests, &spans, instances, load));
     violations.extend(limits::judge(&requests, &spans));
     violations.extend(notices::judge(&attempts, &requests, &spans, instances));
     violations.extend(run_bounds::judge(&attempts, &requests));
@@ -316,48 +311,6 @@
         }
     }
 
-    /// If all faults were planned, no forwarded request may be cut off. A request that
-    /// arrives while its connection is being closed was not forwarded, and a request that
-    /// used most of its deadline may have ended because of that.
-    fn planned_faults_cut_nothing(
-        &self,
-        instances: usize,
-        load: Load,
-        violations: &mut Vec<Violation>,
-    ) {
-        if !self.spans.iter().all(|s| s.fault.is_planned()) {
-            return;
-        }
-        let took = |a: &Attempt| a.ended.saturating_sub(a.sent);
-        let mostly_used = |a: &&Attempt| took(a) >= load.deadline * DEADLINE_TENTHS / 10;
-        // Upstreams still worked on these when the grace period was nearly over.
-        let outlasted_stop = |a: &Attempt| {
-            self.spans.iter().any(|s| match s.fault {
-                Fault::Stop(n) => {
-                    let from = s.from + load.cut_off_from();
-                    n % instances == a.instance.0 && (from..=s.to).contains(&a.ended)
-                }
-                _ => false,
-            })
-        };
-        let judged = self.attempts.iter().filter(|a| !a.abandoned);
-        for a in judged.filter(|a| !mostly_used(a)) {
-            let executed = self.executions(&a.id) > 0;
-            let cut = match a.outcome {
-                Outcome::Response { complete, .. } => !complete && !outlasted_stop(a),
-                Outcome::ConnectionLost => executed || took(a) > CROSSED_WITHIN,
-                Outcome::TimedOut => executed,
-                Outcome::NotSent => false,
-            };
-            if cut {
-                violations.push(Violation {
-                    guarantee: "planned faults cut no request off",
-                    detail: format!("{} {:?} at {:?}: {:?}", a.id, a.kind, a.sent, a.outcome),
-                });
-            }
-        }
-    }
-
     /// After the faults, every instance serves by the newest configuration version.
     fn newest_in_force(&self, calm: Duration, violations: &mut Vec<Violation>) {
         let version = |a: &Attempt| match a.kind {
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -7,6 +7,7 @@
 use crate::StoreMode;
 use crate::UpstreamMode;
 use crate::cuts;
+use crate::silences;
 use crate::turns;
 use crate::turns::Load;
 
@@ -47,6 +48,9 @@
 /// Plans from this seed on have instances stopped in turn, under load; in odd ones all are killed as
 /// well.
 const TURNS_FROM_SEED: u64 = 10_000;
+/// Plans from this seed on have sound upstreams fall silent in some answers, beside planned work; in
+/// odd ones beside unplanned faults as well.
+const SILENCES_FROM_SEED: u64 = 11_000;
 /// Of these seeds, one in so many, with this remainder, has no other faults of instances or the
 /// store, since what these keep from being served says nothing about a cut.
 const CUTS_ONLY_EVERY: u64 = 4;
@@ -82,6 +86,11 @@
     /// Draws the plan of a seed.
     pub fn draw(seed: u64) -> Plan {
         let mut rng = fastrand::Rng::with_seed(seed);
+        if seed >= SILENCES_FROM_SEED {
+            let mut steps = silences::draw(&mut rng, seed % 2 == 1);
+            steps.sort_by_key(|s| s.at);
+            return Plan { seed, steps };
+        }
         if seed >= TURNS_FROM_SEED {
             let mut steps = turns::draw(&mut rng, seed % 2 == 1);
             steps.sort_by_key(|s| s.at);
@@ -171,9 +180,10 @@
 
     /// The load of upstreams and callers.
     pub(crate) fn load(&self) -> Load {
-        match self.seed >= TURNS_FROM_SEED {
-            true => Load::HEAVY,
-            false => Load::LIGHT,
+        match self.seed {
+            SILENCES_FROM_SEED.. => Load::SILENT,
+            TURNS_FROM_SEED.. => Load::HEAVY,
+            _ => Load::LIGHT,
         }
     }
 
--- a/soak/src/recorder.rs
+++ b/soak/src/recorder.rs
@@ -1,5 +1,6 @@
 //! The record of requests at callers and upstreams, and of injected faults.
 
+use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
 use std::time::Instant;
@@ -150,6 +151,11 @@
     pub at: Duration,
     /// True if the upstream started to execute the request.
     pub executed: bool,
+    /// True if the upstream hung.
+    pub hung: bool,
+    /// The time at which the upstream ended its work, by an answer or because its connection was
+    /// closed. None before that.
+    pub ended: Option<Duration>,
     /// What in the request crashes its upstream, if anything does.
     pub crash_cause: Option<CrashCause>,
     /// The defect of the request as it arrived, if any.
@@ -158,6 +164,22 @@
     pub notice: Notice,
 }
 
+/// The work of an upstream on a request.
+#[derive(Debug)]
+pub(crate) struct Work {
+    recorder: Arc<Recorder>,
+    index: usize,
+}
+
+impl Drop for Work {
+    fn drop(&mut self) {
+        let now = self.recorder.now();
+        if let Some(request) = lock(&self.recorder.upstream_requests).get_mut(self.index) {
+            request.ended = Some(now);
+        }
+    }
+}
+
 /// An upstream's notice in an answer on which requests it accepts next.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Notice {
@@ -213,8 +235,14 @@
         lock(&self.attempts).push(attempt);
     }
 
-    pub(crate) fn request(&self, request: UpstreamRequest) {
-        lock(&self.upstream_requests).push(request);
+    /// Records a request at an upstream, which works on it until the returned value is dropped.
+    pub(crate) fn request(self: &Arc<Recorder>, request: UpstreamRequest) -> Work {
+        let mut requests = lock(&self.upstream_requests);
+        requests.push(request);
+        Work {
+            recorder: Arc::clone(self),
+            index: requests.len() - 1,
+        }
     }
 
     pub(crate) fn span(&self, fault: Fault, from: Duration, to: Duration, target: &str) {
--- a/soak/src/turns.rs
+++ b/soak/src/turns.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::Fault;
+use crate::RequestKind;
 use crate::Step;
 
 /// Instances that a turn stops; soaks with more have the others run on.
@@ -19,8 +20,10 @@
     pub(crate) grace: Duration,
     /// The time between two events of a stream.
     pub(crate) event_interval: Duration,
-    /// The time for which a caller waits.
+    /// The time for which a caller waits for a stream.
     pub(crate) deadline: Duration,
+    /// The time for which a caller waits for a single answer.
+    pub(crate) single_deadline: Duration,
     /// Callers of each instance.
     pub(crate) callers: usize,
     /// Pieces of each request with a stage.
@@ -32,6 +35,10 @@
     /// Results that a stage upstream stores, and the size of each.
     pub(crate) results: usize,
     pub(crate) result_bytes: u32,
+    /// The time from an upstream's leaving notice to its replacement.
+    pub(crate) drain: Duration,
+    /// True if upstreams fall silent for a while in some answers.
+    pub(crate) silences: bool,
 }
 
 impl Load {
@@ -40,25 +47,50 @@
         grace: Duration::from_secs(8),
         event_interval: Duration::from_millis(30),
         deadline: Duration::from_millis(3_000),
+        single_deadline: Duration::from_millis(3_000),
         callers: 4,
         pieces: 2,
         call: Duration::from_millis(30),
         calls: 64,
         results: 10_000,
         result_bytes: 1_000,
+        drain: Duration::from_secs(5),
+        silences: false,
     };
     /// Streams that outlast the grace period, and stages that are nearly used up.
     pub(crate) const HEAVY: Load = Load {
         grace: Duration::from_secs(3),
         event_interval: Duration::from_millis(450),
         deadline: Duration::from_millis(8_000),
+        single_deadline: Duration::from_millis(8_000),
         callers: 12,
         pieces: 12,
         call: Duration::from_millis(200),
         calls: 3,
         results: 48,
         result_bytes: 200_000,
+        drain: Duration::from_secs(5),
+        silences: false,
     };
+    /// Deadlines and drains that leave time for the longest silence.
+    pub(crate) const SILENT: Load = Load {
+        grace: Duration::from_secs(6),
+        event_interval: Duration::from_millis(300),
+        deadline: Duration::from_millis(12_000),
+        single_deadline: Duration::from_millis(5_000),
+        callers: 16,
+        drain: Duration::from_secs(9),
+        silences: true,
+        ..Load::HEAVY
+    };
+
+    /// The time for which a caller waits for the answer to a request of this kind.
+    pub(crate) fn deadline_of(self, kind: RequestKind) -> Duration {
+        match kind {
+            RequestKind::ResumableStream | RequestKind::Stream => self.deadline,
+            _ => self.single_deadline,
+        }
+    }
 
     /// The storage for so many results, in megabytes.
     pub(crate) fn megabytes(self, results: usize) -> f64 {
