Event streams: bytes that never become an event are read to a limit

An upstream that sends bytes and never the end of an event had all of them kept until the deadline of the request, and each new part made the splitter search all of them again. Blank lines and comments, which count as ends of events, passed without end.

Evidence, on the code before: 1,000 parts of 16 KiB without an end of an event leave 16,384,000 bytes in the splitter (" bytes are kept"); 64 KiB that come one by one take 110 s in a debug build.

`EventSplitter::push` now fails with `EventTooLarge` once it would keep more than 1 MiB, or once as much came without an event; only the new bytes are searched. The event stream then counts the upstream as broken (`Truncated`), logs it, and resumes elsewhere where its route allows that. The tests of the splitter in requests.rs check the same results through the new return type.

--- a/crates/gateway/src/event_stream.rs
+++ b/crates/gateway/src/event_stream.rs
@@ -13,6 +13,7 @@
 use jd_net::SendError;
 use jd_net::with_timeout;
 use jd_serving::EventSplitter;
+use jd_serving::EventTooLarge;
 use jd_serving::RetryMode;
 use jd_serving::SoftwareVersion;
 use jd_serving::StreamBeginning;
@@ -137,11 +138,12 @@
             let read = with_timeout(wait, response.chunk()).or(restarted).await;
             let outcome = match read {
                 Some(Ok(Some(part))) => match self.splitter.push(&part) {
-                    Some(events) => {
+                    Ok(Some(events)) => {
                         self.record_part(&events);
                         return Some((Ok(events), self));
                     }
-                    None => continue,
+                    Ok(None) => continue,
+                    Err(e) => self.break_off(&e),
                 },
                 Some(Ok(None)) if self.is_whole() => return self.finish(),
                 Some(Ok(None) | Err(_)) => {
@@ -165,6 +167,14 @@
         }
     }
 
+    /// Gives up an upstream whose bytes are no events.
+    fn break_off(&mut self, why: &EventTooLarge) -> AttemptOutcome {
+        let upstream = self.attempt.id();
+        log::warn!(request = self.request.id(), upstream, detail:% = why; "stream is no event stream");
+        self.attempt.report_broken();
+        AttemptOutcome::Truncated
+    }
+
     fn is_whole(&self) -> bool {
         self.splitter.end(self.framing.marks_end()) == StreamEnd::Whole
     }
--- a/crates/serving/src/event_splitter.rs
+++ b/crates/serving/src/event_splitter.rs
@@ -2,11 +2,21 @@
 
 use bytes::Bytes;
 use bytes::BytesMut;
+use snafu::Snafu;
+use snafu::ensure;
 
 /// Terminates an event.
 const EVENT_END: &[u8] = b"\n\n";
 /// Prefix of the line with an event's number.
 const ID_LINE: &[u8] = b"id:";
+/// Maximum size of an event, and of what comes between two events, in bytes. Events hold several
+/// tokens, which take some kilobytes.
+pub const MAX_EVENT_BYTES: usize = 1 << 20;
+
+/// An upstream sent more bytes without an event than an event may have.
+#[derive(Debug, Clone, Copy, Snafu, PartialEq, Eq)]
+#[snafu(display("no event ended within {MAX_EVENT_BYTES} bytes; check the upstream"))]
+pub struct EventTooLarge;
 
 /// What the end of a response body says about its stream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -25,6 +35,8 @@
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     partial: BytesMut,
+    /// Bytes of blank lines and comments since the last event.
+    filler: usize,
     last: Option<u64>,
     /// True once the current response has brought an event.
     has_events: bool,
@@ -32,13 +44,28 @@
 
 impl EventSplitter {
     /// Appends bytes and returns the events that are complete now.
-    pub fn push(&mut self, part: &[u8]) -> Option<Bytes> {
+    ///
+    /// Fails if more than [`MAX_EVENT_BYTES`] would be kept, or came without an event. The response
+    /// must not be read any further then.
+    pub fn push(&mut self, part: &[u8]) -> Result<Option<Bytes>, EventTooLarge> {
+        // Only an end that the new bytes complete can be new.
+        let searched = self.partial.len().saturating_sub(EVENT_END.len() - 1);
         self.partial.extend_from_slice(part);
-        let end = find_last(&self.partial, EVENT_END)? + EVENT_END.len();
+        let Some(found) = find_last(&self.partial[searched..], EVENT_END) else {
+            let without_event = self.partial.len() + self.filler;
+            ensure!(without_event <= MAX_EVENT_BYTES, EventTooLargeSnafu);
+            return Ok(None);
+        };
+        let end = searched + found + EVENT_END.len();
         let complete = self.partial.split_to(end).freeze();
+        self.filler = match complete.split(|b| *b == b'\n').any(has_content) {
+            true => 0,
+            false => self.filler + complete.len(),
+        };
+        ensure!(self.filler <= MAX_EVENT_BYTES, EventTooLargeSnafu);
         self.last = last_id(&complete).or(self.last);
         self.has_events = true;
-        Some(complete)
+        Ok(Some(complete))
     }
 
     /// The number of complete events in bytes that [`EventSplitter::push`] returned. Blank lines
@@ -77,7 +104,8 @@
 
     /// Drops an incomplete event, and continues with the response of another upstream.
     pub fn begin_response(&mut self) {
-        self.partial.clear();
+        self.partial = BytesMut::new();
+        self.filler = 0;
         self.has_events = false;
     }
 
@@ -87,6 +115,11 @@
     }
 }
 
+/// True for a line that is neither blank nor a comment.
+fn has_content(line: &[u8]) -> bool {
+    !matches!(line, [] | [b':', ..])
+}
+
 fn find_last(buf: &[u8], what: &[u8]) -> Option<usize> {
     buf.windows(what.len()).rposition(|w| w == what)
 }
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -110,6 +110,8 @@
 pub use estimate_bias::EstimateBias;
 pub use evacuated_zones::EvacuatedZones;
 pub use event_splitter::EventSplitter;
+pub use event_splitter::EventTooLarge;
+pub use event_splitter::MAX_EVENT_BYTES;
 pub use event_splitter::StreamEnd;
 pub use finished_job::FinishedJob;
 pub use finished_job::JobFailure;
--- a/crates/serving/tests/requests.rs
+++ b/crates/serving/tests/requests.rs
@@ -6,6 +6,7 @@
 use std::num::NonZeroU32;
 use std::time::Duration;
 
+use bytes::Bytes;
 use jd_serving::CustomerSpec;
 use jd_serving::Deployment;
 use jd_serving::EventSplitter;
@@ -131,12 +132,10 @@
 #[test]
 fn only_complete_events_are_forwarded() {
     let mut splitter = EventSplitter::default();
-    assert_eq!(splitter.push(b"id: 1\nda"), None);
+    assert_eq!(splitter.push(b"id: 1\nda"), Ok(None));
     let complete = splitter.push(b"ta: x\n\nid: 2\ndata: y\n\nid: 3\nda");
-    assert_eq!(
-        complete.as_deref(),
-        Some(&b"id: 1\ndata: x\n\nid: 2\ndata: y\n\n"[..])
-    );
+    let expected = Bytes::from_static(b"id: 1\ndata: x\n\nid: 2\ndata: y\n\n");
+    assert_eq!(complete, Ok(Some(expected)));
     assert_eq!(splitter.last_event(), Some(2));
     assert_eq!(&splitter.take_remaining()[..], b"id: 3\nda");
     assert!(splitter.take_remaining().is_empty());
@@ -159,7 +158,7 @@
     expected: StreamEnd,
 ) {
     let mut splitter = EventSplitter::default();
-    splitter.push(body);
+    splitter.push(body).expect("a small part");
     assert_eq!(splitter.end(is_marked), expected);
 }
 
@@ -167,7 +166,8 @@
 #[test]
 fn a_response_without_events_after_another_one_is_broken_off() {
     let mut splitter = EventSplitter::default();
-    splitter.push(b"id: 1\ndata: x\n\nid: 2");
+    let pushed = splitter.push(b"id: 1\ndata: x\n\nid: 2");
+    assert!(pushed.is_ok_and(|events| events.is_some()));
     splitter.begin_response();
     assert_eq!(splitter.end(false), StreamEnd::BrokenOff);
     assert_eq!(splitter.last_event(), Some(1));
@@ -179,7 +179,8 @@
     let mut splitter = EventSplitter::default();
     let mut complete = Vec::new();
     for byte in text {
-        complete.extend(splitter.push(&[*byte]).unwrap_or_default());
+        let pushed = splitter.push(&[*byte]).expect("a small part");
+        complete.extend(pushed.unwrap_or_default());
     }
     assert_eq!(complete, text);
     assert_eq!(splitter.last_event(), Some(10));
