--- a/crates/gateway/src/event_stream.rs
+++ b/crates/gateway/src/event_stream.rs
@@ -494,11 +494,15 @@
     };
     match chunk.or(restarted).or(missed).await {
         Ok(Some(part)) => match splitter.push(&part) {
-            Some(events) => {
+            Ok(Some(events)) => {
                 clock.record(attempt.now(), EVENT_PATIENCE);
                 Read::Events(events)
             }
-            None => Read::Nothing,
+            Ok(None) => Read::Nothing,
+            Err(e) => {
+                log::warn!(upstream = attempt.id(), detail:% = e; "stream is no event stream");
+                Read::Broken(Evidence::Broken)
+            }
         },
         Ok(None) if splitter.end(framing.marks_end()) == StreamEnd::Whole => Read::Whole,
         Ok(None) => Read::Broken(Evidence::Broken),
--- a/crates/gateway/src/stream_attempt.rs
+++ b/crates/gateway/src/stream_attempt.rs
@@ -199,8 +199,12 @@
             let read = with_timeout(cx.time_left(), http.chunk()).or(restarted);
             let first = match read.await {
                 Some(Ok(Some(part))) => match splitter.push(&part) {
-                    None => continue,
-                    events => events,
+                    Ok(None) => continue,
+                    Ok(events) => events,
+                    Err(e) => {
+                        log::warn!(upstream = attempt.id(), detail:% = e; "stream is no event stream");
+                        break AttemptOutcome::Truncated;
+                    }
                 },
                 Some(Ok(None)) if splitter.end(http.framing.marks_end()) == StreamEnd::Whole => {
                     None
