The lines of a new configuration and of a restart tell what they change

Nothing told whether a configuration held the executor, which requests were in progress on the routes that it changed, or on which evidence an upstream counted as restarted: `version` and `address` were all that was logged.

`configuration in force` has the time of its steps (decode, build, rebuild), what it changes against the replaced version, and the requests in progress that the replaced version admitted, on any and on changed routes. `update of the store was applied slowly` tells of an update that took 20 ms or more. `upstream restarted` has address, start and software version of both entries, and the requests in progress there.

--- a/crates/gateway/src/caller_api.rs
+++ b/crates/gateway/src/caller_api.rs
@@ -183,6 +183,7 @@
             ran_at: RanAt::default(),
             forwarded: None,
             _running_forward: None,
+            _route_use: router.begin_request(route),
             _in_flight: in_flight,
             router,
         })
--- a/crates/gateway/src/caller_request.rs
+++ b/crates/gateway/src/caller_request.rs
@@ -12,6 +12,7 @@
 use jd_serving::PromptDemand;
 use jd_serving::Route;
 use jd_serving::RouteKey;
+use jd_serving::RouteUse;
 use jd_serving::Router;
 use jd_serving::RunContents;
 use jd_types::MonoTime;
@@ -49,6 +50,8 @@
     /// Set if another instance took the request from its caller.
     pub(crate) forwarded: Option<ForwardedFrom>,
     pub(crate) _running_forward: Option<RunningForward>,
+    /// Counts the request on its route until it is dropped.
+    pub(crate) _route_use: RouteUse,
     /// Counts the request as in flight until it is dropped.
     pub(crate) _in_flight: InFlight,
 }
--- a/crates/gateway/src/store_applier.rs
+++ b/crates/gateway/src/store_applier.rs
@@ -2,12 +2,11 @@
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
+use std::time::Duration;
 use std::time::SystemTime;
 
 use jd_serving::Content;
-use jd_serving::Deployment;
 use jd_serving::InstanceEntry;
-use jd_serving::Router;
 use jd_serving::SnapshotKind;
 use jd_serving::StoreItem;
 use jd_serving::StoreRevision;
@@ -21,7 +20,6 @@
 use crate::QuarantineRecord;
 use crate::Record;
 use crate::Store;
-use crate::cluster_state::ActiveDeployment;
 use crate::quarantine::QuarantineSource;
 use crate::quarantine::QuarantineUpdate;
 use crate::state::State;
@@ -30,6 +28,9 @@
 /// got the batch from another instance, which logs them as well.
 const MAX_LINES_PER_BATCH: usize = 8;
 
+/// How long an update may occupy the thread that also passes answers on, without a warning.
+const SLOW_UPDATE: Duration = Duration::from_millis(20);
+
 /// Logs the upstreams of one batch of changes.
 ///
 /// Guards against one line for each upstream on each instance of a fleet: when 10,000
@@ -68,6 +69,15 @@
     }
 }
 
+/// A change that was decoded from an item of the store.
+#[derive(Debug)]
+struct DecodedChange {
+    change: Change,
+    item: StoreItem,
+    /// How long decoding it took.
+    took: Duration,
+}
+
 /// Applies records and changes of the store, whichever source they come from.
 #[derive(Debug)]
 pub(crate) struct StoreApplier {
@@ -84,6 +94,7 @@
             items,
             revision,
         } = update;
+        let (began, count) = (self.state.now(), items.len());
         let known = self.state.cluster().mirror.revision();
         match whole {
             true if revision < known => {
@@ -102,14 +113,19 @@
         }
         self.state.instances_listed.set();
         self.state.changes.notify(usize::MAX);
+        let took = self.state.now().since(began);
+        if took >= SLOW_UPDATE {
+            let ms = took.as_millis() as u64;
+            log::warn!(items = count, whole, revision:%, ms; "update of the store was applied slowly; answers waited for it");
+        }
         true
     }
 
     /// Applies the list of instances alone, before everything else is loaded.
     pub(crate) fn apply_instances(&self, items: &[StoreItem]) {
-        for (change, item) in self.decode(items) {
-            if let Change::Put(record) = change {
-                self.apply_record(record, &item);
+        for decoded in self.decode(items) {
+            if let Change::Put(record) = decoded.change {
+                self.apply_record(record, &decoded.item, decoded.took);
             }
         }
         let now = self.state.now();
@@ -121,7 +137,7 @@
     pub(crate) fn decode_sample(&self, items: &[StoreItem]) -> Vec<InstanceEntry> {
         let me = &self.state.own_entry;
         let entries = self.decode(items).into_iter();
-        let entries = entries.filter_map(|(change, _)| match change {
+        let entries = entries.filter_map(|decoded| match decoded.change {
             Change::Put(Record::Instance(entry)) if entry.peer_address != me.peer_address => {
                 Some(entry)
             }
@@ -132,9 +148,9 @@
 
     /// Applies only the configuration among another instance's records.
     pub(crate) fn apply_deployment(&self, items: &[StoreItem]) {
-        for (change, item) in self.decode(items) {
-            if let Change::Put(record @ Record::Deployment(_)) = change {
-                self.apply_record(record, &item);
+        for decoded in self.decode(items) {
+            if let Change::Put(record @ Record::Deployment(_)) = decoded.change {
+                self.apply_record(record, &decoded.item, decoded.took);
             }
         }
     }
@@ -146,7 +162,7 @@
             false => SnapshotKind::Restored,
         };
         let items = self.retain_newer_deployment(items, revision, true);
-        let changes: Vec<(Change, StoreItem)> = self.decode(&items);
+        let changes = self.decode(&items);
         {
             let mut cluster = self.state.cluster();
             cluster.mirror.replace(items, revision);
@@ -157,7 +173,7 @@
         let mut quarantined: Vec<Content> = Vec::new();
         let mut evacuated: BTreeSet<Name> = BTreeSet::new();
         let mut changed = false;
-        for (change, item) in changes {
+        for DecodedChange { change, item, took } in changes {
             match change {
                 Change::Put(Record::Upstream(entry)) => upstreams.push(entry),
                 Change::UpstreamUnreadable { id, reason } => {
@@ -173,7 +189,7 @@
                         Record::Quarantine(q) => quarantined.push(q.content),
                         _ => {}
                     }
-                    self.apply_record(record, &item);
+                    self.apply_record(record, &item, took);
                 }
                 Change::UpstreamRemoved(_)
                 | Change::InstanceRemoved(_)
@@ -208,7 +224,7 @@
         let now = self.state.now();
         let mut changed = false;
         let mut upstream_log = self.upstream_log(items.len());
-        for (change, item) in self.decode(&items) {
+        for DecodedChange { change, item, took } in self.decode(&items) {
             match change {
                 Change::Put(Record::Upstream(entry)) => {
                     upstream_log.written(&entry, revision);
@@ -228,7 +244,7 @@
                 }
                 Change::Put(record) => {
                     changed |= matches!(record, Record::Versions(_));
-                    self.apply_record(record, &item);
+                    self.apply_record(record, &item, took);
                 }
                 Change::UpstreamRemoved(id) => {
                     upstream_log.removed(&id, revision);
@@ -277,44 +293,17 @@
         self.state.cluster().upstreams.discard(id)
     }
 
-    /// Replaces an older configuration among the items by the one in force here; adds it
-    /// if it is missing and the items are `whole`.
-    ///
-    /// Keeps this instance from passing on an older version, which it read from a store
-    /// that was restored from a copy.
-    fn retain_newer_deployment(
-        &self,
-        mut items: Vec<StoreItem>,
-        revision: StoreRevision,
-        whole: bool,
-    ) -> Vec<StoreItem> {
-        let Some(known) = self.state.cluster().deployment.clone() else {
-            return items;
-        };
-        let mut is_missing = whole;
-        for item in items.iter_mut().filter(|i| i.key == known.item.key) {
-            is_missing = false;
-            let is_older = match self.store.decode(item) {
-                Some(Change::Put(Record::Deployment(d))) => d.version < known.version,
-                _ => item.removed,
-            };
-            if is_older {
-                item.value = known.item.value.clone();
-                item.removed = false;
-            }
-        }
-        if is_missing {
-            items.push(StoreItem {
-                revision,
-                ..known.item
-            });
-        }
-        items
-    }
-
     /// Decodes items; those that do not concern this system are left out.
-    fn decode(&self, items: &[StoreItem]) -> Vec<(Change, StoreItem)> {
-        let decode = |i: &StoreItem| Some((self.store.decode(i)?, i.clone()));
+    fn decode(&self, items: &[StoreItem]) -> Vec<DecodedChange> {
+        let decode = |item: &StoreItem| {
+            let began = self.state.now();
+            let change = self.store.decode(item)?;
+            Some(DecodedChange {
+                change,
+                item: item.clone(),
+                took: self.state.now().since(began),
+            })
+        };
         items.iter().filter_map(decode).collect()
     }
 
@@ -336,9 +325,11 @@
         quarantine.set_stored(content, Some(state));
     }
 
-    fn apply_record(&self, record: Record, item: &StoreItem) {
+    fn apply_record(&self, record: Record, item: &StoreItem, decode_time: Duration) {
         match record {
-            Record::Deployment(deployment) => self.apply_newer_deployment(*deployment, item),
+            Record::Deployment(deployment) => {
+                self.apply_newer_deployment(*deployment, item, decode_time)
+            }
             Record::Instance(entry) if entry.incarnation == self.state.own_entry.incarnation => {}
             Record::Instance(entry) if entry.peer_address == self.state.own_entry.peer_address => {
                 let mut cluster = self.state.cluster();
@@ -368,31 +359,4 @@
             }
         }
     }
-
-    /// Puts a configuration in force if it is newer than the current one. A store that
-    /// was restored from a copy may hold two different configurations with the same
-    /// version one after the other; of these the one that was written later wins.
-    fn apply_newer_deployment(&self, deployment: Deployment, item: &StoreItem) {
-        let version = deployment.version;
-        let mut cluster = self.state.cluster();
-        let is_newer = match &cluster.deployment {
-            None => true,
-            Some(known) if version == known.version => {
-                let later = item.revision > known.item.revision;
-                later && item.value != known.item.value
-            }
-            Some(known) => version > known.version,
-        };
-        if !is_newer {
-            return;
-        }
-        let item = item.clone();
-        cluster.deployment = Some(ActiveDeployment { version, item });
-        cluster.newer_peer = None;
-        let router = Router::new(deployment);
-        self.state.router.store(Some(Arc::new(router)));
-        drop(cluster);
-        self.state.rebuild_shards();
-        log::info!(version; "configuration in force");
-    }
 }
--- a/crates/gateway/src/upstream_table.rs
+++ b/crates/gateway/src/upstream_table.rs
@@ -105,8 +105,18 @@
         let mut addresses = Vec::new();
         for (id, before) in &earlier.by_id {
             let now = self.by_id.get(id);
-            if now.is_some_and(|now| !Arc::ptr_eq(&now.upstream, &before.upstream)) {
-                log::info!(upstream:% = id, address:% = before.upstream.address; "upstream restarted");
+            if let Some(now) = now.filter(|now| !Arc::ptr_eq(&now.upstream, &before.upstream)) {
+                log::info!(
+                    upstream:% = id,
+                    address:% = before.upstream.address,
+                    address_now:% = now.upstream.address,
+                    start:? = before.start.millis(),
+                    start_now:? = now.start.millis(),
+                    software = before.software.as_str(),
+                    software_now = now.software.as_str(),
+                    requests = before.upstream.in_flight();
+                    "upstream restarted"
+                );
                 before.restarted.set();
                 addresses.push(before.upstream.address);
             }
--- a/crates/serving/src/route.rs
+++ b/crates/serving/src/route.rs
@@ -30,7 +30,7 @@
 }
 
 /// A service that a route leads to, with its weight.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Target {
     /// The service's name.
     pub service: CompactString,
--- a/crates/serving/src/router.rs
+++ b/crates/serving/src/router.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::collections::HashSet;
+use std::sync::Arc;
 
 use compact_str::CompactString;
 
@@ -14,6 +15,12 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct RouteKey(u32);
 
+/// Counts a request as in progress on a route until it is dropped.
+#[derive(Debug, Clone)]
+pub struct RouteUse {
+    _request: Arc<()>,
+}
+
 /// The customer that a credential belongs to.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Caller {
@@ -32,6 +39,8 @@
     /// The limits on callers' requests.
     pub limits: CallerLimits,
     routes: Vec<Route>,
+    /// By route; each request in progress holds a reference.
+    requests: Vec<Arc<()>>,
     by_host: HashMap<CompactString, Vec<RouteKey>>,
     callers: HashMap<CompactString, Caller>,
     services: HashMap<CompactString, Service>,
@@ -73,6 +82,7 @@
         Router {
             version: deployment.version,
             limits: deployment.limits,
+            requests: routes.iter().map(|_| Arc::default()).collect(),
             routes,
             by_host,
             callers,
@@ -94,6 +104,23 @@
         &self.routes[key.0 as usize]
     }
 
+    /// All routes.
+    pub fn routes(&self) -> impl Iterator<Item = (RouteKey, &Route)> {
+        (0..).map(RouteKey).zip(&self.routes)
+    }
+
+    /// Counts a request that is admitted by a route as in progress.
+    pub fn begin_request(&self, key: RouteKey) -> RouteUse {
+        RouteUse {
+            _request: Arc::clone(&self.requests[key.0 as usize]),
+        }
+    }
+
+    /// The number of requests in progress that were admitted by a route of this version.
+    pub fn requests_on(&self, key: RouteKey) -> usize {
+        Arc::strong_count(&self.requests[key.0 as usize]) - 1
+    }
+
     /// The holder of a credential.
     pub fn caller(&self, credential: &str) -> Option<&Caller> {
         self.callers.get(credential)
--- a/crates/serving/src/service.rs
+++ b/crates/serving/src/service.rs
@@ -8,7 +8,7 @@
 use crate::ColdSpec;
 
 /// A pool of upstreams of one kind.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Service {
     /// Its name.
     pub name: CompactString,
