Sending, selecting and reading of streams in a file each

The reading of a response up to its next event, and on, is one function (StreamResponse::read) for the response that is passed on and for attempts beside it.

--- a/crates/gateway/src/event_stream.rs
+++ b/crates/gateway/src/event_stream.rs
@@ -8,62 +8,33 @@
 use futures_lite::future;
 use http::StatusCode;
 use jd_net::BodyError;
-use jd_net::BodyFraming;
-use jd_net::HttpResponse;
-use jd_net::SendError;
 use jd_net::lock;
 use jd_net::with_timeout;
 use jd_serving::AttemptDecision;
-use jd_serving::EVENT_PATIENCE;
-use jd_serving::EventSplitter;
 use jd_serving::Evidence;
 use jd_serving::SoftwareVersion;
-use jd_serving::StreamEnd;
 use jd_serving::abandon_gap;
 use jd_types::AttemptOutcome;
 use jd_types::MonoTime;
-use snafu::Snafu;
 
-use crate::active_attempt::ActiveAttempt;
 use crate::attempts::AttemptClock;
 use crate::attempts::AttemptContext;
 use crate::attempts::Attempts;
 use crate::attempts::log_beside;
-use crate::given_up::GivenUp;
 use crate::not_resumed::NotResumed;
-use crate::stage_results::StageResults;
+use crate::not_resumed::StreamError;
 use crate::stage_runner::StageRunner;
-use crate::stream_attempt::Begun;
 use crate::stream_attempt::BegunStream;
 use crate::stream_attempt::Ended;
 use crate::stream_attempt::StreamAttempt;
 use crate::stream_binding::StreamBinding;
+use crate::stream_response::Read;
+use crate::stream_response::StreamResponse;
 
 /// The largest number of upstreams that one stream is sent to, including those that proved that
 /// they did not run it.
 const MAX_ATTEMPTS: usize = 6;
 
-/// Why a stream was cut off. The caller sees a broken connection, never a regular end.
-#[derive(Debug, Snafu)]
-enum StreamError {
-    #[snafu(display("the upstream broke off and nothing could go on; ask again"))]
-    Upstream,
-    #[snafu(display("the time for the answer is over; allow a longer deadline"))]
-    Deadline,
-}
-
-/// What was read of the response, or became of it.
-enum Read {
-    /// These complete events.
-    Events(Bytes),
-    /// No complete event.
-    Nothing,
-    /// The response is whole.
-    Whole,
-    /// The upstream broke off, or has restarted.
-    Broken(Evidence),
-}
-
 /// What ended a wait.
 enum Progress {
     /// Of the response that is passed on.
@@ -89,13 +60,8 @@
 pub(crate) struct EventStream {
     cx: AttemptContext,
     stages: Arc<StageRunner>,
-    /// The response that is passed on; none after it broke.
-    response: Option<HttpResponse>,
-    framing: BodyFraming,
-    attempt: ActiveAttempt,
-    clock: Arc<AttemptClock>,
-    results: StageResults,
-    splitter: EventSplitter,
+    /// The response that is passed on; closed after it broke.
+    response: StreamResponse,
     /// Events that were read before the stream was created.
     first_events: Option<Bytes>,
     /// Attempts to resume the stream at other upstreams.
@@ -118,41 +84,34 @@
 }
 
 impl EventStream {
-    pub(crate) fn new(cx: AttemptContext, stages: Arc<StageRunner>, begun: Begun) -> EventStream {
-        let is_forwarded = cx.request.forwarded.is_some();
-        let BegunStream {
-            response,
-            results,
-            clock,
-            splitter,
-            first,
-        } = begun.into_stream();
-        let mut stream = EventStream {
+    /// `first_events` have been read of the response already.
+    pub(crate) fn new(
+        cx: AttemptContext,
+        stages: Arc<StageRunner>,
+        response: StreamResponse,
+        first_events: Option<Bytes>,
+    ) -> EventStream {
+        let mut binding = StreamBinding::default();
+        // The head has told the other instance the version.
+        if cx.request.forwarded.is_some() {
+            binding.bind(&cx, &response.attempt);
+        }
+        EventStream {
             cx,
             stages,
-            framing: response.http.framing,
-            response: Some(response.http),
-            attempt: response.attempt,
-            clock,
-            results,
-            splitter,
-            first_events: first,
+            response,
+            first_events,
             attempts: Attempts::new(),
             skips_budget: false,
             not_resumed: None,
             outcome: AttemptOutcome::TimedOut,
             has_ended: false,
-            binding: StreamBinding::default(),
+            binding,
             events: 0,
             first: None,
             last: None,
             longest_pause: Duration::ZERO,
-        };
-        // The head has told the other instance the version.
-        if is_forwarded {
-            stream.binding.bind(&stream.cx, &stream.attempt);
         }
-        stream
     }
 
     /// The next part of the body and the remaining stream; none at the end.
@@ -164,7 +123,7 @@
             self.record_part(&events);
             return Some((Ok(events), self));
         }
-        self.attempt.record_wait();
+        self.response.attempt.record_wait();
         loop {
             match self.decide() {
                 AttemptDecision::End => {
@@ -196,7 +155,7 @@
     }
 
     fn decide(&self) -> AttemptDecision {
-        let answering = self.response.is_some().then_some(&*self.clock);
+        let answering = self.response.open_clock();
         let (state, request) = (&self.cx.state, &self.cx.request);
         let now = state.now();
         let may_run = || !self.binding.is_uncertain() && self.cx.may_run(MAX_ATTEMPTS);
@@ -218,22 +177,14 @@
 
     /// Waits for a part of the response or the end of an attempt, whichever comes first.
     async fn wait(&mut self, limit: Duration) -> Option<Progress> {
-        let response = async {
-            match &mut self.response {
-                Some(response) => {
-                    let read = read_part(response, &mut self.splitter, &self.attempt, &self.clock);
-                    Progress::Response(read.await)
-                }
-                None => future::pending().await,
-            }
-        };
+        let response = async { Progress::Response(self.response.read().await) };
         let attempt = async { Progress::Attempt(Box::new(self.attempts.next_ended().await)) };
         with_timeout(limit, response.or(attempt)).await
     }
 
     fn check_silence(&mut self) {
         if self.cx.may_run(MAX_ATTEMPTS) {
-            let answering = self.response.is_some().then_some(&*self.clock);
+            let answering = self.response.open_clock();
             self.attempts.check_path_in_silence(&self.cx, answering);
         }
     }
@@ -242,7 +193,7 @@
     fn try_resume(&mut self, evidence: Option<Evidence>) {
         let state = &self.cx.state;
         let now = state.now();
-        let Ok(begun_by) = self.binding.begun_by(&self.cx, &self.attempt) else {
+        let Ok(begun_by) = self.binding.begun_by(&self.cx, &self.response.attempt) else {
             self.binding.set_uncertain(&self.cx);
             self.not_resumed = Some(NotResumed::VersionUncertain);
             return;
@@ -254,10 +205,11 @@
             return;
         }
         if let Some(evidence) = evidence {
-            let pending = self.attempts.len() + usize::from(self.response.is_some());
+            let pending = self.attempts.len() + usize::from(self.response.is_open());
             log_beside(&self.cx, evidence, pending);
-            if self.response.is_some() && self.attempts.is_empty() {
-                self.attempt.record_silence(self.silent_for());
+            if self.response.is_open() && self.attempts.is_empty() {
+                let silent_for = self.response.silent_for(now);
+                self.response.attempt.record_silence(silent_for);
             }
         }
         let clock = Arc::new(AttemptClock::default());
@@ -297,38 +249,29 @@
 
     /// Passes on the response of another upstream from now on.
     fn take_over(&mut self, begun: BegunStream) -> Resumed {
-        let BegunStream {
-            response,
-            results,
-            clock,
-            splitter,
-            first,
-        } = begun;
         let last_event = self.last_event();
-        if self.response.take().is_some() {
-            self.log_given_up(Evidence::Silent);
+        let now = self.cx.state.now();
+        if self.response.is_open() {
+            let silent = Evidence::Silent;
+            self.response.log_given_up(&self.cx, silent, self.events);
             self.cx.state.metrics.parallel_attempt("later-answered");
         }
-        // Its silence was recorded when the other attempt began.
-        self.attempt.finish(AttemptOutcome::Cancelled);
         self.attempts.cancel_all();
+        let mut earlier = std::mem::replace(&mut self.response, begun.response);
+        // Its silence was recorded when the other attempt began.
+        earlier.attempt.finish(AttemptOutcome::Cancelled);
+        self.response.splitter.follow(&earlier.splitter);
         log::info!(
             request = self.cx.request.id(),
             content:% = self.cx.request.contents.request,
-            upstream = response.attempt.id(),
-            software:? = response.attempt.software().map(SoftwareVersion::as_str),
-            pause_ms = self.silent_for().as_millis() as u64,
+            upstream = self.response.attempt.id(),
+            software:? = self.response.attempt.software().map(SoftwareVersion::as_str),
+            pause_ms = earlier.silent_for(now).as_millis() as u64,
             last_event:?;
             "stream resumed on another upstream"
         );
-        self.framing = response.http.framing;
-        self.response = Some(response.http);
-        self.attempt = response.attempt;
-        self.clock = clock;
-        self.results = results;
-        self.splitter.follow(splitter);
         self.not_resumed = None;
-        first.map_or(Resumed::Whole, Resumed::Events)
+        begun.first.map_or(Resumed::Whole, Resumed::Events)
     }
 
     /// Ends the attempts to resume the stream, because its upstream goes on.
@@ -339,7 +282,7 @@
         log::info!(
             request = self.cx.request.id(),
             content:% = self.cx.request.contents.request,
-            upstream = self.attempt.id(),
+            upstream = self.response.attempt.id(),
             attempts = self.attempts.len(),
             parts = self.events;
             "silent upstream goes on; attempts beside it are ended"
@@ -349,47 +292,31 @@
     }
 
     fn drop_broken(&mut self, evidence: Evidence) {
-        self.attempt.report_broken();
-        self.log_given_up(evidence);
-        self.response = None;
+        self.response.log_given_up(&self.cx, evidence, self.events);
+        self.response.attempt.report_broken();
+        self.response.close();
         self.outcome = AttemptOutcome::Truncated;
-        self.attempt.finish(self.outcome);
+        self.response.attempt.finish(self.outcome);
     }
 
     fn record_part(&mut self, events: &[u8]) {
-        self.binding.bind(&self.cx, &self.attempt);
+        self.binding.bind(&self.cx, &self.response.attempt);
         self.events += 1;
         let now = self.cx.state.now();
         let pause = now.since(self.last.unwrap_or(now));
         self.longest_pause = self.longest_pause.max(pause);
         self.first.get_or_insert(now);
         self.last = Some(now);
-        self.attempt.record_progress(events);
+        self.response.attempt.record_progress(events);
         // An upstream that sends events has read its inputs. Results take much storage; a
         // stream that resumes on another upstream has its stages run again.
-        self.results.release();
+        self.response.results.release();
     }
 
     /// The event after which the stream resumes.
     fn last_event(&self) -> Option<u64> {
-        self.splitter
-            .last_event()
-            .or(self.cx.request.head.last_event)
-    }
-
-    fn silent_for(&self) -> Duration {
-        let silent_for = self.clock.silent_for(self.cx.state.now());
-        silent_for.unwrap_or_default()
-    }
-
-    fn log_given_up(&self, evidence: Evidence) {
-        GivenUp {
-            upstream: self.attempt.id(),
-            evidence,
-            silent_for: self.silent_for(),
-            parts: self.events,
-        }
-        .log(&self.cx);
+        let last = self.response.splitter.last_event();
+        last.or(self.cx.request.head.last_event)
     }
 
     fn why_not_resumed(&mut self) -> NotResumed {
@@ -406,12 +333,14 @@
 
     fn finish(mut self) -> Option<(Result<Bytes, BodyError>, EventStream)> {
         self.end_attempts();
-        self.attempt.record_end(StatusCode::OK, self.framing);
-        self.attempt.finish(AttemptOutcome::Answered);
-        self.response = None;
+        let framing = self.response.framing;
+        let attempt = &mut self.response.attempt;
+        attempt.record_end(StatusCode::OK, framing);
+        attempt.finish(AttemptOutcome::Answered);
+        self.response.close();
         self.has_ended = true;
         let state = &self.cx.state;
-        state.metrics.stream_end(self.framing.as_str());
+        state.metrics.stream_end(framing.as_str());
         let request = &self.cx.request;
         let took = state.now().since(request.arrived);
         let first = self.first.map(|at| at.since(request.arrived));
@@ -419,23 +348,23 @@
         log::info!(
             request = request.id(),
             route = request.route().name.as_str(),
-            upstream = self.attempt.id(),
+            upstream = self.response.attempt.id(),
             tokens:? = tokens,
             parts = self.events,
             first_ms:? = first.map(|d| d.as_millis() as u64),
             pause_ms = self.longest_pause.as_millis() as u64,
-            framing = self.framing.as_str(),
-            partial_bytes = self.splitter.partial_bytes(),
+            framing = self.response.framing.as_str(),
+            partial_bytes = self.response.splitter.partial_bytes(),
             ms = took.as_millis() as u64;
             "stream ended"
         );
-        let rest = self.splitter.take_remaining();
+        let rest = self.response.splitter.take_remaining();
         (!rest.is_empty()).then_some((Ok(rest), self))
     }
 
     async fn cut_off(mut self, why: NotResumed) -> (Result<Bytes, BodyError>, EventStream) {
-        self.attempt.finish(self.outcome);
-        self.response = None;
+        self.response.attempt.finish(self.outcome);
+        self.response.close();
         self.has_ended = true;
         self.attempts.cancel_all();
         let state = &self.cx.state;
@@ -445,67 +374,22 @@
         log::warn!(
             request = self.cx.request.id(),
             content:% = self.cx.request.contents.request,
-            upstream = self.attempt.id(),
+            upstream = self.response.attempt.id(),
             outcome = self.outcome.as_str(),
             reason,
             detail,
-            since_last_ms = self.silent_for().as_millis() as u64,
+            since_last_ms = self.response.silent_for(state.now()).as_millis() as u64,
             left_ms = self.cx.time_left().as_millis() as u64,
             parts = self.events,
-            last_event:? = self.splitter.last_event(),
-            framing = self.framing.as_str(),
-            partial_bytes = self.splitter.partial_bytes(),
+            last_event:? = self.response.splitter.last_event(),
+            framing = self.response.framing.as_str(),
+            partial_bytes = self.response.splitter.partial_bytes(),
             ms = took.as_millis() as u64;
             "stream cut off"
         );
         // Let events that are written but not yet sent reach the caller before the connection
         // is dropped: the caller may resume after the last of them.
         future::yield_now().await;
-        let error = match why {
-            NotResumed::Deadline => StreamError::Deadline,
-            _ => StreamError::Upstream,
-        };
-        (Err(Box::new(error)), self)
-    }
-}
-
-/// Reads the next part of a response, and records on `clock` when something arrives.
-async fn read_part(
-    response: &mut HttpResponse,
-    splitter: &mut EventSplitter,
-    attempt: &ActiveAttempt,
-    clock: &AttemptClock,
-) -> Read {
-    let framing = response.framing;
-    let restarted = async {
-        attempt.until_restarted().await;
-        Err(Evidence::Restarted)
-    };
-    let missed = async {
-        attempt.until_instance_missed().await;
-        clock.suspect();
-        future::pending().await
-    };
-    let chunk = async {
-        response
-            .chunk()
-            .await
-            .map_err(|_: SendError| Evidence::Broken)
-    };
-    match chunk.or(restarted).or(missed).await {
-        Ok(Some(part)) => match splitter.push(&part) {
-            Ok(Some(events)) => {
-                clock.record(attempt.now(), EVENT_PATIENCE);
-                Read::Events(events)
-            }
-            Ok(None) => Read::Nothing,
-            Err(e) => {
-                log::warn!(upstream = attempt.id(), detail:% = e; "stream is no event stream");
-                Read::Broken(Evidence::Broken)
-            }
-        },
-        Ok(None) if splitter.end(framing.marks_end()) == StreamEnd::Whole => Read::Whole,
-        Ok(None) => Read::Broken(Evidence::Broken),
-        Err(evidence) => Read::Broken(evidence),
+        (Err(Box::new(StreamError::from(why))), self)
     }
 }
--- a/crates/gateway/src/forward_client.rs
+++ b/crates/gateway/src/forward_client.rs
@@ -9,7 +9,6 @@
 use std::time::Duration;
 
 use async_io::Timer;
-use compact_str::CompactString;
 use futures_lite::FutureExt;
 use futures_lite::future;
 use http::Request;
@@ -21,33 +20,24 @@
 use http::header::UPGRADE;
 use jd_net::Body;
 use jd_net::HttpPool;
-use jd_net::HttpResponse;
-use jd_net::SendError;
 use jd_net::lock;
 use jd_serving::ForwardTarget;
-use jd_serving::SoftwareVersion;
-use jd_serving::UpstreamStart;
 use jd_serving::head_patience;
-use jd_types::AttemptOutcome;
 use jd_types::Refusal;
-use jd_types::RefusalKind;
-use jd_types::RunState;
 
-use crate::ResponseHead;
 use crate::active_attempt::ActiveAttempt;
 use crate::attempt::AttemptFailure;
 use crate::attempt::UpstreamResponse;
-use crate::attempt::failure;
-use crate::attempt::validate;
 use crate::attempts::AttemptClock;
 use crate::attempts::AttemptContext;
 use crate::caller_request::CallerRequest;
-use crate::forwarded_from;
+use crate::forward_response;
+use crate::forward_response::Begun;
+use crate::forward_response::DecodeError;
 use crate::forwarded_from::ForwardedFrom;
-use crate::forwarded_refusal;
+use crate::next_send::NextSend;
+use crate::next_send::NextSendError;
 use crate::state::State;
-use crate::upstream_selection::NextSend;
-use crate::upstream_selection::NextSendError;
 
 /// Instances that may fail to take a request, or to respond, until it is forwarded no more.
 const MAX_FORWARD_FAILURES: usize = 2;
@@ -118,6 +108,11 @@
         self.version.load(Ordering::Relaxed).max(own)
     }
 
+    /// Records the version by which another instance ran a request of a caller here.
+    pub(crate) fn record_version(&self, version: u64) {
+        self.version.fetch_max(version, Ordering::Relaxed);
+    }
+
     fn begin(&self, state: &Arc<State>, target: SocketAddr) -> ForwardGuard {
         *lock(&self.in_flight).entry(target).or_default() += 1;
         ForwardGuard {
@@ -169,7 +164,7 @@
         };
         let forwarded = send(cx, clock, target, from, &next.on_write).await;
         let mut retries = lock(retries);
-        if !matches!(forwarded, Forwarded::Ended(_)) {
+        if !matches!(&forwarded, Forwarded::Ended(result) if result.is_ok()) {
             retries.forward_targets.retain(|t| *t != target);
         }
         match forwarded {
@@ -258,7 +253,7 @@
         future::pending().await
     };
     let sent = sending.or(missed).await;
-    let result = decode(state, request, sent);
+    let result = forward_response::decode(state, request, sent);
     let outcome = match &result {
         Ok(_) => "answered",
         Err(DecodeError::NotTaken(_)) => "not-taken",
@@ -319,90 +314,6 @@
     req
 }
 
-/// The response of an upstream, from another instance.
-struct Begun {
-    head: ResponseHead,
-    http: HttpResponse,
-    /// The software version of the upstream; none if the other instance does not tell.
-    software: Option<SoftwareVersion>,
-    /// The upstream and its start; none if the other instance does not tell.
-    upstream: Option<(CompactString, UpstreamStart)>,
-}
-
-/// Why another instance sent no response of an upstream.
-enum DecodeError {
-    NotTaken(Refusal),
-    Refused(Refusal),
-    Failed(AttemptFailure),
-    Lost(AttemptFailure),
-}
-
-fn decode(
-    state: &State,
-    request: &CallerRequest,
-    sent: Option<Result<HttpResponse, SendError>>,
-) -> Result<Begun, DecodeError> {
-    let not_taken = |detail| Refusal::not_run(RefusalKind::NotServing, detail);
-    let lost = |outcome, detail| DecodeError::Lost(failure(outcome, detail));
-    match sent {
-        Some(Ok(mut response)) => {
-            if let Some(version) = forwarded_from::read_version(&response.headers) {
-                state.forwards.version.fetch_max(version, Ordering::Relaxed);
-            }
-            let ran_at = forwarded_from::read_ran_at(&response.headers);
-            for upstream in &ran_at {
-                request.ran_at.record(upstream);
-            }
-            match forwarded_refusal::read(&response.headers) {
-                Some(refusal) if is_not_taken(&refusal) => Err(DecodeError::NotTaken(refusal)),
-                Some(refusal) if refusal.run == RunState::MayHaveRun => {
-                    Err(DecodeError::Failed(failure_of(refusal)))
-                }
-                Some(refusal) => Err(DecodeError::Refused(refusal)),
-                None => {
-                    let software = forwarded_from::read_software(&response.headers);
-                    let start = forwarded_from::read_start(&response.headers);
-                    let upstream = ran_at.into_iter().next_back().map(|id| (id, start));
-                    forwarded_from::strip(&mut response.headers);
-                    let validated = validate(state, request, response);
-                    let (head, http) = validated.map_err(DecodeError::Failed)?;
-                    Ok(Begun {
-                        head,
-                        http,
-                        software,
-                        upstream,
-                    })
-                }
-            }
-        }
-        Some(Err(SendError::NotSent)) => Err(DecodeError::NotTaken(not_taken(
-            "another instance cannot be reached",
-        ))),
-        Some(Err(SendError::Broken)) => {
-            let detail = "the connection to another instance broke";
-            Err(lost(AttemptOutcome::Failed, detail))
-        }
-        None => {
-            let detail = "another instance did not answer in time";
-            Err(lost(AttemptOutcome::Silent, detail))
-        }
-    }
-}
-
-/// The failure of a run that another instance refused after it had sent the request.
-fn failure_of(refusal: Refusal) -> AttemptFailure {
-    let outcome = match refusal.kind {
-        RefusalKind::DeadlinePassed => AttemptOutcome::Silent,
-        _ => AttemptOutcome::Failed,
-    };
-    failure(outcome, refusal.detail)
-}
-
-/// True if the other instance sent the request to no upstream, and a third one may take it.
-fn is_not_taken(refusal: &Refusal) -> bool {
-    refusal.kind == RefusalKind::NotServing && refusal.run == RunState::NotRun
-}
-
 /// Returns once an instance stops answering heartbeats.
 pub(crate) async fn wait_until_gone(state: &State, target: SocketAddr) {
     loop {
--- a/crates/gateway/src/not_resumed.rs
+++ b/crates/gateway/src/not_resumed.rs
@@ -1,6 +1,7 @@
 //! Why no other upstream goes on with a stream.
 
 use compact_str::CompactString;
+use snafu::Snafu;
 
 /// Why no other upstream goes on with a stream.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -35,3 +36,21 @@
         }
     }
 }
+
+/// Why a stream was cut off. The caller sees a broken connection, never a regular end.
+#[derive(Debug, Snafu)]
+pub(crate) enum StreamError {
+    #[snafu(display("the upstream broke off and nothing could go on; ask again"))]
+    Upstream,
+    #[snafu(display("the time for the answer is over; allow a longer deadline"))]
+    Deadline,
+}
+
+impl From<NotResumed> for StreamError {
+    fn from(why: NotResumed) -> StreamError {
+        match why {
+            NotResumed::Deadline => StreamError::Deadline,
+            _ => StreamError::Upstream,
+        }
+    }
+}
--- a/crates/gateway/src/stream_attempt.rs
+++ b/crates/gateway/src/stream_attempt.rs
@@ -4,29 +4,30 @@
 
 use bytes::Bytes;
 use futures_lite::FutureExt;
-use jd_net::SendError;
+use http::HeaderMap;
+use http::StatusCode;
 use jd_net::with_timeout;
 use jd_serving::EVENT_PATIENCE;
-use jd_serving::EventSplitter;
 use jd_serving::Evidence;
 use jd_serving::SoftwareVersion;
 use jd_serving::StreamBeginning;
-use jd_serving::StreamEnd;
 use jd_types::AttemptOutcome;
 use jd_types::Refusal;
 
+use crate::active_attempt::ActiveAttempt;
 use crate::attempt::AttemptFailure;
 use crate::attempt::UpstreamResponse;
 use crate::attempt::failure;
 use crate::attempts::AttemptClock;
 use crate::attempts::AttemptContext;
-use crate::given_up::GivenUp;
+use crate::next_send::NextSend;
+use crate::next_send::NextSendError;
+use crate::next_send::send_to_next_upstream;
 use crate::signal::Signal;
 use crate::stage_results::StageResults;
 use crate::stage_runner::StageRunner;
-use crate::upstream_selection::NextSend;
-use crate::upstream_selection::NextSendError;
-use crate::upstream_selection::send_to_next_upstream;
+use crate::stream_response::Read;
+use crate::stream_response::StreamResponse;
 use crate::version_check;
 
 /// An attempt that is about to begin.
@@ -58,15 +59,14 @@
 pub(crate) struct HeadArrived {
     pub(crate) response: UpstreamResponse,
     pub(crate) results: StageResults,
-    clock: Arc<AttemptClock>,
+    pub(crate) clock: Arc<AttemptClock>,
 }
 
 /// A successful response, up to its first event.
 pub(crate) struct BegunStream {
-    pub(crate) response: UpstreamResponse,
-    pub(crate) results: StageResults,
-    pub(crate) clock: Arc<AttemptClock>,
-    pub(crate) splitter: EventSplitter,
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    pub(crate) response: StreamResponse,
     /// The first events; none if the response has ended whole without any.
     pub(crate) first: Option<Bytes>,
 }
@@ -80,30 +80,15 @@
 }
 
 impl Begun {
-    pub(crate) fn response(&self) -> &UpstreamResponse {
+    /// The status, the headers and the attempt.
+    pub(crate) fn parts(&self) -> (StatusCode, &HeaderMap, &ActiveAttempt) {
         match self {
-            Begun::Head(head) => &head.response,
-            Begun::Event(begun) => &begun.response,
-        }
-    }
-
-    pub(crate) fn into_stream(self) -> BegunStream {
-        match self {
-            Begun::Head(head) => BegunStream {
-                response: head.response,
-                results: head.results,
-                clock: head.clock,
-                splitter: EventSplitter::default(),
-                first: None,
-            },
-            Begun::Event(begun) => begun,
-        }
-    }
-
-    pub(crate) fn into_response(self) -> UpstreamResponse {
-        match self {
-            Begun::Head(head) => head.response,
-            Begun::Event(begun) => begun.response,
+            Begun::Head(HeadArrived { response, .. }) => (
+                response.head.status,
+                &response.http.headers,
+                &response.attempt,
+            ),
+            Begun::Event(begun) => (begun.status, &begun.headers, &begun.response.attempt),
         }
     }
 }
@@ -173,66 +158,35 @@
 }
 
 impl HeadArrived {
-    /// The clock of the attempt.
-    pub(crate) fn clock(&self) -> Arc<AttemptClock> {
-        Arc::clone(&self.clock)
-    }
-
     /// Reads a response up to its first event. One that is no success counts as failed.
     pub(crate) async fn until_first_event(self, cx: AttemptContext) -> Ended {
-        let HeadArrived {
-            mut response,
-            results,
-            clock,
-        } = self;
-        if !response.head.status.is_success() {
-            let detail = "the upstream failed";
-            return Ended::Failed(failure(AttemptOutcome::Failed, detail), None);
+        let status = self.response.head.status;
+        if !status.is_success() {
+            let failed = failure(AttemptOutcome::Failed, "the upstream failed");
+            return Ended::Failed(failed, None);
         }
-        let mut splitter = EventSplitter::default();
-        let outcome = loop {
-            let UpstreamResponse { http, attempt, .. } = &mut response;
-            let restarted = async {
-                attempt.until_restarted().await;
-                Some(Err(SendError::Broken))
-            };
-            let read = with_timeout(cx.time_left(), http.chunk()).or(restarted);
-            let first = match read.await {
-                Some(Ok(Some(part))) => match splitter.push(&part) {
-                    Ok(None) => continue,
-                    Ok(events) => events,
-                    Err(e) => {
-                        log::warn!(upstream = attempt.id(), detail:% = e; "stream is no event stream");
-                        break AttemptOutcome::Truncated;
-                    }
-                },
-                Some(Ok(None)) if splitter.end(http.framing.marks_end()) == StreamEnd::Whole => {
-                    None
+        let headers = self.response.http.headers.clone();
+        let mut response = StreamResponse::new(self.response, self.clock, self.results);
+        let (outcome, evidence) = loop {
+            let first = match with_timeout(cx.time_left(), response.read()).await {
+                Some(Read::Nothing) => continue,
+                Some(Read::Events(events)) => Some(events),
+                Some(Read::Whole) => None,
+                Some(Read::Broken(evidence)) => {
+                    response.attempt.report_broken();
+                    break (AttemptOutcome::Truncated, evidence);
                 }
-                Some(Ok(None) | Err(_)) => break AttemptOutcome::Truncated,
-                None => break AttemptOutcome::TimedOut,
+                None => break (AttemptOutcome::TimedOut, Evidence::Silent),
             };
-            clock.record(cx.state.now(), EVENT_PATIENCE);
             return Ended::Begun(BegunStream {
+                status,
+                headers,
                 response,
-                results,
-                clock,
-                splitter,
                 first,
             });
         };
-        let attempt = &mut response.attempt;
-        if outcome == AttemptOutcome::Truncated {
-            attempt.report_broken();
-        }
-        GivenUp {
-            upstream: attempt.id(),
-            evidence: Evidence::of_outcome(outcome),
-            silent_for: clock.silent_for(cx.state.now()).unwrap_or_default(),
-            parts: 0,
-        }
-        .log(&cx);
-        attempt.finish(outcome);
+        response.log_given_up(&cx, evidence, 0);
+        response.attempt.finish(outcome);
         Ended::Failed(failure(outcome, "the answer was cut off"), None)
     }
 }
--- /dev/null
+++ b/crates/gateway/src/stream_response.rs
@@ -0,0 +1,133 @@
+//! A response whose body is a stream of events.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_lite::FutureExt;
+use jd_net::BodyFraming;
+use jd_net::HttpResponse;
+use jd_net::SendError;
+use jd_serving::EVENT_PATIENCE;
+use jd_serving::EventSplitter;
+use jd_serving::Evidence;
+use jd_serving::StreamEnd;
+use jd_types::MonoTime;
+
+use crate::active_attempt::ActiveAttempt;
+use crate::attempt::UpstreamResponse;
+use crate::attempts::AttemptClock;
+use crate::attempts::AttemptContext;
+use crate::stage_results::StageResults;
+
+/// What was read of a response, or became of it.
+pub(crate) enum Read {
+    /// These complete events.
+    Events(Bytes),
+    /// No complete event.
+    Nothing,
+    /// The response is whole.
+    Whole,
+    /// The upstream broke off, or has restarted.
+    Broken(Evidence),
+}
+
+/// A successful response whose body is a stream of events.
+#[derive(Debug)]
+pub(crate) struct StreamResponse {
+    /// None once it is closed.
+    http: Option<HttpResponse>,
+    pub(crate) framing: BodyFraming,
+    pub(crate) attempt: ActiveAttempt,
+    /// Tells since when it has brought no event.
+    pub(crate) clock: Arc<AttemptClock>,
+    /// The stage results that its upstream reads.
+    pub(crate) results: StageResults,
+    pub(crate) splitter: EventSplitter,
+}
+
+impl StreamResponse {
+    pub(crate) fn new(
+        response: UpstreamResponse,
+        clock: Arc<AttemptClock>,
+        results: StageResults,
+    ) -> StreamResponse {
+        StreamResponse {
+            framing: response.http.framing,
+            http: Some(response.http),
+            attempt: response.attempt,
+            clock,
+            results,
+            splitter: EventSplitter::default(),
+        }
+    }
+
+    pub(crate) fn is_open(&self) -> bool {
+        self.http.is_some()
+    }
+
+    /// The clock of the response; none once it is closed.
+    pub(crate) fn open_clock(&self) -> Option<&AttemptClock> {
+        self.is_open().then_some(&*self.clock)
+    }
+
+    /// Closes the connection, unless the response has been read to its end.
+    pub(crate) fn close(&mut self) {
+        self.http = None;
+    }
+
+    /// Reads on. Returns [`Read::Nothing`] as well if the instance that runs the request misses
+    /// heartbeats, which counts as silence from then on. Dropping the future loses nothing.
+    pub(crate) async fn read(&mut self) -> Read {
+        let Some(http) = &mut self.http else {
+            return futures_lite::future::pending().await;
+        };
+        let (attempt, clock) = (&self.attempt, &self.clock);
+        let restarted = async {
+            attempt.until_restarted().await;
+            Err(Evidence::Restarted)
+        };
+        let missed = async {
+            attempt.until_instance_missed().await;
+            clock.suspect();
+            Ok(Some(Bytes::new()))
+        };
+        let chunk = async { http.chunk().await.map_err(|_: SendError| Evidence::Broken) };
+        let is_marked = self.framing.marks_end();
+        match chunk.or(restarted).or(missed).await {
+            Ok(Some(part)) => match self.splitter.push(&part) {
+                Ok(None) => Read::Nothing,
+                Ok(Some(events)) => {
+                    clock.record(attempt.now(), EVENT_PATIENCE);
+                    Read::Events(events)
+                }
+                Err(e) => {
+                    log::warn!(upstream = attempt.id(), detail:% = e; "stream is no event stream");
+                    Read::Broken(Evidence::Broken)
+                }
+            },
+            Ok(None) if self.splitter.end(is_marked) == StreamEnd::Whole => Read::Whole,
+            Ok(None) => Read::Broken(Evidence::Broken),
+            Err(evidence) => Read::Broken(evidence),
+        }
+    }
+
+    /// The time since its last event, or since its head.
+    pub(crate) fn silent_for(&self, now: MonoTime) -> Duration {
+        self.clock.silent_for(now).unwrap_or_default()
+    }
+
+    /// Logs that its upstream is given up after `events` events of the stream.
+    pub(crate) fn log_given_up(&self, cx: &AttemptContext, evidence: Evidence, events: u64) {
+        log::info!(
+            request = cx.request.id(),
+            content:% = cx.request.contents.request,
+            upstream = self.attempt.id(),
+            evidence = evidence.as_str(),
+            since_last_ms = self.silent_for(cx.state.now()).as_millis() as u64,
+            parts = events,
+            left_ms = cx.time_left().as_millis() as u64;
+            "upstream given up"
+        );
+    }
+}
--- a/crates/gateway/src/streaming_call.rs
+++ b/crates/gateway/src/streaming_call.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use futures_lite::stream::unfold;
+use http::HeaderMap;
 use http::Response;
+use http::StatusCode;
 use http::Version;
 use jd_net::Body;
 use jd_net::lock;
@@ -37,6 +39,7 @@
 use crate::stream_attempt::Begun;
 use crate::stream_attempt::Ended;
 use crate::stream_attempt::StreamAttempt;
+use crate::stream_response::StreamResponse;
 use crate::upstream_selection::backoff_retry_after;
 use crate::upstream_selection::reserve_upstream;
 
@@ -176,7 +179,7 @@
             Ended::Head(head) if self.attempts.is_empty() => return Ok(Some(Begun::Head(head))),
             // The others are kept until it has begun.
             Ended::Head(head) => {
-                let clock = head.clock();
+                let clock = Arc::clone(&head.clock);
                 let begun = head.until_first_event(self.cx.clone());
                 self.attempts.begin(clock, begun);
             }
@@ -281,49 +284,59 @@
     begun: Begun,
 ) -> Result<Response<Body>, Refusal> {
     let (state, request) = (&cx.state, &cx.request);
-    let response = begun.response();
-    let mut headers = state.dialect.caller_headers(&response.http.headers);
-    if let (Some(_), Some(software)) = (&request.forwarded, response.attempt.software()) {
+    let (status, headers, attempt) = begun.parts();
+    let mut headers = state.dialect.caller_headers(headers);
+    if let (Some(_), Some(software)) = (&request.forwarded, attempt.software()) {
         forwarded_from::write_software(&mut headers, software);
-        forwarded_from::write_start(&mut headers, response.attempt.start());
+        forwarded_from::write_start(&mut headers, attempt.start());
     }
-    let status = response.head.status;
     let version = request.parts.version;
     let took = state.now().since(request.arrived);
     log::info!(
         request = request.id(),
-            content:% = request.contents.request,
+        content:% = request.contents.request,
         route = request.route().name.as_str(),
-        upstream = response.attempt.id(),
-        software:? = response.attempt.software().map(SoftwareVersion::as_str),
+        upstream = attempt.id(),
+        software:? = attempt.software().map(SoftwareVersion::as_str),
         resumes:? = request.head.resumes.as_ref().map(StreamId::as_str),
         last_event:? = request.head.last_event,
         status = status.as_u16(),
         config = request.router.version,
         attempts = lock(&cx.retries).tried.len(),
-        sent_ms = response.attempt.sent_ms(request),
+        sent_ms = attempt.sent_ms(request),
         ms = took.as_millis() as u64;
         "answer began"
     );
-    let body = match status.is_success() {
-        true => {
-            state.metrics.request("answered", took);
-            let events = EventStream::new(cx, stages, begun);
-            let body = jd_net::stream(unfold(events, EventStream::next));
-            match version {
-                Version::HTTP_11 | Version::HTTP_2 => body,
-                _ => read_whole(body).await?,
-            }
+    let outcome = match status.is_success() {
+        true => "answered",
+        false => "failed",
+    };
+    state.metrics.request(outcome, took);
+    let (response, first) = match begun {
+        Begun::Head(head) if !status.is_success() => {
+            let body = error_body(state, request, head.response).await?;
+            return Ok(response_with(status, headers, body));
         }
-        false => {
-            state.metrics.request("failed", took);
-            error_body(state, request, begun.into_response()).await?
+        Begun::Head(head) => {
+            let response = StreamResponse::new(head.response, head.clock, head.results);
+            (response, None)
         }
+        Begun::Event(begun) => (begun.response, begun.first),
     };
+    let events = EventStream::new(cx, stages, response, first);
+    let body = jd_net::stream(unfold(events, EventStream::next));
+    let body = match version {
+        Version::HTTP_11 | Version::HTTP_2 => body,
+        _ => read_whole(body).await?,
+    };
+    Ok(response_with(status, headers, body))
+}
+
+fn response_with(status: StatusCode, headers: HeaderMap, body: Body) -> Response<Body> {
     let mut res = Response::new(body);
     *res.status_mut() = status;
     *res.headers_mut() = headers;
-    Ok(res)
+    res
 }
 
 /// The whole body of a stream. Without chunks, as in HTTP/1.0, only a length shows the caller that
--- a/crates/gateway/src/unary_call.rs
+++ b/crates/gateway/src/unary_call.rs
@@ -27,12 +27,12 @@
 use crate::attempts::log_beside;
 use crate::caller_api::may_have_run;
 use crate::caller_request::CallerRequest;
+use crate::next_send::NextSend;
+use crate::next_send::NextSendError;
+use crate::next_send::send_to_next_upstream;
 use crate::retry_state::RetryState;
 use crate::state::State;
-use crate::upstream_selection::NextSend;
-use crate::upstream_selection::NextSendError;
 use crate::upstream_selection::backoff_retry_after;
-use crate::upstream_selection::send_to_next_upstream;
 
 /// The largest response that is held in memory, in bytes.
 const MAX_RESPONSE: usize = 8 << 20;
--- a/crates/serving/src/event_splitter.rs
+++ b/crates/serving/src/event_splitter.rs
@@ -102,11 +102,10 @@
         }
     }
 
-    /// Drops an incomplete event, and continues with the response of another upstream, of which
-    /// `next` has read the beginning.
-    pub fn follow(&mut self, next: EventSplitter) {
-        let last = next.last.or(self.last);
-        *self = EventSplitter { last, ..next };
+    /// Continues a stream of which `earlier` has read the beginning, in the response of another
+    /// upstream. An incomplete event of the earlier response is dropped.
+    pub fn follow(&mut self, earlier: &EventSplitter) {
+        self.last = self.last.or(earlier.last);
     }
 
     /// Takes the bytes after the last complete event.
--- a/crates/serving/tests/endless_events.rs
+++ b/crates/serving/tests/endless_events.rs
@@ -74,6 +74,7 @@
         assert!(splitter.push(&events).is_ok());
     }
     assert!(splitter.push(&vec![b'x'; MAX_EVENT_BYTES]).is_ok());
-    splitter.follow(EventSplitter::default());
-    assert!(splitter.push(&vec![b'x'; MAX_EVENT_BYTES]).is_ok());
+    let mut next = EventSplitter::default();
+    next.follow(&splitter);
+    assert!(next.push(&vec![b'x'; MAX_EVENT_BYTES]).is_ok());
 }
--- a/crates/serving/tests/requests.rs
+++ b/crates/serving/tests/requests.rs
@@ -165,12 +165,13 @@
 /// Guards against counting the events of the upstream that broke off for those of the next one.
 #[test]
 fn a_response_without_events_after_another_one_is_broken_off() {
-    let mut splitter = EventSplitter::default();
-    let pushed = splitter.push(b"id: 1\ndata: x\n\nid: 2");
+    let mut earlier = EventSplitter::default();
+    let pushed = earlier.push(b"id: 1\ndata: x\n\nid: 2");
     assert!(pushed.is_ok_and(|events| events.is_some()));
-    splitter.follow(EventSplitter::default());
-    assert_eq!(splitter.end(false), StreamEnd::BrokenOff);
-    assert_eq!(splitter.last_event(), Some(1));
+    let mut next = EventSplitter::default();
+    next.follow(&earlier);
+    assert_eq!(next.end(false), StreamEnd::BrokenOff);
+    assert_eq!(next.last_event(), Some(1));
 }
 
 #[test]
