Stages that run again are not refused for a wait that their caller has had

What callers saw: streams of upstreams that had gone dark ended at their deadline, though other upstreams were there.

Cause: stages had to end within 85 % of four objectives from the arrival of the request, and a job that is late was accepted only if it ended within 30 % of what was left. Both bounds spare callers that have not waited yet a wait in vain. A request that was sent before has waited already; a refusal loses its answer.

Change: a job says that it runs again (StageJob::runs_again, a field of the call between instances that older ones ignore). It may take 85 % of the time to the request's deadline and is refused only if it would end after that.

The test in deadlines.rs fails without the change (the job is refused).

--- a/crates/gateway/src/peer_stages.rs
+++ b/crates/gateway/src/peer_stages.rs
@@ -68,6 +68,7 @@
         content: job.content.number(),
         customer: job.customer,
         prompt: job.prompt.as_ref().map(wire_prompt),
+        runs_again: job.runs_again,
     }
 }
 
@@ -169,6 +170,7 @@
         zone: Name::try_from(req.zone.to_compact_string()).ok(),
         customer: req.customer,
         prompt: req.prompt.map(prompt_of),
+        runs_again: req.runs_again,
     })
 }
 
--- a/crates/gateway/src/stage_runner.rs
+++ b/crates/gateway/src/stage_runner.rs
@@ -33,6 +33,9 @@
 const ABANDON_OBJECTIVES: u32 = 4;
 /// The percentage of that time, or of the time to the deadline, that stages may take.
 const STAGES_PERCENT: u32 = 85;
+/// The percentage of the time that is left to a request whose stages run again which is kept for the
+/// request itself.
+const LEFT_PERCENT: u32 = 100 - STAGES_PERCENT;
 /// How often a pending request to an owner checks that the owner is still live.
 const OWNER_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 /// How often a job is sent to one owner while that owner answers heartbeats.
@@ -62,13 +65,13 @@
     /// Runs the stages of a request, and has the owner of their shard select the upstream of its
     /// prompt where paces matter. If this returns a refusal, the request itself has not run.
     pub(crate) async fn run(&self, request: &CallerRequest) -> Result<StageResults, Refusal> {
-        self.run_with(request, request.prompt_demand()).await
+        self.run_with(request, request.prompt_demand(), false).await
     }
 
     /// Runs the stages of a request again whose first attempt has failed. The upstream of its
     /// prompt is then selected by this instance.
     pub(crate) async fn run_again(&self, request: &CallerRequest) -> Result<StageResults, Refusal> {
-        self.run_with(request, None).await
+        self.run_with(request, None, true).await
     }
 
     /// The results of a request whose stages are not run here.
@@ -82,6 +85,7 @@
         &self,
         request: &CallerRequest,
         prompt: Option<PromptDemand>,
+        runs_again: bool,
     ) -> Result<StageResults, Refusal> {
         request.check_quarantine(&self.state, 0)?;
         let quarantined = async { Err(request.until_quarantined(&self.state).await) };
@@ -89,7 +93,7 @@
             self.until_stages_end(request).await;
             Err(stopping())
         };
-        let running = self.run_or_place(request, prompt);
+        let running = self.run_or_place(request, prompt, runs_again);
         let (owner, outcome) = running.or(quarantined).or(ending).await?;
         Ok(StageResults::new(
             outcome,
@@ -113,12 +117,17 @@
         &self,
         request: &CallerRequest,
         prompt: Option<PromptDemand>,
+        runs_again: bool,
     ) -> Result<(SocketAddr, StageOutcome), Refusal> {
         if request.has_stages() {
-            return self.run_job(request, &self.job(request, prompt)).await;
+            let job = self.job(request, prompt, runs_again);
+            return self.run_job(request, &job).await;
         }
         let placement = match prompt {
-            Some(prompt) => self.place_only(&self.job(request, Some(prompt))).await,
+            Some(prompt) => {
+                self.place_only(&self.job(request, Some(prompt), false))
+                    .await
+            }
             None => None,
         };
         let outcome = StageOutcome {
@@ -273,7 +282,12 @@
         }
     }
 
-    fn job(&self, request: &CallerRequest, prompt: Option<PromptDemand>) -> StageJob {
+    fn job(
+        &self,
+        request: &CallerRequest,
+        prompt: Option<PromptDemand>,
+        runs_again: bool,
+    ) -> StageJob {
         let route = request.route();
         let pieces = |n: usize| request.head.pieces.get(n).copied().unwrap_or(0);
         let numbered = route.stages.iter().enumerate();
@@ -293,11 +307,17 @@
             piece_key: request.head.piece_key.clone().unwrap_or_default(),
             stages,
             objective: request.objective_deadline().before(time_to_first_event),
-            deadline: self.state.bound_stages(stages_deadline(request)),
+            deadline: self.state.bound_stages(match runs_again {
+                true => request
+                    .deadline
+                    .before(request.time_left(now) * LEFT_PERCENT / 100),
+                false => stages_deadline(request),
+            }),
             priority: request.priority,
             zone: self.preferred_zone(request),
             customer: request.customer_hash(),
             prompt,
+            runs_again,
         }
     }
 
--- a/crates/lab/src/stages/world.rs
+++ b/crates/lab/src/stages/world.rs
@@ -182,6 +182,7 @@
             zone: None,
             customer: 0,
             prompt: None,
+            runs_again: false,
         };
         self.kinds.insert(job.request_id.clone(), n);
         match self.desk.submit(self.now, job) {
--- a/crates/serving/src/scheduler_estimates.rs
+++ b/crates/serving/src/scheduler_estimates.rs
@@ -25,7 +25,8 @@
 
 impl StageScheduler {
     /// Refuses a job that cannot be on time and would wait long. A refusal after a long wait would
-    /// also have cost the caller its time.
+    /// also have cost the caller its time. A job that runs again is refused only if it would end
+    /// after its deadline: its caller has waited already.
     pub(crate) fn check_late_wait(
         &self,
         now: MonoTime,
@@ -34,7 +35,11 @@
     ) -> Result<(), JobFailure> {
         let end = self.end_behind(now, progress, |_| true) + correction;
         let left = progress.job().deadline.since(now);
-        if end <= now + left * MAX_LATE_WAIT_PERCENT / 100 {
+        let percent = match progress.job().runs_again {
+            true => 100,
+            false => MAX_LATE_WAIT_PERCENT,
+        };
+        if end <= now + left * percent / 100 {
             return Ok(());
         }
         let stages = progress.job().stages.iter().filter(|s| s.pieces > 0);
--- a/crates/serving/src/stage_job.rs
+++ b/crates/serving/src/stage_job.rs
@@ -45,6 +45,8 @@
     pub customer: u64,
     /// Set if the owner is to select the upstream of the request's prompt.
     pub prompt: Option<PromptDemand>,
+    /// True if the stages ran before, and the request was sent to an upstream.
+    pub runs_again: bool,
 }
 
 impl StageJob {
--- a/crates/serving/tests/deadlines.rs
+++ b/crates/serving/tests/deadlines.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use jd_serving::JobFailure;
+use jd_serving::StageJob;
 use stage_simulation::Simulation;
 
 const CHAIN: [(&str, usize); 2] = [("first", 1), ("second", 4)];
@@ -69,3 +70,29 @@
     let calls = sim.calls.iter().flat_map(|(_, c)| &c.pieces);
     assert!(calls.into_iter().all(|p| p.request_id != "request-1000"));
 }
+
+/// Guards against refusing the stages of a request that was sent before, because it would have to
+/// wait: its caller has waited already, and would get nothing.
+#[test]
+fn a_job_that_runs_again_is_refused_only_if_it_would_end_after_its_deadline() {
+    let mut sim = Simulation::new(&["first"], 1);
+    for id in 0..60 {
+        let mut job = sim.chain(id, &[("first", 4)], 60_000);
+        job.priority = 1;
+        sim.submit(job).expect("a job that may wait");
+    }
+    let backlog = sim.scheduler.backlog(sim.now);
+    let late = |sim: &Simulation, deadline: Duration, runs_again| {
+        let mut job = sim.chain(100, &[("first", 4)], 0);
+        job.priority = 2;
+        job.deadline = sim.now + deadline;
+        StageJob { runs_again, ..job }
+    };
+    let refused = |r: Result<_, JobFailure>| matches!(r, Err(JobFailure::WouldMiss(_)));
+    let job = late(&sim, backlog * 2, false);
+    assert!(refused(sim.submit(job)));
+    let job = late(&sim, backlog / 2, true);
+    assert!(refused(sim.submit(job)));
+    let job = late(&sim, backlog * 2, true);
+    assert!(sim.submit(job).is_ok());
+}
--- a/crates/serving/tests/deployment_load/mod.rs
+++ b/crates/serving/tests/deployment_load/mod.rs
@@ -229,6 +229,7 @@
             zone: None,
             customer: 0,
             prompt: None,
+            runs_again: false,
         };
         match self.sim.submit(job) {
             Ok(key) => {
--- a/crates/serving/tests/stage_simulation/mod.rs
+++ b/crates/serving/tests/stage_simulation/mod.rs
@@ -137,6 +137,7 @@
             zone: None,
             customer: 0,
             prompt: None,
+            runs_again: false,
         }
     }
 
