Answers go on when their upstream's entry is rewritten: no restart without proof

Callers' streams were cut off, and single answers given up, 50 ms after the entry of their upstream was written again with another software version, another address or a later start, although the upstream went on: an entry corrected by its writer, told late, written by two writers in turn, or read from an older copy of a restored store. The first one lost all streams at that upstream at all instances at once, since all read the entry within moments.

Cause: `kept_for` took each of these for a restart, and `notify_restarts` closed what waited for the earlier start. An upstream that restarts closes its connections; the notice is only needed where nothing says so, as after a loss of power.

Change: what is proof is decided in `EntryChange` and `StartReport`, without I/O. Another address or version proves nothing: the record is kept, with the new address and version, and as a possible start for the cold limit where starts are not told. A later start is checked at the earlier address, once for each upstream that has requests in progress there: if that process still reports the earlier start, nothing is given up. Otherwise (it reports a later one, reports none, or does not answer three times) the entry's word counts as before. A stream whose upstream's version was told differently meanwhile goes on and resumes nowhere, also if the earlier version is told again. An attempt that begins after its start has ended, with a permit that was reserved before its stages, no longer ends 50 ms later.

Evidence, on the code before: of thirteen tests in rewritten_entries.rs, ten failed (load 5): other version, version corrected under the same start, two writers of versions, other address, other address of the same start, later start that the upstream denies, two writers of starts; single answers: other version, other address, denied start left: "id: 1\ndata: a\n\n" right: "id: 1\ndata: a\n\nid: 2\ndata: b\n\n" A start or a version told late, and an entry that lapsed and came back, cut nothing before. a_stream_outlasts_a_restore_that_brings_an_earlier_entry_of_its_upstream_back failed the same way, 0.5 s after its start. Now all pass.

--- a/crates/gateway/src/active_attempt.rs
+++ b/crates/gateway/src/active_attempt.rs
@@ -61,9 +61,13 @@
     pub(crate) fn begin(
         state: &Arc<State>,
         request: &CallerRequest,
-        chosen: SelectedUpstream,
+        mut chosen: SelectedUpstream,
         resumes: bool,
     ) -> ActiveAttempt {
+        if chosen.restarted.is_set() {
+            // The start that was selected has ended; whichever answers now is a later one.
+            chosen.restarted = Arc::default();
+        }
         chosen.upstream.attempt_started();
         let now = state.now();
         ActiveAttempt {
@@ -229,8 +233,12 @@
     }
 
     /// True if the entry of the upstream names another software version than when the request was
-    /// sent, so that it is uncertain which one answered.
+    /// sent, or has meanwhile, so that it is uncertain which one answered.
     pub(crate) fn is_version_uncertain(&self) -> bool {
+        let chosen = self.chosen.as_ref();
+        if chosen.is_some_and(|chosen| chosen.redescribed.is_set()) {
+            return true;
+        }
         let table = self.state.upstreams.load();
         let listed = table.software_of(self.id());
         listed.is_some_and(|listed| Some(listed) != self.software.as_ref())
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -33,6 +33,7 @@
 use crate::peer_api::PeerHandler;
 use crate::peer_client::PeerClient;
 use crate::quarantine_coordinator::QuarantineCoordinator;
+use crate::restart_checks::RestartChecks;
 use crate::result_free_queue::ResultFreeQueue;
 use crate::result_release_queue::ResultReleaseQueue;
 use crate::result_replication::ResultReplication;
@@ -212,6 +213,7 @@
             executor.spawn(follower.expire_entries()),
             executor.spawn(poller.run()),
             executor.spawn(OwnPath::check(Arc::clone(&state))),
+            executor.spawn(RestartChecks::run(Arc::clone(&state))),
             executor.spawn(Arc::clone(&lease).keep_registered()),
             executor.spawn(Arc::clone(&lease).remove_silent()),
             executor.spawn(reporting),
--- a/crates/gateway/src/latch.rs
+++ b/crates/gateway/src/latch.rs
@@ -22,11 +22,16 @@
         first
     }
 
+    /// True once the latch is set.
+    pub(crate) fn is_set(&self) -> bool {
+        self.is_set.load(Ordering::SeqCst)
+    }
+
     /// Waits until the latch is set.
     pub(crate) async fn wait(&self) {
-        while !self.is_set.load(Ordering::SeqCst) {
+        while !self.is_set() {
             let listener = self.event.listen();
-            if !self.is_set.load(Ordering::SeqCst) {
+            if !self.is_set() {
                 listener.await;
             }
         }
--- a/crates/gateway/src/owner_order.rs
+++ b/crates/gateway/src/owner_order.rs
@@ -1,6 +1,7 @@
 //! The instances that own shards or have other duties, in the order in which they are tried.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use jd_net::lock;
 use jd_serving::Shard;
@@ -11,6 +12,8 @@
 /// How many owners of a shard, limiters of an upstream or quarantine coordinators are tried
 /// in turn.
 const MAX_OWNERS: usize = 3;
+/// How long the backlog that an owner reported is valid: three heartbeats.
+const BACKLOG_LIFETIME: Duration = Duration::from_millis(1_200);
 
 impl State {
     /// The addresses of the first owners of a shard, in the order in which they are tried. A
@@ -58,6 +61,17 @@
         }
     }
 
+    /// How long pieces wait at the owner of a shard, as last reported; none if the report has
+    /// expired, so that an owner is not avoided because of an old report.
+    pub(crate) fn backlog(&self, shard: &Shard) -> Option<Duration> {
+        let now = self.now();
+        let cluster = self.cluster();
+        match cluster.backlogs.get(shard) {
+            Some((heard, wait)) if now.since(*heard) < BACKLOG_LIFETIME => Some(*wait),
+            _ => None,
+        }
+    }
+
     /// The shards whose owners are watched.
     pub(crate) fn watched_shards(&self) -> Vec<Shard> {
         lock(&self.used_shards).monitored(self.now(), &self.shards.load())
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -25,7 +25,6 @@
 use jd_serving::RetryBudget;
 use jd_serving::RetryLimit;
 use jd_serving::Router;
-use jd_serving::Shard;
 use jd_serving::ShardMap;
 use jd_serving::ShutdownPlan;
 use jd_serving::SourceHealth;
@@ -51,6 +50,7 @@
 use crate::peer_replication::PackedSnapshots;
 use crate::permit_retries::PermitRetries;
 use crate::quarantine::Quarantine;
+use crate::restart_checks::RestartChecks;
 use crate::run_events::RunEnd;
 use crate::run_events::RunEvent;
 use crate::run_events::UpstreamRef;
@@ -63,9 +63,6 @@
 use crate::upstream_client::UpstreamClient;
 use crate::upstream_table::UpstreamTable;
 
-/// How long the backlog that an owner reported is valid: three heartbeats.
-const BACKLOG_LIFETIME: Duration = Duration::from_millis(1_200);
-
 /// The state that all parts of the gateway share.
 #[derive(Debug)]
 pub(crate) struct State {
@@ -97,6 +94,8 @@
     pub(crate) paces: Paces,
     /// Whether this instance has a network path to the upstreams.
     pub(crate) path: OwnPath,
+    /// The upstreams that may have restarted.
+    pub(crate) restart_checks: RestartChecks,
     /// The requests that are forwarded to other instances, and the number of those that are run
     /// for others.
     pub(crate) forwards: ForwardClient,
@@ -158,6 +157,7 @@
             streams: StreamRegistry::default(),
             paces: Paces::default(),
             path: OwnPath::new(),
+            restart_checks: RestartChecks::new(),
             forwards: ForwardClient::new(pool),
             forwards_running: AtomicUsize::new(0),
             channels,
@@ -239,17 +239,6 @@
         self.in_flight.load(Ordering::Relaxed)
     }
 
-    /// How long pieces wait at the owner of a shard, as last reported; none if the report has
-    /// expired, so that an owner is not avoided because of an old report.
-    pub(crate) fn backlog(&self, shard: &Shard) -> Option<Duration> {
-        let now = self.now();
-        let cluster = self.cluster();
-        match cluster.backlogs.get(shard) {
-            Some((heard, wait)) if now.since(*heard) < BACKLOG_LIFETIME => Some(*wait),
-            _ => None,
-        }
-    }
-
     /// The source from which this instance receives store updates.
     pub(crate) fn update_source(&self) -> UpdateSource {
         let now = self.now();
--- a/crates/gateway/src/state_rebuild.rs
+++ b/crates/gateway/src/state_rebuild.rs
@@ -18,15 +18,18 @@
         let before = self.upstreams.load_full();
         let is_recorded = |e: &UpstreamEntry| cluster.records_version(&e.service, &e.software);
         let next = before.rebuilt(now, entries, &cluster.evacuated_zones, zone, is_recorded);
-        let restarted = next.notify_restarts(&before);
+        let replaced = next.replaced_since(&before);
         let start_of = |id: &str| next.start_of(id);
         self.limits.forget_gone(now, start_of, &self.metrics);
         self.upstreams.store(Arc::new(next));
         drop(cluster);
         self.versions_changed.notify();
-        for address in restarted {
+        for address in replaced.addresses {
             self.upstream_client.close_idle(address);
         }
+        for suspected in replaced.restarts {
+            self.restart_checks.add(suspected);
+        }
         self.rebuild_shards();
     }
 
--- a/crates/gateway/src/upstream_table.rs
+++ b/crates/gateway/src/upstream_table.rs
@@ -24,6 +24,7 @@
 use jd_types::Name;
 use jd_types::UpstreamKey;
 
+use crate::restart_checks::SuspectedRestart;
 use crate::run_events::UpstreamRef;
 use crate::selection_filter::SelectionFilter;
 use crate::upstream_record::SelectedUpstream;
@@ -37,6 +38,15 @@
     records: Vec<UpstreamRecord>,
 }
 
+/// The upstreams of a table whose entries were replaced since.
+#[derive(Debug, Default)]
+pub(crate) struct Replaced {
+    /// Those whose entries tell a later start.
+    pub(crate) restarts: Vec<SuspectedRestart>,
+    /// The addresses at which upstreams restarted, or which they have left.
+    pub(crate) addresses: Vec<SocketAddr>,
+}
+
 /// The upstreams of every service. The table is rebuilt when entries change; the records of
 /// unchanged upstreams are carried over.
 #[derive(Debug, Default)]
@@ -64,7 +74,7 @@
         for listed in entries.filter(|l| !l.entry.leaving) {
             let entry = listed.entry;
             let before = self.by_id.get(&entry.id);
-            let kept = before.and_then(|r| r.kept_for(entry));
+            let kept = before.and_then(|r| r.kept_for(entry, now));
             let mut record = kept.unwrap_or_else(|| UpstreamRecord::new(entry, since));
             {
                 let mut cold = lock(&record.cold);
@@ -99,29 +109,23 @@
         UpstreamTable { services, by_id }
     }
 
-    /// Wakes the requests that wait for a response of upstreams which have restarted since an
-    /// earlier table, and returns the addresses of these upstreams.
-    pub(crate) fn notify_restarts(&self, earlier: &UpstreamTable) -> Vec<SocketAddr> {
-        let mut addresses = Vec::new();
+    /// What has become of the upstreams of an earlier table.
+    pub(crate) fn replaced_since(&self, earlier: &UpstreamTable) -> Replaced {
+        let mut replaced = Replaced::default();
         for (id, before) in &earlier.by_id {
-            let now = self.by_id.get(id);
-            if let Some(now) = now.filter(|now| !Arc::ptr_eq(&now.upstream, &before.upstream)) {
-                log::info!(
-                    upstream:% = id,
-                    address:% = before.upstream.address,
-                    address_now:% = now.upstream.address,
-                    start:? = before.start.millis(),
-                    start_now:? = now.start.millis(),
-                    software = before.software.as_str(),
-                    software_now = now.software.as_str(),
-                    requests = before.upstream.in_flight();
-                    "upstream restarted"
-                );
-                before.restarted.set();
-                addresses.push(before.upstream.address);
+            let Some(now) = self.by_id.get(id) else {
+                continue;
+            };
+            let is_same_process = Arc::ptr_eq(&now.restarted, &before.restarted);
+            if !is_same_process || now.upstream.address != before.upstream.address {
+                replaced.addresses.push(before.upstream.address);
+            }
+            match is_same_process {
+                true => now.log_rewritten(id, before),
+                false => replaced.restarts.push(now.suspected_restart(id, before)),
             }
         }
-        addresses
+        replaced
     }
 
     /// The zones of a service's upstreams, one item for each upstream.
@@ -320,6 +324,7 @@
             software: record.software,
             upstream: record.upstream,
             restarted: record.restarted,
+            redescribed: record.redescribed,
             cold: record.cold,
         }
     }
--- a/crates/gateway/src/version_check.rs
+++ b/crates/gateway/src/version_check.rs
@@ -5,8 +5,8 @@
 use compact_str::CompactString;
 use jd_net::with_timeout;
 use jd_serving::SoftwareVersion;
+use jd_serving::StartReport;
 use jd_serving::StreamBeginning;
-use jd_serving::UpstreamStart;
 use jd_serving::VersionCertainty;
 use jd_serving::VersionEvidence;
 use jd_serving::judge_version;
@@ -106,6 +106,16 @@
 
 async fn reported_start(state: &State, upstream: UpstreamRef) -> Reported {
     let start = upstream.start;
+    match ask_start(state, upstream).await {
+        StartReport::Unanswered => Reported::Nothing,
+        StartReport::Told(told) if told == start || !told.is_known() => Reported::Same,
+        StartReport::Told(_) => Reported::Another,
+    }
+}
+
+/// Asks the process at an upstream's address for its start. An upstream with a rate limit is not
+/// asked, since that would take a part of what it allows.
+pub(crate) async fn ask_start(state: &State, upstream: UpstreamRef) -> StartReport {
     let asking = async {
         let req = state.dialect.report_request(&upstream.id);
         let client = &state.upstream_client;
@@ -116,11 +126,8 @@
         response.read_all(MAX_REPORT).await.ok()
     };
     match with_timeout(REPORT_TIMEOUT, asking).await.flatten() {
-        None => Reported::Nothing,
-        Some(body) => match state.dialect.reported_start(&body) {
-            told if told == start || told == UpstreamStart::UNKNOWN => Reported::Same,
-            _ => Reported::Another,
-        },
+        None => StartReport::Unanswered,
+        Some(body) => StartReport::Told(state.dialect.reported_start(&body)),
     }
 }
 
--- a/crates/gateway/tests/restored/restored_store.rs
+++ b/crates/gateway/tests/restored/restored_store.rs
@@ -1,6 +1,7 @@
 //! A store that is restored from an older copy, and then assigns the same revisions
 //! again.
 
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -16,6 +17,7 @@
 
 use crate::fakes::Harness;
 use crate::fakes::Reply;
+use crate::fakes::STREAM;
 use crate::fakes::deployment;
 
 /// The users' bound on the time until an acknowledged change, or the leaving of an
@@ -315,3 +317,30 @@
         harness.until_served_by("/added/x", others).await;
     });
 }
+
+/// Guards against cutting off a stream whose upstream goes on, because the copy of the store holds an
+/// earlier entry of it.
+#[test]
+fn a_stream_outlasts_a_restore_that_brings_an_earlier_entry_of_its_upstream_back() {
+    let pause = Duration::from_millis(1_400);
+    let harness = Harness::start(vec![vec![Reply::Pausing(&STREAM, pause)]]);
+    let harness = Arc::new(harness);
+    block_on(async {
+        harness.until_ready(true).await;
+        harness.until_announced(1).await;
+        let kept = harness.store.len();
+        harness.set_software(0, "v2");
+        until_caught_up(&harness, 1).await;
+        let caller = Arc::clone(&harness);
+        let asking = harness.spawn(async move { caller.ask("/resume/x", "s-1").await });
+        while !harness.upstreams[0].has_run("s-1") {
+            Timer::after(CHECK_INTERVAL).await;
+        }
+        let reads = harness.store.full_reads();
+        harness.store.restore(kept);
+        let received = asking.await;
+        assert!(harness.store.full_reads() > reads, "the copy was not read");
+        assert_eq!(received.body, STREAM.concat());
+        assert!(received.whole);
+    });
+}
--- a/crates/gateway/tests/whole/main.rs
+++ b/crates/gateway/tests/whole/main.rs
@@ -21,6 +21,7 @@
 mod placed_prompts;
 mod requests;
 mod restarts;
+mod rewritten_entries;
 mod run_bounds;
 mod stops;
 mod unframed;
