--- a/crates/gateway/src/store_applier.rs
+++ b/crates/gateway/src/store_applier.rs
@@ -156,6 +156,7 @@
     }
 
     fn apply_snapshot(&self, items: Vec<StoreItem>, revision: StoreRevision, known: StoreRevision) {
+        let (began, count) = (self.state.now(), items.len());
         let is_first = known == StoreRevision::ZERO;
         let reading = match is_first || revision.is_same_era(known) {
             true => SnapshotKind::Complete,
@@ -215,7 +216,8 @@
         if !is_first && (reading == SnapshotKind::Restored || !is_listed()) {
             self.state.own_entry_removed.notify();
         }
-        log::info!(revision:%; "full snapshot of the store applied");
+        let ms = self.state.now().since(began).as_millis() as u64;
+        log::info!(revision:%, items = count, ms; "full snapshot of the store applied");
     }
 
     fn apply_changes(&self, items: Vec<StoreItem>, revision: StoreRevision) {
