--- a/crates/gateway/tests/whole/main.rs
+++ b/crates/gateway/tests/whole/main.rs
@@ -23,6 +23,7 @@
 mod restarts;
 mod rewritten_entries;
 mod run_bounds;
+mod silences;
 mod stops;
 mod unframed;
 mod versions;
