Tests: what changes on a route, or about its upstream, ends no answer in progress

The upstream pauses for 1.8 s, which is longer than the change takes to be applied and than a stream may be silent before another one is tried.

--- a/crates/gateway/tests/whole/main.rs
+++ b/crates/gateway/tests/whole/main.rs
@@ -4,6 +4,7 @@
 
 mod backoffs;
 mod brittle;
+mod changed_routes;
 mod cold_start;
 mod crashes;
 mod crashing_parts;
