--- a/crates/gateway/tests/whole/main.rs
+++ b/crates/gateway/tests/whole/main.rs
@@ -4,6 +4,7 @@
 
 mod backoffs;
 mod brittle;
+mod changed_routes;
 mod cold_start;
 mod crashes;
 mod crashing_parts;
@@ -21,6 +22,7 @@
 mod placed_prompts;
 mod requests;
 mod restarts;
+mod rewritten_entries;
 mod run_bounds;
 mod silences;
 mod stops;
