Connections: bytes that complete nothing hold no thread and close the connection

A server that sends interim responses without end, or a chunk size that never ends (zeros, or spaces after it), faster than they are parsed holds the thread that reads them for as long as it sends: the parser goes on while bytes are ready, so that neither the timeout of the request nor any other task of the thread runs. With one thread, the whole process stands still. A client does the same with the chunk size of a request. Nothing counts these bytes.

Each connection is now read through `LimitedRead`, which lets other tasks run after 16 reads in a row and, for responses, fails once 512 KiB came without a head or a part of a body. The buffers of a client connection, and with them the head of a response, take 64 KiB instead of 408 KiB, so that what is read ahead stays far below that limit. A server keeps its limits in time (head_timeout and the timeout of its handler), which now run out.

--- a/crates/net/src/grpc_channel.rs
+++ b/crates/net/src/grpc_channel.rs
@@ -22,6 +22,7 @@
 use tower_service::Service;
 
 use crate::SendError;
+use crate::limited_read::LimitedRead;
 use crate::lock;
 
 /// A channel to one instance. It connects on first use and reconnects after a failure.
@@ -65,7 +66,7 @@
             .set_nodelay(true)
             .map_err(|_| SendError::NotSent)?;
         let executor = SmolExecutor::new(Arc::clone(&self.executor));
-        let opened = http2::handshake(executor, FuturesIo::new(io)).await;
+        let opened = http2::handshake(executor, FuturesIo::new(LimitedRead::new(io, None))).await;
         let (sender, driver) = opened.map_err(|_| SendError::NotSent)?;
         let connection = async move {
             // Errors are reported by the results of the calls.
--- a/crates/net/src/http_pool.rs
+++ b/crates/net/src/http_pool.rs
@@ -24,6 +24,9 @@
 use crate::HttpResponse;
 use crate::SendError;
 use crate::TcpConnector;
+use crate::limited_read::LimitedRead;
+use crate::limited_read::MAX_BUFFER_BYTES;
+use crate::limited_read::ReadProgress;
 use crate::lock;
 use crate::with_timeout;
 
@@ -45,6 +48,7 @@
     sender: SendRequest<Body>,
     idle_since: MonoTime,
     reused: bool,
+    progress: Arc<ReadProgress>,
     _driver: Task<()>,
 }
 
@@ -80,6 +84,7 @@
     }
 
     pub(crate) fn record_received(&self, c: &Connection) {
+        c.progress.record();
         let now = self.clock.now();
         if let Some(pool) = self.lock().get_mut(&c.address) {
             pool.monitor.received(now, c.key, false);
@@ -115,6 +120,7 @@
     }
 
     fn record_sent(&self, c: &Connection) {
+        c.progress.record();
         let now = self.clock.now();
         self.lock()
             .entry(c.address)
@@ -275,12 +281,16 @@
     }
 
     async fn connect(&self, address: SocketAddr) -> Option<Connection> {
+        let progress = ReadProgress::new(address);
         let opening = async {
             let io = self.connector.connect(address).await.ok()?;
             // Messages are small in both directions, so that Nagle's algorithm would only
             // delay them.
             io.get_ref().set_nodelay(true).ok()?;
-            http1::handshake(FuturesIo::new(io)).await.ok()
+            let io = LimitedRead::new(io, Some(Arc::clone(&progress)));
+            let mut builder = http1::Builder::new();
+            builder.max_buf_size(MAX_BUFFER_BYTES);
+            builder.handshake(FuturesIo::new(io)).await.ok()
         };
         let (sender, driver) = with_timeout(CONNECT_TIMEOUT, opening).await??;
         let now = self.shared.clock.now();
@@ -301,6 +311,7 @@
             sender,
             idle_since: now,
             reused: false,
+            progress,
             _driver: driver,
         })
     }
--- a/crates/net/src/http_server.rs
+++ b/crates/net/src/http_server.rs
@@ -29,6 +29,7 @@
 use smol_hyper::rt::SmolTimer;
 
 use crate::Body;
+use crate::limited_read::LimitedRead;
 use crate::lock;
 use crate::write_stall_timeout::WriteStallTimeout;
 
@@ -226,7 +227,8 @@
                 let response = Arc::clone(&handler).handle(req);
                 async move { Ok::<Response<Body>, Infallible>(response.await) }
             });
-            let io = FuturesIo::new(WriteStallTimeout::new(io, write_stall_timeout));
+            let io = LimitedRead::new(WriteStallTimeout::new(io, write_stall_timeout), None);
+            let io = FuturesIo::new(io);
             let connection = builder.serve_connection(io, service);
             let served = run_until_stopped(connection.into_owned(), stopped);
             let server_dropped = async {
@@ -261,7 +263,7 @@
 
 type ServedConnection<S> =
     auto::Connection<'static, ClientIo, S, SmolExecutor<Arc<Executor<'static>>>>;
-type ClientIo = FuturesIo<WriteStallTimeout<Async<TcpStream>>>;
+type ClientIo = FuturesIo<LimitedRead<WriteStallTimeout<Async<TcpStream>>>>;
 
 /// Serves a connection. After the server is stopped, serves it only until its current
 /// requests are finished.
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -13,6 +13,7 @@
 mod http_pool;
 mod http_response;
 mod http_server;
+mod limited_read;
 mod lock;
 mod send_error;
 mod with_timeout;
