--- a/crates/gateway/tests/whole/main.rs
+++ b/crates/gateway/tests/whole/main.rs
@@ -7,6 +7,7 @@
 mod cold_start;
 mod crashes;
 mod crashing_parts;
+mod endless;
 mod evacuation;
 mod fakes;
 mod false_quarantines;
