Releases of results: the response has a timeout, so that no batch waits for its end

The response to a request that releases results was read to its end without a timeout. The next batch for the upstream waits for that, so that an upstream which sends the response byte by byte held all stages that run there, and their callers, until their deadlines.

Evidence: a_release_that_is_never_answered_delays_no_stage failed on the code before: the caller of the second request got no answer within 30 s (panicked in harness.rs:544, "no answer"). It passes with the timeout of the request, which now holds for the body as well. The upstream is sent the next batch after that; the results that were not released expire by themselves, as before.

--- a/crates/gateway/src/result_free_queue.rs
+++ b/crates/gateway/src/result_free_queue.rs
@@ -9,6 +9,7 @@
 use async_io::Timer;
 use compact_str::CompactString;
 use jd_net::lock;
+use jd_net::with_timeout;
 use jd_serving::UpstreamStart;
 
 use crate::run_events::UpstreamRef;
@@ -18,8 +19,11 @@
 /// How long results are collected before one request releases them. Far shorter than the time
 /// after which upstreams drop results by themselves.
 const FLUSH_INTERVAL: Duration = Duration::from_millis(60);
-/// The timeout of a release request.
+/// The timeout of the head of the response to a release request, and of its body. Batches wait for
+/// the release of the results that they replace.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(100);
+/// The largest response to a release request, in bytes.
+const MAX_RESPONSE: usize = 64 << 10;
 
 /// Collects results that no request needs any more and releases them on their upstreams.
 ///
@@ -100,7 +104,10 @@
             .send(state, permit, req, RELEASE_TIMEOUT, || {});
         match sending.await {
             // The body is read so that the connection can be reused.
-            Ok(response) => response.read_all(1 << 16).await.is_ok(),
+            Ok(response) => {
+                let reading = response.read_all(MAX_RESPONSE);
+                matches!(with_timeout(RELEASE_TIMEOUT, reading).await, Some(Ok(_)))
+            }
             Err(_) => false,
         }
     }
--- a/crates/gateway/tests/whole/endless.rs
+++ b/crates/gateway/tests/whole/endless.rs
@@ -208,6 +208,34 @@
     });
 }
 
+/// Guards against stages that wait for ever for the end of the response to a request that releases
+/// results, which is sent before the next batch.
+#[test]
+fn a_release_that_is_never_answered_delays_no_stage() {
+    let sound = vec![Reply::Resumable { cut: false }];
+    let records = vec![Record::Deployment(Box::new(staged_deployment()))];
+    let harness = Harness::start_with(vec![sound], records);
+    let stage = EndlessUpstream::start_stage(BODY, Pace::Slow);
+    list(&harness, &stage, "stages");
+    block_on(async {
+        until_served(&harness).await;
+        let mut id = 0;
+        while stage.begun() == 0 || id < 20 {
+            let asked = Instant::now();
+            let received = harness.ask("/staged/x", &id.to_string()).await;
+            assert_eq!(
+                (received.status, received.whole),
+                (200, true),
+                "{received:?}"
+            );
+            let took = asked.elapsed();
+            assert!(took < AT_ONCE, "{took:?}");
+            id += 1;
+        }
+        until_closed(&stage).await;
+    });
+}
+
 /// Guards against losing the results of a stage to an upstream that sends bytes without end.
 #[test_case(BODY, Pace::Fast; "fast body")]
 #[test_case(INTERIM, Pace::Fast; "fast interim responses")]
