Stages beside a silent upstream are refused by the wait, as for other late requests

Now the stages may take until the deadline of the request in both cases, and only those of a request that no upstream runs any more are accepted however long they wait.

--- a/crates/gateway/src/event_stream.rs
+++ b/crates/gateway/src/event_stream.rs
@@ -23,6 +23,7 @@
 use crate::attempts::log_beside;
 use crate::not_resumed::NotResumed;
 use crate::not_resumed::StreamError;
+use crate::stage_runner::StageRun;
 use crate::stage_runner::StageRunner;
 use crate::stream_attempt::BegunStream;
 use crate::stream_attempt::Ended;
@@ -219,6 +220,10 @@
             clock: Arc::clone(&clock),
             last_event: self.last_event(),
             results: None,
+            run: match self.response.is_open() || !self.attempts.is_empty() {
+                true => StageRun::Beside,
+                false => StageRun::Again,
+            },
         };
         self.attempts.begin(clock, attempt.resume(begun_by));
     }
--- a/crates/gateway/src/stage_runner.rs
+++ b/crates/gateway/src/stage_runner.rs
@@ -52,6 +52,17 @@
 /// The retry time after stages failed.
 const FAILED_RETRY: Duration = Duration::from_millis(500);
 
+/// Why the stages of a request run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum StageRun {
+    /// It was not sent to an upstream.
+    First,
+    /// Another upstream is tried beside one that is silent.
+    Beside,
+    /// No upstream runs it any more.
+    Again,
+}
+
 /// Runs the stages of requests on the instance that schedules their batches.
 #[derive(Debug)]
 pub(crate) struct StageRunner {
@@ -65,13 +76,18 @@
     /// Runs the stages of a request, and has the owner of their shard select the upstream of its
     /// prompt where paces matter. If this returns a refusal, the request itself has not run.
     pub(crate) async fn run(&self, request: &CallerRequest) -> Result<StageResults, Refusal> {
-        self.run_with(request, request.prompt_demand(), false).await
+        self.run_with(request, request.prompt_demand(), StageRun::First)
+            .await
     }
 
     /// Runs the stages of a request again whose first attempt has failed. The upstream of its
     /// prompt is then selected by this instance.
-    pub(crate) async fn run_again(&self, request: &CallerRequest) -> Result<StageResults, Refusal> {
-        self.run_with(request, None, true).await
+    pub(crate) async fn run_again(
+        &self,
+        request: &CallerRequest,
+        run: StageRun,
+    ) -> Result<StageResults, Refusal> {
+        self.run_with(request, None, run).await
     }
 
     /// The results of a request whose stages are not run here.
@@ -85,7 +101,7 @@
         &self,
         request: &CallerRequest,
         prompt: Option<PromptDemand>,
-        runs_again: bool,
+        run: StageRun,
     ) -> Result<StageResults, Refusal> {
         request.check_quarantine(&self.state, 0)?;
         let quarantined = async { Err(request.until_quarantined(&self.state).await) };
@@ -93,7 +109,7 @@
             self.until_stages_end(request).await;
             Err(stopping())
         };
-        let running = self.run_or_place(request, prompt, runs_again);
+        let running = self.run_or_place(request, prompt, run);
         let (owner, outcome) = running.or(quarantined).or(ending).await?;
         Ok(StageResults::new(
             outcome,
@@ -117,17 +133,14 @@
         &self,
         request: &CallerRequest,
         prompt: Option<PromptDemand>,
-        runs_again: bool,
+        run: StageRun,
     ) -> Result<(SocketAddr, StageOutcome), Refusal> {
         if request.has_stages() {
-            let job = self.job(request, prompt, runs_again);
+            let job = self.job(request, prompt, run);
             return self.run_job(request, &job).await;
         }
         let placement = match prompt {
-            Some(prompt) => {
-                self.place_only(&self.job(request, Some(prompt), false))
-                    .await
-            }
+            Some(prompt) => self.place_only(&self.job(request, Some(prompt), run)).await,
             None => None,
         };
         let outcome = StageOutcome {
@@ -286,7 +299,7 @@
         &self,
         request: &CallerRequest,
         prompt: Option<PromptDemand>,
-        runs_again: bool,
+        run: StageRun,
     ) -> StageJob {
         let route = request.route();
         let pieces = |n: usize| request.head.pieces.get(n).copied().unwrap_or(0);
@@ -307,17 +320,12 @@
             piece_key: request.head.piece_key.clone().unwrap_or_default(),
             stages,
             objective: request.objective_deadline().before(time_to_first_event),
-            deadline: self.state.bound_stages(match runs_again {
-                true => request
-                    .deadline
-                    .before(request.time_left(now) * LEFT_PERCENT / 100),
-                false => stages_deadline(request),
-            }),
+            deadline: self.state.bound_stages(stages_deadline(request, run, now)),
             priority: request.priority,
             zone: self.preferred_zone(request),
             customer: request.customer_hash(),
             prompt,
-            runs_again,
+            runs_again: run == StageRun::Again,
         }
     }
 
@@ -343,7 +351,11 @@
 
 /// The deadline of the stages of a request: early enough for the request itself to run, and
 /// for the caller to get a refusal before it abandons the request.
-fn stages_deadline(request: &CallerRequest) -> MonoTime {
+fn stages_deadline(request: &CallerRequest, run: StageRun, now: MonoTime) -> MonoTime {
+    if run != StageRun::First {
+        let kept = request.time_left(now) * LEFT_PERCENT / 100;
+        return request.deadline.before(kept);
+    }
     let route = request.route();
     let abandoned = route.objective * ABANDON_OBJECTIVES;
     let waited = abandoned.min(request.deadline.since(request.arrived));
--- a/crates/gateway/src/stream_attempt.rs
+++ b/crates/gateway/src/stream_attempt.rs
@@ -25,6 +25,7 @@
 use crate::next_send::send_to_next_upstream;
 use crate::signal::Signal;
 use crate::stage_results::StageResults;
+use crate::stage_runner::StageRun;
 use crate::stage_runner::StageRunner;
 use crate::stream_response::Read;
 use crate::stream_response::StreamResponse;
@@ -39,6 +40,8 @@
     pub(crate) last_event: Option<u64>,
     /// What the stages left; none if they have to run again.
     pub(crate) results: Option<StageResults>,
+    /// Why the stages run if they have to.
+    pub(crate) run: StageRun,
 }
 
 /// What became of an attempt.
@@ -102,6 +105,7 @@
             clock,
             last_event,
             results,
+            run,
         } = self;
         let forward_only = match &results {
             Some(results) => results.are_skipped(),
@@ -110,7 +114,7 @@
         let results = match (results, forward_only) {
             (Some(results), _) => results,
             (None, true) => stages.no_results(),
-            (None, false) => match stages.run_again(&cx.request).await {
+            (None, false) => match stages.run_again(&cx.request, run).await {
                 Ok(results) => results,
                 Err(refusal) => return Ended::Refused(refusal),
             },
--- a/crates/gateway/src/streaming_call.rs
+++ b/crates/gateway/src/streaming_call.rs
@@ -34,6 +34,7 @@
 use crate::placed_prompt::PlacedPrompt;
 use crate::retry_state::RetryState;
 use crate::stage_results::StageResults;
+use crate::stage_runner::StageRun;
 use crate::stage_runner::StageRunner;
 use crate::state::State;
 use crate::stream_attempt::Begun;
@@ -168,6 +169,10 @@
             clock: Arc::clone(&clock),
             last_event: self.cx.request.head.last_event,
             results: self.results.take().filter(usable),
+            run: match self.attempts.is_empty() {
+                true => StageRun::Again,
+                false => StageRun::Beside,
+            },
         };
         self.attempts.begin(clock, attempt.until_head());
     }
--- a/crates/serving/src/stage_job.rs
+++ b/crates/serving/src/stage_job.rs
@@ -45,7 +45,7 @@
     pub customer: u64,
     /// Set if the owner is to select the upstream of the request's prompt.
     pub prompt: Option<PromptDemand>,
-    /// True if the stages ran before, and the request was sent to an upstream.
+    /// True if the stages ran before, and no upstream runs the request any more.
     pub runs_again: bool,
 }
 
