Connections of dropped requests are forgotten, and those idle during a silence closed

The monitor of connections kept an entry for each connection whose request was dropped before its response, or whose response was dropped before its end: a caller that leaves, and now an attempt that lost to another one. Memory grew with each.

A request that timed out retired older idle connections of its upstream, which had most likely died with its own. Attempts that are kept in silence no longer time out, so the silence itself closes what has been idle for as long.

--- a/crates/gateway/src/active_attempt.rs
+++ b/crates/gateway/src/active_attempt.rs
@@ -277,7 +277,7 @@
     /// Records that the upstream has been silent for `silent_for`, although it may go on.
     pub(crate) fn record_silence(&self, silent_for: Duration) {
         if let Some(chosen) = &self.chosen {
-            chosen.upstream.record_silence(self.state.now(), silent_for);
+            self.state.record_silence(&chosen.upstream, silent_for);
         }
     }
 
--- a/crates/gateway/src/next_send.rs
+++ b/crates/gateway/src/next_send.rs
@@ -203,7 +203,7 @@
             // A source that sends nothing is not the fault of the upstream that fetches from it.
             Some(source) => record_failed_fetch(cx, &chosen, source, AttemptOutcome::Silent),
             None => {
-                chosen.upstream.record_silence(state.now(), waited);
+                state.record_silence(&chosen.upstream, waited);
                 false
             }
         };
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -17,6 +17,7 @@
 use jd_net::Clock;
 use jd_net::HttpPool;
 use jd_net::lock;
+use jd_policy::Upstream;
 use jd_serving::BrokenRun;
 use jd_serving::ColdSpec;
 use jd_serving::FleetPosition;
@@ -325,6 +326,14 @@
         }
     }
 
+    /// Records that an upstream has been silent on a request, which may still be answered. New
+    /// requests prefer others and do not use connections that may have died with that one.
+    pub(crate) fn record_silence(&self, upstream: &Upstream, silent_for: Duration) {
+        upstream.record_silence(self.now(), silent_for);
+        self.upstream_client
+            .close_idle_for(upstream.address, silent_for);
+    }
+
     /// Counts the first send of a request to a service, which adds to the retry budget.
     pub(crate) fn record_first_send(&self, service: &str) {
         let limit = self.retry_limit();
--- a/crates/gateway/src/upstream_client.rs
+++ b/crates/gateway/src/upstream_client.rs
@@ -195,6 +195,12 @@
         self.pool.close_idle(address);
     }
 
+    /// Closes the connections to `address` that have been idle for as long as a request on another
+    /// one has been silent.
+    pub(crate) fn close_idle_for(&self, address: SocketAddr, silent_for: Duration) {
+        self.pool.close_idle_for(address, silent_for);
+    }
+
     /// Tests whether a connection to `address` can be opened. Sends no request.
     pub(crate) async fn probe(&self, address: SocketAddr) -> ProbeResult {
         self.pool.probe(address).await
--- a/crates/net/src/http_pool.rs
+++ b/crates/net/src/http_pool.rs
@@ -129,6 +129,11 @@
             .sent(now, c.key);
     }
 
+    /// Records that a connection is closed whose response is not read to its end.
+    pub(crate) fn record_dropped(&self, c: &Connection) {
+        self.record_closed(c.address, c.key);
+    }
+
     fn record_closed(&self, address: SocketAddr, key: ConnectionKey) {
         if let Some(pool) = self.lock().get_mut(&address) {
             pool.monitor.closed(key);
@@ -202,6 +207,27 @@
         }
     }
 
+    /// Closes the connections to an address that have been idle for as long as a response on another
+    /// one is awaited. What lost the state of that one has most likely lost theirs.
+    pub fn close_idle_for(&self, address: SocketAddr, silent_for: Duration) {
+        let now = self.shared.clock.now();
+        if let Some(AddressPool { monitor, idle }) = self.shared.lock().get_mut(&address) {
+            idle.retain(|c| {
+                let is_kept = now.since(c.idle_since) < silent_for;
+                if !is_kept {
+                    monitor.closed(c.key);
+                }
+                is_kept
+            });
+        }
+    }
+
+    /// The number of open connections to an address, idle or in use.
+    pub fn open_connections(&self, address: SocketAddr) -> usize {
+        let addresses = self.shared.lock();
+        addresses.get(&address).map_or(0, |p| p.monitor.len())
+    }
+
     /// Checks whether a server accepts connections at an address, by opening a new one.
     pub async fn probe(&self, address: SocketAddr) -> ProbeResult {
         let opening = self.connector.connect(address);
@@ -253,7 +279,14 @@
     async fn send_on(&self, mut c: Connection, req: Request<Body>, timeout: Duration) -> Sent {
         let (address, key) = (c.address, c.key);
         self.shared.record_sent(&c);
+        let mut cancelled = CancelGuard {
+            shared: &self.shared,
+            address,
+            key,
+            is_armed: true,
+        };
         let result = with_timeout(timeout, c.sender.try_send_request(req)).await;
+        cancelled.is_armed = false;
         match result {
             Some(Ok(res)) => {
                 self.shared.record_received(&c);
@@ -328,6 +361,22 @@
     TimedOut,
 }
 
+/// Records that a connection is closed if the request on it is dropped before its response.
+struct CancelGuard<'a> {
+    shared: &'a PoolState,
+    address: SocketAddr,
+    key: ConnectionKey,
+    is_armed: bool,
+}
+
+impl Drop for CancelGuard<'_> {
+    fn drop(&mut self) {
+        if self.is_armed {
+            self.shared.record_closed(self.address, self.key);
+        }
+    }
+}
+
 enum Sent {
     /// Nothing was written, and the request is returned.
     Returned(Box<Request<Body>>),
--- a/crates/net/src/http_response.rs
+++ b/crates/net/src/http_response.rs
@@ -89,3 +89,11 @@
         }
     }
 }
+
+impl Drop for HttpResponse {
+    fn drop(&mut self) {
+        if let Some(connection) = &self.connection {
+            self.shared.record_dropped(connection);
+        }
+    }
+}
--- a/crates/policy/src/connection_monitor.rs
+++ b/crates/policy/src/connection_monitor.rs
@@ -61,6 +61,16 @@
         }
     }
 
+    /// The number of open connections.
+    pub fn len(&self) -> usize {
+        self.open.len()
+    }
+
+    /// True if no connection is open.
+    pub fn is_empty(&self) -> bool {
+        self.open.is_empty()
+    }
+
     /// Removes a closed connection.
     pub fn closed(&mut self, key: ConnectionKey) {
         self.open.remove(&key);
