A configuration moves only the sessions whose service's share changes

Callers of a split route waited for prompts that were read again: a version that wrote the same shares in other numbers or another order, or that was off by one in rounding, sent up to 60 % of a route's sessions to another service at once, whose upstreams had to read all of these prompts together. It is one way in which a configuration loads upstreams that then fall silent.

Cause: `Route::target` took the session's hash modulo the sum of the weights and looked for it in the ranges of the targets, which shift with the sum and the order; and weights were cut to thousandths, so that 0.68 and 1 - 0.68 had the sum 999.

Sessions of split routes go to another service once while instances of both builds run.

--- a/crates/serving/src/route.rs
+++ b/crates/serving/src/route.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use compact_str::CompactString;
+use jd_types::splitmix64;
 
 /// Whether and how a request may be retried.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -100,21 +101,29 @@
             .filter(|gap| self.prompts && *gap < SHORT_EVENT_GAP)
     }
 
-    /// The service of a request, chosen by weight. The same `seed` gives the same service, so
-    /// that requests with a common prompt stay together.
+    /// The service of a request, chosen by weight; the first one if none has a weight. The same `seed`
+    /// gives the same service, so that requests with a common prompt stay together. Other weights or
+    /// services move only the seeds by which shares grow or shrink: the upstreams of a service have
+    /// to read the prompts of all sessions that move to it.
     pub fn target(&self, seed: u64) -> Option<&CompactString> {
-        let total: u64 = self.targets.iter().map(|t| u64::from(t.weight)).sum();
-        let mut at = match total {
-            0 => return self.targets.first().map(|t| &t.service),
-            _ => seed % total,
-        };
-        for target in &self.targets {
-            let weight = u64::from(target.weight);
-            if at < weight {
-                return Some(&target.service);
-            }
-            at -= weight;
+        if let [only] = self.targets.as_slice() {
+            return Some(&only.service);
         }
-        None
+        let weighted = self.targets.iter().filter(|t| t.weight > 0);
+        let ranked = weighted.map(|t| (t.rank(seed), t));
+        let first = ranked.min_by(|(a, _), (b, _)| a.total_cmp(b));
+        let first = first.map(|(_, target)| target);
+        first.or(self.targets.first()).map(|t| &t.service)
+    }
+}
+
+impl Target {
+    /// The rank of this service for a seed; the lowest one is chosen. Exponentially distributed with
+    /// the weight as its rate, so that each service is the lowest as often as its weight says.
+    fn rank(&self, seed: u64) -> f64 {
+        let bytes = self.service.bytes();
+        let hash = bytes.fold(splitmix64(seed), |h, b| splitmix64(h ^ u64::from(b)));
+        let unit = ((hash >> 11) as f64 + 1.0) / (1_u64 << 53) as f64;
+        -unit.ln() / f64::from(self.weight)
     }
 }
