Tests: what a configuration, or upstreams that come and go, move among stages

Eight cases, a fleet of nine: nothing changed, an upstream less, many more, another service with fewer upstreams, with one shard and with one for each zone: every shard keeps its key and its owner. Six cases of a whole fleet of four: a stage in progress outlasts a version that changes nothing, removes its service, its routes or their stages, or changes its batches, and upstreams that change the shards, also for a moment only; the stage is called once and the caller served.

Not covered: beyond a multiple of twelve upstreams of the largest service (in a zone, or in all while shards are not by zone) the shards have other keys, and new jobs other owners.

--- a/crates/gateway/tests/whole/changed_routes.rs
+++ b/crates/gateway/tests/whole/changed_routes.rs
@@ -11,6 +11,7 @@
 use jd_serving::Deployment;
 use jd_serving::RetryMode;
 use jd_serving::Route;
+use jd_serving::UpstreamStart;
 use jd_types::Name;
 use test_case::test_case;
 
@@ -19,6 +20,9 @@
 use crate::fakes::Reply;
 use crate::fakes::STREAM;
 use crate::fakes::deployment;
+use crate::fakes::entry;
+use crate::fakes::owner_order;
+use crate::fakes::staged_deployment;
 
 /// How long an upstream pauses in its answer: longer than an instance takes to apply a change, and
 /// than a stream may be silent before another upstream is tried.
@@ -189,3 +193,103 @@
         assert_eq!(all, runs, "{received:?}");
     });
 }
+
+/// What changes while a stage of a request runs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ChangedStage {
+    /// The version number alone.
+    Nothing,
+    /// Its service and its route.
+    ServiceRemoved,
+    /// The number of pieces in a call.
+    OtherBatches,
+    /// The route has no stages any more.
+    StagesRemoved,
+    /// The number of its upstreams, so that other shards exist.
+    OtherShards,
+    /// The same, and the number from before again.
+    OtherShardsForAMoment,
+}
+
+/// Upstreams of a service with which its shards are by zone.
+const SHARDED_UPSTREAMS: usize = 13;
+
+fn with_slow_stage() -> Deployment {
+    let mut slow = staged_deployment();
+    let batches = slow.services.iter_mut().filter_map(|s| s.batch.as_mut());
+    batches.for_each(|batch| batch.base_time = Duration::from_secs(4));
+    slow.routes
+        .iter_mut()
+        .for_each(|r| r.objective = Duration::from_secs(10));
+    slow
+}
+
+async fn change_stage(harness: &Harness, changed: ChangedStage) {
+    let mut next = with_slow_stage();
+    next.version = 2;
+    match changed {
+        ChangedStage::Nothing => {}
+        ChangedStage::ServiceRemoved => {
+            next.services.clear();
+            next.routes.retain(|r| r.stages.is_empty());
+        }
+        ChangedStage::OtherBatches => {
+            let batches = next.services.iter_mut().filter_map(|s| s.batch.as_mut());
+            batches.for_each(|batch| batch.pieces = 1);
+        }
+        ChangedStage::StagesRemoved => next.routes.iter_mut().for_each(|r| r.stages.clear()),
+        ChangedStage::OtherShards | ChangedStage::OtherShardsForAMoment => {
+            let ids: Vec<String> = (1..SHARDED_UPSTREAMS)
+                .map(|n| format!("stage-{n}"))
+                .collect();
+            for id in &ids {
+                let start = UpstreamStart::UNKNOWN;
+                let listed = entry(id, "stages", harness.address(1), start);
+                harness.store.change(Change::Put(listed));
+            }
+            harness.until_all_listed().await;
+            if changed == ChangedStage::OtherShardsForAMoment {
+                for id in &ids {
+                    harness
+                        .store
+                        .change(Change::UpstreamRemoved(id.as_str().into()));
+                }
+            }
+            return;
+        }
+    }
+    let record = Record::Deployment(Box::new(next));
+    harness.store.change(Change::Put(record));
+}
+
+/// Guards against refusing or repeating the stages of a request that are in progress, at another
+/// instance, because a configuration or their upstreams change.
+#[test_case(ChangedStage::Nothing; "nothing")]
+#[test_case(ChangedStage::ServiceRemoved; "service removed")]
+#[test_case(ChangedStage::OtherBatches; "other batches")]
+#[test_case(ChangedStage::StagesRemoved; "stages removed")]
+#[test_case(ChangedStage::OtherShards; "other shards")]
+#[test_case(ChangedStage::OtherShardsForAMoment; "other shards for a moment")]
+fn stages_in_progress_outlast_a_configuration(changed: ChangedStage) {
+    let stage = vec![Reply::Delayed("made", PAUSE)];
+    let answer = vec![Reply::Complete(STREAM[0])];
+    let mut harness = Harness::start_staged(with_slow_stage(), vec![answer], stage);
+    harness.add_gateways(3);
+    block_on(async {
+        harness.until_all_listed().await;
+        let last = owner_order(&harness.peer_addresses())[3];
+        let asking = harness.spawn_ask(last, "/staged/x", "s-1");
+        while harness.upstreams[1].count() == 0 {
+            Timer::after(Duration::from_millis(2)).await;
+        }
+        change_stage(&harness, changed).await;
+        harness.until_all_listed().await;
+        let received = asking.await;
+        assert_eq!(
+            (received.status, received.whole),
+            (200, true),
+            "{received:?}"
+        );
+        assert_eq!(harness.upstreams[1].count(), 1, "the stage ran again");
+    });
+}
--- a/crates/serving/tests/shards.rs
+++ b/crates/serving/tests/shards.rs
@@ -2,11 +2,17 @@
 
 #![allow(clippy::expect_used, clippy::panic)]
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
+use jd_serving::InstanceEntry;
 use jd_serving::Shard;
 use jd_serving::ShardMap;
+use jd_serving::Strength;
+use jd_serving::rank_owners;
+use jd_types::Incarnation;
 use jd_types::Name;
+use test_case::test_case;
 
 fn name(text: &str) -> Name {
     Name::try_from(text).expect("a name")
@@ -119,3 +125,52 @@
         assert_eq!(chosen.and_then(|s| s.zone), Some(zone));
     }
 }
+
+/// The part of the shards after a change that have the same upstreams and the same owner as before,
+/// in a fleet of nine equal instances in three zones.
+fn kept(before: &[(&str, &str, usize)], after: &[(&str, &str, usize)]) -> f64 {
+    let (before, after) = (map_of(before), map_of(after));
+    let instances: Vec<InstanceEntry> = (0..9_u8).map(instance).collect();
+    let owner = |s: &Shard| rank_owners(s, instances.iter(), 1)[0].incarnation;
+    let kept = after.shards();
+    let kept = kept.filter(|s| before.shards().any(|b| b == *s && owner(b) == owner(s)));
+    kept.count() as f64 / after.count() as f64
+}
+
+/// The upstreams of services, each given with the number of its upstreams in a zone.
+fn map_of(counts: &[(&str, &str, usize)]) -> ShardMap {
+    let all: Vec<(&str, Name)> = counts
+        .iter()
+        .flat_map(|(service, zone, n)| vec![(*service, name(zone)); *n])
+        .collect();
+    ShardMap::new(all.iter().map(|(service, zone)| (*service, zone)))
+}
+
+fn instance(n: u8) -> InstanceEntry {
+    let address = SocketAddr::from(([10, 0, 0, n], 80));
+    InstanceEntry {
+        incarnation: Incarnation::new(u64::from(n)),
+        caller_address: address,
+        peer_address: address,
+        zone: name(["a", "b", "c"][usize::from(n) % 3]),
+        strength: Strength::default(),
+        leaving: false,
+    }
+}
+
+const SMALL: [(&str, &str, usize); 3] = [("rank", "a", 2), ("rank", "b", 2), ("rank", "c", 1)];
+const LARGE: [(&str, &str, usize); 3] = [("rank", "a", 6), ("rank", "b", 6), ("rank", "c", 5)];
+
+/// Guards against owners that change, and jobs that are handed over, with a configuration or with
+/// upstreams that come and go.
+#[test_case(&SMALL, &SMALL; "nothing")]
+#[test_case(&SMALL, &[("rank", "a", 1), ("rank", "b", 2), ("rank", "c", 1)]; "an upstream less")]
+#[test_case(&SMALL, &[("rank", "a", 4), ("rank", "b", 4), ("rank", "c", 4)]; "many upstreams more")]
+#[test_case(&SMALL, &[SMALL[0], SMALL[1], SMALL[2], ("sort", "a", 2)]; "a service more")]
+#[test_case(&LARGE, &LARGE; "nothing, by zone")]
+#[test_case(&LARGE, &[("rank", "a", 5), ("rank", "b", 6), ("rank", "c", 5)]; "an upstream less, by zone")]
+#[test_case(&LARGE, &[LARGE[0], LARGE[1], LARGE[2], ("sort", "a", 2)]; "a service more, by zone")]
+#[test_case(&LARGE, &[LARGE[0], LARGE[1], ("rank", "c", 12)]; "many upstreams more, by zone")]
+fn shards_and_their_owners_stay(before: &[(&str, &str, usize)], after: &[(&str, &str, usize)]) {
+    assert!((kept(before, after) - 1.0).abs() < f64::EPSILON);
+}
