Log what a process leaves open when it ends, request by request

An answer that ended with its process left no line: `stopped` had a count, and nothing said which request it was or what it waited for. So the record of an answer cut off around a SIGTERM could not tell a stop that took too long from an upstream that was silent.

Each request in flight is now in a slab, with its content, deadline, what it waits for (body, permit, stages, head, answer, caller), since when, and the upstream or instance. Only the end of the process goes through the slab. It writes one line for each request that is left, 256 at most and a count of the rest, and `stopped` tells the open connections and the time that each step took. `jacinthdeal explain` counts these as `open-at-end`. What is decided is unchanged.

Cost: two locks of the request's own entry for each event of a stream, one of the slab at its begin and end; not measured.

New tests, which cannot pass before: stops::a_stream_that_is_unfinished_at_the_end_is_logged (no line on the request) and a_request_that_is_open_when_its_instance_ends_has_a_cause. stops:: 3 of 3 and jd-explain pass.

--- a/crates/explain/src/cause.rs
+++ b/crates/explain/src/cause.rs
@@ -27,6 +27,8 @@
     UpstreamFailed,
     /// The answer was cut off.
     Truncated,
+    /// Unanswered, or its answer unfinished, when its instance ended.
+    OpenAtEnd,
     /// Answered late; the stages took more than half of the time.
     LateByStages,
     /// Answered late; the stages took half of the time or less.
@@ -41,7 +43,7 @@
 
 impl Cause {
     /// Every cause, in the order of the table.
-    pub const ALL: [Cause; 16] = [
+    pub const ALL: [Cause; 17] = [
         Cause::WouldMiss,
         Cause::StagesTimedOut,
         Cause::Overloaded,
@@ -53,6 +55,7 @@
         Cause::UpstreamTimedOut,
         Cause::UpstreamFailed,
         Cause::Truncated,
+        Cause::OpenAtEnd,
         Cause::LateByStages,
         Cause::LateByUpstream,
         Cause::Quarantined,
@@ -74,6 +77,7 @@
             Cause::UpstreamTimedOut => "silent",
             Cause::UpstreamFailed => "failed",
             Cause::Truncated => "cut",
+            Cause::OpenAtEnd => "open-at-end",
             Cause::LateByStages => "late-stages",
             Cause::LateByUpstream => "late-upstream",
             Cause::Quarantined => "quarantined",
@@ -82,12 +86,13 @@
         }
     }
 
-    /// The cause that a single line states; none if the line reports neither a refusal nor a
-    /// truncated answer.
+    /// The cause that a single line states; none if the line reports neither a refusal nor an
+    /// answer that is missing or truncated.
     pub fn of(line: &LogLine) -> Option<Cause> {
         match line.message.as_str() {
             "refused" => Some(Cause::of_refusal(line)),
             "stream cut off" => Some(Cause::Truncated),
+            "request open at the end" => Some(Cause::OpenAtEnd),
             _ => None,
         }
     }
--- a/crates/explain/tests/explain.rs
+++ b/crates/explain/tests/explain.rs
@@ -60,6 +60,15 @@
     assert_eq!(counted.count_of(cause), 1);
 }
 
+/// Guards against requests that are left unanswered by an instance that ends, and are in no table.
+#[test]
+fn a_request_that_is_open_when_its_instance_ends_has_a_cause() {
+    let values = r#""request":"r1","waits_for":"answer","answer":"begun""#;
+    let lines = [line("01.5", "request open at the end", values)];
+    let counted = breakdown(&lines, &LateThresholds::default());
+    assert_eq!(counted.count_of(Cause::OpenAtEnd), 1);
+}
+
 /// Late answers are attributed to the stages or to the upstream, whichever took longer,
 /// since the two have different remedies.
 #[test]
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -18,6 +18,7 @@
 use crate::UpstreamRequest;
 use crate::active_attempt::ActiveAttempt;
 use crate::caller_request::CallerRequest;
+use crate::open_requests::Wait;
 use crate::state::State;
 use crate::upstream_client::SendFailure;
 use crate::upstream_client::SendPermit;
@@ -98,6 +99,7 @@
         cold: Arc::clone(&chosen.cold),
     };
     let upstream = chosen.upstream_ref(&request.service);
+    request.in_flight.waits_for(Wait::Permit, &chosen.id);
     let permit = state.upstream_client.permit(state, upstream, purpose).await;
     permit.map_err(|why| withheld(request, &chosen.id, why))
 }
@@ -137,6 +139,7 @@
         fetch_from,
     } = permitted;
     let id = chosen.id.clone();
+    request.in_flight.waits_for(Wait::ResponseHead, &id);
     let mut attempt = ActiveAttempt::begin(state, request, chosen, last_event.is_some());
     let upstream_request = UpstreamRequest {
         upstream: &id,
--- a/crates/gateway/src/caller_api.rs
+++ b/crates/gateway/src/caller_api.rs
@@ -37,6 +37,7 @@
 use jd_types::RunState;
 
 use crate::caller_request::CallerRequest;
+use crate::open_requests::InFlight;
 use crate::ran_at::RanAt;
 use crate::stage_runner::StageRunner;
 use crate::state::State;
@@ -142,7 +143,8 @@
         parts: Parts,
         body: Incoming,
     ) -> Result<CallerRequest, Refusal> {
-        let in_flight = self.state.track_request();
+        let id = head.request_id.as_deref().unwrap_or("");
+        let in_flight = InFlight::begin(&self.state, id, arrived);
         let router = self.state.router.load_full();
         let limits = router.as_ref().map(|r| r.limits).unwrap_or_default();
         let body = read_body(body, limits.body_bytes).await?;
@@ -168,6 +170,7 @@
         })?;
         let prompt = head.prompt.as_ref();
         let contents = RunContents::new(content, &service, customer.as_deref(), prompt);
+        in_flight.admitted(contents.request, arrived + wait);
         Ok(CallerRequest {
             route,
             priority: caller.and_then(|c| c.priority).unwrap_or(spec.priority),
@@ -183,7 +186,7 @@
             ran_at: RanAt::default(),
             forwarded: None,
             _running_forward: None,
-            _in_flight: in_flight,
+            in_flight,
             router,
         })
     }
--- a/crates/gateway/src/caller_request.rs
+++ b/crates/gateway/src/caller_request.rs
@@ -23,8 +23,8 @@
 use crate::caller_api::may_have_run;
 use crate::forward_api::RunningForward;
 use crate::forwarded_from::ForwardedFrom;
+use crate::open_requests::InFlight;
 use crate::ran_at::RanAt;
-use crate::state::InFlight;
 use crate::state::State;
 
 /// An admitted request of a caller, with its complete body.
@@ -49,8 +49,8 @@
     /// Set if another instance took the request from its caller.
     pub(crate) forwarded: Option<ForwardedFrom>,
     pub(crate) _running_forward: Option<RunningForward>,
-    /// Counts the request as in flight until it is dropped.
-    pub(crate) _in_flight: InFlight,
+    /// Keeps the request among those in flight, with what it waits for.
+    pub(crate) in_flight: InFlight,
 }
 
 impl CallerRequest {
--- a/crates/gateway/src/event_stream.rs
+++ b/crates/gateway/src/event_stream.rs
@@ -26,6 +26,7 @@
 use crate::active_attempt::ActiveAttempt;
 use crate::attempt::UpstreamResponse;
 use crate::caller_request::CallerRequest;
+use crate::open_requests::Wait;
 use crate::retry_state::RetryState;
 use crate::stage_results::StageResults;
 use crate::stage_runner::StageRunner;
@@ -123,6 +124,8 @@
     pub(crate) async fn next(mut self) -> Option<(Result<Bytes, BodyError>, EventStream)> {
         self.attempt.record_wait();
         loop {
+            let in_flight = &self.request.in_flight;
+            in_flight.waits_for(Wait::ResponseBody, self.attempt.id());
             let left = self.request.time_left(self.state.now());
             let wait = match self.attempt.forwarded_to() {
                 None if self.may_move_on() => left.min(STALL_TIMEOUT),
@@ -139,6 +142,7 @@
                 Some(Ok(Some(part))) => match self.splitter.push(&part) {
                     Some(events) => {
                         self.record_part(&events);
+                        self.request.in_flight.waits_for(Wait::Caller, "");
                         return Some((Ok(events), self));
                     }
                     None => continue,
--- a/crates/gateway/src/forward_client.rs
+++ b/crates/gateway/src/forward_client.rs
@@ -10,6 +10,7 @@
 
 use async_io::Timer;
 use compact_str::CompactString;
+use compact_str::ToCompactString;
 use futures_lite::FutureExt;
 use http::Request;
 use http::header::CONNECTION;
@@ -41,6 +42,7 @@
 use crate::forwarded_from;
 use crate::forwarded_from::ForwardedFrom;
 use crate::forwarded_refusal;
+use crate::open_requests::Wait;
 use crate::retry_state::RetryState;
 use crate::state::State;
 use crate::upstream_selection::NextSendError;
@@ -205,6 +207,8 @@
     on_write: impl Fn(),
 ) -> Forwarded {
     let guard = state.forwards.begin(state, target);
+    let instance = target.to_compact_string();
+    request.in_flight.waits_for(Wait::ResponseHead, &instance);
     let further_runs = from.further_runs;
     let began = state.now();
     let timeout = request.time_left(began) + DEADLINE_SLACK;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -20,6 +20,7 @@
 use jd_serving::Strength;
 use jd_settings::GatewaySettings;
 use jd_types::Incarnation;
+use jd_types::MonoTime;
 use snafu::ResultExt;
 use snafu::Snafu;
 
@@ -248,22 +249,40 @@
     /// in flight. Requests that cannot be finished are answered before the end. Returns when the
     /// last request is finished, or just before the grace period ends.
     pub async fn stop(&self) {
-        let began = self.state.now();
-        let plan = ShutdownPlan::new(began, self.state.settings.grace_period);
-        log::info!(in_flight = self.state.in_flight(); "stopping");
-        self.state.start_leaving(plan);
+        let state = &self.state;
+        let began = state.now();
+        let plan = ShutdownPlan::new(began, state.settings.grace_period);
+        log::info!(in_flight = state.open_requests.len(); "stopping");
+        state.start_leaving(plan);
         self.lease.withdraw().await;
-        while self.state.now() < plan.accept_until {
+        let withdrawn = state.now();
+        while state.now() < plan.accept_until {
             Timer::after(STOP_INTERVAL).await;
         }
-        self.callers
-            .stop(plan.exit_at.since(self.state.now()))
-            .await;
-        while self.state.is_running_forwards() && self.state.now() < plan.exit_at {
+        let accepted = state.now();
+        self.callers.stop(plan.exit_at.since(accepted)).await;
+        let answered = state.now();
+        while state.is_running_forwards() && state.now() < plan.exit_at {
             Timer::after(STOP_INTERVAL).await;
         }
-        let took = self.state.now().since(began).as_millis() as u64;
-        log::info!(in_flight = self.state.in_flight(), ms = took; "stopped");
+        self.log_stopped([began, withdrawn, accepted, answered, state.now()]);
+    }
+
+    /// Logs what the process leaves unfinished, and how long each step of the shutdown took, by the
+    /// times between them.
+    fn log_stopped(&self, [began, withdrawn, accepted, answered, ended]: [MonoTime; 5]) {
+        self.state.open_requests.log_left(ended);
+        let millis = |from: MonoTime, to: MonoTime| to.since(from).as_millis() as u64;
+        log::info!(
+            in_flight = self.state.open_requests.len(),
+            connections = self.callers.open_connections(),
+            withdrawing_ms = millis(began, withdrawn),
+            accepting_ms = millis(began, accepted),
+            requests_ms = millis(accepted, answered),
+            forwards_ms = millis(answered, ended),
+            ms = millis(began, ended);
+            "stopped"
+        );
     }
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -31,6 +31,7 @@
 mod limits;
 mod load_warnings;
 mod metrics;
+mod open_requests;
 mod owner_order;
 mod paces;
 mod path_checker;
--- a/crates/gateway/src/stage_runner.rs
+++ b/crates/gateway/src/stage_runner.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use async_io::Timer;
+use compact_str::ToCompactString;
 use futures_lite::FutureExt;
 use futures_lite::future::pending;
 use jd_net::with_timeout;
@@ -24,6 +25,7 @@
 use crate::caller_request::CallerRequest;
 use crate::job_waiter::JobOutcome;
 use crate::job_waiter::StageOutcome;
+use crate::open_requests::Wait;
 use crate::peer_client::PeerClient;
 use crate::result_release_queue::ResultReleaseQueue;
 use crate::stage_results::StageResults;
@@ -84,6 +86,7 @@
         prompt: Option<PromptDemand>,
     ) -> Result<StageResults, Refusal> {
         request.check_quarantine(&self.state, 0)?;
+        request.in_flight.waits_for(Wait::Stages, "");
         let quarantined = async { Err(request.until_quarantined(&self.state).await) };
         let ending = async {
             self.until_stages_end(request).await;
@@ -91,6 +94,7 @@
         };
         let running = self.run_or_place(request, prompt);
         let (owner, outcome) = running.or(quarantined).or(ending).await?;
+        request.in_flight.waits_for(Wait::Permit, "");
         Ok(StageResults::new(
             outcome,
             owner,
@@ -134,12 +138,12 @@
         job: &StageJob,
     ) -> Result<(SocketAddr, StageOutcome), Refusal> {
         let began = self.state.now();
-        let (mut owner, mut ended) = self.run_on_owners(job).await;
+        let (mut owner, mut ended) = self.run_on_owners(request, job).await;
         let mut moves = 0;
         while matches!(ended, Err(JobFailure::Moved)) && self.state.now() < job.deadline {
             moves += 1;
             Timer::after(MOVE_PAUSE).await;
-            (owner, ended) = self.run_on_owners(job).await;
+            (owner, ended) = self.run_on_owners(request, job).await;
         }
         let took = self.state.now().since(began);
         let outcome = match &ended {
@@ -161,7 +165,11 @@
     }
 
     /// Returns the owner that ran the stages, and their outcome.
-    async fn run_on_owners(&self, job: &StageJob) -> (SocketAddr, JobOutcome) {
+    async fn run_on_owners(
+        &self,
+        request: &CallerRequest,
+        job: &StageJob,
+    ) -> (SocketAddr, JobOutcome) {
         let me = self.state.own_entry.peer_address;
         let Some(shard) = self.shard(job) else {
             return (me, Err(JobFailure::NoUpstream));
@@ -169,6 +177,8 @@
         self.state.mark_shard_used(&shard);
         let mut is_owner = false;
         for owner in self.state.owner_order(&shard) {
+            let asked = owner.to_compact_string();
+            request.in_flight.waits_for(Wait::Stages, &asked);
             if owner == me {
                 is_owner = true;
                 break;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -46,6 +46,7 @@
 use crate::limiters::Limiters;
 use crate::limits::Limits;
 use crate::metrics::Metrics;
+use crate::open_requests::OpenRequests;
 use crate::paces::Paces;
 use crate::path_checker::OwnPath;
 use crate::peer_channels::PeerChannels;
@@ -124,7 +125,7 @@
     cluster: Mutex<ClusterState>,
     budgets: Mutex<HashMap<CompactString, RetryBudget>>,
     pub(crate) shutdown: Shutdown,
-    in_flight: AtomicUsize,
+    pub(crate) open_requests: OpenRequests,
 }
 
 impl State {
@@ -174,7 +175,7 @@
             cluster: Mutex::default(),
             budgets: Mutex::default(),
             shutdown: Shutdown::default(),
-            in_flight: AtomicUsize::new(0),
+            open_requests: OpenRequests::default(),
         }
     }
 
@@ -236,10 +237,6 @@
         plan.map_or(deadline, |plan| deadline.min(plan.stages_until))
     }
 
-    pub(crate) fn in_flight(&self) -> usize {
-        self.in_flight.load(Ordering::Relaxed)
-    }
-
     /// How long pieces wait at the owner of a shard, as last reported; none if the report has
     /// expired, so that an owner is not avoided because of an old report.
     pub(crate) fn backlog(&self, shard: &Shard) -> Option<Duration> {
@@ -274,12 +271,6 @@
         self.cluster().mirror.revision() > StoreRevision::ZERO
     }
 
-    /// Counts a request as in flight until the guard is dropped.
-    pub(crate) fn track_request(self: &Arc<Self>) -> InFlight {
-        self.in_flight.fetch_add(1, Ordering::Relaxed);
-        InFlight(Arc::clone(self))
-    }
-
     /// The number of instances that accept callers, including this one.
     pub(crate) fn instance_count(&self) -> u32 {
         let now = self.now();
@@ -428,13 +419,3 @@
         }
     }
 }
-
-/// Counts a request as in flight until it is dropped.
-#[derive(Debug)]
-pub(crate) struct InFlight(Arc<State>);
-
-impl Drop for InFlight {
-    fn drop(&mut self) {
-        self.0.in_flight.fetch_sub(1, Ordering::Relaxed);
-    }
-}
--- a/crates/gateway/src/unary_call.rs
+++ b/crates/gateway/src/unary_call.rs
@@ -22,6 +22,7 @@
 use crate::attempt::UpstreamResponse;
 use crate::caller_api::may_have_run;
 use crate::caller_request::CallerRequest;
+use crate::open_requests::Wait;
 use crate::retry_state::RetryState;
 use crate::state::State;
 use crate::upstream_selection::NextSendError;
@@ -129,6 +130,9 @@
     } = response;
     let headers = state.dialect.caller_headers(&http.headers);
     let framing = http.framing;
+    request
+        .in_flight
+        .waits_for(Wait::ResponseBody, attempt.id());
     let left = request.time_left(state.now());
     let restarted = async {
         attempt.until_restarted().await;
--- a/crates/gateway/tests/whole/fakes/mod.rs
+++ b/crates/gateway/tests/whole/fakes/mod.rs
@@ -9,6 +9,7 @@
 mod fake_store;
 mod fake_upstream;
 mod harness;
+pub(crate) mod log_lines;
 mod member;
 mod owners;
 pub(crate) mod path_fleet;
--- a/crates/gateway/tests/whole/stops.rs
+++ b/crates/gateway/tests/whole/stops.rs
@@ -9,6 +9,8 @@
 
 use crate::fakes::Harness;
 use crate::fakes::Reply;
+use crate::fakes::log_lines::record_warnings;
+use crate::fakes::log_lines::warnings_on;
 use crate::fakes::staged_deployment;
 
 /// Waits of a request that may outlast its instance.
@@ -53,3 +55,30 @@
         );
     });
 }
+
+/// Guards against a process that leaves a stream unfinished and does not say so.
+#[test]
+fn a_stream_that_is_unfinished_at_the_end_is_logged() {
+    record_warnings();
+    let parts = &["id: 1\ndata: a\n\n", "never"];
+    let reply = Reply::Pausing(parts, Duration::from_secs(60));
+    let harness = Arc::new(Harness::start(vec![vec![reply]]));
+    block_on(async {
+        harness.until_ready(true).await;
+        let caller = Arc::clone(&harness);
+        let response = harness.spawn(async move { caller.ask("/stream/x", "open-at-end").await });
+        while harness.upstreams[0].count() == 0 {
+            Timer::after(Duration::from_millis(2)).await;
+        }
+        harness.gateway.stop().await;
+        drop(response);
+        let lines = warnings_on("open-at-end");
+        let line = lines
+            .iter()
+            .find(|l| l.starts_with("request open at the end"));
+        let line = line.expect("a line on the request");
+        for value in ["waits_for=answer", "target=i-0", "answer=begun"] {
+            assert!(line.contains(value), "{line}");
+        }
+    });
+}
--- a/crates/net/src/http_server.rs
+++ b/crates/net/src/http_server.rs
@@ -156,6 +156,11 @@
         self.alive.close();
     }
 
+    /// The number of open connections.
+    pub fn open_connections(&self) -> usize {
+        self.open.load(Ordering::Relaxed)
+    }
+
     /// Shuts down gracefully: stops accepting connections and waits at most `timeout` for
     /// the open ones to finish their requests.
     pub async fn stop(&self, timeout: Duration) {
