Read what a caller still sends before its connection is closed

What callers see: a response ends early, with a reset, although the instance has written all of it. The kernel resets a connection that is closed while bytes of the other side are unread, and throws away what that side has not read of the response yet. It happens where a caller sends anything after a request whose response closes the connection, or where a request is refused before its body is read. A stop closes every connection that way, and callers that read slowly lose most.

A connection is now closed for writing first.

--- a/crates/net/src/http_server.rs
+++ b/crates/net/src/http_server.rs
@@ -29,7 +29,9 @@
 use smol_hyper::rt::SmolTimer;
 
 use crate::Body;
+use crate::lingering_close;
 use crate::lock;
+use crate::shared_socket::SharedSocket;
 use crate::write_stall_timeout::WriteStallTimeout;
 
 /// The future returned by a [`Handler`].
@@ -231,9 +233,14 @@
                 let response = Arc::clone(&handler).handle(req);
                 async move { Ok::<Response<Body>, Infallible>(response.await) }
             });
+            let socket = Arc::new(io);
+            let io = SharedSocket(Arc::clone(&socket));
             let io = FuturesIo::new(WriteStallTimeout::new(io, write_stall_timeout));
             let connection = builder.serve_connection(io, service);
-            let served = run_until_stopped(connection.into_owned(), stopped);
+            let served = async {
+                run_until_stopped(connection.into_owned(), stopped).await;
+                lingering_close::close(&socket).await;
+            };
             let server_dropped = async {
                 // Returns an error once the server is dropped, which is the signal.
                 let _ = dropped.recv().await;
@@ -266,7 +273,7 @@
 
 type ServedConnection<S> =
     auto::Connection<'static, ClientIo, S, SmolExecutor<Arc<Executor<'static>>>>;
-type ClientIo = FuturesIo<WriteStallTimeout<Async<TcpStream>>>;
+type ClientIo = FuturesIo<WriteStallTimeout<SharedSocket>>;
 
 /// Serves a connection. After the server is stopped, serves it only until its current
 /// requests are finished.
