End the wait for connections by the clock, and after the last accepted one

What callers see: an instance that is stopping is killed while requests are open, or ends before it has looked at a connection that the kernel had accepted. `HttpServer::stop` counted sleeps of 10 ms, each of which takes longer while the executor is busy, so that it ended after its timeout; and it waited for the count of open connections alone, which is zero until the acceptor has had its turn.

The wait is now one timeout, and ends when the acceptor and the last connection have dropped their end of a channel.

The load of the test is made up: how late real stops ended is not known.

--- a/crates/net/src/http_server.rs
+++ b/crates/net/src/http_server.rs
@@ -32,6 +32,7 @@
 use crate::lingering_close;
 use crate::lock;
 use crate::shared_socket::SharedSocket;
+use crate::with_timeout;
 use crate::write_stall_timeout::WriteStallTimeout;
 
 /// The future returned by a [`Handler`].
@@ -106,6 +107,8 @@
     alive: Sender<()>,
     stopping: Sender<()>,
     open: Arc<AtomicUsize>,
+    /// Closed by the last connection, or by the acceptor if that ends later.
+    ended: Receiver<()>,
     limits: Arc<Mutex<ServerLimits>>,
 }
 
@@ -122,6 +125,7 @@
         let open = Arc::new(AtomicUsize::new(0));
         let (stopping, stopped) = async_channel::bounded(1);
         let (alive, dropped) = async_channel::bounded(1);
+        let (serving, ended) = async_channel::bounded(1);
         let limits = Arc::new(Mutex::new(limits));
         let acceptor = Acceptor {
             executor: Arc::clone(&executor),
@@ -130,6 +134,7 @@
             open: Arc::clone(&open),
             stopped,
             dropped,
+            serving,
         };
         executor
             .spawn(acceptor.run_until_shutdown(listener))
@@ -139,6 +144,7 @@
             alive,
             stopping,
             open,
+            ended,
             limits,
         })
     }
@@ -167,12 +173,11 @@
     /// the open ones to finish their requests.
     pub async fn stop(&self, timeout: Duration) {
         self.stopping.close();
-        const POLL_INTERVAL: Duration = Duration::from_millis(10);
-        let mut left = timeout;
-        while self.open.load(Ordering::Relaxed) > 0 && !left.is_zero() {
-            Timer::after(POLL_INTERVAL).await;
-            left = left.saturating_sub(POLL_INTERVAL);
-        }
+        let ended = async {
+            // Returns an error once the acceptor and all connections have ended.
+            let _ = self.ended.recv().await;
+        };
+        with_timeout(timeout, ended).await;
     }
 }
 
@@ -183,6 +188,7 @@
     open: Arc<AtomicUsize>,
     stopped: Receiver<()>,
     dropped: Receiver<()>,
+    serving: Sender<()>,
 }
 
 impl Acceptor {
@@ -216,7 +222,10 @@
 
     fn serve(&self, io: Async<TcpStream>, number: ConnectionNumber, client: ClientAddress) {
         self.open.fetch_add(1, Ordering::Relaxed);
-        let guard = OpenGuard(Arc::clone(&self.open));
+        let guard = OpenGuard {
+            open: Arc::clone(&self.open),
+            _serving: self.serving.clone(),
+        };
         let builder = self.builder();
         let write_stall_timeout = lock(&self.limits).write_stall_timeout;
         let handler = Arc::clone(&self.handler);
@@ -301,10 +310,13 @@
 }
 
 /// Decrements the number of open connections when dropped.
-struct OpenGuard(Arc<AtomicUsize>);
+struct OpenGuard {
+    open: Arc<AtomicUsize>,
+    _serving: Sender<()>,
+}
 
 impl Drop for OpenGuard {
     fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
+        self.open.fetch_sub(1, Ordering::Relaxed);
     }
 }
--- a/crates/net/tests/stops.rs
+++ b/crates/net/tests/stops.rs
@@ -7,15 +7,18 @@
 use std::net::SocketAddr;
 use std::net::TcpStream;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use async_executor::Executor;
 use async_io::Timer;
 use futures_lite::future::block_on;
 use futures_lite::future::pending;
+use futures_lite::future::yield_now;
 use http::Request;
 use http::Response;
 use hyper::body::Incoming;
@@ -74,6 +77,65 @@
     HttpServer::start(Arc::clone(executor), any, limits, handler).expect("a server")
 }
 
+fn send(address: SocketAddr) -> TcpStream {
+    let mut client = TcpStream::connect(address).expect("a connection");
+    client
+        .set_read_timeout(Some(READ_TIMEOUT))
+        .expect("a timeout");
+    client.write_all(REQUEST).expect("a written request");
+    client
+}
+
+/// Guards against a stop that outlasts its process because it counts short waits, each of which
+/// takes longer while the executor is busy.
+#[test]
+fn a_stop_ends_at_its_timeout_on_a_busy_executor() {
+    let executor = Arc::new(Executor::new());
+    let answer = Answer::of(None);
+    let server = start(&executor, &answer);
+    let stopped = Arc::new(AtomicBool::new(false));
+    let has_stopped = Arc::clone(&stopped);
+    let busy = executor.spawn(async move {
+        while !has_stopped.load(Ordering::SeqCst) {
+            // Simulates work that blocks the executor.
+            thread::sleep(Duration::from_millis(50));
+            yield_now().await;
+        }
+    });
+    // A task of the executor takes turns with the others.
+    let stopping = executor.spawn(async move {
+        let _client = send(server.address());
+        answer.until_asked().await;
+        let began = Instant::now();
+        server.stop(Duration::from_millis(300)).await;
+        stopped.store(true, Ordering::SeqCst);
+        began.elapsed()
+    });
+    let took = block_on(executor.run(stopping));
+    block_on(executor.run(busy));
+    assert!(took >= Duration::from_millis(300), "{took:?}");
+    assert!(took < Duration::from_millis(600), "{took:?}");
+}
+
+/// Guards against requests that are lost with the connections that the kernel has accepted and
+/// the server has not.
+#[test]
+fn a_connection_opened_just_before_a_stop_is_served() {
+    let executor = Arc::new(Executor::new());
+    let answer = Answer::of(Some(10));
+    let server = start(&executor, &answer);
+    let mut client = block_on(executor.run(async {
+        // The server waits for connections from now on.
+        Timer::after(Duration::from_millis(20)).await;
+        let client = send(server.address());
+        server.stop(Duration::from_secs(5)).await;
+        client
+    }));
+    let mut received = Vec::new();
+    client.read_to_end(&mut received).expect("a response");
+    assert!(received.ends_with(&[7; 10]));
+}
+
 /// Guards against a response of which the kernel discards the end: it resets a connection that is
 /// closed while bytes of the client are unread.
 #[test]
