--- a/crates/gateway/src/event_stream.rs
+++ b/crates/gateway/src/event_stream.rs
@@ -23,6 +23,7 @@
 use crate::attempts::log_beside;
 use crate::not_resumed::NotResumed;
 use crate::not_resumed::StreamError;
+use crate::open_requests::Wait;
 use crate::stage_runner::StageRun;
 use crate::stage_runner::StageRunner;
 use crate::stream_attempt::BegunStream;
@@ -125,6 +126,8 @@
             return Some((Ok(events), self));
         }
         self.response.attempt.record_wait();
+        let in_flight = &self.cx.request.in_flight;
+        in_flight.waits_for(Wait::ResponseBody, self.response.attempt.id());
         loop {
             match self.decide() {
                 AttemptDecision::End => {
@@ -312,6 +315,7 @@
         self.longest_pause = self.longest_pause.max(pause);
         self.first.get_or_insert(now);
         self.last = Some(now);
+        self.cx.request.in_flight.waits_for(Wait::Caller, "");
         self.response.attempt.record_progress(events);
         // An upstream that sends events has read its inputs. Results take much storage; a
         // stream that resumes on another upstream has its stages run again.
--- a/crates/gateway/src/forward_client.rs
+++ b/crates/gateway/src/forward_client.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use async_io::Timer;
+use compact_str::ToCompactString;
 use futures_lite::FutureExt;
 use futures_lite::future;
 use http::Request;
@@ -37,6 +38,7 @@
 use crate::forwarded_from::ForwardedFrom;
 use crate::next_send::NextSend;
 use crate::next_send::NextSendError;
+use crate::open_requests::Wait;
 use crate::state::State;
 
 /// Instances that may fail to take a request, or to respond, until it is forwarded no more.
@@ -229,6 +231,8 @@
 ) -> Forwarded {
     let AttemptContext { state, request, .. } = cx;
     let guard = state.forwards.begin(state, target);
+    let instance = target.to_compact_string();
+    request.in_flight.waits_for(Wait::ResponseHead, &instance);
     let further_runs = from.further_runs;
     let began = state.now();
     let timeout = request.time_left(began) + DEADLINE_SLACK;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -36,6 +36,7 @@
 mod metrics;
 mod next_send;
 mod not_resumed;
+mod open_requests;
 mod owner_order;
 mod paces;
 mod path_checker;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -45,6 +45,7 @@
 use crate::limiters::Limiters;
 use crate::limits::Limits;
 use crate::metrics::Metrics;
+use crate::open_requests::OpenRequests;
 use crate::paces::Paces;
 use crate::path_checker::OwnPath;
 use crate::peer_channels::PeerChannels;
@@ -123,7 +124,7 @@
     cluster: Mutex<ClusterState>,
     budgets: Mutex<HashMap<CompactString, RetryBudget>>,
     pub(crate) shutdown: Shutdown,
-    in_flight: AtomicUsize,
+    pub(crate) open_requests: OpenRequests,
 }
 
 impl State {
@@ -174,7 +175,7 @@
             cluster: Mutex::default(),
             budgets: Mutex::default(),
             shutdown: Shutdown::default(),
-            in_flight: AtomicUsize::new(0),
+            open_requests: OpenRequests::default(),
         }
     }
 
@@ -236,10 +237,6 @@
         plan.map_or(deadline, |plan| deadline.min(plan.stages_until))
     }
 
-    pub(crate) fn in_flight(&self) -> usize {
-        self.in_flight.load(Ordering::Relaxed)
-    }
-
     /// The source from which this instance receives store updates.
     pub(crate) fn update_source(&self) -> UpdateSource {
         let now = self.now();
@@ -263,12 +260,6 @@
         self.cluster().mirror.revision() > StoreRevision::ZERO
     }
 
-    /// Counts a request as in flight until the guard is dropped.
-    pub(crate) fn track_request(self: &Arc<Self>) -> InFlight {
-        self.in_flight.fetch_add(1, Ordering::Relaxed);
-        InFlight(Arc::clone(self))
-    }
-
     /// The number of instances that accept callers, including this one.
     pub(crate) fn instance_count(&self) -> u32 {
         let now = self.now();
@@ -386,13 +377,3 @@
         }
     }
 }
-
-/// Counts a request as in flight until it is dropped.
-#[derive(Debug)]
-pub(crate) struct InFlight(Arc<State>);
-
-impl Drop for InFlight {
-    fn drop(&mut self) {
-        self.0.in_flight.fetch_sub(1, Ordering::Relaxed);
-    }
-}
--- a/crates/gateway/src/unary_call.rs
+++ b/crates/gateway/src/unary_call.rs
@@ -30,6 +30,7 @@
 use crate::next_send::NextSend;
 use crate::next_send::NextSendError;
 use crate::next_send::send_to_next_upstream;
+use crate::open_requests::Wait;
 use crate::retry_state::RetryState;
 use crate::state::State;
 use crate::upstream_selection::backoff_retry_after;
@@ -176,6 +177,9 @@
     } = response;
     let headers = state.dialect.caller_headers(&http.headers);
     let framing = http.framing;
+    request
+        .in_flight
+        .waits_for(Wait::ResponseBody, attempt.id());
     let left = request.time_left(state.now());
     let restarted = async {
         attempt.until_restarted().await;
--- a/crates/net/src/http_server.rs
+++ b/crates/net/src/http_server.rs
@@ -30,7 +30,10 @@
 
 use crate::Body;
 use crate::limited_read::LimitedRead;
+use crate::lingering_close;
 use crate::lock;
+use crate::shared_socket::SharedSocket;
+use crate::with_timeout;
 use crate::write_stall_timeout::WriteStallTimeout;
 
 /// The future returned by a [`Handler`].
@@ -105,6 +108,8 @@
     alive: Sender<()>,
     stopping: Sender<()>,
     open: Arc<AtomicUsize>,
+    /// Closed by the last connection, or by the acceptor if that ends later.
+    ended: Receiver<()>,
     limits: Arc<Mutex<ServerLimits>>,
 }
 
@@ -121,6 +126,7 @@
         let open = Arc::new(AtomicUsize::new(0));
         let (stopping, stopped) = async_channel::bounded(1);
         let (alive, dropped) = async_channel::bounded(1);
+        let (serving, ended) = async_channel::bounded(1);
         let limits = Arc::new(Mutex::new(limits));
         let acceptor = Acceptor {
             executor: Arc::clone(&executor),
@@ -129,6 +135,7 @@
             open: Arc::clone(&open),
             stopped,
             dropped,
+            serving,
         };
         executor
             .spawn(acceptor.run_until_shutdown(listener))
@@ -138,6 +145,7 @@
             alive,
             stopping,
             open,
+            ended,
             limits,
         })
     }
@@ -157,16 +165,20 @@
         self.alive.close();
     }
 
+    /// The number of open connections.
+    pub fn open_connections(&self) -> usize {
+        self.open.load(Ordering::Relaxed)
+    }
+
     /// Shuts down gracefully: stops accepting connections and waits at most `timeout` for
     /// the open ones to finish their requests.
     pub async fn stop(&self, timeout: Duration) {
         self.stopping.close();
-        const POLL_INTERVAL: Duration = Duration::from_millis(10);
-        let mut left = timeout;
-        while self.open.load(Ordering::Relaxed) > 0 && !left.is_zero() {
-            Timer::after(POLL_INTERVAL).await;
-            left = left.saturating_sub(POLL_INTERVAL);
-        }
+        let ended = async {
+            // Returns an error once the acceptor and all connections have ended.
+            let _ = self.ended.recv().await;
+        };
+        with_timeout(timeout, ended).await;
     }
 }
 
@@ -177,6 +189,7 @@
     open: Arc<AtomicUsize>,
     stopped: Receiver<()>,
     dropped: Receiver<()>,
+    serving: Sender<()>,
 }
 
 impl Acceptor {
@@ -210,7 +223,10 @@
 
     fn serve(&self, io: Async<TcpStream>, number: ConnectionNumber, client: ClientAddress) {
         self.open.fetch_add(1, Ordering::Relaxed);
-        let guard = OpenGuard(Arc::clone(&self.open));
+        let guard = OpenGuard {
+            open: Arc::clone(&self.open),
+            _serving: self.serving.clone(),
+        };
         let builder = self.builder();
         let write_stall_timeout = lock(&self.limits).write_stall_timeout;
         let handler = Arc::clone(&self.handler);
@@ -227,10 +243,15 @@
                 let response = Arc::clone(&handler).handle(req);
                 async move { Ok::<Response<Body>, Infallible>(response.await) }
             });
+            let socket = Arc::new(io);
+            let io = SharedSocket(Arc::clone(&socket));
             let io = LimitedRead::new(WriteStallTimeout::new(io, write_stall_timeout), None);
             let io = FuturesIo::new(io);
             let connection = builder.serve_connection(io, service);
-            let served = run_until_stopped(connection.into_owned(), stopped);
+            let served = async {
+                run_until_stopped(connection.into_owned(), stopped).await;
+                lingering_close::close(&socket).await;
+            };
             let server_dropped = async {
                 // Returns an error once the server is dropped, which is the signal.
                 let _ = dropped.recv().await;
@@ -263,7 +284,7 @@
 
 type ServedConnection<S> =
     auto::Connection<'static, ClientIo, S, SmolExecutor<Arc<Executor<'static>>>>;
-type ClientIo = FuturesIo<LimitedRead<WriteStallTimeout<Async<TcpStream>>>>;
+type ClientIo = FuturesIo<LimitedRead<WriteStallTimeout<SharedSocket>>>;
 
 /// Serves a connection. After the server is stopped, serves it only until its current
 /// requests are finished.
@@ -291,10 +312,13 @@
 }
 
 /// Decrements the number of open connections when dropped.
-struct OpenGuard(Arc<AtomicUsize>);
+struct OpenGuard {
+    open: Arc<AtomicUsize>,
+    _serving: Sender<()>,
+}
 
 impl Drop for OpenGuard {
     fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
+        self.open.fetch_sub(1, Ordering::Relaxed);
     }
 }
