--- a/crates/gateway/src/event_stream.rs
+++ b/crates/gateway/src/event_stream.rs
@@ -15,7 +15,6 @@
 use jd_serving::SoftwareVersion;
 use jd_serving::abandon_gap;
 use jd_types::AttemptOutcome;
-use jd_types::MonoTime;
 
 use crate::attempts::AttemptClock;
 use crate::attempts::AttemptContext;
@@ -24,6 +23,7 @@
 use crate::not_resumed::NotResumed;
 use crate::not_resumed::StreamError;
 use crate::open_requests::Wait;
+use crate::passed_on::PassedOn;
 use crate::stage_runner::StageRun;
 use crate::stage_runner::StageRunner;
 use crate::stream_attempt::BegunStream;
@@ -77,12 +77,7 @@
     /// True once nothing follows.
     has_ended: bool,
     binding: StreamBinding,
-    events: u64,
-    /// When the first and the last events were passed on.
-    first: Option<MonoTime>,
-    last: Option<MonoTime>,
-    /// The longest time between two parts that were passed on.
-    longest_pause: Duration,
+    passed_on: PassedOn,
 }
 
 impl EventStream {
@@ -109,10 +104,7 @@
             outcome: AttemptOutcome::TimedOut,
             has_ended: false,
             binding,
-            events: 0,
-            first: None,
-            last: None,
-            longest_pause: Duration::ZERO,
+            passed_on: PassedOn::default(),
         }
     }
 
@@ -169,7 +161,7 @@
             // leaves it to others.
             None => {
                 let route = request.route();
-                let last = self.last.unwrap_or(request.arrived);
+                let last = self.passed_on.last.unwrap_or(request.arrived);
                 let abandoned = last + abandon_gap(route.objective, route.event_gap);
                 let until = request.deadline.min(abandoned);
                 let stop = state.shutdown.plan().map(|plan| plan.unsent_until);
@@ -261,7 +253,8 @@
         let now = self.cx.state.now();
         if self.response.is_open() {
             let silent = Evidence::Silent;
-            self.response.log_given_up(&self.cx, silent, self.events);
+            self.response
+                .log_given_up(&self.cx, silent, self.passed_on.parts);
             self.cx.state.metrics.parallel_attempt("later-answered");
         }
         self.attempts.cancel_all();
@@ -292,7 +285,7 @@
             content:% = self.cx.request.contents.request,
             upstream = self.response.attempt.id(),
             attempts = self.attempts.len(),
-            parts = self.events;
+            parts = self.passed_on.parts;
             "silent upstream goes on; attempts beside it are ended"
         );
         self.cx.state.metrics.parallel_attempt("earlier-answered");
@@ -300,7 +293,8 @@
     }
 
     fn drop_broken(&mut self, evidence: Evidence) {
-        self.response.log_given_up(&self.cx, evidence, self.events);
+        self.response
+            .log_given_up(&self.cx, evidence, self.passed_on.parts);
         self.response.attempt.report_broken();
         self.response.close();
         self.outcome = AttemptOutcome::Truncated;
@@ -309,12 +303,7 @@
 
     fn record_part(&mut self, events: &[u8]) {
         self.binding.bind(&self.cx, &self.response.attempt);
-        self.events += 1;
-        let now = self.cx.state.now();
-        let pause = now.since(self.last.unwrap_or(now));
-        self.longest_pause = self.longest_pause.max(pause);
-        self.first.get_or_insert(now);
-        self.last = Some(now);
+        self.passed_on.record(self.cx.state.now());
         self.cx.request.in_flight.waits_for(Wait::Caller, "");
         self.response.attempt.record_progress(events);
         // An upstream that sends events has read its inputs. Results take much storage; a
@@ -352,16 +341,16 @@
         state.metrics.stream_end(framing.as_str());
         let request = &self.cx.request;
         let took = state.now().since(request.arrived);
-        let first = self.first.map(|at| at.since(request.arrived));
+        let first = self.passed_on.first.map(|at| at.since(request.arrived));
         let tokens = request.head.prompt.as_ref().map(|p| p.tokens_in);
         log::info!(
             request = request.id(),
             route = request.route().name.as_str(),
             upstream = self.response.attempt.id(),
             tokens:? = tokens,
-            parts = self.events,
+            parts = self.passed_on.parts,
             first_ms:? = first.map(|d| d.as_millis() as u64),
-            pause_ms = self.longest_pause.as_millis() as u64,
+            pause_ms = self.passed_on.longest_pause.as_millis() as u64,
             framing = self.response.framing.as_str(),
             partial_bytes = self.response.splitter.partial_bytes(),
             ms = took.as_millis() as u64;
@@ -389,7 +378,7 @@
             detail,
             since_last_ms = self.response.silent_for(state.now()).as_millis() as u64,
             left_ms = self.cx.time_left().as_millis() as u64,
-            parts = self.events,
+            parts = self.passed_on.parts,
             last_event:? = self.response.splitter.last_event(),
             framing = self.response.framing.as_str(),
             partial_bytes = self.response.splitter.partial_bytes(),
--- a/crates/gateway/src/stage_runner.rs
+++ b/crates/gateway/src/stage_runner.rs
@@ -18,7 +18,6 @@
 use jd_types::MonoTime;
 use jd_types::Name;
 use jd_types::Refusal;
-use jd_types::RefusalKind;
 
 use crate::batch_dispatcher::BatchDispatcher;
 use crate::caller_api::stopping;
@@ -28,6 +27,8 @@
 use crate::open_requests::Wait;
 use crate::peer_client::PeerClient;
 use crate::result_release_queue::ResultReleaseQueue;
+use crate::stage_failures::failure_name;
+use crate::stage_failures::refusal_for;
 use crate::stage_results::StageResults;
 use crate::state::State;
 
@@ -48,11 +49,6 @@
 /// How long a request without stages waits for the owner of a shard to select its upstream: several
 /// round trips between availability zones, and a twentieth of the shortest objective of prompts.
 const PLACEMENT_TIMEOUT: Duration = Duration::from_millis(50);
-/// The retry time if no upstream is listed: entries that expired during a store outage are
-/// back within two seconds, most of them within one.
-const NO_UPSTREAM_RETRY: Duration = Duration::from_millis(1_200);
-/// The retry time after stages failed.
-const FAILED_RETRY: Duration = Duration::from_millis(500);
 
 /// Why the stages of a request run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -371,51 +367,3 @@
     let waited = abandoned.min(request.deadline.since(request.arrived));
     request.arrived + waited * STAGES_PERCENT / 100
 }
-
-/// The name of a failure in logs and metrics.
-const fn failure_name(failure: JobFailure) -> &'static str {
-    match failure {
-        JobFailure::WouldMiss(_) => "would-miss",
-        JobFailure::TooLate => "too-late",
-        JobFailure::NoUpstream => "no-upstream",
-        JobFailure::PieceFailed => "piece-failed",
-        JobFailure::Moved => "moved",
-        JobFailure::Quarantined(_) => "quarantined",
-    }
-}
-
-fn refusal_for(failure: JobFailure) -> Refusal {
-    let (kind, wait, detail) = match failure {
-        JobFailure::WouldMiss(wait) => (
-            RefusalKind::WouldMiss,
-            wait,
-            "the stages would end after the deadline",
-        ),
-        JobFailure::TooLate => (
-            RefusalKind::WouldMiss,
-            FAILED_RETRY,
-            "the stages did not end before the deadline",
-        ),
-        JobFailure::NoUpstream => (
-            RefusalKind::NoUpstream,
-            NO_UPSTREAM_RETRY,
-            "no upstream does one of the stages",
-        ),
-        JobFailure::PieceFailed => (
-            RefusalKind::Overloaded,
-            FAILED_RETRY,
-            "a piece of a stage failed too often",
-        ),
-        JobFailure::Quarantined(left) => (
-            RefusalKind::Quarantined,
-            left,
-            "upstreams that ran this request ended, one after the other",
-        ),
-        JobFailure::Moved => (
-            RefusalKind::Overloaded,
-            FAILED_RETRY,
-            "the instance that does stages changed until the deadline",
-        ),
-    };
-    Refusal::not_run(kind, detail).with_retry_after(wait)
-}
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -33,6 +33,7 @@
 mod instance_directory;
 mod instance_entry;
 mod instance_selection;
+mod job_progress;
 mod open_call;
 mod path_monitor;
 mod placement;
--- a/crates/serving/src/scheduled_job.rs
+++ b/crates/serving/src/scheduled_job.rs
@@ -8,7 +8,7 @@
 use crate::PieceInput;
 use crate::PieceKey;
 use crate::PieceRequest;
-use crate::stage_job::JobProgress;
+use crate::job_progress::JobProgress;
 
 /// One job of the scheduler: its progress, and the failures so far.
 #[derive(Debug)]
--- a/crates/serving/src/scheduler_estimates.rs
+++ b/crates/serving/src/scheduler_estimates.rs
@@ -8,9 +8,9 @@
 use crate::JobFailure;
 use crate::JobKey;
 use crate::StageScheduler;
+use crate::job_progress::JobProgress;
 use crate::rank::Feasibility;
 use crate::scheduled_job::ScheduledJob;
-use crate::stage_job::JobProgress;
 
 /// The part of its slack, in percent, by which a stage is delayed that runs in parallel to a longer
 /// chain of stages. If the stage ran at once, its results would occupy storage until the chain
--- a/crates/serving/src/scheduler_zones.rs
+++ b/crates/serving/src/scheduler_zones.rs
@@ -6,8 +6,8 @@
 
 use crate::JobKey;
 use crate::StageScheduler;
+use crate::job_progress::JobProgress;
 use crate::scheduled_job::ScheduledJob;
-use crate::stage_job::JobProgress;
 
 /// The part of its slack, in percent, that a piece waits for an upstream in its preferred zone, if
 /// one will be available by then. Every piece reads all of its inputs, so a stage in another zone
--- a/crates/serving/src/stage_flow/short_slack.rs
+++ b/crates/serving/src/stage_flow/short_slack.rs
@@ -5,7 +5,7 @@
 use jd_types::MonoTime;
 
 use crate::StageScheduler;
-use crate::stage_job::JobProgress;
+use crate::job_progress::JobProgress;
 
 /// A job can't wait if its slack is less than this part of a full call's time, in percent.
 ///
--- a/crates/serving/src/stage_scheduler.rs
+++ b/crates/serving/src/stage_scheduler.rs
@@ -15,6 +15,7 @@
 use crate::PieceKey;
 use crate::StageJob;
 use crate::estimate_bias::EstimateBias;
+use crate::job_progress::JobProgress;
 use crate::open_call::OpenCall;
 use crate::open_call::PendingRelease;
 use crate::rank::Feasibility;
@@ -26,7 +27,6 @@
 use crate::scheduler_results::SHARED_PERIOD;
 use crate::stage_handover::ResultHandover;
 use crate::stage_handover::Transfers;
-use crate::stage_job::JobProgress;
 use crate::stage_queue::QueuedPiece;
 use crate::stage_queue::StageQueue;
 
