--- a/crates/explain/src/cause.rs
+++ b/crates/explain/src/cause.rs
@@ -25,8 +25,10 @@
     UpstreamTimedOut,
     /// An upstream failed.
     UpstreamFailed,
-    /// The answer was cut off.
+    /// The answer was cut off, because its upstream broke off and no other one went on.
     Truncated,
+    /// The answer was cut off at its deadline.
+    TruncatedAtDeadline,
     /// Unanswered, or its answer unfinished, when its instance ended.
     OpenAtEnd,
     /// Answered late; the stages took more than half of the time.
@@ -43,7 +45,7 @@
 
 impl Cause {
     /// Every cause, in the order of the table.
-    pub const ALL: [Cause; 17] = [
+    pub const ALL: [Cause; 18] = [
         Cause::WouldMiss,
         Cause::StagesTimedOut,
         Cause::Overloaded,
@@ -55,6 +57,7 @@
         Cause::UpstreamTimedOut,
         Cause::UpstreamFailed,
         Cause::Truncated,
+        Cause::TruncatedAtDeadline,
         Cause::OpenAtEnd,
         Cause::LateByStages,
         Cause::LateByUpstream,
@@ -77,6 +80,7 @@
             Cause::UpstreamTimedOut => "silent",
             Cause::UpstreamFailed => "failed",
             Cause::Truncated => "cut",
+            Cause::TruncatedAtDeadline => "cut-at-deadline",
             Cause::OpenAtEnd => "open-at-end",
             Cause::LateByStages => "late-stages",
             Cause::LateByUpstream => "late-upstream",
@@ -91,6 +95,9 @@
     pub fn of(line: &LogLine) -> Option<Cause> {
         match line.message.as_str() {
             "refused" => Some(Cause::of_refusal(line)),
+            "stream cut off" if line.text_value("reason") == Some("deadline") => {
+                Some(Cause::TruncatedAtDeadline)
+            }
             "stream cut off" => Some(Cause::Truncated),
             "request open at the end" => Some(Cause::OpenAtEnd),
             _ => None,
--- a/crates/explain/tests/explain.rs
+++ b/crates/explain/tests/explain.rs
@@ -245,3 +245,16 @@
         assert!(text.contains(expected), "{text}");
     }
 }
+
+/// Guards against one cause for streams whose time was over and those that nothing went on with.
+#[test_case(r#""outcome":"truncated","reason":"no-run-left""#, Cause::Truncated; "not resumed")]
+#[test_case(r#""outcome":"timed-out","reason":"deadline""#, Cause::TruncatedAtDeadline; "at the deadline")]
+#[test_case(r#""outcome":"truncated""#, Cause::Truncated; "without a reason")]
+fn a_stream_that_is_cut_off_has_a_cause(values: &str, cause: Cause) {
+    let values = format!(r#""request":"r1",{values}"#);
+    let counted = breakdown(
+        &[line("01.5", "stream cut off", &values)],
+        &LateThresholds::default(),
+    );
+    assert_eq!(counted.count_of(cause), 1);
+}
