Remove the entry of a stopping instance beside the rest of its stop

What operators see: with a store that accepts connections and does not answer, a stop waits up to 1.5 s for the removal of the entry before it does anything else. With a grace period of 1 s the process is killed before it has refused what it holds. And an entry that could not be removed at the first try stayed: callers were sent to an instance that was gone until others removed it, which they cannot while the store is away.

The task that keeps the entry now also removes it, after its last call, and tries again each second until the process ends. Nothing waits for it, and an instance that is stopping writes no entry, also after its lease was lost.

Without the second try the_entry_is_removed_once_the_store_answers_again fails.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -62,8 +62,8 @@
     head_bytes: 64 << 10,
     ..ServerLimits::DEFAULT
 };
-/// The interval at which a shutdown checks the time.
-const STOP_INTERVAL: Duration = Duration::from_millis(50);
+/// The interval at which a shutdown checks whether requests of other instances still run.
+const STOP_INTERVAL: Duration = Duration::from_millis(10);
 
 /// The error of a gateway that could not start.
 #[derive(Debug, Snafu)]
@@ -153,9 +153,7 @@
         let version_recorder = Arc::new(VersionRecorder {
             link: Arc::clone(&link),
         });
-        let lease = Arc::new(StoreLease {
-            link: Arc::clone(&link),
-        });
+        let lease = Arc::new(StoreLease::new(Arc::clone(&link)));
         let poller = Arc::new(RevisionPoller {
             link: Arc::clone(&link),
         });
@@ -168,7 +166,7 @@
             applier: Arc::clone(&applier),
         };
         let follower = Arc::new(StoreFollower {
-            link,
+            link: Arc::clone(&link),
             applier,
             reader,
             peers: Arc::clone(&peers),
@@ -205,7 +203,7 @@
             listen(&state, s.peers, PEER_LIMITS, peer_handler)?,
         ];
         let applying = apply_limits(Arc::clone(&state), Arc::clone(&callers));
-        let reporting = Arc::clone(&lease.link).log_call_counts();
+        let reporting = Arc::clone(&link).log_call_counts();
         let tasks = vec![
             executor.spawn(applying),
             executor.spawn(Arc::clone(&follower).follow()),
@@ -244,8 +242,8 @@
         })
     }
 
-    /// Shuts down gracefully. The instance is removed from address responses at once, goes on
-    /// accepting callers that cached its address for a while, and then only finishes requests
+    /// Shuts down gracefully. The instance is removed from address responses at once, whether or
+    /// not the store answers, goes on accepting callers that cached its address for a while, and then only finishes requests
     /// in flight. Requests that cannot be finished are answered before the end. Returns when the
     /// last request is finished, or just before the grace period ends.
     pub async fn stop(&self) {
@@ -254,29 +252,27 @@
         let plan = ShutdownPlan::new(began, state.settings.grace_period);
         log::info!(in_flight = state.open_requests.len(); "stopping");
         state.start_leaving(plan);
-        self.lease.withdraw().await;
-        let withdrawn = state.now();
-        while state.now() < plan.accept_until {
-            Timer::after(STOP_INTERVAL).await;
-        }
+        let until_accepted = state.shutdown.until(state.clock, |plan| plan.accept_until);
+        until_accepted.await;
         let accepted = state.now();
         self.callers.stop(plan.exit_at.since(accepted)).await;
         let answered = state.now();
         while state.is_running_forwards() && state.now() < plan.exit_at {
             Timer::after(STOP_INTERVAL).await;
         }
-        self.log_stopped([began, withdrawn, accepted, answered, state.now()]);
+        self.log_stopped([began, accepted, answered, state.now()]);
     }
 
     /// Logs what the process leaves unfinished, and how long each step of the shutdown took, by the
     /// times between them.
-    fn log_stopped(&self, [began, withdrawn, accepted, answered, ended]: [MonoTime; 5]) {
+    fn log_stopped(&self, [began, accepted, answered, ended]: [MonoTime; 4]) {
         self.state.open_requests.log_left(ended);
         let millis = |from: MonoTime, to: MonoTime| to.since(from).as_millis() as u64;
+        let withdrawn = self.lease.withdrawn_at();
         log::info!(
             in_flight = self.state.open_requests.len(),
             connections = self.callers.open_connections(),
-            withdrawing_ms = millis(began, withdrawn),
+            withdrawn_ms:? = withdrawn.map(|at| millis(began, at)),
             accepting_ms = millis(began, accepted),
             requests_ms = millis(accepted, answered),
             forwards_ms = millis(answered, ended),
--- a/crates/gateway/src/shutdown.rs
+++ b/crates/gateway/src/shutdown.rs
@@ -32,6 +32,11 @@
         self.plan.get().copied()
     }
 
+    /// Returns once this instance is stopping.
+    pub(crate) async fn wait_begun(&self) {
+        self.begun.wait().await;
+    }
+
     /// Returns once this instance is stopping and a time of its plan has come.
     pub(crate) async fn until(&self, clock: Clock, time: impl Fn(&ShutdownPlan) -> MonoTime) {
         self.begun.wait().await;
--- a/crates/gateway/src/store_lease.rs
+++ b/crates/gateway/src/store_lease.rs
@@ -2,10 +2,13 @@
 //! not answer.
 
 use std::sync::Arc;
+use std::sync::OnceLock;
 use std::time::Duration;
 
 use async_io::Timer;
+use futures_lite::FutureExt;
 use jd_serving::UnresponsiveInstance;
+use jd_types::MonoTime;
 
 use crate::LeaseId;
 use crate::StoreError;
@@ -34,17 +37,28 @@
 /// answering, those that monitor it remove the entry long before the lease expires.
 #[derive(Debug)]
 pub(crate) struct StoreLease {
-    pub(crate) link: Arc<StoreLink>,
+    link: Arc<StoreLink>,
+    /// When the entry was removed.
+    withdrawn_at: OnceLock<MonoTime>,
 }
 
 impl StoreLease {
-    /// Keeps the entry in the store until this instance leaves. It is written only after
-    /// the other entries were read, so that it can replace those of earlier starts.
+    pub(crate) fn new(link: Arc<StoreLink>) -> StoreLease {
+        StoreLease {
+            link,
+            withdrawn_at: OnceLock::new(),
+        }
+    }
+
+    /// Keeps the entry in the store until this instance leaves, and then removes it. It is
+    /// written only after the other entries were read, so that it can replace those of earlier
+    /// starts.
     pub(crate) async fn keep_registered(self: Arc<Self>) {
         let state = &self.link.state;
-        state.instances_listed.wait().await;
+        let leaving = state.shutdown.wait_begun();
+        state.instances_listed.wait().or(leaving).await;
         let mut registration = Registration::default();
-        loop {
+        while !state.is_leaving() {
             let had_lease = registration.lease.is_some();
             let pause = match self.renew_or_write(&mut registration).await {
                 Ok(()) => state.settings.lease / 3,
@@ -62,22 +76,44 @@
                     RETRY_PAUSE
                 }
             };
-            if state.own_entry_removed.wait_timeout(pause).await && !state.is_leaving() {
+            let leaving = async {
+                state.shutdown.wait_begun().await;
+                false
+            };
+            let removed = state.own_entry_removed.wait_timeout(pause);
+            if removed.or(leaving).await && !state.is_leaving() {
                 log::info!("own entry was removed; writing it again");
                 registration.written = false;
             }
         }
+        self.withdraw().await;
     }
 
-    /// Removes the entry.
-    pub(crate) async fn withdraw(&self) {
-        let me = self.link.state.own_entry.incarnation;
-        let withdrawing = self.link.store.withdraw(me);
-        let ended = self
-            .link
-            .call(StoreCall::Withdraw, CALL_TIMEOUT, withdrawing);
-        if let Err(e) = ended.await {
-            log::info!(error:% = e; "own entry could not be removed; other instances will remove it");
+    /// When the entry was removed; none if it may still be in the store.
+    pub(crate) fn withdrawn_at(&self) -> Option<MonoTime> {
+        self.withdrawn_at.get().copied()
+    }
+
+    /// Removes the entry. Tries again until the process ends: other instances remove it only
+    /// once this one no longer answers.
+    async fn withdraw(&self) {
+        let state = &self.link.state;
+        let me = state.own_entry.incarnation;
+        loop {
+            let withdrawing = self.link.store.withdraw(me);
+            let ended = self
+                .link
+                .call(StoreCall::Withdraw, CALL_TIMEOUT, withdrawing);
+            match ended.await {
+                Ok(()) => {
+                    self.withdrawn_at.get_or_init(|| state.now());
+                    return;
+                }
+                Err(e) => {
+                    log::info!(error:% = e; "own entry could not be removed; trying again");
+                    Timer::after(RETRY_PAUSE).await;
+                }
+            }
         }
     }
 
--- a/crates/gateway/tests/whole/fakes/fake_store.rs
+++ b/crates/gateway/tests/whole/fakes/fake_store.rs
@@ -163,6 +163,13 @@
         written.collect()
     }
 
+    /// True once an instance has removed its entry.
+    #[allow(dead_code, reason = "used by the tests of stops")]
+    pub(crate) fn is_withdrawn(&self) -> bool {
+        let log = self.log.changes.lock().expect("a lock");
+        log.iter().any(|c| matches!(c, Change::InstanceRemoved(_)))
+    }
+
     /// True once a watch waits for changes after the last one.
     pub(crate) fn is_caught_up(&self) -> bool {
         self.watched_after.load(Ordering::Relaxed) >= self.revision_number()
--- a/crates/gateway/tests/whole/stops.rs
+++ b/crates/gateway/tests/whole/stops.rs
@@ -82,3 +82,21 @@
         }
     });
 }
+
+/// Guards against an entry that stays in the store because it could not be removed at once.
+#[test]
+fn the_entry_is_removed_once_the_store_answers_again() {
+    let harness = Arc::new(Harness::start(vec![vec![Reply::Complete("a")]]));
+    block_on(async {
+        harness.until_ready(true).await;
+        harness.until_announced(1).await;
+        harness.store.set_unavailable(true);
+        let stopped = Arc::clone(&harness);
+        let stopping = harness.spawn(async move { stopped.gateway.stop().await });
+        harness.until_ready(false).await;
+        Timer::after(Duration::from_millis(300)).await;
+        harness.store.set_unavailable(false);
+        stopping.await;
+        assert!(harness.store.is_withdrawn());
+    });
+}
