Write the responses to other instances before a stopping process exits

What callers see: an instance without a path to upstreams forwards their request to one that is stopping soon after. The upstream answers, the instance that ran it counts the request as ended once it has the response itself, and the process exits with the rest of the response unwritten. The caller's request counts as run and ends as a failure, or, for a stream, cut off.

The server for other instances is now stopped like the one for callers, last and for 200 ms at most: its connections also carry calls that wait for news.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -64,6 +64,9 @@
 };
 /// The interval at which a shutdown checks whether requests of other instances still run.
 const STOP_INTERVAL: Duration = Duration::from_millis(10);
+/// How long a shutdown waits for the responses to other instances to be written. Their connections
+/// also carry calls that wait for news, and end with the process.
+const PEER_WRITE_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// The error of a gateway that could not start.
 #[derive(Debug, Snafu)]
@@ -78,6 +81,7 @@
     state: Arc<State>,
     lease: Arc<StoreLease>,
     callers: Arc<HttpServer>,
+    peers: HttpServer,
     _servers: Vec<HttpServer>,
     _tasks: Vec<Task<()>>,
 }
@@ -200,8 +204,8 @@
                 own,
                 Arc::new(MetricsApi(Arc::clone(&state))),
             )?,
-            listen(&state, s.peers, PEER_LIMITS, peer_handler)?,
         ];
+        let peer_server = listen(&state, s.peers, PEER_LIMITS, peer_handler)?;
         let applying = apply_limits(Arc::clone(&state), Arc::clone(&callers));
         let reporting = Arc::clone(&link).log_call_counts();
         let tasks = vec![
@@ -237,6 +241,7 @@
             state,
             lease,
             callers,
+            peers: peer_server,
             _servers: servers,
             _tasks: tasks,
         })
@@ -260,6 +265,8 @@
         while state.is_running_forwards() && state.now() < plan.exit_at {
             Timer::after(STOP_INTERVAL).await;
         }
+        let left = plan.exit_at.since(state.now());
+        self.peers.stop(left.min(PEER_WRITE_TIMEOUT)).await;
         self.log_stopped([began, accepted, answered, state.now()]);
     }
 
--- a/crates/gateway/tests/whole/fakes/harness.rs
+++ b/crates/gateway/tests/whole/fakes/harness.rs
@@ -275,6 +275,12 @@
         self.fleet.retain(|m| m.peers != peers);
     }
 
+    /// The address for callers of the first gateway.
+    #[allow(dead_code, reason = "used by the tests of stops")]
+    pub(crate) fn caller_address(&self) -> SocketAddr {
+        self.callers
+    }
+
     /// The gateway at a peer address.
     pub(crate) fn gateway_at(&self, peers: SocketAddr) -> Arc<Gateway> {
         let member = self.fleet.iter().find(|m| m.peers == peers);
--- a/crates/gateway/tests/whole/stops.rs
+++ b/crates/gateway/tests/whole/stops.rs
@@ -1,10 +1,20 @@
 //! Requests that an instance cannot finish before it ends.
 
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpStream;
 use std::sync::Arc;
+use std::thread;
 use std::time::Duration;
 
 use async_io::Timer;
 use futures_lite::future::block_on;
+use rustix::net::AddressFamily;
+use rustix::net::SocketType;
+use rustix::net::connect;
+use rustix::net::socket;
+use rustix::net::sockopt;
 use test_case::test_case;
 
 use crate::fakes::Harness;
@@ -100,3 +110,50 @@
         assert!(harness.store.is_withdrawn());
     });
 }
+
+/// Sends a request as another instance forwards it, and reads nothing.
+fn forward_without_reading(peers: SocketAddr) -> TcpStream {
+    let client = socket(AddressFamily::INET, SocketType::STREAM, None).expect("a socket");
+    sockopt::set_socket_recv_buffer_size(&client, 4 << 10).expect("a small buffer");
+    connect(&client, &peers).expect("a connection");
+    let mut client = TcpStream::from(client);
+    let names = ["age-ms", "runs", "excused-runs", "counted", "version"];
+    let told: String = names.map(|n| format!("jd-forward-{n}: 0\r\n")).concat();
+    let head =
+        format!("GET /any/x HTTP/1.1\r\nhost: desk.example\r\nid: 1\r\nkey: key-1\r\n{told}\r\n");
+    client
+        .write_all(head.as_bytes())
+        .expect("a written request");
+    client
+}
+
+/// Guards against a response of which another instance gets only a part, because the one that ran
+/// the request ends as soon as it has the response itself.
+#[test]
+fn a_response_to_another_instance_is_written_before_the_end() {
+    let bytes = 4 << 20;
+    let body: &'static str = Box::leak("x".repeat(bytes).into_boxed_str());
+    let harness = Harness::start(vec![vec![Reply::Complete(body)]]);
+    let (callers, peers) = (harness.caller_address(), harness.peer_addresses()[0]);
+    block_on(async {
+        harness.until_ready(true).await;
+        let mut client = forward_without_reading(peers);
+        client.peek(&mut [0]).expect("the head of a response");
+        let reader = thread::spawn(move || {
+            // The instance has finished with its callers once it accepts no more of them.
+            while TcpStream::connect(callers).is_ok() {
+                thread::sleep(Duration::from_millis(1));
+            }
+            let mut received = Vec::new();
+            let mut buf = vec![0; 64 << 10];
+            while let Ok(read @ 1..) = client.read(&mut buf) {
+                received.extend_from_slice(&buf[..read]);
+            }
+            received.iter().filter(|b| **b == b'x').count()
+        });
+        harness.gateway.stop().await;
+        drop(harness);
+        let received = reader.join().expect("a reader");
+        assert!(received >= bytes, "{received} of {bytes} bytes");
+    });
+}
