Let streams that have begun wait for their stages until shortly before the end

What callers see: from 72 % of the grace period on, each stream with stages whose upstream breaks off is cut off at once, although its instance has two seconds left. The plan refuses requests that wait for stages then, so that their callers have time to go elsewhere; a stream that has begun cannot be refused, and gained nothing by it.

`StageRunner::run_to_resume` has a limit of its own in the plan, `begun_stages_until`, 650 ms before the end, at 8 s 1.6 s later. It bounds the wait and the deadline of the job. Requests that have not begun keep theirs, and their refusal stays true. The names and refusals of failed stages have moved to a file of their own, unchanged.

--- a/crates/gateway/src/event_stream.rs
+++ b/crates/gateway/src/event_stream.rs
@@ -329,7 +329,7 @@
             self.retries.forward_only = self.state.forwards.is_due(&self.state, &self.request);
             match self.retries.forward_only {
                 true => self.results = self.stages.no_results(),
-                false => match self.stages.run_again(&self.request).await {
+                false => match self.stages.run_to_resume(&self.request).await {
                     Ok(results) => self.results = results,
                     Err(_) => return false,
                 },
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -62,6 +62,7 @@
 mod service_apis;
 mod shutdown;
 mod signal;
+mod stage_failure;
 mod stage_results;
 mod stage_runner;
 mod state;
--- a/crates/gateway/src/stage_runner.rs
+++ b/crates/gateway/src/stage_runner.rs
@@ -14,11 +14,11 @@
 use jd_serving::PromptDemand;
 use jd_serving::PromptPlacement;
 use jd_serving::Shard;
+use jd_serving::ShutdownPlan;
 use jd_serving::StageJob;
 use jd_types::MonoTime;
 use jd_types::Name;
 use jd_types::Refusal;
-use jd_types::RefusalKind;
 
 use crate::batch_dispatcher::BatchDispatcher;
 use crate::caller_api::stopping;
@@ -28,6 +28,7 @@
 use crate::open_requests::Wait;
 use crate::peer_client::PeerClient;
 use crate::result_release_queue::ResultReleaseQueue;
+use crate::stage_failure;
 use crate::stage_results::StageResults;
 use crate::state::State;
 
@@ -45,11 +46,6 @@
 /// How long a request without stages waits for the owner of a shard to select its upstream: several
 /// round trips between availability zones, and a twentieth of the shortest objective of prompts.
 const PLACEMENT_TIMEOUT: Duration = Duration::from_millis(50);
-/// The retry time if no upstream is listed: entries that expired during a store outage are
-/// back within two seconds, most of them within one.
-const NO_UPSTREAM_RETRY: Duration = Duration::from_millis(1_200);
-/// The retry time after stages failed.
-const FAILED_RETRY: Duration = Duration::from_millis(500);
 
 /// Runs the stages of requests on the instance that schedules their batches.
 #[derive(Debug)]
@@ -64,13 +60,24 @@
     /// Runs the stages of a request, and has the owner of their shard select the upstream of its
     /// prompt where paces matter. If this returns a refusal, the request itself has not run.
     pub(crate) async fn run(&self, request: &CallerRequest) -> Result<StageResults, Refusal> {
-        self.run_with(request, request.prompt_demand()).await
+        let prompt = request.prompt_demand();
+        self.run_with(request, prompt, |plan| plan.stages_until)
+            .await
     }
 
     /// Runs the stages of a request again whose first attempt has failed. The upstream of its
     /// prompt is then selected by this instance.
     pub(crate) async fn run_again(&self, request: &CallerRequest) -> Result<StageResults, Refusal> {
-        self.run_with(request, None).await
+        self.run_with(request, None, |plan| plan.stages_until).await
+    }
+
+    /// The same for a stream that has begun. A refusal would cut it off.
+    pub(crate) async fn run_to_resume(
+        &self,
+        request: &CallerRequest,
+    ) -> Result<StageResults, Refusal> {
+        self.run_with(request, None, |plan| plan.begun_stages_until)
+            .await
     }
 
     /// The results of a request whose stages are not run here.
@@ -84,15 +91,16 @@
         &self,
         request: &CallerRequest,
         prompt: Option<PromptDemand>,
+        stages_until: fn(&ShutdownPlan) -> MonoTime,
     ) -> Result<StageResults, Refusal> {
         request.check_quarantine(&self.state, 0)?;
         request.in_flight.waits_for(Wait::Stages, "");
         let quarantined = async { Err(request.until_quarantined(&self.state).await) };
         let ending = async {
-            self.until_stages_end(request).await;
+            self.until_stages_end(request, stages_until).await;
             Err(stopping())
         };
-        let running = self.run_or_place(request, prompt);
+        let running = self.run_or_place(request, prompt, stages_until);
         let (owner, outcome) = running.or(quarantined).or(ending).await?;
         request.in_flight.waits_for(Wait::Permit, "");
         Ok(StageResults::new(
@@ -103,12 +111,16 @@
     }
 
     /// Returns when the stages of a request have to end because this instance stops.
-    async fn until_stages_end(&self, request: &CallerRequest) {
+    async fn until_stages_end(
+        &self,
+        request: &CallerRequest,
+        stages_until: fn(&ShutdownPlan) -> MonoTime,
+    ) {
         let State {
             shutdown, clock, ..
         } = &*self.state;
         match request.has_stages() {
-            true => shutdown.until(*clock, |plan| plan.stages_until).await,
+            true => shutdown.until(*clock, stages_until).await,
             false => pending().await,
         }
     }
@@ -117,9 +129,14 @@
         &self,
         request: &CallerRequest,
         prompt: Option<PromptDemand>,
+        stages_until: fn(&ShutdownPlan) -> MonoTime,
     ) -> Result<(SocketAddr, StageOutcome), Refusal> {
         if request.has_stages() {
-            return self.run_job(request, &self.job(request, prompt)).await;
+            let mut job = self.job(request, prompt);
+            if let Some(plan) = self.state.shutdown.plan() {
+                job.deadline = job.deadline.min(stages_until(&plan));
+            }
+            return self.run_job(request, &job).await;
         }
         let placement = match prompt {
             Some(prompt) => self.place_only(&self.job(request, Some(prompt))).await,
@@ -148,7 +165,7 @@
         let took = self.state.now().since(began);
         let outcome = match &ended {
             Ok(_) => "done",
-            Err(failure) => failure_name(*failure),
+            Err(failure) => stage_failure::name(*failure),
         };
         self.state.metrics.stages(outcome, took);
         log::info!(
@@ -160,7 +177,7 @@
             ms = took.as_millis() as u64;
             "stages ended"
         );
-        let outcome = ended.map_err(refusal_for)?;
+        let outcome = ended.map_err(stage_failure::refusal)?;
         Ok((owner, outcome))
     }
 
@@ -303,7 +320,7 @@
             piece_key: request.head.piece_key.clone().unwrap_or_default(),
             stages,
             objective: request.objective_deadline().before(time_to_first_event),
-            deadline: self.state.bound_stages(stages_deadline(request)),
+            deadline: stages_deadline(request),
             priority: request.priority,
             zone: self.preferred_zone(request),
             customer: request.customer_hash(),
@@ -339,51 +356,3 @@
     let waited = abandoned.min(request.deadline.since(request.arrived));
     request.arrived + waited * STAGES_PERCENT / 100
 }
-
-/// The name of a failure in logs and metrics.
-const fn failure_name(failure: JobFailure) -> &'static str {
-    match failure {
-        JobFailure::WouldMiss(_) => "would-miss",
-        JobFailure::TooLate => "too-late",
-        JobFailure::NoUpstream => "no-upstream",
-        JobFailure::PieceFailed => "piece-failed",
-        JobFailure::Moved => "moved",
-        JobFailure::Quarantined(_) => "quarantined",
-    }
-}
-
-fn refusal_for(failure: JobFailure) -> Refusal {
-    let (kind, wait, detail) = match failure {
-        JobFailure::WouldMiss(wait) => (
-            RefusalKind::WouldMiss,
-            wait,
-            "the stages would end after the deadline",
-        ),
-        JobFailure::TooLate => (
-            RefusalKind::WouldMiss,
-            FAILED_RETRY,
-            "the stages did not end before the deadline",
-        ),
-        JobFailure::NoUpstream => (
-            RefusalKind::NoUpstream,
-            NO_UPSTREAM_RETRY,
-            "no upstream does one of the stages",
-        ),
-        JobFailure::PieceFailed => (
-            RefusalKind::Overloaded,
-            FAILED_RETRY,
-            "a piece of a stage failed too often",
-        ),
-        JobFailure::Quarantined(left) => (
-            RefusalKind::Quarantined,
-            left,
-            "upstreams that ran this request ended, one after the other",
-        ),
-        JobFailure::Moved => (
-            RefusalKind::Overloaded,
-            FAILED_RETRY,
-            "the instance that does stages changed until the deadline",
-        ),
-    };
-    Refusal::not_run(kind, detail).with_retry_after(wait)
-}
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -231,12 +231,6 @@
         self.heartbeat_requested.notify();
     }
 
-    /// Until when stages of a request with this deadline may take.
-    pub(crate) fn bound_stages(&self, deadline: MonoTime) -> MonoTime {
-        let plan = self.shutdown.plan();
-        plan.map_or(deadline, |plan| deadline.min(plan.stages_until))
-    }
-
     /// How long pieces wait at the owner of a shard, as last reported; none if the report has
     /// expired, so that an owner is not avoided because of an old report.
     pub(crate) fn backlog(&self, shard: &Shard) -> Option<Duration> {
--- a/crates/gateway/tests/whole/stops.rs
+++ b/crates/gateway/tests/whole/stops.rs
@@ -19,6 +19,7 @@
 
 use crate::fakes::Harness;
 use crate::fakes::Reply;
+use crate::fakes::STREAM;
 use crate::fakes::log_lines::record_warnings;
 use crate::fakes::log_lines::warnings_on;
 use crate::fakes::staged_deployment;
@@ -66,6 +67,38 @@
     });
 }
 
+/// Guards against a stream that is cut off although its instance has seconds left: its upstream
+/// broke off, and its stages for another upstream end late in the grace period.
+#[test]
+fn a_stream_that_has_begun_waits_for_its_stages_until_shortly_before_the_end() {
+    let mut deployment = staged_deployment();
+    for route in &mut deployment.routes {
+        route.objective = Duration::from_secs(10);
+    }
+    let streams = vec![vec![Reply::Resumable { cut: true }]; 2];
+    let stage = vec![Reply::Complete("made"), Reply::NotRun];
+    let harness = Arc::new(Harness::start_staged(deployment, streams, stage));
+    block_on(async {
+        harness.until_ready(true).await;
+        let caller = Arc::clone(&harness);
+        let response = harness.spawn(async move { caller.ask("/staged/x", "1").await });
+        while harness.upstreams[2].count() < 2 {
+            Timer::after(Duration::from_millis(2)).await;
+        }
+        let stage = Arc::clone(&harness.upstreams[2]);
+        let freed = harness.spawn(async move {
+            Timer::after(Duration::from_millis(6_300)).await;
+            stage.set_replies(vec![Reply::Complete("made")]);
+        });
+        harness.gateway.stop().await;
+        freed.await;
+        assert!(response.is_finished(), "no answer before the end");
+        let received = response.await;
+        assert_eq!((received.status, received.whole), (200, true));
+        assert_eq!(received.body, STREAM.concat());
+    });
+}
+
 /// Guards against a process that leaves a stream unfinished and does not say so.
 #[test]
 fn a_stream_that_is_unfinished_at_the_end_is_logged() {
--- a/crates/serving/src/shutdown_plan.rs
+++ b/crates/serving/src/shutdown_plan.rs
@@ -28,6 +28,9 @@
     pub accept_until: MonoTime,
     /// Until when requests wait for their stages.
     pub stages_until: MonoTime,
+    /// Until when streams that have begun wait for the stages of another attempt. Unlike a request,
+    /// such a stream cannot be refused, and its connection would close.
+    pub begun_stages_until: MonoTime,
     /// Until when requests wait that were sent to no upstream.
     pub unsent_until: MonoTime,
     /// Until when requests wait for a response of an upstream.
@@ -44,6 +47,7 @@
         ShutdownPlan {
             accept_until: began + grace * ACCEPT_PERCENT / 100,
             stages_until: began + grace * STAGES_PERCENT / 100,
+            begun_stages_until: before_exit(UNSENT_MARGIN),
             unsent_until: before_exit(UNSENT_MARGIN),
             unanswered_until: before_exit(UNANSWERED_MARGIN),
             exit_at,
