Refuse requests whose body has not arrived before the process ends

What callers see: a request whose body is still under way when its instance stops ends with a closed connection and no answer, although it could be told that it did not run. The wait for a body had its own limit of 10 s alone, and none from the plan of the stop.

It now ends with the other waits of requests that were sent to no upstream, as `not run`.

The test sends SIGHUP and further SIGTERM and SIGINT during the stop, which change nothing, as before.

--- a/crates/gateway-daemon/tests/daemon.rs
+++ b/crates/gateway-daemon/tests/daemon.rs
@@ -6,7 +6,10 @@
 use std::io::BufRead;
 use std::io::BufReader;
 use std::io::Lines;
+use std::io::Read;
+use std::io::Write;
 use std::net::TcpListener;
+use std::net::TcpStream;
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::ChildStdout;
@@ -83,6 +86,27 @@
     assert!(took < GRACE_PERIOD, "{took:?}");
 }
 
+/// Guards against a stop that a further signal cuts short, and against a request that is closed
+/// without an answer because its body has not arrived by the end.
+#[test]
+fn a_request_without_its_body_is_refused_before_the_end_whatever_signals_come() {
+    let (file, ip) = write_settings("no-body", 31);
+    let (mut child, mut lines) = start(&file);
+    lines.next().expect("a line").expect("text");
+    let mut caller = TcpStream::connect((ip.as_str(), 7001)).expect("a connection");
+    let head = "POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 9\r\n\r\nhalf";
+    caller.write_all(head.as_bytes()).expect("a written head");
+    for signal in [Signal::TERM, Signal::HUP, Signal::TERM, Signal::INT] {
+        kill_process(Pid::from_child(&child), signal).expect("a process of ours");
+    }
+    let mut response = String::new();
+    caller.read_to_string(&mut response).expect("a response");
+    assert!(response.starts_with("HTTP/1.1 503 "), "{response}");
+    let rest: Vec<String> = lines.map(|l| l.expect("text")).collect();
+    assert!(child.wait().expect("an end").success());
+    assert!(rest.iter().any(|l| l.contains("\"stopped\"")), "{rest:#?}");
+}
+
 #[test]
 fn the_check_option_validates_settings_without_serving() {
     let (file, _) = write_settings("check", 20);
--- a/crates/gateway/src/caller_api.rs
+++ b/crates/gateway/src/caller_api.rs
@@ -147,7 +147,14 @@
         let in_flight = InFlight::begin(&self.state, id, arrived);
         let router = self.state.router.load_full();
         let limits = router.as_ref().map(|r| r.limits).unwrap_or_default();
-        let body = read_body(body, limits.body_bytes).await?;
+        let ending = async {
+            let State {
+                shutdown, clock, ..
+            } = &*self.state;
+            shutdown.until(*clock, |plan| plan.unsent_until).await;
+            Err(stopping())
+        };
+        let body = read_body(body, limits.body_bytes).or(ending).await?;
         if let Some(detail) = &head.invalid {
             return Err(Refusal::not_run(RefusalKind::Malformed, detail.clone()));
         }
