Run the stop as a task, and look for its end after each few turns

What callers see: on a busy instance with one thread the steps of a stop begin late, and the process is killed with its last refusals and log lines unwritten. The stop was the future that `Executor::run` is given: it is polled only once in 200 turns of tasks, however early its timer fired.

The stop is a task now, which takes turns with the others, and its end is looked for after every eight turns. Before a stop begins nothing changes.

No test of the daemon under load guards this.

--- a/crates/gateway-daemon/src/serve.rs
+++ b/crates/gateway-daemon/src/serve.rs
@@ -1,13 +1,17 @@
 //! Starts the gateway and shuts it down gracefully.
 
 use std::path::Path;
+use std::path::PathBuf;
 use std::sync::Arc;
 
+use async_channel::Sender;
 use async_executor::Executor;
+use async_executor::Task;
 use async_signal::Signal;
 use async_signal::Signals;
 use futures_lite::FutureExt;
 use futures_lite::StreamExt;
+use futures_lite::future;
 use jd_adapter::StoreClient;
 use jd_adapter::WireDialect;
 use jd_gateway::Gateway;
@@ -26,6 +30,9 @@
 use crate::daemon_error::SystemSnafu;
 use crate::logging;
 
+/// Turns of tasks after which the end of a stop is looked for.
+const TURNS: usize = 8;
+
 /// Runs the gateway until a signal stops it.
 pub(crate) fn serve(args: &Args) -> Result<(), DaemonError> {
     let settings = GatewaySettings::read(&args.settings).context(SettingsSnafu)?;
@@ -67,24 +74,48 @@
         Arc::new(store),
     );
     let gateway = gateway.context(StartSnafu)?;
-    let running = run_until_stopped(&gateway, signals, &args.settings);
-    async_io::block_on(executor.run(running));
+    let (serving, stopping) = async_channel::bounded(1);
+    let running = run_until_stopped(gateway, signals, args.settings.clone(), serving);
+    let running = executor.spawn(running);
+    // Returns an error once the stop has begun.
+    let _ = async_io::block_on(executor.run(stopping.recv()));
+    async_io::block_on(run_to_end(&executor, running));
     logs.shutdown();
     Ok(())
 }
 
-/// Waits for SIGTERM or SIGINT and then stops `gateway`.
-async fn run_until_stopped(gateway: &Gateway, mut signals: Signals, settings: &Path) {
+/// Runs all tasks until `stopping` has ended. [`Executor::run`] would notice its end only after up
+/// to 200 turns of other tasks, which is too late for the end of the grace period.
+async fn run_to_end(executor: &Executor<'static>, stopping: Task<()>) {
+    let ticking = async {
+        loop {
+            for _ in 0..TURNS {
+                executor.tick().await;
+            }
+            future::yield_now().await;
+        }
+    };
+    stopping.or(ticking).await;
+}
+
+/// Waits for SIGTERM or SIGINT, drops `serving`, and then stops `gateway`.
+async fn run_until_stopped(
+    gateway: Gateway,
+    mut signals: Signals,
+    settings: PathBuf,
+    serving: Sender<()>,
+) {
     while let Some(signal) = signals.next().await {
         match signal {
-            Ok(Signal::Hup) => check_settings(settings),
+            Ok(Signal::Hup) => check_settings(&settings),
             _ => break,
         }
     }
+    drop(serving);
     // Signals during the shutdown are received and ignored.
     let ignore_signals = async {
         while signals.next().await.is_some() {}
-        futures_lite::future::pending().await
+        future::pending().await
     };
     gateway.stop().or(ignore_signals).await;
 }
