--- a/crates/gateway/src/event_stream.rs
+++ b/crates/gateway/src/event_stream.rs
@@ -215,6 +215,7 @@
             clock: Arc::clone(&clock),
             last_event: self.last_event(),
             results: None,
+            has_begun: true,
             run: match self.response.is_open() || !self.attempts.is_empty() {
                 true => StageRun::Beside,
                 false => StageRun::Again,
--- a/crates/gateway/src/stage_runner.rs
+++ b/crates/gateway/src/stage_runner.rs
@@ -14,6 +14,7 @@
 use jd_serving::PromptDemand;
 use jd_serving::PromptPlacement;
 use jd_serving::Shard;
+use jd_serving::ShutdownPlan;
 use jd_serving::StageJob;
 use jd_types::MonoTime;
 use jd_types::Name;
@@ -74,8 +75,8 @@
     /// Runs the stages of a request, and has the owner of their shard select the upstream of its
     /// prompt where paces matter. If this returns a refusal, the request itself has not run.
     pub(crate) async fn run(&self, request: &CallerRequest) -> Result<StageResults, Refusal> {
-        self.run_with(request, request.prompt_demand(), StageRun::First)
-            .await
+        let run = (StageRun::First, false);
+        self.run_with(request, request.prompt_demand(), run).await
     }
 
     /// Runs the stages of a request again whose first attempt has failed. The upstream of its
@@ -84,8 +85,9 @@
         &self,
         request: &CallerRequest,
         run: StageRun,
+        has_begun: bool,
     ) -> Result<StageResults, Refusal> {
-        self.run_with(request, None, run).await
+        self.run_with(request, None, (run, has_begun)).await
     }
 
     /// The results of a request whose stages are not run here.
@@ -99,16 +101,21 @@
         &self,
         request: &CallerRequest,
         prompt: Option<PromptDemand>,
-        run: StageRun,
+        (run, has_begun): (StageRun, bool),
     ) -> Result<StageResults, Refusal> {
+        // A refusal would cut off a stream that has begun.
+        let stages_until: fn(&ShutdownPlan) -> MonoTime = match has_begun {
+            true => |plan| plan.begun_stages_until,
+            false => |plan| plan.stages_until,
+        };
         request.check_quarantine(&self.state, 0)?;
         request.in_flight.waits_for(Wait::Stages, "");
         let quarantined = async { Err(request.until_quarantined(&self.state).await) };
         let ending = async {
-            self.until_stages_end(request).await;
+            self.until_stages_end(request, stages_until).await;
             Err(stopping())
         };
-        let running = self.run_or_place(request, prompt, run);
+        let running = self.run_or_place(request, prompt, run, stages_until);
         let (owner, outcome) = running.or(quarantined).or(ending).await?;
         request.in_flight.waits_for(Wait::Permit, "");
         Ok(StageResults::new(
@@ -119,12 +126,16 @@
     }
 
     /// Returns when the stages of a request have to end because this instance stops.
-    async fn until_stages_end(&self, request: &CallerRequest) {
+    async fn until_stages_end(
+        &self,
+        request: &CallerRequest,
+        stages_until: fn(&ShutdownPlan) -> MonoTime,
+    ) {
         let State {
             shutdown, clock, ..
         } = &*self.state;
         match request.has_stages() {
-            true => shutdown.until(*clock, |plan| plan.stages_until).await,
+            true => shutdown.until(*clock, stages_until).await,
             false => pending().await,
         }
     }
@@ -134,9 +145,13 @@
         request: &CallerRequest,
         prompt: Option<PromptDemand>,
         run: StageRun,
+        stages_until: fn(&ShutdownPlan) -> MonoTime,
     ) -> Result<(SocketAddr, StageOutcome), Refusal> {
         if request.has_stages() {
-            let job = self.job(request, prompt, run);
+            let mut job = self.job(request, prompt, run);
+            if let Some(plan) = self.state.shutdown.plan() {
+                job.deadline = job.deadline.min(stages_until(&plan));
+            }
             return self.run_job(request, &job).await;
         }
         let placement = match prompt {
@@ -166,7 +181,7 @@
         let took = self.state.now().since(began);
         let outcome = match &ended {
             Ok(_) => "done",
-            Err(failure) => failure_name(*failure),
+            Err(failure) => stage_failures::name(*failure),
         };
         self.state.metrics.stages(outcome, took);
         log::info!(
@@ -178,7 +193,7 @@
             ms = took.as_millis() as u64;
             "stages ended"
         );
-        let outcome = ended.map_err(refusal_for)?;
+        let outcome = ended.map_err(stage_failures::refusal)?;
         Ok((owner, outcome))
     }
 
@@ -326,7 +341,7 @@
             piece_key: request.head.piece_key.clone().unwrap_or_default(),
             stages,
             objective: request.objective_deadline().before(time_to_first_event),
-            deadline: self.state.bound_stages(stages_deadline(request, run, now)),
+            deadline: stages_deadline(request, run, now),
             priority: request.priority,
             zone: self.preferred_zone(request),
             customer: request.customer_hash(),
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -231,12 +231,6 @@
         self.heartbeat_requested.notify();
     }
 
-    /// Until when stages of a request with this deadline may take.
-    pub(crate) fn bound_stages(&self, deadline: MonoTime) -> MonoTime {
-        let plan = self.shutdown.plan();
-        plan.map_or(deadline, |plan| deadline.min(plan.stages_until))
-    }
-
     /// The source from which this instance receives store updates.
     pub(crate) fn update_source(&self) -> UpdateSource {
         let now = self.now();
--- a/crates/gateway/src/stream_attempt.rs
+++ b/crates/gateway/src/stream_attempt.rs
@@ -40,6 +40,8 @@
     pub(crate) last_event: Option<u64>,
     /// What the stages left; none if they have to run again.
     pub(crate) results: Option<StageResults>,
+    /// True if the caller has got a part of the stream.
+    pub(crate) has_begun: bool,
     /// Why the stages run if they have to.
     pub(crate) run: StageRun,
 }
@@ -105,6 +107,7 @@
             clock,
             last_event,
             results,
+            has_begun,
             run,
         } = self;
         let forward_only = match &results {
@@ -114,7 +117,7 @@
         let results = match (results, forward_only) {
             (Some(results), _) => results,
             (None, true) => stages.no_results(),
-            (None, false) => match stages.run_again(&cx.request, run).await {
+            (None, false) => match stages.run_again(&cx.request, run, has_begun).await {
                 Ok(results) => results,
                 Err(refusal) => return Ended::Refused(refusal),
             },
--- a/crates/gateway/src/streaming_call.rs
+++ b/crates/gateway/src/streaming_call.rs
@@ -169,6 +169,7 @@
             clock: Arc::clone(&clock),
             last_event: self.cx.request.head.last_event,
             results: self.results.take().filter(usable),
+            has_begun: false,
             run: match self.attempts.is_empty() {
                 true => StageRun::Again,
                 false => StageRun::Beside,
--- a/crates/gateway/tests/whole/stops.rs
+++ b/crates/gateway/tests/whole/stops.rs
@@ -1,14 +1,25 @@
 //! Requests that an instance cannot finish before it ends.
 
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpStream;
 use std::sync::Arc;
+use std::thread;
 use std::time::Duration;
 
 use async_io::Timer;
 use futures_lite::future::block_on;
+use rustix::net::AddressFamily;
+use rustix::net::SocketType;
+use rustix::net::connect;
+use rustix::net::socket;
+use rustix::net::sockopt;
 use test_case::test_case;
 
 use crate::fakes::Harness;
 use crate::fakes::Reply;
+use crate::fakes::STREAM;
 use crate::fakes::log_lines::record_warnings;
 use crate::fakes::log_lines::warnings_on;
 use crate::fakes::staged_deployment;
@@ -56,6 +67,38 @@
     });
 }
 
+/// Guards against a stream that is cut off although its instance has seconds left: its upstream
+/// broke off, and its stages for another upstream end late in the grace period.
+#[test]
+fn a_stream_that_has_begun_waits_for_its_stages_until_shortly_before_the_end() {
+    let mut deployment = staged_deployment();
+    for route in &mut deployment.routes {
+        route.objective = Duration::from_secs(10);
+    }
+    let streams = vec![vec![Reply::Resumable { cut: true }]; 2];
+    let stage = vec![Reply::Complete("made"), Reply::NotRun];
+    let harness = Arc::new(Harness::start_staged(deployment, streams, stage));
+    block_on(async {
+        harness.until_ready(true).await;
+        let caller = Arc::clone(&harness);
+        let response = harness.spawn(async move { caller.ask("/staged/x", "1").await });
+        while harness.upstreams[2].count() < 2 {
+            Timer::after(Duration::from_millis(2)).await;
+        }
+        let stage = Arc::clone(&harness.upstreams[2]);
+        let freed = harness.spawn(async move {
+            Timer::after(Duration::from_millis(6_300)).await;
+            stage.set_replies(vec![Reply::Complete("made")]);
+        });
+        harness.gateway.stop().await;
+        freed.await;
+        assert!(response.is_finished(), "no answer before the end");
+        let received = response.await;
+        assert_eq!((received.status, received.whole), (200, true));
+        assert_eq!(received.body, STREAM.concat());
+    });
+}
+
 /// Guards against a process that leaves a stream unfinished and does not say so.
 #[test]
 fn a_stream_that_is_unfinished_at_the_end_is_logged() {
@@ -82,3 +125,68 @@
         }
     });
 }
+
+/// Guards against an entry that stays in the store because it could not be removed at once.
+#[test]
+fn the_entry_is_removed_once_the_store_answers_again() {
+    let harness = Arc::new(Harness::start(vec![vec![Reply::Complete("a")]]));
+    block_on(async {
+        harness.until_ready(true).await;
+        harness.until_announced(1).await;
+        harness.store.set_unavailable(true);
+        let stopped = Arc::clone(&harness);
+        let stopping = harness.spawn(async move { stopped.gateway.stop().await });
+        harness.until_ready(false).await;
+        Timer::after(Duration::from_millis(300)).await;
+        harness.store.set_unavailable(false);
+        stopping.await;
+        assert!(harness.store.is_withdrawn());
+    });
+}
+
+/// Sends a request as another instance forwards it, and reads nothing.
+fn forward_without_reading(peers: SocketAddr) -> TcpStream {
+    let client = socket(AddressFamily::INET, SocketType::STREAM, None).expect("a socket");
+    sockopt::set_socket_recv_buffer_size(&client, 4 << 10).expect("a small buffer");
+    connect(&client, &peers).expect("a connection");
+    let mut client = TcpStream::from(client);
+    let names = ["age-ms", "runs", "excused-runs", "counted", "version"];
+    let told: String = names.map(|n| format!("jd-forward-{n}: 0\r\n")).concat();
+    let head =
+        format!("GET /any/x HTTP/1.1\r\nhost: desk.example\r\nid: 1\r\nkey: key-1\r\n{told}\r\n");
+    client
+        .write_all(head.as_bytes())
+        .expect("a written request");
+    client
+}
+
+/// Guards against a response of which another instance gets only a part, because the one that ran
+/// the request ends as soon as it has the response itself.
+#[test]
+fn a_response_to_another_instance_is_written_before_the_end() {
+    let bytes = 4 << 20;
+    let body: &'static str = Box::leak("x".repeat(bytes).into_boxed_str());
+    let harness = Harness::start(vec![vec![Reply::Complete(body)]]);
+    let (callers, peers) = (harness.caller_address(), harness.peer_addresses()[0]);
+    block_on(async {
+        harness.until_ready(true).await;
+        let mut client = forward_without_reading(peers);
+        client.peek(&mut [0]).expect("the head of a response");
+        let reader = thread::spawn(move || {
+            // The instance has finished with its callers once it accepts no more of them.
+            while TcpStream::connect(callers).is_ok() {
+                thread::sleep(Duration::from_millis(1));
+            }
+            let mut received = Vec::new();
+            let mut buf = vec![0; 64 << 10];
+            while let Ok(read @ 1..) = client.read(&mut buf) {
+                received.extend_from_slice(&buf[..read]);
+            }
+            received.iter().filter(|b| **b == b'x').count()
+        });
+        harness.gateway.stop().await;
+        drop(harness);
+        let received = reader.join().expect("a reader");
+        assert!(received >= bytes, "{received} of {bytes} bytes");
+    });
+}
