A request is answered by its deadline also if the owner of its stages never replies

Callers of a request with stages got no answer at all: not at the deadline of its stages, not at the route's timeout, until they gave up.

Cause: an instance that sends stages to their owner waited for the reply for as long as the owner answers heartbeats. A call that hangs alone is enough: after a heartbeat timed out, the channel opens a new connection (`GrpcChannel::reset`), the following heartbeats are answered there, and what is open on the earlier one is waited for without a bound. This way is by reading; the test has an owner that answers heartbeats and no jobs.

Change: the reply is waited for until the deadline of the job, at which its owner gives it up by itself, and 200 ms more. The request is refused as not run, before its caller abandons it. Streams in progress are not concerned: their upstream has read its inputs.

Evidence: a_request_whose_owner_never_replies_is_refused_before_its_caller_abandons_it, before: "no answer from 127.123.92.2:7001: None" after the 30 s that the caller waits, with a route's timeout of 20 s; now refused within four objectives (4 s).

--- a/crates/gateway/src/stage_runner.rs
+++ b/crates/gateway/src/stage_runner.rs
@@ -35,6 +35,9 @@
 const STAGES_PERCENT: u32 = 85;
 /// How often a pending request to an owner checks that the owner is still live.
 const OWNER_CHECK_INTERVAL: Duration = Duration::from_millis(200);
+/// How long after the deadline of a job its owner may take to reply that it has passed: a tick of its
+/// scheduler and several round trips between availability zones.
+const OWNER_REPLY_GRACE: Duration = Duration::from_millis(200);
 /// How often a job is sent to one owner while that owner answers heartbeats.
 const ATTEMPTS_PER_OWNER: u32 = 2;
 /// The pause before a job is submitted again after it was moved. The instance that moved it may have
@@ -223,7 +226,8 @@
         outcome.placement
     }
 
-    /// Sends the job to one owner; none if that owner does not answer.
+    /// Sends the job to one owner; none if that owner does not answer heartbeats, or the connection
+    /// breaks. An owner that answers heartbeats has to reply shortly after the deadline of the job.
     async fn run_on_owner(
         &self,
         owner: SocketAddr,
@@ -235,7 +239,13 @@
             self.wait_until_gone(owner).await;
             None
         };
-        asking.or(gone).await
+        let overdue = async {
+            let left = job.deadline.since(self.state.now());
+            Timer::after(left + OWNER_REPLY_GRACE).await;
+            log::warn!(owner:%, request = job.request_id.as_str(); "owner of stages did not reply by the deadline");
+            Some(Err(JobFailure::TooLate))
+        };
+        asking.or(gone).or(overdue).await
     }
 
     fn is_live(&self, owner: SocketAddr) -> bool {
--- a/crates/gateway/tests/whole/handover.rs
+++ b/crates/gateway/tests/whole/handover.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use async_channel::Sender;
 use async_executor::Task;
@@ -17,6 +18,7 @@
 use tonic::Code;
 
 use crate::fakes::CallerResponse;
+use crate::fakes::FakeOwner;
 use crate::fakes::FakeUpstream;
 use crate::fakes::Harness;
 use crate::fakes::Reply;
@@ -24,6 +26,7 @@
 use crate::fakes::chained_deployment;
 use crate::fakes::entry;
 use crate::fakes::owner_order;
+use crate::fakes::staged_deployment;
 
 const ANSWER: Reply = Reply::Stream {
     parts: &["id: 1\ndata: a\n\n"],
@@ -211,3 +214,30 @@
         assert_eq!(first.freed().len(), 1);
     });
 }
+
+/// Guards against a request that is never answered, because the owner of its stages answers heartbeats
+/// and never replies to the job, as over a connection that is dead in one direction.
+#[test]
+fn a_request_whose_owner_never_replies_is_refused_before_its_caller_abandons_it() {
+    let answer = vec![Reply::Complete("a")];
+    let harness = Harness::start_with_stage(vec![answer], vec![Reply::Complete("made")]);
+    let (owner, listed, _server) = FakeOwner::start(&harness.executor(), None);
+    harness.store.change(Change::Put(listed));
+    let abandoned = staged_deployment().routes.last().map(|r| r.objective * 4);
+    block_on(async {
+        harness.until_ready(true).await;
+        let mut asked = 0;
+        let (received, took) = loop {
+            asked += 1;
+            let began = Instant::now();
+            let received = harness.ask("/staged/x", &asked.to_string()).await;
+            // Until the owner has answered a heartbeat, the stages run here.
+            if owner.jobs() > 0 {
+                break (received, began.elapsed());
+            }
+        };
+        assert_eq!(received.status, 503, "{received:?}");
+        assert_eq!(received.run.as_deref(), Some("not run"));
+        assert!(Some(took) < abandoned, "{took:?}");
+    });
+}
