Store: a read goes on after the records that instances do not follow

An instance that reads all records leaves out the origins of streams, and asked for the page after the last record that it kept. Origins come before the configuration in the order of keys. Once they fill a page (500 items, or one megabyte), nothing of it is kept, so that the instance asks for the same page for ever and reads no configuration. A store that repeats a page had the same effect.

--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -129,8 +129,9 @@
     pub items: Vec<StoreItem>,
     /// The store's revision when the page was read.
     pub revision: StoreRevision,
-    /// True if there are more records after the last item.
-    pub more: bool,
+    /// The key after which the next page begins; none if this is the last page. Comes after that of
+    /// the last item if the page ends with records that are left out.
+    pub next_after: Option<CompactString>,
 }
 
 /// Which records a read returns.
--- a/crates/gateway/src/store_reader.rs
+++ b/crates/gateway/src/store_reader.rs
@@ -101,10 +101,10 @@
         let mut items: Vec<StoreItem> = Vec::new();
         loop {
             items.append(&mut page.items);
-            match items.last() {
+            match page.next_after {
                 _ if !page.revision.is_same_era(revision) => return Ok(None),
-                Some(last) if page.more => page = self.read_next_page(filter, &last.key).await?,
-                _ => return Ok(Some((items, revision))),
+                Some(after) => page = self.read_next_page(filter, &after).await?,
+                None => return Ok(Some((items, revision))),
             }
         }
     }
--- a/crates/gateway/tests/whole/fakes/fake_store.rs
+++ b/crates/gateway/tests/whole/fakes/fake_store.rs
@@ -355,7 +355,7 @@
         let wanted = |place: &usize| *place >= from && self.matches_filter(filter, *place);
         let listed = self.listed().into_iter().filter(wanted);
         let mut items: Vec<StoreItem> = listed.map(|place| item(era, place)).collect();
-        let more = items.len() > PAGE;
+        let next_after = items.get(PAGE).map(|_| items[PAGE - 1].key.clone());
         items.truncate(PAGE);
         let refused = !after.is_empty() && self.refuses_next_page();
         Box::pin(async move {
@@ -364,7 +364,7 @@
                 false => self.answer(Page {
                     items,
                     revision,
-                    more,
+                    next_after,
                 }),
             }
         })
