Calls between instances: a connection whose instance reads nothing is closed

An instance that sends settings or pings without end and reads nothing leaves the connection to it open for ever: a call that times out resets its channel, but the connection ends only once its answers to these frames are written.

The connections to other instances now have the write timeout that servers have, of 5 s. It is the connection's and not a call's, so that a call which times out still ends no other one.

--- a/crates/net/src/grpc_channel.rs
+++ b/crates/net/src/grpc_channel.rs
@@ -8,6 +8,7 @@
 use std::sync::Mutex;
 use std::task::Context;
 use std::task::Poll;
+use std::time::Duration;
 
 use async_executor::Executor;
 use async_io::Async;
@@ -24,6 +25,11 @@
 use crate::SendError;
 use crate::limited_read::LimitedRead;
 use crate::lock;
+use crate::write_stall_timeout::WriteStallTimeout;
+
+/// Time for which an instance may read almost nothing of what is written to it. The timeouts of calls
+/// are shorter, and do not end the connection that other calls use.
+const WRITE_STALL_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// A channel to one instance. It connects on first use and reconnects after a failure.
 #[derive(Debug, Clone)]
@@ -66,7 +72,8 @@
             .set_nodelay(true)
             .map_err(|_| SendError::NotSent)?;
         let executor = SmolExecutor::new(Arc::clone(&self.executor));
-        let opened = http2::handshake(executor, FuturesIo::new(LimitedRead::new(io, None))).await;
+        let io = LimitedRead::new(WriteStallTimeout::new(io, WRITE_STALL_TIMEOUT), None);
+        let opened = http2::handshake(executor, FuturesIo::new(io)).await;
         let (sender, driver) = opened.map_err(|_| SendError::NotSent)?;
         let connection = async move {
             // Errors are reported by the results of the calls.
