--- a/crates/net/tests/endless_requests.rs
+++ b/crates/net/tests/endless_requests.rs
@@ -31,6 +31,8 @@
 /// The largest number of bytes that a client can write before its connection is closed: the largest
 /// body, what the server reads ahead, and the socket buffers.
 const MAX_WRITTEN: usize = 64 << 20;
+/// About as much as a connection takes at once, in bytes.
+const PART_BYTES: usize = 64 << 10;
 /// Time that a client has for a head, a body, and for reading a response.
 const CLIENT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Timeout of a test, which is far longer than the test takes.
@@ -130,7 +132,7 @@
 #[test_case(b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\0\0\0\x04\0\0\0\0\0\0\0\x01\x01\0\0\0\0\x01\x82", b"\0\0\0\x09\0\0\0\0\x01"; "continuation frames")]
 fn a_request_that_never_ends_is_given_up(beginning: &[u8], repeated: &[u8]) {
     let server = start_server();
-    let many = repeated.repeat((64 << 10) / repeated.len());
+    let many = repeated.repeat(PART_BYTES / repeated.len());
     let fast = send_endless(server, beginning, many, Duration::ZERO);
     assert!(is_served(server), "the thread is blocked");
     let sent = fast.recv_timeout(TEST_TIMEOUT);
@@ -153,3 +155,24 @@
     let sent = slow.recv_timeout(TEST_TIMEOUT);
     sent.expect("a closed connection");
 }
+
+/// Guards against a client whose frames are ignored, and whose connection therefore stays open, but
+/// must not hold the thread on which other requests wait.
+#[test]
+fn frames_of_an_unknown_type_hold_no_thread() {
+    let server = start_server();
+    let mut client = TcpStream::connect(server).expect("a connection");
+    client.write_all(PREFACE).expect("an open connection");
+    let (tx, rx) = mpsc::channel();
+    thread::spawn(move || {
+        let many = b"\0\0\x01\x20\0\0\0\0\0x".repeat(PART_BYTES / 10);
+        // Far more than the buffers of the sockets take, so that the server reads.
+        for _ in 0..MAX_WRITTEN / PART_BYTES {
+            client.write_all(&many).expect("an open connection");
+        }
+        let _ = tx.send(());
+        while client.write_all(&many).is_ok() {}
+    });
+    rx.recv_timeout(TEST_TIMEOUT).expect("a server that reads");
+    assert!(is_served(server), "the thread is blocked");
+}
