--- a/crates/gateway/src/stage_runner.rs
+++ b/crates/gateway/src/stage_runner.rs
@@ -184,7 +184,7 @@
         let took = self.state.now().since(began);
         let outcome = match &ended {
             Ok(_) => "done",
-            Err(failure) => stage_failures::name(*failure),
+            Err(failure) => failure_name(*failure),
         };
         self.state.metrics.stages(outcome, took);
         log::info!(
@@ -196,7 +196,7 @@
             ms = took.as_millis() as u64;
             "stages ended"
         );
-        let outcome = ended.map_err(stage_failures::refusal)?;
+        let outcome = ended.map_err(refusal_for)?;
         Ok((owner, outcome))
     }
 
