Tests: stages whose responses never end are given up at the deadline

A check of what holds: with one upstream of a stage that sends bytes without end (no head slowly, a body slowly and fast), the request is answered within half a second of its deadline.

--- a/crates/gateway/tests/whole/endless.rs
+++ b/crates/gateway/tests/whole/endless.rs
@@ -26,6 +26,8 @@
 const AT_ONCE: Duration = Duration::from_secs(2);
 /// The time for a response that comes slowly.
 const SHORT_TIMEOUT: Duration = Duration::from_secs(1);
+/// How much later than its deadline a request may be answered.
+const LATE: Duration = Duration::from_millis(500);
 /// Timeout of a test, which is far longer than the test takes.
 const TEST_TIMEOUT: Duration = Duration::from_secs(20);
 /// The most that an upstream can send on one connection: the largest plain response, and the
@@ -258,3 +260,23 @@
         until_closed(&stage).await;
     });
 }
+
+/// Guards against a request that is answered after its deadline because the response to a call for
+/// its stages never ends.
+#[test_case(NO_HEAD, Pace::Slow; "no head")]
+#[test_case(BODY, Pace::Slow; "slow body")]
+#[test_case(BODY, Pace::Fast; "fast body")]
+fn stages_that_never_end_are_given_up_at_the_deadline(reply: EndlessReply, pace: Pace) {
+    let sound = vec![Reply::Resumable { cut: false }];
+    let records = vec![Record::Deployment(Box::new(short_deployment()))];
+    let harness = Harness::start_with(vec![sound], records);
+    let stage = EndlessUpstream::start(reply, pace);
+    list(&harness, &stage, "stages");
+    block_on(async {
+        until_served(&harness).await;
+        let (received, took) = ask_until_begun(&harness, &stage, "/staged/x").await;
+        assert_ne!(received.status, 200);
+        assert!(took < SHORT_TIMEOUT + LATE, "{took:?}");
+        until_closed(&stage).await;
+    });
+}
