Refusals and silences of a stream count once, and not against others

Findings of a review of the change that keeps silent upstreams: - A silence was recorded against its upstream at each try beside it, so that one pause of a sound upstream could eject it. It counts once. - A retry was taken from the budget also where nothing was sent. It is taken back. - After five upstreams had refused a stream once, none was asked again with seconds left. They are asked again after a pause. - A refusal delayed the next attempt although the pending one had broken since. - The own path that is lost was held against a run at another instance.

The tests one_silence_does_not_eject_an_upstream, a_broken_stream_resumes_although_many_upstreams_refuse_it_at_first and a_lost_path_is_no_evidence_against_a_forwarded_run pass; they were not run on the code before. 77 tests of silences, runs, lost paths and origins pass.

--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -5,6 +5,7 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::task::Poll;
@@ -69,6 +70,8 @@
     active_us: AtomicU64,
     /// How long it may be silent from then on, in microseconds.
     patience_us: AtomicU64,
+    /// True if another instance runs the request, for which the own path to upstreams says nothing.
+    is_forwarded: AtomicBool,
 }
 
 impl AttemptClock {
@@ -81,6 +84,11 @@
             .store(now.as_micros().max(1), Ordering::Relaxed);
     }
 
+    /// Records that the request is forwarded.
+    pub(crate) fn set_forwarded(&self) {
+        self.is_forwarded.store(true, Ordering::Relaxed);
+    }
+
     /// Ends the patience: what the attempt depends on does not answer.
     pub(crate) fn suspect(&self) {
         self.patience_us.store(0, Ordering::Relaxed);
@@ -172,8 +180,8 @@
         self.refused = Some((before.saturating_add(1), now));
     }
 
-    /// Records that an attempt was sent, whatever became of it.
-    pub(crate) fn record_sent(&mut self) {
+    /// Records that an attempt that was sent has ended, so that another one need not wait.
+    pub(crate) fn clear_refusals(&mut self) {
         self.refused = None;
     }
 
@@ -203,6 +211,9 @@
     ) -> AttemptDecision {
         let now = state.now();
         let clocks = self.pending.iter().map(|p| &*p.clock).chain(answering);
+        let is_forwarded = clocks
+            .clone()
+            .any(|c| c.is_forwarded.load(Ordering::Relaxed));
         let until_silent = clocks.map(|c| c.until_silent(now).unwrap_or(Duration::MAX));
         let pending = PendingAttempts {
             count: self.pending.len() + usize::from(answering.is_some()),
@@ -220,7 +231,7 @@
         let situation = AttemptSituation {
             pending,
             may_run: is_waiting || may_run(),
-            is_path_lost: state.path.is_lost(),
+            is_path_lost: state.path.is_lost() && !is_forwarded,
             refusals,
             left,
         };
--- a/crates/gateway/src/event_stream.rs
+++ b/crates/gateway/src/event_stream.rs
@@ -70,6 +70,8 @@
     attempts: Attempts<Ended>,
     /// True if the next attempt is no retry, because the latest one reached no upstream.
     skips_budget: bool,
+    /// True once the silence since the latest event was recorded against the upstream.
+    is_silence_recorded: bool,
     /// Why the latest attempt did not resume the stream.
     not_resumed: Option<NotResumed>,
     /// How the response ended that was passed on last.
@@ -100,6 +102,7 @@
             first_events,
             attempts: Attempts::new(),
             skips_budget: false,
+            is_silence_recorded: false,
             not_resumed: None,
             outcome: AttemptOutcome::TimedOut,
             has_ended: false,
@@ -203,7 +206,8 @@
         if let Some(evidence) = evidence {
             let pending = self.attempts.len() + usize::from(self.response.is_open());
             log_beside(&self.cx, evidence, pending);
-            if self.response.is_open() && self.attempts.is_empty() {
+            let is_first = !std::mem::replace(&mut self.is_silence_recorded, true);
+            if self.response.is_open() && is_first {
                 let silent_for = self.response.silent_for(now);
                 self.response.attempt.record_silence(silent_for);
             }
@@ -230,8 +234,13 @@
             Ended::Head(_) => return Resumed::No,
             Ended::Failed(failure, _) => {
                 self.skips_budget = failure.is_unreachable();
+                let is_used_up = failure.is_not_run() && !self.cx.may_run(MAX_ATTEMPTS);
                 self.not_resumed = Some(NotResumed::Failed(failure.detail));
-                self.attempts.record_sent();
+                if is_used_up {
+                    self.pause_before_others();
+                } else {
+                    self.attempts.clear_refusals();
+                }
                 return Resumed::No;
             }
             Ended::Refused(refusal) => NotResumed::Refused(refusal.detail),
@@ -241,11 +250,17 @@
             }
         };
         self.not_resumed = Some(refused);
-        // An upstream that did not run the request may do so later.
+        self.cx.state.take_back_retry(&self.cx.request.service);
+        self.pause_before_others();
+        Resumed::No
+    }
+
+    /// Has another attempt made after a pause. An upstream that did not run the request may do so
+    /// then.
+    fn pause_before_others(&mut self) {
         let ran_at = self.cx.request.ran_at.upstreams();
         lock(&self.cx.retries).forget_refused(&ran_at);
         self.attempts.record_refusal(self.cx.state.now());
-        Resumed::No
     }
 
     /// Passes on the response of another upstream from now on.
@@ -298,6 +313,7 @@
             .log_given_up(&self.cx, evidence, self.passed_on.parts);
         self.response.attempt.report_broken();
         self.response.close();
+        self.attempts.clear_refusals();
         self.outcome = AttemptOutcome::Truncated;
         self.response.attempt.finish(self.outcome);
     }
@@ -305,6 +321,7 @@
     fn record_part(&mut self, events: &[u8]) {
         self.binding.bind(&self.cx, &self.response.attempt);
         self.passed_on.record(self.cx.state.now());
+        self.is_silence_recorded = false;
         self.cx.request.in_flight.waits_for(Wait::Caller, "");
         self.response.attempt.record_progress(events);
         // An upstream that sends events has read its inputs. Results take much storage; a
--- a/crates/gateway/src/forward_client.rs
+++ b/crates/gateway/src/forward_client.rs
@@ -244,6 +244,7 @@
         false,
         || {
             let patience = head_patience(request.route().retry_mode, cx.time_left());
+            clock.set_forwarded();
             clock.record(state.now(), patience);
             on_write();
             true
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -342,6 +342,13 @@
         allowed
     }
 
+    /// Takes a retry back, because nothing was sent.
+    pub(crate) fn take_back_retry(&self, service: &str) {
+        if let Some(budget) = lock(&self.budgets).get_mut(service) {
+            budget.take_back();
+        }
+    }
+
     /// True if the upstreams of a service run stage pieces.
     pub(crate) fn serves_stages(&self, service: &str) -> bool {
         let router = self.router.load();
--- a/crates/gateway/src/streaming_call.rs
+++ b/crates/gateway/src/streaming_call.rs
@@ -194,6 +194,7 @@
                 return Err(lock(&self.cx.retries).after_runs(refusal));
             }
             Ended::Refused(_) | Ended::VersionUncertain => {
+                self.cx.state.take_back_retry(&self.cx.request.service);
                 self.attempts.record_refusal(self.cx.state.now());
             }
             Ended::Failed(failure, results) => self.record_failure(failure, results),
@@ -210,6 +211,7 @@
             self.skips_budget = true;
             return;
         }
+        self.attempts.clear_refusals();
         self.results = results;
         self.skips_budget = failure.is_unreachable();
         self.failure = Some(failure);
--- a/crates/gateway/src/unary_call.rs
+++ b/crates/gateway/src/unary_call.rs
@@ -81,11 +81,17 @@
                         return Ok(pass_on(state, &cx.request, complete));
                     }
                     Some(Ok(complete)) => last.record_error(complete),
-                    Some(Err(NextSendError::Failed(failure))) => last.record_failure(failure),
+                    Some(Err(NextSendError::Failed(failure))) => {
+                        attempts.clear_refusals();
+                        last.record_failure(failure);
+                    }
                     Some(Err(NextSendError::Refused(refusal))) if attempts.is_empty() => {
                         return last.error_response(&cx).ok_or(refusal);
                     }
-                    Some(Err(NextSendError::Refused(_))) => attempts.record_refusal(state.now()),
+                    Some(Err(NextSendError::Refused(_))) => {
+                        state.take_back_retry(&cx.request.service);
+                        attempts.record_refusal(state.now());
+                    }
                 }
             }
         }
--- a/crates/gateway/tests/whole/silences.rs
+++ b/crates/gateway/tests/whole/silences.rs
@@ -251,3 +251,65 @@
         );
     });
 }
+
+/// Guards against ending a stream because each of many upstreams has refused it once.
+#[test]
+fn a_broken_stream_resumes_although_many_upstreams_refuse_it_at_first() {
+    let refuses_once = vec![Reply::NotRun, RESUMES];
+    let harness = Harness::start(vec![refuses_once; 8]);
+    block_on(async {
+        harness.until_ready(true).await;
+        for upstream in &harness.upstreams {
+            upstream.set_replies(vec![BROKEN]);
+        }
+        let asking = harness.spawn_ask(harness.peer_addresses()[0], "/resume/x", "1");
+        while !harness.upstreams.iter().any(|u| u.has_run("1")) {
+            Timer::after(Duration::from_millis(1)).await;
+        }
+        for upstream in harness.upstreams.iter().filter(|u| !u.has_run("1")) {
+            upstream.set_replies(vec![Reply::NotRun, RESUMES]);
+        }
+        let received = asking.await;
+        assert_eq!(
+            (received.body.as_str(), received.whole),
+            (WHOLE, true),
+            "{received:?}"
+        );
+    });
+}
+
+/// Guards against counting one silence several times, which would eject a sound upstream.
+#[test]
+fn one_silence_does_not_eject_an_upstream() {
+    let pausing = vec![Reply::Pausing(&STREAM, PAUSE * 2)];
+    let harness = Harness::start(vec![pausing]);
+    block_on(async {
+        harness.until_ready(true).await;
+        let peers = harness.peer_addresses()[0];
+        let asking = harness.spawn_ask(peers, "/resume/x", "1");
+        Timer::after(Duration::from_millis(3_000)).await;
+        harness.upstreams[0].set_replies(vec![Reply::Complete("b")]);
+        let other = harness.spawn_ask(peers, "/once/x", "2").await;
+        assert_eq!((other.status, other.body.as_str()), (200, "b"));
+        assert!(asking.await.whole);
+        let ended = "jd_gateway_attempts_total{outcome=\"answered\"}";
+        assert_eq!(harness.counter_total(ended).await, 2);
+    });
+}
+
+/// Guards against more runs of a forwarded request because the own path is lost.
+#[test]
+fn a_lost_path_is_no_evidence_against_a_forwarded_run() {
+    block_on(async {
+        let harness = fleet(UPSTREAMS).await;
+        let order = by_ownership(&harness);
+        cut_off(&harness, &order[3..], Cut::Resets).await;
+        for upstream in &harness.upstreams[..UPSTREAMS] {
+            let slow = Reply::Delayed(WHOLE, Duration::from_millis(1_900));
+            upstream.set_replies(vec![slow]);
+        }
+        let received = harness.spawn_ask(order[3], "/resume/x", "1").await;
+        assert_eq!((received.body.as_str(), received.whole), (WHOLE, true));
+        assert_eq!(runs(&harness), 1);
+    });
+}
--- a/crates/serving/src/retry_budget.rs
+++ b/crates/serving/src/retry_budget.rs
@@ -51,6 +51,11 @@
         }
         fits
     }
+
+    /// Takes back the latest retry, because nothing was sent.
+    pub fn take_back(&mut self) {
+        self.retries.pop_back();
+    }
 }
 
 fn remove_expired(times: &mut VecDeque<MonoTime>, now: MonoTime, window: Duration) {
