Typed evidence decides what becomes of a response that is read

StreamResponse::read returns the evidence against its upstream, and Evidence::is_final alone says whether the response is dropped; a missed heartbeat of the instance that runs it is a lost path and is not. "attempt failed" names its evidence. The lines at the end of a stream have a file of their own.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -8,6 +8,7 @@
 use futures_lite::FutureExt;
 use http::StatusCode;
 use jd_net::HttpResponse;
+use jd_serving::Evidence;
 use jd_types::AttemptOutcome;
 use jd_types::RunState;
 
@@ -203,6 +204,7 @@
                 waited_ms = attempt.age().as_millis() as u64,
                 left_ms = request.time_left(state.now()).as_millis() as u64,
                 outcome = failure.outcome.as_str(),
+                evidence = Evidence::of_outcome(failure.outcome).as_str(),
                 run = failure.outcome.run_state().as_str(),
                 detail = failure.detail.as_str();
                 "attempt failed"
--- a/crates/gateway/src/event_stream.rs
+++ b/crates/gateway/src/event_stream.rs
@@ -30,6 +30,7 @@
 use crate::stream_attempt::Ended;
 use crate::stream_attempt::StreamAttempt;
 use crate::stream_binding::StreamBinding;
+use crate::stream_log;
 use crate::stream_response::Read;
 use crate::stream_response::StreamResponse;
 
@@ -132,14 +133,16 @@
                 AttemptDecision::Attempt(evidence) => self.try_resume(evidence),
                 AttemptDecision::Wait(limit) => match self.wait(limit).await {
                     None => self.check_silence(),
-                    Some(Progress::Response(Read::Nothing)) => {}
                     Some(Progress::Response(Read::Events(events))) => {
                         self.end_attempts();
                         self.record_part(&events);
                         return Some((Ok(events), self));
                     }
                     Some(Progress::Response(Read::Whole)) => return self.finish(),
-                    Some(Progress::Response(Read::Broken(evidence))) => self.drop_broken(evidence),
+                    Some(Progress::Response(Read::Evidence(e))) if e.is_final() => {
+                        self.drop_broken(e)
+                    }
+                    Some(Progress::Response(Read::Nothing | Read::Evidence(_))) => {}
                     Some(Progress::Attempt(ended)) => match self.handle_ended(*ended) {
                         Resumed::No => {}
                         Resumed::Whole => return self.finish(),
@@ -357,23 +360,7 @@
         self.has_ended = true;
         let state = &self.cx.state;
         state.metrics.stream_end(framing.as_str());
-        let request = &self.cx.request;
-        let took = state.now().since(request.arrived);
-        let first = self.passed_on.first.map(|at| at.since(request.arrived));
-        let tokens = request.head.prompt.as_ref().map(|p| p.tokens_in);
-        log::info!(
-            request = request.id(),
-            route = request.route().name.as_str(),
-            upstream = self.response.attempt.id(),
-            tokens:? = tokens,
-            parts = self.passed_on.parts,
-            first_ms:? = first.map(|d| d.as_millis() as u64),
-            pause_ms = self.passed_on.longest_pause.as_millis() as u64,
-            framing = self.response.framing.as_str(),
-            partial_bytes = self.response.splitter.partial_bytes(),
-            ms = took.as_millis() as u64;
-            "stream ended"
-        );
+        stream_log::ended(&self.cx, &self.response, &self.passed_on);
         let rest = self.response.splitter.take_remaining();
         (!rest.is_empty()).then_some((Ok(rest), self))
     }
@@ -386,22 +373,12 @@
         let state = &self.cx.state;
         let took = state.now().since(self.cx.request.arrived);
         state.metrics.request("cut-off", took);
-        let (reason, detail) = why.as_parts();
-        log::warn!(
-            request = self.cx.request.id(),
-            content:% = self.cx.request.contents.request,
-            upstream = self.response.attempt.id(),
-            outcome = self.outcome.as_str(),
-            reason,
-            detail,
-            since_last_ms = self.response.silent_for(state.now()).as_millis() as u64,
-            left_ms = self.cx.time_left().as_millis() as u64,
-            parts = self.passed_on.parts,
-            last_event:? = self.response.splitter.last_event(),
-            framing = self.response.framing.as_str(),
-            partial_bytes = self.response.splitter.partial_bytes(),
-            ms = took.as_millis() as u64;
-            "stream cut off"
+        stream_log::cut_off(
+            &self.cx,
+            &self.response,
+            &self.passed_on,
+            self.outcome,
+            &why,
         );
         // Let events that are written but not yet sent reach the caller before the connection
         // is dropped: the caller may resume after the last of them.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -83,6 +83,7 @@
 mod store_reader;
 mod stream_attempt;
 mod stream_binding;
+mod stream_log;
 mod stream_registry;
 mod stream_response;
 mod stream_saver;
--- a/crates/gateway/src/stream_attempt.rs
+++ b/crates/gateway/src/stream_attempt.rs
@@ -176,13 +176,13 @@
         let mut response = StreamResponse::new(self.response, self.clock, self.results);
         let (outcome, evidence) = loop {
             let first = match with_timeout(cx.time_left(), response.read()).await {
-                Some(Read::Nothing) => continue,
                 Some(Read::Events(events)) => Some(events),
                 Some(Read::Whole) => None,
-                Some(Read::Broken(evidence)) => {
+                Some(Read::Evidence(evidence)) if evidence.is_final() => {
                     response.attempt.report_broken();
                     break (AttemptOutcome::Truncated, evidence);
                 }
+                Some(Read::Nothing | Read::Evidence(_)) => continue,
                 None => break (AttemptOutcome::TimedOut, Evidence::Silent),
             };
             return Ended::Begun(BegunStream {
--- a/crates/gateway/src/stream_response.rs
+++ b/crates/gateway/src/stream_response.rs
@@ -28,8 +28,8 @@
     Nothing,
     /// The response is whole.
     Whole,
-    /// The upstream broke off, or has restarted.
-    Broken(Evidence),
+    /// This is known against the upstream. Unless it is final, the response may go on.
+    Evidence(Evidence),
 }
 
 /// A successful response whose body is a stream of events.
@@ -76,8 +76,8 @@
         self.http = None;
     }
 
-    /// Reads on. Returns [`Read::Nothing`] as well if the instance that runs the request misses
-    /// heartbeats, which counts as silence from then on. Dropping the future loses nothing.
+    /// Reads on. An instance that runs the request and misses heartbeats counts as silent from then
+    /// on. Dropping the future loses nothing.
     pub(crate) async fn read(&mut self) -> Read {
         let Some(http) = &mut self.http else {
             return futures_lite::future::pending().await;
@@ -89,8 +89,7 @@
         };
         let missed = async {
             attempt.until_instance_missed().await;
-            clock.suspect();
-            Ok(Some(Bytes::new()))
+            Err(Evidence::PathLost)
         };
         let chunk = async { http.chunk().await.map_err(|_: SendError| Evidence::Broken) };
         let is_marked = self.framing.marks_end();
@@ -103,12 +102,17 @@
                 }
                 Err(e) => {
                     log::warn!(upstream = attempt.id(), detail:% = e; "stream is no event stream");
-                    Read::Broken(Evidence::Broken)
+                    Read::Evidence(Evidence::Broken)
                 }
             },
             Ok(None) if self.splitter.end(is_marked) == StreamEnd::Whole => Read::Whole,
-            Ok(None) => Read::Broken(Evidence::Broken),
-            Err(evidence) => Read::Broken(evidence),
+            Ok(None) => Read::Evidence(Evidence::Broken),
+            Err(evidence) => {
+                if !evidence.is_final() {
+                    clock.suspect();
+                }
+                Read::Evidence(evidence)
+            }
         }
     }
 
