Review case 7: a 503 of an engine that ran the request is passed on as a promise

Seen: an engine makes a booking, fails and answers 503 without Jacinthdeal-Not-Executed. The client gets the 503, which promises that nothing has run, sends the booking again, and it is made twice.

Cause: validate in attempt.rs takes any status without the header as the engine's answer, and unary_call.rs passes the status on.

--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -3,6 +3,7 @@
 //! `review-case NAME FOLDER`; exits with 1 if the rule was broken, 0 if it held, 2 if the case could
 //! not run. `TROUBLE=0` leaves the disruption out.
 
+mod booked_twice;
 mod cut_event;
 mod engine;
 mod http;
@@ -25,6 +26,7 @@
     };
     let folder = Path::new(folder);
     let played = match name.as_str() {
+        "booked-twice" => booked_twice::run(folder),
         "cut-event" => cut_event::run(folder),
         "revoked-key" => revoked_key::run(folder),
         "stage-answers" => stage_answers::run(folder),
