--- a/review/standins-2/src/site.rs
+++ b/review/standins-2/src/site.rs
@@ -22,6 +22,12 @@
 use crate::http::Conn;
 use crate::store::Store;
 
+/// After this time a case ends its processes and itself.
+const LIMIT: Duration = Duration::from_secs(112);
+
+/// The processes that run, for the end at [`LIMIT`].
+static PROCESSES: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
 /// What was sent, answered and run.
 #[derive(Debug)]
 pub struct Record {
@@ -67,6 +73,7 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        forget(&self.child);
     }
 }
 
@@ -99,6 +106,7 @@
             folder,
         };
         site.store = Store::start(site.store_address())?;
+        thread::spawn(end_at_limit);
         let trouble = if calm { "left out" } else { "played" };
         site.record.line(&format!("case begins; disruption {trouble}"));
         Ok(site)
@@ -208,6 +216,7 @@
     pub fn restart(&mut self, pause: Duration) -> io::Result<()> {
         self.child.kill()?;
         self.child.wait()?;
+        forget(&self.child);
         thread::sleep(pause);
         let text = fs::read_to_string(&self.settings)?;
         let text = text.replace("first-start = true", "first-start = false");
@@ -219,13 +228,29 @@
 
 fn start_process(settings: &Path, log: &Path) -> io::Result<Child> {
     let log = File::options().create(true).append(true).open(log)?;
-    Command::new("target/release/jacinthdeal-gateway")
+    let child = Command::new("target/release/jacinthdeal-gateway")
         .arg("--settings")
         .arg(settings)
         .stdin(Stdio::null())
         .stdout(log.try_clone()?)
         .stderr(log)
-        .spawn()
+        .spawn()?;
+    PROCESSES.lock().unwrap().push(child.id());
+    Ok(child)
+}
+
+/// Forgets a process that has ended, so that its number is not used again.
+fn forget(child: &Child) {
+    PROCESSES.lock().unwrap().retain(|id| *id != child.id());
+}
+
+fn end_at_limit() {
+    thread::sleep(LIMIT);
+    let processes = PROCESSES.lock().unwrap();
+    let ids = processes.iter().map(u32::to_string);
+    let _ = Command::new("kill").arg("-KILL").args(ids).status();
+    println!("could not run: the case took longer than {LIMIT:?}");
+    std::process::exit(2);
 }
 
 /// The middle bytes of a loopback network on which the store's port is free.
