--- a/review/standins-2/src/booked_twice.rs
+++ b/review/standins-2/src/booked_twice.rs
@@ -47,7 +47,10 @@
 
 impl Shared {
     fn is_troubled(&self) -> bool {
-        let since = self.record.ms().saturating_sub(self.began_ms.load(Ordering::Relaxed));
+        let since = self
+            .record
+            .ms()
+            .saturating_sub(self.began_ms.load(Ordering::Relaxed));
         !self.calm && since % TROUBLE_PERIOD_MS < TROUBLE_MS
     }
 }
@@ -120,7 +123,13 @@
         let _ = caller.join();
     }
     site.record_logs(&["panicked"]);
-    let twice = shared.booked.lock().unwrap().values().filter(|n| **n > 1).count();
+    let twice = shared
+        .booked
+        .lock()
+        .unwrap()
+        .values()
+        .filter(|n| **n > 1)
+        .count();
     let broken = broken.load(Ordering::Relaxed);
     let served = served.load(Ordering::Relaxed);
     let text = format!(
@@ -165,10 +174,23 @@
 
 /// Makes a booking.
 fn make(shared: &Shared, req: &Message, id: &str, is_faulty: bool) -> Vec<u8> {
-    let request = req.header("jacinthdeal-attempt-id").unwrap_or("").to_string();
+    let request = req
+        .header("jacinthdeal-attempt-id")
+        .unwrap_or("")
+        .to_string();
     let booking = req.text();
-    *shared.runs.lock().unwrap().entry(request.clone()).or_default() += 1;
-    *shared.booked.lock().unwrap().entry(booking.clone()).or_default() += 1;
+    *shared
+        .runs
+        .lock()
+        .unwrap()
+        .entry(request.clone())
+        .or_default() += 1;
+    *shared
+        .booked
+        .lock()
+        .unwrap()
+        .entry(booking.clone())
+        .or_default() += 1;
     thread::sleep(Duration::from_millis(20));
     let mut headers: Vec<(&str, String)> = engine::echo(req).into_iter().collect();
     let mut fails = false;
@@ -178,10 +200,14 @@
     }
     if fails {
         shared.failed.fetch_add(1, Ordering::Relaxed);
-        shared.record.line(&format!("{id} ran {request}, {booking}, and answers 503"));
+        shared
+            .record
+            .line(&format!("{id} ran {request}, {booking}, and answers 503"));
         return http::response("503 Service Unavailable", &headers, b"failed");
     }
-    shared.record.line(&format!("{id} ran {request}, {booking}"));
+    shared
+        .record
+        .line(&format!("{id} ran {request}, {booking}"));
     headers.push(engine::signature(req));
     http::response("200 OK", &headers, b"booked")
 }
--- a/review/standins-2/src/cut_event.rs
+++ b/review/standins-2/src/cut_event.rs
@@ -41,7 +41,10 @@
 
 impl Shared {
     fn is_troubled(&self) -> bool {
-        let since = self.record.ms().saturating_sub(self.began_ms.load(Ordering::Relaxed));
+        let since = self
+            .record
+            .ms()
+            .saturating_sub(self.began_ms.load(Ordering::Relaxed));
         !self.calm && since % TROUBLE_PERIOD_MS < TROUBLE_MS
     }
 }
@@ -120,7 +123,10 @@
     let events = text.matches("\n\n").count();
     let last = format!("data: part {EVENTS} of {id}\n\n");
     let status = res.status();
-    let shown = format!("client {id} got {status}, complete {}, {events} events", res.complete);
+    let shown = format!(
+        "client {id} got {status}, complete {}, {events} events",
+        res.complete
+    );
     match (status, res.complete) {
         (200, true) if events == EVENTS && text.ends_with(&last) => (shown, Some(0)),
         (200, true) => {
@@ -133,7 +139,8 @@
 
 fn ask(to: SocketAddr, id: &str, n: u64) -> io::Result<Option<Message>> {
     let mut conn = Conn::connect(to)?;
-    conn.stream.set_read_timeout(Some(Duration::from_secs(16)))?;
+    conn.stream
+        .set_read_timeout(Some(Duration::from_secs(16)))?;
     let head = format!(
         "POST /draft/1 HTTP/1.1\r\nHost: desk.example\r\nAuthorization: Token key-one\r\n\
          Jacinthdeal-Attempt-Id: {id}\r\nJacinthdeal-Deadline-Ms: 15000\r\n\
@@ -166,8 +173,13 @@
     id: &str,
     is_faulty: bool,
 ) -> io::Result<()> {
-    let request = req.header("jacinthdeal-attempt-id").unwrap_or("").to_string();
-    let first = req.header("last-event-id").and_then(|t| t.parse::<usize>().ok());
+    let request = req
+        .header("jacinthdeal-attempt-id")
+        .unwrap_or("")
+        .to_string();
+    let first = req
+        .header("last-event-id")
+        .and_then(|t| t.parse::<usize>().ok());
     let first = first.map_or(1, |last| last + 1);
     let mut is_cut = false;
     if is_faulty && shared.is_troubled() {
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -39,7 +39,10 @@
         Err(e) => (2, format!("could not run: {e}")),
     };
     println!("{text}");
-    let file = std::fs::File::options().append(true).create(true).open(folder.join("record.txt"));
+    let file = std::fs::File::options()
+        .append(true)
+        .create(true)
+        .open(folder.join("record.txt"));
     if let Ok(mut file) = file {
         use std::io::Write;
         let _ = writeln!(file, "result {text}");
--- a/review/standins-2/src/revoked_key.rs
+++ b/review/standins-2/src/revoked_key.rs
@@ -1,5 +1,5 @@
-//! A drill of the store, and a process that is killed and started again in it. The process reads the
-//! configuration of the copy, in which a revoked key still is.
+//! A drill of the store, in which a machine is added. Its process reads the configuration of the copy,
+//! in which a revoked key still is.
 
 use std::io;
 use std::net::SocketAddr;
@@ -23,9 +23,8 @@
 const REVOKED_BEFORE: Duration = Duration::from_millis(4_000);
 /// How long the store is away.
 const AWAY: Duration = Duration::from_millis(1_500);
-/// When the process is killed in that time, and how long until it is started again.
-const KILLED_AFTER: Duration = Duration::from_millis(300);
-const START_PAUSE: Duration = Duration::from_millis(400);
+/// When the added process starts in that time.
+const ADDED_AFTER: Duration = Duration::from_millis(700);
 /// How soon after the return of the store the operator and the engines have written again what they
 /// wrote since the copy: in half of the two seconds in which entries are back that expired with it.
 const WRITTEN_AGAIN: Duration = Duration::from_millis(1_000);
@@ -35,7 +34,8 @@
 
 pub fn run(case: &Path) -> io::Result<Verdict> {
     let mut site = Site::start(case)?;
-    site.store.write("op/config", &config(7, r#""key-kept","key-gone""#));
+    site.store
+        .write("op/config", &config(7, r#""key-kept","key-gone""#));
     let runs = Runs::default();
     for n in 0..3 {
         let addr = site.address(8080);
@@ -61,7 +61,9 @@
     let to = site.gateways[0].callers;
     for (n, key) in ["key-kept", "key-gone"].into_iter().enumerate() {
         let status = ask(to, &format!("b{n:015x}"), key)?;
-        record.line(&format!("before the revocation, {key} got {status} at gateway 1"));
+        record.line(&format!(
+            "before the revocation, {key} got {status} at gateway 1"
+        ));
         if status != 200 {
             return Ok(Verdict::NotRun(format!("{key} is not served at first")));
         }
@@ -75,29 +77,34 @@
     record.line("version 9, which takes key-gone away, is acknowledged");
     thread::sleep(REVOKED_BEFORE);
     let status = ask(to, "c000000000000000", "key-gone")?;
-    record.line(&format!("key-gone got {status} at gateway 1, 4 s after its revocation"));
+    record.line(&format!(
+        "key-gone got {status} at gateway 1, 4 s after its revocation"
+    ));
     if status != 401 {
-        return Ok(Verdict::NotRun("key-gone is not refused before the drill".into()));
+        return Ok(Verdict::NotRun(
+            "key-gone is not refused before the drill".into(),
+        ));
     }
     if !site.calm {
         site.store.go_away();
         record.line("the store goes away");
     }
-    thread::sleep(KILLED_AFTER);
-    if !site.calm {
-        site.gateways[0].restart(START_PAUSE)?;
-        record.line("gateway 1 was killed and started again");
-    }
-    thread::sleep(AWAY.saturating_sub(KILLED_AFTER + START_PAUSE));
+    thread::sleep(ADDED_AFTER);
+    site.gateway("hall-a", false)?;
+    let to = site.gateways[3].callers;
+    thread::sleep(AWAY.saturating_sub(ADDED_AFTER));
     if !site.calm {
         site.store.come_back_from(copy);
         record.line("the store is back from the copy, in the next era");
     }
     let back = record.ms();
-    for n in 1..3 {
+    for n in 0..3 {
         let id = format!("f{n:015x}");
         let status = ask(site.gateways[n].callers, &id, "key-gone").unwrap_or(0);
-        record.line(&format!("key-gone got {status} at gateway {}, which runs on", n + 1));
+        record.line(&format!(
+            "key-gone got {status} at gateway {}, which runs since the start",
+            n + 1
+        ));
     }
     let mut written_again = site.calm;
     let mut sent = 0;
@@ -116,7 +123,7 @@
             let status = ask(to, &id, "key-gone").unwrap_or(0);
             let after = at - acked;
             record.line(&format!(
-                "request {id} with key-gone, sent {after} ms after the revocation, got {status}"
+                "request {id} with key-gone to gateway 4, sent {after} ms after the revocation, got {status}"
             ));
             if runs.lock().unwrap().contains(&id) {
                 accepted.push(after);
@@ -125,7 +132,7 @@
         thread::sleep(Duration::from_millis(40));
     }
     let kept = ask(to, "e000000000000000", "key-kept")?;
-    record.line(&format!("at the end, key-kept got {kept} at gateway 1"));
+    record.line(&format!("at the end, key-kept got {kept} at gateway 4"));
     site.record_logs(&["configuration in force", "later configuration", "restored"]);
     let text = format!(
         "{} of {sent} requests with the revoked key ran, sent {:?} to {:?} ms after its revocation was acknowledged; the bound is {REVOKE_MS} ms",
@@ -176,7 +183,9 @@
 }
 
 fn config(version: u64, keys: &str) -> String {
-    CONFIG.replace("VERSION", &version.to_string()).replace("KEYS", keys)
+    CONFIG
+        .replace("VERSION", &version.to_string())
+        .replace("KEYS", keys)
 }
 
 const CONFIG: &str = r#"{"version":VERSION,"routes":[{"name":"r-book","host":"desk.example","prefix":"/book/","type":"non_idempotent","timeout_ms":800,"slo_ms":150,"priority":2,"service":"desk","max_attempts":1,"phases":[],"public":false,"sticky":false,"resumable":false}],"services":[{"name":"desk","health_path":"/healthz","max_conns":110,"protocol":"h1","tls":false}],"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},"tenants":[{"name":"bozi300","api_keys":[KEYS],"priority":1}]}"#;
--- a/review/standins-2/src/site.rs
+++ b/review/standins-2/src/site.rs
@@ -65,7 +65,6 @@
     pub child: Child,
     pub callers: SocketAddr,
     pub ready: SocketAddr,
-    settings: PathBuf,
     log: PathBuf,
 }
 
@@ -108,7 +107,8 @@
         site.store = Store::start(site.store_address())?;
         thread::spawn(end_at_limit);
         let trouble = if calm { "left out" } else { "played" };
-        site.record.line(&format!("case begins; disruption {trouble}"));
+        site.record
+            .line(&format!("case begins; disruption {trouble}"));
         Ok(site)
     }
 
@@ -155,7 +155,9 @@
             text = text.replace(&format!("{{{{{name}}}}}"), &value);
         }
         if text.contains("{{") {
-            return Err(io::Error::other("the template has a field that is unknown here"));
+            return Err(io::Error::other(
+                "the template has a field that is unknown here",
+            ));
         }
         let settings = self.folder.join(format!("gateway-{n}.ini"));
         fs::write(&settings, text)?;
@@ -167,7 +169,6 @@
             child,
             callers: SocketAddr::new(ip, 8625),
             ready: SocketAddr::new(ip, 8621),
-            settings,
             log,
         });
         Ok(())
@@ -194,7 +195,8 @@
             let text = fs::read_to_string(&gateway.log).unwrap_or_default();
             for line in text.lines() {
                 if words.iter().any(|w| line.contains(w)) {
-                    self.record.line(&format!("log of gateway {}: {line}", n + 1));
+                    self.record
+                        .line(&format!("log of gateway {}: {line}", n + 1));
                 }
             }
         }
@@ -211,19 +213,6 @@
         };
         ask().is_ok_and(|status| status == 200)
     }
-
-    /// Kills the process and starts it again.
-    pub fn restart(&mut self, pause: Duration) -> io::Result<()> {
-        self.child.kill()?;
-        self.child.wait()?;
-        forget(&self.child);
-        thread::sleep(pause);
-        let text = fs::read_to_string(&self.settings)?;
-        let text = text.replace("first-start = true", "first-start = false");
-        fs::write(&self.settings, text)?;
-        self.child = start_process(&self.settings, &self.log)?;
-        Ok(())
-    }
 }
 
 fn start_process(settings: &Path, log: &Path) -> io::Result<Child> {
--- a/review/standins-2/src/stage_answers.rs
+++ b/review/standins-2/src/stage_answers.rs
@@ -53,7 +53,10 @@
 
 impl Shared {
     fn is_troubled(&self) -> bool {
-        let since = self.record.ms().saturating_sub(self.began_ms.load(Ordering::Relaxed));
+        let since = self
+            .record
+            .ms()
+            .saturating_sub(self.began_ms.load(Ordering::Relaxed));
         !self.calm && since % TROUBLE_PERIOD_MS < TROUBLE_MS
     }
 }
@@ -75,9 +78,8 @@
         let id = format!("i-stage-{n}");
         let (shared, own) = (Arc::clone(&shared), id.clone());
         let slot = Arc::new(Mutex::new(()));
-        let serve = move |conn| {
-            stage_connection(&shared, conn, &own, addr, n < FAULTY_ENGINES, &slot)
-        };
+        let serve =
+            move |conn| stage_connection(&shared, conn, &own, addr, n < FAULTY_ENGINES, &slot);
         http::serve(addr, Arc::new(serve))?;
         let entry = Entry {
             id,
@@ -93,7 +95,10 @@
         let addr = site.address(8080);
         let id = format!("i-model-{n}");
         let (shared, own) = (Arc::clone(&shared), id.clone());
-        http::serve(addr, Arc::new(move |conn| model_connection(&shared, conn, &own)))?;
+        http::serve(
+            addr,
+            Arc::new(move |conn| model_connection(&shared, conn, &own)),
+        )?;
         let entry = Entry {
             id,
             service: "pool",
@@ -150,7 +155,8 @@
 
 fn ask(to: SocketAddr, id: &str, n: u64) -> io::Result<String> {
     let mut conn = Conn::connect(to)?;
-    conn.stream.set_read_timeout(Some(Duration::from_secs(16)))?;
+    conn.stream
+        .set_read_timeout(Some(Duration::from_secs(16)))?;
     let body = format!("draft {id}");
     let head = format!(
         "POST /draft/1 HTTP/1.1\r\nHost: desk.example\r\nAuthorization: Token key-one\r\n\
@@ -281,7 +287,10 @@
 
 /// Fetches the inputs of a request and answers with a stream of events.
 fn generate(shared: &Shared, conn: &mut Conn, req: &Message, id: &str) -> io::Result<()> {
-    let request = req.header("jacinthdeal-attempt-id").unwrap_or("").to_string();
+    let request = req
+        .header("jacinthdeal-attempt-id")
+        .unwrap_or("")
+        .to_string();
     let inputs = req.header("jacinthdeal-inputs").unwrap_or("");
     let found: Vec<Option<String>> = {
         let results = shared.results.lock().unwrap();
@@ -296,7 +305,9 @@
     let mut headers = vec![("Jacinthdeal-Attempt-Id", request.clone())];
     if let Some(status) = refusal {
         headers.push(("Jacinthdeal-Not-Executed", "1".into()));
-        shared.record.line(&format!("{id} refused {request} with {status}"));
+        shared
+            .record
+            .line(&format!("{id} refused {request} with {status}"));
         return conn.send(&http::response(status, &headers, b""));
     }
     let owners: Vec<String> = found.into_iter().flatten().collect();
