The end of a response is judged at one place, by what it brought

A mark says that the sender ended the body: an HTTP library does that also where the program behind it fails. The word of the splitter was asked by responses that begin a stream, resume one, are taken up by a caller or come from another instance, and each had the fault: what resumed a stream could end it half an event in, or without any.

Change: EndEvidence::judge in serving decides, without I/O, by what the head says of the body (events, other content, none), what the response is to the stream, the mark, and where the body ended. A stream is complete only after an event of the same response. Other content than event streams is shown by its media type, not by the lack of an event; it cannot go on with a stream. 204 says that nothing is left. `end` in the lines of ended, given up and cut off streams says how it was judged.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 mod batch_calls;
 mod batch_dispatcher;
 mod batch_handover;
+mod body_kind;
 mod brittle;
 mod caller_api;
 mod caller_request;
--- a/crates/gateway/src/stream_attempt.rs
+++ b/crates/gateway/src/stream_attempt.rs
@@ -9,6 +9,7 @@
 use jd_net::with_timeout;
 use jd_serving::EVENT_PATIENCE;
 use jd_serving::Evidence;
+use jd_serving::ResponseRole;
 use jd_serving::SoftwareVersion;
 use jd_serving::StreamBeginning;
 use jd_types::AttemptOutcome;
@@ -65,6 +66,7 @@
     pub(crate) response: UpstreamResponse,
     pub(crate) results: StageResults,
     pub(crate) clock: Arc<AttemptClock>,
+    pub(crate) role: ResponseRole,
 }
 
 /// A successful response, up to its first event.
@@ -122,6 +124,10 @@
                 Err(refusal) => return Ended::Refused(refusal),
             },
         };
+        let role = match has_begun || last_event.is_some() {
+            true => ResponseRole::Continuation,
+            false => ResponseRole::Beginning,
+        };
         let written = Signal::new();
         let next = NextSend {
             inputs: results.handles(),
@@ -138,6 +144,7 @@
                     response,
                     results,
                     clock,
+                    role,
                 })
             }
             Err(NextSendError::Refused(refusal)) => Ended::Refused(refusal),
@@ -173,7 +180,7 @@
             return Ended::Failed(failed, None);
         }
         let headers = self.response.http.headers.clone();
-        let mut response = StreamResponse::new(self.response, self.clock, self.results);
+        let mut response = StreamResponse::new(&cx.request, self);
         let (outcome, evidence) = loop {
             let first = match with_timeout(cx.time_left(), response.read()).await {
                 Some(Read::Events(events)) => Some(events),
--- a/crates/gateway/src/stream_log.rs
+++ b/crates/gateway/src/stream_log.rs
@@ -22,6 +22,7 @@
         first_ms:? = first.map(|d| d.as_millis() as u64),
         pause_ms = passed_on.longest_pause.as_millis() as u64,
         framing = response.framing.as_str(),
+        end = response.end_as_str(),
         partial_bytes = response.splitter.partial_bytes(),
         ms = took.as_millis() as u64;
         "stream ended"
@@ -50,6 +51,7 @@
         parts = passed_on.parts,
         last_event:? = response.splitter.last_event(),
         framing = response.framing.as_str(),
+        end = response.end_as_str(),
         partial_bytes = response.splitter.partial_bytes(),
         ms = now.since(cx.request.arrived).as_millis() as u64;
         "stream cut off"
--- a/crates/gateway/src/stream_response.rs
+++ b/crates/gateway/src/stream_response.rs
@@ -8,17 +8,22 @@
 use jd_net::BodyFraming;
 use jd_net::HttpResponse;
 use jd_net::SendError;
+use jd_serving::BodyKind;
 use jd_serving::EVENT_PATIENCE;
+use jd_serving::EndEvidence;
 use jd_serving::EventSplitter;
 use jd_serving::Evidence;
-use jd_serving::StreamEnd;
+use jd_serving::ResponseEnd;
+use jd_serving::ResponseRole;
 use jd_types::MonoTime;
 
 use crate::active_attempt::ActiveAttempt;
-use crate::attempt::UpstreamResponse;
 use crate::attempts::AttemptClock;
 use crate::attempts::AttemptContext;
+use crate::body_kind;
+use crate::caller_request::CallerRequest;
 use crate::stage_results::StageResults;
+use crate::stream_attempt::HeadArrived;
 
 /// What was read of a response, or became of it.
 pub(crate) enum Read {
@@ -44,16 +49,29 @@
     /// The stage results that its upstream reads.
     pub(crate) results: StageResults,
     pub(crate) splitter: EventSplitter,
+    kind: BodyKind,
+    role: ResponseRole,
+    /// What the end of the body says; none while it has not ended.
+    end: Option<ResponseEnd>,
 }
 
 impl StreamResponse {
-    pub(crate) fn new(
-        response: UpstreamResponse,
-        clock: Arc<AttemptClock>,
-        results: StageResults,
-    ) -> StreamResponse {
+    pub(crate) fn new(request: &CallerRequest, head: HeadArrived) -> StreamResponse {
+        let HeadArrived {
+            response,
+            results,
+            clock,
+            role,
+        } = head;
         StreamResponse {
             framing: response.http.framing,
+            kind: body_kind::of_stream(
+                &request.parts.method,
+                response.head.status,
+                &response.http.headers,
+            ),
+            role,
+            end: None,
             http: Some(response.http),
             attempt: response.attempt,
             clock,
@@ -92,7 +110,6 @@
             Err(Evidence::PathLost)
         };
         let chunk = async { http.chunk().await.map_err(|_: SendError| Evidence::Broken) };
-        let is_marked = self.framing.marks_end();
         match chunk.or(restarted).or(missed).await {
             Ok(Some(part)) => match self.splitter.push(&part) {
                 Ok(None) => Read::Nothing,
@@ -105,8 +122,10 @@
                     Read::Evidence(Evidence::Broken)
                 }
             },
-            Ok(None) if self.splitter.end(is_marked) == StreamEnd::Whole => Read::Whole,
-            Ok(None) => Read::Evidence(Evidence::Broken),
+            Ok(None) => match self.judge_end() {
+                end if end.is_complete() => Read::Whole,
+                _ => Read::Evidence(Evidence::Broken),
+            },
             Err(evidence) => {
                 if !evidence.is_final() {
                     clock.suspect();
@@ -116,6 +135,22 @@
         }
     }
 
+    /// Judges the end of the body.
+    fn judge_end(&mut self) -> ResponseEnd {
+        let evidence = EndEvidence {
+            kind: self.kind,
+            role: self.role,
+            is_marked: self.framing.marks_end(),
+            received: self.splitter.received(),
+        };
+        *self.end.insert(evidence.judge())
+    }
+
+    /// What the end of the body says, as logged; empty while it has not ended.
+    pub(crate) fn end_as_str(&self) -> &'static str {
+        self.end.map_or("", ResponseEnd::as_str)
+    }
+
     /// The time since its last event, or since its head.
     pub(crate) fn silent_for(&self, now: MonoTime) -> Duration {
         self.clock.silent_for(now).unwrap_or_default()
@@ -128,6 +163,7 @@
             content:% = cx.request.contents.request,
             upstream = self.attempt.id(),
             evidence = evidence.as_str(),
+            end = self.end_as_str(),
             since_last_ms = self.silent_for(cx.state.now()).as_millis() as u64,
             parts = events,
             left_ms = cx.time_left().as_millis() as u64;
--- a/crates/gateway/src/streaming_call.rs
+++ b/crates/gateway/src/streaming_call.rs
@@ -325,10 +325,7 @@
             let body = error_body(state, request, head.response).await?;
             return Ok(response_with(status, headers, body));
         }
-        Begun::Head(head) => {
-            let response = StreamResponse::new(head.response, head.clock, head.results);
-            (response, None)
-        }
+        Begun::Head(head) => (StreamResponse::new(request, head), None),
         Begun::Event(begun) => (begun.response, begun.first),
     };
     let events = EventStream::new(cx, stages, response, first);
--- a/crates/gateway/tests/whole/main.rs
+++ b/crates/gateway/tests/whole/main.rs
@@ -8,6 +8,7 @@
 mod cold_start;
 mod crashes;
 mod crashing_parts;
+mod cut_short;
 mod endless;
 mod evacuation;
 mod fakes;
--- a/crates/serving/src/event_splitter.rs
+++ b/crates/serving/src/event_splitter.rs
@@ -5,8 +5,10 @@
 use snafu::Snafu;
 use snafu::ensure;
 
-/// Terminates an event.
-const EVENT_END: &[u8] = b"\n\n";
+use crate::ReceivedBody;
+use crate::event_lines::EventLine;
+use crate::event_lines::EventLines;
+
 /// Prefix of the line with an event's number.
 const ID_LINE: &[u8] = b"id:";
 /// Maximum size of an event, and of what comes between two events, in bytes. Events hold several
@@ -18,13 +20,15 @@
 #[snafu(display("no event ended within {MAX_EVENT_BYTES} bytes; check the upstream"))]
 pub struct EventTooLarge;
 
-/// What the end of a response body says about its stream.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum StreamEnd {
-    /// The stream is complete.
-    Whole,
-    /// The upstream broke the stream off.
-    BrokenOff,
+/// The lines since the latest blank line.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+enum Block {
+    #[default]
+    Blank,
+    /// Comments alone.
+    Comment,
+    /// An event, with its number if that has come.
+    Event(Option<u64>),
 }
 
 /// Splits a byte stream into complete events.
@@ -35,46 +39,80 @@
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     partial: BytesMut,
+    lines: EventLines,
+    block: Block,
     /// Bytes of blank lines and comments since the last event.
     filler: usize,
     last: Option<u64>,
+    /// True once the current response has brought a byte.
+    has_bytes: bool,
     /// True once the current response has brought an event.
     has_events: bool,
 }
 
 impl EventSplitter {
-    /// Appends bytes and returns the events that are complete now.
+    /// Appends bytes and returns the events and comments that are complete now.
     ///
     /// Fails if more than [`MAX_EVENT_BYTES`] would be kept, or came without an event. The response
     /// must not be read any further then.
     pub fn push(&mut self, part: &[u8]) -> Result<Option<Bytes>, EventTooLarge> {
-        // Only an end that the new bytes complete can be new.
-        let searched = self.partial.len().saturating_sub(EVENT_END.len() - 1);
+        let searched = self.partial.len();
         self.partial.extend_from_slice(part);
-        let Some(found) = find_last(&self.partial[searched..], EVENT_END) else {
-            let without_event = self.partial.len() + self.filler;
-            ensure!(without_event <= MAX_EVENT_BYTES, EventTooLargeSnafu);
-            return Ok(None);
-        };
-        let end = searched + found + EVENT_END.len();
+        self.has_bytes |= !part.is_empty();
+        let mut end = 0;
+        let mut brought_event = false;
+        for at in searched..self.partial.len() {
+            match self.lines.push(self.partial[at]) {
+                None => {}
+                Some(EventLine::Blank) => match std::mem::take(&mut self.block) {
+                    // Goes out with what follows it.
+                    Block::Blank => {}
+                    Block::Comment => end = at + 1,
+                    Block::Event(id) => {
+                        end = at + 1;
+                        self.last = id.or(self.last);
+                        brought_event = true;
+                    }
+                },
+                Some(EventLine::Comment) if self.block == Block::Blank => {
+                    self.block = Block::Comment;
+                }
+                Some(EventLine::Comment) => {}
+                Some(EventLine::Field(len)) => {
+                    let id = event_id(&self.partial[at - len..at]);
+                    let earlier = match self.block {
+                        Block::Event(id) => id,
+                        Block::Blank | Block::Comment => None,
+                    };
+                    self.block = Block::Event(id.or(earlier));
+                }
+            }
+        }
+        self.has_events |= brought_event;
         let complete = self.partial.split_to(end).freeze();
-        self.filler = match complete.split(|b| *b == b'\n').any(has_content) {
+        self.filler = match brought_event {
             true => 0,
             false => self.filler + complete.len(),
         };
-        ensure!(self.filler <= MAX_EVENT_BYTES, EventTooLargeSnafu);
-        self.last = last_id(&complete).or(self.last);
-        self.has_events = true;
-        Ok(Some(complete))
+        let without_event = self.partial.len() + self.filler;
+        ensure!(without_event <= MAX_EVENT_BYTES, EventTooLargeSnafu);
+        Ok((!complete.is_empty()).then_some(complete))
     }
 
-    /// The number of complete events in bytes that [`EventSplitter::push`] returned. Blank lines
-    /// between events do not count.
+    /// The number of complete events in bytes that [`EventSplitter::push`] returned. Blank lines and
+    /// comments between events do not count.
     pub fn count_events(events: &[u8]) -> u32 {
-        let ends = events.windows(1 + EVENT_END.len());
-        let is_event_end = |w: &&[u8]| w[0] != b'\n' && w[1..] == *EVENT_END;
-        let count = ends.filter(is_event_end).count();
-        u32::try_from(count).unwrap_or(u32::MAX)
+        let mut lines = EventLines::default();
+        let mut in_event = false;
+        let mut count = 0;
+        for line in events.iter().filter_map(|b| lines.push(*b)) {
+            match line {
+                EventLine::Blank => count += u32::from(std::mem::take(&mut in_event)),
+                EventLine::Comment => {}
+                EventLine::Field(_) => in_event = true,
+            }
+        }
+        count
     }
 
     /// The number of the last complete event, if there was one.
@@ -87,18 +125,14 @@
         self.partial.len()
     }
 
-    /// Judges a response body that has ended without an error. `is_marked` is true if a length or
-    /// a last chunk marks its end.
-    ///
-    /// Without a mark, a process that breaks off and closes its connection in order looks like one
-    /// that has sent everything, so that only the end of an event shows that the stream is
-    /// complete. A marked body without any event is not an event stream and is passed on as it is.
-    pub fn end(&self, is_marked: bool) -> StreamEnd {
-        let ends_inside_event = self.partial.iter().any(|b| *b != b'\n');
-        match (self.has_events, ends_inside_event) {
-            (true, false) => StreamEnd::Whole,
-            (false, _) if is_marked => StreamEnd::Whole,
-            (true, true) | (false, _) => StreamEnd::BrokenOff,
+    /// Where the current response is.
+    pub fn received(&self) -> ReceivedBody {
+        match self.block {
+            _ if self.lines.is_inside_line() => ReceivedBody::InsideEvent,
+            Block::Event(_) => ReceivedBody::InsideEvent,
+            Block::Blank | Block::Comment if self.has_events => ReceivedBody::AfterEvent,
+            Block::Blank | Block::Comment if self.has_bytes => ReceivedBody::NoEvent,
+            Block::Blank | Block::Comment => ReceivedBody::Nothing,
         }
     }
 
@@ -114,18 +148,8 @@
     }
 }
 
-/// True for a line that is neither blank nor a comment.
-fn has_content(line: &[u8]) -> bool {
-    !matches!(line, [] | [b':', ..])
-}
-
-fn find_last(buf: &[u8], what: &[u8]) -> Option<usize> {
-    buf.windows(what.len()).rposition(|w| w == what)
-}
-
-fn last_id(events: &[u8]) -> Option<u64> {
-    let lines = events.split(|b| *b == b'\n');
-    let mut ids = lines.filter_map(|line| line.strip_prefix(ID_LINE));
-    let text = std::str::from_utf8(ids.next_back()?).ok()?;
+/// The number in a line with the number of an event.
+fn event_id(line: &[u8]) -> Option<u64> {
+    let text = std::str::from_utf8(line.strip_prefix(ID_LINE)?).ok()?;
     text.trim().parse().ok()
 }
