Events end at a blank line, whatever ends the lines

Callers saw: a stream whose lines end with carriage returns, with or without line feeds, came whole at its end instead of event by event, and counted as broken off in a body without a length or chunks. Nothing of it could resume, since no event was known to have ended.

Cause: the splitter knew line feeds alone; the event stream format has three line ends.

Change: EventLines finds the ends of lines of all three kinds and tells blank lines, comments and fields apart; a line feed after a carriage return goes out with it where both have come.

--- a/crates/gateway/tests/whole/cut_short.rs
+++ b/crates/gateway/tests/whole/cut_short.rs
@@ -62,9 +62,12 @@
 #[test_case("id: 1"; "in the number of the first event")]
 #[test_case("id: 1\ndata: a"; "in the text of the first event")]
 #[test_case("id: 1\ndata: a\n"; "before the blank line of the first event")]
+#[test_case("id: 1\r\ndata: a\r\n"; "before the blank line of the first event in another system")]
 #[test_case("id: 1\ndata: a\n\nid: 2\nda"; "in the second event")]
+#[test_case("id: 1\r\ndata: a\r\n\r\nid: 2\r\nda"; "in the second event in another system")]
 fn a_stream_that_is_cut_short_is_not_whole(body: &'static str) {
     let complete = body.rfind("\n\n").map_or(0, |at| at + 2);
+    let complete = body.rfind("\r\n\r\n").map_or(complete, |at| at + 4);
     for mark in MARKS {
         block_on(async {
             let (harness, _upstreams) = start(vec![events(body, mark)]).await;
@@ -178,6 +181,8 @@
 
 /// Guards against refusing sound streams because of how their lines or their body end.
 #[test_case(WHOLE; "line feeds")]
+#[test_case("id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n"; "carriage returns and line feeds")]
+#[test_case("id: 1\rdata: a\r\rid: 2\rdata: b\r\r"; "carriage returns")]
 #[test_case("id: 1\ndata: a\n\n: last\n\n"; "comment at the end")]
 #[test_case("id: 1\ndata: a\n\n\n"; "blank line at the end")]
 fn sound_streams_of_all_kinds_are_served(body: &'static str) {
--- a/crates/serving/src/event_lines.rs
+++ b/crates/serving/src/event_lines.rs
@@ -14,20 +14,24 @@
     Field(usize),
 }
 
-/// Finds the ends of lines.
+/// Finds the ends of lines, which are a line feed, a carriage return, or both, in this order.
 #[derive(Debug, Default)]
 pub(crate) struct EventLines {
     /// The first byte of the current line.
     first: u8,
     /// The bytes of the current line so far.
     len: usize,
+    after_return: bool,
 }
 
 impl EventLines {
     /// Takes the next byte. Returns the line that ends with it.
     pub(crate) fn push(&mut self, byte: u8) -> Option<EventLine> {
+        let is_second = self.is_second_of_end(byte);
+        self.after_return = byte == b'\r';
         match byte {
-            b'\n' => Some(match std::mem::take(&mut self.len) {
+            _ if is_second => None,
+            b'\n' | b'\r' => Some(match std::mem::take(&mut self.len) {
                 0 => EventLine::Blank,
                 _ if self.first == COMMENT => EventLine::Comment,
                 len => EventLine::Field(len),
@@ -42,6 +46,11 @@
         }
     }
 
+    /// True if the byte is the line feed of a line end whose carriage return has ended the line.
+    pub(crate) fn is_second_of_end(&self, byte: u8) -> bool {
+        self.after_return && byte == b'\n'
+    }
+
     /// True if the latest bytes are of a line that has not ended.
     pub(crate) fn is_inside_line(&self) -> bool {
         self.len > 0
--- a/crates/serving/src/event_splitter.rs
+++ b/crates/serving/src/event_splitter.rs
@@ -62,7 +62,11 @@
         let mut end = 0;
         let mut brought_event = false;
         for at in searched..self.partial.len() {
-            match self.lines.push(self.partial[at]) {
+            let byte = self.partial[at];
+            if self.lines.is_second_of_end(byte) && end == at && end > 0 {
+                end = at + 1;
+            }
+            match self.lines.push(byte) {
                 None => {}
                 Some(EventLine::Blank) => match std::mem::take(&mut self.block) {
                     // Goes out with what follows it.
--- a/crates/serving/tests/requests.rs
+++ b/crates/serving/tests/requests.rs
@@ -144,6 +144,8 @@
 /// Guards against forwarding a partial event, or holding complete ones back, because of how lines
 /// end.
 #[test_case("\n"; "line feeds")]
+#[test_case("\r"; "carriage returns")]
+#[test_case("\r\n"; "both")]
 fn events_are_complete_whatever_ends_their_lines(line_end: &str) {
     let text = "id: 9\ndata: x\n\n: ping\n\nid: 10\ndata: y\n\n".replace('\n', line_end);
     let mut splitter = EventSplitter::default();
--- a/crates/serving/tests/response_ends.rs
+++ b/crates/serving/tests/response_ends.rs
@@ -28,9 +28,12 @@
 #[test_case(b"yours", ResponseEnd::InsideEvent; "text")]
 #[test_case(b"id: 1", ResponseEnd::InsideEvent; "number of the first event")]
 #[test_case(b"id: 1\ndata: x\n", ResponseEnd::InsideEvent; "no blank line after the first event")]
+#[test_case(b"id: 1\r\ndata: x\r\n", ResponseEnd::InsideEvent; "the same in another system")]
 #[test_case(b"id: 1\ndata: x\n\nid: 2", ResponseEnd::InsideEvent; "inside the second event")]
 #[test_case(b"id: 1\ndata: x\n\n: pi", ResponseEnd::InsideEvent; "inside a comment after an event")]
 #[test_case(b"id: 1\ndata: x\n\n", ResponseEnd::Complete; "after an event")]
+#[test_case(b"id: 1\r\ndata: x\r\n\r\n", ResponseEnd::Complete; "after an event in another system")]
+#[test_case(b"id: 1\rdata: x\r\r", ResponseEnd::Complete; "after an event in a third system")]
 #[test_case(b"id: 1\ndata: x\n\n\n", ResponseEnd::Complete; "after an event and a blank line")]
 #[test_case(b"id: 1\ndata: x\n\n: ping\n", ResponseEnd::Complete; "after an event and a comment")]
 fn the_end_of_a_stream_is_judged_by_its_events(body: &[u8], expected: ResponseEnd) {
