An answer without a length that is empty is a failure

Callers saw: where an upstream ends behind the head of an answer without a length or chunks, or the library that it runs on completes a head that stopped before its length, an empty answer came as 200 with `content-length: 0`.

Cause: without a mark the end of the connection ended the body, and an empty one was taken for whole.

Change: the end of a single answer is judged by the same function as that of a stream. An empty success without a mark is a failure: it is tried again on another upstream where the route allows that, and answered 502 as one that may have run elsewhere.

Tests: an_empty_answer_without_a_length_is_a_failure failed in both cases on the code before; an_empty_answer_with_a_marked_end_is_served passed before and after.

--- a/crates/gateway/src/unary_call.rs
+++ b/crates/gateway/src/unary_call.rs
@@ -15,6 +15,10 @@
 use jd_net::lock;
 use jd_net::with_timeout;
 use jd_serving::AttemptDecision;
+use jd_serving::EndEvidence;
+use jd_serving::ReceivedBody;
+use jd_serving::ResponseEnd;
+use jd_serving::ResponseRole;
 use jd_types::AttemptOutcome;
 use jd_types::Refusal;
 use jd_types::RefusalKind;
@@ -25,6 +29,7 @@
 use crate::attempts::AttemptContext;
 use crate::attempts::Attempts;
 use crate::attempts::log_beside;
+use crate::body_kind;
 use crate::caller_api::may_have_run;
 use crate::caller_request::CallerRequest;
 use crate::next_send::NextSend;
@@ -195,6 +200,11 @@
         .or(restarted)
         .await;
     let (outcome, detail) = match read {
+        Some(Ok(body)) if !judge_end(request, head.status, framing, &body).is_complete() => {
+            attempt.report_broken();
+            let detail = "the connection ended before the answer began";
+            (AttemptOutcome::Truncated, detail)
+        }
         Some(Ok(body)) => {
             attempt.record_end(head.status, framing);
             attempt.finish(match head.status.is_server_error() {
@@ -225,6 +235,29 @@
     })
 }
 
+/// Judges the end of a body that was read without an error. Errors of upstreams are passed on
+/// whatever their body holds.
+fn judge_end(
+    request: &CallerRequest,
+    status: StatusCode,
+    framing: BodyFraming,
+    body: &Bytes,
+) -> ResponseEnd {
+    if !status.is_success() {
+        return ResponseEnd::Complete;
+    }
+    let evidence = EndEvidence {
+        kind: body_kind::of_single(&request.parts.method, status),
+        role: ResponseRole::Beginning,
+        is_marked: framing.marks_end(),
+        received: match body.is_empty() {
+            true => ReceivedBody::Nothing,
+            false => ReceivedBody::NoEvent,
+        },
+    };
+    evidence.judge()
+}
+
 fn pass_on(state: &State, request: &CallerRequest, complete: CompleteResponse) -> Response<Body> {
     let took = state.now().since(request.arrived);
     state.metrics.request("answered", took);
--- a/crates/gateway/tests/whole/cut_short.rs
+++ b/crates/gateway/tests/whole/cut_short.rs
@@ -223,3 +223,29 @@
         assert_cut_off(&harness.ask("/resume/x", "1").await, FIRST);
     });
 }
+
+/// Guards against an empty answer where an upstream ended after the head of one without a length.
+#[test_case("/any/x", 200, 2; "repeatable")]
+#[test_case("/once/x", 502, 1; "not repeatable")]
+fn an_empty_answer_without_a_length_is_a_failure(path: &'static str, status: u16, runs: usize) {
+    block_on(async {
+        let empty = RawReply::success("", "", Mark::Connection);
+        let sound = RawReply::success("", "yours", Mark::Length);
+        let (harness, upstreams) = start(vec![empty, sound]).await;
+        let received = harness.ask(path, "1").await;
+        assert_eq!(received.status, status, "{received:?}");
+        assert_eq!(upstreams.asked().len(), runs);
+    });
+}
+
+/// Guards against refusing an empty answer whose end is marked.
+#[test_case(Mark::Length)]
+#[test_case(Mark::LastChunk)]
+fn an_empty_answer_with_a_marked_end_is_served(mark: Mark) {
+    block_on(async {
+        let empty = RawReply::success("", "", mark);
+        let (harness, _upstreams) = start(vec![empty]).await;
+        let received = harness.ask("/once/x", "1").await;
+        assert_eq!((received.status, received.whole), (200, true));
+    });
+}
