A stream does not begin anew after an event without a number

Callers saw: where an upstream sends an event without a number and breaks off, the stream was resumed after the last number that was known, or from the beginning, and the caller got that event twice in an answer that ended whole.

Cause: the last number was taken for the last event. Found by reading what else takes the splitter's word; no report names it.

Change: such a stream goes on nowhere, and is cut off with the reason event-unnumbered.

Test: a_stream_does_not_go_on_after_an_event_without_a_number, whose two cases failed before (200 and whole, with one event twice).

--- a/crates/gateway/src/event_stream.rs
+++ b/crates/gateway/src/event_stream.rs
@@ -160,7 +160,7 @@
         let answering = self.response.open_clock();
         let (state, request) = (&self.cx.state, &self.cx.request);
         let now = state.now();
-        let may_run = || !self.binding.is_uncertain() && self.cx.may_run(MAX_ATTEMPTS);
+        let may_run = || self.may_resume() && self.cx.may_run(MAX_ATTEMPTS);
         let left = match answering {
             Some(_) => request.time_left(now),
             // Nobody waits for a stream that comes back later than that. An instance that stops
@@ -177,6 +177,11 @@
         self.attempts.decide(state, answering, may_run, left)
     }
 
+    /// True if it is certain where the stream may go on, and after which event.
+    fn may_resume(&self) -> bool {
+        !self.binding.is_uncertain() && self.response.splitter.can_resume()
+    }
+
     /// Waits for a part of the response or the end of an attempt, whichever comes first.
     async fn wait(&mut self, limit: Duration) -> Option<Progress> {
         let response = async { Progress::Response(self.response.read().await) };
@@ -345,6 +350,7 @@
             _ if is_late => NotResumed::Deadline,
             Some(why) => why,
             None if self.binding.is_uncertain() => NotResumed::VersionUncertain,
+            None if !self.response.splitter.can_resume() => NotResumed::EventUnnumbered,
             None if may_run => NotResumed::Abandoned,
             None => NotResumed::NoRunLeft,
         }
--- a/crates/gateway/src/not_resumed.rs
+++ b/crates/gateway/src/not_resumed.rs
@@ -14,6 +14,8 @@
     NoRunLeft,
     /// It is not certain which software version began the stream.
     VersionUncertain,
+    /// The last event that the caller has got has no number.
+    EventUnnumbered,
     /// The retry budget of the service is used up.
     RetryBudget,
     /// The stages or all upstreams refused the request before it was sent.
@@ -30,6 +32,7 @@
             NotResumed::Abandoned => ("abandoned", ""),
             NotResumed::NoRunLeft => ("no-run-left", ""),
             NotResumed::VersionUncertain => ("version-uncertain", ""),
+            NotResumed::EventUnnumbered => ("event-unnumbered", ""),
             NotResumed::RetryBudget => ("retry-budget", ""),
             NotResumed::Refused(detail) => ("refused", detail),
             NotResumed::Failed(detail) => ("failed", detail),
--- a/crates/gateway/tests/whole/cut_short.rs
+++ b/crates/gateway/tests/whole/cut_short.rs
@@ -133,6 +133,22 @@
     }
 }
 
+/// Guards against sending events twice: nothing tells an upstream where a stream goes on after an
+/// event without a number.
+#[test_case("data: a\n\n", "data: a\n\ndata: b\n\n"; "no event has a number")]
+#[test_case("id: 1\ndata: a\n\ndata: b\n\n", "data: b\n\nid: 3\ndata: c\n\n"; "the last event has none")]
+fn a_stream_does_not_go_on_after_an_event_without_a_number(
+    first: &'static str,
+    again: &'static str,
+) {
+    block_on(async {
+        let whole = events(first, Mark::LastChunk);
+        let broken = whole.cut(whole.text.len() - 5, End::Close);
+        let (harness, _upstreams) = start(vec![broken, events(again, Mark::LastChunk)]).await;
+        assert_cut_off(&harness.ask("/resume/x", "1").await, first);
+    });
+}
+
 /// Guards against refusing the end of a stream of which nothing is left.
 #[test]
 fn a_stream_of_which_nothing_is_left_ends_whole() {
--- a/crates/serving/src/event_splitter.rs
+++ b/crates/serving/src/event_splitter.rs
@@ -44,6 +44,8 @@
     /// Bytes of blank lines and comments since the last event.
     filler: usize,
     last: Option<u64>,
+    /// True if the last complete event has no number.
+    is_unnumbered: bool,
     /// True once the current response has brought a byte.
     has_bytes: bool,
     /// True once the current response has brought an event.
@@ -75,6 +77,7 @@
                     Block::Event(id) => {
                         end = at + 1;
                         self.last = id.or(self.last);
+                        self.is_unnumbered = id.is_none();
                         brought_event = true;
                     }
                 },
@@ -124,6 +127,12 @@
         self.last
     }
 
+    /// True if another upstream can be told where to go on: the last complete event has a number,
+    /// or there was none.
+    pub fn can_resume(&self) -> bool {
+        !self.is_unnumbered
+    }
+
     /// The number of bytes of an incomplete event.
     pub fn partial_bytes(&self) -> usize {
         self.partial.len()
@@ -143,6 +152,9 @@
     /// Continues a stream of which `earlier` has read the beginning, in the response of another
     /// upstream. An incomplete event of the earlier response is dropped.
     pub fn follow(&mut self, earlier: &EventSplitter) {
+        if !self.has_events {
+            self.is_unnumbered = earlier.is_unnumbered;
+        }
         self.last = self.last.or(earlier.last);
     }
 
