A report that is cut short is no report of the same start

Callers may see: a stream goes on at an upstream that has started again under its identity as another version, if that upstream's report of its start is cut short.

Cause: a body that cannot be read counted as a report that names no start, and that one as the same start.

Change: a report counts only if it can be decoded; otherwise the upstream has not answered, and a stream is not resumed there.

--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -134,8 +134,9 @@
     /// The free result storage in a report; none if it is malformed.
     fn storage_report(&self, body: &[u8]) -> Option<StorageReport>;
 
-    /// The start in a report; [`UpstreamStart::UNKNOWN`] if it names none.
-    fn reported_start(&self, body: &[u8]) -> UpstreamStart;
+    /// The start in a report, which is [`UpstreamStart::UNKNOWN`] if the report names none; none if
+    /// the body is no complete report.
+    fn reported_start(&self, body: &[u8]) -> Option<UpstreamStart>;
 
     /// The address of the upstream that stores a result; none if the handle does not name it.
     fn result_address(&self, handle: &str) -> Option<SocketAddr>;
--- a/crates/gateway/src/version_check.rs
+++ b/crates/gateway/src/version_check.rs
@@ -123,12 +123,11 @@
         let permit = permit.await.ok()?;
         let response = client.send(state, permit, req, REPORT_TIMEOUT, || {}).await;
         let response = response.ok().filter(|r| r.status.is_success())?;
-        response.read_all(MAX_REPORT).await.ok()
+        let body = response.read_all(MAX_REPORT).await.ok()?;
+        state.dialect.reported_start(&body)
     };
-    match with_timeout(REPORT_TIMEOUT, asking).await.flatten() {
-        None => StartReport::Unanswered,
-        Some(body) => StartReport::Told(state.dialect.reported_start(&body)),
-    }
+    let told = with_timeout(REPORT_TIMEOUT, asking).await.flatten();
+    told.map_or(StartReport::Unanswered, StartReport::Told)
 }
 
 /// Waits until a proof was asked for at `due` or later, for a limited time.
--- a/crates/gateway/tests/whole/fakes/fake_dialect.rs
+++ b/crates/gateway/tests/whole/fakes/fake_dialect.rs
@@ -235,10 +235,11 @@
         None
     }
 
-    fn reported_start(&self, body: &[u8]) -> UpstreamStart {
-        let text = std::str::from_utf8(body).unwrap_or("");
-        let start = text.parse().map(UpstreamStart::at_millis);
-        start.unwrap_or(UpstreamStart::UNKNOWN)
+    fn reported_start(&self, body: &[u8]) -> Option<UpstreamStart> {
+        match std::str::from_utf8(body).ok()? {
+            "" => Some(UpstreamStart::UNKNOWN),
+            text => text.parse().ok().map(UpstreamStart::at_millis),
+        }
     }
 
     fn result_address(&self, handle: &str) -> Option<SocketAddr> {
--- a/crates/gateway/tests/whole/fakes/fake_upstream.rs
+++ b/crates/gateway/tests/whole/fakes/fake_upstream.rs
@@ -54,6 +54,8 @@
     arrivals: Mutex<Vec<Instant>>,
     /// The start that its reports name, in milliseconds since 1970.
     start_ms: Mutex<Option<u64>>,
+    /// True once its reports are cut short.
+    cuts_reports: AtomicBool,
     /// The rate limit that all responses announce.
     limit: Mutex<Option<HeaderValue>>,
     /// The load that all responses report.
@@ -84,6 +86,7 @@
             asked: Mutex::default(),
             arrivals: Mutex::default(),
             start_ms: Mutex::default(),
+            cuts_reports: AtomicBool::new(false),
             limit: Mutex::default(),
             load: Mutex::default(),
             brittle: Mutex::default(),
@@ -116,6 +119,11 @@
         *self.start_ms.lock().expect("a lock") = Some(ms);
     }
 
+    /// Cuts its reports short from now on.
+    pub(crate) fn cut_reports(&self) {
+        self.cuts_reports.store(true, Ordering::Relaxed);
+    }
+
     /// Sets the rate limit that all responses announce from now on.
     pub(crate) fn set_limit(&self, limit: Option<&'static str>) {
         let limit = limit.map(HeaderValue::from_static);
@@ -223,7 +231,10 @@
         // A query for a report is not a request of a caller.
         if req.uri().path() == "/room" {
             let start = *self.start_ms.lock().expect("a lock");
-            let report = start.map_or(String::new(), |ms| ms.to_string());
+            let mut report = start.map_or(String::new(), |ms| ms.to_string());
+            if self.cuts_reports.load(Ordering::Relaxed) {
+                report = "{\"sta".into();
+            }
             return Box::pin(async move { self.with_notices(Response::new(jd_net::full(report))) });
         }
         if req.uri().path() == "/tokens" {
--- a/crates/gateway/tests/whole/versions.rs
+++ b/crates/gateway/tests/whole/versions.rs
@@ -272,6 +272,8 @@
     BeginnerRestarted,
     /// The only other upstream of the version has started again.
     NextRestarted,
+    /// The upstream that began the stream has gone, and the reports of the next one are cut short.
+    NextReportCut,
     /// The upstream that began the stream has gone.
     BeginnerGone,
 }
@@ -281,6 +283,7 @@
 /// that began a stream has gone.
 #[test_case(Unknown::BeginnerRestarted, false; "the upstream that began it had started again")]
 #[test_case(Unknown::NextRestarted, false; "the upstream that would resume it has started again")]
+#[test_case(Unknown::NextReportCut, false; "the report of the upstream that would resume it is cut short")]
 #[test_case(Unknown::BeginnerGone, true; "the upstream that began it has gone")]
 fn a_stream_resumes_only_at_starts_whose_version_is_certain(unknown: Unknown, goes_on: bool) {
     block_on(async {
@@ -310,6 +313,10 @@
                 harness.upstreams[1].set_start(2_000);
                 leave(&harness, [0].into_iter());
             }
+            Unknown::NextReportCut => {
+                harness.upstreams[1].cut_reports();
+                leave(&harness, [0].into_iter());
+            }
             Unknown::BeginnerGone => leave(&harness, [0].into_iter()),
         }
         harness.until_all_listed().await;
--- a/crates/serving/src/entry_change.rs
+++ b/crates/serving/src/entry_change.rs
@@ -49,7 +49,7 @@
 pub enum StartReport {
     /// A process that reports this start; an unknown one if it reports none.
     Told(UpstreamStart),
-    /// Nothing.
+    /// Nothing, or no complete report.
     Unanswered,
 }
 
