Answers and stages that are cut short: tests through whole gateways

Stages whose answer stops in its head, before its first or its last byte, run elsewhere; plain answers and streams that stop anywhere are no success. All pass without a change: stages are decoded as a whole, and HttpPool fails inside a head.

--- a/crates/gateway/tests/whole/cut_short.rs
+++ b/crates/gateway/tests/whole/cut_short.rs
@@ -265,3 +265,46 @@
         assert_eq!((received.status, received.whole), (200, true));
     });
 }
+
+/// Guards against a request that runs without its inputs, or is lost, because the answer of a stage
+/// was cut short.
+#[test_case(40, End::Close; "in its head")]
+#[test_case(40, End::Reset; "reset in its head")]
+#[test_case(usize::MAX, End::Close; "before its last byte")]
+#[test_case(0, End::Close; "before its first byte")]
+fn a_stage_whose_answer_is_cut_short_runs_elsewhere(at: usize, end: End) {
+    let sound = vec![Reply::Resumable { cut: false }];
+    let harness = Harness::start_with_stage(vec![sound], vec![Reply::Complete("made")]);
+    let made = RawReply::success("", "made", Mark::Length);
+    let cut = made.cut(at.min(made.text.len() - 1), end);
+    let stage = RawUpstreams::start(&harness.executor(), 1, vec![cut], None);
+    let record = entry("s-0", "stages", stage.addresses[0], UpstreamStart::UNKNOWN);
+    harness.store.change(Change::Put(record));
+    block_on(async {
+        harness.until_ready(true).await;
+        let mut asked = 0;
+        while stage.asked().is_empty() {
+            asked += 1;
+            let received = harness.ask("/staged/x", &format!("s-{asked}")).await;
+            assert!(received.whole, "{received:?}");
+            assert_eq!(received.body, WHOLE);
+        }
+    });
+}
+
+/// Guards against passing on an answer whose upstream stops anywhere in it. The tests of the
+/// connection pool have each byte.
+#[test_case("/once/x", RawReply::success("", "yours", Mark::Length); "plain with a length")]
+#[test_case("/once/x", RawReply::success("", "yours", Mark::LastChunk); "plain in chunks")]
+#[test_case("/stream/x", events(WHOLE, Mark::Length); "stream with a length")]
+#[test_case("/stream/x", events(WHOLE, Mark::LastChunk); "stream in chunks")]
+fn an_answer_that_stops_is_no_success(path: &str, whole: RawReply) {
+    for at in (0..whole.text.len()).step_by(3) {
+        block_on(async {
+            let (harness, _upstreams) = start(vec![whole.cut(at, End::Close)]).await;
+            let received = harness.ask(path, "1").await;
+            let is_success = received.status == 200 && received.whole;
+            assert!(!is_success, "{at} bytes: {received:?}");
+        });
+    }
+}
