A version counts for as long as a caller may try, whatever it has left

Callers may see: after the loss of all instances a stream goes on at another version than the one that began it, if the operator has shortened the timeout of its route meanwhile and its caller has little time left: v1 begins the stream and goes, and 18 s later the record proves "one version" for twice the shorter timeout and 10 s for clocks.

Cause: how old a stream can be was derived from the request that takes it up, which tells the time that is left and not the time that its caller had, and from the route as it is now.

Change: versions count for 40 s at least, which is the span that instances read origins for already.

Test: no_order_of_events_joins_two_versions with 7 steps failed before and passes now.

--- a/crates/serving/src/stream_origin/version_history.rs
+++ b/crates/serving/src/stream_origin/version_history.rs
@@ -9,7 +9,9 @@
 use super::ServiceVersions;
 use super::VersionRecord;
 
-/// How long ago most streams that are taken up have begun at most.
+/// How long ago a stream may have begun that is taken up, at least. A request that takes one up tells
+/// the time that its caller has left, not the time that it had, and the timeout of the route may have
+/// been longer.
 pub const MIN_STREAM_SPAN: Duration = Duration::from_secs(40);
 
 /// The versions that an instance has seen, and those that the store records.
@@ -28,8 +30,10 @@
 }
 
 impl VersionHistory<'_> {
-    /// The versions that upstreams of a service have, or had within this time.
+    /// The versions that upstreams of a service have, or had within this time, which is
+    /// [`MIN_STREAM_SPAN`] at least.
     pub fn known(&self, service: &str, within: Duration) -> KnownVersions {
+        let within = within.max(MIN_STREAM_SPAN);
         let mut known = KnownVersions::default();
         let seen = self.seen.lately(self.now, service, within);
         known.extend(seen.cloned());
--- a/crates/serving/tests/taken_up_streams.rs
+++ b/crates/serving/tests/taken_up_streams.rs
@@ -27,7 +27,7 @@
 /// How old streams are for which instances read origins after a start.
 const READ_SPAN: Duration = Duration::from_secs(40);
 /// The number of steps after the first start.
-const STEPS: usize = 6;
+const STEPS: usize = 7;
 
 /// What may happen next.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
