Soak: answers that end early, and kills of all beside releases

From seed 12000 on: upstreams whose streams end before the first byte or inside an event, with a length, a last chunk or the end of the connection, also where they resume a stream; links that cut heads; in odd seeds kills of all instances beside upstreams of two software versions, in half of them while the store refuses.

--- a/soak/src/fake_upstream.rs
+++ b/soak/src/fake_upstream.rs
@@ -36,6 +36,7 @@
 use crate::UpstreamMode;
 use crate::UpstreamRequest;
 use crate::config::TENANT;
+use crate::early_ends;
 use crate::environment;
 use crate::fake_stage_upstream::Results;
 use crate::fake_store::json_body;
@@ -233,6 +234,10 @@
             _ if crashing && !streams => future::pending().await,
             Some(UpstreamMode::Hangs) => future::pending().await,
             Some(UpstreamMode::Fails) => status(StatusCode::INTERNAL_SERVER_ERROR),
+            Some(UpstreamMode::EndsEarly) if streams => {
+                let software = *lock(&self.software);
+                Response::new(early_ends::body(id, &self.id(), software, after))
+            }
             _ if streams => Response::new(jd_net::stream(unfold(
                 StreamState {
                     id: id.into(),
--- a/soak/src/fault.rs
+++ b/soak/src/fault.rs
@@ -28,6 +28,8 @@
     Hangs,
     /// The request is executed and its answer is cut off.
     Truncates,
+    /// The request is executed, and its answer ends early as if it were whole, if it is a stream.
+    EndsEarly,
     /// The request is executed, and the answer names another request.
     Misattributes,
 }
@@ -49,6 +51,8 @@
     Resets,
     /// Requests arrive as HTTP/1.0, so that answers of unknown length end with their connection.
     Unframed,
+    /// Some answers end in their head, and their connection with them.
+    CutsHeads,
     /// Open connections carry no more data; new connections work.
     BlackholesOpen,
     /// No connection carries data in either direction.
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -8,6 +8,7 @@
 mod caller;
 mod config;
 mod cuts;
+mod early_ends;
 mod environment;
 mod fake_stage_upstream;
 mod fake_store;
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -7,6 +7,7 @@
 use crate::StoreMode;
 use crate::UpstreamMode;
 use crate::cuts;
+use crate::early_ends;
 use crate::silences;
 use crate::turns;
 use crate::turns::Load;
@@ -51,6 +52,9 @@
 /// Plans from this seed on have sound upstreams fall silent in some answers, beside planned work; in
 /// odd ones beside unplanned faults as well.
 const SILENCES_FROM_SEED: u64 = 11_000;
+/// Plans from this seed on have answers that end early; in odd ones all instances are killed beside
+/// upstreams of two software versions.
+const EARLY_ENDS_FROM_SEED: u64 = 12_000;
 /// Of these seeds, one in so many, with this remainder, has no other faults of instances or the
 /// store, since what these keep from being served says nothing about a cut.
 const CUTS_ONLY_EVERY: u64 = 4;
@@ -86,18 +90,15 @@
     /// Draws the plan of a seed.
     pub fn draw(seed: u64) -> Plan {
         let mut rng = fastrand::Rng::with_seed(seed);
-        if seed >= SILENCES_FROM_SEED {
-            let mut steps = silences::draw(&mut rng, seed % 2 == 1);
-            steps.sort_by_key(|s| s.at);
-            return Plan { seed, steps };
-        }
-        if seed >= TURNS_FROM_SEED {
-            let mut steps = turns::draw(&mut rng, seed % 2 == 1);
-            steps.sort_by_key(|s| s.at);
-            return Plan { seed, steps };
-        }
-        if seed >= FORWARDS_FROM_SEED {
-            let mut steps = draw_forwards(&mut rng, seed % 2 == 1);
+        let is_odd = seed % 2 == 1;
+        let drawn = match seed {
+            EARLY_ENDS_FROM_SEED.. => Some(early_ends::draw(&mut rng, is_odd)),
+            SILENCES_FROM_SEED.. => Some(silences::draw(&mut rng, is_odd)),
+            TURNS_FROM_SEED.. => Some(turns::draw(&mut rng, is_odd)),
+            FORWARDS_FROM_SEED.. => Some(draw_forwards(&mut rng, is_odd)),
+            _ => None,
+        };
+        if let Some(mut steps) = drawn {
             steps.sort_by_key(|s| s.at);
             return Plan { seed, steps };
         }
@@ -181,6 +182,7 @@
     /// The load of upstreams and callers.
     pub(crate) fn load(&self) -> Load {
         match self.seed {
+            EARLY_ENDS_FROM_SEED.. => Load::LONG,
             SILENCES_FROM_SEED.. => Load::SILENT,
             TURNS_FROM_SEED.. => Load::HEAVY,
             _ => Load::LIGHT,
--- a/soak/src/relay.rs
+++ b/soak/src/relay.rs
@@ -28,6 +28,7 @@
 use rustix::net::sockopt;
 
 use crate::LinkMode;
+use crate::early_ends;
 
 /// The interval at which relays check for a change of their mode.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
@@ -283,7 +284,12 @@
             if downgrades && downgrade(&mut buf[..read]) {
                 unframed.store(true, Ordering::Relaxed);
             }
-            if to.write_all(&buf[..read]).await.is_err() {
+            let cut = match direction {
+                Direction::ToClient if self.cuts_heads() => early_ends::cut_of(&buf[..read]),
+                _ => None,
+            };
+            let sent = to.write_all(&buf[..cut.unwrap_or(read)]).await;
+            if sent.is_err() || cut.is_some() {
                 break;
             }
         }
@@ -328,6 +334,13 @@
             || next.is_some_and(|next| next.is_unframed())
     }
 
+    /// True if some answers end in their head, here or at the next relay.
+    fn cuts_heads(&self) -> bool {
+        let next = self.next.as_ref();
+        lock(&self.state).mode == Some(LinkMode::CutsHeads)
+            || next.is_some_and(|next| next.cuts_heads())
+    }
+
     fn takes_no_connections(&self) -> bool {
         let refuses = matches!(
             lock(&self.state).mode,
--- a/soak/src/turns.rs
+++ b/soak/src/turns.rs
@@ -57,6 +57,13 @@
         drain: Duration::from_secs(5),
         silences: false,
     };
+    /// Streams that last for a second, and stages with room for all.
+    pub(crate) const LONG: Load = Load {
+        event_interval: Duration::from_millis(120),
+        deadline: Duration::from_millis(6_000),
+        callers: 8,
+        ..Load::LIGHT
+    };
     /// Streams that outlast the grace period, and stages that are nearly used up.
     pub(crate) const HEAVY: Load = Load {
         grace: Duration::from_secs(3),
