--- a/soak/src/caller.rs
+++ b/soak/src/caller.rs
@@ -104,7 +104,8 @@
             let Some(taken_up) = taken_up else {
                 return pause;
             };
-            Timer::after(pause.unwrap_or_default().min(MAX_PAUSE)).await;
+            let waited = pause.unwrap_or_default().min(MAX_PAUSE);
+            Timer::after(waited.max(self.load.take_up_pause)).await;
             let instance = self.rng.usize(..self.starts.len());
             (pause, attempt) = self.attempt(instance, kind, Some(taken_up)).await;
         }
--- a/soak/src/turns.rs
+++ b/soak/src/turns.rs
@@ -24,6 +24,8 @@
     pub(crate) deadline: Duration,
     /// The time for which a caller waits for a single answer.
     pub(crate) single_deadline: Duration,
+    /// The shortest time after which a caller takes up a stream that broke.
+    pub(crate) take_up_pause: Duration,
     /// Callers of each instance.
     pub(crate) callers: usize,
     /// Pieces of each request with a stage.
@@ -48,6 +50,7 @@
         event_interval: Duration::from_millis(30),
         deadline: Duration::from_millis(3_000),
         single_deadline: Duration::from_millis(3_000),
+        take_up_pause: Duration::ZERO,
         callers: 4,
         pieces: 2,
         call: Duration::from_millis(30),
@@ -61,6 +64,7 @@
     pub(crate) const LONG: Load = Load {
         event_interval: Duration::from_millis(120),
         deadline: Duration::from_millis(6_000),
+        take_up_pause: Duration::from_millis(1_200),
         callers: 8,
         ..Load::LIGHT
     };
@@ -70,6 +74,7 @@
         event_interval: Duration::from_millis(450),
         deadline: Duration::from_millis(8_000),
         single_deadline: Duration::from_millis(8_000),
+        take_up_pause: Duration::ZERO,
         callers: 12,
         pieces: 12,
         call: Duration::from_millis(200),
