--- a/crates/gateway/src/selection_filter.rs
+++ b/crates/gateway/src/selection_filter.rs
@@ -21,15 +21,15 @@
     Unlimited,
 }
 
-/// Which software versions may be selected that the store does not record.
+/// Whether upstreams may be selected whose software version the store does not record.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum UnrecordedFilter {
-    /// All of them.
+    /// At once.
     Any,
-    /// Those that have been known for a while, since they cannot be recorded.
-    Known,
-    /// None of them.
-    None,
+    /// Once the version has been known for so long that it most likely cannot be recorded.
+    AfterPatience,
+    /// Never.
+    Never,
 }
 
 /// The conditions that an upstream has to meet to be selected.
@@ -40,7 +40,7 @@
     pub(crate) brittle: Option<InFlightShare>,
     /// The only software version that may be selected; none for all of them.
     pub(crate) software: Option<SoftwareVersion>,
-    /// Which software versions may be selected that the store does not record.
+    /// Whether upstreams may be selected whose software version the store does not record.
     pub(crate) unrecorded: UnrecordedFilter,
     /// Which rate-limited upstreams may be selected.
     pub(crate) limit_filter: LimitFilter,
@@ -69,8 +69,8 @@
         let since = record.unrecorded_since;
         match self.unrecorded {
             UnrecordedFilter::Any => true,
-            UnrecordedFilter::None => since.is_none(),
-            UnrecordedFilter::Known => {
+            UnrecordedFilter::Never => since.is_none(),
+            UnrecordedFilter::AfterPatience => {
                 let known_for = since.map(|since| now.since(since));
                 may_begin_stream(since.is_none(), known_for.unwrap_or_default())
             }
--- a/crates/gateway/src/upstream_selection.rs
+++ b/crates/gateway/src/upstream_selection.rs
@@ -56,7 +56,7 @@
     // If all instances end, the store alone tells which versions can have begun a stream.
     let is_new_stream = retries.software.is_none();
     if is_new_stream && request.route().retry_mode == RetryMode::Resumable {
-        filter.unrecorded = UnrecordedFilter::None;
+        filter.unrecorded = UnrecordedFilter::Never;
     }
     let ran_at = request.ran_at.upstreams();
     if ran_at.is_empty()
@@ -97,8 +97,8 @@
         }
     };
     let mut chosen = choose(&filter);
-    if chosen.is_none() && filter.unrecorded == UnrecordedFilter::None {
-        filter.unrecorded = UnrecordedFilter::Known;
+    if chosen.is_none() && filter.unrecorded == UnrecordedFilter::Never {
+        filter.unrecorded = UnrecordedFilter::AfterPatience;
         chosen = choose(&filter);
     }
     let wait = || {
--- a/crates/serving/src/event_splitter.rs
+++ b/crates/serving/src/event_splitter.rs
@@ -48,8 +48,8 @@
     is_unnumbered: bool,
     /// True once the current response has brought a byte.
     has_bytes: bool,
-    /// True once the current response has brought an event.
-    has_events: bool,
+    /// The number of events that the current response has brought.
+    events: u32,
 }
 
 impl EventSplitter {
@@ -61,43 +61,21 @@
         let searched = self.partial.len();
         self.partial.extend_from_slice(part);
         self.has_bytes |= !part.is_empty();
+        let events_before = self.events;
         let mut end = 0;
-        let mut brought_event = false;
         for at in searched..self.partial.len() {
             let byte = self.partial[at];
             if self.lines.is_second_of_end(byte) && end == at && end > 0 {
                 end = at + 1;
             }
-            match self.lines.push(byte) {
-                None => {}
-                Some(EventLine::Blank) => match std::mem::take(&mut self.block) {
-                    // Goes out with what follows it.
-                    Block::Blank => {}
-                    Block::Comment => end = at + 1,
-                    Block::Event(id) => {
-                        end = at + 1;
-                        self.last = id.or(self.last);
-                        self.is_unnumbered = id.is_none();
-                        brought_event = true;
-                    }
-                },
-                Some(EventLine::Comment) if self.block == Block::Blank => {
-                    self.block = Block::Comment;
-                }
-                Some(EventLine::Comment) => {}
-                Some(EventLine::Field(len)) => {
-                    let id = event_id(&self.partial[at - len..at]);
-                    let earlier = match self.block {
-                        Block::Event(id) => id,
-                        Block::Blank | Block::Comment => None,
-                    };
-                    self.block = Block::Event(id.or(earlier));
-                }
+            if let Some(line) = self.lines.push(byte)
+                && self.take_line(line, at)
+            {
+                end = at + 1;
             }
         }
-        self.has_events |= brought_event;
         let complete = self.partial.split_to(end).freeze();
-        self.filler = match brought_event {
+        self.filler = match self.events > events_before {
             true => 0,
             false => self.filler + complete.len(),
         };
@@ -106,6 +84,36 @@
         Ok((!complete.is_empty()).then_some(complete))
     }
 
+    /// Takes a line that ends at `at`. Returns true if an event or a comment is complete with it.
+    fn take_line(&mut self, line: EventLine, at: usize) -> bool {
+        self.block = match (line, self.block) {
+            // A blank line alone goes out with what follows it.
+            (EventLine::Blank, Block::Blank) => Block::Blank,
+            (EventLine::Blank, Block::Comment) => {
+                self.block = Block::Blank;
+                return true;
+            }
+            (EventLine::Blank, Block::Event(id)) => {
+                self.block = Block::Blank;
+                self.last = id.or(self.last);
+                self.is_unnumbered = id.is_none();
+                self.events = self.events.saturating_add(1);
+                return true;
+            }
+            (EventLine::Comment, Block::Blank) => Block::Comment,
+            (EventLine::Comment, block) => block,
+            (EventLine::Field(len), block) => {
+                let id = event_id(&self.partial[at - len..at]);
+                let earlier = match block {
+                    Block::Event(earlier) => earlier,
+                    Block::Blank | Block::Comment => None,
+                };
+                Block::Event(id.or(earlier))
+            }
+        };
+        false
+    }
+
     /// The number of complete events in bytes that [`EventSplitter::push`] returned. Blank lines and
     /// comments between events do not count.
     pub fn count_events(events: &[u8]) -> u32 {
@@ -143,7 +151,7 @@
         match self.block {
             _ if self.lines.is_inside_line() => ReceivedBody::InsideEvent,
             Block::Event(_) => ReceivedBody::InsideEvent,
-            Block::Blank | Block::Comment if self.has_events => ReceivedBody::AfterEvent,
+            Block::Blank | Block::Comment if self.events > 0 => ReceivedBody::AfterEvent,
             Block::Blank | Block::Comment if self.has_bytes => ReceivedBody::NoEvent,
             Block::Blank | Block::Comment => ReceivedBody::Nothing,
         }
@@ -152,7 +160,7 @@
     /// Continues a stream of which `earlier` has read the beginning, in the response of another
     /// upstream. An incomplete event of the earlier response is dropped.
     pub fn follow(&mut self, earlier: &EventSplitter) {
-        if !self.has_events {
+        if self.events == 0 {
             self.is_unnumbered = earlier.is_unnumbered;
         }
         self.last = self.last.or(earlier.last);
--- a/soak/src/early_ends.rs
+++ b/soak/src/early_ends.rs
@@ -16,8 +16,8 @@
 use crate::UpstreamMode;
 use crate::fake_upstream;
 
-/// The first and the number of the upstreams of streams.
-const MODELS: (usize, usize) = (3, 3);
+/// Upstreams of streams.
+const MODELS: std::ops::Range<usize> = 3..6;
 /// The upstreams of streams that have the first software version at the start.
 const FIRST_VERSION: [usize; 2] = [3, 5];
 /// The most events of an answer that ends early.
@@ -47,8 +47,9 @@
     }
 }
 
-/// How much is sent of bytes that may begin with a head; none if all.
-pub(crate) fn cut_of(bytes: &[u8]) -> Option<usize> {
+/// Where an answer that begins with these bytes ends in its head; none if it is sent whole, or if no
+/// answer begins here.
+pub(crate) fn end_in_head(bytes: &[u8]) -> Option<usize> {
     let end = bytes.windows(4).position(|w| w == b"\r\n\r\n")?;
     let is_cut = bytes.starts_with(b"HTTP/1.") && fastrand::u8(..CUT_ONE_IN) == 0;
     is_cut.then(|| fastrand::usize(..end + 4))
@@ -61,7 +62,7 @@
     let at = |ms| Duration::from_millis(1_000 + ms);
     let mut steps = Vec::new();
     for _ in 0..rng.usize(2..=4) {
-        let target = MODELS.0 + rng.usize(..MODELS.1);
+        let target = rng.usize(MODELS);
         let from = rng.u64(0..5_000);
         let span = Duration::from_millis(rng.u64(500..2_500));
         steps.push(Step {
--- a/soak/src/relay.rs
+++ b/soak/src/relay.rs
@@ -285,7 +285,7 @@
                 unframed.store(true, Ordering::Relaxed);
             }
             let cut = match direction {
-                Direction::ToClient if self.cuts_heads() => early_ends::cut_of(&buf[..read]),
+                Direction::ToClient if self.cuts_heads() => early_ends::end_in_head(&buf[..read]),
                 _ => None,
             };
             let sent = to.write_all(&buf[..cut.unwrap_or(read)]).await;
