Setting memory-mb: the memory that a process may use, given by the template

Cause: the machines of the deployments have 120 to 512 MB, a process that exceeds its own is ended, and nothing in the settings of a gateway says how much it has.

Measured: the tests of the settings pass.

--- a/crates/settings/src/gateway_settings.rs
+++ b/crates/settings/src/gateway_settings.rs
@@ -69,6 +69,13 @@
         "1000",
         "0.1 to 1000000",
     ),
+    optional(
+        "instance",
+        "memory-mb",
+        "megabytes",
+        "256",
+        "64 to 1048576, the memory that the process may use",
+    ),
     optional(
         "instance",
         "max-connections",
@@ -149,6 +156,8 @@
 /// as not served, so that sending it would be a risk without any gain.
 const MAX_STALENESS_PERCENT: u32 = 60;
 
+const MEGABYTE: usize = 1_000_000;
+
 /// The validated settings of a gateway instance.
 #[derive(Debug, Clone)]
 pub struct GatewaySettings {
@@ -172,6 +181,8 @@
     pub core_percent: u32,
     /// The bandwidth of the network link, in megabits per second.
     pub link_mbps: u32,
+    /// The memory that the process may use, in bytes.
+    pub memory_bytes: usize,
     /// The maximum number of open connections of callers.
     pub max_connections: usize,
     /// True when the whole system starts for the first time.
@@ -255,6 +266,7 @@
             threads: number("instance", "threads", 1, 64)? as usize,
             core_percent: (quantity("instance", "core-share", 0.01, 1_024.0)? * 100.0) as u32,
             link_mbps: quantity("instance", "link-mbps", 0.1, 1e6)?.ceil() as u32,
+            memory_bytes: number("instance", "memory-mb", 64, 1_048_576)? as usize * MEGABYTE,
             max_connections: number("instance", "max-connections", 16, 65_536)? as usize,
             first_start: raw.value("instance", "first-start", |t| t.parse().ok())?,
             store: address("store", "address")?,
--- a/crates/settings/tests/gateway.rs
+++ b/crates/settings/tests/gateway.rs
@@ -27,6 +27,7 @@
 fn defaults_replace_omitted_keys() {
     let settings = parse(VALID).expect("valid");
     assert_eq!(settings.threads, 1);
+    assert_eq!(settings.memory_bytes, 256_000_000);
     assert_eq!(settings.max_staleness.as_millis(), 3_000);
     assert_eq!(settings.grace_period.as_millis(), 8_000);
     assert!(!settings.first_start);
@@ -43,6 +44,7 @@
 #[test_case("name = edge-1", "nam = edge-1", &["nam", "name, zone, callers"]; "an unknown key")]
 #[test_case("name = edge-1\n", "", &["name", "missing"]; "a missing key")]
 #[test_case("peers = 127.0.0.1:7004", "peers = 127.0.0.1:7004\nfirst-start = maybe", &["first-start", "maybe", "true or false"]; "an invalid boolean")]
+#[test_case("peers = 127.0.0.1:7004", "peers = 127.0.0.1:7004\nmemory-mb = 63", &["memory-mb", "63", "64 to"]; "too little memory")]
 #[test_case("peers = 127.0.0.1:7004", "peers = here", &["peers", "here", "IP:port"]; "an invalid address")]
 fn an_error_names_the_key_the_value_and_the_remedy(old: &str, new: &str, parts: &[&str]) {
     let error = parse(&VALID.replace(old, new)).expect_err("not valid");
