Tests: crowds of clients that misbehave, before gateway processes

Cause: a process ran out of memory in a trial with clients that misbehave, and no test has such clients. Change: `tests/crowds.rs` starts gateway processes with the soak's store, upstreams, stages and callers, and crowds that `soak/src/crowd.rs` draws up: 60 bodies of the largest legal size (4 MiB) that stop short of their end, with a length, in large and in tiny chunks, and dripping; bodies over the limit, announced and sent; connections that say nothing, a part of a head, a head without its body, or are idle after a request; complete bodies that wait, also through a forward; and bodies beside ordinary callers. No times and no shares. One test runs at a time. The processes of the soak's test moved to a module that both use; the soak's configuration takes the largest body from its load.

--- a/crates/gateway-daemon/tests/soak.rs
+++ b/crates/gateway-daemon/tests/soak.rs
@@ -5,13 +5,11 @@
 
 #![allow(clippy::expect_used, clippy::panic)]
 
+mod processes;
+
 use std::fs;
-use std::fs::File;
 use std::path::PathBuf;
-use std::process::Child;
-use std::process::Command;
 use std::process::ExitCode;
-use std::process::Stdio;
 use std::str::FromStr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -29,15 +27,12 @@
 use futures_lite::future::block_on;
 use jd_net::Workers;
 use jd_net::lock;
-use jd_soak::Fleet;
 use jd_soak::Plan;
-use jd_soak::ProcessSignal;
 use jd_soak::Shares;
 use jd_soak::SoakReport;
 use jd_soak::soak;
-use rustix::process::Pid;
-use rustix::process::Signal;
-use rustix::process::kill_process;
+
+use crate::processes::Processes;
 
 /// Seeds that run by default. Each pair is a plan with planned faults only and one with all
 /// faults: first without limits, then with upstreams that announce limits, then with
@@ -118,82 +113,6 @@
     .descr("Soaks real gateway processes")
 }
 
-/// The gateway processes of a seed. Those that still run are killed on drop.
-struct Processes {
-    running: Mutex<Vec<Option<Child>>>,
-    starts: Mutex<Vec<u32>>,
-    dir: PathBuf,
-}
-
-impl Processes {
-    fn new(dir: PathBuf, instances: usize) -> Processes {
-        Processes {
-            running: Mutex::new((0..instances).map(|_| None).collect()),
-            starts: Mutex::new(vec![0; instances]),
-            dir,
-        }
-    }
-}
-
-impl Fleet for Processes {
-    fn start(&self, index: usize, settings: &str) {
-        let start = {
-            let mut starts = lock(&self.starts);
-            starts[index] += 1;
-            starts[index]
-        };
-        let file = self.dir.join(format!("{index}.ini"));
-        fs::write(&file, settings).expect("a settings file");
-        let log = self.dir.join(format!("{index}-{start}.log"));
-        let log = File::create(log).expect("a log file");
-        let errors = log.try_clone().expect("a log file");
-        let child = Command::new(env!("CARGO_BIN_EXE_jacinthdeal-gateway"))
-            .arg("--settings")
-            .arg(file)
-            .stdin(Stdio::null())
-            .stdout(log)
-            .stderr(errors)
-            .spawn();
-        lock(&self.running)[index] = Some(child.expect("a process"));
-    }
-
-    fn signal(&self, index: usize, signal: ProcessSignal) {
-        let signal = match signal {
-            ProcessSignal::Kill => Signal::KILL,
-            ProcessSignal::Stop => Signal::TERM,
-            ProcessSignal::Pause => Signal::STOP,
-            ProcessSignal::Resume => Signal::CONT,
-            ProcessSignal::Reload => Signal::HUP,
-        };
-        // The child has not been waited for, so its process ID cannot have been reused.
-        if let Some(child) = &lock(&self.running)[index] {
-            kill_process(Pid::from_child(child), signal).expect("a process of ours");
-        }
-    }
-
-    fn is_running(&self, index: usize) -> bool {
-        let mut running = lock(&self.running);
-        let ended = match &mut running[index] {
-            Some(child) => child.try_wait().expect("a process of ours").is_some(),
-            None => true,
-        };
-        if ended {
-            running[index] = None;
-        }
-        !ended
-    }
-}
-
-impl Drop for Processes {
-    fn drop(&mut self) {
-        for child in lock(&self.running).iter_mut().flatten() {
-            // Fails if the process has already ended, which is as good.
-            let _ = child.kill();
-            let _ = child.wait();
-        }
-    }
-}
-
 /// Runs a seed. Returns whether all guarantees held, and a report.
 fn run_seed(seed: u64, instances: usize) -> (bool, String) {
     let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{seed}"));
@@ -204,7 +123,7 @@
     fs::write(dir.join("plan"), format!("{plan:#?}")).expect("a file for the plan");
     let workers = Workers::start(2).expect("threads");
     let executor = workers.executor();
-    let fleet = Arc::new(Processes::new(dir.clone(), instances));
+    let fleet = Arc::new(Processes::new(dir.clone(), instances, ""));
     // Each seed of each process gets its own loopback network, so that concurrent soaks do
     // not share addresses.
     let [_, _, _, pid_octet] = std::process::id().to_be_bytes();
--- a/soak/src/caller.rs
+++ b/soak/src/caller.rs
@@ -187,7 +187,7 @@
     }
 }
 
-fn request(
+pub(crate) fn request(
     id: &str,
     kind: RequestKind,
     key: &str,
--- a/soak/src/config.rs
+++ b/soak/src/config.rs
@@ -56,7 +56,7 @@
             } },
         ],
         "limits": {
-            "max_header_bytes": 16_384, "max_body_bytes": 65_536,
+            "max_header_bytes": 16_384, "max_body_bytes": load.body_bytes,
             "header_timeout_ms": 3_000.0, "idle_timeout_ms": 15_000.0,
         },
         "tenants": [{ "name": TENANT, "api_keys": KEYS[..keys] }],
--- a/soak/src/fake_upstream.rs
+++ b/soak/src/fake_upstream.rs
@@ -43,6 +43,7 @@
 use crate::fake_store::status;
 use crate::recorder::Work;
 use crate::silences::Silence;
+use crate::turns::Load;
 
 /// The number of events in a stream.
 pub(crate) const EVENTS: u64 = 8;
@@ -144,7 +145,9 @@
         let sender = client.and_then(|c| environment::instance_at(c.0));
         let header = |name: &str| parts.headers.get(name).and_then(|v| v.to_str().ok());
         let id = header("jacinthdeal-attempt-id").unwrap_or("").to_string();
-        let body = read_bounded(body, 1 << 16).await.unwrap_or_default();
+        let body = read_bounded(body, Load::LARGE.body_bytes)
+            .await
+            .unwrap_or_default();
         let parts_listed = header("jacinthdeal-prefix-hash").unwrap_or("");
         let crashing = crash_cause(&body, parts_listed);
         let path = parts.uri.path();
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod caller;
 mod config;
+mod crowd;
 mod cuts;
 mod early_ends;
 mod environment;
@@ -29,11 +30,14 @@
 mod run_bounds;
 mod silences;
 mod store;
+mod surroundings;
 mod turns;
 mod upstream_changes;
 mod versions;
 mod violation;
 
+pub use crowd::Crowd;
+pub use crowd::Misbehaviour;
 pub use cuts::Shares;
 pub use fault::Fault;
 pub use fault::LinkMode;
@@ -55,4 +59,5 @@
 pub use recorder::UpstreamRequest;
 pub use run::SoakReport;
 pub use run::soak;
+pub use surroundings::Surroundings;
 pub use violation::Violation;
--- /dev/null
+++ b/soak/src/surroundings.rs
@@ -0,0 +1,192 @@
+//! The surroundings of gateway processes for tests that send requests of their own.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use async_executor::Executor;
+use async_executor::Task;
+use async_io::Timer;
+use bytes::Bytes;
+use futures_lite::stream::unfold;
+use jd_net::Body;
+use jd_net::Clock;
+use jd_net::HttpPool;
+use jd_net::lock;
+use jd_net::with_timeout;
+
+use crate::Crowd;
+use crate::Fleet;
+use crate::LinkMode;
+use crate::Misbehaviour;
+use crate::RequestKind;
+use crate::UpstreamMode;
+use crate::caller;
+use crate::caller::Caller;
+use crate::environment::Environment;
+use crate::run::Runner;
+use crate::turns::Load;
+
+/// How often an ordinary request is sent until it is served.
+const MAX_TRIES: usize = 20;
+/// The pause between two of them if the refusal names none.
+const TRY_INTERVAL: Duration = Duration::from_millis(200);
+/// The size of the parts in which a large body is sent, in bytes.
+const PART_BYTES: usize = 64 << 10;
+
+/// A store, upstreams, links and callers around gateway processes that are ready.
+pub struct Surroundings {
+    runner: Runner,
+    executor: Arc<Executor<'static>>,
+    stopped: Arc<AtomicBool>,
+    callers: Vec<Task<()>>,
+}
+
+impl Surroundings {
+    /// The largest body that the configuration allows, in bytes.
+    pub const BODY_BYTES: usize = Load::LARGE.body_bytes;
+
+    /// Starts `instances` processes of `fleet` on loopback addresses that begin with `network`, and
+    /// waits until they are ready.
+    pub async fn start(
+        executor: &Arc<Executor<'static>>,
+        fleet: Arc<dyn Fleet>,
+        network: [u8; 3],
+        instances: usize,
+    ) -> io::Result<Surroundings> {
+        let env = Environment::start(executor, network, instances, false, Load::LARGE)?;
+        let runner = Runner {
+            executor: Arc::clone(executor),
+            env: Arc::new(env),
+            fleet,
+            pool: HttpPool::new(Arc::clone(executor), Clock::start()),
+            starts: Arc::new((0..instances).map(|_| AtomicU32::new(0)).collect()),
+            held: Vec::new(),
+        };
+        for n in 0..instances {
+            runner.start(n);
+        }
+        for n in 0..instances {
+            runner.until_ready(n).await?;
+        }
+        Ok(Surroundings {
+            runner,
+            executor: Arc::clone(executor),
+            stopped: Arc::default(),
+            callers: Vec::new(),
+        })
+    }
+
+    /// The address of an instance for callers.
+    pub fn callers_at(&self, instance: usize) -> SocketAddr {
+        self.runner.env.callers_at(instance)
+    }
+
+    /// Starts clients of an instance that misbehave.
+    pub fn crowd(&self, instance: usize, misbehaviour: Misbehaviour, count: usize) -> Crowd {
+        let server = self.callers_at(instance);
+        let limit = Surroundings::BODY_BYTES;
+        Crowd::start(&self.executor, server, misbehaviour, count, limit, false)
+    }
+
+    /// Has the upstreams of a crowd's requests take these and never answer.
+    pub fn hang_upstreams_of_crowds(&self) {
+        let upstreams = self.runner.env.upstreams.iter();
+        for upstream in upstreams.filter(|u| u.service == "model") {
+            *lock(&upstream.handler.fake().mode) = Some(UpstreamMode::Hangs);
+        }
+    }
+
+    /// Cuts an instance off from all upstreams.
+    pub fn cut_from_upstreams(&self, instance: usize) {
+        self.runner.env.instance_links[instance].set(Some(LinkMode::Refuses));
+    }
+
+    /// Starts ordinary callers of all instances.
+    pub fn start_callers(&mut self, count: u64) {
+        for n in 0..count {
+            let caller = self.caller(n, Arc::clone(&self.stopped));
+            self.callers.push(self.executor.spawn(caller.run()));
+        }
+    }
+
+    /// Returns once the ordinary callers have ended their requests.
+    pub async fn stop_callers(&mut self) {
+        self.stopped.store(true, Ordering::Relaxed);
+        for caller in self.callers.drain(..) {
+            caller.await;
+        }
+    }
+
+    /// True if an instance serves an ordinary request of a caller, who repeats it when it is refused.
+    pub async fn serves(&self, instance: usize) -> bool {
+        for n in 0..MAX_TRIES {
+            let mut caller = self.caller(u64::MAX - n as u64, Arc::default());
+            let Some(pause) = caller.send(instance, RequestKind::Idempotent).await else {
+                return true;
+            };
+            Timer::after(pause.max(TRY_INTERVAL)).await;
+        }
+        false
+    }
+
+    /// True if an instance serves a request with the largest body, which its caller sends in parts
+    /// with a pause before each, and repeats when it is refused.
+    pub async fn serves_large_body(&self, instance: usize, pause: Duration) -> bool {
+        for n in 0..MAX_TRIES {
+            if self.is_large_body_served(instance, n, pause).await {
+                return true;
+            }
+            Timer::after(TRY_INTERVAL).await;
+        }
+        false
+    }
+
+    async fn is_large_body_served(&self, instance: usize, n: usize, pause: Duration) -> bool {
+        let id = format!("large-{n}");
+        let mut req = caller::request(&id, RequestKind::Idempotent, "key-0", None, Load::LARGE);
+        *req.body_mut() = large_body(pause);
+        let pool = HttpPool::new(Arc::clone(&self.executor), Clock::start());
+        let timeout = Load::LARGE.single_deadline;
+        let sent = pool.send(self.callers_at(instance), req, timeout, false);
+        let Some(Ok(mut res)) = sent.await else {
+            return false;
+        };
+        let mut body = Vec::new();
+        while let Some(Ok(Some(part))) = with_timeout(timeout, res.chunk()).await {
+            body.extend_from_slice(&part);
+        }
+        res.status.is_success() && body == format!("answer to {id}").as_bytes()
+    }
+
+    fn caller(&self, seed: u64, stopped: Arc<AtomicBool>) -> Caller {
+        Caller {
+            env: Arc::clone(&self.runner.env),
+            pool: HttpPool::new(Arc::clone(&self.executor), Clock::start()),
+            starts: Arc::clone(&self.runner.starts),
+            stopped,
+            rng: fastrand::Rng::with_seed(seed),
+            hot: false,
+            takes_up: false,
+            prompts: false,
+            load: Load::LARGE,
+        }
+    }
+}
+
+/// A body of the largest size, in parts with a pause before each.
+fn large_body(pause: Duration) -> Body {
+    let parts = unfold(Surroundings::BODY_BYTES, move |left| async move {
+        if left == 0 {
+            return None;
+        }
+        Timer::after(pause).await;
+        let part = left.min(PART_BYTES);
+        Some((Ok(Bytes::from(vec![b'x'; part])), left - part))
+    });
+    jd_net::stream(parts)
+}
--- a/soak/src/turns.rs
+++ b/soak/src/turns.rs
@@ -41,6 +41,8 @@
     pub(crate) drain: Duration,
     /// True if upstreams fall silent for a while in some answers.
     pub(crate) silences: bool,
+    /// The largest body of a request, in bytes.
+    pub(crate) body_bytes: usize,
 }
 
 impl Load {
@@ -59,6 +61,14 @@
         result_bytes: 1_000,
         drain: Duration::from_secs(5),
         silences: false,
+        body_bytes: 64 << 10,
+    };
+    /// Bodies of the usual largest size, and deadlines that leave time to send them.
+    pub(crate) const LARGE: Load = Load {
+        deadline: Duration::from_secs(20),
+        single_deadline: Duration::from_secs(20),
+        body_bytes: 4 << 20,
+        ..Load::LIGHT
     };
     /// Streams that last for a second, and stages with room for all.
     pub(crate) const LONG: Load = Load {
@@ -83,6 +93,7 @@
         result_bytes: 200_000,
         drain: Duration::from_secs(5),
         silences: false,
+        body_bytes: 64 << 10,
     };
     /// Deadlines and drains that leave time for the longest silence.
     pub(crate) const SILENT: Load = Load {
