Connections follow the memory, and one that waits for its client gives way to a new one

Callers saw: while as many connections as a process takes say nothing, send a part of a head, or are idle, every other connection is closed at once, for the head timeout and again after it; 3,000 connections with a part of a head take 122.7 MB of a machine with 120.

Cause: connections above `max-connections` were closed, whatever the open ones did, and 3,000 did not depend on the memory. Each took 45 KB, 17 KB of it since the future of a connection was moved and held several times.

Change: `ClientConnections` (jd-policy, without I/O) knows what each connection waits for. When a client connects and there is no room, the connection that waits longest for its own client is closed: one that is closing or that has no complete head after 50 ms, then one whose body makes no progress for 2 s, then one that is idle for 1 s, which ends gracefully. Running requests stay. Connections that still have to close are bounded as well. `MemorySplit` derives the connections from `memory-mb` (35 % at 72 KB each; `max-connections` bounds them as before; 3 % for each of the directory, readiness and metrics), receive buffers of callers are bounded by 64 KiB, and the future of a connection is boxed once. Metrics `jd_gateway_caller_connections` and `jd_gateway_closed_connections`, one log line for all of half a second.

--- a/crates/gateway-daemon/tests/crowds.rs
+++ b/crates/gateway-daemon/tests/crowds.rs
@@ -109,6 +109,7 @@
                 panic!("{when}: instance {n} has ended");
             };
             let (peak, descriptors) = (peak_bytes(id), descriptors(id));
+            println!("{when}: instance {n}: {peak} bytes, {descriptors} descriptors");
             let memory = self.memory_mb * 1_000_000;
             assert!(peak <= memory, "{when}: instance {n} took {peak} bytes");
             let most = self.connections + OTHER_DESCRIPTORS;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -29,6 +29,7 @@
 use crate::batch_dispatcher::BatchDispatcher;
 use crate::caller_api::CallerApi;
 use crate::crash_reporter::CrashReporter;
+use crate::memory_monitor::MemoryMonitor;
 use crate::path_checker::OwnPath;
 use crate::peer_api::PeerApi;
 use crate::peer_api::PeerHandler;
@@ -63,6 +64,9 @@
     head_bytes: 64 << 10,
     ..ServerLimits::DEFAULT
 };
+/// Size of the receive buffers of callers' connections, in bytes. Bounds the kernel memory used for a
+/// caller whose bytes are not read.
+const RECEIVE_BUFFER_BYTES: usize = 64 << 10;
 /// The interval at which a shutdown checks whether requests of other instances still run.
 const STOP_INTERVAL: Duration = Duration::from_millis(10);
 /// How long a shutdown waits for the responses to other instances to be written. Their connections
@@ -186,10 +190,13 @@
             coordinator: Arc::clone(&coordinator),
         };
         let s = &state.settings;
-        let limits = caller_limits(s, &CallerLimits::default());
+        let limits = caller_limits(&state, &CallerLimits::default());
         let caller_handler = Arc::clone(&caller_api) as Arc<dyn Handler>;
         let callers = Arc::new(listen(&state, s.callers, limits, caller_handler)?);
-        let own = ServerLimits::default();
+        let own = ServerLimits {
+            connections: state.memory_split.service_connections,
+            ..ServerLimits::default()
+        };
         let peer_handler = Arc::new(PeerHandler::new(peer_api, caller_api));
         let servers = vec![
             listen(&state, s.ready, own, Arc::new(ReadyApi(Arc::clone(&state))))?,
@@ -301,24 +308,28 @@
     HttpServer::start(executor, address, limits, handler).context(StartSnafu { address })
 }
 
-/// Applies the configured limits to the caller endpoint. Never returns.
+/// Applies the configured limits to the caller endpoint, and reports what they were met by. Never
+/// returns.
 async fn apply_limits(state: Arc<State>, callers: Arc<HttpServer>) {
+    let mut monitor = MemoryMonitor::new(Arc::clone(&state), Arc::clone(&callers));
     loop {
         Timer::after(LIMITS_INTERVAL).await;
+        monitor.report();
         if let Some(router) = state.router.load().as_ref() {
-            callers.set_limits(caller_limits(&state.settings, &router.limits));
+            callers.set_limits(caller_limits(&state, &router.limits));
         }
     }
 }
 
 /// The limits of the caller endpoint. The timeout for a head also covers the idle time between
 /// two requests on a connection, so that the longer of both limits applies.
-fn caller_limits(settings: &GatewaySettings, limits: &CallerLimits) -> ServerLimits {
+fn caller_limits(state: &State, limits: &CallerLimits) -> ServerLimits {
     ServerLimits {
-        connections: settings.max_connections,
+        connections: state.memory_split.connections,
         head_bytes: limits.head_bytes,
         head_timeout: limits.idle_timeout.max(limits.head_timeout),
         http1_only: true,
+        receive_buffer: Some(RECEIVE_BUFFER_BYTES),
         ..ServerLimits::default()
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -34,6 +34,7 @@
 mod limiters;
 mod limits;
 mod load_warnings;
+mod memory_monitor;
 mod metrics;
 mod next_send;
 mod not_resumed;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -52,6 +52,8 @@
     runs: Family<Outcome, Counter>,
     stream_ends: Family<Framing, Counter>,
     stream_origins: Family<Outcome, Counter>,
+    caller_connections: Gauge,
+    closed_connections: Family<Outcome, Counter>,
     path_lost: Gauge,
     path_checks: Family<Outcome, Counter>,
     pace_reports: Family<Outcome, Counter>,
@@ -83,6 +85,8 @@
             runs: Family::default(),
             stream_ends: Family::default(),
             stream_origins: Family::default(),
+            caller_connections: Gauge::default(),
+            closed_connections: Family::default(),
             path_lost: Gauge::default(),
             path_checks: Family::default(),
             pace_reports: Family::default(),
@@ -169,6 +173,16 @@
             "Origins of streams sent to other instances, and looked up for callers that resume",
             metrics.stream_origins.clone(),
         );
+        r.register(
+            "jd_gateway_caller_connections",
+            "Open connections of callers",
+            metrics.caller_connections.clone(),
+        );
+        r.register(
+            "jd_gateway_closed_connections",
+            "Connections of callers closed for want of room, by what they waited for",
+            metrics.closed_connections.clone(),
+        );
         r.register(
             "jd_gateway_path_lost",
             "1 while no upstream can be connected to",
@@ -287,6 +301,17 @@
             .inc();
     }
 
+    pub(crate) fn caller_connections(&self, open: usize) {
+        self.caller_connections.set(open as i64);
+    }
+
+    pub(crate) fn closed_connections(&self, phase: &'static str, count: u64) {
+        let outcome = Outcome { outcome: phase };
+        self.closed_connections
+            .get_or_create(&outcome)
+            .inc_by(count);
+    }
+
     pub(crate) fn path_lost(&self, lost: bool) {
         self.path_lost.set(i64::from(lost));
     }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -17,6 +17,7 @@
 use jd_net::Clock;
 use jd_net::HttpPool;
 use jd_net::lock;
+use jd_policy::MemorySplit;
 use jd_policy::Upstream;
 use jd_serving::BrokenRun;
 use jd_serving::ColdSpec;
@@ -125,6 +126,8 @@
     cluster: Mutex<ClusterState>,
     budgets: Mutex<HashMap<CompactString, RetryBudget>>,
     pub(crate) shutdown: Shutdown,
+    /// How much memory may be held for callers.
+    pub(crate) memory_split: MemorySplit,
     pub(crate) open_requests: OpenRequests,
 }
 
@@ -139,8 +142,10 @@
     ) -> State {
         let heartbeat_requested = Arc::new(Signal::new());
         let channels = PeerChannels::new(Arc::clone(&executor));
+        let split = MemorySplit::of(settings.memory_bytes, settings.max_connections);
         State {
             settings,
+            memory_split: split,
             clock,
             executor,
             upstream_client: UpstreamClient::new(pool.clone()),
--- a/crates/net/src/http_server.rs
+++ b/crates/net/src/http_server.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::TcpStream;
+use std::ops::ControlFlow;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -18,17 +19,24 @@
 use async_io::Async;
 use async_io::Timer;
 use futures_lite::FutureExt;
+use futures_lite::future;
 use http::Request;
 use http::Response;
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper_util::server::conn::auto;
+use jd_policy::ClientPhase;
 use rustix::net::sockopt;
 use smol_hyper::rt::FuturesIo;
 use smol_hyper::rt::SmolExecutor;
 use smol_hyper::rt::SmolTimer;
 
 use crate::Body;
+use crate::ServerLimits;
+use crate::client_table::ClientTable;
+use crate::client_table::ClosedConnections;
+use crate::client_table::OpenConnection;
+use crate::client_table::ResponseBody;
 use crate::limited_read::LimitedRead;
 use crate::lingering_close;
 use crate::lock;
@@ -54,44 +62,6 @@
     fn handle(self: Arc<Self>, req: Request<Incoming>) -> HandlerFuture;
 }
 
-/// Limits on the resources that a client can use before it is authenticated.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct ServerLimits {
-    /// Maximum number of open connections.
-    pub connections: usize,
-    /// Maximum number of headers of one request.
-    pub headers: usize,
-    /// Maximum size of the head of a request, in bytes.
-    pub head_bytes: usize,
-    /// Time within which a client has to send the head of a request.
-    pub head_timeout: Duration,
-    /// Time for which a client may read almost nothing of the pending response data.
-    pub write_stall_timeout: Duration,
-    /// Maximum number of concurrent requests on one HTTP/2 connection.
-    pub streams: u32,
-    /// True if only HTTP/1.1 is served.
-    pub http1_only: bool,
-}
-
-impl ServerLimits {
-    /// The limits that hold if none are set.
-    pub const DEFAULT: ServerLimits = ServerLimits {
-        connections: 4_096,
-        headers: 64,
-        head_bytes: 16 << 10,
-        head_timeout: Duration::from_secs(5),
-        write_stall_timeout: Duration::from_secs(15),
-        streams: 256,
-        http1_only: false,
-    };
-}
-
-impl Default for ServerLimits {
-    fn default() -> ServerLimits {
-        ServerLimits::DEFAULT
-    }
-}
-
 /// Minimum head size that hyper can be configured with, in bytes.
 const MIN_HEAD_BYTES: usize = 8_192;
 /// Size of the socket send buffer, in bytes. Bounds the kernel memory used for a client that
@@ -108,6 +78,7 @@
     alive: Sender<()>,
     stopping: Sender<()>,
     open: Arc<AtomicUsize>,
+    clients: Arc<ClientTable>,
     /// Closed by the last connection, or by the acceptor if that ends later.
     ended: Receiver<()>,
     limits: Arc<Mutex<ServerLimits>>,
@@ -122,7 +93,12 @@
         handler: Arc<dyn Handler>,
     ) -> std::io::Result<HttpServer> {
         let listener = Async::<TcpListener>::bind(address)?;
+        if let Some(bytes) = limits.receive_buffer {
+            // Accepted connections inherit the size.
+            sockopt::set_socket_recv_buffer_size(listener.get_ref(), bytes)?;
+        }
         let address = listener.get_ref().local_addr()?;
+        let clients = Arc::new(ClientTable::new(limits.connections));
         let open = Arc::new(AtomicUsize::new(0));
         let (stopping, stopped) = async_channel::bounded(1);
         let (alive, dropped) = async_channel::bounded(1);
@@ -133,6 +109,7 @@
             limits: Arc::clone(&limits),
             handler,
             open: Arc::clone(&open),
+            clients: Arc::clone(&clients),
             stopped,
             dropped,
             serving,
@@ -145,6 +122,7 @@
             alive,
             stopping,
             open,
+            clients,
             ended,
             limits,
         })
@@ -157,6 +135,7 @@
 
     /// Changes the limits for connections that are opened from now on.
     pub fn set_limits(&self, limits: ServerLimits) {
+        self.clients.set_limit(limits.connections);
         *lock(&self.limits) = limits;
     }
 
@@ -170,6 +149,11 @@
         self.open.load(Ordering::Relaxed)
     }
 
+    /// The connections that were closed because there was room for no more.
+    pub fn closed_connections(&self) -> ClosedConnections {
+        self.clients.closed()
+    }
+
     /// Shuts down gracefully: stops accepting connections and waits at most `timeout` for
     /// the open ones to finish their requests.
     pub async fn stop(&self, timeout: Duration) {
@@ -187,6 +171,7 @@
     limits: Arc<Mutex<ServerLimits>>,
     handler: Arc<dyn Handler>,
     open: Arc<AtomicUsize>,
+    clients: Arc<ClientTable>,
     stopped: Receiver<()>,
     dropped: Receiver<()>,
     serving: Sender<()>,
@@ -206,14 +191,14 @@
         let mut accepted = 0;
         loop {
             match listener.accept().await {
-                Ok((io, client))
-                    if self.open.load(Ordering::Relaxed) < lock(&self.limits).connections =>
-                {
-                    accepted += 1;
-                    self.serve(io, ConnectionNumber(accepted), ClientAddress(client));
+                Ok((io, client)) => {
+                    // Without room for it, the connection is closed at once.
+                    if let Some(connection) = self.clients.open() {
+                        accepted += 1;
+                        let number = ConnectionNumber(accepted);
+                        self.serve(io, connection, number, ClientAddress(client));
+                    }
                 }
-                // Connections above the limit are closed at once.
-                Ok(_) => {}
                 Err(_) => {
                     Timer::after(ACCEPT_RETRY_DELAY).await;
                 }
@@ -221,12 +206,19 @@
         }
     }
 
-    fn serve(&self, io: Async<TcpStream>, number: ConnectionNumber, client: ClientAddress) {
+    fn serve(
+        &self,
+        io: Async<TcpStream>,
+        connection: OpenConnection,
+        number: ConnectionNumber,
+        address: ClientAddress,
+    ) {
         self.open.fetch_add(1, Ordering::Relaxed);
         let guard = OpenGuard {
             open: Arc::clone(&self.open),
             _serving: self.serving.clone(),
         };
+        let OpenConnection { client, replaced } = connection;
         let builder = self.builder();
         let write_stall_timeout = lock(&self.limits).write_stall_timeout;
         let handler = Arc::clone(&self.handler);
@@ -237,20 +229,38 @@
             // Both fail only if the connection is already closed.
             let _ = io.get_ref().set_nodelay(true);
             let _ = sockopt::set_socket_send_buffer_size(io.get_ref(), SEND_BUFFER_BYTES);
+            let requests = client.clone();
             let service = service_fn(move |mut req: Request<Incoming>| {
+                let open = requests.begin_request();
                 req.extensions_mut().insert(number);
-                req.extensions_mut().insert(client);
+                req.extensions_mut().insert(address);
+                req.extensions_mut().insert(requests.clone());
                 let response = Arc::clone(&handler).handle(req);
-                async move { Ok::<Response<Body>, Infallible>(response.await) }
+                async move {
+                    let body = |body| ResponseBody {
+                        body,
+                        _request: open,
+                    };
+                    Ok::<Response<ResponseBody>, Infallible>(response.await.map(body))
+                }
             });
             let socket = Arc::new(io);
             let io = SharedSocket(Arc::clone(&socket));
             let io = LimitedRead::new(WriteStallTimeout::new(io, write_stall_timeout), None);
             let io = FuturesIo::new(io);
-            let connection = builder.serve_connection(io, service);
+            let connection = builder.serve_connection(io, service).into_owned();
+            // Boxed, since moves of the connection would otherwise multiply its memory.
+            let connection = Box::pin(connection);
             let served = async {
-                run_until_stopped(connection.into_owned(), stopped).await;
-                lingering_close::close(&socket).await;
+                let ending = run_until_stopped(connection, stopped, &replaced).await;
+                if ending == Ending::AtOnce {
+                    return;
+                }
+                client.set_phase(ClientPhase::Closing);
+                let replaced = async {
+                    until_replaced(&replaced).await;
+                };
+                lingering_close::close(&socket).or(replaced).await;
             };
             let server_dropped = async {
                 // Returns an error once the server is dropped, which is the signal.
@@ -286,28 +296,62 @@
     auto::Connection<'static, ClientIo, S, SmolExecutor<Arc<Executor<'static>>>>;
 type ClientIo = FuturesIo<LimitedRead<WriteStallTimeout<SharedSocket>>>;
 
-/// Serves a connection. After the server is stopped, serves it only until its current
-/// requests are finished.
-async fn run_until_stopped<S>(connection: ServedConnection<S>, stopped: Receiver<()>)
+/// How a connection ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Ending {
+    /// Its last response is written.
+    AfterResponse,
+    /// It is closed for another one while it waits for its client.
+    AtOnce,
+}
+
+/// Serves a connection. After the server is stopped, or the connection is replaced while it is idle,
+/// serves it only until its current requests are finished.
+async fn run_until_stopped<S>(
+    mut connection: Pin<Box<ServedConnection<S>>>,
+    stopped: Receiver<()>,
+    replaced: &Receiver<ClientPhase>,
+) -> Ending
 where
-    S: hyper::service::Service<Request<Incoming>, Response = Response<Body>, Error = Infallible>
-        + 'static,
+    S: hyper::service::Service<
+            Request<Incoming>,
+            Response = Response<ResponseBody>,
+            Error = Infallible,
+        > + 'static,
     S::Future: Send + 'static,
 {
-    let mut connection = Box::pin(connection);
     let served = async {
         // An error of the connection concerns only its client.
         let _ = connection.as_mut().await;
-        true
+        ControlFlow::Break(Ending::AfterResponse)
     };
     let stopping = async {
         // Returns an error once the channel is closed, which is the signal.
         let _ = stopped.recv().await;
-        false
+        ControlFlow::Continue(())
     };
-    if !served.or(stopping).await {
-        connection.as_mut().graceful_shutdown();
-        let _ = connection.as_mut().await;
+    let replaced = async {
+        match until_replaced(replaced).await {
+            ClientPhase::Idle => ControlFlow::Continue(()),
+            _ => ControlFlow::Break(Ending::AtOnce),
+        }
+    };
+    match served.or(stopping).or(replaced).await {
+        ControlFlow::Break(ending) => ending,
+        ControlFlow::Continue(()) => {
+            connection.as_mut().graceful_shutdown();
+            let _ = connection.as_mut().await;
+            Ending::AfterResponse
+        }
+    }
+}
+
+/// Returns the phase in which a connection was, once it is replaced.
+async fn until_replaced(replaced: &Receiver<ClientPhase>) -> ClientPhase {
+    match replaced.recv().await {
+        Ok(phase) => phase,
+        // The connection has left the table.
+        Err(_) => future::pending().await,
     }
 }
 
