Bodies take memory from one account before they are kept

Callers saw: a process ended, out of memory. 60 bodies of 4 MiB that stop short of their end took 270 to 274 MB (282 with one more), 60 over the limit 253 to 268, 60 complete ones that waited 502, 120 beside ordinary callers 538 of 260 MB; and as many heads with an announced body as there are connections kept all others out.

Cause: `admit` read the whole body before it decided anything, into one buffer that grows by doubling; nothing bounded the sum of bodies, and memory that they had taken stayed with the process. `max_body_bytes` times `max-connections` is 12 GB.

Change, in order of a request: - What its head decides (no configuration, route, credential, a length over the limit) is refused at once. A small body is read and discarded, so that the connection goes on; otherwise the refusal closes it, and the rest is discarded after it, at most 8 MiB and 5 s, so that a client that reads nothing before it has sent the largest body still gets its refusal. - A body is kept in segments of up to 64 KiB, whose memory is taken from `BodyBudget` (25 % of `memory-mb`) before, and which own it (`Bytes::from_owner`): the last clone, also of a send or a forward that outlives its request, gives it back. The first 4 KiB belong to the connection, so that small requests never need any. Bodies beyond 64 KiB leave a quarter to others. - Without memory left, the unfinished body that has gained less than 16 KiB for longest, at least a second, has to give its own back; if there is none, the body is refused with 503, not run, and a retry time of that second. Complete bodies keep theirs. `BodyBudget` does no I/O. - The connection of a body that is awaited is told from one with a running request. - Metrics `jd_gateway_body_bytes` and `jd_gateway_bodies_without_memory`, one log line for all of half a second. The hash of a request's content is that of the whole body, whatever its segments.

Ruled out: one bound on the number of large bodies (their sizes differ by a thousand); room by the announced length (60 that announce and send nothing would hold all); a wait for memory without an end (what cannot be served is refused at once).

--- a/crates/gateway-daemon/tests/crowds.rs
+++ b/crates/gateway-daemon/tests/crowds.rs
@@ -32,6 +32,9 @@
 const WEAK_MB: u64 = 120;
 /// The memory of a weak machine of most large deployments, in megabytes.
 const SMALL_MB: u64 = 160;
+/// The least memory that the settings allow, in megabytes: room for two complete bodies of the largest
+/// size.
+const LEAST_MB: u64 = 64;
 /// The memory of a machine of the small deployments, in megabytes.
 const USUAL_MB: u64 = 260;
 /// The connections of callers in tests that fill all of them.
@@ -231,3 +234,16 @@
     test.check_bounds("while the crowd stays");
     assert!(is_served, "the body is not served");
 }
+
+/// Guards against a body that is refused for want of memory, and whose request runs, or whose caller is
+/// not told when to come back.
+#[test]
+fn a_body_without_memory_is_refused_as_not_run() {
+    let test = Test::start("refused", 1, LEAST_MB, CONNECTIONS);
+    test.surroundings.hang_upstreams_of_crowds();
+    let crowd = test.surroundings.crowd(0, Misbehaviour::Whole, 2);
+    block_on(crowd.until_settled());
+    let outcome = block_on(test.surroundings.outcome_of_large_body(0));
+    assert_eq!(outcome, Some((503, true, false)));
+    test.check("while the crowd stays");
+}
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -135,7 +135,7 @@
         fetch_from,
         last_event,
     };
-    let body = jd_net::full(request.body.clone());
+    let body = request.body.to_http();
     let req = state
         .dialect
         .upstream_request(&request.parts, &upstream_request, body);
--- a/crates/gateway/src/caller_request.rs
+++ b/crates/gateway/src/caller_request.rs
@@ -4,7 +4,6 @@
 use std::sync::atomic::AtomicU32;
 use std::time::Duration;
 
-use bytes::Bytes;
 use compact_str::CompactString;
 use compact_str::format_compact;
 use http::request::Parts;
@@ -22,6 +21,7 @@
 
 use crate::caller_api::host_of;
 use crate::caller_api::may_have_run;
+use crate::caller_body::CallerBody;
 use crate::forward_api::RunningForward;
 use crate::forwarded_from::ForwardedFrom;
 use crate::open_requests::InFlight;
@@ -40,7 +40,7 @@
     pub(crate) service: CompactString,
     pub(crate) head: CallHead,
     pub(crate) parts: Parts,
-    pub(crate) body: Bytes,
+    pub(crate) body: CallerBody,
     /// Identifies the request, the same if the caller sends it again, and the parts of its prompt.
     pub(crate) contents: RunContents,
     /// How often it may have run, by what was sent from here so far.
--- a/crates/gateway/src/forward_api.rs
+++ b/crates/gateway/src/forward_api.rs
@@ -85,7 +85,8 @@
         head.last_event = from.last_event.or(head.last_event);
         let arrived = state.now().before(from.age);
         // Reads the body, without which a refusal would not reach the other instance.
-        let admitted = self.admit(arrived, head, parts, body).await?;
+        let admitted = Box::pin(self.admit(arrived, head, parts, body)).await;
+        let admitted = admitted.map_err(|rejected| rejected.refusal)?;
         let running = running.ok_or_else(|| not_taken("too many forwarded requests"))?;
         if state.is_leaving() {
             return Err(not_taken("the instance is shutting down"));
--- a/crates/gateway/src/forward_client.rs
+++ b/crates/gateway/src/forward_client.rs
@@ -300,7 +300,7 @@
 
 /// The caller's own request, with what this instance tells of it.
 fn forwarded_request(request: &CallerRequest, from: ForwardedFrom) -> Request<Body> {
-    let mut req = Request::new(jd_net::full(request.body.clone()));
+    let mut req = Request::new(request.body.to_http());
     *req.method_mut() = request.parts.method.clone();
     *req.uri_mut() = request.parts.uri.clone();
     *req.headers_mut() = request.parts.headers.clone();
--- a/crates/gateway/src/memory_monitor.rs
+++ b/crates/gateway/src/memory_monitor.rs
@@ -5,6 +5,7 @@
 use jd_net::ClosedConnections;
 use jd_net::HttpServer;
 
+use crate::caller_memory::MemoryCounts;
 use crate::state::State;
 
 /// Reports what is held for callers.
@@ -12,6 +13,7 @@
     state: Arc<State>,
     callers: Arc<HttpServer>,
     closed: ClosedConnections,
+    counts: MemoryCounts,
 }
 
 impl MemoryMonitor {
@@ -20,12 +22,15 @@
             state,
             callers,
             closed: ClosedConnections::default(),
+            counts: MemoryCounts::default(),
         }
     }
 
-    /// Reports what has changed since the last report, in one line for all connections.
+    /// Reports what has changed since the last report, in one line for all connections and one for all
+    /// bodies.
     pub(crate) fn report(&mut self) {
         self.report_connections();
+        self.report_bodies();
     }
 
     fn report_connections(&mut self) {
@@ -58,4 +63,26 @@
             "connections closed for want of room"
         );
     }
+
+    fn report_bodies(&mut self) {
+        let memory = &self.state.caller_memory;
+        let used = memory.used();
+        self.state.metrics.body_bytes(used);
+        let counts = memory.counts();
+        let before = std::mem::replace(&mut self.counts, counts);
+        if counts == before {
+            return;
+        }
+        let refused = counts.refused - before.refused;
+        let revoked = counts.revoked - before.revoked;
+        self.state.metrics.bodies_without_memory("refused", refused);
+        self.state.metrics.bodies_without_memory("stalled", revoked);
+        log::warn!(
+            used_bytes = used,
+            limit_bytes = self.state.memory_split.body_bytes,
+            refused,
+            stalled = revoked;
+            "bodies refused for want of memory"
+        );
+    }
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -54,6 +54,8 @@
     stream_origins: Family<Outcome, Counter>,
     caller_connections: Gauge,
     closed_connections: Family<Outcome, Counter>,
+    body_bytes: Gauge,
+    bodies_without_memory: Family<Outcome, Counter>,
     path_lost: Gauge,
     path_checks: Family<Outcome, Counter>,
     pace_reports: Family<Outcome, Counter>,
@@ -87,6 +89,8 @@
             stream_origins: Family::default(),
             caller_connections: Gauge::default(),
             closed_connections: Family::default(),
+            body_bytes: Gauge::default(),
+            bodies_without_memory: Family::default(),
             path_lost: Gauge::default(),
             path_checks: Family::default(),
             pace_reports: Family::default(),
@@ -183,6 +187,16 @@
             "Connections of callers closed for want of room, by what they waited for",
             metrics.closed_connections.clone(),
         );
+        r.register(
+            "jd_gateway_body_bytes",
+            "Memory taken by bodies of requests, in bytes",
+            metrics.body_bytes.clone(),
+        );
+        r.register(
+            "jd_gateway_bodies_without_memory",
+            "Bodies that got no memory, or lost it because they stalled",
+            metrics.bodies_without_memory.clone(),
+        );
         r.register(
             "jd_gateway_path_lost",
             "1 while no upstream can be connected to",
@@ -312,6 +326,17 @@
             .inc_by(count);
     }
 
+    pub(crate) fn body_bytes(&self, used: usize) {
+        self.body_bytes.set(used as i64);
+    }
+
+    pub(crate) fn bodies_without_memory(&self, outcome: &'static str, count: u64) {
+        let outcome = Outcome { outcome };
+        self.bodies_without_memory
+            .get_or_create(&outcome)
+            .inc_by(count);
+    }
+
     pub(crate) fn path_lost(&self, lost: bool) {
         self.path_lost.set(i64::from(lost));
     }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -40,6 +40,7 @@
 
 use crate::Dialect;
 use crate::brittle::Brittle;
+use crate::caller_memory::CallerMemory;
 use crate::cluster_state::ClusterState;
 use crate::forward_client::ForwardClient;
 use crate::latch::Latch;
@@ -126,8 +127,9 @@
     cluster: Mutex<ClusterState>,
     budgets: Mutex<HashMap<CompactString, RetryBudget>>,
     pub(crate) shutdown: Shutdown,
-    /// How much memory may be held for callers.
+    /// How much memory may be held for callers, and the part of it for bodies of requests.
     pub(crate) memory_split: MemorySplit,
+    pub(crate) caller_memory: Arc<CallerMemory>,
     pub(crate) open_requests: OpenRequests,
 }
 
@@ -181,6 +183,7 @@
             cluster: Mutex::default(),
             budgets: Mutex::default(),
             shutdown: Shutdown::default(),
+            caller_memory: Arc::new(CallerMemory::new(clock, split.body_bytes)),
             open_requests: OpenRequests::default(),
         }
     }
--- a/crates/gateway/tests/whole/main.rs
+++ b/crates/gateway/tests/whole/main.rs
@@ -22,6 +22,7 @@
 mod lost_paths;
 mod paces;
 mod placed_prompts;
+mod refused_heads;
 mod requests;
 mod restarts;
 mod rewritten_entries;
--- a/crates/net/src/body.rs
+++ b/crates/net/src/body.rs
@@ -1,6 +1,9 @@
 //! Request and response bodies.
 
 use std::convert::Infallible;
+use std::pin::Pin;
+use std::task::Context;
+use std::task::Poll;
 
 use bytes::Bytes;
 use bytes::BytesMut;
@@ -11,6 +14,7 @@
 use http_body_util::StreamBody;
 use http_body_util::combinators::UnsyncBoxBody;
 use hyper::body::Frame;
+use hyper::body::SizeHint;
 use snafu::Snafu;
 
 /// An error while a body is produced.
@@ -71,3 +75,44 @@
     }
     Ok(buf.freeze())
 }
+
+/// Creates a body from segments in memory.
+pub fn segmented(mut segments: Vec<Bytes>) -> Body {
+    if segments.len() <= 1 {
+        return full(segments.pop().unwrap_or_default());
+    }
+    let left = segments.iter().map(|s| s.len() as u64).sum();
+    let segments = segments.into_iter();
+    BodyExt::boxed_unsync(SegmentedBody { segments, left })
+}
+
+#[derive(Debug)]
+struct SegmentedBody {
+    segments: std::vec::IntoIter<Bytes>,
+    /// Bytes of the remaining segments.
+    left: u64,
+}
+
+impl hyper::body::Body for SegmentedBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        let segment = self.segments.next();
+        if let Some(segment) = &segment {
+            self.left -= segment.len() as u64;
+        }
+        Poll::Ready(segment.map(|s| Ok(Frame::data(s))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.segments.as_slice().is_empty()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(self.left)
+    }
+}
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -30,6 +30,7 @@
 pub use body::empty;
 pub use body::full;
 pub use body::read_bounded;
+pub use body::segmented;
 pub use body::stream;
 pub use body_framing::BodyFraming;
 pub use client_table::ClientConnection;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod admission;
 mod admission_queue;
+mod body_budget;
 mod client_connections;
 mod connection_monitor;
 mod cost_ledger;
@@ -25,6 +26,10 @@
 pub use admission_queue::AdmissionQueue;
 pub use admission_queue::QueuePolicy;
 pub use admission_queue::SlotDecision;
+pub use body_budget::BODY_STALL_TIME;
+pub use body_budget::BodyBudget;
+pub use body_budget::BodyGrant;
+pub use body_budget::BodyKey;
 pub use client_connections::ClientAdmission;
 pub use client_connections::ClientConnections;
 pub use client_connections::ClientKey;
--- a/crates/serving/src/content.rs
+++ b/crates/serving/src/content.rs
@@ -15,13 +15,21 @@
 impl Content {
     /// Hashes these parts in their order.
     pub fn of(parts: &[&[u8]]) -> Content {
-        let mut hasher = Sha256::new();
-        for part in parts {
-            // The lengths prevent the end of one part from being taken for the start of the
-            // next.
-            hasher.update((part.len() as u64).to_be_bytes());
-            hasher.update(part);
+        Content::finish(hash_parts(parts))
+    }
+
+    /// Hashes these parts in their order, and a last one that is in several segments.
+    pub fn of_segments(parts: &[&[u8]], segments: &[impl AsRef<[u8]>]) -> Content {
+        let mut hasher = hash_parts(parts);
+        let length: usize = segments.iter().map(|s| s.as_ref().len()).sum();
+        hasher.update((length as u64).to_be_bytes());
+        for segment in segments {
+            hasher.update(segment);
         }
+        Content::finish(hasher)
+    }
+
+    fn finish(hasher: Sha256) -> Content {
         let digest = hasher.finalize();
         let first = digest.iter().take(8);
         Content(first.fold(0, |n, byte| n << 8 | u64::from(*byte)))
@@ -38,6 +46,17 @@
     }
 }
 
+/// Hashes parts in their order. Their lengths prevent the end of one from being taken for the start of
+/// the next.
+fn hash_parts(parts: &[&[u8]]) -> Sha256 {
+    let mut hasher = Sha256::new();
+    for part in parts {
+        hasher.update((part.len() as u64).to_be_bytes());
+        hasher.update(part);
+    }
+    hasher
+}
+
 impl fmt::Display for Content {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{:016x}", self.0)
--- a/soak/src/fake_upstream.rs
+++ b/soak/src/fake_upstream.rs
@@ -43,6 +43,7 @@
 use crate::fake_store::status;
 use crate::recorder::Work;
 use crate::silences::Silence;
+use crate::surroundings::is_large_body;
 use crate::turns::Load;
 
 /// The number of events in a stream.
@@ -150,6 +151,9 @@
             .unwrap_or_default();
         let parts_listed = header("jacinthdeal-prefix-hash").unwrap_or("");
         let crashing = crash_cause(&body, parts_listed);
+        if !is_large_body(&id, &body) {
+            return status(StatusCode::BAD_REQUEST);
+        }
         let path = parts.uri.path();
         let inputs = header("jacinthdeal-inputs").unwrap_or("");
         let fault = match () {
--- a/soak/src/surroundings.rs
+++ b/soak/src/surroundings.rs
@@ -16,6 +16,7 @@
 use jd_net::Body;
 use jd_net::Clock;
 use jd_net::HttpPool;
+use jd_net::HttpResponse;
 use jd_net::lock;
 use jd_net::with_timeout;
 
@@ -37,6 +38,8 @@
 const TRY_INTERVAL: Duration = Duration::from_millis(200);
 /// The size of the parts in which a large body is sent, in bytes.
 const PART_BYTES: usize = 64 << 10;
+/// The beginning of the identities of requests with a large body.
+const LARGE_ID: &str = "large-";
 
 /// A store, upstreams, links and callers around gateway processes that are ready.
 pub struct Surroundings {
@@ -147,20 +150,43 @@
     }
 
     async fn is_large_body_served(&self, instance: usize, n: usize, pause: Duration) -> bool {
-        let id = format!("large-{n}");
-        let mut req = caller::request(&id, RequestKind::Idempotent, "key-0", None, Load::LARGE);
+        let id = format!("{LARGE_ID}{n}");
+        let response = self.send_large_body(instance, &id, pause).await;
+        response.is_some_and(|(res, body)| {
+            res.status.is_success() && body == format!("answer to {id}").as_bytes()
+        })
+    }
+
+    /// Sends a request with the largest body. Returns the status of the response, whether it names
+    /// when to come back, and whether an upstream ran the request; none without a response.
+    pub async fn outcome_of_large_body(&self, instance: usize) -> Option<(u16, bool, bool)> {
+        let id = format!("{LARGE_ID}outcome");
+        let response = self.send_large_body(instance, &id, Duration::ZERO).await;
+        let requests = lock(&self.runner.env.recorder.upstream_requests);
+        let has_run = requests.iter().any(|r| r.id == id && r.executed);
+        response.map(|(res, _)| {
+            let names_time = res.header("retry-after").is_some();
+            (res.status.as_u16(), names_time, has_run)
+        })
+    }
+
+    async fn send_large_body(
+        &self,
+        instance: usize,
+        id: &str,
+        pause: Duration,
+    ) -> Option<(HttpResponse, Vec<u8>)> {
+        let mut req = caller::request(id, RequestKind::Idempotent, "key-0", None, Load::LARGE);
         *req.body_mut() = large_body(pause);
         let pool = HttpPool::new(Arc::clone(&self.executor), Clock::start());
         let timeout = Load::LARGE.single_deadline;
         let sent = pool.send(self.callers_at(instance), req, timeout, false);
-        let Some(Ok(mut res)) = sent.await else {
-            return false;
-        };
+        let mut res = sent.await?.ok()?;
         let mut body = Vec::new();
         while let Some(Ok(Some(part))) = with_timeout(timeout, res.chunk()).await {
             body.extend_from_slice(&part);
         }
-        res.status.is_success() && body == format!("answer to {id}").as_bytes()
+        Some((res, body))
     }
 
     fn caller(&self, seed: u64, stopped: Arc<AtomicBool>) -> Caller {
@@ -180,13 +206,26 @@
 
 /// A body of the largest size, in parts with a pause before each.
 fn large_body(pause: Duration) -> Body {
-    let parts = unfold(Surroundings::BODY_BYTES, move |left| async move {
-        if left == 0 {
+    let parts = unfold(0, move |sent| async move {
+        if sent == Surroundings::BODY_BYTES {
             return None;
         }
         Timer::after(pause).await;
-        let part = left.min(PART_BYTES);
-        Some((Ok(Bytes::from(vec![b'x'; part])), left - part))
+        let end = (sent + PART_BYTES).min(Surroundings::BODY_BYTES);
+        let part: Vec<u8> = (sent..end).map(large_byte).collect();
+        Some((Ok(Bytes::from(part)), end))
     });
     jd_net::stream(parts)
 }
+
+/// The byte of a large body at this position. Its period divides no size of a buffer.
+fn large_byte(position: usize) -> u8 {
+    b'a' + (position % 23) as u8
+}
+
+/// True unless a request with a large body has another one than its caller sent.
+pub(crate) fn is_large_body(id: &str, body: &[u8]) -> bool {
+    !id.starts_with(LARGE_ID)
+        || body.len() == Surroundings::BODY_BYTES
+            && body.iter().zip(0..).all(|(byte, n)| *byte == large_byte(n))
+}
