A forwarded request that is not taken is refused before its body is kept

Callers saw: nothing yet; found by reading.

Cause: `respond_forwarded` admitted the request first, since a refusal that is sent before the body is read may not reach the other instance. That needs the body to be read, not to be kept.

Change: these checks come first; the body of a request that is not taken is read and discarded. They come again once the body is there. A body that gets no memory here is not taken, so that the other instance asks a further one.

--- a/crates/gateway/src/caller_body.rs
+++ b/crates/gateway/src/caller_body.rs
@@ -246,6 +246,11 @@
     }
 }
 
+/// Reads a body of at most `limit` bytes without keeping it. Returns false if some of it is left.
+pub(crate) async fn discard_all(body: &mut Incoming, limit: usize) -> bool {
+    discard(body, limit, BODY_TIMEOUT).await
+}
+
 async fn discard(body: &mut Incoming, limit: usize, timeout: Duration) -> bool {
     let reading = async {
         let mut left = limit;
--- a/crates/gateway/src/forward_api.rs
+++ b/crates/gateway/src/forward_api.rs
@@ -14,6 +14,7 @@
 use jd_types::RunState;
 
 use crate::caller_api::CallerApi;
+use crate::caller_body;
 use crate::caller_request::CallerRequest;
 use crate::forwarded_from;
 use crate::forwarded_from::ForwardedFrom;
@@ -79,33 +80,32 @@
     ) -> Result<Response<Body>, Refusal> {
         let state = &self.state;
         let running = RunningForward::begin(state);
-        let (mut parts, body) = req.into_parts();
+        let (mut parts, mut body) = req.into_parts();
+        if let Err(refusal) = self.check_forward(running.as_ref(), &from, None) {
+            // The other instance may read the refusal only after it has sent the whole body.
+            let limits = state.router.load().as_ref().map(|r| r.limits);
+            caller_body::discard_all(&mut body, limits.unwrap_or_default().body_bytes).await;
+            return Err(refusal);
+        }
         forwarded_from::strip(&mut parts.headers);
         let mut head = state.dialect.call_head(&parts);
         head.last_event = from.last_event.or(head.last_event);
         let arrived = state.now().before(from.age);
-        // Reads the body, without which a refusal would not reach the other instance.
         let admitted = Box::pin(self.admit(arrived, head, parts, body)).await;
-        let admitted = admitted.map_err(|rejected| rejected.refusal)?;
-        let running = running.ok_or_else(|| not_taken("too many forwarded requests"))?;
-        if state.is_leaving() {
-            return Err(not_taken("the instance is shutting down"));
-        }
-        if state.path.is_lost() {
-            return Err(not_taken("no upstream can be connected to"));
-        }
-        // Two instances that take turns must not go back to an earlier version.
-        if admitted.router.version < from.version {
-            return Err(not_taken("a later version is in force elsewhere"));
-        }
+        let admitted = admitted.map_err(|rejected| match rejected.refusal.kind {
+            // Another instance may have memory for the body.
+            RefusalKind::Overloaded => not_taken(&rejected.refusal.detail),
+            _ => rejected.refusal,
+        })?;
+        self.check_forward(running.as_ref(), &from, Some(admitted.router.version))?;
         let request = CallerRequest {
             ran_at: ran_at.clone(),
             forwarded: Some(from),
-            _running_forward: Some(running),
+            _running_forward: running,
             ..admitted
         };
         let id = request.head.request_id.clone();
-        let ended = self.run(request).await;
+        let ended = Box::pin(self.run(request)).await;
         ended.map_err(|refusal| {
             log::info!(
                 request = id.as_deref().unwrap_or(""),
@@ -122,6 +122,30 @@
     }
 }
 
+impl CallerApi {
+    /// Refuses a request that another instance may take, by the configuration's version by which it
+    /// was admitted, or by the one in force before that.
+    fn check_forward(
+        &self,
+        running: Option<&RunningForward>,
+        from: &ForwardedFrom,
+        version: Option<u64>,
+    ) -> Result<(), Refusal> {
+        let state = &self.state;
+        let in_force = || state.router.load().as_ref().map(|r| r.version);
+        match version.or_else(in_force) {
+            _ if running.is_none() => Err(not_taken("too many forwarded requests")),
+            _ if state.is_leaving() => Err(not_taken("the instance is shutting down")),
+            _ if state.path.is_lost() => Err(not_taken("no upstream can be connected to")),
+            // Two instances that take turns must not go back to an earlier version.
+            Some(version) if version < from.version => {
+                Err(not_taken("a later version is in force elsewhere"))
+            }
+            _ => Ok(()),
+        }
+    }
+}
+
 /// The refusal of a request that another instance may take.
 fn not_taken(detail: &str) -> Refusal {
     Refusal::not_run(RefusalKind::NotServing, detail).with_retry_after(NOT_TAKEN_RETRY)
--- a/crates/gateway/tests/whole/refused_heads.rs
+++ b/crates/gateway/tests/whole/refused_heads.rs
@@ -17,6 +17,9 @@
 const TOO_LARGE: usize = 64 << 20;
 /// Timeout of a test, which is far longer than the test takes.
 const TEST_TIMEOUT: Duration = Duration::from_secs(20);
+/// Intervals in which a gateway reports what bodies take, and how many of them a test observes.
+const REPORT_INTERVAL: Duration = Duration::from_millis(600);
+const REPORTS: usize = 3;
 
 fn connect(callers: SocketAddr) -> TcpStream {
     let client = TcpStream::connect(callers).expect("a connection");
@@ -133,3 +136,30 @@
     let response = reading.join().expect("a reader");
     assert!(response.starts_with("HTTP/1.1 413 "), "{response}");
 }
+
+/// Guards against a forwarded body that is kept although its request is not taken.
+#[test]
+fn the_body_of_a_forwarded_request_that_is_not_taken_is_not_kept() {
+    let harness = Harness::start(vec![vec![Reply::Complete("a")]]);
+    block_on(harness.until_ready(true));
+    let mut client = connect(harness.peer_addresses()[0]);
+    let names = ["age-ms", "runs", "excused-runs", "counted"];
+    let told: String = names.map(|n| format!("jd-forward-{n}: 0\r\n")).concat();
+    // A later version than any that is in force.
+    let head = format!(
+        "POST /any/x HTTP/1.1\r\nhost: desk.example\r\nid: 1\r\nkey: key-1\r\n{told}\
+         jd-forward-version: 99\r\ncontent-length: 4194304\r\n\r\n"
+    );
+    client.write_all(head.as_bytes()).expect("a written head");
+    let body = vec![b'x'; 4 << 20];
+    let (most, last) = body.split_at(body.len() - 1);
+    client.write_all(most).expect("a written body");
+    for _ in 0..REPORTS {
+        thread::sleep(REPORT_INTERVAL);
+        let kept = block_on(harness.counter_total("jd_gateway_body_bytes "));
+        assert_eq!(kept, 0);
+    }
+    client.write_all(last).expect("a written body");
+    let response = read_response(&mut client);
+    assert!(response.starts_with("HTTP/1.1 503 "), "{response}");
+}
