Answers that callers have yet to read are counted with their bodies

Callers saw: nothing yet; found by reading. A single answer may have 8 MiB and stays until its caller has read it, up to the write timeout; the account of bodies did not know of it, so that answers came on top.

Cause: only bodies took memory. Change: an answer of 4 KiB or more takes its memory once it is whole, whether or not any is left, since it cannot be refused any more, and gives it back with its last clone. Bodies get what is left. What an answer takes while it is read from its upstream is not counted.

--- a/crates/gateway/src/caller_memory.rs
+++ b/crates/gateway/src/caller_memory.rs
@@ -6,6 +6,7 @@
 
 use async_channel::Receiver;
 use async_channel::Sender;
+use bytes::Bytes;
 use event_listener::Event;
 use futures_lite::future;
 use jd_net::Clock;
@@ -14,6 +15,9 @@
 use jd_policy::BodyGrant;
 use jd_policy::BodyKey;
 
+/// The smallest answer that is counted, in bytes. Connections have room for smaller ones.
+const MIN_ANSWER_BYTES: usize = 4 << 10;
+
 /// The memory for bodies of requests, which is taken before their bytes are kept.
 #[derive(Debug)]
 pub(crate) struct CallerMemory {
@@ -65,6 +69,23 @@
         }
     }
 
+    /// An answer that keeps its memory until its caller has read it. It is never refused, but leaves
+    /// less for bodies.
+    pub(crate) fn hold_answer(self: &Arc<CallerMemory>, answer: Bytes) -> Bytes {
+        if answer.len() < MIN_ANSWER_BYTES {
+            return answer;
+        }
+        let bytes = answer.len();
+        lock(&self.budget).policy.take_for_answer(bytes);
+        Bytes::from_owner(HeldAnswer {
+            answer,
+            _memory: HeldMemory {
+                memory: Arc::clone(self),
+                bytes,
+            },
+        })
+    }
+
     /// The bytes that are taken.
     pub(crate) fn used(&self) -> usize {
         lock(&self.budget).policy.used()
@@ -147,6 +168,18 @@
     }
 }
 
+#[derive(Debug)]
+struct HeldAnswer {
+    answer: Bytes,
+    _memory: HeldMemory,
+}
+
+impl AsRef<[u8]> for HeldAnswer {
+    fn as_ref(&self) -> &[u8] {
+        &self.answer
+    }
+}
+
 /// Memory that is taken until it is dropped.
 #[derive(Debug)]
 pub(crate) struct HeldMemory {
--- a/crates/gateway/src/unary_call.rs
+++ b/crates/gateway/src/unary_call.rs
@@ -273,7 +273,7 @@
         ms = took.as_millis() as u64;
         "answered"
     );
-    let mut res = Response::new(jd_net::full(complete.body));
+    let mut res = Response::new(jd_net::full(state.caller_memory.hold_answer(complete.body)));
     *res.status_mut() = complete.status;
     *res.headers_mut() = complete.headers;
     res
