Refusals beyond 200 a second are counted in one log line

Callers saw: nothing; operators would lose lines. Each refusal was one log line of about 400 bytes, whose queue has 2,048 places: a crowd that is refused as fast as it asks fills it, and lines of decisions are dropped with the others, each paid with processor time.

Change: 200 refusals are logged in a second; the count of the rest follows in one line. Metrics count all as before.

Measured: none beyond the tests of gateways, which pass as before.

--- a/crates/gateway/src/caller_api.rs
+++ b/crates/gateway/src/caller_api.rs
@@ -123,6 +123,20 @@
         let now = self.state.now();
         let took = now.since(arrived);
         self.state.metrics.request(refusal.kind.as_str(), took);
+        if self.state.refusal_log.admits(now) {
+            self.log_refusal(took, id, contents, refusal);
+        }
+        self.state.dialect.refusal(refusal)
+    }
+
+    fn log_refusal(
+        &self,
+        took: Duration,
+        id: &str,
+        contents: Option<&RunContents>,
+        refusal: &Refusal,
+    ) {
+        let now = self.state.now();
         let proof_ms = self.state.proof_age().map(|a| a.as_millis() as u64);
         let config = self.state.router.load().as_ref().map(|r| r.version);
         // Empty for a request that was refused before its body was read.
@@ -145,7 +159,6 @@
             proof_ms:? = proof_ms;
             "refused"
         );
-        self.state.dialect.refusal(refusal)
     }
 }
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -54,6 +54,7 @@
 use crate::peer_replication::PackedSnapshots;
 use crate::permit_retries::PermitRetries;
 use crate::quarantine::Quarantine;
+use crate::refusal_log::RefusalLog;
 use crate::restart_checks::RestartChecks;
 use crate::run_events::RunEnd;
 use crate::run_events::RunEvent;
@@ -127,6 +128,8 @@
     cluster: Mutex<ClusterState>,
     budgets: Mutex<HashMap<CompactString, RetryBudget>>,
     pub(crate) shutdown: Shutdown,
+    /// Bounds the log lines about refusals.
+    pub(crate) refusal_log: RefusalLog,
     /// How much memory may be held for callers, and the part of it for bodies of requests.
     pub(crate) memory_split: MemorySplit,
     pub(crate) caller_memory: Arc<CallerMemory>,
@@ -183,6 +186,7 @@
             cluster: Mutex::default(),
             budgets: Mutex::default(),
             shutdown: Shutdown::default(),
+            refusal_log: RefusalLog::default(),
             caller_memory: Arc::new(CallerMemory::new(clock, split.body_bytes)),
             open_requests: OpenRequests::default(),
         }
