A part of the connections is kept from running requests

Callers saw: while small complete requests that wait for upstreams hold all connections, every other connection is closed without an answer, for up to the deadline of those requests.

Cause: connections with a running request do not give way, and nothing bounded how many there are. Change: at most 87 % of the connections of callers (495 of 569 on the weakest machine) may have a running request; a request beyond that is refused at once with 503, not run, and a retry time of 0.5 s, so that its connection can be told and then gives way to others. Requests that other instances forward count as well, and are not taken beyond it.

--- a/crates/gateway-daemon/tests/crowds.rs
+++ b/crates/gateway-daemon/tests/crowds.rs
@@ -247,3 +247,37 @@
     assert_eq!(outcome, Some((503, true, false)));
     test.check("while the crowd stays");
 }
+
+/// Guards against small requests that wait for upstreams and leave others without any answer.
+#[test]
+fn waiting_requests_leave_others_a_refusal() {
+    let test = Test::start("waiting", 1, SMALL_MB, FEW_CONNECTIONS);
+    test.surroundings.hang_upstreams_of_crowds();
+    let crowd = test
+        .surroundings
+        .crowd(0, Misbehaviour::IdleAfterRequest, 2 * FEW_CONNECTIONS);
+    block_on(crowd.until_settled());
+    let outcome = block_on(test.surroundings.outcome_of_request(0));
+    assert_eq!(outcome, Some((503, true, false)));
+    test.check_bounds("while the crowd stays");
+    drop(crowd);
+    test.check("after the crowd");
+}
+
+/// Guards against connections to the addresses for readiness and locate requests that take all memory,
+/// or keep the platform from asking.
+#[test_case(Misbehaviour::HeadBegun; "with a part of a head")]
+#[test_case(Misbehaviour::BodyAnnounced; "without a body")]
+fn connections_to_service_addresses(misbehaviour: Misbehaviour) {
+    let test = Test::start("services", 1, WEAK_MB, CONNECTIONS);
+    let crowds = test
+        .surroundings
+        .crowd_at_services(0, misbehaviour, CONNECTIONS);
+    for crowd in &crowds {
+        block_on(crowd.until_settled());
+    }
+    block_on(test.surroundings.until_ready(0)).expect("a ready instance");
+    test.check("while the crowds stay");
+    drop(crowds);
+    test.check("after the crowds");
+}
--- a/crates/gateway/src/caller_admission.rs
+++ b/crates/gateway/src/caller_admission.rs
@@ -34,6 +34,7 @@
 use crate::caller_request::CallerRequest;
 use crate::open_requests::InFlight;
 use crate::ran_at::RanAt;
+use crate::running_request::RunningRequest;
 use crate::state::State;
 
 /// The retry time of a request that this instance refuses because its configuration is
@@ -43,6 +44,9 @@
 /// How long a request waits for the first read of the store after a start, which takes about
 /// 20 ms. This is an eighth of the shortest objective of prompts.
 const FIRST_READ_TIMEOUT: Duration = Duration::from_millis(80);
+/// The retry time of a request that finds too many running here: most requests end within it.
+const FULL_RETRY: Duration = Duration::from_millis(500);
+
 /// A request that is refused before it runs.
 #[derive(Debug)]
 pub(crate) struct Rejected {
@@ -98,7 +102,9 @@
         let reading = self.read_body(&head, &parts, &mut body);
         let body = reading.or(ending).await?;
         let checked = self.check(head, &parts).map_err(Rejected::read)?;
-        Ok(self.admitted(arrived, checked, parts, body, in_flight))
+        let running = RunningRequest::begin(&self.state);
+        let running = running.ok_or_else(|| Rejected::read(full()))?;
+        Ok(self.admitted(arrived, checked, parts, body, (in_flight, running)))
     }
 
     /// Reads the body of a request that may run by its head. Discards a small body of another one, so
@@ -167,7 +173,7 @@
         checked: Checked,
         parts: Parts,
         body: CallerBody,
-        in_flight: InFlight,
+        (in_flight, running): (InFlight, RunningRequest),
     ) -> CallerRequest {
         let Checked {
             router,
@@ -200,6 +206,7 @@
             begun_runs: Arc::default(),
             ran_at: RanAt::default(),
             forwarded: None,
+            _running: running,
             _running_forward: None,
             _route_use: router.begin_request(route),
             in_flight,
@@ -295,3 +302,9 @@
 fn unproven(detail: &'static str) -> Refusal {
     Refusal::not_run(RefusalKind::NotServing, detail).with_retry_after(UNPROVEN_RETRY)
 }
+
+/// The refusal of a request while as many run as may.
+fn full() -> Refusal {
+    let detail = "too many requests run here; ask another instance";
+    Refusal::not_run(RefusalKind::Overloaded, detail).with_retry_after(FULL_RETRY)
+}
--- a/crates/gateway/src/caller_request.rs
+++ b/crates/gateway/src/caller_request.rs
@@ -26,6 +26,7 @@
 use crate::forwarded_from::ForwardedFrom;
 use crate::open_requests::InFlight;
 use crate::ran_at::RanAt;
+use crate::running_request::RunningRequest;
 use crate::state::State;
 
 /// An admitted request of a caller, with its complete body.
@@ -49,6 +50,8 @@
     pub(crate) ran_at: RanAt,
     /// Set if another instance took the request from its caller.
     pub(crate) forwarded: Option<ForwardedFrom>,
+    /// Counts the request as running until it is dropped.
+    pub(crate) _running: RunningRequest,
     pub(crate) _running_forward: Option<RunningForward>,
     /// Counts the request on its route until it is dropped.
     pub(crate) _route_use: RouteUse,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -71,6 +71,7 @@
 mod retry_state;
 mod revision_poller;
 mod run_events;
+mod running_request;
 mod selection_filter;
 mod service_apis;
 mod shutdown;
--- /dev/null
+++ b/crates/gateway/src/running_request.rs
@@ -0,0 +1,25 @@
+//! The requests of callers that run at a time.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use crate::state::State;
+
+/// Counts a request that has its body as running until it is dropped.
+#[derive(Debug)]
+pub(crate) struct RunningRequest(Arc<State>);
+
+impl RunningRequest {
+    /// Counts a request; none if too many are running.
+    pub(crate) fn begin(state: &Arc<State>) -> Option<RunningRequest> {
+        let running = RunningRequest(Arc::clone(state));
+        let before = state.requests_running.fetch_add(1, Ordering::Relaxed);
+        (before < state.memory_split.requests).then_some(running)
+    }
+}
+
+impl Drop for RunningRequest {
+    fn drop(&mut self) {
+        self.0.requests_running.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -130,6 +130,8 @@
     pub(crate) shutdown: Shutdown,
     /// Bounds the log lines about refusals.
     pub(crate) refusal_log: RefusalLog,
+    /// Requests of callers that run, also those that other instances forward.
+    pub(crate) requests_running: AtomicUsize,
     /// How much memory may be held for callers, and the part of it for bodies of requests.
     pub(crate) memory_split: MemorySplit,
     pub(crate) caller_memory: Arc<CallerMemory>,
@@ -187,6 +189,7 @@
             budgets: Mutex::default(),
             shutdown: Shutdown::default(),
             refusal_log: RefusalLog::default(),
+            requests_running: AtomicUsize::new(0),
             caller_memory: Arc::new(CallerMemory::new(clock, split.body_bytes)),
             open_requests: OpenRequests::default(),
         }
--- a/crates/policy/src/memory_split.rs
+++ b/crates/policy/src/memory_split.rs
@@ -10,12 +10,17 @@
 const CONNECTIONS_PERCENT: usize = 35;
 const SERVICE_CONNECTIONS_PERCENT: usize = 3;
 const BODIES_PERCENT: usize = 25;
+/// The part of the connections of callers whose requests may run at a time, in percent. The others are
+/// for callers that can still be told to come back.
+const REQUESTS_PERCENT: usize = 87;
 
 /// How much of a process's memory may be held for callers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct MemorySplit {
     /// Connections of callers.
     pub connections: usize,
+    /// Requests of callers that run at a time.
+    pub requests: usize,
     /// Connections to each of the service addresses: directory, readiness and metrics.
     pub service_connections: usize,
     /// Bytes of bodies.
@@ -26,8 +31,10 @@
     /// Splits `memory` bytes where callers may have `max_connections`.
     pub fn of(memory: usize, max_connections: usize) -> MemorySplit {
         let part = |percent| memory / 100 * percent;
+        let connections = (part(CONNECTIONS_PERCENT) / CONNECTION_BYTES).min(max_connections);
         MemorySplit {
-            connections: (part(CONNECTIONS_PERCENT) / CONNECTION_BYTES).min(max_connections),
+            connections,
+            requests: connections * REQUESTS_PERCENT / 100,
             service_connections: part(SERVICE_CONNECTIONS_PERCENT) / SERVICE_CONNECTION_BYTES,
             body_bytes: part(BODIES_PERCENT),
         }
--- a/soak/src/environment.rs
+++ b/soak/src/environment.rs
@@ -260,6 +260,10 @@
         at(self.network, FIRST_INSTANCE + instance, PORTS[1])
     }
 
+    pub(crate) fn locate_at(&self, instance: usize) -> SocketAddr {
+        at(self.network, FIRST_INSTANCE + instance, PORTS[2])
+    }
+
     /// Writes the current entry of an upstream to the store.
     pub(crate) fn register(&self, upstream: &Upstream) {
         let fake = upstream.handler.fake();
--- a/soak/src/surroundings.rs
+++ b/soak/src/surroundings.rs
@@ -96,6 +96,25 @@
         Crowd::start(&self.executor, server, misbehaviour, count, limit, false)
     }
 
+    /// Starts clients of an instance that misbehave at the address for readiness, or at that for
+    /// locate requests.
+    pub fn crowd_at_services(
+        &self,
+        instance: usize,
+        misbehaviour: Misbehaviour,
+        count: usize,
+    ) -> [Crowd; 2] {
+        let env = &self.runner.env;
+        let services = [env.ready_at(instance), env.locate_at(instance)];
+        let limit = Surroundings::BODY_BYTES;
+        services.map(|a| Crowd::start(&self.executor, a, misbehaviour, count, limit, false))
+    }
+
+    /// Returns once an instance says that it is ready.
+    pub async fn until_ready(&self, instance: usize) -> io::Result<()> {
+        self.runner.until_ready(instance).await
+    }
+
     /// Has the upstreams of a crowd's requests take these and never answer.
     pub fn hang_upstreams_of_crowds(&self) {
         let upstreams = self.runner.env.upstreams.iter();
@@ -137,6 +156,21 @@
         false
     }
 
+    /// The status of the first response that an instance gives to an ordinary request, whether it names
+    /// when to come back, and whether an upstream ran the request; none without a response.
+    pub async fn outcome_of_request(&self, instance: usize) -> Option<(u16, bool, bool)> {
+        for n in 0..MAX_TRIES {
+            let id = format!("ordinary-{n}");
+            let body = jd_net::full(id.clone());
+            let outcome = self.outcome(instance, &id, body).await;
+            if outcome.is_some() {
+                return outcome;
+            }
+            Timer::after(TRY_INTERVAL).await;
+        }
+        None
+    }
+
     /// True if an instance serves a request with the largest body, which its caller sends in parts
     /// with a pause before each, and repeats when it is refused.
     pub async fn serves_large_body(&self, instance: usize, pause: Duration) -> bool {
@@ -149,19 +183,15 @@
         false
     }
 
-    async fn is_large_body_served(&self, instance: usize, n: usize, pause: Duration) -> bool {
-        let id = format!("{LARGE_ID}{n}");
-        let response = self.send_large_body(instance, &id, pause).await;
-        response.is_some_and(|(res, body)| {
-            res.status.is_success() && body == format!("answer to {id}").as_bytes()
-        })
-    }
-
-    /// Sends a request with the largest body. Returns the status of the response, whether it names
-    /// when to come back, and whether an upstream ran the request; none without a response.
+    /// The same for one request with the largest body.
     pub async fn outcome_of_large_body(&self, instance: usize) -> Option<(u16, bool, bool)> {
         let id = format!("{LARGE_ID}outcome");
-        let response = self.send_large_body(instance, &id, Duration::ZERO).await;
+        self.outcome(instance, &id, large_body(Duration::ZERO))
+            .await
+    }
+
+    async fn outcome(&self, instance: usize, id: &str, body: Body) -> Option<(u16, bool, bool)> {
+        let response = self.send_body(instance, id, body).await;
         let requests = lock(&self.runner.env.recorder.upstream_requests);
         let has_run = requests.iter().any(|r| r.id == id && r.executed);
         response.map(|(res, _)| {
@@ -170,14 +200,22 @@
         })
     }
 
-    async fn send_large_body(
+    async fn is_large_body_served(&self, instance: usize, n: usize, pause: Duration) -> bool {
+        let id = format!("{LARGE_ID}{n}");
+        let response = self.send_body(instance, &id, large_body(pause)).await;
+        response.is_some_and(|(res, body)| {
+            res.status.is_success() && body == format!("answer to {id}").as_bytes()
+        })
+    }
+
+    async fn send_body(
         &self,
         instance: usize,
         id: &str,
-        pause: Duration,
+        body: Body,
     ) -> Option<(HttpResponse, Vec<u8>)> {
         let mut req = caller::request(id, RequestKind::Idempotent, "key-0", None, Load::LARGE);
-        *req.body_mut() = large_body(pause);
+        *req.body_mut() = body;
         let pool = HttpPool::new(Arc::clone(&self.executor), Clock::start());
         let timeout = Load::LARGE.single_deadline;
         let sent = pool.send(self.callers_at(instance), req, timeout, false);
