Soak: crowds of clients that misbehave, beside planned work and other faults

Cause: the soak had no such clients. Change: seeds from 13000 on have 3 to 7 crowds of 20 to 400 clients each, which overlap, connect again when they are closed, and do one of ten things: silence, parts of heads, heads without bodies, bodies that stop short of their end, drip or are too large, and bodies that are broken off; even seeds beside planned work, odd ones beside other faults as well. Instances have the least memory of the settings (64 MB), and a crowd ends with a look at the peak of its instance.

--- a/crates/gateway-daemon/tests/crowds.rs
+++ b/crates/gateway-daemon/tests/crowds.rs
@@ -19,6 +19,7 @@
 
 use futures_lite::future::block_on;
 use jd_net::Workers;
+use jd_soak::Fleet;
 use jd_soak::Misbehaviour;
 use jd_soak::Surroundings;
 use rustix::process::Resource;
@@ -111,7 +112,8 @@
             let Some(id) = self.fleet.id(n) else {
                 panic!("{when}: instance {n} has ended");
             };
-            let (peak, descriptors) = (peak_bytes(id), descriptors(id));
+            let peak = self.fleet.peak_bytes(n).expect("a process");
+            let descriptors = descriptors(id);
             println!("{when}: instance {n}: {peak} bytes, {descriptors} descriptors");
             let memory = self.memory_mb * 1_000_000;
             assert!(peak <= memory, "{when}: instance {n} took {peak} bytes");
@@ -131,14 +133,6 @@
     setrlimit(Resource::Nofile, limit).expect("a limit below the maximum");
 }
 
-/// The most memory that a process has had resident, in bytes.
-fn peak_bytes(process: u32) -> u64 {
-    let status = fs::read_to_string(format!("/proc/{process}/status")).expect("a process");
-    let line = status.lines().find_map(|l| l.strip_prefix("VmHWM:"));
-    let kib = line.and_then(|l| l.trim().trim_end_matches(" kB").parse::<u64>().ok());
-    kib.expect("a line with the peak") * 1_024
-}
-
 fn descriptors(process: u32) -> usize {
     let open = fs::read_dir(format!("/proc/{process}/fd"));
     open.expect("a process").count()
--- a/crates/gateway-daemon/tests/processes/mod.rs
+++ b/crates/gateway-daemon/tests/processes/mod.rs
@@ -80,6 +80,14 @@
         }
     }
 
+    fn peak_bytes(&self, index: usize) -> Option<u64> {
+        let process = lock(&self.running)[index].as_ref().map(Child::id)?;
+        let status = fs::read_to_string(format!("/proc/{process}/status")).ok()?;
+        let line = status.lines().find_map(|l| l.strip_prefix("VmHWM:"))?;
+        let kib = line.trim().trim_end_matches(" kB").parse::<u64>().ok()?;
+        Some(kib * 1_024)
+    }
+
     fn is_running(&self, index: usize) -> bool {
         let mut running = lock(&self.running);
         let ended = match &mut running[index] {
--- a/soak/src/crowd.rs
+++ b/soak/src/crowd.rs
@@ -37,7 +37,7 @@
 /// The interval at which a crowd is asked whether it has settled.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
-/// What each client of a crowd does with its connection. All of them then leave it open.
+/// What each client of a crowd does with its connection, which most of them then leave open.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Misbehaviour {
     /// Sends nothing.
@@ -60,6 +60,8 @@
     AnnouncedTooLarge,
     /// Sends twice the limit in chunks.
     SentTooLarge,
+    /// Sends half of a body of the largest size, and closes its connection.
+    GoesAway,
     /// Sends a whole request with a body of the largest size.
     Whole,
     /// Sends a whole small request.
@@ -218,6 +220,11 @@
                 self.write_bytes(&mut io, 2 * limit).await?;
             }
             Misbehaviour::SentTooLarge => self.write_chunks(&mut io, 2 * limit).await?,
+            Misbehaviour::GoesAway => {
+                self.announce(&mut io, limit).await?;
+                self.write_bytes(&mut io, limit / 2).await?;
+                return Ok(());
+            }
             Misbehaviour::Whole => {
                 self.announce(&mut io, limit).await?;
                 self.write_bytes(&mut io, limit).await?;
--- a/soak/src/environment.rs
+++ b/soak/src/environment.rs
@@ -241,9 +241,15 @@
         let [callers, ready, locate, peers, metrics] =
             PORTS.map(|port| at(self.network, FIRST_INSTANCE + instance, port));
         let store = self.store_links[instance].address();
+        // Tests with crowds set the memory themselves.
+        let memory = match self.load {
+            Load::LARGE => String::new(),
+            load => format!("memory-mb = {}\n", load.memory_mb),
+        };
         format!(
             "[instance]\nname = soak-{instance}\nzone = hall-{}\ncallers = {callers}\n\
              ready = {ready}\nlocate = {locate}\npeers = {peers}\nmetrics = {metrics}\n\
+             {memory}\
              [store]\naddress = {store}\n[repeats]\nslack = 50\n\
              [stop]\ngrace-s = {}\n[upstreams]\nconnect-to = {}\n",
             ["a", "b", "c"][instance % 3],
--- a/soak/src/fault.rs
+++ b/soak/src/fault.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use crate::Misbehaviour;
+
 /// A fault of the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum StoreMode {
@@ -120,6 +122,8 @@
     CrashingPart(u64, Duration),
     /// Every other upstream loses power at the same moment, and is replaced later.
     LosePower(usize),
+    /// So many clients of an instance misbehave for this time, and connect again when they are closed.
+    Crowd(usize, Misbehaviour, usize, Duration),
     /// The operator writes the next version of the configuration.
     Configure,
     /// The operator revokes a credential.
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -23,6 +23,9 @@
     /// Signals an instance if it is running.
     fn signal(&self, instance: usize, signal: ProcessSignal);
 
+    /// The most memory that an instance has had resident, in bytes; none if it is not running.
+    fn peak_bytes(&self, instance: usize) -> Option<u64>;
+
     /// True if an instance is running.
     fn is_running(&self, instance: usize) -> bool;
 }
--- a/soak/src/inject.rs
+++ b/soak/src/inject.rs
@@ -8,6 +8,7 @@
 use async_io::Timer;
 use jd_net::lock;
 
+use crate::Crowd;
 use crate::Fault;
 use crate::LinkMode;
 use crate::ProcessSignal;
@@ -144,6 +145,15 @@
                 self.repeat_crashing(kind, seed, span).await;
             }
             Fault::LosePower(n) => self.env.lose_power(n).await,
+            Fault::Crowd(n, misbehaviour, count, span) => {
+                let n = n % instances;
+                let server = self.env.callers_at(n);
+                let limit = self.env.load.body_bytes;
+                let crowd = Crowd::start(&self.executor, server, misbehaviour, count, limit, true);
+                Timer::after(span).await;
+                drop(crowd);
+                self.check_memory(n)?;
+            }
             Fault::Configure => return Ok(Some(self.env.configure().to_string())),
             Fault::Revoke => return Ok(Some(self.env.revoke().unwrap_or("").into())),
             Fault::RevokeDuringPartition(n) => {
@@ -159,6 +169,17 @@
         Ok(None)
     }
 
+    /// Fails if an instance has had more memory than it may.
+    fn check_memory(&self, n: usize) -> io::Result<()> {
+        let allowed = self.env.load.memory_mb * 1_000_000;
+        match self.fleet.peak_bytes(n) {
+            Some(peak) if peak > allowed => Err(io::Error::other(format!(
+                "instance {n} took {peak} of {allowed} bytes"
+            ))),
+            _ => Ok(()),
+        }
+    }
+
     /// Sends crashing requests of a kind to random instances, without waiting for answers.
     async fn repeat_crashing(&self, kind: RequestKind, seed: u64, span: Duration) {
         let until = self.env.recorder.now() + span;
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -8,6 +8,7 @@
 mod caller;
 mod config;
 mod crowd;
+mod crowds;
 mod cuts;
 mod early_ends;
 mod environment;
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -6,6 +6,7 @@
 use crate::LinkMode;
 use crate::StoreMode;
 use crate::UpstreamMode;
+use crate::crowds;
 use crate::cuts;
 use crate::early_ends;
 use crate::silences;
@@ -55,6 +56,9 @@
 /// Plans from this seed on have answers that end early; in odd ones all instances are killed beside
 /// upstreams of two software versions.
 const EARLY_ENDS_FROM_SEED: u64 = 12_000;
+/// Plans from this seed on have crowds of clients that misbehave, beside planned work; in odd ones beside
+/// other faults as well.
+const CROWDS_FROM_SEED: u64 = 13_000;
 /// Of these seeds, one in so many, with this remainder, has no other faults of instances or the
 /// store, since what these keep from being served says nothing about a cut.
 const CUTS_ONLY_EVERY: u64 = 4;
@@ -92,6 +96,7 @@
         let mut rng = fastrand::Rng::with_seed(seed);
         let is_odd = seed % 2 == 1;
         let drawn = match seed {
+            CROWDS_FROM_SEED.. => Some(crowds::draw(&mut rng, is_odd)),
             EARLY_ENDS_FROM_SEED.. => Some(early_ends::draw(&mut rng, is_odd)),
             SILENCES_FROM_SEED.. => Some(silences::draw(&mut rng, is_odd)),
             TURNS_FROM_SEED.. => Some(turns::draw(&mut rng, is_odd)),
@@ -176,12 +181,13 @@
 
     /// True if upstreams have two software versions and callers take streams up.
     pub fn has_versions(&self) -> bool {
-        self.seed >= VERSIONS_FROM_SEED
+        (VERSIONS_FROM_SEED..CROWDS_FROM_SEED).contains(&self.seed)
     }
 
     /// The load of upstreams and callers.
     pub(crate) fn load(&self) -> Load {
         match self.seed {
+            CROWDS_FROM_SEED.. => Load::CROWDED,
             EARLY_ENDS_FROM_SEED.. => Load::LONG,
             SILENCES_FROM_SEED.. => Load::SILENT,
             TURNS_FROM_SEED.. => Load::HEAVY,
@@ -335,7 +341,7 @@
     faults.into_iter().map(step).collect()
 }
 
-fn draw_fault(rng: &mut fastrand::Rng) -> Fault {
+pub(crate) fn draw_fault(rng: &mut fastrand::Rng) -> Fault {
     let target = rng.usize(..);
     let span = Duration::from_millis(rng.u64(300..3_000));
     match rng.u8(0..20) {
--- a/soak/src/turns.rs
+++ b/soak/src/turns.rs
@@ -43,6 +43,8 @@
     pub(crate) silences: bool,
     /// The largest body of a request, in bytes.
     pub(crate) body_bytes: usize,
+    /// The memory of an instance, in megabytes.
+    pub(crate) memory_mb: u64,
 }
 
 impl Load {
@@ -62,6 +64,13 @@
         drain: Duration::from_secs(5),
         silences: false,
         body_bytes: 64 << 10,
+        memory_mb: 256,
+    };
+    /// Large bodies, and as little memory as an instance may have.
+    pub(crate) const CROWDED: Load = Load {
+        body_bytes: 1 << 20,
+        memory_mb: 64,
+        ..Load::LIGHT
     };
     /// Bodies of the usual largest size, and deadlines that leave time to send them.
     pub(crate) const LARGE: Load = Load {
@@ -94,6 +103,7 @@
         drain: Duration::from_secs(5),
         silences: false,
         body_bytes: 64 << 10,
+        memory_mb: 256,
     };
     /// Deadlines and drains that leave time for the longest silence.
     pub(crate) const SILENT: Load = Load {
