A request that crosses the decision to close its connection is served

Callers saw: nothing yet; found by reading. A connection that waits for the head of its first request is told to close when another client needs its place; if the head arrives at that moment, its request had begun and was dropped with the connection, perhaps after it was passed on.

Cause: the message to the connection says what it waited for when the decision was made, and was acted on whatever had come since. Change: a connection that has a running request by then serves it and closes afterwards. A request that finds no room to run is refused before its body is read as well, not only after it.

--- a/crates/gateway/src/caller_admission.rs
+++ b/crates/gateway/src/caller_admission.rs
@@ -124,6 +124,10 @@
         let reader = BodyReader::new(&self.state.caller_memory, client, limit);
         let checked = self.check_head(head, parts);
         let checked = checked.and_then(|_| reader.check_length(body).map_err(body_refusal));
+        let checked = checked.and_then(|()| match RunningRequest::has_room(&self.state) {
+            true => Ok(()),
+            false => Err(full()),
+        });
         if let Err(refusal) = checked {
             // A client that expects a response before the body does not send it now.
             let is_sent = !parts.headers.contains_key(EXPECT);
--- a/crates/gateway/src/running_request.rs
+++ b/crates/gateway/src/running_request.rs
@@ -10,6 +10,11 @@
 pub(crate) struct RunningRequest(Arc<State>);
 
 impl RunningRequest {
+    /// True if a request that has its body could run now.
+    pub(crate) fn has_room(state: &State) -> bool {
+        state.requests_running.load(Ordering::Relaxed) < state.memory_split.requests
+    }
+
     /// Counts a request; none if too many are running.
     pub(crate) fn begin(state: &Arc<State>) -> Option<RunningRequest> {
         let running = RunningRequest(Arc::clone(state));
--- a/crates/net/src/client_table.rs
+++ b/crates/net/src/client_table.rs
@@ -153,6 +153,12 @@
         self.set_phase(ClientPhase::Running);
     }
 
+    /// True if the connection has a request that waits for no client.
+    pub(crate) fn is_running(&self) -> bool {
+        let TableEntry { table, key } = &*self.0;
+        lock(&table.connections).policy.is_running(*key)
+    }
+
     pub(crate) fn set_phase(&self, phase: ClientPhase) {
         let TableEntry { table, key } = &*self.0;
         let now = table.clock.now();
--- a/crates/net/src/http_server.rs
+++ b/crates/net/src/http_server.rs
@@ -33,6 +33,7 @@
 
 use crate::Body;
 use crate::ServerLimits;
+use crate::client_table::ClientConnection;
 use crate::client_table::ClientTable;
 use crate::client_table::ClosedConnections;
 use crate::client_table::OpenConnection;
@@ -252,7 +253,7 @@
             // Boxed, since moves of the connection would otherwise multiply its memory.
             let connection = Box::pin(connection);
             let served = async {
-                let ending = run_until_stopped(connection, stopped, &replaced).await;
+                let ending = run_until_stopped(connection, stopped, &replaced, &client).await;
                 if ending == Ending::AtOnce {
                     return;
                 }
@@ -305,12 +306,13 @@
     AtOnce,
 }
 
-/// Serves a connection. After the server is stopped, or the connection is replaced while it is idle,
-/// serves it only until its current requests are finished.
+/// Serves a connection. After the server is stopped, or the connection is replaced while it is idle or as
+/// a request arrives, serves it only until its current requests are finished.
 async fn run_until_stopped<S>(
     mut connection: Pin<Box<ServedConnection<S>>>,
     stopped: Receiver<()>,
     replaced: &Receiver<ClientPhase>,
+    client: &ClientConnection,
 ) -> Ending
 where
     S: hyper::service::Service<
@@ -333,6 +335,8 @@
     let replaced = async {
         match until_replaced(replaced).await {
             ClientPhase::Idle => ControlFlow::Continue(()),
+            // Its request crossed the decision.
+            _ if client.is_running() => ControlFlow::Continue(()),
             _ => ControlFlow::Break(Ending::AtOnce),
         }
     };
--- a/crates/policy/src/client_connections.rs
+++ b/crates/policy/src/client_connections.rs
@@ -143,6 +143,12 @@
         longest.next()
     }
 
+    /// True if a connection has a request that waits for no client. One that was told to close may have
+    /// received it meanwhile.
+    pub fn is_running(&self, key: ClientKey) -> bool {
+        self.open[key.0].phase == ClientPhase::Running
+    }
+
     /// Records that a request has begun, whose head is complete.
     pub fn begin_request(&mut self, key: ClientKey, now: MonoTime) {
         self.open[key.0].requests += 1;
--- a/crates/policy/tests/client_connections.rs
+++ b/crates/policy/tests/client_connections.rs
@@ -89,6 +89,20 @@
     ));
 }
 
+/// Guards against a request that arrives as its connection is told to close, and that is dropped while it
+/// runs.
+#[test]
+fn a_request_that_crosses_the_decision_counts_as_running() {
+    let (mut table, keys) = full(&[ClientPhase::Head]);
+    let later = at(0) + LONG;
+    assert!(matches!(table.open(later), ClientAdmission::Replaces(..)));
+    assert!(!table.is_running(keys[0]));
+    table.begin_request(keys[0], later);
+    assert!(table.is_running(keys[0]));
+    table.set_phase(keys[0], ClientPhase::Body, later);
+    assert!(!table.is_running(keys[0]));
+}
+
 /// Guards against a body that arrives and loses its connection.
 #[test]
 fn progress_of_a_body_restarts_its_time() {
