--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -50,14 +50,12 @@
 /// Plans from this seed on have instances stopped in turn, under load; in odd ones all are killed as
 /// well.
 const TURNS_FROM_SEED: u64 = 10_000;
-/// Plans from this seed on have sound upstreams fall silent in some answers, beside planned work; in
-/// odd ones beside unplanned faults as well.
+/// Plans from this seed on have sound upstreams fall silent; in odd ones beside unplanned faults.
 const SILENCES_FROM_SEED: u64 = 11_000;
 /// Plans from this seed on have answers that end early; in odd ones all instances are killed beside
 /// upstreams of two software versions.
 const EARLY_ENDS_FROM_SEED: u64 = 12_000;
-/// Plans from this seed on have crowds of clients that misbehave, beside planned work; in odd ones beside
-/// other faults as well.
+/// Plans from this seed on have crowds of clients; in odd ones beside more than planned work.
 const CROWDS_FROM_SEED: u64 = 13_000;
 /// Of these seeds, one in so many, with this remainder, has no other faults of instances or the
 /// store, since what these keep from being served says nothing about a cut.
