--- a/soak/src/surroundings.rs
+++ b/soak/src/surroundings.rs
@@ -85,7 +85,7 @@
     }
 
     /// The address of an instance for callers.
-    pub fn callers_at(&self, instance: usize) -> SocketAddr {
+    fn callers_at(&self, instance: usize) -> SocketAddr {
         self.runner.env.callers_at(instance)
     }
 
