Tests: an instance's own quarantine, not that of one it forwards to

Cause: until_quarantined_everywhere took any refusal as quarantined for the asked instance's own. While upstreams are down an instance forwards a request that it cannot connect for, also one whose quarantine it has not heard of yet, and passes on the refusal of the other instance. The request that the test sends next may then reach an upstream: the news is late, not the quarantine.

Not the cause in 40 plays with all lines logged: a release of the quarantine, a refusal for want of memory or connections (no such line).

Change: the wait counts a refusal only if the asked instance forwarded nothing for it, by its metric. The wait of the large fleet does the same, so that its bound of 3 s holds for what each instance itself knows.

--- a/crates/gateway/tests/whole/crashes.rs
+++ b/crates/gateway/tests/whole/crashes.rs
@@ -14,6 +14,7 @@
 use crate::fakes::crash_fleet::TEST_TIMEOUT;
 use crate::fakes::crash_fleet::fleet;
 use crate::fakes::crash_fleet::is_quarantined;
+use crate::fakes::crash_fleet::quarantines;
 use crate::fakes::crash_fleet::runs_of;
 use crate::fakes::crash_fleet::send_repeatedly;
 use crate::fakes::crash_fleet::until_quarantined;
@@ -191,7 +192,7 @@
         until_quarantined(&harness, "/stream/bad").await;
         let known = Instant::now();
         for n in 0..LARGE_FLEET {
-            while !is_quarantined(&harness.ask_instance(n, "/stream/bad", "again").await) {
+            while !quarantines(&harness, n, "/stream/bad").await {
                 Timer::after(Duration::from_millis(20)).await;
             }
         }
--- a/crates/gateway/tests/whole/fakes/crash_fleet.rs
+++ b/crates/gateway/tests/whole/fakes/crash_fleet.rs
@@ -81,12 +81,20 @@
     }
 }
 
-/// Waits until every instance refuses a request as quarantined.
+/// True if an instance refuses a request as quarantined by itself. One that does not know of the
+/// quarantine yet may forward the request to one that does, and pass on its refusal.
+pub(crate) async fn quarantines(harness: &Harness, n: usize, path: &str) -> bool {
+    let before = harness.forwards_of(n).await;
+    let received = harness.ask_instance(n, path, "again").await;
+    is_quarantined(&received) && harness.forwards_of(n).await == before
+}
+
+/// Waits until every instance refuses a request as quarantined by itself.
 pub(crate) async fn until_quarantined_everywhere(harness: &Arc<Harness>, path: &'static str) {
     until_quarantined(harness, path).await;
     let until = Instant::now() + TEST_TIMEOUT;
     for n in 0..INSTANCES {
-        while !is_quarantined(&harness.ask_instance(n, path, "again").await) {
+        while !quarantines(harness, n, path).await {
             assert!(Instant::now() < until, "an instance did not quarantine it");
             Timer::after(Duration::from_millis(20)).await;
         }
--- a/crates/gateway/tests/whole/fakes/harness.rs
+++ b/crates/gateway/tests/whole/fakes/harness.rs
@@ -49,6 +49,9 @@
 use crate::fakes::member::Member;
 use crate::fakes::start_gateway::start_gateway;
 
+/// The counter of requests that a gateway forwarded, with its outcomes as labels.
+const FORWARDS: &str = "jd_gateway_forwards_total{";
+
 pub(crate) struct Harness {
     // Gateways and servers are dropped before the threads that run their tasks.
     pub(crate) gateway: Arc<Gateway>,
@@ -446,9 +449,8 @@
     /// The sum of a counter over all gateways.
     pub(crate) async fn counter_total(&self, counter: &str) -> u64 {
         let mut sum = 0;
-        let added = self.fleet.iter().map(|m| m.metrics);
-        for address in added.chain([self.metrics]) {
-            let text = self.get(address, "/", "metrics", "").await.body;
+        for n in 0..=self.fleet.len() {
+            let text = self.metrics_of(n).await;
             let lines = text.lines().filter_map(|l| l.strip_prefix(counter));
             sum += lines
                 .filter_map(|l| l.trim().parse::<u64>().ok())
@@ -457,6 +459,20 @@
         sum
     }
 
+    /// How often the gateway that [`ask_instance`](Self::ask_instance) asks forwarded a request.
+    pub(crate) async fn forwards_of(&self, n: usize) -> u64 {
+        let text = self.metrics_of(n).await;
+        let lines = text.lines().filter(|l| l.starts_with(FORWARDS));
+        let counts = lines.filter_map(|l| l.rsplit(' ').next()?.parse::<u64>().ok());
+        counts.sum()
+    }
+
+    async fn metrics_of(&self, n: usize) -> String {
+        let members = self.fleet.iter().map(|m| m.metrics);
+        let all: Vec<SocketAddr> = members.chain([self.metrics]).collect();
+        self.get(all[n % all.len()], "/", "metrics", "").await.body
+    }
+
     /// Sends a request whose head is at least `bytes` large.
     pub(crate) async fn ask_with_head(&self, path: &str, bytes: usize) -> CallerResponse {
         self.get(self.callers, path, &"x".repeat(bytes), "key-1")
