Answers that callers do not read are not copied

Callers saw: nothing yet; a test of the account of memory found it. An answer gave its memory back as soon as the connection had it to write, although the client had read none of it. The bytes were held, uncounted.

Cause: hyper copies each body into the write buffer of its connection, since the transport does not say that it writes several buffers at a time. The answer was dropped with its memory once it was copied; the buffer also keeps its size for as long as the connection stays open.

Change: connections of servers write the head and the parts of a body from where they lie (`writev`). The transport already passes such writes on to the socket.

--- a/crates/gateway/tests/whole/main.rs
+++ b/crates/gateway/tests/whole/main.rs
@@ -15,6 +15,7 @@
 mod false_quarantines;
 mod fleet;
 mod handover;
+mod held_answers;
 mod leaving;
 mod limits;
 mod loads;
--- a/crates/net/src/http_server.rs
+++ b/crates/net/src/http_server.rs
@@ -278,6 +278,8 @@
         builder
             .http1()
             .timer(SmolTimer::new())
+            // Otherwise each response is copied, and the copy outlives the memory that it is counted by.
+            .writev(true)
             .max_headers(limits.headers)
             .max_buf_size(limits.head_bytes.max(MIN_HEAD_BYTES))
             .header_read_timeout(limits.head_timeout);
