Answers are counted while they are read, also streams for HTTP/1.0

Callers saw: nothing yet; found by reading. A single answer took memory of the account once it was whole, up to 8 MiB later than its bytes were kept. Streams that are read whole for callers of HTTP/1.0, and error responses of routes with streams, took none at all.

Change: `HeldAnswer` reads all three. It takes the memory of its buffer before that grows and is itself the owner of the bytes, so that no path to a caller can forget it. Answers under 4 KiB need none, as before.

Open: the sum of answers is counted and not bounded.

--- a/crates/gateway/src/caller_memory.rs
+++ b/crates/gateway/src/caller_memory.rs
@@ -1,4 +1,4 @@
-//! The memory for bodies of requests.
+//! The memory for bodies of requests and for answers.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -6,7 +6,6 @@
 
 use async_channel::Receiver;
 use async_channel::Sender;
-use bytes::Bytes;
 use event_listener::Event;
 use futures_lite::future;
 use jd_net::Clock;
@@ -15,9 +14,6 @@
 use jd_policy::BodyGrant;
 use jd_policy::BodyKey;
 
-/// The smallest answer that is counted, in bytes. Connections have room for smaller ones.
-const MIN_ANSWER_BYTES: usize = 4 << 10;
-
 /// The memory for bodies of requests, which is taken before their bytes are kept.
 #[derive(Debug)]
 pub(crate) struct CallerMemory {
@@ -69,23 +65,6 @@
         }
     }
 
-    /// An answer that keeps its memory until its caller has read it. It is never refused, but leaves
-    /// less for bodies.
-    pub(crate) fn hold_answer(self: &Arc<CallerMemory>, answer: Bytes) -> Bytes {
-        if answer.len() < MIN_ANSWER_BYTES {
-            return answer;
-        }
-        let bytes = answer.len();
-        lock(&self.budget).policy.take_for_answer(bytes);
-        Bytes::from_owner(HeldAnswer {
-            answer,
-            _memory: HeldMemory {
-                memory: Arc::clone(self),
-                bytes,
-            },
-        })
-    }
-
     /// The bytes that are taken.
     pub(crate) fn used(&self) -> usize {
         lock(&self.budget).policy.used()
@@ -168,18 +147,6 @@
     }
 }
 
-#[derive(Debug)]
-struct HeldAnswer {
-    answer: Bytes,
-    _memory: HeldMemory,
-}
-
-impl AsRef<[u8]> for HeldAnswer {
-    fn as_ref(&self) -> &[u8] {
-        &self.answer
-    }
-}
-
 /// Memory that is taken until it is dropped.
 #[derive(Debug)]
 pub(crate) struct HeldMemory {
@@ -187,8 +154,32 @@
     bytes: usize,
 }
 
+impl HeldMemory {
+    pub(crate) fn empty(memory: &Arc<CallerMemory>) -> HeldMemory {
+        HeldMemory {
+            memory: Arc::clone(memory),
+            bytes: 0,
+        }
+    }
+
+    pub(crate) fn is_empty(&self) -> bool {
+        self.bytes == 0
+    }
+
+    /// Takes memory for an answer of so many bytes, whether or not any is left: an answer is never
+    /// refused, but leaves less for bodies.
+    pub(crate) fn grow_for_answer(&mut self, bytes: usize) {
+        let more = bytes.saturating_sub(self.bytes);
+        lock(&self.memory.budget).policy.take_for_answer(more);
+        self.bytes += more;
+    }
+}
+
 impl Drop for HeldMemory {
     fn drop(&mut self) {
+        if self.is_empty() {
+            return;
+        }
         lock(&self.memory.budget).policy.give_back(self.bytes);
         self.memory.given_back.notify(usize::MAX);
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -31,6 +31,7 @@
 mod forwarded_from;
 mod forwarded_refusal;
 mod gateway;
+mod held_answer;
 mod job_waiter;
 mod known_versions;
 mod latch;
--- a/crates/gateway/src/unary_call.rs
+++ b/crates/gateway/src/unary_call.rs
@@ -32,6 +32,7 @@
 use crate::body_kind;
 use crate::caller_api::may_have_run;
 use crate::caller_request::CallerRequest;
+use crate::held_answer::HeldAnswer;
 use crate::next_send::NextSend;
 use crate::next_send::NextSendError;
 use crate::next_send::send_to_next_upstream;
@@ -196,9 +197,8 @@
         attempt.until_restarted().await;
         Some(Err(SendError::Broken))
     };
-    let read = with_timeout(left, http.read_all(MAX_RESPONSE))
-        .or(restarted)
-        .await;
+    let reading = HeldAnswer::read_response(&state.caller_memory, http, MAX_RESPONSE);
+    let read = with_timeout(left, reading).or(restarted).await;
     let (outcome, detail) = match read {
         Some(Ok(body)) if !judge_end(request, head.status, framing, &body).is_complete() => {
             attempt.report_broken();
@@ -273,7 +273,7 @@
         ms = took.as_millis() as u64;
         "answered"
     );
-    let mut res = Response::new(jd_net::full(state.caller_memory.hold_answer(complete.body)));
+    let mut res = Response::new(jd_net::full(complete.body));
     *res.status_mut() = complete.status;
     *res.headers_mut() = complete.headers;
     res
--- a/crates/gateway/tests/whole/held_answers.rs
+++ b/crates/gateway/tests/whole/held_answers.rs
@@ -17,6 +17,8 @@
 
 /// Far more than the buffers of a connection hold.
 const ANSWER_BYTES: usize = 4 << 20;
+/// How long an upstream pauses after most of its answer, which is longer than a gateway takes to report.
+const PAUSE: Duration = Duration::from_millis(2_500);
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
 /// Timeout of a test, which is far longer than the test takes.
 const TEST_TIMEOUT: Duration = Duration::from_secs(20);
@@ -75,6 +77,7 @@
 
 /// Guards against answers that slow clients hold, and that the memory for bodies knows nothing of.
 #[test_case("GET /any/x HTTP/1.1"; "with a single answer")]
+#[test_case("GET /stream/x HTTP/1.0"; "with a stream in HTTP 1.0")]
 fn an_answer_takes_memory_until_its_client_has_read_it(line: &str) {
     let reply = Reply::Stream {
         parts: &*PARTS,
@@ -88,3 +91,20 @@
     drop(client);
     until_held(&harness, |bytes| bytes == 0);
 }
+
+/// Guards against answers that take memory uncounted while they are read.
+#[test_case("GET /any/x HTTP/1.1"; "with a single answer")]
+#[test_case("GET /stream/x HTTP/1.0"; "with a stream in HTTP 1.0")]
+fn an_answer_takes_memory_while_it_is_read(line: &str) {
+    let harness = Harness::start(vec![vec![Reply::Pausing(&*PARTS, PAUSE)]]);
+    block_on(harness.until_ready(true));
+    let mut client = client(&harness, line);
+    client.set_nonblocking(true).expect("a mode");
+    until_held(&harness, |bytes| bytes >= ANSWER_BYTES as u64);
+    let early = client.read(&mut [0; 1]);
+    assert!(early.is_err(), "the answer was passed on: {early:?}");
+    client.set_nonblocking(false).expect("a mode");
+    assert!(read_response(&mut client) > ANSWER_BYTES);
+    drop(client);
+    until_held(&harness, |bytes| bytes == 0);
+}
