The bound on log lines of refusals lies apart from I/O, with tests

Cause: the decision had no test, so that nothing showed its removal.

Change: `LineLimit` in the policy crate decides, over times that its tests choose: which lines of a crowd are written, and that none is neither written nor counted. The lines themselves are as before.

--- a/crates/gateway/src/caller_api.rs
+++ b/crates/gateway/src/caller_api.rs
@@ -17,6 +17,7 @@
 use jd_net::Body;
 use jd_net::Handler;
 use jd_net::HandlerFuture;
+use jd_net::lock;
 use jd_serving::RetryMode;
 use jd_serving::RunContents;
 use jd_types::MonoTime;
@@ -123,7 +124,11 @@
         let now = self.state.now();
         let took = now.since(arrived);
         self.state.metrics.request(refusal.kind.as_str(), took);
-        if self.state.refusal_log.admits(now) {
+        let line = lock(&self.state.refusal_lines).decide(now);
+        if line.left_out > 0 {
+            log::warn!(count = line.left_out; "further refusals that are not logged");
+        }
+        if line.is_written {
             self.log_refusal(took, id, contents, refusal);
         }
         self.state.dialect.refusal(refusal)
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -64,7 +64,6 @@
 mod quarantine;
 mod quarantine_coordinator;
 mod ran_at;
-mod refusal_log;
 mod restart_checks;
 mod result_free_queue;
 mod result_release_queue;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -17,6 +17,7 @@
 use jd_net::Clock;
 use jd_net::HttpPool;
 use jd_net::lock;
+use jd_policy::LineLimit;
 use jd_policy::MemorySplit;
 use jd_policy::Upstream;
 use jd_serving::BrokenRun;
@@ -54,7 +55,6 @@
 use crate::peer_replication::PackedSnapshots;
 use crate::permit_retries::PermitRetries;
 use crate::quarantine::Quarantine;
-use crate::refusal_log::RefusalLog;
 use crate::restart_checks::RestartChecks;
 use crate::run_events::RunEnd;
 use crate::run_events::RunEvent;
@@ -129,7 +129,7 @@
     budgets: Mutex<HashMap<CompactString, RetryBudget>>,
     pub(crate) shutdown: Shutdown,
     /// Bounds the log lines about refusals.
-    pub(crate) refusal_log: RefusalLog,
+    pub(crate) refusal_lines: Mutex<LineLimit>,
     /// Requests of callers that run, also those that other instances forward.
     pub(crate) requests_running: AtomicUsize,
     /// How much memory may be held for callers, and the part of it for bodies of requests.
@@ -188,7 +188,7 @@
             cluster: Mutex::default(),
             budgets: Mutex::default(),
             shutdown: Shutdown::default(),
-            refusal_log: RefusalLog::default(),
+            refusal_lines: Mutex::default(),
             requests_running: AtomicUsize::new(0),
             caller_memory: Arc::new(CallerMemory::new(clock, split.body_bytes)),
             open_requests: OpenRequests::default(),
--- a/crates/policy/src/client_connections.rs
+++ b/crates/policy/src/client_connections.rs
@@ -12,6 +12,9 @@
 const BODY_TIME: Duration = Duration::from_secs(2);
 /// How long a connection is idle between two requests until it is closed for another one.
 const IDLE_TIME: Duration = Duration::from_secs(1);
+/// The part of the limit that connections which were told to close, and still have to, may take beyond
+/// it, in percent.
+const REPLACED_PERCENT: usize = 10;
 
 /// Identifies an open connection in [`ClientConnections`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -76,10 +79,6 @@
     count: usize,
 }
 
-/// The part of the limit that connections which were told to close, and still have to, may take beyond
-/// it, in percent.
-const REPLACED_PERCENT: usize = 10;
-
 #[derive(Debug)]
 struct Connection {
     phase: ClientPhase,
