--- a/crates/gateway/tests/whole/versions.rs
+++ b/crates/gateway/tests/whole/versions.rs
@@ -207,11 +207,7 @@
 fn a_stream_that_nobody_knows_goes_on_where_there_was_provably_one_version(proven: bool) {
     let mut records = vec![Record::Deployment(Box::new(deployment()))];
     if proven {
-        records.push(Record::Versions(VersionRecord {
-            era: 0,
-            complete_since: SystemTime::UNIX_EPOCH,
-            services: BTreeMap::new(),
-        }));
+        records.push(proven_record());
     }
     let harness = Harness::start_with(vec![vec![Reply::Resumable { cut: false }]; 2], records);
     block_on(async {
@@ -225,6 +221,43 @@
     });
 }
 
+/// An empty record of versions that covers all time.
+fn proven_record() -> Record {
+    Record::Versions(VersionRecord {
+        era: 0,
+        complete_since: SystemTime::UNIX_EPOCH,
+        services: BTreeMap::new(),
+    })
+}
+
+/// Guards against taking a stream up at the only version that instances know which cannot learn of
+/// another one.
+#[test_case(1; "one instance cut off")]
+#[test_case(2; "two instances cut off that ask each other")]
+fn a_stream_that_nobody_knows_is_refused_while_other_versions_cannot_be_heard_of(instances: usize) {
+    let records = vec![Record::Deployment(Box::new(deployment())), proven_record()];
+    let replies = vec![vec![Reply::Resumable { cut: false }]; 2 * OF_EACH_VERSION];
+    let mut harness = Harness::start_with(replies, records);
+    harness.add_gateways(instances - 1);
+    block_on(async {
+        harness.until_ready(true).await;
+        harness.until_all_listed().await;
+        harness.until_all_answer("/open/x", 200).await;
+        let order = owner_order(&harness.peer_addresses());
+        assert!(harness.spawn_ask(order[0], "/resume/x", "s-1").await.whole);
+        harness.turn_away_all();
+        for n in OF_EACH_VERSION..2 * OF_EACH_VERSION {
+            harness.set_software(n, "v2");
+        }
+        for (n, instance) in order.into_iter().enumerate() {
+            let id = format!("t-{n}");
+            let received = harness.resume(instance, RESUME, &id, "never-seen").await;
+            assert_refused_as_not_run(&received);
+            assert!(versions_of(&harness, &id).is_empty());
+        }
+    });
+}
+
 /// Guards against taking the version that is there now for the one that began a stream, when the
 /// other version has gone meanwhile.
 #[test]
--- a/crates/serving/tests/taken_up_streams.rs
+++ b/crates/serving/tests/taken_up_streams.rs
@@ -26,6 +26,8 @@
 const PATIENCE: Duration = Duration::from_secs(20);
 /// How old streams are for which instances read origins after a start.
 const READ_SPAN: Duration = Duration::from_secs(40);
+/// How long instances are out of step before anything else happens.
+const MOMENT: Duration = Duration::from_millis(1);
 /// The number of steps after the first start.
 const STEPS: usize = 7;
 
@@ -51,6 +53,14 @@
     /// The operator shortens the timeout of the route.
     TimeoutShortened,
     Passes(u64),
+    /// All instances that callers reach from now on are out of step: they are cut off from the store
+    /// and from the others, or stand still.
+    FallsBehind,
+    CatchesUp,
+    /// A stream begins through an instance that is in step.
+    BeginsElsewhere(&'static str),
+    /// A coordinator that is in step records the versions.
+    RecordsElsewhere,
 }
 
 const ALL: [Step; 14] = [
@@ -70,6 +80,23 @@
     Step::Passes(18),
 ];
 
+/// What may happen while some instances are out of step.
+const OUT_OF_STEP: [Step; 13] = [
+    Step::Appears("v2"),
+    Step::Goes("v1"),
+    Step::Goes("v2"),
+    Step::BeginsElsewhere("v1"),
+    Step::BeginsElsewhere("v2"),
+    Step::RecordsElsewhere,
+    Step::FallsBehind,
+    Step::CatchesUp,
+    Step::Killed,
+    Step::Starts,
+    Step::StoreAway,
+    Step::StoreBack,
+    Step::Passes(18),
+];
+
 /// What the instances that run have in memory.
 #[derive(Debug, Default)]
 struct Instances {
@@ -79,6 +106,8 @@
     record: Option<VersionRecord>,
     origin: Option<&'static str>,
     has_unsaved: bool,
+    /// When they last had everything that the store has.
+    proven_at: Option<MonoTime>,
 }
 
 #[derive(Debug)]
@@ -88,6 +117,7 @@
     instances: Option<Instances>,
     store_away: bool,
     was_away: bool,
+    is_behind: bool,
     record: Option<VersionRecord>,
     saved: Option<&'static str>,
     timeout: Duration,
@@ -108,6 +138,7 @@
             instances: Some(Instances::default()),
             store_away: false,
             was_away: false,
+            is_behind: false,
             record: None,
             saved: None,
             timeout: PATIENCE,
@@ -124,9 +155,11 @@
 
     /// Has the instances see what the store has, if they reach it.
     fn follow(&mut self) {
-        let Some(instances) = self.instances.as_mut().filter(|_| !self.store_away) else {
+        let is_out_of_step = self.store_away || self.is_behind;
+        let Some(instances) = self.instances.as_mut().filter(|_| !is_out_of_step) else {
             return;
         };
+        instances.proven_at = Some(self.now);
         let now = self.now;
         let listed = &mut instances.listed;
         listed.retain(|(name, _)| self.upstreams.contains(name));
@@ -157,6 +190,14 @@
         }
     }
 
+    fn write_record_elsewhere(&mut self) {
+        let listed = self.upstreams.iter();
+        let listed: HashSet<ListedVersion> = listed.map(|n| (SERVICE.into(), version(n))).collect();
+        let known = self.record.as_ref();
+        let next = VersionRecord::updated(known, &listed, ERA, self.wall_clock(), false);
+        self.record = next.or(self.record.take());
+    }
+
     fn known(&self, instances: &Instances, within: Duration) -> KnownVersions {
         let history = VersionHistory {
             seen: &instances.versions,
@@ -193,13 +234,21 @@
             Step::Appears(name) => !self.upstreams.contains(name),
             Step::Goes(name) => self.upstreams.contains(name),
             Step::Begins(name) => self.stream.is_none() && self.may_begin(name),
-            Step::Records => runs && !self.store_away,
+            Step::Records => runs && !self.store_away && !self.is_behind,
             Step::Saves => {
                 let unsaved = self.instances.as_ref().is_some_and(|i| i.has_unsaved);
                 unsaved && !self.store_away
             }
             Step::Killed => runs,
-            Step::Starts => !runs && !self.store_away,
+            Step::Starts => !runs && !self.store_away && !self.is_behind,
+            Step::FallsBehind => !self.is_behind,
+            Step::CatchesUp => self.is_behind,
+            Step::BeginsElsewhere(name) => {
+                let record = self.record.as_ref().expect("a record");
+                let is_recorded = record.lists(SERVICE, &version(name));
+                self.stream.is_none() && self.upstreams.contains(name) && is_recorded
+            }
+            Step::RecordsElsewhere => !self.store_away,
             Step::StoreAway => !self.store_away,
             Step::StoreBack => self.store_away,
             Step::TimeoutShortened => self.timeout == PATIENCE,
@@ -235,11 +284,20 @@
             Step::StoreBack => self.store_away = false,
             Step::TimeoutShortened => self.timeout = Duration::from_secs(1),
             Step::Passes(seconds) => {
-                if !self.store_away {
-                    self.write_record(false);
+                match (self.store_away, self.is_behind) {
+                    (true, _) => {}
+                    (false, true) => self.write_record_elsewhere(),
+                    (false, false) => self.write_record(false),
                 }
                 self.now = self.now + Duration::from_secs(seconds);
             }
+            Step::FallsBehind => {
+                self.is_behind = true;
+                self.now = self.now + MOMENT;
+            }
+            Step::CatchesUp => self.is_behind = false,
+            Step::BeginsElsewhere(name) => self.stream = Some((name, self.now)),
+            Step::RecordsElsewhere => self.write_record_elsewhere(),
         }
         self.follow();
     }
@@ -264,7 +322,7 @@
 }
 
 /// The shortest order in which a stream goes on at another version than the one that began it.
-fn find_joined() -> Option<Vec<Step>> {
+fn find_joined(steps: &[Step]) -> Option<Vec<Step>> {
     let mut seen = HashSet::new();
     let mut orders = vec![Vec::new()];
     for _ in 0..=STEPS {
@@ -278,8 +336,8 @@
             }
             // What led to the same state leads to the same again.
             if seen.insert(format!("{world:?}")) {
-                let next = ALL.into_iter().filter(|step| world.can(*step));
-                longer.extend(next.map(|step| [&order[..], &[step]].concat()));
+                let next = steps.iter().filter(|step| world.can(**step));
+                longer.extend(next.map(|step| [&order[..], &[*step]].concat()));
             }
         }
         orders = longer;
@@ -291,5 +349,11 @@
 /// the instances that knew its origin were killed.
 #[test]
 fn no_order_of_events_joins_two_versions() {
-    assert_eq!(find_joined(), None);
+    assert_eq!(find_joined(&ALL), None);
+}
+
+/// Guards against a stream that goes on at the only version which an instance out of step knows.
+#[test]
+fn no_order_of_events_joins_two_versions_at_an_instance_out_of_step() {
+    assert_eq!(find_joined(&OUT_OF_STEP), None);
 }
