A single version is a fact only as of a proof asked for after the request

Callers whose stream had begun at a software version that an instance had not heard of got its rest from another version there (ORDER): the instance was cut off from the store, or stood still, while upstreams of the new version joined.

Cause: that a service had one version was read from the record that the instance held, however old its copy. Absence of evidence in a copy of unknown age was taken as evidence of absence.

KnownVersions no longer answers without the moment that the answer is to hold for: only_as_of(moment) needs a proof that was asked for at that moment or later. A stream begins before its caller takes it up, and its version is listed before it begins, so that a proof asked for after the arrival of the request covers it; versions that keepers tell can only add to that. Take-ups of unknown streams wait up to 800 ms for such a proof, look everything up anew, and are refused as not run with a time to come back if none arrives. Requests that wait share proofs. seems_single() remains for what is worth writing and reading.

A stream whose upstream's version an instance of an earlier build does not tell is bound to none: nothing can prove its version at the time of its first event.

Evidence, before: both cases of ..._cannot_be_heard_of got 200 instead of 503; the search over orders found FallsBehind, Appears(v2), RecordsElsewhere, BeginsElsewhere(v2).

--- a/crates/gateway/src/cluster_state.rs
+++ b/crates/gateway/src/cluster_state.rs
@@ -120,6 +120,7 @@
             seen: &self.versions,
             record: self.version_record.as_ref(),
             era: self.mirror.revision().era,
+            proven_at: self.freshness.proof().map(|proof| proof.asked_at),
             now,
             wall_clock,
         };
--- a/crates/gateway/src/known_versions.rs
+++ b/crates/gateway/src/known_versions.rs
@@ -25,7 +25,7 @@
         let services = cluster.listed_versions.iter().map(|(service, _)| service);
         let several = services.filter(|service| {
             let known = cluster.known_versions(self.now(), now, service, MIN_STREAM_SPAN);
-            known.only().is_none()
+            !known.seems_single()
         });
         several.cloned().collect()
     }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -208,6 +208,21 @@
         self.cluster().freshness.age(self.now())
     }
 
+    /// True if a proof was asked for at `due` or later.
+    pub(crate) fn is_proven_at(&self, due: MonoTime) -> bool {
+        let newest = self.cluster().freshness.proof();
+        newest.is_some_and(|proof| proof.asked_at >= due)
+    }
+
+    /// Has a proof asked for, unless the answer to a query at `due` or later counts as one once
+    /// changes have arrived.
+    pub(crate) fn request_proof_of(&self, due: MonoTime) {
+        let pending = self.cluster().freshness.pending();
+        if pending.is_none_or(|proof| proof.asked_at < due) {
+            self.proof_requested.notify();
+        }
+    }
+
     /// For how long there has been no proof. Counted at most from the time at which the other
     /// instances became known, which are a possible source of it.
     pub(crate) fn time_without_proof(&self) -> Duration {
--- a/crates/gateway/src/stream_binding.rs
+++ b/crates/gateway/src/stream_binding.rs
@@ -50,7 +50,7 @@
         if required.is_none() {
             self.beginning = attempt.beginning();
         }
-        let software = told.or(required).or_else(|| only_version(cx));
+        let software = told.or(required);
         let is_certain = software.is_some() && !attempt.is_version_uncertain();
         self.binding = match is_certain {
             true => Binding::Bound,
@@ -103,10 +103,3 @@
         state.streams.record(state, id, origin, until);
     }
 }
-
-/// The version of all upstreams of the service, if they have provably had the same one lately.
-fn only_version(cx: &AttemptContext) -> Option<SoftwareVersion> {
-    let age = cx.request.max_stream_age();
-    let known = cx.state.known_versions(&cx.request.service, age);
-    known.only().cloned()
-}
--- a/crates/gateway/src/stream_registry.rs
+++ b/crates/gateway/src/stream_registry.rs
@@ -14,6 +14,7 @@
 use event_listener::Event;
 use jd_net::lock;
 use jd_net::with_timeout;
+use jd_serving::KnownVersions;
 use jd_serving::ResumeError;
 use jd_serving::SaverRole;
 use jd_serving::Shard;
@@ -116,7 +117,7 @@
     ) {
         let now = state.now();
         let known = state.known_versions(&origin.service, lifetime);
-        if handed_over || known.only().is_none() {
+        if handed_over || !known.seems_single() {
             lock(&self.unsaved).add(now, part_of(&id), id.clone(), handed_over);
         }
         self.record_here(now, id, origin, lifetime);
@@ -225,67 +226,31 @@
     }
 
     /// The version at which a request may resume a stream. Asks the instances that keep the
-    /// stream's origin if it is not known here.
+    /// stream's origin if it is not known here, and waits for a proof if only the versions tell it.
     pub(crate) async fn resume_at(
         &self,
         state: &State,
         request: &CallerRequest,
         stream: Option<&StreamId>,
     ) -> Result<SoftwareVersion, ResumeError> {
-        let service = &request.service;
-        let age = request.max_stream_age();
-        let mut not_read = false;
-        let mut origin = None;
-        if let Some(id) = stream {
-            match self.find_or_read(state, id).await {
-                FoundOrigin::Known(known, _) => origin = Some(known),
-                FoundOrigin::NotRead => not_read = true,
-                FoundOrigin::Unknown => {}
-            }
-        }
-        let mut source = origin.as_ref().map(|_| "here");
-        let mut known = state.known_versions(service, age);
-        if let (Some(id), None) = (stream, &origin) {
-            let mut answers = 0;
-            for keeper in keepers(state, id) {
-                let Some(reply) = ask(state, keeper, id, service, age).await else {
-                    continue;
-                };
-                answers += 1;
-                known.extend(peer_streams::versions_of(&reply));
-                not_read |= reply.not_read;
-                let now = state.now();
-                let told = reply.record.as_ref();
-                let told = told.and_then(|record| peer_streams::origin_of(record, now));
-                if let Some((_, told, lifetime)) = told.filter(|(told, ..)| told == id) {
-                    self.record_here(now, id.clone(), told.clone(), lifetime);
-                    origin = Some(told);
-                    source = Some("told");
-                    break;
-                }
-            }
-            if answers == 0 {
-                // They may have been killed moments ago, all at once.
-                match self.find_asked(state, id).await {
-                    FoundOrigin::Known(read, _) => (origin, source) = (Some(read), Some("read")),
-                    FoundOrigin::NotRead => not_read = true,
-                    FoundOrigin::Unknown => {}
-                }
-            }
-        }
-        let mut result = resume_at(origin.as_ref(), request.customer.as_deref(), &known).cloned();
-        if not_read && result == Err(ResumeError::UnknownOrigin) {
-            result = Err(ResumeError::OriginNotRead);
+        let began = state.now();
+        let mut found = self.look_up(state, request, stream).await;
+        let mut result = found.resume_at(request);
+        if result == Err(ResumeError::VersionsNotProven) {
+            version_check::until_versions_proven(state, request).await;
+            // Whatever was missing here has arrived with the proof.
+            found = self.look_up(state, request, stream).await;
+            result = found.resume_at(request);
         }
-        let own = origin.filter(|o| o.customer == request.customer);
-        let beginning = own.as_ref().and_then(|o| o.beginning.as_ref());
+        let (service, own) = (&request.service, found.own_origin(request));
+        let beginning = own.and_then(|o| o.beginning.as_ref());
         if let (Ok(software), Some(beginning)) = (&result, beginning)
             && !version_check::is_certain(state, service, beginning, software).await
         {
             result = Err(ResumeError::UncertainOrigin);
         }
         let outcome = match &result {
-            Ok(_) => source.unwrap_or("single-version"),
+            Ok(_) => found.source.unwrap_or("single-version"),
             Err(e) => e.as_str(),
         };
         state.metrics.stream_origin(outcome);
@@ -294,13 +259,95 @@
             stream = stream.map_or("", StreamId::as_str),
             last_event:? = request.head.last_event,
             software:? = result.as_ref().ok().map(SoftwareVersion::as_str),
-            versions = known.versions.len(),
-            versions_complete = known.are_complete,
+            versions = found.known.versions.len(),
+            versions_complete = found.known.complete_until.is_some(),
+            proof_ms:? = state.proof_age().map(|age| age.as_millis() as u64),
+            request_ms = state.now().since(request.arrived).as_millis() as u64,
+            took_ms = state.now().since(began).as_millis() as u64,
             outcome;
             "stream is resumed by its caller"
         );
         result
     }
+
+    /// Finds the origin of a stream, here or at the instances that keep it, and the versions of its
+    /// service.
+    async fn look_up(
+        &self,
+        state: &State,
+        request: &CallerRequest,
+        stream: Option<&StreamId>,
+    ) -> LookedUp {
+        let service = &request.service;
+        let age = request.max_stream_age();
+        let mut found = LookedUp::default();
+        if let Some(id) = stream {
+            found.take(self.find_or_read(state, id).await, "here");
+        }
+        found.known = state.known_versions(service, age);
+        let (Some(id), None) = (stream, &found.origin) else {
+            return found;
+        };
+        let mut answers = 0;
+        for keeper in keepers(state, id) {
+            let Some(reply) = ask(state, keeper, id, service, age).await else {
+                continue;
+            };
+            answers += 1;
+            found.known.extend(peer_streams::versions_of(&reply));
+            found.not_read |= reply.not_read;
+            let now = state.now();
+            let told = reply.record.as_ref();
+            let told = told.and_then(|record| peer_streams::origin_of(record, now));
+            if let Some((_, told, lifetime)) = told.filter(|(told, ..)| told == id) {
+                self.record_here(now, id.clone(), told.clone(), lifetime);
+                found.take(FoundOrigin::Known(told, lifetime), "told");
+                return found;
+            }
+        }
+        if answers == 0 {
+            // They may have been killed moments ago, all at once.
+            found.take(self.find_asked(state, id).await, "read");
+        }
+        found
+    }
+}
+
+/// What is found of a stream that is taken up.
+#[derive(Debug, Default)]
+struct LookedUp {
+    origin: Option<StreamOrigin>,
+    /// Who knows the origin.
+    source: Option<&'static str>,
+    /// True if the origin may not have been read yet.
+    not_read: bool,
+    known: KnownVersions,
+}
+
+impl LookedUp {
+    fn take(&mut self, found: FoundOrigin, source: &'static str) {
+        match found {
+            FoundOrigin::Known(origin, _) => {
+                self.origin = Some(origin);
+                self.source = Some(source);
+            }
+            FoundOrigin::NotRead => self.not_read = true,
+            FoundOrigin::Unknown => {}
+        }
+    }
+
+    fn resume_at(&self, request: &CallerRequest) -> Result<SoftwareVersion, ResumeError> {
+        let (origin, customer) = (self.origin.as_ref(), request.customer.as_deref());
+        match resume_at(origin, customer, &self.known, request.arrived) {
+            Err(ResumeError::UnknownOrigin) if self.not_read => Err(ResumeError::OriginNotRead),
+            result => result.cloned(),
+        }
+    }
+
+    fn own_origin(&self, request: &CallerRequest) -> Option<&StreamOrigin> {
+        let origin = self.origin.as_ref();
+        origin.filter(|o| o.customer == request.customer)
+    }
 }
 
 /// Sends an origin to the instances that keep it.
--- a/crates/gateway/src/streaming_call.rs
+++ b/crates/gateway/src/streaming_call.rs
@@ -245,7 +245,7 @@
         None => match find_version(state, request).await {
             Ok(Some(software)) => software,
             Ok(None) => return Ok(None),
-            Err(e @ ResumeError::OriginNotRead) => {
+            Err(e) if e.is_temporary() => {
                 return Err(refusal(e.detail()).with_retry_after(FULL_RETRY));
             }
             // Another attempt would get the same answer.
--- a/crates/gateway/src/version_check.rs
+++ b/crates/gateway/src/version_check.rs
@@ -12,6 +12,7 @@
 use jd_serving::judge_version;
 use jd_types::MonoTime;
 
+use crate::caller_request::CallerRequest;
 use crate::run_events::UpstreamRef;
 use crate::state::State;
 use crate::upstream_client::SendPurpose;
@@ -20,6 +21,9 @@
 const REPORT_TIMEOUT: Duration = Duration::from_millis(150);
 /// How long a proof is waited for, beyond the time from which on it counts.
 const PROOF_TIMEOUT: Duration = Duration::from_millis(500);
+/// How long a caller waits for a proof that its stream's service had one version: that several
+/// changes are applied, and three calls along the instances that the proof comes from.
+const VERSIONS_PROOF_TIMEOUT: Duration = Duration::from_millis(800);
 /// The largest report that is read, in bytes. A larger one counts as no answer.
 const MAX_REPORT: usize = 1 << 20;
 
@@ -77,7 +81,7 @@
         Reported::Same => true,
         Reported::Another => false,
         Reported::Nothing => {
-            until_proven(state, due).await;
+            until_proven(state, due, due + PROOF_TIMEOUT).await;
             judge(state, beginning, software) == VersionCertainty::Certain
         }
     };
@@ -130,20 +134,24 @@
     told.map_or(StartReport::Unanswered, StartReport::Told)
 }
 
-/// Waits until a proof was asked for at `due` or later, for a limited time.
-async fn until_proven(state: &State, due: MonoTime) {
-    let until = due + PROOF_TIMEOUT;
+/// Waits until a proof was asked for after a request arrived, for a limited time.
+pub(crate) async fn until_versions_proven(state: &State, request: &CallerRequest) {
+    let until = (state.now() + VERSIONS_PROOF_TIMEOUT).min(request.deadline);
+    until_proven(state, request.arrived, until).await;
+}
+
+/// Waits until a proof was asked for at `due` or later, at most until `until`.
+async fn until_proven(state: &State, due: MonoTime, until: MonoTime) {
     loop {
         let changes = state.changes.listen();
         let now = state.now();
-        let is_proven = state.proof_age().is_some_and(|age| now.before(age) >= due);
-        if is_proven || now >= until {
+        if state.is_proven_at(due) || now >= until {
             return;
         }
         let wait = match now < due {
             true => due.since(now),
             false => {
-                state.proof_requested.notify();
+                state.request_proof_of(due);
                 until.since(now)
             }
         };
--- a/crates/serving/src/freshness.rs
+++ b/crates/serving/src/freshness.rs
@@ -83,6 +83,11 @@
         self.newest
     }
 
+    /// An answer of the store that becomes a proof once changes have been applied.
+    pub fn pending(&self) -> Option<Proof> {
+        self.pending
+    }
+
     /// The age of the newest proof, if there has been one.
     pub fn age(&self, now: MonoTime) -> Option<Duration> {
         self.newest.map(|p| now.since(p.asked_at))
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -220,6 +220,7 @@
 pub use stream_origin::KnownVersions;
 pub use stream_origin::ListedVersion;
 pub use stream_origin::MIN_STREAM_SPAN;
+pub use stream_origin::NoOnlyVersion;
 pub use stream_origin::OriginBatch;
 pub use stream_origin::RecordedVersion;
 pub use stream_origin::ResumeError;
--- a/crates/serving/src/stream_origin/mod.rs
+++ b/crates/serving/src/stream_origin/mod.rs
@@ -23,6 +23,7 @@
 pub use origins::StreamOrigin;
 pub use origins::StreamOrigins;
 pub use resume_rule::KnownVersions;
+pub use resume_rule::NoOnlyVersion;
 pub use resume_rule::ResumeError;
 pub use resume_rule::resume_at;
 pub use service_versions::ServiceVersions;
--- a/crates/serving/src/stream_origin/version_history.rs
+++ b/crates/serving/src/stream_origin/version_history.rs
@@ -23,6 +23,8 @@
     pub record: Option<&'a VersionRecord>,
     /// The era of the store.
     pub era: u64,
+    /// When the latest proof was asked for that the instance has everything that the store had.
+    pub proven_at: Option<MonoTime>,
     /// The current time.
     pub now: MonoTime,
     /// The current time by the clock that all instances share.
@@ -40,7 +42,8 @@
         if let Some(record) = self.record {
             let recorded = record.lately(service, self.wall_clock, within);
             known.extend(recorded.cloned());
-            known.are_complete = record.covers(self.era, self.wall_clock, within);
+            let covers = record.covers(self.era, self.wall_clock, within);
+            known.complete_until = self.proven_at.filter(|_| covers);
         }
         known
     }
