Test: requests that are complete late in the grace period are sent

A caller's connection is open when a stop begins. A part of its request arrives a second later, the rest 4 to 7 s after the begin of a grace period of 8 s. The request is sent to an upstream that needs 5 s, begins its answer and is cut off at the end, or is answered as "may have run".

--- a/crates/gateway/tests/whole/stops.rs
+++ b/crates/gateway/tests/whole/stops.rs
@@ -6,7 +6,9 @@
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::thread;
+use std::thread::JoinHandle;
 use std::time::Duration;
+use std::time::Instant;
 
 use async_io::Timer;
 use futures_lite::future::block_on;
@@ -190,3 +192,67 @@
         assert!(received >= bytes, "{received} of {bytes} bytes");
     });
 }
+
+/// The two parts in which a request arrives. Each case sends the second one late.
+const HEAD_CUT: (&str, &str) = ("host: desk.example\r\nke", "y: key-1\r\n\r\n");
+const BODY_CUT: (&str, &str) = (
+    "host: desk.example\r\nkey: key-1\r\ncontent-length: 4\r\n\r\nab",
+    "cd",
+);
+
+/// Connects, sends a part of a request a second after `began` and the rest at `rest_at`, and returns
+/// what is received until the connection closes.
+fn send_in_parts(
+    callers: SocketAddr,
+    began: Instant,
+    (path, (part, rest)): (&str, (&'static str, &'static str)),
+    rest_at: Duration,
+) -> JoinHandle<String> {
+    let mut client = TcpStream::connect(callers).expect("a connection");
+    let line = format!("POST {path} HTTP/1.1\r\nid: 1\r\n");
+    let until = move |at: Duration| thread::sleep((began + at).duration_since(Instant::now()));
+    thread::spawn(move || {
+        until(Duration::from_secs(1));
+        let first = format!("{line}{part}");
+        client.write_all(first.as_bytes()).expect("a written part");
+        until(rest_at);
+        // A request that is refused early is not written any further.
+        let _ = client.write_all(rest.as_bytes());
+        let mut received = Vec::new();
+        let _ = client.read_to_end(&mut received);
+        String::from_utf8_lossy(&received).into_owned()
+    })
+}
+
+/// Guards against requests that are sent to an upstream late in the grace period, and cut off at its
+/// end or answered as "may have run", although they could have been refused as not run.
+#[test]
+fn a_request_that_is_complete_late_in_the_grace_period_is_not_sent() {
+    let parts = &["id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"];
+    let reply = Reply::Pausing(parts, Duration::from_secs(5));
+    let harness = Arc::new(Harness::start(vec![vec![reply]]));
+    block_on(async {
+        harness.until_ready(true).await;
+        let (callers, began) = (harness.caller_address(), Instant::now());
+        let cases = [
+            ("/stream/x", BODY_CUT, 4),
+            ("/stream/x", HEAD_CUT, 4),
+            ("/stream/x", BODY_CUT, 7),
+            ("/resume/x", BODY_CUT, 6),
+            ("/once/x", BODY_CUT, 6),
+            ("/once/x", HEAD_CUT, 6),
+        ];
+        let sent = cases.map(|(path, cut, rest_at)| {
+            let rest_at = Duration::from_secs(rest_at);
+            send_in_parts(callers, began, (path, cut), rest_at)
+        });
+        harness.gateway.stop().await;
+        let upstream = harness.upstreams[0].count();
+        let received = sent.map(|client| client.join().expect("a client"));
+        for (case, received) in cases.iter().zip(&received) {
+            let is_refused = received.starts_with("HTTP/1.1 503") && received.contains("not run");
+            assert!(is_refused, "{case:?}: {received:?}");
+        }
+        assert_eq!(upstream, 0, "requests at the upstream");
+    });
+}
