Refuse requests that cannot end before an instance that stops

Callers of an instance that was stopped saw streams cut off and requests answered as "may have run", although they had sent them late in the grace period and another instance could have taken them.

Cause: the end of acceptance closed the listening socket and idle connections, and nothing else. Requests whose head or body was complete later were sent, whatever they needed. Times of the plan were checked where something was waited for, not where the next step began.

ShutdownPlan::check now decides at each step that begins something, by the time that requests of the route took lately, their deadline, whether they may be repeated, and when they were complete. The terms are part of what a permit to send is requested for, so that no request is sent without them. A body that is incomplete is refused once the request could not end any more.

--- a/crates/gateway/src/active_attempt.rs
+++ b/crates/gateway/src/active_attempt.rs
@@ -45,6 +45,9 @@
     /// The software version of the upstream; none if another instance does not tell it.
     software: Option<SoftwareVersion>,
     service: CompactString,
+    route: CompactString,
+    /// True if another upstream began the stream.
+    resumes: bool,
     contents: RunContents,
     began: MonoTime,
     /// When the head of the response arrived.
@@ -76,6 +79,8 @@
             software: Some(chosen.software.clone()),
             state: Arc::clone(state),
             service: request.service.clone(),
+            route: request.route().name.clone(),
+            resumes,
             contents: request.contents.clone(),
             began: now,
             head_at: None,
@@ -102,6 +107,8 @@
             software,
             state: Arc::clone(state),
             service: request.service.clone(),
+            route: request.route().name.clone(),
+            resumes: false,
             contents: request.contents.clone(),
             began: state.now(),
             head_at: None,
@@ -292,6 +299,10 @@
         let now = self.state.now();
         let took = now.since(self.began);
         chosen.upstream.attempt_finished(now, took, outcome);
+        if !self.resumes {
+            let run_times = &self.state.run_times;
+            run_times.record(now, &self.route, took, outcome);
+        }
         if outcome == AttemptOutcome::Unreachable {
             // The upstream is tried again when its ejection ends, and may have started just
             // before.
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -91,6 +91,7 @@
         contents: request.contents.clone(),
         priority: request.priority,
         cold: Arc::clone(&chosen.cold),
+        stop: request.stop_terms(state),
     };
     let upstream = chosen.upstream_ref(&request.service);
     request.in_flight.waits_for(Wait::Permit, &chosen.id);
--- a/crates/gateway/src/caller_admission.rs
+++ b/crates/gateway/src/caller_admission.rs
@@ -16,17 +16,18 @@
 use jd_serving::Caller;
 use jd_serving::Content;
 use jd_serving::Prompt;
+use jd_serving::RequestStep;
 use jd_serving::Route;
 use jd_serving::RouteKey;
 use jd_serving::Router;
 use jd_serving::RunContents;
+use jd_serving::ShutdownPlan;
 use jd_types::MonoTime;
 use jd_types::Refusal;
 use jd_types::RefusalKind;
 
 use crate::caller_api::CallerApi;
 use crate::caller_api::host_of;
-use crate::caller_api::stopping;
 use crate::caller_body;
 use crate::caller_body::BodyFailure;
 use crate::caller_body::BodyReader;
@@ -36,6 +37,8 @@
 use crate::ran_at::RanAt;
 use crate::running_request::RunningRequest;
 use crate::state::State;
+use crate::stop_checks;
+use crate::stop_checks::StopSubject;
 
 /// The retry time of a request that this instance refuses because its configuration is
 /// missing or not proven current. An instance that has just started has it within a second.
@@ -93,18 +96,37 @@
         let id = head.request_id.as_deref().unwrap_or("");
         let in_flight = InFlight::begin(&self.state, id, arrived);
         let ending = async {
-            let State {
-                shutdown, clock, ..
-            } = &*self.state;
-            shutdown.until(*clock, |plan| plan.unsent_until).await;
-            Err(Rejected::unread(stopping()))
+            let refusal = self.until_too_late(arrived, &head, &parts).await;
+            Err(Rejected::unread(refusal))
         };
         let reading = self.read_body(&head, &parts, &mut body);
         let body = reading.or(ending).await?;
         let checked = self.check(head, &parts).map_err(Rejected::read)?;
         let running = RunningRequest::begin(&self.state);
         let running = running.ok_or_else(|| Rejected::read(full()))?;
-        Ok(self.admitted(arrived, checked, parts, body, (in_flight, running)))
+        let request = self.admitted(arrived, checked, parts, body, (in_flight, running));
+        let takes = request.check_stop(&self.state, RequestStep::Take);
+        takes.map_err(Rejected::read)?;
+        Ok(request)
+    }
+
+    /// Returns the refusal of a request that is not complete, once it could not end any more before
+    /// this instance does.
+    async fn until_too_late(&self, arrived: MonoTime, head: &CallHead, parts: &Parts) -> Refusal {
+        let State {
+            shutdown, clock, ..
+        } = &*self.state;
+        shutdown.until(*clock, |plan| plan.accept_until).await;
+        let (router, route) = match self.check_head(head, parts) {
+            Ok(checked) => checked,
+            Err(refusal) => return refusal,
+        };
+        let route = router.route(route);
+        let deadline = arrived + max_wait(head, route);
+        let terms = StopSubject::new(route, self.state.now(), deadline).terms(&self.state);
+        let latest_begin = |plan: &ShutdownPlan| plan.latest_begin(&terms);
+        shutdown.until(*clock, latest_begin).await;
+        stop_checks::refusal(&self.state, RequestStep::Take, &terms)
     }
 
     /// Reads the body of a request that may run by its head. Discards a small body of another one, so
@@ -190,7 +212,7 @@
         let caller = shown
             .filter(|_| router.needs_credential(spec))
             .and_then(|c| router.caller(c));
-        let wait = head.deadline.unwrap_or(spec.timeout).min(spec.timeout);
+        let wait = max_wait(&head, spec);
         let customer = caller.map(|c| c.customer.clone());
         let content = content_of(&parts, customer.as_deref(), &body);
         let prompt = head.prompt.as_ref();
@@ -201,6 +223,7 @@
             priority: caller.and_then(|c| c.priority).unwrap_or(spec.priority),
             customer,
             arrived,
+            taken_at: self.state.now(),
             deadline: arrived + wait,
             service,
             head,
@@ -272,6 +295,11 @@
     Content::of_segments(&head, body.segments())
 }
 
+/// How long the caller of a request waits for its answer.
+fn max_wait(head: &CallHead, route: &Route) -> Duration {
+    head.deadline.unwrap_or(route.timeout).min(route.timeout)
+}
+
 /// The caller of a request; none if the route needs no credential.
 fn authenticate<'a>(
     router: &'a Router,
--- a/crates/gateway/src/caller_api.rs
+++ b/crates/gateway/src/caller_api.rs
@@ -18,8 +18,10 @@
 use jd_net::Handler;
 use jd_net::HandlerFuture;
 use jd_net::lock;
+use jd_serving::RequestStep;
 use jd_serving::RetryMode;
 use jd_serving::RunContents;
+use jd_serving::ShutdownPlan;
 use jd_types::MonoTime;
 use jd_types::Refusal;
 use jd_types::RefusalKind;
@@ -29,12 +31,11 @@
 use crate::caller_request::CallerRequest;
 use crate::stage_runner::StageRunner;
 use crate::state::State;
+use crate::stop_checks;
+use crate::stop_checks::StopSubject;
 use crate::streaming_call;
 use crate::unary_call;
 
-/// The retry time of a request that this instance has no time for: others take it at once.
-const STOPPING_RETRY: Duration = Duration::from_millis(50);
-
 /// Handles the requests of callers.
 #[derive(Debug)]
 pub(crate) struct CallerApi {
@@ -83,24 +84,28 @@
     /// Runs a request. If this instance stops and ends first, it is answered before that.
     pub(crate) async fn run(&self, request: CallerRequest) -> Result<Response<Body>, Refusal> {
         let begun_runs = Arc::clone(&request.begun_runs);
-        let ending = async { Err(self.until_end(&begun_runs).await) };
+        let subject = request.stop_subject();
+        let ending = async { Err(self.until_end(&subject, &begun_runs).await) };
         self.run_admitted(request).or(ending).await
     }
 
-    /// Returns the refusal of a request that has not been answered shortly before this instance ends.
-    /// A request that may have run waits longer, since its upstream may still respond.
-    async fn until_end(&self, begun_runs: &AtomicU32) -> Refusal {
+    /// Returns the refusal of a request that cannot be answered any more before this instance ends. A
+    /// request that may have run waits longer, since its upstream may still respond.
+    async fn until_end(&self, subject: &StopSubject, begun_runs: &AtomicU32) -> Refusal {
         let State {
             shutdown, clock, ..
         } = &*self.state;
-        shutdown.until(*clock, |plan| plan.unsent_until).await;
+        shutdown.wait_begun().await;
+        let terms = subject.terms(&self.state);
+        let latest_begin = |plan: &ShutdownPlan| plan.latest_begin(&terms);
+        shutdown.until(*clock, latest_begin).await;
         let may_run = || begun_runs.load(Ordering::Relaxed) > 0;
         if may_run() {
             shutdown.until(*clock, |plan| plan.unanswered_until).await;
         }
         match may_run() {
             true => may_have_run(RefusalKind::UpstreamFailed, "the instance stops"),
-            false => stopping(),
+            false => stop_checks::refusal(&self.state, RequestStep::Wait, &terms),
         }
     }
 
@@ -173,12 +178,6 @@
     host.split_once(':').map_or(host, |(name, _)| name)
 }
 
-/// The refusal of a request that this instance has no time for because it stops.
-pub(crate) fn stopping() -> Refusal {
-    let detail = "the instance stops; ask another one";
-    Refusal::not_run(RefusalKind::NotServing, detail).with_retry_after(STOPPING_RETRY)
-}
-
 /// The refusal of a request that was sent to an upstream and may have run.
 pub(crate) fn may_have_run(kind: RefusalKind, detail: impl Into<CompactString>) -> Refusal {
     Refusal {
--- a/crates/gateway/src/caller_request.rs
+++ b/crates/gateway/src/caller_request.rs
@@ -37,6 +37,8 @@
     pub(crate) customer: Option<CompactString>,
     pub(crate) priority: u8,
     pub(crate) arrived: MonoTime,
+    /// When it was complete.
+    pub(crate) taken_at: MonoTime,
     pub(crate) deadline: MonoTime,
     pub(crate) service: CompactString,
     pub(crate) head: CallHead,
--- a/crates/gateway/src/forward_client.rs
+++ b/crates/gateway/src/forward_client.rs
@@ -23,6 +23,7 @@
 use jd_net::HttpPool;
 use jd_net::lock;
 use jd_serving::ForwardTarget;
+use jd_serving::RequestStep;
 use jd_serving::head_patience;
 use jd_types::Refusal;
 
@@ -148,6 +149,10 @@
         state.record_first_send(&request.service);
     }
     while let Some(target) = select_target(cx) {
+        if let Err(refusal) = request.check_stop(state, RequestStep::Forward) {
+            let refusal = lock(retries).after_runs(refusal);
+            return Some(Err(NextSendError::Refused(refusal)));
+        }
         let from = {
             let mut retries = lock(retries);
             if let Err(refusal) = retries.begin_run(state, request) {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -81,6 +81,7 @@
 mod stage_runner;
 mod state;
 mod state_rebuild;
+mod stop_checks;
 mod store;
 mod store_applier;
 mod store_call;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -27,6 +27,11 @@
     kind: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Step {
+    step: &'static str,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct Framing {
     framing: &'static str,
@@ -50,6 +55,7 @@
     placements: Family<Outcome, Counter>,
     forwards: Family<Outcome, Counter>,
     runs: Family<Outcome, Counter>,
+    stop_refusals: Family<Step, Counter>,
     stream_ends: Family<Framing, Counter>,
     stream_origins: Family<Outcome, Counter>,
     caller_connections: Gauge,
@@ -85,6 +91,7 @@
             placements: Family::default(),
             forwards: Family::default(),
             runs: Family::default(),
+            stop_refusals: Family::default(),
             stream_ends: Family::default(),
             stream_origins: Family::default(),
             caller_connections: Gauge::default(),
@@ -167,6 +174,12 @@
              proved that no upstream ran them, or refused because the route allows no more",
             metrics.runs.clone(),
         );
+        r.register(
+            "jd_gateway_stop_refusals",
+            "Requests refused while this instance stops since they could not end before, by the step \
+             that was to begin",
+            metrics.stop_refusals.clone(),
+        );
         r.register(
             "jd_gateway_stream_ends",
             "Streams that ended whole, by how the end of the response was marked",
@@ -248,6 +261,11 @@
         self.seconds.observe(took.as_secs_f64());
     }
 
+    /// Counts a request that could not end before this instance, by the step that was to begin.
+    pub(crate) fn stop_refusal(&self, step: &'static str) {
+        self.stop_refusals.get_or_create(&Step { step }).inc();
+    }
+
     pub(crate) fn attempt(&self, outcome: &'static str) {
         self.attempts.get_or_create(&Outcome { outcome }).inc();
     }
--- a/crates/gateway/src/next_send.rs
+++ b/crates/gateway/src/next_send.rs
@@ -9,6 +9,7 @@
 use futures_lite::FutureExt;
 use futures_lite::future;
 use jd_net::lock;
+use jd_serving::RequestStep;
 use jd_serving::head_patience;
 use jd_types::AttemptOutcome;
 use jd_types::Refusal;
@@ -86,6 +87,7 @@
         state.record_first_send(&request.service);
     }
     loop {
+        check_stop(cx, RequestStep::Send)?;
         let permitted = match select_permitted(cx).await {
             Ok(Some(permitted)) => permitted,
             Ok(None) => continue,
@@ -107,6 +109,12 @@
     }
 }
 
+/// Refuses the request if it could not end before this instance does.
+fn check_stop(cx: &AttemptContext, step: RequestStep) -> Result<(), NextSendError> {
+    let checked = cx.request.check_stop(&cx.state, step);
+    checked.map_err(|refusal| NextSendError::Refused(lock(&cx.retries).after_runs(refusal)))
+}
+
 /// Selects the next upstream and requests its permit; none if the send was withheld and another one
 /// is to be selected.
 async fn select_permitted(cx: &AttemptContext) -> Result<Option<PermittedSend>, Refusal> {
--- a/crates/gateway/src/open_requests.rs
+++ b/crates/gateway/src/open_requests.rs
@@ -156,6 +156,11 @@
         self.waits_for(Wait::Permit, "");
     }
 
+    /// True if the caller has received the head of a response.
+    pub(crate) fn has_begun(&self) -> bool {
+        lock(&self.request.progress).has_begun
+    }
+
     /// Records what the request waits for from now on. `target` is the upstream or the instance;
     /// empty if there is none.
     pub(crate) fn waits_for(&self, wait: Wait, target: &str) {
--- a/crates/gateway/src/shutdown.rs
+++ b/crates/gateway/src/shutdown.rs
@@ -4,7 +4,10 @@
 
 use async_io::Timer;
 use jd_net::Clock;
+use jd_serving::RequestStep;
 use jd_serving::ShutdownPlan;
+use jd_serving::StopTerms;
+use jd_serving::TooLate;
 use jd_types::MonoTime;
 
 use crate::latch::Latch;
@@ -32,6 +35,17 @@
         self.plan.get().copied()
     }
 
+    /// Checks whether a step of a request may begin: the request has to end before this instance does.
+    pub(crate) fn check(
+        &self,
+        now: MonoTime,
+        step: RequestStep,
+        terms: &StopTerms,
+    ) -> Result<(), TooLate> {
+        self.plan()
+            .map_or(Ok(()), |plan| plan.check(now, step, terms))
+    }
+
     /// Returns once this instance is stopping.
     pub(crate) async fn wait_begun(&self) {
         self.begun.wait().await;
--- a/crates/gateway/src/stage_runner.rs
+++ b/crates/gateway/src/stage_runner.rs
@@ -13,6 +13,7 @@
 use jd_serving::JobStage;
 use jd_serving::PromptDemand;
 use jd_serving::PromptPlacement;
+use jd_serving::RequestStep;
 use jd_serving::Shard;
 use jd_serving::ShutdownPlan;
 use jd_serving::StageJob;
@@ -21,7 +22,6 @@
 use jd_types::Refusal;
 
 use crate::batch_dispatcher::BatchDispatcher;
-use crate::caller_api::stopping;
 use crate::caller_request::CallerRequest;
 use crate::job_waiter::JobOutcome;
 use crate::job_waiter::StageOutcome;
@@ -32,6 +32,7 @@
 use crate::stage_failures::refusal_for;
 use crate::stage_results::StageResults;
 use crate::state::State;
+use crate::stop_checks::stopping;
 
 /// Callers abandon a stream that does not begin within this many objectives.
 const ABANDON_OBJECTIVES: u32 = 4;
@@ -112,11 +113,14 @@
             false => |plan| plan.stages_until,
         };
         request.check_quarantine(&self.state, 0)?;
+        if !has_begun {
+            request.check_stop(&self.state, RequestStep::Stages)?;
+        }
         request.in_flight.waits_for(Wait::Stages, "");
         let quarantined = async { Err(request.until_quarantined(&self.state).await) };
         let ending = async {
             self.until_stages_end(request, stages_until).await;
-            Err(stopping())
+            Err(stopping("the instance stops; ask another one"))
         };
         let running = self.run_or_place(request, prompt, run, stages_until);
         let (owner, outcome) = running.or(quarantined).or(ending).await?;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -64,6 +64,7 @@
 use crate::selection_filter::UnrecordedFilter;
 use crate::shutdown::Shutdown;
 use crate::signal::Signal;
+use crate::stop_checks::RouteRunTimes;
 use crate::stream_registry::StreamRegistry;
 use crate::upstream_backoffs::UpstreamBackoffs;
 use crate::upstream_client::UpstreamClient;
@@ -98,6 +99,8 @@
     pub(crate) streams: StreamRegistry,
     /// The pace of upstreams that generate.
     pub(crate) paces: Paces,
+    /// How long the requests of each route took lately.
+    pub(crate) run_times: RouteRunTimes,
     /// Whether this instance has a network path to the upstreams.
     pub(crate) path: OwnPath,
     /// The upstreams that may have restarted.
@@ -171,6 +174,7 @@
             brittle: Brittle::new(Arc::clone(&heartbeat_requested)),
             streams: StreamRegistry::default(),
             paces: Paces::default(),
+            run_times: RouteRunTimes::default(),
             path: OwnPath::new(),
             restart_checks: RestartChecks::new(),
             forwards: ForwardClient::new(pool),
--- a/crates/gateway/src/state_rebuild.rs
+++ b/crates/gateway/src/state_rebuild.rs
@@ -42,6 +42,7 @@
         };
         let table = self.upstreams.load();
         self.paces.set_upstreams(router, &table);
+        self.run_times.retain(router);
         let batched = router.services().filter(|s| s.batch.is_some());
         let upstreams = batched.flat_map(|s| {
             let upstreams = table.zones(&s.name);
--- a/crates/gateway/src/streaming_call.rs
+++ b/crates/gateway/src/streaming_call.rs
@@ -33,6 +33,7 @@
 use crate::event_stream::EventStream;
 use crate::forwarded_from;
 use crate::held_answer::HeldAnswer;
+use crate::open_requests::Wait;
 use crate::placed_prompt::PlacedPrompt;
 use crate::retry_state::RetryState;
 use crate::stage_results::StageResults;
@@ -330,6 +331,7 @@
         Begun::Head(head) => (StreamResponse::new(request, head), None),
         Begun::Event(begun) => (begun.response, begun.first),
     };
+    request.in_flight.waits_for(Wait::Caller, "");
     let memory = Arc::clone(&state.caller_memory);
     let events = EventStream::new(cx, stages, response, first);
     let body = jd_net::stream(unfold(events, EventStream::next));
--- a/crates/gateway/src/upstream_client.rs
+++ b/crates/gateway/src/upstream_client.rs
@@ -15,7 +15,9 @@
 use jd_net::SendError;
 use jd_net::lock;
 use jd_serving::ColdStart;
+use jd_serving::RequestStep;
 use jd_serving::RunContents;
+use jd_serving::StopTerms;
 use jd_types::MonoTime;
 
 use crate::run_events::UpstreamRef;
@@ -39,6 +41,8 @@
         priority: u8,
         /// The cold-start state of the upstream.
         cold: Arc<Mutex<ColdStart>>,
+        /// Until when it may be sent while this instance stops.
+        stop: StopTerms,
     },
     /// A batch of stage pieces.
     Pieces,
@@ -268,6 +272,11 @@
             SendPurpose::Request { .. } | SendPurpose::Pieces if !listed() => {
                 withheld("the upstream gets nothing new any more")
             }
+            SendPurpose::Request { stop, .. }
+                if state.shutdown.check(now, RequestStep::Send, stop).is_err() =>
+            {
+                withheld("the request could not end before this instance")
+            }
             SendPurpose::Request { contents, .. }
                 if state.quarantine.hold(now, contents).is_some() =>
             {
--- a/crates/gateway/tests/whole/stops.rs
+++ b/crates/gateway/tests/whole/stops.rs
@@ -193,6 +193,8 @@
     });
 }
 
+/// Requests after which it is known how long those of their route take.
+const KNOWN_REQUESTS: usize = 10;
 /// The two parts in which a request arrives. Each case sends the second one late.
 const HEAD_CUT: (&str, &str) = ("host: desk.example\r\nke", "y: key-1\r\n\r\n");
 const BODY_CUT: (&str, &str) = (
@@ -256,3 +258,57 @@
         assert_eq!(upstream, 0, "requests at the upstream");
     });
 }
+
+/// Guards against a refusal of requests that an instance that stops has the time for: they end soon, by
+/// what the requests of their route took before.
+#[test_case("/any/x"; "that may be repeated")]
+#[test_case("/once/x"; "that may run once")]
+#[test_case("/stream/x"; "whose answer is a stream")]
+fn a_short_request_that_is_complete_late_in_the_grace_period_is_served(path: &'static str) {
+    let harness = Arc::new(Harness::start(vec![vec![Reply::Complete(STREAM[0])]]));
+    block_on(async {
+        harness.until_ready(true).await;
+        for _ in 0..KNOWN_REQUESTS {
+            assert_eq!(harness.ask(path, "1").await.status, 200);
+        }
+        let (callers, began) = (harness.caller_address(), Instant::now());
+        let rest_at = [4, 6, 7].map(Duration::from_secs);
+        let sent = rest_at.map(|at| send_in_parts(callers, began, (path, BODY_CUT), at));
+        harness.gateway.stop().await;
+        for client in sent {
+            let received = client.join().expect("a client");
+            assert!(received.starts_with("HTTP/1.1 200"), "{received:?}");
+        }
+    });
+}
+
+/// Guards against a second run of a request that begins in a stop and cannot end before its instance,
+/// by what the requests of its route took before.
+#[test]
+fn a_request_is_not_sent_again_if_it_could_not_end() {
+    let known = Reply::Delayed("a", Duration::from_millis(1_500));
+    let harness = Arc::new(Harness::start(vec![vec![known]; 2]));
+    let arrivals = |harness: &Harness| harness.upstreams.iter().map(|u| u.count()).sum::<usize>();
+    block_on(async {
+        harness.until_ready(true).await;
+        let asks = (0..KNOWN_REQUESTS).map(|_| {
+            let caller = Arc::clone(&harness);
+            harness.spawn(async move { caller.ask("/any/x", "1").await })
+        });
+        for ask in asks.collect::<Vec<_>>() {
+            assert_eq!(ask.await.status, 200);
+        }
+        let before = arrivals(&harness);
+        for upstream in &harness.upstreams {
+            upstream.set_replies(vec![Reply::DelayedFailure(Duration::from_millis(6_500))]);
+        }
+        let caller = Arc::clone(&harness);
+        let response = harness.spawn(async move { caller.ask("/any/x", "2").await });
+        while arrivals(&harness) == before {
+            Timer::after(Duration::from_millis(2)).await;
+        }
+        harness.gateway.stop().await;
+        assert_eq!(response.await.status, 500);
+        assert_eq!(arrivals(&harness), before + 1, "runs");
+    });
+}
