Tests: late requests are refused before anything is begun for them

The bodies that stay incomplete are refused at the end of acceptance, and requests that are complete later before stages or sends, which the metric by step shows.

--- a/crates/gateway/tests/whole/stops.rs
+++ b/crates/gateway/tests/whole/stops.rs
@@ -256,6 +256,41 @@
             assert!(is_refused, "{case:?}: {received:?}");
         }
         assert_eq!(upstream, 0, "requests at the upstream");
+        let taken = r#"jd_gateway_stop_refusals_total{step="take"}"#;
+        let refused = harness.counter_total(taken).await;
+        assert_eq!(
+            refused,
+            cases.len() as u64,
+            "refused before anything is begun"
+        );
+    });
+}
+
+/// Guards against a body that is waited for although no answer could end any more: its caller loses the
+/// time for another instance.
+#[test]
+fn a_body_that_stays_incomplete_is_refused_when_no_answer_could_end() {
+    let harness = Arc::new(Harness::start(vec![vec![Reply::Complete("a")]]));
+    block_on(async {
+        harness.until_ready(true).await;
+        let mut client = TcpStream::connect(harness.caller_address()).expect("a connection");
+        let (part, _) = BODY_CUT;
+        let head = format!("POST /once/x HTTP/1.1\r\nid: 1\r\n{part}");
+        client.write_all(head.as_bytes()).expect("a written part");
+        let began = Instant::now();
+        let reader = thread::spawn(move || {
+            let mut received = Vec::new();
+            let _ = client.read_to_end(&mut received);
+            (
+                String::from_utf8_lossy(&received).into_owned(),
+                began.elapsed(),
+            )
+        });
+        harness.gateway.stop().await;
+        let (received, took) = reader.join().expect("a reader");
+        assert!(received.starts_with("HTTP/1.1 503"), "{received:?}");
+        // The end of acceptance is at 2.96 s, that of all requests that were not sent at 7.35 s.
+        assert!(took < Duration::from_secs(6), "refused after {took:?}");
     });
 }
 
