--- a/crates/gateway/tests/whole/stops.rs
+++ b/crates/gateway/tests/whole/stops.rs
@@ -6,7 +6,9 @@
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::thread;
+use std::thread::JoinHandle;
 use std::time::Duration;
+use std::time::Instant;
 
 use async_io::Timer;
 use futures_lite::future::block_on;
@@ -190,3 +192,158 @@
         assert!(received >= bytes, "{received} of {bytes} bytes");
     });
 }
+
+/// Requests after which it is known how long those of their route take.
+const KNOWN_REQUESTS: usize = 10;
+/// The two parts in which a request arrives. Each case sends the second one late.
+const HEAD_CUT: (&str, &str) = ("host: desk.example\r\nke", "y: key-1\r\n\r\n");
+const BODY_CUT: (&str, &str) = (
+    "host: desk.example\r\nkey: key-1\r\ncontent-length: 4\r\n\r\nab",
+    "cd",
+);
+
+/// Connects, sends a part of a request a second after `began` and the rest at `rest_at`, and returns
+/// what is received until the connection closes.
+fn send_in_parts(
+    callers: SocketAddr,
+    began: Instant,
+    (path, (part, rest)): (&str, (&'static str, &'static str)),
+    rest_at: Duration,
+) -> JoinHandle<String> {
+    let mut client = TcpStream::connect(callers).expect("a connection");
+    let line = format!("POST {path} HTTP/1.1\r\nid: 1\r\n");
+    let until = move |at: Duration| thread::sleep((began + at).duration_since(Instant::now()));
+    thread::spawn(move || {
+        until(Duration::from_secs(1));
+        let first = format!("{line}{part}");
+        client.write_all(first.as_bytes()).expect("a written part");
+        until(rest_at);
+        // A request that is refused early is not written any further.
+        let _ = client.write_all(rest.as_bytes());
+        let mut received = Vec::new();
+        let _ = client.read_to_end(&mut received);
+        String::from_utf8_lossy(&received).into_owned()
+    })
+}
+
+/// Guards against requests that are sent to an upstream late in the grace period, and cut off at its
+/// end or answered as "may have run", although they could have been refused as not run.
+#[test]
+fn a_request_that_is_complete_late_in_the_grace_period_is_not_sent() {
+    let parts = &["id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"];
+    let reply = Reply::Pausing(parts, Duration::from_secs(5));
+    let harness = Arc::new(Harness::start(vec![vec![reply]]));
+    block_on(async {
+        harness.until_ready(true).await;
+        let (callers, began) = (harness.caller_address(), Instant::now());
+        let cases = [
+            ("/stream/x", BODY_CUT, 4),
+            ("/stream/x", HEAD_CUT, 4),
+            ("/stream/x", BODY_CUT, 7),
+            ("/resume/x", BODY_CUT, 6),
+            ("/once/x", BODY_CUT, 6),
+            ("/once/x", HEAD_CUT, 6),
+        ];
+        let sent = cases.map(|(path, cut, rest_at)| {
+            let rest_at = Duration::from_secs(rest_at);
+            send_in_parts(callers, began, (path, cut), rest_at)
+        });
+        harness.gateway.stop().await;
+        let upstream = harness.upstreams[0].count();
+        let received = sent.map(|client| client.join().expect("a client"));
+        for (case, received) in cases.iter().zip(&received) {
+            let is_refused = received.starts_with("HTTP/1.1 503") && received.contains("not run");
+            assert!(is_refused, "{case:?}: {received:?}");
+        }
+        assert_eq!(upstream, 0, "requests at the upstream");
+        let taken = r#"jd_gateway_stop_refusals_total{step="take"}"#;
+        let refused = harness.counter_total(taken).await;
+        assert_eq!(
+            refused,
+            cases.len() as u64,
+            "refused before anything is begun"
+        );
+    });
+}
+
+/// Guards against a body that is waited for although no answer could end any more: its caller loses the
+/// time for another instance.
+#[test]
+fn a_body_that_stays_incomplete_is_refused_when_no_answer_could_end() {
+    let harness = Arc::new(Harness::start(vec![vec![Reply::Complete("a")]]));
+    block_on(async {
+        harness.until_ready(true).await;
+        let mut client = TcpStream::connect(harness.caller_address()).expect("a connection");
+        let (part, _) = BODY_CUT;
+        let head = format!("POST /once/x HTTP/1.1\r\nid: 1\r\n{part}");
+        client.write_all(head.as_bytes()).expect("a written part");
+        let began = Instant::now();
+        let reader = thread::spawn(move || {
+            let mut received = Vec::new();
+            let _ = client.read_to_end(&mut received);
+            (
+                String::from_utf8_lossy(&received).into_owned(),
+                began.elapsed(),
+            )
+        });
+        harness.gateway.stop().await;
+        let (received, took) = reader.join().expect("a reader");
+        assert!(received.starts_with("HTTP/1.1 503"), "{received:?}");
+        // The end of acceptance is at 2.96 s, that of all requests that were not sent at 7.35 s.
+        assert!(took < Duration::from_secs(6), "refused after {took:?}");
+    });
+}
+
+/// Guards against a refusal of requests that an instance that stops has the time for: they end soon, by
+/// what the requests of their route took before.
+#[test_case("/any/x"; "that may be repeated")]
+#[test_case("/once/x"; "that may run once")]
+#[test_case("/stream/x"; "whose answer is a stream")]
+fn a_short_request_that_is_complete_late_in_the_grace_period_is_served(path: &'static str) {
+    let harness = Arc::new(Harness::start(vec![vec![Reply::Complete(STREAM[0])]]));
+    block_on(async {
+        harness.until_ready(true).await;
+        for _ in 0..KNOWN_REQUESTS {
+            assert_eq!(harness.ask(path, "1").await.status, 200);
+        }
+        let (callers, began) = (harness.caller_address(), Instant::now());
+        let rest_at = [4, 6, 7].map(Duration::from_secs);
+        let sent = rest_at.map(|at| send_in_parts(callers, began, (path, BODY_CUT), at));
+        harness.gateway.stop().await;
+        for client in sent {
+            let received = client.join().expect("a client");
+            assert!(received.starts_with("HTTP/1.1 200"), "{received:?}");
+        }
+    });
+}
+
+/// Guards against a second run of a request that begins in a stop and cannot end before its instance,
+/// by what the requests of its route took before.
+#[test]
+fn a_request_is_not_sent_again_if_it_could_not_end() {
+    let known = Reply::Delayed("a", Duration::from_millis(1_500));
+    let harness = Arc::new(Harness::start(vec![vec![known]; 2]));
+    let arrivals = |harness: &Harness| harness.upstreams.iter().map(|u| u.count()).sum::<usize>();
+    block_on(async {
+        harness.until_ready(true).await;
+        let asks = (0..KNOWN_REQUESTS).map(|_| {
+            let caller = Arc::clone(&harness);
+            harness.spawn(async move { caller.ask("/any/x", "1").await })
+        });
+        for ask in asks.collect::<Vec<_>>() {
+            assert_eq!(ask.await.status, 200);
+        }
+        let before = arrivals(&harness);
+        for upstream in &harness.upstreams {
+            upstream.set_replies(vec![Reply::DelayedFailure(Duration::from_millis(6_500))]);
+        }
+        let caller = Arc::clone(&harness);
+        let response = harness.spawn(async move { caller.ask("/any/x", "2").await });
+        while arrivals(&harness) == before {
+            Timer::after(Duration::from_millis(2)).await;
+        }
+        harness.gateway.stop().await;
+        assert_eq!(response.await.status, 500);
+        assert_eq!(arrivals(&harness), before + 1, "runs");
+    });
+}
