Retries: the slack is shared by all instances that are known, heard or not

What callers saw: a failing service got more repeats than its limit, so that its requests came back later.

Cause: each instance divided the slack by the instances that it heard, and a process began with an empty window and its whole share. Instances that are cut off, or that have just started, each took what is meant for all. The last retry was also rounded up at each instance.

Change: the share is divided by the largest number of instances of the last 600 s, is zero before the list is known, and grows with the age of the process from a ninth to the whole within a window. With k starts at each address in a window, all together send at most (0.85 + 0.05 k) of the slack. In calm, with one request in twenty failing, 9 instances and one allow every retry that is asked for.

Tests changed: knowledge.rs passes a share instead of a number of instances; its bounds are the same. Not bounded: a process that starts after entries were removed in a cut knows too few instances.

--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,5 +1,6 @@
 //! The metrics of the gateway.
 
+use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
 use prometheus_client::encoding::EncodeLabelSet;
@@ -41,6 +42,8 @@
     parallel_attempts: Family<Outcome, Counter>,
     stages: Family<Outcome, Counter>,
     retries: Family<Outcome, Counter>,
+    retry_instances: Gauge,
+    retry_slack: Gauge<f64, AtomicU64>,
     store_calls: Family<StoreOutcome, Counter>,
     broken_runs: Family<Outcome, Counter>,
     quarantine_changes: Family<Outcome, Counter>,
@@ -76,6 +79,8 @@
             parallel_attempts: Family::default(),
             stages: Family::default(),
             retries: Family::default(),
+            retry_instances: Gauge::default(),
+            retry_slack: Gauge::default(),
             store_calls: Family::default(),
             broken_runs: Family::default(),
             quarantine_changes: Family::default(),
@@ -126,6 +131,16 @@
             "Repeats asked for",
             metrics.retries.clone(),
         );
+        r.register(
+            "jd_gateway_repeat_instances",
+            "Instances that the slack of repeats is divided by",
+            metrics.retry_instances.clone(),
+        );
+        r.register(
+            "jd_gateway_repeat_slack",
+            "Repeats that this instance may send in a window beyond the ratio",
+            metrics.retry_slack.clone(),
+        );
         r.register(
             "jd_gateway_store_calls",
             "Calls to the store",
@@ -257,7 +272,11 @@
         self.stage_seconds.observe(took.as_secs_f64());
     }
 
-    pub(crate) fn retry(&self, allowed: bool) {
+    /// Records that a retry was asked for, and the share of the slack that it was decided by.
+    pub(crate) fn retry(&self, allowed: bool, instances: usize, slack: f64) {
+        self.retry_instances
+            .set(i64::try_from(instances).unwrap_or(i64::MAX));
+        self.retry_slack.set(slack);
         let outcome = if allowed { "allowed" } else { "over-budget" };
         self.retries.get_or_create(&Outcome { outcome }).inc();
     }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -27,6 +27,7 @@
 use jd_serving::RecentShards;
 use jd_serving::RetryBudget;
 use jd_serving::RetryLimit;
+use jd_serving::RetryShare;
 use jd_serving::Router;
 use jd_serving::ShardMap;
 use jd_serving::ShutdownPlan;
@@ -127,6 +128,8 @@
     pub(crate) instances_listed: Latch,
     cluster: Mutex<ClusterState>,
     budgets: Mutex<HashMap<CompactString, RetryBudget>>,
+    /// When this process started.
+    started: MonoTime,
     pub(crate) shutdown: Shutdown,
     /// Bounds the log lines about refusals.
     pub(crate) refusal_lines: Mutex<LineLimit>,
@@ -187,6 +190,7 @@
             instances_listed: Latch::default(),
             cluster: Mutex::default(),
             budgets: Mutex::default(),
+            started: clock.now(),
             shutdown: Shutdown::default(),
             refusal_lines: Mutex::default(),
             requests_running: AtomicUsize::new(0),
@@ -349,12 +353,13 @@
     /// Takes a retry from the budget of a service; false if the budget is used up.
     pub(crate) fn may_retry(&self, service: &str) -> bool {
         let limit = self.retry_limit();
-        let instances = self.instance_count() as usize;
         let now = self.now();
+        let share = self.retry_share(now);
         let mut budgets = lock(&self.budgets);
         let budget = budgets.entry(service.into()).or_default();
-        let allowed = budget.try_retry(now, &limit, instances);
-        self.metrics.retry(allowed);
+        let allowed = budget.try_retry(now, &limit, share);
+        self.metrics
+            .retry(allowed, share.instances(), share.slack(&limit));
         allowed
     }
 
@@ -386,6 +391,18 @@
         });
     }
 
+    /// The share of the retries of all instances that this one may send.
+    fn retry_share(&self, now: MonoTime) -> RetryShare {
+        let cluster = self.cluster();
+        match cluster.instances_listed_at {
+            None => RetryShare::Unlisted,
+            Some(_) => RetryShare::Listed {
+                instances: cluster.instances.largest_size(),
+                age: now.since(self.started),
+            },
+        }
+    }
+
     fn retry_limit(&self) -> RetryLimit {
         RetryLimit {
             ratio: self.settings.retry_ratio,
--- a/crates/serving/src/instance_directory.rs
+++ b/crates/serving/src/instance_directory.rs
@@ -14,6 +14,7 @@
 use crate::StoreRevision;
 use crate::UnresponsiveInstance;
 use crate::UpstreamPath;
+use crate::fleet_size::FleetSize;
 use crate::visit_counter::VisitCounter;
 
 /// Time without a heartbeat reply after which an instance counts as absent: three missed
@@ -40,6 +41,8 @@
     by_address: HashMap<SocketAddr, Incarnation>,
     /// Instances that the store does not list.
     unlisted: HashSet<Incarnation>,
+    /// The number of known instances, without this one.
+    size: FleetSize,
     visits: VisitCounter,
 }
 
@@ -117,6 +120,7 @@
         known.entry.leaving |= entry.leaving;
         self.by_address
             .insert(known.entry.peer_address, entry.incarnation);
+        self.size.record(now, self.known.len());
     }
 
     /// Marks all instances outside `ids` as not listed. Without this, an instance whose entry
@@ -214,6 +218,7 @@
             entry,
         };
         self.insert(known);
+        self.size.record(now, self.known.len());
     }
 
     /// Sets the instances that heartbeats are exchanged with.
@@ -260,6 +265,7 @@
 
     /// Removes instances that are neither listed nor answering heartbeats.
     pub fn expire(&mut self, now: MonoTime) {
+        self.size.record(now, self.known.len());
         for (id, known) in &mut self.known {
             let lost = known.missing_since;
             if lost.is_some_and(|at| now.since(at) >= REWRITE_GRACE) {
@@ -279,6 +285,12 @@
         }
     }
 
+    /// The largest number of instances that was known lately, including this one. Instances that
+    /// are not heard, or that are no longer listed, count.
+    pub fn largest_size(&self) -> usize {
+        self.size.largest() + 1
+    }
+
     /// All known instances.
     pub fn entries(&self) -> impl Iterator<Item = &InstanceEntry> {
         self.known.values().map(|k| &k.entry)
--- a/crates/serving/src/retry_budget.rs
+++ b/crates/serving/src/retry_budget.rs
@@ -5,6 +5,8 @@
 
 use jd_types::MonoTime;
 
+use crate::RetryShare;
+
 /// The limit on retries at one service, across all instances.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RetryLimit {
@@ -16,16 +18,20 @@
     pub window: Duration,
 }
 
-/// The fraction of the limit that is used. The rest allows for instances that start or stop
-/// within a window, and for retries that were counted as first attempts.
+/// The fraction of the ratio that is used. The requests that a retry is allowed by may have arrived
+/// in the window before the one that the retry is counted in.
 const USED_FRACTION: f64 = 0.5;
 
 /// One instance's share of the retry limit of one service.
 ///
 /// Guards against retry storms, in which a service slows down, requests time out, and each
 /// timeout causes another request. Every instance counts its own requests and keeps to the
-/// ratio on its own; the slack is divided by the number of known instances. No communication is
-/// needed.
+/// ratio on its own; of the slack it has a [`RetryShare`]. No communication is needed.
+///
+/// In any window, all instances together send at most `ratio * R + slack` retries, where R is the
+/// number of requests in that window or the one before, whichever has more: each retry is allowed
+/// by half of the ratio of the requests of its own process in the window that ends with it, which
+/// lies within these two.
 #[derive(Debug, Default)]
 pub struct RetryBudget {
     first_attempts: VecDeque<MonoTime>,
@@ -40,12 +46,11 @@
     }
 
     /// Returns true and counts a retry if it is within the limit.
-    pub fn try_retry(&mut self, now: MonoTime, limit: &RetryLimit, instances: usize) -> bool {
+    pub fn try_retry(&mut self, now: MonoTime, limit: &RetryLimit, share: RetryShare) -> bool {
         remove_expired(&mut self.first_attempts, now, limit.window);
         remove_expired(&mut self.retries, now, limit.window);
-        let slack = limit.slack / instances.max(1) as f64;
-        let allowed = (self.first_attempts.len() as f64 * limit.ratio + slack) * USED_FRACTION;
-        let fits = (self.retries.len() as f64) < allowed;
+        let earned = self.first_attempts.len() as f64 * limit.ratio * USED_FRACTION;
+        let fits = (self.retries.len() + 1) as f64 <= earned + share.slack(limit);
         if fits {
             self.retries.push_back(now);
         }
--- a/crates/serving/tests/knowledge.rs
+++ b/crates/serving/tests/knowledge.rs
@@ -10,6 +10,7 @@
 use jd_serving::Proof;
 use jd_serving::RetryBudget;
 use jd_serving::RetryLimit;
+use jd_serving::RetryShare;
 use jd_serving::SnapshotKind;
 use jd_serving::SoftwareVersion;
 use jd_serving::StoreRevision;
@@ -155,6 +156,14 @@
     window: Duration::from_secs(10),
 };
 
+/// The share of an instance that has run for longer than the window.
+fn share_of(instances: usize) -> RetryShare {
+    RetryShare::Listed {
+        instances,
+        age: LIMIT.window,
+    }
+}
+
 /// A service is down and every request fails at once. Eight instances without a limit on
 /// retries would send it several times its load.
 #[test]
@@ -165,8 +174,8 @@
         let now = at(1_000 + n * 12);
         let budget = &mut budgets[n as usize % 8];
         budget.record_first_attempt(now, &LIMIT);
-        sent += usize::from(budget.try_retry(now, &LIMIT, 8));
-        sent += usize::from(budget.try_retry(now, &LIMIT, 8));
+        sent += usize::from(budget.try_retry(now, &LIMIT, share_of(8)));
+        sent += usize::from(budget.try_retry(now, &LIMIT, share_of(8)));
     }
     let allowed = 800.0 * LIMIT.ratio + LIMIT.slack;
     assert!(sent as f64 <= allowed * 0.6, "{sent} of {allowed}");
@@ -180,7 +189,7 @@
     let mut sent = 0;
     for _ in 0..8 {
         let mut budget = RetryBudget::default();
-        while budget.try_retry(at(1_000), &LIMIT, 4) {
+        while budget.try_retry(at(1_000), &LIMIT, share_of(4)) {
             sent += 1;
         }
     }
@@ -190,7 +199,7 @@
 #[test]
 fn retries_are_allowed_again_after_the_window() {
     let mut budget = RetryBudget::default();
-    while budget.try_retry(at(1_000), &LIMIT, 8) {}
-    assert!(!budget.try_retry(at(10_000), &LIMIT, 8));
-    assert!(budget.try_retry(at(11_100), &LIMIT, 8));
+    while budget.try_retry(at(1_000), &LIMIT, share_of(8)) {}
+    assert!(!budget.try_retry(at(10_000), &LIMIT, share_of(8)));
+    assert!(budget.try_retry(at(11_100), &LIMIT, share_of(8)));
 }
--- a/crates/serving/tests/retry_orders.rs
+++ b/crates/serving/tests/retry_orders.rs
@@ -10,6 +10,7 @@
 use jd_serving::InstanceEntry;
 use jd_serving::RetryBudget;
 use jd_serving::RetryLimit;
+use jd_serving::RetryShare;
 use jd_serving::StoreRevision;
 use jd_serving::Strength;
 use jd_serving::UpstreamPath;
@@ -38,12 +39,16 @@
     directory: InstanceDirectory,
     budget: RetryBudget,
     is_cut: bool,
+    started: MonoTime,
 }
 
 impl Instance {
     fn try_retry(&mut self, now: MonoTime) -> bool {
-        let instances = self.directory.live(now).count() + 1;
-        self.budget.try_retry(now, &LIMIT, instances)
+        let share = RetryShare::Listed {
+            instances: self.directory.largest_size(),
+            age: now.since(self.started),
+        };
+        self.budget.try_retry(now, &LIMIT, share)
     }
 }
 
@@ -102,6 +107,7 @@
             directory,
             budget: RetryBudget::default(),
             is_cut: false,
+            started: now,
         });
     }
 
@@ -178,13 +184,16 @@
     /// Checks every window that ends with a retry.
     fn assert_bounded(&self) {
         let window = LIMIT.window.as_millis() as u64;
-        for end in &self.retries {
-            let end = end + 2 * window;
-            let count = |times: &[u64], end: u64| {
-                let within = |t: &&u64| (end - window..=end).contains(&(*t + 2 * window));
-                times.iter().filter(within).count()
-            };
-            let ends = [end, end - window / 2, end - window];
+        let count = |times: &[u64], end: u64| {
+            let before = times.partition_point(|t| *t + window < end);
+            times.partition_point(|t| *t <= end) - before
+        };
+        for end in self.retries.iter().copied() {
+            let ends = [
+                end,
+                end.saturating_sub(window / 2),
+                end.saturating_sub(window),
+            ];
             let firsts = ends.map(|end| count(&self.firsts, end));
             let most = firsts.into_iter().max().unwrap_or(0) as f64;
             let retries = count(&self.retries, end);
@@ -264,3 +273,37 @@
         fleet.assert_bounded();
     }
 }
+
+/// Guards against refusing retries in calm, where one request in twenty fails.
+#[test_case(1; "alone")]
+#[test_case(9; "nine")]
+fn retries_in_calm_are_allowed(size: u8) {
+    let mut fleet = Fleet::new(size);
+    let mut asked = 0;
+    for n in 0..2_000 {
+        fleet.run(STEP_MS, 0);
+        let (index, now) = (n % usize::from(size), fleet.now());
+        let instance = &mut fleet.instances[index];
+        instance.budget.record_first_attempt(now, &LIMIT);
+        if n % 20 == 0 {
+            asked += 1;
+            fleet
+                .retries
+                .extend(instance.try_retry(now).then_some(fleet.now_ms));
+        }
+    }
+    assert_eq!(fleet.retries.len(), asked);
+}
+
+/// Guards against a process that takes the whole slack because it has not read the list yet.
+#[test]
+fn there_is_no_slack_before_the_list_of_instances_is_known() {
+    let mut budget = RetryBudget::default();
+    let now = MonoTime::from_millis(60_000);
+    assert!(!budget.try_retry(now, &LIMIT, RetryShare::Unlisted));
+    for _ in 0..10 {
+        budget.record_first_attempt(now, &LIMIT);
+    }
+    assert!(budget.try_retry(now, &LIMIT, RetryShare::Unlisted));
+    assert!(!budget.try_retry(now, &LIMIT, RetryShare::Unlisted));
+}
