Retries: an attempt that was not sent gives back its own retry alone

What callers saw: nothing was traced to this; read in the sources.

Cause: the latest retry of the service was taken back when an attempt was refused before it was sent, whichever attempt had paid for it. The one that stayed left the window sooner than the one that was sent. An attempt that had paid nothing, since the one before it reached no upstream, took back the retry of another request.

Change: an attempt carries what it has paid (Payment), and gives back that. An attempt that is cancelled stays paid, as before.

--- a/crates/gateway/src/event_stream.rs
+++ b/crates/gateway/src/event_stream.rs
@@ -205,12 +205,12 @@
             self.not_resumed = Some(NotResumed::VersionUncertain);
             return;
         };
-        let skips_budget = std::mem::take(&mut self.skips_budget);
-        if !skips_budget && !state.may_retry(&self.cx.request.service) {
+        let is_free = std::mem::take(&mut self.skips_budget);
+        let Some(payment) = state.pay(&self.cx.request.service, is_free) else {
             self.not_resumed = Some(NotResumed::RetryBudget);
             self.attempts.record_refusal(now);
             return;
-        }
+        };
         if let Some(evidence) = evidence {
             let pending = self.attempts.len() + usize::from(self.response.is_open());
             log_beside(&self.cx, evidence, pending);
@@ -228,6 +228,7 @@
             last_event: self.last_event(),
             results: None,
             has_begun: true,
+            payment,
             run: match self.response.is_open() || !self.attempts.is_empty() {
                 true => StageRun::Beside,
                 false => StageRun::Again,
@@ -258,7 +259,6 @@
             }
         };
         self.not_resumed = Some(refused);
-        self.cx.state.take_back_retry(&self.cx.request.service);
         self.pause_before_others();
         Resumed::No
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -68,6 +68,7 @@
 mod result_free_queue;
 mod result_release_queue;
 mod result_replication;
+mod retry_counts;
 mod retry_state;
 mod revision_poller;
 mod run_events;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -1,6 +1,5 @@
 //! The state that all parts of the gateway share.
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -12,7 +11,6 @@
 use arc_swap::ArcSwap;
 use arc_swap::ArcSwapOption;
 use async_executor::Executor;
-use compact_str::CompactString;
 use event_listener::Event;
 use jd_net::Clock;
 use jd_net::HttpPool;
@@ -25,9 +23,6 @@
 use jd_serving::FleetPosition;
 use jd_serving::InstanceEntry;
 use jd_serving::RecentShards;
-use jd_serving::RetryBudget;
-use jd_serving::RetryLimit;
-use jd_serving::RetryShare;
 use jd_serving::Router;
 use jd_serving::ShardMap;
 use jd_serving::ShutdownPlan;
@@ -57,6 +52,7 @@
 use crate::permit_retries::PermitRetries;
 use crate::quarantine::Quarantine;
 use crate::restart_checks::RestartChecks;
+use crate::retry_counts::RetryBudgets;
 use crate::run_events::RunEnd;
 use crate::run_events::RunEvent;
 use crate::run_events::UpstreamRef;
@@ -127,9 +123,9 @@
     /// Set once the list of instances in the store is known.
     pub(crate) instances_listed: Latch,
     cluster: Mutex<ClusterState>,
-    budgets: Mutex<HashMap<CompactString, RetryBudget>>,
+    pub(crate) budgets: RetryBudgets,
     /// When this process started.
-    started: MonoTime,
+    pub(crate) started: MonoTime,
     pub(crate) shutdown: Shutdown,
     /// Bounds the log lines about refusals.
     pub(crate) refusal_lines: Mutex<LineLimit>,
@@ -339,37 +335,6 @@
             .close_idle_for(upstream.address, silent_for);
     }
 
-    /// Counts the first send of a request to a service, which adds to the retry budget.
-    pub(crate) fn record_first_send(&self, service: &str) {
-        let limit = self.retry_limit();
-        let now = self.now();
-        let mut budgets = lock(&self.budgets);
-        budgets
-            .entry(service.into())
-            .or_default()
-            .record_first_attempt(now, &limit);
-    }
-
-    /// Takes a retry from the budget of a service; false if the budget is used up.
-    pub(crate) fn may_retry(&self, service: &str) -> bool {
-        let limit = self.retry_limit();
-        let now = self.now();
-        let share = self.retry_share(now);
-        let mut budgets = lock(&self.budgets);
-        let budget = budgets.entry(service.into()).or_default();
-        let allowed = budget.try_retry(now, &limit, share);
-        self.metrics
-            .retry(allowed, share.instances(), share.slack(&limit));
-        allowed
-    }
-
-    /// Takes a retry back, because nothing was sent.
-    pub(crate) fn take_back_retry(&self, service: &str) {
-        if let Some(budget) = lock(&self.budgets).get_mut(service) {
-            budget.take_back();
-        }
-    }
-
     /// True if the upstreams of a service run stage pieces.
     pub(crate) fn serves_stages(&self, service: &str) -> bool {
         let router = self.router.load();
@@ -390,24 +355,4 @@
             end,
         });
     }
-
-    /// The share of the retries of all instances that this one may send.
-    fn retry_share(&self, now: MonoTime) -> RetryShare {
-        let cluster = self.cluster();
-        match cluster.instances_listed_at {
-            None => RetryShare::Unlisted,
-            Some(_) => RetryShare::Listed {
-                instances: cluster.instances.largest_size(),
-                age: now.since(self.started),
-            },
-        }
-    }
-
-    fn retry_limit(&self) -> RetryLimit {
-        RetryLimit {
-            ratio: self.settings.retry_ratio,
-            slack: self.settings.retry_slack,
-            window: self.settings.retry_window,
-        }
-    }
 }
--- a/crates/gateway/src/stream_attempt.rs
+++ b/crates/gateway/src/stream_attempt.rs
@@ -24,6 +24,7 @@
 use crate::next_send::NextSend;
 use crate::next_send::NextSendError;
 use crate::next_send::send_to_next_upstream;
+use crate::retry_counts::Payment;
 use crate::signal::Signal;
 use crate::stage_results::StageResults;
 use crate::stage_runner::StageRun;
@@ -45,6 +46,8 @@
     pub(crate) has_begun: bool,
     /// Why the stages run if they have to.
     pub(crate) run: StageRun,
+    /// What it has paid, which it gets back if nothing is sent.
+    pub(crate) payment: Payment,
 }
 
 /// What became of an attempt.
@@ -102,7 +105,17 @@
 
 impl StreamAttempt {
     /// Sends the request, up to the head of a response.
-    pub(crate) async fn until_head(self) -> Ended {
+    pub(crate) async fn until_head(mut self) -> Ended {
+        let state = Arc::clone(&self.cx.state);
+        let payment = std::mem::replace(&mut self.payment, Payment::None);
+        let ended = self.send().await;
+        if let Ended::Refused(_) = &ended {
+            payment.give_back(&state);
+        }
+        ended
+    }
+
+    async fn send(self) -> Ended {
         let StreamAttempt {
             cx,
             stages,
@@ -111,6 +124,7 @@
             results,
             has_begun,
             run,
+            payment: _,
         } = self;
         let forward_only = match &results {
             Some(results) => results.are_skipped(),
@@ -161,6 +175,7 @@
         if let Some((beginning, software)) = begun_by {
             let service = &cx.request.service;
             if !version_check::is_certain(&cx.state, service, &beginning, &software).await {
+                self.payment.give_back(&cx.state);
                 return Ended::VersionUncertain;
             }
         }
--- a/crates/gateway/src/streaming_call.rs
+++ b/crates/gateway/src/streaming_call.rs
@@ -34,6 +34,7 @@
 use crate::forwarded_from;
 use crate::held_answer::HeldAnswer;
 use crate::placed_prompt::PlacedPrompt;
+use crate::retry_counts::Payment;
 use crate::retry_state::RetryState;
 use crate::stage_results::StageResults;
 use crate::stage_runner::StageRun;
@@ -121,7 +122,7 @@
 
 impl StreamingCall {
     async fn run(mut self) -> Result<Response<Body>, Refusal> {
-        self.begin();
+        self.begin(Payment::None);
         loop {
             let left = self.cx.time_left();
             let may_run = || self.cx.may_run(MAX_ATTEMPTS);
@@ -149,19 +150,19 @@
     /// Begins another attempt if the retry budget allows it.
     fn try_begin(&mut self, evidence: Option<Evidence>) -> bool {
         let state = &self.cx.state;
-        let skips_budget = std::mem::take(&mut self.skips_budget);
-        if !skips_budget && !state.may_retry(&self.cx.request.service) {
+        let is_free = std::mem::take(&mut self.skips_budget);
+        let Some(payment) = state.pay(&self.cx.request.service, is_free) else {
             self.attempts.record_refusal(state.now());
             return false;
-        }
+        };
         if let Some(evidence) = evidence {
             log_beside(&self.cx, evidence, self.attempts.len());
         }
-        self.begin();
+        self.begin(payment);
         true
     }
 
-    fn begin(&mut self) {
+    fn begin(&mut self, payment: Payment) {
         let is_path_lost = self.cx.state.path.is_lost();
         let usable = |r: &StageResults| !r.are_skipped() || is_path_lost;
         let clock = Arc::new(AttemptClock::default());
@@ -172,6 +173,7 @@
             last_event: self.cx.request.head.last_event,
             results: self.results.take().filter(usable),
             has_begun: false,
+            payment,
             run: match self.attempts.is_empty() {
                 true => StageRun::Again,
                 false => StageRun::Beside,
@@ -196,7 +198,6 @@
                 return Err(lock(&self.cx.retries).after_runs(refusal));
             }
             Ended::Refused(_) | Ended::VersionUncertain => {
-                self.cx.state.take_back_retry(&self.cx.request.service);
                 self.attempts.record_refusal(self.cx.state.now());
             }
             Ended::Failed(failure, results) => self.record_failure(failure, results),
--- a/crates/gateway/src/unary_call.rs
+++ b/crates/gateway/src/unary_call.rs
@@ -37,6 +37,7 @@
 use crate::next_send::NextSendError;
 use crate::next_send::send_to_next_upstream;
 use crate::open_requests::Wait;
+use crate::retry_counts::Payment;
 use crate::retry_state::RetryState;
 use crate::state::State;
 use crate::upstream_selection::backoff_retry_after;
@@ -62,22 +63,22 @@
     let cx = AttemptContext::new(state, request, retries);
     let mut attempts: Attempts<Ended> = Attempts::new();
     let mut last = LastResult::default();
-    begin(&cx, &mut attempts);
+    begin(&cx, &mut attempts, Payment::None);
     loop {
         let left = cx.time_left();
         match attempts.decide(state, None, || cx.may_run(MAX_ATTEMPTS), left) {
             AttemptDecision::End => return last.into_answer(&cx),
             AttemptDecision::Attempt(evidence) => {
                 let is_free = std::mem::take(&mut last.is_unreachable);
-                match is_free || state.may_retry(&cx.request.service) {
-                    true => {
+                match state.pay(&cx.request.service, is_free) {
+                    Some(payment) => {
                         if let Some(evidence) = evidence {
                             log_beside(&cx, evidence, attempts.len());
                         }
-                        begin(&cx, &mut attempts);
+                        begin(&cx, &mut attempts, payment);
                     }
-                    false if attempts.is_empty() => return last.into_answer(&cx),
-                    false => attempts.record_refusal(state.now()),
+                    None if attempts.is_empty() => return last.into_answer(&cx),
+                    None => attempts.record_refusal(state.now()),
                 }
             }
             AttemptDecision::Wait(limit) => {
@@ -95,7 +96,6 @@
                         return last.error_response(&cx).ok_or(refusal);
                     }
                     Some(Err(NextSendError::Refused(_))) => {
-                        state.take_back_retry(&cx.request.service);
                         attempts.record_refusal(state.now());
                     }
                 }
@@ -105,7 +105,7 @@
 }
 
 /// Begins an attempt at the next upstream.
-fn begin(cx: &AttemptContext, attempts: &mut Attempts<Ended>) {
+fn begin(cx: &AttemptContext, attempts: &mut Attempts<Ended>, payment: Payment) {
     let clock = Arc::new(AttemptClock::default());
     let (cx, sent) = (cx.clone(), Arc::clone(&clock));
     attempts.begin(clock, async move {
@@ -115,7 +115,11 @@
             forward_only: false,
             on_write: || {},
         };
-        let response = send_to_next_upstream(&cx, &sent, next).await?;
+        let response = send_to_next_upstream(&cx, &sent, next).await;
+        if let Err(NextSendError::Refused(_)) = &response {
+            payment.give_back(&cx.state);
+        }
+        let response = response?;
         let read = read_complete(&cx.state, &cx.request, response).await;
         read.map_err(NextSendError::Failed)
     });
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -180,6 +180,7 @@
 pub use retry_after::RetryAfter;
 pub use retry_after::RetryAfterError;
 pub use retry_budget::RetryBudget;
+pub use retry_budget::RetryId;
 pub use retry_budget::RetryLimit;
 pub use retry_share::RetryShare;
 pub use revision::StoreRevision;
--- a/crates/serving/src/retry_budget.rs
+++ b/crates/serving/src/retry_budget.rs
@@ -35,9 +35,15 @@
 #[derive(Debug, Default)]
 pub struct RetryBudget {
     first_attempts: VecDeque<MonoTime>,
-    retries: VecDeque<MonoTime>,
+    retries: VecDeque<(RetryId, MonoTime)>,
+    /// How many retries were ever counted.
+    counted: u64,
 }
 
+/// Identifies a retry that a budget has counted.
+#[derive(Debug, PartialEq, Eq)]
+pub struct RetryId(u64);
+
 impl RetryBudget {
     /// Records the first attempt of a request.
     pub fn record_first_attempt(&mut self, now: MonoTime, limit: &RetryLimit) {
@@ -45,21 +51,32 @@
         remove_expired(&mut self.first_attempts, now, limit.window);
     }
 
-    /// Returns true and counts a retry if it is within the limit.
-    pub fn try_retry(&mut self, now: MonoTime, limit: &RetryLimit, share: RetryShare) -> bool {
+    /// Counts a retry if it is within the limit; none if it is not.
+    pub fn try_retry(
+        &mut self,
+        now: MonoTime,
+        limit: &RetryLimit,
+        share: RetryShare,
+    ) -> Option<RetryId> {
         remove_expired(&mut self.first_attempts, now, limit.window);
-        remove_expired(&mut self.retries, now, limit.window);
+        let is_over = |at: MonoTime| now.since(at) > limit.window;
+        while self.retries.front().is_some_and(|(_, at)| is_over(*at)) {
+            self.retries.pop_front();
+        }
         let earned = self.first_attempts.len() as f64 * limit.ratio * USED_FRACTION;
         let fits = (self.retries.len() + 1) as f64 <= earned + share.slack(limit);
-        if fits {
-            self.retries.push_back(now);
+        if !fits {
+            return None;
         }
-        fits
+        self.counted += 1;
+        self.retries.push_back((RetryId(self.counted), now));
+        Some(RetryId(self.counted))
     }
 
-    /// Takes back the latest retry, because nothing was sent.
-    pub fn take_back(&mut self) {
-        self.retries.pop_back();
+    /// Gives a retry back, because nothing was sent. Another retry would leave the window at
+    /// another time.
+    pub fn give_back(&mut self, retry: RetryId) {
+        self.retries.retain(|(id, _)| *id != retry);
     }
 }
 
--- a/crates/serving/tests/knowledge.rs
+++ b/crates/serving/tests/knowledge.rs
@@ -174,8 +174,8 @@
         let now = at(1_000 + n * 12);
         let budget = &mut budgets[n as usize % 8];
         budget.record_first_attempt(now, &LIMIT);
-        sent += usize::from(budget.try_retry(now, &LIMIT, share_of(8)));
-        sent += usize::from(budget.try_retry(now, &LIMIT, share_of(8)));
+        sent += usize::from(budget.try_retry(now, &LIMIT, share_of(8)).is_some());
+        sent += usize::from(budget.try_retry(now, &LIMIT, share_of(8)).is_some());
     }
     let allowed = 800.0 * LIMIT.ratio + LIMIT.slack;
     assert!(sent as f64 <= allowed * 0.6, "{sent} of {allowed}");
@@ -189,7 +189,7 @@
     let mut sent = 0;
     for _ in 0..8 {
         let mut budget = RetryBudget::default();
-        while budget.try_retry(at(1_000), &LIMIT, share_of(4)) {
+        while budget.try_retry(at(1_000), &LIMIT, share_of(4)).is_some() {
             sent += 1;
         }
     }
@@ -199,7 +199,24 @@
 #[test]
 fn retries_are_allowed_again_after_the_window() {
     let mut budget = RetryBudget::default();
-    while budget.try_retry(at(1_000), &LIMIT, share_of(8)) {}
-    assert!(!budget.try_retry(at(10_000), &LIMIT, share_of(8)));
-    assert!(budget.try_retry(at(11_100), &LIMIT, share_of(8)));
+    while budget.try_retry(at(1_000), &LIMIT, share_of(8)).is_some() {}
+    assert_eq!(budget.try_retry(at(10_000), &LIMIT, share_of(8)), None);
+    assert!(budget.try_retry(at(11_100), &LIMIT, share_of(8)).is_some());
+}
+
+/// Guards against a retry that was not sent giving a later one back, which the window then forgets.
+#[test]
+fn a_retry_that_was_not_sent_gives_back_itself_alone() {
+    let mut budget = RetryBudget::default();
+    let share = share_of(25);
+    let unsent = budget.try_retry(at(1_000), &LIMIT, share).expect("a retry");
+    for _ in 0..5 {
+        budget.record_first_attempt(at(10_000), &LIMIT);
+        budget.record_first_attempt(at(10_000), &LIMIT);
+    }
+    assert!(budget.try_retry(at(10_000), &LIMIT, share).is_some());
+    assert_eq!(budget.try_retry(at(10_000), &LIMIT, share), None);
+    budget.give_back(unsent);
+    assert!(budget.try_retry(at(10_000), &LIMIT, share).is_some());
+    assert_eq!(budget.try_retry(at(12_000), &LIMIT, share), None);
 }
--- a/crates/serving/tests/retry_orders.rs
+++ b/crates/serving/tests/retry_orders.rs
@@ -48,7 +48,7 @@
             instances: self.directory.largest_size(),
             age: now.since(self.started),
         };
-        self.budget.try_retry(now, &LIMIT, share)
+        self.budget.try_retry(now, &LIMIT, share).is_some()
     }
 }
 
@@ -300,10 +300,11 @@
 fn there_is_no_slack_before_the_list_of_instances_is_known() {
     let mut budget = RetryBudget::default();
     let now = MonoTime::from_millis(60_000);
-    assert!(!budget.try_retry(now, &LIMIT, RetryShare::Unlisted));
+    assert_eq!(budget.try_retry(now, &LIMIT, RetryShare::Unlisted), None);
     for _ in 0..10 {
         budget.record_first_attempt(now, &LIMIT);
     }
-    assert!(budget.try_retry(now, &LIMIT, RetryShare::Unlisted));
-    assert!(!budget.try_retry(now, &LIMIT, RetryShare::Unlisted));
+    let retry = budget.try_retry(now, &LIMIT, RetryShare::Unlisted);
+    assert!(retry.is_some());
+    assert_eq!(budget.try_retry(now, &LIMIT, RetryShare::Unlisted), None);
 }
