Retries: a send after missing stage results is a retry

What callers saw: upstreams that lack stage results get more requests than the limit on retries allows.

Cause: the next send after "the stage results are gone" paid nothing, though the request had arrived, and arrivals that an upstream rejects count.

Evidence: requests.rs, six upstreams that lack the results: three sends beyond the first, two paid for. It passes with the change: as many are paid for as arrive beyond the first. That a connection that does not open is free was read in net/src/http_pool.rs: NotSent needs a request that the library hands back unwritten, or no connection.

--- a/crates/gateway/src/streaming_call.rs
+++ b/crates/gateway/src/streaming_call.rs
@@ -113,8 +113,7 @@
     results: Option<StageResults>,
     /// True once the stages ran again because their results were gone.
     stages_rerun: bool,
-    /// True if the next attempt is no retry, because the latest one reached no upstream or lacked
-    /// its stage results.
+    /// True if the next attempt is no retry, because the latest one reached no upstream.
     skips_budget: bool,
     /// The latest failure.
     failure: Option<AttemptFailure>,
@@ -211,7 +210,6 @@
             if self.attempts.is_empty() {
                 lock(&self.cx.retries).tried.pop();
             }
-            self.skips_budget = true;
             return;
         }
         self.attempts.clear_refusals();
--- a/crates/gateway/tests/whole/requests.rs
+++ b/crates/gateway/tests/whole/requests.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
 use futures_lite::future::block_on;
@@ -283,6 +284,25 @@
     });
 }
 
+/// Guards against sending a request once more for free after an upstream that lacked its stage
+/// results: the request arrived there.
+#[test]
+fn a_send_after_missing_stage_results_is_a_retry() {
+    let asked = Arc::new(AtomicBool::new(true));
+    let reply = Reply::CrossedThenInputsGone(asked);
+    let stage = vec![Reply::Complete("made"); 8];
+    let harness = Harness::start_with_stage(vec![vec![reply]; 6], stage);
+    block_on(async {
+        harness.until_ready(true).await;
+        assert_ne!(harness.ask("/staged/x", "1").await.status, 200);
+        let arrived = harness.upstreams[..6].iter().map(|u| u.count());
+        let arrived = arrived.sum::<usize>() as u64;
+        assert!(arrived > 1, "{arrived}");
+        let allowed = "jd_gateway_repeats_total{outcome=\"allowed\"}";
+        assert_eq!(harness.counter_total(allowed).await, arrived - 1);
+    });
+}
+
 /// Guards against losing the error response of one upstream because the response of a second one
 /// breaks off: the caller gets the error response unchanged.
 #[test]
