Retries: a forwarded request adds to one retry budget

What callers saw: nothing was traced to this; read in the sources.

Cause: the instance that forwards a request and the one that runs it both counted its first send, so that the ratio allowed twice the retries for requests that are forwarded.

--- a/crates/gateway/src/forward_client.rs
+++ b/crates/gateway/src/forward_client.rs
@@ -141,10 +141,9 @@
         return None;
     }
     let mut refused = None;
-    // Both instances may repeat the request, this one after a run and the other one after a refusal
-    // of an upstream, each by its own budget for retries.
-    let counted = std::mem::replace(&mut lock(retries).counted, true);
-    if !counted {
+    // It adds to the retry budget of this instance alone. The other one may repeat it as well, after
+    // a refusal of an upstream, by what its own requests and its share of the slack allow.
+    if !std::mem::replace(&mut lock(retries).counted, true) {
         state.record_first_send(&request.service);
     }
     while let Some(target) = select_target(cx) {
@@ -158,7 +157,7 @@
                 age: state.now().since(request.arrived),
                 further_runs: retries.runs_left(state, request),
                 ran_at: request.ran_at.upstreams(),
-                counted,
+                counted: true,
                 version: state.forwards.latest_version(request.router.version),
                 last_event: next.last_event,
                 software: retries.software.clone(),
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -41,6 +41,7 @@
     attempts: Family<Outcome, Counter>,
     parallel_attempts: Family<Outcome, Counter>,
     stages: Family<Outcome, Counter>,
+    first_sends: Counter,
     retries: Family<Outcome, Counter>,
     retry_instances: Gauge,
     retry_slack: Gauge<f64, AtomicU64>,
@@ -78,6 +79,7 @@
             attempts: Family::default(),
             parallel_attempts: Family::default(),
             stages: Family::default(),
+            first_sends: Counter::default(),
             retries: Family::default(),
             retry_instances: Gauge::default(),
             retry_slack: Gauge::default(),
@@ -126,6 +128,11 @@
             "Stages of requests ended",
             metrics.stages.clone(),
         );
+        r.register(
+            "jd_gateway_first_sends",
+            "Requests that add to the budget for repeats",
+            metrics.first_sends.clone(),
+        );
         r.register(
             "jd_gateway_repeats",
             "Repeats asked for",
@@ -272,6 +279,10 @@
         self.stage_seconds.observe(took.as_secs_f64());
     }
 
+    pub(crate) fn first_send(&self) {
+        self.first_sends.inc();
+    }
+
     /// Records that a retry was asked for, and the share of the slack that it was decided by.
     pub(crate) fn retry(&self, allowed: bool, instances: usize, slack: f64) {
         self.retry_instances
--- a/crates/gateway/src/retry_counts.rs
+++ b/crates/gateway/src/retry_counts.rs
@@ -45,6 +45,7 @@
 impl State {
     /// Counts the first send of a request to a service, which adds to the retry budget.
     pub(crate) fn record_first_send(&self, service: &str) {
+        self.metrics.first_send();
         let limit = self.retry_limit();
         let now = self.now();
         let mut budgets = lock(&self.budgets);
--- a/crates/gateway/tests/whole/lost_paths.rs
+++ b/crates/gateway/tests/whole/lost_paths.rs
@@ -91,6 +91,25 @@
     });
 }
 
+/// Guards against a forwarded request that adds to the retry budgets of two instances.
+#[test]
+fn a_forwarded_request_adds_to_one_retry_budget() {
+    block_on(async {
+        let harness = fleet(2).await;
+        let last = by_ownership(&harness)[3];
+        cut_off(&harness, &[last], Cut::Resets).await;
+        let first_sends = "jd_gateway_first_sends_total";
+        let before = harness.counter_total(first_sends).await;
+        let arrived = requests_at(&harness);
+        for n in 0..10 {
+            let asking = harness.spawn_ask(last, "/any/x", &format!("once-{n}"));
+            assert_eq!(asking.await.status, 200);
+        }
+        assert_eq!(requests_at(&harness) - arrived, 10);
+        assert_eq!(harness.counter_total(first_sends).await - before, 10);
+    });
+}
+
 /// Guards against stages that fail at all instances because their owner reaches no upstream.
 #[test_case(Cut::Resets; "resets")]
 #[test_case(Cut::Hangs; "hangs")]
