--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,5 +1,6 @@
 //! The metrics of the gateway.
 
+use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
 use prometheus_client::encoding::EncodeLabelSet;
@@ -45,7 +46,10 @@
     attempts: Family<Outcome, Counter>,
     parallel_attempts: Family<Outcome, Counter>,
     stages: Family<Outcome, Counter>,
+    first_sends: Counter,
     retries: Family<Outcome, Counter>,
+    retry_instances: Gauge,
+    retry_slack: Gauge<f64, AtomicU64>,
     store_calls: Family<StoreOutcome, Counter>,
     broken_runs: Family<Outcome, Counter>,
     quarantine_changes: Family<Outcome, Counter>,
@@ -81,7 +85,10 @@
             attempts: Family::default(),
             parallel_attempts: Family::default(),
             stages: Family::default(),
+            first_sends: Counter::default(),
             retries: Family::default(),
+            retry_instances: Gauge::default(),
+            retry_slack: Gauge::default(),
             store_calls: Family::default(),
             broken_runs: Family::default(),
             quarantine_changes: Family::default(),
@@ -128,11 +135,26 @@
             "Stages of requests ended",
             metrics.stages.clone(),
         );
+        r.register(
+            "jd_gateway_first_sends",
+            "Requests that add to the budget for repeats",
+            metrics.first_sends.clone(),
+        );
         r.register(
             "jd_gateway_repeats",
             "Repeats asked for",
             metrics.retries.clone(),
         );
+        r.register(
+            "jd_gateway_repeat_instances",
+            "Instances that the slack of repeats is divided by",
+            metrics.retry_instances.clone(),
+        );
+        r.register(
+            "jd_gateway_repeat_slack",
+            "Repeats that this instance may send in a window beyond the ratio",
+            metrics.retry_slack.clone(),
+        );
         r.register(
             "jd_gateway_store_calls",
             "Calls to the store",
@@ -275,7 +297,15 @@
         self.stage_seconds.observe(took.as_secs_f64());
     }
 
-    pub(crate) fn retry(&self, allowed: bool) {
+    pub(crate) fn first_send(&self) {
+        self.first_sends.inc();
+    }
+
+    /// Records that a retry was asked for, and the share of the slack that it was decided by.
+    pub(crate) fn retry(&self, allowed: bool, instances: usize, slack: f64) {
+        self.retry_instances
+            .set(i64::try_from(instances).unwrap_or(i64::MAX));
+        self.retry_slack.set(slack);
         let outcome = if allowed { "allowed" } else { "over-budget" };
         self.retries.get_or_create(&Outcome { outcome }).inc();
     }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -1,6 +1,5 @@
 //! The state that all parts of the gateway share.
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -12,7 +11,6 @@
 use arc_swap::ArcSwap;
 use arc_swap::ArcSwapOption;
 use async_executor::Executor;
-use compact_str::CompactString;
 use event_listener::Event;
 use jd_net::Clock;
 use jd_net::HttpPool;
@@ -25,8 +23,6 @@
 use jd_serving::FleetPosition;
 use jd_serving::InstanceEntry;
 use jd_serving::RecentShards;
-use jd_serving::RetryBudget;
-use jd_serving::RetryLimit;
 use jd_serving::Router;
 use jd_serving::ShardMap;
 use jd_serving::ShutdownPlan;
@@ -56,6 +52,7 @@
 use crate::permit_retries::PermitRetries;
 use crate::quarantine::Quarantine;
 use crate::restart_checks::RestartChecks;
+use crate::retry_counts::RetryBudgets;
 use crate::run_events::RunEnd;
 use crate::run_events::RunEvent;
 use crate::run_events::UpstreamRef;
@@ -129,7 +126,9 @@
     /// Set once the list of instances in the store is known.
     pub(crate) instances_listed: Latch,
     cluster: Mutex<ClusterState>,
-    budgets: Mutex<HashMap<CompactString, RetryBudget>>,
+    pub(crate) budgets: RetryBudgets,
+    /// When this process started.
+    pub(crate) started: MonoTime,
     pub(crate) shutdown: Shutdown,
     /// Bounds the log lines about refusals.
     pub(crate) refusal_lines: Mutex<LineLimit>,
@@ -191,6 +190,7 @@
             instances_listed: Latch::default(),
             cluster: Mutex::default(),
             budgets: Mutex::default(),
+            started: clock.now(),
             shutdown: Shutdown::default(),
             refusal_lines: Mutex::default(),
             requests_running: AtomicUsize::new(0),
@@ -354,36 +354,6 @@
             .close_idle_for(upstream.address, silent_for);
     }
 
-    /// Counts the first send of a request to a service, which adds to the retry budget.
-    pub(crate) fn record_first_send(&self, service: &str) {
-        let limit = self.retry_limit();
-        let now = self.now();
-        let mut budgets = lock(&self.budgets);
-        budgets
-            .entry(service.into())
-            .or_default()
-            .record_first_attempt(now, &limit);
-    }
-
-    /// Takes a retry from the budget of a service; false if the budget is used up.
-    pub(crate) fn may_retry(&self, service: &str) -> bool {
-        let limit = self.retry_limit();
-        let instances = self.instance_count() as usize;
-        let now = self.now();
-        let mut budgets = lock(&self.budgets);
-        let budget = budgets.entry(service.into()).or_default();
-        let allowed = budget.try_retry(now, &limit, instances);
-        self.metrics.retry(allowed);
-        allowed
-    }
-
-    /// Takes a retry back, because nothing was sent.
-    pub(crate) fn take_back_retry(&self, service: &str) {
-        if let Some(budget) = lock(&self.budgets).get_mut(service) {
-            budget.take_back();
-        }
-    }
-
     /// True if the upstreams of a service run stage pieces.
     pub(crate) fn serves_stages(&self, service: &str) -> bool {
         let router = self.router.load();
@@ -404,12 +374,4 @@
             end,
         });
     }
-
-    fn retry_limit(&self) -> RetryLimit {
-        RetryLimit {
-            ratio: self.settings.retry_ratio,
-            slack: self.settings.retry_slack,
-            window: self.settings.retry_window,
-        }
-    }
 }
