--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -163,6 +163,9 @@
             link: Arc::clone(&link),
         });
         let lease = Arc::new(StoreLease::new(Arc::clone(&link)));
+        let poller = Arc::new(RevisionPoller {
+            link: Arc::clone(&link),
+        });
         let applier = Arc::new(StoreApplier {
             state: Arc::clone(&state),
             store,
@@ -177,10 +180,6 @@
             reader,
             peers: Arc::clone(&peers),
         });
-        let poller = Arc::new(RevisionPoller {
-            link: Arc::clone(&link),
-            follower: Arc::clone(&follower),
-        });
         let caller_api = Arc::new(CallerApi {
             state: Arc::clone(&state),
             stages,
--- a/crates/gateway/src/peer_client.rs
+++ b/crates/gateway/src/peer_client.rs
@@ -169,20 +169,6 @@
         self.request(id, req, wait).await
     }
 
-    /// Gets a proof that another instance asks for once it has the request; none if it does not
-    /// answer.
-    pub(crate) async fn request_proof(
-        &self,
-        id: Incarnation,
-        wait: Duration,
-    ) -> Option<SourceReply> {
-        let req = FollowRequest {
-            wants_proof: true,
-            ..peer_replication::follow_request(&self.state, id, wait)
-        };
-        self.request(id, req, wait).await
-    }
-
     /// Gets everything that another instance has of the store; none if it does not
     /// answer.
     pub(crate) async fn fetch_all(&self, id: Incarnation) -> Option<SourceReply> {
--- a/crates/gateway/src/peer_replication.rs
+++ b/crates/gateway/src/peer_replication.rs
@@ -171,8 +171,7 @@
     Some(snapshots.latest.clone())
 }
 
-/// Answers another instance's follow request: when there are changes or a newer proof, if it
-/// waits for a proof then with the first one that is asked for after its request arrived, or
+/// Answers another instance's follow request: when there are changes or a newer proof, or
 /// at once when the state of the store's availability differs from what the requester
 /// knows.
 ///
@@ -189,16 +188,9 @@
     loop {
         let changed = state.changes.listen();
         let left = until.since(state.now());
-        let is_answered = match req.wants_proof {
-            true => state.is_proven_at(received),
-            false => has_update(state, received, &req, knows_unavailable),
-        };
-        if left.is_zero() || is_answered {
+        if left.is_zero() || has_update(state, received, &req, knows_unavailable) {
             break;
         }
-        if req.wants_proof {
-            state.request_proof_of(received);
-        }
         let timed_out = async {
             Timer::after(left).await;
         };
--- a/crates/gateway/src/revision_poller.rs
+++ b/crates/gateway/src/revision_poller.rs
@@ -3,12 +3,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use async_io::Timer;
+use jd_serving::UpdateSource;
+
 use crate::StoreError;
 use crate::store_call::StoreCall;
-use crate::store_follower::StoreFollower;
 use crate::store_link::StoreLink;
 use crate::store_link::call_timeout;
-use async_io::Timer;
 
 /// Pause after the first failed poll, and the factor by which each further failure
 /// increases it. From a few seconds into a store outage, callers with credentials are
@@ -19,46 +20,34 @@
 /// Upper bound of that pause, before jitter.
 const MAX_RETRY_PAUSE: Duration = Duration::from_millis(1_000);
 
-/// Minimum time between two polls, so that requests which wait for a proof share one.
-const MIN_POLL_GAP: Duration = Duration::from_millis(50);
-
 /// Polls the store's revision. An answer proves that all changes up to that revision were
 /// in force when the poll was sent.
 #[derive(Debug)]
 pub(crate) struct RevisionPoller {
     pub(crate) link: Arc<StoreLink>,
-    pub(crate) follower: Arc<StoreFollower>,
 }
 
 impl RevisionPoller {
-    /// Polls forever while this instance reads the store itself. An instance that follows
-    /// another one gets its proofs from there, and asks for one when it is requested here. A
-    /// proof that arrives from another instance also delays the next poll.
+    /// Polls forever while this instance reads the store itself; an instance that follows
+    /// another one gets its proof from there. A proof that arrives from another instance
+    /// also delays the next poll.
     pub(crate) async fn run(self: Arc<Self>) {
         let StoreLink { state, store, .. } = &*self.link;
         let mut failures: u32 = 0;
         loop {
-            let is_requested = match failures {
+            match failures {
                 0 => self.until_due().await,
                 _ => {
                     Timer::after(retry_pause(failures)).await;
-                    false
                 }
-            };
+            }
+            let follows = state.update_source() != UpdateSource::Store;
             // A proof is useless before the first load. All instances of a fleet that
             // starts at once would poll several times a second while they load.
-            if !state.store_loaded() {
+            if follows || !state.store_loaded() {
                 failures = 0;
                 continue;
             }
-            if let Some(source) = state.update_source().instance() {
-                failures = 0;
-                if is_requested {
-                    self.follower.fetch_proof(source).await;
-                    Timer::after(MIN_POLL_GAP).await;
-                }
-                continue;
-            }
             let asked = state.now();
             let polling = store.revision();
             let timeout = call_timeout(failures);
@@ -76,7 +65,6 @@
                         .freshness
                         .record_confirmation(asked, revision);
                     state.changes.notify(usize::MAX);
-                    Timer::after(MIN_POLL_GAP).await;
                 }
                 Err(e) => {
                     failures = failures.saturating_add(1);
@@ -86,8 +74,8 @@
         }
     }
 
-    /// Returns when a new proof is due, or at once with true when one is requested.
-    async fn until_due(&self) -> bool {
+    /// Returns when a new proof is due, or when the store was just found unavailable.
+    async fn until_due(&self) {
         let state = &self.link.state;
         // Jitter, so that instances do not poll at the same moment: the proof of the
         // first to poll spares the others theirs.
@@ -95,10 +83,10 @@
         let due = due.mul_f64(0.85 + 0.3 * fastrand::f64());
         let mut wait = due;
         loop {
-            let is_requested = state.proof_requested.wait_timeout(wait).await;
+            let lost = state.proof_requested.wait_timeout(wait).await;
             match state.proof_age() {
-                Some(age) if !is_requested && age < due => wait = due - age,
-                _ => return is_requested,
+                Some(age) if !lost && age < due => wait = due - age,
+                _ => return,
             }
         }
     }
--- a/crates/gateway/src/store_follower.rs
+++ b/crates/gateway/src/store_follower.rs
@@ -6,7 +6,6 @@
 use async_io::Timer;
 use futures_lite::FutureExt;
 use jd_serving::BootstrapSources;
-use jd_serving::Proof;
 use jd_serving::SourceHealth;
 use jd_serving::StoreUpdate;
 use jd_serving::UpdateSource;
@@ -31,8 +30,6 @@
 /// Age of the proof at which an instance that follows another one passes that source over: two
 /// revision polls of the source, and two hops to this instance.
 const MAX_FOLLOWED_PROOF_AGE: Duration = Duration::from_millis(2_600);
-/// Timeout of a request for a proof. Shorter than callers wait for it.
-const PROOF_FETCH_TIMEOUT: Duration = Duration::from_millis(400);
 /// Pause after a watch or an answer with changes, so that several changes arrive in the next one.
 /// Each watch is a call, and while a fleet starts, every instance's entry is a change for all
 /// others.
@@ -212,31 +209,15 @@
         }
     }
 
-    /// Has the instance that this one follows ask the store for a proof. Changes that this instance
-    /// lacks arrive with its next round.
-    pub(crate) async fn fetch_proof(&self, source: Incarnation) {
-        let reply = self.peers.request_proof(source, PROOF_FETCH_TIMEOUT).await;
-        if let Some(proof) = reply.and_then(|reply| reply.proof) {
-            self.adopt(proof);
-        }
-    }
-
     fn apply_reply(&self, reply: SourceReply) {
         for update in reply.updates {
             self.applier.apply(update);
         }
         if let Some(proof) = reply.proof {
-            self.adopt(proof);
+            self.link.state.cluster().freshness.adopt(proof);
         }
     }
 
-    fn adopt(&self, proof: Proof) {
-        let state = &self.link.state;
-        state.cluster().freshness.adopt(proof);
-        // Requests and instances that follow this one wait for proofs.
-        state.changes.notify(usize::MAX);
-    }
-
     /// Removes expired entries, forever.
     pub(crate) async fn expire_entries(self: Arc<Self>) {
         let state = &self.link.state;
