Stops: many short requests do not hide that some of a route take long

Callers of an instance that stops would see long requests cut off on routes on which most are short.

Cause: the time that a route's requests take was learned from the latest 64 alone, which at 100 requests a second are 0.64 s, and a request that may be repeated counted on the usual time, also if it came late and another instance could have taken it. Found by a review of the sources.

Change: the longest time of 60 s is kept beside the samples, in a queue of falling times; a late request needs it whether it may be repeated or not. The routes in force are looked up in a set, not by a search for each route.

--- a/crates/gateway/src/stop_checks.rs
+++ b/crates/gateway/src/stop_checks.rs
@@ -1,6 +1,7 @@
 //! Refuses requests that can no longer end before this instance does.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::sync::Mutex;
 use std::time::Duration;
 
@@ -48,8 +49,8 @@
 
     /// Drops the routes that are not in force any more.
     pub(crate) fn retain(&self, router: &Router) {
-        let is_in_force = |name: &CompactString| router.routes().any(|(_, r)| r.name == *name);
-        lock(&self.0).retain(|name, _| is_in_force(name));
+        let in_force: HashSet<&CompactString> = router.routes().map(|(_, r)| &r.name).collect();
+        lock(&self.0).retain(|name, _| in_force.contains(name));
     }
 
     fn estimate(&self, now: MonoTime, route: &str) -> Option<RunTime> {
--- a/crates/serving/src/run_time.rs
+++ b/crates/serving/src/run_time.rs
@@ -5,7 +5,7 @@
 
 use jd_types::MonoTime;
 
-/// Requests that are remembered.
+/// Requests whose mean is taken.
 const MAX_SAMPLES: usize = 64;
 /// How long a request is remembered.
 const LIFETIME: Duration = Duration::from_secs(60);
@@ -21,6 +21,9 @@
 #[derive(Debug, Default)]
 pub struct RunTimes {
     samples: VecDeque<(MonoTime, Duration)>,
+    /// Falling times, the longest first. Unlike the samples, they cover all of [`LIFETIME`], so that
+    /// many short requests do not hide a long one.
+    longest: VecDeque<(MonoTime, Duration)>,
 }
 
 /// The time that a request of a route needs from its send to the end of its answer.
@@ -33,6 +36,14 @@
 impl RunTimes {
     /// Records a request whose answer has ended.
     pub fn record(&mut self, now: MonoTime, took: Duration) {
+        while self.longest.back().is_some_and(|(_, t)| *t <= took) {
+            self.longest.pop_back();
+        }
+        self.longest.push_back((now, took));
+        let is_old = |(at, _): &(MonoTime, Duration)| now.since(*at) > LIFETIME;
+        while self.longest.front().is_some_and(is_old) {
+            self.longest.pop_front();
+        }
         if self.samples.len() >= MAX_SAMPLES {
             self.samples.pop_front();
         }
@@ -42,7 +53,7 @@
     /// Records a request that was given up after `ran`. It tells something only if that is longer
     /// than all others took: without it, an upstream that no longer answers would look fast.
     pub fn record_unfinished(&mut self, now: MonoTime, ran: Duration) {
-        if self.recent(now).all(|took| took < ran) {
+        if self.longest(now).is_none_or(|longest| longest < ran) {
             self.record(now, ran);
         }
     }
@@ -58,10 +69,17 @@
         let deviation = deviation.sum::<Duration>() / count;
         Some(RunTime {
             usual: mean + deviation * DEVIATIONS,
-            longest: self.recent(now).max().unwrap_or(mean),
+            longest: self.longest(now).unwrap_or(mean),
         })
     }
 
+    /// The longest time of a request that is remembered.
+    fn longest(&self, now: MonoTime) -> Option<Duration> {
+        let mut times = self.longest.iter();
+        let recent = times.find(|(at, _)| now.since(*at) <= LIFETIME);
+        recent.map(|(_, took)| *took)
+    }
+
     fn recent(&self, now: MonoTime) -> impl Iterator<Item = Duration> {
         let samples = self.samples.iter();
         let recent = samples.filter(move |(at, _)| now.since(*at) <= LIFETIME);
@@ -78,11 +96,13 @@
         }
     }
 
-    /// The time that is to be left before a request is sent.
-    pub fn needed(self, may_repeat: bool) -> Duration {
-        match may_repeat {
-            true => self.usual,
-            false => self.usual.max(self.longest) * ONCE_FACTOR,
+    /// The time that is to be left before a request is sent. One that `is_late`, which another
+    /// instance could have taken, is not sent if it may be one of the longer ones.
+    pub fn needed(self, may_repeat: bool, is_late: bool) -> Duration {
+        match (may_repeat, is_late) {
+            (true, false) => self.usual,
+            (true, true) => self.usual.max(self.longest),
+            (false, _) => self.usual.max(self.longest) * ONCE_FACTOR,
         }
     }
 }
--- a/crates/serving/src/stop_check.rs
+++ b/crates/serving/src/stop_check.rs
@@ -77,7 +77,7 @@
             true => Ok(()),
             false => Err(TooLate {
                 step,
-                needed: terms.run_time.map(|t| t.needed(terms.may_repeat)),
+                needed: self.needed(terms),
                 left: self.unanswered_until.since(now),
             }),
         }
@@ -86,13 +86,24 @@
     /// Until when the next step of a request may begin that has not begun to be answered.
     pub fn latest_begin(&self, terms: &StopTerms) -> MonoTime {
         let end = self.unanswered_until;
-        let latest = match terms.run_time {
+        let latest = match self.needed(terms) {
             // Its caller stops waiting before the process ends.
             _ if terms.deadline <= end => self.unsent_until,
-            Some(time) => end.before(time.needed(terms.may_repeat)),
-            None if terms.taken_at < self.accept_until => self.unsent_until,
-            None => self.accept_until,
+            Some(needed) => end.before(needed),
+            None if self.is_late(terms) => self.accept_until,
+            None => self.unsent_until,
         };
         latest.max(self.accept_until).min(self.unsent_until)
     }
+
+    /// The time that a request needs; none if not known.
+    fn needed(&self, terms: &StopTerms) -> Option<Duration> {
+        let time = terms.run_time?;
+        Some(time.needed(terms.may_repeat, self.is_late(terms)))
+    }
+
+    /// True if a request was complete only after new ones were no longer accepted.
+    fn is_late(&self, terms: &StopTerms) -> bool {
+        terms.taken_at >= self.accept_until
+    }
 }
--- a/crates/serving/tests/stop_checks.rs
+++ b/crates/serving/tests/stop_checks.rs
@@ -122,9 +122,28 @@
         times.record(BEGAN, ms(if n == 7 { 900 } else { 100 }));
     }
     let run_time = times.estimate(BEGAN);
-    let latest = |may_repeat| plan.latest_begin(&terms(4_000, may_repeat, run_time));
-    assert!(latest(false) + ms(900) < latest(true));
-    assert!(latest(false) + ms(1_800) <= plan.unanswered_until);
+    let latest = |taken_ms, may_repeat| plan.latest_begin(&terms(taken_ms, may_repeat, run_time));
+    for taken_ms in [2_000, 4_000] {
+        assert!(latest(taken_ms, false) + ms(1_800) <= plan.unanswered_until);
+    }
+    assert!(latest(2_000, false) + ms(900) < latest(2_000, true));
+    assert_eq!(latest(4_000, false) + ms(900), latest(4_000, true));
+    assert!(latest(4_000, true) + ms(900) <= plan.unanswered_until);
+}
+
+/// Guards against late requests that are cut off since many short ones hid that some take long.
+#[test]
+fn a_long_request_counts_among_many_short_ones() {
+    let mut times = RunTimes::default();
+    times.record(BEGAN, ms(5_000));
+    for n in 0..200 {
+        times.record(BEGAN + ms(n), ms(50));
+    }
+    let run_time = times.estimate(BEGAN + ms(200)).expect("enough requests");
+    assert!(run_time.needed(false, false) >= ms(5_000));
+    assert!(run_time.needed(true, true) >= ms(5_000));
+    let old = times.estimate(BEGAN + ms(60_100)).expect("enough requests");
+    assert_eq!(old.needed(true, true), ms(50));
 }
 
 /// Guards against upstreams that look fast because the requests that they do not answer are not counted.
@@ -136,10 +155,10 @@
         times.record_unfinished(BEGAN, ms(10));
     }
     let before = times.estimate(BEGAN).expect("enough requests");
-    assert_eq!(before.needed(true), ms(30));
+    assert_eq!(before.needed(true, false), ms(30));
     times.record_unfinished(BEGAN, ms(5_000));
     let after = times.estimate(BEGAN).expect("enough requests");
-    assert!(after.needed(false) >= ms(10_000) && after.needed(true) > ms(500));
+    assert!(after.needed(false, false) >= ms(10_000) && after.needed(true, false) > ms(500));
 }
 
 /// Guards against an estimate of few requests, or of requests of long ago.
