Take-ups wait for a proof only while one can arrive

A caller that takes up a stream which nobody knows waited 800 ms for a proof even while the store was known to be lost, or without an event to resume after, where an unknown stream begins anew in any case; and where proofs come from other instances, which ask for them every 1.2 s, it was often refused although one would have arrived.

Change: no wait while the store is lost, nor without an event; else for the interval of proofs and 500 ms, and the proof is looked for every 50 ms, since proofs that others send wake nobody.

--- a/crates/gateway/src/stream_registry.rs
+++ b/crates/gateway/src/stream_registry.rs
@@ -236,7 +236,9 @@
         let began = state.now();
         let mut found = self.look_up(state, request, stream).await;
         let mut result = found.resume_at(request);
-        if result == Err(ResumeError::VersionsNotProven) {
+        // Without an event to resume after, an unknown stream begins anew.
+        let has_events = request.head.last_event.is_some();
+        if result == Err(ResumeError::VersionsNotProven) && has_events {
             version_check::until_versions_proven(state, request).await;
             // Whatever was missing here has arrived with the proof.
             found = self.look_up(state, request, stream).await;
--- a/crates/gateway/src/version_check.rs
+++ b/crates/gateway/src/version_check.rs
@@ -21,9 +21,12 @@
 const REPORT_TIMEOUT: Duration = Duration::from_millis(150);
 /// How long a proof is waited for, beyond the time from which on it counts.
 const PROOF_TIMEOUT: Duration = Duration::from_millis(500);
-/// How long a caller waits for a proof that its stream's service had one version: that several
-/// changes are applied, and three calls along the instances that the proof comes from.
-const VERSIONS_PROOF_TIMEOUT: Duration = Duration::from_millis(800);
+/// How long a caller waits for a proof that its stream's service had one version, beyond the interval
+/// at which proofs are asked for without a request: several calls along the instances that it comes
+/// from.
+const VERSIONS_PROOF_MARGIN: Duration = Duration::from_millis(500);
+/// How often a request that waits looks for a proof. Those that other instances send wake nobody.
+const PROOF_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// The largest report that is read, in bytes. A larger one counts as no answer.
 const MAX_REPORT: usize = 1 << 20;
 
@@ -134,9 +137,14 @@
     told.map_or(StartReport::Unanswered, StartReport::Told)
 }
 
-/// Waits until a proof was asked for after a request arrived, for a limited time.
+/// Waits until a proof was asked for after a request arrived, for a limited time. Does not wait while
+/// no proof can arrive.
 pub(crate) async fn until_versions_proven(state: &State, request: &CallerRequest) {
-    let until = (state.now() + VERSIONS_PROOF_TIMEOUT).min(request.deadline);
+    if state.has_lost_store() {
+        return;
+    }
+    let limit = state.settings.revision_poll_interval + VERSIONS_PROOF_MARGIN;
+    let until = (state.now() + limit).min(request.deadline);
     until_proven(state, request.arrived, until).await;
 }
 
@@ -155,6 +163,6 @@
                 until.since(now)
             }
         };
-        with_timeout(wait, changes).await;
+        with_timeout(wait.min(PROOF_CHECK_INTERVAL), changes).await;
     }
 }
