--- a/crates/gateway-daemon/tests/crowds.rs
+++ b/crates/gateway-daemon/tests/crowds.rs
@@ -21,7 +21,9 @@
 use jd_net::Workers;
 use jd_soak::Fleet;
 use jd_soak::Misbehaviour;
+use jd_soak::RequestKind;
 use jd_soak::Surroundings;
+use jd_soak::UpstreamMode;
 use rustix::process::Resource;
 use rustix::process::getrlimit;
 use rustix::process::setrlimit;
@@ -275,3 +277,18 @@
     drop(crowds);
     test.check("after the crowds");
 }
+
+/// Guards against upstreams that send without end, and whose answers take all memory together.
+#[test_case(RequestKind::Idempotent, 60; "single answers")]
+#[test_case(RequestKind::Idempotent, 300; "many single answers")]
+#[test_case(RequestKind::Stream, 60; "streams")]
+#[test_case(RequestKind::Stream, 300; "many streams")]
+fn answers_that_never_end(kind: RequestKind, count: usize) {
+    let test = Test::start("endless", 1, SMALL_MB, CONNECTIONS);
+    test.surroundings
+        .set_upstreams_of_requests(Some(UpstreamMode::NeverEnds));
+    block_on(test.surroundings.send_together(0, kind, count));
+    test.check_bounds("after the answers");
+    test.surroundings.set_upstreams_of_requests(None);
+    test.check("after the upstreams answer");
+}
--- a/soak/src/fake_upstream.rs
+++ b/soak/src/fake_upstream.rs
@@ -52,6 +52,9 @@
 const EXECUTION_TIME: Duration = Duration::from_millis(15);
 /// The event within which a truncated stream is cut off.
 const TRUNCATED_EVENT: u64 = 3;
+/// A part of an answer that never ends, and the pause before each.
+const ENDLESS_PART: Bytes = Bytes::from_static(&[b'x'; 64 << 10]);
+const ENDLESS_INTERVAL: Duration = Duration::from_millis(1);
 
 /// The body of the hot request, which is the same at each attempt.
 pub(crate) const HOT: &str = "hot";
@@ -241,6 +244,9 @@
             _ if crashing && !streams => future::pending().await,
             Some(UpstreamMode::Hangs) => future::pending().await,
             Some(UpstreamMode::Fails) => status(StatusCode::INTERNAL_SERVER_ERROR),
+            Some(UpstreamMode::NeverEnds) => {
+                Response::new(jd_net::stream(unfold(work, endless_part)))
+            }
             Some(UpstreamMode::EndsEarly) if streams => {
                 let software = *lock(&self.software);
                 Response::new(early_ends::body(id, &self.id(), software, after))
@@ -314,6 +320,11 @@
     Some((Ok(Bytes::from(text)), StreamState { next, ..rest }))
 }
 
+async fn endless_part(work: Work) -> Option<(Result<Bytes, jd_net::BodyError>, Work)> {
+    Timer::after(ENDLESS_INTERVAL).await;
+    Some((Ok(ENDLESS_PART), work))
+}
+
 fn signed(
     mut res: Response<Body>,
     mode: Option<UpstreamMode>,
--- a/soak/src/fault.rs
+++ b/soak/src/fault.rs
@@ -34,6 +34,9 @@
     EndsEarly,
     /// The request is executed, and the answer names another request.
     Misattributes,
+    /// The request is executed, and its answer goes on until its connection is closed. No event of it
+    /// ends.
+    NeverEnds,
 }
 
 impl UpstreamMode {
--- a/soak/src/surroundings.rs
+++ b/soak/src/surroundings.rs
@@ -117,9 +117,40 @@
 
     /// Has the upstreams of a crowd's requests take these and never answer.
     pub fn hang_upstreams_of_crowds(&self) {
+        self.set_upstreams(&["model"], Some(UpstreamMode::Hangs));
+    }
+
+    /// Sets the fault of all upstreams that run requests; none ends it.
+    pub fn set_upstreams_of_requests(&self, mode: Option<UpstreamMode>) {
+        self.set_upstreams(&["model", "desk"], mode);
+    }
+
+    fn set_upstreams(&self, services: &[&str], mode: Option<UpstreamMode>) {
         let upstreams = self.runner.env.upstreams.iter();
-        for upstream in upstreams.filter(|u| u.service == "model") {
-            *lock(&upstream.handler.fake().mode) = Some(UpstreamMode::Hangs);
+        for upstream in upstreams.filter(|u| services.contains(&u.service)) {
+            *lock(&upstream.handler.fake().mode) = mode;
+        }
+    }
+
+    /// Sends `count` small requests of a kind to an instance at a time, and returns once each has ended.
+    pub async fn send_together(&self, instance: usize, kind: RequestKind, count: usize) {
+        let pool = HttpPool::new(Arc::clone(&self.executor), Clock::start());
+        let requests = (0..count).map(|n| {
+            let id = format!("together-{n}");
+            let mut req = caller::request(&id, kind, "key-0", None, Load::LARGE);
+            *req.body_mut() = jd_net::full(id);
+            let (pool, server) = (pool.clone(), self.callers_at(instance));
+            self.executor.spawn(async move {
+                let timeout = Load::LARGE.single_deadline;
+                let sent = pool.send(server, req, timeout, true).await;
+                if let Some(Ok(mut res)) = sent {
+                    while let Some(Ok(Some(_))) = with_timeout(timeout, res.chunk()).await {}
+                }
+            })
+        });
+        let requests: Vec<Task<()>> = requests.collect();
+        for request in requests {
+            request.await;
         }
     }
 
