Answers and incomplete events take memory of one bounded account

Callers lost their requests with the process when upstreams sent without end: each answer had a bound, their sum had none, and buffers doubled with old and new held at once.

A pool now carries an account (15 % of memory-mb, at least 12 MiB), from which read_all, read_segments and incomplete events take memory before bytes are kept. The decision is AnswerBudget, without I/O: without room the largest unfinished answer beyond 64 KiB ends, and counts against its upstream; small ones keep theirs and a quarter of the account. Answers are kept in segments. The store keeps an account without a bound.

Tests changed: body_budget's answers_leave_less_memory_for_bodies goes with take_for_answer, since answers no longer take memory of bodies; instead the split of memory is checked with the part of answers included, answer_budget.rs checks the new account over orders of events, and held_answers.rs reads its gauge (jd_gateway_answer_bytes).

--- a/crates/gateway/src/caller_memory.rs
+++ b/crates/gateway/src/caller_memory.rs
@@ -1,4 +1,4 @@
-//! The memory for bodies of requests and for answers.
+//! The memory for bodies of requests.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -154,32 +154,8 @@
     bytes: usize,
 }
 
-impl HeldMemory {
-    pub(crate) fn empty(memory: &Arc<CallerMemory>) -> HeldMemory {
-        HeldMemory {
-            memory: Arc::clone(memory),
-            bytes: 0,
-        }
-    }
-
-    pub(crate) fn is_empty(&self) -> bool {
-        self.bytes == 0
-    }
-
-    /// Takes memory for an answer of so many bytes, whether or not any is left: an answer is never
-    /// refused, but leaves less for bodies.
-    pub(crate) fn grow_for_answer(&mut self, bytes: usize) {
-        let more = bytes.saturating_sub(self.bytes);
-        lock(&self.memory.budget).policy.take_for_answer(more);
-        self.bytes += more;
-    }
-}
-
 impl Drop for HeldMemory {
     fn drop(&mut self) {
-        if self.is_empty() {
-            return;
-        }
         lock(&self.memory.budget).policy.give_back(self.bytes);
         self.memory.given_back.notify(usize::MAX);
     }
--- a/crates/gateway/src/event_stream.rs
+++ b/crates/gateway/src/event_stream.rs
@@ -319,10 +319,15 @@
     fn drop_broken(&mut self, evidence: Evidence) {
         self.response
             .log_given_up(&self.cx, evidence, self.passed_on.parts);
-        self.response.attempt.report_broken();
+        self.outcome = match evidence {
+            Evidence::NoRoom => AttemptOutcome::Cancelled,
+            _ => {
+                self.response.attempt.report_broken();
+                AttemptOutcome::Truncated
+            }
+        };
         self.response.close();
         self.attempts.clear_refusals();
-        self.outcome = AttemptOutcome::Truncated;
         self.response.attempt.finish(self.outcome);
     }
 
@@ -362,12 +367,12 @@
         let attempt = &mut self.response.attempt;
         attempt.record_end(StatusCode::OK, framing);
         attempt.finish(AttemptOutcome::Answered);
-        self.response.close();
         self.has_ended = true;
         let state = &self.cx.state;
         state.metrics.stream_end(framing.as_str());
         stream_log::ended(&self.cx, &self.response, &self.passed_on);
         let rest = self.response.splitter.take_remaining();
+        self.response.close();
         (!rest.is_empty()).then_some((Ok(rest), self))
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 //! store behind [`Store`].
 
 mod active_attempt;
+mod answer_memory;
 mod attempt;
 mod attempts;
 mod batch_calls;
--- a/crates/gateway/src/memory_monitor.rs
+++ b/crates/gateway/src/memory_monitor.rs
@@ -1,7 +1,8 @@
-//! Reports what is held for callers, and who was refused for want of room.
+//! Reports what is held for callers and of upstreams, and who was refused for want of room.
 
 use std::sync::Arc;
 
+use jd_net::AnswerCounts;
 use jd_net::ClosedConnections;
 use jd_net::HttpServer;
 
@@ -14,6 +15,7 @@
     callers: Arc<HttpServer>,
     closed: ClosedConnections,
     counts: MemoryCounts,
+    answers: AnswerCounts,
 }
 
 impl MemoryMonitor {
@@ -23,14 +25,16 @@
             callers,
             closed: ClosedConnections::default(),
             counts: MemoryCounts::default(),
+            answers: AnswerCounts::default(),
         }
     }
 
-    /// Reports what has changed since the last report, in one line for all connections and one for all
-    /// bodies.
+    /// Reports what has changed since the last report, in one line for all connections, one for all
+    /// bodies and one for all answers.
     pub(crate) fn report(&mut self) {
         self.report_connections();
         self.report_bodies();
+        self.report_answers();
     }
 
     fn report_connections(&mut self) {
@@ -85,4 +89,27 @@
             "bodies refused for want of memory"
         );
     }
+
+    fn report_answers(&mut self) {
+        let memory = &self.state.answer_memory;
+        let used = memory.used();
+        self.state.metrics.answer_bytes(used);
+        let counts = memory.counts();
+        let before = std::mem::replace(&mut self.answers, counts);
+        if counts == before {
+            return;
+        }
+        let largest = counts.largest - before.largest;
+        let no_room = counts.no_room - before.no_room;
+        let metrics = &self.state.metrics;
+        metrics.answers_without_memory("largest", largest);
+        metrics.answers_without_memory("no-room", no_room);
+        log::warn!(
+            used_bytes = used,
+            limit_bytes = self.state.memory_split.answer_bytes,
+            largest,
+            no_room;
+            "answers ended for want of memory"
+        );
+    }
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -56,6 +56,8 @@
     closed_connections: Family<Outcome, Counter>,
     body_bytes: Gauge,
     bodies_without_memory: Family<Outcome, Counter>,
+    answer_bytes: Gauge,
+    answers_without_memory: Family<Outcome, Counter>,
     path_lost: Gauge,
     path_checks: Family<Outcome, Counter>,
     pace_reports: Family<Outcome, Counter>,
@@ -91,6 +93,8 @@
             closed_connections: Family::default(),
             body_bytes: Gauge::default(),
             bodies_without_memory: Family::default(),
+            answer_bytes: Gauge::default(),
+            answers_without_memory: Family::default(),
             path_lost: Gauge::default(),
             path_checks: Family::default(),
             pace_reports: Family::default(),
@@ -197,6 +201,16 @@
             "Bodies that got no memory, or lost it because they stalled",
             metrics.bodies_without_memory.clone(),
         );
+        r.register(
+            "jd_gateway_answer_bytes",
+            "Memory taken by answers and by events that have not ended, in bytes",
+            metrics.answer_bytes.clone(),
+        );
+        r.register(
+            "jd_gateway_answers_without_memory",
+            "Answers that were ended for want of memory",
+            metrics.answers_without_memory.clone(),
+        );
         r.register(
             "jd_gateway_path_lost",
             "1 while no upstream can be connected to",
@@ -337,6 +351,17 @@
             .inc_by(count);
     }
 
+    pub(crate) fn answer_bytes(&self, used: usize) {
+        self.answer_bytes.set(used as i64);
+    }
+
+    pub(crate) fn answers_without_memory(&self, outcome: &'static str, count: u64) {
+        let outcome = Outcome { outcome };
+        self.answers_without_memory
+            .get_or_create(&outcome)
+            .inc_by(count);
+    }
+
     pub(crate) fn path_lost(&self, lost: bool) {
         self.path_lost.set(i64::from(lost));
     }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -14,6 +14,7 @@
 use async_executor::Executor;
 use compact_str::CompactString;
 use event_listener::Event;
+use jd_net::AnswerMemory;
 use jd_net::Clock;
 use jd_net::HttpPool;
 use jd_net::lock;
@@ -135,6 +136,7 @@
     /// How much memory may be held for callers, and the part of it for bodies of requests.
     pub(crate) memory_split: MemorySplit,
     pub(crate) caller_memory: Arc<CallerMemory>,
+    pub(crate) answer_memory: Arc<AnswerMemory>,
     pub(crate) open_requests: OpenRequests,
 }
 
@@ -150,6 +152,8 @@
         let heartbeat_requested = Arc::new(Signal::new());
         let channels = PeerChannels::new(Arc::clone(&executor));
         let split = MemorySplit::of(settings.memory_bytes, settings.max_connections);
+        let answer_memory = AnswerMemory::new(split.answer_bytes);
+        let pool = pool.bounded_by(&answer_memory);
         State {
             settings,
             memory_split: split,
@@ -191,6 +195,7 @@
             refusal_lines: Mutex::default(),
             requests_running: AtomicUsize::new(0),
             caller_memory: Arc::new(CallerMemory::new(clock, split.body_bytes)),
+            answer_memory,
             open_requests: OpenRequests::default(),
         }
     }
--- a/crates/gateway/src/stream_attempt.rs
+++ b/crates/gateway/src/stream_attempt.rs
@@ -185,6 +185,9 @@
             let first = match with_timeout(cx.time_left(), response.read()).await {
                 Some(Read::Events(events)) => Some(events),
                 Some(Read::Whole) => None,
+                Some(Read::Evidence(evidence @ Evidence::NoRoom)) => {
+                    break (AttemptOutcome::Cancelled, evidence);
+                }
                 Some(Read::Evidence(evidence)) if evidence.is_final() => {
                     response.attempt.report_broken();
                     break (AttemptOutcome::Truncated, evidence);
--- a/crates/gateway/src/stream_response.rs
+++ b/crates/gateway/src/stream_response.rs
@@ -7,17 +7,21 @@
 use futures_lite::FutureExt;
 use jd_net::BodyFraming;
 use jd_net::HttpResponse;
+use jd_net::ReadError;
 use jd_net::SendError;
+use jd_net::UnfinishedAnswer;
 use jd_serving::BodyKind;
 use jd_serving::EVENT_PATIENCE;
 use jd_serving::EndEvidence;
 use jd_serving::EventSplitter;
+use jd_serving::EventTooLarge;
 use jd_serving::Evidence;
 use jd_serving::ResponseEnd;
 use jd_serving::ResponseRole;
 use jd_types::MonoTime;
 
 use crate::active_attempt::ActiveAttempt;
+use crate::answer_memory;
 use crate::attempts::AttemptClock;
 use crate::attempts::AttemptContext;
 use crate::body_kind;
@@ -25,6 +29,9 @@
 use crate::stage_results::StageResults;
 use crate::stream_attempt::HeadArrived;
 
+/// Bytes of an incomplete event that take no memory, since connections have room for them.
+const OWN_EVENT_BYTES: usize = 4 << 10;
+
 /// What was read of a response, or became of it.
 pub(crate) enum Read {
     /// These complete events.
@@ -48,7 +55,11 @@
     pub(crate) clock: Arc<AttemptClock>,
     /// The stage results that its upstream reads.
     pub(crate) results: StageResults,
-    pub(crate) splitter: EventSplitter,
+    pub(crate) splitter: Box<EventSplitter>,
+    /// What was read and waits for memory.
+    unsplit: Option<Bytes>,
+    /// The memory of an incomplete event.
+    memory: UnfinishedAnswer,
     kind: BodyKind,
     role: ResponseRole,
     /// What the end of the body says; none while it has not ended.
@@ -72,11 +83,13 @@
             ),
             role,
             end: None,
+            memory: response.http.memory().begin(),
+            unsplit: None,
             http: Some(response.http),
             attempt: response.attempt,
             clock,
             results,
-            splitter: EventSplitter::default(),
+            splitter: Box::default(),
         }
     }
 
@@ -92,6 +105,9 @@
     /// Closes the connection, unless the response has been read to its end.
     pub(crate) fn close(&mut self) {
         self.http = None;
+        self.unsplit = None;
+        self.splitter.drop_partial();
+        self.memory.shrink_to(0);
     }
 
     /// Reads on. An instance that runs the request and misses heartbeats counts as silent from then
@@ -100,7 +116,7 @@
         let Some(http) = &mut self.http else {
             return futures_lite::future::pending().await;
         };
-        let (attempt, clock) = (&self.attempt, &self.clock);
+        let attempt = &self.attempt;
         let restarted = async {
             attempt.until_restarted().await;
             Err(Evidence::Restarted)
@@ -109,16 +125,35 @@
             attempt.until_instance_missed().await;
             Err(Evidence::PathLost)
         };
-        let chunk = async { http.chunk().await.map_err(|_: SendError| Evidence::Broken) };
+        let (splitter, memory, unsplit) = (&self.splitter, &mut self.memory, &mut self.unsplit);
+        let chunk = async {
+            if unsplit.is_none() {
+                let revoked = async {
+                    memory.until_revoked().await;
+                    Err(ReadError::Largest)
+                };
+                let chunk = async { http.chunk().await.map_err(|_: SendError| ReadError::Broken) };
+                *unsplit = chunk.or(revoked).await?;
+            }
+            if let Some(part) = unsplit.as_deref() {
+                let bytes = splitter.bytes_to_push(part);
+                if bytes > OWN_EVENT_BYTES {
+                    memory.grow_to(bytes).await?;
+                }
+            }
+            Ok(unsplit.take())
+        };
+        let chunk = async { chunk.await.map_err(|e| evidence_of(attempt, e)) };
         match chunk.or(restarted).or(missed).await {
-            Ok(Some(part)) => match self.splitter.push(&part) {
+            Ok(Some(part)) => match self.push(&part) {
                 Ok(None) => Read::Nothing,
                 Ok(Some(events)) => {
-                    clock.record(attempt.now(), EVENT_PATIENCE);
+                    self.clock.record(self.attempt.now(), EVENT_PATIENCE);
                     Read::Events(events)
                 }
                 Err(e) => {
-                    log::warn!(upstream = attempt.id(), detail:% = e; "stream is no event stream");
+                    let upstream = self.attempt.id();
+                    log::warn!(upstream, detail:% = e; "stream is no event stream");
                     Read::Evidence(Evidence::Broken)
                 }
             },
@@ -128,13 +163,23 @@
             },
             Err(evidence) => {
                 if !evidence.is_final() {
-                    clock.suspect();
+                    self.clock.suspect();
                 }
                 Read::Evidence(evidence)
             }
         }
     }
 
+    /// Splits what was read, and gives back the memory that is not needed any more.
+    fn push(&mut self, part: &[u8]) -> Result<Option<Bytes>, EventTooLarge> {
+        let pushed = self.splitter.push(part);
+        self.memory.shrink_to(match self.splitter.held_bytes() {
+            ..=OWN_EVENT_BYTES => 0,
+            held => held,
+        });
+        pushed
+    }
+
     /// Judges the end of the body.
     fn judge_end(&mut self) -> ResponseEnd {
         let evidence = EndEvidence {
@@ -171,3 +216,12 @@
         );
     }
 }
+
+/// What an answer that was not read whole says of its upstream.
+fn evidence_of(attempt: &ActiveAttempt, why: ReadError) -> Evidence {
+    answer_memory::log_ended("", attempt.id(), why);
+    match why {
+        ReadError::NoRoom => Evidence::NoRoom,
+        ReadError::Broken | ReadError::TooLarge { .. } | ReadError::Largest => Evidence::Broken,
+    }
+}
--- a/crates/gateway/src/streaming_call.rs
+++ b/crates/gateway/src/streaming_call.rs
@@ -8,6 +8,7 @@
 use http::Response;
 use http::StatusCode;
 use http::Version;
+use jd_net::AnswerMemory;
 use jd_net::Body;
 use jd_net::lock;
 use jd_net::with_timeout;
@@ -28,11 +29,10 @@
 use crate::attempts::Attempts;
 use crate::attempts::log_beside;
 use crate::caller_api::may_have_run;
-use crate::caller_memory::CallerMemory;
 use crate::caller_request::CallerRequest;
 use crate::event_stream::EventStream;
 use crate::forwarded_from;
-use crate::held_answer::HeldAnswer;
+use crate::held_answer::read_body;
 use crate::placed_prompt::PlacedPrompt;
 use crate::retry_state::RetryState;
 use crate::stage_results::StageResults;
@@ -330,7 +330,7 @@
         Begun::Head(head) => (StreamResponse::new(request, head), None),
         Begun::Event(begun) => (begun.response, begun.first),
     };
-    let memory = Arc::clone(&state.caller_memory);
+    let memory = Arc::clone(&state.answer_memory);
     let events = EventStream::new(cx, stages, response, first);
     let body = jd_net::stream(unfold(events, EventStream::next));
     let body = match version {
@@ -349,11 +349,11 @@
 
 /// The whole body of a stream. Without chunks, as in HTTP/1.0, only a length shows the caller that
 /// something is missing.
-async fn read_whole(memory: &Arc<CallerMemory>, body: Body) -> Result<Body, Refusal> {
-    let read = HeldAnswer::read_body(memory, body, MAX_UNCHUNKED_STREAM).await;
+async fn read_whole(memory: &Arc<AnswerMemory>, body: Body) -> Result<Body, Refusal> {
+    let read = read_body(memory, body, MAX_UNCHUNKED_STREAM).await;
     let detail = "the stream broke off; ask again in HTTP/1.1 to receive it in parts";
-    read.map(jd_net::full)
-        .ok_or_else(|| may_have_run(RefusalKind::UpstreamFailed, detail))
+    read.map(jd_net::segmented)
+        .map_err(|_| may_have_run(RefusalKind::UpstreamFailed, detail))
 }
 
 async fn error_body(
@@ -364,14 +364,14 @@
     let mut attempt = response.attempt;
     let left = request.time_left(state.now());
     let framing = response.http.framing;
-    let reading = HeldAnswer::read_response(&state.caller_memory, response.http, MAX_ERROR_BODY);
+    let reading = response.http.read_segments(MAX_ERROR_BODY);
     let read = with_timeout(left, reading).await;
     if let Some(Ok(_)) = &read {
         attempt.record_end(response.head.status, framing);
     }
     attempt.finish(AttemptOutcome::Failed);
     match read {
-        Some(Ok(body)) => Ok(jd_net::full(body)),
+        Some(Ok(body)) => Ok(jd_net::segmented(body)),
         _ => {
             let detail = "the upstream failed and its answer was cut off";
             Err(may_have_run(RefusalKind::UpstreamFailed, detail))
--- a/crates/gateway/src/unary_call.rs
+++ b/crates/gateway/src/unary_call.rs
@@ -11,7 +11,7 @@
 use http::StatusCode;
 use jd_net::Body;
 use jd_net::BodyFraming;
-use jd_net::SendError;
+use jd_net::ReadError;
 use jd_net::lock;
 use jd_net::with_timeout;
 use jd_serving::AttemptDecision;
@@ -23,6 +23,7 @@
 use jd_types::Refusal;
 use jd_types::RefusalKind;
 
+use crate::answer_memory;
 use crate::attempt::AttemptFailure;
 use crate::attempt::UpstreamResponse;
 use crate::attempts::AttemptClock;
@@ -32,7 +33,6 @@
 use crate::body_kind;
 use crate::caller_api::may_have_run;
 use crate::caller_request::CallerRequest;
-use crate::held_answer::HeldAnswer;
 use crate::next_send::NextSend;
 use crate::next_send::NextSendError;
 use crate::next_send::send_to_next_upstream;
@@ -172,7 +172,7 @@
     /// How the upstream marked the end of the body.
     framing: BodyFraming,
     headers: HeaderMap,
-    body: Bytes,
+    body: Vec<Bytes>,
 }
 
 /// Reads the whole response before any of it is passed on, so that after a truncated response
@@ -195,9 +195,9 @@
     let left = request.time_left(state.now());
     let restarted = async {
         attempt.until_restarted().await;
-        Some(Err(SendError::Broken))
+        Some(Err(ReadError::Broken))
     };
-    let reading = HeldAnswer::read_response(&state.caller_memory, http, MAX_RESPONSE);
+    let reading = http.read_segments(MAX_RESPONSE);
     let read = with_timeout(left, reading).or(restarted).await;
     let (outcome, detail) = match read {
         Some(Ok(body)) if !judge_end(request, head.status, framing, &body).is_complete() => {
@@ -220,7 +220,15 @@
                 body,
             });
         }
-        Some(Err(_)) => {
+        Some(Err(e @ ReadError::NoRoom)) => {
+            answer_memory::log_ended(request.id(), attempt.id(), e);
+            (
+                AttemptOutcome::Cancelled,
+                "no memory is left for the answer",
+            )
+        }
+        Some(Err(e)) => {
+            answer_memory::log_ended(request.id(), attempt.id(), e);
             attempt.report_broken();
             (AttemptOutcome::Truncated, "the answer was cut off")
         }
@@ -241,7 +249,7 @@
     request: &CallerRequest,
     status: StatusCode,
     framing: BodyFraming,
-    body: &Bytes,
+    body: &[Bytes],
 ) -> ResponseEnd {
     if !status.is_success() {
         return ResponseEnd::Complete;
@@ -273,7 +281,7 @@
         ms = took.as_millis() as u64;
         "answered"
     );
-    let mut res = Response::new(jd_net::full(complete.body));
+    let mut res = Response::new(jd_net::segmented(complete.body));
     *res.status_mut() = complete.status;
     *res.headers_mut() = complete.headers;
     res
--- a/crates/gateway/tests/whole/held_answers.rs
+++ b/crates/gateway/tests/whole/held_answers.rs
@@ -36,7 +36,7 @@
 static PARTS: LazyLock<[&'static str; 2]> = LazyLock::new(|| [&LARGE, LAST_EVENT]);
 
 fn held(harness: &Harness) -> u64 {
-    block_on(harness.counter_total("jd_gateway_body_bytes "))
+    block_on(harness.counter_total("jd_gateway_answer_bytes "))
 }
 
 fn until_held(harness: &Harness, is_expected: impl Fn(u64) -> bool) {
@@ -75,7 +75,7 @@
     response.len()
 }
 
-/// Guards against answers that slow clients hold, and that the memory for bodies knows nothing of.
+/// Guards against answers that slow clients hold, and that take memory uncounted.
 #[test_case("GET /any/x HTTP/1.1"; "with a single answer")]
 #[test_case("GET /stream/x HTTP/1.0"; "with a stream in HTTP 1.0")]
 fn an_answer_takes_memory_until_its_client_has_read_it(line: &str) {
--- a/crates/net/src/http_pool.rs
+++ b/crates/net/src/http_pool.rs
@@ -18,6 +18,7 @@
 use jd_types::MonoTime;
 use smol_hyper::rt::FuturesIo;
 
+use crate::AnswerMemory;
 use crate::Body;
 use crate::Clock;
 use crate::Connector;
@@ -158,6 +159,7 @@
     executor: Arc<Executor<'static>>,
     connector: Arc<dyn Connector>,
     shared: Arc<PoolState>,
+    memory: Arc<AnswerMemory>,
 }
 
 impl HttpPool {
@@ -177,9 +179,17 @@
             executor,
             connector,
             shared: Arc::new(PoolState { clock, addresses }),
+            memory: AnswerMemory::unbounded(),
         }
     }
 
+    /// The same pool of connections, whose responses take their memory from `memory`. Without it, the
+    /// sum of what is read has no bound.
+    pub fn bounded_by(mut self, memory: &Arc<AnswerMemory>) -> HttpPool {
+        self.memory = Arc::clone(memory);
+        self
+    }
+
     /// Sends `req` to `address` and waits at most `timeout` for the head of the response.
     ///
     /// Returns none on a timeout. The connection is then retired, together with older
@@ -290,7 +300,8 @@
         match result {
             Some(Ok(res)) => {
                 self.shared.record_received(&c);
-                let res = HttpResponse::new(res, c, Arc::clone(&self.shared));
+                let res =
+                    HttpResponse::new(res, c, Arc::clone(&self.shared), Arc::clone(&self.memory));
                 Sent::Done(Box::new(Some(Ok(res))))
             }
             Some(Err(mut e)) => {
--- a/crates/net/src/http_response.rs
+++ b/crates/net/src/http_response.rs
@@ -3,13 +3,16 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use bytes::BytesMut;
+use futures_lite::FutureExt;
 use http::HeaderMap;
 use http::StatusCode;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
+use crate::AnswerBuffer;
+use crate::AnswerMemory;
 use crate::BodyFraming;
+use crate::ReadError;
 use crate::SendError;
 use crate::http_pool::Connection;
 use crate::http_pool::PoolState;
@@ -31,6 +34,7 @@
     body: Incoming,
     connection: Option<Connection>,
     shared: Arc<PoolState>,
+    memory: Arc<AnswerMemory>,
 }
 
 impl HttpResponse {
@@ -38,6 +42,7 @@
         res: http::Response<Incoming>,
         connection: Connection,
         shared: Arc<PoolState>,
+        memory: Arc<AnswerMemory>,
     ) -> HttpResponse {
         let (parts, body) = res.into_parts();
         HttpResponse {
@@ -48,6 +53,7 @@
             body,
             connection: Some(connection),
             shared,
+            memory,
         }
     }
 
@@ -71,16 +77,32 @@
         Ok(None)
     }
 
-    /// Reads the whole body. Fails if it is larger than `limit` bytes.
-    pub async fn read_all(mut self, limit: usize) -> Result<Bytes, SendError> {
-        let mut buf = BytesMut::new();
-        while let Some(chunk) = self.chunk().await? {
-            if buf.len() + chunk.len() > limit {
-                return Err(SendError::Broken);
+    /// The memory of the pool, for what is kept of the body.
+    pub fn memory(&self) -> &Arc<AnswerMemory> {
+        &self.memory
+    }
+
+    /// Reads the whole body into memory of the pool. Fails if it is larger than `limit` bytes, or if no
+    /// memory is left.
+    pub async fn read_all(self, limit: usize) -> Result<Bytes, SendError> {
+        let read = async { self.read(limit).await?.finish_joined().await };
+        read.await.map_err(|_: ReadError| SendError::Broken)
+    }
+
+    /// The same in segments, without a copy. Tells why it failed.
+    pub async fn read_segments(self, limit: usize) -> Result<Vec<Bytes>, ReadError> {
+        Ok(self.read(limit).await?.finish())
+    }
+
+    async fn read(mut self, limit: usize) -> Result<AnswerBuffer, ReadError> {
+        let mut answer = AnswerBuffer::new(&self.memory, limit);
+        loop {
+            let chunk = async { self.chunk().await.map_err(|_: SendError| ReadError::Broken) };
+            match chunk.or(answer.until_revoked()).await? {
+                Some(part) => answer.push(&part).await?,
+                None => return Ok(answer),
             }
-            buf.extend_from_slice(&chunk);
         }
-        Ok(buf.freeze())
     }
 
     fn record_progress(&self) {
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -5,6 +5,8 @@
 //! responding is decided by [`jd_policy::ConnectionMonitor`]. Body sizes are bounded, and
 //! [`with_timeout`] bounds any wait.
 
+mod answer_buffer;
+mod answer_memory;
 mod body;
 mod body_framing;
 mod client_table;
@@ -24,6 +26,12 @@
 mod workers;
 mod write_stall_timeout;
 
+pub use answer_buffer::AnswerBuffer;
+pub use answer_buffer::ReadError;
+pub use answer_memory::AnswerBytes;
+pub use answer_memory::AnswerCounts;
+pub use answer_memory::AnswerMemory;
+pub use answer_memory::UnfinishedAnswer;
 pub use body::Body;
 pub use body::BodyError;
 pub use body::BodyReadError;
--- a/crates/policy/src/body_budget.rs
+++ b/crates/policy/src/body_budget.rs
@@ -168,12 +168,7 @@
         }
     }
 
-    /// Takes memory whether or not any is left, for what cannot be refused any more.
-    pub fn take_for_answer(&mut self, bytes: usize) {
-        self.used += bytes;
-    }
-
-    /// Returns memory that a body or an answer has taken.
+    /// Returns memory that a body has taken.
     pub fn give_back(&mut self, bytes: usize) {
         self.used -= bytes;
     }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod admission;
 mod admission_queue;
+mod answer_budget;
 mod body_budget;
 mod client_connections;
 mod connection_monitor;
@@ -27,6 +28,10 @@
 pub use admission_queue::AdmissionQueue;
 pub use admission_queue::QueuePolicy;
 pub use admission_queue::SlotDecision;
+pub use answer_budget::AnswerBudget;
+pub use answer_budget::AnswerEnd;
+pub use answer_budget::AnswerGrant;
+pub use answer_budget::AnswerKey;
 pub use body_budget::BODY_STALL_TIME;
 pub use body_budget::BodyBudget;
 pub use body_budget::BodyGrant;
--- a/crates/policy/src/memory_split.rs
+++ b/crates/policy/src/memory_split.rs
@@ -5,11 +5,14 @@
 const CONNECTION_BYTES: usize = 72 << 10;
 /// What a connection to a service address takes, in bytes: its buffers.
 const SERVICE_CONNECTION_BYTES: usize = 32 << 10;
-/// The parts of the memory for connections of callers, for those to each service address, and for the
-/// bodies of callers, in percent. The rest is for the process itself.
+/// The parts of the memory for connections of callers, for those to each service address, for the
+/// bodies of callers, and for answers of upstreams, in percent. The rest is for the process itself.
 const CONNECTIONS_PERCENT: usize = 35;
 const SERVICE_CONNECTIONS_PERCENT: usize = 3;
 const BODIES_PERCENT: usize = 25;
+const ANSWERS_PERCENT: usize = 15;
+/// The least memory for answers, in bytes: room for one of the largest size beside small ones.
+const MIN_ANSWER_BYTES: usize = 12 << 20;
 /// The part of the connections of callers whose requests may run at a time, in percent. The others are
 /// for callers that can still be told to come back.
 const REQUESTS_PERCENT: usize = 87;
@@ -25,6 +28,8 @@
     pub service_connections: usize,
     /// Bytes of bodies.
     pub body_bytes: usize,
+    /// Bytes of answers that are held before they are passed on.
+    pub answer_bytes: usize,
 }
 
 impl MemorySplit {
@@ -37,6 +42,7 @@
             requests: connections * REQUESTS_PERCENT / 100,
             service_connections: part(SERVICE_CONNECTIONS_PERCENT) / SERVICE_CONNECTION_BYTES,
             body_bytes: part(BODIES_PERCENT),
+            answer_bytes: part(ANSWERS_PERCENT).max(MIN_ANSWER_BYTES),
         }
     }
 }
--- a/crates/policy/tests/body_budget.rs
+++ b/crates/policy/tests/body_budget.rs
@@ -131,17 +131,6 @@
     );
 }
 
-/// Guards against answers that slow callers hold, and that bodies know nothing of.
-#[test]
-fn answers_leave_less_memory_for_bodies() {
-    let mut budget = BodyBudget::new(CAPACITY);
-    budget.take_for_answer(2 * CAPACITY);
-    let body = budget.begin(at(0));
-    assert_eq!(budget.take(body, 1, at(0)), BodyGrant::Refused);
-    budget.give_back(2 * CAPACITY);
-    assert_eq!(budget.take(body, 1, at(0)), BodyGrant::Granted);
-}
-
 /// What happens to one of the bodies.
 #[derive(Debug, Clone, Copy)]
 enum Event {
--- a/crates/policy/tests/client_connections.rs
+++ b/crates/policy/tests/client_connections.rs
@@ -174,6 +174,9 @@
     let connections = split.connections * (72 << 10);
     let services = 3 * split.service_connections * (32 << 10);
     assert!(connections + services + split.body_bytes <= memory * 7 / 10);
+    let answers = split.answer_bytes;
+    assert!(connections + services + split.body_bytes + answers <= memory * 85 / 100);
     assert!(split.body_bytes * 3 / 4 >= 4 << 20);
+    assert!(answers / 4 * 3 >= (8 << 20) + (64 << 10));
     assert!((500..=3_000).contains(&split.connections));
 }
--- a/crates/serving/src/attempt_decision.rs
+++ b/crates/serving/src/attempt_decision.rs
@@ -35,6 +35,8 @@
 pub enum Evidence {
     /// The connection broke, or carried what is no answer to the request.
     Broken,
+    /// This instance had no memory left for the answer because of others.
+    NoRoom,
     /// The upstream refused the request, or answered that it failed.
     Refused,
     /// The upstream process has restarted since.
@@ -50,6 +52,7 @@
     pub const fn as_str(self) -> &'static str {
         match self {
             Evidence::Broken => "broken",
+            Evidence::NoRoom => "no-room",
             Evidence::Refused => "refused",
             Evidence::Restarted => "restarted",
             Evidence::PathLost => "path-lost",
@@ -62,7 +65,7 @@
     pub const fn is_final(self) -> bool {
         matches!(
             self,
-            Evidence::Broken | Evidence::Refused | Evidence::Restarted
+            Evidence::Broken | Evidence::NoRoom | Evidence::Refused | Evidence::Restarted
         )
     }
 
--- a/crates/serving/src/event_splitter.rs
+++ b/crates/serving/src/event_splitter.rs
@@ -39,6 +39,8 @@
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     partial: BytesMut,
+    /// Bytes of an incomplete event that was dropped.
+    dropped: usize,
     lines: EventLines,
     block: Block,
     /// Bytes of blank lines and comments since the last event.
@@ -141,9 +143,24 @@
         !self.is_unnumbered
     }
 
+    /// The most memory that is held while `part` is pushed: a buffer that grows is copied, and at least
+    /// doubled.
+    pub fn bytes_to_push(&self, part: &[u8]) -> usize {
+        let needed = self.partial.len() + part.len();
+        match needed <= self.partial.capacity() {
+            true => self.partial.capacity(),
+            false => self.partial.capacity() + needed.max(2 * self.partial.capacity()),
+        }
+    }
+
+    /// The memory that is held for an incomplete event.
+    pub fn held_bytes(&self) -> usize {
+        self.partial.capacity()
+    }
+
     /// The number of bytes of an incomplete event.
     pub fn partial_bytes(&self) -> usize {
-        self.partial.len()
+        self.partial.len() + self.dropped
     }
 
     /// Where the current response is.
@@ -166,6 +183,12 @@
         self.last = self.last.or(earlier.last);
     }
 
+    /// Drops an incomplete event of a response that is not read any further.
+    pub fn drop_partial(&mut self) {
+        self.dropped = self.partial.len();
+        self.partial = BytesMut::new();
+    }
+
     /// Takes the bytes after the last complete event.
     pub fn take_remaining(&mut self) -> Bytes {
         self.partial.split().freeze()
