Soak: endless upstreams, late callers, instances out of step, retries of instances alone

Operators reported upstreams that send without end, requests that are taken late in a stop and cut off, streams that an instance out of step takes up at another software version, and retries beyond the limit. No plan of the soak had any of these, so that none of its seeds could break by them: upstreams ended each answer, callers sent each request whole before or after the signal of a stop, a second software version was listed from the start, and versions recorded by the store are taken for complete only after fifty seconds or on a first start.

Plans from seed 14000 on have one or two of these matters. Judged in addition: the memory of each process and that it lives, requests at sound upstreams beside those that send without end, requests that an upstream ran and that failed in a stop, and the time that upstreams are left.

--- a/soak/src/caller.rs
+++ b/soak/src/caller.rs
@@ -32,6 +32,8 @@
 
 /// The delay between two requests of a caller.
 const THINK_TIME: Duration = Duration::from_millis(40);
+/// Of the streams that a caller may break off, it usually breaks one in so many.
+pub(crate) const LEAVES_ONE_IN: u8 = 4;
 /// How often a caller takes a stream up that ends early.
 const MAX_TAKE_UPS: usize = 2;
 /// The longest that a caller waits before it sends again, whatever `Retry-After` asks for.
@@ -59,6 +61,8 @@
     pub(crate) takes_up: bool,
     /// True if the caller's requests have prompts, whose parts they share.
     pub(crate) prompts: bool,
+    /// Of the streams that it may break off, the caller breaks one in so many.
+    pub(crate) leaves_one_in: u8,
     pub(crate) load: Load,
 }
 
@@ -115,7 +119,7 @@
 
     /// The stream of an attempt that has brought events and not ended, or that the attempt could
     /// not take up.
-    fn taken_up(&self, attempt: &Attempt) -> Option<TakenUp> {
+    pub(crate) fn taken_up(&self, attempt: &Attempt) -> Option<TakenUp> {
         let before = attempt.takes_up.as_ref();
         let (last, software) = match &attempt.outcome {
             Outcome::Response {
@@ -139,7 +143,7 @@
         })
     }
 
-    async fn attempt(
+    pub(crate) async fn attempt(
         &mut self,
         instance: usize,
         kind: RequestKind,
@@ -157,7 +161,9 @@
         }
         let sending = self.pool.send(address, req, deadline, false);
         // Some callers leave after an event.
-        let leaves = self.takes_up && kind == RequestKind::ResumableStream && self.rng.u8(..4) == 0;
+        let leaves = self.takes_up
+            && kind == RequestKind::ResumableStream
+            && self.rng.u8(..self.leaves_one_in) == 0;
         let most_bytes = if leaves { 1 } else { usize::MAX };
         let (outcome, pause) = match sending.await {
             Some(Ok(res)) => read(res, most_bytes, deadline).await,
@@ -266,7 +272,7 @@
 }
 
 /// Reads a response, and closes its connection once `most_bytes` of the body have arrived.
-async fn read(
+pub(crate) async fn read(
     mut res: HttpResponse,
     most_bytes: usize,
     deadline: Duration,
--- a/soak/src/cuts.rs
+++ b/soak/src/cuts.rs
@@ -16,8 +16,8 @@
 const NOTICED_WITHIN: Duration = Duration::from_secs(3);
 /// Failed requests at instances that are cut off that the users tolerate, and one in so many of
 /// all requests.
-const TOLERATED: usize = 10;
-const TOLERATED_ONE_IN: usize = 50;
+pub(crate) const TOLERATED: usize = 10;
+pub(crate) const TOLERATED_ONE_IN: usize = 50;
 
 /// Served requests and all requests.
 pub(crate) type Served = (usize, usize);
--- a/soak/src/environment.rs
+++ b/soak/src/environment.rs
@@ -249,10 +249,11 @@
         format!(
             "[instance]\nname = soak-{instance}\nzone = hall-{}\ncallers = {callers}\n\
              ready = {ready}\nlocate = {locate}\npeers = {peers}\nmetrics = {metrics}\n\
-             {memory}\
+             {memory}first-start = {}\n\
              [store]\naddress = {store}\n[repeats]\nslack = 50\n\
              [stop]\ngrace-s = {}\n[upstreams]\nconnect-to = {}\n",
             ["a", "b", "c"][instance % 3],
+            self.load.is_first_start,
             self.load.grace.as_secs(),
             self.instance_links[instance].setting(),
         )
@@ -262,6 +263,16 @@
         at(self.network, FIRST_INSTANCE + instance, PORTS[0])
     }
 
+    /// Starts a link of a caller to an instance.
+    pub(crate) fn link_to(
+        &self,
+        executor: &Arc<Executor<'static>>,
+        instance: usize,
+    ) -> std::io::Result<Arc<Relay>> {
+        let any_port = at(self.network, 1, 0);
+        Relay::start(executor, any_port, self.callers_at(instance))
+    }
+
     pub(crate) fn ready_at(&self, instance: usize) -> SocketAddr {
         at(self.network, FIRST_INSTANCE + instance, PORTS[1])
     }
--- a/soak/src/fake_stage_upstream.rs
+++ b/soak/src/fake_stage_upstream.rs
@@ -23,6 +23,7 @@
 use serde_json::json;
 
 use crate::UpstreamMode;
+use crate::endless;
 use crate::fake_store::json_body;
 use crate::fake_store::status;
 use crate::fake_upstream::FakeUpstream;
@@ -123,6 +124,7 @@
                 set_backoff(&mut res, mode.and_then(UpstreamMode::backoff));
                 return res;
             }
+            Some(UpstreamMode::Endless) => return Response::new(endless::body(None)),
             Some(UpstreamMode::Hangs) => futures_lite::future::pending().await,
             _ => {}
         }
--- a/soak/src/fake_upstream.rs
+++ b/soak/src/fake_upstream.rs
@@ -37,6 +37,7 @@
 use crate::UpstreamRequest;
 use crate::config::TENANT;
 use crate::early_ends;
+use crate::endless;
 use crate::environment;
 use crate::fake_stage_upstream::Results;
 use crate::fake_store::json_body;
@@ -194,6 +195,9 @@
             executed: refused.is_none(),
             hung: mode == Some(UpstreamMode::Hangs),
             ended: None,
+            deadline: header("jacinthdeal-deadline-ms")
+                .and_then(|t| t.parse().ok())
+                .map(Duration::from_millis),
             crash_cause: crashing,
             fault,
             notice: Notice {
@@ -241,6 +245,7 @@
             _ if crashing && !streams => future::pending().await,
             Some(UpstreamMode::Hangs) => future::pending().await,
             Some(UpstreamMode::Fails) => status(StatusCode::INTERNAL_SERVER_ERROR),
+            Some(UpstreamMode::Endless) => Response::new(endless::body(Some(work))),
             Some(UpstreamMode::EndsEarly) if streams => {
                 let software = *lock(&self.software);
                 Response::new(early_ends::body(id, &self.id(), software, after))
--- a/soak/src/fault.rs
+++ b/soak/src/fault.rs
@@ -34,6 +34,8 @@
     EndsEarly,
     /// The request is executed, and the answer names another request.
     Misattributes,
+    /// The request is executed, and a body or an event is sent without end.
+    Endless,
 }
 
 impl UpstreamMode {
@@ -55,6 +57,11 @@
     Unframed,
     /// Some answers end in their head, and their connection with them.
     CutsHeads,
+    /// Answers begin with a head that is sent without end.
+    EndlessHeads,
+    /// Only so many bytes of each read reach the server, and never the last one, until the mode
+    /// changes.
+    HoldsAfter(usize),
     /// Open connections carry no more data; new connections work.
     BlackholesOpen,
     /// No connection carries data in either direction.
@@ -124,6 +131,14 @@
     LosePower(usize),
     /// So many clients of an instance misbehave for this time, and connect again when they are closed.
     Crowd(usize, Misbehaviour, usize, Duration),
+    /// Callers of an instance send a part of a request, and the rest of it at a random time, as this
+    /// seed draws it.
+    LateCallers(usize, u64),
+    /// All instances but one stand still for this time.
+    Alone(usize, Duration),
+    /// An instance stands still for this time, while an upstream is replaced by one of the other
+    /// software version, and is then alone for this time.
+    OutOfStep(usize, usize, [Duration; 2]),
     /// The operator writes the next version of the configuration.
     Configure,
     /// The operator revokes a credential.
@@ -145,6 +160,7 @@
                 | Fault::Drain(_)
                 | Fault::DrainByAnswers(_)
                 | Fault::Limit(..)
+                | Fault::LateCallers(..)
         )
     }
 }
--- a/soak/src/inject.rs
+++ b/soak/src/inject.rs
@@ -13,7 +13,9 @@
 use crate::LinkMode;
 use crate::ProcessSignal;
 use crate::RequestKind;
+use crate::UpstreamMode;
 use crate::caller::Caller;
+use crate::caller::LEAVES_ONE_IN;
 use crate::run::Runner;
 use crate::turns::Load;
 
@@ -89,6 +91,9 @@
                 *lock(&fake.mode) = Some(mode);
                 Timer::after(span).await;
                 *lock(&fake.mode) = None;
+                if mode == UpstreamMode::Endless {
+                    self.check_bounds()?;
+                }
             }
             Fault::Limit(n, per_s, span) => {
                 let fake = upstream(n).handler.fake();
@@ -154,6 +159,12 @@
                 drop(crowd);
                 self.check_memory(n)?;
             }
+            Fault::LateCallers(n, seed) => self.send_late(n % instances, seed).await?,
+            Fault::Alone(n, span) => self.leave_alone(n % instances, span).await,
+            Fault::OutOfStep(n, upstream, [paused, alone]) => {
+                self.put_out_of_step(n % instances, upstream, paused, alone)
+                    .await;
+            }
             Fault::Configure => return Ok(Some(self.env.configure().to_string())),
             Fault::Revoke => return Ok(Some(self.env.revoke().unwrap_or("").into())),
             Fault::RevokeDuringPartition(n) => {
@@ -169,6 +180,18 @@
         Ok(None)
     }
 
+    /// Fails if an instance that no step holds has ended, or if one has had more memory than it may.
+    pub(crate) fn check_bounds(&self) -> io::Result<()> {
+        for n in 0..self.starts.len() {
+            let is_held = self.held[n].load(Ordering::Relaxed);
+            if !is_held && !self.fleet.is_running(n) {
+                return Err(io::Error::other(format!("instance {n} ended by itself")));
+            }
+            self.check_memory(n)?;
+        }
+        Ok(())
+    }
+
     /// Fails if an instance has had more memory than it may.
     fn check_memory(&self, n: usize) -> io::Result<()> {
         let allowed = self.env.load.memory_mb * 1_000_000;
@@ -195,6 +218,7 @@
                 hot: false,
                 takes_up: false,
                 prompts: matches!(kind, RequestKind::CrashingPart(_)),
+                leaves_one_in: LEAVES_ONE_IN,
                 load: Load::LIGHT,
             };
             let instance = rng.usize(..self.starts.len());
--- a/soak/src/losses.rs
+++ b/soak/src/losses.rs
@@ -75,7 +75,7 @@
 }
 
 /// The executions of each request.
-fn runs(requests: &[UpstreamRequest]) -> HashMap<&str, Vec<&UpstreamRequest>> {
+pub(crate) fn runs(requests: &[UpstreamRequest]) -> HashMap<&str, Vec<&UpstreamRequest>> {
     let mut runs: HashMap<&str, Vec<&UpstreamRequest>> = HashMap::new();
     for request in requests.iter().filter(|r| r.executed) {
         runs.entry(request.id.as_str()).or_default().push(request);
@@ -115,11 +115,11 @@
 }
 
 /// What happened around planned work.
-struct PlannedWork<'a> {
-    spans: &'a [FaultSpan],
-    runs: HashMap<&'a str, Vec<&'a UpstreamRequest>>,
-    instances: usize,
-    load: Load,
+pub(crate) struct PlannedWork<'a> {
+    pub(crate) spans: &'a [FaultSpan],
+    pub(crate) runs: HashMap<&'a str, Vec<&'a UpstreamRequest>>,
+    pub(crate) instances: usize,
+    pub(crate) load: Load,
 }
 
 impl PlannedWork<'_> {
@@ -135,7 +135,7 @@
         }
     }
 
-    fn is_excused(&self, a: &Attempt) -> bool {
+    pub(crate) fn is_excused(&self, a: &Attempt) -> bool {
         if self.load.silences {
             let is_over = took(a) >= self.load.deadline_of(a.kind);
             return is_over || self.is_disrupted(a) || self.outlasted_stop(a);
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -9,6 +9,7 @@
 use crate::crowds;
 use crate::cuts;
 use crate::early_ends;
+use crate::matters;
 use crate::silences;
 use crate::turns;
 use crate::turns::Load;
@@ -57,7 +58,9 @@
 const EARLY_ENDS_FROM_SEED: u64 = 12_000;
 /// Plans from this seed on have crowds of clients; in odd ones beside more than planned work.
 const CROWDS_FROM_SEED: u64 = 13_000;
-/// Of these seeds, one in so many, with this remainder, has no other faults of instances or the
+/// Plans from this seed on have one or two of the matters of [`matters`], by their remainder.
+const MATTERS_FROM_SEED: u64 = 14_000;
+/// Of the seeds with cuts, one in so many, with this remainder, has no other faults of instances or the
 /// store, since what these keep from being served says nothing about a cut.
 const CUTS_ONLY_EVERY: u64 = 4;
 const CUTS_ONLY_REMAINDER: u64 = 2;
@@ -94,6 +97,7 @@
         let mut rng = fastrand::Rng::with_seed(seed);
         let is_odd = seed % 2 == 1;
         let drawn = match seed {
+            MATTERS_FROM_SEED.. => Some(matters::draw(&mut rng, seed)),
             CROWDS_FROM_SEED.. => Some(crowds::draw(&mut rng, is_odd)),
             EARLY_ENDS_FROM_SEED.. => Some(early_ends::draw(&mut rng, is_odd)),
             SILENCES_FROM_SEED.. => Some(silences::draw(&mut rng, is_odd)),
@@ -182,9 +186,20 @@
         (VERSIONS_FROM_SEED..CROWDS_FROM_SEED).contains(&self.seed)
     }
 
+    /// True if callers break some streams off and take streams up.
+    pub(crate) fn takes_up(&self) -> bool {
+        self.has_versions() || self.seed >= MATTERS_FROM_SEED && matters::has_versions(self.seed)
+    }
+
+    /// True if instances may end only when the plan has them end.
+    pub(crate) fn has_matters(&self) -> bool {
+        self.seed >= MATTERS_FROM_SEED
+    }
+
     /// The load of upstreams and callers.
     pub(crate) fn load(&self) -> Load {
         match self.seed {
+            MATTERS_FROM_SEED.. => matters::load(self.seed),
             CROWDS_FROM_SEED.. => Load::CROWDED,
             EARLY_ENDS_FROM_SEED.. => Load::LONG,
             SILENCES_FROM_SEED.. => Load::SILENT,
--- a/soak/src/recorder.rs
+++ b/soak/src/recorder.rs
@@ -156,6 +156,8 @@
     /// The time at which the upstream ended its work, by an answer or because its connection was
     /// closed. None before that.
     pub ended: Option<Duration>,
+    /// The time that the request leaves its upstream, if it says so.
+    pub deadline: Option<Duration>,
     /// What in the request crashes its upstream, if anything does.
     pub crash_cause: Option<CrashCause>,
     /// The defect of the request as it arrived, if any.
@@ -212,6 +214,8 @@
     pub upstream_requests: Mutex<Vec<UpstreamRequest>>,
     /// Injected faults.
     pub spans: Mutex<Vec<FaultSpan>>,
+    /// When this program itself was late, from and to.
+    pub late: Mutex<Vec<(Duration, Duration)>>,
 }
 
 impl Default for Recorder {
@@ -221,6 +225,7 @@
             attempts: Mutex::default(),
             upstream_requests: Mutex::default(),
             spans: Mutex::default(),
+            late: Mutex::default(),
         }
     }
 }
--- a/soak/src/relay.rs
+++ b/soak/src/relay.rs
@@ -29,6 +29,7 @@
 
 use crate::LinkMode;
 use crate::early_ends;
+use crate::endless;
 
 /// The interval at which relays check for a change of their mode.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
@@ -288,7 +289,20 @@
                 Direction::ToClient if self.cuts_heads() => early_ends::end_in_head(&buf[..read]),
                 _ => None,
             };
-            let sent = to.write_all(&buf[..cut.unwrap_or(read)]).await;
+            if direction == Direction::ToClient && self.mode() == Some(LinkMode::EndlessHeads) {
+                endless::send_head(to, || self.mode() == Some(LinkMode::EndlessHeads)).await?;
+                break;
+            }
+            let mut from = 0;
+            if let (Direction::ToServer, Some(LinkMode::HoldsAfter(count))) =
+                (direction, self.mode())
+            {
+                from = count.min(read - 1);
+                to.write_all(&buf[..from]).await?;
+                let holds = |r: &Relay| matches!(r.mode(), Some(LinkMode::HoldsAfter(_)));
+                self.wait_while(holds).await;
+            }
+            let sent = to.write_all(&buf[from..cut.unwrap_or(read)]).await;
             if sent.is_err() || cut.is_some() {
                 break;
             }
@@ -298,6 +312,10 @@
         Ok(())
     }
 
+    fn mode(&self) -> Option<LinkMode> {
+        lock(&self.state).mode
+    }
+
     /// Waits until data of a connection may be forwarded.
     async fn wait_until_forwarding(&self, number: u64, direction: Direction) {
         loop {
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -13,6 +13,7 @@
 use http::Request;
 use jd_net::Clock;
 use jd_net::HttpPool;
+use jd_net::lock;
 
 use crate::Fault;
 use crate::Fleet;
@@ -24,8 +25,10 @@
 use crate::Step;
 use crate::Violation;
 use crate::caller::Caller;
+use crate::caller::LEAVES_ONE_IN;
 use crate::environment::Environment;
 use crate::judge::judge;
+use crate::matters;
 
 /// The time for which callers go on after the last fault.
 const CALM_PERIOD: Duration = Duration::from_millis(4_500);
@@ -113,8 +116,14 @@
     for caller in callers {
         caller.await;
     }
+    if plan.has_matters() {
+        runner.check_bounds()?;
+    }
     runner.end(instances).await?;
-    let violations = judge(&env.recorder, calm, instances, load);
+    let mut violations = judge(&env.recorder, calm, instances, load);
+    if plan.has_matters() {
+        violations.extend(matters::judge(&env.recorder, instances, load));
+    }
     let shares = Shares::of(&env.recorder, instances);
     let losses = Losses::of(&env.recorder, load);
     let recorder = Arc::clone(&env.recorder);
@@ -135,7 +144,11 @@
         let began = env.recorder.now();
         Timer::after(LAG_INTERVAL).await;
         let took = env.recorder.now().saturating_sub(began);
-        most = most.max(took.saturating_sub(LAG_INTERVAL));
+        let lag = took.saturating_sub(LAG_INTERVAL);
+        if lag >= LAG_INTERVAL {
+            lock(&env.recorder.late).push((began, began + took));
+        }
+        most = most.max(lag);
     }
     most
 }
@@ -157,8 +170,9 @@
             stopped: Arc::clone(stopped),
             rng: fastrand::Rng::with_seed(plan.seed.wrapping_mul(1_000) + n),
             hot: plan.has_hot(),
-            takes_up: plan.has_versions(),
+            takes_up: plan.takes_up(),
             prompts: plan.has_prompts(),
+            leaves_one_in: LEAVES_ONE_IN,
             load,
         };
         executor.spawn(caller.run())
@@ -216,7 +230,11 @@
         let instances = self.starts.len();
         let upstreams = self.env.upstreams.len();
         let held = match step.fault {
-            Fault::Kill(n, _) | Fault::Stop(n) | Fault::Pause(n, _) => Some(n % instances),
+            Fault::Kill(n, _)
+            | Fault::Stop(n)
+            | Fault::Pause(n, _)
+            | Fault::Alone(n, _)
+            | Fault::OutOfStep(n, ..) => Some(n % instances),
             Fault::Drain(n)
             | Fault::DrainByAnswers(n)
             | Fault::ReplaceUpstream(n)
@@ -254,6 +272,7 @@
             | Fault::RestartUpstream(n)
             | Fault::Upgrade(n, _)
             | Fault::Upstream(n, _, _)
+            | Fault::UpstreamLink(n, _, _)
             | Fault::Limit(n, _, _) => upstreams[n % upstreams.len()].handler.fake().id(),
             _ => String::new(),
         }
--- a/soak/src/surroundings.rs
+++ b/soak/src/surroundings.rs
@@ -28,6 +28,7 @@
 use crate::UpstreamMode;
 use crate::caller;
 use crate::caller::Caller;
+use crate::caller::LEAVES_ONE_IN;
 use crate::environment::Environment;
 use crate::run::Runner;
 use crate::turns::Load;
@@ -237,6 +238,7 @@
             hot: false,
             takes_up: false,
             prompts: false,
+            leaves_one_in: LEAVES_ONE_IN,
             load: Load::LARGE,
         }
     }
--- a/soak/src/turns.rs
+++ b/soak/src/turns.rs
@@ -45,6 +45,8 @@
     pub(crate) body_bytes: usize,
     /// The memory of an instance, in megabytes.
     pub(crate) memory_mb: u64,
+    /// True if instances are told that nothing ran before, so that all software versions are known.
+    pub(crate) is_first_start: bool,
 }
 
 impl Load {
@@ -65,6 +67,7 @@
         silences: false,
         body_bytes: 64 << 10,
         memory_mb: 256,
+        is_first_start: false,
     };
     /// Large bodies, and as little memory as an instance may have.
     pub(crate) const CROWDED: Load = Load {
@@ -104,6 +107,40 @@
         silences: false,
         body_bytes: 64 << 10,
         memory_mb: 256,
+        is_first_start: false,
+    };
+    /// Large bodies and little memory, and callers that have many answers sent at a time.
+    pub(crate) const ENDLESS: Load = Load {
+        callers: 12,
+        ..Load::CROWDED
+    };
+    /// Streams that outlast the end of a stop, and deadlines for requests that take as long as it.
+    pub(crate) const LATE: Load = Load {
+        event_interval: Duration::from_millis(450),
+        deadline: Duration::from_millis(14_000),
+        single_deadline: Duration::from_millis(14_000),
+        callers: 6,
+        pieces: Load::LIGHT.pieces,
+        call: Load::LIGHT.call,
+        calls: Load::LIGHT.calls,
+        results: Load::LIGHT.results,
+        result_bytes: Load::LIGHT.result_bytes,
+        memory_mb: 64,
+        ..Load::SILENT
+    };
+    /// Streams that break before their instance is alone, and are taken up soon.
+    pub(crate) const OUT_OF_STEP: Load = Load {
+        event_interval: Duration::from_millis(120),
+        deadline: Duration::from_millis(6_000),
+        take_up_pause: Duration::from_millis(300),
+        callers: 6,
+        is_first_start: true,
+        ..Load::LIGHT
+    };
+    /// Requests of which the retries beyond the ratio are a large part.
+    pub(crate) const RETRIES: Load = Load {
+        callers: 1,
+        ..Load::LIGHT
     };
     /// Deadlines and drains that leave time for the longest silence.
     pub(crate) const SILENT: Load = Load {
