--- a/crates/gateway-daemon/tests/soak.rs
+++ b/crates/gateway-daemon/tests/soak.rs
@@ -45,10 +45,11 @@
 /// silent for a while, in the two after these answers end early, in one of them beside kills of all
 /// instances and upstreams of two software versions, and the next two have crowds of clients that
 /// misbehave. In the last three an instance is out of step while upstreams get another software
-/// version, upstreams send without end beside callers that send late into stops, and callers do so alone.
+/// version, upstreams fail while instances are alone, and upstreams send without end beside callers
+/// that send late into stops.
 const DEFAULT_SEEDS: [u64; 24] = [
     4, 5, 4_000, 4_001, 5_000, 5_001, 6_002, 7_000, 7_001, 8_002, 8_003, 9_007, 9_009, 10_000,
-    10_001, 11_000, 11_005, 12_000, 12_001, 13_000, 13_001, 14_000, 14_008, 14_011,
+    10_001, 11_000, 11_005, 12_000, 12_001, 13_000, 13_001, 14_000, 14_007, 14_008,
 ];
 /// The number of seeds that this process has started.
 static SEEDS_STARTED: AtomicU8 = AtomicU8::new(0);
--- a/soak/src/fault.rs
+++ b/soak/src/fault.rs
@@ -136,6 +136,9 @@
     LateCallers(usize, u64),
     /// All instances but one stand still for this time.
     Alone(usize, Duration),
+    /// All instances are killed, and then so many of them run one at a time, each for this time, before
+    /// all are started again.
+    AloneInTurn(usize, Duration),
     /// An instance stands still for this time, while an upstream is replaced by one of the other
     /// software version, and is then alone for this time.
     OutOfStep(usize, usize, [Duration; 2]),
--- a/soak/src/inject.rs
+++ b/soak/src/inject.rs
@@ -14,6 +14,7 @@
 use crate::ProcessSignal;
 use crate::RequestKind;
 use crate::UpstreamMode;
+use crate::Violation;
 use crate::caller::Caller;
 use crate::caller::LEAVES_ONE_IN;
 use crate::run::Runner;
@@ -34,12 +35,7 @@
         let all = 0..self.starts.len();
         let free = all.filter(|n| !self.held[*n].swap(true, Ordering::Relaxed));
         let free: Vec<usize> = free.collect();
-        for n in &free {
-            self.fleet.signal(*n, ProcessSignal::Kill);
-        }
-        for n in &free {
-            self.until_ended(*n).await?;
-        }
+        self.kill(&free).await?;
         Timer::after(down).await;
         for n in &free {
             self.start(*n);
@@ -51,6 +47,17 @@
         Ok(())
     }
 
+    /// Kills instances, and returns once they have ended.
+    pub(crate) async fn kill(&self, instances: &[usize]) -> io::Result<()> {
+        for n in instances {
+            self.fleet.signal(*n, ProcessSignal::Kill);
+        }
+        for n in instances {
+            self.until_ended(*n).await?;
+        }
+        Ok(())
+    }
+
     /// Injects a fault, until its effect ends. Returns what it concerned, if that is known only then.
     pub(crate) async fn inject(&self, fault: Fault) -> io::Result<Option<String>> {
         let instances = self.starts.len();
@@ -92,7 +99,7 @@
                 Timer::after(span).await;
                 *lock(&fake.mode) = None;
                 if mode == UpstreamMode::Endless {
-                    self.check_bounds()?;
+                    self.check_bounds();
                 }
             }
             Fault::Limit(n, per_s, span) => {
@@ -161,6 +168,7 @@
             }
             Fault::LateCallers(n, seed) => self.send_late(n % instances, seed).await?,
             Fault::Alone(n, span) => self.leave_alone(n % instances, span).await,
+            Fault::AloneInTurn(count, span) => self.start_in_turn(count, span).await?,
             Fault::OutOfStep(n, upstream, [paused, alone]) => {
                 self.put_out_of_step(n % instances, upstream, paused, alone)
                     .await;
@@ -180,16 +188,23 @@
         Ok(None)
     }
 
-    /// Fails if an instance that no step holds has ended, or if one has had more memory than it may.
-    pub(crate) fn check_bounds(&self) -> io::Result<()> {
+    /// Records instances that no step holds and that have ended, and those that have had more memory
+    /// than they may.
+    pub(crate) fn check_bounds(&self) {
         for n in 0..self.starts.len() {
             let is_held = self.held[n].load(Ordering::Relaxed);
-            if !is_held && !self.fleet.is_running(n) {
-                return Err(io::Error::other(format!("instance {n} ended by itself")));
-            }
-            self.check_memory(n)?;
+            let broken = match self.check_memory(n) {
+                Err(e) => e.to_string(),
+                Ok(()) if !is_held && !self.fleet.is_running(n) => {
+                    format!("instance {n} ended by itself")
+                }
+                Ok(()) => continue,
+            };
+            lock(&self.broken_bounds).push(Violation {
+                guarantee: "processes live within their memory",
+                detail: broken,
+            });
         }
-        Ok(())
     }
 
     /// Fails if an instance has had more memory than it may.
--- a/soak/src/matters.rs
+++ b/soak/src/matters.rs
@@ -73,7 +73,9 @@
         });
     }
     // An instance that another step holds is not alone.
-    let has_alone = steps.iter().any(|s| matches!(s.fault, Fault::Alone(..)));
+    let has_alone = steps
+        .iter()
+        .any(|s| matches!(s.fault, Fault::Alone(..) | Fault::AloneInTurn(..)));
     let planned_only = rng.bool();
     let count = steps.len() + rng.usize(1..=4);
     while steps.len() < count {
@@ -136,7 +138,7 @@
 }
 
 /// All upstreams of a service fail, while all instances are killed twice, or each one is alone in
-/// turn.
+/// turn, as the only one that runs or as the only one that does not stand still.
 fn draw_retries(rng: &mut fastrand::Rng) -> Vec<Step> {
     let failing = if rng.bool() { 0..3 } else { MODELS };
     let span = Duration::from_millis(rng.u64(7_500..10_000));
@@ -148,7 +150,10 @@
     };
     let fails = |n| step(1_000, Fault::Upstream(n, mode, span));
     let mut steps: Vec<Step> = failing.map(fails).collect();
-    if rng.bool() {
+    if rng.u8(..3) == 0 {
+        let span = Duration::from_millis(rng.u64(600..1_000));
+        steps.push(step(1_200, Fault::AloneInTurn(rng.usize(4..=6), span)));
+    } else if rng.bool() {
         let first = rng.u64(1_500..3_000);
         for at in [first, first + rng.u64(2_000..4_500)] {
             let down = Duration::from_millis(rng.u64(50..300));
--- a/soak/src/out_of_step.rs
+++ b/soak/src/out_of_step.rs
@@ -1,5 +1,6 @@
 //! Instances that are alone, or out of step with the others.
 
+use std::io;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -8,6 +9,7 @@
 use async_io::Timer;
 use jd_net::Clock;
 use jd_net::HttpPool;
+use jd_net::lock;
 
 use crate::LinkMode;
 use crate::ProcessSignal;
@@ -33,17 +35,43 @@
     /// Suspends all instances but one, but for those that a step holds, and has callers use that one.
     pub(crate) async fn leave_alone(&self, n: usize, span: Duration) {
         let others = self.suspend_others(n);
+        self.ask(n, span);
+        Timer::after(span).await;
+        self.resume(&others);
+    }
+
+    /// Kills all instances that no step holds, runs `count` of them one at a time, each for this time
+    /// under requests, and starts all.
+    pub(crate) async fn start_in_turn(&self, count: usize, span: Duration) -> io::Result<()> {
+        let all = 0..self.starts.len();
+        let free = all.filter(|n| !self.held[*n].swap(true, Ordering::Relaxed));
+        let free: Vec<usize> = free.collect();
+        self.kill(&free).await?;
+        for n in free.iter().cycle().take(count) {
+            self.start(*n);
+            self.until_ready(*n).await?;
+            self.ask(*n, span);
+            Timer::after(span).await;
+            self.kill(&[*n]).await?;
+        }
+        for n in &free {
+            self.start(*n);
+        }
+        for n in &free {
+            self.until_ready(*n).await?;
+            self.held[*n].store(false, Ordering::Relaxed);
+        }
+        Ok(())
+    }
+
+    /// Starts callers that use an instance for this time.
+    fn ask(&self, n: usize, span: Duration) {
         let until = self.env.recorder.now() + span;
         let callers = (0..ASKING).map(|_| {
             let caller = self.caller(false);
             self.executor.spawn(ask(caller, n, until))
         });
-        let callers: Vec<Task<()>> = callers.collect();
-        Timer::after(span).await;
-        self.resume(&others);
-        for caller in callers {
-            caller.await;
-        }
+        lock(&self.callers).extend(callers);
     }
 
     /// Suspends an instance while an upstream gets the other software version and streams begin
@@ -73,13 +101,10 @@
         let taken_up = streams
             .into_iter()
             .map(|s| self.executor.spawn(take_up(s, n)));
-        let taken_up: Vec<Task<()>> = taken_up.collect();
+        lock(&self.callers).extend(taken_up);
         Timer::after(alone).await;
         self.resume(&others);
         self.env.store_links[n].set(None);
-        for caller in taken_up {
-            caller.await;
-        }
     }
 
     fn suspend_others(&self, n: usize) -> Vec<usize> {
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
@@ -64,6 +65,10 @@
     /// Instances, upstreams and the store, in this order; true while a step holds them. Steps
     /// that need a held target are skipped.
     pub(crate) held: Vec<AtomicBool>,
+    /// Instances that ended by themselves, or took more memory than they may.
+    pub(crate) broken_bounds: Mutex<Vec<Violation>>,
+    /// Callers that steps have started, and that may outlast them.
+    pub(crate) callers: Mutex<Vec<Task<()>>>,
 }
 
 /// Runs a plan with `instances` processes of `fleet` on loopback addresses that begin
@@ -85,6 +90,8 @@
         pool: HttpPool::new(Arc::clone(executor), Clock::start()),
         starts: Arc::new((0..instances).map(|_| AtomicU32::new(0)).collect()),
         held: (0..held).map(|_| AtomicBool::new(false)).collect(),
+        broken_bounds: Mutex::default(),
+        callers: Mutex::default(),
         env: Arc::clone(&env),
         fleet,
     });
@@ -113,14 +120,16 @@
     let calm = env.recorder.now();
     Timer::after(CALM_PERIOD).await;
     stopped.store(true, Ordering::Relaxed);
-    for caller in callers {
+    let started = std::mem::take(&mut *lock(&runner.callers));
+    for caller in callers.into_iter().chain(started) {
         caller.await;
     }
     if plan.has_matters() {
-        runner.check_bounds()?;
+        runner.check_bounds();
     }
     runner.end(instances).await?;
     let mut violations = judge(&env.recorder, calm, instances, load);
+    violations.append(&mut lock(&runner.broken_bounds));
     if plan.has_matters() {
         violations.extend(matters::judge(&env.recorder, instances, load));
     }
--- a/soak/src/surroundings.rs
+++ b/soak/src/surroundings.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
@@ -70,6 +71,8 @@
             pool: HttpPool::new(Arc::clone(executor), Clock::start()),
             starts: Arc::new((0..instances).map(|_| AtomicU32::new(0)).collect()),
             held: Vec::new(),
+            broken_bounds: Mutex::default(),
+            callers: Mutex::default(),
         };
         for n in 0..instances {
             runner.start(n);
--- a/soak/src/turns.rs
+++ b/soak/src/turns.rs
@@ -111,7 +111,7 @@
     };
     /// Large bodies and little memory, and callers that have many answers sent at a time.
     pub(crate) const ENDLESS: Load = Load {
-        callers: 12,
+        callers: 24,
         ..Load::CROWDED
     };
     /// Streams that outlast the end of a stop, and deadlines for requests that take as long as it.
--- a/soak/src/versions.rs
+++ b/soak/src/versions.rs
@@ -83,7 +83,7 @@
 fn found_none(a: &Attempt, spans: &[FaultSpan], instances: usize) -> bool {
     let is_down = |s: &FaultSpan| match s.fault {
         Fault::Stop(n) | Fault::Kill(n, _) => n % instances == a.instance.0,
-        Fault::KillAll(_) => true,
+        Fault::KillAll(_) | Fault::AloneInTurn(..) => true,
         _ => false,
     };
     let is_lost = matches!(a.outcome, Outcome::NotSent | Outcome::ConnectionLost);
