--- a/crates/gateway-daemon/tests/crowds.rs
+++ b/crates/gateway-daemon/tests/crowds.rs
@@ -286,7 +286,7 @@
 fn answers_that_never_end(kind: RequestKind, count: usize) {
     let test = Test::start("endless", 1, SMALL_MB, CONNECTIONS);
     test.surroundings
-        .set_upstreams_of_requests(Some(UpstreamMode::NeverEnds));
+        .set_upstreams_of_requests(Some(UpstreamMode::Endless(1)));
     block_on(test.surroundings.send_together(0, kind, count));
     test.check_bounds("after the answers");
     test.surroundings.set_upstreams_of_requests(None);
--- a/soak/src/fake_upstream.rs
+++ b/soak/src/fake_upstream.rs
@@ -37,6 +37,7 @@
 use crate::UpstreamRequest;
 use crate::config::TENANT;
 use crate::early_ends;
+use crate::endless;
 use crate::environment;
 use crate::fake_stage_upstream::Results;
 use crate::fake_store::json_body;
@@ -52,9 +53,6 @@
 const EXECUTION_TIME: Duration = Duration::from_millis(15);
 /// The event within which a truncated stream is cut off.
 const TRUNCATED_EVENT: u64 = 3;
-/// A part of an answer that never ends, and the pause before each.
-const ENDLESS_PART: Bytes = Bytes::from_static(&[b'x'; 64 << 10]);
-const ENDLESS_INTERVAL: Duration = Duration::from_millis(1);
 
 /// The body of the hot request, which is the same at each attempt.
 pub(crate) const HOT: &str = "hot";
@@ -197,6 +195,9 @@
             executed: refused.is_none(),
             hung: mode == Some(UpstreamMode::Hangs),
             ended: None,
+            deadline: header("jacinthdeal-deadline-ms")
+                .and_then(|t| t.parse().ok())
+                .map(Duration::from_millis),
             crash_cause: crashing,
             fault,
             notice: Notice {
@@ -244,9 +245,7 @@
             _ if crashing && !streams => future::pending().await,
             Some(UpstreamMode::Hangs) => future::pending().await,
             Some(UpstreamMode::Fails) => status(StatusCode::INTERNAL_SERVER_ERROR),
-            Some(UpstreamMode::NeverEnds) => {
-                Response::new(jd_net::stream(unfold(work, endless_part)))
-            }
+            Some(UpstreamMode::Endless(millis)) => Response::new(endless::body(millis, Some(work))),
             Some(UpstreamMode::EndsEarly) if streams => {
                 let software = *lock(&self.software);
                 Response::new(early_ends::body(id, &self.id(), software, after))
@@ -320,11 +319,6 @@
     Some((Ok(Bytes::from(text)), StreamState { next, ..rest }))
 }
 
-async fn endless_part(work: Work) -> Option<(Result<Bytes, jd_net::BodyError>, Work)> {
-    Timer::after(ENDLESS_INTERVAL).await;
-    Some((Ok(ENDLESS_PART), work))
-}
-
 fn signed(
     mut res: Response<Body>,
     mode: Option<UpstreamMode>,
--- a/soak/src/inject.rs
+++ b/soak/src/inject.rs
@@ -13,7 +13,10 @@
 use crate::LinkMode;
 use crate::ProcessSignal;
 use crate::RequestKind;
+use crate::UpstreamMode;
+use crate::Violation;
 use crate::caller::Caller;
+use crate::caller::LEAVES_ONE_IN;
 use crate::run::Runner;
 use crate::turns::Load;
 
@@ -32,12 +35,7 @@
         let all = 0..self.starts.len();
         let free = all.filter(|n| !self.held[*n].swap(true, Ordering::Relaxed));
         let free: Vec<usize> = free.collect();
-        for n in &free {
-            self.fleet.signal(*n, ProcessSignal::Kill);
-        }
-        for n in &free {
-            self.until_ended(*n).await?;
-        }
+        self.kill(&free).await?;
         Timer::after(down).await;
         for n in &free {
             self.start(*n);
@@ -49,6 +47,17 @@
         Ok(())
     }
 
+    /// Kills instances, and returns once they have ended.
+    pub(crate) async fn kill(&self, instances: &[usize]) -> io::Result<()> {
+        for n in instances {
+            self.fleet.signal(*n, ProcessSignal::Kill);
+        }
+        for n in instances {
+            self.until_ended(*n).await?;
+        }
+        Ok(())
+    }
+
     /// Injects a fault, until its effect ends. Returns what it concerned, if that is known only then.
     pub(crate) async fn inject(&self, fault: Fault) -> io::Result<Option<String>> {
         let instances = self.starts.len();
@@ -89,6 +98,9 @@
                 *lock(&fake.mode) = Some(mode);
                 Timer::after(span).await;
                 *lock(&fake.mode) = None;
+                if matches!(mode, UpstreamMode::Endless(_)) {
+                    self.check_bounds();
+                }
             }
             Fault::Limit(n, per_s, span) => {
                 let fake = upstream(n).handler.fake();
@@ -154,6 +166,13 @@
                 drop(crowd);
                 self.check_memory(n)?;
             }
+            Fault::LateCallers(n, seed) => self.send_late(n % instances, seed).await?,
+            Fault::Alone(n, span) => self.leave_alone(n % instances, span).await,
+            Fault::AloneInTurn(count, span) => self.start_in_turn(count, span).await?,
+            Fault::OutOfStep(n, upstream, [paused, alone]) => {
+                self.put_out_of_step(n % instances, upstream, paused, alone)
+                    .await;
+            }
             Fault::Configure => return Ok(Some(self.env.configure().to_string())),
             Fault::Revoke => return Ok(Some(self.env.revoke().unwrap_or("").into())),
             Fault::RevokeDuringPartition(n) => {
@@ -169,6 +188,25 @@
         Ok(None)
     }
 
+    /// Records instances that no step holds and that have ended, and those that have had more memory
+    /// than they may.
+    pub(crate) fn check_bounds(&self) {
+        for n in 0..self.starts.len() {
+            let is_held = self.held[n].load(Ordering::Relaxed);
+            let broken = match self.check_memory(n) {
+                Err(e) => e.to_string(),
+                Ok(()) if !is_held && !self.fleet.is_running(n) => {
+                    format!("instance {n} ended by itself")
+                }
+                Ok(()) => continue,
+            };
+            lock(&self.broken_bounds).push(Violation {
+                guarantee: "processes live within their memory",
+                detail: broken,
+            });
+        }
+    }
+
     /// Fails if an instance has had more memory than it may.
     fn check_memory(&self, n: usize) -> io::Result<()> {
         let allowed = self.env.load.memory_mb * 1_000_000;
@@ -195,6 +233,7 @@
                 hot: false,
                 takes_up: false,
                 prompts: matches!(kind, RequestKind::CrashingPart(_)),
+                leaves_one_in: LEAVES_ONE_IN,
                 load: Load::LIGHT,
             };
             let instance = rng.usize(..self.starts.len());
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
@@ -13,6 +14,7 @@
 use http::Request;
 use jd_net::Clock;
 use jd_net::HttpPool;
+use jd_net::lock;
 
 use crate::Fault;
 use crate::Fleet;
@@ -24,8 +26,10 @@
 use crate::Step;
 use crate::Violation;
 use crate::caller::Caller;
+use crate::caller::LEAVES_ONE_IN;
 use crate::environment::Environment;
 use crate::judge::judge;
+use crate::matters;
 
 /// The time for which callers go on after the last fault.
 const CALM_PERIOD: Duration = Duration::from_millis(4_500);
@@ -61,6 +65,10 @@
     /// Instances, upstreams and the store, in this order; true while a step holds them. Steps
     /// that need a held target are skipped.
     pub(crate) held: Vec<AtomicBool>,
+    /// Instances that ended by themselves, or took more memory than they may.
+    pub(crate) broken_bounds: Mutex<Vec<Violation>>,
+    /// Callers that steps have started, and that may outlast them.
+    pub(crate) callers: Mutex<Vec<Task<()>>>,
 }
 
 /// Runs a plan with `instances` processes of `fleet` on loopback addresses that begin
@@ -82,6 +90,8 @@
         pool: HttpPool::new(Arc::clone(executor), Clock::start()),
         starts: Arc::new((0..instances).map(|_| AtomicU32::new(0)).collect()),
         held: (0..held).map(|_| AtomicBool::new(false)).collect(),
+        broken_bounds: Mutex::default(),
+        callers: Mutex::default(),
         env: Arc::clone(&env),
         fleet,
     });
@@ -110,11 +120,19 @@
     let calm = env.recorder.now();
     Timer::after(CALM_PERIOD).await;
     stopped.store(true, Ordering::Relaxed);
-    for caller in callers {
+    let started = std::mem::take(&mut *lock(&runner.callers));
+    for caller in callers.into_iter().chain(started) {
         caller.await;
     }
+    if plan.has_matters() {
+        runner.check_bounds();
+    }
     runner.end(instances).await?;
-    let violations = judge(&env.recorder, calm, instances, load);
+    let mut violations = judge(&env.recorder, calm, instances, load);
+    violations.append(&mut lock(&runner.broken_bounds));
+    if plan.has_matters() {
+        violations.extend(matters::judge(&env.recorder, instances, load));
+    }
     let shares = Shares::of(&env.recorder, instances);
     let losses = Losses::of(&env.recorder, load);
     let recorder = Arc::clone(&env.recorder);
@@ -135,7 +153,11 @@
         let began = env.recorder.now();
         Timer::after(LAG_INTERVAL).await;
         let took = env.recorder.now().saturating_sub(began);
-        most = most.max(took.saturating_sub(LAG_INTERVAL));
+        let lag = took.saturating_sub(LAG_INTERVAL);
+        if lag >= LAG_INTERVAL {
+            lock(&env.recorder.late).push((began, began + took));
+        }
+        most = most.max(lag);
     }
     most
 }
@@ -157,8 +179,9 @@
             stopped: Arc::clone(stopped),
             rng: fastrand::Rng::with_seed(plan.seed.wrapping_mul(1_000) + n),
             hot: plan.has_hot(),
-            takes_up: plan.has_versions(),
+            takes_up: plan.takes_up(),
             prompts: plan.has_prompts(),
+            leaves_one_in: LEAVES_ONE_IN,
             load,
         };
         executor.spawn(caller.run())
@@ -216,7 +239,11 @@
         let instances = self.starts.len();
         let upstreams = self.env.upstreams.len();
         let held = match step.fault {
-            Fault::Kill(n, _) | Fault::Stop(n) | Fault::Pause(n, _) => Some(n % instances),
+            Fault::Kill(n, _)
+            | Fault::Stop(n)
+            | Fault::Pause(n, _)
+            | Fault::Alone(n, _)
+            | Fault::OutOfStep(n, ..) => Some(n % instances),
             Fault::Drain(n)
             | Fault::DrainByAnswers(n)
             | Fault::ReplaceUpstream(n)
@@ -254,6 +281,7 @@
             | Fault::RestartUpstream(n)
             | Fault::Upgrade(n, _)
             | Fault::Upstream(n, _, _)
+            | Fault::UpstreamLink(n, _, _)
             | Fault::Limit(n, _, _) => upstreams[n % upstreams.len()].handler.fake().id(),
             _ => String::new(),
         }
--- a/soak/src/surroundings.rs
+++ b/soak/src/surroundings.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
@@ -28,6 +29,7 @@
 use crate::UpstreamMode;
 use crate::caller;
 use crate::caller::Caller;
+use crate::caller::LEAVES_ONE_IN;
 use crate::environment::Environment;
 use crate::run::Runner;
 use crate::turns::Load;
@@ -69,6 +71,8 @@
             pool: HttpPool::new(Arc::clone(executor), Clock::start()),
             starts: Arc::new((0..instances).map(|_| AtomicU32::new(0)).collect()),
             held: Vec::new(),
+            broken_bounds: Mutex::default(),
+            callers: Mutex::default(),
         };
         for n in 0..instances {
             runner.start(n);
@@ -268,6 +272,7 @@
             hot: false,
             takes_up: false,
             prompts: false,
+            leaves_one_in: LEAVES_ONE_IN,
             load: Load::LARGE,
         }
     }
