The time that is left is told as of the write, not as of the choice of an upstream

Cause: a time that runs on was written down before a wait.

Change: the pool hands the request itself to the check that runs right before each write, also before a second one on another connection; the time that is left, and the age of a forwarded request, are set there.

Test: a_request_tells_what_holds_when_it_is_written; before, the check had no request to write to.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -6,7 +6,9 @@
 use compact_str::CompactString;
 use compact_str::format_compact;
 use futures_lite::FutureExt;
+use http::Request;
 use http::StatusCode;
+use jd_net::Body;
 use jd_net::HttpResponse;
 use jd_serving::Evidence;
 use jd_types::AttemptOutcome;
@@ -146,6 +148,12 @@
     };
     let timeout = request.time_left(state.now());
     let client = &state.upstream_client;
+    // The connection may have taken a while, or the process may have stood still.
+    let on_write = |req: &mut Request<Body>| {
+        let left = request.time_left(state.now());
+        state.dialect.write_time_left(req.headers_mut(), left);
+        on_write();
+    };
     let sending = async { Some(client.send(state, permit, req, timeout, on_write).await) };
     if let Some(from) = &request.forwarded {
         // Tells where it ran if this instance ends before the response.
--- a/crates/gateway/src/batch_calls.rs
+++ b/crates/gateway/src/batch_calls.rs
@@ -94,7 +94,7 @@
         let req = dialect.stage_request(&call.upstream, &call.pieces);
         let sent = state
             .upstream_client
-            .send(state, permit, req, call.timeout, || {});
+            .send(state, permit, req, call.timeout, |_| {});
         let response = match sent.await {
             Ok(response) => response,
             Err(SendFailure::Withheld(why)) => return withheld_result(why),
--- a/crates/gateway/src/batch_dispatcher.rs
+++ b/crates/gateway/src/batch_dispatcher.rs
@@ -298,7 +298,7 @@
         let sending =
             state
                 .upstream_client
-                .send(state, permit.ok()?, req, STORAGE_QUERY_TIMEOUT, || {});
+                .send(state, permit.ok()?, req, STORAGE_QUERY_TIMEOUT, |_| {});
         let response = sending.await.ok()?;
         if !response.status.is_success() {
             return None;
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -75,6 +75,10 @@
     /// Reads the head of a caller's request.
     fn call_head(&self, parts: &Parts) -> CallHead;
 
+    /// Tells an upstream how much time is left for a request, in the headers that
+    /// [`Dialect::upstream_request`] gave it.
+    fn write_time_left(&self, headers: &mut HeaderMap, left: Duration);
+
     /// The request to an upstream, with the caller's method, path and headers.
     fn upstream_request(
         &self,
--- a/crates/gateway/src/forward_client.rs
+++ b/crates/gateway/src/forward_client.rs
@@ -36,6 +36,7 @@
 use crate::forward_response;
 use crate::forward_response::Begun;
 use crate::forward_response::DecodeError;
+use crate::forwarded_from;
 use crate::forwarded_from::ForwardedFrom;
 use crate::next_send::NextSend;
 use crate::next_send::NextSendError;
@@ -246,7 +247,9 @@
         forwarded_request(request, from),
         timeout,
         false,
-        || {
+        |req| {
+            let age = state.now().since(request.arrived);
+            forwarded_from::write_age(req.headers_mut(), age);
             let patience = head_patience(request.route().retry_mode, cx.time_left());
             clock.set_forwarded();
             clock.record(state.now(), patience);
--- a/crates/gateway/src/forwarded_from.rs
+++ b/crates/gateway/src/forwarded_from.rs
@@ -64,11 +64,10 @@
     /// Sets the headers of a request.
     pub(crate) fn write(&self, headers: &mut HeaderMap) {
         strip(headers);
-        let age = u64::try_from(self.age.as_millis()).unwrap_or(u64::MAX);
+        write_age(headers, self.age);
         let mut set = |name: &'static str, value: u64| {
             headers.insert(HeaderName::from_static(name), HeaderValue::from(value));
         };
-        set(AGE_MS, age);
         set(FURTHER_RUNS, u64::from(self.further_runs));
         set(RUNS, ALL_RUNS);
         set(EXCUSED_RUNS, 0);
@@ -92,6 +91,12 @@
     }
 }
 
+/// Sets the time since a request arrived from its caller.
+pub(crate) fn write_age(headers: &mut HeaderMap, age: Duration) {
+    let age = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
+    headers.insert(HeaderName::from_static(AGE_MS), HeaderValue::from(age));
+}
+
 /// Adds the upstreams at which a request may have run, that of the latest run last. Adds none if one
 /// of their identities cannot be written.
 pub(crate) fn write_ran_at(headers: &mut HeaderMap, upstreams: &[CompactString]) {
--- a/crates/gateway/src/result_free_queue.rs
+++ b/crates/gateway/src/result_free_queue.rs
@@ -101,7 +101,7 @@
         let req = state.dialect.free_results_request(handles);
         let sending = state
             .upstream_client
-            .send(state, permit, req, RELEASE_TIMEOUT, || {});
+            .send(state, permit, req, RELEASE_TIMEOUT, |_| {});
         match sending.await {
             // The body is read so that the connection can be reused.
             Ok(response) => {
--- a/crates/gateway/src/upstream_client.rs
+++ b/crates/gateway/src/upstream_client.rs
@@ -148,7 +148,7 @@
 
     /// Sends a request and waits at most `timeout` for the head of its response. The checks
     /// are repeated once a connection is available, and `on_write` is called after they
-    /// pass. Without the second check, a request that waits for a connection would be sent
+    /// pass, with the request as it is about to be written. Without the second check, a request that waits for a connection would be sent
     /// to an upstream that was removed in the meantime.
     pub(crate) async fn send(
         &self,
@@ -156,11 +156,11 @@
         permit: SendPermit,
         req: Request<Body>,
         timeout: Duration,
-        on_write: impl Fn(),
+        on_write: impl Fn(&mut Request<Body>),
     ) -> Result<HttpResponse, SendFailure> {
         let withheld = Mutex::new(None);
         let counted = AtomicBool::new(false);
-        let may_send = || {
+        let may_send = |req: &mut Request<Body>| {
             // The pool calls this again for a request that it retries after a dead
             // connection; the request is counted once.
             let checked = match counted.swap(true, Ordering::Relaxed) {
@@ -168,7 +168,7 @@
                 false => permit.consume(state),
             };
             match checked {
-                Ok(()) => on_write(),
+                Ok(()) => on_write(req),
                 Err(why) => *lock(&withheld) = Some(why),
             }
             checked.is_ok()
--- a/crates/gateway/src/version_check.rs
+++ b/crates/gateway/src/version_check.rs
@@ -128,7 +128,9 @@
         let client = &state.upstream_client;
         let permit = client.permit(state, upstream, SendPurpose::Maintenance);
         let permit = permit.await.ok()?;
-        let response = client.send(state, permit, req, REPORT_TIMEOUT, || {}).await;
+        let response = client
+            .send(state, permit, req, REPORT_TIMEOUT, |_| {})
+            .await;
         let response = response.ok().filter(|r| r.status.is_success())?;
         let body = response.read_all(MAX_REPORT).await.ok()?;
         state.dialect.reported_start(&body)
--- a/crates/gateway/tests/whole/fakes/fake_dialect.rs
+++ b/crates/gateway/tests/whole/fakes/fake_dialect.rs
@@ -97,6 +97,8 @@
         }
     }
 
+    fn write_time_left(&self, _: &mut HeaderMap, _: Duration) {}
+
     fn upstream_request(
         &self,
         parts: &Parts,
--- a/crates/net/src/http_pool.rs
+++ b/crates/net/src/http_pool.rs
@@ -202,7 +202,7 @@
         timeout: Duration,
         new_connection: bool,
     ) -> Option<Result<HttpResponse, SendError>> {
-        self.send_if(address, req, timeout, new_connection, || true)
+        self.send_if(address, req, timeout, new_connection, |_| true)
             .await
     }
 
@@ -252,18 +252,18 @@
     ///
     /// `may_send` is called each time the request is about to be written to an open
     /// connection, because conditions can change while a connection is opened: for an
-    /// upstream that is gone, this can take long.
+    /// upstream that is gone, this can take long. It may change headers that tell a time.
     pub async fn send_if(
         &self,
         address: SocketAddr,
         req: Request<Body>,
         timeout: Duration,
         new_connection: bool,
-        may_send: impl Fn() -> bool,
+        may_send: impl Fn(&mut Request<Body>) -> bool,
     ) -> Option<Result<HttpResponse, SendError>> {
         let mut req = req;
         if !new_connection && let Some(c) = self.shared.take_idle(address) {
-            if !may_send() {
+            if !may_send(&mut req) {
                 self.shared.put_back(c);
                 return Some(Err(SendError::NotSent));
             }
@@ -276,7 +276,7 @@
             Some(c) => c,
             None => return Some(Err(SendError::NotSent)),
         };
-        if !may_send() {
+        if !may_send(&mut req) {
             self.shared.put_back(c);
             return Some(Err(SendError::NotSent));
         }
