Streams resume only after the event that was asked for

Callers of a stream that resumed at an upstream which reads Last-Event-Id otherwise got events twice, numbers that went back, or a gap; the same for streams that callers take up and forwarded ones.

Cause: EventSplitter and EventStream::take_over compared no numbers.

Change: EventOrder::take judges each number of a response that resumes a stream on a resumable route. From the first one that is not greater than the one before, or that leaves a gap at the cut where the numbers went up by one, the response is broken. First responses are passed on as they are; if their numbers go back or repeat, the stream resumes nowhere. New: the log line "event out of order", the counter events_out_of_order, the reason events-unordered.

--- a/crates/gateway/src/active_attempt.rs
+++ b/crates/gateway/src/active_attempt.rs
@@ -12,6 +12,7 @@
 use jd_net::lock;
 use jd_serving::BrokenRun;
 use jd_serving::EventSplitter;
+use jd_serving::OutOfOrder;
 use jd_serving::RunContents;
 use jd_serving::SAFE_AFTER;
 use jd_serving::SoftwareVersion;
@@ -181,6 +182,12 @@
         self.report_run(RunEnd::Broken);
     }
 
+    /// Records that the response went on elsewhere than after the event that was asked for.
+    pub(crate) fn record_out_of_order(&self, e: OutOfOrder) {
+        self.state.metrics.event_out_of_order(e.as_str());
+        log::warn!(upstream = self.id(), reason = e.as_str(), detail:% = e; "event out of order");
+    }
+
     fn report_run(&self, end: RunEnd) {
         if let Some(chosen) = &self.chosen
             && !self.completed
--- a/crates/gateway/src/event_stream.rs
+++ b/crates/gateway/src/event_stream.rs
@@ -226,6 +226,11 @@
             stages: Arc::clone(&self.stages),
             clock: Arc::clone(&clock),
             last_event: self.last_event(),
+            order: self
+                .response
+                .splitter
+                .order()
+                .resumed_after(self.last_event()),
             results: None,
             has_begun: true,
             payment,
@@ -350,6 +355,7 @@
             _ if is_late => NotResumed::Deadline,
             Some(why) => why,
             None if self.binding.is_uncertain() => NotResumed::VersionUncertain,
+            None if self.response.splitter.order().is_unordered() => NotResumed::EventsUnordered,
             None if !self.response.splitter.can_resume() => NotResumed::EventUnnumbered,
             None if may_run => NotResumed::Abandoned,
             None => NotResumed::NoRunLeft,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -61,6 +61,7 @@
     runs: Family<Outcome, Counter>,
     stop_refusals: Family<Step, Counter>,
     stream_ends: Family<Framing, Counter>,
+    events_out_of_order: Family<Outcome, Counter>,
     stream_origins: Family<Outcome, Counter>,
     caller_connections: Gauge,
     closed_connections: Family<Outcome, Counter>,
@@ -100,6 +101,7 @@
             runs: Family::default(),
             stop_refusals: Family::default(),
             stream_ends: Family::default(),
+            events_out_of_order: Family::default(),
             stream_origins: Family::default(),
             caller_connections: Gauge::default(),
             closed_connections: Family::default(),
@@ -207,6 +209,12 @@
             "Streams that ended whole, by how the end of the response was marked",
             metrics.stream_ends.clone(),
         );
+        r.register(
+            "jd_gateway_events_out_of_order",
+            "Responses that were dropped since they resumed a stream elsewhere than after the event \
+             that was asked for, by the number that came instead",
+            metrics.events_out_of_order.clone(),
+        );
         r.register(
             "jd_gateway_stream_origins",
             "Origins of streams sent to other instances, and looked up for callers that resume",
@@ -357,6 +365,12 @@
         self.stream_ends.get_or_create(&Framing { framing }).inc();
     }
 
+    pub(crate) fn event_out_of_order(&self, outcome: &'static str) {
+        self.events_out_of_order
+            .get_or_create(&Outcome { outcome })
+            .inc();
+    }
+
     pub(crate) fn stream_origin(&self, outcome: &'static str) {
         self.stream_origins
             .get_or_create(&Outcome { outcome })
--- a/crates/gateway/src/not_resumed.rs
+++ b/crates/gateway/src/not_resumed.rs
@@ -16,6 +16,8 @@
     VersionUncertain,
     /// The last event that the caller has got has no number.
     EventUnnumbered,
+    /// The numbers of the events that the caller has got went back or came twice.
+    EventsUnordered,
     /// The retry budget of the service is used up.
     RetryBudget,
     /// The stages or all upstreams refused the request before it was sent.
@@ -33,6 +35,7 @@
             NotResumed::NoRunLeft => ("no-run-left", ""),
             NotResumed::VersionUncertain => ("version-uncertain", ""),
             NotResumed::EventUnnumbered => ("event-unnumbered", ""),
+            NotResumed::EventsUnordered => ("events-unordered", ""),
             NotResumed::RetryBudget => ("retry-budget", ""),
             NotResumed::Refused(detail) => ("refused", detail),
             NotResumed::Failed(detail) => ("failed", detail),
--- a/crates/gateway/src/stream_attempt.rs
+++ b/crates/gateway/src/stream_attempt.rs
@@ -8,6 +8,7 @@
 use http::StatusCode;
 use jd_net::with_timeout;
 use jd_serving::EVENT_PATIENCE;
+use jd_serving::EventOrder;
 use jd_serving::Evidence;
 use jd_serving::ResponseRole;
 use jd_serving::SoftwareVersion;
@@ -40,6 +41,8 @@
     pub(crate) clock: Arc<AttemptClock>,
     /// The event after which the stream resumes.
     pub(crate) last_event: Option<u64>,
+    /// The order that its events are to have.
+    pub(crate) order: EventOrder,
     /// What the stages left; none if they have to run again.
     pub(crate) results: Option<StageResults>,
     /// True if the caller has got a part of the stream.
@@ -70,6 +73,7 @@
     pub(crate) results: StageResults,
     pub(crate) clock: Arc<AttemptClock>,
     pub(crate) role: ResponseRole,
+    pub(crate) order: EventOrder,
 }
 
 /// A successful response, up to its first event.
@@ -121,6 +125,7 @@
             stages,
             clock,
             last_event,
+            order,
             results,
             has_begun,
             run,
@@ -159,6 +164,7 @@
                     results,
                     clock,
                     role,
+                    order,
                 })
             }
             Err(NextSendError::Refused(refusal)) => Ended::Refused(refusal),
--- a/crates/gateway/src/stream_response.rs
+++ b/crates/gateway/src/stream_response.rs
@@ -48,7 +48,7 @@
     pub(crate) clock: Arc<AttemptClock>,
     /// The stage results that its upstream reads.
     pub(crate) results: StageResults,
-    pub(crate) splitter: EventSplitter,
+    pub(crate) splitter: Box<EventSplitter>,
     kind: BodyKind,
     role: ResponseRole,
     /// What the end of the body says; none while it has not ended.
@@ -62,6 +62,7 @@
             results,
             clock,
             role,
+            order,
         } = head;
         StreamResponse {
             framing: response.http.framing,
@@ -76,7 +77,7 @@
             attempt: response.attempt,
             clock,
             results,
-            splitter: EventSplitter::default(),
+            splitter: Box::new(EventSplitter::new(order)),
         }
     }
 
@@ -100,6 +101,10 @@
         let Some(http) = &mut self.http else {
             return futures_lite::future::pending().await;
         };
+        if let Some(e) = self.splitter.out_of_order() {
+            self.attempt.record_out_of_order(e);
+            return Read::Evidence(Evidence::Broken);
+        }
         let (attempt, clock) = (&self.attempt, &self.clock);
         let restarted = async {
             attempt.until_restarted().await;
--- a/crates/gateway/src/streaming_call.rs
+++ b/crates/gateway/src/streaming_call.rs
@@ -12,8 +12,10 @@
 use jd_net::lock;
 use jd_net::with_timeout;
 use jd_serving::AttemptDecision;
+use jd_serving::EventOrder;
 use jd_serving::Evidence;
 use jd_serving::ResumeError;
+use jd_serving::RetryMode;
 use jd_serving::SoftwareVersion;
 use jd_serving::StreamId;
 use jd_types::AttemptOutcome;
@@ -166,11 +168,15 @@
         let is_path_lost = self.cx.state.path.is_lost();
         let usable = |r: &StageResults| !r.are_skipped() || is_path_lost;
         let clock = Arc::new(AttemptClock::default());
+        let last_event = self.cx.request.head.last_event;
+        // On other routes each run is a stream of its own, with numbers of its own.
+        let is_resumable = self.cx.request.route().retry_mode == RetryMode::Resumable;
         let attempt = StreamAttempt {
             cx: self.cx.clone(),
             stages: Arc::clone(&self.stages),
             clock: Arc::clone(&clock),
-            last_event: self.cx.request.head.last_event,
+            last_event,
+            order: EventOrder::default().resumed_after(last_event.filter(|_| is_resumable)),
             results: self.results.take().filter(usable),
             has_begun: false,
             payment,
--- a/crates/gateway/tests/whole/main.rs
+++ b/crates/gateway/tests/whole/main.rs
@@ -11,6 +11,7 @@
 mod cut_short;
 mod endless;
 mod evacuation;
+mod event_numbers;
 mod fakes;
 mod false_quarantines;
 mod fleet;
--- a/crates/serving/src/event_splitter.rs
+++ b/crates/serving/src/event_splitter.rs
@@ -5,6 +5,8 @@
 use snafu::Snafu;
 use snafu::ensure;
 
+use crate::EventOrder;
+use crate::OutOfOrder;
 use crate::ReceivedBody;
 use crate::event_lines::EventLine;
 use crate::event_lines::EventLines;
@@ -50,14 +52,27 @@
     has_bytes: bool,
     /// The number of events that the current response has brought.
     events: u32,
+    order: EventOrder,
+    out_of_order: Option<OutOfOrder>,
 }
 
 impl EventSplitter {
+    /// Splits a response whose events come in this order.
+    pub fn new(order: EventOrder) -> EventSplitter {
+        EventSplitter {
+            order,
+            ..EventSplitter::default()
+        }
+    }
+
     /// Appends bytes and returns the events and comments that are complete now.
     ///
     /// Fails if more than [`MAX_EVENT_BYTES`] would be kept, or came without an event. The response
-    /// must not be read any further then.
+    /// must not be read any further then. Nothing is complete from an event on that is out of order.
     pub fn push(&mut self, part: &[u8]) -> Result<Option<Bytes>, EventTooLarge> {
+        if self.out_of_order.is_some() {
+            return Ok(None);
+        }
         let searched = self.partial.len();
         self.partial.extend_from_slice(part);
         self.has_bytes |= !part.is_empty();
@@ -73,8 +88,14 @@
             {
                 end = at + 1;
             }
+            if self.out_of_order.is_some() {
+                break;
+            }
         }
         let complete = self.partial.split_to(end).freeze();
+        if self.out_of_order.is_some() {
+            self.partial.clear();
+        }
         self.filler = match self.events > events_before {
             true => 0,
             false => self.filler + complete.len(),
@@ -95,6 +116,10 @@
             }
             (EventLine::Blank, Block::Event(id)) => {
                 self.block = Block::Blank;
+                if let Some(Err(e)) = id.map(|number| self.order.take(number)) {
+                    self.out_of_order = Some(e);
+                    return false;
+                }
                 self.last = id.or(self.last);
                 self.is_unnumbered = id.is_none();
                 self.events = self.events.saturating_add(1);
@@ -135,10 +160,20 @@
         self.last
     }
 
-    /// True if another upstream can be told where to go on: the last complete event has a number,
-    /// or there was none.
+    /// The first event that was out of order, if there was one.
+    pub fn out_of_order(&self) -> Option<OutOfOrder> {
+        self.out_of_order
+    }
+
+    /// The order of the events so far.
+    pub fn order(&self) -> EventOrder {
+        self.order
+    }
+
+    /// True if another upstream can be told where to go on: the last complete event has a number
+    /// that is the highest, or there was none.
     pub fn can_resume(&self) -> bool {
-        !self.is_unnumbered
+        !self.is_unnumbered && !self.order.is_unordered()
     }
 
     /// The number of bytes of an incomplete event.
