--- a/crates/gateway/src/stream_response.rs
+++ b/crates/gateway/src/stream_response.rs
@@ -73,6 +73,7 @@
             results,
             clock,
             role,
+            order,
         } = head;
         StreamResponse {
             framing: response.http.framing,
@@ -89,7 +90,7 @@
             attempt: response.attempt,
             clock,
             results,
-            splitter: Box::default(),
+            splitter: Box::new(EventSplitter::new(order)),
         }
     }
 
@@ -116,6 +117,10 @@
         let Some(http) = &mut self.http else {
             return futures_lite::future::pending().await;
         };
+        if let Some(e) = self.splitter.out_of_order() {
+            self.attempt.record_out_of_order(e);
+            return Read::Evidence(Evidence::Broken);
+        }
         let attempt = &self.attempt;
         let restarted = async {
             attempt.until_restarted().await;
