A retry goes back only if nothing of it was sent

Cause: an attempt that ended as refused gave its retry back, also where another instance had sent the request and an upstream rejected it. That instance's first attempt pays nothing, so nobody counted the arrival. An instance that lost its path after a rejected send also answered "not taken", and the request went on to a further instance unpaid.

Change: a payment owns the clock of its attempt and is settled when it is dropped: it goes back unless something was written. Exceptions with a proof: no connection opened, or the other instance did not take the request, which it now says only if its own first send was not made. The first send is a token of the request instead of a flag after each failure. Retries that go back are counted (jd_gateway_repeats, outcome "given-back").

Nothing tests the refusal after a lost path.

Not run: the tests of jd-serving.

--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -72,6 +72,8 @@
     patience_us: AtomicU64,
     /// True if another instance runs the request, for which the own path to upstreams says nothing.
     is_forwarded: AtomicBool,
+    /// True unless it is certain that nothing was written to a connection.
+    is_written: AtomicBool,
 }
 
 impl AttemptClock {
@@ -89,6 +91,22 @@
         self.is_forwarded.store(true, Ordering::Relaxed);
     }
 
+    /// Records that a connection takes the request.
+    pub(crate) fn set_written(&self) {
+        self.is_written.store(true, Ordering::Relaxed);
+    }
+
+    /// Records the proof that the latest send reached no upstream; `before` tells whether an earlier
+    /// one was written.
+    pub(crate) fn restore_written(&self, before: bool) {
+        self.is_written.store(before, Ordering::Relaxed);
+    }
+
+    /// True unless it is certain that nothing was written to a connection.
+    pub(crate) fn is_written(&self) -> bool {
+        self.is_written.load(Ordering::Relaxed)
+    }
+
     /// Ends the patience: what the attempt depends on does not answer.
     pub(crate) fn suspect(&self) {
         self.patience_us.store(0, Ordering::Relaxed);
--- a/crates/gateway/src/caller_admission.rs
+++ b/crates/gateway/src/caller_admission.rs
@@ -35,6 +35,7 @@
 use crate::caller_request::CallerRequest;
 use crate::open_requests::InFlight;
 use crate::ran_at::RanAt;
+use crate::retry_counts::FirstSend;
 use crate::running_request::RunningRequest;
 use crate::state::State;
 use crate::stop_checks;
@@ -232,6 +233,7 @@
             contents,
             begun_runs: Arc::default(),
             ran_at: RanAt::default(),
+            first_send: FirstSend::default(),
             forwarded: None,
             _running: running,
             _running_forward: None,
--- a/crates/gateway/src/caller_request.rs
+++ b/crates/gateway/src/caller_request.rs
@@ -26,6 +26,7 @@
 use crate::forwarded_from::ForwardedFrom;
 use crate::open_requests::InFlight;
 use crate::ran_at::RanAt;
+use crate::retry_counts::FirstSend;
 use crate::running_request::RunningRequest;
 use crate::state::State;
 
@@ -50,6 +51,8 @@
     pub(crate) begun_runs: Arc<AtomicU32>,
     /// The upstreams at which it may have run, at all instances.
     pub(crate) ran_at: RanAt,
+    /// The first send from here, which is no retry.
+    pub(crate) first_send: FirstSend,
     /// Set if another instance took the request from its caller.
     pub(crate) forwarded: Option<ForwardedFrom>,
     /// Counts the request as running until it is dropped.
--- a/crates/gateway/src/event_stream.rs
+++ b/crates/gateway/src/event_stream.rs
@@ -16,7 +16,6 @@
 use jd_serving::abandon_gap;
 use jd_types::AttemptOutcome;
 
-use crate::attempts::AttemptClock;
 use crate::attempts::AttemptContext;
 use crate::attempts::Attempts;
 use crate::attempts::log_beside;
@@ -69,8 +68,6 @@
     first_events: Option<Bytes>,
     /// Attempts to resume the stream at other upstreams.
     attempts: Attempts<Ended>,
-    /// True if the next attempt is no retry, because the latest one reached no upstream.
-    skips_budget: bool,
     /// True once the silence since the latest event was recorded against the upstream.
     is_silence_recorded: bool,
     /// Why the latest attempt did not resume the stream.
@@ -102,7 +99,6 @@
             response,
             first_events,
             attempts: Attempts::new(),
-            skips_budget: false,
             is_silence_recorded: false,
             not_resumed: None,
             outcome: AttemptOutcome::TimedOut,
@@ -205,8 +201,7 @@
             self.not_resumed = Some(NotResumed::VersionUncertain);
             return;
         };
-        let is_free = std::mem::take(&mut self.skips_budget);
-        let Some(payment) = state.pay(&self.cx.request.service, is_free) else {
+        let Some(payment) = self.cx.pay() else {
             self.not_resumed = Some(NotResumed::RetryBudget);
             self.attempts.record_refusal(now);
             return;
@@ -220,11 +215,10 @@
                 self.response.attempt.record_silence(silent_for);
             }
         }
-        let clock = Arc::new(AttemptClock::default());
+        let clock = Arc::clone(payment.clock());
         let attempt = StreamAttempt {
             cx: self.cx.clone(),
             stages: Arc::clone(&self.stages),
-            clock: Arc::clone(&clock),
             last_event: self.last_event(),
             results: None,
             has_begun: true,
@@ -242,7 +236,6 @@
             Ended::Begun(begun) => return self.take_over(begun),
             Ended::Head(_) => return Resumed::No,
             Ended::Failed(failure, _) => {
-                self.skips_budget = failure.is_unreachable();
                 let is_used_up = failure.is_not_run() && !self.cx.may_run(MAX_ATTEMPTS);
                 self.not_resumed = Some(NotResumed::Failed(failure.detail));
                 if is_used_up {
--- a/crates/gateway/src/forward_api.rs
+++ b/crates/gateway/src/forward_api.rs
@@ -105,6 +105,7 @@
             ..admitted
         };
         let id = request.head.request_id.clone();
+        let first_send = request.first_send.clone();
         let ended = Box::pin(self.run(request)).await;
         ended.map_err(|refusal| {
             log::info!(
@@ -115,7 +116,11 @@
                 "forwarded request refused"
             );
             match refusal.run {
-                RunState::NotRun if state.path.is_lost() => not_taken(&refusal.detail),
+                // An upstream that rejected it has received it: another instance's send would be a
+                // retry that nobody counts.
+                RunState::NotRun if state.path.is_lost() && !first_send.is_taken() => {
+                    not_taken(&refusal.detail)
+                }
                 _ => refusal,
             }
         })
--- a/crates/gateway/src/forward_client.rs
+++ b/crates/gateway/src/forward_client.rs
@@ -168,6 +168,7 @@
                 software: retries.software.clone(),
             }
         };
+        let written_before = clock.is_written();
         let forwarded = send(cx, clock, target, from, &next.on_write).await;
         let mut retries = lock(retries);
         if !matches!(&forwarded, Forwarded::Ended(result) if result.is_ok()) {
@@ -180,6 +181,7 @@
                 return Some(Err(NextSendError::Refused(refusal)));
             }
             Forwarded::NotTaken(refusal) => {
+                clock.restore_written(written_before);
                 retries.take_back_run(state, request);
                 retries.forward_failures.push(target);
                 refused = Some(refusal);
@@ -249,6 +251,7 @@
         || {
             let patience = head_patience(request.route().retry_mode, cx.time_left());
             clock.set_forwarded();
+            clock.set_written();
             clock.record(state.now(), patience);
             on_write();
             true
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -310,6 +310,12 @@
         self.retries.get_or_create(&Outcome { outcome }).inc();
     }
 
+    /// Counts a retry that was allowed and of which nothing was sent.
+    pub(crate) fn retry_given_back(&self) {
+        let outcome = "given-back";
+        self.retries.get_or_create(&Outcome { outcome }).inc();
+    }
+
     pub(crate) fn store_call(&self, call: &'static str, outcome: &'static str) {
         let labels = StoreOutcome { call, outcome };
         self.store_calls.get_or_create(&labels).inc();
--- a/crates/gateway/src/next_send.rs
+++ b/crates/gateway/src/next_send.rs
@@ -181,6 +181,7 @@
         retries.may_run_again()
     };
     let is_first_there = request.ran_at.record(&chosen.id);
+    let written_before = clock.is_written();
     let silence_noted = AtomicBool::new(false);
     let on_write = || {
         let patience = match source {
@@ -190,6 +191,7 @@
             _ => Duration::MAX,
         };
         let patience = patience.min(head_patience(request.route().retry_mode, cx.time_left()));
+        clock.set_written();
         clock.record(state.now(), patience);
         (next.on_write)();
     };
@@ -237,6 +239,7 @@
             retries.forget_tried(&chosen.id);
         }
         if failure.is_unreachable() {
+            clock.restore_written(written_before);
             retries.unreachable += 1;
         }
     }
--- a/crates/gateway/src/retry_counts.rs
+++ b/crates/gateway/src/retry_counts.rs
@@ -1,7 +1,10 @@
 //! Counts the first sends and the retries of requests at each service.
 
 use std::collections::HashMap;
+use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 
 use compact_str::CompactString;
 use jd_net::lock;
@@ -11,37 +14,83 @@
 use jd_serving::RetryShare;
 use jd_types::MonoTime;
 
+use crate::attempts::AttemptClock;
+use crate::attempts::AttemptContext;
+use crate::caller_request::CallerRequest;
 use crate::state::State;
 
 /// The retry budget of each service.
 pub(crate) type RetryBudgets = Mutex<HashMap<CompactString, RetryBudget>>;
 
-/// A retry that the budget of a service has counted, for one attempt.
+/// What one attempt has paid for what it sends. It is settled when the attempt ends, however it
+/// does: it goes back unless something of the attempt was written to a connection.
 #[derive(Debug)]
-pub(crate) struct PaidRetry {
-    service: CompactString,
-    id: RetryId,
+pub(crate) struct Payment {
+    state: Arc<State>,
+    request: Arc<CallerRequest>,
+    clock: Arc<AttemptClock>,
+    /// The retry that the budget has counted; none for the first send of the request.
+    retry: Option<RetryId>,
 }
 
-/// What an attempt has paid to the retry budget.
-#[derive(Debug)]
-pub(crate) enum Payment {
-    /// Nothing: it is the first send of its request, or takes the place of one that was not
-    /// written to any connection.
-    None,
-    Retry(PaidRetry),
+impl Payment {
+    /// The clock of the attempt, which tells whether it was written.
+    pub(crate) fn clock(&self) -> &Arc<AttemptClock> {
+        &self.clock
+    }
 }
 
-impl Payment {
-    /// Gives the retry back of an attempt that ended before anything was sent.
-    pub(crate) fn give_back(self, state: &State) {
-        match self {
-            Payment::None => {}
-            Payment::Retry(paid) => state.give_back_retry(paid),
+impl Drop for Payment {
+    fn drop(&mut self) {
+        if self.clock.is_written() {
+            return;
+        }
+        match self.retry.take() {
+            None => self.request.first_send.give_back(),
+            Some(id) => self.state.give_back_retry(&self.request.service, id),
         }
     }
 }
 
+/// Whether the first send of a request, which is no retry, is still to be made. Clones share it.
+#[derive(Debug, Default, Clone)]
+pub(crate) struct FirstSend {
+    is_taken: Arc<AtomicBool>,
+}
+
+impl FirstSend {
+    /// True if an attempt makes it, or has made it.
+    pub(crate) fn is_taken(&self) -> bool {
+        self.is_taken.load(Ordering::Relaxed)
+    }
+
+    /// Returns true for one attempt.
+    fn take(&self) -> bool {
+        !self.is_taken.swap(true, Ordering::Relaxed)
+    }
+
+    fn give_back(&self) {
+        self.is_taken.store(false, Ordering::Relaxed);
+    }
+}
+
+impl AttemptContext {
+    /// Pays for another attempt: with the first send of the request, or with a retry once that was
+    /// made. None if the budget of the service is used up.
+    pub(crate) fn pay(&self) -> Option<Payment> {
+        let retry = match self.request.first_send.take() {
+            true => None,
+            false => Some(self.state.try_retry(&self.request.service)?),
+        };
+        Some(Payment {
+            state: Arc::clone(&self.state),
+            request: Arc::clone(&self.request),
+            clock: Arc::default(),
+            retry,
+        })
+    }
+}
+
 impl State {
     /// Counts the first send of a request to a service, which adds to the retry budget.
     pub(crate) fn record_first_send(&self, service: &str) {
@@ -55,12 +104,8 @@
             .record_first_attempt(now, &limit);
     }
 
-    /// What another attempt at a request pays; none if the budget of the service is used up.
-    /// `is_free` tells that it takes the place of one that was not written to any connection.
-    pub(crate) fn pay(&self, service: &CompactString, is_free: bool) -> Option<Payment> {
-        if is_free {
-            return Some(Payment::None);
-        }
+    /// Counts a retry; none if the budget of the service is used up.
+    fn try_retry(&self, service: &CompactString) -> Option<RetryId> {
         let limit = self.retry_limit();
         let now = self.now();
         let share = self.retry_share(now);
@@ -69,14 +114,14 @@
         let id = budget.try_retry(now, &limit, share);
         self.metrics
             .retry(id.is_some(), share.instances(), share.slack(&limit));
-        let service = service.clone();
-        id.map(|id| Payment::Retry(PaidRetry { service, id }))
+        id
     }
 
-    /// Gives a retry back whose attempt ended before anything was sent.
-    fn give_back_retry(&self, paid: PaidRetry) {
-        if let Some(budget) = lock(&self.budgets).get_mut(&paid.service) {
-            budget.give_back(paid.id);
+    /// Gives a retry back whose attempt ended before anything was written.
+    fn give_back_retry(&self, service: &CompactString, id: RetryId) {
+        self.metrics.retry_given_back();
+        if let Some(budget) = lock(&self.budgets).get_mut(service) {
+            budget.give_back(id);
         }
     }
 
--- a/crates/gateway/src/stream_attempt.rs
+++ b/crates/gateway/src/stream_attempt.rs
@@ -37,7 +37,6 @@
 pub(crate) struct StreamAttempt {
     pub(crate) cx: AttemptContext,
     pub(crate) stages: Arc<StageRunner>,
-    pub(crate) clock: Arc<AttemptClock>,
     /// The event after which the stream resumes.
     pub(crate) last_event: Option<u64>,
     /// What the stages left; none if they have to run again.
@@ -46,7 +45,7 @@
     pub(crate) has_begun: bool,
     /// Why the stages run if they have to.
     pub(crate) run: StageRun,
-    /// What it has paid, which it gets back if nothing is sent.
+    /// What it has paid, and its clock.
     pub(crate) payment: Payment,
 }
 
@@ -105,27 +104,17 @@
 
 impl StreamAttempt {
     /// Sends the request, up to the head of a response.
-    pub(crate) async fn until_head(mut self) -> Ended {
-        let state = Arc::clone(&self.cx.state);
-        let payment = std::mem::replace(&mut self.payment, Payment::None);
-        let ended = self.send().await;
-        if let Ended::Refused(_) = &ended {
-            payment.give_back(&state);
-        }
-        ended
-    }
-
-    async fn send(self) -> Ended {
+    pub(crate) async fn until_head(self) -> Ended {
         let StreamAttempt {
             cx,
             stages,
-            clock,
             last_event,
             results,
             has_begun,
             run,
-            payment: _,
+            payment,
         } = self;
+        let clock = Arc::clone(payment.clock());
         let forward_only = match &results {
             Some(results) => results.are_skipped(),
             None => cx.state.forwards.is_due(&cx.state, &cx.request),
@@ -175,7 +164,6 @@
         if let Some((beginning, software)) = begun_by {
             let service = &cx.request.service;
             if !version_check::is_certain(&cx.state, service, &beginning, &software).await {
-                self.payment.give_back(&cx.state);
                 return Ended::VersionUncertain;
             }
         }
--- a/crates/gateway/src/streaming_call.rs
+++ b/crates/gateway/src/streaming_call.rs
@@ -23,7 +23,6 @@
 use crate::attempt::AttemptFailure;
 use crate::attempt::UpstreamResponse;
 use crate::attempt::failure;
-use crate::attempts::AttemptClock;
 use crate::attempts::AttemptContext;
 use crate::attempts::Attempts;
 use crate::attempts::log_beside;
@@ -74,7 +73,6 @@
         attempts: Attempts::new(),
         results: Some(results),
         stages_rerun: false,
-        skips_budget: false,
         failure: None,
     };
     call.run().await
@@ -114,15 +112,15 @@
     results: Option<StageResults>,
     /// True once the stages ran again because their results were gone.
     stages_rerun: bool,
-    /// True if the next attempt is no retry, because the latest one reached no upstream.
-    skips_budget: bool,
     /// The latest failure.
     failure: Option<AttemptFailure>,
 }
 
 impl StreamingCall {
     async fn run(mut self) -> Result<Response<Body>, Refusal> {
-        self.begin(Payment::None);
+        if let Some(payment) = self.cx.pay() {
+            self.begin(payment);
+        }
         loop {
             let left = self.cx.time_left();
             let may_run = || self.cx.may_run(MAX_ATTEMPTS);
@@ -150,8 +148,7 @@
     /// Begins another attempt if the retry budget allows it.
     fn try_begin(&mut self, evidence: Option<Evidence>) -> bool {
         let state = &self.cx.state;
-        let is_free = std::mem::take(&mut self.skips_budget);
-        let Some(payment) = state.pay(&self.cx.request.service, is_free) else {
+        let Some(payment) = self.cx.pay() else {
             self.attempts.record_refusal(state.now());
             return false;
         };
@@ -165,11 +162,10 @@
     fn begin(&mut self, payment: Payment) {
         let is_path_lost = self.cx.state.path.is_lost();
         let usable = |r: &StageResults| !r.are_skipped() || is_path_lost;
-        let clock = Arc::new(AttemptClock::default());
+        let clock = Arc::clone(payment.clock());
         let attempt = StreamAttempt {
             cx: self.cx.clone(),
             stages: Arc::clone(&self.stages),
-            clock: Arc::clone(&clock),
             last_event: self.cx.request.head.last_event,
             results: self.results.take().filter(usable),
             has_begun: false,
@@ -215,7 +211,6 @@
         }
         self.attempts.clear_refusals();
         self.results = results;
-        self.skips_budget = failure.is_unreachable();
         self.failure = Some(failure);
     }
 
--- a/crates/gateway/src/unary_call.rs
+++ b/crates/gateway/src/unary_call.rs
@@ -25,7 +25,6 @@
 
 use crate::attempt::AttemptFailure;
 use crate::attempt::UpstreamResponse;
-use crate::attempts::AttemptClock;
 use crate::attempts::AttemptContext;
 use crate::attempts::Attempts;
 use crate::attempts::log_beside;
@@ -63,24 +62,23 @@
     let cx = AttemptContext::new(state, request, retries);
     let mut attempts: Attempts<Ended> = Attempts::new();
     let mut last = LastResult::default();
-    begin(&cx, &mut attempts, Payment::None);
+    if let Some(payment) = cx.pay() {
+        begin(&cx, &mut attempts, payment);
+    }
     loop {
         let left = cx.time_left();
         match attempts.decide(state, None, || cx.may_run(MAX_ATTEMPTS), left) {
             AttemptDecision::End => return last.into_answer(&cx),
-            AttemptDecision::Attempt(evidence) => {
-                let is_free = std::mem::take(&mut last.is_unreachable);
-                match state.pay(&cx.request.service, is_free) {
-                    Some(payment) => {
-                        if let Some(evidence) = evidence {
-                            log_beside(&cx, evidence, attempts.len());
-                        }
-                        begin(&cx, &mut attempts, payment);
+            AttemptDecision::Attempt(evidence) => match cx.pay() {
+                Some(payment) => {
+                    if let Some(evidence) = evidence {
+                        log_beside(&cx, evidence, attempts.len());
                     }
-                    None if attempts.is_empty() => return last.into_answer(&cx),
-                    None => attempts.record_refusal(state.now()),
+                    begin(&cx, &mut attempts, payment);
                 }
-            }
+                None if attempts.is_empty() => return last.into_answer(&cx),
+                None => attempts.record_refusal(state.now()),
+            },
             AttemptDecision::Wait(limit) => {
                 match with_timeout(limit, attempts.next_ended()).await {
                     None => attempts.check_path_in_silence(&cx, None),
@@ -106,8 +104,8 @@
 
 /// Begins an attempt at the next upstream.
 fn begin(cx: &AttemptContext, attempts: &mut Attempts<Ended>, payment: Payment) {
-    let clock = Arc::new(AttemptClock::default());
-    let (cx, sent) = (cx.clone(), Arc::clone(&clock));
+    let clock = Arc::clone(payment.clock());
+    let cx = cx.clone();
     attempts.begin(clock, async move {
         let next = NextSend {
             inputs: &[],
@@ -115,11 +113,7 @@
             forward_only: false,
             on_write: || {},
         };
-        let response = send_to_next_upstream(&cx, &sent, next).await;
-        if let Err(NextSendError::Refused(_)) = &response {
-            payment.give_back(&cx.state);
-        }
-        let response = response?;
+        let response = send_to_next_upstream(&cx, payment.clock(), next).await?;
         let read = read_complete(&cx.state, &cx.request, response).await;
         read.map_err(NextSendError::Failed)
     });
@@ -132,8 +126,6 @@
     error_response: Option<CompleteResponse>,
     /// The latest failure; none if the latest result is an error response.
     failure: Option<AttemptFailure>,
-    /// True if the latest attempt could not connect, so that the next one is no retry.
-    is_unreachable: bool,
 }
 
 impl LastResult {
@@ -143,7 +135,6 @@
     }
 
     fn record_failure(&mut self, failure: AttemptFailure) {
-        self.is_unreachable = failure.is_unreachable();
         self.failure = Some(failure);
     }
 
--- a/crates/gateway/tests/whole/lost_paths.rs
+++ b/crates/gateway/tests/whole/lost_paths.rs
@@ -236,6 +236,46 @@
     });
 }
 
+/// Guards against retries that are given back although another instance sent them to upstreams,
+/// which rejected them.
+#[test]
+fn a_forwarded_retry_that_upstreams_reject_is_paid() {
+    block_on(async {
+        let harness = fleet(4).await;
+        let last = by_ownership(&harness)[3];
+        let first: &[&str] = &["id: 1\ndata: a\n\n", "never"];
+        let upstreams = &harness.upstreams[..4];
+        for upstream in upstreams {
+            upstream.set_replies(vec![Reply::Pausing(first, Duration::from_secs(60))]);
+        }
+        let asking = harness.spawn_ask(last, "/resume/x", "1");
+        while !upstreams.iter().any(|u| u.has_run("1")) {
+            Timer::after(Duration::from_millis(5)).await;
+        }
+        for upstream in upstreams {
+            upstream.set_replies(vec![Reply::NotRun]);
+        }
+        Timer::after(Duration::from_millis(100)).await;
+        harness.link(last).set(Some(Cut::Resets));
+        let received = asking.await;
+        assert!(!received.whole, "{received:?}");
+        let asked = upstreams
+            .iter()
+            .flat_map(|u| u.asked.lock().expect("a lock").clone());
+        let repeats = asked.filter(|(id, _)| id == "1").count() - 1;
+        let outcome = |outcome| format!("jd_gateway_repeats_total{{outcome=\"{outcome}\"}}");
+        let allowed = harness.counter_total(&outcome("allowed")).await;
+        let given_back = harness.counter_total(&outcome("given-back")).await;
+        assert!(repeats > 0, "the stream was not sent again");
+        assert!(allowed > 0, "no retry was allowed");
+        let paid = (allowed - given_back) as usize;
+        assert!(
+            repeats <= paid,
+            "{repeats} repeats arrived, {paid} are paid"
+        );
+    });
+}
+
 /// Guards against a request that runs twice, or whose caller hears that it has not run, because
 /// the instance that ran it for another was killed.
 #[test_case("/once/x", 502; "unsafe")]
