Log the key after which a page cannot be read, and the status of a rejected call

'store call failed' named neither, so that a rejected query, an overloaded store and an answer that cannot be decoded looked alike in the record of the incident. A call that the store rejects as it is (4xx other than 404, 410, 412 and 429) is an error of its own, as metric and as text. No decision changes.

--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -152,6 +152,12 @@
     /// The store refused the call: nothing was done.
     #[snafu(display("the store refused the call; it is tried again"))]
     Refused,
+    /// The store rejects the call as it is: nothing was done, and the same call will not succeed.
+    #[snafu(display("the store rejects the call with status {status}; check its key and query"))]
+    Rejected {
+        /// The HTTP status.
+        status: u16,
+    },
     /// No answer arrived: a write may have been done, or may be done later.
     #[snafu(display("the store did not answer; it is asked again on a new connection"))]
     NoAnswer,
@@ -177,6 +183,7 @@
     pub(crate) const fn as_str(self) -> &'static str {
         match self {
             StoreError::Refused => "refused",
+            StoreError::Rejected { .. } => "rejected",
             StoreError::NoAnswer => "lost",
             StoreError::HistoryGone => "history-gone",
             StoreError::EraMismatch => "other-era",
--- a/crates/gateway/src/store_reader.rs
+++ b/crates/gateway/src/store_reader.rs
@@ -21,6 +21,8 @@
 const PAGE_RETRIES: u32 = 6;
 /// Mean pause before such a retry. The store's rate limits count per second.
 const MEAN_PAGE_RETRY_PAUSE: Duration = Duration::from_millis(400);
+/// The most characters of a key in a log line: as many as the longest key of the users' store.
+const MAX_LOGGED_KEY: usize = 200;
 /// Attempts to read pages that are all of one era.
 const ERA_ATTEMPTS: u32 = 3;
 
@@ -127,10 +129,16 @@
     /// more than the store's rate and link carry in a second. Instances that began again
     /// from the first page after one refused page kept the store busy for longer.
     async fn read_next_page(&self, filter: RecordFilter, after: &str) -> Result<Page, StoreError> {
-        for _ in 0..PAGE_RETRIES {
+        for retry in 0..PAGE_RETRIES {
             match self.read_page(filter, after, CALL_TIMEOUT).await {
                 Ok(page) => return Ok(page),
-                Err(e) => self.link.call_failed(StoreCall::Page, e),
+                Err(e) => {
+                    if retry == 0 {
+                        let after: String = after.chars().take(MAX_LOGGED_KEY).collect();
+                        log::warn!(after = after.as_str(), error:% = e; "page after this key cannot be read");
+                    }
+                    self.link.call_failed(StoreCall::Page, e);
+                }
             }
             Timer::after(MEAN_PAGE_RETRY_PAUSE.mul_f64(0.5 + fastrand::f64())).await;
         }
