--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -19,6 +19,8 @@
 use jd_types::Name;
 use snafu::Snafu;
 
+use crate::PageKey;
+
 /// The future of a call to the store.
 pub type StoreFuture<'a, T> = Pin<Box<dyn Future<Output = Result<T, StoreError>> + Send + 'a>>;
 
@@ -86,8 +88,8 @@
 pub struct OriginPage {
     /// In the order of their names.
     pub items: Vec<OriginItem>,
-    /// True if there are more after the last one.
-    pub more: bool,
+    /// The key after which the next page begins; none if this is the last page.
+    pub next_after: Option<PageKey>,
 }
 
 /// A change in the store.
@@ -131,7 +133,7 @@
     pub revision: StoreRevision,
     /// The key after which the next page begins; none if this is the last page. Comes after that of
     /// the last item if the page ends with records that are left out.
-    pub next_after: Option<CompactString>,
+    pub next_after: Option<PageKey>,
 }
 
 /// Which records a read returns.
@@ -198,9 +200,13 @@
 /// upstreams and instances.
 pub trait Store: Debug + Send + Sync {
     /// Reads the page of the filtered records whose keys follow `after`, as large as one
-    /// answer allows; the empty key stands for the beginning. Pages are not a snapshot: a
-    /// watch from the first page's revision returns what has changed since.
-    fn page<'a>(&'a self, filter: RecordFilter, after: &'a str) -> StoreFuture<'a, Page>;
+    /// answer allows, or the first page. Pages are not a snapshot: a watch from the first page's
+    /// revision returns what has changed since.
+    fn page<'a>(
+        &'a self,
+        filter: RecordFilter,
+        after: Option<&'a PageKey>,
+    ) -> StoreFuture<'a, Page>;
 
     /// Waits for changes after a revision, at most `wait`.
     fn watch(&self, after: StoreRevision, wait: Duration) -> StoreFuture<'_, ItemBatch>;
@@ -244,9 +250,8 @@
     /// Writes origins of streams under the lease.
     fn write_origins<'a>(&'a self, items: &'a [OriginItem], lease: LeaseId) -> StoreFuture<'a, ()>;
 
-    /// Reads a page of the origins of one part, from the item after this name on; the empty name
-    /// stands for the beginning.
-    fn origins<'a>(&'a self, part: u32, after: &'a str) -> StoreFuture<'a, OriginPage>;
+    /// Reads a page of the origins of one part, which begins after this key, or the first page.
+    fn origins<'a>(&'a self, part: u32, after: Option<&'a PageKey>) -> StoreFuture<'a, OriginPage>;
 
     /// Removes another instance's entry, unless it was written again after this revision.
     fn remove_instance(&self, id: Incarnation, written: StoreRevision) -> StoreFuture<'_, ()>;
--- a/crates/gateway/src/store_reader.rs
+++ b/crates/gateway/src/store_reader.rs
@@ -10,6 +10,7 @@
 use jd_serving::StoreUpdate;
 
 use crate::Page;
+use crate::PageKey;
 use crate::RecordFilter;
 use crate::StoreError;
 use crate::store_applier::StoreApplier;
@@ -21,8 +22,6 @@
 const PAGE_RETRIES: u32 = 6;
 /// Mean pause before such a retry. The store's rate limits count per second.
 const MEAN_PAGE_RETRY_PAUSE: Duration = Duration::from_millis(400);
-/// The most characters of a key in a log line: as many as the longest key of the users' store.
-const MAX_LOGGED_KEY: usize = 200;
 /// Attempts to read pages that are all of one era.
 const ERA_ATTEMPTS: u32 = 3;
 
@@ -69,7 +68,7 @@
     ) -> Result<Vec<InstanceEntry>, StoreError> {
         let bits = self.link.state.own_entry.incarnation.get() >> 60;
         let sample = RecordFilter::Sample(u8::try_from(bits).unwrap_or(0));
-        let page = self.read_page(sample, "", timeout).await?;
+        let page = self.read_page(sample, None, timeout).await?;
         Ok(self.applier.decode_sample(&page.items))
     }
 
@@ -98,7 +97,7 @@
         filter: RecordFilter,
         timeout: Duration,
     ) -> Result<Option<(Vec<StoreItem>, StoreRevision)>, StoreError> {
-        let mut page = self.read_page(filter, "", timeout).await?;
+        let mut page = self.read_page(filter, None, timeout).await?;
         let revision = page.revision;
         let mut items: Vec<StoreItem> = Vec::new();
         loop {
@@ -114,7 +113,7 @@
     async fn read_page(
         &self,
         filter: RecordFilter,
-        after: &str,
+        after: Option<&PageKey>,
         timeout: Duration,
     ) -> Result<Page, StoreError> {
         let page = self.link.store.page(filter, after);
@@ -128,20 +127,23 @@
     /// Covers the start of all instances of a large fleet at once: together they request
     /// more than the store's rate and link carry in a second. Instances that began again
     /// from the first page after one refused page kept the store busy for longer.
-    async fn read_next_page(&self, filter: RecordFilter, after: &str) -> Result<Page, StoreError> {
+    async fn read_next_page(
+        &self,
+        filter: RecordFilter,
+        after: &PageKey,
+    ) -> Result<Page, StoreError> {
         for retry in 0..PAGE_RETRIES {
-            match self.read_page(filter, after, CALL_TIMEOUT).await {
+            match self.read_page(filter, Some(after), CALL_TIMEOUT).await {
                 Ok(page) => return Ok(page),
                 Err(e) => {
                     if retry == 0 {
-                        let after: String = after.chars().take(MAX_LOGGED_KEY).collect();
-                        log::warn!(after = after.as_str(), error:% = e; "page after this key cannot be read");
+                        log::warn!(after:%, error:% = e; "page after this key cannot be read");
                     }
                     self.link.call_failed(StoreCall::Page, e);
                 }
             }
             Timer::after(MEAN_PAGE_RETRY_PAUSE.mul_f64(0.5 + fastrand::f64())).await;
         }
-        self.read_page(filter, after, CALL_TIMEOUT).await
+        self.read_page(filter, Some(after), CALL_TIMEOUT).await
     }
 }
--- a/crates/gateway/src/stream_saver.rs
+++ b/crates/gateway/src/stream_saver.rs
@@ -257,17 +257,17 @@
     /// Reads the origins of a part; returns how many streams there are.
     async fn read_part(&self, part: u32) -> Result<usize, StoreError> {
         let StoreLink { state, store, .. } = &*self.link;
-        let mut after = CompactString::default();
+        let mut after = None;
         let mut streams = 0;
         loop {
-            let reading = store.origins(part, &after);
+            let reading = store.origins(part, after.as_ref());
             let page = self.link.call(StoreCall::Origins, CALL_TIMEOUT, reading);
             let page = page.await?;
             for item in &page.items {
                 streams += self.apply(item);
             }
-            match page.items.last() {
-                Some(last) if page.more && streams < MAX_READ => after = last.name.clone(),
+            match page.next_after {
+                next @ Some(_) if streams < MAX_READ => after = next,
                 _ => break,
             }
         }
--- a/crates/gateway/tests/whole/fakes/fake_store.rs
+++ b/crates/gateway/tests/whole/fakes/fake_store.rs
@@ -20,6 +20,7 @@
 use jd_gateway::OriginItem;
 use jd_gateway::OriginPage;
 use jd_gateway::Page;
+use jd_gateway::PageKey;
 use jd_gateway::QuarantineRecord;
 use jd_gateway::Record;
 use jd_gateway::RecordFilter;
@@ -355,8 +356,12 @@
 }
 
 impl Store for FakeStore {
-    fn page<'a>(&'a self, filter: RecordFilter, after: &'a str) -> StoreFuture<'a, Page> {
-        if after.is_empty() {
+    fn page<'a>(
+        &'a self,
+        filter: RecordFilter,
+        after: Option<&'a PageKey>,
+    ) -> StoreFuture<'a, Page> {
+        if after.is_none() {
             let counter = match filter {
                 RecordFilter::All => &self.full_reads,
                 RecordFilter::Instances => &self.instance_list_reads,
@@ -364,15 +369,16 @@
             };
             counter.fetch_add(1, Ordering::Relaxed);
         }
-        let from = place_of(after).map_or(0, |(_, place)| place + 1);
+        let after = after.and_then(|key| std::str::from_utf8(key.as_bytes()).ok());
+        let from = after.and_then(place_of).map_or(0, |(_, place)| place + 1);
         let era = self.log.era();
         let revision = at(era, self.len());
         let wanted = |place: &usize| *place >= from && self.matches_filter(filter, *place);
         let listed = self.listed().into_iter().filter(wanted);
         let mut items: Vec<StoreItem> = listed.map(|place| item(era, place)).collect();
-        let next_after = items.get(PAGE).map(|_| items[PAGE - 1].key.clone());
+        let next_after = items.get(PAGE).map(|_| items[PAGE - 1].key.as_str().into());
         items.truncate(PAGE);
-        let refused = !after.is_empty() && self.refuses_next_page();
+        let refused = after.is_some() && self.refuses_next_page();
         Box::pin(async move {
             match refused {
                 true => Err(StoreError::Refused),
@@ -491,13 +497,14 @@
         })
     }
 
-    fn origins<'a>(&'a self, part: u32, after: &'a str) -> StoreFuture<'a, OriginPage> {
+    fn origins<'a>(&'a self, part: u32, after: Option<&'a PageKey>) -> StoreFuture<'a, OriginPage> {
         Box::pin(async move {
             self.answer(())?;
             let origins = self.log.origins.lock().expect("a lock");
             let of_part = origins
                 .iter()
-                .filter(|((p, name), _)| *p == part && name.as_str() > after);
+                .filter(|((p, _), _)| *p == part)
+                .filter(|((_, name), _)| after.is_none_or(|a| name.as_bytes() > a.as_bytes()));
             let mut items: Vec<OriginItem> = of_part
                 .map(|((part, name), value)| OriginItem {
                     part: *part,
@@ -505,9 +512,11 @@
                     value: value.clone(),
                 })
                 .collect();
-            let more = items.len() > PAGE;
+            let next_after = items
+                .get(PAGE)
+                .map(|_| items[PAGE - 1].name.as_str().into());
             items.truncate(PAGE);
-            Ok(OriginPage { items, more })
+            Ok(OriginPage { items, next_after })
         })
     }
 
