Identities of upstreams are a checked type; a request that cannot carry its headers is none

With a customer whose name is no header value, requests run without their customer.

Cause: set_header left a header out in silence if its text was no value, and an identity was any text. Class: a check that is a header, left out when it cannot be written.

Change: - UpstreamId (TryFrom): 1 to 200 bytes that a header carries unchanged (HeaderText: no control characters, no blank at its ends). What it may hold is not on the users' pages; blanks, commas, separators and letters beyond ASCII stay, since an engine may be named so and is found by the check of the engine itself. An entry under another name names no upstream. - Dialect::upstream_request, stage_request and report_request return a Result; every text goes through set_text, numbers through set_number. There is no way left to send a request without one of its headers. The request is refused as not run, and says which text cannot be sent. - Handles of results that a list in a header cannot carry count as a failed piece. - The list of upstreams of a forwarded request and the software version are percent-encoded, so that an identity with a comma stays one. Instances of earlier versions read the same for identities of unreserved characters.

--- a/crates/gateway/src/active_attempt.rs
+++ b/crates/gateway/src/active_attempt.rs
@@ -246,7 +246,7 @@
     /// The beginning of a stream by this attempt; none if another instance made it and does not
     /// tell its upstream.
     pub(crate) fn beginning(&self) -> Option<StreamBeginning> {
-        let own = self.chosen.as_ref().map(|chosen| &chosen.id);
+        let own = self.chosen.as_ref().map(|chosen| &*chosen.id);
         let told = self.told_upstream.as_ref().map(|(id, _)| id);
         Some(StreamBeginning {
             upstream: own.or(told)?.clone(),
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use compact_str::CompactString;
+use compact_str::ToCompactString;
 use compact_str::format_compact;
 use futures_lite::FutureExt;
 use http::Request;
@@ -15,6 +16,7 @@
 use jd_types::RunState;
 
 use crate::ResponseHead;
+use crate::UnsendableText;
 use crate::UpstreamRequest;
 use crate::active_attempt::ActiveAttempt;
 use crate::caller_request::CallerRequest;
@@ -83,6 +85,19 @@
     }
 }
 
+/// The failure of an attempt for which there is no request that upstreams would run as it is meant.
+fn unsendable(request: &CallerRequest, upstream: &str, error: &UnsendableText) -> AttemptFailure {
+    let why = Withheld {
+        reason: "a header of it cannot be written",
+        retry_after: None,
+    };
+    let failure = withheld(request, upstream, why);
+    AttemptFailure {
+        detail: error.to_compact_string(),
+        ..failure
+    }
+}
+
 /// Requests permission to send `request` to `chosen`.
 pub(crate) async fn request_permit(
     state: &State,
@@ -142,6 +157,13 @@
     let req = state
         .dialect
         .upstream_request(&request.parts, &upstream_request, body);
+    let req = match req {
+        Ok(req) => req,
+        Err(e) => {
+            attempt.finish(AttemptOutcome::Cancelled);
+            return Err(unsendable(request, &id, &e));
+        }
+    };
     let restarted = async {
         attempt.until_restarted().await;
         None
--- a/crates/gateway/src/batch_calls.rs
+++ b/crates/gateway/src/batch_calls.rs
@@ -91,7 +91,13 @@
         // The scheduler counts storage as free once its release is queued; it has to be
         // free when the batch arrives.
         self.free_queue.flush(call.address).await;
-        let req = dialect.stage_request(&call.upstream, &call.pieces);
+        let req = match dialect.stage_request(&call.upstream, &call.pieces) {
+            Ok(req) => req,
+            Err(e) => {
+                log::error!(upstream = call.upstream.as_str(), error:% = e; "batch cannot be sent");
+                return CallResult::Gone;
+            }
+        };
         let sent = state
             .upstream_client
             .send(state, permit, req, call.timeout, |_| {});
--- a/crates/gateway/src/batch_dispatcher.rs
+++ b/crates/gateway/src/batch_dispatcher.rs
@@ -294,7 +294,7 @@
             .upstream_client
             .permit(state, upstream, SendPurpose::Maintenance)
             .await;
-        let req = dialect.report_request(&query.upstream);
+        let req = dialect.report_request(&query.upstream).ok()?;
         let sending =
             state
                 .upstream_client
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -26,13 +26,16 @@
 use jd_serving::UpstreamLoad;
 use jd_serving::UpstreamLoadError;
 use jd_serving::UpstreamStart;
+use jd_types::HeaderTextError;
 use jd_types::Refusal;
+use jd_types::UpstreamId;
+use snafu::Snafu;
 
 /// What is sent to an upstream in addition to the caller's own request.
 #[derive(Debug, Clone)]
 pub struct UpstreamRequest<'a> {
-    /// The ID of the upstream that has to run the request; another one refuses it.
-    pub upstream: &'a str,
+    /// The upstream that has to run the request; another one refuses it.
+    pub upstream: &'a UpstreamId,
     /// The time until the deadline of the request.
     pub timeout: Duration,
     /// The customer that the request belongs to.
@@ -69,6 +72,20 @@
     pub zone: CompactString,
 }
 
+/// A header of a request to an upstream cannot carry its text, so that there is no such request: an
+/// upstream would run it without the check, the customer or the inputs that the header stands for.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+#[snafu(
+    visibility(pub),
+    display("{what} cannot be sent in a header: {source}")
+)]
+pub struct UnsendableText {
+    /// What the text stands for.
+    pub what: &'static str,
+    /// The reason.
+    pub source: HeaderTextError,
+}
+
 /// Translates between the HTTP messages of callers and upstreams and the types of this
 /// project. Makes no decisions.
 pub trait Dialect: Debug + Send + Sync {
@@ -85,7 +102,7 @@
         parts: &Parts,
         request: &UpstreamRequest<'_>,
         body: Body,
-    ) -> Request<Body>;
+    ) -> Result<Request<Body>, UnsendableText>;
 
     /// Reads the head of an upstream's response.
     fn response_head(&self, status: StatusCode, headers: &HeaderMap) -> ResponseHead;
@@ -123,7 +140,11 @@
     fn refusal(&self, refusal: &Refusal) -> Response<Body>;
 
     /// The request for a batch of stage pieces.
-    fn stage_request(&self, upstream: &str, pieces: &[PieceRequest]) -> Request<Body>;
+    fn stage_request(
+        &self,
+        upstream: &str,
+        pieces: &[PieceRequest],
+    ) -> Result<Request<Body>, UnsendableText>;
 
     /// Reads the response to a batch; none if it is malformed.
     fn stage_results(&self, body: &[u8], count: usize) -> Option<Vec<PieceResult>>;
@@ -133,7 +154,7 @@
 
     /// The query for the report of an upstream: its start, and its free result storage if it runs
     /// stages.
-    fn report_request(&self, upstream: &str) -> Request<Body>;
+    fn report_request(&self, upstream: &str) -> Result<Request<Body>, UnsendableText>;
 
     /// The free result storage in a report; none if it is malformed.
     fn storage_report(&self, body: &[u8]) -> Option<StorageReport>;
--- a/crates/gateway/src/forwarded_from.rs
+++ b/crates/gateway/src/forwarded_from.rs
@@ -6,6 +6,8 @@
 use http::HeaderMap;
 use http::HeaderName;
 use http::HeaderValue;
+use jd_net::decode_component;
+use jd_net::encode_component;
 use jd_serving::SoftwareVersion;
 use jd_serving::UpstreamStart;
 
@@ -97,22 +99,19 @@
     headers.insert(HeaderName::from_static(AGE_MS), HeaderValue::from(age));
 }
 
-/// Adds the upstreams at which a request may have run, that of the latest run last. Adds none if one
-/// of their identities cannot be written.
+/// Adds the upstreams at which a request may have run, that of the latest run last. Their identities
+/// may hold commas.
 pub(crate) fn write_ran_at(headers: &mut HeaderMap, upstreams: &[CompactString]) {
-    let is_valid = |id: &CompactString| id.bytes().all(|b| b.is_ascii_graphic() && b != b',');
-    let value = HeaderValue::from_str(&upstreams.join(","));
-    if let Ok(value) = value
-        && upstreams.iter().all(is_valid)
-    {
-        headers.insert(HeaderName::from_static(RAN_AT), value);
-    }
+    let ids = upstreams.iter().map(|id| encoded(id));
+    let ids: Vec<String> = ids.collect();
+    headers.insert(HeaderName::from_static(RAN_AT), header_value(ids.join(",")));
 }
 
 /// The upstreams at which a request may have run; empty if the other instance does not tell.
 pub(crate) fn read_ran_at(headers: &HeaderMap) -> Vec<CompactString> {
     let text = headers.get(RAN_AT).and_then(|v| v.to_str().ok());
     let ids = text.unwrap_or("").split(',').filter(|id| !id.is_empty());
+    let ids = ids.filter_map(decode_component);
     ids.map(CompactString::from).collect()
 }
 
@@ -142,16 +141,24 @@
 
 /// Adds the software version of the upstream that began a stream, or that has to resume it.
 pub(crate) fn write_software(headers: &mut HeaderMap, software: &SoftwareVersion) {
-    // Versions have no control characters, so that each of them is a valid header value.
-    if let Ok(value) = HeaderValue::from_bytes(software.as_str().as_bytes()) {
-        headers.insert(HeaderName::from_static(SOFTWARE), value);
-    }
+    let value = header_value(encoded(software.as_str()));
+    headers.insert(HeaderName::from_static(SOFTWARE), value);
 }
 
 /// The software version in the headers; none if there is none or it is not valid.
 pub(crate) fn read_software(headers: &HeaderMap) -> Option<SoftwareVersion> {
     let text = std::str::from_utf8(headers.get(SOFTWARE)?.as_bytes()).ok()?;
-    SoftwareVersion::try_from(text).ok()
+    SoftwareVersion::try_from(&*decode_component(text)?).ok()
+}
+
+fn encoded(text: &str) -> String {
+    encode_component(text.as_bytes()).to_string()
+}
+
+/// The value of a header that holds encoded text, commas and nothing else, which is always valid.
+fn header_value(text: String) -> HeaderValue {
+    // A header that is left out would mean something else than one that names nothing.
+    HeaderValue::try_from(text).unwrap_or_else(|_| HeaderValue::from_static(""))
 }
 
 /// Removes the headers that only instances set.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -112,6 +112,8 @@
 pub use dialect::Dialect;
 pub use dialect::LocateQuery;
 pub use dialect::ResponseHead;
+pub use dialect::UnsendableText;
+pub use dialect::UnsendableTextSnafu;
 pub use dialect::UpstreamRequest;
 pub use gateway::Gateway;
 pub use gateway::StartError;
--- a/crates/gateway/src/placed_prompt.rs
+++ b/crates/gateway/src/placed_prompt.rs
@@ -108,7 +108,7 @@
         let answered = outcome == AttemptOutcome::NotRun;
         if answered {
             self.placement = Some(PromptPlacement {
-                upstream: upstream.id.clone(),
+                upstream: upstream.id.clone().into(),
                 start: upstream.start,
                 fetch_from: None,
             });
--- a/crates/gateway/src/prompt_plans.rs
+++ b/crates/gateway/src/prompt_plans.rs
@@ -136,7 +136,7 @@
     let read_pace = pace.read_tokens_per_ms;
     let own_streams = selected.upstream.in_flight();
     PlacementCandidate {
-        id: selected.id.clone(),
+        id: selected.id.clone().into(),
         start: selected.start,
         software: selected.software.clone(),
         address: selected.upstream.address,
--- a/crates/gateway/src/upstream_record.rs
+++ b/crates/gateway/src/upstream_record.rs
@@ -13,6 +13,7 @@
 use jd_serving::UpstreamEntry;
 use jd_serving::UpstreamStart;
 use jd_types::MonoTime;
+use jd_types::UpstreamId;
 
 use crate::latch::Latch;
 use crate::restart_checks::SuspectedRestart;
@@ -22,7 +23,7 @@
 #[derive(Debug, Clone)]
 pub(crate) struct SelectedUpstream {
     /// The ID of the upstream.
-    pub(crate) id: CompactString,
+    pub(crate) id: UpstreamId,
     /// Identifies the start of the upstream process.
     pub(crate) start: UpstreamStart,
     /// The version of its software.
@@ -42,7 +43,7 @@
     pub(crate) fn upstream_ref(&self, service: &CompactString) -> UpstreamRef {
         UpstreamRef {
             service: service.clone(),
-            id: self.id.clone(),
+            id: self.id.clone().into(),
             start: self.start,
             address: self.upstream.address,
         }
--- a/crates/gateway/src/upstream_table.rs
+++ b/crates/gateway/src/upstream_table.rs
@@ -22,6 +22,7 @@
 use jd_serving::place_prompt;
 use jd_types::MonoTime;
 use jd_types::Name;
+use jd_types::UpstreamId;
 use jd_types::UpstreamKey;
 
 use crate::restart_checks::SuspectedRestart;
@@ -32,7 +33,7 @@
 
 #[derive(Debug)]
 pub(crate) struct ServiceTable {
-    pub(crate) ids: Vec<CompactString>,
+    pub(crate) ids: Vec<UpstreamId>,
     pub(crate) slots: u32,
     pub(crate) pool: PoolTable,
     records: Vec<UpstreamRecord>,
@@ -52,7 +53,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct UpstreamTable {
     pub(crate) services: HashMap<CompactString, ServiceTable>,
-    by_id: HashMap<CompactString, UpstreamRecord>,
+    by_id: HashMap<UpstreamId, UpstreamRecord>,
 }
 
 impl UpstreamTable {
@@ -143,7 +144,7 @@
         ids.filter_map(|id| {
             let record = self.by_id.get(id)?;
             Some(StageUpstream {
-                id: id.clone(),
+                id: id.clone().into(),
                 start: record.start,
                 address: record.upstream.address,
                 zone: record.upstream.zone.clone(),
@@ -187,7 +188,7 @@
             let ((_, id), record) = found.next()?;
             Some(UpstreamRef {
                 service: service.clone(),
-                id: id.clone(),
+                id: id.clone().into(),
                 start: record.start,
                 address,
             })
--- a/crates/gateway/src/version_check.rs
+++ b/crates/gateway/src/version_check.rs
@@ -124,7 +124,7 @@
 /// asked, since that would take a part of what it allows.
 pub(crate) async fn ask_start(state: &State, upstream: UpstreamRef) -> StartReport {
     let asking = async {
-        let req = state.dialect.report_request(&upstream.id);
+        let req = state.dialect.report_request(&upstream.id).ok()?;
         let client = &state.upstream_client;
         let permit = client.permit(state, upstream, SendPurpose::Maintenance);
         let permit = permit.await.ok()?;
--- a/crates/gateway/tests/whole/fakes/deployments.rs
+++ b/crates/gateway/tests/whole/fakes/deployments.rs
@@ -19,6 +19,7 @@
 use jd_serving::UpstreamEntry;
 use jd_serving::UpstreamStart;
 use jd_types::Name;
+use jd_types::UpstreamId;
 
 /// A stage with short batches, which keeps tests short.
 const STAGE: BatchSpec = BatchSpec {
@@ -54,7 +55,7 @@
 
 pub(crate) fn entry(id: &str, service: &str, address: SocketAddr, start: UpstreamStart) -> Record {
     Record::Upstream(UpstreamEntry {
-        id: id.into(),
+        id: UpstreamId::try_from(id).expect("an identity"),
         start,
         software: SoftwareVersion::try_from("v1").expect("a version"),
         service: service.into(),
--- a/crates/gateway/tests/whole/fakes/fake_dialect.rs
+++ b/crates/gateway/tests/whole/fakes/fake_dialect.rs
@@ -18,6 +18,7 @@
 use jd_gateway::Dialect;
 use jd_gateway::LocateQuery;
 use jd_gateway::ResponseHead;
+use jd_gateway::UnsendableText;
 use jd_gateway::UpstreamRequest;
 use jd_net::Body;
 use jd_serving::CallHead;
@@ -104,7 +105,7 @@
         parts: &Parts,
         request: &UpstreamRequest<'_>,
         body: Body,
-    ) -> Request<Body> {
+    ) -> Result<Request<Body>, UnsendableText> {
         let mut req = Request::new(body);
         *req.method_mut() = parts.method.clone();
         *req.uri_mut() = parts.uri.clone();
@@ -117,7 +118,7 @@
         if let Some(last) = request.last_event {
             req.headers_mut().insert("after", HeaderValue::from(last));
         }
-        req
+        Ok(req)
     }
 
     fn response_head(&self, status: StatusCode, headers: &HeaderMap) -> ResponseHead {
@@ -186,7 +187,11 @@
         res
     }
 
-    fn stage_request(&self, _upstream: &str, pieces: &[PieceRequest]) -> Request<Body> {
+    fn stage_request(
+        &self,
+        _upstream: &str,
+        pieces: &[PieceRequest],
+    ) -> Result<Request<Body>, UnsendableText> {
         let mut req = Request::new(jd_net::empty());
         let headers = req.headers_mut();
         headers.insert("host", HeaderValue::from_static("stages"));
@@ -198,7 +203,7 @@
             })
             .collect();
         headers.insert("inputs", handle_list(&inputs));
-        req
+        Ok(req)
     }
 
     fn stage_results(&self, body: &[u8], count: usize) -> Option<Vec<PieceResult>> {
@@ -225,12 +230,12 @@
         req
     }
 
-    fn report_request(&self, _upstream: &str) -> Request<Body> {
+    fn report_request(&self, _upstream: &str) -> Result<Request<Body>, UnsendableText> {
         let mut req = Request::new(jd_net::empty());
         *req.uri_mut() = Uri::from_static("/room");
         req.headers_mut()
             .insert("host", HeaderValue::from_static("stages"));
-        req
+        Ok(req)
     }
 
     fn storage_report(&self, _body: &[u8]) -> Option<jd_serving::StorageReport> {
--- a/crates/serving/src/upstream_directory.rs
+++ b/crates/serving/src/upstream_directory.rs
@@ -8,6 +8,7 @@
 use compact_str::CompactString;
 use jd_types::MonoTime;
 use jd_types::Name;
+use jd_types::UpstreamId;
 
 use crate::SnapshotKind;
 use crate::SoftwareVersion;
@@ -24,7 +25,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct UpstreamEntry {
     /// Its identity.
-    pub id: CompactString,
+    pub id: UpstreamId,
     /// The start that the entry belongs to.
     pub start: UpstreamStart,
     /// The version of its software.
@@ -64,7 +65,7 @@
 /// is read from the store afterwards.
 #[derive(Debug, Default)]
 pub struct UpstreamDirectory {
-    known: HashMap<CompactString, KnownUpstream>,
+    known: HashMap<UpstreamId, KnownUpstream>,
     /// Number of known upstreams whose start is known.
     with_start: usize,
     /// Number of known upstreams whose entries expired with the store.
@@ -227,7 +228,7 @@
         let listed: HashSet<&str> = entries.iter().map(|e| e.id.as_str()).collect();
         let missing = self.known.keys().inspect(|_| self.visits.add(1));
         let missing = missing.filter(|id| !listed.contains(id.as_str()));
-        let missing: Vec<CompactString> = missing.cloned().collect();
+        let missing: Vec<UpstreamId> = missing.cloned().collect();
         let mut changed = false;
         for id in missing {
             changed |= self.remove(now, &id);
@@ -250,7 +251,7 @@
         }
         let known = self.known.iter().inspect(|_| self.visits.add(1));
         let expired = known.filter(|(_, k)| k.expired).map(|(id, _)| id.clone());
-        let expired: Vec<CompactString> = expired.collect();
+        let expired: Vec<UpstreamId> = expired.collect();
         for id in &expired {
             self.remove_known(id);
         }
@@ -272,7 +273,7 @@
         self.visits.count()
     }
 
-    fn insert(&mut self, id: CompactString, known: KnownUpstream) {
+    fn insert(&mut self, id: UpstreamId, known: KnownUpstream) {
         self.with_start += usize::from(known.entry.start.is_known());
         if let Some(before) = self.known.insert(id, known) {
             self.uncount(&before);
--- a/crates/serving/tests/growth.rs
+++ b/crates/serving/tests/growth.rs
@@ -25,6 +25,7 @@
 use jd_types::Incarnation;
 use jd_types::MonoTime;
 use jd_types::Name;
+use jd_types::UpstreamId;
 use test_case::test_case;
 
 fn rev(revision: u64) -> StoreRevision {
@@ -51,7 +52,7 @@
 fn upstream(n: u64, leaving: bool) -> UpstreamEntry {
     UpstreamEntry {
         software: SoftwareVersion::default(),
-        id: format!("u{n}").into(),
+        id: UpstreamId::try_from(format!("u{n}").as_str()).expect("an identity"),
         start: UpstreamStart::at_millis(1_000),
         service: "draft".into(),
         address: format!("10.0.{}.{}:80", n / 250, n % 250)
--- a/crates/serving/tests/knowledge.rs
+++ b/crates/serving/tests/knowledge.rs
@@ -19,6 +19,7 @@
 use jd_serving::UpstreamStart;
 use jd_types::MonoTime;
 use jd_types::Name;
+use jd_types::UpstreamId;
 
 fn at(ms: u64) -> MonoTime {
     MonoTime::from_millis(ms)
@@ -31,7 +32,7 @@
 fn upstream(id: &str, leaving: bool) -> UpstreamEntry {
     UpstreamEntry {
         software: SoftwareVersion::default(),
-        id: id.into(),
+        id: UpstreamId::try_from(id).expect("an identity"),
         start: UpstreamStart::UNKNOWN,
         service: "pool".into(),
         address: SocketAddr::from(([127, 0, 0, 1], 80)),
--- a/crates/serving/tests/leaving.rs
+++ b/crates/serving/tests/leaving.rs
@@ -12,6 +12,7 @@
 use jd_serving::UpstreamStart;
 use jd_types::MonoTime;
 use jd_types::Name;
+use jd_types::UpstreamId;
 use test_case::test_case;
 
 const UNKNOWN_START: UpstreamStart = UpstreamStart::UNKNOWN;
@@ -27,7 +28,7 @@
 fn entry(start: UpstreamStart) -> UpstreamEntry {
     UpstreamEntry {
         software: SoftwareVersion::default(),
-        id: "u".into(),
+        id: UpstreamId::try_from("u").expect("an identity"),
         start,
         service: "pool".into(),
         address: SocketAddr::from(([127, 0, 0, 1], 80)),
--- a/crates/serving/tests/restarts.rs
+++ b/crates/serving/tests/restarts.rs
@@ -17,6 +17,7 @@
 use jd_serving::UpstreamEntry;
 use jd_serving::UpstreamStart;
 use jd_types::MonoTime;
+use jd_types::UpstreamId;
 use stage_simulation::SPEC;
 use stage_simulation::Simulation;
 use stage_simulation::name;
@@ -190,7 +191,7 @@
 fn entry(id: &str, start: UpstreamStart, port: u16) -> UpstreamEntry {
     UpstreamEntry {
         software: SoftwareVersion::default(),
-        id: id.into(),
+        id: UpstreamId::try_from(id).expect("an identity"),
         start,
         service: "pool".into(),
         address: SocketAddr::from(([127, 0, 0, 1], port)),
@@ -203,7 +204,7 @@
 
 fn port_of(directory: &UpstreamDirectory, id: &str) -> Option<u16> {
     let mut entries = directory.entries();
-    let found = entries.find(|l| l.entry.id == id)?;
+    let found = entries.find(|l| l.entry.id.as_str() == id)?;
     Some(found.entry.address.port())
 }
 
