Log lines on entries that cannot be read: one a write, bounded in number and length

An entry of another writer that stands was logged with each reading of the store on each instance, with the whole of a text that may be a megabyte (serde names the unexpected value).

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -169,6 +169,7 @@
         let applier = Arc::new(StoreApplier {
             state: Arc::clone(&state),
             store,
+            unreadable: Mutex::default(),
         });
         let reader = StoreReader {
             link: Arc::clone(&link),
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -51,8 +51,6 @@
     Versions(VersionRecord),
     /// A record that this version cannot read, and why.
     Unreadable {
-        /// Its key.
-        key: CompactString,
         /// What is wrong with it.
         reason: CompactString,
     },
--- a/crates/gateway/src/store_applier.rs
+++ b/crates/gateway/src/store_applier.rs
@@ -2,9 +2,13 @@
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::time::Duration;
 use std::time::SystemTime;
 
+use jd_net::lock;
+use jd_policy::KeyedLines;
+use jd_policy::shortened;
 use jd_serving::Content;
 use jd_serving::InstanceEntry;
 use jd_serving::SnapshotKind;
@@ -83,6 +87,8 @@
 pub(crate) struct StoreApplier {
     pub(crate) state: Arc<State>,
     pub(crate) store: Arc<dyn Store>,
+    /// The lines on entries that cannot be read.
+    pub(crate) unreadable: Mutex<KeyedLines>,
 }
 
 impl StoreApplier {
@@ -178,7 +184,7 @@
             match change {
                 Change::Put(Record::Upstream(entry)) => upstreams.push(entry),
                 Change::UpstreamUnreadable { id, reason } => {
-                    changed |= self.exclude_upstream(&id, &reason, item.revision);
+                    changed |= self.exclude_upstream(&id, &reason, &item);
                 }
                 Change::Put(Record::EvacuatedZone(zone)) => {
                     evacuated.insert(zone);
@@ -253,7 +259,7 @@
                     changed |= self.state.cluster().upstreams.remove(now, &id);
                 }
                 Change::UpstreamUnreadable { id, reason } => {
-                    changed |= self.exclude_upstream(&id, &reason, item.revision);
+                    changed |= self.exclude_upstream(&id, &reason, &item);
                 }
                 Change::InstanceRemoved(id) if id == self.state.own_entry.incarnation => {
                     self.state.own_entry_removed.notify();
@@ -283,18 +289,30 @@
     }
 
     /// Excludes an upstream whose entry another writer has left or overwritten; true if
-    /// that changes anything. Logs one line for each write of the entry, not for each
-    /// read.
-    fn exclude_upstream(&self, id: &str, reason: &str, written: StoreRevision) -> bool {
-        log::warn!(
-            upstream = id,
-            reason = reason,
-            written:%;
-            "entry does not describe an upstream; its owner has to write it again"
-        );
+    /// that changes anything.
+    fn exclude_upstream(&self, id: &str, reason: &str, item: &StoreItem) -> bool {
+        if self.is_line_due(item) {
+            log::warn!(
+                upstream = shortened(id),
+                reason = shortened(reason),
+                written:% = item.revision;
+                "entry does not describe an upstream; its owner has to write it again"
+            );
+        }
         self.state.cluster().upstreams.discard(id)
     }
 
+    /// True if a line is to be written on an item that cannot be read.
+    fn is_line_due(&self, item: &StoreItem) -> bool {
+        let StoreRevision { era, revision } = item.revision;
+        let line = lock(&self.unreadable).decide(self.state.now(), &item.key, [era, revision]);
+        let left_out = line.map_or(0, |l| l.left_out);
+        if left_out > 0 {
+            log::warn!(count = left_out; "further entries that cannot be read and are not logged");
+        }
+        line.is_some_and(|l| l.is_written)
+    }
+
     /// Decodes items; those that do not concern this system are left out.
     fn decode(&self, items: &[StoreItem]) -> Vec<DecodedChange> {
         let decode = |item: &StoreItem| {
@@ -356,9 +374,11 @@
                 cluster.version_record = Some(record);
                 cluster.version_record_written = Some(item.revision);
             }
-            Record::Unreadable { key, reason } => {
-                log::error!(key:% = key, reason:% = reason; "record cannot be decoded; ignored");
+            Record::Unreadable { reason } if self.is_line_due(item) => {
+                let (key, reason) = (shortened(&item.key), shortened(&reason));
+                log::error!(key, reason; "record cannot be decoded; ignored");
             }
+            Record::Unreadable { .. } => {}
         }
     }
 }
