What has been read of the store is used though a page behind it cannot be read

Callers saw 'no configuration is known here yet' for as long as one page of the store could not be read, although the page with the configuration had arrived: nothing of a reading was used before its last page, and after seven tries it began again from the first one. An instance that had read everything, and had to again, was left with what it knew, and without proof it refused requests with credentials after some seconds.

Change: when a page fails, the records before it are applied (StoreApplier::apply_part). StorePart, without I/O, tells what changed in them since the reading before, so that an entry that goes from them is a removal and what lies behind them is not missing. They prove the configuration that is in force (Freshness::record_deployment), no other thing: versions and origins still need everything. They are not passed on to other instances. A call that the store rejects, or whose answer is no list, will not go better the next time (StoreError::is_lasting): the page is not tried six times, the store does not count as away, and everything is read again after 0.7 s, so that a configuration is in force and a revoked credential refused within the users' bounds. A watch whose answer is no list leads there as well.

What remains: in a fleet that starts from other instances, none has everything, so that each waits for its sources for up to 8 s between two readings; the order of the pages decides what is before the broken one.

--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -250,10 +250,10 @@
         own == SourceHealth::StoreUnavailable || cluster.upstreams.is_store_unavailable()
     }
 
-    /// True while the proof of freshness is recent enough to serve requests.
+    /// True while the proof of the configuration is recent enough to serve requests.
     pub(crate) fn is_fresh(&self) -> bool {
-        self.proof_age()
-            .is_some_and(|age| age < self.settings.max_staleness)
+        let age = self.cluster().freshness.deployment_age(self.now());
+        age.is_some_and(|age| age < self.settings.max_staleness)
     }
 
     /// True if callers may be directed to this instance.
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -179,6 +179,14 @@
 }
 
 impl StoreError {
+    /// True if the store answered, and will answer the same call alike.
+    pub(crate) const fn is_lasting(self) -> bool {
+        matches!(
+            self,
+            StoreError::Rejected { .. } | StoreError::InvalidAnswer
+        )
+    }
+
     /// Label of the error in logs and metrics.
     pub(crate) const fn as_str(self) -> &'static str {
         match self {
--- a/crates/gateway/src/store_applier.rs
+++ b/crates/gateway/src/store_applier.rs
@@ -13,11 +13,13 @@
 use jd_serving::InstanceEntry;
 use jd_serving::SnapshotKind;
 use jd_serving::StoreItem;
+use jd_serving::StorePart;
 use jd_serving::StoreRevision;
 use jd_serving::StoreUpdate;
 use jd_serving::UpdateSource;
 use jd_serving::UpstreamEntry;
 use jd_types::Incarnation;
+use jd_types::MonoTime;
 use jd_types::Name;
 
 use crate::Change;
@@ -82,6 +84,12 @@
     took: Duration,
 }
 
+impl DecodedChange {
+    fn is_deployment(&self) -> bool {
+        matches!(self.change, Change::Put(Record::Deployment(_)))
+    }
+}
+
 /// Applies records and changes of the store, whichever source they come from.
 #[derive(Debug)]
 pub(crate) struct StoreApplier {
@@ -89,6 +97,8 @@
     pub(crate) store: Arc<dyn Store>,
     /// The lines on entries that cannot be read.
     pub(crate) unreadable: Mutex<KeyedLines>,
+    /// What was read since a page could not be; none if everything could.
+    pub(crate) part: Mutex<Option<StorePart>>,
 }
 
 impl StoreApplier {
@@ -161,6 +171,39 @@
         }
     }
 
+    /// Applies the first records of the store, which were asked for at `asked`, while a page behind them
+    /// cannot be read. Other instances do not get them from here, and no record behind them counts as
+    /// missing.
+    ///
+    /// Guards against an entry of another writer that keeps a page from being read for as long as it
+    /// stands, and with it everything before it.
+    pub(crate) fn apply_part(
+        &self,
+        items: Vec<StoreItem>,
+        revision: StoreRevision,
+        asked: MonoTime,
+    ) {
+        let known = self.state.cluster().mirror.revision();
+        if known != StoreRevision::ZERO && !revision.is_same_era(known) {
+            return;
+        }
+        let mut part = lock(&self.part);
+        let part = part.get_or_insert_with(|| {
+            let cluster = self.state.cluster();
+            StorePart::of(cluster.mirror.items().cloned(), known)
+        });
+        let read = items.len();
+        let has_deployment = self.decode(&items).iter().any(DecodedChange::is_deployment);
+        let changes = part.update(items, revision);
+        let changed = changes.len();
+        self.apply_each(changes, revision);
+        if has_deployment {
+            self.state.cluster().freshness.record_deployment(asked);
+        }
+        self.state.changes.notify(usize::MAX);
+        log::warn!(read, changed, revision:%; "only a part of the store can be read; it is used");
+    }
+
     fn apply_snapshot(&self, items: Vec<StoreItem>, revision: StoreRevision, known: StoreRevision) {
         let (began, count) = (self.state.now(), items.len());
         let is_first = known == StoreRevision::ZERO;
@@ -204,6 +247,7 @@
                 | Change::EvacuationEnded(_) => {}
             }
         }
+        *lock(&self.part) = None;
         self.state.quarantine.retain_stored(&quarantined);
         let now = self.state.now();
         if reading == SnapshotKind::Restored {
@@ -229,6 +273,11 @@
     fn apply_changes(&self, items: Vec<StoreItem>, revision: StoreRevision) {
         let items = self.retain_newer_deployment(items, revision, false);
         let items = self.state.cluster().mirror.apply(items, revision);
+        self.apply_each(items, revision);
+    }
+
+    /// Applies changes in their order.
+    fn apply_each(&self, items: Vec<StoreItem>, revision: StoreRevision) {
         let now = self.state.now();
         let mut changed = false;
         let mut upstream_log = self.upstream_log(items.len());
--- a/crates/gateway/src/store_follower.rs
+++ b/crates/gateway/src/store_follower.rs
@@ -59,6 +59,9 @@
 /// the store served 1.2 s later than with 350 ms, because the pause adds to the time of calls that
 /// hang when the store returns.
 const MAX_FIRST_READ_PAUSE: Duration = Duration::from_millis(450);
+/// Pause before everything is read again while a page cannot be read. A configuration must be in force two
+/// seconds after it was written, and a revoked credential refused after five.
+const PART_READ_PAUSE: Duration = Duration::from_millis(700);
 /// How long another instance must have had a later configuration in force before this one fetches
 /// it: longer than a configuration takes from the store to all instances.
 const MIN_AHEAD_TIME: Duration = Duration::from_millis(1_000);
@@ -104,6 +107,11 @@
                             // The store does answer, so this path has no other wait.
                             Timer::after(BEHIND_CHECK_INTERVAL).await;
                         }
+                        let source = self.link.state.update_source();
+                        if e.is_lasting() && source == UpdateSource::Store {
+                            Timer::after(PART_READ_PAUSE).await;
+                            continue;
+                        }
                     }
                 }
             }
@@ -126,7 +134,11 @@
         while let Err(e) = self.first_load(call_timeout(failures + 1)).await {
             failures = failures.saturating_add(1);
             self.link.call_failed(StoreCall::Page, e);
-            Timer::after(first_read_pause(failures)).await;
+            Timer::after(match e.is_lasting() {
+                true => PART_READ_PAUSE,
+                false => first_read_pause(failures),
+            })
+            .await;
         }
     }
 
@@ -328,6 +340,12 @@
                 log::info!(revision:%; "store no longer has the changes since this revision; reading everything again");
                 SyncState::MustReload
             }
+            Err(e) if e.is_lasting() => {
+                // What cannot be read of the changes may be read of the records.
+                self.link.call_failed(StoreCall::Watch, e);
+                Timer::after(PART_READ_PAUSE).await;
+                SyncState::MustReload
+            }
             Err(e) => {
                 self.link.call_failed(StoreCall::Watch, e);
                 if state.update_source() == UpdateSource::Store {
--- a/crates/gateway/src/store_link.rs
+++ b/crates/gateway/src/store_link.rs
@@ -98,6 +98,9 @@
     /// Notes that a call of this instance failed.
     pub(crate) fn call_failed(&self, kind: StoreCall, e: StoreError) {
         log::warn!(call = kind.as_str(), error:% = e; "store call failed");
+        if e.is_lasting() {
+            return;
+        }
         let now = self.state.now();
         let me = self.state.own_entry.incarnation;
         let mut cluster = self.state.cluster();
--- a/crates/gateway/src/store_reader.rs
+++ b/crates/gateway/src/store_reader.rs
@@ -97,16 +97,28 @@
         filter: RecordFilter,
         timeout: Duration,
     ) -> Result<Option<(Vec<StoreItem>, StoreRevision)>, StoreError> {
+        let asked = self.link.state.now();
         let mut page = self.read_page(filter, None, timeout).await?;
         let revision = page.revision;
         let mut items: Vec<StoreItem> = Vec::new();
         loop {
             items.append(&mut page.items);
-            match page.next_after {
+            let after = match page.next_after {
                 _ if !page.revision.is_same_era(revision) => return Ok(None),
-                Some(after) => page = self.read_next_page(filter, &after).await?,
+                Some(after) => after,
                 None => return Ok(Some((items, revision))),
-            }
+            };
+            page = match self.read_page(filter, Some(&after), CALL_TIMEOUT).await {
+                Ok(page) => page,
+                Err(e) => {
+                    log::warn!(after:%, error:% = e; "page after this key cannot be read");
+                    self.link.call_failed(StoreCall::Page, e);
+                    if filter == RecordFilter::All {
+                        self.applier.apply_part(items.clone(), revision, asked);
+                    }
+                    self.retry_page(filter, &after, e).await?
+                }
+            };
         }
     }
 
@@ -122,28 +134,29 @@
         Ok(page)
     }
 
-    /// Reads a page other than the first, with retries.
+    /// Reads a page other than the first again, which failed with `error`.
     ///
     /// Covers the start of all instances of a large fleet at once: together they request
     /// more than the store's rate and link carry in a second. Instances that began again
     /// from the first page after one refused page kept the store busy for longer.
-    async fn read_next_page(
+    async fn retry_page(
         &self,
         filter: RecordFilter,
         after: &PageKey,
+        error: StoreError,
     ) -> Result<Page, StoreError> {
-        for retry in 0..PAGE_RETRIES {
+        let mut error = error;
+        for _ in 0..PAGE_RETRIES {
+            if error.is_lasting() {
+                break;
+            }
+            Timer::after(MEAN_PAGE_RETRY_PAUSE.mul_f64(0.5 + fastrand::f64())).await;
             match self.read_page(filter, Some(after), CALL_TIMEOUT).await {
                 Ok(page) => return Ok(page),
-                Err(e) => {
-                    if retry == 0 {
-                        log::warn!(after:%, error:% = e; "page after this key cannot be read");
-                    }
-                    self.link.call_failed(StoreCall::Page, e);
-                }
+                Err(e) => error = e,
             }
-            Timer::after(MEAN_PAGE_RETRY_PAUSE.mul_f64(0.5 + fastrand::f64())).await;
+            self.link.call_failed(StoreCall::Page, error);
         }
-        self.read_page(filter, Some(after), CALL_TIMEOUT).await
+        Err(error)
     }
 }
--- a/crates/serving/src/freshness.rs
+++ b/crates/serving/src/freshness.rs
@@ -17,6 +17,8 @@
     applied: StoreRevision,
     newest: Option<Proof>,
     pending: Option<Proof>,
+    /// When the configuration was read by itself for the last time, while other records could not be.
+    deployment_read_at: Option<MonoTime>,
 }
 
 /// The answer of the store to a query of its revision.
@@ -93,6 +95,19 @@
         self.newest.map(|p| now.since(p.asked_at))
     }
 
+    /// Records that the configuration was read, asked for at `asked`, though not everything could be. This
+    /// proves which credentials and routes are in force, and nothing else.
+    pub fn record_deployment(&mut self, asked: MonoTime) {
+        self.deployment_read_at = self.deployment_read_at.max(Some(asked));
+    }
+
+    /// The age of the newest proof of the configuration, if there has been one.
+    pub fn deployment_age(&self, now: MonoTime) -> Option<Duration> {
+        let proven_at = self.newest.map(|p| p.asked_at);
+        let proven_at = proven_at.max(self.deployment_read_at)?;
+        Some(now.since(proven_at))
+    }
+
     /// True while the store is known to hold changes that are missing here.
     pub fn is_behind(&self) -> bool {
         self.pending.is_some()
--- a/crates/serving/src/store_mirror.rs
+++ b/crates/serving/src/store_mirror.rs
@@ -111,6 +111,11 @@
         after < self.dropped_up_to
     }
 
+    /// All records, in the order of their keys.
+    pub fn items(&self) -> impl Iterator<Item = &StoreItem> {
+        self.items.values()
+    }
+
     /// Number of records.
     pub fn record_count(&self) -> usize {
         self.items.len()
--- a/soak/src/fake_store.rs
+++ b/soak/src/fake_store.rs
@@ -37,6 +37,17 @@
 /// The maximum size of a request body in bytes.
 const MAX_BODY_BYTES: usize = 2 << 20;
 
+/// How a page is answered that cannot be read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BrokenPage {
+    /// With a rejection of the query.
+    Rejected,
+    /// With a refusal for now.
+    Refused,
+    /// With bytes that are no list.
+    Garbled,
+}
+
 /// The fake store behind its HTTP interface. It decodes queries strictly, and answers 400 to those
 /// that it cannot decode.
 #[derive(Debug)]
@@ -45,6 +56,8 @@
     pub(crate) mode: Mutex<Option<StoreMode>>,
     /// The most items of a page.
     page_items: AtomicUsize,
+    /// The pages after this key cannot be read.
+    broken_pages: Mutex<Option<(String, BrokenPage)>>,
     changed: Event,
     writes: Mutex<u64>,
 }
@@ -56,6 +69,7 @@
             records: Mutex::default(),
             mode: Mutex::default(),
             page_items: AtomicUsize::new(page_items),
+            broken_pages: Mutex::default(),
             changed: Event::new(),
             writes: Mutex::default(),
         }
@@ -79,6 +93,21 @@
         self.changed.notify(usize::MAX);
     }
 
+    /// Answers reads of pages that begin after this key or a greater one in this way, or normally again.
+    pub fn break_pages(&self, after: Option<(&str, BrokenPage)>) {
+        *lock(&self.broken_pages) = after.map(|(key, how)| (key.into(), how));
+    }
+
+    /// Discards the history of changes together with one that no watch has returned.
+    pub fn forget_history(&self) {
+        let mut records = lock(&self.records);
+        // The write expects no revisions, so it cannot fail.
+        let _ = records.write(&[], Vec::new(), &[]);
+        records.compact();
+        drop(records);
+        self.changed.notify(usize::MAX);
+    }
+
     /// Removes a record.
     pub fn remove(&self, key: &str) {
         let removed = [key.to_string()];
@@ -146,6 +175,13 @@
 
     fn range(&self, query: &HashMap<String, String>) -> Response<Body> {
         let text = |name: &str| query.get(name).cloned().unwrap_or_default();
+        let broken = lock(&self.broken_pages).clone();
+        match broken.filter(|(key, _)| text("after") >= *key) {
+            Some((_, BrokenPage::Rejected)) => return status(StatusCode::BAD_REQUEST),
+            Some((_, BrokenPage::Refused)) => return status(StatusCode::SERVICE_UNAVAILABLE),
+            Some((_, BrokenPage::Garbled)) => return Response::new(jd_net::full("{\"items\":[")),
+            None => {}
+        }
         let records = lock(&self.records);
         let mut found = records.range(&text("prefix"), &text("after"));
         let page_items = self.page_items.load(Ordering::Relaxed);
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -45,6 +45,7 @@
 pub use crowd::Crowd;
 pub use crowd::Misbehaviour;
 pub use cuts::Shares;
+pub use fake_store::BrokenPage;
 pub use fake_store::FakeStore;
 pub use fault::Fault;
 pub use fault::LinkMode;
