Statuses that are none, and ends before the request is written, are no answers

Cause: the pool passed on any status that the HTTP library parses (101 and 600 to 999), and took the end of a connection for the end of a body without a length although the request was still being written: an upstream that gives up closes its side in order first and resets the connection later.

Change, in the pool of connections, which every request to an upstream, another instance or the store goes through: - A final status is 200 to 599 (RFC 9110, 15); another one is SendError::InvalidStatus, the request may have run, and the connection is closed. - ConnectionProgress tells whether the whole request was passed on to the system; without a mark, the end of a body proves nothing before that (BodyFraming::is_end_proven). The send buffer of these connections is 64 KiB: with the system's own size, requests of up to 3.9 MB counted as written though nothing read them (measured on loopback).

--- a/crates/backing-http/src/lib.rs
+++ b/crates/backing-http/src/lib.rs
@@ -70,7 +70,9 @@
         let res = match sent {
             Some(Ok(res)) => res,
             Some(Err(SendError::NotSent)) => return Err(KvError::Unavailable),
-            Some(Err(SendError::Broken)) | None => return Err(KvError::Lost),
+            Some(Err(SendError::Broken | SendError::InvalidStatus { .. })) | None => {
+                return Err(KvError::Lost);
+            }
         };
         let status = res.status;
         let bytes = res.read_all(MAX_ANSWER).await.map_err(|_| KvError::Lost)?;
--- a/crates/client/src/exchange.rs
+++ b/crates/client/src/exchange.rs
@@ -62,7 +62,7 @@
         match pool.send(address, req, left, false).await {
             Some(Ok(res)) => read(res).await,
             Some(Err(SendError::NotSent)) => Reply::NeverLeft,
-            Some(Err(SendError::Broken)) => Reply::Broken,
+            Some(Err(SendError::Broken | SendError::InvalidStatus { .. })) => Reply::Broken,
             None => Reply::Silent,
         }
     };
--- a/crates/entry/src/upstream_client.rs
+++ b/crates/entry/src/upstream_client.rs
@@ -95,7 +95,9 @@
     let res = match shared.http.send(address, req, times.patience, fresh).await {
         Some(Ok(res)) => res,
         Some(Err(SendError::NotSent)) => return Attempted::ended(AttemptOutcome::Unreachable),
-        Some(Err(SendError::Broken)) => return Attempted::ended(AttemptOutcome::Failed),
+        Some(Err(SendError::Broken | SendError::InvalidStatus { .. })) => {
+            return Attempted::ended(AttemptOutcome::Failed);
+        }
         None => return Attempted::ended(AttemptOutcome::Silent),
     };
     let leaving = res.header(HEADER_LEAVING).is_some();
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -204,6 +204,10 @@
             attempt.report_broken();
             Err(failure(AttemptOutcome::Failed, "the connection broke"))
         }
+        Some(Err(SendFailure::InvalidStatus(status))) => Err(failure(
+            AttemptOutcome::Failed,
+            format_compact!("the answer has the status {status}, which is none"),
+        )),
         None => {
             attempt.report_broken();
             Err(failure(AttemptOutcome::Failed, "the upstream restarted"))
--- a/crates/gateway/src/batch_calls.rs
+++ b/crates/gateway/src/batch_calls.rs
@@ -106,7 +106,9 @@
             Err(SendFailure::Withheld(why)) => return withheld_result(why),
             Err(SendFailure::ConnectFailed) => return CallResult::Gone,
             Err(SendFailure::ConnectionLost) => return CallResult::Broken,
-            Err(SendFailure::TimedOut) => return CallResult::Failed,
+            Err(SendFailure::InvalidStatus(_) | SendFailure::TimedOut) => {
+                return CallResult::Failed;
+            }
         };
         let head = dialect.response_head(response.status, &response.headers);
         if head.status == http::StatusCode::MISDIRECTED_REQUEST {
--- a/crates/gateway/src/forward_response.rs
+++ b/crates/gateway/src/forward_response.rs
@@ -83,6 +83,10 @@
             let detail = "the connection to another instance broke";
             Err(lost(AttemptOutcome::Failed, detail))
         }
+        Some(Err(SendError::InvalidStatus { .. })) => {
+            let detail = "another instance passed on a status that is none";
+            Err(lost(AttemptOutcome::Failed, detail))
+        }
         None => {
             let detail = "another instance did not answer in time";
             Err(lost(AttemptOutcome::Silent, detail))
--- a/crates/gateway/src/upstream_client.rs
+++ b/crates/gateway/src/upstream_client.rs
@@ -93,6 +93,8 @@
     ConnectFailed,
     /// The connection broke before the response.
     ConnectionLost,
+    /// The response has this status, which is none.
+    InvalidStatus(u16),
     /// No response arrived in time.
     TimedOut,
 }
@@ -190,6 +192,9 @@
                 Err(SendFailure::ConnectFailed)
             }
             (Some(Err(SendError::Broken)), None) => Err(SendFailure::ConnectionLost),
+            (Some(Err(SendError::InvalidStatus { status })), None) => {
+                Err(SendFailure::InvalidStatus(status))
+            }
             (None, None) => Err(SendFailure::TimedOut),
         }
     }
--- a/crates/net/src/body_framing.rs
+++ b/crates/net/src/body_framing.rs
@@ -32,6 +32,15 @@
         self != BodyFraming::UntilClose
     }
 
+    /// True if a body that was read without an error has ended, and was not broken off.
+    ///
+    /// Without a mark its end is that of the connection. A server that gives up while its request is
+    /// still being written may close its side in order before it resets the connection (RFC 9112,
+    /// section 9.6).
+    pub fn is_end_proven(self, is_request_written: bool) -> bool {
+        self.marks_end() || is_request_written
+    }
+
     /// The framing as logged.
     pub fn as_str(self) -> &'static str {
         match self {
--- a/crates/net/src/http_pool.rs
+++ b/crates/net/src/http_pool.rs
@@ -11,11 +11,13 @@
 use async_executor::Executor;
 use async_executor::Task;
 use http::Request;
+use http::StatusCode;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use jd_policy::ConnectionKey;
 use jd_policy::ConnectionMonitor;
 use jd_types::MonoTime;
+use rustix::net::sockopt;
 use smol_hyper::rt::FuturesIo;
 
 use crate::AnswerMemory;
@@ -25,10 +27,11 @@
 use crate::HttpResponse;
 use crate::SendError;
 use crate::TcpConnector;
+use crate::connection_progress::ConnectionProgress;
 use crate::limited_read::LimitedRead;
 use crate::limited_read::MAX_BUFFER_BYTES;
-use crate::limited_read::ReadProgress;
 use crate::lock;
+use crate::tracked_body::TrackedBody;
 use crate::with_timeout;
 
 /// Timeout for opening a connection: many round trips within a region. If the first packet
@@ -42,18 +45,27 @@
 /// closed is lost, and whether it ran is unknown.
 const MAX_IDLE_TIME: Duration = Duration::from_secs(2);
 
+/// Size of the socket send buffer, in bytes. A request counts as written once it is in that buffer, so that
+/// a large one could never be found unread.
+const SEND_BUFFER_BYTES: usize = 64 << 10;
+
 /// An open connection, which is closed when dropped.
 pub(crate) struct Connection {
     address: SocketAddr,
     key: ConnectionKey,
-    sender: SendRequest<Body>,
+    sender: SendRequest<TrackedBody>,
     idle_since: MonoTime,
     reused: bool,
-    progress: Arc<ReadProgress>,
+    progress: Arc<ConnectionProgress>,
     _driver: Task<()>,
 }
 
 impl Connection {
+    /// True once the whole request was passed on to the operating system.
+    pub(crate) fn is_request_written(&self) -> bool {
+        self.progress.is_request_written()
+    }
+
     /// True if an earlier request was sent on the connection.
     pub(crate) fn is_reused(&self) -> bool {
         self.reused
@@ -121,7 +133,6 @@
     }
 
     fn record_sent(&self, c: &Connection) {
-        c.progress.record();
         let now = self.clock.now();
         self.lock()
             .entry(c.address)
@@ -295,9 +306,15 @@
             key,
             is_armed: true,
         };
+        let req = req.map(|body| TrackedBody::begin(body, &c.progress));
         let result = with_timeout(timeout, c.sender.try_send_request(req)).await;
         cancelled.is_armed = false;
         match result {
+            Some(Ok(res)) if !is_final(res.status()) => {
+                self.shared.record_closed(address, key);
+                let status = res.status().as_u16();
+                Sent::Done(Box::new(Some(Err(SendError::InvalidStatus { status }))))
+            }
             Some(Ok(res)) => {
                 self.shared.record_received(&c);
                 let res =
@@ -309,7 +326,7 @@
                 match e.take_message() {
                     // hyper returns the request only if no byte of it was written, so that
                     // sending it again cannot run it twice.
-                    Some(req) => Sent::Returned(Box::new(req)),
+                    Some(req) => Sent::Returned(Box::new(req.map(TrackedBody::into_body))),
                     None => Sent::Done(Box::new(Some(Err(SendError::Broken)))),
                 }
             }
@@ -325,12 +342,13 @@
     }
 
     async fn connect(&self, address: SocketAddr) -> Option<Connection> {
-        let progress = ReadProgress::new(address);
+        let progress = ConnectionProgress::new(address);
         let opening = async {
             let io = self.connector.connect(address).await.ok()?;
             // Messages are small in both directions, so that Nagle's algorithm would only
             // delay them.
             io.get_ref().set_nodelay(true).ok()?;
+            sockopt::set_socket_send_buffer_size(io.get_ref(), SEND_BUFFER_BYTES).ok()?;
             let io = LimitedRead::new(io, Some(Arc::clone(&progress)));
             let mut builder = http1::Builder::new();
             builder.max_buf_size(MAX_BUFFER_BYTES);
@@ -361,6 +379,12 @@
     }
 }
 
+/// True for the status of a response that ends an exchange (RFC 9110, section 15). 101 answers a wish for
+/// another protocol, which no request of a pool has.
+fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// The result of opening a connection to an address.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ProbeResult {
--- a/crates/net/src/http_response.rs
+++ b/crates/net/src/http_response.rs
@@ -62,7 +62,8 @@
         self.headers.get(name).and_then(|v| v.to_str().ok())
     }
 
-    /// Reads the next chunk of the body. Returns none at its end.
+    /// Reads the next chunk of the body. Returns none at its end, and fails if that is no proof that the
+    /// body is whole.
     pub async fn chunk(&mut self) -> Result<Option<Bytes>, SendError> {
         while let Some(frame) = self.body.frame().await {
             let frame = frame.map_err(|_| SendError::Broken)?;
@@ -71,9 +72,14 @@
                 return Ok(Some(data));
             }
         }
-        if let Some(connection) = self.connection.take() {
-            self.shared.put_back(connection);
+        let Some(connection) = self.connection.take() else {
+            return Ok(None);
+        };
+        if !self.framing.is_end_proven(connection.is_request_written()) {
+            self.shared.record_dropped(&connection);
+            return Err(SendError::Broken);
         }
+        self.shared.put_back(connection);
         Ok(None)
     }
 
--- a/crates/net/src/send_error.rs
+++ b/crates/net/src/send_error.rs
@@ -12,4 +12,13 @@
     /// The connection broke before the response was complete, so the request may have run.
     #[snafu(display("the connection broke before the answer was complete; it may have run"))]
     Broken,
+    /// The response has a status that no response can have, so that it says nothing of the request, which
+    /// may have run.
+    #[snafu(display(
+        "the answer has the status {status}, which is none; the request may have run"
+    ))]
+    InvalidStatus {
+        /// The status.
+        status: u16,
+    },
 }
--- a/soak/src/caller.rs
+++ b/soak/src/caller.rs
@@ -168,7 +168,9 @@
         let (outcome, pause) = match sending.await {
             Some(Ok(res)) => read(res, most_bytes, deadline).await,
             Some(Err(SendError::NotSent)) => (Outcome::NotSent, Some(THINK_TIME)),
-            Some(Err(SendError::Broken)) => (Outcome::ConnectionLost, Some(THINK_TIME)),
+            Some(Err(SendError::Broken | SendError::InvalidStatus { .. })) => {
+                (Outcome::ConnectionLost, Some(THINK_TIME))
+            }
             None => (Outcome::TimedOut, Some(THINK_TIME)),
         };
         let is_cut = matches!(
--- a/soak/src/late_callers.rs
+++ b/soak/src/late_callers.rs
@@ -134,7 +134,9 @@
         match sending.await {
             Some(Ok(res)) => caller::read(res, usize::MAX, deadline).await.0,
             Some(Err(SendError::NotSent)) => Outcome::NotSent,
-            Some(Err(SendError::Broken)) => Outcome::ConnectionLost,
+            Some(Err(SendError::Broken | SendError::InvalidStatus { .. })) => {
+                Outcome::ConnectionLost
+            }
             None => Outcome::TimedOut,
         }
     }
