--- a/crates/gateway/src/store_follower.rs
+++ b/crates/gateway/src/store_follower.rs
@@ -346,6 +346,12 @@
                 Timer::after(PART_READ_PAUSE).await;
                 SyncState::MustReload
             }
+            Err(e) if self.link.state.cluster().freshness.is_behind() => {
+                // The changes may be more than one answer can carry, which pages can.
+                self.link.call_failed(StoreCall::Watch, e);
+                Timer::after(BEHIND_CHECK_INTERVAL).await;
+                SyncState::MustReload
+            }
             Err(e) => {
                 self.link.call_failed(StoreCall::Watch, e);
                 if state.update_source() == UpdateSource::Store {
--- a/soak/src/fake_store.rs
+++ b/soak/src/fake_store.rs
@@ -34,6 +34,8 @@
 
 /// The interval of checks for expired leases.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(50);
+/// The bytes of values after which a page ends, as the platform's do.
+const PAGE_BYTES: usize = 1 << 20;
 /// The maximum size of a request body in bytes.
 const MAX_BODY_BYTES: usize = 2 << 20;
 
@@ -184,9 +186,16 @@
         }
         let records = lock(&self.records);
         let mut found = records.range(&text("prefix"), &text("after"));
-        let page_items = self.page_items.load(Ordering::Relaxed);
-        let more_pages = found.len() > page_items;
-        found.truncate(page_items);
+        let mut bytes = 0;
+        let fits = |r: &&Record| {
+            let is_within = bytes < PAGE_BYTES;
+            bytes += r.raw_item.as_ref().or(r.value.as_ref()).map_or(0, Vec::len);
+            is_within
+        };
+        let fitting = found.iter().take_while(fits).count();
+        let count = fitting.min(self.page_items.load(Ordering::Relaxed));
+        let more_pages = found.len() > count;
+        found.truncate(count);
         let rest = json!({ "more_pages": more_pages, "store_revision": records.revision() });
         list_body("items", &found, &rest)
     }
