--- a/crates/gateway/src/upstream_table.rs
+++ b/crates/gateway/src/upstream_table.rs
@@ -20,6 +20,7 @@
 use jd_serving::UpstreamEntry;
 use jd_serving::UpstreamStart;
 use jd_serving::place_prompt;
+use jd_serving::service_slots;
 use jd_types::MonoTime;
 use jd_types::Name;
 use jd_types::UpstreamId;
@@ -101,7 +102,7 @@
             let records = entries.iter().map(|e| by_id[&e.id].clone());
             let records: Vec<UpstreamRecord> = records.collect();
             let upstreams = records.iter().map(|r| Arc::clone(&r.upstream)).collect();
-            let slots = entries.iter().map(|e| e.slots).max().unwrap_or(1);
+            let slots = service_slots(entries.iter().map(|e| e.slots));
             let table = ServiceTable {
                 ids: entries.iter().map(|e| e.id.clone()).collect(),
                 slots,
