Each kind of records is read by itself where all together cannot be read

An item without a key stood alone on the first page of the store, so that nothing told where to go on; the sample and the list of instances, which a start reads first, can end the same way.

Change: if a page cannot be read for good, the configuration, upstreams, instances, evacuations, quarantines and versions are read one by one. If all of them can be, that is a whole reading like any other. Otherwise each is applied as far as it was read, with its own record of what changed (StorePart by kind, which a whole kind tells all of its removals); a page costs only the records of its kind behind it. A sample or a list of instances that cannot be read counts as empty.

The calls of a sound reading are as before.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -170,7 +170,7 @@
             state: Arc::clone(&state),
             store,
             unreadable: Mutex::default(),
-            part: Mutex::default(),
+            parts: Mutex::default(),
         });
         let reader = StoreReader {
             link: Arc::clone(&link),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -47,6 +47,7 @@
 mod owner_order;
 mod paces;
 mod page_key;
+mod part_applier;
 mod passed_on;
 mod path_checker;
 mod peer_api;
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -135,7 +135,7 @@
 }
 
 /// Which records a read returns.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum RecordFilter {
     /// All of them.
     All,
@@ -144,6 +144,28 @@
     /// Entries of instances whose identities begin with these four bits: a sample of one
     /// in sixteen.
     Sample(u8),
+    /// The operator's configuration.
+    Deployment,
+    /// Entries of upstreams.
+    Upstreams,
+    /// Evacuated availability zones.
+    Evacuations,
+    /// Quarantine states of requests.
+    Quarantines,
+    /// The software versions of the services.
+    Versions,
+}
+
+impl RecordFilter {
+    /// Filters that return one kind of records each, and all of them together.
+    pub(crate) const KINDS: [RecordFilter; 6] = [
+        RecordFilter::Deployment,
+        RecordFilter::Upstreams,
+        RecordFilter::Instances,
+        RecordFilter::Evacuations,
+        RecordFilter::Quarantines,
+        RecordFilter::Versions,
+    ];
 }
 
 /// Why a call to the store failed.
@@ -220,6 +242,9 @@
     /// Decodes an item; none if it does not concern this system.
     fn decode(&self, item: &StoreItem) -> Option<Change>;
 
+    /// Which kind of records an item belongs to; none if it does not concern this system.
+    fn kind(&self, item: &StoreItem) -> Option<RecordFilter>;
+
     /// The store's current revision.
     fn revision(&self) -> StoreFuture<'_, StoreRevision>;
 
--- a/crates/gateway/src/store_applier.rs
+++ b/crates/gateway/src/store_applier.rs
@@ -1,6 +1,7 @@
 //! Applies records and changes of the store to the state of this instance.
 
 use std::collections::BTreeSet;
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
@@ -19,12 +20,12 @@
 use jd_serving::UpdateSource;
 use jd_serving::UpstreamEntry;
 use jd_types::Incarnation;
-use jd_types::MonoTime;
 use jd_types::Name;
 
 use crate::Change;
 use crate::QuarantineRecord;
 use crate::Record;
+use crate::RecordFilter;
 use crate::Store;
 use crate::quarantine::QuarantineSource;
 use crate::quarantine::QuarantineUpdate;
@@ -77,7 +78,7 @@
 
 /// A change that was decoded from an item of the store.
 #[derive(Debug)]
-struct DecodedChange {
+pub(crate) struct DecodedChange {
     change: Change,
     item: StoreItem,
     /// How long decoding it took.
@@ -85,7 +86,7 @@
 }
 
 impl DecodedChange {
-    fn is_deployment(&self) -> bool {
+    pub(crate) fn is_deployment(&self) -> bool {
         matches!(self.change, Change::Put(Record::Deployment(_)))
     }
 }
@@ -97,8 +98,8 @@
     pub(crate) store: Arc<dyn Store>,
     /// The lines on entries that cannot be read.
     pub(crate) unreadable: Mutex<KeyedLines>,
-    /// What was read since a page could not be; none if everything could.
-    pub(crate) part: Mutex<Option<StorePart>>,
+    /// What was read of each kind since a page could not be; empty if everything could.
+    pub(crate) parts: Mutex<HashMap<RecordFilter, StorePart>>,
 }
 
 impl StoreApplier {
@@ -171,39 +172,6 @@
         }
     }
 
-    /// Applies the first records of the store, which were asked for at `asked`, while a page behind them
-    /// cannot be read. Other instances do not get them from here, and no record behind them counts as
-    /// missing.
-    ///
-    /// Guards against an entry of another writer that keeps a page from being read for as long as it
-    /// stands, and with it everything before it.
-    pub(crate) fn apply_part(
-        &self,
-        items: Vec<StoreItem>,
-        revision: StoreRevision,
-        asked: MonoTime,
-    ) {
-        let known = self.state.cluster().mirror.revision();
-        if known != StoreRevision::ZERO && !revision.is_same_era(known) {
-            return;
-        }
-        let mut part = lock(&self.part);
-        let part = part.get_or_insert_with(|| {
-            let cluster = self.state.cluster();
-            StorePart::of(cluster.mirror.items().cloned(), known)
-        });
-        let read = items.len();
-        let has_deployment = self.decode(&items).iter().any(DecodedChange::is_deployment);
-        let changes = part.update(items, revision);
-        let changed = changes.len();
-        self.apply_each(changes, revision);
-        if has_deployment {
-            self.state.cluster().freshness.record_deployment(asked);
-        }
-        self.state.changes.notify(usize::MAX);
-        log::warn!(read, changed, revision:%; "only a part of the store can be read; it is used");
-    }
-
     fn apply_snapshot(&self, items: Vec<StoreItem>, revision: StoreRevision, known: StoreRevision) {
         let (began, count) = (self.state.now(), items.len());
         let is_first = known == StoreRevision::ZERO;
@@ -247,7 +215,7 @@
                 | Change::EvacuationEnded(_) => {}
             }
         }
-        *lock(&self.part) = None;
+        lock(&self.parts).clear();
         self.state.quarantine.retain_stored(&quarantined);
         let now = self.state.now();
         if reading == SnapshotKind::Restored {
@@ -277,7 +245,7 @@
     }
 
     /// Applies changes in their order.
-    fn apply_each(&self, items: Vec<StoreItem>, revision: StoreRevision) {
+    pub(crate) fn apply_each(&self, items: Vec<StoreItem>, revision: StoreRevision) {
         let now = self.state.now();
         let mut changed = false;
         let mut upstream_log = self.upstream_log(items.len());
@@ -363,7 +331,7 @@
     }
 
     /// Decodes items; those that do not concern this system are left out.
-    fn decode(&self, items: &[StoreItem]) -> Vec<DecodedChange> {
+    pub(crate) fn decode(&self, items: &[StoreItem]) -> Vec<DecodedChange> {
         let decode = |item: &StoreItem| {
             let began = self.state.now();
             let change = self.store.decode(item)?;
--- a/crates/gateway/src/store_reader.rs
+++ b/crates/gateway/src/store_reader.rs
@@ -8,11 +8,13 @@
 use jd_serving::StoreItem;
 use jd_serving::StoreRevision;
 use jd_serving::StoreUpdate;
+use jd_types::MonoTime;
 
 use crate::Page;
 use crate::PageKey;
 use crate::RecordFilter;
 use crate::StoreError;
+use crate::part_applier::PartRead;
 use crate::store_applier::StoreApplier;
 use crate::store_call::StoreCall;
 use crate::store_link::CALL_TIMEOUT;
@@ -33,11 +35,23 @@
 }
 
 impl StoreReader {
-    /// Reads and applies all records.
+    /// Reads and applies all records. If a page cannot be read, each kind of records is read by itself,
+    /// so that the page costs only the records of its own kind behind it.
     pub(crate) async fn read_all(&self, timeout: Duration) -> Result<(), StoreError> {
-        let state = &self.link.state;
-        let asked = state.now();
-        let (items, revision) = self.read(RecordFilter::All, timeout).await?;
+        let asked = self.link.state.now();
+        match self.read(RecordFilter::All, timeout).await {
+            Ok((items, revision)) => self.apply_whole(asked, items, revision),
+            Err(e) if e.is_lasting() => self.read_kinds(asked, e).await,
+            Err(e) => Err(e),
+        }
+    }
+
+    fn apply_whole(
+        &self,
+        asked: MonoTime,
+        items: Vec<StoreItem>,
+        revision: StoreRevision,
+    ) -> Result<(), StoreError> {
         let applied = self.applier.apply(StoreUpdate {
             is_full: true,
             items,
@@ -46,17 +60,78 @@
         if !applied {
             return Err(StoreError::EraMismatch);
         }
-        state
-            .cluster()
-            .freshness
-            .record_confirmation(asked, revision);
+        let mut cluster = self.link.state.cluster();
+        cluster.freshness.record_confirmation(asked, revision);
         Ok(())
     }
 
+    /// Reads each kind of records, after all together could not be read because of `error`. Applies them
+    /// together if all kinds can be read, and otherwise what can.
+    async fn read_kinds(&self, asked: MonoTime, error: StoreError) -> Result<(), StoreError> {
+        self.link.call_failed(StoreCall::Page, error);
+        let mut read = Vec::new();
+        for kind in RecordFilter::KINDS {
+            read.push(self.read_kind(kind).await?);
+        }
+        let revision = read.iter().map(|part| part.revision).min();
+        let revision = revision.unwrap_or(StoreRevision::ZERO);
+        if read.iter().any(|part| !part.revision.is_same_era(revision)) {
+            return Err(StoreError::EraMismatch);
+        }
+        if read.iter().all(|part| part.is_whole) {
+            let items = read.into_iter().flat_map(|part| part.items);
+            return self.apply_whole(asked, items.collect(), revision);
+        }
+        for part in read {
+            self.applier.apply_part(part);
+        }
+        Err(error)
+    }
+
+    /// Reads the records of one kind, up to a page that cannot be read. Fails if the store cannot be
+    /// reached.
+    async fn read_kind(&self, kind: RecordFilter) -> Result<PartRead, StoreError> {
+        let asked = self.link.state.now();
+        let mut part = PartRead {
+            kind,
+            items: Vec::new(),
+            revision: StoreRevision::ZERO,
+            asked,
+            is_whole: false,
+        };
+        let mut after = None;
+        while !part.is_whole {
+            let mut page = match self.read_page(kind, after.as_ref(), CALL_TIMEOUT).await {
+                Ok(page) => page,
+                Err(e) if e.is_lasting() => break,
+                Err(e) => return Err(e),
+            };
+            if after.is_none() {
+                part.revision = page.revision;
+            }
+            part.items.append(&mut page.items);
+            part.is_whole = page.next_after.is_none();
+            after = page.next_after;
+        }
+        if part.revision == StoreRevision::ZERO {
+            // No page of it could be read; the revision tells the era.
+            let revision = self.link.store.revision();
+            part.revision = self
+                .link
+                .call(StoreCall::Confirm, CALL_TIMEOUT, revision)
+                .await?;
+        }
+        Ok(part)
+    }
+
     /// Reads and applies the list of instances.
     pub(crate) async fn read_instances(&self, timeout: Duration) -> Result<(), StoreError> {
-        let (items, _) = self.read(RecordFilter::Instances, timeout).await?;
-        self.applier.apply_instances(&items);
+        match self.read(RecordFilter::Instances, timeout).await {
+            Ok((items, _)) => self.applier.apply_instances(&items),
+            // What can be read of them is read with everything else.
+            Err(e) if e.is_lasting() => self.link.call_failed(StoreCall::Page, e),
+            Err(e) => return Err(e),
+        }
         Ok(())
     }
 
@@ -68,8 +143,12 @@
     ) -> Result<Vec<InstanceEntry>, StoreError> {
         let bits = self.link.state.own_entry.incarnation.get() >> 60;
         let sample = RecordFilter::Sample(u8::try_from(bits).unwrap_or(0));
-        let page = self.read_page(sample, None, timeout).await?;
-        Ok(self.applier.decode_sample(&page.items))
+        match self.read_page(sample, None, timeout).await {
+            Ok(page) => Ok(self.applier.decode_sample(&page.items)),
+            // The instance then reads what it can itself.
+            Err(e) if e.is_lasting() => Ok(Vec::new()),
+            Err(e) => Err(e),
+        }
     }
 
     /// All items and the revision of the first page. Changes since that page arrive with
@@ -113,10 +192,19 @@
                 Err(e) => {
                     log::warn!(after:%, error:% = e; "page after this key cannot be read");
                     self.link.call_failed(StoreCall::Page, e);
+                    if e.is_lasting() {
+                        return Err(e);
+                    }
                     if filter == RecordFilter::All {
-                        self.applier.apply_part(items.clone(), revision, asked);
+                        self.applier.apply_part(PartRead {
+                            kind: filter,
+                            items: items.clone(),
+                            revision,
+                            asked,
+                            is_whole: false,
+                        });
                     }
-                    self.retry_page(filter, &after, e).await?
+                    self.retry_page(filter, &after).await?
                 }
             };
         }
@@ -134,29 +222,21 @@
         Ok(page)
     }
 
-    /// Reads a page other than the first again, which failed with `error`.
+    /// Reads a page other than the first again, after it was refused.
     ///
     /// Covers the start of all instances of a large fleet at once: together they request
     /// more than the store's rate and link carry in a second. Instances that began again
     /// from the first page after one refused page kept the store busy for longer.
-    async fn retry_page(
-        &self,
-        filter: RecordFilter,
-        after: &PageKey,
-        error: StoreError,
-    ) -> Result<Page, StoreError> {
-        let mut error = error;
-        for _ in 0..PAGE_RETRIES {
-            if error.is_lasting() {
-                break;
-            }
+    async fn retry_page(&self, filter: RecordFilter, after: &PageKey) -> Result<Page, StoreError> {
+        for _ in 1..PAGE_RETRIES {
             Timer::after(MEAN_PAGE_RETRY_PAUSE.mul_f64(0.5 + fastrand::f64())).await;
             match self.read_page(filter, Some(after), CALL_TIMEOUT).await {
                 Ok(page) => return Ok(page),
-                Err(e) => error = e,
+                Err(e) if e.is_lasting() => return Err(e),
+                Err(e) => self.link.call_failed(StoreCall::Page, e),
             }
-            self.link.call_failed(StoreCall::Page, error);
         }
-        Err(error)
+        Timer::after(MEAN_PAGE_RETRY_PAUSE.mul_f64(0.5 + fastrand::f64())).await;
+        self.read_page(filter, Some(after), CALL_TIMEOUT).await
     }
 }
--- a/crates/gateway/tests/whole/fakes/fake_store.rs
+++ b/crates/gateway/tests/whole/fakes/fake_store.rs
@@ -221,13 +221,13 @@
         let log = self.log.changes.lock().expect("a lock");
         match filter {
             RecordFilter::All => true,
-            RecordFilter::Instances => matches!(log[place], Change::Put(Record::Instance(_))),
             RecordFilter::Sample(bits) => match &log[place] {
                 Change::Put(Record::Instance(entry)) => {
                     entry.incarnation.get() >> 60 == u64::from(bits)
                 }
                 _ => false,
             },
+            kind => kind_of(&log[place]) == kind,
         }
     }
 
@@ -333,6 +333,23 @@
     }
 }
 
+fn kind_of(change: &Change) -> RecordFilter {
+    match change {
+        Change::Put(Record::Deployment(_) | Record::Unreadable { .. }) => RecordFilter::Deployment,
+        Change::Put(Record::Instance(_)) | Change::InstanceRemoved(_) => RecordFilter::Instances,
+        Change::Put(Record::Quarantine(_)) | Change::QuarantineRemoved(_) => {
+            RecordFilter::Quarantines
+        }
+        Change::Put(Record::EvacuatedZone(_)) | Change::EvacuationEnded(_) => {
+            RecordFilter::Evacuations
+        }
+        Change::Put(Record::Versions(_)) => RecordFilter::Versions,
+        Change::Put(Record::Upstream(_))
+        | Change::UpstreamRemoved(_)
+        | Change::UpstreamUnreadable { .. } => RecordFilter::Upstreams,
+    }
+}
+
 /// Parses a key into an era and a place.
 fn place_of(key: &str) -> Option<(usize, usize)> {
     let (era, place) = key.split_once('/')?;
@@ -366,6 +383,7 @@
                 RecordFilter::All => &self.full_reads,
                 RecordFilter::Instances => &self.instance_list_reads,
                 RecordFilter::Sample(_) => &self.sample_reads,
+                kind => panic!("{kind:?} are read by themselves only where a page is broken"),
             };
             counter.fetch_add(1, Ordering::Relaxed);
         }
@@ -422,6 +440,10 @@
         self.log.at(era, place)
     }
 
+    fn kind(&self, item: &StoreItem) -> Option<RecordFilter> {
+        self.decode(item).as_ref().map(kind_of)
+    }
+
     fn revision(&self) -> StoreFuture<'_, StoreRevision> {
         self.revision_reads.fetch_add(1, Ordering::Relaxed);
         Box::pin(async move {
--- a/crates/serving/src/store_part.rs
+++ b/crates/serving/src/store_part.rs
@@ -7,11 +7,11 @@
 use crate::StoreItem;
 use crate::StoreRevision;
 
-/// The records in the first pages of the store, while a page behind them cannot be read.
+/// Records of one kind, of which the first can be read, while a page behind them may not be.
 ///
-/// A page may be unreadable for as long as an entry of another writer stands. The pages before it are read
-/// again and again meanwhile; this tells what has changed in them. Nothing is known of the records behind
-/// them, so that none of these counts as missing.
+/// A page may be unreadable for as long as an entry of another writer stands. What can be read is read
+/// again and again meanwhile; this tells what has changed in it. Nothing is known of the records behind the
+/// page, so that none of these counts as missing.
 #[derive(Debug, Default)]
 pub struct StorePart {
     items: BTreeMap<CompactString, StoreItem>,
@@ -27,20 +27,25 @@
         }
     }
 
-    /// Takes the records from the first one up to the last of `read`, as they are at `revision`, and
-    /// returns the changes since the reading before. What was read in another era is forgotten: records
-    /// that a restored store lacks may be written again.
-    pub fn update(&mut self, read: Vec<StoreItem>, revision: StoreRevision) -> Vec<StoreItem> {
+    /// Takes the records from the first one up to the last of `read`, as they are at `revision`, or all if
+    /// the reading is whole, and returns the changes since the reading before. What was read in another era
+    /// is forgotten: records that a restored store lacks may be written again.
+    pub fn update(
+        &mut self,
+        read: Vec<StoreItem>,
+        revision: StoreRevision,
+        is_whole: bool,
+    ) -> Vec<StoreItem> {
         if self.era != revision.era {
             self.items.clear();
             self.era = revision.era;
         }
-        let Some(last) = read.iter().map(|item| item.key.clone()).max() else {
-            return Vec::new();
-        };
-        let behind = self.items.split_off(&last);
-        let mut missing = std::mem::replace(&mut self.items, behind);
-        missing.extend(self.items.remove_entry(&last));
+        let last = read.iter().map(|item| &item.key).max();
+        let mut missing = std::mem::take(&mut self.items);
+        if !is_whole {
+            let is_behind = |key: &CompactString| last.is_none_or(|last| key > last);
+            self.items = missing.extract_if(.., |key, _| is_behind(key)).collect();
+        }
         let mut changes = Vec::new();
         for item in read {
             let before = missing.remove(&item.key);
--- a/crates/serving/tests/store_part.rs
+++ b/crates/serving/tests/store_part.rs
@@ -19,8 +19,18 @@
 
 /// The changes as texts: `+key` for a write, `-key` for a removal.
 fn update(part: &mut StorePart, era: u64, read: &[(&str, u64)], revision: u64) -> Vec<String> {
+    update_with(part, era, read, revision, false)
+}
+
+fn update_with(
+    part: &mut StorePart,
+    era: u64,
+    read: &[(&str, u64)],
+    revision: u64,
+    is_whole: bool,
+) -> Vec<String> {
     let read = read.iter().map(|(key, written)| item(key, era, *written));
-    let changes = part.update(read.collect(), at(era, revision));
+    let changes = part.update(read.collect(), at(era, revision), is_whole);
     let shown = changes.iter().map(|i| match i.removed {
         true => format!("-{}", i.key),
         false => format!("+{}", i.key),
@@ -58,6 +68,18 @@
     assert_eq!(update(&mut part, 0, &[("b", 1), ("d", 1)], 8), ["-c"]);
 }
 
+/// Guards against records that stay in use because nothing behind them could be read before.
+#[test]
+fn a_whole_reading_tells_what_is_missing_at_its_end() {
+    let known = ["a", "b", "c"].map(|key| item(key, 0, 1));
+    let mut part = StorePart::of(known.into_iter(), at(0, 4));
+    assert_eq!(
+        update_with(&mut part, 0, &[("a", 1)], 5, true),
+        ["-b", "-c"]
+    );
+    assert_eq!(update_with(&mut part, 0, &[], 6, true), ["-a"]);
+}
+
 /// Guards against removing what a store that was restored from a copy lacks for a moment.
 #[test]
 fn nothing_is_missing_in_another_era() {
