--- a/soak/src/caller.rs
+++ b/soak/src/caller.rs
@@ -27,6 +27,8 @@
 use crate::fake_upstream::EVENTS;
 use crate::fake_upstream::HOT;
 use crate::fake_upstream::crashing_body;
+use crate::surroundings::LARGE_ID;
+use crate::surroundings::large_body;
 use crate::turns::Load;
 use crate::versions;
 
@@ -36,6 +38,8 @@
 pub(crate) const LEAVES_ONE_IN: u8 = 4;
 /// How often a caller takes a stream up that ends early.
 const MAX_TAKE_UPS: usize = 2;
+/// Of the requests that may have a large body, one in so many has one.
+const UPLOADS_ONE_IN: u64 = 6;
 /// The longest that a caller waits before it sends again, whatever `Retry-After` asks for.
 const MAX_PAUSE: Duration = Duration::from_millis(1_000);
 
@@ -149,7 +153,13 @@
         kind: RequestKind,
         takes_up: Option<TakenUp>,
     ) -> (Option<Duration>, Attempt) {
-        let id = format!("{:016x}", self.rng.u64(..));
+        let number = self.rng.u64(..);
+        let uploads = self.load.uploads && kind == RequestKind::Idempotent;
+        let uploads = uploads && number.is_multiple_of(UPLOADS_ONE_IN);
+        let id = match uploads {
+            true => format!("{LARGE_ID}{number:x}"),
+            false => format!("{number:016x}"),
+        };
         let key = KEYS[self.rng.usize(..KEYS.len())];
         let start = self.starts[instance].load(Ordering::Relaxed);
         let sent = self.env.recorder.now();
@@ -159,6 +169,9 @@
         if self.prompts {
             add_prompt(&mut req, &id, kind);
         }
+        if uploads {
+            *req.body_mut() = large_body(Duration::ZERO);
+        }
         let sending = self.pool.send(address, req, deadline, false);
         // Some callers leave after an event.
         let leaves = self.takes_up
@@ -168,8 +181,15 @@
         let (outcome, pause) = match sending.await {
             Some(Ok(res)) => read(res, most_bytes, deadline).await,
             Some(Err(SendError::NotSent)) => (Outcome::NotSent, Some(THINK_TIME)),
-            Some(Err(SendError::Broken | SendError::InvalidStatus { .. })) => {
-                (Outcome::ConnectionLost, Some(THINK_TIME))
+            Some(Err(SendError::Broken)) => (Outcome::ConnectionLost, Some(THINK_TIME)),
+            Some(Err(SendError::InvalidStatus { status })) => {
+                let outcome = Outcome::Response {
+                    status,
+                    signature: None,
+                    body: String::new(),
+                    complete: false,
+                };
+                (outcome, Some(THINK_TIME))
             }
             None => (Outcome::TimedOut, Some(THINK_TIME)),
         };
--- a/soak/src/fake_store.rs
+++ b/soak/src/fake_store.rs
@@ -95,6 +95,11 @@
         self.changed.notify(usize::MAX);
     }
 
+    /// Sets the most items of a page.
+    pub(crate) fn set_page_items(&self, count: usize) {
+        self.page_items.store(count, Ordering::Relaxed);
+    }
+
     /// Answers reads of pages that begin after this key or a greater one in this way, or normally again.
     pub fn break_pages(&self, after: Option<(&str, BrokenPage)>) {
         *lock(&self.broken_pages) = after.map(|(key, how)| (key.into(), how));
--- a/soak/src/fake_upstream.rs
+++ b/soak/src/fake_upstream.rs
@@ -45,6 +45,7 @@
 use crate::recorder::Work;
 use crate::silences::Silence;
 use crate::surroundings::is_large_body;
+use crate::surroundings::is_large_id;
 use crate::turns::Load;
 
 /// The number of events in a stream.
@@ -143,6 +144,12 @@
             let born = self.started_ms.load(Ordering::Relaxed);
             return json_body(&json!({ "born": born }));
         }
+        let expected = parts.headers.get("jacinthdeal-expect-instance");
+        let is_expected = expected.is_none_or(|e| e.as_bytes() == me.as_bytes());
+        if parts.uri.path().starts_with("/v1/stage-") && !is_expected {
+            // A call for pieces by an entry of another writer.
+            return status(StatusCode::MISDIRECTED_REQUEST);
+        }
         let client = parts.extensions.get::<ClientAddress>();
         let sender = client.and_then(|c| environment::instance_at(c.0));
         let header = |name: &str| parts.headers.get(name).and_then(|v| v.to_str().ok());
@@ -163,7 +170,8 @@
             }
             () if !matches!(crashing, Some(CrashCause::Request(_)))
                 && body != HOT
-                && body != id.as_bytes() =>
+                && body != id.as_bytes()
+                && !is_large_id(&id) =>
             {
                 Some("has a body that its caller did not send")
             }
@@ -171,6 +179,7 @@
                 Some("names another customer or none")
             }
             () if header("jacinthdeal-deadline-ms").is_none() => Some("has no deadline"),
+            () if expected.is_none() => Some("names no upstream"),
             () if !self.results.belong_to(inputs, &id) => {
                 Some("uses stage results of another request")
             }
@@ -178,10 +187,9 @@
         };
         let mode = *lock(&self.mode);
         let backoff = mode.and_then(UpstreamMode::backoff);
-        let expected = header("jacinthdeal-expect-instance").is_some_and(|e| e == me);
         let lacks_inputs = path.starts_with("/draft/") && !self.results.are_held(inputs);
         let refused = match () {
-            () if !expected => Some(StatusCode::MISDIRECTED_REQUEST),
+            () if !is_expected => Some(StatusCode::MISDIRECTED_REQUEST),
             () if mode == Some(UpstreamMode::Sheds) => Some(StatusCode::SERVICE_UNAVAILABLE),
             () if backoff.is_some() => Some(StatusCode::SERVICE_UNAVAILABLE),
             () if lacks_inputs => Some(StatusCode::CONFLICT),
@@ -245,6 +253,11 @@
             _ if crashing && !streams => future::pending().await,
             Some(UpstreamMode::Hangs) => future::pending().await,
             Some(UpstreamMode::Fails) => status(StatusCode::INTERNAL_SERVER_ERROR),
+            Some(UpstreamMode::Nonsense(code)) => {
+                let mut res = Response::new(jd_net::full(plain_answer(id)));
+                *res.status_mut() = StatusCode::from_u16(code).unwrap_or_default();
+                res
+            }
             Some(UpstreamMode::Endless(millis)) => Response::new(endless::body(millis, Some(work))),
             Some(UpstreamMode::EndsEarly) if streams => {
                 let software = *lock(&self.software);
--- a/soak/src/fault.rs
+++ b/soak/src/fault.rs
@@ -34,6 +34,8 @@
     EndsEarly,
     /// The request is executed, and the answer names another request.
     Misattributes,
+    /// The request is executed, and its answer has this status, which is none.
+    Nonsense(u16),
     /// The request is executed, and a body or an event is sent without end: 64 KiB each time this
     /// many milliseconds have passed.
     Endless(u8),
@@ -60,6 +62,8 @@
     CutsHeads,
     /// Answers begin with a head that is sent without end.
     EndlessHeads,
+    /// Requests are answered with a part of an answer before they are read, and the connection is reset.
+    AnswersEarly,
     /// Only so many bytes of each read reach the server, and never the last one, until the mode
     /// changes.
     HoldsAfter(usize),
@@ -97,6 +101,8 @@
     Store(StoreMode, Duration),
     /// The store discards its history of changes.
     Compact,
+    /// Another writer leaves an entry in the store, as this seed draws it, which stands until the end.
+    OddEntry(u64),
     /// An upstream has a fault for this time.
     Upstream(usize, UpstreamMode, Duration),
     /// The links to an upstream have a fault for this time.
@@ -165,6 +171,7 @@
                 | Fault::DrainByAnswers(_)
                 | Fault::Limit(..)
                 | Fault::LateCallers(..)
+                | Fault::OddEntry(_)
         )
     }
 }
--- a/soak/src/inject.rs
+++ b/soak/src/inject.rs
@@ -93,6 +93,7 @@
                 *lock(&self.env.store.mode) = None;
             }
             Fault::Compact => lock(&self.env.store.records).compact(),
+            Fault::OddEntry(seed) => self.env.leave_odd_entry(seed),
             Fault::Upstream(n, mode, span) => {
                 let fake = upstream(n).handler.fake();
                 *lock(&fake.mode) = Some(mode);
--- a/soak/src/judge.rs
+++ b/soak/src/judge.rs
@@ -133,6 +133,7 @@
                 (200..300, false) if !expected.starts_with(body.as_str()) => {
                     Some("truncated success with another body")
                 }
+                (0..200 | 600.., _) => Some("status that is none"),
                 (500, _) if signature.is_some() && !own => {
                     Some("failure with the signature of another request")
                 }
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -27,6 +27,7 @@
 mod losses;
 mod matters;
 mod notices;
+mod odd_entries;
 mod out_of_step;
 mod plan;
 mod quarantine;
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -10,6 +10,7 @@
 use crate::cuts;
 use crate::early_ends;
 use crate::matters;
+use crate::odd_entries;
 use crate::silences;
 use crate::turns;
 use crate::turns::Load;
@@ -60,6 +61,8 @@
 const CROWDS_FROM_SEED: u64 = 13_000;
 /// Plans from this seed on have one or two of the matters of [`matters`], by their remainder.
 const MATTERS_FROM_SEED: u64 = 14_000;
+/// Plans from this seed on have entries of other writers; in odd ones beside unplanned faults.
+const ODD_ENTRIES_FROM_SEED: u64 = 15_000;
 /// Of the seeds with cuts, one in so many, with this remainder, has no other faults of instances or the
 /// store, since what these keep from being served says nothing about a cut.
 const CUTS_ONLY_EVERY: u64 = 4;
@@ -97,6 +100,7 @@
         let mut rng = fastrand::Rng::with_seed(seed);
         let is_odd = seed % 2 == 1;
         let drawn = match seed {
+            ODD_ENTRIES_FROM_SEED.. => Some(odd_entries::draw(&mut rng, !is_odd)),
             MATTERS_FROM_SEED.. => Some(matters::draw(&mut rng, seed)),
             CROWDS_FROM_SEED.. => Some(crowds::draw(&mut rng, is_odd)),
             EARLY_ENDS_FROM_SEED.. => Some(early_ends::draw(&mut rng, is_odd)),
@@ -188,7 +192,9 @@
 
     /// True if callers break some streams off and take streams up.
     pub(crate) fn takes_up(&self) -> bool {
-        self.has_versions() || self.seed >= MATTERS_FROM_SEED && matters::has_versions(self.seed)
+        self.has_versions()
+            || (MATTERS_FROM_SEED..ODD_ENTRIES_FROM_SEED).contains(&self.seed)
+                && matters::has_versions(self.seed)
     }
 
     /// True if instances may end only when the plan has them end.
@@ -199,6 +205,7 @@
     /// The load of upstreams and callers.
     pub(crate) fn load(&self) -> Load {
         match self.seed {
+            ODD_ENTRIES_FROM_SEED.. => Load::ODD_ENTRIES,
             MATTERS_FROM_SEED.. => matters::load(self.seed),
             CROWDS_FROM_SEED.. => Load::CROWDED,
             EARLY_ENDS_FROM_SEED.. => Load::LONG,
@@ -208,6 +215,11 @@
         }
     }
 
+    /// The most items of a page of the store; none for as many as the platform's have.
+    pub(crate) fn page_items(&self) -> Option<usize> {
+        (self.seed >= ODD_ENTRIES_FROM_SEED).then(|| odd_entries::page_items(self.seed))
+    }
+
     /// True if requests have prompts, whose parts they share.
     pub fn has_prompts(&self) -> bool {
         (PARTS_FROM_SEED..TURNS_FROM_SEED).contains(&self.seed)
--- a/soak/src/relay.rs
+++ b/soak/src/relay.rs
@@ -30,10 +30,13 @@
 use crate::LinkMode;
 use crate::early_ends;
 use crate::endless;
+use crate::odd_entries;
 
 /// The interval at which relays check for a change of their mode.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
+/// The time between an early answer and the reset of its connection.
+const EARLY_RESET_DELAY: Duration = Duration::from_millis(120);
 /// The ends of request lines.
 const HTTP_1_1: &[u8] = b" HTTP/1.1\r\n";
 const HTTP_1_0: &[u8] = b" HTTP/1.0\r\n";
@@ -293,6 +296,16 @@
                 endless::send_head(to, || self.mode() == Some(LinkMode::EndlessHeads)).await?;
                 break;
             }
+            if let (Direction::ToServer, Some(LinkMode::AnswersEarly)) = (direction, self.mode())
+                && let Some((answer, closes)) = odd_entries::early_answer(&buf[..read])
+            {
+                from.write_all(&answer).await?;
+                if closes {
+                    from.get_ref().shutdown(Shutdown::Write)?;
+                }
+                Timer::after(EARLY_RESET_DELAY).await;
+                return Err(io::ErrorKind::ConnectionReset.into());
+            }
             let mut from = 0;
             if let (Direction::ToServer, Some(LinkMode::HoldsAfter(count))) =
                 (direction, self.mode())
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -82,6 +82,9 @@
 ) -> io::Result<SoakReport> {
     let (versions, load) = (plan.has_versions(), plan.load());
     let env = Environment::start(executor, network, instances, versions, load)?;
+    if let Some(count) = plan.page_items() {
+        env.store.set_page_items(count);
+    }
     let env = Arc::new(env);
     // The last entry is for the store.
     let held = instances + env.upstreams.len() + 1;
--- a/soak/src/surroundings.rs
+++ b/soak/src/surroundings.rs
@@ -41,7 +41,7 @@
 /// The size of the parts in which a large body is sent, in bytes.
 const PART_BYTES: usize = 64 << 10;
 /// The beginning of the identities of requests with a large body.
-const LARGE_ID: &str = "large-";
+pub(crate) const LARGE_ID: &str = "large-";
 
 /// A store, upstreams, links and callers around gateway processes that are ready.
 pub struct Surroundings {
@@ -279,7 +279,7 @@
 }
 
 /// A body of the largest size, in parts with a pause before each.
-fn large_body(pause: Duration) -> Body {
+pub(crate) fn large_body(pause: Duration) -> Body {
     let parts = unfold(0, move |sent| async move {
         if sent == Surroundings::BODY_BYTES {
             return None;
@@ -297,6 +297,11 @@
     b'a' + (position % 23) as u8
 }
 
+/// True for the identity of a request with a large body.
+pub(crate) fn is_large_id(id: &str) -> bool {
+    id.starts_with(LARGE_ID)
+}
+
 /// True unless a request with a large body has another one than its caller sent.
 pub(crate) fn is_large_body(id: &str, body: &[u8]) -> bool {
     !id.starts_with(LARGE_ID)
--- a/soak/src/turns.rs
+++ b/soak/src/turns.rs
@@ -47,6 +47,8 @@
     pub(crate) memory_mb: u64,
     /// True if instances are told that nothing ran before, so that all software versions are known.
     pub(crate) is_first_start: bool,
+    /// True if some requests have a large body.
+    pub(crate) uploads: bool,
 }
 
 impl Load {
@@ -68,6 +70,7 @@
         body_bytes: 64 << 10,
         memory_mb: 256,
         is_first_start: false,
+        uploads: false,
     };
     /// Large bodies, and as little memory as an instance may have.
     pub(crate) const CROWDED: Load = Load {
@@ -108,6 +111,7 @@
         body_bytes: 64 << 10,
         memory_mb: 256,
         is_first_start: false,
+        uploads: false,
     };
     /// Large bodies and little memory, and callers that have many answers sent at a time.
     pub(crate) const ENDLESS: Load = Load {
@@ -137,6 +141,12 @@
         is_first_start: true,
         ..Load::LIGHT
     };
+    /// Some requests that take a while to write.
+    pub(crate) const ODD_ENTRIES: Load = Load {
+        body_bytes: Load::LARGE.body_bytes,
+        uploads: true,
+        ..Load::LIGHT
+    };
     /// Requests of which the retries beyond the ratio are a large part.
     pub(crate) const RETRIES: Load = Load {
         callers: 1,
