An instance that has read a part of the store takes part in running stages

By reading the change before: such an instance told the others that it had read nothing, so that, where all had read a part, no instance owned stages and every request with stages was refused; and its own entry waited for a list of instances that never came. It counts as having read once the configuration is in force; other instances still take no records from it.

--- a/crates/gateway/src/part_applier.rs
+++ b/crates/gateway/src/part_applier.rs
@@ -56,9 +56,18 @@
         };
         let changed = changes.len();
         self.apply_each(changes, revision);
+        let now = self.state.now();
+        {
+            let mut cluster = self.state.cluster();
+            cluster.instances_listed_at.get_or_insert(now);
+            if has_deployment {
+                cluster.freshness.record_deployment(asked);
+            }
+        }
         if has_deployment {
-            self.state.cluster().freshness.record_deployment(asked);
+            self.state.part_read.set();
         }
+        self.state.instances_listed.set();
         self.state.changes.notify(usize::MAX);
         if changed > 0 {
             log::warn!(kind:?, read = count, whole = is_whole, changed, revision:%; "only a part of the store can be read; it is used");
--- a/crates/gateway/src/peer_api.rs
+++ b/crates/gateway/src/peer_api.rs
@@ -120,7 +120,7 @@
             proof: peer_replication::wire_proof(&self.state),
             backlogs: backlogs.collect(),
             unlisted,
-            has_read: self.state.store_loaded(),
+            has_read: self.state.has_read(),
             quarantine: peer_quarantine::wire_quarantine(&self.state.quarantine, now),
             limits: peer_limits::wire_limits(&self.state),
             version: self.state.cluster().deployment_version(),
--- a/crates/gateway/src/peer_client.rs
+++ b/crates/gateway/src/peer_client.rs
@@ -300,7 +300,7 @@
             incarnation: self.state.own_entry.incarnation.get(),
             leaving: self.state.is_leaving(),
             ready: self.state.is_ready(),
-            has_read: self.state.store_loaded(),
+            has_read: self.state.has_read(),
             quarantine: peer_quarantine::wire_quarantine(&self.state.quarantine, self.state.now()),
             limits: peer_limits::wire_limits(&self.state),
             paces: self.report_paces(peer, zones),
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -126,6 +126,8 @@
     pub(crate) packed: Mutex<PackedSnapshots>,
     /// Set once the list of instances in the store is known.
     pub(crate) instances_listed: Latch,
+    /// Set once a part of the store with the configuration was read.
+    pub(crate) part_read: Latch,
     cluster: Mutex<ClusterState>,
     pub(crate) budgets: RetryBudgets,
     /// When this process started.
@@ -192,6 +194,7 @@
             changes: Event::new(),
             packed: Mutex::default(),
             instances_listed: Latch::default(),
+            part_read: Latch::default(),
             cluster: Mutex::default(),
             budgets: Mutex::default(),
             started: clock.now(),
@@ -289,6 +292,11 @@
         self.forwards_running.load(Ordering::Relaxed) > 0
     }
 
+    /// True once this instance can run requests by what it has read, which may be a part of the store.
+    pub(crate) fn has_read(&self) -> bool {
+        self.part_read.is_set() || self.store_loaded()
+    }
+
     /// True once the whole store has been read.
     pub(crate) fn store_loaded(&self) -> bool {
         self.cluster().mirror.revision() > StoreRevision::ZERO
--- a/crates/serving/src/service_slots.rs
+++ b/crates/serving/src/service_slots.rs
@@ -1,7 +1,7 @@
 //! How many requests an upstream of a service processes at a time.
 
-/// The slots of the upstreams of a service, which mostly have the same: those that half of them have at
-/// least; 1 if there are none.
+/// The slots of the upstreams of a service, which mostly have the same: their median, the lower one of two;
+/// 1 if there are none.
 ///
 /// Guards against a single entry, of another writer or with a wrong number, that sets the capacity of all
 /// upstreams of its service.
