A page that is refused for now is tried six times before a part of the store is used

By reading the change: while a whole fleet starts, the store refuses pages beyond its rate, and an instance applied the pages before the first refused one at once. With few upstreams known it would have sent them all its requests, and counted as one that fills batches.

--- a/crates/gateway/src/part_applier.rs
+++ b/crates/gateway/src/part_applier.rs
@@ -13,7 +13,7 @@
 /// Records that were read while others could not be.
 #[derive(Debug)]
 pub(crate) struct PartRead {
-    /// The kind of all of them; [`RecordFilter::All`] if they are of several.
+    /// The kind of all of them.
     pub(crate) kind: RecordFilter,
     pub(crate) items: Vec<StoreItem>,
     /// The store's revision when the first of them was read.
@@ -44,15 +44,12 @@
         }
         let count = items.len();
         let has_deployment = self.decode(&items).iter().any(DecodedChange::is_deployment);
-        let changes = match kind {
-            RecordFilter::All => items,
-            kind => {
-                let mut parts = lock(&self.parts);
-                let part = parts
-                    .entry(kind)
-                    .or_insert_with(|| self.known_part(kind, known));
-                part.update(items, revision, is_whole)
-            }
+        let changes = {
+            let mut parts = lock(&self.parts);
+            let part = parts
+                .entry(kind)
+                .or_insert_with(|| self.known_part(kind, known));
+            part.update(items, revision, is_whole)
         };
         let changed = changes.len();
         self.apply_each(changes, revision);
--- a/crates/gateway/src/store_reader.rs
+++ b/crates/gateway/src/store_reader.rs
@@ -27,6 +27,14 @@
 /// Attempts to read pages that are all of one era.
 const ERA_ATTEMPTS: u32 = 3;
 
+/// Why pages could not be read to the last one.
+#[derive(Debug, Clone, Copy)]
+struct PageFailure {
+    error: StoreError,
+    /// True if not even the first page could be read.
+    is_first: bool,
+}
+
 /// Reads records of the store.
 #[derive(Debug)]
 pub(crate) struct StoreReader {
@@ -41,8 +49,8 @@
         let asked = self.link.state.now();
         match self.read(RecordFilter::All, timeout).await {
             Ok((items, revision)) => self.apply_whole(asked, items, revision),
-            Err(e) if e.is_lasting() => self.read_kinds(asked, e).await,
-            Err(e) => Err(e),
+            Err(PageFailure { error, is_first }) if is_first && !error.is_lasting() => Err(error),
+            Err(PageFailure { error, .. }) => self.read_kinds(asked, error).await,
         }
     }
 
@@ -65,8 +73,8 @@
         Ok(())
     }
 
-    /// Reads each kind of records, after all together could not be read because of `error`. Applies them
-    /// together if all kinds can be read, and otherwise what can.
+    /// Reads each kind of records, after all together could not be read because of `error`, for good or
+    /// with all retries. Applies them together if all kinds can be read, and otherwise what can.
     async fn read_kinds(&self, asked: MonoTime, error: StoreError) -> Result<(), StoreError> {
         self.link.call_failed(StoreCall::Page, error);
         let mut read = Vec::new();
@@ -103,7 +111,7 @@
         while !part.is_whole {
             let mut page = match self.read_page(kind, after.as_ref(), CALL_TIMEOUT).await {
                 Ok(page) => page,
-                Err(e) if e.is_lasting() => break,
+                Err(e) if e.is_lasting() || after.is_some() => break,
                 Err(e) => return Err(e),
             };
             if after.is_none() {
@@ -129,8 +137,10 @@
         match self.read(RecordFilter::Instances, timeout).await {
             Ok((items, _)) => self.applier.apply_instances(&items),
             // What can be read of them is read with everything else.
-            Err(e) if e.is_lasting() => self.link.call_failed(StoreCall::Page, e),
-            Err(e) => return Err(e),
+            Err(PageFailure { error, .. }) if error.is_lasting() => {
+                self.link.call_failed(StoreCall::Page, error);
+            }
+            Err(PageFailure { error, .. }) => return Err(error),
         }
         Ok(())
     }
@@ -160,14 +170,17 @@
         &self,
         filter: RecordFilter,
         timeout: Duration,
-    ) -> Result<(Vec<StoreItem>, StoreRevision), StoreError> {
+    ) -> Result<(Vec<StoreItem>, StoreRevision), PageFailure> {
         for _ in 0..ERA_ATTEMPTS {
             if let Some(read) = self.read_pages(filter, timeout).await? {
                 return Ok(read);
             }
             log::info!("store was restored while it was read; reading it again");
         }
-        Err(StoreError::EraMismatch)
+        Err(PageFailure {
+            error: StoreError::EraMismatch,
+            is_first: true,
+        })
     }
 
     /// The same; none if the pages are not all of one era.
@@ -175,9 +188,10 @@
         &self,
         filter: RecordFilter,
         timeout: Duration,
-    ) -> Result<Option<(Vec<StoreItem>, StoreRevision)>, StoreError> {
-        let asked = self.link.state.now();
-        let mut page = self.read_page(filter, None, timeout).await?;
+    ) -> Result<Option<(Vec<StoreItem>, StoreRevision)>, PageFailure> {
+        let failed = |is_first| move |error| PageFailure { error, is_first };
+        let first = self.read_page(filter, None, timeout).await;
+        let mut page = first.map_err(failed(true))?;
         let revision = page.revision;
         let mut items: Vec<StoreItem> = Vec::new();
         loop {
@@ -193,18 +207,10 @@
                     log::warn!(after:%, error:% = e; "page after this key cannot be read");
                     self.link.call_failed(StoreCall::Page, e);
                     if e.is_lasting() {
-                        return Err(e);
-                    }
-                    if filter == RecordFilter::All {
-                        self.applier.apply_part(PartRead {
-                            kind: filter,
-                            items: items.clone(),
-                            revision,
-                            asked,
-                            is_whole: false,
-                        });
+                        return Err(failed(false)(e));
                     }
-                    self.retry_page(filter, &after).await?
+                    let page = self.retry_page(filter, &after).await;
+                    page.map_err(failed(false))?
                 }
             };
         }
--- a/crates/gateway/tests/whole/fakes/fake_store.rs
+++ b/crates/gateway/tests/whole/fakes/fake_store.rs
@@ -380,12 +380,14 @@
     ) -> StoreFuture<'a, Page> {
         if after.is_none() {
             let counter = match filter {
-                RecordFilter::All => &self.full_reads,
-                RecordFilter::Instances => &self.instance_list_reads,
-                RecordFilter::Sample(_) => &self.sample_reads,
-                kind => panic!("{kind:?} are read by themselves only where a page is broken"),
+                RecordFilter::All => Some(&self.full_reads),
+                RecordFilter::Instances => Some(&self.instance_list_reads),
+                RecordFilter::Sample(_) => Some(&self.sample_reads),
+                _ => None,
             };
-            counter.fetch_add(1, Ordering::Relaxed);
+            if let Some(counter) = counter {
+                counter.fetch_add(1, Ordering::Relaxed);
+            }
         }
         let after = after.and_then(|key| std::str::from_utf8(key.as_bytes()).ok());
         let from = after.and_then(place_of).map_or(0, |(_, place)| place + 1);
