--- a/soak/src/odd_entries.rs
+++ b/soak/src/odd_entries.rs
@@ -29,6 +29,9 @@
     "%#", "%7A", "% ", "&b=", "+", "#x", "a b", "é", "\u{1}", "z\nodd", "a,b", "\"", "a/b?c",
     "%zz", "\u{7f}", "漢",
 ];
+/// The ends of names under which an entry has the address of another upstream. No header carries most of
+/// them.
+const NAMES_OF_OTHERS: [&str; 6] = ["\u{1}", "z\nodd", "\u{7f}", "\t", "a b", "é"];
 /// The upstreams that answer requests.
 const UPSTREAMS: std::ops::Range<usize> = 0..6;
 /// The bytes of a request from which its upstream, when it answers early, ends its side of the connection
@@ -88,9 +91,13 @@
             // The address of an upstream of another service, under a name that is not its own.
             0 => {
                 let of = &self.upstreams[rng.usize(..self.upstreams.len())];
-                let service = ["desk", "model", "rank"][rng.usize(..3)];
+                let others = ["desk", "model", "rank"].into_iter();
+                let others: Vec<&str> = others.filter(|s| *s != of.service).collect();
+                let service = others[rng.usize(..others.len())];
                 let entry = sound_entry(service, of.link.address(), &mut rng);
-                self.store.put(&key, &entry);
+                let name = NAMES_OF_OTHERS[rng.usize(..NAMES_OF_OTHERS.len())];
+                self.store
+                    .put(&format!("servers/{}{name}", rng.u32(..)), &entry);
             }
             1 => self.store.put_item(&key, odd_item(&key, &mut rng)),
             _ => {
@@ -104,7 +111,7 @@
 fn sound_entry(service: &str, address: SocketAddr, rng: &mut fastrand::Rng) -> Value {
     let slots = if rng.bool() { 16 } else { u32::MAX };
     let cold_left_ms = if rng.bool() { 0.0 } else { 1e18 };
-    let born = if rng.bool() { 1 } else { u64::MAX };
+    let born = if rng.u8(..4) > 0 { 1 } else { u64::MAX };
     json!({
         "service": service, "addr": address, "zone": "hall-a", "version": "v1", "slots": slots,
         "state": "ready", "cold_left_ms": cold_left_ms, "seq": rng.u64(..), "born": born,
