--- a/crates/gateway/tests/whole/crashes.rs
+++ b/crates/gateway/tests/whole/crashes.rs
@@ -11,7 +11,9 @@
 use crate::fakes::CrashingUpstreams;
 use crate::fakes::Harness;
 use crate::fakes::crash_fleet::INSTANCES;
+use crate::fakes::crash_fleet::SPREAD_WITHIN;
 use crate::fakes::crash_fleet::TEST_TIMEOUT;
+use crate::fakes::crash_fleet::assert_quarantined_in_time;
 use crate::fakes::crash_fleet::fleet;
 use crate::fakes::crash_fleet::is_quarantined;
 use crate::fakes::crash_fleet::quarantines;
@@ -22,31 +24,9 @@
 
 /// Instances of a fleet in which each exchanges heartbeats with a few others only.
 const LARGE_FLEET: usize = 24;
-/// How long after the third crash instances may take to learn of the quarantine: the
-/// users' bound for news between instances that can reach each other.
-const SPREAD_WITHIN: Duration = Duration::from_millis(3_000);
 /// How long it may take to quarantine a request that is sent without a pause: the time of
 /// three crashes, and the time to spread the quarantine.
 const FOUND_WITHIN: Duration = Duration::from_millis(10_000);
-/// How often such a request may reach an upstream after that, as the users allow.
-const MAX_LATE_RUNS: usize = 3;
-
-/// Asserts that the request with `bad` in its path crashed upstreams, and was quarantined
-/// in time.
-fn assert_quarantined_in_time(upstreams: &CrashingUpstreams) {
-    let ends = upstreams.ends();
-    assert!(ends.len() >= 3, "it crashed {} upstreams", ends.len());
-    let known = ends[2] + SPREAD_WITHIN;
-    let runs = upstreams.runs();
-    let late = runs.iter().filter(|r| r.path.contains("bad"));
-    let late = late.filter(|r| r.at > known).count();
-    assert!(
-        late <= MAX_LATE_RUNS,
-        "{late} late runs, {} crashes",
-        ends.len()
-    );
-}
-
 /// A request crashes each upstream that runs it, within 120 ms of `answer began`, and its
 /// caller sends it again, to another instance each time. Each attempt had its own
 /// identity and each instance took the request for a new one: 17 of nine upstreams
--- /dev/null
+++ b/crates/gateway/tests/whole/deciders.rs
@@ -0,0 +1,88 @@
+//! Which instance decides on a quarantine while some cannot.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_io::Timer;
+use futures_lite::future::block_on;
+use test_case::test_case;
+
+use crate::fakes::CrashingUpstreams;
+use crate::fakes::Harness;
+use crate::fakes::crash_fleet::assert_quarantined_in_time;
+use crate::fakes::crash_fleet::fleet;
+use crate::fakes::crash_fleet::spawn_repeated_sends;
+use crate::fakes::owner_order;
+
+/// After this time an instance that the store refuses counts the store as lost.
+const STORE_LOST_AFTER: Duration = Duration::from_millis(1_500);
+/// The pause between two requests that crash upstreams, and for how long they are sent.
+const PAUSE: Duration = Duration::from_millis(150);
+const SPAN: Duration = Duration::from_millis(7_000);
+
+fn turn_away_first(harness: &Harness, count: usize, refuses: bool) {
+    for instance in owner_order(&harness.peer_addresses()).iter().take(count) {
+        harness.turn_away(*instance, refuses);
+    }
+}
+
+async fn until_ended(upstreams: &CrashingUpstreams, count: usize) {
+    while upstreams.ends().len() < count {
+        Timer::after(Duration::from_millis(5)).await;
+    }
+}
+
+/// Guards against a request that goes on crashing upstreams because the instance that is to decide
+/// has lost the store, and nobody decides in its place.
+#[test_case(1 ; "the first coordinator")]
+#[test_case(2 ; "the first two")]
+#[test_case(3 ; "all three")]
+#[test_case(4 ; "all instances but one")]
+fn a_request_is_quarantined_though_coordinators_have_lost_the_store(lost: usize) {
+    let (harness, upstreams) = fleet(6);
+    let harness = Arc::new(harness);
+    block_on(async {
+        harness.until_all_answer("/any/x", 200).await;
+        turn_away_first(&harness, lost, true);
+        Timer::after(STORE_LOST_AFTER).await;
+        spawn_repeated_sends(&harness, "/stream/bad", PAUSE, SPAN).await;
+        assert_quarantined_in_time(&upstreams);
+    });
+}
+
+/// Guards against ends that were reported only to instances which lost the store before they decided.
+#[test_case(1 ; "the first coordinator")]
+#[test_case(3 ; "all three")]
+fn a_request_is_quarantined_though_the_store_is_lost_after_two_crashes(lost: usize) {
+    let (harness, upstreams) = fleet(6);
+    let harness = Arc::new(harness);
+    block_on(async {
+        harness.until_all_answer("/any/x", 200).await;
+        let pause = Duration::from_millis(700);
+        let sent = spawn_repeated_sends(&harness, "/stream/bad", pause, SPAN);
+        until_ended(&upstreams, 2).await;
+        turn_away_first(&harness, lost, true);
+        sent.await;
+        assert_quarantined_in_time(&upstreams);
+    });
+}
+
+/// Guards against a quarantine that is undone, or never written to the store, when the instance that
+/// was to decide has the store again.
+#[test]
+fn a_quarantine_of_another_coordinator_stays_once_the_first_one_has_the_store_again() {
+    let (harness, upstreams) = fleet(6);
+    let harness = Arc::new(harness);
+    block_on(async {
+        harness.until_all_answer("/any/x", 200).await;
+        turn_away_first(&harness, 1, true);
+        Timer::after(STORE_LOST_AFTER).await;
+        let sent = spawn_repeated_sends(&harness, "/stream/bad", PAUSE, SPAN);
+        until_ended(&upstreams, 3).await;
+        Timer::after(Duration::from_millis(2_500)).await;
+        turn_away_first(&harness, 1, false);
+        sent.await;
+        assert_quarantined_in_time(&upstreams);
+        assert!(harness.store.holds_quarantine());
+    });
+}
--- a/crates/gateway/tests/whole/fakes/crash_fleet.rs
+++ b/crates/gateway/tests/whole/fakes/crash_fleet.rs
@@ -16,6 +16,11 @@
 pub(crate) const INSTANCES: usize = 5;
 /// Timeout of waits for an expected event.
 pub(crate) const TEST_TIMEOUT: Duration = Duration::from_secs(40);
+/// How long after the third crash instances may take to learn of the quarantine: the
+/// users' bound for news between instances that can reach each other.
+pub(crate) const SPREAD_WITHIN: Duration = Duration::from_millis(3_000);
+/// How often such a request may reach an upstream after that, as the users allow.
+const MAX_LATE_RUNS: usize = 3;
 /// Duration of the stage that some requests have.
 const STAGE_TAKES: Duration = Duration::from_millis(40);
 
@@ -110,3 +115,19 @@
     let runs = upstreams.runs();
     runs.iter().filter(|r| r.path.contains(part)).count()
 }
+
+/// Asserts that the request with `bad` in its path crashed upstreams, and was quarantined
+/// in time.
+pub(crate) fn assert_quarantined_in_time(upstreams: &CrashingUpstreams) {
+    let ends = upstreams.ends();
+    assert!(ends.len() >= 3, "it crashed {} upstreams", ends.len());
+    let known = ends[2] + SPREAD_WITHIN;
+    let runs = upstreams.runs();
+    let late = runs.iter().filter(|r| r.path.contains("bad"));
+    let late = late.filter(|r| r.at > known).count();
+    assert!(
+        late <= MAX_LATE_RUNS,
+        "{late} late runs, {} crashes",
+        ends.len()
+    );
+}
--- a/crates/gateway/tests/whole/fakes/crashing_upstreams.rs
+++ b/crates/gateway/tests/whole/fakes/crashing_upstreams.rs
@@ -1,6 +1,7 @@
 //! Upstreams that crash when they run certain requests.
 
 use std::net::SocketAddr;
+use std::net::TcpListener;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -11,13 +12,16 @@
 use std::time::Instant;
 
 use async_executor::Executor;
+use async_io::Async;
 use async_io::Timer;
 use bytes::Bytes;
+use futures_lite::FutureExt;
 use futures_lite::StreamExt;
 use futures_lite::stream;
 use http::HeaderValue;
 use http::Request;
 use http::Response;
+use http::StatusCode;
 use hyper::body::Incoming;
 use jd_gateway::Change;
 use jd_net::Handler;
@@ -33,6 +37,12 @@
 const CRASH_DELAY: Duration = Duration::from_millis(20);
 /// How long a crashed upstream is down before it restarts under another identity.
 const DOWNTIME: Duration = Duration::from_millis(400);
+/// The same for upstreams whose address still accepts connections: the lease of an entry.
+const LONG_DOWNTIME: Duration = Duration::from_millis(3_600);
+/// Interval between the comments of an answer with `waits` in its path.
+const COMMENT_INTERVAL: Duration = Duration::from_millis(200);
+/// Comments before the crash of such an answer.
+const COMMENTS: usize = 8;
 /// Time from the removal of an entry to the end of its upstream.
 const LEAVE_DELAY: Duration = Duration::from_millis(250);
 /// Duration of a request that completes.
@@ -40,6 +50,17 @@
 /// The same for a request with `long` in its path.
 const LONG_RUN_TIME: Duration = Duration::from_millis(700);
 
+/// What the address of a crashed upstream does until the upstream is back.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum AddressAfterCrash {
+    /// It refuses connections.
+    Refuses,
+    /// It accepts connections for this long, as while a core dump is written.
+    AcceptsFor(Duration),
+    /// It accepts connections and closes them at once, as a supervisor may that holds the socket.
+    Closes,
+}
+
 /// A request that reached an upstream.
 #[derive(Debug, Clone)]
 pub(crate) struct UpstreamRun {
@@ -55,6 +76,7 @@
     store: Arc<FakeStore>,
     places: Mutex<Vec<Place>>,
     names: AtomicUsize,
+    after_crash: AddressAfterCrash,
     turned: AtomicBool,
     runs: Mutex<Vec<UpstreamRun>>,
     ends: Mutex<Vec<Instant>>,
@@ -78,12 +100,24 @@
         executor: Arc<Executor<'static>>,
         store: &Arc<FakeStore>,
         count: usize,
+    ) -> Arc<CrashingUpstreams> {
+        let after_crash = AddressAfterCrash::Refuses;
+        CrashingUpstreams::start_with(executor, store, count, after_crash)
+    }
+
+    /// The same with addresses that do this after a crash.
+    pub(crate) fn start_with(
+        executor: Arc<Executor<'static>>,
+        store: &Arc<FakeStore>,
+        count: usize,
+        after_crash: AddressAfterCrash,
     ) -> Arc<CrashingUpstreams> {
         let all = Arc::new(CrashingUpstreams {
             executor,
             store: Arc::clone(store),
             places: Mutex::default(),
             names: AtomicUsize::new(0),
+            after_crash,
             turned: AtomicBool::new(false),
             runs: Mutex::default(),
             ends: Mutex::default(),
@@ -169,11 +203,22 @@
         let Some(server) = self.places()[place].server.take() else {
             return;
         };
+        let address = server.address();
         drop(server);
+        let (open_for, downtime) = match self.after_crash {
+            AddressAfterCrash::Refuses => (Duration::ZERO, DOWNTIME),
+            AddressAfterCrash::AcceptsFor(time) => (time, LONG_DOWNTIME),
+            AddressAfterCrash::Closes => (LONG_DOWNTIME, LONG_DOWNTIME),
+        };
+        if !open_for.is_zero() {
+            let closes = self.after_crash == AddressAfterCrash::Closes;
+            let accepting = accept_for(address, open_for, closes);
+            self.executor.spawn(accepting).detach();
+        }
         let id = self.places()[place].id.clone();
         let all = Arc::clone(self);
         let back = async move {
-            Timer::after(DOWNTIME).await;
+            Timer::after(downtime).await;
             all.store.change(Change::UpstreamRemoved(id.into()));
             all.begin(place);
         };
@@ -181,6 +226,31 @@
     }
 }
 
+/// Accepts connections at the address of an upstream that has crashed.
+async fn accept_for(address: SocketAddr, time: Duration, closes: bool) {
+    // The server that crashed may close its socket a moment later.
+    let until = Instant::now() + time;
+    let listener = loop {
+        match Async::<TcpListener>::bind(address) {
+            Ok(listener) => break listener,
+            Err(_) if Instant::now() < until => Timer::after(Duration::from_millis(1)).await,
+            Err(e) => panic!("the address is taken: {e}"),
+        };
+    };
+    let accepting = async {
+        let mut open = Vec::new();
+        while let Ok((connection, _)) = listener.accept().await {
+            if !closes {
+                open.push(connection);
+            }
+        }
+    };
+    let end = async {
+        Timer::at(until).await;
+    };
+    accepting.or(end).await;
+}
+
 impl Handler for UpstreamHandler {
     fn handle(self: Arc<Self>, req: Request<Incoming>) -> HandlerFuture {
         let id = req.headers().get("id").cloned();
@@ -193,36 +263,51 @@
             self.all.runs.lock().expect("a lock").push(run);
             let turned = self.all.turned.load(Ordering::Relaxed);
             let bad = path.contains("bad") || (turned && path.contains("turns"));
+            let waits = path.contains("waits");
+            let ends_whole = path.contains("whole");
             if bad {
-                self.crash_soon();
+                let waited = match waits {
+                    true => COMMENT_INTERVAL * COMMENTS as u32,
+                    false => Duration::ZERO,
+                };
+                self.crash_after(waited + CRASH_DELAY);
             }
             let work = match path.contains("long") {
                 true => LONG_RUN_TIME,
+                false if ends_whole => Duration::ZERO,
                 false => RUN_TIME,
             };
+            let comments = stream::repeat(()).take(if waits { 2 * COMMENTS } else { 0 });
+            let comments = comments.then(|()| async {
+                Timer::after(COMMENT_INTERVAL).await;
+                Ok(Bytes::from_static(b": wait\n\n"))
+            });
             let first = stream::once(Ok(Bytes::from_static(b"id: 1\ndata: a\n\n")));
             let rest = stream::once_future(async move {
                 Timer::after(work).await;
-                match bad {
+                match bad && !ends_whole {
                     true => std::future::pending().await,
                     false => Ok(Bytes::from_static(b"id: 2\ndata: b\n\n")),
                 }
             });
-            let mut res = Response::new(jd_net::stream(first.chain(rest)));
+            let mut res = Response::new(jd_net::stream(comments.chain(first).chain(rest)));
             let id = id.unwrap_or(HeaderValue::from_static(""));
             res.headers_mut().insert("id", id);
             let signed = HeaderValue::from_static("yes");
             res.headers_mut().insert("signed", signed);
+            if path.contains("fails") {
+                *res.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
+            }
             res
         })
     }
 }
 
 impl UpstreamHandler {
-    fn crash_soon(&self) {
+    fn crash_after(&self, delay: Duration) {
         let (all, place, id) = (Arc::clone(&self.all), self.place, self.id.clone());
         let stopping = async move {
-            Timer::after(CRASH_DELAY).await;
+            Timer::after(delay).await;
             if all.places()[place].id == id {
                 all.ends.lock().expect("a lock").push(Instant::now());
                 all.end(place);
--- a/crates/gateway/tests/whole/fakes/harness.rs
+++ b/crates/gateway/tests/whole/fakes/harness.rs
@@ -378,6 +378,13 @@
             .count()
     }
 
+    /// Makes the store refuse the gateway with this peer address, or serve it again.
+    pub(crate) fn turn_away(&self, peers: SocketAddr, refuses: bool) {
+        let member = self.fleet.iter().find(|m| m.peers == peers);
+        let store = member.map_or(&self.store, |m| &m.store);
+        store.set_unavailable(refuses);
+    }
+
     /// Makes the store refuse all gateways that run now.
     pub(crate) fn turn_away_all(&self) {
         for store in self.stores() {
--- a/crates/gateway/tests/whole/fakes/mod.rs
+++ b/crates/gateway/tests/whole/fakes/mod.rs
@@ -23,6 +23,7 @@
 pub(crate) mod upstream_notices;
 
 pub(crate) use caller::CallerResponse;
+pub(crate) use crashing_upstreams::AddressAfterCrash;
 pub(crate) use crashing_upstreams::CrashingUpstreams;
 pub(crate) use deployments::chained_deployment;
 pub(crate) use deployments::cold_deployment;
