The first coordinator that can decide does: one without the store leaves quarantines to the next

Cause: an order of who is present decided who decides, and one that cannot stays present. It said nothing, for a good reason, and nobody decided in its place, though two others had all reports. The class: a duty tied to who lives instead of who can do it.

Now an instance decides if all coordinators before it say that they cannot, or do not answer within 0.4 s; it asks them while it has evidence, with the reports that they get anyway. Any instance of a small fleet may (16 of a large one), not three. Reports go to the first three that can decide, and with them go the crashes that one of them lacks, so that neither a lost report, nor a coordinator that has started again, nor one that begins to decide costs three more upstreams. The wait for objections counts from the moment at which all were told, so that an instance that takes over need not begin again, nor decides unasked. An instance that cannot decide forgets since when it suspected something. Writes to the store go by turns of a second.

Ruled out: that everyone decides after a time (one that lacks a report of a sound run would hold an innocent request without asking anybody).

--- a/crates/gateway/src/crash_reporter.rs
+++ b/crates/gateway/src/crash_reporter.rs
@@ -2,7 +2,6 @@
 
 use std::collections::BTreeSet;
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
@@ -17,9 +16,7 @@
 use jd_types::MonoTime;
 
 use crate::path_checker::OwnPath;
-use crate::peer_client::PeerClient;
-use crate::peer_quarantine::RunReport;
-use crate::quarantine_coordinator::QuarantineCoordinator;
+use crate::report_sender::ReportSender;
 use crate::run_events::RunEnd;
 use crate::run_events::RunEvent;
 use crate::run_events::UpstreamRef;
@@ -34,9 +31,6 @@
 /// within a second; an upstream that crashes later than that did not crash from the runs
 /// that broke before.
 const RECHECK_FOR: Duration = Duration::from_secs(1);
-/// Instances that get each report: the coordinator that decides and the next two, so that
-/// the evidence survives the loss of two instances.
-const COORDINATORS: usize = 3;
 /// Time over which instances spread their reports of sound runs, for each instance of the fleet.
 const REPORT_SPREAD: Duration = Duration::from_millis(1);
 /// The longest such time: a third of the time that the coordinators wait for these reports.
@@ -45,8 +39,6 @@
 const MAX_RUNS_PER_REPORT: usize = 128;
 /// Most contents of broken runs in a report.
 const MAX_CONTENTS_PER_REPORT: usize = 2_048;
-/// Most sound runs in a report on a crash.
-const MAX_SOUND_RUNS_PER_REPORT: usize = 64;
 /// Most runs that a log line names.
 const MAX_RUNS_PER_LINE: usize = 8;
 /// Most parts of prompts that a log line names.
@@ -78,21 +70,15 @@
 #[derive(Debug)]
 pub(crate) struct CrashReporter {
     state: Arc<State>,
-    peers: Arc<PeerClient>,
-    coordinator: Arc<QuarantineCoordinator>,
+    sender: Arc<ReportSender>,
     broken: Mutex<HashMap<UpstreamRef, BrokenRuns>>,
 }
 
 impl CrashReporter {
-    pub(crate) fn new(
-        state: Arc<State>,
-        peers: Arc<PeerClient>,
-        coordinator: Arc<QuarantineCoordinator>,
-    ) -> CrashReporter {
+    pub(crate) fn new(state: Arc<State>, sender: Arc<ReportSender>) -> CrashReporter {
         CrashReporter {
             state,
-            peers,
-            coordinator,
+            sender,
             broken: Mutex::default(),
         }
     }
@@ -101,10 +87,7 @@
     pub(crate) async fn run(self: Arc<Self>) {
         while let Some(event) = self.state.quarantine.run_events.next().await {
             match event {
-                RunEvent::Sound(run) => self.send_report(RunReport {
-                    sound_runs: vec![run],
-                    ..RunReport::default()
-                }),
+                RunEvent::Sound(run) => self.sender.send(vec![run]),
                 RunEvent::Broken {
                     at,
                     upstream,
@@ -128,20 +111,7 @@
             Timer::after(Duration::from_millis(fastrand::u64(..=spread))).await;
             let sound_runs = self.state.quarantine.recent_runs(self.state.now());
             if !sound_runs.is_empty() {
-                self.send_report(RunReport {
-                    sound_runs,
-                    ..RunReport::default()
-                });
-            }
-        }
-    }
-
-    /// Asks the coordinators before this one whether they judge parts of prompts, whenever this one
-    /// gets a report and does not know, forever.
-    pub(crate) async fn ask_earlier_coordinators(self: Arc<Self>) {
-        loop {
-            for unknown in self.coordinator.unknown_builds().await {
-                self.send_report_to(unknown, &RunReport::default()).await;
+                self.sender.send(sound_runs);
             }
         }
     }
@@ -249,8 +219,8 @@
         );
     }
 
-    /// Reports a crash, and the sound runs that this instance has seen of what was present.
-    fn report_crash(self: &Arc<Self>, mut crash: UpstreamCrash) {
+    /// Reports a crash, with as many contents as there is room for.
+    fn report_crash(&self, mut crash: UpstreamCrash) {
         let mut room = MAX_CONTENTS_PER_REPORT;
         crash.runs.retain(|run| {
             let contents = run.contents.iter().count();
@@ -258,15 +228,7 @@
             room -= contents.min(room);
             fits
         });
-        let present: BTreeSet<Content> =
-            crash.runs.iter().flat_map(|r| r.contents.iter()).collect();
-        let quarantine = &self.state.quarantine;
-        let mut sound_runs = quarantine.last_runs(&crash.service, present.into_iter());
-        sound_runs.truncate(MAX_SOUND_RUNS_PER_REPORT);
-        self.send_report(RunReport {
-            crashes: vec![crash],
-            sound_runs,
-        });
+        self.sender.send_crash(crash);
     }
 
     async fn check(&self, upstream: &UpstreamRef) -> UpstreamStatus {
@@ -295,29 +257,6 @@
             None => UpstreamStatus::Unlisted,
         }
     }
-
-    fn send_report(self: &Arc<Self>, report: RunReport) {
-        let coordinators = self.state.coordinators().into_iter().take(COORDINATORS);
-        for coordinator in coordinators {
-            if coordinator == self.state.own_entry.peer_address {
-                self.coordinator.record_report(report.clone());
-                continue;
-            }
-            let reporter = Arc::clone(self);
-            let report = report.clone();
-            let sending = async move { reporter.send_report_to(coordinator, &report).await };
-            self.state.executor.spawn(sending).detach();
-        }
-    }
-
-    async fn send_report_to(&self, coordinator: SocketAddr, report: &RunReport) {
-        match self.peers.report_crashes(coordinator, report).await {
-            Some(judges_parts) => self.coordinator.record_build(coordinator, judges_parts),
-            None => {
-                log::info!(coordinator:% = coordinator; "a coordinator of the quarantine does not answer; the other coordinators get the report as well");
-            }
-        }
-    }
 }
 
 /// Result of checking an upstream.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -35,6 +35,7 @@
 use crate::peer_api::PeerHandler;
 use crate::peer_client::PeerClient;
 use crate::quarantine_coordinator::QuarantineCoordinator;
+use crate::report_sender::ReportSender;
 use crate::restart_checks::RestartChecks;
 use crate::result_free_queue::ResultFreeQueue;
 use crate::result_release_queue::ResultReleaseQueue;
@@ -152,11 +153,12 @@
             counts: StoreCallCounts::default(),
         });
         let coordinator = Arc::new(QuarantineCoordinator::new(Arc::clone(&link)));
-        let reporter = CrashReporter::new(
+        let report_sender = Arc::new(ReportSender::new(
             Arc::clone(&state),
             Arc::clone(&peers),
             Arc::clone(&coordinator),
-        );
+        ));
+        let reporter = CrashReporter::new(Arc::clone(&state), Arc::clone(&report_sender));
         let reporter = Arc::new(reporter);
         let stream_saver = Arc::new(StreamSaver::new(Arc::clone(&link)));
         let version_recorder = Arc::new(VersionRecorder {
@@ -239,8 +241,8 @@
             executor.spawn(stream_saver.read()),
             executor.spawn(version_recorder.run()),
             executor.spawn(Arc::clone(&reporter).run()),
-            executor.spawn(Arc::clone(&reporter).report_recent_runs()),
-            executor.spawn(reporter.ask_earlier_coordinators()),
+            executor.spawn(reporter.report_recent_runs()),
+            executor.spawn(report_sender.ask_earlier_coordinators()),
         ];
         log::info!(
             instance = state.settings.name.as_str(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -67,6 +67,7 @@
 mod quarantine;
 mod quarantine_coordinator;
 mod ran_at;
+mod report_sender;
 mod restart_checks;
 mod result_free_queue;
 mod result_release_queue;
--- a/crates/gateway/src/owner_order.rs
+++ b/crates/gateway/src/owner_order.rs
@@ -4,14 +4,17 @@
 use std::time::Duration;
 
 use jd_net::lock;
+use jd_serving::SMALL_FLEET;
 use jd_serving::Shard;
 use jd_serving::rank_owners;
 
 use crate::state::State;
 
-/// How many owners of a shard, limiters of an upstream or quarantine coordinators are tried
-/// in turn.
+/// How many owners of a shard or limiters of an upstream are tried in turn.
 const MAX_OWNERS: usize = 3;
+/// Instances that may coordinate the fleet, one in place of the other: all of a small fleet, and where
+/// the store rejects two thirds of a larger one, hardly ever none that it serves.
+const MAX_COORDINATORS: usize = SMALL_FLEET;
 /// How long the backlog that an owner reported is valid: three heartbeats.
 const BACKLOG_LIFETIME: Duration = Duration::from_millis(1_200);
 
@@ -41,14 +44,18 @@
     /// Where each instance had taken itself for the only one, all of them filled batches for the same
     /// upstreams.
     pub(crate) fn duty_order(&self, shard: &Shard) -> Vec<SocketAddr> {
+        self.first_for_duty(shard, MAX_OWNERS)
+    }
+
+    fn first_for_duty(&self, shard: &Shard, limit: usize) -> Vec<SocketAddr> {
         let now = self.now();
         let cluster = self.cluster();
         let others = cluster.instances.live_loaded(now);
         let own = (!self.is_leaving()).then_some(&self.own_entry);
-        let mut order = rank_owners(shard, others.chain(own), MAX_OWNERS);
+        let mut order = rank_owners(shard, others.chain(own), limit);
         if order.is_empty() {
             let stopping = cluster.instances.stopping(now);
-            order = rank_owners(shard, stopping.chain([&self.own_entry]), MAX_OWNERS);
+            order = rank_owners(shard, stopping.chain([&self.own_entry]), limit);
         }
         order.into_iter().map(|e| e.peer_address).collect()
     }
@@ -77,14 +84,24 @@
         lock(&self.used_shards).monitored(self.now(), &self.shards.load())
     }
 
-    /// The instances that coordinate the quarantine; the first one decides. The same instances
-    /// read the store for the others.
+    /// The instances that may coordinate the fleet, in the order in which they do so: the first one
+    /// that can. In a large fleet the first ones also read the store for the others.
     pub(crate) fn coordinators(&self) -> Vec<SocketAddr> {
-        self.duty_order(&Shard {
+        let fleet = Shard {
             zone: None,
             part: 0,
             parts: 1,
-        })
+        };
+        self.first_for_duty(&fleet, MAX_COORDINATORS)
+    }
+
+    /// The coordinators before this instance; none if it is no coordinator.
+    pub(crate) fn earlier_coordinators(&self) -> Option<Vec<SocketAddr>> {
+        let mut all = self.coordinators();
+        let is_own = |a: &SocketAddr| *a == self.own_entry.peer_address;
+        let own = all.iter().position(is_own)?;
+        all.truncate(own);
+        Some(all)
     }
 
     /// True if this instance is the first owner of a known shard.
--- a/crates/gateway/src/peer_api.rs
+++ b/crates/gateway/src/peer_api.rs
@@ -146,6 +146,8 @@
         self.coordinator.record_report(report);
         Ok(tonic::Response::new(CrashReportReply {
             judges_parts: true,
+            cannot_decide: !self.coordinator.can_decide(),
+            incarnation: self.state.own_entry.incarnation.get(),
         }))
     }
 
--- a/crates/gateway/src/peer_client.rs
+++ b/crates/gateway/src/peer_client.rs
@@ -19,6 +19,7 @@
 use jd_types::Name;
 use jd_wire::BeatReply;
 use jd_wire::BeatRequest;
+use jd_wire::CrashReportReply;
 use jd_wire::FollowRequest;
 use jd_wire::GatewayClient;
 use jd_wire::PackedParts;
@@ -148,18 +149,17 @@
         matches!(reply, Some(Ok(_)))
     }
 
-    /// Sends a report on runs to a coordinator of the quarantine. Returns whether it judges parts of
-    /// prompts; none if it does not answer.
+    /// Sends a report on runs to a coordinator of the quarantine; none if it does not answer.
     pub(crate) async fn report_crashes(
         &self,
         coordinator: SocketAddr,
         report: &RunReport,
-    ) -> Option<bool> {
+        timeout: Duration,
+    ) -> Option<CrashReportReply> {
         let mut client = GatewayClient::new(self.state.channels.channel_to(coordinator));
         let req = peer_quarantine::wire_report(report, self.state.now());
-        let reply = with_timeout(HEARTBEAT_TIMEOUT, client.report_crashes(req)).await;
-        let reply = reply?.ok()?;
-        Some(reply.into_inner().judges_parts)
+        let reply = with_timeout(timeout, client.report_crashes(req)).await;
+        Some(reply?.ok()?.into_inner())
     }
 
     /// Gets another instance's store updates, which are empty if there are none within
--- a/crates/gateway/src/quarantine_coordinator.rs
+++ b/crates/gateway/src/quarantine_coordinator.rs
@@ -1,6 +1,5 @@
 //! Decides for the whole fleet which requests and parts of prompts crash upstreams.
 
-use std::collections::HashMap;
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -10,7 +9,10 @@
 
 use jd_net::lock;
 use jd_serving::Content;
+use jd_serving::CoordinatorAnswer;
+use jd_serving::CoordinatorAnswers;
 use jd_serving::CrashEvidence;
+use jd_serving::DecidesOn;
 use jd_serving::Finding;
 use jd_serving::QUARANTINE_TTL;
 use jd_serving::QuarantineEntry;
@@ -42,19 +44,10 @@
 /// meanwhile through heartbeats.
 const WRITE_RETRY_PAUSE: Duration = Duration::from_millis(1_000);
 
-/// How long it is known whether an instance judges parts of prompts: it may be replaced by one of
-/// another build at the same address.
-const BUILD_KNOWN_FOR: Duration = Duration::from_secs(10);
+/// How long each instance leaves a write to the one before it, which may not be able to write.
+const WRITE_TURN: Duration = Duration::from_millis(1_000);
 
-/// What an instance said of its build.
-#[derive(Debug, Clone, Copy)]
-struct KnownBuild {
-    judges_parts: bool,
-    at: MonoTime,
-}
-
-/// Decides on quarantines while this instance is the first coordinator, and collects the
-/// evidence while it is one of the next.
+/// Collects the evidence, and decides on quarantines while no coordinator before this one can.
 #[derive(Debug)]
 pub(crate) struct QuarantineCoordinator {
     link: Arc<StoreLink>,
@@ -64,10 +57,12 @@
     /// Since when the state of the store is known here without interruption, as far as crashes
     /// were evaluated.
     current_since: Mutex<Option<MonoTime>>,
-    /// What coordinators before this one said of their builds.
-    builds: Mutex<HashMap<SocketAddr, KnownBuild>>,
+    /// What coordinators before this one said of themselves.
+    answers: Mutex<CoordinatorAnswers>,
+    /// What this instance last decided on; none if it could not decide.
+    duty: Mutex<Option<DecidesOn>>,
     report_received: Signal,
-    builds_requested: Signal,
+    evidence_received: Signal,
 }
 
 impl QuarantineCoordinator {
@@ -77,9 +72,10 @@
             evidence: Mutex::default(),
             decided_here: Mutex::default(),
             current_since: Mutex::default(),
-            builds: Mutex::default(),
+            answers: Mutex::default(),
+            duty: Mutex::default(),
             report_received: Signal::new(),
-            builds_requested: Signal::new(),
+            evidence_received: Signal::new(),
         }
     }
 
@@ -98,35 +94,59 @@
             cleared.extend(contents.filter(|c| self.ran_soundly_after_hold(now, &run, *c)));
         }
         drop(evidence);
-        if self.decides_on_parts() {
+        if !cleared.is_empty() && self.can_decide() && self.decides_on(now).includes(true) {
             for content in cleared {
                 self.release(now, content, "it ran to its end");
             }
         }
         self.report_received.notify();
-        self.builds_requested.notify();
+        self.evidence_received.notify();
     }
 
-    /// Records whether the instance at this address judges parts of prompts.
-    pub(crate) fn record_build(&self, instance: SocketAddr, judges_parts: bool) {
-        let at = self.link.state.now();
-        let build = KnownBuild { judges_parts, at };
-        let mut builds = lock(&self.builds);
-        builds.retain(|_, b| at.since(b.at) < BUILD_KNOWN_FOR);
-        builds.insert(instance, build);
+    /// True if this instance may decide for the fleet. One that is cut off takes running upstreams
+    /// for crashed and itself for the first coordinator, and its decisions would apply to all.
+    pub(crate) fn can_decide(&self) -> bool {
+        let state = &self.link.state;
+        let is_current = state.is_fresh() && !state.has_lost_store();
+        // While all instances stop, those that still answer decide.
+        is_current && (!state.is_leaving() || state.earlier_coordinators().is_some())
     }
 
-    /// The coordinators before this one whose builds are not known when the next report arrives.
-    pub(crate) async fn unknown_builds(&self) -> Vec<SocketAddr> {
-        self.builds_requested.wait().await;
+    /// Records what another coordinator said of itself.
+    pub(crate) fn record_answer(&self, coordinator: SocketAddr, answer: CoordinatorAnswer) {
         let now = self.link.state.now();
-        let mut unknown = self.earlier_coordinators().unwrap_or_default();
-        let builds = lock(&self.builds);
-        unknown.retain(|a| {
-            let known = builds.get(a);
-            known.is_none_or(|b| now.since(b.at) >= BUILD_KNOWN_FOR)
-        });
-        unknown
+        lock(&self.answers).record(now, coordinator, answer);
+    }
+
+    /// True if a coordinator is not known to be unable to decide.
+    pub(crate) fn may_decide(&self, now: MonoTime, coordinator: SocketAddr) -> bool {
+        lock(&self.answers).may_decide(now, coordinator)
+    }
+
+    /// True while there is evidence to decide on.
+    pub(crate) fn has_evidence(&self) -> bool {
+        lock(&self.evidence).is_pending(self.link.state.now())
+    }
+
+    /// Returns once a report has arrived.
+    pub(crate) async fn evidence_received(&self) {
+        self.evidence_received.wait().await;
+    }
+
+    /// The coordinators that are to be asked now whether they decide.
+    pub(crate) fn coordinators_to_ask(&self) -> Vec<SocketAddr> {
+        if !self.has_evidence() || !self.can_decide() {
+            return Vec::new();
+        }
+        let earlier = self.link.state.earlier_coordinators().unwrap_or_default();
+        lock(&self.answers).to_ask(self.link.state.now(), &earlier)
+    }
+
+    fn decides_on(&self, now: MonoTime) -> DecidesOn {
+        match self.link.state.earlier_coordinators() {
+            Some(earlier) => lock(&self.answers).decides_on(now, &earlier),
+            None => DecidesOn::Nothing,
+        }
     }
 
     /// True if a content had a sound run after it was suspected or quarantined. This
@@ -148,6 +168,7 @@
     /// Evaluates the evidence and writes quarantines to the store, forever.
     pub(crate) async fn run(self: Arc<Self>) {
         let mut next_write = MonoTime::ZERO;
+        let mut has_store_since = None;
         loop {
             let pause = match self.is_idle() {
                 true => IDLE_INTERVAL,
@@ -156,10 +177,15 @@
             self.report_received.wait_timeout(pause).await;
             self.evaluate();
             let now = self.link.state.now();
-            if self.is_idle() || now < next_write || !self.is_first() {
+            if self.link.state.has_lost_store() {
+                has_store_since = None;
+                continue;
+            }
+            let since = *has_store_since.get_or_insert(now);
+            if now < next_write {
                 continue;
             }
-            if let Err(e) = self.write(now).await {
+            if let Err(e) = self.write(now, since).await {
                 log::info!(error:% = e; "quarantine could not be written to the store; retrying");
                 next_write = self.link.state.now() + WRITE_RETRY_PAUSE;
             }
@@ -173,29 +199,25 @@
         !pending && state.quarantine.list().is_empty()
     }
 
-    fn is_first(&self) -> bool {
-        let state = &self.link.state;
-        state.coordinators().first() == Some(&state.own_entry.peer_address)
+    /// How many coordinators before this one may decide; none if it is no coordinator.
+    fn turn(&self, now: MonoTime) -> Option<u32> {
+        let earlier = self.link.state.earlier_coordinators()?;
+        let answers = lock(&self.answers);
+        let before = earlier.iter().filter(|c| answers.may_decide(now, **c));
+        u32::try_from(before.count()).ok()
     }
 
-    /// The coordinators before this one; none if it is no coordinator.
-    fn earlier_coordinators(&self) -> Option<Vec<SocketAddr>> {
-        let state = &self.link.state;
-        let mut all = state.coordinators();
-        let own = all
-            .iter()
-            .position(|a| *a == state.own_entry.peer_address)?;
-        all.truncate(own);
-        Some(all)
-    }
-
-    /// True if this is the first coordinator, or if those before it are of builds that judge whole
-    /// requests alone.
-    fn decides_on_parts(&self) -> bool {
-        let builds = lock(&self.builds);
-        let judges = |a: &SocketAddr| builds.get(a).is_none_or(|b| b.judges_parts);
-        let earlier = self.earlier_coordinators();
-        earlier.is_some_and(|all| !all.iter().any(judges))
+    fn record_duty(&self, duty: Option<DecidesOn>) {
+        let before = std::mem::replace(&mut *lock(&self.duty), duty);
+        if before != duty {
+            let state = &self.link.state;
+            log::info!(
+                decides_on:? = duty,
+                store_lost = state.has_lost_store(),
+                fresh = state.is_fresh();
+                "duty of deciding on the quarantine"
+            );
+        }
     }
 
     fn evaluate(&self) {
@@ -205,17 +227,26 @@
         if !evidence.is_pending(now) {
             return;
         }
-        // An instance that is cut off takes running upstreams for crashed and itself for
-        // the first coordinator. Its decisions would apply to all instances.
-        if !state.is_fresh() || state.has_lost_store() {
+        if !self.can_decide() {
             *lock(&self.current_since) = None;
+            evidence.forget_suspicions();
+            self.record_duty(None);
             return;
         }
+        let duty = self.decides_on(now);
+        self.record_duty(Some(duty));
         let current_since = *lock(&self.current_since).get_or_insert(now);
         let table = state.upstreams.load();
         let is_listed = |id: &str, start| table.start_of(id) == Some(start);
         evidence.discard_listed(now, current_since, is_listed);
-        let findings = evidence.findings(now);
+        let list = state.quarantine.list();
+        let findings = evidence.findings(now, |content| {
+            let held = list.get(now, content).filter(|h| h.state.is_active());
+            held.map(|h| h.recorded_at)
+        });
+        if duty == DecidesOn::Nothing {
+            evidence.forget_suspicions();
+        }
         drop(evidence);
         // The instance that decided on the quarantine has the evidence, and may no longer
         // be the first coordinator.
@@ -224,8 +255,7 @@
                 self.release(now, content, "its ends have another cause");
             }
         }
-        let (is_first, on_parts) = (self.is_first(), self.decides_on_parts());
-        let decides = |f: &&Finding| is_first || on_parts && f.is_part;
+        let decides = |f: &&Finding| duty.includes(f.is_part);
         for finding in findings.suspected.iter().filter(decides) {
             self.apply_finding(now, finding, QuarantinePhase::Suspected);
         }
@@ -281,14 +311,24 @@
         state.quarantine.apply(now, QuarantineSource::Own, [update]);
     }
 
-    /// Writes what the store needs_write, for as long as it is in force.
+    /// Writes what the store lacks, for as long as it is in force, when it is this instance's turn.
+    /// It has had the store since `since`.
     ///
     /// Guards against the loss of all instances at once, after which the same request
     /// would crash three more upstreams. Suspicions are not worth a call.
-    async fn write(&self, now: MonoTime) -> Result<(), StoreError> {
+    async fn write(&self, now: MonoTime, since: MonoTime) -> Result<(), StoreError> {
         let list = self.link.state.quarantine.list();
-        for (content, held) in list.entries(now) {
-            if needs_write(&held) && held.expires_at.since(now) > MIN_LEASE {
+        let is_lacking =
+            |h: &QuarantineEntry| needs_write(h) && h.expires_at.since(now) > MIN_LEASE;
+        let lacking: Vec<_> = list.entries(now).filter(|(_, h)| is_lacking(h)).collect();
+        if lacking.is_empty() {
+            return Ok(());
+        }
+        let Some(turn) = self.turn(now) else {
+            return Ok(());
+        };
+        for (content, held) in lacking {
+            if now.since(held.recorded_at.max(since)) >= WRITE_TURN * turn {
                 self.write_entry(now, content, held).await?;
             }
         }
@@ -321,7 +361,7 @@
     }
 }
 
-/// True if the store needs_write the current state.
+/// True if the store lacks the current state.
 fn needs_write(held: &QuarantineEntry) -> bool {
     match held.state.phase {
         QuarantinePhase::Suspected => false,
--- a/crates/serving/src/crash_evidence.rs
+++ b/crates/serving/src/crash_evidence.rs
@@ -10,6 +10,7 @@
 use jd_types::MonoTime;
 
 use crate::Content;
+use crate::Findings;
 use crate::QUARANTINE_TTL;
 use crate::RecentRuns;
 use crate::SoundRun;
@@ -57,50 +58,6 @@
 /// Contents of which sound runs are asked for at a time, of one service.
 const MAX_SUSPECTED: usize = 8;
 
-/// The result of evaluating the crashes of upstreams.
-#[derive(Debug, Default, PartialEq, Eq)]
-pub struct Findings {
-    /// Contents that may have crashed upstreams.
-    pub suspected: Vec<Finding>,
-    /// Contents that have crashed upstreams.
-    pub quarantined: Vec<Finding>,
-    /// Contents that were quarantined and turned out not to have crashed upstreams.
-    pub released: Vec<Content>,
-}
-
-impl Findings {
-    /// Adds contents that may have crashed upstreams, each once.
-    fn add_suspects(
-        &mut self,
-        suspects: impl Iterator<Item = Content>,
-        evidence: &HashMap<Content, Evidence>,
-    ) {
-        for suspect in suspects {
-            let is_new = self.suspected.iter().all(|f| f.content != suspect);
-            if let Some(item) = evidence.get(&suspect).filter(|_| is_new) {
-                self.suspected.push(item.finding(suspect));
-            }
-        }
-    }
-}
-
-/// A content with the evidence against it.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Finding {
-    /// The request, or the part of prompts.
-    pub content: Content,
-    /// True for a part of prompts.
-    pub is_part: bool,
-    /// Upstream crashes with it.
-    pub crashes: usize,
-    /// How many of these came after an answer to it had begun.
-    pub answered: usize,
-    /// The longest time to such a crash from the beginning of an answer, or else from sending.
-    pub longest_run: Duration,
-    /// The time of the last such crash.
-    pub last_crash: MonoTime,
-}
-
 /// The crashes of upstreams and the contents that were present.
 ///
 /// Guards against a request that crashes every upstream that runs it and whose caller retries
@@ -250,8 +207,13 @@
     }
 
     /// Evaluates the crashes. Contents that were quarantined before and no longer explain any
-    /// crash are released.
-    pub fn findings(&mut self, now: MonoTime) -> Findings {
+    /// crash are released. `announced` gives the time at which all instances were told that a content
+    /// is suspected, by this instance or another one.
+    pub fn findings(
+        &mut self,
+        now: MonoTime,
+        announced: impl Fn(Content) -> Option<MonoTime>,
+    ) -> Findings {
         while self
             .crashes
             .front()
@@ -269,7 +231,8 @@
         self.suspected
             .retain(|content, _| suspects.contains(content));
         for content in suspects {
-            self.suspected.entry(content).or_insert(now);
+            let since = self.suspected.entry(content);
+            since.or_insert_with(|| announced(content).unwrap_or(now));
         }
         for service in &services {
             self.explain_crashes_of(now, service, &mut findings);
@@ -287,6 +250,12 @@
         findings
     }
 
+    /// Forgets since when contents are suspected: another instance decides, so that nobody may have
+    /// been asked for sound runs of them.
+    pub fn forget_suspicions(&mut self) {
+        self.suspected.clear();
+    }
+
     /// The crashes of a service that instances have had time to report.
     fn reported_crashes(&self, now: MonoTime, service: &str) -> Vec<&KnownCrash> {
         let crashes = self.crashes.iter().filter(|k| k.service == service);
--- /dev/null
+++ b/crates/serving/src/findings.rs
@@ -0,0 +1,53 @@
+//! What the crashes of upstreams say about the contents that were present.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use jd_types::MonoTime;
+
+use crate::Content;
+use crate::content_evidence::Evidence;
+
+/// The result of evaluating the crashes of upstreams.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub struct Findings {
+    /// Contents that may have crashed upstreams.
+    pub suspected: Vec<Finding>,
+    /// Contents that have crashed upstreams.
+    pub quarantined: Vec<Finding>,
+    /// Contents that were quarantined and turned out not to have crashed upstreams.
+    pub released: Vec<Content>,
+}
+
+impl Findings {
+    /// Adds contents that may have crashed upstreams, each once.
+    pub(crate) fn add_suspects(
+        &mut self,
+        suspects: impl Iterator<Item = Content>,
+        evidence: &HashMap<Content, Evidence>,
+    ) {
+        for suspect in suspects {
+            let is_new = self.suspected.iter().all(|f| f.content != suspect);
+            if let Some(item) = evidence.get(&suspect).filter(|_| is_new) {
+                self.suspected.push(item.finding(suspect));
+            }
+        }
+    }
+}
+
+/// A content with the evidence against it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Finding {
+    /// The request, or the part of prompts.
+    pub content: Content,
+    /// True for a part of prompts.
+    pub is_part: bool,
+    /// Upstream crashes with it.
+    pub crashes: usize,
+    /// How many of these came after an answer to it had begun.
+    pub answered: usize,
+    /// The longest time to such a crash from the beginning of an answer, or else from sending.
+    pub longest_run: Duration,
+    /// The time of the last such crash.
+    pub last_crash: MonoTime,
+}
--- a/crates/serving/tests/crash_evidence.rs
+++ b/crates/serving/tests/crash_evidence.rs
@@ -65,7 +65,7 @@
         while let Some(crash) = crashes.next_if(|e| e.at <= at(ms)) {
             evidence.record_crash(at(ms), crash);
         }
-        last = evidence.findings(at(ms));
+        last = evidence.findings(at(ms), |_| None);
         for found in &last.quarantined {
             let number = found.content.number();
             if !first.iter().any(|(_, n)| *n == number) {
@@ -226,10 +226,13 @@
     evidence.record_crash(at(4_600), crash(4, 4_600, &[(BAD, 4_550)]));
     let mut released = Vec::new();
     for ms in (4_600..7_000).step_by(100) {
-        released.extend(evidence.findings(at(ms)).released);
+        released.extend(evidence.findings(at(ms), |_| None).released);
     }
     assert_eq!(released, [Content::from_number(OTHER)]);
-    assert_eq!(numbers(&evidence.findings(at(7_000)).quarantined), [BAD]);
+    assert_eq!(
+        numbers(&evidence.findings(at(7_000), |_| None).quarantined),
+        [BAD]
+    );
 }
 
 /// Two requests crash different upstreams. Both are found.
@@ -271,7 +274,7 @@
     let (last, _) = evaluate_from(&mut evidence, crashes.collect(), 0, 4_000);
     assert_eq!(numbers(&last.quarantined), [OTHER]);
     evidence.discard_listed(at(12_000), MonoTime::ZERO, |_, _| true);
-    let findings = evidence.findings(at(12_000));
+    let findings = evidence.findings(at(12_000), |_| None);
     assert_eq!(findings.quarantined, []);
     assert_eq!(findings.released, [Content::from_number(OTHER)]);
 }
@@ -287,7 +290,7 @@
     let returned = at(15_000);
     evidence.discard_listed(at(15_100), returned, |_, _| true);
     evidence.discard_listed(at(24_000), returned, |_, _| false);
-    let findings = evidence.findings(at(24_000));
+    let findings = evidence.findings(at(24_000), |_| None);
     assert_eq!(numbers(&findings.quarantined), [BAD]);
     assert_eq!(findings.released, []);
 }
@@ -304,7 +307,7 @@
         let crash = crash(n, ms, &[(100 + n, ms - 60), (OTHER, ms - 300)]);
         evidence.record_crash(at(ms), crash);
         for later in (ms..ms + 1_500).step_by(100) {
-            let findings = evidence.findings(at(later));
+            let findings = evidence.findings(at(later), |_| None);
             quarantined.extend(numbers(&findings.quarantined));
             if numbers(&findings.suspected).contains(&OTHER) {
                 evidence.record_sound_run(&completed("pool", OTHER, later));
@@ -322,7 +325,7 @@
     evaluate_from(&mut evidence, crashes.collect(), 0, 4_000);
     let later = 700_000;
     evidence.record_crash(at(later), crash(9, later, &[(BAD, later - 80)]));
-    let findings = evidence.findings(at(later + 300));
+    let findings = evidence.findings(at(later + 300), |_| None);
     assert_eq!(numbers(&findings.quarantined), [BAD]);
 }
 
@@ -337,6 +340,6 @@
     for n in 10..2_000 {
         let ms = 4_000 + n * 10;
         evidence.record_crash(at(ms), crash(n, ms, &[(1_000 + n, ms - 5)]));
-        assert_eq!(evidence.findings(at(ms)).released, []);
+        assert_eq!(evidence.findings(at(ms), |_| None).released, []);
     }
 }
--- a/crates/serving/tests/part_evidence/replay.rs
+++ b/crates/serving/tests/part_evidence/replay.rs
@@ -78,7 +78,7 @@
     pub(crate) fn advance(&mut self, until: u64) {
         while self.now < until {
             self.now += 50;
-            let findings = self.evidence.findings(at(self.now));
+            let findings = self.evidence.findings(at(self.now), |_| None);
             self.held = findings.quarantined.iter().map(|f| f.content).collect();
             for content in &self.held {
                 if !self.found.iter().any(|(_, c)| c == content) {
