A request's own parts are no rivals: it is found at its third end, not the fourth

Callers' requests with a part that no other request has sound runs of ended a fourth upstream. Whichever of the two is the cause, the request ends upstreams: to hold it is right. What a request includes is no rival of it now, as the part among all customers was none of a customer's before.

--- a/crates/serving/src/content_evidence.rs
+++ b/crates/serving/src/content_evidence.rs
@@ -1,12 +1,14 @@
 //! The evidence that crashes of upstreams give against the contents that were present.
 
 use std::collections::HashMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use jd_types::MonoTime;
 
 use crate::Content;
 use crate::Finding;
+use crate::PartContent;
 use crate::upstream_crash::KnownCrash;
 use crate::upstream_crash::Presence;
 
@@ -23,6 +25,7 @@
     pub(crate) longest_run: Duration,
     pub(crate) position: usize,
     pub(crate) of_all: Option<Content>,
+    pub(crate) own_parts: Arc<[PartContent]>,
 }
 
 impl Evidence {
@@ -42,6 +45,14 @@
         self.longest_run = self.longest_run.max(crashed_at.since(began));
         self.position = presence.position;
         self.of_all = presence.of_all;
+        self.own_parts = Arc::clone(&presence.own_parts);
+    }
+
+    /// True if all runs of this content have another one: a part of its prompt, or the same part
+    /// among all customers. If the other one crashes upstreams, so does this one.
+    fn includes(&self, other: Content) -> bool {
+        let is_part = |p: &PartContent| p.of_customer == other || p.of_all == other;
+        self.of_all == Some(other) || self.own_parts.iter().any(is_part)
     }
 
     pub(crate) fn is_part(&self) -> bool {
@@ -60,8 +71,8 @@
     }
 }
 
-/// The contents that were present as often as this one, and whenever it was. The same part among all
-/// customers is no rival of a customer's.
+/// The contents that were present as often as this one, and whenever it was. What this one includes
+/// is no rival: it is right to hold this one whichever of the two is the cause.
 pub(crate) fn rivals(
     crashes: &[&KnownCrash],
     evidence: &HashMap<Content, Evidence>,
@@ -69,7 +80,7 @@
     item: &Evidence,
 ) -> Vec<Content> {
     let others = evidence.iter().filter(|(other, c)| {
-        c.crashes == item.crashes && **other != content && Some(**other) != item.of_all
+        c.crashes == item.crashes && **other != content && !item.includes(**other)
     });
     let rivals = others.filter(|(other, _)| is_always_with(crashes, **other, content));
     rivals.map(|(other, _)| *other).collect()
--- a/crates/serving/src/upstream_crash.rs
+++ b/crates/serving/src/upstream_crash.rs
@@ -1,12 +1,14 @@
 //! The crash of an upstream, and the contents that may have caused it.
 
 use std::collections::HashMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use compact_str::CompactString;
 use jd_types::MonoTime;
 
 use crate::Content;
+use crate::PartContent;
 use crate::RunContents;
 use crate::UpstreamStart;
 
@@ -45,7 +47,7 @@
 }
 
 /// One content that was present at a crash, from all its runs there.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub(crate) struct Presence {
     /// When the earliest of these runs was sent.
     pub(crate) began: MonoTime,
@@ -55,6 +57,8 @@
     pub(crate) position: usize,
     /// The same part of a prompt among all customers, for one that counts for a customer.
     pub(crate) of_all: Option<Content>,
+    /// The parts of a request's prompt; none for a part.
+    pub(crate) own_parts: Arc<[PartContent]>,
 }
 
 impl Presence {
@@ -93,6 +97,10 @@
                 answered: run.answered,
                 position,
                 of_all: of_all.map(|part| part.of_all),
+                own_parts: match position {
+                    0 => Arc::clone(&run.contents.parts),
+                    _ => Arc::default(),
+                },
             },
         );
     }
--- a/crates/serving/tests/part_evidence/main.rs
+++ b/crates/serving/tests/part_evidence/main.rs
@@ -320,3 +320,20 @@
     replay.advance(4_000 + KNOWN_WITHIN - 500);
     assert_eq!(replay.held, [part("a", BAD).of_customer]);
 }
+
+/// Guards against a request that crashes a fourth upstream because a part that only its own prompt has
+/// was always there with it.
+#[test]
+fn a_request_is_found_after_three_crashes_though_a_part_is_always_with_it() {
+    let mut replay = Replay::default();
+    replay.sound("b", &[1], 500);
+    for n in 0..3 {
+        let bad = Run {
+            request: Some(7),
+            ..fresh(&[1, 5])
+        };
+        replay.crash(1_000 + n * 800, &[bad]);
+    }
+    replay.advance(4_500);
+    assert_eq!(replay.held, [jd_serving::Content::from_number(7)]);
+}
