The end of an upstream is looked for until it is known

Callers' requests ended upstream after upstream, and not one line said so, where an upstream's address still accepted connections 30 ms after they broke: one probe, then one second of the list, while the entry stays for a lease of 3.6 s. The upstream was taken for running, and its runs were forgotten.

One that has answered a run sent since is running: no further connections, and the list for one second, as before. No path elsewhere says nothing (it said running), also for addresses that close connections. One search an upstream at a time takes all runs that break with it; what is sent to it meanwhile and has no answer is no evidence. An upstream that is marked as leaving has left; an entry that goes unmarked, without an answer since, has lapsed. The line has searched_ms.

A refusal, as in a loss of a zone, costs one as before.

--- a/crates/gateway/src/active_attempt.rs
+++ b/crates/gateway/src/active_attempt.rs
@@ -123,6 +123,9 @@
     /// Records that the head of a response to the request arrived.
     pub(crate) fn record_head(&mut self) {
         self.head_at = Some(self.state.now());
+        if let Some(chosen) = &self.chosen {
+            chosen.upstream.record_answer(self.began);
+        }
     }
 
     /// Records that the response ended without an error. The run then was sound if the upstream
--- a/crates/gateway/src/batch_calls.rs
+++ b/crates/gateway/src/batch_calls.rs
@@ -55,6 +55,10 @@
     fn record_runs(&self, call: &BatchCall, result: &CallResult, began: MonoTime) {
         let quarantine = &self.state.quarantine;
         let now = self.state.now();
+        if let CallResult::Answered(_) = result {
+            let upstreams = self.state.upstreams.load();
+            upstreams.record_answer(&call.upstream, began);
+        }
         let contents: BTreeSet<Content> = call.pieces.iter().map(|p| p.content).collect();
         for content in contents {
             let contents = RunContents::of_request(content);
--- a/crates/gateway/src/crash_reporter.rs
+++ b/crates/gateway/src/crash_reporter.rs
@@ -11,8 +11,13 @@
 use jd_net::ProbeResult;
 use jd_net::lock;
 use jd_serving::BrokenRun;
+use jd_serving::ConnectionSign;
 use jd_serving::Content;
+use jd_serving::EndSearch;
+use jd_serving::EndSearchStep;
+use jd_serving::ListedAs;
 use jd_serving::UpstreamCrash;
+use jd_serving::UpstreamFate;
 use jd_types::MonoTime;
 
 use crate::path_checker::OwnPath;
@@ -25,16 +30,15 @@
 /// How long broken runs of one upstream are collected before it is checked. Its
 /// connections break within a few milliseconds of each other.
 const COLLECT_FOR: Duration = Duration::from_millis(30);
-/// Interval between checks whether an upstream that answers has restarted.
-const RECHECK_INTERVAL: Duration = Duration::from_millis(200);
-/// How long these checks go on. A process that is restarted at once is listed again
-/// within a second; an upstream that crashes later than that did not crash from the runs
-/// that broke before.
-const RECHECK_FOR: Duration = Duration::from_secs(1);
+/// How long a connection has to stay open: a process that listens and is able to serve waits for a
+/// request.
+const OPEN_FOR: Duration = Duration::from_millis(50);
 /// Time over which instances spread their reports of sound runs, for each instance of the fleet.
 const REPORT_SPREAD: Duration = Duration::from_millis(1);
 /// The longest such time: a third of the time that the coordinators wait for these reports.
 const MAX_REPORT_SPREAD: Duration = Duration::from_millis(400);
+/// Most searches at a time for the end of one upstream, each after other runs that broke.
+const MAX_SEARCHES: usize = 8;
 /// Most broken runs in a report on one crash.
 const MAX_RUNS_PER_REPORT: usize = 128;
 /// Most contents of broken runs in a report.
@@ -44,9 +48,10 @@
 /// Most parts of prompts that a log line names.
 const MAX_PARTS_PER_LINE: usize = 32;
 
-/// Runs at one upstream that are not known to be complete.
+/// Runs at one upstream that are not known to be complete, while it is looked for its end.
 #[derive(Debug)]
 struct BrokenRuns {
+    /// When the first of them broke.
     at: MonoTime,
     /// Runs whose connections broke.
     broken: Vec<BrokenRun>,
@@ -71,7 +76,8 @@
 pub(crate) struct CrashReporter {
     state: Arc<State>,
     sender: Arc<ReportSender>,
-    broken: Mutex<HashMap<UpstreamRef, BrokenRuns>>,
+    /// Those of each search, by upstream, oldest first.
+    searched: Mutex<HashMap<UpstreamRef, Vec<BrokenRuns>>>,
 }
 
 impl CrashReporter {
@@ -79,7 +85,7 @@
         CrashReporter {
             state,
             sender,
-            broken: Mutex::default(),
+            searched: Mutex::default(),
         }
     }
 
@@ -123,10 +129,17 @@
         run: BrokenRun,
         end: RunEnd,
     ) {
-        let mut broken = lock(&self.broken);
-        if let Some(known) = broken.get_mut(&upstream) {
-            known.add(run, end);
-            return;
+        let mut searched = lock(&self.searched);
+        let searches = searched.entry(upstream.clone()).or_default();
+        let upstreams = self.state.upstreams.load();
+        let is_full = searches.len() >= MAX_SEARCHES;
+        match searches.last_mut() {
+            Some(last) if upstreams.has_answered_since(&upstream.id, last.at) && !is_full => {}
+            Some(last) if run.began <= last.at => return last.add(run, end),
+            // A connection to an ended upstream that still accepts some: nothing ran.
+            Some(_) if run.answered.is_none() && at.since(run.began) < OPEN_FOR => return,
+            Some(_) if is_full => return,
+            Some(_) | None => {}
         }
         let mut runs = BrokenRuns {
             at,
@@ -134,38 +147,65 @@
             unmarked: Vec::new(),
         };
         runs.add(run, end);
-        broken.insert(upstream.clone(), runs);
-        let investigating = Arc::clone(self).investigate(upstream);
-        self.state.executor.spawn(investigating).detach();
+        searches.push(runs);
+        let searching = Arc::clone(self).search(upstream, at);
+        self.state.executor.spawn(searching).detach();
     }
 
     /// Finds out whether an upstream at which runs broke has crashed, and reports it.
     ///
-    /// Most broken connections leave the upstream running. It has crashed if its address
-    /// refuses connections, or if a later start of it is known. If it is running, the runs
-    /// whose answers ended in order were sound.
-    async fn investigate(self: Arc<Self>, upstream: UpstreamRef) {
+    /// Most broken connections leave the upstream running. If it is running, the runs whose
+    /// answers ended in order were sound.
+    async fn search(self: Arc<Self>, upstream: UpstreamRef, at: MonoTime) {
         Timer::after(COLLECT_FOR).await;
-        // Runs that break from now on start a check of their own.
-        let Some(runs) = lock(&self.broken).remove(&upstream) else {
-            return;
-        };
-        let until = self.state.now() + RECHECK_FOR;
-        let mut status = self.check(&upstream).await;
-        while status == UpstreamStatus::Running && self.state.now() < until {
-            Timer::after(RECHECK_INTERVAL).await;
-            status = self.check_entry(&upstream);
-            if status == UpstreamStatus::Unlisted {
-                // It may have left and still be finishing its requests.
-                status = self.check(&upstream).await;
+        let mut search = EndSearch::new(at);
+        let fate = loop {
+            let now = self.state.now();
+            let is_broken = self.is_broken(&upstream, at);
+            let has_answered = {
+                let upstreams = self.state.upstreams.load();
+                upstreams.has_answered_since(&upstream.id, at)
+            };
+            match search.step(now, self.listed(&upstream), has_answered, is_broken) {
+                EndSearchStep::Over(fate) => break fate,
+                EndSearchStep::Wait(pause) => {
+                    Timer::after(pause).await;
+                }
+                EndSearchStep::Connect => {
+                    let sign = self.connect(&upstream).await;
+                    search.record_connection(self.state.now(), sign);
+                }
             }
+        };
+        if let Some(runs) = self.take_searched(&upstream, at) {
+            self.handle_fate(upstream, fate, runs);
         }
+    }
+
+    fn is_broken(&self, upstream: &UpstreamRef, at: MonoTime) -> bool {
+        let searched = lock(&self.searched);
+        let mut searches = searched.get(upstream).into_iter().flatten();
+        searches.any(|s| s.at == at && !s.broken.is_empty())
+    }
+
+    fn take_searched(&self, upstream: &UpstreamRef, at: MonoTime) -> Option<BrokenRuns> {
+        let mut searched = lock(&self.searched);
+        let searches = searched.get_mut(upstream)?;
+        let index = searches.iter().position(|s| s.at == at)?;
+        let runs = searches.remove(index);
+        if searches.is_empty() {
+            searched.remove(upstream);
+        }
+        Some(runs)
+    }
+
+    fn handle_fate(&self, upstream: UpstreamRef, fate: UpstreamFate, runs: BrokenRuns) {
         let BrokenRuns {
             at,
             broken,
             unmarked,
         } = runs;
-        if status != UpstreamStatus::Ended {
+        if fate != UpstreamFate::Ended {
             for run in &unmarked {
                 let now = self.state.now();
                 let began = run.answered.unwrap_or(at);
@@ -173,13 +213,13 @@
                 quarantine.record_sound(now, &upstream.service, &run.contents, began);
             }
             if !broken.is_empty() {
-                self.log_broken(&upstream, status, at, &broken);
+                self.log_broken(&upstream, fate, at, &broken);
             }
             return;
         }
         let mut runs = broken;
         runs.extend(unmarked);
-        self.log_broken(&upstream, status, at, &runs);
+        self.log_broken(&upstream, fate, at, &runs);
         self.report_crash(UpstreamCrash {
             service: upstream.service,
             upstream: upstream.id,
@@ -192,11 +232,11 @@
     fn log_broken(
         &self,
         upstream: &UpstreamRef,
-        status: UpstreamStatus,
+        fate: UpstreamFate,
         at: MonoTime,
         runs: &[BrokenRun],
     ) {
-        self.state.metrics.broken_runs(status.as_str(), runs.len());
+        self.state.metrics.broken_runs(fate.as_str(), runs.len());
         let requests = runs.iter().map(|r| r.contents.request.to_string());
         let answered_ms = |r: &BrokenRun| match r.answered {
             Some(answered) => at.since(answered).as_millis().to_string(),
@@ -214,7 +254,8 @@
             contents = named(MAX_RUNS_PER_LINE, requests).as_str(),
             answered_ms = named(MAX_RUNS_PER_LINE, runs.iter().map(answered_ms)).as_str(),
             parts = named(MAX_PARTS_PER_LINE, parts.iter().map(Content::to_string)).as_str(),
-            outcome = status.as_str();
+            searched_ms = self.state.now().since(at).as_millis() as u64,
+            outcome = fate.as_str();
             "runs broke at an upstream"
         );
     }
@@ -231,51 +272,34 @@
         self.sender.send_crash(crash);
     }
 
-    async fn check(&self, upstream: &UpstreamRef) -> UpstreamStatus {
-        if self.check_entry(upstream) == UpstreamStatus::Ended {
-            return UpstreamStatus::Ended;
-        }
-        match self.state.upstream_client.probe(upstream.address).await {
+    /// Opens a connection to an upstream.
+    async fn connect(&self, upstream: &UpstreamRef) -> ConnectionSign {
+        let (state, address) = (&self.state, upstream.address);
+        match state.upstream_client.probe_for(address, OPEN_FOR).await {
+            ProbeResult::Open => ConnectionSign::Open,
             // Without a path to the upstreams, all of them refuse connections.
-            ProbeResult::Refused => {
-                match OwnPath::connects_elsewhere(&self.state, upstream.address).await {
-                    true => UpstreamStatus::Ended,
-                    false => UpstreamStatus::Running,
-                }
+            ProbeResult::Refused if OwnPath::connects_elsewhere(state, address).await => {
+                ConnectionSign::Refused
+            }
+            ProbeResult::Closed
+                if OwnPath::stays_connected_elsewhere(state, address, OPEN_FOR).await =>
+            {
+                ConnectionSign::Closed
+            }
+            ProbeResult::Refused | ProbeResult::Closed | ProbeResult::TimedOut => {
+                ConnectionSign::Unknown
             }
-            ProbeResult::Open | ProbeResult::TimedOut => UpstreamStatus::Running,
         }
     }
 
-    /// Checks the list of upstreams alone.
-    fn check_entry(&self, upstream: &UpstreamRef) -> UpstreamStatus {
+    fn listed(&self, upstream: &UpstreamRef) -> ListedAs {
         let table = self.state.upstreams.load();
         match table.start_of(&upstream.id) {
-            Some(now) if now.is_later_than(upstream.start) => UpstreamStatus::Ended,
-            Some(_) => UpstreamStatus::Running,
-            None if table.serves_at(&upstream.service, upstream.address) => UpstreamStatus::Ended,
-            None => UpstreamStatus::Unlisted,
-        }
-    }
-}
-
-/// Result of checking an upstream.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum UpstreamStatus {
-    /// Its process has ended.
-    Ended,
-    /// It is running, or its state is unknown.
-    Running,
-    /// It is no longer listed.
-    Unlisted,
-}
-
-impl UpstreamStatus {
-    const fn as_str(self) -> &'static str {
-        match self {
-            UpstreamStatus::Ended => "ended",
-            UpstreamStatus::Running => "there",
-            UpstreamStatus::Unlisted => "unlisted",
+            Some(now) if now.is_later_than(upstream.start) => ListedAs::Replaced,
+            Some(_) => ListedAs::Same,
+            None if table.serves_at(&upstream.service, upstream.address) => ListedAs::Replaced,
+            None if self.state.cluster().upstreams.is_leaving(&upstream.id) => ListedAs::Leaving,
+            None => ListedAs::Missing,
         }
     }
 }
--- a/crates/gateway/src/path_checker.rs
+++ b/crates/gateway/src/path_checker.rs
@@ -82,11 +82,25 @@
         let mut others = state.upstreams.load().sample_addresses(PROBES, &[failed]);
         others.retain(|address| *address != failed);
         let probes: Vec<Task<bool>> = others.iter().map(|a| probe(state, *a)).collect();
-        let mut connects = probes.is_empty();
-        for probe in probes {
-            connects |= probe.await;
-        }
-        connects
+        any_of(probes).await
+    }
+
+    /// The same for connections that stay open for this long.
+    pub(crate) async fn stays_connected_elsewhere(
+        state: &Arc<State>,
+        closed: SocketAddr,
+        time: Duration,
+    ) -> bool {
+        let mut others = state.upstreams.load().sample_addresses(PROBES, &[closed]);
+        others.retain(|address| *address != closed);
+        let probes = others.into_iter().map(|address| {
+            let prober = Arc::clone(state);
+            state.executor.spawn(async move {
+                let probing = prober.upstream_client.probe_for(address, time);
+                probing.await == ProbeResult::Open
+            })
+        });
+        any_of(probes.collect()).await
     }
 
     /// Checks the path whenever connections fail, and while it is lost. Never returns.
@@ -150,6 +164,15 @@
     }
 }
 
+/// True if any of these connections succeeds, or if there are none.
+async fn any_of(probes: Vec<Task<bool>>) -> bool {
+    let mut connects = probes.is_empty();
+    for probe in probes {
+        connects |= probe.await;
+    }
+    connects
+}
+
 /// Connects to an upstream; true if that succeeds.
 fn probe(state: &Arc<State>, address: SocketAddr) -> Task<bool> {
     let prober = Arc::clone(state);
--- a/crates/gateway/src/upstream_client.rs
+++ b/crates/gateway/src/upstream_client.rs
@@ -214,6 +214,11 @@
     pub(crate) async fn probe(&self, address: SocketAddr) -> ProbeResult {
         self.pool.probe(address).await
     }
+
+    /// The same, and whether the connection stays open for this long.
+    pub(crate) async fn probe_for(&self, address: SocketAddr, time: Duration) -> ProbeResult {
+        self.pool.probe_for(address, time).await
+    }
 }
 
 impl SendPermit {
--- a/crates/gateway/src/upstream_table.rs
+++ b/crates/gateway/src/upstream_table.rs
@@ -164,6 +164,19 @@
         self.by_id.get(id).map(|record| record.upstream.address)
     }
 
+    /// Records that an upstream answered a request that was sent at this time.
+    pub(crate) fn record_answer(&self, id: &str, sent_at: MonoTime) {
+        if let Some(record) = self.by_id.get(id) {
+            record.upstream.record_answer(sent_at);
+        }
+    }
+
+    /// True if an upstream has answered a request that was sent later than this.
+    pub(crate) fn has_answered_since(&self, id: &str, time: MonoTime) -> bool {
+        let record = self.by_id.get(id);
+        record.is_some_and(|r| r.upstream.has_answered_since(time))
+    }
+
     /// The start of an upstream that is listed and not shutting down.
     pub(crate) fn start_of(&self, id: &str) -> Option<UpstreamStart> {
         self.by_id.get(id).map(|record| record.start)
--- a/crates/net/src/http_pool.rs
+++ b/crates/net/src/http_pool.rs
@@ -10,6 +10,7 @@
 
 use async_executor::Executor;
 use async_executor::Task;
+use futures_lite::AsyncReadExt;
 use http::Request;
 use http::StatusCode;
 use hyper::client::conn::http1;
@@ -259,6 +260,20 @@
         }
     }
 
+    /// The same, and whether the connection stays open for this long.
+    pub async fn probe_for(&self, address: SocketAddr, time: Duration) -> ProbeResult {
+        let opening = self.connector.connect(address);
+        let mut connection = match with_timeout(CONNECT_TIMEOUT, opening).await {
+            Some(Ok(connection)) => connection,
+            Some(Err(_)) => return ProbeResult::Refused,
+            None => return ProbeResult::TimedOut,
+        };
+        match with_timeout(time, connection.read(&mut [0])).await {
+            Some(Ok(0) | Err(_)) => ProbeResult::Closed,
+            Some(Ok(_)) | None => ProbeResult::Open,
+        }
+    }
+
     /// Sends a request like [`HttpPool::send`], but only while `may_send` returns true.
     ///
     /// `may_send` is called each time the request is about to be written to an open
@@ -390,6 +405,8 @@
 pub enum ProbeResult {
     /// The connection was opened.
     Open,
+    /// The connection was opened and closed at once.
+    Closed,
     /// The connection was refused, so no process listens at the address.
     Refused,
     /// There was no reply within the timeout.
--- a/crates/policy/src/upstream.rs
+++ b/crates/policy/src/upstream.rs
@@ -51,6 +51,7 @@
     ejected_until: AtomicU64,
     peer_in_flight: AtomicU32,
     peer_load_received: AtomicU64,
+    answered_sent_at: AtomicU64,
     latency: LatencyEstimate,
 }
 
@@ -71,6 +72,7 @@
             ejected_until: AtomicU64::new(0),
             peer_in_flight: AtomicU32::new(0),
             peer_load_received: AtomicU64::new(0),
+            answered_sent_at: AtomicU64::new(0),
             latency: LatencyEstimate::default(),
         }
     }
@@ -106,6 +108,17 @@
             .store(report.received.as_micros(), Ordering::Relaxed);
     }
 
+    /// Records that it answered a request that was sent at this time.
+    pub fn record_answer(&self, sent_at: MonoTime) {
+        let sent_at = sent_at.as_micros();
+        self.answered_sent_at.fetch_max(sent_at, Ordering::Relaxed);
+    }
+
+    /// True if it has answered a request that was sent later than this.
+    pub fn has_answered_since(&self, time: MonoTime) -> bool {
+        self.answered_sent_at.load(Ordering::Relaxed) > time.as_micros()
+    }
+
     /// Records the end of an attempt.
     pub fn attempt_finished(&self, now: MonoTime, latency: Duration, outcome: AttemptOutcome) {
         let decrement = |n: u32| n.checked_sub(1);
--- a/crates/serving/src/upstream_directory.rs
+++ b/crates/serving/src/upstream_directory.rs
@@ -258,6 +258,11 @@
         true
     }
 
+    /// True if an upstream in use is leaving.
+    pub fn is_leaving(&self, id: &str) -> bool {
+        self.known.get(id).is_some_and(|k| k.entry.leaving)
+    }
+
     /// All upstreams in use.
     pub fn entries(&self) -> impl Iterator<Item = ListedUpstream<'_>> {
         let known = self.known.values().inspect(|_| self.visits.add(1));
