Runs whose caller left, or whose answer ended just before the end of its upstream, are evidence

A dropped attempt told nothing; the end of a whole answer counted as a sound run at that very moment; a comment counted as the beginning of an answer.

Such a run is now looked at 150 ms after its end: the upstream goes on if a connection to it is open that it has not closed, or if it has answered a run sent since, which costs nothing. Otherwise its end is looked for, for a second. Only a run whose answer had begun less than 300 ms before is looked at (PROMPT_CRASH): a longer whole one is sound, a longer one that its caller left says nothing. Comments are no beginning. The lapse of an entry alone is no evidence against such runs: at a loss of power no connection breaks, and callers leave.

The time that counts is the middle of the span now, and long answers are left out.

Undecided, and in the design: a caller that leaves later than 300 ms after the answer began, and pieces of stages.

--- a/crates/gateway/src/active_attempt.rs
+++ b/crates/gateway/src/active_attempt.rs
@@ -2,6 +2,8 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use async_io::Timer;
@@ -13,6 +15,7 @@
 use jd_serving::BrokenRun;
 use jd_serving::EventSplitter;
 use jd_serving::OutOfOrder;
+use jd_serving::PROMPT_CRASH;
 use jd_serving::RunContents;
 use jd_serving::SAFE_AFTER;
 use jd_serving::SoftwareVersion;
@@ -57,6 +60,8 @@
     first_part: Option<MonoTime>,
     /// Observes the upstream; none if its pace is not tracked.
     pace: Option<StreamPace>,
+    /// True once the request was written to the upstream.
+    is_sent: AtomicBool,
     completed: bool,
     finished: bool,
 }
@@ -87,6 +92,7 @@
             head_at: None,
             first_part: None,
             pace: state.paces.begin_stream(now, request, &chosen, resumes),
+            is_sent: AtomicBool::new(false),
             completed: false,
             chosen: Some(chosen),
             finished: false,
@@ -115,11 +121,17 @@
             head_at: None,
             first_part: None,
             pace: None,
+            is_sent: AtomicBool::new(false),
             completed: true,
             finished: false,
         }
     }
 
+    /// Records that the request is written to the upstream.
+    pub(crate) fn record_written(&self) {
+        self.is_sent.store(true, Ordering::Relaxed);
+    }
+
     /// Records that the head of a response to the request arrived.
     pub(crate) fn record_head(&mut self) {
         self.head_at = Some(self.state.now());
@@ -128,18 +140,27 @@
         }
     }
 
-    /// Records that the response ended without an error. The run then was sound if the upstream
-    /// has run the request and the end of the response is marked: a crash may end an unmarked one
-    /// in order.
+    /// Records that the response ended without an error. The run is sound if it succeeded and the
+    /// upstream goes on: a crash may end an answer without a mark of its end in order, or follow
+    /// right after it.
     pub(crate) fn record_end(&mut self, status: StatusCode, framing: BodyFraming) {
         match status.is_success() {
-            true if framing.marks_end() => self.record_sound(),
-            true => self.report_run(RunEnd::Unmarked),
-            false => {}
+            true if !framing.marks_end() => self.report_run(RunEnd::Unmarked),
+            true if self.has_outlived_prompt_crash() => self.record_sound(),
+            true => self.report_run(RunEnd::Whole),
+            false if self.has_outlived_prompt_crash() => {}
+            false => self.report_run(RunEnd::Failed),
         }
         self.completed = true;
     }
 
+    /// True if the answer began so long ago that the upstream would have crashed from it.
+    fn has_outlived_prompt_crash(&self) -> bool {
+        let now = self.state.now();
+        self.answered()
+            .is_some_and(|at| now.since(at) >= PROMPT_CRASH)
+    }
+
     /// Records that the upstream outlived the beginning of the answer, so that the contents of
     /// the run are not suspected of crashing upstreams.
     fn record_sound(&mut self) {
@@ -163,16 +184,21 @@
         }
     }
 
-    /// Records that a part of the response body with these complete events arrived.
+    /// Records that a part of the response body with these complete events arrived. Comments alone
+    /// may come before the upstream has begun to work on the request.
     pub(crate) fn record_progress(&mut self, events: &[u8]) {
         let now = self.state.now();
+        let count = EventSplitter::count_events(events);
         if let Some(pace) = &mut self.pace
-            && let Some(first) = pace.record_part(now, EventSplitter::count_events(events))
+            && let Some(first) = pace.record_part(now, count)
         {
             self.state
                 .paces
                 .record_first_event(now, &self.service, first);
         }
+        if count == 0 {
+            return;
+        }
         let first = *self.first_part.get_or_insert(now);
         if now.since(first) >= SAFE_AFTER {
             self.record_sound();
@@ -201,7 +227,7 @@
                 began: self.began,
                 answered: self.answered(),
             };
-            self.state.report_broken_run(upstream, run, end);
+            self.state.report_run(upstream, run, end);
         }
     }
 
@@ -325,6 +351,10 @@
 
 impl Drop for ActiveAttempt {
     fn drop(&mut self) {
+        let is_sent = self.is_sent.load(Ordering::Relaxed);
+        if is_sent && !self.finished && !self.has_outlived_prompt_crash() {
+            self.report_run(RunEnd::Left);
+        }
         self.finish(AttemptOutcome::Cancelled);
     }
 }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -174,6 +174,7 @@
     let on_write = |req: &mut Request<Body>| {
         let left = request.time_left(state.now());
         state.dialect.write_time_left(req.headers_mut(), left);
+        attempt.record_written();
         on_write();
     };
     let sending = async { Some(client.send(state, permit, req, timeout, on_write).await) };
--- a/crates/gateway/src/batch_calls.rs
+++ b/crates/gateway/src/batch_calls.rs
@@ -73,7 +73,7 @@
                         answered: None,
                     };
                     self.state
-                        .report_broken_run(upstream_ref(call), run, RunEnd::Broken);
+                        .report_run(upstream_ref(call), run, RunEnd::Broken);
                 }
                 CallResult::Full
                 | CallResult::Withheld(_)
--- a/crates/gateway/src/crash_reporter.rs
+++ b/crates/gateway/src/crash_reporter.rs
@@ -22,6 +22,7 @@
 
 use crate::path_checker::OwnPath;
 use crate::report_sender::ReportSender;
+use crate::run_events::EndedRun;
 use crate::run_events::RunEnd;
 use crate::run_events::RunEvent;
 use crate::run_events::UpstreamRef;
@@ -30,6 +31,9 @@
 /// How long broken runs of one upstream are collected before it is checked. Its
 /// connections break within a few milliseconds of each other.
 const COLLECT_FOR: Duration = Duration::from_millis(30);
+/// How long after a run that ended in order, or whose caller left, its upstream is looked at: the time
+/// from a request to the crash that it causes, and to the end of the upstream's connections.
+const SETTLE_FOR: Duration = Duration::from_millis(150);
 /// How long a connection has to stay open: a process that listens and is able to serve waits for a
 /// request.
 const OPEN_FOR: Duration = Duration::from_millis(50);
@@ -48,22 +52,34 @@
 /// Most parts of prompts that a log line names.
 const MAX_PARTS_PER_LINE: usize = 32;
 
-/// Runs at one upstream that are not known to be complete, while it is looked for its end.
+/// Runs at one upstream that are not known to be sound, while it is looked for its end.
 #[derive(Debug)]
-struct BrokenRuns {
-    /// When the first of them broke.
+struct EndedRuns {
+    /// When the first of them ended.
     at: MonoTime,
     /// Runs whose connections broke.
     broken: Vec<BrokenRun>,
-    /// Runs whose answers ended in order, without a mark that they were complete.
-    unmarked: Vec<BrokenRun>,
+    /// Runs that are sound if the upstream goes on.
+    whole: Vec<BrokenRun>,
+    /// Runs of which nothing is known if the upstream goes on.
+    undecided: Vec<BrokenRun>,
 }
 
-impl BrokenRuns {
+impl EndedRuns {
+    fn new(at: MonoTime) -> EndedRuns {
+        EndedRuns {
+            at,
+            broken: Vec::new(),
+            whole: Vec::new(),
+            undecided: Vec::new(),
+        }
+    }
+
     fn add(&mut self, run: BrokenRun, end: RunEnd) {
         let runs = match end {
             RunEnd::Broken => &mut self.broken,
-            RunEnd::Unmarked => &mut self.unmarked,
+            RunEnd::Unmarked | RunEnd::Whole => &mut self.whole,
+            RunEnd::Failed | RunEnd::Left => &mut self.undecided,
         };
         if runs.len() < MAX_RUNS_PER_REPORT {
             runs.push(run);
@@ -77,7 +93,7 @@
     state: Arc<State>,
     sender: Arc<ReportSender>,
     /// Those of each search, by upstream, oldest first.
-    searched: Mutex<HashMap<UpstreamRef, Vec<BrokenRuns>>>,
+    searched: Mutex<HashMap<UpstreamRef, Vec<EndedRuns>>>,
 }
 
 impl CrashReporter {
@@ -94,12 +110,7 @@
         while let Some(event) = self.state.quarantine.run_events.next().await {
             match event {
                 RunEvent::Sound(run) => self.sender.send(vec![run]),
-                RunEvent::Broken {
-                    at,
-                    upstream,
-                    run,
-                    end,
-                } => self.add_broken_run(at, upstream, run, end),
+                RunEvent::Ended(ended) => self.add_ended_run(ended),
             }
         }
     }
@@ -122,30 +133,58 @@
         }
     }
 
-    fn add_broken_run(
-        self: &Arc<Self>,
-        at: MonoTime,
-        upstream: UpstreamRef,
-        run: BrokenRun,
-        end: RunEnd,
-    ) {
+    /// Handles runs that ended otherwise than by a broken connection, a moment after their ends,
+    /// forever. An upstream that crashes from them does so by then, and closes its connections.
+    pub(crate) async fn settle_runs(self: Arc<Self>) {
+        let state = &self.state;
+        while let Some(mut ended) = state.quarantine.settling.next().await {
+            let due = ended.at + SETTLE_FOR;
+            Timer::after(due.since(state.now())).await;
+            let EndedRun { upstream, at, .. } = &ended;
+            let has_answered = {
+                let upstreams = state.upstreams.load();
+                upstreams.has_answered_since(&upstream.id, *at)
+            };
+            if !has_answered && !state.upstream_client.is_connected(upstream.address) {
+                // The middle of the time in which it may have ended. Upstreams that end at one
+                // moment, as at a loss of power, then do so within the time that counts as one.
+                ended.at = ended.at + SETTLE_FOR / 2;
+                self.add_ended_run(ended);
+            } else if ended.end == RunEnd::Whole {
+                self.record_sound(&upstream.service, &ended.run, *at);
+            }
+        }
+    }
+
+    fn record_sound(&self, service: &str, run: &BrokenRun, ended_at: MonoTime) {
+        let now = self.state.now();
+        let began = run.answered.unwrap_or(ended_at);
+        let quarantine = &self.state.quarantine;
+        quarantine.record_sound(now, service, &run.contents, began);
+    }
+
+    fn add_ended_run(self: &Arc<Self>, ended: EndedRun) {
+        let EndedRun {
+            at,
+            upstream,
+            run,
+            end,
+        } = ended;
         let mut searched = lock(&self.searched);
         let searches = searched.entry(upstream.clone()).or_default();
         let upstreams = self.state.upstreams.load();
         let is_full = searches.len() >= MAX_SEARCHES;
         match searches.last_mut() {
             Some(last) if upstreams.has_answered_since(&upstream.id, last.at) && !is_full => {}
-            Some(last) if run.began <= last.at => return last.add(run, end),
+            Some(last) if run.began <= last.at || end != RunEnd::Broken => {
+                return last.add(run, end);
+            }
             // A connection to an ended upstream that still accepts some: nothing ran.
             Some(_) if run.answered.is_none() && at.since(run.began) < OPEN_FOR => return,
             Some(_) if is_full => return,
             Some(_) | None => {}
         }
-        let mut runs = BrokenRuns {
-            at,
-            broken: Vec::new(),
-            unmarked: Vec::new(),
-        };
+        let mut runs = EndedRuns::new(at);
         runs.add(run, end);
         searches.push(runs);
         let searching = Arc::clone(self).search(upstream, at);
@@ -188,7 +227,7 @@
         searches.any(|s| s.at == at && !s.broken.is_empty())
     }
 
-    fn take_searched(&self, upstream: &UpstreamRef, at: MonoTime) -> Option<BrokenRuns> {
+    fn take_searched(&self, upstream: &UpstreamRef, at: MonoTime) -> Option<EndedRuns> {
         let mut searched = lock(&self.searched);
         let searches = searched.get_mut(upstream)?;
         let index = searches.iter().position(|s| s.at == at)?;
@@ -199,26 +238,23 @@
         Some(runs)
     }
 
-    fn handle_fate(&self, upstream: UpstreamRef, fate: UpstreamFate, runs: BrokenRuns) {
-        let BrokenRuns {
+    fn handle_fate(&self, upstream: UpstreamRef, fate: UpstreamFate, runs: EndedRuns) {
+        let EndedRuns {
             at,
             broken,
-            unmarked,
+            whole,
+            undecided,
         } = runs;
         if fate != UpstreamFate::Ended {
-            for run in &unmarked {
-                let now = self.state.now();
-                let began = run.answered.unwrap_or(at);
-                let quarantine = &self.state.quarantine;
-                quarantine.record_sound(now, &upstream.service, &run.contents, began);
+            for run in &whole {
+                self.record_sound(&upstream.service, run, at);
             }
             if !broken.is_empty() {
                 self.log_broken(&upstream, fate, at, &broken);
             }
             return;
         }
-        let mut runs = broken;
-        runs.extend(unmarked);
+        let runs = [broken, whole, undecided].concat();
         self.log_broken(&upstream, fate, at, &runs);
         self.report_crash(UpstreamCrash {
             service: upstream.service,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -241,6 +241,7 @@
             executor.spawn(stream_saver.read()),
             executor.spawn(version_recorder.run()),
             executor.spawn(Arc::clone(&reporter).run()),
+            executor.spawn(Arc::clone(&reporter).settle_runs()),
             executor.spawn(reporter.report_recent_runs()),
             executor.spawn(report_sender.ask_earlier_coordinators()),
         ];
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -19,6 +19,7 @@
 use jd_serving::SoundRun;
 use jd_types::MonoTime;
 
+use crate::run_events::EndedRun;
 use crate::run_events::RunEvent;
 use crate::run_events::RunEvents;
 use crate::signal::Signal;
@@ -64,7 +65,10 @@
     recent: Mutex<RecentRuns>,
     /// When the runs of contents were last reported; of those reported lately.
     reported: Mutex<HashMap<Content, MonoTime>>,
-    pub(crate) run_events: RunEvents,
+    pub(crate) run_events: RunEvents<RunEvent>,
+    /// Runs that ended otherwise than by a broken connection, until their upstreams are known to
+    /// go on.
+    pub(crate) settling: RunEvents<EndedRun>,
     /// Notified when a request or a part of prompts is put under quarantine.
     extended: Event,
     /// `heartbeat_requested` makes the next heartbeats go out at once. `runs_requested`
@@ -80,6 +84,7 @@
             recent: Mutex::default(),
             reported: Mutex::default(),
             run_events: RunEvents::new(),
+            settling: RunEvents::new(),
             extended: Event::new(),
             heartbeat_requested,
             runs_requested: Signal::new(),
--- a/crates/gateway/src/run_events.rs
+++ b/crates/gateway/src/run_events.rs
@@ -23,50 +23,60 @@
     pub(crate) address: SocketAddr,
 }
 
-/// How the connection of a run ended that is not known to be complete.
+/// How a run ended that is not known to be sound.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum RunEnd {
-    /// Before the end of the answer.
+    /// Its connection broke before the end of the answer.
     Broken,
     /// In order, after an answer without a length or chunks. A crash looks the same.
     Unmarked,
+    /// In order, with a success. The upstream may crash from it right after.
+    Whole,
+    /// In order, with a failure.
+    Failed,
+    /// Its caller left, or another attempt answered.
+    Left,
+}
+
+/// A run that has ended.
+#[derive(Debug)]
+pub(crate) struct EndedRun {
+    pub(crate) at: MonoTime,
+    pub(crate) upstream: UpstreamRef,
+    pub(crate) run: BrokenRun,
+    pub(crate) end: RunEnd,
 }
 
 /// An event of a run on an upstream.
 #[derive(Debug)]
 pub(crate) enum RunEvent {
-    /// The connection broke before the run completed, or ended without a mark that it had.
-    Broken {
-        at: MonoTime,
-        upstream: UpstreamRef,
-        run: BrokenRun,
-        end: RunEnd,
-    },
+    /// The run is not known to be sound.
+    Ended(EndedRun),
     /// The run was sound, and its request or a part of its prompt is suspected or quarantined.
     Sound(SoundRun),
 }
 
 /// A bounded queue of run events.
 #[derive(Debug)]
-pub(crate) struct RunEvents {
-    tx: Sender<RunEvent>,
-    rx: Receiver<RunEvent>,
+pub(crate) struct RunEvents<T> {
+    tx: Sender<T>,
+    rx: Receiver<T>,
 }
 
-impl RunEvents {
-    pub(crate) fn new() -> RunEvents {
+impl<T> RunEvents<T> {
+    pub(crate) fn new() -> RunEvents<T> {
         let (tx, rx) = async_channel::bounded(QUEUE_CAPACITY);
         RunEvents { tx, rx }
     }
 
-    pub(crate) fn add(&self, event: RunEvent) {
+    pub(crate) fn add(&self, event: T) {
         if let Err(e) = self.tx.try_send(event) {
             log::warn!(error:% = e; "run event dropped: queue is full");
         }
     }
 
     /// The next event.
-    pub(crate) async fn next(&self) -> Option<RunEvent> {
+    pub(crate) async fn next(&self) -> Option<T> {
         self.rx.recv().await.ok()
     }
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -54,6 +54,7 @@
 use crate::quarantine::Quarantine;
 use crate::restart_checks::RestartChecks;
 use crate::retry_counts::RetryBudgets;
+use crate::run_events::EndedRun;
 use crate::run_events::RunEnd;
 use crate::run_events::RunEvent;
 use crate::run_events::UpstreamRef;
@@ -374,17 +375,23 @@
         services.any(|s| s.name == service && s.batch.is_some())
     }
 
-    /// Reports that the connection of a run broke before its end. The request is not suspected
+    /// Reports the end of a run that is not known to be sound. The request is not suspected
     /// if its upstream was shutting down, since the upstream then ended as planned.
-    pub(crate) fn report_broken_run(&self, upstream: UpstreamRef, run: BrokenRun, end: RunEnd) {
+    pub(crate) fn report_run(&self, upstream: UpstreamRef, run: BrokenRun, end: RunEnd) {
         if self.upstreams.load().start_of(&upstream.id).is_none() {
             return;
         }
-        self.quarantine.run_events.add(RunEvent::Broken {
+        let ended = EndedRun {
             at: self.now(),
             upstream,
             run,
             end,
-        });
+        };
+        match end {
+            RunEnd::Broken | RunEnd::Unmarked => {
+                self.quarantine.run_events.add(RunEvent::Ended(ended));
+            }
+            RunEnd::Whole | RunEnd::Failed | RunEnd::Left => self.quarantine.settling.add(ended),
+        }
     }
 }
--- a/crates/gateway/src/upstream_client.rs
+++ b/crates/gateway/src/upstream_client.rs
@@ -210,6 +210,11 @@
         self.pool.close_idle_for(address, silent_for);
     }
 
+    /// True if a connection to `address` is open that the upstream has not closed.
+    pub(crate) fn is_connected(&self, address: SocketAddr) -> bool {
+        self.pool.is_connected(address)
+    }
+
     /// Tests whether a connection to `address` can be opened. Sends no request.
     pub(crate) async fn probe(&self, address: SocketAddr) -> ProbeResult {
         self.pool.probe(address).await
--- a/crates/gateway/tests/whole/fakes/crash_fleet.rs
+++ b/crates/gateway/tests/whole/fakes/crash_fleet.rs
@@ -6,6 +6,7 @@
 
 use async_executor::Task;
 use async_io::Timer;
+use jd_net::with_timeout;
 
 use crate::fakes::CallerResponse;
 use crate::fakes::CrashingUpstreams;
@@ -73,6 +74,30 @@
     harness.spawn(async move { send_repeatedly(&caller, path, pause, span).await })
 }
 
+/// Sends a request every `pause` for `span`, to one instance after the other. Each caller leaves after
+/// `stay`.
+pub(crate) async fn send_and_leave(
+    harness: &Arc<Harness>,
+    path: &'static str,
+    (pause, stay): (Duration, Duration),
+    span: Duration,
+) {
+    let began = Instant::now();
+    for n in 0.. {
+        if began.elapsed() > span {
+            break;
+        }
+        let caller = Arc::clone(harness);
+        let asking = async move {
+            let id = format!("{path}-left-{n}");
+            let asked = caller.ask_instance(n, path, &id);
+            with_timeout(stay, asked).await;
+        };
+        harness.spawn(asking).detach();
+        Timer::after(pause).await;
+    }
+}
+
 /// Sends a request until an instance refuses it as quarantined.
 pub(crate) async fn until_quarantined(harness: &Arc<Harness>, path: &'static str) {
     let until = Instant::now() + TEST_TIMEOUT;
--- a/crates/gateway/tests/whole/false_quarantines.rs
+++ b/crates/gateway/tests/whole/false_quarantines.rs
@@ -6,6 +6,7 @@
 
 use async_io::Timer;
 use futures_lite::future::block_on;
+use test_case::test_case;
 
 use crate::fakes::CrashingUpstreams;
 use crate::fakes::Harness;
@@ -13,6 +14,7 @@
 use crate::fakes::crash_fleet::fleet;
 use crate::fakes::crash_fleet::is_quarantined;
 use crate::fakes::crash_fleet::runs_of;
+use crate::fakes::crash_fleet::send_and_leave;
 use crate::fakes::crash_fleet::spawn_repeated_sends;
 use crate::fakes::crash_fleet::until_quarantined;
 use crate::fakes::crash_fleet::until_quarantined_everywhere;
@@ -38,6 +40,52 @@
     assert!(upstreams.ends().len() >= 3);
 }
 
+/// Guards against a sound request that is held because it completes, or its callers leave, at upstreams
+/// right before another request crashes them.
+#[test_case("/any/x", 2_000 ; "that completes")]
+#[test_case("/stream/x", 2_000 ; "that completes as a stream")]
+#[test_case("/any/long", 300 ; "whose callers leave")]
+fn a_hot_request_that_ends_right_before_crashes_is_not_quarantined(path: &'static str, stay: u64) {
+    let (harness, upstreams) = fleet(6);
+    let harness = Arc::new(harness);
+    block_on(async {
+        harness.until_all_answer("/any/x", 200).await;
+        let span = Duration::from_millis(6_000);
+        let pause = Duration::from_millis(30);
+        let staying = spawn_repeated_sends(&harness, path, pause * 4, span);
+        let bad = spawn_repeated_sends(&harness, "/stream/bad", pause * 10, span);
+        let stay = Duration::from_millis(stay);
+        send_and_leave(&harness, path, (pause, stay), span).await;
+        assert!(!staying.await.iter().any(is_quarantined));
+        bad.await;
+    });
+    assert!(upstreams.ends().len() >= 3);
+}
+
+/// Guards against requests that are held because a crowd of callers leaves while power is lost.
+#[test]
+fn hot_requests_whose_callers_leave_under_losses_of_power_are_not_quarantined() {
+    let (harness, upstreams) = fleet(6);
+    let harness = Arc::new(harness);
+    block_on(async {
+        harness.until_all_answer("/any/x", 200).await;
+        let span = Duration::from_millis(6_000);
+        let pause = Duration::from_millis(40);
+        let staying = spawn_repeated_sends(&harness, "/any/long", pause * 3, span);
+        let caller = Arc::clone(&harness);
+        let leaving = harness.spawn(async move {
+            let times = (pause, Duration::from_millis(300));
+            send_and_leave(&caller, "/any/long", times, span).await;
+        });
+        for _ in 0..4 {
+            Timer::after(Duration::from_millis(1_200)).await;
+            upstreams.lose_all();
+        }
+        leaving.await;
+        assert!(!staying.await.iter().any(is_quarantined));
+    });
+}
+
 /// All upstreams are lost at once, four times, under a hot request that did not cause it.
 #[test]
 fn a_hot_request_under_losses_of_power_is_not_quarantined() {
--- a/crates/gateway/tests/whole/hidden_crashes.rs
+++ b/crates/gateway/tests/whole/hidden_crashes.rs
@@ -2,9 +2,7 @@
 
 use std::sync::Arc;
 use std::time::Duration;
-use std::time::Instant;
 
-use async_io::Timer;
 use futures_lite::future::block_on;
 use test_case::test_case;
 
@@ -14,6 +12,7 @@
 use crate::fakes::crash_fleet::INSTANCES;
 use crate::fakes::crash_fleet::assert_quarantined_in_time;
 use crate::fakes::crash_fleet::fleet;
+use crate::fakes::crash_fleet::send_and_leave;
 use crate::fakes::crash_fleet::spawn_repeated_sends;
 
 const SPAN: Duration = Duration::from_millis(9_000);
@@ -69,20 +68,8 @@
     block_on(async {
         harness.until_all_answer("/any/x", 200).await;
         let sound = spawn_repeated_sends(&harness, "/any/x", Duration::from_millis(20), SPAN);
-        let began = Instant::now();
-        for n in 0.. {
-            if began.elapsed() > SPAN {
-                break;
-            }
-            let caller = Arc::clone(&harness);
-            let asking = harness.spawn(async move {
-                let id = format!("left-{n}");
-                caller.ask_instance(n, path, &id).await
-            });
-            Timer::after(Duration::from_millis(10)).await;
-            drop(asking);
-            Timer::after(Duration::from_millis(190)).await;
-        }
+        let times = (Duration::from_millis(200), Duration::from_millis(10));
+        send_and_leave(&harness, path, times, SPAN).await;
         sound.await;
         assert_quarantined_in_time(&upstreams);
     });
--- a/crates/net/src/http_pool.rs
+++ b/crates/net/src/http_pool.rs
@@ -250,6 +250,16 @@
         addresses.get(&address).map_or(0, |p| p.monitor.len())
     }
 
+    /// True if a connection to an address is open and was not closed by the server: an idle one, or
+    /// one that waits for a response.
+    pub fn is_connected(&self, address: SocketAddr) -> bool {
+        let addresses = self.shared.lock();
+        addresses.get(&address).is_some_and(|pool| {
+            let is_open = |c: &Connection| c.sender.is_ready();
+            pool.monitor.len() > pool.idle.len() || pool.idle.iter().any(is_open)
+        })
+    }
+
     /// Checks whether a server accepts connections at an address, by opening a new one.
     pub async fn probe(&self, address: SocketAddr) -> ProbeResult {
         let opening = self.connector.connect(address);
--- a/crates/serving/src/crash_evidence.rs
+++ b/crates/serving/src/crash_evidence.rs
@@ -36,7 +36,7 @@
 const QUARANTINE_SOUND_PART_AFTER: usize = 5;
 /// Most time from the beginning of an answer to a crash that it causes. In the logs it was 130 ms at
 /// most.
-const PROMPT_CRASH: Duration = Duration::from_millis(300);
+pub const PROMPT_CRASH: Duration = Duration::from_millis(300);
 /// Crashes that keep a content quarantined, or quarantine it again after a release for which
 /// another content explained its crashes.
 const KEEP_AFTER: usize = 1;
--- a/crates/serving/src/end_search.rs
+++ b/crates/serving/src/end_search.rs
@@ -123,8 +123,11 @@
         let fate = match listed {
             _ if self.fate.is_some() => self.fate,
             ListedAs::Replaced => Some(UpstreamFate::Ended),
-            // The lease of its entry has expired.
-            ListedAs::Missing if is_silent && searched >= SHORT_SEARCH => Some(UpstreamFate::Ended),
+            // The lease of its entry has expired. So it does at a loss of power, at which no
+            // connection breaks and callers leave.
+            ListedAs::Missing if is_silent && is_broken && searched >= SHORT_SEARCH => {
+                Some(UpstreamFate::Ended)
+            }
             ListedAs::Same if searched >= limit => Some(UpstreamFate::Running),
             ListedAs::Missing | ListedAs::Leaving if searched >= limit => Some(UpstreamFate::Left),
             _ => None,
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -131,6 +131,7 @@
 pub use coordinator_answers::CoordinatorAnswers;
 pub use coordinator_answers::DecidesOn;
 pub use crash_evidence::CrashEvidence;
+pub use crash_evidence::PROMPT_CRASH;
 pub use crash_log::CrashLog;
 pub use deployment::CallerLimits;
 pub use deployment::CustomerSpec;
