A suspicion on strong evidence is written to the store, for the loss of all instances

The second end was known to three instances, which were lost together.

A suspicion stands for its two ends where these are not known: one that the store records, of a content at whose ends an answer had just begun each time (Finding::is_strong), written half a second after it was announced, in which instances that saw sound runs object. One end more then quarantines it. A suspicion that only heartbeats tell does not count so, nor one whose ends are known and have another cause. Price: two calls a suspicion on strong evidence, one for its release or quarantine; a loss of a zone is one end, and suspects nothing.

Ruled out: ends written one by one (a loss of a zone's upstreams at 300 instances), and asking others at a start: callers, upstreams and peers hold nothing.

a_suspicion_outlives_all_instances and a_recorded_suspicion_stands_for_crashes_that_are_not_known pass, and fail before (the first has nothing in the store to wait for, the second no way to say it).

--- a/crates/gateway/src/quarantine_coordinator.rs
+++ b/crates/gateway/src/quarantine_coordinator.rs
@@ -19,6 +19,7 @@
 use jd_serving::QuarantinePhase;
 use jd_serving::QuarantineState;
 use jd_serving::SoundRun;
+use jd_serving::Suspicion;
 use jd_types::MonoTime;
 
 use crate::QuarantineRecord;
@@ -44,6 +45,9 @@
 /// meanwhile through heartbeats.
 const WRITE_RETRY_PAUSE: Duration = Duration::from_millis(1_000);
 
+/// How long a suspicion waits for objections before it is written: reports of sound runs arrive
+/// within 0.4 s in a large fleet.
+const SUSPICION_WRITE_DELAY: Duration = Duration::from_millis(500);
 /// How long each instance leaves a write to the one before it, which may not be able to write.
 const WRITE_TURN: Duration = Duration::from_millis(1_000);
 
@@ -54,6 +58,8 @@
     evidence: Mutex<CrashEvidence>,
     /// Requests that this instance itself put under quarantine.
     decided_here: Mutex<HashSet<Content>>,
+    /// Those that it suspects on strong evidence.
+    suspected_here: Mutex<HashSet<Content>>,
     /// Since when the state of the store is known here without interruption, as far as crashes
     /// were evaluated.
     current_since: Mutex<Option<MonoTime>>,
@@ -71,6 +77,7 @@
             link,
             evidence: Mutex::default(),
             decided_here: Mutex::default(),
+            suspected_here: Mutex::default(),
             current_since: Mutex::default(),
             answers: Mutex::default(),
             duty: Mutex::default(),
@@ -242,7 +249,10 @@
         let list = state.quarantine.list();
         let findings = evidence.findings(now, |content| {
             let held = list.get(now, content).filter(|h| h.state.is_active());
-            held.map(|h| h.recorded_at)
+            held.map(|h| Suspicion {
+                since: h.recorded_at,
+                is_recorded: h.stored.is_some(),
+            })
         });
         if duty == DecidesOn::Nothing {
             evidence.forget_suspicions();
@@ -277,11 +287,15 @@
             longest_ms = finding.longest_run.as_millis() as u64;
             "upstreams ended with this content"
         );
-        if phase == QuarantinePhase::Quarantined {
+        let set = match phase {
+            QuarantinePhase::Quarantined => Some(&self.decided_here),
+            _ => finding.is_strong().then_some(&self.suspected_here),
+        };
+        if let Some(set) = set {
             let list = quarantine.list();
-            let mut decided_here = lock(&self.decided_here);
-            decided_here.retain(|c| list.get(now, *c).is_some());
-            decided_here.insert(finding.content);
+            let mut set = lock(set);
+            set.retain(|c| list.get(now, *c).is_some());
+            set.insert(finding.content);
         }
         self.decide(now, finding.content, next, QUARANTINE_TTL);
     }
@@ -315,12 +329,21 @@
     /// It has had the store since `since`.
     ///
     /// Guards against the loss of all instances at once, after which the same request
-    /// would crash three more upstreams. Suspicions are not worth a call.
+    /// would crash three more upstreams. Of suspicions, those on strong evidence are worth a call, once
+    /// instances have had time to object.
     async fn write(&self, now: MonoTime, since: MonoTime) -> Result<(), StoreError> {
         let list = self.link.state.quarantine.list();
-        let is_lacking =
-            |h: &QuarantineEntry| needs_write(h) && h.expires_at.since(now) > MIN_LEASE;
-        let lacking: Vec<_> = list.entries(now).filter(|(_, h)| is_lacking(h)).collect();
+        let is_lacking = |(content, held): &(Content, QuarantineEntry)| {
+            let is_due = match held.state.phase {
+                QuarantinePhase::Suspected => {
+                    let is_strong = lock(&self.suspected_here).contains(content);
+                    is_strong && now.since(held.recorded_at) >= SUSPICION_WRITE_DELAY
+                }
+                QuarantinePhase::Quarantined | QuarantinePhase::Released => true,
+            };
+            is_due && needs_write(held) && held.expires_at.since(now) > MIN_LEASE
+        };
+        let lacking: Vec<_> = list.entries(now).filter(is_lacking).collect();
         if lacking.is_empty() {
             return Ok(());
         }
@@ -364,8 +387,9 @@
 /// True if the store lacks the current state.
 fn needs_write(held: &QuarantineEntry) -> bool {
     match held.state.phase {
-        QuarantinePhase::Suspected => false,
-        QuarantinePhase::Quarantined => held.stored != Some(held.state),
+        QuarantinePhase::Suspected | QuarantinePhase::Quarantined => {
+            held.stored != Some(held.state)
+        }
         QuarantinePhase::Released => held.stored.is_some_and(|s| s < held.state),
     }
 }
--- a/crates/gateway/tests/whole/crashes.rs
+++ b/crates/gateway/tests/whole/crashes.rs
@@ -141,6 +141,40 @@
     assert_eq!(runs_of(&upstreams, "bad"), before);
 }
 
+/// Guards against a request that crashes three more upstreams because all instances were lost after
+/// the second one, with what they knew of it.
+#[test]
+fn a_suspicion_outlives_all_instances() {
+    let (mut harness, upstreams) = fleet(6);
+    harness = block_on(async {
+        let harness = Arc::new(harness);
+        harness.until_all_answer("/any/x", 200).await;
+        for n in 0..2 {
+            harness.ask_instance(n, "/stream/bad", "early").await;
+            Timer::after(Duration::from_millis(500)).await;
+        }
+        let until = Instant::now() + TEST_TIMEOUT;
+        while !harness.store.holds_quarantine() {
+            assert!(Instant::now() < until, "the suspicion was not written");
+            Timer::after(Duration::from_millis(10)).await;
+        }
+        Arc::into_inner(harness).expect("no request in flight")
+    });
+    assert_eq!(upstreams.ends().len(), 2);
+    harness.restart_gateways();
+    let harness = Arc::new(harness);
+    block_on(async {
+        harness.until_all_answer("/any/x", 200).await;
+        harness.ask_instance(0, "/stream/bad", "later").await;
+        Timer::after(SPREAD_WITHIN).await;
+        for n in 0..INSTANCES {
+            let received = harness.ask_instance(n, "/stream/bad", "again").await;
+            assert!(is_quarantined(&received), "{received:?}");
+        }
+    });
+    assert_eq!(upstreams.ends().len(), 3);
+}
+
 /// The store refuses to write the quarantine. It still reaches all instances, through
 /// heartbeats.
 #[test]
--- a/crates/serving/src/crash_evidence.rs
+++ b/crates/serving/src/crash_evidence.rs
@@ -14,6 +14,7 @@
 use crate::QUARANTINE_TTL;
 use crate::RecentRuns;
 use crate::SoundRun;
+use crate::Suspicion;
 use crate::UpstreamCrash;
 use crate::UpstreamStart;
 use crate::content_evidence::Evidence;
@@ -207,12 +208,12 @@
     }
 
     /// Evaluates the crashes. Contents that were quarantined before and no longer explain any
-    /// crash are released. `announced` gives the time at which all instances were told that a content
-    /// is suspected, by this instance or another one.
+    /// crash are released. `announced` gives what all instances were told of a suspected content, by
+    /// this instance or another one.
     pub fn findings(
         &mut self,
         now: MonoTime,
-        announced: impl Fn(Content) -> Option<MonoTime>,
+        announced: impl Fn(Content) -> Option<Suspicion>,
     ) -> Findings {
         while self
             .crashes
@@ -226,16 +227,16 @@
             self.crashes.iter().map(|k| k.service.clone()).collect();
         let mut suspects = HashSet::new();
         for service in &services {
-            self.add_suspects(now, service, &mut suspects);
+            self.add_suspects(now, service, &announced, &mut suspects);
         }
         self.suspected
             .retain(|content, _| suspects.contains(content));
         for content in suspects {
             let since = self.suspected.entry(content);
-            since.or_insert_with(|| announced(content).unwrap_or(now));
+            since.or_insert_with(|| announced(content).map_or(now, |s| s.since));
         }
         for service in &services {
-            self.explain_crashes_of(now, service, &mut findings);
+            self.explain_crashes_of(now, service, &announced, &mut findings);
         }
         let found: HashSet<Content> = findings.quarantined.iter().map(|f| f.content).collect();
         let before = std::mem::replace(&mut self.quarantined, found);
@@ -263,18 +264,55 @@
         reported.collect()
     }
 
+    /// The evidence against each content that was present at these crashes. A suspicion that the store
+    /// records stands for the crashes that it was based on, where these are not known here: the
+    /// instances that knew them may all have been lost.
+    fn evidence(
+        &self,
+        crashes: &[&KnownCrash],
+        announced: &impl Fn(Content) -> Option<Suspicion>,
+    ) -> HashMap<Content, Evidence> {
+        let mut evidence = evidence(crashes);
+        for (content, item) in &mut evidence {
+            let recorded = announced(*content).filter(|s| s.is_recorded);
+            if let Some(Suspicion { since, .. }) = recorded
+                && !self.knows_crash_before(*content, since)
+            {
+                item.crashes += SUSPECT_AFTER;
+            }
+        }
+        evidence
+    }
+
+    fn knows_crash_before(&self, content: Content, time: MonoTime) -> bool {
+        let mut before = self.crashes.iter().take_while(|k| k.at <= time);
+        before.any(|k| k.present.contains_key(&content))
+    }
+
     /// Adds the contents with several crashes, whether or not something else explains these.
-    fn add_suspects(&self, now: MonoTime, service: &str, suspects: &mut HashSet<Content>) {
-        let evidence = evidence(&self.reported_crashes(now, service));
+    fn add_suspects(
+        &self,
+        now: MonoTime,
+        service: &str,
+        announced: &impl Fn(Content) -> Option<Suspicion>,
+        suspects: &mut HashSet<Content>,
+    ) {
+        let evidence = self.evidence(&self.reported_crashes(now, service), announced);
         let several = evidence.iter().filter(|(_, i)| i.crashes >= SUSPECT_AFTER);
         suspects.extend(several.map(|(content, _)| *content));
     }
 
     /// Explains the crashes of a service by as few contents as possible, the most likely first.
-    fn explain_crashes_of(&self, now: MonoTime, service: &str, findings: &mut Findings) {
+    fn explain_crashes_of(
+        &self,
+        now: MonoTime,
+        service: &str,
+        announced: &impl Fn(Content) -> Option<Suspicion>,
+        findings: &mut Findings,
+    ) {
         let mut unexplained = self.reported_crashes(now, service);
         loop {
-            let evidence = evidence(&unexplained);
+            let evidence = self.evidence(&unexplained, announced);
             let Some((content, item)) = self.likeliest(service, &evidence) else {
                 return;
             };
--- a/crates/serving/src/findings.rs
+++ b/crates/serving/src/findings.rs
@@ -6,6 +6,7 @@
 use jd_types::MonoTime;
 
 use crate::Content;
+use crate::PROMPT_CRASH;
 use crate::content_evidence::Evidence;
 
 /// The result of evaluating the crashes of upstreams.
@@ -35,6 +36,15 @@
     }
 }
 
+/// What all instances were told of a content that is suspected.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Suspicion {
+    /// When they were told.
+    pub since: MonoTime,
+    /// True if the store records it.
+    pub is_recorded: bool,
+}
+
 /// A content with the evidence against it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Finding {
@@ -51,3 +61,11 @@
     /// The time of the last such crash.
     pub last_crash: MonoTime,
 }
+
+impl Finding {
+    /// True if the content most likely is the cause: each crash came right after an answer to it had
+    /// begun.
+    pub fn is_strong(&self) -> bool {
+        self.answered == self.crashes && self.longest_run <= PROMPT_CRASH
+    }
+}
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -153,6 +153,7 @@
 pub use event_splitter::MAX_EVENT_BYTES;
 pub use findings::Finding;
 pub use findings::Findings;
+pub use findings::Suspicion;
 pub use finished_job::FinishedJob;
 pub use finished_job::JobFailure;
 pub use finished_job::JobKey;
--- a/crates/serving/tests/crash_evidence.rs
+++ b/crates/serving/tests/crash_evidence.rs
@@ -8,6 +8,7 @@
 use jd_serving::Findings;
 use jd_serving::RunContents;
 use jd_serving::SoundRun;
+use jd_serving::Suspicion;
 use jd_serving::UpstreamCrash;
 use jd_serving::UpstreamStart;
 use jd_types::MonoTime;
@@ -343,3 +344,48 @@
         assert_eq!(evidence.findings(at(ms), |_| None).released, []);
     }
 }
+
+/// Guards against a request that crashes three more upstreams where all instances that knew of the
+/// first two were lost, and only the store records that it is suspected.
+#[test]
+fn a_recorded_suspicion_stands_for_crashes_that_are_not_known() {
+    let mut evidence = CrashEvidence::default();
+    evidence.record_crash(at(5_000), crash(1, 5_000, &[(BAD, 4_950), (OTHER, 4_900)]));
+    let announced = |is_recorded| {
+        move |content: Content| {
+            let since = at(1_000);
+            let is_bad = content.number() == BAD;
+            is_bad.then_some(Suspicion { since, is_recorded })
+        }
+    };
+    let found = evidence.findings(at(5_300), announced(false));
+    assert_eq!(found, Findings::default());
+    let found = evidence.findings(at(5_300), announced(true));
+    assert_eq!(numbers(&found.quarantined), [BAD]);
+}
+
+/// Guards against a sound request that is held since a suspicion counts for crashes that are known
+/// and have another cause.
+#[test]
+fn a_recorded_suspicion_adds_nothing_to_known_crashes() {
+    let mut evidence = CrashEvidence::default();
+    let times = [1_000, 2_000, 3_000, 5_000];
+    for (n, ms) in times.into_iter().enumerate() {
+        let runs = [(BAD, ms - 50), (OTHER, ms - 900)];
+        let present = match n {
+            0 | 3 => &runs[..],
+            _ => &runs[..1],
+        };
+        evidence.record_crash(at(ms), crash(n as u64, ms, present));
+    }
+    let since = at(2_300);
+    let announced = |_| {
+        Some(Suspicion {
+            since,
+            is_recorded: true,
+        })
+    };
+    evidence.findings(at(5_300), announced);
+    let found = evidence.findings(at(7_000), announced);
+    assert_eq!(numbers(&found.quarantined), [BAD]);
+}
