Soak: upstreams whose ends do not show at once, and the store taken from each instance in turn

Seeds from 16000 on: one to three requests that crash upstreams, some from callers that leave after 15 to 200 ms, some with whole answers before the crash; upstreams that refuse, close or hold connections afterwards, for 50 ms to their replacement; the store taken from each of four instances in turn, the decider among them; a configuration, a reload and a stop, and in odd seeds also pauses, a kill and in half of them a kill of all.

--- a/soak/src/caller.rs
+++ b/soak/src/caller.rs
@@ -67,6 +67,8 @@
     pub(crate) prompts: bool,
     /// Of the streams that it may break off, the caller breaks one in so many.
     pub(crate) leaves_one_in: u8,
+    /// How long the caller waits for an answer to its end, if it leaves before the deadline.
+    pub(crate) stay: Option<Duration>,
     pub(crate) load: Load,
 }
 
@@ -178,21 +180,29 @@
             && kind == RequestKind::ResumableStream
             && self.rng.u8(..self.leaves_one_in) == 0;
         let most_bytes = if leaves { 1 } else { usize::MAX };
-        let (outcome, pause) = match sending.await {
-            Some(Ok(res)) => read(res, most_bytes, deadline).await,
-            Some(Err(SendError::NotSent)) => (Outcome::NotSent, Some(THINK_TIME)),
-            Some(Err(SendError::Broken)) => (Outcome::ConnectionLost, Some(THINK_TIME)),
-            Some(Err(SendError::InvalidStatus { status })) => {
-                let outcome = Outcome::Response {
-                    status,
-                    signature: None,
-                    body: String::new(),
-                    complete: false,
-                };
-                (outcome, Some(THINK_TIME))
+        let receiving = async {
+            match sending.await {
+                Some(Ok(res)) => read(res, most_bytes, deadline).await,
+                Some(Err(SendError::NotSent)) => (Outcome::NotSent, Some(THINK_TIME)),
+                Some(Err(SendError::Broken)) => (Outcome::ConnectionLost, Some(THINK_TIME)),
+                Some(Err(SendError::InvalidStatus { status })) => {
+                    let outcome = Outcome::Response {
+                        status,
+                        signature: None,
+                        body: String::new(),
+                        complete: false,
+                    };
+                    (outcome, Some(THINK_TIME))
+                }
+                None => (Outcome::TimedOut, Some(THINK_TIME)),
             }
-            None => (Outcome::TimedOut, Some(THINK_TIME)),
         };
+        let received = match self.stay {
+            Some(stay) => with_timeout(stay, receiving).await,
+            None => Some(receiving.await),
+        };
+        let has_left = received.is_none();
+        let (outcome, pause) = received.unwrap_or((Outcome::TimedOut, None));
         let is_cut = matches!(
             &outcome,
             Outcome::Response {
@@ -209,7 +219,7 @@
             ended: self.env.recorder.now(),
             outcome,
             takes_up,
-            abandoned: leaves && is_cut,
+            abandoned: has_left || leaves && is_cut,
         };
         (pause, attempt)
     }
--- a/soak/src/environment.rs
+++ b/soak/src/environment.rs
@@ -23,6 +23,7 @@
 
 use crate::Recorder;
 use crate::StoreMode;
+use crate::UpstreamEnd;
 use crate::config;
 use crate::config::KEYS;
 use crate::fake_stage_upstream::FakeStageUpstream;
@@ -102,6 +103,7 @@
     pub(crate) store_links: Vec<Arc<Relay>>,
     pub(crate) instance_links: Vec<InstanceLinks>,
     pub(crate) ended: Receiver<String>,
+    pub(crate) upstream_end: Mutex<UpstreamEnd>,
     network: [u8; 3],
     operator: Mutex<Operator>,
     pub(crate) load: Load,
@@ -223,6 +225,7 @@
             upstreams,
             store_links,
             ended,
+            upstream_end: Mutex::default(),
             network,
             operator: Mutex::new(Operator {
                 version: 0,
--- a/soak/src/fake_upstream.rs
+++ b/soak/src/fake_upstream.rs
@@ -60,6 +60,8 @@
 /// The prefix of the bodies of crashing requests.
 const CRASHING_PREFIX: &str = "bad-";
 
+/// Crashing requests from this number on have their whole answer before the crash.
+const ANSWERED_FROM_CRASHING: u64 = 8;
 /// The identity of the first part that crashes upstreams; others follow it.
 const FIRST_CRASHING_PART: u64 = 0xbad0;
 
@@ -227,7 +229,7 @@
         let streams = path.starts_with("/draft/") || path.starts_with("/tell/");
         let after = header("last-event-id").and_then(|t| t.parse().ok());
         let after = after.unwrap_or(0);
-        let execute = self.execute(mode, &id, streams, after, crashing.is_some(), work);
+        let execute = self.execute(mode, &id, streams, after, crashing, work);
         let res = match execute.await {
             // A body of unknown length ends with its connection in HTTP/1.0.
             res if parts.version == Version::HTTP_10 => res.map(|b| without_length(b, streams)),
@@ -242,15 +244,20 @@
         id: &str,
         streams: bool,
         after: u64,
-        crashing: bool,
+        crash_cause: Option<CrashCause>,
         work: Work,
     ) -> Response<Body> {
+        let crashing = crash_cause.is_some();
+        let answers = matches!(
+            crash_cause,
+            Some(CrashCause::Request(ANSWERED_FROM_CRASHING..))
+        );
         let silence = Silence::of(id, &self.id()).filter(|_| self.silences);
         if let (Some(silence), None) = (silence, mode) {
             silence.before_head().await;
         }
         match mode {
-            _ if crashing && !streams => future::pending().await,
+            _ if crashing && !streams && !answers => future::pending().await,
             Some(UpstreamMode::Hangs) => future::pending().await,
             Some(UpstreamMode::Fails) => status(StatusCode::INTERNAL_SERVER_ERROR),
             Some(UpstreamMode::Nonsense(code)) => {
--- a/soak/src/fault.rs
+++ b/soak/src/fault.rs
@@ -83,6 +83,20 @@
     Delays(Duration),
 }
 
+/// What the address of a crashed upstream does until another one takes it over.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub enum UpstreamEnd {
+    /// It refuses connections.
+    #[default]
+    Refuses,
+    /// It closes connections that it has accepted.
+    Closes,
+    /// The same for this time, and then it refuses them.
+    ClosesFor(Duration),
+    /// It accepts connections and carries nothing for this time, and then it refuses them.
+    HoldsFor(Duration),
+}
+
 /// A fault or operation of a soak. Indices of instances and upstreams are taken
 /// modulo their count.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -131,6 +145,10 @@
     /// A request that crashes every upstream which executes it is sent repeatedly for
     /// this time.
     CrashingRequest(u64, Duration),
+    /// The same, from callers that leave after the first time, sent for the second.
+    LeavingCallers(u64, Duration, Duration),
+    /// Upstreams that crash from now on do so in this way.
+    UpstreamEnds(UpstreamEnd),
     /// Requests with a part of prompts that crashes every upstream which executes it, no two
     /// alike, are sent for this time.
     CrashingPart(u64, Duration),
--- a/soak/src/inject.rs
+++ b/soak/src/inject.rs
@@ -150,12 +150,17 @@
             }
             Fault::CrashingRequest(number, span) => {
                 let kind = RequestKind::Crashing(number);
-                self.repeat_crashing(kind, number, span).await;
+                self.repeat_crashing(kind, number, span, None).await;
             }
+            Fault::LeavingCallers(number, stay, span) => {
+                let kind = RequestKind::Crashing(number);
+                self.repeat_crashing(kind, number, span, Some(stay)).await;
+            }
+            Fault::UpstreamEnds(end) => *lock(&self.env.upstream_end) = end,
             Fault::CrashingPart(number, span) => {
                 let kind = RequestKind::CrashingPart(number);
                 let seed = FIRST_PART_SEED + number;
-                self.repeat_crashing(kind, seed, span).await;
+                self.repeat_crashing(kind, seed, span, None).await;
             }
             Fault::LosePower(n) => self.env.lose_power(n).await,
             Fault::Crowd(n, misbehaviour, count, span) => {
@@ -219,8 +224,15 @@
         }
     }
 
-    /// Sends crashing requests of a kind to random instances, without waiting for answers.
-    async fn repeat_crashing(&self, kind: RequestKind, seed: u64, span: Duration) {
+    /// Sends crashing requests of a kind to random instances, without waiting for answers. Their callers
+    /// leave after `stay`, if it is given.
+    async fn repeat_crashing(
+        &self,
+        kind: RequestKind,
+        seed: u64,
+        span: Duration,
+        stay: Option<Duration>,
+    ) {
         let until = self.env.recorder.now() + span;
         let mut rng = fastrand::Rng::with_seed(seed);
         let mut sends = Vec::new();
@@ -235,6 +247,7 @@
                 takes_up: false,
                 prompts: matches!(kind, RequestKind::CrashingPart(_)),
                 leaves_one_in: LEAVES_ONE_IN,
+                stay,
                 load: Load::LIGHT,
             };
             let instance = rng.usize(..self.starts.len());
--- a/soak/src/judge.rs
+++ b/soak/src/judge.rs
@@ -86,7 +86,7 @@
     events.retries_bounded(&mut violations);
     events.recovered(calm, &mut violations);
     events.newest_in_force(calm, &mut violations);
-    violations.extend(quarantine::judge(&attempts, &requests, &spans));
+    violations.extend(quarantine::judge(&attempts, &requests, &spans, instances));
     violations.extend(losses::judge(&attempts, &requests, &spans, instances, load));
     violations.extend(limits::judge(&requests, &spans));
     violations.extend(notices::judge(&attempts, &requests, &spans, instances));
--- a/soak/src/out_of_step.rs
+++ b/soak/src/out_of_step.rs
@@ -136,6 +136,7 @@
             takes_up: leaves,
             prompts: false,
             leaves_one_in: 1,
+            stay: None,
             load: self.env.load,
         }
     }
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -9,6 +9,7 @@
 use crate::crowds;
 use crate::cuts;
 use crate::early_ends;
+use crate::hidden_ends;
 use crate::matters;
 use crate::odd_entries;
 use crate::silences;
@@ -63,6 +64,9 @@
 const MATTERS_FROM_SEED: u64 = 14_000;
 /// Plans from this seed on have entries of other writers; in odd ones beside unplanned faults.
 const ODD_ENTRIES_FROM_SEED: u64 = 15_000;
+/// Plans from this seed on have upstreams whose ends do not show at once, and instances that lose the
+/// store in turn.
+const HIDDEN_ENDS_FROM_SEED: u64 = 16_000;
 /// Of the seeds with cuts, one in so many, with this remainder, has no other faults of instances or the
 /// store, since what these keep from being served says nothing about a cut.
 const CUTS_ONLY_EVERY: u64 = 4;
@@ -100,6 +104,7 @@
         let mut rng = fastrand::Rng::with_seed(seed);
         let is_odd = seed % 2 == 1;
         let drawn = match seed {
+            HIDDEN_ENDS_FROM_SEED.. => Some(hidden_ends::draw(&mut rng, !is_odd)),
             ODD_ENTRIES_FROM_SEED.. => Some(odd_entries::draw(&mut rng, !is_odd)),
             MATTERS_FROM_SEED.. => Some(matters::draw(&mut rng, seed)),
             CROWDS_FROM_SEED.. => Some(crowds::draw(&mut rng, is_odd)),
@@ -205,6 +210,7 @@
     /// The load of upstreams and callers.
     pub(crate) fn load(&self) -> Load {
         match self.seed {
+            HIDDEN_ENDS_FROM_SEED.. => Load::LIGHT,
             ODD_ENTRIES_FROM_SEED.. => Load::ODD_ENTRIES,
             MATTERS_FROM_SEED.. => matters::load(self.seed),
             CROWDS_FROM_SEED.. => Load::CROWDED,
@@ -217,7 +223,10 @@
 
     /// The most items of a page of the store; none for as many as the platform's have.
     pub(crate) fn page_items(&self) -> Option<usize> {
-        (self.seed >= ODD_ENTRIES_FROM_SEED).then(|| odd_entries::page_items(self.seed))
+        let has_short_pages = ODD_ENTRIES_FROM_SEED..HIDDEN_ENDS_FROM_SEED;
+        has_short_pages
+            .contains(&self.seed)
+            .then(|| odd_entries::page_items(self.seed))
     }
 
     /// True if requests have prompts, whose parts they share.
--- a/soak/src/quarantine.rs
+++ b/soak/src/quarantine.rs
@@ -31,7 +31,10 @@
     attempts: &[Attempt],
     requests: &[UpstreamRequest],
     spans: &[FaultSpan],
+    instances: usize,
 ) -> Vec<Violation> {
+    let ends = |s: &FaultSpan| matches!(s.fault, Fault::UpstreamEnds(_));
+    let judges_senders = spans.iter().any(ends);
     let mut crashing: BTreeMap<CrashCause, Vec<&UpstreamRequest>> = BTreeMap::new();
     for request in requests.iter().filter(|r| r.executed) {
         if let Some(cause) = request.crash_cause {
@@ -48,9 +51,12 @@
             continue;
         };
         let known = last_allowed.at + PROPAGATION_BOUND;
-        let later = requests
-            .iter()
-            .filter(|r| r.at > known && is_undisturbed(r.at, spans));
+        let later = requests.iter().filter(|r| r.at > known).filter(|r| {
+            match r.sender.filter(|_| judges_senders) {
+                Some(sender) => is_sender_undisturbed(r.at, sender, spans, instances),
+                None => is_undisturbed(r.at, spans),
+            }
+        });
         let later = later.count();
         if later > EXECUTIONS_TOLERATED {
             violations.push(Violation {
@@ -93,6 +99,25 @@
     !disturbed.any(|s| s.from < at && s.to + CONNECTED_AFTER > at)
 }
 
+/// True if neither this instance nor the store was disturbed within [`CONNECTED_AFTER`]. Faults of other
+/// instances excuse nothing.
+fn is_sender_undisturbed(
+    at: Duration,
+    sender: usize,
+    spans: &[FaultSpan],
+    instances: usize,
+) -> bool {
+    let disturbs = |s: &&FaultSpan| match s.fault {
+        Fault::Kill(n, _) | Fault::Stop(n) | Fault::Pause(n, _) | Fault::StoreLink(n, ..) => {
+            n % instances == sender
+        }
+        Fault::KillAll(_) | Fault::Store(..) => true,
+        _ => false,
+    };
+    let mut disturbed = spans.iter().filter(disturbs);
+    !disturbed.any(|s| s.from < at && s.to + CONNECTED_AFTER > at)
+}
+
 fn is_quarantined(a: &Attempt) -> bool {
     matches!(&a.outcome, Outcome::Response { body, .. } if body.contains(QUARANTINED))
 }
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -185,6 +185,7 @@
             takes_up: plan.takes_up(),
             prompts: plan.has_prompts(),
             leaves_one_in: LEAVES_ONE_IN,
+            stay: None,
             load,
         };
         executor.spawn(caller.run())
--- a/soak/src/surroundings.rs
+++ b/soak/src/surroundings.rs
@@ -273,6 +273,7 @@
             takes_up: false,
             prompts: false,
             leaves_one_in: LEAVES_ONE_IN,
+            stay: None,
             load: Load::LARGE,
         }
     }
--- a/soak/src/upstream_changes.rs
+++ b/soak/src/upstream_changes.rs
@@ -9,6 +9,7 @@
 use jd_net::lock;
 
 use crate::LinkMode;
+use crate::UpstreamEnd;
 use crate::environment::Environment;
 use crate::environment::READ_DELAY;
 use crate::environment::Upstream;
@@ -20,6 +21,8 @@
 const RESTART_DOWNTIME: Duration = Duration::from_millis(150);
 /// The time from the start of a crashing request to the crash of its upstream.
 const CRASH_DELAY: Duration = Duration::from_millis(40);
+/// The time in which the connections of a crashed upstream are reset.
+const RESET_TIME: Duration = Duration::from_millis(5);
 /// The time from a crash to the replacement of the upstream. The entries of the users'
 /// upstreams remain for that long.
 const CRASH_DOWNTIME: Duration = Duration::from_millis(900);
@@ -104,6 +107,18 @@
 
     async fn end(&self, upstream: &Upstream) {
         Timer::after(CRASH_DELAY).await;
+        let accepts = match *lock(&self.upstream_end) {
+            UpstreamEnd::Refuses => None,
+            UpstreamEnd::Closes => Some((LinkMode::Resets, CRASH_DOWNTIME)),
+            UpstreamEnd::ClosesFor(time) => Some((LinkMode::Resets, time)),
+            UpstreamEnd::HoldsFor(time) => Some((LinkMode::Blackholes, time)),
+        };
+        if let Some((mode, time)) = accepts {
+            upstream.link.set(Some(LinkMode::Resets));
+            Timer::after(RESET_TIME).await;
+            upstream.link.set(Some(mode));
+            Timer::after(time).await;
+        }
         upstream.link.set(Some(LinkMode::Refuses));
         Timer::after(CRASH_DOWNTIME).await;
         self.replace(upstream);
