No content is quarantined before all instances were asked for sound runs of it

A sound request could be refused as quarantined without a question to the instances that had seen it complete. The wait for objections counted from the second end at which a content was there, also while other contents explained these ends and it was announced to nobody; the suspicion and the quarantine then came in one evaluation.

The wait counts from the announcement in the list of all instances now, which is also what remains when another instance takes over. CrashEvidence keeps no second record of suspicions, and an instance that cannot decide has nothing to forget.

--- a/crates/gateway/src/quarantine_coordinator.rs
+++ b/crates/gateway/src/quarantine_coordinator.rs
@@ -236,7 +236,6 @@
         }
         if !self.can_decide() {
             *lock(&self.current_since) = None;
-            evidence.forget_suspicions();
             self.record_duty(None);
             return;
         }
@@ -254,9 +253,6 @@
                 is_recorded: h.stored.is_some(),
             })
         });
-        if duty == DecidesOn::Nothing {
-            evidence.forget_suspicions();
-        }
         drop(evidence);
         // The instance that decided on the quarantine has the evidence, and may no longer
         // be the first coordinator.
--- a/crates/serving/src/crash_evidence.rs
+++ b/crates/serving/src/crash_evidence.rs
@@ -90,7 +90,6 @@
 pub struct CrashEvidence {
     crashes: VecDeque<KnownCrash>,
     sound: RecentRuns,
-    suspected: HashMap<Content, MonoTime>,
     quarantined: HashSet<Content>,
     /// Contents whose crashes another content explained, and until when one more crash
     /// quarantines them again.
@@ -225,16 +224,6 @@
         let mut findings = Findings::default();
         let services: HashSet<CompactString> =
             self.crashes.iter().map(|k| k.service.clone()).collect();
-        let mut suspects = HashSet::new();
-        for service in &services {
-            self.add_suspects(now, service, &announced, &mut suspects);
-        }
-        self.suspected
-            .retain(|content, _| suspects.contains(content));
-        for content in suspects {
-            let since = self.suspected.entry(content);
-            since.or_insert_with(|| announced(content).map_or(now, |s| s.since));
-        }
         for service in &services {
             self.explain_crashes_of(now, service, &announced, &mut findings);
         }
@@ -251,12 +240,6 @@
         findings
     }
 
-    /// Forgets since when contents are suspected: another instance decides, so that nobody may have
-    /// been asked for sound runs of them.
-    pub fn forget_suspicions(&mut self) {
-        self.suspected.clear();
-    }
-
     /// The crashes of a service that instances have had time to report.
     fn reported_crashes(&self, now: MonoTime, service: &str) -> Vec<&KnownCrash> {
         let crashes = self.crashes.iter().filter(|k| k.service == service);
@@ -289,19 +272,6 @@
         before.any(|k| k.present.contains_key(&content))
     }
 
-    /// Adds the contents with several crashes, whether or not something else explains these.
-    fn add_suspects(
-        &self,
-        now: MonoTime,
-        service: &str,
-        announced: &impl Fn(Content) -> Option<Suspicion>,
-        suspects: &mut HashSet<Content>,
-    ) {
-        let evidence = self.evidence(&self.reported_crashes(now, service), announced);
-        let several = evidence.iter().filter(|(_, i)| i.crashes >= SUSPECT_AFTER);
-        suspects.extend(several.map(|(content, _)| *content));
-    }
-
     /// Explains the crashes of a service by as few contents as possible, the most likely first.
     fn explain_crashes_of(
         &self,
@@ -328,8 +298,9 @@
                 true => QUARANTINE_AFTER,
                 false => QUARANTINE_TIED_AFTER,
             };
-            let since = self.suspected.get(&content).copied().unwrap_or(now);
-            let had_time = was_found || now.since(since) >= OBJECTION_WAIT;
+            // Instances are asked for sound runs when they are told that it is suspected.
+            let was_announced = |s: Suspicion| now.since(s.since) >= OBJECTION_WAIT;
+            let had_time = was_found || announced(content).is_some_and(was_announced);
             if item.crashes >= threshold && had_time {
                 findings.quarantined.push(item.finding(content));
             } else {
--- a/crates/serving/tests/crash_evidence.rs
+++ b/crates/serving/tests/crash_evidence.rs
@@ -1,5 +1,8 @@
 //! Which requests are found to crash upstreams.
 
+use std::collections::HashMap;
+use std::ops::Deref;
+use std::ops::DerefMut;
 use std::time::Duration;
 
 use jd_serving::BrokenRun;
@@ -18,6 +21,43 @@
 const OTHER: u64 = 2;
 const THIRD: u64 = 3;
 
+/// The evidence, and since when all instances know of each suspicion.
+#[derive(Debug, Default)]
+struct Coordinator {
+    evidence: CrashEvidence,
+    announced: HashMap<Content, MonoTime>,
+}
+
+impl Coordinator {
+    fn evaluate(&mut self, now: MonoTime) -> Findings {
+        let announced = &self.announced;
+        let findings = self.evidence.findings(now, |content| {
+            announced.get(&content).map(|since| Suspicion {
+                since: *since,
+                is_recorded: false,
+            })
+        });
+        for found in &findings.suspected {
+            self.announced.entry(found.content).or_insert(now);
+        }
+        findings
+    }
+}
+
+impl Deref for Coordinator {
+    type Target = CrashEvidence;
+
+    fn deref(&self) -> &CrashEvidence {
+        &self.evidence
+    }
+}
+
+impl DerefMut for Coordinator {
+    fn deref_mut(&mut self) -> &mut CrashEvidence {
+        &mut self.evidence
+    }
+}
+
 fn at(ms: u64) -> MonoTime {
     MonoTime::ZERO + Duration::from_millis(ms)
 }
@@ -49,12 +89,12 @@
 /// Records crashes at their times and evaluates them every 100 ms until the given time. Returns
 /// the findings of the last evaluation, and when each request was first quarantined.
 fn evaluate(crashes: Vec<UpstreamCrash>, until: u64) -> (Findings, Vec<(u64, u64)>) {
-    let mut evidence = CrashEvidence::default();
+    let mut evidence = Coordinator::default();
     evaluate_from(&mut evidence, crashes, 0, until)
 }
 
 fn evaluate_from(
-    evidence: &mut CrashEvidence,
+    evidence: &mut Coordinator,
     crashes: Vec<UpstreamCrash>,
     from: u64,
     until: u64,
@@ -66,7 +106,7 @@
         while let Some(crash) = crashes.next_if(|e| e.at <= at(ms)) {
             evidence.record_crash(at(ms), crash);
         }
-        last = evidence.findings(at(ms), |_| None);
+        last = evidence.evaluate(at(ms));
         for found in &last.quarantined {
             let number = found.content.number();
             if !first.iter().any(|(_, n)| *n == number) {
@@ -110,7 +150,7 @@
 /// losses it has completed, which an instance reports when it is asked after the second one.
 #[test]
 fn a_request_that_completed_between_power_losses_is_not_quarantined() {
-    let mut evidence = CrashEvidence::default();
+    let mut evidence = Coordinator::default();
     let loss = |k: u64| -> Vec<UpstreamCrash> {
         let one = move |n: u64| crash(k * 9 + n, k * 4_000 + n, &[(OTHER, k * 4_000 - 100)]);
         (0..9).map(one).collect()
@@ -128,7 +168,7 @@
 /// completed run does not clear it of these crashes.
 #[test]
 fn a_completed_run_at_another_service_clears_no_request() {
-    let mut evidence = CrashEvidence::default();
+    let mut evidence = Coordinator::default();
     for n in 0..3 {
         let crash = crash(n, 1_000 + n * 600, &[(BAD, 900 + n * 600)]);
         evidence.record_crash(at(1_000 + n * 600), crash);
@@ -142,7 +182,7 @@
 /// completed run clears it of no later crash.
 #[test]
 fn a_completed_run_clears_a_request_of_no_later_crash() {
-    let mut evidence = CrashEvidence::default();
+    let mut evidence = Coordinator::default();
     for n in 0..3 {
         let ms = 1_000 + n * 600;
         evidence.record_crash(at(ms), crash(n, ms, &[(BAD, ms - 100)]));
@@ -199,7 +239,7 @@
 /// Neither is quarantined before the fourth crash, and the other one never is.
 #[test]
 fn two_requests_always_present_together_are_not_quarantined_until_separated() {
-    let mut evidence = CrashEvidence::default();
+    let mut evidence = Coordinator::default();
     let both = (0..3).map(|n| {
         let ms = 1_000 + n * 700;
         crash(n, ms, &[(OTHER, ms - 50), (BAD, ms - 80)])
@@ -217,7 +257,7 @@
 /// one is released.
 #[test]
 fn a_request_quarantined_by_mistake_is_released_once_the_cause_is_found() {
-    let mut evidence = CrashEvidence::default();
+    let mut evidence = Coordinator::default();
     let both = (0..4).map(|n| {
         let ms = 1_000 + n * 700;
         crash(n, ms, &[(OTHER, ms - 50), (BAD, ms - 80)])
@@ -227,13 +267,10 @@
     evidence.record_crash(at(4_600), crash(4, 4_600, &[(BAD, 4_550)]));
     let mut released = Vec::new();
     for ms in (4_600..7_000).step_by(100) {
-        released.extend(evidence.findings(at(ms), |_| None).released);
+        released.extend(evidence.evaluate(at(ms)).released);
     }
     assert_eq!(released, [Content::from_number(OTHER)]);
-    assert_eq!(
-        numbers(&evidence.findings(at(7_000), |_| None).quarantined),
-        [BAD]
-    );
+    assert_eq!(numbers(&evidence.evaluate(at(7_000)).quarantined), [BAD]);
 }
 
 /// Two requests crash different upstreams. Both are found.
@@ -270,12 +307,12 @@
 /// afterwards, as they have not crashed, and the request is released.
 #[test]
 fn upstreams_that_are_still_listed_have_not_crashed() {
-    let mut evidence = CrashEvidence::default();
+    let mut evidence = Coordinator::default();
     let crashes = (0..3).map(|n| crash(n, 1_000 + n * 600, &[(OTHER, 900 + n * 600)]));
     let (last, _) = evaluate_from(&mut evidence, crashes.collect(), 0, 4_000);
     assert_eq!(numbers(&last.quarantined), [OTHER]);
     evidence.discard_listed(at(12_000), MonoTime::ZERO, |_, _| true);
-    let findings = evidence.findings(at(12_000), |_| None);
+    let findings = evidence.evaluate(at(12_000));
     assert_eq!(findings.quarantined, []);
     assert_eq!(findings.released, [Content::from_number(OTHER)]);
 }
@@ -284,14 +321,14 @@
 /// they are still listed. The request stays quarantined.
 #[test]
 fn entries_that_expire_while_the_store_is_away_release_no_request() {
-    let mut evidence = CrashEvidence::default();
+    let mut evidence = Coordinator::default();
     let crashes = (0..3).map(|n| crash(n, 1_000 + n * 600, &[(BAD, 900 + n * 600)]));
     let (last, _) = evaluate_from(&mut evidence, crashes.collect(), 0, 4_000);
     assert_eq!(numbers(&last.quarantined), [BAD]);
     let returned = at(15_000);
     evidence.discard_listed(at(15_100), returned, |_, _| true);
     evidence.discard_listed(at(24_000), returned, |_, _| false);
-    let findings = evidence.findings(at(24_000), |_| None);
+    let findings = evidence.evaluate(at(24_000));
     assert_eq!(numbers(&findings.quarantined), [BAD]);
     assert_eq!(findings.released, []);
 }
@@ -301,14 +338,14 @@
 /// quarantined.
 #[test]
 fn requests_of_one_customer_do_not_quarantine_those_of_another() {
-    let mut evidence = CrashEvidence::default();
+    let mut evidence = Coordinator::default();
     let mut quarantined = Vec::new();
     for n in 0..10 {
         let ms = 1_000 + n * 1_500;
         let crash = crash(n, ms, &[(100 + n, ms - 60), (OTHER, ms - 300)]);
         evidence.record_crash(at(ms), crash);
         for later in (ms..ms + 1_500).step_by(100) {
-            let findings = evidence.findings(at(later), |_| None);
+            let findings = evidence.evaluate(at(later));
             quarantined.extend(numbers(&findings.quarantined));
             if numbers(&findings.suspected).contains(&OTHER) {
                 evidence.record_sound_run(&completed("pool", OTHER, later));
@@ -321,12 +358,12 @@
 /// After its quarantine has expired, a request is let through and crashes another upstream.
 #[test]
 fn one_more_crash_suffices_after_a_quarantine_has_expired() {
-    let mut evidence = CrashEvidence::default();
+    let mut evidence = Coordinator::default();
     let crashes = (0..3).map(|n| crash(n, 1_000 + n * 600, &[(BAD, 900 + n * 600)]));
     evaluate_from(&mut evidence, crashes.collect(), 0, 4_000);
     let later = 700_000;
     evidence.record_crash(at(later), crash(9, later, &[(BAD, later - 80)]));
-    let findings = evidence.findings(at(later + 300), |_| None);
+    let findings = evidence.evaluate(at(later + 300));
     assert_eq!(numbers(&findings.quarantined), [BAD]);
 }
 
@@ -334,14 +371,14 @@
 /// crash releases no request.
 #[test]
 fn evidence_is_bounded_and_its_eviction_releases_no_request() {
-    let mut evidence = CrashEvidence::default();
+    let mut evidence = Coordinator::default();
     let crashes = (0..3).map(|n| crash(n, 1_000 + n * 600, &[(BAD, 900 + n * 600)]));
     let (last, _) = evaluate_from(&mut evidence, crashes.collect(), 0, 4_000);
     assert_eq!(numbers(&last.quarantined), [BAD]);
     for n in 10..2_000 {
         let ms = 4_000 + n * 10;
         evidence.record_crash(at(ms), crash(n, ms, &[(1_000 + n, ms - 5)]));
-        assert_eq!(evidence.findings(at(ms), |_| None).released, []);
+        assert_eq!(evidence.evaluate(at(ms)).released, []);
     }
 }
 
@@ -349,7 +386,7 @@
 /// first two were lost, and only the store records that it is suspected.
 #[test]
 fn a_recorded_suspicion_stands_for_crashes_that_are_not_known() {
-    let mut evidence = CrashEvidence::default();
+    let mut evidence = Coordinator::default();
     evidence.record_crash(at(5_000), crash(1, 5_000, &[(BAD, 4_950), (OTHER, 4_900)]));
     let announced = |is_recorded| {
         move |content: Content| {
@@ -368,7 +405,7 @@
 /// and have another cause.
 #[test]
 fn a_recorded_suspicion_adds_nothing_to_known_crashes() {
-    let mut evidence = CrashEvidence::default();
+    let mut evidence = Coordinator::default();
     let times = [1_000, 2_000, 3_000, 5_000];
     for (n, ms) in times.into_iter().enumerate() {
         let runs = [(BAD, ms - 50), (OTHER, ms - 900)];
--- a/crates/serving/tests/harmful_requests.rs
+++ b/crates/serving/tests/harmful_requests.rs
@@ -8,6 +8,7 @@
 use jd_serving::CrashEvidence;
 use jd_serving::RunContents;
 use jd_serving::SoundRun;
+use jd_serving::Suspicion;
 use jd_serving::UpstreamCrash;
 use jd_serving::UpstreamStart;
 use jd_types::MonoTime;
@@ -57,6 +58,7 @@
     places: Vec<Place>,
     names: u64,
     held: HashMap<u64, u64>,
+    announced: HashMap<Content, u64>,
     suspected: Vec<u64>,
     last_sound: HashMap<u64, u64>,
     crashes: HashMap<u64, Vec<u64>>,
@@ -71,6 +73,7 @@
             places: vec![Place::default(); UPSTREAMS],
             names: 0,
             held: HashMap::new(),
+            announced: HashMap::new(),
             suspected: Vec::new(),
             last_sound: HashMap::new(),
             crashes: HashMap::new(),
@@ -163,7 +166,16 @@
     }
 
     fn evaluate(&mut self, now: u64) {
-        let findings = self.evidence.findings(at(now), |_| None);
+        let announced = &self.announced;
+        let findings = self.evidence.findings(at(now), |content| {
+            announced.get(&content).map(|since| Suspicion {
+                since: at(*since),
+                is_recorded: false,
+            })
+        });
+        for found in &findings.suspected {
+            self.announced.entry(found.content).or_insert(now);
+        }
         for found in &findings.quarantined {
             self.held.entry(found.content.number()).or_insert(now);
         }
--- a/crates/serving/tests/part_evidence/replay.rs
+++ b/crates/serving/tests/part_evidence/replay.rs
@@ -1,5 +1,6 @@
 //! Replays crashes of upstreams in virtual time, as the coordinator of the quarantine hears of them.
 
+use std::collections::HashMap;
 use std::time::Duration;
 
 use jd_serving::BrokenRun;
@@ -10,6 +11,7 @@
 use jd_serving::PromptPart;
 use jd_serving::RunContents;
 use jd_serving::SoundRun;
+use jd_serving::Suspicion;
 use jd_serving::UpstreamCrash;
 use jd_serving::UpstreamStart;
 use jd_types::MonoTime;
@@ -65,6 +67,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Replay {
     pub(crate) evidence: CrashEvidence,
+    /// Since when all instances know of each suspicion.
+    pub(crate) announced: HashMap<Content, u64>,
     pub(crate) now: u64,
     pub(crate) upstreams: u64,
     pub(crate) requests: u64,
@@ -78,7 +82,16 @@
     pub(crate) fn advance(&mut self, until: u64) {
         while self.now < until {
             self.now += 50;
-            let findings = self.evidence.findings(at(self.now), |_| None);
+            let announced = &self.announced;
+            let findings = self.evidence.findings(at(self.now), |content| {
+                announced.get(&content).map(|since| Suspicion {
+                    since: at(*since),
+                    is_recorded: false,
+                })
+            });
+            for found in &findings.suspected {
+                self.announced.entry(found.content).or_insert(self.now);
+            }
             self.held = findings.quarantined.iter().map(|f| f.content).collect();
             for content in &self.held {
                 if !self.found.iter().any(|(_, c)| c == content) {
