Runs that settle have room for all callers of an instance; a write that only the decider cannot make is tested

A crowd of more than 1,024 callers that leave within 150 ms would have dropped runs that settle, with a line each: found by reading.

--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -20,8 +20,10 @@
 use jd_types::MonoTime;
 
 use crate::run_events::EndedRun;
+use crate::run_events::QUEUE_CAPACITY;
 use crate::run_events::RunEvent;
 use crate::run_events::RunEvents;
+use crate::run_events::SETTLING_CAPACITY;
 use crate::signal::Signal;
 
 /// Least time between two reports of sound runs of one content by one instance.
@@ -83,8 +85,8 @@
             list: ArcSwap::default(),
             recent: Mutex::default(),
             reported: Mutex::default(),
-            run_events: RunEvents::new(),
-            settling: RunEvents::new(),
+            run_events: RunEvents::new(QUEUE_CAPACITY),
+            settling: RunEvents::new(SETTLING_CAPACITY),
             extended: Event::new(),
             heartbeat_requested,
             runs_requested: Signal::new(),
--- a/crates/gateway/src/run_events.rs
+++ b/crates/gateway/src/run_events.rs
@@ -10,9 +10,12 @@
 use jd_serving::UpstreamStart;
 use jd_types::MonoTime;
 
-/// The capacity of the queue. Broken runs come by the hundred when many upstreams crash, and
+/// The capacity of the queue of runs that settle: twice the connections of an instance, since all of
+/// its callers may leave at once.
+pub(crate) const SETTLING_CAPACITY: usize = 8_192;
+/// The capacity of the queue of other events. Broken runs come by the hundred when many upstreams crash, and
 /// are consumed at once; events beyond this number would be stale when they are consumed.
-const QUEUE_CAPACITY: usize = 1_024;
+pub(crate) const QUEUE_CAPACITY: usize = 1_024;
 
 /// One start of an upstream, with its address.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
@@ -64,8 +67,8 @@
 }
 
 impl<T> RunEvents<T> {
-    pub(crate) fn new() -> RunEvents<T> {
-        let (tx, rx) = async_channel::bounded(QUEUE_CAPACITY);
+    pub(crate) fn new(capacity: usize) -> RunEvents<T> {
+        let (tx, rx) = async_channel::bounded(capacity);
         RunEvents { tx, rx }
     }
 
--- a/crates/gateway/tests/whole/deciders.rs
+++ b/crates/gateway/tests/whole/deciders.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use async_io::Timer;
 use futures_lite::future::block_on;
@@ -9,9 +10,11 @@
 
 use crate::fakes::CrashingUpstreams;
 use crate::fakes::Harness;
+use crate::fakes::crash_fleet::TEST_TIMEOUT;
 use crate::fakes::crash_fleet::assert_quarantined_in_time;
 use crate::fakes::crash_fleet::fleet;
 use crate::fakes::crash_fleet::spawn_repeated_sends;
+use crate::fakes::crash_fleet::until_quarantined;
 use crate::fakes::owner_order;
 
 /// After this time an instance that the store refuses counts the store as lost.
@@ -86,3 +89,22 @@
         assert!(harness.store.holds_quarantine());
     });
 }
+
+/// Guards against a quarantine that the store never gets because it refuses the writes of the instance
+/// that decides.
+#[test]
+fn another_instance_writes_a_quarantine_that_the_decider_cannot_write() {
+    let (harness, _upstreams) = fleet(6);
+    let first = owner_order(&harness.peer_addresses())[0];
+    harness.store_of(first).refuse_own_quarantine();
+    let harness = Arc::new(harness);
+    block_on(async {
+        harness.until_all_answer("/any/x", 200).await;
+        until_quarantined(&harness, "/stream/bad").await;
+        let until = Instant::now() + TEST_TIMEOUT;
+        while !harness.store.holds_quarantine() {
+            assert!(Instant::now() < until, "it was not written");
+            Timer::after(Duration::from_millis(10)).await;
+        }
+    });
+}
--- a/crates/gateway/tests/whole/fakes/fake_store.rs
+++ b/crates/gateway/tests/whole/fakes/fake_store.rs
@@ -80,6 +80,7 @@
     sample_reads: AtomicUsize,
     refused_announcements: AtomicUsize,
     refuses_quarantine: Arc<AtomicBool>,
+    refuses_own_quarantine: AtomicBool,
     refuses_versions: Arc<AtomicBool>,
     revision_reads: AtomicUsize,
 }
@@ -113,6 +114,7 @@
             sample_reads: AtomicUsize::new(0),
             refused_announcements: AtomicUsize::new(0),
             refuses_quarantine: Arc::default(),
+            refuses_own_quarantine: AtomicBool::new(false),
             refuses_versions: Arc::default(),
             revision_reads: AtomicUsize::new(0),
         }
@@ -275,6 +277,11 @@
         self.refuses_quarantine.store(true, Ordering::Relaxed);
     }
 
+    /// Refuses quarantine writes of this instance alone.
+    pub(crate) fn refuse_own_quarantine(&self) {
+        self.refuses_own_quarantine.store(true, Ordering::Relaxed);
+    }
+
     /// Refuses records of versions of all instances, or takes them again.
     pub(crate) fn set_refuses_versions(&self, refuses: bool) {
         self.refuses_versions.store(refuses, Ordering::Relaxed);
@@ -551,7 +558,8 @@
     ) -> StoreFuture<'a, ()> {
         Box::pin(async move {
             self.answer(())?;
-            if self.refuses_quarantine.load(Ordering::Relaxed) {
+            let refuses_own = self.refuses_own_quarantine.load(Ordering::Relaxed);
+            if refuses_own || self.refuses_quarantine.load(Ordering::Relaxed) {
                 return Err(StoreError::Refused);
             }
             self.change(Change::Put(Record::Quarantine(*record)));
--- a/crates/gateway/tests/whole/fakes/harness.rs
+++ b/crates/gateway/tests/whole/fakes/harness.rs
@@ -380,9 +380,13 @@
 
     /// Makes the store refuse the gateway with this peer address, or serve it again.
     pub(crate) fn turn_away(&self, peers: SocketAddr, refuses: bool) {
+        self.store_of(peers).set_unavailable(refuses);
+    }
+
+    /// The store as the gateway with this peer address sees it.
+    pub(crate) fn store_of(&self, peers: SocketAddr) -> &Arc<FakeStore> {
         let member = self.fleet.iter().find(|m| m.peers == peers);
-        let store = member.map_or(&self.store, |m| &m.store);
-        store.set_unavailable(refuses);
+        member.map_or(&self.store, |m| &m.store)
     }
 
     /// Makes the store refuse all gateways that run now.
