An upstream that accepts connections and cannot serve has ended; what was sent to it never ran

An ended upstream whose address still accepts connections holds what is sent to it; that breaks when the address refuses, a second later, and counted as a run at an end. And a whole run before the end was sound if the upstream was listed a second later, if any connection to it was open, or if it had answered a run sent in the 25 ms between the answer and the end.

What began after the end of its upstream is no evidence, whichever instance reports first (CLOCK_ERROR). A whole run is sound once the upstream has answered a run that was sent half of SETTLE_FOR later, or a connection is open that was opened before the run ended. Ends behind whole answers and callers that leave are looked for as long as those of broken runs; upstreams whose answers have no mark of their end for a second, as before.

--- a/crates/gateway/src/crash_reporter.rs
+++ b/crates/gateway/src/crash_reporter.rs
@@ -16,6 +16,7 @@
 use jd_serving::EndSearch;
 use jd_serving::EndSearchStep;
 use jd_serving::ListedAs;
+use jd_serving::SearchSubject;
 use jd_serving::UpstreamCrash;
 use jd_serving::UpstreamFate;
 use jd_types::MonoTime;
@@ -59,7 +60,9 @@
     at: MonoTime,
     /// Runs whose connections broke.
     broken: Vec<BrokenRun>,
-    /// Runs that are sound if the upstream goes on.
+    /// Runs that are sound if the upstream goes on, and those that are sound once it has answered
+    /// another one: it may accept connections and be unable to serve.
+    unmarked: Vec<BrokenRun>,
     whole: Vec<BrokenRun>,
     /// Runs of which nothing is known if the upstream goes on.
     undecided: Vec<BrokenRun>,
@@ -70,6 +73,7 @@
         EndedRuns {
             at,
             broken: Vec::new(),
+            unmarked: Vec::new(),
             whole: Vec::new(),
             undecided: Vec::new(),
         }
@@ -78,7 +82,8 @@
     fn add(&mut self, run: BrokenRun, end: RunEnd) {
         let runs = match end {
             RunEnd::Broken => &mut self.broken,
-            RunEnd::Unmarked | RunEnd::Whole => &mut self.whole,
+            RunEnd::Unmarked => &mut self.unmarked,
+            RunEnd::Whole => &mut self.whole,
             RunEnd::Failed | RunEnd::Left => &mut self.undecided,
         };
         if runs.len() < MAX_RUNS_PER_REPORT {
@@ -140,18 +145,21 @@
         while let Some(mut ended) = state.quarantine.settling.next().await {
             let due = ended.at + SETTLE_FOR;
             Timer::after(due.since(state.now())).await;
+            // The middle of the time in which the upstream may have ended: those that end at one
+            // moment, as at a loss of power, then do so within the time that counts as one, and
+            // what it answered before says nothing.
+            let ended_at = ended.at;
+            ended.at = ended_at + SETTLE_FOR / 2;
             let EndedRun { upstream, at, .. } = &ended;
             let has_answered = {
                 let upstreams = state.upstreams.load();
                 upstreams.has_answered_since(&upstream.id, *at)
             };
-            if !has_answered && !state.upstream_client.is_connected(upstream.address) {
-                // The middle of the time in which it may have ended. Upstreams that end at one
-                // moment, as at a loss of power, then do so within the time that counts as one.
-                ended.at = ended.at + SETTLE_FOR / 2;
+            let client = &state.upstream_client;
+            if !has_answered && !client.is_connected(upstream.address, ended_at) {
                 self.add_ended_run(ended);
             } else if ended.end == RunEnd::Whole {
-                self.record_sound(&upstream.service, &ended.run, *at);
+                self.record_sound(&upstream.service, &ended.run, ended_at);
             }
         }
     }
@@ -198,15 +206,15 @@
     async fn search(self: Arc<Self>, upstream: UpstreamRef, at: MonoTime) {
         Timer::after(COLLECT_FOR).await;
         let mut search = EndSearch::new(at);
-        let fate = loop {
+        let (fate, has_answered) = loop {
             let now = self.state.now();
-            let is_broken = self.is_broken(&upstream, at);
+            let subject = self.subject(&upstream, at);
             let has_answered = {
                 let upstreams = self.state.upstreams.load();
                 upstreams.has_answered_since(&upstream.id, at)
             };
-            match search.step(now, self.listed(&upstream), has_answered, is_broken) {
-                EndSearchStep::Over(fate) => break fate,
+            match search.step(now, self.listed(&upstream), has_answered, subject) {
+                EndSearchStep::Over(fate) => break (fate, has_answered),
                 EndSearchStep::Wait(pause) => {
                     Timer::after(pause).await;
                 }
@@ -217,14 +225,20 @@
             }
         };
         if let Some(runs) = self.take_searched(&upstream, at) {
-            self.handle_fate(upstream, fate, runs);
+            self.handle_fate(upstream, fate, has_answered, runs);
         }
     }
 
-    fn is_broken(&self, upstream: &UpstreamRef, at: MonoTime) -> bool {
+    fn subject(&self, upstream: &UpstreamRef, at: MonoTime) -> SearchSubject {
         let searched = lock(&self.searched);
         let mut searches = searched.get(upstream).into_iter().flatten();
-        searches.any(|s| s.at == at && !s.broken.is_empty())
+        match searches.find(|s| s.at == at) {
+            Some(runs) if !runs.broken.is_empty() => SearchSubject::Broken,
+            Some(runs) if runs.whole.is_empty() && runs.undecided.is_empty() => {
+                SearchSubject::Unmarked
+            }
+            Some(_) | None => SearchSubject::Hidden,
+        }
     }
 
     fn take_searched(&self, upstream: &UpstreamRef, at: MonoTime) -> Option<EndedRuns> {
@@ -238,15 +252,23 @@
         Some(runs)
     }
 
-    fn handle_fate(&self, upstream: UpstreamRef, fate: UpstreamFate, runs: EndedRuns) {
+    fn handle_fate(
+        &self,
+        upstream: UpstreamRef,
+        fate: UpstreamFate,
+        has_answered: bool,
+        runs: EndedRuns,
+    ) {
         let EndedRuns {
             at,
             broken,
+            unmarked,
             whole,
             undecided,
         } = runs;
         if fate != UpstreamFate::Ended {
-            for run in &whole {
+            let answered = whole.iter().filter(|_| has_answered);
+            for run in unmarked.iter().chain(answered) {
                 self.record_sound(&upstream.service, run, at);
             }
             if !broken.is_empty() {
@@ -254,7 +276,7 @@
             }
             return;
         }
-        let runs = [broken, whole, undecided].concat();
+        let runs = [broken, unmarked, whole, undecided].concat();
         self.log_broken(&upstream, fate, at, &runs);
         self.report_crash(UpstreamCrash {
             service: upstream.service,
--- a/crates/gateway/src/upstream_client.rs
+++ b/crates/gateway/src/upstream_client.rs
@@ -210,9 +210,10 @@
         self.pool.close_idle_for(address, silent_for);
     }
 
-    /// True if a connection to `address` is open that the upstream has not closed.
-    pub(crate) fn is_connected(&self, address: SocketAddr) -> bool {
-        self.pool.is_connected(address)
+    /// True if a connection to `address` is open that the upstream has not closed: an idle one, or one
+    /// that was opened before `time`.
+    pub(crate) fn is_connected(&self, address: SocketAddr, time: MonoTime) -> bool {
+        self.pool.is_connected(address, time)
     }
 
     /// Tests whether a connection to `address` can be opened. Sends no request.
--- a/crates/net/src/http_pool.rs
+++ b/crates/net/src/http_pool.rs
@@ -250,13 +250,14 @@
         addresses.get(&address).map_or(0, |p| p.monitor.len())
     }
 
-    /// True if a connection to an address is open and was not closed by the server: an idle one, or
-    /// one that waits for a response.
-    pub fn is_connected(&self, address: SocketAddr) -> bool {
+    /// True if a connection to an address is open that the server has not closed: an idle one, or one
+    /// that was opened before `time` and waits for a response. A later one may have been accepted
+    /// for a server that has ended.
+    pub fn is_connected(&self, address: SocketAddr, time: MonoTime) -> bool {
         let addresses = self.shared.lock();
         addresses.get(&address).is_some_and(|pool| {
             let is_open = |c: &Connection| c.sender.is_ready();
-            pool.monitor.len() > pool.idle.len() || pool.idle.iter().any(is_open)
+            pool.monitor.is_awaited_on_earlier(time) || pool.idle.iter().any(is_open)
         })
     }
 
--- a/crates/policy/src/connection_monitor.rs
+++ b/crates/policy/src/connection_monitor.rs
@@ -25,6 +25,7 @@
 
 #[derive(Debug)]
 struct Activity {
+    opened_at: MonoTime,
     outstanding: u32,
     last_active: MonoTime,
 }
@@ -37,6 +38,7 @@
         self.open.insert(
             key,
             Activity {
+                opened_at: now,
                 outstanding: 0,
                 last_active: now,
             },
@@ -61,6 +63,12 @@
         }
     }
 
+    /// True if a response is awaited on a connection that was opened before this time.
+    pub fn is_awaited_on_earlier(&self, time: MonoTime) -> bool {
+        let mut open = self.open.values();
+        open.any(|a| a.outstanding > 0 && a.opened_at < time)
+    }
+
     /// The number of open connections.
     pub fn len(&self) -> usize {
         self.open.len()
--- a/crates/serving/src/crash_evidence.rs
+++ b/crates/serving/src/crash_evidence.rs
@@ -48,6 +48,9 @@
 /// after which a run counts as sound, and the way to all instances and back. It is less than
 /// half of the time in which a quarantine must be known everywhere.
 const OBJECTION_WAIT: Duration = Duration::from_millis(1_250);
+/// By how much the times that instances report may be off: a message takes that long, and the age in
+/// it counts from its arrival.
+const CLOCK_ERROR: Duration = Duration::from_millis(50);
 /// Time after which a crashed upstream is no longer listed. The platform removes upstreams
 /// after three heartbeats of 1.2 s; this is twice that.
 const LISTING_TIMEOUT: Duration = Duration::from_secs(8);
@@ -144,7 +147,11 @@
             ..
         } = known;
         let sound = &self.sound;
-        present.retain(|content, _| sound.last_run(service, *content) < Some(*at));
+        // What was sent later waited at an address that still accepted connections, and never ran.
+        let latest = *at + CLOCK_ERROR;
+        present.retain(|content, presence| {
+            presence.began <= latest && sound.last_run(service, *content) < Some(*at)
+        });
     }
 
     /// Records a sound run at a service. This clears its contents of crashes before its answer
--- a/crates/serving/src/end_search.rs
+++ b/crates/serving/src/end_search.rs
@@ -6,8 +6,8 @@
 
 /// Interval between looks at the list of upstreams.
 const LOOK_INTERVAL: Duration = Duration::from_millis(200);
-/// How long an upstream is looked at that has answered since, has left, or at which no run broke
-/// before its end. A process that is restarted at once is listed again within a second.
+/// How long an upstream is looked at that has answered since, has left, or whose answers have no mark
+/// of their end. A process that is restarted at once is listed again within a second.
 const SHORT_SEARCH: Duration = Duration::from_secs(1);
 /// The same for one that has not answered since: an entry outlives its upstream by a lease of
 /// three heartbeats of 1.2 s; this is twice that.
@@ -44,6 +44,17 @@
     Unknown,
 }
 
+/// The runs for which it is looked whether an upstream has ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SearchSubject {
+    /// Some whose connections broke.
+    Broken,
+    /// Some whose answers had no mark of their end, which is what its upstreams do at each answer.
+    Unmarked,
+    /// Some whose callers left, or whose answers were whole, after which no connection was open.
+    Hidden,
+}
+
 /// What has become of an upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum UpstreamFate {
@@ -105,21 +116,22 @@
     }
 
     /// The next step. `has_answered` is true if the upstream has answered a run that was sent after
-    /// the others broke; `is_broken` if any run broke before its end.
+    /// these had ended.
     pub fn step(
         &mut self,
         now: MonoTime,
         listed: ListedAs,
         has_answered: bool,
-        is_broken: bool,
+        subject: SearchSubject,
     ) -> EndSearchStep {
         self.has_left |= listed == ListedAs::Leaving;
         let searched = now.since(self.broke_at);
         let is_silent = !has_answered && !self.has_left;
-        let limit = match is_silent && is_broken {
-            true => LONG_SEARCH,
-            false => SHORT_SEARCH,
+        let limit = match subject {
+            SearchSubject::Broken | SearchSubject::Hidden if is_silent => LONG_SEARCH,
+            _ => SHORT_SEARCH,
         };
+        let is_broken = subject == SearchSubject::Broken;
         let fate = match listed {
             _ if self.fate.is_some() => self.fate,
             ListedAs::Replaced => Some(UpstreamFate::Ended),
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -140,6 +140,7 @@
 pub use end_search::EndSearch;
 pub use end_search::EndSearchStep;
 pub use end_search::ListedAs;
+pub use end_search::SearchSubject;
 pub use end_search::UpstreamFate;
 pub use entry_change::EntryChange;
 pub use entry_change::KnownProcess;
--- a/crates/serving/tests/crash_evidence.rs
+++ b/crates/serving/tests/crash_evidence.rs
@@ -426,3 +426,19 @@
     let found = evidence.findings(at(7_000), announced);
     assert_eq!(numbers(&found.quarantined), [BAD]);
 }
+
+/// Guards against sound requests that are held since they were sent to an upstream which had ended and
+/// still accepted connections: they break when it no longer does.
+#[test]
+fn runs_that_were_sent_after_the_end_of_an_upstream_are_no_evidence() {
+    let mut evidence = Coordinator::default();
+    for n in 0..4 {
+        let ms = 1_000 + n * 1_500;
+        let late = crash(n, ms + 950, &[(OTHER, ms + 150)]);
+        evidence.record_crash(at(ms + 960), late);
+        evidence.record_crash(at(ms + 970), crash(n, ms, &[(BAD, ms - 50)]));
+    }
+    let (last, first) = evaluate_from(&mut evidence, Vec::new(), 5_500, 9_000);
+    assert_eq!(numbers(&last.quarantined), [BAD]);
+    assert!(first.iter().all(|(_, who)| *who == BAD));
+}
--- a/soak/src/upstream_changes.rs
+++ b/soak/src/upstream_changes.rs
@@ -22,7 +22,7 @@
 /// The time from the start of a crashing request to the crash of its upstream.
 const CRASH_DELAY: Duration = Duration::from_millis(40);
 /// The time in which the connections of a crashed upstream are reset.
-const RESET_TIME: Duration = Duration::from_millis(5);
+const RESET_TIME: Duration = Duration::from_millis(25);
 /// The time from a crash to the replacement of the upstream. The entries of the users'
 /// upstreams remain for that long.
 const CRASH_DOWNTIME: Duration = Duration::from_millis(900);
