Ends without broken runs are looked for two seconds

The times of reports may be off by 100 ms now, not 50: an end behind a whole answer is known to within 75.

--- a/crates/serving/src/crash_evidence.rs
+++ b/crates/serving/src/crash_evidence.rs
@@ -48,9 +48,9 @@
 /// after which a run counts as sound, and the way to all instances and back. It is less than
 /// half of the time in which a quarantine must be known everywhere.
 const OBJECTION_WAIT: Duration = Duration::from_millis(1_250);
-/// By how much the times that instances report may be off: a message takes that long, and the age in
-/// it counts from its arrival.
-const CLOCK_ERROR: Duration = Duration::from_millis(50);
+/// By how much the times that instances report may be off: the ages in a message count from its arrival,
+/// and an end behind a whole answer is known to within 75 ms.
+const CLOCK_ERROR: Duration = Duration::from_millis(100);
 /// Time after which a crashed upstream is no longer listed. The platform removes upstreams
 /// after three heartbeats of 1.2 s; this is twice that.
 const LISTING_TIMEOUT: Duration = Duration::from_secs(8);
--- a/crates/serving/src/end_search.rs
+++ b/crates/serving/src/end_search.rs
@@ -9,6 +9,8 @@
 /// How long an upstream is looked at that has answered since, has left, or whose answers have no mark
 /// of their end. A process that is restarted at once is listed again within a second.
 const SHORT_SEARCH: Duration = Duration::from_secs(1);
+/// The same for one at which no run broke: the longest that a crashed one was seen to accept connections.
+const HIDDEN_SEARCH: Duration = Duration::from_secs(2);
 /// The same for one that has not answered since: an entry outlives its upstream by a lease of
 /// three heartbeats of 1.2 s; this is twice that.
 const LONG_SEARCH: Duration = Duration::from_secs(8);
@@ -128,7 +130,8 @@
         let searched = now.since(self.broke_at);
         let is_silent = !has_answered && !self.has_left;
         let limit = match subject {
-            SearchSubject::Broken | SearchSubject::Hidden if is_silent => LONG_SEARCH,
+            SearchSubject::Broken if is_silent => LONG_SEARCH,
+            SearchSubject::Hidden if is_silent => HIDDEN_SEARCH,
             _ => SHORT_SEARCH,
         };
         let is_broken = subject == SearchSubject::Broken;
