--- a/crates/gateway/src/crash_reporter.rs
+++ b/crates/gateway/src/crash_reporter.rs
@@ -60,9 +60,10 @@
     at: MonoTime,
     /// Runs whose connections broke.
     broken: Vec<BrokenRun>,
-    /// Runs that are sound if the upstream goes on, and those that are sound once it has answered
-    /// another one: it may accept connections and be unable to serve.
+    /// Runs whose answers had no mark of their end, and that are sound if the upstream goes on.
     unmarked: Vec<BrokenRun>,
+    /// Runs whose answers were whole. They are sound once the upstream has answered another one: it
+    /// may accept connections and be unable to serve.
     whole: Vec<BrokenRun>,
     /// Runs of which nothing is known if the upstream goes on.
     undecided: Vec<BrokenRun>,
--- a/crates/serving/src/end_search.rs
+++ b/crates/serving/src/end_search.rs
@@ -1,4 +1,4 @@
-//! Finds out whether an upstream at which runs broke has ended.
+//! Finds out whether an upstream has ended, after runs at it that are not known to be sound.
 
 use std::time::Duration;
 
@@ -90,13 +90,13 @@
     Over(UpstreamFate),
 }
 
-/// The search for the end of an upstream at which runs broke.
+/// The search for the end of an upstream after runs that are not known to be sound.
 ///
 /// An end does not show at one moment: the address may accept connections after it, while a core
 /// dump is written or a supervisor holds the socket, and the entry stays until its lease expires.
 #[derive(Debug)]
 pub struct EndSearch {
-    broke_at: MonoTime,
+    runs_ended_at: MonoTime,
     connections: u32,
     next_connection: MonoTime,
     closed: u32,
@@ -105,12 +105,12 @@
 }
 
 impl EndSearch {
-    /// A search after runs that broke at this time.
-    pub fn new(broke_at: MonoTime) -> EndSearch {
+    /// A search after runs that ended at this time.
+    pub fn new(runs_ended_at: MonoTime) -> EndSearch {
         EndSearch {
-            broke_at,
+            runs_ended_at,
             connections: 0,
-            next_connection: broke_at,
+            next_connection: runs_ended_at,
             closed: 0,
             has_left: false,
             fate: None,
@@ -127,7 +127,7 @@
         subject: SearchSubject,
     ) -> EndSearchStep {
         self.has_left |= listed == ListedAs::Leaving;
-        let searched = now.since(self.broke_at);
+        let searched = now.since(self.runs_ended_at);
         let is_silent = !has_answered && !self.has_left;
         let limit = match subject {
             SearchSubject::Broken if is_silent => LONG_SEARCH,
