--- a/crates/serving/src/end_search.rs
+++ b/crates/serving/src/end_search.rs
@@ -9,7 +9,7 @@
 /// How long an upstream is looked at that has answered since, has left, or whose answers have no mark
 /// of their end. A process that is restarted at once is listed again within a second.
 const SHORT_SEARCH: Duration = Duration::from_secs(1);
-/// The same for one at which no run broke: the longest that a crashed one was seen to accept connections.
+/// The same for one at which no run broke. Its address may go on accepting connections for a second.
 const HIDDEN_SEARCH: Duration = Duration::from_secs(2);
 /// The same for one that has not answered since: an entry outlives its upstream by a lease of
 /// three heartbeats of 1.2 s; this is twice that.
